--- a/src/bin/nickelpost-simhost/host.rs
+++ b/src/bin/tulipridge-simhost/host.rs
@@ -4,8 +4,8 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-use nickelpost::Gateway;
-use nickelpost::types::*;
+use tulipridge::Gateway;
+use tulipridge::types::*;
 
 use crate::parse::{Fault, Names, Parts, fault, member, number_of, settings};
 
--- a/src/bin/nickelpost-simhost/main.rs
+++ b/src/bin/tulipridge-simhost/main.rs
@@ -14,7 +14,7 @@
     match run(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("nickelpost-simhost: {message}");
+            eprintln!("tulipridge-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/nickelpost-simhost/parse.rs
+++ b/src/bin/tulipridge-simhost/parse.rs
@@ -4,7 +4,7 @@
 use std::fmt::Display;
 use std::str::{FromStr, Split};
 
-use nickelpost::types::*;
+use tulipridge::types::*;
 
 /// What is wrong with a line: the field and the fault.
 #[derive(Debug)]
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -10,7 +10,7 @@
     safety.overload-factor=2.0 report.fields=queue,x0 a-new-key=9 weight-source=silent";
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_nickelpost-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tulipridge-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use nickelpost::Gateway;
-use nickelpost::types::*;
+use tulipridge::Gateway;
+use tulipridge::types::*;
 
 const SECOND: Nanos = 1_000_000_000;
 const MILLI: Nanos = 1_000_000;
