--- /dev/null
+++ b/src/engine/life.rs
@@ -0,0 +1,162 @@
+//! The life of one request, from its admission to its one final answer.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures_lite::{Stream, future};
+
+use super::{Ask, Ending, Engine, Order};
+use crate::types::{ReplicaId, Verdict};
+
+/// What a scheduling yields: events, then one ending.
+#[derive(Debug)]
+pub enum Step<E> {
+    /// An event of the answer's stream.
+    Event(E),
+    /// The end.
+    Ended(Ending),
+}
+
+/// Those who run schedulings. Dropping a scheduling closes its connection.
+pub trait Servers<E> {
+    /// Starts a scheduling.
+    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Pin<Box<dyn Stream<Item = Step<E>>>>;
+}
+
+/// The client's side of a request. Each way to answer takes the client itself, so there is just one.
+pub trait Client<E>: Sized {
+    /// What a begun answer is written to.
+    type Answer: Answer<E>;
+    /// Returns once the client has left.
+    fn gone(&mut self) -> impl Future<Output = ()>;
+    /// Final answer: turned down.
+    fn turn_down(self, wait: Duration) -> impl Future<Output = ()>;
+    /// Final answer: failed.
+    fn fail(self) -> impl Future<Output = ()>;
+    /// Begins the answer.
+    fn begin(self) -> Self::Answer;
+}
+
+/// A begun answer; it is ended by `finish` or `break_off`, or by its client's leaving.
+pub trait Answer<E>: Sized {
+    /// Returns once the client has left.
+    fn gone(&mut self) -> impl Future<Output = ()>;
+    /// Passes an event on; false if the client has left.
+    fn event(&mut self, event: E) -> impl Future<Output = bool>;
+    /// The stream came to its proper end.
+    fn finish(self) -> impl Future<Output = ()>;
+    /// The stream broke.
+    fn break_off(self, verdict: Verdict) -> impl Future<Output = ()>;
+}
+
+type Scheduling<E> = (u32, Pin<Box<dyn Stream<Item = Step<E>>>>);
+
+enum Next<E> {
+    Gone,
+    Order(Order),
+    Step(u32, Step<E>),
+}
+
+/// Serves one request: asks the module at each point of choice, and gives exactly one final answer.
+pub async fn serve<E, C: Client<E>>(engine: &Engine, ask: &Ask, servers: &impl Servers<E>, mut client: C) {
+    let mut held = engine.admit(ask);
+    let mut out: Vec<Scheduling<E>> = Vec::new();
+
+    // Until the first event: the module orders, schedulings end, the client may leave.
+    let (number, event) = loop {
+        let next = future::or(
+            async { Next::Order(held.order().await) },
+            future::or(
+                async {
+                    let (number, step) = any(&mut out).await;
+                    Next::Step(number, step)
+                },
+                async {
+                    client.gone().await;
+                    Next::Gone
+                },
+            ),
+        );
+        match next.await {
+            Next::Order(Order::Schedule { number, server, timeout }) => {
+                out.push((number, servers.schedule(server, timeout)));
+            }
+            Next::Order(Order::Cancel(number)) => {
+                out.retain(|(n, _)| *n != number);
+                held.outcome(number, Verdict::Cancelled.into(), false);
+            }
+            Next::Order(Order::TurnDown(wait)) => {
+                // Connections close before the answer is written, which may take a slow client's time.
+                drop((out, held));
+                return client.turn_down(wait).await;
+            }
+            Next::Order(Order::Fail) => {
+                drop((out, held));
+                return client.fail().await;
+            }
+            Next::Step(number, Step::Ended(ending)) => {
+                out.retain(|(n, _)| *n != number);
+                held.outcome(number, ending, false);
+            }
+            Next::Step(number, Step::Event(event)) => break (number, event),
+            Next::Gone => return,
+        }
+    };
+
+    // From here on the request belongs to that scheduling; the module calls the others off.
+    held.first_event(number);
+    while let Some(order) = held.order_now() {
+        if let Order::Cancel(other) = order {
+            out.retain(|(n, _)| *n != other);
+            held.outcome(other, Verdict::Cancelled.into(), false);
+        }
+    }
+    out.retain(|(n, _)| *n == number);
+    let mut answer = client.begin();
+    let mut event = Some(event);
+    loop {
+        if let Some(event) = event.take()
+            && !answer.event(event).await
+        {
+            return;
+        }
+        let next = future::or(
+            async {
+                let (number, step) = any(&mut out).await;
+                Next::Step(number, step)
+            },
+            async {
+                answer.gone().await;
+                Next::Gone
+            },
+        );
+        match next.await {
+            Next::Step(_, Step::Event(next)) => event = Some(next),
+            Next::Step(_, Step::Ended(ending)) => {
+                let verdict = ending.verdict;
+                held.outcome(number, ending, true);
+                drop((out, held));
+                return match verdict {
+                    Verdict::Ok => answer.finish().await,
+                    _ => answer.break_off(verdict).await,
+                };
+            }
+            _ => return,
+        }
+    }
+}
+
+/// The next step of whichever scheduling has one.
+async fn any<E>(out: &mut [Scheduling<E>]) -> (u32, Step<E>) {
+    future::poll_fn(|cx| {
+        for (number, steps) in out.iter_mut() {
+            if let Poll::Ready(Some(step)) = steps.as_mut().poll_next(cx) {
+                return Poll::Ready((*number, step));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,343 @@
+//! Requests, schedulings and outcomes; no wire is known here.
+//!
+//! The engine owns the decision module, its clock and its timers. It feeds events to the module and hands
+//! each action to the request that waits for it.
+
+mod life;
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+
+pub use life::{Answer, Client, Servers, Step, serve};
+
+use crate::Gateway;
+use crate::limits::Limits;
+use crate::types::*;
+
+/// A request as the module wants it, but for its id, of which the engine makes sure.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The client's id, if it has the module's form; one that is held already is replaced.
+    pub id: Option<u64>,
+    /// Time until the client gives up, counted from the request's last byte.
+    pub expires_in: Nanos,
+    /// Index of the class.
+    pub class: usize,
+    /// Index of the tenant.
+    pub tenant: Option<usize>,
+    /// The beginning that the prompt shares with others.
+    pub prefix: Option<u64>,
+    /// The session.
+    pub session: Option<u64>,
+    /// Tokens of the prompt, of the shared beginning, and of the answer at the most.
+    pub tokens: (u32, u32, u32),
+    /// The client's repeat.
+    pub repeat: bool,
+}
+
+/// What the module wants done for one request.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    /// Start a scheduling; they are numbered from 0.
+    Schedule {
+        /// Its number.
+        number: u32,
+        /// Where to.
+        server: ReplicaId,
+        /// How long it may take to its first event.
+        timeout: Duration,
+    },
+    /// Call a scheduling off.
+    Cancel(u32),
+    /// Final answer: turned down, with the time that the client should stay away.
+    TurnDown(Duration),
+    /// Final answer: failed.
+    Fail,
+}
+
+/// What the module wants done by discovery and probes.
+#[derive(Debug, PartialEq)]
+pub enum FleetOrder {
+    /// Follow the changes of the list.
+    Watch,
+    /// Ask for the whole list.
+    Fetch,
+    /// Probe a real server.
+    Probe(ReplicaId),
+}
+
+/// How a scheduling ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ending {
+    /// How.
+    pub verdict: Verdict,
+    /// Prompt tokens that the real server had kept.
+    pub kept: Option<u32>,
+    /// Its load, in the settings' order; empty if it told nothing.
+    pub report: Vec<f64>,
+}
+
+impl From<Verdict> for Ending {
+    fn from(verdict: Verdict) -> Ending {
+        Ending { verdict, kept: None, report: Vec::new() }
+    }
+}
+
+/// Unix time that never runs backwards, so that the module's clock and `started_ms` agree.
+struct Clock {
+    unix: Nanos,
+    from: Instant,
+}
+
+impl Clock {
+    fn now(&self) -> Nanos {
+        self.unix + self.from.elapsed().as_nanos() as Nanos
+    }
+}
+
+struct Core {
+    gateway: Gateway,
+    timers: BinaryHeap<Reverse<(Nanos, u64)>>,
+    waiting: BTreeMap<RequestId, Waiting>,
+    actions: Vec<Action>,
+    spare_id: u64,
+}
+
+/// A held request's mailbox, and how many schedulings it was ordered.
+struct Waiting {
+    orders: Sender<Order>,
+    schedulings: u32,
+}
+
+/// The module with its surroundings; clones share it.
+#[derive(Clone)]
+pub struct Engine {
+    core: Rc<RefCell<Core>>,
+    clock: Rc<Clock>,
+    fleet: Sender<FleetOrder>,
+    nudge: Sender<()>,
+    nudged: Receiver<()>,
+    slack: Duration,
+}
+
+impl Engine {
+    /// An engine round a new module, and the orders that it will have for the fleet.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        limits: &Limits,
+    ) -> Result<(Engine, Receiver<FleetOrder>), SettingsError> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as Nanos;
+        let (fleet, orders) = async_channel::unbounded();
+        let (nudge, nudged) = async_channel::bounded(1);
+        let core = Core {
+            gateway: Gateway::new(settings, seed)?,
+            timers: BinaryHeap::new(),
+            waiting: BTreeMap::new(),
+            actions: Vec::new(),
+            spare_id: seed,
+        };
+        let clock = Rc::new(Clock { unix, from: Instant::now() });
+        let core = Rc::new(RefCell::new(core));
+        Ok((Engine { core, clock, fleet, nudge, nudged, slack: limits.timeout_slack }, orders))
+    }
+
+    /// The module's clock: Unix time in nanoseconds.
+    pub fn now(&self) -> Nanos {
+        self.clock.now()
+    }
+
+    /// Requests that are held.
+    pub fn held(&self) -> usize {
+        self.core.borrow().waiting.len()
+    }
+
+    /// News of the list.
+    pub fn list(&self, kind: ListKind, members: Vec<Member>) {
+        self.feed(Event::List { kind, members: members.into() });
+    }
+
+    /// A probe's end.
+    pub fn probed(&self, replica: ReplicaId, elapsed: Duration, ending: Ending) {
+        let (verdict, elapsed) = (ending.verdict, elapsed.as_nanos() as Nanos);
+        self.feed(Event::Probed { replica, verdict, elapsed, report: ending.report });
+    }
+
+    /// Hands the timers to the module as they come due, for ever.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let now = self.now();
+            match next {
+                Some(at) if at <= now => {
+                    let due = self.core.borrow_mut().timers.pop();
+                    if let Some(Reverse((_, token))) = due {
+                        self.feed(Event::Timer(token));
+                    }
+                    // Sockets have their turn between timers, however many are due.
+                    future::yield_now().await;
+                }
+                _ => {
+                    let until = async {
+                        match next {
+                            Some(at) => drop(Timer::after(Duration::from_nanos(at - now)).await),
+                            None => future::pending().await,
+                        }
+                    };
+                    future::or(until, async { self.nudged.recv().await.unwrap_or_default() }).await;
+                }
+            }
+        }
+    }
+
+    /// Takes a request in. What comes back owes its client one final answer.
+    pub fn admit(&self, ask: &Ask) -> Held {
+        let (orders, mailbox) = async_channel::unbounded();
+        let id = {
+            let core = &mut *self.core.borrow_mut();
+            let mut id = ask.id;
+            // Guards against two requests under one id: the second's answers would go to the first.
+            while id.is_none_or(|id| core.waiting.contains_key(&RequestId(id))) {
+                core.spare_id = core.spare_id.wrapping_add(1);
+                id = Some(core.spare_id);
+            }
+            let id = RequestId(id.unwrap_or_default());
+            core.waiting.insert(id, Waiting { orders, schedulings: 0 });
+            id
+        };
+        let held = Held { engine: self.clone(), id, mailbox, out: BTreeMap::new() };
+        let (prompt, prefix_len, max_answer) = ask.tokens;
+        self.feed(Event::Request(Request {
+            id,
+            expires_in: ask.expires_in,
+            class: ask.class,
+            tenant: ask.tenant,
+            prefix: ask.prefix,
+            session: ask.session,
+            prompt,
+            prefix_len,
+            max_answer,
+            repeat: ask.repeat,
+        }));
+        held
+    }
+
+    /// The one place where the module is called.
+    fn feed(&self, event: Event) {
+        let core = &mut *self.core.borrow_mut();
+        let now = self.now();
+        core.gateway.handle(now, event, &mut core.actions);
+        let mut sooner = false;
+        for action in core.actions.drain(..) {
+            let mut give = |id: RequestId, order: &mut dyn FnMut(&mut Waiting) -> Order| {
+                if let Some(waiting) = core.waiting.get_mut(&id) {
+                    let order = order(waiting);
+                    // A request that is just being dropped takes no more orders.
+                    let _ = waiting.orders.try_send(order);
+                }
+            };
+            match action {
+                Action::Send { id, replica, timeout } => give(id, &mut |waiting| {
+                    let number = waiting.schedulings;
+                    waiting.schedulings += 1;
+                    let timeout = Duration::from_nanos(timeout);
+                    Order::Schedule { number, server: replica.clone(), timeout }
+                }),
+                Action::Refuse { id, wait } => {
+                    give(id, &mut |_| Order::TurnDown(Duration::from_nanos(wait)))
+                }
+                Action::Fail(id) => give(id, &mut |_| Order::Fail),
+                Action::Cancel { id, attempt } => give(id, &mut |_| Order::Cancel(attempt)),
+                Action::Timer { after, token } => {
+                    let at = now.saturating_add(after);
+                    sooner |= core.timers.peek().is_none_or(|Reverse((first, _))| at < *first);
+                    core.timers.push(Reverse((at, token)));
+                }
+                Action::Watch => drop(self.fleet.try_send(FleetOrder::Watch)),
+                Action::Fetch => drop(self.fleet.try_send(FleetOrder::Fetch)),
+                Action::Probe(replica) => drop(self.fleet.try_send(FleetOrder::Probe(replica))),
+                // Gateways share nothing that feeds a decision.
+                Action::Tell { .. } => {}
+            }
+        }
+        if sooner {
+            let _ = self.nudge.try_send(());
+        }
+    }
+}
+
+/// A request that is held: its orders come out of it, its events go into it. When it is dropped the module
+/// learns that the request is over and that what was still out was called off.
+pub struct Held {
+    engine: Engine,
+    id: RequestId,
+    mailbox: Receiver<Order>,
+    /// Schedulings that are out: when each was ordered, and its time-out.
+    out: BTreeMap<u32, (Nanos, Nanos)>,
+}
+
+impl Held {
+    /// The module's next order.
+    pub async fn order(&mut self) -> Order {
+        match self.mailbox.recv().await {
+            Ok(order) => self.noted(order),
+            // The sender lives as long as this does.
+            Err(_) => future::pending().await,
+        }
+    }
+
+    /// An order that is there already.
+    pub fn order_now(&mut self) -> Option<Order> {
+        self.mailbox.try_recv().ok().map(|order| self.noted(order))
+    }
+
+    fn noted(&mut self, order: Order) -> Order {
+        if let Order::Schedule { number, timeout, .. } = &order {
+            self.out.insert(*number, (self.engine.now(), timeout.as_nanos() as Nanos));
+        }
+        order
+    }
+
+    /// A scheduling's first event has come.
+    pub fn first_event(&mut self, number: u32) {
+        if let Some((sent, _)) = self.out.get(&number) {
+            let elapsed = self.engine.now().saturating_sub(*sent);
+            self.engine.feed(Event::FirstToken { id: self.id, attempt: number, elapsed });
+        }
+    }
+
+    /// A scheduling has ended, and with it the request if `ended`.
+    pub fn outcome(&mut self, number: u32, ending: Ending, ended: bool) {
+        let Some((sent, _)) = self.out.remove(&number) else { return };
+        let elapsed = self.engine.now().saturating_sub(sent);
+        let Ending { verdict, kept, report } = ending;
+        let id = self.id;
+        self.engine.feed(Event::Outcome { id, attempt: number, verdict, ended, elapsed, kept, report });
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.engine.feed(Event::Expired(self.id));
+        let slack = self.engine.slack.as_nanos() as Nanos;
+        while let Some((number, (sent, timeout))) = self.out.pop_first() {
+            let elapsed = self.engine.now().saturating_sub(sent);
+            // A client leaves at its deadline, which is also the time-out's end: whichever is noticed first,
+            // the real server has answered nothing in all that time.
+            let waited = elapsed.saturating_add(slack) >= timeout;
+            let verdict = if waited { Verdict::TimedOut } else { Verdict::Cancelled };
+            let (id, report) = (self.id, Vec::new());
+            let outcome =
+                Event::Outcome { id, attempt: number, verdict, ended: true, elapsed, kept: None, report };
+            self.engine.feed(outcome);
+        }
+        self.engine.core.borrow_mut().waiting.remove(&self.id);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,11 @@
 #![doc = include_str!("../README.md")]
 
 mod choice;
+pub mod config;
+pub mod engine;
+pub mod front;
+pub mod limits;
+pub mod net;
 pub mod types;
 
 pub use choice::Gateway;
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,103 @@
+//! Every size, count and time that the program keeps to, filled once at start and handed down.
+
+use std::time::Duration;
+
+/// What a gateway may use and how long it waits. Nothing else in the network code states a bound.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Bytes of a message's head.
+    pub head_bytes: usize,
+    /// Header lines of a message.
+    pub headers: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Bytes of one event of a stream, of its framing lines, and of a refusal's body that is read to its end.
+    pub event_bytes: usize,
+    /// Bytes of one line of discovery's answers.
+    pub list_bytes: usize,
+    /// Bytes read from a socket at once.
+    pub read_bytes: usize,
+    /// Edge connections open at once.
+    pub edge_connections: usize,
+    /// From this many on, an edge connection is closed after its answer.
+    pub edge_crowded: usize,
+    /// Connections to real servers open at once, idle ones included.
+    pub server_connections: usize,
+    /// Time for a connection to come up.
+    pub connect: Duration,
+    /// An idle connection to a real server is closed after this time.
+    pub pool_idle: Duration,
+    /// How often idle connections are looked through.
+    pub pool_sweep: Duration,
+    /// An edge connection without a request is closed after this time.
+    pub edge_idle: Duration,
+    /// Time for a request to arrive from its first byte to its last.
+    pub edge_read: Duration,
+    /// Time in which a client must take what is written to it.
+    pub edge_write: Duration,
+    /// Time in which the rest of an answer that serves nobody is read, to keep its connection.
+    pub rest_read: Duration,
+    /// A begun stream that stays silent for this time counts as broken.
+    pub stream_silence: Duration,
+    /// A watch without a line for this time counts as broken.
+    pub watch_silence: Duration,
+    /// Time for discovery's answer to begin.
+    pub discovery_answer: Duration,
+    /// Pause of the listener after it found no descriptor free.
+    pub accept_pause: Duration,
+    /// After SIGTERM, requests are taken for this time.
+    pub stop_grace: Duration,
+    /// Without an answer of discovery, a list from the configuration counts as good after this time.
+    pub list_wait: Duration,
+    /// A time-out that fell this short of its end when the client left counts as one.
+    pub timeout_slack: Duration,
+    /// Messages to peers or a collector that wait to be sent; older ones are dropped.
+    pub backlog: usize,
+    /// Keys that the store holds, and bytes of each key and value.
+    pub store_keys: usize,
+    /// Bytes of a key or a value of the store.
+    pub store_bytes: usize,
+    /// Time between two exchanges of the store with a peer.
+    pub peer_every: Duration,
+}
+
+impl Limits {
+    /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
+    pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
+        let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
+        // Half of the memory may stand in requests, each at its largest: its parts and its bytes to send.
+        let by_memory = (memory_mb << 19) / (2 * body_bytes + head_bytes);
+        // A descriptor in sixteen is left to discovery, the store, the log and the runtime's own.
+        let edge_connections = (sockets / 2).min(by_memory).max(8);
+        Limits {
+            head_bytes,
+            headers: 64,
+            body_bytes,
+            event_bytes,
+            list_bytes: 1 << 20,
+            read_bytes: 16 << 10,
+            edge_connections,
+            edge_crowded: edge_connections * 3 / 4,
+            server_connections: (sockets * 7 / 16).max(8),
+            connect,
+            // Well before the other side's limit, so that no request crosses its close.
+            pool_idle: idle.mul_f64(0.6),
+            pool_sweep: Duration::from_millis(250),
+            edge_idle: Duration::from_secs(60),
+            edge_read: Duration::from_secs(10),
+            edge_write: Duration::from_secs(10),
+            rest_read: Duration::from_millis(50),
+            stream_silence: Duration::from_secs(30),
+            watch_silence: Duration::from_millis(3200),
+            discovery_answer: Duration::from_millis(2500),
+            accept_pause: Duration::from_millis(20),
+            stop_grace: Duration::from_millis(700),
+            list_wait: Duration::from_secs(1),
+            timeout_slack: Duration::from_millis(25),
+            backlog: 1024,
+            store_keys: 1024,
+            store_bytes: 16 << 10,
+            peer_every: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,208 @@
+//! Discovery: the list of real servers, asked for once or watched.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+
+use super::http::{self, Body};
+use super::servers::Fleet;
+use super::{Wire, within};
+use crate::config::{Listing, Names, State};
+use crate::engine::{Engine, FleetOrder};
+use crate::limits::Limits;
+use crate::types::{ListKind, ReplicaId};
+
+/// Follows the list as the module orders, and tells it and the fleet what comes.
+pub struct Discovery {
+    addr: SocketAddr,
+    engine: Engine,
+    fleet: Rc<Fleet>,
+    names: Rc<RefCell<Names>>,
+    limits: Rc<Limits>,
+    version: Cell<u64>,
+    answered: Cell<bool>,
+}
+
+impl Discovery {
+    /// Knows nothing yet.
+    pub fn new(
+        addr: SocketAddr,
+        engine: Engine,
+        fleet: Rc<Fleet>,
+        names: Rc<RefCell<Names>>,
+        limits: Rc<Limits>,
+    ) -> Discovery {
+        Discovery { addr, engine, fleet, names, limits, version: Cell::new(0), answered: Cell::new(false) }
+    }
+
+    /// Takes the list that the gateway last had, which may be old.
+    pub fn persisted(&self, known: &Listing) {
+        self.take(known, ListKind::Persisted);
+    }
+
+    /// Discovery has answered at least once.
+    pub fn answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    /// Carries out the module's orders, for ever. Where the list should come unasked, watches by itself.
+    pub async fn run(
+        self: Rc<Self>,
+        ex: &'static LocalExecutor<'static>,
+        orders: Receiver<FleetOrder>,
+        push: bool,
+    ) {
+        let mut watch: Option<Task<()>> = None;
+        if push {
+            let this = self.clone();
+            let always = async move {
+                loop {
+                    this.clone().watch().await;
+                    Timer::after(this.limits.pool_sweep).await;
+                }
+            };
+            watch = Some(ex.spawn(always));
+        }
+        while let Ok(order) = orders.recv().await {
+            match order {
+                // A new watch takes the place of the old one, whose connection closes with it.
+                FleetOrder::Watch => {
+                    drop(watch.take());
+                    watch = Some(ex.spawn(self.clone().watch()));
+                }
+                FleetOrder::Fetch => ex.spawn(self.clone().fetch()).detach(),
+                FleetOrder::Probe(server) => {
+                    let this = self.clone();
+                    ex.spawn(async move {
+                        let from = std::time::Instant::now();
+                        let ending = this.fleet.probe(&server).await;
+                        this.engine.probed(server, from.elapsed(), ending);
+                    })
+                    .detach();
+                }
+            }
+        }
+        drop(watch);
+    }
+
+    /// One watch, up to its end, which the module learns of as a failure.
+    async fn watch(self: Rc<Self>) {
+        let path = format!("/catalog/members?stream=1&index={}", self.version.get());
+        let ended = self.call(&path, true).await;
+        let why = ended.err().map_or("it ended".to_owned(), |e| e.to_string());
+        log::info!("watch-ended version={}: {why}", self.version.get());
+        self.engine.list(ListKind::Failed, Vec::new());
+    }
+
+    async fn fetch(self: Rc<Self>) {
+        if let Err(e) = self.call("/catalog/members", false).await {
+            log::info!("list-failed: {e}");
+            self.engine.list(ListKind::Failed, Vec::new());
+        }
+    }
+
+    async fn call(&self, path: &str, watch: bool) -> io::Result<()> {
+        let limits = &self.limits;
+        let mut wire = Wire::connect(self.addr, limits).await?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
+        wire.write(request.as_bytes()).await?;
+        let begun = within(limits.discovery_answer, async {
+            loop {
+                match http::response_head(&mut wire.buf, limits) {
+                    Ok(Some(head)) => return Ok(head),
+                    Ok(None) if wire.fill(limits).await? > 0 => {}
+                    Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Err(bad) => return Err(io::Error::other(bad.what)),
+                }
+            }
+        });
+        let head = begun.await??;
+        if head.status() != 200 {
+            return Err(io::Error::other(format!("status {}", head.status())));
+        }
+        let mut body = head.response_body(limits).map_err(|bad| io::Error::other(bad.what))?;
+        let mut text = Vec::new();
+        let mut first = true;
+        loop {
+            let whole = match body.take(&mut wire.buf, &mut text, limits) {
+                Ok(whole) => whole,
+                Err(bad) => return Err(io::Error::other(bad.what)),
+            };
+            let ended = whole || (body == Body::UntilClose && !watch && !wire.buf.is_empty());
+            if ended && !text.ends_with(b"\n") {
+                text.push(b'\n');
+            }
+            while let Some(end) = text.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                if watch || !line.trim_ascii().is_empty() {
+                    self.line(line.trim_ascii(), &mut first)?;
+                }
+            }
+            if ended {
+                return if first { Err(io::Error::other("an empty answer")) } else { Ok(()) };
+            }
+            // Guards against a line without end.
+            if text.len() > limits.list_bytes {
+                return Err(io::Error::other("a line too long"));
+            }
+            // Guards against a discovery that is cut off: it says something every 2 s.
+            if within(limits.watch_silence, wire.fill(limits)).await?? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// A line of an answer. An empty one is a sign of life, and as an answer's first also says: no change.
+    fn line(&self, line: &[u8], first: &mut bool) -> io::Result<()> {
+        let was_first = std::mem::replace(first, false);
+        if line.is_empty() {
+            if was_first {
+                self.take(
+                    &Listing { version: self.version.get(), ..Listing::default() },
+                    ListKind::Changes,
+                );
+            }
+            return Ok(());
+        }
+        let listing: Listing = serde_json::from_slice(line).map_err(io::Error::other)?;
+        if !listing.full && listing.version < self.version.get() {
+            // Changes up to a version that is held already: nothing new.
+            log::warn!("old-changes version={} held={}", listing.version, self.version.get());
+            if was_first {
+                self.take(
+                    &Listing { version: self.version.get(), ..Listing::default() },
+                    ListKind::Changes,
+                );
+            }
+            return Ok(());
+        }
+        self.take(&listing, if listing.full { ListKind::Whole } else { ListKind::Changes });
+        Ok(())
+    }
+
+    /// Tells the fleet first, so that what the module then orders finds its places.
+    fn take(&self, listing: &Listing, kind: ListKind) {
+        self.version.set(listing.version);
+        self.answered.set(self.answered.get() || kind != ListKind::Persisted);
+        let mut members = Vec::with_capacity(listing.servers.len());
+        for entry in &listing.servers {
+            let mut names = self.names.borrow_mut();
+            self.fleet.learn(entry, names.dialect(&entry.kind));
+            members.push(names.member(entry));
+            if kind == ListKind::Changes && entry.state != State::Ready {
+                log::info!("list version={} server={} state={:?}", listing.version, entry.id, entry.state);
+            }
+        }
+        if kind != ListKind::Changes {
+            let ids: Vec<ReplicaId> = members.iter().map(|m| m.id.clone()).collect();
+            self.fleet.keep_only(&ids);
+            log::info!("list version={} kind={kind:?} servers={}", listing.version, ids.len());
+        }
+        self.engine.list(kind, members);
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,356 @@
+//! HTTP/1.1 and server-sent events, parsed as bytes come, each within a bound.
+//!
+//! Parsers take what they can from the front of a buffer and leave the rest, so a message may arrive in any
+//! pieces and the next one may follow in the same read.
+
+use std::fmt;
+use std::str;
+
+use crate::limits::Limits;
+
+/// What is wrong with a message, and the status that says so to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bad {
+    /// The status.
+    pub status: u16,
+    /// The fault in words.
+    pub what: &'static str,
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.what, self.status)
+    }
+}
+
+const fn bad<T>(status: u16, what: &'static str) -> Result<T, Bad> {
+    Err(Bad { status, what })
+}
+
+/// A message's start line and headers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    /// The three parts of the start line.
+    pub start: [String; 3],
+    /// The headers in their order.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The first header of that name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    /// A header of that name lists this word.
+    pub fn lists(&self, name: &str, word: &str) -> bool {
+        let values = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        values.flat_map(|(_, v)| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// The status of a response.
+    pub fn status(&self) -> u16 {
+        self.start[1].parse().unwrap_or(0)
+    }
+
+    /// Whether the connection may carry another message after this one.
+    pub fn keeps_alive(&self, version: &str) -> bool {
+        !self.lists("connection", "close")
+            && (version != "HTTP/1.0" || self.lists("connection", "keep-alive"))
+    }
+
+    /// How the body of a request is framed. Guards against smuggling: whatever two readers could take for
+    /// different lengths is refused.
+    pub fn request_body(&self, limits: &Limits) -> Result<Body, Bad> {
+        match self.body(limits)? {
+            Some(body) => Ok(body),
+            None => Ok(Body::Length(0)),
+        }
+    }
+
+    /// How the body of a response is framed.
+    pub fn response_body(&self, limits: &Limits) -> Result<Body, Bad> {
+        if matches!(self.status(), 100..=199 | 204 | 304) {
+            return Ok(Body::Length(0));
+        }
+        // A response may be longer than a request: it is passed on in pieces.
+        let limits = Limits { body_bytes: usize::MAX, ..limits.clone() };
+        Ok(self.body(&limits)?.unwrap_or(Body::UntilClose))
+    }
+
+    fn body(&self, limits: &Limits) -> Result<Option<Body>, Bad> {
+        let mut lengths = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+        let mut codings = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("transfer-encoding"));
+        match (lengths.next(), codings.next()) {
+            (Some(_), Some(_)) => bad(400, "both a length and a transfer coding"),
+            (None, None) => Ok(None),
+            (None, Some((_, coding)))
+                if coding.eq_ignore_ascii_case("chunked") && codings.next().is_none() =>
+            {
+                Ok(Some(Body::Chunked(Chunk::Size)))
+            }
+            (None, Some(_)) => bad(501, "an unknown transfer coding"),
+            (Some((_, length)), None) => {
+                if lengths.next().is_some()
+                    || length.is_empty()
+                    || !length.bytes().all(|b| b.is_ascii_digit())
+                {
+                    return bad(400, "no single whole content length");
+                }
+                match length.parse::<usize>() {
+                    Ok(length) if length <= limits.body_bytes => Ok(Some(Body::Length(length))),
+                    _ => bad(413, "the body is too large"),
+                }
+            }
+        }
+    }
+}
+
+/// Takes a head from the front of `buf` once it is there whole.
+pub fn head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+    // Empty lines before a message are allowed, but not without end.
+    let blank = buf.chunks(2).take_while(|pair| *pair == b"\r\n").count() * 2;
+    buf.drain(..blank);
+    let Some(end) = find(buf, b"\r\n\r\n") else {
+        // Guards against a peer that never ends its head, and against line ends of another kind.
+        if buf.len() > limits.head_bytes {
+            return bad(431, "the head is too large");
+        }
+        if buf.iter().enumerate().any(|(i, b)| *b == b'\n' && (i == 0 || buf[i - 1] != b'\r')) {
+            return bad(400, "a line ends without a carriage return");
+        }
+        return Ok(None);
+    };
+    if end > limits.head_bytes {
+        return bad(431, "the head is too large");
+    }
+    let bytes: Vec<u8> = buf.drain(..end + 4).take(end).collect();
+    let Ok(text) = str::from_utf8(&bytes) else { return bad(400, "the head is not UTF-8") };
+    let mut lines = text.split("\r\n");
+    if text.replace("\r\n", "").chars().any(|c| c.is_control() && c != '\t') {
+        return bad(400, "a control character in the head");
+    }
+    let mut parts = lines.next().unwrap_or_default().splitn(3, ' ');
+    let mut part = || parts.next().unwrap_or_default().to_owned();
+    let start = [part(), part(), part()];
+    if start[0].is_empty() || start[1].is_empty() {
+        return bad(400, "no start line");
+    }
+    let mut headers = Vec::new();
+    for line in lines {
+        let Some((name, value)) = line.split_once(':') else { return bad(400, "a header without a colon") };
+        if name.is_empty() || !name.bytes().all(token) {
+            return bad(400, "a header with a bad name");
+        }
+        if headers.len() == limits.headers {
+            return bad(431, "too many headers");
+        }
+        headers.push((name.to_owned(), value.trim_matches([' ', '\t']).to_owned()));
+    }
+    Ok(Some(Head { start, headers }))
+}
+
+/// Takes a request's head, which has more to it than a response's.
+pub fn request_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+    let Some(head) = head(buf, limits)? else { return Ok(None) };
+    let [method, target, version] = &head.start;
+    if !method.bytes().all(token) || !(target.starts_with('/') || target == "*") || target.contains(' ') {
+        return bad(400, "a bad request line");
+    }
+    match version.as_str() {
+        "HTTP/1.1" | "HTTP/1.0" => {}
+        v if v.starts_with("HTTP/") => return bad(505, "not HTTP/1.1"),
+        _ => return bad(400, "a bad request line"),
+    }
+    if version == "HTTP/1.1"
+        && head.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("host")).count() != 1
+    {
+        return bad(400, "no single host");
+    }
+    Ok(Some(head))
+}
+
+/// Takes a response's head.
+pub fn response_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+    let Some(head) = head(buf, limits)? else { return Ok(None) };
+    let [version, status, _] = &head.start;
+    if !version.starts_with("HTTP/1.") || status.len() != 3 || head.status() < 100 {
+        return bad(502, "a bad status line");
+    }
+    Ok(Some(head))
+}
+
+fn token(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
+}
+
+/// Where `needle` begins in `hay`.
+pub fn find(hay: &[u8], needle: &[u8]) -> Option<usize> {
+    hay.windows(needle.len()).position(|w| w == needle)
+}
+
+/// What is still to come of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// So many bytes.
+    Length(usize),
+    /// Chunks, up to the last one.
+    Chunked(Chunk),
+    /// All until the connection ends.
+    UntilClose,
+}
+
+/// Where in a chunked body the next byte belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    /// To a chunk's size line.
+    Size,
+    /// To its data, of which so much is missing.
+    Data(usize),
+    /// To the line end after its data.
+    DataEnd,
+    /// To the trailers.
+    Trailer,
+    /// To the next message.
+    Over,
+}
+
+impl Body {
+    /// Moves what is there of the body from the front of `buf` to `out`; true once it is whole.
+    pub fn take(&mut self, buf: &mut Vec<u8>, out: &mut Vec<u8>, limits: &Limits) -> Result<bool, Bad> {
+        loop {
+            match self {
+                Body::Length(left) => {
+                    let some = (*left).min(buf.len());
+                    out.extend(buf.drain(..some));
+                    *left -= some;
+                    return Ok(*left == 0);
+                }
+                Body::UntilClose => {
+                    out.append(buf);
+                    return Ok(false);
+                }
+                Body::Chunked(Chunk::Over) => return Ok(true),
+                Body::Chunked(Chunk::Data(left)) => {
+                    let some = (*left).min(buf.len());
+                    out.extend(buf.drain(..some));
+                    *left -= some;
+                    if *left > 0 {
+                        return Ok(false);
+                    }
+                    *self = Body::Chunked(Chunk::DataEnd);
+                }
+                Body::Chunked(chunk) => {
+                    let Some(end) = find(buf, b"\r\n") else {
+                        // Guards against a size or trailer line without end.
+                        return if buf.len() > limits.head_bytes {
+                            bad(400, "a line too long")
+                        } else {
+                            Ok(false)
+                        };
+                    };
+                    let line: Vec<u8> = buf.drain(..end + 2).take(end).collect();
+                    *chunk = match chunk {
+                        Chunk::DataEnd if line.is_empty() => Chunk::Size,
+                        Chunk::DataEnd => return bad(400, "a chunk longer than its size"),
+                        Chunk::Trailer if line.is_empty() => Chunk::Over,
+                        Chunk::Trailer => Chunk::Trailer,
+                        _ => match chunk_size(&line)? {
+                            0 => Chunk::Trailer,
+                            size => Chunk::Data(size),
+                        },
+                    };
+                }
+            }
+        }
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, Bad> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
+    let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
+    let size = hex.then(|| str::from_utf8(digits).ok().and_then(|d| usize::from_str_radix(d, 16).ok()));
+    size.flatten().ok_or(Bad { status: 400, what: "a bad chunk size" })
+}
+
+/// A body's bytes as one chunk, ready to be written.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// The last chunk.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// The words of a status that this program sends.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        529 => "Overloaded",
+        _ => "Status",
+    }
+}
+
+/// A block of a stream of server-sent events, with the empty line that ends it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SseBlock(pub Vec<u8>);
+
+impl SseBlock {
+    fn lines(&self) -> impl Iterator<Item = &[u8]> {
+        self.0.split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l)).filter(|l| !l.is_empty())
+    }
+
+    fn field(&self, name: &str) -> impl Iterator<Item = &str> {
+        let name = name.to_owned();
+        self.lines().filter_map(move |line| {
+            let value = line.strip_prefix(name.as_bytes())?.strip_prefix(b":")?;
+            str::from_utf8(value.strip_prefix(b" ").unwrap_or(value)).ok()
+        })
+    }
+
+    /// The event's name, empty if it has none.
+    pub fn name(&self) -> &str {
+        self.field("event").last().unwrap_or_default()
+    }
+
+    /// The event's data, its lines joined.
+    pub fn data(&self) -> String {
+        self.field("data").collect::<Vec<_>>().join("\n")
+    }
+
+    /// Comment lines.
+    pub fn comments(&self) -> impl Iterator<Item = &str> {
+        self.lines().filter_map(|l| str::from_utf8(l.strip_prefix(b":")?).ok()).map(str::trim)
+    }
+
+    /// It holds nothing but comments.
+    pub fn is_comment(&self) -> bool {
+        self.lines().all(|l| l.starts_with(b":"))
+    }
+}
+
+/// Takes the next block from the front of `buf`, once it is there whole.
+pub fn sse_block(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<SseBlock>, Bad> {
+    let ends = [&b"\n\n"[..], b"\n\r\n"];
+    let end = ends.iter().filter_map(|e| Some(find(buf, e)? + e.len())).min();
+    match end {
+        Some(end) if end <= limits.event_bytes => Ok(Some(SseBlock(buf.drain(..end).collect()))),
+        None if buf.len() <= limits.event_bytes => Ok(None),
+        // Guards against an event without end.
+        _ => bad(502, "an event too large"),
+    }
+}
