Show the second front by loopback tests of all pairings; check models of states with quickcheck

The messages front now has a whole path under test: stand-in clients of each dialect against stand-in real servers of each come to the same outcome when served, turned away, on an error, an error event (first and late), a reset, silence, a broken stream, a drain, a cold server, and a client that leaves. An unknown event passes untouched within a dialect and is left out across two, logged once. Requests follow a model of their states over random steps, as do pipelined requests split at random.

Changed on the way: a request without X-Request-Id gets one, since a real server answers 404 without; after a bad request the rest is read and dropped for a moment, since unread bytes reset the connection and the client may lose its 4xx (the test of the oversized head guards against it); the log says the address that was bound.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// An id for a request whose client gave it none.
+    pub fn fresh_id(&self) -> u64 {
+        let core = &mut *self.core.borrow_mut();
+        core.spare_id = core.spare_id.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        core.spare_id
+    }
+
     /// Takes a request in. What comes back owes its client one final answer.
     pub fn admit(&self, ask: &Ask) -> Held {
         let (orders, mailbox) = async_channel::unbounded();
--- a/src/main.rs
+++ b/src/main.rs
@@ -76,6 +76,7 @@
     fronts.extend(config.daemon.messages.listen.map(|addr| (addr, Dialect::Messages)));
     for (addr, dialect) in fronts {
         let listener = bind(addr)?;
+        let addr = listener.get_ref().local_addr().map_err(|e| format!("listen {addr}: {e}"))?;
         log::info!("listening name={} addr={addr} front={dialect:?}", config.name);
         ex.spawn(edge.clone().listen(ex, listener, dialect)).detach();
     }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -111,13 +111,15 @@
 
     /// One request and its answer; the connection comes back if it may carry another.
     async fn exchange(self: Rc<Self>, mut wire: Wire, dialect: Dialect, from: SocketAddr) -> Option<Wire> {
-        let (head, body) = match self.request(&mut wire).await {
+        let (mut head, body) = match self.request(&mut wire).await {
             Ok(Some(request)) => request,
             Ok(None) => return None,
             Err(bad) => {
                 log::info!("bad-request from={from}: {bad}");
                 let bytes = dialect.bad(bad).bytes(false);
                 let _ = within(self.limits.edge_write, wire.write(&bytes)).await;
+                // Guards against a reset that overtakes the answer: what is still coming is read and dropped.
+                let _ = within(self.limits.rest_read, wire.linger(&self.limits)).await;
                 return None;
             }
         };
@@ -127,7 +129,10 @@
         let reply = match call {
             Call::Serve(ask) => {
                 let back = Rc::new(RefCell::new(None));
-                let id = head.get("x-request-id").unwrap_or("none").to_owned();
+                if head.get("x-request-id").is_none() {
+                    head.headers.push(("X-Request-Id".into(), format!("{:016x}", self.engine.fresh_id())));
+                }
+                let id = head.get("x-request-id").unwrap_or_default().to_owned();
                 let client = Exchange {
                     edge: self.clone(),
                     wire,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,7 @@
 pub mod servers;
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -47,6 +47,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Ends the sending side and drops what still comes, up to the peer's end.
+    pub async fn linger(&mut self, limits: &Limits) -> io::Result<()> {
+        self.stream.get_ref().shutdown(Shutdown::Write)?;
+        while self.fill(limits).await? > 0 {
+            self.buf.clear();
+        }
+        Ok(())
+    }
+
     /// Nothing has come on a connection that should be silent: neither bytes nor its end.
     pub fn is_quiet(&self) -> bool {
         let peeked = self.stream.get_ref().peek(&mut [0]);
--- /dev/null
+++ b/tests/dialects.rs
@@ -0,0 +1,636 @@
+//! The whole program on loopback: stand-in clients of each dialect against stand-in real servers of each, with
+//! a stand-in discovery. Whatever the pairing, the same trouble must come to the same outcome.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+
+/// Long enough never to be met, however slow the machine.
+const FOREVER: Duration = Duration::from_secs(30);
+const PAIRINGS: [(&str, &str); 4] = [
+    ("platform", "platform"),
+    ("platform", "messages"),
+    ("messages", "platform"),
+    ("messages", "messages"),
+];
+
+/// What a client saw of its request.
+#[derive(Clone, Debug, PartialEq)]
+enum Seen {
+    Served(String),
+    /// A stream that ended without its last chunk, after this text.
+    Broken(String),
+    /// Status 429, 503 or 529, with `Retry-After`.
+    TurnedDown,
+    /// Another status.
+    Failed,
+}
+
+/// What a real server does with every request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Manner {
+    Serve,
+    Full,
+    Error,
+    ErrorEvent,
+    LateErrorEvent,
+    Reset,
+    Silence,
+    Break,
+    Odd,
+}
+
+/// A stand-in real server, the requests that reached it, and what it noticed of clients that left.
+struct Server {
+    addr: SocketAddr,
+    requests: Arc<AtomicUsize>,
+    bodies: Arc<Mutex<Vec<Value>>>,
+    left: Receiver<()>,
+}
+
+fn event(dialect: &str, name: &str, data: Value) -> String {
+    if dialect == "messages" {
+        format!("event: {name}\ndata: {data}\n\n")
+    } else {
+        format!("data: {data}\n\n")
+    }
+}
+
+fn text(dialect: &str, text: &str) -> String {
+    match dialect {
+        "messages" => event(
+            dialect,
+            "content_block_delta",
+            json!({"type": "content_block_delta", "index": 0, "delta": {"type": "text_delta", "text": text}}),
+        ),
+        _ => event(
+            dialect,
+            "",
+            json!({"choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}]}),
+        ),
+    }
+}
+
+fn opening(dialect: &str) -> String {
+    let usage = json!({"input_tokens": 7, "cache_read_input_tokens": 5, "output_tokens": 1});
+    let start = json!({"type": "message_start", "message": {"id": "msg_1", "usage": usage}});
+    let block =
+        json!({"type": "content_block_start", "index": 0, "content_block": {"type": "text", "text": ""}});
+    match dialect {
+        "messages" => {
+            event(dialect, "message_start", start)
+                + &event(dialect, "content_block_start", block)
+                + &event(dialect, "ping", json!({"type": "ping"}))
+        }
+        _ => String::new(),
+    }
+}
+
+fn closing(dialect: &str) -> String {
+    let stop = json!({"type": "message_delta", "delta": {"stop_reason": "end_turn"}, "usage": {"output_tokens": 2}});
+    match dialect {
+        "messages" => {
+            event(dialect, "content_block_stop", json!({"type": "content_block_stop", "index": 0}))
+                + &event(dialect, "message_delta", stop)
+                + &event(dialect, "message_stop", json!({"type": "message_stop"}))
+        }
+        _ => {
+            let stop = json!({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]});
+            let usage = json!({"choices": [], "usage": {"prompt_tokens": 12, "completion_tokens": 2,
+                "prompt_tokens_details": {"cached_tokens": 5}}});
+            event(dialect, "", stop)
+                + &event(dialect, "", usage)
+                + "data: [DONE]\n\n: X-Load: TEXT util=0.5\n\n"
+        }
+    }
+}
+
+fn error_event(dialect: &str) -> String {
+    event(
+        dialect,
+        "error",
+        json!({"type": "error", "error": {"type": "overloaded_error", "message": "no"}}),
+    )
+}
+
+/// An event that no specification knows.
+fn odd_event(dialect: &str) -> String {
+    event(dialect, "glimmer", json!({"type": "glimmer", "shade": 3}))
+}
+
+/// Reads a message's head and its body of a stated length.
+fn message(reader: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            line => lines.push(line.to_owned()),
+        }
+    }
+    let mut body = vec![0; header(&lines, "content-length").map_or(0, |l| l.parse().expect("a length"))];
+    reader.read_exact(&mut body).ok()?;
+    Some((lines, body))
+}
+
+fn header(lines: &[String], name: &str) -> Option<String> {
+    let mut pairs = lines.iter().filter_map(|l| l.split_once(':'));
+    pairs.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn server(dialect: &'static str, manner: Manner) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (requests, bodies) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let (tell, left) = channel();
+    let shared = (requests.clone(), bodies.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (shared, tell) = (shared.clone(), tell.clone());
+            thread::spawn(move || converse(stream, dialect, manner, &shared.0, &shared.1, &tell));
+        }
+    });
+    Server { addr, requests, bodies, left }
+}
+
+/// One connection of a stand-in real server.
+fn converse(
+    mut stream: TcpStream,
+    dialect: &str,
+    manner: Manner,
+    requests: &AtomicUsize,
+    bodies: &Mutex<Vec<Value>>,
+    left: &Sender<()>,
+) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    while let Some((head, body)) = message(&mut reader) {
+        requests.fetch_add(1, Ordering::SeqCst);
+        let path = if dialect == "messages" { "POST /v1/messages " } else { "POST /v1/chat/completions " };
+        assert!(head[0].starts_with(path), "{} reached a server of {dialect}", head[0]);
+        assert!(header(&head, "x-deadline-ms").is_some() && header(&head, "x-request-id").is_some());
+        bodies.lock().expect("whole").push(serde_json::from_slice(&body).expect("JSON"));
+        let begin =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let hello = opening(dialect) + &text(dialect, "Hel");
+        let answer = match (manner, dialect) {
+            (Manner::Full, "messages") => "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            (Manner::Full, _) => "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            (Manner::Error, _) => "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+            (Manner::ErrorEvent, _) => begin.to_owned() + &chunk(&error_event(dialect)) + "0\r\n\r\n",
+            (Manner::LateErrorEvent, _) => {
+                begin.to_owned() + &chunk(&(hello + &error_event(dialect))) + "0\r\n\r\n"
+            }
+            (Manner::Break, _) => begin.to_owned() + &chunk(&hello),
+            (Manner::Reset | Manner::Silence, _) => String::new(),
+            (Manner::Serve | Manner::Odd, _) => {
+                let odd = if manner == Manner::Odd { odd_event(dialect) } else { String::new() };
+                let rest = text(dialect, "lo") + &closing(dialect);
+                begin.to_owned()
+                    + &chunk(&hello)
+                    + &chunk(&odd[..odd.len().min(9)]).repeat(usize::from(!odd.is_empty()))
+                    + &chunk(&(odd.get(9..).unwrap_or_default().to_owned() + &rest))
+                    + "0\r\n\r\n"
+            }
+        };
+        stream.write_all(answer.as_bytes()).ok()?;
+        match manner {
+            Manner::Reset | Manner::Break => return None,
+            Manner::Silence => {
+                // The end of a connection whose answer is still due: the scheduling was given up.
+                let over = matches!(reader.read(&mut [0]), Ok(0) | Err(_));
+                assert!(over, "something was sent after the request");
+                left.send(()).ok()?;
+                return None;
+            }
+            _ => {}
+        }
+    }
+    Some(())
+}
+
+/// A stand-in discovery: one watch, to which the first line and then whatever is sent is written.
+fn discovery(first: Value) -> (SocketAddr, Sender<Value>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (send, lines) = channel::<Value>();
+    send.send(first).expect("open");
+    thread::spawn(move || {
+        let mut stream = listener.accept().expect("a watch").0;
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let (head, _) = message(&mut reader).expect("a call");
+        assert!(head[0].starts_with("GET /catalog/members?stream=1&index=1 "), "{}", head[0]);
+        let mut out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+        loop {
+            let line = lines.recv_timeout(Duration::from_secs(1)).map_or(String::new(), |l| l.to_string());
+            out += &chunk(&(line + "\n"));
+            if stream.write_all(out.as_bytes()).is_err() {
+                return;
+            }
+            out.clear();
+        }
+    });
+    (addr, send)
+}
+
+fn entry(n: usize, server: &Server, state: &str, started_ms: u64) -> Value {
+    json!({"id": format!("s-{n}"), "addr": server.addr.to_string(), "zone": "a", "kind": "k", "cell": 0,
+        "state": state, "weight": 1.0, "started_ms": started_ms})
+}
+
+fn list(version: u64, full: bool, servers: Vec<Value>) -> Value {
+    json!({"version": version, "full": full, "servers": servers})
+}
+
+/// The program itself, with both fronts.
+struct Gateway {
+    child: Child,
+    fronts: [SocketAddr; 2],
+    discovery: Sender<Value>,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Gateway {
+    fn start(dialect: &str, servers: Vec<Value>, attempts: u32) -> Gateway {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let (addr, discovery) = discovery(list(2, true, servers.clone()));
+        let second = 1_000_000_000u64;
+        let lane = |name: &str, effect: &str| {
+            json!({"name": name, "effect": effect, "promise-ns": second, "deadline-ns": 10 * second,
+                "stream": true, "points": 1.0})
+        };
+        let settings = json!({"group-size": 1, "me": 0, "zone": "a", "localities": ["a"], "shapes": ["k"],
+            "discovery": "ask", "weight-source": "rough", "report": {"fields": ["util"]},
+            "lanes": [lane("plain", "retryable"), lane("once", "fragile")],
+            "accounts": [{"name": "office", "share": 1.0}],
+            "policy-limits": {"send-cap": attempts, "cancel": true, "retry-after": true,
+                "max-retry-after-ns": 2 * second, "conn-idle-ns": 5 * second, "connect-timeout-ns": second},
+            "safety": {"cold-from": 0.3, "ramp-time-ns": 60 * second, "fall-ns": 3 * second,
+                "overload-factor": 2.5, "ask-within-ns": 10 * second}});
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": addr.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": list(1, true, servers), "settings": settings});
+        let daemon = json!({"dialects": {"k": dialect}, "messages": {"listen": "127.0.0.1:0",
+            "classes": {"once-model": "once"}, "class": "plain", "tenant": "office"}});
+        let file = |name: &str, value: Value| {
+            let path =
+                format!("{}/{}-{number}-{name}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+            std::fs::write(&path, value.to_string()).expect("written");
+            path
+        };
+        let mut child = Command::new(env!("CARGO_BIN_EXE_tulipridge"))
+            .env("EDGE_CONFIG", file("config", config))
+            .env("TULIPRIDGE_DAEMON", file("daemon", daemon))
+            .env_remove("EDGE_LISTEN")
+            .env_remove("EDGE_DISCOVERY")
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+        let mut front = || {
+            let line = lines.find(|l| l.contains("listening ")).expect("it listens");
+            let addr =
+                line.split_once("addr=").expect("an address").1.split(' ').next().expect("an address");
+            addr.parse().expect("an address")
+        };
+        let fronts = [front(), front()];
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        thread::spawn(move || lines.for_each(|l| kept.lock().expect("whole").push(l)));
+        Gateway { child, fronts, discovery, log }
+    }
+
+    fn connect(&self, dialect: &str) -> TcpStream {
+        let stream =
+            TcpStream::connect(self.fronts[usize::from(dialect == "messages")]).expect("it accepts");
+        stream.set_read_timeout(Some(FOREVER)).expect("a time-out");
+        stream
+    }
+
+    /// Sends a request and does not wait for its answer.
+    fn send(&self, dialect: &str, class: &str, deadline_ms: u32, session: usize) -> TcpStream {
+        let mut stream = self.connect(dialect);
+        let deadline = format!("X-Deadline-Ms: {deadline_ms}\r\n");
+        let (path, headers, body) = match dialect {
+            "messages" => (
+                "/v1/messages",
+                deadline,
+                json!({"model": format!("{class}-model"), "max_tokens": 20, "stream": true, "system": "Be brief.",
+                    "metadata": {"user_id": format!("u{session}")},
+                    "messages": [{"role": "user", "content": [{"type": "text", "text": "Which gate?"}]}]}),
+            ),
+            _ => (
+                "/v1/chat/completions",
+                format!(
+                    "{deadline}X-Request-Id: {session:016x}\r\nX-Class: {class}\r\nX-Tenant: office\r\nX-Key: {session:x}\r\n"
+                ),
+                json!({"model": "chat", "max_tokens": 20, "stream": true, "messages": [
+                    {"role": "system", "content": "Be brief."}, {"role": "user", "content": "Which gate?"}]}),
+            ),
+        };
+        let body = body.to_string();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: app.svc\r\n{headers}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        // In two pieces, as a network may deliver it.
+        stream.write_all(head.as_bytes()).expect("sent");
+        stream.write_all(body.as_bytes()).expect("sent");
+        stream
+    }
+
+    fn ask(&self, dialect: &str, class: &str, deadline_ms: u32, session: usize) -> (Seen, String) {
+        seen(dialect, self.send(dialect, class, deadline_ms, session))
+    }
+
+    fn logged(&self, word: &str) -> usize {
+        self.log.lock().expect("whole").iter().filter(|l| l.contains(word)).count()
+    }
+
+    /// Asks it to stop, and waits until it has.
+    fn stop(&mut self) -> Option<i32> {
+        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(kill.expect("kill runs").success());
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads an answer: what became of the request, and the stream's bytes.
+fn seen(dialect: &str, stream: TcpStream) -> (Seen, String) {
+    let mut reader = BufReader::new(stream);
+    let mut head = Vec::new();
+    loop {
+        let mut line = String::new();
+        assert!(reader.read_line(&mut line).expect("an answer") > 0, "no answer at all");
+        match line.trim_end() {
+            "" => break,
+            line => head.push(line.to_owned()),
+        }
+    }
+    let status: u16 = head[0].split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    if status != 200 {
+        let mut body =
+            vec![0; header(&head, "content-length").expect("a length").parse().expect("a length")];
+        reader.read_exact(&mut body).expect("a body");
+        if dialect == "messages" {
+            let error: Value = serde_json::from_slice(&body).expect("JSON");
+            assert_eq!(error["type"], "error");
+            assert!(error["error"]["type"].is_string() && error["error"]["message"].is_string());
+        }
+        let wait = header(&head, "retry-after").map(|w| w.parse::<f64>().expect("seconds"));
+        assert!(status < 500 || wait.is_some_and(|w| (0.0..=2.0).contains(&w)), "{head:?}");
+        return (
+            if matches!(status, 429 | 503 | 529) { Seen::TurnedDown } else { Seen::Failed },
+            String::new(),
+        );
+    }
+    let mut stream = Vec::new();
+    let whole = loop {
+        let mut size = String::new();
+        match reader.read_line(&mut size) {
+            Ok(0) => break false,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => break false,
+            read => drop(read.expect("a chunk")),
+        }
+        let mut bytes = vec![0; usize::from_str_radix(size.trim_end(), 16).expect("a size") + 2];
+        reader.read_exact(&mut bytes).expect("a whole chunk");
+        bytes.truncate(bytes.len() - 2);
+        if bytes.is_empty() {
+            break true;
+        }
+        stream.extend(bytes);
+    };
+    let stream = String::from_utf8(stream).expect("UTF-8");
+    let events = stream.split("\n\n").filter_map(|e| e.split_once("data: "));
+    let mut words = String::new();
+    for (name, data) in events {
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        let word = match dialect {
+            "messages" => {
+                assert_eq!(name.trim_end(), format!("event: {}", value["type"].as_str().expect("a type")));
+                &value["delta"]["text"]
+            }
+            _ => &value["choices"][0]["delta"]["content"],
+        };
+        words.push_str(word.as_str().unwrap_or_default());
+    }
+    if whole && dialect == "messages" {
+        let names: Vec<&str> = stream.lines().filter_map(|l| l.strip_prefix("event: ")).collect();
+        assert_eq!((names[0], names[names.len() - 1]), ("message_start", "message_stop"), "{names:?}");
+        assert!(stream.contains("\"cache_read_input_tokens\":5"), "{stream}");
+    } else if whole {
+        assert!(stream.contains("[DONE]") && stream.contains("\"cached_tokens\":5"), "{stream}");
+    }
+    (if whole { Seen::Served(words) } else { Seen::Broken(words) }, stream)
+}
+
+/// One trouble at the only real server, in all pairings.
+fn everywhere(manner: Manner, class: &str, deadline_ms: u32, expected: Seen) {
+    for (client, dialect) in PAIRINGS {
+        let server = server(dialect, manner);
+        let gateway = Gateway::start(dialect, vec![entry(0, &server, "ready", 0)], 1);
+        let (seen, _) = gateway.ask(client, class, deadline_ms, 1);
+        assert_eq!(seen, expected, "{manner:?} of class {class}: client {client}, server {dialect}");
+        assert_eq!(server.requests.load(Ordering::SeqCst), 1, "one scheduling, never sent again silently");
+        if manner == Manner::Silence {
+            server.left.recv_timeout(FOREVER).expect("the scheduling's connection closes");
+        }
+    }
+}
+
+#[test]
+fn a_served_request_is_served_in_all_pairings() {
+    everywhere(Manner::Serve, "plain", 9000, Seen::Served("Hello".into()));
+}
+
+#[test]
+fn what_was_turned_away_is_turned_down_in_the_clients_dialect() {
+    everywhere(Manner::Full, "plain", 9000, Seen::TurnedDown);
+    everywhere(Manner::Full, "once", 9000, Seen::TurnedDown);
+}
+
+#[test]
+fn errors_turn_down_what_may_be_repeated_and_fail_what_may_not() {
+    everywhere(Manner::Error, "plain", 9000, Seen::TurnedDown);
+    everywhere(Manner::Error, "once", 9000, Seen::Failed);
+    everywhere(Manner::ErrorEvent, "once", 9000, Seen::Failed);
+}
+
+#[test]
+fn resets_turn_down_what_may_be_repeated_and_fail_what_may_not() {
+    everywhere(Manner::Reset, "plain", 9000, Seen::TurnedDown);
+    everywhere(Manner::Reset, "once", 9000, Seen::Failed);
+}
+
+#[test]
+fn silence_ends_at_the_deadline_and_closes_the_schedulings_connection() {
+    everywhere(Manner::Silence, "once", 300, Seen::Failed);
+}
+
+#[test]
+fn a_broken_stream_ends_without_its_last_chunk() {
+    everywhere(Manner::Break, "plain", 9000, Seen::Broken("Hel".into()));
+    everywhere(Manner::LateErrorEvent, "plain", 9000, Seen::Broken("Hel".into()));
+}
+
+#[test]
+fn an_unknown_event_passes_untouched_or_is_left_out_and_logged_once() {
+    for (client, dialect) in PAIRINGS {
+        let server = server(dialect, Manner::Odd);
+        let gateway = Gateway::start(dialect, vec![entry(0, &server, "ready", 0)], 1);
+        for session in [1, 2] {
+            let (seen, stream) = gateway.ask(client, "plain", 9000, session);
+            assert_eq!(seen, Seen::Served("Hello".into()));
+            assert_eq!(stream.contains(&odd_event(dialect)), client == dialect, "{stream}");
+        }
+        assert_eq!(gateway.logged("event-left-out"), usize::from(client != dialect));
+        // The question has kept its parts on the way.
+        let body = server.bodies.lock().expect("whole")[0].to_string();
+        assert!(
+            body.contains("Be brief.") && body.contains("Which gate?") && body.contains("20"),
+            "{body}"
+        );
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_server() {
+    for (client, dialect) in PAIRINGS {
+        let (one, two) = (server(dialect, Manner::Serve), server(dialect, Manner::Serve));
+        let entries = |state| vec![entry(0, &one, state, 0), entry(1, &two, "ready", 0)];
+        let gateway = Gateway::start(dialect, entries("ready"), 3);
+        gateway.discovery.send(list(3, false, vec![entry(0, &one, "draining", 0)])).expect("watched");
+        while gateway.logged("state=Draining") == 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let before = one.requests.load(Ordering::SeqCst);
+        for session in 0..12 {
+            assert_eq!(gateway.ask(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
+        }
+        assert_eq!(one.requests.load(Ordering::SeqCst), before);
+        assert_eq!(two.requests.load(Ordering::SeqCst), 12);
+    }
+}
+
+#[test]
+fn a_cold_server_is_spared() {
+    for (client, dialect) in PAIRINGS {
+        let (warm, cold) = (server(dialect, Manner::Serve), server(dialect, Manner::Serve));
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+        let entries = vec![entry(0, &warm, "ready", 0), entry(1, &cold, "ready", now)];
+        let gateway = Gateway::start(dialect, entries, 3);
+        for session in 0..12 {
+            assert_eq!(gateway.ask(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
+        }
+        // Two alike would share them; a cold one starts in debt.
+        let counts = [&warm, &cold].map(|s| s.requests.load(Ordering::SeqCst));
+        assert!(counts[0] + counts[1] == 12 && counts[1] <= 2, "{counts:?}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_scheduling_along() {
+    for (client, dialect) in PAIRINGS {
+        let server = server(dialect, Manner::Silence);
+        let gateway = Gateway::start(dialect, vec![entry(0, &server, "ready", 0)], 3);
+        let stream = gateway.send(client, "plain", 9000, 1);
+        while server.requests.load(Ordering::SeqCst) == 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        drop(stream);
+        server.left.recv_timeout(FOREVER).expect("the scheduling's connection closes");
+        assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+    }
+}
+
+/// Sends bytes and gives back the status line of each answer up to the connection's end.
+fn statuses(gateway: &Gateway, dialect: &str, pieces: &[&str]) -> Vec<u16> {
+    let mut stream = gateway.connect(dialect);
+    for piece in pieces {
+        // It may have been answered and closed before all is sent.
+        let _ = stream.write_all(piece.as_bytes());
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    answer.split("HTTP/1.1 ").skip(1).map(|a| a[..3].parse().expect("a status")).collect()
+}
+
+#[test]
+fn bad_input_gets_its_status_on_both_fronts() {
+    let server = server("platform", Manner::Serve);
+    let gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
+    let close = "Connection: close\r\n";
+    let long = "x".repeat(20_000);
+    for (expected, input) in [
+        (vec![400], vec!["nonsense\r\n\r\n"]),
+        (
+            vec![400],
+            vec![
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            ],
+        ),
+        (vec![413], vec!["POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n"]),
+        (vec![431], vec!["GET / HTTP/1.1\r\nHost: a\r\nX: ", &long]),
+        (vec![505], vec!["GET / HTTP/2.0\r\nHost: a\r\n\r\n"]),
+        (
+            vec![404, 404],
+            vec!["GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HT", "TP/1.1\r\nHost: a\r\n", close, "\r\n"],
+        ),
+        (
+            vec![400],
+            vec!["POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n", close, "\r\n{}"],
+        ),
+        (
+            vec![400],
+            vec!["POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Class: none\r\n", close, "\r\n"],
+        ),
+    ] {
+        for front in ["platform", "messages"] {
+            let other = if front == "messages" { "POST /v1/chat" } else { "POST /v1/mess" };
+            if !input[0].starts_with(other) {
+                assert_eq!(statuses(&gateway, front, &input), expected, "{input:.80?} on {front}");
+            }
+        }
+    }
+    assert_eq!(server.requests.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn a_stop_answers_what_is_held_closes_what_is_idle_and_exits_well() {
+    let server = server("platform", Manner::Silence);
+    let mut gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
+    let idle = gateway.connect("platform");
+    let held = gateway.send("platform", "once", 2500, 1);
+    while server.requests.load(Ordering::SeqCst) == 0 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let fronts = gateway.fronts;
+    let waiter = thread::spawn(move || seen("platform", held).0);
+    assert_eq!(gateway.stop(), Some(0));
+    assert_eq!(waiter.join().expect("answered"), Seen::Failed);
+    assert_eq!((&idle).read(&mut [0]).expect("closed in order"), 0);
+    assert!(fronts.iter().all(|front| TcpStream::connect(front).is_err()));
+}
--- /dev/null
+++ b/tests/states.rs
@@ -0,0 +1,373 @@
+//! Models of a connection's and a request's states, each checked against random steps with fixed seeds.
+
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use futures_lite::Stream;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use tulipridge::engine::{self, Answer, Ask, Client, Ending, Engine, Servers, Step};
+use tulipridge::limits::Limits;
+use tulipridge::net::http::{self, Body};
+use tulipridge::types::{self, *};
+
+fn check(seed: u64) -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(40, seed)).tests(400)
+}
+
+fn limits() -> Limits {
+    Limits::new(1024, 192, Duration::from_millis(150), Duration::from_secs(5))
+}
+
+/// What happens to a request, from outside.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Move {
+    Event,
+    End(Verdict),
+    Leave,
+}
+
+impl Arbitrary for Move {
+    fn arbitrary(g: &mut Gen) -> Move {
+        use Verdict::*;
+        let ends = [Ok, Error, Full, NoConnection, Reset, TimedOut, Moot].map(Move::End);
+        let others = [Move::Event, Move::Event, Move::Event, Move::Event, Move::Leave];
+        let from = if bool::arbitrary(g) { &ends[..] } else { &others[..] };
+        *g.choose(from).expect("some")
+    }
+}
+
+/// What a client was told, and what became of its schedulings.
+#[derive(Default)]
+struct Seen {
+    events: Cell<u32>,
+    finals: RefCell<Vec<&'static str>>,
+    out: RefCell<Vec<Sender<Step<()>>>>,
+}
+
+struct FakeServers(Rc<Seen>);
+
+impl Servers<()> for FakeServers {
+    fn schedule(&self, _: ReplicaId, _: Duration) -> Pin<Box<dyn Stream<Item = Step<()>>>> {
+        let (send, steps) = async_channel::unbounded();
+        self.0.out.borrow_mut().push(send);
+        Box::pin(steps)
+    }
+}
+
+struct FakeClient(Rc<Seen>, Receiver<()>);
+
+impl FakeClient {
+    fn told(self, what: &'static str) {
+        self.0.finals.borrow_mut().push(what);
+    }
+}
+
+impl Client<()> for FakeClient {
+    type Answer = FakeClient;
+    async fn gone(&mut self) {
+        if self.1.recv().await.is_ok() {
+            pending().await
+        }
+    }
+    async fn turn_down(self, wait: Duration) {
+        assert!(wait <= Duration::from_secs(2));
+        self.told("turned down");
+    }
+    async fn fail(self) {
+        self.told("failed");
+    }
+    fn begin(self) -> FakeClient {
+        self
+    }
+}
+
+impl Answer<()> for FakeClient {
+    async fn gone(&mut self) {
+        Client::gone(self).await;
+    }
+    async fn event(&mut self, (): ()) -> bool {
+        self.0.events.set(self.0.events.get() + 1);
+        true
+    }
+    async fn finish(self) {
+        self.told("served");
+    }
+    async fn break_off(self, _: Verdict) {
+        self.told("broken");
+    }
+}
+
+fn settings(effect: Effect) -> Settings {
+    let second = 1_000_000_000;
+    Settings {
+        group_size: 1,
+        push: true,
+        classes: vec![types::Class {
+            aim: 9 * second,
+            aim_per_token: 0,
+            token_aim: 0,
+            deadline: 90 * second,
+            effect,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: true,
+        }],
+        limits: types::Limits { attempts: 3, cancel: true, retry_after: 2 * second, ..Default::default() },
+        safety: Safety { cold_from: 1.0, overload_factor: 2.5, ..Default::default() },
+        ..Settings::default()
+    }
+}
+
+/// The model: how many events were passed on, how often it was scheduled, and its one final answer.
+#[derive(Debug, PartialEq)]
+struct Model {
+    events: u32,
+    schedulings: usize,
+    told: Option<&'static str>,
+    over: bool,
+}
+
+impl Model {
+    fn take(&mut self, step: Move, safe: bool) {
+        let begun = self.events > 0;
+        let never_ran = matches!(step, Move::End(Verdict::Full | Verdict::NoConnection | Verdict::Moot));
+        match step {
+            _ if self.over => return,
+            Move::Event => self.events += 1,
+            Move::Leave => {}
+            Move::End(verdict) if begun => {
+                self.told = Some(if verdict == Verdict::Ok { "served" } else { "broken" });
+            }
+            // Again elsewhere while it does no harm and attempts are left.
+            Move::End(_) if (safe || never_ran) && self.schedulings < 3 => self.schedulings += 1,
+            Move::End(_) => self.told = Some(if safe || never_ran { "turned down" } else { "failed" }),
+        }
+        self.over = step == Move::Leave || self.told.is_some();
+    }
+}
+
+#[test]
+fn a_request_follows_its_model_whatever_happens() {
+    fn follows(moves: Vec<Move>, safe: bool) -> bool {
+        let effect = if safe { Effect::Safe } else { Effect::Unsafe };
+        let (engine, _orders) = Engine::new(settings(effect), 1, &limits()).expect("good settings");
+        let member = |n: u64| Member {
+            id: ReplicaId::from(format!("s-{n}").as_str()),
+            units: 1.0,
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            phase: Phase::Ready,
+            started: None,
+        };
+        engine.list(ListKind::Persisted, (0..4).map(member).collect());
+        let seen = Rc::new(Seen::default());
+        let (stay, staying) = async_channel::bounded(1);
+        let ex = LocalExecutor::new();
+        let (client, servers) = (FakeClient(seen.clone(), staying), FakeServers(seen.clone()));
+        let core = engine.clone();
+        let life = ex.spawn(async move {
+            let ask = Ask {
+                id: None,
+                expires_in: 90_000_000_000,
+                class: 0,
+                tenant: None,
+                prefix: None,
+                session: Some(5),
+                tokens: (100, 0, 10),
+                repeat: false,
+            };
+            engine::serve(&core, &ask, &servers, client).await;
+        });
+        let settle = || while ex.try_tick() {};
+        settle();
+        let mut model = Model { events: 0, schedulings: 1, told: None, over: false };
+        for step in moves {
+            let last = seen.out.borrow().last().cloned().expect("a first scheduling");
+            match step {
+                Move::Event => drop(last.try_send(Step::Event(()))),
+                Move::End(verdict) => drop(last.try_send(Step::Ended(Ending::from(verdict)))),
+                Move::Leave => drop(stay.close()),
+            }
+            settle();
+            model.take(step, safe);
+            let told = seen.finals.borrow();
+            assert!(told.len() <= 1, "two final answers: {told:?}");
+            let is = Model {
+                events: seen.events.get(),
+                schedulings: seen.out.borrow().len(),
+                told: told.first().copied(),
+                over: life.is_finished(),
+            };
+            assert_eq!(is, model, "after {step:?}");
+            // What is over holds nothing: no request in the engine, no scheduling's connection.
+            assert_eq!(engine.held(), usize::from(!model.over));
+            let open = seen.out.borrow().iter().filter(|s| !s.is_closed()).count();
+            assert_eq!(open, usize::from(!model.over));
+        }
+        true
+    }
+    check(11).quickcheck(follows as fn(Vec<Move>, bool) -> bool);
+}
+
+/// A request as a client may write it.
+#[derive(Clone, Debug)]
+struct Sent {
+    path: u8,
+    body: Vec<u8>,
+    /// Sizes of chunks; a stated length if there are none.
+    chunks: Vec<u8>,
+}
+
+impl Arbitrary for Sent {
+    fn arbitrary(g: &mut Gen) -> Sent {
+        Sent { path: u8::arbitrary(g), body: Vec::arbitrary(g), chunks: Vec::arbitrary(g) }
+    }
+}
+
+impl Sent {
+    fn bytes(&self) -> Vec<u8> {
+        let mut out = format!("POST /{} HTTP/1.1\r\nHost: a\r\n", self.path).into_bytes();
+        if self.chunks.is_empty() {
+            out.extend(format!("Content-Length: {}\r\n\r\n", self.body.len()).into_bytes());
+            out.extend(&self.body);
+            return out;
+        }
+        out.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+        let mut rest = &self.body[..];
+        for size in &self.chunks {
+            let (chunk, left) = rest.split_at(usize::from(*size).min(rest.len()));
+            if !chunk.is_empty() {
+                out.extend(http::chunk(chunk));
+            }
+            rest = left;
+        }
+        if !rest.is_empty() {
+            out.extend(http::chunk(rest));
+        }
+        out.extend(http::LAST_CHUNK);
+        out
+    }
+}
+
+/// An edge connection's reading side: between requests, in a head, or in a body.
+#[derive(Default)]
+struct Reader {
+    buf: Vec<u8>,
+    body: Option<(String, Body, Vec<u8>)>,
+    whole: Vec<(String, Vec<u8>)>,
+}
+
+impl Reader {
+    fn push(&mut self, bytes: &[u8], limits: &Limits) -> Result<(), http::Bad> {
+        self.buf.extend_from_slice(bytes);
+        loop {
+            if self.body.is_none() {
+                let Some(head) = http::request_head(&mut self.buf, limits)? else { return Ok(()) };
+                self.body = Some((head.start[1].clone(), head.request_body(limits)?, Vec::new()));
+            }
+            let Some((_, framing, body)) = &mut self.body else { return Ok(()) };
+            if !framing.take(&mut self.buf, body, limits)? {
+                return Ok(());
+            }
+            let (path, _, body) = self.body.take().expect("just read");
+            self.whole.push((path, body));
+        }
+    }
+}
+
+#[test]
+fn pipelined_requests_come_out_whole_however_they_are_split() {
+    fn same(requests: Vec<Sent>, cuts: Vec<u8>) -> bool {
+        let bytes: Vec<u8> = requests.iter().flat_map(Sent::bytes).collect();
+        let (mut reader, mut rest, limits) = (Reader::default(), &bytes[..], limits());
+        for cut in cuts.iter().cycle().chain([&0]).take(bytes.len()) {
+            let (piece, left) = rest.split_at((usize::from(*cut) + 1).min(rest.len()));
+            reader.push(piece, &limits).expect("in order");
+            rest = left;
+        }
+        reader.push(rest, &limits).expect("in order");
+        let sent: Vec<_> = requests.iter().map(|r| (format!("/{}", r.path), r.body.clone())).collect();
+        reader.whole == sent && reader.buf.is_empty() && reader.body.is_none()
+    }
+    check(12).quickcheck(same as fn(Vec<Sent>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn spoilt_requests_never_panic_and_never_grow_beyond_their_bound() {
+    fn bounded(requests: Vec<Sent>, spoils: Vec<(u16, u8)>) -> bool {
+        let mut bytes: Vec<u8> = requests.iter().flat_map(Sent::bytes).collect();
+        for (at, byte) in spoils {
+            let at = usize::from(at) % bytes.len().max(1);
+            if let Some(place) = bytes.get_mut(at) {
+                *place = byte;
+            }
+        }
+        let (mut reader, limits) = (Reader::default(), limits());
+        let end = reader.push(&bytes, &limits);
+        end.is_ok() || end.is_err_and(|bad| (400..=505).contains(&bad.status))
+    }
+    check(13).quickcheck(bounded as fn(Vec<Sent>, Vec<(u16, u8)>) -> bool);
+}
+
+#[test]
+fn what_two_readers_could_take_for_different_requests_is_refused() {
+    for (status, head) in [
+        (400, "Content-Length: 3\r\nContent-Length: 3\r\n"),
+        (400, "Content-Length: 3, 3\r\n"),
+        (400, "Content-Length: +3\r\n"),
+        (400, "Content-Length : 3\r\n"),
+        (400, "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+        (501, "Transfer-Encoding: chunked, gzip\r\n"),
+        (501, "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+        (400, "X: 1\r\n folded\r\n"),
+        (400, "X: a\rb\r\n"),
+        (400, "X: 1\nContent-Length: 3\r\n"),
+        (400, "Host: b\r\n"),
+    ] {
+        let bytes = format!("POST / HTTP/1.1\r\nHost: a\r\n{head}\r\nabc");
+        let end = Reader::default().push(bytes.as_bytes(), &limits());
+        assert_eq!(end.map_err(|bad| bad.status), Err(status), "{head:?}");
+    }
+    for chunks in ["-1\r\n", "fffffffff\r\n", "3\r\nabcd\r\n", "\r\n", "0x3\r\n"] {
+        let bytes = format!("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+        let end = Reader::default().push(bytes.as_bytes(), &limits());
+        assert_eq!(end.map_err(|bad| bad.status), Err(400), "{chunks:?}");
+    }
+}
+
+#[test]
+fn events_come_out_unchanged_however_they_are_split() {
+    fn same(lines: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let events: Vec<String> = lines
+            .iter()
+            .map(|n| match n % 4 {
+                0 => format!("data: {n}\n\n"),
+                1 => format!("event: e{n}\r\ndata: a\r\ndata: b\r\n\r\n"),
+                2 => format!(": X-Load: TEXT util=0.{n}\n\n"),
+                _ => format!("data:{n}\nid: 1\n\n"),
+            })
+            .collect();
+        let bytes = events.concat().into_bytes();
+        let (mut rest, mut buf, mut out) = (&bytes[..], Vec::new(), Vec::new());
+        for cut in cuts.iter().cycle().chain([&0]).take(bytes.len()).chain([&255]) {
+            let size = if *cut == 255 { rest.len() } else { (usize::from(*cut) + 1).min(rest.len()) };
+            let (piece, left) = rest.split_at(size);
+            buf.extend_from_slice(piece);
+            rest = left;
+            while let Some(block) = http::sse_block(&mut buf, &limits()).expect("small") {
+                out.push(String::from_utf8(block.0).expect("UTF-8"));
+            }
+        }
+        out == events && buf.is_empty()
+    }
+    check(14).quickcheck(same as fn(Vec<u8>, Vec<u8>) -> bool);
+    let mut endless = vec![b'x'; limits().event_bytes + 1];
+    assert!(http::sse_block(&mut endless, &limits()).is_err());
+}
