--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,14 +46,14 @@
 /// rises more slowly, which settles where about one in eight is late. A few are always let in, to learn.
 const ADMIT_PACE: f64 = 2.0;
 const ADMIT_STEP: f64 = 0.25;
-const ADMIT_RISE: f64 = 0.15;
+const ADMIT_RISE: f64 = 1.5;
 const ADMIT_LEAST: f64 = 0.05;
 /// Above this share the fleet counts as well, and what is slow stands out.
 const WELL: f64 = 0.9;
 /// Share of the sessions that walk the whole ring and not only their zone: at the least, to learn how it
 /// is elsewhere; its change with each first token while these take e times as long at home; and the
 /// difference, as a logarithm, that is worth staying. By tokens, not by time: few are no evidence.
-const ROAM_LEAST: f64 = 0.1;
+const ROAM_LEAST: f64 = 1.0;
 const ROAM_STEP: f64 = 0.015;
 const ROAM_WORTH: f64 = 0.1;
 /// Time constant of the averages: some think times of a session, so that all classes are seen.
