Call second copies off at the first token; give requests more of the memory's places

Seen: once an answer had begun, other copies of the request ran on until its end, since the module called them off only there; in the gateway the network code dropped them by itself, which is a decision. The module now calls them off at the first token, the gateway only obeys, and events of a copy that may not be called off are heard but not passed on.

A module test guards it.

Limits gave 186 edge connections on 192 MB, as if every request stood there twice at its largest; further clients would have waited in the backlog, taken but unread. Now 512 fit beside 448 to real servers. A test with 24 descriptors shows that a want of them is survived.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -258,6 +258,12 @@
                 {
                     attempt.begun = true;
                     let (r, timely) = (attempt.replica, now <= live.aim);
+                    if self.settings.limits.cancel {
+                        // The answer is this attempt's; what a second copy still did would be wasted.
+                        let out = live.attempts.iter().enumerate();
+                        let out = out.filter(|(_, a)| a.fate == Fate::Out && !a.begun);
+                        actions.extend(out.map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
+                    }
                     if timely {
                         self.judge(now, true);
                     }
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -105,7 +105,8 @@
         }
     };
 
-    // From here on the request belongs to that scheduling; the module calls the others off.
+    // From here on the request belongs to that scheduling; the module calls others off, where it may. Any that
+    // go on beside it are heard to their end, but nothing of them reaches the client.
     held.first_event(number);
     while let Some(order) = held.order_now() {
         if let Order::Cancel(other) = order {
@@ -113,7 +114,6 @@
             held.outcome(other, Verdict::Cancelled.into(), false);
         }
     }
-    out.retain(|(n, _)| *n == number);
     let mut answer = client.begin();
     let mut event = Some(event);
     loop {
@@ -133,7 +133,11 @@
             },
         );
         match next.await {
-            Next::Step(_, Step::Event(next)) => event = Some(next),
+            Next::Step(n, Step::Event(next)) => event = (n == number).then_some(next),
+            Next::Step(other, Step::Ended(ending)) if other != number => {
+                out.retain(|(n, _)| *n != other);
+                held.outcome(other, ending, false);
+            }
             Next::Step(_, Step::Ended(ending)) => {
                 let verdict = ending.verdict;
                 held.outcome(number, ending, true);
--- a/src/front/messages.rs
+++ b/src/front/messages.rs
@@ -14,7 +14,7 @@
     let path = head.start[1].split('?').next().unwrap_or_default();
     let refused = |status, what| Call::Refused(Bad { status, what });
     match (head.start[0].as_str(), path) {
-        ("GET" | "HEAD", "/_health") => return Call::Health,
+        ("GET", "/_health") => return Call::Health,
         ("POST", PATH) => {}
         (_, PATH | "/_health") => return refused(405, "another method is wanted here"),
         _ => return refused(404, "nothing is here"),
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -15,7 +15,7 @@
 pub fn call(head: &Head, names: &Names) -> Call {
     let path = head.start[1].split('?').next().unwrap_or_default();
     match (head.start[0].as_str(), path) {
-        ("GET" | "HEAD", "/_health") => Call::Health,
+        ("GET", "/_health") => Call::Health,
         ("POST", PATH) => match ask(head, names) {
             Ok(ask) => Call::Serve(ask, String::new()),
             Err(what) => Call::Refused(Bad { status: 400, what }),
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -77,8 +77,9 @@
     /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
     pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
         let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
-        // Half of the memory may stand in requests, each at its largest: its parts and its bytes to send.
-        let by_memory = (memory_mb << 19) / (2 * body_bytes + head_bytes);
+        // Guards against requests left unread in the backlog for want of a place: three quarters of the memory
+        // may stand in requests, each at its largest. What is written to a real server is copied only meanwhile.
+        let by_memory = (memory_mb << 20) * 3 / 4 / (body_bytes + head_bytes);
         // A descriptor in sixteen is left to discovery, the store, the log and the runtime's own.
         let edge_connections = (sockets / 2).min(by_memory).max(8);
         Limits {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -506,6 +506,15 @@
     }
 }
 
+#[test]
+fn the_first_token_calls_the_other_copies_off() {
+    // Found on busy days: the other copy was read to its end, beside the one whose answer was passed on.
+    let (mut bench, id, actions) = silence(true, Effect::Safe);
+    assert!(sent(&actions).is_some());
+    let actions = bench.handle(Event::FirstToken { id, attempt: 1, elapsed: MILLI });
+    assert_eq!(actions, [Action::Cancel { id, attempt: 0 }]);
+}
+
 #[test]
 fn a_single_slow_attempt_is_waited_for() {
     // Found when copies from a budget, a tenth of the requests at most, cost an overload more than they saved.
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -265,7 +265,7 @@
 
 impl Gateway {
     fn start(dialect: &str, servers: Vec<Value>, attempts: u32) -> Gateway {
-        let (mut child, discovery) = Gateway::spawn("n0", dialect, servers, attempts, json!({}));
+        let (mut child, discovery) = Gateway::spawn("n0", dialect, servers, attempts, 1024, json!({}));
         let log = BufReader::new(child.stderr.take().expect("piped"));
         Gateway::with(child, discovery, log.lines().map_while(Result::ok))
     }
@@ -276,6 +276,7 @@
         dialect: &str,
         servers: Vec<Value>,
         attempts: u32,
+        descriptors: u32,
         more: Value,
     ) -> (Child, Sender<Value>) {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
@@ -306,7 +307,10 @@
             std::fs::write(&path, value.to_string()).expect("written");
             path
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_tulipridge"))
+        let child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(env!("CARGO_BIN_EXE_tulipridge"))
             .env("EDGE_CONFIG", file("config", config))
             .env("TULIPRIDGE_DAEMON", file("daemon", daemon))
             .env_remove("EDGE_LISTEN")
@@ -647,6 +651,19 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 0);
 }
 
+#[test]
+fn a_want_of_descriptors_is_survived() {
+    let server = server("platform", Manner::Serve);
+    let servers = vec![entry(0, &server, "ready", 0)];
+    let (mut child, discovery) = Gateway::spawn("n0", "platform", servers, 1, 24, json!({}));
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
+    let crowd: Vec<TcpStream> = (0..40).map(|_| gateway.connect("platform")).collect();
+    eventually(|| gateway.logged("accept-failed") > 0);
+    drop(crowd);
+    eventually(|| gateway.ask("platform", "plain", 9000, 1).0 == Seen::Served("Hello".into()));
+}
+
 #[test]
 fn a_stop_answers_what_is_held_closes_what_is_idle_and_exits_well() {
     let server = server("platform", Manner::Silence);
@@ -704,7 +721,8 @@
     let collector = listener.local_addr().expect("an address");
     let server = server("platform", Manner::Serve);
     let more = json!({"syslog": {"tcp": collector.to_string()}});
-    let (child, discovery) = Gateway::spawn("n0", "platform", vec![entry(0, &server, "ready", 0)], 1, more);
+    let (child, discovery) =
+        Gateway::spawn("n0", "platform", vec![entry(0, &server, "ready", 0)], 1, 1024, more);
     let stream = listener.accept().expect("a connection").0;
     let kept = stream.try_clone().expect("a clone");
     let mut reader = BufReader::new(stream);
@@ -738,7 +756,7 @@
 fn node(name: &str, servers: Vec<Value>, peers: &[SocketAddr]) -> (Gateway, SocketAddr) {
     let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
     let more = json!({"store": {"listen": "127.0.0.1:0", "peers": peers}});
-    let (mut child, discovery) = Gateway::spawn(name, "platform", servers, 1, more);
+    let (mut child, discovery) = Gateway::spawn(name, "platform", servers, 1, 1024, more);
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
     eventually(|| gateway.logged("port=\"Store\"") > 0);
