--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,7 +43,7 @@
 /// An attempt without a first token after this part of the aim is evidence against its replica.
 const SLOW_PART: f64 = 0.5;
 /// A replica whose oldest waiting request has waited for this part of a request's aim is passed over.
-const LAG_PART: f64 = 0.4;
+const LAG_PART: f64 = 0.5;
 /// A request is turned down if the replica that it would go to lags by this part of its aim.
 const FULL_PART: f64 = 0.6;
 /// Admission: the share of sessions let in falls by this time constant while first tokens are late and
@@ -56,6 +56,8 @@
 const WELL: f64 = 0.9;
 /// Time constant of the averages: some think times of a session, so that all classes are seen.
 const MEMORY: f64 = 10.0;
+/// Time constant of what a tenant asks for, against its share.
+const SHARE_MEMORY: f64 = 1.5;
 /// How long a request that finds no replica waits before it looks again.
 const HOLD: Nanos = 50 * MILLI;
 /// A call for the list is made again after a failure within the first of these, doubled up to the second.
@@ -210,6 +212,7 @@
     admit: f64,
     judged_at: Nanos,
     beginnings: BTreeMap<u64, (f64, Nanos)>,
+    asked: Vec<(f64, Nanos)>,
     call: u64,
     call_failures: u32,
 }
@@ -429,7 +432,9 @@
         self.offered += expected;
         let owners = self.owners(now, &request, expected);
         // Always the same sessions; and guards against repeats, mostly past their aim, that keep a jam alive.
-        let door = self.admit.powi(1 + i32::from(request.repeat));
+        let share = self.share(now, &request);
+        let door =
+            self.admit.powi(1 + i32::from(request.repeat)) * if self.admit < WELL { share } else { 1.0 };
         if unit(mix(request.session.unwrap_or(id.0) ^ SPREAD)) > door {
             let wait = (self.chance() * self.settings.limits.retry_after as f64) as Nanos;
             return actions.push(Action::Refuse { id, wait });
@@ -444,6 +449,20 @@
         self.place(now, id, actions);
     }
 
+    /// The part of a tenant's requests that is within its share, as far as this gateway's own tell.
+    fn share(&mut self, now: Nanos, request: &Request) -> f64 {
+        let Some(tenant) = request.tenant else { return 1.0 };
+        let Some(quota) = self.settings.tenants.get(tenant).and_then(|t| t.quota_per_s) else { return 1.0 };
+        self.asked.resize(self.settings.tenants.len(), (0.0, now));
+        let (count, at) = self.asked[tenant];
+        let gone = now.saturating_sub(at) as f64 / SECOND as f64;
+        // Repeats belong to their first tries.
+        let count = count * (-gone / SHARE_MEMORY).exp() + f64::from(u8::from(!request.repeat));
+        self.asked[tenant] = (count, now);
+        (quota * SHARE_MEMORY / (count * f64::from(self.settings.group_size)).max(f64::MIN_POSITIVE))
+            .min(1.0)
+    }
+
     fn decay(&mut self, now: Nanos) {
         let gone = now.saturating_sub(self.faded_at) as f64 / SECOND as f64;
         self.offered *= (-gone / MEMORY).exp();
