Make the test of ended idle connections see the check before reuse

Found by taking the check for a connection's end out of the pool: the test still passed, since the stand-in closed so early that the connection was never given back. It now closes after the connection is back in the pool, and the test fails without the check.

--- a/tests/program.rs
+++ b/tests/program.rs
@@ -209,7 +209,13 @@
         };
         stream.write_all(answer.as_bytes()).ok()?;
         match manner {
-            Manner::Reset | Manner::Break | Manner::ServeAndClose => return None,
+            Manner::Reset | Manner::Break => return None,
+            Manner::ServeAndClose => {
+                // The connection is back in the gateway's pool by then.
+                thread::sleep(Duration::from_millis(30));
+                drop((stream, reader));
+                return left.send(()).ok();
+            }
             Manner::Silence => {
                 // The end of a connection whose answer is still due: the scheduling was given up.
                 let over = matches!(reader.read(&mut [0]), Ok(0) | Err(_));
@@ -597,7 +603,7 @@
     let gateway = Gateway::start("platform", vec![entry(0, &server_ends, "ready", 0)], 1);
     for session in 0..3 {
         assert_eq!(gateway.ask("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
-        thread::sleep(Duration::from_millis(100));
+        server_ends.left.recv_timeout(FOREVER).expect("closed");
     }
     assert_eq!(server_ends.requests.load(Ordering::SeqCst), 3);
 }
