--- a/src/main.rs
+++ b/src/main.rs
@@ -125,7 +125,7 @@
     ex.spawn(discovery.run(ex, orders, push)).detach();
 
     let signal = signals.next().await;
-    log::info!(signal:? = signal, connections = edge.open(); "stopping: finishing what is held");
+    log::info!(signal:? = signal.and_then(Result::ok), connections = edge.open(); "stopping: finishing what is held");
     edge.stop().await;
     log::info!("stopped: all is answered");
     Ok(())
