Test that a drain stops a scheduling whose connection is just coming up

The check after a connection has come up had no test. A scheduling is polled once, so that its connection is under way, then its server drains: it must end as never sent, and the server must read nothing.

--- a/tests/states.rs
+++ b/tests/states.rs
@@ -2,18 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::pending;
+use std::io::Read;
+use std::net::TcpListener;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use futures_lite::Stream;
+use futures_lite::{Stream, StreamExt, future};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
+use tulipridge::config::{ServiceEntry, State};
 use tulipridge::engine::{self, Answer, Ask, Client, Ending, Engine, Servers, Step};
+use tulipridge::front::{Dialect, Passage};
 use tulipridge::limits::Limits;
 use tulipridge::net::http::{self, Body};
+use tulipridge::net::servers::{Dispatch, Fleet};
 use tulipridge::types::{self, *};
 
 fn check(seed: u64) -> QuickCheck {
@@ -216,6 +221,42 @@
     check(11).quickcheck(follows as fn(Vec<Move>, bool) -> bool);
 }
 
+#[test]
+fn a_drain_stops_a_scheduling_whose_connection_is_just_coming_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let limits = Rc::new(Limits::new(1024, 192, Duration::from_secs(20), Duration::from_secs(5)));
+    let fleet = Rc::new(Fleet::new(limits, Box::new(|_| Vec::new())));
+    let learn = |state| {
+        let entry = ServiceEntry {
+            id: "s-1".into(),
+            addr: listener.local_addr().expect("an address").to_string(),
+            zone: "a".into(),
+            kind: "k".into(),
+            cell: 0,
+            state,
+            weight: 1.0,
+            started_ms: 0.0,
+        };
+        fleet.learn(&entry, Dialect::Platform);
+    };
+    learn(State::Ready);
+    let start = ["POST", "/v1/chat/completions", "HTTP/1.1"].map(str::to_owned);
+    let head = http::Head { start, headers: Vec::new() };
+    let passage = Rc::new(Passage { dialect: Dialect::Platform, head, body: b"{}".to_vec() });
+    let dispatch = Dispatch { fleet: fleet.clone(), passage };
+    let mut steps = dispatch.schedule(ReplicaId::from("s-1"), Duration::from_secs(20));
+    async_io::block_on(async {
+        assert!(future::poll_once(steps.next()).await.is_none(), "the connection is under way");
+        learn(State::Draining);
+        match steps.next().await {
+            Some(Step::Ended(ending)) => assert_eq!(ending.verdict, Verdict::Moot),
+            other => panic!("{other:?}"),
+        }
+    });
+    let (mut stream, _) = listener.accept().expect("a connection");
+    assert_eq!(stream.read(&mut [0]).expect("closed in order"), 0, "nothing was sent");
+}
+
 /// A request as a client may write it.
 #[derive(Clone, Debug)]
 struct Sent {
