--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,7 +87,7 @@
     n: u32,
 }
 
-/// A replica as this gateway sees it. Never forgotten, since late outcomes may name it.
+/// A replica as this gateway sees it; kept while a request names it, since late outcomes may.
 #[derive(Default)]
 struct Replica {
     id: ReplicaId,
@@ -190,6 +190,7 @@
     settings: Settings,
     random: u64,
     replicas: Vec<Replica>,
+    free: Vec<usize>,
     index: BTreeMap<ReplicaId, usize>,
     ring: Vec<Point>,
     zones: BTreeMap<u16, Zone>,
@@ -345,7 +346,9 @@
             changed |= self.measure(member);
             let replica = &mut self.replicas[r];
             changed |= (replica.phase == Phase::Ready) != (member.phase == Phase::Ready);
-            (replica.zone, replica.kind, replica.cell) = (member.zone, member.kind, member.cell);
+            if member.phase != Phase::Gone {
+                (replica.zone, replica.kind, replica.cell) = (member.zone, member.kind, member.cell);
+            }
             // Size over units is one plus what it holds for its size.
             replica.load = if live { replica.size / member.units.max(f64::MIN_POSITIVE) } else { 0.0 };
             replica.phase = member.phase;
@@ -357,6 +360,7 @@
         if changed {
             self.rebuild();
         }
+        self.forget();
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         self.ready = ready.clone().count();
         self.total_size = ready.clone().map(|r| r.size).sum();
@@ -367,9 +371,32 @@
 
     fn learn(&mut self, member: &Member) -> usize {
         let hash = first_64(&Md5::digest(member.id.0.as_bytes()));
-        self.replicas.push(Replica { id: member.id.clone(), hash, size: 1.0, ..Replica::default() });
-        self.index.insert(member.id.clone(), self.replicas.len() - 1);
-        self.replicas.len() - 1
+        let r = self.free.pop().unwrap_or(self.replicas.len());
+        if r == self.replicas.len() {
+            self.replicas.push(Replica::default());
+        }
+        self.replicas[r] = Replica { id: member.id.clone(), hash, size: 1.0, ..Replica::default() };
+        self.index.insert(member.id.clone(), r);
+        r
+    }
+
+    /// Places for replicas in its tables, those of gone ones that wait for new ones included.
+    pub fn places(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Guards against a table that grows with every replica that was ever there: the place of one that is
+    /// gone, and that no request names any more, serves the next new one.
+    fn forget(&mut self) {
+        let named = self.live.values().flat_map(|l| &l.attempts).map(|a| a.replica);
+        let named: std::collections::BTreeSet<usize> = named.collect();
+        for (r, replica) in self.replicas.iter().enumerate() {
+            let over = replica.phase == Phase::Gone && replica.nodes == 0 && !named.contains(&r);
+            if over && self.index.get(&replica.id) == Some(&r) {
+                self.index.remove(&replica.id);
+                self.free.push(r);
+            }
+        }
     }
 
     /// Learns the size of a kind of machine; true when it is new. Units that load lowers tell the size at
--- a/src/config.rs
+++ b/src/config.rs
@@ -215,16 +215,30 @@
 }
 
 impl Config {
-    /// Reads the file that `EDGE_CONFIG` names, and the daemon's own.
+    /// Reads the file that `EDGE_CONFIG` names, and the daemon's own. The environment goes before it.
     pub fn load() -> Result<Config, String> {
+        Config::read(true)
+    }
+
+    /// Reads both again while the program runs. What the environment said was for the start: it can't have
+    /// changed since, and would hide an address that has.
+    pub fn reload() -> Result<Config, String> {
+        Config::read(false)
+    }
+
+    fn read(environment_first: bool) -> Result<Config, String> {
         let read = |path: &str| fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
         let path = env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set")?;
         let own = env::var("TULIPRIDGE_DAEMON").unwrap_or_else(|_| "deploy/daemon.json".into());
         let mut config: Value = serde_json::from_str(&read(&path)?).map_err(|e| format!("{path}: {e}"))?;
+        // Guards against a file of another shape, which has no keys to set.
+        if !config.is_object() {
+            return Err(format!("{path}: not an object"));
+        }
         for (variable, key) in
             [("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")]
         {
-            if let Ok(value) = env::var(variable) {
+            if let (Ok(value), true) = (env::var(variable), environment_first || config[key].is_null()) {
                 config[key] = value.into();
             }
         }
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -15,6 +15,8 @@
 pub enum Step<E> {
     /// An event of the answer's stream.
     Event(E),
+    /// The real server holds the request itself for wrong, with this status: no other would take it.
+    Rejected(u16),
     /// The end.
     Ended(Ending),
 }
@@ -33,6 +35,8 @@
     fn gone(&mut self) -> impl Future<Output = ()>;
     /// Final answer: turned down.
     fn turn_down(self, wait: Duration) -> impl Future<Output = ()>;
+    /// Final answer: the request itself is at fault.
+    fn reject(self, status: u16, what: &'static str) -> impl Future<Output = ()>;
     /// Final answer: failed.
     fn fail(self) -> impl Future<Output = ()>;
     /// Begins the answer.
@@ -61,7 +65,11 @@
 
 /// Serves one request: asks the module at each point of choice, and gives exactly one final answer.
 pub async fn serve<E, C: Client<E>>(engine: &Engine, ask: &Ask, servers: &impl Servers<E>, mut client: C) {
-    let mut held = engine.admit(ask);
+    // Guards against a second request under the id of one that is open: neither real servers nor the module
+    // could tell them apart, and the first would suffer.
+    let Some(mut held) = engine.admit(ask) else {
+        return client.reject(409, "a request with this id is open").await;
+    };
     let mut out: Vec<Scheduling<E>> = Vec::new();
 
     // Until the first event: the module orders, schedulings end, the client may leave.
@@ -96,6 +104,10 @@
                 drop((out, held));
                 return client.fail().await;
             }
+            Next::Step(_, Step::Rejected(status)) => {
+                drop((out, held));
+                return client.reject(status, "a real server rejected the request").await;
+            }
             Next::Step(number, Step::Ended(ending)) => {
                 out.retain(|(n, _)| *n != number);
                 held.outcome(number, ending, false);
@@ -124,8 +136,13 @@
         }
         let next = future::or(
             async {
-                let (number, step) = any(&mut out).await;
-                Next::Step(number, step)
+                let (n, step) = any(&mut out).await;
+                // What has begun can't be rejected any more; of another copy it says nothing.
+                let verdict = if n == number { Verdict::Error } else { Verdict::Moot };
+                match step {
+                    Step::Rejected(_) => Next::Step(n, Step::Ended(verdict.into())),
+                    step => Next::Step(n, step),
+                }
             },
             async {
                 answer.gone().await;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -24,7 +24,7 @@
 /// A request as the module wants it, but for its id, of which the engine makes sure.
 #[derive(Clone, Debug)]
 pub struct Ask {
-    /// The client's id, if it has the module's form; one that is held already is replaced.
+    /// The client's id, if it gave one.
     pub id: Option<u64>,
     /// Time until the client gives up, counted from the request's last byte.
     pub expires_in: Nanos,
@@ -125,6 +125,7 @@
     nudge: Sender<()>,
     nudged: Receiver<()>,
     slack: Duration,
+    longest: Nanos,
 }
 
 impl Engine {
@@ -146,7 +147,8 @@
         };
         let clock = Rc::new(Clock { unix, from: Instant::now() });
         let core = Rc::new(RefCell::new(core));
-        Ok((Engine { core, clock, fleet, nudge, nudged, slack: limits.timeout_slack }, orders))
+        let (slack, longest) = (limits.timeout_slack, limits.longest_wait.as_nanos() as Nanos);
+        Ok((Engine { core, clock, fleet, nudge, nudged, slack, longest }, orders))
     }
 
     /// The module's clock: Unix time in nanoseconds.
@@ -159,6 +161,16 @@
         self.core.borrow().waiting.len()
     }
 
+    /// Has the list followed anew, at once: the module's own pace of calls is for what fails.
+    pub fn watch_anew(&self) {
+        let _ = self.fleet.try_send(FleetOrder::Watch);
+    }
+
+    /// Places that the module holds for real servers, to be watched from outside.
+    pub fn places(&self) -> usize {
+        self.core.borrow().gateway.places()
+    }
+
     /// News of the list.
     pub fn list(&self, kind: ListKind, members: Vec<Member>) {
         self.feed(Event::List { kind, members: members.into() });
@@ -204,13 +216,15 @@
         core.spare_id
     }
 
-    /// Takes a request in. What comes back owes its client one final answer.
-    pub fn admit(&self, ask: &Ask) -> Held {
+    /// Takes a request in. What comes back owes its client one final answer. `None`: its id is held already.
+    pub fn admit(&self, ask: &Ask) -> Option<Held> {
         let (orders, mailbox) = async_channel::unbounded();
         let id = {
             let core = &mut *self.core.borrow_mut();
             let mut id = ask.id;
-            // Guards against two requests under one id: the second's answers would go to the first.
+            if id.is_some_and(|id| core.waiting.contains_key(&RequestId(id))) {
+                return None;
+            }
             while id.is_none_or(|id| core.waiting.contains_key(&RequestId(id))) {
                 core.spare_id = core.spare_id.wrapping_add(1);
                 id = Some(core.spare_id);
@@ -223,7 +237,7 @@
         let (prompt, prefix_len, max_answer) = ask.tokens;
         self.feed(Event::Request(Request {
             id,
-            expires_in: ask.expires_in,
+            expires_in: ask.expires_in.min(self.longest),
             class: ask.class,
             tenant: ask.tenant,
             prefix: ask.prefix,
@@ -233,7 +247,7 @@
             max_answer,
             repeat: ask.repeat,
         }));
-        held
+        Some(held)
     }
 
     /// The one place where the module is called.
--- a/src/front/messages.rs
+++ b/src/front/messages.rs
@@ -42,6 +42,8 @@
         Err(what) => return refused(400, what),
     };
     let said = |name| head.get(name).is_some();
+    // An id of another form is known by its hash, so that its second use is noticed here too.
+    ask.id = head.get("x-request-id").map(platform::key);
     if !said("x-class") {
         let class = names.models.get(model).copied().unwrap_or(names.usual_class);
         ask.class = class;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -17,6 +17,10 @@
     match (head.start[0].as_str(), path) {
         ("GET", "/_health") => Call::Health,
         ("POST", PATH) => match ask(head, names) {
+            // Real servers take no request without the id of its client, so none can be made up here.
+            Ok(ask) if ask.id.is_none() => {
+                Call::Refused(Bad { status: 400, what: "no id of 16 hex digits" })
+            }
             Ok(ask) => Call::Serve(ask, String::new()),
             Err(what) => Call::Refused(Bad { status: 400, what }),
         },
@@ -27,6 +31,10 @@
 
 /// What the platform's headers say of a request; the messages front reads the same ones where they are there.
 pub fn ask(head: &Head, names: &Names) -> Result<Ask, &'static str> {
+    // Guards against a request that this gateway and a real server would know by different ids.
+    if head.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("x-request-id")).count() > 1 {
+        return Err("more than one id");
+    }
     let class = match head.get("x-class") {
         Some(name) => names.class(name).ok_or("an unknown class")?,
         None => 0,
@@ -60,7 +68,9 @@
 }
 
 fn hex(text: &str) -> Option<u64> {
-    (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten()
+    (text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()))
+        .then(|| u64::from_str_radix(text, 16).ok())
+        .flatten()
 }
 
 /// A key's number: its hex digits, or for other words a hash that is the same everywhere.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -13,14 +13,26 @@
     pub body_bytes: usize,
     /// Bytes of one event of a stream, of its framing lines, and of a refusal's body that is read to its end.
     pub event_bytes: usize,
+    /// Bytes of a line that frames a chunk.
+    pub line_bytes: usize,
+    /// Interim answers (1xx) before one that counts.
+    pub interim_heads: usize,
     /// Bytes of one line of discovery's answers.
     pub list_bytes: usize,
     /// Bytes read from a socket at once.
     pub read_bytes: usize,
     /// Edge connections open at once.
     pub edge_connections: usize,
-    /// From this many on, an edge connection is closed after its answer.
-    pub edge_crowded: usize,
+    /// Bytes of requests held at once; beyond it, bodies wait in their sockets until others are answered.
+    pub held_bytes: usize,
+    /// While places are scarce, an edge connection makes room after this time if nothing has come on it.
+    pub edge_mute: Duration,
+    /// While places are scarce, an edge connection makes room after this time without a whole request.
+    pub edge_slow: Duration,
+    /// While places are scarce, an edge connection makes room after this time since its last answer.
+    pub edge_rested: Duration,
+    /// How often a newcomer looks for room while there is none.
+    pub edge_look: Duration,
     /// Connections to real servers open at once, idle ones included.
     pub server_connections: usize,
     /// Time for a connection to come up.
@@ -31,14 +43,18 @@
     pub pool_sweep: Duration,
     /// An edge connection without a request is closed after this time.
     pub edge_idle: Duration,
-    /// Time for a request to arrive from its first byte to its last.
+    /// Time for a request to arrive whole, from the connection's accepting or else the request's first byte.
     pub edge_read: Duration,
+    /// The longest time that a client may ask for; it bounds how long its request is remembered.
+    pub longest_wait: Duration,
     /// Time in which a client must take what is written to it.
     pub edge_write: Duration,
     /// Time in which the rest of an answer that serves nobody is read, to keep its connection.
     pub rest_read: Duration,
     /// A begun stream that stays silent for this time counts as broken.
     pub stream_silence: Duration,
+    /// The same where it stopped amid a chunk, and for the rest of a head that has begun.
+    pub stream_stall: Duration,
     /// A watch without a line for this time counts as broken.
     pub watch_silence: Duration,
     /// Time for discovery's answer to begin.
@@ -77,30 +93,37 @@
     /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
     pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
         let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
-        // Guards against requests left unread in the backlog for want of a place: three quarters of the memory
-        // may stand in requests, each at its largest. What is written to a real server is copied only meanwhile.
-        let by_memory = (memory_mb << 20) * 3 / 4 / (body_bytes + head_bytes);
         // A descriptor in sixteen is left to discovery, the store, the log and the runtime's own.
-        let edge_connections = (sockets / 2).min(by_memory).max(8);
+        let edge_connections = (sockets / 2).max(8);
         Limits {
             head_bytes,
             headers: 64,
             body_bytes,
             event_bytes,
+            line_bytes: 256,
+            interim_heads: 16,
             list_bytes: 1 << 20,
             read_bytes: 4 << 10,
             edge_connections,
-            edge_crowded: edge_connections * 3 / 4,
+            // What is written to a real server is copied only meanwhile.
+            held_bytes: (memory_mb << 20) * 3 / 8,
+            edge_mute: Duration::from_millis(200),
+            edge_slow: Duration::from_secs(1),
+            edge_rested: Duration::from_secs(2),
+            edge_look: Duration::from_millis(50),
             server_connections: (sockets * 7 / 16).max(8),
             connect,
             // Well before the other side's limit, so that no request crosses its close.
             pool_idle: idle.mul_f64(0.6),
             pool_sweep: Duration::from_millis(250),
-            edge_idle: Duration::from_secs(60),
-            edge_read: Duration::from_secs(10),
+            edge_idle: Duration::from_secs(4),
+            // A client that sends no whole request is owed an error or a close within 3 s of connecting.
+            edge_read: Duration::from_millis(2200),
+            longest_wait: Duration::from_secs(60),
             edge_write: Duration::from_secs(10),
             rest_read: Duration::from_millis(50),
             stream_silence: Duration::from_secs(30),
+            stream_stall: Duration::from_millis(1500),
             watch_silence: Duration::from_millis(3200),
             discovery_answer: Duration::from_millis(2500),
             accept_pause: Duration::from_millis(20),
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 
 use tulipridge::config::{self, Config};
 use tulipridge::engine::Engine;
@@ -64,7 +64,8 @@
     config: Config,
     limits: Rc<Limits>,
 ) -> Result<(), String> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let push = config.settings.push;
     let (engine, orders) =
         Engine::new(config.settings, config.seed, &limits).map_err(|e| format!("settings: {e}"))?;
@@ -114,7 +115,7 @@
         let follow = async move {
             loop {
                 config::follow(&store, &mut names.borrow_mut(), &file, level);
-                store.set(&state, serde_json::json!({"held": engine.held(), "connections": edge.open()}));
+                store.set(&state, serde_json::json!({"held": engine.held(), "connections": edge.open(), "places": engine.places()}));
                 Timer::after(limits.state_every).await;
             }
         };
@@ -122,11 +123,35 @@
     }
     ex.spawn(async move { engine.run_timers().await }).detach();
     ex.spawn(async move { fleet.sweep().await }).detach();
-    ex.spawn(discovery.run(ex, orders, push)).detach();
+    ex.spawn(discovery.clone().run(ex, orders, push)).detach();
 
-    let signal = signals.next().await;
-    log::info!(signal:? = signal.and_then(Result::ok), connections = edge.open(); "stopping: finishing what is held");
-    edge.stop().await;
+    // Guards against a SIGHUP that ends the program, also one that comes while it stops.
+    let mut stopping = false;
+    let stopped = async_channel::bounded::<()>(1);
+    loop {
+        let signal = future::or(async { signals.next().await.and_then(Result::ok) }, async {
+            let _ = stopped.1.recv().await;
+            None
+        });
+        match signal.await {
+            Some(Signal::Hup) => match Config::reload() {
+                Ok(config) => discovery.move_to(config.discovery),
+                Err(what) => log::error!("reload-failed: all stays as it was: {what}"),
+            },
+            Some(signal) if !stopping => {
+                stopping = true;
+                log::info!(signal:? = signal, connections = edge.open(); "stopping: finishing what is held");
+                let (edge, done) = (edge.clone(), stopped.0.clone());
+                ex.spawn(async move {
+                    edge.stop().await;
+                    let _ = done.send(()).await;
+                })
+                .detach();
+            }
+            Some(_) => {}
+            None => break,
+        }
+    }
     log::info!("stopped: all is answered");
     Ok(())
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,11 +15,11 @@
 use crate::config::{Listing, Names, State};
 use crate::engine::{Engine, FleetOrder};
 use crate::limits::Limits;
-use crate::types::{ListKind, ReplicaId};
+use crate::types::{ListKind, Member, Phase, ReplicaId};
 
 /// Follows the list as the module orders, and tells it and the fleet what comes.
 pub struct Discovery {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     engine: Engine,
     fleet: Rc<Fleet>,
     names: Rc<RefCell<Names>>,
@@ -37,7 +37,8 @@
         names: Rc<RefCell<Names>>,
         limits: Rc<Limits>,
     ) -> Discovery {
-        Discovery { addr, engine, fleet, names, limits, version: Cell::new(0), answered: Cell::new(false) }
+        let (addr, version, answered) = (Cell::new(addr), Cell::new(0), Cell::new(false));
+        Discovery { addr, engine, fleet, names, limits, version, answered }
     }
 
     /// Takes the list that the gateway last had, which may be old.
@@ -45,6 +46,14 @@
         self.take(known, ListKind::Persisted);
     }
 
+    /// Discovery has moved: it is watched there from now on. The list held and its version stay in force.
+    pub fn move_to(&self, addr: SocketAddr) {
+        if self.addr.replace(addr) != addr {
+            log::info!(discovery:% = addr, version = self.version.get(); "discovery-moved: it is watched there now");
+            self.engine.watch_anew();
+        }
+    }
+
     /// Discovery has answered at least once.
     pub fn answered(&self) -> bool {
         self.answered.get()
@@ -58,22 +67,27 @@
         push: bool,
     ) {
         let mut watch: Option<Task<()>> = None;
-        if push {
+        let start = || {
             let this = self.clone();
-            let always = async move {
+            ex.spawn(async move {
                 loop {
                     this.clone().watch().await;
+                    if !push {
+                        return;
+                    }
                     Timer::after(this.limits.pool_sweep).await;
                 }
-            };
-            watch = Some(ex.spawn(always));
+            })
+        };
+        if push {
+            watch = Some(start());
         }
         while let Ok(order) = orders.recv().await {
             match order {
                 // A new watch takes the place of the old one, whose connection closes with it.
                 FleetOrder::Watch => {
                     drop(watch.take());
-                    watch = Some(ex.spawn(self.clone().watch()));
+                    watch = Some(start());
                 }
                 FleetOrder::Fetch => ex.spawn(self.clone().fetch()).detach(),
                 FleetOrder::Probe(server) => {
@@ -108,8 +122,8 @@
 
     async fn call(&self, path: &str, watch: bool) -> io::Result<()> {
         let limits = &self.limits;
-        let mut wire = Wire::connect(self.addr, limits).await?;
-        let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
+        let mut wire = Wire::connect(self.addr.get(), limits).await?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr.get());
         wire.write(request.as_bytes()).await?;
         let begun = within(limits.discovery_answer, async {
             loop {
@@ -189,11 +203,20 @@
     fn take(&self, listing: &Listing, kind: ListKind) {
         self.version.set(listing.version);
         self.answered.set(self.answered.get() || kind != ListKind::Persisted);
-        let mut members = Vec::with_capacity(listing.servers.len());
+        let mut members: Vec<Member> = Vec::with_capacity(listing.servers.len());
         for entry in &listing.servers {
             let mut names = self.names.borrow_mut();
-            self.fleet.learn(entry, names.dialect(&entry.kind));
+            let gone = self.fleet.learn(entry, names.dialect(&entry.kind));
             members.push(names.member(entry));
+            for id in gone {
+                if entry.state != State::Gone {
+                    log::info!(server = &*id.0, addr = entry.addr; "address-taken: its id is gone with it");
+                }
+                match members.iter_mut().find(|m| m.id == id) {
+                    Some(member) => member.phase = Phase::Gone,
+                    None => members.push(Member { id, phase: Phase::Gone, ..names.member(entry) }),
+                }
+            }
             if kind == ListKind::Changes && entry.state != State::Ready {
                 log::info!(version = listing.version, server = entry.id, state:? = entry.state; "list-change: nothing new goes there");
             }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -1,6 +1,7 @@
 //! Edge connections: the listeners, and the clients' side of each request.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,7 +28,9 @@
     limits: Rc<Limits>,
     noted: Rc<Noted>,
     ready: Box<dyn Fn() -> bool>,
-    open: Cell<usize>,
+    seats: RefCell<BTreeMap<u64, Seat>>,
+    last_seat: Cell<u64>,
+    held_bytes: Cell<usize>,
     stopping: Cell<bool>,
     /// Nothing is ever sent here: it closes once idle edge connections shall.
     closing: Receiver<()>,
@@ -47,9 +50,22 @@
     ) -> Edge {
         let (close, closing) = async_channel::bounded(1);
         let freed = async_channel::bounded(1);
-        let (open, stopping) = (Cell::new(0), Cell::new(false));
         let noted = Rc::new(Noted::new(&limits));
-        Edge { engine, fleet, names, limits, noted, ready, open, stopping, closing, close, freed }
+        Edge {
+            engine,
+            fleet,
+            names,
+            limits,
+            noted,
+            ready,
+            seats: RefCell::default(),
+            last_seat: Cell::new(0),
+            held_bytes: Cell::new(0),
+            stopping: Cell::new(false),
+            closing,
+            close,
+            freed,
+        }
     }
 
     /// Takes connections until the stop's grace is over, then returns with the listener closed.
@@ -61,14 +77,15 @@
     ) {
         let accepting = async {
             loop {
-                if self.open.get() >= self.limits.edge_connections {
-                    let _ = self.freed.1.recv().await;
+                if self.open() >= self.limits.edge_connections {
+                    self.make_room();
+                    let _ = within(self.limits.edge_look, self.freed.1.recv()).await;
                     continue;
                 }
                 match listener.accept().await {
                     Ok((stream, from)) => {
-                        let counted = Counted::new(self.clone());
-                        ex.spawn(self.clone().connection(stream, from, dialect, counted)).detach();
+                        let place = Place::new(self.clone());
+                        ex.spawn(self.clone().connection(stream, from, dialect, place)).detach();
                     }
                     Err(e) => {
                         // Guards against dying, or spinning, when no descriptor is free.
@@ -87,14 +104,36 @@
         self.stopping.set(true);
         Timer::after(self.limits.stop_grace).await;
         self.close.close();
-        while self.open.get() > 0 {
+        while self.open() > 0 {
             let _ = self.freed.1.recv().await;
         }
     }
 
+    /// Asks the edge connection that needs its place least to give it up. Guards against a crowd that connects
+    /// and says nothing, or asks once and stays, while others wait to be accepted.
+    fn make_room(&self) {
+        let limits = &*self.limits;
+        let mut seats = self.seats.borrow_mut();
+        let spare = |seat: &&mut Seat| {
+            let most = match seat.state {
+                Sitting::Mute => limits.edge_mute,
+                Sitting::Arriving => limits.edge_slow,
+                Sitting::Rested => limits.edge_rested,
+                Sitting::Asking | Sitting::Leaving => return false,
+            };
+            seat.since.elapsed() >= most
+        };
+        // Those that never sent anything go first, and the oldest among them.
+        let least = |seat: &&mut Seat| (seat.state != Sitting::Mute, seat.since);
+        if let Some(seat) = seats.values_mut().filter(spare).min_by_key(least) {
+            seat.state = Sitting::Leaving;
+            seat.leave.close();
+        }
+    }
+
     /// Edge connections that are open.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.seats.borrow().len()
     }
 
     async fn connection(
@@ -102,18 +141,26 @@
         stream: Async<TcpStream>,
         from: SocketAddr,
         dialect: Dialect,
-        counted: Counted,
+        mut place: Place,
     ) {
         let mut wire = Wire::new(stream);
-        while let Some(next) = self.clone().exchange(wire, dialect, from).await {
+        while let Some(next) = self.clone().exchange(wire, dialect, from, &mut place).await {
             wire = next;
+            // What a large request needed is not kept while the connection rests.
+            wire.buf.shrink_to(self.limits.read_bytes);
+            place.sit(Sitting::Rested);
         }
-        drop(counted);
     }
 
     /// One request and its answer; the connection comes back if it may carry another.
-    async fn exchange(self: Rc<Self>, mut wire: Wire, dialect: Dialect, from: SocketAddr) -> Option<Wire> {
-        let (mut head, body) = match self.request(&mut wire).await {
+    async fn exchange(
+        self: Rc<Self>,
+        mut wire: Wire,
+        dialect: Dialect,
+        from: SocketAddr,
+        place: &mut Place,
+    ) -> Option<Wire> {
+        let (mut head, body, _bytes) = match self.request(&mut wire, place).await {
             Ok(Some(request)) => request,
             Ok(None) => return None,
             Err(bad) => {
@@ -125,7 +172,8 @@
                 return None;
             }
         };
-        let crowded = self.open.get() > self.limits.edge_crowded;
+        place.sit(Sitting::Asking);
+        let crowded = self.open() >= self.limits.edge_connections;
         let keep = head.keeps_alive(&head.start[2]) && !crowded && !self.stopping.get();
         let call = dialect.call(&head, &body, &self.names.borrow());
         let reply = match call {
@@ -162,19 +210,29 @@
     }
 
     /// Reads the next request whole. `None`: the connection ended, was idle for too long, or shall close.
-    async fn request(&self, wire: &mut Wire) -> Result<Option<(Head, Vec<u8>)>, Bad> {
+    async fn request(
+        self: &Rc<Self>,
+        wire: &mut Wire,
+        place: &mut Place,
+    ) -> Result<Option<(Head, Vec<u8>, Bytes)>, Bad> {
         let limits = &*self.limits;
+        let first = place.is_mute();
         if wire.buf.is_empty() {
             let closing = async {
-                let _ = self.closing.recv().await;
+                let _ = future::or(self.closing.recv(), place.leave.recv()).await;
                 Ok(0)
             };
-            let idle = async { within(limits.edge_idle, wire.fill(limits)).await.unwrap_or(Ok(0)) };
+            // Guards against a crowd that holds places and says nothing at all.
+            let patience = if first { limits.edge_read } else { limits.edge_idle };
+            let idle = async { within(patience, wire.fill(limits)).await.unwrap_or(Ok(0)) };
             // What has come is read before the close is heeded.
             if !future::or(idle, closing).await.is_ok_and(|n| n > 0) {
                 return Ok(None);
             }
         }
+        // The first request's time began with the connection: one that trickles in has no more than a mute one.
+        let spent = if first { place.since().elapsed() } else { Duration::ZERO };
+        place.sit(Sitting::Arriving);
         let whole = async {
             let head = loop {
                 if let Some(head) = http::request_head(&mut wire.buf, limits)? {
@@ -189,13 +247,22 @@
                 let _ = wire.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             }
             let mut body = Vec::new();
+            let mut bytes = Bytes(self.clone(), 0);
+            if let Body::Length(length) = framing {
+                body.reserve_exact(length);
+            }
             loop {
                 let whole = framing.take(&mut wire.buf, &mut body, limits)?;
                 if body.len() > limits.body_bytes {
                     return Err(Bad { status: 413, what: "the body is too large" });
                 }
+                bytes.grow_to(body.len());
                 if whole {
-                    return Ok(Some((head, body)));
+                    return Ok(Some((head, body, bytes)));
+                }
+                // Guards against running out of memory: what does not fit waits in its socket.
+                while self.held_bytes.get() > limits.held_bytes {
+                    Timer::after(limits.accept_pause).await;
                 }
                 if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
                     return Ok(None);
@@ -203,24 +270,94 @@
             }
         };
         let late = || Err(Bad { status: 408, what: "the request took too long to arrive" });
-        within(limits.edge_read, whole).await.unwrap_or_else(|_| late())
+        let left = async {
+            let _ = place.leave.recv().await;
+            Ok(late())
+        };
+        let patience = limits.edge_read.saturating_sub(spent);
+        future::or(within(patience, whole), left).await.unwrap_or_else(|_| late())
     }
 }
 
+/// What an edge connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sitting {
+    /// Nothing has come on it yet.
+    Mute,
+    /// A request is on its way in.
+    Arriving,
+    /// A request is open.
+    Asking,
+    /// It was answered and may carry another request.
+    Rested,
+    /// It was asked to make room.
+    Leaving,
+}
+
+/// An open edge connection: what it is doing and since when, and how it is asked to leave.
+struct Seat {
+    state: Sitting,
+    since: Instant,
+    leave: Sender<()>,
+}
+
 /// A place among the open edge connections.
-struct Counted(Rc<Edge>);
+struct Place {
+    edge: Rc<Edge>,
+    number: u64,
+    /// Nothing is ever sent here: it closes once the connection shall make room.
+    leave: Receiver<()>,
+}
 
-impl Counted {
-    fn new(edge: Rc<Edge>) -> Counted {
-        edge.open.set(edge.open.get() + 1);
-        Counted(edge)
+impl Place {
+    fn new(edge: Rc<Edge>) -> Place {
+        let number = edge.last_seat.get() + 1;
+        edge.last_seat.set(number);
+        let (send, leave) = async_channel::bounded(1);
+        let seat = Seat { state: Sitting::Mute, since: Instant::now(), leave: send };
+        edge.seats.borrow_mut().insert(number, seat);
+        Place { edge, number, leave }
+    }
+
+    fn is_mute(&self) -> bool {
+        self.edge.seats.borrow().get(&self.number).is_some_and(|s| s.state == Sitting::Mute)
+    }
+
+    fn since(&self) -> Instant {
+        self.edge.seats.borrow().get(&self.number).map_or_else(Instant::now, |s| s.since)
+    }
+
+    fn sit(&mut self, state: Sitting) {
+        if let Some(seat) = self.edge.seats.borrow_mut().get_mut(&self.number) {
+            // One that was asked to leave in the moment in which its request came has stayed after all.
+            if seat.state == Sitting::Leaving {
+                (seat.leave, self.leave) = async_channel::bounded(1);
+            }
+            (seat.state, seat.since) = (state, Instant::now());
+        }
     }
 }
 
-impl Drop for Counted {
+impl Drop for Place {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        let _ = self.0.freed.0.try_send(());
+        self.edge.seats.borrow_mut().remove(&self.number);
+        let _ = self.edge.freed.0.try_send(());
+    }
+}
+
+/// Bytes of a request that are counted while it is held.
+struct Bytes(Rc<Edge>, usize);
+
+impl Bytes {
+    fn grow_to(&mut self, bytes: usize) {
+        self.0.held_bytes.set(self.0.held_bytes.get() - self.1 + bytes);
+        self.1 = bytes;
+    }
+}
+
+impl Drop for Bytes {
+    fn drop(&mut self) {
+        self.grow_to(0);
     }
 }
 
@@ -273,6 +410,12 @@
         self.reply(reply).await;
     }
 
+    async fn reject(self, status: u16, what: &'static str) {
+        log::info!(id = self.id, status = status; "rejected: {what}");
+        let reply = self.dialect.bad(Bad { status, what });
+        self.reply(reply).await;
+    }
+
     async fn fail(self) {
         log::debug!(id = self.id, after:? = self.from.elapsed(); "failed: by the module");
         let reply = self.dialect.failed();
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,6 +3,7 @@
 //! Parsers take what they can from the front of a buffer and leave the rest, so a message may arrive in any
 //! pieces and the next one may follow in the same read.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::str;
 
@@ -106,8 +107,8 @@
     }
 }
 
-/// Takes a head from the front of `buf` once it is there whole.
-pub fn head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+/// Takes a head from the front of `buf` once it is there whole. A strict reader refuses what is not plain text.
+fn head(buf: &mut Vec<u8>, strict: bool, limits: &Limits) -> Result<Option<Head>, Bad> {
     // Empty lines before a message are allowed, but not without end.
     let blank = buf.chunks(2).take_while(|pair| *pair == b"\r\n").count() * 2;
     buf.drain(..blank);
@@ -125,9 +126,12 @@
         return bad(431, "the head is too large");
     }
     let bytes: Vec<u8> = buf.drain(..end + 4).take(end).collect();
-    let Ok(text) = str::from_utf8(&bytes) else { return bad(400, "the head is not UTF-8") };
+    let text = String::from_utf8_lossy(&bytes);
+    if strict && matches!(text, Cow::Owned(_)) {
+        return bad(400, "the head is not UTF-8");
+    }
     let mut lines = text.split("\r\n");
-    if text.replace("\r\n", "").chars().any(|c| c.is_control() && c != '\t') {
+    if strict && text.replace("\r\n", "").chars().any(|c| c.is_control() && c != '\t') {
         return bad(400, "a control character in the head");
     }
     let mut parts = lines.next().unwrap_or_default().splitn(3, ' ');
@@ -152,7 +156,7 @@
 
 /// Takes a request's head, which has more to it than a response's.
 pub fn request_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
-    let Some(head) = head(buf, limits)? else { return Ok(None) };
+    let Some(head) = head(buf, true, limits)? else { return Ok(None) };
     let [method, target, version] = &head.start;
     if !method.bytes().all(token) || !(target.starts_with('/') || target == "*") || target.contains(' ') {
         return bad(400, "a bad request line");
@@ -172,9 +176,13 @@
     Ok(Some(head))
 }
 
-/// Takes a response's head.
+/// Takes a response's head. A header's value may be garbage, which alone does not spoil an answer.
 pub fn response_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
-    let Some(head) = head(buf, limits)? else { return Ok(None) };
+    // Guards against waiting for the end of what can't become a head: noise need not have one.
+    if buf.iter().zip(b"HTTP/1.").any(|(came, due)| came != due) {
+        return bad(502, "no status line");
+    }
+    let Some(head) = head(buf, false, limits)? else { return Ok(None) };
     let [version, status, _] = &head.start;
     if !version.starts_with("HTTP/1.") || status.len() != 3 || head.status() < 100 {
         return bad(502, "a bad status line");
@@ -207,12 +215,10 @@
 pub enum Chunk {
     /// To a chunk's size line.
     Size,
-    /// To its data, of which so much is missing.
+    /// To its data, which has this size.
     Data(usize),
-    /// To the line end after its data.
-    DataEnd,
-    /// To the trailers.
-    Trailer,
+    /// To the trailers, of which so many have come.
+    Trailer(usize),
     /// To the next message.
     Over,
 }
@@ -233,32 +239,43 @@
                     return Ok(false);
                 }
                 Body::Chunked(Chunk::Over) => return Ok(true),
-                Body::Chunked(Chunk::Data(left)) => {
-                    let some = (*left).min(buf.len());
-                    out.extend(buf.drain(..some));
-                    *left -= some;
-                    if *left > 0 {
+                Body::Chunked(Chunk::Data(size)) => {
+                    // Guards against passing on what a spoilt chunk holds: it is taken whole, once its end has
+                    // shown that its size was right.
+                    if buf.iter().skip(*size).zip(b"\r\n").any(|(came, due)| came != due) {
+                        return bad(400, "a chunk longer than its size");
+                    }
+                    if buf.len() < *size + 2 {
                         return Ok(false);
                     }
-                    *self = Body::Chunked(Chunk::DataEnd);
+                    out.extend(buf.drain(..*size + 2).take(*size));
+                    *self = Body::Chunked(Chunk::Size);
                 }
                 Body::Chunked(chunk) => {
-                    let Some(end) = find(buf, b"\r\n") else {
-                        // Guards against a size or trailer line without end.
-                        return if buf.len() > limits.head_bytes {
-                            bad(400, "a line too long")
-                        } else {
-                            Ok(false)
-                        };
+                    let end = find(&buf[..buf.len().min(limits.line_bytes)], b"\r\n");
+                    if *chunk == Chunk::Size {
+                        // Guards against waiting for the end of what is no size, or of a size without end.
+                        let line = &buf[..end.unwrap_or(buf.len())];
+                        let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+                        if !matches!(line.get(digits), None | Some(b';' | b' ' | b'\t' | b'\r'))
+                            || digits > 8
+                        {
+                            return bad(400, "a bad chunk size");
+                        }
+                    }
+                    let Some(end) = end else {
+                        let long = buf.len() >= limits.line_bytes;
+                        return if long { bad(400, "a line too long") } else { Ok(false) };
                     };
                     let line: Vec<u8> = buf.drain(..end + 2).take(end).collect();
                     *chunk = match chunk {
-                        Chunk::DataEnd if line.is_empty() => Chunk::Size,
-                        Chunk::DataEnd => return bad(400, "a chunk longer than its size"),
-                        Chunk::Trailer if line.is_empty() => Chunk::Over,
-                        Chunk::Trailer => Chunk::Trailer,
-                        _ => match chunk_size(&line)? {
-                            0 => Chunk::Trailer,
+                        Chunk::Trailer(_) if line.is_empty() => Chunk::Over,
+                        Chunk::Trailer(count) if *count == limits.headers => {
+                            return bad(431, "too many trailers");
+                        }
+                        Chunk::Trailer(count) => Chunk::Trailer(*count + 1),
+                        _ => match chunk_size(&line, limits)? {
+                            0 => Chunk::Trailer(0),
                             size => Chunk::Data(size),
                         },
                     };
@@ -266,13 +283,23 @@
             }
         }
     }
+
+    /// What is there is a part of something: what is missing must follow soon.
+    pub fn is_amid(&self, buf: &[u8]) -> bool {
+        !buf.is_empty() || matches!(self, Body::Chunked(Chunk::Data(_) | Chunk::Trailer(_)))
+    }
 }
 
-fn chunk_size(line: &[u8]) -> Result<usize, Bad> {
+fn chunk_size(line: &[u8], limits: &Limits) -> Result<usize, Bad> {
     let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
     let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
     let size = hex.then(|| str::from_utf8(digits).ok().and_then(|d| usize::from_str_radix(d, 16).ok()));
-    size.flatten().ok_or(Bad { status: 400, what: "a bad chunk size" })
+    match size.flatten() {
+        // Guards against a chunk without end: nobody sends one that is larger than a whole request.
+        Some(size) if size > limits.body_bytes => bad(413, "a chunk too large"),
+        Some(size) => Ok(size),
+        None => bad(400, "a bad chunk size"),
+    }
 }
 
 /// A body's bytes as one chunk, ready to be written.
@@ -293,6 +320,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -67,15 +67,23 @@
         Fleet { places: RefCell::default(), open: Rc::default(), limits, gauges }
     }
 
-    /// Brings the places in step with a service entry.
-    pub fn learn(&self, entry: &ServiceEntry, dialect: Dialect) {
+    /// Brings the places in step with a service entry. Returns those that are gone by what it says: itself, or
+    /// another whose address it has.
+    pub fn learn(&self, entry: &ServiceEntry, dialect: Dialect) -> Vec<ReplicaId> {
         let mut places = self.places.borrow_mut();
         let id = ReplicaId::from(entry.id.as_str());
-        if entry.state == State::Gone {
+        let addr = entry.addr.parse().ok();
+        // Guards against the old id of an address under which a new real server runs: what is sent to the one
+        // would reach the other, cold and unknown as that is. The later start is right.
+        let rivals = places.iter().filter(|(other, p)| **other != id && p.addr == addr && addr.is_some());
+        let rivals: Vec<_> = rivals.map(|(other, p)| (other.clone(), p.started)).collect();
+        if entry.state == State::Gone || rivals.iter().any(|(_, started)| *started > entry.started_ms) {
             places.remove(&id);
-            return;
+            return vec![id];
         }
-        let addr = entry.addr.parse().ok();
+        let older = rivals.into_iter().filter(|(_, started)| *started < entry.started_ms);
+        let displaced: Vec<ReplicaId> = older.map(|(other, _)| other).collect();
+        displaced.iter().for_each(|other| drop(places.remove(other)));
         let place = places.entry(id).or_insert_with(|| Place {
             addr,
             ready: false,
@@ -89,6 +97,7 @@
         }
         (place.addr, place.dialect, place.started) = (addr, dialect, entry.started_ms);
         place.ready = entry.state == State::Ready;
+        displaced
     }
 
     /// Forgets all places but these.
@@ -199,7 +208,7 @@
         server: &ReplicaId,
         passage: &Passage,
         timeout: Duration,
-    ) -> Result<Open, Ending> {
+    ) -> Result<Open, Refusal> {
         let from = Instant::now();
         let Some((addr, dialect)) = self.place(server) else { return Err(Verdict::Moot.into()) };
         let Some(bytes) = passage.bytes(dialect, timeout) else {
@@ -239,7 +248,13 @@
             };
             log::debug!(server = &*server.0, status = head.status(), verdict:? = verdict; "answer: it serves nobody");
             self.finish_unserved(server, addr, line, &head, body).await;
-            return Err(Ending { verdict, kept: None, report });
+            return Err(match head.status() {
+                // Guards against taking a bad request for a bad real server, and trying it on all the others.
+                status @ (400..=407 | 409..=420 | 422..=424 | 426..=428 | 431..=499) => {
+                    Refusal::Request(status)
+                }
+                _ => Refusal::Scheduling(Ending { verdict, kept: None, report }),
+            });
         }
         let keep = head.keeps_alive(&head.start[0]) && body != Body::UntilClose;
         Ok(Open {
@@ -249,6 +264,7 @@
             dialect,
             body,
             keep,
+            spoilt: false,
             text: Vec::new(),
             kept: None,
             report,
@@ -297,6 +313,9 @@
                     return Ok(block);
                 }
             }
+            if open.spoilt {
+                return Err(Verdict::Reset);
+            }
             let Wire { buf, .. } = &mut open.line.wire;
             let had = open.text.len();
             match open.body.take(buf, &mut open.text, &self.limits) {
@@ -310,11 +329,20 @@
                 }
                 Ok(_) if open.text.len() > had => continue,
                 Ok(_) => {}
-                Err(_) => return Err(Verdict::Reset),
+                // What came before the fault is good, and was passed on if it had come alone.
+                Err(bad) => {
+                    log::debug!(server = &*open.server.0; "spoilt: {bad}");
+                    open.spoilt = true;
+                    continue;
+                }
             }
-            let fill = within(self.limits.stream_silence, open.line.wire.fill(&self.limits)).await;
+            // Guards against a spoilt stream whose connection stays open and silent: its client is owed an end.
+            let amid = open.body.is_amid(&open.line.wire.buf);
+            let patience = if amid { self.limits.stream_stall } else { self.limits.stream_silence };
+            let fill = within(patience, open.line.wire.fill(&self.limits)).await;
             match fill {
                 Ok(Ok(0)) | Ok(Err(_)) => return Err(Verdict::Reset),
+                Err(_) if amid => return Err(Verdict::Reset),
                 // Guards against holding a client for ever whose real server's machine has vanished.
                 Err(_) => return Err(Verdict::TimedOut),
                 Ok(Ok(_)) => {}
@@ -334,6 +362,20 @@
     }
 }
 
+/// Why no answer began.
+enum Refusal {
+    /// The scheduling ended.
+    Scheduling(Ending),
+    /// The request itself is wrong, says the real server with this status.
+    Request(u16),
+}
+
+impl From<Verdict> for Refusal {
+    fn from(verdict: Verdict) -> Refusal {
+        Refusal::Scheduling(verdict.into())
+    }
+}
+
 /// A begun answer.
 struct Open {
     server: ReplicaId,
@@ -342,6 +384,8 @@
     dialect: Dialect,
     body: Body,
     keep: bool,
+    /// What comes next can't be read.
+    spoilt: bool,
     /// What came of the stream and is not yet a whole event.
     text: Vec<u8>,
     kept: Option<u32>,
@@ -349,14 +393,24 @@
 }
 
 async fn read_head(wire: &mut Wire, limits: &Limits) -> io::Result<Head> {
+    let mut interim = 0;
     loop {
         match http::response_head(&mut wire.buf, limits) {
-            Ok(Some(head)) if (100..200).contains(&head.status()) => continue,
+            Ok(Some(head)) if (100..200).contains(&head.status()) => {
+                interim += 1;
+                if interim > limits.interim_heads {
+                    return Err(io::Error::other("interim answers without end"));
+                }
+                continue;
+            }
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(bad) => return Err(io::Error::other(bad.what)),
         }
-        if wire.fill(limits).await? == 0 {
+        // Guards against waiting until the deadline for a head that has begun and does not end.
+        let begun = !wire.buf.is_empty();
+        let fill = wire.fill(limits);
+        if (if begun { within(limits.stream_stall, fill).await? } else { fill.await })? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
@@ -405,16 +459,19 @@
             let begun = async {
                 let mut open = fleet.begin(&server, &passage, timeout).await?;
                 match fleet.next(&mut open).await {
-                    Ok(block) if open.dialect.is_error(&block) => Err(fleet.end(open, Verdict::Error)),
+                    Ok(block) if open.dialect.is_error(&block) => {
+                        Err(Refusal::Scheduling(fleet.end(open, Verdict::Error)))
+                    }
                     Ok(block) => Ok((open, block)),
                     // A stream without an event serves nobody.
                     Err(Verdict::Ok) => Err(Verdict::Error.into()),
-                    Err(verdict) => Err(fleet.end(open, verdict)),
+                    Err(verdict) => Err(Refusal::Scheduling(fleet.end(open, verdict))),
                 }
             };
             match within(timeout, begun).await {
                 Ok(Ok(begun)) => begun,
-                Ok(Err(ending)) => return over(ending),
+                Ok(Err(Refusal::Scheduling(ending))) => return over(ending),
+                Ok(Err(Refusal::Request(status))) => return Some((Step::Rejected(status), Stage::Over)),
                 Err(_) => return over(Verdict::TimedOut.into()),
             }
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -816,6 +816,23 @@
     }
 }
 
+#[test]
+fn replicas_that_are_gone_leave_their_places_to_new_ones() {
+    let mut bench = Bench::new(settings(Effect::Safe), &members(4));
+    let (waiting, actions) = bench.request(1, None);
+    let first = sent(&actions).expect("sent");
+    for n in 4..200 {
+        let leaves = Member { phase: Phase::Gone, ..member(n - 4) };
+        bench.list(ListKind::Changes, &[member(n), leaves]);
+        let sent = bench.served(n as u64, None).expect("served");
+        assert!((n - 3..=n).any(|ready| member(ready).id.0.to_string() == sent));
+    }
+    assert!(bench.gateway.places() <= 6, "{} places", bench.gateway.places());
+    // The one that a request still names is held for its late outcome, which concerns no other.
+    assert!(!(196..200).any(|ready| member(ready).id.0.to_string() == first));
+    assert!(sent(&bench.outcome(waiting, Verdict::Reset)).is_some(), "tried elsewhere");
+}
+
 // ---- the module's own limits ------------------------------------------------------------------------------
 
 #[test]
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -46,6 +46,18 @@
     Break,
     Odd,
     ServeAndClose,
+    /// Holds the request for wrong.
+    Reject,
+    /// Noise in place of a head, on a connection that stays open.
+    Noise,
+    /// A head that does not end.
+    HalfHead,
+    /// After the first event a chunk that is longer than what comes.
+    HalfChunk,
+    /// After the first event a chunk of 3 GB that keeps coming.
+    HugeChunk,
+    /// A good answer with interim ones before it, a load report of garbage, and a second answer behind it.
+    Wordy,
 }
 
 /// A stand-in real server, the requests that reached it, and what it noticed of clients that left.
@@ -197,6 +209,18 @@
             }
             (Manner::Break, _) => begin.to_owned() + &chunk(&hello),
             (Manner::Reset | Manner::Silence, _) => String::new(),
+            (Manner::Reject, _) => "HTTP/1.1 422 No\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+            (Manner::Noise, _) => "\u{1}noise".to_owned(),
+            (Manner::HalfHead, _) => begin.replace("\r\n\r\n", "\r\nX-Mo"),
+            (Manner::HalfChunk, _) => begin.to_owned() + &chunk(&hello) + "ffff\r\ndata: a\n\n",
+            (Manner::HugeChunk, _) => begin.to_owned() + &chunk(&hello) + "b2d05e00\r\n",
+            (Manner::Wordy, _) => {
+                let whole = chunk(&(hello + &text(dialect, "lo") + &closing(dialect))) + "0\r\n\r\n";
+                let begin = begin
+                    .replace("Type:", "Type:  ")
+                    .replace("\r\n\r\n", "\r\nX-Load: \u{1} util=?\r\n\r\n");
+                "HTTP/1.1 103 Early\r\nLink: a\r\n\r\n".repeat(2) + &(begin + &whole).repeat(2)
+            }
             (Manner::Serve | Manner::Odd | Manner::ServeAndClose, _) => {
                 let odd = if manner == Manner::Odd { odd_event(dialect) } else { String::new() };
                 let rest = text(dialect, "lo") + &closing(dialect);
@@ -209,6 +233,7 @@
         };
         stream.write_all(answer.as_bytes()).ok()?;
         match manner {
+            Manner::HugeChunk => while stream.write_all(&[b'x'; 4096]).is_ok() {},
             Manner::Reset | Manner::Break => return None,
             Manner::ServeAndClose => {
                 // The connection is back in the gateway's pool by then.
@@ -235,12 +260,18 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("an address");
     let (send, lines) = channel::<Value>();
-    send.send(first).expect("open");
+    send.send(first.clone()).expect("open");
     thread::spawn(move || {
         let mut stream = listener.accept().expect("a watch").0;
         let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
         let (head, _) = message(&mut reader).expect("a call");
-        assert!(head[0].starts_with("GET /catalog/members?stream=1&index=1 "), "{}", head[0]);
+        // It asks from the version that it holds, which each list here follows.
+        let index = first["version"].as_u64().expect("a version") - 1;
+        assert!(
+            head[0].starts_with(&format!("GET /catalog/members?stream=1&index={index} ")),
+            "{}",
+            head[0]
+        );
         let mut out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
         loop {
             let line = lines.recv_timeout(Duration::from_secs(1)).map_or(String::new(), |l| l.to_string());
@@ -273,18 +304,20 @@
 
 impl Gateway {
     fn start(dialect: &str, servers: Vec<Value>, attempts: u32) -> Gateway {
-        let (mut child, discovery) = Gateway::spawn("n0", dialect, servers, attempts, 1024, json!({}));
+        let (mut child, discovery) =
+            Gateway::spawn("n0", dialect, servers, attempts, (1024, 1024), json!({}));
         let log = BufReader::new(child.stderr.take().expect("piped"));
         Gateway::with(child, discovery, log.lines().map_while(Result::ok))
     }
 
-    /// Starts the program with more in its own file than the fronts.
+    /// Starts the program with more in its own file than the fronts; of descriptors the first number is what it
+    /// has, the second what it is told.
     fn spawn(
         name: &str,
         dialect: &str,
         servers: Vec<Value>,
         attempts: u32,
-        descriptors: u32,
+        descriptors: (u32, u32),
         more: Value,
     ) -> (Child, Sender<Value>) {
         let found = discovery(list(2, true, servers.clone()));
@@ -297,7 +330,7 @@
         dialect: &str,
         servers: Vec<Value>,
         attempts: u32,
-        descriptors: u32,
+        (descriptors, told): (u32, u32),
         more: Value,
         (addr, discovery): (SocketAddr, Sender<Value>),
     ) -> (Child, Sender<Value>) {
@@ -317,7 +350,7 @@
             "safety": {"cold-from": 0.3, "ramp-time-ns": 60 * second, "fall-ns": 3 * second,
                 "overload-factor": 2.5, "ask-within-ns": 10 * second}});
         let config = json!({"name": name, "listen": "127.0.0.1:0", "discovery": addr.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": told},
             "known": list(1, true, servers), "settings": settings});
         let mut daemon = json!({"dialects": {"k": dialect}, "messages": {"listen": "127.0.0.1:0",
             "classes": {"once-model": "once"}, "class": "plain", "tenant": "office"}});
@@ -553,6 +586,114 @@
     everywhere(Manner::LateErrorEvent, "plain", 9000, Seen::Broken("Hel".into()));
 }
 
+#[test]
+fn a_spoilt_answer_fails_its_scheduling_or_cuts_its_client_off() {
+    for manner in [Manner::Noise, Manner::HalfHead] {
+        everywhere(manner, "plain", 9000, Seen::TurnedDown);
+        everywhere(manner, "once", 9000, Seen::Failed);
+    }
+    everywhere(Manner::HalfChunk, "plain", 9000, Seen::Broken("Hel".into()));
+    everywhere(Manner::HugeChunk, "plain", 9000, Seen::Broken("Hel".into()));
+}
+
+#[test]
+fn what_a_good_answer_brings_besides_is_skipped_and_its_connection_not_used_again() {
+    let server = server("platform", Manner::Wordy);
+    let gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
+    for session in 0..3 {
+        assert_eq!(gateway.ask("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
+        server.left.recv_timeout(FOREVER).expect("the connection is retired");
+    }
+}
+
+#[test]
+fn a_request_that_a_real_server_rejects_is_not_tried_on_the_others() {
+    for (client, dialect) in PAIRINGS {
+        let server = server(dialect, Manner::Reject);
+        let entries = (0..3).map(|n| entry(n, &server, "ready", 0)).collect();
+        let gateway = Gateway::start(dialect, entries, 3);
+        assert_eq!(gateway.ask(client, "plain", 9000, 1).0, Seen::Failed);
+        assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+    }
+}
+
+#[test]
+fn a_second_request_under_an_open_id_gets_a_conflict_and_the_first_its_answer() {
+    let server = server("platform", Manner::Silence);
+    let gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
+    let first = gateway.send("platform", "once", 2000, 7);
+    eventually(|| server.requests.load(Ordering::SeqCst) > 0);
+    for dialect in ["platform", "messages"] {
+        let body = json!({"model": "m", "max_tokens": 1, "stream": true, "messages": [{"role": "user", "content": "?"}]});
+        let (path, body) =
+            (if dialect == "messages" { "messages" } else { "chat/completions" }, body.to_string());
+        let request = format!(
+            "POST /v1/{path} HTTP/1.1\r\nHost: a\r\nX-Request-Id: {:016x}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            7,
+            body.len()
+        );
+        assert_eq!(statuses(&gateway, dialect, &[&request]), [409], "{dialect}");
+    }
+    assert_eq!(seen("platform", first).0, Seen::Failed);
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_of_it_hold_no_place_for_long() {
+    let server = server("platform", Manner::Serve);
+    let servers = vec![entry(0, &server, "ready", 0)];
+    let (mut child, discovery) = Gateway::spawn("n0", "platform", servers, 1, (1024, 64), json!({}));
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
+    // Far sooner than an idle connection's end of old, on a machine of any speed.
+    let from = Instant::now();
+    for dialect in ["platform", "messages"] {
+        assert_eq!(statuses(&gateway, dialect, &[]), [0; 0]);
+        assert_eq!(statuses(&gateway, dialect, &["POST /v1/messages HTTP/1.1\r\nHo"]), [408]);
+    }
+    assert!(from.elapsed() < FOREVER);
+    // More than there are places for; who has something to say is heard all the same.
+    let crowd: Vec<TcpStream> =
+        (0..200).map(|n| gateway.connect(["platform", "messages"][n % 2])).collect();
+    for dialect in ["platform", "messages"] {
+        assert_eq!(gateway.ask(dialect, "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    }
+    drop(crowd);
+}
+
+#[test]
+fn a_new_configuration_moves_discovery_and_a_bad_one_changes_nothing() {
+    let (one, two) = (server("platform", Manner::Serve), server("platform", Manner::Serve));
+    let mut gateway = Gateway::start("platform", vec![entry(0, &one, "ready", 0)], 1);
+    let environment = std::fs::read(format!("/proc/{}/environ", gateway.child.id())).expect("readable");
+    let variables = String::from_utf8(environment).expect("UTF-8");
+    let path = variables.split('\0').find_map(|v| v.strip_prefix("EDGE_CONFIG=")).expect("set").to_owned();
+    let good = std::fs::read_to_string(&path).expect("there");
+    let signal = |name: &str| {
+        let kill = Command::new("kill").arg(name).arg(gateway.child.id().to_string()).status();
+        assert!(kill.expect("kill runs").success());
+    };
+    for bad in ["{", "7", "{\"name\": \"n0\"}"] {
+        let before = gateway.logged("reload-failed");
+        std::fs::write(&path, bad).expect("written");
+        signal("-HUP");
+        eventually(|| gateway.logged("reload-failed") > before);
+        assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    }
+    eventually(|| gateway.logged("kind=\"Whole\" servers=\"1\"") == 1);
+    let (addr, _elsewhere) = discovery(list(3, true, vec![entry(1, &two, "ready", 0)]));
+    let mut config: Value = serde_json::from_str(&good).expect("JSON");
+    config["discovery"] = addr.to_string().into();
+    std::fs::write(&path, config.to_string()).expect("written");
+    signal("-HUP");
+    eventually(|| gateway.logged("kind=\"Whole\" servers=\"1\"") > 1);
+    assert_eq!(gateway.ask("messages", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    assert_eq!(two.requests.load(Ordering::SeqCst), 1);
+    // Both signals at once: it still stops in order.
+    signal("-HUP");
+    assert_eq!(gateway.stop(), Some(0));
+}
+
 #[test]
 fn an_unknown_event_passes_untouched_or_is_left_out_and_logged_once() {
     for (client, dialect) in PAIRINGS {
@@ -642,7 +783,8 @@
     });
     let known = Vec::new();
     let found = (addr, channel().0);
-    let (mut child, discovery) = Gateway::spawn_by("n0", "platform", known, 1, 1024, json!({}), found);
+    let (mut child, discovery) =
+        Gateway::spawn_by("n0", "platform", known, 1, (1024, 1024), json!({}), found);
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
     let next = || asked.recv_timeout(FOREVER).expect("asked again");
@@ -750,7 +892,7 @@
 fn a_want_of_descriptors_is_survived() {
     let server = server("platform", Manner::Serve);
     let servers = vec![entry(0, &server, "ready", 0)];
-    let (mut child, discovery) = Gateway::spawn("n0", "platform", servers, 1, 24, json!({}));
+    let (mut child, discovery) = Gateway::spawn("n0", "platform", servers, 1, (24, 1024), json!({}));
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
     let crowd: Vec<TcpStream> = (0..40).map(|_| gateway.connect("platform")).collect();
@@ -817,7 +959,7 @@
     let server = server("platform", Manner::Serve);
     let more = json!({"syslog": {"tcp": collector.to_string()}});
     let (child, discovery) =
-        Gateway::spawn("n0", "platform", vec![entry(0, &server, "ready", 0)], 1, 1024, more);
+        Gateway::spawn("n0", "platform", vec![entry(0, &server, "ready", 0)], 1, (1024, 1024), more);
     let stream = listener.accept().expect("a connection").0;
     let kept = stream.try_clone().expect("a clone");
     let mut reader = BufReader::new(stream);
@@ -851,7 +993,7 @@
 fn node(name: &str, servers: Vec<Value>, peers: &[SocketAddr]) -> (Gateway, SocketAddr) {
     let peers: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
     let more = json!({"store": {"listen": "127.0.0.1:0", "peers": peers}});
-    let (mut child, discovery) = Gateway::spawn(name, "platform", servers, 1, 1024, more);
+    let (mut child, discovery) = Gateway::spawn(name, "platform", servers, 1, (1024, 1024), more);
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
     eventually(|| gateway.logged("port=\"Store\"") > 0);
@@ -896,7 +1038,7 @@
     set(second, "config/models/b", json!("plain"));
     comes_to_hold(second, "config/models/a", json!("once"));
     comes_to_hold(first, "config/models/b", json!("plain"));
-    comes_to_hold(first, "state/n2", json!({"held": 0, "connections": 0}));
+    comes_to_hold(first, "state/n2", json!({"held": 0, "connections": 0, "places": 0}));
 
     // A peer is lost: the other is written to alone. A restart comes back empty and catches up.
     drop(two);
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -34,6 +34,7 @@
 enum Move {
     Event,
     End(Verdict),
+    Reject,
     Leave,
 }
 
@@ -41,7 +42,7 @@
     fn arbitrary(g: &mut Gen) -> Move {
         use Verdict::*;
         let ends = [Ok, Error, Full, NoConnection, Reset, TimedOut, Moot].map(Move::End);
-        let others = [Move::Event, Move::Event, Move::Event, Move::Event, Move::Leave];
+        let others = [Move::Event, Move::Event, Move::Event, Move::Event, Move::Reject, Move::Leave];
         let from = if bool::arbitrary(g) { &ends[..] } else { &others[..] };
         *g.choose(from).expect("some")
     }
@@ -84,6 +85,10 @@
         assert!(wait <= Duration::from_secs(2));
         self.told("turned down");
     }
+    async fn reject(self, status: u16, _: &'static str) {
+        assert!((400..500).contains(&status));
+        self.told("rejected");
+    }
     async fn fail(self) {
         self.told("failed");
     }
@@ -146,6 +151,8 @@
             _ if self.over => return,
             Move::Event => self.events += 1,
             Move::Leave => {}
+            // Once it has begun, a real server can't take that back.
+            Move::Reject => self.told = Some(if begun { "broken" } else { "rejected" }),
             Move::End(verdict) if begun => {
                 self.told = Some(if verdict == Verdict::Ok { "served" } else { "broken" });
             }
@@ -198,6 +205,7 @@
             match step {
                 Move::Event => drop(last.try_send(Step::Event(()))),
                 Move::End(verdict) => drop(last.try_send(Step::Ended(Ending::from(verdict)))),
+                Move::Reject => drop(last.try_send(Step::Rejected(400))),
                 Move::Leave => drop(stay.close()),
             }
             settle();
@@ -221,6 +229,30 @@
     check(11).quickcheck(follows as fn(Vec<Move>, bool) -> bool);
 }
 
+#[test]
+fn an_address_that_a_new_server_has_taken_ends_the_old_id() {
+    let fleet = Fleet::new(Rc::new(limits()), Box::new(|_| Vec::new()));
+    let learn = |id: &str, started_ms| {
+        let state = State::Ready;
+        let addr = "127.0.0.1:9".to_owned();
+        let entry = ServiceEntry {
+            id: id.into(),
+            addr,
+            zone: "a".into(),
+            kind: "k".into(),
+            cell: 0,
+            state,
+            weight: 1.0,
+            started_ms,
+        };
+        fleet.learn(&entry, Dialect::Platform).iter().map(|id| id.0.to_string()).collect::<Vec<_>>()
+    };
+    assert!(learn("old", 0.0).is_empty());
+    assert_eq!(learn("new", 5.0), ["old"]);
+    assert_eq!(learn("old", 0.0), ["old"], "a list that is behind does not bring it back");
+    assert!(learn("new", 5.0).is_empty());
+}
+
 #[test]
 fn a_drain_stops_a_scheduling_whose_connection_is_just_coming_up() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -376,11 +408,22 @@
         let end = Reader::default().push(bytes.as_bytes(), &limits());
         assert_eq!(end.map_err(|bad| bad.status), Err(status), "{head:?}");
     }
-    for chunks in ["-1\r\n", "fffffffff\r\n", "3\r\nabcd\r\n", "\r\n", "0x3\r\n"] {
+    // What can't become right is refused at once, whether or not more comes.
+    for (status, chunks) in [
+        (400, "-1\r\n"),
+        (400, "fffffffff\r\n"),
+        (400, "3\r\nabcd\r\n"),
+        (400, "\r\n"),
+        (400, "0x3\r\n"),
+        (400, "zz"),
+        (400, "3\r\nabcd"),
+        (413, "b2d05e00\r\n"),
+    ] {
         let bytes = format!("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
         let end = Reader::default().push(bytes.as_bytes(), &limits());
-        assert_eq!(end.map_err(|bad| bad.status), Err(400), "{chunks:?}");
+        assert_eq!(end.map_err(|bad| bad.status), Err(status), "{chunks:?}");
     }
+    assert!(http::response_head(&mut b"noise".to_vec(), &limits()).is_err());
 }
 
 #[test]
