--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -98,7 +98,8 @@
         future::or(accepting, async { self.closing.recv().await.unwrap_or_default() }).await;
     }
 
-    /// Stops: requests are still taken for the grace, then listeners and idle edge connections close, and
+    /// Stops: requests are still taken for the grace, on the connections that clients have too, since another
+    /// gateway may not be there to take them; then listeners and idle edge connections close, and
     /// what is held gets its answer.
     pub async fn stop(&self) {
         self.stopping.set(true);
@@ -174,7 +175,7 @@
         };
         place.sit(Sitting::Asking);
         let crowded = self.open() >= self.limits.edge_connections;
-        let keep = head.keeps_alive(&head.start[2]) && !crowded && !self.stopping.get();
+        let keep = head.keeps_alive(&head.start[2]) && !crowded && !self.closing.is_closed();
         let call = dialect.call(&head, &body, &self.names.borrow());
         let reply = match call {
             Call::Serve(ask, model) => {
@@ -376,7 +377,7 @@
 
 impl Exchange {
     async fn reply(mut self, reply: Reply) {
-        let keep = self.keep && !self.edge.stopping.get();
+        let keep = self.keep && !self.edge.closing.is_closed();
         let bytes = reply.bytes(keep);
         let written = within(self.edge.limits.edge_write, self.wire.write(&bytes)).await;
         if matches!(written, Ok(Ok(()))) && keep {
@@ -469,7 +470,10 @@
     }
 
     async fn finish(mut self) {
-        if self.write(http::LAST_CHUNK).await && self.exchange.keep && !self.exchange.edge.stopping.get() {
+        if self.write(http::LAST_CHUNK).await
+            && self.exchange.keep
+            && !self.exchange.edge.closing.is_closed()
+        {
             *self.exchange.back.borrow_mut() = Some(self.exchange.wire);
         }
     }
