--- a/src/config.rs
+++ b/src/config.rs
@@ -72,8 +72,10 @@
 /// The names that requests and lists use, with what goes with them.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    /// The classes' names.
+    pub classes: Vec<String>,
+    /// The tenants' names.
+    pub tenants: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
     /// The names of a load report's values, in the settings' order.
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -2,19 +2,38 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use futures_lite::{Stream, future};
 
-use super::{Ask, Ending, Engine, Order};
+use super::streams::Alarm;
+use super::{Ask, Ending, Engine, Held, Order};
+use crate::stream::{Act, Cause, Course, Leaving};
 use crate::types::{ReplicaId, Verdict};
 
+/// What came of a scheduling's stream since its last step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Arrival {
+    /// Bytes.
+    pub bytes: usize,
+    /// Whole events.
+    pub events: u64,
+    /// Bytes that wait for the rest of something.
+    pub inward: usize,
+    /// A part of something is there.
+    pub amid: bool,
+    /// The last event of all has come.
+    pub last: bool,
+}
+
 /// What a scheduling yields: events, then one ending.
 #[derive(Debug)]
 pub enum Step<E> {
-    /// An event of the answer's stream.
-    Event(E),
+    /// Events of the answer's stream, all that came together.
+    Events(E, Arrival),
+    /// Bytes that make no whole event yet.
+    Bytes(Arrival),
     /// The real server holds the request itself for wrong, with this status: no other would take it.
     Rejected(u16),
     /// The end.
@@ -44,23 +63,35 @@
 }
 
 /// A begun answer; it is ended by `finish` or `break_off`, or by its client's leaving.
-pub trait Answer<E>: Sized {
-    /// Returns once the client has left.
-    fn gone(&mut self) -> impl Future<Output = ()>;
-    /// Passes an event on; false if the client has left.
-    fn event(&mut self, event: E) -> impl Future<Output = bool>;
-    /// The stream came to its proper end.
-    fn finish(self) -> impl Future<Output = ()>;
-    /// The stream broke.
-    fn break_off(self, verdict: Verdict) -> impl Future<Output = ()>;
+pub trait Answer<E> {
+    /// Ready once the client has left.
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving>;
+    /// Puts events in line for the client; returns how many bytes that made.
+    fn put(&mut self, events: E) -> usize;
+    /// Puts the stream's end in line, after all events: its proper one, or what the client is told of a break.
+    fn put_end(&mut self, cause: Cause) -> usize;
+    /// Writes some of what is in line, and returns how much the client took; an error says that it has left.
+    /// Called only while something is in line.
+    fn poll_take(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, Leaving>>;
+    /// All is taken: the connection may serve again.
+    fn finish(self);
+    /// The stream ends here: what the client takes at once of what is in line is all that it gets.
+    fn break_off(self);
 }
 
-type Scheduling<E> = (u32, Pin<Box<dyn Stream<Item = Step<E>>>>);
+/// A scheduling that is out.
+struct Scheduling<E> {
+    number: u32,
+    server: ReplicaId,
+    steps: Pin<Box<dyn Stream<Item = Step<E>>>>,
+}
 
 enum Next<E> {
-    Gone,
+    Gone(Leaving),
     Order(Order),
     Step(u32, Step<E>),
+    Took(usize),
+    Due,
 }
 
 /// Serves one request: asks the module at each point of choice, and gives exactly one final answer.
@@ -73,7 +104,7 @@
     let mut out: Vec<Scheduling<E>> = Vec::new();
 
     // Until the first event: the module orders, schedulings end, the client may leave.
-    let (number, event) = loop {
+    let (number, events, arrival) = loop {
         let next = future::or(
             async { Next::Order(held.order().await) },
             future::or(
@@ -83,16 +114,20 @@
                 },
                 async {
                     client.gone().await;
-                    Next::Gone
+                    Next::Gone(Leaving::Ended)
                 },
             ),
         );
         match next.await {
             Next::Order(Order::Schedule { number, server, timeout }) => {
-                out.push((number, servers.schedule(server, timeout)));
+                out.push(Scheduling {
+                    number,
+                    server: server.clone(),
+                    steps: servers.schedule(server, timeout),
+                });
             }
             Next::Order(Order::Cancel(number)) => {
-                out.retain(|(n, _)| *n != number);
+                out.retain(|s| s.number != number);
                 held.outcome(number, Verdict::Cancelled.into(), false);
             }
             Next::Order(Order::TurnDown(wait)) => {
@@ -109,72 +144,154 @@
                 return client.reject(status, "a real server rejected the request").await;
             }
             Next::Step(number, Step::Ended(ending)) => {
-                out.retain(|(n, _)| *n != number);
+                out.retain(|s| s.number != number);
                 held.outcome(number, ending, false);
             }
-            Next::Step(number, Step::Event(event)) => break (number, event),
-            Next::Gone => return,
+            Next::Step(number, Step::Events(events, arrival)) => break (number, events, arrival),
+            // A timer and takings are for what has begun.
+            Next::Step(_, Step::Bytes(_)) | Next::Took(_) | Next::Due => {}
+            Next::Gone(_) => return,
         }
     };
 
     // From here on the request belongs to that scheduling; the module calls others off, where it may. Any that
     // go on beside it are heard to their end, but nothing of them reaches the client.
-    held.first_event(number);
-    while let Some(order) = held.order_now() {
-        if let Order::Cancel(other) = order {
-            out.retain(|(n, _)| *n != other);
-            held.outcome(other, Verdict::Cancelled.into(), false);
-        }
-    }
+    let first = held.first_event(number);
+    let server = out.iter().find(|s| s.number == number).map(|s| s.server.clone());
+    let Some(server) = server else { return client.fail().await };
+    let limits = engine.limits.clone();
+    let ticket = engine.ticket();
+    let mut course = Course::new(engine.now(), first, &limits);
+    let mut alarm = Alarm::new();
     let mut answer = client.begin();
-    let mut event = Some(event);
-    loop {
-        if let Some(event) = event.take()
-            && !answer.event(event).await
-        {
-            return;
+    course.queued(engine.now(), answer.put(events));
+    arrival.enter(engine, &mut course);
+    let mut turn = 0;
+    let act = loop {
+        let now = engine.now();
+        course.allow(now, ticket.holds(course.held(), course.paused_since()));
+        if ticket.evicted() {
+            course.evict(now);
         }
-        let next = future::or(
-            async {
-                let (n, step) = any(&mut out).await;
-                // What has begun can't be rejected any more; of another copy it says nothing.
-                let verdict = if n == number { Verdict::Error } else { Verdict::Moot };
-                match step {
-                    Step::Rejected(_) => Next::Step(n, Step::Ended(verdict.into())),
-                    step => Next::Step(n, step),
+        if let Some(at) = ticket.stop_at() {
+            course.stop_at(at);
+        }
+        let act = course.poll(now);
+        if act != Act::Wait {
+            break act;
+        }
+        // Guards against a real server that floods and a client that keeps up: others have their turn too.
+        if turn >= limits.turn {
+            turn = 0;
+            future::yield_now().await;
+        }
+        let next = future::poll_fn(|cx| {
+            ticket.listen(cx);
+            if let Poll::Ready(order) = held.poll_order(cx) {
+                return Poll::Ready(Next::Order(order));
+            }
+            if let Poll::Ready(how) = answer.poll_gone(cx) {
+                return Poll::Ready(Next::Gone(how));
+            }
+            if course.waiting() > 0
+                && let Poll::Ready(taken) = answer.poll_take(cx)
+            {
+                return Poll::Ready(taken.map_or_else(Next::Gone, Next::Took));
+            }
+            for scheduling in &mut out {
+                if (scheduling.number != number || course.reads())
+                    && let Poll::Ready(Some(step)) = scheduling.steps.as_mut().poll_next(cx)
+                {
+                    return Poll::Ready(Next::Step(scheduling.number, step));
                 }
-            },
-            async {
-                answer.gone().await;
-                Next::Gone
-            },
-        );
+            }
+            alarm.poll(cx, engine, course.due()).map(|()| Next::Due)
+        });
         match next.await {
-            Next::Step(n, Step::Event(next)) => event = (n == number).then_some(next),
-            Next::Step(other, Step::Ended(ending)) if other != number => {
-                out.retain(|(n, _)| *n != other);
-                held.outcome(other, ending, false);
-            }
-            Next::Step(_, Step::Ended(ending)) => {
-                let verdict = ending.verdict;
-                held.outcome(number, ending, true);
-                drop((out, held));
-                return match verdict {
-                    Verdict::Ok => answer.finish().await,
-                    _ => answer.break_off(verdict).await,
+            Next::Gone(how) => course.left(engine.now(), how),
+            Next::Took(bytes) => {
+                turn += bytes;
+                course.took(engine.now(), bytes);
+            }
+            Next::Step(n, Step::Events(events, arrival)) if n == number => {
+                turn += arrival.bytes;
+                course.queued(engine.now(), answer.put(events));
+                arrival.enter(engine, &mut course);
+            }
+            Next::Step(n, Step::Bytes(arrival)) if n == number => {
+                turn += arrival.bytes;
+                arrival.enter(engine, &mut course);
+            }
+            Next::Step(n, step @ (Step::Ended(_) | Step::Rejected(_))) => {
+                out.retain(|s| s.number != n);
+                let ending = match step {
+                    Step::Ended(ending) => ending,
+                    // What has begun can't be rejected any more; of another copy it says nothing.
+                    _ if n == number => Verdict::Error.into(),
+                    _ => Verdict::Moot.into(),
                 };
+                let end = ending.end;
+                held.outcome(n, ending, n == number);
+                if n == number {
+                    // Its connection is free or closed: that the client still takes what waits costs no real
+                    // server anything.
+                    let now = engine.now();
+                    course.queued(now, answer.put_end(end.cause()));
+                    course.server_ended(now, end);
+                }
+            }
+            Next::Step(..) => {}
+            Next::Order(Order::Cancel(n)) => {
+                out.retain(|s| s.number != n);
+                if n == number {
+                    course.cancel(engine.now());
+                } else {
+                    held.outcome(n, Verdict::Cancelled.into(), false);
+                }
             }
-            _ => return,
+            // Nothing else is meant for what has begun.
+            Next::Order(_) | Next::Due => {}
+        }
+    };
+    close(&mut held, out, number, &mut course);
+    course.stopped(engine.now());
+    let outcome = course.outcome();
+    if let Some(outcome) = &outcome {
+        engine.record(held.id.0, ask, &server, outcome);
+    }
+    drop((ticket, held));
+    match (act, outcome) {
+        (Act::Finish, _) => answer.finish(),
+        (_, Some(outcome)) if !course.server_has_ended() => {
+            answer.put_end(outcome.cause);
+            answer.break_off();
         }
+        _ => answer.break_off(),
+    }
+}
+
+/// Closes the connections of all schedulings before anything else is done, and then tells the module.
+fn close<E>(held: &mut Held, out: Vec<Scheduling<E>>, number: u32, course: &mut Course) {
+    let begun = out.iter().any(|s| s.number == number);
+    drop(out);
+    if let (true, Some(outcome)) = (begun, course.outcome()) {
+        held.outcome(number, outcome.cause.verdict().into(), true);
+    }
+}
+
+impl Arrival {
+    fn enter(&self, engine: &Engine, course: &mut Course) {
+        let Arrival { bytes, events, inward, amid, last } = *self;
+        course.arrived(engine.now(), bytes, events, inward, amid, last);
     }
 }
 
 /// The next step of whichever scheduling has one.
 async fn any<E>(out: &mut [Scheduling<E>]) -> (u32, Step<E>) {
     future::poll_fn(|cx| {
-        for (number, steps) in out.iter_mut() {
-            if let Poll::Ready(Some(step)) = steps.as_mut().poll_next(cx) {
-                return Poll::Ready((*number, step));
+        for scheduling in out.iter_mut() {
+            if let Poll::Ready(Some(step)) = scheduling.steps.as_mut().poll_next(cx) {
+                return Poll::Ready((scheduling.number, step));
             }
         }
         Poll::Pending
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,22 +4,27 @@
 //! each action to the request that waits for it.
 
 mod life;
+mod streams;
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::future;
+use futures_lite::{Stream, future};
 
-pub use life::{Answer, Client, Servers, Step, serve};
+pub use life::{Answer, Arrival, Client, Servers, Step, serve};
 
 use crate::Gateway;
-use crate::limits::Limits;
+use crate::limits::{Limits, StreamLimits};
+use crate::stream::{Change, End};
 use crate::types::*;
+use streams::Streams;
 
 /// A request as the module wants it, but for its id, of which the engine makes sure.
 #[derive(Clone, Debug)]
@@ -82,11 +87,18 @@
     pub kept: Option<u32>,
     /// Its load, in the settings' order; empty if it told nothing.
     pub report: Vec<f64>,
+    /// How its stream ended, where one had begun.
+    pub end: End,
 }
 
 impl From<Verdict> for Ending {
     fn from(verdict: Verdict) -> Ending {
-        Ending { verdict, kept: None, report: Vec::new() }
+        let end = match verdict {
+            Verdict::Ok => End::Whole,
+            Verdict::Error => End::Failed,
+            _ => End::Broke,
+        };
+        Ending { verdict, kept: None, report: Vec::new(), end }
     }
 }
 
@@ -126,6 +138,8 @@
     nudged: Receiver<()>,
     slack: Duration,
     longest: Nanos,
+    limits: Rc<StreamLimits>,
+    streams: Rc<RefCell<Streams>>,
 }
 
 impl Engine {
@@ -148,7 +162,9 @@
         let clock = Rc::new(Clock { unix, from: Instant::now() });
         let core = Rc::new(RefCell::new(core));
         let (slack, longest) = (limits.timeout_slack, limits.longest_wait.as_nanos() as Nanos);
-        Ok((Engine { core, clock, fleet, nudge, nudged, slack, longest }, orders))
+        let streams = Rc::new(RefCell::new(Streams::new(limits)));
+        let limits = Rc::new(limits.stream.clone());
+        Ok((Engine { core, clock, fleet, nudge, nudged, slack, longest, limits, streams }, orders))
     }
 
     /// The module's clock: Unix time in nanoseconds.
@@ -171,11 +187,19 @@
         self.core.borrow().gateway.places()
     }
 
-    /// News of the list.
-    pub fn list(&self, kind: ListKind, members: Vec<Member>) {
+    /// News of the list. A real server that rests stays as one that drains until its rest is over.
+    pub fn list(&self, kind: ListKind, mut members: Vec<Member>) {
+        self.streams.borrow_mut().listed(kind, &mut members);
         self.feed(Event::List { kind, members: members.into() });
     }
 
+    /// Carries out what the standing of real servers calls for.
+    fn change(&self, change: &Change) {
+        if let Some(member) = self.streams.borrow_mut().changed(change) {
+            self.feed(Event::List { kind: ListKind::Changes, members: [member].into() });
+        }
+    }
+
     /// A probe's end.
     pub fn probed(&self, replica: ReplicaId, elapsed: Duration, ending: Ending) {
         let (verdict, elapsed) = (ending.verdict, elapsed.as_nanos() as Nanos);
@@ -233,7 +257,7 @@
             core.waiting.insert(id, Waiting { orders, schedulings: 0 });
             id
         };
-        let held = Held { engine: self.clone(), id, mailbox, out: BTreeMap::new() };
+        let held = Held { engine: self.clone(), id, mailbox: Box::pin(mailbox), out: BTreeMap::new() };
         let (prompt, prefix_len, max_answer) = ask.tokens;
         self.feed(Event::Request(Request {
             id,
@@ -299,7 +323,7 @@
 pub struct Held {
     engine: Engine,
     id: RequestId,
-    mailbox: Receiver<Order>,
+    mailbox: Pin<Box<Receiver<Order>>>,
     /// Schedulings that are out: when each was ordered, and its time-out.
     out: BTreeMap<u32, (Nanos, Nanos)>,
 }
@@ -307,16 +331,16 @@
 impl Held {
     /// The module's next order.
     pub async fn order(&mut self) -> Order {
-        match self.mailbox.recv().await {
-            Ok(order) => self.noted(order),
-            // The sender lives as long as this does.
-            Err(_) => future::pending().await,
-        }
+        future::poll_fn(|cx| self.poll_order(cx)).await
     }
 
-    /// An order that is there already.
-    pub fn order_now(&mut self) -> Option<Order> {
-        self.mailbox.try_recv().ok().map(|order| self.noted(order))
+    /// The same as a poll.
+    pub fn poll_order(&mut self, cx: &mut Context<'_>) -> Poll<Order> {
+        match self.mailbox.as_mut().poll_next(cx) {
+            Poll::Ready(Some(order)) => Poll::Ready(self.noted(order)),
+            // The sender lives as long as this does.
+            Poll::Ready(None) | Poll::Pending => Poll::Pending,
+        }
     }
 
     fn noted(&mut self, order: Order) -> Order {
@@ -326,19 +350,19 @@
         order
     }
 
-    /// A scheduling's first event has come.
-    pub fn first_event(&mut self, number: u32) {
-        if let Some((sent, _)) = self.out.get(&number) {
-            let elapsed = self.engine.now().saturating_sub(*sent);
-            self.engine.feed(Event::FirstToken { id: self.id, attempt: number, elapsed });
-        }
+    /// A scheduling's first event has come. Returns how long it took.
+    pub fn first_event(&mut self, number: u32) -> Nanos {
+        let Some((sent, _)) = self.out.get(&number) else { return 0 };
+        let elapsed = self.engine.now().saturating_sub(*sent);
+        self.engine.feed(Event::FirstToken { id: self.id, attempt: number, elapsed });
+        elapsed
     }
 
     /// A scheduling has ended, and with it the request if `ended`.
     pub fn outcome(&mut self, number: u32, ending: Ending, ended: bool) {
         let Some((sent, _)) = self.out.remove(&number) else { return };
         let elapsed = self.engine.now().saturating_sub(sent);
-        let Ending { verdict, kept, report } = ending;
+        let Ending { verdict, kept, report, .. } = ending;
         let id = self.id;
         self.engine.feed(Event::Outcome { id, attempt: number, verdict, ended, elapsed, kept, report });
     }
--- a/src/front/messages.rs
+++ b/src/front/messages.rs
@@ -126,7 +126,7 @@
 }
 
 /// What a named event says.
-pub fn pieces(block: &SseBlock) -> Vec<Piece> {
+pub fn pieces(block: SseBlock) -> Vec<Piece> {
     if block.is_comment() {
         return Vec::new();
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,8 +15,8 @@
 use crate::config::Names;
 use crate::engine::Ask;
 use crate::limits::Limits;
-use crate::net::http::{Bad, Head, SseBlock};
-use crate::types::Verdict;
+use crate::net::http::{self, Bad, Head, SseBlock};
+use crate::stream::Cause;
 
 /// Headers that belong to one connection, or that this program states anew.
 const HOP: [&str; 9] = [
@@ -134,7 +134,7 @@
     }
 
     /// What an event of this dialect says.
-    pub fn pieces(self, block: &SseBlock) -> Vec<Piece> {
+    pub fn pieces(self, block: SseBlock) -> Vec<Piece> {
         match self {
             Dialect::Platform => platform::pieces(block),
             Dialect::Messages => messages::pieces(block),
@@ -142,7 +142,7 @@
     }
 
     /// The stream's event that says it failed; an outcome, not a part of an answer.
-    pub fn is_error(self, block: &SseBlock) -> bool {
+    pub fn is_error(self, block: SseBlock) -> bool {
         match self {
             // The platform's events are many and long: only one that begins so is an error.
             Dialect::Platform => block.0.starts_with(b"data: {\"error\""),
@@ -150,17 +150,28 @@
         }
     }
 
-    /// Prompt tokens found kept, if the event tells them.
-    pub fn kept(self, block: &SseBlock) -> Option<u32> {
+    /// The stream's last event: what follows it belongs to the framing.
+    pub fn is_last(self, block: SseBlock) -> bool {
+        match self {
+            Dialect::Platform => block.0.starts_with(b"data: [DONE]"),
+            Dialect::Messages => block.name() == "message_stop",
+        }
+    }
+
+    /// Prompt tokens found kept, if any of the events tells them.
+    pub fn kept(self, events: &[u8]) -> Option<u32> {
         let word: &[u8] = match self {
             Dialect::Platform => b"\"cached_tokens\"",
             Dialect::Messages => b"\"cache_read_input_tokens\"",
         };
-        crate::net::http::find(&block.0, word)?;
-        self.pieces(block).into_iter().find_map(|piece| match piece {
-            Piece::Usage(_, kept, _) => Some(kept.min(u64::from(u32::MAX)) as u32),
-            _ => None,
-        })
+        http::find(events, word)?;
+        let told = http::sse_blocks(events).filter(|block| http::find(block.0, word).is_some());
+        told.flat_map(|block| self.pieces(block))
+            .filter_map(|piece| match piece {
+                Piece::Usage(_, kept, _) => Some(kept.min(u64::from(u32::MAX)) as u32),
+                _ => None,
+            })
+            .last()
     }
 
     /// The answer to what is wrong with a request.
@@ -266,13 +277,12 @@
         Passing { client, writer: messages::Writer::new(id, model), noted, usage: (0, 0, 0) }
     }
 
-    /// The client's bytes for an event; may be none.
-    pub fn event(&mut self, server: Dialect, block: SseBlock) -> Vec<u8> {
+    /// Adds the client's bytes for whole events; may add none.
+    pub fn events(&mut self, server: Dialect, events: &[u8], out: &mut Vec<u8>) {
         if server == self.client {
-            return block.0;
+            return out.extend_from_slice(events);
         }
-        let mut bytes = Vec::new();
-        for piece in server.pieces(&block) {
+        for piece in http::sse_blocks(events).flat_map(|block| server.pieces(block)) {
             if let Piece::Unknown(name) = &piece {
                 self.noted.note(name);
             }
@@ -281,24 +291,27 @@
                 self.usage = (told.0.max(prompt), told.1.max(kept), told.2.max(answer));
             }
             match self.client {
-                Dialect::Platform => platform::write(&piece, self.usage, &mut bytes),
-                Dialect::Messages => self.writer.write(&piece, self.usage, &mut bytes),
+                Dialect::Platform => platform::write(&piece, self.usage, out),
+                Dialect::Messages => self.writer.write(&piece, self.usage, out),
             }
         }
-        bytes
     }
 
-    /// What a client is told of a break before its connection ends.
-    pub fn broken(&mut self, verdict: Verdict) -> Vec<u8> {
-        match (self.client, verdict) {
+    /// What a client is told of a stream that ends before it is whole.
+    pub fn broken(&mut self, cause: Cause) -> Vec<u8> {
+        let (kind, words) = match cause {
             // The error event itself was passed on already.
-            (Dialect::Platform, _) | (_, Verdict::Error) => Vec::new(),
-            (Dialect::Messages, _) => {
-                let mut bytes = Vec::new();
-                let error = Piece::Error("api_error".into(), "the stream broke".into());
-                self.writer.write(&error, self.usage, &mut bytes);
-                bytes
-            }
+            Cause::Failed | Cause::Whole => return Vec::new(),
+            Cause::Stalled => ("timeout_error", "the stream stalled"),
+            Cause::Shutdown => ("overloaded_error", "this gateway is stopping; ask again"),
+            Cause::Budget => ("overloaded_error", "too much of this stream was waiting to be read"),
+            Cause::ReaderSlow => ("timeout_error", "the stream was read too slowly"),
+            _ => ("api_error", "the stream broke"),
+        };
+        let mut bytes = Vec::new();
+        if self.client == Dialect::Messages {
+            self.writer.write(&Piece::Error(kind.into(), words.into()), self.usage, &mut bytes);
         }
+        bytes
     }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -80,7 +80,7 @@
 }
 
 /// What an event of the platform says.
-pub fn pieces(block: &SseBlock) -> Vec<Piece> {
+pub fn pieces(block: SseBlock) -> Vec<Piece> {
     let data = block.data();
     if block.is_comment() {
         return Vec::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod net;
 pub mod store;
+pub mod stream;
 pub mod syslog;
 pub mod types;
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -47,14 +47,21 @@
     pub edge_read: Duration,
     /// The longest time that a client may ask for; it bounds how long its request is remembered.
     pub longest_wait: Duration,
-    /// Time in which a client must take what is written to it.
+    /// Time in which a client must take an answer that is no stream.
     pub edge_write: Duration,
+    /// What a stream that is passed on may hold and wait for.
+    pub stream: StreamLimits,
+    /// When a real server is rested for the streams that it spoils; none: never.
+    pub rest: Option<RestLimits>,
     /// Time in which the rest of an answer that serves nobody is read, to keep its connection.
     pub rest_read: Duration,
-    /// A begun stream that stays silent for this time counts as broken.
-    pub stream_silence: Duration,
-    /// The same where it stopped amid a chunk, and for the rest of a head that has begun.
-    pub stream_stall: Duration,
+    /// An answer whose head is there waits so long for its first event.
+    pub stream_opening: Duration,
+    /// The rest of a head that has begun must come within this time.
+    pub head_stall: Duration,
+    /// Bytes of a chunk that are held back until the chunk is whole; of a longer one whole events pass on as
+    /// they come.
+    pub chunk_hold: usize,
     /// A watch without a line for this time counts as broken.
     pub watch_silence: Duration,
     /// Time for discovery's answer to begin.
@@ -103,7 +110,7 @@
             line_bytes: 256,
             interim_heads: 16,
             list_bytes: 1 << 20,
-            read_bytes: 4 << 10,
+            read_bytes: 16 << 10,
             edge_connections,
             // What is written to a real server is copied only meanwhile.
             held_bytes: (memory_mb << 20) * 3 / 8,
@@ -121,11 +128,12 @@
             edge_read: Duration::from_millis(2200),
             longest_wait: Duration::from_secs(60),
             edge_write: Duration::from_secs(10),
+            stream: StreamLimits::new(memory_mb, edge_connections),
+            rest: None,
             rest_read: Duration::from_millis(50),
-            // Guards against a stream that has stopped for good on an open connection: its client is owed an end
-            // within 5 s of the last event.
-            stream_silence: Duration::from_secs(4),
-            stream_stall: Duration::from_millis(1500),
+            stream_opening: Duration::from_secs(4),
+            head_stall: Duration::from_millis(1500),
+            chunk_hold: event_bytes,
             watch_silence: Duration::from_millis(3200),
             discovery_answer: Duration::from_millis(2500),
             accept_pause: Duration::from_millis(20),
@@ -145,3 +153,104 @@
         }
     }
 }
+
+/// What a stream that is passed on may hold and wait for.
+#[derive(Clone, Debug)]
+pub struct StreamLimits {
+    /// Bytes that a stream holds before it is no longer read.
+    pub high: usize,
+    /// Bytes at or under which it is read again.
+    pub low: usize,
+    /// Bytes that all streams together hold before they are cut.
+    pub budget: usize,
+    /// Bytes that each stream may hold however short the budget is.
+    pub floor: usize,
+    /// The size asked for of each buffer that the system has for a connection; it may take twice as much.
+    pub socket: usize,
+    /// A real server is silent for this long between two events before its stream counts as stalled.
+    pub silence: Duration,
+    /// The same amid a chunk or an event.
+    pub stall: Duration,
+    /// The same after the dialect's last event, for the last chunk.
+    pub tail: Duration,
+    /// Where set, silence is limited to so many times the longest that the stream came back from, but to no
+    /// less than this time and no more than the limits above.
+    pub pace: Option<(f64, Duration)>,
+    /// The span over which a reader's progress is looked at.
+    pub reader_span: Duration,
+    /// Bytes that a reader takes in that span at the least, while bytes wait for it.
+    pub reader_floor: usize,
+    /// After a break, the client may take what waits for this time.
+    pub linger: Duration,
+    /// After SIGTERM, streams are cut after this time.
+    pub stop: Duration,
+    /// Pause between two snapshots of the figures in the log; none: only at the end.
+    pub figures_every: Option<Duration>,
+    /// Bytes read by one stream before others have their turn.
+    pub turn: usize,
+}
+
+impl StreamLimits {
+    fn new(memory_mb: usize, connections: usize) -> StreamLimits {
+        let high = 32 << 10;
+        // A third of the memory is the system's for connections: two buffers for each stream's two connections
+        // fill at most, and the system doubles what it is asked for.
+        let socket = ((memory_mb << 20) / 3 / connections.max(1) / 4).clamp(16 << 10, 64 << 10);
+        StreamLimits {
+            high,
+            low: high / 4,
+            budget: (memory_mb << 20) / 8,
+            floor: 4 << 10,
+            socket,
+            // Guards against a stream that has stopped for good on an open connection: its client is owed an end
+            // within 5 s of the last event.
+            silence: Duration::from_secs(4),
+            stall: Duration::from_millis(1500),
+            tail: Duration::from_millis(1500),
+            pace: None,
+            reader_span: Duration::from_secs(8),
+            reader_floor: 4 << 10,
+            linger: Duration::from_secs(1),
+            // A planned stop kills no sooner than 3.7 s after its SIGTERM.
+            stop: Duration::from_millis(3550),
+            figures_every: None,
+            turn: 32 << 10,
+        }
+    }
+}
+
+/// When a real server is rested for the streams that it spoils.
+#[derive(Clone, Debug)]
+pub struct RestLimits {
+    /// The span over which ends are counted.
+    pub span: Duration,
+    /// Ends remembered of each real server.
+    pub ends: usize,
+    /// Bad ends in a span before a rest is thought of.
+    pub faults: usize,
+    /// The share of bad ends before a rest.
+    pub share: f64,
+    /// How many times the others' share it must be.
+    pub above: f64,
+    /// The first rest.
+    pub rest: Duration,
+    /// The longest; each one that follows soon is twice as long as the one before.
+    pub longest_rest: Duration,
+    /// The part of the fleet that rests at most.
+    pub most_resting: f64,
+}
+
+impl Default for RestLimits {
+    fn default() -> RestLimits {
+        RestLimits {
+            span: Duration::from_secs(30),
+            ends: 64,
+            faults: 3,
+            share: 0.3,
+            above: 3.0,
+            rest: Duration::from_secs(5),
+            longest_rest: Duration::from_secs(60),
+            most_resting: 0.2,
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -69,6 +69,7 @@
     let push = config.settings.push;
     let (engine, orders) =
         Engine::new(config.settings, config.seed, &limits).map_err(|e| format!("settings: {e}"))?;
+    engine.name_streams(config.names.classes.clone(), config.names.tenants.clone());
     let names = Rc::new(RefCell::new(config.names));
     let gauges = {
         let names = names.clone();
@@ -121,6 +122,12 @@
         };
         ex.spawn(follow).detach();
     }
+    let figures = engine.clone();
+    ex.spawn({
+        let engine = engine.clone();
+        async move { engine.run_streams().await }
+    })
+    .detach();
     ex.spawn(async move { engine.run_timers().await }).detach();
     ex.spawn(async move { fleet.sweep().await }).detach();
     ex.spawn(discovery.clone().run(ex, orders, push)).detach();
@@ -152,6 +159,7 @@
             None => break,
         }
     }
+    figures.log_figures();
     log::info!("stopped: all is answered");
     Ok(())
 }
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -12,13 +13,13 @@
 use futures_lite::future;
 
 use super::http::{self, Bad, Body, Head};
-use super::servers::{Dispatch, Fleet, Spoken};
+use super::servers::{Batch, Dispatch, Fleet};
 use super::{Wire, within};
 use crate::config::Names;
 use crate::engine::{self, Engine};
 use crate::front::{Call, Dialect, Noted, Passage, Passing, Reply};
 use crate::limits::Limits;
-use crate::types::Verdict;
+use crate::stream::{Cause, Leaving};
 
 /// What all edge connections share.
 pub struct Edge {
@@ -103,6 +104,7 @@
     /// what is held gets its answer.
     pub async fn stop(&self) {
         self.stopping.set(true);
+        self.engine.stop_streams(self.limits.stream.stop);
         Timer::after(self.limits.stop_grace).await;
         self.close.close();
         while self.open() > 0 {
@@ -144,7 +146,7 @@
         dialect: Dialect,
         mut place: Place,
     ) {
-        let mut wire = Wire::new(stream);
+        let mut wire = Wire::new(stream, &self.limits);
         while let Some(next) = self.clone().exchange(wire, dialect, from, &mut place).await {
             wire = next;
             // What a large request needed is not kept while the connection rests.
@@ -386,22 +388,23 @@
     }
 }
 
-/// Returns once the client has left. A request that comes early waits in the buffer, up to its bound.
-async fn gone(wire: &mut Wire, limits: &Limits) {
+/// Ready once the client has left. A request that comes early waits in the buffer, up to its bound.
+fn poll_gone(wire: &mut Wire, cx: &mut Context<'_>, limits: &Limits) -> Poll<Leaving> {
     while wire.buf.len() < limits.head_bytes {
-        match wire.fill(limits).await {
-            Ok(0) | Err(_) => return,
+        match ready!(wire.poll_fill(cx, limits)) {
+            Ok(0) => return Poll::Ready(Leaving::Ended),
+            Err(_) => return Poll::Ready(Leaving::Reset),
             Ok(_) => {}
         }
     }
-    future::pending().await
+    Poll::Pending
 }
 
-impl engine::Client<Spoken> for Exchange {
+impl engine::Client<Batch> for Exchange {
     type Answer = Answering;
 
     async fn gone(&mut self) {
-        gone(&mut self.wire, &self.edge.limits).await;
+        future::poll_fn(|cx| poll_gone(&mut self.wire, cx, &self.edge.limits)).await;
         log::debug!(id = self.id, after:? = self.from.elapsed(); "client-gone: before its answer");
     }
 
@@ -425,7 +428,7 @@
 
     fn begin(self) -> Answering {
         let passing = Passing::new(self.dialect, &self.id, &self.model, self.edge.noted.clone());
-        Answering { exchange: self, passing, headed: false }
+        Answering { exchange: self, passing, line: Vec::new(), written: 0, headed: false }
     }
 }
 
@@ -433,57 +436,91 @@
 struct Answering {
     exchange: Exchange,
     passing: Passing,
+    /// What is in line for the client, of which so much is written.
+    line: Vec<u8>,
+    written: usize,
     headed: bool,
 }
 
 impl Answering {
-    async fn write(&mut self, bytes: &[u8]) -> bool {
-        let limit = self.exchange.edge.limits.edge_write;
-        matches!(within(limit, self.exchange.wire.write(bytes)).await, Ok(Ok(())))
+    /// Puts bytes in line by way of `add`, as a chunk; returns how many the line has become longer by.
+    fn add(&mut self, add: impl FnOnce(&mut Passing, &mut Vec<u8>)) -> usize {
+        if self.written > 0 {
+            self.line.drain(..std::mem::take(&mut self.written));
+        }
+        let had = self.line.len();
+        if !std::mem::replace(&mut self.headed, true) {
+            self.line.extend_from_slice(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+                Transfer-Encoding: chunked\r\n",
+            );
+            let rest: &[u8] = if self.exchange.keep { b"\r\n" } else { b"Connection: close\r\n\r\n" };
+            self.line.extend_from_slice(rest);
+        }
+        // The size's digits are written once it is known: leading zeros are allowed.
+        let size_at = self.line.len();
+        self.line.extend_from_slice(b"00000000\r\n");
+        let from = self.line.len();
+        add(&mut self.passing, &mut self.line);
+        match self.line.len() - from {
+            0 => self.line.truncate(size_at),
+            size => {
+                let digits = format!("{size:08x}");
+                self.line[size_at..size_at + 8].copy_from_slice(digits.as_bytes());
+                self.line.extend_from_slice(b"\r\n");
+            }
+        }
+        self.line.len() - had
     }
 
-    fn head(&mut self) -> Vec<u8> {
-        if std::mem::replace(&mut self.headed, true) {
-            return Vec::new();
+    fn taken(&mut self, bytes: usize) {
+        self.written += bytes;
+        if self.written == self.line.len() {
+            self.written = 0;
+            self.line.clear();
+            // What a burst needed is not kept while the stream rests.
+            self.line.shrink_to(self.exchange.edge.limits.read_bytes);
         }
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
-            Transfer-Encoding: chunked\r\n"
-            .to_owned();
-        head.push_str(if self.exchange.keep { "\r\n" } else { "Connection: close\r\n\r\n" });
-        head.into_bytes()
     }
 }
 
-impl engine::Answer<Spoken> for Answering {
-    async fn gone(&mut self) {
-        gone(&mut self.exchange.wire, &self.exchange.edge.limits).await;
-        log::debug!(id = self.exchange.id, after:? = self.exchange.from.elapsed(); "client-gone: in its stream");
+impl engine::Answer<Batch> for Answering {
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
+        poll_gone(&mut self.exchange.wire, cx, &self.exchange.edge.limits)
     }
 
-    async fn event(&mut self, (server, block): Spoken) -> bool {
-        let bytes = self.passing.event(server, block);
-        let mut out = self.head();
-        if !bytes.is_empty() {
-            out.extend_from_slice(&http::chunk(&bytes));
+    fn put(&mut self, batch: Batch) -> usize {
+        self.add(|passing, line| passing.events(batch.dialect, &batch.bytes, line))
+    }
+
+    /// A stream that is not whole gets no last chunk: that alone tells a client so.
+    fn put_end(&mut self, cause: Cause) -> usize {
+        if cause == Cause::Whole {
+            let head = self.add(|_, _| {});
+            self.line.extend_from_slice(http::LAST_CHUNK);
+            return head + http::LAST_CHUNK.len();
         }
-        self.write(&out).await
+        self.add(|passing, line| line.extend_from_slice(&passing.broken(cause)))
     }
 
-    async fn finish(mut self) {
-        if self.write(http::LAST_CHUNK).await
-            && self.exchange.keep
-            && !self.exchange.edge.closing.is_closed()
-        {
+    fn poll_take(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, Leaving>> {
+        let taken = ready!(self.exchange.wire.poll_write(cx, &self.line[self.written..]));
+        Poll::Ready(match taken {
+            Ok(count) => {
+                self.taken(count);
+                Ok(count)
+            }
+            Err(_) => Err(Leaving::Reset),
+        })
+    }
+
+    fn finish(self) {
+        if self.exchange.keep && !self.exchange.edge.closing.is_closed() {
             *self.exchange.back.borrow_mut() = Some(self.exchange.wire);
         }
     }
 
-    /// The connection closes without the last chunk: that alone tells a client that its stream is not whole.
-    async fn break_off(mut self, verdict: Verdict) {
-        log::info!(id = self.exchange.id, verdict:? = verdict; "stream-broken: its client was cut off");
-        let bytes = self.passing.broken(verdict);
-        if !bytes.is_empty() {
-            let _ = self.write(&http::chunk(&bytes)).await;
-        }
+    fn break_off(self) {
+        self.exchange.wire.write_now(&self.line[self.written..]);
     }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,6 +7,8 @@
 use std::fmt;
 use std::str;
 
+use memchr::{memchr_iter, memmem};
+
 use crate::limits::Limits;
 
 /// What is wrong with a message, and the status that says so to a client.
@@ -196,7 +198,7 @@
 
 /// Where `needle` begins in `hay`.
 pub fn find(hay: &[u8], needle: &[u8]) -> Option<usize> {
-    hay.windows(needle.len()).position(|w| w == needle)
+    memmem::find(hay, needle)
 }
 
 /// What is still to come of a body.
@@ -217,6 +219,8 @@
     Size,
     /// To its data, which has this size.
     Data(usize),
+    /// To the data of a chunk too long to be held, of which so much is missing.
+    Long(usize),
     /// To the trailers, of which so many have come.
     Trailer(usize),
     /// To the next message.
@@ -226,36 +230,78 @@
 impl Body {
     /// Moves what is there of the body from the front of `buf` to `out`; true once it is whole.
     pub fn take(&mut self, buf: &mut Vec<u8>, out: &mut Vec<u8>, limits: &Limits) -> Result<bool, Bad> {
+        if *self == Body::UntilClose && out.is_empty() {
+            std::mem::swap(buf, out);
+            return Ok(false);
+        }
+        let mut taken = 0;
+        let whole = self.take_from(buf, &mut taken, out, limits);
+        buf.drain(..taken);
+        whole
+    }
+
+    /// The same, with `taken` as what was moved of `buf`: many chunks in one read cost one move of the rest.
+    fn take_from(
+        &mut self,
+        buf: &[u8],
+        taken: &mut usize,
+        out: &mut Vec<u8>,
+        limits: &Limits,
+    ) -> Result<bool, Bad> {
         loop {
+            let rest = &buf[*taken..];
             match self {
                 Body::Length(left) => {
-                    let some = (*left).min(buf.len());
-                    out.extend(buf.drain(..some));
+                    let some = (*left).min(rest.len());
+                    out.extend_from_slice(&rest[..some]);
+                    *taken += some;
                     *left -= some;
                     return Ok(*left == 0);
                 }
                 Body::UntilClose => {
-                    out.append(buf);
+                    out.extend_from_slice(rest);
+                    *taken = buf.len();
                     return Ok(false);
                 }
                 Body::Chunked(Chunk::Over) => return Ok(true),
-                Body::Chunked(Chunk::Data(size)) => {
+                Body::Chunked(Chunk::Data(size)) if *size <= limits.chunk_hold => {
                     // Guards against passing on what a spoilt chunk holds: it is taken whole, once its end has
                     // shown that its size was right.
-                    if buf.iter().skip(*size).zip(b"\r\n").any(|(came, due)| came != due) {
+                    if rest.iter().skip(*size).zip(b"\r\n").any(|(came, due)| came != due) {
                         return bad(400, "a chunk longer than its size");
                     }
-                    if buf.len() < *size + 2 {
+                    if rest.len() < *size + 2 {
                         return Ok(false);
                     }
-                    out.extend(buf.drain(..*size + 2).take(*size));
+                    out.extend_from_slice(&rest[..*size]);
+                    *taken += *size + 2;
+                    *self = Body::Chunked(Chunk::Size);
+                }
+                // Guards against holding a chunk of any size: of a long one the bytes are taken as they come.
+                Body::Chunked(Chunk::Data(left) | Chunk::Long(left)) => {
+                    let some = (*left).min(rest.len());
+                    out.extend_from_slice(&rest[..some]);
+                    *taken += some;
+                    let left = *left - some;
+                    *self = Body::Chunked(Chunk::Long(left));
+                    let rest = &buf[*taken..];
+                    if left > 0 || rest.len() < 2 {
+                        if rest.first().is_some_and(|b| *b != b'\r') {
+                            return bad(400, "a chunk longer than its size");
+                        }
+                        return Ok(false);
+                    }
+                    if !rest.starts_with(b"\r\n") {
+                        return bad(400, "a chunk longer than its size");
+                    }
+                    *taken += 2;
                     *self = Body::Chunked(Chunk::Size);
                 }
                 Body::Chunked(chunk) => {
-                    let end = find(&buf[..buf.len().min(limits.line_bytes)], b"\r\n");
+                    let end = memmem::find(&rest[..rest.len().min(limits.line_bytes)], b"\r\n");
                     if *chunk == Chunk::Size {
                         // Guards against waiting for the end of what is no size, or of a size without end.
-                        let line = &buf[..end.unwrap_or(buf.len())];
+                        let line = &rest[..end.unwrap_or(rest.len())];
                         let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
                         if !matches!(line.get(digits), None | Some(b';' | b' ' | b'\t' | b'\r'))
                             || digits > 8
@@ -264,17 +310,18 @@
                         }
                     }
                     let Some(end) = end else {
-                        let long = buf.len() >= limits.line_bytes;
+                        let long = rest.len() >= limits.line_bytes;
                         return if long { bad(400, "a line too long") } else { Ok(false) };
                     };
-                    let line: Vec<u8> = buf.drain(..end + 2).take(end).collect();
+                    let line = &rest[..end];
+                    *taken += end + 2;
                     *chunk = match chunk {
                         Chunk::Trailer(_) if line.is_empty() => Chunk::Over,
                         Chunk::Trailer(count) if *count == limits.headers => {
                             return bad(431, "too many trailers");
                         }
                         Chunk::Trailer(count) => Chunk::Trailer(*count + 1),
-                        _ => match chunk_size(&line, limits)? {
+                        _ => match chunk_size(line, limits)? {
                             0 => Chunk::Trailer(0),
                             size => Chunk::Data(size),
                         },
@@ -286,7 +333,8 @@
 
     /// What is there is a part of something: what is missing must follow soon.
     pub fn is_amid(&self, buf: &[u8]) -> bool {
-        !buf.is_empty() || matches!(self, Body::Chunked(Chunk::Data(_) | Chunk::Trailer(_)))
+        !buf.is_empty()
+            || matches!(self, Body::Chunked(Chunk::Data(_) | Chunk::Long(_) | Chunk::Trailer(_)))
     }
 }
 
@@ -336,16 +384,15 @@
 }
 
 /// A block of a stream of server-sent events, with the empty line that ends it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SseBlock(pub Vec<u8>);
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SseBlock<'a>(pub &'a [u8]);
 
-impl SseBlock {
-    fn lines(&self) -> impl Iterator<Item = &[u8]> {
+impl<'a> SseBlock<'a> {
+    fn lines(self) -> impl Iterator<Item = &'a [u8]> {
         self.0.split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l)).filter(|l| !l.is_empty())
     }
 
-    fn field(&self, name: &str) -> impl Iterator<Item = &str> {
-        let name = name.to_owned();
+    fn field(self, name: &'static str) -> impl Iterator<Item = &'a str> {
         self.lines().filter_map(move |line| {
             let value = line.strip_prefix(name.as_bytes())?.strip_prefix(b":")?;
             str::from_utf8(value.strip_prefix(b" ").unwrap_or(value)).ok()
@@ -353,34 +400,67 @@
     }
 
     /// The event's name, empty if it has none.
-    pub fn name(&self) -> &str {
+    pub fn name(self) -> &'a str {
         self.field("event").last().unwrap_or_default()
     }
 
     /// The event's data, its lines joined.
-    pub fn data(&self) -> String {
+    pub fn data(self) -> String {
         self.field("data").collect::<Vec<_>>().join("\n")
     }
 
     /// Comment lines.
-    pub fn comments(&self) -> impl Iterator<Item = &str> {
+    pub fn comments(self) -> impl Iterator<Item = &'a str> {
         self.lines().filter_map(|l| str::from_utf8(l.strip_prefix(b":")?).ok()).map(str::trim)
     }
 
     /// It holds nothing but comments.
-    pub fn is_comment(&self) -> bool {
+    pub fn is_comment(self) -> bool {
         self.lines().all(|l| l.starts_with(b":"))
     }
+
+    /// It holds nothing but line ends.
+    pub fn is_blank(self) -> bool {
+        self.0.iter().all(|b| matches!(b, b'\r' | b'\n'))
+    }
+}
+
+/// Where blocks end in bytes that begin with one, from a place up to which none did.
+fn block_ends(bytes: &[u8], from: usize) -> impl Iterator<Item = usize> {
+    memchr_iter(b'\n', &bytes[from..]).filter_map(move |at| match &bytes[from + at + 1..] {
+        [b'\n', ..] => Some(from + at + 2),
+        [b'\r', b'\n', ..] => Some(from + at + 3),
+        _ => None,
+    })
 }
 
-/// Takes the next block from the front of `buf`, once it is there whole.
-pub fn sse_block(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<SseBlock>, Bad> {
-    let ends = [&b"\n\n"[..], b"\n\r\n"];
-    let end = ends.iter().filter_map(|e| Some(find(buf, e)? + e.len())).min();
-    match end {
-        Some(end) if end <= limits.event_bytes => Ok(Some(SseBlock(buf.drain(..end).collect()))),
-        None if buf.len() <= limits.event_bytes => Ok(None),
-        // Guards against an event without end.
-        _ => bad(502, "an event too large"),
+/// The blocks of bytes that hold whole ones.
+pub fn sse_blocks(bytes: &[u8]) -> impl Iterator<Item = SseBlock<'_>> {
+    let mut start = 0;
+    block_ends(bytes, 0).map(move |end| SseBlock(&bytes[std::mem::replace(&mut start, end)..end]))
+}
+
+/// Takes the whole blocks from the front of `text`, all that are there; none if there is none. `scanned` is how
+/// far it was looked through before, and begins at 0.
+pub fn sse_batch(text: &mut Vec<u8>, scanned: &mut usize, limits: &Limits) -> Result<Vec<u8>, Bad> {
+    let (mut start, mut fault) = (0, false);
+    for end in block_ends(text, *scanned) {
+        // Guards against an event without end; what came whole before it is good.
+        if end - start > limits.event_bytes {
+            fault = true;
+            break;
+        }
+        start = end;
+    }
+    if start == 0 && (fault || text.len() > limits.event_bytes) {
+        return bad(502, "an event too large");
+    }
+    if start == 0 {
+        *scanned = text.len().saturating_sub(2);
+        return Ok(Vec::new());
     }
+    let rest = text.split_off(start);
+    // A block's end is three bytes long at the most.
+    *scanned = if fault { 0 } else { rest.len().saturating_sub(2) };
+    Ok(std::mem::replace(text, rest))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,45 +6,115 @@
 pub mod peers;
 pub mod servers;
 
-use std::io;
+use std::cell::RefCell;
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::future;
+use socket2::SockRef;
 
 use crate::limits::Limits;
 
+thread_local! {
+    /// Where reads go first: no connection keeps room for bytes that have not come.
+    static SCRATCH: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
 /// A connection with what was read from it and not yet taken.
 pub struct Wire {
     stream: Async<TcpStream>,
     /// Bytes read and not yet taken.
     pub buf: Vec<u8>,
+    /// There was nothing more to read; the system says when there is.
+    dry: bool,
+    /// No more could be written; the system says when it can.
+    full: bool,
 }
 
 impl Wire {
     /// Wraps an accepted connection.
-    pub fn new(stream: Async<TcpStream>) -> Wire {
+    pub fn new(stream: Async<TcpStream>, limits: &Limits) -> Wire {
         let _ = stream.get_ref().set_nodelay(true);
-        Wire { stream, buf: Vec::new() }
+        // Guards against a peer for whom the system keeps megabytes that are in no budget of ours. A system
+        // that does not heed it is no reason to give the connection up.
+        let socket = SockRef::from(stream.get_ref());
+        let _ = socket.set_recv_buffer_size(limits.stream.socket);
+        let _ = socket.set_send_buffer_size(limits.stream.socket);
+        Wire { stream, buf: Vec::new(), dry: false, full: false }
     }
 
     /// Connects within a time.
     pub async fn connect(addr: SocketAddr, limits: &Limits) -> io::Result<Wire> {
-        Ok(Wire::new(within(limits.connect, Async::<TcpStream>::connect(addr)).await??))
+        Ok(Wire::new(within(limits.connect, Async::<TcpStream>::connect(addr)).await??, limits))
     }
 
     /// Reads what is there, or waits for some; 0 is the peer's end. Nothing is lost if it is dropped.
     pub async fn fill(&mut self, limits: &Limits) -> io::Result<usize> {
-        let mut bytes = vec![0; limits.read_bytes];
-        let count = self.stream.read(&mut bytes).await?;
-        self.buf.extend_from_slice(&bytes[..count]);
-        Ok(count)
+        future::poll_fn(|cx| self.poll_fill(cx, limits)).await
+    }
+
+    /// The same as a poll.
+    pub fn poll_fill(&mut self, cx: &mut Context<'_>, limits: &Limits) -> Poll<io::Result<usize>> {
+        loop {
+            if self.dry {
+                ready!(self.stream.poll_readable(cx))?;
+                self.dry = false;
+            }
+            let read = SCRATCH.with_borrow_mut(|scratch| {
+                scratch.resize(limits.read_bytes, 0);
+                let count = self.stream.get_ref().read(scratch)?;
+                self.buf.extend_from_slice(&scratch[..count]);
+                Ok::<_, io::Error>(count)
+            });
+            match read {
+                Ok(count) => {
+                    // What was less than there was room for is all that there was: a further read would only
+                    // say so.
+                    self.dry = count > 0 && count < limits.read_bytes;
+                    return Poll::Ready(Ok(count));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.dry = true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
     }
 
     /// Writes all of it.
-    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+    pub async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let count = future::poll_fn(|cx| self.poll_write(cx, bytes)).await?;
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
+    /// Writes some of it once the connection takes some.
+    pub fn poll_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            if self.full {
+                ready!(self.stream.poll_writable(cx))?;
+                self.full = false;
+            }
+            match self.stream.get_ref().write(bytes) {
+                Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Ok(count) => {
+                    self.full = count < bytes.len();
+                    return Poll::Ready(Ok(count));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.full = true,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    /// Writes what the connection takes at once, on its way to being closed.
+    pub fn write_now(&self, bytes: &[u8]) {
+        let _ = self.stream.get_ref().write(bytes);
     }
 
     /// Ends the sending side and drops what still comes, up to the peer's end.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -11,12 +11,13 @@
 use async_io::Timer;
 use futures_lite::{Stream, stream};
 
-use super::http::{self, Body, Head, SseBlock};
+use super::http::{self, Body, Head};
 use super::{Wire, within};
 use crate::config::{ServiceEntry, State};
-use crate::engine::{Ending, Servers, Step};
+use crate::engine::{Arrival, Ending, Servers, Step};
 use crate::front::{Dialect, Passage};
 use crate::limits::Limits;
+use crate::stream::End;
 use crate::types::{ReplicaId, Verdict};
 
 /// A real server as the list has it.
@@ -187,13 +188,13 @@
                     Ok(true) if head.status() == 200 => {
                         self.give_back(server, addr, line);
                         let report = (self.gauges)(&String::from_utf8_lossy(&text));
-                        return Ending { verdict: Verdict::Ok, kept: None, report };
+                        return Ending { report, ..Verdict::Ok.into() };
                     }
                     Ok(false) if line.wire.fill(&self.limits).await.is_ok_and(|n| n > 0) => {}
                     _ => break,
                 }
             }
-            Ending { verdict: Verdict::Error, kept: None, report: self.load(&head) }
+            Ending { report: self.load(&head), ..Verdict::Error.into() }
         };
         within(self.limits.discovery_answer, ask).await.unwrap_or_else(|_| Verdict::TimedOut.into())
     }
@@ -259,7 +260,7 @@
                 status @ (400..=407 | 409..=420 | 422..=424 | 426..=428 | 431..=499) => {
                     Refusal::Request(status)
                 }
-                _ => Refusal::Scheduling(Ending { verdict, kept: None, report }),
+                _ => Refusal::Scheduling(Ending { report, ..verdict.into() }),
             });
         }
         let keep = head.keeps_alive(&head.start[0]) && body != Body::UntilClose;
@@ -271,7 +272,12 @@
             body,
             keep,
             spoilt: false,
+            failed: false,
             text: Vec::new(),
+            scanned: 0,
+            came: 0,
+            early: 0,
+            last: false,
             kept: None,
             report,
         })
@@ -303,21 +309,33 @@
         }
     }
 
-    /// The next event of a begun answer.
-    async fn next(&self, open: &mut Open) -> Result<SseBlock, Verdict> {
+    /// The first events of an answer whose head is there.
+    async fn first(&self, open: &mut Open) -> Result<Batch, Verdict> {
         loop {
-            while let Some(block) =
-                http::sse_block(&mut open.text, &self.limits).map_err(|_| Verdict::Reset)?
-            {
-                for comment in block.comments() {
-                    if let Some(text) = comment.strip_prefix("X-Load:") {
-                        open.report = (self.gauges)(text);
-                    }
-                }
-                open.kept = open.dialect.kept(&block).or(open.kept);
-                if !block.0.iter().all(|b| matches!(b, b'\r' | b'\n')) {
-                    return Ok(block);
-                }
+            let amid = !open.text.is_empty() || open.body.is_amid(&open.line.wire.buf);
+            // Guards against a head that nothing follows, and a spoilt start whose connection stays open.
+            let patience = if amid { self.limits.head_stall } else { self.limits.stream_opening };
+            match within(patience, self.next(open)).await {
+                Ok(Ok(batch)) if batch.events == 0 => open.early += std::mem::take(&mut open.came),
+                Ok(next) => return next,
+                Err(_) if amid => return Err(Verdict::Reset),
+                Err(_) => return Err(Verdict::TimedOut),
+            }
+        }
+    }
+
+    /// What comes next of a begun answer: whole events, as many as came together, or none if what came is no
+    /// whole one. It waits for as long as it takes; the holder of the stream knows how long that may be.
+    async fn next(&self, open: &mut Open) -> Result<Batch, Verdict> {
+        loop {
+            let batch = http::sse_batch(&mut open.text, &mut open.scanned, &self.limits);
+            let mut batch = batch.map_err(|_| {
+                open.spoilt = true;
+                Verdict::Reset
+            })?;
+            let events = self.look_through(open, &mut batch);
+            if events > 0 {
+                return Ok(Batch { dialect: open.dialect, bytes: batch, events });
             }
             if open.spoilt {
                 return Err(Verdict::Reset);
@@ -329,6 +347,7 @@
                     if !open.text.is_empty() {
                         // Comment lines may end the stream without an empty line.
                         open.text.extend_from_slice(b"\n\n");
+                        open.scanned = 0;
                         continue;
                     }
                     return Err(Verdict::Ok);
@@ -342,29 +361,58 @@
                     continue;
                 }
             }
-            // Guards against a spoilt stream whose connection stays open and silent: its client is owed an end.
-            let amid = open.body.is_amid(&open.line.wire.buf);
-            let patience = if amid { self.limits.stream_stall } else { self.limits.stream_silence };
-            let fill = within(patience, open.line.wire.fill(&self.limits)).await;
-            match fill {
-                Ok(Ok(0)) | Ok(Err(_)) => return Err(Verdict::Reset),
-                Err(_) if amid => return Err(Verdict::Reset),
-                // Guards against holding a client for ever whose real server's machine has vanished.
-                Err(_) => return Err(Verdict::TimedOut),
-                Ok(Ok(_)) => {}
+            if open.came > 0 {
+                return Ok(Batch { dialect: open.dialect, bytes: Vec::new(), events: 0 });
+            }
+            match open.line.wire.fill(&self.limits).await {
+                Ok(0) | Err(_) => return Err(Verdict::Reset),
+                Ok(count) => open.came += count,
             }
         }
     }
 
+    /// Takes out of whole blocks what is meant for this gateway, and what says nothing. Returns how many are
+    /// left to be passed on.
+    fn look_through(&self, open: &mut Open, batch: &mut Vec<u8>) -> u64 {
+        let (mut events, mut blank, mut end) = (0, false, batch.len());
+        let mut at = 0;
+        for block in http::sse_blocks(batch) {
+            at += block.0.len();
+            if block.0[0] == b':' || http::find(block.0, b"\n:").is_some() {
+                for comment in block.comments() {
+                    if let Some(text) = comment.strip_prefix("X-Load:") {
+                        open.report = (self.gauges)(text);
+                    }
+                }
+            }
+            if block.is_blank() {
+                blank = true;
+                continue;
+            }
+            events += 1;
+            open.last |= open.dialect.is_last(block);
+            if open.dialect.is_error(block) {
+                // What follows the event that says so is of no use.
+                (open.failed, end) = (true, at);
+                break;
+            }
+        }
+        batch.truncate(end);
+        open.kept = open.dialect.kept(batch).or(open.kept);
+        if blank {
+            *batch = http::sse_blocks(batch).filter(|b| !b.is_blank()).flat_map(|b| b.0).copied().collect();
+        }
+        events
+    }
+
     /// Ends a begun answer; its connection may serve again.
     fn end(&self, open: Open, verdict: Verdict) -> Ending {
-        let Open { server, addr, line, keep, kept, report, .. } = open;
+        let Open { server, addr, line, keep, kept, report, spoilt, .. } = open;
         if verdict == Verdict::Ok && keep {
             self.give_back(&server, addr, line);
-        } else if verdict != Verdict::Ok {
-            log::info!(server = &*server.0, verdict:? = verdict; "broken-stream: at the real server's side");
         }
-        Ending { verdict, kept, report }
+        let end = if spoilt { End::Spoilt } else { Ending::from(verdict).end };
+        Ending { verdict, kept, report, end }
     }
 }
 
@@ -392,8 +440,18 @@
     keep: bool,
     /// What comes next can't be read.
     spoilt: bool,
+    /// An event said that the stream failed.
+    failed: bool,
     /// What came of the stream and is not yet a whole event.
     text: Vec<u8>,
+    /// How far that was looked through for an event's end.
+    scanned: usize,
+    /// Bytes that came since the last step.
+    came: usize,
+    /// Bytes that came before the first step.
+    early: usize,
+    /// The dialect's last event has come.
+    last: bool,
     kept: Option<u32>,
     report: Vec<f64>,
 }
@@ -416,7 +474,7 @@
         // Guards against waiting until the deadline for a head that has begun and does not end.
         let begun = !wire.buf.is_empty();
         let fill = wire.fill(limits);
-        if (if begun { within(limits.stream_stall, fill).await? } else { fill.await })? == 0 {
+        if (if begun { within(limits.head_stall, fill).await? } else { fill.await })? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
@@ -434,16 +492,22 @@
 enum Stage {
     Waiting(ReplicaId, Duration),
     Open(Open),
-    /// An error event went out; what follows it is of no use.
-    Failed(Open),
     Over,
 }
 
-/// An event, and the dialect that it is in.
-pub type Spoken = (Dialect, SseBlock);
+/// Whole events that came together, and the dialect that they are in.
+#[derive(Debug)]
+pub struct Batch {
+    /// The dialect.
+    pub dialect: Dialect,
+    /// Their bytes.
+    pub bytes: Vec<u8>,
+    /// How many they are.
+    pub events: u64,
+}
 
-impl Servers<Spoken> for Dispatch {
-    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Pin<Box<dyn Stream<Item = Step<Spoken>>>> {
+impl Servers<Batch> for Dispatch {
+    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Pin<Box<dyn Stream<Item = Step<Batch>>>> {
         let (fleet, passage) = (self.fleet.clone(), self.passage.clone());
         Box::pin(stream::unfold(Stage::Waiting(server, timeout), move |stage| {
             step(fleet.clone(), passage.clone(), stage)
@@ -452,23 +516,24 @@
 }
 
 /// A scheduling's next step. Dropping it on the way closes the connection, which gives the scheduling up.
-async fn step(fleet: Rc<Fleet>, passage: Rc<Passage>, stage: Stage) -> Option<(Step<Spoken>, Stage)> {
+async fn step(fleet: Rc<Fleet>, passage: Rc<Passage>, stage: Stage) -> Option<(Step<Batch>, Stage)> {
     let over = |ending: Ending| Some((Step::Ended(ending), Stage::Over));
-    let (mut open, block) = match stage {
+    let (mut open, batch) = match stage {
         Stage::Over => return None,
-        Stage::Failed(open) => return over(fleet.end(open, Verdict::Error)),
+        Stage::Open(open) if open.failed => return over(fleet.end(open, Verdict::Error)),
         Stage::Open(mut open) => match fleet.next(&mut open).await {
-            Ok(block) => (open, block),
+            Ok(batch) => (open, batch),
             Err(verdict) => return over(fleet.end(open, verdict)),
         },
         Stage::Waiting(server, timeout) => {
             let begun = async {
                 let mut open = fleet.begin(&server, &passage, timeout).await?;
-                match fleet.next(&mut open).await {
-                    Ok(block) if open.dialect.is_error(&block) => {
+                match fleet.first(&mut open).await {
+                    // An error in the first place of all is an answer that serves nobody.
+                    Ok(batch) if open.failed && batch.events == 1 => {
                         Err(Refusal::Scheduling(fleet.end(open, Verdict::Error)))
                     }
-                    Ok(block) => Ok((open, block)),
+                    Ok(batch) => Ok((open, batch)),
                     // A stream without an event serves nobody.
                     Err(Verdict::Ok) => Err(Verdict::Error.into()),
                     Err(verdict) => Err(Refusal::Scheduling(fleet.end(open, verdict))),
@@ -482,10 +547,17 @@
             }
         }
     };
-    let dialect = open.dialect;
-    if dialect.is_error(&block) {
+    let inward = open.line.wire.buf.len() + open.text.len();
+    let arrival = Arrival {
+        bytes: std::mem::take(&mut open.came) + std::mem::take(&mut open.early),
+        events: batch.events,
+        inward,
+        amid: !open.text.is_empty() || open.body.is_amid(&open.line.wire.buf),
+        last: open.last,
+    };
+    if open.failed {
         open.keep = false;
-        return Some((Step::Event((dialect, block)), Stage::Failed(open)));
     }
-    Some((Step::Event((dialect, block)), Stage::Open(open)))
+    let step = if batch.events > 0 { Step::Events(batch, arrival) } else { Step::Bytes(arrival) };
+    Some((step, Stage::Open(open)))
 }
--- /dev/null
+++ b/src/stream/mod.rs
@@ -0,0 +1,19 @@
+//! Streams that are passed on: their life, what they may hold, how they end, and what their ends say of a real
+//! server.
+//!
+//! Nothing here does I/O or reads a clock; times are handed in as nanoseconds of one clock that never runs
+//! backwards. [`Course`] is the life of one stream, [`Budget`] what all of them share, [`Ledger`] the record of
+//! how they ended, and [`Standing`] what a run of bad ends means for a real server's use. The engine carries
+//! out what they decide, see [`crate::engine::serve`].
+
+mod budget;
+mod course;
+mod ledger;
+mod outcome;
+mod standing;
+
+pub use budget::{Account, Budget};
+pub use course::{Act, Course, End, Leaving, Phase};
+pub use ledger::Ledger;
+pub use outcome::{Cause, Outcome, Side};
+pub use standing::{Change, Standing};
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -1,11 +1,11 @@
 //! Models of a connection's and a request's states, each checked against random steps with fixed seeds.
 
 use std::cell::{Cell, RefCell};
-use std::future::pending;
 use std::io::Read;
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -14,11 +14,12 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use tulipridge::config::{ServiceEntry, State};
-use tulipridge::engine::{self, Answer, Ask, Client, Ending, Engine, Servers, Step};
+use tulipridge::engine::{self, Answer, Arrival, Ask, Client, Ending, Engine, Servers, Step};
 use tulipridge::front::{Dialect, Passage};
 use tulipridge::limits::Limits;
 use tulipridge::net::http::{self, Body};
 use tulipridge::net::servers::{Dispatch, Fleet};
+use tulipridge::stream::{Cause, Leaving};
 use tulipridge::types::{self, *};
 
 fn check(seed: u64) -> QuickCheck {
@@ -66,7 +67,7 @@
     }
 }
 
-struct FakeClient(Rc<Seen>, Receiver<()>);
+struct FakeClient(Rc<Seen>, Pin<Box<Receiver<()>>>);
 
 impl FakeClient {
     fn told(self, what: &'static str) {
@@ -77,9 +78,7 @@
 impl Client<()> for FakeClient {
     type Answer = FakeClient;
     async fn gone(&mut self) {
-        if self.1.recv().await.is_ok() {
-            pending().await
-        }
+        while self.1.next().await.is_some() {}
     }
     async fn turn_down(self, wait: Duration) {
         assert!(wait <= Duration::from_secs(2));
@@ -98,18 +97,27 @@
 }
 
 impl Answer<()> for FakeClient {
-    async fn gone(&mut self) {
-        Client::gone(self).await;
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
+        self.1.as_mut().poll_next(cx).map(|_| Leaving::Ended)
     }
-    async fn event(&mut self, (): ()) -> bool {
+    fn put(&mut self, (): ()) -> usize {
         self.0.events.set(self.0.events.get() + 1);
-        true
+        1
+    }
+    fn put_end(&mut self, _: Cause) -> usize {
+        1
     }
-    async fn finish(self) {
+    fn poll_take(&mut self, _: &mut Context<'_>) -> Poll<Result<usize, Leaving>> {
+        Poll::Ready(Ok(1))
+    }
+    fn finish(self) {
         self.told("served");
     }
-    async fn break_off(self, _: Verdict) {
-        self.told("broken");
+    fn break_off(self) {
+        // A client that left is told nothing more.
+        if !self.1.is_closed() {
+            self.told("broken");
+        }
     }
 }
 
@@ -182,7 +190,7 @@
         let seen = Rc::new(Seen::default());
         let (stay, staying) = async_channel::bounded(1);
         let ex = LocalExecutor::new();
-        let (client, servers) = (FakeClient(seen.clone(), staying), FakeServers(seen.clone()));
+        let (client, servers) = (FakeClient(seen.clone(), Box::pin(staying)), FakeServers(seen.clone()));
         let core = engine.clone();
         let life = ex.spawn(async move {
             let ask = Ask {
@@ -203,7 +211,9 @@
         for step in moves {
             let last = seen.out.borrow().last().cloned().expect("a first scheduling");
             match step {
-                Move::Event => drop(last.try_send(Step::Event(()))),
+                Move::Event => {
+                    drop(last.try_send(Step::Events((), Arrival { events: 1, ..Arrival::default() })))
+                }
                 Move::End(verdict) => drop(last.try_send(Step::Ended(Ending::from(verdict)))),
                 Move::Reject => drop(last.try_send(Step::Rejected(400))),
                 Move::Leave => drop(stay.close()),
@@ -442,19 +452,19 @@
             })
             .collect();
         let bytes = events.concat().into_bytes();
-        let (mut rest, mut buf, mut out) = (&bytes[..], Vec::new(), Vec::new());
+        let (mut rest, mut buf, mut out, mut scanned) = (&bytes[..], Vec::new(), Vec::new(), 0);
         for cut in cuts.iter().cycle().chain([&0]).take(bytes.len()).chain([&255]) {
             let size = if *cut == 255 { rest.len() } else { (usize::from(*cut) + 1).min(rest.len()) };
             let (piece, left) = rest.split_at(size);
             buf.extend_from_slice(piece);
             rest = left;
-            while let Some(block) = http::sse_block(&mut buf, &limits()).expect("small") {
-                out.push(String::from_utf8(block.0).expect("UTF-8"));
-            }
+            let batch = http::sse_batch(&mut buf, &mut scanned, &limits()).expect("small");
+            let blocks = http::sse_blocks(&batch).map(|b| String::from_utf8(b.0.to_vec()).expect("UTF-8"));
+            out.extend(blocks);
         }
         out == events && buf.is_empty()
     }
     check(14).quickcheck(same as fn(Vec<u8>, Vec<u8>) -> bool);
     let mut endless = vec![b'x'; limits().event_bytes + 1];
-    assert!(http::sse_block(&mut endless, &limits()).is_err());
+    assert!(http::sse_batch(&mut endless, &mut 0, &limits()).is_err());
 }
