--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,105 @@
+//! The command line.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+
+use tulipridge::config::{Config, Sources};
+use tulipridge::settings::Settings;
+
+use crate::{demo, serve};
+
+/// A gateway for the real servers of a language model.
+///
+/// Without a command it serves, as 'serve' does. To see it work with nothing else at hand: 'tulipridge demo'.
+#[derive(Parser)]
+#[command(version, args_conflicts_with_subcommands = true)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    files: Files,
+}
+
+#[derive(Args, Clone)]
+struct Files {
+    /// The platform's configuration, JSON: name, addresses, limits, classes [default: what EDGE_CONFIG names]
+    #[arg(long, value_name = "FILE")]
+    config: Option<String>,
+    /// The program's own settings, HCL [default: what TULIPRIDGE_SETTINGS names, else deploy/tulipridge.hcl if
+    /// it is there]
+    #[arg(long, value_name = "FILE")]
+    settings: Option<String>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM or Ctrl-C; SIGHUP reads the files again
+    Serve(Files),
+    /// Read a settings file, say all that is wrong with it, and start nothing; the exit status is 0 if it is good
+    Check {
+        /// The settings file, HCL
+        file: String,
+        /// Check the names in it against this configuration too [default: what EDGE_CONFIG names, if it is set]
+        #[arg(long, value_name = "FILE")]
+        config: Option<String>,
+    },
+    /// Bring up toy real servers, a discovery and a gateway with both fronts on loopback, and print two calls
+    Demo {
+        /// The port of the platform's front, that of the messages front being the next; 0 takes any two
+        #[arg(long, default_value_t = 8080)]
+        port: u16,
+    },
+}
+
+/// Does what the command line says.
+pub fn run() -> ExitCode {
+    let line = Line::parse();
+    match line.command.unwrap_or(Command::Serve(line.files)) {
+        Command::Serve(files) => {
+            let sources = Sources { config: files.config, settings: files.settings };
+            match Config::load(&sources) {
+                Ok(config) => serve::serve(config, sources),
+                Err(what) => fault(&what),
+            }
+        }
+        Command::Check { file, config } => {
+            let sources = Sources { config, settings: Some(file.clone()) };
+            match sources.config() {
+                // With the configuration beside it everything is checked that a start would check.
+                Some(_) => match Config::load(&sources) {
+                    Ok(config) => {
+                        let limits = config.limits().stream;
+                        println!(
+                            "{file}: good; a stream holds {} bytes, all of them {}, a socket's buffer {}",
+                            limits.high, limits.budget, limits.socket
+                        );
+                        ExitCode::SUCCESS
+                    }
+                    Err(what) => fault(&what),
+                },
+                None => match Settings::load(&file) {
+                    Ok(_) => {
+                        println!("{file}: good; names of classes and tenants need --config to be checked");
+                        ExitCode::SUCCESS
+                    }
+                    Err(what) => fault(&what.to_string()),
+                },
+            }
+        }
+        Command::Demo { port } => {
+            let next = if port == 0 { Some(0) } else { port.checked_add(1) };
+            let Some(next) = next else {
+                return fault("--port: there is no next one for the messages front");
+            };
+            let at = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            demo::run(at(port), at(next))
+        }
+    }
+}
+
+fn fault(what: &str) -> ExitCode {
+    eprintln!("tulipridge: {what}");
+    ExitCode::FAILURE
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,192 +1,18 @@
-//! What a gateway is told at its start: the platform's JSON, and the daemon's own file.
+//! What a gateway is told at its start: the platform's JSON, and the program's own settings beside it.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::{env, fs};
 
 use log::LevelFilter;
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::front::Dialect;
+use crate::names::{Listing, Names, number_of};
+use crate::settings;
 use crate::store::Store;
 use crate::types::*;
 
-/// A line of discovery's list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct ServiceEntry {
-    /// The real server's id.
-    pub id: String,
-    /// Its address for this gateway.
-    #[serde(default)]
-    pub addr: String,
-    /// Its zone.
-    #[serde(default)]
-    pub zone: String,
-    /// Its kind of machine.
-    #[serde(default)]
-    pub kind: String,
-    /// Its cell.
-    #[serde(default)]
-    pub cell: u64,
-    /// Its state.
-    pub state: State,
-    /// Its size, as the settings say.
-    #[serde(default = "one")]
-    pub weight: f64,
-    /// Its last start in Unix milliseconds; 0 is long ago.
-    #[serde(default)]
-    pub started_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// What discovery says of a real server.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum State {
-    /// It runs.
-    Ready,
-    /// It wants nothing new.
-    Draining,
-    /// It has left.
-    Gone,
-}
-
-/// An answer of discovery.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Listing {
-    /// The list's version.
-    #[serde(default)]
-    pub version: u64,
-    /// It is the whole list.
-    #[serde(default)]
-    pub full: bool,
-    /// The entries.
-    #[serde(default)]
-    pub servers: Vec<ServiceEntry>,
-}
-
-/// The names that requests and lists use, with what goes with them.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    /// The classes' names.
-    pub classes: Vec<String>,
-    /// The tenants' names.
-    pub tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    /// The names of a load report's values, in the settings' order.
-    pub gauges: Vec<String>,
-    /// The classes' deadlines.
-    pub deadlines: Vec<Nanos>,
-    /// Classes by model, for the messages front.
-    pub models: BTreeMap<String, usize>,
-    /// The class of other models.
-    pub usual_class: usize,
-    /// The tenant of requests that name none on the messages front.
-    pub usual_tenant: Option<usize>,
-    dialects: BTreeMap<String, Dialect>,
-}
-
-impl Names {
-    /// A class's index.
-    pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|n| n == name)
-    }
-
-    /// A tenant's index.
-    pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.iter().position(|n| n == name)
-    }
-
-    /// The dialect of a kind of real server.
-    pub fn dialect(&self, kind: &str) -> Dialect {
-        self.dialects.get(kind).copied().unwrap_or_default()
-    }
-
-    /// A service entry as the module takes it. New zones and kinds get the next numbers.
-    pub fn member(&mut self, entry: &ServiceEntry) -> Member {
-        Member {
-            id: ReplicaId::from(entry.id.as_str()),
-            units: entry.weight,
-            zone: number_of(&mut self.zones, &entry.zone),
-            kind: number_of(&mut self.kinds, &entry.kind),
-            cell: entry.cell,
-            phase: match entry.state {
-                State::Ready => Phase::Ready,
-                State::Draining => Phase::Draining,
-                State::Gone => Phase::Gone,
-            },
-            // The module's clock is Unix time too.
-            started: (entry.started_ms > 0.0).then_some((entry.started_ms * 1e6) as Nanos),
-        }
-    }
-
-    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value not told is not a number.
-    pub fn report(&self, text: &str) -> Vec<f64> {
-        let pairs = text.split([',', ' ']).filter_map(|p| p.split_once('='));
-        let told: BTreeMap<&str, f64> = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
-        self.gauges.iter().map(|name| told.get(name.as_str()).copied().unwrap_or(f64::NAN)).collect()
-    }
-}
-
-fn number_of(names: &mut Vec<String>, name: &str) -> u16 {
-    let known = names.iter().position(|n| n == name).unwrap_or_else(|| {
-        names.push(name.to_owned());
-        names.len() - 1
-    });
-    known.min(usize::from(u16::MAX)) as u16
-}
-
-/// The daemon's own file, `deploy/daemon.json`. On the platform all of it is off.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Daemon {
-    /// The messages front.
-    pub messages: MessagesFile,
-    /// Dialects of real servers by their kind; the platform's where nothing is said.
-    pub dialects: BTreeMap<String, String>,
-    /// The replicated store.
-    pub store: StoreFile,
-    /// The log.
-    pub syslog: SyslogFile,
-}
-
-/// The messages front's part.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct MessagesFile {
-    /// Where it listens; off if absent.
-    pub listen: Option<SocketAddr>,
-    /// Classes by model.
-    pub classes: BTreeMap<String, String>,
-    /// The class of other models; else the settings' first.
-    pub class: Option<String>,
-    /// The tenant of requests that name none.
-    pub tenant: Option<String>,
-}
-
-/// The store's part.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct StoreFile {
-    /// Where peers connect; off if absent.
-    pub listen: Option<SocketAddr>,
-    /// The peers.
-    pub peers: Vec<SocketAddr>,
-}
-
-/// The log's part.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct SyslogFile {
-    /// A collector that takes RFC 5424 over TCP; standard error if absent.
-    pub tcp: Option<SocketAddr>,
-}
-
 /// All that a gateway is told.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -212,26 +38,54 @@
     pub connect: Nanos,
     /// Time after which a real server closes an idle connection.
     pub conn_idle: Nanos,
-    /// The daemon's own file.
-    pub daemon: Daemon,
+    /// The program's own settings.
+    pub own: settings::Settings,
+}
+
+/// Where settings are read when nobody says where.
+const USUAL_SETTINGS: &str = "deploy/tulipridge.hcl";
+
+/// The files that a gateway is told in; what is absent is looked up in the environment.
+#[derive(Clone, Debug, Default)]
+pub struct Sources {
+    /// The platform's JSON; else what `EDGE_CONFIG` names.
+    pub config: Option<String>,
+    /// The program's own settings; else what `TULIPRIDGE_SETTINGS` names, else `deploy/tulipridge.hcl` if it is
+    /// there.
+    pub settings: Option<String>,
+}
+
+impl Sources {
+    /// The settings' path, if anybody said one or the usual one is there.
+    fn settings(&self) -> Option<String> {
+        let told = self.settings.clone().or_else(|| env::var("TULIPRIDGE_SETTINGS").ok());
+        told.or_else(|| Path::new(USUAL_SETTINGS).exists().then(|| USUAL_SETTINGS.to_owned()))
+    }
+
+    /// The platform's JSON, if anybody said where it is.
+    pub fn config(&self) -> Option<String> {
+        self.config.clone().or_else(|| env::var("EDGE_CONFIG").ok())
+    }
 }
 
 impl Config {
-    /// Reads the file that `EDGE_CONFIG` names, and the daemon's own. The environment goes before it.
-    pub fn load() -> Result<Config, String> {
-        Config::read(true)
+    /// Reads both files. The environment's name and addresses go before the first one's.
+    pub fn load(sources: &Sources) -> Result<Config, String> {
+        Config::read(sources, true)
     }
 
     /// Reads both again while the program runs. What the environment said was for the start: it can't have
     /// changed since, and would hide an address that has.
-    pub fn reload() -> Result<Config, String> {
-        Config::read(false)
+    pub fn reload(sources: &Sources) -> Result<Config, String> {
+        Config::read(sources, false)
     }
 
-    fn read(environment_first: bool) -> Result<Config, String> {
+    fn read(sources: &Sources, environment_first: bool) -> Result<Config, String> {
         let read = |path: &str| fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
-        let path = env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set")?;
-        let own = env::var("TULIPRIDGE_DAEMON").unwrap_or_else(|_| "deploy/daemon.json".into());
+        let path = sources.config().ok_or(
+            "no configuration: name the platform's JSON with --config FILE or EDGE_CONFIG, or try \
+            'tulipridge demo', which needs none",
+        )?;
         let mut config: Value = serde_json::from_str(&read(&path)?).map_err(|e| format!("{path}: {e}"))?;
         // Guards against a file of another shape, which has no keys to set.
         if !config.is_object() {
@@ -244,33 +98,47 @@
                 config[key] = value.into();
             }
         }
-        let daemon: Daemon = serde_json::from_str(&read(&own)?).map_err(|e| format!("{own}: {e}"))?;
-        Config::new(&config, daemon)
+        let own = match sources.settings() {
+            Some(path) => settings::Settings::load(&path).map_err(|fault| fault.to_string())?,
+            None => settings::Settings::default(),
+        };
+        Config::new(&config, own).map_err(|what| format!("{path}: {what}"))
+    }
+
+    /// What this machine and these settings allow.
+    pub fn limits(&self) -> crate::limits::Limits {
+        let span = std::time::Duration::from_nanos;
+        let (connect, idle) = (span(self.connect), span(self.conn_idle));
+        let mut limits = crate::limits::Limits::new(self.sockets, self.memory_mb, connect, idle);
+        self.own.apply(&mut limits);
+        limits
     }
 
     /// Makes sense of the platform's JSON.
-    pub fn new(config: &Value, daemon: Daemon) -> Result<Config, String> {
+    pub fn new(config: &Value, own: settings::Settings) -> Result<Config, String> {
         let at = |key: &str| Tree { value: &config[key], path: key.to_owned() };
         let addr =
             |key: &str| at(key).text()?.parse().map_err(|_| format!("{key}: no address with a port"));
         let tree = at("settings");
-        let (settings, mut names) = settings(&tree)?;
-        let class = |name: &String| names.class(name).ok_or_else(|| format!("messages: no class {name}"));
-        let models = daemon.messages.classes.iter().map(|(m, c)| Ok((m.clone(), class(c)?)));
+        let (settings, mut names) = module_settings(&tree)?;
+        // The settings name classes and tenants that only the platform's file knows.
+        let class = |key: &str, name: &String| {
+            names
+                .class(name)
+                .ok_or_else(|| format!("settings' messages.{key}: no class is called '{name}'"))
+        };
+        let models = own.messages.classes.iter();
+        let models = models.map(|(m, c)| Ok((m.clone(), class(&format!("classes.{m}"), c)?)));
         let models = models.collect::<Result<_, String>>()?;
-        let usual_class = daemon.messages.class.as_ref().map_or(Ok(0), class)?;
-        let tenant =
-            |name: &String| names.tenant(name).ok_or_else(|| format!("messages: no tenant {name}"));
-        names.usual_tenant = daemon.messages.tenant.as_ref().map(tenant).transpose()?;
+        let usual_class = own.messages.class.as_ref().map_or(Ok(0), |name| class("class", name))?;
+        let tenant = |name: &String| {
+            names
+                .tenant(name)
+                .ok_or_else(|| format!("settings' messages.tenant: no tenant is called '{name}'"))
+        };
+        names.usual_tenant = own.messages.tenant.as_ref().map(tenant).transpose()?;
         (names.models, names.usual_class) = (models, usual_class);
-        for (kind, dialect) in &daemon.dialects {
-            let dialect = match dialect.as_str() {
-                "platform" => Dialect::Platform,
-                "messages" => Dialect::Messages,
-                other => return Err(format!("dialects.{kind}: '{other}' is no known dialect")),
-            };
-            names.dialects.insert(kind.clone(), dialect);
-        }
+        names.dialects = own.dialects.clone();
         let seed = at("seed").text().unwrap_or_default();
         let known = match &config["known"] {
             Value::Null => Listing::default(),
@@ -288,7 +156,7 @@
             conn_idle: tree.at("policy-limits").at("conn-idle-ns").nanos(5_000_000_000)?,
             settings,
             names,
-            daemon,
+            own,
         })
     }
 }
@@ -296,7 +164,7 @@
 /// Brings what may change while the program runs in step with the store: `config/log-level` (a level's name)
 /// and `config/models/NAME` (a class's name, for the messages front). What makes no sense is passed over, and
 /// what is taken away goes back to what the file said.
-pub fn follow(store: &Store, names: &mut Names, file: &MessagesFile, level: LevelFilter) {
+pub fn follow(store: &Store, names: &mut Names, file: &settings::Messages, level: LevelFilter) {
     let wanted = store.get("config/log-level").and_then(|v| v.as_str().and_then(|l| l.parse().ok()));
     log::set_max_level(wanted.unwrap_or(level));
     let mut models = file.classes.clone();
@@ -368,8 +236,8 @@
     }
 }
 
-/// The settings, as the adapter reads them from the simulator's wire.
-fn settings(tree: &Tree) -> Result<(Settings, Names), String> {
+/// The module's settings, as the adapter reads them from the simulator's wire.
+fn module_settings(tree: &Tree) -> Result<(Settings, Names), String> {
     let mut names = Names {
         zones: tree.at("localities").texts()?,
         kinds: tree.at("shapes").texts()?,
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,176 @@
+//! `tulipridge demo`: toy real servers, a discovery and the gateway itself, all on loopback and in one process.
+//!
+//! The toys are plain threads with blocking sockets, so that they share nothing with what they show.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use tulipridge::config::{Config, Sources};
+use tulipridge::settings::{Messages, Settings};
+
+use crate::serve;
+
+/// Serves until Ctrl-C, having printed two calls that work.
+pub fn run(platform: SocketAddr, messages: SocketAddr) -> ExitCode {
+    let config = match prepare(platform, messages) {
+        Ok(config) => config,
+        Err(what) => {
+            eprintln!("tulipridge: demo: {what}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let front = config.own.messages.listen.unwrap_or(messages);
+    println!("Two toy real servers and a discovery are up. Ask them by way of the gateway:\n");
+    println!("{}\n", platform_call(config.listen));
+    println!("{}\n", messages_call(front));
+    println!("Ctrl-C ends it.\n");
+    serve::serve(config, Sources::default())
+}
+
+fn platform_call(addr: SocketAddr) -> String {
+    format!(
+        "curl -N {addr}/v1/chat/completions -H 'X-Request-Id: 00000000000000a1' -H 'X-Class: docs' \
+        -H 'X-Deadline-Ms: 4000' \\\n    -d '{{\"model\":\"toy\",\"stream\":true,\"max_tokens\":50,\
+        \"messages\":[{{\"role\":\"user\",\"content\":\"Which gate?\"}}]}}'"
+    )
+}
+
+fn messages_call(addr: SocketAddr) -> String {
+    format!(
+        "curl -N {addr}/v1/messages \\\n    -d '{{\"model\":\"toy\",\"stream\":true,\"max_tokens\":50,\
+        \"messages\":[{{\"role\":\"user\",\"content\":\"Which gate?\"}}]}}'"
+    )
+}
+
+fn prepare(platform: SocketAddr, messages: SocketAddr) -> Result<Config, String> {
+    // A port that is taken is told before anything is printed; port 0 becomes one that is free just now.
+    let free = |addr: SocketAddr| {
+        let listener = TcpListener::bind(addr).map_err(|e| format!("{addr}: {e}; try --port"))?;
+        listener.local_addr().map_err(|e| e.to_string())
+    };
+    let (platform, messages) = (free(platform)?, free(messages)?);
+    let mut entries = Vec::new();
+    for id in ["toy-1", "toy-2"] {
+        let listener = local().map_err(|e| format!("a toy's port: {e}"))?;
+        let addr = listener.local_addr().map_err(|e| e.to_string())?;
+        entries.push(
+            json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": "toy", "state": "ready"}),
+        );
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                thread::spawn(move || converse(id, stream));
+            }
+        });
+    }
+    let listener = local().map_err(|e| format!("discovery's port: {e}"))?;
+    let discovery = listener.local_addr().map_err(|e| e.to_string())?;
+    let list = json!({"version": 2, "full": true, "servers": entries});
+    let said = list.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let list = said.to_string();
+            thread::spawn(move || watch(stream, &list));
+        }
+    });
+    let second = 1_000_000_000u64;
+    let lane = |name: &str, aim: u64, deadline: u64, points: f64| {
+        json!({"name": name, "effect": "retryable", "promise-ns": aim, "deadline-ns": deadline,
+            "points": points, "late-worth": 0.3, "stream": true})
+    };
+    let config = json!({"name": "demo", "listen": platform.to_string(), "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": list, "settings": {"group-size": 1, "me": 0, "zone": "a", "localities": ["a"],
+            "shapes": ["toy"], "discovery": "ask", "weight-source": "rough", "report": {"fields": []},
+            "lanes": [lane("docs", 3 * second / 2, 5 * second, 1.0),
+                lane("bulk", 3 * second, 10 * second, 3.0)],
+            "accounts": [{"name": "office", "share": 1.0}],
+            "policy-limits": {"send-cap": 5, "cancel": true, "retry-after": true,
+                "max-retry-after-ns": 2 * second, "conn-idle-ns": 5 * second},
+            "safety": {"cold-from": 0.3, "ramp-time-ns": 8 * second, "overload-factor": 2.5,
+                "fall-ns": 3 * second, "ask-within-ns": 10 * second}}});
+    let own = Settings {
+        messages: Messages {
+            listen: Some(messages),
+            class: Some("docs".into()),
+            tenant: Some("office".into()),
+            ..Messages::default()
+        },
+        ..Settings::default()
+    };
+    Config::new(&config, own)
+}
+
+fn local() -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Reads a message's head, and its body of a stated length.
+fn request(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line.trim_end().is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':')
+            && name.eq_ignore_ascii_case("content-length")
+        {
+            length = value.trim().parse().ok()?;
+        }
+        head.push_str(&line);
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// A toy real server's connection: it says its name and the question's words, a word an event.
+fn converse(id: &str, mut stream: TcpStream) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    while let Some((_, body)) = request(&mut reader) {
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let turn = body["messages"].as_array().and_then(|m| m.last()).map(|t| t["content"].clone());
+        let words = turn.and_then(|c| c.as_str().map(str::to_owned)).unwrap_or_default();
+        let head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).ok()?;
+        let mut say = |data: &str| {
+            let event = format!("data: {data}\n\n");
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+        };
+        for word in format!("{id} heard: {words}").split_inclusive(' ') {
+            let choice = json!({"index": 0, "delta": {"content": word}, "finish_reason": null});
+            say(&json!({"choices": [choice]}).to_string()).ok()?;
+            thread::sleep(Duration::from_millis(60));
+        }
+        let stop = json!({"index": 0, "delta": {}, "finish_reason": "stop"});
+        say(&json!({"choices": [stop]}).to_string()).ok()?;
+        let usage = json!({"prompt_tokens": words.len() / 4, "completion_tokens": 8});
+        say(&json!({"choices": [], "usage": usage}).to_string()).ok()?;
+        say("[DONE]").ok()?;
+        stream.write_all(b"0\r\n\r\n").ok()?;
+    }
+    Some(())
+}
+
+/// A watch: the whole list, then a sign of life every 2 s.
+fn watch(mut stream: TcpStream, list: &str) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    if request(&mut reader).is_none() {
+        return Ok(());
+    }
+    write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    write!(stream, "{:x}\r\n{list}\n\r\n", list.len() + 1)?;
+    loop {
+        thread::sleep(Duration::from_secs(2));
+        stream.write_all(b"1\r\n\n\r\n")?;
+    }
+}
--- a/src/front/messages.rs
+++ b/src/front/messages.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use super::{Call, Piece, Reply, Stop, platform};
-use crate::config::Names;
+use crate::names::Names;
 use crate::net::http::{Bad, Head, SseBlock};
 
 /// Where requests come in.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,9 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::config::Names;
 use crate::engine::Ask;
 use crate::limits::Limits;
+pub use crate::names::Dialect;
+use crate::names::Names;
 use crate::net::http::{self, Bad, Head, SseBlock};
 use crate::stream::Cause;
 
@@ -31,16 +32,6 @@
     "x-deadline-ms",
 ];
 
-/// A way to speak of requests and streams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Dialect {
-    /// The platform's: chat completions.
-    #[default]
-    Platform,
-    /// The messages API's, with named events.
-    Messages,
-}
-
 /// What an event says, in no dialect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Piece {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,8 +3,8 @@
 use serde_json::{Value, json};
 
 use super::{Call, Piece, Stop};
-use crate::config::Names;
 use crate::engine::Ask;
+use crate::names::Names;
 use crate::net::http::{Bad, Head, SseBlock};
 use crate::types::Nanos;
 
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,151 @@
+//! What requests, lists and settings call things, and the dialects that they speak.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+use crate::types::*;
+
+/// A way to speak of requests and streams.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Dialect {
+    /// The platform's: chat completions.
+    #[default]
+    Platform,
+    /// The messages API's, with named events.
+    Messages,
+}
+
+/// A line of discovery's list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ServiceEntry {
+    /// The real server's id.
+    pub id: String,
+    /// Its address for this gateway.
+    #[serde(default)]
+    pub addr: String,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u64,
+    /// Its state.
+    pub state: State,
+    /// Its size, as the settings say.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Its last start in Unix milliseconds; 0 is long ago.
+    #[serde(default)]
+    pub started_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// What discovery says of a real server.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It runs.
+    Ready,
+    /// It wants nothing new.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// An answer of discovery.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Listing {
+    /// The list's version.
+    #[serde(default)]
+    pub version: u64,
+    /// It is the whole list.
+    #[serde(default)]
+    pub full: bool,
+    /// The entries.
+    #[serde(default)]
+    pub servers: Vec<ServiceEntry>,
+}
+
+/// The names that requests and lists use, with what goes with them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The classes' names.
+    pub classes: Vec<String>,
+    /// The tenants' names.
+    pub tenants: Vec<String>,
+    /// The zones' names.
+    pub zones: Vec<String>,
+    /// The kinds' names.
+    pub kinds: Vec<String>,
+    /// The names of a load report's values, in the settings' order.
+    pub gauges: Vec<String>,
+    /// The classes' deadlines.
+    pub deadlines: Vec<Nanos>,
+    /// Classes by model, for the messages front.
+    pub models: BTreeMap<String, usize>,
+    /// The class of other models.
+    pub usual_class: usize,
+    /// The tenant of requests that name none on the messages front.
+    pub usual_tenant: Option<usize>,
+    /// Dialects of real servers by their kind.
+    pub dialects: BTreeMap<String, Dialect>,
+}
+
+impl Names {
+    /// A class's index.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|n| n == name)
+    }
+
+    /// A tenant's index.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|n| n == name)
+    }
+
+    /// The dialect of a kind of real server.
+    pub fn dialect(&self, kind: &str) -> Dialect {
+        self.dialects.get(kind).copied().unwrap_or_default()
+    }
+
+    /// A service entry as the module takes it. New zones and kinds get the next numbers.
+    pub fn member(&mut self, entry: &ServiceEntry) -> Member {
+        Member {
+            id: ReplicaId::from(entry.id.as_str()),
+            units: entry.weight,
+            zone: number_of(&mut self.zones, &entry.zone),
+            kind: number_of(&mut self.kinds, &entry.kind),
+            cell: entry.cell,
+            phase: match entry.state {
+                State::Ready => Phase::Ready,
+                State::Draining => Phase::Draining,
+                State::Gone => Phase::Gone,
+            },
+            // The module's clock is Unix time too.
+            started: (entry.started_ms > 0.0).then_some((entry.started_ms * 1e6) as Nanos),
+        }
+    }
+
+    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value not told is not a number.
+    pub fn report(&self, text: &str) -> Vec<f64> {
+        let pairs = text.split([',', ' ']).filter_map(|p| p.split_once('='));
+        let told: BTreeMap<&str, f64> = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
+        self.gauges.iter().map(|name| told.get(name.as_str()).copied().unwrap_or(f64::NAN)).collect()
+    }
+}
+
+/// A name's number; a new one gets the next.
+pub fn number_of(names: &mut Vec<String>, name: &str) -> u16 {
+    let known = names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    });
+    known.min(usize::from(u16::MAX)) as u16
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,9 +12,9 @@
 use super::http::{self, Body};
 use super::servers::Fleet;
 use super::{Wire, within};
-use crate::config::{Listing, Names, State};
 use crate::engine::{Engine, FleetOrder};
 use crate::limits::Limits;
+use crate::names::{Listing, Names, State};
 use crate::types::{ListKind, Member, Phase, ReplicaId};
 
 /// Follows the list as the module orders, and tells it and the fleet what comes.
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -15,10 +15,10 @@
 use super::http::{self, Bad, Body, Head};
 use super::servers::{Batch, Dispatch, Fleet};
 use super::{Wire, within};
-use crate::config::Names;
 use crate::engine::{self, Engine};
 use crate::front::{Call, Dialect, Noted, Passage, Passing, Reply};
 use crate::limits::Limits;
+use crate::names::Names;
 use crate::stream::{Cause, Leaving};
 
 /// What all edge connections share.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -13,10 +13,10 @@
 
 use super::http::{self, Body, Head};
 use super::{Wire, within};
-use crate::config::{ServiceEntry, State};
 use crate::engine::{Arrival, Ending, Servers, Step};
 use crate::front::{Dialect, Passage};
 use crate::limits::Limits;
+use crate::names::{ServiceEntry, State};
 use crate::stream::End;
 use crate::types::{ReplicaId, Verdict};
 
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,152 @@
+//! One gateway, from its start to its end: wires the parts together.
+
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+
+use tulipridge::config::{self, Config, Sources};
+use tulipridge::engine::Engine;
+use tulipridge::front::Dialect;
+use tulipridge::limits::Limits;
+use tulipridge::net::discovery::Discovery;
+use tulipridge::net::edge::Edge;
+use tulipridge::net::peers;
+use tulipridge::net::servers::Fleet;
+use tulipridge::store::Store;
+use tulipridge::syslog;
+
+/// Serves until a signal ends it; `sources` is what SIGHUP reads again.
+pub fn serve(config: Config, sources: Sources) -> ExitCode {
+    let limits = Rc::new(config.limits());
+    // One executor on one thread, which lives as long as the program.
+    let ex: &'static LocalExecutor<'static> = Box::leak(Box::default());
+    async_io::block_on(ex.run(async {
+        let collector = config.own.syslog.tcp;
+        let lines = syslog::start(&config.name, collector.is_some(), &limits);
+        if let (Some(collector), Some(lines)) = (collector, lines.clone()) {
+            let limits = limits.clone();
+            ex.spawn(async move { syslog::feed(collector, lines, &limits).await }).detach();
+        }
+        let outcome = run(ex, config, sources, limits.clone()).await;
+        if let Err(what) = &outcome {
+            log::error!("start-failed: {what}");
+        }
+        if let Some(lines) = &lines {
+            syslog::drain(lines, &limits).await;
+        }
+        if outcome.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    }))
+}
+
+async fn run(
+    ex: &'static LocalExecutor<'static>,
+    config: Config,
+    sources: Sources,
+    limits: Rc<Limits>,
+) -> Result<(), String> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let push = config.settings.push;
+    let (engine, orders) =
+        Engine::new(config.settings, config.seed, &limits).map_err(|e| format!("settings: {e}"))?;
+    engine.name_streams(config.names.classes.clone(), config.names.tenants.clone());
+    let names = Rc::new(RefCell::new(config.names));
+    let gauges = {
+        let names = names.clone();
+        Box::new(move |text: &str| names.borrow().report(text))
+    };
+    let fleet = Rc::new(Fleet::new(limits.clone(), gauges));
+    let discovery = Rc::new(Discovery::new(
+        config.discovery,
+        engine.clone(),
+        fleet.clone(),
+        names.clone(),
+        limits.clone(),
+    ));
+    discovery.persisted(&config.known);
+    let ready = {
+        let (fleet, discovery, limits, from) =
+            (fleet.clone(), discovery.clone(), limits.clone(), Instant::now());
+        Box::new(move || fleet.any_ready() && (discovery.answered() || from.elapsed() > limits.list_wait))
+    };
+    let edge = Rc::new(Edge::new(engine.clone(), fleet.clone(), names.clone(), limits.clone(), ready));
+
+    let bind = |addr, what: &str| {
+        let listener = TcpListener::bind(addr).and_then(Async::new);
+        let listener = listener.map_err(|e| format!("listen {addr}: {e}"))?;
+        let addr = listener.get_ref().local_addr().map_err(|e| format!("listen {addr}: {e}"))?;
+        log::info!(addr:% = addr, port = what; "listening: ready to accept");
+        Ok::<_, String>(listener)
+    };
+    let mut fronts = vec![(config.listen, Dialect::Platform)];
+    fronts.extend(config.own.messages.listen.map(|addr| (addr, Dialect::Messages)));
+    for (addr, dialect) in fronts {
+        let listener = bind(addr, &format!("{dialect:?}"))?;
+        ex.spawn(edge.clone().listen(ex, listener, dialect)).detach();
+    }
+    if let Some(addr) = config.own.store.listen {
+        let store = Rc::new(Store::new(&config.name, &limits));
+        ex.spawn(peers::serve(ex, bind(addr, "Store")?, store.clone(), limits.clone())).detach();
+        for peer in config.own.store.peers {
+            ex.spawn(peers::exchange(peer, store.clone(), limits.clone())).detach();
+        }
+        let (engine, edge, names, limits) = (engine.clone(), edge.clone(), names.clone(), limits.clone());
+        let (level, file, state) =
+            (log::max_level(), config.own.messages, format!("state/{}", config.name));
+        let follow = async move {
+            loop {
+                config::follow(&store, &mut names.borrow_mut(), &file, level);
+                store.set(&state, serde_json::json!({"held": engine.held(), "connections": edge.open(), "places": engine.places()}));
+                Timer::after(limits.state_every).await;
+            }
+        };
+        ex.spawn(follow).detach();
+    }
+    let figures = engine.clone();
+    ex.spawn({
+        let engine = engine.clone();
+        async move { engine.run_streams().await }
+    })
+    .detach();
+    ex.spawn(async move { engine.run_timers().await }).detach();
+    ex.spawn(async move { fleet.sweep().await }).detach();
+    ex.spawn(discovery.clone().run(ex, orders, push)).detach();
+
+    // Guards against a SIGHUP that ends the program, also one that comes while it stops.
+    let mut stopping = false;
+    let stopped = async_channel::bounded::<()>(1);
+    loop {
+        let signal = future::or(async { signals.next().await.and_then(Result::ok) }, async {
+            let _ = stopped.1.recv().await;
+            None
+        });
+        match signal.await {
+            Some(Signal::Hup) => match Config::reload(&sources) {
+                Ok(config) => discovery.move_to(config.discovery),
+                Err(what) => log::error!("reload-failed: all stays as it was: {what}"),
+            },
+            Some(signal) if !stopping => {
+                stopping = true;
+                log::info!(signal:? = signal, connections = edge.open(); "stopping: finishing what is held");
+                let (edge, done) = (edge.clone(), stopped.0.clone());
+                ex.spawn(async move {
+                    edge.stop().await;
+                    let _ = done.send(()).await;
+                })
+                .detach();
+            }
+            Some(_) => {}
+            None => break,
+        }
+    }
+    figures.log_figures();
+    log::info!("stopped: all is answered");
+    Ok(())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,346 @@
+//! The program's own settings, in HCL: `deploy/tulipridge.hcl`, or the file that the command line or
+//! `TULIPRIDGE_SETTINGS` names. On the platform all that listens is off.
+//!
+//! Unknown keys are refused, and each fault names its key, its value and its place in the file.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bytesize::ByteSize;
+use hcl_edit::Span;
+use hcl_edit::structure::{Body, Structure};
+use serde::Deserialize;
+
+use crate::limits::{Limits, RestLimits};
+use crate::names::Dialect;
+
+/// All of the program's own settings.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// The messages front.
+    pub messages: Messages,
+    /// Dialects of real servers by their kind; the platform's where nothing is said.
+    pub dialects: BTreeMap<String, Dialect>,
+    /// The replicated store.
+    pub store: Store,
+    /// The log.
+    pub syslog: Syslog,
+    /// Streams that are passed on.
+    pub streams: Streams,
+    /// Rests of real servers that spoil streams; off without it.
+    pub rest: Option<Rest>,
+}
+
+/// The messages front's part.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Messages {
+    /// Where it listens; off if absent.
+    pub listen: Option<SocketAddr>,
+    /// Classes by model.
+    pub classes: BTreeMap<String, String>,
+    /// The class of other models; else the platform settings' first.
+    pub class: Option<String>,
+    /// The tenant of requests that name none.
+    pub tenant: Option<String>,
+}
+
+/// The store's part.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Store {
+    /// Where peers connect; off if absent.
+    pub listen: Option<SocketAddr>,
+    /// The peers.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// The log's part.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Syslog {
+    /// A collector that takes RFC 5424 over TCP; standard error if absent.
+    pub tcp: Option<SocketAddr>,
+}
+
+/// What streams may hold and wait for; what is absent stays as the machine's size gives it.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Streams {
+    /// Bytes that a stream holds before it is no longer read.
+    pub window: Option<ByteSize>,
+    /// Bytes that all streams together hold before they are cut.
+    pub budget: Option<ByteSize>,
+    /// The size asked for of each of the system's buffers for a connection.
+    pub socket_buffer: Option<ByteSize>,
+    /// Silence between two events before a stream counts as stalled.
+    #[serde(with = "humantime_serde")]
+    pub silence: Option<Duration>,
+    /// The same amid a chunk or an event.
+    #[serde(with = "humantime_serde")]
+    pub stall: Option<Duration>,
+    /// The same after the last event, for the last chunk.
+    #[serde(with = "humantime_serde")]
+    pub tail: Option<Duration>,
+    /// Limits silence to so many times the longest that a stream came back from.
+    pub pace_factor: Option<f64>,
+    /// The least that `pace_factor` comes to.
+    #[serde(with = "humantime_serde")]
+    pub pace_least: Option<Duration>,
+    /// The span over which a reader's progress is looked at.
+    #[serde(with = "humantime_serde")]
+    pub reader_span: Option<Duration>,
+    /// Bytes that a reader takes in that span at the least, while bytes wait for it.
+    pub reader_floor: Option<ByteSize>,
+    /// Time for a client to take what waits after its stream broke.
+    #[serde(with = "humantime_serde")]
+    pub linger: Option<Duration>,
+    /// Time after SIGTERM at which streams are cut.
+    #[serde(with = "humantime_serde")]
+    pub stop_within: Option<Duration>,
+    /// Pause between two snapshots of the figures in the log.
+    #[serde(with = "humantime_serde")]
+    pub figures_every: Option<Duration>,
+}
+
+/// When a real server rests.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rest {
+    /// The span over which ends are counted.
+    #[serde(with = "humantime_serde")]
+    pub span: Option<Duration>,
+    /// Bad ends in a span before a rest.
+    pub faults: Option<usize>,
+    /// The share of bad ends before a rest, 0 to 1.
+    pub share: Option<f64>,
+    /// How many times the others' share it must be.
+    pub above: Option<f64>,
+    /// The first rest.
+    #[serde(with = "humantime_serde")]
+    pub first: Option<Duration>,
+    /// The longest rest.
+    #[serde(with = "humantime_serde")]
+    pub longest: Option<Duration>,
+    /// The part of the fleet that rests at most, 0 to 1.
+    pub most_resting: Option<f64>,
+}
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// Line and column, if they are known.
+    pub place: Option<(usize, usize)>,
+    /// The key, with those it lies in; empty for the file as such.
+    pub key: String,
+    /// The fault in words.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file)?;
+        if let Some((line, column)) = self.place {
+            write!(f, ":{line}:{column}")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        write!(f, ": {}", self.what)
+    }
+}
+
+impl Settings {
+    /// Reads a file.
+    pub fn load(path: &str) -> Result<Settings, Fault> {
+        let fault = |what: String| Fault { file: path.to_owned(), place: None, key: String::new(), what };
+        if Path::new(path).extension().is_some_and(|e| e == "json") {
+            return Err(fault(
+                "settings are HCL now, not JSON: see deploy/tulipridge.hcl for the form".into(),
+            ));
+        }
+        let text = fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
+        Settings::parse(path, &text)
+    }
+
+    /// Reads a file's text; `path` is for the faults.
+    pub fn parse(path: &str, text: &str) -> Result<Settings, Fault> {
+        let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| Fault {
+            file: path.to_owned(),
+            place: Some((e.location().line(), e.location().column())),
+            key: String::new(),
+            what: e.message().to_owned(),
+        })?;
+        let fault = |key: &str, what: String| Fault {
+            file: path.to_owned(),
+            place: place(text, &body, key),
+            key: key.to_owned(),
+            what,
+        };
+        // Guards against a key or block that is there twice, of which one would be passed over.
+        let named = |s: &Structure| match s {
+            Structure::Attribute(a) => a.key.as_str().to_owned(),
+            Structure::Block(b) => b.ident.as_str().to_owned(),
+        };
+        let mut seen = BTreeSet::new();
+        if let Some(twice) = body.iter().map(named).find(|name| !seen.insert(name.clone())) {
+            return Err(fault(&twice, "given twice".to_owned()));
+        }
+        let value: serde_json::Value = hcl::from_str(text).map_err(|e| fault("", e.to_string()))?;
+        let shown = value.clone();
+        let settings: Settings = serde_path_to_error::deserialize(value).map_err(|e| {
+            let key = e.path().to_string();
+            let key = key.trim_start_matches('.');
+            let given = find(&shown, key).filter(|v| !v.is_object() && !v.is_array());
+            let given = given.map_or(String::new(), |v| format!(" (given: {v})"));
+            fault(key, format!("{}{given}", e.inner()))
+        })?;
+        settings.check().map_err(|(key, what)| fault(key, what))?;
+        Ok(settings)
+    }
+
+    /// What each value alone does not show: ranges, and values that must go together.
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let s = &self.streams;
+        let bytes = |key, given: Option<ByteSize>, least: u64, most: u64| match given {
+            Some(ByteSize(b)) if b < least || b > most => {
+                let (given, least, most) = (ByteSize(b), ByteSize(least), ByteSize(most));
+                Err((key, format!("{given} is not between {least} and {most}")))
+            }
+            _ => Ok(()),
+        };
+        bytes("streams.window", s.window, 4 << 10, 4 << 20)?;
+        bytes("streams.budget", s.budget, 64 << 10, 64 << 30)?;
+        bytes("streams.socket_buffer", s.socket_buffer, 4 << 10, 4 << 20)?;
+        bytes("streams.reader_floor", s.reader_floor, 1, 16 << 20)?;
+        if let (Some(window), Some(budget)) = (s.window, s.budget)
+            && window > budget
+        {
+            return Err(("streams.window", format!("{window} is more than streams.budget, {budget}")));
+        }
+        let ms = Duration::from_millis;
+        let span = |key, given: Option<Duration>, least: Duration, most: Duration| match given {
+            Some(t) if t < least || t > most => {
+                let shown = humantime::format_duration;
+                Err((key, format!("{} is not between {} and {}", shown(t), shown(least), shown(most))))
+            }
+            _ => Ok(()),
+        };
+        let (hour, day) = (ms(3_600_000), ms(86_400_000));
+        span("streams.silence", s.silence, ms(100), hour)?;
+        span("streams.stall", s.stall, ms(100), hour)?;
+        span("streams.tail", s.tail, ms(100), hour)?;
+        span("streams.pace_least", s.pace_least, ms(100), hour)?;
+        span("streams.reader_span", s.reader_span, ms(100), hour)?;
+        span("streams.linger", s.linger, ms(0), hour)?;
+        span("streams.stop_within", s.stop_within, ms(0), day)?;
+        span("streams.figures_every", s.figures_every, ms(1000), day)?;
+        if let Some(factor) = s.pace_factor {
+            if !(1.0..=1000.0).contains(&factor) {
+                return Err(("streams.pace_factor", format!("{factor} is not between 1 and 1000")));
+            }
+            if s.pace_least.is_none() {
+                return Err(("streams.pace_factor", "needs streams.pace_least beside it".into()));
+            }
+        } else if s.pace_least.is_some() {
+            return Err(("streams.pace_least", "needs streams.pace_factor beside it".into()));
+        }
+        if let Some(r) = &self.rest {
+            span("rest.span", r.span, ms(1000), day)?;
+            span("rest.first", r.first, ms(100), day)?;
+            span("rest.longest", r.longest, ms(100), day)?;
+            if let (Some(first), Some(longest)) = (r.first, r.longest)
+                && first > longest
+            {
+                return Err(("rest.first", "longer than rest.longest".into()));
+            }
+            if r.faults.is_some_and(|f| f == 0 || f > 64) {
+                return Err(("rest.faults", "not between 1 and 64".into()));
+            }
+            for (key, given) in [("rest.share", r.share), ("rest.most_resting", r.most_resting)] {
+                if given.is_some_and(|g| !(0.0..=1.0).contains(&g)) {
+                    return Err((key, "not between 0 and 1".into()));
+                }
+            }
+            if r.above.is_some_and(|a| !(1.0..=1000.0).contains(&a)) {
+                return Err(("rest.above", "not between 1 and 1000".into()));
+            }
+        }
+        if let Some(addr) = self.messages.listen.filter(|a| a.port() != 0)
+            && self.store.listen == Some(addr)
+        {
+            return Err(("store.listen", format!("{addr} is messages.listen already")));
+        }
+        Ok(())
+    }
+
+    /// Puts what is set here in place of what the machine's size gave.
+    pub fn apply(&self, limits: &mut Limits) {
+        let s = &self.streams;
+        let l = &mut limits.stream;
+        let set = |to: &mut usize, from: Option<ByteSize>| *to = from.map_or(*to, |b| b.0 as usize);
+        let time = |to: &mut Duration, from: Option<Duration>| *to = from.unwrap_or(*to);
+        set(&mut l.high, s.window);
+        l.low = l.high / 4;
+        set(&mut l.budget, s.budget);
+        set(&mut l.socket, s.socket_buffer);
+        set(&mut l.reader_floor, s.reader_floor);
+        time(&mut l.silence, s.silence);
+        time(&mut l.stall, s.stall);
+        time(&mut l.tail, s.tail);
+        time(&mut l.reader_span, s.reader_span);
+        time(&mut l.linger, s.linger);
+        time(&mut l.stop, s.stop_within);
+        l.pace = s.pace_factor.zip(s.pace_least).or(l.pace);
+        l.figures_every = s.figures_every.or(l.figures_every);
+        if let Some(r) = &self.rest {
+            let mut rest = RestLimits::default();
+            time(&mut rest.span, r.span);
+            time(&mut rest.rest, r.first);
+            time(&mut rest.longest_rest, r.longest);
+            rest.faults = r.faults.unwrap_or(rest.faults);
+            rest.share = r.share.unwrap_or(rest.share);
+            rest.above = r.above.unwrap_or(rest.above);
+            rest.most_resting = r.most_resting.unwrap_or(rest.most_resting);
+            limits.rest = Some(rest);
+        }
+    }
+}
+
+/// The value at a key of dotted parts.
+fn find<'a>(value: &'a serde_json::Value, key: &str) -> Option<&'a serde_json::Value> {
+    key.split('.').try_fold(value, |value, part| value.get(part))
+}
+
+/// Where a key stands in the text: the deepest part of it that is there, since what is missing has no place.
+fn place(text: &str, body: &Body, key: &str) -> Option<(usize, usize)> {
+    let mut parts = key.split('.');
+    let mut part = parts.next()?;
+    let mut body = body;
+    let mut at = None;
+    loop {
+        let here = body.iter().find(|s| match s {
+            Structure::Attribute(a) => a.key.as_str() == part,
+            Structure::Block(b) => b.ident.as_str() == part,
+        });
+        at = match here {
+            Some(Structure::Attribute(a)) => a.key.span().or(at),
+            Some(Structure::Block(b)) => b.ident.span().or(at),
+            None => at,
+        };
+        match (here, parts.next()) {
+            (Some(Structure::Block(b)), Some(next)) => (body, part) = (&b.body, next),
+            _ => break,
+        }
+    }
+    let before = &text[..at?.start];
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    Some((before.matches('\n').count() + 1, column))
+}
--- a/src/stream/course.rs
+++ b/src/stream/course.rs
@@ -153,7 +153,7 @@
         let gap = self.silence(now);
         self.longest_gap = self.longest_gap.max(gap);
         self.pace.longest = self.pace.longest.max(gap);
-        (self.silent, self.silent_since) = (0, Some(now));
+        (self.silent, self.silent_since) = (0, self.reading.then_some(now));
         self.bytes += bytes as u64;
         self.events += events;
         (self.inward, self.amid) = (inward, amid);
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -357,18 +357,17 @@
         let mut daemon = json!({"dialects": {"k": dialect}, "messages": {"listen": "127.0.0.1:0",
             "classes": {"once-model": "once"}, "class": "plain", "tenant": "office"}});
         daemon.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
-        let file = |name: &str, value: Value| {
-            let path =
-                format!("{}/{}-{number}-{name}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-            std::fs::write(&path, value.to_string()).expect("written");
+        let file = |name: &str, text: String| {
+            let path = format!("{}/{}-{number}-{name}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+            std::fs::write(&path, text).expect("written");
             path
         };
         let child = Command::new("sh")
             .arg("-c")
             .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
             .arg(env!("CARGO_BIN_EXE_tulipridge"))
-            .env("EDGE_CONFIG", file("config", config))
-            .env("TULIPRIDGE_DAEMON", file("daemon", daemon))
+            .env("EDGE_CONFIG", file("config.json", config.to_string()))
+            .env("TULIPRIDGE_SETTINGS", file("settings.hcl", hcl::to_string(&daemon).expect("HCL")))
             .env_remove("EDGE_LISTEN")
             .env_remove("EDGE_DISCOVERY")
             .env_remove("RUST_LOG")
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -13,10 +13,10 @@
 use futures_lite::{Stream, StreamExt, future};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use tulipridge::config::{ServiceEntry, State};
 use tulipridge::engine::{self, Answer, Arrival, Ask, Client, Ending, Engine, Servers, Step};
 use tulipridge::front::{Dialect, Passage};
 use tulipridge::limits::Limits;
+use tulipridge::names::{ServiceEntry, State};
 use tulipridge::net::http::{self, Body};
 use tulipridge::net::servers::{Dispatch, Fleet};
 use tulipridge::stream::{Cause, Leaving};
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,402 @@
+//! Streams that are passed on, without I/O: a model of one stream's life against random steps, the budget of all
+//! of them, the record, and the standing of real servers. Fixed seeds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use tulipridge::limits::{Limits, RestLimits, StreamLimits};
+use tulipridge::stream::{
+    Act, Budget, Cause, Change, Course, End, Leaving, Ledger, Outcome, Phase, Side, Standing,
+};
+use tulipridge::types::{Nanos, ReplicaId, Verdict};
+
+const MS: Nanos = 1_000_000;
+const READ: usize = 16 << 10;
+
+fn check(seed: u64) -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, seed)).tests(600)
+}
+
+fn limits() -> StreamLimits {
+    Limits::new(1024, 192, Duration::from_millis(150), Duration::from_secs(5)).stream
+}
+
+fn nanos(span: Duration) -> Nanos {
+    span.as_nanos() as Nanos
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    /// So many bytes come, if the stream is read, as whole events or amid one.
+    Come(u16, bool),
+    /// The client takes so many of those that wait.
+    Take(u16),
+    /// Time passes.
+    Wait(u16),
+    /// The budget leaves so much.
+    Allow(u16),
+    End(End),
+    Leave,
+    Cancel,
+    Evict,
+    Stop(u16),
+}
+
+impl Arbitrary for Move {
+    fn arbitrary(g: &mut Gen) -> Move {
+        let n = u16::arbitrary(g);
+        match u8::arbitrary(g) % 32 {
+            0..=9 => Move::Come(n % READ as u16 + 1, bool::arbitrary(g)),
+            10..=18 => Move::Take(n),
+            19..=26 => Move::Wait(n % 3000),
+            27 => Move::Allow(n),
+            28 => Move::End(*g.choose(&[End::Whole, End::Broke, End::Spoilt, End::Failed]).expect("some")),
+            29 => *g.choose(&[Move::Leave, Move::Cancel]).expect("some"),
+            30 => Move::Evict,
+            _ => Move::Stop(n),
+        }
+    }
+}
+
+/// What is known from outside of a stream.
+#[derive(Default)]
+struct Model {
+    now: Nanos,
+    waiting: usize,
+    inward: usize,
+    came: u64,
+    /// Silence while it was read, counted step by step.
+    silent: Nanos,
+    /// Time and takings since bytes began to wait, or since the last span.
+    span: Option<(Nanos, usize)>,
+    amid: bool,
+    server_end: Option<(End, Nanos)>,
+    stop_at: Option<Nanos>,
+    allowed: usize,
+}
+
+#[test]
+fn a_stream_has_one_outcome_holds_no_more_than_its_window_and_times_only_whom_it_waits_for() {
+    fn follows(moves: Vec<Move>) -> bool {
+        let limits = limits();
+        let mut model = Model { now: 1_000 * MS, allowed: usize::MAX, ..Model::default() };
+        let mut course = Course::new(model.now, 5 * MS, &limits);
+        for step in moves {
+            let before = course.reads();
+            match step {
+                Move::Come(bytes, whole) if before => {
+                    let bytes = usize::from(bytes);
+                    // All that lies at the server's side becomes whole with the next whole event.
+                    let queued = if whole { model.inward + bytes } else { 0 };
+                    model.inward = if whole { 0 } else { model.inward + bytes };
+                    course.queued(model.now, queued);
+                    course.arrived(model.now, bytes, u64::from(whole), model.inward, !whole, false);
+                    if queued > 0 && model.waiting == 0 {
+                        model.span = Some((model.now, 0));
+                    }
+                    model.waiting += queued;
+                    (model.came, model.amid, model.silent) = (model.came + bytes as u64, !whole, 0);
+                }
+                Move::Take(bytes) if model.waiting > 0 => {
+                    let bytes = usize::from(bytes).clamp(1, model.waiting);
+                    course.took(model.now, bytes);
+                    model.waiting -= bytes;
+                    model.span = match model.span {
+                        Some((from, taken)) if model.waiting > 0 => Some((from, taken + bytes)),
+                        _ => None,
+                    };
+                }
+                Move::Wait(ms) => {
+                    model.now += Nanos::from(ms) * MS;
+                    if before {
+                        model.silent += Nanos::from(ms) * MS;
+                    }
+                }
+                Move::Allow(bytes) => {
+                    model.allowed = usize::from(bytes);
+                    course.allow(model.now, model.allowed);
+                }
+                Move::End(end) if model.server_end.is_none() => {
+                    course.server_ended(model.now, end);
+                    model.server_end = Some((end, model.now));
+                    model.inward = 0;
+                }
+                Move::Stop(ms) => {
+                    let at = model.now + Nanos::from(ms) * MS;
+                    course.stop_at(at);
+                    model.stop_at = Some(model.stop_at.map_or(at, |was| was.min(at)));
+                }
+                Move::Leave => course.left(model.now, Leaving::Ended),
+                Move::Cancel => course.cancel(model.now),
+                Move::Evict => course.evict(model.now),
+                _ => {}
+            }
+            let act = course.poll(model.now);
+            let over = |at: Option<Nanos>| at.is_some_and(|at| model.now >= at);
+            let late_reader = model.span.is_some_and(|(from, taken)| {
+                model.now >= from + nanos(limits.reader_span) && taken < limits.reader_floor
+            });
+            let stalled = model.server_end.is_none()
+                && model.silent >= nanos(if model.amid { limits.stall } else { limits.silence });
+            let expected = match step {
+                Move::Leave => Some(Cause::ClientLeft),
+                Move::Cancel => Some(Cause::Cancelled),
+                Move::Evict if model.waiting > 0 => Some(Cause::Budget),
+                _ => match model.server_end {
+                    Some((end, _)) if model.waiting == 0 => Some(end.cause()),
+                    Some((end, at)) if end != End::Whole && over(Some(at + nanos(limits.linger))) => {
+                        Some(end.cause())
+                    }
+                    _ if stalled => Some(Cause::Stalled),
+                    _ if late_reader => Some(Cause::ReaderSlow),
+                    _ if over(model.stop_at) => Some(Cause::Shutdown),
+                    _ => None,
+                },
+            };
+            let is = course.outcome().map(|o| o.cause);
+            assert_eq!(is, expected, "after {step:?}");
+            assert_eq!(act == Act::Wait, is.is_none());
+            assert_eq!(act == Act::Finish, is == Some(Cause::Whole));
+            if let Some(outcome) = course.outcome() {
+                assert_eq!(outcome.bytes, model.came);
+                assert_eq!(course.phase(), Phase::Ended);
+                assert!(!course.reads() && course.due().is_none());
+                // Whatever comes after the end changes nothing of it.
+                course.arrived(model.now, 7, 1, 0, false, false);
+                course.queued(model.now, 9);
+                course.server_ended(model.now, End::Broke);
+                course.left(model.now + MS, Leaving::Reset);
+                course.cancel(model.now + MS);
+                assert_eq!(course.outcome(), Some(outcome));
+                return true;
+            }
+            // A span that ended well begins anew.
+            if model.span.is_some_and(|(from, _)| model.now >= from + nanos(limits.reader_span)) {
+                model.span = Some((model.now, 0));
+            }
+            assert_eq!(course.held(), model.waiting + model.inward);
+            assert!(
+                model.waiting == 0 || !course.reads() || course.held() < limits.high.min(model.allowed),
+                "read while {} bytes are held of {}",
+                course.held(),
+                model.allowed
+            );
+            // Somebody is waited for, or nothing would ever happen again.
+            assert!(course.due().is_some_and(|due| due > model.now));
+            assert!(course.reads() || model.waiting > 0);
+        }
+        true
+    }
+    check(31).quickcheck(follows as fn(Vec<Move>) -> bool);
+}
+
+#[test]
+fn the_servers_silence_is_not_timed_while_the_reader_is_waited_for() {
+    let limits = limits();
+    let mut course = Course::new(0, 0, &limits);
+    course.arrived(0, limits.high, 9, 0, false, false);
+    course.queued(0, limits.high);
+    assert!(!course.reads());
+    assert_eq!(course.phase(), Phase::ReaderPaused);
+    // Four seconds without a read are no fault of the server's, and not too much of the reader's.
+    course.took(7_900 * MS, limits.high);
+    assert!(course.reads());
+    assert_eq!(course.poll(7_900 * MS), Act::Wait);
+    assert_eq!(course.poll(7_900 * MS + nanos(limits.silence) - 1), Act::Wait);
+    assert_eq!(course.poll(7_900 * MS + nanos(limits.silence)), Act::Cut);
+    let outcome = course.outcome().expect("over");
+    assert_eq!((outcome.cause, outcome.longest_pause), (Cause::Stalled, 7_900 * MS));
+    assert_eq!(outcome.longest_gap, nanos(limits.silence));
+}
+
+#[test]
+fn a_trickler_is_cut_and_a_reader_that_pauses_is_not() {
+    let limits = limits();
+    let step = |every: Nanos, bytes: usize| {
+        let mut course = Course::new(0, 0, &limits);
+        course.arrived(0, limits.high, 1, 0, false, false);
+        course.queued(0, limits.high);
+        course.server_ended(0, End::Whole);
+        let mut now = 0;
+        while now < 60_000 * MS && course.waiting() > 0 && course.poll(now) == Act::Wait {
+            now += every;
+            course.took(now, bytes);
+            course.poll(now);
+        }
+        (course.outcome().map(|o| o.cause), now / MS)
+    };
+    // A few bytes every 2 s: over at the end of its first span.
+    assert_eq!(step(2_000 * MS, 16), (Some(Cause::ReaderSlow), 8_000));
+    // As slow as a weak line may be, 4 KiB in 8 s: served to the end.
+    assert_eq!(step(1_000 * MS, 600).0, Some(Cause::Whole));
+    // Four seconds of nothing between lumps.
+    assert_eq!(step(4_000 * MS, 9 << 10).0, Some(Cause::Whole));
+}
+
+#[test]
+fn each_stall_has_its_limit_and_a_pace_that_is_known_a_shorter_one() {
+    let mut limits = limits();
+    let stall = |limits: &StreamLimits, amid: bool, last: bool, gap: Nanos| {
+        let mut course = Course::new(0, 0, limits);
+        course.arrived(gap, 10, 1, 0, false, false);
+        course.arrived(gap, 10, 1, usize::from(amid), amid, last);
+        let due = course.due().expect("a limit");
+        assert_eq!(course.poll(due - 1), Act::Wait);
+        assert_eq!(course.poll(due), Act::Cut);
+        assert_eq!(course.outcome().map(|o| o.cause), Some(Cause::Stalled));
+        (due - gap) / MS
+    };
+    assert_eq!(stall(&limits, false, false, 600 * MS), 4_000);
+    assert_eq!(stall(&limits, true, false, 600 * MS), 1_500);
+    assert_eq!(stall(&limits, false, true, 600 * MS), 1_500);
+    limits.pace = Some((3.0, Duration::from_millis(900)));
+    assert_eq!(stall(&limits, false, false, 10 * MS), 900);
+    assert_eq!(stall(&limits, false, false, 600 * MS), 1_800);
+    assert_eq!(stall(&limits, false, false, 3_000 * MS), 4_000);
+}
+
+#[test]
+fn blame_goes_to_whose_doing_it_was() {
+    for cause in Cause::ALL {
+        let counts = matches!(cause.verdict(), Verdict::Reset | Verdict::Error);
+        assert_eq!(counts, cause.side() == Side::Server, "{cause:?}");
+        assert_eq!(cause.verdict() == Verdict::Ok, cause == Cause::Whole);
+    }
+}
+
+#[test]
+fn the_budget_leaves_everybody_something_and_cuts_the_longest_paused_first() {
+    fn holds(steps: Vec<(u8, u16, bool)>) -> bool {
+        let (limit, window, floor) = (100_000, 32_768, 4_096);
+        let mut budget = Budget::new(limit, window, floor);
+        let accounts: Vec<_> = (0..16).map(|_| budget.open()).collect();
+        let mut held: BTreeMap<usize, (usize, Option<Nanos>)> = BTreeMap::new();
+        for (now, (n, bytes, paused)) in steps.into_iter().enumerate() {
+            let n = usize::from(n) % accounts.len();
+            let since = paused.then_some(now as Nanos);
+            held.insert(n, (usize::from(bytes), since));
+            let left = budget.holds(accounts[n], usize::from(bytes), since);
+            let used: usize = held.values().map(|(h, _)| h).sum();
+            assert_eq!(budget.used(), used);
+            assert!(left >= floor && left <= window);
+            assert!(left <= floor.max(limit.saturating_sub(used)));
+            while let Some(account) = budget.evict() {
+                let gone = accounts.iter().position(|a| *a == account).expect("one of them");
+                let since = held[&gone].1.expect("a paused one");
+                let longest = held.values().filter_map(|(_, s)| *s).min();
+                assert_eq!(Some(since), longest, "another was paused for longer");
+                held.remove(&gone);
+                // It ends, and another takes its place.
+                budget.holds(account, 0, None);
+            }
+            let used: usize = held.values().map(|(h, _)| h).sum();
+            assert!(used <= limit || held.values().all(|(_, s)| s.is_none()));
+        }
+        accounts.iter().for_each(|a| budget.close(*a));
+        (budget.used(), budget.streams()) == (0, 0)
+    }
+    check(32).quickcheck(holds as fn(Vec<(u8, u16, bool)>) -> bool);
+}
+
+fn outcome(cause: Cause, micros: u64) -> Outcome {
+    let t = micros * 1_000;
+    Outcome {
+        cause,
+        bytes: 10,
+        events: 2,
+        first: t,
+        longest_gap: t,
+        longest_pause: 0,
+        lasted: t * 2,
+        stop: t,
+    }
+}
+
+#[test]
+fn the_record_keeps_classes_and_causes_apart() {
+    let mut ledger = Ledger::default();
+    for n in 1..=100 {
+        ledger.enter(0, &outcome(Cause::Whole, n * 1_000));
+    }
+    ledger.enter(1, &outcome(Cause::Stalled, 5_000_000_000));
+    let figures = ledger.figures();
+    assert_eq!(figures.len(), 2);
+    let (whole, stalled) = (&figures[0], &figures[1]);
+    assert_eq!((whole.class, whole.cause, whole.count), (0, Cause::Whole, 100));
+    assert_eq!((whole.bytes, whole.events), (1_000, 200));
+    let near = |is: u64, due: u64| is.abs_diff(due) * 50 <= due;
+    assert!(near(whole.first[0], 50_000) && near(whole.first[1], 99_000) && near(whole.lasted[2], 200_000));
+    // What is beyond the longest time counts as the longest.
+    assert_eq!((stalled.class, stalled.count), (1, 1));
+    assert!(near(stalled.first[2], 600_000_000));
+}
+
+fn id(n: usize) -> ReplicaId {
+    ReplicaId::from(format!("s-{n}").as_str())
+}
+
+#[test]
+fn a_server_that_spoils_streams_rests_and_a_trouble_of_all_rests_nobody() {
+    let limits = RestLimits::default();
+    let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
+    let mut standing = Standing::new(&limits);
+    standing.fleet(&fleet);
+    let mut now = 0;
+    // All but one serve well; that one breaks every second stream.
+    let mut rested = None;
+    for round in 0..12 {
+        for (n, server) in fleet.iter().enumerate() {
+            now += 10 * MS;
+            let bad = n == 3 && round % 2 == 0;
+            let change = standing.ended(now, server, if bad { Cause::Broke } else { Cause::Whole });
+            assert!(change.is_none() || n == 3);
+            rested = rested.or(change);
+        }
+    }
+    assert_eq!(rested, Some(Change::Rest(id(3))));
+    assert!(standing.rests(&id(3)));
+    let due = standing.due().expect("an end");
+    assert!(standing.back(due - 1).is_empty());
+    assert_eq!(standing.back(due), [Change::Back(id(3))]);
+    // Soon again: its next rest is twice as long.
+    for _ in 0..3 {
+        standing.ended(due + MS, &id(3), Cause::Stalled);
+    }
+    assert_eq!(standing.due(), Some(due + MS + 2 * nanos(limits.rest)));
+    // Leavers and slow readers are nobody's fault here.
+    let mut standing = Standing::new(&limits);
+    standing.fleet(&fleet);
+    for n in 0..50 {
+        assert_eq!(standing.ended(now + n, &id(1), Cause::ClientLeft), None);
+        assert_eq!(standing.ended(now + n, &id(1), Cause::ReaderSlow), None);
+    }
+    // All break alike.
+    for round in 0..20 {
+        for server in &fleet {
+            let cause = if round % 2 == 0 { Cause::Whole } else { Cause::Stalled };
+            assert_eq!(standing.ended(now + round, server, cause), None);
+        }
+    }
+}
+
+#[test]
+fn no_more_than_a_part_of_the_fleet_rests_and_what_left_is_forgotten() {
+    fn bounded(ends: Vec<(u8, bool, u8)>) -> bool {
+        let limits = RestLimits { above: 1.0, ..RestLimits::default() };
+        let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
+        let mut standing = Standing::new(&limits);
+        standing.fleet(&fleet);
+        let mut now = 0;
+        for (n, bad, wait) in ends.into_iter().cycle().take(400) {
+            now += Nanos::from(wait) * MS;
+            standing.back(now);
+            standing.ended(now, &id(usize::from(n) % 10), if bad { Cause::Broke } else { Cause::Whole });
+            assert!(fleet.iter().filter(|s| standing.rests(s)).count() <= 2);
+        }
+        standing.fleet(&[]);
+        standing.due().is_none()
+    }
+    check(33).quickcheck(bounded as fn(Vec<(u8, bool, u8)>) -> bool);
+}
