--- a/src/settings.rs
+++ b/src/settings.rs
@@ -78,6 +78,9 @@
     pub budget: Option<ByteSize>,
     /// The size asked for of each of the system's buffers for a connection.
     pub socket_buffer: Option<ByteSize>,
+    /// Time for the first event of an answer whose head is there.
+    #[serde(with = "humantime_serde")]
+    pub opening: Option<Duration>,
     /// Silence between two events before a stream counts as stalled.
     #[serde(with = "humantime_serde")]
     pub silence: Option<Duration>,
@@ -234,6 +237,7 @@
             _ => Ok(()),
         };
         let (hour, day) = (ms(3_600_000), ms(86_400_000));
+        span("streams.opening", s.opening, ms(100), hour)?;
         span("streams.silence", s.silence, ms(100), hour)?;
         span("streams.stall", s.stall, ms(100), hour)?;
         span("streams.tail", s.tail, ms(100), hour)?;
@@ -284,6 +288,7 @@
     /// Puts what is set here in place of what the machine's size gave.
     pub fn apply(&self, limits: &mut Limits) {
         let s = &self.streams;
+        limits.stream_opening = s.opening.unwrap_or(limits.stream_opening);
         let l = &mut limits.stream;
         let set = |to: &mut usize, from: Option<ByteSize>| *to = from.map_or(*to, |b| b.0 as usize);
         let time = |to: &mut Duration, from: Option<Duration>| *to = from.unwrap_or(*to);
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,544 @@
+//! Stand-ins of discovery, real servers and clients on loopback, and the program itself.
+
+#![allow(dead_code, missing_docs)]
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Long enough never to be met, however slow the machine.
+pub const FOREVER: Duration = Duration::from_secs(30);
+pub const PAIRINGS: [(&str, &str); 4] = [
+    ("platform", "platform"),
+    ("platform", "messages"),
+    ("messages", "platform"),
+    ("messages", "messages"),
+];
+
+/// What a client saw of its request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    Served(String),
+    /// A stream that ended without its last chunk, after this text.
+    Broken(String),
+    /// Status 429, 503 or 529, with `Retry-After`.
+    TurnedDown,
+    /// Another status.
+    Failed,
+}
+
+/// What a real server does with every request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Serve,
+    Full,
+    Error,
+    ErrorEvent,
+    LateErrorEvent,
+    Reset,
+    Silence,
+    Break,
+    Odd,
+    ServeAndClose,
+    /// Holds the request for wrong.
+    Reject,
+    /// Noise in place of a head, on a connection that stays open.
+    Noise,
+    /// A head that does not end.
+    HalfHead,
+    /// Nothing after the first event.
+    Stop,
+    /// After the first event a chunk that is longer than what comes.
+    HalfChunk,
+    /// After the first event a chunk of 3 GB that keeps coming.
+    HugeChunk,
+    /// A good answer with interim ones before it, a load report of garbage, and a second answer behind it.
+    Wordy,
+}
+
+/// A stand-in real server, the requests that reached it, and what it noticed of clients that left.
+pub struct Server {
+    pub addr: SocketAddr,
+    pub requests: Arc<AtomicUsize>,
+    pub bodies: Arc<Mutex<Vec<Value>>>,
+    pub left: Receiver<()>,
+}
+
+pub fn event(dialect: &str, name: &str, data: Value) -> String {
+    if dialect == "messages" {
+        format!("event: {name}\ndata: {data}\n\n")
+    } else {
+        format!("data: {data}\n\n")
+    }
+}
+
+pub fn text(dialect: &str, text: &str) -> String {
+    match dialect {
+        "messages" => event(
+            dialect,
+            "content_block_delta",
+            json!({"type": "content_block_delta", "index": 0, "delta": {"type": "text_delta", "text": text}}),
+        ),
+        _ => event(
+            dialect,
+            "",
+            json!({"choices": [{"index": 0, "delta": {"content": text}, "finish_reason": null}]}),
+        ),
+    }
+}
+
+pub fn opening(dialect: &str) -> String {
+    let usage = json!({"input_tokens": 7, "cache_read_input_tokens": 5, "output_tokens": 1});
+    let start = json!({"type": "message_start", "message": {"id": "msg_1", "usage": usage}});
+    let block =
+        json!({"type": "content_block_start", "index": 0, "content_block": {"type": "text", "text": ""}});
+    match dialect {
+        "messages" => {
+            event(dialect, "message_start", start)
+                + &event(dialect, "content_block_start", block)
+                + &event(dialect, "ping", json!({"type": "ping"}))
+        }
+        _ => String::new(),
+    }
+}
+
+pub fn closing(dialect: &str) -> String {
+    let stop = json!({"type": "message_delta", "delta": {"stop_reason": "end_turn"}, "usage": {"output_tokens": 2}});
+    match dialect {
+        "messages" => {
+            event(dialect, "content_block_stop", json!({"type": "content_block_stop", "index": 0}))
+                + &event(dialect, "message_delta", stop)
+                + &event(dialect, "message_stop", json!({"type": "message_stop"}))
+        }
+        _ => {
+            let stop = json!({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]});
+            let usage = json!({"choices": [], "usage": {"prompt_tokens": 12, "completion_tokens": 2,
+                "prompt_tokens_details": {"cached_tokens": 5}}});
+            event(dialect, "", stop)
+                + &event(dialect, "", usage)
+                + "data: [DONE]\n\n: X-Load: TEXT util=0.5\n\n"
+        }
+    }
+}
+
+pub fn error_event(dialect: &str) -> String {
+    event(
+        dialect,
+        "error",
+        json!({"type": "error", "error": {"type": "overloaded_error", "message": "no"}}),
+    )
+}
+
+/// An event that no specification knows.
+pub fn odd_event(dialect: &str) -> String {
+    event(dialect, "glimmer", json!({"type": "glimmer", "shade": 3}))
+}
+
+/// Reads a message's head and its body of a stated length.
+pub fn message(reader: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            line => lines.push(line.to_owned()),
+        }
+    }
+    let mut body = vec![0; header(&lines, "content-length").map_or(0, |l| l.parse().expect("a length"))];
+    reader.read_exact(&mut body).ok()?;
+    Some((lines, body))
+}
+
+pub fn header(lines: &[String], name: &str) -> Option<String> {
+    let mut pairs = lines.iter().filter_map(|l| l.split_once(':'));
+    pairs.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+pub fn server(dialect: &'static str, manner: Manner) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (requests, bodies) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let (tell, left) = channel();
+    let shared = (requests.clone(), bodies.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (shared, tell) = (shared.clone(), tell.clone());
+            thread::spawn(move || converse(stream, dialect, manner, &shared.0, &shared.1, &tell));
+        }
+    });
+    Server { addr, requests, bodies, left }
+}
+
+/// One connection of a stand-in real server.
+pub fn converse(
+    mut stream: TcpStream,
+    dialect: &str,
+    manner: Manner,
+    requests: &AtomicUsize,
+    bodies: &Mutex<Vec<Value>>,
+    left: &Sender<()>,
+) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    while let Some((head, body)) = message(&mut reader) {
+        requests.fetch_add(1, Ordering::SeqCst);
+        let path = if dialect == "messages" { "POST /v1/messages " } else { "POST /v1/chat/completions " };
+        assert!(head[0].starts_with(path), "{} reached a server of {dialect}", head[0]);
+        assert!(header(&head, "x-deadline-ms").is_some() && header(&head, "x-request-id").is_some());
+        bodies.lock().expect("whole").push(serde_json::from_slice(&body).expect("JSON"));
+        let begin =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let hello = opening(dialect) + &text(dialect, "Hel");
+        let answer = match (manner, dialect) {
+            (Manner::Full, "messages") => "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            (Manner::Full, _) => "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            (Manner::Error, _) => "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+            (Manner::ErrorEvent, _) => begin.to_owned() + &chunk(&error_event(dialect)) + "0\r\n\r\n",
+            (Manner::LateErrorEvent, _) => {
+                begin.to_owned() + &chunk(&(hello + &error_event(dialect))) + "0\r\n\r\n"
+            }
+            (Manner::Break | Manner::Stop, _) => begin.to_owned() + &chunk(&hello),
+            (Manner::Reset | Manner::Silence, _) => String::new(),
+            (Manner::Reject, _) => "HTTP/1.1 422 No\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+            (Manner::Noise, _) => "\u{1}noise".to_owned(),
+            (Manner::HalfHead, _) => begin.replace("\r\n\r\n", "\r\nX-Mo"),
+            (Manner::HalfChunk, _) => begin.to_owned() + &chunk(&hello) + "ffff\r\ndata: a\n\n",
+            (Manner::HugeChunk, _) => begin.to_owned() + &chunk(&hello) + "b2d05e00\r\n",
+            (Manner::Wordy, _) => {
+                let whole = chunk(&(hello + &text(dialect, "lo") + &closing(dialect))) + "0\r\n\r\n";
+                let begin = begin
+                    .replace("Type:", "Type:  ")
+                    .replace("\r\n\r\n", "\r\nX-Load: \u{1} util=?\r\n\r\n");
+                "HTTP/1.1 103 Early\r\nLink: a\r\n\r\n".repeat(2) + &(begin + &whole).repeat(2)
+            }
+            (Manner::Serve | Manner::Odd | Manner::ServeAndClose, _) => {
+                let odd = if manner == Manner::Odd { odd_event(dialect) } else { String::new() };
+                let rest = text(dialect, "lo") + &closing(dialect);
+                begin.to_owned()
+                    + &chunk(&hello)
+                    + &chunk(&odd[..odd.len().min(9)]).repeat(usize::from(!odd.is_empty()))
+                    + &chunk(&(odd.get(9..).unwrap_or_default().to_owned() + &rest))
+                    + "0\r\n\r\n"
+            }
+        };
+        stream.write_all(answer.as_bytes()).ok()?;
+        match manner {
+            Manner::HugeChunk => while stream.write_all(&[b'x'; 4096]).is_ok() {},
+            Manner::Reset | Manner::Break => return None,
+            Manner::ServeAndClose => {
+                // The connection is back in the gateway's pool by then.
+                thread::sleep(Duration::from_millis(30));
+                drop((stream, reader));
+                return left.send(()).ok();
+            }
+            Manner::Silence => {
+                // The end of a connection whose answer is still due: the scheduling was given up.
+                let over = matches!(reader.read(&mut [0]), Ok(0) | Err(_));
+                assert!(over, "something was sent after the request");
+                left.send(()).ok()?;
+                return None;
+            }
+            _ => {}
+        }
+    }
+    // The gateway has closed a connection that was idle.
+    left.send(()).ok()
+}
+
+/// A stand-in discovery: one watch, to which the first line and then whatever is sent is written.
+pub fn discovery(first: Value) -> (SocketAddr, Sender<Value>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (send, lines) = channel::<Value>();
+    send.send(first.clone()).expect("open");
+    thread::spawn(move || {
+        let mut stream = listener.accept().expect("a watch").0;
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let (head, _) = message(&mut reader).expect("a call");
+        // It asks from the version that it holds, which each list here follows.
+        let index = first["version"].as_u64().expect("a version") - 1;
+        assert!(
+            head[0].starts_with(&format!("GET /catalog/members?stream=1&index={index} ")),
+            "{}",
+            head[0]
+        );
+        let mut out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+        loop {
+            let line = lines.recv_timeout(Duration::from_secs(1)).map_or(String::new(), |l| l.to_string());
+            out += &chunk(&(line + "\n"));
+            if stream.write_all(out.as_bytes()).is_err() {
+                return;
+            }
+            out.clear();
+        }
+    });
+    (addr, send)
+}
+
+pub fn entry(n: usize, server: &Server, state: &str, started_ms: u64) -> Value {
+    json!({"id": format!("s-{n}"), "addr": server.addr.to_string(), "zone": "a", "kind": "k", "cell": 0,
+        "state": state, "weight": 1.0, "started_ms": started_ms})
+}
+
+pub fn list(version: u64, full: bool, servers: Vec<Value>) -> Value {
+    json!({"version": version, "full": full, "servers": servers})
+}
+
+/// The program itself, with both fronts.
+pub struct Gateway {
+    pub child: Child,
+    pub fronts: [SocketAddr; 2],
+    pub discovery: Sender<Value>,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Gateway {
+    pub fn start(dialect: &str, servers: Vec<Value>, attempts: u32) -> Gateway {
+        let (mut child, discovery) =
+            Gateway::spawn("n0", dialect, servers, attempts, (1024, 1024), json!({}));
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        Gateway::with(child, discovery, log.lines().map_while(Result::ok))
+    }
+
+    /// Starts the program with more in its own file than the fronts; of descriptors the first number is what it
+    /// has, the second what it is told.
+    pub fn spawn(
+        name: &str,
+        dialect: &str,
+        servers: Vec<Value>,
+        attempts: u32,
+        descriptors: (u32, u32),
+        more: Value,
+    ) -> (Child, Sender<Value>) {
+        let found = discovery(list(2, true, servers.clone()));
+        Gateway::spawn_by(name, dialect, servers, attempts, descriptors, more, found)
+    }
+
+    /// Starts the program with a discovery of the test's own.
+    pub fn spawn_by(
+        name: &str,
+        dialect: &str,
+        servers: Vec<Value>,
+        attempts: u32,
+        (descriptors, told): (u32, u32),
+        more: Value,
+        (addr, discovery): (SocketAddr, Sender<Value>),
+    ) -> (Child, Sender<Value>) {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let second = 1_000_000_000u64;
+        let lane = |name: &str, effect: &str| {
+            json!({"name": name, "effect": effect, "promise-ns": second, "deadline-ns": 10 * second,
+                "stream": true, "points": 1.0})
+        };
+        let settings = json!({"group-size": 1, "me": 0, "zone": "a", "localities": ["a"], "shapes": ["k"],
+            "discovery": "ask", "weight-source": "rough", "report": {"fields": ["util"]},
+            "lanes": [lane("plain", "retryable"), lane("once", "fragile")],
+            "accounts": [{"name": "office", "share": 1.0}],
+            "policy-limits": {"send-cap": attempts, "cancel": true, "retry-after": true,
+                "max-retry-after-ns": 2 * second, "conn-idle-ns": 5 * second, "connect-timeout-ns": second},
+            "safety": {"cold-from": 0.3, "ramp-time-ns": 60 * second, "fall-ns": 3 * second,
+                "overload-factor": 2.5, "ask-within-ns": 10 * second}});
+        let mut config = json!({"name": name, "listen": "127.0.0.1:0", "discovery": addr.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "sockets": told},
+            "known": list(1, true, servers), "settings": settings});
+        let mut daemon = json!({"dialects": {"k": dialect}, "messages": {"listen": "127.0.0.1:0",
+            "classes": {"once-model": "once"}, "class": "plain", "tenant": "office"}});
+        let mut more = more.as_object().expect("an object").clone();
+        // Not a setting of the program's own: how much memory the platform says there is.
+        let memory = more.remove("memory_mb").unwrap_or(json!(192));
+        daemon.as_object_mut().expect("an object").extend(more);
+        config["limits"]["memory_mb"] = memory;
+        let file = |name: &str, text: String| {
+            let path = format!("{}/{}-{number}-{name}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+            std::fs::write(&path, text).expect("written");
+            path
+        };
+        let child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(env!("CARGO_BIN_EXE_tulipridge"))
+            .env("EDGE_CONFIG", file("config.json", config.to_string()))
+            .env("TULIPRIDGE_SETTINGS", file("settings.hcl", hcl::to_string(&daemon).expect("HCL")))
+            .env_remove("EDGE_LISTEN")
+            .env_remove("EDGE_DISCOVERY")
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        (child, discovery)
+    }
+
+    /// Reads the log up to where it says where it listens.
+    pub fn with(
+        child: Child,
+        discovery: Sender<Value>,
+        lines: impl Iterator<Item = String> + Send + 'static,
+    ) -> Gateway {
+        let mut lines = lines;
+        let mut front = || {
+            let line =
+                lines.find(|l| l.contains(" listening ") && !l.contains("Store")).expect("it listens");
+            let addr =
+                line.split_once("addr=\"").expect("an address").1.split('"').next().expect("an address");
+            addr.parse().expect("an address")
+        };
+        let fronts = [front(), front()];
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        thread::spawn(move || lines.for_each(|l| kept.lock().expect("whole").push(l)));
+        Gateway { child, fronts, discovery, log }
+    }
+
+    pub fn connect(&self, dialect: &str) -> TcpStream {
+        let stream =
+            TcpStream::connect(self.fronts[usize::from(dialect == "messages")]).expect("it accepts");
+        stream.set_read_timeout(Some(FOREVER)).expect("a time-out");
+        stream
+    }
+
+    /// Sends a request and does not wait for its answer.
+    pub fn send(&self, dialect: &str, class: &str, deadline_ms: u32, session: usize) -> TcpStream {
+        let mut stream = self.connect(dialect);
+        let deadline = format!("X-Deadline-Ms: {deadline_ms}\r\n");
+        let (path, headers, body) = match dialect {
+            "messages" => (
+                "/v1/messages",
+                deadline,
+                json!({"model": format!("{class}-model"), "max_tokens": 20, "stream": true, "system": "Be brief.",
+                    "metadata": {"user_id": format!("u{session}")},
+                    "messages": [{"role": "user", "content": [{"type": "text", "text": "Which gate?"}]}]}),
+            ),
+            _ => (
+                "/v1/chat/completions",
+                format!(
+                    "{deadline}X-Request-Id: {session:016x}\r\nX-Class: {class}\r\nX-Tenant: office\r\nX-Key: {session:x}\r\n"
+                ),
+                json!({"model": "chat", "max_tokens": 20, "stream": true, "messages": [
+                    {"role": "system", "content": "Be brief."}, {"role": "user", "content": "Which gate?"}]}),
+            ),
+        };
+        let body = body.to_string();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: app.svc\r\n{headers}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        // In two pieces, as a network may deliver it.
+        stream.write_all(head.as_bytes()).expect("sent");
+        stream.write_all(body.as_bytes()).expect("sent");
+        stream
+    }
+
+    pub fn ask(&self, dialect: &str, class: &str, deadline_ms: u32, session: usize) -> (Seen, String) {
+        seen(dialect, self.send(dialect, class, deadline_ms, session))
+    }
+
+    pub fn logged(&self, word: &str) -> usize {
+        self.log.lock().expect("whole").iter().filter(|l| l.contains(word)).count()
+    }
+
+    /// Asks it to stop, and waits until it has.
+    pub fn stop(&mut self) -> Option<i32> {
+        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(kill.expect("kill runs").success());
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until it is so, far longer than it takes.
+pub fn eventually(mut so: impl FnMut() -> bool) {
+    let from = Instant::now();
+    while !so() {
+        assert!(from.elapsed() < FOREVER, "it never came to be");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Reads an answer: what became of the request, and the stream's bytes.
+pub fn seen(dialect: &str, stream: TcpStream) -> (Seen, String) {
+    let mut reader = BufReader::new(stream);
+    let mut head = Vec::new();
+    loop {
+        let mut line = String::new();
+        assert!(reader.read_line(&mut line).expect("an answer") > 0, "no answer at all");
+        match line.trim_end() {
+            "" => break,
+            line => head.push(line.to_owned()),
+        }
+    }
+    let status: u16 = head[0].split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    if status != 200 {
+        let mut body =
+            vec![0; header(&head, "content-length").expect("a length").parse().expect("a length")];
+        reader.read_exact(&mut body).expect("a body");
+        if dialect == "messages" {
+            let error: Value = serde_json::from_slice(&body).expect("JSON");
+            assert_eq!(error["type"], "error");
+            assert!(error["error"]["type"].is_string() && error["error"]["message"].is_string());
+        }
+        let wait = header(&head, "retry-after").map(|w| w.parse::<f64>().expect("seconds"));
+        assert!(status < 500 || wait.is_some_and(|w| (0.0..=2.0).contains(&w)), "{head:?}");
+        return (
+            if matches!(status, 429 | 503 | 529) { Seen::TurnedDown } else { Seen::Failed },
+            String::new(),
+        );
+    }
+    let mut stream = Vec::new();
+    let whole = loop {
+        let mut size = String::new();
+        match reader.read_line(&mut size) {
+            Ok(0) => break false,
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => break false,
+            read => drop(read.expect("a chunk")),
+        }
+        let mut bytes = vec![0; usize::from_str_radix(size.trim_end(), 16).expect("a size") + 2];
+        reader.read_exact(&mut bytes).expect("a whole chunk");
+        bytes.truncate(bytes.len() - 2);
+        if bytes.is_empty() {
+            break true;
+        }
+        stream.extend(bytes);
+    };
+    let stream = String::from_utf8(stream).expect("UTF-8");
+    let events = stream.split("\n\n").filter_map(|e| e.split_once("data: "));
+    let mut words = String::new();
+    for (name, data) in events {
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        let word = match dialect {
+            "messages" => {
+                assert_eq!(name.trim_end(), format!("event: {}", value["type"].as_str().expect("a type")));
+                &value["delta"]["text"]
+            }
+            _ => &value["choices"][0]["delta"]["content"],
+        };
+        words.push_str(word.as_str().unwrap_or_default());
+    }
+    if whole && dialect == "messages" {
+        let names: Vec<&str> = stream.lines().filter_map(|l| l.strip_prefix("event: ")).collect();
+        assert_eq!((names[0], names[names.len() - 1]), ("message_start", "message_stop"), "{names:?}");
+        assert!(stream.contains("\"cache_read_input_tokens\":5"), "{stream}");
+    } else if whole {
+        assert!(stream.contains("[DONE]") && stream.contains("\"cached_tokens\":5"), "{stream}");
+    }
+    (if whole { Seen::Served(words) } else { Seen::Broken(words) }, stream)
+}
--- /dev/null
+++ b/tests/trouble.rs
@@ -0,0 +1,372 @@
+//! Streams in trouble, against the program itself on loopback: real servers that stall, break and flood, readers
+//! that pause, trickle and leave, and stops amid all that.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use socket2::SockRef;
+
+use support::*;
+
+const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A real server that plays `script` for each request, and says when the gateway has closed that connection.
+fn scripted(
+    script: impl Fn(&mut TcpStream, usize) -> bool + Send + Sync + 'static,
+) -> (Server, Receiver<Instant>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (script, count) = (Arc::new(script), Arc::new(AtomicUsize::new(0)));
+    let (tell, closed) = channel();
+    let (_, left) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                while message(&mut reader).is_some() {
+                    let number = count.fetch_add(1, Ordering::SeqCst);
+                    if !script(&mut stream, number) {
+                        return;
+                    }
+                    // A script that leaves its answer open waits for the gateway's close.
+                    if reader.fill_buf().map_or(true, <[u8]>::is_empty) {
+                        let _ = tell.send(Instant::now());
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let requests = Arc::default();
+    (Server { addr, requests, bodies: Arc::default(), left }, closed)
+}
+
+fn say(stream: &mut TcpStream, bytes: &str) -> bool {
+    stream.write_all(bytes.as_bytes()).is_ok()
+}
+
+/// Writes events of 4 KiB until nobody takes them any more.
+fn flood(stream: &mut TcpStream) {
+    let event = chunk(&text("platform", &"x".repeat(4000)));
+    while say(stream, &event) {}
+}
+
+fn gateway(dialect: &str, server: &Server, more: Value) -> Gateway {
+    let (mut child, discovery) =
+        Gateway::spawn("n0", dialect, vec![entry(0, server, "ready", 0)], 1, (1024, 1024), more);
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    Gateway::with(child, discovery, log.lines().map_while(Result::ok))
+}
+
+fn ended_by(gateway: &Gateway, cause: &str, times: usize) {
+    let word = format!("cause=\"{cause}\"");
+    eventually(|| gateway.logged(&word) >= times);
+    assert_eq!(gateway.logged(&word), times, "each stream has one record");
+}
+
+/// Reads until the answer's first event is there.
+fn begun(stream: &mut TcpStream) {
+    let mut byte = [0];
+    let mut had = Vec::new();
+    while !had.ends_with(b"\n\n") {
+        stream.read_exact(&mut byte).expect("an answer");
+        had.push(byte[0]);
+    }
+}
+
+#[test]
+fn a_stall_is_cut_off_wherever_it_comes_and_the_servers_connection_closed() {
+    let whole = || chunk(&text("platform", "Hel"));
+    // Just before the last token; amid an event; amid a chunk; between the last event and the last chunk.
+    let stalls: [(&str, String); 4] = [
+        ("between events", whole()),
+        ("amid an event", whole() + &chunk("data: {\"choi")),
+        ("amid a chunk", whole() + "20\r\ndata: {"),
+        ("before the last chunk", whole() + &chunk(&closing("platform"))),
+    ];
+    for (place, answer) in stalls {
+        let (server, closed) = scripted(move |stream, _| say(stream, &(HEAD.to_owned() + &answer)));
+        let limits = json!({"streams": {"silence": "700ms", "stall": "300ms", "tail": "300ms"}});
+        for client in ["platform", "messages"] {
+            let gateway = gateway("platform", &server, limits.clone());
+            let (seen, stream) = gateway.ask(client, "plain", 9000, 1);
+            assert_eq!(seen, Seen::Broken("Hel".into()), "{place}");
+            if client == "messages" {
+                assert!(stream.contains("event: error\n") && stream.contains("timeout_error"), "{stream}");
+            }
+            closed.recv_timeout(FOREVER).expect("the server's connection closes");
+            ended_by(&gateway, "stalled", 1);
+            assert_eq!(gateway.logged("side=\"Server\""), 1);
+        }
+    }
+    // With the head there and no event at all nothing has begun: it may be tried elsewhere.
+    let (server, closed) = scripted(|stream, _| say(stream, HEAD));
+    let gateway = gateway("platform", &server, json!({"streams": {"opening": "300ms"}}));
+    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::TurnedDown);
+    closed.recv_timeout(FOREVER).expect("the server's connection closes");
+}
+
+#[test]
+fn sixty_readers_pause_four_seconds_on_a_fast_stream_and_get_every_byte_in_32_mb() {
+    let events = 256;
+    let (server, _closed) = scripted(move |stream, _| {
+        let event = chunk(&text("platform", &"x".repeat(4000)));
+        say(stream, HEAD)
+            && (0..events).all(|_| say(stream, &event))
+            && say(stream, &(chunk(&closing("platform")) + "0\r\n\r\n"))
+    });
+    let gateway = gateway("platform", &server, json!({"memory_mb": 32}));
+    let readers: Vec<TcpStream> = (0..60).map(|n| gateway.send("platform", "plain", 9000, n + 1)).collect();
+    thread::sleep(Duration::from_secs(4));
+    let texts: Vec<_> = readers
+        .into_iter()
+        .map(|stream| thread::spawn(move || seen("platform", stream).0))
+        .map(|reader| reader.join().expect("a reader"))
+        .collect();
+    for seen in texts {
+        let Seen::Served(words) = seen else { panic!("not served whole") };
+        assert_eq!(words.len(), events * 4000);
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).expect("it runs");
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak < 32 << 10, "{peak} KiB");
+}
+
+#[test]
+fn a_reader_that_never_returns_and_one_that_trickles_are_cut_and_the_servers_work_stops() {
+    let (server, closed) = scripted(|stream, _| {
+        say(stream, HEAD);
+        flood(stream);
+        true
+    });
+    let limits = json!({"streams": {"reader_span": "1s", "reader_floor": "256KiB"}});
+    let gateway = gateway("platform", &server, limits);
+    let mut still = gateway.send("platform", "plain", 9000, 1);
+    begun(&mut still);
+    let mut trickler = gateway.send("platform", "plain", 9000, 2);
+    begun(&mut trickler);
+    let (over, trickling) = channel::<()>();
+    let trickle = thread::spawn(move || {
+        let mut bytes = [0; 16];
+        // What the system has for it lasts far longer than the cut takes.
+        while trickling
+            .recv_timeout(Duration::from_millis(50))
+            .is_err_and(|e| e == RecvTimeoutError::Timeout)
+        {
+            let _ = trickler.read(&mut bytes);
+        }
+    });
+    for _ in 0..2 {
+        closed.recv_timeout(FOREVER).expect("the server's connection closes");
+    }
+    ended_by(&gateway, "reader-slow", 2);
+    assert_eq!(gateway.logged("side=\"Client\""), 2);
+    drop((still, over));
+    trickle.join().expect("a trickler");
+}
+
+#[test]
+fn a_leaver_stops_the_work_by_close_reset_and_half_close_of_a_silent_and_of_a_flooding_server() {
+    for floods in [false, true] {
+        let (server, closed) = scripted(move |stream, _| {
+            say(stream, &(HEAD.to_owned() + &chunk(&text("platform", "Hel"))));
+            if floods {
+                flood(stream);
+            }
+            true
+        });
+        let more = json!({"streams": {"silence": "1m"}});
+        let mut gateway = gateway("platform", &server, more);
+        let leave: [fn(TcpStream) -> Option<TcpStream>; 3] = [
+            |stream| {
+                drop(stream);
+                None
+            },
+            |stream| {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+                drop(stream);
+                None
+            },
+            |stream| {
+                stream.shutdown(Shutdown::Write).expect("half closed");
+                Some(stream)
+            },
+        ];
+        for (n, leave) in leave.into_iter().enumerate() {
+            let mut client = gateway.send("platform", "plain", 9000, n + 1);
+            begun(&mut client);
+            let half = leave(client);
+            closed.recv_timeout(FOREVER).expect("the server's connection closes");
+            drop(half);
+        }
+        assert_eq!(gateway.stop(), Some(0));
+        eventually(|| gateway.logged("stream-figures") > 0);
+        let log = gateway.log.lock().expect("whole");
+        let figures = log.iter().find(|l| l.contains("stream-figures")).expect("figures");
+        assert!(figures.contains("cause=\"client-left\"") && figures.contains("count=\"3\""), "{figures}");
+    }
+}
+
+#[test]
+fn a_break_amid_an_event_passes_on_what_was_whole_and_nothing_else() {
+    let first = text("platform", "Hel");
+    let second = text("platform", "lo");
+    let places = second.len();
+    let script = {
+        let (first, second) = (first.clone(), second.clone());
+        move |stream: &mut TcpStream, number: usize| {
+            // As one chunk that was cut by the event's end, so that only the event is broken.
+            let part = &second[..number % places];
+            let part = if part.is_empty() { String::new() } else { chunk(part) };
+            say(stream, &(HEAD.to_owned() + &chunk(&first) + &part));
+            let _ = stream.shutdown(Shutdown::Both);
+            false
+        }
+    };
+    let (server, _closed) = scripted(script);
+    // So many breaks in a row are a real server's end; each gateway sees a few of them.
+    let mut number = 0;
+    while number < places {
+        let gateway = gateway("platform", &server, json!({}));
+        for n in 0..2.min(places - number) {
+            let (seen, stream) = gateway.ask("platform", "plain", 9000, n + 1);
+            assert_eq!(
+                (seen, stream.as_str()),
+                (Seen::Broken("Hel".into()), first.as_str()),
+                "at {number}"
+            );
+            number += 1;
+        }
+    }
+}
+
+#[test]
+fn a_stop_a_drain_and_a_stall_at_once_end_every_stream_with_a_record_and_the_program_well() {
+    let (server, _closed) = scripted(|stream, number| {
+        say(stream, &(HEAD.to_owned() + &chunk(&text("platform", "Hel"))));
+        match number {
+            // Stalls.
+            0 => true,
+            // Ends a little later, though its server drains and the program stops.
+            1 => {
+                thread::sleep(Duration::from_millis(900));
+                say(stream, &(chunk(&closing("platform")) + "0\r\n\r\n"))
+            }
+            // Goes on for longer than the stop waits.
+            _ => {
+                while say(stream, &chunk(&text("platform", "l"))) {
+                    thread::sleep(Duration::from_millis(50));
+                }
+                true
+            }
+        }
+    });
+    let limits = json!({"streams": {"silence": "1s", "stop_within": "2s"}});
+    let mut gateway = gateway("platform", &server, limits);
+    let mut clients = Vec::new();
+    for n in 0..3 {
+        let mut client = gateway.send("platform", "plain", 9000, n + 1);
+        begun(&mut client);
+        clients.push(client);
+    }
+    let drain = list(3, false, vec![entry(0, &server, "draining", 0)]);
+    gateway.discovery.send(drain).expect("open");
+    eventually(|| gateway.logged("list-change") == 1);
+    assert_eq!(gateway.stop(), Some(0));
+    ended_by(&gateway, "stalled", 1 + 1);
+    ended_by(&gateway, "shutdown", 1 + 1);
+    // Each cause has its figures besides, the whole one these alone.
+    ended_by(&gateway, "whole", 1);
+    let ends = clients.into_iter().map(|mut client| {
+        let mut rest = String::new();
+        // A reset is an end too.
+        let _ = client.read_to_string(&mut rest);
+        rest.ends_with("0\r\n\r\n")
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [false, true, false]);
+}
+
+#[test]
+fn the_demo_answers_the_calls_of_the_readme() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tulipridge"))
+        .args(["demo", "--port", "0"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
+    let addrs: Vec<SocketAddr> = lines
+        .filter(|l| l.starts_with("curl -N "))
+        .map(|l| l["curl -N ".len()..].split('/').next().expect("an address").parse().expect("an address"))
+        .take(2)
+        .collect();
+    let readme = include_str!("../README.md").replace("\\\n", " ");
+    let calls: Vec<&str> = readme.lines().filter(|l| l.starts_with("curl -N ")).collect();
+    assert_eq!(calls.len(), 2, "one for each front");
+    for (call, addr) in calls.into_iter().zip(addrs) {
+        let quoted = |flag: &str| {
+            let parts = call.split(flag).skip(1);
+            parts.map(|p| p.split('\'').nth(1).expect("quoted").to_owned()).collect::<Vec<_>>()
+        };
+        let path = &call[call.find("/v1/").expect("a path")..].split(' ').next().expect("a path");
+        let body = quoted("-d ").remove(0);
+        let headers: String = quoted("-H ").iter().map(|h| format!("{h}\r\n")).collect();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: {addr}\r\n{headers}Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut answer = String::new();
+        // The demo listens a moment after it has printed.
+        eventually(|| {
+            answer.clear();
+            let Ok(mut stream) = TcpStream::connect(addr) else { return false };
+            stream.set_read_timeout(Some(FOREVER)).expect("a time-out");
+            stream.write_all(request.as_bytes()).expect("sent");
+            stream.read_to_string(&mut answer).is_ok() && !answer.starts_with("HTTP/1.1 503")
+        });
+        assert!(answer.starts_with("HTTP/1.1 200"), "{call}: {answer}");
+        assert!(answer.contains("heard: ") && answer.contains("gate?"), "{answer}");
+        assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    }
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+}
+
+#[test]
+fn a_settings_file_is_checked_and_its_faults_are_named() {
+    let check = |text: &str| {
+        let path = format!("{}/check-{}.hcl", env!("CARGO_TARGET_TMPDIR"), text.len());
+        std::fs::write(&path, text).expect("written");
+        let out = Command::new(env!("CARGO_BIN_EXE_tulipridge"))
+            .args(["check", &path])
+            .env_remove("EDGE_CONFIG")
+            .output()
+            .expect("it runs");
+        (out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    assert!(check("streams {\n  window = \"64KiB\"\n  silence = \"2s\"\n}\n").0);
+    for (text, faults) in [
+        ("streams {\n  silense = \"4s\"\n}\n", ["2:3", "streams.silense", "unknown field"]),
+        ("streams {\n  window = \"8MiB\"\n}\n", ["2:3", "streams.window", "8.0 MiB is not between"]),
+        ("streams {\n\n  stall = \"soon\"\n}\n", ["3:3", "streams.stall", "\"soon\""]),
+        ("store {\n  listen = \"nowhere\"\n}\n", ["2:3", "store.listen", "\"nowhere\""]),
+        ("syslog {\n}\nsyslog {\n}\n", ["1:1", "syslog", "given twice"]),
+        ("streams {\n  pace_factor = 3\n}\n", ["2:3", "streams.pace_factor", "pace_least"]),
+        ("streams {\n  window = \n}\n", ["2:12", "invalid expression", "expected"]),
+    ] {
+        let (good, said) = check(text);
+        assert!(!good && faults.iter().all(|f| said.contains(f)), "{text}: {said}");
+    }
+}
