--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -97,8 +97,6 @@
 
 fn play(mut stream: TcpStream, closed: &Sender<Instant>, written: &AtomicU64) -> Option<()> {
     stream.set_nodelay(true).ok()?;
-    // What lies in the server's own buffer has not been taken from it.
-    SockRef::from(&stream).set_send_buffer_size(16 << 10).ok()?;
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     while let Some(order) = request(&mut reader) {
         let mut words = order.split('-');
@@ -123,6 +121,8 @@
             }
             "flood" | "floodhidden" => {
                 let event = chunk(&event(4096));
+                // What lies in the server's own buffer has not been taken from it.
+                SockRef::from(&stream).set_send_buffer_size(16 << 10).ok()?;
                 while let Ok(n) = stream.write(event.as_bytes()) {
                     written.fetch_add(n as u64, Ordering::Relaxed);
                 }
