Record copies that began beside the stream that was passed on; measure lone events

Need: each scheduling that had begun is owed a record, also a second copy of which nothing reached the client; and tokens that come one by one had not been measured.

Change: a begun copy has a course of its own, which ends with its scheduling or the request. A test with a silent real server beside a good one; Ctrl-C ends the demo in its test; the bench has a 'paced' part.

--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -1,12 +1,13 @@
 //! Measures what passing streams costs, on loopback: `cargo run --release --example stream_bench -- [WHAT] [PROGRAM]`.
 //!
-//! WHAT is `stop`, `paused`, `pass`, `pauses` or `all`. PROGRAM is the gateway's binary, by default the release
+//! WHAT is `stop`, `paused`, `pass`, `paced`, `pauses` or `all`. PROGRAM is the gateway's binary, by default the release
 //! build; an older build may be named to set the two side by side. Each run is bounded in count and time.
 //!
 //! - `stop`: from a break to the real server's connection being closed, 1,000 breaks of each kind, with 10, 100
 //!   and 500 other streams open.
 //! - `paused`: memory of the process, and bytes taken from the servers, for each paused reader of a flood.
 //! - `pass`: CPU for each MiB and each event, beside a plain copy between two sockets in the same run.
+//! - `paced`: CPU for each event where events come one by one.
 //! - `pauses`: good streams lost to flat and to pace-following limits on silence, under servers that pause.
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -37,6 +38,9 @@
     if is("pass") {
         pass(program);
     }
+    if is("paced") {
+        paced(program);
+    }
     if is("stop") {
         stop(program);
     }
@@ -105,6 +109,18 @@
         let first = chunk(&event(120));
         stream.write_all((HEAD.to_owned() + &first).as_bytes()).ok()?;
         let told = match kind {
+            // So many events of that size, one each millisecond, then the end.
+            "paced" => {
+                let (size, count) = (number(), number());
+                let event = chunk(&event(size));
+                for _ in 0..count {
+                    stream.write_all(event.as_bytes()).ok()?;
+                    thread::sleep(Duration::from_millis(1));
+                }
+                let end = chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+                stream.write_all(end.as_bytes()).ok()?;
+                continue;
+            }
             // So many events of that size, then the end.
             "send" => {
                 let (size, count) = (number(), number());
@@ -451,6 +467,30 @@
     }
 }
 
+fn paced(program: &str) {
+    println!(
+        "paced: CPU of the gateway for events of 120 bytes that come one by one, on 16 streams at once"
+    );
+    println!("| events | µs for each event | plain copy, µs for each event |");
+    println!("| --- | --- | --- |");
+    let (tell, _closed) = channel();
+    let addr = server(tell, Arc::default());
+    let gateway = Gateway::start(program, &[addr], 192);
+    let (streams, count) = (16, 3_000);
+    let order = format!("paced-120-{count}");
+    let before = gateway.cpu();
+    let asked: Vec<TcpStream> = (0..streams).map(|_| gateway.ask(&order)).collect();
+    let readers: Vec<_> = asked.into_iter().map(|mut s| thread::spawn(move || drain(&mut s))).collect();
+    for reader in readers {
+        reader.join().expect("a reader");
+    }
+    let took = gateway.cpu() - before;
+    let plain = copied(addr, &order);
+    let each = |t: Duration, n: u32| t.as_secs_f64() * 1e6 / f64::from(n);
+    let all = streams * count;
+    println!("| {all} | {:.1} | {:.1} |", each(took, all), each(plain, count));
+}
+
 /// Good streams that a limit on silence would cut, in virtual time: tokens every 15 to 30 ms, and now and then
 /// a pause of 200 to 600 ms, or rarely one of up to `longest`.
 fn pauses() {
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -1,5 +1,6 @@
 //! The life of one request, from its admission to its one final answer.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -166,6 +167,8 @@
     let mut answer = client.begin();
     course.queued(engine.now(), answer.put(events));
     arrival.enter(engine, &mut course);
+    // Copies that began beside it: nothing of them is passed on, but each has its record.
+    let mut copies: BTreeMap<u32, (ReplicaId, Course)> = BTreeMap::new();
     let mut turn = 0;
     let act = loop {
         let now = engine.now();
@@ -232,6 +235,10 @@
                 };
                 let end = ending.end;
                 held.outcome(n, ending, n == number);
+                if let Some((server, mut copy)) = copies.remove(&n) {
+                    copy.server_ended(engine.now(), end);
+                    engine.record_copy(held.id.0, ask, &server, &mut copy);
+                }
                 if n == number {
                     // Its connection is free or closed: that the client still takes what waits costs no real
                     // server anything.
@@ -240,9 +247,21 @@
                     course.server_ended(now, end);
                 }
             }
-            Next::Step(..) => {}
+            Next::Step(n, Step::Events(_, arrival) | Step::Bytes(arrival)) => {
+                if let Some(scheduling) = out.iter().find(|s| s.number == n) {
+                    let begin = || {
+                        let course = Course::new(engine.now(), held.elapsed(n), &limits);
+                        (scheduling.server.clone(), course)
+                    };
+                    arrival.enter(engine, &mut copies.entry(n).or_insert_with(begin).1);
+                }
+            }
             Next::Order(Order::Cancel(n)) => {
                 out.retain(|s| s.number != n);
+                if let Some((server, mut copy)) = copies.remove(&n) {
+                    copy.cancel(engine.now());
+                    engine.record_copy(held.id.0, ask, &server, &mut copy);
+                }
                 if n == number {
                     course.cancel(engine.now());
                 } else {
@@ -259,6 +278,10 @@
     if let Some(outcome) = &outcome {
         engine.record(held.id.0, ask, &server, outcome);
     }
+    for (server, mut copy) in copies.into_values() {
+        copy.cancel(engine.now());
+        engine.record_copy(held.id.0, ask, &server, &mut copy);
+    }
     drop((ticket, held));
     match (act, outcome) {
         (Act::Finish, _) => answer.finish(),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -358,6 +358,11 @@
         elapsed
     }
 
+    /// How long ago a scheduling that is out was ordered.
+    fn elapsed(&self, number: u32) -> Nanos {
+        self.out.get(&number).map_or(0, |(sent, _)| self.engine.now().saturating_sub(*sent))
+    }
+
     /// A scheduling has ended, and with it the request if `ended`.
     pub fn outcome(&mut self, number: u32, ending: Ending, ended: bool) {
         let Some((sent, _)) = self.out.remove(&number) else { return };
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -11,7 +11,7 @@
 
 use super::{Ask, Engine};
 use crate::limits::Limits;
-use crate::stream::{Account, Budget, Cause, Change, Ledger, Outcome, Standing};
+use crate::stream::{Account, Budget, Cause, Change, Course, Ledger, Outcome, Standing};
 use crate::types::{ListKind, Member, Nanos, Phase, ReplicaId};
 
 pub(super) struct Streams {
@@ -167,6 +167,17 @@
         }
     }
 
+    /// The same for a copy that began beside the stream that was passed on.
+    pub(super) fn record_copy(&self, id: u64, ask: &Ask, server: &ReplicaId, copy: &mut Course) {
+        let now = self.now();
+        // What ended by itself comes to its outcome only when it is asked.
+        copy.poll(now);
+        copy.stopped(now);
+        if let Some(outcome) = copy.outcome() {
+            self.record(id, ask, server, &outcome);
+        }
+    }
+
     pub(super) fn ticket(&self) -> Ticket {
         Ticket { account: self.streams.borrow_mut().budget.open(), engine: self.clone() }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -360,8 +360,12 @@
         let mut more = more.as_object().expect("an object").clone();
         // Not a setting of the program's own: how much memory the platform says there is.
         let memory = more.remove("memory_mb").unwrap_or(json!(192));
+        // Nor is this: whether a second copy may be sent beside the first, which then is not called off.
+        let copies = more.remove("copies").is_some();
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
+        config["settings"]["policy-limits"]["second-copies"] = copies.into();
+        config["settings"]["policy-limits"]["cancel"] = (!copies).into();
         let file = |name: &str, text: String| {
             let path = format!("{}/{}-{number}-{name}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
             std::fs::write(&path, text).expect("written");
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -340,8 +340,10 @@
         assert!(answer.contains("heard: ") && answer.contains("gate?"), "{answer}");
         assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
     }
-    child.kill().expect("it runs");
-    child.wait().expect("it ends");
+    // Ctrl-C ends it.
+    let kill = Command::new("kill").arg("-INT").arg(child.id().to_string()).status();
+    assert!(kill.expect("kill runs").success());
+    assert_eq!(child.wait().expect("it ends").code(), Some(0));
 }
 
 #[test]
@@ -412,3 +414,31 @@
     }
     eventually(|| gateway.logged(" server-back ") > 0);
 }
+
+#[test]
+fn of_two_copies_the_one_that_stalls_neither_reaches_the_client_nor_ends_its_stream() {
+    let good = server("platform", Manner::Serve);
+    // Holds its requests without a word, until it is left.
+    let held = Arc::new(AtomicUsize::new(0));
+    let holds = held.clone();
+    let (silent, closed) = scripted(move |_, _| holds.fetch_add(1, Ordering::SeqCst) < usize::MAX);
+    let entries = vec![entry(0, &good, "ready", 0), entry(1, &silent, "ready", 0)];
+    let more = json!({"copies": true, "streams": {"silence": "1m"}});
+    let (mut child, discovery) = Gateway::spawn("n0", "platform", entries, 3, (1024, 1024), more);
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let gateway = Gateway::with(child, discovery, log.lines().map_while(Result::ok));
+    let asked = 24;
+    let readers: Vec<_> = (1..=asked)
+        .map(|n| {
+            let stream = gateway.send("platform", "plain", 9000, n);
+            thread::spawn(move || seen("platform", stream).0)
+        })
+        .collect();
+    let seen: Vec<Seen> = readers.into_iter().map(|r| r.join().expect("a reader")).collect();
+    let served = seen.iter().filter(|s| **s == Seen::Served("Hello".into())).count();
+    assert!(seen.iter().all(|s| !matches!(s, Seen::Broken(_))), "{seen:?}");
+    // Some that the silent one held were served by a copy, and its connection closed with the request.
+    assert_eq!(good.requests.load(Ordering::SeqCst), served);
+    assert!(served + held.load(Ordering::SeqCst) > asked, "no copy was sent at all");
+    closed.recv_timeout(FOREVER).expect("the copy's connection closes");
+}
