Tell the module of begun copies as called off, and give others their turn beside them

A copy that had begun beside the served stream was told to the module as timed out when the request ended after its time-out, which counts against a real server that did answer. An order to call the served scheduling off left its outcome to the drop, which could call it timed out too. A flooding copy took no turns.

Change: both are told as cancelled, always; a copy's bytes count towards the turn. The pause between looks at rests and figures stands in Limits; 'check' says in its help that it names the first fault, as it does.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -37,7 +37,7 @@
 enum Command {
     /// Serve until SIGTERM or Ctrl-C; SIGHUP reads the files again
     Serve(Files),
-    /// Read a settings file, say all that is wrong with it, and start nothing; the exit status is 0 if it is good
+    /// Check a settings file as a start would, name the first fault, and start nothing; exit status 0 if it is good
     Check {
         /// The settings file, HCL
         file: String,
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -248,6 +248,7 @@
                 }
             }
             Next::Step(n, Step::Events(_, arrival) | Step::Bytes(arrival)) => {
+                turn += arrival.bytes;
                 if let Some(scheduling) = out.iter().find(|s| s.number == n) {
                     let begin = || {
                         let course = Course::new(engine.now(), held.elapsed(n), &limits);
@@ -262,10 +263,9 @@
                     copy.cancel(engine.now());
                     engine.record_copy(held.id.0, ask, &server, &mut copy);
                 }
+                held.outcome(n, Verdict::Cancelled.into(), n == number);
                 if n == number {
                     course.cancel(engine.now());
-                } else {
-                    held.outcome(n, Verdict::Cancelled.into(), false);
                 }
             }
             // Nothing else is meant for what has begun.
@@ -278,7 +278,9 @@
     if let Some(outcome) = &outcome {
         engine.record(held.id.0, ask, &server, outcome);
     }
-    for (server, mut copy) in copies.into_values() {
+    for (n, (server, mut copy)) in copies {
+        // Guards against a time-out told of a copy that did answer: it is called off, however long it was out.
+        held.outcome(n, Verdict::Cancelled.into(), false);
         copy.cancel(engine.now());
         engine.record_copy(held.id.0, ask, &server, &mut copy);
     }
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -133,8 +133,7 @@
                 }
                 figures_at.get_or_insert(now.saturating_add(every.as_nanos() as Nanos));
             }
-            let pause = Duration::from_millis(250);
-            Timer::after(pause).await;
+            Timer::after(self.limits.look).await;
         }
     }
 
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -186,6 +186,8 @@
     pub stop: Duration,
     /// Pause between two snapshots of the figures in the log; none: only at the end.
     pub figures_every: Option<Duration>,
+    /// How often rests that are over and figures that are due are looked for.
+    pub look: Duration,
     /// Bytes read by one stream before others have their turn.
     pub turn: usize,
 }
@@ -214,6 +216,7 @@
             // A planned stop kills no sooner than 3.7 s after its SIGTERM.
             stop: Duration::from_millis(3550),
             figures_every: None,
+            look: Duration::from_millis(250),
             turn: 32 << 10,
         }
     }
--- a/src/stream/mod.rs
+++ b/src/stream/mod.rs
@@ -14,6 +14,6 @@
 
 pub use budget::{Account, Budget};
 pub use course::{Act, Course, End, Leaving, Phase};
-pub use ledger::Ledger;
+pub use ledger::{Figures, Ledger};
 pub use outcome::{Cause, Outcome, Side};
 pub use standing::{Change, Standing};
