Keep the toys of the demo and the examples in one place

Need: the toy real server and the reading of a request stood in the demo, in the example and in the bench.

Change: src/toys.rs has both once.

--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -25,6 +25,7 @@
 
 use tulipridge::limits::Limits;
 use tulipridge::stream::{Act, Course, End};
+use tulipridge::toys;
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -65,24 +66,8 @@
 
 /// Reads a request; its path tells the server what to do.
 fn request(reader: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut first, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        if line.trim_end().is_empty() {
-            break;
-        }
-        if let Some(n) = line.to_ascii_lowercase().strip_prefix("content-length:") {
-            length = n.trim().parse().ok()?;
-        }
-        if first.is_empty() {
-            first = line;
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some(first.split('?').nth(1)?.split(' ').next()?.to_owned())
+    let (head, _) = toys::request(reader)?;
+    Some(head.lines().next()?.split('?').nth(1)?.split(' ').next()?.to_owned())
 }
 
 /// A real server: the request's query says what it plays. `closed` hears when a connection was closed, and
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -3,12 +3,14 @@
 //! The servers speak the platform's dialect and answer every question with its own last words. The discovery
 //! says each line that is typed here, so that changes can be tried out: `drain s-1`, `ready s-1`, `gone s-1`.
 
-use std::io::{BufRead, BufReader, Read, Write, stdin};
-use std::net::{TcpListener, TcpStream};
+use std::io::{Write, stdin};
+use std::net::TcpListener;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::Duration;
 
+use tulipridge::toys;
+
 const SERVERS: [(&str, &str); 2] = [("s-1", "127.0.0.1:9001"), ("s-2", "127.0.0.1:9002")];
 const DISCOVERY: &str = "127.0.0.1:9000";
 
@@ -18,7 +20,7 @@
         println!("{id} listens on {addr}");
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                thread::spawn(move || serve(id, stream));
+                thread::spawn(move || toys::converse(id, stream));
             }
         });
     }
@@ -40,60 +42,6 @@
     }
 }
 
-/// Reads a request's head and body.
-fn request(reader: &mut BufReader<TcpStream>) -> Option<(String, String)> {
-    let (mut head, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        if line.trim_end().is_empty() {
-            break;
-        }
-        if let Some((name, value)) = line.split_once(':')
-            && name.eq_ignore_ascii_case("content-length")
-        {
-            length = value.trim().parse().ok()?;
-        }
-        head.push_str(&line);
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some((head, String::from_utf8_lossy(&body).into_owned()))
-}
-
-fn serve(id: &str, mut stream: TcpStream) -> Option<()> {
-    let mut reader = BufReader::new(stream.try_clone().ok()?);
-    while let Some((head, body)) = request(&mut reader) {
-        println!("{id}: {}", head.lines().next().unwrap_or_default());
-        let body: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
-        let turn = body["messages"].as_array().and_then(|m| m.last()).map(|t| t["content"].clone());
-        let words = turn.and_then(|c| c.as_str().map(str::to_owned)).unwrap_or_default();
-        stream
-            .write_all(
-                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            )
-            .ok()?;
-        let mut say = |data: String| {
-            let event = format!("data: {data}\n\n");
-            write!(stream, "{:x}\r\n{event}\r\n", event.len())
-        };
-        for word in format!("{id} heard: {words}").split_inclusive(' ') {
-            let choice = serde_json::json!({"index": 0, "delta": {"content": word}, "finish_reason": null});
-            say(serde_json::json!({"choices": [choice]}).to_string()).ok()?;
-            thread::sleep(Duration::from_millis(60));
-        }
-        let stop = serde_json::json!({"index": 0, "delta": {}, "finish_reason": "stop"});
-        say(serde_json::json!({"choices": [stop]}).to_string()).ok()?;
-        let usage = serde_json::json!({"prompt_tokens": words.len() / 4, "completion_tokens": 8});
-        say(serde_json::json!({"choices": [], "usage": usage}).to_string()).ok()?;
-        say("[DONE]".to_owned()).ok()?;
-        stream.write_all(b"0\r\n\r\n").ok()?;
-    }
-    Some(())
-}
-
 fn entry(id: &str, state: &str) -> serde_json::Value {
     let addr = SERVERS.iter().find(|(name, _)| *name == id).map_or("", |(_, addr)| addr);
     serde_json::json!({"id": id, "addr": addr, "zone": "a", "kind": "toy", "cell": 0, "state": state,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod store;
 pub mod stream;
 pub mod syslog;
+pub mod toys;
 pub mod types;
 
 pub use choice::Gateway;
