Have streams hear of the budget's cut and the program's stop when nothing else happens

Need: the budget's cut was tested in its module alone. Played through the program, 96 paused readers held 970,843 bytes of a budget of 65,536 and none was cut: the waker woke the stream's task, but nothing in its wait was ready, so it waited on. A stream that stood still heard of SIGTERM as little.

Change: the wait itself asks whether the stream was named to go or the stop has come and it has not heard of it.

--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -189,7 +189,9 @@
             future::yield_now().await;
         }
         let next = future::poll_fn(|cx| {
-            ticket.listen(cx);
+            if ticket.poll_called(cx).is_ready() {
+                return Poll::Ready(Next::Due);
+            }
             if let Poll::Ready(order) = held.poll_order(cx) {
                 return Poll::Ready(Next::Order(order));
             }
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -1,6 +1,7 @@
 //! What the engine keeps for all streams that are passed on: the budget, the record and the standing of real
 //! servers, with the wakers and the timers that these modules do without.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
@@ -178,7 +179,8 @@
     }
 
     pub(super) fn ticket(&self) -> Ticket {
-        Ticket { account: self.streams.borrow_mut().budget.open(), engine: self.clone() }
+        let account = self.streams.borrow_mut().budget.open();
+        Ticket { account, engine: self.clone(), stop_told: Cell::new(false) }
     }
 }
 
@@ -201,6 +203,8 @@
 pub(super) struct Ticket {
     account: Account,
     engine: Engine,
+    /// The stream has heard of the program's stop.
+    stop_told: Cell<bool>,
 }
 
 impl Ticket {
@@ -224,16 +228,23 @@
 
     /// When the program's stop cuts it.
     pub(super) fn stop_at(&self) -> Option<Nanos> {
-        self.engine.streams.borrow().stop_at
+        let at = self.engine.streams.borrow().stop_at;
+        self.stop_told.set(at.is_some());
+        at
     }
 
-    /// Has the task woken when it is to go or the program stops.
-    pub(super) fn listen(&self, cx: &Context<'_>) {
-        let wakers = &mut self.engine.streams.borrow_mut().wakers;
-        match wakers.get_mut(&self.account) {
+    /// Ready when it was named to go, or the program's stop has come and it has not heard of it.
+    pub(super) fn poll_called(&self, cx: &Context<'_>) -> Poll<()> {
+        let streams = &mut *self.engine.streams.borrow_mut();
+        // Guards against a stream on which nothing else happens: being woken alone ends no waiting.
+        if streams.evicted.contains(&self.account) || streams.stop_at.is_some() && !self.stop_told.get() {
+            return Poll::Ready(());
+        }
+        match streams.wakers.get_mut(&self.account) {
             Some(waker) => waker.clone_from(cx.waker()),
-            None => drop(wakers.insert(self.account, cx.waker().clone())),
+            None => drop(streams.wakers.insert(self.account, cx.waker().clone())),
         }
+        Poll::Pending
     }
 }
 
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -442,3 +442,67 @@
     assert!(served + held.load(Ordering::SeqCst) > asked, "no copy was sent at all");
     closed.recv_timeout(FOREVER).expect("the copy's connection closes");
 }
+
+#[test]
+fn where_memory_is_short_the_paused_are_cut_and_who_reads_is_served() {
+    let events = 512;
+    let (server, closed) = scripted(move |stream, number| {
+        if number < 96 {
+            say(stream, HEAD);
+            flood(stream);
+            return true;
+        }
+        let event = chunk(&text("platform", &"x".repeat(4000)));
+        say(stream, HEAD)
+            && (0..events).all(|_| say(stream, &event))
+            && say(stream, &(chunk(&closing("platform")) + "0\r\n\r\n"))
+    });
+    // Streams that hold least go on reading until each has a part of an event in line: that many do not fit.
+    let limits = json!({"streams": {"budget": "64KiB", "window": "16KiB", "reader_span": "1m"}});
+    let gateway = gateway("platform", &server, limits);
+    let paused: Vec<TcpStream> = (0..96)
+        .map(|n| {
+            let mut stream = gateway.send("platform", "plain", 9000, n + 1);
+            begun(&mut stream);
+            stream
+        })
+        .collect();
+    closed.recv_timeout(FOREVER).expect("one of the paused is cut");
+    let (seen, _) = gateway.ask("platform", "plain", 9000, 999);
+    let Seen::Served(words) = seen else { panic!("{seen:?}") };
+    assert_eq!(words.len(), events * 4000);
+    let cut = gateway.logged("cause=\"budget\"");
+    assert!((1..96).contains(&cut), "{cut} were cut");
+    assert_eq!(gateway.logged("cause=\"budget\" side=\"Gateway\""), cut);
+    drop(paused);
+}
+
+#[test]
+fn a_stop_cuts_what_stands_still_in_time_and_the_program_ends_well() {
+    let (server, closed) = scripted(|stream, number| {
+        say(stream, &(HEAD.to_owned() + &chunk(&text("platform", "Hel"))));
+        if number == 0 {
+            flood(stream);
+        }
+        true
+    });
+    // Neither the silent server nor the reader that pauses would end its stream in time.
+    let limits = json!({"streams": {"silence": "10m", "reader_span": "10m", "stop_within": "1s"}});
+    let mut gateway = gateway("platform", &server, limits);
+    let clients: Vec<TcpStream> = (0..2)
+        .map(|n| {
+            let mut client = gateway.send("platform", "plain", 9000, n + 1);
+            begun(&mut client);
+            client
+        })
+        .collect();
+    let from = Instant::now();
+    assert_eq!(gateway.stop(), Some(0));
+    assert!(from.elapsed() < FOREVER);
+    for _ in 0..2 {
+        closed.recv_timeout(FOREVER).expect("the server's connection closes");
+    }
+    // One record each, and the figures of both.
+    ended_by(&gateway, "shutdown", 2 + 1);
+    drop(clients);
+}
