--- a/src/choice.rs
+++ b/src/choice.rs
@@ -783,8 +783,11 @@
 
     fn overdue(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         // Guards against a request without an answer: held ones and lost outcomes end here.
-        if self.live.get(&id).is_some_and(Live::waits) {
-            self.finish(id, Some(Action::Fail(id)), actions);
+        match self.live.get(&id).filter(|l| l.waits()).map(|l| l.first_run().is_none()) {
+            // Nobody has run it, or is about to: that is a refusal, however late it comes.
+            Some(true) => self.give_up(id, actions),
+            Some(false) => self.finish(id, Some(Action::Fail(id)), actions),
+            None => {}
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,10 +5,12 @@
 
 use base64::Engine as _;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 use tulipridge::config::{Config, Sources};
+use tulipridge::conformance;
 use tulipridge::front::messages::keys;
+use tulipridge::names::Dialect;
 use tulipridge::settings::Settings;
 
 use crate::{demo, serve};
@@ -36,6 +38,22 @@
     settings: Option<String>,
 }
 
+/// A dialect, as the command line names it.
+#[derive(Clone, Copy, ValueEnum)]
+enum Speaks {
+    Platform,
+    Messages,
+}
+
+impl From<Speaks> for Dialect {
+    fn from(speaks: Speaks) -> Dialect {
+        match speaks {
+            Speaks::Platform => Dialect::Platform,
+            Speaks::Messages => Dialect::Messages,
+        }
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Serve until SIGTERM or Ctrl-C; SIGHUP reads the files again
@@ -48,6 +66,28 @@
         #[arg(long, value_name = "FILE")]
         config: Option<String>,
     },
+    /// Run the conformance suite: by itself over all pairings of fronts and real servers, or against a gateway that
+    /// is up; exit status 0 if all that was run holds
+    Conformance {
+        /// The front of a gateway that is up, whose real servers are this suite's stand-ins
+        #[arg(long, value_name = "ADDRESS", requires = "front", requires = "servers")]
+        against: Option<SocketAddr>,
+        /// That front's dialect
+        #[arg(long, value_enum)]
+        front: Option<Speaks>,
+        /// The dialect of the real servers behind it
+        #[arg(long, value_enum)]
+        servers: Option<Speaks>,
+        /// Bring up the stand-ins for such a gateway, with discovery at this port, until Ctrl-C
+        #[arg(long, value_name = "PORT", requires = "servers", conflicts_with = "against")]
+        stand_in: Option<u16>,
+        /// Run only cases whose names hold this
+        #[arg(long, value_name = "WORD")]
+        only: Option<String>,
+        /// Write the report as JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Make a key for a client of the messages front, and the line that the settings hold of it
     Key {
         /// The key's name in the settings
@@ -102,6 +142,34 @@
                 },
             }
         }
+        Command::Conformance { against, front, servers, stand_in, only, json } => {
+            let mut cases = match conformance::cases() {
+                Ok(cases) => cases,
+                Err(what) => return fault(&what),
+            };
+            cases.retain(|c| only.as_ref().is_none_or(|word| c.name.contains(word)));
+            if cases.is_empty() {
+                return fault("--only: no case has such a name");
+            }
+            if let (Some(port), Some(servers)) = (stand_in, servers) {
+                return conformance_stand_in(servers.into(), &cases, port);
+            }
+            let report = match (against, front, servers) {
+                (Some(addr), Some(front), Some(servers)) => {
+                    Ok(conformance::against(&cases, (front.into(), servers.into()), addr))
+                }
+                _ => std::env::current_exe().and_then(|program| {
+                    conformance::everywhere(&cases, &program, &std::env::temp_dir(), 16)
+                }),
+            };
+            match report {
+                Ok(report) => {
+                    print!("{}", if json { report.json() + "\n" } else { report.text() });
+                    if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+                }
+                Err(e) => fault(&format!("conformance: {e}")),
+            }
+        }
         Command::Key { name, tenant, read } => key(&name, tenant.as_deref(), read),
         Command::Demo { port } => {
             let next = if port == 0 { Some(0) } else { port.checked_add(1) };
@@ -114,6 +182,21 @@
     }
 }
 
+/// Serves the stand-ins until it is ended, having printed what a gateway needs for them.
+fn conformance_stand_in(servers: Dialect, cases: &[conformance::case::Case], port: u16) -> ExitCode {
+    let fleet = conformance::case::Fleet::Shared;
+    match conformance::stand_in::StandIns::start(servers, fleet, cases, port) {
+        Ok(stand_ins) => {
+            println!("# a gateway's configuration (--config):\n{}", conformance::config(&stand_ins));
+            println!("# its settings (--settings):\n{}", conformance::settings(servers));
+            loop {
+                std::thread::park();
+            }
+        }
+        Err(e) => fault(&format!("conformance: discovery at port {port}: {e}")),
+    }
+}
+
 /// Prints a key, and what the settings hold of it.
 fn key(name: &str, tenant: Option<&str>, read: bool) -> ExitCode {
     let key = if read {
--- /dev/null
+++ b/src/conformance/case.rs
@@ -0,0 +1,307 @@
+//! Cases as data: what a client asks, what the real server does, and what the client must see.
+//!
+//! A case file is made of lines; `#` begins a comment, an indented line goes on with the case above it:
+//!
+//! ```text
+//! case a-tool-call
+//!   ask user "Which gate?"
+//!   ask tool find {"type": "object"}
+//!   serve call 0 c1 find
+//!   serve args 0 "{\"gate\": \"A1\"}"
+//!   serve end tools
+//!   see call find {"gate": "A1"}
+//!   see stop tools
+//!   outcome served
+//!   schedulings 1
+//! ```
+//!
+//! Words stand for themselves, texts are JSON strings, and a JSON value runs to the end of its line. `then` begins
+//! what the next scheduling meets; the last one repeats.
+
+use winnow::Parser;
+use winnow::ascii::{line_ending, space0, space1};
+use winnow::combinator::{alt, eof, opt, preceded, repeat, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::token::{rest, take_till, take_while};
+
+use crate::names::Dialect;
+
+/// One case.
+#[derive(Clone, Debug, Default)]
+pub struct Case {
+    /// Its name.
+    pub name: String,
+    /// Where it stands: file and line.
+    pub place: (String, usize),
+    /// The fronts that it is for; none: all.
+    pub fronts: Vec<Dialect>,
+    /// The real servers' dialects that it is for; none: all.
+    pub servers: Vec<Dialect>,
+    /// The real servers that are there.
+    pub fleet: Fleet,
+    /// What the client asks.
+    pub ask: Vec<Words>,
+    /// What each scheduling meets.
+    pub serve: Vec<Vec<Words>>,
+    /// What the client must see, and on which front that holds.
+    pub see: Vec<(Option<Dialect>, Words)>,
+    /// What becomes of the request.
+    pub outcome: Outcome,
+    /// How many schedulings reach a real server.
+    pub schedulings: Option<usize>,
+}
+
+/// The real servers of a case.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fleet {
+    /// Three, shared with other cases.
+    #[default]
+    Shared,
+    /// Three of its own.
+    Own,
+    /// One of its own.
+    One,
+    /// Two of its own, of which one takes no connection.
+    Dead,
+    /// Three of its own, of which one has just started and would fall over.
+    Cold,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is served whole.
+    #[default]
+    Served,
+    /// Its stream ends before it is whole.
+    Broken,
+    /// It is turned down; a new try does no harm.
+    TurnedDown,
+    /// It fails.
+    Failed,
+    /// It is held for wrong.
+    Refused,
+}
+
+/// A keyword and what follows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Words {
+    /// The keyword.
+    pub word: String,
+    /// The rest.
+    pub rest: Vec<Word>,
+}
+
+/// A part of a line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// A plain word.
+    Plain(String),
+    /// A text, as the JSON string that it is written as.
+    Text(String),
+    /// A JSON value that is no text.
+    Json(String),
+}
+
+impl Word {
+    /// Its characters, in whichever form it was written.
+    pub fn text(&self) -> String {
+        match self {
+            Word::Text(json) => serde_json::from_str(json).unwrap_or_else(|_| json.clone()),
+            Word::Plain(text) | Word::Json(text) => text.clone(),
+        }
+    }
+
+    /// The JSON that stands for it.
+    pub fn json(&self) -> String {
+        match self {
+            Word::Text(json) | Word::Json(json) => json.clone(),
+            Word::Plain(text) if matches!(text.as_str(), "true" | "false" | "null") => text.clone(),
+            Word::Plain(text) if text.parse::<f64>().is_ok() => text.clone(),
+            Word::Plain(text) => serde_json::Value::from(text.as_str()).to_string(),
+        }
+    }
+}
+
+impl Words {
+    /// The text of its nth part; empty if there is none.
+    pub fn at(&self, n: usize) -> String {
+        self.rest.get(n).map(Word::text).unwrap_or_default()
+    }
+
+    /// The JSON of its nth part.
+    pub fn json(&self, n: usize) -> String {
+        self.rest.get(n).map_or_else(|| "null".into(), Word::json)
+    }
+
+    /// The number of its nth part; 0 if it is none.
+    pub fn number(&self, n: usize) -> u64 {
+        self.at(n).parse().unwrap_or(0)
+    }
+}
+
+type Fault = ErrMode<ContextError>;
+
+fn plain<'s>(input: &mut &'s str) -> Result<&'s str, Fault> {
+    take_while(1.., |c: char| !c.is_whitespace() && !matches!(c, '"' | '{' | '[')).parse_next(input)
+}
+
+fn quoted<'s>(input: &mut &'s str) -> Result<&'s str, Fault> {
+    let inside = repeat::<_, _, (), _, _>(
+        0..,
+        alt((('\\', winnow::token::any).take(), take_while(1.., |c: char| c != '"' && c != '\\'))),
+    );
+    ('"', inside, '"').take().parse_next(input)
+}
+
+fn word(input: &mut &str) -> Result<Word, Fault> {
+    alt((
+        quoted.map(|text: &str| Word::Text(text.to_owned())),
+        plain.map(|text: &str| Word::Plain(text.to_owned())),
+        rest.verify(|text: &str| !text.is_empty()).map(|json: &str| Word::Json(json.trim().to_owned())),
+    ))
+    .parse_next(input)
+}
+
+fn words(input: &mut &str) -> Result<Vec<Word>, Fault> {
+    terminated(repeat(0.., preceded(space0, word)), (space0, eof)).parse_next(input)
+}
+
+/// A line's indentation and its characters.
+fn line<'s>(input: &mut &'s str) -> Result<(&'s str, &'s str), Fault> {
+    (space0, terminated(take_till(0.., ['\n', '\r']), opt(line_ending))).parse_next(input)
+}
+
+/// Reads a file; a fault names its line.
+pub fn parse(file: &str, text: &str) -> Result<Vec<Case>, String> {
+    let mut cases: Vec<Case> = Vec::new();
+    let mut input = text;
+    let mut number = 0;
+    while !input.is_empty() {
+        number += 1;
+        let fault = |what: &str| format!("{file}:{number}: {what}");
+        let (indent, line) = line(&mut input).map_err(|_| fault("no line"))?;
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let mut rest = line;
+        let head = plain(&mut rest).map_err(|_| fault("no keyword"))?;
+        if !rest.is_empty() && space1::<_, Fault>(&mut rest).is_err() {
+            return Err(fault("a blank is missing after the keyword"));
+        }
+        let words = words(&mut rest).map_err(|_| fault("not words, texts or a JSON value"))?;
+        for word in &words {
+            let good = match word {
+                // Texts may hold halves of a character, which only a reader of bytes takes.
+                Word::Text(json) => {
+                    serde_json::from_str::<crate::front::translate::words::Words>(json).is_ok()
+                }
+                Word::Json(json) => serde_json::from_str::<serde_json::Value>(json).is_ok(),
+                Word::Plain(_) => true,
+            };
+            if !good {
+                return Err(fault("not a JSON value"));
+            }
+        }
+        let place = (file.to_owned(), number);
+        if indent.is_empty() {
+            let [Word::Plain(name)] = &words[..] else { return Err(fault("a case's name is one word")) };
+            if head != "case" {
+                return Err(fault("only 'case' begins at a line's start"));
+            }
+            if cases.iter().any(|c| c.name == *name) {
+                return Err(fault("this name was given before"));
+            }
+            cases.push(Case { name: name.clone(), place, serve: vec![Vec::new()], ..Case::default() });
+            continue;
+        }
+        let case = cases.last_mut().ok_or_else(|| fault("no case to go on with"))?;
+        entry(case, head, words).map_err(|what| fault(&what))?;
+    }
+    Ok(cases)
+}
+
+fn entry(case: &mut Case, head: &str, rest: Vec<Word>) -> Result<(), String> {
+    let dialect = |word: &str| match word {
+        "messages" => Ok(Dialect::Messages),
+        "platform" => Ok(Dialect::Platform),
+        other => Err(format!("'{other}' is no dialect")),
+    };
+    let (head, only) = match head.split_once('@') {
+        Some((head, of)) => (head, Some(dialect(of)?)),
+        None => (head, None),
+    };
+    let first = rest.first().map(Word::text).unwrap_or_default();
+    let followed = |rest: Vec<Word>| -> Result<Words, String> {
+        let mut rest = rest.into_iter();
+        match rest.next() {
+            Some(Word::Plain(word)) => Ok(Words { word, rest: rest.collect() }),
+            _ => Err("a keyword has to follow".into()),
+        }
+    };
+    match head {
+        "fronts" => case.fronts.push(dialect(&first)?),
+        "servers" => case.servers.push(dialect(&first)?),
+        "fleet" => {
+            case.fleet = match first.as_str() {
+                "own" => Fleet::Own,
+                "one" => Fleet::One,
+                "dead" => Fleet::Dead,
+                "cold" => Fleet::Cold,
+                other => return Err(format!("'{other}' is no fleet")),
+            }
+        }
+        "ask" => case.ask.push(followed(rest)?),
+        "then" => case.serve.push(Vec::new()),
+        "serve" => {
+            let words = followed(rest)?;
+            case.serve.last_mut().ok_or("nothing to serve")?.push(words);
+        }
+        "see" => case.see.push((only, followed(rest)?)),
+        "schedulings" => case.schedulings = Some(first.parse().map_err(|_| "not a number")?),
+        "outcome" => {
+            case.outcome = match first.as_str() {
+                "served" => Outcome::Served,
+                "broken" => Outcome::Broken,
+                "turned-down" => Outcome::TurnedDown,
+                "failed" => Outcome::Failed,
+                "refused" => Outcome::Refused,
+                other => return Err(format!("'{other}' is no outcome")),
+            }
+        }
+        other => return Err(format!("'{other}' is no keyword")),
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_is_read_line_by_line_and_a_fault_names_its_line() {
+        let cases = parse(
+            "f",
+            "# c\ncase a\n  ask user \"x \\\"y\\\"\"\n  serve call 0 c1 find\n  then\n  serve end\n\
+            \n  see@messages usage 1 2 3\n  see call f {\"a\": [1]}\n  outcome broken\ncase b\n",
+        )
+        .expect("good");
+        assert_eq!((cases.len(), cases[0].place.1, cases[1].name.as_str()), (2, 2, "b"));
+        assert_eq!(cases[0].ask[0].at(0), "x \"y\"");
+        assert_eq!((cases[0].serve.len(), cases[0].serve[0][0].number(0)), (2, 0));
+        assert_eq!(cases[0].see[1].1.json(1), "{\"a\": [1]}");
+        assert_eq!(cases[0].outcome, Outcome::Broken);
+        for (text, told) in [
+            ("x a\n", "f:1: only"),
+            ("case a\n  odd\n", "f:2: 'odd' is no keyword"),
+            ("case a\n  outcome odd\n", "f:2: 'odd' is no outcome"),
+            ("case a\n  ask user \"x\n", "f:2: not"),
+            ("case a\n  see call f {\"a\"\n", "f:2: not a JSON value"),
+            ("  ask user x\n", "f:1: no case"),
+            ("case a\ncase a\n", "f:2: this name"),
+        ] {
+            let fault = parse("f", text).expect_err(text);
+            assert!(fault.starts_with(told), "{fault}");
+        }
+    }
+}
--- /dev/null
+++ b/src/conformance/client.rs
@@ -0,0 +1,406 @@
+//! The client's side of a case: its request in either front's dialect, and what came back.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::case::{Case, Outcome, Words};
+use crate::names::Dialect;
+
+/// Longer than any case takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a client saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// The status; 0 if there was no answer.
+    pub status: u16,
+    /// The headers, by names in small letters.
+    pub headers: BTreeMap<String, String>,
+    /// The body's characters.
+    pub raw: String,
+    /// The answer came to its end.
+    pub whole: bool,
+    /// Its text.
+    pub text: String,
+    /// Its uses of tools: names and inputs.
+    pub calls: Vec<(String, Value)>,
+    /// Why it stopped, in no dialect's words.
+    pub stop: String,
+    /// Tokens: of the prompt, kept of them, of the answer.
+    pub usage: (u64, u64, u64),
+    /// The type of the error that was told.
+    pub error: String,
+    /// What is wrong with the stream's form.
+    pub malformed: Option<String>,
+}
+
+/// The request's bytes.
+pub fn request(case: &Case, front: Dialect, model: &str, id: u64) -> Vec<u8> {
+    let messages = front == Dialect::Messages;
+    let mut target =
+        ("POST".to_owned(), if messages { "/v1/messages" } else { "/v1/chat/completions" }.to_owned());
+    let mut headers: Vec<(String, String)> = vec![("Host".into(), "app.svc".into())];
+    let mut class = "plain".to_owned();
+    let mut body = json!({"model": model, "max_tokens": 50, "stream": true});
+    let (mut turns, mut raw): (Vec<Value>, Option<String>) = (Vec::new(), None);
+    let value = |json: &str| serde_json::from_str::<Value>(json).unwrap_or_default();
+    for ask in &case.ask {
+        match ask.word.as_str() {
+            "user" | "assistant" => turns.push(json!({"role": ask.word, "content": ask.at(0)})),
+            "system" if messages => body["system"] = ask.at(0).into(),
+            "system" => turns.push(json!({"role": "system", "content": ask.at(0)})),
+            "image" => {
+                let data = "aGVsbG8h";
+                let image = if messages {
+                    json!({"type": "image", "source": {"type": "base64", "media_type": "image/png", "data": data}})
+                } else {
+                    json!({"type": "image_url", "image_url": {"url": format!("data:image/png;base64,{data}")}})
+                };
+                turns
+                    .push(json!({"role": "user", "content": [image, {"type": "text", "text": ask.at(0)}]}));
+            }
+            "tool" => {
+                let schema = value(&ask.json(1));
+                let tool = if messages {
+                    json!({"name": ask.at(0), "description": "d", "input_schema": schema})
+                } else {
+                    json!({"type": "function", "function": {"name": ask.at(0), "description": "d",
+                        "parameters": schema}})
+                };
+                if let Some(tools) = body["tools"].as_array_mut() {
+                    tools.push(tool);
+                } else {
+                    body["tools"] = json!([tool]);
+                }
+            }
+            "choose" => {
+                let word = ask.at(0);
+                body["tool_choice"] = match (word.as_str(), messages) {
+                    ("auto" | "none" | "any", true) => json!({"type": word}),
+                    ("any", false) => json!("required"),
+                    ("auto" | "none", false) => json!(word),
+                    (name, true) => json!({"type": "tool", "name": name}),
+                    (name, false) => json!({"type": "function", "function": {"name": name}}),
+                };
+            }
+            "use" => {
+                let input = value(&ask.json(2));
+                turns.push(if messages {
+                    json!({"role": "assistant", "content": [
+                        {"type": "tool_use", "id": ask.at(0), "name": ask.at(1), "input": input}]})
+                } else {
+                    json!({"role": "assistant", "content": null, "tool_calls": [{"id": ask.at(0),
+                        "type": "function", "function": {"name": ask.at(1), "arguments": input.to_string()}}]})
+                });
+            }
+            "result" => turns.push(if messages {
+                json!({"role": "user", "content": [
+                    {"type": "tool_result", "tool_use_id": ask.at(0), "content": ask.at(1)}]})
+            } else {
+                json!({"role": "tool", "tool_call_id": ask.at(0), "content": ask.at(1)})
+            }),
+            "stop" if messages => body["stop_sequences"] = json!([ask.at(0)]),
+            "stop" => body["stop"] = json!([ask.at(0)]),
+            "turns" => turns.extend(value(&ask.json(0)).as_array().cloned().unwrap_or_default()),
+            "field" => body[ask.at(0)] = value(&ask.json(1)),
+            "drop" => drop(body.as_object_mut().map(|b| b.remove(&ask.at(0)))),
+            "body" => raw = Some(ask.at(0)),
+            "whole" => body["stream"] = false.into(),
+            "class" => class = ask.at(0),
+            "header" => headers.push((ask.at(0), ask.at(1))),
+            "path" => target = (ask.at(0), ask.at(1)),
+            _ => {}
+        }
+    }
+    if body.get("messages").is_none() {
+        if turns.iter().all(|t| t["role"] == "system") {
+            turns.push(json!({"role": "user", "content": "Which gate?"}));
+        }
+        body["messages"] = turns.into();
+    }
+    // Keys that were dropped stay away.
+    for ask in case.ask.iter().filter(|a| a.word == "drop") {
+        body.as_object_mut().map(|b| b.remove(&ask.at(0)));
+    }
+    for (name, value) in
+        [("X-Request-Id", format!("{id:016x}")), ("X-Class", class), ("X-Key", format!("{id:x}"))]
+    {
+        if !headers.iter().any(|(given, _)| given.eq_ignore_ascii_case(name)) {
+            headers.push((name.into(), value));
+        }
+    }
+    let body = match raw {
+        Some(raw) => raw.replace("$MODEL", model),
+        None if target.0 == "POST" => body.to_string(),
+        None => String::new(),
+    };
+    let mut text = format!("{} {} HTTP/1.1\r\n", target.0, target.1.replace("$MODEL", model));
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    format!("{text}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Sends a request and reads its answer.
+pub fn ask(addr: SocketAddr, front: Dialect, request: &[u8]) -> io::Result<Seen> {
+    let mut stream = TcpStream::connect_timeout(&addr, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(request)?;
+    let bare = request.starts_with(b"HEAD ");
+    let mut reader = BufReader::new(stream);
+    let mut seen = Seen::default();
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    seen.status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 || line.trim_end().is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            seen.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+    }
+    let mut bytes = Vec::new();
+    let length = seen.headers.get("content-length").and_then(|l| l.parse::<usize>().ok());
+    match length {
+        _ if bare || seen.status == 204 => seen.whole = true,
+        Some(length) => {
+            bytes.resize(length, 0);
+            seen.whole = reader.read_exact(&mut bytes).is_ok();
+        }
+        None => seen.whole = chunks(&mut reader, &mut bytes),
+    }
+    seen.raw = String::from_utf8_lossy(&bytes).into_owned();
+    let streamed = seen.headers.get("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
+    match (streamed, front) {
+        (true, Dialect::Messages) => seen.messages_stream(),
+        (true, Dialect::Platform) => seen.platform_stream(),
+        (false, _) => seen.value(),
+    }
+    Ok(seen)
+}
+
+/// Reads chunks; whether the last one came.
+fn chunks(reader: &mut impl BufRead, bytes: &mut Vec<u8>) -> bool {
+    loop {
+        let mut size = String::new();
+        if !reader.read_line(&mut size).is_ok_and(|n| n > 0) {
+            return false;
+        }
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else { return false };
+        let mut chunk = vec![0; size + 2];
+        if reader.read_exact(&mut chunk).is_err() {
+            return false;
+        }
+        if size == 0 {
+            return true;
+        }
+        bytes.extend_from_slice(&chunk[..size]);
+    }
+}
+
+/// The neutral word for why an answer stopped.
+fn stop_word(reason: &str) -> &str {
+    match reason {
+        "end_turn" | "stop" => "done",
+        "stop_sequence" => "sequence",
+        "max_tokens" | "length" => "length",
+        "tool_use" | "tool_calls" => "tools",
+        "refusal" | "content_filter" => "refused",
+        other => other,
+    }
+}
+
+impl Seen {
+    /// What became of the request.
+    pub fn outcome(&self) -> Outcome {
+        match self.status {
+            200 | 204 if self.whole => Outcome::Served,
+            200 | 204 => Outcome::Broken,
+            429 | 503 | 529 => Outcome::TurnedDown,
+            400..=499 => Outcome::Refused,
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn messages_usage(&mut self, usage: &Value) {
+        let count = |name: &str| usage[name].as_u64();
+        if let Some(input) = count("input_tokens") {
+            let kept = count("cache_read_input_tokens").unwrap_or(0);
+            self.usage.0 = self.usage.0.max(input + kept);
+        }
+        self.usage.1 = self.usage.1.max(count("cache_read_input_tokens").unwrap_or(0));
+        self.usage.2 = self.usage.2.max(count("output_tokens").unwrap_or(0));
+    }
+
+    fn value(&mut self) {
+        let Ok(value) = serde_json::from_str::<Value>(&self.raw) else { return };
+        self.error = value["error"]["type"].as_str().unwrap_or_default().to_owned();
+        if value["type"] == "message" {
+            for block in value["content"].as_array().into_iter().flatten() {
+                match block["type"].as_str() {
+                    Some("text") => self.text += block["text"].as_str().unwrap_or_default(),
+                    Some("tool_use") => {
+                        let name = block["name"].as_str().unwrap_or_default().to_owned();
+                        self.calls.push((name, block["input"].clone()));
+                    }
+                    _ => {}
+                }
+            }
+            self.stop = stop_word(value["stop_reason"].as_str().unwrap_or_default()).to_owned();
+            self.messages_usage(&value["usage"].clone());
+        }
+    }
+
+    fn messages_stream(&mut self) {
+        let raw = std::mem::take(&mut self.raw);
+        let mut blocks: Vec<(u64, Value, String)> = Vec::new();
+        let mut names = Vec::new();
+        for event in raw.split("\n\n").filter(|e| !e.is_empty() && !e.starts_with(':')) {
+            let Some((head, data)) = event.split_once("\ndata: ") else {
+                self.malformed = Some(format!("an event without data: {event}"));
+                continue;
+            };
+            let name = head.strip_prefix("event: ").unwrap_or_default();
+            let value: Value = serde_json::from_str(data).unwrap_or_default();
+            if value["type"] != name {
+                self.malformed = Some(format!("the event {name} calls itself {}", value["type"]));
+            }
+            names.push(name.to_owned());
+            let index = value["index"].as_u64().unwrap_or(u64::MAX);
+            match name {
+                "message_start" => self.messages_usage(&value["message"]["usage"]),
+                "content_block_start" => {
+                    blocks.push((index, value["content_block"].clone(), String::new()))
+                }
+                "content_block_delta" => {
+                    let delta = &value["delta"];
+                    match blocks.iter_mut().find(|(i, ..)| *i == index) {
+                        Some((_, _, input)) => {
+                            input.push_str(delta["partial_json"].as_str().unwrap_or_default())
+                        }
+                        None => {
+                            self.malformed = Some(format!("a delta of block {index}, which has not begun"))
+                        }
+                    }
+                    self.text += delta["text"].as_str().unwrap_or_default();
+                }
+                "message_delta" => {
+                    let reason = value["delta"]["stop_reason"].as_str().unwrap_or_default();
+                    self.stop = stop_word(reason).to_owned();
+                    self.messages_usage(&value["usage"]);
+                }
+                "error" => self.error = value["error"]["type"].as_str().unwrap_or_default().to_owned(),
+                _ => {}
+            }
+        }
+        for (_, block, input) in blocks.iter().filter(|(_, b, _)| b["type"] == "tool_use") {
+            let input =
+                if input.is_empty() { json!({}) } else { serde_json::from_str(input).unwrap_or_default() };
+            self.calls.push((block["name"].as_str().unwrap_or_default().to_owned(), input));
+        }
+        // Pings, and what no specification knows, may come at any point.
+        let known = |name: &&String| name.starts_with("message_") || name.starts_with("content_");
+        let first = names.iter().find(known).map(String::as_str);
+        let ends = (first, names.last().map(String::as_str));
+        if self.whole && ends != (Some("message_start"), Some("message_stop")) {
+            self.malformed = Some(format!("a whole stream from {ends:?}"));
+        }
+        self.raw = raw;
+    }
+
+    fn platform_stream(&mut self) {
+        let raw = std::mem::take(&mut self.raw);
+        let mut calls: BTreeMap<u64, (String, String)> = BTreeMap::new();
+        let mut done = false;
+        for event in raw.split("\n\n").filter(|e| !e.is_empty() && !e.starts_with(':')) {
+            let Some(data) = event.strip_prefix("data: ") else {
+                self.malformed = Some(format!("an event without data: {event}"));
+                continue;
+            };
+            if data == "[DONE]" {
+                done = true;
+                continue;
+            }
+            let value: Value = serde_json::from_str(data).unwrap_or_default();
+            if let Some(kind) = value["error"]["type"].as_str() {
+                self.error = kind.to_owned();
+            }
+            let choice = &value["choices"][0];
+            self.text += choice["delta"]["content"].as_str().unwrap_or_default();
+            for call in choice["delta"]["tool_calls"].as_array().into_iter().flatten() {
+                let (name, arguments) = calls.entry(call["index"].as_u64().unwrap_or(0)).or_default();
+                *name += call["function"]["name"].as_str().unwrap_or_default();
+                *arguments += call["function"]["arguments"].as_str().unwrap_or_default();
+            }
+            if let Some(reason) = choice["finish_reason"].as_str() {
+                self.stop = stop_word(reason).to_owned();
+            }
+            if value["usage"].is_object() {
+                let count = |v: &Value| v.as_u64().unwrap_or(0);
+                let usage = &value["usage"];
+                let kept = count(&usage["prompt_tokens_details"]["cached_tokens"]);
+                self.usage = (count(&usage["prompt_tokens"]), kept, count(&usage["completion_tokens"]));
+            }
+        }
+        for (name, arguments) in calls.into_values() {
+            let input = if arguments.is_empty() {
+                json!({})
+            } else {
+                serde_json::from_str(&arguments).unwrap_or_default()
+            };
+            self.calls.push((name, input));
+        }
+        if self.whole && !done {
+            self.malformed = Some("a whole stream without [DONE]".into());
+        }
+        self.raw = raw;
+    }
+
+    /// What a line wants to be seen and is not; none if it is.
+    pub fn lacks(&self, see: &Words, call: &mut usize, model: &str) -> Option<String> {
+        let told = |what: &str, wanted: String, is: String| {
+            (wanted != is).then(|| format!("{what}: {wanted:?} was due, {is:?} came"))
+        };
+        let wanted = see.at(0);
+        match see.word.as_str() {
+            "status" => told("status", wanted, self.status.to_string()),
+            "text" => told("text", wanted, self.text.clone()),
+            "stop" => told("stop", wanted, self.stop.clone()),
+            "error" => told("error", wanted, self.error.clone()),
+            "usage" => told(
+                "usage",
+                format!("{} {} {}", see.number(0), see.number(1), see.number(2)),
+                format!("{} {} {}", self.usage.0, self.usage.1, self.usage.2),
+            ),
+            "call" => {
+                *call += 1;
+                let input: Value = serde_json::from_str(&see.json(1)).unwrap_or_default();
+                match self.calls.get(*call - 1) {
+                    Some((name, is)) if *name == wanted && *is == input => None,
+                    other => Some(format!("call: {wanted} {input} was due, {other:?} came")),
+                }
+            }
+            "calls" => told("calls", wanted, self.calls.len().to_string()),
+            "words" => {
+                let wanted = wanted.replace("$MODEL", model);
+                (!self.raw.contains(&wanted)).then(|| format!("words: {wanted:?} is not in {:?}", self.raw))
+            }
+            "nowords" => {
+                self.raw.contains(&wanted).then(|| format!("nowords: {wanted:?} is in {:?}", self.raw))
+            }
+            "header" => match (self.headers.get(&wanted), see.rest.len()) {
+                (None, _) => Some(format!("header: {wanted} is not there")),
+                (Some(_), 1) => None,
+                (Some(is), _) => told(&wanted, see.at(1), is.clone()),
+            },
+            "noheader" => self.headers.get(&wanted).map(|is| format!("header: {wanted} is there: {is}")),
+            other => Some(format!("'{other}' is nothing that can be seen")),
+        }
+    }
+}
--- /dev/null
+++ b/src/conformance/stand_in.rs
@@ -0,0 +1,472 @@
+//! Stand-in real servers of either dialect, and a discovery that lists them: they do what the case says whose name a
+//! request's model is. Plain threads and blocking sockets, which share nothing with what they test.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+use socket2::SockRef;
+
+use super::case::{Case, Fleet, Words};
+use crate::names::Dialect;
+use crate::toys;
+
+/// What the stand-ins share.
+struct Shared {
+    dialect: Dialect,
+    cases: BTreeMap<String, Case>,
+    /// Requests that came, by their models.
+    came: Mutex<BTreeMap<String, Vec<Came>>>,
+    /// What discovery is to tell next, and the list's version.
+    list: Mutex<(u64, Vec<Value>)>,
+}
+
+/// A request that came to a stand-in.
+#[derive(Clone, Debug)]
+pub struct Came {
+    /// Which of them it came to.
+    pub server: usize,
+    /// Its body.
+    pub body: Value,
+    /// Its head, name by name.
+    pub head: String,
+}
+
+/// A fleet of stand-ins.
+pub struct StandIns {
+    shared: Arc<Shared>,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+}
+
+fn local(port: u16) -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, port))
+}
+
+impl StandIns {
+    /// Brings up a fleet that knows these cases; discovery listens on that port, 0 being any.
+    pub fn start(dialect: Dialect, fleet: Fleet, cases: &[Case], port: u16) -> io::Result<StandIns> {
+        let count = match fleet {
+            Fleet::Shared | Fleet::Own | Fleet::Cold => 3,
+            Fleet::One => 1,
+            Fleet::Dead => 2,
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let (mut listeners, mut entries) = (Vec::new(), Vec::new());
+        for n in 0..count {
+            let listener = local(0)?;
+            let addr = listener.local_addr()?;
+            let cold = fleet == Fleet::Cold && n == 0;
+            entries
+                .push(json!({"id": format!("s-{n}"), "addr": addr.to_string(), "zone": "a", "kind": "k",
+                "cell": 0, "state": "ready", "weight": 1.0, "started_ms": if cold { now } else { 0 }}));
+            // Closed again at once: nothing takes connections there.
+            if !(fleet == Fleet::Dead && n == 0) {
+                listeners.push((n, listener));
+            }
+        }
+        let shared = Arc::new(Shared {
+            dialect,
+            cases: cases.iter().map(|c| (c.name.clone(), c.clone())).collect(),
+            came: Mutex::default(),
+            list: Mutex::new((2, entries)),
+        });
+        for (n, listener) in listeners {
+            let shared = shared.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let shared = shared.clone();
+                    thread::spawn(move || converse(&shared, n, stream));
+                }
+            });
+        }
+        let listener = local(port)?;
+        let discovery = listener.local_addr()?;
+        let told = shared.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let told = told.clone();
+                thread::spawn(move || watch(&told, stream));
+            }
+        });
+        Ok(StandIns { shared, discovery })
+    }
+
+    /// The list as discovery tells it.
+    pub fn list(&self) -> Value {
+        list(&self.shared, true)
+    }
+
+    /// The requests that came for a model.
+    pub fn came(&self, model: &str) -> Vec<Came> {
+        let came = self.shared.came.lock().unwrap_or_else(|e| e.into_inner());
+        came.get(model).cloned().unwrap_or_default()
+    }
+}
+
+fn list(shared: &Shared, full: bool) -> Value {
+    let (version, servers) = &*shared.list.lock().unwrap_or_else(|e| e.into_inner());
+    json!({"version": version, "full": full, "servers": servers})
+}
+
+/// A watch: the whole list at first and whenever it has changed, and a sign of life meanwhile.
+fn watch(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    if toys::request(&mut reader).is_none() {
+        return Ok(());
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    let (mut told, mut quiet) = (0, 0);
+    loop {
+        let list = list(shared, true);
+        let version = list["version"].as_u64().unwrap_or(0);
+        if version != told || quiet >= 50 {
+            let line = if version == told { String::new() } else { list.to_string() };
+            write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1)?;
+            (told, quiet) = (version, 0);
+        }
+        quiet += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One connection to a stand-in.
+fn converse(shared: &Shared, server: usize, mut stream: TcpStream) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    while let Some((head, body)) = toys::request(&mut reader) {
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let model = body["model"].as_str().unwrap_or_default().to_owned();
+        let name = model.split('~').next().unwrap_or_default();
+        let nth = {
+            let mut came = shared.came.lock().unwrap_or_else(|e| e.into_inner());
+            let came = came.entry(model.clone()).or_default();
+            came.push(Came { server, body, head });
+            came.len() - 1
+        };
+        let Some(case) = shared.cases.get(name) else {
+            stream.write_all(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n").ok()?;
+            continue;
+        };
+        let script = case.serve.get(nth).or(case.serve.last())?;
+        let usual = [Words { word: "hello".into(), rest: Vec::new() }];
+        let script = if script.is_empty() { &usual[..] } else { script };
+        let mut play =
+            Play { shared, server, stream: &mut stream, begun: false, split: 0, scribe: Scribe::default() };
+        for words in script {
+            play.does(words)?;
+        }
+    }
+    Some(())
+}
+
+/// A case's script as it is played.
+struct Play<'p> {
+    shared: &'p Shared,
+    server: usize,
+    stream: &'p mut TcpStream,
+    begun: bool,
+    /// Bytes of a piece, where the stream is sent in pieces.
+    split: usize,
+    scribe: Scribe,
+}
+
+impl Play<'_> {
+    fn says(&mut self, event: &str) -> Option<()> {
+        let mut out = Vec::new();
+        if !std::mem::replace(&mut self.begun, true) {
+            out.extend_from_slice(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            );
+        }
+        let pieces = if self.split > 0 { self.split } else { event.len().max(1) };
+        for piece in event.as_bytes().chunks(pieces) {
+            out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            out.extend_from_slice(piece);
+            out.extend_from_slice(b"\r\n");
+            if self.split > 0 {
+                self.stream.write_all(&out).ok()?;
+                out.clear();
+            }
+        }
+        self.stream.write_all(&out).ok()
+    }
+
+    /// Does what a line says; `None` ends the connection.
+    fn does(&mut self, words: &Words) -> Option<()> {
+        let messages = self.shared.dialect == Dialect::Messages;
+        match words.word.as_str() {
+            "hello" => {
+                for text in ["\"Hel\"", "\"lo\""] {
+                    let event = self.scribe.text(messages, text);
+                    self.says(&event)?;
+                }
+                self.end("done")
+            }
+            "begin" => {
+                let event = self.scribe.begin(messages);
+                self.says(&event)
+            }
+            "text" => {
+                let event = self.scribe.text(messages, &words.json(0));
+                self.says(&event)
+            }
+            "call" => {
+                let event = self.scribe.call(messages, words.number(0), &words.at(1), &words.at(2));
+                self.says(&event)
+            }
+            "args" => {
+                let event = self.scribe.args(messages, words.number(0), &words.json(1));
+                self.says(&event)
+            }
+            "usage" => {
+                self.scribe.usage = Some((words.number(0), words.number(1), words.number(2)));
+                Some(())
+            }
+            "end" => self.end(&words.at(0)),
+            // Its stop and its tokens are told, but not that it is over.
+            "stop" => {
+                let event = self.scribe.stop(messages, &words.at(0));
+                self.says(&event)
+            }
+            "ping" => self.says(if messages {
+                "event: ping\ndata: {\"type\":\"ping\"}\n\n"
+            } else {
+                ": ping\n\n"
+            }),
+            "unknown" => self.says(if messages {
+                "event: glimmer\ndata: {\"type\":\"glimmer\",\"shade\":3}\n\n"
+            } else {
+                "data: {\"type\":\"glimmer\",\"shade\":3}\n\n"
+            }),
+            "thinking" => {
+                let event = self.scribe.thinking(messages, &words.json(0));
+                self.says(&event)
+            }
+            "error" => {
+                let error =
+                    json!({"type": "error", "error": {"type": words.at(0), "message": words.at(1)}});
+                self.says(&if messages {
+                    format!("event: error\ndata: {error}\n\n")
+                } else {
+                    format!("data: {}\n\n", json!({"error": error["error"]}))
+                })
+            }
+            "raw" => self.says(&words.at(0)),
+            "split" => {
+                self.split = words.number(0) as usize;
+                Some(())
+            }
+            "pause" => {
+                thread::sleep(Duration::from_millis(words.number(0)));
+                Some(())
+            }
+            "head" => {
+                // The head, and no event.
+                self.begun = true;
+                let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                self.stream.write_all(head).ok()
+            }
+            "full" => {
+                let answer = if messages {
+                    "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n"
+                } else {
+                    "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                };
+                self.stream.write_all(answer.as_bytes()).ok()
+            }
+            "status" => {
+                let error = json!({"type": "error", "error": {"type": "invalid_request_error",
+                    "message": words.at(1)}});
+                let body = error.to_string();
+                let answer = format!(
+                    "HTTP/1.1 {} No\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                    words.at(0),
+                    body.len()
+                );
+                self.stream.write_all(answer.as_bytes()).ok()
+            }
+            "reset" => {
+                let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+                None
+            }
+            "close" => None,
+            // Until the gateway gives up.
+            "silence" => {
+                let _ = self.stream.set_read_timeout(Some(Duration::from_secs(60)));
+                let _ = io::Read::read(self.stream, &mut [0]);
+                None
+            }
+            "drain" => {
+                let mut list = self.shared.list.lock().unwrap_or_else(|e| e.into_inner());
+                list.0 += 1;
+                list.1[self.server]["state"] = "draining".into();
+                Some(())
+            }
+            _ => None,
+        }
+    }
+
+    fn end(&mut self, stop: &str) -> Option<()> {
+        let messages = self.shared.dialect == Dialect::Messages;
+        let event = self.scribe.stop(messages, stop)
+            + if messages {
+                "event: message_stop\ndata: {\"type\":\"message_stop\"}\n\n"
+            } else {
+                "data: [DONE]\n\n"
+            };
+        self.says(&event)?;
+        self.stream.write_all(b"0\r\n\r\n").ok()
+    }
+}
+
+/// Writes a stream in either dialect.
+#[derive(Default)]
+struct Scribe {
+    begun: bool,
+    /// Blocks that are open: their indices, and the number of the call that each is, if it is one.
+    open: Vec<(u64, Option<u64>)>,
+    next: u64,
+    usage: Option<(u64, u64, u64)>,
+}
+
+impl Scribe {
+    fn usage(&self) -> (u64, u64, u64) {
+        self.usage.unwrap_or((12, 5, 2))
+    }
+
+    fn begin(&mut self, messages: bool) -> String {
+        if std::mem::replace(&mut self.begun, true) {
+            return String::new();
+        }
+        let (prompt, kept, _) = self.usage();
+        if !messages {
+            return chunk(r#"{"role":"assistant","content":""}"#, "null");
+        }
+        named(
+            "message_start",
+            &format!(
+                r#""message":{{"id":"msg_1","type":"message","role":"assistant","content":[],"model":"m","stop_reason":null,"stop_sequence":null,"usage":{{"input_tokens":{},"cache_read_input_tokens":{kept},"output_tokens":1}}}}"#,
+                prompt - kept
+            ),
+        )
+    }
+
+    fn block(&mut self, call: Option<u64>, block: &str) -> String {
+        let mut out = String::new();
+        // A text is over once anything else begins; calls may stay open beside one another.
+        if call.is_none() || self.open.last().is_some_and(|(_, call)| call.is_none()) {
+            out += &self.close();
+        }
+        let index = self.next;
+        self.next += 1;
+        self.open.push((index, call));
+        out + &named("content_block_start", &format!(r#""index":{index},"content_block":{block}"#))
+    }
+
+    fn close(&mut self) -> String {
+        let stop = |(index, _): (u64, _)| named("content_block_stop", &format!(r#""index":{index}"#));
+        std::mem::take(&mut self.open).into_iter().map(stop).collect()
+    }
+
+    fn delta(&self, index: u64, delta: &str) -> String {
+        named("content_block_delta", &format!(r#""index":{index},"delta":{{{delta}}}"#))
+    }
+
+    fn text(&mut self, messages: bool, json: &str) -> String {
+        let mut out = self.begin(messages);
+        if !messages {
+            return out + &chunk(&format!(r#"{{"content":{json}}}"#), "null");
+        }
+        if self.open.last().is_none_or(|(_, call)| call.is_some()) {
+            out += &self.block(None, r#"{"type":"text","text":""}"#);
+        }
+        let index = self.open.last().map_or(0, |(index, _)| *index);
+        out + &self.delta(index, &format!(r#""type":"text_delta","text":{json}"#))
+    }
+
+    fn thinking(&mut self, messages: bool, json: &str) -> String {
+        let mut out = self.begin(messages);
+        if !messages {
+            return out + &chunk(&format!(r#"{{"reasoning_content":{json}}}"#), "null");
+        }
+        out += &self.block(None, r#"{"type":"thinking","thinking":"","signature":""}"#);
+        let index = self.next - 1;
+        out += &self.delta(index, &format!(r#""type":"thinking_delta","thinking":{json}"#));
+        out + &self.close()
+    }
+
+    fn call(&mut self, messages: bool, number: u64, id: &str, name: &str) -> String {
+        let out = self.begin(messages);
+        if !messages {
+            return out
+                + &chunk(
+                    &format!(
+                        r#"{{"tool_calls":[{{"index":{number},"id":"{id}","type":"function","function":{{"name":"{name}","arguments":""}}}}]}}"#
+                    ),
+                    "null",
+                );
+        }
+        out + &self.block(
+            Some(number),
+            &format!(r#"{{"type":"tool_use","id":"{id}","name":"{name}","input":{{}}}}"#),
+        )
+    }
+
+    fn args(&mut self, messages: bool, number: u64, json: &str) -> String {
+        if !messages {
+            return chunk(
+                &format!(r#"{{"tool_calls":[{{"index":{number},"function":{{"arguments":{json}}}}}]}}"#),
+                "null",
+            );
+        }
+        let index = self.open.iter().find(|(_, call)| *call == Some(number)).map_or(0, |(index, _)| *index);
+        self.delta(index, &format!(r#""type":"input_json_delta","partial_json":{json}"#))
+    }
+
+    fn stop(&mut self, messages: bool, stop: &str) -> String {
+        let (prompt, kept, answer) = self.usage();
+        let begun = self.begin(messages);
+        if messages {
+            let reason = match stop {
+                "length" => "max_tokens",
+                "tools" => "tool_use",
+                "refused" => "refusal",
+                "sequence" => "stop_sequence",
+                _ => "end_turn",
+            };
+            let sequence = if stop == "sequence" { "\"END\"" } else { "null" };
+            return begun
+                + &self.close()
+                + &named(
+                    "message_delta",
+                    &format!(
+                        r#""delta":{{"stop_reason":"{reason}","stop_sequence":{sequence}}},"usage":{{"output_tokens":{answer}}}"#
+                    ),
+                );
+        }
+        let reason = match stop {
+            "length" => "length",
+            "tools" => "tool_calls",
+            "refused" => "content_filter",
+            _ => "stop",
+        };
+        begun
+            + &chunk("{}", &format!("\"{reason}\""))
+            + &format!(
+                "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{prompt},\"completion_tokens\":{answer},\"prompt_tokens_details\":{{\"cached_tokens\":{kept}}}}}}}\n\n"
+            )
+    }
+}
+
+fn named(name: &str, rest: &str) -> String {
+    format!("event: {name}\ndata: {{\"type\":\"{name}\",{rest}}}\n\n")
+}
+
+fn chunk(delta: &str, finish: &str) -> String {
+    format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{delta},\"finish_reason\":{finish}}}]}}\n\n")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod choice;
 pub mod config;
+pub mod conformance;
 pub mod engine;
 pub mod front;
 pub mod limits;
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -276,6 +276,8 @@
         let keep = head.keeps_alive(&head.start[0]) && body != Body::UntilClose;
         // From here on it is given up at once, or comes to its end.
         line.wire.abort = true;
+        // What came together with the head is of the stream already.
+        let early = line.wire.buf.len();
         Ok(Open {
             server: server.clone(),
             addr,
@@ -288,7 +290,7 @@
             text: Vec::new(),
             scanned: 0,
             came: 0,
-            early: 0,
+            early,
             last: false,
             usage: None,
             report,
--- /dev/null
+++ b/tests/conformance.rs
@@ -0,0 +1,49 @@
+//! The conformance suite over all four pairings, as `tulipridge conformance` runs it.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use tulipridge::conformance::{self, Verdict, case::Fleet};
+
+#[test]
+fn all_cases_hold_on_all_pairings_and_each_fault_comes_out_the_same() {
+    let cases = conformance::cases().expect("good files");
+    assert!(cases.len() >= 150, "{}", cases.len());
+    let program = Path::new(env!("CARGO_BIN_EXE_tulipridge"));
+    let report = conformance::everywhere(&cases, program, Path::new(env!("CARGO_TARGET_TMPDIR")), 8);
+    let report = report.expect("it runs");
+    assert!(report.holds(), "{}", report.text());
+    let due: usize =
+        conformance::PAIRINGS.iter().map(|p| cases.iter().filter(|c| c.is_for(*p)).count()).sum();
+    assert_eq!(report.verdicts.len(), due, "each case ran on each of its pairings");
+
+    // What a case says it expects is compared with what came; here what came is compared among the pairings.
+    let mut faults: BTreeMap<&str, Vec<&Verdict>> = BTreeMap::new();
+    for verdict in &report.verdicts {
+        let case = cases.iter().find(|c| c.name == verdict.case).expect("its case");
+        if case.fleet != Fleet::Shared {
+            faults.entry(&verdict.case).or_default().push(verdict);
+        }
+    }
+    assert!(faults.len() >= 40);
+    for (name, verdicts) in faults {
+        let first = (verdicts[0].outcome, verdicts[0].schedulings);
+        assert!(verdicts.iter().all(|v| (v.outcome, v.schedulings) == first), "{name}: {verdicts:?}");
+    }
+}
+
+#[test]
+fn a_case_that_does_not_hold_is_told() {
+    let text = "case wrong\n  serve text \"a\"\n  serve end done\n  see text \"b\"\n  schedulings 2\n  outcome broken\n";
+    let cases = conformance::case::parse("wrong.case", text).expect("a good file");
+    let program = Path::new(env!("CARGO_BIN_EXE_tulipridge"));
+    let report = conformance::everywhere(&cases, program, Path::new(env!("CARGO_TARGET_TMPDIR")), 4);
+    let report = report.expect("it runs");
+    assert!(!report.holds());
+    assert_eq!(report.verdicts.len(), 4);
+    for verdict in &report.verdicts {
+        assert_eq!(verdict.faults.len(), 3, "{:?}", verdict.faults);
+    }
+    let text = report.text();
+    assert!(text.contains("0 of 1 hold") && text.contains("schedulings: 2 were due, 1 came"), "{text}");
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -842,3 +842,26 @@
     assert!(text.lines().all(|l| l.chars().count() <= 110));
     assert!(text.lines().take(3).any(|l| l.contains("src/types.rs")));
 }
+
+#[test]
+fn a_request_that_was_turned_away_until_its_deadline_is_refused_and_one_that_may_run_yet_fails() {
+    for (effect, turned_away) in
+        [(Effect::Safe, true), (Effect::Unsafe, true), (Effect::Safe, false), (Effect::Unsafe, false)]
+    {
+        let mut bench = Bench::new(settings(effect), &members(1));
+        let (id, mut all) = bench.request(1, None);
+        assert!(sent(&all).is_some());
+        if turned_away {
+            all = bench.outcome(id, Verdict::Full);
+        }
+        // What is tried meanwhile ends the same way.
+        for _ in 0..600 {
+            let passed = bench.pass(SECOND / 100);
+            if turned_away && sent(&passed).is_some() {
+                all.extend(bench.outcome(id, Verdict::Full));
+            }
+            all.extend(passed);
+        }
+        assert_eq!((refused(&all), failed(&all)), (turned_away, !turned_away), "{effect:?}: {all:?}");
+    }
+}
