--- /dev/null
+++ b/fuzz/fuzz_targets/requests.rs
@@ -0,0 +1,21 @@
+//! Requests of both dialects: read, checked, routed, and turned into the other dialect and back.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use tulipridge::front::messages::request::{Purpose, Request};
+use tulipridge::front::messages::route::Route;
+use tulipridge::front::translate::{to_messages, to_platform};
+use tulipridge::limits::MessagesLimits;
+
+fuzz_target!(|body: &[u8]| {
+    let limits = MessagesLimits::default();
+    if let Ok(request) = Request::read(body, Purpose::Answer, &limits) {
+        assert_eq!(Route::of(&request), Route::of(&request));
+        if let Ok(platform) = to_platform::body(&request) {
+            serde_json::from_slice::<serde_json::Value>(&platform).expect("what is written is JSON");
+        }
+    }
+    if let Ok(messages) = to_messages::body(body, &limits) {
+        serde_json::from_slice::<serde_json::Value>(&messages).expect("what is written is JSON");
+    }
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/wire.rs
@@ -0,0 +1,27 @@
+//! Heads, bodies and events as they come from sockets, cut anywhere.
+#![no_main]
+
+use std::time::Duration;
+
+use libfuzzer_sys::fuzz_target;
+use tulipridge::limits::Limits;
+use tulipridge::net::http;
+
+fuzz_target!(|input: &[u8]| {
+    let limits = Limits::new(64, 64, Duration::from_secs(1), Duration::from_secs(1));
+    let mut buf = input.to_vec();
+    if let Ok(Some(head)) = http::request_head(&mut buf, &limits)
+        && let Ok(mut body) = head.request_body(&limits)
+    {
+        let mut out = Vec::new();
+        let _ = body.take(&mut buf, &mut out, &limits);
+        assert!(out.len() <= input.len());
+    }
+    let mut buf = input.to_vec();
+    if let Ok(Some(head)) = http::response_head(&mut buf, &limits)
+        && let Ok(mut body) = head.response_body(&limits)
+    {
+        let mut out = Vec::new();
+        let _ = body.take(&mut buf, &mut out, &limits);
+    }
+});
