--- a/src/conformance/mod.rs
+++ b/src/conformance/mod.rs
@@ -147,7 +147,7 @@
 }
 
 /// Runs one case against a front.
-fn run(case: &Case, pairing: Pairing, addr: SocketAddr, stand_ins: Option<&StandIns>) -> Verdict {
+pub fn run(case: &Case, pairing: Pairing, addr: SocketAddr, stand_ins: Option<&StandIns>) -> Verdict {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     let id = NEXT.fetch_add(1, Ordering::SeqCst) << 16 | u64::from(std::process::id() & 0xFFFF);
     let model = format!("{}~{id:x}", case.name);
@@ -252,8 +252,8 @@
     scratch: &Path,
 ) -> io::Result<Vec<Verdict>> {
     let stand_ins = StandIns::start(pairing.1, fleet, cases, 0)?;
-    let gateway = Running::start(&stand_ins, pairing, program, scratch)?;
-    Ok(cases.iter().map(|case| run(case, pairing, gateway.addr, Some(&stand_ins))).collect())
+    let gateway = Running::start(&stand_ins, pairing.1, program, scratch)?;
+    Ok(cases.iter().map(|case| run(case, pairing, gateway.front(pairing.0), Some(&stand_ins))).collect())
 }
 
 /// The platform's JSON for a gateway of the suite's own.
@@ -285,17 +285,19 @@
     )
 }
 
-/// A gateway of the suite's own.
-struct Running {
+/// A gateway of the suite's own, which ends when it is dropped.
+pub struct Running {
     child: Child,
-    addr: SocketAddr,
+    /// Where its fronts listen: the platform's, then the messages API's.
+    pub fronts: [SocketAddr; 2],
     files: [PathBuf; 2],
 }
 
 impl Running {
-    fn start(
+    /// Starts the program in front of stand-ins that speak `servers`.
+    pub fn start(
         stand_ins: &StandIns,
-        pairing: Pairing,
+        servers: Dialect,
         program: &Path,
         scratch: &Path,
     ) -> io::Result<Running> {
@@ -304,7 +306,7 @@
         let file = |name: &str| scratch.join(format!("conformance-{}-{number}-{name}", std::process::id()));
         let files = [file("config.json"), file("settings.hcl")];
         std::fs::write(&files[0], config(stand_ins).to_string())?;
-        std::fs::write(&files[1], settings(pairing.1))?;
+        std::fs::write(&files[1], settings(servers))?;
         let mut child = Command::new(program)
             .arg("serve")
             .arg("--config")
@@ -329,21 +331,31 @@
             line.split_once("addr=\"")?.1.split('"').next()?.parse::<SocketAddr>().ok()
         });
         let addrs: Vec<SocketAddr> = addr.collect();
-        let Some(addr) = addrs.get(usize::from(pairing.0 == Dialect::Messages)).copied() else {
+        let [platform, messages] = addrs[..] else {
             let _ = child.kill();
             return Err(io::Error::other("the gateway did not come up"));
         };
         // The log is read on, so that the gateway never waits for it.
         thread::spawn(move || lines.for_each(drop));
-        let running = Running { child, addr, files };
+        let running = Running { child, fronts: [platform, messages], files };
         running.wait_ready()?;
         Ok(running)
     }
 
+    /// Where the front of that dialect listens.
+    pub fn front(&self, dialect: Dialect) -> SocketAddr {
+        self.fronts[usize::from(dialect == Dialect::Messages)]
+    }
+
+    /// Its process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn wait_ready(&self) -> io::Result<()> {
         for _ in 0..500 {
             let request = b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-            if client::ask(self.addr, Dialect::Platform, request).is_ok_and(|s| s.status == 200) {
+            if client::ask(self.fronts[0], Dialect::Platform, request).is_ok_and(|s| s.status == 200) {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(10));
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -82,15 +82,18 @@
         self.at = self.at.max(now);
     }
 
-    /// How long until so much is there.
-    fn wait(&self, amount: f64) -> Nanos {
+    /// How long until so much is there. Where the clock ran back, filling goes on once it is where it was.
+    fn wait(&self, now: Nanos, amount: f64) -> Nanos {
         let missing = amount - self.level;
-        if missing <= 0.0 { 0 } else { (missing / self.limit * MINUTE).ceil() as Nanos }
+        if missing <= 0.0 {
+            return 0;
+        }
+        (missing / self.limit * MINUTE).ceil() as Nanos + self.at.saturating_sub(now)
     }
 }
 
 /// The buckets of all tenants.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Quota {
     tenants: Vec<[Option<Bucket>; 3]>,
 }
@@ -124,7 +127,7 @@
             };
             bucket.fill(now);
             *amount = amount.min(bucket.limit);
-            let wait = bucket.wait(*amount);
+            let wait = bucket.wait(now, *amount);
             if wait > 0 && short.is_none_or(|s| s.wait < wait) {
                 short = Some(Short { kind, wait });
             }
@@ -164,7 +167,7 @@
                     kind,
                     limit: bucket.limit as u64,
                     remaining: bucket.level.max(0.0) as u64,
-                    full_at: now.saturating_add(bucket.wait(bucket.limit)),
+                    full_at: now.saturating_add(bucket.wait(now, bucket.limit)),
                 });
             }
         }
