--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -1,6 +1,7 @@
 //! A toy to try the gateway with: two real servers and a discovery that lists them, all on loopback.
 //!
-//! The servers speak the platform's dialect and answer every question with its own last words. The discovery
+//! The servers speak the platform's dialect and the messages API's, one each (kinds `toy` and `toy-messages`), and answer
+//! every question with its own last words, or by using its first tool. The discovery
 //! says each line that is typed here, so that changes can be tried out: `drain s-1`, `ready s-1`, `gone s-1`.
 
 use std::io::{Write, stdin};
@@ -44,7 +45,8 @@
 
 fn entry(id: &str, state: &str) -> serde_json::Value {
     let addr = SERVERS.iter().find(|(name, _)| *name == id).map_or("", |(_, addr)| addr);
-    serde_json::json!({"id": id, "addr": addr, "zone": "a", "kind": "toy", "cell": 0, "state": state,
+    let kind = if id == "s-2" { "toy-messages" } else { "toy" };
+    serde_json::json!({"id": id, "addr": addr, "zone": "a", "kind": kind, "cell": 0, "state": state,
         "weight": 1.0, "started_ms": 0})
 }
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -2,6 +2,7 @@
 //!
 //! The toys are plain threads with blocking sockets, so that they share nothing with what they show.
 
+use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::ExitCode;
@@ -11,7 +12,8 @@
 use serde_json::json;
 
 use tulipridge::config::{Config, Sources};
-use tulipridge::settings::{Messages, Settings};
+use tulipridge::names::Dialect;
+use tulipridge::settings::{Messages, Model, Settings};
 use tulipridge::toys;
 
 use crate::serve;
@@ -26,7 +28,9 @@
         }
     };
     let front = config.own.messages.listen.unwrap_or(messages);
-    println!("Two toy real servers and a discovery are up. Ask them by way of the gateway:\n");
+    println!(
+        "Two toy real servers, one of each dialect, and a discovery are up. Ask them by way of the gateway:\n"
+    );
     println!("{}\n", platform_call(config.listen));
     println!("{}\n", messages_call(front));
     println!("Ctrl-C ends it.\n");
@@ -56,12 +60,11 @@
     };
     let (platform, messages) = (free(platform)?, free(messages)?);
     let mut entries = Vec::new();
-    for id in ["toy-1", "toy-2"] {
+    for (id, kind) in [("toy-1", "toy"), ("toy-2", "toy-messages")] {
         let listener = local().map_err(|e| format!("a toy's port: {e}"))?;
         let addr = listener.local_addr().map_err(|e| e.to_string())?;
-        entries.push(
-            json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": "toy", "state": "ready"}),
-        );
+        entries
+            .push(json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": kind, "state": "ready"}));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 thread::spawn(move || toys::converse(id, stream));
@@ -86,7 +89,7 @@
     let config = json!({"name": "demo", "listen": platform.to_string(), "discovery": discovery.to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": list, "settings": {"group-size": 1, "me": 0, "zone": "a", "localities": ["a"],
-            "shapes": ["toy"], "discovery": "ask", "weight-source": "rough", "report": {"fields": []},
+            "shapes": ["toy", "toy-messages"], "discovery": "ask", "weight-source": "rough", "report": {"fields": []},
             "lanes": [lane("docs", 3 * second / 2, 5 * second, 1.0),
                 lane("bulk", 3 * second, 10 * second, 3.0)],
             "accounts": [{"name": "office", "share": 1.0}],
@@ -99,8 +102,10 @@
             listen: Some(messages),
             class: Some("docs".into()),
             tenant: Some("office".into()),
+            models: BTreeMap::from([("toy".into(), Model::default())]),
             ..Messages::default()
         },
+        dialects: BTreeMap::from([("toy-messages".into(), Dialect::Messages)]),
         ..Settings::default()
     };
     Config::new(&config, own)
