Have a case file with a lone carriage return end; share the tests' scripted server

Need: the fuzz target for files found an endless loop: a carriage return inside a line was never taken.

Change: lines end at a line feed alone; tests/support holds the scripted real server that two files had.

--- a/src/conformance/case.rs
+++ b/src/conformance/case.rs
@@ -19,7 +19,7 @@
 //! what the next scheduling meets; the last one repeats.
 
 use winnow::Parser;
-use winnow::ascii::{line_ending, space0, space1};
+use winnow::ascii::{space0, space1};
 use winnow::combinator::{alt, eof, opt, preceded, repeat, terminated};
 use winnow::error::{ContextError, ErrMode};
 use winnow::token::{rest, take_till, take_while};
@@ -169,7 +169,7 @@
 
 /// A line's indentation and its characters.
 fn line<'s>(input: &mut &'s str) -> Result<(&'s str, &'s str), Fault> {
-    (space0, terminated(take_till(0.., ['\n', '\r']), opt(line_ending))).parse_next(input)
+    (space0, terminated(take_till(0.., '\n'), opt('\n'))).parse_next(input)
 }
 
 /// Reads a file; a fault names its line.
@@ -181,6 +181,7 @@
         number += 1;
         let fault = |what: &str| format!("{file}:{number}: {what}");
         let (indent, line) = line(&mut input).map_err(|_| fault("no line"))?;
+        let line = line.trim_end();
         if line.is_empty() || line.starts_with('#') {
             continue;
         }
@@ -291,6 +292,9 @@
         assert_eq!((cases[0].serve.len(), cases[0].serve[0][0].number(0)), (2, 0));
         assert_eq!(cases[0].see[1].1.json(1), "{\"a\": [1]}");
         assert_eq!(cases[0].outcome, Outcome::Broken);
+        // A carriage return that ends no line once ended no reading either.
+        assert!(parse("f", "case a\r\n  serve end\r\n").is_ok_and(|cases| cases[0].serve[0].len() == 1));
+        assert!(parse("f", "case\ra\r\r  x").is_err());
         for (text, told) in [
             ("x a\n", "f:1: only"),
             ("case a\n  odd\n", "f:2: 'odd' is no keyword"),
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -86,8 +86,8 @@
                 while let Some((head, _)) = message(&mut reader) {
                     tell.send(head).expect("heard");
                     let events = opening("messages") + &text("messages", "x") + &closing("messages");
-                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-                    let _ = stream.write_all((head.to_owned() + &chunk(&events) + "0\r\n\r\n").as_bytes());
+
+                    let _ = stream.write_all((HEAD.to_owned() + &chunk(&events) + "0\r\n\r\n").as_bytes());
                 }
             });
         }
@@ -211,8 +211,8 @@
                 .spawn(move || {
                     let mut reader = BufReader::with_capacity(2048, stream.try_clone().expect("a clone"));
                     message(&mut reader)?;
-                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-                    stream.write_all((head.to_owned() + &chunk(&opening("messages"))).as_bytes()).ok()?;
+
+                    stream.write_all((HEAD.to_owned() + &chunk(&opening("messages"))).as_bytes()).ok()?;
                     for _ in 0..bytes / 1024 {
                         stream.write_all(chunk(&text("messages", &"x".repeat(1024))).as_bytes()).ok()?;
                     }
@@ -223,7 +223,9 @@
                         if *all.lock().expect("whole") >= count {
                             break;
                         }
-                        stream.write_all(chunk("event: ping\ndata: {\"type\":\"ping\"}\n\n").as_bytes()).ok()?;
+                        stream
+                            .write_all(chunk("event: ping\ndata: {\"type\":\"ping\"}\n\n").as_bytes())
+                            .ok()?;
                         thread::sleep(Duration::from_millis(20));
                     }
                     stream.write_all((chunk(&closing("messages")) + "0\r\n\r\n").as_bytes()).ok()
@@ -289,25 +291,7 @@
 
 /// A real server that begins an answer and leaves it open.
 fn hanging(events: String) -> Server {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = listener.local_addr().expect("an address");
-    let requests = Arc::new(AtomicUsize::new(0));
-    let count = requests.clone();
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let (events, count) = (events.clone(), count.clone());
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-                while message(&mut reader).is_some() {
-                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-                    let _ = stream.write_all((head.to_owned() + &chunk(&events)).as_bytes());
-                    count.fetch_add(1, Ordering::SeqCst);
-                    let _ = reader.fill_buf();
-                }
-            });
-        }
-    });
-    Server { addr, requests, bodies: Arc::default(), left: mpsc::channel().1 }
+    scripted(move |stream, _| stream.write_all((HEAD.to_owned() + &chunk(&events)).as_bytes()).is_ok()).0
 }
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -258,6 +258,42 @@
     left.send(()).ok()
 }
 
+/// The head of an answer that is a stream.
+pub const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A real server that plays `script` for each request, and says when the gateway has closed that connection.
+pub fn scripted(
+    script: impl Fn(&mut TcpStream, usize) -> bool + Send + Sync + 'static,
+) -> (Server, Receiver<Instant>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (script, requests) = (Arc::new(script), Arc::new(AtomicUsize::new(0)));
+    let count = requests.clone();
+    let (tell, closed) = channel();
+    let (_, left) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                while message(&mut reader).is_some() {
+                    let number = count.fetch_add(1, Ordering::SeqCst);
+                    if !script(&mut stream, number) {
+                        return;
+                    }
+                    // A script that leaves its answer open waits for the gateway's close.
+                    if reader.fill_buf().map_or(true, <[u8]>::is_empty) {
+                        let _ = tell.send(Instant::now());
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (Server { addr, requests, bodies: Arc::default(), left }, closed)
+}
+
 /// A stand-in discovery: one watch, to which the first line and then whatever is sent is written.
 pub fn discovery(first: Value) -> (SocketAddr, Sender<Value>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -4,11 +4,11 @@
 mod support;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::sync::mpsc::{RecvTimeoutError, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,41 +17,6 @@
 
 use support::*;
 
-const HEAD: &str =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-/// A real server that plays `script` for each request, and says when the gateway has closed that connection.
-fn scripted(
-    script: impl Fn(&mut TcpStream, usize) -> bool + Send + Sync + 'static,
-) -> (Server, Receiver<Instant>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let addr = listener.local_addr().expect("an address");
-    let (script, count) = (Arc::new(script), Arc::new(AtomicUsize::new(0)));
-    let (tell, closed) = channel();
-    let (_, left) = channel();
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let (script, count, tell) = (script.clone(), count.clone(), tell.clone());
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-                while message(&mut reader).is_some() {
-                    let number = count.fetch_add(1, Ordering::SeqCst);
-                    if !script(&mut stream, number) {
-                        return;
-                    }
-                    // A script that leaves its answer open waits for the gateway's close.
-                    if reader.fill_buf().map_or(true, <[u8]>::is_empty) {
-                        let _ = tell.send(Instant::now());
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    let requests = Arc::default();
-    (Server { addr, requests, bodies: Arc::default(), left }, closed)
-}
-
 fn say(stream: &mut TcpStream, bytes: &str) -> bool {
     stream.write_all(bytes.as_bytes()).is_ok()
 }
