End translated streams whose server leaves out its last event; refuse two ids again

Need: found on a second reading: a platform server that ends without [DONE] left its messages client without message_stop, and what was held back for a call in turns was lost; and of two request ids the first was taken, where before they were refused.

Change: the end is said for it where the answer told why it stopped; held pieces are flushed; two ids are a 400.

--- a/src/conformance/stand_in.rs
+++ b/src/conformance/stand_in.rs
@@ -233,6 +233,8 @@
                 let event = self.scribe.stop(messages, &words.at(0));
                 self.says(&event)
             }
+            // The last chunk, without the dialect's last event before it.
+            "last" => self.stream.write_all(b"0\r\n\r\n").ok(),
             "ping" => self.says(if messages {
                 "event: ping\ndata: {\"type\":\"ping\"}\n\n"
             } else {
--- a/src/front/translate/messages.rs
+++ b/src/front/translate/messages.rs
@@ -271,6 +271,11 @@
         }
     }
 
+    /// Says what was held back, and ends the block that is live.
+    pub fn flush(&mut self, out: &mut Vec<u8>) {
+        self.blocks.end(out);
+    }
+
     fn start(&self, usage: Usage, out: &mut Vec<u8>) {
         event(out, "message_start", |data| {
             let mut message = data.object("message");
--- a/src/front/translate/mod.rs
+++ b/src/front/translate/mod.rs
@@ -111,6 +111,10 @@
     reader: Option<(Dialect, Reader)>,
     noted: Rc<Noted>,
     usage: Usage,
+    /// Why the answer stopped was told.
+    stopped: bool,
+    /// The last event of all was.
+    over: bool,
     pieces: Vec<Piece>,
 }
 
@@ -123,7 +127,16 @@
                 Writer::Messages(Box::new(messages::Writer::new(id, model, limits.messages.call_bytes)))
             }
         };
-        Passing { client, writer, reader: None, noted, usage: Usage::default(), pieces: Vec::new() }
+        Passing {
+            client,
+            writer,
+            reader: None,
+            noted,
+            usage: Usage::default(),
+            stopped: false,
+            over: false,
+            pieces: Vec::new(),
+        }
     }
 
     /// Adds the client's bytes for whole events; may add none.
@@ -134,21 +147,42 @@
         if self.reader.as_ref().is_none_or(|(dialect, _)| *dialect != server) {
             self.reader = Some((server, Reader::new(server)));
         }
-        let Some((_, reader)) = &mut self.reader else { return };
+        let mut pieces = std::mem::take(&mut self.pieces);
         for block in http::sse_blocks(events) {
-            reader.read(block, &mut self.pieces);
-            for piece in self.pieces.drain(..) {
-                match &piece {
-                    Piece::Unknown(name) => self.noted.note(name),
-                    Piece::Usage(told) => self.usage = self.usage.most(*told),
-                    _ => {}
-                }
-                match &mut self.writer {
-                    Writer::Platform(writer) => writer.write(piece, self.usage, out),
-                    Writer::Messages(writer) => writer.write(piece, self.usage, out),
-                }
+            let Some((_, reader)) = &mut self.reader else { break };
+            reader.read(block, &mut pieces);
+            for piece in pieces.drain(..) {
+                self.say(piece, out);
             }
         }
+        self.pieces = pieces;
+    }
+
+    /// The real server's side has ended whole. Some end without their dialect's last event: then the client's is said
+    /// for it if the answer told why it stopped, and else at least what was held back.
+    pub fn finish(&mut self, out: &mut Vec<u8>) {
+        if self.reader.is_none() || self.over {
+            return;
+        }
+        match &mut self.writer {
+            _ if self.stopped => self.say(Piece::End, out),
+            Writer::Platform(_) => {}
+            Writer::Messages(writer) => writer.flush(out),
+        }
+    }
+
+    fn say(&mut self, piece: Piece, out: &mut Vec<u8>) {
+        match &piece {
+            Piece::Unknown(name) => self.noted.note(name),
+            Piece::Usage(told) => self.usage = self.usage.most(*told),
+            Piece::Stop(_) => self.stopped = true,
+            Piece::End | Piece::Error(..) => self.over = true,
+            _ => {}
+        }
+        match &mut self.writer {
+            Writer::Platform(writer) => writer.write(piece, self.usage, out),
+            Writer::Messages(writer) => writer.write(piece, self.usage, out),
+        }
     }
 
     /// Bytes that it holds back until what they belong to may begin.
--- a/src/front/voice.rs
+++ b/src/front/voice.rs
@@ -169,13 +169,18 @@
             Form::Stream { headed } => {
                 head(&self.voice, headed, keep, line);
                 if cause == Cause::Whole {
+                    chunk(line, |line| self.passing.finish(line));
                     line.extend_from_slice(http::LAST_CHUNK);
                 } else {
                     let told = self.passing.broken(cause);
                     chunk(line, |line| line.extend_from_slice(&told));
                 }
             }
-            Form::Whole { gather, .. } => {
+            Form::Whole { gather, events, .. } => {
+                if cause == Cause::Whole {
+                    self.passing.finish(events);
+                    gather.events(events);
+                }
                 let gather = std::mem::take(gather);
                 let reply = if cause == Cause::Whole && gather.error().is_none() {
                     match gather.finish() {
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -235,6 +235,10 @@
             return head.get("x-request-id").unwrap_or_default().to_owned();
         }
         let number = given.unwrap_or_else(|| self.engine.fresh_id());
+        // Two of them are left for the front to refuse.
+        if head.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("x-request-id")).count() > 1 {
+            return request_id(number);
+        }
         head.headers.retain(|(name, _)| !name.eq_ignore_ascii_case("x-request-id"));
         head.headers.push(("X-Request-Id".into(), format!("{number:016x}")));
         request_id(number)
