--- a/src/front/voice.rs
+++ b/src/front/voice.rs
@@ -117,7 +117,8 @@
 impl Speech {
     /// Begins one.
     pub fn new(voice: Voice, model: &str, whole: bool, noted: Rc<Noted>, limits: &Limits) -> Speech {
-        let passing = Passing::new(voice.dialect, &voice.id, model, noted.clone(), limits);
+        let id = voice.id.trim_start_matches("req_");
+        let passing = Passing::new(voice.dialect, id, model, noted.clone(), limits);
         let form = if whole {
             Form::Whole { gather: Gather::new(limits.messages.whole_bytes), events: Vec::new(), noted }
         } else {
