Follow JSON's brackets in one place, and refuse what has no counterpart in one

Change: object::Nesting serves the depth of schemas and the end of calls; both translators share their refusals.

--- a/src/front/object.rs
+++ b/src/front/object.rs
@@ -194,21 +194,59 @@
     })
 }
 
-/// How deep a JSON text nests, which is taken for well-formed.
-pub fn depth(json: &str) -> usize {
-    let (mut depth, mut most, mut quoted, mut escaped) = (0usize, 0, false, false);
-    for byte in json.bytes() {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if quoted => escaped = true,
-            b'"' => quoted = !quoted,
-            b'{' | b'[' if !quoted => {
-                depth += 1;
-                most = most.max(depth);
+/// Follows the brackets of a JSON text that comes in pieces and is taken for well-formed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Nesting {
+    depth: usize,
+    deepest: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Nesting {
+    /// Takes the next piece.
+    pub fn take(&mut self, json: &str) {
+        for byte in json.bytes() {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                b'{' | b'[' if !self.quoted => {
+                    self.depth += 1;
+                    self.deepest = self.deepest.max(self.depth);
+                }
+                b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+                _ => {}
             }
-            b'}' | b']' if !quoted => depth = depth.saturating_sub(1),
-            _ => {}
         }
     }
-    most
+
+    /// An object or a list has begun and ended: nothing but blanks can follow.
+    pub fn is_whole(&self) -> bool {
+        self.deepest > 0 && self.depth == 0
+    }
+}
+
+/// How deep a JSON text nests.
+pub fn depth(json: &str) -> usize {
+    let mut nesting = Nesting::default();
+    nesting.take(json);
+    nesting.deepest
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_json_text_in_pieces_is_whole_at_its_end_and_not_before() {
+        let json = r#"{"a":"}\"]","b":[1,{"c":"\\"}]}"#;
+        let mut nesting = Nesting::default();
+        for at in 0..json.len() {
+            assert!(!nesting.is_whole(), "at {at}");
+            nesting.take(&json[at..at + 1]);
+        }
+        assert!(nesting.is_whole());
+        assert_eq!((depth(json), depth("\"[[[\""), depth("1")), (3, 0, 0));
+    }
 }
--- a/src/front/translate/blocks.rs
+++ b/src/front/translate/blocks.rs
@@ -9,7 +9,8 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::messages::event;
-use super::words::{Joiner, Nesting, Words};
+use super::words::{Joiner, Words};
+use crate::front::object::Nesting;
 
 /// What a block is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/front/translate/to_messages.rs
+++ b/src/front/translate/to_messages.rs
@@ -5,6 +5,7 @@
 use super::super::object::{self, Text, TextOr, object};
 use super::super::write::{List, Object, value};
 use super::to_platform::{FAILED, parts_of, plain_of};
+use super::{none, refuse_unknown, wrong};
 use crate::limits::MessagesLimits;
 
 object! {
@@ -155,18 +156,6 @@
 
 type Fault = Result<(), String>;
 
-fn none<T>(field: impl std::fmt::Display) -> Result<T, String> {
-    Err(format!("{field}: has no counterpart in the real servers' dialect"))
-}
-
-fn wrong<T>(field: impl std::fmt::Display, what: &str) -> Result<T, String> {
-    Err(format!("{field}: {what}"))
-}
-
-fn refuse_unknown(place: &str, unknown: &[Text]) -> Fault {
-    unknown.first().map_or(Ok(()), |name| none(format!("{place}{}", &**name)))
-}
-
 /// The body for real servers that speak the messages API; or what has no counterpart there.
 pub fn body(bytes: &[u8], limits: &MessagesLimits) -> Result<Vec<u8>, String> {
     let chat: Chat = object::read(bytes)?;
--- a/src/front/translate/to_platform.rs
+++ b/src/front/translate/to_platform.rs
@@ -6,6 +6,7 @@
 
 use super::super::messages::request::{Block, Choice, Content, Request, Source, Turn};
 use super::super::write::{List, Object, value};
+use super::{none, refuse_unknown};
 
 /// The body for the platform's real servers, always of a stream; or what has no counterpart there.
 pub fn body(request: &Request) -> Result<Vec<u8>, String> {
@@ -83,14 +84,6 @@
     Ok(out)
 }
 
-fn none<T>(field: impl std::fmt::Display) -> Result<T, String> {
-    Err(format!("{field}: has no counterpart in the real servers' dialect"))
-}
-
-fn refuse_unknown(place: &str, unknown: &[super::super::object::Text]) -> Result<(), String> {
-    unknown.first().map_or(Ok(()), |name| none(format!("{place}{}", &**name)))
-}
-
 fn text_block(place: &str, block: &Block) -> Result<(), String> {
     refuse_unknown(place, &block.unknown)?;
     if block.citations.is_some_and(|c| c.get() != "[]") {
--- a/src/front/translate/words.rs
+++ b/src/front/translate/words.rs
@@ -101,39 +101,6 @@
     }
 }
 
-/// Whether the pieces of a JSON value that came so far are a whole object or list.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Nesting {
-    depth: u32,
-    begun: bool,
-    quoted: bool,
-    escaped: bool,
-}
-
-impl Nesting {
-    /// Takes the next piece.
-    pub fn take(&mut self, json: &str) {
-        for byte in json.bytes() {
-            match byte {
-                _ if self.escaped => self.escaped = false,
-                b'\\' if self.quoted => self.escaped = true,
-                b'"' => self.quoted = !self.quoted,
-                b'{' | b'[' if !self.quoted => {
-                    self.begun = true;
-                    self.depth = self.depth.saturating_add(1);
-                }
-                b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
-                _ => {}
-            }
-        }
-    }
-
-    /// It is whole: nothing but blanks can follow.
-    pub fn is_whole(&self) -> bool {
-        self.begun && self.depth == 0
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -162,15 +129,4 @@
         assert_eq!(joined(&[r#""\ud83d\ud83d\udeeb""#]), "\u{fffd}\u{1f6eb}");
         assert_eq!(joined(&["\"\u{1f6eb}\"", r#""plain""#]), "\u{1f6eb}plain");
     }
-
-    #[test]
-    fn a_json_text_in_pieces_is_whole_at_its_end_and_not_before() {
-        let json = r#"{"a":"}\"]","b":[1,{"c":"\\"}]}"#;
-        let mut nesting = Nesting::default();
-        for at in 0..json.len() {
-            assert!(!nesting.is_whole(), "at {at}");
-            nesting.take(&json[at..at + 1]);
-        }
-        assert!(nesting.is_whole());
-    }
 }
