--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -126,6 +126,8 @@
     pub whole: bool,
     /// What of the body goes to real servers in another form.
     pub edit: Option<(Range<usize>, &'static [u8])>,
+    /// Tokens of the prompt, by the body.
+    pub prompt: u64,
     /// The request in the other dialect, if some real server speaks that.
     pub other: Option<Vec<u8>>,
     /// A second run does no harm.
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -39,6 +39,7 @@
         model: String::new(),
         whole: false,
         edit: None,
+        prompt: 0,
         other,
         ask,
         grant: None,
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -189,11 +189,14 @@
                 let back = Rc::new(RefCell::new(None));
                 let headers = std::mem::take(&mut order.headers);
                 let voice = Voice { dialect, id, safe: order.safe, headers };
-                let (prompt, _, _) = order.ask.tokens;
+                let grant = order.grant.take();
                 let charge = Charge {
                     edge: self.clone(),
-                    grant: order.grant.take(),
-                    needed: Some((u64::from(prompt), 0)),
+                    grant,
+                    prompt: order.prompt,
+                    answer: 0,
+                    events: 0,
+                    ran: true,
                 };
                 let passage = Rc::new(Passage::ordered(&self.desk, dialect, head, body, &mut order));
                 let client = Exchange {
@@ -409,14 +412,37 @@
 struct Charge {
     edge: Rc<Edge>,
     grant: Option<Grant>,
-    /// Tokens of the prompt that were read and of the answer; none if it was not run.
-    needed: Option<(u64, u64)>,
+    /// Tokens of the prompt that were read.
+    prompt: u64,
+    /// Tokens of the answer, as far as they were told.
+    answer: u64,
+    /// Events of the answer: until it has ended whole, each stands for a token.
+    events: u64,
+    /// Some real server may have run it.
+    ran: bool,
+}
+
+impl Charge {
+    fn passed(&mut self, batch: &Batch) {
+        self.events += batch.events;
+        if let Some(usage) = batch.usage {
+            (self.prompt, self.answer) = (usage.unkept(), usage.answer);
+        }
+    }
+
+    /// The answer is whole, and what was told of it holds.
+    fn whole(&mut self) {
+        if self.answer > 0 {
+            self.events = 0;
+        }
+    }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
         if let Some(grant) = self.grant.take() {
-            self.edge.desk.messages.settle(self.edge.engine.now(), grant, self.needed);
+            let needed = self.ran.then_some((self.prompt, self.answer.max(self.events)));
+            self.edge.desk.messages.settle(self.edge.engine.now(), grant, needed);
         }
     }
 }
@@ -468,14 +494,14 @@
 
     async fn turn_down(mut self, wait: Duration) {
         log::debug!(id = self.voice.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module");
-        self.charge.needed = None;
+        self.charge.ran = false;
         let reply = self.voice.turn_down(wait);
         self.reply(reply).await;
     }
 
     async fn reject(mut self, status: u16, what: &str) {
         log::info!(id = self.voice.id, status = status; "rejected: {what}");
-        self.charge.needed = None;
+        self.charge.ran = false;
         let reply = self.voice.bad(status, what);
         self.reply(reply).await;
     }
@@ -483,7 +509,7 @@
     async fn fail(mut self, why: Why) {
         log::debug!(id = self.voice.id, after:? = self.from.elapsed(), why:? = why; "failed: by the module");
         if why == Why::TurnedAway {
-            self.charge.needed = None;
+            self.charge.ran = false;
         }
         let reply = self.voice.failed(why);
         self.reply(reply).await;
@@ -546,13 +572,7 @@
     }
 
     fn put(&mut self, batch: Batch) -> usize {
-        let charge = &mut self.exchange.charge;
-        if let (Some(usage), Some((prompt, answer))) = (batch.usage, &mut charge.needed) {
-            (*prompt, *answer) = (usage.unkept(), usage.answer);
-        } else if let Some((_, answer)) = &mut charge.needed {
-            // Of a stream that breaks before it tells, an event stands for a token.
-            *answer += batch.events;
-        }
+        self.exchange.charge.passed(&batch);
         if !self.speech.is_whole() {
             // No more room than the events need: the line of a paused reader is kept for long. What frames them is
             // shorter than a head.
@@ -563,6 +583,9 @@
     }
 
     fn put_end(&mut self, cause: Cause) -> usize {
+        if cause == Cause::Whole {
+            self.exchange.charge.whole();
+        }
         let keep = self.exchange.keep;
         self.add(|speech, line| speech.end(cause, keep, line))
     }
