--- a/src/conformance/case.rs
+++ b/src/conformance/case.rs
@@ -16,7 +16,9 @@
 //! ```
 //!
 //! Words stand for themselves, texts are JSON strings, and a JSON value runs to the end of its line. `then` begins
-//! what the next scheduling meets; the last one repeats.
+//! what the next scheduling meets; the last one repeats. `see@messages` holds on that front alone; `sent@platform
+//! /tool_choice "required"` says what of the body reaches real servers of that dialect, by a JSON pointer, `null` being
+//! nothing.
 
 use winnow::Parser;
 use winnow::ascii::{space0, space1};
@@ -45,6 +47,8 @@
     pub serve: Vec<Vec<Words>>,
     /// What the client must see, and on which front that holds.
     pub see: Vec<(Option<Dialect>, Words)>,
+    /// What of its body reaches the real servers of which dialect: a JSON pointer and the value there.
+    pub sent: Vec<(Option<Dialect>, Words)>,
     /// What becomes of the request.
     pub outcome: Outcome,
     /// How many schedulings reach a real server.
@@ -259,6 +263,13 @@
             case.serve.last_mut().ok_or("nothing to serve")?.push(words);
         }
         "see" => case.see.push((only, followed(rest)?)),
+        "sent" => {
+            let words = followed(rest)?;
+            if !words.word.starts_with('/') || words.rest.len() != 1 {
+                return Err("a JSON pointer and one value have to follow".into());
+            }
+            case.sent.push((only, words));
+        }
         "schedulings" => case.schedulings = Some(first.parse().map_err(|_| "not a number")?),
         "outcome" => {
             case.outcome = match first.as_str() {
@@ -301,6 +312,7 @@
             ("case a\n  outcome odd\n", "f:2: 'odd' is no outcome"),
             ("case a\n  ask user \"x\n", "f:2: not"),
             ("case a\n  see call f {\"a\"\n", "f:2: not a JSON value"),
+            ("case a\n  sent model \"m\"\n", "f:2: a JSON pointer"),
             ("  ask user x\n", "f:1: no case"),
             ("case a\ncase a\n", "f:2: this name"),
         ] {
--- a/src/conformance/mod.rs
+++ b/src/conformance/mod.rs
@@ -185,7 +185,17 @@
         }
     }
     if let Some(stand_ins) = stand_ins {
-        let came = stand_ins.came(&model).len();
+        let came = stand_ins.came(&model);
+        for (only, sent) in &case.sent {
+            if only.is_none_or(|only| only == pairing.1) {
+                let due: serde_json::Value = serde_json::from_str(&sent.json(0)).unwrap_or_default();
+                let is = came.last().and_then(|c| c.body.pointer(&sent.word)).cloned().unwrap_or_default();
+                if is != due || came.is_empty() {
+                    verdict.faults.push(format!("sent: {} {due} was due, {is} came", sent.word));
+                }
+            }
+        }
+        let came = came.len();
         verdict.schedulings = Some(came);
         if let Some(due) = case.schedulings.filter(|due| *due != came) {
             verdict.faults.push(format!("schedulings: {due} were due, {came} came"));
--- a/tests/conformance.rs
+++ b/tests/conformance.rs
@@ -34,7 +34,7 @@
 
 #[test]
 fn a_case_that_does_not_hold_is_told() {
-    let text = "case wrong\n  serve text \"a\"\n  serve end done\n  see text \"b\"\n  schedulings 2\n  outcome broken\n";
+    let text = "case wrong\n  serve text \"a\"\n  serve end done\n  see text \"b\"\n  schedulings 2\n  sent /max_tokens 51\n  outcome broken\n";
     let cases = conformance::case::parse("wrong.case", text).expect("a good file");
     let program = Path::new(env!("CARGO_BIN_EXE_tulipridge"));
     let report = conformance::everywhere(&cases, program, Path::new(env!("CARGO_TARGET_TMPDIR")), 4);
@@ -42,7 +42,7 @@
     assert!(!report.holds());
     assert_eq!(report.verdicts.len(), 4);
     for verdict in &report.verdicts {
-        assert_eq!(verdict.faults.len(), 3, "{:?}", verdict.faults);
+        assert_eq!(verdict.faults.len(), 4, "{:?}", verdict.faults);
     }
     let text = report.text();
     assert!(text.contains("0 of 1 hold") && text.contains("schedulings: 2 were due, 1 came"), "{text}");
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -331,6 +331,20 @@
         ("store {\n  listen = \"nowhere\"\n}\n", ["2:3", "store.listen", "\"nowhere\""]),
         ("syslog {\n}\nsyslog {\n}\n", ["1:1", "syslog", "given twice"]),
         ("streams {\n  pace_factor = 3\n}\n", ["2:3", "streams.pace_factor", "pace_least"]),
+        (
+            "messages {\n  keys = { \"a\" = { sha256 = \"12\" } }\n}\n",
+            ["2:3", "messages.keys.a.sha256", "not 64 hex digits"],
+        ),
+        (
+            "messages {\n  limits = { t = { requests = 0 } }\n}\n",
+            ["2:3", "messages.limits.t.requests", "0 would let nobody in"],
+        ),
+        (
+            "messages {\n  models = { m = { created = \"soon\" } }\n}\n",
+            ["2:3", "messages.models.m.created", "no time"],
+        ),
+        ("messages {\n  only_listed = true\n}\n", ["2:3", "messages.only_listed", "no model"]),
+        ("messages {\n  body = \"1GiB\"\n}\n", ["2:3", "messages.body", "1.0 GiB is not between"]),
         ("streams {\n  window = \n}\n", ["2:12", "invalid expression", "expected"]),
     ] {
         let (good, said) = check(text);
@@ -338,6 +352,40 @@
     }
 }
 
+#[test]
+fn a_key_is_made_with_the_line_that_the_settings_hold_of_it() {
+    let make = |args: &[&str], read: &str| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_tulipridge"))
+            .arg("key")
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        // It may have ended without reading.
+        let _ = child.stdin.take().expect("piped").write_all(read.as_bytes());
+        let out = child.wait_with_output().expect("it ends");
+        (out.status.success(), String::from_utf8(out.stdout).expect("UTF-8"))
+    };
+    let (good, told) = make(&["map-office", "--tenant", "office"], "");
+    assert!(good);
+    let key = told.lines().find_map(|l| l.strip_prefix("# the client's: ")).expect("the key");
+    let line = told.lines().last().expect("the line");
+    assert!(key.len() >= 40 && !line.contains(key), "{told}");
+    let settings = format!("messages {{\n  keys = {{ {line} }}\n}}\n");
+    let settings = tulipridge::settings::Settings::parse("made", &settings).expect("it fits in");
+    let held = &settings.messages.keys["map-office"];
+    assert_eq!(held.sha256, tulipridge::front::messages::keys::digits_of(key));
+    assert_eq!(held.tenant.as_deref(), Some("office"));
+    assert_ne!(make(&["map-office"], "").1, told, "another one each time");
+
+    let (good, told) = make(&["old", "--read"], "a-key-that-is-there-already\n");
+    let digits = tulipridge::front::messages::keys::digits_of("a-key-that-is-there-already");
+    assert!(good && told.contains(&digits) && !told.contains("a-key-that-is-there"), "{told}");
+    assert!(!make(&["old", "--read"], "short\n").0);
+}
+
 #[test]
 fn a_server_that_spoils_its_streams_rests_for_a_while_and_comes_back() {
     let good: Vec<Server> = (0..4).map(|_| server("platform", Manner::Serve)).collect();
