Pace list calls by the group's size; let starting gateways use cold servers

After the restart, 8 servers listed as cold got 4 sends or fewer in 6 s while the 12 old ones got 40 to 90 each and timed out.

Cause: (1) all 100 gateways call within CALL_FIRST = 200 ms and again within 5 s at most (choice.rs, list()); discovery serves about 20 calls a second in turn, so each call outlives its wait and the next round is as large.

Ruled out: dead servers not ejected (each gateway meets each of them once or twice, a run of three never comes together, but they vanish once the list comes); crowded servers (full: 40 in 5 s).

Change: calls are spread over 60 ms for each gateway of the group, doubled up to 16 s, under the 40 s that a failed call allows. A cold server's part comes from the tenants' quotas over the group, 1.5 times its warmth (the rule's bound is 2.5), or from work served where that is more.

Both tests fail without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,9 @@
 const CUT_MOST: Nanos = 2 * SECOND;
 /// Beyond this share of the fleet, ejections are not believed: then it is this gateway or the load.
 const EJECT_SHARE: f64 = 0.5;
+/// All gateways together send a cold replica this multiple of its part of the tenants' quotas; these are
+/// within what the fleet can do, and a cold replica bears more than twice its own.
+const COLD_PART: f64 = 1.5;
 /// What an answer costs, as prompt tokens read: a slot is kept about as long as this takes to read.
 const ANSWER_COST: f64 = 1000.0;
 const SIZE_STEP: f64 = 1.05; // from this multiple on, a kind's size is raised
@@ -60,9 +63,10 @@
 const SHARE_MEMORY: f64 = 1.5;
 /// How long a request that finds no replica waits before it looks again.
 const HOLD: Nanos = 50 * MILLI;
-/// A call for the list is made again after a failure within the first of these, doubled up to the second.
-const CALL_FIRST: Nanos = 200 * MILLI;
-const CALL_MOST: Nanos = 5 * SECOND;
+/// A call for the list is made, and made again after a failure, within the first of these for each gateway
+/// of the group, doubled up to the second: discovery serves all of them in turn, a call in about 50 ms.
+const CALL_FIRST: Nanos = 60 * MILLI;
+const CALL_MOST: Nanos = 16 * SECOND;
 
 /// An odd number without pattern, to step or to part hashes.
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -196,6 +200,7 @@
     zones: BTreeMap<u16, Zone>,
     ready: usize,
     total_size: f64,
+    most_size: f64,
     sizes: BTreeMap<u16, f64>,
     warm: usize,
     ejected: usize,
@@ -309,9 +314,10 @@
 
     fn list(&mut self, now: Nanos, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
         // Guards against many gateways calling at once, at their start or when the list comes back.
+        let first = CALL_FIRST * Nanos::from(self.settings.group_size);
         let within = match kind {
-            ListKind::Failed => Some((CALL_FIRST << self.call_failures.min(10)).min(CALL_MOST)),
-            ListKind::Persisted if !self.settings.push => Some(CALL_FIRST),
+            ListKind::Failed => Some((first << self.call_failures.min(10)).min(CALL_MOST)),
+            ListKind::Persisted if !self.settings.push => Some(first),
             _ => None,
         };
         self.call += u64::from(kind != ListKind::Persisted);
@@ -341,7 +347,7 @@
                 replica.health = Breaker::default();
                 replica.budget_at = now;
                 let debt = self.chance();
-                self.replicas[r].budget = -debt * 2.0 * self.full_cost;
+                self.replicas[r].budget = -debt * self.full_cost;
             }
             changed |= self.measure(member);
             let replica = &mut self.replicas[r];
@@ -364,6 +370,7 @@
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         self.ready = ready.clone().count();
         self.total_size = ready.clone().map(|r| r.size).sum();
+        self.most_size = self.most_size.max(self.total_size);
         self.warm = ready.clone().filter(|r| self.warmth(now, r) >= 1.0).count();
         self.ejected = ready.filter(|r| r.health.open).count();
         self.release(now, actions);
@@ -675,7 +682,8 @@
     }
 
     /// Guards against many gateways pushing a cold replica over, each with little: while it is cold this
-    /// gateway sends it no more than its warmth's part of the work that a replica's share would be.
+    /// gateway sends it no more than its own part of its warmth's part of the work that a replica's share
+    /// would be. Quotas tell that work to a gateway that has just started and has seen none, like the fleet.
     fn afford(&mut self, now: Nanos, r: usize, cost: f64) -> bool {
         let warmth = self.warmth(now, &self.replicas[r]);
         if warmth >= 1.0 {
@@ -685,8 +693,10 @@
         // Guards against two flattering measures: demand, which in an overload is beyond what any replica
         // can do, and units that are lowered by load, of which an empty replica has the most.
         let work = if self.warm > 0 { self.served } else { self.offered };
-        let share = self.replicas[r].size / self.total_size.max(f64::MIN_POSITIVE);
-        let rate = work / MEMORY * share * warmth;
+        let quota = self.settings.tenants.iter().filter_map(|t| t.quota_per_s).sum::<f64>();
+        let due = quota / f64::from(self.settings.group_size) * self.full_cost;
+        let share = self.replicas[r].size / self.most_size.max(f64::MIN_POSITIVE);
+        let rate = COLD_PART * due.max(work / MEMORY) * share * warmth;
         let replica = &self.replicas[r];
         let gone = now.saturating_sub(replica.budget_at) as f64 / SECOND as f64;
         let most = rate * self.settings.safety.fall as f64 / SECOND as f64;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -368,6 +368,41 @@
     assert!(bench.served(1, None).is_some(), "the list survived the failures");
 }
 
+/// A hundred gateways of a group, from their start with `list`.
+fn fleet(settings: &Settings, list: &[Member]) -> Vec<Bench> {
+    let start = |me| {
+        let settings = Settings { group_size: 100, me, ..settings.clone() };
+        let gateway = Gateway::new(settings.clone(), u64::from(me) * 977).expect("good settings");
+        let mut bench = Bench { gateway, ..Bench::new(settings, &[]) };
+        bench.timers.clear();
+        bench.list(ListKind::Persisted, list);
+        bench
+    };
+    (0..100).map(start).collect()
+}
+
+#[test]
+fn a_large_group_spreads_its_calls_for_the_list() {
+    // Found on a herd+vast day: all called at once, none was served in its time, and all called again.
+    let settings = Settings { push: false, ..settings(Effect::Safe) };
+    let mut fleet = fleet(&settings, &members(3));
+    let mut calls = Vec::new();
+    for _ in 0..40 {
+        let mut now = 0;
+        for bench in &mut fleet {
+            let asked = bench.pass(500 * MILLI).contains(&Action::Watch);
+            now += usize::from(asked);
+            if asked {
+                bench.list(ListKind::Failed, &[]);
+            }
+        }
+        calls.push(now);
+    }
+    assert!(calls.iter().all(|n| *n <= 30), "calls in half seconds: {calls:?}");
+    assert!(calls[..12].iter().sum::<usize>() >= 100, "all have called within 6 s: {calls:?}");
+    assert!(calls[24..].iter().sum::<usize>() <= 160, "no back-off: {calls:?}");
+}
+
 // ---- answers ----------------------------------------------------------------------------------------------
 
 #[test]
@@ -689,6 +724,34 @@
     }
 }
 
+#[test]
+fn gateways_that_have_just_started_use_cold_replicas_within_the_bound() {
+    // Found on a herd+vast day: restarted gateways had served nothing, so they sent cold replicas next to nothing
+    // and all went to the few warm ones. Ten replicas of 10 requests a second, half of them cold.
+    let tenants = vec![Tenant { share: 1.0, quota_per_s: Some(100.0) }];
+    let settings = Settings { tenants, ..settings(Effect::Safe) };
+    let cold = |n| Member { started: (n < 5).then_some(100 * SECOND), ..member(n) };
+    let mut fleet = fleet(&settings, &(0..10).map(cold).collect::<Vec<_>>());
+    let mut sent = [[0.0; 10]; 6];
+    for (second, sent) in sent.iter_mut().enumerate() {
+        for (n, bench) in fleet.iter_mut().enumerate() {
+            bench.now = (100 + second as u64) * SECOND + n as u64 * 10 * MILLI;
+            let to = bench.served((n * 6 + second) as u64, None).expect("somebody takes it");
+            sent[to.trim_start_matches("replica-").parse::<usize>().expect("a number")] += 1.0;
+        }
+    }
+    for replica in 0..5 {
+        let counts: Vec<f64> = sent.iter().map(|s| s[replica]).collect();
+        for (second, window) in counts.windows(2).enumerate() {
+            let warmth = 0.2 + 0.8 * second as f64 / 20.0;
+            let bound = 2.5 * 10.0 * warmth * 2.0;
+            assert!(window.iter().sum::<f64>() <= bound, "replica {replica} over its bound: {counts:?}");
+        }
+    }
+    let cold: f64 = sent.iter().flat_map(|s| &s[..5]).sum();
+    assert!(cold >= 15.0, "cold replicas are hardly used: {sent:?}");
+}
+
 #[test]
 fn an_empty_replica_does_not_look_large() {
     // Found on an overloaded day: units that load lowers made an idle cold replica's share a multiple.
