Pool a gateway's cold allowance over all cold servers

Cause: afford() (choice.rs) gives each gateway a part for each cold server. The walk also liked a cold owner as much as a warm one, and was then turned back.

Ruled out: demand (the arcs, thinned by warmth, bring the cold ones about half of what a warm one gets); late lists (new servers were listed at all gateways 1 s after the first).

Change: the per-server part is kept, but begins at one request for each gateway; what keeps the fleet under the bound is a second budget of each gateway over all cold servers together, which holds several requests and so is used. Owners are liked by size times warmth.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,8 +106,7 @@
     in_flight: u32,
     health: Breaker,
     load: f64,
-    budget: f64,
-    budget_at: Nanos,
+    budget: Budget,
     seen: u64,
     lag: Nanos,
 }
@@ -146,6 +145,20 @@
     }
 }
 
+/// Work that may be sent: what is left of it, which grows with time.
+#[derive(Clone, Copy, Default)]
+struct Budget {
+    left: f64,
+    at: Nanos,
+}
+
+impl Budget {
+    fn refill(&mut self, now: Nanos, rate: f64, most: f64) {
+        let gone = now.saturating_sub(self.at) as f64 / SECOND as f64;
+        (self.left, self.at) = ((self.left + rate * gone).min(most), now);
+    }
+}
+
 /// Whether an attempt may have had an effect.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
@@ -201,6 +214,7 @@
     ready: usize,
     total_size: f64,
     most_size: f64,
+    cold: Budget,
     sizes: BTreeMap<u16, f64>,
     warm: usize,
     ejected: usize,
@@ -341,13 +355,10 @@
             self.replicas[r].seen = self.walk;
             let replica = &mut self.replicas[r];
             if member.started.is_some() && replica.started != member.started {
-                // A new process: what the old one did says nothing of it. Its budget starts at a random
-                // debt, so that many gateways' first requests to it don't come together.
+                // A new process: what the old one did says nothing of it.
                 replica.started = member.started;
                 replica.health = Breaker::default();
-                replica.budget_at = now;
-                let debt = self.chance();
-                self.replicas[r].budget = -debt * self.full_cost;
+                replica.budget = Budget { left: 0.0, at: now };
             }
             changed |= self.measure(member);
             let units = self.units(member);
@@ -555,12 +566,14 @@
     }
 
     fn send(&mut self, now: Nanos, id: RequestId, r: usize, timeout: Nanos, actions: &mut Vec<Action>) {
+        let cold = self.warmth(now, &self.replicas[r]) < 1.0;
         let Some(live) = self.live.get_mut(&id) else { return };
         let cost = full_cost(&live.request);
+        self.cold.left -= if cold { cost } else { 0.0 };
         live.attempts.push(Attempt { replica: r, sent: now, fate: Fate::Out, begun: false });
         let replica = &mut self.replicas[r];
         replica.in_flight += 1;
-        replica.budget -= cost;
+        replica.budget.left -= cost;
         replica.health.trial |= replica.health.open;
         let zone = self.zones.entry(replica.zone).or_default();
         zone.link.trial |= zone.link.open;
@@ -613,7 +626,7 @@
             if replica.seen == self.walk || f64::from(point.n) >= nodes {
                 continue;
             }
-            let (own, hash) = (replica.size, replica.hash);
+            let (own, hash) = (replica.size * self.warmth(now, replica), replica.hash);
             let owner = best.is_none() || owned < target.owners * size;
             self.replicas[r].seen = self.walk;
             met += 1;
@@ -688,6 +701,8 @@
     /// Guards against many gateways pushing a cold replica over, each with little: while it is cold this
     /// gateway sends it no more than its own part of its warmth's part of the work that a replica's share
     /// would be. Quotas tell that work to a gateway that has just started and has seen none, like the fleet.
+    /// In a large group a part is less than a request for as long as the replica is cold, so each gateway may
+    /// send it one, and keeps to its part of all cold ones together.
     fn afford(&mut self, now: Nanos, r: usize, cost: f64) -> bool {
         let warmth = self.warmth(now, &self.replicas[r]);
         if warmth >= 1.0 {
@@ -699,15 +714,16 @@
         let work = if self.warm > 0 { self.served } else { self.offered };
         let quota = self.settings.tenants.iter().filter_map(|t| t.quota_per_s).sum::<f64>();
         let due = quota / f64::from(self.settings.group_size) * self.full_cost;
-        let share = self.replicas[r].size / self.most_size.max(f64::MIN_POSITIVE);
-        let rate = COLD_PART * due.max(work / MEMORY) * share * warmth;
-        let replica = &self.replicas[r];
-        let gone = now.saturating_sub(replica.budget_at) as f64 / SECOND as f64;
-        let most = rate * self.settings.safety.fall as f64 / SECOND as f64;
+        let each = COLD_PART * due.max(work / MEMORY) / self.most_size.max(f64::MIN_POSITIVE);
+        let cold = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
+        let cold = cold.map(|r| (r.size, self.warmth(now, r))).filter(|(_, warmth)| *warmth < 1.0);
+        let all = each * cold.map(|(size, warmth)| size * warmth).sum::<f64>();
+        let fall = self.settings.safety.fall as f64 / SECOND as f64;
+        self.cold.refill(now, all, all * fall / 2.0);
         let replica = &mut self.replicas[r];
-        replica.budget = (replica.budget + rate * gone).min(most.min(cost));
-        replica.budget_at = now;
-        replica.budget >= 0.0
+        let rate = each * replica.size * warmth;
+        replica.budget.refill(now, rate, (rate * fall).min(cost));
+        replica.budget.left >= 0.0 && self.cold.left >= 0.0
     }
 
     // ---- attempts -------------------------------------------------------------------------------------
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -744,7 +744,8 @@
     let mut fleet = fleet(&settings, &(0..10).map(cold).collect::<Vec<_>>());
     let mut sent = [[0.0; 10]; 6];
     for (second, sent) in sent.iter_mut().enumerate() {
-        for (n, bench) in fleet.iter_mut().enumerate() {
+        // Four fifths of what the quotas allow.
+        for (n, bench) in fleet.iter_mut().enumerate().filter(|(n, _)| n % 5 != second) {
             bench.now = (100 + second as u64) * SECOND + n as u64 * 10 * MILLI;
             let to = bench.served((n * 6 + second) as u64, None).expect("somebody takes it");
             sent[to.trim_start_matches("replica-").parse::<usize>().expect("a number")] += 1.0;
@@ -755,11 +756,11 @@
         for (second, window) in counts.windows(2).enumerate() {
             let warmth = 0.2 + 0.8 * second as f64 / 20.0;
             let bound = 2.5 * 10.0 * warmth * 2.0;
-            assert!(window.iter().sum::<f64>() <= bound, "replica {replica} over its bound: {counts:?}");
+            assert!(window.iter().sum::<f64>() <= bound, "replica {replica} over its bound: {sent:?}");
         }
     }
     let cold: f64 = sent.iter().flat_map(|s| &s[..5]).sum();
-    assert!(cold >= 15.0, "cold replicas are hardly used: {sent:?}");
+    assert!(cold >= 40.0, "cold replicas are hardly used: {sent:?}");
 }
 
 #[test]
