Sift lists of what can't be, and name it in the log

A weight of 1e300 would have drawn nearly all arcs to one server, of a kind of which there are twenty; a start far ahead kept its server cold for good; of two words on one server in a list the later one counted, also 'ready' after 'draining'.

Change: Listing::sift, without I/O or clock, takes these out before the fleet and the module hear of the list; of two words the one that wants nothing new counts. A 'bad-entry' line names server and fault.

--- a/src/names.rs
+++ b/src/names.rs
@@ -49,7 +49,7 @@
 }
 
 /// What discovery says of a real server.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// It runs.
@@ -74,6 +74,43 @@
     pub servers: Vec<ServiceEntry>,
 }
 
+/// Sizes that a real server may have, beside those of others.
+const WEIGHTS: std::ops::RangeInclusive<f64> = 1e-3..=1e4;
+/// A start further ahead of this machine's clock, in milliseconds, is no start: clocks differ by less.
+const AHEAD_MS: f64 = 60_000.0;
+
+impl Listing {
+    /// Takes out what can't be right, at `now_ms` of Unix time, and names it. Guards against news that would
+    /// draw all requests to one real server, keep one cold for ever, or send work to what drains: of two words
+    /// on one server in one listing the one that wants nothing new counts.
+    pub fn sift(&mut self, now_ms: f64) -> Vec<(String, &'static str)> {
+        let mut faults = Vec::new();
+        let mut said: BTreeMap<String, State> = BTreeMap::new();
+        for entry in &self.servers {
+            let state = said.entry(entry.id.clone()).or_insert(entry.state);
+            *state = (*state).max(entry.state);
+        }
+        self.servers.retain(|entry| {
+            let first = said.get(&entry.id) == Some(&entry.state) && said.remove(&entry.id).is_some();
+            if !first {
+                faults.push((entry.id.clone(), "named twice, the word that wants nothing new counts"));
+            }
+            first
+        });
+        for entry in &mut self.servers {
+            if !WEIGHTS.contains(&entry.weight) {
+                faults.push((entry.id.clone(), "a weight that no machine has, taken for 1"));
+                entry.weight = 1.0;
+            }
+            if !(0.0..=now_ms + AHEAD_MS).contains(&entry.started_ms) {
+                faults.push((entry.id.clone(), "a start that can't be, taken for now"));
+                entry.started_ms = now_ms;
+            }
+        }
+        faults
+    }
+}
+
 /// The names that requests and lists use, with what goes with them.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -201,6 +201,10 @@
 
     /// Tells the fleet first, so that what the module then orders finds its places.
     fn take(&self, listing: &Listing, kind: ListKind) {
+        let mut listing = listing.clone();
+        for (server, what) in listing.sift(self.engine.now() as f64 / 1e6) {
+            log::warn!(version = listing.version, server = server; "bad-entry: {what}");
+        }
         self.version.set(listing.version);
         self.answered.set(self.answered.get() || kind != ListKind::Persisted);
         let mut members: Vec<Member> = Vec::with_capacity(listing.servers.len());
