Drop load reports' numbers out of range, and name the first in the log

Nothing reads them yet, so no decision was wrong.

Change: Names::report keeps 0 to 1e6; the first report with a value missing or out of range gives one 'bad-report' line. Tests for that, and for the way of 'speeds' from the file through the names of kinds.

--- a/src/names.rs
+++ b/src/names.rs
@@ -172,10 +172,12 @@
         }
     }
 
-    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value not told is not a number.
+    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value not told,
+    /// or out of all range, is not a number.
     pub fn report(&self, text: &str) -> Vec<f64> {
         let pairs = text.split([',', ' ']).filter_map(|p| p.split_once('='));
-        let told: BTreeMap<&str, f64> = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
+        let told = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?)));
+        let told: BTreeMap<&str, f64> = told.filter(|(_, value)| (0.0..=1e6).contains(value)).collect();
         self.gauges.iter().map(|name| told.get(name.as_str()).copied().unwrap_or(f64::NAN)).collect()
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -62,7 +62,14 @@
     let names = Rc::new(RefCell::new(config.names));
     let gauges = {
         let names = names.clone();
-        Box::new(move |text: &str| names.borrow().report(text))
+        let noted = std::cell::Cell::new(false);
+        Box::new(move |text: &str| {
+            let report = names.borrow().report(text);
+            if report.iter().any(|value| value.is_nan()) && !noted.replace(true) {
+                log::warn!(report = text; "bad-report: what can't be read of load reports is passed over");
+            }
+            report
+        })
     };
     let fleet = Rc::new(Fleet::new(limits.clone(), gauges));
     let discovery = Rc::new(Discovery::new(
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,7 +2,9 @@
 
 use serde_json::json;
 
-use tulipridge::names::{Listing, State};
+use tulipridge::config::Config;
+use tulipridge::names::{Listing, Names, State};
+use tulipridge::settings::Settings;
 
 const NOW: f64 = 1.8e12;
 
@@ -61,3 +63,23 @@
         assert_eq!(left, [expected]);
     }
 }
+
+#[test]
+fn load_reports_out_of_range_say_nothing() {
+    let names = Names { gauges: vec!["util".into(), "eps".into()], ..Names::default() };
+    assert_eq!(names.report("TEXT util=0.61, eps=0"), [0.61, 0.0]);
+    for lie in ["util=1e300, eps=-1", "util=inf, eps=NaN", "util=, eps=x", "", "noise"] {
+        assert!(names.report(lie).iter().all(|value| value.is_nan()), "{lie}");
+    }
+}
+
+#[test]
+fn speeds_reach_the_module_by_the_names_of_kinds() {
+    let mut platform: serde_json::Value =
+        serde_json::from_str(include_str!("../examples/config.json")).expect("JSON");
+    platform["settings"]["shapes"] = json!(["small", "large"]);
+    let own = Settings::parse("made", "speeds = { large = 2.0, other = 3.0 }\n").expect("good");
+    let config = Config::new(&platform, own).expect("good");
+    assert_eq!(config.settings.speeds, [1.0, 2.0, 3.0]);
+    assert_eq!(config.names.kinds, ["small", "large", "other"]);
+}
