Second reading: take lists without copying them, look warmth up once

Need: read once more, the change copied each list to sift it, found the word that counts among two by taking names out of a map while filtering, kept a total that nothing but its own maximum used, and looked a server's warmth up twice on each step of the walk.

Change: lists are handed on by value; two words on one server are put together where the first stands; the total is gone; warmth is looked up once. No decision differs.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -212,8 +212,9 @@
     ring: Vec<Point>,
     zones: BTreeMap<u16, Zone>,
     ready: usize,
-    total_size: f64,
+    /// The most that was ready at once: what the quotas were made for.
     most_size: f64,
+    /// What this gateway may send to all cold replicas together.
     cold: Budget,
     sizes: BTreeMap<u16, f64>,
     warm: usize,
@@ -381,8 +382,7 @@
         self.forget();
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         self.ready = ready.clone().count();
-        self.total_size = ready.clone().map(|r| r.size).sum();
-        self.most_size = self.most_size.max(self.total_size);
+        self.most_size = self.most_size.max(ready.clone().map(|r| r.size).sum());
         self.warm = ready.clone().filter(|r| self.warmth(now, r) >= 1.0).count();
         self.ejected = ready.filter(|r| r.health.open).count();
         self.release(now, actions);
@@ -622,11 +622,12 @@
             let point = self.ring[(start + i) % self.ring.len()];
             let r = point.r as usize;
             let replica = &self.replicas[r];
-            let nodes = f64::from(replica.nodes) * self.warmth(now, replica);
+            let warmth = self.warmth(now, replica);
+            let nodes = f64::from(replica.nodes) * warmth;
             if replica.seen == self.walk || f64::from(point.n) >= nodes {
                 continue;
             }
-            let (own, hash) = (replica.size * self.warmth(now, replica), replica.hash);
+            let (own, hash) = (replica.size * warmth, replica.hash);
             let owner = best.is_none() || owned < target.owners * size;
             self.replicas[r].seen = self.walk;
             met += 1;
--- a/src/names.rs
+++ b/src/names.rs
@@ -85,18 +85,17 @@
     /// on one server in one listing the one that wants nothing new counts.
     pub fn sift(&mut self, now_ms: f64) -> Vec<(String, &'static str)> {
         let mut faults = Vec::new();
-        let mut said: BTreeMap<String, State> = BTreeMap::new();
-        for entry in &self.servers {
-            let state = said.entry(entry.id.clone()).or_insert(entry.state);
-            *state = (*state).max(entry.state);
-        }
-        self.servers.retain(|entry| {
-            let first = said.get(&entry.id) == Some(&entry.state) && said.remove(&entry.id).is_some();
-            if !first {
-                faults.push((entry.id.clone(), "named twice, the word that wants nothing new counts"));
+        let mut places = BTreeMap::new();
+        for entry in std::mem::take(&mut self.servers) {
+            let place = *places.entry(entry.id.clone()).or_insert(self.servers.len());
+            match self.servers.get_mut(place) {
+                Some(first) => {
+                    first.state = first.state.max(entry.state);
+                    faults.push((entry.id, "named twice, the word that wants nothing new counts"));
+                }
+                None => self.servers.push(entry),
             }
-            first
-        });
+        }
         for entry in &mut self.servers {
             if !WEIGHTS.contains(&entry.weight) {
                 faults.push((entry.id.clone(), "a weight that no machine has, taken for 1"));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -43,7 +43,7 @@
 
     /// Takes the list that the gateway last had, which may be old.
     pub fn persisted(&self, known: &Listing) {
-        self.take(known, ListKind::Persisted);
+        self.take(known.clone(), ListKind::Persisted);
     }
 
     /// Discovery has moved: it is watched there from now on. The list held and its version stay in force.
@@ -176,10 +176,7 @@
         let was_first = std::mem::replace(first, false);
         if line.is_empty() {
             if was_first {
-                self.take(
-                    &Listing { version: self.version.get(), ..Listing::default() },
-                    ListKind::Changes,
-                );
+                self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
             }
             return Ok(());
         }
@@ -188,20 +185,17 @@
             // Changes up to a version that is held already: nothing new.
             log::warn!(version = listing.version, held = self.version.get(); "old-changes: nothing new in them");
             if was_first {
-                self.take(
-                    &Listing { version: self.version.get(), ..Listing::default() },
-                    ListKind::Changes,
-                );
+                self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
             }
             return Ok(());
         }
-        self.take(&listing, if listing.full { ListKind::Whole } else { ListKind::Changes });
+        let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
+        self.take(listing, kind);
         Ok(())
     }
 
     /// Tells the fleet first, so that what the module then orders finds its places.
-    fn take(&self, listing: &Listing, kind: ListKind) {
-        let mut listing = listing.clone();
+    fn take(&self, mut listing: Listing, kind: ListKind) {
         for (server, what) in listing.sift(self.engine.now() as f64 / 1e6) {
             log::warn!(version = listing.version, server = server; "bad-entry: {what}");
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,6 @@
 //! One gateway, from its start to its end: wires the parts together.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -62,7 +62,7 @@
     let names = Rc::new(RefCell::new(config.names));
     let gauges = {
         let names = names.clone();
-        let noted = std::cell::Cell::new(false);
+        let noted = Cell::new(false);
         Box::new(move |text: &str| {
             let report = names.borrow().report(text);
             if report.iter().any(|value| value.is_nan()) && !noted.replace(true) {
