--- a/tests/module.rs
+++ b/tests/module.rs
@@ -563,15 +563,21 @@
     assert_eq!(actions, [Action::Cancel { id, attempt: 0 }]);
 }
 
-#[test]
-fn a_single_slow_attempt_is_waited_for() {
-    // Found when copies from a budget, a tenth of the requests at most, cost an overload more than they saved.
+/// A gateway that may send second copies and has had some sessions served.
+fn with_copies(replicas: usize, sessions: u64) -> Bench {
     let mut settings = settings(Effect::Safe);
     settings.limits.second_copies = true;
-    let mut bench = Bench::new(settings, &members(10));
-    for session in 0..100 {
+    let mut bench = Bench::new(settings, &members(replicas));
+    for session in 0..sessions {
         bench.served(session, None);
     }
+    bench
+}
+
+#[test]
+fn a_single_slow_attempt_is_waited_for() {
+    // Found when copies from a budget, a tenth of the requests at most, cost an overload more than they saved.
+    let mut bench = with_copies(10, 100);
     bench.request(1000, None);
     assert!(sent(&bench.pass(4 * SECOND)).is_none());
 }
@@ -604,12 +610,7 @@
 fn a_gateway_that_meets_each_replica_seldom_ejects_one_at_the_first_failure() {
     // Found on a zone+vast day: four slow replicas timed out three in four of what they were sent, and none of a
     // hundred gateways ever saw three of these come together.
-    let mut settings = settings(Effect::Safe);
-    settings.limits.second_copies = true;
-    let mut bench = Bench::new(settings, &members(40));
-    for session in 0..20 {
-        bench.served(session, None);
-    }
+    let mut bench = with_copies(40, 20);
     let (id, actions) = bench.request(1000, None);
     let slow = sent(&actions).expect("sent");
     let copy = sent(&bench.pass(SECOND)).expect("a copy goes elsewhere");
