Listen at a second address, drain by one lifecycle, adopt the platform's listener

Upgrade: the second process exits with 1. Drain: told to, clients were still sent there 4 s later.

Cause: the platform's listening socket, named in EDGE_INHERITED_FD, was bound anew (serve.rs, bind: address in use), and nobody listened at the second address. Health, keep-alive and idle closing hung on three flags in edge.rs (ready, stopping, closing) that go one way only.

Change: src/lifecycle.rs, one machine that health, ready, keep-alive, idle closing, accepting, SIGTERM and drain ask; src/net/keeper.rs gives it the clock. src/net/mgmt.rs with places and descriptors of its own. src/net/listen.rs, bound or inherited; listenfd adopts. Who gives up a place moved from edge.rs to src/seats.rs, which both ports use. 24 descriptors at least are kept from edge and server connections, so that the second address has its own on small machines too.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,7 @@
 use tulipridge::conformance;
 use tulipridge::front::messages::keys;
 use tulipridge::names::Dialect;
+use tulipridge::net::listen;
 use tulipridge::settings::Settings;
 
 use crate::{demo, serve};
@@ -113,7 +114,7 @@
     match line.command.unwrap_or(Command::Serve(line.files)) {
         Command::Serve(files) => {
             let sources = Sources { config: files.config, settings: files.settings };
-            match Config::load(&sources) {
+            match listen::hand_over().and_then(|()| Config::load(&sources)) {
                 Ok(config) => serve::serve(config, sources),
                 Err(what) => fault(&what),
             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -25,6 +25,8 @@
     pub name: String,
     /// Where the platform's clients connect.
     pub listen: SocketAddr,
+    /// Where operators' calls come, if the platform says so.
+    pub mgmt: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -98,9 +100,12 @@
         if !config.is_object() {
             return Err(format!("{path}: not an object"));
         }
-        for (variable, key) in
-            [("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_DISCOVERY", "discovery")]
-        {
+        for (variable, key) in [
+            ("EDGE_NAME", "name"),
+            ("EDGE_LISTEN", "listen"),
+            ("EDGE_DISCOVERY", "discovery"),
+            ("EDGE_MGMT", "mgmt"),
+        ] {
             if let (Ok(value), true) = (env::var(variable), environment_first || config[key].is_null()) {
                 config[key] = value.into();
             }
@@ -160,6 +165,7 @@
         Ok(Config {
             name: at("name").text()?,
             listen: addr("listen")?,
+            mgmt: if config["mgmt"].is_null() { None } else { Some(addr("mgmt")?) },
             discovery: addr("discovery")?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| "seed: not hex digits")?,
             sockets: at("limits").at("sockets").number(1024.0)? as usize,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -33,6 +33,18 @@
     pub edge_rested: Duration,
     /// How often a newcomer looks for room while there is none.
     pub edge_look: Duration,
+    /// Callers at the second address at once.
+    pub mgmt_callers: usize,
+    /// While their places are scarce, a caller makes room after this time if nothing has come on it.
+    pub mgmt_mute: Duration,
+    /// While their places are scarce, a caller makes room after this time without a whole call.
+    pub mgmt_slow: Duration,
+    /// Time for a call to arrive whole.
+    pub mgmt_read: Duration,
+    /// Time in which a caller must take its answer.
+    pub mgmt_write: Duration,
+    /// How often a starting process looks whether it can serve.
+    pub start_look: Duration,
     /// Connections to real servers open at once, idle ones included.
     pub server_connections: usize,
     /// Time for a connection to come up.
@@ -70,7 +82,7 @@
     pub discovery_answer: Duration,
     /// Pause of the listener after it found no descriptor free.
     pub accept_pause: Duration,
-    /// After SIGTERM, requests are taken for this time.
+    /// After SIGTERM or a drain, requests are taken for this time on connections that clients have.
     pub stop_grace: Duration,
     /// Without an answer of discovery, a list from the configuration counts as good after this time.
     pub list_wait: Duration,
@@ -102,8 +114,10 @@
     /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
     pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
         let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
-        // A descriptor in sixteen is left to discovery, the store, the log and the runtime's own.
-        let edge_connections = (sockets / 2).max(8);
+        // Left to discovery, the store, the log, the runtime's own and the second address, which must not depend
+        // on what else is going on.
+        let own = (sockets / 16).max(24);
+        let edge_connections = (sockets.saturating_sub(own) * 8 / 15).max(8);
         Limits {
             head_bytes,
             headers: 64,
@@ -120,7 +134,14 @@
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
             edge_look: Duration::from_millis(50),
-            server_connections: (sockets * 7 / 16).max(8),
+            mgmt_callers: (own - 16).min(32),
+            mgmt_mute: Duration::from_millis(20),
+            mgmt_slow: Duration::from_millis(100),
+            // An answer is due within a second, however the call came.
+            mgmt_read: Duration::from_millis(600),
+            mgmt_write: Duration::from_millis(200),
+            start_look: Duration::from_millis(10),
+            server_connections: (sockets.saturating_sub(own) * 7 / 15).max(8),
             connect,
             // Well before the other side's limit, so that no request crosses its close.
             pool_idle: idle.mul_f64(0.6),
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -13,13 +13,16 @@
 use futures_lite::future;
 
 use super::http::{self, Bad, Body, Head};
+use super::keeper::Keeper;
 use super::servers::{Batch, Dispatch, Fleet};
 use super::{Wire, within};
 use crate::engine::{self, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
 use crate::quota::Grant;
+use crate::seats::{Patience, Seats, Sitting};
 use crate::stream::{Cause, Leaving};
+use crate::types::Nanos;
 
 /// What all edge connections share.
 pub struct Edge {
@@ -29,28 +32,26 @@
     limits: Rc<Limits>,
     /// The same, with the bounds of the messages front's bodies.
     messages_limits: Rc<Limits>,
-    ready: Box<dyn Fn() -> bool>,
-    seats: RefCell<BTreeMap<u64, Seat>>,
-    last_seat: Cell<u64>,
+    keeper: Rc<Keeper>,
+    seats: RefCell<Seats>,
+    /// How each edge connection is asked to leave: by closing this.
+    leave: RefCell<BTreeMap<u64, Sender<()>>>,
     held_bytes: Cell<usize>,
-    stopping: Cell<bool>,
-    /// Nothing is ever sent here: it closes once idle edge connections shall.
-    closing: Receiver<()>,
-    close: Sender<()>,
     /// A connection has closed.
     freed: (Sender<()>, Receiver<()>),
 }
 
 impl Edge {
-    /// Without connections yet; `ready` says whether requests may come.
+    /// Without connections yet.
     pub fn new(
         engine: Engine,
         fleet: Rc<Fleet>,
         desk: Rc<Desk>,
         limits: Rc<Limits>,
-        ready: Box<dyn Fn() -> bool>,
+        keeper: Rc<Keeper>,
     ) -> Edge {
-        let (close, closing) = async_channel::bounded(1);
+        let patience =
+            Patience { mute: limits.edge_mute, arriving: limits.edge_slow, rested: limits.edge_rested };
         let freed = async_channel::bounded(1);
         let body_bytes = limits.messages.body_bytes;
         let messages_limits = Rc::new(Limits { body_bytes, ..(*limits).clone() });
@@ -60,30 +61,27 @@
             desk,
             limits,
             messages_limits,
-            ready,
-            seats: RefCell::default(),
-            last_seat: Cell::new(0),
+            keeper,
+            seats: RefCell::new(Seats::new(patience)),
+            leave: RefCell::default(),
             held_bytes: Cell::new(0),
-            stopping: Cell::new(false),
-            closing,
-            close,
             freed,
         }
     }
 
-    /// Takes connections until the stop's grace is over, then returns with the listener closed.
+    /// Takes connections for as long as the lifecycle has them accepted, then returns with the listener closed.
     pub async fn listen(
         self: Rc<Self>,
         ex: &'static LocalExecutor<'static>,
         listener: Async<TcpListener>,
         dialect: Dialect,
     ) {
-        let accepting = async {
-            loop {
+        while self.keeper.accepting().await {
+            let next = async {
                 if self.open() >= self.limits.edge_connections {
                     self.make_room();
                     let _ = within(self.limits.edge_look, self.freed.1.recv()).await;
-                    continue;
+                    return;
                 }
                 match listener.accept().await {
                     Ok((stream, from)) => {
@@ -96,49 +94,36 @@
                         Timer::after(self.limits.accept_pause).await;
                     }
                 }
-            }
-        };
-        future::or(accepting, async { self.closing.recv().await.unwrap_or_default() }).await;
+            };
+            future::or(next, self.keeper.closed()).await;
+        }
     }
 
     /// Stops: requests are still taken for the grace, on the connections that clients have too, since another
     /// gateway may not be there to take them; then listeners and idle edge connections close, and
     /// what is held gets its answer.
     pub async fn stop(&self) {
-        self.stopping.set(true);
+        self.keeper.stop();
         self.engine.stop_streams(self.limits.stream.stop);
-        Timer::after(self.limits.stop_grace).await;
-        self.close.close();
-        while self.open() > 0 {
-            let _ = self.freed.1.recv().await;
+        while !self.keeper.over(self.open()) {
+            future::or(async { self.freed.1.recv().await.unwrap_or_default() }, self.keeper.changed())
+                .await;
         }
     }
 
     /// Asks the edge connection that needs its place least to give it up. Guards against a crowd that connects
     /// and says nothing, or asks once and stays, while others wait to be accepted.
     fn make_room(&self) {
-        let limits = &*self.limits;
-        let mut seats = self.seats.borrow_mut();
-        let spare = |seat: &&mut Seat| {
-            let most = match seat.state {
-                Sitting::Mute => limits.edge_mute,
-                Sitting::Arriving => limits.edge_slow,
-                Sitting::Rested => limits.edge_rested,
-                Sitting::Asking | Sitting::Leaving => return false,
-            };
-            seat.since.elapsed() >= most
-        };
-        // Those that never sent anything go first, and the oldest among them.
-        let least = |seat: &&mut Seat| (seat.state != Sitting::Mute, seat.since);
-        if let Some(seat) = seats.values_mut().filter(spare).min_by_key(least) {
-            seat.state = Sitting::Leaving;
-            seat.leave.close();
+        if let Some(number) = self.seats.borrow_mut().spare(self.engine.now())
+            && let Some(leave) = self.leave.borrow().get(&number)
+        {
+            leave.close();
         }
     }
 
     /// Edge connections that are open.
     pub fn open(&self) -> usize {
-        self.seats.borrow().len()
+        self.seats.borrow().taken()
     }
 
     async fn connection(
@@ -180,7 +165,7 @@
         };
         place.sit(Sitting::Asking);
         let crowded = self.open() >= self.limits.edge_connections;
-        let keep = head.keeps_alive(&head.start[2]) && !crowded && !self.closing.is_closed();
+        let keep = head.keeps_alive(&head.start[2]) && !crowded && self.keeper.keeps_connections();
         let id = self.name(dialect, &mut head);
         let now = self.engine.now();
         let call = self.desk.call(now, dialect, &head, &body, &id, self.fleet.speak());
@@ -214,9 +199,7 @@
                 engine::serve(&self.engine, &order.ask, &servers, client).await;
                 return back.take();
             }
-            Call::Health if (self.ready)() && !self.stopping.get() => {
-                Voice::new(dialect, &id).note(200, "ready")
-            }
+            Call::Health if self.keeper.wants_clients() => Voice::new(dialect, &id).note(200, "ready"),
             Call::Health => Voice::new(dialect, &id).note(503, "not ready"),
             Call::Reply(reply) => {
                 log::debug!(id = id, client:% = from, status = reply.status; "answered: by the front alone");
@@ -260,8 +243,10 @@
         };
         let first = place.is_mute();
         if wire.buf.is_empty() {
+            let mute_since = first.then(|| place.since());
             let closing = async {
-                let _ = future::or(self.closing.recv(), place.leave.recv()).await;
+                let leave = async { place.leave.recv().await.unwrap_or_default() };
+                future::or(self.keeper.rest_over(mute_since), leave).await;
                 Ok(0)
             };
             // Guards against a crowd that holds places and says nothing at all.
@@ -273,7 +258,7 @@
             }
         }
         // The first request's time began with the connection: one that trickles in has no more than a mute one.
-        let spent = if first { place.since().elapsed() } else { Duration::ZERO };
+        let spent = if first { self.engine.now().saturating_sub(place.since()) } else { 0 };
         place.sit(Sitting::Arriving);
         let whole = async {
             let head = loop {
@@ -316,33 +301,11 @@
             let _ = place.leave.recv().await;
             Ok(late())
         };
-        let patience = limits.edge_read.saturating_sub(spent);
+        let patience = limits.edge_read.saturating_sub(Duration::from_nanos(spent));
         future::or(within(patience, whole), left).await.unwrap_or_else(|_| late())
     }
 }
 
-/// What an edge connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sitting {
-    /// Nothing has come on it yet.
-    Mute,
-    /// A request is on its way in.
-    Arriving,
-    /// A request is open.
-    Asking,
-    /// It was answered and may carry another request.
-    Rested,
-    /// It was asked to make room.
-    Leaving,
-}
-
-/// An open edge connection: what it is doing and since when, and how it is asked to leave.
-struct Seat {
-    state: Sitting,
-    since: Instant,
-    leave: Sender<()>,
-}
-
 /// A place among the open edge connections.
 struct Place {
     edge: Rc<Edge>,
@@ -353,36 +316,35 @@
 
 impl Place {
     fn new(edge: Rc<Edge>) -> Place {
-        let number = edge.last_seat.get() + 1;
-        edge.last_seat.set(number);
+        let number = edge.seats.borrow_mut().take(edge.engine.now());
         let (send, leave) = async_channel::bounded(1);
-        let seat = Seat { state: Sitting::Mute, since: Instant::now(), leave: send };
-        edge.seats.borrow_mut().insert(number, seat);
+        edge.leave.borrow_mut().insert(number, send);
         Place { edge, number, leave }
     }
 
     fn is_mute(&self) -> bool {
-        self.edge.seats.borrow().get(&self.number).is_some_and(|s| s.state == Sitting::Mute)
+        self.edge.seats.borrow().get(self.number).is_some_and(|(sitting, _)| sitting == Sitting::Mute)
     }
 
-    fn since(&self) -> Instant {
-        self.edge.seats.borrow().get(&self.number).map_or_else(Instant::now, |s| s.since)
+    fn since(&self) -> Nanos {
+        self.edge.seats.borrow().get(self.number).map_or_else(|| self.edge.engine.now(), |(_, since)| since)
     }
 
-    fn sit(&mut self, state: Sitting) {
-        if let Some(seat) = self.edge.seats.borrow_mut().get_mut(&self.number) {
-            // One that was asked to leave in the moment in which its request came has stayed after all.
-            if seat.state == Sitting::Leaving {
-                (seat.leave, self.leave) = async_channel::bounded(1);
-            }
-            (seat.state, seat.since) = (state, Instant::now());
+    fn sit(&mut self, sitting: Sitting) {
+        let before = self.edge.seats.borrow_mut().sit(self.edge.engine.now(), self.number, sitting);
+        // One that was asked to leave in the moment in which its request came has stayed after all.
+        if before == Some(Sitting::Leaving) {
+            let (send, leave) = async_channel::bounded(1);
+            self.edge.leave.borrow_mut().insert(self.number, send);
+            self.leave = leave;
         }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.edge.seats.borrow_mut().remove(&self.number);
+        self.edge.seats.borrow_mut().free(self.number);
+        self.edge.leave.borrow_mut().remove(&self.number);
         let _ = self.edge.freed.0.try_send(());
     }
 }
@@ -463,7 +425,7 @@
 
 impl Exchange {
     async fn reply(mut self, reply: Reply) {
-        let keep = self.keep && !self.edge.closing.is_closed();
+        let keep = self.keep && self.edge.keeper.keeps_connections();
         let bytes = reply.bytes(keep);
         let written = within(self.edge.limits.edge_write, self.wire.write(&bytes)).await;
         if matches!(written, Ok(Ok(()))) && keep {
@@ -602,7 +564,7 @@
     }
 
     fn finish(self) {
-        if self.exchange.keep && !self.exchange.edge.closing.is_closed() {
+        if self.exchange.keep && self.exchange.edge.keeper.keeps_connections() {
             *self.exchange.back.borrow_mut() = Some(self.exchange.wire);
         }
     }
--- /dev/null
+++ b/src/net/keeper.rs
@@ -0,0 +1,162 @@
+//! The lifecycle with a clock, and a bell for those who wait for it to change.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+
+use super::within;
+use crate::engine::Engine;
+use crate::lifecycle::{Lifecycle, State, Stopping};
+use crate::limits::Limits;
+use crate::types::Nanos;
+
+/// Keeps the lifecycle of this process; all parts ask it.
+pub struct Keeper {
+    engine: Engine,
+    limits: Rc<Limits>,
+    life: RefCell<Lifecycle>,
+    /// Whether there is what to serve with.
+    able: Box<dyn Fn() -> bool>,
+    /// Nothing is ever sent here: it closes, and gives way to another, at each change.
+    bell: RefCell<(Sender<()>, Receiver<()>)>,
+}
+
+impl Keeper {
+    /// A process that starts; `shared` says that its listener is another process's too.
+    pub fn new(engine: Engine, limits: Rc<Limits>, shared: bool, able: Box<dyn Fn() -> bool>) -> Keeper {
+        let grace = limits.stop_grace.as_nanos() as Nanos;
+        let life = RefCell::new(Lifecycle::new(engine.now(), shared, grace));
+        Keeper { engine, limits, life, able, bell: RefCell::new(async_channel::bounded(1)) }
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Lifecycle, Nanos) -> T) -> T {
+        let (had, got, state) = {
+            let mut life = self.life.borrow_mut();
+            let had = life.state();
+            let got = change(&mut life, self.engine.now());
+            (had, got, life.state())
+        };
+        if had != state {
+            log::info!(from:? = had, to:? = state; "state: clients are taken as this state has it");
+            self.ring();
+        }
+        got
+    }
+
+    fn ring(&self) {
+        let (old, _) = self.bell.replace(async_channel::bounded(1));
+        old.close();
+    }
+
+    /// Returns at the next change.
+    pub async fn changed(&self) {
+        let bell = self.bell.borrow().1.clone();
+        let _ = bell.recv().await;
+    }
+
+    /// Clients shall go elsewhere.
+    pub fn drain(&self) -> Result<(), Stopping> {
+        self.change(Lifecycle::drain)
+    }
+
+    /// Clients may come again.
+    pub fn undrain(&self) -> Result<(), Stopping> {
+        self.change(Lifecycle::undrain)
+    }
+
+    /// The process shall end.
+    pub fn stop(&self) {
+        self.change(Lifecycle::stop);
+    }
+
+    /// Whether clients should be sent here.
+    pub fn wants_clients(&self) -> bool {
+        self.look();
+        self.life.borrow().wants_clients() && (self.able)()
+    }
+
+    /// Whether this process can serve, drained or not.
+    pub fn can_serve(&self) -> bool {
+        self.look();
+        self.life.borrow().can_serve() && (self.able)()
+    }
+
+    /// Whether a connection may carry another request.
+    pub fn keeps_connections(&self) -> bool {
+        self.life.borrow().keeps_connections()
+    }
+
+    fn look(&self) {
+        if self.life.borrow().state() == State::Starting && (self.able)() {
+            self.change(Lifecycle::able);
+        }
+    }
+
+    /// Returns once connections are accepted, or never will be again: whether they are.
+    pub async fn accepting(&self) -> bool {
+        loop {
+            let (accepts, state) = {
+                let life = self.life.borrow();
+                (life.accepts(self.engine.now()), life.state())
+            };
+            if accepts || state == State::Stopping {
+                return accepts;
+            }
+            self.changed().await;
+        }
+    }
+
+    /// Returns once connections are no longer accepted.
+    pub async fn closed(&self) {
+        while self.life.borrow().accepts(self.engine.now()) {
+            self.changed().await;
+        }
+    }
+
+    /// Returns once a connection at rest has to close; `mute_since` is when it opened, if nothing came on it yet.
+    pub async fn rest_over(&self, mute_since: Option<Nanos>) {
+        loop {
+            let until = self.life.borrow().idle_until(mute_since);
+            let now = self.engine.now();
+            match until {
+                Some(until) if until <= now => return,
+                Some(until) => {
+                    let wait = Duration::from_nanos(until - now);
+                    let _ = within(wait, self.changed()).await;
+                }
+                None => self.changed().await,
+            }
+        }
+    }
+
+    /// Whether all is done, with so many connections open.
+    pub fn over(&self, open: usize) -> bool {
+        self.life.borrow().over(self.engine.now(), open)
+    }
+
+    /// Notices what only time brings, up to the end.
+    pub async fn run(&self) {
+        loop {
+            self.look();
+            let now = self.engine.now();
+            let due = self.life.borrow().due(now);
+            let state = self.life.borrow().state();
+            let wait = match due {
+                Some(due) => Some(Duration::from_nanos(due.saturating_sub(now))),
+                // What it serves with comes from elsewhere, without a word to here.
+                None => (state == State::Starting).then_some(self.limits.start_look),
+            };
+            match wait {
+                Some(wait) => {
+                    let _ = within(wait, self.changed()).await;
+                    if due.is_some_and(|due| due <= self.engine.now()) {
+                        self.ring();
+                    }
+                }
+                None => self.changed().await,
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,9 @@
 pub mod discovery;
 pub mod edge;
 pub mod http;
+pub mod keeper;
+pub mod listen;
+pub mod mgmt;
 pub mod peers;
 pub mod servers;
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,24 +1,24 @@
 //! One gateway, from its start to its end: wires the parts together.
 
 use std::cell::{Cell, RefCell};
-use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use socket2::SockRef;
 
 use tulipridge::config::{self, Config, Sources};
 use tulipridge::engine::Engine;
 use tulipridge::front::{Desk, Dialect};
 use tulipridge::limits::Limits;
-use tulipridge::net;
 use tulipridge::net::discovery::Discovery;
 use tulipridge::net::edge::Edge;
+use tulipridge::net::keeper::Keeper;
+use tulipridge::net::listen;
+use tulipridge::net::mgmt::Mgmt;
 use tulipridge::net::peers;
 use tulipridge::net::servers::Fleet;
 use tulipridge::store::Store;
@@ -80,34 +80,33 @@
         limits.clone(),
     ));
     discovery.persisted(&config.known);
-    let ready = {
+    let able = {
         let (fleet, discovery, limits, from) =
             (fleet.clone(), discovery.clone(), limits.clone(), Instant::now());
         Box::new(move || fleet.any_ready() && (discovery.answered() || from.elapsed() > limits.list_wait))
     };
     let desk = Rc::new(Desk::new(names.clone(), limits.clone(), config.messages));
-    let edge = Rc::new(Edge::new(engine.clone(), fleet.clone(), desk.clone(), limits.clone(), ready));
+    let mut inherited = listen::inherited()?;
+    let shared = inherited.is_some();
+    let keeper = Rc::new(Keeper::new(engine.clone(), limits.clone(), shared, able));
+    let edge =
+        Rc::new(Edge::new(engine.clone(), fleet.clone(), desk.clone(), limits.clone(), keeper.clone()));
 
-    let bind = |addr, what: &str| {
-        let listener = TcpListener::bind(addr).and_then(|listener| {
-            // Connections have their buffers from their listener.
-            net::bound_buffers(&SockRef::from(&listener), &limits);
-            Async::new(listener)
-        });
-        let listener = listener.map_err(|e| format!("listen {addr}: {e}"))?;
-        let addr = listener.get_ref().local_addr().map_err(|e| format!("listen {addr}: {e}"))?;
-        log::info!(addr:% = addr, port = what; "listening: ready to accept");
-        Ok::<_, String>(listener)
-    };
+    let bind = |addr, inherited, port: &str| listen::open(addr, inherited, port, &limits);
     let mut fronts = vec![(config.listen, Dialect::Platform)];
     fronts.extend(config.own.messages.listen.map(|addr| (addr, Dialect::Messages)));
+    if let Some(addr) = config.mgmt {
+        let mgmt = Rc::new(Mgmt::new(engine.clone(), keeper.clone(), limits.clone()));
+        ex.spawn(mgmt.listen(ex, bind(addr, None, "Mgmt")?)).detach();
+    }
     for (addr, dialect) in fronts {
-        let listener = bind(addr, &format!("{dialect:?}"))?;
+        // What the platform keeps is the socket of its own front, which comes first.
+        let listener = bind(addr, inherited.take(), &format!("{dialect:?}"))?;
         ex.spawn(edge.clone().listen(ex, listener, dialect)).detach();
     }
     if let Some(addr) = config.own.store.listen {
         let store = Rc::new(Store::new(&config.name, &limits));
-        ex.spawn(peers::serve(ex, bind(addr, "Store")?, store.clone(), limits.clone())).detach();
+        ex.spawn(peers::serve(ex, bind(addr, None, "Store")?, store.clone(), limits.clone())).detach();
         for peer in config.own.store.peers {
             ex.spawn(peers::exchange(peer, store.clone(), limits.clone())).detach();
         }
@@ -130,6 +129,7 @@
     })
     .detach();
     ex.spawn(async move { engine.run_timers().await }).detach();
+    ex.spawn(async move { keeper.run().await }).detach();
     ex.spawn(async move { fleet.sweep().await }).detach();
     ex.spawn(discovery.clone().run(ex, orders, push)).detach();
 
