Test the lifecycle, the rule of places, the second address, drains and upgrades

The lifecycle and the rule of places run beside plain models over random steps; the program is asked at its second address while 200 callers hold every place, drained and filled again, and followed by a second process on one listener without a refused request. A wrong EDGE_INHERITED_FD is named at the start.

--- /dev/null
+++ b/tests/lifecycle.rs
@@ -0,0 +1,143 @@
+//! The lifecycle and the rule of places against random steps, beside models that are too plain to be wrong.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tulipridge::lifecycle::{Lifecycle, State};
+use tulipridge::seats::{Patience, Seats, Sitting};
+
+const GRACE: u64 = 700;
+
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    Able,
+    Drain,
+    Undrain,
+    Stop,
+    Wait(u16),
+}
+
+impl Arbitrary for Order {
+    fn arbitrary(g: &mut Gen) -> Order {
+        let wait = Order::Wait(u16::arbitrary(g) % 900);
+        *g.choose(&[Order::Able, Order::Drain, Order::Undrain, wait, wait, wait, Order::Stop])
+            .expect("some")
+    }
+}
+
+/// What was ordered, without any state between.
+fn orders(shared: bool, orders: Vec<Order>) {
+    let (mut life, mut now) = (Lifecycle::new(0, shared, GRACE), 0);
+    // When it last began to do without clients; whether it can serve, was drained, has stopped.
+    let (mut left, mut able, mut drained, mut stopped) = (None, false, false, None);
+    for order in orders {
+        let done = match order {
+            Order::Able => {
+                life.able(now);
+                able = true;
+                Ok(())
+            }
+            Order::Drain => life.drain(now),
+            Order::Undrain => life.undrain(now),
+            Order::Stop => {
+                life.stop(now);
+                stopped = stopped.or(Some(now));
+                Ok(())
+            }
+            Order::Wait(time) => {
+                now += u64::from(time);
+                Ok(())
+            }
+        };
+        assert_eq!(done.is_err(), stopped.is_some() && matches!(order, Order::Drain | Order::Undrain));
+        match order {
+            Order::Drain if done.is_ok() => drained = true,
+            Order::Undrain if done.is_ok() => drained = false,
+            _ => {}
+        }
+        let goes = stopped.is_some() || able && drained;
+        left = if goes { stopped.or(left).or(Some(now)) } else { None };
+        let over = stopped.is_some_and(|at| now >= at + GRACE);
+        assert_eq!(life.wants_clients(), able && !drained && stopped.is_none());
+        assert_eq!(life.can_serve(), able && stopped.is_none());
+        assert_eq!(life.keeps_connections(), !goes);
+        let accepts = if shared { able && stopped.is_none() } else { !over };
+        assert_eq!(life.accepts(now), accepts, "{:?} after {order:?}", life.state());
+        assert_eq!(life.idle_until(None), left.map(|at| at + GRACE));
+        // One that connects now is heard for as long, even if the grace is over.
+        assert_eq!(life.idle_until(Some(now)), left.map(|_| now + GRACE));
+        assert_eq!((life.over(now, 0), life.over(now, 1)), (over, false));
+        assert_eq!(life.due(now), stopped.filter(|_| !over).map(|at| at + GRACE));
+        assert_eq!(life.state() == State::Stopping, stopped.is_some());
+    }
+}
+
+#[test]
+fn the_lifecycle_does_what_was_ordered_last() {
+    QuickCheck::new().tests(3000).quickcheck(orders as fn(bool, Vec<Order>));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    Take,
+    Free(u8),
+    Sit(u8, Sitting),
+    Wait(u16),
+    Spare,
+}
+
+impl Arbitrary for Move {
+    fn arbitrary(g: &mut Gen) -> Move {
+        let sitting = *g
+            .choose(&[Sitting::Arriving, Sitting::Asking, Sitting::Rested, Sitting::Leaving])
+            .expect("some");
+        let seat = u8::arbitrary(g) % 12;
+        let sit = Move::Sit(seat, sitting);
+        *g.choose(&[Move::Take, Move::Take, sit, sit, Move::Free(seat), Move::Wait(70), Move::Spare])
+            .expect("some")
+    }
+}
+
+/// Whoever has a place at the moment, in a plain table.
+fn moves(moves: Vec<Move>) {
+    let span = Duration::from_nanos;
+    let patience = Patience { mute: span(100), arriving: span(300), rested: span(200) };
+    let (mut seats, mut model, mut now) = (Seats::new(patience), BTreeMap::new(), 0);
+    for step in moves {
+        match step {
+            Move::Take => drop(model.insert(seats.take(now), (Sitting::Mute, now))),
+            Move::Free(n) => {
+                seats.free(n.into());
+                model.remove(&u64::from(n));
+            }
+            Move::Sit(n, sitting) => {
+                let before =
+                    model.get_mut(&u64::from(n)).map(|seat| std::mem::replace(seat, (sitting, now)).0);
+                assert_eq!(seats.sit(now, n.into(), sitting), before);
+            }
+            Move::Wait(time) => now += u64::from(time),
+            Move::Spare => {
+                let old = |sitting, most| {
+                    let of =
+                        model.iter().filter(move |(_, (s, since))| *s == sitting && now - since >= most);
+                    of.map(|(n, (_, since))| (*since, *n)).min()
+                };
+                let talkers = [old(Sitting::Arriving, 300), old(Sitting::Rested, 200)];
+                let expected =
+                    old(Sitting::Mute, 100).or(talkers.into_iter().flatten().min()).map(|(_, n)| n);
+                assert_eq!(seats.spare(now), expected);
+                if let Some(seat) = expected.and_then(|n| model.get_mut(&n)) {
+                    seat.0 = Sitting::Leaving;
+                }
+            }
+        }
+        assert_eq!(seats.taken(), model.len());
+        assert!(model.iter().all(|(n, seat)| seats.get(*n) == Some(*seat)));
+    }
+}
+
+#[test]
+fn the_mute_go_first_then_the_oldest_and_nobody_with_a_request_open() {
+    QuickCheck::new().tests(3000).quickcheck(moves as fn(Vec<Move>));
+}
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,148 @@
+//! What operators do to the program while it serves: the second address, drains, a second process beside it.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::{Command, Stdio};
+use std::sync::atomic::Ordering;
+
+use serde_json::json;
+
+use support::*;
+
+/// A gateway with a second address, which takes its platform's port from `inherited` if there is one.
+fn gateway(server: &Server, inherited: Option<&TcpListener>) -> (Gateway, SocketAddr) {
+    let servers = vec![entry(0, server, "ready", 0)];
+    let more = json!({"mgmt": "127.0.0.1:0"});
+    let (mut child, discovery) = match inherited.map(|l| OwnedFd::from(l.try_clone().expect("a copy"))) {
+        Some(listener) => Gateway::spawn_told(servers, "4", listener.into(), more),
+        None => Gateway::spawn("n0", "platform", servers, 1, (1024, 1024), more),
+    };
+    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let line = lines.find(|l| l.contains("port=\"Mgmt\"")).expect("it listens for calls");
+    let mgmt = line.split('"').find_map(|word| word.parse().ok()).expect("an address");
+    (Gateway::with(child, discovery, lines), mgmt)
+}
+
+/// One call, and the status of its answer; 0 is a close without one.
+fn call(mgmt: SocketAddr, call: &str) -> u16 {
+    let mut stream = TcpStream::connect(mgmt).expect("it accepts");
+    stream.set_read_timeout(Some(FOREVER)).expect("a time-out");
+    stream.write_all(format!("{call} HTTP/1.1\r\nHost: gateway\r\n\r\n").as_bytes()).expect("sent");
+    status(&mut stream)
+}
+
+fn status(stream: &mut TcpStream) -> u16 {
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer.split(' ').nth(1).map_or(0, |status| status.parse().expect("a status"))
+}
+
+fn health(gateway: &Gateway) -> u16 {
+    let mut stream = gateway.connect("platform");
+    stream.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n").expect("sent");
+    status(&mut stream)
+}
+
+#[test]
+fn calls_are_answered_while_callers_that_say_nothing_or_half_a_call_hold_every_place() {
+    let server = server("platform", Manner::Serve);
+    let (gateway, mgmt) = gateway(&server, None);
+    eventually(|| call(mgmt, "GET /ready") == 200);
+    for (what, status) in [("GET /drain", 405), ("POST /ready", 405), ("GET /", 404), ("nonsense", 400)] {
+        assert_eq!(call(mgmt, what), status, "{what}");
+    }
+    let holders: Vec<TcpStream> = (0..200)
+        .map(|n| {
+            let mut stream = TcpStream::connect(mgmt).expect("it accepts");
+            if n % 2 == 0 {
+                // Some have made room for others by then.
+                let _ = stream.write_all(b"GET /ready HTTP/1.1\r\nHo");
+            }
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(call(mgmt, "GET /ready"), 200);
+    }
+    assert_eq!(health(&gateway), 200);
+    drop(holders);
+    // Half a call alone is told that it took too long.
+    let mut half = TcpStream::connect(mgmt).expect("it accepts");
+    half.write_all(b"POST /dr").expect("sent");
+    half.set_read_timeout(Some(FOREVER)).expect("a time-out");
+    assert_eq!(status(&mut half), 408);
+    assert_eq!(health(&gateway), 200, "half an order is none");
+}
+
+#[test]
+fn a_drained_gateway_sends_its_clients_away_and_takes_them_again() {
+    let server = server("platform", Manner::Serve);
+    let (gateway, mgmt) = gateway(&server, None);
+    eventually(|| health(&gateway) == 200);
+    let (idle, mut used) = (gateway.connect("platform"), gateway.connect("platform"));
+    assert_eq!(call(mgmt, "POST /drain"), 200);
+    assert_eq!(health(&gateway), 503);
+    assert_eq!(call(mgmt, "GET /ready"), 200, "the process could serve");
+    // What comes on a connection that is open is still served, and told to be the last.
+    used.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n").expect("sent");
+    let mut answer = String::new();
+    used.read_to_string(&mut answer).expect("an end");
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Connection: close\r\n"), "{answer}");
+    assert_eq!((&idle).read(&mut [0]).expect("an end, and no reset"), 0);
+    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    assert_eq!(call(mgmt, "POST /drain"), 200, "it is drained already");
+    assert_eq!(call(mgmt, "POST /undrain"), 200);
+    assert_eq!(health(&gateway), 200);
+    let mut kept = gateway.connect("platform");
+    for _ in 0..2 {
+        kept.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n").expect("sent");
+        let mut line = String::new();
+        let mut reader = BufReader::new(&kept);
+        while line != "ready\n" {
+            line.clear();
+            assert!(reader.read_line(&mut line).expect("an answer") > 0, "the connection stays");
+        }
+    }
+}
+
+#[test]
+fn a_second_process_serves_beside_the_first_on_one_listener_and_nothing_is_refused() {
+    let server = server("platform", Manner::Serve);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (mut old, old_mgmt) = gateway(&server, Some(&listener));
+    eventually(|| call(old_mgmt, "GET /ready") == 200);
+    assert_eq!(old.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    let (new, new_mgmt) = gateway(&server, Some(&listener));
+    assert_eq!(new.fronts[0], listener.local_addr().expect("an address"));
+    eventually(|| call(new_mgmt, "GET /ready") == 200);
+    let kill = Command::new("kill").arg("-TERM").arg(old.child.id().to_string()).status();
+    assert!(kill.expect("kill runs").success());
+    eventually(|| call(old_mgmt, "GET /ready") == 503);
+    assert_eq!(call(old_mgmt, "POST /undrain"), 409);
+    for session in 2..30 {
+        assert_eq!(new.ask("platform", "plain", 9000, session).0, Seen::Served("Hello".into()));
+    }
+    assert_eq!(old.child.wait().expect("it ends").code(), Some(0));
+    assert_eq!(new.ask("platform", "plain", 9000, 31).0, Seen::Served("Hello".into()));
+    assert_eq!(server.requests.load(Ordering::SeqCst), 30);
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_named_at_the_start() {
+    let connected = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let connected = TcpStream::connect(connected.local_addr().expect("an address")).expect("a connection");
+    for (told, stdin, word) in [
+        ("four", Stdio::null(), "'four' is no descriptor's number"),
+        ("1", Stdio::null(), "'1' is no descriptor's number"),
+        ("4", Stdio::null(), "not a socket"),
+        ("4", Stdio::from(OwnedFd::from(connected)), "does not listen"),
+    ] {
+        let (child, _discovery) = Gateway::spawn_told(vec![], told, stdin, json!({}));
+        let output = child.wait_with_output().expect("it ends");
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && text.contains(word), "{told}: {text}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -365,6 +365,30 @@
 
     /// Starts the program with a discovery of the test's own.
     pub fn spawn_by(
+        name: &str,
+        dialect: &str,
+        servers: Vec<Value>,
+        attempts: u32,
+        (descriptors, told): (u32, u32),
+        more: Value,
+        found: (SocketAddr, Sender<Value>),
+    ) -> (Child, Sender<Value>) {
+        Gateway::launch(name, dialect, servers, attempts, (descriptors, told), more, found, None)
+    }
+
+    /// Starts the program with what the platform says of a descriptor, the fourth, which is `stdin`.
+    pub fn spawn_told(
+        servers: Vec<Value>,
+        told: &str,
+        stdin: Stdio,
+        more: Value,
+    ) -> (Child, Sender<Value>) {
+        let found = discovery(list(2, true, servers.clone()));
+        Gateway::launch("n0", "platform", servers, 1, (1024, 1024), more, found, Some((told, stdin)))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn launch(
         name: &str,
         dialect: &str,
         servers: Vec<Value>,
@@ -372,6 +396,7 @@
         (descriptors, told): (u32, u32),
         more: Value,
         (addr, discovery): (SocketAddr, Sender<Value>),
+        inherited: Option<(&str, Stdio)>,
     ) -> (Child, Sender<Value>) {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
@@ -398,6 +423,7 @@
         let memory = more.remove("memory_mb").unwrap_or(json!(192));
         // Nor is this: whether a second copy may be sent beside the first, which then is not called off.
         let copies = more.remove("copies").is_some();
+        config["mgmt"] = more.remove("mgmt").unwrap_or(Value::Null);
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
         config["settings"]["policy-limits"]["second-copies"] = copies.into();
@@ -407,9 +433,14 @@
             std::fs::write(&path, text).expect("written");
             path
         };
-        let child = Command::new("sh")
+        let hand_on = if inherited.is_some() { "exec 4<&0 </dev/null; " } else { "" };
+        let mut command = Command::new("sh");
+        if let Some((told, stdin)) = inherited {
+            command.env("EDGE_INHERITED_FD", told).stdin(stdin);
+        }
+        let child = command
             .arg("-c")
-            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(format!("ulimit -n {descriptors}; {hand_on}exec \"$0\""))
             .arg(env!("CARGO_BIN_EXE_tulipridge"))
             .env("EDGE_CONFIG", file("config.json", config.to_string()))
             .env("TULIPRIDGE_SETTINGS", file("settings.hcl", hcl::to_string(&daemon).expect("HCL")))
