Hand begun streams over to the process that follows

Cause: an answer goes on for up to 12 s, SIGKILL comes 3.7 s after SIGTERM, and a stream could not leave its process (life.rs: its connections lived in a boxed future that nothing could be taken out of). Ruled out: refused, reset and unread connections (0 of 553), sends that failed (0).

Change: src/net/handover.rs sends both connections of a stream with where its sides stand, over a Unix socket in the folder that the processes share. The course of a stream offers it half a second before the cut; life.rs has the part after the first event as a function that a follower enters too; a scheduling is a value now whose connection can be handed on.

--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -2,16 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_lite::{Stream, future};
+use futures_lite::{Stream, StreamExt, future};
 
 use super::streams::Alarm;
 use super::{Ask, Ending, Engine, Held, Order};
 use crate::stream::{Act, Cause, Course, Leaving};
-use crate::types::{ReplicaId, Verdict};
+use crate::types::{Nanos, ReplicaId, Verdict};
 
 /// What came of a scheduling's stream since its last step.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,8 +42,27 @@
 
 /// Those who run schedulings. Dropping a scheduling closes its connection.
 pub trait Servers<E> {
+    /// A scheduling that runs.
+    type Steps: Stream<Item = Step<E>> + Unpin;
     /// Starts a scheduling.
-    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Pin<Box<dyn Stream<Item = Step<E>>>>;
+    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Self::Steps;
+}
+
+/// A begun stream, as another process has to know it beside its two sides.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    /// Its request's id.
+    pub id: u64,
+    /// Its real server.
+    pub server: ReplicaId,
+    /// How long its first event took.
+    pub first: Nanos,
+}
+
+/// The process that follows this one, if there is one.
+pub trait Heir<S, A> {
+    /// Hands a begun stream over, with both its sides; they come back if it is not taken now.
+    fn take(&self, ask: &Ask, begun: &Begun, steps: S, answer: A) -> Result<(), (S, A)>;
 }
 
 /// The client's side of a request. Each way to answer takes the client itself, so there is just one.
@@ -126,10 +144,10 @@
 }
 
 /// A scheduling that is out.
-struct Scheduling<E> {
+struct Scheduling<S> {
     number: u32,
     server: ReplicaId,
-    steps: Pin<Box<dyn Stream<Item = Step<E>>>>,
+    steps: S,
 }
 
 enum Next<E> {
@@ -141,13 +159,19 @@
 }
 
 /// Serves one request: asks the module at each point of choice, and gives exactly one final answer.
-pub async fn serve<E, C: Client<E>>(engine: &Engine, ask: &Ask, servers: &impl Servers<E>, mut client: C) {
+pub async fn serve<E, S: Servers<E>, C: Client<E>>(
+    engine: &Engine,
+    ask: &Ask,
+    servers: &S,
+    mut client: C,
+    heir: &impl Heir<S::Steps, C::Answer>,
+) {
     // Guards against a second request under the id of one that is open: neither real servers nor the module
     // could tell them apart, and the first would suffer.
     let Some(mut held) = engine.admit(ask) else {
         return client.reject(409, "a request with this id is open").await;
     };
-    let mut out: Vec<Scheduling<E>> = Vec::new();
+    let mut out: Vec<Scheduling<S::Steps>> = Vec::new();
     let mut past = Past::default();
 
     // Until the first event: the module orders, schedulings end, the client may leave.
@@ -209,15 +233,58 @@
     let first = held.first_event(number);
     let server = out.iter().find(|s| s.number == number).map(|s| s.server.clone());
     let Some(server) = server else { return client.fail(Why::Errors).await };
-    let limits = engine.limits.clone();
-    let mut course = Course::new(engine.now(), first, &limits);
-    let mut alarm = Alarm::new();
+    let mut course = Course::new(engine.now(), first, &engine.limits);
     let mut answer = client.begin();
-    let ticket = engine.ticket(answer.gathers());
     if answer.gathers() {
         course.gathers();
     }
     arrival.put(engine, &mut course, &mut answer, events);
+    let begun = Begun { id: held.id.0, server, first };
+    pass_on(engine, ask, begun, Some(held), (out, number), course, answer, heir).await;
+}
+
+/// Goes on with a stream that another process began, of which so many bytes wait for the client. The module here
+/// knows nothing of it.
+pub async fn carry_on<E, S, A>(
+    engine: &Engine,
+    ask: &Ask,
+    begun: Begun,
+    (steps, answer, waiting): (S, A, usize),
+    heir: &impl Heir<S, A>,
+) where
+    S: Stream<Item = Step<E>> + Unpin,
+    A: Answer<E>,
+{
+    let mut course = Course::new(engine.now(), begun.first, &engine.limits);
+    course.queued(engine.now(), waiting);
+    let out = vec![Scheduling { number: 0, server: begun.server.clone(), steps }];
+    pass_on(engine, ask, begun, None, (out, 0), course, answer, heir).await;
+}
+
+/// Passes a begun stream on, up to its one end.
+#[allow(clippy::too_many_arguments)]
+async fn pass_on<E, S, A>(
+    engine: &Engine,
+    ask: &Ask,
+    begun: Begun,
+    mut held: Option<Held>,
+    (mut out, number): (Vec<Scheduling<S>>, u32),
+    mut course: Course,
+    mut answer: A,
+    heir: &impl Heir<S, A>,
+) where
+    S: Stream<Item = Step<E>> + Unpin,
+    A: Answer<E>,
+{
+    let server = begun.server.clone();
+    let limits = engine.limits.clone();
+    let mut alarm = Alarm::new();
+    let ticket = engine.ticket(answer.gathers());
+    let outcome_of = |held: &mut Option<Held>, number: u32, ending: Ending, ended: bool| {
+        if let Some(held) = held {
+            held.outcome(number, ending, ended);
+        }
+    };
     // Copies that began beside it: nothing of them is passed on, but each has its record.
     let mut copies: BTreeMap<u32, (ReplicaId, Course)> = BTreeMap::new();
     let mut turn = 0;
@@ -230,9 +297,35 @@
         if let Some(at) = ticket.stop_at() {
             course.stop_at(at);
         }
-        let act = course.poll(now);
-        if act != Act::Wait {
-            break act;
+        match course.poll(now) {
+            Act::Wait => {}
+            Act::Offer => {
+                // One beside which copies run stays: the module here called for them.
+                match out.pop_if(|s| s.number == number && copies.is_empty()) {
+                    Some(scheduling) if out.is_empty() => {
+                        match heir.take(ask, &begun, scheduling.steps, answer) {
+                            Ok(()) => {
+                                course.handed_over(now);
+                                course.stopped(now);
+                                outcome_of(&mut held, number, Verdict::Cancelled.into(), true);
+                                if let Some(outcome) = course.outcome() {
+                                    engine.record(begun.id, ask, &server, &outcome);
+                                }
+                                return;
+                            }
+                            Err((steps, back)) => {
+                                answer = back;
+                                out.push(Scheduling { steps, ..scheduling });
+                            }
+                        }
+                    }
+                    Some(scheduling) => out.push(scheduling),
+                    None => {}
+                }
+                course.refused(now);
+                continue;
+            }
+            act => break act,
         }
         // Guards against a real server that floods and a client that keeps up: others have their turn too.
         if turn >= limits.turn {
@@ -243,7 +336,7 @@
             if ticket.poll_called(cx).is_ready() {
                 return Poll::Ready(Next::Due);
             }
-            if let Poll::Ready(order) = held.poll_order(cx) {
+            if let Some(Poll::Ready(order)) = held.as_mut().map(|held| held.poll_order(cx)) {
                 return Poll::Ready(Next::Order(order));
             }
             if let Poll::Ready(how) = answer.poll_gone(cx) {
@@ -256,7 +349,7 @@
             }
             for scheduling in &mut out {
                 if (scheduling.number != number || course.reads())
-                    && let Poll::Ready(Some(step)) = scheduling.steps.as_mut().poll_next(cx)
+                    && let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx)
                 {
                     return Poll::Ready(Next::Step(scheduling.number, step));
                 }
@@ -287,10 +380,10 @@
                     _ => Verdict::Moot.into(),
                 };
                 let end = ending.end;
-                held.outcome(n, ending, n == number);
+                outcome_of(&mut held, n, ending, n == number);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.server_ended(engine.now(), end);
-                    engine.record_copy(held.id.0, ask, &server, &mut copy);
+                    engine.record_copy(begun.id, ask, &server, &mut copy);
                 }
                 if n == number {
                     // Its connection is free or closed: that the client still takes what waits costs no real
@@ -304,7 +397,8 @@
                 turn += arrival.bytes;
                 if let Some(scheduling) = out.iter().find(|s| s.number == n) {
                     let begin = || {
-                        let course = Course::new(engine.now(), held.elapsed(n), &limits);
+                        let elapsed = held.as_ref().map_or(0, |held| held.elapsed(n));
+                        let course = Course::new(engine.now(), elapsed, &limits);
                         (scheduling.server.clone(), course)
                     };
                     arrival.enter(engine, &mut copies.entry(n).or_insert_with(begin).1);
@@ -314,9 +408,9 @@
                 out.retain(|s| s.number != n);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.cancel(engine.now());
-                    engine.record_copy(held.id.0, ask, &server, &mut copy);
+                    engine.record_copy(begun.id, ask, &server, &mut copy);
                 }
-                held.outcome(n, Verdict::Cancelled.into(), n == number);
+                outcome_of(&mut held, n, Verdict::Cancelled.into(), n == number);
                 if n == number {
                     course.cancel(engine.now());
                 }
@@ -325,17 +419,22 @@
             Next::Order(_) | Next::Due => {}
         }
     };
-    close(&mut held, out, number, &mut course);
+    // The connections of all schedulings close before anything else is done; then the module is told.
+    let is_out = out.iter().any(|s| s.number == number);
+    drop(out);
+    if let (true, Some(outcome)) = (is_out, course.outcome()) {
+        outcome_of(&mut held, number, outcome.cause.verdict().into(), true);
+    }
     course.stopped(engine.now());
     let outcome = course.outcome();
     if let Some(outcome) = &outcome {
-        engine.record(held.id.0, ask, &server, outcome);
+        engine.record(begun.id, ask, &server, outcome);
     }
     for (n, (server, mut copy)) in copies {
         // Guards against a time-out told of a copy that did answer: it is called off, however long it was out.
-        held.outcome(n, Verdict::Cancelled.into(), false);
+        outcome_of(&mut held, n, Verdict::Cancelled.into(), false);
         copy.cancel(engine.now());
-        engine.record_copy(held.id.0, ask, &server, &mut copy);
+        engine.record_copy(begun.id, ask, &server, &mut copy);
     }
     drop((ticket, held));
     match (act, outcome) {
@@ -348,15 +447,6 @@
     }
 }
 
-/// Closes the connections of all schedulings before anything else is done, and then tells the module.
-fn close<E>(held: &mut Held, out: Vec<Scheduling<E>>, number: u32, course: &mut Course) {
-    let begun = out.iter().any(|s| s.number == number);
-    drop(out);
-    if let (true, Some(outcome)) = (begun, course.outcome()) {
-        held.outcome(number, outcome.cause.verdict().into(), true);
-    }
-}
-
 impl Arrival {
     fn put<E>(mut self, engine: &Engine, course: &mut Course, answer: &mut impl Answer<E>, events: E) {
         course.queued(engine.now(), answer.put(events));
@@ -374,10 +464,10 @@
 }
 
 /// The next step of whichever scheduling has one.
-async fn any<E>(out: &mut [Scheduling<E>]) -> (u32, Step<E>) {
+async fn any<E, S: Stream<Item = Step<E>> + Unpin>(out: &mut [Scheduling<S>]) -> (u32, Step<E>) {
     future::poll_fn(|cx| {
         for scheduling in out.iter_mut() {
-            if let Poll::Ready(Some(step)) = scheduling.steps.as_mut().poll_next(cx) {
+            if let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx) {
                 return Poll::Ready((scheduling.number, step));
             }
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -18,7 +18,7 @@
 use async_io::Timer;
 use futures_lite::{Stream, future};
 
-pub use life::{Answer, Arrival, Client, Servers, Step, Why, serve};
+pub use life::{Answer, Arrival, Begun, Client, Heir, Servers, Step, Why, carry_on, serve};
 
 use crate::Gateway;
 use crate::limits::{Limits, StreamLimits};
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -144,7 +144,9 @@
             let streams = &mut *self.streams.borrow_mut();
             streams.ledger.enter(ask.class, outcome);
             let level = match outcome.cause {
-                Cause::Whole | Cause::ClientLeft | Cause::Cancelled => log::Level::Debug,
+                Cause::Whole | Cause::ClientLeft | Cause::Cancelled | Cause::HandedOver => {
+                    log::Level::Debug
+                }
                 _ => log::Level::Info,
             };
             if log::log_enabled!(level) {
@@ -197,6 +199,7 @@
         Cause::TooLong => "more of it had to be held than may be",
         Cause::Shutdown => "the program is stopping",
         Cause::Cancelled => "another scheduling serves the request",
+        Cause::HandedOver => "the process that follows goes on with it",
     }
 }
 
--- a/src/front/translate/piece.rs
+++ b/src/front/translate/piece.rs
@@ -52,7 +52,7 @@
 }
 
 /// Tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize, Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
     /// Of the prompt, those found kept included.
     pub prompt: u64,
--- a/src/front/voice.rs
+++ b/src/front/voice.rs
@@ -127,6 +127,18 @@
         Speech { voice, passing, form }
     }
 
+    /// Goes on with a stream that another process began, in the client's own dialect.
+    pub fn resumed(voice: Voice, noted: Rc<Noted>, limits: &Limits) -> Speech {
+        Speech { form: Form::Stream { headed: true }, ..Speech::new(voice, "", false, noted, limits) }
+    }
+
+    /// Nothing is held of it but its bytes, so that another process may go on with it.
+    pub fn is_plain(&self) -> bool {
+        self.voice.dialect == Dialect::Platform
+            && matches!(self.form, Form::Stream { headed: true })
+            && !self.passing.translates()
+    }
+
     /// It is put together before anything is said.
     pub fn is_whole(&self) -> bool {
         matches!(self.form, Form::Whole { .. })
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -80,6 +80,8 @@
     pub watch_silence: Duration,
     /// Time for discovery's answer to begin.
     pub discovery_answer: Duration,
+    /// Bytes of a stream that is handed over, all that waits at it included.
+    pub handover_bytes: usize,
     /// Pause of the listener after it found no descriptor free.
     pub accept_pause: Duration,
     /// After SIGTERM or a drain, requests are taken for this time on connections that clients have.
@@ -160,6 +162,8 @@
             chunk_hold: event_bytes,
             watch_silence: Duration::from_millis(3200),
             discovery_answer: Duration::from_millis(2500),
+            // What a stream may hold at each of its sides, and its description.
+            handover_bytes: 160 << 10,
             accept_pause: Duration::from_millis(20),
             stop_grace: Duration::from_millis(700),
             list_wait: Duration::from_secs(1),
@@ -208,6 +212,10 @@
     pub linger: Duration,
     /// After SIGTERM, streams are cut after this time.
     pub stop: Duration,
+    /// So long before it is cut a stream is offered to the process that follows.
+    pub offer_before: Duration,
+    /// Pause before it is offered again.
+    pub offer_again: Duration,
     /// Pause between two snapshots of the figures in the log; none: only at the end.
     pub figures_every: Option<Duration>,
     /// How often rests that are over and figures that are due are looked for.
@@ -239,6 +247,8 @@
             linger: Duration::from_secs(1),
             // A planned stop kills no sooner than 3.7 s after its SIGTERM.
             stop: Duration::from_millis(3550),
+            offer_before: Duration::from_millis(500),
+            offer_again: Duration::from_millis(20),
             figures_every: None,
             look: Duration::from_millis(250),
             turn: 32 << 10,
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -2,7 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
@@ -12,17 +14,18 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 
+use super::handover::{Handover, Parcel};
 use super::http::{self, Bad, Body, Head};
 use super::keeper::Keeper;
-use super::servers::{Batch, Dispatch, Fleet};
+use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
-use crate::engine::{self, Engine, Why};
+use crate::engine::{self, Ask, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
 use crate::quota::Grant;
 use crate::seats::{Patience, Seats, Sitting};
 use crate::stream::{Cause, Leaving};
-use crate::types::Nanos;
+use crate::types::{Nanos, ReplicaId};
 
 /// What all edge connections share.
 pub struct Edge {
@@ -33,6 +36,8 @@
     /// The same, with the bounds of the messages front's bodies.
     messages_limits: Rc<Limits>,
     keeper: Rc<Keeper>,
+    /// Where streams that outlast this process go, if they may.
+    handover: Option<Rc<Handover>>,
     seats: RefCell<Seats>,
     /// How each edge connection is asked to leave: by closing this.
     leave: RefCell<BTreeMap<u64, Sender<()>>>,
@@ -49,6 +54,7 @@
         desk: Rc<Desk>,
         limits: Rc<Limits>,
         keeper: Rc<Keeper>,
+        handover: Option<Rc<Handover>>,
     ) -> Edge {
         let patience =
             Patience { mute: limits.edge_mute, arriving: limits.edge_slow, rested: limits.edge_rested };
@@ -62,6 +68,7 @@
             limits,
             messages_limits,
             keeper,
+            handover,
             seats: RefCell::new(Seats::new(patience)),
             leave: RefCell::default(),
             held_bytes: Cell::new(0),
@@ -86,7 +93,8 @@
                 match listener.accept().await {
                     Ok((stream, from)) => {
                         let place = Place::new(self.clone());
-                        ex.spawn(self.clone().connection(stream, from, dialect, place)).detach();
+                        let wire = Wire::new(stream);
+                        ex.spawn(self.clone().connection(wire, from, dialect, place)).detach();
                     }
                     Err(e) => {
                         // Guards against dying, or spinning, when no descriptor is free.
@@ -128,12 +136,11 @@
 
     async fn connection(
         self: Rc<Self>,
-        stream: Async<TcpStream>,
+        mut wire: Wire,
         from: SocketAddr,
         dialect: Dialect,
         mut place: Place,
     ) {
-        let mut wire = Wire::new(stream);
         while let Some(next) = self.clone().exchange(wire, dialect, from, &mut place).await {
             wire = next;
             // What a large request needed is not kept while the connection rests.
@@ -196,7 +203,7 @@
                     charge,
                 };
                 let servers = Dispatch { fleet: self.fleet.clone(), passage };
-                engine::serve(&self.engine, &order.ask, &servers, client).await;
+                engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
             }
             Call::Health if self.keeper.wants_clients() => Voice::new(dialect, &id).note(200, "ready"),
@@ -306,6 +313,92 @@
     }
 }
 
+impl Edge {
+    /// Goes on with a stream that another process of this gateway began.
+    pub fn adopt(
+        self: Rc<Self>,
+        ex: &'static LocalExecutor<'static>,
+        mut parcel: Parcel,
+        [client, server]: [OwnedFd; 2],
+    ) -> io::Result<()> {
+        let [line, buf, ..] = &mut parcel.waiting;
+        let (line, wire) = (std::mem::take(line), Wire::handed(client, std::mem::take(buf))?);
+        let from = wire.peer()?;
+        let steps = Running::unpack(self.fleet.clone(), &mut parcel, server)?;
+        let (voice, waiting) = (Voice::new(Dialect::Platform, &parcel.name), line.len());
+        let speech = Speech::resumed(voice.clone(), self.desk.noted.clone(), &self.limits);
+        let back = Rc::new(RefCell::new(None));
+        let exchange = Exchange {
+            edge: self.clone(),
+            wire,
+            voice,
+            keep: parcel.keep_client,
+            model: String::new(),
+            whole: false,
+            back: back.clone(),
+            from: Instant::now(),
+            charge: Charge { edge: self.clone(), grant: None, prompt: 0, answer: 0, events: 0, ran: true },
+        };
+        let answer = Answering { exchange, speech, line, written: 0 };
+        let ask = Ask {
+            id: Some(parcel.id),
+            expires_in: 0,
+            class: parcel.class,
+            tenant: parcel.tenant,
+            prefix: None,
+            session: None,
+            tokens: (0, 0, 0),
+            repeat: false,
+        };
+        let begun =
+            Begun { id: parcel.id, server: ReplicaId::from(parcel.server.as_str()), first: parcel.first };
+        let mut place = Place::new(self.clone());
+        place.sit(Sitting::Asking);
+        ex.spawn(async move {
+            engine::carry_on(&self.engine, &ask, begun, (steps, answer, waiting), &*self).await;
+            if let Some(wire) = back.take() {
+                place.sit(Sitting::Rested);
+                self.connection(wire, from, Dialect::Platform, place).await;
+            }
+        })
+        .detach();
+        Ok(())
+    }
+}
+
+impl engine::Heir<Running, Answering> for Edge {
+    fn take(
+        &self,
+        ask: &Ask,
+        begun: &Begun,
+        steps: Running,
+        answer: Answering,
+    ) -> Result<(), (Running, Answering)> {
+        let Some(handover) = &self.handover else { return Err((steps, answer)) };
+        let mut parcel = Parcel {
+            id: begun.id,
+            class: ask.class,
+            tenant: ask.tenant,
+            first: begun.first,
+            ..Parcel::default()
+        };
+        let sent = match (answer.pack(&mut parcel), steps.pack(&mut parcel)) {
+            (Some(client), Some(server)) => handover.send(&parcel, [client, server]),
+            _ => Err(io::Error::other("of a kind that stays")),
+        };
+        match sent {
+            Ok(()) => {
+                steps.given_away();
+                Ok(())
+            }
+            Err(e) => {
+                log::debug!(id = format!("{:016x}", begun.id); "not-handed-over: {e}");
+                Err((steps, answer))
+            }
+        }
+    }
+}
+
 /// A place among the open edge connections.
 struct Place {
     edge: Rc<Edge>,
@@ -505,6 +598,18 @@
         self.line.len() - had
     }
 
+    /// Adds where its client stands, and returns its connection; none if more is held of it than bytes.
+    fn pack(&self, parcel: &mut Parcel) -> Option<BorrowedFd<'_>> {
+        if !self.speech.is_plain() || self.exchange.charge.grant.is_some() {
+            return None;
+        }
+        parcel.name.clone_from(&self.exchange.voice.id);
+        parcel.keep_client = self.exchange.keep;
+        parcel.waiting[0] = self.line[self.written..].to_vec();
+        parcel.waiting[1].clone_from(&self.exchange.wire.buf);
+        Some(self.exchange.wire.fd())
+    }
+
     fn taken(&mut self, bytes: usize) {
         self.written += bytes;
         if self.written == self.line.len() {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -8,6 +8,7 @@
 use std::str;
 
 use memchr::{memchr_iter, memmem};
+use serde::{Deserialize, Serialize};
 
 use crate::limits::Limits;
 
@@ -202,7 +203,7 @@
 }
 
 /// What is still to come of a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Body {
     /// So many bytes.
     Length(usize),
@@ -213,7 +214,7 @@
 }
 
 /// Where in a chunked body the next byte belongs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Chunk {
     /// To a chunk's size line.
     Size,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod discovery;
 pub mod edge;
+pub mod handover;
 pub mod http;
 pub mod keeper;
 pub mod listen;
@@ -12,6 +13,7 @@
 use std::cell::RefCell;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -80,6 +82,13 @@
         Wire { stream, buf: Vec::new(), dry: false, full: false, abort: false }
     }
 
+    /// A connection that another process of this gateway had, with what was read from it and not yet taken.
+    pub fn handed(side: OwnedFd, buf: Vec<u8>) -> io::Result<Wire> {
+        let mut wire = Wire::new(Async::new(TcpStream::from(side))?);
+        wire.buf = buf;
+        Ok(wire)
+    }
+
     /// Connects within a time.
     pub async fn connect(addr: SocketAddr, limits: &Limits) -> io::Result<Wire> {
         Ok(Wire::new(within(limits.connect, connected(addr, limits)).await??))
@@ -171,6 +180,16 @@
         }
     }
 
+    /// Who is at its other end.
+    pub fn peer(&self) -> io::Result<SocketAddr> {
+        self.stream.get_ref().peer_addr()
+    }
+
+    /// The connection itself, to be handed on.
+    pub fn fd(&self) -> BorrowedFd<'_> {
+        self.stream.get_ref().as_fd()
+    }
+
     /// Writes what the connection takes at once, on its way to being closed.
     pub fn write_now(&self, bytes: &[u8]) {
         let _ = self.stream.get_ref().write(bytes);
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -4,13 +4,16 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::{BorrowedFd, OwnedFd};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use futures_lite::{Stream, stream};
+use futures_lite::{Stream, future};
 
+use super::handover::Parcel;
 use super::http::{self, Body, Head};
 use super::{Wire, within};
 use crate::engine::{Arrival, Ending, Servers, Step};
@@ -351,18 +354,23 @@
     /// What comes next of a begun answer: whole events, as many as came together, or none if what came is no
     /// whole one. It waits for as long as it takes; the holder of the stream knows how long that may be.
     async fn next(&self, open: &mut Open) -> Result<Batch, Verdict> {
-        loop {
+        future::poll_fn(|cx| self.poll_batch(open, cx)).await
+    }
+
+    /// The same as a poll.
+    fn poll_batch(&self, open: &mut Open, cx: &mut Context<'_>) -> Poll<Result<Batch, Verdict>> {
+        Poll::Ready(loop {
             let batch = http::sse_batch(&mut open.text, &mut open.scanned, &self.limits);
-            let mut batch = batch.map_err(|_| {
+            let Ok(mut batch) = batch else {
                 open.spoilt = true;
-                Verdict::Reset
-            })?;
+                break Err(Verdict::Reset);
+            };
             let events = self.look_through(open, &mut batch);
             if events > 0 {
-                return Ok(Batch { dialect: open.dialect, bytes: batch, events, usage: open.usage });
+                break Ok(Batch { dialect: open.dialect, bytes: batch, events, usage: open.usage });
             }
             if open.spoilt {
-                return Err(Verdict::Reset);
+                break Err(Verdict::Reset);
             }
             let Wire { buf, .. } = &mut open.line.wire;
             let had = open.text.len();
@@ -374,7 +382,7 @@
                         open.scanned = 0;
                         continue;
                     }
-                    return Err(Verdict::Ok);
+                    break Err(Verdict::Ok);
                 }
                 Ok(_) if open.text.len() > had => continue,
                 Ok(_) => {}
@@ -386,13 +394,13 @@
                 }
             }
             if open.came > 0 {
-                return Ok(Batch { dialect: open.dialect, bytes: Vec::new(), events: 0, usage: None });
+                break Ok(Batch { dialect: open.dialect, bytes: Vec::new(), events: 0, usage: None });
             }
-            match open.line.wire.fill(&self.limits).await {
-                Ok(0) | Err(_) => return Err(Verdict::Reset),
+            match ready!(open.line.wire.poll_fill(cx, &self.limits)) {
+                Ok(0) | Err(_) => break Err(Verdict::Reset),
                 Ok(count) => open.came += count,
             }
-        }
+        })
     }
 
     /// Takes out of whole blocks what is meant for this gateway, and what says nothing. Returns how many are
@@ -526,13 +534,22 @@
     pub passage: Rc<Passage>,
 }
 
+/// How a scheduling begins: its first events, or why there are none.
+type Beginning = Pin<Box<dyn Future<Output = Result<(Box<Open>, Batch), Refusal>>>>;
+
 /// Where a scheduling stands.
 enum Stage {
-    Waiting(ReplicaId, Duration),
-    Open(Open),
+    Beginning(Beginning),
+    Open(Box<Open>),
     Over,
 }
 
+/// A scheduling that runs. Dropping it closes its connection, which gives it up.
+pub struct Running {
+    fleet: Rc<Fleet>,
+    stage: Stage,
+}
+
 /// Whole events that came together, and the dialect that they are in.
 #[derive(Debug)]
 pub struct Batch {
@@ -546,49 +563,118 @@
     pub usage: Option<Usage>,
 }
 
-impl Servers<Batch> for Dispatch {
-    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Pin<Box<dyn Stream<Item = Step<Batch>>>> {
-        let (fleet, passage) = (self.fleet.clone(), self.passage.clone());
-        Box::pin(stream::unfold(Stage::Waiting(server, timeout), move |stage| {
-            step(fleet.clone(), passage.clone(), stage)
-        }))
+impl Running {
+    /// Adds where its stream stands, and returns its connection; none if no event has come yet or more can't.
+    pub fn pack(&self, parcel: &mut Parcel) -> Option<BorrowedFd<'_>> {
+        let Stage::Open(open) = &self.stage else { return None };
+        if open.spoilt || open.failed {
+            return None;
+        }
+        parcel.server = open.server.0.to_string();
+        parcel.addr = Some(open.addr);
+        parcel.body = Some(open.body);
+        (parcel.keep_server, parcel.last, parcel.usage) = (open.keep, open.last, open.usage);
+        parcel.waiting[2].clone_from(&open.line.wire.buf);
+        parcel.waiting[3].clone_from(&open.text);
+        Some(open.line.wire.fd())
+    }
+
+    /// Another process has its connection now, so it must not be reset from here.
+    pub fn given_away(mut self) {
+        if let Stage::Open(open) = &mut self.stage {
+            open.line.wire.abort = false;
+        }
+    }
+
+    /// Goes on with what another process packed.
+    pub fn unpack(fleet: Rc<Fleet>, parcel: &mut Parcel, side: OwnedFd) -> io::Result<Running> {
+        let missing = || io::Error::other("no real server in it");
+        let [_, _, buf, text] = &mut parcel.waiting;
+        let mut wire = Wire::handed(side, std::mem::take(buf))?;
+        wire.abort = true;
+        let open = Open {
+            server: ReplicaId::from(parcel.server.as_str()),
+            addr: parcel.addr.ok_or_else(missing)?,
+            line: Line { wire, slot: Slot::new(&fleet.open) },
+            dialect: Dialect::Platform,
+            body: parcel.body.ok_or_else(missing)?,
+            keep: parcel.keep_server,
+            spoilt: false,
+            failed: false,
+            text: std::mem::take(text),
+            scanned: 0,
+            came: 0,
+            early: 0,
+            last: parcel.last,
+            usage: parcel.usage,
+            report: Vec::new(),
+        };
+        Ok(Running { fleet, stage: Stage::Open(Box::new(open)) })
     }
 }
 
-/// A scheduling's next step. Dropping it on the way closes the connection, which gives the scheduling up.
-async fn step(fleet: Rc<Fleet>, passage: Rc<Passage>, stage: Stage) -> Option<(Step<Batch>, Stage)> {
-    let over = |ending: Ending| Some((Step::Ended(ending), Stage::Over));
-    let (mut open, batch) = match stage {
-        Stage::Over => return None,
-        Stage::Open(open) if open.failed => return over(fleet.end(open, Verdict::Error)),
-        Stage::Open(mut open) => match fleet.next(&mut open).await {
-            Ok(batch) => (open, batch),
-            Err(verdict) => return over(fleet.end(open, verdict)),
-        },
-        Stage::Waiting(server, timeout) => {
+impl Servers<Batch> for Dispatch {
+    type Steps = Running;
+    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Running {
+        let (fleet, passage) = (self.fleet.clone(), self.passage.clone());
+        let begun = async move {
             let begun = async {
-                let mut open = fleet.begin(&server, &passage, timeout).await?;
+                let mut open = Box::new(fleet.begin(&server, &passage, timeout).await?);
                 match fleet.first(&mut open).await {
                     // An error in the first place of all is an answer that serves nobody.
                     Ok(batch) if open.failed && batch.events == 1 => {
-                        Err(Refusal::Scheduling(fleet.end(open, Verdict::Error)))
+                        Err(Refusal::Scheduling(fleet.end(*open, Verdict::Error)))
                     }
                     Ok(batch) => Ok((open, batch)),
                     // A stream without an event serves nobody.
                     Err(Verdict::Ok) => Err(Verdict::Error.into()),
-                    Err(verdict) => Err(Refusal::Scheduling(fleet.end(open, verdict))),
+                    Err(verdict) => Err(Refusal::Scheduling(fleet.end(*open, verdict))),
                 }
             };
-            match within(timeout, begun).await {
-                Ok(Ok(begun)) => begun,
-                Ok(Err(Refusal::Scheduling(ending))) => return over(ending),
-                Ok(Err(Refusal::Request(status, words))) => {
-                    return Some((Step::Rejected(status, words), Stage::Over));
+            within(timeout, begun).await.unwrap_or_else(|_| Err(Verdict::TimedOut.into()))
+        };
+        Running { fleet: self.fleet.clone(), stage: Stage::Beginning(Box::pin(begun)) }
+    }
+}
+
+impl Stream for Running {
+    type Item = Step<Batch>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Step<Batch>>> {
+        let this = &mut *self;
+        let batch = match &mut this.stage {
+            Stage::Over => return Poll::Ready(None),
+            Stage::Beginning(begun) => match ready!(begun.as_mut().poll(cx)) {
+                Ok((open, batch)) => {
+                    this.stage = Stage::Open(open);
+                    Ok(batch)
+                }
+                Err(refusal) => {
+                    this.stage = Stage::Over;
+                    return Poll::Ready(Some(match refusal {
+                        Refusal::Scheduling(ending) => Step::Ended(ending),
+                        Refusal::Request(status, words) => Step::Rejected(status, words),
+                    }));
                 }
-                Err(_) => return over(Verdict::TimedOut.into()),
+            },
+            Stage::Open(open) if open.failed => Err(Verdict::Error),
+            Stage::Open(open) => ready!(this.fleet.poll_batch(open, cx)),
+        };
+        Poll::Ready(Some(match (batch, std::mem::replace(&mut this.stage, Stage::Over)) {
+            (Ok(batch), Stage::Open(mut open)) => {
+                let step = arrived(&mut open, batch);
+                this.stage = Stage::Open(open);
+                step
             }
-        }
-    };
+            (Err(verdict), Stage::Open(open)) => Step::Ended(this.fleet.end(*open, verdict)),
+            // A batch or an end comes of what is open alone.
+            _ => return Poll::Ready(None),
+        }))
+    }
+}
+
+/// What a batch of a begun answer is to the holder of its stream.
+fn arrived(open: &mut Open, batch: Batch) -> Step<Batch> {
     // A stream that may have to wait for its reader keeps no room for what has not come.
     let buf = &mut open.line.wire.buf;
     if buf.capacity() > 4 * buf.len() + (1 << 10) {
@@ -605,6 +691,5 @@
     if open.failed {
         open.keep = false;
     }
-    let step = if batch.events > 0 { Step::Events(batch, arrival) } else { Step::Bytes(arrival) };
-    Some((step, Stage::Open(open)))
+    if batch.events > 0 { Step::Events(batch, arrival) } else { Step::Bytes(arrival) }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,7 @@
 //! One gateway, from its start to its end: wires the parts together.
 
 use std::cell::{Cell, RefCell};
+use std::env;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
@@ -16,6 +17,7 @@
 use tulipridge::limits::Limits;
 use tulipridge::net::discovery::Discovery;
 use tulipridge::net::edge::Edge;
+use tulipridge::net::handover::Handover;
 use tulipridge::net::keeper::Keeper;
 use tulipridge::net::listen;
 use tulipridge::net::mgmt::Mgmt;
@@ -89,8 +91,20 @@
     let mut inherited = listen::inherited()?;
     let shared = inherited.is_some();
     let keeper = Rc::new(Keeper::new(engine.clone(), limits.clone(), shared, able));
-    let edge =
-        Rc::new(Edge::new(engine.clone(), fleet.clone(), desk.clone(), limits.clone(), keeper.clone()));
+    // Without a listener that the platform keeps, no process ever serves beside this one.
+    let handover = (shared && config.own.handover)
+        .then(|| Rc::new(Handover::new(&env::temp_dir(), &config.name, limits.clone())));
+    let edge = Rc::new(Edge::new(
+        engine.clone(),
+        fleet.clone(),
+        desk.clone(),
+        limits.clone(),
+        keeper.clone(),
+        handover.clone(),
+    ));
+    if let Some(handover) = handover {
+        ex.spawn(handover.listen(ex, edge.clone(), keeper.clone())).detach();
+    }
 
     let bind = |addr, inherited, port: &str| listen::open(addr, inherited, port, &limits);
     let mut fronts = vec![(config.listen, Dialect::Platform)];
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,6 +37,8 @@
     pub streams: Streams,
     /// Rests of real servers that spoil streams; off without it.
     pub rest: Option<Rest>,
+    /// Begun streams go on in the process that follows this one on an inherited listener.
+    pub handover: bool,
 }
 
 /// The messages front's part.
--- a/src/stream/course.rs
+++ b/src/stream/course.rs
@@ -36,6 +36,8 @@
     Finish,
     /// End it without the last chunk.
     Cut,
+    /// Offer it to the process that follows this one.
+    Offer,
 }
 
 /// How a real server's side ended.
@@ -101,6 +103,8 @@
     longest_pause: Nanos,
     server_end: Option<End>,
     stop_at: Option<Nanos>,
+    /// When it is offered to another process; none: it is not, or not any more.
+    offer_at: Option<Nanos>,
     /// Until when the client may take what is left of a broken stream.
     linger_until: Option<Nanos>,
     ended: Option<(Cause, Nanos)>,
@@ -133,6 +137,7 @@
             longest_pause: 0,
             server_end: None,
             stop_at: None,
+            offer_at: None,
             linger_until: None,
             ended: None,
             stop: None,
@@ -244,9 +249,23 @@
         self.end(now, Cause::TooLong);
     }
 
-    /// The program is stopping: what has not ended by then is cut.
+    /// The program is stopping: what has not ended by then is cut. A while before, it is offered to the process
+    /// that follows.
     pub fn stop_at(&mut self, at: Nanos) {
-        self.stop_at = Some(self.stop_at.map_or(at, |before| before.min(at)));
+        if self.stop_at.is_none_or(|before| at < before) {
+            self.stop_at = Some(at);
+            self.offer_at = Some(at.saturating_sub(nanos(self.limits.offer_before)));
+        }
+    }
+
+    /// Nobody took it over; it is offered again soon.
+    pub fn refused(&mut self, now: Nanos) {
+        self.offer_at = Some(now.saturating_add(nanos(self.limits.offer_again)));
+    }
+
+    /// Another process goes on with it.
+    pub fn handed_over(&mut self, now: Nanos) {
+        self.end(now, Cause::HandedOver);
     }
 
     /// What is to be done now; called after anything happened and when the timer is due.
@@ -255,6 +274,7 @@
             self.judge(now);
         }
         match self.ended {
+            None if self.server_end.is_none() && self.is_over(now, self.offer_at) => Act::Offer,
             None => Act::Wait,
             Some((Cause::Whole, _)) => Act::Finish,
             Some(_) => Act::Cut,
@@ -293,8 +313,9 @@
             return None;
         }
         let span = self.span.map(|(from, _)| from.saturating_add(nanos(self.limits.reader_span)));
-        let silence = if self.server_end.is_none() { self.silent_until() } else { None };
-        [span, silence, self.stop_at, self.linger_until].into_iter().flatten().min()
+        let (silence, offer) =
+            if self.server_end.is_none() { (self.silent_until(), self.offer_at) } else { (None, None) };
+        [span, silence, offer, self.stop_at, self.linger_until].into_iter().flatten().min()
     }
 
     /// Whether more is to be read from the real server.
--- a/src/stream/outcome.rs
+++ b/src/stream/outcome.rs
@@ -27,6 +27,8 @@
     Shutdown,
     /// The module called it off: another scheduling serves the request.
     Cancelled,
+    /// The process that follows this one goes on with it.
+    HandedOver,
 }
 
 /// Whose doing an end is.
@@ -44,7 +46,7 @@
 
 impl Cause {
     /// Each of them.
-    pub const ALL: [Cause; 11] = [
+    pub const ALL: [Cause; 12] = [
         Cause::Whole,
         Cause::ClientLeft,
         Cause::ReaderSlow,
@@ -56,6 +58,7 @@
         Cause::TooLong,
         Cause::Shutdown,
         Cause::Cancelled,
+        Cause::HandedOver,
     ];
 
     /// Its name in the log and the figures.
@@ -72,13 +75,14 @@
             Cause::TooLong => "too-long",
             Cause::Shutdown => "shutdown",
             Cause::Cancelled => "cancelled",
+            Cause::HandedOver => "handed-over",
         }
     }
 
     /// Whose doing it is.
     pub fn side(self) -> Side {
         match self {
-            Cause::Whole => Side::Nobody,
+            Cause::Whole | Cause::HandedOver => Side::Nobody,
             Cause::ClientLeft | Cause::ReaderSlow => Side::Client,
             Cause::Stalled | Cause::Broke | Cause::Spoilt | Cause::Failed => Side::Server,
             Cause::Budget | Cause::TooLong | Cause::Shutdown | Cause::Cancelled => Side::Gateway,
@@ -99,7 +103,8 @@
             | Cause::Budget
             | Cause::TooLong
             | Cause::Shutdown
-            | Cause::Cancelled => Verdict::Cancelled,
+            | Cause::Cancelled
+            | Cause::HandedOver => Verdict::Cancelled,
         }
     }
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -7,15 +7,23 @@
 use std::os::fd::OwnedFd;
 use std::process::{Command, Stdio};
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
 
-use serde_json::json;
+use quickcheck::QuickCheck;
+use serde_json::{Value, json};
+use tulipridge::net::handover::Parcel;
+use tulipridge::net::http::Body;
 
 use support::*;
 
 /// A gateway with a second address, which takes its platform's port from `inherited` if there is one.
 fn gateway(server: &Server, inherited: Option<&TcpListener>) -> (Gateway, SocketAddr) {
+    gateway_with(server, inherited, json!({"mgmt": "127.0.0.1:0"}))
+}
+
+fn gateway_with(server: &Server, inherited: Option<&TcpListener>, more: Value) -> (Gateway, SocketAddr) {
     let servers = vec![entry(0, server, "ready", 0)];
-    let more = json!({"mgmt": "127.0.0.1:0"});
     let (mut child, discovery) = match inherited.map(|l| OwnedFd::from(l.try_clone().expect("a copy"))) {
         Some(listener) => Gateway::spawn_told(servers, "4", listener.into(), more),
         None => Gateway::spawn("n0", "platform", servers, 1, (1024, 1024), more),
@@ -130,6 +138,103 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 30);
 }
 
+/// A real server that says so when a request has begun, and goes on at each word; it ends at the last.
+fn halting_server() -> (Server, Receiver<()>, Sender<&'static str>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (begun, begins) = channel();
+    let (words, said) = channel::<&'static str>();
+    let (_, left) = channel();
+    thread::spawn(move || {
+        let mut stream = listener.accept().expect("a connection").0;
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        message(&mut reader).expect("a request");
+        let first = chunk(&text("platform", "Hel"));
+        let head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        write!(stream, "{head}{first}").expect("sent");
+        begun.send(()).expect("open");
+        // Each word comes cut amid its chunk.
+        let mut rest = String::new();
+        for word in said.iter() {
+            let whole = chunk(&text("platform", word));
+            let (now, later) = whole.split_at(whole.len() / 2);
+            write!(stream, "{rest}{now}").expect("sent");
+            rest = later.to_owned();
+        }
+        write!(stream, "{rest}{}0\r\n\r\n", chunk(&closing("platform"))).expect("sent");
+        // The connection stays.
+        let _ = reader.read(&mut [0]);
+    });
+    let (requests, bodies) = Default::default();
+    (Server { addr, requests, bodies, left }, begins, words)
+}
+
+/// Streams are offered half a second before they are cut. The folder is this run's: others may run beside it.
+fn handing_over(name: &str) -> Value {
+    let shared = format!("{}/{}-{name}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::create_dir_all(&shared).expect("a folder");
+    json!({"mgmt": "127.0.0.1:0", "handover": true, "streams": {"stop_within": "1s"}, "shared": shared})
+}
+
+#[test]
+fn a_stream_that_outlasts_its_process_goes_on_whole_in_the_one_that_follows() {
+    let (server, begins, words) = halting_server();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let more = handing_over("follower");
+    let (mut old, old_mgmt) = gateway_with(&server, Some(&listener), more.clone());
+    eventually(|| call(old_mgmt, "GET /ready") == 200);
+    let client = old.send("platform", "once", 9000, 1);
+    begins.recv_timeout(FOREVER).expect("it begins");
+    words.send("lo").expect("open");
+    let (new, new_mgmt) = gateway_with(&server, Some(&listener), more);
+    eventually(|| call(new_mgmt, "GET /ready") == 200);
+    assert_eq!(old.stop(), Some(0));
+    // The process that took the request is gone.
+    for word in [", wor", "ld"] {
+        words.send(word).expect("open");
+    }
+    drop(words);
+    let again = client.try_clone().expect("a clone");
+    let (told, bytes) = seen("platform", client);
+    assert_eq!(told, Seen::Served("Hello, world".into()), "{bytes}");
+    eventually(|| new.logged(" handover ") == 1);
+    // Its connection is the new process's, and serves on.
+    let mut again = again;
+    again.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n").expect("sent");
+    assert_eq!(status(&mut again), 200);
+}
+
+#[test]
+fn a_stream_that_nobody_takes_over_is_cut_in_time() {
+    let (server, begins, words) = halting_server();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let more = handing_over("nobody");
+    let (mut old, mgmt) = gateway_with(&server, Some(&listener), more);
+    eventually(|| call(mgmt, "GET /ready") == 200);
+    let client = old.send("platform", "once", 9000, 1);
+    begins.recv_timeout(FOREVER).expect("it begins");
+    assert_eq!(old.stop(), Some(0));
+    assert_eq!(seen("platform", client).0, Seen::Broken("Hel".into()));
+    drop(words);
+}
+
+/// Random parcels come back as they were; whatever else comes is an error.
+fn parcels(id: u64, waiting: (Vec<u8>, Vec<u8>, Vec<u8>, Vec<u8>), cut: usize, noise: Vec<u8>) {
+    let (a, b, c, d) = waiting;
+    let parcel = Parcel { id, body: Some(Body::Length(cut)), waiting: [a, b, c, d], ..Parcel::default() };
+    let bytes = parcel.bytes().expect("bytes");
+    assert_eq!(Parcel::read(&bytes).expect("a parcel"), parcel);
+    assert!(Parcel::read(&bytes[..cut % bytes.len()]).is_err());
+    assert!(Parcel::read(&noise).is_err());
+    assert!(Parcel::read(&[&bytes[..], b"x"].concat()).is_err());
+}
+
+#[test]
+fn parcels_come_back_as_they_were_and_nothing_else_does() {
+    QuickCheck::new().quickcheck(parcels as fn(u64, (Vec<u8>, Vec<u8>, Vec<u8>, Vec<u8>), usize, Vec<u8>));
+}
+
 #[test]
 fn a_descriptor_that_is_no_listener_is_named_at_the_start() {
     let connected = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -13,7 +13,9 @@
 use futures_lite::{Stream, StreamExt, future};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use tulipridge::engine::{self, Answer, Arrival, Ask, Client, Ending, Engine, Servers, Step, Why};
+use tulipridge::engine::{
+    self, Answer, Arrival, Ask, Begun, Client, Ending, Engine, Heir, Servers, Step, Why,
+};
 use tulipridge::front::{Dialect, Passage};
 use tulipridge::limits::Limits;
 use tulipridge::names::{ServiceEntry, State};
@@ -60,13 +62,23 @@
 struct FakeServers(Rc<Seen>);
 
 impl Servers<()> for FakeServers {
-    fn schedule(&self, _: ReplicaId, _: Duration) -> Pin<Box<dyn Stream<Item = Step<()>>>> {
+    type Steps = Pin<Box<Receiver<Step<()>>>>;
+    fn schedule(&self, _: ReplicaId, _: Duration) -> Self::Steps {
         let (send, steps) = async_channel::unbounded();
         self.0.out.borrow_mut().push(send);
         Box::pin(steps)
     }
 }
 
+/// No process follows.
+struct NoHeir;
+
+impl<S, A> Heir<S, A> for NoHeir {
+    fn take(&self, _: &Ask, _: &Begun, steps: S, answer: A) -> Result<(), (S, A)> {
+        Err((steps, answer))
+    }
+}
+
 struct FakeClient(Rc<Seen>, Pin<Box<Receiver<()>>>);
 
 impl FakeClient {
@@ -212,7 +224,7 @@
                 tokens: (100, 0, 10),
                 repeat: false,
             };
-            engine::serve(&core, &ask, &servers, client).await;
+            engine::serve(&core, &ask, &servers, client, &NoHeir).await;
         });
         let settle = || while ex.try_tick() {};
         settle();
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -74,6 +74,7 @@
     amid: bool,
     server_end: Option<(End, Nanos)>,
     stop_at: Option<Nanos>,
+    offer_at: Option<Nanos>,
     allowed: usize,
 }
 
@@ -126,7 +127,10 @@
                 Move::Stop(ms) => {
                     let at = model.now + Nanos::from(ms) * MS;
                     course.stop_at(at);
-                    model.stop_at = Some(model.stop_at.map_or(at, |was| was.min(at)));
+                    if model.stop_at.is_none_or(|was| at < was) {
+                        model.stop_at = Some(at);
+                        model.offer_at = Some(at.saturating_sub(nanos(limits.offer_before)));
+                    }
                 }
                 Move::Leave => course.left(model.now, Leaving::Ended),
                 Move::Cancel => course.cancel(model.now),
@@ -157,8 +161,22 @@
             };
             let is = course.outcome().map(|o| o.cause);
             assert_eq!(is, expected, "after {step:?}");
-            assert_eq!(act == Act::Wait, is.is_none());
+            // It is offered for as long as its real server has more to say, and again a little later.
+            let offered = is.is_none() && model.server_end.is_none() && over(model.offer_at);
+            assert_eq!(act == Act::Offer, offered);
+            assert_eq!(act == Act::Wait, is.is_none() && !offered);
             assert_eq!(act == Act::Finish, is == Some(Cause::Whole));
+            if offered && model.came.is_multiple_of(3) {
+                course.handed_over(model.now);
+                assert_eq!(course.outcome().map(|o| o.cause), Some(Cause::HandedOver));
+                assert_eq!(course.poll(model.now + MS), Act::Cut, "nothing more is done for it here");
+                return true;
+            }
+            if offered {
+                course.refused(model.now);
+                model.offer_at = Some(model.now + nanos(limits.offer_again));
+                assert_eq!(course.poll(model.now), Act::Wait);
+            }
             if let Some(outcome) = course.outcome() {
                 assert_eq!(outcome.bytes, model.came);
                 assert_eq!(course.phase(), Phase::Ended);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -423,6 +423,8 @@
         let memory = more.remove("memory_mb").unwrap_or(json!(192));
         // Nor is this: whether a second copy may be sent beside the first, which then is not called off.
         let copies = more.remove("copies").is_some();
+        // The folder that processes of one gateway share.
+        let shared = more.remove("shared").unwrap_or(json!(env!("CARGO_TARGET_TMPDIR")));
         config["mgmt"] = more.remove("mgmt").unwrap_or(Value::Null);
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
@@ -444,6 +446,7 @@
             .arg(env!("CARGO_BIN_EXE_tulipridge"))
             .env("EDGE_CONFIG", file("config.json", config.to_string()))
             .env("TULIPRIDGE_SETTINGS", file("settings.hcl", hcl::to_string(&daemon).expect("HCL")))
+            .env("TMPDIR", shared.as_str().expect("a path"))
             .env_remove("EDGE_LISTEN")
             .env_remove("EDGE_DISCOVERY")
             .env_remove("RUST_LOG")
