--- /dev/null
+++ b/examples/operation_bench.rs
@@ -0,0 +1,254 @@
+//! What the second address and the handing over of streams cost, on loopback.
+//!
+//!     cargo run --release --example operation_bench
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+type Any<T> = Result<T, Box<dyn std::error::Error>>;
+
+/// A discovery that answers each call with one list and keeps watches open.
+fn discovery(list: String) -> Any<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let list = list.clone();
+            thread::spawn(move || -> std::io::Result<()> {
+                let _ = stream.read(&mut [0; 4096])?;
+                write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n",
+                    list.len() + 1
+                )?;
+                loop {
+                    thread::sleep(Duration::from_secs(2));
+                    stream.write_all(b"1\r\n\n\r\n")?;
+                }
+            });
+        }
+    });
+    Ok(addr)
+}
+
+/// A real server whose streams have an event each 50 ms for so long.
+fn server(lasts: Duration) -> Any<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || -> std::io::Result<()> {
+                let mut reader = BufReader::new(stream.try_clone()?);
+                let mut stream = stream;
+                loop {
+                    let mut length = 0;
+                    loop {
+                        let mut line = String::new();
+                        if reader.read_line(&mut line)? == 0 {
+                            return Ok(());
+                        }
+                        let line = line.trim_end().to_ascii_lowercase();
+                        if let Some(told) = line.strip_prefix("content-length:") {
+                            length = told.trim().parse().unwrap_or(0);
+                        }
+                        if line.is_empty() {
+                            break;
+                        }
+                    }
+                    reader.read_exact(&mut vec![0; length])?;
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+                    let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"},\"finish_reason\":null}]}\n\n";
+                    let from = Instant::now();
+                    while from.elapsed() < lasts {
+                        write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+                        thread::sleep(Duration::from_millis(50));
+                    }
+                    let end = "data: [DONE]\n\n";
+                    write!(stream, "{:x}\r\n{end}\r\n0\r\n\r\n", end.len())?;
+                }
+            });
+        }
+    });
+    Ok(addr)
+}
+
+struct Gateway {
+    child: Child,
+    front: SocketAddr,
+    mgmt: SocketAddr,
+}
+
+impl Gateway {
+    /// The program built beside this example, on that listener.
+    fn start(
+        listener: &TcpListener,
+        server: SocketAddr,
+        discovery: SocketAddr,
+        folder: &str,
+    ) -> Any<Gateway> {
+        let second = 1_000_000_000u64;
+        let list = json!({"version": 1, "full": true, "servers": [entry(server)]});
+        let config = json!({"name": "bench", "listen": listener.local_addr()?.to_string(), "mgmt": "127.0.0.1:0",
+            "discovery": discovery.to_string(), "seed": "1", "limits": {"sockets": 4096, "memory_mb": 192},
+            "known": list, "settings": {"discovery": "ask", "weight-source": "rough", "shapes": ["k"],
+            "lanes": [{"name": "docs", "effect": "retryable", "promise-ns": second, "deadline-ns": 5 * second, "stream": true}],
+            "accounts": [{"name": "office", "share": 1.0}],
+            "policy-limits": {"send-cap": 3, "cancel": true, "conn-idle-ns": 5 * second},
+            "safety": {"cold-from": 1.0, "ramp-time-ns": 0, "overload-factor": 2.5, "fall-ns": second}}});
+        std::fs::create_dir_all(folder)?;
+        let path = format!("{folder}/config.json");
+        std::fs::write(&path, config.to_string())?;
+        std::fs::write(format!("{folder}/settings.hcl"), "handover = true\n")?;
+        let program = std::env::current_exe()?.with_file_name("../tulipridge");
+        let mut child = Command::new("sh")
+            .args(["-c", "exec 4<&0 </dev/null; exec \"$0\" --config \"$1\" --settings \"$2\""])
+            .arg(program)
+            .arg(&path)
+            .arg(format!("{folder}/settings.hcl"))
+            .env("EDGE_INHERITED_FD", "4")
+            .env("TMPDIR", folder)
+            .stdin(OwnedFd::from(listener.try_clone()?))
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines().map_while(Result::ok);
+        let line = lines.find(|l| l.contains("port=\"Mgmt\"")).ok_or("it does not listen")?;
+        let mgmt = line.split('"').find_map(|w| w.parse().ok()).ok_or("no address")?;
+        thread::spawn(move || lines.filter(|l| l.contains(" handover")).for_each(|l| println!("  {l}")));
+        let gateway = Gateway { child, front: listener.local_addr()?, mgmt };
+        while gateway.ready()?.0 != 200 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        Ok(gateway)
+    }
+
+    /// The status of `/ready`, and how long it took from connecting to the answer's end.
+    fn ready(&self) -> Any<(u16, Duration)> {
+        let from = Instant::now();
+        let mut stream = TcpStream::connect(self.mgmt)?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: bench\r\n\r\n")?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok((answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0), from.elapsed()))
+    }
+
+    fn measure(&self, what: &str) -> Any<()> {
+        let mut times = Histogram::<u64>::new(3)?;
+        let mut wrong = 0;
+        for _ in 0..500 {
+            let (status, time) = self.ready()?;
+            wrong += u32::from(status != 200);
+            times.saturating_record(time.as_micros() as u64);
+            thread::sleep(Duration::from_millis(4));
+        }
+        let of = |q| times.value_at_quantile(q);
+        println!(
+            "ready, {what}: p50 {} us, p99 {} us, longest {} us, wrong {wrong} of 500",
+            of(0.5),
+            of(0.99),
+            times.max()
+        );
+        Ok(())
+    }
+}
+
+fn entry(server: SocketAddr) -> serde_json::Value {
+    json!({"id": "s-0", "addr": server.to_string(), "zone": "a", "kind": "k", "cell": 0, "state": "ready",
+        "weight": 1.0, "started_ms": 0})
+}
+
+/// Sends a request and reads its answer; whether that was whole.
+fn ask(front: SocketAddr, id: usize) -> Any<bool> {
+    let mut stream = TcpStream::connect(front)?;
+    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
+    write!(
+        stream,
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: {id:016x}\r\nX-Class: docs\r\n\
+        X-Tenant: office\r\nX-Key: {id:x}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{{}}"
+    )?;
+    let mut tail = Vec::new();
+    let mut scratch = [0; 4096];
+    loop {
+        match stream.read(&mut scratch) {
+            Ok(0) | Err(_) => return Ok(false),
+            Ok(count) => tail.extend_from_slice(&scratch[..count]),
+        }
+        if tail.ends_with(b"0\r\n\r\n") {
+            return Ok(true);
+        }
+    }
+}
+
+fn main() -> Any<()> {
+    let folder = format!("{}/tulipridge-bench-{}", std::env::temp_dir().display(), std::process::id());
+    let server = server(Duration::from_secs(6))?;
+    let discovery = discovery(json!({"version": 2, "full": true, "servers": [entry(server)]}).to_string())?;
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let mut old = Gateway::start(&listener, server, discovery, &folder)?;
+    old.measure("at rest")?;
+    let crowd: Vec<TcpStream> = (0..1500).map_while(|_| TcpStream::connect(old.front).ok()).collect();
+    old.measure("1,500 mute clients")?;
+    drop(crowd);
+    let holding = Arc::new(AtomicBool::new(true));
+    let flood = {
+        let (holding, mgmt) = (holding.clone(), old.mgmt);
+        thread::spawn(move || {
+            // Callers that say nothing or half a call and stay, 200 new ones a second, each for 4 s.
+            let mut held = std::collections::VecDeque::new();
+            while holding.load(Ordering::SeqCst) {
+                if let Ok(mut stream) = TcpStream::connect(mgmt) {
+                    let _ = stream.write_all(if held.len() % 2 == 0 { b"" } else { b"GET /rea" });
+                    held.push_back(stream);
+                }
+                if held.len() > 800 {
+                    held.pop_front();
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+        })
+    };
+    old.measure("200 mute or half callers a second")?;
+    holding.store(false, Ordering::SeqCst);
+    flood.join().map_err(|_| "the flood failed")?;
+
+    for count in [10, 100, 500] {
+        let whole = Arc::new(AtomicUsize::new(0));
+        let clients: Vec<_> = (0..count)
+            .map(|n| {
+                let (whole, front) = (whole.clone(), old.front);
+                thread::spawn(move || {
+                    whole.fetch_add(
+                        usize::from(ask(front, count * 1000 + n).unwrap_or(false)),
+                        Ordering::SeqCst,
+                    )
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        let new = Gateway::start(&listener, server, discovery, &folder)?;
+        Command::new("kill").args(["-TERM", &old.child.id().to_string()]).status()?;
+        let from = Instant::now();
+        old.child.wait()?;
+        println!(
+            "{count} streams of 6 s, SIGTERM at 1 s: the old process ended after {:?}",
+            from.elapsed()
+        );
+        for client in clients {
+            client.join().map_err(|_| "a client failed")?;
+        }
+        println!("  whole: {} of {count}", whole.load(Ordering::SeqCst));
+        old = new;
+    }
+    old.child.kill()?;
+    old.child.wait()?;
+    std::fs::remove_dir_all(folder)?;
+    Ok(())
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -114,8 +114,8 @@
     match line.command.unwrap_or(Command::Serve(line.files)) {
         Command::Serve(files) => {
             let sources = Sources { config: files.config, settings: files.settings };
-            match listen::hand_over().and_then(|()| Config::load(&sources)) {
-                Ok(config) => serve::serve(config, sources),
+            match listen::inherited().and_then(|inherited| Ok((Config::load(&sources)?, inherited))) {
+                Ok((config, inherited)) => serve::serve(config, sources, inherited),
                 Err(what) => fault(&what),
             }
         }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -34,7 +34,7 @@
     println!("{}\n", platform_call(config.listen));
     println!("{}\n", messages_call(front));
     println!("Ctrl-C ends it.\n");
-    serve::serve(config, Sources::default())
+    serve::serve(config, Sources::default(), None)
 }
 
 fn platform_call(addr: SocketAddr) -> String {
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -259,8 +259,9 @@
             // Guards against a crowd that holds places and says nothing at all.
             let patience = if first { limits.edge_read } else { limits.edge_idle };
             let idle = async { within(patience, wire.fill(limits)).await.unwrap_or(Ok(0)) };
-            // What has come is read before the close is heeded.
-            if !future::or(idle, closing).await.is_ok_and(|n| n > 0) {
+            // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
+            // crosses a close costs its client another connection.
+            if !future::or(idle, closing).await.is_ok_and(|n| n > 0) && wire.is_quiet() {
                 return Ok(None);
             }
         }
@@ -669,7 +670,8 @@
     }
 
     fn finish(self) {
-        if self.exchange.keep && self.exchange.edge.keeper.keeps_connections() {
+        // One that was told that it stays closes by the lifecycle, like others at rest.
+        if self.exchange.keep {
             *self.exchange.back.borrow_mut() = Some(self.exchange.wire);
         }
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -188,12 +188,17 @@
                 none.insert(line)
             }
         };
+        let bytes = parcel.bytes()?;
+        // Guards against a message that the follower would have to cut.
+        if bytes.len() > self.limits.handover_bytes {
+            return Err(io::Error::other("too much waits at it"));
+        }
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut rights = SendAncillaryBuffer::new(&mut space);
         rights.push(SendAncillaryMessage::ScmRights(&sides));
         let sent = sendmsg(
             &*line,
-            &[IoSlice::new(&parcel.bytes()?)],
+            &[IoSlice::new(&bytes)],
             &mut rights,
             SendFlags::NOSIGNAL | SendFlags::DONTWAIT,
         );
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -19,27 +19,12 @@
 
 const TOLD: &str = "EDGE_INHERITED_FD";
 
-/// If the platform names a descriptor, starts the program over with the name that the library knows it by.
-/// Returns only if there is none, or with what is wrong.
-pub fn hand_over() -> Result<(), String> {
-    let Ok(told) = env::var(TOLD) else { return Ok(()) };
-    // The standard three can't be listeners: what they say would go to clients.
-    if !told.parse::<i32>().is_ok_and(|fd| fd > 2) {
-        return Err(format!("{TOLD}: '{told}' is no descriptor's number above 2"));
-    }
-    let program = env::current_exe().map_err(|e| format!("{TOLD}: the program's own file: {e}"))?;
-    let mut args = env::args_os();
-    let mut command = Command::new(program);
-    if let Some(name) = args.next() {
-        command.arg0(name);
-    }
-    command.args(args).env_remove(TOLD).env_remove("LISTEN_PID");
-    command.env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", &told);
-    Err(format!("{TOLD}: starting over with it: {}", command.exec()))
-}
-
-/// The listener that this process has inherited, if it has one.
+/// The listener that this process has inherited, if it has one. If the platform names one and the library does not
+/// know it yet, the program starts over. To be called before anything else runs, as the environment changes.
 pub fn inherited() -> Result<Option<TcpListener>, String> {
+    if let Ok(told) = env::var(TOLD) {
+        return Err(start_over(&told));
+    }
     let name = |e: io::Error| format!("the inherited listener: {e}");
     let mut all = ListenFd::from_env();
     if all.len() > 1 {
@@ -55,6 +40,26 @@
     Ok(Some(listener))
 }
 
+/// Puts the program in its own place, with the names that the library knows; returns only with what is wrong.
+fn start_over(told: &str) -> String {
+    // The standard three can't be listeners: what they say would go to clients.
+    if !told.parse::<i32>().is_ok_and(|fd| fd > 2) {
+        return format!("{TOLD}: '{told}' is no descriptor's number above 2");
+    }
+    let program = match env::current_exe() {
+        Ok(program) => program,
+        Err(e) => return format!("{TOLD}: the program's own file: {e}"),
+    };
+    let mut args = env::args_os();
+    let mut command = Command::new(program);
+    if let Some(name) = args.next() {
+        command.arg0(name);
+    }
+    command.args(args).env_remove(TOLD).env_remove("LISTEN_PID");
+    command.env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", told);
+    format!("{TOLD}: starting over with it: {}", command.exec())
+}
+
 /// A listener ready to accept, bound here if none was inherited; `port` says in the log what it is for.
 pub fn open(
     addr: SocketAddr,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::env;
+use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
@@ -26,8 +27,8 @@
 use tulipridge::store::Store;
 use tulipridge::syslog;
 
-/// Serves until a signal ends it; `sources` is what SIGHUP reads again.
-pub fn serve(config: Config, sources: Sources) -> ExitCode {
+/// Serves until a signal ends it; `sources` is what SIGHUP reads again, `inherited` the platform's own listener.
+pub fn serve(config: Config, sources: Sources, inherited: Option<TcpListener>) -> ExitCode {
     let limits = Rc::new(config.limits());
     // One executor on one thread, which lives as long as the program.
     let ex: &'static LocalExecutor<'static> = Box::leak(Box::default());
@@ -38,7 +39,7 @@
             let limits = limits.clone();
             ex.spawn(async move { syslog::feed(collector, lines, &limits).await }).detach();
         }
-        let outcome = run(ex, config, sources, limits.clone()).await;
+        let outcome = run(ex, config, sources, inherited, limits.clone()).await;
         if let Err(what) = &outcome {
             log::error!("start-failed: {what}");
         }
@@ -53,6 +54,7 @@
     ex: &'static LocalExecutor<'static>,
     config: Config,
     sources: Sources,
+    mut inherited: Option<TcpListener>,
     limits: Rc<Limits>,
 ) -> Result<(), String> {
     let mut signals =
@@ -88,7 +90,6 @@
         Box::new(move || fleet.any_ready() && (discovery.answered() || from.elapsed() > limits.list_wait))
     };
     let desk = Rc::new(Desk::new(names.clone(), limits.clone(), config.messages));
-    let mut inherited = listen::inherited()?;
     let shared = inherited.is_some();
     let keeper = Rc::new(Keeper::new(engine.clone(), limits.clone(), shared, able));
     // Without a listener that the platform keeps, no process ever serves beside this one.
