Measure gaps of handed-over streams and the second address with the thread full

Need: the design weighed a thread for the second address by guess, and nothing said how long a stream pauses as it is handed over; the histograms were bounded at 2 ms. No change of the program.

--- a/examples/operation_bench.rs
+++ b/examples/operation_bench.rs
@@ -7,7 +7,7 @@
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -141,7 +141,7 @@
     }
 
     fn measure(&self, what: &str) -> Any<()> {
-        let mut times = Histogram::<u64>::new(3)?;
+        let mut times = Histogram::<u64>::new_with_max(60_000_000, 3)?;
         let mut wrong = 0;
         for _ in 0..500 {
             let (status, time) = self.ready()?;
@@ -165,8 +165,8 @@
         "weight": 1.0, "started_ms": 0})
 }
 
-/// Sends a request and reads its answer; whether that was whole.
-fn ask(front: SocketAddr, id: usize) -> Any<bool> {
+/// Sends a request and reads its answer: whether that was whole, and the longest time between two reads of it.
+fn ask(front: SocketAddr, id: usize) -> Any<(bool, Duration)> {
     let mut stream = TcpStream::connect(front)?;
     stream.set_read_timeout(Some(Duration::from_secs(30)))?;
     write!(
@@ -176,17 +176,31 @@
     )?;
     let mut tail = Vec::new();
     let mut scratch = [0; 4096];
+    let (mut gap, mut last) = (Duration::ZERO, None::<Instant>);
     loop {
         match stream.read(&mut scratch) {
-            Ok(0) | Err(_) => return Ok(false),
+            Ok(0) | Err(_) => return Ok((false, gap)),
             Ok(count) => tail.extend_from_slice(&scratch[..count]),
         }
+        gap = gap.max(last.map_or(Duration::ZERO, |last| last.elapsed()));
+        last = Some(Instant::now());
         if tail.ends_with(b"0\r\n\r\n") {
-            return Ok(true);
+            return Ok((true, gap));
         }
     }
 }
 
+/// Asks the clients' port for its health without a pause, on one connection, until told to stop.
+fn hurry(front: SocketAddr, going: &AtomicBool) -> Any<u64> {
+    let mut stream = TcpStream::connect(front)?;
+    let (mut count, mut scratch) = (0, [0; 4096]);
+    while going.load(Ordering::SeqCst) {
+        stream.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")?;
+        count += u64::from(stream.read(&mut scratch)? > 0);
+    }
+    Ok(count)
+}
+
 fn main() -> Any<()> {
     let folder = format!("{}/tulipridge-bench-{}", std::env::temp_dir().display(), std::process::id());
     let server = server(Duration::from_secs(6))?;
@@ -219,19 +233,24 @@
     holding.store(false, Ordering::SeqCst);
     flood.join().map_err(|_| "the flood failed")?;
 
-    for count in [10, 100, 500] {
-        let whole = Arc::new(AtomicUsize::new(0));
-        let clients: Vec<_> = (0..count)
-            .map(|n| {
-                let (whole, front) = (whole.clone(), old.front);
-                thread::spawn(move || {
-                    whole.fetch_add(
-                        usize::from(ask(front, count * 1000 + n).unwrap_or(false)),
-                        Ordering::SeqCst,
-                    )
-                })
-            })
-            .collect();
+    let going = Arc::new(AtomicBool::new(true));
+    let hurried: Vec<_> = (0..64)
+        .map(|_| {
+            let (going, front) = (going.clone(), old.front);
+            thread::spawn(move || hurry(front, &going).unwrap_or_default())
+        })
+        .collect();
+    let from = Instant::now();
+    old.measure("the one thread full with 64 clients that never pause")?;
+    let took = from.elapsed();
+    going.store(false, Ordering::SeqCst);
+    let asked: u64 = hurried.into_iter().filter_map(|thread| thread.join().ok()).sum();
+    println!("  they were answered {:.0} times a second", asked as f64 / took.as_secs_f64());
+
+    for count in [10_usize, 100, 500] {
+        let front = old.front;
+        let ask = move |n| thread::spawn(move || ask(front, count * 1000 + n).unwrap_or_default());
+        let clients: Vec<_> = (0..count).map(ask).collect();
         thread::sleep(Duration::from_secs(1));
         let new = Gateway::start(&listener, server, discovery, &folder)?;
         Command::new("kill").args(["-TERM", &old.child.id().to_string()]).status()?;
@@ -241,10 +260,18 @@
             "{count} streams of 6 s, SIGTERM at 1 s: the old process ended after {:?}",
             from.elapsed()
         );
+        let (mut whole, mut gaps) = (0, Histogram::<u64>::new_with_max(60_000_000, 3)?);
         for client in clients {
-            client.join().map_err(|_| "a client failed")?;
+            let (is_whole, gap) = client.join().map_err(|_| "a client failed")?;
+            whole += usize::from(is_whole);
+            gaps.saturating_record(gap.as_micros() as u64);
         }
-        println!("  whole: {} of {count}", whole.load(Ordering::SeqCst));
+        let of = |q| gaps.value_at_quantile(q) as f64 / 1000.0;
+        println!(
+            "  whole: {whole} of {count}; the longest gap of each, where 50 ms were sent: p50 {:.1} ms, longest {:.1} ms",
+            of(0.5),
+            of(1.0)
+        );
         old = new;
     }
     old.child.kill()?;
