Let two processes of one gateway keep to its descriptors together

Cause: edge.rs and servers.rs know the bound and the count of their own process only, so in a crowd the older one holds all edge places and the newcomer fills as many again. Ruled out: descriptors that leak (466 at the other gateway until its upgrade, its bound), and those of the handing over (8 and 21 streams, two each, for milliseconds).

Change: src/overlap.rs, what each of two processes may hold; a newcomer connects to the older one's socket before it accepts, hears on that line what that one holds, and gets its streams over it, where it had a socket for the streams alone. The processes' own descriptors are kept back twice where a listener is inherited. The inherited listener's address is checked whole, not its port alone.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limits;
 pub mod names;
 pub mod net;
+pub mod overlap;
 pub mod quota;
 pub mod seats;
 pub mod settings;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -33,6 +33,9 @@
     pub edge_rested: Duration,
     /// How often a newcomer looks for room while there is none.
     pub edge_look: Duration,
+    /// Descriptors kept back from clients and real servers: for discovery, the store, the log, the runtime's own and
+    /// the second address, which must not depend on what else is going on.
+    pub own_descriptors: usize,
     /// Callers at the second address at once.
     pub mgmt_callers: usize,
     /// While their places are scarce, a caller makes room after this time if nothing has come on it.
@@ -82,6 +85,8 @@
     pub discovery_answer: Duration,
     /// Bytes of a stream that is handed over, all that waits at it included.
     pub handover_bytes: usize,
+    /// How often an older process looks whether what it holds has changed, to tell the newer one.
+    pub report_every: Duration,
     /// Pause of the listener after it found no descriptor free.
     pub accept_pause: Duration,
     /// After SIGTERM or a drain, requests are taken for this time on connections that clients have.
@@ -116,8 +121,6 @@
     /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
     pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
         let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
-        // Left to discovery, the store, the log, the runtime's own and the second address, which must not depend
-        // on what else is going on.
         let own = (sockets / 16).max(24);
         let edge_connections = (sockets.saturating_sub(own) * 8 / 15).max(8);
         Limits {
@@ -136,6 +139,7 @@
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
             edge_look: Duration::from_millis(50),
+            own_descriptors: own,
             mgmt_callers: (own - 16).min(32),
             mgmt_mute: Duration::from_millis(20),
             mgmt_slow: Duration::from_millis(100),
@@ -164,6 +168,7 @@
             discovery_answer: Duration::from_millis(2500),
             // What a stream may hold at each of its sides, and its description.
             handover_bytes: 160 << 10,
+            report_every: Duration::from_millis(20),
             accept_pause: Duration::from_millis(20),
             stop_grace: Duration::from_millis(700),
             list_wait: Duration::from_secs(1),
@@ -182,6 +187,16 @@
     }
 }
 
+impl Limits {
+    /// The same where another process of this gateway may be up beside this one: its own descriptors are kept back too.
+    pub fn for_two(mut self) -> Limits {
+        self.edge_connections = self.edge_connections.saturating_sub(self.own_descriptors * 8 / 15).max(8);
+        self.server_connections =
+            self.server_connections.saturating_sub(self.own_descriptors * 7 / 15).max(8);
+        self
+    }
+}
+
 /// What a stream that is passed on may hold and wait for.
 #[derive(Clone, Debug)]
 pub struct StreamLimits {
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -22,6 +22,7 @@
 use crate::engine::{self, Ask, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
+use crate::overlap::{Overlap, Places, Report};
 use crate::quota::Grant;
 use crate::seats::{Patience, Seats, Sitting};
 use crate::stream::{Cause, Leaving};
@@ -37,7 +38,7 @@
     messages_limits: Rc<Limits>,
     keeper: Rc<Keeper>,
     /// Where streams that outlast this process go, if they may.
-    handover: Option<Rc<Handover>>,
+    handover: Rc<Handover>,
     seats: RefCell<Seats>,
     /// How each edge connection is asked to leave: by closing this.
     leave: RefCell<BTreeMap<u64, Sender<()>>>,
@@ -54,7 +55,7 @@
         desk: Rc<Desk>,
         limits: Rc<Limits>,
         keeper: Rc<Keeper>,
-        handover: Option<Rc<Handover>>,
+        handover: Rc<Handover>,
     ) -> Edge {
         let patience =
             Patience { mute: limits.edge_mute, arriving: limits.edge_slow, rested: limits.edge_rested };
@@ -85,7 +86,7 @@
     ) {
         while self.keeper.accepting().await {
             let next = async {
-                if self.open() >= self.limits.edge_connections {
+                if self.open() >= self.places() {
                     self.make_room();
                     let _ = within(self.limits.edge_look, self.freed.1.recv()).await;
                     return;
@@ -129,6 +130,27 @@
         }
     }
 
+    /// Places of this process.
+    fn places(&self) -> usize {
+        self.fleet.overlap.places().edge
+    }
+
+    /// Bytes of requests that this process may hold.
+    fn may_hold(&self, limits: &Limits) -> usize {
+        if self.fleet.overlap.is_shared() { limits.held_bytes / 2 } else { limits.held_bytes }
+    }
+
+    /// What this process holds, for the one that follows.
+    pub fn report(&self) -> Report {
+        let holds = Places { edge: self.open(), servers: self.fleet.open() };
+        Report { holds, stopping: self.keeper.is_stopping() }
+    }
+
+    /// What this process may hold beside another one.
+    pub fn overlap(&self) -> &Overlap {
+        &self.fleet.overlap
+    }
+
     /// Edge connections that are open.
     pub fn open(&self) -> usize {
         self.seats.borrow().taken()
@@ -171,7 +193,7 @@
             }
         };
         place.sit(Sitting::Asking);
-        let crowded = self.open() >= self.limits.edge_connections;
+        let crowded = self.open() >= self.places();
         let keep = head.keeps_alive(&head.start[2]) && !crowded && self.keeper.keeps_connections();
         let id = self.name(dialect, &mut head);
         let now = self.engine.now();
@@ -296,7 +318,7 @@
                     return Ok(Some((head, body, bytes)));
                 }
                 // Guards against running out of memory: what does not fit waits in its socket.
-                while self.held_bytes.get() > limits.held_bytes {
+                while self.held_bytes.get() > self.may_hold(limits) {
                     Timer::after(limits.accept_pause).await;
                 }
                 if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
@@ -375,7 +397,6 @@
         steps: Running,
         answer: Answering,
     ) -> Result<(), (Running, Answering)> {
-        let Some(handover) = &self.handover else { return Err((steps, answer)) };
         let mut parcel = Parcel {
             id: begun.id,
             class: ask.class,
@@ -384,7 +405,7 @@
             ..Parcel::default()
         };
         let sent = match (answer.pack(&mut parcel), steps.pack(&mut parcel)) {
-            (Some(client), Some(server)) => handover.send(&parcel, [client, server]),
+            (Some(client), Some(server)) => self.handover.send(&parcel, [client, server]),
             _ => Err(io::Error::other("of a kind that stays")),
         };
         match sent {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,10 +1,11 @@
-//! Begun streams on their way from one process of this gateway to the one that follows it.
+//! The line between this process and the one that follows it, where the platform keeps the listener of both.
 //!
-//! Both processes see one folder. The one that serves listens there on a Unix socket, whose name says the form of
-//! what it takes; a process that stops writes each stream that would outlast it there, as one message with the
-//! connections of both its sides. Where nobody listens, or in another form, the stream stays where it is.
+//! Both see one folder. The one that serves listens there on a Unix socket, whose name says the form of what goes over
+//! it; a newcomer connects before it accepts anything. Over that line the older one says what it holds, and when it
+//! stops it writes each stream that would outlast it there, as one message with the connections of both its sides.
+//! Where nobody listens, or in another form, each is alone and streams stay where they are.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::fs;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -20,15 +21,17 @@
 use rustix::net::{
     AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType, accept_with, bind, connect,
-    listen, recvmsg, sendmsg, socket_with,
+    listen, recvmsg, send, sendmsg, socket_with,
 };
 use serde::{Deserialize, Serialize};
 
 use super::edge::Edge;
 use super::http::Body;
 use super::keeper::Keeper;
+use super::within;
 use crate::front::Usage;
 use crate::limits::Limits;
+use crate::overlap::Report;
 use crate::types::Nanos;
 
 /// The form of parcels; one that changes gets another number, and processes of different forms hand nothing over.
@@ -105,46 +108,71 @@
     }
 }
 
-/// Where this gateway's processes meet, and the way to the one that follows.
+/// Where this gateway's processes meet, and the lines to those that follow.
 pub struct Handover {
-    path: PathBuf,
+    /// None where there is never another process.
+    path: Option<PathBuf>,
+    /// Streams may go over the line.
+    streams: bool,
     limits: Rc<Limits>,
-    /// The file that this process listens at.
-    own: Cell<Option<(u64, u64)>>,
-    follower: RefCell<Option<OwnedFd>>,
+    /// Newer processes, the newest last.
+    newer: RefCell<Vec<Rc<Async<OwnedFd>>>>,
 }
 
 impl Handover {
     /// For the gateway of that name, in that folder.
-    pub fn new(folder: &Path, name: &str, limits: Rc<Limits>) -> Handover {
+    pub fn new(folder: &Path, name: &str, streams: bool, limits: Rc<Limits>) -> Handover {
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
         let name: String = name.chars().map(plain).collect();
-        let path = folder.join(format!("tulipridge-{name}.{FORM}"));
-        Handover { path, limits, own: Cell::new(None), follower: RefCell::new(None) }
+        let path = Some(folder.join(format!("tulipridge-{name}.{FORM}")));
+        Handover { path, streams, ..Handover::never(limits) }
     }
 
-    /// Takes streams over for as long as this process takes clients; what a stopping one finds at the path from
-    /// then on is another's.
+    /// For a process beside which there is never another.
+    pub fn never(limits: Rc<Limits>) -> Handover {
+        Handover { path: None, streams: false, limits, newer: RefCell::default() }
+    }
+
+    /// Joins the older process, if there is one: from then on it is known what that one holds.
+    pub fn join(&self, ex: &'static LocalExecutor<'static>, edge: &Rc<Edge>) {
+        let Some(path) = &self.path else { return };
+        let line = socket().and_then(|line| {
+            connect(&line, &SocketAddrUnix::new(path)?)?;
+            Async::new(line)
+        });
+        match line {
+            Ok(line) => {
+                // Until it says what it holds, its half is reckoned with.
+                edge.overlap().older_said(Report::default());
+                ex.spawn(follow(ex, line, edge.clone(), self.limits.clone())).detach();
+            }
+            Err(e) => log::debug!(path:? = path; "alone: no older process: {e}"),
+        }
+    }
+
+    /// Takes newcomers for as long as this process takes clients.
     pub async fn listen(
         self: Rc<Self>,
         ex: &'static LocalExecutor<'static>,
         edge: Rc<Edge>,
         keeper: Rc<Keeper>,
     ) {
+        let Some(path) = &self.path else { return };
         if !keeper.accepting().await {
             return;
         }
-        let listener = match self.bind() {
-            Ok(listener) => listener,
+        let (listener, own) = match bind_over(path) {
+            Ok(bound) => bound,
             Err(e) => {
-                log::warn!(path:? = self.path; "handover-off: streams that outlast this process are cut: {e}");
+                log::warn!(path:? = path; "handover-off: a process that follows is not known: {e}");
                 return;
             }
         };
         let accepting = async {
             loop {
-                match accept_with(listener.get_ref(), SocketFlags::CLOEXEC) {
-                    Ok(line) => ex.spawn(receive(ex, line, edge.clone(), self.limits.clone())).detach(),
+                match accept_with(listener.get_ref(), SocketFlags::CLOEXEC).map(Async::new) {
+                    Ok(Ok(line)) => ex.spawn(self.clone().accompany(Rc::new(line), edge.clone())).detach(),
+                    Ok(Err(e)) => log::warn!("handover-accept-failed: {e}"),
                     Err(e) if e == rustix::io::Errno::AGAIN => drop(listener.readable().await),
                     Err(e) => {
                         log::warn!("handover-accept-failed: {e}");
@@ -156,38 +184,40 @@
         future::or(accepting, keeper.closed()).await;
         drop(listener);
         // Unless the one that follows is there already.
-        if self.own.take().is_some_and(|own| file(&self.path).is_ok_and(|at| at == own)) {
-            let _ = fs::remove_file(&self.path);
+        if file(path).is_ok_and(|at| at == own) {
+            let _ = fs::remove_file(path);
         }
     }
 
-    fn bind(&self) -> io::Result<Async<OwnedFd>> {
-        // Takes the path over at once, from one that still listens or from one that was killed.
-        let own = self.path.with_extension(std::process::id().to_string());
-        let _ = fs::remove_file(&own);
-        let socket = socket()?;
-        bind(&socket, &SocketAddrUnix::new(&own)?)?;
-        listen(&socket, 16)?;
-        self.own.set(Some(file(&own)?));
-        fs::rename(&own, &self.path)?;
-        Async::new(socket)
+    /// Tells a newer process what is held here, until it is gone.
+    async fn accompany(self: Rc<Self>, line: Rc<Async<OwnedFd>>, edge: Rc<Edge>) {
+        log::info!("newcomer: a newer process is up; it gets half of the places");
+        edge.overlap().newer_came();
+        self.newer.borrow_mut().push(line.clone());
+        let mut said = None;
+        loop {
+            let report = edge.report();
+            if said != Some(report) {
+                let told = serde_json::to_vec(&report).unwrap_or_default();
+                if send(line.get_ref(), &told, SendFlags::NOSIGNAL | SendFlags::DONTWAIT).is_ok() {
+                    said = Some(report);
+                }
+            }
+            // It says nothing: what can be read is its end.
+            if within(self.limits.report_every, line.readable()).await.is_ok() {
+                break;
+            }
+        }
+        self.newer.borrow_mut().retain(|other| !Rc::ptr_eq(other, &line));
+        edge.overlap().newer_left();
+        log::info!("newcomer-left: this process has all places again");
     }
 
     /// Hands a stream over with its client's and its real server's connection. An error says that it was not, and
     /// may be later.
     pub fn send(&self, parcel: &Parcel, sides: [BorrowedFd; 2]) -> io::Result<()> {
-        if self.own.get().is_some() {
-            return Err(io::Error::other("this process listens itself"));
-        }
-        let mut follower = self.follower.borrow_mut();
-        let line = match &mut *follower {
-            Some(line) => line,
-            none => {
-                let line = socket()?;
-                connect(&line, &SocketAddrUnix::new(&self.path)?)?;
-                none.insert(line)
-            }
-        };
+        let newer = self.newer.borrow();
+        let line = newer.last().filter(|_| self.streams).ok_or(io::ErrorKind::NotConnected)?;
         let bytes = parcel.bytes()?;
         // Guards against a message that the follower would have to cut.
         if bytes.len() > self.limits.handover_bytes {
@@ -196,25 +226,25 @@
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut rights = SendAncillaryBuffer::new(&mut space);
         rights.push(SendAncillaryMessage::ScmRights(&sides));
-        let sent = sendmsg(
-            &*line,
-            &[IoSlice::new(&bytes)],
-            &mut rights,
-            SendFlags::NOSIGNAL | SendFlags::DONTWAIT,
-        );
-        match sent {
-            Ok(_) => Ok(()),
-            Err(e) => {
-                // Its queue is full for the moment, or it is gone.
-                if e != rustix::io::Errno::AGAIN {
-                    *follower = None;
-                }
-                Err(e.into())
-            }
-        }
+        let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
+        sendmsg(line.get_ref(), &[IoSlice::new(&bytes)], &mut rights, flags)?;
+        Ok(())
     }
 }
 
+/// Listens at a path, which is taken over at once from one that still listens or from one that was killed; returns
+/// the file's identity too.
+fn bind_over(path: &Path) -> io::Result<(Async<OwnedFd>, (u64, u64))> {
+    let own = path.with_extension(std::process::id().to_string());
+    let _ = fs::remove_file(&own);
+    let socket = socket()?;
+    bind(&socket, &SocketAddrUnix::new(&own)?)?;
+    listen(&socket, 16)?;
+    let identity = file(&own)?;
+    fs::rename(&own, path)?;
+    Ok((Async::new(socket)?, identity))
+}
+
 /// A socket that keeps messages apart.
 fn socket() -> io::Result<OwnedFd> {
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
@@ -226,16 +256,21 @@
     Ok((file.dev(), file.ino()))
 }
 
-/// Takes over what one process hands over, up to its end.
-async fn receive(ex: &'static LocalExecutor<'static>, line: OwnedFd, edge: Rc<Edge>, limits: Rc<Limits>) {
-    let Ok(line) = Async::new(line) else { return };
+/// Hears the older process to its end: what it holds, and the streams that it hands over.
+async fn follow(
+    ex: &'static LocalExecutor<'static>,
+    line: Async<OwnedFd>,
+    edge: Rc<Edge>,
+    limits: Rc<Limits>,
+) {
     let mut taken = 0;
     loop {
         match message(line.get_ref(), &limits) {
-            Ok(None) => break,
-            Ok(Some((parcel, sides))) => {
+            Ok(Message::End) => break,
+            Ok(Message::Holds(report)) => edge.overlap().older_said(report),
+            Ok(Message::Stream(parcel, sides)) => {
                 let id = parcel.id;
-                match edge.clone().adopt(ex, parcel, sides) {
+                match edge.clone().adopt(ex, *parcel, sides) {
                     Ok(()) => taken += 1,
                     Err(e) => log::warn!(id = format!("{id:016x}"); "handover-failed: {e}"),
                 }
@@ -243,16 +278,24 @@
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => drop(line.readable().await),
             Err(e) => {
-                log::warn!("handover-failed: what came is no stream: {e}");
+                log::warn!("handover-failed: what came is no message: {e}");
                 break;
             }
         }
     }
-    log::info!(streams = taken; "handover: streams of the process before this one go on here");
+    edge.overlap().older_left();
+    log::info!(streams = taken; "handover: the older process is gone; so many of its streams went on here");
+}
+
+/// What an older process says.
+enum Message {
+    Holds(Report),
+    Stream(Box<Parcel>, [OwnedFd; 2]),
+    End,
 }
 
-/// The next stream; none at the end.
-fn message(line: &OwnedFd, limits: &Limits) -> io::Result<Option<(Parcel, [OwnedFd; 2])>> {
+/// The next message.
+fn message(line: &OwnedFd, limits: &Limits) -> io::Result<Message> {
     let mut bytes = vec![0; limits.handover_bytes];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
     let mut rights = RecvAncillaryBuffer::new(&mut space);
@@ -263,12 +306,16 @@
         _ => Vec::new(),
     });
     let sides: Vec<OwnedFd> = sides.collect();
-    if came.bytes == 0 && sides.is_empty() {
-        return Ok(None);
-    }
     if came.flags.intersects(ReturnFlags::TRUNC | ReturnFlags::CTRUNC) {
         return Err(io::Error::other("a message that is too long"));
     }
-    let sides = sides.try_into().map_err(|_| io::Error::other("not two connections"))?;
-    Ok(Some((Parcel::read(&bytes[..came.bytes])?, sides)))
+    let bytes = &bytes[..came.bytes];
+    match sides.len() {
+        0 if bytes.is_empty() => Ok(Message::End),
+        0 => Ok(Message::Holds(serde_json::from_slice(bytes)?)),
+        _ => {
+            let sides = sides.try_into().map_err(|_| io::Error::other("not two connections"))?;
+            Ok(Message::Stream(Box::new(Parcel::read(bytes)?), sides))
+        }
+    }
 }
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -83,6 +83,11 @@
         self.life.borrow().can_serve() && (self.able)()
     }
 
+    /// Whether it takes nothing new and ends.
+    pub fn is_stopping(&self) -> bool {
+        self.life.borrow().state() == State::Stopping
+    }
+
     /// Whether a connection may carry another request.
     pub fn keeps_connections(&self) -> bool {
         self.life.borrow().keeps_connections()
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -75,7 +75,8 @@
     });
     let listener = listener.map_err(|e| format!("listen {addr}: {e}"))?;
     let at = listener.get_ref().local_addr().map_err(|e| format!("listen {addr}: {e}"))?;
-    if is_inherited && at.port() != addr.port() && addr.port() != 0 {
+    let any = at.ip().is_unspecified() || addr.ip().is_unspecified();
+    if is_inherited && (at.port() != addr.port() && addr.port() != 0 || at.ip() != addr.ip() && !any) {
         return Err(format!("listen {addr}: the inherited listener is at {at}"));
     }
     log::info!(addr:% = at, port = port, inherited = is_inherited; "listening: ready to accept");
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -20,6 +20,7 @@
 use crate::front::{Dialect, Passage, Speak, Usage};
 use crate::limits::Limits;
 use crate::names::{ServiceEntry, State};
+use crate::overlap::{Overlap, Places};
 use crate::stream::End;
 use crate::types::{ReplicaId, Verdict};
 
@@ -42,6 +43,8 @@
     /// The dialects that are spoken, until the list changes.
     speak: Cell<Option<Speak>>,
     limits: Rc<Limits>,
+    /// What of the limits on connections is this process's.
+    pub overlap: Overlap,
     gauges: Gauges,
 }
 
@@ -70,7 +73,15 @@
 impl Fleet {
     /// An empty fleet; `gauges` reads a load report.
     pub fn new(limits: Rc<Limits>, gauges: Gauges) -> Fleet {
-        Fleet { places: RefCell::default(), open: Rc::default(), speak: Cell::new(None), limits, gauges }
+        let whole = Places { edge: limits.edge_connections, servers: limits.server_connections };
+        Fleet {
+            places: RefCell::default(),
+            open: Rc::default(),
+            speak: Cell::new(None),
+            limits,
+            overlap: Overlap::new(whole),
+            gauges,
+        }
     }
 
     /// Brings the places in step with a service entry. Returns those that are gone by what it says: itself, or
@@ -143,6 +154,8 @@
                     .idle
                     .retain(|(wire, since, _)| since.elapsed() < self.limits.pool_idle && wire.is_quiet());
             }
+            // Where another process has come, its part is given up as far as it lies idle.
+            while self.open.get() > self.overlap.places().servers && self.drop_idle() {}
         }
     }
 
@@ -168,14 +181,23 @@
         }
     }
 
+    /// Connections to real servers that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes the connection that has been idle longest, if there is one.
+    fn drop_idle(&self) -> bool {
+        let mut places = self.places.borrow_mut();
+        let oldest = places.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
+        oldest.map(|place| drop(place.idle.remove(0))).is_some()
+    }
+
     async fn connect(&self, addr: SocketAddr) -> io::Result<Line> {
-        if self.open.get() >= self.limits.server_connections {
-            // Guards against running out of descriptors: the connection that has been idle longest goes.
-            let mut places = self.places.borrow_mut();
-            let oldest = places.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
-            match oldest {
-                Some(place) => drop(place.idle.remove(0)),
-                None => return Err(io::ErrorKind::QuotaExceeded.into()),
+        // Guards against running out of descriptors.
+        while self.open.get() >= self.overlap.places().servers {
+            if !self.drop_idle() {
+                return Err(io::ErrorKind::QuotaExceeded.into());
             }
         }
         let slot = Slot::new(&self.open);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -29,7 +29,8 @@
 
 /// Serves until a signal ends it; `sources` is what SIGHUP reads again, `inherited` the platform's own listener.
 pub fn serve(config: Config, sources: Sources, inherited: Option<TcpListener>) -> ExitCode {
-    let limits = Rc::new(config.limits());
+    let limits = config.limits();
+    let limits = Rc::new(if inherited.is_some() { limits.for_two() } else { limits });
     // One executor on one thread, which lives as long as the program.
     let ex: &'static LocalExecutor<'static> = Box::leak(Box::default());
     async_io::block_on(ex.run(async {
@@ -93,8 +94,10 @@
     let shared = inherited.is_some();
     let keeper = Rc::new(Keeper::new(engine.clone(), limits.clone(), shared, able));
     // Without a listener that the platform keeps, no process ever serves beside this one.
-    let handover = (shared && config.own.handover)
-        .then(|| Rc::new(Handover::new(&env::temp_dir(), &config.name, limits.clone())));
+    let handover = Rc::new(match shared {
+        true => Handover::new(&env::temp_dir(), &config.name, config.own.handover, limits.clone()),
+        false => Handover::never(limits.clone()),
+    });
     let edge = Rc::new(Edge::new(
         engine.clone(),
         fleet.clone(),
@@ -103,9 +106,8 @@
         keeper.clone(),
         handover.clone(),
     ));
-    if let Some(handover) = handover {
-        ex.spawn(handover.listen(ex, edge.clone(), keeper.clone())).detach();
-    }
+    handover.join(ex, &edge);
+    ex.spawn(handover.listen(ex, edge.clone(), keeper.clone())).detach();
 
     let bind = |addr, inherited, port: &str| listen::open(addr, inherited, port, &limits);
     let mut fronts = vec![(config.listen, Dialect::Platform)];
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -5,6 +5,7 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tulipridge::lifecycle::{Lifecycle, State};
+use tulipridge::overlap::{Overlap, Places, Report};
 use tulipridge::seats::{Patience, Seats, Sitting};
 
 const GRACE: u64 = 700;
@@ -141,3 +142,46 @@
 fn the_mute_go_first_then_the_oldest_and_nobody_with_a_request_open() {
     QuickCheck::new().tests(3000).quickcheck(moves as fn(Vec<Move>));
 }
+
+/// Two processes of one gateway, each of which opens and closes connections as it likes within its places.
+fn overlaps(whole: (u8, u8), held: (u8, u8), steps: Vec<(bool, i8, i8)>, stops: u8) {
+    let whole = Places { edge: 16 + usize::from(whole.0), servers: 16 + usize::from(whole.1) };
+    let (older, newer) = (Overlap::new(whole), Overlap::new(whole));
+    // Alone the older one may have filled all of it.
+    let mut old = Places {
+        edge: usize::from(held.0).min(whole.edge),
+        servers: usize::from(held.1).min(whole.servers),
+    };
+    let mut new = Places::default();
+    assert_eq!(older.places(), whole);
+    older.newer_came();
+    assert!(older.is_shared() && !newer.is_shared());
+    for (n, (is_old, edge, servers)) in steps.into_iter().enumerate() {
+        let stopping = n >= usize::from(stops) % 32;
+        newer.older_said(Report { holds: old, stopping });
+        let to = |held: usize, by: i8, most: usize| match by {
+            // What is over the part already may only become less.
+            0.. => (held + by as usize).min(most.max(held)),
+            _ => held.saturating_sub(usize::from(by.unsigned_abs())),
+        };
+        let (holds, may) = if is_old { (&mut old, older.places()) } else { (&mut new, newer.places()) };
+        let edge = if stopping && is_old { -edge.saturating_abs() } else { edge };
+        let servers = if stopping && is_old { -servers.saturating_abs() } else { servers };
+        *holds = Places {
+            edge: to(holds.edge, edge, may.edge),
+            servers: to(holds.servers, servers, may.servers),
+        };
+        // Those four that a newcomer always has come out of what is kept back.
+        assert!(old.edge + new.edge <= whole.edge + 4, "{old:?} {new:?} of {whole:?}");
+        assert!(old.servers + new.servers <= whole.servers + 4, "{old:?} {new:?} of {whole:?}");
+    }
+    older.newer_left();
+    newer.older_left();
+    assert_eq!((older.places(), newer.places()), (whole, whole));
+}
+
+#[test]
+fn two_processes_together_hold_no_more_than_one_alone() {
+    type Steps = Vec<(bool, i8, i8)>;
+    QuickCheck::new().tests(3000).quickcheck(overlaps as fn((u8, u8), (u8, u8), Steps, u8));
+}
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -126,6 +126,7 @@
     let (new, new_mgmt) = gateway(&server, Some(&listener));
     assert_eq!(new.fronts[0], listener.local_addr().expect("an address"));
     eventually(|| call(new_mgmt, "GET /ready") == 200);
+    eventually(|| old.logged(" newcomer ") == 1);
     let kill = Command::new("kill").arg("-TERM").arg(old.child.id().to_string()).status();
     assert!(kill.expect("kill runs").success());
     eventually(|| call(old_mgmt, "GET /ready") == 503);
