Test drains on both fronts and crowds that stay; name a second address changed by SIGHUP

Need: a drain was tested with idle connections of the platform's front alone, and the rule for answers in a crowd by its model only. SIGHUP passed over another second address without a word; it is logged now (mgmt-kept). Tests: idle, mute, half-written and streaming connections in a drain on both fronts; 200 connections that ask once and stay at 55 places.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -112,6 +112,7 @@
     let bind = |addr, inherited, port: &str| listen::open(addr, inherited, port, &limits);
     let mut fronts = vec![(config.listen, Dialect::Platform)];
     fronts.extend(config.own.messages.listen.map(|addr| (addr, Dialect::Messages)));
+    let mgmt_told = config.mgmt;
     if let Some(addr) = config.mgmt {
         let mgmt = Rc::new(Mgmt::new(engine.clone(), keeper.clone(), limits.clone()));
         ex.spawn(mgmt.listen(ex, bind(addr, None, "Mgmt")?)).detach();
@@ -160,7 +161,13 @@
         });
         match signal.await {
             Some(Signal::Hup) => match Config::reload(&sources) {
-                Ok(config) => discovery.move_to(config.discovery),
+                Ok(config) => {
+                    // What the environment says goes first, and can't have changed.
+                    if config.mgmt != mgmt_told && env::var_os("EDGE_MGMT").is_none() {
+                        log::warn!(told:? = config.mgmt, kept:? = mgmt_told; "mgmt-kept: a second address counts from the next start");
+                    }
+                    discovery.move_to(config.discovery);
+                }
                 Err(what) => log::error!("reload-failed: all stays as it was: {what}"),
             },
             Some(signal) if !stopping => {
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -139,6 +139,62 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 30);
 }
 
+#[test]
+fn a_drain_leaves_nobody_idle_and_cuts_nobody_off_on_either_front() {
+    for front in ["platform", "messages"] {
+        let (server, begins, words) = halting_server();
+        let (gateway, mgmt) = gateway(&server, None);
+        eventually(|| health(&gateway) == 200);
+        let (mute, silent) = (gateway.connect(front), gateway.connect(front));
+        let stream = gateway.send(front, "plain", 9000, 1);
+        begins.recv_timeout(FOREVER).expect("it begins");
+        let mut half = gateway.connect(front);
+        half.write_all(b"GET /_health HTTP/1.1\r\nHo").expect("sent");
+        assert_eq!(call(mgmt, "POST /drain"), 200);
+        // What is on its way is taken and answered, with a no that ends its connection.
+        half.write_all(b"st: app.svc\r\n\r\n").expect("sent");
+        assert_eq!(status(&mut half), 503, "{front}");
+        for idle in [mute, silent] {
+            assert_eq!((&idle).read(&mut [0]).expect("an end, and no reset"), 0, "{front}");
+        }
+        words.send("lo").expect("open");
+        drop(words);
+        let mut reader = BufReader::new(stream);
+        let mut all = String::new();
+        reader.read_to_string(&mut all).expect("an end, and no reset");
+        assert!(all.starts_with("HTTP/1.1 200 ") && all.ends_with("0\r\n\r\n"), "{front}: {all}");
+        assert_eq!(health(&gateway), 503);
+    }
+}
+
+#[test]
+fn answers_in_a_crowd_end_their_connections_so_that_the_next_are_taken_at_once() {
+    let server = server("platform", Manner::Serve);
+    let servers = vec![entry(0, &server, "ready", 0)];
+    // Of 128 descriptors 55 are clients'.
+    let (mut child, discovery) = Gateway::spawn("n0", "platform", servers, 1, (1024, 128), json!({}));
+    let lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let gateway = Gateway::with(child, discovery, lines);
+    eventually(|| health(&gateway) == 200);
+    let mut crowd = Vec::new();
+    let mut told = Vec::new();
+    for _ in 0..200 {
+        let mut stream = gateway.connect("platform");
+        stream.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n").expect("sent");
+        let (mut answer, mut piece) = (String::new(), [0; 512]);
+        while !answer.ends_with("ready\n") {
+            let count = stream.read(&mut piece).expect("an answer");
+            answer.push_str(&String::from_utf8_lossy(&piece[..count]));
+        }
+        told.push(answer.contains("Connection: close"));
+        // Each asks once and stays.
+        crowd.push(stream);
+    }
+    assert!(told[..30].iter().all(|close| !close), "with room, connections stay: {told:?}");
+    assert!(told[60..].iter().filter(|close| **close).count() > 100, "in a crowd they don't: {told:?}");
+    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+}
+
 /// A real server that says so when a request has begun, and goes on at each word; it ends at the last.
 fn halting_server() -> (Server, Receiver<()>, Sender<&'static str>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
