--- a/examples/operation_bench.rs
+++ b/examples/operation_bench.rs
@@ -7,7 +7,7 @@
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -276,6 +276,118 @@
     }
     old.child.kill()?;
     old.child.wait()?;
+    upgrades(&listener, &folder)?;
     std::fs::remove_dir_all(folder)?;
     Ok(())
 }
+
+/// What clients met that keep their connections and ask again and again.
+#[derive(Default)]
+struct Met {
+    requests: AtomicU64,
+    refused: AtomicU64,
+    /// Ended before anything of the answer came.
+    unread: AtomicU64,
+    broken: AtomicU64,
+}
+
+/// One client; it comes anew when it was told that its connection ends, or when that ended between two requests.
+fn keep_asking(front: SocketAddr, number: u64, going: &AtomicBool, met: &Met) {
+    let (mut kept, mut id) = (None::<TcpStream>, number << 32);
+    while going.load(Ordering::SeqCst) {
+        // A client that finds its connection closed does not write into it.
+        let quiet = |s: &TcpStream| {
+            let _ = s.set_nonblocking(true);
+            let quiet = s.peek(&mut [0]).is_err();
+            let _ = s.set_nonblocking(false);
+            quiet
+        };
+        let stream = kept.take().filter(quiet).map_or_else(|| TcpStream::connect(front), Ok);
+        id += 1;
+        met.requests.fetch_add(1, Ordering::SeqCst);
+        let Ok(mut stream) = stream else {
+            met.refused.fetch_add(1, Ordering::SeqCst);
+            continue;
+        };
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: {id:016x}\r\nX-Class: docs\r\n\
+            X-Tenant: office\r\nX-Key: {number:x}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{{}}"
+        );
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
+        let _ = stream.write_all(request.as_bytes());
+        let (mut answer, mut scratch) = (Vec::new(), [0; 4096]);
+        while !answer.ends_with(b"0\r\n\r\n") {
+            match stream.read(&mut scratch) {
+                Ok(count) if count > 0 => answer.extend_from_slice(&scratch[..count]),
+                _ => break,
+            }
+        }
+        if answer.is_empty() {
+            met.unread.fetch_add(1, Ordering::SeqCst);
+        } else if !answer.starts_with(b"HTTP/1.1 200 ") || !answer.ends_with(b"0\r\n\r\n") {
+            met.broken.fetch_add(1, Ordering::SeqCst);
+        } else if !String::from_utf8_lossy(&answer).contains("Connection: close") {
+            kept = Some(stream);
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Resident memory in MB and descriptors of a process.
+fn holds(child: &Child) -> (f64, usize) {
+    let pid = child.id();
+    let pages = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    let pages: f64 = pages.split(' ').nth(1).and_then(|n| n.parse().ok()).unwrap_or(0.0);
+    (pages * 4.0 / 1024.0, std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count))
+}
+
+/// Twenty upgrades under load, and then a drain.
+fn upgrades(listener: &TcpListener, folder: &str) -> Any<()> {
+    let server = server(Duration::from_millis(20))?;
+    let discovery = discovery(json!({"version": 2, "full": true, "servers": [entry(server)]}).to_string())?;
+    let mut old = Gateway::start(listener, server, discovery, folder)?;
+    let (met, going) = (Arc::new(Met::default()), Arc::new(AtomicBool::new(true)));
+    let clients: Vec<_> = (0..64)
+        .map(|n| {
+            let (met, going, front) = (met.clone(), going.clone(), old.front);
+            thread::spawn(move || keep_asking(front, n + 1, &going, &met))
+        })
+        .collect();
+    let (mut memory, mut descriptors) = (0.0_f64, 0);
+    for _ in 0..20 {
+        thread::sleep(Duration::from_millis(300));
+        let new = Gateway::start(listener, server, discovery, folder)?;
+        Command::new("kill").args(["-TERM", &old.child.id().to_string()]).status()?;
+        while old.child.try_wait()?.is_none() {
+            let ((m1, d1), (m2, d2)) = (holds(&old.child), holds(&new.child));
+            (memory, descriptors) = (memory.max(m1 + m2), descriptors.max(d1 + d2));
+            thread::sleep(Duration::from_millis(20));
+        }
+        old = new;
+    }
+    let of = |n: &AtomicU64| n.load(Ordering::SeqCst);
+    println!(
+        "20 upgrades under load of 64 clients: {} requests, {} refused, {} ended unread, {} broken; both processes together \
+        at the most {memory:.1} MB and {descriptors} descriptors",
+        of(&met.requests),
+        of(&met.refused),
+        of(&met.unread),
+        of(&met.broken)
+    );
+    let mute: Vec<TcpStream> = (0..50).map_while(|_| TcpStream::connect(old.front).ok()).collect();
+    thread::sleep(Duration::from_millis(100));
+    let mut stream = TcpStream::connect(old.mgmt)?;
+    stream.write_all(b"POST /drain HTTP/1.1\r\nHost: bench\r\n\r\n")?;
+    let from = Instant::now();
+    for mut stream in mute {
+        let _ = stream.read(&mut [0]);
+    }
+    println!("drain: the last of 50 connections at rest closed after {:?}", from.elapsed());
+    going.store(false, Ordering::SeqCst);
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    old.child.kill()?;
+    old.child.wait()?;
+    Ok(())
+}
