--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -115,8 +115,9 @@
         self.keeper.stop();
         self.engine.stop_streams(self.limits.stream.stop);
         while !self.keeper.over(self.open()) {
-            future::or(async { self.freed.1.recv().await.unwrap_or_default() }, self.keeper.changed())
-                .await;
+            // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
+            let freed = async { self.freed.1.recv().await.unwrap_or_default() };
+            let _ = within(self.limits.edge_look, future::or(freed, self.keeper.changed())).await;
         }
     }
 
@@ -400,6 +401,9 @@
         steps: Running,
         answer: Answering,
     ) -> Result<(), (Running, Answering)> {
+        if !self.handover.has_follower() {
+            return Err((steps, answer));
+        }
         let mut parcel = Parcel {
             id: begun.id,
             class: ask.class,
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -11,7 +11,6 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{BorrowedFd, OwnedFd};
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -161,8 +160,8 @@
         if !keeper.accepting().await {
             return;
         }
-        let (listener, own) = match bind_over(path) {
-            Ok(bound) => bound,
+        let listener = match bind_over(path) {
+            Ok(listener) => listener,
             Err(e) => {
                 log::warn!(path:? = path; "handover-off: a process that follows is not known: {e}");
                 return;
@@ -181,12 +180,8 @@
                 }
             }
         };
+        // The file stays: it may be the newcomer's by now, and where nobody listens it does no harm.
         future::or(accepting, keeper.closed()).await;
-        drop(listener);
-        // Unless the one that follows is there already.
-        if file(path).is_ok_and(|at| at == own) {
-            let _ = fs::remove_file(path);
-        }
     }
 
     /// Tells a newer process what is held here, until it is gone.
@@ -213,11 +208,16 @@
         log::info!("newcomer-left: this process has all places again");
     }
 
+    /// There is a process that streams may go to.
+    pub fn has_follower(&self) -> bool {
+        self.streams && !self.newer.borrow().is_empty()
+    }
+
     /// Hands a stream over with its client's and its real server's connection. An error says that it was not, and
     /// may be later.
     pub fn send(&self, parcel: &Parcel, sides: [BorrowedFd; 2]) -> io::Result<()> {
         let newer = self.newer.borrow();
-        let line = newer.last().filter(|_| self.streams).ok_or(io::ErrorKind::NotConnected)?;
+        let line = newer.last().ok_or(io::ErrorKind::NotConnected)?;
         let bytes = parcel.bytes()?;
         // Guards against a message that the follower would have to cut.
         if bytes.len() > self.limits.handover_bytes {
@@ -232,17 +232,15 @@
     }
 }
 
-/// Listens at a path, which is taken over at once from one that still listens or from one that was killed; returns
-/// the file's identity too.
-fn bind_over(path: &Path) -> io::Result<(Async<OwnedFd>, (u64, u64))> {
+/// Listens at a path, which is taken over at once from one that still listens or from one that was killed.
+fn bind_over(path: &Path) -> io::Result<Async<OwnedFd>> {
     let own = path.with_extension(std::process::id().to_string());
     let _ = fs::remove_file(&own);
     let socket = socket()?;
     bind(&socket, &SocketAddrUnix::new(&own)?)?;
     listen(&socket, 16)?;
-    let identity = file(&own)?;
     fs::rename(&own, path)?;
-    Ok((Async::new(socket)?, identity))
+    Async::new(socket)
 }
 
 /// A socket that keeps messages apart.
@@ -251,11 +249,6 @@
     Ok(socket_with(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None)?)
 }
 
-fn file(path: &Path) -> io::Result<(u64, u64)> {
-    let file = fs::metadata(path)?;
-    Ok((file.dev(), file.ino()))
-}
-
 /// Hears the older process to its end: what it holds, and the streams that it hands over.
 async fn follow(
     ex: &'static LocalExecutor<'static>,
