Test calls and lists cut at each byte

Need: messages come cut at any byte on every connection; clients' requests and real servers' events had tests for it, the second address and discovery had none. A call cut at each of its bytes is answered, and a list that comes byte by byte is taken. No change of the program.

--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -85,6 +85,43 @@
     assert_eq!(health(&gateway), 200, "half an order is none");
 }
 
+#[test]
+fn calls_and_lists_are_read_however_they_are_cut() {
+    let server = server("platform", Manner::Serve);
+    // A discovery whose answer comes byte by byte; what the gateway knew before is nothing.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let line = list(2, true, vec![entry(0, &server, "ready", 0)]).to_string() + "\n";
+    thread::spawn(move || {
+        let mut stream = listener.accept().expect("a watch").0;
+        stream.set_nodelay(true).expect("no delay");
+        let answer = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&line));
+        for byte in answer.bytes() {
+            stream.write_all(&[byte]).expect("sent");
+        }
+        // The watch stays open for as long as the gateway lives.
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let more = json!({"mgmt": "127.0.0.1:0"});
+    let found = (addr, channel().0);
+    let (mut child, discovery) = Gateway::spawn_by("n0", "platform", vec![], 1, (1024, 1024), more, found);
+    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    let line = lines.find(|l| l.contains("port=\"Mgmt\"")).expect("it listens for calls");
+    let mgmt = line.split('"').find_map(|word| word.parse().ok()).expect("an address");
+    let gateway = Gateway::with(child, discovery, lines);
+    eventually(|| call(mgmt, "GET /ready") == 200);
+    let whole = b"POST /undrain HTTP/1.1\r\nHost: gateway\r\nContent-Length: 0\r\n\r\n";
+    for cut in 1..whole.len() {
+        let mut stream = TcpStream::connect(mgmt).expect("it accepts");
+        stream.set_nodelay(true).expect("no delay");
+        stream.write_all(&whole[..cut]).expect("sent");
+        thread::yield_now();
+        stream.write_all(&whole[cut..]).expect("sent");
+        assert_eq!(status(&mut stream), 200, "cut at {cut}");
+    }
+    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+}
+
 #[test]
 fn a_drained_gateway_sends_its_clients_away_and_takes_them_again() {
     let server = server("platform", Manner::Serve);
