Use one room for the places of clients and of callers

Need, found on reading again: who is asked to leave, how it hears of it and how a place is given back were written in edge.rs and again in mgmt.rs, beside the rule in seats.rs that both use.

Change: src/net/room.rs has the rule with a clock, and the place that gives itself back; edge and mgmt keep only how many places there are and how long they wait. No rule is changed.

--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -1,7 +1,6 @@
 //! Edge connections: the listeners, and the clients' side of each request.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, OwnedFd};
@@ -9,7 +8,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -17,6 +15,7 @@
 use super::handover::{Handover, Parcel};
 use super::http::{self, Bad, Body, Head};
 use super::keeper::Keeper;
+use super::room::{Place, Room};
 use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
 use crate::engine::{self, Ask, Begun, Engine, Why};
@@ -24,9 +23,9 @@
 use crate::limits::Limits;
 use crate::overlap::{Overlap, Places, Report};
 use crate::quota::Grant;
-use crate::seats::{Patience, Seats, Sitting};
+use crate::seats::{Patience, Sitting};
 use crate::stream::{Cause, Leaving};
-use crate::types::{Nanos, ReplicaId};
+use crate::types::ReplicaId;
 
 /// What all edge connections share.
 pub struct Edge {
@@ -39,12 +38,8 @@
     keeper: Rc<Keeper>,
     /// Where streams that outlast this process go, if they may.
     handover: Rc<Handover>,
-    seats: RefCell<Seats>,
-    /// How each edge connection is asked to leave: by closing this.
-    leave: RefCell<BTreeMap<u64, Sender<()>>>,
+    room: Rc<Room>,
     held_bytes: Cell<usize>,
-    /// A connection has closed.
-    freed: (Sender<()>, Receiver<()>),
 }
 
 impl Edge {
@@ -59,7 +54,7 @@
     ) -> Edge {
         let patience =
             Patience { mute: limits.edge_mute, arriving: limits.edge_slow, rested: limits.edge_rested };
-        let freed = async_channel::bounded(1);
+        let room = Rc::new(Room::new(engine.clone(), patience));
         let body_bytes = limits.messages.body_bytes;
         let messages_limits = Rc::new(Limits { body_bytes, ..(*limits).clone() });
         Edge {
@@ -70,10 +65,8 @@
             messages_limits,
             keeper,
             handover,
-            seats: RefCell::new(Seats::new(patience)),
-            leave: RefCell::default(),
+            room,
             held_bytes: Cell::new(0),
-            freed,
         }
     }
 
@@ -86,14 +79,14 @@
     ) {
         while self.keeper.accepting().await {
             let next = async {
+                // Guards against a crowd that connects and says nothing, or asks once and stays, while others
+                // wait to be accepted.
                 if self.open() >= self.places() {
-                    self.make_room();
-                    let _ = within(self.limits.edge_look, self.freed.1.recv()).await;
-                    return;
+                    return self.room.make(self.limits.edge_look).await;
                 }
                 match listener.accept().await {
                     Ok((stream, from)) => {
-                        let place = Place::new(self.clone());
+                        let place = self.room.place();
                         let wire = Wire::new(stream);
                         ex.spawn(self.clone().connection(wire, from, dialect, place)).detach();
                     }
@@ -116,18 +109,8 @@
         self.engine.stop_streams(self.limits.stream.stop);
         while !self.keeper.over(self.open()) {
             // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
-            let freed = async { self.freed.1.recv().await.unwrap_or_default() };
-            let _ = within(self.limits.edge_look, future::or(freed, self.keeper.changed())).await;
-        }
-    }
-
-    /// Asks the edge connection that needs its place least to give it up. Guards against a crowd that connects
-    /// and says nothing, or asks once and stays, while others wait to be accepted.
-    fn make_room(&self) {
-        if let Some(number) = self.seats.borrow_mut().spare(self.engine.now())
-            && let Some(leave) = self.leave.borrow().get(&number)
-        {
-            leave.close();
+            let word = future::or(self.room.freed(), self.keeper.changed());
+            let _ = within(self.limits.edge_look, word).await;
         }
     }
 
@@ -154,7 +137,7 @@
 
     /// Edge connections that are open.
     pub fn open(&self) -> usize {
-        self.seats.borrow().taken()
+        self.room.taken()
     }
 
     async fn connection(
@@ -194,7 +177,7 @@
             }
         };
         place.sit(Sitting::Asking);
-        let crowded = self.seats.borrow().is_crowded(self.places());
+        let crowded = self.room.is_crowded(self.places());
         let keep = head.keeps_alive(&head.start[2]) && !crowded && self.keeper.keeps_connections();
         let id = self.name(dialect, &mut head);
         let now = self.engine.now();
@@ -271,16 +254,14 @@
             Dialect::Platform => &*self.limits,
             Dialect::Messages => &*self.messages_limits,
         };
-        let first = place.is_mute();
+        let mute_since = place.mute_since();
         if wire.buf.is_empty() {
-            let mute_since = first.then(|| place.since());
             let closing = async {
-                let leave = async { place.leave.recv().await.unwrap_or_default() };
-                future::or(self.keeper.rest_over(mute_since), leave).await;
+                future::or(self.keeper.rest_over(mute_since), place.left()).await;
                 Ok(0)
             };
             // Guards against a crowd that holds places and says nothing at all.
-            let patience = if first { limits.edge_read } else { limits.edge_idle };
+            let patience = if mute_since.is_some() { limits.edge_read } else { limits.edge_idle };
             let idle = async { within(patience, wire.fill(limits)).await.unwrap_or(Ok(0)) };
             // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
             // crosses a close costs its client another connection.
@@ -289,9 +270,8 @@
             }
         }
         // The first request's time began with the connection: one that trickles in has no more than a mute one.
-        let spent = if first { self.engine.now().saturating_sub(place.since()) } else { 0 };
+        let spent = mute_since.map_or(0, |since| self.engine.now().saturating_sub(since));
         place.sit(Sitting::Arriving);
-        let number = place.number;
         let whole = async {
             let head = loop {
                 if let Some(head) = http::request_head(&mut wire.buf, limits)? {
@@ -300,7 +280,7 @@
                 if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
                     return Ok(None);
                 }
-                self.seats.borrow_mut().progress(self.engine.now(), number);
+                place.progress();
             };
             let mut framing = head.request_body(limits)?;
             if head.lists("expect", "100-continue") && framing != Body::Length(0) && wire.buf.is_empty() {
@@ -327,12 +307,12 @@
                 if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
                     return Ok(None);
                 }
-                self.seats.borrow_mut().progress(self.engine.now(), number);
+                place.progress();
             }
         };
         let late = || Err(Bad { status: 408, what: "the request took too long to arrive" });
         let left = async {
-            let _ = place.leave.recv().await;
+            place.left().await;
             Ok(late())
         };
         let patience = limits.edge_read.saturating_sub(Duration::from_nanos(spent));
@@ -379,7 +359,7 @@
         };
         let begun =
             Begun { id: parcel.id, server: ReplicaId::from(parcel.server.as_str()), first: parcel.first };
-        let mut place = Place::new(self.clone());
+        let mut place = self.room.place();
         place.sit(Sitting::Asking);
         ex.spawn(async move {
             engine::carry_on(&self.engine, &ask, begun, (steps, answer, waiting), &*self).await;
@@ -428,49 +408,6 @@
     }
 }
 
-/// A place among the open edge connections.
-struct Place {
-    edge: Rc<Edge>,
-    number: u64,
-    /// Nothing is ever sent here: it closes once the connection shall make room.
-    leave: Receiver<()>,
-}
-
-impl Place {
-    fn new(edge: Rc<Edge>) -> Place {
-        let number = edge.seats.borrow_mut().take(edge.engine.now());
-        let (send, leave) = async_channel::bounded(1);
-        edge.leave.borrow_mut().insert(number, send);
-        Place { edge, number, leave }
-    }
-
-    fn is_mute(&self) -> bool {
-        self.edge.seats.borrow().get(self.number).is_some_and(|(sitting, _)| sitting == Sitting::Mute)
-    }
-
-    fn since(&self) -> Nanos {
-        self.edge.seats.borrow().get(self.number).map_or_else(|| self.edge.engine.now(), |(_, since)| since)
-    }
-
-    fn sit(&mut self, sitting: Sitting) {
-        let before = self.edge.seats.borrow_mut().sit(self.edge.engine.now(), self.number, sitting);
-        // One that was asked to leave in the moment in which its request came has stayed after all.
-        if before == Some(Sitting::Leaving) {
-            let (send, leave) = async_channel::bounded(1);
-            self.edge.leave.borrow_mut().insert(self.number, send);
-            self.leave = leave;
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.edge.seats.borrow_mut().free(self.number);
-        self.edge.leave.borrow_mut().remove(&self.number);
-        let _ = self.edge.freed.0.try_send(());
-    }
-}
-
 /// Bytes of a request that are counted while it is held.
 struct Bytes(Rc<Edge>, usize);
 
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -3,33 +3,27 @@
 //! One call for each connection. Callers have places of their own, so that no crowd of clients keeps a call out; and
 //! among callers the one that needs its place least gives it up, so that no crowd of callers does.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
 
 use super::http::{self, Bad, Head};
 use super::keeper::Keeper;
+use super::room::{Place, Room};
 use super::{Wire, within};
 use crate::engine::Engine;
 use crate::front::Reply;
 use crate::limits::Limits;
-use crate::seats::{Patience, Seats, Sitting};
+use crate::seats::{Patience, Sitting};
 
 /// What all callers share.
 pub struct Mgmt {
-    engine: Engine,
     keeper: Rc<Keeper>,
     limits: Rc<Limits>,
-    seats: RefCell<Seats>,
-    /// How each is asked to leave: by closing this.
-    leave: RefCell<BTreeMap<u64, Sender<()>>>,
-    freed: (Sender<()>, Receiver<()>),
+    room: Rc<Room>,
 }
 
 impl Mgmt {
@@ -37,36 +31,22 @@
     pub fn new(engine: Engine, keeper: Rc<Keeper>, limits: Rc<Limits>) -> Mgmt {
         let patience =
             Patience { mute: limits.mgmt_mute, arriving: limits.mgmt_slow, rested: limits.mgmt_mute };
-        let (seats, freed) = (RefCell::new(Seats::new(patience)), async_channel::bounded(1));
-        Mgmt { engine, keeper, limits, seats, leave: RefCell::default(), freed }
+        Mgmt { keeper, limits, room: Rc::new(Room::new(engine, patience)) }
     }
 
     /// Takes calls for as long as the program lives.
     pub async fn listen(self: Rc<Self>, ex: &'static LocalExecutor<'static>, listener: Async<TcpListener>) {
         loop {
-            if self.seats.borrow().taken() >= self.limits.mgmt_callers {
-                if let Some(number) = self.seats.borrow_mut().spare(self.engine.now())
-                    && let Some(leave) = self.leave.borrow().get(&number)
-                {
-                    leave.close();
-                }
-                let _ = within(self.limits.mgmt_mute, self.freed.1.recv()).await;
+            if self.room.taken() >= self.limits.mgmt_callers {
+                self.room.make(self.limits.mgmt_mute).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    let number = self.seats.borrow_mut().take(self.engine.now());
-                    let (send, leave) = async_channel::bounded(1);
-                    self.leave.borrow_mut().insert(number, send);
-                    let this = self.clone();
+                    let (this, place) = (self.clone(), self.room.place());
                     ex.spawn(async move {
-                        future::or(this.call(stream, from, number), async {
-                            leave.recv().await.unwrap_or_default()
-                        })
-                        .await;
-                        this.leave.borrow_mut().remove(&number);
-                        this.seats.borrow_mut().free(number);
-                        let _ = this.freed.0.try_send(());
+                        let left = place.left();
+                        future::or(this.call(stream, from, place), left).await;
                     })
                     .detach();
                 }
@@ -79,10 +59,11 @@
     }
 
     /// One call, answered within its time, whatever has come of it.
-    async fn call(&self, stream: Async<TcpStream>, from: SocketAddr, number: u64) {
+    async fn call(&self, stream: Async<TcpStream>, from: SocketAddr, mut place: Place) {
         let mut wire = Wire::new(stream);
         let late = Bad { status: 408, what: "the call took too long to arrive" };
-        let head = within(self.limits.mgmt_read, self.head(&mut wire, number)).await.unwrap_or(Err(late));
+        let head =
+            within(self.limits.mgmt_read, self.head(&mut wire, &mut place)).await.unwrap_or(Err(late));
         let reply = match head {
             Ok(Some(head)) => self.answer(&head, from),
             Ok(None) => return,
@@ -94,7 +75,7 @@
     }
 
     /// A call's head; a body says nothing here. `None`: the caller left.
-    async fn head(&self, wire: &mut Wire, number: u64) -> Result<Option<Head>, Bad> {
+    async fn head(&self, wire: &mut Wire, place: &mut Place) -> Result<Option<Head>, Bad> {
         loop {
             if let Some(head) = http::request_head(&mut wire.buf, &self.limits)? {
                 return Ok(Some(head));
@@ -102,7 +83,7 @@
             if !wire.fill(&self.limits).await.is_ok_and(|n| n > 0) {
                 return Ok(None);
             }
-            self.seats.borrow_mut().sit(self.engine.now(), number, Sitting::Arriving);
+            place.sit(Sitting::Arriving);
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod listen;
 pub mod mgmt;
 pub mod peers;
+pub mod room;
 pub mod servers;
 
 use std::cell::RefCell;
