Offer a begun stream by reference; record it by what it is, not by a request made up

Need, found on reading again: handing a stream over moved both its sides out of the loop and back at each refusal, and ended in a second copy of what the end of every stream does; a stream that came from another process had a request made up for its record (eight fields, two of them used); pass_on took eight arguments, and a closure stood in for what the module holds.

Change: an heir takes both sides by reference and says whether it has them; a stream that was handed over ends where all others do (life.rs). Begun names class and tenant, and the record takes that. The real servers' side of a stream is one value that tells the module by itself whether the request ends. The words for a break that nobody is ever told are gone.

--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -53,6 +53,10 @@
 pub struct Begun {
     /// Its request's id.
     pub id: u64,
+    /// Its request's class.
+    pub class: usize,
+    /// Its request's tenant.
+    pub tenant: Option<usize>,
     /// Its real server.
     pub server: ReplicaId,
     /// How long its first event took.
@@ -61,8 +65,9 @@
 
 /// The process that follows this one, if there is one.
 pub trait Heir<S, A> {
-    /// Hands a begun stream over, with both its sides; they come back if it is not taken now.
-    fn take(&self, ask: &Ask, begun: &Begun, steps: S, answer: A) -> Result<(), (S, A)>;
+    /// Hands a begun stream over, with both its sides; whether it is taken. If it is, nothing more may be done to
+    /// either side but to drop it.
+    fn take(&self, begun: &Begun, steps: &mut S, answer: &mut A) -> bool;
 }
 
 /// The client's side of a request. Each way to answer takes the client itself, so there is just one.
@@ -150,6 +155,24 @@
     steps: S,
 }
 
+/// The real servers' side of a begun stream.
+struct Behind<S> {
+    /// What the module holds of its request; none if another process began it.
+    held: Option<Held>,
+    out: Vec<Scheduling<S>>,
+    /// The scheduling that it belongs to.
+    number: u32,
+}
+
+impl<S> Behind<S> {
+    /// A scheduling has ended, and with it the request if it is the stream's own.
+    fn outcome(&mut self, number: u32, ending: Ending) {
+        if let Some(held) = &mut self.held {
+            held.outcome(number, ending, number == self.number);
+        }
+    }
+}
+
 enum Next<E> {
     Gone(Leaving),
     Order(Order),
@@ -239,16 +262,16 @@
         course.gathers();
     }
     arrival.put(engine, &mut course, &mut answer, events);
-    let begun = Begun { id: held.id.0, server, first };
-    pass_on(engine, ask, begun, Some(held), (out, number), course, answer, heir).await;
+    let begun = Begun { id: held.id.0, class: ask.class, tenant: ask.tenant, server, first };
+    let behind = Behind { held: Some(held), out, number };
+    pass_on(engine, &begun, behind, course, answer, heir).await;
 }
 
 /// Goes on with a stream that another process began, of which so many bytes wait for the client. The module here
 /// knows nothing of it.
 pub async fn carry_on<E, S, A>(
     engine: &Engine,
-    ask: &Ask,
-    begun: Begun,
+    begun: &Begun,
     (steps, answer, waiting): (S, A, usize),
     heir: &impl Heir<S, A>,
 ) where
@@ -258,17 +281,14 @@
     let mut course = Course::new(engine.now(), begun.first, &engine.limits);
     course.queued(engine.now(), waiting);
     let out = vec![Scheduling { number: 0, server: begun.server.clone(), steps }];
-    pass_on(engine, ask, begun, None, (out, 0), course, answer, heir).await;
+    pass_on(engine, begun, Behind { held: None, out, number: 0 }, course, answer, heir).await;
 }
 
 /// Passes a begun stream on, up to its one end.
-#[allow(clippy::too_many_arguments)]
 async fn pass_on<E, S, A>(
     engine: &Engine,
-    ask: &Ask,
-    begun: Begun,
-    mut held: Option<Held>,
-    (mut out, number): (Vec<Scheduling<S>>, u32),
+    begun: &Begun,
+    mut behind: Behind<S>,
     mut course: Course,
     mut answer: A,
     heir: &impl Heir<S, A>,
@@ -276,15 +296,10 @@
     S: Stream<Item = Step<E>> + Unpin,
     A: Answer<E>,
 {
-    let server = begun.server.clone();
+    let number = behind.number;
     let limits = engine.limits.clone();
     let mut alarm = Alarm::new();
     let ticket = engine.ticket(answer.gathers());
-    let outcome_of = |held: &mut Option<Held>, number: u32, ending: Ending, ended: bool| {
-        if let Some(held) = held {
-            held.outcome(number, ending, ended);
-        }
-    };
     // Copies that began beside it: nothing of them is passed on, but each has its record.
     let mut copies: BTreeMap<u32, (ReplicaId, Course)> = BTreeMap::new();
     let mut turn = 0;
@@ -300,29 +315,16 @@
         match course.poll(now) {
             Act::Wait => {}
             Act::Offer => {
-                // One beside which copies run stays: the module here called for them.
-                match out.pop_if(|s| s.number == number && copies.is_empty()) {
-                    Some(scheduling) if out.is_empty() => {
-                        match heir.take(ask, &begun, scheduling.steps, answer) {
-                            Ok(()) => {
-                                course.handed_over(now);
-                                course.stopped(now);
-                                outcome_of(&mut held, number, Verdict::Cancelled.into(), true);
-                                if let Some(outcome) = course.outcome() {
-                                    engine.record(begun.id, ask, &server, &outcome);
-                                }
-                                return;
-                            }
-                            Err((steps, back)) => {
-                                answer = back;
-                                out.push(Scheduling { steps, ..scheduling });
-                            }
-                        }
-                    }
-                    Some(scheduling) => out.push(scheduling),
-                    None => {}
+                let taken = match &mut behind.out[..] {
+                    [own] if own.number == number => heir.take(begun, &mut own.steps, &mut answer),
+                    // One beside which copies run stays: the module here called for them.
+                    _ => false,
+                };
+                if taken {
+                    course.handed_over(now);
+                } else {
+                    course.refused(now);
                 }
-                course.refused(now);
                 continue;
             }
             act => break act,
@@ -336,7 +338,7 @@
             if ticket.poll_called(cx).is_ready() {
                 return Poll::Ready(Next::Due);
             }
-            if let Some(Poll::Ready(order)) = held.as_mut().map(|held| held.poll_order(cx)) {
+            if let Some(Poll::Ready(order)) = behind.held.as_mut().map(|held| held.poll_order(cx)) {
                 return Poll::Ready(Next::Order(order));
             }
             if let Poll::Ready(how) = answer.poll_gone(cx) {
@@ -347,7 +349,7 @@
             {
                 return Poll::Ready(taken.map_or_else(Next::Gone, Next::Took));
             }
-            for scheduling in &mut out {
+            for scheduling in &mut behind.out {
                 if (scheduling.number != number || course.reads())
                     && let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx)
                 {
@@ -372,7 +374,7 @@
                 arrival.enter(engine, &mut course);
             }
             Next::Step(n, step @ (Step::Ended(_) | Step::Rejected(..))) => {
-                out.retain(|s| s.number != n);
+                behind.out.retain(|s| s.number != n);
                 let ending = match step {
                     Step::Ended(ending) => ending,
                     // What has begun can't be rejected any more; of another copy it says nothing.
@@ -380,10 +382,10 @@
                     _ => Verdict::Moot.into(),
                 };
                 let end = ending.end;
-                outcome_of(&mut held, n, ending, n == number);
+                behind.outcome(n, ending);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.server_ended(engine.now(), end);
-                    engine.record_copy(begun.id, ask, &server, &mut copy);
+                    engine.record_copy(begun, &server, &mut copy);
                 }
                 if n == number {
                     // Its connection is free or closed: that the client still takes what waits costs no real
@@ -395,9 +397,9 @@
             }
             Next::Step(n, Step::Events(_, arrival) | Step::Bytes(arrival)) => {
                 turn += arrival.bytes;
-                if let Some(scheduling) = out.iter().find(|s| s.number == n) {
+                if let Some(scheduling) = behind.out.iter().find(|s| s.number == n) {
                     let begin = || {
-                        let elapsed = held.as_ref().map_or(0, |held| held.elapsed(n));
+                        let elapsed = behind.held.as_ref().map_or(0, |held| held.elapsed(n));
                         let course = Course::new(engine.now(), elapsed, &limits);
                         (scheduling.server.clone(), course)
                     };
@@ -405,12 +407,12 @@
                 }
             }
             Next::Order(Order::Cancel(n)) => {
-                out.retain(|s| s.number != n);
+                behind.out.retain(|s| s.number != n);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.cancel(engine.now());
-                    engine.record_copy(begun.id, ask, &server, &mut copy);
+                    engine.record_copy(begun, &server, &mut copy);
                 }
-                outcome_of(&mut held, n, Verdict::Cancelled.into(), n == number);
+                behind.outcome(n, Verdict::Cancelled.into());
                 if n == number {
                     course.cancel(engine.now());
                 }
@@ -420,25 +422,26 @@
         }
     };
     // The connections of all schedulings close before anything else is done; then the module is told.
-    let is_out = out.iter().any(|s| s.number == number);
-    drop(out);
+    let is_out = behind.out.iter().any(|s| s.number == number);
+    behind.out.clear();
     if let (true, Some(outcome)) = (is_out, course.outcome()) {
-        outcome_of(&mut held, number, outcome.cause.verdict().into(), true);
+        behind.outcome(number, outcome.cause.verdict().into());
     }
     course.stopped(engine.now());
     let outcome = course.outcome();
     if let Some(outcome) = &outcome {
-        engine.record(begun.id, ask, &server, outcome);
+        engine.record(begun, &begun.server, outcome);
     }
     for (n, (server, mut copy)) in copies {
         // Guards against a time-out told of a copy that did answer: it is called off, however long it was out.
-        outcome_of(&mut held, n, Verdict::Cancelled.into(), false);
+        behind.outcome(n, Verdict::Cancelled.into());
         copy.cancel(engine.now());
-        engine.record_copy(begun.id, ask, &server, &mut copy);
+        engine.record_copy(begun, &server, &mut copy);
     }
-    drop((ticket, held));
+    drop((ticket, behind));
     match (act, outcome) {
         (Act::Finish, _) => answer.finish(),
+        (_, Some(outcome)) if outcome.cause == Cause::HandedOver => drop(answer),
         (_, Some(outcome)) if !course.server_has_ended() => {
             answer.put_end(outcome.cause);
             answer.break_off();
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -10,7 +10,7 @@
 use async_io::Timer;
 use futures_lite::Stream;
 
-use super::{Ask, Engine};
+use super::{Begun, Engine};
 use crate::limits::Limits;
 use crate::stream::{Account, Budget, Cause, Change, Course, Ledger, Outcome, Standing};
 use crate::types::{ListKind, Member, Nanos, Phase, ReplicaId};
@@ -139,10 +139,10 @@
     }
 
     /// Enters a stream's end in the record, and draws what follows from it for its real server.
-    pub(super) fn record(&self, id: u64, ask: &Ask, server: &ReplicaId, outcome: &Outcome) {
+    pub(super) fn record(&self, begun: &Begun, server: &ReplicaId, outcome: &Outcome) {
         let change = {
             let streams = &mut *self.streams.borrow_mut();
-            streams.ledger.enter(ask.class, outcome);
+            streams.ledger.enter(begun.class, outcome);
             let level = match outcome.cause {
                 Cause::Whole | Cause::ClientLeft | Cause::Cancelled | Cause::HandedOver => {
                     log::Level::Debug
@@ -152,9 +152,9 @@
             if log::log_enabled!(level) {
                 let millis = |n: Nanos| format!("{:.3}", n as f64 / 1e6);
                 let none = String::from("-");
-                log::log!(level, id = format!("{id:016x}"), server = &*server.0, cause = outcome.cause.name(),
-                    side:? = outcome.cause.side(), class = streams.classes.get(ask.class).unwrap_or(&none),
-                    tenant = ask.tenant.and_then(|t| streams.tenants.get(t)).unwrap_or(&none),
+                log::log!(level, id = format!("{:016x}", begun.id), server = &*server.0, cause = outcome.cause.name(),
+                    side:? = outcome.cause.side(), class = streams.classes.get(begun.class).unwrap_or(&none),
+                    tenant = begun.tenant.and_then(|t| streams.tenants.get(t)).unwrap_or(&none),
                     bytes = outcome.bytes, events = outcome.events, first_ms = millis(outcome.first),
                     gap_ms = millis(outcome.longest_gap), pause_ms = millis(outcome.longest_pause),
                     lasted_ms = millis(outcome.lasted), stop_ms = millis(outcome.stop);
@@ -170,13 +170,13 @@
     }
 
     /// The same for a copy that began beside the stream that was passed on.
-    pub(super) fn record_copy(&self, id: u64, ask: &Ask, server: &ReplicaId, copy: &mut Course) {
+    pub(super) fn record_copy(&self, begun: &Begun, server: &ReplicaId, copy: &mut Course) {
         let now = self.now();
         // What ended by itself comes to its outcome only when it is asked.
         copy.poll(now);
         copy.stopped(now);
         if let Some(outcome) = copy.outcome() {
-            self.record(id, ask, server, &outcome);
+            self.record(begun, server, &outcome);
         }
     }
 
--- a/src/front/translate/mod.rs
+++ b/src/front/translate/mod.rs
@@ -239,7 +239,7 @@
         Cause::Whole => return None,
         Cause::Failed => ("api_error", "the real server failed amid its answer"),
         Cause::Stalled => ("timeout_error", "the stream stalled"),
-        Cause::Shutdown | Cause::HandedOver => ("overloaded_error", "this gateway is stopping; ask again"),
+        Cause::Shutdown => ("overloaded_error", "this gateway is stopping; ask again"),
         Cause::Budget => ("overloaded_error", "too much of this stream was waiting to be read"),
         Cause::ReaderSlow => ("timeout_error", "the stream was read too slowly"),
         Cause::TooLong => ("api_error", "more of the answer had to be held than may be"),
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -18,7 +18,7 @@
 use super::room::{Place, Room};
 use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
-use crate::engine::{self, Ask, Begun, Engine, Why};
+use crate::engine::{self, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
 use crate::overlap::{Overlap, Places, Report};
@@ -347,22 +347,17 @@
             charge: Charge { edge: self.clone(), grant: None, prompt: 0, answer: 0, events: 0, ran: true },
         };
         let answer = Answering { exchange, speech, line, written: 0 };
-        let ask = Ask {
-            id: Some(parcel.id),
-            expires_in: 0,
+        let begun = Begun {
+            id: parcel.id,
             class: parcel.class,
             tenant: parcel.tenant,
-            prefix: None,
-            session: None,
-            tokens: (0, 0, 0),
-            repeat: false,
+            server: ReplicaId::from(parcel.server.as_str()),
+            first: parcel.first,
         };
-        let begun =
-            Begun { id: parcel.id, server: ReplicaId::from(parcel.server.as_str()), first: parcel.first };
         let mut place = self.room.place();
         place.sit(Sitting::Asking);
         ex.spawn(async move {
-            engine::carry_on(&self.engine, &ask, begun, (steps, answer, waiting), &*self).await;
+            engine::carry_on(&self.engine, &begun, (steps, answer, waiting), &*self).await;
             if let Some(wire) = back.take() {
                 place.sit(Sitting::Rested);
                 self.connection(wire, from, Dialect::Platform, place).await;
@@ -374,20 +369,14 @@
 }
 
 impl engine::Heir<Running, Answering> for Edge {
-    fn take(
-        &self,
-        ask: &Ask,
-        begun: &Begun,
-        steps: Running,
-        answer: Answering,
-    ) -> Result<(), (Running, Answering)> {
+    fn take(&self, begun: &Begun, steps: &mut Running, answer: &mut Answering) -> bool {
         if !self.handover.has_follower() {
-            return Err((steps, answer));
+            return false;
         }
         let mut parcel = Parcel {
             id: begun.id,
-            class: ask.class,
-            tenant: ask.tenant,
+            class: begun.class,
+            tenant: begun.tenant,
             first: begun.first,
             ..Parcel::default()
         };
@@ -395,16 +384,11 @@
             (Some(client), Some(server)) => self.handover.send(&parcel, [client, server]),
             _ => Err(io::Error::other("of a kind that stays")),
         };
-        match sent {
-            Ok(()) => {
-                steps.given_away();
-                Ok(())
-            }
-            Err(e) => {
-                log::debug!(id = format!("{:016x}", begun.id); "not-handed-over: {e}");
-                Err((steps, answer))
-            }
+        match &sent {
+            Ok(()) => steps.given_away(),
+            Err(e) => log::debug!(id = format!("{:016x}", begun.id); "not-handed-over: {e}"),
         }
+        sent.is_ok()
     }
 }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -602,7 +602,7 @@
     }
 
     /// Another process has its connection now, so it must not be reset from here.
-    pub fn given_away(mut self) {
+    pub fn given_away(&mut self) {
         if let Stage::Open(open) = &mut self.stage {
             open.line.wire.abort = false;
         }
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -74,8 +74,8 @@
 struct NoHeir;
 
 impl<S, A> Heir<S, A> for NoHeir {
-    fn take(&self, _: &Ask, _: &Begun, steps: S, answer: A) -> Result<(), (S, A)> {
-        Err((steps, answer))
+    fn take(&self, _: &Begun, _: &mut S, _: &mut A) -> bool {
+        false
     }
 }
 
