Halve what streams may hold while two processes are up; parcels in a file of their own

Cause: edge.rs halved held_bytes at its place, and the budget of streams had no way to change (stream/budget.rs).

--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -94,6 +94,11 @@
         streams.wake_all();
     }
 
+    /// All streams together may hold so many bytes from now on.
+    pub fn budget_streams(&self, bytes: usize) {
+        self.streams.borrow_mut().budget.limit(bytes);
+    }
+
     /// Streams that are passed on, the bytes that they hold, and the most that they ever held.
     pub fn streams_held(&self) -> (usize, usize, usize) {
         let streams = self.streams.borrow();
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -185,9 +185,7 @@
             peer_every: Duration::from_millis(500),
         }
     }
-}
 
-impl Limits {
     /// The same where another process of this gateway may be up beside this one: its own descriptors are kept back too.
     pub fn for_two(mut self) -> Limits {
         self.edge_connections = self.edge_connections.saturating_sub(self.own_descriptors * 8 / 15).max(8);
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -12,9 +12,10 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 
-use super::handover::{Handover, Parcel};
+use super::handover::Handover;
 use super::http::{self, Bad, Body, Head};
 use super::keeper::Keeper;
+use super::parcel::Parcel;
 use super::room::{Place, Room};
 use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
@@ -119,20 +120,17 @@
         self.fleet.overlap.places().edge
     }
 
-    /// Bytes of requests that this process may hold.
-    fn may_hold(&self, limits: &Limits) -> usize {
-        if self.fleet.overlap.is_shared() { limits.held_bytes / 2 } else { limits.held_bytes }
-    }
-
     /// What this process holds, for the one that follows.
     pub fn report(&self) -> Report {
         let holds = Places { edge: self.open(), servers: self.fleet.open() };
         Report { holds, stopping: self.keeper.is_stopping() }
     }
 
-    /// What this process may hold beside another one.
-    pub fn overlap(&self) -> &Overlap {
-        &self.fleet.overlap
+    /// Notes what has become of another process, and what of the memory is this one's since then.
+    pub fn overlap(&self, change: impl FnOnce(&Overlap)) {
+        let overlap = &self.fleet.overlap;
+        change(overlap);
+        self.engine.budget_streams(overlap.part(self.limits.stream.budget));
     }
 
     /// Edge connections that are open.
@@ -301,7 +299,7 @@
                     return Ok(Some((head, body, bytes)));
                 }
                 // Guards against running out of memory: what does not fit waits in its socket.
-                while self.held_bytes.get() > self.may_hold(limits) {
+                while self.held_bytes.get() > self.fleet.overlap.part(limits.held_bytes) {
                     Timer::after(limits.accept_pause).await;
                 }
                 if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -13,8 +13,8 @@
 use async_io::Timer;
 use futures_lite::{Stream, future};
 
-use super::handover::Parcel;
 use super::http::{self, Body, Head};
+use super::parcel::Parcel;
 use super::{Wire, within};
 use crate::engine::{Arrival, Ending, Servers, Step};
 use crate::front::{Dialect, Passage, Speak, Usage};
--- a/src/overlap.rs
+++ b/src/overlap.rs
@@ -79,9 +79,9 @@
         }
     }
 
-    /// Another process of this gateway is up.
-    pub fn is_shared(&self) -> bool {
-        self.other.get().is_some()
+    /// What of so many bytes is this process's.
+    pub fn part(&self, bytes: usize) -> usize {
+        if self.other.get().is_some() { bytes / 2 } else { bytes }
     }
 
     /// Connections that this process may hold.
--- a/src/stream/budget.rs
+++ b/src/stream/budget.rs
@@ -43,6 +43,11 @@
         Budget { limit, window, floor, used: 0, most: 0, next: 0, entries: BTreeMap::new() }
     }
 
+    /// The limit is another from now on; what is over it comes down as streams are told what they are left.
+    pub fn limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// A stream begins. One that gathers passes nothing on before its end, so it can't be paused.
     pub fn open(&mut self, gathers: bool) -> Account {
         self.next += 1;
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -177,7 +177,7 @@
     let mut new = Places::default();
     assert_eq!(older.places(), whole);
     older.newer_came();
-    assert!(older.is_shared() && !newer.is_shared());
+    assert_eq!((older.part(100), newer.part(100)), (50, 100), "the newcomer knows nothing yet");
     for (n, (is_old, edge, servers)) in steps.into_iter().enumerate() {
         let stopping = n >= usize::from(stops) % 32;
         newer.older_said(Report { holds: old, stopping });
@@ -200,6 +200,7 @@
     older.newer_left();
     newer.older_left();
     assert_eq!((older.places(), newer.places()), (whole, whole));
+    assert_eq!((older.part(100), newer.part(100)), (100, 100));
 }
 
 #[test]
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -13,8 +13,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
-use tulipridge::net::handover::Parcel;
 use tulipridge::net::http::Body;
+use tulipridge::net::parcel::Parcel;
 
 use support::*;
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -287,11 +287,14 @@
 #[test]
 fn the_budget_leaves_everybody_something_and_cuts_the_longest_paused_first() {
     fn holds(steps: Vec<(u8, u16, bool)>) -> bool {
-        let (limit, window, floor) = (100_000, 32_768, 4_096);
-        let mut budget = Budget::new(limit, window, floor);
+        let (whole, window, floor) = (100_000, 32_768, 4_096);
+        let mut budget = Budget::new(whole, window, floor);
         let accounts: Vec<_> = (0..16).map(|_| budget.open(false)).collect();
         let mut held: BTreeMap<usize, (usize, Option<Nanos>)> = BTreeMap::new();
         for (now, (n, bytes, paused)) in steps.into_iter().enumerate() {
+            // Now and then another process comes or goes.
+            let limit = if now / 5 % 2 == 0 { whole } else { whole / 2 };
+            budget.limit(limit);
             let n = usize::from(n) % accounts.len();
             let since = paused.then_some(now as Nanos);
             held.insert(n, (usize::from(bytes), since));
