--- a/examples/operation_bench.rs
+++ b/examples/operation_bench.rs
@@ -14,6 +14,8 @@
 use hdrhistogram::Histogram;
 use serde_json::json;
 
+use tulipridge::toys;
+
 type Any<T> = Result<T, Box<dyn std::error::Error>>;
 
 /// A discovery that answers each call with one list and keeps watches open.
@@ -49,22 +51,7 @@
             thread::spawn(move || -> std::io::Result<()> {
                 let mut reader = BufReader::new(stream.try_clone()?);
                 let mut stream = stream;
-                loop {
-                    let mut length = 0;
-                    loop {
-                        let mut line = String::new();
-                        if reader.read_line(&mut line)? == 0 {
-                            return Ok(());
-                        }
-                        let line = line.trim_end().to_ascii_lowercase();
-                        if let Some(told) = line.strip_prefix("content-length:") {
-                            length = told.trim().parse().unwrap_or(0);
-                        }
-                        if line.is_empty() {
-                            break;
-                        }
-                    }
-                    reader.read_exact(&mut vec![0; length])?;
+                while toys::request(&mut reader).is_some() {
                     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
                     let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"},\"finish_reason\":null}]}\n\n";
                     let from = Instant::now();
@@ -75,6 +62,7 @@
                     let end = "data: [DONE]\n\n";
                     write!(stream, "{:x}\r\n{end}\r\n0\r\n\r\n", end.len())?;
                 }
+                Ok(())
             });
         }
     });
@@ -165,29 +153,30 @@
         "weight": 1.0, "started_ms": 0})
 }
 
-/// Sends a request and reads its answer: whether that was whole, and the longest time between two reads of it.
-fn ask(front: SocketAddr, id: usize) -> Any<(bool, Duration)> {
-    let mut stream = TcpStream::connect(front)?;
-    stream.set_read_timeout(Some(Duration::from_secs(30)))?;
-    write!(
-        stream,
+/// Sends a request and reads its answer to its last chunk or as far as it comes; and the longest time between two
+/// reads of it.
+fn exchange(stream: &mut TcpStream, id: u64, key: u64) -> (Vec<u8>, Duration) {
+    let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: {id:016x}\r\nX-Class: docs\r\n\
-        X-Tenant: office\r\nX-Key: {id:x}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{{}}"
-    )?;
-    let mut tail = Vec::new();
-    let mut scratch = [0; 4096];
+        X-Tenant: office\r\nX-Key: {key:x}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
+    let _ = stream.write_all(request.as_bytes());
+    let (mut answer, mut scratch) = (Vec::new(), [0; 4096]);
     let (mut gap, mut last) = (Duration::ZERO, None::<Instant>);
-    loop {
+    while !is_whole(&answer) {
         match stream.read(&mut scratch) {
-            Ok(0) | Err(_) => return Ok((false, gap)),
-            Ok(count) => tail.extend_from_slice(&scratch[..count]),
+            Ok(count) if count > 0 => answer.extend_from_slice(&scratch[..count]),
+            _ => break,
         }
         gap = gap.max(last.map_or(Duration::ZERO, |last| last.elapsed()));
         last = Some(Instant::now());
-        if tail.ends_with(b"0\r\n\r\n") {
-            return Ok((true, gap));
-        }
     }
+    (answer, gap)
+}
+
+fn is_whole(answer: &[u8]) -> bool {
+    answer.starts_with(b"HTTP/1.1 200 ") && answer.ends_with(b"0\r\n\r\n")
 }
 
 /// Asks the clients' port for its health without a pause, on one connection, until told to stop.
@@ -247,9 +236,15 @@
     let asked: u64 = hurried.into_iter().filter_map(|thread| thread.join().ok()).sum();
     println!("  they were answered {:.0} times a second", asked as f64 / took.as_secs_f64());
 
-    for count in [10_usize, 100, 500] {
+    for count in [10_u64, 100, 500] {
         let front = old.front;
-        let ask = move |n| thread::spawn(move || ask(front, count * 1000 + n).unwrap_or_default());
+        let ask = move |n| {
+            thread::spawn(move || {
+                let id = count * 1000 + n;
+                TcpStream::connect(front)
+                    .map_or_else(|_| Default::default(), |mut s| exchange(&mut s, id, id))
+            })
+        };
         let clients: Vec<_> = (0..count).map(ask).collect();
         thread::sleep(Duration::from_secs(1));
         let new = Gateway::start(&listener, server, discovery, &folder)?;
@@ -262,8 +257,8 @@
         );
         let (mut whole, mut gaps) = (0, Histogram::<u64>::new_with_max(60_000_000, 3)?);
         for client in clients {
-            let (is_whole, gap) = client.join().map_err(|_| "a client failed")?;
-            whole += usize::from(is_whole);
+            let (answer, gap) = client.join().map_err(|_| "a client failed")?;
+            whole += usize::from(is_whole(&answer));
             gaps.saturating_record(gap.as_micros() as u64);
         }
         let of = |q| gaps.value_at_quantile(q) as f64 / 1000.0;
@@ -309,22 +304,10 @@
             met.refused.fetch_add(1, Ordering::SeqCst);
             continue;
         };
-        let request = format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: {id:016x}\r\nX-Class: docs\r\n\
-            X-Tenant: office\r\nX-Key: {number:x}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n{{}}"
-        );
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
-        let _ = stream.write_all(request.as_bytes());
-        let (mut answer, mut scratch) = (Vec::new(), [0; 4096]);
-        while !answer.ends_with(b"0\r\n\r\n") {
-            match stream.read(&mut scratch) {
-                Ok(count) if count > 0 => answer.extend_from_slice(&scratch[..count]),
-                _ => break,
-            }
-        }
+        let (answer, _) = exchange(&mut stream, id, number);
         if answer.is_empty() {
             met.unread.fetch_add(1, Ordering::SeqCst);
-        } else if !answer.starts_with(b"HTTP/1.1 200 ") || !answer.ends_with(b"0\r\n\r\n") {
+        } else if !is_whole(&answer) {
             met.broken.fetch_add(1, Ordering::SeqCst);
         } else if !String::from_utf8_lossy(&answer).contains("Connection: close") {
             kept = Some(stream);
