Measure how soon unread streams free their real servers: stream_bench unread

Change: stream_bench gets `unread` (a server kind that sends five events and falls silent, and settings of the program's own for the bench's gateway, here silence 200 ms).

--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -1,10 +1,12 @@
 //! Measures what passing streams costs, on loopback: `cargo run --release --example stream_bench -- [WHAT] [PROGRAM]`.
 //!
-//! WHAT is `stop`, `paused`, `pass`, `paced`, `pauses` or `all`. PROGRAM is the gateway's binary, by default the release
+//! WHAT is `stop`, `unread`, `paused`, `pass`, `paced`, `pauses` or `all`. PROGRAM is the gateway's binary, by default the release
 //! build; an older build may be named to set the two side by side. Each run is bounded in count and time.
 //!
 //! - `stop`: from a break to the real server's connection being closed, 1,000 breaks of each kind, with 10, 100
 //!   and 500 other streams open.
+//! - `unread`: from a client's close after five events of a silent stream, and from the end of a stream cut for a
+//!   stall, to the real server's connection being closed; 200 streams of each, with 10 and 500 other streams open.
 //! - `paused`: memory of the process, and bytes taken from the servers, for each paused reader of a flood.
 //! - `pass`: CPU for each MiB and each event, beside a plain copy between two sockets in the same run.
 //! - `paced`: CPU for each event where events come one by one.
@@ -49,6 +51,9 @@
     if is("stop") {
         stop(program);
     }
+    if is("unread") {
+        unread(program);
+    }
     if is("paused") {
         paused(program);
     }
@@ -142,6 +147,12 @@
                 let _ = stream.shutdown(Shutdown::Both);
                 return None;
             }
+            // Four more events, then silent.
+            "five" => {
+                stream.write_all(first.repeat(4).as_bytes()).ok()?;
+                let _ = reader.read(&mut [0]);
+                true
+            }
             // A token now and then.
             "drip" => {
                 while stream.write_all(first.as_bytes()).is_ok() {
@@ -170,6 +181,11 @@
 
 impl Gateway {
     fn start(program: &str, servers: &[SocketAddr], sockets: u64) -> Gateway {
+        Gateway::start_with(program, servers, sockets, None)
+    }
+
+    /// The same with settings of the program's own, in HCL.
+    fn start_with(program: &str, servers: &[SocketAddr], sockets: u64, settings: Option<&str>) -> Gateway {
         let second = 1_000_000_000u64;
         let entries: Vec<_> = servers
             .iter()
@@ -207,7 +223,13 @@
         std::fs::write(&path, config.to_string()).expect("written");
         let own = dir.join(format!("stream-bench-{}-daemon.json", std::process::id()));
         std::fs::write(&own, "{}").expect("written");
-        let mut child = Command::new(program)
+        let mut command = Command::new(program);
+        if let Some(settings) = settings {
+            let own = dir.join(format!("stream-bench-{}.hcl", std::process::id()));
+            std::fs::write(&own, settings).expect("written");
+            command.env("TULIPRIDGE_SETTINGS", own);
+        }
+        let mut child = command
             .env("EDGE_CONFIG", path)
             .env("TULIPRIDGE_DAEMON", own)
             .env("RUST_LOG", "info")
@@ -342,6 +364,67 @@
     );
 }
 
+fn unread(program: &str) {
+    println!("unread: to the real server's connection being closed, in ms; 200 streams of each");
+    println!("| from | streams open | p50 | p99 | max | closed before the client heard |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for open in [10, 500] {
+        let (tell, closed) = channel();
+        let addr = server(tell, Arc::default());
+        // Others drip every 100 ms, within the silence.
+        let settings = "streams {\n  silence = \"200ms\"\n}\n";
+        let gateway = Gateway::start_with(program, &[addr], CROWD, Some(settings));
+        let others: Vec<TcpStream> = (0..open).map(|_| gateway.ask("drip")).collect();
+        let readers: Vec<_> = others
+            .iter()
+            .map(|s| {
+                let mut stream = s.try_clone().expect("a clone");
+                thread::spawn(move || while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {})
+            })
+            .collect();
+        for from in ["the client's close", "the stall's end"] {
+            let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("three digits");
+            let mut before = 0;
+            for _ in 0..200 {
+                let (mut client, mut had, mut bytes) = (
+                    gateway.ask(if from.contains("close") { "five" } else { "silent" }),
+                    Vec::new(),
+                    [0; 4096],
+                );
+                let took = if from.contains("close") {
+                    while had.windows(2).filter(|w| *w == b"}\n").count() < 5 {
+                        let n = client.read(&mut bytes).expect("an answer");
+                        assert!(n > 0, "it ended");
+                        had.extend_from_slice(&bytes[..n]);
+                    }
+                    let left = Instant::now();
+                    drop(client);
+                    closed.recv_timeout(LONG).expect("the work stops").saturating_duration_since(left)
+                } else {
+                    while client.read(&mut bytes).is_ok_and(|n| n > 0) {}
+                    let heard = Instant::now();
+                    let at = closed.recv_timeout(LONG).expect("the work stops");
+                    before += usize::from(at <= heard);
+                    at.saturating_duration_since(heard)
+                };
+                times.saturating_record(took.as_micros() as u64);
+            }
+            let ms = |us: u64| us as f64 / 1e3;
+            let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+            println!(
+                "| {from} | {open} | {:.2} | {:.2} | {:.2} | {before} of 200 |",
+                ms(p50),
+                ms(p99),
+                ms(times.max())
+            );
+        }
+        for stream in others {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        readers.into_iter().for_each(|r| drop(r.join()));
+    }
+}
+
 /// Streams that have begun, opened one after the other: together they would be more than a stand-in accepts.
 fn open(gateway: &Gateway, order: &str, count: u64) -> Vec<TcpStream> {
     let one = |_| {
