Write the stream bench's table rows and its crowd of drips once

Seen: the check for lines written twice named examples/stream_bench.rs, where `unread` repeated the row printing and the crowd of dripping streams of `stop`.

Change: `row`, `drips` and `ended` serve both. The gateway itself is unchanged.

--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -299,23 +299,13 @@
         let (tell, closed) = channel();
         let addr = server(tell, Arc::default());
         let gateway = Gateway::start(program, &[addr], CROWD);
-        let others: Vec<TcpStream> = (0..open).map(|_| gateway.ask("drip")).collect();
-        let readers: Vec<_> = others
-            .iter()
-            .map(|s| {
-                let mut stream = s.try_clone().expect("a clone");
-                thread::spawn(move || while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {})
-            })
-            .collect();
+        let (others, readers) = drips(&gateway, open);
         for kind in
             ["leaver, silent", "leaver, flood", "reset, flood", "half close, silent", "server breaks"]
         {
             stops(&gateway, kind, open, &closed);
         }
-        for stream in others {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        readers.into_iter().for_each(|r| drop(r.join()));
+        ended(others, readers);
     }
 }
 
@@ -353,15 +343,34 @@
         };
         times.saturating_record(took.as_micros() as u64);
     }
+    row(kind, open, &times, &times.len().to_string());
+}
+
+/// A line of the table, in ms: median, 99th percentile, longest, and what the last column says.
+fn row(what: &str, open: usize, times: &Histogram<u64>, last: &str) {
     let ms = |us: u64| us as f64 / 1e3;
     let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
-    println!(
-        "| {kind} | {open} | {:.2} | {:.2} | {:.2} | {} |",
-        ms(p50),
-        ms(p99),
-        ms(times.max()),
-        times.len()
-    );
+    println!("| {what} | {open} | {:.2} | {:.2} | {:.2} | {last} |", ms(p50), ms(p99), ms(times.max()));
+}
+
+/// So many other streams, each read as it comes, that drip a token each 100 ms.
+fn drips(gateway: &Gateway, open: usize) -> (Vec<TcpStream>, Vec<thread::JoinHandle<()>>) {
+    let others: Vec<TcpStream> = (0..open).map(|_| gateway.ask("drip")).collect();
+    let readers = others
+        .iter()
+        .map(|s| {
+            let mut stream = s.try_clone().expect("a clone");
+            thread::spawn(move || while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {})
+        })
+        .collect();
+    (others, readers)
+}
+
+fn ended(others: Vec<TcpStream>, readers: Vec<thread::JoinHandle<()>>) {
+    for stream in others {
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+    readers.into_iter().for_each(|r| drop(r.join()));
 }
 
 fn unread(program: &str) {
@@ -374,14 +383,7 @@
         // Others drip every 100 ms, within the silence.
         let settings = "streams {\n  silence = \"200ms\"\n}\n";
         let gateway = Gateway::start_with(program, &[addr], CROWD, Some(settings));
-        let others: Vec<TcpStream> = (0..open).map(|_| gateway.ask("drip")).collect();
-        let readers: Vec<_> = others
-            .iter()
-            .map(|s| {
-                let mut stream = s.try_clone().expect("a clone");
-                thread::spawn(move || while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {})
-            })
-            .collect();
+        let (others, readers) = drips(&gateway, open);
         for from in ["the client's close", "the stall's end"] {
             let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("three digits");
             let mut before = 0;
@@ -409,19 +411,9 @@
                 };
                 times.saturating_record(took.as_micros() as u64);
             }
-            let ms = |us: u64| us as f64 / 1e3;
-            let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
-            println!(
-                "| {from} | {open} | {:.2} | {:.2} | {:.2} | {before} of 200 |",
-                ms(p50),
-                ms(p99),
-                ms(times.max())
-            );
-        }
-        for stream in others {
-            let _ = stream.shutdown(Shutdown::Both);
+            row(from, open, &times, &format!("{before} of 200"));
         }
-        readers.into_iter().for_each(|r| drop(r.join()));
+        ended(others, readers);
     }
 }
 
