Build the fleet laboratory: the real module in virtual time beside plain policies

lab/ (tulipridge-lab, a workspace member that cargo build at the root leaves out) plays an experiment from an HCL file: gateways with src/choice.rs as it is, emulated real servers (batched steps, chunked reading, kept prompts with eviction, cold start, late and noisy reports), open-loop sessions, a list service with a pace, clients that retry, faults. Beside the module: random, round robin, least in flight, two choices, a bounded-load ring, and an oracle that knows the true state. Figures as JSON and a page with plots, the same to the byte from the same seed; 'compare' sets two runs side by side. Reading HCL with faults by file, line and key moves out of Settings::parse into settings::parse_hcl, used by both.

Tests play small experiments and hold determinism, the ends of requests, each fault's mark and the faults of files.

--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,510 @@
+//! What an experiment is: the fleet, its load, its list service and its faults, from one HCL file.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use tulipridge::settings::{Fault as FileFault, parse_hcl};
+use tulipridge::types::{self, Nanos};
+
+use crate::policy::PolicyKind;
+
+/// One experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// One sentence that stands over the report.
+    pub about: String,
+    /// All randomness comes from this number.
+    pub seed: u64,
+    /// Time before figures are taken: caches fill, averages settle.
+    #[serde(with = "humantime_serde")]
+    pub warmup: Duration,
+    /// Time over which figures are taken, after the warm-up.
+    #[serde(with = "humantime_serde")]
+    pub length: Duration,
+    /// The policies that are played, side by side on the same seed.
+    pub policies: Vec<PolicyKind>,
+    /// The gateways.
+    pub gateways: Gateways,
+    /// The real servers.
+    pub replicas: Replicas,
+    /// What arrives.
+    pub load: Load,
+    /// Classes of requests.
+    pub classes: BTreeMap<String, Class>,
+    /// Tenants by name.
+    #[serde(default)]
+    pub tenants: BTreeMap<String, Tenant>,
+    /// The list service.
+    pub list: ListService,
+    /// The clients.
+    pub clients: Clients,
+    /// The network between all.
+    pub network: Network,
+    /// What breaks, and when.
+    #[serde(default)]
+    pub faults: BTreeMap<String, Fault>,
+}
+
+/// The gateways.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateways {
+    /// How many.
+    pub count: u32,
+    /// Zones that they and the real servers are spread over.
+    pub zones: u16,
+    /// Spread of the traffic among them: 0 is even, 1 gives a few several times the mean.
+    #[serde(default)]
+    pub skew: f64,
+    /// They start one after the other within this time.
+    #[serde(with = "humantime_serde")]
+    pub start_within: Duration,
+    /// Time until the layer before them notices that one is gone, or back.
+    #[serde(with = "humantime_serde")]
+    pub notice: Duration,
+}
+
+/// The real servers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replicas {
+    /// How many.
+    pub count: u32,
+    /// Kinds of machines.
+    pub kinds: BTreeMap<String, Kind>,
+    /// Share of its capacity that a cold one has at first.
+    pub cold_from: f64,
+    /// Time until it has all of it.
+    #[serde(with = "humantime_serde")]
+    pub ramp: Duration,
+    /// Prompt tokens that are read in one step at the most.
+    pub chunk: u32,
+    /// Load reports.
+    pub reports: Reports,
+}
+
+/// A kind of machine.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its part of the fleet.
+    pub share: f64,
+    /// What the list says of its size.
+    pub units: f64,
+    /// Its speed beside the yardstick's.
+    pub speed: f64,
+    /// Requests in a batch.
+    pub batch: usize,
+    /// Prompt tokens that it keeps.
+    pub memory: u64,
+    /// The least time of a step, at speed 1.
+    #[serde(with = "humantime_serde")]
+    pub step: Duration,
+    /// Prompt tokens read in a second, at speed 1.
+    pub read: f64,
+}
+
+/// Load reports, which come with answers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reports {
+    /// Time between two refreshes of what is reported.
+    #[serde(with = "humantime_serde")]
+    pub period: Duration,
+    /// Age of what is reported at the refresh.
+    #[serde(with = "humantime_serde")]
+    pub delay: Duration,
+    /// Relative error, one standard deviation.
+    pub noise: f64,
+}
+
+/// What arrives, in open loop: nobody waits for an answer before the next one comes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second, over the whole fleet.
+    pub rate: f64,
+    /// Mean time between two turns of a session.
+    #[serde(with = "humantime_serde")]
+    pub think: Duration,
+    /// Times at which more or less comes.
+    #[serde(default)]
+    pub phases: BTreeMap<String, LoadPhase>,
+}
+
+/// A burst, or a ramp where `ramp` is set.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadPhase {
+    /// Its start, after the warm-up.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// Its length.
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    /// The rate is multiplied by this.
+    pub factor: f64,
+    /// The factor is reached evenly by the end instead of at once.
+    #[serde(default)]
+    pub ramp: bool,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its part of the sessions.
+    pub share: f64,
+    /// Mean turns of a session.
+    pub turns: f64,
+    /// Shared beginnings that there are.
+    pub beginnings: u32,
+    /// Their popularity falls with the rank to this power (Zipf).
+    pub zipf: f64,
+    /// Tokens of a shared beginning, least and most.
+    pub beginning: [u32; 2],
+    /// Tokens that each turn adds.
+    pub adds: [u32; 2],
+    /// Tokens of an answer.
+    pub answer: [u32; 2],
+    /// The time to the first token that is wanted ...
+    #[serde(with = "humantime_serde")]
+    pub aim: Duration,
+    /// ... plus so much for each 1,000 tokens of the prompt.
+    #[serde(with = "humantime_serde")]
+    pub aim_per_1000: Duration,
+    /// The client's whole patience.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Share of it that a late answer earns.
+    pub late_worth: f64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its part of the traffic, and of the service that is its own.
+    pub share: f64,
+    /// Requests a second within its share.
+    pub quota: f64,
+}
+
+/// The list service: one call at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListService {
+    /// Calls that it serves in a second.
+    pub calls_per_s: f64,
+    /// A caller that waited longer has failed; the service does the work all the same.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
+    /// Time until it knows that a real server has gone.
+    #[serde(with = "humantime_serde")]
+    pub notice: Duration,
+    /// Time until it knows of a new one.
+    #[serde(with = "humantime_serde")]
+    pub add: Duration,
+    /// Changes are sent together, once in this time.
+    #[serde(with = "humantime_serde")]
+    pub period: Duration,
+    /// Watchers hear of a change within this time of one another.
+    #[serde(with = "humantime_serde")]
+    pub spread: Duration,
+}
+
+/// The clients.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// Tries after the first.
+    pub retries: u32,
+    /// A try is given up after this part of the class's deadline.
+    pub try_share: f64,
+    /// Pause before a retry.
+    #[serde(with = "humantime_serde")]
+    pub backoff: Duration,
+    /// Part of the clients that stay away as long as they are told.
+    pub honour: f64,
+}
+
+/// The network.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Network {
+    /// One way within a zone.
+    #[serde(with = "humantime_serde")]
+    pub same: Duration,
+    /// One way between zones.
+    #[serde(with = "humantime_serde")]
+    pub cross: Duration,
+    /// Work of a new connection.
+    #[serde(with = "humantime_serde")]
+    pub handshake: Duration,
+    /// A connection at rest stays open for this time.
+    #[serde(with = "humantime_serde")]
+    pub idle: Duration,
+    /// A connection not made after this time has failed.
+    #[serde(with = "humantime_serde")]
+    pub connect_timeout: Duration,
+}
+
+/// Something that breaks.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When, after the warm-up.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// What breaks.
+    pub kind: FaultKind,
+    /// Which part of the gateways or real servers.
+    pub share: f64,
+    /// They break one after the other within this time.
+    #[serde(with = "humantime_serde", default)]
+    pub within: Duration,
+    /// Each is back after this time.
+    #[serde(with = "humantime_serde")]
+    pub back: Duration,
+    /// `slow`: how many times as long everything takes.
+    #[serde(default)]
+    pub factor: Option<f64>,
+}
+
+/// What breaks.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// Gateways are killed and started anew with the list that they last had.
+    RestartGateways,
+    /// Real servers die and come back cold under their own names.
+    KillReplicas,
+    /// Real servers accept connections and say nothing, then come back cold.
+    SilenceReplicas,
+    /// Real servers drain; new ones with other names come in their place.
+    ReplaceReplicas,
+    /// Real servers do everything more slowly.
+    SlowReplicas,
+}
+
+impl FaultKind {
+    /// The words of the report.
+    pub fn words(self) -> &'static str {
+        match self {
+            FaultKind::RestartGateways => "gateways restart",
+            FaultKind::KillReplicas => "real servers die",
+            FaultKind::SilenceReplicas => "real servers fall silent",
+            FaultKind::ReplaceReplicas => "real servers are replaced",
+            FaultKind::SlowReplicas => "real servers slow down",
+        }
+    }
+}
+
+/// A span as the laboratory's clock counts it.
+pub fn nanos(span: Duration) -> Nanos {
+    span.as_nanos() as Nanos
+}
+
+impl Experiment {
+    /// Reads an experiment; `path` is for the faults.
+    pub fn parse(path: &str, text: &str) -> Result<Experiment, FileFault> {
+        parse_hcl(path, text, Experiment::check)
+    }
+
+    /// Time at which all ends.
+    pub fn end(&self) -> Nanos {
+        nanos(self.warmup + self.length)
+    }
+
+    /// Faults in the order of their times, then names.
+    pub fn faults_in_order(&self) -> Vec<(&str, &Fault)> {
+        let mut all: Vec<_> = self.faults.iter().map(|(name, fault)| (name.as_str(), fault)).collect();
+        all.sort_by_key(|(name, fault)| (fault.at, *name));
+        all
+    }
+
+    /// The multiple of the rate at a time.
+    pub fn factor_at(&self, now: Nanos) -> f64 {
+        let since = now as f64 - nanos(self.warmup) as f64;
+        self.load.phases.values().fold(1.0, |factor, phase| {
+            let part = (since - nanos(phase.at) as f64) / nanos(phase.lasts).max(1) as f64;
+            match (0.0..1.0).contains(&part) {
+                true if phase.ramp => factor * (1.0 + (phase.factor - 1.0) * part),
+                true => factor * phase.factor,
+                false => factor,
+            }
+        })
+    }
+
+    /// The most that [`Experiment::factor_at`] may come to.
+    pub fn factor_most(&self) -> f64 {
+        self.load.phases.values().map(|p| p.factor.max(1.0)).product()
+    }
+
+    /// What the module of gateway `me` is told at its start.
+    pub fn settings(&self, me: u32) -> types::Settings {
+        let classes = self.classes.values().map(|c| types::Class {
+            aim: nanos(c.aim),
+            aim_per_token: nanos(c.aim_per_1000) / 1000,
+            token_aim: 0,
+            deadline: nanos(c.deadline),
+            effect: types::Effect::Safe,
+            worth: c.worth,
+            late_worth: c.late_worth,
+            stream: true,
+        });
+        let tenants =
+            self.tenants.values().map(|t| types::Tenant { share: t.share, quota_per_s: Some(t.quota) });
+        types::Settings {
+            group_size: self.gateways.count,
+            me,
+            zone: Some(me as u16 % self.gateways.zones),
+            push: false,
+            tick: 0,
+            classes: classes.collect(),
+            tenants: tenants.collect(),
+            over_share_worth: 0.1,
+            limits: types::Limits {
+                attempts: 5,
+                second_copies: true,
+                cancel: true,
+                probes: false,
+                peers: false,
+                retry_after: 2_000_000_000,
+            },
+            safety: types::Safety {
+                cold_from: self.replicas.cold_from,
+                ramp: nanos(self.replicas.ramp),
+                overload_factor: 2.5,
+                fall: 3_000_000_000,
+                ask_within: 10_000_000_000,
+            },
+            units: types::Units::Size,
+            speeds: self.replicas.kinds.values().map(|k| k.speed).collect(),
+            gauges: vec![types::Gauge::Utilisation, types::Gauge::Errors],
+        }
+    }
+
+    /// What single values don't show.
+    fn check(&self) -> Result<(), (String, String)> {
+        fn wrong(key: impl Into<String>, what: impl Into<String>) -> Result<(), (String, String)> {
+            Err((key.into(), what.into()))
+        }
+        let within = |key: &str, given: f64, least: f64, most: f64| match given {
+            g if (least..=most).contains(&g) => Ok(()),
+            g => wrong(key, format!("{g} is not between {least} and {most}")),
+        };
+        let span = |key: &str, given: Duration, least_ms: u64, most_s: u64| {
+            let (least, most) = (Duration::from_millis(least_ms), Duration::from_secs(most_s));
+            match given {
+                g if (least..=most).contains(&g) => Ok(()),
+                g => wrong(key, format!("{g:?} is not between {least:?} and {most:?}")),
+            }
+        };
+        if self.policies.is_empty() {
+            return wrong("policies", "names none");
+        }
+        let twice = |p: &PolicyKind| self.policies.iter().filter(|q| *q == p).count() > 1;
+        if let Some(twice) = self.policies.iter().find(|p| twice(p)) {
+            return wrong("policies", format!("names {} twice", twice.name()));
+        }
+        span("warmup", self.warmup, 0, 3600)?;
+        span("length", self.length, 1000, 3600)?;
+        within("gateways.count", f64::from(self.gateways.count), 1.0, 10_000.0)?;
+        within("gateways.zones", f64::from(self.gateways.zones), 1.0, 100.0)?;
+        within("gateways.skew", self.gateways.skew, 0.0, 3.0)?;
+        if u32::from(self.gateways.zones) > self.gateways.count {
+            return wrong(
+                "gateways.zones",
+                "more zones than gateways: a zone's clients would reach nobody",
+            );
+        }
+        within("replicas.count", f64::from(self.replicas.count), 1.0, 10_000.0)?;
+        within("replicas.cold_from", self.replicas.cold_from, 0.01, 1.0)?;
+        within("replicas.chunk", f64::from(self.replicas.chunk), 1.0, 1e6)?;
+        within("replicas.reports.noise", self.replicas.reports.noise, 0.0, 1.0)?;
+        span("replicas.reports.period", self.replicas.reports.period, 1, 3600)?;
+        if self.replicas.kinds.is_empty() {
+            return wrong("replicas.kinds", "names none");
+        }
+        for (name, kind) in &self.replicas.kinds {
+            let key = |part: &str| format!("replicas.kinds.{name}.{part}");
+            within(&key("share"), kind.share, 0.0, 1.0)?;
+            within(&key("units"), kind.units, 0.001, 10_000.0)?;
+            within(&key("speed"), kind.speed, 0.01, 100.0)?;
+            within(&key("batch"), kind.batch as f64, 1.0, 100_000.0)?;
+            within(&key("read"), kind.read, 1.0, 1e9)?;
+            if kind.step < Duration::from_micros(100) {
+                return wrong(key("step"), format!("{:?} is less than 100µs", kind.step));
+            }
+        }
+        shares("replicas.kinds", self.replicas.kinds.values().map(|k| k.share))?;
+        within("load.rate", self.load.rate, 0.01, 1e6)?;
+        for (name, phase) in &self.load.phases {
+            within(&format!("load.phases.{name}.factor"), phase.factor, 0.0, 100.0)?;
+        }
+        if self.classes.is_empty() {
+            return wrong("classes", "names none");
+        }
+        for (name, class) in &self.classes {
+            let key = |part: &str| format!("classes.{name}.{part}");
+            within(&key("turns"), class.turns, 1.0, 1000.0)?;
+            within(&key("zipf"), class.zipf, 0.0, 5.0)?;
+            within(&key("beginnings"), f64::from(class.beginnings), 1.0, 1e6)?;
+            for (part, [least, most]) in
+                [("beginning", class.beginning), ("adds", class.adds), ("answer", class.answer)]
+            {
+                if least > most || most == 0 || most > 1_000_000 {
+                    return wrong(
+                        key(part),
+                        format!("[{least}, {most}] is no span up to 1,000,000 tokens"),
+                    );
+                }
+            }
+            span(&key("deadline"), class.deadline, 10, 3600)?;
+            if class.aim > class.deadline {
+                return wrong(key("aim"), "later than the deadline");
+            }
+        }
+        shares("classes", self.classes.values().map(|c| c.share))?;
+        if !self.tenants.is_empty() {
+            shares("tenants", self.tenants.values().map(|t| t.share))?;
+        }
+        within("list.calls_per_s", self.list.calls_per_s, 0.01, 1e6)?;
+        span("list.timeout", self.list.timeout, 1, 3600)?;
+        span("list.period", self.list.period, 1, 3600)?;
+        if self.list.spread > self.list.period {
+            return wrong("list.spread", "longer than list.period: changes would overtake one another");
+        }
+        within("clients.try_share", self.clients.try_share, 0.01, 1.0)?;
+        within("clients.honour", self.clients.honour, 0.0, 1.0)?;
+        for (name, fault) in &self.faults {
+            let key = |part: &str| format!("faults.{name}.{part}");
+            within(&key("share"), fault.share, 0.0, 1.0)?;
+            if fault.at >= self.length {
+                return wrong(key("at"), "after the end of the experiment");
+            }
+            match (fault.kind, fault.factor) {
+                (FaultKind::SlowReplicas, Some(factor)) => within(&key("factor"), factor, 1.0, 1000.0)?,
+                (FaultKind::SlowReplicas, None) => {
+                    return wrong(format!("faults.{name}"), "slow_replicas needs a factor");
+                }
+                (_, Some(_)) => return wrong(key("factor"), "only slow_replicas has one"),
+                (_, None) => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+fn shares(key: &str, all: impl Iterator<Item = f64>) -> Result<(), (String, String)> {
+    let sum: f64 = all.sum();
+    if (sum - 1.0).abs() < 0.01 {
+        return Ok(());
+    }
+    Err((key.to_owned(), format!("the shares come to {sum:.3}, not 1")))
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,249 @@
+//! What a run leaves behind: figures as JSON, and a page with plots; and two runs side by side.
+
+use std::fmt::Write;
+use std::thread;
+
+use minijinja::{Environment, context};
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::experiment::{Experiment, nanos};
+use crate::fleet;
+use crate::record::{Figures, Stretch, Window};
+use crate::replica::SECOND;
+
+/// All that a run found, the same for the same experiment and seed to the byte.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// What the experiment is about.
+    pub about: String,
+    /// The seed.
+    pub seed: u64,
+    /// Gateways.
+    pub gateways: u32,
+    /// Real servers.
+    pub replicas: u32,
+    /// First tries a second.
+    pub rate: f64,
+    /// Faults: name, words, second.
+    pub faults: Vec<(String, String, f64)>,
+    /// The figures of each policy.
+    pub runs: Vec<Figures>,
+}
+
+impl Report {
+    /// Plays all policies of an experiment, each on a thread of its own; they share nothing.
+    pub fn play(x: &Experiment) -> Result<Report, String> {
+        let runs: Result<Vec<Figures>, String> = thread::scope(|scope| {
+            let playing: Vec<_> =
+                x.policies.iter().map(|policy| scope.spawn(|| fleet::play(x, *policy))).collect();
+            let ended = |run: thread::ScopedJoinHandle<'_, Result<Figures, _>>| match run.join() {
+                Ok(played) => played.map_err(|e: tulipridge::types::SettingsError| e.to_string()),
+                Err(_) => Err("a policy's run broke down".to_owned()),
+            };
+            playing.into_iter().map(ended).collect()
+        });
+        let at = |f: &crate::experiment::Fault| nanos(f.at) as f64 / SECOND as f64;
+        let fault = |(name, f): (&str, &crate::experiment::Fault)| {
+            (name.to_owned(), format!("{:.0}% of {}", f.share * 100.0, f.kind.words()), at(f))
+        };
+        Ok(Report {
+            about: x.about.clone(),
+            seed: x.seed,
+            gateways: x.gateways.count,
+            replicas: x.replicas.count,
+            rate: x.load.rate,
+            faults: x.faults_in_order().into_iter().map(fault).collect(),
+            runs: runs?,
+        })
+    }
+
+    /// The JSON form.
+    pub fn json(&self) -> Result<String, String> {
+        serde_json::to_string_pretty(self).map(|text| text + "\n").map_err(|e| e.to_string())
+    }
+
+    /// The page, with its plots inside.
+    pub fn html(&self) -> Result<String, String> {
+        let plots = [
+            ("Most loaded over the mean, windows of 100 ms", (|w| w.max_over_mean) as fn(&Window) -> f64),
+            ("Most requests at one real server within 50 ms", |w| w.herd as f64),
+            ("Share of the time with one idle while another queues", |w| w.idle_while_queued),
+            ("Requests in hand, all real servers", |w| w.in_hand),
+            ("Calls that reach the list service, in 100 ms", |w| w.list_calls as f64),
+        ];
+        let plots: Result<Vec<(&str, String)>, String> =
+            plots.into_iter().map(|(title, of)| Ok((title, self.plot(of)?))).collect();
+        let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
+        let tables: Vec<(String, Vec<Row>)> =
+            names.into_iter().map(|name| (name.to_owned(), self.rows(name))).collect();
+        let heads: Vec<&str> = COLUMNS.iter().map(|(head, _)| *head).collect();
+        let colours: Vec<(String, String)> =
+            self.runs.iter().enumerate().map(|(n, r)| (r.policy.clone(), hex(colour(n)))).collect();
+        let mut pages = Environment::new();
+        pages.add_template("page.html", include_str!("page.html")).map_err(|e| e.to_string())?;
+        let page = pages.get_template("page.html").map_err(|e| e.to_string())?;
+        let (about, gateways, replicas) = (&self.about, self.gateways, self.replicas);
+        let (rate, seed, faults) = (self.rate, self.seed, self.faults.clone());
+        page.render(
+            context! { about, gateways, replicas, rate, seed, faults, plots => plots?, tables, heads, colours },
+        )
+        .map_err(|e| e.to_string())
+    }
+
+    fn rows(&self, name: &str) -> Vec<Row> {
+        let row = |run: &Figures| {
+            let stretch = run.stretches.iter().find(|s| s.name == name)?;
+            Some((run.policy.clone(), COLUMNS.iter().map(|(_, of)| shown(of(stretch))).collect()))
+        };
+        self.runs.iter().filter_map(row).collect()
+    }
+
+    /// One line for each policy over time, with the faults as upright lines.
+    fn plot(&self, of: fn(&Window) -> f64) -> Result<String, String> {
+        let mut svg = String::new();
+        let windows = || self.runs.iter().flat_map(|r| &r.windows);
+        let end = windows().map(|w| w.at_s).fold(1.0, f64::max);
+        let most = windows().map(of).filter(|v| v.is_finite()).fold(0.0, f64::max).max(1e-3) * 1.05;
+        {
+            let area = SVGBackend::with_string(&mut svg, (940, 260)).into_drawing_area();
+            let mut chart = ChartBuilder::on(&area)
+                .margin(8)
+                .x_label_area_size(28)
+                .y_label_area_size(44)
+                .build_cartesian_2d(0.0..end, 0.0..most)
+                .map_err(|e| e.to_string())?;
+            chart
+                .configure_mesh()
+                .x_desc("seconds after the warm-up")
+                .light_line_style(WHITE)
+                .draw()
+                .map_err(|e| e.to_string())?;
+            for (_, _, at) in &self.faults {
+                let line = [(*at, 0.0), (*at, most)];
+                chart.draw_series(LineSeries::new(line, BLACK.mix(0.6))).map_err(|e| e.to_string())?;
+            }
+            for (n, run) in self.runs.iter().enumerate() {
+                let points = run.windows.iter().map(|w| (w.at_s, of(w)));
+                let style = ShapeStyle::from(colour(n)).stroke_width(if n == 0 { 2 } else { 1 });
+                chart.draw_series(LineSeries::new(points, style)).map_err(|e| e.to_string())?;
+            }
+            area.present().map_err(|e| e.to_string())?;
+        }
+        Ok(svg)
+    }
+
+    /// The figures of all stretches as a table of plain text.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
+        for name in names {
+            let _ = writeln!(out, "{name}");
+            table(&mut out, self.rows(name));
+        }
+        for run in &self.runs {
+            let _ = writeln!(
+                out,
+                "{}: {} events, {} list calls failed, longest wait for the list {:.0} ms, cold at most {:.2} of what fells one",
+                run.policy, run.events, run.list_calls_failed, run.list_wait_longest_ms, run.cold_worst
+            );
+        }
+        out
+    }
+
+    /// This report beside an earlier one: both figures, for the policies that both have.
+    pub fn beside(&self, before: &Report) -> Result<String, String> {
+        if (&self.about, self.seed) != (&before.about, before.seed) {
+            return Err(format!(
+                "not the same experiment: '{}' with seed {}, and '{}' with seed {}",
+                before.about, before.seed, self.about, self.seed
+            ));
+        }
+        let mut out = String::new();
+        let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
+        for name in names {
+            let _ = writeln!(out, "{name}");
+            let mut rows = Vec::new();
+            for (policy, now) in self.rows(name) {
+                let Some((_, then)) = before.rows(name).into_iter().find(|(p, _)| *p == policy) else {
+                    continue;
+                };
+                rows.push((format!("{policy}, before"), then));
+                rows.push((format!("{policy}, now"), now));
+            }
+            table(&mut out, rows);
+        }
+        Ok(out)
+    }
+}
+
+type Row = (String, Vec<String>);
+
+type Column = (&'static str, fn(&Stretch) -> f64);
+
+const COLUMNS: [Column; 18] = [
+    ("first tries", |s| s.first_tries as f64),
+    ("in time", |s| s.in_time),
+    ("late", |s| s.late),
+    ("refused", |s| s.refused),
+    ("failed", |s| s.failed),
+    ("broken", |s| s.broken),
+    ("worth", |s| s.worth),
+    ("attempts", |s| s.attempts),
+    ("kept", |s| s.kept),
+    ("p50 ms", |s| s.wait_p50_ms),
+    ("p99 ms", |s| s.wait_p99_ms),
+    ("in hand", |s| s.in_hand),
+    ("max/mean", |s| s.max_over_mean_p50),
+    ("p95", |s| s.max_over_mean_p95),
+    ("cv", |s| s.cv),
+    ("cv lasting", |s| s.cv_lasting),
+    ("idle+queue", |s| s.idle_while_queued),
+    ("herd", |s| s.herd as f64),
+];
+
+fn names(stretches: &[Stretch]) -> Vec<&str> {
+    stretches.iter().map(|s| s.name.as_str()).collect()
+}
+
+fn table(out: &mut String, rows: Vec<Row>) {
+    let _ = write!(out, "  {:<24}", "");
+    for (head, _) in COLUMNS {
+        let _ = write!(out, " {head:>11}");
+    }
+    out.push('\n');
+    for (policy, cells) in rows {
+        let _ = write!(out, "  {policy:<24}");
+        for cell in cells {
+            let _ = write!(out, " {cell:>11}");
+        }
+        out.push('\n');
+    }
+}
+
+/// As many places as a figure of its size bears.
+fn shown(figure: f64) -> String {
+    match figure {
+        f if f.fract() == 0.0 => format!("{f:.0}"),
+        f if f >= 100.0 => format!("{f:.0}"),
+        f if f >= 10.0 => format!("{f:.1}"),
+        f => format!("{f:.3}"),
+    }
+}
+
+fn colour(n: usize) -> RGBColor {
+    const ALL: [RGBColor; 7] = [
+        RGBColor(200, 30, 30),
+        RGBColor(130, 130, 130),
+        RGBColor(220, 150, 30),
+        RGBColor(120, 60, 160),
+        RGBColor(30, 110, 200),
+        RGBColor(20, 140, 90),
+        RGBColor(20, 20, 20),
+    ];
+    ALL[n % ALL.len()]
+}
+
+fn hex(RGBColor(r, g, b): RGBColor) -> String {
+    format!("#{r:02x}{g:02x}{b:02x}")
+}
--- /dev/null
+++ b/lab/tests/experiments.rs
@@ -0,0 +1,156 @@
+//! Whole experiments, small ones: that a run is the same to the byte, and that its figures say what happened.
+
+use tulipridge_lab::experiment::Experiment;
+use tulipridge_lab::record::Stretch;
+use tulipridge_lab::report::Report;
+
+const RELEASE: &str = include_str!("../experiments/release.hcl");
+
+/// The release with other lines; each must be there.
+fn release(with: &[(&str, &str)]) -> String {
+    let small = [
+        ("warmup   = \"20s\"", "warmup   = \"3s\""),
+        ("length   = \"40s\"", "length   = \"6s\""),
+        ("count        = 300", "count        = 30"),
+        ("count     = 100", "count     = 10"),
+        ("rate  = 500", "rate  = 50"),
+        ("at     = \"10s\"", "at     = \"2s\""),
+    ];
+    small.iter().chain(with).fold(RELEASE.to_owned(), |text, (from, to)| {
+        assert!(text.contains(from), "no line with {from}");
+        text.replacen(from, to, 1)
+    })
+}
+
+fn policies(names: &str) -> (&'static str, String) {
+    let all = "policies = [\"module\", \"random\", \"round_robin\", \"least_in_flight\", \"two_choices\", \"bounded_ring\", \"oracle\"]";
+    (all, format!("policies = [{names}]"))
+}
+
+fn play(text: &str) -> Report {
+    let x = Experiment::parse("test.hcl", text).expect("a good experiment");
+    Report::play(&x).expect("a run")
+}
+
+fn stretch<'a>(report: &'a Report, policy: &str, name: &str) -> &'a Stretch {
+    let run = report.runs.iter().find(|r| r.policy == policy).expect("the policy was played");
+    run.stretches.iter().find(|s| s.name == name).expect("the stretch is there")
+}
+
+#[test]
+fn the_same_seed_gives_the_same_bytes_and_another_one_others() {
+    let text = release(&[]);
+    let (one, two) = (play(&text), play(&text));
+    assert_eq!(one.json().unwrap(), two.json().unwrap());
+    assert_eq!(one.html().unwrap(), two.html().unwrap());
+    let other = play(&text.replace("seed     = 1", "seed     = 2"));
+    assert_ne!(one.json().unwrap(), other.json().unwrap());
+}
+
+#[test]
+fn the_module_keeps_more_prompts_than_chance_and_knowing_all_is_the_most_even() {
+    let report = play(&release(&[]));
+    let all = |policy| stretch(&report, policy, "all");
+    assert!(
+        all("module").kept > all("random").kept + 0.05,
+        "{} {}",
+        all("module").kept,
+        all("random").kept
+    );
+    for policy in ["module", "random", "round_robin", "least_in_flight", "two_choices", "bounded_ring"] {
+        assert!(all("oracle").cv < all(policy).cv, "{policy} is more even than one that knows all");
+    }
+}
+
+#[test]
+fn every_request_comes_to_one_end_and_a_release_breaks_streams() {
+    let (from, to) = policies("\"module\"");
+    let report = play(&release(&[(from, &to)]));
+    let all = stretch(&report, "module", "all");
+    let ends = all.in_time + all.late + all.refused + all.failed + all.broken;
+    assert!((ends - 1.0).abs() < 0.001, "{ends}");
+    assert!(all.broken > 0.0, "streams of killed gateways are lost");
+    let calm = play(&release(&[(from, &to), ("share  = 0.7", "share  = 0")]));
+    assert_eq!(stretch(&calm, "module", "all").broken, 0.0);
+}
+
+#[test]
+fn more_load_than_the_fleet_can_do_is_seen_in_waits_and_ends() {
+    let (from, to) = policies("\"random\"");
+    let calm = play(&release(&[(from, &to)]));
+    let jam = play(&release(&[(from, &to), ("rate  = 50", "rate  = 200")]));
+    let (calm, jam) = (stretch(&calm, "random", "all"), stretch(&jam, "random", "all"));
+    assert!(jam.in_time < calm.in_time - 0.2, "{} {}", jam.in_time, calm.in_time);
+    assert!(jam.wait_p50_ms > 2.0 * calm.wait_p50_ms, "{} {}", jam.wait_p50_ms, calm.wait_p50_ms);
+}
+
+#[test]
+fn a_list_service_that_is_too_slow_fails_its_callers() {
+    let (from, to) = policies("\"module\"");
+    let fast = play(&release(&[(from, &to)]));
+    let slow = play(&release(&[(from, &to), ("calls_per_s = 20", "calls_per_s = 1")]));
+    assert_eq!(fast.runs[0].list_calls_failed, 0);
+    assert!(slow.runs[0].list_calls_failed > 0);
+}
+
+#[test]
+fn real_servers_that_die_fall_silent_slow_down_or_are_replaced_leave_their_marks() {
+    let (from, to) = policies("\"module\"");
+    let fault = |kind: &str| {
+        let line = format!("kind   = \"{kind}\"");
+        let report = play(&release(&[(from, &to), ("kind   = \"restart_gateways\"", &line)]));
+        stretch(&report, "module", "all").clone()
+    };
+    let dead = fault("kill_replicas");
+    assert!(dead.broken > 0.0, "streams of dead servers are lost");
+    assert!(dead.attempts > 1.05, "failed attempts are made again: {}", dead.attempts);
+    let silent = fault("silence_replicas");
+    assert!(silent.broken > 0.0 && silent.attempts > 1.05, "{silent:?}");
+    let line = "kind   = \"slow_replicas\"\n    factor = 5";
+    let slow = play(&release(&[(from, &to), ("kind   = \"restart_gateways\"", line)]));
+    let calm = play(&release(&[(from, &to), ("share  = 0.7", "share  = 0")]));
+    let p99 = |report: &Report| stretch(report, "module", "all").wait_p99_ms;
+    assert!(p99(&slow) > p99(&calm), "{} {}", p99(&slow), p99(&calm));
+    let replaced = play(&release(&[
+        (from, &to),
+        ("kind   = \"restart_gateways\"", "kind   = \"replace_replicas\""),
+        ("back   = \"1s\"", "back   = \"3s\""),
+    ]));
+    let run = &replaced.runs[0];
+    let fresh: u64 =
+        run.servers.iter().filter(|s| s.name.starts_with("release-")).map(|s| s.arrivals).sum();
+    assert!(fresh > 0, "new servers get work once they are listed");
+    assert!(run.cold_worst > 0.0 && run.cold_worst < 1.0, "within what they bear: {}", run.cold_worst);
+}
+
+#[test]
+fn a_bad_experiment_is_refused_with_its_place_and_key() {
+    let fault = |with: &[(&str, &str)]| {
+        Experiment::parse("x.hcl", &release(with)).expect_err("a bad experiment").to_string()
+    };
+    let wrong = fault(&[("calls_per_s = 20", "calls_per_s = 0")]);
+    assert!(wrong.starts_with("x.hcl:") && wrong.contains("list.calls_per_s"), "{wrong}");
+    assert!(wrong.contains("0 is not between"), "{wrong}");
+    assert!(fault(&[("honour    = 0.2", "honor     = 0.2")]).contains("unknown field `honor`"));
+    let shares = fault(&[("share        = 0.8", "share        = 0.5")]);
+    assert!(shares.contains("classes") && shares.contains("0.700, not 1"), "{shares}");
+    assert!(fault(&[("share  = 0.7", "share  = 7")]).contains("faults.release.share"));
+    assert!(fault(&[("at     = \"2s\"", "at     = \"2h\"")]).contains("after the end"));
+    assert!(
+        fault(&[("\"random\", \"round", "\"guess\", \"round")])
+            .contains("policies[1]: unknown variant `guess`")
+    );
+    let factor = fault(&[("kind   = \"restart_gateways\"", "kind   = \"slow_replicas\"")]);
+    assert!(factor.contains("needs a factor"), "{factor}");
+    assert!(fault(&[("spread      = \"80ms\"", "spread      = \"2s\"")]).contains("overtake"));
+}
+
+#[test]
+fn two_reports_are_set_side_by_side_only_if_they_are_of_one_experiment() {
+    let (from, to) = policies("\"module\"");
+    let (before, now) = (play(&release(&[(from, &to)])), play(&release(&[(from, &to)])));
+    let text = now.beside(&before).unwrap();
+    assert!(text.contains("module, before") && text.contains("module, now"), "{text}");
+    let other = play(&release(&[(from, &to), ("seed     = 1", "seed     = 2")]));
+    assert!(other.beside(&before).unwrap_err().contains("not the same experiment"));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,7 @@
 use hcl_edit::Span;
 use hcl_edit::structure::{Body, Structure};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use crate::front::messages::keys;
 use crate::limits::{Limits, RestLimits};
@@ -231,38 +232,7 @@
 
     /// Reads a file's text; `path` is for the faults.
     pub fn parse(path: &str, text: &str) -> Result<Settings, Fault> {
-        let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| Fault {
-            file: path.to_owned(),
-            place: Some((e.location().line(), e.location().column())),
-            key: String::new(),
-            what: e.message().to_owned(),
-        })?;
-        let fault = |key: &str, what: String| Fault {
-            file: path.to_owned(),
-            place: place(text, &body, key),
-            key: key.to_owned(),
-            what,
-        };
-        // Guards against a key or block that is there twice, of which one would be passed over.
-        let named = |s: &Structure| match s {
-            Structure::Attribute(a) => a.key.as_str().to_owned(),
-            Structure::Block(b) => b.ident.as_str().to_owned(),
-        };
-        let mut seen = BTreeSet::new();
-        if let Some(twice) = body.iter().map(named).find(|name| !seen.insert(name.clone())) {
-            return Err(fault(&twice, "given twice".to_owned()));
-        }
-        let value: serde_json::Value = hcl::from_str(text).map_err(|e| fault("", e.to_string()))?;
-        let shown = value.clone();
-        let settings: Settings = serde_path_to_error::deserialize(value).map_err(|e| {
-            let key = e.path().to_string();
-            let key = key.trim_start_matches('.');
-            let given = find(&shown, key).filter(|v| !v.is_object() && !v.is_array());
-            let given = given.map_or(String::new(), |v| format!(" (given: {v})"));
-            fault(key, format!("{}{given}", e.inner()))
-        })?;
-        settings.check().map_err(|(key, what)| fault(&key, what))?;
-        Ok(settings)
+        parse_hcl(path, text, Settings::check)
     }
 
     /// What each value alone does not show: ranges, and values that must go together.
@@ -430,6 +400,47 @@
     }
 }
 
+/// Reads HCL of any form; `path` is for the faults, and `check` tells the key and the fault that single values
+/// don't show.
+pub fn parse_hcl<T: DeserializeOwned>(
+    path: &str,
+    text: &str,
+    check: impl FnOnce(&T) -> Result<(), (String, String)>,
+) -> Result<T, Fault> {
+    let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| Fault {
+        file: path.to_owned(),
+        place: Some((e.location().line(), e.location().column())),
+        key: String::new(),
+        what: e.message().to_owned(),
+    })?;
+    let fault = |key: &str, what: String| Fault {
+        file: path.to_owned(),
+        place: place(text, &body, key),
+        key: key.to_owned(),
+        what,
+    };
+    // Guards against a key or block that is there twice, of which one would be passed over.
+    let named = |s: &Structure| match s {
+        Structure::Attribute(a) => a.key.as_str().to_owned(),
+        Structure::Block(b) => b.ident.as_str().to_owned(),
+    };
+    let mut seen = BTreeSet::new();
+    if let Some(twice) = body.iter().map(named).find(|name| !seen.insert(name.clone())) {
+        return Err(fault(&twice, "given twice".to_owned()));
+    }
+    let value: serde_json::Value = hcl::from_str(text).map_err(|e| fault("", e.to_string()))?;
+    let shown = value.clone();
+    let read: T = serde_path_to_error::deserialize(value).map_err(|e| {
+        let key = e.path().to_string();
+        let key = key.trim_start_matches('.');
+        let given = find(&shown, key).filter(|v| !v.is_object() && !v.is_array());
+        let given = given.map_or(String::new(), |v| format!(" (given: {v})"));
+        fault(key, format!("{}{given}", e.inner()))
+    })?;
+    check(&read).map_err(|(key, what)| fault(&key, what))?;
+    Ok(read)
+}
+
 /// The value at a key of dotted parts.
 fn find<'a>(value: &'a serde_json::Value, key: &str) -> Option<&'a serde_json::Value> {
     key.split('.').try_fold(value, |value, part| value.get(part))
