Test fifty gateway processes through a mass restart and a list change

The test kills and restarts 17 of 50 at once, then drains one server and adds a cold one, and asserts from the record: no request lost or turned down at a gateway that lives, no server above 5 times the mean in any 100 ms (an all-out herd would be 9), none idle for 500 ms beside a queue, nothing to the drained one, no more to the cold one than to others. A second test feeds the checks a herd and an idle server, which they see.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod fleet;
+
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -437,6 +439,12 @@
         let shared = more.remove("shared").unwrap_or_else(usual);
         std::fs::create_dir_all(shared.as_str().expect("a path")).expect("a folder");
         config["mgmt"] = more.remove("mgmt").unwrap_or(Value::Null);
+        // Nor how many gateways there are, and which of them this one is.
+        for (key, of) in [("group-size", "group"), ("me", "me")] {
+            if let Some(value) = more.remove(of) {
+                config["settings"][key] = value;
+            }
+        }
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
         config["settings"]["policy-limits"]["second-copies"] = copies.into();
