--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -19,7 +19,7 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Plays an experiment and writes report.json and report.html
+    /// Plays an experiment and writes report.json, report.html and its plots as SVG
     Run {
         /// The experiment, in HCL
         file: PathBuf,
@@ -72,7 +72,10 @@
             let (took, played) = (began.elapsed().as_secs_f64(), (x.warmup + x.length).as_secs_f64());
             eprintln!("{played:.0} s played in {took:.1} s, {} policies side by side", x.policies.len());
             fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
-            for (name, text) in [("report.json", report.json()?), ("report.html", report.html()?)] {
+            let mut files = vec![("report.json".to_owned(), report.json()?)];
+            files.push(("report.html".to_owned(), report.html()?));
+            files.extend(report.plots()?.into_iter().map(|(name, _, svg)| (format!("{name}.svg"), svg)));
+            for (name, text) in files {
                 let path = out.join(name);
                 fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
             }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -65,16 +65,8 @@
 
     /// The page, with its plots inside.
     pub fn html(&self) -> Result<String, String> {
-        let plots = [
-            ("Most loaded over the mean, windows of 100 ms", (|w| w.max_over_mean) as fn(&Window) -> f64),
-            ("Most requests at one real server within 50 ms", |w| w.herd as f64),
-            ("Share of the time with one idle while another queues", |w| w.idle_while_queued),
-            ("Load of real servers that came in place of others, over the mean", |w| w.fresh_over_mean),
-            ("Requests in hand, all real servers", |w| w.in_hand),
-            ("Calls that reach the list service, in 100 ms", |w| w.list_calls as f64),
-        ];
-        let plots: Result<Vec<(&str, String)>, String> =
-            plots.into_iter().map(|(title, of)| Ok((title, self.plot(of)?))).collect();
+        let plots: Vec<(&str, String)> =
+            self.plots()?.into_iter().map(|(_, title, plot)| (title, plot)).collect();
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
         let tables: Vec<(String, Vec<Row>)> =
             names.into_iter().map(|name| (name.to_owned(), self.rows(name))).collect();
@@ -87,11 +79,16 @@
         let (about, gateways, replicas) = (&self.about, self.gateways, self.replicas);
         let (rate, seed, faults) = (self.rate, self.seed, self.faults.clone());
         page.render(
-            context! { about, gateways, replicas, rate, seed, faults, plots => plots?, tables, heads, colours },
+            context! { about, gateways, replicas, rate, seed, faults, plots, tables, heads, colours },
         )
         .map_err(|e| e.to_string())
     }
 
+    /// Each plot: a name for its file, its title, and the SVG.
+    pub fn plots(&self) -> Result<Vec<(&'static str, &'static str, String)>, String> {
+        PLOTS.into_iter().map(|(name, title, of)| Ok((name, title, self.plot(of)?))).collect()
+    }
+
     fn rows(&self, name: &str) -> Vec<Row> {
         let row = |run: &Figures| {
             let stretch = run.stretches.iter().find(|s| s.name == name)?;
@@ -107,7 +104,7 @@
         let end = windows().map(|w| w.at_s).fold(1.0, f64::max);
         let most = windows().map(of).filter(|v| v.is_finite()).fold(0.0, f64::max).max(1e-3) * 1.05;
         {
-            let area = SVGBackend::with_string(&mut svg, (940, 260)).into_drawing_area();
+            let area = SVGBackend::with_string(&mut svg, (940, 300)).into_drawing_area();
             let mut chart = ChartBuilder::on(&area)
                 .margin(8)
                 .x_label_area_size(28)
@@ -127,8 +124,13 @@
             for (n, run) in self.runs.iter().enumerate() {
                 let points = run.windows.iter().map(|w| (w.at_s, of(w)));
                 let style = ShapeStyle::from(colour(n)).stroke_width(if n == 0 { 2 } else { 1 });
-                chart.draw_series(LineSeries::new(points, style)).map_err(|e| e.to_string())?;
+                let line = chart.draw_series(LineSeries::new(points, style)).map_err(|e| e.to_string())?;
+                let key = move |(x, y)| PathElement::new([(x, y), (x + 16, y)], style);
+                line.label(run.policy.as_str()).legend(key);
             }
+            let mut keys = chart.configure_series_labels();
+            keys.position(SeriesLabelPosition::UpperLeft).background_style(WHITE.mix(0.8));
+            keys.draw().map_err(|e| e.to_string())?;
             area.present().map_err(|e| e.to_string())?;
         }
         Ok(svg)
@@ -178,6 +180,18 @@
     }
 }
 
+/// A plot's file, its title, and what it shows of each window.
+type Plot = (&'static str, &'static str, fn(&Window) -> f64);
+
+const PLOTS: [Plot; 6] = [
+    ("max-over-mean", "Most loaded over the mean, windows of 100 ms", |w| w.max_over_mean),
+    ("herd", "Most requests at one real server within 50 ms", |w| w.herd as f64),
+    ("idle-while-queued", "Share of the time with one idle while another queues", |w| w.idle_while_queued),
+    ("fresh", "Load of real servers that came in place of others, over the mean", |w| w.fresh_over_mean),
+    ("in-hand", "Requests in hand, all real servers", |w| w.in_hand),
+    ("list-calls", "Calls that reach the list service, in 100 ms", |w| w.list_calls as f64),
+];
+
 type Row = (String, Vec<String>);
 
 type Column = (&'static str, fn(&Stretch) -> f64);
