Keep the next call for the list when a real server rests

Cause: Engine::change told a rest, or its end, as ListKind::Changes, and list() in src/choice.rs takes changes for the service's own word: it called off a pending call, so a gateway that had just started or lost its watch never asked again while the list held went stale. Ruled out: a second timer, which the watch alone sets.

Change: ListKind::Own for what a gateway changes itself; it says nothing of the list service. The test fails without it, both after a start and after a failure ('never asked again').

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -330,11 +330,12 @@
     // ---- membership -----------------------------------------------------------------------------------
 
     fn list(&mut self, now: Nanos, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
-        self.call += u64::from(kind != ListKind::Persisted);
+        self.call += u64::from(!matches!(kind, ListKind::Persisted | ListKind::Own));
         let chance = self.chance();
         let wait = match kind {
             ListKind::Failed => Some(self.calls.failed(now, chance)),
             ListKind::Persisted => (!self.settings.push).then(|| self.calls.start(now, chance)),
+            ListKind::Own => None,
             ListKind::Whole | ListKind::Changes => {
                 self.calls.answered();
                 None
@@ -347,7 +348,7 @@
             return;
         }
         let live = self.settings.units == Units::Live;
-        let whole = kind != ListKind::Changes;
+        let whole = !matches!(kind, ListKind::Changes | ListKind::Own);
         let mut changed = false;
         self.walk += 1;
         for member in members {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -201,7 +201,7 @@
     /// Carries out what the standing of real servers calls for.
     fn change(&self, change: &Change) {
         if let Some(member) = self.streams.borrow_mut().changed(change) {
-            self.feed(Event::List { kind: ListKind::Changes, members: [member].into() });
+            self.feed(Event::List { kind: ListKind::Own, members: [member].into() });
         }
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -226,6 +226,8 @@
 pub enum ListKind {
     /// Only what has changed.
     Changes,
+    /// Changes that this gateway made itself, as when a real server rests: they say nothing of the list service.
+    Own,
     /// The whole list.
     Whole,
     /// The whole list as this gateway last held it, perhaps out of date.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -378,6 +378,23 @@
     assert!(bench.served(1, None).is_some(), "the list survived the failures");
 }
 
+#[test]
+fn a_rest_of_a_real_server_does_not_call_off_the_next_call_for_the_list() {
+    // Found by reading: a rest came as news of the list, as if the service had answered, and no call was ever made.
+    let settings = Settings { push: false, ..settings(Effect::Safe) };
+    for kind in [ListKind::Persisted, ListKind::Failed] {
+        let mut bench = Bench::new(settings.clone(), &members(3));
+        if kind == ListKind::Failed {
+            bench.list(ListKind::Failed, &[]);
+        }
+        let resting = Member { phase: Phase::Draining, ..member(0) };
+        bench.list(ListKind::Own, &[resting]);
+        let to: BTreeSet<_> = (0..60).filter_map(|s| bench.served(s, None)).collect();
+        assert_eq!(to.len(), 2, "the one that rests gets nothing, the others stay: {to:?}");
+        assert!(bench.pass(20 * SECOND).contains(&Action::Watch), "{kind:?}: never asked again");
+    }
+}
+
 /// A hundred gateways of a group, from their start with `list`.
 fn fleet(settings: &Settings, list: &[Member]) -> Vec<Bench> {
     let start = |me| {
