Let an experiment say only what differs from another one

Cause: parse_hcl read one file alone.

Change: 'from' names the file that an experiment differs from; settings::parse_hcl_over puts files over one another, null takes away, and a fault names the file, line and column where its key stands. The settings' reader is the case of one file.

--- a/lab/experiments/herd.hcl
+++ b/lab/experiments/herd.hcl
@@ -1,66 +1,19 @@
 # A day of the operators' bench (herd+mass) as far as its log tells it: while half of the real servers are replaced in
 # steps, seven in ten of 309 gateways are killed at once, and the load swings. One server in eight is slow throughout.
+from     = "release.hcl"
 about    = "Gateways and real servers released together: after a day of herd+mass"
-seed     = 1
-warmup   = "20s"
 length   = "20s"
 policies = ["module", "random", "least_in_flight", "two_choices", "bounded_ring", "oracle"]
 
 gateways {
-  count        = 309
-  zones        = 3
-  skew         = 0.5
-  start_within = "1s"
-  notice       = "1s"
+  count = 309
 }
 
-replicas {
-  count     = 100
-  cold_from = 0.3
-  ramp      = "8s"
-  chunk     = 512
-
-  kinds {
-    large {
-      share  = 0.31
-      units  = 4
-      speed  = 2.0
-      batch  = 19
-      memory = 285000
-      step   = "17ms"
-      read   = 17500
-    }
-    medium {
-      share  = 0.41
-      units  = 4.4
-      speed  = 1.2
-      batch  = 19
-      memory = 340000
-      step   = "13ms"
-      read   = 16000
-    }
-    small {
-      share  = 0.28
-      units  = 5
-      speed  = 0.8
-      batch  = 20
-      memory = 385000
-      step   = "15ms"
-      read   = 18000
-    }
-  }
-
-  reports {
-    period = "700ms"
-    delay  = "200ms"
-    noise  = 0.05
-  }
+list {
+  timeout = "2s"
 }
 
 load {
-  rate  = 500
-  think = "3s"
-
   phases {
     first {
       at     = "0s"
@@ -80,72 +33,6 @@
   }
 }
 
-classes {
-  docs {
-    share        = 0.8
-    turns        = 2.1
-    beginnings   = 60
-    zipf         = 1.0
-    beginning    = [2200, 6000]
-    adds         = [93, 290]
-    answer       = [64, 180]
-    aim          = "1500ms"
-    aim_per_1000 = "30ms"
-    deadline     = "5s"
-    worth        = 1
-    late_worth   = 0.3
-  }
-  bulk {
-    share        = 0.2
-    turns        = 1.1
-    beginnings   = 40
-    zipf         = 1.0
-    beginning    = [390, 940]
-    adds         = [620, 2000]
-    answer       = [60, 110]
-    aim          = "3s"
-    aim_per_1000 = "40ms"
-    deadline     = "10s"
-    worth        = 3
-    late_worth   = 0.2
-  }
-}
-
-tenants {
-  alpen_karten {
-    share = 0.63
-    quota = 500
-  }
-  seeland_plan {
-    share = 0.37
-    quota = 300
-  }
-}
-
-list {
-  calls_per_s = 85
-  timeout     = "2s"
-  notice      = "3s"
-  add         = "1s"
-  period      = "350ms"
-  spread      = "80ms"
-}
-
-clients {
-  retries   = 3
-  try_share = 0.55
-  backoff   = "0s"
-  honour    = 0.2
-}
-
-network {
-  same            = "200us"
-  cross           = "600us"
-  handshake       = "2ms"
-  idle            = "3s"
-  connect_timeout = "150ms"
-}
-
 faults {
   bad {
     at     = "0s"
@@ -155,34 +42,31 @@
     factor = 3
   }
   step_1 {
-    at     = "7300ms"
-    kind   = "replace_replicas"
-    share  = 0.15
-    back   = "2500ms"
+    at    = "7300ms"
+    kind  = "replace_replicas"
+    share = 0.15
+    back  = "2500ms"
   }
   step_2 {
-    at     = "9800ms"
-    kind   = "replace_replicas"
-    share  = 0.17
-    back   = "2500ms"
+    at    = "9800ms"
+    kind  = "replace_replicas"
+    share = 0.17
+    back  = "2500ms"
   }
   release {
     at     = "10300ms"
-    kind   = "restart_gateways"
-    share  = 0.7
     within = "50ms"
-    back   = "1s"
   }
   step_3 {
-    at     = "11500ms"
-    kind   = "replace_replicas"
-    share  = 0.2
-    back   = "2500ms"
+    at    = "11500ms"
+    kind  = "replace_replicas"
+    share = 0.2
+    back  = "2500ms"
   }
   step_4 {
-    at     = "14300ms"
-    kind   = "replace_replicas"
-    share  = 0.06
-    back   = "2500ms"
+    at    = "14300ms"
+    kind  = "replace_replicas"
+    share = 0.06
+    back  = "2500ms"
   }
 }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,10 +1,12 @@
 //! What an experiment is: the fleet, its load, its list service and its faults, from one HCL file.
 
 use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
 use std::time::Duration;
 
 use serde::Deserialize;
-use tulipridge::settings::{Fault as FileFault, parse_hcl};
+use tulipridge::settings::{Fault as FileFault, parse_hcl_over};
 use tulipridge::types::{self, Nanos};
 
 use crate::policy::PolicyKind;
@@ -13,6 +15,10 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Experiment {
+    /// The file that this one differs from, beside it. What it has in blocks goes into that file's blocks, anything else
+    /// takes the place of what is there, and `null` takes it away.
+    #[serde(default)]
+    pub from: Option<String>,
     /// One sentence that stands over the report.
     pub about: String,
     /// All randomness comes from this number.
@@ -316,9 +322,21 @@
 }
 
 impl Experiment {
-    /// Reads an experiment; `path` is for the faults.
+    /// Reads an experiment; `path` is for the faults, and says where a file lies that it differs from.
     pub fn parse(path: &str, text: &str) -> Result<Experiment, FileFault> {
-        parse_hcl(path, text, Experiment::check)
+        let mut files = vec![(path.to_owned(), text.to_owned())];
+        while let Some(from) = files.last().and_then(|(_, text)| from_of(text)) {
+            let (path, _) = &files[files.len() - 1];
+            let fault = |what| FileFault { file: path.clone(), place: None, key: "from".into(), what };
+            let base = Path::new(path).with_file_name(&from).display().to_string();
+            if files.iter().any(|(known, _)| *known == base) {
+                return Err(fault(format!("{from} comes back to this file")));
+            }
+            let text = fs::read_to_string(&base).map_err(|e| fault(format!("{base}: {e}")))?;
+            files.push((base, text));
+        }
+        let files: Vec<_> = files.iter().rev().map(|(path, text)| (path.as_str(), text.as_str())).collect();
+        parse_hcl_over(&files, Experiment::check)
     }
 
     /// Time at which all ends.
@@ -508,6 +526,12 @@
     }
 }
 
+/// The file that a text says it differs from; a text that can't be read says so later.
+fn from_of(text: &str) -> Option<String> {
+    let value: serde_json::Value = hcl::from_str(text).ok()?;
+    value.get("from")?.as_str().map(str::to_owned)
+}
+
 fn shares(key: &str, all: impl Iterator<Item = f64>) -> Result<(), (String, String)> {
     let sum: f64 = all.sum();
     if (sum - 1.0).abs() < 0.01 {
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -151,3 +151,25 @@
     let other = play(&release(&[(from, &to), ("seed     = 1", "seed     = 2")]));
     assert!(other.beside(&before).unwrap_err().contains("not the same experiment"));
 }
+
+#[test]
+fn an_experiment_says_only_what_differs_and_a_fault_names_the_file_that_it_stands_in() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("from");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let write = |name: &str, text: &str| std::fs::write(folder.join(name), text).expect("written");
+    let read = |text: &str| Experiment::parse(&folder.join("this.hcl").display().to_string(), text);
+    write("release.hcl", RELEASE);
+    let x = read("from = \"release.hcl\"\nload {\n  rate = 7\n}\nfaults {\n  release = null\n}\n");
+    let x = x.expect("a good experiment");
+    assert_eq!((x.load.rate, x.load.think.as_secs(), x.faults.len()), (7.0, 3, 0));
+    let fault = |text: &str| read(text).expect_err("a bad experiment").to_string();
+    let own = fault("from = \"release.hcl\"\nload {\n  rate = 0\n}\n");
+    assert!(own.contains("this.hcl:3:3: load.rate: 0 is not"), "{own}");
+    write("release.hcl", &RELEASE.replace("zones        = 3", "zones        = 0"));
+    let line = RELEASE.lines().position(|l| l.contains("zones ")).expect("a line") + 1;
+    let theirs = fault("from = \"release.hcl\"\n");
+    assert!(theirs.contains(&format!("release.hcl:{line}:3: gateways.zones: 0 is not")), "{theirs}");
+    assert!(fault("from = \"nowhere.hcl\"\n").contains("nowhere.hcl: No such file"));
+    write("this.hcl", "from = \"this.hcl\"\n");
+    assert!(fault("from = \"this.hcl\"\n").contains("comes back to this file"));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -420,30 +420,49 @@
     text: &str,
     check: impl FnOnce(&T) -> Result<(), (String, String)>,
 ) -> Result<T, Fault> {
-    let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| Fault {
-        file: path.to_owned(),
-        place: Some((e.location().line(), e.location().column())),
-        key: String::new(),
-        what: e.message().to_owned(),
-    })?;
-    let fault = |key: &str, what: String| Fault {
-        file: path.to_owned(),
-        place: place(text, &body, key),
-        key: key.to_owned(),
-        what,
-    };
-    // Guards against a key or block that is there twice, of which one would be passed over.
-    let named = |s: &Structure| match s {
-        Structure::Attribute(a) => a.key.as_str().to_owned(),
-        Structure::Block(b) => b.ident.as_str().to_owned(),
-    };
-    let mut seen = BTreeSet::new();
-    if let Some(twice) = body.iter().map(named).find(|name| !seen.insert(name.clone())) {
-        return Err(fault(&twice, "given twice".to_owned()));
+    parse_hcl_over(&[(path, text)], check)
+}
+
+/// The same for files of which each says what differs from those before it: what it has in blocks goes into theirs,
+/// anything else takes the place of theirs, and `null` takes theirs away.
+pub fn parse_hcl_over<T: DeserializeOwned>(
+    files: &[(&str, &str)],
+    check: impl FnOnce(&T) -> Result<(), (String, String)>,
+) -> Result<T, Fault> {
+    let (mut bodies, mut merged) = (Vec::new(), serde_json::Value::Object(serde_json::Map::new()));
+    for (path, text) in files {
+        let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| Fault {
+            file: (*path).to_owned(),
+            place: Some((e.location().line(), e.location().column())),
+            key: String::new(),
+            what: e.message().to_owned(),
+        })?;
+        let fault = |key: &str, what: String| {
+            let place = place(text, &body, key).map(|(_, place)| place);
+            Fault { file: (*path).to_owned(), place, key: key.to_owned(), what }
+        };
+        // Guards against a key or block that is there twice, of which one would be passed over.
+        let named = |s: &Structure| match s {
+            Structure::Attribute(a) => a.key.as_str().to_owned(),
+            Structure::Block(b) => b.ident.as_str().to_owned(),
+        };
+        let mut seen = BTreeSet::new();
+        if let Some(twice) = body.iter().map(named).find(|name| !seen.insert(name.clone())) {
+            return Err(fault(&twice, "given twice".to_owned()));
+        }
+        merge(&mut merged, hcl::from_str(text).map_err(|e| fault("", e.to_string()))?);
+        bodies.push((path, text, body));
     }
-    let value: serde_json::Value = hcl::from_str(text).map_err(|e| fault("", e.to_string()))?;
-    let shown = value.clone();
-    let read: T = serde_path_to_error::deserialize(value).map_err(|e| {
+    // A key's fault is where the key stands, in the last file that has most of it.
+    let fault = |key: &str, what: String| {
+        let places = bodies.iter().map(|(path, text, body)| (path, place(text, body, key)));
+        let found = places.max_by_key(|(_, place)| place.map_or(0, |(depth, _)| depth));
+        let file = found.map_or(String::new(), |(path, _)| (**path).to_owned());
+        let place = found.and_then(|(_, place)| place).map(|(_, place)| place);
+        Fault { file, place, key: key.to_owned(), what }
+    };
+    let shown = merged.clone();
+    let read: T = serde_path_to_error::deserialize(merged).map_err(|e| {
         let key = e.path().to_string();
         let key = key.trim_start_matches('.');
         let given = find(&shown, key).filter(|v| !v.is_object() && !v.is_array());
@@ -454,17 +473,34 @@
     Ok(read)
 }
 
+/// Puts what `over` says into `under`.
+fn merge(under: &mut serde_json::Value, over: serde_json::Value) {
+    match (under, over) {
+        (serde_json::Value::Object(under), serde_json::Value::Object(over)) => {
+            for (key, value) in over {
+                if value.is_null() {
+                    under.remove(&key);
+                } else {
+                    merge(under.entry(key).or_insert(serde_json::Value::Null), value);
+                }
+            }
+        }
+        (under, over) => *under = over,
+    }
+}
+
 /// The value at a key of dotted parts.
 fn find<'a>(value: &'a serde_json::Value, key: &str) -> Option<&'a serde_json::Value> {
     key.split('.').try_fold(value, |value, part| value.get(part))
 }
 
-/// Where a key stands in the text: the deepest part of it that is there, since what is missing has no place.
-fn place(text: &str, body: &Body, key: &str) -> Option<(usize, usize)> {
+/// Where a key stands in the text: the deepest part of it that is there, since what is missing has no place; and how
+/// many parts that is.
+fn place(text: &str, body: &Body, key: &str) -> Option<(usize, (usize, usize))> {
     let mut parts = key.split('.');
     let mut part = parts.next()?;
     let mut body = body;
-    let mut at = None;
+    let (mut at, mut depth) = (None, 0);
     loop {
         let here = body.iter().find(|s| match s {
             Structure::Attribute(a) => a.key.as_str() == part,
@@ -475,6 +511,7 @@
             Some(Structure::Block(b)) => b.ident.span().or(at),
             None => at,
         };
+        depth += usize::from(here.is_some());
         match (here, parts.next()) {
             (Some(Structure::Block(b)), Some(next)) => (body, part) = (&b.body, next),
             _ => break,
@@ -482,5 +519,5 @@
     }
     let before = &text[..at?.start];
     let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
-    Some((before.matches('\n').count() + 1, column))
+    Some((depth, (before.matches('\n').count() + 1, column)))
 }
