Give the plain policies the gateway's own pace, one draw by shares, and a hash from a library

Seen on a second reading: lab/src/policy/plain.rs paced its calls for the list by a rule of its own (60 ms a gateway) though src/pace.rs is there for it, drew by shares in three places and mixed bits by hand as choice.rs does; network.connect_timeout was read and never used; a client's end was written in four places; the peak of list calls was taken from fixed seconds.

Change: Calls, chance::drawn and xxh3 serve all of them; a vanished machine's new connections come up never and fail after connect_timeout, as the protocol page has it; Fleet::close ends a client once; peaks are of any second; 'run' says how many calls failed, when the first answers came and how many gateways had none.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -295,7 +295,8 @@
     RestartGateways,
     /// Real servers die and come back cold under their own names.
     KillReplicas,
-    /// Real servers accept connections and say nothing, then come back cold.
+    /// Machines vanish without a word: streams stay open and silent, new connections never come up; then they are back,
+    /// cold.
     SilenceReplicas,
     /// Real servers drain; new ones with other names come in their place.
     ReplaceReplicas,
@@ -309,7 +310,7 @@
         match self {
             FaultKind::RestartGateways => "gateways restart",
             FaultKind::KillReplicas => "real servers die",
-            FaultKind::SilenceReplicas => "real servers fall silent",
+            FaultKind::SilenceReplicas => "real servers vanish without a word",
             FaultKind::ReplaceReplicas => "real servers are replaced",
             FaultKind::SlowReplicas => "real servers slow down",
         }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -9,11 +9,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use rand_distr::{Distribution, Exp, LogNormal, Normal, Zipf};
 use rand_pcg::Pcg64Mcg;
 use tulipridge::types::*;
 
+use crate::chance::{drawn, source};
 use crate::experiment::{Experiment, Fault, FaultKind, Kind, nanos};
 use crate::policy::{Policy, PolicyKind, Truth};
 use crate::record::{End, Figures, Record, WINDOW};
@@ -175,13 +176,6 @@
     open: Vec<u64>,
 }
 
-/// A seeded source of randomness for each thing that draws, so that one more of one kind leaves the rest alone.
-fn source(seed: u64, of: u64) -> Pcg64Mcg {
-    Pcg64Mcg::seed_from_u64(
-        seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ of.wrapping_mul(0xD1B5_4A32_D192_ED03),
-    )
-}
-
 /// A fleet with one policy.
 pub struct Fleet<'a> {
     x: &'a Experiment,
@@ -337,6 +331,8 @@
             self.now = next.at;
             self.happen(next.what)?;
         }
+        self.record.without_list =
+            self.gateways.iter().filter(|g| g.policy.is_some() && !g.has_list).count();
         // Streams that have begun and are still on their way count by their first token.
         self.now = end;
         for n in 0..self.clients.len() {
@@ -526,17 +522,9 @@
         let there = |g: &GatewayAt| g.believed && g.zone == zone;
         let any = self.gateways.iter().any(there);
         let fits = |g: &GatewayAt| g.believed && (!any || g.zone == zone);
-        let sum: f64 = self.gateways.iter().filter(|g| fits(g)).map(|g| g.weight).sum();
-        let mut at = self.front.random::<f64>() * sum;
-        let mut last = None;
-        for (n, gateway) in self.gateways.iter().enumerate().filter(|(_, g)| fits(g)) {
-            at -= gateway.weight;
-            last = Some(n);
-            if at < 0.0 {
-                break;
-            }
-        }
-        last
+        let able: Vec<usize> = (0..self.gateways.len()).filter(|n| fits(&self.gateways[*n])).collect();
+        let at = drawn(&mut self.front, able.iter().map(|n| self.gateways[*n].weight));
+        able.get(at).copied()
     }
 
     /// A try has come to nothing: the client comes again, or has had enough.
@@ -548,9 +536,7 @@
         }
         let wait = if honours && told > 0 { told } else { nanos(self.x.clients.backoff) };
         if client.tries > self.x.clients.retries || self.now + wait >= client.deadline {
-            client.done = true;
-            let (arrived, class) = (client.arrived, client.class);
-            return self.record.end(arrived, class, end, None);
+            return self.close(n, end, None);
         }
         // Even "at once" takes a client a moment.
         self.after(wait.max(MILLI), What::Try(n));
@@ -571,14 +557,20 @@
     }
 
     fn served(&mut self, n: usize) {
-        let client = &mut self.clients[n];
-        client.done = true;
+        let client = &self.clients[n];
         let Some(of) = self.x.classes.values().nth(client.class) else { return };
         let aim = nanos(of.aim) + nanos(of.aim_per_1000) / 1000 * Nanos::from(client.prompt);
         let wait = client.first_token.map(|at| at - client.arrived);
         let end = if wait.is_some_and(|w| w <= aim) { End::InTime } else { End::Late };
-        let (arrived, class) = (client.arrived, client.class);
-        self.record.end(arrived, class, end, wait);
+        self.close(n, end, wait);
+    }
+
+    /// A client's request has come to its end, the first time that this is said.
+    fn close(&mut self, n: usize, end: End, wait: Option<Nanos>) {
+        let client = &mut self.clients[n];
+        if !std::mem::replace(&mut client.done, true) {
+            self.record.end(client.arrived, client.class, end, wait);
+        }
     }
 
     // ---- gateways -------------------------------------------------------------------------------------
@@ -644,6 +636,14 @@
         });
         let set_up = match idle {
             Some(_) => 0,
+            // A machine that has vanished says nothing: no new connection comes up.
+            None if self.replicas[r].silent => {
+                let wait = nanos(self.x.network.connect_timeout);
+                return self.after(
+                    wait,
+                    What::Over { request, attempt, verdict: Verdict::NoConnection, kept: None },
+                );
+            }
             None => {
                 self.record.connection(r);
                 2 * way + nanos(self.x.network.handshake)
@@ -836,10 +836,7 @@
             self.record.served(arrived, kept.unwrap_or(0), prompt);
             self.served(client);
         } else if ended {
-            let c = &mut self.clients[client];
-            c.done = true;
-            let (arrived, class) = (c.arrived, c.class);
-            self.record.end(arrived, class, End::Broken, None);
+            self.close(client, End::Broken, None);
         }
         let report = match verdict {
             Verdict::Ok | Verdict::Error => self.report(r),
@@ -892,12 +889,9 @@
                 self.let_go(request, attempt);
             }
             self.flights[request as usize] = None;
-            let c = &mut self.clients[client];
-            if begun && !c.done {
-                c.done = true;
-                let (arrived, class) = (c.arrived, c.class);
-                self.record.end(arrived, class, End::Broken, None);
-            } else if !begun {
+            if begun {
+                self.close(client, End::Broken, None);
+            } else {
                 self.try_again(client, End::Failed, 0);
             }
         }
@@ -962,7 +956,7 @@
         if kind == ListKind::Whole {
             gateway.known.clear();
             if !std::mem::replace(&mut gateway.has_list, true) {
-                self.record.list_wait = self.record.list_wait.max(self.now - gateway.started);
+                self.record.list_waits.push(self.now - gateway.started);
             }
         }
         for member in members.iter() {
@@ -1121,14 +1115,3 @@
         self.publish(nanos(self.x.list.notice), r, Phase::Gone, None);
     }
 }
-
-/// A place drawn by shares that come to about 1.
-fn drawn(rng: &mut Pcg64Mcg, shares: impl Iterator<Item = f64>) -> usize {
-    let shares: Vec<f64> = shares.collect();
-    let mut at = rng.random::<f64>() * shares.iter().sum::<f64>();
-    let found = shares.iter().position(|share| {
-        at -= share;
-        at < 0.0
-    });
-    found.unwrap_or(shares.len() - 1)
-}
--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -5,10 +5,13 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tulipridge::pace::Calls;
 use tulipridge::types::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{PolicyKind, Truth};
-use crate::replica::{MILLI, SECOND};
+use crate::chance::drawn;
+use crate::replica::SECOND;
 
 /// How long a server that failed is passed over.
 const PASSED_OVER: Nanos = 2 * SECOND;
@@ -16,8 +19,6 @@
 const NODES: f64 = 100.0;
 /// What a server on the bounded ring may hold, beside the mean.
 const BOUND: f64 = 1.25;
-/// The first call for the list is made within this time for each gateway of the group, as the module does.
-const CALL: Nanos = 60 * MILLI;
 
 struct Server {
     size: f64,
@@ -50,6 +51,7 @@
     timers: BTreeMap<u64, Purpose>,
     last_token: u64,
     turn: usize,
+    calls: Calls,
 }
 
 impl Plain {
@@ -57,6 +59,8 @@
     pub fn new(kind: PolicyKind, settings: Settings, seed: u64, truth: Truth) -> Plain {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let turn = random.random_range(0..1 << 20);
+        let patience = settings.safety.ask_within;
+        let calls = Calls::new(settings.me, settings.group_size, patience, settings.list_calls_per_s);
         Plain {
             kind,
             settings,
@@ -68,13 +72,14 @@
             timers: BTreeMap::new(),
             last_token: 0,
             turn,
+            calls,
         }
     }
 
     /// Takes an event.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List { kind, members } => self.list(kind, &members, actions),
+            Event::List { kind, members } => self.list(now, kind, &members, actions),
             Event::Request(request) => {
                 let (id, deadline) = (request.id, now + request.expires_in);
                 self.timer(request.expires_in, Purpose::Deadline(id), actions);
@@ -112,7 +117,8 @@
                     live.deadline = Nanos::MAX;
                 }
             }
-            Event::Busy(_) | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Busy(wait) => self.calls.busy(now, wait),
+            Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
@@ -122,11 +128,16 @@
         actions.push(Action::Timer { after, token: self.last_token });
     }
 
-    fn list(&mut self, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
-        if matches!(kind, ListKind::Failed | ListKind::Persisted) {
-            let within = CALL * Nanos::from(self.settings.group_size);
-            let wait = self.random.random_range(0..within);
-            self.timer(wait, Purpose::Call, actions);
+    fn list(&mut self, now: Nanos, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
+        let chance = self.random.random();
+        let wait = match kind {
+            ListKind::Persisted => Some(self.calls.start(now, chance)),
+            ListKind::Failed => Some(self.calls.failed(now, chance)),
+            ListKind::Whole | ListKind::Changes | ListKind::Own => None,
+        };
+        match wait {
+            Some(wait) => self.timer(wait, Purpose::Call, actions),
+            None => self.calls.answered(),
         }
         if matches!(kind, ListKind::Whole | ListKind::Persisted) {
             self.servers.values_mut().for_each(|s| s.ready = false);
@@ -151,8 +162,7 @@
         self.ring.clear();
         for (id, server) in ready() {
             let nodes = (NODES * server.size / largest).ceil() as u64;
-            let at = |n| mix(text_hash(&id.0) ^ mix(n));
-            self.ring.extend((0..nodes).map(|n| (at(n), id.clone())));
+            self.ring.extend((0..nodes).map(|n| (xxh3_64_with_seed(id.0.as_bytes(), n), id.clone())));
         }
         self.ring.sort();
     }
@@ -204,15 +214,7 @@
         if usable.is_empty() {
             return None;
         }
-        let sum: f64 = usable.iter().map(|(_, s)| s.size).sum();
-        let mut draw = || {
-            let mut at = self.random.random::<f64>() * sum;
-            let found = usable.iter().position(|(_, s)| {
-                at -= s.size;
-                at < 0.0
-            });
-            usable[found.unwrap_or(usable.len() - 1)]
-        };
+        let mut draw = || usable[drawn(&mut self.random, usable.iter().map(|(_, s)| s.size))];
         let load = |s: &Server| f64::from(s.held) / s.size;
         let chosen = match self.kind {
             PolicyKind::Module | PolicyKind::Random => draw().0,
@@ -228,12 +230,7 @@
                 let least = usable.iter().map(|(_, s)| load(s)).fold(f64::INFINITY, f64::min);
                 let equal: Vec<_> = usable.iter().filter(|(_, s)| load(s) <= least).collect();
                 // Most hold nothing: among equals the larger are drawn more often.
-                let mut at = self.random.random::<f64>() * equal.iter().map(|(_, s)| s.size).sum::<f64>();
-                let found = equal.iter().position(|(_, s)| {
-                    at -= s.size;
-                    at < 0.0
-                });
-                equal[found.unwrap_or(equal.len() - 1)].0
+                equal[drawn(&mut self.random, equal.iter().map(|(_, s)| s.size))].0
             }
             PolicyKind::Oracle => {
                 let truth = self.truth.borrow();
@@ -243,6 +240,7 @@
             }
             PolicyKind::BoundedRing => {
                 let held: u32 = self.servers.values().map(|s| s.held).sum();
+                let sum: f64 = usable.iter().map(|(_, s)| s.size).sum();
                 let bound = BOUND * f64::from(held + 1) / sum;
                 let start = self.ring.partition_point(|(at, _)| *at < key);
                 let walk = (0..self.ring.len()).map(|i| &self.ring[(start + i) % self.ring.len()].1);
@@ -268,17 +266,5 @@
 }
 
 fn key_of(request: &Request) -> u64 {
-    mix(request.prefix.or(request.session).unwrap_or(request.id.0))
-}
-
-fn text_hash(text: &str) -> u64 {
-    text.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)))
-}
-
-/// SplitMix64's last steps.
-fn mix(z: u64) -> u64 {
-    let z = z.wrapping_add(0x9E37_79B9_7F4A_7C15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
+    xxh3_64(&request.prefix.or(request.session).unwrap_or(request.id.0).to_le_bytes())
 }
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -107,7 +107,7 @@
     pub herd: usize,
     /// Most connections that one real server was asked for in 100 ms.
     pub connections_most: usize,
-    /// Calls that reached the list service in the second with most of them.
+    /// Most calls that reached the list service within any second.
     pub list_calls_peak: usize,
     /// Calls that reached the list service.
     pub list_calls: usize,
@@ -135,8 +135,12 @@
     pub events: u64,
     /// Calls for the list that failed.
     pub list_calls_failed: u64,
-    /// From a gateway's start to the list, the longest, in ms.
+    /// From a gateway's start to the list, median in ms, over the starts that came to it.
+    pub list_wait_p50_ms: f64,
+    /// The same, the longest.
     pub list_wait_longest_ms: f64,
+    /// Gateways that are there at the end and never had an answer of the list service.
+    pub without_list: usize,
     /// Most work sent to a cold real server within the site's span, over what makes it fall.
     pub cold_worst: f64,
     /// Stretches: before the faults, after each, and all.
@@ -196,8 +200,10 @@
     pub events: u64,
     /// Calls for the list that failed.
     pub list_failed: u64,
-    /// The longest time from a gateway's start to its list.
-    pub list_wait: Nanos,
+    /// Times from a gateway's start to its list.
+    pub list_waits: Vec<Nanos>,
+    /// Gateways that are there at the end and never had the list.
+    pub without_list: usize,
     /// Most work sent to a cold real server, over what makes it fall.
     pub cold_worst: f64,
 }
@@ -248,7 +254,8 @@
             late_worth: x.classes.values().enumerate().map(|(n, c)| (n, (c.worth, c.late_worth))).collect(),
             events: 0,
             list_failed: 0,
-            list_wait: 0,
+            list_waits: Vec::new(),
+            without_list: 0,
             cold_worst: 0.0,
         }
     }
@@ -384,7 +391,12 @@
     }
 
     /// All figures.
-    pub fn figures(self, policy: &str) -> Figures {
+    pub fn figures(mut self, policy: &str) -> Figures {
+        self.list_waits.sort_unstable();
+        let waits = &self.list_waits;
+        let wait_ms = |at: usize| waits.get(at).map_or(0.0, |wait| *wait as f64 / MILLI as f64);
+        let (list_wait_p50_ms, list_wait_longest_ms) =
+            (wait_ms(waits.len() / 2), wait_ms(waits.len().saturating_sub(1)));
         let warmup = self.warmup;
         let second = |at: Nanos| (at as f64 - warmup as f64) / SECOND as f64;
         let stretch = |t: &Tally| {
@@ -406,7 +418,7 @@
                 let at = ((over.len() as f64 * q).ceil() as usize).clamp(1, over.len().max(1)) - 1;
                 over.get(at).copied().unwrap_or(0.0)
             };
-            let seconds = windows.chunks((SECOND / WINDOW) as usize);
+            let seconds = windows.windows(((SECOND / WINDOW) as usize).min(windows.len()).max(1));
             let calls = |c: &[&Window]| c.iter().map(|w| w.list_calls).sum::<usize>();
             let ended = t.ends.iter().sum::<u64>().max(1) as f64;
             let share = |end: End| round(t.ends[end as usize] as f64 / ended);
@@ -453,7 +465,9 @@
             policy: policy.to_owned(),
             events: self.events,
             list_calls_failed: self.list_failed,
-            list_wait_longest_ms: self.list_wait as f64 / MILLI as f64,
+            list_wait_p50_ms,
+            list_wait_longest_ms,
+            without_list: self.without_list,
             cold_worst: round(self.cold_worst),
             stretches,
             servers,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -147,8 +147,16 @@
         for run in &self.runs {
             let _ = writeln!(
                 out,
-                "{}: {} events, {} list calls failed, longest wait for the list {:.0} ms, cold at most {:.2} of what fells one",
-                run.policy, run.events, run.list_calls_failed, run.list_wait_longest_ms, run.cold_worst
+                "{}: {} events; list calls: {} at most in a second, {} failed, answered after {:.0} ms (median), {:.0} ms \
+                 (longest), {} gateways without; cold at most {:.2} of what fells one",
+                run.policy,
+                run.events,
+                run.stretches.iter().map(|s| s.list_calls_peak).max().unwrap_or(0),
+                run.list_calls_failed,
+                run.list_wait_p50_ms,
+                run.list_wait_longest_ms,
+                run.without_list,
+                run.cold_worst
             );
         }
         out
