Test that a list service is left alone when it asks; share the tests' requests and list lines

Seen on a second reading: nothing held Retry-After through the program, only src/pace.rs alone; list.calls_per_s had no test of its fault; tests/support/fleet.rs wrote a list line and a request that tests/support/mod.rs has.

Change: a test with a refusing stand-in, which fails without Engine::busy; a row in the settings' faults; entry_at and request serve both. A harness may start another program than the one built here, to be measured beside it.

--- a/lab/src/replica.rs
+++ b/lab/src/replica.rs
@@ -111,7 +111,7 @@
     pub size: f64,
     /// It is there.
     pub alive: bool,
-    /// It takes connections and does nothing.
+    /// Its machine has vanished without a word.
     pub silent: bool,
     /// How many times as long everything takes.
     pub slowness: f64,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -117,6 +117,22 @@
     assert!(took < Duration::from_secs(25), "all have the list after {took:?}");
 }
 
+#[test]
+fn a_list_service_that_asks_to_be_left_alone_is() {
+    let servers = Servers::start(1, 8, 10 * MS);
+    let lists = Lists::start(servers.entries(0..1), 100.0);
+    lists.mood(Mood::Refusing);
+    // Alone in its group it would call again within a tenth of a second; it is told to wait for one.
+    let fleet = Fleet::start(1, servers.entries(0..1), lists.addr, json!({}));
+    eventually(|| lists.calls().len() >= 3);
+    lists.mood(Mood::Serving);
+    eventually(|| lists.watchers() == 1);
+    let calls = lists.calls();
+    let gaps = calls.windows(2).map(|pair| pair[1].at - pair[0].at);
+    assert!(gaps.clone().all(|gap| gap >= 990 * MS), "{:?}", gaps.collect::<Vec<_>>());
+    assert!(fleet.fronts()[0].is_some());
+}
+
 #[test]
 fn a_herd_and_an_idle_server_would_be_seen() {
     let from = Instant::now();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::{Gateway, HEAD, Platform, chunk, closing, header, message, text};
 
@@ -49,8 +49,7 @@
 
     /// Its line in the list.
     pub fn entry(&self, n: usize, state: &str, started_ms: u64) -> Value {
-        json!({"id": format!("s-{n}"), "addr": self.addrs[n].to_string(), "zone": "a", "kind": "k", "cell": 0,
-            "state": state, "weight": 1.0, "started_ms": started_ms})
+        super::entry_at(n, self.addrs[n], state, started_ms)
     }
 
     pub fn entries(&self, of: std::ops::Range<usize>) -> Vec<Value> {
@@ -406,13 +405,8 @@
     let at = Instant::now();
     let mut stream = TcpStream::connect(front).ok()?;
     stream.set_read_timeout(Some(super::FOREVER)).ok()?;
-    let body = r#"{"model":"chat","max_tokens":20,"stream":true,"messages":[{"role":"user","content":"Which gate?"}]}"#;
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Deadline-Ms: 5000\r\nX-Request-Id: {n:016x}\r\n\
-         X-Class: plain\r\nX-Tenant: office\r\nX-Key: {n:x}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).ok()?;
+    let (head, body) = super::request("platform", "plain", 5000, n as usize, "Connection: close\r\n");
+    stream.write_all((head + &body).as_bytes()).ok()?;
     let mut answer = Vec::new();
     let mut first = None;
     let mut part = [0; 4096];
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -348,7 +348,11 @@
 }
 
 pub fn entry(n: usize, server: &Server, state: &str, started_ms: u64) -> Value {
-    json!({"id": format!("s-{n}"), "addr": server.addr.to_string(), "zone": "a", "kind": "k", "cell": 0,
+    entry_at(n, server.addr, state, started_ms)
+}
+
+pub fn entry_at(n: usize, addr: SocketAddr, state: &str, started_ms: u64) -> Value {
+    json!({"id": format!("s-{n}"), "addr": addr.to_string(), "zone": "a", "kind": "k", "cell": 0,
         "state": state, "weight": 1.0, "started_ms": started_ms})
 }
 
@@ -434,6 +438,9 @@
         let memory = more.remove("memory_mb").unwrap_or(json!(192));
         // Nor is this: whether a second copy may be sent beside the first, which then is not called off.
         let copies = more.remove("copies").is_some();
+        // Nor is this: another program than the one that is built here, to be measured beside it.
+        let program = more.remove("program");
+        let program = program.as_ref().and_then(Value::as_str).unwrap_or(env!("CARGO_BIN_EXE_tulipridge"));
         // The folder that processes of one gateway share: another run's must not meet them there.
         let usual = || json!(format!("{}/{}", env!("CARGO_TARGET_TMPDIR"), std::process::id()));
         let shared = more.remove("shared").unwrap_or_else(usual);
@@ -462,7 +469,7 @@
         let child = command
             .arg("-c")
             .arg(format!("ulimit -n {descriptors}; {hand_on}exec \"$0\""))
-            .arg(env!("CARGO_BIN_EXE_tulipridge"))
+            .arg(program)
             .env("EDGE_CONFIG", file("config.json", config.to_string()))
             .env("TULIPRIDGE_SETTINGS", file("settings.hcl", hcl::to_string(&daemon).expect("HCL")))
             .env("TMPDIR", shared.as_str().expect("a path"))
@@ -557,6 +564,21 @@
 /// Sends a request to a front and does not wait for its answer.
 pub fn send(front: SocketAddr, dialect: &str, class: &str, deadline_ms: u32, session: usize) -> TcpStream {
     let mut stream = connect(front);
+    let (head, body) = request(dialect, class, deadline_ms, session, "");
+    // In two pieces, as a network may deliver it.
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.write_all(body.as_bytes()).expect("sent");
+    stream
+}
+
+/// A request's head, with `more` in it, and its body.
+pub fn request(
+    dialect: &str,
+    class: &str,
+    deadline_ms: u32,
+    session: usize,
+    more: &str,
+) -> (String, String) {
     let deadline = format!("X-Deadline-Ms: {deadline_ms}\r\n");
     let (path, headers, body) = match dialect {
         "messages" => (
@@ -576,12 +598,10 @@
         ),
     };
     let body = body.to_string();
+    let length = body.len();
     let head =
-        format!("POST {path} HTTP/1.1\r\nHost: app.svc\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
-    // In two pieces, as a network may deliver it.
-    stream.write_all(head.as_bytes()).expect("sent");
-    stream.write_all(body.as_bytes()).expect("sent");
-    stream
+        format!("POST {path} HTTP/1.1\r\nHost: app.svc\r\n{headers}{more}Content-Length: {length}\r\n\r\n");
+    (head, body)
 }
 
 pub fn send_signal(child: &Child, signal: &str) {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -335,6 +335,7 @@
         ("messages {\n  only_listed = true\n}\n", ["2:3", "messages.only_listed", "no model"]),
         ("messages {\n  body = \"1GiB\"\n}\n", ["2:3", "messages.body", "1.0 GiB is not between"]),
         ("speeds = { large = 0 }\n", ["1:1", "speeds.large", "0 is not between 0.01 and 100"]),
+        ("list {\n  calls_per_s = 0\n}\n", ["2:3", "list.calls_per_s", "0 is not between 0.1 and 100000"]),
         ("streams {\n  window = \n}\n", ["2:12", "invalid expression", "expected"]),
     ] {
         let (good, said) = check(text);
