Read lists that come indented, and give a call's first word no longer than a watch's

Also an answer whose head came late had 3.2 s for its first list from then on, 5.87 s after the call in all, of the 6 s after which it counts as told.

Change: src/net/objects.rs parts the text into objects however it is cut, indented or broken into lines, one look at each byte; an empty line outside of objects stays a sign of life. The first word of an answer is due 3.2 s after its call.

Test: tests/told.rs plays a list service with moods against the program, real servers that note when they were asked, and clients that keep asking: silence, hanging calls and outages where lists are pushed and asked, a new process with an old list, indented lists.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -17,7 +17,7 @@
     pub line_bytes: usize,
     /// Interim answers (1xx) before one that counts.
     pub interim_heads: usize,
-    /// Bytes of one line of discovery's answers.
+    /// Bytes of one object of discovery's answers.
     pub list_bytes: usize,
     /// Bytes read from a socket at once.
     pub read_bytes: usize,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,13 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 
-use super::http::{self, Body};
+use super::http::{self, Body, Head};
+use super::objects::{NoObject, Objects, Piece};
 use super::servers::Fleet;
 use super::{Wire, within};
 use crate::engine::{Engine, FleetOrder};
@@ -94,7 +95,7 @@
                 FleetOrder::Probe(server) => {
                     let this = self.clone();
                     ex.spawn(async move {
-                        let from = std::time::Instant::now();
+                        let from = Instant::now();
                         let ending = this.fleet.probe(&server).await;
                         this.engine.probed(server, from.elapsed(), ending);
                     })
@@ -121,7 +122,15 @@
         }
     }
 
+    /// A call, up to the end of its answer.
     async fn call(&self, path: &str, watch: bool) -> io::Result<()> {
+        let from = Instant::now();
+        let (wire, head) = self.open(path).await?;
+        self.follow(wire, head, watch, from).await
+    }
+
+    /// Sends a call and reads the head of its answer.
+    async fn open(&self, path: &str) -> io::Result<(Wire, Head)> {
         let limits = &self.limits;
         let mut wire = Wire::connect(self.addr.get(), limits).await?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr.get());
@@ -137,6 +146,12 @@
             }
         });
         let head = begun.await??;
+        Ok((wire, head))
+    }
+
+    /// Reads the answer of a call that was made at `from`, up to its end.
+    async fn follow(&self, mut wire: Wire, head: Head, watch: bool, from: Instant) -> io::Result<()> {
+        let limits = &self.limits;
         if head.status() != 200 {
             if let Some(wait) = head.get("retry-after").and_then(seconds) {
                 self.engine.busy(wait);
@@ -144,55 +159,66 @@
             return Err(io::Error::other(format!("status {}", head.status())));
         }
         let mut body = head.response_body(limits).map_err(|bad| io::Error::other(bad.what))?;
-        let mut text = Vec::new();
+        let (mut text, mut objects) = (Vec::new(), Objects::default());
         let mut first = true;
         loop {
-            let whole = match body.take(&mut wire.buf, &mut text, limits) {
+            let mut ended = match body.take(&mut wire.buf, &mut text, limits) {
                 Ok(whole) => whole,
                 Err(bad) => return Err(io::Error::other(bad.what)),
             };
-            let ended = whole || (body == Body::UntilClose && !watch && !wire.buf.is_empty());
-            if ended && !text.ends_with(b"\n") {
-                text.push(b'\n');
-            }
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                if watch || !line.trim_ascii().is_empty() {
-                    self.line(line.trim_ascii(), &mut first)?;
+            loop {
+                let piece = match objects.take(&mut text) {
+                    Ok(Some(Piece::Blank)) if !watch => continue,
+                    Ok(Some(piece)) => piece,
+                    Ok(None) => break,
+                    Err(NoObject) => return Err(io::Error::other("something other than an object")),
+                };
+                match piece {
+                    Piece::Object(object) => self.object(&object, &mut first)?,
+                    Piece::Blank => self.no_change(&mut first),
                 }
             }
-            if ended {
-                return if first { Err(io::Error::other("an empty answer")) } else { Ok(()) };
-            }
-            // Guards against a line without end.
+            // Guards against an object without end.
             if text.len() > limits.list_bytes {
-                return Err(io::Error::other("a line too long"));
+                return Err(io::Error::other("an object too long"));
             }
-            // Guards against a discovery that is cut off: it says something every 2 s.
-            if within(limits.watch_silence, wire.fill(limits)).await?? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+            if !ended {
+                // Guards against a discovery that is cut off: a watch says something every 2 s. The answer's first
+                // word is due as soon after the call: one whose head came late has not as long again for the rest.
+                let spent = if first { from.elapsed() } else { Duration::ZERO };
+                let patience = limits.watch_silence.saturating_sub(spent);
+                ended = within(patience, wire.fill(limits)).await?? == 0;
+                if ended && (watch || body != Body::UntilClose) {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            if ended {
+                return match (first, objects.is_amid()) {
+                    (_, true) => Err(io::Error::other("an object cut short")),
+                    (true, _) => Err(io::Error::other("an empty answer")),
+                    _ => Ok(()),
+                };
             }
         }
     }
 
-    /// A line of an answer. An empty one is a sign of life, and as an answer's first also says: no change.
-    fn line(&self, line: &[u8], first: &mut bool) -> io::Result<()> {
-        let was_first = std::mem::replace(first, false);
-        if line.is_empty() {
-            if was_first {
-                self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
-            }
-            return Ok(());
+    /// An empty line of a watch is a sign of life, and as an answer's first word also says: no change.
+    fn no_change(&self, first: &mut bool) {
+        if std::mem::replace(first, false) {
+            self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
         }
-        let listing: Listing = serde_json::from_slice(line).map_err(io::Error::other)?;
+    }
+
+    /// An object of an answer.
+    fn object(&self, object: &[u8], first: &mut bool) -> io::Result<()> {
+        let listing: Listing = serde_json::from_slice(object).map_err(io::Error::other)?;
         if !listing.full && listing.version < self.version.get() {
             // Changes up to a version that is held already: nothing new.
             log::warn!(version = listing.version, held = self.version.get(); "old-changes: nothing new in them");
-            if was_first {
-                self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
-            }
+            self.no_change(first);
             return Ok(());
         }
+        *first = false;
         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
         self.take(listing, kind);
         Ok(())
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod keeper;
 pub mod listen;
 pub mod mgmt;
+pub mod objects;
 pub mod parcel;
 pub mod peers;
 pub mod room;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod fleet;
+pub mod told;
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -427,7 +428,7 @@
             "policy-limits": {"send-cap": attempts, "cancel": true, "retry-after": true,
                 "max-retry-after-ns": 2 * second, "conn-idle-ns": 5 * second, "connect-timeout-ns": second},
             "safety": {"cold-from": 0.3, "ramp-time-ns": 60 * second, "fall-ns": 3 * second,
-                "overload-factor": 2.5, "ask-within-ns": 10 * second}});
+                "overload-factor": 2.5, "drain-grace-ns": second / 4, "ask-within-ns": 10 * second}});
         let mut config = json!({"name": name, "listen": "127.0.0.1:0", "discovery": addr.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "sockets": told},
             "known": list(1, true, servers), "settings": settings});
@@ -452,6 +453,13 @@
                 config["settings"][key] = value;
             }
         }
+        // Nor how lists come, and how long a gateway may go without asking.
+        if let Some(way) = more.remove("way") {
+            config["settings"]["discovery"] = way;
+        }
+        if let Some(span) = more.remove("ask_within_s") {
+            config["settings"]["safety"]["ask-within-ns"] = (span.as_u64().expect("s") * second).into();
+        }
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
         config["settings"]["policy-limits"]["second-copies"] = copies.into();
--- /dev/null
+++ b/tests/support/told.rs
@@ -0,0 +1,298 @@
+//! A list service with moods, real servers that note when they were asked, and clients that keep asking.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::*;
+
+/// What the list service does with calls that come, and with watches that are open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mood {
+    /// It answers at once.
+    Well,
+    /// Calls are taken and never answered; open watches fall silent for good.
+    Mute,
+    /// The same after an answer's head.
+    HeadOnly,
+    /// The same, with the head not before this many milliseconds.
+    LateHead(u64),
+    /// Calls are reset, and so are open watches.
+    Reset,
+    /// Calls get 503, and open watches end.
+    Sorry,
+    /// Nobody listens, and open watches are reset.
+    Away,
+}
+
+struct Inside {
+    mood: Mood,
+    /// Counts moods, so that a watch knows whether it is older than the present one.
+    moods: usize,
+    version: u64,
+    servers: Vec<Value>,
+    /// When lists of that version or later were first written, and the paths of calls.
+    written: Vec<(u64, Instant)>,
+    calls: Vec<Instant>,
+}
+
+/// The service.
+#[derive(Clone)]
+pub struct Lists {
+    pub addr: SocketAddr,
+    inside: Arc<Mutex<Inside>>,
+    indented: bool,
+}
+
+impl Lists {
+    /// With these servers in version 2; `indented` says how its objects are written.
+    pub fn new(servers: Vec<Value>, indented: bool) -> Lists {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (written, calls) = (Vec::new(), Vec::new());
+        let inside = Inside { mood: Mood::Well, moods: 0, version: 2, servers, written, calls };
+        let lists = Lists { addr, inside: Arc::new(Mutex::new(inside)), indented };
+        let kept = lists.clone();
+        thread::spawn(move || kept.listen(listener));
+        lists
+    }
+
+    fn listen(self, listener: TcpListener) {
+        listener.set_nonblocking(true).expect("set");
+        let mut open = Some(listener);
+        loop {
+            let away = self.inside().mood == Mood::Away;
+            match (&open, away) {
+                (Some(_), true) => drop(open.take()),
+                // The port is its own still: nothing else is given one that was in use a moment ago.
+                (None, false) => {
+                    let listener = TcpListener::bind(self.addr).expect("its port");
+                    listener.set_nonblocking(true).expect("set");
+                    open = Some(listener);
+                }
+                (Some(listener), false) => {
+                    if let Ok((stream, _)) = listener.accept() {
+                        stream.set_nonblocking(false).expect("set");
+                        let this = self.clone();
+                        thread::spawn(move || this.answer(stream));
+                        continue;
+                    }
+                }
+                _ => {}
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn inside(&self) -> std::sync::MutexGuard<'_, Inside> {
+        self.inside.lock().expect("whole")
+    }
+
+    /// Changes its mood, and says when.
+    pub fn become_(&self, mood: Mood) -> Instant {
+        let mut inside = self.inside();
+        (inside.mood, inside.moods) = (mood, inside.moods + 1);
+        Instant::now()
+    }
+
+    /// Watches that are open fall silent, calls are answered as ever.
+    pub fn silence_watches(&self) -> Instant {
+        self.become_(Mood::Mute);
+        // Each has seen it by then.
+        thread::sleep(Duration::from_millis(30));
+        self.become_(Mood::Well);
+        Instant::now()
+    }
+
+    /// One server drains from now on.
+    pub fn drain(&self, n: usize) -> Instant {
+        let mut inside = self.inside();
+        inside.version += 1;
+        inside.servers[n]["state"] = "draining".into();
+        Instant::now()
+    }
+
+    /// When its present version was first written to anybody.
+    pub fn written(&self) -> Option<Instant> {
+        let inside = self.inside();
+        inside.written.iter().find(|(version, _)| *version >= inside.version).map(|(_, at)| *at)
+    }
+
+    /// Calls that came since then.
+    pub fn calls_since(&self, from: Instant) -> usize {
+        self.inside().calls.iter().filter(|at| **at >= from).count()
+    }
+
+    fn object(&self) -> (u64, String) {
+        let inside = self.inside();
+        let object = list(inside.version, true, inside.servers.clone());
+        let form =
+            if self.indented { serde_json::to_string_pretty } else { serde_json::to_string::<Value> };
+        (inside.version, form(&object).expect("text") + "\n")
+    }
+
+    fn answer(&self, mut stream: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        message(&mut reader)?;
+        let (mood, moods) = {
+            let mut inside = self.inside();
+            inside.calls.push(Instant::now());
+            (inside.mood, inside.moods)
+        };
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        match mood {
+            Mood::Well => stream.write_all(head.as_bytes()).ok()?,
+            Mood::HeadOnly => stream.write_all(head.as_bytes()).ok()?,
+            Mood::LateHead(ms) => {
+                thread::sleep(Duration::from_millis(ms));
+                stream.write_all(head.as_bytes()).ok()?;
+            }
+            Mood::Sorry => {
+                return stream.write_all(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n").ok();
+            }
+            Mood::Reset => {
+                reset(&stream);
+                return None;
+            }
+            Mood::Mute | Mood::Away => {}
+        }
+        if mood != Mood::Well {
+            // Up to the caller's end.
+            let _ = message(&mut reader);
+            return None;
+        }
+        let (mut told, mut last) = (0, Instant::now());
+        loop {
+            let now = self.inside().mood;
+            let older = self.inside().moods > moods;
+            match now {
+                Mood::Reset | Mood::Away => {
+                    reset(&stream);
+                    return None;
+                }
+                Mood::Sorry => return None,
+                _ if older => {
+                    let _ = message(&mut reader);
+                    return None;
+                }
+                _ => {}
+            }
+            let (version, object) = self.object();
+            if version > told {
+                stream.write_all(chunk(&object).as_bytes()).ok()?;
+                (told, last) = (version, Instant::now());
+                self.inside().written.push((version, last));
+            } else if last.elapsed() > Duration::from_secs(2) {
+                stream.write_all(chunk("\n").as_bytes()).ok()?;
+                last = Instant::now();
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// A real server that serves at once and notes when each request was there.
+pub fn noting() -> (Server, Arc<Mutex<Vec<Instant>>>) {
+    let came: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let noted = came.clone();
+    let rest = text("platform", "Hello") + &closing("platform");
+    let (server, _) = scripted(move |stream, _| {
+        noted.lock().expect("whole").push(Instant::now());
+        stream.write_all((HEAD.to_owned() + &chunk(&rest) + "0\r\n\r\n").as_bytes()).is_ok()
+    });
+    (server, came)
+}
+
+/// Two real servers, the first of which will drain, their list service, and a gateway whose clients keep asking.
+pub struct Scene {
+    pub lists: Lists,
+    pub gateway: Gateway,
+    came: [Arc<Mutex<Vec<Instant>>>; 2],
+    over: Arc<AtomicBool>,
+    clients: Vec<thread::JoinHandle<()>>,
+}
+
+impl Scene {
+    /// `way` is how the settings say that lists come, and `ask_within_s` for how long it may go without asking. The
+    /// gateway knows both servers as ready, whatever the list says.
+    pub fn new(way: &str, ask_within_s: u64, indented: bool, drained: bool) -> Scene {
+        let ((one, came_one), (two, came_two)) = (noting(), noting());
+        let servers = vec![entry(0, &one, "ready", 0), entry(1, &two, "ready", 0)];
+        let lists = Lists::new(servers.clone(), indented);
+        if drained {
+            lists.drain(0);
+        }
+        let platform = Platform::with((lists.addr, channel().0));
+        let more = json!({"way": way, "ask_within_s": ask_within_s});
+        let gateway =
+            Gateway::watched(Gateway::spawn_by("n0", "platform", servers, 3, (1024, 1024), more, platform));
+        let over = Arc::new(AtomicBool::new(false));
+        let (front, next) = (gateway.front("platform"), Arc::new(AtomicUsize::new(1)));
+        let clients = (0..3).map(|_| {
+            let (over, next) = (over.clone(), next.clone());
+            thread::spawn(move || {
+                while !over.load(Ordering::SeqCst) {
+                    let session = next.fetch_add(1, Ordering::SeqCst);
+                    assert_eq!(
+                        seen("platform", send(front, "platform", "plain", 9000, session)).0,
+                        Seen::Served("Hello".into())
+                    );
+                    thread::sleep(Duration::from_millis(5));
+                }
+            })
+        });
+        let clients = clients.collect();
+        let scene = Scene { lists, gateway, came: [came_one, came_two], over, clients };
+        if !drained {
+            eventually(|| {
+                scene.lists.written().is_some() && scene.since(0, None) > 5 && scene.since(1, None) > 5
+            });
+        }
+        scene
+    }
+
+    /// Requests that reached a server, or did so after a moment.
+    pub fn since(&self, n: usize, from: Option<Instant>) -> usize {
+        let came = self.came[n].lock().expect("whole");
+        came.iter().filter(|at| from.is_none_or(|from| **at > from)).count()
+    }
+
+    /// Waits until the drain was written, and for some time after its grace and the moment at which it counts as
+    /// told; then, nothing may have gone to the drained server after that moment and the grace, while the other one
+    /// was asked. Says how long after `from` it was written.
+    pub fn holds(mut self, what: &str, from: Instant, counted: Duration) -> Duration {
+        eventually(|| self.lists.written().is_some());
+        let written = self.lists.written().expect("just seen");
+        let due = from + counted + GRACE + SLACK;
+        let until = due.max(written + GRACE) + Duration::from_millis(300);
+        // What is told early is kept to early: there is nothing to see in the rest of the time.
+        let until = until.min(written + GRACE + Duration::from_millis(500)).max(Instant::now());
+        thread::sleep(until - Instant::now());
+        self.over.store(true, Ordering::SeqCst);
+        for client in self.clients.drain(..) {
+            client.join().expect("all are served");
+        }
+        let took = written.saturating_duration_since(from);
+        println!("{what}: told after {took:?}");
+        let end = due.min(written + GRACE + SLACK);
+        assert_eq!(self.since(0, Some(end)), 0, "{what}: sent to a drained server, told after {took:?}");
+        assert!(written <= due, "{what}: told after {took:?}, which counts after {counted:?}");
+        assert!(self.since(1, Some(written + GRACE)) > 0, "{what}: the other one serves");
+        took
+    }
+}
+
+/// The time that the settings give after a drain is told.
+pub const GRACE: Duration = Duration::from_millis(250);
+/// For a machine that does other work beside.
+pub const SLACK: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/tests/told.rs
@@ -0,0 +1,101 @@
+//! When the list's news count as told, whether or not they arrived: nothing new may go to a drained real server
+//! after that and the grace. The gateway makes no call that may wait for a change (a watch is one answer that stays
+//! open), so of a call with a wait the plain bound holds: it is given up and made again, though it hang anywhere.
+
+mod support;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use support::told::{Mood, Scene};
+
+/// What a silent watch misses counts as told so long after it fell silent.
+const SILENCE: Duration = Duration::from_secs(6);
+/// For the drain that comes amid a silence or an outage.
+const AMID: Duration = Duration::from_millis(500);
+/// Discovery is down for so long: longer than a silence that is noticed.
+const DOWN: Duration = Duration::from_secs(3);
+
+fn silent(way: &str) {
+    let scene = Scene::new(way, 10, false, false);
+    let from = scene.lists.silence_watches();
+    thread::sleep(AMID);
+    scene.lists.drain(0);
+    scene.holds(&format!("{way}, silent"), from, SILENCE);
+}
+
+#[test]
+fn pushed_a_watch_that_falls_silent_is_opened_anew_in_time() {
+    silent("push");
+}
+
+#[test]
+fn asked_a_watch_that_falls_silent_is_opened_anew_in_time() {
+    silent("ask");
+}
+
+/// The watch is reset, and the call that follows hangs in that mood.
+fn hanging(way: &str, mood: Mood) {
+    let scene = Scene::new(way, 10, false, false);
+    scene.lists.become_(Mood::Reset);
+    // Those that are open are reset by then; calls meanwhile are, too.
+    thread::sleep(Duration::from_millis(50));
+    let from = scene.lists.become_(mood);
+    support::eventually(|| scene.lists.calls_since(from) > 0);
+    scene.lists.drain(0);
+    thread::sleep(AMID);
+    scene.lists.become_(Mood::Well);
+    // A second is left for the slot that a gateway of a larger group waits for.
+    scene.holds(&format!("{way}, {mood:?}"), from, SILENCE - Duration::from_secs(1));
+}
+
+#[test]
+fn a_call_whose_answer_hangs_is_made_again_in_time() {
+    let moods = [Mood::Mute, Mood::HeadOnly, Mood::LateHead(2400)];
+    let all = ["ask", "push"].map(|way| moods.map(|mood| thread::spawn(move || hanging(way, mood))));
+    all.into_iter().flatten().for_each(|one| one.join().expect("it holds"));
+}
+
+/// Discovery is down in that mood, and a drain is made meanwhile.
+fn outage(way: &str, mood: Mood, counted: Duration) {
+    let scene = Scene::new(way, 1, false, false);
+    if way == "ask" {
+        // Watches end when it goes down.
+        scene.lists.become_(Mood::Reset);
+        thread::sleep(Duration::from_millis(20));
+    }
+    scene.lists.become_(mood);
+    thread::sleep(AMID);
+    scene.lists.drain(0);
+    thread::sleep(DOWN);
+    let from = scene.lists.become_(Mood::Well);
+    scene.holds(&format!("{way}, down: {mood:?}"), from, counted);
+}
+
+const DOWNS: [Mood; 5] = [Mood::Mute, Mood::HeadOnly, Mood::Reset, Mood::Sorry, Mood::Away];
+
+#[test]
+fn asked_the_list_is_had_in_time_after_an_outage() {
+    // The settings of the test give 1 s for asking, and four times as much after a call that failed.
+    let all = DOWNS.map(|mood| thread::spawn(move || outage("ask", mood, Duration::from_secs(4))));
+    all.into_iter().for_each(|one| one.join().expect("it holds"));
+}
+
+#[test]
+fn pushed_what_the_agent_has_counts_from_the_first_moment_of_a_process() {
+    let scene = Scene::new("push", 10, false, true);
+    // It takes requests once it listens, which the machine's speed decides.
+    scene.holds("push, new process", Instant::now(), Duration::ZERO);
+}
+
+#[test]
+fn indented_lists_are_read_pushed_and_asked() {
+    let all = ["push", "ask"].map(|way| {
+        thread::spawn(move || {
+            let scene = Scene::new(way, 10, true, false);
+            let from = scene.lists.drain(0);
+            scene.holds(&format!("{way}, indented"), from, Duration::ZERO);
+        })
+    });
+    all.into_iter().for_each(|one| one.join().expect("it holds"));
+}
