Where lists are pushed, have what the agent has within 0.1 s of its return

Need: what an agent has counts at once, also right after an outage and while no watch is open; a drained server may then be sent to for 250 ms. Seen with tests/support/told.rs, an outage of 3 s with a drain in it: calls that came while the agent was mute were waited for up to 2.5 s (no head) or 3.2 s (no list), told 0.69 and 0.77 s after the return, and clients' requests went to the drained server for as long; with refused or reset calls 0.14 to 0.19 s. src/net/discovery.rs paused 250 ms after each end, and the module's own pace of calls, which is for a service that is asked, cut into the watch at its times. The clients, the module's rule for drained servers and the reading of the list were ruled out: nothing went there once the list was written.

Change: a watch that has lasted is opened anew at once; failing calls begin 50 ms apart; a call with no answer after 100 ms has others made beside it, one after the other, and the first that is answered is the watch. An agent is silent after 2.3 s, an empty line being due after 2 s. The module is told of failures only where it is the one that asks. Where lists are asked nothing changes.

Without the change the outage test fails on the mute and the head-only agent.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -81,6 +81,13 @@
     pub chunk_hold: usize,
     /// A watch without a line for this time counts as broken.
     pub watch_silence: Duration,
+    /// The same where lists are pushed: what the agent has counts whether or not a watch is open, and a call costs
+    /// nothing.
+    pub agent_silence: Duration,
+    /// An agent without an answer for this time is asked once more beside.
+    pub agent_answer: Duration,
+    /// Calls to an agent that fail begin so far apart at the least.
+    pub agent_pause: Duration,
     /// Time for discovery's answer to begin.
     pub discovery_answer: Duration,
     /// Bytes of a stream that is handed over, all that waits at it included.
@@ -165,6 +172,11 @@
             head_stall: Duration::from_millis(1500),
             chunk_hold: event_bytes,
             watch_silence: Duration::from_millis(3200),
+            // An empty line is due after 2 s.
+            agent_silence: Duration::from_millis(2300),
+            // Together well below the time for which a drained server may still be sent to.
+            agent_answer: Duration::from_millis(100),
+            agent_pause: Duration::from_millis(50),
             discovery_answer: Duration::from_millis(2500),
             // What a stream may hold at each of its sides, and its description.
             handover_bytes: 160 << 10,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,6 +9,8 @@
 use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
+use futures_lite::future;
+use log::Level;
 
 use super::http::{self, Body, Head};
 use super::objects::{NoObject, Objects, Piece};
@@ -26,8 +28,12 @@
     fleet: Rc<Fleet>,
     names: Rc<RefCell<Names>>,
     limits: Rc<Limits>,
+    /// Lists come unasked, from an agent on this machine.
+    push: bool,
     version: Cell<u64>,
     answered: Cell<bool>,
+    /// The last call came to nothing, and so it has been noted.
+    failing: Cell<bool>,
 }
 
 impl Discovery {
@@ -38,9 +44,11 @@
         fleet: Rc<Fleet>,
         names: Rc<RefCell<Names>>,
         limits: Rc<Limits>,
+        push: bool,
     ) -> Discovery {
-        let (addr, version, answered) = (Cell::new(addr), Cell::new(0), Cell::new(false));
-        Discovery { addr, engine, fleet, names, limits, version, answered }
+        let (addr, version) = (Cell::new(addr), Cell::new(0));
+        let (answered, failing) = (Cell::new(false), Cell::new(false));
+        Discovery { addr, engine, fleet, names, limits, push, version, answered, failing }
     }
 
     /// Takes the list that the gateway last had, which may be old.
@@ -62,26 +70,24 @@
     }
 
     /// Carries out the module's orders, for ever. Where the list should come unasked, watches by itself.
-    pub async fn run(
-        self: Rc<Self>,
-        ex: &'static LocalExecutor<'static>,
-        orders: Receiver<FleetOrder>,
-        push: bool,
-    ) {
+    pub async fn run(self: Rc<Self>, ex: &'static LocalExecutor<'static>, orders: Receiver<FleetOrder>) {
         let mut watch: Option<Task<()>> = None;
         let start = || {
             let this = self.clone();
             ex.spawn(async move {
                 loop {
-                    this.clone().watch().await;
-                    if !push {
+                    let from = Instant::now();
+                    this.watch().await;
+                    if !this.push {
                         return;
                     }
-                    Timer::after(this.limits.pool_sweep).await;
+                    // Guards against an agent that has news while no watch is open, which counts as told: a watch
+                    // that has lasted is opened anew at once, and what fails is tried again steadily.
+                    Timer::after(this.limits.agent_pause.saturating_sub(from.elapsed())).await;
                 }
             })
         };
-        if push {
+        if self.push {
             watch = Some(start());
         }
         while let Ok(order) = orders.recv().await {
@@ -106,27 +112,71 @@
         drop(watch);
     }
 
-    /// One watch, up to its end, which the module learns of as a failure.
-    async fn watch(self: Rc<Self>) {
+    /// One watch, up to its end. The module learns of it as a failure, and when to ask again is its to say; an agent
+    /// is asked at no cost, and its pace is kept here.
+    async fn watch(&self) {
         let path = format!("/catalog/members?stream=1&index={}", self.version.get());
-        let ended = self.call(&path, true).await;
+        let ended =
+            if self.push { self.watch_agent(&path).await } else { self.call(&path, true, &|| true).await };
         let why = ended.err().map_or("it ended".to_owned(), |e| e.to_string());
-        log::info!(version = self.version.get(); "watch-ended: {why}");
-        self.engine.list(ListKind::Failed, Vec::new());
+        // Guards against a log full of the same words while discovery is down.
+        let level = if self.push && self.failing.replace(true) { Level::Debug } else { Level::Info };
+        log::log!(level, version = self.version.get(); "watch-ended: {why}");
+        if !self.push {
+            self.engine.list(ListKind::Failed, Vec::new());
+        }
+    }
+
+    /// A watch at an agent. Guards against calls that are never answered since they came while discovery was down:
+    /// what the agent has at the return counts at once. As long as the call has no answer, others are made beside it,
+    /// one after the other; whichever is answered first is the watch.
+    async fn watch_agent(&self, path: &str) -> io::Result<()> {
+        let begun = Cell::new(None);
+        let claim = |who: u8| {
+            begun.set(begun.get().or(Some(who)));
+            begun.get() == Some(who)
+        };
+        let patient = async {
+            let end = self.call(path, true, &|| claim(0)).await;
+            if begun.get() == Some(1) {
+                future::pending::<()>().await;
+            }
+            end
+        };
+        let beside = async {
+            Timer::after(self.limits.agent_answer).await;
+            while begun.get().is_none() {
+                let late = async {
+                    Timer::after(self.limits.agent_answer).await;
+                    if begun.get() == Some(1) {
+                        future::pending::<()>().await;
+                    }
+                    Err(io::ErrorKind::TimedOut.into())
+                };
+                let from = Instant::now();
+                let end = future::or(self.call(path, true, &|| claim(1)), late).await;
+                if begun.get() == Some(1) {
+                    return end;
+                }
+                Timer::after(self.limits.agent_pause.saturating_sub(from.elapsed())).await;
+            }
+            future::pending().await
+        };
+        future::or(patient, beside).await
     }
 
     async fn fetch(self: Rc<Self>) {
-        if let Err(e) = self.call("/catalog/members", false).await {
+        if let Err(e) = self.call("/catalog/members", false, &|| true).await {
             log::info!("list-failed: {e}");
             self.engine.list(ListKind::Failed, Vec::new());
         }
     }
 
-    /// A call, up to the end of its answer.
-    async fn call(&self, path: &str, watch: bool) -> io::Result<()> {
+    /// A call, up to the end of its answer; `claim` says at the answer's first word whether it is wanted still.
+    async fn call(&self, path: &str, watch: bool, claim: &dyn Fn() -> bool) -> io::Result<()> {
         let from = Instant::now();
         let (wire, head) = self.open(path).await?;
-        self.follow(wire, head, watch, from).await
+        self.follow(wire, head, watch, from, claim).await
     }
 
     /// Sends a call and reads the head of its answer.
@@ -150,8 +200,16 @@
     }
 
     /// Reads the answer of a call that was made at `from`, up to its end.
-    async fn follow(&self, mut wire: Wire, head: Head, watch: bool, from: Instant) -> io::Result<()> {
+    async fn follow(
+        &self,
+        mut wire: Wire,
+        head: Head,
+        watch: bool,
+        from: Instant,
+        claim: &dyn Fn() -> bool,
+    ) -> io::Result<()> {
         let limits = &self.limits;
+        let silence = if self.push { limits.agent_silence } else { limits.watch_silence };
         if head.status() != 200 {
             if let Some(wait) = head.get("retry-after").and_then(seconds) {
                 self.engine.busy(wait);
@@ -173,6 +231,9 @@
                     Ok(None) => break,
                     Err(NoObject) => return Err(io::Error::other("something other than an object")),
                 };
+                if first && !claim() {
+                    return Err(io::Error::other("another call was answered first"));
+                }
                 match piece {
                     Piece::Object(object) => self.object(&object, &mut first)?,
                     Piece::Blank => self.no_change(&mut first),
@@ -186,7 +247,7 @@
                 // Guards against a discovery that is cut off: a watch says something every 2 s. The answer's first
                 // word is due as soon after the call: one whose head came late has not as long again for the rest.
                 let spent = if first { from.elapsed() } else { Duration::ZERO };
-                let patience = limits.watch_silence.saturating_sub(spent);
+                let patience = silence.saturating_sub(spent);
                 ended = within(patience, wire.fill(limits)).await?? == 0;
                 if ended && (watch || body != Body::UntilClose) {
                     return Err(io::ErrorKind::UnexpectedEof.into());
@@ -231,6 +292,7 @@
         }
         self.version.set(listing.version);
         self.answered.set(self.answered.get() || kind != ListKind::Persisted);
+        self.failing.set(false);
         let mut members: Vec<Member> = Vec::with_capacity(listing.servers.len());
         for entry in &listing.servers {
             let mut names = self.names.borrow_mut();
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -83,6 +83,7 @@
         fleet.clone(),
         names.clone(),
         limits.clone(),
+        push,
     ));
     discovery.persisted(&config.known);
     let able = {
@@ -149,7 +150,7 @@
     ex.spawn(async move { engine.run_timers().await }).detach();
     ex.spawn(async move { keeper.run().await }).detach();
     ex.spawn(async move { fleet.sweep().await }).detach();
-    ex.spawn(discovery.clone().run(ex, orders, push)).detach();
+    ex.spawn(discovery.clone().run(ex, orders)).detach();
 
     // Guards against a SIGHUP that ends the program, also one that comes while it stops.
     let mut stopping = false;
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -74,6 +74,12 @@
 
 const DOWNS: [Mood; 5] = [Mood::Mute, Mood::HeadOnly, Mood::Reset, Mood::Sorry, Mood::Away];
 
+#[test]
+fn pushed_what_the_agent_has_counts_at_once_after_an_outage() {
+    let all = DOWNS.map(|mood| thread::spawn(move || outage("push", mood, Duration::ZERO)));
+    all.into_iter().for_each(|one| one.join().expect("it holds"));
+}
+
 #[test]
 fn asked_the_list_is_had_in_time_after_an_outage() {
     // The settings of the test give 1 s for asking, and four times as much after a call that failed.
@@ -81,6 +87,16 @@
     all.into_iter().for_each(|one| one.join().expect("it holds"));
 }
 
+#[test]
+fn pushed_what_the_agent_has_counts_though_the_watch_was_reset() {
+    let scene = Scene::new("push", 10, false, false);
+    let from = scene.lists.become_(Mood::Reset);
+    thread::sleep(Duration::from_millis(20));
+    scene.lists.drain(0);
+    scene.lists.become_(Mood::Well);
+    scene.holds("push, reset", from, Duration::ZERO);
+}
+
 #[test]
 fn pushed_what_the_agent_has_counts_from_the_first_moment_of_a_process() {
     let scene = Scene::new("push", 10, false, true);
