Turn down what comes later than 0.7 s after SIGTERM: SIGKILL would find it unanswered

Need: clients send on every connection that stays open up to SIGKILL, which comes 3.7 s after SIGTERM at the soonest; what came more than 0.7 s after SIGTERM and has no answer by then is lost. Seen with tests/restart.rs: a connection that opened 0.6 s after SIGTERM is heard for 0.7 s from then, and half a request for 2.2 s, so requests still came at 0.9 to 1.5 s; Edge::exchange placed them, and where their real servers hung they were held to their deadlines, 3.8 s after SIGTERM and later. Connections at rest, requests within the 0.7 s, and streams that end 0.1 to 3.2 s after SIGTERM were ruled out: each has its answer or its end.

Change: Lifecycle::takes_requests; once the grace is over a request is turned down, which does no harm and ends its connection. With an inherited listener all stays as it was, since nobody kills that process in haste.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Whether a request that has come whole is placed. Guards against a process that is killed over a request: it is
+    /// given the longest deadline from the end of the grace on, and what came after that would outlast it. Where
+    /// another process has its listener, nobody is in a hurry.
+    pub fn takes_requests(&self, now: Nanos) -> bool {
+        self.state != State::Stopping || self.shared || now < self.graced()
+    }
+
     /// When a connection at rest closes, if it has to: after the grace, which for one that opened later and has
     /// carried nothing yet counts from then.
     pub fn idle_until(&self, mute_since: Option<Nanos>) -> Option<Nanos> {
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -186,13 +186,14 @@
                 let headers = std::mem::take(&mut order.headers);
                 let voice = Voice { dialect, id, safe: order.safe, headers };
                 let grant = order.grant.take();
+                let placed = self.keeper.takes_requests();
                 let charge = Charge {
                     edge: self.clone(),
                     grant,
                     prompt: order.prompt,
                     answer: 0,
                     events: 0,
-                    ran: true,
+                    ran: placed,
                 };
                 let passage = Rc::new(Passage::ordered(&self.desk, dialect, head, body, &mut order));
                 let client = Exchange {
@@ -206,6 +207,10 @@
                     from: Instant::now(),
                     charge,
                 };
+                if !placed {
+                    engine::Client::turn_down(client, Duration::ZERO).await;
+                    return back.take();
+                }
                 let servers = Dispatch { fleet: self.fleet.clone(), passage };
                 engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
@@ -496,7 +501,7 @@
     }
 
     async fn turn_down(mut self, wait: Duration) {
-        log::debug!(id = self.voice.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module");
+        log::debug!(id = self.voice.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module, or for want of time");
         self.charge.ran = false;
         let reply = self.voice.turn_down(wait);
         self.reply(reply).await;
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -93,6 +93,11 @@
         self.life.borrow().keeps_connections()
     }
 
+    /// Whether a request that has come whole is placed; else it is turned down.
+    pub fn takes_requests(&self) -> bool {
+        self.life.borrow().takes_requests(self.engine.now())
+    }
+
     fn look(&self) {
         if self.life.borrow().state() == State::Starting && (self.able)() {
             self.change(Lifecycle::able);
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -68,6 +68,7 @@
         assert_eq!(life.can_serve(), able && stopped.is_none());
         assert_eq!(life.keeps_connections(), !goes);
         let accepts = if shared { able && stopped.is_none() } else { !over };
+        assert_eq!(life.takes_requests(now), shared || !over);
         assert_eq!(life.accepts(now), accepts, "{:?} after {order:?}", life.state());
         assert_eq!(life.idle_until(None), left.map(|at| at + GRACE));
         // One that connects now is heard for as long, even if the grace is over.
