Count the restart test's streams whole also on a machine that is slow to begin them

Seen: one of ten runs beside the whole suite (load 20 to 60) waited for exactly 24 requests while clients whose streams had ended asked again, and 24 was passed between two looks. Change: at least 24, and who asks again has ids of its own.

--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -320,14 +320,15 @@
                 tally.note(id, told);
                 // Whoever may, asks again at once: it is answered, or the close crossed it.
                 if stays {
-                    let id = Tally::fresh(next);
+                    let id = 1000 + Tally::fresh(next);
                     let bytes = line.request("plain", 100, id);
                     line.send(&bytes);
                     tally.note(id, line.told());
                 }
             });
         }
-        eventually(|| long.server.requests.load(Ordering::SeqCst) == 24);
+        // Those that ask again are among them on a slow machine.
+        eventually(|| long.server.requests.load(Ordering::SeqCst) >= 24);
         thread::sleep(ms(300).saturating_sub(from.elapsed()));
         gateway.signal("-TERM");
         let term = Instant::now();
@@ -337,7 +338,7 @@
     let reached = long.ids.lock().expect("whole").clone();
     tally.holds(front, &[200, 503, 504, 529], &reached);
     let all = tally.0.lock().expect("whole");
-    let whole = all.iter().filter(|(id, told)| *id <= 24 && matches!(told, Told::Answer(200, _))).count();
+    let whole = all.iter().filter(|(id, told)| *id < 1000 && matches!(told, Told::Answer(200, _))).count();
     assert_eq!(whole, 24, "{front}: all streams are passed on to their end");
 }
 
