Draw each real server's load over time in the laboratory's report; show clients' tries

The report told one average load a server, so a server that was idle for ten seconds and jammed for ten looked even. Each second's load is now in report.json and drawn as a row a server, one plot a policy; grey is not there. The column of clients' tries was counted and not shown. Earlier reports, which have no such loads, can still be compared.

--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -124,6 +124,9 @@
     pub load: f64,
     /// Requests that reached it.
     pub arrivals: u64,
+    /// The load in each second after the warm-up; none while it was not there. Earlier reports don't have it.
+    #[serde(default)]
+    pub loads: Vec<Option<f64>>,
 }
 
 /// The figures of a run of one policy.
@@ -459,6 +462,11 @@
             kind: s.kind.clone(),
             load: round(average(s.loads.iter().flatten()).unwrap_or(0.0)),
             arrivals: s.arrivals,
+            loads: s
+                .loads
+                .chunks((SECOND / WINDOW) as usize)
+                .map(|c| average(c.iter().flatten()).map(round))
+                .collect(),
         };
         let servers = self.servers.iter().map(server).collect();
         Figures {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -65,7 +65,7 @@
 
     /// The page, with its plots inside.
     pub fn html(&self) -> Result<String, String> {
-        let plots: Vec<(&str, String)> =
+        let plots: Vec<(String, String)> =
             self.plots()?.into_iter().map(|(_, title, plot)| (title, plot)).collect();
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
         let tables: Vec<(String, Vec<Row>)> =
@@ -85,8 +85,51 @@
     }
 
     /// Each plot: a name for its file, its title, and the SVG.
-    pub fn plots(&self) -> Result<Vec<(&'static str, &'static str, String)>, String> {
-        PLOTS.into_iter().map(|(name, title, of)| Ok((name, title, self.plot(of)?))).collect()
+    pub fn plots(&self) -> Result<Vec<(String, String, String)>, String> {
+        let lines =
+            PLOTS.into_iter().map(|(name, title, of)| Ok((name.into(), title.into(), self.plot(of)?)));
+        let maps = self.runs.iter().map(|run| {
+            let title =
+                format!("{}: each real server's load, a row each, most loaded at the top", run.policy);
+            Ok((format!("servers-{}", run.policy), title, self.map(run)?))
+        });
+        lines.chain(maps).collect()
+    }
+
+    /// The load of each real server over time: white is none, red is a full batch and more; grey is not there.
+    fn map(&self, run: &Figures) -> Result<String, String> {
+        let mut servers: Vec<_> = run.servers.iter().collect();
+        servers.sort_by(|a, b| a.load.total_cmp(&b.load).then_with(|| a.name.cmp(&b.name)));
+        let seconds = servers.iter().map(|s| s.loads.len()).max().unwrap_or(0).max(1);
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, (940, 340)).into_drawing_area();
+            let mut chart = ChartBuilder::on(&area)
+                .margin(8)
+                .x_label_area_size(28)
+                .y_label_area_size(44)
+                .build_cartesian_2d(0.0..seconds as f64, 0.0..servers.len() as f64)
+                .map_err(|e| e.to_string())?;
+            chart
+                .configure_mesh()
+                .disable_mesh()
+                .x_desc("seconds after the warm-up")
+                .draw()
+                .map_err(|e| e.to_string())?;
+            let cells = servers.iter().enumerate().flat_map(|(row, server)| {
+                server.loads.iter().enumerate().map(move |(second, load)| {
+                    let colour = load.map_or(RGBColor(190, 190, 190), |load| {
+                        let cool = (255.0 * (1.0 - load.clamp(0.0, 1.0))) as u8;
+                        RGBColor(if load > 1.5 { 120 } else { 255 }, cool, cool)
+                    });
+                    let (x, y) = (second as f64, row as f64);
+                    Rectangle::new([(x, y), (x + 1.0, y + 1.0)], colour.filled())
+                })
+            });
+            chart.draw_series(cells).map_err(|e| e.to_string())?;
+            area.present().map_err(|e| e.to_string())?;
+        }
+        Ok(svg)
     }
 
     fn rows(&self, name: &str) -> Vec<Row> {
@@ -204,7 +247,7 @@
 
 type Column = (&'static str, fn(&Stretch) -> f64);
 
-const COLUMNS: [Column; 19] = [
+const COLUMNS: [Column; 20] = [
     ("first tries", |s| s.first_tries as f64),
     ("in time", |s| s.in_time),
     ("late", |s| s.late),
@@ -212,6 +255,7 @@
     ("failed", |s| s.failed),
     ("broken", |s| s.broken),
     ("worth", |s| s.worth),
+    ("tries", |s| s.tries),
     ("attempts", |s| s.attempts),
     ("kept", |s| s.kept),
     ("p50 ms", |s| s.wait_p50_ms),
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -120,6 +120,22 @@
     assert!(run.cold_worst > 0.0 && run.cold_worst < 1.0, "within what they bear: {}", run.cold_worst);
 }
 
+#[test]
+fn a_real_server_has_a_load_for_each_second_and_none_while_it_is_dead() {
+    let (from, to) = policies("\"module\"");
+    let dead = [
+        ("kind   = \"restart_gateways\"", "kind   = \"kill_replicas\""),
+        ("back   = \"1s\"", "back   = \"3s\""),
+    ];
+    let report = play(&release(&[(from, to.as_str()), dead[0], dead[1]]));
+    let servers = &report.runs[0].servers;
+    assert!(servers.iter().all(|s| s.loads.len() == 6 && s.loads[1].is_some()));
+    // Seven in ten die within 2 s to 2.3 s, and none is back before 5 s.
+    assert_eq!(servers.iter().filter(|s| s.loads[3].is_none()).count(), 7);
+    let plots = report.plots().expect("plots");
+    assert!(plots.iter().any(|(name, _, svg)| name == "servers-module" && svg.contains("#BEBEBE")));
+}
+
 #[test]
 fn a_bad_experiment_is_refused_with_its_place_and_key() {
     let fault = |with: &[(&str, &str)]| {
