Let the fleet's list service fall mute at a cold start, and name each request that is lost

The test of a cold start of fifty played a service that refuses and one that is gone, but not one that takes calls and says nothing, which costs a gateway its whole time-out. It is now mute from 1.2 to 2.5 s. A lost request was only counted; what its client saw is now said on the test's error output.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -91,7 +91,9 @@
     let fleet =
         Fleet::start(50, servers.entries(0..10), lists.addr, json!({"list": {"calls_per_s": 25.0}}));
     let clients = Clients::start(fleet.fronts(), 100.0);
-    // Gone for the whole first window of 2 s, then it asks to be left alone for a while.
+    // Gone, then mute, for the whole first window of 2 s; then it asks to be left alone for a while.
+    thread::sleep((began + 1200 * MS).saturating_duration_since(Instant::now()));
+    lists.mood(Mood::Mute);
     thread::sleep((began + 2500 * MS).saturating_duration_since(Instant::now()));
     lists.mood(Mood::Refusing);
     thread::sleep(1000 * MS);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -390,40 +390,43 @@
     let lives = fronts.lock().expect("whole").contains(&Some(front));
     let mut ends = ends.lock().expect("whole");
     match answer {
-        Some((200, true, first)) => {
+        Ok((200, true, first)) => {
             ends.served += 1;
             waits.lock().expect("whole").push((at, first));
         }
-        Some((429 | 503, true, _)) => ends.turned_down += 1,
+        Ok((429 | 503, true, _)) => ends.turned_down += 1,
         _ if !lives => ends.killed += 1,
-        _ => ends.lost += 1,
+        other => {
+            eprintln!("lost: request {n}: {other:?}");
+            ends.lost += 1;
+        }
     }
 }
 
 /// One request: its status, whether its answer is whole, and the time to its head.
-fn ask(front: SocketAddr, n: u64) -> Option<(u16, bool, Duration)> {
+fn ask(front: SocketAddr, n: u64) -> std::io::Result<(u16, bool, Duration)> {
     let at = Instant::now();
-    let mut stream = TcpStream::connect(front).ok()?;
-    stream.set_read_timeout(Some(super::FOREVER)).ok()?;
+    let mut stream = TcpStream::connect(front)?;
+    stream.set_read_timeout(Some(super::FOREVER))?;
     let (head, body) = super::request("platform", "plain", 5000, n as usize, "Connection: close\r\n");
-    stream.write_all((head + &body).as_bytes()).ok()?;
+    stream.write_all((head + &body).as_bytes())?;
     let mut answer = Vec::new();
     let mut first = None;
     let mut part = [0; 4096];
     loop {
-        match std::io::Read::read(&mut stream, &mut part) {
-            Ok(0) => break,
-            Ok(read) => {
+        match std::io::Read::read(&mut stream, &mut part)? {
+            0 => break,
+            read => {
                 first = first.or(Some(at.elapsed()));
                 answer.extend_from_slice(&part[..read]);
             }
-            Err(_) => return None,
         }
     }
     let text = String::from_utf8_lossy(&answer);
-    let status = text.split(' ').nth(1)?.parse().ok()?;
-    let whole = status != 200 || text.ends_with("0\r\n\r\n");
-    Some((status, whole, first?))
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let whole = status != Some(200) || text.ends_with("0\r\n\r\n");
+    let none = || std::io::Error::other(format!("no answer: {text:?}"));
+    Ok((status.ok_or_else(none)?, whole, first.unwrap_or_default()))
 }
 
 /// In which window of `span` one server had the most arrivals beside the mean of all in that window; windows with
