Drop news of the laboratory's list that are out of date before they are known

A real server that died and was back sooner than its death was known was listed first and struck off afterwards, and got no request for the rest of the run; one that was drained before it was listed was listed as ready. Both come from Fleet::publish, which kept every change until its own time.

What is published for an earlier time now takes the place of what is due later for the same server.

--- a/lab/src/fleet/lists.rs
+++ b/lab/src/fleet/lists.rs
@@ -96,7 +96,11 @@
         }
     }
 
+    /// A change is known after `wait`. What was not yet known by then of the same real server is out of date and never
+    /// will be.
     pub(super) fn publish(&mut self, wait: Nanos, r: usize, phase: Phase, started: Option<Nanos>) {
-        self.pending.push((self.now + wait, r, phase, started));
+        let at = self.now + wait;
+        self.pending.retain(|(due, of, ..)| *of != r || *due < at);
+        self.pending.push((at, r, phase, started));
     }
 }
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -136,6 +136,28 @@
     assert!(plots.iter().any(|(name, _, svg)| name == "servers-module" && svg.contains("#BEBEBE")));
 }
 
+/// A small release with a fault of another kind from 2 s on, for 3 s.
+fn fault(kind: &str, more: &[(&str, &str)]) -> String {
+    let kind = format!("kind   = \"{kind}\"");
+    let (from, to) = policies("\"module\"");
+    let own = [
+        (from, to.as_str()),
+        ("kind   = \"restart_gateways\"", kind.as_str()),
+        ("back   = \"1s\"", "back   = \"3s\""),
+        ("within = \"300ms\"", "within = \"0s\""),
+    ];
+    release(&[&own, more].concat())
+}
+
+#[test]
+fn a_real_server_that_is_back_before_its_death_is_known_is_listed() {
+    // Dead at 2 s, back at 3 s, listed at 4 s; the service would have known of its death at 5 s.
+    let more = [("length   = \"6s\"", "length   = \"16s\""), ("back   = \"3s\"", "back   = \"1s\"")];
+    let report = play(&fault("kill_replicas", &more));
+    let busy = |s: &&tulipridge_lab::record::Server| s.loads[15] > Some(0.0);
+    assert_eq!(report.runs[0].servers.iter().filter(busy).count(), 10);
+}
+
 #[test]
 fn a_bad_experiment_is_refused_with_its_place_and_key() {
     let fault = |with: &[(&str, &str)]| {
