Give the laboratory partial errors, hangs, a mute list service, and lists pushed late

The laboratory could kill, silence, slow and replace real servers, all of them faults that the list tells of sooner or later, and its lists were asked for. A fleet whose list knows only whether a process runs, comes unasked and seconds late, and whose servers report nothing, could not be played.

New faults: error_replicas (a part of the requests fails at once), hang_replicas (requests are taken and not answered, then all goes on), list_outage. New settings: list.push, list.late, allow, fall_multiple and fall of real servers; reports may be null. Each bad key is named by check. A fault that lasts has a stretch of its own in the report.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -48,6 +48,9 @@
     pub clients: Clients,
     /// The network between all.
     pub network: Network,
+    /// What the gateways may do.
+    #[serde(default)]
+    pub allow: Allow,
     /// What breaks, and when.
     #[serde(default)]
     pub faults: BTreeMap<String, Fault>,
@@ -87,8 +90,23 @@
     pub ramp: Duration,
     /// Prompt tokens that are read in one step at the most.
     pub chunk: u32,
-    /// Load reports.
-    pub reports: Reports,
+    /// Load reports; `null` where there are none.
+    #[serde(default)]
+    pub reports: Option<Reports>,
+    /// A cold one falls that is sent more than this multiple of what it can do ...
+    #[serde(default = "fall_multiple")]
+    pub fall_multiple: f64,
+    /// ... over this time.
+    #[serde(with = "humantime_serde", default = "fall")]
+    pub fall: Duration,
+}
+
+fn fall_multiple() -> f64 {
+    2.5
+}
+
+fn fall() -> Duration {
+    Duration::from_secs(3)
 }
 
 /// A kind of machine.
@@ -204,6 +222,12 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListService {
+    /// It sends the whole list and its changes unasked.
+    #[serde(default)]
+    pub push: bool,
+    /// Each change is known after a time between these two, in place of `notice` and `add`.
+    #[serde(default)]
+    pub late: Option<Late>,
     /// Calls that it serves in a second.
     pub calls_per_s: f64,
     /// The gateways are told what it can serve.
@@ -229,6 +253,34 @@
     pub spread: Duration,
 }
 
+/// How late the list is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Late {
+    /// At the least.
+    #[serde(with = "humantime_serde")]
+    pub least: Duration,
+    /// At the most.
+    #[serde(with = "humantime_serde")]
+    pub most: Duration,
+}
+
+/// What the gateways may do.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Allow {
+    /// Attempts for one try of a client.
+    pub attempts: u32,
+    /// Two of them may be out at once.
+    pub second_copies: bool,
+}
+
+impl Default for Allow {
+    fn default() -> Allow {
+        Allow { attempts: 5, second_copies: true }
+    }
+}
+
 /// The clients.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -274,8 +326,9 @@
     pub at: Duration,
     /// What breaks.
     pub kind: FaultKind,
-    /// Which part of the gateways or real servers.
-    pub share: f64,
+    /// Which part of the gateways or real servers; `list_outage` has none.
+    #[serde(default)]
+    pub share: Option<f64>,
     /// They break one after the other within this time.
     #[serde(with = "humantime_serde", default)]
     pub within: Duration,
@@ -285,6 +338,9 @@
     /// `slow`: how many times as long everything takes.
     #[serde(default)]
     pub factor: Option<f64>,
+    /// `error`: which part of the requests fails.
+    #[serde(default)]
+    pub part: Option<f64>,
 }
 
 /// What breaks.
@@ -302,6 +358,12 @@
     ReplaceReplicas,
     /// Real servers do everything more slowly.
     SlowReplicas,
+    /// Real servers answer a part of their requests at once, with an error.
+    ErrorReplicas,
+    /// Real servers take connections and requests and answer nothing, then go on where they stood.
+    HangReplicas,
+    /// The list service is out of reach; what it has to say comes after its return.
+    ListOutage,
 }
 
 impl FaultKind {
@@ -313,8 +375,16 @@
             FaultKind::SilenceReplicas => "real servers vanish without a word",
             FaultKind::ReplaceReplicas => "real servers are replaced",
             FaultKind::SlowReplicas => "real servers slow down",
+            FaultKind::ErrorReplicas => "real servers answer with errors",
+            FaultKind::HangReplicas => "real servers hang",
+            FaultKind::ListOutage => "the list service is out of reach",
         }
     }
+
+    /// While it lasts is of interest, not only what comes after.
+    pub fn lasts(self) -> bool {
+        !matches!(self, FaultKind::RestartGateways | FaultKind::ReplaceReplicas | FaultKind::SlowReplicas)
+    }
 }
 
 /// A span as the laboratory's clock counts it.
@@ -388,14 +458,14 @@
             group_size: self.gateways.count,
             me,
             zone: Some(me as u16 % self.gateways.zones),
-            push: false,
+            push: self.list.push,
             tick: 0,
             classes: classes.collect(),
             tenants: tenants.collect(),
             over_share_worth: 0.1,
             limits: types::Limits {
-                attempts: 5,
-                second_copies: true,
+                attempts: self.allow.attempts,
+                second_copies: self.allow.second_copies,
                 cancel: true,
                 probes: false,
                 peers: false,
@@ -404,14 +474,17 @@
             safety: types::Safety {
                 cold_from: self.replicas.cold_from,
                 ramp: nanos(self.replicas.ramp),
-                overload_factor: 2.5,
-                fall: 3_000_000_000,
+                overload_factor: self.replicas.fall_multiple,
+                fall: nanos(self.replicas.fall),
                 ask_within: 10_000_000_000,
             },
             units: types::Units::Size,
             list_calls_per_s: self.list.told.then_some(self.list.calls_per_s),
             speeds: self.replicas.kinds.values().map(|k| k.speed).collect(),
-            gauges: vec![types::Gauge::Utilisation, types::Gauge::Errors],
+            gauges: match self.replicas.reports {
+                Some(_) => vec![types::Gauge::Utilisation, types::Gauge::Errors],
+                None => Vec::new(),
+            },
         }
     }
 
@@ -452,8 +525,12 @@
         within("replicas.count", f64::from(self.replicas.count), 1.0, 10_000.0)?;
         within("replicas.cold_from", self.replicas.cold_from, 0.01, 1.0)?;
         within("replicas.chunk", f64::from(self.replicas.chunk), 1.0, 1e6)?;
-        within("replicas.reports.noise", self.replicas.reports.noise, 0.0, 1.0)?;
-        span("replicas.reports.period", self.replicas.reports.period, 1, 3600)?;
+        within("replicas.fall_multiple", self.replicas.fall_multiple, 1.0, 100.0)?;
+        span("replicas.fall", self.replicas.fall, 1, 3600)?;
+        if let Some(reports) = &self.replicas.reports {
+            within("replicas.reports.noise", reports.noise, 0.0, 1.0)?;
+            span("replicas.reports.period", reports.period, 1, 3600)?;
+        }
         if self.replicas.kinds.is_empty() {
             return wrong("replicas.kinds", "names none");
         }
@@ -506,11 +583,22 @@
         if self.list.spread > self.list.period {
             return wrong("list.spread", "longer than list.period: changes would overtake one another");
         }
+        if let Some(late) = self.list.late.as_ref().filter(|late| late.least > late.most) {
+            return wrong("list.late", format!("{:?} is more than {:?}", late.least, late.most));
+        }
+        within("allow.attempts", f64::from(self.allow.attempts), 1.0, 100.0)?;
         within("clients.try_share", self.clients.try_share, 0.01, 1.0)?;
         within("clients.honour", self.clients.honour, 0.0, 1.0)?;
         for (name, fault) in &self.faults {
             let key = |part: &str| format!("faults.{name}.{part}");
-            within(&key("share"), fault.share, 0.0, 1.0)?;
+            match (fault.kind, fault.share) {
+                (FaultKind::ListOutage, None) => {}
+                (FaultKind::ListOutage, Some(_)) => {
+                    return wrong(key("share"), "list_outage has none: there is one list service");
+                }
+                (_, Some(share)) => within(&key("share"), share, 0.0, 1.0)?,
+                (_, None) => return wrong(format!("faults.{name}"), "needs a share"),
+            }
             if fault.at >= self.length {
                 return wrong(key("at"), "after the end of the experiment");
             }
@@ -522,6 +610,14 @@
                 (_, Some(_)) => return wrong(key("factor"), "only slow_replicas has one"),
                 (_, None) => {}
             }
+            match (fault.kind, fault.part) {
+                (FaultKind::ErrorReplicas, Some(part)) => within(&key("part"), part, 0.0, 1.0)?,
+                (FaultKind::ErrorReplicas, None) => {
+                    return wrong(format!("faults.{name}"), "error_replicas needs a part");
+                }
+                (_, Some(_)) => return wrong(key("part"), "only error_replicas has one"),
+                (_, None) => {}
+            }
         }
         Ok(())
     }
--- a/lab/src/fleet/faults.rs
+++ b/lab/src/fleet/faults.rs
@@ -7,12 +7,16 @@
     pub(super) fn fault(&mut self, n: usize) {
         let (_, fault) = self.faults[n];
         let (within, back) = (nanos(fault.within), nanos(fault.back));
+        if fault.kind == FaultKind::ListOutage {
+            self.list_away_until = self.list_away_until.max(self.now + back);
+            return;
+        }
         let gateways = fault.kind == FaultKind::RestartGateways;
         let mut hit: Vec<usize> = match gateways {
             true => (0..self.gateways.len()).filter(|g| self.gateways[*g].policy.is_some()).collect(),
             false => (0..self.replicas.len()).filter(|r| self.replicas[*r].alive).collect(),
         };
-        let count = (hit.len() as f64 * fault.share).round() as usize;
+        let count = (hit.len() as f64 * fault.share.unwrap_or(0.0)).round() as usize;
         for at in 0..count {
             let other = self.chances.random_range(at..hit.len());
             hit.swap(at, other);
@@ -42,11 +46,14 @@
                 self.publish(notice, r, Phase::Gone, None);
             }
             FaultKind::SlowReplicas => self.replicas[r].slowness = fault.factor.unwrap_or(1.0),
+            FaultKind::ErrorReplicas => self.replicas[r].errors = fault.part.unwrap_or(0.0),
+            // Nothing to publish: the process runs.
+            FaultKind::HangReplicas => self.replicas[r].hangs = true,
             FaultKind::ReplaceReplicas => {
                 self.publish(0, r, Phase::Draining, self.members[r].started);
                 self.after(DRAIN, What::Leave(r));
             }
-            FaultKind::RestartGateways => {}
+            FaultKind::RestartGateways | FaultKind::ListOutage => {}
         }
     }
 
@@ -63,6 +70,11 @@
                 self.publish(add, r, Phase::Ready, Some(now));
             }
             FaultKind::SlowReplicas => self.replicas[r].slowness = 1.0,
+            FaultKind::ErrorReplicas => self.replicas[r].errors = 0.0,
+            FaultKind::HangReplicas => {
+                self.replicas[r].hangs = false;
+                self.wake(r);
+            }
             FaultKind::ReplaceReplicas => {
                 let (zone, kind) = (self.replicas[r].zone, self.replicas[r].kind);
                 let fresh = self.add_replica(format!("{name}-{r}"), zone, kind, 1.0, Some(now));
@@ -70,7 +82,7 @@
                 self.members[fresh].phase = Phase::Gone;
                 self.publish(add, fresh, Phase::Ready, Some(now));
             }
-            FaultKind::RestartGateways => {}
+            FaultKind::RestartGateways | FaultKind::ListOutage => {}
         }
     }
 
--- a/lab/src/fleet/gateways.rs
+++ b/lab/src/fleet/gateways.rs
@@ -149,6 +149,11 @@
             return self.after(way, What::Over { request, attempt, verdict: Verdict::Reset, kept: None });
         }
         self.record.arrival(self.now, r);
+        let part = self.replicas[r].errors;
+        if part > 0.0 && self.chances.random::<f64>() < part {
+            let wait = self.way(gateway, r) + MILLI;
+            return self.after(wait, What::Over { request, attempt, verdict: Verdict::Error, kept: None });
+        }
         self.replicas[r].take(job);
         self.note(r);
         self.wake(r);
--- a/lab/src/fleet/lists.rs
+++ b/lab/src/fleet/lists.rs
@@ -15,9 +15,11 @@
         if let Some(most) = self.x.list.sheds_after.map(nanos).filter(|most| wait > *most) {
             return self.after(0, What::ListRefused { gateway, epoch, call, wait: most });
         }
-        self.calls.push_back((gateway, epoch, call));
-        if self.calls.len() == 1 {
-            self.after(self.list_work(), What::ListServed);
+        if self.now >= self.list_away_until {
+            self.calls.push_back((gateway, epoch, call));
+            if self.calls.len() == 1 {
+                self.after(self.list_work(), What::ListServed);
+            }
         }
         self.after(nanos(self.x.list.timeout), What::ListTimeOut { gateway, epoch, call });
     }
@@ -32,8 +34,9 @@
             self.after(self.list_work(), What::ListServed);
         }
         let gateway = &mut self.gateways[g];
-        if gateway.epoch != epoch || gateway.call != Some(call) {
-            // It has given up, or is not there any more; the work was done all the same.
+        let away = self.now < self.list_away_until;
+        if away || gateway.epoch != epoch || gateway.call != Some(call) {
+            // It has given up, or is not there any more; the work was done all the same. Or the answer is lost.
             return;
         }
         (gateway.call, gateway.watches) = (None, true);
@@ -74,6 +77,13 @@
     pub(super) fn list_tick(&mut self) {
         self.after(nanos(self.x.list.period), What::ListTick);
         let now = self.now;
+        if now < self.list_away_until {
+            // What is due waits for its return.
+            return;
+        }
+        if self.x.list.push {
+            self.push_whole();
+        }
         let mut due: Vec<_> = self.pending.extract_if(.., |(at, ..)| *at <= now).collect();
         due.sort_by_key(|(at, r, ..)| (*at, *r));
         let mut changed = BTreeMap::new();
@@ -96,9 +106,26 @@
         }
     }
 
-    /// A change is known after `wait`. What was not yet known by then of the same real server is out of date and never
-    /// will be.
+    /// The whole list to each gateway that has started since the last tick, unasked.
+    fn push_whole(&mut self) {
+        let there = self.members.iter().filter(|m| m.phase != Phase::Gone);
+        let members: Arc<[Member]> = there.cloned().collect();
+        for g in 0..self.gateways.len() {
+            let gateway = &mut self.gateways[g];
+            if gateway.policy.is_some() && !std::mem::replace(&mut gateway.watches, true) {
+                let (epoch, members) = (gateway.epoch, Arc::clone(&members));
+                self.after(0, What::ListNews { gateway: g, epoch, kind: ListKind::Whole, members });
+            }
+        }
+    }
+
+    /// A change is known after `wait`, or as late as the experiment says. What was not yet known by then of the same
+    /// real server is out of date and never will be.
     pub(super) fn publish(&mut self, wait: Nanos, r: usize, phase: Phase, started: Option<Nanos>) {
+        let wait = match &self.x.list.late {
+            Some(late) => nanos(late.least) + self.up_to(nanos(late.most) - nanos(late.least)),
+            None => wait,
+        };
         let at = self.now + wait;
         self.pending.retain(|(due, of, ..)| *of != r || *due < at);
         self.pending.push((at, r, phase, started));
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -204,6 +204,7 @@
     pending: Vec<(Nanos, usize, Phase, Option<Nanos>)>,
     calls: VecDeque<(usize, u32, u64)>,
     last_call: u64,
+    list_away_until: Nanos,
     faults: Vec<(&'a str, &'a Fault)>,
     truth: Truth,
     record: Record,
@@ -244,6 +245,7 @@
             pending: Vec::new(),
             calls: VecDeque::new(),
             last_call: 0,
+            list_away_until: 0,
             faults: x.faults_in_order(),
             truth: Rc::new(RefCell::new(BTreeMap::new())),
             record: Record::new(x),
@@ -328,7 +330,9 @@
         self.after(0, What::Session);
         self.after(WINDOW, What::Window);
         self.after(nanos(self.x.list.period), What::ListTick);
-        self.after(nanos(self.x.replicas.reports.period), What::Reports);
+        if let Some(reports) = &self.x.replicas.reports {
+            self.after(nanos(reports.period), What::Reports);
+        }
         let end = self.x.end();
         while let Some(next) = self.queue.pop() {
             if next.at > end {
--- a/lab/src/fleet/servers.rs
+++ b/lab/src/fleet/servers.rs
@@ -4,7 +4,7 @@
 
 impl Fleet<'_> {
     pub(super) fn refresh_reports(&mut self) {
-        let reports = &self.x.replicas.reports;
+        let Some(reports) = &self.x.replicas.reports else { return };
         let period = nanos(reports.period);
         self.after(period, What::Reports);
         let noise = Normal::new(1.0, reports.noise).ok();
@@ -44,7 +44,7 @@
         if warmth >= 1.0 || !replica.alive {
             return;
         }
-        let span = 3 * SECOND;
+        let span = nanos(self.x.replicas.fall);
         let sent = &mut self.sent_to_cold[r];
         sent.push_back((self.now, cost));
         while sent.front().is_some_and(|(at, _)| at + span <= self.now) {
@@ -59,7 +59,7 @@
         let each: f64 = self.x.classes.values().map(|c| c.share * mean(c)).sum();
         let able = quota * each * replica.size / size.max(f64::MIN_POSITIVE) * warmth;
         if able > 0.0 && self.now >= nanos(self.x.warmup) {
-            let most = 2.5 * able * (span as f64 / SECOND as f64);
+            let most = self.x.replicas.fall_multiple * able * (span as f64 / SECOND as f64);
             let sum: f64 = sent.iter().map(|(_, cost)| cost).sum();
             self.record.cold_worst = self.record.cold_worst.max(sum / most);
         }
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -146,7 +146,7 @@
     pub without_list: usize,
     /// Most work sent to a cold real server within the site's span, over what makes it fall.
     pub cold_worst: f64,
-    /// Stretches: before the faults, after each, and all.
+    /// Stretches: before the faults, in those that last, after each, and all.
     pub stretches: Vec<Stretch>,
     /// The real servers.
     pub servers: Vec<Server>,
@@ -223,6 +223,9 @@
             spans.push(("before".to_owned(), warmup, *first));
         }
         for (n, (name, fault)) in faults.iter().enumerate() {
+            if fault.kind.lasts() {
+                spans.push((format!("in {name}"), starts[n], (starts[n] + nanos(fault.back)).min(end)));
+            }
             // What restarts is looked at from where it is back, not while it is gone.
             let from = starts[n] + nanos(fault.back);
             spans.push((format!("after {name}"), from, (from + AFTER).min(end)));
--- a/lab/src/replica.rs
+++ b/lab/src/replica.rs
@@ -113,6 +113,10 @@
     pub alive: bool,
     /// Its machine has vanished without a word.
     pub silent: bool,
+    /// It takes requests and does nothing with them.
+    pub hangs: bool,
+    /// The part of its requests that it answers with an error, at once.
+    pub errors: f64,
     /// How many times as long everything takes.
     pub slowness: f64,
     /// Its last start; `None` is long ago.
@@ -146,6 +150,8 @@
             size: of.units * of.speed,
             alive: true,
             silent: false,
+            hangs: false,
+            errors: 0.0,
             slowness: 1.0,
             started: None,
             life: 0,
@@ -189,6 +195,8 @@
     pub fn die(&mut self) -> Vec<JobId> {
         self.alive = false;
         self.silent = false;
+        self.hangs = false;
+        self.errors = 0.0;
         self.stepping = false;
         self.life += 1;
         self.reading = None;
@@ -237,7 +245,7 @@
 
     /// Begins a step if there is anything to do; its length.
     pub fn begin(&mut self, now: Nanos, all: &Replicas) -> Option<Nanos> {
-        if self.stepping || self.silent || !self.alive {
+        if self.stepping || self.silent || self.hangs || !self.alive {
             return None;
         }
         while self.running.len() < self.batch
@@ -331,13 +339,10 @@
             step: Duration::from_millis(10),
             read: 10_000.0,
         };
-        let reports = crate::experiment::Reports {
-            period: Duration::from_millis(500),
-            delay: Duration::ZERO,
-            noise: 0.0,
-        };
         let kinds = [("one".to_owned(), kind)].into();
-        Replicas { count: 1, kinds, cold_from: 0.25, ramp: Duration::from_secs(8), chunk: 1000, reports }
+        let (ramp, fall) = (Duration::from_secs(8), Duration::from_secs(3));
+        let (reports, fall_multiple) = (None, 2.5);
+        Replicas { count: 1, kinds, cold_from: 0.25, ramp, chunk: 1000, reports, fall_multiple, fall }
     }
 
     fn job(n: u64, session: u64) -> Job {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -45,7 +45,8 @@
         });
         let at = |f: &crate::experiment::Fault| nanos(f.at) as f64 / SECOND as f64;
         let fault = |(name, f): (&str, &crate::experiment::Fault)| {
-            (name.to_owned(), format!("{:.0}% of {}", f.share * 100.0, f.kind.words()), at(f))
+            let part = f.share.map_or(String::new(), |share| format!("{:.0}% of ", share * 100.0));
+            (name.to_owned(), part + f.kind.words(), at(f))
         };
         Ok(Report {
             about: x.about.clone(),
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -149,6 +149,47 @@
     release(&[&own, more].concat())
 }
 
+#[test]
+fn a_real_server_that_hangs_goes_on_where_it_stood() {
+    let hang = play(&fault("hang_replicas", &[("share  = 0.7", "share  = 0.3")]));
+    let during = stretch(&hang, "module", "in release");
+    assert_eq!(stretch(&hang, "module", "all").broken, 0.0, "no stream is lost");
+    let calm = play(&fault("hang_replicas", &[("share  = 0.7", "share  = 0")]));
+    let still = stretch(&calm, "module", "in release");
+    assert!(during.wait_p99_ms > 2.0 * still.wait_p99_ms, "{} {}", during.wait_p99_ms, still.wait_p99_ms);
+    assert!(hang.runs[0].servers.iter().all(|s| s.loads[3].is_some()), "it is there");
+}
+
+#[test]
+fn pushed_lists_come_late_and_catch_up_after_an_outage() {
+    // New servers start at 2.5 s; how much those had in hand in each second.
+    let fresh = |late: &str, outage: &str| {
+        let push = format!(
+            "push = true\n  late {{\n    least = \"{late}\"\n    most = \"{late}\"\n  }}\n  calls_per_s = 85"
+        );
+        let more = format!(
+            "faults {{\n  mute {{\n    at = \"1s\"\n    kind = \"list_outage\"\n    back = \"{outage}\"\n  }}\n"
+        );
+        let with = [
+            ("calls_per_s = 85", push.as_str()),
+            ("faults {\n", &more),
+            ("back   = \"3s\"", "back   = \"500ms\""),
+        ];
+        let report = play(&fault("replace_replicas", &with));
+        let run = &report.runs[0];
+        assert_eq!(run.stretches.iter().map(|s| s.list_calls).sum::<usize>(), 0, "nobody asks");
+        assert_eq!(run.without_list, 0);
+        let load = |second: usize| {
+            let fresh = run.servers.iter().filter(|s| s.name.starts_with("release-"));
+            fresh.filter_map(|s| s.loads.get(second).copied().flatten()).sum::<f64>()
+        };
+        [3, 4, 5].map(|second| load(second) > 0.0)
+    };
+    assert_eq!(fresh("100ms", "0s"), [true, true, true]);
+    assert_eq!(fresh("2s", "0s"), [false, true, true]);
+    assert_eq!(fresh("100ms", "4s"), [false, false, true]);
+}
+
 #[test]
 fn a_real_server_that_is_back_before_its_death_is_known_is_listed() {
     // Dead at 2 s, back at 3 s, listed at 4 s; the service would have known of its death at 5 s.
@@ -177,6 +218,19 @@
     );
     let factor = fault(&[("kind   = \"restart_gateways\"", "kind   = \"slow_replicas\"")]);
     assert!(factor.contains("needs a factor"), "{factor}");
+    let kind = |new: &str, share: &str| {
+        let line = format!("kind   = \"{new}\"");
+        fault(&[("kind   = \"restart_gateways\"", &line), ("share  = 0.7", share)])
+    };
+    assert!(kind("error_replicas", "share  = 0.7").contains("faults.release: error_replicas needs a part"));
+    assert!(kind("error_replicas", "share = 0.7\n    part = 2").contains("faults.release.part: 2 is not"));
+    assert!(kind("hang_replicas", "share = 0.7\n    part = 1").contains("only error_replicas has one"));
+    assert!(kind("hang_replicas", "").contains("faults.release: needs a share"));
+    assert!(kind("list_outage", "share = 1").contains("there is one list service"));
+    let late = "late {\n    least = \"2s\"\n    most = \"1s\"\n  }\n  calls_per_s = 85";
+    assert!(fault(&[("calls_per_s = 85", late)]).contains("list.late: 2s is more than 1s"));
+    let none = "allow {\n  attempts = 0\n}\n\nlist {";
+    assert!(fault(&[("list {", none)]).contains("allow.attempts: 0 is not"));
     assert!(fault(&[("spread      = \"80ms\"", "spread      = \"2s\"")]).contains("overtake"));
 }
 
