Tell errors, spent attempts and refusals beside room in the laboratory's report

A stretch told what became of requests, not why: whether attempts met errors, whether a request ran out of attempts, or was turned down while a sound and warm server had no queue. Each is a column now, and each real server has a row with its attempts, its errors, and how often it had room when a try was turned down anywhere. Failing and hanging servers don't count as having room.

Tests: without the drawn error, and without the count of spent attempts, the test of each fails.

--- a/lab/src/fleet/gateways.rs
+++ b/lab/src/fleet/gateways.rs
@@ -46,7 +46,7 @@
         flight.attempts.push(Attempt { replica: r, life, stage: Stage::Out, sent: now });
         let client = &self.clients[flight.client];
         let (arrived, cost) = (client.arrived, f64::from(client.prompt) + ANSWER_COST);
-        self.record.attempt(arrived);
+        self.record.attempt(now, arrived, r);
         if let Some((held, _)) = self.truth.borrow_mut().get_mut(&*replica.0) {
             *held += 1.0;
         }
@@ -89,6 +89,15 @@
         }
         let (client, begun) = (flight.client, flight.begun.is_some());
         if !begun {
+            let arrived = self.clients[client].arrived;
+            if flight.attempts.len() >= self.x.allow.attempts as usize {
+                self.record.spent(arrived);
+            }
+            if end == End::Refused {
+                let all = &self.x.replicas;
+                let room = (0..self.replicas.len()).filter(|r| self.replicas[*r].has_room(self.now, all));
+                self.record.turned_down(self.now, arrived, room);
+            }
             self.try_again(client, end, wait);
         }
         self.tidy(request);
@@ -206,6 +215,9 @@
         } else if ended {
             self.close(client, End::Broken, None);
         }
+        if verdict == Verdict::Error {
+            self.record.error(now, self.clients[client].arrived, r);
+        }
         let report = match verdict {
             Verdict::Ok | Verdict::Error => self.report(r),
             _ => Vec::new(),
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -81,6 +81,15 @@
     pub tries: f64,
     /// Gateways' attempts for each first try.
     pub attempts: f64,
+    /// Share of the attempts that a real server answered with an error.
+    #[serde(default)]
+    pub errors: f64,
+    /// Clients' tries that ran out of attempts, for each first try.
+    #[serde(default)]
+    pub spent: f64,
+    /// Clients' tries that were turned down while some sound, warm real server had no queue, for each first try.
+    #[serde(default)]
+    pub refused_with_room: f64,
     /// Prompt tokens found kept, over all prompt tokens of answers that were served.
     pub kept: f64,
     /// From the client's first try to its first token, median, in ms.
@@ -124,6 +133,16 @@
     pub load: f64,
     /// Requests that reached it.
     pub arrivals: u64,
+    /// Gateways' attempts at it, those that did not reach it too.
+    #[serde(default)]
+    pub attempts: u64,
+    /// Those of them that it answered with an error.
+    #[serde(default)]
+    pub errors: u64,
+    /// Share of the clients' tries turned down, wherever they were tried, at whose moment it was sound and warm and
+    /// had no queue.
+    #[serde(default)]
+    pub had_room: f64,
     /// The load in each second after the warm-up; none while it was not there. Earlier reports don't have it.
     #[serde(default)]
     pub loads: Vec<Option<f64>>,
@@ -146,6 +165,9 @@
     pub without_list: usize,
     /// Most work sent to a cold real server within the site's span, over what makes it fall.
     pub cold_worst: f64,
+    /// Clients' tries that were turned down, after the warm-up.
+    #[serde(default)]
+    pub turned_down: u64,
     /// Stretches: before the faults, in those that last, after each, and all.
     pub stretches: Vec<Stretch>,
     /// The real servers.
@@ -159,6 +181,9 @@
     name: String,
     kind: String,
     arrivals: u64,
+    attempts: u64,
+    errors: u64,
+    had_room: u64,
     /// Its load in each window after the warm-up; none while it is not there.
     loads: Vec<Option<f64>>,
     places: f64,
@@ -181,6 +206,9 @@
     worth: (f64, f64),
     tries: u64,
     attempts: u64,
+    errors: u64,
+    spent: u64,
+    refused_with_room: u64,
     kept: (u64, u64),
     waits: Histogram<u64>,
 }
@@ -199,6 +227,7 @@
     windows: Vec<Window>,
     tallies: Vec<Tally>,
     late_worth: BTreeMap<usize, (f64, f64)>,
+    turned_down: u64,
     /// Events that the gateways handled.
     pub events: u64,
     /// Calls for the list that failed.
@@ -241,6 +270,9 @@
             worth: (0.0, 0.0),
             tries: 0,
             attempts: 0,
+            errors: 0,
+            spent: 0,
+            refused_with_room: 0,
             kept: (0, 0),
             // Up to an hour in microseconds, with three figures: bounds that the library takes.
             waits: Histogram::new_with_max(3_600_000_000, 3).expect("bounds that are allowed"),
@@ -258,6 +290,7 @@
             windows: Vec::new(),
             tallies: spans.into_iter().map(tally).collect(),
             late_worth: x.classes.values().enumerate().map(|(n, c)| (n, (c.worth, c.late_worth))).collect(),
+            turned_down: 0,
             events: 0,
             list_failed: 0,
             list_waits: Vec::new(),
@@ -365,11 +398,34 @@
         self.at(arrived, |t| t.tries += 1);
     }
 
-    /// A gateway's attempt for it.
-    pub fn attempt(&mut self, arrived: Nanos) {
+    /// A gateway's attempt for it at a real server.
+    pub fn attempt(&mut self, now: Nanos, arrived: Nanos, server: usize) {
+        self.servers[server].attempts += u64::from(now >= self.warmup);
         self.at(arrived, |t| t.attempts += 1);
     }
 
+    /// The real server answered the attempt with an error.
+    pub fn error(&mut self, now: Nanos, arrived: Nanos, server: usize) {
+        self.servers[server].errors += u64::from(now >= self.warmup);
+        self.at(arrived, |t| t.errors += 1);
+    }
+
+    /// A client's try came to nothing with its last attempt that was allowed.
+    pub fn spent(&mut self, arrived: Nanos) {
+        self.at(arrived, |t| t.spent += 1);
+    }
+
+    /// A client's try was turned down, while these real servers had room.
+    pub fn turned_down(&mut self, now: Nanos, arrived: Nanos, room: impl Iterator<Item = usize>) {
+        let mut some = false;
+        for server in room {
+            some = true;
+            self.servers[server].had_room += u64::from(now >= self.warmup);
+        }
+        self.turned_down += u64::from(now >= self.warmup);
+        self.at(arrived, |t| t.refused_with_room += u64::from(some));
+    }
+
     /// It was served, with so many tokens of the prompt found kept.
     pub fn served(&mut self, arrived: Nanos, kept: u32, prompt: u32) {
         self.at(arrived, |t| t.kept = (t.kept.0 + u64::from(kept), t.kept.1 + u64::from(prompt)));
@@ -442,6 +498,9 @@
                 worth: round(t.worth.0 / t.worth.1.max(f64::MIN_POSITIVE)),
                 tries: each(t.tries),
                 attempts: each(t.attempts),
+                errors: round(t.errors as f64 / t.attempts.max(1) as f64),
+                spent: each(t.spent),
+                refused_with_room: each(t.refused_with_room),
                 kept: round(t.kept.0 as f64 / t.kept.1.max(1) as f64),
                 wait_p50_ms: t.waits.value_at_quantile(0.5) as f64 / 1000.0,
                 wait_p99_ms: t.waits.value_at_quantile(0.99) as f64 / 1000.0,
@@ -465,6 +524,9 @@
             kind: s.kind.clone(),
             load: round(average(s.loads.iter().flatten()).unwrap_or(0.0)),
             arrivals: s.arrivals,
+            attempts: s.attempts,
+            errors: s.errors,
+            had_room: round(s.had_room as f64 / self.turned_down.max(1) as f64),
             loads: s
                 .loads
                 .chunks((SECOND / WINDOW) as usize)
@@ -480,6 +542,7 @@
             list_wait_longest_ms,
             without_list: self.without_list,
             cold_worst: round(self.cold_worst),
+            turned_down: self.turned_down,
             stretches,
             servers,
             windows: self.windows,
--- a/lab/src/replica.rs
+++ b/lab/src/replica.rs
@@ -220,6 +220,12 @@
         (all.cold_from + (1.0 - all.cold_from) * part).min(1.0)
     }
 
+    /// It is sound and warm, and nothing waits for a place in its batch.
+    pub fn has_room(&self, now: Nanos, all: &Replicas) -> bool {
+        let sound = self.alive && !self.silent && !self.hangs && self.errors == 0.0;
+        sound && self.queue.is_empty() && self.warmth(now, all) >= 1.0
+    }
+
     /// Takes a request; it is looked at when the next step begins.
     pub fn take(&mut self, job: Job) {
         self.queue.push_back(job);
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -71,6 +71,9 @@
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
         let tables: Vec<(String, Vec<Row>)> =
             names.into_iter().map(|name| (name.to_owned(), self.rows(name))).collect();
+        let servers: Vec<(String, Vec<Row>)> =
+            self.runs.iter().map(|run| (run.policy.clone(), server_rows(run))).collect();
+        let server_heads = SERVER_COLUMNS;
         let heads: Vec<&str> = COLUMNS.iter().map(|(head, _)| *head).collect();
         let colours: Vec<(String, String)> =
             self.runs.iter().enumerate().map(|(n, r)| (r.policy.clone(), hex(colour(n)))).collect();
@@ -80,7 +83,7 @@
         let (about, gateways, replicas) = (&self.about, self.gateways, self.replicas);
         let (rate, seed, faults) = (self.rate, self.seed, self.faults.clone());
         page.render(
-            context! { about, gateways, replicas, rate, seed, faults, plots, tables, heads, colours },
+            context! { about, gateways, replicas, rate, seed, faults, plots, tables, heads, colours, servers, server_heads },
         )
         .map_err(|e| e.to_string())
     }
@@ -184,9 +187,14 @@
     pub fn text(&self) -> String {
         let mut out = String::new();
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
+        let heads = COLUMNS.map(|(head, _)| head);
         for name in names {
             let _ = writeln!(out, "{name}");
-            table(&mut out, self.rows(name));
+            table(&mut out, &heads, self.rows(name));
+        }
+        for run in self.runs.iter().filter(|run| run.servers.len() <= FEW) {
+            let _ = writeln!(out, "{}: {} tries turned down", run.policy, run.turned_down);
+            table(&mut out, &SERVER_COLUMNS, server_rows(run));
         }
         for run in &self.runs {
             let _ = writeln!(
@@ -226,7 +234,7 @@
                 rows.push((format!("{policy}, before"), then));
                 rows.push((format!("{policy}, now"), now));
             }
-            table(&mut out, rows);
+            table(&mut out, &COLUMNS.map(|(head, _)| head), rows);
         }
         Ok(out)
     }
@@ -248,7 +256,12 @@
 
 type Column = (&'static str, fn(&Stretch) -> f64);
 
-const COLUMNS: [Column; 20] = [
+/// So many real servers are listed each by itself in the text.
+const FEW: usize = 20;
+
+const SERVER_COLUMNS: [&str; 5] = ["load", "attempts", "errors", "share", "had room"];
+
+const COLUMNS: [Column; 23] = [
     ("first tries", |s| s.first_tries as f64),
     ("in time", |s| s.in_time),
     ("late", |s| s.late),
@@ -258,6 +271,9 @@
     ("worth", |s| s.worth),
     ("tries", |s| s.tries),
     ("attempts", |s| s.attempts),
+    ("errors", |s| s.errors),
+    ("spent", |s| s.spent),
+    ("room", |s| s.refused_with_room),
     ("kept", |s| s.kept),
     ("p50 ms", |s| s.wait_p50_ms),
     ("p99 ms", |s| s.wait_p99_ms),
@@ -275,9 +291,19 @@
     stretches.iter().map(|s| s.name.as_str()).collect()
 }
 
-fn table(out: &mut String, rows: Vec<Row>) {
+/// Each real server of a policy's run.
+fn server_rows(run: &Figures) -> Vec<Row> {
+    let row = |s: &crate::record::Server| -> Row {
+        let errors = s.errors as f64 / s.attempts.max(1) as f64;
+        let cells = [s.load, s.attempts as f64, s.errors as f64, errors, s.had_room].map(shown);
+        (format!("{} ({})", s.name, s.kind), cells.into())
+    };
+    run.servers.iter().map(row).collect()
+}
+
+fn table(out: &mut String, heads: &[&str], rows: Vec<Row>) {
     let _ = write!(out, "  {:<24}", "");
-    for (head, _) in COLUMNS {
+    for head in heads {
         let _ = write!(out, " {head:>11}");
     }
     out.push('\n');
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -149,6 +149,35 @@
     release(&[&own, more].concat())
 }
 
+#[test]
+fn a_part_of_what_some_real_servers_get_fails_and_is_made_again_elsewhere() {
+    let part = |part: &str| {
+        let line = format!("share  = 0.3\n    part   = {part}");
+        play(&fault("error_replicas", &[("share  = 0.7", &line)]))
+    };
+    let some = part("0.6");
+    let during = stretch(&some, "module", "in release");
+    assert!(during.errors > 0.03 && during.attempts > 1.03 && during.broken == 0.0, "{during:?}");
+    let failing = some.runs[0].servers.iter().filter(|s| s.errors > 0);
+    assert!(failing.clone().all(|s| s.errors < s.attempts), "a part, and only for 3 s");
+    assert_eq!(failing.count(), 3);
+    assert_eq!(stretch(&part("0"), "module", "all").errors, 0.0);
+}
+
+#[test]
+fn tries_that_run_out_of_attempts_are_told() {
+    let spent = |attempts: &str| {
+        let allow = format!("allow {{\n  attempts = {attempts}\n}}\n\nlist {{");
+        let all_fail = ("share  = 0.7", "share  = 1\n    part   = 1");
+        let text = fault("error_replicas", &[all_fail, ("list {", &allow)]);
+        let report = play(&text);
+        (stretch(&report, "module", "in release").spent, stretch(&report, "module", "before").spent)
+    };
+    let (one, before) = spent("1");
+    assert!(one > 0.5 && before == 0.0, "{one} {before}");
+    assert!(spent("5").0 < one);
+}
+
 #[test]
 fn a_real_server_that_hangs_goes_on_where_it_stood() {
     let hang = play(&fault("hang_replicas", &[("share  = 0.7", "share  = 0.3")]));
@@ -199,6 +228,22 @@
     assert_eq!(report.runs[0].servers.iter().filter(busy).count(), 10);
 }
 
+#[test]
+fn what_is_turned_down_while_others_have_room_is_told_by_whom() {
+    let x = Experiment::parse("test.hcl", &release(&[])).expect("a good experiment");
+    let mut record = tulipridge_lab::record::Record::new(&x);
+    (0..2).for_each(|n| record.server(&n.to_string(), "large", 1.0, false));
+    let now = 4_000_000_000;
+    (0..4).for_each(|_| record.first_try(now));
+    record.turned_down(now, now, [0, 1].into_iter());
+    record.turned_down(now, now, [1].into_iter());
+    record.turned_down(now, now, [].into_iter());
+    let figures = record.figures("none");
+    let all = figures.stretches.iter().find(|s| s.name == "all").expect("the stretch is there");
+    assert_eq!((all.refused_with_room, figures.turned_down), (0.5, 3));
+    assert_eq!([0, 1].map(|n: usize| figures.servers[n].had_room), [0.3333, 0.6667]);
+}
+
 #[test]
 fn a_bad_experiment_is_refused_with_its_place_and_key() {
     let fault = |with: &[(&str, &str)]| {
