--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -45,7 +45,8 @@
         });
         let at = |f: &crate::experiment::Fault| nanos(f.at) as f64 / SECOND as f64;
         let fault = |(name, f): (&str, &crate::experiment::Fault)| {
-            (name.to_owned(), format!("{:.0}% of {}", f.share * 100.0, f.kind.words()), at(f))
+            let part = f.share.map_or(String::new(), |share| format!("{:.0}% of ", share * 100.0));
+            (name.to_owned(), part + f.kind.words(), at(f))
         };
         Ok(Report {
             about: x.about.clone(),
@@ -65,11 +66,14 @@
 
     /// The page, with its plots inside.
     pub fn html(&self) -> Result<String, String> {
-        let plots: Vec<(&str, String)> =
+        let plots: Vec<(String, String)> =
             self.plots()?.into_iter().map(|(_, title, plot)| (title, plot)).collect();
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
         let tables: Vec<(String, Vec<Row>)> =
             names.into_iter().map(|name| (name.to_owned(), self.rows(name))).collect();
+        let servers: Vec<(String, Vec<Row>)> =
+            self.runs.iter().map(|run| (run.policy.clone(), server_rows(run))).collect();
+        let server_heads = SERVER_COLUMNS;
         let heads: Vec<&str> = COLUMNS.iter().map(|(head, _)| *head).collect();
         let colours: Vec<(String, String)> =
             self.runs.iter().enumerate().map(|(n, r)| (r.policy.clone(), hex(colour(n)))).collect();
@@ -79,14 +83,57 @@
         let (about, gateways, replicas) = (&self.about, self.gateways, self.replicas);
         let (rate, seed, faults) = (self.rate, self.seed, self.faults.clone());
         page.render(
-            context! { about, gateways, replicas, rate, seed, faults, plots, tables, heads, colours },
+            context! { about, gateways, replicas, rate, seed, faults, plots, tables, heads, colours, servers, server_heads },
         )
         .map_err(|e| e.to_string())
     }
 
     /// Each plot: a name for its file, its title, and the SVG.
-    pub fn plots(&self) -> Result<Vec<(&'static str, &'static str, String)>, String> {
-        PLOTS.into_iter().map(|(name, title, of)| Ok((name, title, self.plot(of)?))).collect()
+    pub fn plots(&self) -> Result<Vec<(String, String, String)>, String> {
+        let lines =
+            PLOTS.into_iter().map(|(name, title, of)| Ok((name.into(), title.into(), self.plot(of)?)));
+        let maps = self.runs.iter().map(|run| {
+            let title =
+                format!("{}: each real server's load, a row each, most loaded at the top", run.policy);
+            Ok((format!("servers-{}", run.policy), title, self.map(run)?))
+        });
+        lines.chain(maps).collect()
+    }
+
+    /// The load of each real server over time: white is none, red is a full batch and more; grey is not there.
+    fn map(&self, run: &Figures) -> Result<String, String> {
+        let mut servers: Vec<_> = run.servers.iter().collect();
+        servers.sort_by(|a, b| a.load.total_cmp(&b.load).then_with(|| a.name.cmp(&b.name)));
+        let seconds = servers.iter().map(|s| s.loads.len()).max().unwrap_or(0).max(1);
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, (940, 340)).into_drawing_area();
+            let mut chart = ChartBuilder::on(&area)
+                .margin(8)
+                .x_label_area_size(28)
+                .y_label_area_size(44)
+                .build_cartesian_2d(0.0..seconds as f64, 0.0..servers.len() as f64)
+                .map_err(|e| e.to_string())?;
+            chart
+                .configure_mesh()
+                .disable_mesh()
+                .x_desc("seconds after the warm-up")
+                .draw()
+                .map_err(|e| e.to_string())?;
+            let cells = servers.iter().enumerate().flat_map(|(row, server)| {
+                server.loads.iter().enumerate().map(move |(second, load)| {
+                    let colour = load.map_or(RGBColor(190, 190, 190), |load| {
+                        let cool = (255.0 * (1.0 - load.clamp(0.0, 1.0))) as u8;
+                        RGBColor(if load > 1.5 { 120 } else { 255 }, cool, cool)
+                    });
+                    let (x, y) = (second as f64, row as f64);
+                    Rectangle::new([(x, y), (x + 1.0, y + 1.0)], colour.filled())
+                })
+            });
+            chart.draw_series(cells).map_err(|e| e.to_string())?;
+            area.present().map_err(|e| e.to_string())?;
+        }
+        Ok(svg)
     }
 
     fn rows(&self, name: &str) -> Vec<Row> {
@@ -140,9 +187,14 @@
     pub fn text(&self) -> String {
         let mut out = String::new();
         let names: Vec<&str> = self.runs.first().map_or(Vec::new(), |r| names(&r.stretches));
+        let heads = COLUMNS.map(|(head, _)| head);
         for name in names {
             let _ = writeln!(out, "{name}");
-            table(&mut out, self.rows(name));
+            table(&mut out, &heads, self.rows(name));
+        }
+        for run in self.runs.iter().filter(|run| run.servers.len() <= FEW) {
+            let _ = writeln!(out, "{}: {} tries turned down", run.policy, run.turned_down);
+            table(&mut out, &SERVER_COLUMNS, server_rows(run));
         }
         for run in &self.runs {
             let _ = writeln!(
@@ -182,7 +234,7 @@
                 rows.push((format!("{policy}, before"), then));
                 rows.push((format!("{policy}, now"), now));
             }
-            table(&mut out, rows);
+            table(&mut out, &COLUMNS.map(|(head, _)| head), rows);
         }
         Ok(out)
     }
@@ -204,7 +256,12 @@
 
 type Column = (&'static str, fn(&Stretch) -> f64);
 
-const COLUMNS: [Column; 19] = [
+/// So many real servers are listed each by itself in the text.
+const FEW: usize = 20;
+
+const SERVER_COLUMNS: [&str; 5] = ["load", "attempts", "errors", "share", "had room"];
+
+const COLUMNS: [Column; 23] = [
     ("first tries", |s| s.first_tries as f64),
     ("in time", |s| s.in_time),
     ("late", |s| s.late),
@@ -212,7 +269,11 @@
     ("failed", |s| s.failed),
     ("broken", |s| s.broken),
     ("worth", |s| s.worth),
+    ("tries", |s| s.tries),
     ("attempts", |s| s.attempts),
+    ("errors", |s| s.errors),
+    ("spent", |s| s.spent),
+    ("room", |s| s.refused_with_room),
     ("kept", |s| s.kept),
     ("p50 ms", |s| s.wait_p50_ms),
     ("p99 ms", |s| s.wait_p99_ms),
@@ -230,9 +291,19 @@
     stretches.iter().map(|s| s.name.as_str()).collect()
 }
 
-fn table(out: &mut String, rows: Vec<Row>) {
+/// Each real server of a policy's run.
+fn server_rows(run: &Figures) -> Vec<Row> {
+    let row = |s: &crate::record::Server| -> Row {
+        let errors = s.errors as f64 / s.attempts.max(1) as f64;
+        let cells = [s.load, s.attempts as f64, s.errors as f64, errors, s.had_room].map(shown);
+        (format!("{} ({})", s.name, s.kind), cells.into())
+    };
+    run.servers.iter().map(row).collect()
+}
+
+fn table(out: &mut String, heads: &[&str], rows: Vec<Row>) {
     let _ = write!(out, "  {:<24}", "");
-    for (head, _) in COLUMNS {
+    for head in heads {
         let _ = write!(out, " {head:>11}");
     }
     out.push('\n');
