Write to standard error from a thread of its own; drop, count and tell what does not fit

Cause: env_logger wrote each line to standard error from the one thread that serves (src/syslog.rs, `start` without a target), and a write to a full pipe, or to a file on a disk whose unwritten pages are too many, waits. With a collector lines did not wait, but what was dropped nobody was told, and the end waited in a busy loop.

Both ways now take lines from one queue, bounded in lines (1,024) and bytes (256 KiB). What does not fit is dropped and counted, and `log-lost` stands where the lines would have stood. A panic's message goes the same way with 0.2 s to get out: straight to a full pipe it would keep the process from ending. The end waits 0.2 s at the most.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -95,8 +95,10 @@
     pub list_wait: Duration,
     /// A time-out that fell this short of its end when the client left counts as one.
     pub timeout_slack: Duration,
-    /// Messages to peers or a collector that wait to be sent; older ones are dropped.
+    /// Log lines that wait for standard error or the collector; further ones are dropped and counted.
     pub backlog: usize,
+    /// Bytes of all of them together.
+    pub log_bytes: usize,
     /// Keys that the store holds.
     pub store_keys: usize,
     /// Bytes of a key or a value of the store.
@@ -109,8 +111,10 @@
     pub store_ahead: Duration,
     /// Unknown event names that are remembered so as to be logged once.
     pub names_noted: usize,
-    /// Time for the collector to take what is queued at the program's end.
+    /// Time for the log to get out at the program's end or at a panic.
     pub syslog_drain: Duration,
+    /// How often it is looked whether it is.
+    pub drain_look: Duration,
     /// Time between two notes of this node's state in the store.
     pub state_every: Duration,
     /// Time between two exchanges of the store with a peer.
@@ -174,6 +178,7 @@
             list_wait: Duration::from_secs(1),
             timeout_slack: Duration::from_millis(25),
             backlog: 1024,
+            log_bytes: 256 << 10,
             store_keys: 256,
             store_bytes: 2 << 10,
             store_line: 2 << 20,
@@ -181,6 +186,7 @@
             store_ahead: Duration::from_secs(60),
             names_noted: 64,
             syslog_drain: Duration::from_millis(200),
+            drain_look: Duration::from_millis(1),
             state_every: Duration::from_secs(2),
             peer_every: Duration::from_millis(500),
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -35,18 +35,22 @@
     let ex: &'static LocalExecutor<'static> = Box::leak(Box::default());
     async_io::block_on(ex.run(async {
         let collector = config.own.syslog.tcp;
-        let lines = syslog::start(&config.name, collector.is_some(), &limits);
-        if let (Some(collector), Some(lines)) = (collector, lines.clone()) {
+        let (log, lines) = match syslog::start(&config.name, collector.is_some(), &limits) {
+            Ok(started) => started,
+            Err(e) => {
+                eprintln!("tulipridge: no thread for the log: {e}; raise the limit on threads or memory");
+                return ExitCode::FAILURE;
+            }
+        };
+        if let (Some(collector), Some(lines)) = (collector, lines) {
             let limits = limits.clone();
-            ex.spawn(async move { syslog::feed(collector, lines, &limits).await }).detach();
+            ex.spawn(async move { syslog::to_collector(collector, lines, &limits).await }).detach();
         }
         let outcome = run(ex, config, sources, inherited, limits.clone()).await;
         if let Err(what) = &outcome {
             log::error!("start-failed: {what}");
         }
-        if let Some(lines) = &lines {
-            syslog::drain(lines, &limits).await;
-        }
+        log.drain(&limits).await;
         if outcome.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
     }))
 }
--- a/src/syslog.rs
+++ b/src/syslog/mod.rs
@@ -1,30 +1,41 @@
 //! The log's form and its ways out: RFC 5424 lines with structured data, to standard error or to a collector.
 //!
 //! What a line is about stands in its structured data; the first word of its text, up to the colon, is its
-//! message id. A collector is fed over TCP with the octet counting of RFC 6587. Lines wait for it in a bounded
-//! queue and are dropped when that is full: a request never waits for a log line.
+//! message id. A collector is fed over TCP with the octet counting of RFC 6587, standard error by a thread that does
+//! nothing else. Lines wait for either in a bounded queue; when that is full they are dropped and counted: a request
+//! never waits for a log line.
+
+mod panics;
+mod queue;
+mod ways;
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
-use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::SystemTime;
 
-use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::future;
 use log::kv::{self, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
 
 use crate::limits::Limits;
-use crate::net::{Wire, within};
+use crate::net::within;
+use queue::Gauge;
+
+pub use queue::Lines;
+pub use ways::to_collector;
 
 /// The structured data's id: a name of our own under the number that RFC 5612 sets aside for examples.
 const SD_ID: &str = "tulipridge@32473";
 /// The facility: a system daemon.
 const FACILITY: u8 = 3;
 
-/// Sets the log up. Returns what is to be fed to the collector, if there is one.
-pub fn start(host: &str, collector: bool, limits: &Limits) -> Option<Receiver<Vec<u8>>> {
+/// The log while the program runs.
+pub struct Log(Gauge);
+
+/// Sets the log up. With a collector it also returns what is to be fed to that one; else a thread writes to standard
+/// error.
+pub fn start(host: &str, collector: bool, limits: &Limits) -> io::Result<(Log, Option<Lines>)> {
     let mut builder = env_logger::Builder::new();
     let wanted = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".to_owned());
     let level = LevelFilter::from_str(&wanted);
@@ -34,21 +45,51 @@
         Err(_) => builder.parse_filters(&wanted),
     };
     let host = word(host, 255);
+    let way = if collector { "collector" } else { "stderr" };
+    let (intake, lines, gauge) = queue::queue(limits.backlog, limits.log_bytes, {
+        let host = host.clone();
+        move |lost| notice(&host, way, lost)
+    });
+    builder.target(env_logger::Target::Pipe(Box::new(intake)));
     builder.format(move |buf, record| {
         let time = buf.timestamp_micros().to_string();
         writeln!(buf, "{}", line(&time, &host, std::process::id(), record))
     });
-    let feed = collector.then(|| {
-        let (queue, lines) = async_channel::bounded(limits.backlog);
-        builder.target(env_logger::Target::Pipe(Box::new(Queue { queue, line: Vec::new() })));
-        lines
-    });
+    let feed = if collector {
+        Some(lines)
+    } else {
+        ways::to_stderr(lines, limits)?;
+        panics::to_log(gauge.clone(), limits.syslog_drain);
+        None
+    };
     // Only a second start in one process fails, which then keeps the first one's log.
     let _ = builder.try_init();
     if let Ok(level) = level {
         log::set_max_level(level);
     }
-    feed
+    Ok((Log(gauge), feed))
+}
+
+impl Log {
+    /// Gives what is still queued a moment, at the program's end.
+    pub async fn drain(&self, limits: &Limits) {
+        let out = async {
+            while !self.0.is_out() {
+                Timer::after(limits.drain_look).await;
+            }
+        };
+        let _ = within(limits.syslog_drain, out).await;
+    }
+}
+
+/// The line that tells of so many lost ones.
+fn notice(host: &str, way: &str, lost: u64) -> Vec<u8> {
+    let time = humantime::format_rfc3339_micros(SystemTime::now()).to_string();
+    let lost = lost.to_string();
+    let pairs = [("lines", lost.as_str()), ("way", way)];
+    let text = format_args!("log-lost: the way out was full or slow; no request waited for it");
+    let record = Record::builder().level(Level::Warn).args(text).key_values(&pairs).build();
+    line(&time, host, std::process::id(), &record).into_bytes()
 }
 
 /// A record as an RFC 5424 message.
@@ -102,62 +143,9 @@
     }
 }
 
-/// Where env_logger writes to when there is a collector.
-struct Queue {
-    queue: Sender<Vec<u8>>,
-    line: Vec<u8>,
-}
-
-impl Write for Queue {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        let line = std::mem::take(&mut self.line);
-        if !line.trim_ascii().is_empty() {
-            // Guards against waiting for a slow or dead collector: what does not fit is lost.
-            let _ = self.queue.try_send(line.trim_ascii().to_vec());
-        }
-        Ok(())
-    }
-}
-
 /// A message with its octet count before it.
 pub fn framed(line: &[u8]) -> Vec<u8> {
     let mut out = format!("{} ", line.len()).into_bytes();
     out.extend_from_slice(line);
     out
 }
-
-/// Feeds the collector, for ever: connects anew when it has to, and sends again the line that was not taken.
-pub async fn feed(collector: SocketAddr, lines: Receiver<Vec<u8>>, limits: &Limits) {
-    let mut wire: Option<Wire> = None;
-    while let Ok(line) = lines.recv().await {
-        loop {
-            if wire.as_ref().is_none_or(|w| !w.is_quiet()) {
-                wire = Wire::connect(collector, limits).await.ok();
-            }
-            if let Some(open) = &mut wire
-                && let Ok(Ok(())) = within(limits.edge_write, open.write(&framed(&line))).await
-            {
-                break;
-            }
-            wire = None;
-            Timer::after(limits.peer_every).await;
-        }
-    }
-}
-
-/// Gives the collector a moment for what is still queued, at the program's end.
-pub async fn drain(lines: &Receiver<Vec<u8>>, limits: &Limits) {
-    let empty = async {
-        while !lines.is_empty() {
-            future::yield_now().await;
-        }
-        // The last line taken from the queue is still being written.
-        Timer::after(limits.accept_pause).await;
-    };
-    let _ = within(limits.syslog_drain, empty).await;
-}
