Keep the demo's output open in its test, so that the demo does not end at a closed pipe

The test let go of the pipe after the two calls, and the demo prints two more lines; where these came later, println ended the program with a broken pipe. The test now holds the pipe to its end; the program is unchanged.

--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -261,8 +261,10 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("it starts");
-    let lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
+    // Kept to the end: the program goes on to print, and would end where nobody reads.
+    let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
     let addrs: Vec<SocketAddr> = lines
+        .by_ref()
         .filter(|l| l.starts_with("curl -N "))
         .map(|l| l["curl -N ".len()..].split('/').next().expect("an address").parse().expect("an address"))
         .take(2)
