Watch whether the serving thread stands still, and tell whose doing it is

src/lag.rs compares when the timers' loop was due with when it ran, and with the thread's own processor time (rustix, feature `time`).

Before, there was no such line.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -17,10 +17,12 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::{Stream, future};
+use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
 
 pub use life::{Answer, Arrival, Begun, Client, Heir, Servers, Step, Why, carry_on, serve};
 
 use crate::Gateway;
+use crate::lag::{Late, Watch};
 use crate::limits::{Limits, StreamLimits};
 use crate::stream::{Change, End};
 use crate::types::*;
@@ -120,6 +122,7 @@
     waiting: BTreeMap<RequestId, Waiting>,
     actions: Vec<Action>,
     spare_id: u64,
+    watch: Watch,
 }
 
 /// A held request's mailbox, and how many schedulings it was ordered.
@@ -158,6 +161,7 @@
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             spare_id: seed,
+            watch: Watch::new(unix, cpu_time(), limits),
         };
         let clock = Rc::new(Clock { unix, from: Instant::now() });
         let core = Rc::new(RefCell::new(core));
@@ -211,26 +215,27 @@
         self.feed(Event::Probed { replica, verdict, elapsed, report: ending.report });
     }
 
-    /// Hands the timers to the module as they come due, for ever.
+    /// Hands the timers to the module as they come due, for ever; by them it is seen whether the thread runs in time.
     pub async fn run_timers(&self) {
+        let mut due = self.now();
         loop {
-            let next = self.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
             let now = self.now();
+            self.look(due, now);
+            let next = self.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
             match next {
                 Some(at) if at <= now => {
-                    let due = self.core.borrow_mut().timers.pop();
-                    if let Some(Reverse((_, token))) = due {
+                    let first = self.core.borrow_mut().timers.pop();
+                    if let Some(Reverse((_, token))) = first {
                         self.feed(Event::Timer(token));
                     }
+                    due = now;
                     // Sockets have their turn between timers, however many are due.
                     future::yield_now().await;
                 }
                 _ => {
+                    due = self.core.borrow().watch.until(now, next);
                     let until = async {
-                        match next {
-                            Some(at) => drop(Timer::after(Duration::from_nanos(at - now)).await),
-                            None => future::pending().await,
-                        }
+                        Timer::after(Duration::from_nanos(due - now)).await;
                     };
                     future::or(until, async { self.nudged.recv().await.unwrap_or_default() }).await;
                 }
@@ -238,6 +243,17 @@
         }
     }
 
+    /// Tells if the thread runs late.
+    fn look(&self, due: Nanos, now: Nanos) {
+        let told = self.core.borrow_mut().watch.ran(due, now, cpu_time);
+        if let Some(Late { due, late, span, cpu }) = told {
+            let due = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_nanos(due));
+            let [late, span, cpu] = [late, span, cpu].map(|nanos| nanos / 1_000_000);
+            log::warn!(due:% = due, late_ms = late, span_ms = span, cpu_ms = cpu;
+                "thread-late: the one thread stood still; with cpu_ms as long as late_ms by its own work");
+        }
+    }
+
     /// An id for a request whose client gave it none.
     pub fn fresh_id(&self) -> u64 {
         let core = &mut *self.core.borrow_mut();
@@ -323,6 +339,13 @@
     }
 }
 
+/// The processor time that this thread has had. A system that does not say it leaves the watch without that figure.
+fn cpu_time() -> Nanos {
+    let thread = DynamicClockId::Known(ClockId::ThreadCPUTime);
+    clock_gettime_dynamic(thread)
+        .map_or(0, |time| time.tv_sec as Nanos * 1_000_000_000 + time.tv_nsec as Nanos)
+}
+
 /// A request that is held: its orders come out of it, its events go into it. When it is dropped the module
 /// learns that the request is over and that what was still out was called off.
 pub struct Held {
--- /dev/null
+++ b/src/lag.rs
@@ -0,0 +1,76 @@
+//! Whether the one thread stands still, and whose doing it is: the program's own, by a long loop, or that of others,
+//! who did not let it run or made it wait in a system call.
+//!
+//! No I/O and no clock: both clocks are handed in, in nanoseconds, that of the wall and that of the thread's own
+//! processor time.
+
+use crate::limits::Limits;
+use crate::types::Nanos;
+
+/// A spell in which the thread ran late, as it was first seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Late {
+    /// When it should have run.
+    pub due: Nanos,
+    /// How much later it did.
+    pub late: Nanos,
+    /// The time since the last look before it was due, which is what `cpu` is of.
+    pub span: Nanos,
+    /// The processor time that the thread had meanwhile.
+    pub cpu: Nanos,
+}
+
+/// Compares when the thread should have run with when it did.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    most: Nanos,
+    look: Nanos,
+    calm: Nanos,
+    again: Nanos,
+    /// The last look: the wall's clock and the thread's.
+    seen: (Nanos, Nanos),
+    /// When it last ran late, while that spell lasts.
+    spell: Option<Nanos>,
+}
+
+impl Watch {
+    /// A watch that begins now.
+    pub fn new(now: Nanos, cpu: Nanos, limits: &Limits) -> Watch {
+        let nanos = |span: std::time::Duration| span.as_nanos() as Nanos;
+        Watch {
+            most: nanos(limits.lag_most),
+            look: nanos(limits.lag_look),
+            calm: nanos(limits.lag_calm),
+            again: nanos(limits.lag_again),
+            seen: (now, cpu),
+            spell: None,
+        }
+    }
+
+    /// When to run next, with a timer that is due at `next`: never so far off that standing still meanwhile would go
+    /// unseen or the thread's time say little.
+    pub fn until(&self, now: Nanos, next: Option<Nanos>) -> Nanos {
+        next.unwrap_or(Nanos::MAX).min(now.saturating_add(self.look))
+    }
+
+    /// It runs, having been due then. Returns what there is to tell: the first of each spell. The thread's clock is
+    /// asked only where it is needed, since that is a system call.
+    pub fn ran(&mut self, due: Nanos, now: Nanos, cpu: impl FnOnce() -> Nanos) -> Option<Late> {
+        let late = now.saturating_sub(due);
+        let over = late > self.most;
+        if !over && now.saturating_sub(self.seen.0) < self.again {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.seen, (now, cpu()));
+        let fresh = self.spell.is_none_or(|last| now.saturating_sub(last) >= self.calm);
+        if over {
+            self.spell = Some(now);
+        }
+        (over && fresh).then(|| Late {
+            due,
+            late,
+            span: now.saturating_sub(before.0),
+            cpu: self.seen.1.saturating_sub(before.1),
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod conformance;
 pub mod engine;
 pub mod front;
+pub mod lag;
 pub mod lifecycle;
 pub mod limits;
 pub mod names;
