Read the files at SIGHUP, and take the handover's path, on a thread aside

Cause: looked through src/ for what the serving thread can wait in. Config::reload (src/serve.rs, SIGHUP) opened and read two files, and bind_over (src/net/handover.rs) removed and renamed names in $TMPDIR while clients are served already; a disk that is busy with others' writes makes both wait, and all requests with them. Everything else that opens files does so before the first port is open, or in commands that serve nobody.

src/aside.rs does such work on a short-lived thread and hands back what came of it. Readings at SIGHUP go one after the other, so that the last order counts; several that wait are one.

Test: the configuration is a named pipe that nobody writes to; twenty requests are served meanwhile, the file is read once it comes, and SIGTERM ends the program beside another reading that hangs.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -17,6 +17,7 @@
 use super::keeper::Keeper;
 use super::parcel::{FORM, Parcel};
 use super::within;
+use crate::aside::aside;
 use crate::limits::Limits;
 use crate::overlap::{Overlap, Report};
 use async_executor::LocalExecutor;
@@ -81,9 +82,11 @@
         if !keeper.accepting().await {
             return;
         }
-        let listener = match bind_over(path) {
-            Ok(listener) => listener,
-            Err(e) => {
+        let at = path.clone();
+        // Names in a folder are a disk's matter.
+        let listener = match aside(move || bind_over(&at)).await {
+            Ok(Ok(listener)) => listener,
+            Ok(Err(e)) | Err(e) => {
                 log::warn!(path:? = path; "handover-off: a process that follows is not known: {e}");
                 return;
             }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,6 +12,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 
+use tulipridge::aside::aside;
 use tulipridge::config::{self, Config, Sources};
 use tulipridge::engine::Engine;
 use tulipridge::front::{Desk, Dialect};
@@ -155,6 +156,27 @@
     ex.spawn(async move { fleet.sweep().await }).detach();
     ex.spawn(discovery.clone().run(ex, orders, push)).detach();
 
+    // One reading at a time, so that the last order is the one that counts; several that wait are one.
+    let (reload, asked) = async_channel::bounded(1);
+    ex.spawn(async move {
+        while asked.recv().await.is_ok() {
+            let sources = sources.clone();
+            // Guards against a disk that keeps all requests waiting for a file.
+            let read = aside(move || Config::reload(&sources)).await;
+            match read.unwrap_or_else(|e| Err(format!("no thread to read the files: {e}"))) {
+                Ok(config) => {
+                    // What the environment says goes first, and can't have changed.
+                    if config.mgmt != mgmt_told && env::var_os("EDGE_MGMT").is_none() {
+                        log::warn!(told:? = config.mgmt, kept:? = mgmt_told; "mgmt-kept: a second address counts from the next start");
+                    }
+                    discovery.move_to(config.discovery);
+                }
+                Err(what) => log::error!("reload-failed: all stays as it was: {what}"),
+            }
+        }
+    })
+    .detach();
+
     // Guards against a SIGHUP that ends the program, also one that comes while it stops.
     let mut stopping = false;
     let stopped = async_channel::bounded::<()>(1);
@@ -164,16 +186,8 @@
             None
         });
         match signal.await {
-            Some(Signal::Hup) => match Config::reload(&sources) {
-                Ok(config) => {
-                    // What the environment says goes first, and can't have changed.
-                    if config.mgmt != mgmt_told && env::var_os("EDGE_MGMT").is_none() {
-                        log::warn!(told:? = config.mgmt, kept:? = mgmt_told; "mgmt-kept: a second address counts from the next start");
-                    }
-                    discovery.move_to(config.discovery);
-                }
-                Err(what) => log::error!("reload-failed: all stays as it was: {what}"),
-            },
+            // A full channel has an order that is not begun yet and will see what this one would.
+            Some(Signal::Hup) => drop(reload.try_send(())),
             Some(signal) if !stopping => {
                 stopping = true;
                 log::info!(signal:? = signal, connections = edge.open(); "stopping: finishing what is held");
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -172,6 +173,32 @@
     assert_eq!(gateway.stop(), Some(0));
 }
 
+#[test]
+fn a_configuration_that_a_disk_does_not_give_out_delays_no_answer() {
+    let server = server("platform", Manner::Serve);
+    let mut gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
+    let environment = std::fs::read(format!("/proc/{}/environ", gateway.child.id())).expect("readable");
+    let variables = String::from_utf8(environment).expect("UTF-8");
+    let path = variables.split('\0').find_map(|v| v.strip_prefix("EDGE_CONFIG=")).expect("set").to_owned();
+    // A pipe in the file's place: whoever opens it waits until somebody writes.
+    std::fs::remove_file(&path).expect("removed");
+    assert!(Command::new("mkfifo").arg(&path).status().expect("it runs").success());
+    gateway.signal("-HUP");
+    for session in 0..20 {
+        let stream = gateway.send("platform", "plain", 9000, session);
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+        assert_eq!(seen("platform", stream).0, Seen::Served("Hello".into()));
+        thread::sleep(Duration::from_millis(10));
+    }
+    // It was indeed asked for, and is read once it comes.
+    std::fs::write(&path, "{").expect("written");
+    eventually(|| gateway.logged("reload-failed") == 1);
+    // One that is still being waited for does not keep it from ending.
+    gateway.signal("-HUP");
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(gateway.stop(), Some(0));
+}
+
 #[test]
 fn an_unknown_event_passes_untouched_or_is_left_out_and_logged_once() {
     for (client, dialect) in PAIRINGS {
