Watch the serving thread from sleeps that there are anyway, so that an idle gateway wakes no more often

Cause: to see itself stand still, the timers' loop woke each 250 ms.

The loop over streams sleeps 250 ms at a time as it is; it now tells the watch, and the timers' loop sleeps until its next timer as before the watch.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -217,10 +217,11 @@
 
     /// Hands the timers to the module as they come due, for ever; by them it is seen whether the thread runs in time.
     pub async fn run_timers(&self) {
-        let mut due = self.now();
+        // When it was to go on, where that is known.
+        let mut due = None;
         loop {
             let now = self.now();
-            self.look(due, now);
+            self.watch(due.unwrap_or(now), now);
             let next = self.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
             match next {
                 Some(at) if at <= now => {
@@ -228,14 +229,19 @@
                     if let Some(Reverse((_, token))) = first {
                         self.feed(Event::Timer(token));
                     }
-                    due = now;
+                    due = Some(now);
                     // Sockets have their turn between timers, however many are due.
                     future::yield_now().await;
                 }
                 _ => {
-                    due = self.core.borrow().watch.until(now, next);
+                    due = next;
                     let until = async {
-                        Timer::after(Duration::from_nanos(due - now)).await;
+                        match next {
+                            Some(at) => {
+                                Timer::after(Duration::from_nanos(at - now)).await;
+                            }
+                            None => future::pending().await,
+                        }
                     };
                     future::or(until, async { self.nudged.recv().await.unwrap_or_default() }).await;
                 }
@@ -243,8 +249,9 @@
         }
     }
 
-    /// Tells if the thread runs late.
-    fn look(&self, due: Nanos, now: Nanos) {
+    /// Tells if the thread runs late. Loops that sleep for a known time say so here, and none sleeps less for it: a wake
+    /// costs a gateway that is idle more than all else.
+    fn watch(&self, due: Nanos, now: Nanos) {
         let told = self.core.borrow_mut().watch.ran(due, now, cpu_time);
         if let Some(Late { due, late, span, cpu }) = told {
             let due = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_nanos(due));
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -140,6 +140,8 @@
                 figures_at.get_or_insert(now.saturating_add(every.as_nanos() as Nanos));
             }
             Timer::after(self.limits.look).await;
+            // The one sleep that is short however idle the gateway is.
+            self.watch(now.saturating_add(self.limits.look.as_nanos() as Nanos), self.now());
         }
     }
 
--- a/src/lag.rs
+++ b/src/lag.rs
@@ -24,7 +24,6 @@
 #[derive(Clone, Debug)]
 pub struct Watch {
     most: Nanos,
-    look: Nanos,
     calm: Nanos,
     again: Nanos,
     /// The last look: the wall's clock and the thread's.
@@ -39,7 +38,6 @@
         let nanos = |span: std::time::Duration| span.as_nanos() as Nanos;
         Watch {
             most: nanos(limits.lag_most),
-            look: nanos(limits.lag_look),
             calm: nanos(limits.lag_calm),
             again: nanos(limits.lag_again),
             seen: (now, cpu),
@@ -47,12 +45,6 @@
         }
     }
 
-    /// When to run next, with a timer that is due at `next`: never so far off that standing still meanwhile would go
-    /// unseen or the thread's time say little.
-    pub fn until(&self, now: Nanos, next: Option<Nanos>) -> Nanos {
-        next.unwrap_or(Nanos::MAX).min(now.saturating_add(self.look))
-    }
-
     /// It runs, having been due then. Returns what there is to tell: the first of each spell. The thread's clock is
     /// asked only where it is needed, since that is a system call.
     pub fn ran(&mut self, due: Nanos, now: Nanos, cpu: impl FnOnce() -> Nanos) -> Option<Late> {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -117,8 +117,6 @@
     pub drain_look: Duration,
     /// The serving thread may run so late before it is told.
     pub lag_most: Duration,
-    /// The longest that it sleeps with nothing to do, so that it sees itself stand still.
-    pub lag_look: Duration,
     /// A spell of running late is over after this time without.
     pub lag_calm: Duration,
     /// Time between two looks at the thread's own processor time.
@@ -196,7 +194,6 @@
             syslog_drain: Duration::from_millis(200),
             drain_look: Duration::from_millis(1),
             lag_most: Duration::from_millis(100),
-            lag_look: Duration::from_millis(250),
             lag_calm: Duration::from_secs(1),
             lag_again: Duration::from_millis(10),
             state_every: Duration::from_secs(2),
