--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,13 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
+pub mod aside;
 mod choice;
 pub mod config;
 pub mod conformance;
 pub mod engine;
 pub mod front;
+pub mod lag;
 pub mod lifecycle;
 pub mod limits;
 pub mod names;
