--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -36,12 +36,17 @@
 
 /// Has a line written at level info, by bytes that are no request.
 fn noise(gateway: &Gateway, front: &str) {
+    answers(gateway, front, "nonsense\r\n\r\n", 400);
+}
+
+/// These bytes get an answer of that status in time.
+fn answers(gateway: &Gateway, front: &str, bytes: &str, status: u16) {
     let mut stream = gateway.connect(front);
     stream.set_read_timeout(Some(PACE)).expect("a time-out");
-    stream.write_all(b"nonsense\r\n\r\n").expect("sent");
+    stream.write_all(bytes.as_bytes()).expect("sent");
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("an answer in time");
-    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
 }
 
 /// Both fronts and the health check answer in time.
@@ -51,12 +56,7 @@
         let stream = gateway.send(front, "plain", 9000, session);
         stream.set_read_timeout(Some(PACE)).expect("a time-out");
         assert_eq!(seen(front, stream).0, Seen::Served("Hello".into()));
-        let mut stream = gateway.connect(front);
-        stream.set_read_timeout(Some(PACE)).expect("a time-out");
-        stream.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").expect("sent");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer in time");
-        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        answers(gateway, front, "GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 200);
         assert!(from.elapsed() < PACE, "{front}: {:?}", from.elapsed());
     }
 }
