Move the budget of cold servers out of the decision module into src/cold.rs

How much work a gateway may send to a cold server now is a question of its own, like when to call the list service: it decides no placement. `warmth`, the budgets and what refills them stood in src/choice.rs among the walk.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 
 use md5::{Digest, Md5};
 
+use crate::cold::{self, Cold};
 use crate::pace::Calls;
 use crate::types::*;
 
@@ -31,9 +32,6 @@
 const CUT_MOST: Nanos = 2 * SECOND;
 /// Beyond this share of the fleet, ejections are not believed: then it is this gateway or the load.
 const EJECT_SHARE: f64 = 0.5;
-/// All gateways together send a cold replica at most this multiple of its part of the tenants' quotas; these
-/// are within what the fleet can do, and a replica falls at 2.5 times what it can do at that moment.
-const COLD_PART: f64 = 2.0;
 /// What an answer costs, as prompt tokens read: a slot is kept about as long as this takes to read.
 const ANSWER_COST: f64 = 1000.0;
 const SIZE_STEP: f64 = 1.05; // from this multiple on, a kind's size is raised
@@ -103,7 +101,7 @@
     health: Breaker,
     record: Record,
     load: f64,
-    budget: Budget,
+    budget: cold::Budget,
     seen: u64,
     lag: Nanos,
 }
@@ -163,20 +161,6 @@
     }
 }
 
-/// Work that may be sent: what is left of it, which grows with time.
-#[derive(Clone, Copy, Default)]
-struct Budget {
-    left: f64,
-    at: Nanos,
-}
-
-impl Budget {
-    fn refill(&mut self, now: Nanos, rate: f64, most: f64) {
-        let gone = now.saturating_sub(self.at) as f64 / SECOND as f64;
-        (self.left, self.at) = ((self.left + rate * gone).min(most), now);
-    }
-}
-
 /// Whether an attempt may have had an effect.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
@@ -233,8 +217,7 @@
     ready: usize,
     /// The most that was ready at once: what the quotas were made for.
     most_size: f64,
-    /// What this gateway may send to all cold replicas together.
-    cold: Budget,
+    cold: Cold,
     sizes: BTreeMap<u16, f64>,
     warm: usize,
     walk: u64,
@@ -275,6 +258,7 @@
         let calls = Calls::new(me, group, patience, settings.list_calls_per_s);
         let (kept, turns) = (vec![0.0; settings.classes.len()], vec![1.0; settings.classes.len()]);
         Ok(Gateway {
+            cold: Cold::new(&settings),
             settings,
             random: seed,
             kept,
@@ -382,7 +366,7 @@
                 // A new process: what the old one did says nothing of it.
                 replica.started = member.started;
                 (replica.health, replica.record) = (Breaker::default(), Record::default());
-                replica.budget = Budget { left: 0.0, at: now };
+                replica.budget = cold::Budget::new(now);
             }
             changed |= self.measure(member);
             let units = self.units(member);
@@ -596,14 +580,13 @@
     }
 
     fn send(&mut self, now: Nanos, id: RequestId, r: usize, timeout: Nanos, actions: &mut Vec<Action>) {
-        let cold = self.warmth(now, &self.replicas[r]) < 1.0;
+        let warmth = self.warmth(now, &self.replicas[r]);
         let Some(live) = self.live.get_mut(&id) else { return };
         let cost = full_cost(&live.request);
-        self.cold.left -= if cold { cost } else { 0.0 };
         live.attempts.push(Attempt { replica: r, sent: now, fate: Fate::Out, begun: false });
         let replica = &mut self.replicas[r];
         replica.in_flight += 1;
-        replica.budget.left -= cost;
+        self.cold.spend(&mut replica.budget, warmth, cost);
         replica.health.trial |= replica.health.open;
         let zone = self.zones.entry(replica.zone).or_default();
         zone.link.trial |= zone.link.open;
@@ -717,23 +700,11 @@
 
     // ---- cold replicas --------------------------------------------------------------------------------
 
-    /// The share of its capacity that a replica surely has: the same figure at all gateways.
     fn warmth(&self, now: Nanos, replica: &Replica) -> f64 {
-        let safety = &self.settings.safety;
-        match replica.started {
-            Some(started) if now < started.saturating_add(safety.ramp) => {
-                let age = now.saturating_sub(started) as f64 / safety.ramp.max(1) as f64;
-                safety.cold_from + (1.0 - safety.cold_from) * age
-            }
-            _ => 1.0,
-        }
+        self.cold.warmth(now, replica.started)
     }
 
-    /// Guards against many gateways pushing a cold replica over, each with little: while it is cold this
-    /// gateway sends it no more than its own part of its warmth's part of the work that a replica's share
-    /// would be. Quotas tell that work to a gateway that has just started and has seen none, like the fleet.
-    /// In a large group a part is less than a request for as long as the replica is cold, so each gateway may
-    /// send it one, and keeps to its part of all cold ones together.
+    /// Whether a replica, if it is cold, may be sent work of this cost (`src/cold.rs`).
     fn afford(&mut self, now: Nanos, r: usize, cost: f64) -> bool {
         let warmth = self.warmth(now, &self.replicas[r]);
         if warmth >= 1.0 {
@@ -742,19 +713,13 @@
         self.decay(now);
         // Guards against two flattering measures: demand, which in an overload is beyond what any replica
         // can do, and units that are lowered by load, of which an empty replica has the most.
-        let work = if self.warm > 0 { self.served } else { self.offered };
-        let quota = self.settings.tenants.iter().filter_map(|t| t.quota_per_s).sum::<f64>();
-        let due = quota / f64::from(self.settings.group_size) * self.full_cost;
-        let each = COLD_PART * due.max(work / MEMORY) / self.most_size.max(f64::MIN_POSITIVE);
+        let work = if self.warm > 0 { self.served } else { self.offered } / MEMORY;
         let cold = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         let cold = cold.map(|r| (r.size, self.warmth(now, r))).filter(|(_, warmth)| *warmth < 1.0);
-        let all = each * cold.map(|(size, warmth)| size * warmth).sum::<f64>();
-        let fall = self.settings.safety.fall as f64 / SECOND as f64;
-        self.cold.refill(now, all, all * fall / 2.0);
+        let cold = cold.map(|(size, warmth)| size * warmth).sum::<f64>();
+        let fleet = cold::Fleet { work, full_cost: self.full_cost, size: self.most_size, cold };
         let replica = &mut self.replicas[r];
-        let rate = each * replica.size * warmth;
-        replica.budget.refill(now, rate, (rate * fall).min(cost));
-        replica.budget.left >= 0.0 && self.cold.left >= 0.0
+        self.cold.affords(now, &mut replica.budget, (replica.size, warmth), cost, fleet)
     }
 
     // ---- attempts -------------------------------------------------------------------------------------
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod aside;
 mod choice;
+pub mod cold;
 pub mod config;
 pub mod conformance;
 pub mod engine;
