Send nothing on for a client that has gone, however its leaving is hidden

Seen with stand-in real servers that note when a request's last byte arrives, on the program as it was (tests/gone.rs, each by close, reset and half-close; "frozen" is a gateway held by SIGSTOP while its clients leave): - 20 or 200 KiB behind an open request: its retries and the request behind it were sent on, 0.4 to 1.2 s late. Exchange's poll_gone stopped reading at head_bytes, without asking to be woken, so the close behind was never seen. - Frozen: of 62 requests whose close came with them 47 were sent on 0.3 s later; retries, requests behind others and those whose connection came up meanwhile too (1.2 s). engine/life.rs polled orders and schedulings before the client's leaving, and nothing asked the system before a first attempt. - 30 KiB to a server that does not read: all of it was in the system's buffer, and arrived 0.6 s after the leaving, all 12 times. A plain close of the connection goes on sending.

What comes behind an open request is read to its end now: a whole further request is kept while memory allows it, what is beyond is dropped and the connection ends later, and 4 MiB of that are a flood, answered 413 (src/ahead.rs decides, without I/O; its model runs against random steps). Leaving is polled first, and the system is asked before each scheduling. A request that is given up resets its connection. A stream behind which much waits is handed over without it; its connection ends with the stream.

--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -76,6 +76,8 @@
     type Answer: Answer<E>;
     /// Returns once the client has left.
     fn gone(&mut self) -> impl Future<Output = ()>;
+    /// Whether it has left by now, though nobody may have told of it yet.
+    fn has_left(&mut self) -> impl Future<Output = bool>;
     /// Final answer: turned down.
     fn turn_down(self, wait: Duration) -> impl Future<Output = ()>;
     /// Final answer: the request itself is at fault.
@@ -199,21 +201,25 @@
 
     // Until the first event: the module orders, schedulings end, the client may leave.
     let (number, events, arrival) = loop {
+        // Its leaving comes first. Guards against a request that is written to a real server, on a connection that
+        // has just come up or for want of an answer elsewhere, in the moment in which its client is seen to be gone:
+        // where this thread stood still, that was long ago.
         let next = future::or(
-            async { Next::Order(held.order().await) },
-            future::or(
-                async {
-                    let (number, step) = any(&mut out).await;
-                    Next::Step(number, step)
-                },
-                async {
-                    client.gone().await;
-                    Next::Gone(Leaving::Ended)
-                },
-            ),
+            async {
+                client.gone().await;
+                Next::Gone(Leaving::Ended)
+            },
+            future::or(async { Next::Order(held.order().await) }, async {
+                let (number, step) = any(&mut out).await;
+                Next::Step(number, step)
+            }),
         );
         match next.await {
             Next::Order(Order::Schedule { number, server, timeout }) => {
+                // Guards against a close that came with the request, or that nobody has heard of yet.
+                if client.has_left().await {
+                    return;
+                }
                 out.push(Scheduling {
                     number,
                     server: server.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
+pub mod ahead;
 pub mod aside;
 mod choice;
 pub mod config;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -25,6 +25,8 @@
     pub edge_connections: usize,
     /// Bytes of requests held at once; beyond it, bodies wait in their sockets until others are answered.
     pub held_bytes: usize,
+    /// Bytes that a client may send behind its open request, beyond what is kept of them, before it is heard no more.
+    pub flood_bytes: usize,
     /// While places are scarce, an edge connection makes room after this time if nothing has come on it.
     pub edge_mute: Duration,
     /// While places are scarce, an edge connection makes room when for this time nothing more of its request came.
@@ -152,6 +154,9 @@
             edge_connections,
             // What is written to a real server is copied only meanwhile.
             held_bytes: (memory_mb << 20) * 3 / 8,
+            // A client that has left has no more on its way than its system keeps for a connection: 4 MB, as Linux
+            // comes.
+            flood_bytes: 4 << 20,
             edge_mute: Duration::from_millis(200),
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -19,6 +19,7 @@
 use super::room::{Place, Room};
 use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
+use crate::ahead::{Ahead, Bounds, Take};
 use crate::engine::{self, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
@@ -163,7 +164,13 @@
     ) -> Option<Wire> {
         let (mut head, body, _bytes) = match self.request(&mut wire, dialect, place).await {
             Ok(Some(request)) => request,
-            Ok(None) => return None,
+            Ok(None) => {
+                if wire.cut {
+                    // Guards against a reset that overtakes the last answer, as below.
+                    let _ = within(self.limits.rest_read, wire.linger(&self.limits)).await;
+                }
+                return None;
+            }
             Err(bad) => {
                 let id = request_id(self.engine.fresh_id());
                 log::info!(id = id, client:% = from, status = bad.status; "bad-request: {}", bad.what);
@@ -197,6 +204,7 @@
                 };
                 let passage = Rc::new(Passage::ordered(&self.desk, dialect, head, body, &mut order));
                 let client = Exchange {
+                    ahead: self.ahead(dialect, &wire),
                     edge: self.clone(),
                     wire,
                     voice,
@@ -246,6 +254,22 @@
         request_id(number)
     }
 
+    /// How what comes behind a request on this connection is taken.
+    fn ahead(self: &Rc<Self>, dialect: Dialect, wire: &Wire) -> (Ahead, Bytes) {
+        let limits = self.bounds(dialect);
+        let whole = limits.head_bytes + limits.body_bytes;
+        let bounds = Bounds { least: limits.head_bytes, most: whole, flood: limits.flood_bytes };
+        (Ahead::new(bounds, wire.cut), Bytes(self.clone(), 0))
+    }
+
+    /// The limits with the bounds of that front's bodies.
+    fn bounds(&self, dialect: Dialect) -> &Limits {
+        match dialect {
+            Dialect::Platform => &self.limits,
+            Dialect::Messages => &self.messages_limits,
+        }
+    }
+
     /// Reads the next request whole. `None`: the connection ended, was idle for too long, or shall close.
     async fn request(
         self: &Rc<Self>,
@@ -253,12 +277,12 @@
         dialect: Dialect,
         place: &mut Place,
     ) -> Result<Option<(Head, Vec<u8>, Bytes)>, Bad> {
-        let limits = match dialect {
-            Dialect::Platform => &*self.limits,
-            Dialect::Messages => &*self.messages_limits,
-        };
+        let limits = self.bounds(dialect);
         let mute_since = place.mute_since();
         if wire.buf.is_empty() {
+            if wire.cut {
+                return Ok(None);
+            }
             let closing = async {
                 future::or(self.keeper.rest_over(mute_since), place.left()).await;
                 Ok(0)
@@ -280,7 +304,7 @@
                 if let Some(head) = http::request_head(&mut wire.buf, limits)? {
                     break head;
                 }
-                if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
+                if !wire.more(limits).await {
                     return Ok(None);
                 }
                 place.progress();
@@ -307,7 +331,7 @@
                 while self.held_bytes.get() > self.fleet.overlap.part(limits.held_bytes) {
                     Timer::after(limits.accept_pause).await;
                 }
-                if !wire.fill(limits).await.is_ok_and(|n| n > 0) {
+                if !wire.more(limits).await {
                     return Ok(None);
                 }
                 place.progress();
@@ -339,6 +363,7 @@
         let speech = Speech::resumed(voice.clone(), self.desk.noted.clone(), &self.limits);
         let back = Rc::new(RefCell::new(None));
         let exchange = Exchange {
+            ahead: self.ahead(Dialect::Platform, &wire),
             edge: self.clone(),
             wire,
             voice,
@@ -459,6 +484,8 @@
 struct Exchange {
     edge: Rc<Edge>,
     wire: Wire,
+    /// What comes behind its request, and the bytes of it that are counted.
+    ahead: (Ahead, Bytes),
     voice: Voice,
     keep: bool,
     model: String,
@@ -480,26 +507,52 @@
     }
 }
 
-/// Ready once the client has left. A request that comes early waits in the buffer, up to its bound.
-fn poll_gone(wire: &mut Wire, cx: &mut Context<'_>, limits: &Limits) -> Poll<Leaving> {
-    while wire.buf.len() < limits.head_bytes {
-        match ready!(wire.poll_fill(cx, limits)) {
-            Ok(0) => return Poll::Ready(Leaving::Ended),
-            Err(_) => return Poll::Ready(Leaving::Reset),
-            Ok(_) => {}
+impl Exchange {
+    /// Ready once the client has left. What comes behind its request is read to its end, since the client's own end
+    /// comes behind that; it waits in the buffer, up to its bound. A half-close counts as leaving: until something is
+    /// written, nobody can tell it from a close.
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
+        let Exchange { edge, wire, ahead: (ahead, counted), .. } = self;
+        loop {
+            let had = wire.buf.len();
+            let came = match ready!(wire.poll_fill(cx, &edge.limits)) {
+                Ok(0) => return Poll::Ready(Leaving::Ended),
+                Err(_) => return Poll::Ready(Leaving::Reset),
+                Ok(count) => count,
+            };
+            // Guards against crowding out requests that are on their way in: half of their memory stays theirs.
+            let room = edge.held_bytes.get() + came <= edge.fleet.overlap.part(edge.limits.held_bytes) / 2;
+            match ahead.came(had, came, room) {
+                Take::Keep => counted.grow_to(wire.buf.len()),
+                Take::Drop => wire.buf.truncate(had),
+                Take::Flood => return Poll::Ready(Leaving::Reset),
+            }
+            wire.cut = ahead.is_cut();
+            // Its end may have come with these bytes.
+            wire.look_anew();
         }
     }
-    Poll::Pending
 }
 
 impl engine::Client<Batch> for Exchange {
     type Answer = Answering;
 
     async fn gone(&mut self) {
-        future::poll_fn(|cx| poll_gone(&mut self.wire, cx, &self.edge.limits)).await;
+        future::poll_fn(|cx| self.poll_gone(cx)).await;
+        if self.ahead.0.is_flood() {
+            let what = "more was sent behind this request than is read";
+            log::info!(id = self.voice.id, after:? = self.from.elapsed(); "flooded: {what}");
+            // Its one answer, as far as it can be told.
+            return self.wire.write_now(&self.voice.malformed(Bad { status: 413, what }).bytes(false));
+        }
         log::debug!(id = self.voice.id, after:? = self.from.elapsed(); "client-gone: before its answer");
     }
 
+    async fn has_left(&mut self) -> bool {
+        self.wire.look_anew();
+        future::poll_once(self.gone()).await.is_some()
+    }
+
     async fn turn_down(mut self, wait: Duration) {
         log::debug!(id = self.voice.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module, or for want of time");
         self.charge.ran = false;
@@ -557,9 +610,15 @@
             return None;
         }
         parcel.name.clone_from(&self.exchange.voice.id);
-        parcel.keep_client = self.exchange.keep;
         parcel.waiting[0] = self.line[self.written..].to_vec();
-        parcel.waiting[1].clone_from(&self.exchange.wire.buf);
+        // Guards against a parcel that grows with what came behind the request. Its connection ends with the
+        // stream: that crosses requests which nobody has looked at.
+        let Exchange { wire, edge, keep, .. } = &self.exchange;
+        let slight = !wire.cut && wire.buf.len() <= edge.limits.head_bytes;
+        parcel.keep_client = *keep && slight;
+        if slight {
+            parcel.waiting[1].clone_from(&wire.buf);
+        }
         Some(self.exchange.wire.fd())
     }
 
@@ -576,7 +635,7 @@
 
 impl engine::Answer<Batch> for Answering {
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
-        poll_gone(&mut self.exchange.wire, cx, &self.exchange.edge.limits)
+        self.exchange.poll_gone(cx)
     }
 
     fn gathers(&self) -> bool {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -40,6 +40,8 @@
     dry: bool,
     /// No more could be written; the system says when it can.
     full: bool,
+    /// Something that came was dropped: what is in `buf` is all that may still be taken.
+    pub cut: bool,
     /// It is reset when it is dropped. Guards against a peer that only writes: where the system has dropped what
     /// came last, a plain close tells such a peer nothing before it sends that again, 200 ms later.
     pub abort: bool,
@@ -82,7 +84,7 @@
     /// Wraps an accepted connection.
     pub fn new(stream: Async<TcpStream>) -> Wire {
         let _ = stream.get_ref().set_nodelay(true);
-        Wire { stream, buf: Vec::new(), dry: false, full: false, abort: false }
+        Wire { stream, buf: Vec::new(), dry: false, full: false, cut: false, abort: false }
     }
 
     /// A connection that another process of this gateway had, with what was read from it and not yet taken.
@@ -129,6 +131,16 @@
         }
     }
 
+    /// Reads more of what may still be taken; whether there was any.
+    pub async fn more(&mut self, limits: &Limits) -> bool {
+        !self.cut && self.fill(limits).await.is_ok_and(|n| n > 0)
+    }
+
+    /// Has the next read ask the system, whatever that has told of so far.
+    pub fn look_anew(&mut self) {
+        self.dry = false;
+    }
+
     /// Writes all of it.
     pub async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -279,6 +279,9 @@
             log::info!(server = &*server.0; "drained-while-connecting: nothing was sent");
             return Err(Verdict::Moot.into());
         }
+        // Guards against a request that goes on arriving when it was given up: what the system still holds of it is
+        // dropped with the connection.
+        line.wire.abort = true;
         // Until its last byte is written the request can't have run.
         line.wire.write_both(&request, content).await.map_err(|_| Verdict::NoConnection)?;
         drop(request);
@@ -308,8 +311,6 @@
             });
         }
         let keep = head.keeps_alive(&head.start[0]) && body != Body::UntilClose;
-        // From here on it is given up at once, or comes to its end.
-        line.wire.abort = true;
         // What came together with the head is of the stream already.
         let early = line.wire.buf.len();
         Ok(Open {
@@ -352,6 +353,7 @@
             false
         };
         let whole = within(self.limits.rest_read, rest).await.unwrap_or(false);
+        line.wire.abort = !whole;
         if whole && head.keeps_alive(&head.start[0]) {
             self.give_back(server, addr, line);
         }
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -39,13 +39,16 @@
     End(Verdict),
     Reject,
     Leave,
+    /// An ending and its client's leaving, seen together.
+    EndAndLeave(Verdict),
 }
 
 impl Arbitrary for Move {
     fn arbitrary(g: &mut Gen) -> Move {
         use Verdict::*;
         let ends = [Ok, Error, Full, NoConnection, Reset, TimedOut, Moot].map(Move::End);
-        let others = [Move::Event, Move::Event, Move::Event, Move::Event, Move::Reject, Move::Leave];
+        let both = Move::EndAndLeave(*g.choose(&[Ok, Error, Full, NoConnection, Reset]).expect("some"));
+        let others = [Move::Event, Move::Event, Move::Event, Move::Event, Move::Reject, Move::Leave, both];
         let from = if bool::arbitrary(g) { &ends[..] } else { &others[..] };
         *g.choose(from).expect("some")
     }
@@ -92,6 +95,9 @@
     async fn gone(&mut self) {
         while self.1.next().await.is_some() {}
     }
+    async fn has_left(&mut self) -> bool {
+        self.1.is_closed()
+    }
     async fn turn_down(self, wait: Duration) {
         assert!(wait <= Duration::from_secs(2));
         self.told("turned down");
@@ -179,7 +185,8 @@
         match step {
             _ if self.over => return,
             Move::Event => self.events += 1,
-            Move::Leave => {}
+            // Whatever came with it calls for nothing more.
+            Move::Leave | Move::EndAndLeave(_) => {}
             // Once it has begun, a real server can't take that back.
             Move::Reject => self.told = Some(if begun { "broken" } else { "rejected" }),
             Move::End(verdict) if begun => {
@@ -189,7 +196,7 @@
             Move::End(_) if (safe || never_ran) && self.schedulings < 3 => self.schedulings += 1,
             Move::End(_) => self.told = Some(if safe || never_ran { "turned down" } else { "failed" }),
         }
-        self.over = step == Move::Leave || self.told.is_some();
+        self.over = matches!(step, Move::Leave | Move::EndAndLeave(_)) || self.told.is_some();
     }
 }
 
@@ -238,6 +245,10 @@
                 Move::End(verdict) => drop(last.try_send(Step::Ended(Ending::from(verdict)))),
                 Move::Reject => drop(last.try_send(Step::Rejected(400, String::new()))),
                 Move::Leave => drop(stay.close()),
+                Move::EndAndLeave(verdict) => {
+                    let _ = last.try_send(Step::Ended(Ending::from(verdict)));
+                    stay.close();
+                }
             }
             settle();
             model.take(step, safe);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -460,6 +460,18 @@
         if let Some(span) = more.remove("ask_within_s") {
             config["settings"]["safety"]["ask-within-ns"] = (span.as_u64().expect("s") * second).into();
         }
+        // Nor how soon a first event is promised, which is when a silent attempt is looked at.
+        if let Some(time) = more.remove("promise_ms") {
+            let time = time.as_u64().expect("ms") * (second / 1000);
+            for lane in config["settings"]["lanes"].as_array_mut().expect("lanes") {
+                lane["promise-ns"] = time.into();
+            }
+        }
+        // Nor how long a connection to a real server may take to come up.
+        if let Some(time) = more.remove("connect_ms") {
+            let time = time.as_u64().expect("ms") * (second / 1000);
+            config["settings"]["policy-limits"]["connect-timeout-ns"] = time.into();
+        }
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
         config["settings"]["policy-limits"]["second-copies"] = copies.into();
