Test that a flood behind a request is told so, and that what was kept is answered

The bound of what is kept behind an open request was tested on its module alone. Now a client that stays gets each answer that was kept for it and then an end without a reset, on both fronts; one that goes on sending is answered and closed while its real server is silent.

--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -456,7 +456,7 @@
             let both = [bytes(front, "plain", id, 0), second].concat();
             let writing = thread::spawn(move || writer.write_all(&both));
             let mut got = Vec::new();
-            while got.windows(5).filter(|w| w == b"0\r\n\r\n").count() < 2 {
+            while got.windows(7).filter(|w| w == b"\r\n0\r\n\r\n").count() < 2 {
                 let mut piece = [0; 4096];
                 let count = stream.read(&mut piece).expect("an answer");
                 assert!(count > 0, "{front}, {padding}: {}", String::from_utf8_lossy(&got));
@@ -468,6 +468,41 @@
     }
 }
 
+#[test]
+fn one_that_sends_more_than_is_kept_is_answered_as_far_as_that_goes_and_one_that_floods_is_told_so() {
+    let notes = Notes::default();
+    // It never answers those that flood.
+    let server = notes.server(|stream, _, id| {
+        if id % 0x11 == 3 {
+            return hang(stream);
+        }
+        thread::sleep(ms(400));
+        say(stream, &whole())
+    });
+    let gateway = gateway(&[server], json!({}));
+    for (f, front) in FRONTS.into_iter().enumerate() {
+        // A whole further request is kept, and a part of the third, behind which the connection ends.
+        let id = 0x11 * (f as u64 + 1);
+        let three: Vec<u8> =
+            (0..3).flat_map(|n| bytes(front, "plain", id + n, LARGE * n.min(1) as usize)).collect();
+        let mut stream = sent(gateway.front(front), &three);
+        let mut got = Vec::new();
+        stream.read_to_end(&mut got).expect("an end without a reset");
+        assert_eq!(
+            got.windows(7).filter(|w| w == b"\r\n0\r\n\r\n").count(),
+            2,
+            "{front}: two whole answers"
+        );
+        assert_eq!([0, 1, 2].map(|n| notes.of(id + n).len()), [1, 1, 0], "{front}");
+        // A flood ends, with what it had asked for.
+        let mut stream = sent(gateway.front(front), &bytes(front, "plain", id + 3, 0));
+        let flood = vec![b'x'; 1 << 20];
+        let from = Instant::now();
+        while from.elapsed() < ms(300) && stream.write_all(&flood).is_ok() {}
+        eventually(|| gateway.logged(" flooded ") == f + 1);
+    }
+}
+
 #[test]
 fn a_burst_of_leavers() {
     // Before the news of a server to go to, which a gateway that stood still learns together with their leaving.
