End connections after their last answer in order, with what still comes drained

Seen, through the program with clients that go on sending: where an answer was the last on its connection, the connection was dropped with bytes unread, which resets it and takes an answer in flight along. Of all places only malformed requests and the second address drained, for 50 ms in all, too short for a body that goes on for 0.3 s: a rejected request lost its answer to ECONNRESET. And of 20 connections that waited to be accepted as the grace ended, each of the two listeners took one more; the next was reset, as the listener closed over it. Ruled out: resting connections, whose last look before the close held already, and TCP_NODELAY, which every connection had.

Lines at fault: `Exchange::reply`, `finish`, `break_off` and `exchange` dropped the wire where it was not kept; `listen` dropped its listener at once. Now each hands the connection back as one that ends: the sending side is shut, what still comes is dropped up to the client's end, 0.1 s of silence or 1 s (0.1 s while stopping, so that a stream cut at 3.55 s still ends before SIGKILL), then it closes. Such a seat is `Closing`, and may be asked for after 20 ms when places are scarce, so that newcomers in a crowd wait no longer. After the grace a listener that is this process's alone takes what waits, up to its places, and refuses it; the stop waits for listeners.

The model of seats in tests/lifecycle.rs knows `Closing`.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Whether what waits to be accepted is this process's alone.
+    pub fn empties_queue(&self) -> bool {
+        !self.shared
+    }
+
     /// Whether a request that has come whole is placed. Guards against a process that is killed over a request: it is
     /// given the longest deadline from the end of the grace on, and what came after that would outlast it. Where
     /// another process has its listener, nobody is in a hurry.
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -31,6 +31,12 @@
     pub edge_slow: Duration,
     /// While places are scarce, an edge connection makes room after this time since its last answer.
     pub edge_rested: Duration,
+    /// While places are scarce, a connection makes room after this time since its last answer of all.
+    pub closing: Duration,
+    /// A connection that has had its last answer is closed for good once nothing more has come for this time.
+    pub linger_quiet: Duration,
+    /// The same whatever still comes.
+    pub linger: Duration,
     /// How often a newcomer looks for room while there is none.
     pub edge_look: Duration,
     /// Descriptors kept back from clients and real servers: for discovery, the store, the log, the runtime's own and
@@ -155,6 +161,10 @@
             edge_mute: Duration::from_millis(200),
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
+            closing: Duration::from_millis(20),
+            // A stream that the stop cuts still ends before the process is killed.
+            linger_quiet: Duration::from_millis(100),
+            linger: Duration::from_secs(1),
             edge_look: Duration::from_millis(50),
             own_descriptors: own,
             mgmt_callers: (own - 16).min(32),
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -41,6 +41,16 @@
     handover: Rc<Handover>,
     room: Rc<Room>,
     held_bytes: Cell<usize>,
+    /// Listeners that are open.
+    listeners: Cell<usize>,
+}
+
+/// What becomes of a connection once it has been answered.
+enum After {
+    /// It may carry another request.
+    Rests(Wire),
+    /// That was its last answer, which may still be on its way.
+    Ends(Wire),
 }
 
 impl Edge {
@@ -53,8 +63,12 @@
         keeper: Rc<Keeper>,
         handover: Rc<Handover>,
     ) -> Edge {
-        let patience =
-            Patience { mute: limits.edge_mute, arriving: limits.edge_slow, rested: limits.edge_rested };
+        let patience = Patience {
+            mute: limits.edge_mute,
+            arriving: limits.edge_slow,
+            rested: limits.edge_rested,
+            closing: limits.closing,
+        };
         let room = Rc::new(Room::new(engine.clone(), patience));
         let body_bytes = limits.messages.body_bytes;
         let messages_limits = Rc::new(Limits { body_bytes, ..(*limits).clone() });
@@ -68,6 +82,7 @@
             handover,
             room,
             held_bytes: Cell::new(0),
+            listeners: Cell::new(0),
         }
     }
 
@@ -78,6 +93,11 @@
         listener: Async<TcpListener>,
         dialect: Dialect,
     ) {
+        self.listeners.set(self.listeners.get() + 1);
+        let take = |(stream, from)| {
+            let (wire, place) = (Wire::new(stream), self.room.place());
+            ex.spawn(self.clone().connection(wire, from, dialect, place)).detach();
+        };
         while self.keeper.accepting().await {
             let next = async {
                 // Guards against a crowd that connects and says nothing, or asks once and stays, while others
@@ -86,11 +106,7 @@
                     return self.room.make(self.limits.edge_look).await;
                 }
                 match listener.accept().await {
-                    Ok((stream, from)) => {
-                        let place = self.room.place();
-                        let wire = Wire::new(stream);
-                        ex.spawn(self.clone().connection(wire, from, dialect, place)).detach();
-                    }
+                    Ok(taken) => take(taken),
                     Err(e) => {
                         // Guards against dying, or spinning, when no descriptor is free.
                         log::warn!("accept-failed: {e}");
@@ -100,6 +116,14 @@
             };
             future::or(next, self.keeper.closed()).await;
         }
+        // Guards against a reset of what the system has accepted by now: it is told that this process takes no more.
+        while self.keeper.empties_queue()
+            && self.open() < self.places()
+            && let Some(Ok(taken)) = future::poll_once(listener.accept()).await
+        {
+            take(taken);
+        }
+        self.listeners.set(self.listeners.get() - 1);
     }
 
     /// Stops: requests are still taken for the grace, on the connections that clients have too, since another
@@ -108,7 +132,7 @@
     pub async fn stop(&self) {
         self.keeper.stop();
         self.engine.stop_streams(self.limits.stream.stop);
-        while !self.keeper.over(self.open()) {
+        while !self.keeper.over(self.open()) || self.listeners.get() > 0 {
             // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
             let word = future::or(self.room.freed(), self.keeper.changed());
             let _ = within(self.limits.edge_look, word).await;
@@ -145,33 +169,53 @@
         dialect: Dialect,
         mut place: Place,
     ) {
-        while let Some(next) = self.clone().exchange(wire, dialect, from, &mut place).await {
-            wire = next;
+        loop {
+            match self.clone().exchange(wire, dialect, from, &mut place).await {
+                Some(After::Rests(next)) => wire = next,
+                Some(After::Ends(wire)) => return self.close(wire, place).await,
+                None => return,
+            }
             // What a large request needed is not kept while the connection rests.
             wire.buf.shrink_to(self.limits.read_bytes);
             place.sit(Sitting::Rested);
         }
     }
 
-    /// One request and its answer; the connection comes back if it may carry another.
+    /// Ends a connection that was answered. Guards against a reset that overtakes the answer: what still comes is
+    /// read and dropped for a while, unless the place is needed sooner.
+    async fn close(&self, mut wire: Wire, mut place: Place) {
+        place.sit(Sitting::Closing);
+        let longest = match self.keeper.is_stopping() {
+            true => self.limits.linger_quiet,
+            false => self.limits.linger,
+        };
+        let left = async {
+            place.left().await;
+            Ok(())
+        };
+        let _ = future::or(wire.linger(longest, &self.limits), left).await;
+    }
+
+    /// One request and its answer; the connection comes back unless there is nothing more to be done for it.
     async fn exchange(
         self: Rc<Self>,
         mut wire: Wire,
         dialect: Dialect,
         from: SocketAddr,
         place: &mut Place,
-    ) -> Option<Wire> {
+    ) -> Option<After> {
+        let is_new = place.mute_since().is_some();
         let (mut head, body, _bytes) = match self.request(&mut wire, dialect, place).await {
             Ok(Some(request)) => request,
-            Ok(None) => return None,
+            // On one that has carried nothing no answer can be on its way.
+            Ok(None) if is_new => return None,
+            Ok(None) => return Some(After::Ends(wire)),
             Err(bad) => {
                 let id = request_id(self.engine.fresh_id());
                 log::info!(id = id, client:% = from, status = bad.status; "bad-request: {}", bad.what);
                 let bytes = Voice::new(dialect, &id).malformed(bad).bytes(false);
-                let _ = within(self.limits.edge_write, wire.write(&bytes)).await;
-                // Guards against a reset that overtakes the answer: what is still coming is read and dropped.
-                let _ = within(self.limits.rest_read, wire.linger(&self.limits)).await;
-                return None;
+                let written = within(self.limits.edge_write, wire.write(&bytes)).await;
+                return matches!(written, Ok(Ok(()))).then_some(After::Ends(wire));
             }
         };
         place.sit(Sitting::Asking);
@@ -224,7 +268,8 @@
         };
         let bytes = reply.bytes(keep);
         match within(self.limits.edge_write, wire.write(&bytes)).await {
-            Ok(Ok(())) if keep => Some(wire),
+            Ok(Ok(())) if keep => Some(After::Rests(wire)),
+            Ok(Ok(())) => Some(After::Ends(wire)),
             _ => None,
         }
     }
@@ -361,9 +406,13 @@
         place.sit(Sitting::Asking);
         ex.spawn(async move {
             engine::carry_on(&self.engine, &begun, (steps, answer, waiting), &*self).await;
-            if let Some(wire) = back.take() {
-                place.sit(Sitting::Rested);
-                self.connection(wire, from, Dialect::Platform, place).await;
+            match back.take() {
+                Some(After::Rests(wire)) => {
+                    place.sit(Sitting::Rested);
+                    self.connection(wire, from, Dialect::Platform, place).await;
+                }
+                Some(After::Ends(wire)) => self.close(wire, place).await,
+                None => {}
             }
         })
         .detach();
@@ -463,8 +512,8 @@
     keep: bool,
     model: String,
     whole: bool,
-    /// Where the connection goes once the answer is whole.
-    back: Rc<RefCell<Option<Wire>>>,
+    /// Where the connection goes once it has been answered.
+    back: Rc<RefCell<Option<After>>>,
     from: Instant,
     charge: Charge,
 }
@@ -474,10 +523,14 @@
         let keep = self.keep && self.edge.keeper.keeps_connections();
         let bytes = reply.bytes(keep);
         let written = within(self.edge.limits.edge_write, self.wire.write(&bytes)).await;
-        if matches!(written, Ok(Ok(()))) && keep {
-            *self.back.borrow_mut() = Some(self.wire);
+        if matches!(written, Ok(Ok(()))) {
+            self.give_back(keep);
         }
     }
+
+    fn give_back(self, keep: bool) {
+        *self.back.borrow_mut() = Some(if keep { After::Rests(self.wire) } else { After::Ends(self.wire) });
+    }
 }
 
 /// Ready once the client has left. A request that comes early waits in the buffer, up to its bound.
@@ -623,12 +676,12 @@
 
     fn finish(self) {
         // One that was told that it stays closes by the lifecycle, like others at rest.
-        if self.exchange.keep {
-            *self.exchange.back.borrow_mut() = Some(self.exchange.wire);
-        }
+        let keep = self.exchange.keep;
+        self.exchange.give_back(keep);
     }
 
     fn break_off(self) {
         self.exchange.wire.write_now(&self.line[self.written..]);
+        self.exchange.give_back(false);
     }
 }
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -93,6 +93,11 @@
         self.life.borrow().keeps_connections()
     }
 
+    /// Whether what waits to be accepted is this process's alone.
+    pub fn empties_queue(&self) -> bool {
+        self.life.borrow().empties_queue()
+    }
+
     /// Whether a request that has come whole is placed; else it is turned down.
     pub fn takes_requests(&self) -> bool {
         self.life.borrow().takes_requests(self.engine.now())
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -29,8 +29,12 @@
 impl Mgmt {
     /// No callers yet.
     pub fn new(engine: Engine, keeper: Rc<Keeper>, limits: Rc<Limits>) -> Mgmt {
-        let patience =
-            Patience { mute: limits.mgmt_mute, arriving: limits.mgmt_slow, rested: limits.mgmt_mute };
+        let patience = Patience {
+            mute: limits.mgmt_mute,
+            arriving: limits.mgmt_slow,
+            rested: limits.mgmt_mute,
+            closing: limits.closing,
+        };
         Mgmt { keeper, limits, room: Rc::new(Room::new(engine, patience)) }
     }
 
@@ -69,9 +73,13 @@
             Ok(None) => return,
             Err(bad) => Reply::text(bad.status, bad.what),
         };
-        let _ = within(self.limits.mgmt_write, wire.write(&reply.bytes(false))).await;
-        // Guards against a reset that overtakes the answer, where a body was sent with the call.
-        let _ = within(self.limits.rest_read, wire.linger(&self.limits)).await;
+        place.sit(Sitting::Asking);
+        let written = within(self.limits.mgmt_write, wire.write(&reply.bytes(false))).await;
+        if matches!(written, Ok(Ok(()))) {
+            // Guards against a reset that overtakes the answer, where a body was sent with the call.
+            place.sit(Sitting::Closing);
+            let _ = wire.linger(self.limits.linger, &self.limits).await;
+        }
     }
 
     /// A call's head; a body says nothing here. `None`: the caller left.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -198,13 +198,17 @@
         let _ = self.stream.get_ref().write(bytes);
     }
 
-    /// Ends the sending side and drops what still comes, up to the peer's end.
-    pub async fn linger(&mut self, limits: &Limits) -> io::Result<()> {
+    /// Ends the sending side and drops what still comes, up to the peer's end, its silence or the longest time.
+    pub async fn linger(&mut self, longest: Duration, limits: &Limits) -> io::Result<()> {
         self.stream.get_ref().shutdown(Shutdown::Write)?;
-        while self.fill(limits).await? > 0 {
-            self.buf.clear();
-        }
-        Ok(())
+        self.buf = Vec::new();
+        let drain = async {
+            while within(limits.linger_quiet, self.fill(limits)).await?? > 0 {
+                self.buf.clear();
+            }
+            Ok(())
+        };
+        within(longest, drain).await?
     }
 
     /// Nothing has come on a connection that should be silent: neither bytes nor its end.
--- a/src/seats.rs
+++ b/src/seats.rs
@@ -16,6 +16,8 @@
     Asking,
     /// It was answered and may carry another request.
     Rested,
+    /// It has had its last answer, and only what still comes is waited for.
+    Closing,
     /// It was asked to make room.
     Leaving,
 }
@@ -29,6 +31,8 @@
     pub arriving: Duration,
     /// Since its last answer.
     pub rested: Duration,
+    /// Since the last answer of all.
+    pub closing: Duration,
 }
 
 /// All places that are taken.
@@ -95,6 +99,7 @@
                 Sitting::Mute => patience.mute,
                 Sitting::Arriving => patience.arriving,
                 Sitting::Rested => patience.rested,
+                Sitting::Closing => patience.closing,
                 Sitting::Asking | Sitting::Leaving => return false,
             };
             u128::from(now.saturating_sub(*since)) >= most.as_nanos()
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -97,7 +97,13 @@
 impl Arbitrary for Move {
     fn arbitrary(g: &mut Gen) -> Move {
         let sitting = *g
-            .choose(&[Sitting::Arriving, Sitting::Asking, Sitting::Rested, Sitting::Leaving])
+            .choose(&[
+                Sitting::Arriving,
+                Sitting::Asking,
+                Sitting::Rested,
+                Sitting::Closing,
+                Sitting::Leaving,
+            ])
             .expect("some");
         let seat = u8::arbitrary(g) % 12;
         let (sit, progress) = (Move::Sit(seat, sitting), Move::Progress(seat));
@@ -118,7 +124,7 @@
 /// Whoever has a place at the moment, in a plain table.
 fn moves(moves: Vec<Move>) {
     let span = Duration::from_nanos;
-    let patience = Patience { mute: span(100), arriving: span(300), rested: span(200) };
+    let patience = Patience { mute: span(100), arriving: span(300), rested: span(200), closing: span(20) };
     let (mut seats, mut model, mut now) = (Seats::new(patience), BTreeMap::new(), 0);
     for step in moves {
         match step {
@@ -146,7 +152,8 @@
                         model.iter().filter(move |(_, (s, since))| *s == sitting && now - since >= most);
                     of.map(|(n, (_, since))| (*since, *n)).min()
                 };
-                let talkers = [old(Sitting::Arriving, 300), old(Sitting::Rested, 200)];
+                let talkers =
+                    [old(Sitting::Arriving, 300), old(Sitting::Rested, 200), old(Sitting::Closing, 20)];
                 let expected =
                     old(Sitting::Mute, 100).or(talkers.into_iter().flatten().min()).map(|(_, n)| n);
                 assert_eq!(seats.spare(now), expected);
