Let a real server's connection settle before it is used again

Seen, through the program: a real server that sends a second answer 2 ms behind the first on the same connection has it taken for the answer to the next request, which is then served with what nobody made for it. Half a status line or noise does the same harm as a reset. Ruled out: what comes together with the end, which `give_back` noticed already. At fault: `Fleet::idle` gave out the connection that was used last at once, since it is silent in the microseconds before.

A connection now rests for 20 ms (`pool_settle`) after an answer; until then another settled one is taken, or a new one opened. What comes in that time ends it, as before. What comes later than 20 ms behind an answer, in the moment of the next request, is still not told from its answer.

Test: `what_comes_behind_an_answer_is_never_taken_for_the_next_ones` (whole answer, half a line, noise, empty chunk; at once, after 2 and 10 ms; both fronts) failed before. `connections_serve_again_soon_after_an_answer` bounds the price.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -60,6 +60,8 @@
     pub connect: Duration,
     /// An idle connection to a real server is closed after this time.
     pub pool_idle: Duration,
+    /// A connection to a real server is not used again sooner after an answer.
+    pub pool_settle: Duration,
     /// How often idle connections are looked through.
     pub pool_sweep: Duration,
     /// An edge connection without a request is closed after this time.
@@ -178,6 +180,8 @@
             connect,
             // Well before the other side's limit, so that no request crosses its close.
             pool_idle: idle.mul_f64(0.6),
+            // A second answer may come some milliseconds behind the first, and would be taken for the next one's.
+            pool_settle: Duration::from_millis(20),
             pool_sweep: Duration::from_millis(250),
             edge_idle: Duration::from_secs(4),
             // A client that sends no whole request is owed an error or a close within 3 s of connecting.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -159,11 +159,15 @@
         }
     }
 
-    /// An idle connection that is still good, the one used last first: the others may then grow old.
+    /// An idle connection that is still good, the one used last first: the others may then grow old. One whose
+    /// answer has only just ended is passed over: what may come behind that would be taken for the next one's.
     fn idle(&self, server: &ReplicaId) -> Option<Line> {
         let mut places = self.places.borrow_mut();
         let idle = &mut places.get_mut(server)?.idle;
-        while let Some((wire, since, slot)) = idle.pop() {
+        while let Some(last) =
+            idle.iter().rposition(|(_, since, _)| since.elapsed() >= self.limits.pool_settle)
+        {
+            let (wire, since, slot) = idle.remove(last);
             // Guards against a request written into a connection that has ended or is about to.
             if since.elapsed() < self.limits.pool_idle && wire.is_quiet() {
                 return Some(Line { wire, slot });
--- a/tests/instant.rs
+++ b/tests/instant.rs
@@ -5,7 +5,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -146,6 +147,70 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 0, "what was read after the grace is not sent on");
 }
 
+/// A real server whose first answer is followed, some milliseconds later, by what else it has to say on that connection.
+fn second_word(late: Duration, word: &'static str) -> Server {
+    scripted(move |stream, number| {
+        let answer =
+            HEAD.to_owned() + &chunk(&(text("platform", "Hello") + &closing("platform"))) + "0\r\n\r\n";
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return false;
+        }
+        if number == 0 {
+            thread::sleep(late);
+            let _ = stream.write_all(word.as_bytes());
+        }
+        true
+    })
+    .0
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_never_taken_for_the_next_ones() {
+    let whole = HEAD.to_owned() + &chunk(&(text("platform", "Stray") + &closing("platform"))) + "0\r\n\r\n";
+    let whole: &'static str = whole.leak();
+    for front in FRONTS {
+        for word in [whole, "HTTP/1.1 2", "\u{1}noise", "\r\n", "0\r\n\r\n"] {
+            for late in [0, 2, 10] {
+                let server = second_word(ms(late), word);
+                let gateway = gateway(&server, 1);
+                for session in 0..4 {
+                    // The class that may not be tried again, at once after the one before.
+                    let (seen, _) = gateway.ask(front, "once", 5000, session);
+                    assert_eq!(seen, Seen::Served("Hello".into()), "{front}: {word:?} after {late} ms");
+                }
+                assert_eq!(server.requests.load(Ordering::SeqCst), 4, "each is sent once");
+            }
+        }
+    }
+}
+
+#[test]
+fn connections_serve_again_soon_after_an_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (tell, connections) = channel();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            tell.send(()).expect("counted");
+            let (count, (tell, _)) = (count.clone(), channel());
+            thread::spawn(move || {
+                converse(stream, "platform", Manner::Serve, &count, &Mutex::default(), &tell)
+            });
+        }
+    });
+    let server = Server { addr, requests, bodies: Arc::default(), left: channel().1 };
+    let gateway = gateway(&server, 1);
+    for session in 0..100 {
+        assert_eq!(gateway.ask("platform", "once", 5000, session).0, Seen::Served("Hello".into()));
+        thread::sleep(ms(5));
+    }
+    // At one request in 5 ms or more, four connections take turns; room is for a busy machine.
+    let opened = connections.try_iter().count();
+    assert!((1..=10).contains(&opened), "{opened} connections for 100 requests");
+}
+
 #[test]
 fn a_stream_whose_end_is_not_whole_is_never_ended_as_whole_nor_its_connection_used_again() {
     const CLOSED: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
