Hold fewer connections where there are fewer descriptors than were told

Seen, through the program with 72 descriptors where `limits.sockets` says 1,024, 100 idle clients of all kinds and discovery down: a call at the second address waited 2.2 to 6.2 s, as each accept failed for want of a descriptor and was tried again every 20 ms. With as many descriptors as were told all held already, at 128, with lists asked for and pushed. At fault: `Edge::listen` knew only what it was told, so that it never saw itself as full and asked nobody to make room.

Now the first want of a descriptor tells how many there are (`Overlap::ran_out`): of those, `own_descriptors` or a half are kept back, and clients and real servers share the rest as before, for good. The mute then make room as in any crowd. A warning, `descriptors-short`, names the limit to raise.

A model of `ran_out` against random steps is in tests/lifecycle.rs.

--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -110,6 +110,11 @@
                     Err(e) => {
                         // Guards against dying, or spinning, when no descriptor is free.
                         log::warn!("accept-failed: {e}");
+                        // None is free in this process, says Linux. Guards against accepting, and failing, on and on,
+                        // while discovery, real servers and operators find none either.
+                        if e.raw_os_error() == Some(24) {
+                            self.run_out();
+                        }
                         Timer::after(self.limits.accept_pause).await;
                     }
                 }
@@ -139,6 +144,15 @@
         }
     }
 
+    /// Takes fewer connections from now on, since there are fewer descriptors than the configuration says.
+    fn run_out(&self) {
+        let overlap = &self.fleet.overlap;
+        if overlap.ran_out(self.report().holds, self.limits.own_descriptors) {
+            let Places { edge, servers } = overlap.places();
+            log::warn!(edge = edge, servers = servers; "descriptors-short: raise this process's limit to what limits.sockets says; until then it holds fewer connections");
+        }
+    }
+
     /// Places of this process.
     fn places(&self) -> usize {
         self.fleet.overlap.places().edge
--- a/src/overlap.rs
+++ b/src/overlap.rs
@@ -35,7 +35,7 @@
 /// The share of this process.
 #[derive(Debug)]
 pub struct Overlap {
-    whole: Places,
+    whole: Cell<Places>,
     other: Cell<Option<Other>>,
 }
 
@@ -45,7 +45,7 @@
 impl Overlap {
     /// Alone, with all that the gateway may hold.
     pub fn new(whole: Places) -> Overlap {
-        Overlap { whole, other: Cell::new(None) }
+        Overlap { whole: Cell::new(whole), other: Cell::new(None) }
     }
 
     /// A newer process has come.
@@ -79,6 +79,21 @@
         }
     }
 
+    /// No descriptor was left with so many connections open: there are fewer than was said. From now on `own` of those
+    /// that there are, half of them at the most, are kept back, and the places share the rest as they did before; they
+    /// never become more. Returns whether they became fewer.
+    pub fn ran_out(&self, open: Places, own: usize) -> bool {
+        let all = open.edge + open.servers;
+        let left = all - own.min(all / 2);
+        let whole = self.whole.get();
+        let sum = (whole.edge + whole.servers).max(1);
+        let fewer = Places {
+            edge: (left * whole.edge / sum).max(LEAST).min(whole.edge),
+            servers: (left * whole.servers / sum).max(LEAST).min(whole.servers),
+        };
+        self.whole.replace(fewer) != fewer
+    }
+
     /// What of so many bytes is this process's.
     pub fn part(&self, bytes: usize) -> usize {
         if self.other.get().is_some() { bytes / 2 } else { bytes }
@@ -86,10 +101,10 @@
 
     /// Connections that this process may hold.
     pub fn places(&self) -> Places {
-        let Places { edge, servers } = self.whole;
+        let Places { edge, servers } = self.whole.get();
         let half = Places { edge: edge / 2, servers: servers / 2 };
         match self.other.get() {
-            None => self.whole,
+            None => self.whole.get(),
             Some(Other::Newer(_)) => half,
             Some(Other::Older(Report { holds, stopping })) => {
                 // One that still accepts may come up to its half before it says so.
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -216,3 +216,29 @@
     type Steps = Vec<(bool, i8, i8)>;
     check(43).quickcheck(overlaps as fn((u8, u8), (u8, u8), Steps, u8));
 }
+
+/// However often descriptors run out, and with whatever open: places never become more, never fewer than each kind needs
+/// at the least, and what is kept back is kept back.
+fn runs_out(whole: (u8, u8), own: u8, spells: Vec<(u8, u8)>) {
+    let whole = Places { edge: 8 + usize::from(whole.0), servers: 8 + usize::from(whole.1) };
+    let (overlap, own) = (Overlap::new(whole), usize::from(own));
+    for (edge, servers) in spells {
+        let before = overlap.places();
+        let open = Places { edge: usize::from(edge), servers: usize::from(servers) };
+        let fewer = overlap.ran_out(open, own);
+        let (after, all) = (overlap.places(), open.edge + open.servers);
+        assert_eq!(fewer, after != before);
+        assert!(after.edge <= before.edge && after.servers <= before.servers, "{after:?} after {before:?}");
+        assert!(after.edge >= 4 && after.servers >= 4, "{after:?}");
+        let kept_back = all.saturating_sub(after.edge + after.servers);
+        assert!(
+            kept_back >= own.min(all / 2) || after.edge.min(after.servers) == 4,
+            "{after:?} of {open:?}"
+        );
+    }
+}
+
+#[test]
+fn places_become_fewer_where_descriptors_run_out() {
+    check(44).quickcheck(runs_out as fn((u8, u8), u8, Vec<(u8, u8)>));
+}
