Send no repeat whose connection comes up after its window

Seen, through the program: a request of a class whose repeats are discarded for 0.5 s fails after 0.25 s and is tried again on a real server whose connection takes a second to come up. It was written there all the same, long after the window, and served: a second run. Ruled out: the module, which orders nothing after the window (`may_send`); at fault is `Fleet::begin`, which after the connection came up looked only whether the server drains. Now each request notes when it was written and may have run (`Sends`), and a repeat that is past the window then is not written, told as never sent, and logged as `window-over`. What was turned away unrun, or whose connection broke amid its writing, does not count.

--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -17,7 +17,7 @@
 use super::keeper::Keeper;
 use super::parcel::Parcel;
 use super::room::{Place, Room};
-use super::servers::{Batch, Dispatch, Fleet, Running};
+use super::servers::{Batch, Dispatch, Fleet, Running, Sends};
 use super::{Wire, within};
 use crate::engine::{self, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
@@ -269,7 +269,9 @@
                     engine::Client::turn_down(client, Duration::ZERO).await;
                     return back.take();
                 }
-                let servers = Dispatch { fleet: self.fleet.clone(), passage };
+                let window = self.desk.names.borrow().windows.get(order.ask.class).copied().flatten();
+                let sends = Rc::new(Sends::new(window.map(Duration::from_nanos)));
+                let servers = Dispatch { fleet: self.fleet.clone(), passage, sends };
                 engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
             }
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -296,7 +296,7 @@
     let start = ["POST", "/v1/chat/completions", "HTTP/1.1"].map(str::to_owned);
     let head = http::Head { start, headers: Vec::new() };
     let passage = Rc::new(Passage::new(Dialect::Platform, head, b"{}".to_vec(), Rc::new(limits())));
-    Dispatch { fleet: fleet.clone(), passage }
+    Dispatch { fleet: fleet.clone(), passage, sends: Rc::default() }
 }
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -460,6 +460,17 @@
         if let Some(span) = more.remove("ask_within_s") {
             config["settings"]["safety"]["ask-within-ns"] = (span.as_u64().expect("s") * second).into();
         }
+        // Nor how long a connection may take to come up.
+        if let Some(span) = more.remove("connect_timeout_ms") {
+            config["settings"]["policy-limits"]["connect-timeout-ns"] =
+                (span.as_u64().expect("ms") * second / 1000).into();
+        }
+        // Nor a class whose repeats are discarded for a while.
+        if let Some(span) = more.remove("key_ttl_ms") {
+            let mut keyed = lane("keyed", "dedup");
+            keyed["key-ttl-ns"] = (span.as_u64().expect("ms") * second / 1000).into();
+            config["settings"]["lanes"].as_array_mut().expect("lanes").push(keyed);
+        }
         daemon.as_object_mut().expect("an object").extend(more);
         config["limits"]["memory_mb"] = memory;
         config["settings"]["policy-limits"]["second-copies"] = copies.into();
