--- a/src/limits.rs
+++ b/src/limits.rs
@@ -33,6 +33,12 @@
     pub edge_slow: Duration,
     /// While places are scarce, an edge connection makes room after this time since its last answer.
     pub edge_rested: Duration,
+    /// While places are scarce, a connection makes room after this time since its last answer of all.
+    pub closing: Duration,
+    /// A connection that has had its last answer is closed for good once nothing more has come for this time.
+    pub linger_quiet: Duration,
+    /// The same whatever still comes.
+    pub linger: Duration,
     /// How often a newcomer looks for room while there is none.
     pub edge_look: Duration,
     /// Descriptors kept back from clients and real servers: for discovery, the store, the log, the runtime's own and
@@ -56,6 +62,8 @@
     pub connect: Duration,
     /// An idle connection to a real server is closed after this time.
     pub pool_idle: Duration,
+    /// A connection to a real server is not used again sooner after an answer.
+    pub pool_settle: Duration,
     /// How often idle connections are looked through.
     pub pool_sweep: Duration,
     /// An edge connection without a request is closed after this time.
@@ -160,6 +168,10 @@
             edge_mute: Duration::from_millis(200),
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
+            closing: Duration::from_millis(20),
+            // A stream that the stop cuts still ends before the process is killed.
+            linger_quiet: Duration::from_millis(100),
+            linger: Duration::from_secs(1),
             edge_look: Duration::from_millis(50),
             own_descriptors: own,
             mgmt_callers: (own - 16).min(32),
@@ -173,6 +185,8 @@
             connect,
             // Well before the other side's limit, so that no request crosses its close.
             pool_idle: idle.mul_f64(0.6),
+            // A second answer may come some milliseconds behind the first, and would be taken for the next one's.
+            pool_settle: Duration::from_millis(20),
             pool_sweep: Duration::from_millis(250),
             edge_idle: Duration::from_secs(4),
             // A client that sends no whole request is owed an error or a close within 3 s of connecting.
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -322,7 +322,7 @@
     // The gateway stands still meanwhile, or doesn't.
     for frozen in [false, true] {
         let (notes, late) = (Notes::default(), Late::new());
-        let gateway = gateway(&[late.addr], json!({"connect_ms": 2500}));
+        let gateway = gateway(&[late.addr], json!({"connect_timeout_ms": 2500}));
         let mut crowd = Crowd::new(&gateway, |front, id| bytes(front, "plain", id, 0));
         let stayer = stays(&gateway, "platform", STAYER);
         thread::sleep(ms(300));
