Fit asked lists into one budget of 6 s, also for 300 gateways and after refusals

Seen, with stand-ins, as the first and the last of a group of 300: a watch fell silent and the list came after up to 7.6 s, and after an outage with refused calls after 6 to 27 s; requests went to the drained server meanwhile. The causes are 3.2 s until a silence was noticed (src/limits.rs), a slot within up to 5.5 s after that (PART in src/pace.rs), and windows of 60 ms a gateway after any failed call, one in two let go by, though a call that is refused at once costs the service nothing. Ruled out: the connection and answer (milliseconds), and the decision module's timer, which only carries out the wait.

Now src/pace.rs states the chain as one budget, and its windows are what the other parts leave: - a silence is noticed after 2.4 s, 0.4 s after a line was due. The old watch is read on until the new call is made; a line that was only late calls it off. Without that, the test counts 2 calls where now there is at most one. - after a watch that ended the window is at most 3.1 s; after a call that failed within 0.5 s, 5.5 s; both at most seven times as dense as the pace assumed. So the chain fits 6 s up to about 360 gateways. A stated list.calls_per_s goes before, and where it is too slow for the group, Budget says by how much. - a call that failed late backs off as before, its two windows now within four times ask_within less the call itself.

With two such suites at once, some clients were turned down and the plays failed for that: one such test runs at a time now, with fewer requests.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -79,7 +79,7 @@
     /// Bytes of a chunk that are held back until the chunk is whole; of a longer one whole events pass on as
     /// they come.
     pub chunk_hold: usize,
-    /// A watch without a line for this time counts as broken.
+    /// A watch without a line for this time counts as broken, and is listened to until another takes its place.
     pub watch_silence: Duration,
     /// The same where lists are pushed: what the agent has counts whether or not a watch is open, and a call costs
     /// nothing.
@@ -181,7 +181,7 @@
             stream_opening: Duration::from_secs(4),
             head_stall: Duration::from_millis(1500),
             chunk_hold: event_bytes,
-            watch_silence: Duration::from_millis(3200),
+            watch_silence: Duration::from_nanos(crate::pace::SILENCE),
             // An empty line is due after 2 s.
             agent_silence: Duration::from_millis(2300),
             // Together well below the time for which a drained server may still be sent to.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -34,6 +34,8 @@
     answered: Cell<bool>,
     /// The last call came to nothing, and so it has been noted.
     failing: Cell<bool>,
+    /// The present watch has fallen silent, and the module knows.
+    silent: Cell<bool>,
 }
 
 impl Discovery {
@@ -47,8 +49,8 @@
         push: bool,
     ) -> Discovery {
         let (addr, version) = (Cell::new(addr), Cell::new(0));
-        let (answered, failing) = (Cell::new(false), Cell::new(false));
-        Discovery { addr, engine, fleet, names, limits, push, version, answered, failing }
+        let (answered, failing, silent) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Discovery { addr, engine, fleet, names, limits, push, version, answered, failing, silent }
     }
 
     /// Takes the list that the gateway last had, which may be old.
@@ -115,6 +117,7 @@
     /// One watch, up to its end. The module learns of it as a failure, and when to ask again is its to say; an agent
     /// is asked at no cost, and its pace is kept here.
     async fn watch(&self) {
+        self.silent.set(false);
         let path = format!("/catalog/members?stream=1&index={}", self.version.get());
         let ended =
             if self.push { self.watch_agent(&path).await } else { self.call(&path, true, &|| true).await };
@@ -122,7 +125,8 @@
         // Guards against a log full of the same words while discovery is down.
         let level = if self.push && self.failing.replace(true) { Level::Debug } else { Level::Info };
         log::log!(level, version = self.version.get(); "watch-ended: {why}");
-        if !self.push {
+        // What fell silent before it ended has been told already, and the next call is due.
+        if !self.push && !self.silent.get() {
             self.engine.list(ListKind::Failed, Vec::new());
         }
     }
@@ -248,7 +252,11 @@
                 // word is due as soon after the call: one whose head came late has not as long again for the rest.
                 let spent = if first { from.elapsed() } else { Duration::ZERO };
                 let patience = silence.saturating_sub(spent);
-                ended = within(patience, wire.fill(limits)).await?? == 0;
+                let filled = match within(patience, wire.fill(limits)).await {
+                    Err(_) if watch && !first && !self.push => self.listen_on(&mut wire).await,
+                    filled => filled?,
+                };
+                ended = filled? == 0;
                 if ended && (watch || body != Body::UntilClose) {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
@@ -263,6 +271,20 @@
         }
     }
 
+    /// A watch has fallen silent: the next one is due, whose beginning ends this. Guards against a line that was only
+    /// late, after which no call is needed.
+    async fn listen_on(&self, wire: &mut Wire) -> io::Result<usize> {
+        log::info!(version = self.version.get(); "watch-silent: it is opened anew unless it speaks before");
+        self.silent.set(true);
+        self.engine.list(ListKind::Failed, Vec::new());
+        let count = wire.fill(&self.limits).await?;
+        if count > 0 {
+            self.silent.set(false);
+            self.no_change(&mut true);
+        }
+        Ok(count)
+    }
+
     /// An empty line of a watch is a sign of life, and as an answer's first word also says: no change.
     fn no_change(&self, first: &mut bool) {
         if std::mem::replace(first, false) {
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -3,9 +3,23 @@
 //!
 //! Each gateway has a slot of its own in a window that recurs on the clock that all share, and calls in its slot only.
 //! So the service sees an even stream whoever starts, fails or comes back, and whenever. After a failure windows are let
-//! go by, a number drawn from a range that doubles (full jitter). A failed call, unlike a watch that has ended, also
-//! says that the service could not keep up: then the window is as long as a slow service needs for all gateways, and
-//! at least one in two is let go by on average, since it still works at calls whose callers have given up.
+//! go by, a number drawn from a range that doubles (full jitter).
+//!
+//! What the list has to tell counts as told [`TOLD`] after a watch fell silent or the service was back, heard or not.
+//! That is the budget of the whole chain, which [`Calls::budget`] states:
+//!
+//! | part | bound |
+//! | --- | --- |
+//! | silence noticed | [`SILENCE`]; none where a watch was reset or a call refused |
+//! | what is left of this gateway's slot, if it may have called in it | a window's part |
+//! | its slot | the window: what the other parts leave |
+//! | connection, call, answer and the list's application | [`ANSWER`] |
+//! | the drain's grace | is no part: it runs from then on, and is the reserve for an answer that queues |
+//!
+//! A call that failed at once cost the service nothing: it is away, or sheds. A call that failed late may have waited
+//! at a service that can't keep up, and whose work at it was lost: then the window is as long as a slow service needs
+//! for all gateways, and at least one in two is let go by on average. The settings give a gateway four times as long
+//! after a failed call, and that bounds this wait.
 
 use crate::types::Nanos;
 
@@ -19,11 +33,33 @@
 const DENSEST: Nanos = 4;
 /// The longest window, as a multiple of that time, unless twice what a slow service needs for all is longer.
 const LONGEST: f64 = 1.6;
+/// A gateway may go without the list for this multiple of that time after a failed call.
+const FAILED: Nanos = 4;
+/// Times for asking beyond this one make no difference here.
+const MOST: Nanos = 1_000_000 * MILLI;
+/// What the list has to tell counts as told so long after its watch fell silent or the service was back.
+pub const TOLD: Nanos = 6000 * MILLI;
+/// A watch says something every 2 s; one without a word for this time is taken for silent. Little is lost if its
+/// line is only late: it is listened to until the gateway's slot has come.
+pub const SILENCE: Nanos = 2400 * MILLI;
+/// For a call to be made and answered and its list to be applied. A service that queues answers all of a group after
+/// as long as it needs for all, however dense they come within their window.
+pub const ANSWER: Nanos = 500 * MILLI;
+/// A call that fails within this time has not waited for others: services time out after a second or more.
+const QUICK: Nanos = 500 * MILLI;
+/// Calls that the budget wants early come at most so many times as dense as a slow service can serve.
+const EARLIEST: Nanos = 7;
+/// So long may a call hang before it is given up, connection and answer.
+const HANG: Nanos = 3500 * MILLI;
 
 /// The calls of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Calls {
     first: Nanos,
+    /// After a watch that fell silent.
+    anew: Nanos,
+    /// After a call that failed at once.
+    again: Nanos,
     slow: Nanos,
     longest: Nanos,
     slot: (u32, u32),
@@ -31,50 +67,111 @@
     /// The service has answered since the last failure.
     watched: bool,
     not_before: Nanos,
+    /// When the last call was to be made.
+    due: Option<Nanos>,
+}
+
+/// The bounds of the chain from the start of a silence, or the service's return, to the list's application.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// For a watch that falls silent.
+    pub silent: Nanos,
+    /// After calls that failed at once.
+    pub refused: Nanos,
+    /// After calls that failed late, from the last call on.
+    pub hung: Nanos,
 }
 
 impl Calls {
     /// For gateway `me` of `group` that may go without the list for `patience`; `rate` is what the service can serve
-    /// in a second, if somebody has said, and then the first window follows it however long it becomes.
+    /// in a second, if somebody has said, and then the windows follow it however long they become.
     pub fn new(me: u32, group: u32, patience: Nanos, rate: Option<f64>) -> Calls {
         let group = group.max(1);
         let usual = (patience as f64 * PART) as Nanos;
-        let slow = EACH * Nanos::from(group);
-        let first = match rate.filter(|r| *r > 0.0) {
-            Some(rate) => (f64::from(group) / rate * 1e9) as Nanos,
-            None => slow.min(usual.max(slow / DENSEST)),
+        let all = Nanos::from(group);
+        let slow = EACH * all;
+        let stated = rate.filter(|r| *r > 0.0).map(|rate| (f64::from(group) / rate * 1e9) as Nanos);
+        let first = stated.unwrap_or(slow.min(usual.max(slow / DENSEST)));
+        // A window and its slot fit into what is left of the budget, the slot being a part of the window.
+        let within = |left: Nanos| left * all / (all + 1);
+        let early = |left| stated.unwrap_or(slow.min(within(left).max(slow / EARLIEST)));
+        let (anew, again) = (early(TOLD - SILENCE - ANSWER), early(TOLD - ANSWER));
+        let most = patience
+            .saturating_mul(FAILED)
+            .min(FAILED * MOST)
+            .saturating_sub(HANG + ANSWER)
+            .max(within(TOLD - ANSWER));
+        let two = |window: Nanos| 2 * window + window / all;
+        let longest = (patience as f64 * LONGEST) as Nanos;
+        // Who was told the rate goes by it. Else two windows, of which one may be let go by, fit into what a gateway
+        // has after a failed call.
+        let (slow, longest) = match stated {
+            Some(window) => (window, longest.max(two(window))),
+            None => {
+                let window = slow.min(most * all / (2 * all + 1));
+                (window, longest.max(two(window)).min(most))
+            }
         };
-        // Who was told the rate goes by it.
-        let slow = if rate.is_some() { first } else { slow };
-        let longest = ((patience as f64 * LONGEST) as Nanos).max(2 * slow);
         Calls {
             first,
+            anew,
+            again,
             slow,
             longest,
             slot: (me % group, group),
             failures: 0,
             watched: false,
             not_before: 0,
+            due: None,
         }
     }
 
+    /// What the chain takes at the most. Beyond [`TOLD`] it doesn't fit: the service can't answer a group of this
+    /// size within the time, by the rate stated or else by what is assumed.
+    pub fn budget(&self) -> Budget {
+        let slot = |window: Nanos| window + window / Nanos::from(self.slot.1.max(1));
+        let again =
+            if self.again <= TOLD - ANSWER { slot(self.again).max(TOLD - ANSWER) } else { self.hang() };
+        let hung = HANG + self.hang() + ANSWER;
+        Budget { silent: SILENCE + slot(self.anew) + ANSWER, refused: again + ANSWER, hung }
+    }
+
+    /// The longest wait after a late failure.
+    fn hang(&self) -> Nanos {
+        self.longest.max(self.slow + self.slow / Nanos::from(self.slot.1.max(1)))
+    }
+
     /// How long a gateway that has just started waits, by the clock that all gateways share; `chance` is a random
     /// number in 0..1.
-    pub fn start(&self, now: Nanos, chance: f64) -> Nanos {
-        self.slot_after(now, self.first, chance)
+    pub fn start(&mut self, now: Nanos, chance: f64) -> Nanos {
+        let wait = self.slot_after(now, self.first, chance);
+        self.due = Some(now + wait);
+        wait
     }
 
     /// A call has failed, or a watch has ended: how long to wait before the next one.
     pub fn failed(&mut self, now: Nanos, chance: f64) -> Nanos {
-        let (window, more) = if self.watched { (self.first, 0) } else { (self.slow, 1) };
-        let most = (self.longest / window.max(1)).max(1);
+        let quick = self.due.is_some_and(|due| now >= due && now - due < QUICK);
+        let asked = self.not_before > now;
+        let fits = |window: &Nanos| *window <= TOLD - ANSWER;
+        let (window, more, longest) = match (self.watched, quick) {
+            (true, _) => (self.anew, 0, self.anew),
+            // Asked to be left alone, a gateway has spent a part of its time.
+            (_, true) if asked && fits(&self.anew) => (self.anew, 0, self.anew),
+            (_, true) if fits(&self.again) => (self.again, 0, TOLD - ANSWER),
+            _ => (self.slow, 1, self.longest),
+        };
+        let slot = window / Nanos::from(self.slot.1);
+        let most = (longest.saturating_sub(slot) / window.max(1)).max(1);
         let windows = (1 << (self.failures + more).min(16)).min(most);
         (self.failures, self.watched) = (self.failures + 1, false);
         // The whole part says how many windows go by, the rest where in its slot the call comes.
         let drawn = chance * windows as f64;
         // Not in the slot that it may still be in: that call was this window's.
-        let from = self.not_before.max(now) + window / Nanos::from(self.slot.1);
-        from - now + window * drawn as Nanos + self.slot_after(from, window, drawn.fract())
+        let from = self.not_before.max(now) + slot;
+        let wait = from - now + window * drawn as Nanos + self.slot_after(from, window, drawn.fract());
+        self.due = Some(now + wait);
+        wait
     }
 
     /// The time to this gateway's next slot in windows of this length.
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -115,3 +116,90 @@
     });
     all.into_iter().for_each(|one| one.join().expect("it holds"));
 }
+
+/// The first and the last of a group of 300, whose slots lie at the ends of a window.
+const ENDS: [(u32, u32); 2] = [(0, 300), (299, 300)];
+
+/// The plays of one such test at a time are enough for a small machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Plays it for both ends of a group, with waits that lie over a window of up to 5.5 s: each gateway calls in a slot
+/// that recurs on the clock that all share, and opens its first watch in it, so whether it comes late depends on when
+/// after that something happens.
+fn at_any_instant(play: fn((u32, u32), Duration)) {
+    let all = (0..7)
+        .flat_map(|n| ENDS.map(|who| thread::spawn(move || play(who, Duration::from_millis(800) * n))));
+    all_hold(all.collect());
+}
+
+/// Waits for all before it says that one didn't hold, so that none is left behind.
+fn all_hold(all: Vec<thread::JoinHandle<()>>) {
+    let ends: Vec<_> = all.into_iter().map(|one| one.join()).collect();
+    let broken = ends.iter().filter(|end| end.is_err()).count();
+    assert_eq!(broken, 0, "of {} plays", ends.len());
+}
+
+#[test]
+fn asked_a_watch_that_falls_silent_is_opened_anew_in_time_in_a_group_of_300() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    at_any_instant(|who, wait| {
+        let scene = Scene::of(who, "ask", 10, false, false);
+        thread::sleep(wait);
+        let from = scene.lists.silence_watches();
+        thread::sleep(AMID);
+        scene.lists.drain(0);
+        scene.holds(&format!("{who:?}, silent after {wait:?}"), from, SILENCE);
+    });
+}
+
+/// Discovery is down in that mood for long enough that calls fail, and a drain is made meanwhile.
+fn outage_of_300(who: (u32, u32), mood: Mood, ask_within_s: u64, counted: Duration) {
+    let scene = Scene::of(who, "ask", ask_within_s, false, false);
+    scene.lists.become_(Mood::Reset);
+    thread::sleep(Duration::from_millis(20));
+    let down = scene.lists.become_(mood);
+    thread::sleep(AMID);
+    scene.lists.drain(0);
+    match mood {
+        // Nobody is there to see calls: longer than any gateway waits for its first slot.
+        Mood::Away => thread::sleep(Duration::from_millis(6500)),
+        _ => {
+            support::eventually(|| scene.lists.calls_since(down) > 0);
+            // Not at the same time after a call for both.
+            thread::sleep(AMID + Duration::from_millis(9) * who.0);
+        }
+    }
+    let from = scene.lists.become_(Mood::Well);
+    scene.holds(&format!("{who:?}, down: {mood:?}"), from, counted);
+}
+
+#[test]
+fn asked_the_list_is_had_in_time_after_refusals_in_a_group_of_300() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let moods = [Mood::Away, Mood::Reset, Mood::Sorry, Mood::Later(1000)];
+    let all =
+        moods.map(|mood| ENDS.map(|who| thread::spawn(move || outage_of_300(who, mood, 10, SILENCE))));
+    all_hold(all.into_iter().flatten().collect());
+}
+
+#[test]
+fn asked_the_list_is_had_in_time_after_calls_that_hung_in_a_group_of_300() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    // Such a call may wait at a service that can't keep up, and the settings give four times as long after it: 12 s.
+    let all = [Mood::Mute, Mood::HeadOnly].map(|mood| {
+        ENDS.map(|who| thread::spawn(move || outage_of_300(who, mood, 3, Duration::from_secs(12))))
+    });
+    all_hold(all.into_iter().flatten().collect());
+}
+
+#[test]
+fn asked_a_line_that_is_only_late_costs_no_call_and_its_watch_is_heard() {
+    let scene = Scene::of((150, 300), "ask", 10, false, false);
+    let from = scene.lists.lines_every(Duration::from_millis(2550));
+    thread::sleep(Duration::from_secs(9));
+    // Three silences of 150 ms more than is waited for: the slot, which recurs after 3.1 s, lies in one at the most.
+    let calls = scene.lists.calls_since(from);
+    assert!(calls <= 1, "{calls} calls");
+    let from = scene.lists.drain(0);
+    scene.holds("lines that are late", from, Duration::ZERO);
+}
