Give a cold server's budget out in turns, so that no group passes it together

Seen: a new property test over groups of 1 to 300 decision modules (skewed traffic, late news, restarts with overlap, errors, silence, second copies, bursts; tests/cold.rs) holds what one cold server is sent in `fall` to N + 2 x root of N + 2. The program before passed that on 11 of 120 cases, by 13.1 times at the worst (152 requests, N 5, 155 gateways). Thirty processes before one cold server (tests/fleet.rs), a third of them restarted, sent 22 in 3 s where 17.6 are the bound.

Cause, in `affords`: each gateway could send one request at once whatever its part was; the pace was a constant and not a part of the settings' overload factor; and each took the larger of its part of the quotas and its own work, whose sum is above either. Ruled out: size, warmth and start are read alike at all gateways.

Change: src/cold.rs gives the budget out in turns, by number and from a place that the server's id decides, counted from the server's start by the quotas, so that all gateways agree. A turn not taken lapses; what stands open is bounded by 0.1 N + 2 x root of N.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -351,6 +351,7 @@
         if kind == ListKind::Failed {
             return;
         }
+        self.cold.heard(now);
         let live = self.settings.units == Units::Live;
         let whole = !matches!(kind, ListKind::Changes | ListKind::Own);
         let mut changed = false;
@@ -551,7 +552,6 @@
             owners: if live.owners < 1.0 { live.owners } else { 0.0 },
             loose: self.turns[live.request.class] < LOOSE,
             group,
-            cost: full_cost(&live.request),
             aim: live.span,
             cold_only: live.cold_only,
         };
@@ -582,11 +582,13 @@
     fn send(&mut self, now: Nanos, id: RequestId, r: usize, timeout: Nanos, actions: &mut Vec<Action>) {
         let warmth = self.warmth(now, &self.replicas[r]);
         let Some(live) = self.live.get_mut(&id) else { return };
-        let cost = full_cost(&live.request);
+        let cost = full_cost(&live.request) / self.full_cost;
         live.attempts.push(Attempt { replica: r, sent: now, fate: Fate::Out, begun: false });
         let replica = &mut self.replicas[r];
         replica.in_flight += 1;
-        self.cold.spend(&mut replica.budget, warmth, cost);
+        if warmth < 1.0 {
+            self.cold.spend(&mut replica.budget, cost);
+        }
         replica.health.trial |= replica.health.open;
         let zone = self.zones.entry(replica.zone).or_default();
         zone.link.trial |= zone.link.open;
@@ -630,24 +632,32 @@
         self.walk += 1;
         let (mut met, mut owned) = (0, 0.0);
         let (mut best, mut second, mut over) = (None, None, None);
+        // All owners so far are cold, and it is not this gateway's turn.
+        let mut adrift = true;
         for i in 0..self.ring.len() {
             let point = self.ring[(start + i) % self.ring.len()];
             let r = point.r as usize;
             let replica = &self.replicas[r];
-            let warmth = self.warmth(now, replica);
-            let nodes = f64::from(replica.nodes) * warmth;
-            if replica.seen == self.walk || f64::from(point.n) >= nodes {
+            if replica.seen == self.walk || point.n >= replica.nodes {
                 continue;
             }
-            let (own, hash) = (replica.size * warmth, replica.hash);
-            let owner = best.is_none() || owned < target.owners * size;
+            let (own, hash) = (replica.size, replica.hash);
+            let warmth = self.warmth(now, replica);
+            let owner = met == 0 || owned < target.owners * size;
             self.replicas[r].seen = self.walk;
             met += 1;
             owned += own;
             let barred = target.cold_only && warmth >= 1.0;
-            if !barred && self.usable(now, r, tried, target.group) && self.afford(now, r, target.cost) {
-                // Owners are liked by sessions in proportion to their size, whoever else is there.
-                let liking = if owner { own / -unit(mix(target.session ^ hash)).ln() } else { 0.0 };
+            let open = self.afford(now, r);
+            adrift &= !owner || !open;
+            if !barred && open && self.usable(now, r, tried, target.group) {
+                // Owners are liked by sessions in proportion to their size, whoever else is there; cold ones
+                // first of all, since a turn not taken is lost, and anywhere if no owner may take it.
+                let liking = match owner || best.is_none() {
+                    _ if warmth < 1.0 && (owner || adrift) => f64::MAX,
+                    true => own / -unit(mix(target.session ^ hash)).ln(),
+                    false => 0.0,
+                };
                 let behind =
                     self.admit > WELL && self.replicas[r].lag as f64 > LAG_PART * target.aim as f64;
                 if behind || f64::from(self.replicas[r].in_flight) > bound * own + 1.0 {
@@ -658,7 +668,9 @@
                     second = Some((liking, r));
                 }
             }
-            let enough = owned >= target.owners * size && best.is_some();
+            let seeks = adrift && self.warm < self.ready;
+            let enough = best.is_some_and(|(most, _)| !seeks || most == f64::MAX);
+            let enough = enough && owned >= target.owners * size;
             if enough && (second.is_some() || !target.loose) || met == self.ready {
                 break;
             }
@@ -704,22 +716,20 @@
         self.cold.warmth(now, replica.started)
     }
 
-    /// Whether a replica, if it is cold, may be sent work of this cost (`src/cold.rs`).
-    fn afford(&mut self, now: Nanos, r: usize, cost: f64) -> bool {
-        let warmth = self.warmth(now, &self.replicas[r]);
-        if warmth >= 1.0 {
+    /// Whether a replica may be sent a request: a cold one only on this gateway's turn (`src/cold.rs`).
+    fn afford(&mut self, now: Nanos, r: usize) -> bool {
+        let Some(started) = self.replicas[r].started.filter(|_| self.warmth(now, &self.replicas[r]) < 1.0)
+        else {
             return true;
-        }
+        };
         self.decay(now);
         // Guards against two flattering measures: demand, which in an overload is beyond what any replica
         // can do, and units that are lowered by load, of which an empty replica has the most.
-        let work = if self.warm > 0 { self.served } else { self.offered } / MEMORY;
-        let cold = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
-        let cold = cold.map(|r| (r.size, self.warmth(now, r))).filter(|(_, warmth)| *warmth < 1.0);
-        let cold = cold.map(|(size, warmth)| size * warmth).sum::<f64>();
-        let fleet = cold::Fleet { work, full_cost: self.full_cost, size: self.most_size, cold };
+        let work = if self.warm > 0 { self.served } else { self.offered } / MEMORY / self.full_cost;
         let replica = &mut self.replicas[r];
-        self.cold.affords(now, &mut replica.budget, (replica.size, warmth), cost, fleet)
+        let part = replica.size / self.most_size.max(f64::MIN_POSITIVE);
+        let server = cold::Server { hash: replica.hash, started, part };
+        self.cold.affords(now, &mut replica.budget, server, work)
     }
 
     // ---- attempts -------------------------------------------------------------------------------------
@@ -946,7 +956,6 @@
     owners: f64,
     loose: bool,
     group: Group,
-    cost: f64,
     aim: Nanos,
     cold_only: bool,
 }
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -1,48 +1,53 @@
 //! How much work this gateway may send to a cold server now: a module without clock or I/O. Whom a request goes to is
 //! decided elsewhere, which asks here whether a cold server may be one of them, as it asks `pace` when to call.
 //!
-//! Guards against many gateways pushing a cold server over, each with little: while it is cold this gateway sends it
-//! no more than its own part of its warmth's part of the work that a server's share would be. Quotas tell that work to
-//! a gateway that has just started and has seen none, like the fleet. In a large group a part is less than a request
-//! for as long as the server is cold, so each gateway may send it one, and keeps to its part of all cold ones together.
+//! Guards against many gateways pushing a cold server over, each with little. What all may send it together is given
+//! out as turns, a request each, as its warmth comes: the next turn is the next gateway's by number, from a place that
+//! the server's id decides. All reckon the turns from its start and the quotas, on the clock that they share, so they
+//! agree without a word; a turn that is not taken lapses after some others, so that those who learn of a start late,
+//! or come at once after a rest, don't add theirs up. Where no quotas are told a gateway counts turns by its own work.
 
 use crate::types::{Nanos, Settings};
 
 const SECOND: Nanos = 1_000_000_000;
-/// All gateways together send a cold server at most this multiple of its part of the tenants' quotas; these are within
-/// what the fleet can do, and a server falls at 2.5 times what it can do at that moment.
-const PART: f64 = 2.0;
+/// Turns come at this part of the pace that makes a server fall: the rest is for gateways that see the fleet's size
+/// differently, and for requests that cost more than most.
+const PART: f64 = 0.8;
+/// So much of the budget may be turns that stand open, beside what it may be passed by.
+const OPEN: f64 = 0.1;
+/// A process takes no turn that came before it, or so soon after its start: its gateway's last process may have.
+const OVERLAP: Nanos = SECOND;
+/// Requests beyond the mean in work that a gateway pays back with later turns, at most.
+const DEBT: f64 = 3.0;
 
-/// Work that may be sent: what is left of it, which grows with time.
+/// The turns of one cold server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Budget {
-    left: f64,
+    /// Turns of this gateway so far, where its own work tells them, and when that was reckoned.
+    own: f64,
     at: Nanos,
+    /// Its next turn that may be taken; all before it have been taken or have lapsed.
+    next: i64,
+    /// Work sent beyond a mean request for each turn, in such requests.
+    debt: f64,
 }
 
 impl Budget {
-    /// Of a server that has just started: it grows from now on.
+    /// Of a server that has just been learnt of.
     pub fn new(now: Nanos) -> Budget {
-        Budget { left: 0.0, at: now }
-    }
-
-    fn refill(&mut self, now: Nanos, rate: f64, most: f64) {
-        let gone = now.saturating_sub(self.at) as f64 / SECOND as f64;
-        (self.left, self.at) = ((self.left + rate * gone).min(most), now);
+        Budget { own: 0.0, at: now, next: i64::MIN, debt: 0.0 }
     }
 }
 
-/// What a gateway goes by: its own work and the fleet's size.
+/// A cold server.
 #[derive(Clone, Copy, Debug)]
-pub struct Fleet {
-    /// Work that this gateway has had in a second of late.
-    pub work: f64,
-    /// What a request costs on average.
-    pub full_cost: f64,
-    /// The size that the quotas were made for.
-    pub size: f64,
-    /// The size of all cold servers, each by its warmth.
-    pub cold: f64,
+pub struct Server {
+    /// From its id: the same at all gateways.
+    pub hash: u64,
+    /// When its process started.
+    pub started: Nanos,
+    /// Its part of the size that the quotas were made for.
+    pub part: f64,
 }
 
 /// What one gateway may send to cold servers.
@@ -50,27 +55,40 @@
 pub struct Cold {
     from: f64,
     ramp: Nanos,
+    /// Work beyond this multiple of what it can do makes a server fall, over this time in seconds.
+    factor: f64,
     fall: f64,
-    /// Requests a second that are this gateway's part of the tenants' quotas.
-    quota: f64,
-    /// What may be sent to all cold servers together.
-    all: Budget,
+    /// Requests a second that the tenants' quotas grant at all gateways together, if all have one.
+    quota: Option<f64>,
+    me: u32,
+    group: u32,
+    /// When this process first heard of servers.
+    began: Option<Nanos>,
 }
 
 impl Cold {
     /// For a gateway with these settings.
     pub fn new(settings: &Settings) -> Cold {
-        let quota = settings.tenants.iter().filter_map(|t| t.quota_per_s).sum::<f64>();
-        let safety = &settings.safety;
+        let quotas: Option<Vec<f64>> = settings.tenants.iter().map(|t| t.quota_per_s).collect();
+        let quota = quotas.map(|all| all.iter().sum::<f64>()).filter(|sum| *sum > 0.0);
+        let (safety, group) = (&settings.safety, settings.group_size.max(1));
         Cold {
             from: safety.cold_from,
             ramp: safety.ramp,
+            factor: safety.overload_factor,
             fall: safety.fall as f64 / SECOND as f64,
-            quota: quota / f64::from(settings.group_size),
-            all: Budget::default(),
+            quota,
+            me: settings.me % group,
+            group,
+            began: None,
         }
     }
 
+    /// A list has come.
+    pub fn heard(&mut self, now: Nanos) {
+        self.began.get_or_insert(now);
+    }
+
     /// The share of its capacity that a server surely has: the same figure at all gateways.
     pub fn warmth(&self, now: Nanos, started: Option<Nanos>) -> f64 {
         match started {
@@ -82,30 +100,51 @@
         }
     }
 
-    /// Whether a server of this budget, size and warmth may be sent a request of this cost now.
-    pub fn affords(
-        &mut self,
-        now: Nanos,
-        budget: &mut Budget,
-        (size, warmth): (f64, f64),
-        cost: f64,
-        fleet: Fleet,
-    ) -> bool {
-        if warmth >= 1.0 {
-            return true;
+    /// Whether it is this gateway's turn to send a cold server a request; `work` is what it has had of late, in requests
+    /// of mean work a second.
+    pub fn affords(&self, now: Nanos, budget: &mut Budget, server: Server, work: f64) -> bool {
+        let group = f64::from(self.group);
+        let warmth = self.warmth(now, Some(server.started));
+        let place = (u64::from(self.me) + server.hash % u64::from(self.group)) % u64::from(self.group);
+        let place = place as f64 / group;
+        let able = server.part * self.quota.unwrap_or(work * group);
+        // Turns of this gateway up to then: all gateways' in turn, so a part of them each.
+        let turns = |at: Nanos| {
+            let age = at.saturating_sub(server.started) as f64 / SECOND as f64;
+            let ramp = self.ramp.max(1) as f64 / SECOND as f64;
+            let warmed = self.from * age + (1.0 - self.from) * age * age / (2.0 * ramp);
+            PART * self.factor * able * warmed / group
+        };
+        let first = self.began.map_or(now, |began| began.saturating_add(OVERLAP));
+        let (count, least) = if self.quota.is_some() {
+            // Those of its first moment come at once, for what may lapse: see below.
+            let missed =
+                if first > server.started { (turns(first) + place).floor() as i64 } else { i64::MIN };
+            (turns(now) + place, missed.saturating_add(1))
+        } else {
+            let gone = now.saturating_sub(budget.at) as f64 / SECOND as f64;
+            budget.own += PART * self.factor * able * warmth * gone / group;
+            budget.at = now;
+            (budget.own + place, 1)
+        };
+        // So many turns of all gateways may stand open, and may all be taken at once on top of those that come: some of
+        // what is left of the budget, and what it may be passed by. The gateways of a small group see enough to take
+        // each turn as it comes.
+        let allowed = self.factor * able * warmth * self.fall;
+        let open = (OPEN * allowed + 2.0 * allowed.sqrt()).min(group / 2.0) / group;
+        let lapsed = (count - open).floor() as i64;
+        let latest = count.floor() as i64;
+        budget.next = budget.next.max(lapsed.saturating_add(1)).max(least);
+        while budget.debt >= 1.0 && budget.next <= latest {
+            budget.next += 1;
+            budget.debt -= 1.0;
         }
-        let due = self.quota * fleet.full_cost;
-        let each = PART * due.max(fleet.work) / fleet.size.max(f64::MIN_POSITIVE);
-        let all = each * fleet.cold;
-        self.all.refill(now, all, all * self.fall / 2.0);
-        let rate = each * size * warmth;
-        budget.refill(now, rate, (rate * self.fall).min(cost));
-        budget.left >= 0.0 && self.all.left >= 0.0
+        budget.next <= latest
     }
 
-    /// A request of this cost goes to a server.
-    pub fn spend(&mut self, budget: &mut Budget, warmth: f64, cost: f64) {
-        self.all.left -= if warmth < 1.0 { cost } else { 0.0 };
-        budget.left -= cost;
+    /// A request of this cost, in requests of mean work, goes to a cold server: the turn is taken.
+    pub fn spend(&self, budget: &mut Budget, cost: f64) {
+        budget.next = budget.next.saturating_add(1);
+        budget.debt = (budget.debt + cost - 1.0).clamp(-1.0, DEBT);
     }
 }
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,464 @@
+//! What all gateways of a group together send a cold server: random groups, traffic and troubles with fixed seeds, the
+//! decision modules side by side on one clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use quickcheck::{Arbitrary, Gen};
+
+use tulipridge::Gateway;
+use tulipridge::types::*;
+
+const SECOND: Nanos = 1_000_000_000;
+const MILLI: Nanos = 1_000_000;
+/// What an answer costs, as prompt tokens read.
+const ANSWER: f64 = 1000.0;
+/// An old process of a gateway goes on for so long beside the new one.
+const OVERLAP: Nanos = 700 * MILLI;
+const BEGIN: Nanos = 100 * SECOND;
+
+/// A group, its servers, its traffic and its troubles.
+#[derive(Clone, Debug)]
+struct Case {
+    seed: u64,
+    group: u32,
+    warm: usize,
+    cold: usize,
+    /// Requests a second of mean work that the quotas grant at all gateways together.
+    quota: f64,
+    /// What comes, as a multiple of it.
+    load: f64,
+    /// 0 is even; else the busiest gateways see several times the mean.
+    skew: f64,
+    /// All ask for one and the same beginning.
+    one_beginning: bool,
+    varied: bool,
+    from: f64,
+    ramp: Nanos,
+    factor: f64,
+    fall: Nanos,
+    /// News of a cold server's start come to each gateway within this time.
+    late: Nanos,
+    /// This share of the gateways starts anew, one after the other or at once, while servers are cold.
+    restarted: f64,
+    at_once: bool,
+    /// This share of the attempts ends with an error at once.
+    errors: f64,
+    /// This share of the attempts gets no answer before its time is over.
+    mute: f64,
+    copies: bool,
+    /// Requests to each gateway that come together at one moment, as after an outage.
+    burst: f64,
+}
+
+/// A number of 0..1 without state (SplitMix64).
+fn unit(seed: u64, n: u64) -> f64 {
+    let mut z = seed.wrapping_add((n + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+impl Arbitrary for Case {
+    fn arbitrary(g: &mut Gen) -> Case {
+        let seed = u64::arbitrary(g);
+        let pick = |n: u64, least: f64, most: f64| least + (most - least) * unit(seed, n);
+        let often = |n: u64, share: f64| unit(seed, n) < share;
+        let group = (300f64.powf(unit(seed, 1)) as u32).clamp(1, 300);
+        let cold = if often(2, 0.4) { 1 } else { pick(2, 1.0, 12.0) as usize };
+        let warm = if often(3, 0.3) { 0 } else { pick(3, 1.0, 20.0) as usize };
+        // From one request in the time that counts to a hundred, for each server.
+        let (factor, fall) = (pick(4, 1.5, 4.0), pick(5, 1.0, 3.0));
+        let (from, ramp) = (pick(6, 0.1, 0.6), pick(7, 3.0, 20.0));
+        let calls = 100f64.powf(unit(seed, 8));
+        let quota = calls / (factor * fall * from) * (warm + cold) as f64;
+        Case {
+            seed,
+            group,
+            warm,
+            cold,
+            // Bounded work a case.
+            quota: quota.min(80.0),
+            load: 0.5 * 8f64.powf(unit(seed, 9)),
+            skew: if often(10, 0.5) { 0.0 } else { pick(10, 0.0, 2.0) },
+            one_beginning: often(11, 0.2),
+            varied: often(12, 0.5),
+            from,
+            ramp: (ramp * 1e9) as Nanos,
+            factor,
+            fall: (fall * 1e9) as Nanos,
+            late: if often(13, 0.5) { 0 } else { (pick(13, 0.0, 6.0) * 1e9) as Nanos },
+            restarted: if often(14, 0.5) { 0.0 } else { pick(14, 0.0, 1.0) },
+            at_once: often(15, 0.5),
+            errors: if often(16, 0.6) { 0.0 } else { pick(16, 0.0, 0.6) },
+            mute: if often(17, 0.7) { 0.0 } else { pick(17, 0.0, 0.3) },
+            copies: often(18, 0.5),
+            burst: if often(19, 0.7) { 0.0 } else { pick(19, 0.5, 3.0) },
+        }
+    }
+}
+
+/// What came of a case.
+#[derive(Clone, Copy, Debug, Default)]
+struct Found {
+    /// Most requests of mean work in the time that counts, over the budget and what it may be passed by.
+    worst: f64,
+    /// That many, and the budget then.
+    sent: f64,
+    budget: f64,
+    /// What all cold servers together were sent while cold, and what the settings would have let them be sent.
+    used: f64,
+    allowed: f64,
+    served: usize,
+    asked: usize,
+}
+
+enum What {
+    List { process: usize, cold: bool },
+    Arrive(u64),
+    Timer { process: usize, token: u64 },
+    First { process: usize, id: RequestId, attempt: u32 },
+    Over { process: usize, id: RequestId, attempt: u32, verdict: Verdict },
+    Restart(usize),
+}
+
+struct World {
+    case: Case,
+    now: Nanos,
+    queue: BinaryHeap<Reverse<(Nanos, u64)>>,
+    whats: BTreeMap<u64, What>,
+    count: u64,
+    drawn: u64,
+    /// All processes there ever were; `current` says which one of each gateway takes what comes.
+    processes: Vec<Gateway>,
+    current: Vec<usize>,
+    /// The process before that, and until when some still come to it.
+    before: Vec<(usize, Nanos)>,
+    costs: BTreeMap<RequestId, (u32, f64)>,
+    attempts: BTreeMap<RequestId, u32>,
+    sent: Vec<VecDeque<(Nanos, f64)>>,
+    mean: f64,
+    found: Found,
+}
+
+impl World {
+    fn new(case: Case) -> World {
+        let sent = vec![VecDeque::new(); case.cold];
+        let mean = ANSWER + if case.varied { 3000.0 } else { 1000.0 };
+        World {
+            case,
+            now: 0,
+            queue: BinaryHeap::new(),
+            whats: BTreeMap::new(),
+            count: 0,
+            drawn: 1000,
+            processes: Vec::new(),
+            current: Vec::new(),
+            before: Vec::new(),
+            costs: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            sent,
+            mean,
+            found: Found::default(),
+        }
+    }
+
+    fn at(&mut self, at: Nanos, what: What) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.whats.insert(self.count, what);
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.drawn += 1;
+        unit(self.case.seed, self.drawn)
+    }
+
+    fn settings(&self, me: u32) -> Settings {
+        let case = &self.case;
+        let class = Class {
+            aim: SECOND,
+            aim_per_token: 0,
+            token_aim: 50 * MILLI,
+            deadline: 5 * SECOND,
+            effect: Effect::Safe,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: true,
+        };
+        Settings {
+            group_size: case.group,
+            me,
+            push: true,
+            tick: MILLI,
+            classes: vec![class],
+            // Nobody is beyond its share: the door says nothing of that here.
+            tenants: vec![Tenant { share: 1.0, quota_per_s: Some(case.quota) }],
+            over_share_worth: 1.0,
+            limits: Limits {
+                attempts: 4,
+                second_copies: case.copies,
+                cancel: true,
+                probes: false,
+                peers: false,
+                retry_after: SECOND,
+            },
+            safety: Safety {
+                cold_from: case.from,
+                ramp: case.ramp,
+                overload_factor: case.factor,
+                fall: case.fall,
+                ask_within: 10 * SECOND,
+            },
+            ..Settings::default()
+        }
+    }
+
+    /// The list before (`cold` false) and after the cold ones started; before, warm ones stood in their place.
+    fn list(&self, cold: bool) -> Vec<Member> {
+        let all = 0..self.case.warm + self.case.cold;
+        all.map(|n| {
+            let fresh = n >= self.case.warm;
+            Member {
+                id: ReplicaId::from(format!("{}-{n}", if fresh && cold { "new" } else { "old" }).as_str()),
+                units: 1.0,
+                zone: 0,
+                kind: 0,
+                cell: 0,
+                phase: Phase::Ready,
+                started: (fresh && cold).then_some(BEGIN),
+            }
+        })
+        .collect()
+    }
+
+    fn process(&mut self, me: usize, cold: bool) -> usize {
+        let seed = self.case.seed ^ (self.processes.len() as u64).wrapping_mul(0xD129_0F6D);
+        self.processes.push(Gateway::new(self.settings(me as u32), seed).expect("good settings"));
+        let process = self.processes.len() - 1;
+        let members = self.list(cold).into();
+        self.tell(process, Event::List { kind: ListKind::Persisted, members });
+        process
+    }
+
+    fn tell(&mut self, process: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.processes[process].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Timer { after, token } => {
+                    self.at(self.now + after.max(1), What::Timer { process, token });
+                }
+                Action::Send { id, replica, timeout } => {
+                    let attempt = self.attempts.entry(id).or_insert(0);
+                    let (n, now) = (*attempt, self.now);
+                    *attempt += 1;
+                    if let Some(cold) = replica.0.strip_prefix("new-") {
+                        let cold = cold.parse::<usize>().expect("a number") - self.case.warm;
+                        self.send_cold(cold, self.costs[&id].1);
+                    }
+                    let chance = self.chance();
+                    let over = |verdict| What::Over { process, id, attempt: n, verdict };
+                    if chance < self.case.errors {
+                        self.at(now + MILLI, over(Verdict::Error));
+                    } else if chance < self.case.errors + self.case.mute {
+                        self.at(now + timeout, over(Verdict::TimedOut));
+                    } else {
+                        let took = 50 * MILLI + (self.chance() * 0.2 * SECOND as f64) as Nanos;
+                        self.at(now + took, What::First { process, id, attempt: n });
+                        self.at(now + 2 * took, over(Verdict::Ok));
+                        self.found.served += 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Requests of mean work that the settings let one cold server be sent in the time that counts from `at` on, by its
+    /// warmth: its part of what the quotas ask of all servers is what it can do. The sum of what is allowed in that time:
+    /// less than what its warmth at the end would allow, which is what "what the settings allow it then" may also say.
+    fn budget(&self, at: Nanos) -> f64 {
+        let case = &self.case;
+        let warmth = |at: Nanos| {
+            let age = at.saturating_sub(BEGIN) as f64 / case.ramp as f64;
+            (case.from + (1.0 - case.from) * age).min(1.0)
+        };
+        let mean = (0..20).map(|k| warmth(at + case.fall * (2 * k + 1) / 40)).sum::<f64>() / 20.0;
+        let able = case.quota / (case.warm + case.cold) as f64 * mean;
+        case.factor * able * case.fall as f64 / SECOND as f64
+    }
+
+    fn send_cold(&mut self, cold: usize, cost: f64) {
+        if self.now >= BEGIN + self.case.ramp {
+            return;
+        }
+        let (now, span) = (self.now, self.case.fall);
+        let sent = &mut self.sent[cold];
+        sent.push_back((now, cost / self.mean));
+        while sent.front().is_some_and(|(at, _)| at + span <= now) {
+            sent.pop_front();
+        }
+        let sum = sent.iter().map(|(_, cost)| cost).sum::<f64>();
+        // The first window begins with the server.
+        let budget = self.budget(now.saturating_sub(span).max(BEGIN));
+        let ratio = sum / (budget + 2.0 * budget.sqrt() + 2.0);
+        self.found.used += cost / self.mean;
+        if ratio > self.found.worst {
+            (self.found.worst, self.found.sent, self.found.budget) = (ratio, sum, budget);
+        }
+    }
+
+    fn play(mut self) -> Found {
+        let case = self.case.clone();
+        let weights: Vec<f64> = (0..case.group)
+            .map(|n| (1.0 - unit(case.seed ^ 77, u64::from(n))).powf(-case.skew / 2.0).min(12.0))
+            .collect();
+        let all: f64 = weights.iter().sum();
+        let sum: Vec<f64> = weights
+            .iter()
+            .scan(0.0, |sum, w| {
+                *sum += w / all;
+                Some(*sum)
+            })
+            .collect();
+        // Some traffic before, so that gateways know the load.
+        self.now = BEGIN - 3 * SECOND;
+        for me in 0..case.group as usize {
+            let process = self.process(me, false);
+            self.current.push(process);
+            self.before.push((process, 0));
+            let after = (self.chance() * case.late as f64) as Nanos;
+            self.at(BEGIN + after, What::List { process, cold: true });
+            if self.chance() < case.restarted {
+                let when = if case.at_once { 0.1 } else { self.chance() };
+                let when = BEGIN + (when * 0.7 * case.ramp as f64) as Nanos;
+                self.at(when, What::Restart(me));
+            }
+        }
+        let end = BEGIN + case.ramp;
+        let mut at = self.now as f64;
+        let mut n = 0;
+        loop {
+            at -= (1.0 - self.chance()).ln() / (case.quota * case.load) * SECOND as f64;
+            if at as Nanos >= end {
+                break;
+            }
+            n += 1;
+            self.at(at as Nanos, What::Arrive(n));
+        }
+        let moment = BEGIN + (self.chance() * 0.5 * case.ramp as f64) as Nanos;
+        for _ in 0..(case.burst * f64::from(case.group)) as usize {
+            n += 1;
+            let at = moment + (self.chance() * 0.2 * SECOND as f64) as Nanos;
+            self.at(at, What::Arrive(n));
+        }
+        while let Some(Reverse((at, n))) = self.queue.pop() {
+            if at >= end {
+                break;
+            }
+            self.now = at;
+            match self.whats.remove(&n).expect("it was put in") {
+                What::List { process, cold } => {
+                    let members = self.list(cold).into();
+                    self.tell(process, Event::List { kind: ListKind::Whole, members });
+                }
+                What::Restart(me) => {
+                    let told = self.now - BEGIN >= case.late || self.chance() < 0.5;
+                    self.before[me] = (self.current[me], self.now + OVERLAP);
+                    self.current[me] = self.process(me, told);
+                    if !told {
+                        let process = self.current[me];
+                        self.at(self.now + OVERLAP, What::List { process, cold: true });
+                    }
+                }
+                What::Arrive(n) => {
+                    let at = self.chance();
+                    let me = sum.partition_point(|s| *s < at).min(case.group as usize - 1);
+                    // Some come to the old process for as long as both take connections.
+                    let (old, until) = self.before[me];
+                    let to_old = self.now < until && self.chance() < 0.5;
+                    let process = if to_old { old } else { self.current[me] };
+                    let prompt = if case.varied { (6000.0 * self.chance()) as u32 } else { 1000 };
+                    let (id, cost) = (RequestId(n), f64::from(prompt) + ANSWER);
+                    self.costs.insert(id, (prompt, cost));
+                    let prefix = if case.one_beginning { 1 } else { 1 + (self.chance() * 40.0) as u64 };
+                    let session = Some((self.chance() * 1000.0) as u64);
+                    let request = Request {
+                        id,
+                        expires_in: 5 * SECOND,
+                        class: 0,
+                        tenant: Some(0),
+                        prefix: Some(prefix),
+                        session,
+                        prompt,
+                        prefix_len: prompt / 2,
+                        max_answer: 100,
+                        repeat: false,
+                    };
+                    self.found.asked += 1;
+                    self.tell(process, Event::Request(request));
+                }
+                What::Timer { process, token } => self.tell(process, Event::Timer(token)),
+                What::First { process, id, attempt } => {
+                    self.tell(process, Event::FirstToken { id, attempt, elapsed: MILLI });
+                }
+                What::Over { process, id, attempt, verdict } => {
+                    let ended = verdict == Verdict::Ok;
+                    let kept = Some(self.costs[&id].0 / 2);
+                    let (elapsed, report) = (10 * MILLI, vec![]);
+                    self.tell(
+                        process,
+                        Event::Outcome { id, attempt, verdict, ended, elapsed, kept, report },
+                    );
+                }
+            }
+        }
+        let steps = 100;
+        let step = case.ramp / steps;
+        let allowed: f64 = (0..steps).map(|k| self.budget(BEGIN + k * step)).sum();
+        self.found.allowed = allowed * step as f64 / case.fall as f64 * case.cold as f64;
+        self.found
+    }
+}
+
+/// Plays cases side by side, as many as said, always the same ones.
+fn play(count: usize, seed: u64, shape: fn(&mut Case)) -> Vec<(Case, Found)> {
+    let mut draw = Gen::from_size_and_seed(60, seed);
+    let cases: Vec<Case> = (0..count)
+        .map(|_| {
+            let mut case = Case::arbitrary(&mut draw);
+            shape(&mut case);
+            case
+        })
+        .collect();
+    let part = count.div_ceil(4);
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = cases
+            .chunks(part)
+            .map(|part| {
+                scope.spawn(|| {
+                    part.iter().map(|c| (c.clone(), World::new(c.clone()).play())).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        parts.into_iter().flat_map(|part| part.join().expect("played")).collect()
+    })
+}
+
+/// All of them, not the first only: how many, and the worst ones.
+fn within(mut played: Vec<(Case, Found)>) {
+    played.sort_by(|a, b| b.1.worst.total_cmp(&a.1.worst));
+    if std::env::var_os("COLD_FIGURES").is_some() {
+        for (case, found) in &played {
+            println!("{found:?} {case:?}");
+        }
+    }
+    let over = played.iter().filter(|(_, found)| found.worst > 1.0).count();
+    assert_eq!(over, 0, "of {} cases; the worst: {:#?}", played.len(), &played[..1]);
+}
+
+#[test]
+fn a_group_of_any_size_keeps_to_a_cold_servers_budget() {
+    within(play(120, 31, |_| ()));
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -119,6 +119,49 @@
     assert!(took < Duration::from_secs(25), "all have the list after {took:?}");
 }
 
+#[test]
+fn thirty_gateways_keep_to_the_budget_of_one_cold_server_together() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    // Three real servers whose part of the quota is 4 requests a second each; eight times as many come. One of them
+    // starts while they come, with three tenths of what it can do; in 3 s that is 9 requests, at 2.5 times.
+    let servers = Servers::start(3, 40, 40 * MS);
+    let lists = Lists::start(servers.entries(0..2), 100.0);
+    let mut fleet = Fleet::start(30, servers.entries(0..2), lists.addr, json!({"quota_per_s": 12.0}));
+    eventually(|| lists.watchers() == 30);
+    let clients = Clients::start(fleet.fronts(), 100.0);
+    thread::sleep(1500 * MS);
+    let started = Instant::now();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+    lists.publish(vec![servers.entry(2, "ready", now)]);
+    thread::sleep(2500 * MS);
+    // A third starts anew, with no memory of what the processes before have sent it.
+    let restarted: Vec<usize> = (0..30).filter(|n| n % 3 == 0).collect();
+    let mut fronts = fleet.fronts();
+    restarted.iter().for_each(|n| fronts[*n] = None);
+    clients.fronts(fronts);
+    fleet.kill(&restarted);
+    fleet.spawn(&restarted);
+    clients.fronts(fleet.fronts());
+    thread::sleep(5000 * MS);
+    let (ends, _) = clients.stop();
+    served_well(ends);
+
+    let taken = servers.taken();
+    let at = taken.iter().filter(|(_, n, what)| *n == 2 && *what == Seen::Arrived).map(|(at, ..)| *at);
+    let at: Vec<Instant> = at.collect();
+    let span = Duration::from_secs(3);
+    for (n, from) in at.iter().enumerate() {
+        let sent = at[n..].iter().take_while(|at| **at < *from + span).count() as f64;
+        // What the settings let it be sent in that time, by its warmth in the middle.
+        let middle = (*from + span / 2).saturating_duration_since(started).as_secs_f64();
+        let budget = 2.5 * 4.0 * 3.0 * (0.3 + 0.7 * middle / 60.0);
+        let most = budget + 2.0 * budget.sqrt() + 2.0;
+        assert!(sent <= most, "{sent} in 3 s from {:?} on, of {budget:.1}", *from - started);
+    }
+    assert!(at.len() >= 12, "it stood idle: {} in 7.5 s", at.len());
+    println!("{} in all", at.len());
+}
+
 #[test]
 fn a_list_service_that_asks_to_be_left_alone_is() {
     let servers = Servers::start(1, 8, 10 * MS);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -453,6 +453,10 @@
                 config["settings"][key] = value;
             }
         }
+        // Nor what the tenant may ask for in a second.
+        if let Some(quota) = more.remove("quota_per_s") {
+            config["settings"]["accounts"][0]["quota-per-s"] = quota;
+        }
         // Nor how lists come, and how long a gateway may go without asking.
         if let Some(way) = more.remove("way") {
             config["settings"]["discovery"] = way;
