--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -159,7 +159,6 @@
         assert!(sent <= most, "{sent} in 3 s from {:?} on, of {budget:.1}", *from - started);
     }
     assert!(at.len() >= 12, "it stood idle: {} in 7.5 s", at.len());
-    println!("{} in all", at.len());
 }
 
 #[test]
