--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,12 +40,11 @@
 const WIDEN: f64 = 3.0;
 /// A class whose prompts find less than this part kept by earlier turns gains nothing from staying put.
 const LOOSE: f64 = 0.1;
-/// Before anything is known: the mean share that a request's own beginning has of the work. With Zipf-like
-/// demand for some tens to hundreds of beginnings the sum of their shares' squares is some hundredths.
+/// The mean share that a request's own beginning has of the work, before anything is known: the sum of the
+/// shares' squares, some hundredths with Zipf-like demand for some tens to hundreds of beginnings.
 const COMMON: f64 = 1.0 / 16.0;
 const COMMON_STEP: f64 = 0.02; // for each request; about a minute's where one comes each second
-/// A class's owners are counted anew only when they are wrong by more than this factor.
-const COMMON_OFF: f64 = 3.0;
+const COMMON_OFF: f64 = 3.0; // a class's owners are counted anew only when wrong by more than this factor
 /// Requests in `MEMORY` from which on a gateway can tell a beginning's own share: of one that has a twentieth
 /// of the work it has met five then.
 const SIGHT: f64 = 100.0;
@@ -245,8 +244,7 @@
     beginnings: BTreeMap<u64, (f64, Nanos)>,
     /// By class: the mean share of the work that a request's own beginning has had, and the owners by it.
     common: Vec<(f64, f64)>,
-    /// What the quotas are to a gateway is too little to tell one beginning's share: the same at all of them.
-    short_sighted: bool,
+    short_sighted: bool, // by the quotas, so all gateways alike
     asked: Vec<(f64, Nanos)>,
     call: u64,
     calls: Calls,
@@ -408,7 +406,7 @@
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         self.ready = ready.clone().count();
         self.most_size = self.most_size.max(ready.clone().map(|r| r.size).sum());
-        self.warm = ready.filter(|r| self.warmth(now, r) >= 1.0).count();
+        self.warm = ready.filter(|r| self.cold.warmth(now, r.started) >= 1.0).count();
         self.release(now, actions);
     }
 
@@ -597,7 +595,7 @@
     }
 
     fn send(&mut self, now: Nanos, id: RequestId, r: usize, timeout: Nanos, actions: &mut Vec<Action>) {
-        let warmth = self.warmth(now, &self.replicas[r]);
+        let warmth = self.cold.warmth(now, self.replicas[r].started);
         let Some(live) = self.live.get_mut(&id) else { return };
         let cost = full_cost(&live.request) / self.full_cost;
         live.attempts.push(Attempt { replica: r, sent: now, fate: Fate::Out, begun: false });
@@ -673,7 +671,7 @@
                 continue;
             }
             let (own, hash) = (replica.size, replica.hash);
-            let warmth = self.warmth(now, replica);
+            let warmth = self.cold.warmth(now, replica.started);
             let owner = met == 0 || owned < target.owners * size;
             self.replicas[r].seen = self.walk;
             met += 1;
@@ -743,16 +741,10 @@
 
     // ---- cold replicas --------------------------------------------------------------------------------
 
-    fn warmth(&self, now: Nanos, replica: &Replica) -> f64 {
-        self.cold.warmth(now, replica.started)
-    }
-
     /// Whether a replica may be sent a request: a cold one only on this gateway's turn (`src/cold.rs`).
     fn afford(&mut self, now: Nanos, r: usize) -> bool {
-        let Some(started) = self.replicas[r].started.filter(|_| self.warmth(now, &self.replicas[r]) < 1.0)
-        else {
-            return true;
-        };
+        let started = self.replicas[r].started.filter(|at| self.cold.warmth(now, Some(*at)) < 1.0);
+        let Some(started) = started else { return true };
         self.decay(now);
         // Guards against two flattering measures: demand, which in an overload is beyond what any replica
         // can do, and units that are lowered by load, of which an empty replica has the most.
