Say the quotas' sum and the list calls' settings once, and tell a group that is too large

Cause, on a second reading: the sum of the quotas was reckoned in src/cold.rs and again, otherwise, in src/choice.rs; the time for asking was bounded in src/choice.rs, there again for the timer, and not at all in the laboratory's plain policies; and the told budget of src/pace.rs was stated for tests only.

Change: `Settings::quota_per_s`, `Calls::of` and `Calls::patience`. Where only some tenants have a quota, neither part goes by a sum of some of them.

--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -59,8 +59,7 @@
     pub fn new(kind: PolicyKind, settings: Settings, seed: u64, truth: Truth) -> Plain {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let turn = random.random_range(0..1 << 20);
-        let patience = settings.safety.ask_within;
-        let calls = Calls::new(settings.me, settings.group_size, patience, settings.list_calls_per_s);
+        let calls = Calls::of(&settings);
         Plain {
             kind,
             settings,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -265,20 +265,17 @@
                 return Err(SettingsError(what));
             }
         }
-        let (me, group, patience) = (settings.me, settings.group_size, safety.ask_within.max(SECOND));
-        let calls = Calls::new(me, group, patience, settings.list_calls_per_s);
         let (kept, turns) = (vec![0.0; settings.classes.len()], vec![1.0; settings.classes.len()]);
-        let quota: f64 = settings.tenants.iter().filter_map(|t| t.quota_per_s).sum();
-        let due = quota / f64::from(group) * MEMORY;
+        let seen = settings.quota_per_s().map(|quota| quota / f64::from(settings.group_size) * MEMORY);
         Ok(Gateway {
-            short_sighted: 0.0 < due && due < SIGHT,
+            short_sighted: seen.is_some_and(|requests| requests < SIGHT),
+            calls: Calls::of(&settings),
             cold: Cold::new(&settings),
             settings,
             random: seed,
             common: vec![(COMMON, COMMON.sqrt()); kept.len()],
             kept,
             turns,
-            calls,
             full_cost: ANSWER_COST,
             admit: 1.0,
             ..Gateway::default()
@@ -324,8 +321,7 @@
                 Some(Purpose::Call(call)) if call == self.call => {
                     self.call += 1;
                     actions.push(Action::Watch);
-                    let patience = self.settings.safety.ask_within.max(SECOND);
-                    self.timer(patience, Purpose::Call(self.call), actions);
+                    self.timer(self.calls.patience(), Purpose::Call(self.call), actions);
                 }
                 _ => {}
             },
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -69,15 +69,13 @@
 impl Cold {
     /// For a gateway with these settings.
     pub fn new(settings: &Settings) -> Cold {
-        let quotas: Option<Vec<f64>> = settings.tenants.iter().map(|t| t.quota_per_s).collect();
-        let quota = quotas.map(|all| all.iter().sum::<f64>()).filter(|sum| *sum > 0.0);
         let (safety, group) = (&settings.safety, settings.group_size.max(1));
         Cold {
             from: safety.cold_from,
             ramp: safety.ramp,
             factor: safety.overload_factor,
             fall: safety.fall as f64 / SECOND as f64,
-            quota,
+            quota: settings.quota_per_s(),
             me: settings.me % group,
             group,
             began: None,
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -21,7 +21,7 @@
 //! for all gateways, and at least one in two is let go by on average. The settings give a gateway four times as long
 //! after a failed call, and that bounds this wait.
 
-use crate::types::Nanos;
+use crate::types::{Nanos, Settings};
 
 const MILLI: Nanos = 1_000_000;
 /// What a call costs the service where nobody has said: so much of the first window is each gateway's.
@@ -55,6 +55,7 @@
 /// The calls of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Calls {
+    patience: Nanos,
     first: Nanos,
     /// After a watch that fell silent.
     anew: Nanos,
@@ -83,6 +84,17 @@
 }
 
 impl Calls {
+    /// For the gateway that has these settings.
+    pub fn of(settings: &Settings) -> Calls {
+        let patience = settings.safety.ask_within.max(1000 * MILLI);
+        Calls::new(settings.me, settings.group_size, patience, settings.list_calls_per_s)
+    }
+
+    /// For how long the gateway may go without the list: a call is made that long after one of which nothing was heard.
+    pub fn patience(&self) -> Nanos {
+        self.patience
+    }
+
     /// For gateway `me` of `group` that may go without the list for `patience`; `rate` is what the service can serve
     /// in a second, if somebody has said, and then the windows follow it however long they become.
     pub fn new(me: u32, group: u32, patience: Nanos, rate: Option<f64>) -> Calls {
@@ -113,6 +125,7 @@
             }
         };
         Calls {
+            patience,
             first,
             anew,
             again,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -25,6 +25,7 @@
 use tulipridge::net::mgmt::Mgmt;
 use tulipridge::net::peers;
 use tulipridge::net::servers::Fleet;
+use tulipridge::pace::{self, Calls};
 use tulipridge::store::Store;
 use tulipridge::syslog;
 
@@ -66,6 +67,11 @@
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let push = config.settings.push;
+    let told = Calls::of(&config.settings).budget();
+    if !push && told.silent.max(told.refused) > pace::TOLD {
+        let [silent, refused] = [told.silent, told.refused].map(|nanos| nanos / 1_000_000);
+        log::warn!(silent_ms = silent, refused_ms = refused; "list-late: a group of this size may have its list later than its news count as told; state what the list service can serve in list.calls_per_s, or make it faster");
+    }
     let (engine, orders) =
         Engine::new(config.settings, config.seed, &limits).map_err(|e| format!("settings: {e}"))?;
     engine.name_streams(config.names.classes.clone(), config.names.tenants.clone());
--- a/src/types.rs
+++ b/src/types.rs
@@ -178,6 +178,14 @@
     pub gauges: Vec<Gauge>,
 }
 
+impl Settings {
+    /// Requests a second that the tenants' quotas grant at all gateways together; none unless each tenant has one.
+    pub fn quota_per_s(&self) -> Option<f64> {
+        let all: Option<f64> = self.tenants.iter().map(|t| t.quota_per_s).sum();
+        all.filter(|sum| *sum > 0.0)
+    }
+}
+
 /// Settings that a gateway can't work with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub &'static str);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -524,7 +524,9 @@
         discovery: Sender<Value>,
         lines: impl Iterator<Item = String> + Send + 'static,
     ) -> Gateway {
-        let mut lines = lines;
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let kept = log.clone();
+        let mut lines = lines.inspect(move |line| kept.lock().expect("whole").push(line.clone()));
         let mut mgmt = None;
         let mut front = || loop {
             let line =
@@ -539,9 +541,7 @@
             mgmt = Some(addr);
         };
         let fronts = [front(), front()];
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let kept = log.clone();
-        thread::spawn(move || lines.for_each(|l| kept.lock().expect("whole").push(l)));
+        thread::spawn(move || lines.for_each(drop));
         Gateway { child, fronts, mgmt, discovery, log }
     }
 
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -203,3 +203,19 @@
     let from = scene.lists.drain(0);
     scene.holds("lines that are late", from, Duration::ZERO);
 }
+
+#[test]
+fn asked_a_group_that_is_too_large_for_the_time_is_told_so_at_the_start() {
+    for (group, times) in [(300, 0), (1000, 1)] {
+        let gateway = support::Gateway::watched(support::Gateway::spawn(
+            "n0",
+            "platform",
+            vec![],
+            1,
+            (1024, 1024),
+            serde_json::json!({"way": "ask", "me": 0, "group": group}),
+        ));
+        support::eventually(|| gateway.logged(" listening ") > 0);
+        assert_eq!(gateway.logged(" list-late "), times, "{group}");
+    }
+}
