Let the decision module say until when a repeat may be written, in place of the network code

Cause, on a second reading: whether a repeat is still within its window was decided twice, by `may_send` in src/choice.rs and by `Sends` in src/net/servers.rs, which kept the times of writes by itself; the network code is to decide nothing.

Change: `Action::Send` says within what time it may be written (the rest of the window, from the order of the first attempt that may have run; without end elsewhere), and the scheduling is given up once its connection comes up later. `Sends`, the classes' windows in the names and their reading from the settings go.

--- a/lab/src/fleet/gateways.rs
+++ b/lab/src/fleet/gateways.rs
@@ -18,7 +18,7 @@
     pub(super) fn act(&mut self, gateway: usize, action: Action) {
         let epoch = self.gateways[gateway].epoch;
         match action {
-            Action::Send { id, replica, timeout } => self.send(gateway, id.0, &replica, timeout),
+            Action::Send { id, replica, timeout, .. } => self.send(gateway, id.0, &replica, timeout),
             Action::Refuse { id, wait } => self.answer(id.0, End::Refused, wait),
             Action::Fail(id) => self.answer(id.0, End::Failed, 0),
             Action::Cancel { id, attempt } => {
--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -179,7 +179,7 @@
                 if let Some(live) = self.live.get_mut(&id) {
                     live.attempts.push((replica.clone(), true));
                 }
-                actions.push(Action::Send { id, replica, timeout });
+                actions.push(Action::Send { id, replica, timeout, write_within: Nanos::MAX });
             }
             None => {
                 actions.push(Action::Refuse { id, wait: 0 });
--- a/src/bin/tulipridge-simhost/host.rs
+++ b/src/bin/tulipridge-simhost/host.rs
@@ -223,7 +223,7 @@
 fn print(router: &str, action: &Action, reply: &mut String) {
     // Writing to a string does not fail.
     let _ = match action {
-        Action::Send { id, replica, timeout } => {
+        Action::Send { id, replica, timeout, .. } => {
             writeln!(reply, "RELAY {router} {:016x} {} {timeout}", id.0, replica.0)
         }
         Action::Refuse { id, wait } => writeln!(reply, "SAY_NO {router} {:016x} {wait}", id.0),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -549,14 +549,14 @@
         if live.deadline <= now {
             return self.give_up(id, actions);
         }
-        let Some(group) = self.may_send(now, live) else {
+        let Some((group, until)) = self.may_send(now, live) else {
             if !live.out() {
                 self.give_up(id, actions);
             }
             return;
         };
         let tried: Vec<usize> = live.attempts.iter().map(|a| a.replica).collect();
-        let (timeout, out) = (live.deadline - now, live.out());
+        let out = live.out();
         let target = Target {
             key: key_of(&live.request, live.owners),
             session: mix(live.request.session.unwrap_or(id.0)),
@@ -571,7 +571,7 @@
             Some(r) if !out && self.replicas[r].lag as f64 > FULL_PART * target.aim as f64 => {
                 self.give_up(id, actions);
             }
-            Some(r) => self.send(now, id, r, timeout, actions),
+            Some(r) => self.send(now, id, r, until, actions),
             None if out => {}
             None if target.cold_only => self.give_up(id, actions),
             // Nobody at all to send to: wait for news of the list or of a replica's health.
@@ -590,7 +590,7 @@
         }
     }
 
-    fn send(&mut self, now: Nanos, id: RequestId, r: usize, timeout: Nanos, actions: &mut Vec<Action>) {
+    fn send(&mut self, now: Nanos, id: RequestId, r: usize, until: Nanos, actions: &mut Vec<Action>) {
         let warmth = self.cold.warmth(now, self.replicas[r].started);
         let Some(live) = self.live.get_mut(&id) else { return };
         let cost = full_cost(&live.request) / self.full_cost;
@@ -604,7 +604,8 @@
         let zone = self.zones.entry(replica.zone).or_default();
         zone.link.trial |= zone.link.open;
         zone.in_flight += 1;
-        actions.push(Action::Send { id, replica: replica.id.clone(), timeout });
+        let (replica, timeout, write_within) = (replica.id.clone(), live.deadline - now, until - now);
+        actions.push(Action::Send { id, replica, timeout, write_within });
         let wait = (live.aim.saturating_sub(now) as f64 * SLOW_PART) as Nanos;
         if wait > 0 && live.attempts.len() == 1 {
             self.timer(wait, Purpose::Slow(id), actions);
@@ -753,23 +754,24 @@
 
     // ---- attempts -------------------------------------------------------------------------------------
 
-    /// Where a further attempt may go, if it is allowed at all.
-    fn may_send(&self, now: Nanos, live: &Live) -> Option<Group> {
+    /// Where a further attempt may go and up to when, if it is allowed at all.
+    fn may_send(&self, now: Nanos, live: &Live) -> Option<(Group, Nanos)> {
         let limits = &self.settings.limits;
         if live.attempts.len() >= limits.attempts as usize || live.out() && !limits.second_copies {
             return None;
         }
         let first = live.first_run();
         match (self.settings.classes[live.request.class].effect, first) {
-            (Effect::Safe, _) | (_, None) => Some(Group::Any),
+            (Effect::Safe, _) | (_, None) => Some((Group::Any, Nanos::MAX)),
             (Effect::Unsafe, Some(_)) => None,
             (Effect::Keyed { scope, window }, Some(first)) => {
-                let replica = &self.replicas[first.replica];
-                (now < first.sent.saturating_add(window)).then_some(match scope {
+                let (replica, until) = (&self.replicas[first.replica], first.sent.saturating_add(window));
+                let group = match scope {
                     Scope::All => Group::Any,
                     Scope::Zone => Group::Zone(replica.zone),
                     Scope::Cell => Group::Cell(replica.cell),
-                })
+                };
+                (now < until).then_some((group, until))
             }
         }
     }
@@ -899,10 +901,8 @@
         match verdict {
             Verdict::NoConnection => self.unreached(now, r),
             Verdict::Ok | Verdict::Error | Verdict::Full => self.reached(now, r),
-            // Guards against a trial that tells nothing and is waited for for ever.
-            Verdict::TimedOut | Verdict::Reset | Verdict::Cancelled | Verdict::Moot => {
-                zone.link.trial = false
-            }
+            // Guards against waiting for ever for a trial that told nothing.
+            _ => zone.link.trial = false,
         }
         match verdict {
             Verdict::Ok | Verdict::TimedOut if begun => {}
--- a/src/config.rs
+++ b/src/config.rs
@@ -318,10 +318,6 @@
             _ => return lane.at("effect").fault("no known effect"),
         };
         names.safe.push(effect == Effect::Safe);
-        names.windows.push(match effect {
-            Effect::Keyed { window, .. } => Some(window),
-            Effect::Safe | Effect::Unsafe => None,
-        });
         let of_class = |list: &[Tree]| list.get(n).map_or(Ok(0), |t| t.nanos(0));
         let deadline = lane.at("deadline-ns").nanos(0)?;
         names.deadlines.push(deadline);
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -45,7 +45,7 @@
     /// A scheduling that runs.
     type Steps: Stream<Item = Step<E>> + Unpin;
     /// Starts a scheduling.
-    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Self::Steps;
+    fn schedule(&self, server: ReplicaId, timeout: Duration, write_within: Duration) -> Self::Steps;
 }
 
 /// A begun stream, as another process has to know it beside its two sides.
@@ -215,7 +215,7 @@
             }),
         );
         match next.await {
-            Next::Order(Order::Schedule { number, server, timeout }) => {
+            Next::Order(Order::Schedule { number, server, timeout, write_within }) => {
                 // Guards against a close that came with the request, or that nobody has heard of yet.
                 if client.has_left().await {
                     return;
@@ -223,7 +223,7 @@
                 out.push(Scheduling {
                     number,
                     server: server.clone(),
-                    steps: servers.schedule(server, timeout),
+                    steps: servers.schedule(server, timeout, write_within),
                 });
             }
             Next::Order(Order::Cancel(number)) => {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -60,6 +60,8 @@
         server: ReplicaId,
         /// How long it may take to its first event.
         timeout: Duration,
+        /// Within what time it may be written, however late its connection comes up.
+        write_within: Duration,
     },
     /// Call a scheduling off.
     Cancel(u32),
@@ -317,11 +319,11 @@
                 }
             };
             match action {
-                Action::Send { id, replica, timeout } => give(id, &mut |waiting| {
+                Action::Send { id, replica, timeout, write_within } => give(id, &mut |waiting| {
                     let number = waiting.schedulings;
                     waiting.schedulings += 1;
-                    let timeout = Duration::from_nanos(timeout);
-                    Order::Schedule { number, server: replica.clone(), timeout }
+                    let [timeout, write_within] = [timeout, write_within].map(Duration::from_nanos);
+                    Order::Schedule { number, server: replica.clone(), timeout, write_within }
                 }),
                 Action::Refuse { id, wait } => {
                     give(id, &mut |_| Order::TurnDown(Duration::from_nanos(wait)))
--- a/src/names.rs
+++ b/src/names.rs
@@ -127,8 +127,6 @@
     pub deadlines: Vec<Nanos>,
     /// The classes of which a second run does no harm.
     pub safe: Vec<bool>,
-    /// For how long repeats of the classes' requests are discarded, where they are.
-    pub windows: Vec<Option<Nanos>>,
     /// Classes by model, for the messages front.
     pub models: BTreeMap<String, usize>,
     /// The class of other models.
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -17,7 +17,7 @@
 use super::keeper::Keeper;
 use super::parcel::Parcel;
 use super::room::{Place, Room};
-use super::servers::{Batch, Dispatch, Fleet, Running, Sends};
+use super::servers::{Batch, Dispatch, Fleet, Running};
 use super::{Wire, within};
 use crate::ahead::{Ahead, Bounds, Take};
 use crate::engine::{self, Begun, Engine, Why};
@@ -271,9 +271,7 @@
                     engine::Client::turn_down(client, Duration::ZERO).await;
                     return back.take();
                 }
-                let window = self.desk.names.borrow().windows.get(order.ask.class).copied().flatten();
-                let sends = Rc::new(Sends::new(window.map(Duration::from_nanos)));
-                let servers = Dispatch { fleet: self.fleet.clone(), passage, sends };
+                let servers = Dispatch { fleet: self.fleet.clone(), passage };
                 engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
             }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -257,8 +257,8 @@
         &self,
         server: &ReplicaId,
         passage: &Passage,
-        sends: &Sends,
         timeout: Duration,
+        write_within: Duration,
     ) -> Result<Open, Refusal> {
         let from = Instant::now();
         let Some((addr, dialect)) = self.place(server) else { return Err(Verdict::Moot.into()) };
@@ -284,18 +284,16 @@
             log::info!(server = &*server.0; "drained-while-connecting: nothing was sent");
             return Err(Verdict::Moot.into());
         }
-        let Some(send) = sends.write() else {
+        // Guards against a second run: what discards a repeat does so within a window only.
+        if from.elapsed() >= write_within {
             log::info!(server = &*server.0; "window-over: a repeat whose connection came up too late was not sent");
             return Err(Verdict::Moot.into());
-        };
+        }
         // Guards against a request that goes on arriving when it was given up: what the system still holds of it is
         // dropped with the connection.
         line.wire.abort = true;
         // Until its last byte is written the request can't have run.
-        if line.wire.write_both(&request, content).await.is_err() {
-            sends.never_ran(&send);
-            return Err(Verdict::NoConnection.into());
-        }
+        line.wire.write_both(&request, content).await.map_err(|_| Verdict::NoConnection)?;
         drop(request);
         let reset = |e: io::Error| {
             log::debug!(server = &*server.0, after:? = from.elapsed(); "reset: {e}");
@@ -312,9 +310,6 @@
                 (429 | 529, Dialect::Messages) => Verdict::Full,
                 _ => Verdict::Error,
             };
-            if verdict == Verdict::Full {
-                sends.never_ran(&send);
-            }
             log::debug!(server = &*server.0, status = head.status(), verdict:? = verdict; "answer: it serves nobody");
             let told = self.finish_unserved(server, addr, line, &head, body).await;
             return Err(match head.status() {
@@ -571,42 +566,6 @@
     pub fleet: Rc<Fleet>,
     /// The request.
     pub passage: Rc<Passage>,
-    /// When it was written to them.
-    pub sends: Rc<Sends>,
-}
-
-/// When a request was written to real servers. Guards against a repeat that was ordered within the window in which
-/// repeats are discarded, and whose connection comes up after it: that would be a second run.
-#[derive(Debug, Default)]
-pub struct Sends {
-    window: Option<Duration>,
-    /// Those that may have run.
-    written: RefCell<Vec<Rc<Instant>>>,
-}
-
-impl Sends {
-    /// Not written yet; repeats of it are discarded within `window`, if that is so of its class.
-    pub fn new(window: Option<Duration>) -> Sends {
-        Sends { window, ..Sends::default() }
-    }
-
-    /// Notes that it is written now; none if it is too late for that.
-    fn write(&self) -> Option<Rc<Instant>> {
-        let mut written = self.written.borrow_mut();
-        if let (Some(window), Some(first)) = (self.window, written.first())
-            && first.elapsed() >= window
-        {
-            return None;
-        }
-        let now = Rc::new(Instant::now());
-        written.push(now.clone());
-        Some(now)
-    }
-
-    /// That one has never run.
-    fn never_ran(&self, send: &Rc<Instant>) {
-        self.written.borrow_mut().retain(|other| !Rc::ptr_eq(other, send));
-    }
 }
 
 /// How a scheduling begins: its first events, or why there are none.
@@ -690,11 +649,11 @@
 
 impl Servers<Batch> for Dispatch {
     type Steps = Running;
-    fn schedule(&self, server: ReplicaId, timeout: Duration) -> Running {
-        let (fleet, passage, sends) = (self.fleet.clone(), self.passage.clone(), self.sends.clone());
+    fn schedule(&self, server: ReplicaId, timeout: Duration, write_within: Duration) -> Running {
+        let (fleet, passage) = (self.fleet.clone(), self.passage.clone());
         let begun = async move {
             let begun = async {
-                let mut open = Box::new(fleet.begin(&server, &passage, &sends, timeout).await?);
+                let mut open = Box::new(fleet.begin(&server, &passage, timeout, write_within).await?);
                 match fleet.first(&mut open).await {
                     // An error in the first place of all is an answer that serves nobody.
                     Ok(batch) if open.failed && batch.events == 1 => {
--- a/src/types.rs
+++ b/src/types.rs
@@ -365,6 +365,8 @@
         replica: ReplicaId,
         /// Its time-out.
         timeout: Nanos,
+        /// It may be written so long from now on: a connection may come up late.
+        write_within: Nanos,
     },
     /// Final answer: declined; a retry does no harm.
     Refuse {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -249,7 +249,7 @@
                 Action::Timer { after, token } => {
                     self.at(self.now + after.max(1), What::Timer { process, token });
                 }
-                Action::Send { id, replica, timeout } => {
+                Action::Send { id, replica, timeout, .. } => {
                     let attempt = self.attempts.entry(id).or_insert(0);
                     let (n, now) = (*attempt, self.now);
                     *attempt += 1;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -552,8 +552,12 @@
         for session in 0..50 {
             let (id, actions) = bench.request(session, None);
             let first = place(&sent(&actions).expect("sent"));
-            if let Some(second) = sent(&bench.outcome(id, Verdict::Reset)) {
+            bench.now += 400 * MILLI;
+            let actions = bench.outcome(id, Verdict::Reset);
+            if let Some(second) = sent(&actions) {
                 let second = place(&second);
+                let rest = |a: &Action| matches!(a, Action::Send { write_within, .. } if *write_within == 600 * MILLI);
+                assert!(actions.iter().any(rest), "what is left of the window: {actions:?}");
                 assert_eq!(list[first].zone, list[second].zone);
                 assert!(scope == Scope::Zone || list[first].cell == list[second].cell);
                 bench.now += SECOND;
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -66,7 +66,7 @@
 
 impl Servers<()> for FakeServers {
     type Steps = Pin<Box<Receiver<Step<()>>>>;
-    fn schedule(&self, _: ReplicaId, _: Duration) -> Self::Steps {
+    fn schedule(&self, _: ReplicaId, _: Duration, _: Duration) -> Self::Steps {
         let (send, steps) = async_channel::unbounded();
         self.0.out.borrow_mut().push(send);
         Box::pin(steps)
@@ -291,7 +291,8 @@
         Box::new(|_| Vec::new()),
     ));
     fleet.learn(&entry("s-1", "127.0.0.1:9", State::Ready, 0.0), Dialect::Platform);
-    let mut steps = dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20));
+    let mut steps =
+        dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
     match async_io::block_on(steps.next()) {
         Some(Step::Ended(ending)) => assert_eq!(ending.verdict, Verdict::Moot),
         other => panic!("{other:?}"),
@@ -307,7 +308,7 @@
     let start = ["POST", "/v1/chat/completions", "HTTP/1.1"].map(str::to_owned);
     let head = http::Head { start, headers: Vec::new() };
     let passage = Rc::new(Passage::new(Dialect::Platform, head, b"{}".to_vec(), Rc::new(limits())));
-    Dispatch { fleet: fleet.clone(), passage, sends: Rc::default() }
+    Dispatch { fleet: fleet.clone(), passage }
 }
 
 #[test]
@@ -321,7 +322,8 @@
         fleet.learn(&entry, Dialect::Platform);
     };
     learn(State::Ready);
-    let mut steps = dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20));
+    let mut steps =
+        dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
     async_io::block_on(async {
         assert!(future::poll_once(steps.next()).await.is_none(), "the connection is under way");
         learn(State::Draining);
