Share the tests' late servers, calls, leavers and restarts, with no check loosened

Cause, on a second reading: a real server whose connections come up late was written twice (tests/gone.rs, tests/floods.rs), a call and its status three times beside the one in tests/operation.rs, a gateway that has heard of its servers four times, a client's leaving five times, the restart of every third gateway twice; tests/cold.rs kept figures that nothing looked at.

Change: `support::late`, `call`, `ms`, `FRONTS`, `Gateway::listed` and, in their files, `Left`, `asked_at_once`, `restart_a_third`. What lies behind a handed-over request is held to none at all, where it was one at the most.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -106,11 +106,6 @@
     /// That many, and the budget then.
     sent: f64,
     budget: f64,
-    /// What all cold servers together were sent while cold, and what the settings would have let them be sent.
-    used: f64,
-    allowed: f64,
-    served: usize,
-    asked: usize,
 }
 
 enum What {
@@ -267,7 +262,6 @@
                         let took = 50 * MILLI + (self.chance() * 0.2 * SECOND as f64) as Nanos;
                         self.at(now + took, What::First { process, id, attempt: n });
                         self.at(now + 2 * took, over(Verdict::Ok));
-                        self.found.served += 1;
                     }
                 }
                 _ => {}
@@ -303,7 +297,6 @@
         // The first window begins with the server.
         let budget = self.budget(now.saturating_sub(span).max(BEGIN));
         let ratio = sum / (budget + 2.0 * budget.sqrt() + 2.0);
-        self.found.used += cost / self.mean;
         if ratio > self.found.worst {
             (self.found.worst, self.found.sent, self.found.budget) = (ratio, sum, budget);
         }
@@ -396,7 +389,6 @@
                         max_answer: 100,
                         repeat: false,
                     };
-                    self.found.asked += 1;
                     self.tell(process, Event::Request(request));
                 }
                 What::Timer { process, token } => self.tell(process, Event::Timer(token)),
@@ -414,51 +406,24 @@
                 }
             }
         }
-        let steps = 100;
-        let step = case.ramp / steps;
-        let allowed: f64 = (0..steps).map(|k| self.budget(BEGIN + k * step)).sum();
-        self.found.allowed = allowed * step as f64 / case.fall as f64 * case.cold as f64;
         self.found
     }
 }
 
-/// Plays cases side by side, as many as said, always the same ones.
-fn play(count: usize, seed: u64, shape: fn(&mut Case)) -> Vec<(Case, Found)> {
-    let mut draw = Gen::from_size_and_seed(60, seed);
-    let cases: Vec<Case> = (0..count)
-        .map(|_| {
-            let mut case = Case::arbitrary(&mut draw);
-            shape(&mut case);
-            case
-        })
-        .collect();
-    let part = count.div_ceil(4);
-    std::thread::scope(|scope| {
-        let parts: Vec<_> = cases
-            .chunks(part)
-            .map(|part| {
-                scope.spawn(|| {
-                    part.iter().map(|c| (c.clone(), World::new(c.clone()).play())).collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        parts.into_iter().flat_map(|part| part.join().expect("played")).collect()
-    })
-}
-
-/// All of them, not the first only: how many, and the worst ones.
-fn within(mut played: Vec<(Case, Found)>) {
-    played.sort_by(|a, b| b.1.worst.total_cmp(&a.1.worst));
-    if std::env::var_os("COLD_FIGURES").is_some() {
-        for (case, found) in &played {
-            println!("{found:?} {case:?}");
-        }
-    }
-    let over = played.iter().filter(|(_, found)| found.worst > 1.0).count();
-    assert_eq!(over, 0, "of {} cases; the worst: {:#?}", played.len(), &played[..1]);
-}
-
 #[test]
 fn a_group_of_any_size_keeps_to_a_cold_servers_budget() {
-    within(play(120, 31, |_| ()));
+    let mut draw = Gen::from_size_and_seed(60, 31);
+    let cases: Vec<Case> = (0..120).map(|_| Case::arbitrary(&mut draw)).collect();
+    let play = |case: &Case| (World::new(case.clone()).play(), case.clone());
+    let mut played = std::thread::scope(|scope| {
+        let parts: Vec<_> = cases
+            .chunks(30)
+            .map(|part| scope.spawn(|| part.iter().map(play).collect::<Vec<_>>()))
+            .collect();
+        parts.into_iter().flat_map(|part| part.join().expect("played")).collect::<Vec<_>>()
+    });
+    // All of them, not the first only: how many, and the worst one.
+    played.sort_by(|a, b| b.0.worst.total_cmp(&a.0.worst));
+    let over = played.iter().filter(|(found, _)| found.worst > 1.0).count();
+    assert_eq!(over, 0, "of {} cases; the worst: {:#?}", played.len(), played[0]);
 }
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -15,22 +15,10 @@
 use support::fleet::{Lists, Mood};
 use support::*;
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// One call at the second address: the status of its answer, 0 if there is none, and how long it took.
-fn call(mgmt: SocketAddr) -> (u16, Duration) {
+fn timed(mgmt: SocketAddr) -> (u16, Duration) {
     let from = Instant::now();
-    let answer = TcpStream::connect(mgmt).and_then(|mut stream| {
-        stream.set_read_timeout(Some(FOREVER))?;
-        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: gateway\r\n\r\n")?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer)
-    });
-    let status = answer.unwrap_or_default().split(' ').nth(1).map_or(0, |s| s.parse().expect("a status"));
-    (status, from.elapsed())
+    (call(mgmt, "GET /ready"), from.elapsed())
 }
 
 /// Clients of all idle kinds, each of which comes again as soon as it is sent away.
@@ -89,7 +77,7 @@
     let from = Instant::now();
     let mut calls = Vec::new();
     while from.elapsed() < ms(2500) {
-        calls.push(call(mgmt));
+        calls.push(timed(mgmt));
         thread::sleep(ms(50));
     }
     // What says nothing of descriptors would be logged in any run; this is how the first want of them shows.
@@ -103,7 +91,7 @@
     assert!(calls.iter().all(|(_, took)| *took < ms(1000)), "{what}: {calls:?}");
     lists.mood(Mood::Serving);
     let back = Instant::now();
-    while call(mgmt).0 != 200 {
+    while call(mgmt, "GET /ready") != 200 {
         assert!(
             back.elapsed() < ms(6000),
             "{what}: the list is not there yet; {failed} failures to accept"
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,6 +23,18 @@
     assert!(ends.lost == 0 && ends.turned_down * 33 <= all && all > 300, "{ends:?}");
 }
 
+/// Kills every third and starts it anew, all at once; how many those are. The layer before the gateways knows of it.
+fn restart_a_third(fleet: &mut Fleet, clients: &Clients) -> usize {
+    let mut fronts = fleet.fronts();
+    let restarted: Vec<usize> = (0..fronts.len()).step_by(3).collect();
+    restarted.iter().for_each(|n| fronts[*n] = None);
+    clients.fronts(fronts);
+    fleet.kill(&restarted);
+    fleet.spawn(&restarted);
+    clients.fronts(fleet.fronts());
+    restarted.len()
+}
+
 #[test]
 fn a_third_of_fifty_gateways_restarted_at_once_make_no_herd_and_leave_no_server_idle() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
@@ -33,16 +45,9 @@
     eventually(|| lists.watchers() == 50);
     let clients = Clients::start(fleet.fronts(), 300.0);
     thread::sleep(1500 * MS);
-    let restarted: Vec<usize> = (0..50).filter(|n| n % 3 == 0).collect();
-    // The layer before the gateways knows of the release.
-    let mut fronts = fleet.fronts();
-    restarted.iter().for_each(|n| fronts[*n] = None);
-    clients.fronts(fronts);
-    fleet.kill(&restarted);
-    fleet.spawn(&restarted);
-    clients.fronts(fleet.fronts());
+    let restarted = restart_a_third(&mut fleet, &clients);
     // All watch again: only then are they told of a change.
-    eventually(|| lists.calls().iter().filter(|c| c.answered).count() >= 50 + restarted.len());
+    eventually(|| lists.calls().iter().filter(|c| c.answered).count() >= 50 + restarted);
     thread::sleep(500 * MS);
     let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
     let changed = Instant::now();
@@ -135,13 +140,7 @@
     lists.publish(vec![servers.entry(2, "ready", now)]);
     thread::sleep(2500 * MS);
     // A third starts anew, with no memory of what the processes before have sent it.
-    let restarted: Vec<usize> = (0..30).filter(|n| n % 3 == 0).collect();
-    let mut fronts = fleet.fronts();
-    restarted.iter().for_each(|n| fronts[*n] = None);
-    clients.fronts(fronts);
-    fleet.kill(&restarted);
-    fleet.spawn(&restarted);
-    clients.fronts(fleet.fronts());
+    restart_a_third(&mut fleet, &clients);
     thread::sleep(5000 * MS);
     let (ends, _) = clients.stop();
     served_well(ends);
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -11,101 +11,70 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use socket2::{Domain, SockRef, Socket, Type};
 use support::*;
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
-/// A real server that serves, to which no connection comes up for a while: its queue is full, and the system drops what
-/// comes. A connection that is tried meanwhile comes up when the system tries again: 1 s after the first try, or 2 to 3 s.
+/// A real server that serves once connections to it come up.
 struct Late {
     server: Server,
-    listener: Option<TcpListener>,
-    /// What fills its queue.
-    _fill: Vec<Socket>,
+    late: late::Late,
 }
 
 impl Late {
     fn new() -> Late {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        socket.bind(&any.into()).expect("a port");
-        socket.listen(0).expect("it listens");
-        let listener = TcpListener::from(socket);
-        let addr = listener.local_addr().expect("an address");
-        let fill = || {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-            socket.set_nonblocking(true).expect("an option");
-            // On its way, or on its way for ever.
-            let _ = socket.connect(&addr.into());
-            socket
-        };
-        let fill = (0..3).map(|_| fill()).collect();
-        thread::sleep(ms(20));
+        let late = late::Late::new();
         let (requests, bodies) = Default::default();
-        Late {
-            server: Server { addr, requests, bodies, left: channel().1 },
-            listener: Some(listener),
-            _fill: fill,
-        }
+        Late { server: Server { addr: late.addr, requests, bodies, left: channel().1 }, late }
     }
 
-    /// From then on it takes connections.
-    fn open(&mut self, after: Duration) {
-        let (listener, requests) =
-            (self.listener.take().expect("not open yet"), self.server.requests.clone());
+    /// From then on they do. Counts its requests.
+    fn open(self, after: Duration) -> impl Fn() -> usize {
+        let requests = self.server.requests.clone();
         thread::spawn(move || {
             thread::sleep(after);
-            // Room for all that are tried again in one moment.
-            SockRef::from(&listener).listen(1024).expect("it listens");
-            for stream in listener.incoming().flatten() {
-                let requests = requests.clone();
+            for stream in self.late.open().incoming().flatten() {
+                let requests = self.server.requests.clone();
                 thread::spawn(move || {
                     converse(stream, "platform", Manner::Serve, &requests, &Mutex::default(), &channel().0)
                 });
             }
         });
+        move || requests.load(Ordering::SeqCst)
     }
+}
 
-    fn count(&self) -> usize {
-        self.server.requests.load(Ordering::SeqCst)
-    }
+/// These sessions ask at once for what may not be repeated, and all are served; how long each waited.
+fn asked_at_once(front: SocketAddr, sessions: usize) -> Vec<(usize, Duration)> {
+    let ask = |session| {
+        thread::spawn(move || {
+            let from = Instant::now();
+            let stream = send(front, "platform", "once", 9000, session);
+            assert_eq!(seen("platform", stream).0, Seen::Served("Hello".into()), "{session}");
+            (session, from.elapsed())
+        })
+    };
+    let asked: Vec<_> = (0..sessions).map(ask).collect();
+    asked.into_iter().map(|a| a.join().expect("served")).collect()
 }
 
 fn gateway(servers: Vec<Value>, attempts: u32, more: Value) -> Gateway {
-    let gateway = Gateway::watched(Gateway::spawn("n0", "platform", servers, attempts, (1024, 1024), more));
-    eventually(|| gateway.logged("kind=\"Whole\"") > 0);
-    gateway
+    Gateway::listed(servers, attempts, (1024, 1024), more)
 }
 
 #[test]
 fn a_connection_that_comes_up_late_blocks_nobody_and_its_server_is_not_taken_for_dead() {
-    let (mut late, quick) = (Late::new(), server("platform", Manner::Serve));
+    let (late, quick) = (Late::new(), server("platform", Manner::Serve));
     let servers = vec![entry(0, &late.server, "ready", 0), entry(1, &quick, "ready", 0)];
     // The settings allow 4 s; 2 to 3 s it takes.
     let gateway = gateway(servers, 1, json!({"connect_timeout_ms": 4000}));
-    let front = gateway.front("platform");
-    late.open(ms(1500));
-    let asked: Vec<_> = (0..40)
-        .map(|session| {
-            thread::spawn(move || {
-                let from = Instant::now();
-                let stream = send(front, "platform", "once", 9000, session);
-                assert_eq!(seen("platform", stream).0, Seen::Served("Hello".into()), "{session}");
-                (session, from.elapsed())
-            })
-        })
-        .collect();
-    let asked: Vec<_> = asked.into_iter().map(|a| a.join().expect("served")).collect();
+    let count = late.open(ms(1500));
+    let asked = asked_at_once(gateway.front("platform"), 40);
     let waited: Vec<_> =
         asked.iter().filter(|(_, took)| *took > ms(900)).map(|(session, _)| *session).collect();
-    assert_eq!(waited.len(), late.count(), "those at the late one waited, and nobody else: {asked:?}");
+    assert_eq!(waited.len(), count(), "those at the late one waited, and nobody else: {asked:?}");
     assert!((1..40).contains(&waited.len()), "both have some: {asked:?}");
     assert_eq!(gateway.logged("no-connection"), 0);
     // It is in use as before.
-    let had = late.count();
+    let had = count();
     for session in &waited {
         let from = Instant::now();
         assert_eq!(gateway.ask("platform", "once", 9000, 1000 + session).0, Seen::Served("Hello".into()));
@@ -113,32 +82,20 @@
     }
     let session = waited[0];
     assert_eq!(gateway.ask("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
-    assert!(late.count() > had, "its sessions come to it again");
+    assert!(count() > had, "its sessions come to it again");
 }
 
 #[test]
 fn a_connection_that_comes_up_later_than_the_settings_allow_is_a_failed_one() {
-    let (mut late, quick) = (Late::new(), server("platform", Manner::Serve));
+    let (late, quick) = (Late::new(), server("platform", Manner::Serve));
     let servers = vec![entry(0, &late.server, "ready", 0), entry(1, &quick, "ready", 0)];
     let gateway = gateway(servers, 3, json!({"connect_timeout_ms": 500}));
-    let front = gateway.front("platform");
-    late.open(ms(1500));
-    let asked: Vec<_> = (0..20)
-        .map(|session| {
-            thread::spawn(move || {
-                let from = Instant::now();
-                // Nothing was sent: also what may not be repeated goes elsewhere.
-                let stream = send(front, "platform", "once", 9000, session);
-                (seen("platform", stream).0, from.elapsed())
-            })
-        })
-        .collect();
-    for asked in asked {
-        let (seen, took) = asked.join().expect("an answer");
-        assert_eq!(seen, Seen::Served("Hello".into()));
+    let count = late.open(ms(1500));
+    // Nothing was sent: also what may not be repeated goes elsewhere.
+    for (_, took) in asked_at_once(gateway.front("platform"), 20) {
         assert!(took < ms(2000), "{took:?}");
     }
-    assert_eq!((late.count(), quick.requests.load(Ordering::SeqCst)), (0, 20), "each is sent once");
+    assert_eq!((count(), quick.requests.load(Ordering::SeqCst)), (0, 20), "each is sent once");
 }
 
 /// A repeat goes to a real server whose connection comes up a second later. How often it got the request, and what the
@@ -148,7 +105,7 @@
         thread::sleep(ms(250));
         stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").is_ok()
     });
-    let mut late = Late::new();
+    let late = Late::new();
     let gateway = gateway(
         vec![entry(0, &failing, "ready", 0)],
         2,
@@ -157,12 +114,12 @@
     let client = gateway.send("platform", class, 5000, 1);
     eventually(|| failing.requests.load(Ordering::SeqCst) == 1);
     gateway.discovery.send(list(3, false, vec![entry(1, &late.server, "ready", 0)])).expect("open");
-    late.open(ms(700));
+    let count = late.open(ms(700));
     let (seen, _) = seen("platform", client);
     // What was on its way would have come by then.
     thread::sleep(ms(1500));
     assert_eq!(failing.requests.load(Ordering::SeqCst), 1, "never twice to the same one");
-    (late.count(), seen)
+    (count(), seen)
 }
 
 #[test]
@@ -233,10 +190,7 @@
 fn floods_are_bounded_in_memory_and_descriptors_and_well_behaved_clients_are_served() {
     let server = server("platform", Manner::Serve);
     let more = json!({"memory_mb": 64});
-    let started =
-        Gateway::spawn("n0", "platform", vec![entry(0, &server, "ready", 0)], 1, (128, 128), more);
-    let gateway = Gateway::watched(started);
-    eventually(|| gateway.logged("kind=\"Whole\"") > 0);
+    let gateway = Gateway::listed(vec![entry(0, &server, "ready", 0)], 1, (128, 128), more);
     let over = Arc::new(AtomicBool::new(false));
     let came = Arc::new(AtomicUsize::new(0));
     let large =
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -14,22 +14,19 @@
 
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use support::*;
 use tulipridge::ahead::{Ahead, Bounds, Take};
 
 /// No attempt's last byte may arrive later after its client's leaving. Whatever a test provokes is due three times
 /// later at the least, so that a busy machine makes no difference.
 const BOUND: Duration = Duration::from_millis(100);
-const FRONTS: [&str; 2] = ["platform", "messages"];
 const WAYS: [Way; 3] = [Way::Close, Way::Reset, Way::HalfClose];
+/// The id of a request that lies behind another's is that one's and this.
+const BEHIND: u64 = 0x1000;
 /// More than a connection's buffers hold, and less than a request may.
 const LARGE: usize = 200 << 10;
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// How a client leaves.
 #[derive(Clone, Copy, Debug)]
 enum Way {
@@ -39,21 +36,35 @@
     HalfClose,
 }
 
-/// Leaves; what is left of the connection is to be kept for as long as the test lasts.
-fn leave(stream: TcpStream, way: Way) -> (Instant, Option<TcpStream>) {
-    match way {
-        Way::Close => drop(stream),
-        Way::Reset => {
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
-            drop(stream);
-        }
-        Way::HalfClose => {
-            // A flood may have been ended before.
-            let _ = stream.shutdown(Shutdown::Write);
-            return (Instant::now(), Some(stream));
+/// Clients that have left, each with when.
+#[derive(Default)]
+struct Left {
+    at: BTreeMap<u64, Instant>,
+    /// What is left of a connection is kept for as long as the test lasts.
+    halves: Vec<TcpStream>,
+}
+
+impl Left {
+    fn go(&mut self, id: u64, way: Way, stream: TcpStream) {
+        match way {
+            Way::Close => drop(stream),
+            Way::Reset => {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+                drop(stream);
+            }
+            Way::HalfClose => {
+                // A flood may have been ended before.
+                let _ = stream.shutdown(Shutdown::Write);
+                self.halves.push(stream);
+            }
         }
+        self.at.insert(id, Instant::now());
+    }
+
+    /// Those whose further request lay behind the one that they waited for, by that one's id.
+    fn behind(&self) -> Left {
+        Left { at: self.at.iter().map(|(id, at)| (id + BEHIND, *at)).collect(), halves: Vec::new() }
     }
-    (Instant::now(), None)
 }
 
 /// A request as bytes, with a body that is longer by `padding`.
@@ -130,8 +141,8 @@
     }
 
     /// None of these was sent on more than the bound after its client had left, nor more often than this in all.
-    fn hold(&self, what: &str, left: &BTreeMap<u64, Instant>, most: usize) {
-        for (id, left) in left {
+    fn hold(&self, what: &str, left: &Left, most: usize) {
+        for (id, left) in &left.at {
             let all = self.of(*id);
             let late: Vec<_> =
                 all.iter().filter(|at| **at > *left + BOUND).map(|at| at.duration_since(*left)).collect();
@@ -151,9 +162,7 @@
         // Guards against what the module does about silence, where leaving is all that is looked at.
         more["promise_ms"] = json!(9000);
     }
-    let gateway = Gateway::watched(Gateway::spawn("n0", "platform", entries(addrs), 3, (1024, 1024), more));
-    eventually(|| gateway.logged("kind=\"Whole\"") > 0);
-    gateway
+    Gateway::listed(entries(addrs), 3, (1024, 1024), more)
 }
 
 fn sent(addr: SocketAddr, bytes: &[u8]) -> TcpStream {
@@ -165,8 +174,7 @@
 /// Clients of both fronts, one for each way to leave.
 struct Crowd {
     leavers: Vec<(u64, Way, TcpStream)>,
-    left: BTreeMap<u64, Instant>,
-    halves: Vec<TcpStream>,
+    left: Left,
 }
 
 impl Crowd {
@@ -179,7 +187,7 @@
                 leavers.push((id, way, sent(gateway.front(front), &bytes(front, id))));
             }
         }
-        Crowd { leavers, left: BTreeMap::new(), halves: Vec::new() }
+        Crowd { leavers, left: Left::default() }
     }
 
     fn ids(&self) -> Vec<u64> {
@@ -188,9 +196,7 @@
 
     fn leave(&mut self) {
         for (id, way, stream) in self.leavers.drain(..) {
-            let (at, half) = leave(stream, way);
-            self.left.insert(id, at);
-            self.halves.extend(half);
+            self.left.go(id, way, stream);
         }
     }
 }
@@ -224,7 +230,7 @@
     for refused in [false, true] {
         // The first attempt is turned away, or has no connection: that one's wait is for a first server.
         let notes = Notes::default();
-        let (taken, nobody) = bound();
+        let (taken, nobody) = late::bound();
         let first = if refused { nobody } else { notes.server(|stream, _, _| say(stream, FULL)) };
         let gateway = gateway(&[first], json!({}));
         let mut crowd = Crowd::new(&gateway, |front, id| bytes(front, "plain", id, 0));
@@ -267,53 +273,8 @@
             thread::sleep(3 * BOUND);
             assert!(notes.of(STAYER).len() > 1, "one that stays is tried again");
             notes.hold(&format!("after '{failure:.12}', frozen: {frozen}"), &crowd.left, 1);
-            assert!(crowd.left.keys().all(|id| notes.of(*id).len() == 1), "each was tried once");
-        }
-    }
-}
-
-/// A socket that has an address, where it does not listen: who connects there is refused for as long as it is kept.
-fn bound() -> (Socket, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).expect("a port");
-    let addr = socket.local_addr().expect("an address").as_socket().expect("an address");
-    (socket, addr)
-}
-
-/// A real server to which no connection comes up until it accepts; one that waits does so at a second's end, as the
-/// first try to connect is lost.
-struct Late {
-    socket: Socket,
-    addr: SocketAddr,
-    /// They fill the queue of those that wait to be accepted.
-    fill: Vec<Socket>,
-}
-
-impl Late {
-    fn new() -> Late {
-        let (socket, addr) = bound();
-        socket.listen(0).expect("it listens");
-        let mut fill = Vec::new();
-        loop {
-            let one = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-            if one.connect_timeout(&addr.into(), ms(100)).is_err() {
-                break;
-            }
-            fill.push(one);
+            assert!(crowd.left.at.keys().all(|id| notes.of(*id).len() == 1), "each was tried once");
         }
-        assert!(fill.len() < 10, "the queue is never full");
-        Late { socket, addr, fill }
-    }
-
-    /// Takes connections from now on.
-    fn accept(
-        self,
-        notes: &Notes,
-        work: impl Fn(&mut TcpStream, usize, u64) -> Option<()> + Send + Sync + 'static,
-    ) {
-        drop(self.fill);
-        notes.listen(self.socket.into(), Arc::new(work));
     }
 }
 
@@ -321,14 +282,14 @@
 fn while_its_connection_to_a_real_server_comes_up() {
     // The gateway stands still meanwhile, or doesn't.
     for frozen in [false, true] {
-        let (notes, late) = (Notes::default(), Late::new());
+        let (notes, late) = (Notes::default(), late::Late::new());
         let gateway = gateway(&[late.addr], json!({"connect_timeout_ms": 2500}));
         let mut crowd = Crowd::new(&gateway, |front, id| bytes(front, "plain", id, 0));
         let stayer = stays(&gateway, "platform", STAYER);
         thread::sleep(ms(300));
         let still = frozen.then(|| Frozen::new(&gateway));
         crowd.leave();
-        late.accept(&notes, |stream, _, _| say(stream, &whole()));
+        notes.listen(late.open(), Arc::new(|stream: &mut TcpStream, _, _| say(stream, &whole())));
         // Its connections are up then, if they were not abandoned.
         thread::sleep(ms(1200));
         drop(still);
@@ -386,7 +347,7 @@
             };
             let gateway = gateway(&[server(), server(), server()], json!({}));
             let mut crowd = Crowd::new(&gateway, |front, id| {
-                let second = bytes(front, "plain", id + 0x1000, padding);
+                let second = bytes(front, "plain", id + BEHIND, padding);
                 [bytes(front, "plain", id, 0), second].concat()
             });
             let first = crowd.ids();
@@ -398,8 +359,7 @@
             thread::sleep(ms(1000));
             let what = format!("{what}, {padding} bytes behind it, frozen: {frozen}");
             notes.hold(&what, &crowd.left, 1);
-            let behind = crowd.left.iter().map(|(id, at)| (id + 0x1000, *at)).collect();
-            notes.hold(&format!("{what}, the second"), &behind, 0);
+            notes.hold(&format!("{what}, the second"), &crowd.left.behind(), 0);
             assert!(first.iter().all(|id| notes.of(*id).len() == 1), "{what}: each first one was sent");
         }
     }
@@ -419,7 +379,7 @@
     // As much as the two systems take: requests of a pair, or noise.
     for (n, (id, _, stream)) in crowd.leavers.iter_mut().enumerate() {
         let more = match n % 2 {
-            0 => bytes(FRONTS[n / 3], "plain", *id + 0x1000, LARGE).repeat(30),
+            0 => bytes(FRONTS[n / 3], "plain", *id + BEHIND, LARGE).repeat(30),
             _ => vec![b'x'; 6 << 20],
         };
         stream.set_nonblocking(true).expect("a socket");
@@ -435,8 +395,7 @@
     crowd.leave();
     thread::sleep(ms(2500));
     notes.hold("much behind it", &crowd.left, 1);
-    let behind = crowd.left.iter().map(|(id, at)| (id + 0x1000, *at)).collect();
-    notes.hold("much behind it, the second", &behind, 0);
+    notes.hold("much behind it, the second", &crowd.left.behind(), 0);
 }
 
 #[test]
@@ -452,7 +411,7 @@
             let id = 0x10 * (n as u64 + 1) + u64::from(front == "messages");
             let mut stream = connect(gateway.front(front));
             let mut writer = stream.try_clone().expect("a clone");
-            let second = bytes(front, "plain", id + 0x1000, padding);
+            let second = bytes(front, "plain", id + BEHIND, padding);
             let both = [bytes(front, "plain", id, 0), second].concat();
             let writing = thread::spawn(move || writer.write_all(&both));
             let mut got = Vec::new();
@@ -463,7 +422,7 @@
                 got.extend_from_slice(&piece[..count]);
             }
             writing.join().expect("a thread").expect("all is taken");
-            assert_eq!((notes.of(id).len(), notes.of(id + 0x1000).len()), (1, 1), "{front}, {padding}");
+            assert_eq!((notes.of(id).len(), notes.of(id + BEHIND).len()), (1, 1), "{front}, {padding}");
         }
     }
 }
@@ -523,12 +482,8 @@
         eventually(|| notes.0.lock().expect("whole").len() > 300);
         thread::sleep(BOUND);
         let still = frozen.then(|| Frozen::new(&gateway));
-        let (mut left, mut halves) = (BTreeMap::new(), Vec::new());
-        for (id, way, stream) in clients.drain(..) {
-            let (at, half) = leave(stream, way);
-            left.insert(id, at);
-            halves.extend(half);
-        }
+        let mut left = Left::default();
+        clients.drain(..).for_each(|(id, way, stream)| left.go(id, way, stream));
         thread::sleep(3 * BOUND);
         let good = notes.server(|stream, _, _| say(stream, &whole()));
         gateway.discovery.send(list(3, false, vec![entry_at(1, good, "ready", 0)])).expect("open");
@@ -557,21 +512,16 @@
         })
         .into();
     let frozen = Frozen::new(&gateway);
-    let (mut left, mut halves) = (BTreeMap::new(), Vec::new());
-    let mut go = |id, stream, way| {
-        let (at, half) = leave(stream, way);
-        left.insert(id, at);
-        halves.extend(half);
-    };
+    let mut left = Left::default();
     for (n, (front, mut stream)) in rested.into_iter().enumerate() {
         let id = 0x900 + n as u64;
         stream.write_all(&bytes(front, "plain", id, 0)).expect("sent");
-        go(id, stream, WAYS[n]);
+        left.go(id, WAYS[n], stream);
     }
     for n in 0..60u64 {
         let (front, id) = (FRONTS[n as usize % 2], 0x1000 + n);
         let padding = if n % 4 < 2 { 0 } else { 40 << 10 };
-        go(id, sent(gateway.front(front), &bytes(front, "plain", id, padding)), WAYS[n as usize % 3]);
+        left.go(id, WAYS[n as usize % 3], sent(gateway.front(front), &bytes(front, "plain", id, padding)));
     }
     thread::sleep(3 * BOUND);
     drop(frozen);
@@ -611,18 +561,16 @@
     let silent = mute.lock().expect("whole").clone().expect("it is mute");
     assert!(silent.len() >= 6, "{silent:x?}");
     let still = frozen.then(|| Frozen::new(&gateway));
-    let (mut left, mut halves) = (BTreeMap::new(), Vec::new());
+    let mut left = Left::default();
     for (n, id) in silent.iter().enumerate().skip(3).step_by(2) {
-        let (at, half) = leave(clients.remove(id).expect("a client"), WAYS[n / 2 % 3]);
-        left.insert(*id, at);
-        halves.extend(half);
+        left.go(*id, WAYS[n / 2 % 3], clients.remove(id).expect("a client"));
     }
     thread::sleep(ms(800).saturating_sub(from.elapsed()));
     drop(still);
     thread::sleep(ms(1300).saturating_sub(from.elapsed()));
     notes.hold(&format!("before a copy, frozen: {frozen}"), &left, 1);
     let copied = silent.iter().filter(|id| notes.of(**id).len() > 1).count();
-    println!("{} silent, {} left, {copied} copied", silent.len(), left.len());
+    println!("{} silent, {} left, {copied} copied", silent.len(), left.at.len());
     assert!(copied > 0, "of those that stayed some were sent on twice");
 }
 
@@ -631,17 +579,6 @@
     [false, true].into_iter().for_each(second_copy);
 }
 
-/// Waits until a gateway says at its second address that it is ready: it takes and gives streams then.
-fn ready(gateway: &Gateway) {
-    let mgmt = gateway.mgmt.expect("it listens for calls");
-    eventually(|| {
-        let mut stream = sent(mgmt, b"GET /ready HTTP/1.1\r\nHost: gateway\r\n\r\n");
-        let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer);
-        answer.starts_with("HTTP/1.1 200")
-    });
-}
-
 #[test]
 fn behind_a_handed_over_stream() {
     let notes = Notes::default();
@@ -673,7 +610,8 @@
             more,
             platform,
         ));
-        ready(&gateway);
+        // It takes and gives streams then.
+        eventually(|| call(gateway.mgmt.expect("it listens for calls"), "GET /ready") == 200);
         gateway
     };
     let mut old = start();
@@ -681,7 +619,7 @@
     let mut clients: Vec<_> = (0..6)
         .map(|n| {
             let (id, way, padding) = (0x100 + n as u64, WAYS[n % 3], LARGE * (n / 3));
-            let second = bytes("platform", "once", id + 0x1000, padding);
+            let second = bytes("platform", "once", id + BEHIND, padding);
             let two = [bytes("platform", "once", id, 0), second].concat();
             let mut stream = sent(old.front("platform"), &two);
             begun(&mut stream);
@@ -691,20 +629,16 @@
     let new = start();
     assert_eq!(old.stop(), Some(0));
     eventually(|| new.logged(" handover ") > 0);
-    let (mut left, mut halves) = (BTreeMap::new(), Vec::new());
-    for (id, way, stream) in clients.drain(..) {
-        let (at, half) = leave(stream, way);
-        left.insert(id, at);
-        left.insert(id + 0x1000, at);
-        halves.extend(half);
-    }
+    let mut left = Left::default();
+    clients.drain(..).for_each(|(id, way, stream)| left.go(id, way, stream));
     // The streams end only now, which would be the turn of those behind them.
     thread::sleep(3 * BOUND);
     end.store(true, Ordering::SeqCst);
     thread::sleep(3 * BOUND);
     notes.hold("handed over", &left, 1);
+    notes.hold("handed over, the second", &left.behind(), 0);
     for id in 0x100..0x106 {
-        assert_eq!((notes.of(id).len(), notes.of(id + 0x1000).len()), (1, 0), "{id:x}");
+        assert_eq!((notes.of(id).len(), notes.of(id + BEHIND).len()), (1, 0), "{id:x}");
     }
 }
 
--- a/tests/instant.rs
+++ b/tests/instant.rs
@@ -18,21 +18,13 @@
 use tulipridge::limits::Limits;
 use tulipridge::net::Wire;
 
-const FRONTS: [&str; 2] = ["platform", "messages"];
 /// Another 1,000 bytes come each so many milliseconds, for 0.3 s: far longer than an answer takes.
 const PACE: Duration = Duration::from_millis(10);
 const SPAN: Duration = Duration::from_millis(300);
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 fn gateway(server: &Server, attempts: u32) -> Gateway {
     let servers = vec![entry(0, server, "ready", 0)];
-    let more = json!({"mgmt": "127.0.0.1:0"});
-    let gateway = Gateway::watched(Gateway::spawn("n0", "platform", servers, attempts, (1024, 1024), more));
-    eventually(|| gateway.logged("kind=\"Whole\"") > 0);
-    gateway
+    Gateway::listed(servers, attempts, (1024, 1024), json!({"mgmt": "127.0.0.1:0"}))
 }
 
 /// Sends `first`, and goes on sending while the answer comes and after. What came up to the orderly end; a reset is none.
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -41,12 +41,6 @@
 }
 
 /// One call, and the status of its answer; 0 is a close without one.
-fn call(mgmt: SocketAddr, call: &str) -> u16 {
-    let mut stream = connect(mgmt);
-    stream.write_all(format!("{call} HTTP/1.1\r\nHost: gateway\r\n\r\n").as_bytes()).expect("sent");
-    status(&mut stream)
-}
-
 fn status(stream: &mut TcpStream) -> u16 {
     let mut answer = String::new();
     let _ = stream.read_to_string(&mut answer);
@@ -54,9 +48,7 @@
 }
 
 fn health(gateway: &Gateway) -> u16 {
-    let mut stream = gateway.connect("platform");
-    stream.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n").expect("sent");
-    status(&mut stream)
+    call(gateway.front("platform"), "GET /_health")
 }
 
 #[test]
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -3,8 +3,6 @@
 
 mod support;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,22 +16,6 @@
 /// Thirty processes at a time are enough for a small machine.
 static ALONE: Mutex<()> = Mutex::new(());
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
-/// What a gateway says of itself; 0 is nothing.
-fn health(front: SocketAddr) -> u16 {
-    let answer = TcpStream::connect(front).and_then(|mut stream| {
-        stream.set_read_timeout(Some(FOREVER))?;
-        stream.write_all(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer)
-    });
-    answer.unwrap_or_default().split(' ').nth(1).map_or(0, |s| s.parse().expect("a status"))
-}
-
 /// How long after `from` each was ready, the quickest first; it is asked a request as soon as it says so.
 fn ready(fleet: &Fleet, from: Instant) -> Vec<Duration> {
     let waiting: Vec<_> = fleet
@@ -43,7 +25,7 @@
         .map(|(n, front)| {
             let front = front.expect("it is up");
             thread::spawn(move || {
-                eventually(|| health(front) == 200);
+                eventually(|| call(front, "GET /_health") == 200);
                 let took = from.elapsed();
                 let stream = send(front, "platform", "plain", 9000, 1 << 20 | n);
                 assert_eq!(
@@ -111,7 +93,7 @@
     let from = Instant::now();
     while from.elapsed() < ms(3000) {
         for front in fleet.fronts().into_iter().flatten() {
-            assert_eq!(health(front), 503, "ready with no real server to send to");
+            assert_eq!(call(front, "GET /_health"), 503, "ready with no real server to send to");
         }
         thread::sleep(ms(200));
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -16,11 +16,6 @@
 
 /// SIGKILL comes no sooner after SIGTERM: the longest deadline, taken as 3 s, and 0.7 s more.
 const KILL: Duration = Duration::from_millis(3700);
-const FRONTS: [&str; 2] = ["platform", "messages"];
-
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
 
 /// What a real server does with its requests, the first of which has number 0.
 #[derive(Clone, Copy)]
@@ -95,9 +90,7 @@
 /// A gateway that has heard of its real servers.
 fn gateway(servers: &[&Server]) -> Gateway {
     let servers: Vec<_> = servers.iter().enumerate().map(|(n, s)| entry(n, s, "ready", 0)).collect();
-    let gateway = Gateway::watched(Gateway::spawn("n0", "platform", servers, 3, (1024, 1024), json!({})));
-    eventually(|| gateway.logged("kind=\"Whole\"") > 0);
-    gateway
+    Gateway::listed(servers, 3, (1024, 1024), json!({}))
 }
 
 /// Tells it to end, and waits for that up to SIGKILL: its status.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod fleet;
+pub mod late;
 pub mod told;
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -21,6 +22,7 @@
 /// The longest that a real server may go on working for a stream that nobody reads any more. The aim is 50 ms; a
 /// test that shares its machine with others is given room, yet far less than what an unread stream would take.
 pub const UNREAD: Duration = Duration::from_millis(500);
+pub const FRONTS: [&str; 2] = ["platform", "messages"];
 pub const PAIRINGS: [(&str, &str); 4] = [
     ("platform", "platform"),
     ("platform", "messages"),
@@ -513,6 +515,13 @@
     }
 
     /// The same with a log that is read here.
+    /// One that has heard of its real servers.
+    pub fn listed(servers: Vec<Value>, attempts: u32, limits: (u32, u32), more: Value) -> Gateway {
+        let gateway = Gateway::watched(Gateway::spawn("n0", "platform", servers, attempts, limits, more));
+        eventually(|| gateway.logged("kind=\"Whole\"") > 0);
+        gateway
+    }
+
     pub fn watched((mut child, discovery): (Child, Sender<Value>)) -> Gateway {
         let log = BufReader::new(child.stderr.take().expect("piped"));
         Gateway::with(child, discovery, log.lines().map_while(Result::ok))
@@ -640,6 +649,23 @@
 }
 
 /// Waits until it is so, far longer than it takes.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// The status that a call, its method and path, gets at this address; 0 is no answer.
+pub fn call(addr: SocketAddr, call: &str) -> u16 {
+    let answer = TcpStream::connect(addr).and_then(|mut stream| {
+        stream.set_read_timeout(Some(FOREVER))?;
+        let head = format!("{call} HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n");
+        stream.write_all(head.as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    });
+    answer.unwrap_or_default().split(' ').nth(1).map_or(0, |s| s.parse().expect("a status"))
+}
+
 pub fn eventually(mut so: impl FnMut() -> bool) {
     let from = Instant::now();
     while !so() {
