--- a/src/net/http.rs
+++ b/crates/jetway/src/http.rs
@@ -10,7 +10,7 @@
 use memchr::{memchr_iter, memmem};
 use serde::{Deserialize, Serialize};
 
-use crate::limits::Limits;
+use crate::WireLimits;
 
 /// What is wrong with a message, and the status that says so to a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,24 +65,23 @@
 
     /// How the body of a request is framed. Guards against smuggling: whatever two readers could take for
     /// different lengths is refused.
-    pub fn request_body(&self, limits: &Limits) -> Result<Body, Bad> {
-        match self.body(limits)? {
+    pub fn request_body(&self, limits: &WireLimits) -> Result<Body, Bad> {
+        match self.body(limits.body_bytes)? {
             Some(body) => Ok(body),
             None => Ok(Body::Length(0)),
         }
     }
 
     /// How the body of a response is framed.
-    pub fn response_body(&self, limits: &Limits) -> Result<Body, Bad> {
+    pub fn response_body(&self) -> Result<Body, Bad> {
         if matches!(self.status(), 100..=199 | 204 | 304) {
             return Ok(Body::Length(0));
         }
         // A response may be longer than a request: it is passed on in pieces.
-        let limits = Limits { body_bytes: usize::MAX, ..limits.clone() };
-        Ok(self.body(&limits)?.unwrap_or(Body::UntilClose))
+        Ok(self.body(usize::MAX)?.unwrap_or(Body::UntilClose))
     }
 
-    fn body(&self, limits: &Limits) -> Result<Option<Body>, Bad> {
+    fn body(&self, most_bytes: usize) -> Result<Option<Body>, Bad> {
         let mut lengths = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
         let mut codings = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("transfer-encoding"));
         match (lengths.next(), codings.next()) {
@@ -102,7 +101,7 @@
                     return bad(400, "no single whole content length");
                 }
                 match length.parse::<usize>() {
-                    Ok(length) if length <= limits.body_bytes => Ok(Some(Body::Length(length))),
+                    Ok(length) if length <= most_bytes => Ok(Some(Body::Length(length))),
                     _ => bad(413, "the body is too large"),
                 }
             }
@@ -111,7 +110,7 @@
 }
 
 /// Takes a head from the front of `buf` once it is there whole. A strict reader refuses what is not plain text.
-fn head(buf: &mut Vec<u8>, strict: bool, limits: &Limits) -> Result<Option<Head>, Bad> {
+fn head(buf: &mut Vec<u8>, strict: bool, limits: &WireLimits) -> Result<Option<Head>, Bad> {
     // Empty lines before a message are allowed, but not without end.
     let blank = buf.chunks(2).take_while(|pair| *pair == b"\r\n").count() * 2;
     buf.drain(..blank);
@@ -158,7 +157,7 @@
 }
 
 /// Takes a request's head, which has more to it than a response's.
-pub fn request_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+pub fn request_head(buf: &mut Vec<u8>, limits: &WireLimits) -> Result<Option<Head>, Bad> {
     let Some(head) = head(buf, true, limits)? else { return Ok(None) };
     let [method, target, version] = &head.start;
     if !method.bytes().all(token) || !(target.starts_with('/') || target == "*") || target.contains(' ') {
@@ -180,7 +179,7 @@
 }
 
 /// Takes a response's head. A header's value may be garbage, which alone does not spoil an answer.
-pub fn response_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<Head>, Bad> {
+pub fn response_head(buf: &mut Vec<u8>, limits: &WireLimits) -> Result<Option<Head>, Bad> {
     // Guards against waiting for the end of what can't become a head: noise need not have one.
     if buf.iter().zip(b"HTTP/1.").any(|(came, due)| came != due) {
         return bad(502, "no status line");
@@ -230,7 +229,7 @@
 
 impl Body {
     /// Moves what is there of the body from the front of `buf` to `out`; true once it is whole.
-    pub fn take(&mut self, buf: &mut Vec<u8>, out: &mut Vec<u8>, limits: &Limits) -> Result<bool, Bad> {
+    pub fn take(&mut self, buf: &mut Vec<u8>, out: &mut Vec<u8>, limits: &WireLimits) -> Result<bool, Bad> {
         if *self == Body::UntilClose && out.is_empty() {
             std::mem::swap(buf, out);
             return Ok(false);
@@ -247,7 +246,7 @@
         buf: &[u8],
         taken: &mut usize,
         out: &mut Vec<u8>,
-        limits: &Limits,
+        limits: &WireLimits,
     ) -> Result<bool, Bad> {
         loop {
             let rest = &buf[*taken..];
@@ -339,7 +338,7 @@
     }
 }
 
-fn chunk_size(line: &[u8], limits: &Limits) -> Result<usize, Bad> {
+fn chunk_size(line: &[u8], limits: &WireLimits) -> Result<usize, Bad> {
     let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
     let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
     let size = hex.then(|| str::from_utf8(digits).ok().and_then(|d| usize::from_str_radix(d, 16).ok()));
@@ -447,7 +446,7 @@
 
 /// Takes the whole blocks from the front of `text`, all that are there; none if there is none. `scanned` is how
 /// far it was looked through before, and begins at 0.
-pub fn sse_batch(text: &mut Vec<u8>, scanned: &mut usize, limits: &Limits) -> Result<Vec<u8>, Bad> {
+pub fn sse_batch(text: &mut Vec<u8>, scanned: &mut usize, limits: &WireLimits) -> Result<Vec<u8>, Bad> {
     let (mut start, mut fault) = (0, false);
     for end in block_ends(text, *scanned) {
         // Guards against an event without end; what came whole before it is good.
--- a/src/choice.rs
+++ b/crates/signpost/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of a gateway; the types it speaks are in `src/types.rs`.
+//! Every decision of a gateway; the types it speaks are in `crates/signpost/src/types.rs`.
 //!
 //! All gateways hash replica ids into one ring of virtual nodes. A request goes to the first replica
 //! clockwise from its key (its shared beginning, else its session), past those that hold too much of this
@@ -255,31 +255,46 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let safety = &settings.safety;
         let cold = safety.cold_from > 0.0 && safety.cold_from <= 1.0 && !safety.overload_factor.is_nan();
-        for (fault, what) in [
+        let faults = [
             (settings.classes.is_empty(), "no classes of requests"),
             (settings.group_size == 0, "a group of no gateways"),
             (settings.limits.attempts == 0, "no attempt is allowed"),
             (!cold, "the cold share is not within 0 to 1"),
-        ] {
-            if fault {
-                return Err(SettingsError(what));
-            }
+        ];
+        if let Some((_, what)) = faults.into_iter().find(|(fault, _)| *fault) {
+            return Err(SettingsError(what));
         }
-        let (kept, turns) = (vec![0.0; settings.classes.len()], vec![1.0; settings.classes.len()]);
-        let seen = settings.quota_per_s().map(|quota| quota / f64::from(settings.group_size) * MEMORY);
-        Ok(Gateway {
-            short_sighted: seen.is_some_and(|requests| requests < SIGHT),
+        let mut gateway = Gateway {
             calls: Calls::of(&settings),
             cold: Cold::new(&settings),
             settings,
             random: seed,
-            common: vec![(COMMON, COMMON.sqrt()); kept.len()],
-            kept,
-            turns,
             full_cost: ANSWER_COST,
             admit: 1.0,
             ..Gateway::default()
-        })
+        };
+        gateway.set_classes(gateway.settings.classes.clone());
+        gateway.set_group_size(gateway.settings.group_size);
+        Ok(gateway)
+    }
+
+    /// Replaces the table of classes: entries may be changed or appended. Those beyond the end of a shorter
+    /// table stay as they were, since requests may name them; what was learnt of a class is kept.
+    pub fn set_classes(&mut self, mut classes: Vec<Class>) {
+        classes.extend_from_slice(self.settings.classes.get(classes.len()..).unwrap_or_default());
+        self.kept.resize(classes.len(), 0.0);
+        self.turns.resize(classes.len(), 1.0);
+        self.common.resize(classes.len(), (COMMON, COMMON.sqrt()));
+        self.settings.classes = classes;
+    }
+
+    /// Changes how many gateways share the fleet; 0 counts as this one alone.
+    pub fn set_group_size(&mut self, gateways: u32) {
+        self.settings.group_size = gateways.max(1);
+        let seen = self.settings.quota_per_s().map(|quota| quota / f64::from(gateways.max(1)) * MEMORY);
+        self.short_sighted = seen.is_some_and(|requests| requests < SIGHT);
+        self.cold.set_group(&self.settings, self.replicas.iter_mut().map(|r| (r.hash, &mut r.budget)));
+        self.calls.set_group(&self.settings);
     }
 
     /// Takes one event and adds what is to be done to `actions`. What the event names but this gateway
@@ -288,10 +303,8 @@
         match event {
             Event::List { kind, members } => self.list(now, kind, &members, actions),
             Event::Request(request) => self.accept(now, request, actions),
-            Event::Expired(id) => {
-                if self.live.get(&id).is_some_and(|l| !l.finished) {
-                    self.finish(id, None, actions);
-                }
+            Event::Expired(id) if self.live.get(&id).is_some_and(|l| !l.finished) => {
+                self.finish(id, None, actions);
             }
             Event::FirstToken { id, attempt, .. } => {
                 if let Some(live) = self.live.get_mut(&id)
@@ -326,7 +339,7 @@
                 _ => {}
             },
             Event::Busy(wait) => self.calls.busy(now, wait),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Expired(_) | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
@@ -347,20 +360,17 @@
     fn list(&mut self, now: Nanos, kind: ListKind, members: &[Member], actions: &mut Vec<Action>) {
         self.call += u64::from(!matches!(kind, ListKind::Persisted | ListKind::Own));
         let chance = self.chance();
-        let wait = match kind {
-            ListKind::Failed => Some(self.calls.failed(now, chance)),
-            ListKind::Persisted => (!self.settings.push).then(|| self.calls.start(now, chance)),
-            ListKind::Own => None,
-            ListKind::Whole | ListKind::Changes => {
-                self.calls.answered();
-                None
+        match kind {
+            ListKind::Failed => {
+                let wait = self.calls.failed(now, chance);
+                return self.timer(wait, Purpose::Call(self.call), actions);
             }
-        };
-        if let Some(wait) = wait {
-            self.timer(wait, Purpose::Call(self.call), actions);
-        }
-        if kind == ListKind::Failed {
-            return;
+            ListKind::Persisted if !self.settings.push => {
+                let wait = self.calls.start(now, chance);
+                self.timer(wait, Purpose::Call(self.call), actions);
+            }
+            ListKind::Persisted | ListKind::Own => {}
+            ListKind::Whole | ListKind::Changes => self.calls.answered(),
         }
         self.cold.heard(now);
         let live = self.settings.units == Units::Live;
@@ -464,11 +474,8 @@
             let nodes = (NODES * replica.size / largest).ceil() as u32;
             let nodes = if replica.phase == Phase::Ready { nodes } else { 0 };
             stale |= nodes < replica.nodes;
-            fresh.extend((replica.nodes..nodes).map(|n| Point {
-                at: place_of(&replica.id, n),
-                r: r as u32,
-                n,
-            }));
+            let point = |n| Point { at: place_of(&replica.id, n), r: r as u32, n };
+            fresh.extend((replica.nodes..nodes).map(point));
             replica.nodes = nodes;
         }
         self.zones.values_mut().for_each(|z| z.size = 0.0);
@@ -515,10 +522,8 @@
         let span = class.aim + class.aim_per_token * Nanos::from(request.prompt);
         let aim = now + span;
         let (deadline, attempts) = (now + request.expires_in, Vec::new());
-        self.live.insert(
-            id,
-            Live { request, aim, deadline, owners, span, cold_only, attempts, finished: false },
-        );
+        let live = Live { request, aim, deadline, owners, span, cold_only, attempts, finished: false };
+        self.live.insert(id, live);
         self.place(now, id, actions);
     }
 
@@ -667,7 +672,7 @@
             if replica.seen == self.walk || point.n >= replica.nodes {
                 continue;
             }
-            let (own, hash) = (replica.size, replica.hash);
+            let (own, hash, lag) = (replica.size, replica.hash, replica.lag);
             let warmth = self.cold.warmth(now, replica.started);
             let owner = met == 0 || owned < target.owners * size;
             self.replicas[r].seen = self.walk;
@@ -684,8 +689,7 @@
                     true => own / -unit(mix(target.session ^ hash)).ln(),
                     false => 0.0,
                 };
-                let behind =
-                    self.admit > WELL && self.replicas[r].lag as f64 > LAG_PART * target.aim as f64;
+                let behind = self.admit > WELL && lag as f64 > LAG_PART * target.aim as f64;
                 if behind || f64::from(self.replicas[r].in_flight) > bound * own + 1.0 {
                     over = over.or(Some(r));
                 } else if best.is_none_or(|(most, _)| liking > most) {
@@ -731,14 +735,13 @@
             Group::Zone(zone) => replica.zone == zone,
             Group::Cell(cell) => replica.cell == cell,
         };
-        let zone = self.zones.get(&replica.zone);
-        let linked = zone.is_none_or(|z| z.link.lets_through(now) || !self.cut(z));
+        let linked = self.zones.get(&replica.zone).is_none_or(|z| z.link.lets_through(now) || !self.cut(z));
         replica.phase == Phase::Ready && well && linked && within && !tried.contains(&r)
     }
 
     // ---- cold replicas --------------------------------------------------------------------------------
 
-    /// Whether a replica may be sent a request: a cold one only on this gateway's turn (`src/cold.rs`).
+    /// Whether a replica may be sent a request: a cold one only on this gateway's turn (see [`cold`]).
     fn afford(&mut self, now: Nanos, r: usize) -> bool {
         let started = self.replicas[r].started.filter(|at| self.cold.warmth(now, Some(*at)) < 1.0);
         let Some(started) = started else { return true };
@@ -875,10 +878,8 @@
             return;
         }
         let r = tried.replica;
-        tried.fate = match verdict {
-            Verdict::Full | Verdict::NoConnection | Verdict::Moot => Fate::NeverRan,
-            _ => Fate::MayHaveRun,
-        };
+        let never_ran = matches!(verdict, Verdict::Full | Verdict::NoConnection | Verdict::Moot);
+        tried.fate = if never_ran { Fate::NeverRan } else { Fate::MayHaveRun };
         let begun = tried.begun;
         live.finished |= ended;
         let (finished, out) = (live.finished, live.out());
--- a/src/cold.rs
+++ b/crates/signpost/src/cold.rs
@@ -82,6 +82,32 @@
         }
     }
 
+    /// Another number of gateways shares the fleet. Where the quotas tell how many turns there are, this gateway's
+    /// come more or less often from now on; `budgets` are those of all servers, each with its server's hash.
+    pub fn set_group<'a>(
+        &mut self,
+        settings: &Settings,
+        budgets: impl Iterator<Item = (u64, &'a mut Budget)>,
+    ) {
+        let former = self.clone();
+        self.group = settings.group_size.max(1);
+        self.me = settings.me % self.group;
+        if self.quota.is_none() {
+            return;
+        }
+        let part = f64::from(former.group) / f64::from(self.group);
+        for (hash, budget) in budgets {
+            let turns = budget.next as f64 - former.place(hash);
+            budget.next = (turns * part + self.place(hash)).ceil() as i64;
+        }
+    }
+
+    /// This gateway's place, in 0..1, among those who take turns at a server.
+    fn place(&self, hash: u64) -> f64 {
+        let group = u64::from(self.group);
+        ((u64::from(self.me) + hash % group) % group) as f64 / f64::from(self.group)
+    }
+
     /// A list has come.
     pub fn heard(&mut self, now: Nanos) {
         self.began.get_or_insert(now);
@@ -103,8 +129,7 @@
     pub fn affords(&self, now: Nanos, budget: &mut Budget, server: Server, work: f64) -> bool {
         let group = f64::from(self.group);
         let warmth = self.warmth(now, Some(server.started));
-        let place = (u64::from(self.me) + server.hash % u64::from(self.group)) % u64::from(self.group);
-        let place = place as f64 / group;
+        let place = self.place(server.hash);
         let able = server.part * self.quota.unwrap_or(work * group);
         // Turns of this gateway up to then: all gateways' in turn, so a part of them each.
         let turns = |at: Nanos| {
--- a/src/pace.rs
+++ b/crates/signpost/src/pace.rs
@@ -90,6 +90,12 @@
         Calls::new(settings.me, settings.group_size, patience, settings.list_calls_per_s)
     }
 
+    /// Another number of gateways shares the service: slots and windows follow it, from the next call on.
+    pub fn set_group(&mut self, settings: &Settings) {
+        let Calls { failures, watched, not_before, due, .. } = *self;
+        *self = Calls { failures, watched, not_before, due, ..Calls::of(settings) };
+    }
+
     /// For how long the gateway may go without the list: a call is made that long after one of which nothing was heard.
     pub fn patience(&self) -> Nanos {
         self.patience
--- /dev/null
+++ b/crates/signpost/tests/reconfigure.rs
@@ -0,0 +1,291 @@
+//! A gateway that is told another table of classes or another size of its group while it runs.
+
+use rstest::rstest;
+use signpost::Gateway;
+use signpost::cold::{Budget, Cold, Server};
+use signpost::types::*;
+
+const SECOND: Nanos = 1_000_000_000;
+const MILLI: Nanos = 1_000_000;
+const START: Nanos = 100 * SECOND;
+/// Time between two steps of a run.
+const STEP: Nanos = 50 * MILLI;
+const STEPS: u64 = 200;
+
+fn class(aim: Nanos, effect: Effect) -> Class {
+    Class {
+        aim,
+        aim_per_token: 0,
+        token_aim: 0,
+        deadline: 5 * SECOND,
+        effect,
+        worth: 1.0,
+        late_worth: 0.0,
+        stream: true,
+    }
+}
+
+fn settings(group_size: u32) -> Settings {
+    Settings {
+        group_size,
+        me: 3,
+        tick: MILLI,
+        classes: vec![class(SECOND, Effect::Safe)],
+        tenants: vec![Tenant { share: 1.0, quota_per_s: Some(200.0) }],
+        over_share_worth: 0.1,
+        limits: Limits { attempts: 2, cancel: true, retry_after: SECOND, ..Limits::default() },
+        safety: Safety {
+            cold_from: 0.2,
+            ramp: 20 * SECOND,
+            overload_factor: 2.5,
+            fall: 2 * SECOND,
+            ask_within: 10 * SECOND,
+        },
+        ..Settings::default()
+    }
+}
+
+fn member(number: usize, started: Option<Nanos>) -> Member {
+    Member {
+        id: ReplicaId::from(format!("replica-{number}").as_str()),
+        units: 1.0,
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        phase: Phase::Ready,
+        started,
+    }
+}
+
+fn request(id: u64, class: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        expires_in: 5 * SECOND,
+        class,
+        tenant: Some(0),
+        prefix: Some(id % 5),
+        session: Some(id % 40),
+        prompt: 1000,
+        prefix_len: 500,
+        max_answer: 100,
+        repeat: false,
+    }
+}
+
+/// A gateway with its clock and its timers.
+struct Driver {
+    gateway: Gateway,
+    now: Nanos,
+    timers: Vec<(Nanos, u64)>,
+}
+
+impl Driver {
+    /// Knows eight warm replicas and two that have just started.
+    fn new(settings: Settings) -> Driver {
+        let gateway = Gateway::new(settings, 7).expect("good settings");
+        Driver { gateway, now: START, timers: Vec::new() }
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.gateway.handle(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::Timer { after, token } = action {
+                self.timers.push((self.now + after, *token));
+            }
+        }
+        actions
+    }
+
+    fn list(&mut self) -> Vec<Action> {
+        let members = (0..10).map(|n| member(n, (n >= 8).then_some(START))).collect();
+        self.handle(Event::List { kind: ListKind::Persisted, members })
+    }
+
+    fn outcome(&mut self, id: RequestId, attempt: u32, verdict: Verdict) -> Vec<Action> {
+        let ended = verdict == Verdict::Ok;
+        let (elapsed, kept, report) = (MILLI, Some(700), Vec::new());
+        self.handle(Event::Outcome { id, attempt, verdict, ended, elapsed, kept, report })
+    }
+
+    /// Lets a step's time pass with its timers.
+    fn pass(&mut self) -> Vec<Action> {
+        self.now += STEP;
+        let (due, rest) = self.timers.iter().partition(|(at, _)| *at <= self.now);
+        self.timers = rest;
+        let due: Vec<(Nanos, u64)> = due;
+        due.into_iter().flat_map(|(_, token)| self.handle(Event::Timer(token))).collect()
+    }
+
+    /// Plays a step: a request, answered at once or not at all, and now and then a failed call for the list.
+    fn step(&mut self, step: u64) -> Vec<Action> {
+        let mut all = self.handle(Event::Request(request(step, 0)));
+        if !step.is_multiple_of(7) && is_sent(&all) {
+            let (id, attempt) = (RequestId(step), 0);
+            all.extend(self.handle(Event::FirstToken { id, attempt, elapsed: MILLI }));
+            all.extend(self.outcome(id, attempt, Verdict::Ok));
+        }
+        if step % 30 == 29 {
+            all.extend(self.handle(Event::List { kind: ListKind::Failed, members: [].into() }));
+        }
+        all.extend(self.pass());
+        all
+    }
+}
+
+fn is_sent(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Send { .. }))
+}
+
+fn is_failed(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Fail(_)))
+}
+
+/// Plays a run from the first list on, with a change before the given step.
+fn run(settings: Settings, change_at: u64, change: impl Fn(&mut Gateway)) -> Vec<Action> {
+    let mut driver = Driver::new(settings);
+    if change_at == 0 {
+        change(&mut driver.gateway);
+    }
+    let mut all = driver.list();
+    for step in 1..STEPS {
+        if step == change_at {
+            change(&mut driver.gateway);
+        }
+        all.extend(driver.step(step));
+    }
+    all
+}
+
+// ---- classes ----------------------------------------------------------------------------------------------
+
+#[test]
+fn a_request_of_an_appended_class_is_placed() {
+    let mut driver = Driver::new(settings(4));
+    driver.list();
+    assert!(driver.handle(Event::Request(request(1, 1))).is_empty(), "there is no such class yet");
+    driver.gateway.set_classes(vec![class(SECOND, Effect::Safe), class(2 * SECOND, Effect::Safe)]);
+    assert!(is_sent(&driver.handle(Event::Request(request(2, 1)))));
+    assert!(driver.outcome(RequestId(2), 0, Verdict::Ok).is_empty());
+    assert!(is_sent(&driver.handle(Event::Request(request(3, 0)))));
+}
+
+#[rstest]
+#[case::may_run_again(Effect::Safe, true)]
+#[case::must_not_run_twice(Effect::Unsafe, false)]
+fn a_changed_class_counts_for_requests_that_are_under_way(#[case] effect: Effect, #[case] again: bool) {
+    let other = if again { Effect::Unsafe } else { Effect::Safe };
+    let mut driver = Driver::new(Settings { classes: vec![class(SECOND, other)], ..settings(4) });
+    driver.list();
+    assert!(is_sent(&driver.handle(Event::Request(request(1, 0)))));
+    driver.gateway.set_classes(vec![class(SECOND, effect)]);
+    let actions = driver.outcome(RequestId(1), 0, Verdict::Error);
+    assert_eq!((is_sent(&actions), is_failed(&actions)), (again, !again), "{actions:?}");
+}
+
+#[test]
+fn a_changed_aim_counts_for_the_requests_that_follow() {
+    let mut driver = Driver::new(settings(4));
+    driver.list();
+    driver.gateway.set_classes(vec![class(4 * SECOND, Effect::Safe)]);
+    let actions = driver.handle(Event::Request(request(1, 0)));
+    // The client's own limit is one timer; the second look at a slow attempt comes at 0.65 of the aim.
+    let timers = actions.iter().filter_map(|action| match action {
+        Action::Timer { after, .. } => Some(*after),
+        _ => None,
+    });
+    assert_eq!(timers.collect::<Vec<_>>(), [5 * SECOND, 2600 * MILLI]);
+}
+
+#[test]
+fn a_shorter_table_leaves_the_classes_beyond_its_end() {
+    let classes = vec![class(SECOND, Effect::Safe), class(SECOND, Effect::Unsafe)];
+    let mut driver = Driver::new(Settings { classes, ..settings(4) });
+    driver.list();
+    assert!(is_sent(&driver.handle(Event::Request(request(1, 1)))));
+    driver.gateway.set_classes(vec![class(2 * SECOND, Effect::Safe)]);
+    assert!(is_failed(&driver.outcome(RequestId(1), 0, Verdict::Error)), "it must not run twice");
+    assert!(is_sent(&driver.handle(Event::Request(request(2, 1)))));
+}
+
+#[test]
+fn the_same_classes_again_change_nothing() {
+    let set = |gateway: &mut Gateway| gateway.set_classes(settings(4).classes);
+    assert_eq!(run(settings(4), STEPS / 2, set), run(settings(4), STEPS / 2, |_| {}));
+}
+
+#[test]
+fn what_was_learnt_of_a_class_is_kept_when_another_is_appended() {
+    let append = |gateway: &mut Gateway| {
+        let mut classes = settings(4).classes;
+        classes.push(class(3 * SECOND, Effect::Unsafe));
+        gateway.set_classes(classes);
+    };
+    assert_eq!(run(settings(4), STEPS / 2, append), run(settings(4), STEPS / 2, |_| {}));
+}
+
+// ---- the group's size -------------------------------------------------------------------------------------
+
+#[rstest]
+#[case::alone(1)]
+#[case::fewer(2)]
+#[case::more(12)]
+#[case::many(300)]
+fn a_gateway_told_a_size_at_its_start_acts_like_one_made_with_it(#[case] size: u32) {
+    let told = run(settings(4), 0, |gateway| gateway.set_group_size(size));
+    assert_eq!(told, run(settings(size), 0, |_| {}));
+    assert_ne!(told, run(settings(4), 0, |_| {}), "the size makes no difference to this run");
+}
+
+#[test]
+fn a_group_of_none_counts_as_this_gateway_alone() {
+    let told = run(settings(4), 0, |gateway| gateway.set_group_size(0));
+    assert_eq!(told, run(settings(1), 0, |_| {}));
+}
+
+#[test]
+fn the_same_size_again_changes_nothing() {
+    let set = |gateway: &mut Gateway| gateway.set_group_size(4);
+    assert_eq!(run(settings(4), STEPS / 2, set), run(settings(4), STEPS / 2, |_| {}));
+}
+
+const SERVER: Server = Server { hash: 5, started: START, part: 0.1 };
+
+/// The requests that one gateway may send a cold replica in some seconds, if it always has one to send.
+fn turns(cold: &Cold, budget: &mut Budget, from: Nanos, seconds: Nanos) -> u32 {
+    let mut taken = 0;
+    for now in (from..from + seconds * SECOND).step_by((10 * MILLI) as usize) {
+        if cold.affords(now, budget, SERVER, 0.0) {
+            cold.spend(budget, 1.0);
+            taken += 1;
+        }
+    }
+    taken
+}
+
+#[rstest]
+#[case::grows(4, 8)]
+#[case::doubles_from_one(1, 2)]
+#[case::shrinks(8, 4)]
+#[case::shrinks_to_one(6, 1)]
+fn turns_at_a_cold_replica_follow_the_size_from_the_change_on(#[case] former: u32, #[case] size: u32) {
+    let mut cold = Cold::new(&settings(former));
+    cold.heard(START - 10 * SECOND);
+    let mut budget = Budget::new(START);
+    let before = turns(&cold, &mut budget, START, 6);
+    cold.set_group(&settings(size), std::iter::once((SERVER.hash, &mut budget)));
+    let after = turns(&cold, &mut budget, START + 6 * SECOND, 6);
+    // 200 requests a second by the quotas, a tenth of the fleet, 0.8 of the factor 2.5: 40 turns a second of a warm one
+    // for all gateways, and its warmth is 0.2 at first and rises by 0.04 a second.
+    let warmth = |from: f64, to: f64| 0.2 * (to - from) + 0.02 * (to * to - from * from);
+    let due = |size: u32, from: f64, to: f64| 40.0 * warmth(from, to) / f64::from(size);
+    let (due_before, due_after) = (due(former, 0.0, 6.0), due(size, 6.0, 12.0));
+    assert!((f64::from(before) - due_before).abs() <= 2.0, "{before} before, {due_before} are due");
+    // The turn that was next at the change comes when it would have: it takes as long as its group's turns did.
+    let next = f64::from(former) / f64::from(size);
+    let after = f64::from(after);
+    assert!(
+        (due_after - next - 2.0..=due_after + 2.0).contains(&after),
+        "{after} after, {due_after} are due"
+    );
+}
--- a/fuzz/fuzz_targets/events.rs
+++ b/fuzz/fuzz_targets/events.rs
@@ -20,7 +20,7 @@
             let (mut text, mut scanned, mut out) = (Vec::new(), 0, Vec::new());
             for piece in stream.chunks(step) {
                 text.extend_from_slice(piece);
-                let Ok(batch) = http::sse_batch(&mut text, &mut scanned, &limits) else { return out };
+                let Ok(batch) = http::sse_batch(&mut text, &mut scanned, &limits.wire) else { return out };
                 passing.events(server, &batch, &mut out);
                 if passing.is_full() {
                     return out;
--- a/fuzz/fuzz_targets/wire.rs
+++ b/fuzz/fuzz_targets/wire.rs
@@ -10,18 +10,18 @@
 fuzz_target!(|input: &[u8]| {
     let limits = Limits::new(64, 64, Duration::from_secs(1), Duration::from_secs(1));
     let mut buf = input.to_vec();
-    if let Ok(Some(head)) = http::request_head(&mut buf, &limits)
-        && let Ok(mut body) = head.request_body(&limits)
+    if let Ok(Some(head)) = http::request_head(&mut buf, &limits.wire)
+        && let Ok(mut body) = head.request_body(&limits.wire)
     {
         let mut out = Vec::new();
-        let _ = body.take(&mut buf, &mut out, &limits);
+        let _ = body.take(&mut buf, &mut out, &limits.wire);
         assert!(out.len() <= input.len());
     }
     let mut buf = input.to_vec();
-    if let Ok(Some(head)) = http::response_head(&mut buf, &limits)
-        && let Ok(mut body) = head.response_body(&limits)
+    if let Ok(Some(head)) = http::response_head(&mut buf, &limits.wire)
+        && let Ok(mut body) = head.response_body()
     {
         let mut out = Vec::new();
-        let _ = body.take(&mut buf, &mut out, &limits);
+        let _ = body.take(&mut buf, &mut out, &limits.wire);
     }
 });
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -125,10 +125,10 @@
                 // With the configuration beside it everything is checked that a start would check.
                 Some(_) => match Config::load(&sources) {
                     Ok(config) => {
-                        let limits = config.limits().stream;
+                        let limits = config.limits();
                         println!(
                             "{file}: good; a stream holds {} bytes, all of them {}, a socket's buffer {}",
-                            limits.high, limits.budget, limits.socket
+                            limits.stream.high, limits.stream.budget, limits.wire.socket_buffer
                         );
                         ExitCode::SUCCESS
                     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,6 @@
 
 pub mod ahead;
 pub mod aside;
-mod choice;
-pub mod cold;
 pub mod config;
 pub mod conformance;
 pub mod engine;
@@ -16,7 +14,6 @@
 pub mod names;
 pub mod net;
 pub mod overlap;
-pub mod pace;
 pub mod quota;
 pub mod seats;
 pub mod settings;
@@ -24,6 +21,5 @@
 pub mod stream;
 pub mod syslog;
 pub mod toys;
-pub mod types;
 
-pub use choice::Gateway;
+pub use signpost::{Gateway, cold, pace, types};
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -2,25 +2,18 @@
 
 use std::time::Duration;
 
-/// What a gateway may use and how long it waits. Nothing else in the network code states a bound.
+use jetway::WireLimits;
+
+/// What a gateway may use and how long it waits. Nothing else in the network code states a bound, but for
+/// what a connection keeps to by itself.
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Bytes of a message's head.
-    pub head_bytes: usize,
-    /// Header lines of a message.
-    pub headers: usize,
-    /// Bytes of a request's body.
-    pub body_bytes: usize,
-    /// Bytes of one event of a stream, of its framing lines, and of a refusal's body that is read to its end.
-    pub event_bytes: usize,
-    /// Bytes of a line that frames a chunk.
-    pub line_bytes: usize,
+    /// What each connection keeps to.
+    pub wire: WireLimits,
     /// Interim answers (1xx) before one that counts.
     pub interim_heads: usize,
     /// Bytes of one object of discovery's answers.
     pub list_bytes: usize,
-    /// Bytes read from a socket at once.
-    pub read_bytes: usize,
     /// Edge connections open at once.
     pub edge_connections: usize,
     /// Bytes of requests held at once; beyond it, bodies wait in their sockets until others are answered.
@@ -35,8 +28,6 @@
     pub edge_rested: Duration,
     /// While places are scarce, a connection makes room after this time since its last answer of all.
     pub closing: Duration,
-    /// A connection that has had its last answer is closed for good once nothing more has come for this time.
-    pub linger_quiet: Duration,
     /// The same whatever still comes.
     pub linger: Duration,
     /// How often a newcomer looks for room while there is none.
@@ -58,8 +49,6 @@
     pub start_look: Duration,
     /// Connections to real servers open at once, idle ones included.
     pub server_connections: usize,
-    /// Time for a connection to come up.
-    pub connect: Duration,
     /// An idle connection to a real server is closed after this time.
     pub pool_idle: Duration,
     /// A connection to a real server is not used again sooner after an answer.
@@ -86,9 +75,6 @@
     pub stream_opening: Duration,
     /// The rest of a head that has begun must come within this time.
     pub head_stall: Duration,
-    /// Bytes of a chunk that are held back until the chunk is whole; of a longer one whole events pass on as
-    /// they come.
-    pub chunk_hold: usize,
     /// A watch without a line for this time counts as broken, and is listened to until another takes its place.
     pub watch_silence: Duration,
     /// The same where lists are pushed: what the agent has counts whether or not a watch is open, and a call costs
@@ -147,18 +133,15 @@
 impl Limits {
     /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
     pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
-        let (head_bytes, body_bytes, event_bytes) = (16 << 10, 256 << 10, 64 << 10);
         let own = (sockets / 16).max(24);
         let edge_connections = (sockets.saturating_sub(own) * 8 / 15).max(8);
+        // A third of the memory is the system's for connections: two buffers for each stream's two connections
+        // fill at most, and the system doubles what it is asked for.
+        let socket_buffer = ((memory_mb << 20) / 3 / edge_connections / 4).clamp(4 << 10, 64 << 10);
         Limits {
-            head_bytes,
-            headers: 64,
-            body_bytes,
-            event_bytes,
-            line_bytes: 256,
+            wire: WireLimits { socket_buffer, connect_timeout: connect, ..WireLimits::default() },
             interim_heads: 16,
             list_bytes: 1 << 20,
-            read_bytes: 16 << 10,
             edge_connections,
             // What is written to a real server is copied only meanwhile.
             held_bytes: (memory_mb << 20) * 3 / 8,
@@ -169,8 +152,6 @@
             edge_slow: Duration::from_secs(1),
             edge_rested: Duration::from_secs(2),
             closing: Duration::from_millis(20),
-            // A stream that the stop cuts still ends before the process is killed.
-            linger_quiet: Duration::from_millis(100),
             linger: Duration::from_secs(1),
             edge_look: Duration::from_millis(50),
             own_descriptors: own,
@@ -182,7 +163,6 @@
             mgmt_write: Duration::from_millis(200),
             start_look: Duration::from_millis(10),
             server_connections: (sockets.saturating_sub(own) * 7 / 15).max(8),
-            connect,
             // Well before the other side's limit, so that no request crosses its close.
             pool_idle: idle.mul_f64(0.6),
             // A second answer may come some milliseconds behind the first, and would be taken for the next one's.
@@ -193,13 +173,12 @@
             edge_read: Duration::from_millis(2200),
             longest_wait: Duration::from_secs(60),
             edge_write: Duration::from_secs(10),
-            stream: StreamLimits::new(memory_mb, edge_connections),
+            stream: StreamLimits::new(memory_mb),
             messages: MessagesLimits::default(),
             rest: None,
             rest_read: Duration::from_millis(50),
             stream_opening: Duration::from_secs(4),
             head_stall: Duration::from_millis(1500),
-            chunk_hold: event_bytes,
             watch_silence: Duration::from_nanos(crate::pace::SILENCE),
             // An empty line is due after 2 s.
             agent_silence: Duration::from_millis(2300),
@@ -252,8 +231,6 @@
     pub budget: usize,
     /// Bytes that each stream may hold however short the budget is.
     pub floor: usize,
-    /// The size asked for of each buffer that the system has for a connection; it may take twice as much.
-    pub socket: usize,
     /// A real server is silent for this long between two events before its stream counts as stalled.
     pub silence: Duration,
     /// The same amid a chunk or an event.
@@ -284,17 +261,13 @@
 }
 
 impl StreamLimits {
-    fn new(memory_mb: usize, connections: usize) -> StreamLimits {
+    fn new(memory_mb: usize) -> StreamLimits {
         let high = 16 << 10;
-        // A third of the memory is the system's for connections: two buffers for each stream's two connections
-        // fill at most, and the system doubles what it is asked for.
-        let socket = ((memory_mb << 20) / 3 / connections.max(1) / 4).clamp(4 << 10, 64 << 10);
         StreamLimits {
             high,
             low: high / 4,
             budget: (memory_mb << 20) / 8,
             floor: 4 << 10,
-            socket,
             // Guards against a stream that has stopped for good on an open connection: its client is owed an end
             // within 5 s of the last event.
             silence: Duration::from_secs(4),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -186,14 +186,14 @@
     /// Sends a call and reads the head of its answer.
     async fn open(&self, path: &str) -> io::Result<(Wire, Head)> {
         let limits = &self.limits;
-        let mut wire = Wire::connect(self.addr.get(), limits).await?;
+        let mut wire = Wire::connect(self.addr.get(), &limits.wire).await?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr.get());
         wire.write(request.as_bytes()).await?;
         let begun = within(limits.discovery_answer, async {
             loop {
-                match http::response_head(&mut wire.buf, limits) {
+                match http::response_head(&mut wire.buf, &limits.wire) {
                     Ok(Some(head)) => return Ok(head),
-                    Ok(None) if wire.fill(limits).await? > 0 => {}
+                    Ok(None) if wire.fill(&limits.wire).await? > 0 => {}
                     Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
                     Err(bad) => return Err(io::Error::other(bad.what)),
                 }
@@ -220,11 +220,11 @@
             }
             return Err(io::Error::other(format!("status {}", head.status())));
         }
-        let mut body = head.response_body(limits).map_err(|bad| io::Error::other(bad.what))?;
+        let mut body = head.response_body().map_err(|bad| io::Error::other(bad.what))?;
         let (mut text, mut objects) = (Vec::new(), Objects::default());
         let mut first = true;
         loop {
-            let mut ended = match body.take(&mut wire.buf, &mut text, limits) {
+            let mut ended = match body.take(&mut wire.buf, &mut text, &limits.wire) {
                 Ok(whole) => whole,
                 Err(bad) => return Err(io::Error::other(bad.what)),
             };
@@ -252,7 +252,7 @@
                 // word is due as soon after the call: one whose head came late has not as long again for the rest.
                 let spent = if first { from.elapsed() } else { Duration::ZERO };
                 let patience = silence.saturating_sub(spent);
-                let filled = match within(patience, wire.fill(limits)).await {
+                let filled = match within(patience, wire.fill(&limits.wire)).await {
                     Err(_) if watch && !first && !self.push => self.listen_on(&mut wire).await,
                     filled => filled?,
                 };
@@ -277,7 +277,7 @@
         log::info!(version = self.version.get(); "watch-silent: it is opened anew unless it speaks before");
         self.silent.set(true);
         self.engine.list(ListKind::Failed, Vec::new());
-        let count = wire.fill(&self.limits).await?;
+        let count = wire.fill(&self.limits.wire).await?;
         if count > 0 {
             self.silent.set(false);
             self.no_change(&mut true);
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -11,6 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use jetway::WireLimits;
 
 use super::handover::Handover;
 use super::http::{self, Bad, Body, Head};
@@ -35,8 +36,8 @@
     fleet: Rc<Fleet>,
     desk: Rc<Desk>,
     limits: Rc<Limits>,
-    /// The same, with the bounds of the messages front's bodies.
-    messages_limits: Rc<Limits>,
+    /// A connection's limits, with the bounds of the messages front's bodies.
+    messages_wire: WireLimits,
     keeper: Rc<Keeper>,
     /// Where streams that outlast this process go, if they may.
     handover: Rc<Handover>,
@@ -72,13 +73,13 @@
         };
         let room = Rc::new(Room::new(engine.clone(), patience));
         let body_bytes = limits.messages.body_bytes;
-        let messages_limits = Rc::new(Limits { body_bytes, ..(*limits).clone() });
+        let messages_wire = WireLimits { body_bytes, ..limits.wire.clone() };
         Edge {
             engine,
             fleet,
             desk,
             limits,
-            messages_limits,
+            messages_wire,
             keeper,
             handover,
             room,
@@ -191,7 +192,7 @@
                 None => return,
             }
             // What a large request needed is not kept while the connection rests.
-            wire.buf.shrink_to(self.limits.read_bytes);
+            wire.buf.shrink_to(self.limits.wire.read_bytes);
             place.sit(Sitting::Rested);
         }
     }
@@ -201,14 +202,14 @@
     async fn close(&self, mut wire: Wire, mut place: Place) {
         place.sit(Sitting::Closing);
         let longest = match self.keeper.is_stopping() {
-            true => self.limits.linger_quiet,
+            true => self.limits.wire.linger_quiet,
             false => self.limits.linger,
         };
         let left = async {
             place.left().await;
             Ok(())
         };
-        let _ = future::or(wire.linger(longest, &self.limits), left).await;
+        let _ = future::or(wire.linger(longest, &self.limits.wire), left).await;
     }
 
     /// One request and its answer; the connection comes back unless there is nothing more to be done for it.
@@ -309,17 +310,17 @@
 
     /// How what comes behind a request on this connection is taken.
     fn ahead(self: &Rc<Self>, dialect: Dialect, wire: &Wire) -> (Ahead, Bytes) {
-        let limits = self.bounds(dialect);
-        let whole = limits.head_bytes + limits.body_bytes;
-        let bounds = Bounds { least: limits.head_bytes, most: whole, flood: limits.flood_bytes };
+        let wire_limits = self.wire_limits(dialect);
+        let whole = wire_limits.head_bytes + wire_limits.body_bytes;
+        let bounds = Bounds { least: wire_limits.head_bytes, most: whole, flood: self.limits.flood_bytes };
         (Ahead::new(bounds, wire.cut), Bytes(self.clone(), 0))
     }
 
-    /// The limits with the bounds of that front's bodies.
-    fn bounds(&self, dialect: Dialect) -> &Limits {
+    /// A connection's limits, with the bounds of that front's bodies.
+    fn wire_limits(&self, dialect: Dialect) -> &WireLimits {
         match dialect {
-            Dialect::Platform => &self.limits,
-            Dialect::Messages => &self.messages_limits,
+            Dialect::Platform => &self.limits.wire,
+            Dialect::Messages => &self.messages_wire,
         }
     }
 
@@ -330,7 +331,7 @@
         dialect: Dialect,
         place: &mut Place,
     ) -> Result<Option<(Head, Vec<u8>, Bytes)>, Bad> {
-        let limits = self.bounds(dialect);
+        let (limits, wire_limits) = (&self.limits, self.wire_limits(dialect));
         let mute_since = place.mute_since();
         if wire.buf.is_empty() {
             if wire.cut {
@@ -342,7 +343,7 @@
             };
             // Guards against a crowd that holds places and says nothing at all.
             let patience = if mute_since.is_some() { limits.edge_read } else { limits.edge_idle };
-            let idle = async { within(patience, wire.fill(limits)).await.unwrap_or(Ok(0)) };
+            let idle = async { within(patience, wire.fill(wire_limits)).await.unwrap_or(Ok(0)) };
             // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
             // crosses a close costs its client another connection.
             if !future::or(idle, closing).await.is_ok_and(|n| n > 0) && wire.is_quiet() {
@@ -354,15 +355,15 @@
         place.sit(Sitting::Arriving);
         let whole = async {
             let head = loop {
-                if let Some(head) = http::request_head(&mut wire.buf, limits)? {
+                if let Some(head) = http::request_head(&mut wire.buf, wire_limits)? {
                     break head;
                 }
-                if !wire.more(limits).await {
+                if !wire.more(wire_limits).await {
                     return Ok(None);
                 }
                 place.progress();
             };
-            let mut framing = head.request_body(limits)?;
+            let mut framing = head.request_body(wire_limits)?;
             if head.lists("expect", "100-continue") && framing != Body::Length(0) && wire.buf.is_empty() {
                 let _ = wire.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             }
@@ -372,8 +373,8 @@
                 body.reserve_exact(length);
             }
             loop {
-                let whole = framing.take(&mut wire.buf, &mut body, limits)?;
-                if body.len() > limits.body_bytes {
+                let whole = framing.take(&mut wire.buf, &mut body, wire_limits)?;
+                if body.len() > wire_limits.body_bytes {
                     return Err(Bad { status: 413, what: "the body is too large" });
                 }
                 bytes.grow_to(body.len());
@@ -384,7 +385,7 @@
                 while self.held_bytes.get() > self.fleet.overlap.part(limits.held_bytes) {
                     Timer::after(limits.accept_pause).await;
                 }
-                if !wire.more(limits).await {
+                if !wire.more(wire_limits).await {
                     return Ok(None);
                 }
                 place.progress();
@@ -576,7 +577,7 @@
         let Exchange { edge, wire, ahead: (ahead, counted), .. } = self;
         loop {
             let had = wire.buf.len();
-            let came = match ready!(wire.poll_fill(cx, &edge.limits)) {
+            let came = match ready!(wire.poll_fill(cx, &edge.limits.wire)) {
                 Ok(0) => return Poll::Ready(Leaving::Ended),
                 Err(_) => return Poll::Ready(Leaving::Reset),
                 Ok(count) => count,
@@ -680,7 +681,7 @@
         // Guards against a parcel that grows with what came behind the request. Its connection ends with the
         // stream: that crosses requests which nobody has looked at.
         let Exchange { wire, edge, keep, .. } = &self.exchange;
-        let slight = !wire.cut && wire.buf.len() <= edge.limits.head_bytes;
+        let slight = !wire.cut && wire.buf.len() <= edge.limits.wire.head_bytes;
         parcel.keep_client = *keep && slight;
         if slight {
             parcel.waiting[1].clone_from(&wire.buf);
@@ -694,7 +695,7 @@
             self.written = 0;
             self.line.clear();
             // What a burst needed is not kept while the stream rests.
-            self.line.shrink_to(self.exchange.edge.limits.read_bytes);
+            self.line.shrink_to(self.exchange.edge.limits.wire.read_bytes);
         }
     }
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -70,7 +70,7 @@
     let is_inherited = inherited.is_some();
     let listener = inherited.map_or_else(|| TcpListener::bind(addr), Ok).and_then(|listener| {
         // Connections have their buffers from their listener.
-        bound_buffers(&SockRef::from(&listener), limits);
+        bound_buffers(&SockRef::from(&listener), &limits.wire);
         Async::new(listener)
     });
     let listener = listener.map_err(|e| format!("listen {addr}: {e}"))?;
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -78,17 +78,17 @@
         if matches!(written, Ok(Ok(()))) {
             // Guards against a reset that overtakes the answer, where a body was sent with the call.
             place.sit(Sitting::Closing);
-            let _ = wire.linger(self.limits.linger, &self.limits).await;
+            let _ = wire.linger(self.limits.linger, &self.limits.wire).await;
         }
     }
 
     /// A call's head; a body says nothing here. `None`: the caller left.
     async fn head(&self, wire: &mut Wire, place: &mut Place) -> Result<Option<Head>, Bad> {
         loop {
-            if let Some(head) = http::request_head(&mut wire.buf, &self.limits)? {
+            if let Some(head) = http::request_head(&mut wire.buf, &self.limits.wire)? {
                 return Ok(Some(head));
             }
-            if !wire.fill(&self.limits).await.is_ok_and(|n| n > 0) {
+            if !wire.fill(&self.limits.wire).await.is_ok_and(|n| n > 0) {
                 return Ok(None);
             }
             place.sit(Sitting::Arriving);
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -84,7 +84,7 @@
     let mut reached = true;
     loop {
         let outcome = async {
-            let mut wire = Wire::connect(peer, &limits).await?;
+            let mut wire = Wire::connect(peer, &limits.wire).await?;
             loop {
                 write(&mut wire, &json!({"digest": store.digest()}), &limits).await?;
                 let line = within(limits.discovery_answer, read(&mut wire, &limits)).await??;
@@ -133,7 +133,7 @@
         if wire.buf.len() > limits.store_line {
             return Err(io::Error::other("a line too long"));
         }
-        if wire.fill(limits).await? == 0 {
+        if wire.fill(&limits.wire).await? == 0 {
             return Ok(None);
         }
     }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -205,7 +205,7 @@
             }
         }
         let slot = Slot::new(&self.open);
-        Ok(Line { wire: Wire::connect(addr, &self.limits).await?, slot })
+        Ok(Line { wire: Wire::connect(addr, &self.limits.wire).await?, slot })
     }
 
     fn place(&self, server: &ReplicaId) -> Option<(SocketAddr, Dialect)> {
@@ -230,16 +230,16 @@
             let Ok(head) = read_head(&mut line.wire, &self.limits).await else {
                 return Verdict::Reset.into();
             };
-            let mut body = head.response_body(&self.limits).unwrap_or(Body::UntilClose);
+            let mut body = head.response_body().unwrap_or(Body::UntilClose);
             let mut text = Vec::new();
-            while text.len() < self.limits.event_bytes {
-                match body.take(&mut line.wire.buf, &mut text, &self.limits) {
+            while text.len() < self.limits.wire.event_bytes {
+                match body.take(&mut line.wire.buf, &mut text, &self.limits.wire) {
                     Ok(true) if head.status() == 200 => {
                         self.give_back(server, addr, line);
                         let report = (self.gauges)(&String::from_utf8_lossy(&text));
                         return Ending { report, ..Verdict::Ok.into() };
                     }
-                    Ok(false) if line.wire.fill(&self.limits).await.is_ok_and(|n| n > 0) => {}
+                    Ok(false) if line.wire.fill(&self.limits.wire).await.is_ok_and(|n| n > 0) => {}
                     _ => break,
                 }
             }
@@ -301,7 +301,7 @@
         };
         let head = read_head(&mut line.wire, &self.limits).await.map_err(reset)?;
         let report = self.load(&head);
-        let body = head.response_body(&self.limits).map_err(|_| Verdict::Error)?;
+        let body = head.response_body().map_err(|_| Verdict::Error)?;
         let stream = head.get("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
         if head.status() != 200 || !stream {
             let verdict = match (head.status(), dialect) {
@@ -353,10 +353,10 @@
     ) -> Vec<u8> {
         let mut text = Vec::new();
         let rest = async {
-            while text.len() <= self.limits.event_bytes {
-                match body.take(&mut line.wire.buf, &mut text, &self.limits) {
+            while text.len() <= self.limits.wire.event_bytes {
+                match body.take(&mut line.wire.buf, &mut text, &self.limits.wire) {
                     Ok(true) => return true,
-                    Ok(false) if line.wire.fill(&self.limits).await.is_ok_and(|n| n > 0) => {}
+                    Ok(false) if line.wire.fill(&self.limits.wire).await.is_ok_and(|n| n > 0) => {}
                     _ => return false,
                 }
             }
@@ -394,7 +394,7 @@
     /// The same as a poll.
     fn poll_batch(&self, open: &mut Open, cx: &mut Context<'_>) -> Poll<Result<Batch, Verdict>> {
         Poll::Ready(loop {
-            let batch = http::sse_batch(&mut open.text, &mut open.scanned, &self.limits);
+            let batch = http::sse_batch(&mut open.text, &mut open.scanned, &self.limits.wire);
             let Ok(mut batch) = batch else {
                 open.spoilt = true;
                 break Err(Verdict::Reset);
@@ -408,7 +408,7 @@
             }
             let Wire { buf, .. } = &mut open.line.wire;
             let had = open.text.len();
-            match open.body.take(buf, &mut open.text, &self.limits) {
+            match open.body.take(buf, &mut open.text, &self.limits.wire) {
                 Ok(true) if open.text.len() == had => {
                     if !open.text.is_empty() {
                         // Comment lines may end the stream without an empty line.
@@ -430,7 +430,7 @@
             if open.came > 0 {
                 break Ok(Batch { dialect: open.dialect, bytes: Vec::new(), events: 0, usage: None });
             }
-            match ready!(open.line.wire.poll_fill(cx, &self.limits)) {
+            match ready!(open.line.wire.poll_fill(cx, &self.limits.wire)) {
                 Ok(0) | Err(_) => break Err(Verdict::Reset),
                 Ok(count) => open.came += count,
             }
@@ -539,7 +539,7 @@
 async fn read_head(wire: &mut Wire, limits: &Limits) -> io::Result<Head> {
     let mut interim = 0;
     loop {
-        match http::response_head(&mut wire.buf, limits) {
+        match http::response_head(&mut wire.buf, &limits.wire) {
             Ok(Some(head)) if (100..200).contains(&head.status()) => {
                 interim += 1;
                 if interim > limits.interim_heads {
@@ -553,7 +553,7 @@
         }
         // Guards against waiting until the deadline for a head that has begun and does not end.
         let begun = !wire.buf.is_empty();
-        let fill = wire.fill(limits);
+        let fill = wire.fill(&limits.wire);
         if (if begun { within(limits.head_stall, fill).await? } else { fill.await })? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -389,7 +389,7 @@
         set(&mut l.high, s.window);
         l.low = l.high / 4;
         set(&mut l.budget, s.budget);
-        set(&mut l.socket, s.socket_buffer);
+        set(&mut limits.wire.socket_buffer, s.socket_buffer);
         set(&mut l.reader_floor, s.reader_floor);
         time(&mut l.silence, s.silence);
         time(&mut l.stall, s.stall);
--- a/src/syslog/ways.rs
+++ b/src/syslog/ways.rs
@@ -49,7 +49,7 @@
     while let Some(line) = lines.next().await {
         loop {
             if wire.as_ref().is_none_or(|w| !w.is_quiet()) {
-                wire = Wire::connect(collector, limits).await.ok();
+                wire = Wire::connect(collector, &limits.wire).await.ok();
             }
             if let Some(open) = &mut wire
                 && let Ok(Ok(())) = within(limits.edge_write, open.write(&framed(&line))).await
--- a/tests/instant.rs
+++ b/tests/instant.rs
@@ -261,7 +261,7 @@
         let wires = [
             Wire::new(Async::new(accepted).expect("watched")),
             Wire::handed(handed.into(), Vec::new()).expect("watched"),
-            Wire::connect(addr, &limits).await.expect("it accepts"),
+            Wire::connect(addr, &limits.wire).await.expect("it accepts"),
         ];
         for wire in wires {
             assert!(SockRef::from(&wire.fd()).tcp_nodelay().expect("an option"));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1139,10 +1139,10 @@
 
 #[test]
 fn the_module_stays_short() {
-    let text = include_str!("../src/choice.rs");
+    let text = include_str!("../crates/signpost/src/choice.rs");
     assert!(text.lines().filter(|l| !l.trim().is_empty()).count() <= 950);
     assert!(text.lines().all(|l| l.chars().count() <= 110));
-    assert!(text.lines().take(3).any(|l| l.contains("src/types.rs")));
+    assert!(text.lines().take(3).any(|l| l.contains("crates/signpost/src/types.rs")));
 }
 
 #[test]
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -390,11 +390,11 @@
         self.buf.extend_from_slice(bytes);
         loop {
             if self.body.is_none() {
-                let Some(head) = http::request_head(&mut self.buf, limits)? else { return Ok(()) };
-                self.body = Some((head.start[1].clone(), head.request_body(limits)?, Vec::new()));
+                let Some(head) = http::request_head(&mut self.buf, &limits.wire)? else { return Ok(()) };
+                self.body = Some((head.start[1].clone(), head.request_body(&limits.wire)?, Vec::new()));
             }
             let Some((_, framing, body)) = &mut self.body else { return Ok(()) };
-            if !framing.take(&mut self.buf, body, limits)? {
+            if !framing.take(&mut self.buf, body, &limits.wire)? {
                 return Ok(());
             }
             let (path, _, body) = self.body.take().expect("just read");
@@ -471,7 +471,7 @@
         let end = Reader::default().push(bytes.as_bytes(), &limits());
         assert_eq!(end.map_err(|bad| bad.status), Err(status), "{chunks:?}");
     }
-    assert!(http::response_head(&mut b"noise".to_vec(), &limits()).is_err());
+    assert!(http::response_head(&mut b"noise".to_vec(), &limits().wire).is_err());
 }
 
 #[test]
@@ -493,13 +493,13 @@
             let (piece, left) = rest.split_at(size);
             buf.extend_from_slice(piece);
             rest = left;
-            let batch = http::sse_batch(&mut buf, &mut scanned, &limits()).expect("small");
+            let batch = http::sse_batch(&mut buf, &mut scanned, &limits().wire).expect("small");
             let blocks = http::sse_blocks(&batch).map(|b| String::from_utf8(b.0.to_vec()).expect("UTF-8"));
             out.extend(blocks);
         }
         out == events && buf.is_empty()
     }
     check(14).quickcheck(same as fn(Vec<u8>, Vec<u8>) -> bool);
-    let mut endless = vec![b'x'; limits().event_bytes + 1];
-    assert!(http::sse_batch(&mut endless, &mut 0, &limits()).is_err());
+    let mut endless = vec![b'x'; limits().wire.event_bytes + 1];
+    assert!(http::sse_batch(&mut endless, &mut 0, &limits().wire).is_err());
 }
--- a/tests/translate.rs
+++ b/tests/translate.rs
@@ -244,7 +244,8 @@
         let (piece, after) = rest.split_at((*cut).min(rest.len()));
         text.extend_from_slice(piece);
         rest = after;
-        let batch = http::sse_batch(&mut text, &mut scanned, &limits).expect("events within their bound");
+        let batch =
+            http::sse_batch(&mut text, &mut scanned, &limits.wire).expect("events within their bound");
         passing.events(server, &batch, &mut out);
         assert!(!passing.is_full());
     }
@@ -367,7 +368,7 @@
             assert!(out.len() <= 16 * stream.len() + 4096);
             let mut gather = Gather::new(2048);
             gather.events(&out);
-            assert!(gather.held() <= 2048 + out.len() / 2 + limits.event_bytes);
+            assert!(gather.held() <= 2048 + out.len() / 2 + limits.wire.event_bytes);
             let _ = gather.finish();
         }
         true
