--- /dev/null
+++ b/crates/courier/src/publisher/connection.rs
@@ -0,0 +1,202 @@
+//! One subscriber's connection.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::Stream;
+use intercom::feed::{ToPublisher, ToSubscriber};
+use intercom::frame::FrameError;
+use snafu::{ResultExt, Snafu, ensure};
+use station::clock;
+
+use super::{Peer, Publisher};
+use crate::store::Sent;
+use crate::wire::{Incoming, Outgoing, Received};
+
+/// Longest message of a subscriber.
+const MAX_REQUEST_BYTES: usize = 64 * 1024;
+
+/// Why a connection ends.
+#[derive(Debug, Snafu)]
+pub(super) enum ConnectionEnd {
+    #[snafu(display("the subscriber has closed it"))]
+    Closed,
+    #[snafu(display("the connection has failed: {source}"))]
+    Failed { source: io::Error },
+    #[snafu(display("{source}"))]
+    Frame { source: FrameError },
+    #[snafu(display("a message of the subscriber is too long"))]
+    TooLong,
+    #[snafu(display("a message of the subscriber is out of place"))]
+    OutOfPlace,
+    #[snafu(display("the subscriber says nothing"))]
+    Silent,
+    #[snafu(display("the subscriber takes no bytes"))]
+    Stalled,
+}
+
+/// Serves a connection to its end.
+pub(super) async fn serve(publisher: &Publisher, peer: &Peer, stream: &Async<TcpStream>) -> ConnectionEnd {
+    let mut connection = Connection::new(publisher, peer, stream);
+    match connection.run().await {
+        Ok(never) => match never {},
+        Err(end) => end,
+    }
+}
+
+struct Connection<'a> {
+    publisher: &'a Publisher,
+    peer: &'a Peer,
+    stream: &'a Async<TcpStream>,
+    incoming: Incoming,
+    outgoing: Outgoing,
+    /// How far the subscriber was sent the state; none before it has subscribed.
+    sent: Option<Sent>,
+    /// The newest ping that is not answered yet. Answering it answers all before it.
+    unanswered: Option<u64>,
+    /// When the connection took bytes last, or had none to take.
+    taken: Duration,
+    timer: Timer,
+    timer_at: Duration,
+}
+
+/// What a connection's task was woken for.
+enum Event {
+    Received(Received),
+    Written,
+    StoreChanged,
+    Timer,
+}
+
+impl<'a> Connection<'a> {
+    fn new(publisher: &'a Publisher, peer: &'a Peer, stream: &'a Async<TcpStream>) -> Self {
+        Connection {
+            publisher,
+            peer,
+            stream,
+            incoming: Incoming::default(),
+            outgoing: Outgoing::default(),
+            sent: None,
+            unanswered: None,
+            taken: clock::now(),
+            timer: Timer::never(),
+            timer_at: Duration::MAX,
+        }
+    }
+
+    async fn run(&mut self) -> Result<Infallible, ConnectionEnd> {
+        self.stream.get_ref().set_nodelay(true).context(FailedSnafu)?;
+        loop {
+            self.arm_timer();
+            match poll_fn(|context| self.poll_event(context)).await.context(FailedSnafu)? {
+                Event::Received(Received::End) => return ClosedSnafu.fail(),
+                Event::Received(Received::Bytes) => self.read_messages()?,
+                Event::Written => self.taken = clock::now(),
+                Event::StoreChanged => {}
+                Event::Timer => self.check_deadlines()?,
+            }
+            self.write_newest()?;
+        }
+    }
+
+    /// What the subscriber says goes before the timer, so that bytes which have waited count as said in time.
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<io::Result<Event>> {
+        if let Poll::Ready(received) = self.incoming.poll_fill(self.stream, context) {
+            return Poll::Ready(received.map(Event::Received));
+        }
+        if let Poll::Ready(written) = self.outgoing.poll_write(self.stream, context) {
+            return Poll::Ready(written.map(|()| Event::Written));
+        }
+        if self.peer.store_changed.poll_raised(context).is_ready() {
+            return Poll::Ready(Ok(Event::StoreChanged));
+        }
+        Pin::new(&mut self.timer).poll_next(context).map(|_| {
+            self.timer_at = Duration::MAX;
+            Ok(Event::Timer)
+        })
+    }
+
+    fn read_messages(&mut self) -> Result<(), ConnectionEnd> {
+        while let Some(message) = self.incoming.take().context(FrameSnafu)? {
+            self.take_message(message)?;
+        }
+        ensure!(self.incoming.len() <= MAX_REQUEST_BYTES, TooLongSnafu);
+        self.peer.status.borrow_mut().heard = clock::now();
+        Ok(())
+    }
+
+    fn take_message(&mut self, message: ToPublisher) -> Result<(), ConnectionEnd> {
+        let mut status = self.peer.status.borrow_mut();
+        match message {
+            ToPublisher::Subscribe(subscribe) => {
+                ensure!(self.sent.is_none(), OutOfPlaceSnafu);
+                status.revision = subscribe.holds.configuration;
+                self.sent = Some(Sent::from(subscribe.holds));
+                status.subscriber = Some(subscribe);
+            }
+            ToPublisher::Ping { id, gateways } => {
+                ensure!(self.sent.is_some(), OutOfPlaceSnafu);
+                status.gateways = gateways;
+                self.unanswered = Some(id);
+            }
+        }
+        Ok(())
+    }
+
+    /// Once all is written, goes on with the newest state, and after it the answer to the newest ping.
+    fn write_newest(&mut self) -> Result<(), ConnectionEnd> {
+        let Some(sent) = self.sent.filter(|_| self.outgoing.is_empty()) else { return Ok(()) };
+        let store = self.publisher.store.borrow();
+        let frames = self.publisher.batches.borrow_mut().frames(&store, sent).context(FrameSnafu)?;
+        self.outgoing.push(frames);
+        let sent = sent.later(store.newest());
+        self.sent = Some(sent);
+        self.peer.status.borrow_mut().revision = sent.holdings.configuration;
+        if let Some(id) = self.unanswered.take() {
+            let revision = store.holdings().configuration;
+            let pong =
+                ToSubscriber::Pong { id, age_ms: (self.publisher.age)().map(milliseconds_up), revision };
+            self.outgoing.push_message(&pong).context(FrameSnafu)?;
+        }
+        self.taken = clock::now();
+        Ok(())
+    }
+
+    fn check_deadlines(&self) -> Result<(), ConnectionEnd> {
+        let now = clock::now();
+        ensure!(now < self.silent_at(), SilentSnafu);
+        ensure!(self.outgoing.is_empty() || now < self.stalled_at(), StalledSnafu);
+        Ok(())
+    }
+
+    /// Arms the timer for the next deadline. A deadline that moves away leaves it, since it looks again when due.
+    fn arm_timer(&mut self) {
+        let mut deadline = self.silent_at();
+        if !self.outgoing.is_empty() {
+            deadline = deadline.min(self.stalled_at());
+        }
+        if deadline < self.timer_at {
+            self.timer.set_after(deadline.saturating_sub(clock::now()));
+            self.timer_at = deadline;
+        }
+    }
+
+    fn silent_at(&self) -> Duration {
+        self.peer.status.borrow().heard + self.publisher.settings.silence
+    }
+
+    fn stalled_at(&self) -> Duration {
+        self.taken + self.publisher.settings.write_stall
+    }
+}
+
+/// Rounded up, since an age must never be told too low.
+fn milliseconds_up(age: Duration) -> u32 {
+    u32::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/courier/src/store.rs
@@ -0,0 +1,276 @@
+//! The state that travels along the feed. No I/O and no clock.
+
+mod configurations;
+mod fleet;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::feed::{Group, Holdings, ModelWeights, Position, Replica, ToSubscriber, WeightsTable};
+use snafu::Snafu;
+use timetable::Configuration;
+
+use configurations::Configurations;
+use fleet::FleetTable;
+
+/// Earlier configurations that a store remembers, to tell what has changed since.
+pub const REMEMBERED_CONFIGURATIONS: usize = 8;
+
+/// Why an update can't be applied. The subscriber asks again with what it holds.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+pub enum FeedError {
+    /// A change applies to another state than the one held.
+    #[snafu(display("a change of the {table} does not apply to what is held"))]
+    Gap {
+        /// What was to be changed.
+        table: Table,
+    },
+}
+
+/// A part of the state that is delivered in changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Table {
+    /// The operator's configuration.
+    Configuration,
+    /// The table of replicas.
+    Fleet,
+}
+
+impl std::fmt::Display for Table {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Table::Configuration => "configuration",
+            Table::Fleet => "fleet",
+        })
+    }
+}
+
+/// What a message has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Changed {
+    /// The configuration.
+    pub configuration: bool,
+    /// The table of replicas.
+    pub fleet: bool,
+    /// The table of weights.
+    pub weights: bool,
+    /// Who takes part.
+    pub group: bool,
+    /// The answer to a ping, which changes nothing here.
+    pub pong: Option<Pong>,
+}
+
+impl Changed {
+    /// Whether anything of the state is different from before.
+    pub fn any(&self) -> bool {
+        self.configuration || self.fleet || self.weights || self.group
+    }
+
+    /// Adds what a later message has changed.
+    pub fn merge(&mut self, later: Changed) {
+        self.configuration |= later.configuration;
+        self.fleet |= later.fleet;
+        self.weights |= later.weights;
+        self.group |= later.group;
+        self.pong = later.pong.or(self.pong);
+    }
+}
+
+/// The answer to a ping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pong {
+    /// The ping's number.
+    pub id: u64,
+    /// How long ago the publisher's state was known to be the newest.
+    pub age: Option<Duration>,
+    /// Revision of the configuration that the publisher holds.
+    pub revision: u64,
+}
+
+/// What a subscriber has been sent, or holds already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// How far its state goes.
+    pub holdings: Holdings,
+    /// The group's version; 0 is none.
+    pub group: u64,
+}
+
+impl From<Holdings> for Sent {
+    fn from(holdings: Holdings) -> Self {
+        Sent { holdings, group: 0 }
+    }
+}
+
+impl Sent {
+    /// The later of both, in each part.
+    pub fn later(self, other: Sent) -> Sent {
+        let holdings = Holdings {
+            configuration: self.holdings.configuration.max(other.holdings.configuration),
+            fleet: self.holdings.fleet.max(other.holdings.fleet),
+            weights: self.holdings.weights.max(other.holdings.weights),
+        };
+        Sent { holdings, group: self.group.max(other.group) }
+    }
+}
+
+/// The newest state that a process knows, and enough of its past to tell subscribers what has changed.
+///
+/// The source of the state uses the `set_` functions, everyone else [`FeedStore::apply`]. Revisions and positions
+/// never go back.
+#[derive(Debug, Default)]
+pub struct FeedStore {
+    configurations: Configurations,
+    fleet: FleetTable,
+    weights: WeightsTable,
+    group: Group,
+    group_version: u64,
+}
+
+impl FeedStore {
+    /// An empty store that remembers [`REMEMBERED_CONFIGURATIONS`].
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// An empty store that remembers `configurations` earlier ones; a store without subscribers needs none.
+    pub fn remembering(configurations: usize) -> Self {
+        FeedStore { configurations: Configurations::remembering(configurations), ..Self::default() }
+    }
+
+    /// Takes a configuration if its revision is higher than the one held; whether it was taken.
+    pub fn set_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
+        self.configurations.take(configuration)
+    }
+
+    /// Sets the table of replicas, as the primary of `epoch`; whether its position moves. It moves when a line
+    /// differs or the epoch is new. Time that has passed on `warm_left_ms` is no difference until none is left;
+    /// such lines are taken as they are, so that newcomers get the present figure. No other store may set tables in
+    /// the same epoch.
+    pub fn set_fleet(&mut self, epoch: u64, replicas: Vec<Replica>) -> bool {
+        self.fleet.set(epoch, replicas)
+    }
+
+    /// Sets the table of weights, as the primary of `epoch`; whether its position moves.
+    pub fn set_weights(&mut self, epoch: u64, models: Vec<ModelWeights>) -> bool {
+        let Some(next) = next_position(self.weights.position, epoch, self.weights.models != models) else {
+            return false;
+        };
+        self.weights = WeightsTable { position: next, models };
+        true
+    }
+
+    /// Sets who takes part; whether that is news.
+    pub fn set_group(&mut self, group: Group) -> bool {
+        if self.group_version > 0 && self.group == group {
+            return false;
+        }
+        self.group = group;
+        self.group_version += 1;
+        true
+    }
+
+    /// Takes a publisher's message. What is not newer than the state held changes nothing.
+    pub fn apply(&mut self, message: ToSubscriber) -> Result<Changed, FeedError> {
+        let mut changed = Changed::default();
+        match message {
+            ToSubscriber::Configuration(update) => {
+                changed.configuration = self.configurations.apply(update)?
+            }
+            ToSubscriber::Fleet(update) => changed.fleet = self.fleet.apply(update)?,
+            ToSubscriber::Weights(table) => changed.weights = self.take_weights(table),
+            ToSubscriber::Group(group) => changed.group = self.set_group(group),
+            ToSubscriber::Pong { id, age_ms, revision } => {
+                let age = age_ms.map(|age| Duration::from_millis(age.into()));
+                changed.pong = Some(Pong { id, age, revision });
+            }
+        }
+        Ok(changed)
+    }
+
+    /// The newest configuration.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configurations.newest().cloned()
+    }
+
+    /// The replicas, in the order of their ids.
+    pub fn fleet(&self) -> impl Iterator<Item = &Replica> {
+        self.fleet.replicas()
+    }
+
+    /// A replica by its id.
+    pub fn replica(&self, id: &str) -> Option<&Replica> {
+        self.fleet.replica(id)
+    }
+
+    /// Where the table of replicas stands.
+    pub fn fleet_position(&self) -> Position {
+        self.fleet.position()
+    }
+
+    /// The table of weights.
+    pub fn weights(&self) -> &WeightsTable {
+        &self.weights
+    }
+
+    /// Who takes part; empty while that is not known.
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// How far the state goes.
+    pub fn holdings(&self) -> Holdings {
+        Holdings {
+            configuration: self.configurations.revision(),
+            fleet: self.fleet.position(),
+            weights: self.weights.position,
+        }
+    }
+
+    /// How far a subscriber is that has been sent everything.
+    pub fn newest(&self) -> Sent {
+        Sent { holdings: self.holdings(), group: self.group_version }
+    }
+
+    /// What a subscriber lacks that has just said what it holds: changes where they are known, else the whole
+    /// table. The group is always among it once it is known.
+    pub fn missing(&self, holds: &Holdings) -> Vec<ToSubscriber> {
+        self.missing_since(&Sent::from(*holds))
+    }
+
+    /// What a subscriber lacks that has been sent `sent`.
+    pub fn missing_since(&self, sent: &Sent) -> Vec<ToSubscriber> {
+        let mut messages = Vec::new();
+        if let Some(update) = self.configurations.since(sent.holdings.configuration) {
+            messages.push(ToSubscriber::Configuration(update));
+        }
+        if let Some(update) = self.fleet.since(sent.holdings.fleet) {
+            messages.push(ToSubscriber::Fleet(update));
+        }
+        if self.weights.position > sent.holdings.weights {
+            messages.push(ToSubscriber::Weights(self.weights.clone()));
+        }
+        if self.group_version > sent.group {
+            messages.push(ToSubscriber::Group(self.group.clone()));
+        }
+        messages
+    }
+
+    fn take_weights(&mut self, table: WeightsTable) -> bool {
+        let newer = table.position > self.weights.position;
+        if newer {
+            self.weights = table;
+        }
+        newer
+    }
+}
+
+/// Where a table at `position` stands after the primary of `epoch` has written it; none if it does not move.
+fn next_position(position: Position, epoch: u64, differs: bool) -> Option<Position> {
+    let first = Position { epoch, sequence: 1 };
+    if first > position && (epoch > position.epoch || position.sequence == 0) {
+        return Some(first);
+    }
+    let moves = epoch == position.epoch && differs;
+    moves.then(|| Position { epoch, sequence: position.sequence + 1 })
+}
--- /dev/null
+++ b/crates/courier/src/store/fleet.rs
@@ -0,0 +1,165 @@
+//! The table of replicas and its latest changes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use intercom::feed::{FleetUpdate, Position, Replica};
+
+use super::{FeedError, Table, next_position};
+
+/// Changes that are remembered.
+const MAX_STEPS: usize = 1024;
+/// Ids in all remembered changes together.
+const MAX_STEP_IDS: usize = 16_384;
+
+/// The replicas by their ids, where the table stands, and which lines each of the latest changes touched.
+#[derive(Debug, Default)]
+pub(super) struct FleetTable {
+    position: Position,
+    replicas: BTreeMap<String, Replica>,
+    steps: VecDeque<Step>,
+    step_ids: usize,
+}
+
+/// A change of the table from the position `base` to the next step's base, or to the table's position.
+///
+/// Changes are told only from positions that this table has held itself: what lies between two of them, or in an
+/// epoch that it has not followed to its end, may have touched lines that look untouched here.
+#[derive(Debug)]
+struct Step {
+    base: Position,
+    ids: Vec<String>,
+}
+
+impl FleetTable {
+    pub(super) fn position(&self) -> Position {
+        self.position
+    }
+
+    pub(super) fn replicas(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+
+    pub(super) fn replica(&self, id: &str) -> Option<&Replica> {
+        self.replicas.get(id)
+    }
+
+    /// Sets the whole table, as the primary of `epoch`; whether its position moves.
+    pub(super) fn set(&mut self, epoch: u64, replicas: Vec<Replica>) -> bool {
+        if epoch < self.position.epoch {
+            return false;
+        }
+        let replicas = by_id(replicas);
+        let ids = self.differing_ids(&replicas);
+        let next = next_position(self.position, epoch, !ids.is_empty());
+        self.replicas = replicas;
+        if let Some(next) = next {
+            self.advance(next, ids);
+        }
+        next.is_some()
+    }
+
+    pub(super) fn apply(&mut self, update: FleetUpdate) -> Result<bool, FeedError> {
+        match update {
+            FleetUpdate::Snapshot { position, replicas } => {
+                if position <= self.position {
+                    return Ok(false);
+                }
+                let replicas = by_id(replicas);
+                let ids = self.differing_ids(&replicas);
+                self.replicas = replicas;
+                self.advance(position, ids);
+            }
+            FleetUpdate::Changes { base, position, changed, removed } => {
+                if position <= self.position {
+                    return Ok(false);
+                }
+                if base != self.position {
+                    return Err(FeedError::Gap { table: Table::Fleet });
+                }
+                self.change(position, changed, removed);
+            }
+        }
+        Ok(true)
+    }
+
+    /// What leads from `base` to the present table; none where the base is as new.
+    pub(super) fn since(&self, base: Position) -> Option<FleetUpdate> {
+        if base >= self.position {
+            return None;
+        }
+        Some(self.changes_since(base).unwrap_or_else(|| self.snapshot()))
+    }
+
+    fn snapshot(&self) -> FleetUpdate {
+        FleetUpdate::Snapshot {
+            position: self.position,
+            replicas: self.replicas.values().cloned().collect(),
+        }
+    }
+
+    fn changes_since(&self, base: Position) -> Option<FleetUpdate> {
+        let first = self.steps.iter().rposition(|step| step.base == base)?;
+        let ids: BTreeSet<&String> = self.steps.range(first..).flat_map(|step| &step.ids).collect();
+        if ids.len() > self.replicas.len() {
+            return None;
+        }
+        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        for id in ids {
+            match self.replicas.get(id) {
+                Some(replica) => changed.push(replica.clone()),
+                None => removed.push(id.clone()),
+            }
+        }
+        Some(FleetUpdate::Changes { base, position: self.position, changed, removed })
+    }
+
+    fn change(&mut self, position: Position, changed: Vec<Replica>, removed: Vec<String>) {
+        let mut ids = Vec::with_capacity(changed.len() + removed.len());
+        for id in removed {
+            self.replicas.remove(&id);
+            ids.push(id);
+        }
+        for replica in changed {
+            ids.push(replica.id.clone());
+            self.replicas.insert(replica.id.clone(), replica);
+        }
+        self.advance(position, ids);
+    }
+
+    fn advance(&mut self, position: Position, ids: Vec<String>) {
+        let base = std::mem::replace(&mut self.position, position);
+        if base == Position::default() {
+            return;
+        }
+        self.step_ids += ids.len();
+        self.steps.push_back(Step { base, ids });
+        while self.steps.len() > MAX_STEPS || self.step_ids > MAX_STEP_IDS {
+            let forgotten = self.steps.pop_front().map_or(0, |step| step.ids.len());
+            self.step_ids -= forgotten;
+        }
+    }
+
+    fn differing_ids(&self, replicas: &BTreeMap<String, Replica>) -> Vec<String> {
+        let gone = self.replicas.keys().filter(|id| !replicas.contains_key(*id)).cloned();
+        let differing = replicas.values().filter(|new| self.is_news(new)).map(|new| new.id.clone());
+        gone.chain(differing).collect()
+    }
+
+    fn is_news(&self, new: &Replica) -> bool {
+        self.replicas.get(&new.id).is_none_or(|old| differs(old, new))
+    }
+}
+
+fn by_id(replicas: Vec<Replica>) -> BTreeMap<String, Replica> {
+    replicas.into_iter().map(|replica| (replica.id.clone(), replica)).collect()
+}
+
+/// Whether a line says something new; time that has passed on `warm_left_ms` is not, until none is left.
+fn differs(old: &Replica, new: &Replica) -> bool {
+    let Replica { id, service, address, zone, capacity, phase, warm_left_ms, models } = new;
+    let became_warm = *warm_left_ms == 0 && old.warm_left_ms > 0;
+    let warm_news = became_warm || *warm_left_ms > old.warm_left_ms;
+    let same = (id, service, address, zone) == (&old.id, &old.service, &old.address, &old.zone)
+        && (capacity, phase, models) == (&old.capacity, &old.phase, &old.models);
+    warm_news || !same
+}
--- /dev/null
+++ b/crates/courier/src/subscriber/session.rs
@@ -0,0 +1,197 @@
+//! One connection to a publisher.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::Stream;
+use intercom::feed::{ToPublisher, ToSubscriber};
+use snafu::{ResultExt, ensure};
+use station::clock;
+
+use super::{
+    ClosedSnafu, EndReason, FailedSnafu, MalformedSnafu, NotFreshSnafu, ReselectedSnafu, SilentSnafu,
+    Subscriber, UpdateSnafu,
+};
+use crate::store::{Changed, Pong};
+use crate::wire::{Incoming, Outgoing, Received};
+
+/// Time between pings.
+const PING_EVERY: Duration = Duration::from_millis(300);
+/// A publisher that has neither answered nor sent a part of an update for this long is left.
+const SILENCE: Duration = Duration::from_millis(900);
+/// A publisher that still sends a long update but has not answered for this long is left.
+const LONGEST_TRANSFER: Duration = Duration::from_secs(10);
+/// A publisher whose answers carry no freshness for this long is left.
+const UNFRESH: Duration = Duration::from_millis(1500);
+
+/// Follows a publisher until the connection ends. `failures` goes to 0 once it answers with freshness.
+pub(super) async fn run(
+    subscriber: &Subscriber,
+    stream: &Async<TcpStream>,
+    failures: &mut u32,
+) -> EndReason {
+    let mut session = Session::new(subscriber, stream, failures);
+    match session.run().await {
+        Ok(never) => match never {},
+        Err(reason) => reason,
+    }
+}
+
+struct Session<'a> {
+    subscriber: &'a Subscriber,
+    stream: &'a Async<TcpStream>,
+    failures: &'a mut u32,
+    incoming: Incoming,
+    outgoing: Outgoing,
+    ping_at: Duration,
+    /// When the publisher answered last, or the connection was made.
+    answered: Duration,
+    /// When bytes came last, or the connection was made.
+    received: Duration,
+    /// Since when its answers carry no freshness.
+    unfresh_since: Option<Duration>,
+    timer: Timer,
+    timer_at: Duration,
+}
+
+/// What a session's task was woken for.
+enum Event {
+    Received(Received),
+    Written,
+    Reselect,
+    Timer,
+}
+
+impl<'a> Session<'a> {
+    fn new(subscriber: &'a Subscriber, stream: &'a Async<TcpStream>, failures: &'a mut u32) -> Self {
+        let now = clock::now();
+        Session {
+            subscriber,
+            stream,
+            failures,
+            incoming: Incoming::default(),
+            outgoing: Outgoing::default(),
+            ping_at: now,
+            answered: now,
+            received: now,
+            unfresh_since: None,
+            timer: Timer::never(),
+            timer_at: Duration::MAX,
+        }
+    }
+
+    async fn run(&mut self) -> Result<Infallible, EndReason> {
+        let subscribe = ToPublisher::Subscribe(self.subscriber.subscribe());
+        self.outgoing.push_message(&subscribe).context(MalformedSnafu)?;
+        self.ping()?;
+        loop {
+            self.ping_when_due()?;
+            self.arm_timer();
+            match poll_fn(|context| self.poll_event(context)).await.context(FailedSnafu)? {
+                Event::Received(Received::End) => return ClosedSnafu.fail(),
+                Event::Received(Received::Bytes) => self.read_messages()?,
+                Event::Written => {}
+                Event::Reselect => return ReselectedSnafu.fail(),
+                Event::Timer => self.check_deadline()?,
+            }
+        }
+    }
+
+    /// What the publisher says goes before the timer, so that an answer which has waited is in time.
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<io::Result<Event>> {
+        if let Poll::Ready(received) = self.incoming.poll_fill(self.stream, context) {
+            return Poll::Ready(received.map(Event::Received));
+        }
+        if let Poll::Ready(written) = self.outgoing.poll_write(self.stream, context) {
+            return Poll::Ready(written.map(|()| Event::Written));
+        }
+        if self.subscriber.reselect.poll_raised(context).is_ready() {
+            return Poll::Ready(Ok(Event::Reselect));
+        }
+        Pin::new(&mut self.timer).poll_next(context).map(|_| {
+            self.timer_at = Duration::MAX;
+            Ok(Event::Timer)
+        })
+    }
+
+    /// Pings are not queued behind each other on a connection that takes no bytes.
+    fn ping_when_due(&mut self) -> Result<(), EndReason> {
+        let now = clock::now();
+        if now < self.ping_at {
+            return Ok(());
+        }
+        if !self.outgoing.is_empty() {
+            self.ping_at = now + PING_EVERY;
+            return Ok(());
+        }
+        self.ping()
+    }
+
+    fn ping(&mut self) -> Result<(), EndReason> {
+        let now = clock::now();
+        self.ping_at = now + PING_EVERY;
+        let id = self.subscriber.next_ping.replace(self.subscriber.next_ping.get() + 1);
+        self.subscriber.freshness.borrow_mut().sent(id, now);
+        let ping = ToPublisher::Ping { id, gateways: self.subscriber.gateways.get() };
+        self.outgoing.push_message(&ping).context(MalformedSnafu)
+    }
+
+    /// Applies all messages that are whole; the listeners are told once, also where one of them fails.
+    fn read_messages(&mut self) -> Result<(), EndReason> {
+        let mut changed = Changed::default();
+        let outcome = self.apply_messages(&mut changed);
+        self.received = clock::now();
+        self.subscriber.announce(&changed);
+        outcome
+    }
+
+    fn apply_messages(&mut self, changed: &mut Changed) -> Result<(), EndReason> {
+        while let Some(message) = self.incoming.take::<ToSubscriber>().context(MalformedSnafu)? {
+            let news = self.subscriber.store.borrow_mut().apply(message).context(UpdateSnafu)?;
+            changed.merge(news);
+            if let Some(pong) = news.pong {
+                self.take_pong(pong)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take_pong(&mut self, pong: Pong) -> Result<(), EndReason> {
+        let now = clock::now();
+        self.answered = now;
+        self.subscriber.freshness.borrow_mut().answered(pong.id, pong.age, now);
+        if pong.age.is_some() {
+            self.unfresh_since = None;
+            *self.failures = 0;
+            return Ok(());
+        }
+        let since = *self.unfresh_since.get_or_insert(now);
+        ensure!(now.saturating_sub(since) < UNFRESH, NotFreshSnafu);
+        Ok(())
+    }
+
+    fn check_deadline(&self) -> Result<(), EndReason> {
+        ensure!(clock::now() < self.silent_at(), SilentSnafu);
+        Ok(())
+    }
+
+    /// Arms the timer for the next ping or deadline. One that moves away leaves it, since it looks again when due.
+    fn arm_timer(&mut self) {
+        let due = self.ping_at.min(self.silent_at());
+        if due < self.timer_at {
+            self.timer.set_after(due.saturating_sub(clock::now()));
+            self.timer_at = due;
+        }
+    }
+
+    fn silent_at(&self) -> Duration {
+        let transfer_ends = self.answered + LONGEST_TRANSFER;
+        (self.received.max(self.answered) + SILENCE).min(transfer_ends)
+    }
+}
--- /dev/null
+++ b/crates/courier/tests/publisher.rs
@@ -0,0 +1,223 @@
+//! The publisher over loopback.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::network::{self, Peer, fresh, publish, store, subscribe, until};
+use common::{configuration, group, replica, weights};
+use courier::PublisherSettings;
+use intercom::feed::{ConfigurationUpdate, FleetUpdate, Holdings, Position, ToPublisher, ToSubscriber};
+use rstest::rstest;
+
+fn ping(id: u64) -> ToPublisher {
+    ToPublisher::Ping { id, gateways: 1 }
+}
+
+fn settings() -> PublisherSettings {
+    PublisherSettings::default()
+}
+
+/// A subscriber's messages and what the publisher answers, line by line.
+#[derive(Clone, Default)]
+struct Transcript(Rc<RefCell<String>>);
+
+impl Transcript {
+    fn note(&self, line: &str) {
+        self.0.borrow_mut().push_str(&format!("-- {line}\n"));
+    }
+
+    async fn say(&self, peer: &mut Peer, message: ToPublisher) {
+        self.0.borrow_mut().push_str(&format!("> {message:?}\n"));
+        peer.say(&message).await;
+    }
+
+    async fn hear(&self, peer: &mut Peer) {
+        let message = peer.hear().await;
+        self.0.borrow_mut().push_str(&format!("< {message:?}\n"));
+    }
+}
+
+#[test]
+fn a_whole_exchange() {
+    let transcript = Transcript::default();
+    let written = transcript.clone();
+    network::run(|executor| async move {
+        let store = store();
+        let age = Rc::new(Cell::new(None));
+        let told = Rc::clone(&age);
+        let (publisher, address) = publish(&executor, &store, Rc::new(move || told.get()), settings());
+        store.borrow_mut().set_configuration(configuration(3, 1));
+        store.borrow_mut().set_fleet(7, vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
+        store.borrow_mut().set_weights(7, weights(2));
+        store.borrow_mut().set_group(group(2));
+
+        transcript.note("a newcomer gets everything");
+        let mut peer = Peer::connect(address).await;
+        transcript.say(&mut peer, subscribe(Holdings::default())).await;
+        for _ in 0..4 {
+            transcript.hear(&mut peer).await;
+        }
+        transcript.note("the publisher is not fresh, then it is");
+        transcript.say(&mut peer, ping(1)).await;
+        transcript.hear(&mut peer).await;
+        age.set(Some(Duration::from_micros(40_001)));
+        transcript.say(&mut peer, ping(2)).await;
+        transcript.hear(&mut peer).await;
+        transcript.note("changes follow, all before the next answer");
+        store.borrow_mut().set_configuration(configuration(5, 3));
+        store.borrow_mut().set_fleet(7, vec![replica("a", 2), replica("c", 1)]);
+        store.borrow_mut().set_group(group(3));
+        publisher.notify();
+        transcript.say(&mut peer, ping(3)).await;
+        for _ in 0..4 {
+            transcript.hear(&mut peer).await;
+        }
+        transcript.note("one who holds the rest gets the group alone");
+        let mut peer = Peer::connect(address).await;
+        let holds = store.borrow().holdings();
+        transcript.say(&mut peer, subscribe(holds)).await;
+        transcript.hear(&mut peer).await;
+        transcript.note("a second subscription is out of place");
+        transcript.say(&mut peer, subscribe(holds)).await;
+        transcript.hear(&mut peer).await;
+    });
+    insta::assert_snapshot!(written.0.borrow());
+}
+
+#[test]
+fn a_slow_subscriber_gets_the_newest_and_no_queue_of_old_states() {
+    const LAST: u32 = 400;
+    network::run(|executor| async move {
+        let store = store();
+        let patient = Duration::from_secs(60);
+        let settings = PublisherSettings { write_stall: patient, silence: patient, ..settings() };
+        let (publisher, address) = publish(&executor, &store, fresh(), settings);
+        let mut peer = Peer::connect(address).await;
+        peer.say(&subscribe(Holdings::default())).await;
+        until(|| !publisher.subscribers().is_empty()).await;
+        // All states together are far more than the buffers of the connection hold.
+        for capacity in 1..=LAST {
+            let replicas = (0..2_000).map(|number| replica(&format!("replica-{number}"), capacity));
+            store.borrow_mut().set_fleet(1, replicas.collect());
+            publisher.notify();
+            futures_lite::future::yield_now().await;
+        }
+        let newest = store.borrow().fleet_position();
+        let mut updates = 0;
+        let mut position = Position::default();
+        while position < newest {
+            let Some(ToSubscriber::Fleet(update)) = peer.hear().await else { panic!("not an update") };
+            position = match update {
+                FleetUpdate::Snapshot { position, .. } => position,
+                FleetUpdate::Changes { base, position: next, .. } => {
+                    assert_eq!(base, position);
+                    next
+                }
+            };
+            updates += 1;
+        }
+        assert!(updates < LAST / 2, "{updates} updates were queued");
+    });
+}
+
+#[test]
+fn gateways_are_counted_over_live_connections() {
+    network::run(|executor| async move {
+        let (publisher, address) = publish(&executor, &store(), fresh(), settings());
+        let mut home = Peer::connect(address).await;
+        home.say(&subscribe(Holdings::default())).await;
+        home.say(&ToPublisher::Ping { id: 1, gateways: 20 }).await;
+        let mut agent = Peer::connect(address).await;
+        agent.say(&subscribe(Holdings::default())).await;
+        agent.say(&ping(1)).await;
+        until(|| publisher.gateways() == 21).await;
+        assert_eq!(publisher.subscribers().len(), 2);
+        drop(home);
+        until(|| publisher.gateways() == 1).await;
+        // Silent, but still connected for a while.
+        until(|| publisher.gateways() == 0).await;
+        assert_eq!(publisher.subscribers().len(), 1);
+        until(|| publisher.subscribers().is_empty()).await;
+        assert_eq!(agent.hear().await, Some(ToSubscriber::Pong { id: 1, age_ms: Some(0), revision: 0 }));
+        assert_eq!(agent.hear().await, None);
+    });
+}
+
+#[rstest]
+#[case::ping_before_subscription({
+    let mut bytes = Vec::new();
+    intercom::frame::append(&ping(1), &mut bytes).expect("encodes");
+    bytes
+})]
+#[case::no_message(vec![4, 0, 0, 0, 0xff, 0xff, 0xff, 0xff])]
+#[case::length_over_every_bound(vec![0xff; 8])]
+#[case::length_over_a_subscribers_bound({
+    let mut bytes = vec![0, 0, 1, 0];
+    bytes.resize(70_000, 0);
+    bytes
+})]
+fn a_connection_ends_after_a_wrong_message(#[case] bytes: Vec<u8>) {
+    network::run(|executor| async move {
+        let (_publisher, address) = publish(&executor, &store(), fresh(), settings());
+        let mut peer = Peer::connect(address).await;
+        peer.write(&bytes).await;
+        assert_eq!(peer.hear().await, None);
+    });
+}
+
+#[test]
+fn a_connection_that_takes_no_bytes_ends() {
+    network::run(|executor| async move {
+        let settings = PublisherSettings { write_stall: Duration::from_millis(50), ..settings() };
+        let store = store();
+        let replicas = (0..40_000).map(|number| replica(&format!("replica-{number}"), 1));
+        store.borrow_mut().set_fleet(1, replicas.collect());
+        let (publisher, address) = publish(&executor, &store, fresh(), settings);
+        let mut peer = Peer::connect(address).await;
+        peer.say(&subscribe(Holdings::default())).await;
+        until(|| !publisher.subscribers().is_empty()).await;
+        until(|| publisher.subscribers().is_empty()).await;
+    });
+}
+
+#[test]
+fn connections_over_the_bound_are_closed() {
+    network::run(|executor| async move {
+        let settings = PublisherSettings { max_connections: 1, ..settings() };
+        let (publisher, address) = publish(&executor, &store(), fresh(), settings);
+        let mut first = Peer::connect(address).await;
+        first.say(&subscribe(Holdings::default())).await;
+        until(|| !publisher.subscribers().is_empty()).await;
+        let mut second = Peer::connect(address).await;
+        assert_eq!(second.hear().await, None);
+        first.say(&ping(1)).await;
+        assert!(first.hear().await.is_some());
+        drop(first);
+        until(|| publisher.subscribers().is_empty()).await;
+        let mut third = Peer::connect(address).await;
+        third.say(&subscribe(Holdings::default())).await;
+        third.say(&ping(2)).await;
+        assert!(third.hear().await.is_some());
+    });
+}
+
+#[test]
+fn an_earlier_configuration_is_answered_with_changes() {
+    network::run(|executor| async move {
+        let store = store();
+        store.borrow_mut().set_configuration(configuration(1, 1));
+        store.borrow_mut().set_configuration(configuration(2, 3));
+        let (_publisher, address) = publish(&executor, &store, fresh(), settings());
+        let mut peer = Peer::connect(address).await;
+        peer.say(&subscribe(Holdings { configuration: 1, ..Holdings::default() })).await;
+        let update = peer.hear().await;
+        let is_changes = matches!(
+            &update,
+            Some(ToSubscriber::Configuration(ConfigurationUpdate::Changes(changes))) if changes.base == 1
+        );
+        assert!(is_changes, "{update:?}");
+    });
+}
--- /dev/null
+++ b/crates/courier/tests/store.rs
@@ -0,0 +1,435 @@
+//! The store: whatever is lost or late, a subscriber comes to hold the publisher's newest and never goes back.
+
+mod common;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use common::{configuration, group, replica, replica_warming, weights};
+use courier::store::{Sent, Table};
+use courier::{Changed, FeedError, FeedStore};
+use intercom::feed::{
+    ConfigurationUpdate, FleetUpdate, Holdings, ModelWeights, Position, Replica, ReplicaPhase,
+    ToSubscriber, WeightsTable,
+};
+use rstest::rstest;
+use timetable::Configuration;
+
+fn position(epoch: u64, sequence: u64) -> Position {
+    Position { epoch, sequence }
+}
+
+fn apply_all(subscriber: &mut FeedStore, messages: Vec<ToSubscriber>) -> Result<(), FeedError> {
+    messages.into_iter().try_for_each(|message| subscriber.apply(message).map(|_| ()))
+}
+
+fn lines(store: &FeedStore) -> Vec<Replica> {
+    store.fleet().cloned().collect()
+}
+
+fn assert_same(subscriber: &FeedStore, publisher: &FeedStore) {
+    assert_eq!(subscriber.holdings(), publisher.holdings());
+    assert_eq!(subscriber.configuration(), publisher.configuration());
+    assert_eq!(lines(subscriber), lines(publisher));
+    assert_eq!(subscriber.weights(), publisher.weights());
+    assert_eq!(subscriber.group(), publisher.group());
+}
+
+#[test]
+fn a_configuration_is_taken_only_if_its_revision_is_higher() {
+    let mut store = FeedStore::new();
+    assert!(store.set_configuration(configuration(7, 1)));
+    assert!(!store.set_configuration(configuration(7, 2)));
+    assert!(!store.set_configuration(configuration(3, 2)));
+    assert!(store.set_configuration(configuration(12, 2)));
+    assert_eq!(store.holdings().configuration, 12);
+}
+
+#[test]
+fn the_fleet_moves_with_differences_and_epochs() {
+    let mut store = FeedStore::new();
+    assert!(store.set_fleet(4, vec![]));
+    assert_eq!(store.fleet_position(), position(4, 1));
+    assert!(!store.set_fleet(4, vec![]));
+    assert!(store.set_fleet(4, vec![replica("a", 1)]));
+    assert!(!store.set_fleet(4, vec![replica("a", 1)]));
+    assert!(store.set_fleet(4, vec![replica("a", 2)]));
+    assert!(store.set_fleet(4, vec![]));
+    assert_eq!(store.fleet_position(), position(4, 4));
+    assert!(!store.set_fleet(3, vec![replica("a", 1)]), "an old epoch");
+    assert!(store.set_fleet(5, vec![]), "a new epoch");
+    assert_eq!(store.fleet_position(), position(5, 1));
+}
+
+#[test]
+fn the_weights_move_with_differences_and_epochs() {
+    let mut store = FeedStore::new();
+    assert!(store.set_weights(0, vec![]));
+    assert!(!store.set_weights(0, vec![]));
+    assert!(store.set_weights(0, weights(2)));
+    assert_eq!(store.weights(), &WeightsTable { position: position(0, 2), models: weights(2) });
+    assert!(store.set_weights(1, weights(2)));
+    assert!(!store.set_weights(0, weights(3)), "an old epoch");
+    assert_eq!(store.weights().position, position(1, 1));
+}
+
+#[test]
+fn warming_up_is_news_only_at_its_start_and_end() {
+    let mut store = FeedStore::new();
+    assert!(store.set_fleet(1, vec![replica_warming("a", 900)]));
+    assert!(!store.set_fleet(1, vec![replica_warming("a", 600)]));
+    assert_eq!(lines(&store)[0].warm_left_ms, 600, "newcomers get the present figure");
+    assert!(store.set_fleet(1, vec![replica_warming("a", 0)]));
+    assert!(!store.set_fleet(1, vec![replica_warming("a", 0)]));
+    assert!(store.set_fleet(1, vec![replica_warming("a", 900)]));
+}
+
+/// Each field of a line is compared.
+#[rstest]
+#[case::service(|line: &mut Replica| line.service.push('x'))]
+#[case::address(|line: &mut Replica| line.address.push('1'))]
+#[case::zone(|line: &mut Replica| line.zone.push('x'))]
+#[case::capacity(|line: &mut Replica| line.capacity += 1)]
+#[case::phase(|line: &mut Replica| line.phase = ReplicaPhase::Draining)]
+#[case::models(|line: &mut Replica| line.models.clear())]
+fn a_line_that_differs_moves_the_fleet(#[case] change: fn(&mut Replica)) {
+    let mut store = FeedStore::new();
+    let mut line = replica("a", 1);
+    store.set_fleet(1, vec![line.clone()]);
+    change(&mut line);
+    assert!(store.set_fleet(1, vec![line]));
+}
+
+#[test]
+fn the_fleet_is_told_in_changes_to_those_who_hold_an_earlier_position() {
+    let mut publisher = FeedStore::new();
+    publisher.set_fleet(1, vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
+    let held = publisher.holdings();
+    publisher.set_fleet(1, vec![replica("a", 1), replica("c", 2)]);
+    publisher.set_fleet(1, vec![replica("a", 1), replica("c", 3)]);
+    let expected = FleetUpdate::Changes {
+        base: position(1, 1),
+        position: position(1, 3),
+        changed: vec![replica("c", 3)],
+        removed: vec!["b".to_owned()],
+    };
+    assert_eq!(publisher.missing(&held), vec![ToSubscriber::Fleet(expected)]);
+}
+
+#[rstest]
+#[case::never_held(position(1, 7))]
+#[case::other_epoch(position(0, 2))]
+fn the_fleet_is_told_whole_to_those_who_hold_a_position_unknown_here(#[case] held: Position) {
+    let mut publisher = FeedStore::new();
+    publisher.set_fleet(1, vec![replica("a", 1)]);
+    publisher.set_fleet(2, vec![replica("a", 2)]);
+    let expected = FleetUpdate::Snapshot { position: position(2, 1), replicas: vec![replica("a", 2)] };
+    let holds = Holdings { fleet: held, ..Holdings::default() };
+    assert_eq!(publisher.missing(&holds), vec![ToSubscriber::Fleet(expected)]);
+}
+
+#[test]
+fn the_record_of_changes_is_bounded() {
+    let mut publisher = FeedStore::new();
+    let mut held = Vec::new();
+    for capacity in 1..3_000 {
+        publisher.set_fleet(1, vec![replica("a", capacity), replica("b", 1)]);
+        held.push(publisher.holdings());
+    }
+    let is_snapshot = |holds: &Holdings| {
+        matches!(publisher.missing(holds)[..], [ToSubscriber::Fleet(FleetUpdate::Snapshot { .. })])
+    };
+    assert!(is_snapshot(&held[0]));
+    assert!(!is_snapshot(&held[2_500]));
+}
+
+#[test]
+fn a_change_with_another_base_is_a_gap() {
+    let mut publisher = FeedStore::new();
+    publisher.set_fleet(1, vec![replica("a", 1), replica("b", 1)]);
+    let held = publisher.holdings();
+    publisher.set_fleet(1, vec![replica("a", 2), replica("b", 1)]);
+    let mut subscriber = FeedStore::new();
+    let outcome = apply_all(&mut subscriber, publisher.missing(&held));
+    assert_eq!(outcome, Err(FeedError::Gap { table: Table::Fleet }));
+    let holdings = subscriber.holdings();
+    apply_all(&mut subscriber, publisher.missing(&holdings)).expect("it asks with what it holds");
+    assert_same(&subscriber, &publisher);
+}
+
+#[test]
+fn a_new_epoch_goes_over_an_old_one() {
+    let mut old = FeedStore::new();
+    old.set_fleet(1, vec![replica("a", 1)]);
+    for capacity in 2..9 {
+        old.set_fleet(1, vec![replica("a", capacity)]);
+        old.set_weights(1, weights(capacity.into()));
+    }
+    let mut subscriber = FeedStore::new();
+    apply_all(&mut subscriber, old.missing(&Holdings::default())).expect("applies");
+    let mut new = FeedStore::new();
+    new.set_fleet(2, vec![replica("z", 1)]);
+    new.set_weights(2, weights(1));
+    let holdings = subscriber.holdings();
+    apply_all(&mut subscriber, new.missing(&holdings)).expect("applies");
+    assert_same(&subscriber, &new);
+    assert_eq!(subscriber.fleet_position(), position(2, 1));
+    apply_all(&mut subscriber, old.missing(&Holdings::default())).expect("is not news");
+    assert_same(&subscriber, &new);
+}
+
+#[test]
+fn a_publisher_that_is_behind_sends_nothing() {
+    let mut publisher = FeedStore::new();
+    publisher.set_configuration(configuration(5, 1));
+    publisher.set_fleet(1, vec![replica("a", 1)]);
+    publisher.set_weights(1, weights(1));
+    let ahead = Holdings { configuration: 6, fleet: position(1, 2), weights: position(2, 1) };
+    assert_eq!(publisher.missing(&ahead), vec![]);
+}
+
+#[test]
+fn the_group_is_sent_to_newcomers_and_on_change() {
+    let mut publisher = FeedStore::new();
+    assert_eq!(publisher.missing(&Holdings::default()), vec![]);
+    assert!(publisher.set_group(group(3)));
+    assert!(!publisher.set_group(group(3)));
+    assert_eq!(publisher.missing(&Holdings::default()), vec![ToSubscriber::Group(group(3))]);
+    let sent = publisher.newest();
+    assert_eq!(publisher.missing_since(&sent), vec![]);
+    assert!(publisher.set_group(group(4)));
+    assert_eq!(publisher.missing_since(&sent), vec![ToSubscriber::Group(group(4))]);
+}
+
+/// Updates of the configuration that a subscriber gets which holds revision `base`.
+fn configuration_update(publisher: &FeedStore, base: u64) -> ConfigurationUpdate {
+    let holds = Holdings { configuration: base, ..Holdings::default() };
+    match publisher.missing(&holds).as_slice() {
+        [ToSubscriber::Configuration(update)] => update.clone(),
+        other => panic!("not an update of the configuration: {other:?}"),
+    }
+}
+
+#[test]
+fn the_configuration_is_told_in_changes_to_those_who_hold_one_of_the_last_eight() {
+    let mut publisher = FeedStore::new();
+    for revision in 1..=10 {
+        publisher.set_configuration(configuration(revision, 0b11 | revision << 8));
+    }
+    let is_changes =
+        |base| matches!(configuration_update(&publisher, base), ConfigurationUpdate::Changes(_));
+    let told_changes: Vec<u64> = (0..10).filter(|base| is_changes(*base)).collect();
+    assert_eq!(told_changes, vec![2, 3, 4, 5, 6, 7, 8, 9]);
+}
+
+#[test]
+fn the_configuration_is_told_whole_where_changes_would_lose_the_order() {
+    let mut publisher = FeedStore::new();
+    publisher.set_configuration(configuration(1, 0b10));
+    publisher.set_configuration(configuration(2, 0b11));
+    let newest = publisher.configuration().expect("is held");
+    assert_eq!(configuration_update(&publisher, 1), ConfigurationUpdate::Snapshot(newest));
+}
+
+#[test]
+fn changes_of_the_configuration_are_passed_on_as_they_came() {
+    let mut publisher = FeedStore::new();
+    publisher.set_configuration(configuration(1, 0b01));
+    let mut home = FeedStore::new();
+    apply_all(&mut home, publisher.missing(&Holdings::default())).expect("applies");
+    publisher.set_configuration(configuration(2, 0b11));
+    let home_holds = home.holdings();
+    apply_all(&mut home, publisher.missing(&home_holds)).expect("applies");
+    assert_same(&home, &publisher);
+    assert_eq!(configuration_update(&home, 1), configuration_update(&publisher, 1));
+}
+
+#[test]
+fn changes_of_another_configuration_are_a_gap() {
+    let mut publisher = FeedStore::new();
+    publisher.set_configuration(configuration(3, 0b01));
+    publisher.set_configuration(configuration(5, 0b11));
+    let changes = configuration_update(&publisher, 3);
+    let mut subscriber = FeedStore::new();
+    subscriber.set_configuration(configuration(2, 0b01));
+    let outcome = subscriber.apply(ToSubscriber::Configuration(changes.clone()));
+    assert_eq!(outcome, Err(FeedError::Gap { table: Table::Configuration }));
+    subscriber.set_configuration(configuration(6, 0b01));
+    let outcome = subscriber.apply(ToSubscriber::Configuration(changes));
+    assert_eq!(outcome, Ok(Changed::default()), "what is old is no gap");
+}
+
+/// What the primaries have written under each revision and position.
+#[derive(Default)]
+struct Ledger {
+    configurations: BTreeMap<u64, Arc<Configuration>>,
+    fleets: BTreeMap<Position, Vec<Replica>>,
+    weights: BTreeMap<Position, Vec<ModelWeights>>,
+}
+
+impl Ledger {
+    fn record(&mut self, primary: &FeedStore) {
+        if let Some(configuration) = primary.configuration() {
+            self.configurations.insert(configuration.revision, configuration);
+        }
+        self.fleets.insert(primary.fleet_position(), lines(primary));
+        self.weights.insert(primary.weights().position, primary.weights().models.clone());
+    }
+
+    /// A store holds nothing but what a primary has written.
+    fn check(&self, store: &FeedStore) {
+        if let Some(configuration) = store.configuration() {
+            assert_eq!(self.configurations.get(&configuration.revision), Some(&configuration));
+        }
+        if store.fleet_position() != Position::default() {
+            assert_eq!(self.fleets.get(&store.fleet_position()), Some(&lines(store)));
+        }
+        if store.weights().position != Position::default() {
+            assert_eq!(self.weights.get(&store.weights().position), Some(&store.weights().models));
+        }
+    }
+}
+
+/// A subscriber's connection: what its publisher has sent, and what is under way.
+struct Link {
+    publisher: usize,
+    sent: Sent,
+    under_way: VecDeque<ToSubscriber>,
+}
+
+/// Stores that subscribe to each other; one at a time is the primary.
+struct Fleet {
+    random: fastrand::Rng,
+    ledger: Ledger,
+    stores: Vec<FeedStore>,
+    links: Vec<Option<Link>>,
+    epoch: u64,
+    primary: usize,
+    revision: u64,
+}
+
+const STORES: usize = 6;
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let mut fleet = Fleet {
+            random: fastrand::Rng::with_seed(seed),
+            ledger: Ledger::default(),
+            stores: (0..STORES).map(|_| FeedStore::new()).collect(),
+            links: (0..STORES).map(|_| None).collect(),
+            epoch: 0,
+            primary: 0,
+            revision: 0,
+        };
+        fleet.write();
+        fleet
+    }
+
+    fn step(&mut self) {
+        let store = self.random.usize(..STORES);
+        match self.random.u32(..100) {
+            0 => self.take_over(),
+            1 => self.restart(store),
+            2..6 => self.connect(store),
+            6..30 => self.write(),
+            30..60 => self.send(store),
+            _ => self.deliver(store),
+        }
+    }
+
+    /// The primary writes something.
+    fn write(&mut self) {
+        let replicas = (0..self.random.u32(..12)).map(|_| {
+            let name = self.random.u32(..12).to_string();
+            replica(&name, self.random.u32(1..4))
+        });
+        let replicas = replicas.collect();
+        let primary = &mut self.stores[self.primary];
+        primary.set_fleet(self.epoch, replicas);
+        if self.random.bool() {
+            primary.set_weights(self.epoch, weights(self.random.u64(..4)));
+        }
+        if self.random.bool() {
+            self.revision += self.random.u64(1..9);
+            primary.set_configuration(configuration(self.revision, self.random.u64(..)));
+        }
+        primary.set_group(group(self.random.u32(..5)));
+        self.ledger.record(primary);
+    }
+
+    /// Any store becomes primary, also one that is behind. As a primary must, it writes each table in its epoch; a
+    /// configuration that it lacks comes from its log.
+    fn take_over(&mut self) {
+        self.primary = self.random.usize(..STORES);
+        self.links[self.primary] = None;
+        self.epoch += 1;
+        if let Some(newest) = self.ledger.configurations.values().next_back() {
+            self.stores[self.primary].set_configuration(Arc::clone(newest));
+        }
+        let epoch = self.epoch;
+        self.stores[self.primary].set_weights(epoch, weights(self.random.u64(..4)));
+        self.write();
+    }
+
+    /// A store that is not primary loses everything.
+    fn restart(&mut self, store: usize) {
+        if store == self.primary {
+            return;
+        }
+        self.stores[store] = FeedStore::new();
+        self.links[store] = None;
+        for link in &mut self.links {
+            if link.as_ref().is_some_and(|link| link.publisher == store) {
+                *link = None;
+            }
+        }
+    }
+
+    fn connect(&mut self, store: usize) {
+        let publisher = self.random.usize(..STORES);
+        if store != self.primary && publisher != store {
+            let sent = Sent::from(self.stores[store].holdings());
+            self.links[store] = Some(Link { publisher, sent, under_way: VecDeque::new() });
+        }
+    }
+
+    fn send(&mut self, store: usize) {
+        let Some(link) = &mut self.links[store] else { return };
+        let publisher = &self.stores[link.publisher];
+        link.under_way.extend(publisher.missing_since(&link.sent));
+        link.sent = link.sent.later(publisher.newest());
+    }
+
+    fn deliver(&mut self, store: usize) {
+        let Some(message) = self.links[store].as_mut().and_then(|link| link.under_way.pop_front()) else {
+            return;
+        };
+        let before = self.stores[store].holdings();
+        self.stores[store].apply(message).expect("a connection in order has no gaps");
+        let after = self.stores[store].holdings();
+        assert!(after.configuration >= before.configuration);
+        assert!(after.fleet >= before.fleet);
+        assert!(after.weights >= before.weights);
+    }
+}
+
+#[rstest]
+fn random_histories_end_in_the_newest_state(#[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64) {
+    let mut fleet = Fleet::new(seed);
+    for _ in 0..6_000 {
+        fleet.step();
+        for store in &fleet.stores {
+            fleet.ledger.check(store);
+        }
+    }
+    let primary = fleet.primary;
+    for store in (0..STORES).filter(|store| *store != primary) {
+        let sent = Sent::from(fleet.stores[store].holdings());
+        fleet.links[store] = Some(Link { publisher: primary, sent, under_way: VecDeque::new() });
+        fleet.send(store);
+        while fleet.links[store].as_ref().is_some_and(|link| !link.under_way.is_empty()) {
+            fleet.deliver(store);
+        }
+        assert_same(&fleet.stores[store], &fleet.stores[primary]);
+    }
+}
--- /dev/null
+++ b/crates/intercom/src/control.rs
@@ -0,0 +1,151 @@
+//! Agreement among the members of the control plane: who is primary, who holds the data, and its replication.
+//!
+//! `docs/design/system.md` ("Control state") says what each message promises.
+
+use std::sync::Arc;
+
+use musli::{Decode, Encode};
+
+use crate::node::NodeId;
+
+/// A message from one member to another.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Envelope {
+    /// The sender.
+    pub from: NodeId,
+    /// The member meant; another generation on the same machine ignores the message.
+    pub to: NodeId,
+    /// What it says.
+    pub message: ControlMessage,
+}
+
+/// Who votes and who holds the data, under an epoch that no two proposers share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct View {
+    /// The epoch: a round in the upper 32 bits, the proposer's address in the lower.
+    pub epoch: u64,
+    /// Members that vote.
+    pub voters: Vec<NodeId>,
+    /// Voters of the view that this one was made from: a majority of them is needed beside one of `voters`.
+    pub previous_voters: Vec<NodeId>,
+    /// Members that hold the data; the first is the primary, the others are its backups.
+    pub holders: Vec<NodeId>,
+}
+
+/// One change of the control state.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Entry {
+    /// Its number, from 1, without gaps.
+    pub sequence: u64,
+    /// The encoded command.
+    pub command: Arc<[u8]>,
+}
+
+/// How far a member's data goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct DataMark {
+    /// The epoch in which the member was last brought up to date as a holder.
+    pub epoch: u64,
+    /// Its newest entry.
+    pub sequence: u64,
+}
+
+/// What members say to each other.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum ControlMessage {
+    /// A holder wants to make a new view under this epoch.
+    Prepare {
+        /// The proposed epoch.
+        epoch: u64,
+    },
+    /// The sender takes part in no lower epoch any more. Durable before it is sent.
+    Promise {
+        /// The epoch that was promised.
+        epoch: u64,
+        /// The newest view that the sender has recorded.
+        view: View,
+        /// How far the sender's data goes.
+        data: DataMark,
+    },
+    /// The sender can't do what was asked.
+    Refuse {
+        /// The epoch of the request.
+        epoch: u64,
+        /// The highest epoch that the sender has promised.
+        promised: u64,
+    },
+    /// Brings a future holder up to date before its view is installed.
+    Sync {
+        /// The proposed epoch.
+        epoch: u64,
+        /// The entry up to which the snapshot goes.
+        snapshot_sequence: u64,
+        /// The encoded state at that entry.
+        snapshot: Arc<[u8]>,
+        /// All entries after it.
+        entries: Vec<Entry>,
+    },
+    /// The sync is on the sender's disk.
+    Synced {
+        /// The epoch of the sync.
+        epoch: u64,
+        /// The newest entry that it brought.
+        sequence: u64,
+    },
+    /// Records a view.
+    Install {
+        /// The view.
+        view: View,
+    },
+    /// The view is on the sender's disk.
+    Installed {
+        /// The view's epoch.
+        epoch: u64,
+    },
+    /// Replicates an entry to a backup.
+    Append {
+        /// The primary's epoch.
+        epoch: u64,
+        /// The entry.
+        entry: Entry,
+    },
+    /// The entry and all before it are on the sender's disk.
+    Appended {
+        /// The epoch.
+        epoch: u64,
+        /// The entry's number.
+        sequence: u64,
+    },
+    /// The primary is there. Grants nothing by itself; the answer renews its lease.
+    Heartbeat {
+        /// The primary's view, so that standbys learn it.
+        view: View,
+        /// Returned in the answer; the primary reckons its lease from the moment it sent this.
+        token: u64,
+        /// The newest entry that all holders have.
+        committed: u64,
+    },
+    /// The sender votes for nobody else for the term of a lease.
+    HeartbeatAck {
+        /// The view's epoch.
+        epoch: u64,
+        /// The heartbeat's token.
+        token: u64,
+        /// The sender's zone.
+        zone: String,
+        /// The sender's disk answers within its bound.
+        disk_healthy: bool,
+    },
+    /// The primary gives up its lease; the named holder may campaign at once.
+    Release {
+        /// The primary's epoch.
+        epoch: u64,
+        /// The holder that should follow.
+        successor: NodeId,
+    },
+    /// The sender runs and is in no view that it knows to be in force.
+    Join {
+        /// Its zone.
+        zone: String,
+    },
+}
