Add settings, partial views and the agent beside each proxy

Cause: a process is told three seeds and must find the rest by itself. Change: station reads and checks settings, logs and signals; roster shuffles partial views by datagram; porter holds the link to a home tower and feeds the proxy over loopback.

--- /dev/null
+++ b/crates/porter/src/main.rs
@@ -0,0 +1,23 @@
+//! The `porter` program.
+
+use std::process::ExitCode;
+
+use porter::agent;
+use station::command_line;
+use station::settings::Settings;
+
+const DESCRIPTION: &str = "The agent beside each proxy: keeps the link to the control plane";
+
+fn main() -> ExitCode {
+    command_line::start("porter", DESCRIPTION, env!("CARGO_PKG_VERSION"), run)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    match agent::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(error:% = error; "the agent can't run");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/porter/tests/choice.rs
@@ -0,0 +1,139 @@
+//! The choice of a home.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use intercom::feed::ControlNode;
+use intercom::node::NodeId;
+use porter::choice::HomeChoice;
+use rstest::rstest;
+
+fn address(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn node(last: u8, zone: &str) -> ControlNode {
+    ControlNode { id: NodeId::new(address(last), 0), zone: zone.into() }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn choice(seeds: &[u8]) -> HomeChoice {
+    HomeChoice::new("a".into(), seeds.iter().map(|seed| address(*seed)).collect())
+}
+
+#[test]
+fn nobody_is_chosen_where_nobody_is_known() {
+    assert_eq!(choice(&[]).choose(&[], at(0)), None);
+}
+
+#[test]
+fn seeds_are_tried_one_after_the_other_while_nobody_else_is_known() {
+    let mut choice = choice(&[1, 2, 3]);
+    let mut tried = Vec::new();
+    for step in 0..6 {
+        let seed = choice.choose(&[], at(step)).expect("a seed");
+        choice.failed(seed, false, at(step));
+        tried.push(seed);
+    }
+    assert_eq!(tried[..3].iter().collect::<BTreeSet<_>>().len(), 3);
+    assert_eq!(tried[..3], tried[3..], "the one that failed longest ago is next");
+}
+
+#[test]
+fn members_of_the_own_zone_come_first_then_others() {
+    let known = [node(4, "b"), node(5, "a"), node(6, "a"), node(7, "c")];
+    let mut choice = choice(&[1]);
+    let mut order = Vec::new();
+    for step in 0..5 {
+        let home = choice.choose(&known, at(step)).expect("a home");
+        choice.failed(home, false, at(step));
+        order.push(home);
+    }
+    let near: BTreeSet<_> = order[..2].iter().copied().collect();
+    assert_eq!(near, BTreeSet::from([address(5), address(6)]));
+    assert_eq!(order.iter().collect::<BTreeSet<_>>().len(), 5);
+}
+
+#[test]
+fn a_seed_whose_zone_is_known_counts_to_its_zone() {
+    assert_eq!(choice(&[1, 2, 3]).choose(&[node(2, "a")], at(0)), Some(address(2)));
+}
+
+#[test]
+fn agents_of_a_zone_choose_alike_whatever_the_order_of_what_they_know() {
+    let known: Vec<_> = (1..20).map(|last| node(last, "a")).collect();
+    let reversed: Vec<_> = known.iter().rev().cloned().collect();
+    assert_eq!(choice(&[3]).choose(&known, at(0)), choice(&[9]).choose(&reversed, at(0)));
+}
+
+#[test]
+fn zones_without_a_member_of_their_own_spread() {
+    let known: Vec<_> = (1..=20).map(|last| node(last, "elsewhere")).collect();
+    let homes =
+        (0..200).map(|zone| HomeChoice::new(format!("zone-{zone}"), Vec::new()).choose(&known, at(0)));
+    assert!(homes.collect::<BTreeSet<_>>().len() >= 15);
+}
+
+#[test]
+fn a_member_that_goes_moves_no_agent_but_its_own() {
+    let known: Vec<_> = (1..=20).map(|last| node(last, "elsewhere")).collect();
+    let gone = address(7);
+    let left: Vec<_> = known.iter().filter(|node| node.id.address() != gone).cloned().collect();
+    for zone in 0..200 {
+        let mut choice = HomeChoice::new(format!("zone-{zone}"), Vec::new());
+        let before = choice.choose(&known, at(0));
+        let after = choice.choose(&left, at(0));
+        assert!(before == after || before == Some(gone));
+    }
+}
+
+#[rstest]
+#[case::still_penalised(1, 4, false)]
+#[case::over(1, 6, true)]
+#[case::second_failure(2, 9, false)]
+#[case::second_failure_over(2, 11, true)]
+#[case::longest(20, 19, false)]
+#[case::longest_over(20, 21, true)]
+fn a_member_that_failed_comes_last_for_a_while(
+    #[case] failures: u32,
+    #[case] later: u64,
+    #[case] chosen: bool,
+) {
+    let known = [node(5, "a"), node(6, "b")];
+    let mut choice = choice(&[]);
+    (0..failures).for_each(|_| choice.failed(address(5), false, at(100)));
+    assert_eq!(choice.choose(&known, at(100 + later)) == Some(address(5)), chosen);
+}
+
+#[test]
+fn failures_in_a_row_end_with_freshness() {
+    let known = [node(5, "a"), node(6, "b")];
+    let mut choice = choice(&[]);
+    (0..5).for_each(|_| choice.failed(address(5), false, at(100)));
+    choice.failed(address(5), true, at(200));
+    assert_eq!(choice.choose(&known, at(206)), Some(address(5)));
+}
+
+#[test]
+fn a_better_home_is_preferred_after_a_stay_and_not_while_it_fails() {
+    let known = [node(5, "a"), node(6, "b")];
+    let mut choice = choice(&[6]);
+    assert_eq!(choice.choose(&[], at(10)), Some(address(6)));
+    assert!(!choice.prefers_another(address(6), &known, at(11)));
+    assert!(choice.prefers_another(address(6), &known, at(13)));
+    assert!(!choice.prefers_another(address(5), &known, at(13)));
+    choice.failed(address(5), false, at(13));
+    assert!(!choice.prefers_another(address(6), &known, at(17)));
+    assert!(choice.prefers_another(address(6), &known, at(19)));
+}
+
+#[test]
+fn seeds_that_were_replaced_are_tried_no_more() {
+    let mut choice = choice(&[1]);
+    choice.set_seeds(vec![address(2)]);
+    assert_eq!(choice.choose(&[], at(0)), Some(address(2)));
+}
--- /dev/null
+++ b/crates/roster/src/datagram.rs
@@ -0,0 +1,21 @@
+//! The bytes of a datagram.
+
+use intercom::frame;
+use intercom::views::Shuffle;
+
+/// Longest datagram that is sent or taken, so that none is split on its way.
+pub const MAX_DATAGRAM_BYTES: usize = 1400;
+
+/// The bytes of a message; none if it is too long for a datagram.
+pub fn encode(message: &Shuffle) -> Option<Vec<u8>> {
+    let bytes = frame::encode(message).ok()?;
+    (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
+}
+
+/// The message of a datagram; none if it is malformed.
+pub fn decode(bytes: &[u8]) -> Option<Shuffle> {
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        return None;
+    }
+    frame::decode(bytes).ok()
+}
--- /dev/null
+++ b/crates/station/src/clock.rs
@@ -0,0 +1,14 @@
+//! The steady clock of the process.
+
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
+
+static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Time since the clock was first read, which [`crate::command_line::start`] does at the start of the
+/// program.
+///
+/// The clock is steady: it never goes back and knows nothing of the time of day.
+pub fn now() -> Duration {
+    START.elapsed()
+}
--- /dev/null
+++ b/crates/station/src/command_line.rs
@@ -0,0 +1,84 @@
+//! The command line that all programs of the system share: `run` (also where nothing is said), `check FILE`
+//! and `--version`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{Args, OptionParser, Parser, construct, positional, pure};
+
+use crate::clock;
+use crate::logging;
+use crate::settings::{Settings, SettingsError};
+
+/// Columns of help texts.
+const HELP_COLUMNS: usize = 100;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Runs the program with the settings that the environment names.
+    Run,
+    /// Checks a settings file and says what is wrong with it.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
+
+/// The parser of the command line.
+pub fn parser(description: &'static str, version: &'static str) -> OptionParser<Command> {
+    let run = pure(Command::Run).to_options().descr("Runs the program (the default)").command("run");
+    let file = positional::<PathBuf>("FILE").help("A settings file (YAML)");
+    let check =
+        construct!(Command::Check { file }).to_options().descr("Checks a settings file").command("check");
+    let default = pure(Command::Run);
+    construct!([run, check, default]).to_options().descr(description).version(version)
+}
+
+/// The whole `main` of a program: reads the command line, and for `run` the settings, starts the logs and
+/// hands over to `run`.
+pub fn start(
+    program: &'static str,
+    description: &'static str,
+    version: &'static str,
+    run: impl FnOnce(Settings) -> ExitCode,
+) -> ExitCode {
+    clock::now();
+    match parser(description, version).run_inner(Args::current_args()) {
+        Ok(Command::Run) => start_run(program, run),
+        Ok(Command::Check { file }) => check(&Settings::read(&file)),
+        Err(failure) => {
+            failure.print_message(HELP_COLUMNS);
+            ExitCode::from(failure.exit_code() as u8)
+        }
+    }
+}
+
+fn start_run(program: &'static str, run: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
+    match Settings::load() {
+        Ok(settings) => {
+            logging::init(program, &settings.node_name);
+            run(settings)
+        }
+        Err(error) => {
+            logging::init(program, "");
+            log::error!(error:% = error; "the settings can't be used");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Prints what a check of settings found; the exit code says whether they can be used.
+fn check(outcome: &Result<Settings, SettingsError>) -> ExitCode {
+    match outcome {
+        Ok(settings) => {
+            println!("{}: the settings can be used", settings.node_name);
+            return ExitCode::SUCCESS;
+        }
+        Err(SettingsError::Invalid { findings }) => {
+            findings.iter().for_each(|finding| println!("{finding}"));
+        }
+        Err(error) => println!("{error}"),
+    }
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/station/src/findings.rs
@@ -0,0 +1,123 @@
+//! What is wrong with a settings file, found field by field.
+
+use std::collections::HashSet;
+use std::net::Ipv4Addr;
+
+use serde_norway::{Mapping, Value};
+
+use crate::settings::{Finding, Settings};
+
+/// Fields without which no process can work.
+const NEEDED: [&str; 4] = ["nodeName", "ipAddress", "area", "sparePorts"];
+/// Ports that the system takes from the first of `sparePorts` on.
+pub(crate) const PORTS_USED: u16 = 4;
+
+/// Needed fields that are absent.
+pub(crate) fn missing(document: &Mapping) -> Vec<Finding> {
+    NEEDED
+        .iter()
+        .filter(|name| !document.contains_key(**name))
+        .map(|name| Finding::new(*name, "is needed and missing"))
+        .collect()
+}
+
+/// Takes out fields that are null, at every depth, so that null means the same as absent.
+pub(crate) fn without_nulls(value: Value) -> Value {
+    match value {
+        Value::Mapping(fields) => {
+            let kept = fields.into_iter().filter(|(_, field)| !field.is_null());
+            Value::Mapping(kept.map(|(name, field)| (name, without_nulls(field))).collect())
+        }
+        other => other,
+    }
+}
+
+/// Values that can be read but not used.
+pub(crate) fn out_of_range(settings: &Settings) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    names(settings, &mut findings);
+    ports(settings, &mut findings);
+    caps(settings, &mut findings);
+    time_limits(settings, &mut findings);
+    findings
+}
+
+fn names(settings: &Settings, findings: &mut Vec<Finding>) {
+    if settings.node_name.is_empty() {
+        findings.push(Finding::new("nodeName", "must not be empty"));
+    }
+    if settings.ip_address == Ipv4Addr::UNSPECIFIED {
+        findings.push(Finding::new("ipAddress", "must be the address of this machine"));
+    }
+    if !settings.zones.is_empty() && !settings.zones.contains_key(&settings.area) {
+        findings.push(Finding::new("area", format!("{:?} is not one of zones", settings.area)));
+    }
+}
+
+fn ports(settings: &Settings, findings: &mut Vec<Finding>) {
+    let (first, last) = settings.spare_ports;
+    if first == 0 || last < first || last - first < PORTS_USED - 1 {
+        let what = format!("{first} to {last} must give {PORTS_USED} ports above 0");
+        findings.push(Finding::new("sparePorts", what));
+    }
+    let listen_on = &settings.listen_on;
+    let listeners = [
+        ("listenOn.frontDoor", listen_on.front_door),
+        ("listenOn.readyCheck", listen_on.ready_check),
+        ("listenOn.controlPort", listen_on.control_port),
+    ];
+    let mut taken = HashSet::new();
+    for (place, address) in listeners {
+        let Some(address) = address else { continue };
+        if address.port() == 0 {
+            findings.push(Finding::new(place, "must have a port above 0"));
+        }
+        if !taken.insert(address) {
+            findings.push(Finding::new(place, format!("{address} is used twice")));
+        }
+    }
+    for (index, seed) in settings.seed_nodes.iter().enumerate() {
+        if !seed.is_ipv4() || seed.port() == 0 {
+            let what = format!("{seed} is not an IPv4 address with a port");
+            findings.push(Finding::new(format!("seedNodes[{index}]"), what));
+        }
+    }
+}
+
+fn caps(settings: &Settings, findings: &mut Vec<Finding>) {
+    let caps = &settings.caps;
+    positive("caps.cpuPart", caps.cpu_part, findings);
+    positive("caps.coreCount", caps.core_count, findings);
+    positive("caps.ramMb", caps.ram_mb as f64, findings);
+    positive("caps.fileHandles", caps.file_handles as f64, findings);
+    positive("caps.bandwidthMbps", caps.bandwidth_mbps, findings);
+    if let Some(cloud) = &settings.cloud_api {
+        positive("cloudApi.ratePerS", cloud.rate_per_s, findings);
+    }
+}
+
+fn time_limits(settings: &Settings, findings: &mut Vec<Finding>) {
+    let limits = &settings.time_limits;
+    positive("timeLimits.leewayS", limits.leeway_s, findings);
+    positive("timeLimits.withdrawMs", limits.withdraw_ms as f64, findings);
+    positive("timeLimits.retryWindowS", limits.retry_window_s, findings);
+    let not_negative = [
+        ("timeLimits.seedDelayS", limits.seed_delay_s),
+        ("timeLimits.recycleAfterS", limits.recycle_after_s),
+        ("timeLimits.syncS", limits.sync_s),
+        ("timeLimits.healS", limits.heal_s),
+        ("timeLimits.again_s", limits.again_s),
+        ("timeLimits.retryRatio", limits.retry_ratio),
+    ];
+    for (place, value) in not_negative {
+        if !value.is_finite() || value < 0.0 {
+            findings.push(Finding::new(place, format!("{value} must not be below 0")));
+        }
+    }
+}
+
+fn positive(place: &str, value: f64, findings: &mut Vec<Finding>) {
+    if !value.is_finite() || value <= 0.0 {
+        findings.push(Finding::new(place, format!("{value} must be above 0")));
+    }
+}
