--- /dev/null
+++ b/crates/kiosk/src/alarms.rs
@@ -0,0 +1,171 @@
+//! Time-outs that share one timer.
+//!
+//! A timer of the reactor costs system calls when it is set and a wake-up when it fires. Most time-outs of a
+//! proxy never fire, so here they are entries of an ordered table, rounded up to ticks, and one task sleeps
+//! until the first of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+
+/// Time-outs that end within the same tick end together.
+const TICK: Duration = Duration::from_millis(10);
+
+/// When an entry is due, and its number among those of the same tick.
+type Key = (u64, u64);
+
+#[derive(Default)]
+struct Table {
+    entries: BTreeMap<Key, Waker>,
+    last_number: u64,
+    /// Tick for which the driver sleeps; none while it sleeps without end.
+    sleeps_until: Option<u64>,
+    driver: Option<Waker>,
+}
+
+/// The table of time-outs; clones share it.
+#[derive(Clone)]
+pub struct Alarms {
+    start: Instant,
+    table: Rc<RefCell<Table>>,
+}
+
+impl Default for Alarms {
+    fn default() -> Self {
+        Alarms { start: Instant::now(), table: Rc::default() }
+    }
+}
+
+impl Alarms {
+    /// A future that is ready once this moment has come.
+    pub fn at(&self, due: Instant) -> Alarm {
+        let since_start = due.saturating_duration_since(self.start);
+        let tick = since_start.as_nanos().div_ceil(TICK.as_nanos()) as u64;
+        Alarm { alarms: self.clone(), tick, number: None }
+    }
+
+    /// A future that is ready once this time has passed.
+    pub fn after(&self, time: Duration) -> Alarm {
+        self.at(Instant::now() + time)
+    }
+
+    /// What a future gives if it ends by this moment.
+    pub async fn by<T>(&self, due: Instant, work: impl Future<Output = T>) -> Option<T> {
+        future::or(async { Some(work.await) }, async {
+            self.at(due).await;
+            None
+        })
+        .await
+    }
+
+    /// Wakes what is due, for ever. One task of the process runs this.
+    pub async fn drive(&self) {
+        loop {
+            self.wake_due();
+            let until = self.first_tick();
+            self.table.borrow_mut().sleeps_until = until;
+            let sleep = async {
+                match until {
+                    Some(tick) => drop(Timer::at(self.moment(tick)).await),
+                    None => future::pending().await,
+                }
+            };
+            future::or(sleep, self.earlier_entry(until)).await;
+        }
+    }
+
+    fn moment(&self, tick: u64) -> Instant {
+        self.start + Duration::from_nanos(tick.saturating_mul(TICK.as_nanos() as u64))
+    }
+
+    fn current_tick(&self) -> u64 {
+        (self.start.elapsed().as_nanos() / TICK.as_nanos()) as u64
+    }
+
+    fn first_tick(&self) -> Option<u64> {
+        self.table.borrow().entries.first_key_value().map(|((tick, _), _)| *tick)
+    }
+
+    fn wake_due(&self) {
+        let now = self.current_tick();
+        let due = {
+            let mut table = self.table.borrow_mut();
+            let later = table.entries.split_off(&(now + 1, 0));
+            std::mem::replace(&mut table.entries, later)
+        };
+        due.into_values().for_each(Waker::wake);
+    }
+
+    /// Ends once an entry came that is due before the one slept for.
+    async fn earlier_entry(&self, slept_for: Option<u64>) {
+        future::poll_fn(|context| {
+            let mut table = self.table.borrow_mut();
+            let first = table.entries.first_key_value().map(|((tick, _), _)| *tick);
+            if first.is_some_and(|first| slept_for.is_none_or(|tick| first < tick)) {
+                return Poll::Ready(());
+            }
+            table.driver = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// One time-out; dropping it takes its entry out of the table.
+pub struct Alarm {
+    alarms: Alarms,
+    tick: u64,
+    number: Option<u64>,
+}
+
+impl Alarm {
+    /// Ready once its moment has come, as a poll beside others.
+    pub fn poll_passed(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        Pin::new(self).poll(context)
+    }
+
+    fn remove(&mut self) {
+        if let Some(number) = self.number.take() {
+            self.alarms.table.borrow_mut().entries.remove(&(self.tick, number));
+        }
+    }
+}
+
+impl Future for Alarm {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.alarms.current_tick() >= self.tick {
+            self.remove();
+            return Poll::Ready(());
+        }
+        let this = &mut *self;
+        let mut table = this.alarms.table.borrow_mut();
+        let number = *this.number.get_or_insert_with(|| {
+            table.last_number += 1;
+            table.last_number
+        });
+        match table.entries.get_mut(&(this.tick, number)) {
+            Some(waker) => waker.clone_from(context.waker()),
+            None => drop(table.entries.insert((this.tick, number), context.waker().clone())),
+        }
+        if table.sleeps_until.is_none_or(|tick| this.tick < tick)
+            && let Some(driver) = table.driver.take()
+        {
+            driver.wake();
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Alarm {
+    fn drop(&mut self) {
+        self.remove();
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/attempt.rs
@@ -0,0 +1,229 @@
+//! One attempt: a request is written to one replica, and its answer read up to where it begins to be passed on.
+
+use std::io;
+use std::rc::Rc;
+
+use jetway::http::{self, Body, Head};
+use signpost::types::Verdict;
+
+use crate::pool::{Connection, Pool};
+use crate::replicas::ReplicaEntry;
+use crate::reply::Reply;
+
+/// Interim answers that are skipped.
+const MOST_INTERIM: u32 = 8;
+/// Answers to earlier requests that are skipped.
+const MOST_FOREIGN: u32 = 2;
+/// Longest answer of a failure that is passed on.
+const LONGEST_FAILURE: usize = 4 * 1024 * 1024;
+
+/// How an attempt has come out, up to the beginning of its answer.
+pub enum AttemptEnd {
+    /// Nothing was sent.
+    Unsent(Verdict),
+    /// The replica turned the request away; it has not run.
+    NotRun,
+    /// Another replica has the address; the request has not run.
+    WrongReplica,
+    /// The request may have run, and there is no answer that could be passed on.
+    Broken,
+    /// A whole answer that is no success and that the client may be given.
+    Failure(Failure),
+    /// The beginning of a success.
+    Success(Box<Answer>),
+}
+
+/// A whole answer that is no success.
+#[derive(Debug)]
+pub struct Failure {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The replica said that the request did not run.
+    pub not_run: bool,
+}
+
+/// The beginning of a success: its head, and the first bytes of its body or its end.
+pub struct Answer {
+    /// The replica.
+    pub replica: Rc<ReplicaEntry>,
+    /// Where the rest comes from.
+    pub connection: Connection,
+    /// The head.
+    pub head: Head,
+    /// How the body was framed when it began.
+    pub framing: Body,
+    /// What is still to come.
+    pub body: Body,
+    /// Bytes of the body that have come and were not yet passed on.
+    pub bytes: Vec<u8>,
+    /// The body has come whole.
+    pub is_whole: bool,
+}
+
+/// A request as one replica is sent it.
+#[derive(Clone, Copy)]
+pub struct Outgoing<'a> {
+    /// Its head, ready to be written.
+    pub head: &'a [u8],
+    /// Its body.
+    pub body: &'a [u8],
+    /// The client's name for the try.
+    pub attempt_id: Option<&'a str>,
+    /// The answer has a head alone.
+    pub is_head_request: bool,
+}
+
+/// Writes the request and reads the answer up to the first bytes of a success, or to the end of anything else.
+pub async fn exchange(
+    pool: &Pool,
+    replica: &Rc<ReplicaEntry>,
+    mut connection: Connection,
+    outgoing: Outgoing<'_>,
+) -> AttemptEnd {
+    // Until its last byte was taken the request is not whole, and can't have run.
+    if connection.wire.write_both(outgoing.head, outgoing.body).await.is_err() {
+        return AttemptEnd::Unsent(Verdict::NoConnection);
+    }
+    for _ in 0..=MOST_FOREIGN {
+        let Ok(head) = read_head(&mut connection, pool).await else { return AttemptEnd::Broken };
+        match Reply::read(&head, outgoing.attempt_id, &replica.id.0) {
+            // It came late and in the place of the one that is due, which follows it.
+            Reply::Foreign => {
+                connection.is_spoilt = true;
+                let framing = framing(&head, outgoing);
+                if read_body(pool, &mut connection, framing).await.is_none() {
+                    return AttemptEnd::Broken;
+                }
+            }
+            Reply::Unsealed => return AttemptEnd::Broken,
+            Reply::Success => return begin(pool, replica, connection, head, outgoing).await,
+            Reply::WrongReplica => return AttemptEnd::WrongReplica,
+            reply => return finish(pool, replica, connection, head, (outgoing, reply)).await,
+        }
+    }
+    AttemptEnd::Broken
+}
+
+async fn read_head(connection: &mut Connection, pool: &Pool) -> io::Result<Head> {
+    let mut interim = 0;
+    loop {
+        match http::response_head(&mut connection.wire.buf, pool.limits()) {
+            Ok(Some(head)) if head.status() >= 200 => return Ok(head),
+            Ok(Some(_)) if interim < MOST_INTERIM => interim += 1,
+            Ok(Some(_)) => return Err(io::Error::other("interim answers without end")),
+            Ok(None) if connection.wire.fill(pool.limits()).await? == 0 => {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            Ok(None) => {}
+            Err(fault) => return Err(io::Error::other(fault.what)),
+        }
+    }
+}
+
+/// How the body of an answer is framed; none if that can't be told.
+fn framing(head: &Head, outgoing: Outgoing<'_>) -> Option<Body> {
+    if outgoing.is_head_request { Some(Body::Length(0)) } else { head.response_body().ok() }
+}
+
+/// Reads a success up to the first bytes of its body.
+async fn begin(
+    pool: &Pool,
+    replica: &Rc<ReplicaEntry>,
+    connection: Connection,
+    head: Head,
+    outgoing: Outgoing<'_>,
+) -> AttemptEnd {
+    let Some(framing) = framing(&head, outgoing) else { return AttemptEnd::Broken };
+    let mut answer = Box::new(Answer {
+        replica: replica.clone(),
+        connection,
+        head,
+        framing,
+        body: framing,
+        bytes: Vec::new(),
+        is_whole: false,
+    });
+    if answer.take(pool).is_err() {
+        return AttemptEnd::Broken;
+    }
+    while answer.bytes.is_empty() && !answer.is_whole {
+        if answer.read(pool).await.is_err() {
+            return AttemptEnd::Broken;
+        }
+    }
+    AttemptEnd::Success(answer)
+}
+
+/// Reads an answer that is no success to its end.
+async fn finish(
+    pool: &Pool,
+    replica: &Rc<ReplicaEntry>,
+    mut connection: Connection,
+    head: Head,
+    (outgoing, reply): (Outgoing<'_>, Reply),
+) -> AttemptEnd {
+    let body = read_body(pool, &mut connection, framing(&head, outgoing)).await;
+    let is_whole = body.is_some();
+    let end = match (reply, body) {
+        (Reply::NotRun, _) => AttemptEnd::NotRun,
+        (Reply::Rejected, Some(body)) => {
+            AttemptEnd::Failure(Failure { head: head.clone(), body, not_run: true })
+        }
+        (Reply::Failure, Some(body)) => {
+            AttemptEnd::Failure(Failure { head: head.clone(), body, not_run: false })
+        }
+        _ => AttemptEnd::Broken,
+    };
+    if is_whole {
+        pool.give_back(&replica.id, connection, &head);
+    }
+    end
+}
+
+async fn read_body(pool: &Pool, connection: &mut Connection, framing: Option<Body>) -> Option<Vec<u8>> {
+    let mut framing = framing.filter(|framing| *framing != Body::UntilClose)?;
+    let mut bytes = Vec::new();
+    while !framing.take(&mut connection.wire.buf, &mut bytes, pool.limits()).ok()? {
+        let more = connection.wire.fill(pool.limits()).await.ok()?;
+        if more == 0 || bytes.len() > LONGEST_FAILURE {
+            return None;
+        }
+    }
+    Some(bytes)
+}
+
+impl Answer {
+    /// Waits for bytes from the replica and takes what they hold of the body.
+    pub async fn read(&mut self, pool: &Pool) -> io::Result<()> {
+        let read = self.connection.wire.fill(pool.limits()).await;
+        self.came(read, pool)
+    }
+
+    /// Takes what the connection has read of the body.
+    pub fn came(&mut self, read: io::Result<usize>, pool: &Pool) -> io::Result<()> {
+        match read {
+            Ok(0) if self.body == Body::UntilClose => {
+                self.is_whole = true;
+                Ok(())
+            }
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => self.take(pool),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn take(&mut self, pool: &Pool) -> io::Result<()> {
+        let taken = self.body.take(&mut self.connection.wire.buf, &mut self.bytes, pool.limits());
+        self.is_whole = taken.map_err(|fault| io::Error::other(fault.what))?;
+        Ok(())
+    }
+
+    /// Ends the answer, which has come whole; its connection may serve again.
+    pub fn finish(self, pool: &Pool) {
+        if self.framing != Body::UntilClose {
+            pool.give_back(&self.replica.id, self.connection, &self.head);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/budget.rs
@@ -0,0 +1,59 @@
+//! The budget of repeated sends of one service.
+
+/// Part of the ratio that is given out: the rest is for requests that clients count in another window.
+const RATIO_PART: f64 = 0.9;
+/// Part of the fleet's spare attempts that the gateways known so far hold together: the other half is for as many
+/// gateways that nobody knows of yet.
+const SPARE_PART: f64 = 0.5;
+
+/// What the deployment allows the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryAllowance {
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends beyond the ratio within a window.
+    pub spare: f64,
+}
+
+/// One gateway's tokens for repeated sends to one service.
+///
+/// A request's first send adds a part of a token and each further send takes a whole one. The bucket starts
+/// empty, as a gateway that was just restarted may have spent what it held a moment ago.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    allowance: RetryAllowance,
+    capacity: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// An empty bucket, without room until the number of gateways is known.
+    pub fn new(allowance: RetryAllowance) -> Self {
+        RetryBudget { allowance, capacity: 0.0, tokens: 0.0 }
+    }
+
+    /// Makes room for this gateway's share among so many.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.capacity = self.allowance.spare * SPARE_PART / f64::from(gateways.max(1));
+        self.tokens = self.tokens.min(self.capacity);
+    }
+
+    /// Counts a request's first send.
+    pub fn first_send(&mut self) {
+        self.tokens = (self.tokens + self.allowance.ratio * RATIO_PART).min(self.capacity);
+    }
+
+    /// Takes a token for a repeated send; false if there is none, and then nothing may be sent.
+    pub fn take(&mut self) -> bool {
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+
+    /// Whether a repeated send would find a token.
+    pub fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/main.rs
@@ -0,0 +1,7 @@
+//! The `kiosk` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    station::command_line::start("kiosk", "The proxy", env!("CARGO_PKG_VERSION"), kiosk::run::run)
+}
--- /dev/null
+++ b/crates/kiosk/src/proxy.rs
@@ -0,0 +1,249 @@
+//! What all requests share: the routing table, the replicas, the decision modules and the connections to replicas.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::feed::{Replica, WeightsTable};
+use jetway::WireLimits;
+use station::clock;
+use station::settings::Settings;
+use timetable::{Caps, Configuration};
+
+use crate::admission::Routing;
+use crate::alarms::Alarms;
+use crate::bounds::{Bounds, ClientPlace, HeldBytes, Usage, client_limits, replica_limits};
+use crate::budget::{RetryAllowance, RetryBudget};
+use crate::counters::Counters;
+use crate::freshness::FreshnessGate;
+use crate::held;
+use crate::lifecycle::{Lifecycle, Stage};
+use crate::notice::Notice;
+use crate::placement::Placement;
+use crate::pool::Pool;
+use crate::replicas::{Replicas, ZoneIndex};
+
+/// Tells how long ago the configuration was known to be the newest.
+pub type Age = Box<dyn Fn() -> Option<Duration>>;
+
+/// The state of the proxy, which all tasks of its one thread share.
+pub struct Proxy {
+    /// Time-outs.
+    pub alarms: Alarms,
+    /// Counts of what was done.
+    pub counters: Counters,
+    /// Connections to replicas.
+    pub pool: Pool,
+    /// The decision modules.
+    pub placement: Rc<RefCell<Placement>>,
+    /// The replicas.
+    pub replicas: RefCell<Replicas>,
+    /// Raised when the stage of life changes.
+    pub stage_changed: Notice,
+    /// What is in use of what the process may use.
+    pub usage: Usage,
+    routing: RefCell<Option<Rc<Routing>>>,
+    client_limits: RefCell<Rc<WireLimits>>,
+    budgets: RefCell<BTreeMap<String, RetryBudget>>,
+    gateways: Cell<u32>,
+    allowance: RetryAllowance,
+    zones: RefCell<ZoneIndex>,
+    lifecycle: RefCell<Lifecycle>,
+    gate: FreshnessGate,
+    age: Age,
+    chance: Cell<u64>,
+}
+
+impl Proxy {
+    /// A proxy that knows nothing yet. `seed` makes its chances its own.
+    pub fn new(settings: &Settings, seed: u64, age: Age) -> Rc<Proxy> {
+        let limits = &settings.time_limits;
+        let bounds = Bounds::of(settings.caps.file_handles);
+        let mut zones = ZoneIndex::new(settings.zones.keys().cloned());
+        let zone = zones.number(&settings.area);
+        Rc::new(Proxy {
+            alarms: Alarms::default(),
+            counters: Counters::default(),
+            pool: Pool::new(bounds.replicas, replica_limits()),
+            placement: Rc::new(RefCell::new(Placement::new(zone, seed))),
+            replicas: RefCell::default(),
+            stage_changed: Notice::default(),
+            usage: Usage::new(bounds),
+            routing: RefCell::default(),
+            client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
+            budgets: RefCell::default(),
+            gateways: Cell::new(0),
+            allowance: RetryAllowance { ratio: limits.retry_ratio, spare: limits.spare_tries as f64 },
+            zones: RefCell::new(zones),
+            lifecycle: RefCell::default(),
+            gate: FreshnessGate::new(limits.shut_tight, limits.withdraw()),
+            age,
+            chance: Cell::new(seed),
+        })
+    }
+
+    // ---- what the control plane tells ---------------------------------------------------------------------
+
+    /// Takes over a configuration.
+    pub fn set_configuration(&self, configuration: Arc<Configuration>) {
+        log::info!(
+            revision = configuration.revision, routes = configuration.routes.len(),
+            tenants = configuration.tenants.len();
+            "configuration applied"
+        );
+        self.placement.borrow_mut().configure(&configuration);
+        for service in &configuration.services {
+            self.set_members(&service.label);
+        }
+        *self.client_limits.borrow_mut() = Rc::new(client_limits(&configuration.caps));
+        *self.routing.borrow_mut() = Some(Routing::new(configuration));
+    }
+
+    /// Takes over the table of replicas, judged by the table of weights.
+    pub fn set_fleet<'a>(&self, lines: impl IntoIterator<Item = &'a Replica>, weights: &WeightsTable) {
+        let changed = {
+            let mut zones = self.zones.borrow_mut();
+            self.replicas.borrow_mut().update(lines, weights, &mut zones)
+        };
+        let replicas = self.replicas.borrow();
+        self.pool.keep_only(|id| replicas.ready(id).is_some());
+        drop(replicas);
+        changed.iter().for_each(|service| self.set_members(service));
+    }
+
+    /// Takes over how many gateways there are.
+    pub fn set_gateways(&self, gateways: u32) {
+        self.gateways.set(gateways);
+        self.placement.borrow_mut().set_group_size(gateways);
+        self.budgets.borrow_mut().values_mut().for_each(|budget| budget.set_gateways(gateways));
+    }
+
+    /// A replica's address has gone to another one.
+    pub fn displace(&self, id: &signpost::types::ReplicaId) {
+        let service = self.replicas.borrow_mut().displace(id);
+        if let Some(service) = service {
+            log::info!(replica = &*id.0; "a replica's address has gone to another one");
+            self.pool.keep_only(|other| other != id);
+            self.set_members(&service);
+        }
+    }
+
+    fn set_members(&self, service: &str) {
+        let members = self.replicas.borrow().members(service);
+        self.placement.borrow_mut().set_members(held::now(), service, members);
+    }
+
+    // ---- judgements ---------------------------------------------------------------------------------------
+
+    /// The newest configuration, if it is fresh enough to judge requests by.
+    pub fn routing(&self) -> Option<Rc<Routing>> {
+        let routing = self.routing.borrow();
+        routing.as_ref().filter(|_| self.gate.is_open((self.age)())).cloned()
+    }
+
+    /// Whether the platform should send clients here.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving
+            && self.replicas.borrow().ready_count() > 0
+            && self.routing().is_some()
+    }
+
+    /// A number from 0 up to 1, another one each time (SplitMix64).
+    pub fn chance(&self) -> f64 {
+        let state = self.chance.get().wrapping_add(0x9E37_79B9_7F4A_7C15);
+        self.chance.set(state);
+        let mixed = (state ^ (state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// The limits that connections of clients keep to.
+    pub fn client_limits(&self) -> Rc<WireLimits> {
+        self.client_limits.borrow().clone()
+    }
+
+    /// The caps on clients.
+    pub fn caps(&self) -> Caps {
+        self.routing.borrow().as_ref().map_or_else(Caps::default, |routing| routing.configuration.caps)
+    }
+
+    // ---- the budget of repeated sends ---------------------------------------------------------------------
+
+    /// Whether a service's budget allows a repeated send.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        self.budgets.borrow().get(service).is_some_and(RetryBudget::has_token)
+    }
+
+    /// Takes a repeated send from a service's budget; false if there is none left.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        self.budgets.borrow_mut().get_mut(service).is_some_and(RetryBudget::take)
+    }
+
+    /// Counts a request's first send.
+    pub fn count_first_send(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            return budget.first_send();
+        }
+        let mut budget = RetryBudget::new(self.allowance);
+        if self.gateways.get() > 0 {
+            budget.set_gateways(self.gateways.get());
+        }
+        budget.first_send();
+        budgets.insert(service.to_owned(), budget);
+    }
+
+    // ---- life ---------------------------------------------------------------------------------------------
+
+    /// SIGTERM came.
+    pub fn stop(&self, leeway: Duration) {
+        self.lifecycle.borrow_mut().stop(clock::now(), leeway);
+        self.stage_changed.raise();
+    }
+
+    /// The stage of life.
+    pub fn stage(&self) -> Stage {
+        self.lifecycle.borrow().stage(clock::now())
+    }
+
+    /// Tells of each change of the stage; ends once the process may end.
+    pub async fn run_lifecycle(&self) {
+        loop {
+            let now = clock::now();
+            if self.lifecycle.borrow().may_end(now, self.usage.open_clients()) {
+                return;
+            }
+            let next = self.lifecycle.borrow().next_change(now);
+            let change = async {
+                match next {
+                    Some(at) => self.alarms.after(at.saturating_sub(now)).await,
+                    None => self.stage_changed.changed().await,
+                }
+            };
+            let client_left = async {
+                match next {
+                    Some(_) => self.usage.client_left.changed().await,
+                    None => futures_lite::future::pending().await,
+                }
+            };
+            futures_lite::future::or(change, client_left).await;
+            if next.is_some_and(|at| clock::now() >= at) {
+                self.stage_changed.raise();
+            }
+        }
+    }
+
+    // ---- bounds -------------------------------------------------------------------------------------------
+
+    /// A place for a client's connection, given back when it is dropped.
+    pub fn client_place(self: &Rc<Self>) -> ClientPlace {
+        ClientPlace::new(self)
+    }
+
+    /// Bytes of a body, counted until they are dropped.
+    pub fn held_bytes(self: &Rc<Self>) -> HeldBytes {
+        HeldBytes::new(self)
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/replicas.rs
@@ -0,0 +1,153 @@
+//! The replicas that the control plane tells of, as the proxy uses them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use intercom::feed::{ModelRevision, Replica, ReplicaPhase, WeightsTable};
+use signpost::types::{Member, Phase, ReplicaId};
+
+/// Zones by name, as the numbers that the decision module knows them by.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneIndex(Vec<String>);
+
+impl ZoneIndex {
+    /// Numbers these zones in their order.
+    pub fn new(zones: impl IntoIterator<Item = String>) -> Self {
+        ZoneIndex(zones.into_iter().collect())
+    }
+
+    /// A zone's number; one that was not known gets the next.
+    pub fn number(&mut self, zone: &str) -> u16 {
+        let known = self.0.iter().position(|known| known == zone);
+        let number = known.unwrap_or_else(|| {
+            self.0.push(zone.to_owned());
+            self.0.len() - 1
+        });
+        number as u16
+    }
+}
+
+/// One incarnation of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaEntry {
+    /// Its id, which is that of this incarnation alone.
+    pub id: ReplicaId,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: u16,
+    /// Whether it may be sent requests.
+    pub phase: Phase,
+    /// The models that it serves and the revision of their weights.
+    pub models: Vec<ModelRevision>,
+}
+
+impl ReplicaEntry {
+    /// The revision of its weights of a model.
+    pub fn revision(&self, model: &str) -> Option<u64> {
+        self.models.iter().find(|held| held.model == model).map(|held| held.revision)
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            id: self.id.clone(),
+            units: 1.0,
+            zone: self.zone,
+            kind: 0,
+            cell: 0,
+            phase: self.phase,
+            started: None,
+        }
+    }
+}
+
+/// All replicas by id.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    entries: BTreeMap<ReplicaId, Rc<ReplicaEntry>>,
+    /// Incarnations whose address belongs to another one now, while they are still listed.
+    displaced: BTreeSet<ReplicaId>,
+    ready: usize,
+}
+
+impl Replicas {
+    /// A replica that may be sent requests.
+    pub fn ready(&self, id: &ReplicaId) -> Option<&Rc<ReplicaEntry>> {
+        self.entries.get(id).filter(|entry| entry.phase == Phase::Ready)
+    }
+
+    /// How many replicas may be sent requests.
+    pub fn ready_count(&self) -> usize {
+        self.ready
+    }
+
+    /// Takes over the newest table. Returns the services whose replicas changed.
+    pub fn update<'a>(
+        &mut self,
+        lines: impl IntoIterator<Item = &'a Replica>,
+        weights: &WeightsTable,
+        zones: &mut ZoneIndex,
+    ) -> BTreeSet<String> {
+        let mut entries = BTreeMap::new();
+        for line in lines {
+            let Ok(address) = line.address.parse() else {
+                log::warn!(replica = &*line.id, address = &*line.address; "a replica's address can't be read");
+                continue;
+            };
+            let id = ReplicaId::from(line.id.as_str());
+            let entry = ReplicaEntry {
+                phase: self.phase(&id, line, weights),
+                id: id.clone(),
+                service: line.service.clone(),
+                address,
+                zone: zones.number(&line.zone),
+                models: line.models.clone(),
+            };
+            let known = self.entries.get(&id).filter(|known| ***known == entry).cloned();
+            entries.insert(id, known.unwrap_or_else(|| Rc::new(entry)));
+        }
+        self.replace(entries)
+    }
+
+    fn phase(&self, id: &ReplicaId, line: &Replica, weights: &WeightsTable) -> Phase {
+        let outdated = |held: &ModelRevision| {
+            weights.models.iter().any(|named| named.model == held.model && held.revision < named.least)
+        };
+        let is_ready = line.phase == ReplicaPhase::Ready
+            && !self.displaced.contains(id)
+            && !line.models.iter().any(outdated);
+        if is_ready { Phase::Ready } else { Phase::Draining }
+    }
+
+    /// An incarnation is gone, and its address has gone to another. Returns its service, if it was still in use.
+    pub fn displace(&mut self, id: &ReplicaId) -> Option<String> {
+        let entry = self.entries.get_mut(id).filter(|entry| entry.phase == Phase::Ready)?;
+        Rc::make_mut(entry).phase = Phase::Draining;
+        let service = entry.service.clone();
+        self.displaced.insert(id.clone());
+        self.ready -= 1;
+        Some(service)
+    }
+
+    fn replace(&mut self, entries: BTreeMap<ReplicaId, Rc<ReplicaEntry>>) -> BTreeSet<String> {
+        let same = |a: &Rc<ReplicaEntry>, b: Option<&Rc<ReplicaEntry>>| {
+            b.is_some_and(|b| (a.phase, a.zone, &a.service) == (b.phase, b.zone, &b.service))
+        };
+        let added = entries.values().filter(|entry| !same(entry, self.entries.get(&entry.id)));
+        let removed = self.entries.values().filter(|entry| !same(entry, entries.get(&entry.id)));
+        let changed = added.chain(removed).map(|entry| entry.service.clone()).collect();
+        self.displaced.retain(|id| entries.contains_key(id));
+        self.ready = entries.values().filter(|entry| entry.phase == Phase::Ready).count();
+        self.entries = entries;
+        changed
+    }
+
+    /// A service's replicas as the decision module takes them.
+    pub fn members(&self, service: &str) -> Arc<[Member]> {
+        self.entries.values().filter(|entry| entry.service == service).map(|entry| entry.member()).collect()
+    }
+}
--- /dev/null
+++ b/crates/kiosk/tests/answers.rs
@@ -0,0 +1,235 @@
+//! How answers are passed on: as they arrive, never as whole when they were not, and resumed where that is allowed.
+
+mod support;
+
+use rstest::rstest;
+use support::{Bench, LAST, Part, chunk, event, post, post_with, status, stream_head, transcript};
+
+fn write(text: impl Into<String>) -> Part {
+    Part::Write(text.into())
+}
+
+#[test]
+fn events_are_passed_on_as_they_arrive() {
+    let bench = Bench::start(1);
+    bench.next(&[write(stream_head() + &event(1)), Part::Wait, write(event(2) + LAST)]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/stream/", "t1")).await;
+        client.wait_for("data: d1").await;
+        bench.release();
+        client.answer().await
+    });
+    insta::assert_snapshot!(transcript(&answer));
+}
+
+#[rstest]
+#[case::length(
+    "/risky/",
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nfour".to_owned(),
+    "",
+)]
+#[case::between_chunks("/stream/", stream_head() + &event(1), "")]
+#[case::amid_a_chunk("/stream/", stream_head() + &event(1) + "9\r\nid: 2\n", "")]
+#[case::no_chunk("/stream/", stream_head() + &event(1), "what is this\r\n\r\n")]
+#[case::longer_than_its_size("/stream/", stream_head() + &event(1), "2\r\nlonger\r\n0\r\n\r\n")]
+#[case::amid_an_answer("/harmless/", stream_head() + &event(1), "")]
+fn an_answer_that_ends_early_does_not_look_complete(
+    #[case] path: &str,
+    #[case] begun: String,
+    #[case] then: &str,
+) {
+    let bench = Bench::start(2);
+    bench.next(&[write(begun), Part::Wait, write(then), Part::Close]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post(path, "t1")).await;
+        client.wait_for("200 OK").await;
+        bench.release();
+        client.answer().await
+    });
+    assert!(answer.ends_with("(cut)"), "{answer}");
+    assert!(!answer.contains("0\r\n\r\n"), "{answer}");
+    assert_eq!(bench.arrivals(), 1);
+}
+
+#[test]
+fn a_stream_is_resumed_behind_the_last_whole_event() {
+    let bench = Bench::start(2);
+    bench.next(&[write(stream_head() + &event(1) + &event(2) + &chunk("id: 3\ndata")), Part::Close]);
+    bench.next(&[write(stream_head().replace("s.1", "s.2") + &event(3) + &event(4) + LAST)]);
+    let answer = bench.run(bench.ask(&post("/resumable/", "t1")));
+    insta::assert_snapshot!(transcript(&answer));
+    let second = bench.replicas.iter().flat_map(|replica| replica.requests.borrow().clone());
+    let resumed: Vec<_> = second.filter(|request| request.contains("Last-Event-Id")).collect();
+    assert_eq!(resumed.len(), 1);
+    assert_eq!(support::header(&resumed[0], "Last-Event-Id").as_deref(), Some("2"));
+}
+
+#[test]
+fn a_resumed_stream_of_the_client_goes_on_behind_its_own_event() {
+    let bench = Bench::start(2);
+    bench.next(&[write(stream_head() + &event(8)), Part::Close]);
+    bench.next(&[write(stream_head() + &event(9) + LAST)]);
+    let answer = bench.run(bench.ask(&post_with("/resumable/", "t1", "Last-Event-Id: 7\r\n")));
+    assert!(answer.contains("d8") && answer.contains("d9") && answer.ends_with(LAST), "{answer}");
+    let mut ids: Vec<_> = bench
+        .replicas
+        .iter()
+        .flat_map(|replica| replica.requests.borrow().clone())
+        .map(|request| support::header(&request, "Last-Event-Id"))
+        .collect();
+    ids.sort();
+    assert_eq!(ids, [Some("7".to_owned()), Some("8".to_owned())]);
+}
+
+#[rstest]
+#[case::no_token(0.0, 0)]
+#[case::no_spare(2.0, 1)]
+fn a_stream_without_a_token_is_broken_off(#[case] ratio: f64, #[case] spare: u64) {
+    let bench = Bench::with_budget(2, ratio, spare);
+    bench.next(&[write(stream_head() + &event(1)), Part::Close]);
+    let answer = bench.run(bench.ask(&post("/resumable/", "t1")));
+    assert!(answer.ends_with("(cut)"), "{answer}");
+    assert_eq!(bench.arrivals(), 1);
+}
+
+#[test]
+fn a_stream_is_resumed_by_no_more_replicas_than_its_route_allows() {
+    let bench = Bench::start(3);
+    for id in 1..=3 {
+        bench.next(&[write(stream_head() + &event(id)), Part::Close]);
+    }
+    let answer = bench.run(bench.ask(&post("/resumable/", "t1")));
+    assert!(answer.ends_with("(cut)") && answer.contains("d2") && !answer.contains("d3"), "{answer}");
+    assert_eq!(bench.arrivals(), 2);
+}
+
+#[rstest]
+#[case::whole_answer(support::ok("surplus").replace("{id}", "t1"))]
+#[case::noise("noise".to_owned())]
+fn bytes_behind_an_answer_belong_to_no_request(#[case] surplus: String) {
+    let bench = Bench::start(1);
+    bench.next(&[write(support::ok("one") + &surplus)]);
+    let answers = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        let first = client.answer().await;
+        client.send(&post("/risky/", "t2")).await;
+        [first, client.answer().await]
+    });
+    assert!(answers[0].ends_with("one") && answers[1].ends_with("served"), "{answers:?}");
+    assert_eq!(bench.replicas[0].connections.get(), 2);
+}
+
+#[test]
+fn an_answer_to_an_earlier_request_is_skipped() {
+    let bench = Bench::start(1);
+    let late = support::ok("late").replace("{id}", "t0");
+    bench.next(&[write(late + &support::ok("due"))]);
+    let answers = bench
+        .run(async { [bench.ask(&post("/risky/", "t1")).await, bench.ask(&post("/risky/", "t2")).await] });
+    assert!(answers[0].ends_with("due") && answers[1].ends_with("served"), "{answers:?}");
+    assert_eq!(bench.replicas[0].connections.get(), 2);
+}
+
+#[test]
+fn interim_answers_are_skipped() {
+    let bench = Bench::start(1);
+    bench.next(&[write("HTTP/1.1 100 Continue\r\n\r\n".to_owned() + &support::ok("due"))]);
+    assert!(bench.run(bench.ask(&post("/risky/", "t1"))).ends_with("due"));
+}
+
+#[rstest]
+#[case("Connection: close\r\n", 2)]
+#[case("Keep-Alive: timeout=1\r\n", 2)]
+fn a_connection_is_used_no_longer_than_its_replica_says(#[case] headers: &str, #[case] connections: usize) {
+    let bench = Bench::start(1);
+    bench.next(&[write(support::answer("200 OK", headers, "one"))]);
+    bench.run(async {
+        let first = bench.ask(&post("/risky/", "t1")).await;
+        assert_eq!(support::header(&first, "Keep-Alive").as_deref(), Some("timeout=14"));
+        assert_eq!(support::header(&first, "Connection"), None);
+        bench.ask(&post("/risky/", "t2")).await;
+    });
+    assert_eq!(bench.replicas[0].connections.get(), connections);
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    let bench = Bench::start(1);
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\n\r\n";
+    bench.next(&[write(head.to_owned() + "all"), Part::Close]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        client.wait_for("\r\n\r\nall").await;
+        client.answer().await + &client.answer().await
+    });
+    assert!(answer.contains("Connection: close") && answer.ends_with("all(cut)"), "{answer}");
+}
+
+#[test]
+fn an_answer_to_head_has_no_body() {
+    let bench = Bench::start(1);
+    bench.next(&[write(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nContent-Length: 99\r\n\r\n",
+    )]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        let request = post("/harmless/", "t1").replace("POST", "HEAD");
+        client.send(&request).await;
+        client.wait_for("\r\n\r\n").await;
+        drop(client);
+        bench.until(|| bench.proxy.usage.open_clients() == 0).await;
+        bench.proxy.counters.passed.get()
+    });
+    assert_eq!(answer, 1);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_their_order() {
+    let bench = Bench::start(1);
+    for body in ["one", "two"] {
+        bench.next(&[write(support::ok(body))]);
+    }
+    let answers = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&(post("/risky/", "t1") + &post("/risky/", "t2"))).await;
+        [client.answer().await, client.answer().await]
+    });
+    assert!(answers[0].ends_with("one") && answers[1].ends_with("two"), "{answers:?}");
+}
+
+#[test]
+fn a_body_in_chunks_reaches_the_replica_whole() {
+    let bench = Bench::start(1);
+    let request = post("/risky/", "t1")
+        .replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n");
+    let request = request + &chunk("bo") + &chunk("dy!") + LAST;
+    assert_eq!(status(&bench.run(bench.ask(&request))), "200");
+    insta::assert_snapshot!(transcript(&bench.replicas[0].requests.borrow()[0]));
+}
+
+#[rstest]
+#[case::no_host("GET / HTTP/1.1\r\n\r\n", "400")]
+#[case::two_lengths("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400")]
+#[case::both(
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "400"
+)]
+#[case::large_body("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4194305\r\n\r\n", "413")]
+fn what_is_no_request_is_refused_with_its_connection(#[case] request: &str, #[case] expected: &str) {
+    let bench = Bench::start(1);
+    let answer = bench.run(bench.ask(request));
+    assert_eq!(status(&answer), expected);
+    assert_eq!(support::header(&answer, "Connection").as_deref(), Some("close"));
+    assert_eq!(bench.arrivals(), 0);
+}
+
+#[test]
+fn a_head_beyond_the_cap_is_refused() {
+    let bench = Bench::start(1);
+    let request = format!("GET / HTTP/1.1\r\nHost: a\r\nX-Long: {}\r\n\r\n", "x".repeat(17_000));
+    assert_eq!(status(&bench.run(bench.ask(&request))), "431");
+}
--- /dev/null
+++ b/crates/kiosk/tests/configuration.rs
@@ -0,0 +1,285 @@
+//! What the control plane's news does to requests: routes, keys, freshness, replicas that come and go.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::feed::{ModelRevision, ModelWeights, Position, ReplicaPhase, WeightsTable};
+use rstest::rstest;
+use support::{Bench, Part, header, post, post_with, status};
+use timetable::{Configuration, Service, Share};
+
+fn with_key(key: &str) -> String {
+    post("/risky/", "t1").replace(support::KEY, key)
+}
+
+#[rstest]
+#[case("/risky/", "k1", "200")]
+#[case("/risky/", "k2", "200")]
+#[case("/risky/", "unknown", "401")]
+#[case("/open/", "unknown", "200")]
+#[case("/nowhere/", "k1", "404")]
+#[case("/risky", "k1", "404")]
+fn a_request_needs_a_route_and_a_key(#[case] path: &str, #[case] key: &str, #[case] expected: &str) {
+    let bench = Bench::start(1);
+    let answer = bench.run(bench.ask(&post(path, "t1").replace(support::KEY, key)));
+    assert_eq!(status(&answer), expected);
+    assert_eq!(bench.arrivals(), usize::from(expected == "200"));
+}
+
+#[rstest]
+#[case::isolated("k1", "", Some("acme"), "3", Some("m4-t-acme"))]
+#[case::shared("k2", "", Some("other"), "1", Some("m4"))]
+#[case::forged(
+    "k2",
+    "Customer: acme\r\nCache-Salt: m4-t-acme\r\nPriority: 0\r\n",
+    Some("other"),
+    "1",
+    Some("m4")
+)]
+fn a_replica_is_told_of_the_tenant(
+    #[case] key: &str,
+    #[case] headers: &str,
+    #[case] tenant: Option<&str>,
+    #[case] priority: &str,
+    #[case] salt: Option<&str>,
+) {
+    let bench = Bench::start(1);
+    let request = post_with("/stream/", "t1", &format!("Llm: m\r\n{headers}")).replace(support::KEY, key);
+    bench.run(bench.ask(&request));
+    let sent = bench.replicas[0].requests.borrow()[0].clone();
+    assert_eq!(header(&sent, "Customer").as_deref(), tenant);
+    assert_eq!(header(&sent, "Priority").as_deref(), Some(priority));
+    assert_eq!(header(&sent, "Cache-Salt").as_deref(), salt);
+    assert_eq!(header(&sent, "Expect-Version").as_deref(), Some("4"));
+    assert_eq!(header(&sent, "Authorization"), None);
+    assert_eq!(sent.matches("Customer").count(), 1);
+}
+
+#[test]
+fn a_public_route_with_an_unknown_key_names_no_tenant() {
+    let bench = Bench::start(1);
+    bench.run(bench.ask(&post("/open/", "t1").replace(support::KEY, "unknown")));
+    assert_eq!(header(&bench.replicas[0].requests.borrow()[0], "Customer"), None);
+}
+
+#[test]
+fn nothing_is_judged_before_a_configuration_is_known() {
+    let bench = Bench::start(1);
+    bench.age.set(None);
+    let answer = bench.run(bench.ask(&post("/nowhere/", "t1")));
+    insta::assert_snapshot!(support::transcript(&answer));
+}
+
+#[rstest]
+#[case(4500, "200", "200", "401", "404")]
+#[case(4501, "503", "503", "503", "503")]
+fn nothing_is_judged_by_a_configuration_that_may_be_outdated(
+    #[case] age_ms: u64,
+    #[case] ready: &str,
+    #[case] served: &str,
+    #[case] unknown_key: &str,
+    #[case] unknown_route: &str,
+) {
+    let bench = Bench::start(1);
+    bench.age.set(Some(Duration::from_millis(age_ms)));
+    bench.run(async {
+        assert_eq!(status(&check_ready(&bench).await), ready);
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), served);
+        assert_eq!(status(&bench.ask(&with_key("k9")).await), unknown_key);
+        assert_eq!(status(&bench.ask(&post("/nowhere/", "t1")).await), unknown_route);
+    });
+}
+
+async fn check_ready(bench: &Bench) -> String {
+    bench.check("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").await
+}
+
+#[test]
+fn readiness_needs_a_replica() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        assert_eq!(status(&check_ready(&bench).await), "200");
+        bench.set_fleet(|lines| lines[0].phase = ReplicaPhase::Draining);
+        assert_eq!(status(&check_ready(&bench).await), "503");
+        bench.set_fleet(|_| {});
+        assert_eq!(status(&check_ready(&bench).await), "200");
+        bench.proxy.stop(Duration::from_secs(8));
+        assert_eq!(status(&check_ready(&bench).await), "503");
+    });
+}
+
+fn changed(change: impl FnOnce(&mut Configuration)) -> Arc<Configuration> {
+    let mut configuration = support::configuration();
+    configuration.revision = 2;
+    change(&mut configuration);
+    Arc::new(configuration)
+}
+
+#[test]
+fn a_withdrawn_key_is_refused_at_once() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+        bench.proxy.set_configuration(changed(|configuration| configuration.tenants[0].api_keys.clear()));
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), "401");
+    });
+    assert_eq!(bench.arrivals(), 1);
+}
+
+#[rstest]
+#[case::key(changed(|configuration| configuration.tenants[0].api_keys.clear()))]
+#[case::key_of_another(changed(|configuration| configuration.tenants[0].label = "new".to_owned()))]
+#[case::route(changed(|configuration| drop(configuration.routes.remove(1))))]
+#[case::service(changed(|configuration| {
+    configuration.services.push(Service { label: "second".to_owned(), ..Service::default() });
+    configuration.routes[1].shares = vec![Share { service: "second".to_owned(), weight: 1.0 }];
+}))]
+fn a_request_that_waits_is_not_sent_again_under_what_was_taken_back(#[case] newest: Arc<Configuration>) {
+    let bench = Bench::start(2);
+    let not_run = support::answer("503 Service Unavailable", "Not-Run: 1\r\n", "");
+    bench.next(&[Part::Wait, Part::Write(not_run)]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.proxy.set_configuration(newest);
+        bench.release();
+        client.answer().await
+    });
+    assert_eq!((status(&answer), bench.arrivals()), ("503", 1));
+}
+
+#[test]
+fn a_request_that_waits_is_not_sent_again_by_an_outdated_configuration() {
+    let bench = Bench::start(2);
+    let not_run = support::answer("503 Service Unavailable", "Not-Run: 1\r\n", "");
+    bench.next(&[Part::Wait, Part::Write(not_run)]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.age.set(Some(Duration::from_secs(5)));
+        bench.release();
+        client.answer().await
+    });
+    assert_eq!((status(&answer), bench.arrivals()), ("503", 1));
+}
+
+#[test]
+fn a_new_route_and_its_service_are_in_force_at_once() {
+    let bench = Bench::start(2);
+    bench.run(async {
+        assert_eq!(status(&bench.ask(&post("/new/", "t1")).await), "404");
+        bench.proxy.set_configuration(changed(|configuration| {
+            configuration.services.push(Service { label: "second".to_owned(), ..Service::default() });
+            let mut route = support::route("new", "/new/", timetable::RouteKind::Risky);
+            route.shares = vec![Share { service: "second".to_owned(), weight: 1.0 }];
+            configuration.routes.push(route);
+        }));
+        bench.set_fleet(|lines| lines[1].service = "second".to_owned());
+        assert_eq!(status(&bench.ask(&post("/new/", "t2")).await), "200");
+        assert_eq!(status(&bench.ask(&post("/risky/", "t3")).await), "200");
+    });
+    assert_eq!(bench.replicas.iter().map(|replica| replica.count()).collect::<Vec<_>>(), [1, 1]);
+}
+
+#[rstest]
+#[case::draining(|lines: &mut Vec<intercom::feed::Replica>| lines[0].phase = ReplicaPhase::Draining)]
+#[case::loading(|lines: &mut Vec<intercom::feed::Replica>| lines[0].phase = ReplicaPhase::Loading)]
+#[case::gone(|lines: &mut Vec<intercom::feed::Replica>| drop(lines.remove(0)))]
+#[case::of_another_service(|lines: &mut Vec<intercom::feed::Replica>| lines[0].service = "second".to_owned())]
+fn nothing_is_sent_to_a_replica_that_may_not_be_used(
+    #[case] change: impl Fn(&mut Vec<intercom::feed::Replica>),
+) {
+    let bench = Bench::start(2);
+    bench.run(async {
+        for n in 0..8 {
+            bench.ask(&post("/risky/", &format!("a{n}"))).await;
+        }
+        let before = bench.replicas[0].count();
+        bench.set_fleet(&change);
+        for n in 0..8 {
+            assert_eq!(status(&bench.ask(&post("/risky/", &format!("b{n}"))).await), "200");
+        }
+        assert_eq!(bench.replicas[0].count(), before);
+    });
+}
+
+#[test]
+fn weights_below_the_least_are_not_used() {
+    let bench = Bench::start(2);
+    let lines: Vec<_> = bench.replicas.iter().map(|replica| support::replica_line(replica)).collect();
+    let mut newer = lines.clone();
+    newer[1].models = vec![ModelRevision { model: "m".to_owned(), revision: 5 }];
+    let named = |least| WeightsTable {
+        position: Position { epoch: 1, sequence: least },
+        models: vec![ModelWeights { model: "m".to_owned(), named: 5, least }],
+    };
+    bench.run(async {
+        bench.proxy.set_fleet(&newer, &named(4));
+        for n in 0..16 {
+            bench.ask(&post("/risky/", &format!("a{n}"))).await;
+        }
+        let before = bench.replicas[0].count();
+        assert!(before > 0);
+        bench.proxy.set_fleet(&newer, &named(5));
+        for n in 0..16 {
+            let request = post_with("/risky/", &format!("b{n}"), "Llm: m\r\n");
+            assert_eq!(status(&bench.ask(&request).await), "200");
+        }
+        assert_eq!(bench.replicas[0].count(), before);
+    });
+    let last = bench.replicas[1].requests.borrow().last().cloned().expect("a request");
+    assert_eq!(header(&last, "Expect-Version").as_deref(), Some("5"));
+    assert_eq!(header(&last, "Cache-Salt").as_deref(), Some("m5-t-acme"));
+}
+
+#[test]
+fn an_incarnation_whose_address_has_gone_to_another_is_not_asked_again() {
+    let bench = Bench::start(2);
+    let gone = "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nServer-Id: i-9\r\nContent-Length: 0\r\n\r\n";
+    bench.next(&[Part::Write(gone.to_owned())]);
+    bench.run(async {
+        assert_eq!(status(&bench.ask(&post("/risky/", "t0")).await), "200");
+        for n in 1..9 {
+            bench.ask(&post("/risky/", &format!("t{n}"))).await;
+        }
+        // The list still has it, as it lags.
+        bench.set_fleet(|lines| lines[0].capacity = 9);
+        for n in 9..17 {
+            bench.ask(&post("/risky/", &format!("t{n}"))).await;
+        }
+    });
+    let mut counts: Vec<_> = bench.replicas.iter().map(|replica| replica.count()).collect();
+    counts.sort();
+    assert_eq!(counts, [1, 17]);
+}
+
+#[test]
+fn a_request_that_nobody_can_take_is_refused_soon() {
+    let bench = Bench::start(1);
+    bench.set_fleet(|lines| lines.clear());
+    let answer = bench.run(bench.ask(&post("/risky/", "t1")));
+    assert_eq!(status(&answer), "503");
+    assert!(header(&answer, "Retry-After").is_some(), "{answer}");
+}
+
+#[test]
+fn a_stop_closes_connections_behind_their_answers() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        assert_eq!(header(&client.answer().await, "Connection"), None);
+        bench.proxy.stop(Duration::from_secs(8));
+        client.send(&post("/risky/", "t2")).await;
+        let last = client.answer().await;
+        assert_eq!((status(&last), header(&last, "Connection").as_deref()), ("200", Some("close")));
+        assert_eq!(client.answer().await, "(closed)");
+        // New connections are taken for a while.
+        let late = bench.ask(&post("/risky/", "t3")).await;
+        assert_eq!((status(&late), header(&late, "Connection").as_deref()), ("200", Some("close")));
+    });
+}
--- /dev/null
+++ b/crates/kiosk/tests/heads.rs
@@ -0,0 +1,147 @@
+//! Heads as they are passed on, in both directions.
+
+use std::time::Duration;
+
+use jetway::http::Head;
+use kiosk::headers::{Additions, After, Framing, OwnAnswer, write_answer, write_request};
+
+fn head(text: &str) -> Head {
+    let mut lines = text.lines();
+    let mut parts = lines.next().expect("a start line").splitn(3, ' ').map(str::to_owned);
+    let start = std::array::from_fn(|_| parts.next().unwrap_or_default());
+    let headers = lines.map(|line| {
+        let (name, value) = line.split_once(": ").expect("a header");
+        (name.to_owned(), value.to_owned())
+    });
+    Head { start, headers: headers.collect() }
+}
+
+fn text(bytes: Vec<u8>) -> String {
+    let text = String::from_utf8(bytes).expect("UTF-8");
+    assert_eq!(text.matches('\n').count(), text.matches("\r\n").count());
+    text.replace("\r\n", "\n")
+}
+
+fn request(client: &str, body: usize, additions: &Additions<'_>) -> String {
+    let mut out = Vec::new();
+    write_request(&head(client), body, additions, &mut out);
+    text(out)
+}
+
+const PLAIN: Additions<'_> = Additions {
+    replica: "i-1",
+    tenant: None,
+    time_left: Duration::from_millis(5500),
+    priority: 5,
+    revision: None,
+    salt: None,
+    last_event_id: None,
+};
+
+#[test]
+fn a_request_keeps_what_concerns_the_replica() {
+    let client = "POST /a/b?c=d%20e&f HTTP/1.1\n\
+                  Host: shop.example\n\
+                  ATTEMPT-ID: 9c41d07b\n\
+                  Llm: m\n\
+                  Token-Count: 1460,80\n\
+                  Prompt-Start: 5c1e07a2:800,e4402b7d:250\n\
+                  Time-Left-Ms: 8000\n\
+                  Authorization: Token secret\n\
+                  Last-Event-Id: 12\n\
+                  Content-Type: application/json\n\
+                  X-Own: kept, as it is\n\
+                  Content-Length: 17";
+    let additions = Additions {
+        tenant: Some("acme"),
+        priority: 3,
+        revision: Some(4),
+        salt: Some("m4-t-acme"),
+        ..PLAIN
+    };
+    insta::assert_snapshot!(request(client, 17, &additions));
+}
+
+#[test]
+fn a_request_loses_what_only_the_system_may_say() {
+    let client = "POST / HTTP/1.1\n\
+                  Host: shop.example\n\
+                  customer: somebody-else\n\
+                  Meant-Server: i-9\n\
+                  Priority: 0\n\
+                  Expect-Version: 1\n\
+                  Cache-Salt: theirs\n\
+                  Kv-Fetch: 10.0.0.1:80\n\
+                  Kv-Save: 10.0.0.1:80\n\
+                  Expect: 100-continue\n\
+                  AUTHORIZATION: Token secret\n\
+                  Content-Length: 1";
+    insta::assert_snapshot!(request(client, 1, &PLAIN));
+}
+
+#[test]
+fn a_request_loses_what_concerns_one_connection() {
+    let client = "POST / HTTP/1.1\n\
+                  Host: shop.example\n\
+                  Connection: keep-alive, X-Hop\n\
+                  Keep-Alive: timeout=5\n\
+                  Proxy-Authorization: secret\n\
+                  Proxy-Connection: keep-alive\n\
+                  TE: trailers\n\
+                  Trailer: X-End\n\
+                  Transfer-Encoding: chunked\n\
+                  Upgrade: h2c\n\
+                  x-hop: dropped\n\
+                  X-Kept: yes";
+    insta::assert_snapshot!(request(client, 0, &PLAIN));
+}
+
+#[test]
+fn a_request_without_a_body_gets_no_length() {
+    insta::assert_snapshot!(request("GET /a HTTP/1.1\nHost: shop.example", 0, &PLAIN));
+}
+
+#[test]
+fn a_resumed_request_names_the_event_that_was_passed_on() {
+    let client = "POST / HTTP/1.1\nHost: shop.example\nLast-Event-Id: 7\nContent-Length: 0";
+    let additions = Additions { last_event_id: Some("31"), ..PLAIN };
+    insta::assert_snapshot!(request(client, 0, &additions));
+}
+
+fn answer(framing: Framing, after: After) -> String {
+    let replica = "HTTP/1.1 200 Fine\n\
+                   Attempt-Id: 9c41d07b\n\
+                   Server-Seal: 3e1b.07\n\
+                   Versions: 4\n\
+                   Server-Load: 3,0,8\n\
+                   Content-Type: text/event-stream\n\
+                   Content-Length: 5\n\
+                   Connection: close\n\
+                   Keep-Alive: timeout=3";
+    let mut out = Vec::new();
+    write_answer(&head(replica), framing, after, &mut out);
+    text(out)
+}
+
+#[test]
+fn an_answer_keeps_what_concerns_the_client() {
+    let idle = After::KeepOpen(Duration::from_secs(14));
+    insta::assert_snapshot!(answer(Framing::Length(5), idle));
+}
+
+#[test]
+fn an_answer_in_chunks_has_no_length() {
+    insta::assert_snapshot!(answer(Framing::Chunked, After::Close));
+}
+
+#[test]
+fn an_answer_without_body_keeps_the_length_that_is_told() {
+    insta::assert_snapshot!(answer(Framing::None, After::Close));
+}
+
+#[test]
+fn a_refusal_says_how_long_to_stay_away() {
+    let mut out = Vec::new();
+    OwnAnswer::refusal(Duration::from_millis(350)).write(Some("t1"), After::Close, &mut out);
+    insta::assert_snapshot!(text(out));
+}
--- /dev/null
+++ b/crates/kiosk/tests/placement.rs
@@ -0,0 +1,181 @@
+//! The decision modules as the proxy drives them, with the time handed in.
+
+mod support;
+
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use kiosk::placement::{Ask, Order, Placement};
+use kiosk::prompt::Prompt;
+use rstest::rstest;
+use signpost::types::{Member, Nanos, Phase, ReplicaId, RequestId, Verdict};
+
+const SECOND: Nanos = 1_000_000_000;
+const START: Nanos = 5 * SECOND;
+
+fn member(id: &str, phase: Phase) -> Member {
+    Member { id: ReplicaId::from(id), units: 1.0, zone: 0, kind: 0, cell: 0, phase, started: None }
+}
+
+fn placement(members: &[Member]) -> Placement {
+    let mut placement = Placement::new(0, 7);
+    placement.configure(&support::configuration());
+    placement.set_members(START, "service", Arc::from(members));
+    placement
+}
+
+fn ready(count: usize) -> Vec<Member> {
+    (0..count).map(|n| member(&format!("i-{n}"), Phase::Ready)).collect()
+}
+
+fn ask(placement: &Placement, route: &str, prompt: Prompt) -> Ask {
+    let class = placement.class(route).expect("a class");
+    Ask { class, expires_in: Duration::from_secs(6), prompt }
+}
+
+fn place(placement: &mut Placement, route: &str, prompt: Prompt) -> RequestId {
+    let ask = ask(placement, route, prompt);
+    placement.request(START, "service", ask).expect("a known service")
+}
+
+fn next(placement: &mut Placement, id: RequestId) -> Option<Order> {
+    match placement.poll_order(id, &mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(order) => Some(order),
+        Poll::Pending => None,
+    }
+}
+
+fn sent_to(order: Option<Order>) -> (u32, ReplicaId) {
+    match order {
+        Some(Order::Send { attempt, replica }) => (attempt, replica),
+        other => panic!("no send: {other:?}"),
+    }
+}
+
+#[rstest]
+#[case::not_run("risky", Verdict::Full, true)]
+#[case::unreachable("risky", Verdict::NoConnection, true)]
+#[case::not_sent("risky", Verdict::Moot, true)]
+#[case::reset("risky", Verdict::Reset, false)]
+#[case::failed("stream", Verdict::Error, false)]
+#[case::cancelled("stream", Verdict::Cancelled, false)]
+#[case::idempotent("harmless", Verdict::Reset, true)]
+#[case::resumable("resumable", Verdict::Reset, true)]
+fn a_further_attempt_is_another_replicas(
+    #[case] route: &str,
+    #[case] verdict: Verdict,
+    #[case] is_repeated: bool,
+) {
+    let mut placement = placement(&ready(2));
+    let id = place(&mut placement, route, Prompt::default());
+    let (attempt, first) = sent_to(next(&mut placement, id));
+    assert_eq!(attempt, 0);
+    placement.outcome(START, id, (0, verdict, Duration::ZERO), false);
+    let order = next(&mut placement, id);
+    if is_repeated {
+        let (attempt, second) = sent_to(order);
+        assert_eq!(attempt, 1);
+        assert_ne!(first, second);
+    } else {
+        assert_eq!(order, Some(Order::Fail));
+    }
+}
+
+#[rstest]
+#[case::may_have_run(None, Order::Fail)]
+#[case::has_not_run(Some(Verdict::Full), Order::Fail)]
+fn a_request_that_is_out_fails_at_its_deadline(#[case] first: Option<Verdict>, #[case] expected: Order) {
+    let mut placement = placement(&ready(2));
+    let id = place(&mut placement, "risky", Prompt::default());
+    sent_to(next(&mut placement, id));
+    if let Some(verdict) = first {
+        placement.outcome(START, id, (0, verdict, Duration::ZERO), false);
+        sent_to(next(&mut placement, id));
+    }
+    placement.run_timers(START + 6 * SECOND - 1);
+    assert_eq!(next(&mut placement, id), None);
+    placement.run_timers(START + 6 * SECOND);
+    assert_eq!(next(&mut placement, id), Some(expected));
+}
+
+#[test]
+fn a_request_that_was_never_sent_is_refused_at_its_deadline() {
+    let mut placement = placement(&[member("i-0", Phase::Draining)]);
+    let id = place(&mut placement, "risky", Prompt::default());
+    assert_eq!(next(&mut placement, id), None);
+    placement.run_timers(START + 7 * SECOND);
+    assert!(matches!(next(&mut placement, id), Some(Order::Refuse(_))));
+}
+
+#[test]
+fn a_begun_answer_outlasts_the_deadline() {
+    let mut placement = placement(&ready(2));
+    let id = place(&mut placement, "stream", Prompt::default());
+    sent_to(next(&mut placement, id));
+    placement.first_token(START, id, 0, Duration::ZERO);
+    placement.run_timers(START + 7 * SECOND);
+    assert_eq!(next(&mut placement, id), None);
+}
+
+#[test]
+fn a_request_that_has_ended_leaves_no_timer() {
+    let mut placement = placement(&ready(2));
+    let id = place(&mut placement, "risky", Prompt::default());
+    assert!(placement.next_timer().is_some());
+    placement.outcome(START, id, (0, Verdict::Ok, Duration::ZERO), true);
+    placement.end(START, id);
+    assert_eq!((placement.next_timer(), placement.live_count()), (None, 0));
+}
+
+#[test]
+fn requests_with_the_same_shared_part_meet() {
+    let mut placement = placement(&ready(10));
+    let prompt = |shared, session| Prompt {
+        shared: Some(shared),
+        session: Some(session),
+        tokens: 1000,
+        shared_tokens: 900,
+        answer_tokens: 80,
+    };
+    // Others' requests make each subject a small part of all.
+    let mut replicas = std::collections::BTreeSet::new();
+    for n in 0..400 {
+        let subject = n % 40;
+        let id = place(&mut placement, "stream", prompt(subject, 1000 + n));
+        let (_, replica) = sent_to(next(&mut placement, id));
+        placement.outcome(START, id, (0, Verdict::Ok, Duration::ZERO), true);
+        placement.end(START, id);
+        if subject == 3 && n > 200 {
+            replicas.insert(replica);
+        }
+    }
+    assert!(replicas.len() <= 3, "{replicas:?}");
+}
+
+#[test]
+fn a_changed_route_keeps_its_class_and_a_new_one_gets_the_next() {
+    let mut placement = placement(&ready(2));
+    let before = placement.class("risky").expect("a class");
+    let mut configuration = support::configuration();
+    configuration.routes.remove(0);
+    let risky = configuration.routes.iter_mut().find(|route| route.label == "risky").expect("a route");
+    // What was risky may be repeated from now on.
+    risky.kind = timetable::RouteKind::Harmless;
+    configuration.routes.push(support::route("new", "/new/", timetable::RouteKind::Risky));
+    placement.configure(&configuration);
+    assert_eq!(placement.class("risky"), Some(before));
+    assert_eq!(placement.class("harmless"), Some(0));
+    assert_eq!(placement.class("new"), Some(5));
+    let id = place(&mut placement, "risky", Prompt::default());
+    sent_to(next(&mut placement, id));
+    placement.outcome(START, id, (0, Verdict::Reset, Duration::ZERO), false);
+    sent_to(next(&mut placement, id));
+}
+
+#[test]
+fn a_request_for_an_unknown_service_is_not_placed() {
+    let mut placement = placement(&ready(2));
+    let ask = ask(&placement, "risky", Prompt::default());
+    assert_eq!(placement.request(START, "nowhere", ask), None);
+}
--- /dev/null
+++ b/crates/kiosk/tests/support/mod.rs
@@ -0,0 +1,444 @@
+//! A proxy in the test's own process, with replicas that answer by script, over loopback.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use intercom::feed::{ModelRevision, Replica, ReplicaPhase, WeightsTable};
+use kiosk::proxy::Proxy;
+use kiosk::{edge, held, ready};
+use station::settings::Settings;
+use timetable::{Caps, Configuration, Route, RouteKind, Service, Share, Tenant};
+
+pub const HOST: &str = "shop.example";
+pub const KEY: &str = "k1";
+pub const SEAL: &str = "s.1";
+
+/// A part of what a replica does for one request.
+#[derive(Clone, Debug)]
+pub enum Part {
+    /// Writes this, with `{id}` as the request's `Attempt-Id`.
+    Write(String),
+    /// Waits until the test lets it go on.
+    Wait,
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// What replicas do for the next requests, whichever of them these reach.
+pub type Script = Rc<RefCell<VecDeque<Vec<Part>>>>;
+
+/// A replica that answers by script.
+pub struct StandIn {
+    pub id: String,
+    pub address: SocketAddr,
+    script: Script,
+    /// Requests as they came.
+    pub requests: RefCell<Vec<String>>,
+    /// Connections that were made.
+    pub connections: Cell<usize>,
+    /// Connections that the other side has ended.
+    pub ended: Cell<usize>,
+    gates: Rc<Cell<usize>>,
+}
+
+impl StandIn {
+    pub fn start(
+        executor: &Rc<LocalExecutor<'static>>,
+        id: &str,
+        script: &Script,
+        gates: &Rc<Cell<usize>>,
+    ) -> Rc<StandIn> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        let stand_in = Rc::new(StandIn {
+            id: id.to_owned(),
+            address: listener.get_ref().local_addr().expect("an address"),
+            script: script.clone(),
+            requests: RefCell::default(),
+            connections: Cell::new(0),
+            ended: Cell::new(0),
+            gates: gates.clone(),
+        });
+        let (served, spawner) = (stand_in.clone(), executor.clone());
+        executor
+            .spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    served.connections.set(served.connections.get() + 1);
+                    let served = served.clone();
+                    spawner
+                        .spawn(async move {
+                            served.serve(stream).await;
+                            served.ended.set(served.ended.get() + 1);
+                        })
+                        .detach();
+                }
+            })
+            .detach();
+        stand_in
+    }
+
+    /// Requests that came so far.
+    pub fn count(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
+    async fn serve(&self, mut stream: Async<TcpStream>) -> Option<()> {
+        let mut buffer = Vec::new();
+        loop {
+            let request = read_message(&mut stream, &mut buffer).await?;
+            let id = header(&request, "Attempt-Id").unwrap_or_default();
+            self.requests.borrow_mut().push(request);
+            let parts = self.script.borrow_mut().pop_front();
+            let parts = parts.unwrap_or_else(|| vec![Part::Write(ok("served"))]);
+            for part in parts {
+                match part {
+                    Part::Write(text) => {
+                        stream.write_all(text.replace("{id}", &id).as_bytes()).await.ok()?;
+                    }
+                    Part::Wait => self.wait(&mut stream).await?,
+                    Part::Close => return None,
+                    Part::Reset => {
+                        let socket = socket2::SockRef::from(stream.get_ref());
+                        socket.set_linger(Some(Duration::ZERO)).ok()?;
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for the test's word; none once the other side has ended the connection.
+    async fn wait(&self, stream: &mut Async<TcpStream>) -> Option<()> {
+        while self.gates.get() == 0 {
+            let peeked = future::poll_once(stream.peek(&mut [0])).await;
+            if matches!(peeked, Some(Ok(0) | Err(_))) {
+                return None;
+            }
+            future::yield_now().await;
+        }
+        self.gates.set(self.gates.get() - 1);
+        Some(())
+    }
+}
+
+/// An answer of 200 with this body.
+pub fn ok(body: &str) -> String {
+    answer("200 OK", "", body)
+}
+
+/// A whole answer with a length.
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {{id}}\r\nServer-Seal: {SEAL}\r\n{headers}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a stream in chunks.
+pub fn stream_head() -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {{id}}\r\nServer-Seal: {SEAL}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// An event as a chunk.
+pub fn event(id: u32) -> String {
+    chunk(&format!("id: {id}\ndata: d{id}\n\n"))
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+pub const LAST: &str = "0\r\n\r\n";
+
+/// What the tests may change of the proxy's surroundings.
+pub struct Bench {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub proxy: Rc<Proxy>,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    /// How old the configuration is.
+    pub age: Rc<Cell<Option<Duration>>>,
+    pub replicas: Vec<Rc<StandIn>>,
+    script: Script,
+    gates: Rc<Cell<usize>>,
+}
+
+pub fn settings() -> Settings {
+    let text = "nodeName: edge-1\nipAddress: 127.0.0.1\narea: zone-a\nzones: {zone-a: here, zone-b: here}\n\
+                sparePorts: [7360, 7375]\n";
+    Settings::parse(text).expect("settings that can be used")
+}
+
+pub fn route(label: &str, path: &str, kind: RouteKind) -> Route {
+    Route {
+        label: label.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: path.to_owned(),
+        kind,
+        time_limit_ms: 8000,
+        target_ms: 2000,
+        rank: 1,
+        shares: vec![Share { service: "service".to_owned(), weight: 1.0 }],
+        max_attempts: 2,
+        public: false,
+        pinned: kind == RouteKind::Stream,
+        resumable: false,
+        gap_target_ms: 0,
+    }
+}
+
+pub fn configuration() -> Configuration {
+    let resumable = Route { resumable: true, ..route("resumable", "/resumable/", RouteKind::Stream) };
+    let open = Route { public: true, ..route("open", "/open/", RouteKind::Harmless) };
+    Configuration {
+        revision: 1,
+        routes: vec![
+            route("harmless", "/harmless/", RouteKind::Harmless),
+            route("risky", "/risky/", RouteKind::Risky),
+            route("stream", "/stream/", RouteKind::Stream),
+            resumable,
+            open,
+        ],
+        services: vec![Service { label: "service".to_owned(), ..Service::default() }],
+        caps: Caps::default(),
+        tenants: vec![
+            Tenant {
+                label: "acme".to_owned(),
+                api_keys: vec![KEY.to_owned()],
+                rank: Some(3),
+                isolated: true,
+            },
+            Tenant {
+                label: "other".to_owned(),
+                api_keys: vec!["k2".to_owned()],
+                rank: None,
+                isolated: false,
+            },
+        ],
+    }
+}
+
+pub fn replica_line(stand_in: &StandIn) -> Replica {
+    Replica {
+        id: stand_in.id.clone(),
+        service: "service".to_owned(),
+        address: stand_in.address.to_string(),
+        zone: "zone-a".to_owned(),
+        capacity: 8,
+        phase: ReplicaPhase::Ready,
+        warm_left_ms: 0,
+        models: vec![ModelRevision { model: "m".to_owned(), revision: 4 }],
+    }
+}
+
+impl Bench {
+    /// A proxy with so many replicas, and a retry budget that lets each request be repeated.
+    pub fn start(replicas: usize) -> Bench {
+        Bench::with_budget(replicas, 2.0, 100)
+    }
+
+    /// The same with this retry budget.
+    pub fn with_budget(replicas: usize, retry_ratio: f64, spare_tries: u64) -> Bench {
+        let executor = Rc::new(LocalExecutor::new());
+        let age = Rc::new(Cell::new(Some(Duration::ZERO)));
+        let told = age.clone();
+        let mut settings = settings();
+        settings.time_limits.retry_ratio = retry_ratio;
+        settings.time_limits.spare_tries = spare_tries;
+        let proxy = Proxy::new(&settings, 7, Box::new(move || told.get()));
+        let (script, gates) = (Script::default(), Rc::default());
+        let stand_in = |n| StandIn::start(&executor, &format!("i-{n}"), &script, &gates);
+        let replicas = (0..replicas).map(stand_in).collect();
+        let (front, ready_check) = (listener(), listener());
+        let bench = Bench {
+            front: front.get_ref().local_addr().expect("an address"),
+            ready: ready_check.get_ref().local_addr().expect("an address"),
+            executor: executor.clone(),
+            proxy: proxy.clone(),
+            age,
+            replicas,
+            script,
+            gates,
+        };
+        let alarms = proxy.alarms.clone();
+        executor.spawn(async move { alarms.drive().await }).detach();
+        executor.spawn(held::run_timers(proxy.placement.clone(), proxy.alarms.clone())).detach();
+        executor.spawn(edge::listen(proxy.clone(), executor.clone(), front)).detach();
+        executor.spawn(ready::listen(proxy.clone(), executor.clone(), ready_check)).detach();
+        proxy.set_gateways(1);
+        proxy.set_configuration(Arc::new(configuration()));
+        bench.set_fleet(|_| {});
+        bench
+    }
+
+    /// Tells the proxy of all replicas, with their lines changed.
+    pub fn set_fleet(&self, change: impl Fn(&mut Vec<Replica>)) {
+        let mut lines: Vec<Replica> = self.replicas.iter().map(|replica| replica_line(replica)).collect();
+        change(&mut lines);
+        self.proxy.set_fleet(&lines, &WeightsTable::default());
+    }
+
+    /// Adds what a replica does for the next request that is not scripted yet.
+    pub fn next(&self, parts: &[Part]) {
+        self.script.borrow_mut().push_back(parts.to_vec());
+    }
+
+    /// Runs a test.
+    pub fn run<T>(&self, test: impl Future<Output = T>) -> T {
+        async_io::block_on(self.executor.run(test))
+    }
+
+    /// Opens a client's connection.
+    pub async fn connect(&self) -> TestClient {
+        let stream = Async::<TcpStream>::connect(self.front).await.expect("a connection");
+        TestClient { stream, buffer: Vec::new() }
+    }
+
+    /// Sends one request on a connection of its own, and reads the answer.
+    pub async fn ask(&self, request: &str) -> String {
+        let mut client = self.connect().await;
+        client.send(request).await;
+        client.answer().await
+    }
+
+    /// The same of the check of readiness.
+    pub async fn check(&self, request: &str) -> String {
+        let stream = Async::<TcpStream>::connect(self.ready).await.expect("a connection");
+        let mut client = TestClient { stream, buffer: Vec::new() };
+        client.send(request).await;
+        client.answer().await
+    }
+
+    /// Lets one wait of a replica go on, whichever waits.
+    pub fn release(&self) {
+        self.gates.set(self.gates.get() + 1);
+    }
+
+    /// Requests that reached any replica.
+    pub fn arrivals(&self) -> usize {
+        self.replicas.iter().map(|replica| replica.count()).sum()
+    }
+
+    /// Lets other tasks run until the condition holds.
+    pub async fn until(&self, condition: impl Fn() -> bool) {
+        while !condition() {
+            future::yield_now().await;
+        }
+    }
+}
+
+fn listener() -> Async<TcpListener> {
+    Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port")
+}
+
+/// A client's connection.
+pub struct TestClient {
+    pub stream: Async<TcpStream>,
+    buffer: Vec<u8>,
+}
+
+impl TestClient {
+    pub async fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).await.expect("a request is taken");
+    }
+
+    /// The next answer; `(cut)` behind it where it does not end whole, `(closed)` where there is none.
+    pub async fn answer(&mut self) -> String {
+        match read_message(&mut self.stream, &mut self.buffer).await {
+            Some(answer) => answer,
+            None if self.buffer.is_empty() => "(closed)".to_owned(),
+            None => format!("{}(cut)", String::from_utf8_lossy(&std::mem::take(&mut self.buffer))),
+        }
+    }
+
+    /// Reads until what has come of the answer holds this.
+    pub async fn wait_for(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.buffer).contains(text) {
+            assert!(
+                read_some(&mut self.stream, &mut self.buffer).await > 0,
+                "the connection ended before {text}"
+            );
+        }
+    }
+}
+
+async fn read_some(stream: &mut Async<TcpStream>, buffer: &mut Vec<u8>) -> usize {
+    let mut piece = [0; 4096];
+    let count = stream.read(&mut piece).await.unwrap_or(0);
+    buffer.extend_from_slice(&piece[..count]);
+    count
+}
+
+/// Reads one message with its body as it came; none if the connection ends before its end.
+async fn read_message(stream: &mut Async<TcpStream>, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = message_end(buffer) {
+            let message = buffer.drain(..end).collect::<Vec<u8>>();
+            return Some(String::from_utf8_lossy(&message).into_owned());
+        }
+        if read_some(stream, buffer).await == 0 {
+            return None;
+        }
+    }
+}
+
+fn message_end(buffer: &[u8]) -> Option<usize> {
+    let text = String::from_utf8_lossy(buffer);
+    let head_end = text.find("\r\n\r\n")? + 4;
+    let head = &text[..head_end];
+    if header(head, "Transfer-Encoding").is_some() {
+        return text[head_end..].find("0\r\n\r\n").map(|at| head_end + at + 5);
+    }
+    let length = header(head, "Content-Length").map_or(0, |value| value.parse().expect("a length"));
+    (buffer.len() >= head_end + length).then_some(head_end + length)
+}
+
+/// The value of a header in a message.
+pub fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(": ")?;
+        found.eq_ignore_ascii_case(name).then(|| value.to_owned())
+    })
+}
+
+/// The status of an answer.
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or(answer)
+}
+
+/// A request for a path, with a key and a body.
+pub fn post(path: &str, id: &str) -> String {
+    post_with(path, id, "")
+}
+
+/// The same with further headers.
+pub fn post_with(path: &str, id: &str, headers: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nTime-Left-Ms: 6000\r\n\
+         Authorization: Token {KEY}\r\n{headers}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+/// A message with what differs from run to run replaced, and line ends as in a text file.
+pub fn transcript(message: &str) -> String {
+    let lines = message.lines().map(|line| match line.split_once(": ") {
+        Some((name @ ("Time-Left-Ms" | "Retry-After"), _)) => format!("{name}: (time)"),
+        _ => line.trim_end().to_owned(),
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/logbook/tests/logbook.rs
@@ -0,0 +1,261 @@
+//! A log survives whatever cuts it off, and refuses what it cannot explain.
+
+mod support;
+
+use logbook::{Logbook, LogbookError, Recovered, SEGMENT_LENGTH};
+use rstest::rstest;
+use support::{Files, MemoryDirectory};
+
+fn open(files: Files) -> Result<(Logbook<MemoryDirectory>, Recovered), LogbookError> {
+    Logbook::open_in(MemoryDirectory::with(files))
+}
+
+fn reopen(directory: &MemoryDirectory) -> Recovered {
+    open(directory.files()).expect("it opens").1
+}
+
+/// Three appends: one, two and one record.
+fn small_log() -> (MemoryDirectory, Vec<Vec<u8>>) {
+    let directory = MemoryDirectory::default();
+    let (mut logbook, recovered) = Logbook::open_in(directory.clone()).expect("it opens");
+    assert_eq!(recovered, Recovered::default());
+    logbook.append(&[b"one"]).expect("it appends");
+    logbook.append(&[b"two", b""]).expect("it appends");
+    logbook.append(&[b"four"]).expect("it appends");
+    let records = [&b"one"[..], b"two", b"", b"four"].map(<[u8]>::to_vec).to_vec();
+    (directory, records)
+}
+
+#[test]
+fn records_are_read_back() {
+    let (directory, records) = small_log();
+    assert_eq!(reopen(&directory), Recovered { snapshot: None, records });
+}
+
+#[test]
+fn file_system_directory_keeps_records_and_snapshot() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let (mut logbook, _) = Logbook::open(&path).expect("it opens");
+    logbook.append(&[b"old"]).expect("it appends");
+    logbook.snapshot(b"state").expect("it takes a snapshot");
+    logbook.append(&[b"new"]).expect("it appends");
+    let bytes = logbook.bytes_used();
+    drop(logbook);
+    let (logbook, recovered) = Logbook::open(&path).expect("it opens");
+    assert_eq!(recovered, Recovered { snapshot: Some(b"state".to_vec()), records: vec![b"new".to_vec()] });
+    assert_eq!(logbook.bytes_used(), bytes);
+    let mut names: Vec<_> = std::fs::read_dir(&path)
+        .expect("it lists")
+        .map(|entry| entry.expect("an entry").file_name().into_string().expect("a name"))
+        .collect();
+    names.sort();
+    assert_eq!(names, ["log-000002", "snapshot-000002"]);
+}
+
+/// Cut at any byte, the log holds whole appends only, and more can be appended.
+#[test]
+fn cut_at_every_byte_leaves_whole_appends() {
+    let (directory, records) = small_log();
+    let whole = directory.files().remove("log-000001").expect("the segment");
+    let mut lengths = Vec::new();
+    for length in 0..=whole.len() {
+        let files = Files::from([("log-000001".to_owned(), whole[..length].to_vec())]);
+        let directory = MemoryDirectory::with(files);
+        let (mut logbook, recovered) = Logbook::open_in(directory.clone()).expect("it opens");
+        let count = recovered.records.len();
+        assert_eq!(recovered.records, records[..count]);
+        lengths.push(count);
+        logbook.append(&[b"more"]).expect("it appends");
+        let after = reopen(&directory).records;
+        assert_eq!(after[..count], records[..count]);
+        assert_eq!(after[count..], [b"more".to_vec()]);
+    }
+    lengths.dedup();
+    assert_eq!(lengths, [0, 1, 3, 4]);
+}
+
+/// A flipped bit before the last append is refused and left as it is; in the last append it cuts that off.
+#[test]
+fn flipped_bits_are_seen() {
+    let (directory, records) = small_log();
+    let whole = directory.files().remove("log-000001").expect("the segment");
+    let last = whole.len() - (12 + 4 + 4);
+    for position in 0..whole.len() * 8 {
+        let mut content = whole.clone();
+        content[position / 8] ^= 1 << (position % 8);
+        let files = Files::from([("log-000001".to_owned(), content)]);
+        let directory = MemoryDirectory::with(files.clone());
+        match Logbook::open_in(directory.clone()) {
+            Ok((_, recovered)) => {
+                assert!(position / 8 >= last, "bit {position}");
+                assert_eq!(recovered.records, records[..3]);
+            }
+            Err(error) => {
+                assert!(position / 8 < last, "bit {position}: {error}");
+                let is_named = error.to_string().contains("log-000001");
+                assert!(is_named, "{error}");
+                assert_eq!(directory.files(), files);
+            }
+        }
+    }
+}
+
+#[test]
+fn damage_is_named_with_its_place() {
+    let (directory, _) = small_log();
+    let mut files = directory.files();
+    files.get_mut("log-000001").expect("the segment")[8 + 19 + 12] ^= 1;
+    let error = open(files).expect_err("it is refused");
+    assert!(
+        matches!(error, LogbookError::Damaged { ref file, offset: 27 } if file == "log-000001"),
+        "{error}"
+    );
+}
+
+#[rstest]
+#[case::foreign("log-000001", b"#!/bin/sh\n", "log-000001 is not a file of a log")]
+#[case::foreign_snapshot("snapshot-000001", b"PK", "snapshot-000001 is not a file of a log")]
+#[case::version("log-000001", b"TLOG\x09\0\0\0more", "log-000001 has the unknown version 9")]
+#[case::gap("log-000002", b"TLOG\x01\0\0\0", "log-000001 is missing")]
+#[case::cut_snapshot("snapshot-000001", b"TSNP\x01\0\0\0", "snapshot-000001 is damaged at byte 8")]
+fn files_that_do_not_fit_are_refused(#[case] name: &str, #[case] content: &[u8], #[case] message: &str) {
+    let files = Files::from([(name.to_owned(), content.to_vec())]);
+    let directory = MemoryDirectory::with(files.clone());
+    let error = Logbook::open_in(directory.clone()).expect_err("it is refused");
+    assert_eq!(error.to_string(), message);
+    assert_eq!(directory.files(), files);
+}
+
+/// A cut in a segment that another one follows is not an interrupted write.
+#[test]
+fn cut_in_the_middle_is_refused() {
+    let (directory, _) = long_log();
+    let mut files = directory.files();
+    assert_eq!(files.len(), 2);
+    let first = files.get_mut("log-000001").expect("the segment");
+    first.truncate(first.len() - 1);
+    let error = open(files).expect_err("it is refused");
+    assert!(matches!(error, LogbookError::Damaged { ref file, .. } if file == "log-000001"), "{error}");
+}
+
+fn long_log() -> (MemoryDirectory, Logbook<MemoryDirectory>) {
+    let directory = MemoryDirectory::default();
+    let (mut logbook, _) = Logbook::open_in(directory.clone()).expect("it opens");
+    let record = vec![7; 1024 * 1024];
+    for _ in 0..5 {
+        logbook.append(&[&record]).expect("it appends");
+    }
+    (directory, logbook)
+}
+
+#[test]
+fn long_segments_are_followed_by_new_ones() {
+    let (directory, mut logbook) = long_log();
+    assert_eq!(reopen(&directory).records.len(), 5);
+    let total: usize = directory.files().values().map(Vec::len).sum();
+    assert_eq!(logbook.bytes_used(), total as u64);
+    assert!(directory.files()["log-000001"].len() as u64 <= SEGMENT_LENGTH + 1024 * 1024 + 100);
+    logbook.snapshot(b"small").expect("it takes a snapshot");
+    assert!(logbook.bytes_used() < 100);
+}
+
+/// A foreign name beside the log is nobody's business.
+#[test]
+fn other_files_are_left_alone() {
+    let (directory, records) = small_log();
+    let mut files = directory.files();
+    files.insert("log-old".to_owned(), b"x".to_vec());
+    let directory = MemoryDirectory::with(files);
+    let (mut logbook, recovered) = Logbook::open_in(directory.clone()).expect("it opens");
+    assert_eq!(recovered.records, records);
+    logbook.snapshot(b"state").expect("it takes a snapshot");
+    assert!(directory.files().contains_key("log-old"));
+}
+
+/// However far a write gets on a full disk, what was appended stays, and appends succeed once there is room.
+#[test]
+fn full_disk_refuses_and_recovers() {
+    for bytes in 0..60 {
+        let (directory, mut records) = small_log();
+        let (mut logbook, _) = Logbook::open_in(directory.clone()).expect("it opens");
+        directory.limit_bytes(Some(bytes));
+        let appended = logbook.append(&[b"a record of some length"]);
+        match appended {
+            Ok(()) => records.push(b"a record of some length".to_vec()),
+            Err(error) => assert!(matches!(error, LogbookError::Io { operation: "write", .. }), "{error}"),
+        }
+        assert_eq!(reopen(&directory).records, records);
+        let is_snapshot = logbook.snapshot(b"the whole state, longer than the record").is_ok();
+        if is_snapshot {
+            records.clear();
+        }
+        assert_eq!(reopen(&directory).records, records);
+        directory.limit_bytes(None);
+        logbook.append(&[b"short"]).expect("there is room");
+        records.push(b"short".to_vec());
+        assert_eq!(reopen(&directory).records, records);
+        logbook.snapshot(b"state").expect("there is room");
+        assert_eq!(
+            reopen(&directory),
+            Recovered { snapshot: Some(b"state".to_vec()), records: Vec::new() }
+        );
+    }
+}
+
+/// A crash or a loss of power after any operation leaves the records or the snapshot, never less.
+#[test]
+fn crash_at_every_step_loses_nothing() {
+    let mut finished = false;
+    let mut operations = 0;
+    while !finished {
+        let (directory, _) = small_log();
+        let (mut logbook, _) = Logbook::open_in(directory.clone()).expect("it opens");
+        directory.crash_after(operations);
+        let mut acknowledged = 4;
+        let mut has_snapshot = false;
+        let result = (|| -> Result<(), LogbookError> {
+            logbook.snapshot(b"4")?;
+            has_snapshot = true;
+            logbook.append(&[b"5"])?;
+            acknowledged = 5;
+            logbook.snapshot(b"5")?;
+            logbook.append(&[b"6"])?;
+            acknowledged = 6;
+            Ok(())
+        })();
+        finished = result.is_ok();
+        for files in [directory.files(), directory.synced_files()] {
+            let (mut logbook, recovered) = open(files).expect("it opens");
+            assert!(known(&recovered) >= acknowledged, "after {operations} operations: {recovered:?}");
+            assert!(!has_snapshot || recovered.snapshot.is_some());
+            logbook.append(&[b"7"]).expect("it appends");
+        }
+        operations += 1;
+    }
+    assert!(operations > 20);
+}
+
+/// How many records the log has seen: the snapshot says how many it stands for.
+fn known(recovered: &Recovered) -> usize {
+    let base = recovered.snapshot.as_ref().map_or(0, |snapshot| usize::from(snapshot[0] - b'0'));
+    base + recovered.records.len()
+}
+
+/// A snapshot that is damaged before the older files were removed is passed over.
+#[test]
+fn older_snapshot_serves_while_its_segments_are_there() {
+    let directory = MemoryDirectory::default();
+    let (mut logbook, _) = Logbook::open_in(directory.clone()).expect("it opens");
+    logbook.append(&[b"1"]).expect("it appends");
+    logbook.snapshot(b"1").expect("it takes a snapshot");
+    logbook.append(&[b"2"]).expect("it appends");
+    let mut files = directory.files();
+    logbook.snapshot(b"2").expect("it takes a snapshot");
+    logbook.append(&[b"3"]).expect("it appends");
+    files.extend(directory.files());
+    files.get_mut("snapshot-000003").expect("the newest").pop();
+    let (_, recovered) = open(files).expect("it opens");
+    assert_eq!(recovered.snapshot, Some(b"1".to_vec()));
+    assert_eq!(recovered.records, [b"2".to_vec(), b"3".to_vec()]);
+}
--- /dev/null
+++ b/crates/logbook/tests/support/mod.rs
@@ -0,0 +1,178 @@
+//! A directory in memory that can be full, can crash, and forgets on a loss of power what was not synced.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+use logbook::{Directory, DirectoryFile};
+
+/// What is on a disk.
+pub type Files = BTreeMap<String, Vec<u8>>;
+
+#[derive(Debug, Default)]
+struct Disk {
+    files: Files,
+    synced: Files,
+    operations_left: Option<u64>,
+    bytes_left: Option<u64>,
+    removed: Vec<(String, Vec<u8>)>,
+}
+
+impl Disk {
+    fn step(&mut self) -> io::Result<()> {
+        match &mut self.operations_left {
+            Some(0) => Err(io::Error::other("crashed")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// The directory.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryDirectory {
+    disk: Rc<RefCell<Disk>>,
+}
+
+/// An open file of it.
+#[derive(Debug)]
+pub struct MemoryFile {
+    disk: Rc<RefCell<Disk>>,
+    name: String,
+}
+
+impl MemoryDirectory {
+    /// A directory with files, all of them synced.
+    pub fn with(files: Files) -> Self {
+        let directory = MemoryDirectory::default();
+        directory.disk.borrow_mut().synced = files.clone();
+        directory.disk.borrow_mut().files = files;
+        directory
+    }
+
+    /// After so many changes every operation fails.
+    pub fn crash_after(&self, operations: u64) {
+        self.disk.borrow_mut().operations_left = Some(operations);
+    }
+
+    /// Writes fail when so many bytes more have been written.
+    pub fn limit_bytes(&self, bytes: Option<u64>) {
+        self.disk.borrow_mut().bytes_left = bytes;
+    }
+
+    /// What a process finds that starts after a crash.
+    pub fn files(&self) -> Files {
+        self.disk.borrow().files.clone()
+    }
+
+    /// What is found after a loss of power that takes all that was not synced.
+    pub fn synced_files(&self) -> Files {
+        let disk = self.disk.borrow();
+        let mut files = disk.synced.clone();
+        for (name, content) in &disk.removed {
+            files.insert(name.clone(), content.clone());
+        }
+        files
+    }
+}
+
+impl Directory for MemoryDirectory {
+    type File = MemoryFile;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.disk.borrow().files.keys().cloned().collect())
+    }
+
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(self.read(name)?.len() as u64)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let disk = self.disk.borrow();
+        disk.files.get(name).cloned().ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn create_file(&self, name: &str) -> io::Result<MemoryFile> {
+        self.disk.borrow_mut().step()?;
+        self.disk.borrow_mut().files.insert(name.to_owned(), Vec::new());
+        self.open_file(name)
+    }
+
+    fn open_file(&self, name: &str) -> io::Result<MemoryFile> {
+        Ok(MemoryFile { disk: Rc::clone(&self.disk), name: name.to_owned() })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        let content = disk.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        disk.files.insert(to.to_owned(), content);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        disk.files.remove(name).ok_or(io::ErrorKind::NotFound)?;
+        if let Some(content) = disk.synced.get(name).cloned() {
+            disk.removed.push((name.to_owned(), content));
+        }
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        disk.removed.clear();
+        let names: Vec<String> = disk.files.keys().cloned().collect();
+        let gone: Vec<String> = disk.synced.keys().filter(|name| !names.contains(name)).cloned().collect();
+        let mut contents: Vec<Vec<u8>> = Vec::new();
+        for name in gone {
+            contents.extend(disk.synced.remove(&name));
+        }
+        for name in names {
+            let content = disk.files[&name].clone();
+            if !disk.synced.contains_key(&name) && contents.contains(&content) {
+                disk.synced.insert(name, content);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl DirectoryFile for MemoryFile {
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        let allowed = disk.bytes_left.map_or(bytes.len(), |left| bytes.len().min(left as usize));
+        if let Some(left) = &mut disk.bytes_left {
+            *left -= allowed as u64;
+        }
+        let content = disk.files.entry(self.name.clone()).or_default();
+        content.truncate(offset as usize);
+        content.resize(offset as usize, 0);
+        content.extend(&bytes[..allowed]);
+        if allowed < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn set_length(&mut self, length: u64) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        disk.files.entry(self.name.clone()).or_default().resize(length as usize, 0);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let mut disk = self.disk.borrow_mut();
+        disk.step()?;
+        let content = disk.files.get(&self.name).cloned().unwrap_or_default();
+        disk.synced.insert(self.name.clone(), content);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/tower/src/api/message.rs
@@ -0,0 +1,113 @@
+//! Requests and answers of the operator's interface.
+
+use std::sync::Arc;
+
+use jetway::http::Head;
+use serde::Serialize;
+
+/// A request, read whole.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The path, with its query.
+    pub target: String,
+    /// The headers.
+    pub head: Head,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Its status.
+    pub status: u16,
+    /// Headers beyond those of the framing.
+    pub headers: Vec<(&'static str, String)>,
+    /// Its body, as JSON.
+    pub body: Arc<[u8]>,
+}
+
+/// The answer to a change that is in force.
+#[derive(Serialize)]
+pub(crate) struct Taken {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+}
+
+/// The answer to a change that builds on another version.
+#[derive(Serialize)]
+pub(crate) struct Stale {
+    pub error: &'static str,
+    pub current: u64,
+}
+
+/// The answer to a naming of weights that are older than others.
+#[derive(Serialize)]
+pub(crate) struct OldWeights {
+    pub error: &'static str,
+    pub newest: u64,
+}
+
+/// The answer to a call that fails for another reason.
+#[derive(Serialize)]
+struct Failure<'a> {
+    error: &'a str,
+}
+
+impl Response {
+    /// An answer with a JSON body.
+    pub fn json(status: u16, body: &impl Serialize) -> Response {
+        match serde_json::to_vec(body) {
+            Ok(text) => Response::text(status, text.into()),
+            Err(error) => Response::error(500, &format!("the answer can't be written: {error}")),
+        }
+    }
+
+    /// An answer whose body is JSON already.
+    pub fn text(status: u16, body: Arc<[u8]>) -> Response {
+        Response { status, headers: Vec::new(), body }
+    }
+
+    /// An answer that says why the call failed.
+    pub fn error(status: u16, what: &str) -> Response {
+        Response::json(status, &Failure { error: what })
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Response {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// The answer's head.
+    pub fn encode_head(&self, keep: bool) -> String {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("Content-Type: application/json\r\n");
+        head.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        if !keep {
+            head.push_str("Connection: close\r\n");
+        }
+        head.push_str("\r\n");
+        head
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        307 => "Temporary Redirect",
+        412 => "Precondition Failed",
+        _ => jetway::http::reason(status),
+    }
+}
--- /dev/null
+++ b/crates/tower/src/api/weights.rs
@@ -0,0 +1,31 @@
+//! `POST /version-put`: names new weights of a model.
+
+use std::rc::Rc;
+
+use serde::Deserialize;
+
+use super::{Access, Call, ControlPlane, Handling, Request, Response, answer_change};
+use crate::state::Change;
+
+#[derive(Deserialize)]
+struct VersionPut {
+    #[serde(rename = "llm")]
+    model: String,
+    revision: u64,
+}
+
+/// Names new weights.
+pub(super) fn put<C: ControlPlane>() -> Call<C> {
+    Call { method: "POST", path: "/version-put", access: Access::Primary, handler: handle }
+}
+
+fn handle<C: ControlPlane>(control: Rc<C>, request: Request) -> Handling {
+    Box::pin(async move {
+        match serde_json::from_slice::<VersionPut>(&request.body) {
+            Ok(VersionPut { model, revision }) => {
+                answer_change(control.change(Change::NameWeights { model, revision }).await, Some(revision))
+            }
+            Err(error) => Response::error(400, &format!("the body can't be read: {error}")),
+        }
+    })
+}
--- /dev/null
+++ b/crates/tower/src/control_plane.rs
@@ -0,0 +1,144 @@
+//! What the operator's interface asks of a member.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use intercom::node::NodeId;
+use jetway::within;
+
+use crate::api::{ChangeOutcome, ControlPlane, Standing, Status};
+use crate::delivery::Delivery;
+use crate::duty::DutyHolder;
+use crate::member::{Member, ProposalEnd};
+use crate::replication::Role;
+use crate::state::{Accepted, Applied, Change, Decision};
+
+/// A change that is not agreed on in this time is left to the caller, who sends it again.
+const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Request {
+    change: Change,
+    reply: Sender<ChangeOutcome>,
+}
+
+/// A member as the operator sees it. Changes are carried out one at a time, each on top of the last.
+pub struct OperatorView {
+    name: String,
+    node: NodeId,
+    member: Rc<Member>,
+    delivery: Rc<Delivery>,
+    requests: Sender<Request>,
+    queue: Receiver<Request>,
+}
+
+impl OperatorView {
+    /// A view of this member.
+    pub fn new(name: String, node: NodeId, member: Rc<Member>, delivery: Rc<Delivery>) -> Rc<OperatorView> {
+        let (requests, queue) = async_channel::unbounded();
+        Rc::new(OperatorView { name, node, member, delivery, requests, queue })
+    }
+
+    /// Carries out changes for ever.
+    pub async fn run(self: Rc<Self>) {
+        while let Ok(Request { change, reply }) = self.queue.recv().await {
+            let outcome = self.carry_out(change).await;
+            let _ = reply.try_send(outcome);
+        }
+    }
+
+    async fn carry_out(&self, change: Change) -> ChangeOutcome {
+        if !self.member.is_primary() {
+            return ChangeOutcome::NotPrimary;
+        }
+        match self.member.machine().decide(change).await {
+            Some(Decision::Accept(accepted)) => self.agree(*accepted).await,
+            Some(Decision::AlreadyTaken) if self.member.is_primary() => ChangeOutcome::Taken,
+            Some(Decision::Stale { current }) if self.member.is_primary() => {
+                ChangeOutcome::Stale { current }
+            }
+            Some(Decision::InvalidConfiguration { findings }) => {
+                ChangeOutcome::Invalid { report: String::from_utf8_lossy(&findings.to_json()).into() }
+            }
+            Some(Decision::OldWeights { newest }) => ChangeOutcome::OldWeights { newest },
+            Some(Decision::AlreadyTaken | Decision::Stale { .. }) => ChangeOutcome::NotPrimary,
+            None => ChangeOutcome::Unknown,
+        }
+    }
+
+    async fn agree(&self, accepted: Accepted) -> ChangeOutcome {
+        if !self.member.is_primary() {
+            return ChangeOutcome::NotPrimary;
+        }
+        let end = within(AGREEMENT_TIMEOUT, self.member.propose(accepted.command)).await;
+        match end.unwrap_or(ProposalEnd::Unknown) {
+            ProposalEnd::Applied(Applied::Configuration | Applied::Weights) => ChangeOutcome::Taken,
+            ProposalEnd::Applied(Applied::Superseded) => ChangeOutcome::Stale { current: self.revision() },
+            ProposalEnd::NotTaken => ChangeOutcome::NotPrimary,
+            ProposalEnd::Unknown => ChangeOutcome::Unknown,
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.member.published().configuration.map_or(0, |configuration| configuration.revision)
+    }
+}
+
+impl ControlPlane for OperatorView {
+    fn standing(&self) -> Standing {
+        if self.member.is_primary() {
+            return Standing::Primary;
+        }
+        match self.member.known_primary() {
+            Some(primary) if primary != self.node => Standing::Follower { primary: primary.address() },
+            _ => Standing::Unknown,
+        }
+    }
+
+    async fn change(&self, change: Change) -> ChangeOutcome {
+        let (reply, outcome) = async_channel::bounded(1);
+        if self.requests.try_send(Request { change, reply }).is_err() {
+            return ChangeOutcome::Unknown;
+        }
+        outcome.recv().await.unwrap_or(ChangeOutcome::Unknown)
+    }
+
+    async fn document(&self) -> Option<Arc<[u8]>> {
+        self.member.machine().document().await
+    }
+
+    fn status(&self) -> Status {
+        let names = |nodes: &[NodeId]| nodes.iter().map(NodeId::to_string).collect();
+        let (role, view, epoch) = self.member.with_replication(|replication| {
+            (replication.role(), replication.view().cloned().unwrap_or_default(), replication.epoch())
+        });
+        let duty = self.member.duty();
+        Status {
+            node: self.node.to_string(),
+            name: self.name.clone(),
+            role: role_name(role),
+            lease: self.member.is_primary(),
+            epoch,
+            voters: names(&view.voters),
+            holders: names(&view.holders),
+            primary: self.member.known_primary().map(|node| node.to_string()),
+            configuration: self.delivery.revision(),
+            weights: self.member.published().weights,
+            replicas: self.delivery.replicas(),
+            duties: if duty.is_some() { vec!["discovery", "rollout"] } else { Vec::new() },
+            age_ms: self.delivery.age().map(|age| age.as_millis() as u64),
+            subscribers: self.delivery.subscribers(),
+            gateways: self.delivery.gateways(),
+        }
+    }
+}
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Standby => "standby",
+        Role::Voter => "voter",
+        Role::Backup => "backup",
+        Role::Primary { .. } => "primary",
+    }
+}
--- /dev/null
+++ b/crates/tower/src/delivery.rs
@@ -0,0 +1,147 @@
+//! Delivery of the state to agents and to the other members.
+//!
+//! The primary writes the state; every other member is a home that follows the primary. All publish what they
+//! hold, with the age at which it was known to be the newest.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use courier::{FeedStore, Identity, Publisher, Subscriber};
+use intercom::feed::{ControlNode, Group, ModelWeights, Replica, SubscriberRole};
+use station::clock;
+use timetable::Configuration;
+
+/// What the delivery asks of the control plane.
+pub trait Authority {
+    /// This member is the primary within its lease, and has applied all that was agreed before.
+    fn confirms_freshness(&self) -> bool;
+    /// The machine of the primary, if another member is and was heard lately.
+    fn primary(&self) -> Option<Ipv4Addr>;
+}
+
+/// The feed of one member.
+pub struct Delivery {
+    authority: Rc<dyn Authority>,
+    feed_port: u16,
+    store: Rc<RefCell<FeedStore>>,
+    publisher: Rc<Publisher>,
+    subscriber: Rc<Subscriber>,
+    publisher_wanted: Cell<Option<SocketAddr>>,
+}
+
+impl Delivery {
+    /// The feed of a member of this name and zone. All members serve theirs at the same port.
+    pub fn new(name: String, zone: String, feed_port: u16, authority: Rc<dyn Authority>) -> Rc<Delivery> {
+        let store = Rc::new(RefCell::new(FeedStore::new()));
+        let identity = Identity { name, zone, role: SubscriberRole::Home };
+        let subscriber = Subscriber::new(identity, store.clone());
+        let publisher = Publisher::new(store.clone(), age(authority.clone(), subscriber.clone()));
+        let notified = publisher.clone();
+        subscriber.on_change(Box::new(move |_| notified.notify()));
+        let publisher_wanted = Cell::new(None);
+        Rc::new(Delivery { authority, feed_port, store, publisher, subscriber, publisher_wanted })
+    }
+
+    /// Serves subscribers for ever.
+    pub async fn serve(&self, listener: Async<TcpListener>, executor: &LocalExecutor<'_>) {
+        self.publisher.clone().serve(listener, executor).await;
+    }
+
+    /// Follows the primary for ever, while that is another member.
+    pub async fn follow(self: Rc<Self>) {
+        let this = self.clone();
+        self.subscriber.clone().run(move |_| this.choose()).await;
+    }
+
+    fn choose(&self) -> Option<SocketAddr> {
+        let wanted = self.authority.primary().map(|ip| SocketAddr::from((ip, self.feed_port)));
+        self.publisher_wanted.set(wanted);
+        wanted
+    }
+
+    /// Looks whether another member is the primary now, and tells the primary how many gateways are served here.
+    pub fn review(&self) {
+        self.subscriber.set_gateways(self.publisher.gateways());
+        let wanted = self.authority.primary().map(|ip| SocketAddr::from((ip, self.feed_port)));
+        // While no primary is known the last one is followed on: its answers tell how old they are.
+        let left = wanted.is_some() || self.authority.confirms_freshness();
+        if left && wanted != self.publisher_wanted.get() {
+            self.subscriber.reselect();
+        }
+    }
+
+    /// Delivers a configuration.
+    pub fn set_configuration(&self, configuration: Arc<Configuration>) {
+        let news = self.store.borrow_mut().set_configuration(configuration);
+        self.notify_if(news);
+    }
+
+    /// Delivers the table of replicas, as primary of `epoch`.
+    pub fn set_fleet(&self, epoch: u64, replicas: Vec<Replica>) {
+        let news = self.store.borrow_mut().set_fleet(epoch, replicas);
+        self.notify_if(news);
+    }
+
+    /// Delivers the table of weights, as primary of `epoch`.
+    pub fn set_weights(&self, epoch: u64, lines: Vec<ModelWeights>) {
+        let news = self.store.borrow_mut().set_weights(epoch, lines);
+        self.notify_if(news);
+    }
+
+    /// Delivers who takes part, as primary.
+    pub fn set_group(&self, control: Vec<ControlNode>) {
+        let group = Group { gateways: self.publisher.gateways(), control };
+        let news = self.store.borrow_mut().set_group(group);
+        self.notify_if(news);
+    }
+
+    fn notify_if(&self, news: bool) {
+        if news {
+            self.publisher.notify();
+        }
+    }
+
+    /// The weights that were delivered last.
+    pub fn weights(&self) -> Vec<ModelWeights> {
+        self.store.borrow().weights().models.clone()
+    }
+
+    /// Revision of the newest configuration that is delivered.
+    pub fn revision(&self) -> u64 {
+        self.store.borrow().holdings().configuration
+    }
+
+    /// How many replicas are delivered.
+    pub fn replicas(&self) -> usize {
+        self.store.borrow().fleet().count()
+    }
+
+    /// How many processes follow this feed.
+    pub fn subscribers(&self) -> usize {
+        self.publisher.subscribers().len()
+    }
+
+    /// Gateways that the control plane knows of.
+    pub fn gateways(&self) -> u32 {
+        self.store.borrow().group().gateways
+    }
+
+    /// How long ago what is delivered was known to be the newest.
+    pub fn age(&self) -> Option<Duration> {
+        age(self.authority.clone(), self.subscriber.clone())()
+    }
+}
+
+fn age(authority: Rc<dyn Authority>, subscriber: Rc<Subscriber>) -> Rc<dyn Fn() -> Option<Duration>> {
+    Rc::new(move || {
+        if authority.confirms_freshness() {
+            return Some(Duration::ZERO);
+        }
+        subscriber.age(clock::now())
+    })
+}
--- /dev/null
+++ b/crates/tower/src/discovery/list.rs
@@ -0,0 +1,111 @@
+//! Reading the platform's list of replicas.
+
+use std::net::SocketAddrV4;
+
+use intercom::feed::{ModelRevision, Replica, ReplicaPhase};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+use snafu::{ResultExt, Snafu};
+
+/// Why a page of the list can't be used.
+#[derive(Debug, Snafu)]
+pub enum PageError {
+    /// The page is not what the platform's interface promises.
+    #[snafu(display("a page of the list of replicas can't be read: {source}"))]
+    Unreadable {
+        /// What the parser says.
+        source: serde_json::Error,
+    },
+}
+
+/// A page of the list.
+#[derive(Debug, Default, PartialEq)]
+pub struct Page {
+    /// Entries that could be read.
+    pub replicas: Vec<Replica>,
+    /// Entries that could not, as they came.
+    pub unreadable: Vec<String>,
+    /// Names the next page; none on the last.
+    pub next_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct PageBody<'a> {
+    #[serde(borrow)]
+    servers: Vec<&'a RawValue>,
+    /// A page without the field is cut off, which is not the same as the last one.
+    #[serde(rename = "nextToken", deserialize_with = "present")]
+    next_token: Option<String>,
+}
+
+fn present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<String>, D::Error> {
+    Option::deserialize(deserializer)
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry {
+    ident: String,
+    backend: String,
+    address: SocketAddrV4,
+    area: String,
+    capacity: u32,
+    phase: Phase,
+    #[serde(default)]
+    warm_left_ms: f64,
+    #[serde(default)]
+    llms: Vec<Model>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Phase {
+    Ready,
+    Emptying,
+}
+
+#[derive(Deserialize)]
+struct Model {
+    label: String,
+    revision: u64,
+}
+
+impl Page {
+    /// Reads a page. An entry that can't be read is set aside and spoils nothing else.
+    pub fn parse(body: &[u8]) -> Result<Page, PageError> {
+        let body: PageBody = serde_json::from_slice(body).context(UnreadableSnafu)?;
+        let mut page = Page { next_token: body.next_token, ..Page::default() };
+        for raw in body.servers {
+            match serde_json::from_str::<Entry>(raw.get()) {
+                Ok(entry) => page.replicas.push(entry.into()),
+                Err(_) => page.unreadable.push(raw.get().to_owned()),
+            }
+        }
+        Ok(page)
+    }
+}
+
+impl From<Entry> for Replica {
+    fn from(entry: Entry) -> Replica {
+        Replica {
+            id: entry.ident,
+            service: entry.backend,
+            address: entry.address.to_string(),
+            zone: entry.area,
+            capacity: entry.capacity,
+            phase: match entry.phase {
+                Phase::Ready => ReplicaPhase::Ready,
+                Phase::Emptying => ReplicaPhase::Draining,
+            },
+            // A float-to-integer cast keeps to the target's range.
+            warm_left_ms: entry.warm_left_ms.ceil() as u32,
+            models: entry.llms.into_iter().map(ModelRevision::from).collect(),
+        }
+    }
+}
+
+impl From<Model> for ModelRevision {
+    fn from(model: Model) -> ModelRevision {
+        ModelRevision { model: model.label, revision: model.revision }
+    }
+}
--- /dev/null
+++ b/crates/tower/src/duty.rs
@@ -0,0 +1,16 @@
+//! Who carries out what only one member may do at a time.
+
+/// The duties of a primary: list calls, and orders to replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duty {
+    /// The primary's epoch; the fence number of its orders.
+    pub epoch: u64,
+    /// The epoch in which it became primary: no other member had the duties since.
+    pub tenure: u64,
+}
+
+/// Knows whether this member has the duties.
+pub trait DutyHolder {
+    /// The duties, while this member is primary within its lease.
+    fn duty(&self) -> Option<Duty>;
+}
--- /dev/null
+++ b/crates/tower/src/lib.rs
@@ -0,0 +1,17 @@
+//! The control plane: agreed state, service discovery, delivery, weights.
+
+pub mod api;
+pub mod control_plane;
+pub mod delivery;
+pub mod discovery;
+pub mod disk;
+pub mod duty;
+pub mod fleet;
+pub mod http_client;
+pub mod links;
+pub mod machine;
+pub mod member;
+pub mod replication;
+pub mod rollout;
+pub mod server;
+pub mod state;
--- /dev/null
+++ b/crates/tower/src/links/inbound.rs
@@ -0,0 +1,71 @@
+//! Connections on which other members send.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::AsyncReadExt;
+use intercom::control::Envelope;
+use intercom::frame;
+use socket2::{SockRef, TcpKeepalive};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 64 * 1024;
+/// The pause after a connection can't be taken, as while no descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// A connection without traffic is probed after this time.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+/// Time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Takes connections for ever.
+pub(super) async fn serve(
+    executor: &LocalExecutor<'static>,
+    listener: Async<TcpListener>,
+    on_message: Rc<dyn Fn(Envelope)>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => executor.spawn(follow(stream, on_message.clone())).detach(),
+            Err(error) => {
+                log::warn!(error:% = error; "a connection of a member can't be taken");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow(stream: Async<TcpStream>, on_message: Rc<dyn Fn(Envelope)>) {
+    if let Err(error) = read(stream, &*on_message).await {
+        log::debug!(error:% = error; "a connection of a member ended");
+    }
+}
+
+async fn read(mut stream: Async<TcpStream>, on_message: &dyn Fn(Envelope)) -> io::Result<()> {
+    probe_when_idle(&stream)?;
+    let mut chunk = vec![0; READ_BYTES];
+    let mut buffer = Vec::new();
+    loop {
+        let count = stream.read(&mut chunk).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        buffer.extend_from_slice(&chunk[..count]);
+        while let Some(envelope) = frame::take::<Envelope>(&mut buffer).map_err(io::Error::other)? {
+            on_message(envelope);
+        }
+    }
+}
+
+fn probe_when_idle(stream: &Async<TcpStream>) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    SockRef::from(stream.get_ref()).set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/tower/src/main.rs
@@ -0,0 +1,23 @@
+//! The control plane's program.
+
+use std::process::ExitCode;
+
+use station::command_line;
+
+/// What the program is, for its help.
+const DESCRIPTION: &str = "The control plane: agreed state, service discovery, delivery, weights";
+
+fn main() -> ExitCode {
+    command_line::start(
+        "tower",
+        DESCRIPTION,
+        env!("CARGO_PKG_VERSION"),
+        |settings| match tower::server::run(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                log::error!(error:% = error; "the control plane can't go on");
+                ExitCode::FAILURE
+            }
+        },
+    )
+}
--- /dev/null
+++ b/crates/tower/src/replication/durable.rs
@@ -0,0 +1,87 @@
+//! What a member keeps on disk.
+
+use std::sync::Arc;
+
+use intercom::control::{DataMark, Entry, View};
+use musli::{Decode, Encode};
+
+/// All that a member keeps on disk but its generation.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct DurableState {
+    /// The highest epoch that was promised.
+    pub promised: u64,
+    /// The newest recorded view.
+    pub view: Option<View>,
+    /// How far the data goes.
+    pub data: DataMark,
+    /// The newest entry in the snapshot.
+    pub snapshot_sequence: u64,
+    /// The encoded state at that entry.
+    pub snapshot: Arc<[u8]>,
+    /// All entries after it.
+    pub entries: Vec<Entry>,
+}
+
+/// One change of what is kept on disk.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum DurableRecord {
+    /// An epoch was promised.
+    Promised(u64),
+    /// A view was recorded.
+    View(View),
+    /// The data is complete as of this epoch.
+    DataEpoch(u64),
+    /// One more entry.
+    Entry(Entry),
+    /// Entries up to a number are replaced by the state after them.
+    Snapshot {
+        /// The newest entry in the snapshot.
+        sequence: u64,
+        /// The encoded state.
+        snapshot: Arc<[u8]>,
+    },
+    /// All data is replaced.
+    Reset {
+        /// The epoch as of which the new data is complete.
+        epoch: u64,
+        /// The newest entry in the snapshot.
+        snapshot_sequence: u64,
+        /// The encoded state.
+        snapshot: Arc<[u8]>,
+        /// All entries after it.
+        entries: Vec<Entry>,
+    },
+}
+
+impl DurableState {
+    /// Carries out a change. Records read back in their order give the state that was written.
+    pub fn apply(&mut self, record: &DurableRecord) {
+        match record {
+            DurableRecord::Promised(epoch) => self.promised = self.promised.max(*epoch),
+            DurableRecord::View(view) => self.view = Some(view.clone()),
+            DurableRecord::DataEpoch(epoch) => self.data.epoch = *epoch,
+            DurableRecord::Entry(entry) => {
+                self.data.sequence = entry.sequence;
+                self.entries.push(entry.clone());
+            }
+            DurableRecord::Snapshot { sequence, snapshot } => {
+                self.entries.retain(|entry| entry.sequence > *sequence);
+                self.snapshot_sequence = *sequence;
+                self.snapshot = snapshot.clone();
+            }
+            DurableRecord::Reset { epoch, snapshot_sequence, snapshot, entries } => {
+                let sequence = entries.last().map_or(*snapshot_sequence, |entry| entry.sequence);
+                self.data = DataMark { epoch: *epoch, sequence };
+                self.snapshot_sequence = *snapshot_sequence;
+                self.snapshot = snapshot.clone();
+                self.entries = entries.clone();
+            }
+        }
+    }
+
+    /// The entry with a number, if it is not in the snapshot.
+    pub(super) fn entry(&self, sequence: u64) -> Option<&Entry> {
+        let offset = sequence.checked_sub(self.snapshot_sequence + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+}
--- /dev/null
+++ b/crates/tower/src/replication/interface.rs
@@ -0,0 +1,106 @@
+//! What goes into the state machine and what comes out.
+
+use std::sync::Arc;
+
+use intercom::control::Envelope;
+use intercom::node::NodeId;
+
+use super::durable::DurableRecord;
+
+/// What the owner tells the state machine.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A deadline has come.
+    Tick,
+    /// A message has arrived.
+    Message(Envelope),
+    /// All records up to this ticket are on disk.
+    Persisted {
+        /// The ticket of [`Output::Persist`].
+        ticket: u64,
+    },
+    /// A command that the primary should replicate.
+    Propose {
+        /// The owner's name for it.
+        ticket: u64,
+        /// The encoded command.
+        command: Arc<[u8]>,
+    },
+    /// The state after the entry `sequence`, which has been applied: older entries may go.
+    Compact {
+        /// The newest entry in the snapshot.
+        sequence: u64,
+        /// The encoded state.
+        snapshot: Arc<[u8]>,
+    },
+    /// Whether the disk answers within its bound.
+    DiskHealthy(bool),
+    /// Addresses where members may be found. Generations do not matter.
+    Known(Vec<NodeId>),
+    /// The process is about to end.
+    Terminate,
+}
+
+/// What the owner has to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message. It may be lost.
+    Send(Envelope),
+    /// Write and sync the records in order, then answer with [`Input::Persisted`].
+    Persist {
+        /// Rises by one with each batch.
+        ticket: u64,
+        /// What to write.
+        records: Vec<DurableRecord>,
+    },
+    /// An entry is committed. Comes in order without gaps.
+    Apply {
+        /// Its number.
+        sequence: u64,
+        /// The encoded command.
+        command: Arc<[u8]>,
+        /// The ticket of the proposal, at the member where it was made.
+        proposal: Option<u64>,
+    },
+    /// The state starts anew from this snapshot.
+    Restore {
+        /// The newest entry in the snapshot.
+        sequence: u64,
+        /// The encoded state; empty stands for the state before the first entry.
+        snapshot: Arc<[u8]>,
+    },
+    /// A proposal will not be answered by an [`Output::Apply`] that names it.
+    ProposalFailed {
+        /// Its ticket.
+        proposal: u64,
+        /// Whether it may still take effect.
+        reason: FailureReason,
+    },
+    /// This member's part has changed.
+    RoleChanged(Role),
+}
+
+/// Why a proposal failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureReason {
+    /// It was never replicated and will not take effect.
+    NotTaken,
+    /// The member ceased to be primary while it waited: it may or may not take effect.
+    OutcomeUnknown,
+}
+
+/// A member's part in the newest view that it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Neither votes nor holds data.
+    Standby,
+    /// Votes.
+    Voter,
+    /// Votes and holds data.
+    Backup,
+    /// Orders the entries of this epoch. Acts only while [`super::Replication::is_primary`].
+    Primary {
+        /// The view's epoch.
+        epoch: u64,
+    },
+}
--- /dev/null
+++ b/crates/tower/src/replication/leader.rs
@@ -0,0 +1,416 @@
+//! The primary: its lease, replication, and the exchange of members.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::control::{ControlMessage, Entry, View};
+use intercom::node::NodeId;
+
+use super::interface::{FailureReason, Output};
+use super::machine::Replication;
+use super::peers::is_recent;
+use super::quorum::has_quorum;
+use super::settings::{
+    APPEND_STALL, BACKUP_DEAD_AFTER, ELECTION_TIMEOUT, FORCED_CHANGE_INTERVAL, HEARTBEAT_INTERVAL,
+    LEASE_TERM, NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
+};
+
+/// Heartbeats whose answers still count.
+const REMEMBERED_HEARTBEATS: usize = 16;
+/// Entries sent again at once to a backup that lags.
+const RESENT_ENTRIES: usize = 256;
+
+/// How far a holder has stored the entries.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    sequence: u64,
+    /// Since when it has had nothing to store, or when it last stored something.
+    moved_at: Duration,
+}
+
+/// A proposal that waits for the end of a view change.
+#[derive(Debug)]
+struct WaitingProposal {
+    ticket: u64,
+    command: Arc<[u8]>,
+}
+
+/// What a member knows while it is primary.
+#[derive(Debug)]
+pub(super) struct Leadership {
+    /// The view in force that it leads.
+    pub(super) view: View,
+    lease_until: Duration,
+    /// Sending time of the newest heartbeat that a majority acknowledged.
+    confirmed_at: Duration,
+    sent: VecDeque<(u64, Duration)>,
+    /// Sending time of the newest heartbeat that each voter acknowledged.
+    acknowledged: BTreeMap<NodeId, Duration>,
+    next_token: u64,
+    heartbeat_at: Duration,
+    resend_at: Duration,
+    progress: BTreeMap<NodeId, Progress>,
+    /// Proposals by the number of their entry.
+    proposals: BTreeMap<u64, u64>,
+    waiting: VecDeque<WaitingProposal>,
+    /// A member has promised a higher epoch, so it takes part only in a new view.
+    is_change_forced: bool,
+    change_allowed_at: Duration,
+}
+
+impl Leadership {
+    fn new(view: View, sequence: u64, first_token: u64, now: Duration) -> Self {
+        let progress =
+            view.holders.iter().map(|holder| (*holder, Progress { sequence, moved_at: now })).collect();
+        Leadership {
+            view,
+            lease_until: Duration::ZERO,
+            confirmed_at: now,
+            sent: VecDeque::new(),
+            acknowledged: BTreeMap::new(),
+            next_token: first_token,
+            heartbeat_at: now,
+            resend_at: now + RESEND_INTERVAL,
+            progress,
+            proposals: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            is_change_forced: false,
+            change_allowed_at: now,
+        }
+    }
+
+    /// When something has to be done at the latest.
+    pub(super) fn next_deadline(&self) -> Duration {
+        let mut deadline = self.heartbeat_at.min(self.confirmed_at + STEP_DOWN_AFTER);
+        if self.has_unstored_entries() {
+            deadline = deadline.min(self.resend_at);
+        }
+        deadline
+    }
+
+    /// Whether the lease runs.
+    pub(super) fn lease_valid(&self, now: Duration) -> bool {
+        now < self.lease_until
+    }
+
+    /// Whether a holder has stored nothing for long though there is something to store.
+    pub(super) fn is_stalled(&self, holder: NodeId, now: Duration) -> bool {
+        let newest = self.progress.values().map(|progress| progress.sequence).max().unwrap_or(0);
+        self.progress.get(&holder).is_some_and(|progress| {
+            progress.sequence < newest && now.saturating_sub(progress.moved_at) > APPEND_STALL
+        })
+    }
+
+    /// The proposal behind an entry.
+    pub(super) fn take_proposal(&mut self, sequence: u64) -> Option<u64> {
+        self.proposals.remove(&sequence)
+    }
+
+    fn has_unstored_entries(&self) -> bool {
+        let newest = self.progress.values().map(|progress| progress.sequence).max();
+        let oldest = self.progress.values().map(|progress| progress.sequence).min();
+        newest != oldest
+    }
+
+    /// The newest entry that all holders have on disk.
+    fn committed(&self) -> u64 {
+        self.progress.values().map(|progress| progress.sequence).min().unwrap_or(0)
+    }
+
+    /// Notes a heartbeat's answer; whether it was one of this view's heartbeats.
+    fn acknowledge(&mut self, from: NodeId, epoch: u64, token: u64) -> bool {
+        let sent = self.sent.iter().find(|(sent_token, _)| *sent_token == token).map(|(_, at)| *at);
+        let Some(sent) = sent.filter(|_| epoch == self.view.epoch) else { return false };
+        let newest = self.acknowledged.entry(from).or_insert(sent);
+        *newest = sent.max(*newest);
+        self.renew_lease();
+        true
+    }
+
+    /// The lease runs from the newest moment since which a majority has acknowledged.
+    fn renew_lease(&mut self) {
+        let mut moments: Vec<Duration> = self.acknowledged.values().copied().collect();
+        moments.sort_unstable();
+        let confirmed = moments.into_iter().rev().find(|moment| {
+            let voters: BTreeSet<NodeId> = self
+                .acknowledged
+                .iter()
+                .filter(|(_, acknowledged)| *acknowledged >= moment)
+                .map(|(node, _)| *node)
+                .collect();
+            has_quorum(&self.view, &voters)
+        });
+        let Some(confirmed) = confirmed else { return };
+        self.confirmed_at = self.confirmed_at.max(confirmed);
+        self.lease_until = self.lease_until.max(confirmed + LEASE_TERM);
+        self.view.previous_voters.clear();
+    }
+}
+
+impl Replication {
+    /// The view is in force: everything that this member holds is committed.
+    pub(super) fn become_primary(&mut self, now: Duration, view: View) {
+        let first_token = self.jitter.number() >> 1;
+        let sequence = self.state.data.sequence;
+        let mut leadership = Leadership::new(view, sequence, first_token, now);
+        if let Some(previous) = self.leadership.take() {
+            leadership.lease_until = previous.lease_until;
+            leadership.proposals = previous.proposals;
+            leadership.waiting = previous.waiting;
+            leadership.change_allowed_at = now + RESEND_INTERVAL;
+        } else {
+            self.presume_members_alive(now, &leadership.view);
+        }
+        self.heard = None;
+        let waiting = std::mem::take(&mut leadership.waiting);
+        self.leadership = Some(leadership);
+        self.apply_up_to(sequence);
+        for proposal in waiting {
+            self.append(now, proposal.ticket, proposal.command);
+        }
+    }
+
+    /// A new primary gives holders, which have just answered, the full time before it takes them for dead, and others
+    /// a shorter one.
+    fn presume_members_alive(&mut self, now: Duration, view: &View) {
+        let others = view.voters.iter().filter(|member| **member != self.settings.node);
+        for member in others {
+            let is_holder = view.holders.contains(member);
+            let earlier = (now + NEW_PRIMARY_GRACE).saturating_sub(VOTER_DEAD_AFTER);
+            let presumed = if is_holder { now } else { earlier };
+            let peer = self.peers.entry(*member);
+            peer.acknowledged = Some(presumed);
+            peer.healthy = Some(presumed);
+        }
+    }
+
+    /// Gives up being primary; proposals fail.
+    pub(super) fn step_down(&mut self, now: Duration) {
+        let Some(leadership) = self.leadership.take() else { return };
+        self.attempt = None;
+        for proposal in leadership.proposals.into_values() {
+            self.out.push(Output::ProposalFailed { proposal, reason: FailureReason::OutcomeUnknown });
+        }
+        for proposal in leadership.waiting {
+            let reason = FailureReason::NotTaken;
+            self.out.push(Output::ProposalFailed { proposal: proposal.ticket, reason });
+        }
+        if self.grant.as_ref().is_some_and(|grant| grant.primary == self.settings.node) {
+            self.grant = None;
+        }
+        self.campaign_at = now + ELECTION_TIMEOUT / 2 + self.jitter.millis(0, 500);
+    }
+
+    /// Steps down if no majority has answered for too long.
+    pub(super) fn check_lease(&mut self, now: Duration) {
+        let is_lost = self.leadership.as_ref().is_some_and(|own| {
+            now.saturating_sub(own.confirmed_at) >= STEP_DOWN_AFTER && !own.lease_valid(now)
+        });
+        if is_lost {
+            self.step_down(now);
+        }
+    }
+
+    /// The primary's timers.
+    pub(super) fn lead(&mut self, now: Duration) {
+        if self.leadership.is_none() {
+            return;
+        }
+        if (self.leaving || !self.disk_healthy) && self.release(now) {
+            return;
+        }
+        self.send_heartbeats_if_due(now);
+        self.resend_entries_if_due(now);
+        self.exchange_members_if_needed(now);
+    }
+
+    fn send_heartbeats_if_due(&mut self, now: Duration) {
+        let node = self.settings.node;
+        let committed = self.applied;
+        let Some(leadership) = &mut self.leadership else { return };
+        if now < leadership.heartbeat_at {
+            return;
+        }
+        leadership.heartbeat_at = now + HEARTBEAT_INTERVAL;
+        leadership.next_token += 1;
+        let token = leadership.next_token;
+        leadership.sent.push_back((token, now));
+        if leadership.sent.len() > REMEMBERED_HEARTBEATS {
+            leadership.sent.pop_front();
+        }
+        let view = leadership.view.clone();
+        self.peers.prune(now, |peer| view.voters.contains(&peer));
+        let mut targets: BTreeSet<NodeId> = self.peers.iter().map(|(peer, _)| peer).collect();
+        targets.extend(&view.voters);
+        targets.extend(&view.previous_voters);
+        targets.insert(node);
+        for target in targets {
+            self.send(target, ControlMessage::Heartbeat { view: view.clone(), token, committed });
+        }
+    }
+
+    /// A member has answered a heartbeat.
+    pub(super) fn on_heartbeat_ack(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        (epoch, token): (u64, u64),
+        zone: String,
+        disk_healthy: bool,
+    ) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if !leadership.acknowledge(from, epoch, token) {
+            return;
+        }
+        let view = leadership.view.clone();
+        if self.state.view.as_ref().is_some_and(|recorded| recorded.epoch == view.epoch) {
+            self.learn(now, &view);
+        }
+        if from == self.settings.node {
+            return;
+        }
+        let peer = self.peers.entry(from);
+        peer.zone = zone;
+        peer.acknowledged = Some(now);
+        if disk_healthy {
+            peer.healthy = Some(now);
+        }
+    }
+
+    /// Takes a command from the operator.
+    pub(super) fn propose(&mut self, now: Duration, ticket: u64, command: Arc<[u8]>) {
+        let is_changing = self.attempt.is_some() || self.is_change_pending();
+        match &mut self.leadership {
+            Some(leadership) if is_changing => {
+                leadership.waiting.push_back(WaitingProposal { ticket, command });
+            }
+            Some(_) => self.append(now, ticket, command),
+            None => {
+                self.out.push(Output::ProposalFailed { proposal: ticket, reason: FailureReason::NotTaken });
+            }
+        }
+    }
+
+    /// The own promise is above the view that it leads: nothing is stored until the view is changed.
+    fn is_change_pending(&self) -> bool {
+        self.leadership.as_ref().is_some_and(|own| own.view.epoch < self.state.promised)
+    }
+
+    fn append(&mut self, now: Duration, ticket: u64, command: Arc<[u8]>) {
+        let sequence = self.state.data.sequence + 1;
+        let Some(leadership) = &mut self.leadership else { return };
+        leadership.proposals.insert(sequence, ticket);
+        if !leadership.has_unstored_entries() {
+            leadership.resend_at = now + RESEND_INTERVAL;
+            for progress in leadership.progress.values_mut() {
+                progress.moved_at = now;
+            }
+        }
+        let epoch = leadership.view.epoch;
+        let node = self.settings.node;
+        let mut backups = leadership.view.holders.clone();
+        backups.retain(|holder| *holder != node);
+        let entry = Entry { sequence, command };
+        for backup in backups {
+            self.send(backup, ControlMessage::Append { epoch, entry: entry.clone() });
+        }
+        self.on_append(node, epoch, entry);
+    }
+
+    /// A holder has stored an entry and all before it.
+    pub(super) fn on_appended(&mut self, now: Duration, from: NodeId, epoch: u64, sequence: u64) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.view.epoch != epoch {
+            return;
+        }
+        let Some(progress) = leadership.progress.get_mut(&from) else { return };
+        if sequence > progress.sequence {
+            *progress = Progress { sequence, moved_at: now };
+        }
+        let committed = leadership.committed();
+        self.apply_up_to(committed);
+    }
+
+    fn resend_entries_if_due(&mut self, now: Duration) {
+        let is_changing = self.attempt.is_some() || self.is_change_pending();
+        let newest = self.state.data.sequence;
+        let Some(leadership) = &mut self.leadership else { return };
+        if is_changing || now < leadership.resend_at {
+            return;
+        }
+        leadership.resend_at = now + RESEND_INTERVAL;
+        let epoch = leadership.view.epoch;
+        let lagging: Vec<(NodeId, u64)> = leadership
+            .progress
+            .iter()
+            .filter(|(holder, progress)| **holder != self.settings.node && progress.sequence < newest)
+            .map(|(holder, progress)| (*holder, progress.sequence))
+            .collect();
+        for (holder, stored) in lagging {
+            let entries: Vec<Entry> = (stored + 1..=newest)
+                .take(RESENT_ENTRIES)
+                .filter_map(|sequence| self.state.entry(sequence).cloned())
+                .collect();
+            for entry in entries {
+                self.send(holder, ControlMessage::Append { epoch, entry });
+            }
+        }
+    }
+
+    /// Starts a view change if the members in force are not those that are wanted.
+    fn exchange_members_if_needed(&mut self, now: Duration) {
+        let is_pending = self.is_change_pending();
+        let Some(leadership) = &self.leadership else { return };
+        let is_idle = self.attempt.is_none() && self.disk_healthy && !self.leaving;
+        if !is_idle || !leadership.lease_valid(now) || now < leadership.change_allowed_at {
+            return;
+        }
+        if is_pending && now < self.campaign_at {
+            return;
+        }
+        let is_stalled = leadership.view.holders.iter().any(|holder| leadership.is_stalled(*holder, now));
+        let Some(members) = self.choose_as_primary(now, &leadership.view) else { return };
+        let is_other =
+            members.voters != leadership.view.voters || members.holders != leadership.view.holders;
+        if is_pending || is_other || is_stalled || leadership.is_change_forced {
+            if let Some(leadership) = &mut self.leadership {
+                leadership.change_allowed_at = now + FORCED_CHANGE_INTERVAL / 4;
+                leadership.is_change_forced = false;
+            }
+            self.start_attempt(now);
+        }
+    }
+
+    /// A member has promised a higher epoch than the one led here: only a new view takes it in again.
+    pub(super) fn note_higher_promise(&mut self, epoch: u64, promised: u64) {
+        let own = self.state.promised;
+        let Some(leadership) = &mut self.leadership else { return };
+        if leadership.view.epoch == epoch && promised > own {
+            leadership.is_change_forced = true;
+        }
+    }
+
+    /// Gives up the lease in favour of a backup that answers; false if there is none and the process stays.
+    fn release(&mut self, now: Duration) -> bool {
+        let Some(leadership) = &self.leadership else { return false };
+        let is_live = |holder: &&NodeId| {
+            let peer = self.peers.get(**holder);
+            peer.is_some_and(|peer| is_recent(peer.healthy, now, BACKUP_DEAD_AFTER))
+        };
+        let successor = leadership.view.holders.iter().skip(1).find(is_live).copied();
+        if successor.is_none() && !self.leaving {
+            return false;
+        }
+        let epoch = leadership.view.epoch;
+        let mut voters: BTreeSet<NodeId> = leadership.view.voters.iter().copied().collect();
+        voters.remove(&self.settings.node);
+        self.step_down(now);
+        if let Some(successor) = successor {
+            for voter in voters {
+                self.send(voter, ControlMessage::Release { epoch, successor });
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/tower/src/rollout/mod.rs
@@ -0,0 +1,228 @@
+//! The duty of bringing replicas to the weights that the operator named.
+
+mod messages;
+mod planner;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future;
+use intercom::feed::{ModelRevision, ModelWeights};
+use jetway::WireLimits;
+use station::clock;
+
+pub use messages::{OrderAnswer, Report, RevisionOrder};
+pub use planner::{Action, Planner, PlannerSettings};
+
+use crate::duty::{Duty, DutyHolder};
+use crate::fleet::FleetTable;
+use crate::http_client::{Call, CallError, HttpClient};
+
+/// Time for a replica to answer an order or a call for its report.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time from one look at who has the duty to the next, while nothing else happens.
+const DUTY_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest pause before something that is due.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(10);
+
+/// News for the roll-out.
+#[derive(Debug)]
+pub enum Event {
+    /// The operator has named weights.
+    Named,
+    /// A complete list has come.
+    Listed,
+    /// A replica has answered an order.
+    OrderAnswered(String, OrderAnswer),
+    /// A replica's report has come, or has not.
+    Reported(String, Option<Report>),
+}
+
+/// What the roll-out delivers.
+pub trait RolloutOutput {
+    /// The table of weights, written in an epoch.
+    fn weights(&self, epoch: u64, lines: Vec<ModelWeights>);
+    /// The table of replicas has new corrections.
+    fn fleet_corrected(&self);
+    /// The operator's newest weights, by model.
+    fn named(&self) -> BTreeMap<String, u64>;
+    /// The weights that were delivered last, by this or an earlier primary.
+    fn delivered(&self) -> Vec<ModelWeights>;
+}
+
+/// Carries out the plan while this member has the duty.
+pub struct Rollout {
+    name: String,
+    settings: PlannerSettings,
+    executor: Rc<LocalExecutor<'static>>,
+    holder: Rc<dyn DutyHolder>,
+    table: Rc<RefCell<FleetTable>>,
+    output: Rc<dyn RolloutOutput>,
+    events: Receiver<Event>,
+    sender: Sender<Event>,
+    term: Option<Term>,
+}
+
+/// This member's time as holder in one epoch.
+struct Term {
+    duty: Duty,
+    planner: Planner,
+}
+
+impl Rollout {
+    /// The roll-out, and where its news go.
+    pub fn new(
+        name: String,
+        settings: PlannerSettings,
+        executor: Rc<LocalExecutor<'static>>,
+        holder: Rc<dyn DutyHolder>,
+        table: Rc<RefCell<FleetTable>>,
+        output: Rc<dyn RolloutOutput>,
+    ) -> (Rollout, Sender<Event>) {
+        let (sender, events) = async_channel::unbounded();
+        let news = sender.clone();
+        let rollout =
+            Rollout { name, settings, executor, holder, table, output, events, sender, term: None };
+        (rollout, news)
+    }
+
+    /// Works for ever.
+    pub async fn run(mut self) {
+        loop {
+            let event = self.next_event().await;
+            self.keep_term();
+            if let Some(event) = event {
+                self.take(event);
+            }
+            self.step();
+        }
+    }
+
+    /// The next event; none when something else may be due.
+    async fn next_event(&self) -> Option<Event> {
+        let now = clock::now();
+        let due = self.term.as_ref().and_then(|term| term.planner.next_deadline());
+        let pause =
+            due.map_or(DUTY_INTERVAL, |due| due.saturating_sub(now).clamp(SHORTEST_PAUSE, DUTY_INTERVAL));
+        let timer = async {
+            Timer::after(pause).await;
+            None
+        };
+        let event = async { self.events.recv().await.ok() };
+        future::or(event, timer).await
+    }
+
+    /// Begins a term when the duty comes to this member.
+    fn keep_term(&mut self) {
+        let Some(duty) = self.holder.duty() else { return };
+        if let Some(term) = self.term.as_mut().filter(|term| term.duty.tenure == duty.tenure) {
+            term.duty = duty;
+            return;
+        }
+        let now = clock::now();
+        let mut planner = Planner::new(self.settings, now);
+        planner.inherit(&self.output.delivered());
+        for (model, revision) in self.output.named() {
+            planner.found(&model, revision);
+        }
+        if let Some(listed) = self.table.borrow().listed(duty.tenure) {
+            planner.listed(listed, now);
+        }
+        self.term = Some(Term { duty, planner });
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = clock::now();
+        let Some(Term { duty, planner }) = &mut self.term else { return };
+        match event {
+            Event::Named => {
+                for (model, revision) in self.output.named() {
+                    planner.named(&model, revision, now);
+                }
+            }
+            Event::Listed => {
+                if let Some(listed) = self.table.borrow().listed(duty.tenure) {
+                    planner.listed(listed, now);
+                }
+            }
+            Event::OrderAnswered(replica, answer) => planner.order_answered(&replica, answer, now),
+            Event::Reported(replica, report) => planner.reported(&replica, report.as_ref(), now),
+        }
+    }
+
+    fn step(&mut self) {
+        let Some(duty) = self.holder.duty() else { return };
+        let Some(term) = self.term.as_mut().filter(|term| term.duty == duty) else { return };
+        let actions = term.planner.step(clock::now());
+        self.output.weights(duty.epoch, term.planner.weights());
+        if self.table.borrow_mut().correct(term.planner.corrections()) {
+            self.output.fleet_corrected();
+        }
+        for action in actions {
+            self.carry_out(action, duty);
+        }
+    }
+
+    fn carry_out(&self, action: Action, duty: Duty) {
+        let events = self.sender.clone();
+        match action {
+            Action::Order { replica, address, weights } => {
+                log::info!(replica:% = replica, model:% = weights.model, revision = weights.revision; "order to load weights");
+                let owner = self.name.clone();
+                self.executor
+                    .spawn(async move {
+                        let answer = order(address, &replica, &weights, &owner, duty.epoch).await;
+                        log::info!(replica:% = replica, answer:? = answer; "answer to an order");
+                        let _ = events.send(Event::OrderAnswered(replica, answer)).await;
+                    })
+                    .detach();
+            }
+            Action::Report { replica, address } => {
+                self.executor
+                    .spawn(async move {
+                        let report = report(address).await;
+                        let _ = events.send(Event::Reported(replica, report)).await;
+                    })
+                    .detach();
+            }
+        }
+    }
+}
+
+async fn order(
+    address: SocketAddrV4,
+    replica: &str,
+    weights: &ModelRevision,
+    owner: &str,
+    fence: u64,
+) -> OrderAnswer {
+    let Ok(body) = serde_json::to_vec(&RevisionOrder::new(weights, owner, fence)) else {
+        return OrderAnswer::Refused;
+    };
+    let headers = [("Meant-Server", replica)];
+    let call = Call { method: "POST", target: "/order", headers: &headers, body: &body };
+    match client(address).call(call, CALL_TIMEOUT).await {
+        Ok(answer) => OrderAnswer::from_status(answer.status),
+        Err(CallError::Connect { .. }) => OrderAnswer::Refused,
+        Err(CallError::Broken { .. }) => OrderAnswer::Unanswered,
+    }
+}
+
+async fn report(address: SocketAddrV4) -> Option<Report> {
+    let answer = client(address).call(Call::get("/report"), CALL_TIMEOUT).await.ok()?;
+    if answer.status != 200 {
+        return None;
+    }
+    serde_json::from_slice(&answer.body).ok()
+}
+
+fn client(address: SocketAddrV4) -> HttpClient {
+    let limits = WireLimits { connect_timeout: Duration::from_millis(400), ..WireLimits::default() };
+    HttpClient::new(SocketAddr::V4(address), limits)
+}
--- /dev/null
+++ b/crates/tower/src/server/duties.rs
@@ -0,0 +1,48 @@
+//! Where the results of the duties go.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use intercom::feed::ModelWeights;
+
+use crate::delivery::Delivery;
+use crate::duty::DutyHolder;
+use crate::fleet::FleetTable;
+use crate::member::Member;
+use crate::rollout::RolloutOutput;
+
+/// What the duties deliver.
+pub(super) struct Duties {
+    pub(super) member: Rc<Member>,
+    pub(super) delivery: Rc<Delivery>,
+    pub(super) table: Rc<RefCell<FleetTable>>,
+}
+
+impl Duties {
+    /// Delivers the table of replicas as it is now.
+    pub(super) fn deliver_fleet(&self) {
+        let Some(duty) = self.member.duty() else { return };
+        if let Some(replicas) = self.table.borrow().replicas(duty.tenure) {
+            self.delivery.set_fleet(duty.epoch, replicas);
+        }
+    }
+}
+
+impl RolloutOutput for Duties {
+    fn weights(&self, epoch: u64, lines: Vec<ModelWeights>) {
+        self.delivery.set_weights(epoch, lines);
+    }
+
+    fn fleet_corrected(&self) {
+        self.deliver_fleet();
+    }
+
+    fn named(&self) -> BTreeMap<String, u64> {
+        self.member.published().weights
+    }
+
+    fn delivered(&self) -> Vec<ModelWeights> {
+        self.delivery.weights()
+    }
+}
--- /dev/null
+++ b/crates/tower/src/server/error.rs
@@ -0,0 +1,71 @@
+//! Why a member does not run.
+
+use std::io;
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+use station::signals::SignalError;
+
+use crate::disk::DiskError;
+use crate::machine::StartError;
+
+/// Why the control plane does not run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum ServerError {
+    /// The settings lack something that only this program needs.
+    #[snafu(display("the settings have no {field}, which the control plane needs"))]
+    MissingSetting {
+        /// The field.
+        field: &'static str,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("{address} can't be listened on: {source}; is another process there?"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The disk can't be used.
+    #[snafu(display("{source}"))]
+    Disk {
+        /// What is wrong.
+        source: DiskError,
+    },
+    /// The socket of the partial views can't be opened.
+    #[snafu(display("{address} (UDP) can't be bound: {source}; is another process there?"))]
+    Views {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The thread of the disk has ended by itself.
+    #[snafu(display("the thread that writes to the disk has ended"))]
+    DiskEnded,
+    /// A thread can't be started.
+    #[snafu(display("{source}"))]
+    Thread {
+        /// What is wrong.
+        source: StartError,
+    },
+    /// Signals can't be awaited.
+    #[snafu(display("{source}"))]
+    Signals {
+        /// What is wrong.
+        source: SignalError,
+    },
+    /// The system gives no random number.
+    #[snafu(display("the system gives no random number: {source}"))]
+    NoRandom {
+        /// What the system says.
+        source: getrandom::Error,
+    },
+    /// The agreed state can't be kept up.
+    #[snafu(display("the agreed state can't be kept up: {reason}"))]
+    State {
+        /// Why.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/tower/src/server/mod.rs
@@ -0,0 +1,312 @@
+//! Puts the parts of a member together and runs them.
+
+mod duties;
+mod error;
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use intercom::node::NodeId;
+use intercom::views::{Entry, Role};
+use roster::{Exchange, View};
+use snafu::{OptionExt, ResultExt};
+use station::clock;
+use station::settings::Settings;
+use station::signals::{Request, Requests};
+
+use crate::api::{Api, ApiLimits};
+use crate::control_plane::OperatorView;
+use crate::delivery::Delivery;
+use crate::discovery::Discovery;
+use crate::disk::{Boot, DiskEvent, NoFolderSnafu, Opened};
+use crate::duty::DutyHolder;
+use crate::fleet::FleetTable;
+use crate::links::Links;
+use crate::machine::{Machine, Progress};
+use crate::member::{Member, Parts};
+use crate::replication::{Replication, ReplicationSettings};
+use crate::rollout::{Event, PlannerSettings, Rollout};
+
+use duties::Duties;
+pub use error::ServerError;
+use error::{
+    DiskEndedSnafu, DiskSnafu, ListenSnafu, MissingSettingSnafu, NoRandomSnafu, SignalsSnafu, StateSnafu,
+    ThreadSnafu, ViewsSnafu,
+};
+
+/// How often the delivery looks who is primary and who takes part.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// How often members that were found lately are made known to the agreement.
+const VIEWS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a member that was told to stop still answers callers, so that they find its successor.
+const STOP_GRACE: Duration = Duration::from_millis(1_200);
+
+/// Runs a member until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), ServerError> {
+    let executor = Rc::new(LocalExecutor::new());
+    let server = Server::build(&settings, executor.clone())?;
+    async_io::block_on(executor.run(server.run()))
+}
+
+/// A member, ready to run.
+struct Server {
+    executor: Rc<LocalExecutor<'static>>,
+    member: Rc<Member>,
+    links: Rc<Links>,
+    delivery: Rc<Delivery>,
+    operator: Rc<OperatorView>,
+    api: Rc<Api<OperatorView>>,
+    discovery: Option<Discovery>,
+    rollout: Rollout,
+    rollout_events: Sender<Event>,
+    disk_events: Receiver<DiskEvent>,
+    progress: Receiver<Progress>,
+    views: Rc<Exchange>,
+    listeners: Listeners,
+    requests: Requests,
+}
+
+struct Listeners {
+    operator: Async<TcpListener>,
+    control: Async<TcpListener>,
+    feed: Async<TcpListener>,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Listeners, ServerError> {
+        let operator = settings.listen_on.control_port;
+        let operator = operator.context(MissingSettingSnafu { field: "listenOn.controlPort" })?;
+        Ok(Listeners {
+            operator: listen(operator)?,
+            control: listen(settings.control_socket(settings.ip_address))?,
+            feed: listen(settings.feed_socket(settings.ip_address))?,
+        })
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<Async<TcpListener>, ServerError> {
+    Async::<TcpListener>::bind(address).context(ListenSnafu { address })
+}
+
+/// A member and what its threads tell.
+struct OpenedMember {
+    node: NodeId,
+    member: Rc<Member>,
+    links: Rc<Links>,
+    disk_events: Receiver<DiskEvent>,
+    progress: Receiver<Progress>,
+}
+
+impl OpenedMember {
+    fn open(
+        settings: &Settings,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> Result<OpenedMember, ServerError> {
+        let (disk_sender, disk_events) = async_channel::unbounded();
+        let (progress_sender, progress) = async_channel::unbounded();
+        let folder = settings.data_folder.as_deref().context(NoFolderSnafu).context(DiskSnafu)?;
+        let boot = if settings.first_boot { Boot::First } else { Boot::Later };
+        let opened = Opened::open(folder, boot).context(DiskSnafu)?;
+        let fresh = opened.fresh;
+        let (disk, image) = opened.start(disk_sender).context(DiskSnafu)?;
+        let node = NodeId::new(settings.ip_address, image.generation);
+        log::info!(member:% = node, fresh = fresh; "the disk is open");
+        let replication = replication_settings(settings, node)?;
+        let links = Rc::new(Links::new(executor.clone(), settings.spare_ports.0));
+        let member = Member::new(Parts {
+            replication: Replication::new(replication, image.state, clock::now()),
+            links: links.clone(),
+            disk,
+            machine: Machine::start(progress_sender).context(ThreadSnafu)?,
+        });
+        Ok(OpenedMember { node, member, links, disk_events, progress })
+    }
+}
+
+impl Server {
+    fn build(settings: &Settings, executor: Rc<LocalExecutor<'static>>) -> Result<Server, ServerError> {
+        let requests = Requests::new().context(SignalsSnafu)?;
+        let listeners = Listeners::bind(settings)?;
+        let OpenedMember { node, member, links, disk_events, progress } =
+            OpenedMember::open(settings, &executor)?;
+        let feed_port = settings.spare_ports.0 + 1;
+        let (name, zone) = (settings.node_name.clone(), settings.area.clone());
+        let delivery = Delivery::new(name.clone(), zone, feed_port, member.clone());
+        let operator = OperatorView::new(name.clone(), node, member.clone(), delivery.clone());
+        let operator_port = settings.listen_on.control_port.map_or(0, |address| address.port());
+        let api = Rc::new(Api::new(operator.clone(), operator_port, ApiLimits::default()));
+        let table = Rc::new(RefCell::new(FleetTable::default()));
+        let duties =
+            Rc::new(Duties { member: member.clone(), delivery: delivery.clone(), table: table.clone() });
+        let (rollout, rollout_events) = Rollout::new(
+            name,
+            planner_settings(settings),
+            executor.clone(),
+            member.clone(),
+            table.clone(),
+            duties.clone(),
+        );
+        let discovery = discovery(settings, &member, &table, &duties, &rollout_events);
+        Ok(Server {
+            executor,
+            member,
+            links,
+            delivery,
+            operator,
+            api,
+            discovery,
+            rollout,
+            rollout_events,
+            disk_events,
+            progress,
+            views: Rc::new(views(settings, node)?),
+            listeners,
+            requests,
+        })
+    }
+
+    async fn run(self) -> Result<(), ServerError> {
+        self.publish_to_delivery();
+        let Server { executor, member, delivery, listeners, .. } = self;
+        let taker = member.clone();
+        let on_message = Rc::new(move |envelope| taker.on_message(envelope));
+        executor.spawn(self.links.serve(listeners.control, on_message)).detach();
+        executor.spawn(member.clone().run()).detach();
+        executor.spawn(serve_feed(delivery.clone(), listeners.feed, executor.clone())).detach();
+        executor.spawn(delivery.clone().follow()).detach();
+        executor.spawn(review(member.clone(), delivery)).detach();
+        executor.spawn(exchange_views(self.views.clone())).detach();
+        executor.spawn(follow_views(self.views, member.clone())).detach();
+        executor.spawn(self.operator.run()).detach();
+        executor.spawn(serve_api(self.api, listeners.operator, executor.clone())).detach();
+        executor.spawn(self.rollout.run()).detach();
+        if let Some(discovery) = self.discovery {
+            executor.spawn(discovery.run()).detach();
+        }
+        let failure = async {
+            let reason = member.clone().follow_machine(self.progress).await;
+            StateSnafu { reason }.fail()
+        };
+        let disk_failure = async {
+            member.clone().follow_disk(self.disk_events).await;
+            DiskEndedSnafu.fail()
+        };
+        let stop = async {
+            wait_for_stop(self.requests).await;
+            member.terminate();
+            Timer::after(STOP_GRACE).await;
+            Ok(())
+        };
+        future::or(stop, future::or(failure, disk_failure)).await
+    }
+
+    /// Has the agreed state delivered whenever it changes.
+    fn publish_to_delivery(&self) {
+        let (delivery, events) = (self.delivery.clone(), self.rollout_events.clone());
+        self.member.on_published(Box::new(move |published| {
+            if let Some(configuration) = &published.configuration {
+                delivery.set_configuration(configuration.clone());
+            }
+            let _ = events.try_send(Event::Named);
+        }));
+    }
+}
+
+fn replication_settings(settings: &Settings, node: NodeId) -> Result<ReplicationSettings, ServerError> {
+    Ok(ReplicationSettings {
+        node,
+        zone: settings.area.clone(),
+        seeds: settings.seed_ips().into_iter().map(|ip| NodeId::new(ip, 0)).collect(),
+        losses: settings.withstand.machine_losses,
+        first_boot: settings.first_boot,
+        seed: getrandom::u64().context(NoRandomSnafu)?,
+    })
+}
+
+fn planner_settings(settings: &Settings) -> PlannerSettings {
+    PlannerSettings {
+        revision_term: Duration::from_millis(settings.time_limits.revision_ms),
+        lease_term: settings.time_limits.lease_term(),
+    }
+}
+
+fn discovery(
+    settings: &Settings,
+    member: &Rc<Member>,
+    table: &Rc<RefCell<FleetTable>>,
+    duties: &Rc<Duties>,
+    rollout_events: &Sender<Event>,
+) -> Option<Discovery> {
+    let cloud = settings.cloud_api.as_ref()?;
+    let (duties, events) = (duties.clone(), rollout_events.clone());
+    let on_list = move || {
+        duties.deliver_fleet();
+        let _ = events.try_send(Event::Listed);
+    };
+    let holder = member.clone();
+    Some(Discovery::new(cloud.address, cloud.rate_per_s, holder, table.clone(), Box::new(on_list)))
+}
+
+async fn serve_feed(
+    delivery: Rc<Delivery>,
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    delivery.serve(listener, &executor).await;
+}
+
+async fn serve_api(
+    api: Rc<Api<OperatorView>>,
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    api.serve(&executor, listener).await;
+}
+
+fn views(settings: &Settings, node: NodeId) -> Result<Exchange, ServerError> {
+    let seed = getrandom::u64().context(NoRandomSnafu)?;
+    let me = Entry { id: node, role: Role::Control, zone: settings.area.clone(), age: 0 };
+    let address = settings.views_socket(settings.ip_address);
+    Exchange::bind(address, View::new(me, settings.seed_ips(), seed), seed).context(ViewsSnafu { address })
+}
+
+async fn exchange_views(views: Rc<Exchange>) {
+    views.run().await;
+}
+
+/// Tells the agreement where other members may be found, for ever.
+async fn follow_views(views: Rc<Exchange>, member: Rc<Member>) {
+    let mut known = Vec::new();
+    loop {
+        let mut found: Vec<NodeId> = views.control_nodes().into_iter().map(|node| node.id).collect();
+        found.sort_unstable();
+        if found != known {
+            member.on_known(found.clone());
+            known = found;
+        }
+        Timer::after(VIEWS_INTERVAL).await;
+    }
+}
+
+/// Keeps the delivery in line with who is primary and who takes part, for ever.
+async fn review(member: Rc<Member>, delivery: Rc<Delivery>) {
+    loop {
+        delivery.review();
+        if member.duty().is_some() {
+            delivery.set_group(member.live_members());
+        }
+        Timer::after(REVIEW_INTERVAL).await;
+    }
+}
+
+async fn wait_for_stop(mut requests: Requests) {
+    while requests.next().await != Request::Stop {
+        log::info!("a change of the settings takes effect at the next start");
+    }
+}
--- /dev/null
+++ b/crates/tower/tests/api.rs
@@ -0,0 +1,271 @@
+//! Whole exchanges with the operator's interface.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use insta::assert_snapshot;
+use rstest::rstest;
+use tower::api::{Api, ApiLimits, ChangeOutcome, ControlPlane, Standing, Status};
+use tower::state::Change;
+
+const OTHER: Standing = Standing::Follower { primary: Ipv4Addr::new(10, 0, 0, 7) };
+const OPERATOR_PORT: u16 = 8683;
+
+/// A control plane that gives the answers that it was told.
+#[derive(Default)]
+struct Scripted {
+    standing: Cell<Option<Standing>>,
+    outcomes: RefCell<VecDeque<ChangeOutcome>>,
+    changes: RefCell<Vec<Change>>,
+    document: Option<Arc<[u8]>>,
+}
+
+impl ControlPlane for Scripted {
+    fn standing(&self) -> Standing {
+        self.standing.get().unwrap_or(Standing::Primary)
+    }
+
+    async fn change(&self, change: Change) -> ChangeOutcome {
+        self.changes.borrow_mut().push(change);
+        self.outcomes.borrow_mut().pop_front().unwrap_or(ChangeOutcome::Unknown)
+    }
+
+    async fn document(&self) -> Option<Arc<[u8]>> {
+        self.document.clone()
+    }
+
+    fn status(&self) -> Status {
+        Status { node: "10.0.0.1/0".to_owned(), role: "backup", ..Status::default() }
+    }
+}
+
+/// Sends bytes to a new connection and reads up to its end.
+fn exchange_within(control: &Rc<Scripted>, limits: ApiLimits, sent: &[u8]) -> String {
+    let executor = LocalExecutor::new();
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port is free");
+    let address = listener.get_ref().local_addr().expect("it is bound");
+    let api = Rc::new(Api::new(control.clone(), OPERATOR_PORT, limits));
+    let call = async {
+        let mut stream = Async::<TcpStream>::connect(address).await.expect("the interface listens");
+        stream.write_all(sent).await.expect("it takes the call");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("it answers in text");
+        answer.replace("\r\n", "\n")
+    };
+    let serving = async {
+        api.serve(&executor, listener).await;
+        String::new()
+    };
+    async_io::block_on(executor.run(futures_lite::future::or(call, serving)))
+}
+
+fn exchange(control: &Rc<Scripted>, sent: &str) -> String {
+    exchange_within(control, ApiLimits::default(), sent.replace('\n', "\r\n").as_bytes())
+}
+
+fn control(outcome: ChangeOutcome) -> Rc<Scripted> {
+    Rc::new(Scripted { outcomes: RefCell::new([outcome].into()), ..Scripted::default() })
+}
+
+fn at(standing: Standing) -> Rc<Scripted> {
+    Rc::new(Scripted { standing: Cell::new(Some(standing)), ..Scripted::default() })
+}
+
+const PUT: &str = "PUT /settings HTTP/1.1
+Host: x
+If-Match: 5
+Content-Length: 14
+Connection: close
+
+{\"revision\":7}";
+
+const GET: &str = "GET /settings HTTP/1.1
+Host: x
+Connection: close
+
+";
+
+#[test]
+fn a_configuration_is_acknowledged_with_its_revision() {
+    let control = control(ChangeOutcome::Taken);
+    assert_snapshot!(exchange(&control, PUT), @r#"
+    HTTP/1.1 200 OK
+    Content-Type: application/json
+    Content-Length: 14
+    Connection: close
+
+    {"revision":7}
+    "#);
+    let change = Change::PutConfiguration { if_match: Some(5), body: br#"{"revision":7}"#.to_vec() };
+    assert_eq!(*control.changes.borrow(), [change]);
+}
+
+#[test]
+fn a_change_in_chunks_is_taken_whole() {
+    let control = control(ChangeOutcome::Taken);
+    let sent = "PATCH /settings HTTP/1.1
+Host: x
+If-Match: \"7\"
+Transfer-Encoding: chunked
+Connection: close
+
+9
+{\"revisio
+5
+n\":9}
+0
+
+";
+    assert!(exchange(&control, sent).starts_with("HTTP/1.1 200 OK"));
+    let change = Change::PatchConfiguration { if_match: Some(7), body: br#"{"revision":9}"#.to_vec() };
+    assert_eq!(*control.changes.borrow(), [change]);
+}
+
+#[test]
+fn a_change_on_top_of_another_version_is_refused() {
+    assert_snapshot!(exchange(&control(ChangeOutcome::Stale { current: 6 }), PUT), @r#"
+    HTTP/1.1 412 Precondition Failed
+    Content-Type: application/json
+    Content-Length: 51
+    Connection: close
+
+    {"error":"another version is in place","current":6}
+    "#);
+}
+
+#[test]
+fn findings_are_passed_on() {
+    let report = r#"{"problem":"the configuration is invalid","count":1}"#;
+    assert_snapshot!(exchange(&control(ChangeOutcome::Invalid { report: report.into() }), PUT), @r#"
+    HTTP/1.1 400 Bad Request
+    Content-Type: application/json
+    Content-Length: 52
+    Connection: close
+
+    {"problem":"the configuration is invalid","count":1}
+    "#);
+}
+
+#[test]
+fn an_unknown_outcome_promises_nothing() {
+    assert_snapshot!(exchange(&control(ChangeOutcome::Unknown), PUT), @r#"
+    HTTP/1.1 504 Gateway Timeout
+    Content-Type: application/json
+    Content-Length: 49
+    Connection: close
+
+    {"error":"the change may come into force or not"}
+    "#);
+}
+
+#[test]
+fn a_follower_names_the_primary() {
+    let control = at(OTHER);
+    assert_snapshot!(exchange(&control, PUT), @r#"
+    HTTP/1.1 307 Temporary Redirect
+    Location: http://10.0.0.7:8683/settings
+    Content-Type: application/json
+    Content-Length: 36
+    Connection: close
+
+    {"error":"the primary answers this"}
+    "#);
+    assert!(control.changes.borrow().is_empty());
+}
+
+#[rstest]
+#[case::change(PUT)]
+#[case::reading(GET)]
+fn without_a_primary_the_caller_comes_again(#[case] sent: &str) {
+    let answer = exchange(&at(Standing::Unknown), sent);
+    assert!(answer.starts_with("HTTP/1.1 503 Service Unavailable\nRetry-After: 0.2\n"), "{answer}");
+}
+
+#[test]
+fn the_primary_may_change_while_a_call_waits() {
+    let answer = exchange(&control(ChangeOutcome::NotPrimary), PUT);
+    assert!(answer.starts_with("HTTP/1.1 503 Service Unavailable\nRetry-After: 0.2\n"), "{answer}");
+}
+
+#[test]
+fn the_document_is_returned_as_it_was_sent() {
+    let document = Some(br#"{"revision":7,  "routes":[]}"#.as_slice().into());
+    let control = Rc::new(Scripted { document, ..Scripted::default() });
+    assert_snapshot!(exchange(&control, GET), @r#"
+    HTTP/1.1 200 OK
+    Content-Type: application/json
+    Content-Length: 28
+    Connection: close
+
+    {"revision":7,  "routes":[]}
+    "#);
+}
+
+#[test]
+fn there_is_no_document_before_the_first_one() {
+    assert!(exchange(&at(Standing::Primary), GET).starts_with("HTTP/1.1 404 Not Found"));
+}
+
+#[test]
+fn weights_are_named() {
+    let control = control(ChangeOutcome::Taken);
+    let sent = "POST /version-put HTTP/1.1
+Host: x
+Content-Length: 24
+Connection: close
+
+{\"llm\":\"m\",\"revision\":2}";
+    assert!(exchange(&control, sent).starts_with("HTTP/1.1 200 OK"));
+    let change = Change::NameWeights { model: "m".to_owned(), revision: 2 };
+    assert_eq!(*control.changes.borrow(), [change]);
+}
+
+#[rstest]
+#[case::unknown_path("GET /nothing HTTP/1.1\nHost: x\nConnection: close\n\n", 404)]
+#[case::unknown_method("DELETE /settings HTTP/1.1\nHost: x\nConnection: close\n\n", 405)]
+#[case::bad_base("PUT /settings HTTP/1.1\nHost: x\nIf-Match: *\nConnection: close\n\n", 400)]
+#[case::bad_weights("POST /version-put HTTP/1.1\nHost: x\nContent-Length: 2\nConnection: close\n\n{}", 400)]
+#[case::no_request("hello\n\n", 400)]
+#[case::too_large("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 99999999\n\n", 413)]
+#[case::two_lengths("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 1\nContent-Length: 2\n\n", 400)]
+fn what_can_not_be_answered_is_refused(#[case] sent: &str, #[case] status: u16) {
+    let answer = exchange(&at(Standing::Primary), sent);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+}
+
+#[test]
+fn several_calls_share_a_connection() {
+    let first = "GET /status HTTP/1.1\nHost: x\n\n";
+    let answer = exchange(&at(OTHER), &format!("{first}{GET}"));
+    let statuses: Vec<&str> = answer.split("HTTP/1.1 ").skip(1).map(|answer| &answer[..3]).collect();
+    assert_eq!(statuses, ["200", "307"]);
+}
+
+#[test]
+fn every_member_tells_its_status() {
+    assert_snapshot!(exchange(&at(OTHER), "GET /status HTTP/1.1\nHost: x\nConnection: close\n\n"), @r#"
+    HTTP/1.1 200 OK
+    Content-Type: application/json
+    Content-Length: 209
+    Connection: close
+
+    {"node":"10.0.0.1/0","name":"","role":"backup","lease":false,"epoch":0,"voters":[],"holders":[],"primary":null,"configuration":0,"weights":{},"replicas":0,"duties":[],"ageMs":null,"subscribers":0,"gateways":0}
+    "#);
+}
+
+#[rstest]
+#[case::silent(b"")]
+#[case::head(b"PUT /settings HTTP/1.1\r\nHo")]
+#[case::body(b"PUT /settings HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{")]
+fn slow_callers_are_cut_off(#[case] sent: &[u8]) {
+    let soon = Duration::from_millis(20);
+    let limits = ApiLimits { idle: soon, head: soon, body: soon, ..ApiLimits::default() };
+    assert_eq!(exchange_within(&at(Standing::Primary), limits, sent), "");
+}
--- /dev/null
+++ b/crates/tower/tests/disk.rs
@@ -0,0 +1,100 @@
+//! What a member finds on its disk after a restart.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use intercom::control::{Entry, View};
+use intercom::node::NodeId;
+use rstest::rstest;
+use tower::disk::{Boot, DiskError, DiskEvent, DiskImage, Opened};
+use tower::replication::DurableRecord;
+
+/// A folder that is removed when the test ends.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        Folder(std::env::temp_dir().join(format!("tower-disk-{}-{number}", std::process::id())))
+    }
+
+    fn open(&self, boot: Boot) -> Opened {
+        Opened::open(&self.0, boot).expect("the folder can be used")
+    }
+
+    /// Writes batches of records as one process would.
+    fn write(&self, batches: &[Vec<DurableRecord>]) {
+        let (sender, events) = async_channel::unbounded();
+        let (disk, _) = self.open(Boot::First).start(sender).expect("the thread starts");
+        for (index, records) in batches.iter().enumerate() {
+            disk.persist(index as u64 + 1, records.clone());
+        }
+        let last = batches.len() as u64;
+        while !matches!(events.recv_blocking(), Ok(DiskEvent::Persisted { ticket }) if ticket == last) {}
+        drop(disk);
+        // The thread has let go of the folder once its channel closes.
+        while events.recv_blocking().is_ok() {}
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn view(epoch: u64) -> View {
+    let node = NodeId { ip: 1, generation: 0 };
+    View { epoch, voters: vec![node], previous_voters: Vec::new(), holders: vec![node] }
+}
+
+fn entry(sequence: u64, bytes: usize) -> DurableRecord {
+    DurableRecord::Entry(Entry { sequence, command: Arc::from(vec![7; bytes]) })
+}
+
+#[test]
+fn a_disk_of_the_first_start_has_generation_0() {
+    let folder = Folder::new();
+    let opened = folder.open(Boot::First);
+    assert!(opened.fresh);
+    assert_eq!(opened.image, DiskImage::default());
+}
+
+#[test]
+fn a_later_disk_has_a_generation_of_its_own_and_keeps_it() {
+    let folder = Folder::new();
+    let generation = folder.open(Boot::Later).image.generation;
+    assert_ne!(generation, 0);
+    let again = folder.open(Boot::First);
+    assert!(!again.fresh);
+    assert_eq!(again.image.generation, generation);
+}
+
+#[rstest]
+#[case::short(100)]
+#[case::longer_than_the_log(3 << 20)]
+fn what_was_persisted_is_found_again(#[case] bytes: usize) {
+    let folder = Folder::new();
+    let batches = vec![
+        vec![DurableRecord::Promised(9), DurableRecord::View(view(9)), DurableRecord::DataEpoch(9)],
+        vec![entry(1, bytes)],
+        vec![entry(2, bytes), entry(3, bytes)],
+        vec![DurableRecord::Snapshot { sequence: 2, snapshot: Arc::from(&b"state"[..]) }],
+    ];
+    folder.write(&batches);
+    let mut expected = DiskImage::default();
+    batches.iter().flatten().for_each(|record| expected.state.apply(record));
+    assert_eq!(folder.open(Boot::First).image, expected);
+}
+
+#[test]
+fn a_folder_that_can_not_be_used_is_named() {
+    let folder = Folder::new();
+    std::fs::write(&folder.0, "a file").expect("the folder's place is free");
+    let error = Opened::open(&folder.0, Boot::First).err().expect("a file is no folder");
+    assert!(matches!(error, DiskError::Logbook { .. }));
+    assert!(error.to_string().starts_with(&folder.0.display().to_string()), "{error}");
+    std::fs::remove_file(&folder.0).expect("the file is there");
+}
--- /dev/null
+++ b/crates/tower/tests/fleet.rs
@@ -0,0 +1,88 @@
+//! The table of replicas.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use intercom::feed::{ModelRevision, Replica, ReplicaPhase};
+use tower::fleet::{Corrections, FleetTable};
+
+const TENURE: u64 = 7;
+
+fn replica(id: &str, phase: ReplicaPhase) -> Replica {
+    Replica {
+        id: id.to_owned(),
+        service: "chat".to_owned(),
+        address: "10.0.0.1:8080".to_owned(),
+        zone: "a".to_owned(),
+        capacity: 8,
+        phase,
+        warm_left_ms: 0,
+        models: vec![ModelRevision { model: "m".to_owned(), revision: 1 }],
+    }
+}
+
+fn ready(id: &str) -> Replica {
+    replica(id, ReplicaPhase::Ready)
+}
+
+fn ids(table: &FleetTable) -> Vec<String> {
+    table.replicas(TENURE).unwrap_or_default().into_iter().map(|replica| replica.id).collect()
+}
+
+#[test]
+fn a_complete_list_replaces_the_last_one() {
+    let mut table = FleetTable::default();
+    assert!(table.replace(TENURE, vec![ready("i-2"), ready("i-1")]));
+    assert_eq!(ids(&table), ["i-1", "i-2"]);
+    assert!(table.replace(TENURE, vec![ready("i-2"), ready("i-3")]));
+    assert_eq!(ids(&table), ["i-2", "i-3"]);
+}
+
+#[test]
+fn an_equal_list_is_no_change() {
+    let mut table = FleetTable::default();
+    table.replace(TENURE, vec![ready("i-1")]);
+    assert!(!table.replace(TENURE, vec![ready("i-1")]));
+}
+
+#[test]
+fn passing_warm_up_time_is_no_change() {
+    let mut table = FleetTable::default();
+    table.replace(TENURE, vec![Replica { warm_left_ms: 900, ..ready("i-1") }]);
+    assert!(!table.replace(TENURE, vec![Replica { warm_left_ms: 200, ..ready("i-1") }]));
+}
+
+#[test]
+fn a_list_of_another_tenure_is_not_delivered() {
+    let mut table = FleetTable::default();
+    assert!(table.replicas(TENURE).is_none());
+    table.replace(TENURE, vec![ready("i-1")]);
+    assert!(table.replicas(TENURE + 1).is_none());
+    assert!(table.replace(TENURE + 1, vec![ready("i-1")]), "the first list of a tenure is always news");
+}
+
+#[test]
+fn a_loading_mark_hides_readiness_but_not_draining() {
+    let mut table = FleetTable::default();
+    table.replace(TENURE, vec![ready("i-1"), replica("i-2", ReplicaPhase::Draining)]);
+    let loading = BTreeSet::from(["i-1".to_owned(), "i-2".to_owned()]);
+    assert!(table.correct(Corrections { loading: loading.clone(), ..Corrections::default() }));
+    assert!(!table.correct(Corrections { loading, ..Corrections::default() }));
+    let phases: Vec<ReplicaPhase> =
+        table.replicas(TENURE).unwrap_or_default().iter().map(|replica| replica.phase).collect();
+    assert_eq!(phases, [ReplicaPhase::Loading, ReplicaPhase::Draining]);
+}
+
+#[test]
+fn a_seen_revision_only_raises_the_listed_one() {
+    let mut table = FleetTable::default();
+    table.replace(TENURE, vec![ready("i-1")]);
+    let seen = |revision| {
+        let models = vec![ModelRevision { model: "m".to_owned(), revision }];
+        Corrections { revisions: BTreeMap::from([("i-1".to_owned(), models)]), ..Corrections::default() }
+    };
+    let revision = |table: &FleetTable| table.replicas(TENURE).unwrap_or_default()[0].models[0].revision;
+    table.correct(seen(3));
+    assert_eq!(revision(&table), 3);
+    table.correct(seen(0));
+    assert_eq!(revision(&table), 1);
+}
--- /dev/null
+++ b/crates/tower/tests/links.rs
@@ -0,0 +1,91 @@
+//! Messages between members over loopback.
+
+use std::net::{Ipv4Addr, TcpListener};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use intercom::control::{ControlMessage, Envelope};
+use intercom::node::NodeId;
+use tower::links::Links;
+
+/// Two machines that share a port, as in a deployment.
+const SENDER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
+const RECEIVER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+fn prepare(epoch: u64) -> Envelope {
+    let message = ControlMessage::Prepare { epoch };
+    Envelope { from: NodeId::new(SENDER, 0), to: NodeId::new(RECEIVER, 0), message }
+}
+
+fn listen() -> Async<TcpListener> {
+    Async::<TcpListener>::bind((RECEIVER, 0)).expect("a port is free")
+}
+
+fn port(listener: &Async<TcpListener>) -> u16 {
+    listener.get_ref().local_addr().expect("it is bound").port()
+}
+
+/// Runs until so many messages have come.
+async fn receive(
+    executor: &Rc<LocalExecutor<'static>>,
+    links: &Rc<Links>,
+    listener: Async<TcpListener>,
+    count: usize,
+) -> Vec<Envelope> {
+    let (sender, receiver) = async_channel::unbounded();
+    let on_message = Rc::new(move |envelope| {
+        let _ = sender.try_send(envelope);
+    });
+    let serving = executor.spawn(links.clone().serve(listener, on_message));
+    let mut envelopes = Vec::new();
+    while envelopes.len() < count {
+        envelopes.push(receiver.recv().await.expect("the interface serves"));
+    }
+    serving.cancel().await;
+    envelopes
+}
+
+#[test]
+fn messages_come_in_their_order() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = listen();
+    let links = Rc::new(Links::new(executor.clone(), port(&listener)));
+    let sent: Vec<Envelope> = (1..=500).map(prepare).collect();
+    sent.iter().cloned().for_each(|envelope| links.send(envelope));
+    let received = async_io::block_on(executor.run(receive(&executor, &links, listener, sent.len())));
+    assert_eq!(received, sent);
+}
+
+#[test]
+fn a_large_message_comes_whole() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = listen();
+    let links = Rc::new(Links::new(executor.clone(), port(&listener)));
+    let snapshot = vec![7; 3 << 20].into();
+    let message = ControlMessage::Sync { epoch: 1, snapshot_sequence: 1, snapshot, entries: Vec::new() };
+    let sent = Envelope { message, ..prepare(1) };
+    links.send(sent.clone());
+    let received = async_io::block_on(executor.run(receive(&executor, &links, listener, 1)));
+    assert_eq!(received, [sent]);
+}
+
+#[test]
+fn a_member_that_listens_later_is_reached() {
+    let executor = Rc::new(LocalExecutor::new());
+    let port = port(&listen());
+    let links = Rc::new(Links::new(executor.clone(), port));
+    links.send(prepare(1));
+    let listener = Async::<TcpListener>::bind((RECEIVER, port)).expect("the port is free again");
+    let sending = async {
+        // Messages may be lost, so a member says what it needs to say again.
+        for epoch in 2.. {
+            links.send(prepare(epoch));
+            futures_lite::future::yield_now().await;
+        }
+        Vec::new()
+    };
+    let receiving = receive(&executor, &links, listener, 1);
+    let received = async_io::block_on(executor.run(futures_lite::future::or(receiving, sending)));
+    assert_eq!(received.len(), 1);
+}
--- /dev/null
+++ b/crates/tower/tests/machine.rs
@@ -0,0 +1,70 @@
+//! The thread of the agreed state.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use tower::machine::{Machine, Progress, Published};
+use tower::state::{Applied, Change, Decision, State};
+
+fn name(revision: u64) -> Change {
+    Change::NameWeights { model: "m".to_owned(), revision }
+}
+
+fn command(state: &State, change: &Change) -> Arc<[u8]> {
+    match state.decide(change) {
+        Decision::Accept(accepted) => accepted.command,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn machine() -> (Machine, Receiver<Progress>) {
+    let (sender, progress) = async_channel::unbounded();
+    (Machine::start(sender).expect("the thread starts"), progress)
+}
+
+fn applied(progress: &Receiver<Progress>) -> (u64, Option<Applied>, Published) {
+    match progress.recv_blocking() {
+        Ok(Progress::Applied { sequence, applied, published }) => (sequence, applied, published),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_decision_sees_what_was_handed_over_before() {
+    let (machine, progress) = machine();
+    machine.apply(1, command(&State::default(), &name(2)));
+    let decision = async_io::block_on(machine.decide(name(2)));
+    assert_eq!(decision, Some(Decision::AlreadyTaken));
+    let (sequence, change, published) = applied(&progress);
+    assert_eq!((sequence, change), (1, Some(Applied::Weights)));
+    assert_eq!(published.weights.into_iter().collect::<Vec<_>>(), [("m".to_owned(), 2)]);
+}
+
+#[test]
+fn a_snapshot_holds_what_was_applied() {
+    let (first, _progress) = machine();
+    first.apply(1, command(&State::default(), &name(2)));
+    let snapshot = async_io::block_on(first.snapshot()).expect("the thread runs");
+    assert_eq!(snapshot.sequence, 1);
+    let (second, progress) = machine();
+    second.restore(snapshot.sequence, snapshot.state.into());
+    let (sequence, change, published) = applied(&progress);
+    assert_eq!((sequence, change, published.weights["m"]), (1, None, 2));
+}
+
+#[test]
+fn catching_up_is_told_after_all_that_was_handed_over() {
+    let (machine, progress) = machine();
+    machine.apply(1, command(&State::default(), &name(2)));
+    machine.catch_up(9);
+    applied(&progress);
+    assert!(matches!(progress.recv_blocking(), Ok(Progress::CaughtUp { epoch: 9 })));
+}
+
+#[test]
+fn a_command_of_another_form_ends_the_thread() {
+    let (machine, progress) = machine();
+    machine.apply(1, Arc::from(&[9, 9][..]));
+    assert!(matches!(progress.recv_blocking(), Ok(Progress::Failed(_))));
+    assert!(progress.recv_blocking().is_err());
+}
--- /dev/null
+++ b/crates/tower/tests/member.rs
@@ -0,0 +1,66 @@
+//! What a member keeps an eye on beside the agreement: its disk and its proposals.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tower::member::ProposalEnd;
+use tower::member::disk_watch::DiskWatch;
+use tower::member::proposals::Proposals;
+use tower::replication::FailureReason;
+use tower::state::Applied;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[test]
+fn a_write_that_hangs_shows_an_unhealthy_disk() {
+    let mut watch = DiskWatch::default();
+    watch.handed_over(1, ms(0));
+    watch.handed_over(2, ms(900));
+    assert_eq!(watch.news(ms(999)), None);
+    assert_eq!(watch.news(ms(1_000)), Some(false));
+    assert_eq!(watch.news(ms(1_500)), None, "it is told once");
+    watch.persisted(1);
+    assert_eq!(watch.news(ms(1_600)), Some(true));
+    assert_eq!(watch.news(ms(1_900)), Some(false), "the second write hangs too");
+    watch.persisted(2);
+    assert_eq!(watch.news(ms(5_000)), Some(true));
+}
+
+#[test]
+fn a_refused_write_shows_an_unhealthy_disk_until_it_succeeds() {
+    let mut watch = DiskWatch::default();
+    watch.handed_over(1, ms(0));
+    watch.refused();
+    assert_eq!(watch.news(ms(10)), Some(false));
+    watch.persisted(1);
+    assert_eq!(watch.news(ms(20)), Some(true));
+}
+
+#[test]
+fn a_proposal_ends_when_its_entry_is_applied() {
+    let mut proposals = Proposals::default();
+    let (ticket, end) = proposals.open();
+    proposals.committed(4, None);
+    proposals.committed(5, Some(ticket));
+    proposals.applied(4, Some(Applied::Weights));
+    assert!(end.try_recv().is_err());
+    proposals.applied(5, Some(Applied::Configuration));
+    assert_eq!(end.try_recv(), Ok(ProposalEnd::Applied(Applied::Configuration)));
+}
+
+#[rstest]
+#[case(FailureReason::NotTaken, ProposalEnd::NotTaken)]
+#[case(FailureReason::OutcomeUnknown, ProposalEnd::Unknown)]
+fn a_proposal_that_fails_says_whether_it_may_take_effect(
+    #[case] reason: FailureReason,
+    #[case] expected: ProposalEnd,
+) {
+    let mut proposals = Proposals::default();
+    let (ticket, end) = proposals.open();
+    let (_, other) = proposals.open();
+    proposals.failed(ticket, reason);
+    assert_eq!(end.try_recv(), Ok(expected));
+    assert!(other.try_recv().is_err());
+}
