--- /dev/null
+++ b/crates/tower/tests/replication_directed.rs
@@ -0,0 +1,284 @@
+//! Single kinds of trouble, one at a time, in a simulated cluster.
+
+mod support;
+
+use intercom::control::{ControlMessage, Envelope, View};
+use intercom::node::NodeId;
+use rstest::rstest;
+use support::simulation::{Fault, MS, Network, SECOND, Shape, Simulation};
+use tower::replication::{FailureReason, Input, Output, Replication, ReplicationSettings, Role};
+
+const PROGRESS_WITHIN: u64 = 6 * SECOND;
+
+fn started(losses: u32, seeds: usize, machines: usize, seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed, Shape { losses, seeds, machines, fault: Fault::None });
+    simulation.acknowledge_one();
+    simulation.end_first_boot();
+    simulation.run_for(3 * SECOND);
+    simulation
+}
+
+fn assert_goes_on(simulation: &mut Simulation) {
+    let is_live = simulation.make_progress(PROGRESS_WITHIN);
+    assert_eq!(simulation.checker.violation, None);
+    assert!(is_live, "a proposal is acknowledged in time");
+}
+
+fn voters_of(simulation: &Simulation) -> Vec<NodeId> {
+    let primary = simulation.primary().expect("there is a primary");
+    let process = simulation.machines[primary].process.as_ref().expect("it runs");
+    process.replication.view().expect("it has a view").voters.clone()
+}
+
+#[test]
+fn first_start_has_a_primary_within_a_second() {
+    let mut simulation = Simulation::new(1, Shape { losses: 1, seeds: 3, machines: 4, fault: Fault::None });
+    let is_up = simulation.run_while_not(SECOND, |simulation| simulation.primary().is_some());
+    assert!(is_up);
+}
+
+#[rstest]
+fn primary_killed_right_after_an_acknowledgement(#[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64) {
+    let mut simulation = started(1, 3, 4, seed);
+    for _ in 0..6 {
+        let primary = simulation.acknowledge_one();
+        simulation.kill(primary, 1500 * MS);
+        assert_goes_on(&mut simulation);
+        simulation.run_for(2 * SECOND);
+    }
+}
+
+#[rstest]
+#[case(1, 3, 4)]
+#[case(1, 3, 3)]
+#[case(2, 3, 8)]
+#[case(2, 5, 5)]
+fn disks_lost_while_all_others_lose_power(
+    #[case] losses: u32,
+    #[case] seeds: usize,
+    #[case] machines: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
+) {
+    let mut simulation = started(losses, seeds, machines, seed);
+    for _ in 0..3 {
+        let primary = simulation.acknowledge_one();
+        let mut lost = vec![primary];
+        lost.extend((0..machines).filter(|index| *index != primary).take(losses as usize - 1));
+        for index in 0..machines {
+            let restart_after = simulation.random.between(50, 1000) * MS;
+            if lost.contains(&index) {
+                simulation.wipe(index, restart_after);
+            } else {
+                simulation.cut_power(index, restart_after);
+            }
+        }
+        assert_goes_on(&mut simulation);
+        simulation.run_for(8 * SECOND);
+    }
+}
+
+#[rstest]
+fn all_killed_at_once(#[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64, #[values(false, true)] is_power: bool) {
+    let mut simulation = started(1, 3, 4, seed);
+    for _ in 0..4 {
+        simulation.acknowledge_one();
+        for index in 0..4 {
+            let restart_after = simulation.random.between(100, 1000) * MS;
+            if is_power {
+                simulation.cut_power(index, restart_after);
+            } else {
+                simulation.kill(index, restart_after);
+            }
+        }
+        assert_goes_on(&mut simulation);
+    }
+}
+
+/// In the end none of the first machines is left.
+#[rstest]
+fn members_replaced_again_and_again(#[values(1, 2)] losses: u32, #[values(0, 1, 2, 3)] seed: u64) {
+    let mut simulation = started(losses, 3, 4 + 2 * losses as usize, seed);
+    let first = simulation.machines.len();
+    for index in 0..first {
+        simulation.acknowledge_one();
+        simulation.replace(index, 500 * MS);
+        assert_goes_on(&mut simulation);
+        simulation.run_for(5 * SECOND);
+    }
+    let voters = voters_of(&simulation);
+    assert_eq!(voters.len(), 2 * losses as usize + 1);
+    assert!(voters.iter().all(|voter| simulation.machines[first..].iter().any(|new| new.node == *voter)));
+}
+
+#[test]
+fn three_seeds_grow_to_five_voters() {
+    let simulation = started(2, 3, 8, 4);
+    assert_eq!(voters_of(&simulation).len(), 5);
+}
+
+/// A machine whose disk is lost takes its old self's place soon.
+#[test]
+fn lost_voter_is_replaced_by_its_new_self() {
+    let mut simulation = started(1, 3, 3, 5);
+    let primary = simulation.primary().expect("there is a primary");
+    let other = (primary + 1) % 3;
+    simulation.wipe(other, 300 * MS);
+    simulation.run_for(2500 * MS);
+    assert!(voters_of(&simulation).contains(&simulation.machines[other].node));
+}
+
+/// The primary with one backup is cut off; both sides propose, one side goes on, and nothing diverges.
+#[rstest]
+fn race_on_both_sides_of_a_cut(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64,
+    #[values(false, true)] one_way: bool,
+) {
+    let mut simulation = started(1, 3, 4, seed);
+    let primary = simulation.acknowledge_one();
+    simulation.isolate(primary, true, !one_way);
+    for _ in 0..40 {
+        for index in 0..4 {
+            simulation.propose(index);
+        }
+        simulation.run_for(100 * MS);
+    }
+    let successor = simulation.primary().expect("the others have a primary");
+    assert_ne!(successor, primary);
+    simulation.heal();
+    assert_goes_on(&mut simulation);
+    simulation.run_for(SECOND);
+    assert_eq!(simulation.primary(), Some(successor), "the returned member disturbs nobody");
+}
+
+/// Nobody hears a primary whose messages are lost, though it hears the others.
+#[test]
+fn primary_that_is_not_heard_is_followed() {
+    let mut simulation = started(1, 3, 4, 3);
+    let primary = simulation.acknowledge_one();
+    simulation.isolate(primary, false, true);
+    simulation.run_for(4 * SECOND);
+    assert_ne!(simulation.primary().expect("the others have a primary"), primary);
+    assert_goes_on(&mut simulation);
+}
+
+#[test]
+fn disk_that_hangs_ends_primacy() {
+    let mut simulation = started(1, 3, 4, 3);
+    let primary = simulation.acknowledge_one();
+    simulation.machines[primary].disk.stalled_until = simulation.now + 10 * SECOND;
+    simulation.propose(primary);
+    simulation.run_for(2500 * MS);
+    assert_ne!(simulation.primary().expect("there is another"), primary);
+    assert_goes_on(&mut simulation);
+}
+
+#[test]
+fn backup_whose_disk_hangs_is_exchanged() {
+    let mut simulation = started(1, 3, 4, 3);
+    let primary = simulation.acknowledge_one();
+    let view = simulation.machines[primary]
+        .process
+        .as_ref()
+        .and_then(|process| process.replication.view().cloned());
+    let backup = view.expect("it has a view").holders[1];
+    let index = simulation.machines.iter().position(|machine| machine.node == backup).expect("it exists");
+    simulation.machines[index].disk.stalled_until = simulation.now + 20 * SECOND;
+    assert_goes_on(&mut simulation);
+    assert_eq!(simulation.primary(), Some(primary), "the primary stays");
+}
+
+#[test]
+fn terminated_primary_is_followed_at_once() {
+    let mut simulation = started(1, 3, 4, 3);
+    let primary = simulation.acknowledge_one();
+    simulation.input(primary, Input::Terminate);
+    let is_followed = simulation.run_while_not(600 * MS, |simulation| {
+        simulation.primary().is_some_and(|successor| successor != primary)
+    });
+    assert!(is_followed);
+}
+
+/// Thawed after a long time, an old primary neither holds a lease nor acknowledges anything of its own.
+#[rstest]
+fn frozen_primary_wakes_as_a_follower(#[values(0, 1, 2, 3)] seed: u64) {
+    let mut simulation = started(1, 3, 4, seed);
+    let primary = simulation.acknowledge_one();
+    simulation.freeze(primary, 3 * SECOND);
+    simulation.propose(primary);
+    simulation.run_for(2500 * MS);
+    let successor = simulation.acknowledge_one();
+    assert_ne!(successor, primary);
+    simulation.run_for(2 * SECOND);
+    assert_eq!(simulation.primary(), Some(successor));
+    assert_goes_on(&mut simulation);
+}
+
+#[test]
+fn bad_network_is_survived() {
+    let mut simulation = started(2, 3, 8, 9);
+    simulation.network = Network { loss: 200, duplication: 200, lateness: 50, delay: 60 * MS };
+    for _ in 0..30 {
+        simulation.make_progress(SECOND);
+        assert_eq!(simulation.checker.violation, None);
+    }
+    simulation.heal();
+    assert_goes_on(&mut simulation);
+}
+
+fn settings(node: NodeId) -> ReplicationSettings {
+    let seeds = vec![NodeId { ip: 1, generation: 0 }];
+    ReplicationSettings { node, zone: "a".to_owned(), seeds, losses: 0, first_boot: true, seed: 1 }
+}
+
+/// A message to the member that had the disk before is not for the newcomer.
+#[test]
+fn message_to_another_generation_is_dropped() {
+    let start = std::time::Duration::from_secs(1);
+    let newcomer = NodeId { ip: 2, generation: 77 };
+    let proposer = NodeId { ip: 1, generation: 0 };
+    let mut replication = Replication::new(settings(newcomer), Default::default(), start);
+    let mut out = Vec::new();
+    replication.handle(start, Input::Tick, &mut out);
+    out.clear();
+    for (generation, answers) in [(0, false), (77, true)] {
+        let to = NodeId { ip: 2, generation };
+        let message = ControlMessage::Prepare { epoch: 1 << 40 };
+        replication.handle(start, Input::Message(Envelope { from: proposer, to, message }), &mut out);
+        assert_eq!(!out.is_empty(), answers);
+        out.clear();
+    }
+}
+
+/// A promise leaves only after its record is on disk.
+#[test]
+fn promise_waits_for_the_disk() {
+    let start = std::time::Duration::from_secs(1);
+    let voter = NodeId { ip: 2, generation: 0 };
+    let proposer = NodeId { ip: 1, generation: 0 };
+    let mut replication = Replication::new(settings(voter), Default::default(), start);
+    let mut out = Vec::new();
+    replication.handle(start, Input::Tick, &mut out);
+    out.clear();
+    let message = ControlMessage::Prepare { epoch: 1 << 40 };
+    replication.handle(start, Input::Message(Envelope { from: proposer, to: voter, message }), &mut out);
+    let Some(Output::Persist { ticket, .. }) = out.pop() else { panic!("a record is written first") };
+    assert!(out.is_empty(), "nothing else happens before");
+    replication.handle(start, Input::Persisted { ticket }, &mut out);
+    let is_promise = |output: &Output| {
+        matches!(output, Output::Send(Envelope { message: ControlMessage::Promise { .. }, .. }))
+    };
+    assert!(out.iter().any(is_promise));
+}
+
+/// A standby takes no proposals.
+#[test]
+fn proposal_at_a_standby_fails_at_once() {
+    let start = std::time::Duration::from_secs(1);
+    let mut replication =
+        Replication::new(settings(NodeId { ip: 2, generation: 3 }), Default::default(), start);
+    let mut out = Vec::new();
+    replication.handle(start, Input::Propose { ticket: 5, command: vec![1].into() }, &mut out);
+    assert!(out.contains(&Output::ProposalFailed { proposal: 5, reason: FailureReason::NotTaken }));
+    assert_eq!(replication.role(), Role::Standby);
+    assert_eq!(replication.view(), None::<&View>);
+}
--- /dev/null
+++ b/crates/tower/tests/state.rs
@@ -0,0 +1,132 @@
+//! The agreed state: decisions, commands, snapshots.
+
+use rstest::rstest;
+use timetable::Document;
+use tower::state::{Accepted, Applied, Change, Decision, State};
+
+fn configuration(revision: u64, routes: &str) -> Vec<u8> {
+    let service = r#"{"label":"chat","checkPath":"/health"}"#;
+    format!(r#"{{"revision":{revision},"routes":[{routes}],"backends":[{service}]}}"#).into_bytes()
+}
+
+fn route(label: &str, prefix: &str) -> String {
+    format!(
+        r#"{{"label":"{label}","hostname":"a.example","pathStart":"{prefix}","sort":"harmless","timeLimitMs":1000,"targetMs":100,"rank":0,"backend":"chat","tries":2,"public":true}}"#
+    )
+}
+
+fn put(if_match: u64, revision: u64) -> Change {
+    Change::PutConfiguration { if_match: Some(if_match), body: configuration(revision, &route("r", "/r/")) }
+}
+
+fn name(model: &str, revision: u64) -> Change {
+    Change::NameWeights { model: model.to_owned(), revision }
+}
+
+fn accepted(state: &State, change: &Change) -> Accepted {
+    match state.decide(change) {
+        Decision::Accept(accepted) => *accepted,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn take(state: &mut State, change: &Change) -> Applied {
+    let accepted = accepted(state, change);
+    state.apply(&accepted.command).expect("the command can be applied")
+}
+
+fn revision(state: &State) -> u64 {
+    state.document().map_or(0, Document::revision)
+}
+
+#[test]
+fn a_configuration_is_taken_on_top_of_the_newest() {
+    let mut state = State::default();
+    assert_eq!(take(&mut state, &put(0, 3)), Applied::Configuration);
+    assert_eq!(take(&mut state, &put(3, 7)), Applied::Configuration);
+    assert_eq!(revision(&state), 7);
+    assert_eq!(state.decide(&put(3, 9)), Decision::Stale { current: 7 });
+}
+
+#[test]
+fn a_call_that_is_sent_again_was_taken_already() {
+    let mut state = State::default();
+    take(&mut state, &put(0, 3));
+    take(&mut state, &put(3, 7));
+    assert_eq!(state.decide(&put(3, 7)), Decision::AlreadyTaken);
+    assert_eq!(state.decide(&put(0, 3)), Decision::AlreadyTaken);
+}
+
+#[test]
+fn an_invalid_configuration_changes_nothing() {
+    let state = State::default();
+    let change = Change::PutConfiguration { if_match: Some(0), body: b"{\"revision\":1".to_vec() };
+    assert!(matches!(state.decide(&change), Decision::InvalidConfiguration { .. }));
+}
+
+#[test]
+fn of_two_changes_on_the_same_version_one_takes_effect() {
+    let mut state = State::default();
+    let (first, second) = (accepted(&state, &put(0, 3)), accepted(&state, &put(0, 4)));
+    assert_eq!(state.apply(&first.command).expect("it can be applied"), Applied::Configuration);
+    assert_eq!(state.apply(&second.command).expect("it can be applied"), Applied::Superseded);
+    assert_eq!(revision(&state), 3);
+}
+
+#[test]
+fn a_patch_leads_to_a_whole_configuration() {
+    let mut state = State::default();
+    take(&mut state, &put(0, 3));
+    let upsert = route("s", "/s/");
+    let body = format!(r#"{{"revision":5,"upsert":{{"routes":[{upsert}]}},"remove":{{"routes":["r"]}}}}"#);
+    take(&mut state, &Change::PatchConfiguration { if_match: Some(3), body: body.into_bytes() });
+    let document = state.document().expect("there is a configuration");
+    let labels: Vec<&str> = document.configuration().routes.iter().map(|r| r.label.as_str()).collect();
+    assert_eq!((document.revision(), labels), (5, vec!["s"]));
+}
+
+#[test]
+fn weights_rise() {
+    let mut state = State::default();
+    assert_eq!(take(&mut state, &name("m", 2)), Applied::Weights);
+    assert_eq!(state.decide(&name("m", 2)), Decision::AlreadyTaken);
+    assert_eq!(take(&mut state, &name("m", 4)), Applied::Weights);
+    assert_eq!(state.decide(&name("m", 2)), Decision::AlreadyTaken);
+    assert_eq!(state.decide(&name("m", 3)), Decision::OldWeights { newest: 4 });
+    assert_eq!(state.weights().newest().into_iter().collect::<Vec<_>>(), [("m".to_owned(), 4)]);
+}
+
+#[rstest]
+#[case::empty(&[])]
+#[case::one(&[put(0, 3)])]
+#[case::all(&[put(0, 3), name("m", 2), put(3, 8), name("n", 1)])]
+fn a_snapshot_restores_the_state(#[case] changes: &[Change]) {
+    let mut state = State::default();
+    for change in changes {
+        take(&mut state, change);
+    }
+    assert_eq!(State::restore(&state.snapshot()).expect("it can be restored"), state);
+}
+
+#[test]
+fn members_that_decide_and_members_that_follow_agree() {
+    let (mut deciding, mut following) = (State::default(), State::default());
+    for change in [put(0, 3), name("m", 2), put(3, 8)] {
+        let accepted = accepted(&deciding, &change);
+        following.apply(&accepted.command).expect("the command can be applied");
+        deciding.apply_accepted(accepted);
+    }
+    assert_eq!(deciding, following);
+    assert_eq!(deciding.snapshot(), following.snapshot());
+}
+
+#[test]
+fn no_bytes_stand_for_the_first_state() {
+    assert_eq!(State::restore(&[]).expect("it can be restored"), State::default());
+}
+
+#[test]
+fn bytes_of_another_form_are_refused() {
+    assert!(State::restore(&[9, 9, 9]).is_err());
+    assert!(State::default().apply(&[9, 9, 9]).is_err());
+}
--- /dev/null
+++ b/crates/tower/tests/support/machine.rs
@@ -0,0 +1,93 @@
+//! A machine of the simulated cluster: its disk, its clock, and its process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::node::NodeId;
+use tower::replication::{Input, Replication};
+
+use super::disk::Disk;
+
+/// A clock that starts anywhere and drifts.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    /// What it shows at the true time 0, in microseconds.
+    pub offset: u64,
+    /// Its speed in millionths.
+    pub rate: u64,
+}
+
+impl Clock {
+    /// What it shows at a true time.
+    pub fn local(&self, now: u64) -> Duration {
+        Duration::from_micros(self.offset + now * self.rate / 1_000_000)
+    }
+
+    /// The first true time at which it shows this.
+    pub fn when(&self, local: Duration) -> u64 {
+        let micros = (local.as_micros() as u64).saturating_sub(self.offset);
+        (micros * 1_000_000).div_ceil(self.rate)
+    }
+}
+
+/// A running process.
+pub struct Process {
+    /// Tells this run from others.
+    pub life: u64,
+    /// The state machine.
+    pub replication: Replication,
+    /// Commands that were applied, in order.
+    pub applied: Vec<u64>,
+    /// When its next tick is on the way.
+    pub wake_at: u64,
+    /// What came while it was frozen.
+    pub backlog: Vec<Input>,
+    /// What the disk was last said to be.
+    pub told_healthy: bool,
+}
+
+/// A machine.
+pub struct Machine {
+    /// Its member on the present disk.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: String,
+    /// Its disk.
+    pub disk: Disk,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its process, while one runs.
+    pub process: Option<Process>,
+    /// Does nothing before this time.
+    pub frozen_until: u64,
+    /// Will not come back.
+    pub removed: bool,
+    /// Counts as lost until then.
+    pub lost_until: u64,
+    /// Lives so far.
+    pub lives: u64,
+}
+
+impl Machine {
+    /// Whether it runs and is not frozen.
+    pub fn is_running(&self, now: u64) -> bool {
+        self.process.is_some() && self.frozen_until <= now
+    }
+
+    /// Whether it holds a running lease by its own clock.
+    pub fn lease_valid(&self, now: u64) -> bool {
+        let local = self.clock.local(now);
+        self.process.as_ref().is_some_and(|process| process.replication.lease_valid(local))
+    }
+}
+
+/// A command's bytes.
+pub fn encode(commands: &[u64]) -> Arc<[u8]> {
+    commands.iter().flat_map(|command| command.to_le_bytes()).collect()
+}
+
+/// Commands from their bytes.
+pub fn decode(bytes: &[u8]) -> Vec<u64> {
+    let words = bytes.chunks_exact(8);
+    words.map(|word| u64::from_le_bytes(word.try_into().expect("eight bytes"))).collect()
+}
--- /dev/null
+++ b/crates/tower/tests/support/mod.rs
@@ -0,0 +1,10 @@
+//! A simulated cluster in virtual time: network, disks, clocks, and a checker of what must always hold.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+pub mod checker;
+pub mod disk;
+pub mod history;
+pub mod machine;
+pub mod random;
+pub mod simulation;
