--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::client::{Client, Done, Incoming, write_last, write_own};
 use crate::headers::{self, Additions, Framing, OwnAnswer};
 use crate::held::Held;
+use crate::kv_cache::{Beginning, KvTransfer};
 use crate::placement::{self, Ask, Order};
 use crate::pool::Connection;
 use crate::prompt::Prompt;
@@ -290,6 +291,7 @@
             priority: admitted.priority(),
             revision,
             salt: salt.as_deref(),
+            kv: salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default(),
             last_event_id: self.relay.as_ref().and_then(Relay::last_event_id),
         };
         let mut head = Vec::with_capacity(1024);
@@ -297,6 +299,15 @@
         head
     }
 
+    /// Where this replica takes the KV cache of the prompt from, and where it keeps it.
+    fn kv_transfer(&self, replica: &ReplicaEntry, salt: &str) -> KvTransfer {
+        let prompt = Prompt::read(&self.incoming.head);
+        let Some(beginning) = Beginning::of(&prompt, salt) else { return KvTransfer::default() };
+        let replicas = self.proxy.replicas.borrow();
+        let address_of = |id: &ReplicaId| replicas.ready(id).map(|other| other.address);
+        self.proxy.kv.borrow_mut().plan(station::clock::now(), beginning, &replica.id, address_of)
+    }
+
     /// An attempt has ended without the module's doing.
     fn ended(&mut self, replica: &ReplicaId, end: AttemptEnd) -> Step {
         match end {
--- a/crates/kiosk/src/headers.rs
+++ b/crates/kiosk/src/headers.rs
@@ -5,6 +5,8 @@
 
 use jetway::http::Head;
 
+use crate::kv_cache::KvTransfer;
+
 /// Headers that concern one connection alone.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -50,6 +52,8 @@
     pub revision: Option<u64>,
     /// Under which text the replica keeps what it reads.
     pub salt: Option<&'a str>,
+    /// Where it takes KV cache from and sends it to.
+    pub kv: KvTransfer,
     /// The event behind which a resumed stream goes on; what the client sent where it is absent.
     pub last_event_id: Option<&'a str>,
 }
@@ -82,6 +86,12 @@
     if let Some(salt) = additions.salt {
         line(out, &["Cache-Salt: ", salt]);
     }
+    if let Some(source) = additions.kv.fetch {
+        let _ = write!(out, "Kv-Fetch: {source}\r\n");
+    }
+    if let Some(store) = additions.kv.save {
+        let _ = write!(out, "Kv-Save: {store}\r\n");
+    }
     if let Some(id) = additions.last_event_id {
         line(out, &["Last-Event-Id: ", id]);
     }
--- a/crates/kiosk/src/lib.rs
+++ b/crates/kiosk/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod freshness;
 pub mod headers;
 pub mod held;
+pub mod kv_cache;
 pub mod lifecycle;
 pub mod notice;
 pub mod placement;
--- a/crates/kiosk/src/prompt.rs
+++ b/crates/kiosk/src/prompt.rs
@@ -46,7 +46,7 @@
 }
 
 /// FNV-1a: all gateways come to the same hash of a part, which the ring hashes again.
-fn hash(id: &str) -> u64 {
+pub fn hash(id: &str) -> u64 {
     const OFFSET: u64 = 0xCBF2_9CE4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01B3;
     id.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -19,6 +19,7 @@
 use crate::counters::Counters;
 use crate::freshness::FreshnessGate;
 use crate::held;
+use crate::kv_cache::KvDirectory;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::notice::Notice;
 use crate::placement::Placement;
@@ -38,6 +39,8 @@
     pub pool: Pool,
     /// The decision modules.
     pub placement: Rc<RefCell<Placement>>,
+    /// Where KV cache may be taken from.
+    pub kv: RefCell<KvDirectory>,
     /// The replicas.
     pub replicas: RefCell<Replicas>,
     /// Raised when the stage of life changes.
@@ -68,6 +71,7 @@
             counters: Counters::default(),
             pool: Pool::new(bounds.replicas, replica_limits()),
             placement: Rc::new(RefCell::new(Placement::new(zone, seed))),
+            kv: RefCell::default(),
             replicas: RefCell::default(),
             stage_changed: Notice::default(),
             usage: Usage::new(bounds),
@@ -97,6 +101,8 @@
         for service in &configuration.services {
             self.set_members(&service.label);
         }
+        let stores = configuration.services.iter().filter_map(|service| service.store_address.as_deref());
+        self.kv.borrow_mut().set_stores(stores.filter_map(|address| address.parse().ok()).collect());
         *self.client_limits.borrow_mut() = Rc::new(client_limits(&configuration.caps));
         *self.routing.borrow_mut() = Some(Routing::new(configuration));
     }
--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -37,6 +37,8 @@
     base: View,
     phase: Phase,
     promises: BTreeSet<NodeId>,
+    /// Those of them that have recorded the base.
+    base_recorded: BTreeSet<NodeId>,
     /// The new view, once enough have promised.
     view: View,
     synced: BTreeSet<NodeId>,
@@ -51,6 +53,18 @@
         self.resend_at.min(self.stalled_at)
     }
 
+    /// A member that has promised has recorded the base.
+    ///
+    /// Once a majority of the base's voters and of its previous voters have, no other view made from the previous voters
+    /// can come into force: they refuse lower epochs, and show the base to proposers of higher ones. So the
+    /// previous voters are not needed any more.
+    fn note_base_recorded(&mut self, member: NodeId, recorded: &View) {
+        self.base_recorded.insert(member);
+        if is_settled(recorded) || has_quorum(&self.base, &self.base_recorded) {
+            self.base.previous_voters.clear();
+        }
+    }
+
     /// Whether a view makes this attempt pointless.
     pub(super) fn is_outdated_by(&self, view: &View) -> bool {
         view.epoch > self.base.epoch && view.epoch != self.epoch
@@ -89,6 +103,7 @@
             base,
             phase: Phase::Preparing,
             promises: BTreeSet::new(),
+            base_recorded: BTreeSet::new(),
             view: View::default(),
             synced: BTreeSet::new(),
             installed: BTreeSet::new(),
@@ -163,8 +178,8 @@
         self.learn(now, &view);
         let stalled_at = now + self.stall_term();
         let Some(attempt) = &mut self.attempt else { return };
-        if view.epoch == attempt.base.epoch && !view.voters.is_empty() && is_settled(&view) {
-            attempt.base.previous_voters.clear();
+        if view.epoch == attempt.base.epoch && !view.voters.is_empty() {
+            attempt.note_base_recorded(from, &view);
         }
         if attempt.promises.insert(from) {
             attempt.stalled_at = stalled_at;
