--- a/crates/logbook/src/format.rs
+++ b/crates/logbook/src/format.rs
@@ -1,8 +1,8 @@
 //! The bytes of the files.
 //!
-//! Each file starts with a magic number and a version. A segment then holds frames, one for each append: a marker, the
-//! length of the payload, its checksum, and the payload: records with their lengths. A snapshot holds one frame whose payload is
-//! the snapshot itself. All numbers are little-endian.
+//! Each file starts with a magic number and a version. A segment then holds frames, one for each append: a
+//! marker, the length of the payload, its checksum, and the payload: records with their lengths. A snapshot
+//! holds one frame whose payload is the snapshot itself. All numbers are little-endian.
 
 use super::error::LogbookError;
 
--- a/crates/logbook/src/lib.rs
+++ b/crates/logbook/src/lib.rs
@@ -1,9 +1,9 @@
 //! A durable log in segments with checksums, and snapshots beside it.
 //!
-//! A directory holds segments (`log-000001`, …) and at most a few snapshots. The snapshot `snapshot-000007` stands for all
-//! records before `log-000007`. On open, the newest valid snapshot and the records of the segments from its number on
-//! are read. What was not synced at the end of the last segment is cut off; any other damage is refused and left as it
-//! is.
+//! A directory holds segments (`log-000001`, …) and at most a few snapshots. The snapshot `snapshot-000007`
+//! stands for all records before `log-000007`. On open, the newest valid snapshot and the records of the
+//! segments from its number on are read. What was not synced at the end of the last segment is cut off; any
+//! other damage is refused and left as it is.
 //!
 //! All calls block on the disk.
 
@@ -75,8 +75,8 @@
         Ok((logbook, contents.recovered))
     }
 
-    /// Adds records and syncs them. After an error, none of them counts as added, though some may be found on the next open;
-    /// the caller may try again.
+    /// Adds records and syncs them. After an error, none of them counts as added, though some may be found
+    /// on the next open; the caller may try again.
     pub fn append(&mut self, records: &[&[u8]]) -> Result<(), LogbookError> {
         if records.is_empty() {
             return Ok(());
--- a/crates/logbook/src/recovery.rs
+++ b/crates/logbook/src/recovery.rs
@@ -59,7 +59,8 @@
     Ok(file)
 }
 
-/// Removes segments and snapshots before a number, and unfinished files. What cannot be removed stays for the next time.
+/// Removes segments and snapshots before a number, and unfinished files. What cannot be removed stays for
+/// the next time.
 pub(crate) fn remove_before<D: Directory>(directory: &D, first: u64) {
     let names = directory.list().unwrap_or_default();
     for name in names.iter().filter(|name| is_outdated(name, first)) {
--- a/crates/logbook/tests/logbook.rs
+++ b/crates/logbook/tests/logbook.rs
@@ -173,7 +173,8 @@
     assert!(directory.files().contains_key("log-old"));
 }
 
-/// However far a write gets on a full disk, what was appended stays, and appends succeed once there is room.
+/// However far a write gets on a full disk, what was appended stays, and appends succeed once there is
+/// room.
 #[test]
 fn full_disk_refuses_and_recovers() {
     for bytes in 0..60 {
--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -55,9 +55,9 @@
 
     /// A member that has promised has recorded the base.
     ///
-    /// Once a majority of the base's voters and of its previous voters have, no other view made from the previous voters
-    /// can come into force: they refuse lower epochs, and show the base to proposers of higher ones. So the
-    /// previous voters are not needed any more.
+    /// Once a majority of the base's voters and of its previous voters have, no other view made from the
+    /// previous voters can come into force: they refuse lower epochs, and show the base to proposers of
+    /// higher ones. So the previous voters are not needed any more.
     fn note_base_recorded(&mut self, member: NodeId, recorded: &View) {
         self.base_recorded.insert(member);
         if is_settled(recorded) || has_quorum(&self.base, &self.base_recorded) {
--- a/crates/tower/src/replication/follower.rs
+++ b/crates/tower/src/replication/follower.rs
@@ -116,7 +116,8 @@
         self.send_when_durable(from, ControlMessage::Appended { epoch, sequence });
     }
 
-    /// Whether the newest promise, view and data are all of this epoch, and this member is one of its holders.
+    /// Whether the newest promise, view and data are all of this epoch, and this member is one of its
+    /// holders.
     fn is_holder_of(&self, primary: NodeId, epoch: u64) -> bool {
         let node = self.settings.node;
         self.state.promised == epoch
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -171,8 +171,8 @@
         }
     }
 
-    /// A new primary gives holders, which have just answered, the full time before it takes them for dead, and others
-    /// a shorter one.
+    /// A new primary gives holders, which have just answered, the full time before it takes them for dead,
+    /// and others a shorter one.
     fn presume_members_alive(&mut self, now: Duration, view: &View) {
         let others = view.voters.iter().filter(|member| **member != self.settings.node);
         for member in others {
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -52,7 +52,8 @@
     pub(super) released_epoch: u64,
     /// No promise before: grants from before the start may run.
     pub(super) quiet_until: Duration,
-    /// The newest view that is on disk or on its way there, by its epoch. A standby knows newer ones from heartbeats only.
+    /// The newest view that is on disk or on its way there, by its epoch. A standby knows newer ones from
+    /// heartbeats only.
     pub(super) view_recorded: Option<u64>,
     /// The newest view that is surely on disk, by its epoch.
     pub(super) view_on_disk: Option<u64>,
--- a/crates/tower/src/replication/quorum.rs
+++ b/crates/tower/src/replication/quorum.rs
@@ -5,7 +5,8 @@
 use intercom::control::View;
 use intercom::node::NodeId;
 
-/// Bits of the round that tell apart lives of one address, so that a member whose disk was lost repeats no epoch.
+/// Bits of the round that tell apart lives of one address, so that a member whose disk was lost repeats no
+/// epoch.
 const LIFE_BITS: u32 = 8;
 
 /// Whether more than half of the voters are in the set. No voters need no majority.
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -62,8 +62,8 @@
 impl ReplicationSettings {
     /// The view that a seed starts with at the first boot; none for others and later.
     ///
-    /// It goes to the disk together with the generation, in one record: a disk of generation 0 without it must not
-    /// make up a first view later, from other seeds.
+    /// It goes to the disk together with the generation, in one record: a disk of generation 0 without it
+    /// must not make up a first view later, from other seeds.
     pub fn first_view(&self) -> Option<View> {
         if !self.first_boot || self.node.generation != 0 || !self.seeds.contains(&self.node) {
             return None;
--- a/crates/tower/tests/replication_faults.rs
+++ b/crates/tower/tests/replication_faults.rs
@@ -27,7 +27,8 @@
     assert!(violation.is_some(), "{fault:?} has to show");
 }
 
-/// The first primary is cut off, the second loses power and the third member its disk; then the first is back.
+/// The first primary is cut off, the second loses power and the third member its disk; then the first is
+/// back.
 fn stale_primary_meets_a_lost_disk(fault: Fault) -> Option<Violation> {
     let mut simulation = Simulation::new(1, Shape { losses: 1, seeds: 3, machines: 3, fault });
     let stale = simulation.acknowledge_one();
--- a/crates/tower/tests/replication_histories.rs
+++ b/crates/tower/tests/replication_histories.rs
@@ -1,4 +1,5 @@
-//! Thousands of short random histories of a simulated cluster: nothing acknowledged is lost, and after trouble it goes on.
+//! Thousands of short random histories of a simulated cluster: nothing acknowledged is lost, and after
+//! trouble it goes on.
 
 mod support;
 
--- a/crates/tower/tests/support/checker.rs
+++ b/crates/tower/tests/support/checker.rs
@@ -10,7 +10,8 @@
 pub enum Violation {
     /// Two members applied different commands under the same number.
     Diverged { sequence: u64, first: u64, second: u64 },
-    /// A primary does not have what was acknowledged in an earlier epoch, or one with a lease what was acknowledged at all.
+    /// A primary does not have what was acknowledged in an earlier epoch, or one with a lease what was
+    /// acknowledged at all.
     AcknowledgedLost { node: NodeId, epoch: u64, sequence: u64 },
     /// Two members hold a lease at the same time.
     TwoLeases { first: NodeId, second: NodeId },
