--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -17,4 +17,4 @@
 pub use freshness::Freshness;
 pub use publisher::{Publisher, PublisherSettings};
 pub use store::{Changed, FeedError, FeedStore, Pong};
-pub use subscriber::{Attempt, EndReason, Ended, Identity, Subscriber};
+pub use subscriber::{Attempt, EndReason, Ended, Identity, Subscriber, Tolerance};
--- a/crates/courier/src/subscriber.rs
+++ b/crates/courier/src/subscriber.rs
@@ -106,6 +106,7 @@
 
 /// Keeps a store up to date from a publisher, and knows how fresh it is.
 pub struct Subscriber {
+    tolerance: Tolerance,
     identity: Identity,
     store: Rc<RefCell<FeedStore>>,
     freshness: RefCell<Freshness>,
@@ -116,11 +117,40 @@
     listeners: RefCell<Vec<Rc<ChangeListener>>>,
 }
 
+/// How long a subscriber stays with a publisher whose state is not fresh.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tolerance {
+    /// An answer of this age or older counts as not fresh.
+    pub age: Duration,
+    /// A publisher that gives no other answers for this long is left.
+    pub time: Duration,
+}
+
+impl Tolerance {
+    /// For a subscriber with one publisher to choose: any age will do.
+    pub const ONE_PUBLISHER: Tolerance =
+        Tolerance { age: Duration::MAX, time: Duration::from_millis(1500) };
+    /// For a subscriber that may choose another publisher. With a ping a hop, one that is in touch with the primary
+    /// answers with less than half of this age.
+    pub const SEVERAL_PUBLISHERS: Tolerance =
+        Tolerance { age: Duration::from_millis(800), time: Duration::from_millis(500) };
+}
+
 impl Subscriber {
     /// A subscriber that brings `store` up to date once it runs.
     pub fn new(identity: Identity, store: Rc<RefCell<FeedStore>>) -> Rc<Self> {
+        Subscriber::with_tolerance(identity, store, Tolerance::ONE_PUBLISHER)
+    }
+
+    /// The same, with a tolerance of its own for publishers that are not fresh.
+    pub fn with_tolerance(
+        identity: Identity,
+        store: Rc<RefCell<FeedStore>>,
+        tolerance: Tolerance,
+    ) -> Rc<Self> {
         Rc::new(Subscriber {
             identity,
+            tolerance,
             store,
             freshness: RefCell::default(),
             gateways: Cell::new(0),
--- a/crates/courier/src/subscriber/session.rs
+++ b/crates/courier/src/subscriber/session.rs
@@ -27,8 +27,6 @@
 const SILENCE: Duration = Duration::from_millis(900);
 /// A publisher that still sends a long update but has not answered for this long is left.
 const LONGEST_TRANSFER: Duration = Duration::from_secs(10);
-/// A publisher whose answers carry no freshness for this long is left.
-const UNFRESH: Duration = Duration::from_millis(1500);
 
 /// Follows a publisher until the connection ends. `failures` goes to 0 once it answers with freshness.
 pub(super) async fn run(
@@ -166,13 +164,14 @@
         let now = clock::now();
         self.answered = now;
         self.subscriber.freshness.borrow_mut().answered(pong.id, pong.age, now);
-        if pong.age.is_some() {
+        let tolerance = self.subscriber.tolerance;
+        if pong.age.is_some_and(|age| age < tolerance.age) {
             self.unfresh_since = None;
             *self.failures = 0;
             return Ok(());
         }
         let since = *self.unfresh_since.get_or_insert(now);
-        ensure!(now.saturating_sub(since) < UNFRESH, NotFreshSnafu);
+        ensure!(now.saturating_sub(since) < tolerance.time, NotFreshSnafu);
         Ok(())
     }
 
--- a/crates/courier/tests/common/network.rs
+++ b/crates/courier/tests/common/network.rs
@@ -77,7 +77,8 @@
     Subscriber::new(identity(role), Rc::clone(store))
 }
 
-fn identity(role: SubscriberRole) -> Identity {
+/// Who a test subscriber is.
+pub fn identity(role: SubscriberRole) -> Identity {
     Identity { name: "edge-1".to_owned(), zone: "east".to_owned(), role }
 }
 
--- a/crates/courier/tests/subscriber.rs
+++ b/crates/courier/tests/subscriber.rs
@@ -10,7 +10,7 @@
 use async_executor::LocalExecutor;
 use common::network::{self, Peer, SharedStore, fresh, listener, publish, store, subscriber, until};
 use common::{configuration, group, replica, weights};
-use courier::{EndReason, PublisherSettings, Subscriber, clock};
+use courier::{EndReason, PublisherSettings, Subscriber, Tolerance, clock};
 use intercom::feed::{FleetUpdate, Position, SubscriberRole, ToPublisher, ToSubscriber};
 use rstest::rstest;
 
@@ -156,6 +156,37 @@
     });
 }
 
+/// A home that is cut off from the primary goes on answering, with an age that grows.
+#[rstest]
+#[case::one_publisher(Tolerance::ONE_PUBLISHER, true)]
+#[case::several_publishers(Tolerance::SEVERAL_PUBLISHERS, false)]
+fn a_publisher_whose_state_grows_old_is_left_where_there_are_others(
+    #[case] tolerance: Tolerance,
+    #[case] stays: bool,
+) {
+    const ANSWERS: u32 = 8;
+    network::run(|executor| async move {
+        let (listener, address) = listener();
+        let subscriber =
+            Subscriber::with_tolerance(network::identity(SubscriberRole::Agent), store(), tolerance);
+        let reason = follow_once(&executor, &subscriber, address);
+        let mut peer = Peer::accept(&listener).await;
+        let mut answers = 0;
+        while answers < ANSWERS
+            && let Some(message) = peer.asked().await
+        {
+            if let ToPublisher::Ping { id, .. } = message {
+                answers += 1;
+                let age_ms = Some(800 + 300 * answers);
+                peer.answer(&ToSubscriber::Pong { id, age_ms, revision: 0 }).await;
+            }
+        }
+        assert_eq!(answers == ANSWERS, stays);
+        let left = reason.borrow().as_ref().map(|reason| format!("{reason:?}"));
+        assert_eq!(left.is_some_and(|reason| reason.starts_with("NotFresh")), !stays);
+    });
+}
+
 #[test]
 fn a_long_update_is_not_silence() {
     network::run(|executor| async move {
--- a/crates/porter/src/agent.rs
+++ b/crates/porter/src/agent.rs
@@ -7,7 +7,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use courier::{Attempt, FeedStore, Identity, Publisher, Subscriber};
+use courier::{Attempt, FeedStore, Identity, Publisher, Subscriber, Tolerance};
 use intercom::feed::{ControlNode, SubscriberRole};
 use intercom::node::NodeId;
 use intercom::views::{Entry, Role};
@@ -63,7 +63,8 @@
             zone: settings.area.clone(),
             role: SubscriberRole::Agent,
         };
-        let subscriber = Subscriber::new(identity, Rc::clone(&store));
+        let subscriber =
+            Subscriber::with_tolerance(identity, Rc::clone(&store), Tolerance::SEVERAL_PUBLISHERS);
         subscriber.set_gateways(GATEWAYS);
         let publisher = publish(&store, &subscriber);
         let choice = HomeChoice::new(settings.area.clone(), settings.seed_ips());
