Place by one owner and the clients' patience where KV cache can be moved

Cause: several owners for a beginning meant reading it several times; what would be late was refused although late answers keep a part of their worth. Change: the module takes a setting by which each beginning has one owner; the proxy has it aim at three quarters of the time after which clients give a stream up.

--- a/crates/kiosk/src/placement.rs
+++ b/crates/kiosk/src/placement.rs
@@ -21,8 +21,17 @@
 const RETRY_AFTER: Nanos = 1_000_000_000;
 /// What a late answer earns beside one in time.
 const LATE_WORTH: f64 = 0.3;
-/// The aim of a route that states none is this part of its time limit.
-const UNSTATED_AIM: u64 = 4;
+/// The target of a route that states none is this part of its time limit.
+const UNSTATED_TARGET: u64 = 4;
+/// Clients give a stream up after a silence of this time at the least ...
+const LEAST_PATIENCE_MS: u64 = 2_000;
+/// ... or of this multiple of the target ...
+const PATIENCE_PER_TARGET: u64 = 4;
+/// ... or of this multiple of the longest pause in time, whichever is longest.
+const PATIENCE_PER_GAP: u64 = 8;
+/// The module aims at this part of the clients' patience: late answers earn a part of their worth, and those that come
+/// when nobody waits any more earn nothing.
+const AIM_PART: f64 = 0.75;
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
 /// What the decision module wants done for one request.
@@ -141,6 +150,7 @@
             zone: Some(self.zone),
             push: true,
             classes: self.classes.clone(),
+            movable: true,
             limits: Limits {
                 attempts: MAX_ATTEMPTS,
                 cancel: true,
@@ -335,9 +345,8 @@
 }
 
 fn class_of(route: &Route) -> Class {
-    let aim = if route.target_ms > 0 { route.target_ms } else { route.time_limit_ms / UNSTATED_AIM };
     Class {
-        aim: aim.saturating_mul(NANOS_PER_MILLI),
+        aim: aim_ms(route).saturating_mul(NANOS_PER_MILLI),
         aim_per_token: 0,
         token_aim: 0,
         deadline: route.time_limit_ms.saturating_mul(NANOS_PER_MILLI),
@@ -348,6 +357,18 @@
     }
 }
 
+/// The time up to a first token that the module aims at.
+fn aim_ms(route: &Route) -> u64 {
+    let target = if route.target_ms > 0 { route.target_ms } else { route.time_limit_ms / UNSTATED_TARGET };
+    if route.kind != RouteKind::Stream {
+        return target;
+    }
+    let by_target = target.saturating_mul(PATIENCE_PER_TARGET);
+    let by_gap = route.gap_target_ms.saturating_mul(PATIENCE_PER_GAP);
+    let patience = by_target.max(by_gap).max(LEAST_PATIENCE_MS).min(route.time_limit_ms);
+    target.max((patience as f64 * AIM_PART) as u64)
+}
+
 fn nanos(time: Duration) -> Nanos {
     Nanos::try_from(time.as_nanos()).unwrap_or(Nanos::MAX)
 }
--- a/crates/signpost/src/choice.rs
+++ b/crates/signpost/src/choice.rs
@@ -623,7 +623,9 @@
     /// sees: many of them each carrying a few requests of it. All see like samples of the demand, so all
     /// come to like figures.
     fn owners(&mut self, now: Nanos, request: &Request, cost: f64) -> f64 {
-        let Some(prefix) = request.prefix.filter(|p| *p != 0) else { return 0.0 };
+        // What can be moved to where the walk ends needs no further owners.
+        let several = request.prefix.filter(|p| *p != 0 && !self.settings.movable);
+        let Some(prefix) = several else { return 0.0 };
         if self.beginnings.len() >= BEGINNINGS {
             let faded = |at: Nanos| (-(now.saturating_sub(at) as f64) / SECOND as f64 / MEMORY).exp();
             self.beginnings.retain(|_, (mass, at)| *mass * faded(*at) > ANSWER_COST);
--- a/crates/signpost/src/types.rs
+++ b/crates/signpost/src/types.rs
@@ -161,6 +161,8 @@
     pub classes: Vec<Class>,
     /// Tenants; may be none.
     pub tenants: Vec<Tenant>,
+    /// A replica can take over what another one keeps of a beginning, so that one owner is enough for each.
+    pub movable: bool,
     /// Worth of a request beyond its tenant's share, as a fraction of its class's worth.
     pub over_share_worth: f64,
     /// What is allowed.
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -455,6 +455,7 @@
         let tenants =
             self.tenants.values().map(|t| types::Tenant { share: t.share, quota_per_s: Some(t.quota) });
         types::Settings {
+            movable: false,
             group_size: self.gateways.count,
             me,
             zone: Some(me as u16 % self.gateways.zones),
--- a/src/bin/tulipridge-simhost/parse.rs
+++ b/src/bin/tulipridge-simhost/parse.rs
@@ -275,6 +275,7 @@
         _ => Gauge::Other,
     };
     let settings = Settings {
+        movable: false,
         speeds: Vec::new(),
         list_calls_per_s: None,
         group_size: whole("group-size", pairs.must("group-size")?)?,
--- a/src/config.rs
+++ b/src/config.rs
@@ -357,6 +357,7 @@
         _ => Gauge::Other,
     };
     let settings = Settings {
+        movable: false,
         group_size: tree.at("group-size").number(1.0)? as u32,
         me: tree.at("me").number(0.0)? as u32,
         zone: (!zone.is_empty()).then(|| number_of(&mut names.zones, &zone)),
