Follow the new header fields in the test of heads

Cause: the additions to a request's head gained the transfer of KV cache, and the test of heads did not compile without that field. Change: the test names no transfer; what it expects of heads is unchanged.

--- a/crates/kiosk/tests/heads.rs
+++ b/crates/kiosk/tests/heads.rs
@@ -4,6 +4,7 @@
 
 use jetway::http::Head;
 use kiosk::headers::{Additions, After, Framing, OwnAnswer, write_answer, write_request};
+use kiosk::kv_cache::KvTransfer;
 
 fn head(text: &str) -> Head {
     let mut lines = text.lines();
@@ -36,6 +37,7 @@
     revision: None,
     salt: None,
     last_event_id: None,
+    kv: KvTransfer { fetch: None, save: None },
 };
 
 #[test]
