Spread the loads of weights over the term, and shorten leases to 0.6 s

Cause: four to seven of 18 replicas were out at a time for 9 s of the 15 s that the operator allows, and after a loss of power the control plane waited 1 s before it voted. Change: loads are spread over 0.78 of the term; notice and reports are quicker; leases and election time-outs go from 1 s to 0.6 s.

--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -6,17 +6,17 @@
 use intercom::node::NodeId;
 
 /// How often a primary tells all members that it is there.
-pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// How long a voter promises no epoch to others after it acknowledged a heartbeat.
-pub(super) const GRANT_TERM: Duration = Duration::from_millis(1000);
+pub(super) const GRANT_TERM: Duration = Duration::from_millis(600);
 /// How long a primary's lease runs from the sending of a heartbeat that a majority acknowledged.
-pub(super) const LEASE_TERM: Duration = Duration::from_millis(900);
+pub(super) const LEASE_TERM: Duration = Duration::from_millis(540);
 /// A primary without a majority for this long gives up.
-pub(super) const STEP_DOWN_AFTER: Duration = Duration::from_millis(1000);
+pub(super) const STEP_DOWN_AFTER: Duration = Duration::from_millis(600);
 /// A holder without a heartbeat for this long may campaign.
-pub(super) const ELECTION_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(super) const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much later each further holder in the view's order campaigns.
-pub(super) const ELECTION_STAGGER: Duration = Duration::from_millis(150);
+pub(super) const ELECTION_STAGGER: Duration = Duration::from_millis(100);
 /// Messages of a pending step are repeated after this time.
 pub(super) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
 /// The whole state is sent again after this time.
--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -12,9 +12,9 @@
 use crate::fleet::Corrections;
 
 /// Time for the gateways to learn that a replica takes no more requests, before it is ordered to load.
-const NOTICE: Duration = Duration::from_millis(250);
+const NOTICE: Duration = Duration::from_millis(200);
 /// Time from one look at a loading replica's report to the next.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// A report may show how things stood this long ago.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time for which a replica that has refused an order gets no other one.
@@ -26,7 +26,7 @@
 /// Replicas that load at once, if there are enough.
 const LEAST_AT_ONCE: usize = 3;
 /// The part of the operator's term in which all replicas should have loaded.
-const LOAD_PART: f64 = 0.6;
+const LOAD_PART: f64 = 0.78;
 /// The part of the operator's term after which older weights are not used any more.
 const WITHDRAWAL_PART: f64 = 0.85;
 /// How long ago weights may have been acknowledged that a new primary finds named.
