--- a/crates/courier/src/store.rs
+++ b/crates/courier/src/store.rs
@@ -2,16 +2,23 @@
 
 mod configurations;
 mod fleet;
+mod kept;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use intercom::feed::{Group, Holdings, ModelWeights, Position, Replica, ToSubscriber, WeightsTable};
+use cabinet::Index;
+use intercom::feed::{
+    Group, Holdings, KeptUpdate, ModelWeights, Position, Replica, ToSubscriber, WeightsTable,
+};
 use snafu::Snafu;
 use timetable::Configuration;
 
 use configurations::Configurations;
 use fleet::FleetTable;
+use kept::KeptTable;
 
 /// Earlier configurations that a store remembers, to tell what has changed since.
 pub const REMEMBERED_CONFIGURATIONS: usize = 8;
@@ -34,6 +41,8 @@
     Configuration,
     /// The table of replicas.
     Fleet,
+    /// The index of kept prompts.
+    Kept,
 }
 
 impl std::fmt::Display for Table {
@@ -41,6 +50,7 @@
         f.write_str(match self {
             Table::Configuration => "configuration",
             Table::Fleet => "fleet",
+            Table::Kept => "index of kept prompts",
         })
     }
 }
@@ -54,6 +64,8 @@
     pub fleet: bool,
     /// The table of weights.
     pub weights: bool,
+    /// The index of kept prompts.
+    pub kept: bool,
     /// Who takes part.
     pub group: bool,
     /// The answer to a ping, which changes nothing here.
@@ -63,7 +75,7 @@
 impl Changed {
     /// Whether anything of the state is different from before.
     pub fn any(&self) -> bool {
-        self.configuration || self.fleet || self.weights || self.group
+        self.configuration || self.fleet || self.weights || self.kept || self.group
     }
 
     /// Adds what a later message has changed.
@@ -71,6 +83,7 @@
         self.configuration |= later.configuration;
         self.fleet |= later.fleet;
         self.weights |= later.weights;
+        self.kept |= later.kept;
         self.group |= later.group;
         self.pong = later.pong.or(self.pong);
     }
@@ -109,6 +122,7 @@
             configuration: self.holdings.configuration.max(other.holdings.configuration),
             fleet: self.holdings.fleet.max(other.holdings.fleet),
             weights: self.holdings.weights.max(other.holdings.weights),
+            kept: self.holdings.kept.max(other.holdings.kept),
         };
         Sent { holdings, group: self.group.max(other.group) }
     }
@@ -123,6 +137,7 @@
     configurations: Configurations,
     fleet: FleetTable,
     weights: WeightsTable,
+    kept: KeptTable,
     group: Group,
     group_version: u64,
 }
@@ -160,6 +175,11 @@
         true
     }
 
+    /// Takes changes of what sources keep, as the primary of `epoch`; whether the position moves.
+    pub fn set_kept(&mut self, epoch: u64, updates: &[KeptUpdate]) -> bool {
+        self.kept.set(epoch, updates)
+    }
+
     /// Sets who takes part; whether that is news.
     pub fn set_group(&mut self, group: Group) -> bool {
         if self.group_version > 0 && self.group == group {
@@ -179,6 +199,7 @@
             }
             ToSubscriber::Fleet(update) => changed.fleet = self.fleet.apply(update)?,
             ToSubscriber::Weights(table) => changed.weights = self.take_weights(table),
+            ToSubscriber::Kept(update) => changed.kept = self.kept.apply(update)?,
             ToSubscriber::Group(group) => changed.group = self.set_group(group),
             ToSubscriber::Pong { id, age_ms, revision } => {
                 let age = age_ms.map(|age| Duration::from_millis(age.into()));
@@ -213,6 +234,11 @@
         &self.weights
     }
 
+    /// The index of kept prompts, which goes on changing with this store.
+    pub fn kept(&self) -> &Rc<RefCell<Index>> {
+        self.kept.index()
+    }
+
     /// Who takes part; empty while that is not known.
     pub fn group(&self) -> &Group {
         &self.group
@@ -224,6 +250,7 @@
             configuration: self.configurations.revision(),
             fleet: self.fleet.position(),
             weights: self.weights.position,
+            kept: self.kept.position(),
         }
     }
 
@@ -250,6 +277,9 @@
         if self.weights.position > sent.holdings.weights {
             messages.push(ToSubscriber::Weights(self.weights.clone()));
         }
+        if let Some(update) = self.kept.since(sent.holdings.kept) {
+            messages.push(ToSubscriber::Kept(update));
+        }
         if self.group_version > sent.group {
             messages.push(ToSubscriber::Group(self.group.clone()));
         }
--- a/crates/courier/tests/store.rs
+++ b/crates/courier/tests/store.rs
@@ -184,7 +184,12 @@
     publisher.set_configuration(configuration(5, 1));
     publisher.set_fleet(1, vec![replica("a", 1)]);
     publisher.set_weights(1, weights(1));
-    let ahead = Holdings { configuration: 6, fleet: position(1, 2), weights: position(2, 1) };
+    let ahead = Holdings {
+        configuration: 6,
+        fleet: position(1, 2),
+        weights: position(2, 1),
+        kept: Position::default(),
+    };
     assert_eq!(publisher.missing(&ahead), vec![]);
 }
 
--- a/crates/courier/tests/subscriber.rs
+++ b/crates/courier/tests/subscriber.rs
@@ -182,8 +182,13 @@
             }
         }
         assert_eq!(answers == ANSWERS, stays);
-        let left = reason.borrow().as_ref().map(|reason| format!("{reason:?}"));
-        assert_eq!(left.is_some_and(|reason| reason.starts_with("NotFresh")), !stays);
+        if stays {
+            assert!(reason.borrow().is_none());
+            return;
+        }
+        until(|| reason.borrow().is_some()).await;
+        let reason = format!("{:?}", reason.borrow().as_ref().expect("is told"));
+        assert!(reason.starts_with("NotFresh"), "{reason}");
     });
 }
 
--- a/crates/intercom/src/feed.rs
+++ b/crates/intercom/src/feed.rs
@@ -8,6 +8,7 @@
 
 use std::sync::Arc;
 
+pub use cabinet::KeptUpdate;
 use musli::{Decode, Encode};
 use timetable::Configuration;
 pub use timetable::ConfigurationChanges;
@@ -61,6 +62,8 @@
     pub fleet: Position,
     /// Position of the table of weights.
     pub weights: Position,
+    /// Position of the index of kept prompts.
+    pub kept: Position,
 }
 
 /// Where a table stands: the epoch of the primary that wrote it, and the number of its change in that epoch.
@@ -82,6 +85,8 @@
     Fleet(FleetUpdate),
     /// The table of weights, always whole: it has a line for each model.
     Weights(WeightsTable),
+    /// The index of kept prompts, whole or changed.
+    Kept(KeptTableUpdate),
     /// How many gateways there are, and who serves control.
     Group(Group),
     /// Answers a ping.
@@ -128,6 +133,17 @@
     },
 }
 
+/// News of the index of kept prompts.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct KeptTableUpdate {
+    /// Where the index must stand for the changes to apply; none where they are the whole index.
+    pub base: Option<Position>,
+    /// Where it stands after them.
+    pub position: Position,
+    /// What has changed, at most once for a source.
+    pub updates: Vec<KeptUpdate>,
+}
+
 /// A replica as the control plane knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Replica {
--- a/crates/kiosk/src/admission.rs
+++ b/crates/kiosk/src/admission.rs
@@ -7,9 +7,6 @@
 use timetable::lookup::RoutingTable;
 use timetable::{Configuration, Route, Tenant};
 
-/// The least urgent priority that replicas know; ranks beyond it count as this one.
-const LAST_PRIORITY: u8 = 9;
-
 /// A configuration with its index.
 #[derive(Debug)]
 pub struct Routing {
@@ -89,10 +86,10 @@
         &self.route().shares[self.share].service
     }
 
-    /// The urgency that replicas are told, 0 first.
-    pub fn priority(&self) -> u8 {
+    /// The urgency that the operator has set, 0 first: the tenant's goes before the route's.
+    pub fn rank(&self) -> u8 {
         let tenants = self.tenant().and_then(|tenant| tenant.rank);
-        tenants.unwrap_or(self.route().rank).min(LAST_PRIORITY)
+        tenants.unwrap_or(self.route().rank)
     }
 
     /// Under which text a replica keeps what it reads for this request, at this revision of its weights.
--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -13,10 +13,10 @@
 use crate::client::{Client, Done, Incoming, write_last, write_own};
 use crate::headers::{self, Additions, Framing, OwnAnswer};
 use crate::held::Held;
-use crate::kv_cache::{Beginning, KvTransfer};
+use crate::kv_cache::{Chain, KvTransfer, Target};
 use crate::placement::{self, Ask, Order};
 use crate::pool::Connection;
-use crate::prompt::Prompt;
+use crate::prompt::{self, Prompt};
 use crate::proxy::Proxy;
 use crate::relay::{Relay, RelayEnd};
 use crate::replicas::ReplicaEntry;
@@ -284,14 +284,15 @@
         let model = self.incoming.head.get("llm");
         let revision = model.and_then(|model| replica.revision(model));
         let salt = model.map(|_| admitted.salt(revision.unwrap_or(0)));
+        let kv = salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default();
         let additions = Additions {
             replica: &replica.id.0,
             tenant: admitted.tenant().map(|tenant| tenant.label.as_str()),
             time_left: self.deadline.saturating_duration_since(Instant::now()),
-            priority: admitted.priority(),
+            priority: self.priority(kv),
             revision,
             salt: salt.as_deref(),
-            kv: salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default(),
+            kv,
             last_event_id: self.relay.as_ref().and_then(Relay::last_event_id),
         };
         let mut head = Vec::with_capacity(1024);
@@ -299,13 +300,25 @@
         head
     }
 
+    /// The urgency by the operator's rank and by what the replica has to read: the last part of the prompt is the
+    /// request's own.
+    fn priority(&self, kv: KvTransfer) -> u8 {
+        let prompt = Prompt::read(&self.incoming.head);
+        let own_tokens = prompt.tokens.saturating_sub(prompt.shared_tokens);
+        let unread_tokens = own_tokens.saturating_add(kv.unread_tokens);
+        self.proxy.urgency.borrow_mut().priority(self.admitted.rank(), unread_tokens)
+    }
+
     /// Where this replica takes the KV cache of the prompt from, and where it keeps it.
     fn kv_transfer(&self, replica: &ReplicaEntry, salt: &str) -> KvTransfer {
-        let prompt = Prompt::read(&self.incoming.head);
-        let Some(beginning) = Beginning::of(&prompt, salt) else { return KvTransfer::default() };
+        let chain = Chain::new(prompt::shared_parts(&self.incoming.head), salt);
         let replicas = self.proxy.replicas.borrow();
-        let address_of = |id: &ReplicaId| replicas.ready(id).map(|other| other.address);
-        self.proxy.kv.borrow_mut().plan(station::clock::now(), beginning, &replica.id, address_of)
+        let zone_of = |address| {
+            let other = replicas.at(address).filter(|other| other.service == replica.service);
+            other.map(|other| other.zone)
+        };
+        let target = Target { address: replica.address, zone: replica.zone };
+        self.proxy.kv.borrow_mut().plan(station::clock::now(), &chain, target, zone_of)
     }
 
     /// An attempt has ended without the module's doing.
--- a/crates/kiosk/src/kv_cache.rs
+++ b/crates/kiosk/src/kv_cache.rs
@@ -1,41 +1,79 @@
-//! Where the KV cache of a prompt's shared beginning may be taken from, and when it is worth keeping in a store.
-//! The time is handed in.
+//! Where the KV cache of a prompt's shared beginning is taken from, and when it is saved in a store. The time is
+//! handed in.
 //!
-//! A gateway remembers which replica it last sent a beginning to. A replica that is chosen instead of that one is told
-//! to fetch the cache from it; one that is chosen again, or for a beginning that this gateway has not met, is told to
-//! fetch from the store what it does not keep. A source that has nothing costs about a millisecond.
+//! The control plane's index tells which replica or store keeps which part. It is late by some hundred milliseconds,
+//! so a gateway also remembers which replica it sent a beginning to just now. The index may be wrong: a source that
+//! has nothing costs about a millisecond.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 
-use signpost::types::ReplicaId;
+use cabinet::{Index, PartKey};
 
-use crate::prompt::{self, Prompt};
-
-/// A shared beginning shorter than this is read again as fast as it is fetched.
-const LEAST_TOKENS: u32 = 256;
-/// A beginning is saved again after this time: a store forgets what it has not been asked for, and all of it when it
-/// restarts.
-const SAVE_AGAIN: Duration = Duration::from_secs(15);
+/// Fewer tokens than these are read again as fast as they are fetched.
+const LEAST_TOKENS: u32 = cabinet::LEAST_TOKENS;
+/// Sources keep parts in whole blocks: a part that lacks no more than this is kept whole.
+const BLOCK_SLACK: u32 = 64;
+/// Sources that are looked at for a request.
+const MOST_CANDIDATES: usize = 64;
+/// A replica that was sent a beginning this lately may be ahead of the index.
+const HINT_HOLDS: Duration = Duration::from_secs(1);
+/// A beginning is not saved again before the index has had time to tell of it.
+const SAVE_AGAIN: Duration = Duration::from_secs(3);
 /// Beginnings that are remembered; beyond it, the one met longest ago is forgotten.
 const MOST_BEGINNINGS: usize = 4096;
 
-/// A shared beginning under the text that keeps caches apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Beginning {
-    /// Hash of its last part and of the cache salt.
-    pub key: u64,
+/// A part of a prompt that other requests share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChainPart {
+    /// Its name in the index.
+    pub key: PartKey,
     /// Its tokens.
     pub tokens: u32,
 }
 
-impl Beginning {
-    /// The shared beginning of a prompt, if it has one.
-    pub fn of(prompt: &Prompt, salt: &str) -> Option<Beginning> {
-        let key = prompt.shared? ^ prompt::hash(salt).rotate_left(1);
-        Some(Beginning { key, tokens: prompt.shared_tokens })
+/// The shared parts of a prompt in their order, under the text that keeps caches apart. Parts that are too short to
+/// be indexed are left out; they are read along with the next one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chain(Vec<ChainPart>);
+
+impl Chain {
+    /// The chain of these parts, each with its id and its tokens.
+    pub fn new<'a>(parts: impl IntoIterator<Item = (&'a str, u32)>, salt: &str) -> Chain {
+        let long = parts.into_iter().filter(|(_, tokens)| *tokens >= LEAST_TOKENS);
+        Chain(long.map(|(id, tokens)| ChainPart { key: PartKey::new(salt, id), tokens }).collect())
+    }
+
+    /// Its parts.
+    pub fn parts(&self) -> &[ChainPart] {
+        &self.0
+    }
+
+    /// Tokens of all its parts.
+    pub fn tokens(&self) -> u32 {
+        self.0.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+    }
+
+    /// The key of the whole beginning.
+    fn key(&self) -> Option<u64> {
+        self.0.last().map(|part| part.key.0)
+    }
+}
+
+/// Tokens that a source keeps of a chain: a part counts only if all before it are kept.
+pub fn kept_tokens(index: &Index, source: SocketAddrV4, chain: &Chain) -> u32 {
+    let mut sum: u32 = 0;
+    for part in chain.parts() {
+        let kept = index.kept(source, part.key).min(part.tokens);
+        sum = sum.saturating_add(kept);
+        if kept + BLOCK_SLACK < part.tokens {
+            break;
+        }
     }
+    sum
 }
 
 /// What a replica is told of KV cache.
@@ -45,64 +83,177 @@
     pub fetch: Option<SocketAddr>,
     /// The store to send the parts to once they are read.
     pub save: Option<SocketAddr>,
+    /// Tokens of the beginning that neither the replica nor the source keeps.
+    pub unread_tokens: u32,
+}
+
+/// The replica that a request goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: u16,
 }
 
 /// What this gateway remembers of a beginning.
-#[derive(Clone, Debug)]
-struct Known {
-    replica: ReplicaId,
-    met: Duration,
+#[derive(Clone, Copy, Debug)]
+struct Met {
+    target: SocketAddr,
+    at: Duration,
     saved: Option<Duration>,
 }
 
-/// The beginnings that this gateway has met.
+/// A source that keeps a part of a chain.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    source: SocketAddrV4,
+    tokens: u32,
+    /// Among sources that keep as much, the higher is taken.
+    rank: Rank,
+}
+
+/// Replicas go before stores, those of the target's zone before others; the last field spreads the load.
+type Rank = (bool, bool, u64);
+
+/// Plans the transfers of KV cache.
 #[derive(Debug, Default)]
 pub struct KvDirectory {
-    known: BTreeMap<u64, Known>,
-    stores: Vec<SocketAddr>,
+    index: Rc<RefCell<Index>>,
+    stores: Vec<SocketAddrV4>,
+    met: BTreeMap<u64, Met>,
+    turn: u64,
 }
 
 impl KvDirectory {
+    /// Looks into this index from now on.
+    pub fn set_index(&mut self, index: Rc<RefCell<Index>>) {
+        self.index = index;
+    }
+
     /// Takes over the stores of the newest configuration.
-    pub fn set_stores(&mut self, stores: Vec<SocketAddr>) {
+    pub fn set_stores(&mut self, stores: Vec<SocketAddrV4>) {
         self.stores = stores;
     }
 
-    /// Plans the transfers for a request that goes to `target`; `address_of` finds a ready replica's address.
+    /// Plans the transfers for a request that goes to `target`; `zone_of` tells the zone of a replica of the same
+    /// service that is still listed at an address.
     pub fn plan(
         &mut self,
         now: Duration,
-        beginning: Beginning,
-        target: &ReplicaId,
-        address_of: impl Fn(&ReplicaId) -> Option<SocketAddr>,
+        chain: &Chain,
+        target: Target,
+        zone_of: impl Fn(SocketAddr) -> Option<u16>,
     ) -> KvTransfer {
-        if beginning.tokens < LEAST_TOKENS {
-            return KvTransfer::default();
-        }
-        let store = self.store(beginning.key);
-        let known = self.known.get(&beginning.key);
-        let other = known.filter(|known| known.replica != *target);
-        let fetch = other.and_then(|known| address_of(&known.replica)).or(store);
-        let saved = known.and_then(|known| known.saved);
-        let is_saved = saved.is_some_and(|at| now.saturating_sub(at) < SAVE_AGAIN);
-        let save = store.filter(|_| !is_saved);
-        let saved = if save.is_some() { Some(now) } else { saved };
-        self.known.insert(beginning.key, Known { replica: target.clone(), met: now, saved });
+        let Some(key) = chain.key() else { return KvTransfer::default() };
+        self.turn = self.turn.wrapping_add(1);
+        let fetch = self.source(now, key, chain, target, zone_of);
+        let save = self.store_to_save(now, key, chain);
+        let saved = if save.is_some() { Some(now) } else { self.met.get(&key).and_then(|met| met.saved) };
+        self.met.insert(key, Met { target: target.address, at: now, saved });
         self.forget_oldest();
-        KvTransfer { fetch, save }
+        let kept =
+            self.kept_at(target.address, chain).max(fetch.map_or(0, |from| self.kept_at(from, chain)));
+        let unread_tokens = chain.tokens().saturating_sub(kept);
+        KvTransfer { fetch, save: save.map(SocketAddr::V4), unread_tokens }
     }
 
-    /// The store that keeps a beginning: the same one at every gateway.
-    fn store(&self, key: u64) -> Option<SocketAddr> {
-        let count = self.stores.len() as u64;
-        (count > 0).then(|| self.stores[(key % count) as usize])
+    /// Tokens of the chain that a replica or a store keeps, as far as the index tells.
+    fn kept_at(&self, address: SocketAddr, chain: &Chain) -> u32 {
+        match address {
+            SocketAddr::V4(address) => kept_tokens(&self.index.borrow(), address, chain),
+            SocketAddr::V6(_) => 0,
+        }
+    }
+
+    /// Where the chain is fetched from; none where nobody keeps enough more of it than the target.
+    fn source(
+        &self,
+        now: Duration,
+        key: u64,
+        chain: &Chain,
+        target: Target,
+        zone_of: impl Fn(SocketAddr) -> Option<u16>,
+    ) -> Option<SocketAddr> {
+        let kept = self.kept_at(target.address, chain);
+        let index = self.index.borrow();
+        let worth_fetching = kept.saturating_add(LEAST_TOKENS);
+        if chain.tokens() < worth_fetching {
+            return None;
+        }
+        let best = self.best_candidate(&index, chain, target, &zone_of);
+        if let Some(best) = best.filter(|best| best.tokens >= worth_fetching) {
+            return Some(SocketAddr::V4(best.source));
+        }
+        let met = self.met.get(&key).filter(|met| met.target != target.address)?;
+        let is_down = match met.target {
+            SocketAddr::V4(address) => index.status(address).is_some() && !index.is_alive(address),
+            SocketAddr::V6(_) => false,
+        };
+        let holds = index.is_empty() || now.saturating_sub(met.at) <= HINT_HOLDS;
+        (holds && !is_down && zone_of(met.target).is_some()).then_some(met.target)
+    }
+
+    /// The source that keeps the most, among the holders of the last part that any source keeps.
+    fn best_candidate(
+        &self,
+        index: &Index,
+        chain: &Chain,
+        target: Target,
+        zone_of: &impl Fn(SocketAddr) -> Option<u16>,
+    ) -> Option<Candidate> {
+        chain.parts().iter().rev().find_map(|part| {
+            let holders =
+                index.holders(part.key).filter(|holder| SocketAddr::V4(holder.source) != target.address);
+            let candidates = holders.take(MOST_CANDIDATES).filter_map(|holder| {
+                let rank = self.rank(holder.source, target, zone_of)?;
+                let tokens = kept_tokens(index, holder.source, chain);
+                Some(Candidate { source: holder.source, tokens, rank })
+            });
+            candidates
+                .filter(|candidate| candidate.tokens >= LEAST_TOKENS)
+                .max_by_key(|candidate| (candidate.tokens / LEAST_TOKENS, candidate.rank))
+        })
+    }
+
+    /// None for an address that is neither a store nor a replica of the service.
+    fn rank(
+        &self,
+        source: SocketAddrV4,
+        target: Target,
+        zone_of: &impl Fn(SocketAddr) -> Option<u16>,
+    ) -> Option<Rank> {
+        let chance = spread(source, self.turn);
+        if self.stores.contains(&source) {
+            return Some((false, false, chance));
+        }
+        zone_of(SocketAddr::V4(source)).map(|zone| (true, zone == target.zone, chance))
+    }
+
+    /// The store that should have the chain and lacks it, unless it was asked for lately.
+    fn store_to_save(&self, now: Duration, key: u64, chain: &Chain) -> Option<SocketAddrV4> {
+        let index = self.index.borrow();
+        let alive: Vec<SocketAddrV4> =
+            self.stores.iter().copied().filter(|store| index.is_alive(*store)).collect();
+        let store = *alive.get((key % alive.len().max(1) as u64) as usize)?;
+        let lacks = kept_tokens(&index, store, chain).saturating_add(BLOCK_SLACK) < chain.tokens();
+        let saved = self.met.get(&key).and_then(|met| met.saved);
+        let is_asked = saved.is_some_and(|at| now.saturating_sub(at) < SAVE_AGAIN);
+        (lacks && !is_asked).then_some(store)
     }
 
     fn forget_oldest(&mut self) {
-        if self.known.len() <= MOST_BEGINNINGS {
+        if self.met.len() <= MOST_BEGINNINGS {
             return;
         }
-        let oldest = self.known.iter().min_by_key(|(_, known)| known.met).map(|(key, _)| *key);
-        oldest.map(|key| self.known.remove(&key));
+        let oldest = self.met.iter().min_by_key(|(_, met)| met.at).map(|(key, _)| *key);
+        oldest.map(|key| self.met.remove(&key));
     }
 }
+
+/// A number that differs between sources and turns (the finalizer of SplitMix64).
+fn spread(source: SocketAddrV4, turn: u64) -> u64 {
+    let seed = u64::from(u32::from(*source.ip())) << 16 | u64::from(source.port());
+    let state = (seed ^ turn.rotate_left(40)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    (state ^ (state >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB)
+}
--- a/crates/kiosk/src/lib.rs
+++ b/crates/kiosk/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod replicas;
 pub mod reply;
 pub mod run;
+pub mod urgency;
--- a/crates/kiosk/src/prompt.rs
+++ b/crates/kiosk/src/prompt.rs
@@ -28,14 +28,28 @@
     }
 }
 
+/// The parts that are shared with other requests, in their order, each with its id and its tokens: all but the last.
+pub fn shared_parts(head: &Head) -> Vec<(&str, u32)> {
+    let mut parts: Vec<_> = head.get("prompt-start").map(|list| split(list).collect()).unwrap_or_default();
+    parts.pop();
+    parts
+}
+
+fn split(list: &str) -> impl Iterator<Item = (&str, u32)> {
+    let parts = list.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(|part| {
+        let (id, tokens) = part.split_once(':').unwrap_or((part, "0"));
+        (id, tokens.trim().parse().unwrap_or(0))
+    })
+}
+
 fn parts(list: &str) -> Prompt {
     let mut prompt = Prompt::default();
-    for part in list.split(',').map(str::trim).filter(|part| !part.is_empty()) {
-        let (id, tokens) = part.split_once(':').unwrap_or((part, "0"));
+    for (id, tokens) in split(list) {
         prompt.shared = prompt.session;
         prompt.session = Some(hash(id));
         prompt.shared_tokens = prompt.tokens;
-        prompt.tokens = prompt.tokens.saturating_add(tokens.trim().parse().unwrap_or(0));
+        prompt.tokens = prompt.tokens.saturating_add(tokens);
     }
     prompt
 }
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -25,6 +25,7 @@
 use crate::placement::Placement;
 use crate::pool::Pool;
 use crate::replicas::{Replicas, ZoneIndex};
+use crate::urgency::Urgency;
 
 /// Tells how long ago the configuration was known to be the newest.
 pub type Age = Box<dyn Fn() -> Option<Duration>>;
@@ -45,6 +46,8 @@
     pub replicas: RefCell<Replicas>,
     /// Raised when the stage of life changes.
     pub stage_changed: Notice,
+    /// The urgency that replicas are told.
+    pub urgency: RefCell<Urgency>,
     /// What is in use of what the process may use.
     pub usage: Usage,
     routing: RefCell<Option<Rc<Routing>>>,
@@ -72,6 +75,7 @@
             pool: Pool::new(bounds.replicas, replica_limits()),
             placement: Rc::new(RefCell::new(Placement::new(zone, seed))),
             kv: RefCell::default(),
+            urgency: RefCell::default(),
             replicas: RefCell::default(),
             stage_changed: Notice::default(),
             usage: Usage::new(bounds),
@@ -141,6 +145,11 @@
         self.placement.borrow_mut().set_members(held::now(), service, members);
     }
 
+    /// Looks into this index of kept prompts from now on.
+    pub fn set_index(&self, index: Rc<RefCell<cabinet::Index>>) {
+        self.kv.borrow_mut().set_index(index);
+    }
+
     // ---- judgements ---------------------------------------------------------------------------------------
 
     /// The newest configuration, if it is fresh enough to judge requests by.
--- a/crates/kiosk/src/replicas.rs
+++ b/crates/kiosk/src/replicas.rs
@@ -69,6 +69,8 @@
 #[derive(Debug, Default)]
 pub struct Replicas {
     entries: BTreeMap<ReplicaId, Rc<ReplicaEntry>>,
+    /// The ids of listed incarnations that still have their address, by address.
+    addresses: BTreeMap<SocketAddr, ReplicaId>,
     /// Incarnations whose address belongs to another one now, while they are still listed.
     displaced: BTreeSet<ReplicaId>,
     ready: usize,
@@ -80,6 +82,11 @@
         self.entries.get(id).filter(|entry| entry.phase == Phase::Ready)
     }
 
+    /// The replica that is listed at an address, whether or not it may be sent requests.
+    pub fn at(&self, address: SocketAddr) -> Option<&Rc<ReplicaEntry>> {
+        self.entries.get(self.addresses.get(&address)?)
+    }
+
     /// How many replicas may be sent requests.
     pub fn ready_count(&self) -> usize {
         self.ready
@@ -128,6 +135,7 @@
         let entry = self.entries.get_mut(id).filter(|entry| entry.phase == Phase::Ready)?;
         Rc::make_mut(entry).phase = Phase::Draining;
         let service = entry.service.clone();
+        self.addresses.remove(&entry.address);
         self.displaced.insert(id.clone());
         self.ready -= 1;
         Some(service)
@@ -142,10 +150,21 @@
         let changed = added.chain(removed).map(|entry| entry.service.clone()).collect();
         self.displaced.retain(|id| entries.contains_key(id));
         self.ready = entries.values().filter(|entry| entry.phase == Phase::Ready).count();
+        self.addresses = self.by_address(&entries);
         self.entries = entries;
         changed
     }
 
+    /// Of two at one address, one that may be sent requests is the one that has it.
+    fn by_address(
+        &self,
+        entries: &BTreeMap<ReplicaId, Rc<ReplicaEntry>>,
+    ) -> BTreeMap<SocketAddr, ReplicaId> {
+        let listed = entries.values().filter(|entry| !self.displaced.contains(&entry.id));
+        let (ready, other): (Vec<_>, Vec<_>) = listed.partition(|entry| entry.phase == Phase::Ready);
+        other.into_iter().chain(ready).map(|entry| (entry.address, entry.id.clone())).collect()
+    }
+
     /// A service's replicas as the decision module takes them.
     pub fn members(&self, service: &str) -> Arc<[Member]> {
         self.entries.values().filter(|entry| entry.service == service).map(|entry| entry.member()).collect()
--- a/crates/kiosk/src/run.rs
+++ b/crates/kiosk/src/run.rs
@@ -72,6 +72,7 @@
     let store = Rc::new(RefCell::new(FeedStore::remembering(0)));
     let subscriber = Subscriber::new(identity(&settings), store.clone());
     let proxy = proxy(&settings, &subscriber);
+    proxy.set_index(store.borrow().kept().clone());
     follow(&proxy, &subscriber, store);
     log::info!(seeds = settings.seed_nodes.len(); "the proxy starts");
 
--- a/crates/kiosk/tests/heads.rs
+++ b/crates/kiosk/tests/heads.rs
@@ -37,7 +37,7 @@
     revision: None,
     salt: None,
     last_event_id: None,
-    kv: KvTransfer { fetch: None, save: None },
+    kv: KvTransfer { fetch: None, save: None, unread_tokens: 0 },
 };
 
 #[test]
--- /dev/null
+++ b/crates/kiosk/tests/kv_cache.rs
@@ -0,0 +1,232 @@
+//! Where KV cache is fetched from and saved to.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cabinet::{Index, KeptUpdate, Liveness, PartKey};
+use kiosk::kv_cache::{Chain, KvDirectory, KvTransfer, Target, kept_tokens};
+use rstest::rstest;
+
+const STORE: u8 = 200;
+const PARTS: [(&str, u32); 3] = [("a", 2_000), ("b", 100), ("c", 3_000)];
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 80)
+}
+
+fn target(number: u8) -> Target {
+    Target { address: SocketAddr::V4(address(number)), zone: u16::from(number % 2) }
+}
+
+/// The zone of the replicas with these numbers.
+fn zones(numbers: &[u8]) -> impl Fn(SocketAddr) -> Option<u16> {
+    let zones: BTreeMap<SocketAddr, u16> =
+        numbers.iter().map(|number| (SocketAddr::V4(address(*number)), u16::from(*number % 2))).collect();
+    move |address| zones.get(&address).copied()
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn chain(salt: &str) -> Chain {
+    Chain::new(PARTS, salt)
+}
+
+fn keeps(number: u8, liveness: Liveness, parts: &[(&str, &str, u32)]) -> KeptUpdate {
+    KeptUpdate {
+        source: address(number),
+        boot: 1,
+        next_token: 1,
+        liveness,
+        replace: true,
+        added: parts.iter().map(|(salt, part, tokens)| (PartKey::new(salt, part), *tokens)).collect(),
+        removed: Vec::new(),
+    }
+}
+
+fn directory(updates: &[KeptUpdate]) -> KvDirectory {
+    let mut index = Index::default();
+    updates.iter().for_each(|update| index.apply(update));
+    let mut directory = KvDirectory::default();
+    directory.set_index(Rc::new(RefCell::new(index)));
+    directory.set_stores(vec![address(STORE)]);
+    directory
+}
+
+fn fetch(plan: KvTransfer) -> Option<u8> {
+    plan.fetch.map(number)
+}
+
+fn number(address: SocketAddr) -> u8 {
+    let SocketAddr::V4(address) = address else { panic!("an IPv4 address") };
+    address.ip().octets()[3]
+}
+
+const WHOLE: [(&str, &str, u32); 2] = [("m1", "a", 2_000), ("m1", "c", 3_000)];
+const FIRST: [(&str, &str, u32); 1] = [("m1", "a", 2_000)];
+const LAST: [(&str, &str, u32); 1] = [("m1", "c", 3_000)];
+
+// ---- what counts as kept ----------------------------------------------------------------------------------
+
+#[rstest]
+#[case::whole(&WHOLE, 5_000)]
+#[case::blocks(&[("m1", "a", 1_984), ("m1", "c", 2_992)], 4_976)]
+#[case::first(&FIRST, 2_000)]
+#[case::part_of_the_first(&[("m1", "a", 512), ("m1", "c", 3_000)], 512)]
+#[case::last_alone(&LAST, 0)]
+#[case::another_salt(&[("m2", "a", 2_000), ("m2", "c", 3_000)], 0)]
+fn a_part_counts_with_all_before_it(#[case] parts: &[(&str, &str, u32)], #[case] expected: u32) {
+    let mut index = Index::default();
+    index.apply(&keeps(1, Liveness::Alive, parts));
+    assert_eq!(kept_tokens(&index, address(1), &chain("m1")), expected);
+}
+
+// ---- fetches ----------------------------------------------------------------------------------------------
+
+#[rstest]
+#[case::target_keeps_all(&[(1, &WHOLE), (2, &WHOLE), (STORE, &WHOLE)], None)]
+#[case::same_zone_first(&[(2, &WHOLE), (3, &WHOLE), (4, &WHOLE), (STORE, &WHOLE)], Some(3))]
+#[case::replica_before_store(&[(2, &WHOLE), (STORE, &WHOLE)], Some(2))]
+#[case::who_keeps_more(&[(3, &FIRST), (2, &WHOLE)], Some(2))]
+#[case::store_that_keeps_more(&[(3, &FIRST), (STORE, &WHOLE)], Some(STORE))]
+#[case::no_more_than_the_target(&[(1, &FIRST), (3, &FIRST), (STORE, &FIRST)], None)]
+#[case::end_without_beginning(&[(3, &LAST), (STORE, &FIRST)], Some(STORE))]
+#[case::not_listed(&[(9, &WHOLE)], None)]
+#[case::nobody(&[], None)]
+fn the_source_that_keeps_the_most_is_fetched_from(
+    #[case] kept: &[(u8, &[(&str, &str, u32)])],
+    #[case] expected: Option<u8>,
+) {
+    let updates: Vec<_> =
+        kept.iter().map(|(number, parts)| keeps(*number, Liveness::Alive, parts)).collect();
+    let mut directory = directory(&updates);
+    let plan = directory.plan(ms(0), &chain("m1"), target(1), zones(&[1, 2, 3, 4]));
+    assert_eq!(fetch(plan), expected);
+}
+
+#[test]
+fn a_replica_that_was_just_sent_the_beginning_is_ahead_of_the_index() {
+    let mut directory = directory(&[keeps(STORE, Liveness::Alive, &[])]);
+    directory.plan(ms(0), &chain("m1"), target(1), zones(&[1, 2]));
+    assert_eq!(fetch(directory.plan(ms(900), &chain("m1"), target(2), zones(&[1, 2]))), Some(1));
+    assert_eq!(
+        fetch(directory.plan(ms(950), &chain("m2"), target(1), zones(&[1, 2]))),
+        None,
+        "another salt"
+    );
+    assert_eq!(fetch(directory.plan(ms(2_000), &chain("m1"), target(1), zones(&[1, 2]))), None, "long ago");
+}
+
+#[test]
+fn without_an_index_the_last_replica_is_asked_and_no_store() {
+    let mut directory = directory(&[]);
+    let first = directory.plan(ms(0), &chain("m1"), target(1), zones(&[1, 2]));
+    assert_eq!((first.fetch, first.save), (None, None));
+    let second = directory.plan(ms(9_000), &chain("m1"), target(2), zones(&[1, 2]));
+    assert_eq!((fetch(second), second.save), (Some(1), None));
+}
+
+#[test]
+fn a_prompt_without_long_shared_parts_moves_nothing() {
+    let mut directory = directory(&[keeps(STORE, Liveness::Alive, &[])]);
+    let short = Chain::new([("a", 255)], "m1");
+    let plan = directory.plan(ms(0), &short, target(1), zones(&[1]));
+    assert_eq!((plan.fetch, plan.save), (None, None));
+}
+
+// ---- saves ------------------------------------------------------------------------------------------------
+
+#[rstest]
+#[case::lacks_all(Liveness::Alive, &[], true)]
+#[case::lacks_the_last(Liveness::Alive, &FIRST, true)]
+#[case::keeps_all(Liveness::Alive, &WHOLE, false)]
+#[case::down(Liveness::Down, &[], false)]
+fn a_store_that_lacks_the_beginning_is_sent_it(
+    #[case] liveness: Liveness,
+    #[case] parts: &[(&str, &str, u32)],
+    #[case] expected: bool,
+) {
+    let mut directory = directory(&[keeps(STORE, liveness, parts)]);
+    let plan = directory.plan(ms(0), &chain("m1"), target(1), zones(&[1]));
+    assert_eq!(plan.save.map(number), expected.then_some(STORE));
+}
+
+#[test]
+fn a_save_is_not_asked_for_again_at_once() {
+    let mut directory = directory(&[keeps(STORE, Liveness::Alive, &[])]);
+    let mut saves_at = |time| directory.plan(ms(time), &chain("m1"), target(1), zones(&[1])).save.is_some();
+    assert_eq!([0, 10, 2_999, 3_000, 3_001].map(&mut saves_at), [true, false, false, true, false]);
+}
+
+// ---- property ---------------------------------------------------------------------------------------------
+
+/// Numbers without pattern (xorshift).
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % bound
+    }
+
+    fn pick<T: Copy>(&mut self, from: &[T]) -> T {
+        from[self.below(from.len() as u64) as usize]
+    }
+}
+
+const NUMBERS: [u8; 7] = [1, 2, 3, 4, 5, 6, STORE];
+const LISTED: [u8; 5] = [1, 2, 3, 4, 5];
+const SALTS: [&str; 3] = ["m1", "m2", "m1-t-x"];
+
+fn random_update(random: &mut Random) -> KeptUpdate {
+    let number = random.pick(&NUMBERS);
+    let liveness = random.pick(&[Liveness::Alive, Liveness::Alive, Liveness::Alive, Liveness::Down]);
+    let parts: Vec<_> = (0..random.below(5))
+        .map(|_| (random.pick(&SALTS), random.pick(&["a", "c"]), 256 + random.below(3_000) as u32))
+        .collect();
+    KeptUpdate { replace: random.below(4) == 0, ..keeps(number, liveness, &parts) }
+}
+
+/// What a plan may name: neither the target, nor a source that is down or that was never sent or never kept a part
+/// under the request's salt.
+fn assert_allowed(plan: KvTransfer, index: &Index, target: u8, salt: &str, sent: &[(u8, &str)]) {
+    if let Some(source) = fetch(plan) {
+        let chain = chain(salt);
+        let is_kept = kept_tokens(index, address(source), &chain) > 0;
+        let is_down = index.status(address(source)).is_some_and(|s| s.liveness != Liveness::Alive);
+        assert_ne!(source, target);
+        assert!(!is_down, "{source} is down");
+        assert!(is_kept || sent.contains(&(source, salt)), "{source} has nothing under {salt}");
+        assert!(source == STORE || LISTED.contains(&source), "{source} is not listed");
+    }
+    assert!(plan.save.is_none_or(|store| number(store) == STORE && index.is_alive(address(STORE))));
+}
+
+#[rstest]
+fn no_plan_names_a_wrong_source(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = Random(0x9E37_79B9_7F4A_7C15 ^ seed);
+    let index = Rc::new(RefCell::new(Index::default()));
+    let mut directory = KvDirectory::default();
+    directory.set_index(index.clone());
+    directory.set_stores(vec![address(STORE)]);
+    let (mut now, mut sent, mut fetches) = (0, Vec::new(), 0);
+    for _ in 0..5_000 {
+        now += random.below(800);
+        if random.below(4) == 0 {
+            index.borrow_mut().apply(&random_update(&mut random));
+            continue;
+        }
+        let (number, salt) = (random.pick(&LISTED), random.pick(&SALTS));
+        let plan = directory.plan(ms(now), &chain(salt), target(number), zones(&LISTED));
+        assert_allowed(plan, &index.borrow(), number, salt, &sent);
+        fetches += usize::from(plan.fetch.is_some());
+        sent.push((number, salt));
+    }
+    assert!(fetches > 500, "{fetches} fetches tell little");
+}
--- a/crates/kiosk/tests/pure.rs
+++ b/crates/kiosk/tests/pure.rs
@@ -300,11 +300,11 @@
 
 #[test]
 fn a_time_out_ends_what_takes_too_long_and_nothing_else() {
+    let past = Instant::now();
     let alarms = Alarms::default();
-    let now = Instant::now();
     futures_lite::future::block_on(async {
-        assert_eq!(alarms.by(now, std::future::pending::<()>()).await, None);
-        assert_eq!(alarms.by(now + Duration::from_secs(9), async { 1 }).await, Some(1));
+        assert_eq!(alarms.by(past, std::future::pending::<()>()).await, None);
+        assert_eq!(alarms.by(past + Duration::from_secs(9), async { 1 }).await, Some(1));
     });
 }
 
--- /dev/null
+++ b/crates/kiosk/tests/urgency.rs
@@ -0,0 +1,49 @@
+//! The urgency that replicas are told.
+
+use kiosk::urgency::Urgency;
+use rstest::rstest;
+
+const MEAN_TOKENS: u32 = 3_000;
+
+/// After many requests of one length.
+fn settled() -> Urgency {
+    let mut urgency = Urgency::default();
+    for _ in 0..100 {
+        urgency.priority(0, MEAN_TOKENS);
+    }
+    urgency
+}
+
+#[rstest]
+#[case::short(1, 1_000, 1)]
+#[case::mean(1, 3_000, 1)]
+#[case::long(1, 4_000, 2)]
+#[case::longer(1, 10_000, 3)]
+#[case::longest(1, 53_000, 4)]
+#[case::least_urgent(9, 53_000, 9)]
+#[case::ranks_without_end(255, 0, 9)]
+fn long_prompts_are_less_urgent(#[case] rank: u8, #[case] unread: u32, #[case] expected: u8) {
+    assert_eq!(settled().priority(rank, unread), expected);
+}
+
+#[rstest]
+fn of_a_like_length_the_rank_decides(#[values(0, 3_000, 4_000, 15_000, 100_000)] unread: u32) {
+    assert!((0..6).all(|rank| settled().priority(rank, unread) < settled().priority(rank + 1, unread)));
+}
+
+#[test]
+fn a_short_question_does_not_wait_for_a_long_prompt_of_the_next_higher_rank() {
+    assert!(settled().priority(2, 1_100) < settled().priority(1, 17_000));
+    assert!(settled().priority(1, 1_100) < settled().priority(0, 17_000));
+}
+
+#[test]
+fn the_first_request_sets_the_measure_and_the_mean_follows() {
+    let mut urgency = Urgency::default();
+    assert_eq!(urgency.priority(1, 17_000), 1);
+    assert_eq!(urgency.priority(1, 17_000), 1);
+    for _ in 0..400 {
+        urgency.priority(1, 1_000);
+    }
+    assert_eq!(urgency.priority(1, 17_000), 4);
+}
--- a/crates/tower/src/delivery.rs
+++ b/crates/tower/src/delivery.rs
@@ -4,13 +4,14 @@
 //! hold, with the age at which it was known to be the newest.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Async;
+use cabinet::{KeptUpdate, SourceStatus};
 use courier::{FeedStore, Identity, Publisher, Subscriber};
 use intercom::feed::{ControlNode, Group, ModelWeights, Replica, SubscriberRole};
 use station::clock;
@@ -93,6 +94,22 @@
         self.notify_if(news);
     }
 
+    /// Delivers changes of what sources keep of prompts, as primary of `epoch`.
+    pub fn set_kept(&self, epoch: u64, updates: &[KeptUpdate]) {
+        let news = self.store.borrow_mut().set_kept(epoch, updates);
+        self.notify_if(news);
+    }
+
+    /// What is known of a source of KV cache.
+    pub fn source_status(&self, source: SocketAddrV4) -> Option<SourceStatus> {
+        self.store.borrow().kept().borrow().status(source)
+    }
+
+    /// The sources of KV cache of which something is known.
+    pub fn known_sources(&self) -> Vec<SocketAddrV4> {
+        self.store.borrow().kept().borrow().sources().collect()
+    }
+
     /// Delivers who takes part, as primary.
     pub fn set_group(&self, control: Vec<ControlNode>) {
         let group = Group { gateways: self.publisher.gateways(), control };
--- a/crates/tower/src/disk.rs
+++ b/crates/tower/src/disk.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use intercom::control::View;
 use intercom::frame::{self, FrameError};
 use logbook::{Logbook, LogbookError, Recovered};
 use musli::{Decode, Encode};
@@ -99,10 +100,13 @@
 }
 
 /// Whether a disk that is found empty belongs to the first start of the whole system.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Boot {
     /// It does.
-    First,
+    First {
+        /// The view that the member starts with, if it is one of the seeds.
+        view: Option<View>,
+    },
     /// It doesn't: the member is a newcomer.
     Later,
 }
@@ -128,7 +132,8 @@
 }
 
 impl Opened {
-    /// Reads what is in the folder. An empty one gets its generation, which is on disk on return.
+    /// Reads what is in the folder. An empty one gets its generation and its first view in one write, which is on
+    /// disk on return: a disk with the one and without the other would belong to no view ever after.
     pub fn open(folder: &Path, boot: Boot) -> Result<Opened, DiskError> {
         let (mut logbook, recovered) = Logbook::open(folder).context(LogbookSnafu { folder })?;
         let found = DiskImage::recover(&recovered).context(ForeignSnafu { folder })?;
@@ -136,10 +141,20 @@
             let log_bytes = recovered.records.iter().map(|record| record.len()).sum();
             return Ok(Opened { image, fresh: false, logbook, log_bytes });
         }
-        let generation = new_generation(boot)?;
-        let record = frame::encode(&DiskRecord::Generation(generation)).context(ForeignSnafu { folder })?;
-        logbook.append(&[&record]).context(LogbookSnafu { folder })?;
-        let image = DiskImage { generation, state: DurableState::default() };
+        let (generation, view) = match boot {
+            Boot::First { view } => (0, view),
+            Boot::Later => (new_generation()?, None),
+        };
+        let mut image = DiskImage { generation, state: DurableState::default() };
+        let mut records =
+            vec![frame::encode(&DiskRecord::Generation(generation)).context(ForeignSnafu { folder })?];
+        if let Some(view) = view {
+            let change = DurableRecord::View(view);
+            image.state.apply(&change);
+            records.push(encode_change(&change));
+        }
+        let records: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
+        logbook.append(&records).context(LogbookSnafu { folder })?;
         Ok(Opened { image, fresh: true, logbook, log_bytes: 0 })
     }
 
@@ -155,11 +170,8 @@
     }
 }
 
-fn new_generation(boot: Boot) -> Result<u64, DiskError> {
-    match boot {
-        Boot::First => Ok(0),
-        Boot::Later => Ok(getrandom::u64().context(NoRandomSnafu)?.max(1)),
-    }
+fn new_generation() -> Result<u64, DiskError> {
+    Ok(getrandom::u64().context(NoRandomSnafu)?.max(1))
 }
 
 impl DiskImage {
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod duty;
 pub mod fleet;
 pub mod http_client;
+pub mod index;
 pub mod links;
 pub mod machine;
 pub mod member;
--- a/crates/tower/src/server/duties.rs
+++ b/crates/tower/src/server/duties.rs
@@ -2,13 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 
+use cabinet::{KeptUpdate, SourceStatus};
 use intercom::feed::ModelWeights;
+use timetable::Configuration;
 
 use crate::delivery::Delivery;
 use crate::duty::DutyHolder;
 use crate::fleet::FleetTable;
+use crate::index::IndexOutput;
 use crate::member::Member;
 use crate::rollout::RolloutOutput;
 
@@ -46,3 +51,21 @@
         self.delivery.weights()
     }
 }
+
+impl IndexOutput for Duties {
+    fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.member.published().configuration
+    }
+
+    fn status(&self, source: SocketAddrV4) -> Option<SourceStatus> {
+        self.delivery.source_status(source)
+    }
+
+    fn known_sources(&self) -> Vec<SocketAddrV4> {
+        self.delivery.known_sources()
+    }
+
+    fn deliver(&self, epoch: u64, updates: &[KeptUpdate]) {
+        self.delivery.set_kept(epoch, updates);
+    }
+}
--- a/crates/tower/src/server/mod.rs
+++ b/crates/tower/src/server/mod.rs
@@ -27,6 +27,7 @@
 use crate::disk::{Boot, DiskEvent, NoFolderSnafu, Opened};
 use crate::duty::DutyHolder;
 use crate::fleet::FleetTable;
+use crate::index::KeptIndex;
 use crate::links::Links;
 use crate::machine::{Machine, Progress};
 use crate::member::{Member, Parts};
@@ -63,6 +64,7 @@
     operator: Rc<OperatorView>,
     api: Rc<Api<OperatorView>>,
     discovery: Option<Discovery>,
+    kept_index: KeptIndex,
     rollout: Rollout,
     rollout_events: Sender<Event>,
     disk_events: Receiver<DiskEvent>,
@@ -111,7 +113,11 @@
         let (disk_sender, disk_events) = async_channel::unbounded();
         let (progress_sender, progress) = async_channel::unbounded();
         let folder = settings.data_folder.as_deref().context(NoFolderSnafu).context(DiskSnafu)?;
-        let boot = if settings.first_boot { Boot::First } else { Boot::Later };
+        let first_node = NodeId::new(settings.ip_address, 0);
+        let boot = match settings.first_boot {
+            true => Boot::First { view: replication_settings(settings, first_node)?.first_view() },
+            false => Boot::Later,
+        };
         let opened = Opened::open(folder, boot).context(DiskSnafu)?;
         let fresh = opened.fresh;
         let (disk, image) = opened.start(disk_sender).context(DiskSnafu)?;
@@ -152,6 +158,7 @@
             table.clone(),
             duties.clone(),
         );
+        let kept_index = KeptIndex::new(executor.clone(), member.clone(), table.clone(), duties.clone());
         let discovery = discovery(settings, &member, &table, &duties, &rollout_events);
         Ok(Server {
             executor,
@@ -161,6 +168,7 @@
             operator,
             api,
             discovery,
+            kept_index,
             rollout,
             rollout_events,
             disk_events,
@@ -186,6 +194,7 @@
         executor.spawn(self.operator.run()).detach();
         executor.spawn(serve_api(self.api, listeners.operator, executor.clone())).detach();
         executor.spawn(self.rollout.run()).detach();
+        executor.spawn(self.kept_index.run()).detach();
         if let Some(discovery) = self.discovery {
             executor.spawn(discovery.run()).detach();
         }
--- a/crates/tower/tests/disk.rs
+++ b/crates/tower/tests/disk.rs
@@ -27,7 +27,7 @@
     /// Writes batches of records as one process would.
     fn write(&self, batches: &[Vec<DurableRecord>]) {
         let (sender, events) = async_channel::unbounded();
-        let (disk, _) = self.open(Boot::First).start(sender).expect("the thread starts");
+        let (disk, _) = self.open(Boot::First { view: None }).start(sender).expect("the thread starts");
         for (index, records) in batches.iter().enumerate() {
             disk.persist(index as u64 + 1, records.clone());
         }
@@ -57,17 +57,28 @@
 #[test]
 fn a_disk_of_the_first_start_has_generation_0() {
     let folder = Folder::new();
-    let opened = folder.open(Boot::First);
+    let opened = folder.open(Boot::First { view: None });
     assert!(opened.fresh);
     assert_eq!(opened.image, DiskImage::default());
 }
 
+#[test]
+fn the_first_view_is_on_disk_with_the_generation() {
+    let folder = Folder::new();
+    let opened = folder.open(Boot::First { view: Some(view(0)) });
+    assert_eq!(opened.image.state.view, Some(view(0)));
+    drop(opened);
+    // Before anything else was written, and with settings that no longer name the first start.
+    let again = folder.open(Boot::Later);
+    assert_eq!((again.image.generation, again.image.state.view.clone()), (0, Some(view(0))));
+}
+
 #[test]
 fn a_later_disk_has_a_generation_of_its_own_and_keeps_it() {
     let folder = Folder::new();
     let generation = folder.open(Boot::Later).image.generation;
     assert_ne!(generation, 0);
-    let again = folder.open(Boot::First);
+    let again = folder.open(Boot::First { view: None });
     assert!(!again.fresh);
     assert_eq!(again.image.generation, generation);
 }
@@ -86,14 +97,14 @@
     folder.write(&batches);
     let mut expected = DiskImage::default();
     batches.iter().flatten().for_each(|record| expected.state.apply(record));
-    assert_eq!(folder.open(Boot::First).image, expected);
+    assert_eq!(folder.open(Boot::First { view: None }).image, expected);
 }
 
 #[test]
 fn a_folder_that_can_not_be_used_is_named() {
     let folder = Folder::new();
     std::fs::write(&folder.0, "a file").expect("the folder's place is free");
-    let error = Opened::open(&folder.0, Boot::First).err().expect("a file is no folder");
+    let error = Opened::open(&folder.0, Boot::First { view: None }).err().expect("a file is no folder");
     assert!(matches!(error, DiskError::Logbook { .. }));
     assert!(error.to_string().starts_with(&folder.0.display().to_string()), "{error}");
     std::fs::remove_file(&folder.0).expect("the file is there");
--- /dev/null
+++ b/crates/tower/tests/index.rs
@@ -0,0 +1,274 @@
+//! Following what sources keep: reading their answers, whom to follow, and whole exchanges with a source.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use cabinet::{KeptUpdate, Liveness, PartKey};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use insta::{assert_debug_snapshot, assert_snapshot};
+use intercom::feed::{Replica, ReplicaPhase};
+use rstest::rstest;
+use timetable::{Configuration, Service, ServiceRuntime};
+use tower::index::{Follower, Outbox, SourceKind, read_events, read_list, sources};
+
+// ---- answers ----------------------------------------------------------------------------------------------
+
+const EVENTS: &str = r#"{"bootNo":77120,"nextToken":120,"gone":false,"happenings":[[119,"+","s1","5c1e07a2",800,"m"],[120,"-","s1","91bd3f06",128,"m"]]}"#;
+const LIST: &str = r#"{"bootNo":77120,"nextToken":120,"holding":[["s1","5c1e07a2",800,"m"]]}"#;
+
+#[test]
+fn events_are_read() {
+    let page = read_events(EVENTS.as_bytes()).expect("a page of events");
+    assert_eq!((page.boot, page.next_token, page.gap), (77_120, 120, false));
+    assert_eq!(page.events, [(PartKey::new("s1", "5c1e07a2"), 800), (PartKey::new("s1", "91bd3f06"), 128)]);
+}
+
+#[test]
+fn a_list_is_read() {
+    let listing = read_list(LIST.as_bytes()).expect("a list");
+    assert_eq!((listing.boot, listing.next_token), (77_120, 120));
+    assert_eq!(listing.parts, [(PartKey::new("s1", "5c1e07a2"), 800)]);
+}
+
+#[rstest]
+#[case::cut_off(&EVENTS[..EVENTS.len() - 1])]
+#[case::unknown_sign(&EVENTS.replace(r#""+""#, r#""?""#))]
+#[case::negative_tokens(&EVENTS.replace("800", "-800"))]
+#[case::text_for_a_number(&EVENTS.replace("77120", r#""77120""#))]
+#[case::no_gap_field(&EVENTS.replace(r#""gone":false,"#, ""))]
+#[case::short_event(&EVENTS.replace(r#",800,"m""#, ""))]
+#[case::empty("")]
+fn malformed_events_are_refused(#[case] body: &str) {
+    assert!(read_events(body.as_bytes()).is_err());
+}
+
+// ---- whom to follow ---------------------------------------------------------------------------------------
+
+fn replica(service: &str, address: &str) -> Replica {
+    Replica {
+        id: address.to_owned(),
+        service: service.to_owned(),
+        address: address.to_owned(),
+        zone: "a".to_owned(),
+        capacity: 1,
+        phase: ReplicaPhase::Ready,
+        warm_left_ms: 0,
+        models: Vec::new(),
+    }
+}
+
+#[test]
+fn stores_and_replicas_with_a_cache_are_followed() {
+    let runtime = |cache_tokens| Some(ServiceRuntime { cache_tokens, ..ServiceRuntime::default() });
+    let service = |label: &str, runtime| Service { label: label.to_owned(), runtime, ..Service::default() };
+    let store = Service { store_address: Some("10.0.9.1:90".to_owned()), ..service("store", None) };
+    let configuration = Configuration {
+        services: vec![
+            service("chat", runtime(1000)),
+            service("small", runtime(0)),
+            service("plain", None),
+            store,
+        ],
+        ..Configuration::default()
+    };
+    let replicas = [
+        replica("chat", "10.0.0.1:80"),
+        replica("chat", "host:80"),
+        replica("small", "10.0.0.2:80"),
+        replica("plain", "10.0.0.3:80"),
+        replica("unknown", "10.0.0.4:80"),
+    ];
+    assert_debug_snapshot!(sources(&configuration, &replicas), @r"
+    {
+        10.0.0.1:80: Replica,
+        10.0.9.1:90: Store,
+    }
+    ");
+}
+
+// ---- exchanges --------------------------------------------------------------------------------------------
+
+/// What a scripted source does with a call.
+enum Reaction {
+    Answer(u16, String),
+    Close,
+}
+
+/// A source that reacts to calls in turn, and then takes no more.
+struct Source {
+    address: SocketAddrV4,
+    calls: Rc<RefCell<Vec<String>>>,
+}
+
+impl Source {
+    fn start(executor: &LocalExecutor<'_>, script: Vec<Reaction>) -> Source {
+        let listener =
+            Async::<TcpListener>::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("a free port");
+        let Ok(SocketAddr::V4(address)) = listener.get_ref().local_addr() else {
+            panic!("an IPv4 address")
+        };
+        let calls = Rc::<RefCell<Vec<String>>>::default();
+        let seen = calls.clone();
+        executor
+            .spawn(async move {
+                let mut script = script.into_iter();
+                while script.len() > 0 {
+                    let (stream, _) = listener.accept().await.expect("a connection");
+                    serve(stream, &mut script, &seen).await;
+                }
+            })
+            .detach();
+        Source { address, calls }
+    }
+}
+
+async fn serve(
+    mut stream: Async<TcpStream>,
+    script: &mut std::vec::IntoIter<Reaction>,
+    seen: &RefCell<Vec<String>>,
+) {
+    while script.len() > 0 {
+        let Some(call) = read_call(&mut stream).await else { return };
+        seen.borrow_mut().push(call);
+        match script.next() {
+            Some(Reaction::Answer(status, body)) => {
+                let head = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n", body.len());
+                stream.write_all((head + &body).as_bytes()).await.expect("the follower reads");
+            }
+            Some(Reaction::Close) | None => return,
+        }
+    }
+}
+
+/// The request line and the wait that was asked for.
+async fn read_call(stream: &mut Async<TcpStream>) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let text = String::from_utf8(bytes).expect("a head is text");
+    let mut lines = text.lines();
+    let start = lines.next().unwrap_or_default().to_owned();
+    let wait = lines.find(|line| line.starts_with("Wait-Ms")).unwrap_or("no wait");
+    Some(format!("{start} ({wait})"))
+}
+
+fn page(boot: u64, next: u64, gone: bool, events: &str) -> Reaction {
+    let body = format!(r#"{{"bootNo":{boot},"nextToken":{next},"gone":{gone},"happenings":[{events}]}}"#);
+    Reaction::Answer(200, body)
+}
+
+/// Follows a scripted source until it has told of so many changes.
+fn exchange(kind: SourceKind, changes: usize, script: Vec<Reaction>) -> (Vec<String>, Vec<KeptUpdate>) {
+    let executor = LocalExecutor::new();
+    let source = Source::start(&executor, script);
+    let outbox = Rc::<Outbox>::default();
+    let follower = Follower::new(source.address, kind, None, outbox.clone());
+    let follow = executor.spawn(follower.run());
+    let mut updates = Vec::new();
+    let gather = async {
+        while updates.len() < changes {
+            updates.append(&mut outbox.take());
+            future::yield_now().await;
+        }
+    };
+    future::block_on(executor.run(gather));
+    drop(follow);
+    let calls = source.calls.borrow().clone();
+    (calls, updates)
+}
+
+fn told(updates: &[KeptUpdate]) -> String {
+    let line = |update: &KeptUpdate| {
+        let liveness = match update.liveness {
+            Liveness::Alive => "alive",
+            Liveness::Down => "down",
+            Liveness::Gone => "gone",
+        };
+        let (boot, next) = (update.boot, update.next_token);
+        let (added, removed) = (update.added.len(), update.removed.len());
+        format!("{liveness} boot {boot} next {next} replace {} +{added} -{removed}\n", update.replace)
+    };
+    updates.iter().map(line).collect()
+}
+
+const ADDED: &str = r#"[1,"+","m1","a",800,"m"]"#;
+const REMOVED: &str = r#"[2,"-","m1","a",0,"m"]"#;
+
+#[test]
+fn a_source_is_followed_from_its_first_event_on() {
+    let (calls, updates) = exchange(
+        SourceKind::Store,
+        3,
+        vec![page(7, 1, false, ADDED), page(7, 2, false, REMOVED), Reaction::Close, Reaction::Close],
+    );
+    assert_snapshot!(calls.join("\n"), @r"
+    GET /kv-events?startedAt=0 HTTP/1.1 (Wait-Ms: 0)
+    GET /kv-events?startedAt=1 HTTP/1.1 (Wait-Ms: 1000)
+    GET /kv-events?startedAt=2 HTTP/1.1 (Wait-Ms: 1000)
+    GET /kv-events?startedAt=2 HTTP/1.1 (Wait-Ms: 1000)
+    ");
+    assert_snapshot!(told(&updates), @r"
+    alive boot 7 next 1 replace true +1 -0
+    alive boot 7 next 2 replace false +0 -1
+    down boot 7 next 2 replace false +0 -0
+    ");
+}
+
+#[test]
+fn a_restarted_source_is_read_anew() {
+    let (calls, updates) = exchange(
+        SourceKind::Replica,
+        3,
+        vec![page(7, 5, false, ADDED), page(8, 1, false, ADDED), page(8, 1, false, ADDED)],
+    );
+    assert_snapshot!(calls.join("\n"), @r"
+    GET /kv-events?startedAt=0 HTTP/1.1 (Wait-Ms: 0)
+    GET /kv-events?startedAt=5 HTTP/1.1 (Wait-Ms: 1000)
+    GET /kv-events?startedAt=0 HTTP/1.1 (Wait-Ms: 1000)
+    ");
+    assert_snapshot!(told(&updates), @r"
+    alive boot 7 next 5 replace true +1 -0
+    alive boot 8 next 0 replace true +0 -0
+    alive boot 8 next 1 replace false +1 -0
+    ");
+}
+
+#[test]
+fn a_store_is_listed_after_a_gap() {
+    let list = r#"{"bootNo":7,"nextToken":91,"holding":[["m1","a",800,"m"],["m1","b",900,"m"]]}"#;
+    let (calls, updates) = exchange(
+        SourceKind::Store,
+        1,
+        vec![page(7, 90, true, ADDED), Reaction::Answer(200, list.to_owned())],
+    );
+    assert_snapshot!(calls.join("\n"), @r"
+    GET /kv-events?startedAt=0 HTTP/1.1 (Wait-Ms: 0)
+    GET /kv-list HTTP/1.1 (no wait)
+    ");
+    assert_snapshot!(told(&updates), @"alive boot 7 next 91 replace true +2 -0");
+}
+
+#[test]
+fn a_replica_goes_on_after_a_gap() {
+    let (_, updates) = exchange(SourceKind::Replica, 1, vec![page(7, 90, true, ADDED)]);
+    assert_snapshot!(told(&updates), @"alive boot 7 next 90 replace true +1 -0");
+}
+
+#[rstest]
+#[case::malformed(Reaction::Answer(200, "{}".to_owned()))]
+#[case::unknown_status(Reaction::Answer(500, String::new()))]
+fn a_source_that_answers_wrongly_is_down(#[case] wrong: Reaction) {
+    let (_, updates) = exchange(SourceKind::Store, 2, vec![page(7, 1, false, ADDED), wrong]);
+    assert_snapshot!(told(&updates), @r"
+    alive boot 7 next 1 replace true +1 -0
+    down boot 7 next 1 replace false +0 -0
+    ");
+}
