--- a/examples/operation_bench.rs
+++ b/examples/operation_bench.rs
@@ -14,7 +14,7 @@
 use hdrhistogram::Histogram;
 use serde_json::json;
 
-use tulipridge::toys;
+use tulipridge::demo_replica;
 
 type Any<T> = Result<T, Box<dyn std::error::Error>>;
 
@@ -51,7 +51,7 @@
             thread::spawn(move || -> std::io::Result<()> {
                 let mut reader = BufReader::new(stream.try_clone()?);
                 let mut stream = stream;
-                while toys::request(&mut reader).is_some() {
+                while demo_replica::read_message(&mut reader).is_some() {
                     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
                     let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"},\"finish_reason\":null}]}\n\n";
                     let from = Instant::now();
--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -25,9 +25,9 @@
 use serde_json::json;
 use socket2::SockRef;
 
+use tulipridge::demo_replica;
 use tulipridge::limits::Limits;
-use tulipridge::stream::{Act, Course, End};
-use tulipridge::toys;
+use tulipridge::stream::{Act, End, Relay};
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -75,7 +75,7 @@
 
 /// Reads a request; its path tells the server what to do.
 fn request(reader: &mut BufReader<TcpStream>) -> Option<String> {
-    let (head, _) = toys::request(reader)?;
+    let (head, _) = demo_replica::read_message(reader)?;
     Some(head.lines().next()?.split('?').nth(1)?.split(' ').next()?.to_owned())
 }
 
@@ -587,7 +587,7 @@
         for (n, longest) in [600u64, 1_500, 3_000].into_iter().enumerate() {
             for _ in 0..20_000 {
                 let mut now = 0u64;
-                let mut course = Course::new(now, 0, &rules);
+                let mut relay = Relay::new(now, 0, &rules);
                 let tokens = 20 + random(160);
                 for _ in 0..tokens {
                     let gap = match random(1000) {
@@ -596,16 +596,16 @@
                         _ => 15 + random(15),
                     };
                     now += gap * 1_000_000;
-                    if course.poll(now) == Act::Cut {
+                    if relay.poll(now) == Act::Cut {
                         lost[n] += 1;
                         break;
                     }
-                    course.arrived(now, 120, 1, 0, false, false);
+                    relay.arrived(now, 120, 1, 0, false, false);
                 }
-                if let (0, Some(due)) = (n, course.due()) {
+                if let (0, Some(due)) = (n, relay.due()) {
                     noticed.saturating_record((due - now) / 1_000_000);
                 }
-                course.server_ended(now, End::Whole);
+                relay.server_ended(now, End::Whole);
             }
         }
         let [short, mid, long] = lost;
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -1,4 +1,4 @@
-//! A toy to try the gateway with: two real servers and a discovery that lists them, all on loopback.
+//! Demo replicas to try the gateway with: two of them and a discovery that lists them, all on loopback.
 //!
 //! The servers speak the platform's dialect and the messages API's, one each (kinds `toy` and `toy-messages`), and answer
 //! every question with its own last words, or by using its first tool. The discovery
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use tulipridge::toys;
+use tulipridge::demo_replica;
 
 const SERVERS: [(&str, &str); 2] = [("s-1", "127.0.0.1:9001"), ("s-2", "127.0.0.1:9002")];
 const DISCOVERY: &str = "127.0.0.1:9000";
@@ -21,7 +21,7 @@
         println!("{id} listens on {addr}");
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                thread::spawn(move || toys::converse(id, stream));
+                thread::spawn(move || demo_replica::serve_connection(id, stream));
             }
         });
     }
--- a/src/admission/connection_slots.rs
+++ b/src/admission/connection_slots.rs
@@ -1,4 +1,5 @@
-//! Who gives up a place when places are scarce: one rule for all who accept connections. No I/O and no clock.
+//! Slots for connections, and which one is evicted when slots run out: one rule for all who accept connections.
+//! No I/O and no clock.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,107 +8,113 @@
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sitting {
+pub enum ConnectionState {
     /// Nothing has come on it yet.
-    Mute,
+    Silent,
     /// A request is on its way in.
-    Arriving,
+    Receiving,
     /// A request is open.
-    Asking,
+    Serving,
     /// It was answered and may carry another request.
-    Rested,
+    Idle,
     /// It has had its last answer, and only what still comes is waited for.
     Closing,
-    /// It was asked to make room.
-    Leaving,
+    /// It was asked to give up its slot.
+    Evicted,
 }
 
-/// How long a connection keeps its place against newcomers.
+/// How long a connection may keep its slot while others wait for one.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct SlotTimeouts {
     /// With nothing come on it.
-    pub mute: Duration,
+    pub silent: Duration,
     /// With a part of a request, since the last of it came.
-    pub arriving: Duration,
+    pub receiving: Duration,
     /// Since its last answer.
-    pub rested: Duration,
+    pub idle: Duration,
     /// Since the last answer of all.
     pub closing: Duration,
 }
 
-/// All places that are taken.
+/// All slots that are in use.
 #[derive(Debug)]
-pub struct Seats {
-    patience: Patience,
-    seats: BTreeMap<u64, (Sitting, Nanos)>,
+pub struct ConnectionSlots {
+    timeouts: SlotTimeouts,
+    slots: BTreeMap<u64, (ConnectionState, Nanos)>,
     last: u64,
 }
 
-impl Seats {
-    /// None taken.
-    pub fn new(patience: Patience) -> Seats {
-        Seats { patience, seats: BTreeMap::new(), last: 0 }
+impl ConnectionSlots {
+    /// None in use.
+    pub fn new(timeouts: SlotTimeouts) -> ConnectionSlots {
+        ConnectionSlots { timeouts, slots: BTreeMap::new(), last: 0 }
     }
 
-    /// Places that are taken.
-    pub fn taken(&self) -> usize {
-        self.seats.len()
+    /// Slots that are in use.
+    pub fn in_use(&self) -> usize {
+        self.slots.len()
     }
 
-    /// Takes a place, which is mute at first; returns its number.
-    pub fn take(&mut self, now: Nanos) -> u64 {
+    /// Takes a slot, which is silent at first; returns its number.
+    pub fn acquire(&mut self, now: Nanos) -> u64 {
         self.last += 1;
-        self.seats.insert(self.last, (Sitting::Mute, now));
+        self.slots.insert(self.last, (ConnectionState::Silent, now));
         self.last
     }
 
-    /// Gives a place back.
-    pub fn free(&mut self, number: u64) {
-        self.seats.remove(&number);
+    /// Gives a slot back.
+    pub fn release(&mut self, number: u64) {
+        self.slots.remove(&number);
     }
 
     /// What it is doing now; returns what it did before.
-    pub fn sit(&mut self, now: Nanos, number: u64, sitting: Sitting) -> Option<Sitting> {
-        let seat = self.seats.get_mut(&number)?;
-        Some(std::mem::replace(seat, (sitting, now)).0)
+    pub fn set_state(
+        &mut self,
+        now: Nanos,
+        number: u64,
+        state: ConnectionState,
+    ) -> Option<ConnectionState> {
+        let slot = self.slots.get_mut(&number)?;
+        Some(std::mem::replace(slot, (state, now)).0)
     }
 
     /// What it is doing, and since when.
-    pub fn get(&self, number: u64) -> Option<(Sitting, Nanos)> {
-        self.seats.get(&number).copied()
+    pub fn get(&self, number: u64) -> Option<(ConnectionState, Nanos)> {
+        self.slots.get(&number).copied()
     }
 
-    /// More of a request has come on one whose request is on its way: it keeps its place for longer.
+    /// More of a request has come on one whose request is on its way: it keeps its slot for longer.
     pub fn progress(&mut self, now: Nanos, number: u64) {
-        if let Some((Sitting::Arriving, since)) = self.seats.get_mut(&number) {
+        if let Some((ConnectionState::Receiving, since)) = self.slots.get_mut(&number) {
             *since = now;
         }
     }
 
-    /// A quarter of the places at most is left. Whoever is answered from then on shall not stay, so that newcomers
-    /// need not wait for the patience with those at rest to be over.
-    pub fn is_crowded(&self, places: usize) -> bool {
-        self.seats.len() * 4 >= places * 3
+    /// A quarter of the slots at most is left. A connection that is answered from then on is closed, so that newcomers
+    /// need not wait until the timeouts of those that are idle are over.
+    pub fn is_crowded(&self, capacity: usize) -> bool {
+        self.slots.len() * 4 >= capacity * 3
     }
 
-    /// Asks the one that needs its place least to leave, and returns its number. Those that never sent anything
-    /// go first, and the oldest among them; nobody goes before its patience is over, or with a request open.
-    pub fn spare(&mut self, now: Nanos) -> Option<u64> {
-        let patience = self.patience;
-        let spare = |(_, (sitting, since)): &(&u64, &mut (Sitting, Nanos))| {
-            let most = match sitting {
-                Sitting::Mute => patience.mute,
-                Sitting::Arriving => patience.arriving,
-                Sitting::Rested => patience.rested,
-                Sitting::Closing => patience.closing,
-                Sitting::Asking | Sitting::Leaving => return false,
+    /// Evicts the connection that needs its slot least, and returns its number. Those that never sent anything
+    /// go first, and the oldest among them; none is evicted before its timeout is over, or with a request open.
+    pub fn evict(&mut self, now: Nanos) -> Option<u64> {
+        let timeouts = self.timeouts;
+        let may_be_evicted = |(_, (state, since)): &(&u64, &mut (ConnectionState, Nanos))| {
+            let most = match state {
+                ConnectionState::Silent => timeouts.silent,
+                ConnectionState::Receiving => timeouts.receiving,
+                ConnectionState::Idle => timeouts.idle,
+                ConnectionState::Closing => timeouts.closing,
+                ConnectionState::Serving | ConnectionState::Evicted => return false,
             };
             u128::from(now.saturating_sub(*since)) >= most.as_nanos()
         };
-        let least =
-            |(_, (sitting, since)): &(&u64, &mut (Sitting, Nanos))| (*sitting != Sitting::Mute, *since);
-        let (number, seat) = self.seats.iter_mut().filter(spare).min_by_key(least)?;
-        seat.0 = Sitting::Leaving;
+        let least = |(_, (state, since)): &(&u64, &mut (ConnectionState, Nanos))| {
+            (*state != ConnectionState::Silent, *since)
+        };
+        let (number, slot) = self.slots.iter_mut().filter(may_be_evicted).min_by_key(least)?;
+        slot.0 = ConnectionState::Evicted;
         Some(*number)
     }
 }
--- a/src/admission/pipelined.rs
+++ b/src/admission/pipelined.rs
@@ -1,5 +1,5 @@
-//! What comes on an edge connection behind a request that is open: how much of it is kept, and what may be said of
-//! its client. No I/O and no clock.
+//! Pipelined input, bytes that come on an edge connection behind a request that is open: how much of it is kept, and
+//! what may be said of its client. No I/O and no clock.
 //!
 //! A client's close comes behind all that it sent, and shows only once that is read. So it is read to its end, however
 //! much it is: up to a bound it is kept, for the requests that it may hold; what lies beyond is dropped, and the
@@ -18,7 +18,7 @@
 
 /// What is done with bytes that came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Take {
+pub enum Disposition {
     /// They are kept.
     Keep,
     /// They are dropped, and so is all that follows.
@@ -29,27 +29,27 @@
 
 /// Where one connection stands.
 #[derive(Debug)]
-pub struct Ahead {
+pub struct PipelinedInput {
     bounds: Bounds,
     /// Bytes dropped, once some were.
     dropped: Option<usize>,
 }
 
-impl Ahead {
+impl PipelinedInput {
     /// Of a connection of which nothing, or something already, was dropped.
-    pub fn new(bounds: Bounds, cut: bool) -> Ahead {
-        Ahead { bounds, dropped: cut.then_some(0) }
+    pub fn new(bounds: Bounds, cut: bool) -> PipelinedInput {
+        PipelinedInput { bounds, dropped: cut.then_some(0) }
     }
 
-    /// So many bytes came behind those that are kept; `room` is whether memory allows for them.
-    pub fn came(&mut self, kept: usize, bytes: usize, room: bool) -> Take {
-        let most = if room { self.bounds.most } else { self.bounds.least };
+    /// So many bytes came behind those that are kept; `has_memory` is whether memory allows for them.
+    pub fn received(&mut self, kept: usize, bytes: usize, has_memory: bool) -> Disposition {
+        let most = if has_memory { self.bounds.most } else { self.bounds.least };
         // Guards against a gap: nothing is kept behind what was dropped.
         if self.dropped.is_none() && kept + bytes <= most {
-            return Take::Keep;
+            return Disposition::Keep;
         }
         self.dropped = Some(self.dropped.unwrap_or_default() + bytes);
-        if self.is_flood() { Take::Flood } else { Take::Drop }
+        if self.is_flood() { Disposition::Flood } else { Disposition::Drop }
     }
 
     /// It was a flood.
@@ -58,7 +58,7 @@
     }
 
     /// Something was dropped.
-    pub fn is_cut(&self) -> bool {
+    pub fn is_truncated(&self) -> bool {
         self.dropped.is_some()
     }
 }
--- a/src/api_keys.rs
+++ b/src/api_keys.rs
@@ -3,7 +3,7 @@
 use sha2::{Digest, Sha256};
 use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
 
-use crate::net::http::Head;
+use jetway::http::Head;
 
 /// A key that is known.
 #[derive(Clone, Debug)]
@@ -86,36 +86,3 @@
 pub fn digits_of(key: &str) -> String {
     Sha256::digest(key.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_key_is_known_by_its_hash_in_either_header_and_no_other_is() {
-        let key = |name: &str| Key {
-            name: name.into(),
-            hash: hash_of(&digits_of(name)).expect("64 digits"),
-            tenant: None,
-            models: Vec::new(),
-        };
-        let keys = Keys::new(vec![key("alpha"), key("beta"), key("gamma")]);
-        let told = |name: &str, value: &str| {
-            let head = Head { headers: vec![(name.into(), value.into())], ..Head::default() };
-            match keys.holder(&head) {
-                Holder::Known(key) => key.name.clone(),
-                other => format!("{other:?}"),
-            }
-        };
-        assert_eq!(told("X-Api-Key", "alpha"), "alpha");
-        assert_eq!(told("x-api-key", "gamma"), "gamma");
-        assert_eq!(told("Authorization", "Bearer beta"), "beta");
-        assert_eq!(told("x-api-key", "alpha "), "Stranger");
-        assert_eq!(told("x-api-key", "delta"), "Stranger");
-        assert_eq!(told("x-api-key", ""), "Keyless");
-        assert_eq!(told("accept", "alpha"), "Keyless");
-        assert!(matches!(Keys::default().holder(&Head::default()), Holder::Anybody));
-        assert_eq!(hash_of("12"), None);
-        assert_eq!(hash_of(&"g".repeat(64)), None);
-    }
-}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,9 +7,9 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
+use tulipridge::api_keys;
 use tulipridge::config::{Config, Sources};
 use tulipridge::conformance;
-use tulipridge::front::messages::keys;
 use tulipridge::names::Dialect;
 use tulipridge::net::listen;
 use tulipridge::settings::Settings;
@@ -220,7 +220,7 @@
     let tenant = tenant.map_or(String::new(), |t| format!(", tenant = {t:?}"));
     println!("# the client's: {}", if read { "as read" } else { &key });
     println!("# for messages.keys in the settings:");
-    println!("{name:?} = {{ sha256 = \"{}\"{tenant} }}", keys::digits_of(&key));
+    println!("{name:?} = {{ sha256 = \"{}\"{tenant} }}", api_keys::digits_of(&key));
     ExitCode::SUCCESS
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -9,11 +9,11 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::admission::quota::Rates;
+use crate::api_keys::{self, Keys};
 use crate::front::messages::Setup;
-use crate::front::messages::keys::{self, Keys};
 use crate::front::messages::models::Model;
 use crate::names::{Listing, Names, number_of};
-use crate::quota::Rates;
 use crate::settings;
 use crate::store::Store;
 use crate::types::*;
@@ -191,8 +191,8 @@
     let mut held = Vec::new();
     for (name, key) in &own.keys {
         let of = key.tenant.as_ref().map(|t| tenant(&format!("keys.{name}.tenant"), t)).transpose()?;
-        let hash = keys::hash_of(&key.sha256).unwrap_or_default();
-        held.push(keys::Key { name: name.clone(), hash, tenant: of, models: key.models.clone() });
+        let hash = api_keys::hash_of(&key.sha256).unwrap_or_default();
+        held.push(api_keys::Key { name: name.clone(), hash, tenant: of, models: key.models.clone() });
     }
     let mut rates = vec![Rates::default(); names.tenants.len()];
     for (name, told) in &own.limits {
--- a/src/conformance/stand_in.rs
+++ b/src/conformance/stand_in.rs
@@ -12,8 +12,8 @@
 use socket2::SockRef;
 
 use super::case::{Case, Fleet, Words};
+use crate::demo_replica;
 use crate::names::Dialect;
-use crate::toys;
 
 /// What the stand-ins share.
 struct Shared {
@@ -116,7 +116,7 @@
 /// A watch: the whole list at first and whenever it has changed, and a sign of life meanwhile.
 fn watch(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    if toys::request(&mut reader).is_none() {
+    if demo_replica::read_message(&mut reader).is_none() {
         return Ok(());
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
@@ -138,7 +138,7 @@
 fn converse(shared: &Shared, server: usize, mut stream: TcpStream) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut reader = BufReader::new(stream.try_clone().ok()?);
-    while let Some((head, body)) = toys::request(&mut reader) {
+    while let Some((head, body)) = demo_replica::read_message(&mut reader) {
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let model = body["model"].as_str().unwrap_or_default().to_owned();
         let name = model.split('~').next().unwrap_or_default();
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,6 +1,6 @@
-//! `tulipridge demo`: toy real servers, a discovery and the gateway itself, all on loopback and in one process.
+//! `tulipridge demo`: demo replicas, a discovery and the gateway itself, all on loopback and in one process.
 //!
-//! The toys are plain threads with blocking sockets, so that they share nothing with what they show.
+//! The replicas are plain threads with blocking sockets, so that they share nothing with what they show.
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
@@ -12,9 +12,9 @@
 use serde_json::json;
 
 use tulipridge::config::{Config, Sources};
+use tulipridge::demo_replica;
 use tulipridge::names::Dialect;
 use tulipridge::settings::{Messages, Model, Settings};
-use tulipridge::toys;
 
 use crate::serve;
 
@@ -29,7 +29,7 @@
     };
     let front = config.own.messages.listen.unwrap_or(messages);
     println!(
-        "Two toy real servers, one of each dialect, and a discovery are up. Ask them by way of the gateway:\n"
+        "Two demo replicas, one of each dialect, and a discovery are up. Ask them by way of the gateway:\n"
     );
     println!("{}\n", platform_call(config.listen));
     println!("{}\n", messages_call(front));
@@ -61,13 +61,13 @@
     let (platform, messages) = (free(platform)?, free(messages)?);
     let mut entries = Vec::new();
     for (id, kind) in [("toy-1", "toy"), ("toy-2", "toy-messages")] {
-        let listener = local().map_err(|e| format!("a toy's port: {e}"))?;
+        let listener = local().map_err(|e| format!("a demo replica's port: {e}"))?;
         let addr = listener.local_addr().map_err(|e| e.to_string())?;
         entries
             .push(json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": kind, "state": "ready"}));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                thread::spawn(move || toys::converse(id, stream));
+                thread::spawn(move || demo_replica::serve_connection(id, stream));
             }
         });
     }
@@ -118,7 +118,7 @@
 /// A watch: the whole list, then a sign of life every 2 s.
 fn watch(mut stream: TcpStream, list: &str) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    if toys::request(&mut reader).is_none() {
+    if demo_replica::read_message(&mut reader).is_none() {
         return Ok(());
     }
     write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
--- a/src/demo_replica.rs
+++ b/src/demo_replica.rs
@@ -1,4 +1,4 @@
-//! Toy real servers to try the gateway with, for `tulipridge demo` and the examples: plain blocking sockets, which
+//! Demo replicas to try the gateway with, for `tulipridge demo` and the examples: plain blocking sockets, which
 //! share nothing with what they show.
 
 use std::io::{BufRead, BufReader, Write};
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 /// Reads a message's head, and its body of a stated length; `None` once there is none, or none that is one.
-pub fn request(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+pub fn read_message(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let (mut head, mut length) = (String::new(), 0);
     loop {
         let mut line = String::new();
@@ -31,12 +31,12 @@
     Some((head, body))
 }
 
-/// A toy real server's connection, in the dialect of each request's path: it says its name and the question's words,
+/// A demo replica's connection, in the dialect of each request's path: it says its name and the question's words,
 /// a word an event; where there are tools and no result yet, it uses the first one. Returns once the other side has
 /// closed it.
-pub fn converse(id: &str, mut stream: TcpStream) -> Option<()> {
+pub fn serve_connection(id: &str, mut stream: TcpStream) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
-    while let Some((head, body)) = request(&mut reader) {
+    while let Some((head, body)) = read_message(&mut reader) {
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let messages = head.starts_with("POST /v1/messages ");
         let last = body["messages"].as_array().and_then(|m| m.last()).cloned().unwrap_or_default();
--- a/src/engine/life.rs
+++ b/src/engine/life.rs
@@ -9,7 +9,7 @@
 
 use super::streams::Alarm;
 use super::{Ask, Ending, Engine, Held, Order};
-use crate::stream::{Act, Cause, Course, Leaving};
+use crate::stream::{Act, Cause, Leaving, Relay};
 use crate::types::{Nanos, ReplicaId, Verdict};
 
 /// What came of a scheduling's stream since its last step.
@@ -268,15 +268,15 @@
     let first = held.first_event(number);
     let server = out.iter().find(|s| s.number == number).map(|s| s.server.clone());
     let Some(server) = server else { return client.fail(Why::Errors).await };
-    let mut course = Course::new(engine.now(), first, &engine.limits);
+    let mut relay = Relay::new(engine.now(), first, &engine.limits);
     let mut answer = client.begin();
     if answer.gathers() {
-        course.gathers();
+        relay.gathers();
     }
-    arrival.put(engine, &mut course, &mut answer, events);
+    arrival.put(engine, &mut relay, &mut answer, events);
     let begun = Begun { id: held.id.0, class: ask.class, tenant: ask.tenant, server, first };
     let behind = Behind { held: Some(held), out, number };
-    pass_on(engine, &begun, behind, course, answer, heir).await;
+    pass_on(engine, &begun, behind, relay, answer, heir).await;
 }
 
 /// Goes on with a stream that another process began, of which so many bytes wait for the client. The module here
@@ -290,10 +290,10 @@
     S: Stream<Item = Step<E>> + Unpin,
     A: Answer<E>,
 {
-    let mut course = Course::new(engine.now(), begun.first, &engine.limits);
-    course.queued(engine.now(), waiting);
+    let mut relay = Relay::new(engine.now(), begun.first, &engine.limits);
+    relay.queued(engine.now(), waiting);
     let out = vec![Scheduling { number: 0, server: begun.server.clone(), steps }];
-    pass_on(engine, begun, Behind { held: None, out, number: 0 }, course, answer, heir).await;
+    pass_on(engine, begun, Behind { held: None, out, number: 0 }, relay, answer, heir).await;
 }
 
 /// Passes a begun stream on, up to its one end.
@@ -301,7 +301,7 @@
     engine: &Engine,
     begun: &Begun,
     mut behind: Behind<S>,
-    mut course: Course,
+    mut relay: Relay,
     mut answer: A,
     heir: &impl Heir<S, A>,
 ) where
@@ -313,18 +313,18 @@
     let mut alarm = Alarm::new();
     let ticket = engine.ticket(answer.gathers());
     // Copies that began beside it: nothing of them is passed on, but each has its record.
-    let mut copies: BTreeMap<u32, (ReplicaId, Course)> = BTreeMap::new();
+    let mut copies: BTreeMap<u32, (ReplicaId, Relay)> = BTreeMap::new();
     let mut turn = 0;
     let act = loop {
         let now = engine.now();
-        course.allow(now, ticket.holds(course.held(), course.paused_since()));
+        relay.allow(now, ticket.holds(relay.held(), relay.paused_since()));
         if ticket.evicted() {
-            course.evict(now);
+            relay.evict(now);
         }
         if let Some(at) = ticket.stop_at() {
-            course.stop_at(at);
+            relay.stop_at(at);
         }
-        match course.poll(now) {
+        match relay.poll(now) {
             Act::Wait => {}
             Act::Offer => {
                 let taken = match &mut behind.out[..] {
@@ -333,9 +333,9 @@
                     _ => false,
                 };
                 if taken {
-                    course.handed_over(now);
+                    relay.handed_over(now);
                 } else {
-                    course.refused(now);
+                    relay.refused(now);
                 }
                 continue;
             }
@@ -356,34 +356,34 @@
             if let Poll::Ready(how) = answer.poll_gone(cx) {
                 return Poll::Ready(Next::Gone(how));
             }
-            if course.waiting() > 0
+            if relay.waiting() > 0
                 && let Poll::Ready(taken) = answer.poll_take(cx)
             {
                 return Poll::Ready(taken.map_or_else(Next::Gone, Next::Took));
             }
             for scheduling in &mut behind.out {
-                if (scheduling.number != number || course.reads())
+                if (scheduling.number != number || relay.reads())
                     && let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx)
                 {
                     return Poll::Ready(Next::Step(scheduling.number, step));
                 }
             }
-            alarm.poll(cx, engine, course.due()).map(|()| Next::Due)
+            alarm.poll(cx, engine, relay.due()).map(|()| Next::Due)
         });
         match next.await {
-            Next::Gone(how) => course.left(engine.now(), how),
+            Next::Gone(how) => relay.left(engine.now(), how),
             Next::Took(bytes) => {
                 turn += bytes;
-                course.took(engine.now(), bytes);
+                relay.took(engine.now(), bytes);
             }
             Next::Step(n, Step::Events(events, arrival)) if n == number => {
                 turn += arrival.bytes;
-                arrival.put(engine, &mut course, &mut answer, events);
+                arrival.put(engine, &mut relay, &mut answer, events);
             }
             Next::Step(n, Step::Bytes(mut arrival)) if n == number => {
                 turn += arrival.bytes;
                 arrival.inward += answer.holds();
-                arrival.enter(engine, &mut course);
+                arrival.enter(engine, &mut relay);
             }
             Next::Step(n, step @ (Step::Ended(_) | Step::Rejected(..))) => {
                 behind.out.retain(|s| s.number != n);
@@ -403,8 +403,8 @@
                     // Its connection is free or closed: that the client still takes what waits costs no real
                     // server anything.
                     let now = engine.now();
-                    course.queued(now, answer.put_end(end.cause()));
-                    course.server_ended(now, end);
+                    relay.queued(now, answer.put_end(end.cause()));
+                    relay.server_ended(now, end);
                 }
             }
             Next::Step(n, Step::Events(_, arrival) | Step::Bytes(arrival)) => {
@@ -412,8 +412,8 @@
                 if let Some(scheduling) = behind.out.iter().find(|s| s.number == n) {
                     let begin = || {
                         let elapsed = behind.held.as_ref().map_or(0, |held| held.elapsed(n));
-                        let course = Course::new(engine.now(), elapsed, &limits);
-                        (scheduling.server.clone(), course)
+                        let relay = Relay::new(engine.now(), elapsed, &limits);
+                        (scheduling.server.clone(), relay)
                     };
                     arrival.enter(engine, &mut copies.entry(n).or_insert_with(begin).1);
                 }
@@ -426,7 +426,7 @@
                 }
                 behind.outcome(n, Verdict::Cancelled.into());
                 if n == number {
-                    course.cancel(engine.now());
+                    relay.cancel(engine.now());
                 }
             }
             // Nothing else is meant for what has begun.
@@ -436,11 +436,11 @@
     // The connections of all schedulings close before anything else is done; then the module is told.
     let is_out = behind.out.iter().any(|s| s.number == number);
     behind.out.clear();
-    if let (true, Some(outcome)) = (is_out, course.outcome()) {
+    if let (true, Some(outcome)) = (is_out, relay.outcome()) {
         behind.outcome(number, outcome.cause.verdict().into());
     }
-    course.stopped(engine.now());
-    let outcome = course.outcome();
+    relay.stopped(engine.now());
+    let outcome = relay.outcome();
     if let Some(outcome) = &outcome {
         engine.record(begun, &begun.server, outcome);
     }
@@ -454,7 +454,7 @@
     match (act, outcome) {
         (Act::Finish, _) => answer.finish(),
         (_, Some(outcome)) if outcome.cause == Cause::HandedOver => drop(answer),
-        (_, Some(outcome)) if !course.server_has_ended() => {
+        (_, Some(outcome)) if !relay.server_has_ended() => {
             answer.put_end(outcome.cause);
             answer.break_off();
         }
@@ -463,18 +463,18 @@
 }
 
 impl Arrival {
-    fn put<E>(mut self, engine: &Engine, course: &mut Course, answer: &mut impl Answer<E>, events: E) {
-        course.queued(engine.now(), answer.put(events));
+    fn put<E>(mut self, engine: &Engine, relay: &mut Relay, answer: &mut impl Answer<E>, events: E) {
+        relay.queued(engine.now(), answer.put(events));
         self.inward += answer.holds();
-        self.enter(engine, course);
+        self.enter(engine, relay);
         if answer.is_full() {
-            course.too_long(engine.now());
+            relay.too_long(engine.now());
         }
     }
 
-    fn enter(&self, engine: &Engine, course: &mut Course) {
+    fn enter(&self, engine: &Engine, relay: &mut Relay) {
         let Arrival { bytes, events, inward, amid, last } = *self;
-        course.arrived(engine.now(), bytes, events, inward, amid, last);
+        relay.arrived(engine.now(), bytes, events, inward, amid, last);
     }
 }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -22,8 +22,8 @@
 pub use life::{Answer, Arrival, Begun, Client, Heir, Servers, Step, Why, carry_on, serve};
 
 use crate::Gateway;
-use crate::lag::{Late, Watch};
 use crate::limits::{Limits, StreamLimits};
+use crate::process::lag::{Late, Watch};
 use crate::stream::{Change, End};
 use crate::types::*;
 use streams::Streams;
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -12,7 +12,7 @@
 
 use super::{Begun, Engine};
 use crate::limits::Limits;
-use crate::stream::{Account, Budget, Cause, Change, Course, Ledger, Outcome, Standing};
+use crate::stream::{Account, Budget, Cause, Change, Ledger, Outcome, Relay, Standing};
 use crate::types::{ListKind, Member, Nanos, Phase, ReplicaId};
 
 pub(super) struct Streams {
@@ -177,7 +177,7 @@
     }
 
     /// The same for a copy that began beside the stream that was passed on.
-    pub(super) fn record_copy(&self, begun: &Begun, server: &ReplicaId, copy: &mut Course) {
+    pub(super) fn record_copy(&self, begun: &Begun, server: &ReplicaId, copy: &mut Relay) {
         let now = self.now();
         // What ended by itself comes to its outcome only when it is asked.
         copy.poll(now);
--- a/src/front/messages/gather.rs
+++ b/src/front/messages/gather.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Map, Value};
 
-use crate::net::http::{self, SseBlock};
+use jetway::http::{self, SseBlock};
 
 /// A message that is being put together.
 #[derive(Default)]
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,13 +16,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::admission::quota::Grant;
 use crate::engine::Ask;
 use crate::limits::Limits;
 pub use crate::names::Dialect;
 use crate::names::Names;
-use crate::net::http::{self, Head, SseBlock};
-use crate::quota::Grant;
 use crate::types::Nanos;
+use jetway::http::{self, Head, SseBlock};
 pub use reply::Reply;
 pub use translate::{Noted, Passing, Usage};
 pub use voice::{Speech, Voice};
--- a/src/front/object.rs
+++ b/src/front/object.rs
@@ -233,20 +233,3 @@
     nesting.take(json);
     nesting.deepest
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_json_text_in_pieces_is_whole_at_its_end_and_not_before() {
-        let json = r#"{"a":"}\"]","b":[1,{"c":"\\"}]}"#;
-        let mut nesting = Nesting::default();
-        for at in 0..json.len() {
-            assert!(!nesting.is_whole(), "at {at}");
-            nesting.take(&json[at..at + 1]);
-        }
-        assert!(nesting.is_whole());
-        assert_eq!((depth(json), depth("\"[[[\""), depth("1")), (3, 0, 0));
-    }
-}
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,8 +3,8 @@
 use super::{Call, Desk, Dialect, Order, Reply, Speak, translate};
 use crate::engine::Ask;
 use crate::names::Names;
-use crate::net::http::Head;
 use crate::types::Nanos;
+use jetway::http::Head;
 
 /// Where requests come in.
 pub const PATH: &str = "/v1/chat/completions";
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use crate::net::http;
+use jetway::http;
 
 /// A whole answer without a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/front/translate/blocks.rs
+++ b/src/front/translate/blocks.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use super::messages::event;
+use super::event::event;
 use super::words::{Joiner, Words};
 use crate::front::object::Nesting;
 
--- a/src/front/translate/messages.rs
+++ b/src/front/translate/messages.rs
@@ -7,10 +7,10 @@
 use serde_json::value::RawValue;
 
 use super::blocks::{Blocks, Lane};
+use super::event::event;
 use super::piece::{Piece, Stop, Usage};
 use super::words::Words;
-use crate::front::write::Object;
-use crate::net::http::SseBlock;
+use jetway::http::SseBlock;
 
 /// Blocks that one answer may have; a real server that invents more is not heard on them.
 const MOST_BLOCKS: usize = 1024;
@@ -326,12 +326,3 @@
         _ => "api_error",
     }
 }
-
-/// Writes a named event, whose data repeats its name.
-pub(super) fn event(out: &mut Vec<u8>, name: &str, write: impl FnOnce(&mut Object)) {
-    out.extend_from_slice(b"event: ");
-    out.extend_from_slice(name.as_bytes());
-    out.extend_from_slice(b"\ndata: ");
-    write(Object::new(out).set("type", name));
-    out.extend_from_slice(b"\n\n");
-}
--- a/src/front/translate/mod.rs
+++ b/src/front/translate/mod.rs
@@ -4,40 +4,25 @@
 //! its first time. Within one dialect bytes pass untouched.
 
 mod blocks;
+mod event;
 pub mod messages;
 mod piece;
 pub mod platform;
+mod refusal;
 pub mod to_messages;
 pub mod to_platform;
 pub mod words;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::fmt::Display;
 use std::rc::Rc;
 
 pub use piece::{Piece, Stop, Usage};
 
-use super::object::Text;
 use crate::limits::Limits;
 use crate::names::Dialect;
-use crate::net::http::{self, SseBlock};
 use crate::stream::Cause;
-
-/// A field of a request that the other dialect has no words for.
-fn none<T>(field: impl Display) -> Result<T, String> {
-    wrong(field, "has no counterpart in the real servers' dialect")
-}
-
-/// A field of a request that is wrong.
-fn wrong<T>(field: impl Display, what: &str) -> Result<T, String> {
-    Err(format!("{field}: {what}"))
-}
-
-/// Refuses an object that has a field which this program does not know; `place` is where it stands.
-fn refuse_unknown(place: &str, unknown: &[Text]) -> Result<(), String> {
-    unknown.first().map_or(Ok(()), |name| none(format_args!("{place}{}", &**name)))
-}
+use jetway::http::{self, SseBlock};
 
 /// Reads a stream of either dialect.
 pub enum Reader {
--- a/src/front/translate/platform.rs
+++ b/src/front/translate/platform.rs
@@ -9,7 +9,7 @@
 use super::words::{Joiner, Words};
 use crate::front::object::{Text, object};
 use crate::front::write::{List, Object};
-use crate::net::http::SseBlock;
+use jetway::http::SseBlock;
 
 /// Uses of tools that one answer may have; a real server that invents more is not heard on them.
 const MOST_CALLS: u32 = 1024;
--- a/src/front/translate/to_messages.rs
+++ b/src/front/translate/to_messages.rs
@@ -4,8 +4,8 @@
 
 use super::super::object::{self, Text, TextOr, object};
 use super::super::write::{List, Object, value};
+use super::refusal::{none, refuse_unknown, wrong};
 use super::to_platform::{FAILED, parts_of, plain_of};
-use super::{none, refuse_unknown, wrong};
 use crate::limits::MessagesLimits;
 
 object! {
--- a/src/front/translate/to_platform.rs
+++ b/src/front/translate/to_platform.rs
@@ -6,7 +6,7 @@
 
 use super::super::messages::request::{Block, Choice, Content, Request, Source, Turn};
 use super::super::write::{List, Object, value};
-use super::{none, refuse_unknown};
+use super::refusal::{none, refuse_unknown};
 
 /// The body for the platform's real servers, always of a stream; or what has no counterpart there.
 pub fn body(request: &Request) -> Result<Vec<u8>, String> {
--- a/src/front/voice.rs
+++ b/src/front/voice.rs
@@ -9,8 +9,8 @@
 use super::{Dialect, Headers, Noted, Passing, Reply};
 use crate::engine::Why;
 use crate::limits::Limits;
-use crate::net::http::{self, Bad};
 use crate::stream::Cause;
+use jetway::http::{self, Bad};
 
 /// How a client is spoken to.
 #[derive(Clone, Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,24 +2,20 @@
 #![warn(missing_docs)]
 #![doc = include_str!("../README.md")]
 
-pub mod ahead;
-pub mod aside;
+pub mod admission;
+pub mod api_keys;
 pub mod config;
 pub mod conformance;
+pub mod demo_replica;
 pub mod engine;
 pub mod front;
-pub mod lag;
-pub mod lifecycle;
 pub mod limits;
 pub mod names;
 pub mod net;
-pub mod overlap;
-pub mod quota;
-pub mod seats;
+pub mod process;
 pub mod settings;
 pub mod store;
 pub mod stream;
 pub mod syslog;
-pub mod toys;
 
 pub use signpost::{Gateway, cold, pace, types};
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -13,20 +13,20 @@
 use futures_lite::future;
 use jetway::WireLimits;
 
-use super::handover::Handover;
+use super::followers::Followers;
+use super::handover_message::StreamSnapshot;
 use super::http::{self, Bad, Body, Head};
-use super::keeper::Keeper;
-use super::parcel::Parcel;
-use super::room::{Place, Room};
+use super::lifecycle_monitor::LifecycleMonitor;
 use super::servers::{Batch, Dispatch, Fleet, Running};
+use super::slot_pool::{Slot, SlotPool};
 use super::{Wire, within};
-use crate::ahead::{Ahead, Bounds, Take};
+use crate::admission::connection_slots::{ConnectionState, SlotTimeouts};
+use crate::admission::pipelined::{Bounds, Disposition, PipelinedInput};
+use crate::admission::quota::Grant;
 use crate::engine::{self, Begun, Engine, Why};
 use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
 use crate::limits::Limits;
-use crate::overlap::{Overlap, Places, Report};
-use crate::quota::Grant;
-use crate::seats::{Patience, Sitting};
+use crate::process::overlap::{Overlap, Places, Report};
 use crate::stream::{Cause, Leaving};
 use crate::types::ReplicaId;
 
@@ -38,10 +38,10 @@
     limits: Rc<Limits>,
     /// A connection's limits, with the bounds of the messages front's bodies.
     messages_wire: WireLimits,
-    keeper: Rc<Keeper>,
+    lifecycle: Rc<LifecycleMonitor>,
     /// Where streams that outlast this process go, if they may.
-    handover: Rc<Handover>,
-    room: Rc<Room>,
+    followers: Rc<Followers>,
+    slots: Rc<SlotPool>,
     held_bytes: Cell<usize>,
     /// Listeners that are open.
     listeners: Cell<usize>,
@@ -62,16 +62,16 @@
         fleet: Rc<Fleet>,
         desk: Rc<Desk>,
         limits: Rc<Limits>,
-        keeper: Rc<Keeper>,
-        handover: Rc<Handover>,
+        lifecycle: Rc<LifecycleMonitor>,
+        followers: Rc<Followers>,
     ) -> Edge {
-        let patience = Patience {
-            mute: limits.edge_mute,
-            arriving: limits.edge_slow,
-            rested: limits.edge_rested,
+        let timeouts = SlotTimeouts {
+            silent: limits.edge_mute,
+            receiving: limits.edge_slow,
+            idle: limits.edge_rested,
             closing: limits.closing,
         };
-        let room = Rc::new(Room::new(engine.clone(), patience));
+        let slots = Rc::new(SlotPool::new(engine.clone(), timeouts));
         let body_bytes = limits.messages.body_bytes;
         let messages_wire = WireLimits { body_bytes, ..limits.wire.clone() };
         Edge {
@@ -80,9 +80,9 @@
             desk,
             limits,
             messages_wire,
-            keeper,
-            handover,
-            room,
+            lifecycle,
+            followers,
+            slots,
             held_bytes: Cell::new(0),
             listeners: Cell::new(0),
         }
@@ -97,15 +97,15 @@
     ) {
         self.listeners.set(self.listeners.get() + 1);
         let take = |(stream, from)| {
-            let (wire, place) = (Wire::new(stream), self.room.place());
-            ex.spawn(self.clone().connection(wire, from, dialect, place)).detach();
+            let (wire, slot) = (Wire::new(stream), self.slots.acquire());
+            ex.spawn(self.clone().connection(wire, from, dialect, slot)).detach();
         };
-        while self.keeper.accepting().await {
+        while self.lifecycle.accepting().await {
             let next = async {
                 // Guards against a crowd that connects and says nothing, or asks once and stays, while others
                 // wait to be accepted.
                 if self.open() >= self.places() {
-                    return self.room.make(self.limits.edge_look).await;
+                    return self.slots.evict_and_wait(self.limits.edge_look).await;
                 }
                 match listener.accept().await {
                     Ok(taken) => take(taken),
@@ -121,10 +121,10 @@
                     }
                 }
             };
-            future::or(next, self.keeper.closed()).await;
+            future::or(next, self.lifecycle.closed()).await;
         }
         // Guards against a reset of what the system has accepted by now: it is told that this process takes no more.
-        while self.keeper.empties_queue()
+        while self.lifecycle.empties_queue()
             && self.open() < self.places()
             && let Some(Ok(taken)) = future::poll_once(listener.accept()).await
         {
@@ -137,11 +137,11 @@
     /// gateway may not be there to take them; then listeners and idle edge connections close, and
     /// what is held gets its answer.
     pub async fn stop(&self) {
-        self.keeper.stop();
+        self.lifecycle.stop();
         self.engine.stop_streams(self.limits.stream.stop);
-        while !self.keeper.over(self.open()) || self.listeners.get() > 0 {
+        while !self.lifecycle.over(self.open()) || self.listeners.get() > 0 {
             // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
-            let word = future::or(self.room.freed(), self.keeper.changed());
+            let word = future::or(self.slots.freed(), self.lifecycle.changed());
             let _ = within(self.limits.edge_look, word).await;
         }
     }
@@ -163,7 +163,7 @@
     /// What this process holds, for the one that follows.
     pub fn report(&self) -> Report {
         let holds = Places { edge: self.open(), servers: self.fleet.open() };
-        Report { holds, stopping: self.keeper.is_stopping() }
+        Report { holds, stopping: self.lifecycle.is_stopping() }
     }
 
     /// Notes what has become of another process, and what of the memory is this one's since then.
@@ -175,7 +175,7 @@
 
     /// Edge connections that are open.
     pub fn open(&self) -> usize {
-        self.room.taken()
+        self.slots.in_use()
     }
 
     async fn connection(
@@ -183,30 +183,30 @@
         mut wire: Wire,
         from: SocketAddr,
         dialect: Dialect,
-        mut place: Place,
+        mut slot: Slot,
     ) {
         loop {
-            match self.clone().exchange(wire, dialect, from, &mut place).await {
+            match self.clone().exchange(wire, dialect, from, &mut slot).await {
                 Some(After::Rests(next)) => wire = next,
-                Some(After::Ends(wire)) => return self.close(wire, place).await,
+                Some(After::Ends(wire)) => return self.close(wire, slot).await,
                 None => return,
             }
             // What a large request needed is not kept while the connection rests.
             wire.buf.shrink_to(self.limits.wire.read_bytes);
-            place.sit(Sitting::Rested);
+            slot.set_state(ConnectionState::Idle);
         }
     }
 
     /// Ends a connection that was answered. Guards against a reset that overtakes the answer: what still comes is
-    /// read and dropped for a while, unless the place is needed sooner.
-    async fn close(&self, mut wire: Wire, mut place: Place) {
-        place.sit(Sitting::Closing);
-        let longest = match self.keeper.is_stopping() {
+    /// read and dropped for a while, unless the slot is needed sooner.
+    async fn close(&self, mut wire: Wire, mut slot: Slot) {
+        slot.set_state(ConnectionState::Closing);
+        let longest = match self.lifecycle.is_stopping() {
             true => self.limits.wire.linger_quiet,
             false => self.limits.linger,
         };
         let left = async {
-            place.left().await;
+            slot.evicted().await;
             Ok(())
         };
         let _ = future::or(wire.linger(longest, &self.limits.wire), left).await;
@@ -218,10 +218,10 @@
         mut wire: Wire,
         dialect: Dialect,
         from: SocketAddr,
-        place: &mut Place,
+        slot: &mut Slot,
     ) -> Option<After> {
-        let is_new = place.mute_since().is_some();
-        let (mut head, body, _bytes) = match self.request(&mut wire, dialect, place).await {
+        let is_new = slot.silent_since().is_some();
+        let (mut head, body, _bytes) = match self.request(&mut wire, dialect, slot).await {
             Ok(Some(request)) => request,
             // On one that has carried nothing no answer can be on its way.
             Ok(None) if is_new => return None,
@@ -234,9 +234,9 @@
                 return matches!(written, Ok(Ok(()))).then_some(After::Ends(wire));
             }
         };
-        place.sit(Sitting::Asking);
-        let crowded = self.room.is_crowded(self.places());
-        let keep = head.keeps_alive(&head.start[2]) && !crowded && self.keeper.keeps_connections();
+        slot.set_state(ConnectionState::Serving);
+        let crowded = self.slots.is_crowded(self.places());
+        let keep = head.keeps_alive(&head.start[2]) && !crowded && self.lifecycle.keeps_connections();
         let id = self.name(dialect, &mut head);
         let now = self.engine.now();
         let call = self.desk.call(now, dialect, &head, &body, &id, self.fleet.speak());
@@ -246,7 +246,7 @@
                 let headers = std::mem::take(&mut order.headers);
                 let voice = Voice { dialect, id, safe: order.safe, headers };
                 let grant = order.grant.take();
-                let placed = self.keeper.takes_requests();
+                let placed = self.lifecycle.takes_requests();
                 let charge = Charge {
                     edge: self.clone(),
                     grant,
@@ -257,7 +257,7 @@
                 };
                 let passage = Rc::new(Passage::ordered(&self.desk, dialect, head, body, &mut order));
                 let client = Exchange {
-                    ahead: self.ahead(dialect, &wire),
+                    pipelined: self.pipelined(dialect, &wire),
                     edge: self.clone(),
                     wire,
                     voice,
@@ -276,7 +276,7 @@
                 engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
             }
-            Call::Health if self.keeper.wants_clients() => Voice::new(dialect, &id).note(200, "ready"),
+            Call::Health if self.lifecycle.wants_clients() => Voice::new(dialect, &id).note(200, "ready"),
             Call::Health => Voice::new(dialect, &id).note(503, "not ready"),
             Call::Reply(reply) => {
                 log::debug!(id = id, client:% = from, status = reply.status; "answered: by the front alone");
@@ -309,11 +309,11 @@
     }
 
     /// How what comes behind a request on this connection is taken.
-    fn ahead(self: &Rc<Self>, dialect: Dialect, wire: &Wire) -> (Ahead, Bytes) {
+    fn pipelined(self: &Rc<Self>, dialect: Dialect, wire: &Wire) -> (PipelinedInput, Bytes) {
         let wire_limits = self.wire_limits(dialect);
         let whole = wire_limits.head_bytes + wire_limits.body_bytes;
         let bounds = Bounds { least: wire_limits.head_bytes, most: whole, flood: self.limits.flood_bytes };
-        (Ahead::new(bounds, wire.cut), Bytes(self.clone(), 0))
+        (PipelinedInput::new(bounds, wire.cut), Bytes(self.clone(), 0))
     }
 
     /// A connection's limits, with the bounds of that front's bodies.
@@ -329,20 +329,20 @@
         self: &Rc<Self>,
         wire: &mut Wire,
         dialect: Dialect,
-        place: &mut Place,
+        slot: &mut Slot,
     ) -> Result<Option<(Head, Vec<u8>, Bytes)>, Bad> {
         let (limits, wire_limits) = (&self.limits, self.wire_limits(dialect));
-        let mute_since = place.mute_since();
+        let silent_since = slot.silent_since();
         if wire.buf.is_empty() {
             if wire.cut {
                 return Ok(None);
             }
             let closing = async {
-                future::or(self.keeper.rest_over(mute_since), place.left()).await;
+                future::or(self.lifecycle.rest_over(silent_since), slot.evicted()).await;
                 Ok(0)
             };
-            // Guards against a crowd that holds places and says nothing at all.
-            let patience = if mute_since.is_some() { limits.edge_read } else { limits.edge_idle };
+            // Guards against a crowd that holds slots and says nothing at all.
+            let patience = if silent_since.is_some() { limits.edge_read } else { limits.edge_idle };
             let idle = async { within(patience, wire.fill(wire_limits)).await.unwrap_or(Ok(0)) };
             // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
             // crosses a close costs its client another connection.
@@ -350,9 +350,9 @@
                 return Ok(None);
             }
         }
-        // The first request's time began with the connection: one that trickles in has no more than a mute one.
-        let spent = mute_since.map_or(0, |since| self.engine.now().saturating_sub(since));
-        place.sit(Sitting::Arriving);
+        // The first request's time began with the connection: one that trickles in has no more than a silent one.
+        let spent = silent_since.map_or(0, |since| self.engine.now().saturating_sub(since));
+        slot.set_state(ConnectionState::Receiving);
         let whole = async {
             let head = loop {
                 if let Some(head) = http::request_head(&mut wire.buf, wire_limits)? {
@@ -361,7 +361,7 @@
                 if !wire.more(wire_limits).await {
                     return Ok(None);
                 }
-                place.progress();
+                slot.progress();
             };
             let mut framing = head.request_body(wire_limits)?;
             if head.lists("expect", "100-continue") && framing != Body::Length(0) && wire.buf.is_empty() {
@@ -388,12 +388,12 @@
                 if !wire.more(wire_limits).await {
                     return Ok(None);
                 }
-                place.progress();
+                slot.progress();
             }
         };
         let late = || Err(Bad { status: 408, what: "the request took too long to arrive" });
         let left = async {
-            place.left().await;
+            slot.evicted().await;
             Ok(late())
         };
         let patience = limits.edge_read.saturating_sub(Duration::from_nanos(spent));
@@ -406,22 +406,22 @@
     pub fn adopt(
         self: Rc<Self>,
         ex: &'static LocalExecutor<'static>,
-        mut parcel: Parcel,
+        mut snapshot: StreamSnapshot,
         [client, server]: [OwnedFd; 2],
     ) -> io::Result<()> {
-        let [line, buf, ..] = &mut parcel.waiting;
+        let [line, buf, ..] = &mut snapshot.waiting;
         let (line, wire) = (std::mem::take(line), Wire::handed(client, std::mem::take(buf))?);
         let from = wire.peer()?;
-        let steps = Running::unpack(self.fleet.clone(), &mut parcel, server)?;
-        let (voice, waiting) = (Voice::new(Dialect::Platform, &parcel.name), line.len());
+        let steps = Running::unpack(self.fleet.clone(), &mut snapshot, server)?;
+        let (voice, waiting) = (Voice::new(Dialect::Platform, &snapshot.name), line.len());
         let speech = Speech::resumed(voice.clone(), self.desk.noted.clone(), &self.limits);
         let back = Rc::new(RefCell::new(None));
         let exchange = Exchange {
-            ahead: self.ahead(Dialect::Platform, &wire),
+            pipelined: self.pipelined(Dialect::Platform, &wire),
             edge: self.clone(),
             wire,
             voice,
-            keep: parcel.keep_client,
+            keep: snapshot.keep_client,
             model: String::new(),
             whole: false,
             back: back.clone(),
@@ -430,22 +430,22 @@
         };
         let answer = Answering { exchange, speech, line, written: 0 };
         let begun = Begun {
-            id: parcel.id,
-            class: parcel.class,
-            tenant: parcel.tenant,
-            server: ReplicaId::from(parcel.server.as_str()),
-            first: parcel.first,
+            id: snapshot.id,
+            class: snapshot.class,
+            tenant: snapshot.tenant,
+            server: ReplicaId::from(snapshot.server.as_str()),
+            first: snapshot.first,
         };
-        let mut place = self.room.place();
-        place.sit(Sitting::Asking);
+        let mut slot = self.slots.acquire();
+        slot.set_state(ConnectionState::Serving);
         ex.spawn(async move {
             engine::carry_on(&self.engine, &begun, (steps, answer, waiting), &*self).await;
             match back.take() {
                 Some(After::Rests(wire)) => {
-                    place.sit(Sitting::Rested);
-                    self.connection(wire, from, Dialect::Platform, place).await;
+                    slot.set_state(ConnectionState::Idle);
+                    self.connection(wire, from, Dialect::Platform, slot).await;
                 }
-                Some(After::Ends(wire)) => self.close(wire, place).await,
+                Some(After::Ends(wire)) => self.close(wire, slot).await,
                 None => {}
             }
         })
@@ -456,18 +456,18 @@
 
 impl engine::Heir<Running, Answering> for Edge {
     fn take(&self, begun: &Begun, steps: &mut Running, answer: &mut Answering) -> bool {
-        if !self.handover.has_follower() {
+        if !self.followers.has_follower() {
             return false;
         }
-        let mut parcel = Parcel {
+        let mut snapshot = StreamSnapshot {
             id: begun.id,
             class: begun.class,
             tenant: begun.tenant,
             first: begun.first,
-            ..Parcel::default()
+            ..StreamSnapshot::default()
         };
-        let sent = match (answer.pack(&mut parcel), steps.pack(&mut parcel)) {
-            (Some(client), Some(server)) => self.handover.send(&parcel, [client, server]),
+        let sent = match (answer.pack(&mut snapshot), steps.pack(&mut snapshot)) {
+            (Some(client), Some(server)) => self.followers.send(&snapshot, [client, server]),
             _ => Err(io::Error::other("of a kind that stays")),
         };
         match &sent {
@@ -543,7 +543,7 @@
     edge: Rc<Edge>,
     wire: Wire,
     /// What comes behind its request, and the bytes of it that are counted.
-    ahead: (Ahead, Bytes),
+    pipelined: (PipelinedInput, Bytes),
     voice: Voice,
     keep: bool,
     model: String,
@@ -556,7 +556,7 @@
 
 impl Exchange {
     async fn reply(mut self, reply: Reply) {
-        let keep = self.keep && self.edge.keeper.keeps_connections();
+        let keep = self.keep && self.edge.lifecycle.keeps_connections();
         let bytes = reply.bytes(keep);
         let written = within(self.edge.limits.edge_write, self.wire.write(&bytes)).await;
         if matches!(written, Ok(Ok(()))) {
@@ -574,7 +574,7 @@
     /// comes behind that; it waits in the buffer, up to its bound. A half-close counts as leaving: until something is
     /// written, nobody can tell it from a close.
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
-        let Exchange { edge, wire, ahead: (ahead, counted), .. } = self;
+        let Exchange { edge, wire, pipelined: (pipelined, counted), .. } = self;
         loop {
             let had = wire.buf.len();
             let came = match ready!(wire.poll_fill(cx, &edge.limits.wire)) {
@@ -583,13 +583,14 @@
                 Ok(count) => count,
             };
             // Guards against crowding out requests that are on their way in: half of their memory stays theirs.
-            let room = edge.held_bytes.get() + came <= edge.fleet.overlap.part(edge.limits.held_bytes) / 2;
-            match ahead.came(had, came, room) {
-                Take::Keep => counted.grow_to(wire.buf.len()),
-                Take::Drop => wire.buf.truncate(had),
-                Take::Flood => return Poll::Ready(Leaving::Reset),
+            let has_memory =
+                edge.held_bytes.get() + came <= edge.fleet.overlap.part(edge.limits.held_bytes) / 2;
+            match pipelined.received(had, came, has_memory) {
+                Disposition::Keep => counted.grow_to(wire.buf.len()),
+                Disposition::Drop => wire.buf.truncate(had),
+                Disposition::Flood => return Poll::Ready(Leaving::Reset),
             }
-            wire.cut = ahead.is_cut();
+            wire.cut = pipelined.is_truncated();
             // Its end may have come with these bytes.
             wire.look_anew();
         }
@@ -609,7 +610,7 @@
     }
 
     async fn left(mut self) {
-        if !self.ahead.0.is_flood() {
+        if !self.pipelined.0.is_flood() {
             log::debug!(id = self.voice.id, after:? = self.from.elapsed(); "client-gone: before its answer");
             return;
         }
@@ -672,19 +673,19 @@
     }
 
     /// Adds where its client stands, and returns its connection; none if more is held of it than bytes.
-    fn pack(&self, parcel: &mut Parcel) -> Option<BorrowedFd<'_>> {
+    fn pack(&self, snapshot: &mut StreamSnapshot) -> Option<BorrowedFd<'_>> {
         if !self.speech.is_plain() || self.exchange.charge.grant.is_some() {
             return None;
         }
-        parcel.name.clone_from(&self.exchange.voice.id);
-        parcel.waiting[0] = self.line[self.written..].to_vec();
-        // Guards against a parcel that grows with what came behind the request. Its connection ends with the
+        snapshot.name.clone_from(&self.exchange.voice.id);
+        snapshot.waiting[0] = self.line[self.written..].to_vec();
+        // Guards against a snapshot that grows with what came behind the request. Its connection ends with the
         // stream: that crosses requests which nobody has looked at.
         let Exchange { wire, edge, keep, .. } = &self.exchange;
         let slight = !wire.cut && wire.buf.len() <= edge.limits.wire.head_bytes;
-        parcel.keep_client = *keep && slight;
+        snapshot.keep_client = *keep && slight;
         if slight {
-            parcel.waiting[1].clone_from(&wire.buf);
+            snapshot.waiting[1].clone_from(&wire.buf);
         }
         Some(self.exchange.wire.fd())
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -5,39 +5,36 @@
 //! stops it writes each stream that would outlast it there, as one message with the connections of both its sides.
 //! Where nobody listens, or in another form, each is alone and streams stay where they are.
 
-use std::cell::RefCell;
 use std::fs;
-use std::io::{self, IoSlice, IoSliceMut};
+use std::io::{self, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::os::fd::{BorrowedFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use super::edge::Edge;
-use super::keeper::Keeper;
-use super::parcel::{FORM, Parcel};
+use super::followers::Followers;
+use super::handover_message::{FORMAT_VERSION, StreamSnapshot};
+use super::lifecycle_monitor::LifecycleMonitor;
 use super::within;
-use crate::aside::aside;
 use crate::limits::Limits;
-use crate::overlap::{Overlap, Report};
+use crate::process::background::run_in_background;
+use crate::process::overlap::{Overlap, Report};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use rustix::net::{
-    AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType, accept_with, bind, connect,
-    listen, recvmsg, send, sendmsg, socket_with,
+    AddressFamily, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendFlags,
+    SocketAddrUnix, SocketFlags, SocketType, accept_with, bind, connect, listen, recvmsg, send,
+    socket_with,
 };
 
 /// Where this gateway's processes meet, and the lines to those that follow.
 pub struct Handover {
     /// None where there is never another process.
     path: Option<PathBuf>,
-    /// Streams may go over the line.
-    streams: bool,
     limits: Rc<Limits>,
-    /// Newer processes, the newest last.
-    newer: RefCell<Vec<Rc<Async<OwnedFd>>>>,
+    followers: Rc<Followers>,
 }
 
 impl Handover {
@@ -45,13 +42,18 @@
     pub fn new(folder: &Path, name: &str, streams: bool, limits: Rc<Limits>) -> Handover {
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
         let name: String = name.chars().map(plain).collect();
-        let path = Some(folder.join(format!("tulipridge-{name}.{FORM}")));
-        Handover { path, streams, ..Handover::never(limits) }
+        let path = Some(folder.join(format!("tulipridge-{name}.{FORMAT_VERSION}")));
+        Handover { path, limits: limits.clone(), followers: Rc::new(Followers::new(streams, limits)) }
     }
 
     /// For a process beside which there is never another.
     pub fn never(limits: Rc<Limits>) -> Handover {
-        Handover { path: None, streams: false, limits, newer: RefCell::default() }
+        Handover { path: None, limits: limits.clone(), followers: Rc::new(Followers::new(false, limits)) }
+    }
+
+    /// The newer processes that streams may go to.
+    pub fn followers(&self) -> Rc<Followers> {
+        self.followers.clone()
     }
 
     /// Joins the older process, if there is one: from then on it is known what that one holds.
@@ -76,15 +78,15 @@
         self: Rc<Self>,
         ex: &'static LocalExecutor<'static>,
         edge: Rc<Edge>,
-        keeper: Rc<Keeper>,
+        lifecycle: Rc<LifecycleMonitor>,
     ) {
         let Some(path) = &self.path else { return };
-        if !keeper.accepting().await {
+        if !lifecycle.accepting().await {
             return;
         }
         let at = path.clone();
         // Names in a folder are a disk's matter.
-        let listener = match aside(move || bind_over(&at)).await {
+        let listener = match run_in_background(move || bind_over(&at)).await {
             Ok(Ok(listener)) => listener,
             Ok(Err(e)) | Err(e) => {
                 log::warn!(path:? = path; "handover-off: a process that follows is not known: {e}");
@@ -105,14 +107,14 @@
             }
         };
         // The file stays: it may be the newcomer's by now, and where nobody listens it does no harm.
-        future::or(accepting, keeper.closed()).await;
+        future::or(accepting, lifecycle.closed()).await;
     }
 
     /// Tells a newer process what is held here, until it is gone.
     async fn accompany(self: Rc<Self>, line: Rc<Async<OwnedFd>>, edge: Rc<Edge>) {
         log::info!("newcomer: a newer process is up; it gets half of the places");
         edge.overlap(Overlap::newer_came);
-        self.newer.borrow_mut().push(line.clone());
+        self.followers.add(line.clone());
         let mut said = None;
         loop {
             let report = edge.report();
@@ -127,33 +129,10 @@
                 break;
             }
         }
-        self.newer.borrow_mut().retain(|other| !Rc::ptr_eq(other, &line));
+        self.followers.remove(&line);
         edge.overlap(Overlap::newer_left);
         log::info!("newcomer-left: this process has all places again");
     }
-
-    /// There is a process that streams may go to.
-    pub fn has_follower(&self) -> bool {
-        self.streams && !self.newer.borrow().is_empty()
-    }
-
-    /// Hands a stream over with its client's and its real server's connection. An error says that it was not, and
-    /// may be later.
-    pub fn send(&self, parcel: &Parcel, sides: [BorrowedFd; 2]) -> io::Result<()> {
-        let newer = self.newer.borrow();
-        let line = newer.last().ok_or(io::ErrorKind::NotConnected)?;
-        let bytes = parcel.bytes()?;
-        // Guards against a message that the follower would have to cut.
-        if bytes.len() > self.limits.handover_bytes {
-            return Err(io::Error::other("too much waits at it"));
-        }
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-        let mut rights = SendAncillaryBuffer::new(&mut space);
-        rights.push(SendAncillaryMessage::ScmRights(&sides));
-        let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
-        sendmsg(line.get_ref(), &[IoSlice::new(&bytes)], &mut rights, flags)?;
-        Ok(())
-    }
 }
 
 /// Listens at a path, which is taken over at once from one that still listens or from one that was killed.
@@ -185,9 +164,9 @@
         match message(line.get_ref(), &limits) {
             Ok(Message::End) => break,
             Ok(Message::Holds(report)) => edge.overlap(|overlap| overlap.older_said(report)),
-            Ok(Message::Stream(parcel, sides)) => {
-                let id = parcel.id;
-                match edge.clone().adopt(ex, *parcel, sides) {
+            Ok(Message::Stream(snapshot, sides)) => {
+                let id = snapshot.id;
+                match edge.clone().adopt(ex, *snapshot, sides) {
                     Ok(()) => taken += 1,
                     Err(e) => log::warn!(id = format!("{id:016x}"); "handover-failed: {e}"),
                 }
@@ -207,7 +186,7 @@
 /// What an older process says.
 enum Message {
     Holds(Report),
-    Stream(Box<Parcel>, [OwnedFd; 2]),
+    Stream(Box<StreamSnapshot>, [OwnedFd; 2]),
     End,
 }
 
@@ -232,7 +211,7 @@
         0 => Ok(Message::Holds(serde_json::from_slice(bytes)?)),
         _ => {
             let sides = sides.try_into().map_err(|_| io::Error::other("not two connections"))?;
-            Ok(Message::Stream(Box::new(Parcel::read(bytes)?), sides))
+            Ok(Message::Stream(Box::new(StreamSnapshot::read(bytes)?), sides))
         }
     }
 }
--- a/src/net/handover_message.rs
+++ b/src/net/handover_message.rs
@@ -9,14 +9,15 @@
 use crate::front::Usage;
 use crate::types::Nanos;
 
-/// The form of parcels; one that changes gets another number, and processes of different forms hand nothing over.
-pub const FORM: u32 = 1;
-/// Lengths before a parcel's parts, four bytes each: of its description and of what waits at four places.
+/// The version of the format; a change of the format gets another number, and processes of different versions hand
+/// nothing over.
+pub const FORMAT_VERSION: u32 = 1;
+/// Lengths before a snapshot's parts, four bytes each: of its description and of what waits at four places.
 const LENGTHS: usize = 5 * 4;
 
 /// A begun stream without its connections.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Parcel {
+pub struct StreamSnapshot {
     /// Its request's id, as the module had it.
     pub id: u64,
     /// The same as its client knows it.
@@ -47,7 +48,7 @@
     pub waiting: [Vec<u8>; 4],
 }
 
-impl Parcel {
+impl StreamSnapshot {
     /// Its bytes.
     pub fn bytes(&self) -> io::Result<Vec<u8>> {
         let told = serde_json::to_vec(self)?;
@@ -62,7 +63,7 @@
     }
 
     /// Reads one; all of the bytes must be its.
-    pub fn read(bytes: &[u8]) -> io::Result<Parcel> {
+    pub fn read(bytes: &[u8]) -> io::Result<StreamSnapshot> {
         let wrong = || io::Error::new(io::ErrorKind::InvalidData, "lengths that don't fit");
         let (lengths, mut rest) = bytes.split_at_checked(LENGTHS).ok_or_else(wrong)?;
         let mut parts = Vec::with_capacity(5);
@@ -75,10 +76,10 @@
         if !rest.is_empty() {
             return Err(wrong());
         }
-        let mut parcel: Parcel = serde_json::from_slice(parts[0])?;
-        for (place, part) in parcel.waiting.iter_mut().zip(&parts[1..]) {
+        let mut snapshot: StreamSnapshot = serde_json::from_slice(parts[0])?;
+        for (place, part) in snapshot.waiting.iter_mut().zip(&parts[1..]) {
             *place = part.to_vec();
         }
-        Ok(parcel)
+        Ok(snapshot)
     }
 }
--- a/src/net/lifecycle_monitor.rs
+++ b/src/net/lifecycle_monitor.rs
@@ -1,4 +1,4 @@
-//! The lifecycle with a clock, and a bell for those who wait for it to change.
+//! The lifecycle with a clock, and a notification to those who wait for it to change.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -8,27 +8,38 @@
 
 use super::within;
 use crate::engine::Engine;
-use crate::lifecycle::{Lifecycle, State, Stopping};
 use crate::limits::Limits;
+use crate::process::lifecycle::{Lifecycle, State, Stopping};
 use crate::types::Nanos;
 
-/// Keeps the lifecycle of this process; all parts ask it.
-pub struct Keeper {
+/// Monitors the lifecycle of this process; all parts ask it.
+pub struct LifecycleMonitor {
     engine: Engine,
     limits: Rc<Limits>,
     life: RefCell<Lifecycle>,
     /// Whether there is what to serve with.
-    able: Box<dyn Fn() -> bool>,
+    ready: Box<dyn Fn() -> bool>,
     /// Nothing is ever sent here: it closes, and gives way to another, at each change.
-    bell: RefCell<(Sender<()>, Receiver<()>)>,
+    change_notice: RefCell<(Sender<()>, Receiver<()>)>,
 }
 
-impl Keeper {
+impl LifecycleMonitor {
     /// A process that starts; `shared` says that its listener is another process's too.
-    pub fn new(engine: Engine, limits: Rc<Limits>, shared: bool, able: Box<dyn Fn() -> bool>) -> Keeper {
+    pub fn new(
+        engine: Engine,
+        limits: Rc<Limits>,
+        shared: bool,
+        ready: Box<dyn Fn() -> bool>,
+    ) -> LifecycleMonitor {
         let grace = limits.stop_grace.as_nanos() as Nanos;
         let life = RefCell::new(Lifecycle::new(engine.now(), shared, grace));
-        Keeper { engine, limits, life, able, bell: RefCell::new(async_channel::bounded(1)) }
+        LifecycleMonitor {
+            engine,
+            limits,
+            life,
+            ready,
+            change_notice: RefCell::new(async_channel::bounded(1)),
+        }
     }
 
     fn change<T>(&self, change: impl FnOnce(&mut Lifecycle, Nanos) -> T) -> T {
@@ -40,20 +51,20 @@
         };
         if had != state {
             log::info!(from:? = had, to:? = state; "state: clients are taken as this state has it");
-            self.ring();
+            self.notify_waiters();
         }
         got
     }
 
-    fn ring(&self) {
-        let (old, _) = self.bell.replace(async_channel::bounded(1));
+    fn notify_waiters(&self) {
+        let (old, _) = self.change_notice.replace(async_channel::bounded(1));
         old.close();
     }
 
     /// Returns at the next change.
     pub async fn changed(&self) {
-        let bell = self.bell.borrow().1.clone();
-        let _ = bell.recv().await;
+        let change_notice = self.change_notice.borrow().1.clone();
+        let _ = change_notice.recv().await;
     }
 
     /// Clients shall go elsewhere.
@@ -74,13 +85,13 @@
     /// Whether clients should be sent here.
     pub fn wants_clients(&self) -> bool {
         self.look();
-        self.life.borrow().wants_clients() && (self.able)()
+        self.life.borrow().wants_clients() && (self.ready)()
     }
 
     /// Whether this process can serve, drained or not.
     pub fn can_serve(&self) -> bool {
         self.look();
-        self.life.borrow().can_serve() && (self.able)()
+        self.life.borrow().can_serve() && (self.ready)()
     }
 
     /// Whether it takes nothing new and ends.
@@ -104,7 +115,7 @@
     }
 
     fn look(&self) {
-        if self.life.borrow().state() == State::Starting && (self.able)() {
+        if self.life.borrow().state() == State::Starting && (self.ready)() {
             self.change(Lifecycle::able);
         }
     }
@@ -130,10 +141,10 @@
         }
     }
 
-    /// Returns once a connection at rest has to close; `mute_since` is when it opened, if nothing came on it yet.
-    pub async fn rest_over(&self, mute_since: Option<Nanos>) {
+    /// Returns once a connection at rest has to close; `silent_since` is when it opened, if nothing came on it yet.
+    pub async fn rest_over(&self, silent_since: Option<Nanos>) {
         loop {
-            let until = self.life.borrow().idle_until(mute_since);
+            let until = self.life.borrow().idle_until(silent_since);
             let now = self.engine.now();
             match until {
                 Some(until) if until <= now => return,
@@ -167,7 +178,7 @@
                 Some(wait) => {
                     let _ = within(wait, self.changed()).await;
                     if due.is_some_and(|due| due <= self.engine.now()) {
-                        self.ring();
+                        self.notify_waiters();
                     }
                 }
                 None => self.changed().await,
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -1,7 +1,7 @@
 //! The second address: whether this process can serve, and orders to drain and to take clients again.
 //!
-//! One call for each connection. Callers have places of their own, so that no crowd of clients keeps a call out; and
-//! among callers the one that needs its place least gives it up, so that no crowd of callers does.
+//! One call for each connection. Callers have slots of their own, so that no crowd of clients keeps a call out; and
+//! among callers the one that needs its slot least gives it up, so that no crowd of callers does.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -11,46 +11,46 @@
 use futures_lite::future;
 
 use super::http::{self, Bad, Head};
-use super::keeper::Keeper;
-use super::room::{Place, Room};
+use super::lifecycle_monitor::LifecycleMonitor;
+use super::slot_pool::{Slot, SlotPool};
 use super::{Wire, within};
+use crate::admission::connection_slots::{ConnectionState, SlotTimeouts};
 use crate::engine::Engine;
 use crate::front::Reply;
 use crate::limits::Limits;
-use crate::seats::{Patience, Sitting};
 
 /// What all callers share.
 pub struct Mgmt {
-    keeper: Rc<Keeper>,
+    lifecycle: Rc<LifecycleMonitor>,
     limits: Rc<Limits>,
-    room: Rc<Room>,
+    slots: Rc<SlotPool>,
 }
 
 impl Mgmt {
     /// No callers yet.
-    pub fn new(engine: Engine, keeper: Rc<Keeper>, limits: Rc<Limits>) -> Mgmt {
-        let patience = Patience {
-            mute: limits.mgmt_mute,
-            arriving: limits.mgmt_slow,
-            rested: limits.mgmt_mute,
+    pub fn new(engine: Engine, lifecycle: Rc<LifecycleMonitor>, limits: Rc<Limits>) -> Mgmt {
+        let timeouts = SlotTimeouts {
+            silent: limits.mgmt_mute,
+            receiving: limits.mgmt_slow,
+            idle: limits.mgmt_mute,
             closing: limits.closing,
         };
-        Mgmt { keeper, limits, room: Rc::new(Room::new(engine, patience)) }
+        Mgmt { lifecycle, limits, slots: Rc::new(SlotPool::new(engine, timeouts)) }
     }
 
     /// Takes calls for as long as the program lives.
     pub async fn listen(self: Rc<Self>, ex: &'static LocalExecutor<'static>, listener: Async<TcpListener>) {
         loop {
-            if self.room.taken() >= self.limits.mgmt_callers {
-                self.room.make(self.limits.mgmt_mute).await;
+            if self.slots.in_use() >= self.limits.mgmt_callers {
+                self.slots.evict_and_wait(self.limits.mgmt_mute).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    let (this, place) = (self.clone(), self.room.place());
+                    let (this, slot) = (self.clone(), self.slots.acquire());
                     ex.spawn(async move {
-                        let left = place.left();
-                        future::or(this.call(stream, from, place), left).await;
+                        let left = slot.evicted();
+                        future::or(this.call(stream, from, slot), left).await;
                     })
                     .detach();
                 }
@@ -63,27 +63,27 @@
     }
 
     /// One call, answered within its time, whatever has come of it.
-    async fn call(&self, stream: Async<TcpStream>, from: SocketAddr, mut place: Place) {
+    async fn call(&self, stream: Async<TcpStream>, from: SocketAddr, mut slot: Slot) {
         let mut wire = Wire::new(stream);
         let late = Bad { status: 408, what: "the call took too long to arrive" };
         let head =
-            within(self.limits.mgmt_read, self.head(&mut wire, &mut place)).await.unwrap_or(Err(late));
+            within(self.limits.mgmt_read, self.head(&mut wire, &mut slot)).await.unwrap_or(Err(late));
         let reply = match head {
             Ok(Some(head)) => self.answer(&head, from),
             Ok(None) => return,
             Err(bad) => Reply::text(bad.status, bad.what),
         };
-        place.sit(Sitting::Asking);
+        slot.set_state(ConnectionState::Serving);
         let written = within(self.limits.mgmt_write, wire.write(&reply.bytes(false))).await;
         if matches!(written, Ok(Ok(()))) {
             // Guards against a reset that overtakes the answer, where a body was sent with the call.
-            place.sit(Sitting::Closing);
+            slot.set_state(ConnectionState::Closing);
             let _ = wire.linger(self.limits.linger, &self.limits.wire).await;
         }
     }
 
     /// A call's head; a body says nothing here. `None`: the caller left.
-    async fn head(&self, wire: &mut Wire, place: &mut Place) -> Result<Option<Head>, Bad> {
+    async fn head(&self, wire: &mut Wire, slot: &mut Slot) -> Result<Option<Head>, Bad> {
         loop {
             if let Some(head) = http::request_head(&mut wire.buf, &self.limits.wire)? {
                 return Ok(Some(head));
@@ -91,7 +91,7 @@
             if !wire.fill(&self.limits.wire).await.is_ok_and(|n| n > 0) {
                 return Ok(None);
             }
-            place.sit(Sitting::Arriving);
+            slot.set_state(ConnectionState::Receiving);
         }
     }
 
@@ -115,18 +115,18 @@
     }
 
     fn ready(&self) -> Reply {
-        if self.keeper.can_serve() { Reply::text(200, "ready") } else { Reply::text(503, "not ready") }
+        if self.lifecycle.can_serve() { Reply::text(200, "ready") } else { Reply::text(503, "not ready") }
     }
 
     fn drain(&self) -> Reply {
-        match self.keeper.drain() {
+        match self.lifecycle.drain() {
             Ok(()) => Reply::text(200, "drained: clients go elsewhere"),
             Err(_) => Reply::text(409, "stopping: it is emptied and ends"),
         }
     }
 
     fn undrain(&self) -> Reply {
-        match self.keeper.undrain() {
+        match self.lifecycle.undrain() {
             Ok(()) => Reply::text(200, "clients may come"),
             Err(_) => Reply::text(409, "stopping: it takes no clients any more"),
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,14 +2,15 @@
 
 pub mod discovery;
 pub mod edge;
+pub mod followers;
 pub mod handover;
-pub mod keeper;
+pub mod handover_message;
+pub mod lifecycle_monitor;
 pub mod listen;
 pub mod mgmt;
 pub mod objects;
-pub mod parcel;
 pub mod peers;
-pub mod room;
 pub mod servers;
+pub mod slot_pool;
 
 pub use jetway::{Wire, bound_buffers, http, within};
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -13,14 +13,14 @@
 use async_io::Timer;
 use futures_lite::{Stream, future};
 
+use super::handover_message::StreamSnapshot;
 use super::http::{self, Body, Head};
-use super::parcel::Parcel;
 use super::{Wire, within};
 use crate::engine::{Arrival, Ending, Servers, Step};
 use crate::front::{Dialect, Passage, Speak, Usage};
 use crate::limits::Limits;
 use crate::names::{ServiceEntry, State};
-use crate::overlap::{Overlap, Places};
+use crate::process::overlap::{Overlap, Places};
 use crate::stream::End;
 use crate::types::{ReplicaId, Verdict};
 
@@ -599,17 +599,17 @@
 
 impl Running {
     /// Adds where its stream stands, and returns its connection; none if no event has come yet or more can't.
-    pub fn pack(&self, parcel: &mut Parcel) -> Option<BorrowedFd<'_>> {
+    pub fn pack(&self, snapshot: &mut StreamSnapshot) -> Option<BorrowedFd<'_>> {
         let Stage::Open(open) = &self.stage else { return None };
         if open.spoilt || open.failed {
             return None;
         }
-        parcel.server = open.server.0.to_string();
-        parcel.addr = Some(open.addr);
-        parcel.body = Some(open.body);
-        (parcel.keep_server, parcel.last, parcel.usage) = (open.keep, open.last, open.usage);
-        parcel.waiting[2].clone_from(&open.line.wire.buf);
-        parcel.waiting[3].clone_from(&open.text);
+        snapshot.server = open.server.0.to_string();
+        snapshot.addr = Some(open.addr);
+        snapshot.body = Some(open.body);
+        (snapshot.keep_server, snapshot.last, snapshot.usage) = (open.keep, open.last, open.usage);
+        snapshot.waiting[2].clone_from(&open.line.wire.buf);
+        snapshot.waiting[3].clone_from(&open.text);
         Some(open.line.wire.fd())
     }
 
@@ -621,26 +621,26 @@
     }
 
     /// Goes on with what another process packed.
-    pub fn unpack(fleet: Rc<Fleet>, parcel: &mut Parcel, side: OwnedFd) -> io::Result<Running> {
+    pub fn unpack(fleet: Rc<Fleet>, snapshot: &mut StreamSnapshot, side: OwnedFd) -> io::Result<Running> {
         let missing = || io::Error::other("no real server in it");
-        let [_, _, buf, text] = &mut parcel.waiting;
+        let [_, _, buf, text] = &mut snapshot.waiting;
         let mut wire = Wire::handed(side, std::mem::take(buf))?;
         wire.abort = true;
         let open = Open {
-            server: ReplicaId::from(parcel.server.as_str()),
-            addr: parcel.addr.ok_or_else(missing)?,
+            server: ReplicaId::from(snapshot.server.as_str()),
+            addr: snapshot.addr.ok_or_else(missing)?,
             line: Line { wire, slot: Slot::new(&fleet.open) },
             dialect: Dialect::Platform,
-            body: parcel.body.ok_or_else(missing)?,
-            keep: parcel.keep_server,
+            body: snapshot.body.ok_or_else(missing)?,
+            keep: snapshot.keep_server,
             spoilt: false,
             failed: false,
             text: std::mem::take(text),
             scanned: 0,
             came: 0,
             early: 0,
-            last: parcel.last,
-            usage: parcel.usage,
+            last: snapshot.last,
+            usage: snapshot.usage,
             report: Vec::new(),
         };
         Ok(Running { fleet, stage: Stage::Open(Box::new(open)) })
--- a/src/net/slot_pool.rs
+++ b/src/net/slot_pool.rs
@@ -1,4 +1,4 @@
-//! Room for connections: the rule of places with a clock, and the way to ask one to leave.
+//! A pool of connection slots: the rule of [`crate::admission::connection_slots`] with a clock, and the way to evict one.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,110 +9,110 @@
 use async_channel::{Receiver, Sender};
 
 use super::within;
+use crate::admission::connection_slots::{ConnectionSlots, ConnectionState, SlotTimeouts};
 use crate::engine::Engine;
-use crate::seats::{Patience, Seats, Sitting};
 use crate::types::Nanos;
 
-/// All places of one kind.
-pub struct Room {
+/// All slots of one kind.
+pub struct SlotPool {
     engine: Engine,
-    seats: RefCell<Seats>,
+    slots: RefCell<ConnectionSlots>,
     /// How each is asked to leave: by closing this.
-    leave: RefCell<BTreeMap<u64, Sender<()>>>,
-    /// A place has become free.
+    eviction: RefCell<BTreeMap<u64, Sender<()>>>,
+    /// A slot has become free.
     freed: (Sender<()>, Receiver<()>),
 }
 
-impl Room {
-    /// With nobody in it.
-    pub fn new(engine: Engine, patience: Patience) -> Room {
-        let (seats, freed) = (RefCell::new(Seats::new(patience)), async_channel::bounded(1));
-        Room { engine, seats, leave: RefCell::default(), freed }
+impl SlotPool {
+    /// With no slot in use.
+    pub fn new(engine: Engine, timeouts: SlotTimeouts) -> SlotPool {
+        let (slots, freed) = (RefCell::new(ConnectionSlots::new(timeouts)), async_channel::bounded(1));
+        SlotPool { engine, slots, eviction: RefCell::default(), freed }
     }
 
-    /// Places that are taken.
-    pub fn taken(&self) -> usize {
-        self.seats.borrow().taken()
+    /// Slots that are in use.
+    pub fn in_use(&self) -> usize {
+        self.slots.borrow().in_use()
     }
 
-    /// Whoever is answered now shall not stay.
-    pub fn is_crowded(&self, places: usize) -> bool {
-        self.seats.borrow().is_crowded(places)
+    /// A connection that is answered now is closed.
+    pub fn is_crowded(&self, capacity: usize) -> bool {
+        self.slots.borrow().is_crowded(capacity)
     }
 
-    /// Asks the one that needs its place least to give it up, if one has to, and waits until a place is free or
+    /// Asks the one that needs its slot least to give it up, if one has to, and waits until a slot is free or
     /// it is time to look again.
-    pub async fn make(&self, look: Duration) {
-        let spare = self.seats.borrow_mut().spare(self.engine.now());
-        if let Some(number) = spare
-            && let Some(leave) = self.leave.borrow().get(&number)
+    pub async fn evict_and_wait(&self, look: Duration) {
+        let evicted = self.slots.borrow_mut().evict(self.engine.now());
+        if let Some(number) = evicted
+            && let Some(eviction) = self.eviction.borrow().get(&number)
         {
-            leave.close();
+            eviction.close();
         }
         let _ = within(look, self.freed()).await;
     }
 
-    /// Returns once a place has become free. Only one of all that wait hears of it.
+    /// Returns once a slot has become free. Only one of all that wait hears of it.
     pub async fn freed(&self) {
         let _ = self.freed.1.recv().await;
     }
 
-    /// Takes a place, which is mute at first.
-    pub fn place(self: &Rc<Self>) -> Place {
-        let number = self.seats.borrow_mut().take(self.engine.now());
-        Place { room: self.clone(), number, leave: self.expect(number) }
+    /// Takes a slot, which is silent at first.
+    pub fn acquire(self: &Rc<Self>) -> Slot {
+        let number = self.slots.borrow_mut().acquire(self.engine.now());
+        Slot { pool: self.clone(), number, eviction: self.expect_eviction(number) }
     }
 
-    /// What one at this place hears when it is asked to leave.
-    fn expect(&self, number: u64) -> Receiver<()> {
-        let (send, leave) = async_channel::bounded(1);
-        self.leave.borrow_mut().insert(number, send);
-        leave
+    /// What one at this slot hears when it is asked to leave.
+    fn expect_eviction(&self, number: u64) -> Receiver<()> {
+        let (send, eviction) = async_channel::bounded(1);
+        self.eviction.borrow_mut().insert(number, send);
+        eviction
     }
 }
 
-/// A place, given back when it is dropped.
-pub struct Place {
-    room: Rc<Room>,
+/// A slot, given back when it is dropped.
+pub struct Slot {
+    pool: Rc<SlotPool>,
     number: u64,
-    /// Nothing is ever sent here: it closes once the connection shall make room.
-    leave: Receiver<()>,
+    /// Nothing is ever sent here: it closes once the connection shall give up its slot.
+    eviction: Receiver<()>,
 }
 
-impl Place {
+impl Slot {
     /// Since when nothing has come on it, if that is so.
-    pub fn mute_since(&self) -> Option<Nanos> {
-        let seat = self.room.seats.borrow().get(self.number);
-        seat.filter(|(sitting, _)| *sitting == Sitting::Mute).map(|(_, since)| since)
+    pub fn silent_since(&self) -> Option<Nanos> {
+        let slot = self.pool.slots.borrow().get(self.number);
+        slot.filter(|(state, _)| *state == ConnectionState::Silent).map(|(_, since)| since)
     }
 
     /// Notes what it is doing now.
-    pub fn sit(&mut self, sitting: Sitting) {
-        let before = self.room.seats.borrow_mut().sit(self.room.engine.now(), self.number, sitting);
+    pub fn set_state(&mut self, state: ConnectionState) {
+        let before = self.pool.slots.borrow_mut().set_state(self.pool.engine.now(), self.number, state);
         // One that was asked to leave in the moment in which its request came has stayed after all.
-        if before == Some(Sitting::Leaving) {
-            self.leave = self.room.expect(self.number);
+        if before == Some(ConnectionState::Evicted) {
+            self.eviction = self.pool.expect_eviction(self.number);
         }
     }
 
     /// More of a request has come.
     pub fn progress(&self) {
-        self.room.seats.borrow_mut().progress(self.room.engine.now(), self.number);
+        self.pool.slots.borrow_mut().progress(self.pool.engine.now(), self.number);
     }
 
     /// Returns once it shall leave.
-    pub fn left(&self) -> impl Future<Output = ()> + use<> {
-        let leave = self.leave.clone();
+    pub fn evicted(&self) -> impl Future<Output = ()> + use<> {
+        let eviction = self.eviction.clone();
         async move {
-            let _ = leave.recv().await;
+            let _ = eviction.recv().await;
         }
     }
 }
 
-impl Drop for Place {
+impl Drop for Slot {
     fn drop(&mut self) {
-        self.room.seats.borrow_mut().free(self.number);
-        self.room.leave.borrow_mut().remove(&self.number);
-        let _ = self.room.freed.0.try_send(());
+        self.pool.slots.borrow_mut().release(self.number);
+        self.pool.eviction.borrow_mut().remove(&self.number);
+        let _ = self.pool.freed.0.try_send(());
     }
 }
--- a/src/process/background.rs
+++ b/src/process/background.rs
@@ -1,12 +1,15 @@
-//! Work that may wait for a disk, on a thread of its own.
+//! Blocking work, such as disk access, on a background thread.
 
 use std::io;
 use std::thread;
 
-/// Does the work elsewhere: however long a disk takes, the serving thread serves on.
-pub async fn aside<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> io::Result<T> {
+/// Runs the work on a thread of its own and waits for its outcome: however long a disk takes, the serving thread
+/// serves on.
+pub async fn run_in_background<T: Send + 'static>(
+    work: impl FnOnce() -> T + Send + 'static,
+) -> io::Result<T> {
     let (tell, done) = async_channel::bounded(1);
-    thread::Builder::new().name("aside".into()).spawn(move || {
+    thread::Builder::new().name("background".into()).spawn(move || {
         // Nobody waits for it any more where the program has ended.
         let _ = tell.try_send(work());
     })?;
--- a/src/process/lifecycle.rs
+++ b/src/process/lifecycle.rs
@@ -124,11 +124,11 @@
 
     /// When a connection at rest closes, if it has to: after the grace, which for one that opened later and has
     /// carried nothing yet counts from then.
-    pub fn idle_until(&self, mute_since: Option<Nanos>) -> Option<Nanos> {
+    pub fn idle_until(&self, silent_since: Option<Nanos>) -> Option<Nanos> {
         match self.state {
             State::Starting | State::Serving => None,
             State::Drained | State::Stopping => {
-                Some(self.graced().max(mute_since.unwrap_or(0).saturating_add(self.grace)))
+                Some(self.graced().max(silent_since.unwrap_or(0).saturating_add(self.grace)))
             }
         }
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,7 +12,6 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 
-use tulipridge::aside::aside;
 use tulipridge::config::{self, Config, Sources};
 use tulipridge::engine::Engine;
 use tulipridge::front::{Desk, Dialect};
@@ -20,12 +19,13 @@
 use tulipridge::net::discovery::Discovery;
 use tulipridge::net::edge::Edge;
 use tulipridge::net::handover::Handover;
-use tulipridge::net::keeper::Keeper;
+use tulipridge::net::lifecycle_monitor::LifecycleMonitor;
 use tulipridge::net::listen;
 use tulipridge::net::mgmt::Mgmt;
 use tulipridge::net::peers;
 use tulipridge::net::servers::Fleet;
 use tulipridge::pace::{self, Calls};
+use tulipridge::process::background::run_in_background;
 use tulipridge::store::Store;
 use tulipridge::syslog;
 
@@ -104,7 +104,7 @@
     };
     let desk = Rc::new(Desk::new(names.clone(), limits.clone(), config.messages));
     let shared = inherited.is_some();
-    let keeper = Rc::new(Keeper::new(engine.clone(), limits.clone(), shared, able));
+    let lifecycle = Rc::new(LifecycleMonitor::new(engine.clone(), limits.clone(), shared, able));
     // Without a listener that the platform keeps, no process ever serves beside this one.
     let handover = Rc::new(match shared {
         true => Handover::new(&env::temp_dir(), &config.name, config.own.handover, limits.clone()),
@@ -115,18 +115,18 @@
         fleet.clone(),
         desk.clone(),
         limits.clone(),
-        keeper.clone(),
-        handover.clone(),
+        lifecycle.clone(),
+        handover.followers(),
     ));
     handover.join(ex, &edge);
-    ex.spawn(handover.listen(ex, edge.clone(), keeper.clone())).detach();
+    ex.spawn(handover.listen(ex, edge.clone(), lifecycle.clone())).detach();
 
     let bind = |addr, inherited, port: &str| listen::open(addr, inherited, port, &limits);
     let mut fronts = vec![(config.listen, Dialect::Platform)];
     fronts.extend(config.own.messages.listen.map(|addr| (addr, Dialect::Messages)));
     let mgmt_told = config.mgmt;
     if let Some(addr) = config.mgmt {
-        let mgmt = Rc::new(Mgmt::new(engine.clone(), keeper.clone(), limits.clone()));
+        let mgmt = Rc::new(Mgmt::new(engine.clone(), lifecycle.clone(), limits.clone()));
         ex.spawn(mgmt.listen(ex, bind(addr, None, "Mgmt")?)).detach();
     }
     for (addr, dialect) in fronts {
@@ -159,7 +159,7 @@
     })
     .detach();
     ex.spawn(async move { engine.run_timers().await }).detach();
-    ex.spawn(async move { keeper.run().await }).detach();
+    ex.spawn(async move { lifecycle.run().await }).detach();
     ex.spawn(async move { fleet.sweep().await }).detach();
     ex.spawn(discovery.clone().run(ex, orders)).detach();
 
@@ -169,7 +169,7 @@
         while asked.recv().await.is_ok() {
             let sources = sources.clone();
             // Guards against a disk that keeps all requests waiting for a file.
-            let read = aside(move || Config::reload(&sources)).await;
+            let read = run_in_background(move || Config::reload(&sources)).await;
             match read.unwrap_or_else(|e| Err(format!("no thread to read the files: {e}"))) {
                 Ok(config) => {
                     // What the environment says goes first, and can't have changed.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::front::messages::keys;
+use crate::api_keys;
 use crate::limits::{Limits, RestLimits};
 use crate::names::Dialect;
 
@@ -265,7 +265,7 @@
         let mut hashes = BTreeMap::new();
         for (name, key) in &m.keys {
             let place = format!("messages.keys.{name}.sha256");
-            let Some(hash) = keys::hash_of(&key.sha256) else {
+            let Some(hash) = api_keys::hash_of(&key.sha256) else {
                 return wrong(place, "not 64 hex digits; 'tulipridge key' makes a key and its hash");
             };
             if let Some(other) = hashes.insert(hash, name) {
--- a/src/stream/mod.rs
+++ b/src/stream/mod.rs
@@ -2,18 +2,18 @@
 //! server.
 //!
 //! Nothing here does I/O or reads a clock; times are handed in as nanoseconds of one clock that never runs
-//! backwards. [`Course`] is the life of one stream, [`Budget`] what all of them share, [`Ledger`] the record of
+//! backwards. [`Relay`] is the life of one stream, [`Budget`] what all of them share, [`Ledger`] the record of
 //! how they ended, and [`Standing`] what a run of bad ends means for a real server's use. The engine carries
 //! out what they decide, see [`crate::engine::serve`].
 
 mod budget;
-mod course;
 mod ledger;
 mod outcome;
+mod relay;
 mod standing;
 
 pub use budget::{Account, Budget};
-pub use course::{Act, Course, End, Leaving, Phase};
 pub use ledger::{Figures, Ledger};
 pub use outcome::{Cause, Outcome, Side};
+pub use relay::{Act, End, Leaving, Phase, Relay};
 pub use standing::{Change, Standing};
--- a/src/stream/relay.rs
+++ b/src/stream/relay.rs
@@ -70,9 +70,9 @@
     longest: Nanos,
 }
 
-/// One stream's life.
+/// The state machine that relays one stream, from its first event to its one end.
 #[derive(Clone, Debug)]
-pub struct Course {
+pub struct Relay {
     limits: StreamLimits,
     began: Nanos,
     first: Nanos,
@@ -111,10 +111,10 @@
     stop: Option<Nanos>,
 }
 
-impl Course {
+impl Relay {
     /// A stream whose first event has come `first` after its scheduling began.
-    pub fn new(now: Nanos, first: Nanos, limits: &StreamLimits) -> Course {
-        Course {
+    pub fn new(now: Nanos, first: Nanos, limits: &StreamLimits) -> Relay {
+        Relay {
             limits: limits.clone(),
             began: now,
             first,
@@ -307,7 +307,7 @@
         at.is_some_and(|at| now >= at)
     }
 
-    /// When [`Course::poll`] is to be called at the latest.
+    /// When [`Relay::poll`] is to be called at the latest.
     pub fn due(&self) -> Option<Nanos> {
         if self.ended.is_some() {
             return None;
--- a/src/syslog/mod.rs
+++ b/src/syslog/mod.rs
@@ -19,7 +19,7 @@
 use log::{Level, LevelFilter, Record};
 
 use crate::limits::Limits;
-use crate::net::within;
+use jetway::within;
 use queue::Gauge;
 
 pub use queue::Lines;
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 use support::*;
-use tulipridge::ahead::{Ahead, Bounds, Take};
+use tulipridge::admission::pipelined::{Bounds, Disposition, PipelinedInput};
 
 /// No attempt's last byte may arrive later after its client's leaving. Whatever a test provokes is due three times
 /// later at the least, so that a busy machine makes no difference.
@@ -646,22 +646,26 @@
 /// dropped than one that has left can have left behind, and not before.
 fn kept_is_a_beginning(came: Vec<(u8, bool)>, cut: bool) {
     let bounds = Bounds { least: 100, most: 400, flood: 1000 };
-    let mut ahead = Ahead::new(bounds, cut);
+    let mut pipelined = PipelinedInput::new(bounds, cut);
     let (mut kept, mut dropped, mut gap) = (0, 0, cut);
     for (bytes, room) in came {
         let bytes = usize::from(bytes);
         let fits = kept + bytes <= if room { 400 } else { 100 };
         let expected = match () {
-            () if !gap && fits => Take::Keep,
-            () if dropped + bytes > 1000 => Take::Flood,
-            () => Take::Drop,
+            () if !gap && fits => Disposition::Keep,
+            () if dropped + bytes > 1000 => Disposition::Flood,
+            () => Disposition::Drop,
         };
-        assert_eq!(ahead.came(kept, bytes, room), expected, "{bytes} behind {kept}, {dropped} dropped");
+        assert_eq!(
+            pipelined.received(kept, bytes, room),
+            expected,
+            "{bytes} behind {kept}, {dropped} dropped"
+        );
         match expected {
-            Take::Keep => kept += bytes,
+            Disposition::Keep => kept += bytes,
             _ => (dropped, gap) = (dropped + bytes, true),
         }
-        assert_eq!((ahead.is_cut(), ahead.is_flood()), (gap, dropped > 1000));
+        assert_eq!((pipelined.is_truncated(), pipelined.is_flood()), (gap, dropped > 1000));
         assert!(kept <= 400);
     }
 }
--- a/tests/lag.rs
+++ b/tests/lag.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use quickcheck::{Gen, QuickCheck};
-use tulipridge::lag::{Late, Watch};
 use tulipridge::limits::Limits;
+use tulipridge::process::lag::{Late, Watch};
 
 use support::*;
 
--- a/tests/lifecycle.rs
+++ b/tests/lifecycle.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use tulipridge::lifecycle::{Lifecycle, State};
-use tulipridge::overlap::{Overlap, Places, Report};
-use tulipridge::seats::{Patience, Seats, Sitting};
+use tulipridge::admission::connection_slots::{ConnectionSlots, ConnectionState, SlotTimeouts};
+use tulipridge::process::lifecycle::{Lifecycle, State};
+use tulipridge::process::overlap::{Overlap, Places, Report};
 
 const GRACE: u64 = 700;
 
@@ -86,90 +86,96 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Move {
-    Take,
-    Free(u8),
-    Sit(u8, Sitting),
+    Acquire,
+    Release(u8),
+    SetState(u8, ConnectionState),
     Progress(u8),
     Wait(u16),
-    Spare,
+    Evict,
 }
 
 impl Arbitrary for Move {
     fn arbitrary(g: &mut Gen) -> Move {
-        let sitting = *g
+        let state = *g
             .choose(&[
-                Sitting::Arriving,
-                Sitting::Asking,
-                Sitting::Rested,
-                Sitting::Closing,
-                Sitting::Leaving,
+                ConnectionState::Receiving,
+                ConnectionState::Serving,
+                ConnectionState::Idle,
+                ConnectionState::Closing,
+                ConnectionState::Evicted,
             ])
             .expect("some");
-        let seat = u8::arbitrary(g) % 12;
-        let (sit, progress) = (Move::Sit(seat, sitting), Move::Progress(seat));
+        let slot = u8::arbitrary(g) % 12;
+        let (set_state, progress) = (Move::SetState(slot, state), Move::Progress(slot));
         *g.choose(&[
-            Move::Take,
-            Move::Take,
-            sit,
-            sit,
+            Move::Acquire,
+            Move::Acquire,
+            set_state,
+            set_state,
             progress,
-            Move::Free(seat),
+            Move::Release(slot),
             Move::Wait(70),
-            Move::Spare,
+            Move::Evict,
         ])
         .expect("some")
     }
 }
 
-/// Whoever has a place at the moment, in a plain table.
+/// The connections that have a slot at the moment, in a plain table.
 fn moves(moves: Vec<Move>) {
     let span = Duration::from_nanos;
-    let patience = Patience { mute: span(100), arriving: span(300), rested: span(200), closing: span(20) };
-    let (mut seats, mut model, mut now) = (Seats::new(patience), BTreeMap::new(), 0);
+    let timeouts =
+        SlotTimeouts { silent: span(100), receiving: span(300), idle: span(200), closing: span(20) };
+    let (mut slots, mut model, mut now) = (ConnectionSlots::new(timeouts), BTreeMap::new(), 0);
     for step in moves {
         match step {
-            Move::Take => drop(model.insert(seats.take(now), (Sitting::Mute, now))),
-            Move::Free(n) => {
-                seats.free(n.into());
+            Move::Acquire => drop(model.insert(slots.acquire(now), (ConnectionState::Silent, now))),
+            Move::Release(n) => {
+                slots.release(n.into());
                 model.remove(&u64::from(n));
             }
-            Move::Sit(n, sitting) => {
+            Move::SetState(n, state) => {
                 let before =
-                    model.get_mut(&u64::from(n)).map(|seat| std::mem::replace(seat, (sitting, now)).0);
-                assert_eq!(seats.sit(now, n.into(), sitting), before);
+                    model.get_mut(&u64::from(n)).map(|slot| std::mem::replace(slot, (state, now)).0);
+                assert_eq!(slots.set_state(now, n.into(), state), before);
             }
             Move::Progress(n) => {
-                seats.progress(now, n.into());
+                slots.progress(now, n.into());
                 // Only what arrives makes progress.
-                if let Some(seat) = model.get_mut(&u64::from(n)).filter(|(s, _)| *s == Sitting::Arriving) {
-                    seat.1 = now;
+                if let Some(slot) =
+                    model.get_mut(&u64::from(n)).filter(|(s, _)| *s == ConnectionState::Receiving)
+                {
+                    slot.1 = now;
                 }
             }
             Move::Wait(time) => now += u64::from(time),
-            Move::Spare => {
-                let old = |sitting, most| {
-                    let of =
-                        model.iter().filter(move |(_, (s, since))| *s == sitting && now - since >= most);
+            Move::Evict => {
+                let old = |state, most| {
+                    let of = model.iter().filter(move |(_, (s, since))| *s == state && now - since >= most);
                     of.map(|(n, (_, since))| (*since, *n)).min()
                 };
-                let talkers =
-                    [old(Sitting::Arriving, 300), old(Sitting::Rested, 200), old(Sitting::Closing, 20)];
-                let expected =
-                    old(Sitting::Mute, 100).or(talkers.into_iter().flatten().min()).map(|(_, n)| n);
-                assert_eq!(seats.spare(now), expected);
-                if let Some(seat) = expected.and_then(|n| model.get_mut(&n)) {
-                    seat.0 = Sitting::Leaving;
+                let talkers = [
+                    old(ConnectionState::Receiving, 300),
+                    old(ConnectionState::Idle, 200),
+                    old(ConnectionState::Closing, 20),
+                ];
+                let expected = old(ConnectionState::Silent, 100)
+                    .or(talkers.into_iter().flatten().min())
+                    .map(|(_, n)| n);
+                assert_eq!(slots.evict(now), expected);
+                if let Some(slot) = expected.and_then(|n| model.get_mut(&n)) {
+                    slot.0 = ConnectionState::Evicted;
                 }
             }
         }
-        assert_eq!(seats.taken(), model.len());
-        assert!((0..40).all(|places| seats.is_crowded(places) == (4 * model.len() >= 3 * places)));
-        assert!(model.iter().all(|(n, seat)| seats.get(*n) == Some(*seat)));
+        assert_eq!(slots.in_use(), model.len());
+        assert!((0..40).all(|capacity| slots.is_crowded(capacity) == (4 * model.len() >= 3 * capacity)));
+        assert!(model.iter().all(|(n, slot)| slots.get(*n) == Some(*slot)));
     }
 }
 
 #[test]
-fn the_mute_go_first_then_the_oldest_and_nobody_with_a_request_open() {
+fn silent_connections_go_first_then_the_oldest_and_nobody_with_a_request_open() {
     check(42).quickcheck(moves as fn(Vec<Move>));
 }
 
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use support::*;
-use tulipridge::front::messages::keys;
+use tulipridge::api_keys;
 
 /// A whole request's answer: its status, its headers in small letters, and its body.
 fn answer(stream: TcpStream) -> (u16, BTreeMap<String, String>, Value) {
@@ -94,7 +94,7 @@
     });
     let server = Server { addr, requests: Arc::default(), bodies: Arc::default(), left: mpsc::channel().1 };
     let key = |secret: &str, more: Value| {
-        let mut key = json!({"sha256": keys::digits_of(secret)});
+        let mut key = json!({"sha256": api_keys::digits_of(secret)});
         key.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
         key
     };
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -13,8 +13,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
+use tulipridge::net::handover_message::StreamSnapshot;
 use tulipridge::net::http::Body;
-use tulipridge::net::parcel::Parcel;
 
 use support::*;
 
@@ -364,22 +364,27 @@
     }
 }
 
-/// Random parcels come back as they were; whatever else comes is an error.
-fn parcels(id: u64, waiting: (Vec<u8>, Vec<u8>, Vec<u8>, Vec<u8>), cut: usize, noise: Vec<u8>) {
+/// Random snapshots come back as they were; whatever else comes is an error.
+fn snapshots(id: u64, waiting: (Vec<u8>, Vec<u8>, Vec<u8>, Vec<u8>), cut: usize, noise: Vec<u8>) {
     let (a, b, c, d) = waiting;
-    let parcel = Parcel { id, body: Some(Body::Length(cut)), waiting: [a, b, c, d], ..Parcel::default() };
-    let bytes = parcel.bytes().expect("bytes");
-    assert_eq!(Parcel::read(&bytes).expect("a parcel"), parcel);
-    assert!(Parcel::read(&bytes[..cut % bytes.len()]).is_err());
-    assert!(Parcel::read(&noise).is_err());
-    assert!(Parcel::read(&[&bytes[..], b"x"].concat()).is_err());
+    let snapshot = StreamSnapshot {
+        id,
+        body: Some(Body::Length(cut)),
+        waiting: [a, b, c, d],
+        ..StreamSnapshot::default()
+    };
+    let bytes = snapshot.bytes().expect("bytes");
+    assert_eq!(StreamSnapshot::read(&bytes).expect("a snapshot"), snapshot);
+    assert!(StreamSnapshot::read(&bytes[..cut % bytes.len()]).is_err());
+    assert!(StreamSnapshot::read(&noise).is_err());
+    assert!(StreamSnapshot::read(&[&bytes[..], b"x"].concat()).is_err());
 }
 
 #[test]
-fn parcels_come_back_as_they_were_and_nothing_else_does() {
+fn snapshots_come_back_as_they_were_and_nothing_else_does() {
     type Waiting = (Vec<u8>, Vec<u8>, Vec<u8>, Vec<u8>);
     let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(40, 44)).tests(400);
-    check.quickcheck(parcels as fn(u64, Waiting, usize, Vec<u8>));
+    check.quickcheck(snapshots as fn(u64, Waiting, usize, Vec<u8>));
 }
 
 #[test]
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use tulipridge::quota::{Grant, Kind, Quota, Rates};
+use tulipridge::admission::quota::{Grant, Kind, Quota, Rates};
 
 const SECOND: u64 = 1_000_000_000;
 const START: u64 = 1_000 * SECOND;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -8,7 +8,7 @@
 
 use tulipridge::limits::{Limits, RestLimits, StreamLimits};
 use tulipridge::stream::{
-    Act, Budget, Cause, Change, Course, End, Leaving, Ledger, Outcome, Phase, Side, Standing,
+    Act, Budget, Cause, Change, End, Leaving, Ledger, Outcome, Phase, Relay, Side, Standing,
 };
 use tulipridge::types::{Nanos, ReplicaId, Verdict};
 
@@ -83,17 +83,17 @@
     fn follows(moves: Vec<Move>) -> bool {
         let limits = limits();
         let mut model = Model { now: 1_000 * MS, allowed: usize::MAX, ..Model::default() };
-        let mut course = Course::new(model.now, 5 * MS, &limits);
+        let mut relay = Relay::new(model.now, 5 * MS, &limits);
         for step in moves {
-            let before = course.reads();
+            let before = relay.reads();
             match step {
                 Move::Come(bytes, whole) if before => {
                     let bytes = usize::from(bytes);
                     // All that lies at the server's side becomes whole with the next whole event.
                     let queued = if whole { model.inward + bytes } else { 0 };
                     model.inward = if whole { 0 } else { model.inward + bytes };
-                    course.queued(model.now, queued);
-                    course.arrived(model.now, bytes, u64::from(whole), model.inward, !whole, false);
+                    relay.queued(model.now, queued);
+                    relay.arrived(model.now, bytes, u64::from(whole), model.inward, !whole, false);
                     if queued > 0 && model.waiting == 0 {
                         model.span = Some((model.now, 0));
                     }
@@ -102,7 +102,7 @@
                 }
                 Move::Take(bytes) if model.waiting > 0 => {
                     let bytes = usize::from(bytes).clamp(1, model.waiting);
-                    course.took(model.now, bytes);
+                    relay.took(model.now, bytes);
                     model.waiting -= bytes;
                     model.span = match model.span {
                         Some((from, taken)) if model.waiting > 0 => Some((from, taken + bytes)),
@@ -117,27 +117,27 @@
                 }
                 Move::Allow(bytes) => {
                     model.allowed = usize::from(bytes);
-                    course.allow(model.now, model.allowed);
+                    relay.allow(model.now, model.allowed);
                 }
                 Move::End(end) if model.server_end.is_none() => {
-                    course.server_ended(model.now, end);
+                    relay.server_ended(model.now, end);
                     model.server_end = Some((end, model.now));
                     model.inward = 0;
                 }
                 Move::Stop(ms) => {
                     let at = model.now + Nanos::from(ms) * MS;
-                    course.stop_at(at);
+                    relay.stop_at(at);
                     if model.stop_at.is_none_or(|was| at < was) {
                         model.stop_at = Some(at);
                         model.offer_at = Some(at.saturating_sub(nanos(limits.offer_before)));
                     }
                 }
-                Move::Leave => course.left(model.now, Leaving::Ended),
-                Move::Cancel => course.cancel(model.now),
-                Move::Evict => course.evict(model.now),
+                Move::Leave => relay.left(model.now, Leaving::Ended),
+                Move::Cancel => relay.cancel(model.now),
+                Move::Evict => relay.evict(model.now),
                 _ => {}
             }
-            let act = course.poll(model.now);
+            let act = relay.poll(model.now);
             let over = |at: Option<Nanos>| at.is_some_and(|at| model.now >= at);
             let late_reader = model.span.is_some_and(|(from, taken)| {
                 model.now >= from + nanos(limits.reader_span) && taken < limits.reader_floor
@@ -159,7 +159,7 @@
                     _ => None,
                 },
             };
-            let is = course.outcome().map(|o| o.cause);
+            let is = relay.outcome().map(|o| o.cause);
             assert_eq!(is, expected, "after {step:?}");
             // It is offered for as long as its real server has more to say, and again a little later.
             let offered = is.is_none() && model.server_end.is_none() && over(model.offer_at);
@@ -167,43 +167,43 @@
             assert_eq!(act == Act::Wait, is.is_none() && !offered);
             assert_eq!(act == Act::Finish, is == Some(Cause::Whole));
             if offered && model.came.is_multiple_of(3) {
-                course.handed_over(model.now);
-                assert_eq!(course.outcome().map(|o| o.cause), Some(Cause::HandedOver));
-                assert_eq!(course.poll(model.now + MS), Act::Cut, "nothing more is done for it here");
+                relay.handed_over(model.now);
+                assert_eq!(relay.outcome().map(|o| o.cause), Some(Cause::HandedOver));
+                assert_eq!(relay.poll(model.now + MS), Act::Cut, "nothing more is done for it here");
                 return true;
             }
             if offered {
-                course.refused(model.now);
+                relay.refused(model.now);
                 model.offer_at = Some(model.now + nanos(limits.offer_again));
-                assert_eq!(course.poll(model.now), Act::Wait);
+                assert_eq!(relay.poll(model.now), Act::Wait);
             }
-            if let Some(outcome) = course.outcome() {
+            if let Some(outcome) = relay.outcome() {
                 assert_eq!(outcome.bytes, model.came);
-                assert_eq!(course.phase(), Phase::Ended);
-                assert!(!course.reads() && course.due().is_none());
+                assert_eq!(relay.phase(), Phase::Ended);
+                assert!(!relay.reads() && relay.due().is_none());
                 // Whatever comes after the end changes nothing of it.
-                course.arrived(model.now, 7, 1, 0, false, false);
-                course.queued(model.now, 9);
-                course.server_ended(model.now, End::Broke);
-                course.left(model.now + MS, Leaving::Reset);
-                course.cancel(model.now + MS);
-                assert_eq!(course.outcome(), Some(outcome));
+                relay.arrived(model.now, 7, 1, 0, false, false);
+                relay.queued(model.now, 9);
+                relay.server_ended(model.now, End::Broke);
+                relay.left(model.now + MS, Leaving::Reset);
+                relay.cancel(model.now + MS);
+                assert_eq!(relay.outcome(), Some(outcome));
                 return true;
             }
             // A span that ended well begins anew.
             if model.span.is_some_and(|(from, _)| model.now >= from + nanos(limits.reader_span)) {
                 model.span = Some((model.now, 0));
             }
-            assert_eq!(course.held(), model.waiting + model.inward);
+            assert_eq!(relay.held(), model.waiting + model.inward);
             assert!(
-                model.waiting == 0 || !course.reads() || course.held() < limits.high.min(model.allowed),
+                model.waiting == 0 || !relay.reads() || relay.held() < limits.high.min(model.allowed),
                 "read while {} bytes are held of {}",
-                course.held(),
+                relay.held(),
                 model.allowed
             );
             // Somebody is waited for, or nothing would ever happen again.
-            assert!(course.due().is_some_and(|due| due > model.now));
-            assert!(course.reads() || model.waiting > 0);
+            assert!(relay.due().is_some_and(|due| due > model.now));
+            assert!(relay.reads() || model.waiting > 0);
         }
         true
     }
@@ -213,18 +213,18 @@
 #[test]
 fn the_servers_silence_is_not_timed_while_the_reader_is_waited_for() {
     let limits = limits();
-    let mut course = Course::new(0, 0, &limits);
-    course.arrived(0, limits.high, 9, 0, false, false);
-    course.queued(0, limits.high);
-    assert!(!course.reads());
-    assert_eq!(course.phase(), Phase::ReaderPaused);
+    let mut relay = Relay::new(0, 0, &limits);
+    relay.arrived(0, limits.high, 9, 0, false, false);
+    relay.queued(0, limits.high);
+    assert!(!relay.reads());
+    assert_eq!(relay.phase(), Phase::ReaderPaused);
     // Four seconds without a read are no fault of the server's, and not too much of the reader's.
-    course.took(7_900 * MS, limits.high);
-    assert!(course.reads());
-    assert_eq!(course.poll(7_900 * MS), Act::Wait);
-    assert_eq!(course.poll(7_900 * MS + nanos(limits.silence) - 1), Act::Wait);
-    assert_eq!(course.poll(7_900 * MS + nanos(limits.silence)), Act::Cut);
-    let outcome = course.outcome().expect("over");
+    relay.took(7_900 * MS, limits.high);
+    assert!(relay.reads());
+    assert_eq!(relay.poll(7_900 * MS), Act::Wait);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence) - 1), Act::Wait);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence)), Act::Cut);
+    let outcome = relay.outcome().expect("over");
     assert_eq!((outcome.cause, outcome.longest_pause), (Cause::Stalled, 7_900 * MS));
     assert_eq!(outcome.longest_gap, nanos(limits.silence));
 }
@@ -233,17 +233,17 @@
 fn a_trickler_is_cut_and_a_reader_that_pauses_is_not() {
     let limits = limits();
     let step = |every: Nanos, bytes: usize| {
-        let mut course = Course::new(0, 0, &limits);
-        course.arrived(0, limits.high, 1, 0, false, false);
-        course.queued(0, limits.high);
-        course.server_ended(0, End::Whole);
+        let mut relay = Relay::new(0, 0, &limits);
+        relay.arrived(0, limits.high, 1, 0, false, false);
+        relay.queued(0, limits.high);
+        relay.server_ended(0, End::Whole);
         let mut now = 0;
-        while now < 60_000 * MS && course.waiting() > 0 && course.poll(now) == Act::Wait {
+        while now < 60_000 * MS && relay.waiting() > 0 && relay.poll(now) == Act::Wait {
             now += every;
-            course.took(now, bytes);
-            course.poll(now);
+            relay.took(now, bytes);
+            relay.poll(now);
         }
-        (course.outcome().map(|o| o.cause), now / MS)
+        (relay.outcome().map(|o| o.cause), now / MS)
     };
     // A few bytes every 2 s: over at the end of its first span.
     assert_eq!(step(2_000 * MS, 16), (Some(Cause::ReaderSlow), 8_000));
@@ -257,13 +257,13 @@
 fn each_stall_has_its_limit_and_a_pace_that_is_known_a_shorter_one() {
     let mut limits = limits();
     let stall = |limits: &StreamLimits, amid: bool, last: bool, gap: Nanos| {
-        let mut course = Course::new(0, 0, limits);
-        course.arrived(gap, 10, 1, 0, false, false);
-        course.arrived(gap, 10, 1, usize::from(amid), amid, last);
-        let due = course.due().expect("a limit");
-        assert_eq!(course.poll(due - 1), Act::Wait);
-        assert_eq!(course.poll(due), Act::Cut);
-        assert_eq!(course.outcome().map(|o| o.cause), Some(Cause::Stalled));
+        let mut relay = Relay::new(0, 0, limits);
+        relay.arrived(gap, 10, 1, 0, false, false);
+        relay.arrived(gap, 10, 1, usize::from(amid), amid, last);
+        let due = relay.due().expect("a limit");
+        assert_eq!(relay.poll(due - 1), Act::Wait);
+        assert_eq!(relay.poll(due), Act::Cut);
+        assert_eq!(relay.outcome().map(|o| o.cause), Some(Cause::Stalled));
         (due - gap) / MS
     };
     assert_eq!(stall(&limits, false, false, 600 * MS), 4_000);
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -369,12 +369,12 @@
     let settings = format!("messages {{\n  keys = {{ {line} }}\n}}\n");
     let settings = tulipridge::settings::Settings::parse("made", &settings).expect("it fits in");
     let held = &settings.messages.keys["map-office"];
-    assert_eq!(held.sha256, tulipridge::front::messages::keys::digits_of(key));
+    assert_eq!(held.sha256, tulipridge::api_keys::digits_of(key));
     assert_eq!(held.tenant.as_deref(), Some("office"));
     assert_ne!(make(&["map-office"], "").1, told, "another one each time");
 
     let (good, told) = make(&["old", "--read"], "a-key-that-is-there-already\n");
-    let digits = tulipridge::front::messages::keys::digits_of("a-key-that-is-there-already");
+    let digits = tulipridge::api_keys::digits_of("a-key-that-is-there-already");
     assert!(good && told.contains(&digits) && !told.contains("a-key-that-is-there"), "{told}");
     assert!(!make(&["old", "--read"], "short\n").0);
 }
--- /dev/null
+++ b/tests/units/messages_order.rs
@@ -0,0 +1,128 @@
+//! What a request to the messages API asks of the engine.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tulipridge::admission::quota::Rates;
+use tulipridge::api_keys::{self, Key, Keys};
+use tulipridge::front::messages::{PATH, Setup, call, models};
+use tulipridge::front::{Call, Desk, Order, Speak};
+use tulipridge::limits::Limits;
+use tulipridge::names::Names;
+use tulipridge::net::http::Head;
+use tulipridge::types::Nanos;
+
+const SECOND: Nanos = 1_000_000_000;
+
+fn desk() -> Desk {
+    let mut names = Names {
+        classes: vec!["docs".into(), "bulk".into()],
+        tenants: vec!["a".into(), "b".into()],
+        deadlines: vec![5 * SECOND, 20 * SECOND],
+        safe: vec![true, false],
+        usual_tenant: Some(0),
+        ..Names::default()
+    };
+    names.models.insert("map-bulk".into(), 1);
+    let key = |name: &str, tenant| {
+        let hash = api_keys::hash_of(&api_keys::digits_of(name)).expect("64 digits");
+        Key { name: name.into(), hash, tenant, models: Vec::new() }
+    };
+    let setup = Setup {
+        keys: Keys::new(vec![key("of-b", Some(1)), key("of-nobody", None)]),
+        models: [("map-bulk", "m"), ("map-fast", "m")]
+            .map(|(id, name)| {
+                (id.to_owned(), models::Model { display_name: name.into(), ..Default::default() })
+            })
+            .into(),
+        only_listed: true,
+        rates: vec![Rates { input: Some(1000), ..Rates::default() }, Rates::default()],
+    };
+    let limits = Limits::new(64, 64, Duration::from_secs(1), Duration::from_secs(1));
+    Desk::new(Rc::new(RefCell::new(names)), Rc::new(limits), setup)
+}
+
+/// What a request with these headers and this body, over a usual one, comes to: an order, or a status.
+fn told(desk: &Desk, headers: &[(&str, &str)], body: Value) -> Result<Box<Order>, u16> {
+    let mut whole = json!({"model": "map-fast", "max_tokens": 9, "stream": true,
+        "messages": [{"role": "user", "content": "Which gate?"}]});
+    whole.as_object_mut().expect("an object").extend(body.as_object().expect("an object").clone());
+    let mut head = Head { start: ["POST", PATH, "HTTP/1.1"].map(String::from), ..Head::default() };
+    if !headers.iter().any(|(name, _)| *name == "x-api-key") {
+        head.headers.push(("x-api-key".into(), "of-nobody".into()));
+    }
+    head.headers.extend(headers.iter().map(|(n, v)| (n.to_string(), v.to_string())));
+    let body = whole.to_string();
+    match call(desk, SECOND, &head, body.as_bytes(), "req_00000000000000a1", Speak::default()) {
+        Call::Serve(order) => Ok(order),
+        Call::Reply(reply) => Err(reply.status),
+        Call::Health => Err(0),
+    }
+}
+
+#[test]
+fn the_body_says_what_headers_do_not() {
+    let desk = desk();
+    let plain = told(&desk, &[], json!({})).expect("good");
+    assert_eq!((plain.ask.class, plain.ask.expires_in, plain.safe), (0, 5 * SECOND, true));
+    assert_eq!((plain.ask.id, plain.ask.repeat, plain.ask.tenant), (Some(0xa1), false, Some(0)));
+    assert_eq!((plain.ask.tokens, plain.prompt), ((3, 0, 9), 3));
+    let bulk = told(&desk, &[], json!({"model": "map-bulk"})).expect("good");
+    assert_eq!((bulk.ask.class, bulk.ask.expires_in, bulk.safe), (1, 20 * SECOND, false));
+    let docs = told(&desk, &[("x-class", "docs")], json!({"model": "map-bulk"})).expect("good");
+    assert_eq!(docs.ask.class, 0);
+    // A conversation is known by its user, else by how it began.
+    let session = |body| told(&desk, &[], body).expect("good").ask.session;
+    let turn = |text: &str| json!({"messages": [{"role": "user", "content": text}]});
+    assert_eq!(
+        session(json!({"metadata": {"user_id": "u"}})),
+        session(json!({"metadata": {"user_id": "u"}}))
+    );
+    assert_ne!(
+        session(json!({"metadata": {"user_id": "u"}})),
+        session(json!({"metadata": {"user_id": "v"}}))
+    );
+    assert_ne!(session(turn("one")), session(turn("two")));
+    assert_eq!(told(&desk, &[], json!({"model": "map-slow"})).err(), Some(404), "it is not listed");
+}
+
+#[test]
+fn what_a_clients_library_says_of_repeats_and_patience_is_heeded() {
+    let desk = desk();
+    let asked = |headers: &[(&str, &str)]| told(&desk, headers, json!({})).expect("good").ask;
+    assert!(!asked(&[("x-stainless-retry-count", "0")]).repeat);
+    assert!(asked(&[("x-stainless-retry-count", "1")]).repeat);
+    assert!(asked(&[("x-retry", "1")]).repeat);
+    assert!(!asked(&[("x-stainless-retry-count", "many")]).repeat);
+    for (name, seconds, expected) in [
+        ("x-stainless-timeout", "600", 5 * SECOND),
+        ("x-stainless-timeout", "2", 2 * SECOND),
+        ("x-stainless-read-timeout", "1.5", 3 * SECOND / 2),
+        ("x-stainless-timeout", "-3", 5 * SECOND),
+        ("x-stainless-timeout", "NaN", 5 * SECOND),
+    ] {
+        assert_eq!(asked(&[(name, seconds)]).expires_in, expected, "{name}: {seconds}");
+    }
+    let both = [("x-stainless-timeout", "3"), ("x-stainless-read-timeout", "2")];
+    assert_eq!(asked(&both).expires_in, 2 * SECOND);
+    assert_eq!(asked(&[("x-deadline-ms", "700"), both[0]]).expires_in, 700_000_000);
+}
+
+#[test]
+fn a_key_says_whose_limits_are_spent_and_the_body_how_much() {
+    let desk = desk();
+    let tenant = |headers: &[(&str, &str)]| told(&desk, headers, json!({})).map(|order| order.ask.tenant);
+    assert_eq!(tenant(&[("x-api-key", "of-b")]).ok(), Some(Some(1)));
+    assert_eq!(tenant(&[("x-api-key", "of-b"), ("x-tenant", "b")]).ok(), Some(Some(1)));
+    assert_eq!(tenant(&[("x-api-key", "of-b"), ("x-tenant", "a")]).err(), Some(403));
+    // A key without a tenant is the usual one's, and of no other by its header.
+    assert_eq!(tenant(&[("x-tenant", "a")]).ok(), Some(Some(0)));
+    assert_eq!(tenant(&[("x-tenant", "b")]).err(), Some(403));
+    // Tenant a has 1,000 tokens a minute: a header that makes its prompt small is no way round it.
+    let long = json!({"messages": [{"role": "user", "content": "x".repeat(3600)}]});
+    let small = [("x-extras", "prompt_len=0,prefix_len=0,max_out=0")];
+    assert!(told(&desk, &small, long.clone()).is_ok_and(|order| order.prompt == 900));
+    assert_eq!(told(&desk, &small, long).err(), Some(429));
+}
--- /dev/null
+++ b/tests/units/surrogate_joining.rs
@@ -0,0 +1,25 @@
+//! Joining surrogate halves that a server cut apart.
+
+use tulipridge::front::translate::words::Joiner;
+
+fn joined(pieces: &[&str]) -> String {
+    let mut joiner = Joiner::default();
+    let mut text = String::new();
+    for piece in pieces {
+        text += &joiner.join(serde_json::from_str(piece).expect("a text"));
+    }
+    joiner.end(&mut text);
+    text
+}
+
+#[test]
+fn a_pair_that_was_parted_is_one_character_again() {
+    assert_eq!(joined(&[r#""a\ud83d\udeeb""#]), "a\u{1f6eb}");
+    assert_eq!(joined(&[r#""a\ud83d""#, r#""\udeebb""#]), "a\u{1f6eb}b");
+    assert_eq!(joined(&[r#""\ud83d""#, r#""""#, r#""\udeeb\ud83d""#, r#""\udeeb""#]), "\u{1f6eb}\u{1f6eb}");
+    // A half that stays one is shown as what can't be read, and nothing beside it is lost.
+    assert_eq!(joined(&[r#""a\ud83d""#, r#""b""#]), "a\u{fffd}b");
+    assert_eq!(joined(&[r#""\udeeba""#, r#""\ud83d""#]), "\u{fffd}a\u{fffd}");
+    assert_eq!(joined(&[r#""\ud83d\ud83d\udeeb""#]), "\u{fffd}\u{1f6eb}");
+    assert_eq!(joined(&["\"\u{1f6eb}\"", r#""plain""#]), "\u{1f6eb}plain");
+}
