List a source once where nothing is known of it

Cause: after a loss of power everywhere the index began empty and filled only with new events. Change: the first call to a source that no member knows of is its list, priced as a probe.

--- a/crates/tower/src/index/follower.rs
+++ b/crates/tower/src/index/follower.rs
@@ -114,6 +114,12 @@
     }
 
     async fn round(&mut self) -> Result<(), FollowError> {
+        // Nothing is known of it, as after a loss of power everywhere: its list is worth the price, once.
+        if self.cursor.is_none() {
+            let listing = self.list().await?;
+            self.take(listed(self.source, listing));
+            return Ok(());
+        }
         let page = self.events().await?;
         match follow(self.source, self.cursor, &page) {
             Followed::Nothing => {}
--- a/src/net/slot_pool.rs
+++ b/src/net/slot_pool.rs
@@ -1,4 +1,5 @@
-//! A pool of connection slots: the rule of [`crate::admission::connection_slots`] with a clock, and the way to evict one.
+//! A pool of connection slots: the rule of [`crate::admission::connection_slots`] with a clock, and the way to
+//! evict a connection.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
