--- a/crates/cabinet/src/lib.rs
+++ b/crates/cabinet/src/lib.rs
@@ -17,7 +17,7 @@
 pub use change_log::{ChangeLog, Touched};
 pub use follow::{Cursor, EventPage, Followed, Listing, follow, listed};
 pub use index::{Holder, Index, SourceStatus};
-pub use key::PartKey;
+pub use key::{PartKey, part_hash};
 pub use update::{KeptUpdate, Liveness};
 
 /// Parts of which fewer tokens are kept are not indexed: they are read as fast as they are fetched.
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`subscriber::Subscriber`] are the two ends of a connection. They are futures for one thread.
 
 pub mod freshness;
+mod link;
 pub mod publisher;
 mod signal;
 pub mod store;
--- a/crates/courier/src/publisher/connection.rs
+++ b/crates/courier/src/publisher/connection.rs
@@ -1,23 +1,20 @@
 //! One subscriber's connection.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::io;
 use std::net::TcpStream;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use async_io::{Async, Timer};
-use futures_lite::Stream;
+use async_io::Async;
 use intercom::feed::{ToPublisher, ToSubscriber};
 use intercom::frame::FrameError;
 use snafu::{ResultExt, Snafu, ensure};
 use station::clock;
 
 use super::{Peer, Publisher};
+use crate::link::{Event, Link};
 use crate::store::Sent;
-use crate::wire::{Incoming, Outgoing, Received};
+use crate::wire::Received;
 
 /// Longest message of a subscriber.
 const MAX_REQUEST_BYTES: usize = 64 * 1024;
@@ -43,6 +40,9 @@
 
 /// Serves a connection to its end.
 pub(super) async fn serve(publisher: &Publisher, peer: &Peer, stream: &Async<TcpStream>) -> ConnectionEnd {
+    if let Err(source) = stream.get_ref().set_nodelay(true) {
+        return ConnectionEnd::Failed { source };
+    }
     let mut connection = Connection::new(publisher, peer, stream);
     match connection.run().await {
         Ok(never) => match never {},
@@ -53,25 +53,13 @@
 struct Connection<'a> {
     publisher: &'a Publisher,
     peer: &'a Peer,
-    stream: &'a Async<TcpStream>,
-    incoming: Incoming,
-    outgoing: Outgoing,
+    link: Link<'a>,
     /// How far the subscriber was sent the state; none before it has subscribed.
     sent: Option<Sent>,
     /// The newest ping that is not answered yet. Answering it answers all before it.
     unanswered: Option<u64>,
     /// When the connection took bytes last, or had none to take.
     taken: Duration,
-    timer: Timer,
-    timer_at: Duration,
-}
-
-/// What a connection's task was woken for.
-enum Event {
-    Received(Received),
-    Written,
-    StoreChanged,
-    Timer,
 }
 
 impl<'a> Connection<'a> {
@@ -79,54 +67,32 @@
         Connection {
             publisher,
             peer,
-            stream,
-            incoming: Incoming::default(),
-            outgoing: Outgoing::default(),
+            link: Link::new(stream),
             sent: None,
             unanswered: None,
             taken: clock::now(),
-            timer: Timer::never(),
-            timer_at: Duration::MAX,
         }
     }
 
     async fn run(&mut self) -> Result<Infallible, ConnectionEnd> {
-        self.stream.get_ref().set_nodelay(true).context(FailedSnafu)?;
         loop {
-            self.arm_timer();
-            match poll_fn(|context| self.poll_event(context)).await.context(FailedSnafu)? {
+            let deadline = self.deadline();
+            match self.link.next_event(&self.peer.store_changed, deadline).await.context(FailedSnafu)? {
                 Event::Received(Received::End) => return ClosedSnafu.fail(),
                 Event::Received(Received::Bytes) => self.read_messages()?,
                 Event::Written => self.taken = clock::now(),
-                Event::StoreChanged => {}
+                Event::Signalled => {}
                 Event::Timer => self.check_deadlines()?,
             }
             self.write_newest()?;
         }
     }
 
-    /// What the subscriber says goes before the timer, so that bytes which have waited count as said in time.
-    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<io::Result<Event>> {
-        if let Poll::Ready(received) = self.incoming.poll_fill(self.stream, context) {
-            return Poll::Ready(received.map(Event::Received));
-        }
-        if let Poll::Ready(written) = self.outgoing.poll_write(self.stream, context) {
-            return Poll::Ready(written.map(|()| Event::Written));
-        }
-        if self.peer.store_changed.poll_raised(context).is_ready() {
-            return Poll::Ready(Ok(Event::StoreChanged));
-        }
-        Pin::new(&mut self.timer).poll_next(context).map(|_| {
-            self.timer_at = Duration::MAX;
-            Ok(Event::Timer)
-        })
-    }
-
     fn read_messages(&mut self) -> Result<(), ConnectionEnd> {
-        while let Some(message) = self.incoming.take().context(FrameSnafu)? {
+        while let Some(message) = self.link.incoming.take().context(FrameSnafu)? {
             self.take_message(message)?;
         }
-        ensure!(self.incoming.len() <= MAX_REQUEST_BYTES, TooLongSnafu);
+        ensure!(self.link.incoming.len() <= MAX_REQUEST_BYTES, TooLongSnafu);
         self.peer.status.borrow_mut().heard = clock::now();
         Ok(())
     }
@@ -151,10 +117,10 @@
 
     /// Once all is written, goes on with the newest state, and after it the answer to the newest ping.
     fn write_newest(&mut self) -> Result<(), ConnectionEnd> {
-        let Some(sent) = self.sent.filter(|_| self.outgoing.is_empty()) else { return Ok(()) };
+        let Some(sent) = self.sent.filter(|_| self.link.outgoing.is_empty()) else { return Ok(()) };
         let store = self.publisher.store.borrow();
         let frames = self.publisher.batches.borrow_mut().frames(&store, sent).context(FrameSnafu)?;
-        self.outgoing.push(frames);
+        self.link.outgoing.push(frames);
         let sent = sent.later(store.newest());
         self.sent = Some(sent);
         self.peer.status.borrow_mut().revision = sent.holdings.configuration;
@@ -162,7 +128,7 @@
             let revision = store.holdings().configuration;
             let pong =
                 ToSubscriber::Pong { id, age_ms: (self.publisher.age)().map(milliseconds_up), revision };
-            self.outgoing.push_message(&pong).context(FrameSnafu)?;
+            self.link.outgoing.push_message(&pong).context(FrameSnafu)?;
         }
         self.taken = clock::now();
         Ok(())
@@ -171,19 +137,14 @@
     fn check_deadlines(&self) -> Result<(), ConnectionEnd> {
         let now = clock::now();
         ensure!(now < self.silent_at(), SilentSnafu);
-        ensure!(self.outgoing.is_empty() || now < self.stalled_at(), StalledSnafu);
+        ensure!(self.link.outgoing.is_empty() || now < self.stalled_at(), StalledSnafu);
         Ok(())
     }
 
-    /// Arms the timer for the next deadline. A deadline that moves away leaves it, since it looks again when due.
-    fn arm_timer(&mut self) {
-        let mut deadline = self.silent_at();
-        if !self.outgoing.is_empty() {
-            deadline = deadline.min(self.stalled_at());
-        }
-        if deadline < self.timer_at {
-            self.timer.set_after(deadline.saturating_sub(clock::now()));
-            self.timer_at = deadline;
+    fn deadline(&self) -> Duration {
+        match self.link.outgoing.is_empty() {
+            true => self.silent_at(),
+            false => self.silent_at().min(self.stalled_at()),
         }
     }
 
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -18,6 +18,7 @@
     Arc::new(Configuration {
         revision,
         services: vec![service],
+        requires_key: content >> 6 & 1 == 1,
         tenants: tenants.collect(),
         ..Configuration::default()
     })
--- a/crates/intercom/src/control.rs
+++ b/crates/intercom/src/control.rs
@@ -38,18 +38,10 @@
     /// Its number, from 1, without gaps.
     pub sequence: u64,
     /// The encoded command.
+    #[musli(with = crate::shared_bytes)]
     pub command: Arc<[u8]>,
 }
 
-/// How far a member's data goes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
-pub struct DataMark {
-    /// The epoch in which the member was last brought up to date as a holder.
-    pub epoch: u64,
-    /// Its newest entry.
-    pub sequence: u64,
-}
-
 /// What members say to each other.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum ControlMessage {
@@ -64,8 +56,6 @@
         epoch: u64,
         /// The newest view that the sender has recorded.
         view: View,
-        /// How far the sender's data goes.
-        data: DataMark,
     },
     /// The sender can't do what was asked.
     Refuse {
@@ -81,6 +71,7 @@
         /// The entry up to which the snapshot goes.
         snapshot_sequence: u64,
         /// The encoded state at that entry.
+        #[musli(with = crate::shared_bytes)]
         snapshot: Arc<[u8]>,
         /// All entries after it.
         entries: Vec<Entry>,
--- a/crates/intercom/src/lib.rs
+++ b/crates/intercom/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod feed;
 pub mod frame;
 pub mod node;
+pub mod shared_bytes;
 pub mod views;
--- /dev/null
+++ b/crates/intercom/tests/frame.rs
@@ -0,0 +1,100 @@
+//! Messages and their frames.
+
+use std::net::Ipv4Addr;
+
+use intercom::control::{ControlMessage, Entry, Envelope, View};
+use intercom::frame::{self, FrameError, MAX_MESSAGE_BYTES};
+use intercom::node::NodeId;
+use rstest::rstest;
+
+fn member(last: u8) -> NodeId {
+    NodeId::new(Ipv4Addr::new(10, 0, 0, last), u64::from(last))
+}
+
+fn envelope(message: ControlMessage) -> Envelope {
+    Envelope { from: member(1), to: member(2), message }
+}
+
+fn append(sequence: u64) -> ControlMessage {
+    ControlMessage::Append { epoch: 7, entry: Entry { sequence, command: vec![0, 1, 255].into() } }
+}
+
+fn install() -> ControlMessage {
+    let view = View {
+        epoch: u64::MAX,
+        voters: vec![member(1), member(2)],
+        previous_voters: vec![member(3)],
+        holders: vec![member(1)],
+    };
+    ControlMessage::Install { view }
+}
+
+fn sync() -> ControlMessage {
+    let entries = vec![Entry { sequence: 4, command: Vec::new().into() }];
+    ControlMessage::Sync { epoch: 7, snapshot_sequence: 3, snapshot: vec![9; 1000].into(), entries }
+}
+
+fn framed(messages: &[Envelope]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for message in messages {
+        frame::append(message, &mut bytes).expect("a message that can be sent");
+    }
+    bytes
+}
+
+#[rstest]
+#[case::append(append(5))]
+#[case::install(install())]
+#[case::sync(sync())]
+#[case::join(ControlMessage::Join { zone: "zone-ä".to_owned() })]
+fn a_message_is_read_as_it_was_written(#[case] message: ControlMessage) {
+    let sent = envelope(message);
+    let mut bytes = framed(std::slice::from_ref(&sent));
+    assert_eq!(frame::take(&mut bytes).expect("a whole message"), Some(sent));
+    assert!(bytes.is_empty());
+}
+
+#[test]
+fn messages_are_taken_in_order_whatever_the_parts_in_which_they_arrive() {
+    let sent = [envelope(append(1)), envelope(install()), envelope(append(2))];
+    let bytes = framed(&sent);
+    for part in 1..bytes.len() {
+        let mut buffer = Vec::new();
+        let mut taken: Vec<Envelope> = Vec::new();
+        for chunk in bytes.chunks(part) {
+            buffer.extend_from_slice(chunk);
+            while let Some(message) = frame::take(&mut buffer).expect("good frames") {
+                taken.push(message);
+            }
+        }
+        assert_eq!(taken, sent, "in parts of {part} bytes");
+        assert!(buffer.is_empty());
+    }
+}
+
+/// The stated length is judged before the message has come in.
+#[test]
+fn a_message_over_the_bound_is_refused_by_its_length() {
+    let length = MAX_MESSAGE_BYTES as u32 + 1;
+    let mut bytes = length.to_le_bytes().to_vec();
+    let refused = frame::take::<Envelope>(&mut bytes);
+    assert!(matches!(refused, Err(FrameError::TooLong { length }) if length == MAX_MESSAGE_BYTES + 1));
+}
+
+#[test]
+fn a_message_over_the_bound_is_not_sent() {
+    let snapshot = vec![0; MAX_MESSAGE_BYTES].into();
+    let message = ControlMessage::Sync { epoch: 7, snapshot_sequence: 3, snapshot, entries: Vec::new() };
+    let mut bytes = Vec::new();
+    assert!(matches!(frame::append(&envelope(message), &mut bytes), Err(FrameError::TooLong { .. })));
+    assert!(bytes.is_empty());
+}
+
+#[rstest]
+#[case::empty(&[])]
+#[case::noise(&[0xff; 20])]
+fn bytes_that_are_no_message_are_malformed(#[case] message: &[u8]) {
+    let mut bytes = (message.len() as u32).to_le_bytes().to_vec();
+    bytes.extend_from_slice(message);
+    assert!(matches!(frame::take::<Envelope>(&mut bytes), Err(FrameError::Malformed { .. })));
+}
--- a/crates/jetway/src/http.rs
+++ b/crates/jetway/src/http.rs
@@ -430,7 +430,7 @@
 }
 
 /// Where blocks end in bytes that begin with one, from a place up to which none did.
-fn block_ends(bytes: &[u8], from: usize) -> impl Iterator<Item = usize> {
+pub fn block_ends(bytes: &[u8], from: usize) -> impl DoubleEndedIterator<Item = usize> {
     memchr_iter(b'\n', &bytes[from..]).filter_map(move |at| match &bytes[from + at + 1..] {
         [b'\n', ..] => Some(from + at + 2),
         [b'\r', b'\n', ..] => Some(from + at + 3),
--- a/crates/jetway/src/wire.rs
+++ b/crates/jetway/src/wire.rs
@@ -13,6 +13,9 @@
 
 use crate::WireLimits;
 
+/// A connection is on its way, says Linux.
+const IN_PROGRESS: i32 = 115;
+
 thread_local! {
     /// Where reads go first: no connection keeps room for bytes that have not come.
     static SCRATCH: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
@@ -55,8 +58,9 @@
     bound_buffers(&SockRef::from(&socket), limits);
     socket.set_nonblocking(true)?;
     match socket.connect(&addr.into()) {
-        // 115: it is on its way, says Linux.
-        Err(e) if e.raw_os_error() != Some(115) && e.kind() != io::ErrorKind::WouldBlock => return Err(e),
+        Err(e) if e.raw_os_error() != Some(IN_PROGRESS) && e.kind() != io::ErrorKind::WouldBlock => {
+            return Err(e);
+        }
         _ => {}
     }
     let stream = Async::new(TcpStream::from(socket))?;
--- a/crates/kiosk/src/admission.rs
+++ b/crates/kiosk/src/admission.rs
@@ -62,7 +62,7 @@
         let host = head.get("host").unwrap_or_default();
         let route = self.table.route(host, &head.start[1]).ok_or(Denial::NoRoute)?;
         let tenant = key(head).and_then(|key| self.table.tenant(key));
-        let is_open = self.configuration.tenants.is_empty() || self.configuration.routes[route].public;
+        let is_open = !self.configuration.requires_key || self.configuration.routes[route].public;
         if tenant.is_none() && !is_open {
             return Err(Denial::NoKey);
         }
--- a/crates/kiosk/src/budget.rs
+++ b/crates/kiosk/src/budget.rs
@@ -1,5 +1,7 @@
 //! The budget of repeated sends of one service.
 
+use station::settings::TimeLimits;
+
 /// Part of the ratio that is given out: the rest is for requests that clients count in another window.
 const RATIO_PART: f64 = 0.9;
 /// Part of the fleet's spare attempts that the gateways known so far hold together: the other half is for as many
@@ -15,6 +17,13 @@
     pub spare: f64,
 }
 
+impl RetryAllowance {
+    /// What the settings say.
+    pub fn of(limits: &TimeLimits) -> RetryAllowance {
+        RetryAllowance { ratio: limits.retry_ratio, spare: limits.spare_tries as f64 }
+    }
+}
+
 /// One gateway's tokens for repeated sends to one service.
 ///
 /// A request's first send adds a part of a token and each further send takes a whole one. The bucket starts
--- a/crates/kiosk/src/events.rs
+++ b/crates/kiosk/src/events.rs
@@ -1,6 +1,6 @@
 //! Whole events of a stream, and the id of the last one, so that another replica can go on behind it.
 
-use memchr::memchr_iter;
+use jetway::http::block_ends;
 
 /// A stream without the end of an event for so many bytes is passed on as it comes and can't be resumed.
 const LONGEST_EVENT: usize = 256 * 1024;
@@ -27,7 +27,7 @@
         } else {
             self.partial.append(bytes);
         }
-        let end = end_of_events(&self.partial);
+        let end = block_ends(&self.partial, 0).next_back().unwrap_or(0);
         if let Some(id) = last_event_id(&self.partial[..end]) {
             self.last_id.clear();
             self.last_id.push_str(id);
@@ -60,16 +60,6 @@
     }
 }
 
-/// Where the last whole event ends; 0 if none does.
-fn end_of_events(bytes: &[u8]) -> usize {
-    let mut ends = memchr_iter(b'\n', bytes).filter_map(|at| match &bytes[at + 1..] {
-        [b'\n', ..] => Some(at + 2),
-        [b'\r', b'\n', ..] => Some(at + 3),
-        _ => None,
-    });
-    ends.next_back().unwrap_or(0)
-}
-
 /// The id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<&str> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
--- /dev/null
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -0,0 +1,106 @@
+//! The answer of a request: passed on as a replica gives it, or written here.
+
+use std::time::Instant;
+
+use jetway::http::Body;
+use signpost::types::Verdict;
+
+use super::{DEADLINE_GRACE, Exchange, Final};
+use crate::attempt::{Answer, Failure};
+use crate::client::{Client, Done, write_last, write_own};
+use crate::headers::{self, Framing};
+use crate::relay::{Relay, RelayEnd};
+
+impl Exchange<'_> {
+    /// Writes the final answer of a request; one that has begun can only be broken off.
+    pub(super) async fn answer(mut self, client: Client<'_>, answer: Final) -> Done {
+        let counters = &self.proxy.counters;
+        if self.relay.is_some() {
+            counters.broken.add();
+            return Done::Abandon;
+        }
+        let answer = match (answer, self.failure.take()) {
+            (Final::None, _) => {
+                counters.abandoned.add();
+                return Done::Abandon;
+            }
+            (Final::Own(_), Some(failure)) | (Final::Replica(failure), _) => {
+                counters.failed.add();
+                return self.answer_failure(client, &failure).await;
+            }
+            (Final::Own(answer), None) => answer,
+        };
+        if answer.status == 503 {
+            counters.refused.add()
+        } else {
+            counters.failed.add()
+        }
+        let (proxy, incoming) = (self.proxy, self.incoming);
+        // What is still out is called off before the client is told.
+        drop(self);
+        write_own(proxy, client, incoming, answer).await
+    }
+
+    async fn answer_failure(self, client: Client<'_>, failure: &Failure) -> Done {
+        let proxy = self.proxy;
+        drop(self);
+        let after = client.after(proxy);
+        let framing = match failure.head.response_body() {
+            Ok(Body::Length(0)) if failure.body.is_empty() => Framing::None,
+            _ => Framing::Length(failure.body.len()),
+        };
+        let mut bytes = Vec::new();
+        headers::write_answer(&failure.head, framing, after, &mut bytes);
+        bytes.extend_from_slice(&failure.body);
+        write_last(proxy, client, &bytes, after).await
+    }
+
+    /// Passes a begun answer on. None if it broke off and another replica may go on with it, or give it whole.
+    pub(super) async fn pass_on(&mut self, client: &mut Client<'_>, answer: Box<Answer>) -> Option<Done> {
+        let mut relay = match self.relay.take() {
+            Some(relay) => relay,
+            None => {
+                let is_stream = self.admitted.route().resumable;
+                Relay::new(
+                    &answer,
+                    is_stream,
+                    client.after(self.proxy),
+                    self.incoming.head.start[0] == "HEAD",
+                )
+            }
+        };
+        let give_up_at = self.deadline + DEADLINE_GRACE;
+        let end = relay.pass_on(self.proxy, client, *answer, give_up_at).await;
+        let counters = &self.proxy.counters;
+        match end {
+            RelayEnd::Whole => {
+                counters.passed.add();
+                self.held.outcome(Verdict::Ok, true);
+                Some(relay.after().into())
+            }
+            RelayEnd::ClientLeft => {
+                counters.abandoned.add();
+                Some(Done::Abandon)
+            }
+            RelayEnd::Broken if !relay.has_begun() => {
+                self.held.outcome(Verdict::Reset, false);
+                None
+            }
+            RelayEnd::Broken if self.may_resume(&mut relay) => {
+                self.relay = Some(relay);
+                self.held.outcome(Verdict::Reset, false);
+                None
+            }
+            RelayEnd::Broken => {
+                counters.broken.add();
+                self.held.outcome(Verdict::Reset, true);
+                client.wire.abort = relay.ends_with_connection();
+                Some(Done::Abandon)
+            }
+        }
+    }
+
+    fn may_resume(&self, relay: &mut Relay) -> bool {
+        relay.prepare_resume() && self.may_send() && Instant::now() < self.deadline
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -0,0 +1,234 @@
+//! The attempts of a request: each is sent to one replica, if that is still allowed, and ends with an answer, with
+//! a verdict for the decision module, or with its word.
+
+use std::rc::Rc;
+use std::task::Poll;
+
+use futures_lite::future;
+use signpost::types::{Effect, ReplicaId, Verdict};
+
+use super::{Exchange, Final, RETRY_AT_ONCE, Step};
+use crate::attempt::{self, AttemptEnd, Failure, Outgoing};
+use crate::client::Client;
+use crate::headers::OwnAnswer;
+use crate::placement::{self, Order};
+use crate::pool::Connection;
+use crate::replicas::ReplicaEntry;
+
+/// Descriptors are used up in the system, says Linux.
+const NO_DESCRIPTOR_IN_SYSTEM: i32 = 23;
+/// Descriptors are used up in this process, says Linux.
+const NO_DESCRIPTOR_HERE: i32 = 24;
+
+/// Why an attempt's work ended early.
+enum Interrupted {
+    /// There is no connection.
+    Connect(Verdict),
+    /// The client has left.
+    Left,
+    /// The module wants something else.
+    Order(Order),
+}
+
+impl Exchange<'_> {
+    /// Sends the request to a replica.
+    pub(super) async fn attempt(
+        &mut self,
+        client: &mut Client<'_>,
+        attempt: u32,
+        replica: &ReplicaId,
+    ) -> Step {
+        self.held.begin(attempt);
+        if !self.is_still_admitted() {
+            return Step::Answer(self.withdrawn());
+        }
+        let replica = self.proxy.replicas.borrow().ready(replica).cloned();
+        let Some(replica) = replica.filter(|_| self.may_send()) else {
+            self.held.outcome(Verdict::Moot, false);
+            return Step::Continue;
+        };
+        let connection = match self.connection(client, &replica).await {
+            Ok(connection) => connection,
+            Err(Interrupted::Connect(verdict)) => {
+                self.held.outcome(verdict, false);
+                return Step::Continue;
+            }
+            Err(Interrupted::Left) => return Step::Answer(Final::None),
+            Err(Interrupted::Order(order)) => return self.interrupted(order),
+        };
+        // The replica may have begun to drain, and the configuration have changed, while a connection came up.
+        if !self.is_still_admitted() {
+            return Step::Answer(self.withdrawn());
+        }
+        let is_ready = self.proxy.replicas.borrow().ready(&replica.id).is_some();
+        if !is_ready || !self.take_send() {
+            self.held.outcome(Verdict::Moot, false);
+            return Step::Continue;
+        }
+        self.send(client, replica, connection).await
+    }
+
+    /// Whether route, service and key still are what they were when the request came.
+    fn is_still_admitted(&self) -> bool {
+        let newest = self.proxy.routing();
+        newest.is_some_and(|newest| self.admitted.holds_under(&newest, &self.incoming.head))
+    }
+
+    fn withdrawn(&self) -> Final {
+        Final::Own(if self.may_have_run { self.failed() } else { OwnAnswer::refusal(RETRY_AT_ONCE) })
+    }
+
+    /// Whether a send is within the route's attempts and the service's budget.
+    pub(super) fn may_send(&self) -> bool {
+        self.sends == 0
+            || self.sends < self.admitted.route().max_attempts
+                && self.proxy.may_repeat(self.admitted.service())
+    }
+
+    /// Counts a send that follows at once; false if it must not.
+    fn take_send(&mut self) -> bool {
+        let service = self.admitted.service();
+        if self.sends == 0 {
+            self.proxy.count_first_send(service);
+            self.proxy.counters.first_sends.add();
+        } else if self.may_send() && self.proxy.take_repeat(service) {
+            self.proxy.counters.repeated_sends.add();
+        } else {
+            return false;
+        }
+        self.sends += 1;
+        true
+    }
+
+    /// A connection to the replica, an idle one if there is one.
+    async fn connection(
+        &self,
+        client: &mut Client<'_>,
+        replica: &ReplicaEntry,
+    ) -> Result<Connection, Interrupted> {
+        if let Some(connection) = self.proxy.pool.take(&replica.id) {
+            return Ok(connection);
+        }
+        self.proxy.counters.connects.add();
+        let connect = async {
+            self.proxy.pool.connect(replica.address).await.map_err(|error| {
+                // Nobody's fault but this process's.
+                let is_own = error.kind() == std::io::ErrorKind::QuotaExceeded
+                    || matches!(error.raw_os_error(), Some(NO_DESCRIPTOR_IN_SYSTEM | NO_DESCRIPTOR_HERE));
+                Interrupted::Connect(if is_own { Verdict::Moot } else { Verdict::NoConnection })
+            })
+        };
+        self.unless_interrupted(client, connect).await?
+    }
+
+    /// Writes the request, and reads its answer up to where it can be passed on.
+    async fn send(
+        &mut self,
+        client: &mut Client<'_>,
+        replica: Rc<ReplicaEntry>,
+        connection: Connection,
+    ) -> Step {
+        let head = self.head_for(&replica);
+        let outgoing = Outgoing {
+            head: &head,
+            body: &self.incoming.body,
+            attempt_id: self.incoming.attempt_id(),
+            is_head_request: self.incoming.head.start[0] == "HEAD",
+        };
+        self.held.written();
+        let exchange = attempt::exchange(&self.proxy.pool, &replica, connection, outgoing);
+        match self.unless_interrupted(client, exchange).await {
+            Ok(end) => self.ended(&replica.id, end),
+            Err(Interrupted::Order(order)) => self.interrupted(order),
+            Err(_) => Step::Answer(Final::None),
+        }
+    }
+
+    /// An attempt has ended without the module's doing.
+    fn ended(&mut self, replica: &ReplicaId, end: AttemptEnd) -> Step {
+        match end {
+            AttemptEnd::Success(answer) => {
+                self.may_have_run = true;
+                self.held.first_token();
+                return Step::Begun(answer);
+            }
+            AttemptEnd::Unsent(verdict) => self.held.outcome(verdict, false),
+            AttemptEnd::NotRun => self.held.outcome(Verdict::Full, false),
+            AttemptEnd::WrongReplica => {
+                self.held.outcome(Verdict::Full, false);
+                self.proxy.displace(replica);
+            }
+            AttemptEnd::Broken => {
+                self.may_have_run = true;
+                self.held.outcome(Verdict::Reset, false);
+            }
+            AttemptEnd::Failure(failure) => return self.replica_failed(Box::new(failure)),
+        }
+        Step::Continue
+    }
+
+    /// A replica's failure goes to the client, unless another replica may do better.
+    fn replica_failed(&mut self, failure: Box<Failure>) -> Step {
+        if failure.not_run {
+            self.held.outcome(Verdict::Full, true);
+            return Step::Answer(Final::Replica(failure));
+        }
+        self.may_have_run = true;
+        let repeats = failure.head.status() == 500
+            && placement::effect_of(self.admitted.route()) == Effect::Safe
+            && self.may_send();
+        self.held.outcome(Verdict::Error, !repeats);
+        if repeats {
+            self.failure = Some(failure);
+            return Step::Continue;
+        }
+        Step::Answer(Final::Replica(failure))
+    }
+
+    /// The module has ended an attempt that is out.
+    fn interrupted(&mut self, order: Order) -> Step {
+        let may_run = self.held.may_have_run();
+        self.may_have_run |= may_run;
+        match order {
+            Order::Cancel(_) => {
+                self.held.call_off(false);
+                Step::Continue
+            }
+            // The deadline passed while a connection came up: nothing was sent.
+            Order::Fail if !self.may_have_run => {
+                self.held.call_off(true);
+                Step::Answer(Final::Own(OwnAnswer::refusal(RETRY_AT_ONCE)))
+            }
+            Order::Fail => {
+                self.held.call_off(true);
+                Step::Answer(Final::Own(self.failed()))
+            }
+            Order::Refuse(wait) => {
+                self.held.call_off(true);
+                Step::Answer(self.declined(wait))
+            }
+            // The module sends nothing while an attempt is out.
+            Order::Send { .. } => Step::Continue,
+        }
+    }
+
+    /// What `work` gives, unless the client leaves or the module ends the attempt before. At the deadline it has
+    /// failed: the module says nothing of that once an answer has begun, as where a stream is to be resumed.
+    async fn unless_interrupted<T>(
+        &self,
+        client: &mut Client<'_>,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Interrupted> {
+        let mut deadline = self.proxy.alarms.at(self.deadline);
+        let interrupted = future::poll_fn(|context| {
+            if let Poll::Ready(order) = self.held.poll_order(context) {
+                return Poll::Ready(Err(Interrupted::Order(order)));
+            }
+            if client.poll_gone(context).is_ready() {
+                return Poll::Ready(Err(Interrupted::Left));
+            }
+            deadline.poll_passed(context).map(|()| Err(Interrupted::Order(Order::Fail)))
+        });
+        future::or(async { Ok(work.await) }, interrupted).await
+    }
+}
--- /dev/null
+++ b/crates/kiosk/src/exchange/request_head.rs
@@ -0,0 +1,55 @@
+//! The head with which a replica is sent a request: what the client sent, and what the system adds for it.
+
+use std::time::Instant;
+
+use super::Exchange;
+use crate::headers::{self, Additions};
+use crate::kv_cache::{Chain, KvTransfer, Target};
+use crate::relay::Relay;
+use crate::replicas::ReplicaEntry;
+
+/// Bytes of most heads.
+const USUAL_BYTES: usize = 1024;
+
+impl Exchange<'_> {
+    /// The head with which this replica is sent the request.
+    pub(super) fn head_for(&self, replica: &ReplicaEntry) -> Vec<u8> {
+        let admitted = &self.admitted;
+        let model = self.incoming.head.get("llm");
+        let revision = model.and_then(|model| replica.revision(model));
+        let salt = model.map(|_| admitted.salt(revision.unwrap_or(0)));
+        let kv = salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default();
+        let additions = Additions {
+            replica: &replica.id.0,
+            tenant: admitted.tenant().map(|tenant| tenant.label.as_str()),
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+            priority: self.priority(kv),
+            revision,
+            salt: salt.as_deref(),
+            kv,
+            last_event_id: self.relay.as_ref().and_then(Relay::last_event_id),
+        };
+        let mut head = Vec::with_capacity(USUAL_BYTES);
+        headers::write_request(&self.incoming.head, self.incoming.body.len(), &additions, &mut head);
+        head
+    }
+
+    /// The urgency by the operator's rank and by what the replica has to read: the last part of the prompt is the
+    /// request's own.
+    fn priority(&self, kv: KvTransfer) -> u8 {
+        let unread_tokens = self.prompt.prompt.own_tokens().saturating_add(kv.unread_tokens);
+        self.proxy.urgency.borrow_mut().priority(self.admitted.rank(), unread_tokens)
+    }
+
+    /// Where this replica takes the KV cache of the prompt from, and where it keeps it.
+    fn kv_transfer(&self, replica: &ReplicaEntry, salt: &str) -> KvTransfer {
+        let chain = Chain::new(&self.prompt.shared_parts, salt);
+        let replicas = self.proxy.replicas.borrow();
+        let zone_of = |address| {
+            let other = replicas.at(address).filter(|other| other.service == replica.service);
+            other.map(|other| other.zone)
+        };
+        let target = Target { address: replica.address, zone: replica.zone };
+        self.proxy.kv.borrow_mut().plan(station::clock::now(), &chain, target, zone_of)
+    }
+}
--- a/crates/kiosk/src/freshness.rs
+++ b/crates/kiosk/src/freshness.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use station::settings::TimeLimits;
+
 /// Time that a judgement may take to reach a replica, taken off the time within which a withdrawal must hold.
 const SAFETY_MARGIN: Duration = Duration::from_millis(500);
 /// Longest age where withdrawals have no tight bound.
@@ -14,6 +16,11 @@
 }
 
 impl FreshnessGate {
+    /// By what the settings say.
+    pub fn of(limits: &TimeLimits) -> Self {
+        FreshnessGate::new(limits.shut_tight, limits.withdraw())
+    }
+
     /// By whether withdrawals of keys have a tight bound, and that bound.
     pub fn new(shut_tight: bool, withdraw: Duration) -> Self {
         let longest_age = if shut_tight { withdraw.saturating_sub(SAFETY_MARGIN) } else { LOOSE_AGE };
--- a/crates/kiosk/src/headers.rs
+++ b/crates/kiosk/src/headers.rs
@@ -120,13 +120,16 @@
     None,
 }
 
-/// Writes the head with which a client is passed a replica's answer.
+/// Writes the head with which a client is passed a replica's answer. Headers whose values are not plain text
+/// are left out: a line end in one would begin a header that the replica did not send.
 pub fn write_answer(head: &Head, framing: Framing, after: After, out: &mut Vec<u8>) {
-    line(out, &["HTTP/1.1 ", &head.start[1], " ", &head.start[2]]);
+    let stated = &head.start[2];
+    let reason = if is_plain(stated) { stated } else { jetway::http::reason(head.status()) };
+    line(out, &["HTTP/1.1 ", &head.start[1], " ", reason]);
     let named = named_by_connection(head);
     for (name, value) in &head.headers {
         let length = framing != Framing::None && name.eq_ignore_ascii_case("content-length");
-        if !length && !is_one_of(name, &HOP_BY_HOP) && !named.contains(name) {
+        if !length && is_plain(value) && !is_one_of(name, &HOP_BY_HOP) && !named.contains(name) {
             line(out, &[name, ": ", value]);
         }
     }
@@ -189,6 +192,11 @@
     named.map(|(name, _)| name.clone()).collect()
 }
 
+/// Whether a header's value holds no control characters, which clients may take for the end of a line.
+pub fn is_plain(value: &str) -> bool {
+    !value.chars().any(|character| character.is_control() && character != '\t')
+}
+
 fn is_one_of(name: &str, names: &[&str]) -> bool {
     names.iter().any(|other| name.eq_ignore_ascii_case(other))
 }
--- a/crates/kiosk/src/held.rs
+++ b/crates/kiosk/src/held.rs
@@ -49,11 +49,6 @@
     }
 
     /// The module's next order.
-    pub async fn order(&self) -> Order {
-        future::poll_fn(|context| self.poll_order(context)).await
-    }
-
-    /// The same as a poll.
     pub fn poll_order(&self, context: &mut Context<'_>) -> Poll<Order> {
         self.placement.borrow_mut().poll_order(self.id, context)
     }
--- a/crates/kiosk/src/kv_cache.rs
+++ b/crates/kiosk/src/kv_cache.rs
@@ -6,12 +6,16 @@
 //! has nothing costs about a millisecond.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cabinet::{Index, PartKey};
+use lru::LruCache;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::prompt::PromptPart;
 
 /// Fewer tokens than these are read again as fast as they are fetched.
 const LEAST_TOKENS: u32 = cabinet::LEAST_TOKENS;
@@ -24,7 +28,7 @@
 /// A beginning is not saved again before the index has had time to tell of it.
 const SAVE_AGAIN: Duration = Duration::from_secs(3);
 /// Beginnings that are remembered; beyond it, the one met longest ago is forgotten.
-const MOST_BEGINNINGS: usize = 4096;
+const MOST_BEGINNINGS: NonZeroUsize = NonZeroUsize::new(4096).expect("above 0");
 
 /// A part of a prompt that other requests share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,10 +45,12 @@
 pub struct Chain(Vec<ChainPart>);
 
 impl Chain {
-    /// The chain of these parts, each with its id and its tokens.
-    pub fn new<'a>(parts: impl IntoIterator<Item = (&'a str, u32)>, salt: &str) -> Chain {
-        let long = parts.into_iter().filter(|(_, tokens)| *tokens >= LEAST_TOKENS);
-        Chain(long.map(|(id, tokens)| ChainPart { key: PartKey::new(salt, id), tokens }).collect())
+    /// The chain of these parts.
+    pub fn new(parts: &[PromptPart], salt: &str) -> Chain {
+        let long = parts.iter().filter(|part| part.tokens >= LEAST_TOKENS);
+        let keyed =
+            long.map(|part| ChainPart { key: PartKey::salted(salt, part.hash), tokens: part.tokens });
+        Chain(keyed.collect())
     }
 
     /// Its parts.
@@ -99,8 +105,10 @@
 /// What this gateway remembers of a beginning.
 #[derive(Clone, Copy, Debug)]
 struct Met {
+    /// The replica that was sent it last.
     target: SocketAddr,
     at: Duration,
+    /// When a store was last to be sent it.
     saved: Option<Duration>,
 }
 
@@ -113,18 +121,37 @@
     rank: Rank,
 }
 
+/// Where a chain may be fetched from.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddr,
+    /// Tokens of the chain that it keeps, as far as the index tells.
+    tokens: u32,
+}
+
 /// Replicas go before stores, those of the target's zone before others; the last field spreads the load.
 type Rank = (bool, bool, u64);
 
 /// Plans the transfers of KV cache.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct KvDirectory {
     index: Rc<RefCell<Index>>,
     stores: Vec<SocketAddrV4>,
-    met: BTreeMap<u64, Met>,
+    met: LruCache<u64, Met>,
     turn: u64,
 }
 
+impl Default for KvDirectory {
+    fn default() -> KvDirectory {
+        KvDirectory {
+            index: Rc::default(),
+            stores: Vec::new(),
+            met: LruCache::new(MOST_BEGINNINGS),
+            turn: 0,
+        }
+    }
+}
+
 impl KvDirectory {
     /// Looks into this index from now on.
     pub fn set_index(&mut self, index: Rc<RefCell<Index>>) {
@@ -147,15 +174,16 @@
     ) -> KvTransfer {
         let Some(key) = chain.key() else { return KvTransfer::default() };
         self.turn = self.turn.wrapping_add(1);
-        let fetch = self.source(now, key, chain, target, zone_of);
+        let kept = self.kept_at(target.address, chain);
+        let source = self.source(now, chain, target, kept, zone_of);
         let save = self.store_to_save(now, key, chain);
-        let saved = if save.is_some() { Some(now) } else { self.met.get(&key).and_then(|met| met.saved) };
-        self.met.insert(key, Met { target: target.address, at: now, saved });
-        self.forget_oldest();
-        let kept =
-            self.kept_at(target.address, chain).max(fetch.map_or(0, |from| self.kept_at(from, chain)));
-        let unread_tokens = chain.tokens().saturating_sub(kept);
-        KvTransfer { fetch, save: save.map(SocketAddr::V4), unread_tokens }
+        self.remember(now, key, target, save.is_some());
+        let read_by_others = source.map_or(0, |source| source.tokens);
+        KvTransfer {
+            fetch: source.map(|source| source.address),
+            save: save.map(SocketAddr::V4),
+            unread_tokens: chain.tokens().saturating_sub(kept.max(read_by_others)),
+        }
     }
 
     /// Tokens of the chain that a replica or a store keeps, as far as the index tells.
@@ -166,32 +194,39 @@
         }
     }
 
-    /// Where the chain is fetched from; none where nobody keeps enough more of it than the target.
+    /// Where the chain is fetched from; none where nobody keeps enough more of it than the target, which keeps
+    /// `kept` tokens.
     fn source(
         &self,
         now: Duration,
-        key: u64,
         chain: &Chain,
         target: Target,
+        kept: u32,
         zone_of: impl Fn(SocketAddr) -> Option<u16>,
-    ) -> Option<SocketAddr> {
-        let kept = self.kept_at(target.address, chain);
-        let index = self.index.borrow();
+    ) -> Option<Source> {
         let worth_fetching = kept.saturating_add(LEAST_TOKENS);
         if chain.tokens() < worth_fetching {
             return None;
         }
-        let best = self.best_candidate(&index, chain, target, &zone_of);
+        let best = self.best_candidate(&self.index.borrow(), chain, target, &zone_of);
         if let Some(best) = best.filter(|best| best.tokens >= worth_fetching) {
-            return Some(SocketAddr::V4(best.source));
+            return Some(Source { address: SocketAddr::V4(best.source), tokens: best.tokens });
         }
-        let met = self.met.get(&key).filter(|met| met.target != target.address)?;
+        let address = self.last_target(now, chain)?;
+        let may_serve = address != target.address && zone_of(address).is_some();
+        may_serve.then(|| Source { address, tokens: self.kept_at(address, chain) })
+    }
+
+    /// The replica that was just sent the chain, and is not known to be down.
+    fn last_target(&self, now: Duration, chain: &Chain) -> Option<SocketAddr> {
+        let met = self.met.peek(&chain.key()?)?;
+        let index = self.index.borrow();
         let is_down = match met.target {
             SocketAddr::V4(address) => index.status(address).is_some() && !index.is_alive(address),
             SocketAddr::V6(_) => false,
         };
         let holds = index.is_empty() || now.saturating_sub(met.at) <= HINT_HOLDS;
-        (holds && !is_down && zone_of(met.target).is_some()).then_some(met.target)
+        (holds && !is_down).then_some(met.target)
     }
 
     /// The source that keeps the most, among the holders of the last part that any source keeps.
@@ -237,23 +272,20 @@
             self.stores.iter().copied().filter(|store| index.is_alive(*store)).collect();
         let store = *alive.get((key % alive.len().max(1) as u64) as usize)?;
         let lacks = kept_tokens(&index, store, chain).saturating_add(BLOCK_SLACK) < chain.tokens();
-        let saved = self.met.get(&key).and_then(|met| met.saved);
+        let saved = self.met.peek(&key).and_then(|met| met.saved);
         let is_asked = saved.is_some_and(|at| now.saturating_sub(at) < SAVE_AGAIN);
         (lacks && !is_asked).then_some(store)
     }
 
-    fn forget_oldest(&mut self) {
-        if self.met.len() <= MOST_BEGINNINGS {
-            return;
-        }
-        let oldest = self.met.iter().min_by_key(|(_, met)| met.at).map(|(key, _)| *key);
-        oldest.map(|key| self.met.remove(&key));
+    /// Notes that the target is sent the beginning now, and whether it is to save it.
+    fn remember(&mut self, now: Duration, key: u64, target: Target, is_saved: bool) {
+        let saved = if is_saved { Some(now) } else { self.met.peek(&key).and_then(|met| met.saved) };
+        self.met.put(key, Met { target: target.address, at: now, saved });
     }
 }
 
-/// A number that differs between sources and turns (the finalizer of SplitMix64).
+/// A number that differs between sources and turns.
 fn spread(source: SocketAddrV4, turn: u64) -> u64 {
-    let seed = u64::from(u32::from(*source.ip())) << 16 | u64::from(source.port());
-    let state = (seed ^ turn.rotate_left(40)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    (state ^ (state >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB)
+    let place = u64::from(u32::from(*source.ip())) << 16 | u64::from(source.port());
+    xxh3_64_with_seed(&place.to_le_bytes(), turn)
 }
--- a/crates/kiosk/src/placement.rs
+++ b/crates/kiosk/src/placement.rs
@@ -357,9 +357,18 @@
     }
 }
 
+/// The time within which an answer of a route earns its full worth.
+pub fn target(route: &Route) -> Duration {
+    Duration::from_millis(target_ms(route))
+}
+
+fn target_ms(route: &Route) -> u64 {
+    if route.target_ms > 0 { route.target_ms } else { route.time_limit_ms / UNSTATED_TARGET }
+}
+
 /// The time up to a first token that the module aims at.
 fn aim_ms(route: &Route) -> u64 {
-    let target = if route.target_ms > 0 { route.target_ms } else { route.time_limit_ms / UNSTATED_TARGET };
+    let target = target_ms(route);
     if route.kind != RouteKind::Stream {
         return target;
     }
--- a/crates/kiosk/src/pool.rs
+++ b/crates/kiosk/src/pool.rs
@@ -76,11 +76,6 @@
         &self.limits
     }
 
-    /// Connections that are open.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-
     /// An idle connection that is still good, the one used last first: the others may then grow old.
     pub fn take(&self, replica: &ReplicaId) -> Option<Connection> {
         let now = Instant::now();
--- a/crates/kiosk/src/prompt.rs
+++ b/crates/kiosk/src/prompt.rs
@@ -1,8 +1,25 @@
 //! What a request says of its prompt, and the key of the ring that follows from it.
 
+use cabinet::part_hash;
 use jetway::http::Head;
 
-/// The prompt as the headers describe it.
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Hash of its id.
+    pub hash: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+impl PromptPart {
+    /// The part with this id.
+    pub fn new(id: &str, tokens: u32) -> PromptPart {
+        PromptPart { hash: part_hash(id), tokens }
+    }
+}
+
+/// The prompt as the decision module takes it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
     /// Hash of the last part that is shared with other requests.
@@ -18,50 +35,55 @@
 }
 
 impl Prompt {
+    /// Tokens that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        self.tokens.saturating_sub(self.shared_tokens)
+    }
+}
+
+/// What the headers of a request say of its prompt, read once for all its attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptHeaders {
+    /// The prompt as a whole.
+    pub prompt: Prompt,
+    /// The parts that are shared with other requests, in their order: all but the last.
+    pub shared_parts: Vec<PromptPart>,
+}
+
+impl PromptHeaders {
     /// Reads `Prompt-Start` and `Token-Count`. What can't be read is taken as absent.
-    pub fn read(head: &Head) -> Prompt {
-        let mut prompt = head.get("prompt-start").map(parts).unwrap_or_default();
+    pub fn read(head: &Head) -> PromptHeaders {
+        let mut parts: Vec<_> =
+            head.get("prompt-start").map(|list| parts(list).collect()).unwrap_or_default();
+        let session = parts.pop();
+        let shared_tokens = sum(&parts);
+        let mut prompt = Prompt {
+            shared: parts.last().map(|part| part.hash),
+            session: session.map(|part| part.hash),
+            tokens: session.map_or(0, |part| shared_tokens.saturating_add(part.tokens)),
+            shared_tokens,
+            answer_tokens: 0,
+        };
         if let Some((tokens, answer_tokens)) = head.get("token-count").and_then(token_count) {
             (prompt.tokens, prompt.answer_tokens) = (tokens, answer_tokens);
         }
-        prompt
+        PromptHeaders { prompt, shared_parts: parts }
     }
 }
 
-/// The parts that are shared with other requests, in their order, each with its id and its tokens: all but the last.
-pub fn shared_parts(head: &Head) -> Vec<(&str, u32)> {
-    let mut parts: Vec<_> = head.get("prompt-start").map(|list| split(list).collect()).unwrap_or_default();
-    parts.pop();
-    parts
-}
-
-fn split(list: &str) -> impl Iterator<Item = (&str, u32)> {
+fn parts(list: &str) -> impl Iterator<Item = PromptPart> {
     let parts = list.split(',').map(str::trim).filter(|part| !part.is_empty());
     parts.map(|part| {
         let (id, tokens) = part.split_once(':').unwrap_or((part, "0"));
-        (id, tokens.trim().parse().unwrap_or(0))
+        PromptPart::new(id, tokens.trim().parse().unwrap_or(0))
     })
 }
 
-fn parts(list: &str) -> Prompt {
-    let mut prompt = Prompt::default();
-    for (id, tokens) in split(list) {
-        prompt.shared = prompt.session;
-        prompt.session = Some(hash(id));
-        prompt.shared_tokens = prompt.tokens;
-        prompt.tokens = prompt.tokens.saturating_add(tokens);
-    }
-    prompt
+fn sum(parts: &[PromptPart]) -> u32 {
+    parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
 }
 
 fn token_count(value: &str) -> Option<(u32, u32)> {
     let (tokens, answer) = value.split_once(',')?;
     Some((tokens.trim().parse().ok()?, answer.trim().parse().ok()?))
 }
-
-/// FNV-1a: all gateways come to the same hash of a part, which the ring hashes again.
-pub fn hash(id: &str) -> u64 {
-    const OFFSET: u64 = 0xCBF2_9CE4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01B3;
-    id.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
-}
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -9,7 +9,7 @@
 use intercom::feed::{Replica, WeightsTable};
 use jetway::WireLimits;
 use station::clock;
-use station::settings::Settings;
+use station::settings::{Settings, TimeLimits};
 use timetable::{Caps, Configuration};
 
 use crate::admission::Routing;
@@ -54,12 +54,12 @@
     client_limits: RefCell<Rc<WireLimits>>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
     gateways: Cell<u32>,
-    allowance: RetryAllowance,
+    allowance: Cell<RetryAllowance>,
     zones: RefCell<ZoneIndex>,
     lifecycle: RefCell<Lifecycle>,
-    gate: FreshnessGate,
+    gate: Cell<FreshnessGate>,
     age: Age,
-    chance: Cell<u64>,
+    random: RefCell<fastrand::Rng>,
 }
 
 impl Proxy {
@@ -83,16 +83,26 @@
             client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
             budgets: RefCell::default(),
             gateways: Cell::new(0),
-            allowance: RetryAllowance { ratio: limits.retry_ratio, spare: limits.spare_tries as f64 },
+            allowance: Cell::new(RetryAllowance::of(limits)),
             zones: RefCell::new(zones),
             lifecycle: RefCell::default(),
-            gate: FreshnessGate::new(limits.shut_tight, limits.withdraw()),
+            gate: Cell::new(FreshnessGate::of(limits)),
             age,
-            chance: Cell::new(seed),
+            random: RefCell::new(fastrand::Rng::with_seed(seed)),
         })
     }
 
-    // ---- what the control plane tells ---------------------------------------------------------------------
+    // ---- what the settings and the control plane tell ---------------------------------------------------
+
+    /// Takes over the figures of the rules from newer settings. Budgets begin anew if their allowance has
+    /// changed.
+    pub fn set_time_limits(&self, limits: &TimeLimits) {
+        self.gate.set(FreshnessGate::of(limits));
+        let allowance = RetryAllowance::of(limits);
+        if self.allowance.replace(allowance) != allowance {
+            self.budgets.borrow_mut().clear();
+        }
+    }
 
     /// Takes over a configuration.
     pub fn set_configuration(&self, configuration: Arc<Configuration>) {
@@ -155,7 +165,7 @@
     /// The newest configuration, if it is fresh enough to judge requests by.
     pub fn routing(&self) -> Option<Rc<Routing>> {
         let routing = self.routing.borrow();
-        routing.as_ref().filter(|_| self.gate.is_open((self.age)())).cloned()
+        routing.as_ref().filter(|_| self.gate.get().is_open((self.age)())).cloned()
     }
 
     /// Whether the platform should send clients here.
@@ -165,13 +175,9 @@
             && self.routing().is_some()
     }
 
-    /// A number from 0 up to 1, another one each time (SplitMix64).
+    /// A random number from 0 up to 1, another one each time.
     pub fn chance(&self) -> f64 {
-        let state = self.chance.get().wrapping_add(0x9E37_79B9_7F4A_7C15);
-        self.chance.set(state);
-        let mixed = (state ^ (state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+        self.random.borrow_mut().f64()
     }
 
     /// The limits that connections of clients keep to.
@@ -202,7 +208,7 @@
         if let Some(budget) = budgets.get_mut(service) {
             return budget.first_send();
         }
-        let mut budget = RetryBudget::new(self.allowance);
+        let mut budget = RetryBudget::new(self.allowance.get());
         if self.gateways.get() > 0 {
             budget.set_gateways(self.gateways.get());
         }
--- a/crates/kiosk/src/relay.rs
+++ b/crates/kiosk/src/relay.rs
@@ -72,6 +72,11 @@
         self.after
     }
 
+    /// The client has been sent a part of the answer, or its head.
+    pub fn has_begun(&self) -> bool {
+        self.head_written
+    }
+
     /// The end of the connection is all that tells the client where the answer ends.
     pub fn ends_with_connection(&self) -> bool {
         self.framing == Framing::UntilClose
@@ -122,11 +127,25 @@
         }
     }
 
-    /// Puts what has come of an answer in line for the client.
+    /// Puts what has come of an answer in line for the client. Of a stream that may be resumed nothing is before
+    /// its first event is whole, so that another replica can still give the whole answer.
     fn fill_line(&mut self, answer: &mut Answer) {
+        self.fill_payload(answer);
+        if self.events.is_some() && self.payload.is_empty() && !answer.is_whole {
+            return;
+        }
         if !std::mem::replace(&mut self.head_written, true) {
             headers::write_answer(&answer.head, self.framing, self.after, &mut self.line);
         }
+        match self.framing {
+            Framing::None => {}
+            Framing::Length(_) | Framing::UntilClose => self.line.extend_from_slice(&self.payload),
+            Framing::Chunked => self.fill_chunk(answer.is_whole),
+        }
+        self.payload.clear();
+    }
+
+    fn fill_payload(&mut self, answer: &mut Answer) {
         match &mut self.events {
             Some(events) => {
                 events.pass(&mut answer.bytes, &mut self.payload);
@@ -136,12 +155,6 @@
             }
             None => std::mem::swap(&mut self.payload, &mut answer.bytes),
         }
-        match self.framing {
-            Framing::None => {}
-            Framing::Length(_) | Framing::UntilClose => self.line.extend_from_slice(&self.payload),
-            Framing::Chunked => self.fill_chunk(answer.is_whole),
-        }
-        self.payload.clear();
     }
 
     fn fill_chunk(&mut self, is_last: bool) {
--- a/crates/kiosk/src/reply.rs
+++ b/crates/kiosk/src/reply.rs
@@ -2,6 +2,8 @@
 
 use jetway::http::Head;
 
+use crate::headers::is_plain;
+
 /// Statuses that promise that a request has not run: only a replica that says so is believed.
 const PROMISES: [u16; 3] = [408, 429, 503];
 
@@ -27,9 +29,10 @@
 }
 
 impl Reply {
-    /// Reads the head of an answer to the try with this id, from the replica that was meant.
+    /// Reads the head of an answer to the try with this id, from the replica that was meant. A try without an
+    /// id has an answer without one.
     pub fn read(head: &Head, attempt_id: Option<&str>, replica: &str) -> Reply {
-        if attempt_id.is_some() && head.get("attempt-id") != attempt_id {
+        if head.get("attempt-id").unwrap_or_default() != attempt_id.unwrap_or_default() {
             return Reply::Foreign;
         }
         let not_run = head.get("not-run").is_some();
@@ -39,7 +42,7 @@
             400 if not_run => Reply::Rejected,
             200..=299 if not_run => Reply::Unsealed,
             _ if not_run => Reply::NotRun,
-            200..=299 if head.get("server-seal").is_none() => Reply::Unsealed,
+            200..=299 if !head.get("server-seal").is_some_and(is_plain) => Reply::Unsealed,
             200..=299 => Reply::Success,
             status if PROMISES.contains(&status) => Reply::FalsePromise,
             _ => Reply::Failure,
--- a/crates/kiosk/src/run.rs
+++ b/crates/kiosk/src/run.rs
@@ -156,13 +156,27 @@
                 proxy.stop(settings.time_limits.leeway());
             }
             Request::Reload => match Settings::load() {
-                Ok(newest) => {
-                    log::info!("the settings are read again");
-                    settings = newest;
-                }
+                Ok(newest) => settings = reload(&proxy, &settings, newest),
                 Err(error) => log::warn!(error:% = error; "the settings can't be read again"),
             },
         }
         future::yield_now().await;
     }
 }
+
+/// Applies what takes effect at once of newer settings, and logs whether there is more. Returns what is in force
+/// from now on.
+pub fn reload(proxy: &Proxy, known: &Settings, newest: Settings) -> Settings {
+    proxy.set_time_limits(&newest.time_limits);
+    let applied = Settings {
+        time_limits: newest.time_limits.clone(),
+        // The agent's concern alone.
+        seed_nodes: newest.seed_nodes.clone(),
+        ..known.clone()
+    };
+    log::info!(
+        others_wait_for_restart = applied != newest;
+        "the settings are read again: timeLimits are in force"
+    );
+    applied
+}
--- a/crates/kiosk/tests/answers.rs
+++ b/crates/kiosk/tests/answers.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
 use support::{Bench, LAST, Part, chunk, event, post, post_with, status, stream_head, transcript};
 
@@ -66,6 +68,24 @@
     assert_eq!(support::header(&resumed[0], "Last-Event-Id").as_deref(), Some("2"));
 }
 
+#[rstest]
+#[case::from_the_start("", None)]
+#[case::from_the_clients_event("Last-Event-Id: 7\r\n", Some("7"))]
+fn a_stream_of_which_no_event_came_whole_is_another_replicas_from_its_head_on(
+    #[case] headers: &str,
+    #[case] resumed_at: Option<&str>,
+) {
+    let bench = Bench::start(2);
+    bench.next(&[write(stream_head() + &chunk("id: 8\ndata")), Part::Close]);
+    bench.next(&[write(stream_head().replace("s.1", "s.2") + &event(8) + LAST)]);
+    let answer = bench.run(bench.ask(&post_with("/resumable/", "t1", headers)));
+    assert_eq!(support::header(&answer, "Server-Seal").as_deref(), Some("s.2"));
+    assert!(answer.ends_with(LAST) && answer.matches("id: 8").count() == 1, "{answer}");
+    let requests = bench.replicas.iter().flat_map(|replica| replica.requests.borrow().clone());
+    let resumed_from: Vec<_> = requests.map(|request| support::header(&request, "Last-Event-Id")).collect();
+    assert_eq!(resumed_from, vec![resumed_at.map(str::to_owned); 2]);
+}
+
 #[test]
 fn a_resumed_stream_of_the_client_goes_on_behind_its_own_event() {
     let bench = Bench::start(2);
@@ -83,6 +103,19 @@
     assert_eq!(ids, [Some("7".to_owned()), Some("8".to_owned())]);
 }
 
+#[test]
+fn a_resumed_stream_ends_at_its_deadline_however_silent_its_second_replica_is() {
+    let bench = Bench::start(2);
+    bench.next(&[write(stream_head() + &event(1)), Part::Close]);
+    bench.next(&[Part::Wait]);
+    let request = post("/resumable/", "t1").replace("Time-Left-Ms: 6000", "Time-Left-Ms: 500");
+    let by = Instant::now() + Duration::from_secs(9);
+    let answer = bench.run(bench.proxy.alarms.by(by, bench.ask(&request)));
+    let answer = answer.expect("an answer that ends");
+    assert!(answer.contains("d1") && answer.ends_with("(cut)"), "{answer}");
+    assert_eq!(bench.arrivals(), 2);
+}
+
 #[rstest]
 #[case::no_token(0.0, 0)]
 #[case::no_spare(2.0, 1)]
--- a/crates/kiosk/tests/configuration.rs
+++ b/crates/kiosk/tests/configuration.rs
@@ -92,6 +92,52 @@
     });
 }
 
+#[test]
+fn newer_settings_change_how_old_a_configuration_may_be() {
+    let bench = Bench::start(1);
+    bench.age.set(Some(Duration::from_millis(2_000)));
+    let mut limits = support::settings().time_limits;
+    bench.run(async {
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+        limits.withdraw_ms = 2_400;
+        bench.proxy.set_time_limits(&limits);
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), "503");
+        limits.shut_tight = false;
+        bench.proxy.set_time_limits(&limits);
+        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+    });
+}
+
+#[test]
+fn of_newer_settings_the_time_limits_are_in_force_at_once() {
+    let bench = Bench::start(1);
+    let known = support::settings();
+    let mut newest = known.clone();
+    newest.time_limits.leeway_s = 3.0;
+    newest.area = "zone-b".to_owned();
+    let applied = kiosk::run::reload(&bench.proxy, &known, newest);
+    assert_eq!((applied.time_limits.leeway_s, applied.area.as_str()), (3.0, "zone-a"));
+}
+
+#[rstest]
+#[case::less(0.0, 0, "503", 1)]
+#[case::the_same(2.0, 100, "200", 2)]
+fn newer_settings_change_how_much_is_sent_again(
+    #[case] retry_ratio: f64,
+    #[case] spare_tries: u64,
+    #[case] expected: &str,
+    #[case] arrivals: usize,
+) {
+    let bench = Bench::start(2);
+    let not_run = support::answer("503 Service Unavailable", "Not-Run: 1\r\n", "");
+    bench.next(&[Part::Write(not_run)]);
+    let mut limits = support::settings().time_limits;
+    (limits.retry_ratio, limits.spare_tries) = (retry_ratio, spare_tries);
+    bench.proxy.set_time_limits(&limits);
+    let answer = bench.run(bench.ask(&post("/risky/", "t1")));
+    assert_eq!((status(&answer), bench.arrivals()), (expected, arrivals));
+}
+
 async fn check_ready(bench: &Bench) -> String {
     bench.check("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").await
 }
@@ -128,6 +174,28 @@
     assert_eq!(bench.arrivals(), 1);
 }
 
+/// Whether keys are needed is not read off the tenants: after the last of them is removed, only public routes are
+/// open. Without a list of tenants all are, whatever key is sent.
+#[rstest]
+#[case::last_tenant_removed(true, "/risky/", "401")]
+#[case::last_tenant_removed_and_public(true, "/open/", "200")]
+#[case::no_list_of_tenants(false, "/risky/", "200")]
+fn a_configuration_without_tenants_says_whether_keys_are_needed(
+    #[case] requires_key: bool,
+    #[case] path: &str,
+    #[case] expected: &str,
+) {
+    let bench = Bench::start(1);
+    let answer = bench.run(async {
+        bench.proxy.set_configuration(changed(|configuration| {
+            configuration.requires_key = requires_key;
+            configuration.tenants.clear();
+        }));
+        bench.ask(&post(path, "t1")).await
+    });
+    assert_eq!(status(&answer), expected);
+}
+
 #[rstest]
 #[case::key(changed(|configuration| configuration.tenants[0].api_keys.clear()))]
 #[case::key_of_another(changed(|configuration| configuration.tenants[0].label = "new".to_owned()))]
--- a/crates/kiosk/tests/heads.rs
+++ b/crates/kiosk/tests/heads.rs
@@ -141,6 +141,22 @@
     insta::assert_snapshot!(answer(Framing::None, After::Close));
 }
 
+#[test]
+fn an_answer_keeps_no_line_end_within_a_value() {
+    let mut replica = head("HTTP/1.1 200 Fine\nServer-Seal: 3e1b.07\nX-Note: plain\tenough");
+    replica.start[2] = "Fi\nne".to_owned();
+    replica.headers.push(("X-Noise".to_owned(), "a\nContent-Length: 0".to_owned()));
+    let mut out = Vec::new();
+    write_answer(&replica, Framing::Length(5), After::Close, &mut out);
+    insta::assert_snapshot!(text(out), @"
+    HTTP/1.1 200 OK
+    Server-Seal: 3e1b.07
+    X-Note: plain	enough
+    Content-Length: 5
+    Connection: close
+    ");
+}
+
 #[test]
 fn a_refusal_says_how_long_to_stay_away() {
     let mut out = Vec::new();
--- a/crates/kiosk/tests/never_twice.rs
+++ b/crates/kiosk/tests/never_twice.rs
@@ -127,6 +127,27 @@
     assert_eq!(support::header(&answer, "Retry-After").is_some(), expected == "503");
 }
 
+#[test]
+fn what_was_risky_when_it_was_sent_gets_no_promise_once_it_may_have_run() {
+    let bench = Bench::start(1);
+    bench.next(&[Part::Wait, Part::Reset]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        // From now on the module takes the request for one that may be repeated, and finds nobody for it.
+        let mut configuration = support::configuration();
+        configuration.routes.iter_mut().for_each(|route| {
+            route.kind = timetable::RouteKind::Harmless;
+            route.target_ms = 50;
+        });
+        bench.proxy.set_configuration(configuration.into());
+        bench.release();
+        client.answer().await
+    });
+    assert_eq!((status(&answer), bench.arrivals()), ("502", 1));
+}
+
 #[rstest]
 #[case(1)]
 #[case(2)]
--- a/crates/kiosk/tests/placement.rs
+++ b/crates/kiosk/tests/placement.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use kiosk::placement::{Ask, Order, Placement};
+use kiosk::placement::{self, Ask, Order, Placement};
 use kiosk::prompt::Prompt;
 use rstest::rstest;
 use signpost::types::{Member, Nanos, Phase, ReplicaId, RequestId, Verdict};
@@ -173,6 +173,15 @@
     sent_to(next(&mut placement, id));
 }
 
+#[rstest]
+#[case::stated(400, 400)]
+#[case::a_part_of_the_time_limit(0, 2_000)]
+fn a_route_without_a_target_gets_one(#[case] stated_ms: u64, #[case] expected_ms: u64) {
+    let route = support::route("risky", "/risky/", timetable::RouteKind::Risky);
+    let route = timetable::Route { target_ms: stated_ms, ..route };
+    assert_eq!(placement::target(&route), Duration::from_millis(expected_ms));
+}
+
 #[test]
 fn a_request_for_an_unknown_service_is_not_placed() {
     let mut placement = placement(&ready(2));
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -215,6 +215,7 @@
         ],
         services: vec![Service { label: "service".to_owned(), ..Service::default() }],
         caps: Caps::default(),
+        requires_key: true,
         tenants: vec![
             Tenant {
                 label: "acme".to_owned(),
--- a/crates/logbook/src/lib.rs
+++ b/crates/logbook/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A directory holds segments (`log-000001`, …) and at most a few snapshots. The snapshot `snapshot-000007`
 //! stands for all records before `log-000007`. On open, the newest valid snapshot and the records of the
-//! segments from its number on are read. What was not synced at the end of the last segment is cut off; any
-//! other damage is refused and left as it is.
+//! segments from its number on are read. A write that is not whole at the end of the last segment is cut off; any
+//! other damage is refused and left as it is. All that was read is durable when the open log is handed out, also
+//! where the process before was killed between a write and its sync.
 //!
 //! All calls block on the disk.
 
@@ -61,6 +62,7 @@
             None => create_segment(&directory, contents.segment)?,
         };
         if let Some(first) = contents.snapshot_number {
+            recovery::make_snapshot_durable(&directory, first)?;
             remove_before(&directory, first);
         }
         let mut logbook = Logbook {
--- a/crates/logbook/src/recovery.rs
+++ b/crates/logbook/src/recovery.rs
@@ -42,7 +42,8 @@
     read_segments(directory, &segments, None)
 }
 
-/// Opens a segment for more records, without what was not whole at its end.
+/// Opens a segment for more records, without what was not whole at its end. What it holds is durable when this
+/// returns: the process that wrote it may have been killed before it had synced it.
 pub(crate) fn open_segment<D: Directory>(
     directory: &D,
     number: u64,
@@ -54,11 +55,18 @@
     if found > length {
         log::warn!(file = name.as_str(), length, found; "an interrupted write is cut off");
         file.set_length(length).map_err(|source| error::io("cut", &name, source))?;
-        file.sync().map_err(|source| error::io("sync", &name, source))?;
     }
+    file.sync().map_err(|source| error::io("sync", &name, source))?;
     Ok(file)
 }
 
+/// Makes the name of a snapshot durable: the process that wrote it may have been killed right after renaming it,
+/// and the segments before it must not be removed while that may still be lost.
+pub(crate) fn make_snapshot_durable<D: Directory>(directory: &D, number: u64) -> Result<(), LogbookError> {
+    let name = format::file_name(Kind::Snapshot, number);
+    directory.sync().map_err(|source| error::io("sync the directory of", &name, source))
+}
+
 /// Removes segments and snapshots before a number, and unfinished files. What cannot be removed stays for
 /// the next time.
 pub(crate) fn remove_before<D: Directory>(directory: &D, first: u64) {
--- a/crates/logbook/tests/logbook.rs
+++ b/crates/logbook/tests/logbook.rs
@@ -14,6 +14,9 @@
     open(directory.files()).expect("it opens").1
 }
 
+/// Records of the small log.
+const SMALL_LOG: usize = 4;
+
 /// Three appends: one, two and one record.
 fn small_log() -> (MemoryDirectory, Vec<Vec<u8>>) {
     let directory = MemoryDirectory::default();
@@ -237,6 +240,69 @@
     assert!(operations > 20);
 }
 
+/// A process is killed after any operation, and power is lost while the next one starts.
+#[test]
+fn what_a_killed_process_wrote_survives_a_loss_of_power() {
+    let mut finished = false;
+    let mut operations = 0;
+    while !finished {
+        finished = survives_restart_and_loss_of_power(|directory, logbook| {
+            directory.crash_after(operations);
+            let mut acknowledged = SMALL_LOG;
+            let result = (|| -> Result<(), LogbookError> {
+                logbook.append(&[b"5"])?;
+                acknowledged = 5;
+                logbook.snapshot(b"5")?;
+                logbook.append(&[b"6"])?;
+                acknowledged = 6;
+                Ok(())
+            })();
+            (acknowledged, result.is_ok())
+        });
+        operations += 1;
+    }
+    assert!(operations > 10);
+}
+
+/// The disk refuses any one operation, the process goes on and is killed, and power is lost while the next one
+/// starts.
+#[test]
+fn what_was_written_after_a_refusal_survives_a_loss_of_power() {
+    for operation in 0..20 {
+        survives_restart_and_loss_of_power(|directory, logbook| {
+            directory.refuse_after(operation);
+            while logbook.append(&[b"5"]).is_err() {}
+            let _ = logbook.snapshot(b"5");
+            while logbook.append(&[b"6"]).is_err() {}
+            (6, true)
+        });
+    }
+}
+
+/// Has a process work on a small log; it says how many records it has acknowledged, and something for the caller.
+/// Another one opens what it left, and power is lost after any operation of that: what was acknowledged is there,
+/// and so is what the other one has read and may have answered for.
+fn survives_restart_and_loss_of_power<T>(
+    work: impl Fn(&MemoryDirectory, &mut Logbook<MemoryDirectory>) -> (usize, T),
+) -> T {
+    for operations in 0.. {
+        let (directory, _) = small_log();
+        let (mut logbook, _) = Logbook::open_in(directory.clone()).expect("it opens");
+        let (acknowledged, result) = work(&directory, &mut logbook);
+        directory.crash_after(operations);
+        let read = Logbook::open_in(directory.clone()).map(|(_, read)| read);
+        for files in [directory.synced_files(), directory.synced_files_without_removed()] {
+            let (_, found) = open(files).expect("it opens");
+            assert!(known(&found) >= acknowledged, "after {operations} operations: {found:?}");
+            assert!(read.as_ref().map_or(true, |read| *read == found), "{read:?}, {found:?}");
+        }
+        if directory.has_operations_left() {
+            return result;
+        }
+    }
+    unreachable!("an open takes some operations")
+}
+
 /// How many records the log has seen: the snapshot says how many it stands for.
 fn known(recovered: &Recovered) -> usize {
     let base = recovered.snapshot.as_ref().map_or(0, |snapshot| usize::from(snapshot[0] - b'0'));
--- a/crates/logbook/tests/support/mod.rs
+++ b/crates/logbook/tests/support/mod.rs
@@ -17,12 +17,19 @@
     files: Files,
     synced: Files,
     operations_left: Option<u64>,
+    operations_to_refusal: Option<u64>,
     bytes_left: Option<u64>,
     removed: Vec<(String, Vec<u8>)>,
 }
 
 impl Disk {
     fn step(&mut self) -> io::Result<()> {
+        if let Some(operations) = self.operations_to_refusal {
+            self.operations_to_refusal = operations.checked_sub(1);
+            if operations == 0 {
+                return Err(io::Error::other("refused"));
+            }
+        }
         match &mut self.operations_left {
             Some(0) => Err(io::Error::other("crashed")),
             Some(left) => {
@@ -61,6 +68,16 @@
         self.disk.borrow_mut().operations_left = Some(operations);
     }
 
+    /// Whether fewer changes were made since than a crash was to come after.
+    pub fn has_operations_left(&self) -> bool {
+        self.disk.borrow().operations_left.is_some_and(|left| left > 0)
+    }
+
+    /// After so many changes one operation fails.
+    pub fn refuse_after(&self, operations: u64) {
+        self.disk.borrow_mut().operations_to_refusal = Some(operations);
+    }
+
     /// Writes fail when so many bytes more have been written.
     pub fn limit_bytes(&self, bytes: Option<u64>) {
         self.disk.borrow_mut().bytes_left = bytes;
@@ -80,6 +97,16 @@
         }
         files
     }
+
+    /// The same where removals last though they were not synced.
+    pub fn synced_files_without_removed(&self) -> Files {
+        let disk = self.disk.borrow();
+        let mut files = disk.synced.clone();
+        for (name, _) in &disk.removed {
+            files.remove(name);
+        }
+        files
+    }
 }
 
 impl Directory for MemoryDirectory {
--- a/crates/porter/src/agent.rs
+++ b/crates/porter/src/agent.rs
@@ -67,7 +67,8 @@
             Subscriber::with_tolerance(identity, Rc::clone(&store), Tolerance::SEVERAL_PUBLISHERS);
         subscriber.set_gateways(GATEWAYS);
         let publisher = publish(&store, &subscriber);
-        let choice = HomeChoice::new(settings.area.clone(), settings.seed_ips());
+        let choice =
+            HomeChoice::new(settings.node_name.clone(), settings.area.clone(), settings.seed_ips());
         Rc::new(Agent {
             settings,
             choice: RefCell::new(choice),
--- a/crates/porter/src/choice.rs
+++ b/crates/porter/src/choice.rs
@@ -29,11 +29,12 @@
     }
 }
 
-/// Chooses homes: members of the own zone first, then others, each in the order of a rendezvous hash, so
-/// that all agents of a zone choose alike while the same members are alive. A member that has failed comes
-/// last for a while.
+/// Chooses homes: members of the own zone first, then others, each in the order of a rendezvous hash of the
+/// agent's machine, so that agents spread over the members near them, and that a member which goes moves its
+/// own agents only. A member that has failed comes last for a while.
 #[derive(Clone, Debug)]
 pub struct HomeChoice {
+    machine: String,
     zone: String,
     seeds: Vec<Ipv4Addr>,
     failures: BTreeMap<Ipv4Addr, Failures>,
@@ -41,9 +42,9 @@
 }
 
 impl HomeChoice {
-    /// A choice for an agent in `zone` that knows of `seeds`.
-    pub fn new(zone: String, seeds: Vec<Ipv4Addr>) -> Self {
-        HomeChoice { zone, seeds, failures: BTreeMap::new(), chosen_at: None }
+    /// A choice for the agent on `machine` in `zone` that knows of `seeds`.
+    pub fn new(machine: String, zone: String, seeds: Vec<Ipv4Addr>) -> Self {
+        HomeChoice { machine, zone, seeds, failures: BTreeMap::new(), chosen_at: None }
     }
 
     /// Replaces the seeds.
@@ -95,9 +96,9 @@
         self.failures.get(&member).is_some_and(|failures| failures.ends() > now)
     }
 
-    /// The rendezvous hash of the zone and a member.
+    /// The rendezvous hash of the agent's machine and a member.
     fn weight(&self, member: Ipv4Addr) -> u64 {
-        let mut key = self.zone.as_bytes().to_vec();
+        let mut key = self.machine.as_bytes().to_vec();
         key.extend_from_slice(&member.octets());
         xxh3_64(&key)
     }
--- a/crates/timetable/src/check.rs
+++ b/crates/timetable/src/check.rs
@@ -69,12 +69,14 @@
         let revision = self.needed(document.revision, || "revision".to_owned());
         let services = self.services(document.backends);
         let routes = self.routes(document.routes);
+        let requires_key = document.customers.is_some();
         let tenants = self.tenants(document.customers);
         Configuration {
             revision,
             routes,
             services,
             caps: caps(document.caps.unwrap_or_default().0),
+            requires_key,
             tenants,
         }
     }
--- a/crates/timetable/src/difference.rs
+++ b/crates/timetable/src/difference.rs
@@ -27,6 +27,8 @@
     pub removed_tenants: Vec<String>,
     /// The limits on clients, where they changed.
     pub caps: Option<Caps>,
+    /// Whether requests need a key, where that changed.
+    pub requires_key: Option<bool>,
 }
 
 /// What leads from `old` to `new`.
@@ -44,6 +46,7 @@
         tenants,
         removed_tenants,
         caps: (old.caps != new.caps).then_some(new.caps),
+        requires_key: (old.requires_key != new.requires_key).then_some(new.requires_key),
     }
 }
 
@@ -57,6 +60,7 @@
         routes: merged_items(&old.routes, &changes.routes, &changes.removed_routes),
         services: merged_items(&old.services, &changes.services, &changes.removed_services),
         caps: changes.caps.unwrap_or(old.caps),
+        requires_key: changes.requires_key.unwrap_or(old.requires_key),
         tenants: merged_items(&old.tenants, &changes.tenants, &changes.removed_tenants),
     }
 }
--- a/crates/timetable/src/model.rs
+++ b/crates/timetable/src/model.rs
@@ -16,7 +16,10 @@
     pub services: Vec<Service>,
     /// Limits on what clients send.
     pub caps: Caps,
-    /// Tenants; empty where requests need no key.
+    /// Requests need a tenant's key unless their route is public. So it is where the document has a list of
+    /// tenants, also one that has become empty: removing the last tenant opens nothing.
+    pub requires_key: bool,
+    /// Tenants.
     pub tenants: Vec<Tenant>,
 }
 
--- a/crates/timetable/tests/change.rs
+++ b/crates/timetable/tests/change.rs
@@ -56,6 +56,14 @@
     assert_eq!(document["remark"], sample()["remark"]);
 }
 
+#[test]
+fn requests_need_a_key_after_the_last_tenant_is_removed() {
+    let removal = patch(&json!({"revision": 9, "remove": {"customers": ["acme", "umbrella"]}}));
+    let document = sample_document().apply(&removal).expect("the change is valid");
+    assert_eq!(document.configuration().tenants, []);
+    assert!(document.configuration().requires_key);
+}
+
 #[test]
 fn a_removed_item_may_be_added_anew() {
     let change = json!({
@@ -100,6 +108,7 @@
         patch(&json!({"revision": 9, "upsert": {"customers": [{"label": "new", "apiKeys": ["k"]}]}}));
     let document = document.apply(&change).expect("the change is valid");
     assert_eq!(document.configuration().tenants[0].label, "new");
+    assert!(document.configuration().requires_key);
 }
 
 #[test]
--- a/crates/timetable/tests/check.rs
+++ b/crates/timetable/tests/check.rs
@@ -82,6 +82,7 @@
     let configuration = document.configuration();
     assert_eq!(configuration.caps, Caps::default());
     assert!(configuration.tenants.is_empty());
+    assert!(!configuration.requires_key);
     let route = &configuration.routes[0];
     assert_eq!((route.kind, route.max_attempts, route.rank), (RouteKind::Risky, 1, 0));
     assert_eq!(route.target_ms, 50);
@@ -93,6 +94,16 @@
     );
 }
 
+#[rstest]
+#[case::tenants(json!([{"label": "acme", "apiKeys": ["k"]}]), true)]
+#[case::tenants_without_keys(json!([{"label": "acme"}]), true)]
+#[case::no_tenant_left(json!([]), true)]
+#[case::no_list(json!(null), false)]
+fn requests_need_a_key_where_there_is_a_list_of_tenants(#[case] tenants: Value, #[case] expected: bool) {
+    let document = Document::parse(&body(&sample_with("/customers", tenants))).expect("a valid document");
+    assert_eq!(document.configuration().requires_key, expected);
+}
+
 #[rstest]
 #[case::revision("/revision", "revision: is missing")]
 #[case::routes("/routes", "routes: is missing")]
--- a/crates/timetable/tests/difference.rs
+++ b/crates/timetable/tests/difference.rs
@@ -50,6 +50,7 @@
         routes: some(random, route),
         services: some(random, service),
         caps: Caps { idle_ms: random.u64(0..VARIANTS), ..Caps::default() },
+        requires_key: random.bool(),
         tenants: some(random, tenant),
     }
 }
@@ -79,6 +80,7 @@
         routes: vec![route(0, 0), route(1, 0), route(2, 0)],
         services: vec![service(0, 0)],
         caps: Caps::default(),
+        requires_key: true,
         tenants: vec![tenant(0, 0)],
     };
     let new = Configuration {
@@ -86,6 +88,7 @@
         routes: vec![route(2, 0), route(1, 1), route(3, 0)],
         services: vec![service(0, 0), service(1, 0)],
         caps: Caps::default(),
+        requires_key: true,
         tenants: Vec::new(),
     };
     let expected = ConfigurationChanges {
@@ -98,6 +101,7 @@
         tenants: Vec::new(),
         removed_tenants: vec!["t0".to_owned()],
         caps: None,
+        requires_key: None,
     };
     assert_eq!(difference(&old, &new), expected);
 }
@@ -120,6 +124,17 @@
     assert_eq!(apply(&old, &changes).caps, caps);
 }
 
+#[test]
+fn a_need_of_keys_that_changed_is_named() {
+    for requires_key in [false, true] {
+        let old = Configuration { requires_key: !requires_key, ..Configuration::default() };
+        let new = Configuration { requires_key, ..Configuration::default() };
+        let changes = difference(&old, &new);
+        assert_eq!(changes.requires_key, Some(requires_key));
+        assert_eq!(apply(&old, &changes), new);
+    }
+}
+
 #[test]
 fn changes_pass_the_encoding() {
     let mut random = fastrand::Rng::with_seed(9);
--- a/crates/tower/src/api/mod.rs
+++ b/crates/tower/src/api/mod.rs
@@ -13,19 +13,17 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 
 pub use connection::ApiLimits;
 pub use message::{Request, Response};
-pub use status::Status;
+pub use status::{IndexSize, ReplicaWeights, Status};
 
+use crate::accept::accept_all;
 use crate::state::Change;
 
-/// The pause after a connection can't be taken, as while no descriptor is free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Seconds after which a caller is told to come again while no primary is known.
 const RETRY_AFTER_SECONDS: &str = "0.2";
 
@@ -121,15 +119,8 @@
 
     /// Takes connections for ever.
     pub async fn serve(self: Rc<Self>, executor: &LocalExecutor<'static>, listener: Async<TcpListener>) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => executor.spawn(connection::run(self.clone(), stream)).detach(),
-                Err(error) => {
-                    log::warn!(error:% = error; "a connection of the operator can't be taken");
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        let take = |stream| executor.spawn(connection::run(self.clone(), stream)).detach();
+        accept_all(listener, "the operator", take).await;
     }
 
     /// Answers a request.
--- a/crates/tower/src/api/settings.rs
+++ b/crates/tower/src/api/settings.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use super::{Access, Call, ControlPlane, Handling, Request, Response, answer_change};
+use super::{Access, Call, ControlPlane, Handling, Request, Response, Standing, answer_change, no_primary};
 use crate::state::Change;
 
 const PATH: &str = "/settings";
@@ -45,7 +45,12 @@
 
 fn handle_get<C: ControlPlane>(control: Rc<C>, _: Request) -> Handling {
     Box::pin(async move {
-        match control.document().await {
+        let document = control.document().await;
+        // Another primary may have taken a newer one while this one was read.
+        if control.standing() != Standing::Primary {
+            return no_primary();
+        }
+        match document {
             Some(document) => Response::text(200, document),
             None => Response::error(404, "there is no configuration yet"),
         }
--- a/crates/tower/src/api/status.rs
+++ b/crates/tower/src/api/status.rs
@@ -29,12 +29,16 @@
     pub primary: Option<String>,
     /// The newest configuration that it delivers.
     pub configuration: u64,
-    /// The newest weights that were named, by model.
+    /// The newest weights that were named, by model, as it delivers them.
     pub weights: BTreeMap<String, u64>,
     /// Replicas that it delivers.
     pub replicas: usize,
-    /// Duties that it has now.
-    pub duties: Vec<&'static str>,
+    /// Ids of these replicas, by model and by the revision of its weights that they have.
+    pub replica_weights: ReplicaWeights,
+    /// The index of kept prompts that it delivers.
+    pub kept_index: IndexSize,
+    /// Who has each duty: this member, or the primary if it was heard lately.
+    pub duties: BTreeMap<&'static str, String>,
     /// How long ago what it delivers was known to be the newest, in milliseconds.
     pub age_ms: Option<u64>,
     /// Processes that follow its feed.
@@ -43,6 +47,19 @@
     pub gateways: u32,
 }
 
+/// Ids of replicas, by model and by the revision of its weights.
+pub type ReplicaWeights = BTreeMap<String, BTreeMap<u64, Vec<String>>>;
+
+/// The size of the index of kept prompts.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct IndexSize {
+    /// Stores and replicas that are followed.
+    pub sources: usize,
+    /// Pairs of a part of a prompt and a source that keeps it.
+    pub entries: usize,
+}
+
 /// Reads a member's status.
 pub(super) fn get<C: ControlPlane>() -> Call<C> {
     Call { method: "GET", path: "/status", access: Access::Any, handler: handle }
--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -1,5 +1,6 @@
 //! What the operator's interface asks of a member.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,9 @@
 /// A change that is not agreed on in this time is left to the caller, who sends it again.
 const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The duties of a primary.
+const DUTIES: [&str; 3] = ["discovery", "index", "rollout"];
+
 struct Request {
     change: Change,
     reply: Sender<ChangeOutcome>,
@@ -113,7 +117,6 @@
         let (role, view, epoch) = self.member.with_replication(|replication| {
             (replication.role(), replication.view().cloned().unwrap_or_default(), replication.epoch())
         });
-        let duty = self.member.duty();
         Status {
             node: self.node.to_string(),
             name: self.name.clone(),
@@ -124,9 +127,11 @@
             holders: names(&view.holders),
             primary: self.member.known_primary().map(|node| node.to_string()),
             configuration: self.delivery.revision(),
-            weights: self.member.published().weights,
+            weights: self.delivery.weights().into_iter().map(|line| (line.model, line.named)).collect(),
             replicas: self.delivery.replicas(),
-            duties: if duty.is_some() { vec!["discovery", "rollout"] } else { Vec::new() },
+            replica_weights: self.delivery.replica_weights(),
+            kept_index: self.delivery.index_size(),
+            duties: self.duties(),
             age_ms: self.delivery.age().map(|age| age.as_millis() as u64),
             subscribers: self.delivery.subscribers(),
             gateways: self.delivery.gateways(),
@@ -134,6 +139,14 @@
     }
 }
 
+impl OperatorView {
+    fn duties(&self) -> BTreeMap<&'static str, String> {
+        let primary = self.member.known_primary().filter(|primary| *primary != self.node);
+        let holder = self.member.duty().map(|_| self.node).or(primary);
+        holder.map(|holder| DUTIES.map(|duty| (duty, holder.to_string())).into()).unwrap_or_default()
+    }
+}
+
 fn role_name(role: Role) -> &'static str {
     match role {
         Role::Standby => "standby",
--- a/crates/tower/src/delivery.rs
+++ b/crates/tower/src/delivery.rs
@@ -17,6 +17,8 @@
 use station::clock;
 use timetable::Configuration;
 
+use crate::api::{IndexSize, ReplicaWeights};
+
 /// What the delivery asks of the control plane.
 pub trait Authority {
     /// This member is the primary within its lease, and has applied all that was agreed before.
@@ -60,15 +62,19 @@
     }
 
     fn choose(&self) -> Option<SocketAddr> {
-        let wanted = self.authority.primary().map(|ip| SocketAddr::from((ip, self.feed_port)));
+        let wanted = self.primary_feed();
         self.publisher_wanted.set(wanted);
         wanted
     }
 
+    fn primary_feed(&self) -> Option<SocketAddr> {
+        self.authority.primary().map(|ip| SocketAddr::from((ip, self.feed_port)))
+    }
+
     /// Looks whether another member is the primary now, and tells the primary how many gateways are served here.
     pub fn review(&self) {
         self.subscriber.set_gateways(self.publisher.gateways());
-        let wanted = self.authority.primary().map(|ip| SocketAddr::from((ip, self.feed_port)));
+        let wanted = self.primary_feed();
         // While no primary is known the last one is followed on: its answers tell how old they are.
         let left = wanted.is_some() || self.authority.confirms_freshness();
         if left && wanted != self.publisher_wanted.get() {
@@ -138,6 +144,25 @@
         self.store.borrow().fleet().count()
     }
 
+    /// Which of these replicas have which weights.
+    pub fn replica_weights(&self) -> ReplicaWeights {
+        let mut weights = ReplicaWeights::new();
+        for replica in self.store.borrow().fleet() {
+            for line in &replica.models {
+                let revisions = weights.entry(line.model.clone()).or_default();
+                revisions.entry(line.revision).or_default().push(replica.id.clone());
+            }
+        }
+        weights
+    }
+
+    /// The size of the index of kept prompts.
+    pub fn index_size(&self) -> IndexSize {
+        let store = self.store.borrow();
+        let index = store.kept().borrow();
+        IndexSize { sources: index.sources().count(), entries: index.len() }
+    }
+
     /// How many processes follow this feed.
     pub fn subscribers(&self) -> usize {
         self.publisher.subscribers().len()
--- a/crates/tower/src/discovery/list.rs
+++ b/crates/tower/src/discovery/list.rs
@@ -18,6 +18,23 @@
     },
 }
 
+/// What is called for a page; none names the first one.
+pub(super) fn page_target(token: Option<&str>) -> String {
+    match token {
+        None => "/servers".to_owned(),
+        Some(token) => format!("/servers?pageToken={}", query_value(token)),
+    }
+}
+
+/// A text as a value of a query: the platform alone knows what its tokens are made of.
+fn query_value(text: &str) -> String {
+    let escaped = |byte: u8| match byte {
+        b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => char::from(byte).to_string(),
+        other => format!("%{other:02X}"),
+    };
+    text.bytes().map(escaped).collect()
+}
+
 /// A page of the list.
 #[derive(Debug, Default, PartialEq)]
 pub struct Page {
--- a/crates/tower/src/discovery/mod.rs
+++ b/crates/tower/src/discovery/mod.rs
@@ -3,10 +3,8 @@
 mod list;
 mod pace;
 
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -18,8 +16,7 @@
 pub use list::{Page, PageError};
 pub use pace::{Pace, WalkEnd};
 
-use crate::duty::{Duty, DutyHolder};
-use crate::fleet::FleetTable;
+use crate::duty::{Duty, DutyContext};
 use crate::http_client::{Call, CallError, HttpClient};
 
 /// Time for a page to come whole.
@@ -49,8 +46,7 @@
 
 /// Follows the list while this member has the duty.
 pub struct Discovery {
-    holder: Rc<dyn DutyHolder>,
-    table: Rc<RefCell<FleetTable>>,
+    context: DutyContext,
     on_list: Box<dyn Fn()>,
     client: HttpClient,
     pace: Pace,
@@ -65,8 +61,7 @@
     pub fn new(
         address: SocketAddr,
         rate_per_second: f64,
-        holder: Rc<dyn DutyHolder>,
-        table: Rc<RefCell<FleetTable>>,
+        context: DutyContext,
         on_list: Box<dyn Fn()>,
     ) -> Discovery {
         let limits = WireLimits {
@@ -76,8 +71,7 @@
         };
         let now = clock::now();
         Discovery {
-            holder,
-            table,
+            context,
             on_list,
             client: HttpClient::new(address, limits),
             pace: Pace::new(rate_per_second, now),
@@ -90,7 +84,7 @@
     /// Follows the list for ever.
     pub async fn run(mut self) {
         loop {
-            let Some(duty) = self.holder.duty() else {
+            let Some(duty) = self.context.holder.duty() else {
                 Timer::after(DUTY_INTERVAL).await;
                 continue;
             };
@@ -113,7 +107,7 @@
     }
 
     fn take(&mut self, duty: Duty, list: Vec<Replica>) -> WalkEnd {
-        let changed = self.table.borrow_mut().replace(duty.tenure, list);
+        let changed = self.context.table.borrow_mut().replace(duty.tenure, list);
         (self.on_list)();
         if changed { WalkEnd::Changed } else { WalkEnd::Unchanged }
     }
@@ -139,10 +133,7 @@
             return DutyLostSnafu.fail();
         }
         self.next_call = clock::now() + self.pace.page_gap();
-        let target = match token {
-            None => "/servers".to_owned(),
-            Some(token) => format!("/servers?pageToken={token}"),
-        };
+        let target = list::page_target(token);
         let answer = self.client.call(Call::get(&target), PAGE_TIMEOUT).await.context(CallSnafu)?;
         match answer.status {
             200 => Page::parse(&answer.body).context(ParseSnafu),
@@ -151,7 +142,7 @@
     }
 
     fn still_has(&self, duty: Duty) -> bool {
-        self.holder.duty().is_some_and(|now| now.tenure == duty.tenure)
+        self.context.holder.duty().is_some_and(|now| now.tenure == duty.tenure)
     }
 
     fn log_unreadable(&mut self, entries: Vec<String>) {
--- a/crates/tower/src/disk.rs
+++ b/crates/tower/src/disk.rs
@@ -162,8 +162,13 @@
     pub fn start(self, events: Sender<DiskEvent>) -> Result<(Disk, DiskImage), DiskError> {
         let (batches, queue) = mpsc::channel();
         let image = self.image.clone();
-        let mut writer =
-            Writer { logbook: self.logbook, image: self.image, log_bytes: self.log_bytes, events };
+        let mut writer = Writer {
+            logbook: self.logbook,
+            image: self.image,
+            log_bytes: self.log_bytes,
+            refuses_compaction: false,
+            events,
+        };
         let run = move || writer.run(&queue);
         thread::Builder::new().name("disk".to_owned()).spawn(run).context(NoThreadSnafu)?;
         Ok((Disk { batches }, image))
@@ -206,6 +211,8 @@
     logbook: Logbook,
     image: DiskImage,
     log_bytes: usize,
+    /// The last try to make the log shorter has failed.
+    refuses_compaction: bool,
     events: Sender<DiskEvent>,
 }
 
@@ -229,7 +236,7 @@
         let changes = || batches.iter().flat_map(|batch| &batch.records);
         let encoded: Vec<Vec<u8>> = changes().map(encode_change).collect();
         let records: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
-        self.retry("write", |logbook| logbook.append(&records));
+        self.append(&records);
         changes().for_each(|change| self.image.state.apply(change));
         self.log_bytes += records.iter().map(|record| record.len()).sum::<usize>();
     }
@@ -237,20 +244,33 @@
     /// Puts the whole state in the place of the log.
     fn compact(&mut self) {
         let bytes = frame::encode(&self.image).expect("a value of plain fields can be encoded");
-        match self.logbook.snapshot(&bytes) {
+        let outcome = self.logbook.snapshot(&bytes);
+        let was_refused = std::mem::replace(&mut self.refuses_compaction, outcome.is_err());
+        match outcome {
             Ok(()) => self.log_bytes = 0,
             // The log stays as it is, so nothing is lost; the next write tries again.
-            Err(error) => log::warn!(error:% = with_cause(&error); "the log can't be made shorter"),
+            Err(error) if !was_refused => {
+                log::warn!(error:% = with_cause(&error); "the log can't be made shorter");
+            }
+            Err(_) => {}
         }
     }
 
-    fn retry(&mut self, what: &str, mut attempt: impl FnMut(&mut Logbook) -> Result<(), LogbookError>) {
-        while let Err(error) = attempt(&mut self.logbook) {
+    /// Appends records, however often the disk refuses them; the log is told when that begins and ends.
+    fn append(&mut self, records: &[&[u8]]) {
+        let mut is_refused = false;
+        while let Err(error) = self.logbook.append(records) {
             let reason = with_cause(&error);
-            log::warn!(error:% = reason; "the disk refuses a {what}");
+            if !is_refused {
+                log::warn!(error:% = reason; "the disk refuses a write");
+            }
+            is_refused = true;
             let _ = self.events.try_send(DiskEvent::Refused { reason });
             thread::sleep(RETRY_PAUSE);
         }
+        if is_refused {
+            log::info!("the disk takes writes again");
+        }
     }
 }
 
--- a/crates/tower/src/duty.rs
+++ b/crates/tower/src/duty.rs
@@ -1,5 +1,12 @@
 //! Who carries out what only one member may do at a time.
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+
+use crate::fleet::FleetTable;
+
 /// The duties of a primary: list calls, and orders to replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Duty {
@@ -14,3 +21,14 @@
     /// The duties, while this member is primary within its lease.
     fn duty(&self) -> Option<Duty>;
 }
+
+/// What each duty works with.
+#[derive(Clone)]
+pub struct DutyContext {
+    /// Runs the duty's calls.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Knows whether this member has the duty.
+    pub holder: Rc<dyn DutyHolder>,
+    /// The table of replicas.
+    pub table: Rc<RefCell<FleetTable>>,
+}
--- a/crates/tower/src/http_client.rs
+++ b/crates/tower/src/http_client.rs
@@ -86,7 +86,7 @@
         HttpClient { address, limits, kept: None }
     }
 
-    /// Makes a call and reads its answer, all within a time.
+    /// Makes a call and reads its answer within a time; a connection that must be made first has its own limit.
     pub async fn call(&mut self, call: Call<'_>, timeout: Duration) -> Result<Answer, CallError> {
         let address = self.address;
         let kept = self.kept.take().filter(Wire::is_quiet);
--- a/crates/tower/src/index/mod.rs
+++ b/crates/tower/src/index/mod.rs
@@ -4,14 +4,13 @@
 mod follower;
 mod outbox;
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::Timer;
 use cabinet::{KeptUpdate, SourceStatus};
 use futures_lite::future;
@@ -22,8 +21,7 @@
 pub use follower::{Follower, SourceKind};
 pub use outbox::Outbox;
 
-use crate::duty::{Duty, DutyHolder};
-use crate::fleet::FleetTable;
+use crate::duty::{Duty, DutyContext};
 
 /// Time for which changes are gathered before they are delivered.
 const BATCH_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,9 +45,7 @@
 
 /// Follows all sources while this member has the duty.
 pub struct KeptIndex {
-    executor: Rc<LocalExecutor<'static>>,
-    holder: Rc<dyn DutyHolder>,
-    table: Rc<RefCell<FleetTable>>,
+    context: DutyContext,
     output: Rc<dyn IndexOutput>,
     outbox: Rc<Outbox>,
     tenure: Option<u64>,
@@ -58,21 +54,8 @@
 
 impl KeptIndex {
     /// Follows stores of the configuration and replicas of the table.
-    pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
-        holder: Rc<dyn DutyHolder>,
-        table: Rc<RefCell<FleetTable>>,
-        output: Rc<dyn IndexOutput>,
-    ) -> KeptIndex {
-        KeptIndex {
-            executor,
-            holder,
-            table,
-            output,
-            outbox: Rc::default(),
-            tenure: None,
-            followers: BTreeMap::new(),
-        }
+    pub fn new(context: DutyContext, output: Rc<dyn IndexOutput>) -> KeptIndex {
+        KeptIndex { context, output, outbox: Rc::default(), tenure: None, followers: BTreeMap::new() }
     }
 
     /// Follows them for ever.
@@ -89,7 +72,7 @@
     }
 
     fn heed_duty(&mut self, looks_for_sources: bool) {
-        let duty = self.holder.duty();
+        let duty = self.context.holder.duty();
         let tenure = duty.map(|duty| duty.tenure);
         if tenure != self.tenure {
             // Another member may have followed the sources since.
@@ -110,7 +93,7 @@
     /// Begins to follow sources that are new, and forgets those that are gone.
     fn look_for_sources(&mut self, duty: Duty) {
         let Some(configuration) = self.output.configuration() else { return };
-        let Some(replicas) = self.table.borrow().replicas(duty.tenure) else {
+        let Some(replicas) = self.context.table.borrow().replicas(duty.tenure) else {
             // Whether a replica is gone is not known before the first list.
             return self.follow(stores(&configuration));
         };
@@ -129,7 +112,7 @@
             self.followers.entry(source).or_insert_with(|| {
                 let known = self.output.status(source);
                 let follower = Follower::new(source, kind, known, self.outbox.clone());
-                self.executor.spawn(follower.run())
+                self.context.executor.spawn(follower.run())
             });
         }
     }
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control plane: agreed state, service discovery, delivery, weights.
 
+mod accept;
 pub mod api;
 pub mod control_plane;
 pub mod delivery;
--- a/crates/tower/src/links/inbound.rs
+++ b/crates/tower/src/links/inbound.rs
@@ -6,16 +6,16 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::AsyncReadExt;
 use intercom::control::Envelope;
 use intercom::frame;
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::accept::accept_all;
+
 /// Bytes read at once.
 const READ_BYTES: usize = 64 * 1024;
-/// The pause after a connection can't be taken, as while no descriptor is free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// A connection without traffic is probed after this time.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 /// Time between probes.
@@ -29,15 +29,8 @@
     listener: Async<TcpListener>,
     on_message: Rc<dyn Fn(Envelope)>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => executor.spawn(follow(stream, on_message.clone())).detach(),
-            Err(error) => {
-                log::warn!(error:% = error; "a connection of a member can't be taken");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let take = |stream| executor.spawn(follow(stream, on_message.clone())).detach();
+    accept_all(listener, "members", take).await;
 }
 
 async fn follow(stream: Async<TcpStream>, on_message: Rc<dyn Fn(Envelope)>) {
--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -6,7 +6,7 @@
 use intercom::control::{ControlMessage, View};
 use intercom::node::NodeId;
 
-use super::machine::Replication;
+use super::machine::{Replication, jitter};
 use super::membership::{Candidate, Members, Selection};
 use super::peers::is_recent;
 use super::quorum::{electorate, has_quorum, is_settled, next_epoch};
@@ -137,7 +137,7 @@
         self.failed_attempts = (self.failed_attempts + 1).min(MOST_COUNTED_FAILURES);
         let is_unanswered = attempt.promises.len() <= 1;
         let backoff = if is_unanswered { 100 + 250 * u64::from(self.failed_attempts) } else { 350 };
-        self.campaign_at = now + self.jitter.millis(backoff / 2, backoff);
+        self.campaign_at = now + jitter(&mut self.random, backoff / 2..backoff);
     }
 
     /// How long an attempt may go without progress.
@@ -195,7 +195,7 @@
             && attempt.epoch == epoch
             && is_outbid
         {
-            let retry_at = now + self.jitter.millis(50, 250);
+            let retry_at = now + jitter(&mut self.random, 50..250);
             attempt.stalled_at = attempt.stalled_at.min(retry_at);
         }
         if is_outbid && from != self.settings.node {
--- a/crates/tower/src/replication/durable.rs
+++ b/crates/tower/src/replication/durable.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use intercom::control::{DataMark, Entry, View};
+use intercom::control::{Entry, View};
 use musli::{Decode, Encode};
 
 /// All that a member keeps on disk but its generation.
@@ -17,11 +17,21 @@
     /// The newest entry in the snapshot.
     pub snapshot_sequence: u64,
     /// The encoded state at that entry.
+    #[musli(with = intercom::shared_bytes)]
     pub snapshot: Arc<[u8]>,
     /// All entries after it.
     pub entries: Vec<Entry>,
 }
 
+/// How far a member's data goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DataMark {
+    /// The epoch in which the member was last brought up to date as a holder.
+    pub epoch: u64,
+    /// Its newest entry.
+    pub sequence: u64,
+}
+
 /// One change of what is kept on disk.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum DurableRecord {
@@ -38,6 +48,7 @@
         /// The newest entry in the snapshot.
         sequence: u64,
         /// The encoded state.
+        #[musli(with = intercom::shared_bytes)]
         snapshot: Arc<[u8]>,
     },
     /// All data is replaced.
@@ -47,6 +58,7 @@
         /// The newest entry in the snapshot.
         snapshot_sequence: u64,
         /// The encoded state.
+        #[musli(with = intercom::shared_bytes)]
         snapshot: Arc<[u8]>,
         /// All entries after it.
         entries: Vec<Entry>,
--- a/crates/tower/src/replication/follower.rs
+++ b/crates/tower/src/replication/follower.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use intercom::control::{ControlMessage, Entry, View};
+use intercom::control::{ControlMessage, Entry, Envelope, View};
 use intercom::node::NodeId;
 
 use super::durable::DurableRecord;
@@ -25,7 +25,7 @@
             self.yield_to(now, from, epoch);
         }
         let view = self.state.view.clone().unwrap_or_default();
-        self.send_when_durable(from, ControlMessage::Promise { epoch, view, data: self.state.data });
+        self.send_when_durable(from, ControlMessage::Promise { epoch, view });
     }
 
     /// Whether no lease of another member may run on this member's word.
@@ -220,7 +220,7 @@
         let Some(primary) = primary else { return };
         if primary != from && !is_recent(peer.forwarded, now, JOIN_INTERVAL / 2) {
             peer.forwarded = Some(now);
-            self.forward_join(from, primary, zone);
+            self.deliver(Envelope { from, to: primary, message: ControlMessage::Join { zone } });
         }
     }
 }
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -8,16 +8,20 @@
 use intercom::node::NodeId;
 
 use super::interface::{FailureReason, Output};
-use super::machine::Replication;
+use super::machine::{Replication, jitter};
 use super::peers::is_recent;
 use super::quorum::has_quorum;
 use super::settings::{
-    APPEND_STALL, BACKUP_DEAD_AFTER, ELECTION_TIMEOUT, FORCED_CHANGE_INTERVAL, HEARTBEAT_INTERVAL,
-    LEASE_TERM, NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
+    APPEND_STALL, BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
+    NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
 };
 
 /// Heartbeats whose answers still count.
 const REMEMBERED_HEARTBEATS: usize = 16;
+const _: () = assert!(
+    REMEMBERED_HEARTBEATS as u128 * HEARTBEAT_INTERVAL.as_micros() > STEP_DOWN_AFTER.as_micros(),
+    "answers count for as long as a primary waits for them"
+);
 /// Entries sent again at once to a backup that lags.
 const RESENT_ENTRIES: usize = 256;
 
@@ -151,7 +155,7 @@
 impl Replication {
     /// The view is in force: everything that this member holds is committed.
     pub(super) fn become_primary(&mut self, now: Duration, view: View) {
-        let first_token = self.jitter.number() >> 1;
+        let first_token = self.random.u64(..) >> 1;
         let sequence = self.state.data.sequence;
         let mut leadership = Leadership::new(view, sequence, first_token, now);
         if let Some(previous) = self.leadership.take() {
@@ -199,7 +203,7 @@
         if self.grant.as_ref().is_some_and(|grant| grant.primary == self.settings.node) {
             self.grant = None;
         }
-        self.campaign_at = now + ELECTION_TIMEOUT / 2 + self.jitter.millis(0, 500);
+        self.campaign_at = now + ELECTION_TIMEOUT / 2 + jitter(&mut self.random, 0..500);
     }
 
     /// Steps down if no majority has answered for too long.
@@ -375,7 +379,7 @@
             members.voters != leadership.view.voters || members.holders != leadership.view.holders;
         if is_pending || is_other || is_stalled || leadership.is_change_forced {
             if let Some(leadership) = &mut self.leadership {
-                leadership.change_allowed_at = now + FORCED_CHANGE_INTERVAL / 4;
+                leadership.change_allowed_at = now + CHANGE_INTERVAL;
                 leadership.is_change_forced = false;
             }
             self.start_attempt(now);
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -1,8 +1,10 @@
 //! The state machine's state, its inputs, and the steps that all parts share.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::Duration;
 
+use fastrand::Rng;
 use intercom::control::{ControlMessage, Envelope, View};
 use intercom::node::NodeId;
 
@@ -13,7 +15,6 @@
 use super::leader::Leadership;
 use super::peers::{Peers, is_recent};
 use super::quorum::electorate;
-use super::random::Jitter;
 use super::settings::{
     ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, PRIMARY_KNOWN_FOR, ReplicationSettings,
     VOTER_DEAD_AFTER,
@@ -38,7 +39,7 @@
 #[derive(Debug)]
 pub struct Replication {
     pub(super) settings: ReplicationSettings,
-    pub(super) jitter: Jitter,
+    pub(super) random: Rng,
     /// What is on disk or on its way there.
     pub(super) state: DurableState,
     pub(super) journal: Journal,
@@ -77,10 +78,9 @@
 impl Replication {
     /// A member that starts from what is on its disk.
     pub fn new(settings: ReplicationSettings, durable: DurableState, now: Duration) -> Self {
-        let first_view = settings.first_view().filter(|_| durable == DurableState::default());
         let may_have_granted = durable.promised > 0;
         let mut replication = Replication {
-            jitter: Jitter::new(settings.seed),
+            random: Rng::with_seed(settings.seed),
             highest_seen: durable.promised,
             view_recorded: durable.view.as_ref().map(|view| view.epoch),
             view_on_disk: durable.view.as_ref().map(|view| view.epoch),
@@ -108,9 +108,6 @@
             role: Role::Standby,
             settings,
         };
-        if let Some(view) = first_view {
-            replication.record_view(&view);
-        }
         replication.campaign_at = replication.quiet_until + replication.election_offset();
         replication
     }
@@ -158,13 +155,8 @@
         deadline
     }
 
-    /// The primary of the newest view, within its lease.
+    /// Whether this member is primary and holds a running lease: no other member is primary then.
     pub fn is_primary(&self, now: Duration) -> bool {
-        self.lease_valid(now)
-    }
-
-    /// Whether this member holds a running lease: no other member is primary then.
-    pub fn lease_valid(&self, now: Duration) -> bool {
         self.leadership.as_ref().is_some_and(|leadership| leadership.lease_valid(now))
     }
 
@@ -183,7 +175,7 @@
 
     /// The primary, if it was heard of lately.
     pub fn known_primary(&self, now: Duration) -> Option<NodeId> {
-        if self.lease_valid(now) {
+        if self.is_primary(now) {
             return Some(self.settings.node);
         }
         let heard = self.heard.as_ref()?;
@@ -272,7 +264,7 @@
     fn dispatch(&mut self, now: Duration, from: NodeId, message: ControlMessage) {
         match message {
             ControlMessage::Prepare { epoch } => self.on_prepare(now, from, epoch),
-            ControlMessage::Promise { epoch, view, .. } => self.on_promise(now, from, epoch, view),
+            ControlMessage::Promise { epoch, view } => self.on_promise(now, from, epoch, view),
             ControlMessage::Refuse { epoch, promised } => self.on_refuse(now, from, epoch, promised),
             ControlMessage::Sync { epoch, snapshot_sequence, snapshot, entries } => {
                 let data = DurableRecord::Reset { epoch, snapshot_sequence, snapshot, entries };
@@ -304,7 +296,8 @@
         self.journal.hold(Held::Send(Envelope { from: self.settings.node, to, message }));
     }
 
-    fn deliver(&mut self, envelope: Envelope) {
+    /// Sends in the name of any member.
+    pub(super) fn deliver(&mut self, envelope: Envelope) {
         if envelope.to == self.settings.node {
             self.loopback.push_back(envelope);
         } else {
@@ -344,7 +337,7 @@
         let is_outdated = |attempt: &Attempt| attempt.is_outdated_by(view);
         if self.attempt.as_ref().is_some_and(is_outdated) {
             self.attempt = None;
-            self.campaign_at = now + self.jitter.millis(20, 100);
+            self.campaign_at = now + jitter(&mut self.random, 20..100);
         }
         let leads_older = self.leadership.as_ref().is_some_and(|own| own.view.epoch < view.epoch);
         if leads_older && view.holders.first() != Some(&node) {
@@ -373,7 +366,7 @@
         let node = self.settings.node;
         let holders = self.state.view.as_ref().map_or(&[][..], |view| &view.holders);
         let place = holders.iter().position(|holder| *holder == node).unwrap_or(0);
-        ELECTION_STAGGER * place as u32 + self.jitter.millis(0, 100)
+        ELECTION_STAGGER * place as u32 + jitter(&mut self.random, 0..100)
     }
 
     /// Leaves others the time for a view change before it tries one itself.
@@ -427,9 +420,7 @@
     }
 }
 
-impl Replication {
-    /// Passes a request to be taken in on to the primary, in the name of its sender.
-    pub(super) fn forward_join(&mut self, from: NodeId, primary: NodeId, zone: String) {
-        self.deliver(Envelope { from, to: primary, message: ControlMessage::Join { zone } });
-    }
+/// A random time from a range of milliseconds.
+pub(super) fn jitter(random: &mut Rng, milliseconds: Range<u64>) -> Duration {
+    Duration::from_micros(random.u64(milliseconds.start * 1000..milliseconds.end * 1000))
 }
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -21,10 +21,9 @@
 mod membership;
 mod peers;
 mod quorum;
-mod random;
 mod settings;
 
-pub use durable::{DurableRecord, DurableState};
+pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
 pub use machine::Replication;
 pub use settings::ReplicationSettings;
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -39,8 +39,57 @@
 pub(super) const STANDBY_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 /// A primary whose heartbeat is older is not named to others.
 pub(super) const PRIMARY_KNOWN_FOR: Duration = Duration::from_millis(600);
-/// View changes for a member that has promised a higher epoch come no closer than this.
-pub(super) const FORCED_CHANGE_INTERVAL: Duration = Duration::from_millis(1000);
+/// A primary starts view changes no closer than this.
+pub(super) const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How far the speed of a steady clock may be from that of true time, in parts of a hundred. The clocks of the
+/// random histories are as far off.
+const CLOCK_DRIFT_PERCENT: u128 = 2;
+
+/// What has to hold between the terms.
+const _: () = {
+    let longest_lease = LEASE_TERM.as_micros() * (100 + CLOCK_DRIFT_PERCENT);
+    let shortest_grant = GRANT_TERM.as_micros() * (100 - CLOCK_DRIFT_PERCENT);
+    assert!(longest_lease < shortest_grant, "a lease ends before the grants that it rests on");
+    assert!(
+        ELECTION_TIMEOUT.as_micros() >= GRANT_TERM.as_micros(),
+        "who campaigns has no running grant of its own"
+    );
+    assert!(
+        STEP_DOWN_AFTER.as_micros() >= LEASE_TERM.as_micros(),
+        "a primary gives up once its lease has run out"
+    );
+    assert!(
+        3 * HEARTBEAT_INTERVAL.as_micros() < LEASE_TERM.as_micros(),
+        "two heartbeats in a row may be lost within a lease"
+    );
+    assert!(
+        PRIMARY_KNOWN_FOR.as_micros() >= LEASE_TERM.as_micros(),
+        "a primary that may hold a lease is named"
+    );
+    assert!(
+        PRIMARY_KNOWN_FOR.as_micros() <= ELECTION_TIMEOUT.as_micros(),
+        "a primary is not named any more when others may follow it"
+    );
+    assert!(
+        BACKUP_DEAD_AFTER.as_micros() > 3 * HEARTBEAT_INTERVAL.as_micros(),
+        "a backup may miss two heartbeats in a row"
+    );
+    assert!(
+        NEW_PRIMARY_GRACE.as_micros() <= VOTER_DEAD_AFTER.as_micros(),
+        "the grace at a new primary is a part of the usual time"
+    );
+    assert!(
+        ATTEMPT_STALL.as_micros() > 2 * SYNC_RESEND_INTERVAL.as_micros()
+            && ATTEMPT_STALL.as_micros() > 2 * RESEND_INTERVAL.as_micros(),
+        "messages of a view change are repeated before it is given up"
+    );
+    assert!(JOIN_FRESH.as_micros() > 2 * JOIN_INTERVAL.as_micros(), "a request to be taken in may be lost");
+    assert!(
+        STANDBY_FORGOTTEN_AFTER.as_micros() > VOTER_DEAD_AFTER.as_micros(),
+        "a member is exchanged before it is forgotten"
+    );
+};
 
 /// Who this member is, and how many losses the system withstands.
 #[derive(Clone, Debug)]
--- a/crates/tower/src/rollout/mod.rs
+++ b/crates/tower/src/rollout/mod.rs
@@ -3,14 +3,12 @@
 mod messages;
 mod planner;
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future;
 use intercom::feed::{ModelRevision, ModelWeights};
@@ -20,8 +18,7 @@
 pub use messages::{OrderAnswer, Report, RevisionOrder};
 pub use planner::{Action, Planner, PlannerSettings};
 
-use crate::duty::{Duty, DutyHolder};
-use crate::fleet::FleetTable;
+use crate::duty::{Duty, DutyContext};
 use crate::http_client::{Call, CallError, HttpClient};
 
 /// Time for a replica to answer an order or a call for its report.
@@ -60,9 +57,7 @@
 pub struct Rollout {
     name: String,
     settings: PlannerSettings,
-    executor: Rc<LocalExecutor<'static>>,
-    holder: Rc<dyn DutyHolder>,
-    table: Rc<RefCell<FleetTable>>,
+    context: DutyContext,
     output: Rc<dyn RolloutOutput>,
     events: Receiver<Event>,
     sender: Sender<Event>,
@@ -80,15 +75,12 @@
     pub fn new(
         name: String,
         settings: PlannerSettings,
-        executor: Rc<LocalExecutor<'static>>,
-        holder: Rc<dyn DutyHolder>,
-        table: Rc<RefCell<FleetTable>>,
+        context: DutyContext,
         output: Rc<dyn RolloutOutput>,
     ) -> (Rollout, Sender<Event>) {
         let (sender, events) = async_channel::unbounded();
         let news = sender.clone();
-        let rollout =
-            Rollout { name, settings, executor, holder, table, output, events, sender, term: None };
+        let rollout = Rollout { name, settings, context, output, events, sender, term: None };
         (rollout, news)
     }
 
@@ -120,7 +112,7 @@
 
     /// Begins a term when the duty comes to this member.
     fn keep_term(&mut self) {
-        let Some(duty) = self.holder.duty() else { return };
+        let Some(duty) = self.context.holder.duty() else { return };
         if let Some(term) = self.term.as_mut().filter(|term| term.duty.tenure == duty.tenure) {
             term.duty = duty;
             return;
@@ -131,7 +123,7 @@
         for (model, revision) in self.output.named() {
             planner.found(&model, revision);
         }
-        if let Some(listed) = self.table.borrow().listed(duty.tenure) {
+        if let Some(listed) = self.context.table.borrow().listed(duty.tenure) {
             planner.listed(listed, now);
         }
         self.term = Some(Term { duty, planner });
@@ -147,7 +139,7 @@
                 }
             }
             Event::Listed => {
-                if let Some(listed) = self.table.borrow().listed(duty.tenure) {
+                if let Some(listed) = self.context.table.borrow().listed(duty.tenure) {
                     planner.listed(listed, now);
                 }
             }
@@ -157,11 +149,11 @@
     }
 
     fn step(&mut self) {
-        let Some(duty) = self.holder.duty() else { return };
+        let Some(duty) = self.context.holder.duty() else { return };
         let Some(term) = self.term.as_mut().filter(|term| term.duty == duty) else { return };
         let actions = term.planner.step(clock::now());
         self.output.weights(duty.epoch, term.planner.weights());
-        if self.table.borrow_mut().correct(term.planner.corrections()) {
+        if self.context.table.borrow_mut().correct(term.planner.corrections()) {
             self.output.fleet_corrected();
         }
         for action in actions {
@@ -175,7 +167,8 @@
             Action::Order { replica, address, weights } => {
                 log::info!(replica:% = replica, model:% = weights.model, revision = weights.revision; "order to load weights");
                 let owner = self.name.clone();
-                self.executor
+                self.context
+                    .executor
                     .spawn(async move {
                         let answer = order(address, &replica, &weights, &owner, duty.epoch).await;
                         log::info!(replica:% = replica, answer:? = answer; "answer to an order");
@@ -184,7 +177,8 @@
                     .detach();
             }
             Action::Report { replica, address } => {
-                self.executor
+                self.context
+                    .executor
                     .spawn(async move {
                         let report = report(address).await;
                         let _ = events.send(Event::Reported(replica, report)).await;
--- a/crates/tower/src/server/mod.rs
+++ b/crates/tower/src/server/mod.rs
@@ -3,7 +3,6 @@
 mod duties;
 mod error;
 
-use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,8 +24,7 @@
 use crate::delivery::Delivery;
 use crate::discovery::Discovery;
 use crate::disk::{Boot, DiskEvent, NoFolderSnafu, Opened};
-use crate::duty::DutyHolder;
-use crate::fleet::FleetTable;
+use crate::duty::{DutyContext, DutyHolder};
 use crate::index::KeptIndex;
 use crate::links::Links;
 use crate::machine::{Machine, Progress};
@@ -48,11 +46,17 @@
 /// Time for which a member that was told to stop still answers callers, so that they find its successor.
 const STOP_GRACE: Duration = Duration::from_millis(1_200);
 
-/// Runs a member until it is told to stop.
+/// Runs a member until a signal tells it to stop.
 pub fn run(settings: Settings) -> Result<(), ServerError> {
+    let requests = Requests::new().context(SignalsSnafu)?;
+    async_io::block_on(run_until(&settings, wait_for_stop(requests)))
+}
+
+/// Runs a member until `stop` is ready, and a little longer, so that callers find its successor.
+pub async fn run_until(settings: &Settings, stop: impl Future<Output = ()>) -> Result<(), ServerError> {
     let executor = Rc::new(LocalExecutor::new());
-    let server = Server::build(&settings, executor.clone())?;
-    async_io::block_on(executor.run(server.run()))
+    let server = Server::build(settings, executor.clone())?;
+    executor.run(server.run(stop)).await
 }
 
 /// A member, ready to run.
@@ -71,7 +75,6 @@
     progress: Receiver<Progress>,
     views: Rc<Exchange>,
     listeners: Listeners,
-    requests: Requests,
 }
 
 struct Listeners {
@@ -137,7 +140,6 @@
 
 impl Server {
     fn build(settings: &Settings, executor: Rc<LocalExecutor<'static>>) -> Result<Server, ServerError> {
-        let requests = Requests::new().context(SignalsSnafu)?;
         let listeners = Listeners::bind(settings)?;
         let OpenedMember { node, member, links, disk_events, progress } =
             OpenedMember::open(settings, &executor)?;
@@ -147,19 +149,17 @@
         let operator = OperatorView::new(name.clone(), node, member.clone(), delivery.clone());
         let operator_port = settings.listen_on.control_port.map_or(0, |address| address.port());
         let api = Rc::new(Api::new(operator.clone(), operator_port, ApiLimits::default()));
-        let table = Rc::new(RefCell::new(FleetTable::default()));
-        let duties =
-            Rc::new(Duties { member: member.clone(), delivery: delivery.clone(), table: table.clone() });
-        let (rollout, rollout_events) = Rollout::new(
-            name,
-            planner_settings(settings),
-            executor.clone(),
-            member.clone(),
-            table.clone(),
-            duties.clone(),
-        );
-        let kept_index = KeptIndex::new(executor.clone(), member.clone(), table.clone(), duties.clone());
-        let discovery = discovery(settings, &member, &table, &duties, &rollout_events);
+        let context =
+            DutyContext { executor: executor.clone(), holder: member.clone(), table: Rc::default() };
+        let duties = Rc::new(Duties {
+            member: member.clone(),
+            delivery: delivery.clone(),
+            table: context.table.clone(),
+        });
+        let (rollout, rollout_events) =
+            Rollout::new(name, planner_settings(settings), context.clone(), duties.clone());
+        let kept_index = KeptIndex::new(context.clone(), duties.clone());
+        let discovery = discovery(settings, context, duties, &rollout_events);
         Ok(Server {
             executor,
             member,
@@ -175,29 +175,28 @@
             progress,
             views: Rc::new(views(settings, node)?),
             listeners,
-            requests,
         })
     }
 
-    async fn run(self) -> Result<(), ServerError> {
+    async fn run(self, stop: impl Future<Output = ()>) -> Result<(), ServerError> {
         self.publish_to_delivery();
         let Server { executor, member, delivery, listeners, .. } = self;
         let taker = member.clone();
         let on_message = Rc::new(move |envelope| taker.on_message(envelope));
-        executor.spawn(self.links.serve(listeners.control, on_message)).detach();
-        executor.spawn(member.clone().run()).detach();
-        executor.spawn(serve_feed(delivery.clone(), listeners.feed, executor.clone())).detach();
-        executor.spawn(delivery.clone().follow()).detach();
-        executor.spawn(review(member.clone(), delivery)).detach();
-        executor.spawn(exchange_views(self.views.clone())).detach();
-        executor.spawn(follow_views(self.views, member.clone())).detach();
-        executor.spawn(self.operator.run()).detach();
-        executor.spawn(serve_api(self.api, listeners.operator, executor.clone())).detach();
-        executor.spawn(self.rollout.run()).detach();
-        executor.spawn(self.kept_index.run()).detach();
-        if let Some(discovery) = self.discovery {
-            executor.spawn(discovery.run()).detach();
-        }
+        let mut tasks = vec![
+            executor.spawn(self.links.serve(listeners.control, on_message)),
+            executor.spawn(member.clone().run()),
+            executor.spawn(serve_feed(delivery.clone(), listeners.feed, executor.clone())),
+            executor.spawn(delivery.clone().follow()),
+            executor.spawn(review(member.clone(), delivery)),
+            executor.spawn(exchange_views(self.views.clone())),
+            executor.spawn(follow_views(self.views, member.clone())),
+            executor.spawn(self.operator.run()),
+            executor.spawn(serve_api(self.api, listeners.operator, executor.clone())),
+            executor.spawn(self.rollout.run()),
+            executor.spawn(self.kept_index.run()),
+        ];
+        tasks.extend(self.discovery.map(|discovery| executor.spawn(discovery.run())));
         let failure = async {
             let reason = member.clone().follow_machine(self.progress).await;
             StateSnafu { reason }.fail()
@@ -207,12 +206,17 @@
             DiskEndedSnafu.fail()
         };
         let stop = async {
-            wait_for_stop(self.requests).await;
+            stop.await;
             member.terminate();
             Timer::after(STOP_GRACE).await;
             Ok(())
         };
-        future::or(stop, future::or(failure, disk_failure)).await
+        let end = future::or(stop, future::or(failure, disk_failure)).await;
+        // The tasks hold the executor that holds them: its ports would stay taken.
+        for task in tasks {
+            task.cancel().await;
+        }
+        end
     }
 
     /// Has the agreed state delivered whenever it changes.
@@ -247,19 +251,17 @@
 
 fn discovery(
     settings: &Settings,
-    member: &Rc<Member>,
-    table: &Rc<RefCell<FleetTable>>,
-    duties: &Rc<Duties>,
+    context: DutyContext,
+    duties: Rc<Duties>,
     rollout_events: &Sender<Event>,
 ) -> Option<Discovery> {
     let cloud = settings.cloud_api.as_ref()?;
-    let (duties, events) = (duties.clone(), rollout_events.clone());
+    let events = rollout_events.clone();
     let on_list = move || {
         duties.deliver_fleet();
         let _ = events.try_send(Event::Listed);
     };
-    let holder = member.clone();
-    Some(Discovery::new(cloud.address, cloud.rate_per_s, holder, table.clone(), Box::new(on_list)))
+    Some(Discovery::new(cloud.address, cloud.rate_per_s, context, Box::new(on_list)))
 }
 
 async fn serve_feed(
--- a/crates/tower/tests/discovery.rs
+++ b/crates/tower/tests/discovery.rs
@@ -1,10 +1,17 @@
-//! Reading the list of replicas, and the pace of its calls.
+//! Reading the list of replicas, the pace of its calls, and whole walks through its pages.
 
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::time::Duration;
 
-use insta::assert_debug_snapshot;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use insta::{assert_debug_snapshot, assert_snapshot};
+use jetway::within;
 use rstest::rstest;
-use tower::discovery::{Pace, Page, WalkEnd};
+use tower::discovery::{Discovery, Pace, Page, WalkEnd};
+use tower::duty::{Duty, DutyContext, DutyHolder};
 
 const ENTRY: &str = r#"{"backend":"chat","address":"10.128.0.9:8080","area":"a","revision":"v1","capacity":128,"phase":"ready","warmLeftMs":12.5,"half":"either","llms":[{"label":"m","revision":1,"addons":[]}],"ident":"i-1"}"#;
 
@@ -93,3 +100,75 @@
     assert!(gap > ms(100), "calls stay below the platform's rate");
     assert_eq!(pace.next_walk(ms(0), ms(12_000), WalkEnd::Changed), ms(12_000) + gap);
 }
+
+// ---- walks ------------------------------------------------------------------------------------------------
+
+const DUTY: Duty = Duty { epoch: 9, tenure: 7 };
+
+/// A member that has the duty.
+struct Holder;
+
+impl DutyHolder for Holder {
+    fn duty(&self) -> Option<Duty> {
+        Some(DUTY)
+    }
+}
+
+/// Follows a platform with these pages up to the first whole list: the calls, and the ids that are listed.
+fn walk(pages: &[String]) -> (Vec<String>, Vec<String>) {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port is free");
+    let address = listener.get_ref().local_addr().expect("it is bound");
+    let context = DutyContext { executor, holder: Rc::new(Holder), table: Rc::default() };
+    let table = context.table.clone();
+    let (sender, listed) = async_channel::unbounded();
+    let on_list = move || {
+        let _ = sender.try_send(());
+    };
+    let discovery = Discovery::new(address, 1_000.0, context, Box::new(on_list));
+    let walked = async {
+        let calls = answer_calls(&listener, address, pages).await;
+        listed.recv().await.expect("the list comes");
+        calls
+    };
+    let following = async {
+        discovery.run().await;
+        Vec::new()
+    };
+    let calls = async_io::block_on(within(Duration::from_secs(5), future::or(walked, following)));
+    let table = table.borrow();
+    let ids = table.listed(DUTY.tenure).into_iter().flatten().map(|replica| replica.id.clone());
+    (calls.expect("the walk ends in time"), ids.collect())
+}
+
+/// Answers one call with each page; what was called.
+async fn answer_calls(listener: &Async<TcpListener>, address: SocketAddr, pages: &[String]) -> Vec<String> {
+    let (mut stream, _) = listener.accept().await.expect("a call comes");
+    let mut calls = Vec::new();
+    for page in pages {
+        let mut request = vec![0; 4096];
+        let count = stream.read(&mut request).await.expect("a call comes");
+        let request = String::from_utf8_lossy(&request[..count]).replace(&address.to_string(), "ADDRESS");
+        calls.push(request.trim_end().replace("\r\n", " | "));
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", page.len());
+        stream.write_all((head + page).as_bytes()).await.expect("the answer is taken");
+    }
+    calls
+}
+
+#[test]
+fn pages_are_walked_to_the_last_whatever_their_tokens_are_made_of() {
+    let entry = |id: &str| ENTRY.replace("i-1", id);
+    let pages = [
+        page(&entry("i-1"), r#""p-50""#),
+        page(&entry("i-2"), r#""a+b/c=&d #\u00e9""#),
+        page(&entry("i-3"), "null"),
+    ];
+    let (calls, ids) = walk(&pages);
+    assert_snapshot!(calls.join("\n"), @"
+    GET /servers HTTP/1.1 | Host: ADDRESS
+    GET /servers?pageToken=p-50 HTTP/1.1 | Host: ADDRESS
+    GET /servers?pageToken=a%2Bb%2Fc%3D%26d%20%23%C3%A9 HTTP/1.1 | Host: ADDRESS
+    ");
+    assert_eq!(ids, ["i-1", "i-2", "i-3"]);
+}
--- /dev/null
+++ b/crates/tower/tests/rollout_exchange.rs
@@ -0,0 +1,133 @@
+//! The roll-out of weights over loopback: what a replica is asked, and what is delivered of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use insta::assert_snapshot;
+use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
+use jetway::within;
+use tower::duty::{Duty, DutyContext, DutyHolder};
+use tower::fleet::FleetTable;
+use tower::rollout::{PlannerSettings, Rollout, RolloutOutput};
+
+/// The epoch has risen since the member became primary.
+const DUTY: Duty = Duty { epoch: 9, tenure: 7 };
+const LIMIT: Duration = Duration::from_secs(8);
+
+/// A member that has the duty.
+struct Holder;
+
+impl DutyHolder for Holder {
+    fn duty(&self) -> Option<Duty> {
+        Some(DUTY)
+    }
+}
+
+/// What the roll-out has delivered.
+#[derive(Default)]
+struct Output {
+    lines: RefCell<Vec<ModelWeights>>,
+    corrections: Cell<usize>,
+}
+
+impl RolloutOutput for Output {
+    fn weights(&self, epoch: u64, lines: Vec<ModelWeights>) {
+        assert_eq!(epoch, DUTY.epoch);
+        *self.lines.borrow_mut() = lines;
+    }
+
+    fn fleet_corrected(&self) {
+        self.corrections.set(self.corrections.get() + 1);
+    }
+
+    fn named(&self) -> BTreeMap<String, u64> {
+        BTreeMap::from([("m".to_owned(), 2)])
+    }
+
+    fn delivered(&self) -> Vec<ModelWeights> {
+        Vec::new()
+    }
+}
+
+fn replica(address: SocketAddr) -> Replica {
+    Replica {
+        id: "i-1".to_owned(),
+        service: "chat".to_owned(),
+        address: address.to_string(),
+        zone: "a".to_owned(),
+        capacity: 8,
+        phase: ReplicaPhase::Ready,
+        warm_left_ms: 0,
+        models: vec![ModelRevision { model: "m".to_owned(), revision: 1 }],
+    }
+}
+
+/// Reads a call, which comes on a connection of its own, and answers it.
+async fn answer_call(listener: &Async<TcpListener>, status: &str, body: &str) -> String {
+    let (mut stream, _) = listener.accept().await.expect("a call comes");
+    let call = read_call(&mut stream).await;
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(answer.as_bytes()).await.expect("the answer is taken");
+    call
+}
+
+async fn read_call(stream: &mut Async<TcpStream>) -> String {
+    let mut call = vec![0; 4096];
+    let count = stream.read(&mut call).await.expect("a call comes");
+    String::from_utf8_lossy(&call[..count]).replace("\r\n", "\n")
+}
+
+#[test]
+fn a_replica_is_ordered_to_load_and_asked_until_it_has() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port is free");
+    let address = listener.get_ref().local_addr().expect("it is bound");
+    let table = Rc::new(RefCell::new(FleetTable::default()));
+    table.borrow_mut().replace(DUTY.tenure, vec![replica(address)]);
+    let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
+    let output = Rc::new(Output::default());
+    let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
+    let (rollout, _events) = Rollout::new("middle-1".to_owned(), settings, context, output.clone());
+    let loaded = async {
+        let order = answer_call(&listener, "202 Accepted", "").await;
+        let phase = table.borrow().replicas(DUTY.tenure).expect("a list has come")[0].phase;
+        assert_eq!(phase, ReplicaPhase::Loading, "it takes no requests while it loads");
+        let loads = r#"{"llms":[{"label":"m","revision":1}],"loaded":true}"#;
+        let report = answer_call(&listener, "200 OK", loads).await;
+        let has_loaded = r#"{"llms":[{"label":"m","revision":2}],"loaded":false}"#;
+        answer_call(&listener, "200 OK", has_loaded).await;
+        while output.lines.borrow().iter().all(|line| line.least < 2) {
+            future::yield_now().await;
+        }
+        format!("{order}\n\n{report}")
+    };
+    let working = async {
+        rollout.run().await;
+        String::new()
+    };
+    let run = executor.run(future::or(loaded, working));
+    let calls = async_io::block_on(within(LIMIT, run)).expect("it loads in time");
+    let calls = calls.replace(&address.to_string(), "ADDRESS");
+    assert_snapshot!(calls.trim_end(), @r#"
+    POST /order HTTP/1.1
+    Host: ADDRESS
+    Meant-Server: i-1
+    Content-Type: application/json
+    Content-Length: 94
+
+    {"orderKind":"revision","llm":"m","revision":2,"method":"hold","owner":"middle-1","fenceNo":9}
+
+    GET /report HTTP/1.1
+    Host: ADDRESS
+    "#);
+    let delivered = table.borrow().replicas(DUTY.tenure).expect("a list has come");
+    assert_eq!(delivered[0].phase, ReplicaPhase::Ready);
+    assert_eq!(delivered[0].models[0].revision, 2, "before the list shows it");
+    assert_eq!(output.corrections.get(), 2, "one as it begins to load, one as it has");
+}
