--- /dev/null
+++ b/crates/tower/tests/whole_member.rs
@@ -0,0 +1,247 @@
+//! Whole members: what the operator has put is served on the feed, and found again after a stop; what every member
+//! tells of it; and what keeps a member from starting.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use courier::{FeedStore, Identity, Subscriber, clock};
+use futures_lite::future;
+use intercom::feed::SubscriberRole;
+use jetway::{WireLimits, within};
+use rstest::rstest;
+use station::settings::Settings;
+use tower::http_client::{Answer, Call, HttpClient};
+use tower::server::run_until;
+
+/// The last byte of the first member's address on the loopback network. Each member has an address that nobody else
+/// uses, so that ports which are free remain so.
+const FIRST_ADDRESS: u8 = 77;
+/// Addresses that were given to members.
+static ADDRESSES: AtomicU8 = AtomicU8::new(FIRST_ADDRESS);
+/// Ports from the first spare one on that a member takes.
+const SPARE_PORTS: u16 = 4;
+/// Longest time for the whole test.
+const LIMIT: Duration = Duration::from_secs(9);
+/// Longest time for a call.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+const REVISION: u64 = 3;
+const CONFIGURATION: &str = r#"{"revision":3,"routes":[{"label":"r","hostname":"a.example","pathStart":"/r/","sort":"harmless","timeLimitMs":1000,"backend":"chat"}],"backends":[{"label":"chat"}],"note":"kept"}"#;
+
+/// A machine: its disk, and the ports that its member takes.
+struct Machine {
+    folder: PathBuf,
+    operator: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    first_spare: u16,
+}
+
+impl Machine {
+    fn new() -> Machine {
+        Machine::group(1).remove(0)
+    }
+
+    /// Machines of one deployment: their ports are alike.
+    fn group(count: u8) -> Vec<Machine> {
+        let first = ADDRESSES.fetch_add(count, Ordering::Relaxed);
+        let addresses: Vec<Ipv4Addr> =
+            (first..first + count).map(|byte| Ipv4Addr::new(127, 0, 0, byte)).collect();
+        let operator_port = free_ports(&addresses, 1);
+        let first_spare = free_ports(&addresses, SPARE_PORTS);
+        let seeds: Vec<SocketAddr> =
+            addresses.iter().map(|address| SocketAddr::from((*address, operator_port))).collect();
+        let machine = |operator: &SocketAddr| {
+            let folder = format!("tower-whole-member-{}-{}", std::process::id(), operator.ip());
+            let folder = std::env::temp_dir().join(folder);
+            Machine { folder, operator: *operator, seeds: seeds.clone(), first_spare }
+        };
+        seeds.iter().map(machine).collect()
+    }
+
+    fn settings(&self, first_boot: bool) -> Settings {
+        let (folder, operator, seeds) = (self.folder.display(), self.operator, &self.seeds);
+        let (address, first) = (operator.ip(), self.first_spare);
+        let last = first + SPARE_PORTS - 1;
+        let text = format!(
+            "nodeName: middle-1\nipAddress: {address}\narea: a\nsparePorts: [{first}, {last}]\n\
+             listenOn: {{controlPort: '{operator}'}}\nseedNodes: {seeds:?}\n\
+             firstBoot: {first_boot}\ndataFolder: {folder}\nwithstand: {{machineLosses: 0}}\n"
+        );
+        Settings::parse(&text).expect("settings that can be used")
+    }
+
+    /// Calls the operator's interface until it answers with 200.
+    async fn call(&self, call: Call<'_>) -> Answer {
+        loop {
+            if let Some(answer) = self.call_once(call).await {
+                return answer;
+            }
+        }
+    }
+
+    /// The answer to a call, if it is one with 200.
+    async fn call_once(&self, call: Call<'_>) -> Option<Answer> {
+        future::yield_now().await;
+        let mut client = HttpClient::new(self.operator, WireLimits::default());
+        client.call(call, CALL_LIMIT).await.ok().filter(|answer| answer.status == 200)
+    }
+
+    /// Waits until the member's status holds this text.
+    async fn wait_for_status(&self, text: &str) {
+        loop {
+            let status = self.call(Call::get("/status")).await;
+            if String::from_utf8_lossy(&status.body).contains(text) {
+                return;
+            }
+        }
+    }
+
+    /// Follows the feed until it has served this revision.
+    async fn subscribe(&self, revision: u64) {
+        let feed = SocketAddr::from((self.operator.ip(), self.first_spare + 1));
+        let store = Rc::new(RefCell::new(FeedStore::new()));
+        let identity =
+            Identity { name: "edge-1".to_owned(), zone: "a".to_owned(), role: SubscriberRole::Agent };
+        let subscriber = Subscriber::new(identity, store.clone());
+        let is_served = || {
+            let is_fresh = subscriber.age(clock::now()).is_some();
+            is_fresh && store.borrow().holdings().configuration == revision
+        };
+        let served = async {
+            while !is_served() {
+                future::yield_now().await;
+            }
+        };
+        future::or(served, subscriber.clone().run(move |_| Some(feed))).await;
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn listen(address: IpAddr, port: u16) -> TcpListener {
+    TcpListener::bind((address, port)).expect("the port is free")
+}
+
+/// The first of some ports in a row that nobody has at any of these addresses.
+fn free_ports(addresses: &[Ipv4Addr], count: u16) -> u16 {
+    let is_free_at = |address: &Ipv4Addr, port| {
+        TcpListener::bind((*address, port)).is_ok() && UdpSocket::bind((*address, port)).is_ok()
+    };
+    let is_free = |port| addresses.iter().all(|address| is_free_at(address, port));
+    loop {
+        let first = listen(addresses[0].into(), 0).local_addr().expect("it is bound").port();
+        let last = first.checked_add(count - 1);
+        if last.is_some_and(|last| (first..=last).all(is_free)) {
+            return first;
+        }
+    }
+}
+
+/// Runs a member until the work beside it is done, and ends it as a signal would.
+async fn run_beside(settings: Settings, work: impl Future<Output = ()>) {
+    let (done, stop) = async_channel::bounded::<()>(1);
+    let stop = async move {
+        let _ = stop.recv().await;
+    };
+    let work = async {
+        work.await;
+        drop(done);
+    };
+    let (end, ()) = future::zip(run_until(&settings, stop), work).await;
+    end.expect("the member ends in order");
+}
+
+#[test]
+fn a_configuration_is_served_and_found_again_after_a_stop() {
+    let machine = Machine::new();
+    let lives = async {
+        run_beside(machine.settings(true), async {
+            let headers = [("If-Match", "0")];
+            let body = CONFIGURATION.as_bytes();
+            let put = Call { method: "PUT", target: "/settings", headers: &headers, body };
+            let answer = machine.call(put).await;
+            assert_eq!(answer.body, br#"{"revision":3}"#);
+            machine.subscribe(REVISION).await;
+        })
+        .await;
+        run_beside(machine.settings(false), async {
+            let answer = machine.call(Call::get("/settings")).await;
+            assert_eq!(answer.body, CONFIGURATION.as_bytes(), "unknown fields are kept too");
+            machine.subscribe(REVISION).await;
+        })
+        .await;
+    };
+    async_io::block_on(within(LIMIT, lives)).expect("both lives end in time");
+}
+
+#[test]
+fn all_members_tell_which_weights_are_named_and_who_has_the_duties() {
+    let machines = Machine::group(2);
+    let body = br#"{"llm":"m","revision":2}"#;
+    let name_weights = Call { method: "POST", target: "/version-put", headers: &[], body };
+    let work = async {
+        let mut primary = None;
+        while primary.is_none() {
+            for machine in &machines {
+                if machine.call_once(name_weights).await.is_some() {
+                    primary = Some(machine.operator.ip());
+                }
+            }
+        }
+        let holder = format!(r#""rollout":"{}/0""#, primary.expect("one has answered"));
+        for machine in &machines {
+            machine.wait_for_status(r#""weights":{"m":2}"#).await;
+            machine.wait_for_status(&holder).await;
+        }
+    };
+    let settings = [machines[0].settings(true), machines[1].settings(true)];
+    let members = async {
+        let first = run_until(&settings[0], future::pending());
+        let second = run_until(&settings[1], future::pending());
+        let (first, second) = future::zip(first, second).await;
+        panic!("no member ends: {first:?}, {second:?}")
+    };
+    async_io::block_on(within(LIMIT, future::or(work, members))).expect("all tell it in time");
+}
+
+/// What is wrong with a machine or its settings.
+#[derive(Clone, Copy)]
+enum Fault {
+    NoFolder,
+    NoControlPort,
+    TakenPort,
+    ForeignFile,
+}
+
+#[rstest]
+#[case::no_folder(Fault::NoFolder, "the settings have no dataFolder")]
+#[case::no_control_port(Fault::NoControlPort, "the settings have no listenOn.controlPort")]
+#[case::taken_port(Fault::TakenPort, "can't be listened on")]
+#[case::foreign_file(Fault::ForeignFile, "log-000001 is not a file of a log")]
+fn a_member_that_can_not_start_says_why(#[case] fault: Fault, #[case] reason: &str) {
+    let machine = Machine::new();
+    let mut settings = machine.settings(true);
+    let mut taken = None;
+    match fault {
+        Fault::NoFolder => settings.data_folder = None,
+        Fault::NoControlPort => settings.listen_on.control_port = None,
+        Fault::TakenPort => taken = Some(listen(machine.operator.ip(), machine.first_spare)),
+        Fault::ForeignFile => {
+            std::fs::create_dir(&machine.folder).expect("the folder's place is free");
+            std::fs::write(machine.folder.join("log-000001"), "a note").expect("the folder is there");
+        }
+    }
+    let end = within(LIMIT, run_until(&settings, future::pending()));
+    let error = async_io::block_on(end).expect("it ends at once").expect_err("it can't start");
+    assert!(error.to_string().contains(reason), "{error}");
+    drop(taken);
+}
