Refuse requests unsent that may outlast a process told to stop

Change: 2.5 s after SIGTERM, or after half of leewayS, idle connections are closed, and a request is taken only if its own deadline comes before the process's end; others get 503 with Retry-After and the end of their connection, unsent. The stage Finishing is gone.

--- a/crates/kiosk/src/edge.rs
+++ b/crates/kiosk/src/edge.rs
@@ -128,7 +128,7 @@
 async fn wait_for_bytes(proxy: &Proxy, wire: &mut Wire, limits: &WireLimits) -> bool {
     let mut idle = proxy.alarms.after(Duration::from_millis(proxy.caps().idle_ms));
     loop {
-        if proxy.stage() >= Stage::Finishing && wire.is_quiet() {
+        if proxy.stage() >= Stage::Draining && wire.is_quiet() {
             return false;
         }
         let mut stage_changed = proxy.stage_changed.changed();
--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -23,7 +23,8 @@
 
 /// What a client is told while nothing can be judged or placed.
 const RETRY_SOON: Duration = Duration::from_millis(500);
-/// What a client is told whose request the newest configuration has handled otherwise.
+/// What a client is told whose request the newest configuration has handled otherwise, or which another gateway
+/// can serve.
 const RETRY_AT_ONCE: Duration = Duration::from_millis(50);
 /// A request that could be sent to nobody is given up after this part of its target.
 const IDLE_PART: u32 = 5;
@@ -45,7 +46,12 @@
         }
     };
     drop(routing);
-    match Exchange::place(proxy, incoming, admitted) {
+    let deadline = deadline(incoming, &admitted);
+    if !proxy.takes_request(deadline.saturating_duration_since(Instant::now())) {
+        proxy.counters.refused.add();
+        return write_own(proxy, client, incoming, OwnAnswer::refusal(RETRY_AT_ONCE)).await;
+    }
+    match Exchange::place(proxy, incoming, admitted, deadline) {
         Some(exchange) => exchange.run(client).await,
         None => {
             proxy.counters.refused.add();
@@ -54,6 +60,12 @@
     }
 }
 
+/// When a request is over, by what its client says and by its route.
+fn deadline(incoming: &Incoming, admitted: &Admitted) -> Instant {
+    let limit = Duration::from_millis(admitted.route().time_limit_ms);
+    incoming.started + incoming.time_left().map_or(limit, |left| left.min(limit))
+}
+
 /// What comes next of a request that waits.
 enum Next {
     Order(Order),
@@ -99,9 +111,12 @@
 }
 
 impl<'a> Exchange<'a> {
-    fn place(proxy: &'a Rc<Proxy>, incoming: &'a Incoming, admitted: Admitted) -> Option<Exchange<'a>> {
-        let limit = Duration::from_millis(admitted.route().time_limit_ms);
-        let deadline = incoming.started + incoming.time_left().map_or(limit, |left| left.min(limit));
+    fn place(
+        proxy: &'a Rc<Proxy>,
+        incoming: &'a Incoming,
+        admitted: Admitted,
+        deadline: Instant,
+    ) -> Option<Exchange<'a>> {
         let prompt = PromptHeaders::read(&incoming.head);
         let ask = Ask {
             class: proxy.placement.borrow().class(&admitted.route().label)?,
--- a/crates/kiosk/src/lifecycle.rs
+++ b/crates/kiosk/src/lifecycle.rs
@@ -4,8 +4,8 @@
 
 /// Time after SIGTERM for which connections and requests are still taken: by then the platform sends no more.
 const ACCEPT_ON: Duration = Duration::from_millis(2500);
-/// Before the end of the leeway by so much, idle connections of clients are closed.
-const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+/// Connections and requests are taken for at most the first of so many equal parts of the leeway.
+const ACCEPT_PARTS: u32 = 2;
 /// Before the end of the leeway by so much, the process ends with whatever is still in flight.
 const END_MARGIN: Duration = Duration::from_millis(300);
 
@@ -16,10 +16,9 @@
     Serving,
     /// Is not ready any more, but takes connections; each answer is the last of its connection.
     Leaving,
-    /// Takes no more connections; requests on those that are open are answered.
+    /// Takes no more connections and closes idle ones. Requests in flight are answered; a new one is taken only
+    /// if it can't outlast the process.
     Draining,
-    /// Idle connections are closed; requests in flight are answered.
-    Finishing,
     /// Ends.
     Over,
 }
@@ -37,11 +36,13 @@
 }
 
 impl Stop {
-    fn stages(self) -> [(Duration, Stage); 3] {
-        let end = self.at + self.leeway.saturating_sub(END_MARGIN);
-        let idle_until = (self.at + self.leeway.saturating_sub(IDLE_MARGIN)).min(end);
-        let accept_until = (self.at + ACCEPT_ON).min(idle_until);
-        [(accept_until, Stage::Draining), (idle_until, Stage::Finishing), (end, Stage::Over)]
+    fn stages(self) -> [(Duration, Stage); 2] {
+        let accept_until = self.at + ACCEPT_ON.min(self.leeway / ACCEPT_PARTS);
+        [(accept_until, Stage::Draining), (self.end(), Stage::Over)]
+    }
+
+    fn end(self) -> Duration {
+        self.at + self.leeway.saturating_sub(END_MARGIN)
     }
 }
 
@@ -63,11 +64,19 @@
         self.stop?.stages().into_iter().map(|(from, _)| from).find(|from| *from > now)
     }
 
+    /// Whether a request that comes now and is over by `deadline` is still taken.
+    pub fn takes_request(&self, now: Duration, deadline: Duration) -> bool {
+        match self.stage(now) {
+            Stage::Serving | Stage::Leaving => true,
+            Stage::Draining | Stage::Over => self.stop.is_some_and(|stop| deadline < stop.end()),
+        }
+    }
+
     /// Whether the process may end, with so many connections of clients open.
     pub fn may_end(&self, now: Duration, open_connections: usize) -> bool {
         match self.stage(now) {
             Stage::Serving | Stage::Leaving => false,
-            Stage::Draining | Stage::Finishing => open_connections == 0,
+            Stage::Draining => open_connections == 0,
             Stage::Over => true,
         }
     }
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -229,6 +229,12 @@
         self.lifecycle.borrow().stage(clock::now())
     }
 
+    /// Whether a request that has come whole is still taken, given how long it may last from now.
+    pub fn takes_request(&self, time_left: Duration) -> bool {
+        let now = clock::now();
+        self.lifecycle.borrow().takes_request(now, now + time_left)
+    }
+
     /// Tells of each change of the stage; ends once the process may end.
     pub async fn run_lifecycle(&self) {
         loop {
--- a/crates/kiosk/tests/configuration.rs
+++ b/crates/kiosk/tests/configuration.rs
@@ -351,3 +351,36 @@
         assert_eq!((status(&late), header(&late, "Connection").as_deref()), ("200", Some("close")));
     });
 }
+
+/// A request whose last byte comes when the process may end before its answer: it is not sent on, and its client
+/// is told to go elsewhere.
+#[test]
+fn a_request_that_may_outlast_the_process_is_refused_unsent() {
+    let bench = Bench::start(1);
+    let request = post("/risky/", "t1");
+    let (begin, rest) = request.split_at(request.len() - 1);
+    bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(begin).await;
+        bench.until(|| bench.proxy.usage.open_clients() == 1).await;
+        bench.proxy.stop(Duration::ZERO);
+        client.send(rest).await;
+        let answer = client.answer().await;
+        assert_eq!((status(&answer), header(&answer, "Connection").as_deref()), ("503", Some("close")));
+        assert!(header(&answer, "Retry-After").is_some(), "{answer}");
+        assert_eq!(client.answer().await, "(closed)");
+    });
+    assert_eq!(bench.arrivals(), 0);
+}
+
+#[test]
+fn idle_connections_are_closed_once_no_more_are_taken() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1")).await;
+        assert_eq!(status(&client.answer().await), "200");
+        bench.proxy.stop(Duration::ZERO);
+        assert_eq!(client.answer().await, "(closed)");
+    });
+}
