Answer changes only while primary from before the state was read until after

Cause: a 400 for an invalid configuration and one for old weights were given without a look whether the member still was the primary, and a look at the lease alone can't tell whether another member was primary between; an order whose entry came after the same order's was refused with 412. Change: tower::change decides, agrees and answers, over a trait; the tenure (the epoch in which the member became primary) must be the same before and after the state was read, for GET as well; a superseded entry is decided on again, so the same order is acknowledged. Checks: the tests' standing of a primary now names its tenure; the case of another primary between is new.

--- a/crates/tower/src/api/mod.rs
+++ b/crates/tower/src/api/mod.rs
@@ -43,7 +43,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// It is the primary, within its lease.
-    Primary,
+    Primary {
+        /// The epoch in which it became primary. While it stays the same, no other member was primary.
+        tenure: u64,
+    },
     /// Another member, heard lately, is the primary.
     Follower {
         /// The primary's machine.
@@ -134,7 +137,7 @@
             return Response::error(405, "the path has no such method");
         };
         match (call.access, self.control.standing()) {
-            (Access::Any, _) | (Access::Primary, Standing::Primary) => {
+            (Access::Any, _) | (Access::Primary, Standing::Primary { .. }) => {
                 (call.handler)(self.control.clone(), request).await
             }
             (Access::Primary, Standing::Follower { primary }) => self.redirect(primary, &request.target),
--- a/crates/tower/src/api/settings.rs
+++ b/crates/tower/src/api/settings.rs
@@ -45,9 +45,11 @@
 
 fn handle_get<C: ControlPlane>(control: Rc<C>, _: Request) -> Handling {
     Box::pin(async move {
+        let standing = control.standing();
         let document = control.document().await;
         // Another primary may have taken a newer one while this one was read.
-        if control.standing() != Standing::Primary {
+        let is_unbroken = control.standing() == standing && matches!(standing, Standing::Primary { .. });
+        if !is_unbroken {
             return no_primary();
         }
         match document {
--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -3,21 +3,17 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use intercom::node::NodeId;
-use jetway::within;
 
 use crate::api::{ChangeOutcome, ControlPlane, Standing, Status};
+use crate::change::{self, ChangeAuthority};
 use crate::delivery::Delivery;
 use crate::duty::DutyHolder;
-use crate::member::{Member, ProposalEnd};
+use crate::member::Member;
 use crate::replication::Role;
-use crate::state::{Accepted, Applied, Change, Decision};
-
-/// A change that is not agreed on in this time is left to the caller, who sends it again.
-const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+use crate::state::Change;
 
 /// The duties of a primary.
 const DUTIES: [&str; 3] = ["discovery", "index", "rollout"];
@@ -47,52 +43,16 @@
     /// Carries out changes for ever.
     pub async fn run(self: Rc<Self>) {
         while let Ok(Request { change, reply }) = self.queue.recv().await {
-            let outcome = self.carry_out(change).await;
+            let outcome = change::carry_out(&*self.member, change).await;
             let _ = reply.try_send(outcome);
         }
     }
-
-    async fn carry_out(&self, change: Change) -> ChangeOutcome {
-        if !self.member.is_primary() {
-            return ChangeOutcome::NotPrimary;
-        }
-        match self.member.machine().decide(change).await {
-            Some(Decision::Accept(accepted)) => self.agree(*accepted).await,
-            Some(Decision::AlreadyTaken) if self.member.is_primary() => ChangeOutcome::Taken,
-            Some(Decision::Stale { current }) if self.member.is_primary() => {
-                ChangeOutcome::Stale { current }
-            }
-            Some(Decision::InvalidConfiguration { findings }) => {
-                ChangeOutcome::Invalid { report: String::from_utf8_lossy(&findings.to_json()).into() }
-            }
-            Some(Decision::OldWeights { newest }) => ChangeOutcome::OldWeights { newest },
-            Some(Decision::AlreadyTaken | Decision::Stale { .. }) => ChangeOutcome::NotPrimary,
-            None => ChangeOutcome::Unknown,
-        }
-    }
-
-    async fn agree(&self, accepted: Accepted) -> ChangeOutcome {
-        if !self.member.is_primary() {
-            return ChangeOutcome::NotPrimary;
-        }
-        let end = within(AGREEMENT_TIMEOUT, self.member.propose(accepted.command)).await;
-        match end.unwrap_or(ProposalEnd::Unknown) {
-            ProposalEnd::Applied(Applied::Configuration | Applied::Weights) => ChangeOutcome::Taken,
-            ProposalEnd::Applied(Applied::Superseded) => ChangeOutcome::Stale { current: self.revision() },
-            ProposalEnd::NotTaken => ChangeOutcome::NotPrimary,
-            ProposalEnd::Unknown => ChangeOutcome::Unknown,
-        }
-    }
-
-    fn revision(&self) -> u64 {
-        self.member.published().configuration.map_or(0, |configuration| configuration.revision)
-    }
 }
 
 impl ControlPlane for OperatorView {
     fn standing(&self) -> Standing {
-        if self.member.is_primary() {
-            return Standing::Primary;
+        if let Some(tenure) = self.member.tenure() {
+            return Standing::Primary { tenure };
         }
         match self.member.known_primary() {
             Some(primary) if primary != self.node => Standing::Follower { primary: primary.address() },
--- a/crates/tower/src/machine.rs
+++ b/crates/tower/src/machine.rs
@@ -16,7 +16,7 @@
 
 /// Something to be done with the state.
 enum Job {
-    Decide(Change, Sender<Decision>),
+    Decide(Arc<Change>, Sender<Decision>),
     Apply { sequence: u64, command: Arc<[u8]> },
     Restore { sequence: u64, snapshot: Arc<[u8]> },
     Snapshot(Sender<Snapshot>),
@@ -98,7 +98,7 @@
     }
 
     /// Decides on a change.
-    pub async fn decide(&self, change: Change) -> Option<Decision> {
+    pub async fn decide(&self, change: Arc<Change>) -> Option<Decision> {
         self.ask(|reply| Job::Decide(change, reply)).await
     }
 
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -18,12 +18,14 @@
 use intercom::node::NodeId;
 use station::clock;
 
+use crate::change::ChangeAuthority;
 use crate::delivery::Authority;
 use crate::disk::{Disk, DiskEvent};
 use crate::duty::{Duty, DutyHolder};
 use crate::links::Links;
 use crate::machine::{Machine, Progress, Published};
 use crate::replication::{Input, Output, Replication, Role};
+use crate::state::{Change, Decision};
 
 use disk_watch::DiskWatch;
 pub use proposals::ProposalEnd;
@@ -208,13 +210,6 @@
         }
     }
 
-    /// Has the members agree on a command; returns once it is applied here, or failed.
-    pub async fn propose(&self, command: Arc<[u8]>) -> ProposalEnd {
-        let (ticket, end) = self.proposals.borrow_mut().open();
-        self.input(Input::Propose { ticket, command });
-        end.recv().await.unwrap_or(ProposalEnd::Unknown)
-    }
-
     /// The agreed state.
     pub fn machine(&self) -> &Machine {
         &self.machine
@@ -314,10 +309,26 @@
     }
 }
 
+impl ChangeAuthority for Member {
+    fn tenure(&self) -> Option<u64> {
+        self.tenure.get().filter(|_| self.is_primary())
+    }
+
+    async fn decide(&self, change: Arc<Change>) -> Option<Decision> {
+        self.machine.decide(change).await
+    }
+
+    async fn agree(&self, command: Arc<[u8]>) -> ProposalEnd {
+        let (ticket, end) = self.proposals.borrow_mut().open();
+        self.input(Input::Propose { ticket, command });
+        end.recv().await.unwrap_or(ProposalEnd::Unknown)
+    }
+}
+
 impl DutyHolder for Member {
     fn duty(&self) -> Option<Duty> {
         let epoch = self.acting_epoch()?;
-        let tenure = self.tenure.get()?;
+        let tenure = ChangeAuthority::tenure(self)?;
         Some(Duty { epoch, tenure })
     }
 }
--- a/crates/tower/tests/api.rs
+++ b/crates/tower/tests/api.rs
@@ -17,6 +17,7 @@
 };
 use tower::state::Change;
 
+const PRIMARY: Standing = Standing::Primary { tenure: 5 };
 const OTHER: Standing = Standing::Follower { primary: Ipv4Addr::new(10, 0, 0, 7) };
 const OPERATOR_PORT: u16 = 8683;
 
@@ -33,7 +34,7 @@
 
 impl ControlPlane for Scripted {
     fn standing(&self) -> Standing {
-        self.standing.get().unwrap_or(Standing::Primary)
+        self.standing.get().unwrap_or(PRIMARY)
     }
 
     async fn change(&self, change: Change) -> ChangeOutcome {
@@ -230,6 +231,7 @@
 #[rstest]
 #[case::another_primary(OTHER)]
 #[case::no_lease(Standing::Unknown)]
+#[case::another_primary_between(Standing::Primary { tenure: 9 })]
 fn a_document_that_may_be_old_is_not_returned(#[case] standing: Standing) {
     let document = Some(br#"{"revision":7}"#.as_slice().into());
     let standing_after_reading = Some(standing);
@@ -240,7 +242,7 @@
 
 #[test]
 fn there_is_no_document_before_the_first_one() {
-    assert!(exchange(&at(Standing::Primary), GET).starts_with("HTTP/1.1 404 Not Found"));
+    assert!(exchange(&at(PRIMARY), GET).starts_with("HTTP/1.1 404 Not Found"));
 }
 
 #[test]
@@ -266,7 +268,7 @@
 #[case::too_large("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 99999999\n\n", 413)]
 #[case::two_lengths("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 1\nContent-Length: 2\n\n", 400)]
 fn what_can_not_be_answered_is_refused(#[case] sent: &str, #[case] status: u16) {
-    let answer = exchange(&at(Standing::Primary), sent);
+    let answer = exchange(&at(PRIMARY), sent);
     assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
 }
 
@@ -297,5 +299,5 @@
 fn slow_callers_are_cut_off(#[case] sent: &[u8]) {
     let soon = Duration::from_millis(20);
     let limits = ApiLimits { idle: soon, head: soon, body: soon, ..ApiLimits::default() };
-    assert_eq!(exchange_within(&at(Standing::Primary), limits, sent), "");
+    assert_eq!(exchange_within(&at(PRIMARY), limits, sent), "");
 }
--- /dev/null
+++ b/crates/tower/tests/change.rs
@@ -0,0 +1,138 @@
+//! What a change of the operator is answered, by who is primary before and after it was decided on.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rstest::rstest;
+use tower::api::ChangeOutcome;
+use tower::change::{ChangeAuthority, carry_out};
+use tower::member::ProposalEnd;
+use tower::state::{Applied, Change, Decision, State};
+
+const TENURE: u64 = 7;
+
+/// A member with a state of its own.
+#[derive(Default)]
+struct Authority {
+    state: RefCell<State>,
+    /// Who it takes itself for, question by question; the last one stays.
+    tenures: RefCell<VecDeque<Option<u64>>>,
+    /// Ends of proposals, which are applied where they say so.
+    ends: RefCell<VecDeque<ProposalEnd>>,
+    /// A command of another member that is agreed on before the first proposal.
+    earlier: RefCell<Option<Arc<[u8]>>>,
+    decisions: Cell<u32>,
+}
+
+impl Authority {
+    fn with_tenures(tenures: &[Option<u64>]) -> Authority {
+        let authority = Authority::default();
+        authority.tenures.borrow_mut().extend(tenures);
+        authority
+    }
+
+    fn answer(&self, change: Change) -> ChangeOutcome {
+        async_io::block_on(carry_out(self, change))
+    }
+
+    fn take(&self, change: &Change) {
+        let command = accepted(&self.state.borrow(), change);
+        self.state.borrow_mut().apply(&command).expect("an agreed command");
+    }
+}
+
+fn accepted(state: &State, change: &Change) -> Arc<[u8]> {
+    match state.decide(change) {
+        Decision::Accept(accepted) => accepted.command,
+        other => panic!("it is accepted: {other:?}"),
+    }
+}
+
+impl ChangeAuthority for Authority {
+    fn tenure(&self) -> Option<u64> {
+        let mut tenures = self.tenures.borrow_mut();
+        if tenures.len() > 1 { tenures.pop_front().flatten() } else { tenures.front().copied().flatten() }
+    }
+
+    async fn decide(&self, change: Arc<Change>) -> Option<Decision> {
+        self.decisions.set(self.decisions.get() + 1);
+        Some(self.state.borrow().decide(&change))
+    }
+
+    async fn agree(&self, command: Arc<[u8]>) -> ProposalEnd {
+        let mut state = self.state.borrow_mut();
+        if let Some(earlier) = self.earlier.take() {
+            state.apply(&earlier).expect("an agreed command");
+        }
+        let scripted = self.ends.borrow_mut().pop_front();
+        scripted.unwrap_or_else(|| ProposalEnd::Applied(state.apply(&command).expect("a command")))
+    }
+}
+
+fn document(revision: u64) -> Vec<u8> {
+    format!(r#"{{"revision":{revision},"routes":[],"backends":[]}}"#).into_bytes()
+}
+
+fn put(if_match: u64, revision: u64) -> Change {
+    Change::PutConfiguration { if_match: Some(if_match), body: document(revision) }
+}
+
+fn weights(revision: u64) -> Change {
+    Change::NameWeights { model: "m".to_owned(), revision }
+}
+
+/// Changes that get each of the decisions at a member that has taken configuration 3 and weights 5.
+#[rstest]
+#[case::accept(put(3, 4), ChangeOutcome::Taken)]
+#[case::already_taken(put(0, 3), ChangeOutcome::Taken)]
+#[case::stale(put(2, 9), ChangeOutcome::Stale { current: 3 })]
+#[case::old_weights(weights(4), ChangeOutcome::OldWeights { newest: 5 })]
+fn only_a_member_that_was_primary_all_the_time_answers(
+    #[case] change: Change,
+    #[case] expected: ChangeOutcome,
+    #[values(
+        &[Some(TENURE)],
+        &[None],
+        &[Some(TENURE), None],
+        &[Some(TENURE), Some(TENURE + 1)],
+    )]
+    tenures: &[Option<u64>],
+) {
+    let authority = Authority::with_tenures(tenures);
+    authority.take(&put(0, 3));
+    authority.take(&weights(5));
+    let is_primary = tenures == [Some(TENURE)];
+    let expected = if is_primary { expected } else { ChangeOutcome::NotPrimary };
+    assert_eq!(authority.answer(change), expected);
+}
+
+#[test]
+fn an_invalid_configuration_is_refused_by_a_primary_only() {
+    let invalid = || Change::PutConfiguration { if_match: Some(0), body: b"{".to_vec() };
+    let outcome = Authority::with_tenures(&[Some(TENURE)]).answer(invalid());
+    assert!(matches!(outcome, ChangeOutcome::Invalid { .. }), "{outcome:?}");
+    let deposed = Authority::with_tenures(&[Some(TENURE), None]);
+    assert_eq!(deposed.answer(invalid()), ChangeOutcome::NotPrimary);
+}
+
+/// The entry of a change finds another one before it: what it is answered comes from the newer state.
+#[rstest]
+#[case::the_same_change(put(0, 3), ChangeOutcome::Taken)]
+#[case::another_change(put(0, 2), ChangeOutcome::Stale { current: 2 })]
+fn a_superseded_change_is_decided_on_again(#[case] earlier: Change, #[case] expected: ChangeOutcome) {
+    let authority = Authority::with_tenures(&[Some(TENURE)]);
+    *authority.earlier.borrow_mut() = Some(accepted(&State::default(), &earlier));
+    assert_eq!(authority.answer(put(0, 3)), expected);
+    assert_eq!(authority.decisions.get(), 2);
+}
+
+#[rstest]
+#[case::never_begun(ProposalEnd::NotTaken, ChangeOutcome::NotPrimary)]
+#[case::no_answer(ProposalEnd::Unknown, ChangeOutcome::Unknown)]
+#[case::superseded_again_and_again(ProposalEnd::Applied(Applied::Superseded), ChangeOutcome::Unknown)]
+fn what_was_not_agreed_on_is_not_refused(#[case] end: ProposalEnd, #[case] expected: ChangeOutcome) {
+    let authority = Authority::with_tenures(&[Some(TENURE)]);
+    authority.ends.borrow_mut().extend([end; 3]);
+    assert_eq!(authority.answer(put(0, 3)), expected);
+}
--- a/crates/tower/tests/machine.rs
+++ b/crates/tower/tests/machine.rs
@@ -33,7 +33,7 @@
 fn a_decision_sees_what_was_handed_over_before() {
     let (machine, progress) = machine();
     machine.apply(1, command(&State::default(), &name(2)));
-    let decision = async_io::block_on(machine.decide(name(2)));
+    let decision = async_io::block_on(machine.decide(name(2).into()));
     assert_eq!(decision, Some(Decision::AlreadyTaken));
     let (sequence, change, published) = applied(&progress);
     assert_eq!((sequence, change), (1, Some(Applied::Weights)));
