Keep a tower that is told to stop until others hold its data and vote for it

Cause: a tower ended 1.2 s after SIGTERM whatever depended on it. A primary whose backup was being exchanged stepped down without a successor, so the only copy could leave; a voter that left for good kept its vote for 2.5 s, in which a second loss left no majority; f = 0 had no hand-over at all. Change: heartbeat answers say that a member leaves; the primary gives its places to others at once; a leaving primary releases its lease only to a holder that stays, and exchanges members before if there is none; `Replication::departure` says what others still need, and `server::departure` when the process ends.

--- a/crates/intercom/src/control.rs
+++ b/crates/intercom/src/control.rs
@@ -126,6 +126,8 @@
         zone: String,
         /// The sender's disk answers within its bound.
         disk_healthy: bool,
+        /// The sender's process ends soon: its places in the view are to be taken by others.
+        leaving: bool,
     },
     /// The primary gives up its lease; the named holder may campaign at once.
     Release {
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -24,7 +24,7 @@
 use crate::duty::{Duty, DutyHolder};
 use crate::links::Links;
 use crate::machine::{Machine, Progress, Published};
-use crate::replication::{Input, Output, Replication, Role};
+use crate::replication::{Departure, Input, Output, Replication, Role};
 use crate::state::{Change, Decision};
 
 use disk_watch::DiskWatch;
@@ -152,6 +152,11 @@
         self.input(Input::Terminate);
     }
 
+    /// What others still need of this member, whose process shall end.
+    pub fn departure(&self) -> Departure {
+        self.replication.borrow().departure(clock::now())
+    }
+
     /// Takes what the disk tells; returns only if its thread has ended.
     pub async fn follow_disk(self: Rc<Self>, events: Receiver<DiskEvent>) {
         while let Ok(event) = events.recv().await {
--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -77,7 +77,7 @@
         let node = self.settings.node;
         let holds = |view: &View| view.holders.contains(&node) && self.state.data.epoch >= view.epoch;
         let is_recorded = self.view_on_disk.is_some();
-        is_recorded && self.disk_healthy && !self.leaving && self.state.view.as_ref().is_some_and(holds)
+        is_recorded && self.disk_healthy && self.state.view.as_ref().is_some_and(holds)
     }
 
     /// Starts a campaign if no primary is heard and it is this member's turn.
@@ -235,8 +235,8 @@
             candidates.push(Candidate {
                 node,
                 zone: peer.zone.clone(),
-                alive: is_recent(peer.healthy, now, VOTER_DEAD_AFTER) && !is_replaced,
-                ready: is_recent(peer.healthy, now, BACKUP_DEAD_AFTER) && !is_stalled,
+                alive: is_recent(peer.healthy, now, VOTER_DEAD_AFTER) && !is_replaced && !peer.leaving,
+                ready: is_recent(peer.healthy, now, BACKUP_DEAD_AFTER) && !is_stalled && !peer.leaving,
             });
         }
         let selection = self.selection(base, &candidates);
@@ -295,11 +295,13 @@
     }
 
     fn selection<'a>(&self, base: &'a View, candidates: &'a [Candidate]) -> Selection<'a> {
+        // A proposer that leaves needs another member to take its places, whatever losses are to be withstood.
+        let least = if self.leaving { 2 } else { 1 };
         Selection {
             base,
             proposer: self.settings.node,
-            wanted_voters: self.settings.wanted_voters(),
-            wanted_holders: self.settings.wanted_holders(),
+            wanted_voters: self.settings.wanted_voters().max(least),
+            wanted_holders: self.settings.wanted_holders().max(least),
             candidates,
         }
     }
--- a/crates/tower/src/replication/follower.rs
+++ b/crates/tower/src/replication/follower.rs
@@ -178,7 +178,8 @@
             epoch: view.epoch,
             token,
             zone: self.settings.zone.clone(),
-            disk_healthy: self.disk_healthy && !self.leaving,
+            disk_healthy: self.disk_healthy,
+            leaving: self.leaving,
         };
         let is_recorded = self.view_on_disk >= Some(view.epoch);
         if is_recorded || !view.voters.contains(&self.settings.node) {
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -13,7 +13,7 @@
 use super::quorum::has_quorum;
 use super::settings::{
     APPEND_STALL, BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
-    NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
+    LEAVING_CAMPAIGN_DELAY, NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
 };
 
 /// Heartbeats whose answers still count.
@@ -40,6 +40,14 @@
     command: Arc<[u8]>,
 }
 
+/// What a member says of itself when it acknowledges a heartbeat.
+#[derive(Debug)]
+pub(super) struct PeerReport {
+    pub(super) zone: String,
+    pub(super) disk_healthy: bool,
+    pub(super) leaving: bool,
+}
+
 /// What a member knows while it is primary.
 #[derive(Debug)]
 pub(super) struct Leadership {
@@ -203,7 +211,8 @@
         if self.grant.as_ref().is_some_and(|grant| grant.primary == self.settings.node) {
             self.grant = None;
         }
-        self.campaign_at = now + ELECTION_TIMEOUT / 2 + jitter(&mut self.random, 0..500);
+        let patience = if self.leaving { LEAVING_CAMPAIGN_DELAY } else { ELECTION_TIMEOUT / 2 };
+        self.campaign_at = now + patience + jitter(&mut self.random, 0..500);
     }
 
     /// Steps down if no majority has answered for too long.
@@ -260,8 +269,7 @@
         now: Duration,
         from: NodeId,
         (epoch, token): (u64, u64),
-        zone: String,
-        disk_healthy: bool,
+        report: PeerReport,
     ) {
         let Some(leadership) = &mut self.leadership else { return };
         if !leadership.acknowledge(from, epoch, token) {
@@ -275,9 +283,10 @@
             return;
         }
         let peer = self.peers.entry(from);
-        peer.zone = zone;
+        peer.zone = report.zone;
+        peer.leaving = report.leaving;
         peer.acknowledged = Some(now);
-        if disk_healthy {
+        if report.disk_healthy {
             peer.healthy = Some(now);
         }
     }
@@ -366,7 +375,7 @@
     fn exchange_members_if_needed(&mut self, now: Duration) {
         let is_pending = self.is_change_pending();
         let Some(leadership) = &self.leadership else { return };
-        let is_idle = self.attempt.is_none() && self.disk_healthy && !self.leaving;
+        let is_idle = self.attempt.is_none() && self.disk_healthy;
         if !is_idle || !leadership.lease_valid(now) || now < leadership.change_allowed_at {
             return;
         }
@@ -395,25 +404,25 @@
         }
     }
 
-    /// Gives up the lease in favour of a backup that answers; false if there is none and the process stays.
+    /// Gives up the lease in favour of a backup that answers and stays; false if there is none. A primary that
+    /// leaves goes on without one until it has brought another member up to date.
     fn release(&mut self, now: Duration) -> bool {
         let Some(leadership) = &self.leadership else { return false };
+        if self.leaving && self.attempt.is_some() {
+            return false;
+        }
         let is_live = |holder: &&NodeId| {
             let peer = self.peers.get(**holder);
-            peer.is_some_and(|peer| is_recent(peer.healthy, now, BACKUP_DEAD_AFTER))
+            peer.is_some_and(|peer| is_recent(peer.healthy, now, BACKUP_DEAD_AFTER) && !peer.leaving)
         };
         let successor = leadership.view.holders.iter().skip(1).find(is_live).copied();
-        if successor.is_none() && !self.leaving {
-            return false;
-        }
+        let Some(successor) = successor else { return false };
         let epoch = leadership.view.epoch;
         let mut voters: BTreeSet<NodeId> = leadership.view.voters.iter().copied().collect();
         voters.remove(&self.settings.node);
         self.step_down(now);
-        if let Some(successor) = successor {
-            for voter in voters {
-                self.send(voter, ControlMessage::Release { epoch, successor });
-            }
+        for voter in voters {
+            self.send(voter, ControlMessage::Release { epoch, successor });
         }
         true
     }
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -12,12 +12,12 @@
 use super::durable::{DurableRecord, DurableState};
 use super::interface::{Input, Output, Role};
 use super::journal::{Held, Journal};
-use super::leader::Leadership;
+use super::leader::{Leadership, PeerReport};
 use super::peers::{Peers, is_recent};
 use super::quorum::electorate;
 use super::settings::{
-    ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, PRIMARY_KNOWN_FOR, ReplicationSettings,
-    VOTER_DEAD_AFTER,
+    ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, LEAVING_CAMPAIGN_DELAY,
+    PRIMARY_KNOWN_FOR, ReplicationSettings, VOTER_DEAD_AFTER,
 };
 
 /// A primary for which this member votes as long as the grant runs.
@@ -126,7 +126,7 @@
             Input::Compact { sequence, snapshot } => self.compact(sequence, snapshot),
             Input::DiskHealthy(healthy) => self.disk_healthy = healthy,
             Input::Known(nodes) => self.known = nodes,
-            Input::Terminate => self.leaving = true,
+            Input::Terminate => self.start_leaving(now),
         }
         self.settle(now);
         self.run_timers(now);
@@ -278,8 +278,9 @@
             ControlMessage::Heartbeat { view, token, committed } => {
                 self.on_heartbeat(now, from, view, token, committed);
             }
-            ControlMessage::HeartbeatAck { epoch, token, zone, disk_healthy } => {
-                self.on_heartbeat_ack(now, from, (epoch, token), zone, disk_healthy);
+            ControlMessage::HeartbeatAck { epoch, token, zone, disk_healthy, leaving } => {
+                let peer = PeerReport { zone, disk_healthy, leaving };
+                self.on_heartbeat_ack(now, from, (epoch, token), peer);
             }
             ControlMessage::Release { epoch, successor } => self.on_release(now, from, epoch, successor),
             ControlMessage::Join { zone } => self.on_join(now, from, zone),
@@ -366,7 +367,8 @@
         let node = self.settings.node;
         let holders = self.state.view.as_ref().map_or(&[][..], |view| &view.holders);
         let place = holders.iter().position(|holder| *holder == node).unwrap_or(0);
-        ELECTION_STAGGER * place as u32 + jitter(&mut self.random, 0..100)
+        let patience = if self.leaving { LEAVING_CAMPAIGN_DELAY } else { Duration::ZERO };
+        patience + ELECTION_STAGGER * place as u32 + jitter(&mut self.random, 0..100)
     }
 
     /// Leaves others the time for a view change before it tries one itself.
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -12,6 +12,7 @@
 //!   generation together with [`ReplicationSettings::first_view`].
 
 mod campaign;
+mod departure;
 mod durable;
 mod follower;
 mod interface;
@@ -23,6 +24,7 @@
 mod quorum;
 mod settings;
 
+pub use departure::Departure;
 pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
 pub use machine::Replication;
--- a/crates/tower/src/replication/peers.rs
+++ b/crates/tower/src/replication/peers.rs
@@ -16,6 +16,8 @@
     pub(super) acknowledged: Option<Duration>,
     /// When it last did so with a healthy disk.
     pub(super) healthy: Option<Duration>,
+    /// It has said that its process ends soon.
+    pub(super) leaving: bool,
     /// When it last asked to be taken in.
     pub(super) joined: Option<Duration>,
     /// When such a request was last passed on to the primary.
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -17,6 +17,8 @@
 pub(super) const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much later each further holder in the view's order campaigns.
 pub(super) const ELECTION_STAGGER: Duration = Duration::from_millis(100);
+/// How much later a holder campaigns whose process ends soon: only where nobody else does.
+pub(super) const LEAVING_CAMPAIGN_DELAY: Duration = Duration::from_secs(1);
 /// Messages of a pending step are repeated after this time.
 pub(super) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
 /// The whole state is sent again after this time.
--- a/crates/tower/src/server/mod.rs
+++ b/crates/tower/src/server/mod.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of a member together and runs them.
 
+pub mod departure;
 mod duties;
 mod error;
 
@@ -43,8 +44,8 @@
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
 /// How often members that were found lately are made known to the agreement.
 const VIEWS_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a member that was told to stop still answers callers, so that they find its successor.
-const STOP_GRACE: Duration = Duration::from_millis(1_200);
+/// How often a member that was told to stop looks whether others still need it.
+const DEPARTURE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs a member until a signal tells it to stop.
 pub fn run(settings: Settings) -> Result<(), ServerError> {
@@ -75,6 +76,8 @@
     progress: Receiver<Progress>,
     views: Rc<Exchange>,
     listeners: Listeners,
+    /// Time from the signal to stop until the process is killed.
+    leeway: Duration,
 }
 
 struct Listeners {
@@ -175,6 +178,7 @@
             progress,
             views: Rc::new(views(settings, node)?),
             listeners,
+            leeway: settings.time_limits.leeway(),
         })
     }
 
@@ -207,8 +211,7 @@
         };
         let stop = async {
             stop.await;
-            member.terminate();
-            Timer::after(STOP_GRACE).await;
+            leave(&member, self.leeway).await;
             Ok(())
         };
         let end = future::or(stop, future::or(failure, disk_failure)).await;
@@ -231,6 +234,21 @@
     }
 }
 
+/// Gives the member's places in the view to others, and returns once its process may end.
+async fn leave(member: &Member, leeway: Duration) {
+    let since = clock::now();
+    member.terminate();
+    loop {
+        let departure = member.departure();
+        let waited = clock::now().saturating_sub(since);
+        if departure::may_end(waited, leeway, departure) {
+            log::info!(departure:? = departure, waited_ms = waited.as_millis() as u64; "the member leaves");
+            return;
+        }
+        Timer::after(DEPARTURE_INTERVAL).await;
+    }
+}
+
 fn replication_settings(settings: &Settings, node: NodeId) -> Result<ReplicationSettings, ServerError> {
     Ok(ReplicationSettings {
         node,
