Let operators' calls between two primaries wait for the next one

Cause: after a kill of the primary a new one is there after 0.7 s, but the next acknowledgement took 1.1 s and more: calls meanwhile got 307 to the dead member for 0.6 s, or 503 at once, and operators come back with pauses that grow. Change: a follower sends callers only to a primary that it heard within 0.35 s; with none a call waits up to 0.7 s for one before it gets 503.

--- a/crates/tower/src/api/connection.rs
+++ b/crates/tower/src/api/connection.rs
@@ -25,6 +25,8 @@
     pub body: Duration,
     /// Time for an answer to be taken.
     pub answer: Duration,
+    /// Time for a primary to be found while none is known: callers go elsewhere after a second of silence.
+    pub primary: Duration,
 }
 
 impl Default for ApiLimits {
@@ -36,6 +38,7 @@
             head: Duration::from_secs(3),
             body: Duration::from_secs(20),
             answer: Duration::from_secs(10),
+            primary: Duration::from_millis(700),
         }
     }
 }
--- a/crates/tower/src/api/mod.rs
+++ b/crates/tower/src/api/mod.rs
@@ -13,9 +13,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
+use jetway::within;
 
 pub use connection::ApiLimits;
 pub use message::{Request, Response};
@@ -24,6 +26,8 @@
 use crate::accept::accept_all;
 use crate::state::Change;
 
+/// How often it is looked whether there is a primary, while none is known.
+const STANDING_INTERVAL: Duration = Duration::from_millis(20);
 /// Seconds after which a caller is told to come again while no primary is known.
 const RETRY_AFTER_SECONDS: &str = "0.2";
 
@@ -136,15 +140,28 @@
         let Some(call) = of_path.find(|call| call.method == request.method) else {
             return Response::error(405, "the path has no such method");
         };
-        match (call.access, self.control.standing()) {
-            (Access::Any, _) | (Access::Primary, Standing::Primary { .. }) => {
-                (call.handler)(self.control.clone(), request).await
-            }
-            (Access::Primary, Standing::Follower { primary }) => self.redirect(primary, &request.target),
-            (Access::Primary, Standing::Unknown) => no_primary(),
+        if call.access == Access::Any {
+            return (call.handler)(self.control.clone(), request).await;
+        }
+        match self.known_standing().await {
+            Standing::Primary { .. } => (call.handler)(self.control.clone(), request).await,
+            Standing::Follower { primary } => self.redirect(primary, &request.target),
+            Standing::Unknown => no_primary(),
         }
     }
 
+    /// The member's standing, once there is a primary or the time for it is over. A caller that is sent away at once
+    /// comes back later and later.
+    async fn known_standing(&self) -> Standing {
+        let known = async {
+            while self.control.standing() == Standing::Unknown {
+                Timer::after(STANDING_INTERVAL).await;
+            }
+        };
+        let _ = within(self.limits.primary, known).await;
+        self.control.standing()
+    }
+
     fn redirect(&self, primary: Ipv4Addr, target: &str) -> Response {
         let address = SocketAddr::from((primary, self.port));
         Response::error(307, "the primary answers this")
--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -54,9 +54,9 @@
         if let Some(tenure) = self.member.tenure() {
             return Standing::Primary { tenure };
         }
-        match self.member.known_primary() {
-            Some(primary) if primary != self.node => Standing::Follower { primary: primary.address() },
-            _ => Standing::Unknown,
+        match self.member.redirect_target() {
+            Some(primary) => Standing::Follower { primary: primary.address() },
+            None => Standing::Unknown,
         }
     }
 
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -235,6 +235,11 @@
         self.replication.borrow().known_primary(clock::now())
     }
 
+    /// Another member that callers may be sent to.
+    pub fn redirect_target(&self) -> Option<NodeId> {
+        self.replication.borrow().redirect_target(clock::now())
+    }
+
     /// The agreement, for reports.
     pub fn with_replication<T>(&self, look: impl FnOnce(&Replication) -> T) -> T {
         look(&self.replication.borrow())
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -17,7 +17,7 @@
 use super::quorum::electorate;
 use super::settings::{
     ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, LEAVING_CAMPAIGN_DELAY,
-    PRIMARY_KNOWN_FOR, ReplicationSettings, VOTER_DEAD_AFTER,
+    PRIMARY_KNOWN_FOR, REDIRECT_FOR, ReplicationSettings, VOTER_DEAD_AFTER,
 };
 
 /// A primary for which this member votes as long as the grant runs.
@@ -178,8 +178,17 @@
         if self.is_primary(now) {
             return Some(self.settings.node);
         }
+        self.primary_heard_within(now, PRIMARY_KNOWN_FOR)
+    }
+
+    /// Another member that callers may be sent to, since it certainly was the primary a moment ago.
+    pub fn redirect_target(&self, now: Duration) -> Option<NodeId> {
+        self.primary_heard_within(now, REDIRECT_FOR)
+    }
+
+    fn primary_heard_within(&self, now: Duration, span: Duration) -> Option<NodeId> {
         let heard = self.heard.as_ref()?;
-        is_recent(Some(heard.at), now, PRIMARY_KNOWN_FOR).then_some(heard.node)
+        is_recent(Some(heard.at), now, span).then_some(heard.node)
     }
 
     /// Members that answer this primary, with their zones, itself included; empty at others.
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -41,6 +41,8 @@
 pub(super) const STANDBY_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 /// A primary whose heartbeat is older is not named to others.
 pub(super) const PRIMARY_KNOWN_FOR: Duration = Duration::from_millis(600);
+/// Callers are sent to a primary only if its heartbeat is not older: two in a row may be missing.
+pub(super) const REDIRECT_FOR: Duration = Duration::from_millis(350);
 /// A primary starts view changes no closer than this.
 pub(super) const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -69,6 +71,11 @@
         PRIMARY_KNOWN_FOR.as_micros() >= LEASE_TERM.as_micros(),
         "a primary that may hold a lease is named"
     );
+    assert!(
+        REDIRECT_FOR.as_micros() > 2 * HEARTBEAT_INTERVAL.as_micros()
+            && REDIRECT_FOR.as_micros() <= PRIMARY_KNOWN_FOR.as_micros(),
+        "callers are sent to a primary that has missed no more than two heartbeats"
+    );
     assert!(
         PRIMARY_KNOWN_FOR.as_micros() <= ELECTION_TIMEOUT.as_micros(),
         "a primary is not named any more when others may follow it"
