--- /dev/null
+++ b/crates/timetable/benches/configuration_change.rs
@@ -0,0 +1,67 @@
+//! What a change of a large configuration costs: the bytes of its entry, and the time to decide on it and to
+//! apply it at the member that decided and at one that follows.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use timetable::{AcceptedChange, ConfigurationState, Decision};
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+const ROUNDS: u32 = 50;
+
+fn main() {
+    let document = common::large_configuration();
+    let route = common::large_route(2_000, "moved.example");
+    let patch = json!({"revision": 2, "upsert": {"routes": [&route]}});
+    let mut whole = document.clone();
+    whole["revision"] = json!(2);
+    whole["routes"][2_000] = route;
+    let state = state_with(&document);
+    println!("configuration: {} bytes", common::body(&document).len());
+    println!("empty snapshot: {} bytes", ConfigurationState::default().to_snapshot().len());
+    let (patch, whole) = (common::body(&patch), common::body(&whole));
+    report("PATCH of one route", &state, || state.decide_patch(Some(1), &patch));
+    report("PUT with one route changed", &state, || state.decide_put(Some(1), &whole));
+}
+
+fn state_with(document: &Value) -> ConfigurationState {
+    let mut state = ConfigurationState::default();
+    let change = accepted(state.decide_put(None, &common::body(document)));
+    state.apply_accepted(change).expect("it is the first");
+    state
+}
+
+fn accepted(decision: Decision) -> AcceptedChange {
+    match decision {
+        Decision::Accept(change) => *change,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn report(name: &str, state: &ConfigurationState, decide: impl Fn() -> Decision) {
+    let change = accepted(decide());
+    let bytes = musli::wire::to_vec(&change.entry).expect("an entry can be encoded");
+    let deciding = median(|| {
+        black_box(decide());
+    });
+    let following = median(|| {
+        let entry = musli::wire::from_slice(&bytes).expect("an entry can be decoded");
+        state.clone().apply_entry(&entry).expect("its base is in force");
+    });
+    println!("{name}: {} bytes, decide {deciding:?}, apply at a follower {following:?}", bytes.len());
+}
+
+/// The median time of several runs.
+fn median(run: impl Fn()) -> Duration {
+    let timed = |_| {
+        let start = Instant::now();
+        run();
+        start.elapsed()
+    };
+    let mut times: Vec<Duration> = (0..ROUNDS).map(timed).collect();
+    times.sort_unstable();
+    times[times.len() / 2]
+}
--- a/crates/timetable/src/change.rs
+++ b/crates/timetable/src/change.rs
@@ -83,7 +83,7 @@
     /// those replaced their place, and new ones follow at the end. Removing a label that isn't there
     /// changes nothing.
     pub fn apply(&self, patch: &Patch) -> Result<Document, Findings> {
-        let bytes = patched(&self.to_bytes(), patch).map_err(|error| wire::unreadable(&error))?;
+        let bytes = patched(self.text(), patch).map_err(|error| wire::unreadable(&error))?;
         Document::parse(&bytes)
     }
 }
--- a/crates/timetable/src/digest.rs
+++ b/crates/timetable/src/digest.rs
@@ -15,17 +15,22 @@
     Patch,
 }
 
-/// The digest of a call: of its kind, the revision that it builds on, and its body as a JSON value. The
-/// order of fields and white space don't count. It is the same on all machines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct RequestDigest(RawDigest);
+/// The digest of a call: of its kind and what it asks for. A configuration counts as its JSON value, beside
+/// the revision on which it builds: the order of fields and white space make no difference. It is the same
+/// on all machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub struct RequestDigest(#[musli(bytes)] RawDigest);
 
 /// The bytes of a digest.
 type RawDigest = [u8; 16];
 
 impl RequestDigest {
-    /// Reads the whole body, which must be JSON.
-    pub(crate) fn new(kind: CallKind, base: u64, body: &[u8]) -> Result<Self, serde_json::Error> {
+    /// The digest of a configuration or a change of it. Reads the whole body, which must be JSON.
+    pub(crate) fn of_configuration(
+        kind: CallKind,
+        base: u64,
+        body: &[u8],
+    ) -> Result<Self, serde_json::Error> {
         let mut deserializer = serde_json::Deserializer::from_slice(body);
         let value = ValueDigest.deserialize(&mut deserializer)?;
         deserializer.end()?;
@@ -35,6 +40,21 @@
         };
         Ok(RequestDigest(digest_of_parts(kind, &[u128::from(base).to_le_bytes(), value])))
     }
+
+    /// The digest of a call that names weights of a model.
+    pub fn of_weights(model: &str, revision: u64) -> Self {
+        let model = digest_of_bytes(tag::TEXT, model.as_bytes());
+        let revision = digest_of_bytes(tag::WHOLE, &revision.to_le_bytes());
+        RequestDigest(digest_of_parts(tag::WEIGHTS, &[model, revision]))
+    }
+
+    pub(crate) fn to_bytes(self) -> RawDigest {
+        self.0
+    }
+
+    pub(crate) fn from_bytes(bytes: RawDigest) -> Self {
+        RequestDigest(bytes)
+    }
 }
 
 /// What a hashed part is; the seed of its hash, so that values of two types don't look alike.
@@ -50,6 +70,7 @@
     pub const LIST: u64 = 8;
     pub const FIELD: u64 = 9;
     pub const OBJECT: u64 = 10;
+    pub const WEIGHTS: u64 = 11;
 }
 
 fn digest_of_bytes(tag: u64, bytes: &[u8]) -> RawDigest {
--- a/crates/timetable/src/history.rs
+++ b/crates/timetable/src/history.rs
@@ -3,25 +3,26 @@
 //! Decisions change nothing. What is accepted is made durable by the caller, and then applied.
 
 use std::borrow::Cow;
-use std::collections::VecDeque;
 
 use musli::{Decode, Encode};
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::change::Patch;
 use crate::digest::{CallKind, RequestDigest};
 use crate::document::Document;
+use crate::encoding::{self, EncodingError, Format};
+use crate::entry::{self, ApplyError, ChangeContent, ChangeEntry};
 use crate::findings::{Fault, Findings};
+use crate::remembered::RememberedCalls;
 use crate::wire;
 
-/// Calls that are remembered, so that one that is sent again is known.
-pub const REMEMBERED_CALLS: usize = 256;
-
 /// The revision on which the first configuration builds.
 pub const NO_REVISION: u64 = 0;
 
 const REVISION: &str = "revision";
 
+/// The form of a snapshot.
+const SNAPSHOT_FORMAT: Format = Format(*b"CFS2");
+
 /// The answer to an operator's call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -38,30 +39,41 @@
     Accept(Box<AcceptedChange>),
 }
 
-/// A call that was accepted: what it leads to, and what it is known by.
+/// A call that was accepted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AcceptedChange {
     /// The new configuration.
     pub document: Document,
-    /// The call's digest.
-    pub digest: RequestDigest,
+    /// What the log keeps of it.
+    pub entry: ChangeEntry,
+}
+
+/// What an entry has done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryOutcome {
+    /// Its document is in force now.
+    Applied,
+    /// Nothing: an earlier entry of the same call has taken effect.
+    Repeated,
+    /// Nothing: it builds on a configuration that was replaced by another call.
+    Superseded,
 }
 
 /// The newest configuration, and which calls were taken.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ConfigurationState {
     document: Option<Document>,
-    taken: VecDeque<RequestDigest>,
+    taken: RememberedCalls,
 }
 
-/// Why bytes give no state or change.
+/// Why bytes give no state.
 #[derive(Debug, Snafu)]
-pub enum DecodeError {
+pub enum SnapshotError {
     /// The bytes aren't of this form.
-    #[snafu(display("cannot decode a configuration's state"))]
-    Malformed {
-        /// What the decoder says.
-        source: musli::wire::Error,
+    #[snafu(display("cannot decode a configuration's state: {source}"))]
+    Encoding {
+        /// What is wrong with them.
+        source: EncodingError,
     },
     /// The configuration in them is invalid.
     #[snafu(display("the decoded configuration is invalid: {source}"))]
@@ -69,6 +81,9 @@
         /// What is wrong with it.
         source: Findings,
     },
+    /// The remembered calls in them are no whole digests.
+    #[snafu(display("the remembered calls are cut"))]
+    CutCalls,
 }
 
 impl ConfigurationState {
@@ -92,39 +107,52 @@
         self.decide(CallKind::Patch, if_match, body)
     }
 
-    /// Puts an accepted change in force.
-    pub fn apply(&mut self, change: AcceptedChange) {
-        self.taken.push_back(change.digest);
-        if self.taken.len() > REMEMBERED_CALLS {
-            self.taken.pop_front();
+    /// Applies an entry of the log.
+    ///
+    /// After an error the state is as before, but it isn't the one that the members agreed on.
+    pub fn apply_entry(&mut self, entry: &ChangeEntry) -> Result<EntryOutcome, ApplyError> {
+        let outcome = self.outcome(entry);
+        if outcome == EntryOutcome::Applied {
+            let document = entry.apply(self.document())?;
+            self.replace(document, entry);
         }
-        self.document = Some(change.document);
+        Ok(outcome)
+    }
+
+    /// Applies a change that this state itself has decided on: its document needn't be made again.
+    pub fn apply_accepted(&mut self, change: AcceptedChange) -> Result<EntryOutcome, ApplyError> {
+        let outcome = self.outcome(&change.entry);
+        if outcome == EntryOutcome::Applied {
+            change.entry.check_base(self.document())?;
+            self.replace(change.document, &change.entry);
+        }
+        Ok(outcome)
     }
 
     /// The state as bytes.
     pub fn to_snapshot(&self) -> Vec<u8> {
-        let document = self.document.as_ref().map(Document::to_bytes);
-        let document = Cow::Borrowed(document.as_deref().unwrap_or_default());
-        encode(&Snapshot { document, taken: self.taken.iter().copied().collect() })
+        let document = Cow::Borrowed(self.document.as_ref().map_or(&[][..], Document::text));
+        encoding::encode(SNAPSHOT_FORMAT, &Snapshot { document, taken: self.taken.to_bytes() })
     }
 
     /// The state from the bytes of [`ConfigurationState::to_snapshot`].
-    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let snapshot: Snapshot = musli::wire::from_slice(bytes).context(MalformedSnafu)?;
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let snapshot: Snapshot = encoding::decode(SNAPSHOT_FORMAT, bytes).context(EncodingSnafu)?;
         let document = match snapshot.document.as_ref() {
             [] => None,
-            bytes => Some(Document::parse(bytes).context(InvalidDocumentSnafu)?),
+            text => Some(Document::parse(text).context(InvalidDocumentSnafu)?),
         };
-        Ok(ConfigurationState { document, taken: snapshot.taken.into() })
+        let taken = RememberedCalls::from_bytes(&snapshot.taken).context(CutCallsSnafu)?;
+        Ok(ConfigurationState { document, taken })
     }
 
     fn decide(&self, kind: CallKind, if_match: Option<u64>, body: &[u8]) -> Decision {
         let base = if_match.unwrap_or(NO_REVISION);
-        let digest = match RequestDigest::new(kind, base, body) {
+        let call = match RequestDigest::of_configuration(kind, base, body) {
             Ok(digest) => digest,
             Err(error) => return Decision::Invalid(wire::unreadable(&error)),
         };
-        if self.taken.contains(&digest) {
+        if self.taken.contains(&call) {
             return Decision::AlreadyTaken;
         }
         let current = self.revision();
@@ -132,7 +160,7 @@
             return Decision::Stale { current };
         }
         match self.next_document(kind, body) {
-            Ok(document) => Decision::Accept(Box::new(AcceptedChange { document, digest })),
+            Ok(document) => Decision::Accept(Box::new(self.accepted(kind, call, body, document))),
             Err(findings) => Decision::Invalid(findings),
         }
     }
@@ -140,7 +168,7 @@
     fn next_document(&self, kind: CallKind, body: &[u8]) -> Result<Document, Findings> {
         let document = match kind {
             CallKind::Put => Document::parse(body)?,
-            CallKind::Patch => self.patched(body)?,
+            CallKind::Patch => entry::patched(self.document(), body)?,
         };
         let current = self.revision();
         if document.revision() <= current {
@@ -149,26 +177,35 @@
         Ok(document)
     }
 
-    fn patched(&self, body: &[u8]) -> Result<Document, Findings> {
-        let Some(document) = &self.document else {
-            return Err(Findings::one("", Fault::NothingToChange));
+    fn accepted(
+        &self,
+        kind: CallKind,
+        call: RequestDigest,
+        body: &[u8],
+        document: Document,
+    ) -> AcceptedChange {
+        let content = match kind {
+            CallKind::Put => ChangeContent::of_document(self.document(), &document),
+            CallKind::Patch => ChangeContent::Patch(body.to_vec()),
         };
-        document.apply(&Patch::parse(body)?)
+        let entry = ChangeEntry::new(self.document(), &document, call, content);
+        AcceptedChange { document, entry }
     }
-}
 
-impl AcceptedChange {
-    /// The change as bytes, for the log and the backups.
-    pub fn to_bytes(&self) -> Vec<u8> {
-        let document = self.document.to_bytes();
-        encode(&EncodedChange { document: Cow::Borrowed(&document), digest: self.digest })
+    /// What an entry does here, if it leads where it should.
+    fn outcome(&self, entry: &ChangeEntry) -> EntryOutcome {
+        if self.taken.contains(&entry.call()) {
+            return EntryOutcome::Repeated;
+        }
+        match entry.base().revision == self.revision() {
+            true => EntryOutcome::Applied,
+            false => EntryOutcome::Superseded,
+        }
     }
 
-    /// The change from the bytes of [`AcceptedChange::to_bytes`].
-    pub fn from_bytes(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let change: EncodedChange = musli::wire::from_slice(bytes).context(MalformedSnafu)?;
-        let document = Document::parse(&change.document).context(InvalidDocumentSnafu)?;
-        Ok(AcceptedChange { document, digest: change.digest })
+    fn replace(&mut self, document: Document, entry: &ChangeEntry) {
+        self.taken.remember(entry.call());
+        self.document = Some(document);
     }
 }
 
@@ -178,18 +215,6 @@
     /// The newest document; empty if there is none.
     #[musli(bytes)]
     document: Cow<'a, [u8]>,
-    taken: Vec<RequestDigest>,
-}
-
-/// An accepted change's form in the log.
-#[derive(Encode, Decode)]
-struct EncodedChange<'a> {
     #[musli(bytes)]
-    document: Cow<'a, [u8]>,
-    digest: RequestDigest,
-}
-
-/// Encoding into memory has no way to fail for these types.
-fn encode<T: Encode<musli::mode::Binary>>(value: &T) -> Vec<u8> {
-    musli::wire::to_vec(value).expect("a value of plain fields can be encoded")
+    taken: Vec<u8>,
 }
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -3,20 +3,27 @@
 
 pub mod change;
 pub mod check;
+pub mod delta;
 pub mod difference;
 mod digest;
 pub mod document;
+pub mod encoding;
+pub mod entry;
 pub mod findings;
 pub mod history;
 pub mod lookup;
 pub mod model;
+pub mod remembered;
 mod wire;
 
 pub use change::Patch;
+pub use delta::Delta;
 pub use difference::ConfigurationChanges;
 pub use digest::RequestDigest;
-pub use document::Document;
+pub use document::{Document, DocumentVersion};
+pub use entry::{ApplyError, ChangeEntry};
 pub use findings::{Fault, Finding, Findings};
-pub use history::{AcceptedChange, ConfigurationState, Decision, DecodeError};
+pub use history::{AcceptedChange, ConfigurationState, Decision, EntryOutcome, SnapshotError};
 pub use lookup::RoutingTable;
 pub use model::{Caps, Configuration, Route, RouteKind, Service, ServiceRuntime, Share, Tenant};
+pub use remembered::{REMEMBERED_CALLS, RememberedCalls};
--- a/crates/timetable/tests/common/mod.rs
+++ b/crates/timetable/tests/common/mod.rs
@@ -57,3 +57,27 @@
 pub fn body(value: &Value) -> Vec<u8> {
     serde_json::to_vec(value).expect("a value can be written")
 }
+
+/// Routes of the large configuration.
+const LARGE_ROUTES: usize = 5_300;
+
+/// A valid configuration of about 1.3 MB at revision 1.
+pub fn large_configuration() -> Value {
+    let routes: Vec<Value> = (0..LARGE_ROUTES).map(|number| large_route(number, "shop.example")).collect();
+    let services: Vec<Value> = (0..100)
+        .map(|number| json!({"label": format!("service-{number}"), "checkPath": "/health"}))
+        .collect();
+    json!({"revision": 1, "routes": routes, "backends": services})
+}
+
+/// A route of the large configuration.
+pub fn large_route(number: usize, host: &str) -> Value {
+    json!({
+        "label": format!("route-{number}"), "hostname": host, "pathStart": format!("/part/{number}/"),
+        "sort": "harmless", "timeLimitMs": 30_000, "targetMs": 2_000, "rank": 1, "tries": 2, "public": false,
+        "shares": [
+            {"backend": format!("service-{}", number % 100), "share": 90},
+            {"backend": format!("service-{}", (number + 1) % 100), "share": 10}
+        ]
+    })
+}
--- /dev/null
+++ b/crates/timetable/tests/delta.rs
@@ -0,0 +1,92 @@
+//! The difference between two texts.
+
+use rstest::rstest;
+use timetable::Delta;
+
+const ITEMS: &str = r#"{"revision":1,"routes":[{"label":"first","hostname":"a.example","rank":0},
+{"label":"second","hostname":"b.example","rank":1},{"label":"third","hostname":"c.example","rank":2}]}"#;
+
+#[rstest]
+#[case::nothing_to_nothing("", "")]
+#[case::nothing_to_something("", ITEMS)]
+#[case::something_to_nothing(ITEMS, "")]
+#[case::the_same(ITEMS, ITEMS)]
+#[case::one_item_changed(ITEMS, &ITEMS.replace("b.example", "d.example"))]
+#[case::no_braces("a text without braces that is longer than a piece", "another text without braces")]
+#[case::braces_only("{{}}}{}{", "}}{}{{{}")]
+#[case::braces_in_text(ITEMS, &ITEMS.replace("first", "}{first{}"))]
+#[case::not_ascii("{\"label\":\"grün und blau und rot und gelb\"}", "{\"label\":\"grün und blau\"}")]
+fn leads_to_the_new_text(#[case] old: &str, #[case] new: &str) {
+    let delta = Delta::between(old.as_bytes(), new.as_bytes());
+    assert_eq!(delta.apply(old.as_bytes()).expect("the base is the right one"), new.as_bytes());
+}
+
+fn items(labels: &[usize], separator: &str) -> String {
+    let item =
+        |label: &usize| format!(r#"{{"label":"item {label}","hostname":"h{label}.example","rank":7}}"#);
+    let items: Vec<String> = labels.iter().map(item).collect();
+    format!(r#"{{"revision":{},"routes":[{}]}}"#, labels.len(), items.join(separator))
+}
+
+#[rstest]
+#[case::the_same(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], ",", 100)]
+#[case::one_less(&[0, 1, 2, 3, 4, 6, 7, 8, 9], ",", 160)]
+#[case::one_more(&[0, 1, 2, 3, 4, 5, 6, 10, 7, 8, 9], ",", 250)]
+#[case::two_halves_exchanged(&[5, 6, 7, 8, 9, 0, 1, 2, 3, 4], ",", 160)]
+#[case::other_white_space(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], ",\n  ", 600)]
+fn items_that_stayed_are_copied(#[case] labels: &[usize], #[case] separator: &str, #[case] bound: usize) {
+    let old = items(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], ",");
+    let new = items(labels, separator);
+    let delta = Delta::between(old.as_bytes(), new.as_bytes());
+    assert_eq!(delta.apply(old.as_bytes()).expect("the base is the right one"), new.as_bytes());
+    assert!(delta.max_encoded_length() <= bound, "{} bytes", delta.max_encoded_length());
+}
+
+#[test]
+fn the_bound_on_the_encoded_length_holds() {
+    let old = items(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], ",");
+    let new = items(&[9, 8, 7, 20, 6, 5, 21, 22, 4, 3, 2, 1, 0], ", ");
+    let delta = Delta::between(old.as_bytes(), new.as_bytes());
+    let encoded = musli::wire::to_vec(&delta).expect("a delta can be encoded");
+    let bound = delta.max_encoded_length();
+    assert!(encoded.len() <= bound, "{} bytes encoded, at most {bound} were expected", encoded.len());
+    let decoded: Delta = musli::wire::from_slice(&encoded).expect("a delta can be decoded");
+    assert_eq!(decoded, delta);
+}
+
+#[test]
+fn a_base_that_is_too_short_is_an_error() {
+    let old = items(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], ",");
+    let head = r#"{"revision":10,"routes":["#.len();
+    let delta = Delta::between(old.as_bytes(), old.as_bytes());
+    let error = delta.apply(&old.as_bytes()[1..]).expect_err("the base lacks a byte");
+    let (end, length) = (old.len(), old.len() - 1);
+    assert_eq!(error.to_string(), format!("bytes {head} to {end} are not in the base of {length} bytes"));
+}
+
+/// Texts of few letters and many braces, so that pieces are often found more than once.
+#[test]
+fn random_texts_are_rebuilt() {
+    let mut random = fastrand::Rng::with_seed(11);
+    for _ in 0..2_000 {
+        let parts: Vec<String> = (0..6).map(|_| random_part(&mut random)).collect();
+        let (old, new) = (random_text(&mut random, &parts), random_text(&mut random, &parts));
+        let delta = Delta::between(old.as_bytes(), new.as_bytes());
+        assert_eq!(delta.apply(old.as_bytes()).expect("the base is the right one"), new.as_bytes());
+    }
+}
+
+fn random_text(random: &mut fastrand::Rng, parts: &[String]) -> String {
+    let length = random.usize(0..12);
+    (0..length).map(|_| parts[random.usize(0..parts.len())].as_str()).collect()
+}
+
+fn random_part(random: &mut fastrand::Rng) -> String {
+    let length = random.usize(1..120);
+    (0..length).map(|_| random_letter(random)).collect()
+}
+
+fn random_letter(random: &mut fastrand::Rng) -> char {
+    let letters: &[char] = if random.u8(..20) == 0 { &['{', '}'] } else { &['a', 'b', ','] };
+    letters[random.usize(0..letters.len())]
+}
--- /dev/null
+++ b/crates/timetable/tests/encoding.rs
@@ -0,0 +1,54 @@
+//! The binary form of stored values.
+
+use rstest::rstest;
+use timetable::encoding::{EncodingError, Format, decode, encode};
+
+const FORMAT: Format = Format(*b"TST1");
+
+fn sample_bytes() -> Vec<u8> {
+    encode(FORMAT, &vec![1_u64, 2, 3])
+}
+
+#[test]
+fn a_value_is_decoded_as_it_was_encoded() {
+    assert_eq!(decode::<Vec<u64>>(FORMAT, &sample_bytes()).expect("the bytes are whole"), [1, 2, 3]);
+}
+
+#[rstest]
+#[case::nothing(b"")]
+#[case::part_of_the_format(b"TST")]
+#[case::another_edition(&encode(Format(*b"TST2"), &vec![1_u64]))]
+#[case::text(b"{\"revision\":1}")]
+fn another_format_is_told_apart(#[case] bytes: &[u8]) {
+    let error = decode::<Vec<u64>>(FORMAT, bytes).expect_err("the bytes are of another format");
+    assert!(matches!(error, EncodingError::UnknownFormat { expected: FORMAT }), "{error}");
+}
+
+#[test]
+fn cut_bytes_are_an_error() {
+    let bytes = sample_bytes();
+    for length in 0..bytes.len() {
+        assert!(decode::<Vec<u64>>(FORMAT, &bytes[..length]).is_err(), "cut at {length}");
+    }
+}
+
+#[test]
+fn each_damaged_byte_is_an_error() {
+    for place in 0..sample_bytes().len() {
+        let mut bytes = sample_bytes();
+        bytes[place] ^= 0x10;
+        assert!(decode::<Vec<u64>>(FORMAT, &bytes).is_err(), "damaged at {place}");
+    }
+}
+
+#[test]
+fn more_bytes_behind_are_an_error() {
+    let bytes = [sample_bytes(), vec![0]].concat();
+    assert!(matches!(decode::<Vec<u64>>(FORMAT, &bytes), Err(EncodingError::WrongChecksum)));
+}
+
+#[test]
+fn whole_bytes_of_another_type_are_an_error() {
+    let bytes = encode(FORMAT, &"text".to_owned());
+    assert!(matches!(decode::<Vec<u64>>(FORMAT, &bytes), Err(EncodingError::Malformed { .. })));
+}
--- a/crates/timetable/tests/history.rs
+++ b/crates/timetable/tests/history.rs
@@ -5,7 +5,9 @@
 use common::{body, sample, sample_with};
 use rstest::rstest;
 use serde_json::{Value, json};
-use timetable::{AcceptedChange, ConfigurationState, Decision};
+use timetable::{
+    AcceptedChange, ChangeEntry, ConfigurationState, Decision, EntryOutcome, REMEMBERED_CALLS,
+};
 
 fn accepted(decision: Decision) -> AcceptedChange {
     match decision {
@@ -14,9 +16,14 @@
     }
 }
 
+/// Applies a change that must take effect.
+fn apply(state: &mut ConfigurationState, change: AcceptedChange) {
+    assert_eq!(state.apply_accepted(change).expect("its base is in force"), EntryOutcome::Applied);
+}
+
 fn put(state: &mut ConfigurationState, base: u64, document: &Value) {
     let change = accepted(state.decide_put(Some(base), &body(document)));
-    state.apply(change);
+    apply(state, change);
 }
 
 /// A state with the sample (revision 7) in force.
@@ -78,7 +85,7 @@
     let one_order = br#"{"backends":[],"revision":9,"routes":[],"b":[1,{"x":"a","y":2}]}"#;
     let mut state = state;
     let change = accepted(state.decide_put(Some(7), other_order));
-    state.apply(change);
+    apply(&mut state, change);
     assert_eq!(state.decide_put(Some(7), one_order), Decision::AlreadyTaken);
 }
 
@@ -92,7 +99,7 @@
     let mut state = state_with_sample();
     let taken = br#"{"revision":9,"routes":[],"backends":[],"b":[1,2]}"#;
     let change = accepted(state.decide_put(Some(7), taken));
-    state.apply(change);
+    apply(&mut state, change);
     assert_eq!(state.decide_put(Some(7), body), Decision::Stale { current: 9 });
 }
 
@@ -102,7 +109,7 @@
     let (first, second) = (body(&at_revision(9)), body(&sample_with("/revision", json!(10))));
     let change = accepted(state.decide_put(Some(7), &first));
     assert_eq!(kind_of(&state.decide_put(Some(7), &second)), "accept");
-    state.apply(change);
+    apply(&mut state, change);
     assert_eq!(state.decide_put(Some(7), &second), Decision::Stale { current: 9 });
     assert_eq!(state.decide_put(Some(7), &first), Decision::AlreadyTaken);
 }
@@ -123,9 +130,9 @@
     let first = body(&json!({"revision": 9, "remove": {"routes": ["r-first"]}}));
     let second = body(&json!({"revision": 12, "remove": {"routes": ["r-second"]}}));
     let change = accepted(state.decide_patch(Some(7), &first));
-    state.apply(change);
+    apply(&mut state, change);
     let change = accepted(state.decide_patch(Some(9), &second));
-    state.apply(change);
+    apply(&mut state, change);
     assert_eq!(state.revision(), 12);
     assert_eq!(state.decide_patch(Some(7), &first), Decision::AlreadyTaken);
     assert_eq!(state.decide_patch(Some(9), &second), Decision::AlreadyTaken);
@@ -193,22 +200,23 @@
 fn an_accepted_change_passes_the_log() {
     let mut state = state_with_sample();
     let change = accepted(state.decide_put(Some(7), &body(&at_revision(9))));
-    let read = AcceptedChange::from_bytes(&change.to_bytes()).expect("a whole change");
-    assert_eq!(read, change);
-    state.apply(read);
-    assert_eq!(state.revision(), 9);
-    assert!(AcceptedChange::from_bytes(b"").is_err());
+    let bytes = musli::wire::to_vec(&change.entry).expect("an entry can be encoded");
+    let read: ChangeEntry = musli::wire::from_slice(&bytes).expect("an entry can be decoded");
+    assert_eq!(read, change.entry);
+    assert_eq!(state.apply_entry(&read).expect("its base is in force"), EntryOutcome::Applied);
+    assert_eq!(state.document(), Some(&change.document));
+    assert!(musli::wire::from_slice::<ChangeEntry>(b"").is_err());
 }
 
 #[test]
 fn only_the_newest_calls_are_remembered() {
     let mut state = ConfigurationState::default();
     let document = |revision: u64| json!({"revision": revision, "routes": [], "backends": []});
-    let newest = 300;
+    let newest = REMEMBERED_CALLS as u64 + 44;
     for revision in 1..=newest {
         put(&mut state, revision - 1, &document(revision));
     }
-    let oldest_known = newest - timetable::history::REMEMBERED_CALLS as u64 + 1;
+    let oldest_known = newest - REMEMBERED_CALLS as u64 + 1;
     let decide = |revision: u64| state.decide_put(Some(revision - 1), &body(&document(revision)));
     assert_eq!(decide(oldest_known), Decision::AlreadyTaken);
     assert_eq!(decide(oldest_known - 1), Decision::Stale { current: newest });
--- a/crates/tower/src/machine.rs
+++ b/crates/tower/src/machine.rs
@@ -183,7 +183,7 @@
 
     fn apply(&mut self, command: &[u8]) -> Result<Applied, StateError> {
         match self.accepted.take_if(|accepted| *accepted.command == *command) {
-            Some(accepted) => Ok(self.state.apply_accepted(accepted)),
+            Some(accepted) => self.state.apply_accepted(accepted),
             None => self.state.apply(command),
         }
     }
--- a/crates/tower/src/state/mod.rs
+++ b/crates/tower/src/state/mod.rs
@@ -7,14 +7,22 @@
 use std::sync::Arc;
 
 use musli::{Decode, Encode};
-use snafu::{ResultExt, Snafu};
-use timetable::history::{
-    AcceptedChange, ConfigurationState, Decision as ConfigurationDecision, DecodeError,
+use snafu::{OptionExt, ResultExt, Snafu};
+use timetable::encoding::{self, EncodingError, Format};
+use timetable::history::Decision as ConfigurationDecision;
+use timetable::{
+    AcceptedChange, ApplyError, ChangeEntry, ConfigurationState, Document, EntryOutcome, Findings,
+    SnapshotError,
 };
-use timetable::{Document, Findings};
 
 pub use weights::{NamedWeights, WeightsDecision};
 
+/// The form of a command.
+const COMMAND_FORMAT: Format = Format(*b"CMD2");
+
+/// The form of a snapshot.
+const SNAPSHOT_FORMAT: Format = Format(*b"STA2");
+
 /// A change that the operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -42,16 +50,10 @@
 }
 
 /// A change that was decided on, as the members agree on it.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Command {
     /// Puts a configuration in force, on top of the one that it was decided on.
-    Configure {
-        /// The version that it builds on.
-        base: u64,
-        /// The encoded change.
-        #[musli(bytes)]
-        change: Vec<u8>,
-    },
+    Configure(ChangeEntry),
     /// Names weights of a model.
     NameWeights {
         /// The model.
@@ -97,35 +99,44 @@
 /// A command, ready to be applied.
 #[derive(Clone, Debug, PartialEq)]
 enum Prepared {
-    Configure { base: u64, change: Box<AcceptedChange> },
+    Configure(Box<AcceptedChange>),
     NameWeights { model: String, revision: u64 },
 }
 
-/// What a command has changed.
+/// What has become of a command's call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Applied {
-    /// There is a new configuration.
+    /// Its configuration was taken, by this command or by an earlier one of the same call.
     Configuration,
-    /// There are new weights.
+    /// Its weights were named, by this command or by an earlier one of the same call.
     Weights,
-    /// Nothing: the command built on a state that was no longer in force.
+    /// It was not taken: the command built on a state that was no longer in force.
     Superseded,
 }
 
-/// Why bytes give no command or state.
+/// Why a command or a snapshot gives no state. The member must not go on with the state it has.
 #[derive(Debug, Snafu)]
 pub enum StateError {
-    /// The bytes are of another form.
+    /// The bytes can't be decoded.
     #[snafu(display("the agreed state can't be decoded: {source}"))]
-    Malformed {
-        /// What the decoder says.
-        source: musli::wire::Error,
+    Encoding {
+        /// What is wrong with them.
+        source: EncodingError,
     },
-    /// The configuration in them can't be used.
-    #[snafu(display("an agreed configuration can't be used: {source}"))]
+    /// The configuration in a snapshot can't be used.
+    #[snafu(display("a snapshot's configuration can't be used: {source}"))]
     Configuration {
         /// What is wrong with it.
-        source: DecodeError,
+        source: SnapshotError,
+    },
+    /// The weights in a snapshot can't be used.
+    #[snafu(display("the remembered namings of weights are cut"))]
+    Weights,
+    /// This member's state isn't that of the member which decided.
+    #[snafu(display("this member's state has diverged: {source}"))]
+    Diverged {
+        /// Where it shows.
+        source: ApplyError,
     },
 }
 
@@ -136,11 +147,12 @@
     weights: NamedWeights,
 }
 
+/// A state's form in a snapshot.
 #[derive(Encode, Decode)]
 struct Snapshot {
     #[musli(bytes)]
     configuration: Vec<u8>,
-    weights: NamedWeights,
+    weights: weights::Snapshot,
 }
 
 impl State {
@@ -172,9 +184,7 @@
             ConfigurationDecision::AlreadyTaken => Decision::AlreadyTaken,
             ConfigurationDecision::Stale { current } => Decision::Stale { current },
             ConfigurationDecision::Invalid(findings) => Decision::InvalidConfiguration { findings },
-            ConfigurationDecision::Accept(change) => {
-                accept(Prepared::Configure { base: self.configuration.revision(), change })
-            }
+            ConfigurationDecision::Accept(change) => accept(Prepared::Configure(change)),
         }
     }
 
@@ -188,36 +198,42 @@
 
     /// Applies a command.
     pub fn apply(&mut self, command: &[u8]) -> Result<Applied, StateError> {
-        let command = musli::wire::from_slice(command).context(MalformedSnafu)?;
-        Ok(self.apply_prepared(Prepared::from_command(command)?))
+        match encoding::decode(COMMAND_FORMAT, command).context(EncodingSnafu)? {
+            Command::Configure(entry) => {
+                let outcome = self.configuration.apply_entry(&entry).context(DivergedSnafu)?;
+                Ok(configuration_applied(outcome))
+            }
+            Command::NameWeights { model, revision } => Ok(self.name_weights(model, revision)),
+        }
     }
 
     /// Applies a change that this member itself has decided on.
-    pub fn apply_accepted(&mut self, accepted: Accepted) -> Applied {
-        self.apply_prepared(accepted.prepared)
+    pub fn apply_accepted(&mut self, accepted: Accepted) -> Result<Applied, StateError> {
+        match accepted.prepared {
+            Prepared::Configure(change) => {
+                let outcome = self.configuration.apply_accepted(*change).context(DivergedSnafu)?;
+                Ok(configuration_applied(outcome))
+            }
+            Prepared::NameWeights { model, revision } => Ok(self.name_weights(model, revision)),
+        }
     }
 
-    fn apply_prepared(&mut self, prepared: Prepared) -> Applied {
-        match prepared {
-            Prepared::Configure { base, .. } if base != self.configuration.revision() => {
-                Applied::Superseded
-            }
-            Prepared::Configure { change, .. } => {
-                self.configuration.apply(*change);
-                Applied::Configuration
-            }
-            Prepared::NameWeights { model, revision } => match self.weights.name(model, revision) {
-                true => Applied::Weights,
-                false => Applied::Superseded,
-            },
+    fn name_weights(&mut self, model: String, revision: u64) -> Applied {
+        match self.weights.decide(&model, revision) {
+            WeightsDecision::Old { .. } => return Applied::Superseded,
+            WeightsDecision::AlreadyNamed => {}
+            WeightsDecision::Accept => self.weights.name(model, revision),
         }
+        Applied::Weights
     }
 
     /// The state as bytes.
     pub fn snapshot(&self) -> Vec<u8> {
-        let snapshot =
-            Snapshot { configuration: self.configuration.to_snapshot(), weights: self.weights.clone() };
-        encode(&snapshot)
+        let snapshot = Snapshot {
+            configuration: self.configuration.to_snapshot(),
+            weights: self.weights.to_snapshot(),
+        };
+        encoding::encode(SNAPSHOT_FORMAT, &snapshot)
     }
 
     /// The state from the bytes of [`State::snapshot`]; the empty state from none.
@@ -225,29 +241,18 @@
         if snapshot.is_empty() {
             return Ok(State::default());
         }
-        let snapshot: Snapshot = musli::wire::from_slice(snapshot).context(MalformedSnafu)?;
+        let snapshot: Snapshot = encoding::decode(SNAPSHOT_FORMAT, snapshot).context(EncodingSnafu)?;
         let configuration =
             ConfigurationState::from_snapshot(&snapshot.configuration).context(ConfigurationSnafu)?;
-        Ok(State { configuration, weights: snapshot.weights })
+        let weights = NamedWeights::from_snapshot(snapshot.weights).context(WeightsSnafu)?;
+        Ok(State { configuration, weights })
     }
 }
 
 impl Prepared {
-    fn from_command(command: Command) -> Result<Prepared, StateError> {
-        match command {
-            Command::Configure { base, change } => {
-                let change = AcceptedChange::from_bytes(&change).context(ConfigurationSnafu)?;
-                Ok(Prepared::Configure { base, change: Box::new(change) })
-            }
-            Command::NameWeights { model, revision } => Ok(Prepared::NameWeights { model, revision }),
-        }
-    }
-
     fn to_command(&self) -> Command {
         match self {
-            Prepared::Configure { base, change } => {
-                Command::Configure { base: *base, change: change.to_bytes() }
-            }
+            Prepared::Configure(change) => Command::Configure(change.entry.clone()),
             Prepared::NameWeights { model, revision } => {
                 Command::NameWeights { model: model.clone(), revision: *revision }
             }
@@ -256,11 +261,13 @@
 }
 
 fn accept(prepared: Prepared) -> Decision {
-    let command = encode(&prepared.to_command()).into();
+    let command = encoding::encode(COMMAND_FORMAT, &prepared.to_command()).into();
     Decision::Accept(Box::new(Accepted { command, prepared }))
 }
 
-/// Encoding into memory has no way to fail for these types.
-fn encode<T: Encode<musli::mode::Binary>>(value: &T) -> Vec<u8> {
-    musli::wire::to_vec(value).expect("a value of plain fields can be encoded")
+fn configuration_applied(outcome: EntryOutcome) -> Applied {
+    match outcome {
+        EntryOutcome::Applied | EntryOutcome::Repeated => Applied::Configuration,
+        EntryOutcome::Superseded => Applied::Superseded,
+    }
 }
--- a/crates/tower/src/state/weights.rs
+++ b/crates/tower/src/state/weights.rs
@@ -1,13 +1,15 @@
 //! Which weights the operator has named.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use musli::{Decode, Encode};
+use timetable::{RememberedCalls, RequestDigest};
 
-/// Revisions that were named, by model.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+/// The newest weights of each model, and the namings that are known when they are sent again.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct NamedWeights {
-    models: BTreeMap<String, BTreeSet<u64>>,
+    newest: BTreeMap<String, u64>,
+    taken: RememberedCalls,
 }
 
 /// The answer to a naming of weights.
@@ -15,7 +17,7 @@
 pub enum WeightsDecision {
     /// They were named before.
     AlreadyNamed,
-    /// They are older than those named, and were never named themselves.
+    /// They are older than those named, and aren't known to have been named themselves.
     Old {
         /// The newest revision that was named.
         newest: u64,
@@ -24,30 +26,49 @@
     Accept,
 }
 
+/// Their form in a snapshot.
+#[derive(Encode, Decode)]
+pub(super) struct Snapshot {
+    newest: BTreeMap<String, u64>,
+    #[musli(bytes)]
+    taken: Vec<u8>,
+}
+
 impl NamedWeights {
     /// Decides on a naming; nothing changes.
     pub fn decide(&self, model: &str, revision: u64) -> WeightsDecision {
-        let Some(revisions) = self.models.get(model) else { return WeightsDecision::Accept };
-        if revisions.contains(&revision) {
-            return WeightsDecision::AlreadyNamed;
-        }
-        match revisions.last() {
-            Some(newest) if *newest > revision => WeightsDecision::Old { newest: *newest },
+        match self.newest.get(model) {
+            Some(newest) if *newest == revision => WeightsDecision::AlreadyNamed,
+            Some(newest) if *newest > revision => self.decide_older(model, revision, *newest),
             _ => WeightsDecision::Accept,
         }
     }
 
-    /// Names weights; whether they are newer than all before.
-    pub fn name(&mut self, model: String, revision: u64) -> bool {
-        let revisions = self.models.entry(model).or_default();
-        let newer = revisions.last().is_none_or(|newest| *newest < revision);
-        newer && revisions.insert(revision)
+    fn decide_older(&self, model: &str, revision: u64, newest: u64) -> WeightsDecision {
+        match self.taken.contains(&RequestDigest::of_weights(model, revision)) {
+            true => WeightsDecision::AlreadyNamed,
+            false => WeightsDecision::Old { newest },
+        }
+    }
+
+    /// Names weights that are newer than all before.
+    pub(super) fn name(&mut self, model: String, revision: u64) {
+        self.taken.remember(RequestDigest::of_weights(&model, revision));
+        self.newest.insert(model, revision);
     }
 
     /// The newest revision of each model.
     pub fn newest(&self) -> BTreeMap<String, u64> {
-        let newest =
-            |(model, revisions): (&String, &BTreeSet<u64>)| Some((model.clone(), *revisions.last()?));
-        self.models.iter().filter_map(newest).collect()
+        self.newest.clone()
+    }
+
+    pub(super) fn to_snapshot(&self) -> Snapshot {
+        Snapshot { newest: self.newest.clone(), taken: self.taken.to_bytes() }
+    }
+
+    /// None if the remembered namings are no whole digests.
+    pub(super) fn from_snapshot(snapshot: Snapshot) -> Option<Self> {
+        let taken = RememberedCalls::from_bytes(&snapshot.taken)?;
+        Some(NamedWeights { newest: snapshot.newest, taken })
     }
 }
--- a/crates/tower/tests/state.rs
+++ b/crates/tower/tests/state.rs
@@ -114,7 +114,7 @@
     for change in [put(0, 3), name("m", 2), put(3, 8)] {
         let accepted = accepted(&deciding, &change);
         following.apply(&accepted.command).expect("the command can be applied");
-        deciding.apply_accepted(accepted);
+        deciding.apply_accepted(accepted).expect("its base is in force");
     }
     assert_eq!(deciding, following);
     assert_eq!(deciding.snapshot(), following.snapshot());
