Test that repeated calls of the operator are known at the agreed state

Cause: repeats were tested for two calls only, and fields with one name were sorted in a call's digest, so bodies that differ in their order counted as one call although another value is in force. Change: tests for two commands of one call, rivals on one base, other bodies under one revision, repeats after 1, 256 and 4,000 changes by others, after a restoration, after a whole new document, after changes of the same items, and in other notations. Fields with one name keep their order in the digest. The operator's calls stand in tests/support/operator.rs for all tests of the state.

--- a/crates/timetable/src/digest.rs
+++ b/crates/timetable/src/digest.rs
@@ -68,9 +68,8 @@
     pub const FRACTION: u64 = 6;
     pub const TEXT: u64 = 7;
     pub const LIST: u64 = 8;
-    pub const FIELD: u64 = 9;
-    pub const OBJECT: u64 = 10;
-    pub const WEIGHTS: u64 = 11;
+    pub const OBJECT: u64 = 9;
+    pub const WEIGHTS: u64 = 10;
 }
 
 fn digest_of_bytes(tag: u64, bytes: &[u8]) -> RawDigest {
@@ -135,10 +134,10 @@
     fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<RawDigest, A::Error> {
         let mut parts = Vec::new();
         while let Some(name) = fields.next_key_seed(self)? {
-            let value = fields.next_value_seed(self)?;
-            parts.push(digest_of_parts(tag::FIELD, &[name, value]));
+            parts.push([name, fields.next_value_seed(self)?]);
         }
-        parts.sort_unstable();
-        Ok(digest_of_parts(tag::OBJECT, &parts))
+        // Of fields with the same name the last one counts: these stay in their order.
+        parts.sort_by_key(|[name, _]| *name);
+        Ok(digest_of_parts(tag::OBJECT, parts.as_flattened()))
     }
 }
--- a/crates/tower/tests/state.rs
+++ b/crates/tower/tests/state.rs
@@ -1,43 +1,10 @@
 //! The agreed state: decisions, commands, snapshots.
 
-use rstest::rstest;
-use timetable::Document;
-use tower::state::{Accepted, Applied, Change, Decision, State};
-
-fn configuration(revision: u64, routes: &str) -> Vec<u8> {
-    let service = r#"{"label":"chat","checkPath":"/health"}"#;
-    format!(r#"{{"revision":{revision},"routes":[{routes}],"backends":[{service}]}}"#).into_bytes()
-}
-
-fn route(label: &str, prefix: &str) -> String {
-    format!(
-        r#"{{"label":"{label}","hostname":"a.example","pathStart":"{prefix}","sort":"harmless","timeLimitMs":1000,"targetMs":100,"rank":0,"backend":"chat","tries":2,"public":true}}"#
-    )
-}
-
-fn put(if_match: u64, revision: u64) -> Change {
-    Change::PutConfiguration { if_match: Some(if_match), body: configuration(revision, &route("r", "/r/")) }
-}
-
-fn name(model: &str, revision: u64) -> Change {
-    Change::NameWeights { model: model.to_owned(), revision }
-}
-
-fn accepted(state: &State, change: &Change) -> Accepted {
-    match state.decide(change) {
-        Decision::Accept(accepted) => *accepted,
-        other => panic!("{other:?}"),
-    }
-}
+mod support;
 
-fn take(state: &mut State, change: &Change) -> Applied {
-    let accepted = accepted(state, change);
-    state.apply(&accepted.command).expect("the command can be applied")
-}
-
-fn revision(state: &State) -> u64 {
-    state.document().map_or(0, Document::revision)
-}
+use rstest::rstest;
+use support::operator::{accepted, name, patch, put, revision, route, take};
+use tower::state::{Applied, Change, Decision, State};
 
 #[test]
 fn a_configuration_is_taken_on_top_of_the_newest() {
@@ -79,7 +46,7 @@
     take(&mut state, &put(0, 3));
     let upsert = route("s", "/s/");
     let body = format!(r#"{{"revision":5,"upsert":{{"routes":[{upsert}]}},"remove":{{"routes":["r"]}}}}"#);
-    take(&mut state, &Change::PatchConfiguration { if_match: Some(3), body: body.into_bytes() });
+    take(&mut state, &patch(3, &body));
     let document = state.document().expect("there is a configuration");
     let labels: Vec<&str> = document.configuration().routes.iter().map(|r| r.label.as_str()).collect();
     assert_eq!((document.revision(), labels), (5, vec!["s"]));
--- /dev/null
+++ b/crates/tower/tests/state_repeats.rs
@@ -0,0 +1,222 @@
+//! Calls that are sent more than once: what was taken is acknowledged again, and takes effect once.
+
+mod support;
+
+use rstest::rstest;
+use support::operator::{
+    accepted, name, patch, patch_route, put, put_routes, restored, revision, route, take,
+};
+use timetable::REMEMBERED_CALLS;
+use tower::state::{Applied, Change, Decision, State};
+
+/// A state at revision 1.
+fn first_state() -> State {
+    let mut state = State::default();
+    take(&mut state, &put(0, 1));
+    state
+}
+
+/// Takes as many patches by other operators, each a revision further.
+fn take_others(state: &mut State, count: u64) {
+    for _ in 0..count {
+        let base = revision(state);
+        let label = format!("other-{}", base % 5);
+        take(state, &patch_route(base, base + 1, &label, &format!("/{label}/{base}/")));
+    }
+}
+
+fn put_call() -> Change {
+    put_routes(1, 2, &[route("s", "/s/")])
+}
+
+fn patch_call() -> Change {
+    patch_route(1, 2, "s", "/s/")
+}
+
+/// Two copies of a call are decided on before either is applied, as after an agreement that took too long.
+#[rstest]
+#[case::a_document(put_call(), Applied::Configuration)]
+#[case::a_patch(patch_call(), Applied::Configuration)]
+#[case::weights(name("m", 2), Applied::Weights)]
+fn two_commands_of_one_call_are_both_taken_and_apply_once(
+    #[case] call: Change,
+    #[case] expected: Applied,
+    #[values(0, 1, 20)] others_between: u64,
+) {
+    let mut state = first_state();
+    let first = accepted(&state, &call);
+    let second = accepted(&state, &call);
+    assert_eq!(first.command, second.command);
+    assert_eq!(state.apply(&first.command).expect("it can be applied"), expected);
+    take_others(&mut state, others_between);
+    let before = state.clone();
+    assert_eq!(state.apply(&second.command).expect("it can be applied"), expected);
+    assert_eq!(state, before);
+    assert_eq!(state.apply_accepted(second).expect("it can be applied"), expected);
+    assert_eq!(state, before);
+}
+
+#[test]
+fn an_older_naming_whose_copy_was_taken_before_newer_weights_is_taken() {
+    let mut state = State::default();
+    let copies = [accepted(&state, &name("m", 2)), accepted(&state, &name("m", 2))];
+    let rival = accepted(&state, &name("m", 1));
+    assert_eq!(state.apply(&copies[0].command).expect("it can be applied"), Applied::Weights);
+    take(&mut state, &name("m", 4));
+    assert_eq!(state.apply(&copies[1].command).expect("it can be applied"), Applied::Weights);
+    assert_eq!(state.apply(&rival.command).expect("it can be applied"), Applied::Superseded);
+    assert_eq!(state.weights().newest()["m"], 4);
+}
+
+#[rstest]
+#[case::two_documents(put_call(), put_routes(1, 2, &[route("t", "/t/")]))]
+#[case::two_patches(patch_call(), patch_route(1, 2, "t", "/t/"))]
+#[case::a_document_and_a_patch(put_call(), patch_call())]
+#[case::a_patch_and_a_document(patch_call(), put_call())]
+#[case::other_revisions(put_call(), put_routes(1, 9, &[route("s", "/s/")]))]
+fn of_two_calls_on_one_base_the_first_wins(#[case] winner: Change, #[case] loser: Change) {
+    let mut state = first_state();
+    let (first, second) = (accepted(&state, &winner), accepted(&state, &loser));
+    assert_eq!(state.apply(&first.command).expect("it can be applied"), Applied::Configuration);
+    let after = state.clone();
+    assert_eq!(state.apply(&second.command).expect("it can be applied"), Applied::Superseded);
+    assert_eq!(state, after);
+    for _ in 0..2 {
+        assert_eq!(state.decide(&winner), Decision::AlreadyTaken);
+        assert_eq!(state.decide(&loser), Decision::Stale { current: 2 });
+    }
+}
+
+#[rstest]
+#[case::another_document(put_routes(1, 2, &[route("t", "/t/")]))]
+#[case::the_same_document_on_another_base(put_routes(0, 2, &[route("s", "/s/")]))]
+#[case::a_patch_to_the_same_revision(patch_call())]
+fn the_same_revision_with_another_body_is_refused(#[case] other: Change) {
+    let mut state = first_state();
+    take(&mut state, &put_call());
+    assert_eq!(state.decide(&other), Decision::Stale { current: 2 });
+}
+
+#[rstest]
+#[case::a_document(put_call())]
+#[case::a_patch(patch_call())]
+fn a_repeat_is_known_after_many_others(#[case] call: Change, #[values(1, 256, 4_000)] others: u64) {
+    let mut state = first_state();
+    take(&mut state, &call);
+    take_others(&mut state, others);
+    assert_eq!(state.decide(&call), Decision::AlreadyTaken);
+    assert_eq!(restored(&state).decide(&call), Decision::AlreadyTaken);
+}
+
+/// A naming is known as long as those after it fit into the window, and never if it wasn't taken.
+#[test]
+fn a_naming_is_known_after_many_others() {
+    let mut state = State::default();
+    let newest = REMEMBERED_CALLS as u64 + 1;
+    for revision in 1..=newest {
+        take(&mut state, &name("m", 2 * revision));
+    }
+    for state in [restored(&state), state] {
+        assert_eq!(state.decide(&name("m", 4)), Decision::AlreadyTaken);
+        assert_eq!(state.decide(&name("m", 2)), Decision::OldWeights { newest: 2 * newest });
+        for never_named in [1, 3, 5, 2 * newest - 1] {
+            let refused = Decision::OldWeights { newest: 2 * newest };
+            assert_eq!(state.decide(&name("m", never_named)), refused);
+        }
+    }
+}
+
+/// The newest weights of a model are known however many others were named since.
+#[test]
+fn the_newest_naming_of_a_model_is_always_known() {
+    let mut state = State::default();
+    take(&mut state, &name("quiet", 7));
+    for revision in 0..REMEMBERED_CALLS as u64 {
+        take(&mut state, &name("busy", revision));
+    }
+    assert_eq!(state.decide(&name("quiet", 7)), Decision::AlreadyTaken);
+}
+
+#[rstest]
+#[case::a_document(put_call())]
+#[case::a_patch(patch_call())]
+#[case::weights(name("m", 2))]
+fn a_repeat_is_known_after_a_restoration(#[case] call: Change) {
+    let mut state = first_state();
+    take(&mut state, &call);
+    let mut state = restored(&state);
+    assert_eq!(state.decide(&call), Decision::AlreadyTaken);
+    take_others(&mut state, 3);
+    assert_eq!(restored(&state).decide(&call), Decision::AlreadyTaken);
+}
+
+#[rstest]
+#[case::a_document(put_call())]
+#[case::a_patch(patch_call())]
+fn a_repeat_is_known_after_a_document_that_replaced_everything(#[case] call: Change) {
+    let mut state = first_state();
+    take(&mut state, &call);
+    take(&mut state, &put_routes(2, 3, &[]));
+    let before = state.clone();
+    assert_eq!(state.decide(&call), Decision::AlreadyTaken);
+    assert_eq!(state, before);
+}
+
+#[test]
+fn a_patch_is_known_after_its_items_were_changed_by_others() {
+    let mut state = first_state();
+    take(&mut state, &patch_call());
+    take(&mut state, &patch_route(2, 3, "s", "/changed/"));
+    assert_eq!(state.decide(&patch_call()), Decision::AlreadyTaken);
+    take(&mut state, &patch(3, r#"{"revision":4,"remove":{"routes":["s"]}}"#));
+    assert_eq!(state.decide(&patch_call()), Decision::AlreadyTaken);
+    let document = state.document().expect("there is one");
+    let labels: Vec<&str> = document.configuration().routes.iter().map(|r| r.label.as_str()).collect();
+    assert_eq!(labels, ["r"]);
+}
+
+/// A call is known by its JSON value: a client that writes its order anew, perhaps with its fields in
+/// another order, still sends the same order.
+#[rstest]
+#[case::other_white_space(r#"{ "revision": 2, "remove": {"routes": ["r"]}, "caps": {"quietMs": 5} }"#)]
+#[case::another_order_of_fields(r#"{"caps":{"quietMs":5},"remove":{"routes":["r"]},"revision":2}"#)]
+#[case::escaped_letters(r#"{"revision":2,"remove":{"routes":["\u0072"]},"caps":{"quietMs":5}}"#)]
+fn another_notation_is_the_same_call(#[case] body: &str) {
+    let mut state = first_state();
+    take(&mut state, &patch(1, r#"{"revision":2,"remove":{"routes":["r"]},"caps":{"quietMs":5}}"#));
+    assert_eq!(state.decide(&patch(1, body)), Decision::AlreadyTaken);
+}
+
+#[rstest]
+#[case::another_order_of_items(r#"{"revision":2,"remove":{"routes":["q","r"]}}"#)]
+#[case::another_kind_of_number(r#"{"revision":2,"remove":{"routes":["r","q"]},"caps":{"quietMs":5.0}}"#)]
+#[case::a_field_more(r#"{"revision":2,"remove":{"routes":["r","q"]},"caps":null}"#)]
+fn another_value_is_another_call(#[case] body: &str) {
+    let mut state = first_state();
+    take(&mut state, &patch(1, r#"{"revision":2,"remove":{"routes":["r","q"]},"caps":{"quietMs":5}}"#));
+    assert_eq!(state.decide(&patch(1, body)), Decision::Stale { current: 2 });
+}
+
+/// Of fields with one name the last counts, so their order makes another call.
+#[test]
+fn another_order_of_fields_with_one_name_is_another_call() {
+    let body =
+        |first, second| format!(r#"{{"revision":2,"routes":[],"backends":[],"x":{first},"x":{second}}}"#);
+    let call = |body: String| Change::PutConfiguration { if_match: Some(1), body: body.into_bytes() };
+    let mut state = first_state();
+    take(&mut state, &call(body(1, 2)));
+    assert_eq!(state.decide(&call(body(2, 1))), Decision::Stale { current: 2 });
+}
+
+/// What the windows cost: 16 bytes for each call, and nothing that grows with time.
+#[test]
+fn a_state_of_full_windows_has_a_bounded_size() {
+    let mut state = State::default();
+    for revision in 0..2 * REMEMBERED_CALLS as u64 {
+        take(&mut state, &name("m", revision));
+    }
+    let empty = State::default().snapshot().len();
+    let length = state.snapshot().len();
+    println!("a snapshot of {empty} bytes with no calls, of {length} with {REMEMBERED_CALLS} namings");
+    assert!(length <= empty + REMEMBERED_CALLS * 16 + 64, "{length} bytes");
+}
--- a/crates/tower/tests/support/mod.rs
+++ b/crates/tower/tests/support/mod.rs
@@ -1,4 +1,5 @@
-//! A simulated cluster in virtual time: network, disks, clocks, and a checker of what must always hold.
+//! A simulated cluster in virtual time: network, disks, clocks, and a checker of what must always hold;
+//! and calls of an operator.
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
@@ -6,5 +7,6 @@
 pub mod disk;
 pub mod history;
 pub mod machine;
+pub mod operator;
 pub mod random;
 pub mod simulation;
