--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! One member of the control plane: feeds the agreement with messages, writes and the time, and carries out what
 //! it says.
 
+pub mod compaction;
 pub mod disk_watch;
 pub mod proposals;
 
@@ -25,14 +26,13 @@
 use crate::machine::{Machine, Progress, Published};
 use crate::replication::{Input, Output, Replication, Role};
 
+use compaction::AppliedSinceSnapshot;
 use disk_watch::DiskWatch;
 pub use proposals::ProposalEnd;
 use proposals::Proposals;
 
 /// Longest time between two looks at the disk and the clock.
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
-/// Bytes of applied commands after which older entries give way to a snapshot of the state.
-const COMPACT_AFTER_BYTES: usize = 1 << 20;
 
 /// Called when what is delivered has changed.
 type PublishedListener = Box<dyn Fn(&Published)>;
@@ -63,7 +63,7 @@
     tenure: Cell<Option<u64>>,
     published: RefCell<Published>,
     listener: RefCell<Option<PublishedListener>>,
-    applied_bytes: Cell<usize>,
+    applied: Cell<AppliedSinceSnapshot>,
     alarm: Alarm,
 }
 
@@ -89,7 +89,7 @@
             tenure: Cell::new(None),
             published: RefCell::default(),
             listener: RefCell::default(),
-            applied_bytes: Cell::new(0),
+            applied: Cell::default(),
             alarm: Alarm { due: Cell::new(Duration::ZERO), sender, receiver },
         })
     }
@@ -199,10 +199,10 @@
     }
 
     async fn compact_when_due(&self) {
-        if self.applied_bytes.get() < COMPACT_AFTER_BYTES {
+        if !self.applied.get().is_snapshot_due() {
             return;
         }
-        self.applied_bytes.set(0);
+        self.applied.take();
         if let Some(snapshot) = self.machine.snapshot().await {
             self.input(Input::Compact { sequence: snapshot.sequence, snapshot: snapshot.state.into() });
         }
@@ -276,12 +276,14 @@
                 self.disk.persist(ticket, records);
             }
             Output::Apply { sequence, command, proposal } => {
-                self.applied_bytes.set(self.applied_bytes.get() + command.len());
+                let mut applied = self.applied.get();
+                applied.record(command.len());
+                self.applied.set(applied);
                 self.proposals.borrow_mut().committed(sequence, proposal);
                 self.machine.apply(sequence, command);
             }
             Output::Restore { sequence, snapshot } => {
-                self.applied_bytes.set(0);
+                self.applied.take();
                 self.machine.restore(sequence, snapshot);
             }
             Output::ProposalFailed { proposal, reason } => {
--- a/crates/tower/tests/member.rs
+++ b/crates/tower/tests/member.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use tower::member::ProposalEnd;
+use tower::member::compaction::{AppliedSinceSnapshot, COMPACT_AFTER_BYTES, COMPACT_AFTER_COMMANDS};
 use tower::member::disk_watch::DiskWatch;
 use tower::member::proposals::Proposals;
 use tower::replication::FailureReason;
@@ -64,3 +65,20 @@
     assert_eq!(end.try_recv(), Ok(expected));
     assert!(other.try_recv().is_err());
 }
+
+#[rstest]
+#[case::nothing(&[], false)]
+#[case::one_small_command(&[(1, 300)], false)]
+#[case::many_small_commands(&[(COMPACT_AFTER_COMMANDS, 0)], true)]
+#[case::one_less(&[(COMPACT_AFTER_COMMANDS - 1, 300)], false)]
+#[case::one_large_command(&[(1, COMPACT_AFTER_BYTES)], true)]
+#[case::several_large_commands(&[(1, COMPACT_AFTER_BYTES - 1), (1, 1)], true)]
+fn a_snapshot_is_due_after_many_commands_or_bytes(#[case] commands: &[(usize, usize)], #[case] due: bool) {
+    let mut applied = AppliedSinceSnapshot::default();
+    for (count, length) in commands {
+        for _ in 0..*count {
+            applied.record(*length);
+        }
+    }
+    assert_eq!(applied.is_snapshot_due(), due);
+}
