--- a/crates/tower/tests/machine.rs
+++ b/crates/tower/tests/machine.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use tower::machine::{Machine, Progress, Published};
-use tower::state::{Applied, Change, Decision, State};
+use tower::state::{Applied, Change, Decision, State, StateError};
 
 fn name(revision: u64) -> Change {
     Change::NameWeights { model: "m".to_owned(), revision }
@@ -68,3 +68,30 @@
     assert!(matches!(progress.recv_blocking(), Ok(Progress::Failed(_))));
     assert!(progress.recv_blocking().is_err());
 }
+
+fn put(revision: u64, host: &str) -> Change {
+    let service = r#"{"label":"chat"}"#;
+    let route =
+        format!(r#"{{"label":"r","hostname":"{host}","pathStart":"/","timeLimitMs":9,"backend":"chat"}}"#);
+    let body = format!(r#"{{"revision":{revision},"routes":[{route}],"backends":[{service}]}}"#);
+    Change::PutConfiguration { if_match: Some(revision - 1), body: body.into_bytes() }
+}
+
+fn state_with(change: &Change) -> State {
+    let mut state = State::default();
+    let command = command(&state, change);
+    state.apply(&command).expect("the command can be applied");
+    state
+}
+
+/// A command that was decided on in another state than this member's is not applied: the thread ends.
+#[test]
+fn a_state_that_has_diverged_ends_the_thread() {
+    let (machine, progress) = machine();
+    machine.restore(1, state_with(&put(1, "b.example")).snapshot().into());
+    applied(&progress);
+    machine.apply(2, command(&state_with(&put(1, "a.example")), &put(2, "a.example")));
+    let failed = progress.recv_blocking();
+    assert!(matches!(failed, Ok(Progress::Failed(StateError::Diverged { .. }))), "{failed:?}");
+    assert!(progress.recv_blocking().is_err());
+}
--- a/crates/tower/tests/support/mod.rs
+++ b/crates/tower/tests/support/mod.rs
@@ -9,4 +9,5 @@
 pub mod machine;
 pub mod operator;
 pub mod random;
+pub mod reference;
 pub mod simulation;
--- /dev/null
+++ b/crates/tower/tests/support/reference.rs
@@ -0,0 +1,183 @@
+//! A plain model of the agreed state: documents as JSON values, and lists of all that was taken.
+
+use std::collections::{BTreeMap, HashSet};
+
+use serde_json::{Value, json};
+use tower::state::{Applied, Change, Decision};
+
+/// The label of the service that all routes lead to.
+const SERVICE: &str = "chat";
+
+/// The answer to a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It was taken before.
+    AlreadyTaken,
+    /// It builds on another version than this one.
+    Stale(u64),
+    /// It leads to no valid configuration.
+    Invalid,
+    /// The weights are older than these.
+    OldWeights(u64),
+    /// It is to be agreed on.
+    Accept,
+}
+
+impl Answer {
+    /// The answer that a decision stands for.
+    pub fn of(decision: &Decision) -> Answer {
+        match decision {
+            Decision::AlreadyTaken => Answer::AlreadyTaken,
+            Decision::Stale { current } => Answer::Stale(*current),
+            Decision::InvalidConfiguration { .. } => Answer::Invalid,
+            Decision::OldWeights { newest } => Answer::OldWeights(*newest),
+            Decision::Accept(_) => Answer::Accept,
+        }
+    }
+}
+
+/// What makes a call of configuration the same as another.
+#[derive(Clone, Debug, PartialEq)]
+struct ConfigurationCall {
+    is_patch: bool,
+    base: u64,
+    body: Value,
+}
+
+/// The model of the agreed state.
+#[derive(Debug, Default)]
+pub struct Reference {
+    document: Option<Value>,
+    taken: Vec<ConfigurationCall>,
+    weights: BTreeMap<String, Vec<u64>>,
+}
+
+impl Reference {
+    /// The configuration in force.
+    pub fn document(&self) -> Option<&Value> {
+        self.document.as_ref()
+    }
+
+    /// The version in force, 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.document.as_ref().map_or(0, revision_of)
+    }
+
+    /// The newest weights of each model.
+    pub fn newest_weights(&self) -> BTreeMap<String, u64> {
+        let newest = |(model, revisions): (&String, &Vec<u64>)| Some((model.clone(), *revisions.last()?));
+        self.weights.iter().filter_map(newest).collect()
+    }
+
+    /// The answer to a change in the present state.
+    pub fn answer(&self, change: &Change) -> Answer {
+        match change {
+            Change::NameWeights { model, revision } => self.answer_weights(model, *revision),
+            Change::PutConfiguration { if_match, body } => {
+                self.answer_configuration(false, *if_match, body)
+            }
+            Change::PatchConfiguration { if_match, body } => {
+                self.answer_configuration(true, *if_match, body)
+            }
+        }
+    }
+
+    /// What becomes of the command of a change that was accepted in some earlier state.
+    pub fn apply(&mut self, change: &Change) -> Applied {
+        match (self.answer(change), change) {
+            (Answer::Accept, Change::NameWeights { model, revision }) => {
+                self.weights.entry(model.clone()).or_default().push(*revision);
+                Applied::Weights
+            }
+            (Answer::AlreadyTaken, Change::NameWeights { .. }) => Applied::Weights,
+            (Answer::Accept, _) => {
+                let call = call_of(change).expect("an accepted change is readable");
+                self.document = self.result(&call);
+                self.taken.push(call);
+                Applied::Configuration
+            }
+            (Answer::AlreadyTaken, _) => Applied::Configuration,
+            (Answer::Stale(_) | Answer::OldWeights(_) | Answer::Invalid, _) => Applied::Superseded,
+        }
+    }
+
+    fn answer_weights(&self, model: &str, revision: u64) -> Answer {
+        let Some(revisions) = self.weights.get(model) else { return Answer::Accept };
+        match revisions.last() {
+            _ if revisions.contains(&revision) => Answer::AlreadyTaken,
+            Some(newest) if *newest > revision => Answer::OldWeights(*newest),
+            _ => Answer::Accept,
+        }
+    }
+
+    fn answer_configuration(&self, is_patch: bool, if_match: Option<u64>, body: &[u8]) -> Answer {
+        let Ok(body) = serde_json::from_slice(body) else { return Answer::Invalid };
+        let call = ConfigurationCall { is_patch, base: if_match.unwrap_or_default(), body };
+        if self.taken.contains(&call) {
+            return Answer::AlreadyTaken;
+        }
+        if call.base != self.revision() {
+            return Answer::Stale(self.revision());
+        }
+        match self.result(&call) {
+            Some(document) if revision_of(&document) > self.revision() && is_valid(&document) => {
+                Answer::Accept
+            }
+            _ => Answer::Invalid,
+        }
+    }
+
+    /// The document to which a call leads; none if it changes one that isn't there.
+    fn result(&self, call: &ConfigurationCall) -> Option<Value> {
+        match call.is_patch {
+            true => self.document.clone().map(|document| patched(document, &call.body)),
+            false => Some(call.body.clone()),
+        }
+    }
+}
+
+fn call_of(change: &Change) -> Option<ConfigurationCall> {
+    let (is_patch, if_match, body) = match change {
+        Change::PutConfiguration { if_match, body } => (false, if_match, body),
+        Change::PatchConfiguration { if_match, body } => (true, if_match, body),
+        Change::NameWeights { .. } => return None,
+    };
+    let body = serde_json::from_slice(body).ok()?;
+    Some(ConfigurationCall { is_patch, base: if_match.unwrap_or_default(), body })
+}
+
+fn revision_of(document: &Value) -> u64 {
+    document["revision"].as_u64().expect("all documents have a revision")
+}
+
+fn items<'a>(document: &'a Value, list: &str) -> &'a [Value] {
+    document[list].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn patched(mut document: Value, patch: &Value) -> Value {
+    document["revision"] = patch["revision"].clone();
+    for list in ["routes", "backends"] {
+        let mut kept = items(&document, list).to_vec();
+        let removed = items(&patch["remove"], list);
+        kept.retain(|item| !removed.contains(&item["label"]));
+        for item in items(&patch["upsert"], list) {
+            match kept.iter_mut().find(|known| known["label"] == item["label"]) {
+                Some(known) => *known = item.clone(),
+                None => kept.push(item.clone()),
+            }
+        }
+        document[list] = json!(kept);
+    }
+    document
+}
+
+/// Labels and prefixes are unique, and routes lead to a service that is there.
+fn is_valid(document: &Value) -> bool {
+    let routes = items(document, "routes");
+    let has_service = items(document, "backends").iter().any(|service| service["label"] == SERVICE);
+    let are_unique = |field: &str| {
+        let values: HashSet<&str> = routes.iter().filter_map(|route| route[field].as_str()).collect();
+        values.len() == routes.len()
+    };
+    (routes.is_empty() || has_service) && are_unique("label") && are_unique("pathStart")
+}
