Name the configuration's fields once, and give commands a module of their own

Cause: field names stood in four files, the reading of a list's items three times, the trait of labelled items in the module of differences; state/mod.rs held commands, their encoding and the state. Change: timetable::fields, Checker::items, Labelled beside the model, tower::state::command. Tests of the timetable share `accepted` and `state_with`.

--- a/crates/timetable/benches/configuration_change.rs
+++ b/crates/timetable/benches/configuration_change.rs
@@ -4,8 +4,9 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
-use timetable::{AcceptedChange, ConfigurationState, Decision};
+use common::{accepted, state_with};
+use serde_json::json;
+use timetable::{ConfigurationState, Decision};
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -27,20 +28,6 @@
     report("PUT with one route changed", &state, || state.decide_put(Some(1), &whole));
 }
 
-fn state_with(document: &Value) -> ConfigurationState {
-    let mut state = ConfigurationState::default();
-    let change = accepted(state.decide_put(None, &common::body(document)));
-    state.apply_accepted(change).expect("it is the first");
-    state
-}
-
-fn accepted(decision: Decision) -> AcceptedChange {
-    match decision {
-        Decision::Accept(change) => *change,
-        other => panic!("not accepted: {other:?}"),
-    }
-}
-
 fn report(name: &str, state: &ConfigurationState, decide: impl Fn() -> Decision) {
     let change = accepted(decide());
     let bytes = musli::wire::to_vec(&change.entry).expect("an entry can be encoded");
--- a/crates/timetable/src/change.rs
+++ b/crates/timetable/src/change.rs
@@ -10,18 +10,16 @@
 use serde_json::value::RawValue;
 
 use crate::document::Document;
+use crate::fields::{CAPS, LABEL, REVISION, ROUTES, SERVICES, TENANTS};
 use crate::findings::{Fault, Findings};
 use crate::wire::{self, Object};
 
-const REVISION: &str = "revision";
 const UPSERT: &str = "upsert";
 const REMOVE: &str = "remove";
-const LABEL: &str = "label";
-const CAPS: &str = "caps";
 const NULL: &str = "null";
 
 /// Lists that each configuration may have; others are merged alike where a change names them.
-const KNOWN_LISTS: [&str; 3] = ["routes", "backends", "customers"];
+const KNOWN_LISTS: [&str; 3] = [ROUTES, SERVICES, TENANTS];
 
 /// The fields of an object, each as its text.
 type RawFields<'a> = BTreeMap<Cow<'a, str>, &'a RawValue>;
--- a/crates/timetable/src/check.rs
+++ b/crates/timetable/src/check.rs
@@ -6,16 +6,15 @@
 
 use std::collections::HashMap;
 
+use crate::fields::{LABEL, REVISION, ROUTES, SERVICES, TENANTS};
 use crate::findings::{Fault, Findings};
-use crate::model::{Caps, Configuration, Route, RouteKind, Service, ServiceRuntime, Share, Tenant};
+use crate::model::{
+    Caps, Configuration, Labelled, Route, RouteKind, Service, ServiceRuntime, Share, Tenant,
+};
 use crate::wire::{
     Object, Whole, WireCaps, WireDocument, WireRoute, WireRuntime, WireService, WireShare, WireTenant,
 };
 
-const ROUTES: &str = "routes";
-const SERVICES: &str = "backends";
-const TENANTS: &str = "customers";
-
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
 /// The weight of a service that a route names alone.
@@ -66,7 +65,7 @@
 
 impl Checker {
     fn configuration(&mut self, document: WireDocument) -> Configuration {
-        let revision = self.needed(document.revision, || "revision".to_owned());
+        let revision = self.needed(document.revision, || REVISION.to_owned());
         let services = self.services(document.backends);
         let routes = self.routes(document.routes);
         let requires_key = document.customers.is_some();
@@ -83,12 +82,7 @@
 
     fn services(&mut self, services: Option<Vec<Object<WireService>>>) -> Vec<Service> {
         let wire = self.needed(services, || SERVICES.to_owned());
-        let services: Vec<Service> = wire
-            .into_iter()
-            .enumerate()
-            .map(|(index, Object(service))| self.service(ItemPlace { list: SERVICES, index }, service))
-            .collect();
-        self.unique_labels(SERVICES, services.iter().map(|service| service.label.as_str()));
+        let services = self.items(SERVICES, wire, Self::service);
         for service in &services {
             let kind = service.store_address.as_ref().map_or(ServiceKind::Replicas, |_| ServiceKind::Store);
             self.service_kinds.entry(service.label.clone()).or_insert(kind);
@@ -104,7 +98,7 @@
             None => DEFAULT_HEALTH_PATH.to_owned(),
         };
         Service {
-            label: self.text(place, "label", wire.label),
+            label: self.text(place, LABEL, wire.label),
             health_path: wire.check_path.unwrap_or_else(default_health_path),
             connection_limit: wire.conn_limit.unwrap_or_default().to_u32(),
             runtime: wire.runtime.map(|Object(wire)| runtime(wire)),
@@ -117,12 +111,7 @@
 
     fn routes(&mut self, routes: Option<Vec<Object<WireRoute>>>) -> Vec<Route> {
         let wire = self.needed(routes, || ROUTES.to_owned());
-        let routes: Vec<Route> = wire
-            .into_iter()
-            .enumerate()
-            .map(|(index, Object(route))| self.route(ItemPlace { list: ROUTES, index }, route))
-            .collect();
-        self.unique_labels(ROUTES, routes.iter().map(|route| route.label.as_str()));
+        let routes = self.items(ROUTES, wire, Self::route);
         self.unique_places(&routes);
         routes
     }
@@ -130,7 +119,7 @@
     fn route(&mut self, place: ItemPlace, wire: WireRoute) -> Route {
         let time_limit_ms = self.time_limit(place, wire.time_limit_ms);
         Route {
-            label: self.text(place, "label", wire.label),
+            label: self.text(place, LABEL, wire.label),
             host: self.host(place, wire.hostname),
             path_prefix: self.path_prefix(place, wire.path_start),
             kind: wire.sort.map_or(RouteKind::Risky, |sort| sort.0),
@@ -239,20 +228,14 @@
     }
 
     fn tenants(&mut self, tenants: Option<Vec<Object<WireTenant>>>) -> Vec<Tenant> {
-        let wire = tenants.unwrap_or_default();
-        let tenants: Vec<Tenant> = wire
-            .into_iter()
-            .enumerate()
-            .map(|(index, Object(tenant))| self.tenant(ItemPlace { list: TENANTS, index }, tenant))
-            .collect();
-        self.unique_labels(TENANTS, tenants.iter().map(|tenant| tenant.label.as_str()));
+        let tenants = self.items(TENANTS, tenants.unwrap_or_default(), Self::tenant);
         self.unique_keys(&tenants);
         tenants
     }
 
     fn tenant(&mut self, place: ItemPlace, wire: WireTenant) -> Tenant {
         Tenant {
-            label: self.text(place, "label", wire.label),
+            label: self.text(place, LABEL, wire.label),
             api_keys: wire.api_keys.unwrap_or_default(),
             rank: wire.rank.map(Whole::to_u8),
             isolated: wire.isolated.unwrap_or_default(),
@@ -273,13 +256,29 @@
         }
     }
 
-    fn unique_labels<'a>(&mut self, list: &'static str, labels: impl Iterator<Item = &'a str>) {
+    /// Reads the items of a list, whose labels must be unique.
+    fn items<W, T: Labelled>(
+        &mut self,
+        list: &'static str,
+        wire: Vec<Object<W>>,
+        read: fn(&mut Self, ItemPlace, W) -> T,
+    ) -> Vec<T> {
+        let mut items = Vec::with_capacity(wire.len());
+        for (index, Object(item)) in wire.into_iter().enumerate() {
+            items.push(read(self, ItemPlace { list, index }, item));
+        }
+        self.unique_labels(list, &items);
+        items
+    }
+
+    fn unique_labels<T: Labelled>(&mut self, list: &'static str, items: &[T]) {
         let mut first_at: HashMap<&str, usize> = HashMap::new();
-        for (index, label) in labels.enumerate().filter(|(_, label)| !label.is_empty()) {
+        let labels = items.iter().map(Labelled::label).enumerate();
+        for (index, label) in labels.filter(|(_, label)| !label.is_empty()) {
             let first = *first_at.entry(label).or_insert(index);
             if first != index {
                 let other = ItemPlace { list, index: first }.path();
-                self.findings.add(ItemPlace { list, index }.field("label"), Fault::SameLabel { other });
+                self.findings.add(ItemPlace { list, index }.field(LABEL), Fault::SameLabel { other });
             }
         }
     }
--- a/crates/timetable/src/difference.rs
+++ b/crates/timetable/src/difference.rs
@@ -4,7 +4,7 @@
 
 use musli::{Decode, Encode};
 
-use crate::model::{Caps, Configuration, Route, Service, Tenant};
+use crate::model::{Caps, Configuration, Labelled, Route, Service, Tenant};
 
 /// What differs between two revisions. Items are named by their labels.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -65,31 +65,8 @@
     }
 }
 
-/// An item of a list whose labels are unique.
-trait Labelled: Clone + PartialEq {
-    fn label(&self) -> &str;
-}
-
-impl Labelled for Route {
-    fn label(&self) -> &str {
-        &self.label
-    }
-}
-
-impl Labelled for Service {
-    fn label(&self) -> &str {
-        &self.label
-    }
-}
-
-impl Labelled for Tenant {
-    fn label(&self) -> &str {
-        &self.label
-    }
-}
-
 /// Items of `new` that `old` lacks or holds otherwise, and the labels of those that only `old` has.
-fn changed_items<T: Labelled>(old: &[T], new: &[T]) -> (Vec<T>, Vec<String>) {
+fn changed_items<T: Labelled + Clone + PartialEq>(old: &[T], new: &[T]) -> (Vec<T>, Vec<String>) {
     let old_by_label: HashMap<&str, &T> = old.iter().map(|item| (item.label(), item)).collect();
     let new_labels: HashSet<&str> = new.iter().map(Labelled::label).collect();
     let is_changed = |item: &&T| old_by_label.get(item.label()) != Some(item);
@@ -99,7 +76,7 @@
     (changed, removed)
 }
 
-fn merged_items<T: Labelled>(old: &[T], changed: &[T], removed: &[String]) -> Vec<T> {
+fn merged_items<T: Labelled + Clone + PartialEq>(old: &[T], changed: &[T], removed: &[String]) -> Vec<T> {
     let removed: HashSet<&str> = removed.iter().map(String::as_str).collect();
     let mut changed_by_label: HashMap<&str, &T> = changed.iter().map(|item| (item.label(), item)).collect();
     let mut merged = Vec::with_capacity(old.len() + changed.len());
--- a/crates/timetable/src/entry.rs
+++ b/crates/timetable/src/entry.rs
@@ -7,7 +7,7 @@
 use crate::delta::{Delta, DeltaError};
 use crate::digest::RequestDigest;
 use crate::document::{Document, DocumentVersion};
-use crate::findings::Findings;
+use crate::findings::{Fault, Findings};
 
 /// A change that was decided on, and the documents between which it leads.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -130,9 +130,7 @@
 
 /// The document to which an operator's change of named items leads.
 pub(crate) fn patched(base: Option<&Document>, body: &[u8]) -> Result<Document, Findings> {
-    let Some(base) = base else {
-        return Err(Findings::one("", crate::findings::Fault::NothingToChange));
-    };
+    let Some(base) = base else { return Err(Findings::one("", Fault::NothingToChange)) };
     base.apply(&Patch::parse(body)?)
 }
 
--- a/crates/timetable/src/history.rs
+++ b/crates/timetable/src/history.rs
@@ -11,6 +11,7 @@
 use crate::document::Document;
 use crate::encoding::{self, EncodingError, Format};
 use crate::entry::{self, ApplyError, ChangeContent, ChangeEntry};
+use crate::fields::REVISION;
 use crate::findings::{Fault, Findings};
 use crate::remembered::RememberedCalls;
 use crate::wire;
@@ -18,8 +19,6 @@
 /// The revision on which the first configuration builds.
 pub const NO_REVISION: u64 = 0;
 
-const REVISION: &str = "revision";
-
 /// The form of a snapshot.
 const SNAPSHOT_FORMAT: Format = Format(*b"CFS2");
 
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod encoding;
 pub mod entry;
+mod fields;
 pub mod findings;
 pub mod history;
 pub mod lookup;
--- a/crates/timetable/src/model.rs
+++ b/crates/timetable/src/model.rs
@@ -142,3 +142,26 @@
     /// Its prompts share no KV cache with other tenants'.
     pub isolated: bool,
 }
+
+/// An item of a list whose labels are unique.
+pub(crate) trait Labelled {
+    fn label(&self) -> &str;
+}
+
+impl Labelled for Route {
+    fn label(&self) -> &str {
+        &self.label
+    }
+}
+
+impl Labelled for Service {
+    fn label(&self) -> &str {
+        &self.label
+    }
+}
+
+impl Labelled for Tenant {
+    fn label(&self) -> &str {
+        &self.label
+    }
+}
--- a/crates/timetable/src/wire.rs
+++ b/crates/timetable/src/wire.rs
@@ -8,6 +8,7 @@
 use serde::de::{DeserializeOwned, Deserializer, Error, MapAccess, Visitor};
 use serde_json::{Map, Value};
 
+use crate::fields::{CAPS, REVISION, ROUTES, SERVICES, TENANTS};
 use crate::findings::{Fault, Findings};
 use crate::model::RouteKind;
 
@@ -220,11 +221,11 @@
 fn faults_of(text: &str, error: &serde_json::Error) -> Findings {
     let Ok(Value::Object(fields)) = serde_json::from_str(text) else { return unreadable(error) };
     let mut reader = FaultReader { fields, findings: Findings::default() };
-    reader.field::<Option<u64>>("revision");
-    reader.items::<WireRoute>("routes");
-    reader.items::<WireService>("backends");
-    reader.field::<Option<Object<WireCaps>>>("caps");
-    reader.items::<WireTenant>("customers");
+    reader.field::<Option<u64>>(REVISION);
+    reader.items::<WireRoute>(ROUTES);
+    reader.items::<WireService>(SERVICES);
+    reader.field::<Option<Object<WireCaps>>>(CAPS);
+    reader.items::<WireTenant>(TENANTS);
     if reader.findings.is_empty() { unreadable(error) } else { reader.findings }
 }
 
--- a/crates/timetable/tests/common/mod.rs
+++ b/crates/timetable/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use serde_json::{Value, json};
+use timetable::{AcceptedChange, ConfigurationState, Decision};
 
 /// A valid configuration: two routes, two services and a store, two tenants, and fields that the system
 /// doesn't know.
@@ -81,3 +82,19 @@
         ]
     })
 }
+
+/// The change of a call that must be accepted.
+pub fn accepted(decision: Decision) -> AcceptedChange {
+    match decision {
+        Decision::Accept(change) => *change,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// A state whose first configuration is this one.
+pub fn state_with(document: &Value) -> ConfigurationState {
+    let mut state = ConfigurationState::default();
+    let change = accepted(state.decide_put(None, &body(document)));
+    state.apply_accepted(change).expect("it is the first");
+    state
+}
--- a/crates/timetable/tests/entry.rs
+++ b/crates/timetable/tests/entry.rs
@@ -2,24 +2,10 @@
 
 mod common;
 
-use common::{body, large_configuration, large_route, sample, sample_with};
+use common::{accepted, body, large_configuration, large_route, sample, sample_with, state_with};
 use rstest::rstest;
 use serde_json::{Value, json};
-use timetable::{AcceptedChange, ApplyError, ChangeEntry, ConfigurationState, Decision, EntryOutcome};
-
-fn accepted(decision: Decision) -> AcceptedChange {
-    match decision {
-        Decision::Accept(change) => *change,
-        other => panic!("not accepted: {other:?}"),
-    }
-}
-
-fn state_with(document: &Value) -> ConfigurationState {
-    let mut state = ConfigurationState::default();
-    let change = accepted(state.decide_put(None, &body(document)));
-    state.apply_accepted(change).expect("it is the first");
-    state
-}
+use timetable::{ApplyError, ChangeEntry, ConfigurationState, EntryOutcome};
 
 fn put_of(state: &ConfigurationState, document: &Value) -> ChangeEntry {
     accepted(state.decide_put(Some(state.revision()), &body(document))).entry
--- a/crates/timetable/tests/history.rs
+++ b/crates/timetable/tests/history.rs
@@ -2,20 +2,13 @@
 
 mod common;
 
-use common::{body, sample, sample_with};
+use common::{accepted, body, sample, sample_with, state_with};
 use rstest::rstest;
 use serde_json::{Value, json};
 use timetable::{
     AcceptedChange, ChangeEntry, ConfigurationState, Decision, EntryOutcome, REMEMBERED_CALLS,
 };
 
-fn accepted(decision: Decision) -> AcceptedChange {
-    match decision {
-        Decision::Accept(change) => *change,
-        other => panic!("not accepted: {other:?}"),
-    }
-}
-
 /// Applies a change that must take effect.
 fn apply(state: &mut ConfigurationState, change: AcceptedChange) {
     assert_eq!(state.apply_accepted(change).expect("its base is in force"), EntryOutcome::Applied);
@@ -28,9 +21,7 @@
 
 /// A state with the sample (revision 7) in force.
 fn state_with_sample() -> ConfigurationState {
-    let mut state = ConfigurationState::default();
-    put(&mut state, 0, &sample());
-    state
+    state_with(&sample())
 }
 
 fn at_revision(revision: u64) -> Value {
--- a/crates/tower/src/member/compaction.rs
+++ b/crates/tower/src/member/compaction.rs
@@ -5,7 +5,7 @@
 
 /// Applied commands after which a snapshot is due, however small they are. A member applies them again when
 /// it starts, each in about 10 ms for a configuration of 1.3 MB.
-pub const COMPACT_AFTER_COMMANDS: usize = 128;
+pub const COMPACT_AFTER_COMMANDS: usize = 64;
 
 /// What was applied since the last snapshot.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/tower/src/state/mod.rs
+++ b/crates/tower/src/state/mod.rs
@@ -2,24 +2,19 @@
 //!
 //! No I/O and no clock: the same commands in the same order lead to the same state at every member.
 
+mod command;
 mod weights;
 
-use std::sync::Arc;
-
 use musli::{Decode, Encode};
 use snafu::{OptionExt, ResultExt, Snafu};
 use timetable::encoding::{self, EncodingError, Format};
 use timetable::history::Decision as ConfigurationDecision;
-use timetable::{
-    AcceptedChange, ApplyError, ChangeEntry, ConfigurationState, Document, EntryOutcome, Findings,
-    SnapshotError,
-};
+use timetable::{ApplyError, ConfigurationState, Document, EntryOutcome, Findings, SnapshotError};
 
+use command::Prepared;
+pub use command::{Accepted, Command};
 pub use weights::{NamedWeights, WeightsDecision};
 
-/// The form of a command.
-const COMMAND_FORMAT: Format = Format(*b"CMD2");
-
 /// The form of a snapshot.
 const SNAPSHOT_FORMAT: Format = Format(*b"STA2");
 
@@ -49,20 +44,6 @@
     },
 }
 
-/// A change that was decided on, as the members agree on it.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub enum Command {
-    /// Puts a configuration in force, on top of the one that it was decided on.
-    Configure(ChangeEntry),
-    /// Names weights of a model.
-    NameWeights {
-        /// The model.
-        model: String,
-        /// The revision of the weights.
-        revision: u64,
-    },
-}
-
 /// The answer to a change.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -87,22 +68,6 @@
     Accept(Box<Accepted>),
 }
 
-/// A change that was accepted.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Accepted {
-    /// What the members have to agree on.
-    pub command: Arc<[u8]>,
-    /// The same, ready to be applied.
-    prepared: Prepared,
-}
-
-/// A command, ready to be applied.
-#[derive(Clone, Debug, PartialEq)]
-enum Prepared {
-    Configure(Box<AcceptedChange>),
-    NameWeights { model: String, revision: u64 },
-}
-
 /// What has become of a command's call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -184,7 +149,7 @@
             ConfigurationDecision::AlreadyTaken => Decision::AlreadyTaken,
             ConfigurationDecision::Stale { current } => Decision::Stale { current },
             ConfigurationDecision::Invalid(findings) => Decision::InvalidConfiguration { findings },
-            ConfigurationDecision::Accept(change) => accept(Prepared::Configure(change)),
+            ConfigurationDecision::Accept(change) => accepted(Prepared::Configure(change)),
         }
     }
 
@@ -192,13 +157,15 @@
         match self.weights.decide(model, revision) {
             WeightsDecision::AlreadyNamed => Decision::AlreadyTaken,
             WeightsDecision::Old { newest } => Decision::OldWeights { newest },
-            WeightsDecision::Accept => accept(Prepared::NameWeights { model: model.to_owned(), revision }),
+            WeightsDecision::Accept => {
+                accepted(Prepared::NameWeights { model: model.to_owned(), revision })
+            }
         }
     }
 
     /// Applies a command.
     pub fn apply(&mut self, command: &[u8]) -> Result<Applied, StateError> {
-        match encoding::decode(COMMAND_FORMAT, command).context(EncodingSnafu)? {
+        match Command::from_bytes(command).context(EncodingSnafu)? {
             Command::Configure(entry) => {
                 let outcome = self.configuration.apply_entry(&entry).context(DivergedSnafu)?;
                 Ok(configuration_applied(outcome))
@@ -249,25 +216,13 @@
     }
 }
 
-impl Prepared {
-    fn to_command(&self) -> Command {
-        match self {
-            Prepared::Configure(change) => Command::Configure(change.entry.clone()),
-            Prepared::NameWeights { model, revision } => {
-                Command::NameWeights { model: model.clone(), revision: *revision }
-            }
-        }
-    }
-}
-
-fn accept(prepared: Prepared) -> Decision {
-    let command = encoding::encode(COMMAND_FORMAT, &prepared.to_command()).into();
-    Decision::Accept(Box::new(Accepted { command, prepared }))
-}
-
 fn configuration_applied(outcome: EntryOutcome) -> Applied {
     match outcome {
         EntryOutcome::Applied | EntryOutcome::Repeated => Applied::Configuration,
         EntryOutcome::Superseded => Applied::Superseded,
     }
 }
+
+fn accepted(prepared: Prepared) -> Decision {
+    Decision::Accept(Box::new(Accepted::new(prepared)))
+}
