--- a/crates/tower/tests/whole_member.rs
+++ b/crates/tower/tests/whole_member.rs
@@ -14,8 +14,10 @@
 use intercom::feed::SubscriberRole;
 use jetway::{WireLimits, within};
 use rstest::rstest;
+use serde_json::{Value, json};
 use station::settings::Settings;
 use tower::http_client::{Answer, Call, HttpClient};
+use tower::member::compaction::COMPACT_AFTER_COMMANDS;
 use tower::server::run_until;
 
 /// The last byte of the first member's address on the loopback network. Each member has an address that nobody else
@@ -183,6 +185,52 @@
     async_io::block_on(within(LIMIT, lives)).expect("both lives end in time");
 }
 
+/// A change of one route that builds on the revision before.
+fn patch_of_a_route(revision: u64) -> String {
+    format!(
+        r#"{{"revision":{revision},"upsert":{{"routes":[{{"label":"r","hostname":"a.example","pathStart":"/r/{revision}/","timeLimitMs":1000,"backend":"chat"}}]}}}}"#
+    )
+}
+
+async fn send_patch(machine: &Machine, revision: u64) {
+    let (base, body) = ((revision - 1).to_string(), patch_of_a_route(revision));
+    let headers = [("If-Match", base.as_str())];
+    let patch = Call { method: "PATCH", target: "/settings", headers: &headers, body: body.as_bytes() };
+    let answer = machine.call(patch).await;
+    assert_eq!(answer.body, format!(r#"{{"revision":{revision}}}"#).as_bytes());
+}
+
+/// Some changes are in a snapshot of the state then, and the newest ones in the log only.
+#[test]
+fn many_changes_are_found_again_and_known_after_a_stop() {
+    let changes = REVISION + 1..=REVISION + COMPACT_AFTER_COMMANDS as u64 + 6;
+    let machine = Machine::new();
+    let lives = async {
+        run_beside(machine.settings(true), async {
+            let put =
+                Call { method: "PUT", target: "/settings", headers: &[], body: CONFIGURATION.as_bytes() };
+            machine.call(put).await;
+            for revision in changes.clone() {
+                send_patch(&machine, revision).await;
+            }
+        })
+        .await;
+        run_beside(machine.settings(false), async {
+            let answer = machine.call(Call::get("/settings")).await;
+            let document: Value = serde_json::from_slice(&answer.body).expect("it is JSON");
+            assert_eq!(document["revision"], json!(changes.end()));
+            assert_eq!(document["routes"][0]["pathStart"], json!(format!("/r/{}/", changes.end())));
+            assert_eq!(document["note"], json!("kept"));
+            for revision in changes.clone() {
+                send_patch(&machine, revision).await;
+            }
+            assert_eq!(machine.call(Call::get("/settings")).await.body, answer.body);
+        })
+        .await;
+    };
+    async_io::block_on(within(LIMIT, lives)).expect("both lives end in time");
+}
+
 #[test]
 fn all_members_tell_which_weights_are_named_and_who_has_the_duties() {
     let machines = Machine::group(2);
