Bring holders up to date in parts that resume, in place of one long message

Cause: a view change sent the whole state in one `Sync` message, and anew every 300 ms. On a slow link it held up the heartbeats behind it, ran into the attempt's 0.8 s, and began again from nothing; a state longer than a frame could not be sent at all. Each step forward restarts the attempt's stall timer. A holder whose data mark equals the proposer's is sent nothing but the first parts. The sync phase moves out of campaign.rs and follower.rs into `replication/sync.rs`. Checks: the tests that used a long `Sync` to fill a frame use a long `Append` instead, over the same bounds; the room that a message takes beside its bytes is now checked for both.

--- a/crates/intercom/src/control.rs
+++ b/crates/intercom/src/control.rs
@@ -42,6 +42,19 @@
     pub command: Arc<[u8]>,
 }
 
+/// Names the data that a proposer sends in parts. The same data has the same name under each epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct TransferId {
+    /// The entry up to which its snapshot goes.
+    pub snapshot_sequence: u64,
+    /// Its newest entry.
+    pub sequence: u64,
+    /// Its length in bytes.
+    pub length: u64,
+    /// Its checksum (XXH3, 64 bits).
+    pub checksum: u64,
+}
+
 /// What members say to each other.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum ControlMessage {
@@ -64,17 +77,29 @@
         /// The highest epoch that the sender has promised.
         promised: u64,
     },
-    /// Brings a future holder up to date before its view is installed.
+    /// A part of the data that brings a future holder up to date before its view is installed.
     Sync {
         /// The proposed epoch.
         epoch: u64,
-        /// The entry up to which the snapshot goes.
-        snapshot_sequence: u64,
-        /// The encoded state at that entry.
+        /// The epoch of the proposer's data before this view change: a member whose data has the same epoch and
+        /// the same newest entry has all of it.
+        data_epoch: u64,
+        /// The data that the part belongs to.
+        transfer: TransferId,
+        /// Where the part begins.
+        offset: u64,
+        /// The part.
         #[musli(with = crate::shared_bytes)]
-        snapshot: Arc<[u8]>,
-        /// All entries after it.
-        entries: Vec<Entry>,
+        bytes: Arc<[u8]>,
+    },
+    /// How much of the data the sender has received without gaps. None of it need be on its disk.
+    SyncProgress {
+        /// The epoch of the sync.
+        epoch: u64,
+        /// The data.
+        transfer: TransferId,
+        /// Bytes from the beginning.
+        received: u64,
     },
     /// The sync is on the sender's disk.
     Synced {
--- a/crates/intercom/tests/control.rs
+++ b/crates/intercom/tests/control.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use intercom::control::{ControlMessage, Entry, Envelope};
+use intercom::control::{ControlMessage, Entry, Envelope, TransferId};
 use intercom::frame;
 use intercom::node::NodeId;
+use rstest::rstest;
 
-/// Bytes of a message beside the commands and the state in it.
+/// Bytes of a message beside the commands and the data in it.
 const MOST_OVERHEAD: usize = 100;
 
 /// Text, as most of a configuration is.
@@ -14,16 +15,19 @@
     b"{\"label\":\"r-1\"}".iter().copied().cycle().take(bytes).collect()
 }
 
-#[test]
-fn commands_and_the_state_take_no_more_room_than_their_bytes() {
-    let entry = Entry { sequence: 9, command: text(100_000) };
-    let message = ControlMessage::Sync {
-        epoch: 1 << 40,
-        snapshot_sequence: 8,
-        snapshot: text(200_000),
-        entries: vec![entry],
-    };
-    let sent = Envelope { from: NodeId::default(), to: NodeId::default(), message };
+#[rstest]
+#[case::command(|bytes| ControlMessage::Append { epoch: 1 << 40, entry: Entry { sequence: 9, command: bytes } })]
+#[case::part_of_the_data(|bytes| ControlMessage::Sync {
+    epoch: 1 << 40,
+    data_epoch: 1 << 39,
+    transfer: TransferId { snapshot_sequence: 1 << 40, sequence: 1 << 40, length: 1 << 30, checksum: u64::MAX },
+    offset: 1 << 29,
+    bytes,
+})]
+fn commands_and_the_data_take_no_more_room_than_their_bytes(
+    #[case] message: fn(Arc<[u8]>) -> ControlMessage,
+) {
+    let sent = Envelope { from: NodeId::default(), to: NodeId::default(), message: message(text(300_000)) };
     let encoded = frame::encode(&sent).expect("it can be encoded");
     assert!(encoded.len() < 300_000 + MOST_OVERHEAD, "{} bytes", encoded.len());
     assert_eq!(frame::decode::<Envelope>(&encoded).expect("it can be decoded"), sent);
--- a/crates/intercom/tests/frame.rs
+++ b/crates/intercom/tests/frame.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use intercom::control::{ControlMessage, Entry, Envelope, View};
+use intercom::control::{ControlMessage, Entry, Envelope, TransferId, View};
 use intercom::frame::{self, FrameError, MAX_MESSAGE_BYTES};
 use intercom::node::NodeId;
 use rstest::rstest;
@@ -30,8 +30,12 @@
 }
 
 fn sync() -> ControlMessage {
-    let entries = vec![Entry { sequence: 4, command: Vec::new().into() }];
-    ControlMessage::Sync { epoch: 7, snapshot_sequence: 3, snapshot: vec![9; 1000].into(), entries }
+    let transfer = TransferId { snapshot_sequence: 3, sequence: 4, length: 1500, checksum: u64::MAX };
+    ControlMessage::Sync { epoch: 7, data_epoch: 6, transfer, offset: 500, bytes: vec![9; 1000].into() }
+}
+
+fn sync_progress() -> ControlMessage {
+    ControlMessage::SyncProgress { epoch: 7, transfer: TransferId::default(), received: 1500 }
 }
 
 fn framed(messages: &[Envelope]) -> Vec<u8> {
@@ -46,6 +50,7 @@
 #[case::append(append(5))]
 #[case::install(install())]
 #[case::sync(sync())]
+#[case::sync_progress(sync_progress())]
 #[case::join(ControlMessage::Join { zone: "zone-ä".to_owned() })]
 fn a_message_is_read_as_it_was_written(#[case] message: ControlMessage) {
     let sent = envelope(message);
@@ -83,8 +88,8 @@
 
 #[test]
 fn a_message_over_the_bound_is_not_sent() {
-    let snapshot = vec![0; MAX_MESSAGE_BYTES].into();
-    let message = ControlMessage::Sync { epoch: 7, snapshot_sequence: 3, snapshot, entries: Vec::new() };
+    let command = vec![0; MAX_MESSAGE_BYTES].into();
+    let message = ControlMessage::Append { epoch: 7, entry: Entry { sequence: 3, command } };
     let mut bytes = Vec::new();
     assert!(matches!(frame::append(&envelope(message), &mut bytes), Err(FrameError::TooLong { .. })));
     assert!(bytes.is_empty());
--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -10,16 +10,15 @@
 use super::membership::{Candidate, Members, Selection};
 use super::peers::is_recent;
 use super::quorum::{electorate, has_quorum, is_settled, next_epoch};
-use super::settings::{
-    ATTEMPT_STALL, BACKUP_DEAD_AFTER, JOIN_FRESH, RESEND_INTERVAL, SYNC_RESEND_INTERVAL, VOTER_DEAD_AFTER,
-};
+use super::settings::{ATTEMPT_STALL, BACKUP_DEAD_AFTER, JOIN_FRESH, RESEND_INTERVAL, VOTER_DEAD_AFTER};
+use super::sync::SyncPhase;
 
 /// Failed attempts in a row beyond this number make no difference.
 const MOST_COUNTED_FAILURES: u32 = 4;
 
 /// How far a view change has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
+pub(super) enum Phase {
     /// Promises come in.
     Preparing,
     /// Future holders are brought up to date.
@@ -35,16 +34,17 @@
 pub(super) struct Attempt {
     pub(super) epoch: u64,
     base: View,
-    phase: Phase,
+    pub(super) phase: Phase,
     promises: BTreeSet<NodeId>,
     /// Those of them that have recorded the base.
     base_recorded: BTreeSet<NodeId>,
     /// The new view, once enough have promised.
-    view: View,
-    synced: BTreeSet<NodeId>,
+    pub(super) view: View,
+    /// Brings the future holders up to date, once they are chosen.
+    pub(super) sync: Option<SyncPhase>,
     installed: BTreeSet<NodeId>,
-    resend_at: Duration,
-    stalled_at: Duration,
+    pub(super) resend_at: Duration,
+    pub(super) stalled_at: Duration,
 }
 
 impl Attempt {
@@ -105,7 +105,7 @@
             promises: BTreeSet::new(),
             base_recorded: BTreeSet::new(),
             view: View::default(),
-            synced: BTreeSet::new(),
+            sync: None,
             installed: BTreeSet::new(),
             resend_at: now + RESEND_INTERVAL,
             stalled_at: now + self.stall_term(),
@@ -125,7 +125,7 @@
             attempt.resend_at = now + RESEND_INTERVAL;
             match attempt.phase {
                 Phase::Preparing => self.send_prepares(),
-                Phase::Syncing => self.send_syncs(now),
+                Phase::Syncing => self.resend_syncs(now),
                 Phase::InstallingAtHolders | Phase::InstallingAtVoters => self.send_installs(),
             }
             self.choose_if_promised(now);
@@ -141,7 +141,7 @@
     }
 
     /// How long an attempt may go without progress.
-    fn stall_term(&self) -> Duration {
+    pub(super) fn stall_term(&self) -> Duration {
         ATTEMPT_STALL * (1 + self.failed_attempts)
     }
 
@@ -222,7 +222,7 @@
         attempt.view = next_view(&attempt.base, attempt.epoch, members);
         attempt.phase = Phase::Syncing;
         attempt.stalled_at = stalled_at;
-        self.send_syncs(now);
+        self.start_sync(now);
     }
 
     /// The members that the primary wants, by whom it hears.
@@ -304,48 +304,8 @@
         }
     }
 
-    /// Sends the whole state to holders that have not acknowledged it.
-    fn send_syncs(&mut self, now: Duration) {
-        let Some(attempt) = &mut self.attempt else { return };
-        attempt.resend_at = now + SYNC_RESEND_INTERVAL;
-        let missing: Vec<NodeId> = attempt
-            .view
-            .holders
-            .iter()
-            .filter(|holder| !attempt.synced.contains(holder))
-            .copied()
-            .collect();
-        let message = ControlMessage::Sync {
-            epoch: attempt.epoch,
-            snapshot_sequence: self.state.snapshot_sequence,
-            snapshot: self.state.snapshot.clone(),
-            entries: self.state.entries.clone(),
-        };
-        for holder in missing {
-            self.send(holder, message.clone());
-        }
-    }
-
-    /// A future holder has all data on disk.
-    pub(super) fn on_synced(&mut self, now: Duration, from: NodeId, epoch: u64, sequence: u64) {
-        let is_complete = sequence == self.state.data.sequence;
-        let stalled_at = now + self.stall_term();
-        let Some(attempt) = &mut self.attempt else { return };
-        if attempt.epoch != epoch || attempt.phase != Phase::Syncing || !is_complete {
-            return;
-        }
-        if attempt.synced.insert(from) {
-            attempt.stalled_at = stalled_at;
-        }
-        if attempt.view.holders.iter().all(|holder| attempt.synced.contains(holder)) {
-            attempt.phase = Phase::InstallingAtHolders;
-            attempt.resend_at = now + RESEND_INTERVAL;
-            self.send_installs();
-        }
-    }
-
     /// Sends the new view to all of this phase that have not recorded it.
-    fn send_installs(&mut self) {
+    pub(super) fn send_installs(&mut self) {
         let Some(attempt) = &self.attempt else { return };
         let targets: BTreeSet<NodeId> = match attempt.phase {
             Phase::InstallingAtVoters => electorate(&attempt.view),
--- a/crates/tower/src/replication/follower.rs
+++ b/crates/tower/src/replication/follower.rs
@@ -36,7 +36,7 @@
     }
 
     /// Ends own efforts in favour of another proposer that has this member's promise.
-    fn yield_to(&mut self, now: Duration, proposer: NodeId, epoch: u64) {
+    pub(super) fn yield_to(&mut self, now: Duration, proposer: NodeId, epoch: u64) {
         if proposer == self.settings.node {
             return;
         }
@@ -49,37 +49,10 @@
         self.postpone_campaign(now);
     }
 
-    fn refuse(&mut self, to: NodeId, epoch: u64) {
+    pub(super) fn refuse(&mut self, to: NodeId, epoch: u64) {
         self.send(to, ControlMessage::Refuse { epoch, promised: self.state.promised });
     }
 
-    /// A proposer brings this member up to date as a holder of the view that it is about to install.
-    pub(super) fn on_sync(&mut self, now: Duration, from: NodeId, epoch: u64, data: DurableRecord) {
-        if epoch < self.state.promised {
-            self.refuse(from, epoch);
-            return;
-        }
-        if self.state.data.epoch != epoch {
-            self.promise(epoch);
-            self.promised_to = Some(from);
-            if from == self.settings.node {
-                self.record(DurableRecord::DataEpoch(epoch));
-            } else {
-                self.yield_to(now, from, epoch);
-                self.replace_data(data);
-            }
-        }
-        let sequence = self.state.data.sequence;
-        self.send_when_durable(from, ControlMessage::Synced { epoch, sequence });
-    }
-
-    fn replace_data(&mut self, data: DurableRecord) {
-        self.record(data);
-        if self.state.snapshot_sequence > self.applied || self.state.data.sequence < self.applied {
-            self.restore();
-        }
-    }
-
     /// A proposer records its view here.
     pub(super) fn on_install(&mut self, now: Duration, from: NodeId, view: View) {
         let epoch = view.epoch;
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -19,6 +19,7 @@
     ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, PRIMARY_KNOWN_FOR, ReplicationSettings,
     VOTER_DEAD_AFTER,
 };
+use super::transfer::{IncomingTransfer, Part};
 
 /// A primary for which this member votes as long as the grant runs.
 #[derive(Debug)]
@@ -62,6 +63,8 @@
     pub(super) peers: Peers,
     pub(super) leadership: Option<Leadership>,
     pub(super) attempt: Option<Attempt>,
+    /// What a proposer has sent so far to bring this member up to date.
+    pub(super) incoming: IncomingTransfer,
     pub(super) campaign_at: Duration,
     pub(super) failed_attempts: u32,
     /// A primary that gave up and should not be chosen again at once.
@@ -98,6 +101,7 @@
             peers: Peers::default(),
             leadership: None,
             attempt: None,
+            incoming: IncomingTransfer::default(),
             campaign_at: now,
             failed_attempts: 0,
             avoided: None,
@@ -266,9 +270,12 @@
             ControlMessage::Prepare { epoch } => self.on_prepare(now, from, epoch),
             ControlMessage::Promise { epoch, view } => self.on_promise(now, from, epoch, view),
             ControlMessage::Refuse { epoch, promised } => self.on_refuse(now, from, epoch, promised),
-            ControlMessage::Sync { epoch, snapshot_sequence, snapshot, entries } => {
-                let data = DurableRecord::Reset { epoch, snapshot_sequence, snapshot, entries };
-                self.on_sync(now, from, epoch, data);
+            ControlMessage::Sync { epoch, data_epoch, transfer, offset, bytes } => {
+                let part = Part { transfer, offset, bytes };
+                self.on_sync(now, from, epoch, data_epoch, part);
+            }
+            ControlMessage::SyncProgress { epoch, transfer, received } => {
+                self.on_sync_progress(now, from, epoch, transfer, received);
             }
             ControlMessage::Synced { epoch, sequence } => self.on_synced(now, from, epoch, sequence),
             ControlMessage::Install { view } => self.on_install(now, from, view),
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -22,6 +22,8 @@
 mod peers;
 mod quorum;
 mod settings;
+mod sync;
+pub mod transfer;
 
 pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -19,8 +19,13 @@
 pub(super) const ELECTION_STAGGER: Duration = Duration::from_millis(100);
 /// Messages of a pending step are repeated after this time.
 pub(super) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
-/// The whole state is sent again after this time.
+/// Parts of the data that a future holder has not confirmed are sent again after this time, then after twice as
+/// long, and so on.
 pub(super) const SYNC_RESEND_INTERVAL: Duration = Duration::from_millis(300);
+/// The longest such time.
+pub(super) const LONGEST_SYNC_RESEND: Duration = Duration::from_millis(2400);
+/// The slowest disk, in bytes a second, that is waited for when a future holder writes what it has received.
+pub(super) const SLOWEST_DISK: u64 = 4 << 20;
 /// A view change without progress for this long is given up; after failures the next ones get more time.
 pub(super) const ATTEMPT_STALL: Duration = Duration::from_millis(800);
 /// A voter without an acknowledgement for this long is exchanged.
--- /dev/null
+++ b/crates/tower/src/replication/transfer.rs
@@ -0,0 +1,231 @@
+//! Transfer of a member's whole data to another one, in parts that may be lost, late or doubled.
+//!
+//! The sender keeps the encoded data once ([`EncodedData`]) and for each receiver how far it has come
+//! ([`OutgoingTransfer`]): at most [`WINDOW_BYTES`] are on the way, so that heartbeats on the same link are not
+//! held up for long. The receiver ([`IncomingTransfer`]) keeps what it has without gaps, says how much that is,
+//! and hands the data out only when all of it is there and its checksum is right. It names the data, not the
+//! attempt to send it, so a later attempt with the same data goes on where the last one stopped.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::control::{Entry, TransferId};
+use intercom::frame;
+use musli::{Decode, Encode};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::durable::DurableState;
+use super::settings::{LONGEST_SYNC_RESEND, SYNC_RESEND_INTERVAL};
+
+/// Bytes of a part: 52 ms on a link of 10 Mbit/s.
+pub const PART_BYTES: u64 = 64 * 1024;
+/// Bytes that may be on the way to a receiver.
+pub const WINDOW_BYTES: u64 = 2 * PART_BYTES;
+/// The longest data that a receiver takes.
+pub const LONGEST_TRANSFER: u64 = 256 << 20;
+
+/// What is transferred.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct TransferData {
+    /// The newest entry in the snapshot.
+    pub snapshot_sequence: u64,
+    /// The encoded state at that entry.
+    #[musli(with = intercom::shared_bytes)]
+    pub snapshot: Arc<[u8]>,
+    /// All entries after it.
+    pub entries: Vec<Entry>,
+}
+
+/// A part of the encoded data.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// The data.
+    pub transfer: TransferId,
+    /// Where the part begins.
+    pub offset: u64,
+    /// Its bytes.
+    pub bytes: Arc<[u8]>,
+}
+
+/// Data in the form in which it is transferred.
+#[derive(Clone, Debug)]
+pub struct EncodedData {
+    id: TransferId,
+    bytes: Vec<u8>,
+}
+
+impl EncodedData {
+    /// The data of a member.
+    pub fn of(state: &DurableState) -> EncodedData {
+        let data = TransferData {
+            snapshot_sequence: state.snapshot_sequence,
+            snapshot: state.snapshot.clone(),
+            entries: state.entries.clone(),
+        };
+        let bytes = frame::encode(&data).expect("a value of plain fields can be encoded");
+        let id = TransferId {
+            snapshot_sequence: state.snapshot_sequence,
+            sequence: state.data.sequence,
+            length: bytes.len() as u64,
+            checksum: xxh3_64(&bytes),
+        };
+        EncodedData { id, bytes }
+    }
+
+    /// Its name.
+    pub fn id(&self) -> TransferId {
+        self.id
+    }
+
+    /// The part that begins at an offset; empty at the end.
+    pub fn part(&self, offset: u64) -> Part {
+        let start = offset.min(self.id.length);
+        let end = (start + PART_BYTES).min(self.id.length);
+        let bytes = self.bytes[start as usize..end as usize].into();
+        Part { transfer: self.id, offset: start, bytes }
+    }
+}
+
+/// How far the transfer to one receiver has come.
+#[derive(Clone, Debug)]
+pub struct OutgoingTransfer {
+    length: u64,
+    /// Bytes that the receiver has.
+    received: u64,
+    /// What it has said last.
+    reported: u64,
+    /// The most that it ever had.
+    most_received: u64,
+    /// Bytes that were sent to it.
+    sent: u64,
+    resend_at: Duration,
+    resend_after: Duration,
+}
+
+impl OutgoingTransfer {
+    /// Nothing is sent yet.
+    pub fn new(length: u64, now: Duration) -> OutgoingTransfer {
+        OutgoingTransfer {
+            length,
+            received: 0,
+            reported: 0,
+            most_received: 0,
+            sent: 0,
+            resend_at: now + SYNC_RESEND_INTERVAL,
+            resend_after: SYNC_RESEND_INTERVAL,
+        }
+    }
+
+    /// When something has to be sent again.
+    pub fn resend_at(&self) -> Duration {
+        self.resend_at
+    }
+
+    /// Whether the receiver has all, on disk or not.
+    pub fn is_received(&self) -> bool {
+        self.received == self.length
+    }
+
+    /// The receiver says how much it has. Whether the transfer has come further than ever.
+    ///
+    /// Less than before means that the receiver has started anew, or that the message is late: it counts when
+    /// parts have to be sent again.
+    pub fn on_received(&mut self, now: Duration, received: u64) -> bool {
+        self.reported = received.min(self.length);
+        if self.reported > self.received {
+            self.received = self.reported;
+            self.sent = self.sent.max(self.received);
+            self.resend_after = SYNC_RESEND_INTERVAL;
+            self.resend_at = now + self.resend_after;
+        }
+        let is_further = self.received > self.most_received;
+        self.most_received = self.most_received.max(self.received);
+        is_further
+    }
+
+    /// The offsets of parts that may be sent now.
+    pub fn next_offsets(&mut self) -> Vec<u64> {
+        let end = (self.received + WINDOW_BYTES).min(self.length);
+        let mut offsets = Vec::new();
+        while self.sent < end {
+            offsets.push(self.sent);
+            self.sent = (self.sent + PART_BYTES).min(self.length);
+        }
+        offsets
+    }
+
+    /// The offsets of parts that have to be sent again. One that has all is asked again whether it is on disk.
+    pub fn resend_if_due(&mut self, now: Duration) -> Vec<u64> {
+        if now < self.resend_at {
+            return Vec::new();
+        }
+        self.resend_after = (self.resend_after * 2).min(LONGEST_SYNC_RESEND);
+        self.resend_at = now + self.resend_after;
+        self.received = self.reported;
+        self.sent = self.received;
+        if self.is_received() {
+            return vec![self.length];
+        }
+        self.next_offsets()
+    }
+}
+
+/// What a receiver has after a part.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Received {
+    /// So many bytes without gaps.
+    Partial(u64),
+    /// All, and it is what the sender has.
+    Whole(TransferData),
+}
+
+/// What a member has received of the data that is sent to it. Nothing of it is on disk.
+#[derive(Debug, Default)]
+pub struct IncomingTransfer {
+    id: TransferId,
+    bytes: Vec<u8>,
+}
+
+impl IncomingTransfer {
+    /// Takes a part. One of other data starts anew; one that leaves a gap, or that is here already, adds nothing.
+    pub fn accept(&mut self, part: &Part) -> Received {
+        if self.id != part.transfer {
+            self.clear();
+            self.id = part.transfer;
+        }
+        if self.id.length <= LONGEST_TRANSFER {
+            self.append(part);
+        }
+        let received = self.bytes.len() as u64;
+        if received < self.id.length || self.id.length == 0 {
+            return Received::Partial(received);
+        }
+        let data = self.decode();
+        self.clear();
+        data.map_or(Received::Partial(0), Received::Whole)
+    }
+
+    /// Forgets what was received.
+    pub fn clear(&mut self) {
+        *self = IncomingTransfer::default();
+    }
+
+    fn append(&mut self, part: &Part) {
+        let received = self.bytes.len() as u64;
+        let Some(known) = received.checked_sub(part.offset) else { return };
+        let Some(news) = part.bytes.get(known as usize..) else { return };
+        let missing = (self.id.length - received) as usize;
+        self.bytes.extend_from_slice(&news[..news.len().min(missing)]);
+    }
+
+    /// The data, if it is what its name says.
+    fn decode(&self) -> Option<TransferData> {
+        if xxh3_64(&self.bytes) != self.id.checksum {
+            return None;
+        }
+        let data: TransferData = frame::decode(&self.bytes).ok()?;
+        let sequence = data.entries.last().map_or(data.snapshot_sequence, |entry| entry.sequence);
+        let is_named = data.snapshot_sequence == self.id.snapshot_sequence && sequence == self.id.sequence;
+        is_named.then_some(data)
+    }
+}
--- a/crates/tower/tests/links.rs
+++ b/crates/tower/tests/links.rs
@@ -5,7 +5,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use intercom::control::{ControlMessage, Envelope};
+use intercom::control::{ControlMessage, Entry, Envelope};
 use intercom::node::NodeId;
 use tower::links::Links;
 
@@ -62,8 +62,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let listener = listen();
     let links = Rc::new(Links::new(executor.clone(), port(&listener)));
-    let snapshot = vec![7; 3 << 20].into();
-    let message = ControlMessage::Sync { epoch: 1, snapshot_sequence: 1, snapshot, entries: Vec::new() };
+    let entry = Entry { sequence: 1, command: vec![7; 3 << 20].into() };
+    let message = ControlMessage::Append { epoch: 1, entry };
     let sent = Envelope { message, ..prepare(1) };
     links.send(sent.clone());
     let received = async_io::block_on(executor.run(receive(&executor, &links, listener, 1)));
--- /dev/null
+++ b/crates/tower/tests/replication_transfer.rs
@@ -0,0 +1,307 @@
+//! The transfer of a member's data in parts, between one sender and one receiver.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use intercom::control::{Entry, TransferId};
+use rstest::rstest;
+use tower::replication::transfer::{
+    EncodedData, IncomingTransfer, LONGEST_TRANSFER, OutgoingTransfer, PART_BYTES, Part, Received,
+    TransferData, WINDOW_BYTES,
+};
+use tower::replication::{DataMark, DurableState};
+
+/// More time than any transfer of these tests takes.
+const LIMIT: Duration = Duration::from_secs(600);
+/// The time of a step of the simulated link.
+const STEP: Duration = Duration::from_millis(10);
+
+/// A member's data with one long entry.
+fn state(bytes: usize, seed: u64) -> DurableState {
+    let mut random = Rng::with_seed(seed);
+    let command: Arc<[u8]> = (0..bytes).map(|_| random.u8(..)).collect();
+    DurableState {
+        data: DataMark { epoch: 1, sequence: 8 },
+        snapshot_sequence: 7,
+        snapshot: vec![3; 20].into(),
+        entries: vec![Entry { sequence: 8, command }],
+        ..DurableState::default()
+    }
+}
+
+fn expected(state: &DurableState) -> Received {
+    Received::Whole(TransferData {
+        snapshot_sequence: state.snapshot_sequence,
+        snapshot: state.snapshot.clone(),
+        entries: state.entries.clone(),
+    })
+}
+
+/// The whole data in a single part, however long it is.
+fn whole_part(data: &EncodedData) -> Part {
+    let offsets = (0..data.id().length).step_by(PART_BYTES as usize);
+    let bytes: Vec<u8> = offsets.flat_map(|offset| data.part(offset).bytes.to_vec()).collect();
+    Part { transfer: data.id(), offset: 0, bytes: bytes.into() }
+}
+
+fn slice(whole: &Part, start: usize, end: usize) -> Part {
+    Part { transfer: whole.transfer, offset: start as u64, bytes: whole.bytes[start..end].into() }
+}
+
+/// What may happen to a message.
+#[derive(Clone, Copy)]
+struct Link {
+    /// Messages lost, in a hundred.
+    loss: u32,
+    /// Messages doubled, in a hundred.
+    duplication: u32,
+    /// Longest delay in steps.
+    delay: u32,
+}
+
+/// A message on its way.
+enum Message {
+    Part(Part),
+    Progress(u64),
+}
+
+/// A sender and a receiver with a link between them.
+struct Transfer {
+    random: Rng,
+    link: Link,
+    data: EncodedData,
+    outgoing: OutgoingTransfer,
+    incoming: IncomingTransfer,
+    under_way: Vec<(Duration, Message)>,
+    parts_sent: u64,
+}
+
+impl Transfer {
+    fn new(seed: u64, state: &DurableState, link: Link) -> Transfer {
+        let data = EncodedData::of(state);
+        Transfer {
+            random: Rng::with_seed(seed),
+            link,
+            outgoing: OutgoingTransfer::new(data.id().length, Duration::ZERO),
+            data,
+            incoming: IncomingTransfer::default(),
+            under_way: Vec::new(),
+            parts_sent: 0,
+        }
+    }
+
+    fn transmit(&mut self, now: Duration, message: impl Fn() -> Message) {
+        let copies = if self.random.u32(0..100) < self.link.duplication { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = STEP * self.random.u32(0..self.link.delay + 1);
+            if self.random.u32(0..100) >= self.link.loss {
+                self.under_way.push((now + delay, message()));
+            }
+        }
+    }
+
+    fn send(&mut self, now: Duration, offsets: Vec<u64>) {
+        assert!(offsets.len() as u64 * PART_BYTES <= WINDOW_BYTES, "no more than the window at once");
+        self.parts_sent += offsets.len() as u64;
+        for offset in offsets {
+            let part = self.data.part(offset);
+            self.transmit(now, || Message::Part(part.clone()));
+        }
+    }
+
+    /// Lets the transfer run until the receiver has all; what it then has, and when.
+    fn run(&mut self) -> (Received, Duration) {
+        let mut now = Duration::ZERO;
+        let offsets = self.outgoing.next_offsets();
+        self.send(now, offsets);
+        while now < LIMIT {
+            let (arrived, rest) =
+                std::mem::take(&mut self.under_way).into_iter().partition(|(at, _)| *at <= now);
+            self.under_way = rest;
+            let arrived: Vec<(Duration, Message)> = arrived;
+            for (_, message) in arrived {
+                match message {
+                    Message::Part(part) => match self.incoming.accept(&part) {
+                        Received::Partial(received) => self.transmit(now, || Message::Progress(received)),
+                        whole => return (whole, now),
+                    },
+                    Message::Progress(received) => {
+                        self.outgoing.on_received(now, received);
+                        let offsets = self.outgoing.next_offsets();
+                        self.send(now, offsets);
+                    }
+                }
+            }
+            let offsets = self.outgoing.resend_if_due(now);
+            self.send(now, offsets);
+            now += STEP;
+        }
+        panic!("the transfer does not end");
+    }
+}
+
+#[test]
+fn small_data_is_one_part() {
+    let state = state(1000, 1);
+    let data = EncodedData::of(&state);
+    let mut outgoing = OutgoingTransfer::new(data.id().length, Duration::ZERO);
+    assert_eq!(outgoing.next_offsets(), [0]);
+    assert_eq!(IncomingTransfer::default().accept(&data.part(0)), expected(&state));
+}
+
+#[test]
+fn a_transfer_cut_at_any_byte_goes_on_there() {
+    let state = state(1000, 1);
+    let whole = whole_part(&EncodedData::of(&state));
+    let length = whole.bytes.len();
+    for cut in 1..length {
+        let mut incoming = IncomingTransfer::default();
+        assert_eq!(incoming.accept(&slice(&whole, 0, cut)), Received::Partial(cut as u64));
+        assert_eq!(incoming.accept(&slice(&whole, cut, length)), expected(&state), "cut at {cut}");
+    }
+}
+
+#[test]
+fn parts_that_overlap_leave_a_gap_or_come_again_add_what_is_new() {
+    let state = state(1000, 1);
+    let whole = whole_part(&EncodedData::of(&state));
+    let mut incoming = IncomingTransfer::default();
+    for (start, end, received) in
+        [(0, 300, 300), (400, 900, 300), (0, 300, 300), (200, 500, 500), (100, 450, 500)]
+    {
+        let has = incoming.accept(&slice(&whole, start, end));
+        assert_eq!(has, Received::Partial(received), "after {start}..{end}");
+    }
+    assert_eq!(incoming.accept(&slice(&whole, 0, whole.bytes.len())), expected(&state));
+}
+
+#[rstest]
+#[case::good(Link { loss: 0, duplication: 0, delay: 0 })]
+#[case::slow(Link { loss: 0, duplication: 0, delay: 100 })]
+#[case::lossy(Link { loss: 30, duplication: 0, delay: 2 })]
+#[case::doubling(Link { loss: 0, duplication: 50, delay: 20 })]
+#[case::bad(Link { loss: 30, duplication: 30, delay: 60 })]
+fn a_transfer_over_any_link_ends_with_the_data(#[case] link: Link) {
+    let state = state(20 * PART_BYTES as usize + 17, 2);
+    let (mut longest, mut most_parts) = (Duration::ZERO, 0);
+    for seed in 0..40 {
+        let mut transfer = Transfer::new(seed, &state, link);
+        let (received, at) = transfer.run();
+        assert_eq!(received, expected(&state), "seed {seed}");
+        longest = longest.max(at);
+        most_parts = most_parts.max(transfer.parts_sent);
+    }
+    println!("21 parts: longest {longest:?}, most parts sent {most_parts}");
+}
+
+/// A receiver that starts again has nothing; the sender hears it and starts again too.
+#[test]
+fn a_receiver_that_starts_again_gets_all_anew() {
+    let state = state(5 * PART_BYTES as usize, 3);
+    let link = Link { loss: 0, duplication: 0, delay: 1 };
+    let mut transfer = Transfer::new(1, &state, link);
+    transfer.outgoing.on_received(Duration::ZERO, 3 * PART_BYTES);
+    assert_eq!(transfer.run().0, expected(&state));
+}
+
+/// A sender that starts again with the same data, as under a higher epoch, sends only what is missing.
+#[test]
+fn a_later_attempt_with_the_same_data_goes_on() {
+    let state = state(5 * PART_BYTES as usize, 3);
+    let data = EncodedData::of(&state);
+    let mut incoming = IncomingTransfer::default();
+    for number in 0..4 {
+        incoming.accept(&data.part(number * PART_BYTES));
+    }
+    let again = EncodedData::of(&state);
+    let mut outgoing = OutgoingTransfer::new(again.id().length, Duration::ZERO);
+    let first = outgoing.next_offsets();
+    assert_eq!(incoming.accept(&again.part(first[0])), Received::Partial(4 * PART_BYTES));
+    assert!(outgoing.on_received(Duration::ZERO, 4 * PART_BYTES));
+    assert_eq!(outgoing.next_offsets(), [4 * PART_BYTES, 5 * PART_BYTES]);
+}
+
+#[test]
+fn other_data_starts_anew() {
+    let (first, second) = (state(1000, 1), state(1000, 2));
+    let (whole, other) = (whole_part(&EncodedData::of(&first)), whole_part(&EncodedData::of(&second)));
+    let mut incoming = IncomingTransfer::default();
+    incoming.accept(&slice(&whole, 0, 600));
+    assert_eq!(incoming.accept(&slice(&other, 600, 700)), Received::Partial(0));
+    assert_eq!(incoming.accept(&other), expected(&second));
+}
+
+/// A sender that is broken gives bytes of other data under the name of these.
+#[test]
+fn bytes_of_other_data_under_the_same_name_are_seen() {
+    let (first, second) = (state(1000, 1), state(1000, 2));
+    let (whole, other) = (whole_part(&EncodedData::of(&first)), whole_part(&EncodedData::of(&second)));
+    let mixed = Part { transfer: whole.transfer, ..slice(&other, 500, 600) };
+    let mut incoming = IncomingTransfer::default();
+    incoming.accept(&slice(&whole, 0, 500));
+    incoming.accept(&mixed);
+    let end = slice(&whole, 600, whole.bytes.len());
+    assert_eq!(incoming.accept(&end), Received::Partial(0), "nothing of it is used");
+    assert_eq!(incoming.accept(&whole), expected(&first));
+}
+
+/// The checksum is right, but the data is not what its name says.
+#[test]
+fn data_with_another_newest_entry_than_it_says_is_refused() {
+    let whole = whole_part(&EncodedData::of(&state(1000, 1)));
+    let transfer = TransferId { sequence: 9, ..whole.transfer };
+    let renamed = Part { transfer, ..whole };
+    assert_eq!(IncomingTransfer::default().accept(&renamed), Received::Partial(0));
+}
+
+/// Memory is taken for bytes that have come, not for those that are announced, and never beyond a bound.
+#[test]
+fn data_over_the_bound_is_not_taken() {
+    let whole = whole_part(&EncodedData::of(&state(1000, 1)));
+    let announce = |length| Part { transfer: TransferId { length, ..whole.transfer }, ..whole.clone() };
+    let mut incoming = IncomingTransfer::default();
+    assert_eq!(incoming.accept(&announce(LONGEST_TRANSFER + 1)), Received::Partial(0));
+    assert_eq!(incoming.accept(&announce(LONGEST_TRANSFER)), Received::Partial(whole.transfer.length));
+    assert_eq!(incoming.accept(&announce(0)), Received::Partial(0));
+}
+
+/// After a cut, parts are sent again at growing intervals until the receiver answers.
+#[test]
+fn a_silent_receiver_is_asked_less_and_less() {
+    let mut outgoing = OutgoingTransfer::new(10 * PART_BYTES, Duration::ZERO);
+    outgoing.next_offsets();
+    let mut sendings = Vec::new();
+    for step in 0..1200 {
+        let now = STEP * step;
+        if !outgoing.resend_if_due(now).is_empty() {
+            sendings.push(now.as_millis());
+        }
+    }
+    assert_eq!(sendings, [300, 900, 2100, 4500, 6900, 9300, 11700]);
+}
+
+/// A late answer is no step, neither forward nor back.
+#[test]
+fn a_late_answer_changes_nothing() {
+    let mut outgoing = OutgoingTransfer::new(10 * PART_BYTES, Duration::ZERO);
+    assert!(outgoing.on_received(STEP, 5 * PART_BYTES));
+    assert_eq!(outgoing.next_offsets(), [5 * PART_BYTES, 6 * PART_BYTES]);
+    assert!(!outgoing.on_received(STEP, PART_BYTES));
+    assert!(!outgoing.on_received(STEP, 5 * PART_BYTES));
+    assert!(outgoing.next_offsets().is_empty());
+    assert!(outgoing.on_received(STEP, 6 * PART_BYTES));
+    assert_eq!(outgoing.next_offsets(), [7 * PART_BYTES]);
+}
+
+/// What a receiver has anew after a restart is no step forward until it has more than before.
+#[test]
+fn a_receiver_that_starts_again_is_no_step_forward() {
+    let mut outgoing = OutgoingTransfer::new(10 * PART_BYTES, Duration::ZERO);
+    assert!(outgoing.on_received(STEP, 2 * PART_BYTES));
+    assert!(!outgoing.on_received(STEP, 0));
+    assert_eq!(outgoing.resend_if_due(STEP * 100), [0, PART_BYTES]);
+    assert!(!outgoing.on_received(STEP, PART_BYTES));
+    assert!(!outgoing.on_received(STEP, 2 * PART_BYTES));
+    assert!(outgoing.on_received(STEP, 3 * PART_BYTES));
+}
