Keep heartbeats and resends clear of long entries on slow links and disks

Cause: an entry of 1.3 MB takes a second on 10 Mbit/s; heartbeats waited behind it on the one connection, and the entry was sent again every 0.2 s (up to 256 entries, whatever their length), so the backup was taken for dead, exchanged, and the next one alike. Change: entries and parts of the data have a connection of their own; how far the holders are moves out of leader.rs into `replication/progress.rs`; entries are sent again, 256 KiB or one entry, only when they can't be on their way any more, and the stall term of a backup grows by the next entry's time on the link and disk. Checks: new tests on a cluster whose links and disks have a speed (tests/rated_cluster): transfers cut and restarted at any moment, slow links, disks at 1/30 of their speed, data longer than a frame, a member back after 400 changes that leads, and broken twins that have to show. In that cluster heartbeats do not share the link's bytes with entries, as they would on real links; links.rs checks that they do not wait behind them.

--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -10,9 +10,10 @@
 use super::interface::{FailureReason, Output};
 use super::machine::{Replication, jitter};
 use super::peers::is_recent;
+use super::progress::Progress;
 use super::quorum::has_quorum;
 use super::settings::{
-    APPEND_STALL, BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
+    BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
     NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
 };
 
@@ -24,14 +25,8 @@
 );
 /// Entries sent again at once to a backup that lags.
 const RESENT_ENTRIES: usize = 256;
-
-/// How far a holder has stored the entries.
-#[derive(Clone, Copy, Debug)]
-struct Progress {
-    sequence: u64,
-    /// Since when it has had nothing to store, or when it last stored something.
-    moved_at: Duration,
-}
+/// Bytes of them, if they are more than one.
+const RESENT_BYTES: usize = 256 * 1024;
 
 /// A proposal that waits for the end of a view change.
 #[derive(Debug)]
@@ -53,8 +48,7 @@
     acknowledged: BTreeMap<NodeId, Duration>,
     next_token: u64,
     heartbeat_at: Duration,
-    resend_at: Duration,
-    progress: BTreeMap<NodeId, Progress>,
+    progress: Progress,
     /// Proposals by the number of their entry.
     proposals: BTreeMap<u64, u64>,
     waiting: VecDeque<WaitingProposal>,
@@ -65,8 +59,7 @@
 
 impl Leadership {
     fn new(view: View, sequence: u64, first_token: u64, now: Duration) -> Self {
-        let progress =
-            view.holders.iter().map(|holder| (*holder, Progress { sequence, moved_at: now })).collect();
+        let progress = Progress::new(&view.holders, sequence, now);
         Leadership {
             view,
             lease_until: Duration::ZERO,
@@ -75,7 +68,6 @@
             acknowledged: BTreeMap::new(),
             next_token: first_token,
             heartbeat_at: now,
-            resend_at: now + RESEND_INTERVAL,
             progress,
             proposals: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -86,11 +78,8 @@
 
     /// When something has to be done at the latest.
     pub(super) fn next_deadline(&self) -> Duration {
-        let mut deadline = self.heartbeat_at.min(self.confirmed_at + STEP_DOWN_AFTER);
-        if self.has_unstored_entries() {
-            deadline = deadline.min(self.resend_at);
-        }
-        deadline
+        let deadline = self.heartbeat_at.min(self.confirmed_at + STEP_DOWN_AFTER);
+        self.progress.next_resend().map_or(deadline, |resend_at| deadline.min(resend_at))
     }
 
     /// Whether the lease runs.
@@ -100,10 +89,7 @@
 
     /// Whether a holder has stored nothing for long though there is something to store.
     pub(super) fn is_stalled(&self, holder: NodeId, now: Duration) -> bool {
-        let newest = self.progress.values().map(|progress| progress.sequence).max().unwrap_or(0);
-        self.progress.get(&holder).is_some_and(|progress| {
-            progress.sequence < newest && now.saturating_sub(progress.moved_at) > APPEND_STALL
-        })
+        self.progress.is_stalled(holder, now)
     }
 
     /// The proposal behind an entry.
@@ -111,17 +97,6 @@
         self.proposals.remove(&sequence)
     }
 
-    fn has_unstored_entries(&self) -> bool {
-        let newest = self.progress.values().map(|progress| progress.sequence).max();
-        let oldest = self.progress.values().map(|progress| progress.sequence).min();
-        newest != oldest
-    }
-
-    /// The newest entry that all holders have on disk.
-    fn committed(&self) -> u64 {
-        self.progress.values().map(|progress| progress.sequence).min().unwrap_or(0)
-    }
-
     /// Notes a heartbeat's answer; whether it was one of this view's heartbeats.
     fn acknowledge(&mut self, from: NodeId, epoch: u64, token: u64) -> bool {
         let sent = self.sent.iter().find(|(sent_token, _)| *sent_token == token).map(|(_, at)| *at);
@@ -305,12 +280,7 @@
         let sequence = self.state.data.sequence + 1;
         let Some(leadership) = &mut self.leadership else { return };
         leadership.proposals.insert(sequence, ticket);
-        if !leadership.has_unstored_entries() {
-            leadership.resend_at = now + RESEND_INTERVAL;
-            for progress in leadership.progress.values_mut() {
-                progress.moved_at = now;
-            }
-        }
+        leadership.progress.appended(now, command.len());
         let epoch = leadership.view.epoch;
         let node = self.settings.node;
         let mut backups = leadership.view.holders.clone();
@@ -328,40 +298,43 @@
         if leadership.view.epoch != epoch {
             return;
         }
-        let Some(progress) = leadership.progress.get_mut(&from) else { return };
-        if sequence > progress.sequence {
-            *progress = Progress { sequence, moved_at: now };
-        }
-        let committed = leadership.committed();
+        leadership.progress.stored(now, from, sequence);
+        let committed = leadership.progress.committed();
         self.apply_up_to(committed);
     }
 
     fn resend_entries_if_due(&mut self, now: Duration) {
         let is_changing = self.attempt.is_some() || self.is_change_pending();
-        let newest = self.state.data.sequence;
+        let node = self.settings.node;
         let Some(leadership) = &mut self.leadership else { return };
-        if is_changing || now < leadership.resend_at {
+        if is_changing {
             return;
         }
-        leadership.resend_at = now + RESEND_INTERVAL;
         let epoch = leadership.view.epoch;
-        let lagging: Vec<(NodeId, u64)> = leadership
-            .progress
-            .iter()
-            .filter(|(holder, progress)| **holder != self.settings.node && progress.sequence < newest)
-            .map(|(holder, progress)| (*holder, progress.sequence))
-            .collect();
+        let mut lagging = leadership.progress.take_due(now);
+        lagging.retain(|(holder, _)| *holder != node);
         for (holder, stored) in lagging {
-            let entries: Vec<Entry> = (stored + 1..=newest)
-                .take(RESENT_ENTRIES)
-                .filter_map(|sequence| self.state.entry(sequence).cloned())
-                .collect();
-            for entry in entries {
+            for entry in self.entries_to_resend(stored) {
                 self.send(holder, ControlMessage::Append { epoch, entry });
             }
         }
     }
 
+    /// The entries after a number, as many as are sent again at once.
+    fn entries_to_resend(&self, stored: u64) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        let missing = (stored + 1..=self.state.data.sequence).take(RESENT_ENTRIES);
+        for entry in missing.filter_map(|sequence| self.state.entry(sequence)) {
+            bytes += entry.command.len();
+            if bytes > RESENT_BYTES && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
     /// Starts a view change if the members in force are not those that are wanted.
     fn exchange_members_if_needed(&mut self, now: Duration) {
         let is_pending = self.is_change_pending();
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -20,6 +20,7 @@
 mod machine;
 mod membership;
 mod peers;
+mod progress;
 mod quorum;
 mod settings;
 mod sync;
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -24,8 +24,10 @@
 pub(super) const SYNC_RESEND_INTERVAL: Duration = Duration::from_millis(300);
 /// The longest such time.
 pub(super) const LONGEST_SYNC_RESEND: Duration = Duration::from_millis(2400);
-/// The slowest disk, in bytes a second, that is waited for when a future holder writes what it has received.
-pub(super) const SLOWEST_DISK: u64 = 4 << 20;
+/// The slowest link, in bytes a second, whose time for a long entry is waited for: about 8 Mbit/s.
+const SLOWEST_LINK: u64 = 1 << 20;
+/// The slowest disk, in bytes a second, whose time for a long entry, or for the whole data, is waited for.
+const SLOWEST_DISK: u64 = 4 << 20;
 /// A view change without progress for this long is given up; after failures the next ones get more time.
 pub(super) const ATTEMPT_STALL: Duration = Duration::from_millis(800);
 /// A voter without an acknowledgement for this long is exchanged.
@@ -34,7 +36,7 @@
 pub(super) const NEW_PRIMARY_GRACE: Duration = Duration::from_millis(700);
 /// A backup without an acknowledgement for this long is exchanged.
 pub(super) const BACKUP_DEAD_AFTER: Duration = Duration::from_millis(700);
-/// A backup that has not stored an entry for this long is brought up to date anew, or exchanged.
+/// A backup that has not stored an entry for this long, beside the time that the entry's bytes may take, is brought up to date anew, or exchanged.
 pub(super) const APPEND_STALL: Duration = Duration::from_millis(1500);
 /// How often a member without a primary asks to be taken in.
 pub(super) const JOIN_INTERVAL: Duration = Duration::from_millis(500);
@@ -51,6 +53,16 @@
 /// random histories are as far off.
 const CLOCK_DRIFT_PERCENT: u128 = 2;
 
+/// How long the slowest link takes for so many bytes.
+pub(super) fn longest_transmission(bytes: u64) -> Duration {
+    Duration::from_millis(bytes * 1000 / SLOWEST_LINK)
+}
+
+/// How long the slowest disk takes for so many bytes.
+pub(super) fn longest_write(bytes: u64) -> Duration {
+    Duration::from_millis(bytes * 1000 / SLOWEST_DISK)
+}
+
 /// What has to hold between the terms.
 const _: () = {
     let longest_lease = LEASE_TERM.as_micros() * (100 + CLOCK_DRIFT_PERCENT);
--- a/crates/tower/src/replication/sync.rs
+++ b/crates/tower/src/replication/sync.rs
@@ -17,7 +17,7 @@
 use super::campaign::Phase;
 use super::durable::{DataMark, DurableRecord};
 use super::machine::Replication;
-use super::settings::{RESEND_INTERVAL, SLOWEST_DISK};
+use super::settings::{RESEND_INTERVAL, longest_write};
 use super::transfer::{EncodedData, OutgoingTransfer, PART_BYTES, Part, Received, TransferData};
 
 /// How far the future holders are.
@@ -47,11 +47,6 @@
     }
 }
 
-/// How long the slowest disk that is waited for takes for so many bytes.
-fn longest_write(bytes: u64) -> Duration {
-    Duration::from_millis(bytes * 1000 / SLOWEST_DISK)
-}
-
 impl Replication {
     /// The new holders are chosen: begins to bring them up to date.
     pub(super) fn start_sync(&mut self, now: Duration) {
--- a/crates/tower/tests/links.rs
+++ b/crates/tower/tests/links.rs
@@ -5,7 +5,9 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
+use futures_lite::AsyncReadExt;
 use intercom::control::{ControlMessage, Entry, Envelope};
+use intercom::frame;
 use intercom::node::NodeId;
 use tower::links::Links;
 
@@ -89,3 +91,28 @@
     let received = async_io::block_on(executor.run(futures_lite::future::or(receiving, sending)));
     assert_eq!(received.len(), 1);
 }
+
+/// Nobody reads the connection of the data, which holds more than the buffers on its way take.
+#[test]
+fn a_short_message_does_not_wait_behind_a_long_entry() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = listen();
+    let links = Rc::new(Links::new(executor.clone(), port(&listener)));
+    let entry = Entry { sequence: 1, command: vec![7; 24 << 20].into() };
+    links.send(Envelope { message: ControlMessage::Append { epoch: 1, entry }, ..prepare(1) });
+    links.send(prepare(2));
+    let received = async_io::block_on(executor.run(async {
+        let mut connections = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("both connections come up");
+            let mut buffer = vec![0; 4096];
+            let count = stream.read(&mut buffer).await.expect("something is sent");
+            buffer.truncate(count);
+            if let Some(message) = frame::take::<Envelope>(&mut buffer).expect("a good frame") {
+                return message;
+            }
+            connections.push(stream);
+        }
+    }));
+    assert_eq!(received, prepare(2));
+}
--- /dev/null
+++ b/crates/tower/tests/rated_cluster/mod.rs
@@ -0,0 +1,573 @@
+//! A cluster whose links and disks have a speed, with commands as long as a configuration. No faults but those that
+//! a test makes.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use intercom::control::{ControlMessage, Envelope};
+use intercom::node::NodeId;
+use tower::replication::{
+    DurableRecord, DurableState, FailureReason, Input, Output, Replication, ReplicationSettings, Role,
+};
+
+use super::support::checker::Checker;
+
+/// A link of 10 Mbit/s, in bytes a second.
+pub const SLOW_LINK: u64 = 10_000_000 / 8;
+/// A link of 1 Gbit/s.
+pub const FAST_LINK: u64 = 1_000_000_000 / 8;
+/// A configuration of an operator.
+pub const CONFIGURATION_BYTES: usize = 1_300_000;
+
+/// A write that waits longer makes the disk unhealthy, as with a real member.
+const DISK_BOUND: Duration = Duration::from_secs(1);
+/// Applied bytes after which a member makes a snapshot, as a real one does.
+const COMPACT_AFTER: usize = 1 << 20;
+/// Bytes of a message beside its commands and data.
+const MESSAGE_OVERHEAD: u64 = 100;
+/// Shortest time between two looks at a member's deadline.
+const SHORTEST_PAUSE: Duration = Duration::from_micros(100);
+
+/// How fast a disk is.
+#[derive(Clone, Copy, Debug)]
+pub struct DiskSpeed {
+    /// Bytes a second.
+    pub bytes: u64,
+    /// What each sync takes beside.
+    pub sync: Duration,
+}
+
+impl DiskSpeed {
+    /// A usual disk.
+    pub const USUAL: DiskSpeed = DiskSpeed { bytes: 300_000_000, sync: Duration::from_millis(3) };
+
+    /// One that takes so many times as long.
+    pub fn slower(self, times: u32) -> DiskSpeed {
+        DiskSpeed { bytes: self.bytes / u64::from(times), sync: self.sync * times }
+    }
+}
+
+/// Records that are not on disk.
+#[derive(Debug)]
+struct PendingWrite {
+    since: Duration,
+    ticket: u64,
+    records: Vec<DurableRecord>,
+}
+
+/// A running process.
+pub struct Process {
+    life: u64,
+    /// The state machine.
+    pub replication: Replication,
+    /// Commands that were applied, in order.
+    pub applied: Vec<u64>,
+    newest_length: usize,
+    applied_bytes: usize,
+    told_healthy: bool,
+    wake_at: Duration,
+}
+
+/// A member.
+pub struct Member {
+    /// Its name.
+    pub node: NodeId,
+    /// What is on its disk.
+    pub disk: DurableState,
+    /// How fast that is.
+    pub speed: DiskSpeed,
+    pending: VecDeque<PendingWrite>,
+    /// How many of the pending writes are being written under one sync.
+    writing: usize,
+    /// Its process, while one runs.
+    pub process: Option<Process>,
+    lives: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrival { from: usize, to: usize, envelope: Envelope },
+    Wake { member: usize, life: u64 },
+    Synced { member: usize, life: u64 },
+    Start { member: usize },
+}
+
+/// Messages and bytes of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+/// How a proposal ended, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was acknowledged.
+    Acknowledged(Duration),
+    /// It failed.
+    Failed(FailureReason),
+}
+
+/// Changes messages on their way out: the messages that leave in place of one.
+pub type Interceptor = Box<dyn FnMut(&Envelope) -> Vec<Envelope>>;
+
+/// The cluster.
+pub struct Cluster {
+    /// True time, which all clocks show.
+    pub now: Duration,
+    /// All members.
+    pub members: Vec<Member>,
+    /// What must hold.
+    pub checker: Checker,
+    /// Bytes a second of each direction of each link.
+    pub link_speed: u64,
+    /// The time that a message takes beside.
+    pub latency: Duration,
+    /// Directions that are cut.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Faults of messages.
+    pub interceptor: Option<Interceptor>,
+    /// Messages that were sent, by kind.
+    pub traffic: BTreeMap<&'static str, Traffic>,
+    /// Proposals that have ended.
+    pub ends: BTreeMap<u64, End>,
+    /// Applied bytes after which a member makes a snapshot.
+    pub compact_after: usize,
+    losses: u32,
+    seeds: usize,
+    first_boot: bool,
+    /// When a direction of a link is free, for data or for other messages.
+    link_free_at: BTreeMap<(usize, usize, bool), Duration>,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    next_command: u64,
+}
+
+impl Cluster {
+    /// A cluster that starts for the first time.
+    pub fn new(losses: u32, seeds: usize, members: usize) -> Cluster {
+        let mut cluster = Cluster {
+            now: Duration::from_secs(100),
+            members: Vec::new(),
+            checker: Checker::default(),
+            link_speed: FAST_LINK,
+            latency: Duration::from_micros(500),
+            cuts: BTreeSet::new(),
+            interceptor: None,
+            traffic: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            compact_after: COMPACT_AFTER,
+            losses,
+            seeds,
+            first_boot: true,
+            link_free_at: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_command: 1,
+        };
+        for index in 0..members {
+            let generation = if index < seeds { 0 } else { index as u64 };
+            let node = NodeId::new(Ipv4Addr::new(10, 0, 0, 10 + index as u8), generation);
+            let (disk, speed) = (DurableState::default(), DiskSpeed::USUAL);
+            cluster.members.push(Member {
+                node,
+                disk,
+                speed,
+                pending: VecDeque::new(),
+                writing: 0,
+                process: None,
+                lives: 0,
+            });
+            cluster.schedule(cluster.now, Event::Start { member: index });
+        }
+        cluster.run_for(Duration::from_secs(3));
+        cluster.first_boot = false;
+        cluster
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((at.max(self.now), self.next_event)));
+    }
+
+    /// Lets a span pass.
+    pub fn run_for(&mut self, span: Duration) {
+        self.run_while_not(span, |_| false);
+    }
+
+    /// Lets time pass until something holds; whether it did within the span.
+    pub fn run_while_not(&mut self, span: Duration, holds: impl Fn(&Cluster) -> bool) -> bool {
+        let until = self.now + span;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied()
+            && at <= until
+            && !holds(self)
+        {
+            self.queue.pop();
+            self.now = at;
+            let event = self.events.remove(&number).expect("each event is there once");
+            self.take(event);
+            self.check_leases();
+        }
+        let has_ended = holds(self);
+        if !has_ended {
+            self.now = until;
+        }
+        has_ended
+    }
+
+    fn check_leases(&mut self) {
+        let leases = |member: &&Member| {
+            member.process.as_ref().is_some_and(|process| process.replication.is_primary(self.now))
+        };
+        let holders: Vec<NodeId> = self.members.iter().filter(leases).map(|member| member.node).collect();
+        self.checker.leases(&holders);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrival { from, to, envelope } => {
+                if !self.cuts.contains(&(from, to)) {
+                    self.input(to, Input::Message(envelope));
+                }
+            }
+            Event::Wake { member, life } if self.is_life(member, life) => self.input(member, Input::Tick),
+            Event::Synced { member, life } if self.is_life(member, life) => self.sync(member),
+            Event::Wake { .. } | Event::Synced { .. } => {}
+            Event::Start { member } => self.start(member),
+        }
+    }
+
+    fn is_life(&self, member: usize, life: u64) -> bool {
+        self.members[member].process.as_ref().is_some_and(|process| process.life == life)
+    }
+
+    fn start(&mut self, index: usize) {
+        let seeds = (0..self.seeds).map(|seed| self.members[seed].node).collect();
+        let member = &mut self.members[index];
+        if member.process.is_some() {
+            return;
+        }
+        member.lives += 1;
+        let settings = ReplicationSettings {
+            node: member.node,
+            zone: format!("zone-{}", index % 3),
+            seeds,
+            losses: self.losses,
+            first_boot: self.first_boot,
+            seed: index as u64 * 1000 + member.lives,
+        };
+        if member.lives == 1 {
+            member.disk.view = settings.first_view();
+        }
+        member.process = Some(Process {
+            life: member.lives,
+            replication: Replication::new(settings, member.disk.clone(), self.now),
+            applied: Vec::new(),
+            newest_length: 0,
+            applied_bytes: 0,
+            told_healthy: true,
+            wake_at: Duration::ZERO,
+        });
+        self.input(index, Input::Tick);
+    }
+
+    /// Hands an input to a member.
+    pub fn input(&mut self, index: usize, input: Input) {
+        let now = self.now;
+        let member = &mut self.members[index];
+        let is_stalled = member.pending.front().is_some_and(|write| now - write.since >= DISK_BOUND);
+        let Some(process) = &mut member.process else { return };
+        let mut out = Vec::new();
+        if process.told_healthy == is_stalled {
+            process.told_healthy = !is_stalled;
+            process.replication.handle(now, Input::DiskHealthy(!is_stalled), &mut out);
+        }
+        process.replication.handle(now, input, &mut out);
+        let due = process.replication.next_deadline().max(now + SHORTEST_PAUSE);
+        let life = process.life;
+        if process.wake_at <= now || due < process.wake_at {
+            process.wake_at = due;
+            self.schedule(due, Event::Wake { member: index, life });
+        }
+        for output in out {
+            self.carry_out(index, output);
+        }
+        self.compact_when_due(index);
+    }
+
+    fn carry_out(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send(envelope) => self.send(index, envelope),
+            Output::Persist { ticket, records } => self.write(index, ticket, records),
+            Output::Apply { sequence, command, proposal } => {
+                self.apply(index, sequence, &command, proposal)
+            }
+            Output::Restore { sequence, snapshot } => self.restore(index, sequence, &snapshot),
+            Output::RoleChanged(Role::Primary { epoch }) => {
+                let member = &self.members[index];
+                let Some(process) = &member.process else { return };
+                self.checker.became_primary(member.node, epoch, &process.applied);
+            }
+            Output::RoleChanged(_) => {}
+            Output::ProposalFailed { proposal, reason } => {
+                self.ends.insert(proposal, End::Failed(reason));
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, sequence: u64, command: &[u8], proposal: Option<u64>) {
+        let Some(process) = &mut self.members[index].process else { return };
+        let name = command_name(command);
+        process.applied.push(name);
+        process.newest_length = command.len();
+        process.applied_bytes += command.len();
+        assert_eq!(process.applied.len() as u64, sequence, "entries are applied in order without gaps");
+        self.checker.applied(sequence, name);
+        if let Some(ticket) = proposal {
+            self.checker.acknowledge(sequence, name, process.replication.epoch());
+            self.ends.insert(ticket, End::Acknowledged(self.now));
+        }
+    }
+
+    fn restore(&mut self, index: usize, sequence: u64, snapshot: &[u8]) {
+        let Some(process) = &mut self.members[index].process else { return };
+        process.applied_bytes = 0;
+        (process.applied, process.newest_length) = read_snapshot(snapshot);
+        assert_eq!(process.applied.len() as u64, sequence, "the snapshot holds what it says");
+    }
+
+    fn compact_when_due(&mut self, index: usize) {
+        let Some(process) = &mut self.members[index].process else { return };
+        if process.applied_bytes < self.compact_after {
+            return;
+        }
+        process.applied_bytes = 0;
+        let sequence = process.applied.len() as u64;
+        let snapshot = write_snapshot(&process.applied, process.newest_length);
+        self.input(index, Input::Compact { sequence, snapshot });
+    }
+
+    fn write(&mut self, index: usize, ticket: u64, records: Vec<DurableRecord>) {
+        let write = PendingWrite { since: self.now, ticket, records };
+        self.members[index].pending.push_back(write);
+        self.write_what_waits(index);
+    }
+
+    /// An idle disk writes all that waits under one sync.
+    fn write_what_waits(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        if member.writing > 0 || member.pending.is_empty() {
+            return;
+        }
+        member.writing = member.pending.len();
+        let records = member.pending.iter().flat_map(|write| &write.records);
+        let bytes: u64 = records.map(record_bytes).sum();
+        let due = self.now + member.speed.sync + span(bytes, member.speed.bytes);
+        let life = member.lives;
+        self.schedule(due, Event::Synced { member: index, life });
+    }
+
+    fn sync(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        let written = std::mem::take(&mut member.writing);
+        let mut newest = None;
+        for write in member.pending.drain(..written) {
+            write.records.iter().for_each(|record| member.disk.apply(record));
+            newest = Some(write.ticket);
+        }
+        self.write_what_waits(index);
+        if let Some(ticket) = newest {
+            self.input(index, Input::Persisted { ticket });
+        }
+    }
+
+    fn send(&mut self, from: usize, envelope: Envelope) {
+        let envelopes = match &mut self.interceptor {
+            Some(interceptor) => interceptor(&envelope),
+            None => vec![envelope],
+        };
+        for envelope in envelopes {
+            self.transmit(from, envelope);
+        }
+    }
+
+    /// Each direction of a link takes one entry or part of the data after the other. Other messages have a
+    /// connection of their own.
+    fn transmit(&mut self, from: usize, envelope: Envelope) {
+        let Some(to) = self.members.iter().position(|member| member.node.ip == envelope.to.ip) else {
+            return;
+        };
+        let (kind, bytes) = message_size(&envelope.message);
+        let traffic = self.traffic.entry(kind).or_default();
+        traffic.messages += 1;
+        traffic.bytes += bytes;
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let is_data = matches!(kind, "sync" | "append");
+        let free_at = self.link_free_at.entry((from, to, is_data)).or_default();
+        *free_at = self.now.max(*free_at) + span(bytes, self.link_speed);
+        let at = *free_at + self.latency;
+        self.schedule(at, Event::Arrival { from, to, envelope });
+    }
+
+    /// Proposes a command of a length at a member; its ticket.
+    pub fn propose(&mut self, index: usize, length: usize) -> u64 {
+        let ticket = self.next_command;
+        self.next_command += 1;
+        self.input(index, Input::Propose { ticket, command: command(ticket, length) });
+        ticket
+    }
+
+    /// Proposes again and again, at whoever is primary, until a command is acknowledged; how long that took.
+    pub fn acknowledge(&mut self, length: usize, limit: Duration) -> Option<Duration> {
+        let begin = self.now;
+        while self.now < begin + limit {
+            if let Some(primary) = self.primary() {
+                let ticket = self.propose(primary, length);
+                let left = (begin + limit).saturating_sub(self.now);
+                self.run_while_not(left, |cluster| cluster.ends.contains_key(&ticket));
+                if let Some(End::Acknowledged(at)) = self.ends.get(&ticket) {
+                    return Some(*at - begin);
+                }
+            }
+            self.run_for(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// How many views have come into force.
+    pub fn views(&self) -> usize {
+        self.checker.primary_count()
+    }
+
+    /// What was sent of a kind.
+    pub fn sent(&self, kind: &str) -> Traffic {
+        self.traffic.get(kind).copied().unwrap_or_default()
+    }
+
+    /// The member that holds a lease.
+    pub fn primary(&self) -> Option<usize> {
+        self.members.iter().position(|member| {
+            member.process.as_ref().is_some_and(|process| process.replication.is_primary(self.now))
+        })
+    }
+
+    /// The state machine of a running member.
+    pub fn replication(&self, index: usize) -> &Replication {
+        &self.members[index].process.as_ref().expect("it runs").replication
+    }
+
+    /// The holders of the primary's view, the primary first.
+    pub fn holders(&self) -> Vec<usize> {
+        let primary = self.primary().expect("there is a primary");
+        let view = self.replication(primary).view().expect("it has a view").clone();
+        let index_of = |holder: &NodeId| {
+            self.members.iter().position(|member| member.node == *holder).expect("a member")
+        };
+        view.holders.iter().map(index_of).collect()
+    }
+
+    /// The power of a member is cut; it stays away.
+    pub fn kill(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        member.process = None;
+        member.pending.clear();
+        member.writing = 0;
+    }
+
+    /// A member starts from its disk.
+    pub fn restart(&mut self, index: usize) {
+        self.schedule(self.now, Event::Start { member: index });
+    }
+
+    /// A member's disk is lost.
+    pub fn wipe(&mut self, index: usize) {
+        self.kill(index);
+        let member = &mut self.members[index];
+        member.disk = DurableState::default();
+        member.node.generation += 1000;
+    }
+
+    /// Cuts a member off, or ends that.
+    pub fn isolate(&mut self, index: usize, is_cut: bool) {
+        for other in 0..self.members.len() {
+            for direction in [(index, other), (other, index)] {
+                if is_cut {
+                    self.cuts.insert(direction);
+                } else {
+                    self.cuts.remove(&direction);
+                }
+            }
+        }
+    }
+}
+
+fn span(bytes: u64, speed: u64) -> Duration {
+    Duration::from_micros(bytes * 1_000_000 / speed)
+}
+
+fn message_size(message: &ControlMessage) -> (&'static str, u64) {
+    let (kind, bytes) = match message {
+        ControlMessage::Sync { bytes, .. } => ("sync", bytes.len()),
+        ControlMessage::SyncProgress { .. } => ("sync progress", 0),
+        ControlMessage::Synced { .. } => ("synced", 0),
+        ControlMessage::Append { entry, .. } => ("append", entry.command.len()),
+        _ => ("other", 0),
+    };
+    (kind, bytes as u64 + MESSAGE_OVERHEAD)
+}
+
+fn record_bytes(record: &DurableRecord) -> u64 {
+    let entry_bytes = |entry: &intercom::control::Entry| entry.command.len() as u64;
+    match record {
+        DurableRecord::Entry(entry) => entry_bytes(entry),
+        DurableRecord::Snapshot { snapshot, .. } => snapshot.len() as u64,
+        DurableRecord::Reset { snapshot, entries, .. } => {
+            snapshot.len() as u64 + entries.iter().map(entry_bytes).sum::<u64>()
+        }
+        _ => 50,
+    }
+}
+
+/// A command: its name, then filler.
+fn command(name: u64, length: usize) -> Arc<[u8]> {
+    let mut bytes = vec![0; length.max(8)];
+    bytes[..8].copy_from_slice(&name.to_le_bytes());
+    bytes.into()
+}
+
+fn command_name(command: &[u8]) -> u64 {
+    word(command, 0)
+}
+
+fn word(bytes: &[u8], index: usize) -> u64 {
+    u64::from_le_bytes(bytes[index * 8..index * 8 + 8].try_into().expect("eight bytes"))
+}
+
+/// The names of all commands, and the newest one's length, as the state holds the newest configuration.
+fn write_snapshot(applied: &[u64], newest_length: usize) -> Arc<[u8]> {
+    let mut bytes = (applied.len() as u64).to_le_bytes().to_vec();
+    applied.iter().for_each(|name| bytes.extend(name.to_le_bytes()));
+    bytes.resize(bytes.len() + newest_length, 0);
+    bytes.into()
+}
+
+fn read_snapshot(bytes: &[u8]) -> (Vec<u64>, usize) {
+    if bytes.is_empty() {
+        return (Vec::new(), 0);
+    }
+    let count = word(bytes, 0) as usize;
+    let names = (1..=count).map(|index| word(bytes, index)).collect();
+    (names, bytes.len() - 8 * (count + 1))
+}
