Bound the log of a member by a test, and let a refused record make room

Change: what the thread of the disk does to the log moves out of disk.rs into `state_log.rs`, over any directory; after a refused record the whole state takes the place of the records if that gives room. Checks: the in-memory directory gets a capacity; new tests of 300 changes of 1.3 MB, of disks that are full for a while at six amounts of room, and of disks of a stated size, each found again as it was written.

--- a/crates/logbook/tests/support/mod.rs
+++ b/crates/logbook/tests/support/mod.rs
@@ -19,10 +19,24 @@
     operations_left: Option<u64>,
     operations_to_refusal: Option<u64>,
     bytes_left: Option<u64>,
+    capacity: Option<u64>,
+    most_bytes: u64,
     removed: Vec<(String, Vec<u8>)>,
 }
 
 impl Disk {
+    fn bytes(&self) -> u64 {
+        self.files.values().map(|content| content.len() as u64).sum()
+    }
+
+    /// How many of the bytes that are to be written at the end of a file there is room for.
+    fn room(&self, file: &str, offset: u64, wanted: usize) -> usize {
+        let Some(capacity) = self.capacity else { return wanted };
+        let length = self.files.get(file).map_or(0, |content| content.len() as u64);
+        let others = self.bytes() - length;
+        wanted.min(capacity.saturating_sub(others + offset) as usize)
+    }
+
     fn step(&mut self) -> io::Result<()> {
         if let Some(operations) = self.operations_to_refusal {
             self.operations_to_refusal = operations.checked_sub(1);
@@ -83,6 +97,21 @@
         self.disk.borrow_mut().bytes_left = bytes;
     }
 
+    /// Writes fail when all files together would take more than so many bytes. What is removed gives room.
+    pub fn set_capacity(&self, bytes: Option<u64>) {
+        self.disk.borrow_mut().capacity = bytes;
+    }
+
+    /// Bytes in all files.
+    pub fn bytes(&self) -> u64 {
+        self.disk.borrow().bytes()
+    }
+
+    /// The most that these ever were.
+    pub fn most_bytes(&self) -> u64 {
+        self.disk.borrow().most_bytes
+    }
+
     /// What a process finds that starts after a crash.
     pub fn files(&self) -> Files {
         self.disk.borrow().files.clone()
@@ -178,6 +207,7 @@
         let mut disk = self.disk.borrow_mut();
         disk.step()?;
         let allowed = disk.bytes_left.map_or(bytes.len(), |left| bytes.len().min(left as usize));
+        let allowed = allowed.min(disk.room(&self.name, offset, bytes.len()));
         if let Some(left) = &mut disk.bytes_left {
             *left -= allowed as u64;
         }
@@ -185,6 +215,7 @@
         content.truncate(offset as usize);
         content.resize(offset as usize, 0);
         content.extend(&bytes[..allowed]);
+        disk.most_bytes = disk.most_bytes.max(disk.bytes());
         if allowed < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
     }
 
--- a/crates/tower/src/disk.rs
+++ b/crates/tower/src/disk.rs
@@ -11,15 +11,13 @@
 
 use async_channel::Sender;
 use intercom::control::View;
-use intercom::frame::{self, FrameError};
-use logbook::{Logbook, LogbookError, Recovered};
-use musli::{Decode, Encode};
+use intercom::frame::FrameError;
+use logbook::{FileSystemDirectory, LogbookError};
 use snafu::{ResultExt, Snafu};
 
-use crate::replication::{DurableRecord, DurableState};
+use crate::replication::DurableRecord;
+use crate::state_log::{Compaction, DiskImage, OpenError, StateLog};
 
-/// Bytes of records after which the whole state takes their place.
-const LOG_BYTES: usize = 4 << 20;
 /// The pause after a write was refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -66,24 +64,6 @@
     },
 }
 
-/// A line of the log.
-#[derive(Debug, Encode, Decode)]
-enum DiskRecord {
-    /// The first line: which disk this is.
-    Generation(u64),
-    /// A change of the member's state.
-    Change(DurableRecord),
-}
-
-/// All that is on the disk.
-#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
-pub struct DiskImage {
-    /// Which disk this is; 0 if it was formatted at the first start of the whole system.
-    pub generation: u64,
-    /// The member's state.
-    pub state: DurableState,
-}
-
 /// What the thread tells.
 #[derive(Debug)]
 pub enum DiskEvent {
@@ -127,48 +107,32 @@
     pub image: DiskImage,
     /// It was empty before.
     pub fresh: bool,
-    logbook: Logbook,
-    log_bytes: usize,
+    log: StateLog,
 }
 
 impl Opened {
     /// Reads what is in the folder. An empty one gets its generation and its first view in one write, which is on
     /// disk on return: a disk with the one and without the other would belong to no view ever after.
     pub fn open(folder: &Path, boot: Boot) -> Result<Opened, DiskError> {
-        let (mut logbook, recovered) = Logbook::open(folder).context(LogbookSnafu { folder })?;
-        let found = DiskImage::recover(&recovered).context(ForeignSnafu { folder })?;
-        if let Some(image) = found {
-            let log_bytes = recovered.records.iter().map(|record| record.len()).sum();
-            return Ok(Opened { image, fresh: false, logbook, log_bytes });
-        }
-        let (generation, view) = match boot {
-            Boot::First { view } => (0, view),
-            Boot::Later => (new_generation()?, None),
-        };
-        let mut image = DiskImage { generation, state: DurableState::default() };
-        let mut records =
-            vec![frame::encode(&DiskRecord::Generation(generation)).context(ForeignSnafu { folder })?];
-        if let Some(view) = view {
-            let change = DurableRecord::View(view);
-            image.state.apply(&change);
-            records.push(encode_change(&change));
+        let directory = FileSystemDirectory::create(folder).context(LogbookSnafu { folder })?;
+        let mut log = StateLog::open_in(directory).map_err(|error| in_folder(error, folder))?;
+        let fresh = log.is_fresh();
+        if fresh {
+            let (generation, view) = match boot {
+                Boot::First { view } => (0, view),
+                Boot::Later => (new_generation()?, None),
+            };
+            let changes: Vec<DurableRecord> = view.into_iter().map(DurableRecord::View).collect();
+            log.format(generation, &changes).context(LogbookSnafu { folder })?;
         }
-        let records: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
-        logbook.append(&records).context(LogbookSnafu { folder })?;
-        Ok(Opened { image, fresh: true, logbook, log_bytes: 0 })
+        Ok(Opened { image: log.image().clone(), fresh, log })
     }
 
     /// Starts the thread; it tells what happens to `events`.
     pub fn start(self, events: Sender<DiskEvent>) -> Result<(Disk, DiskImage), DiskError> {
         let (batches, queue) = mpsc::channel();
-        let image = self.image.clone();
-        let mut writer = Writer {
-            logbook: self.logbook,
-            image: self.image,
-            log_bytes: self.log_bytes,
-            refuses_compaction: false,
-            events,
-        };
+        let image = self.image;
+        let mut writer = Writer { log: self.log, events };
         let run = move || writer.run(&queue);
         thread::Builder::new().name("disk".to_owned()).spawn(run).context(NoThreadSnafu)?;
         Ok((Disk { batches }, image))
@@ -179,23 +143,11 @@
     Ok(getrandom::u64().context(NoRandomSnafu)?.max(1))
 }
 
-impl DiskImage {
-    /// What was read back; none if nothing was.
-    fn recover(recovered: &Recovered) -> Result<Option<DiskImage>, FrameError> {
-        if recovered.snapshot.is_none() && recovered.records.is_empty() {
-            return Ok(None);
-        }
-        let mut image = match &recovered.snapshot {
-            Some(bytes) => frame::decode(bytes)?,
-            None => DiskImage::default(),
-        };
-        for record in &recovered.records {
-            match frame::decode(record)? {
-                DiskRecord::Generation(generation) => image.generation = generation,
-                DiskRecord::Change(change) => image.state.apply(&change),
-            }
-        }
-        Ok(Some(image))
+fn in_folder(error: OpenError, folder: &Path) -> DiskError {
+    let folder = folder.to_owned();
+    match error {
+        OpenError::Unusable { source } => DiskError::Logbook { folder, source },
+        OpenError::Foreign { source } => DiskError::Foreign { folder, source },
     }
 }
 
@@ -208,11 +160,7 @@
 }
 
 struct Writer {
-    logbook: Logbook,
-    image: DiskImage,
-    log_bytes: usize,
-    /// The last try to make the log shorter has failed.
-    refuses_compaction: bool,
+    log: StateLog,
     events: Sender<DiskEvent>,
 }
 
@@ -225,53 +173,36 @@
             if let Some(last) = batches.last() {
                 let _ = self.events.try_send(DiskEvent::Persisted { ticket: last.ticket });
             }
-            if self.log_bytes > LOG_BYTES {
-                self.compact();
-            }
+            self.compact();
         }
     }
 
-    /// Writes batches with a single sync.
+    /// Writes batches with a single sync, however often the disk refuses them; the log is told when that begins and
+    /// ends.
     fn write(&mut self, batches: &[Batch]) {
-        let changes = || batches.iter().flat_map(|batch| &batch.records);
-        let encoded: Vec<Vec<u8>> = changes().map(encode_change).collect();
-        let records: Vec<&[u8]> = encoded.iter().map(Vec::as_slice).collect();
-        self.append(&records);
-        changes().for_each(|change| self.image.state.apply(change));
-        self.log_bytes += records.iter().map(|record| record.len()).sum::<usize>();
-    }
-
-    /// Puts the whole state in the place of the log.
-    fn compact(&mut self) {
-        let bytes = frame::encode(&self.image).expect("a value of plain fields can be encoded");
-        let outcome = self.logbook.snapshot(&bytes);
-        let was_refused = std::mem::replace(&mut self.refuses_compaction, outcome.is_err());
-        match outcome {
-            Ok(()) => self.log_bytes = 0,
-            // The log stays as it is, so nothing is lost; the next write tries again.
-            Err(error) if !was_refused => {
-                log::warn!(error:% = with_cause(&error); "the log can't be made shorter");
-            }
-            Err(_) => {}
-        }
-    }
-
-    /// Appends records, however often the disk refuses them; the log is told when that begins and ends.
-    fn append(&mut self, records: &[&[u8]]) {
+        let changes: Vec<&DurableRecord> = batches.iter().flat_map(|batch| &batch.records).collect();
         let mut is_refused = false;
-        while let Err(error) = self.logbook.append(records) {
+        while let Err(error) = self.log.append(&changes) {
             let reason = with_cause(&error);
             if !is_refused {
                 log::warn!(error:% = reason; "the disk refuses a write");
             }
             is_refused = true;
             let _ = self.events.try_send(DiskEvent::Refused { reason });
-            thread::sleep(RETRY_PAUSE);
+            if !matches!(self.log.compact_for_room(), Compaction::Done) {
+                thread::sleep(RETRY_PAUSE);
+            }
         }
         if is_refused {
             log::info!("the disk takes writes again");
         }
     }
+
+    fn compact(&mut self) {
+        if let Compaction::Refused { error, again: false } = self.log.compact_if_due() {
+            log::warn!(error:% = with_cause(&error); "the log can't be made shorter");
+        }
+    }
 }
 
 /// An error's message with what the system says.
@@ -281,7 +212,3 @@
         None => error.to_string(),
     }
 }
-
-fn encode_change(change: &DurableRecord) -> Vec<u8> {
-    frame::encode(&DiskRecord::Change(change.clone())).expect("a value of plain fields can be encoded")
-}
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod rollout;
 pub mod server;
 pub mod state;
+pub mod state_log;
--- a/crates/tower/tests/disk.rs
+++ b/crates/tower/tests/disk.rs
@@ -7,8 +7,9 @@
 use intercom::control::{Entry, View};
 use intercom::node::NodeId;
 use rstest::rstest;
-use tower::disk::{Boot, DiskError, DiskEvent, DiskImage, Opened};
+use tower::disk::{Boot, DiskError, DiskEvent, Opened};
 use tower::replication::DurableRecord;
+use tower::state_log::DiskImage;
 
 /// A folder that is removed when the test ends.
 struct Folder(PathBuf);
--- /dev/null
+++ b/crates/tower/tests/state_log.rs
@@ -0,0 +1,159 @@
+//! The log of a member that gets hundreds of long changes stays short, also after its disk was full for a while.
+
+#[path = "../../logbook/tests/support/mod.rs"]
+mod memory_directory;
+
+use std::sync::Arc;
+
+use intercom::control::Entry;
+use logbook::LogbookError;
+use memory_directory::MemoryDirectory;
+use rstest::rstest;
+use tower::replication::DurableRecord;
+use tower::state_log::{Compaction, LOG_BYTES, StateLog};
+
+/// A configuration of an operator.
+const CHANGE_BYTES: usize = 1_300_000;
+/// What a member's log may take on disk: 4 MiB of records, the last change with its snapshot, and two times the
+/// state, which is a snapshot and an entry.
+const LOG_BOUND: u64 = (LOG_BYTES + 6 * CHANGE_BYTES) as u64 + MARGIN;
+/// Bytes beside the changes and the state.
+const MARGIN: u64 = 10_000;
+
+/// A member that gets one long change after the other.
+struct Member {
+    directory: MemoryDirectory,
+    log: StateLog<MemoryDirectory>,
+    sequence: u64,
+}
+
+impl Member {
+    fn new() -> Member {
+        let directory = MemoryDirectory::default();
+        let mut log = StateLog::open_in(directory.clone()).expect("an empty directory");
+        log.format(0, &[]).expect("there is room");
+        Member { directory, log, sequence: 0 }
+    }
+
+    /// Appends an entry and, as it is longer than the applied bytes after which a member compacts, the state after it.
+    fn change(&mut self) -> Result<(), LogbookError> {
+        let sequence = self.sequence + 1;
+        let bytes: Arc<[u8]> = vec![sequence as u8; CHANGE_BYTES].into();
+        let entry = DurableRecord::Entry(Entry { sequence, command: bytes.clone() });
+        let snapshot = DurableRecord::Snapshot { sequence, snapshot: bytes };
+        self.log.append(&[&entry, &snapshot])?;
+        self.sequence = sequence;
+        Ok(())
+    }
+
+    /// What is found after a restart.
+    fn assert_is_found_again(&self) {
+        let found = StateLog::open_in(MemoryDirectory::with(self.directory.synced_files()));
+        assert_eq!(found.expect("what was written").image(), self.log.image());
+        assert_eq!(self.log.image().state.data.sequence, self.sequence);
+    }
+}
+
+#[test]
+fn hundreds_of_long_changes_leave_a_short_log() {
+    let mut member = Member::new();
+    for _ in 0..300 {
+        member.change().expect("there is room");
+        assert!(!matches!(member.log.compact_if_due(), Compaction::Refused { .. }));
+        assert_eq!(member.log.bytes_used(), member.directory.bytes());
+    }
+    println!("300 changes: {} bytes, at most {}", member.directory.bytes(), member.directory.most_bytes());
+    assert!(member.directory.most_bytes() < LOG_BOUND);
+    member.assert_is_found_again();
+}
+
+/// Something else fills the disk while there is no room for a snapshot, or none for a record either; changes go on
+/// until they are refused, and both go on once there is room again.
+#[rstest]
+fn a_full_disk_makes_the_log_no_longer_than_a_snapshot(
+    #[values(0, 100, 1_000_000, 1_400_000, 2_700_000, 3_900_000)] room: u64,
+) {
+    let mut member = Member::new();
+    for _ in 0..7 {
+        member.change().expect("there is room");
+        member.log.compact_if_due();
+    }
+    let (mut refused_changes, mut refused_snapshots) = (0, 0);
+    for _ in 0..20 {
+        member.directory.set_capacity(Some(member.directory.bytes() + room));
+        for _ in 0..10 {
+            let is_refused = member.change().is_err();
+            refused_changes += u32::from(is_refused);
+            if !is_refused && matches!(member.log.compact_if_due(), Compaction::Refused { .. }) {
+                refused_snapshots += 1;
+            }
+            member.assert_is_found_again();
+        }
+        member.directory.set_capacity(None);
+        member.change().expect("there is room again");
+        assert!(!matches!(member.log.compact_if_due(), Compaction::Refused { .. }));
+    }
+    println!(
+        "room for {room}: {refused_changes} changes and {refused_snapshots} snapshots refused, at most {} bytes",
+        member.directory.most_bytes()
+    );
+    assert!(refused_changes > 0, "the disk was full");
+    assert!(member.directory.most_bytes() < LOG_BOUND + room);
+    member.assert_is_found_again();
+}
+
+/// A disk of its own on which the log has all the room is never too small for it.
+#[test]
+fn a_disk_of_the_stated_size_is_enough() {
+    let mut member = Member::new();
+    member.directory.set_capacity(Some(LOG_BOUND));
+    for _ in 0..100 {
+        member.change().expect("there is room");
+        assert!(!matches!(member.log.compact_if_due(), Compaction::Refused { .. }));
+    }
+}
+
+/// A disk with room for a change beside the log or for a snapshot, but not for both.
+#[test]
+fn a_refused_change_finds_room_after_a_snapshot() {
+    let mut member = Member::new();
+    member.change().expect("there is room");
+    member.log.compact_for_room();
+    member.directory.set_capacity(Some(4 * CHANGE_BYTES as u64 + MARGIN));
+    let mut refused = 0;
+    for _ in 0..100 {
+        if member.change().is_err() {
+            refused += 1;
+            assert!(matches!(member.log.compact_for_room(), Compaction::Done));
+            member.assert_is_found_again();
+            member.change().expect("there is room now");
+        }
+        member.log.compact_if_due();
+    }
+    println!("{refused} of 100 changes were refused first");
+    assert!(refused > 0);
+    member.assert_is_found_again();
+}
+
+/// A snapshot that takes as much as the records gives no room.
+#[test]
+fn no_snapshot_is_made_that_gives_no_room() {
+    let mut member = Member::new();
+    assert!(matches!(member.log.compact_for_room(), Compaction::NotDue));
+    member.change().expect("there is room");
+    assert!(matches!(member.log.compact_for_room(), Compaction::Done));
+    assert!(matches!(member.log.compact_for_room(), Compaction::NotDue));
+}
+
+/// Snapshots can't be written for long: the log grows by each change, and is short again after.
+#[test]
+fn a_refused_snapshot_is_made_up_for() {
+    let mut member = Member::new();
+    for _ in 0..100 {
+        member.change().expect("there is room");
+    }
+    assert!(member.directory.bytes() > 200 * CHANGE_BYTES as u64, "nothing was compacted");
+    assert!(matches!(member.log.compact_if_due(), Compaction::Done));
+    assert!(member.directory.bytes() < 2 * CHANGE_BYTES as u64);
+    member.assert_is_found_again();
+}
