Check what one member does with each part of the data

Cause: that nothing is written or confirmed before all data is there was checked in whole clusters only. Change: tests/replication_sync_member.rs hands single parts to one member and looks at its records and answers.

--- /dev/null
+++ b/crates/tower/tests/replication_sync_member.rs
@@ -0,0 +1,197 @@
+//! What one member does with the parts of the data that a proposer sends.
+
+use std::time::Duration;
+
+use intercom::control::{ControlMessage, Entry, Envelope, TransferId};
+use intercom::node::NodeId;
+use tower::replication::transfer::{EncodedData, PART_BYTES, Part};
+use tower::replication::{
+    DataMark, DurableRecord, DurableState, Input, Output, Replication, ReplicationSettings,
+};
+
+const START: Duration = Duration::from_secs(1);
+const MEMBER: NodeId = NodeId { ip: 2, generation: 0 };
+const PROPOSER: NodeId = NodeId { ip: 1, generation: 0 };
+/// The epoch of the proposer's data, and those of its attempts.
+const DATA_EPOCH: u64 = 1 << 40;
+const FIRST_EPOCH: u64 = 2 << 40;
+const SECOND_EPOCH: u64 = 3 << 40;
+
+/// Five entries of two thirds of a part each.
+fn data(epoch: u64, filler: u8) -> DurableState {
+    let command: Vec<u8> = vec![filler; PART_BYTES as usize * 2 / 3];
+    let entry = |sequence| Entry { sequence, command: command.clone().into() };
+    DurableState {
+        promised: epoch,
+        data: DataMark { epoch, sequence: 5 },
+        entries: (1..=5).map(entry).collect(),
+        ..DurableState::default()
+    }
+}
+
+/// A member under test.
+struct Member(Replication);
+
+impl Member {
+    fn with(durable: DurableState) -> Member {
+        let settings = ReplicationSettings {
+            node: MEMBER,
+            zone: "a".to_owned(),
+            seeds: vec![PROPOSER, MEMBER],
+            losses: 1,
+            first_boot: false,
+            seed: 1,
+        };
+        let mut replication = Replication::new(settings, durable, START);
+        replication.handle(START, Input::Tick, &mut Vec::new());
+        Member(replication)
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.0.handle(START, input, &mut out);
+        out
+    }
+
+    fn sync(&mut self, epoch: u64, part: Part) -> Vec<Output> {
+        let Part { transfer, offset, bytes } = part;
+        let message = ControlMessage::Sync { epoch, data_epoch: DATA_EPOCH, transfer, offset, bytes };
+        self.input(Input::Message(Envelope { from: PROPOSER, to: MEMBER, message }))
+    }
+}
+
+fn answers(out: &[Output]) -> Vec<ControlMessage> {
+    let answer = |output: &Output| match output {
+        Output::Send(envelope) if envelope.to == PROPOSER => Some(envelope.message.clone()),
+        _ => None,
+    };
+    out.iter().filter_map(answer).collect()
+}
+
+fn records(out: &[Output]) -> Vec<DurableRecord> {
+    let persisted = |output: &Output| match output {
+        Output::Persist { records, .. } => records.clone(),
+        _ => Vec::new(),
+    };
+    out.iter().flat_map(persisted).collect()
+}
+
+fn last_ticket(out: &[Output]) -> u64 {
+    let ticket = |output: &Output| match output {
+        Output::Persist { ticket, .. } => Some(*ticket),
+        _ => None,
+    };
+    out.iter().filter_map(ticket).next_back().expect("something is written")
+}
+
+fn progress(epoch: u64, transfer: TransferId, received: u64) -> ControlMessage {
+    ControlMessage::SyncProgress { epoch, transfer, received }
+}
+
+/// The parts of the data in their order.
+fn parts(data: &EncodedData) -> Vec<Part> {
+    (0..data.id().length).step_by(PART_BYTES as usize).map(|offset| data.part(offset)).collect()
+}
+
+#[test]
+fn a_partial_transfer_touches_no_data() {
+    let old = data(1 << 39, 1);
+    let mut member = Member::with(old);
+    let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
+    let parts = parts(&encoded);
+    let out = member.sync(FIRST_EPOCH, parts[0].clone());
+    assert_eq!(records(&out), [DurableRecord::Promised(FIRST_EPOCH)]);
+    assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), PART_BYTES)]);
+    for part in &parts[1..parts.len() - 1] {
+        assert_eq!(records(&member.sync(FIRST_EPOCH, part.clone())), []);
+    }
+}
+
+#[test]
+fn a_whole_transfer_is_confirmed_once_it_is_on_disk() {
+    let mut member = Member::with(DurableState::default());
+    let proposer = data(DATA_EPOCH, 2);
+    let encoded = EncodedData::of(&proposer);
+    let mut out = Vec::new();
+    for part in parts(&encoded) {
+        out = member.sync(FIRST_EPOCH, part);
+    }
+    let reset = DurableRecord::Reset {
+        epoch: FIRST_EPOCH,
+        snapshot_sequence: 0,
+        snapshot: proposer.snapshot.clone(),
+        entries: proposer.entries,
+    };
+    assert_eq!(records(&out), [reset]);
+    assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), encoded.id().length)]);
+    let ticket = last_ticket(&out);
+    // Asked again meanwhile, it says nothing before.
+    assert_eq!(answers(&member.sync(FIRST_EPOCH, encoded.part(encoded.id().length))), []);
+    let out = member.input(Input::Persisted { ticket });
+    let synced = ControlMessage::Synced { epoch: FIRST_EPOCH, sequence: 5 };
+    assert_eq!(answers(&out), [synced.clone(), synced.clone()]);
+    let again = member.sync(FIRST_EPOCH, encoded.part(0));
+    assert_eq!((answers(&again), records(&again)), (vec![synced], vec![]));
+}
+
+#[test]
+fn a_holder_with_the_same_mark_takes_only_the_epoch() {
+    let mut member = Member::with(data(DATA_EPOCH, 2));
+    let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
+    let out = member.sync(FIRST_EPOCH, encoded.part(encoded.id().length));
+    assert_eq!(
+        records(&out),
+        [DurableRecord::Promised(FIRST_EPOCH), DurableRecord::DataEpoch(FIRST_EPOCH)]
+    );
+    assert_eq!(answers(&out), []);
+    let out = member.input(Input::Persisted { ticket: last_ticket(&out) });
+    assert_eq!(answers(&out), [ControlMessage::Synced { epoch: FIRST_EPOCH, sequence: 5 }]);
+}
+
+/// As many entries of another epoch may be other entries.
+#[test]
+fn a_holder_with_as_many_entries_of_another_epoch_needs_the_data() {
+    let mut member = Member::with(data(DATA_EPOCH - 1, 1));
+    let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
+    let out = member.sync(FIRST_EPOCH, encoded.part(encoded.id().length));
+    assert_eq!(records(&out), [DurableRecord::Promised(FIRST_EPOCH)]);
+    assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), 0)]);
+}
+
+/// Fewer entries of the same epoch are not all.
+#[test]
+fn a_holder_with_fewer_entries_needs_the_data() {
+    let mut behind = data(DATA_EPOCH, 2);
+    behind.entries.pop();
+    behind.data.sequence = 4;
+    let mut member = Member::with(behind);
+    let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
+    let out = member.sync(FIRST_EPOCH, encoded.part(encoded.id().length));
+    assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), 0)]);
+}
+
+#[test]
+fn a_higher_epoch_with_the_same_data_goes_on() {
+    let mut member = Member::with(DurableState::default());
+    let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
+    let parts = parts(&encoded);
+    member.sync(FIRST_EPOCH, parts[0].clone());
+    member.sync(FIRST_EPOCH, parts[1].clone());
+    let out = member.sync(SECOND_EPOCH, parts[0].clone());
+    assert_eq!(answers(&out), [progress(SECOND_EPOCH, encoded.id(), 2 * PART_BYTES)]);
+    let late = answers(&member.sync(FIRST_EPOCH, parts[2].clone()));
+    assert_eq!(late, [ControlMessage::Refuse { epoch: FIRST_EPOCH, promised: SECOND_EPOCH }]);
+    let out = member.sync(SECOND_EPOCH, parts[2].clone());
+    assert_eq!(answers(&out), [progress(SECOND_EPOCH, encoded.id(), 3 * PART_BYTES)]);
+}
+
+#[test]
+fn a_part_of_other_data_starts_anew() {
+    let mut member = Member::with(DurableState::default());
+    let first = EncodedData::of(&data(DATA_EPOCH, 2));
+    let second = EncodedData::of(&data(DATA_EPOCH, 3));
+    member.sync(FIRST_EPOCH, first.part(0));
+    let out = member.sync(SECOND_EPOCH, second.part(PART_BYTES));
+    assert_eq!(answers(&out), [progress(SECOND_EPOCH, second.id(), 0)]);
+    assert_eq!(records(&out), [DurableRecord::Promised(SECOND_EPOCH)]);
+}
