--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod rollout;
 pub mod server;
 pub mod state;
+pub mod state_log;
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -21,8 +21,11 @@
 mod machine;
 mod membership;
 mod peers;
+mod progress;
 mod quorum;
 mod settings;
+mod sync;
+pub mod transfer;
 
 pub use departure::Departure;
 pub use durable::{DataMark, DurableRecord, DurableState};
