Tell calls apart whose numbers are rounded alike when they are read

Cause: a call's digest took numbers as 64-bit floating point; of two calls that differed in the last of thirty digits only, the second was acknowledged as a repeat of the first though it was never taken. Change: a body with a number of more than 15 digits or with an exponent is known by its bytes. The others are known by their JSON value as before.

--- a/crates/timetable/src/digest.rs
+++ b/crates/timetable/src/digest.rs
@@ -6,6 +6,8 @@
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use xxhash_rust::xxh3::xxh3_128_with_seed;
 
+use crate::precision::may_round_numbers;
+
 /// How a call brings its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallKind {
@@ -16,8 +18,8 @@
 }
 
 /// The digest of a call: of its kind and what it asks for. A configuration counts as its JSON value, beside
-/// the revision on which it builds: the order of fields and white space make no difference. It is the same
-/// on all machines.
+/// the revision on which it builds: the order of fields and white space make no difference. Where numbers may
+/// be rounded when they are read, it counts as its bytes. The digest is the same on all machines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct RequestDigest(#[musli(bytes)] RawDigest);
 
@@ -32,8 +34,11 @@
         body: &[u8],
     ) -> Result<Self, serde_json::Error> {
         let mut deserializer = serde_json::Deserializer::from_slice(body);
-        let value = ValueDigest.deserialize(&mut deserializer)?;
+        let mut value = ValueDigest.deserialize(&mut deserializer)?;
         deserializer.end()?;
+        if may_round_numbers(body) {
+            value = digest_of_bytes(tag::EXACT_BODY, body);
+        }
         let kind = match kind {
             CallKind::Put => tag::PUT,
             CallKind::Patch => tag::PATCH,
@@ -70,6 +75,7 @@
     pub const LIST: u64 = 8;
     pub const OBJECT: u64 = 9;
     pub const WEIGHTS: u64 = 10;
+    pub const EXACT_BODY: u64 = 11;
 }
 
 fn digest_of_bytes(tag: u64, bytes: &[u8]) -> RawDigest {
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod lookup;
 pub mod model;
+mod precision;
 pub mod remembered;
 mod wire;
 
--- a/crates/tower/tests/state_repeats.rs
+++ b/crates/tower/tests/state_repeats.rs
@@ -197,6 +197,34 @@
     assert_eq!(state.decide(&patch(1, body)), Decision::Stale { current: 2 });
 }
 
+/// Numbers that are rounded to the same one when they are read make different calls.
+#[rstest]
+#[case::a_long_integer("123456789012345678901234567890", "123456789012345678901234567891")]
+#[case::a_long_fraction("0.12345678901234567", "0.12345678901234568")]
+#[case::a_negative_number("-0.30000000000000004", "-0.30000000000000003")]
+#[case::an_underflow("1e-400", "1E-500")]
+#[case::in_a_list("[true,\"\\\"\",10000000000000000000001]", "[true,\"\\\"\",10000000000000000000002]")]
+fn numbers_that_round_to_the_same_make_different_calls(#[case] first: &str, #[case] second: &str) {
+    let call =
+        |number: &str| patch(1, &format!(r#"{{"revision":2,"upsert":{{"note":{{"x":{number}}}}}}}"#));
+    let mut state = first_state();
+    take(&mut state, &call(first));
+    assert_eq!(state.decide(&call(first)), Decision::AlreadyTaken);
+    assert_eq!(state.decide(&call(second)), Decision::Stale { current: 2 });
+}
+
+/// Digits in a text are no number: such a call is known in another notation too.
+#[test]
+fn digits_in_a_text_are_not_rounded() {
+    let mut state = first_state();
+    take(
+        &mut state,
+        &patch(1, r#"{"revision":2,"upsert":{"note":{"x":"\"12345678901234567890","y":1.5}}}"#),
+    );
+    let repeat = r#"{"upsert":{"note":{"y":1.50,"x":"\"12345678901234567890"}},"revision":2}"#;
+    assert_eq!(state.decide(&patch(1, repeat)), Decision::AlreadyTaken);
+}
+
 /// Of fields with one name the last counts, so their order makes another call.
 #[test]
 fn another_order_of_fields_with_one_name_is_another_call() {
