Decide what follows each end of a send by one table, and read answers while writing

Cause: what is known of a request after a fault, and what is done then, stood in several functions of the exchange. A request that could not be written whole counted as never run and was sent again, though a replica may start, and answer, before it has read all of a body: an unsafe request ran twice. An answer was not read before the whole request was written, so an early one was late or was lost.

Change: outcome.rs is the table (kind of request and event to what is known, what is done and what the decision module is told), a pure function that the exchange follows; connection.rs writes a request while it looks for its answer and writes the rest of the body while the answer is passed on. A connection on which a body's rest is due is closed. A failed write is a send that has not run only while the head is not whole. A request that is known not to have run always ends with 503 and Retry-After, never with 502 or 504.

--- a/crates/jetway/src/wire.rs
+++ b/crates/jetway/src/wire.rs
@@ -144,12 +144,7 @@
     /// The same of two parts, one after the other and without putting them together first.
     pub async fn write_both(&mut self, mut first: &[u8], mut second: &[u8]) -> io::Result<()> {
         while !first.is_empty() {
-            let length = first.len() + second.len();
-            let count = future::poll_fn(|cx| {
-                let parts = [IoSlice::new(first), IoSlice::new(second)];
-                self.poll_write_by(cx, length, |mut stream| stream.write_vectored(&parts))
-            });
-            let count = count.await?;
+            let count = future::poll_fn(|cx| self.poll_write_both(cx, first, second)).await?;
             let of_first = count.min(first.len());
             first = &first[of_first..];
             second = &second[count - of_first..];
@@ -162,6 +157,17 @@
         self.poll_write_by(cx, bytes.len(), |mut stream| stream.write(bytes))
     }
 
+    /// Writes some of two parts, one after the other, once the connection takes some.
+    pub fn poll_write_both(
+        &mut self,
+        cx: &mut Context<'_>,
+        first: &[u8],
+        second: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let parts = [IoSlice::new(first), IoSlice::new(second)];
+        self.poll_write_by(cx, first.len() + second.len(), |mut stream| stream.write_vectored(&parts))
+    }
+
     fn poll_write_by(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/kiosk/src/attempt.rs
+++ b/crates/kiosk/src/attempt.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 
 use jetway::http::{self, Body, Head};
-use signpost::types::Verdict;
 
-use crate::pool::{Connection, Pool};
+use crate::connection::{Connection, Sent};
+use crate::outcome::{ConnectionState, Known, SendEvent};
+use crate::pool::Pool;
 use crate::replicas::ReplicaEntry;
 use crate::reply::Reply;
 
@@ -19,16 +20,10 @@
 
 /// How an attempt has come out, up to the beginning of its answer.
 pub enum AttemptEnd {
-    /// Nothing was sent.
-    Unsent(Verdict),
-    /// The replica turned the request away; it has not run.
-    NotRun,
-    /// Another replica has the address; the request has not run.
-    WrongReplica,
-    /// The request may have run, and there is no answer that could be passed on.
-    Broken,
+    /// There is no answer that could be passed on.
+    Ended(SendEvent),
     /// A whole answer that is no success and that the client may be given.
-    Failure(Failure),
+    Failure(SendEvent, Failure),
     /// The beginning of a success.
     Success(Box<Answer>),
 }
@@ -40,8 +35,6 @@
     pub head: Head,
     /// Its body.
     pub body: Vec<u8>,
-    /// The replica said that the request did not run.
-    pub not_run: bool,
 }
 
 /// The beginning of a success: its head, and the first bytes of its body or its end.
@@ -82,42 +75,67 @@
     mut connection: Connection,
     outgoing: Outgoing<'_>,
 ) -> AttemptEnd {
-    // Until its last byte was taken the request is not whole, and can't have run.
-    if connection.wire.write_both(outgoing.head, outgoing.body).await.is_err() {
-        return AttemptEnd::Unsent(Verdict::NoConnection);
+    let sent = connection.send(outgoing.head, outgoing.body, pool.limits()).await;
+    if sent == Sent::CutInHead {
+        return AttemptEnd::Ended(SendEvent::BrokenInHead);
     }
+    // A replica that has closed the connection may have answered before.
+    let mut no_answer =
+        if sent == Sent::CutInBody { SendEvent::BrokenInBody } else { SendEvent::BrokenBeforeAnswer };
     for _ in 0..=MOST_FOREIGN {
-        let Ok(head) = read_head(&mut connection, pool).await else { return AttemptEnd::Broken };
+        let head = match read_head(&mut connection, pool).await {
+            Ok(head) => head,
+            Err(NoHead::Nothing) => return AttemptEnd::Ended(no_answer),
+            Err(NoHead::Part) => return AttemptEnd::Ended(SendEvent::BrokenInAnswer),
+            Err(NoHead::NotHttp) => return AttemptEnd::Ended(SendEvent::NotHttp),
+        };
         match Reply::read(&head, outgoing.attempt_id, &replica.id.0) {
             // It came late and in the place of the one that is due, which follows it.
             Reply::Foreign => {
-                connection.is_spoilt = true;
-                let framing = framing(&head, outgoing);
-                if read_body(pool, &mut connection, framing).await.is_none() {
-                    return AttemptEnd::Broken;
+                no_answer = SendEvent::OnlyForeign;
+                connection.mark(ConnectionState::LateAnswer);
+                if read_body(pool, &mut connection, framing(&head, outgoing)).await.is_none() {
+                    return AttemptEnd::Ended(SendEvent::OnlyForeign);
                 }
             }
-            Reply::Unsealed => return AttemptEnd::Broken,
-            Reply::Success => return begin(pool, replica, connection, head, outgoing).await,
-            Reply::WrongReplica => return AttemptEnd::WrongReplica,
-            reply => return finish(pool, replica, connection, head, (outgoing, reply)).await,
+            Reply::Due(SendEvent::Success) => {
+                return begin(pool, replica, connection, head, outgoing).await;
+            }
+            Reply::Due(event) if !is_read_whole(event) => return AttemptEnd::Ended(event),
+            Reply::Due(event) => return finish(pool, replica, connection, head, (outgoing, event)).await,
         }
     }
-    AttemptEnd::Broken
+    AttemptEnd::Ended(SendEvent::OnlyForeign)
+}
+
+/// Whether an answer is read to its end, after which its connection may serve again.
+fn is_read_whole(event: SendEvent) -> bool {
+    !matches!(event, SendEvent::Unsealed | SendEvent::Encoded | SendEvent::WrongReplica)
+}
+
+/// Why the head of an answer can't be read.
+enum NoHead {
+    /// The connection ended without a byte of it.
+    Nothing,
+    /// The connection ended amid the head.
+    Part,
+    /// What came is none.
+    NotHttp,
 }
 
-async fn read_head(connection: &mut Connection, pool: &Pool) -> io::Result<Head> {
+async fn read_head(connection: &mut Connection, pool: &Pool) -> Result<Head, NoHead> {
     let mut interim = 0;
     loop {
         match http::response_head(&mut connection.wire.buf, pool.limits()) {
             Ok(Some(head)) if head.status() >= 200 => return Ok(head),
             Ok(Some(_)) if interim < MOST_INTERIM => interim += 1,
-            Ok(Some(_)) => return Err(io::Error::other("interim answers without end")),
-            Ok(None) if connection.wire.fill(pool.limits()).await? == 0 => {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+            Ok(Some(_)) | Err(_) => return Err(NoHead::NotHttp),
+            Ok(None) => {
+                if !matches!(connection.fill(pool.limits()).await, Ok(1..)) {
+                    let is_nothing = connection.wire.buf.is_empty();
+                    return Err(if is_nothing { NoHead::Nothing } else { NoHead::Part });
+                }
             }
-            Ok(None) => {}
-            Err(fault) => return Err(io::Error::other(fault.what)),
         }
     }
 }
@@ -135,7 +153,7 @@
     head: Head,
     outgoing: Outgoing<'_>,
 ) -> AttemptEnd {
-    let Some(framing) = framing(&head, outgoing) else { return AttemptEnd::Broken };
+    let Some(framing) = framing(&head, outgoing) else { return AttemptEnd::Ended(SendEvent::NotHttp) };
     let mut answer = Box::new(Answer {
         replica: replica.clone(),
         connection,
@@ -146,47 +164,43 @@
         is_whole: false,
     });
     if answer.take(pool).is_err() {
-        return AttemptEnd::Broken;
+        return AttemptEnd::Ended(SendEvent::NotHttp);
     }
     while answer.bytes.is_empty() && !answer.is_whole {
         if answer.read(pool).await.is_err() {
-            return AttemptEnd::Broken;
+            return AttemptEnd::Ended(SendEvent::BrokenInAnswer);
         }
     }
     AttemptEnd::Success(answer)
 }
 
-/// Reads an answer that is no success to its end.
+/// Reads an answer that is no success to its end. What says that the request has not run says so without its end.
 async fn finish(
     pool: &Pool,
     replica: &Rc<ReplicaEntry>,
     mut connection: Connection,
     head: Head,
-    (outgoing, reply): (Outgoing<'_>, Reply),
+    (outgoing, event): (Outgoing<'_>, SendEvent),
 ) -> AttemptEnd {
     let body = read_body(pool, &mut connection, framing(&head, outgoing)).await;
-    let is_whole = body.is_some();
-    let end = match (reply, body) {
-        (Reply::NotRun, _) => AttemptEnd::NotRun,
-        (Reply::Rejected, Some(body)) => {
-            AttemptEnd::Failure(Failure { head: head.clone(), body, not_run: true })
-        }
-        (Reply::Failure, Some(body)) => {
-            AttemptEnd::Failure(Failure { head: head.clone(), body, not_run: false })
-        }
-        _ => AttemptEnd::Broken,
+    let is_passed_on =
+        matches!(event, SendEvent::Rejected | SendEvent::ServerError | SendEvent::OtherFailure);
+    let Some(body) = body else {
+        let is_known = !is_passed_on && event.known() == Known::NotRun;
+        return AttemptEnd::Ended(if is_known { event } else { SendEvent::BrokenInAnswer });
     };
-    if is_whole {
-        pool.give_back(&replica.id, connection, &head);
+    pool.give_back(&replica.id, connection, &head);
+    if is_passed_on {
+        return AttemptEnd::Failure(event, Failure { head, body });
     }
-    end
+    AttemptEnd::Ended(event)
 }
 
 async fn read_body(pool: &Pool, connection: &mut Connection, framing: Option<Body>) -> Option<Vec<u8>> {
     let mut framing = framing.filter(|framing| *framing != Body::UntilClose)?;
     let mut bytes = Vec::new();
     while !framing.take(&mut connection.wire.buf, &mut bytes, pool.limits()).ok()? {
-        let more = connection.wire.fill(pool.limits()).await.ok()?;
+        let more = connection.fill(pool.limits()).await.ok()?;
         if more == 0 || bytes.len() > LONGEST_FAILURE {
             return None;
         }
@@ -197,7 +211,7 @@
 impl Answer {
     /// Waits for bytes from the replica and takes what they hold of the body.
     pub async fn read(&mut self, pool: &Pool) -> io::Result<()> {
-        let read = self.connection.wire.fill(pool.limits()).await;
+        let read = self.connection.fill(pool.limits()).await;
         self.came(read, pool)
     }
 
@@ -221,9 +235,10 @@
     }
 
     /// Ends the answer, which has come whole; its connection may serve again.
-    pub fn finish(self, pool: &Pool) {
-        if self.framing != Body::UntilClose {
-            pool.give_back(&self.replica.id, self.connection, &self.head);
+    pub fn finish(mut self, pool: &Pool) {
+        if self.framing == Body::UntilClose {
+            self.connection.mark(ConnectionState::EndsWithAnswer);
         }
+        pool.give_back(&self.replica.id, self.connection, &self.head);
     }
 }
--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -9,13 +9,13 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
-use signpost::types::Effect;
 
 use crate::admission::Admitted;
 use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, Incoming, write_own};
 use crate::headers::OwnAnswer;
 use crate::held::Held;
+use crate::outcome::{self, Known, LastAnswer, RequestKind};
 use crate::placement::{self, Ask, Order};
 use crate::prompt::PromptHeaders;
 use crate::proxy::Proxy;
@@ -90,8 +90,8 @@
     deadline: Instant,
     /// Replicas that the request was written to.
     sends: u32,
-    /// Some replica may have run it.
-    may_have_run: bool,
+    /// What is known after all sends so far.
+    known: Known,
     /// A failure of a replica that the client gets if nobody does better.
     failure: Option<Box<Failure>>,
     /// The answer that the client has been passed a part of.
@@ -117,7 +117,7 @@
             held,
             deadline,
             sends: 0,
-            may_have_run: false,
+            known: Known::NotRun,
             failure: None,
             relay: None,
         })
@@ -164,18 +164,31 @@
             // Nothing is out.
             Order::Cancel(_) => Step::Continue,
             Order::Refuse(wait) => Step::Answer(self.declined(wait)),
-            Order::Fail => Step::Answer(Final::Own(self.failed())),
+            Order::Fail => Step::Answer(Final::Own(self.failed(RETRY_SOON))),
         }
     }
 
-    /// Declines the request. Of one that may have run and must not be repeated, nothing is promised.
+    /// How the request may be repeated.
+    fn kind(&self) -> RequestKind {
+        RequestKind::of(self.admitted.route())
+    }
+
+    /// The last word on a request for which nobody is to be asked any more.
     fn declined(&self, wait: Duration) -> Final {
-        let may_promise = !self.may_have_run || placement::effect_of(self.admitted.route()) == Effect::Safe;
-        Final::Own(if may_promise { OwnAnswer::refusal(wait) } else { self.failed() })
+        Final::Own(self.last_answer(true, wait))
     }
 
-    fn failed(&self) -> OwnAnswer {
+    /// The last word on a request that has failed.
+    fn failed(&self, wait: Duration) -> OwnAnswer {
+        self.last_answer(false, wait)
+    }
+
+    fn last_answer(&self, has_given_up: bool, wait: Duration) -> OwnAnswer {
         let is_late = Instant::now() >= self.deadline;
-        OwnAnswer::plain(if is_late { 504 } else { 502 })
+        match outcome::last_answer(self.kind(), self.known, is_late, has_given_up) {
+            LastAnswer::Refusal => OwnAnswer::refusal(wait),
+            LastAnswer::BadGateway => OwnAnswer::plain(502),
+            LastAnswer::GatewayTimeout => OwnAnswer::plain(504),
+        }
     }
 }
--- a/crates/kiosk/src/exchange/answers.rs
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -3,12 +3,12 @@
 use std::time::Instant;
 
 use jetway::http::Body;
-use signpost::types::Verdict;
 
 use super::{DEADLINE_GRACE, Exchange, Final};
 use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, write_last, write_own};
 use crate::headers::{self, Framing};
+use crate::outcome::{self, Next, SendEvent};
 use crate::relay::{Relay, RelayEnd};
 
 impl Exchange<'_> {
@@ -75,29 +75,33 @@
         match end {
             RelayEnd::Whole => {
                 counters.passed.add();
-                self.held.outcome(Verdict::Ok, true);
+                self.held.outcome(SendEvent::Success.verdict(), true);
                 Some(relay.after().into())
             }
             RelayEnd::ClientLeft => {
                 counters.abandoned.add();
                 Some(Done::Abandon)
             }
-            RelayEnd::Broken if !relay.has_begun() => {
-                self.held.outcome(Verdict::Reset, false);
-                None
-            }
-            RelayEnd::Broken if self.may_resume(&mut relay) => {
-                self.relay = Some(relay);
-                self.held.outcome(Verdict::Reset, false);
-                None
-            }
-            RelayEnd::Broken => {
-                counters.broken.add();
-                self.held.outcome(Verdict::Reset, true);
-                client.wire.abort = relay.ends_with_connection();
-                Some(Done::Abandon)
-            }
+            RelayEnd::Broken => self.cut(client, relay),
+        }
+    }
+
+    /// A success broke off. None if another replica may go on with it, or give it whole.
+    fn cut(&mut self, client: &mut Client<'_>, mut relay: Relay) -> Option<Done> {
+        let event = if relay.has_begun() { SendEvent::CutAnswer } else { SendEvent::BrokenInAnswer };
+        let outcome = outcome::decide(self.kind(), event);
+        let is_resumed = outcome.next == Next::Resume && self.may_resume(&mut relay);
+        let is_sent_again = is_resumed || outcome.next == Next::SendAgain;
+        self.held.outcome(outcome.verdict, !is_sent_again);
+        if !is_sent_again {
+            self.proxy.counters.broken.add();
+            client.wire.abort = relay.ends_with_connection();
+            return Some(Done::Abandon);
+        }
+        if is_resumed {
+            self.relay = Some(relay);
         }
+        None
     }
 
     fn may_resume(&self, relay: &mut Relay) -> bool {
--- a/crates/kiosk/src/exchange/attempts.rs
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -1,18 +1,19 @@
 //! The attempts of a request: each is sent to one replica, if that is still allowed, and ends with an answer, with
 //! a verdict for the decision module, or with its word.
 
+use std::io;
 use std::rc::Rc;
 use std::task::Poll;
 
 use futures_lite::future;
-use signpost::types::{Effect, ReplicaId, Verdict};
+use signpost::types::{ReplicaId, Verdict};
 
-use super::{Exchange, Final, RETRY_AT_ONCE, Step};
+use super::{Exchange, Final, RETRY_AT_ONCE, RETRY_SOON, Step};
 use crate::attempt::{self, AttemptEnd, Failure, Outgoing};
 use crate::client::Client;
-use crate::headers::OwnAnswer;
-use crate::placement::{self, Order};
-use crate::pool::Connection;
+use crate::connection::Connection;
+use crate::outcome::{self, Next, SendEvent};
+use crate::placement::Order;
 use crate::replicas::ReplicaEntry;
 
 /// Descriptors are used up in the system, says Linux.
@@ -23,7 +24,7 @@
 /// Why an attempt's work ended early.
 enum Interrupted {
     /// There is no connection.
-    Connect(Verdict),
+    Connect(SendEvent),
     /// The client has left.
     Left,
     /// The module wants something else.
@@ -49,10 +50,7 @@
         };
         let connection = match self.connection(client, &replica).await {
             Ok(connection) => connection,
-            Err(Interrupted::Connect(verdict)) => {
-                self.held.outcome(verdict, false);
-                return Step::Continue;
-            }
+            Err(Interrupted::Connect(event)) => return self.ended(&replica.id, event, None),
             Err(Interrupted::Left) => return Step::Answer(Final::None),
             Err(Interrupted::Order(order)) => return self.interrupted(order),
         };
@@ -75,14 +73,16 @@
     }
 
     fn withdrawn(&self) -> Final {
-        Final::Own(if self.may_have_run { self.failed() } else { OwnAnswer::refusal(RETRY_AT_ONCE) })
+        Final::Own(self.failed(RETRY_AT_ONCE))
     }
 
-    /// Whether a send is within the route's attempts and the service's budget.
+    /// Whether a send is allowed by the request's kind, the route's attempts and the service's budget.
     pub(super) fn may_send(&self) -> bool {
-        self.sends == 0
-            || self.sends < self.admitted.route().max_attempts
+        let is_in_budget = || {
+            self.sends < self.admitted.route().max_attempts
                 && self.proxy.may_repeat(self.admitted.service())
+        };
+        self.sends == 0 || outcome::may_send_again(self.kind(), self.known) && is_in_budget()
     }
 
     /// Counts a send that follows at once; false if it must not.
@@ -111,12 +111,11 @@
         }
         self.proxy.counters.connects.add();
         let connect = async {
-            self.proxy.pool.connect(replica.address).await.map_err(|error| {
-                // Nobody's fault but this process's.
-                let is_own = error.kind() == std::io::ErrorKind::QuotaExceeded
-                    || matches!(error.raw_os_error(), Some(NO_DESCRIPTOR_IN_SYSTEM | NO_DESCRIPTOR_HERE));
-                Interrupted::Connect(if is_own { Verdict::Moot } else { Verdict::NoConnection })
-            })
+            self.proxy
+                .pool
+                .connect(replica.address)
+                .await
+                .map_err(|error| Interrupted::Connect(connect_event(&error)))
         };
         self.unless_interrupted(client, connect).await?
     }
@@ -138,70 +137,55 @@
         self.held.written();
         let exchange = attempt::exchange(&self.proxy.pool, &replica, connection, outgoing);
         match self.unless_interrupted(client, exchange).await {
-            Ok(end) => self.ended(&replica.id, end),
-            Err(Interrupted::Order(order)) => self.interrupted(order),
-            Err(_) => Step::Answer(Final::None),
-        }
-    }
-
-    /// An attempt has ended without the module's doing.
-    fn ended(&mut self, replica: &ReplicaId, end: AttemptEnd) -> Step {
-        match end {
-            AttemptEnd::Success(answer) => {
-                self.may_have_run = true;
+            Ok(AttemptEnd::Success(answer)) => {
+                self.known = SendEvent::Success.known();
                 self.held.first_token();
-                return Step::Begun(answer);
-            }
-            AttemptEnd::Unsent(verdict) => self.held.outcome(verdict, false),
-            AttemptEnd::NotRun => self.held.outcome(Verdict::Full, false),
-            AttemptEnd::WrongReplica => {
-                self.held.outcome(Verdict::Full, false);
-                self.proxy.displace(replica);
+                Step::Begun(answer)
             }
-            AttemptEnd::Broken => {
-                self.may_have_run = true;
-                self.held.outcome(Verdict::Reset, false);
+            Ok(AttemptEnd::Failure(event, failure)) => {
+                self.ended(&replica.id, event, Some(Box::new(failure)))
             }
-            AttemptEnd::Failure(failure) => return self.replica_failed(Box::new(failure)),
+            Ok(AttemptEnd::Ended(event)) => self.ended(&replica.id, event, None),
+            Err(Interrupted::Order(order)) => self.interrupted(order),
+            Err(_) => Step::Answer(Final::None),
         }
-        Step::Continue
     }
 
-    /// A replica's failure goes to the client, unless another replica may do better.
-    fn replica_failed(&mut self, failure: Box<Failure>) -> Step {
-        if failure.not_run {
-            self.held.outcome(Verdict::Full, true);
-            return Step::Answer(Final::Replica(failure));
+    /// An attempt has ended without the module's doing, before anything was passed on.
+    fn ended(&mut self, replica: &ReplicaId, event: SendEvent, failure: Option<Box<Failure>>) -> Step {
+        let outcome = outcome::decide(self.kind(), event);
+        self.known = self.known.max(outcome.known);
+        let is_sent_again = match outcome.next {
+            Next::SendAgain => true,
+            Next::SendAgainOrPassOn => self.may_send(),
+            Next::Resume | Next::PassOn | Next::Fail | Next::BreakOff => false,
+        };
+        self.held.outcome(outcome.verdict, !is_sent_again);
+        if event == SendEvent::WrongReplica {
+            self.proxy.displace(replica);
         }
-        self.may_have_run = true;
-        let repeats = failure.head.status() == 500
-            && placement::effect_of(self.admitted.route()) == Effect::Safe
-            && self.may_send();
-        self.held.outcome(Verdict::Error, !repeats);
-        if repeats {
-            self.failure = Some(failure);
-            return Step::Continue;
+        match failure {
+            Some(failure) if is_sent_again => self.failure = Some(failure),
+            Some(failure) => return Step::Answer(Final::Replica(failure)),
+            None if is_sent_again => {}
+            None => return Step::Answer(Final::Own(self.failed(RETRY_SOON))),
         }
-        Step::Answer(Final::Replica(failure))
+        Step::Continue
     }
 
     /// The module has ended an attempt that is out.
     fn interrupted(&mut self, order: Order) -> Step {
-        let may_run = self.held.may_have_run();
-        self.may_have_run |= may_run;
+        if self.held.may_have_run() {
+            self.known = self.known.max(SendEvent::Silence.known());
+        }
         match order {
             Order::Cancel(_) => {
                 self.held.call_off(false);
                 Step::Continue
             }
-            // The deadline passed while a connection came up: nothing was sent.
-            Order::Fail if !self.may_have_run => {
-                self.held.call_off(true);
-                Step::Answer(Final::Own(OwnAnswer::refusal(RETRY_AT_ONCE)))
-            }
             Order::Fail => {
                 self.held.call_off(true);
-                Step::Answer(Final::Own(self.failed()))
+                Step::Answer(Final::Own(self.failed(RETRY_AT_ONCE)))
             }
             Order::Refuse(wait) => {
                 self.held.call_off(true);
@@ -232,3 +216,14 @@
         future::or(async { Ok(work.await) }, interrupted).await
     }
 }
+
+/// What it means that no connection came up.
+fn connect_event(error: &io::Error) -> SendEvent {
+    match (error.kind(), error.raw_os_error()) {
+        (io::ErrorKind::QuotaExceeded, _) | (_, Some(NO_DESCRIPTOR_IN_SYSTEM | NO_DESCRIPTOR_HERE)) => {
+            SendEvent::NoDescriptor
+        }
+        (io::ErrorKind::TimedOut, _) => SendEvent::ConnectTimedOut,
+        _ => SendEvent::ConnectRefused,
+    }
+}
--- a/crates/kiosk/src/pool.rs
+++ b/crates/kiosk/src/pool.rs
@@ -12,6 +12,8 @@
 use signpost::types::ReplicaId;
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::connection::Connection;
+
 /// Time after an answer in which a connection is not used again: bytes that still come belong to no request.
 const SETTLE: Duration = Duration::from_millis(10);
 /// Longest idle time where the replica states none.
@@ -25,18 +27,8 @@
 /// Silence after which a peer is asked whether it is still there, and the time between further questions.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 
-/// A connection to a replica. Unless it is given back, it is reset when it is dropped, so that the replica drops
-/// what it was asked.
-pub struct Connection {
-    /// The connection.
-    pub wire: Wire,
-    /// Something came on it that belongs to no request of its own: it is not used again.
-    pub is_spoilt: bool,
-    _slot: Slot,
-}
-
 /// A place in the count of open connections.
-struct Slot(Rc<Cell<usize>>);
+pub struct Slot(Rc<Cell<usize>>);
 
 impl Slot {
     fn new(open: &Rc<Cell<usize>>) -> Self {
@@ -102,7 +94,7 @@
         let mut wire = Wire::connect(address, &self.limits).await?;
         watch_peer(&wire);
         wire.abort = true;
-        Ok(Connection { wire, is_spoilt: false, _slot: slot })
+        Ok(Connection::new(wire, slot))
     }
 
     /// Takes back a connection after an answer with this head that has come whole.
@@ -111,8 +103,7 @@
         let idle_time = idle_time(head);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(replica.clone()).or_default();
-        let is_reusable =
-            head.keeps_alive(&head.start[0]) && connection.wire.buf.is_empty() && !connection.is_spoilt;
+        let is_reusable = connection.state_after(head).is_reusable();
         if !is_reusable || idle_time.is_zero() || connections.len() >= IDLE_PER_REPLICA {
             return;
         }
--- a/crates/kiosk/src/relay.rs
+++ b/crates/kiosk/src/relay.rs
@@ -176,7 +176,7 @@
     too_late: &mut Alarm,
     context: &mut Context<'_>,
 ) -> Poll<Arrival> {
-    if let Poll::Ready(read) = answer.connection.wire.poll_fill(context, proxy.pool.limits()) {
+    if let Poll::Ready(read) = answer.connection.poll_fill(context, proxy.pool.limits()) {
         return Poll::Ready(Arrival::Read(read));
     }
     if client.poll_gone(context).is_ready() {
--- a/crates/kiosk/tests/pure.rs
+++ b/crates/kiosk/tests/pure.rs
@@ -9,6 +9,7 @@
 use kiosk::events::EventTracker;
 use kiosk::freshness::FreshnessGate;
 use kiosk::lifecycle::{Lifecycle, Stage};
+use kiosk::outcome::SendEvent;
 use kiosk::prompt::{Prompt, PromptHeaders, PromptPart};
 use kiosk::reply::Reply;
 use rstest::rstest;
@@ -217,25 +218,25 @@
 // ---- what an answer's head says ---------------------------------------------------------------------------
 
 #[rstest]
-#[case(200, &[("Server-Seal", "s")], Reply::Success)]
-#[case(200, &[], Reply::Unsealed)]
-#[case(200, &[("Server-Seal", "s\nX: y")], Reply::Unsealed)]
-#[case(204, &[("Server-Seal", "s")], Reply::Success)]
-#[case(200, &[("Server-Seal", "s"), ("Not-Run", "1")], Reply::Unsealed)]
-#[case(503, &[("Not-Run", "1")], Reply::NotRun)]
-#[case(429, &[("Not-Run", "1")], Reply::NotRun)]
-#[case(500, &[("Not-Run", "1")], Reply::NotRun)]
-#[case(400, &[("Not-Run", "1")], Reply::Rejected)]
-#[case(421, &[], Reply::NotRun)]
-#[case(421, &[("Server-Id", "i-1")], Reply::NotRun)]
-#[case(421, &[("Server-Id", "i-2")], Reply::WrongReplica)]
-#[case(503, &[], Reply::FalsePromise)]
-#[case(429, &[], Reply::FalsePromise)]
-#[case(408, &[], Reply::FalsePromise)]
-#[case(400, &[], Reply::Failure)]
-#[case(500, &[("Server-Seal", "s")], Reply::Failure)]
-#[case(504, &[], Reply::Failure)]
-#[case(302, &[], Reply::Failure)]
+#[case(200, &[("Server-Seal", "s")], Reply::Due(SendEvent::Success))]
+#[case(200, &[], Reply::Due(SendEvent::Unsealed))]
+#[case(200, &[("Server-Seal", "s\nX: y")], Reply::Due(SendEvent::Unsealed))]
+#[case(204, &[("Server-Seal", "s")], Reply::Due(SendEvent::Success))]
+#[case(200, &[("Server-Seal", "s"), ("Not-Run", "1")], Reply::Due(SendEvent::Unsealed))]
+#[case(503, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
+#[case(429, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
+#[case(500, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
+#[case(400, &[("Not-Run", "1")], Reply::Due(SendEvent::Rejected))]
+#[case(421, &[], Reply::Due(SendEvent::WrongRevision))]
+#[case(421, &[("Server-Id", "i-1")], Reply::Due(SendEvent::WrongRevision))]
+#[case(421, &[("Server-Id", "i-2")], Reply::Due(SendEvent::WrongReplica))]
+#[case(503, &[], Reply::Due(SendEvent::FalsePromise))]
+#[case(429, &[], Reply::Due(SendEvent::FalsePromise))]
+#[case(408, &[], Reply::Due(SendEvent::FalsePromise))]
+#[case(400, &[], Reply::Due(SendEvent::OtherFailure))]
+#[case(500, &[("Server-Seal", "s")], Reply::Due(SendEvent::ServerError))]
+#[case(504, &[], Reply::Due(SendEvent::OtherFailure))]
+#[case(302, &[], Reply::Due(SendEvent::OtherFailure))]
 fn a_reply_is_read(#[case] status: u16, #[case] headers: &[(&str, &str)], #[case] expected: Reply) {
     let status = status.to_string();
     let mut all = vec![("Attempt-Id", "t1")];
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -21,10 +21,18 @@
 pub const HOST: &str = "shop.example";
 pub const KEY: &str = "k1";
 pub const SEAL: &str = "s.1";
+/// Bytes of a body that no connection takes at once.
+pub const LONG_BODY: usize = 3 << 20;
 
 /// A part of what a replica does for one request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Part {
+    /// As the first part: what follows is done once a byte has come, and nothing is read.
+    BeforeHead,
+    /// As the first part: what follows is done once the head has come.
+    BeforeBody,
+    /// Reads the body that was left where it was.
+    ReadBody,
     /// Writes this, with `{id}` as the request's `Attempt-Id`.
     Write(String),
     /// Waits until the test lets it go on.
@@ -95,28 +103,69 @@
     async fn serve(&self, mut stream: Async<TcpStream>) -> Option<()> {
         let mut buffer = Vec::new();
         loop {
-            let request = read_message(&mut stream, &mut buffer).await?;
-            let id = header(&request, "Attempt-Id").unwrap_or_default();
-            self.requests.borrow_mut().push(request);
+            if buffer.is_empty() && stream.peek(&mut [0]).await.ok()? == 0 {
+                return None;
+            }
+            let first = self.script.borrow().front().and_then(|parts| parts.first().cloned());
+            let request = match first {
+                Some(Part::BeforeHead) => None,
+                Some(Part::BeforeBody) => Some(read_head(&mut stream, &mut buffer).await?),
+                _ => Some(read_message(&mut stream, &mut buffer).await?),
+            };
+            let number = request.as_ref().map(|request| self.note(request));
+            let request = request.unwrap_or_default();
             let parts = self.script.borrow_mut().pop_front();
             let parts = parts.unwrap_or_else(|| vec![Part::Write(ok("served"))]);
             for part in parts {
-                match part {
-                    Part::Write(text) => {
-                        stream.write_all(text.replace("{id}", &id).as_bytes()).await.ok()?;
-                    }
-                    Part::Wait => self.wait(&mut stream).await?,
-                    Part::Close => return None,
-                    Part::Reset => {
-                        let socket = socket2::SockRef::from(stream.get_ref());
-                        socket.set_linger(Some(Duration::ZERO)).ok()?;
-                        return None;
-                    }
+                if part == Part::ReadBody {
+                    self.read_body(number?, &mut stream, &mut buffer).await?;
+                } else {
+                    self.act(&part, &request, &mut stream).await?;
                 }
             }
         }
     }
 
+    /// Keeps a request; its number.
+    fn note(&self, request: &str) -> usize {
+        let mut requests = self.requests.borrow_mut();
+        requests.push(request.to_owned());
+        requests.len() - 1
+    }
+
+    /// Does a part; none once the connection is over.
+    async fn act(&self, part: &Part, request: &str, stream: &mut Async<TcpStream>) -> Option<()> {
+        let id = header(request, "Attempt-Id").unwrap_or_default();
+        match part {
+            Part::BeforeHead | Part::BeforeBody | Part::ReadBody => Some(()),
+            Part::Write(text) => stream.write_all(text.replace("{id}", &id).as_bytes()).await.ok(),
+            Part::Wait => self.wait(stream).await,
+            Part::Close => None,
+            Part::Reset => {
+                let socket = socket2::SockRef::from(stream.get_ref());
+                socket.set_linger(Some(Duration::ZERO)).ok()?;
+                None
+            }
+        }
+    }
+
+    /// Adds its body to a request, as far as it comes.
+    async fn read_body(
+        &self,
+        number: usize,
+        stream: &mut Async<TcpStream>,
+        buffer: &mut Vec<u8>,
+    ) -> Option<()> {
+        let length = header(&self.requests.borrow()[number], "Content-Length")?.parse().ok()?;
+        let mut is_open = true;
+        while is_open && buffer.len() < length {
+            is_open = read_some(stream, buffer).await > 0;
+        }
+        let body: Vec<u8> = buffer.drain(..length.min(buffer.len())).collect();
+        self.requests.borrow_mut()[number].push_str(&String::from_utf8_lossy(&body));
+        is_open.then_some(())
+    }
+
     /// Waits for the test's word; none once the other side has ended the connection.
     async fn wait(&self, stream: &mut Async<TcpStream>) -> Option<()> {
         while self.gates.get() == 0 {
@@ -342,6 +391,11 @@
     }
 }
 
+/// Waits until the connection of an answer that has ended may be used again.
+pub async fn settle() {
+    async_io::Timer::after(Duration::from_millis(15)).await;
+}
+
 fn listener() -> Async<TcpListener> {
     Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a free port")
 }
@@ -384,6 +438,19 @@
     count
 }
 
+/// Reads a head, and leaves what follows it in the buffer.
+async fn read_head(stream: &mut Async<TcpStream>, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = String::from_utf8_lossy(buffer).find("\r\n\r\n") {
+            let head: Vec<u8> = buffer.drain(..end + 4).collect();
+            return Some(String::from_utf8_lossy(&head).into_owned());
+        }
+        if read_some(stream, buffer).await == 0 {
+            return None;
+        }
+    }
+}
+
 /// Reads one message with its body as it came; none if the connection ends before its end.
 async fn read_message(stream: &mut Async<TcpStream>, buffer: &mut Vec<u8>) -> Option<String> {
     loop {
@@ -435,6 +502,13 @@
     )
 }
 
+/// The same with a body that is longer than what the system holds of a connection.
+pub fn post_long(path: &str, id: &str) -> String {
+    let body = "x".repeat(LONG_BODY);
+    post(path, id)
+        .replace("Content-Length: 4\r\n\r\nbody", &format!("Content-Length: {LONG_BODY}\r\n\r\n{body}"))
+}
+
 /// A message with what differs from run to run replaced, and line ends as in a text file.
 pub fn transcript(message: &str) -> String {
     let lines = message.lines().map(|line| match line.split_once(": ") {
