Take a success with a coded body for none

Cause: requests ask for no coding, so a body with one is not the replica's body; it was passed on as a success.

--- a/crates/kiosk/src/reply.rs
+++ b/crates/kiosk/src/reply.rs
@@ -37,9 +37,15 @@
         200..=299 if not_run => SendEvent::Unsealed,
         _ if not_run => SendEvent::NotRun,
         200..=299 if !head.get("server-seal").is_some_and(is_plain) => SendEvent::Unsealed,
+        200..=299 if is_encoded(head) => SendEvent::Encoded,
         200..=299 => SendEvent::Success,
         500 => SendEvent::ServerError,
         status if PROMISES.contains(&status) => SendEvent::FalsePromise,
         _ => SendEvent::OtherFailure,
     }
 }
+
+/// Requests ask for no coding.
+fn is_encoded(head: &Head) -> bool {
+    head.get("content-encoding").is_some_and(|coding| !coding.eq_ignore_ascii_case("identity"))
+}
--- a/crates/kiosk/tests/never_twice.rs
+++ b/crates/kiosk/tests/never_twice.rs
@@ -46,6 +46,7 @@
 #[case::head_alone(vec![Part::Write(stream_head()), Part::Close])]
 #[case::another_request(vec![Part::Write(support::ok("x").replace("{id}", "t0")), Part::Close])]
 #[case::no_stamp(write("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-Length: 1\r\n\r\nx"))]
+#[case::encoded(write(&answer("200 OK", "Content-Encoding: gzip\r\n", "x")))]
 #[case::no_id(vec![Part::Write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\nx".into()), Part::Close])]
 #[case::promise_without_a_word(write(&answer("503 Service Unavailable", "Retry-After: 1\r\n", "")))]
 #[case::promise_of_408(write(&answer("408 Request Timeout", "", "")))]
--- a/crates/kiosk/tests/pure.rs
+++ b/crates/kiosk/tests/pure.rs
@@ -223,6 +223,8 @@
 #[case(200, &[("Server-Seal", "s\nX: y")], Reply::Due(SendEvent::Unsealed))]
 #[case(204, &[("Server-Seal", "s")], Reply::Due(SendEvent::Success))]
 #[case(200, &[("Server-Seal", "s"), ("Not-Run", "1")], Reply::Due(SendEvent::Unsealed))]
+#[case(200, &[("Server-Seal", "s"), ("Content-Encoding", "gzip")], Reply::Due(SendEvent::Encoded))]
+#[case(200, &[("Server-Seal", "s"), ("Content-Encoding", "identity")], Reply::Due(SendEvent::Success))]
 #[case(503, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
 #[case(429, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
 #[case(500, &[("Not-Run", "1")], Reply::Due(SendEvent::NotRun))]
