Keep a connection only where a late answer on it could be told apart

Cause: a late answer is known by its Attempt-Id and is skipped by its framing. A request without an id gave its connection back, so that a late answer to it could be taken for that of the next request without an id. After HEAD the length of a late answer says nothing of bytes that follow; and in the place of an answer to HEAD, a late one was skipped without its body, whose bytes were then read as an answer.

Change: connections of requests without an id and of HEAD are closed after their answer; a late answer is skipped with its own framing.

--- a/crates/kiosk/src/attempt.rs
+++ b/crates/kiosk/src/attempt.rs
@@ -75,6 +75,12 @@
     mut connection: Connection,
     outgoing: Outgoing<'_>,
 ) -> AttemptEnd {
+    if outgoing.attempt_id.is_none() {
+        connection.mark(ConnectionState::NoAttemptId);
+    }
+    if outgoing.is_head_request {
+        connection.mark(ConnectionState::HeadRequest);
+    }
     let sent = connection.send(outgoing.head, outgoing.body, pool.limits()).await;
     if sent == Sent::CutInHead {
         return AttemptEnd::Ended(SendEvent::BrokenInHead);
@@ -94,7 +100,7 @@
             Reply::Foreign => {
                 no_answer = SendEvent::OnlyForeign;
                 connection.mark(ConnectionState::LateAnswer);
-                if read_body(pool, &mut connection, framing(&head, outgoing)).await.is_none() {
+                if read_body(pool, &mut connection, head.response_body().ok()).await.is_none() {
                     return AttemptEnd::Ended(SendEvent::OnlyForeign);
                 }
             }
--- /dev/null
+++ b/crates/kiosk/tests/connection_states.rs
@@ -0,0 +1,84 @@
+//! Whether a connection is used again after each thing that a whole answer may leave of it.
+
+mod support;
+
+use kiosk::outcome::ConnectionState;
+use rstest::rstest;
+use support::{Bench, Part, answer, ok, post, post_long, status};
+
+fn write(text: impl Into<String>) -> Part {
+    Part::Write(text.into())
+}
+
+fn without_id(message: &str) -> String {
+    message.lines().filter(|line| !line.starts_with("Attempt-Id")).collect::<Vec<_>>().join("\r\n")
+}
+
+/// A request, and what its replica does, after which the connection is in this state.
+fn exchange(state: ConnectionState, path: &str) -> (String, Vec<Part>) {
+    let unframed = ok("").replace("Content-Length: 0\r\n", "");
+    match state {
+        ConnectionState::Clean => (post(path, "t1"), vec![write(ok("one"))]),
+        ConnectionState::Surplus => (post(path, "t1"), vec![write(ok("one") + "noise")]),
+        ConnectionState::LateAnswer => {
+            (post(path, "t1"), vec![write(ok("late").replace("{id}", "t0") + &ok("one"))])
+        }
+        ConnectionState::RestDue => {
+            (post_long(path, "t1"), vec![Part::BeforeBody, write(ok("one")), Part::Wait, Part::ReadBody])
+        }
+        ConnectionState::ClosedByReplica => {
+            (post(path, "t1"), vec![write(answer("200 OK", "Connection: close\r\n", "one"))])
+        }
+        ConnectionState::EndsWithAnswer => (post(path, "t1"), vec![write(unframed + "one"), Part::Close]),
+        ConnectionState::NoAttemptId => {
+            (without_id(&post(path, "t1")), vec![write(without_id(&ok("one")))])
+        }
+        ConnectionState::HeadRequest => (post(path, "t1").replace("POST", "HEAD"), vec![write(ok(""))]),
+    }
+}
+
+/// Connections that two requests in turn took, of which the first left this state. `None` if either went wrong.
+fn connections(state: ConnectionState, path: &str) -> Option<usize> {
+    let bench = Bench::start(1);
+    let (request, parts) = exchange(state, path);
+    bench.next(&parts);
+    let [first, second] = bench.run(async {
+        let first = bench.ask(&request).await;
+        support::settle().await;
+        [first, bench.ask(&post(path, "t2")).await]
+    });
+    let is_good = status(&first) == "200" && second.ends_with("served") && bench.arrivals() == 2;
+    is_good.then(|| bench.replicas[0].connections.get())
+}
+
+fn agrees(is_reusable: bool, connections: usize) -> bool {
+    connections == if is_reusable { 1 } else { 2 }
+}
+
+#[rstest]
+fn a_connection_is_used_again_only_if_no_byte_on_it_can_belong_to_another_request(
+    #[values("/harmless/", "/risky/", "/stream/", "/resumable/")] path: &str,
+) {
+    for state in ConnectionState::ALL {
+        let connections =
+            connections(state, path).unwrap_or_else(|| panic!("{state:?}: an exchange failed"));
+        assert!(agrees(state.is_reusable(), connections), "{state:?}: {connections} connections");
+        // A table that said otherwise would be seen.
+        assert!(!agrees(!state.is_reusable(), connections), "{state:?}");
+    }
+}
+
+#[test]
+fn a_late_answer_in_the_place_of_one_without_a_body_is_read_with_its_own() {
+    let bench = Bench::start(1);
+    let due = ok("").replace("Content-Length: 0", "Content-Length: 9");
+    bench.next(&[write(ok("HTTP/1.1 ").replace("{id}", "t0") + &due)]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&post("/risky/", "t1").replace("POST", "HEAD")).await;
+        client.wait_for("Content-Length: 9").await;
+        bench.until(|| bench.proxy.counters.passed.get() == 1).await;
+        bench.arrivals()
+    });
+    assert_eq!(answer, 1);
+}
