--- /dev/null
+++ b/crates/kiosk/tests/calls.rs
@@ -0,0 +1,372 @@
+//! Every cell of the table of sends, brought about with a real proxy and replicas that answer by script: each kind
+//! of request with each event, once with a budget of repeated sends and once without.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kiosk::outcome::{
+    Known, LastAnswer, Next, Outcome, RequestKind, SendEvent, decide, last_answer, may_send_again,
+};
+use rstest::rstest;
+use signpost::types::Verdict;
+use socket2::{Domain, Socket, Type};
+use support::{Bench, LAST, Part, TestClient, answer, header, ok, post, post_long, status, stream_head};
+
+/// Bytes of a head that no connection takes at once.
+const LONG_HEAD: usize = 512 << 10;
+
+/// What can be seen of a request from outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seen {
+    /// The status that the client got.
+    status: String,
+    /// The answer came to its end.
+    is_whole: bool,
+    /// The client was told when to come back.
+    has_retry_after: bool,
+    /// Requests whose head a replica has read.
+    arrivals: usize,
+}
+
+/// What was seen with a budget of repeated sends and without.
+type Pair = [Seen; 2];
+type Cells = BTreeMap<(RequestKind, SendEvent), Pair>;
+
+fn path(kind: RequestKind) -> &'static str {
+    match kind {
+        RequestKind::Safe => "/harmless/",
+        RequestKind::Unsafe => "/risky/",
+        RequestKind::Stream => "/stream/",
+        RequestKind::ResumableStream => "/resumable/",
+    }
+}
+
+fn write(text: impl Into<String>) -> Part {
+    Part::Write(text.into())
+}
+
+/// How an event is brought about.
+enum Scenario {
+    /// The replica does this for the request, which comes with a short body.
+    Script(Vec<Part>),
+    /// The same for a request with a long body.
+    LongBody(Vec<Part>),
+    /// The same for a request with a long head.
+    LongHead(Vec<Part>),
+    /// The first replica's address takes no connection.
+    DeadAddress(Unreachable),
+    /// The process may have one connection to a replica, and another request has it.
+    NoDescriptor,
+}
+
+#[derive(Clone, Copy)]
+enum Unreachable {
+    Refuses,
+    IsSilent,
+}
+
+fn scenario(event: SendEvent) -> Scenario {
+    let script = |parts: &[Part]| Scenario::Script(parts.to_vec());
+    let replies = |line: &str, headers: &str| Scenario::Script(vec![write(answer(line, headers, "no"))]);
+    match event {
+        SendEvent::ConnectRefused => Scenario::DeadAddress(Unreachable::Refuses),
+        SendEvent::ConnectTimedOut => Scenario::DeadAddress(Unreachable::IsSilent),
+        SendEvent::NoDescriptor => Scenario::NoDescriptor,
+        SendEvent::BrokenInHead => Scenario::LongHead(vec![Part::BeforeHead, Part::Reset]),
+        SendEvent::BrokenInBody => Scenario::LongBody(vec![Part::BeforeBody, Part::Reset]),
+        SendEvent::BrokenBeforeAnswer => script(&[Part::Reset]),
+        SendEvent::BrokenInAnswer => script(&[write(stream_head()), Part::Close]),
+        SendEvent::CutAnswer => script(&[write(stream_head() + &support::event(1)), Part::Close]),
+        SendEvent::Silence => script(&[Part::Wait]),
+        SendEvent::NotHttp => script(&[write("SSH-2.0-server\r\n\r\n")]),
+        SendEvent::OnlyForeign => script(&[write(ok("late").replace("{id}", "t0")), Part::Close]),
+        SendEvent::Unsealed => script(&[write(ok("x").replace("Server-Seal", "Other-Seal"))]),
+        SendEvent::Encoded => replies("200 OK", "Content-Encoding: gzip\r\n"),
+        SendEvent::WrongReplica => replies("421 Misdirected Request", "Server-Id: i-9\r\n"),
+        SendEvent::WrongRevision => replies("421 Misdirected Request", ""),
+        SendEvent::NotRun => replies("503 Service Unavailable", "Not-Run: 1\r\n"),
+        SendEvent::Rejected => replies("400 Bad Request", "Not-Run: 1\r\n"),
+        SendEvent::FalsePromise => replies("503 Service Unavailable", "Retry-After: 1\r\n"),
+        SendEvent::ServerError => replies("500 Internal Server Error", ""),
+        SendEvent::OtherFailure => replies("404 Not Found", ""),
+        SendEvent::Success => script(&[write(ok("served"))]),
+    }
+}
+
+/// The status of the replica's own answer, where the event has one.
+fn replica_status(event: SendEvent) -> &'static str {
+    match event {
+        SendEvent::Success | SendEvent::CutAnswer | SendEvent::BrokenInAnswer => "200",
+        SendEvent::Unsealed | SendEvent::Encoded | SendEvent::OnlyForeign => "200",
+        SendEvent::WrongReplica | SendEvent::WrongRevision => "421",
+        SendEvent::NotRun | SendEvent::FalsePromise => "503",
+        SendEvent::Rejected => "400",
+        SendEvent::ServerError => "500",
+        SendEvent::OtherFailure => "404",
+        _ => "none",
+    }
+}
+
+/// Replicas that have read the request's head when the event has come about.
+fn arrivals(event: SendEvent) -> usize {
+    match event {
+        SendEvent::ConnectRefused
+        | SendEvent::ConnectTimedOut
+        | SendEvent::NoDescriptor
+        | SendEvent::BrokenInHead => 0,
+        _ => 1,
+    }
+}
+
+/// Whether the request was counted as sent when the event has come about: only a further send needs a token.
+fn was_sent(event: SendEvent) -> bool {
+    !matches!(event, SendEvent::ConnectRefused | SendEvent::ConnectTimedOut | SendEvent::NoDescriptor)
+}
+
+// ---- what the table says will be seen ---------------------------------------------------------------------
+
+fn refused_or_failed(kind: RequestKind, event: SendEvent, has_given_up: bool) -> Seen {
+    let is_late = event == SendEvent::Silence;
+    let answer = last_answer(kind, event.known(), is_late, has_given_up);
+    let status = match answer {
+        LastAnswer::Refusal => "503",
+        LastAnswer::BadGateway => "502",
+        LastAnswer::GatewayTimeout => "504",
+    };
+    let has_retry_after = answer == LastAnswer::Refusal;
+    Seen { status: status.to_owned(), is_whole: true, has_retry_after, arrivals: arrivals(event) }
+}
+
+fn expected(kind: RequestKind, event: SendEvent, outcome: Outcome, has_budget: bool) -> Seen {
+    let arrivals = arrivals(event);
+    let replicas = |is_whole| Seen {
+        status: replica_status(event).to_owned(),
+        is_whole,
+        has_retry_after: false,
+        arrivals,
+    };
+    let served =
+        Seen { status: "200".to_owned(), is_whole: true, has_retry_after: false, arrivals: arrivals + 1 };
+    let is_sent_again = has_budget || !was_sent(event);
+    match outcome.next {
+        // Nobody has a connection for it.
+        Next::SendAgain if event == SendEvent::NoDescriptor => refused_or_failed(kind, event, true),
+        Next::SendAgain | Next::SendAgainOrPassOn | Next::Resume if is_sent_again => served,
+        Next::SendAgain => refused_or_failed(kind, event, true),
+        Next::SendAgainOrPassOn | Next::PassOn => replicas(true),
+        Next::Resume | Next::BreakOff => replicas(false),
+        Next::Fail => refused_or_failed(kind, event, false),
+    }
+}
+
+// ---- what is seen -----------------------------------------------------------------------------------------
+
+fn request(kind: RequestKind, scenario: &Scenario) -> String {
+    match scenario {
+        Scenario::LongBody(_) => post_long(path(kind), "t1"),
+        Scenario::LongHead(_) => {
+            let line = format!("X-Long: {}\r\n", "x".repeat(LONG_HEAD));
+            support::post_with(path(kind), "t1", &line)
+        }
+        _ => post(path(kind), "t1"),
+    }
+}
+
+fn observe(kind: RequestKind, event: SendEvent, has_budget: bool) -> Seen {
+    let scenario = scenario(event);
+    let (ratio, spare) = if has_budget { (2.0, 100) } else { (0.0, 0) };
+    let bench = match scenario {
+        Scenario::NoDescriptor => Bench::with_file_handles(2, 0),
+        _ => Bench::with_budget(2, ratio, spare),
+    };
+    let mut request = request(kind, &scenario);
+    if event == SendEvent::Silence {
+        request = request.replace("Time-Left-Ms: 6000", "Time-Left-Ms: 300");
+    }
+    let mut configuration = support::configuration();
+    configuration.caps.head_bytes = 2 * LONG_HEAD as u64;
+    bench.proxy.set_configuration(configuration.into());
+    let answer = match &scenario {
+        Scenario::Script(parts) | Scenario::LongBody(parts) | Scenario::LongHead(parts) => {
+            bench.next(parts);
+            if event == SendEvent::CutAnswer {
+                bench.next(&[write(stream_head() + &support::event(2) + LAST)]);
+            }
+            bench.run(bench.ask(&request))
+        }
+        Scenario::DeadAddress(kind) => ask_dead_address(&bench, &request, *kind),
+        Scenario::NoDescriptor => ask_without_descriptor(&bench, &request),
+    };
+    let held = if event == SendEvent::NoDescriptor { 1 } else { 0 };
+    Seen {
+        status: status(&answer).to_owned(),
+        is_whole: !answer.ends_with("(cut)"),
+        has_retry_after: header(&answer, "Retry-After").is_some(),
+        arrivals: bench.arrivals() - held,
+    }
+}
+
+/// Asks while the only replica known is at an address that takes no connection; the other one becomes known then.
+fn ask_dead_address(bench: &Bench, request: &str, unreachable: Unreachable) -> String {
+    let silent = SilentAddress::new();
+    let address = match unreachable {
+        Unreachable::Refuses => "127.0.0.1:1".to_owned(),
+        Unreachable::IsSilent => silent.address.to_string(),
+    };
+    bench.set_fleet(|lines| {
+        lines.truncate(1);
+        lines[0].address.clone_from(&address);
+    });
+    bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(request).await;
+        bench.until(|| bench.proxy.counters.connects.get() == 1).await;
+        bench.set_fleet(|lines| lines[0].address.clone_from(&address));
+        client.answer().await
+    })
+}
+
+fn ask_without_descriptor(bench: &Bench, request: &str) -> String {
+    bench.next(&[Part::Wait]);
+    bench.run(async {
+        let mut holder: TestClient = bench.connect().await;
+        holder.send(&post("/risky/", "t0")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.ask(request).await
+    })
+}
+
+/// An address that answers no attempt to connect, since its queue of connections is full.
+struct SilentAddress {
+    address: SocketAddr,
+    _listener: Socket,
+    _waiting: Vec<Socket>,
+}
+
+impl SilentAddress {
+    fn new() -> SilentAddress {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        listener.listen(0).expect("it listens");
+        let address =
+            listener.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+        let connect = || {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            socket.set_nonblocking(true).expect("a socket that does not block");
+            // It is on its way, or waits for ever.
+            let _ = socket.connect(&address.into());
+            socket
+        };
+        let waiting = (0..4).map(|_| connect()).collect();
+        std::thread::sleep(Duration::from_millis(20));
+        SilentAddress { address, _listener: listener, _waiting: waiting }
+    }
+}
+
+fn observe_all(kind: RequestKind) -> Cells {
+    let pair = |event| [observe(kind, event, true), observe(kind, event, false)];
+    SendEvent::ALL.into_iter().map(|event| ((kind, event), pair(event))).collect()
+}
+
+/// The cells in which something else was seen than the table says.
+fn mismatches(cells: &Cells, table: impl Fn(RequestKind, SendEvent) -> Outcome) -> Vec<String> {
+    let check = |(&(kind, event), seen): (&(RequestKind, SendEvent), &Pair)| {
+        let outcome = table(kind, event);
+        let due = [expected(kind, event, outcome, true), expected(kind, event, outcome, false)];
+        (due != *seen).then(|| format!("{kind:?} {event:?}\n  due  {due:?}\n  seen {seen:?}"))
+    };
+    cells.iter().filter_map(check).collect()
+}
+
+const ALL_NEXT: [Next; 6] =
+    [Next::SendAgain, Next::SendAgainOrPassOn, Next::Resume, Next::PassOn, Next::Fail, Next::BreakOff];
+
+/// Two decisions that nobody outside can tell apart for this event.
+fn look_alike(kind: RequestKind, event: SendEvent, one: Next, other: Next) -> bool {
+    let seen =
+        |next, has_budget| expected(kind, event, Outcome { next, ..decide(kind, event) }, has_budget);
+    seen(one, true) == seen(other, true) && seen(one, false) == seen(other, false)
+}
+
+#[rstest]
+fn each_send_ends_as_the_table_says(
+    #[values(RequestKind::Safe, RequestKind::Unsafe, RequestKind::Stream, RequestKind::ResumableStream)]
+    kind: RequestKind,
+) {
+    let cells = observe_all(kind);
+    assert_eq!(cells.len(), SendEvent::ALL.len(), "each cell is brought about");
+    assert_eq!(mismatches(&cells, decide), Vec::<String>::new());
+    let mut seen_mutations = 0;
+    for event in SendEvent::ALL {
+        let right = decide(kind, event);
+        for next in ALL_NEXT.into_iter().filter(|next| !look_alike(kind, event, right.next, *next)) {
+            let mutated = |kind, at| if at == event { Outcome { next, ..right } } else { decide(kind, at) };
+            assert_eq!(mismatches(&cells, mutated).len(), 1, "{kind:?} {event:?} {next:?}");
+            seen_mutations += 1;
+        }
+    }
+    println!("{kind:?}: {} cells, {seen_mutations} mutations seen", cells.len());
+}
+
+// ---- what holds of the table itself -----------------------------------------------------------------------
+
+/// What a cell of a table breaks.
+fn breach(kind: RequestKind, event: SendEvent, outcome: Outcome) -> Option<&'static str> {
+    let may_have_run = outcome.known != Known::NotRun;
+    let is_sent_again = matches!(outcome.next, Next::SendAgain | Next::SendAgainOrPassOn | Next::Resume);
+    let says_so = event.verdict();
+    let module_thinks_not_run = matches!(says_so, Verdict::Full | Verdict::NoConnection | Verdict::Moot);
+    if is_sent_again && may_have_run && !kind.is_repeatable() {
+        return Some("what may have run and must not be repeated is sent again");
+    }
+    if outcome.next == Next::Resume && kind != RequestKind::ResumableStream {
+        return Some("a stream that may not be resumed is");
+    }
+    if module_thinks_not_run && may_have_run {
+        return Some("the decision module takes what may have run for what has not");
+    }
+    if outcome.next == Next::PassOn && matches!(replica_status(event), "503" | "421" | "none") {
+        return Some("a promise or nothing is passed on");
+    }
+    None
+}
+
+#[test]
+fn no_cell_breaks_what_the_protocol_promises() {
+    for kind in RequestKind::ALL {
+        for event in SendEvent::ALL {
+            assert_eq!(breach(kind, event, decide(kind, event)), None, "{kind:?} {event:?}");
+        }
+    }
+}
+
+#[rstest]
+#[case(RequestKind::Unsafe, SendEvent::BrokenBeforeAnswer, Next::SendAgain)]
+#[case(RequestKind::Unsafe, SendEvent::BrokenInBody, Next::SendAgain)]
+#[case(RequestKind::Stream, SendEvent::CutAnswer, Next::Resume)]
+#[case(RequestKind::Safe, SendEvent::CutAnswer, Next::Resume)]
+#[case(RequestKind::Unsafe, SendEvent::FalsePromise, Next::PassOn)]
+fn a_table_that_breaks_a_promise_is_seen(
+    #[case] kind: RequestKind,
+    #[case] event: SendEvent,
+    #[case] next: Next,
+) {
+    assert!(breach(kind, event, Outcome { next, ..decide(kind, event) }).is_some());
+}
+
+#[test]
+fn nothing_is_promised_of_what_may_have_run() {
+    for kind in RequestKind::ALL {
+        for known in [Known::NotRun, Known::MayHaveRun, Known::HasRun] {
+            for [is_late, has_given_up] in [[false, false], [false, true], [true, false], [true, true]] {
+                let answer = last_answer(kind, known, is_late, has_given_up);
+                let may_promise = known == Known::NotRun || kind.is_repeatable();
+                assert!(answer != LastAnswer::Refusal || may_promise, "{kind:?} {known:?}");
+                assert_eq!(may_send_again(kind, known), may_promise);
+            }
+        }
+    }
+}
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -303,13 +303,26 @@
 
     /// The same with this retry budget.
     pub fn with_budget(replicas: usize, retry_ratio: f64, spare_tries: u64) -> Bench {
-        let executor = Rc::new(LocalExecutor::new());
-        let age = Rc::new(Cell::new(Some(Duration::ZERO)));
-        let told = age.clone();
         let mut settings = settings();
         settings.time_limits.retry_ratio = retry_ratio;
         settings.time_limits.spare_tries = spare_tries;
-        let proxy = Proxy::new(&settings, 7, Box::new(move || told.get()));
+        Bench::with_settings(replicas, &settings)
+    }
+
+    /// A proxy whose process may use so many descriptors.
+    pub fn with_file_handles(replicas: usize, file_handles: u64) -> Bench {
+        let mut settings = settings();
+        settings.time_limits.retry_ratio = 2.0;
+        settings.time_limits.spare_tries = 100;
+        settings.caps.file_handles = file_handles;
+        Bench::with_settings(replicas, &settings)
+    }
+
+    fn with_settings(replicas: usize, settings: &Settings) -> Bench {
+        let executor = Rc::new(LocalExecutor::new());
+        let age = Rc::new(Cell::new(Some(Duration::ZERO)));
+        let told = age.clone();
+        let proxy = Proxy::new(settings, 7, Box::new(move || told.get()));
         let (script, gates) = (Script::default(), Rc::default());
         let stand_in = |n| StandIn::start(&executor, &format!("i-{n}"), &script, &gates);
         let replicas = (0..replicas).map(stand_in).collect();
