Withdraw calls of the control plane that are given up, and skip interim answers

Cause: a call without an answer in time closed its connection in order, so the system went on delivering what it held: an order could reach its replica long after its sender had given it up. An interim answer was taken for the final one, and the answer to an order behind it was lost.

Change: such a connection is reset; up to eight interim answers are skipped.

--- a/crates/tower/src/http_client.rs
+++ b/crates/tower/src/http_client.rs
@@ -8,6 +8,11 @@
 use jetway::{Wire, WireLimits, within};
 use snafu::{ResultExt, Snafu};
 
+/// Interim answers that are skipped.
+const MOST_INTERIM: u32 = 8;
+/// Statuses below this one are those of interim answers.
+const FIRST_FINAL_STATUS: u16 = 200;
+
 /// Why a call has no answer. The other side may have taken it all the same.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -94,10 +99,13 @@
             Some(wire) => wire,
             None => Wire::connect(address, &self.limits).await.context(ConnectSnafu { address })?,
         };
+        // A call that is given up is withdrawn as far as that goes: the system must not deliver it later.
+        wire.abort = true;
         let request = call.encode(address);
         let exchange = exchange(&mut wire, &request, &self.limits);
         let done =
             within(timeout, exchange).await.and_then(|done| done).context(BrokenSnafu { address })?;
+        wire.abort = false;
         if done.keep {
             self.kept = Some(wire);
         }
@@ -119,15 +127,18 @@
     Ok(Exchange { answer: Answer { status: head.status(), body }, keep: keep && wire.buf.is_empty() })
 }
 
+/// Reads the head of the final answer.
 async fn read_head(wire: &mut Wire, limits: &WireLimits) -> io::Result<Head> {
+    let mut interim = 0;
     loop {
-        if let Some(head) =
-            http::response_head(&mut wire.buf, limits).map_err(|bad| io::Error::other(bad.what))?
-        {
-            return Ok(head);
-        }
-        if wire.fill(limits).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+        match http::response_head(&mut wire.buf, limits).map_err(|bad| io::Error::other(bad.what))? {
+            Some(head) if head.status() >= FIRST_FINAL_STATUS => return Ok(head),
+            Some(_) if interim == MOST_INTERIM => {
+                return Err(io::Error::other("interim answers without end"));
+            }
+            Some(_) => interim += 1,
+            None if wire.fill(limits).await? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            None => {}
         }
     }
 }
--- /dev/null
+++ b/crates/tower/tests/calls.rs
@@ -0,0 +1,378 @@
+//! What the control plane learns from each way in which one of its calls can end, and what it does after an order to
+//! a replica. The table is `docs/design/calls.md`.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
+use jetway::WireLimits;
+use rstest::rstest;
+use socket2::{Domain, SockRef, Socket, Type};
+use tower::duty::{Duty, DutyContext, DutyHolder};
+use tower::fleet::FleetTable;
+use tower::http_client::{Call, CallError, HttpClient};
+use tower::rollout::{PlannerSettings, Rollout, RolloutOutput};
+
+/// Time for a call that is to run out of it.
+const SHORT: Duration = Duration::from_millis(60);
+/// Time after which nothing more is expected.
+const WINDOW: Duration = Duration::from_millis(2_600);
+
+/// How a call ends at the other side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Refused,
+    ConnectTimesOut,
+    ResetUnread,
+    ResetAfterRequest,
+    ClosedAfterRequest,
+    ResetInHead,
+    ResetInBody,
+    ShortAnswer,
+    Silence,
+    Unframed,
+    UnframedReset,
+    NotHttp,
+    Surplus,
+    Interim,
+    SaysClose,
+    Whole,
+}
+
+const ENDINGS: [Ending; 16] = [
+    Ending::Refused,
+    Ending::ConnectTimesOut,
+    Ending::ResetUnread,
+    Ending::ResetAfterRequest,
+    Ending::ClosedAfterRequest,
+    Ending::ResetInHead,
+    Ending::ResetInBody,
+    Ending::ShortAnswer,
+    Ending::Silence,
+    Ending::Unframed,
+    Ending::UnframedReset,
+    Ending::NotHttp,
+    Ending::Surplus,
+    Ending::Interim,
+    Ending::SaysClose,
+    Ending::Whole,
+];
+
+/// What the caller knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Known {
+    /// The call was not seen.
+    NotTaken,
+    /// The call may have been taken.
+    MayBeTaken,
+    /// The answer is there whole.
+    Answered,
+}
+
+/// What becomes of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    Kept,
+    Closed,
+}
+
+fn table(ending: Ending) -> (Known, Connection) {
+    match ending {
+        Ending::Refused | Ending::ConnectTimesOut => (Known::NotTaken, Connection::Closed),
+        Ending::ResetUnread
+        | Ending::ResetAfterRequest
+        | Ending::ClosedAfterRequest
+        | Ending::ResetInHead
+        | Ending::ResetInBody
+        | Ending::ShortAnswer
+        | Ending::Silence
+        | Ending::UnframedReset
+        | Ending::NotHttp => (Known::MayBeTaken, Connection::Closed),
+        Ending::Unframed | Ending::Surplus | Ending::SaysClose => (Known::Answered, Connection::Closed),
+        Ending::Interim | Ending::Whole => (Known::Answered, Connection::Kept),
+    }
+}
+
+fn framed(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\nok")
+}
+
+/// What the other side writes, and whether it resets or closes the connection then; it stays open otherwise.
+fn script(ending: Ending, status: &str) -> (String, After) {
+    let whole = framed(status);
+    match ending {
+        Ending::Refused | Ending::ConnectTimesOut | Ending::Silence => (String::new(), After::Stay),
+        Ending::ResetUnread | Ending::ResetAfterRequest => (String::new(), After::Reset),
+        Ending::ClosedAfterRequest => (String::new(), After::Close),
+        Ending::ResetInHead => (whole[..20].to_owned(), After::Reset),
+        Ending::ResetInBody => (whole[..whole.len() - 1].to_owned(), After::Reset),
+        Ending::ShortAnswer => (whole[..whole.len() - 1].to_owned(), After::Close),
+        Ending::Unframed => (whole.replace("Content-Length: 2\r\n", ""), After::Close),
+        Ending::UnframedReset => (whole.replace("Content-Length: 2\r\n", ""), After::Reset),
+        Ending::NotHttp => ("SSH-2.0-server\r\n\r\n".to_owned(), After::Stay),
+        Ending::Surplus => (whole + "more", After::Stay),
+        Ending::Interim => ("HTTP/1.1 102 Processing\r\n\r\n".to_owned() + &whole, After::Stay),
+        Ending::SaysClose => (whole.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"), After::Stay),
+        Ending::Whole => (whole, After::Stay),
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum After {
+    Stay,
+    Close,
+    Reset,
+}
+
+fn listen() -> (Async<TcpListener>, SocketAddr) {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port is free");
+    let address = listener.get_ref().local_addr().expect("it is bound");
+    (listener, address)
+}
+
+/// An address whose queue of connections is full, with what fills it.
+fn silent_address() -> (SocketAddr, Vec<Socket>) {
+    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let listener = socket();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+    let mut sockets = vec![listener];
+    for _ in 0..4 {
+        let waiting = socket();
+        waiting.set_nonblocking(true).expect("a socket that does not block");
+        // It is on its way, or waits for ever.
+        let _ = waiting.connect(&address.into());
+        sockets.push(waiting);
+    }
+    std::thread::sleep(Duration::from_millis(20));
+    (address, sockets)
+}
+
+/// Reads a call; empty once the connection has ended.
+async fn read_call(stream: &mut Async<TcpStream>) -> String {
+    let mut call = vec![0; 4096];
+    let count = stream.read(&mut call).await.unwrap_or(0);
+    String::from_utf8_lossy(&call[..count]).into_owned()
+}
+
+/// Serves a connection: the first call that comes at all ends in this way, all others are answered. Notes each call.
+async fn serve(
+    mut stream: Async<TcpStream>,
+    first: &RefCell<Option<Ending>>,
+    calls: &RefCell<Vec<String>>,
+) {
+    loop {
+        let ending = first.borrow().unwrap_or(Ending::Whole);
+        if ending == Ending::ResetUnread {
+            let _ = stream.readable().await;
+        } else {
+            let call = read_call(&mut stream).await;
+            if call.is_empty() {
+                return;
+            }
+            calls.borrow_mut().push(call.split(' ').nth(1).unwrap_or_default().to_owned());
+        }
+        let is_first = first.borrow_mut().take().is_some();
+        let status = if is_first { "202 Accepted" } else { "200 OK" };
+        let (text, after) = script(ending, status);
+        let _ = stream.write_all(text.as_bytes()).await;
+        match after {
+            After::Stay => {}
+            After::Close => return,
+            After::Reset => {
+                // What was written arrives before the reset.
+                Timer::after(Duration::from_millis(5)).await;
+                let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+                return;
+            }
+        }
+    }
+}
+
+/// Makes two calls of which the first ends in this way: what the caller knows, and whether its connection was kept.
+fn call_twice(ending: Ending) -> (Known, Connection) {
+    let executor = LocalExecutor::new();
+    let (listener, address) = listen();
+    let (silent, _waiting) = silent_address();
+    let called = match ending {
+        Ending::Refused => SocketAddr::from(([127, 0, 0, 1], 1)),
+        Ending::ConnectTimesOut => silent,
+        _ => address,
+    };
+    let (first, calls, connections) = (RefCell::new(Some(ending)), RefCell::default(), RefCell::new(0));
+    let serving = async {
+        let local = LocalExecutor::new();
+        local
+            .run(async {
+                loop {
+                    let (stream, _) = listener.accept().await.expect("a connection");
+                    *connections.borrow_mut() += 1;
+                    local.spawn(serve(stream, &first, &calls)).detach();
+                }
+            })
+            .await
+    };
+    let limits = WireLimits { connect_timeout: SHORT, ..WireLimits::default() };
+    let calling = async {
+        let mut client = HttpClient::new(called, limits);
+        let known = match client.call(Call::get("/one"), SHORT).await {
+            Ok(answer) => {
+                assert_eq!(answer.body, b"ok", "{ending:?}");
+                Known::Answered
+            }
+            Err(CallError::Connect { .. }) => Known::NotTaken,
+            Err(CallError::Broken { .. }) => Known::MayBeTaken,
+        };
+        if known == Known::NotTaken {
+            return (known, Connection::Closed);
+        }
+        Timer::after(Duration::from_millis(10)).await;
+        client.call(Call::get("/two"), Duration::from_secs(2)).await.expect("the second call is answered");
+        (known, if *connections.borrow() == 1 { Connection::Kept } else { Connection::Closed })
+    };
+    async_io::block_on(executor.run(future::or(calling, serving)))
+}
+
+#[test]
+fn each_call_ends_as_the_table_says() {
+    for ending in ENDINGS {
+        assert_eq!(call_twice(ending), table(ending), "{ending:?}");
+    }
+}
+
+#[test]
+fn a_call_that_is_given_up_is_withdrawn() {
+    let (listener, address) = listen();
+    let mut client = HttpClient::new(address, WireLimits::default());
+    let ended = async_io::block_on(async {
+        let answer = client.call(Call { body: b"{}", ..Call::get("/order") }, SHORT).await;
+        assert!(matches!(answer, Err(CallError::Broken { .. })));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await
+    });
+    let error = ended.expect_err("the connection is reset, so that what it holds is not sent any more");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
+// ---- orders -----------------------------------------------------------------------------------------------
+
+const DUTY: Duty = Duty { epoch: 9, tenure: 7 };
+
+struct Holder;
+
+impl DutyHolder for Holder {
+    fn duty(&self) -> Option<Duty> {
+        Some(DUTY)
+    }
+}
+
+struct Output;
+
+impl RolloutOutput for Output {
+    fn weights(&self, _: u64, _: Vec<ModelWeights>) {}
+
+    fn fleet_corrected(&self) {}
+
+    fn named(&self) -> BTreeMap<String, u64> {
+        BTreeMap::from([("m".to_owned(), 2)])
+    }
+
+    fn delivered(&self) -> Vec<ModelWeights> {
+        Vec::new()
+    }
+}
+
+fn replica(address: SocketAddr) -> Replica {
+    Replica {
+        id: "i-1".to_owned(),
+        service: "chat".to_owned(),
+        address: address.to_string(),
+        zone: "a".to_owned(),
+        capacity: 8,
+        phase: ReplicaPhase::Ready,
+        warm_left_ms: 0,
+        models: vec![ModelRevision { model: "m".to_owned(), revision: 1 }],
+    }
+}
+
+/// What a replica is asked next after its first order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextCall {
+    Report,
+    Order,
+}
+
+/// What a replica is asked next, once its first order was given this end.
+fn after_order(known: Known) -> NextCall {
+    match known {
+        // It holds what it was told, or may: that is looked at first.
+        Known::Answered | Known::MayBeTaken => NextCall::Report,
+        Known::NotTaken => NextCall::Order,
+    }
+}
+
+/// The calls that a replica gets whose first order ends in this way.
+fn calls_of_rollout(ending: Ending) -> Vec<String> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (listener, address) = listen();
+    let (silent, _waiting) = silent_address();
+    let first_address = match ending {
+        Ending::Refused => SocketAddr::from(([127, 0, 0, 1], 1)),
+        Ending::ConnectTimesOut => silent,
+        _ => address,
+    };
+    let table = Rc::new(RefCell::new(FleetTable::default()));
+    table.borrow_mut().replace(DUTY.tenure, vec![replica(first_address)]);
+    let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
+    let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
+    let (rollout, events) = Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output));
+    let (first, calls) = (RefCell::new(Some(ending)), RefCell::new(Vec::new()));
+    let local = LocalExecutor::new();
+    let serving = local.run(async {
+        if first_address != address {
+            // The list shows it at its address before it is ordered again.
+            Timer::after(Duration::from_millis(900)).await;
+            first.borrow_mut().take();
+            table.borrow_mut().replace(DUTY.tenure, vec![replica(address)]);
+            events.send(tower::rollout::Event::Listed).await.expect("the roll-out works");
+        }
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            local.spawn(serve(stream, &first, &calls)).detach();
+        }
+    });
+    let window = async {
+        Timer::after(WINDOW).await;
+    };
+    let working = async { rollout.run().await };
+    async_io::block_on(executor.run(future::or(window, future::or(working, serving))));
+    calls.take()
+}
+
+fn next_call(ending: Ending, calls: &[String]) -> Option<NextCall> {
+    // An order that no replica has read is not among the calls.
+    let read_orders =
+        usize::from(!matches!(ending, Ending::Refused | Ending::ConnectTimesOut | Ending::ResetUnread));
+    match calls.get(read_orders)?.as_str() {
+        "/report" => Some(NextCall::Report),
+        "/order" => Some(NextCall::Order),
+        other => panic!("a call of {other}"),
+    }
+}
+
+#[rstest]
+fn an_order_that_may_have_been_taken_is_followed_by_a_look_at_the_report(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)] number: usize,
+) {
+    let ending = ENDINGS[number];
+    let calls = calls_of_rollout(ending);
+    assert_eq!(next_call(ending, &calls), Some(after_order(table(ending).0)), "{ending:?}: {calls:?}");
+}
