Test what follows each ending of a page of the list and of a call for events

Cause: only some endings of these calls were tested.

Change: the peer of the tests ends any call in any way; a walk through the list and a follower of a source of KV cache are run with each of the 14 endings that a call over a connection can have.

--- a/crates/tower/tests/calls.rs
+++ b/crates/tower/tests/calls.rs
@@ -9,14 +9,17 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use cabinet::Liveness;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
-use jetway::WireLimits;
+use jetway::{WireLimits, within};
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
+use tower::discovery::Discovery;
 use tower::duty::{Duty, DutyContext, DutyHolder};
 use tower::fleet::FleetTable;
 use tower::http_client::{Call, CallError, HttpClient};
+use tower::index::{Follower, Outbox, SourceKind};
 use tower::rollout::{PlannerSettings, Rollout, RolloutOutput};
 
 /// Time for a call that is to run out of it.
@@ -99,13 +102,14 @@
     }
 }
 
-fn framed(status: &str) -> String {
-    format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\nok")
+fn framed(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
 /// What the other side writes, and whether it resets or closes the connection then; it stays open otherwise.
-fn script(ending: Ending, status: &str) -> (String, After) {
-    let whole = framed(status);
+fn script(ending: Ending, status: &str, body: &str) -> (String, After) {
+    let whole = framed(status, body);
+    let length = format!("Content-Length: {}\r\n", body.len());
     match ending {
         Ending::Refused | Ending::ConnectTimesOut | Ending::Silence => (String::new(), After::Stay),
         Ending::ResetUnread | Ending::ResetAfterRequest => (String::new(), After::Reset),
@@ -113,8 +117,8 @@
         Ending::ResetInHead => (whole[..20].to_owned(), After::Reset),
         Ending::ResetInBody => (whole[..whole.len() - 1].to_owned(), After::Reset),
         Ending::ShortAnswer => (whole[..whole.len() - 1].to_owned(), After::Close),
-        Ending::Unframed => (whole.replace("Content-Length: 2\r\n", ""), After::Close),
-        Ending::UnframedReset => (whole.replace("Content-Length: 2\r\n", ""), After::Reset),
+        Ending::Unframed => (whole.replace(&length, ""), After::Close),
+        Ending::UnframedReset => (whole.replace(&length, ""), After::Reset),
         Ending::NotHttp => ("SSH-2.0-server\r\n\r\n".to_owned(), After::Stay),
         Ending::Surplus => (whole + "more", After::Stay),
         Ending::Interim => ("HTTP/1.1 102 Processing\r\n\r\n".to_owned() + &whole, After::Stay),
@@ -155,47 +159,87 @@
     (address, sockets)
 }
 
-/// Reads a call; empty once the connection has ended.
-async fn read_call(stream: &mut Async<TcpStream>) -> String {
+/// Reads a call; its path, empty once the connection has ended.
+async fn read_path(stream: &mut Async<TcpStream>) -> String {
     let mut call = vec![0; 4096];
     let count = stream.read(&mut call).await.unwrap_or(0);
-    String::from_utf8_lossy(&call[..count]).into_owned()
+    String::from_utf8_lossy(&call[..count]).split(' ').nth(1).unwrap_or_default().to_owned()
 }
 
-/// Serves a connection: the first call that comes at all ends in this way, all others are answered. Notes each call.
-async fn serve(
-    mut stream: Async<TcpStream>,
-    first: &RefCell<Option<Ending>>,
-    calls: &RefCell<Vec<String>>,
-) {
-    loop {
-        let ending = first.borrow().unwrap_or(Ending::Whole);
-        if ending == Ending::ResetUnread {
-            let _ = stream.readable().await;
-        } else {
-            let call = read_call(&mut stream).await;
-            if call.is_empty() {
-                return;
+/// Who is called: one call ends in a given way, all others are answered.
+struct Peer {
+    /// How the call of this number ends; none once it has.
+    ending: RefCell<Option<(usize, Ending)>>,
+    /// The status of that call's answer, if it has one.
+    status: &'static str,
+    /// The body of an answer to a call of this path.
+    body: fn(&str) -> &'static str,
+    /// The paths of the calls that were read.
+    calls: RefCell<Vec<String>>,
+    connections: RefCell<usize>,
+}
+
+impl Peer {
+    fn new(number: usize, ending: Ending, status: &'static str, body: fn(&str) -> &'static str) -> Peer {
+        let ending = RefCell::new(Some((number, ending)));
+        Peer { ending, status, body, calls: RefCell::default(), connections: RefCell::default() }
+    }
+
+    /// Takes connections for ever.
+    async fn listen(&self, listener: &Async<TcpListener>) {
+        let local = LocalExecutor::new();
+        let accepting = async {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                *self.connections.borrow_mut() += 1;
+                local.spawn(self.serve(stream)).detach();
             }
-            calls.borrow_mut().push(call.split(' ').nth(1).unwrap_or_default().to_owned());
-        }
-        let is_first = first.borrow_mut().take().is_some();
-        let status = if is_first { "202 Accepted" } else { "200 OK" };
-        let (text, after) = script(ending, status);
-        let _ = stream.write_all(text.as_bytes()).await;
-        match after {
-            After::Stay => {}
-            After::Close => return,
-            After::Reset => {
-                // What was written arrives before the reset.
-                Timer::after(Duration::from_millis(5)).await;
-                let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+        };
+        local.run(accepting).await
+    }
+
+    /// The ending of the next call, if it is the one that ends in another way than the rest.
+    fn due(&self) -> Option<Ending> {
+        let ending = *self.ending.borrow();
+        ending.filter(|(number, _)| *number == self.calls.borrow().len()).map(|(_, ending)| ending)
+    }
+
+    async fn serve(&self, mut stream: Async<TcpStream>) {
+        loop {
+            let mut path = String::new();
+            if stream.peek(&mut [0]).await.is_ok_and(|count| count > 0)
+                && self.due() != Some(Ending::ResetUnread)
+            {
+                path = read_path(&mut stream).await;
+            }
+            let due = self.due();
+            if path.is_empty() && due != Some(Ending::ResetUnread) {
                 return;
             }
+            if !path.is_empty() {
+                self.calls.borrow_mut().push(path.clone());
+            }
+            if due.is_some() {
+                self.ending.borrow_mut().take();
+            }
+            let status = if due.is_some() { self.status } else { "200 OK" };
+            let (text, after) = script(due.unwrap_or(Ending::Whole), status, (self.body)(&path));
+            let _ = stream.write_all(text.as_bytes()).await;
+            match after {
+                After::Stay => {}
+                After::Close => return,
+                After::Reset => return reset(&stream).await,
+            }
         }
     }
 }
 
+/// Resets a connection once what was written has arrived.
+async fn reset(stream: &Async<TcpStream>) {
+    Timer::after(Duration::from_millis(5)).await;
+    let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+}
+
 /// Makes two calls of which the first ends in this way: what the caller knows, and whether its connection was kept.
 fn call_twice(ending: Ending) -> (Known, Connection) {
     let executor = LocalExecutor::new();
@@ -206,18 +250,10 @@
         Ending::ConnectTimesOut => silent,
         _ => address,
     };
-    let (first, calls, connections) = (RefCell::new(Some(ending)), RefCell::default(), RefCell::new(0));
+    let peer = Peer::new(0, ending, "200 OK", |_| "ok");
     let serving = async {
-        let local = LocalExecutor::new();
-        local
-            .run(async {
-                loop {
-                    let (stream, _) = listener.accept().await.expect("a connection");
-                    *connections.borrow_mut() += 1;
-                    local.spawn(serve(stream, &first, &calls)).detach();
-                }
-            })
-            .await
+        peer.listen(&listener).await;
+        unreachable!("it takes connections for ever")
     };
     let limits = WireLimits { connect_timeout: SHORT, ..WireLimits::default() };
     let calling = async {
@@ -235,7 +271,7 @@
         }
         Timer::after(Duration::from_millis(10)).await;
         client.call(Call::get("/two"), Duration::from_secs(2)).await.expect("the second call is answered");
-        (known, if *connections.borrow() == 1 { Connection::Kept } else { Connection::Closed })
+        (known, if *peer.connections.borrow() == 1 { Connection::Kept } else { Connection::Closed })
     };
     async_io::block_on(executor.run(future::or(calling, serving)))
 }
@@ -334,27 +370,23 @@
     let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
     let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
     let (rollout, events) = Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output));
-    let (first, calls) = (RefCell::new(Some(ending)), RefCell::new(Vec::new()));
-    let local = LocalExecutor::new();
-    let serving = local.run(async {
+    let peer = Peer::new(0, ending, "202 Accepted", |_| "ok");
+    let serving = async {
         if first_address != address {
             // The list shows it at its address before it is ordered again.
             Timer::after(Duration::from_millis(900)).await;
-            first.borrow_mut().take();
+            peer.ending.borrow_mut().take();
             table.borrow_mut().replace(DUTY.tenure, vec![replica(address)]);
             events.send(tower::rollout::Event::Listed).await.expect("the roll-out works");
         }
-        loop {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            local.spawn(serve(stream, &first, &calls)).detach();
-        }
-    });
+        peer.listen(&listener).await;
+    };
     let window = async {
         Timer::after(WINDOW).await;
     };
     let working = async { rollout.run().await };
     async_io::block_on(executor.run(future::or(window, future::or(working, serving))));
-    calls.take()
+    peer.calls.take()
 }
 
 fn next_call(ending: Ending, calls: &[String]) -> Option<NextCall> {
@@ -376,3 +408,88 @@
     let calls = calls_of_rollout(ending);
     assert_eq!(next_call(ending, &calls), Some(after_order(table(ending).0)), "{ending:?}: {calls:?}");
 }
+
+// ---- the list of replicas ---------------------------------------------------------------------------------
+
+const FIRST_PAGE: &str = r#"{"servers":[],"nextToken":"p"}"#;
+const LAST_PAGE: &str = r#"{"servers":[],"nextToken":null}"#;
+
+fn list_page(path: &str) -> &'static str {
+    if path.contains("pageToken") { LAST_PAGE } else { FIRST_PAGE }
+}
+
+/// The calls up to the first list, where the call of the second page ends in this way.
+fn calls_of_walk(ending: Ending) -> Vec<String> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (listener, address) = listen();
+    let context = DutyContext { executor, holder: Rc::new(Holder), table: Rc::default() };
+    let (sender, listed) = async_channel::unbounded();
+    let on_list = move || {
+        let _ = sender.try_send(());
+    };
+    let discovery = Discovery::new(address, 1_000.0, context, Box::new(on_list));
+    let peer = Peer::new(1, ending, "200 OK", list_page);
+    let first_list = async { listed.recv().await.expect("a list comes") };
+    let working = future::or(discovery.run(), peer.listen(&listener));
+    async_io::block_on(within(WINDOW, future::or(first_list, working))).expect("a list comes in time");
+    peer.calls.take()
+}
+
+/// Endings of a call over a connection that has come up.
+fn endings_after_connect() -> impl Iterator<Item = Ending> {
+    ENDINGS.into_iter().filter(|ending| !matches!(ending, Ending::Refused | Ending::ConnectTimesOut))
+}
+
+#[test]
+fn a_list_of_which_a_page_is_missing_is_read_anew_from_its_first_page() {
+    let (first, second) = ("/servers", "/servers?pageToken=p");
+    for ending in endings_after_connect() {
+        let expected = match table(ending).0 {
+            Known::Answered => vec![first, second],
+            _ if ending == Ending::ResetUnread => vec![first, first, second],
+            _ => vec![first, second, first, second],
+        };
+        assert_eq!(calls_of_walk(ending), expected, "{ending:?}");
+    }
+}
+
+// ---- events of a source of KV cache -----------------------------------------------------------------------
+
+fn kv_body(path: &str) -> &'static str {
+    if path == "/kv-list" {
+        r#"{"bootNo":7,"nextToken":5,"holding":[]}"#
+    } else {
+        r#"{"bootNo":7,"nextToken":5,"gone":false,"happenings":[]}"#
+    }
+}
+
+/// Whether the source was taken for down, where the call after its list ends in this way; and the calls.
+fn follow(ending: Ending) -> (bool, Vec<String>) {
+    let executor = LocalExecutor::new();
+    let (listener, address) = listen();
+    let SocketAddr::V4(source) = address else { panic!("an IPv4 address") };
+    let outbox = Rc::<Outbox>::default();
+    let following = executor.spawn(Follower::new(source, SourceKind::Store, None, outbox.clone()).run());
+    let peer = Peer::new(1, ending, "200 OK", kv_body);
+    let enough = async {
+        let due = if ending == Ending::ResetUnread { 2 } else { 3 };
+        while peer.calls.borrow().len() < due {
+            future::yield_now().await;
+        }
+    };
+    let run = executor.run(future::or(enough, peer.listen(&listener)));
+    async_io::block_on(within(Duration::from_secs(4), run)).expect("it is called on");
+    drop(following);
+    let is_down = outbox.take().iter().any(|update| update.liveness == Liveness::Down);
+    (is_down, peer.calls.take())
+}
+
+#[test]
+fn a_source_whose_connection_breaks_is_asked_once_more_and_a_silent_one_is_down() {
+    for ending in endings_after_connect() {
+        let (is_down, calls) = follow(ending);
+        assert_eq!(is_down, ending == Ending::Silence, "{ending:?}");
+        assert_eq!(calls[0], "/kv-list", "{ending:?}");
+        assert!(calls[1..].iter().all(|call| call == "/kv-events?startedAt=5"), "{ending:?}: {calls:?}");
+    }
+}
