Leave the length of an answer to HEAD as it is, and of 204 out

Cause: a failure in answer to HEAD was passed on with Content-Length: 0 whatever its replica had said, and a 204 with the length that its replica wrongly gave, for which a client may wait.

Change: the framing of such answers comes from the request's method and the status alone.

--- a/crates/kiosk/src/exchange/answers.rs
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -43,9 +43,11 @@
 
     async fn answer_failure(self, client: Client<'_>, failure: &Failure) -> Done {
         let proxy = self.proxy;
+        let is_head_request = self.incoming.head.start[0] == "HEAD";
         drop(self);
         let after = client.after(proxy);
         let framing = match failure.head.response_body() {
+            _ if is_head_request => Framing::None,
             Ok(Body::Length(0)) if failure.body.is_empty() => Framing::None,
             _ => Framing::Length(failure.body.len()),
         };
--- a/crates/kiosk/src/headers.rs
+++ b/crates/kiosk/src/headers.rs
@@ -35,6 +35,9 @@
     "time-left-ms",
 ];
 
+/// The status of an answer that has no body and may not speak of a length.
+const NO_CONTENT: u16 = 204;
+
 const LAST_EVENT_ID: &str = "last-event-id";
 
 /// What the system adds to a request for one replica.
@@ -127,8 +130,9 @@
     let reason = if is_plain(stated) { stated } else { jetway::http::reason(head.status()) };
     line(out, &["HTTP/1.1 ", &head.start[1], " ", reason]);
     let named = named_by_connection(head);
+    let drops_length = framing != Framing::None || head.status() == NO_CONTENT;
     for (name, value) in &head.headers {
-        let length = framing != Framing::None && name.eq_ignore_ascii_case("content-length");
+        let length = drops_length && name.eq_ignore_ascii_case("content-length");
         if !length && is_plain(value) && !is_one_of(name, &HOP_BY_HOP) && !named.contains(name) {
             line(out, &[name, ": ", value]);
         }
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -433,6 +433,11 @@
         }
     }
 
+    /// What has come and was not taken as an answer.
+    pub fn received(&self) -> String {
+        String::from_utf8_lossy(&self.buffer).into_owned()
+    }
+
     /// Reads until what has come of the answer holds this.
     pub async fn wait_for(&mut self, text: &str) {
         while !String::from_utf8_lossy(&self.buffer).contains(text) {
