Test what comes on idle connections, and addresses that another replica takes over

Cause: nothing tested what a replica does to a connection between two requests.

Change: tests of an end, a reset, noise and a late answer on an idle connection for each kind of request, of an old connection that ends under a request, and of another replica at the same address.

--- a/crates/kiosk/tests/connection_states.rs
+++ b/crates/kiosk/tests/connection_states.rs
@@ -82,3 +82,93 @@
     });
     assert_eq!(answer, 1);
 }
+
+// ---- what comes while a connection lies idle --------------------------------------------------------------
+
+/// What a replica does to a connection between two requests.
+#[derive(Clone, Copy, Debug)]
+enum WhileIdle {
+    Nothing,
+    Closes,
+    Resets,
+    SendsNoise,
+    SendsLateAnswer,
+}
+
+const WHILE_IDLE: [WhileIdle; 5] = [
+    WhileIdle::Nothing,
+    WhileIdle::Closes,
+    WhileIdle::Resets,
+    WhileIdle::SendsNoise,
+    WhileIdle::SendsLateAnswer,
+];
+
+fn idle_parts(event: WhileIdle) -> Vec<Part> {
+    let mut parts = vec![write(ok("one")), Part::Wait];
+    match event {
+        WhileIdle::Nothing => {}
+        WhileIdle::Closes => parts.push(Part::Close),
+        WhileIdle::Resets => parts.push(Part::Reset),
+        WhileIdle::SendsNoise => parts.push(write("noise")),
+        WhileIdle::SendsLateAnswer => parts.push(write(ok("late"))),
+    }
+    parts
+}
+
+#[rstest]
+fn a_connection_that_did_not_lie_still_is_not_used_again(
+    #[values("/harmless/", "/risky/", "/stream/", "/resumable/")] path: &str,
+) {
+    for event in WHILE_IDLE {
+        let bench = Bench::start(1);
+        bench.next(&idle_parts(event));
+        let answer = bench.run(async {
+            bench.ask(&post(path, "t1")).await;
+            bench.release();
+            support::settle().await;
+            bench.ask(&post(path, "t2")).await
+        });
+        assert!(answer.ends_with("served"), "{event:?}: {answer}");
+        let is_used_again = matches!(event, WhileIdle::Nothing);
+        let connections = if is_used_again { 1 } else { 2 };
+        assert_eq!((bench.replicas[0].connections.get(), bench.arrivals()), (connections, 2), "{event:?}");
+    }
+}
+
+/// Nothing tells a connection that its replica has closed unread from one that it closed in the middle of its work.
+/// There is no other replica, so that what may be repeated is refused.
+#[rstest]
+#[case("/risky/", "502")]
+#[case("/stream/", "502")]
+#[case("/harmless/", "503")]
+#[case("/resumable/", "503")]
+fn an_old_connection_that_ends_under_a_request_proves_nothing(
+    #[case] path: &str,
+    #[case] expected: &str,
+    #[values(Part::Close, Part::Reset)] end: Part,
+) {
+    let bench = Bench::start(1);
+    bench.next(&[write(ok("one"))]);
+    bench.next(&[end]);
+    let answer = bench.run(async {
+        bench.ask(&post(path, "t1")).await;
+        support::settle().await;
+        bench.ask(&post(path, "t2")).await
+    });
+    assert_eq!((status(&answer), bench.arrivals()), (expected, 2));
+}
+
+#[test]
+fn a_connection_is_not_used_for_another_replica_at_the_same_address() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        bench.ask(&post("/risky/", "t1")).await;
+        support::settle().await;
+        bench.set_fleet(|lines| lines[0].id = "i-9".to_owned());
+        bench.ask(&post("/risky/", "t2")).await;
+    });
+    assert_eq!((bench.replicas[0].connections.get(), bench.arrivals()), (2, 2));
+    let requests = bench.replicas[0].requests.borrow();
+    let meant: Vec<_> = requests.iter().map(|request| support::header(request, "Meant-Server")).collect();
+    assert_eq!(meant, [Some("i-0".to_owned()), Some("i-9".to_owned())]);
+}
