--- a/crates/tower/tests/calls.rs
+++ b/crates/tower/tests/calls.rs
@@ -170,8 +170,6 @@
 struct Peer {
     /// How the call of this number ends; none once it has.
     ending: RefCell<Option<(usize, Ending)>>,
-    /// The status of that call's answer, if it has one.
-    status: &'static str,
     /// The body of an answer to a call of this path.
     body: fn(&str) -> &'static str,
     /// The paths of the calls that were read.
@@ -180,9 +178,9 @@
 }
 
 impl Peer {
-    fn new(number: usize, ending: Ending, status: &'static str, body: fn(&str) -> &'static str) -> Peer {
+    fn new(number: usize, ending: Ending, body: fn(&str) -> &'static str) -> Peer {
         let ending = RefCell::new(Some((number, ending)));
-        Peer { ending, status, body, calls: RefCell::default(), connections: RefCell::default() }
+        Peer { ending, body, calls: RefCell::default(), connections: RefCell::default() }
     }
 
     /// Takes connections for ever.
@@ -222,7 +220,7 @@
             if due.is_some() {
                 self.ending.borrow_mut().take();
             }
-            let status = if due.is_some() { self.status } else { "200 OK" };
+            let status = if path == "/order" { "202 Accepted" } else { "200 OK" };
             let (text, after) = script(due.unwrap_or(Ending::Whole), status, (self.body)(&path));
             let _ = stream.write_all(text.as_bytes()).await;
             match after {
@@ -250,7 +248,7 @@
         Ending::ConnectTimesOut => silent,
         _ => address,
     };
-    let peer = Peer::new(0, ending, "200 OK", |_| "ok");
+    let peer = Peer::new(0, ending, |_| "ok");
     let serving = async {
         peer.listen(&listener).await;
         unreachable!("it takes connections for ever")
@@ -355,8 +353,10 @@
     }
 }
 
-/// The calls that a replica gets whose first order ends in this way.
-fn calls_of_rollout(ending: Ending) -> Vec<String> {
+const LOADS: &str = r#"{"llms":[{"label":"m","revision":1}],"loaded":true}"#;
+
+/// The calls that a replica gets whose call of this number ends in this way; the first one is an order.
+fn calls_of_rollout(number: usize, ending: Ending) -> Vec<String> {
     let executor = Rc::new(LocalExecutor::new());
     let (listener, address) = listen();
     let (silent, _waiting) = silent_address();
@@ -370,7 +370,7 @@
     let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
     let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
     let (rollout, events) = Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output));
-    let peer = Peer::new(0, ending, "202 Accepted", |_| "ok");
+    let peer = Peer::new(number, ending, |_| LOADS);
     let serving = async {
         if first_address != address {
             // The list shows it at its address before it is ordered again.
@@ -405,10 +405,20 @@
     #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)] number: usize,
 ) {
     let ending = ENDINGS[number];
-    let calls = calls_of_rollout(ending);
+    let calls = calls_of_rollout(0, ending);
     assert_eq!(next_call(ending, &calls), Some(after_order(table(ending).0)), "{ending:?}: {calls:?}");
 }
 
+#[rstest]
+fn a_report_that_did_not_come_is_asked_for_again(
+    #[values(2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15)] number: usize,
+) {
+    let calls = calls_of_rollout(1, ENDINGS[number]);
+    assert!(calls.len() >= 3, "{:?}: {calls:?}", ENDINGS[number]);
+    assert_eq!(calls[0], "/order", "{:?}: {calls:?}", ENDINGS[number]);
+    assert!(calls[1..].iter().all(|call| call == "/report"), "{:?}: {calls:?}", ENDINGS[number]);
+}
+
 // ---- the list of replicas ---------------------------------------------------------------------------------
 
 const FIRST_PAGE: &str = r#"{"servers":[],"nextToken":"p"}"#;
@@ -428,7 +438,7 @@
         let _ = sender.try_send(());
     };
     let discovery = Discovery::new(address, 1_000.0, context, Box::new(on_list));
-    let peer = Peer::new(1, ending, "200 OK", list_page);
+    let peer = Peer::new(1, ending, list_page);
     let first_list = async { listed.recv().await.expect("a list comes") };
     let working = future::or(discovery.run(), peer.listen(&listener));
     async_io::block_on(within(WINDOW, future::or(first_list, working))).expect("a list comes in time");
@@ -470,7 +480,7 @@
     let SocketAddr::V4(source) = address else { panic!("an IPv4 address") };
     let outbox = Rc::<Outbox>::default();
     let following = executor.spawn(Follower::new(source, SourceKind::Store, None, outbox.clone()).run());
-    let peer = Peer::new(1, ending, "200 OK", kv_body);
+    let peer = Peer::new(1, ending, kv_body);
     let enough = async {
         let due = if ending == Ending::ResetUnread { 2 } else { 3 };
         while peer.calls.borrow().len() < due {
