Count what is in use without the proxy that uses it

Cause: bounds.rs and proxy.rs depended on each other: a place in a count held the whole proxy.

Change: places and counted bytes hold the counts alone.

--- a/crates/kiosk/src/bounds.rs
+++ b/crates/kiosk/src/bounds.rs
@@ -8,7 +8,6 @@
 use timetable::Caps;
 
 use crate::notice::Notice;
-use crate::proxy::Proxy;
 
 /// Descriptors that the platform keeps for files outside the disk folder.
 const RESERVED_DESCRIPTORS: u64 = 200;
@@ -90,20 +89,19 @@
 }
 
 /// A place of a client's connection, given back when it is dropped.
-pub struct ClientPlace(Rc<Proxy>);
+pub struct ClientPlace(Rc<Usage>);
 
 impl ClientPlace {
     /// Takes a place.
-    pub fn new(proxy: &Rc<Proxy>) -> Self {
-        let open = &proxy.usage.open_clients;
-        open.set(open.get() + 1);
-        ClientPlace(proxy.clone())
+    pub fn new(usage: &Rc<Usage>) -> Self {
+        usage.open_clients.set(usage.open_clients.get() + 1);
+        ClientPlace(usage.clone())
     }
 }
 
 impl Drop for ClientPlace {
     fn drop(&mut self) {
-        let usage = &self.0.usage;
+        let usage = &self.0;
         usage.open_clients.set(usage.open_clients.get() - 1);
         usage.client_left.raise();
     }
@@ -111,19 +109,19 @@
 
 /// Bytes of a body that are counted while they are held.
 pub struct HeldBytes {
-    proxy: Rc<Proxy>,
+    usage: Rc<Usage>,
     bytes: usize,
 }
 
 impl HeldBytes {
     /// None yet.
-    pub fn new(proxy: &Rc<Proxy>) -> Self {
-        HeldBytes { proxy: proxy.clone(), bytes: 0 }
+    pub fn new(usage: &Rc<Usage>) -> Self {
+        HeldBytes { usage: usage.clone(), bytes: 0 }
     }
 
     /// So many are held now.
     pub fn set(&mut self, bytes: usize) {
-        let all = &self.proxy.usage.held_bytes;
+        let all = &self.usage.held_bytes;
         all.set(all.get() - self.bytes + bytes);
         self.bytes = bytes;
     }
@@ -132,7 +130,7 @@
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         self.set(0);
-        self.proxy.usage.bytes_freed.raise();
+        self.usage.bytes_freed.raise();
     }
 }
 
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -49,7 +49,7 @@
     /// The urgency that replicas are told.
     pub urgency: RefCell<Urgency>,
     /// What is in use of what the process may use.
-    pub usage: Usage,
+    pub usage: Rc<Usage>,
     routing: RefCell<Option<Rc<Routing>>>,
     client_limits: RefCell<Rc<WireLimits>>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
@@ -78,7 +78,7 @@
             urgency: RefCell::default(),
             replicas: RefCell::default(),
             stage_changed: Notice::default(),
-            usage: Usage::new(bounds),
+            usage: Rc::new(Usage::new(bounds)),
             routing: RefCell::default(),
             client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
             budgets: RefCell::default(),
@@ -259,12 +259,12 @@
     // ---- bounds -------------------------------------------------------------------------------------------
 
     /// A place for a client's connection, given back when it is dropped.
-    pub fn client_place(self: &Rc<Self>) -> ClientPlace {
-        ClientPlace::new(self)
+    pub fn client_place(&self) -> ClientPlace {
+        ClientPlace::new(&self.usage)
     }
 
     /// Bytes of a body, counted until they are dropped.
-    pub fn held_bytes(self: &Rc<Self>) -> HeldBytes {
-        HeldBytes::new(self)
+    pub fn held_bytes(&self) -> HeldBytes {
+        HeldBytes::new(&self.usage)
     }
 }
