Read what may be repeated of a route in one place

Cause: the decision module's settings, the relay and the table each read a route's kind.

Result: tests of kiosk pass unchanged.

--- a/crates/kiosk/src/exchange/answers.rs
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -8,7 +8,7 @@
 use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, write_last, write_own};
 use crate::headers::{self, Framing};
-use crate::outcome::{self, Next, SendEvent};
+use crate::outcome::{self, Next, RequestKind, SendEvent};
 use crate::relay::{Relay, RelayEnd};
 
 impl Exchange<'_> {
@@ -62,10 +62,10 @@
         let mut relay = match self.relay.take() {
             Some(relay) => relay,
             None => {
-                let is_stream = self.admitted.route().resumable;
+                let may_resume = self.kind() == RequestKind::ResumableStream;
                 Relay::new(
                     &answer,
-                    is_stream,
+                    may_resume,
                     client.after(self.proxy),
                     self.incoming.head.start[0] == "HEAD",
                 )
--- a/crates/kiosk/src/placement.rs
+++ b/crates/kiosk/src/placement.rs
@@ -13,6 +13,7 @@
 };
 use timetable::{Configuration, Route, RouteKind};
 
+use crate::outcome::RequestKind;
 use crate::prompt::Prompt;
 
 /// Attempts of a request at the most; a route may allow fewer.
@@ -337,11 +338,7 @@
 
 /// What may be repeated of a route's requests, as far as the module is concerned.
 pub fn effect_of(route: &Route) -> Effect {
-    match route.kind {
-        RouteKind::Harmless => Effect::Safe,
-        RouteKind::Stream if route.resumable => Effect::Safe,
-        RouteKind::Stream | RouteKind::Risky => Effect::Unsafe,
-    }
+    if RequestKind::of(route).is_repeatable() { Effect::Safe } else { Effect::Unsafe }
 }
 
 fn class_of(route: &Route) -> Class {
