Move the modules of the replicas' side and of placing into folders

Change: attempt, connection, outcome, pool, reply and replicas are under replica/; held, prompt, urgency and budget under placement/. Only paths change.

--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -11,15 +11,15 @@
 use futures_lite::future;
 
 use crate::admission::Admitted;
-use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, Incoming, write_own};
 use crate::headers::OwnAnswer;
-use crate::held::Held;
-use crate::outcome::{self, Known, LastAnswer, RequestKind};
+use crate::placement::held::Held;
+use crate::placement::prompt::PromptHeaders;
 use crate::placement::{self, Ask, Order};
-use crate::prompt::PromptHeaders;
 use crate::proxy::Proxy;
 use crate::relay::Relay;
+use crate::replica::attempt::{Answer, Failure};
+use crate::replica::outcome::{self, Known, LastAnswer, RequestKind};
 
 /// What a client is told while nothing can be judged or placed.
 const RETRY_SOON: Duration = Duration::from_millis(500);
--- a/crates/kiosk/src/exchange/answers.rs
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -5,11 +5,11 @@
 use jetway::http::Body;
 
 use super::{DEADLINE_GRACE, Exchange, Final};
-use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, write_last, write_own};
 use crate::headers::{self, Framing};
-use crate::outcome::{self, Next, RequestKind, SendEvent};
 use crate::relay::{Relay, RelayEnd};
+use crate::replica::attempt::{Answer, Failure};
+use crate::replica::outcome::{self, Next, RequestKind, SendEvent};
 
 impl Exchange<'_> {
     /// Writes the final answer of a request; one that has begun can only be broken off.
--- a/crates/kiosk/src/exchange/attempts.rs
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -9,12 +9,12 @@
 use signpost::types::{ReplicaId, Verdict};
 
 use super::{Exchange, Final, RETRY_AT_ONCE, RETRY_SOON, Step};
-use crate::attempt::{self, AttemptEnd, Failure, Outgoing};
 use crate::client::Client;
-use crate::connection::Connection;
-use crate::outcome::{self, Next, SendEvent};
 use crate::placement::Order;
-use crate::replicas::ReplicaEntry;
+use crate::replica::attempt::{self, AttemptEnd, Failure, Outgoing};
+use crate::replica::connection::Connection;
+use crate::replica::outcome::{self, Next, SendEvent};
+use crate::replica::replicas::ReplicaEntry;
 
 /// Descriptors are used up in the system, says Linux.
 const NO_DESCRIPTOR_IN_SYSTEM: i32 = 23;
--- a/crates/kiosk/src/exchange/request_head.rs
+++ b/crates/kiosk/src/exchange/request_head.rs
@@ -6,7 +6,7 @@
 use crate::headers::{self, Additions};
 use crate::kv_cache::{Chain, KvTransfer, Target};
 use crate::relay::Relay;
-use crate::replicas::ReplicaEntry;
+use crate::replica::replicas::ReplicaEntry;
 
 /// Bytes of most heads.
 const USUAL_BYTES: usize = 1024;
--- a/crates/kiosk/src/kv_cache.rs
+++ b/crates/kiosk/src/kv_cache.rs
@@ -15,7 +15,7 @@
 use lru::LruCache;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::prompt::PromptPart;
+use crate::placement::prompt::PromptPart;
 
 /// Fewer tokens than these are read again as fast as they are fetched.
 const LEAST_TOKENS: u32 = cabinet::LEAST_TOKENS;
--- a/crates/kiosk/src/placement.rs
+++ b/crates/kiosk/src/placement/mod.rs
@@ -1,6 +1,11 @@
 //! Which replica each request goes to: the decision modules of all services, with their timers, and the orders
 //! that they give for each request. The time is handed in.
 
+pub mod budget;
+pub mod held;
+pub mod prompt;
+pub mod urgency;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
@@ -13,8 +18,8 @@
 };
 use timetable::{Configuration, Route, RouteKind};
 
-use crate::outcome::RequestKind;
-use crate::prompt::Prompt;
+use crate::placement::prompt::Prompt;
+use crate::replica::outcome::RequestKind;
 
 /// Attempts of a request at the most; a route may allow fewer.
 const MAX_ATTEMPTS: u32 = 3;
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -15,17 +15,17 @@
 use crate::admission::Routing;
 use crate::alarms::Alarms;
 use crate::bounds::{Bounds, ClientPlace, HeldBytes, Usage, client_limits, replica_limits};
-use crate::budget::{RetryAllowance, RetryBudget};
 use crate::counters::Counters;
 use crate::freshness::FreshnessGate;
-use crate::held;
 use crate::kv_cache::KvDirectory;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::notice::Notice;
 use crate::placement::Placement;
-use crate::pool::Pool;
-use crate::replicas::{Replicas, ZoneIndex};
-use crate::urgency::Urgency;
+use crate::placement::budget::{RetryAllowance, RetryBudget};
+use crate::placement::held;
+use crate::placement::urgency::Urgency;
+use crate::replica::pool::Pool;
+use crate::replica::replicas::{Replicas, ZoneIndex};
 
 /// Tells how long ago the configuration was known to be the newest.
 pub type Age = Box<dyn Fn() -> Option<Duration>>;
--- a/crates/kiosk/src/relay.rs
+++ b/crates/kiosk/src/relay.rs
@@ -8,11 +8,11 @@
 use jetway::http::{Body, LAST_CHUNK};
 
 use crate::alarms::Alarm;
-use crate::attempt::Answer;
 use crate::client::Client;
 use crate::events::EventTracker;
 use crate::headers::{self, After, Framing};
 use crate::proxy::Proxy;
+use crate::replica::attempt::Answer;
 
 /// How the passing on of an answer has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/kiosk/src/attempt.rs
+++ b/crates/kiosk/src/replica/attempt.rs
@@ -5,11 +5,11 @@
 
 use jetway::http::{self, Body, Head};
 
-use crate::connection::{Connection, Sent};
-use crate::outcome::{ConnectionState, Known, SendEvent};
-use crate::pool::Pool;
-use crate::replicas::ReplicaEntry;
-use crate::reply::Reply;
+use crate::replica::connection::{Connection, Sent};
+use crate::replica::outcome::{ConnectionState, Known, SendEvent};
+use crate::replica::pool::Pool;
+use crate::replica::replicas::ReplicaEntry;
+use crate::replica::reply::Reply;
 
 /// Interim answers that are skipped.
 const MOST_INTERIM: u32 = 8;
--- a/crates/kiosk/src/connection.rs
+++ b/crates/kiosk/src/replica/connection.rs
@@ -7,8 +7,8 @@
 use jetway::http::Head;
 use jetway::{Wire, WireLimits};
 
-use crate::outcome::ConnectionState;
-use crate::pool::Slot;
+use crate::replica::outcome::ConnectionState;
+use crate::replica::pool::Slot;
 
 /// A connection to a replica. Unless it is given back to its pool, it is reset when it is dropped, so that the
 /// replica drops what it was asked.
--- a/crates/kiosk/src/pool.rs
+++ b/crates/kiosk/src/replica/pool.rs
@@ -12,7 +12,7 @@
 use signpost::types::ReplicaId;
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::connection::Connection;
+use crate::replica::connection::Connection;
 
 /// Time after an answer in which a connection is not used again: bytes that still come belong to no request.
 const SETTLE: Duration = Duration::from_millis(10);
--- a/crates/kiosk/src/reply.rs
+++ b/crates/kiosk/src/replica/reply.rs
@@ -3,7 +3,7 @@
 use jetway::http::Head;
 
 use crate::headers::is_plain;
-use crate::outcome::SendEvent;
+use crate::replica::outcome::SendEvent;
 
 /// Statuses that promise that a request has not run: only a replica that says so is believed.
 const PROMISES: [u16; 3] = [408, 429, 503];
--- a/crates/kiosk/src/run.rs
+++ b/crates/kiosk/src/run.rs
@@ -16,8 +16,9 @@
 use station::settings::Settings;
 use station::signals::{Request, Requests};
 
+use crate::placement::held;
 use crate::proxy::Proxy;
-use crate::{edge, held, ready};
+use crate::{edge, ready};
 
 /// Time between looks at idle connections to replicas.
 const SWEEP: Duration = Duration::from_secs(5);
--- a/crates/kiosk/tests/calls.rs
+++ b/crates/kiosk/tests/calls.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kiosk::outcome::{
+use kiosk::replica::outcome::{
     Known, LastAnswer, Next, Outcome, RequestKind, SendEvent, decide, last_answer, may_send_again,
 };
 use rstest::rstest;
--- a/crates/kiosk/tests/connection_states.rs
+++ b/crates/kiosk/tests/connection_states.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use kiosk::outcome::ConnectionState;
+use kiosk::replica::outcome::ConnectionState;
 use rstest::rstest;
 use support::{Bench, Part, answer, ok, post, post_long, status};
 
--- a/crates/kiosk/tests/kv_cache.rs
+++ b/crates/kiosk/tests/kv_cache.rs
@@ -9,7 +9,7 @@
 use cabinet::{Index, KeptUpdate, Liveness, PartKey};
 use fastrand::Rng;
 use kiosk::kv_cache::{Chain, KvDirectory, KvTransfer, Target, kept_tokens};
-use kiosk::prompt::PromptPart;
+use kiosk::placement::prompt::PromptPart;
 use rstest::rstest;
 
 const STORE: u8 = 200;
--- a/crates/kiosk/tests/placement.rs
+++ b/crates/kiosk/tests/placement.rs
@@ -6,8 +6,8 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use kiosk::placement::prompt::Prompt;
 use kiosk::placement::{self, Ask, Order, Placement};
-use kiosk::prompt::Prompt;
 use rstest::rstest;
 use signpost::types::{Member, Nanos, Phase, ReplicaId, RequestId, Verdict};
 
--- a/crates/kiosk/tests/pure.rs
+++ b/crates/kiosk/tests/pure.rs
@@ -5,13 +5,13 @@
 use jetway::http::Head;
 use kiosk::alarms::Alarms;
 use kiosk::bounds::Bounds;
-use kiosk::budget::{RetryAllowance, RetryBudget};
 use kiosk::events::EventTracker;
 use kiosk::freshness::FreshnessGate;
 use kiosk::lifecycle::{Lifecycle, Stage};
-use kiosk::outcome::SendEvent;
-use kiosk::prompt::{Prompt, PromptHeaders, PromptPart};
-use kiosk::reply::Reply;
+use kiosk::placement::budget::{RetryAllowance, RetryBudget};
+use kiosk::placement::prompt::{Prompt, PromptHeaders, PromptPart};
+use kiosk::replica::outcome::SendEvent;
+use kiosk::replica::reply::Reply;
 use rstest::rstest;
 
 fn head(start: [&str; 3], headers: &[(&str, &str)]) -> Head {
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -13,8 +13,9 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use intercom::feed::{ModelRevision, Replica, ReplicaPhase, WeightsTable};
+use kiosk::placement::held;
 use kiosk::proxy::Proxy;
-use kiosk::{edge, held, ready};
+use kiosk::{edge, ready};
 use station::settings::Settings;
 use timetable::{Caps, Configuration, Route, RouteKind, Service, Share, Tenant};
 
--- a/crates/kiosk/tests/urgency.rs
+++ b/crates/kiosk/tests/urgency.rs
@@ -1,6 +1,6 @@
 //! The urgency that replicas are told.
 
-use kiosk::urgency::Urgency;
+use kiosk::placement::urgency::Urgency;
 use rstest::rstest;
 
 const MEAN_TOKENS: u32 = 3_000;
