--- a/crates/kiosk/src/exchange/answers.rs
+++ b/crates/kiosk/src/exchange/answers.rs
@@ -3,13 +3,13 @@
 use std::time::Instant;
 
 use jetway::http::Body;
-use signpost::types::Verdict;
 
 use super::{DEADLINE_GRACE, Exchange, Final};
-use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, write_last, write_own};
 use crate::headers::{self, Framing};
 use crate::relay::{Relay, RelayEnd};
+use crate::replica::attempt::{Answer, Failure};
+use crate::replica::outcome::{self, Next, RequestKind, SendEvent};
 
 impl Exchange<'_> {
     /// Writes the final answer of a request; one that has begun can only be broken off.
@@ -43,9 +43,11 @@
 
     async fn answer_failure(self, client: Client<'_>, failure: &Failure) -> Done {
         let proxy = self.proxy;
+        let is_head_request = self.incoming.head.start[0] == "HEAD";
         drop(self);
         let after = client.after(proxy);
         let framing = match failure.head.response_body() {
+            _ if is_head_request => Framing::None,
             Ok(Body::Length(0)) if failure.body.is_empty() => Framing::None,
             _ => Framing::Length(failure.body.len()),
         };
@@ -60,10 +62,10 @@
         let mut relay = match self.relay.take() {
             Some(relay) => relay,
             None => {
-                let is_stream = self.admitted.route().resumable;
+                let may_resume = self.kind() == RequestKind::ResumableStream;
                 Relay::new(
                     &answer,
-                    is_stream,
+                    may_resume,
                     client.after(self.proxy),
                     self.incoming.head.start[0] == "HEAD",
                 )
@@ -75,29 +77,33 @@
         match end {
             RelayEnd::Whole => {
                 counters.passed.add();
-                self.held.outcome(Verdict::Ok, true);
+                self.held.outcome(SendEvent::Success.verdict(), true);
                 Some(relay.after().into())
             }
             RelayEnd::ClientLeft => {
                 counters.abandoned.add();
                 Some(Done::Abandon)
             }
-            RelayEnd::Broken if !relay.has_begun() => {
-                self.held.outcome(Verdict::Reset, false);
-                None
-            }
-            RelayEnd::Broken if self.may_resume(&mut relay) => {
-                self.relay = Some(relay);
-                self.held.outcome(Verdict::Reset, false);
-                None
-            }
-            RelayEnd::Broken => {
-                counters.broken.add();
-                self.held.outcome(Verdict::Reset, true);
-                client.wire.abort = relay.ends_with_connection();
-                Some(Done::Abandon)
-            }
+            RelayEnd::Broken => self.cut(client, relay),
+        }
+    }
+
+    /// A success broke off. None if another replica may go on with it, or give it whole.
+    fn cut(&mut self, client: &mut Client<'_>, mut relay: Relay) -> Option<Done> {
+        let event = if relay.has_begun() { SendEvent::CutAnswer } else { SendEvent::BrokenInAnswer };
+        let outcome = outcome::decide(self.kind(), event);
+        let is_resumed = outcome.next == Next::Resume && self.may_resume(&mut relay);
+        let is_sent_again = is_resumed || outcome.next == Next::SendAgain;
+        self.held.outcome(outcome.verdict, !is_sent_again);
+        if !is_sent_again {
+            self.proxy.counters.broken.add();
+            client.wire.abort = relay.ends_with_connection();
+            return Some(Done::Abandon);
+        }
+        if is_resumed {
+            self.relay = Some(relay);
         }
+        None
     }
 
     fn may_resume(&self, relay: &mut Relay) -> bool {
--- a/crates/kiosk/src/relay.rs
+++ b/crates/kiosk/src/relay.rs
@@ -8,11 +8,11 @@
 use jetway::http::{Body, LAST_CHUNK};
 
 use crate::alarms::Alarm;
-use crate::attempt::Answer;
 use crate::client::Client;
 use crate::events::EventTracker;
 use crate::headers::{self, After, Framing};
 use crate::proxy::Proxy;
+use crate::replica::attempt::Answer;
 
 /// How the passing on of an answer has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,7 +176,7 @@
     too_late: &mut Alarm,
     context: &mut Context<'_>,
 ) -> Poll<Arrival> {
-    if let Poll::Ready(read) = answer.connection.wire.poll_fill(context, proxy.pool.limits()) {
+    if let Poll::Ready(read) = answer.connection.poll_fill(context, proxy.pool.limits()) {
         return Poll::Ready(Arrival::Read(read));
     }
     if client.poll_gone(context).is_ready() {
