Decide anew on a change whose proposal came behind another one

A change that waits for longer than 5 s is left to the caller, who sends it again. The second sending was accepted, since the first one was not applied yet, and was agreed on behind it: it changed nothing and was refused with 412, though the same change was in force. Now such a change is decided on once more, so that it is known as taken.

--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -10,14 +10,15 @@
 use jetway::within;
 
 use crate::api::{ChangeOutcome, ControlPlane, Standing, Status};
+use crate::change_step::ChangeStep;
 use crate::delivery::Delivery;
 use crate::duty::DutyHolder;
 use crate::member::{Member, ProposalEnd};
 use crate::replication::Role;
-use crate::state::{Accepted, Applied, Change, Decision};
+use crate::state::Change;
 
 /// A change that is not agreed on in this time is left to the caller, who sends it again.
-const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+pub const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The duties of a primary.
 const DUTIES: [&str; 3] = ["discovery", "index", "rollout"];
@@ -53,39 +54,20 @@
     }
 
     async fn carry_out(&self, change: Change) -> ChangeOutcome {
-        if !self.member.is_primary() {
-            return ChangeOutcome::NotPrimary;
+        let mut step = ChangeStep::first(self.member.is_primary());
+        loop {
+            step = match step {
+                ChangeStep::Decide => {
+                    let decision = self.member.machine().decide(change.clone()).await;
+                    ChangeStep::after_decision(decision, self.member.is_primary())
+                }
+                ChangeStep::Propose(accepted) => {
+                    let end = within(AGREEMENT_TIMEOUT, self.member.propose(accepted.command)).await;
+                    ChangeStep::after_proposal(end.unwrap_or(ProposalEnd::Unknown))
+                }
+                ChangeStep::Answer(outcome) => return outcome,
+            };
         }
-        match self.member.machine().decide(change).await {
-            Some(Decision::Accept(accepted)) => self.agree(*accepted).await,
-            Some(Decision::AlreadyTaken) if self.member.is_primary() => ChangeOutcome::Taken,
-            Some(Decision::Stale { current }) if self.member.is_primary() => {
-                ChangeOutcome::Stale { current }
-            }
-            Some(Decision::InvalidConfiguration { findings }) => {
-                ChangeOutcome::Invalid { report: String::from_utf8_lossy(&findings.to_json()).into() }
-            }
-            Some(Decision::OldWeights { newest }) => ChangeOutcome::OldWeights { newest },
-            Some(Decision::AlreadyTaken | Decision::Stale { .. }) => ChangeOutcome::NotPrimary,
-            None => ChangeOutcome::Unknown,
-        }
-    }
-
-    async fn agree(&self, accepted: Accepted) -> ChangeOutcome {
-        if !self.member.is_primary() {
-            return ChangeOutcome::NotPrimary;
-        }
-        let end = within(AGREEMENT_TIMEOUT, self.member.propose(accepted.command)).await;
-        match end.unwrap_or(ProposalEnd::Unknown) {
-            ProposalEnd::Applied(Applied::Configuration | Applied::Weights) => ChangeOutcome::Taken,
-            ProposalEnd::Applied(Applied::Superseded) => ChangeOutcome::Stale { current: self.revision() },
-            ProposalEnd::NotTaken => ChangeOutcome::NotPrimary,
-            ProposalEnd::Unknown => ChangeOutcome::Unknown,
-        }
-    }
-
-    fn revision(&self) -> u64 {
-        self.member.published().configuration.map_or(0, |configuration| configuration.revision)
     }
 }
 
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 pub mod api;
+pub mod change_step;
 pub mod control_plane;
 pub mod delivery;
 pub mod discovery;
