Play operators at the simulated cluster, planned replacement and full or slow disks

The random histories knew bare proposals only. Operators now send PUT, PATCH, GET and /version-put to members that decide on the real agreed state as the control plane does, up to eight at once, with lost requests and answers, repeats and rivals under one number; a search after Wing and Gong says whether some order of the calls explains all answers.

--- /dev/null
+++ b/crates/tower/tests/replication_repeats.rs
@@ -0,0 +1,62 @@
+//! Changes that operators send again while the first sending still waits.
+
+mod support;
+
+use rstest::rstest;
+use support::operator::call::{Answer, Call, ConfigurationMethod, ConfigurationOrder, WeightsOrder};
+use support::operator::client::UnexplainedObject;
+use support::simulation::{Fault, MS, SECOND, Shape, Simulation};
+
+/// Longer than a member waits for an agreement.
+const BACKUP_STALLS_FOR: u64 = 5500 * MS;
+/// So late that the operator still waits when the backup's disk is back.
+const SENT_AGAIN_AFTER: u64 = 4900 * MS;
+
+fn first_configuration() -> Call {
+    Call::Configure(ConfigurationOrder { method: ConfigurationMethod::Put, base: 0, revision: 3, mark: 1 })
+}
+
+fn first_weights() -> Call {
+    Call::NameWeights(WeightsOrder { model: "large", revision: 3 })
+}
+
+/// Of three machines one is down, and the backup's disk hangs. A change is sent, and once more by an operator
+/// who has heard nothing; when the disk is back, both are agreed on.
+fn change_sent_twice_while_nothing_is_agreed(call: Call, fault: Fault) -> (Simulation, Option<Answer>) {
+    let mut simulation = Simulation::new(2, Shape { losses: 1, seeds: 3, machines: 3, fault });
+    let primary = simulation.acknowledge_one();
+    simulation.end_first_boot();
+    simulation.run_for(SECOND);
+    let process = simulation.machines[primary].process.as_ref().expect("it runs");
+    let backup_node = process.replication.view().expect("it has a view").holders[1];
+    let is_backup = |index: &usize| simulation.machines[*index].node == backup_node;
+    let backup = (0..3).find(is_backup).expect("it is a machine");
+    simulation.kill(3 - primary - backup, 20 * SECOND);
+    simulation.machines[backup].disk.stalled_until = simulation.now + BACKUP_STALLS_FOR;
+    simulation.submit(primary, call);
+    simulation.run_for(SENT_AGAIN_AFTER);
+    assert_eq!(simulation.primary(), Some(primary));
+    let again = simulation.submit(primary, call);
+    simulation.run_for(4 * SECOND);
+    let answer = simulation.operators.answer(again).cloned();
+    (simulation, answer)
+}
+
+#[rstest]
+#[case::configuration(first_configuration())]
+#[case::weights(first_weights())]
+fn change_that_waits_is_taken_once_and_known_when_it_is_sent_again(#[case] call: Call) {
+    let (simulation, answer) = change_sent_twice_while_nothing_is_agreed(call, Fault::None);
+    assert_eq!(answer, Some(Answer::Taken));
+    assert_eq!(simulation.operators.unexplained(), None);
+}
+
+/// What members did before they decided anew: the second proposal found the first one in its way.
+#[rstest]
+#[case::configuration(first_configuration(), UnexplainedObject::Configuration)]
+#[case::weights(first_weights(), UnexplainedObject::Weights("large"))]
+fn refusal_of_a_change_that_is_in_force_is_seen(#[case] call: Call, #[case] object: UnexplainedObject) {
+    let (simulation, answer) = change_sent_twice_while_nothing_is_agreed(call, Fault::SupersededRefused);
+    println!("answered {answer:?}");
+    assert_eq!(simulation.operators.unexplained(), Some(object));
+}
--- a/crates/tower/tests/support/checker.rs
+++ b/crates/tower/tests/support/checker.rs
@@ -5,6 +5,8 @@
 
 use intercom::node::NodeId;
 
+use super::operator::client::UnexplainedObject;
+
 /// Something that must not happen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -17,6 +19,10 @@
     TwoLeases { first: NodeId, second: NodeId },
     /// Two members are primary of the same epoch.
     SharedEpoch { epoch: u64 },
+    /// After a member left, no view without it came into force in time.
+    ViewNotSettled,
+    /// No order of the operators' calls explains their answers.
+    Unexplained { object: UnexplainedObject },
     /// After the trouble a proposal was not acknowledged in time.
     NoProgress,
 }
--- a/crates/tower/tests/support/disk.rs
+++ b/crates/tower/tests/support/disk.rs
@@ -14,6 +14,18 @@
     records: Vec<DurableRecord>,
 }
 
+/// Power that is lost right after a write.
+#[derive(Clone, Copy, Debug)]
+pub struct PowerCut {
+    /// Writes until then.
+    pub writes: u32,
+    /// When the machine starts again after it.
+    pub restart_after: u64,
+}
+
+/// How much longer a slow disk takes.
+const SLOWNESS: u64 = 30;
+
 /// One machine's disk.
 #[derive(Debug, Default)]
 pub struct Disk {
@@ -22,6 +34,12 @@
     pending: VecDeque<PendingWrite>,
     /// No sync ends before this time.
     pub stalled_until: u64,
+    /// Writes are refused before this time.
+    pub full_until: u64,
+    /// Syncs are slow before this time.
+    pub slow_until: u64,
+    /// Power is lost after some more writes.
+    pub power_cut: Option<PowerCut>,
     /// Fault on purpose: syncs are reported before they are done.
     pub reports_early: bool,
 }
@@ -30,13 +48,17 @@
     /// Starts a write; the time at which it is reported as synced.
     pub fn write(&mut self, now: u64, delay: u64, ticket: u64, records: Vec<DurableRecord>) -> u64 {
         let earliest = self.pending.back().map_or(now, |write| write.due);
-        let due = (now + delay).max(self.stalled_until).max(earliest);
+        let delay = if now < self.slow_until { delay * SLOWNESS } else { delay };
+        let due = (now + delay).max(self.stalled_until).max(self.full_until).max(earliest);
         self.pending.push_back(PendingWrite { due, since: now, ticket, records });
         if self.reports_early { now } else { due }
     }
 
     /// Ends the writes that are due; the newest ticket on disk.
     pub fn sync(&mut self, now: u64) -> Option<u64> {
+        if now < self.full_until {
+            return None;
+        }
         let mut newest = None;
         while self.pending.front().is_some_and(|write| write.due <= now) {
             let write = self.pending.pop_front().expect("there is one");
@@ -51,6 +73,29 @@
         self.pending.front().is_some_and(|write| now - write.since > span)
     }
 
+    /// Whether a write was refused and is tried again.
+    pub fn refuses(&self, now: u64) -> bool {
+        now < self.full_until && !self.pending.is_empty()
+    }
+
+    /// Counts a write; when the machine starts again, if power is lost now.
+    pub fn count_down_to_power_cut(&mut self) -> Option<u64> {
+        let cut = self.power_cut.as_mut()?;
+        cut.writes = cut.writes.saturating_sub(1);
+        if cut.writes > 0 {
+            return None;
+        }
+        self.power_cut.take().map(|cut| cut.restart_after)
+    }
+
+    /// Ends all trouble.
+    pub fn heal(&mut self, now: u64) {
+        self.stalled_until = self.stalled_until.min(now);
+        self.full_until = self.full_until.min(now);
+        self.slow_until = self.slow_until.min(now);
+        self.power_cut = None;
+    }
+
     /// The process ends or power is lost: of the records that are not synced some of the first are found.
     pub fn lose_pending(&mut self, random: &mut Rng) {
         let records: Vec<DurableRecord> = self.pending.drain(..).flat_map(|write| write.records).collect();
--- /dev/null
+++ b/crates/tower/tests/support/history/final_fault.rs
@@ -0,0 +1,32 @@
+//! The end of a history: power is lost everywhere at once.
+
+use fastrand::Rng;
+
+use super::{PROGRESS_WITHIN, Trouble, living};
+use crate::support::simulation::{MS, SECOND, Simulation};
+
+/// Right after an acknowledgement: all lose power, and disks that may be lost are lost.
+pub(super) fn final_fault(simulation: &mut Simulation, script: &mut Rng, trouble: Trouble) {
+    let is_calm = trouble != Trouble::DisksStay;
+    if is_calm {
+        simulation.cuts.clear();
+        simulation.run_for(8 * SECOND);
+        simulation.make_progress(PROGRESS_WITHIN);
+    }
+    let mut order = living(simulation);
+    script.shuffle(&mut order);
+    if let Some(primary) = simulation.primary()
+        && let Some(position) = order.iter().position(|index| *index == primary)
+    {
+        order.swap(0, position);
+    }
+    let lost_disks = if is_calm { simulation.losses() } else { 0 };
+    for (position, index) in order.into_iter().enumerate() {
+        let restart_after = script.u64(50..1000) * MS;
+        if position < lost_disks {
+            simulation.wipe(index, restart_after);
+        } else {
+            simulation.cut_power(index, restart_after);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tower/tests/support/history/mod.rs
@@ -0,0 +1,183 @@
+//! Random histories of trouble.
+
+mod any;
+mod counted;
+mod final_fault;
+mod replacement;
+
+use fastrand::Rng;
+
+use super::checker::Violation;
+use super::operator::script::{send_calls_for_a_while, send_last_calls};
+use super::random::{chance, pick};
+use super::simulation::{MS, Network, SECOND, Shape, Simulation};
+
+/// After trouble ends, a primary has to take a proposal within this time.
+pub const PROGRESS_WITHIN: u64 = 6 * SECOND;
+/// A machine counts as lost for so long after it is back.
+const LOST_AFTER_RETURN: u64 = 4 * SECOND;
+/// Rounds of a history with many changes, and proposals in each.
+const LONG_ROUNDS: u64 = 10;
+const LONG_BURST: u64 = 40;
+/// Most answers to operators that are lost, in a thousand.
+const MOST_LOST_ANSWERS: u64 = 200;
+
+/// What kinds of trouble a history has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Disks stay; any number of machines may be in trouble.
+    DisksStay,
+    /// Disks may be lost and machines replaced; no more than f machines are in trouble at once.
+    DisksLost,
+    /// All machines are replaced one after the other, as planned, with other losses in between.
+    Replacement,
+    /// Hundreds of changes while machines restart, and disks stay.
+    ManyChanges,
+}
+
+/// Who asks for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// Commands that do not concern the agreed state.
+    Proposals,
+    /// Operators, whose answers are checked.
+    Operators,
+}
+
+/// Result of a history.
+#[derive(Debug)]
+pub struct Outcome {
+    /// What went wrong.
+    pub violation: Option<Violation>,
+    /// Proposals acknowledged.
+    pub acknowledged: usize,
+    /// Views that came into force.
+    pub views: usize,
+    /// Calls of operators that were answered.
+    pub answered: usize,
+}
+
+/// Plays one history of proposals.
+pub fn play(seed: u64, shape: Shape, trouble: Trouble) -> Outcome {
+    play_with(seed, shape, trouble, Load::Proposals)
+}
+
+/// Plays one history.
+pub fn play_with(seed: u64, shape: Shape, trouble: Trouble, load: Load) -> Outcome {
+    let mut simulation = Simulation::new(seed, shape);
+    let script = &mut Rng::with_seed(seed ^ 0xabcd);
+    let is_early = trouble == Trouble::DisksStay && chance(script, 300);
+    simulation.run_until(if is_early { script.u64(300..1000) * MS } else { 3 * SECOND });
+    simulation.end_first_boot();
+    simulation.network = network(script, trouble);
+    simulation.operators.loss = script.u64(0..MOST_LOST_ANSWERS);
+    match trouble {
+        Trouble::Replacement => replacement::replace_all(&mut simulation, script, |simulation, script| {
+            put_load(simulation, script, load);
+        }),
+        Trouble::ManyChanges => change_often(&mut simulation, script, load),
+        Trouble::DisksStay | Trouble::DisksLost => {
+            let steps = script.u64(3..9);
+            for _ in 0..steps {
+                step(&mut simulation, script, trouble);
+                put_load(&mut simulation, script, load);
+            }
+        }
+    }
+    if chance(script, 300) {
+        final_fault::final_fault(&mut simulation, script, trouble);
+    }
+    finish(simulation, load)
+}
+
+fn network(script: &mut Rng, trouble: Trouble) -> Network {
+    let (loss, lateness) = match trouble {
+        Trouble::DisksStay | Trouble::ManyChanges => (150, 30),
+        Trouble::DisksLost | Trouble::Replacement => (20, 3),
+    };
+    Network {
+        loss: script.u64(0..loss),
+        duplication: script.u64(0..100),
+        lateness: script.u64(0..lateness),
+        delay: script.u64(1..40) * MS,
+    }
+}
+
+fn put_load(simulation: &mut Simulation, script: &mut Rng, load: Load) {
+    match load {
+        Load::Proposals => propose_for_a_while(simulation, script),
+        Load::Operators => send_calls_for_a_while(simulation, script),
+    }
+}
+
+fn propose_for_a_while(simulation: &mut Simulation, script: &mut Rng) {
+    let rounds = script.u64(2..12);
+    for _ in 0..rounds {
+        let burst = script.u64(0..4);
+        for _ in 0..burst {
+            propose_somewhere(simulation, script);
+        }
+        simulation.run_for(script.u64(5..400) * MS);
+    }
+}
+
+fn propose_somewhere(simulation: &mut Simulation, script: &mut Rng) {
+    let anyone = script.u64(0..simulation.machines.len() as u64) as usize;
+    let target = simulation.primary().filter(|_| chance(script, 900)).unwrap_or(anyone);
+    simulation.propose(target);
+}
+
+/// Many changes at once, with a restart in the middle of them.
+fn change_often(simulation: &mut Simulation, script: &mut Rng, load: Load) {
+    for _ in 0..LONG_ROUNDS {
+        let trouble_at = script.u64(0..LONG_BURST);
+        for number in 0..LONG_BURST {
+            if number == trouble_at {
+                step(simulation, script, Trouble::DisksStay);
+            }
+            propose_somewhere(simulation, script);
+            simulation.run_for(script.u64(1..20) * MS);
+        }
+        put_load(simulation, script, load);
+    }
+}
+
+fn living(simulation: &Simulation) -> Vec<usize> {
+    (0..simulation.machines.len()).filter(|index| !simulation.machines[*index].removed).collect()
+}
+
+fn target(simulation: &Simulation, script: &mut Rng) -> usize {
+    let living = living(simulation);
+    let primary = simulation.primary().filter(|_| chance(script, 500));
+    primary.unwrap_or_else(|| pick(script, &living))
+}
+
+fn step(simulation: &mut Simulation, script: &mut Rng, trouble: Trouble) {
+    match trouble {
+        Trouble::DisksStay | Trouble::ManyChanges => any::any_trouble(simulation, script),
+        Trouble::DisksLost | Trouble::Replacement => counted::counted_trouble(simulation, script),
+    }
+}
+
+fn finish(mut simulation: Simulation, load: Load) -> Outcome {
+    simulation.heal();
+    let is_up = |simulation: &Simulation| {
+        simulation.machines.iter().all(|machine| machine.removed || machine.process.is_some())
+    };
+    simulation.run_while_not(4 * SECOND, is_up);
+    let is_live = simulation.make_progress(PROGRESS_WITHIN);
+    simulation.run_for(500 * MS);
+    let is_answered = load == Load::Proposals || send_last_calls(&mut simulation);
+    if !(is_live && is_answered) {
+        simulation.checker.violation.get_or_insert(Violation::NoProgress);
+    }
+    if let Some(object) = simulation.operators.unexplained() {
+        simulation.checker.violation.get_or_insert(Violation::Unexplained { object });
+    }
+    Outcome {
+        acknowledged: simulation.checker.acknowledged_count(),
+        views: simulation.checker.primary_count(),
+        answered: simulation.operators.answered_count(),
+        violation: simulation.checker.violation,
+    }
+}
--- a/crates/tower/tests/support/machine.rs
+++ b/crates/tower/tests/support/machine.rs
@@ -1,12 +1,14 @@
 //! A machine of the simulated cluster: its disk, its clock, and its process.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use intercom::node::NodeId;
 use tower::replication::{Input, Replication};
 
 use super::disk::Disk;
+use super::operator::desk::Desk;
+use super::operator::event::OperatorEvent;
+use super::payload::AppliedState;
 
 /// A clock that starts anywhere and drifts.
 #[derive(Clone, Copy, Debug)]
@@ -36,12 +38,18 @@
     pub life: u64,
     /// The state machine.
     pub replication: Replication,
-    /// Commands that were applied, in order.
-    pub applied: Vec<u64>,
+    /// What the applied commands led to.
+    pub applied: AppliedState,
+    /// It was primary at some time.
+    pub was_primary: bool,
+    /// Operators' changes that it works on.
+    pub desk: Desk,
     /// When its next tick is on the way.
     pub wake_at: u64,
     /// What came while it was frozen.
     pub backlog: Vec<Input>,
+    /// Calls and steps that were due while it was frozen.
+    pub delayed_calls: Vec<OperatorEvent>,
     /// What the disk was last said to be.
     pub told_healthy: bool,
 }
@@ -62,6 +70,8 @@
     pub frozen_until: u64,
     /// Will not come back.
     pub removed: bool,
+    /// Will not come back once its process has ended.
+    pub leaving: bool,
     /// Counts as lost until then.
     pub lost_until: u64,
     /// Lives so far.
@@ -80,14 +90,3 @@
         self.process.as_ref().is_some_and(|process| process.replication.is_primary(local))
     }
 }
-
-/// A command's bytes.
-pub fn encode(commands: &[u64]) -> Arc<[u8]> {
-    commands.iter().flat_map(|command| command.to_le_bytes()).collect()
-}
-
-/// Commands from their bytes.
-pub fn decode(bytes: &[u8]) -> Vec<u64> {
-    let words = bytes.chunks_exact(8);
-    words.map(|word| u64::from_le_bytes(word.try_into().expect("eight bytes"))).collect()
-}
--- a/crates/tower/tests/support/mod.rs
+++ b/crates/tower/tests/support/mod.rs
@@ -6,5 +6,7 @@
 pub mod disk;
 pub mod history;
 pub mod machine;
+pub mod operator;
+pub mod payload;
 pub mod random;
 pub mod simulation;
--- /dev/null
+++ b/crates/tower/tests/support/operator/event.rs
@@ -0,0 +1,68 @@
+//! What happens to calls of operators, in virtual time.
+
+use tower::state::Decision;
+
+use super::call::{Answer, Content};
+use super::client::CallId;
+use crate::support::simulation::Simulation;
+
+/// Something that happens to a call.
+#[derive(Debug)]
+pub enum OperatorEvent {
+    /// It reaches a member.
+    Request { machine: usize, call: CallId },
+    /// A process goes on with its work.
+    Step { machine: usize, life: u64, step: DeskStep },
+    /// The answer reaches the operator.
+    Answered { call: CallId, answer: Answer },
+    /// The operator waits no longer.
+    GivenUp { call: CallId },
+}
+
+/// A step of a process's work on calls.
+#[derive(Debug)]
+pub enum DeskStep {
+    /// The current change is decided on.
+    Decide,
+    /// It was decided on.
+    Decided(Box<Decision>),
+    /// The members did not agree on a proposal in time.
+    AgreementTimeout { ticket: u64 },
+    /// The configuration is read.
+    Read { call: CallId },
+    /// It was read.
+    ReadDone { call: CallId, content: Option<Content> },
+}
+
+impl OperatorEvent {
+    /// The machine that has to run for it; none at the operators' side.
+    fn machine(&self) -> Option<usize> {
+        match self {
+            OperatorEvent::Request { machine, .. } | OperatorEvent::Step { machine, .. } => Some(*machine),
+            OperatorEvent::Answered { .. } | OperatorEvent::GivenUp { .. } => None,
+        }
+    }
+}
+
+impl Simulation {
+    /// Lets something happen to a call, now or when the machine is thawed.
+    pub fn take_operator_event(&mut self, event: OperatorEvent) {
+        if let Some(index) = event.machine()
+            && self.machines[index].frozen_until > self.now
+            && let Some(process) = &mut self.machines[index].process
+        {
+            process.delayed_calls.push(event);
+            return;
+        }
+        match event {
+            OperatorEvent::Request { machine, call } => self.take_request(machine, call),
+            OperatorEvent::Step { machine, life, step } => {
+                if self.is_life(machine, life) {
+                    self.take_step(machine, step);
+                }
+            }
+            OperatorEvent::Answered { call, answer } => self.operators.answered(call, answer),
+            OperatorEvent::GivenUp { call } => self.operators.give_up(call),
+        }
+    }
+}
--- a/crates/tower/tests/support/simulation/lifecycle.rs
+++ b/crates/tower/tests/support/simulation/lifecycle.rs
@@ -8,6 +8,8 @@
 use super::{Event, Fault, SECOND, Simulation};
 use crate::support::disk::Disk;
 use crate::support::machine::{Clock, Machine, Process};
+use crate::support::operator::desk::Desk;
+use crate::support::payload::AppliedState;
 use crate::support::random::pick;
 
 impl Simulation {
@@ -26,6 +28,7 @@
             process: None,
             frozen_until: 0,
             removed: false,
+            leaving: false,
             lost_until: 0,
             lives: 0,
         });
@@ -69,9 +72,12 @@
         machine.process = Some(Process {
             life: machine.lives,
             replication,
-            applied: Vec::new(),
+            applied: AppliedState::default(),
+            was_primary: false,
+            desk: Desk::default(),
             wake_at: 0,
             backlog: Vec::new(),
+            delayed_calls: Vec::new(),
             told_healthy: true,
         });
         let known = self.others(index);
--- a/crates/tower/tests/support/simulation/mod.rs
+++ b/crates/tower/tests/support/simulation/mod.rs
@@ -20,6 +20,8 @@
 
 use super::checker::Checker;
 use super::machine::Machine;
+use super::operator::client::Operators;
+use super::operator::event::OperatorEvent;
 
 /// Microseconds in a millisecond.
 pub const MS: u64 = 1000;
@@ -28,13 +30,25 @@
 /// A write that waits longer makes the disk unhealthy.
 const DISK_BOUND: u64 = SECOND;
 
+/// What becomes of a machine whose process has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterEnd {
+    /// The process starts again after a delay.
+    Restart { after: u64 },
+    /// The machine does not come back.
+    Removal,
+}
+
+/// Something that happens at a time.
 #[derive(Debug)]
-enum Event {
+pub enum Event {
     Arrival { machine: usize, envelope: Envelope },
     Wake { machine: usize, life: u64 },
     Synced { machine: usize, life: u64 },
     Thaw { machine: usize },
     Start { machine: usize },
+    End { machine: usize, life: u64, then: AfterEnd },
+    Operator(OperatorEvent),
 }
 
 /// A cluster.
@@ -51,13 +65,13 @@
     pub network: Network,
     /// Directions that are cut, from and to.
     pub cuts: BTreeSet<(usize, usize)>,
-    shape: Shape,
+    /// Calls of the operators.
+    pub operators: Operators,
+    pub(in crate::support) shape: Shape,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     next_event: u64,
-    next_command: u64,
-    /// Commands by their tickets.
-    proposals: BTreeMap<u64, u64>,
+    pub(in crate::support) next_command: u64,
     /// Tickets that were acknowledged.
     pub done: BTreeSet<u64>,
     first_boot: bool,
@@ -73,12 +87,12 @@
             checker: Checker::default(),
             network: Network::default(),
             cuts: BTreeSet::new(),
+            operators: Operators::default(),
             shape,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
             next_command: 1,
-            proposals: BTreeMap::new(),
             done: BTreeSet::new(),
             first_boot: true,
         };
@@ -94,7 +108,8 @@
         self.shape.losses as usize
     }
 
-    fn schedule(&mut self, at: u64, event: Event) {
+    /// Lets something happen at a time, or now if that is over.
+    pub fn schedule(&mut self, at: u64, event: Event) {
         self.next_event += 1;
         self.events.insert(self.next_event, event);
         self.queue.push(Reverse((at.max(self.now), self.next_event)));
@@ -149,7 +164,7 @@
         if let Some(machine) = reader
             && let Some(process) = &machine.process
         {
-            self.checker.may_read(machine.node, process.replication.epoch(), &process.applied);
+            self.checker.may_read(machine.node, process.replication.epoch(), &process.applied.numbers);
         }
     }
 
@@ -162,21 +177,50 @@
                 }
             }
             Event::Synced { machine, life } => {
-                if self.is_life(machine, life)
-                    && let Some(ticket) = self.machines[machine].disk.sync(self.now)
-                {
-                    self.input(machine, Input::Persisted { ticket });
+                if self.is_life(machine, life) {
+                    self.sync(machine);
                 }
             }
             Event::Thaw { machine } => self.thaw(machine),
             Event::Start { machine } => self.start(machine),
+            Event::End { machine, life, then } => {
+                if self.is_life(machine, life) {
+                    self.end(machine, then);
+                }
+            }
+            Event::Operator(event) => self.take_operator_event(event),
         }
     }
 
-    fn is_life(&self, machine: usize, life: u64) -> bool {
+    /// Whether this run of a process goes on.
+    pub fn is_life(&self, machine: usize, life: u64) -> bool {
         self.machines[machine].process.as_ref().is_some_and(|process| process.life == life)
     }
 
+    fn sync(&mut self, index: usize) {
+        let disk = &mut self.machines[index].disk;
+        let Some(ticket) = disk.sync(self.now) else { return };
+        match disk.count_down_to_power_cut() {
+            Some(restart_after) => self.cut_power(index, restart_after),
+            None => self.input(index, Input::Persisted { ticket }),
+        }
+    }
+
+    /// Whether there is a primary whose view has only running members, is settled, and is known to its voters.
+    pub fn is_view_settled(&self) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let view_at = |machine: &Machine| {
+            let process = machine.process.as_ref().filter(|_| machine.frozen_until <= self.now);
+            process.and_then(|process| process.replication.view().cloned())
+        };
+        let Some(view) = view_at(&self.machines[primary]) else { return false };
+        let knows_view = |voter: &NodeId| {
+            let machine = self.machines.iter().find(|machine| machine.node == *voter);
+            machine.and_then(view_at).as_ref() == Some(&view)
+        };
+        view.previous_voters.is_empty() && view.voters.iter().all(knows_view)
+    }
+
     /// The machine that is primary by its own word.
     pub fn primary(&self) -> Option<usize> {
         self.machines
--- a/crates/tower/tests/support/simulation/outputs.rs
+++ b/crates/tower/tests/support/simulation/outputs.rs
@@ -1,9 +1,10 @@
 //! Inputs of a process, and what it asks for in return.
 
-use tower::replication::{Input, Output, Role};
+use tower::member::ProposalEnd;
+use tower::replication::{FailureReason, Input, Output, Role};
 
 use super::{DISK_BOUND, Event, Fault, MS, Simulation};
-use crate::support::machine::{decode, encode};
+use crate::support::payload::{AppliedState, NumberedCommand};
 
 /// Applied commands between compactions.
 const COMPACT_EVERY: usize = 16;
@@ -20,7 +21,7 @@
             return;
         }
         let local = machine.clock.local(now);
-        let healthy = !machine.disk.waits_longer_than(now, DISK_BOUND);
+        let healthy = !machine.disk.waits_longer_than(now, DISK_BOUND) && !machine.disk.refuses(now);
         let mut out = Vec::new();
         if healthy != process.told_healthy {
             process.told_healthy = healthy;
@@ -58,51 +59,58 @@
                     }
                 }
                 Output::Apply { sequence, command, proposal } => {
-                    self.apply(index, sequence, decode(&command)[0], proposal);
+                    self.apply(index, sequence, &NumberedCommand::decode(&command), proposal);
                 }
                 Output::Restore { sequence, snapshot } => self.restore(index, sequence, &snapshot),
                 Output::RoleChanged(Role::Primary { epoch }) => self.became_primary(index, epoch),
-                Output::ProposalFailed { .. } | Output::RoleChanged(_) => {}
+                Output::ProposalFailed { proposal, reason } => {
+                    self.end_proposal(index, proposal, failed_end(reason));
+                }
+                Output::RoleChanged(_) => {}
             }
         }
         self.compact_if_due(index);
     }
 
-    fn apply(&mut self, index: usize, sequence: u64, command: u64, proposal: Option<u64>) {
+    fn apply(&mut self, index: usize, sequence: u64, command: &NumberedCommand, proposal: Option<u64>) {
         let Some(process) = &mut self.machines[index].process else { return };
-        process.applied.push(command);
-        assert_eq!(process.applied.len() as u64, sequence, "entries are applied in order without gaps");
-        self.checker.applied(sequence, command);
-        if let Some(ticket) = proposal {
-            assert_eq!(
-                self.proposals.get(&ticket),
-                Some(&command),
-                "the proposal's own command is applied"
-            );
-            self.done.insert(ticket);
-            let epoch = process.replication.epoch();
-            self.checker.acknowledge(sequence, command, epoch);
+        process.applied.numbers.push(command.number);
+        assert_eq!(
+            process.applied.numbers.len() as u64,
+            sequence,
+            "entries are applied in order without gaps"
+        );
+        self.checker.applied(sequence, command.number);
+        let epoch = process.replication.epoch();
+        let applied = process.applied.apply(&command.command);
+        let Some(ticket) = proposal else { return };
+        assert_eq!(ticket, command.number, "the proposal's own command is applied");
+        self.done.insert(ticket);
+        self.checker.acknowledge(sequence, command.number, epoch);
+        if let Some(applied) = applied {
+            self.end_proposal(index, ticket, ProposalEnd::Applied(applied));
         }
     }
 
     fn restore(&mut self, index: usize, sequence: u64, snapshot: &[u8]) {
         let Some(process) = &mut self.machines[index].process else { return };
-        process.applied = decode(snapshot);
-        assert_eq!(process.applied.len() as u64, sequence, "the snapshot holds what it says");
+        process.applied = AppliedState::decode(snapshot);
+        assert_eq!(process.applied.numbers.len() as u64, sequence, "the snapshot holds what it says");
     }
 
     fn became_primary(&mut self, index: usize, epoch: u64) {
-        let machine = &self.machines[index];
-        let Some(process) = &machine.process else { return };
-        self.checker.became_primary(machine.node, epoch, &process.applied);
+        let machine = &mut self.machines[index];
+        let Some(process) = &mut machine.process else { return };
+        process.was_primary = true;
+        self.checker.became_primary(machine.node, epoch, &process.applied.numbers);
     }
 
     fn compact_if_due(&mut self, index: usize) {
         let local = self.machines[index].clock.local(self.now);
         let Some(process) = &mut self.machines[index].process else { return };
-        let length = process.applied.len();
+        let length = process.applied.numbers.len();
         if length > 0 && length.is_multiple_of(COMPACT_EVERY) {
-            let input = Input::Compact { sequence: length as u64, snapshot: encode(&process.applied) };
+            let input = Input::Compact { sequence: length as u64, snapshot: process.applied.encode() };
             let mut out = Vec::new();
             process.replication.handle(local, input, &mut out);
             let writes: Vec<Output> = out;
@@ -118,3 +126,10 @@
         }
     }
 }
+
+fn failed_end(reason: FailureReason) -> ProposalEnd {
+    match reason {
+        FailureReason::NotTaken => ProposalEnd::NotTaken,
+        FailureReason::OutcomeUnknown => ProposalEnd::Unknown,
+    }
+}
--- a/crates/tower/tests/support/simulation/proposals.rs
+++ b/crates/tower/tests/support/simulation/proposals.rs
@@ -1,18 +1,25 @@
 //! Proposals of commands, and waiting for them.
 
+use std::sync::Arc;
+
 use tower::replication::Input;
 
 use super::{MS, Simulation};
-use crate::support::machine::encode;
+use crate::support::payload::NumberedCommand;
 
 impl Simulation {
-    /// Proposes a command at a machine; its ticket.
+    /// Proposes a command that does not concern the agreed state; its ticket.
     pub fn propose(&mut self, index: usize) -> u64 {
-        let command = self.next_command;
+        self.propose_command(index, Arc::default())
+    }
+
+    /// Proposes a command at a machine; its ticket, which is its number too.
+    pub fn propose_command(&mut self, index: usize, command: Arc<[u8]>) -> u64 {
+        let number = self.next_command;
         self.next_command += 1;
-        self.proposals.insert(command, command);
-        self.input(index, Input::Propose { ticket: command, command: encode(&[command]) });
-        command
+        let command = NumberedCommand { number, command }.encode();
+        self.input(index, Input::Propose { ticket: number, command });
+        number
     }
 
     /// Proposes again and again until something is acknowledged; whether it was within the span.
--- a/crates/tower/tests/support/simulation/shape.rs
+++ b/crates/tower/tests/support/simulation/shape.rs
@@ -14,6 +14,12 @@
     WildClocks,
     /// A member forgets promises and views when it starts.
     ForgottenPromises,
+    /// A member that was primary answers operators without a lease.
+    IgnoredLease,
+    /// A change that was taken before is refused.
+    ForgottenRepeats,
+    /// A proposal that came behind another one is refused, though that one may have been the same change.
+    SupersededRefused,
 }
 
 /// Size of a cluster and its faults.
--- a/crates/tower/tests/support/simulation/trouble.rs
+++ b/crates/tower/tests/support/simulation/trouble.rs
@@ -2,7 +2,9 @@
 
 use tower::replication::Input;
 
-use super::{Event, Fault, Network, Simulation};
+use crate::support::disk::PowerCut;
+
+use super::{AfterEnd, Event, Fault, Network, Simulation};
 
 impl Simulation {
     /// Ends a process and lets it start again after a delay.
@@ -14,11 +16,57 @@
         self.schedule(self.now + restart_after, Event::Start { machine: index });
     }
 
-    /// Asks a process to end, lets it end after a while, and starts it again.
+    /// Asks a process to end; it does after a while, and starts again later.
     pub fn terminate(&mut self, index: usize, ends_after: u64, restart_after: u64) {
+        self.ask_to_end(index, ends_after, AfterEnd::Restart { after: restart_after });
+    }
+
+    /// Asks a process to end; it does after a while, and its machine does not come back.
+    pub fn terminate_for_good(&mut self, index: usize, ends_after: u64) {
+        self.machines[index].leaving = true;
+        self.ask_to_end(index, ends_after, AfterEnd::Removal);
+    }
+
+    /// Machines whose processes have been asked to end for good, and have not ended.
+    pub fn leaving_count(&self) -> usize {
+        self.machines.iter().filter(|machine| machine.leaving && !machine.removed).count()
+    }
+
+    fn ask_to_end(&mut self, index: usize, ends_after: u64, then: AfterEnd) {
         self.input(index, Input::Terminate);
-        self.run_for(ends_after);
-        self.kill(index, restart_after);
+        match &self.machines[index].process {
+            Some(process) => {
+                let life = process.life;
+                self.schedule(self.now + ends_after, Event::End { machine: index, life, then });
+            }
+            None => self.end(index, then),
+        }
+    }
+
+    pub(super) fn end(&mut self, index: usize, then: AfterEnd) {
+        match then {
+            AfterEnd::Restart { after } => self.kill(index, after),
+            AfterEnd::Removal => self.remove(index),
+        }
+    }
+
+    fn remove(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        machine.process = None;
+        machine.removed = true;
+    }
+
+    /// The disk refuses all writes for a span; the process tries them again and again.
+    pub fn fill_disk(&mut self, index: usize, span: u64) {
+        let machine = &mut self.machines[index];
+        machine.disk.full_until = self.now + span;
+        let life = machine.lives;
+        self.schedule(self.now + span, Event::Synced { machine: index, life });
+    }
+
+    /// Cuts the power right after some more writes, before the process hears of the last one.
+    pub fn cut_power_after_writes(&mut self, index: usize, writes: u32, restart_after: u64) {
+        self.machines[index].disk.power_cut = Some(PowerCut { writes, restart_after });
     }
 
     /// Cuts the power; nothing that is not synced is found after.
@@ -41,9 +89,7 @@
 
     /// Takes a machine away for good and adds another at a new address.
     pub fn replace(&mut self, index: usize, start_after: u64) -> usize {
-        let machine = &mut self.machines[index];
-        machine.process = None;
-        machine.removed = true;
+        self.remove(index);
         let generation = self.random.u64(..) | 1;
         self.add_machine(generation, self.now + start_after)
     }
@@ -65,9 +111,13 @@
         }
         let Some(process) = &mut machine.process else { return };
         let backlog = std::mem::take(&mut process.backlog);
+        let delayed_calls = std::mem::take(&mut process.delayed_calls);
         for input in backlog {
             self.input(index, input);
         }
+        for call in delayed_calls {
+            self.take_operator_event(call);
+        }
     }
 
     /// Ends all trouble of network, disks and freezes; processes that are down come back soon.
@@ -76,7 +126,7 @@
         self.network = Network::default();
         for index in 0..self.machines.len() {
             let machine = &mut self.machines[index];
-            machine.disk.stalled_until = machine.disk.stalled_until.min(self.now);
+            machine.disk.heal(self.now);
             if machine.frozen_until > self.now {
                 machine.frozen_until = self.now;
                 self.schedule(self.now, Event::Thaw { machine: index });
