--- a/crates/tower/tests/support/operator/linearizability.rs
+++ b/crates/tower/tests/support/operator/linearizability.rs
@@ -32,12 +32,16 @@
 pub fn is_linearizable<R: Register>(first: &R, operations: &[Operation<R::Call>]) -> bool {
     let is_sorted = operations.is_sorted_by_key(|operation| operation.started_at);
     assert!(is_sorted, "operations are sorted by their starts");
-    let mut search = Search { operations, visited: HashSet::new() };
+    let mut search = Search { operations, searched_states: 0, visited: HashSet::new() };
     search.explains(vec![false; operations.len()], first.clone())
 }
 
+/// States after which a search is given up: no history of these tests comes near.
+const MOST_SEARCHED_STATES: usize = 1_000_000;
+
 struct Search<'a, R: Register> {
     operations: &'a [Operation<R::Call>],
+    searched_states: usize,
     /// Where the search has been without success.
     visited: HashSet<(Vec<bool>, R)>,
 }
@@ -45,6 +49,8 @@
 impl<R: Register> Search<'_, R> {
     /// Whether the operations that are not done yet can follow.
     fn explains(&mut self, mut done: Vec<bool>, register: R) -> bool {
+        self.searched_states += 1;
+        assert!(self.searched_states <= MOST_SEARCHED_STATES, "the history has too many possible orders");
         self.take_all_without_effect(&mut done, &register);
         let Some(horizon) = self.horizon(&done) else { return true };
         let branches = self.branches(&done, &register, horizon);
