--- a/crates/tower/tests/replication_histories.rs
+++ b/crates/tower/tests/replication_histories.rs
@@ -1,13 +1,19 @@
 //! Thousands of short random histories of a simulated cluster: nothing acknowledged is lost, and after
 //! trouble it goes on.
+//!
+//! More of them: `HISTORIES_PER_KIND=700 cargo test --release -p tulipridge-tower --test replication_histories
+//! --test replication_operators -- --nocapture` plays 700 of each of the 40 kinds.
 
 mod support;
 
 use rstest::rstest;
-use support::history::{Trouble, play};
+use support::history::{Trouble, history_count, play};
 use support::simulation::{Fault, Shape};
 
-const HISTORIES: u64 = 250;
+/// Histories of each kind, if no other number is asked for.
+const USUAL_HISTORIES: u64 = 250;
+/// The same, of those with long histories.
+const USUAL_LONG_HISTORIES: u64 = 50;
 
 fn shape(losses: u32, seeds: usize, machines: usize) -> Shape {
     Shape { losses, seeds, machines, fault: Fault::None }
@@ -26,12 +32,26 @@
     let (losses, seeds, machines) = sizes;
     let mut acknowledged = 0;
     let mut views = 0;
-    for seed in 0..HISTORIES {
+    let count = history_count(USUAL_HISTORIES);
+    for seed in 0..count {
         let outcome = play(seed, shape(losses, seeds, machines), trouble);
         assert_eq!(outcome.violation, None, "history {seed} of {sizes:?} with {trouble:?}");
         acknowledged += outcome.acknowledged;
         views += outcome.views;
     }
-    println!("{HISTORIES} histories: {acknowledged} acknowledged, {views} views");
-    assert!(acknowledged as u64 > HISTORIES && views as u64 > HISTORIES, "the histories do something");
+    println!("{count} histories: {acknowledged} acknowledged, {views} views");
+    assert!(acknowledged as u64 > count && views as u64 > count, "the histories do something");
+}
+
+/// Planned replacement, and hundreds of changes, without operators.
+#[rstest]
+fn long_histories_hold(
+    #[values((1, 3, 4), (2, 5, 5), (2, 5, 8))] sizes: (u32, usize, usize),
+    #[values(Trouble::Replacement, Trouble::ManyChanges)] trouble: Trouble,
+) {
+    let (losses, seeds, machines) = sizes;
+    for seed in 0..history_count(USUAL_LONG_HISTORIES) {
+        let outcome = play(seed, shape(losses, seeds, machines), trouble);
+        assert_eq!(outcome.violation, None, "history {seed} of {sizes:?} with {trouble:?}");
+    }
 }
--- a/crates/tower/tests/replication_operators.rs
+++ b/crates/tower/tests/replication_operators.rs
@@ -1,12 +1,16 @@
 //! Random histories of operators at a simulated cluster: some order of their calls explains all answers.
+//!
+//! More of them: `HISTORIES_PER_KIND=700 cargo test --release -p tulipridge-tower --test replication_histories
+//! --test replication_operators -- --nocapture` plays 700 of each of the 40 kinds.
 
 mod support;
 
 use rstest::rstest;
-use support::history::{Load, Trouble, play_with};
+use support::history::{Load, Trouble, history_count, play_with};
 use support::simulation::{Fault, Shape};
 
-const HISTORIES: u64 = 100;
+/// Histories of each kind, if no other number is asked for.
+const USUAL_HISTORIES: u64 = 100;
 
 /// Every history can be explained.
 #[rstest]
@@ -17,12 +21,13 @@
 ) {
     let (losses, seeds, machines) = sizes;
     let mut answered = 0;
-    for seed in 0..HISTORIES {
+    let count = history_count(USUAL_HISTORIES);
+    for seed in 0..count {
         let shape = Shape { losses, seeds, machines, fault: Fault::None };
         let outcome = play_with(seed, shape, trouble, Load::Operators);
         assert_eq!(outcome.violation, None, "history {seed} of {sizes:?} with {trouble:?}");
         answered += outcome.answered;
     }
-    println!("{HISTORIES} histories: {answered} answered calls");
-    assert!(answered as u64 > HISTORIES, "the operators do something");
+    println!("{count} histories: {answered} answered calls");
+    assert!(answered as u64 > count, "the operators do something");
 }
--- a/crates/tower/tests/support/history/mod.rs
+++ b/crates/tower/tests/support/history/mod.rs
@@ -44,6 +44,17 @@
     Operators,
 }
 
+/// Names the number of histories of each kind that are played in place of the usual ones.
+const COUNT_VARIABLE: &str = "HISTORIES_PER_KIND";
+
+/// How many histories of each kind are played.
+pub fn history_count(usual: u64) -> u64 {
+    match std::env::var(COUNT_VARIABLE) {
+        Ok(count) => count.parse().expect("the number of histories is a number"),
+        Err(_) => usual,
+    }
+}
+
 /// Result of a history.
 #[derive(Debug)]
 pub struct Outcome {
