--- a/crates/tower/tests/support/history/final_fault.rs
+++ b/crates/tower/tests/support/history/final_fault.rs
@@ -13,6 +13,7 @@
         simulation.run_for(8 * SECOND);
         simulation.make_progress(PROGRESS_WITHIN);
     }
+    stop_right_after_an_acknowledgement(simulation);
     let mut order = living(simulation);
     script.shuffle(&mut order);
     if let Some(primary) = simulation.primary()
@@ -30,3 +31,11 @@
         }
     }
 }
+
+/// Neither a heartbeat nor another sync comes in between.
+fn stop_right_after_an_acknowledgement(simulation: &mut Simulation) {
+    if let Some(primary) = simulation.primary() {
+        let ticket = simulation.propose(primary);
+        simulation.run_while_not(SECOND, |simulation| simulation.done.contains(&ticket));
+    }
+}
--- a/crates/tower/tests/support/simulation/lifecycle.rs
+++ b/crates/tower/tests/support/simulation/lifecycle.rs
@@ -18,12 +18,10 @@
         let index = self.machines.len();
         let address = Ipv4Addr::new(10, 1 + (index % 3) as u8, 0, 10 + index as u8);
         let clock = self.new_clock();
-        let mut disk = Disk::default();
-        disk.reports_early = self.shape.fault == Fault::EarlySync;
         self.machines.push(Machine {
             node: NodeId::new(address, generation),
             zone: format!("zone-{}", index % 3),
-            disk,
+            disk: Disk::default(),
             clock,
             process: None,
             frozen_until: 0,
--- a/crates/tower/tests/support/simulation/network.rs
+++ b/crates/tower/tests/support/simulation/network.rs
@@ -1,8 +1,9 @@
 //! The network: loss, delay, duplication, cut links.
 
-use intercom::control::Envelope;
+use intercom::control::{ControlMessage, Envelope};
+use intercom::node::NodeId;
 
-use super::{Event, MS, SECOND, Simulation};
+use super::{Event, Fault, MS, SECOND, Simulation};
 use crate::support::random::chance;
 
 /// How bad the network is.
@@ -28,6 +29,7 @@
     pub(super) fn transmit(&mut self, from: usize, envelope: Envelope) {
         let found = self.machines.iter().position(|machine| machine.node.ip == envelope.to.ip);
         let Some(to) = found else { return };
+        let envelope = self.in_the_name_of_a_voter(from, to, envelope);
         let network = self.network;
         if chance(&mut self.random, network.loss) {
             return;
@@ -44,6 +46,24 @@
         }
     }
 
+    /// A standby that breaks its promise answers heartbeats in the name of a voter that is cut off.
+    fn in_the_name_of_a_voter(&self, from: usize, to: usize, envelope: Envelope) -> Envelope {
+        let is_heartbeat_ack = matches!(envelope.message, ControlMessage::HeartbeatAck { .. });
+        if self.shape.fault != Fault::StandbyVotes || !is_heartbeat_ack {
+            return envelope;
+        }
+        let Some(process) = &self.machines[from].process else { return envelope };
+        let voters = process.replication.view().map_or(&[][..], |view| &view.voters);
+        let is_cut_off = |voter: &&NodeId| {
+            let position = self.machines.iter().position(|machine| machine.node == **voter);
+            position.is_some_and(|voter| self.cuts.contains(&(voter, to)))
+        };
+        match voters.iter().find(is_cut_off).filter(|_| !voters.contains(&envelope.from)) {
+            Some(voter) => Envelope { from: *voter, ..envelope },
+            None => envelope,
+        }
+    }
+
     /// Cuts all links of a machine, in the directions asked for.
     pub fn isolate(&mut self, index: usize, incoming: bool, outgoing: bool) {
         for other in 0..self.machines.len() {
--- a/crates/tower/tests/support/simulation/outputs.rs
+++ b/crates/tower/tests/support/simulation/outputs.rs
@@ -50,11 +50,13 @@
                 Output::Send(envelope) => self.transmit(index, envelope),
                 Output::Persist { ticket, records } => {
                     let delay = self.random.u64(100..4 * MS);
+                    let reports_early = self.reports_syncs_early(index);
                     let machine = &mut self.machines[index];
+                    machine.disk.reports_early = reports_early;
                     let due = machine.disk.write(self.now, delay, ticket, records);
                     let life = machine.lives;
                     self.schedule(due, Event::Synced { machine: index, life });
-                    if self.shape.fault == Fault::EarlySync {
+                    if reports_early {
                         self.schedule(self.now + delay, Event::Synced { machine: index, life });
                     }
                 }
@@ -72,6 +74,16 @@
         self.compact_if_due(index);
     }
 
+    fn reports_syncs_early(&self, index: usize) -> bool {
+        let process = self.machines[index].process.as_ref();
+        let is_backup = process.is_some_and(|process| process.replication.role() == Role::Backup);
+        match self.shape.fault {
+            Fault::EarlySync => true,
+            Fault::EarlyBackupSync => is_backup,
+            _ => false,
+        }
+    }
+
     fn apply(&mut self, index: usize, sequence: u64, command: &NumberedCommand, proposal: Option<u64>) {
         let Some(process) = &mut self.machines[index].process else { return };
         process.applied.numbers.push(command.number);
--- a/crates/tower/tests/support/simulation/shape.rs
+++ b/crates/tower/tests/support/simulation/shape.rs
@@ -14,6 +14,10 @@
     WildClocks,
     /// A member forgets promises and views when it starts.
     ForgottenPromises,
+    /// Backups report syncs before they are done.
+    EarlyBackupSync,
+    /// A standby answers in the place of a voter that is cut off.
+    StandbyVotes,
     /// A member that was primary answers operators without a lease.
     IgnoredLease,
     /// A change that was taken before is refused.
