Merge random histories of operators, replacement and disks

Change: beside the merge, `tower::change` takes the steps of a change without I/O from this side and the look at the tenure from the other; calls of the agreed state's tests are support/state_calls.rs. Checks: the broken twin that refuses a superseded change now does so for each proposal that changed nothing, since an entry of a call that is known is no longer reported as superseded; it is seen as before.

--- a/crates/tower/src/change.rs
+++ b/crates/tower/src/change.rs
@@ -11,7 +11,7 @@
 use crate::state::{Accepted, Applied, Change, Decision};
 
 /// A change that is not agreed on in this time is left to the caller, who sends it again.
-const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+pub const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// A change is decided on so often at most, each time on a newer state.
 const DECISION_ATTEMPTS: u32 = 3;
 
@@ -26,46 +26,83 @@
     fn agree(&self, command: Arc<[u8]>) -> impl Future<Output = ProposalEnd>;
 }
 
+/// What comes next for a change.
+#[derive(Debug)]
+pub enum ChangeStep {
+    /// It is decided on by the state as it is then.
+    Decide,
+    /// The members have to agree on it.
+    Propose(Box<Accepted>),
+    /// The operator is answered.
+    Answer(ChangeOutcome),
+}
+
+impl ChangeStep {
+    /// What follows from a decision; none if the agreed state has ended.
+    ///
+    /// Every decision is made on a state that holds all that was acknowledged, and counts only if this member has
+    /// been primary from before the state was read until after it: a refusal by a deposed primary could be of a
+    /// change that is in force.
+    pub fn after_decision(decision: Option<Decision>, was_primary_throughout: bool) -> ChangeStep {
+        if !was_primary_throughout {
+            return ChangeStep::Answer(ChangeOutcome::NotPrimary);
+        }
+        ChangeStep::Answer(match decision {
+            Some(Decision::Accept(accepted)) => return ChangeStep::Propose(accepted),
+            Some(Decision::AlreadyTaken) => ChangeOutcome::Taken,
+            Some(Decision::Stale { current }) => ChangeOutcome::Stale { current },
+            Some(Decision::InvalidConfiguration { findings }) => {
+                ChangeOutcome::Invalid { report: String::from_utf8_lossy(&findings.to_json()).into() }
+            }
+            Some(Decision::OldWeights { newest }) => ChangeOutcome::OldWeights { newest },
+            None => ChangeOutcome::Unknown,
+        })
+    }
+
+    /// What follows from the end of the proposal.
+    ///
+    /// A command that changed nothing came behind another one, so it is decided on again, by the newer state.
+    pub fn after_proposal(end: ProposalEnd) -> ChangeStep {
+        match end {
+            ProposalEnd::Applied(Applied::Configuration | Applied::Weights) => {
+                ChangeStep::Answer(ChangeOutcome::Taken)
+            }
+            ProposalEnd::Applied(Applied::Superseded) => ChangeStep::Decide,
+            ProposalEnd::NotTaken => ChangeStep::Answer(ChangeOutcome::NotPrimary),
+            ProposalEnd::Unknown => ChangeStep::Answer(ChangeOutcome::Unknown),
+        }
+    }
+}
+
 /// Decides on a change, and has it agreed on if it is accepted.
 ///
-/// Every decision is made on a state that holds all that was acknowledged, and counts only if this member has been
-/// primary from before the state was read until after it: a refusal by a deposed primary could be of a change that
-/// is in force. A process that stands still after that answers late, but with what was true while the call waited.
+/// A process that stands still after the last look at who is primary answers late, but with what was true while the
+/// call waited.
 pub async fn carry_out<A: ChangeAuthority>(authority: &A, change: Change) -> ChangeOutcome {
     let change = Arc::new(change);
-    for _ in 0..DECISION_ATTEMPTS {
-        let Some(tenure) = authority.tenure() else { return ChangeOutcome::NotPrimary };
-        let Some(decision) = authority.decide(change.clone()).await else {
-            return ChangeOutcome::Unknown;
-        };
-        if authority.tenure() != Some(tenure) {
-            return ChangeOutcome::NotPrimary;
-        }
-        let accepted = match decision {
-            Decision::Accept(accepted) => accepted,
-            Decision::AlreadyTaken => return ChangeOutcome::Taken,
-            Decision::Stale { current } => return ChangeOutcome::Stale { current },
-            Decision::InvalidConfiguration { findings } => {
-                let report = String::from_utf8_lossy(&findings.to_json()).into();
-                return ChangeOutcome::Invalid { report };
+    let mut decisions = 0;
+    let mut step = ChangeStep::Decide;
+    loop {
+        step = match step {
+            ChangeStep::Decide if decisions == DECISION_ATTEMPTS => return ChangeOutcome::Unknown,
+            ChangeStep::Decide => {
+                decisions += 1;
+                decide(authority, &change).await
+            }
+            ChangeStep::Propose(accepted) => {
+                let end = within(AGREEMENT_TIMEOUT, authority.agree(accepted.command)).await;
+                ChangeStep::after_proposal(end.unwrap_or(ProposalEnd::Unknown))
             }
-            Decision::OldWeights { newest } => return ChangeOutcome::OldWeights { newest },
+            ChangeStep::Answer(outcome) => return outcome,
         };
-        if let Some(outcome) = agree(authority, *accepted).await {
-            return outcome;
-        }
     }
-    ChangeOutcome::Unknown
 }
 
-/// Has a change agreed on. None if its entry found a newer state than the one that was decided on, so that it is to
-/// be decided on again.
-async fn agree<A: ChangeAuthority>(authority: &A, accepted: Accepted) -> Option<ChangeOutcome> {
-    let end = within(AGREEMENT_TIMEOUT, authority.agree(accepted.command)).await;
-    match end.unwrap_or(ProposalEnd::Unknown) {
-        ProposalEnd::Applied(Applied::Configuration | Applied::Weights) => Some(ChangeOutcome::Taken),
-        ProposalEnd::Applied(Applied::Superseded) => None,
-        ProposalEnd::NotTaken => Some(ChangeOutcome::NotPrimary),
-        ProposalEnd::Unknown => Some(ChangeOutcome::Unknown),
-    }
+async fn decide<A: ChangeAuthority>(authority: &A, change: &Arc<Change>) -> ChangeStep {
+    let Some(tenure) = authority.tenure() else {
+        return ChangeStep::Answer(ChangeOutcome::NotPrimary);
+    };
+    let decision = authority.decide(change.clone()).await;
+    let was_primary_throughout = authority.tenure() == Some(tenure);
+    ChangeStep::after_decision(decision, was_primary_throughout)
 }
--- a/crates/tower/tests/state.rs
+++ b/crates/tower/tests/state.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use support::operator::{accepted, name, patch, put, revision, route, take};
+use support::state_calls::{accepted, name, patch, put, revision, route, take};
 use tower::state::{Applied, Change, Decision, State};
 
 #[test]
--- a/crates/tower/tests/state_random.rs
+++ b/crates/tower/tests/state_random.rs
@@ -8,9 +8,9 @@
 use fastrand::Rng;
 use rstest::rstest;
 use serde_json::Value;
-use support::operator::{name, patch, patch_route, put_routes, restored, route};
 use support::random::{chance, pick};
 use support::reference::{Answer, Reference};
+use support::state_calls::{name, patch, patch_route, put_routes, restored, route};
 use tower::state::{Accepted, Applied, Change, Decision, State};
 
 const STEPS: usize = 400;
--- /dev/null
+++ b/crates/tower/tests/support/simulation/outputs.rs
@@ -0,0 +1,152 @@
+//! Inputs of a process, and what it asks for in return.
+
+use tower::member::ProposalEnd;
+use tower::replication::{FailureReason, Input, Output, Role};
+use tower::state::Applied;
+
+use super::{DISK_BOUND, Event, Fault, MS, Simulation};
+use crate::support::payload::{AppliedState, NumberedCommand};
+
+/// Applied commands between compactions.
+const COMPACT_EVERY: usize = 16;
+
+impl Simulation {
+    /// Hands an input to a process, now or when it is thawed.
+    pub fn input(&mut self, index: usize, input: Input) {
+        let now = self.now;
+        let machine = &mut self.machines[index];
+        let is_frozen = machine.frozen_until > now;
+        let Some(process) = &mut machine.process else { return };
+        if is_frozen {
+            process.backlog.push(input);
+            return;
+        }
+        let local = machine.clock.local(now);
+        let healthy = !machine.disk.waits_longer_than(now, DISK_BOUND) && !machine.disk.refuses(now);
+        let mut out = Vec::new();
+        if healthy != process.told_healthy {
+            process.told_healthy = healthy;
+            process.replication.handle(local, Input::DiskHealthy(healthy), &mut out);
+        }
+        process.replication.handle(local, input, &mut out);
+        self.carry_out(index, out);
+        self.plan_wake(index);
+    }
+
+    fn plan_wake(&mut self, index: usize) {
+        let now = self.now;
+        let machine = &mut self.machines[index];
+        let Some(process) = &mut machine.process else { return };
+        let due = machine.clock.when(process.replication.next_deadline()).max(now + MS / 10);
+        if process.wake_at <= now || due < process.wake_at {
+            process.wake_at = due;
+            let life = process.life;
+            self.schedule(due, Event::Wake { machine: index, life });
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(envelope) => self.transmit(index, envelope),
+                Output::Persist { ticket, records } => {
+                    let delay = self.random.u64(100..4 * MS);
+                    let reports_early = self.reports_syncs_early(index);
+                    let machine = &mut self.machines[index];
+                    machine.disk.reports_early = reports_early;
+                    let due = machine.disk.write(self.now, delay, ticket, records);
+                    let life = machine.lives;
+                    self.schedule(due, Event::Synced { machine: index, life });
+                    if reports_early {
+                        self.schedule(self.now + delay, Event::Synced { machine: index, life });
+                    }
+                }
+                Output::Apply { sequence, command, proposal } => {
+                    self.apply(index, sequence, &NumberedCommand::decode(&command), proposal);
+                }
+                Output::Restore { sequence, snapshot } => self.restore(index, sequence, &snapshot),
+                Output::RoleChanged(Role::Primary { epoch }) => self.became_primary(index, epoch),
+                Output::ProposalFailed { proposal, reason } => {
+                    self.end_proposal(index, proposal, failed_end(reason));
+                }
+                Output::RoleChanged(_) => {}
+            }
+        }
+        self.compact_if_due(index);
+    }
+
+    fn reports_syncs_early(&self, index: usize) -> bool {
+        let process = self.machines[index].process.as_ref();
+        let is_backup = process.is_some_and(|process| process.replication.role() == Role::Backup);
+        match self.shape.fault {
+            Fault::EarlySync => true,
+            Fault::EarlyBackupSync => is_backup,
+            _ => false,
+        }
+    }
+
+    fn apply(&mut self, index: usize, sequence: u64, command: &NumberedCommand, proposal: Option<u64>) {
+        let Some(process) = &mut self.machines[index].process else { return };
+        process.applied.numbers.push(command.number);
+        assert_eq!(
+            process.applied.numbers.len() as u64,
+            sequence,
+            "entries are applied in order without gaps"
+        );
+        self.checker.applied(sequence, command.number);
+        let epoch = process.replication.epoch();
+        let before = (self.shape.fault == Fault::SupersededRefused).then(|| process.applied.state.clone());
+        let mut applied = process.applied.apply(&command.command);
+        if applied.is_some() && before.is_some_and(|before| before == process.applied.state) {
+            applied = Some(Applied::Superseded);
+        }
+        let Some(ticket) = proposal else { return };
+        assert_eq!(ticket, command.number, "the proposal's own command is applied");
+        self.done.insert(ticket);
+        self.checker.acknowledge(sequence, command.number, epoch);
+        if let Some(applied) = applied {
+            self.end_proposal(index, ticket, ProposalEnd::Applied(applied));
+        }
+    }
+
+    fn restore(&mut self, index: usize, sequence: u64, snapshot: &[u8]) {
+        let Some(process) = &mut self.machines[index].process else { return };
+        process.applied = AppliedState::decode(snapshot);
+        assert_eq!(process.applied.numbers.len() as u64, sequence, "the snapshot holds what it says");
+    }
+
+    fn became_primary(&mut self, index: usize, epoch: u64) {
+        let machine = &mut self.machines[index];
+        let Some(process) = &mut machine.process else { return };
+        process.was_primary = true;
+        self.checker.became_primary(machine.node, epoch, &process.applied.numbers);
+    }
+
+    fn compact_if_due(&mut self, index: usize) {
+        let local = self.machines[index].clock.local(self.now);
+        let Some(process) = &mut self.machines[index].process else { return };
+        let length = process.applied.numbers.len();
+        if length > 0 && length.is_multiple_of(COMPACT_EVERY) {
+            let input = Input::Compact { sequence: length as u64, snapshot: process.applied.encode() };
+            let mut out = Vec::new();
+            process.replication.handle(local, input, &mut out);
+            let writes: Vec<Output> = out;
+            for output in writes {
+                if let Output::Persist { ticket, records } = output {
+                    let due = self.machines[index].disk.write(self.now, MS, ticket, records);
+                    let life = self.machines[index].lives;
+                    self.schedule(due, Event::Synced { machine: index, life });
+                } else {
+                    self.carry_out(index, vec![output]);
+                }
+            }
+        }
+    }
+}
+
+fn failed_end(reason: FailureReason) -> ProposalEnd {
+    match reason {
+        FailureReason::NotTaken => ProposalEnd::NotTaken,
+        FailureReason::OutcomeUnknown => ProposalEnd::Unknown,
+    }
+}
