Split the laboratory's experiment and replica by concern, their tests into test files

Cause: two files of 658 and 434 lines held settings, reading, checks, a cache, a state machine and the last tests inside src/.

Change: experiment/ has a module for each block of the file, for reading, for checks (a function for each block in place of one of 130 lines) and for what the decision module is told; replica/ has the job, the prompt cache (`Kept` is now `PromptCache`, its keys an enum in place of a pair) and the machine, whose step is taken apart. The clock's units are in time.rs. The five tests are in lab/tests/, as they were but for the renamed names.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -21,10 +21,11 @@
 use tulipridge::types::*;
 
 use crate::chance::{drawn, source};
-use crate::experiment::{Experiment, Fault, FaultKind, Kind, nanos};
+use crate::experiment::{Experiment, Fault, FaultKind, Kind};
 use crate::policy::{Policy, PolicyKind, Truth};
 use crate::record::{End, Figures, Record, WINDOW};
-use crate::replica::{Job, MILLI, News, Replica, SECOND};
+use crate::replica::{Job, Replica, StepEvent};
+use crate::time::{MILLI, SECOND, nanos};
 
 /// A client gives up this long after its time, so that an answer in time is not missed.
 const SLACK: Nanos = 8 * MILLI;
@@ -213,7 +214,7 @@
     salts: Pcg64Mcg,
     chances: Pcg64Mcg,
     actions: Vec<Action>,
-    news: Vec<News>,
+    step_events: Vec<StepEvent>,
 }
 
 /// Plays an experiment with one policy.
@@ -254,7 +255,7 @@
             salts: source(x.seed, 3),
             chances: source(x.seed, 4),
             actions: Vec::new(),
-            news: Vec::new(),
+            step_events: Vec::new(),
         };
         let mut sizes = source(x.seed, 5);
         // Whole numbers of each kind, as near to the shares as they come.
--- a/lab/src/fleet/servers.rs
+++ b/lab/src/fleet/servers.rs
@@ -83,21 +83,21 @@
         if self.replicas[r].life != life {
             return;
         }
-        let mut news = std::mem::take(&mut self.news);
-        self.replicas[r].end(self.now, &mut news);
-        for told in news.drain(..) {
-            let (News::First(id) | News::Done(id, _)) = told;
+        let mut events = std::mem::take(&mut self.step_events);
+        self.replicas[r].end(self.now, &mut events);
+        for event in events.drain(..) {
+            let (StepEvent::First(id) | StepEvent::Done(id, _)) = event;
             let Some(flight) = &self.flights[id.0 as usize] else { continue };
             let way = self.way(flight.gateway, r);
-            match told {
-                News::First((request, attempt)) => self.after(way, What::Begin { request, attempt }),
-                News::Done((request, attempt), kept) => {
+            match event {
+                StepEvent::First((request, attempt)) => self.after(way, What::Begin { request, attempt }),
+                StepEvent::Done((request, attempt), kept) => {
                     let (verdict, kept) = (Verdict::Ok, Some(kept));
                     self.after(way, What::Over { request, attempt, verdict, kept });
                 }
             }
         }
-        self.news = news;
+        self.step_events = events;
         self.note(r);
         self.wake(r);
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod record;
 pub mod replica;
 pub mod report;
+pub mod time;
--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -11,7 +11,7 @@
 
 use super::{PolicyKind, Truth};
 use crate::chance::drawn;
-use crate::replica::SECOND;
+use crate::time::SECOND;
 
 /// How long a server that failed is passed over.
 const PASSED_OVER: Nanos = 2 * SECOND;
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tulipridge::types::Nanos;
 
-use crate::experiment::{Experiment, nanos};
-use crate::replica::{MILLI, SECOND};
+use crate::experiment::Experiment;
+use crate::time::{MILLI, SECOND, nanos};
 
 /// Load is averaged over windows of this length.
 pub const WINDOW: Nanos = 100 * MILLI;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -7,10 +7,10 @@
 use plotters::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::experiment::{Experiment, nanos};
+use crate::experiment::Experiment;
 use crate::fleet;
 use crate::record::{Figures, Stretch, Window};
-use crate::replica::SECOND;
+use crate::time::{SECOND, nanos};
 
 /// All that a run found, the same for the same experiment and seed to the byte.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- /dev/null
+++ b/lab/tests/prompt_cache.rs
@@ -0,0 +1,19 @@
+//! What an emulated real server keeps of prompts.
+
+use tulipridge_lab::replica::{PromptCache, PromptKey};
+
+#[test]
+fn the_least_recently_used_is_forgotten_first_and_the_sum_stays_within_the_memory() {
+    let mut cache = PromptCache::default();
+    for n in 0..4 {
+        cache.insert(PromptKey::Session(n), 100, 400);
+    }
+    assert_eq!(cache.look_up(PromptKey::Session(0)), 100);
+    cache.insert(PromptKey::Session(9), 100, 400);
+    assert_eq!(
+        (cache.look_up(PromptKey::Session(1)), cache.look_up(PromptKey::Session(0)), cache.total_tokens()),
+        (0, 100, 400)
+    );
+    cache.insert(PromptKey::Session(0), 50, 400);
+    assert_eq!(cache.total_tokens(), 350, "what is kept anew counts once");
+}
