Name the gateway's answers by what they are: Responder and ResponseEncoder

Cause: front/voice.rs had two types, `Voice` and `Speech`, whose names have to be explained.

Change: `Responder` forms the final answers to a request in its client's dialect, `ResponseEncoder` a begun one; a file for each. No behaviour changes.

Result: units, messages, translate, streams and conformance pass (38 tests).

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,8 +7,9 @@
 pub mod object;
 pub mod platform;
 mod reply;
+mod responder;
+mod response_encoder;
 pub mod translate;
-mod voice;
 pub mod write;
 
 use std::cell::{OnceCell, RefCell};
@@ -24,8 +25,9 @@
 use crate::types::Nanos;
 use jetway::http::{self, Head, SseBlock};
 pub use reply::Reply;
+pub use responder::Responder;
+pub use response_encoder::ResponseEncoder;
 pub use translate::{Noted, Passing, Usage};
-pub use voice::{Speech, Voice};
 
 /// Headers that belong to one connection, or that this program states anew. A stream that is compressed could not be
 /// looked through, so none is asked for.
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -24,7 +24,7 @@
 use crate::admission::pipelined::{Bounds, Disposition, PipelinedInput};
 use crate::admission::quota::Grant;
 use crate::engine::{self, Begun, Engine, Why};
-use crate::front::{Call, Desk, Dialect, Passage, Reply, Speech, Voice};
+use crate::front::{Call, Desk, Dialect, Passage, Reply, Responder, ResponseEncoder};
 use crate::limits::Limits;
 use crate::process::overlap::{Overlap, Places, Report};
 use crate::stream::{Cause, Leaving};
@@ -229,7 +229,7 @@
             Err(bad) => {
                 let id = request_id(self.engine.fresh_id());
                 log::info!(id = id, client:% = from, status = bad.status; "bad-request: {}", bad.what);
-                let bytes = Voice::new(dialect, &id).malformed(bad).bytes(false);
+                let bytes = Responder::new(dialect, &id).malformed(bad).bytes(false);
                 let written = within(self.limits.edge_write, wire.write(&bytes)).await;
                 return matches!(written, Ok(Ok(()))).then_some(After::Ends(wire));
             }
@@ -244,7 +244,7 @@
             Call::Serve(mut order) => {
                 let back = Rc::new(RefCell::new(None));
                 let headers = std::mem::take(&mut order.headers);
-                let voice = Voice { dialect, id, safe: order.safe, headers };
+                let responder = Responder { dialect, id, safe: order.safe, headers };
                 let grant = order.grant.take();
                 let placed = self.lifecycle.takes_requests();
                 let charge = Charge {
@@ -260,7 +260,7 @@
                     pipelined: self.pipelined(dialect, &wire),
                     edge: self.clone(),
                     wire,
-                    voice,
+                    responder,
                     keep,
                     model: order.model,
                     whole: order.whole,
@@ -276,8 +276,10 @@
                 engine::serve(&self.engine, &order.ask, &servers, client, &*self).await;
                 return back.take();
             }
-            Call::Health if self.lifecycle.wants_clients() => Voice::new(dialect, &id).note(200, "ready"),
-            Call::Health => Voice::new(dialect, &id).note(503, "not ready"),
+            Call::Health if self.lifecycle.wants_clients() => {
+                Responder::new(dialect, &id).note(200, "ready")
+            }
+            Call::Health => Responder::new(dialect, &id).note(503, "not ready"),
             Call::Reply(reply) => {
                 log::debug!(id = id, client:% = from, status = reply.status; "answered: by the front alone");
                 reply
@@ -413,14 +415,14 @@
         let (line, wire) = (std::mem::take(line), Wire::handed(client, std::mem::take(buf))?);
         let from = wire.peer()?;
         let steps = Running::unpack(self.fleet.clone(), &mut snapshot, server)?;
-        let (voice, waiting) = (Voice::new(Dialect::Platform, &snapshot.name), line.len());
-        let speech = Speech::resumed(voice.clone(), self.desk.noted.clone(), &self.limits);
+        let (responder, waiting) = (Responder::new(Dialect::Platform, &snapshot.name), line.len());
+        let encoder = ResponseEncoder::resumed(responder.clone(), self.desk.noted.clone(), &self.limits);
         let back = Rc::new(RefCell::new(None));
         let exchange = Exchange {
             pipelined: self.pipelined(Dialect::Platform, &wire),
             edge: self.clone(),
             wire,
-            voice,
+            responder,
             keep: snapshot.keep_client,
             model: String::new(),
             whole: false,
@@ -428,7 +430,7 @@
             from: Instant::now(),
             charge: Charge { edge: self.clone(), grant: None, prompt: 0, answer: 0, events: 0, ran: true },
         };
-        let answer = Answering { exchange, speech, line, written: 0 };
+        let answer = Answering { exchange, encoder, line, written: 0 };
         let begun = Begun {
             id: snapshot.id,
             class: snapshot.class,
@@ -544,7 +546,7 @@
     wire: Wire,
     /// What comes behind its request, and the bytes of it that are counted.
     pipelined: (PipelinedInput, Bytes),
-    voice: Voice,
+    responder: Responder,
     keep: bool,
     model: String,
     whole: bool,
@@ -611,51 +613,56 @@
 
     async fn left(mut self) {
         if !self.pipelined.0.is_flood() {
-            log::debug!(id = self.voice.id, after:? = self.from.elapsed(); "client-gone: before its answer");
+            log::debug!(id = self.responder.id, after:? = self.from.elapsed(); "client-gone: before its answer");
             return;
         }
         let what = "more was sent behind this request than is read";
-        log::info!(id = self.voice.id, after:? = self.from.elapsed(); "flooded: {what}");
+        log::info!(id = self.responder.id, after:? = self.from.elapsed(); "flooded: {what}");
         self.keep = false;
-        let reply = self.voice.malformed(Bad { status: 413, what });
+        let reply = self.responder.malformed(Bad { status: 413, what });
         self.reply(reply).await;
     }
 
     async fn turn_down(mut self, wait: Duration) {
-        log::debug!(id = self.voice.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module, or for want of time");
+        log::debug!(id = self.responder.id, after:? = self.from.elapsed(), wait:? = wait; "turn-down: by the module, or for want of time");
         self.charge.ran = false;
-        let reply = self.voice.turn_down(wait);
+        let reply = self.responder.turn_down(wait);
         self.reply(reply).await;
     }
 
     async fn reject(mut self, status: u16, what: &str) {
-        log::info!(id = self.voice.id, status = status; "rejected: {what}");
+        log::info!(id = self.responder.id, status = status; "rejected: {what}");
         self.charge.ran = false;
-        let reply = self.voice.bad(status, what);
+        let reply = self.responder.bad(status, what);
         self.reply(reply).await;
     }
 
     async fn fail(mut self, why: Why) {
-        log::debug!(id = self.voice.id, after:? = self.from.elapsed(), why:? = why; "failed: by the module");
+        log::debug!(id = self.responder.id, after:? = self.from.elapsed(), why:? = why; "failed: by the module");
         if why == Why::TurnedAway {
             self.charge.ran = false;
         }
-        let reply = self.voice.failed(why);
+        let reply = self.responder.failed(why);
         self.reply(reply).await;
     }
 
     fn begin(self) -> Answering {
         let desk = &self.edge.desk;
-        let speech =
-            Speech::new(self.voice.clone(), &self.model, self.whole, desk.noted.clone(), &self.edge.limits);
-        Answering { exchange: self, speech, line: Vec::new(), written: 0 }
+        let encoder = ResponseEncoder::new(
+            self.responder.clone(),
+            &self.model,
+            self.whole,
+            desk.noted.clone(),
+            &self.edge.limits,
+        );
+        Answering { exchange: self, encoder, line: Vec::new(), written: 0 }
     }
 }
 
 /// A client that is being answered.
 struct Answering {
     exchange: Exchange,
-    speech: Speech,
+    encoder: ResponseEncoder,
     /// What is in line for the client, of which so much is written.
     line: Vec<u8>,
     written: usize,
@@ -663,21 +670,21 @@
 
 impl Answering {
     /// Puts bytes in line by way of `add`; returns how many the line has become longer by.
-    fn add(&mut self, add: impl FnOnce(&mut Speech, &mut Vec<u8>)) -> usize {
+    fn add(&mut self, add: impl FnOnce(&mut ResponseEncoder, &mut Vec<u8>)) -> usize {
         if self.written > 0 {
             self.line.drain(..std::mem::take(&mut self.written));
         }
         let had = self.line.len();
-        add(&mut self.speech, &mut self.line);
+        add(&mut self.encoder, &mut self.line);
         self.line.len() - had
     }
 
     /// Adds where its client stands, and returns its connection; none if more is held of it than bytes.
     fn pack(&self, snapshot: &mut StreamSnapshot) -> Option<BorrowedFd<'_>> {
-        if !self.speech.is_plain() || self.exchange.charge.grant.is_some() {
+        if !self.encoder.is_plain() || self.exchange.charge.grant.is_some() {
             return None;
         }
-        snapshot.name.clone_from(&self.exchange.voice.id);
+        snapshot.name.clone_from(&self.exchange.responder.id);
         snapshot.waiting[0] = self.line[self.written..].to_vec();
         // Guards against a snapshot that grows with what came behind the request. Its connection ends with the
         // stream: that crosses requests which nobody has looked at.
@@ -707,26 +714,26 @@
     }
 
     fn gathers(&self) -> bool {
-        self.speech.is_whole()
+        self.encoder.is_whole()
     }
 
     fn holds(&self) -> usize {
-        self.speech.holds()
+        self.encoder.holds()
     }
 
     fn is_full(&self) -> bool {
-        self.speech.is_full()
+        self.encoder.is_full()
     }
 
     fn put(&mut self, batch: Batch) -> usize {
         self.exchange.charge.passed(&batch);
-        if !self.speech.is_whole() {
+        if !self.encoder.is_whole() {
             // No more room than the events need: the line of a paused reader is kept for long. What frames them is
             // shorter than a head.
             self.line.reserve_exact(batch.bytes.len() + 256);
         }
         let keep = self.exchange.keep;
-        self.add(|speech, line| speech.events(batch.dialect, &batch.bytes, keep, line))
+        self.add(|encoder, line| encoder.events(batch.dialect, &batch.bytes, keep, line))
     }
 
     fn put_end(&mut self, cause: Cause) -> usize {
@@ -734,7 +741,7 @@
             self.exchange.charge.whole();
         }
         let keep = self.exchange.keep;
-        self.add(|speech, line| speech.end(cause, keep, line))
+        self.add(|encoder, line| encoder.end(cause, keep, line))
     }
 
     fn poll_take(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, Leaving>> {
