Rename the engine's and streams' last home-made words

Cause: `Heir`, `Why`, `Behind`, `Past`, `Begun`, `Act`, `Standing` and the files life.rs, standing.rs, ways.rs say little of their content.

Change: StreamSuccessor, FailureReason, ServerSide, AttemptHistory, BegunStream, RelayAction, OutlierEjection; request_lifecycle.rs, outlier_ejection.rs, sinks.rs. Log lines, their keys and the settings are as they were. No behaviour changes.

--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -27,7 +27,7 @@
 
 use tulipridge::demo_replica;
 use tulipridge::limits::Limits;
-use tulipridge::stream::{Act, End, Relay};
+use tulipridge::stream::{End, Relay, RelayAction};
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -596,7 +596,7 @@
                         _ => 15 + random(15),
                     };
                     now += gap * 1_000_000;
-                    if relay.poll(now) == Act::Cut {
+                    if relay.poll(now) == RelayAction::Cut {
                         lost[n] += 1;
                         break;
                     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,7 +3,7 @@
 //! The engine owns the decision module, its clock and its timers. It feeds events to the module and hands
 //! each action to the request that waits for it.
 
-mod life;
+mod request_lifecycle;
 mod streams;
 
 use std::cell::RefCell;
@@ -19,7 +19,9 @@
 use futures_lite::{Stream, future};
 use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
 
-pub use life::{Answer, Arrival, Begun, Client, Heir, Servers, Step, Why, carry_on, serve};
+pub use request_lifecycle::{
+    Answer, Arrival, BegunStream, Client, FailureReason, Servers, Step, StreamSuccessor, carry_on, serve,
+};
 
 use crate::Gateway;
 use crate::limits::{Limits, StreamLimits};
--- a/src/engine/life.rs
+++ b/src/engine/request_lifecycle.rs
@@ -9,7 +9,7 @@
 
 use super::streams::Alarm;
 use super::{Ask, Ending, Engine, Held, Order};
-use crate::stream::{Act, Cause, Leaving, Relay};
+use crate::stream::{Cause, Leaving, Relay, RelayAction};
 use crate::types::{Nanos, ReplicaId, Verdict};
 
 /// What came of a scheduling's stream since its last step.
@@ -50,7 +50,7 @@
 
 /// A begun stream, as another process has to know it beside its two sides.
 #[derive(Clone, Debug)]
-pub struct Begun {
+pub struct BegunStream {
     /// Its request's id.
     pub id: u64,
     /// Its request's class.
@@ -64,10 +64,10 @@
 }
 
 /// The process that follows this one, if there is one.
-pub trait Heir<S, A> {
+pub trait StreamSuccessor<S, A> {
     /// Hands a begun stream over, with both its sides; whether it is taken. If it is, nothing more may be done to
     /// either side but to drop it.
-    fn take(&self, begun: &Begun, steps: &mut S, answer: &mut A) -> bool;
+    fn take(&self, begun: &BegunStream, steps: &mut S, answer: &mut A) -> bool;
 }
 
 /// The client's side of a request. Each way to answer takes the client itself, so there is just one.
@@ -85,7 +85,7 @@
     /// Final answer: the request itself is at fault.
     fn reject(self, status: u16, what: &str) -> impl Future<Output = ()>;
     /// Final answer: failed.
-    fn fail(self, why: Why) -> impl Future<Output = ()>;
+    fn fail(self, reason: FailureReason) -> impl Future<Output = ()>;
     /// Begins the answer.
     fn begin(self) -> Self::Answer;
 }
@@ -115,7 +115,7 @@
 
 /// Why a request failed, for a client that can be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum FailureReason {
     /// Nobody has run it: it was turned away wherever it was tried.
     TurnedAway,
     /// It was tried, and real servers failed it.
@@ -126,13 +126,13 @@
 
 /// What came of a request's schedulings.
 #[derive(Default)]
-struct Past {
+struct AttemptHistory {
     ended: bool,
     silent: bool,
     errors: bool,
 }
 
-impl Past {
+impl AttemptHistory {
     fn note(&mut self, verdict: Verdict) {
         self.ended = true;
         match verdict {
@@ -142,12 +142,14 @@
         }
     }
 
-    fn why(&self, out: usize) -> Why {
+    fn reason(&self, out: usize) -> FailureReason {
         match self {
-            _ if out > 0 => Why::Silence,
-            Past { silent: true, .. } | Past { ended: false, .. } => Why::Silence,
-            Past { errors: true, .. } => Why::Errors,
-            _ => Why::TurnedAway,
+            _ if out > 0 => FailureReason::Silence,
+            AttemptHistory { silent: true, .. } | AttemptHistory { ended: false, .. } => {
+                FailureReason::Silence
+            }
+            AttemptHistory { errors: true, .. } => FailureReason::Errors,
+            _ => FailureReason::TurnedAway,
         }
     }
 }
@@ -160,7 +162,7 @@
 }
 
 /// The real servers' side of a begun stream.
-struct Behind<S> {
+struct ServerSide<S> {
     /// What the module holds of its request; none if another process began it.
     held: Option<Held>,
     out: Vec<Scheduling<S>>,
@@ -168,7 +170,7 @@
     number: u32,
 }
 
-impl<S> Behind<S> {
+impl<S> ServerSide<S> {
     /// A scheduling has ended, and with it the request if it is the stream's own.
     fn outcome(&mut self, number: u32, ending: Ending) {
         if let Some(held) = &mut self.held {
@@ -191,7 +193,7 @@
     ask: &Ask,
     servers: &S,
     mut client: C,
-    heir: &impl Heir<S::Steps, C::Answer>,
+    successor: &impl StreamSuccessor<S::Steps, C::Answer>,
 ) {
     // Guards against a second request under the id of one that is open: neither real servers nor the module
     // could tell them apart, and the first would suffer.
@@ -199,7 +201,7 @@
         return client.reject(409, "a request with this id is open").await;
     };
     let mut out: Vec<Scheduling<S::Steps>> = Vec::new();
-    let mut past = Past::default();
+    let mut history = AttemptHistory::default();
 
     // Until the first event: the module orders, schedulings end, the client may leave.
     let (number, events, arrival) = loop {
@@ -231,7 +233,7 @@
             }
             Next::Order(Order::Cancel(number)) => {
                 out.retain(|s| s.number != number);
-                past.note(Verdict::Cancelled);
+                history.note(Verdict::Cancelled);
                 held.outcome(number, Verdict::Cancelled.into(), false);
             }
             Next::Order(Order::TurnDown(wait)) => {
@@ -240,9 +242,9 @@
                 return client.turn_down(wait).await;
             }
             Next::Order(Order::Fail) => {
-                let why = past.why(out.len());
+                let reason = history.reason(out.len());
                 drop((out, held));
-                return client.fail(why).await;
+                return client.fail(reason).await;
             }
             Next::Step(_, Step::Rejected(status, words)) => {
                 drop((out, held));
@@ -250,7 +252,7 @@
             }
             Next::Step(number, Step::Ended(ending)) => {
                 out.retain(|s| s.number != number);
-                past.note(ending.verdict);
+                history.note(ending.verdict);
                 held.outcome(number, ending, false);
             }
             Next::Step(number, Step::Events(events, arrival)) => break (number, events, arrival),
@@ -267,25 +269,25 @@
     // go on beside it are heard to their end, but nothing of them reaches the client.
     let first = held.first_event(number);
     let server = out.iter().find(|s| s.number == number).map(|s| s.server.clone());
-    let Some(server) = server else { return client.fail(Why::Errors).await };
+    let Some(server) = server else { return client.fail(FailureReason::Errors).await };
     let mut relay = Relay::new(engine.now(), first, &engine.limits);
     let mut answer = client.begin();
     if answer.gathers() {
         relay.gathers();
     }
     arrival.put(engine, &mut relay, &mut answer, events);
-    let begun = Begun { id: held.id.0, class: ask.class, tenant: ask.tenant, server, first };
-    let behind = Behind { held: Some(held), out, number };
-    pass_on(engine, &begun, behind, relay, answer, heir).await;
+    let begun = BegunStream { id: held.id.0, class: ask.class, tenant: ask.tenant, server, first };
+    let server_side = ServerSide { held: Some(held), out, number };
+    pass_on(engine, &begun, server_side, relay, answer, successor).await;
 }
 
 /// Goes on with a stream that another process began, of which so many bytes wait for the client. The module here
 /// knows nothing of it.
 pub async fn carry_on<E, S, A>(
     engine: &Engine,
-    begun: &Begun,
+    begun: &BegunStream,
     (steps, answer, waiting): (S, A, usize),
-    heir: &impl Heir<S, A>,
+    successor: &impl StreamSuccessor<S, A>,
 ) where
     S: Stream<Item = Step<E>> + Unpin,
     A: Answer<E>,
@@ -293,29 +295,29 @@
     let mut relay = Relay::new(engine.now(), begun.first, &engine.limits);
     relay.queued(engine.now(), waiting);
     let out = vec![Scheduling { number: 0, server: begun.server.clone(), steps }];
-    pass_on(engine, begun, Behind { held: None, out, number: 0 }, relay, answer, heir).await;
+    pass_on(engine, begun, ServerSide { held: None, out, number: 0 }, relay, answer, successor).await;
 }
 
 /// Passes a begun stream on, up to its one end.
 async fn pass_on<E, S, A>(
     engine: &Engine,
-    begun: &Begun,
-    mut behind: Behind<S>,
+    begun: &BegunStream,
+    mut server_side: ServerSide<S>,
     mut relay: Relay,
     mut answer: A,
-    heir: &impl Heir<S, A>,
+    successor: &impl StreamSuccessor<S, A>,
 ) where
     S: Stream<Item = Step<E>> + Unpin,
     A: Answer<E>,
 {
-    let number = behind.number;
+    let number = server_side.number;
     let limits = engine.limits.clone();
     let mut alarm = Alarm::new();
     let ticket = engine.ticket(answer.gathers());
     // Copies that began beside it: nothing of them is passed on, but each has its record.
     let mut copies: BTreeMap<u32, (ReplicaId, Relay)> = BTreeMap::new();
     let mut turn = 0;
-    let act = loop {
+    let action = loop {
         let now = engine.now();
         relay.allow(now, ticket.holds(relay.held(), relay.paused_since()));
         if ticket.evicted() {
@@ -325,10 +327,10 @@
             relay.stop_at(at);
         }
         match relay.poll(now) {
-            Act::Wait => {}
-            Act::Offer => {
-                let taken = match &mut behind.out[..] {
-                    [own] if own.number == number => heir.take(begun, &mut own.steps, &mut answer),
+            RelayAction::Wait => {}
+            RelayAction::Offer => {
+                let taken = match &mut server_side.out[..] {
+                    [own] if own.number == number => successor.take(begun, &mut own.steps, &mut answer),
                     // One beside which copies run stays: the module here called for them.
                     _ => false,
                 };
@@ -339,7 +341,7 @@
                 }
                 continue;
             }
-            act => break act,
+            action => break action,
         }
         // Guards against a real server that floods and a client that keeps up: others have their turn too.
         if turn >= limits.turn {
@@ -350,7 +352,7 @@
             if ticket.poll_called(cx).is_ready() {
                 return Poll::Ready(Next::Due);
             }
-            if let Some(Poll::Ready(order)) = behind.held.as_mut().map(|held| held.poll_order(cx)) {
+            if let Some(Poll::Ready(order)) = server_side.held.as_mut().map(|held| held.poll_order(cx)) {
                 return Poll::Ready(Next::Order(order));
             }
             if let Poll::Ready(how) = answer.poll_gone(cx) {
@@ -361,7 +363,7 @@
             {
                 return Poll::Ready(taken.map_or_else(Next::Gone, Next::Took));
             }
-            for scheduling in &mut behind.out {
+            for scheduling in &mut server_side.out {
                 if (scheduling.number != number || relay.reads())
                     && let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx)
                 {
@@ -386,7 +388,7 @@
                 arrival.enter(engine, &mut relay);
             }
             Next::Step(n, step @ (Step::Ended(_) | Step::Rejected(..))) => {
-                behind.out.retain(|s| s.number != n);
+                server_side.out.retain(|s| s.number != n);
                 let ending = match step {
                     Step::Ended(ending) => ending,
                     // What has begun can't be rejected any more; of another copy it says nothing.
@@ -394,7 +396,7 @@
                     _ => Verdict::Moot.into(),
                 };
                 let end = ending.end;
-                behind.outcome(n, ending);
+                server_side.outcome(n, ending);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.server_ended(engine.now(), end);
                     engine.record_copy(begun, &server, &mut copy);
@@ -409,9 +411,9 @@
             }
             Next::Step(n, Step::Events(_, arrival) | Step::Bytes(arrival)) => {
                 turn += arrival.bytes;
-                if let Some(scheduling) = behind.out.iter().find(|s| s.number == n) {
+                if let Some(scheduling) = server_side.out.iter().find(|s| s.number == n) {
                     let begin = || {
-                        let elapsed = behind.held.as_ref().map_or(0, |held| held.elapsed(n));
+                        let elapsed = server_side.held.as_ref().map_or(0, |held| held.elapsed(n));
                         let relay = Relay::new(engine.now(), elapsed, &limits);
                         (scheduling.server.clone(), relay)
                     };
@@ -419,12 +421,12 @@
                 }
             }
             Next::Order(Order::Cancel(n)) => {
-                behind.out.retain(|s| s.number != n);
+                server_side.out.retain(|s| s.number != n);
                 if let Some((server, mut copy)) = copies.remove(&n) {
                     copy.cancel(engine.now());
                     engine.record_copy(begun, &server, &mut copy);
                 }
-                behind.outcome(n, Verdict::Cancelled.into());
+                server_side.outcome(n, Verdict::Cancelled.into());
                 if n == number {
                     relay.cancel(engine.now());
                 }
@@ -434,10 +436,10 @@
         }
     };
     // The connections of all schedulings close before anything else is done; then the module is told.
-    let is_out = behind.out.iter().any(|s| s.number == number);
-    behind.out.clear();
+    let is_out = server_side.out.iter().any(|s| s.number == number);
+    server_side.out.clear();
     if let (true, Some(outcome)) = (is_out, relay.outcome()) {
-        behind.outcome(number, outcome.cause.verdict().into());
+        server_side.outcome(number, outcome.cause.verdict().into());
     }
     relay.stopped(engine.now());
     let outcome = relay.outcome();
@@ -446,13 +448,13 @@
     }
     for (n, (server, mut copy)) in copies {
         // Guards against a time-out told of a copy that did answer: it is called off, however long it was out.
-        behind.outcome(n, Verdict::Cancelled.into());
+        server_side.outcome(n, Verdict::Cancelled.into());
         copy.cancel(engine.now());
         engine.record_copy(begun, &server, &mut copy);
     }
-    drop((ticket, behind));
-    match (act, outcome) {
-        (Act::Finish, _) => answer.finish(),
+    drop((ticket, server_side));
+    match (action, outcome) {
+        (RelayAction::Finish, _) => answer.finish(),
         (_, Some(outcome)) if outcome.cause == Cause::HandedOver => drop(answer),
         (_, Some(outcome)) if !relay.server_has_ended() => {
             answer.put_end(outcome.cause);
--- a/src/engine/streams.rs
+++ b/src/engine/streams.rs
@@ -10,15 +10,15 @@
 use async_io::Timer;
 use futures_lite::Stream;
 
-use super::{Begun, Engine};
+use super::{BegunStream, Engine};
 use crate::limits::Limits;
-use crate::stream::{Account, Budget, Cause, Change, Ledger, Outcome, Relay, Standing};
+use crate::stream::{Account, Budget, Cause, Change, Ledger, Outcome, OutlierEjection, Relay};
 use crate::types::{ListKind, Member, Nanos, Phase, ReplicaId};
 
 pub(super) struct Streams {
     budget: Budget,
     ledger: Ledger,
-    standing: Option<Standing>,
+    outliers: Option<OutlierEjection>,
     /// The list as it was told, which a rest covers for a while.
     members: BTreeMap<ReplicaId, Member>,
     wakers: BTreeMap<Account, Waker>,
@@ -34,7 +34,7 @@
         Streams {
             budget: Budget::new(stream.budget, stream.high, stream.floor),
             ledger: Ledger::default(),
-            standing: limits.rest.as_ref().map(Standing::new),
+            outliers: limits.rest.as_ref().map(OutlierEjection::new),
             members: BTreeMap::new(),
             wakers: BTreeMap::new(),
             evicted: BTreeSet::new(),
@@ -46,7 +46,7 @@
 
     /// Notes the list, and covers those that rest.
     pub(super) fn listed(&mut self, kind: ListKind, members: &mut [Member]) {
-        let Some(standing) = &mut self.standing else { return };
+        let Some(outliers) = &mut self.outliers else { return };
         if matches!(kind, ListKind::Whole | ListKind::Persisted) {
             self.members.clear();
         }
@@ -57,9 +57,9 @@
             }
         }
         let ready = self.members.values().filter(|m| m.phase == Phase::Ready).map(|m| m.id.clone());
-        standing.fleet(&ready.collect::<Vec<_>>());
+        outliers.fleet(&ready.collect::<Vec<_>>());
         for member in members.iter_mut() {
-            if member.phase == Phase::Ready && standing.rests(&member.id) {
+            if member.phase == Phase::Ready && outliers.rests(&member.id) {
                 member.phase = Phase::Draining;
             }
         }
@@ -125,7 +125,7 @@
         let mut figures_at = None;
         loop {
             let now = self.now();
-            let back = self.streams.borrow_mut().standing.as_mut().map_or(Vec::new(), |s| s.back(now));
+            let back = self.streams.borrow_mut().outliers.as_mut().map_or(Vec::new(), |s| s.back(now));
             for change in &back {
                 if let Change::Back(id) = change {
                     log::info!(server = &*id.0; "server-back: its rest is over");
@@ -146,7 +146,7 @@
     }
 
     /// Enters a stream's end in the record, and draws what follows from it for its real server.
-    pub(super) fn record(&self, begun: &Begun, server: &ReplicaId, outcome: &Outcome) {
+    pub(super) fn record(&self, begun: &BegunStream, server: &ReplicaId, outcome: &Outcome) {
         let change = {
             let streams = &mut *self.streams.borrow_mut();
             streams.ledger.enter(begun.class, outcome);
@@ -168,7 +168,7 @@
                     "stream-ended: {}", words(outcome.cause));
             }
             let now = self.now();
-            streams.standing.as_mut().and_then(|s| s.ended(now, server, outcome.cause))
+            streams.outliers.as_mut().and_then(|s| s.ended(now, server, outcome.cause))
         };
         if let Some(change) = change {
             log::warn!(server = &*server.0; "server-rests: too many of its streams ended badly");
@@ -177,7 +177,7 @@
     }
 
     /// The same for a copy that began beside the stream that was passed on.
-    pub(super) fn record_copy(&self, begun: &Begun, server: &ReplicaId, copy: &mut Relay) {
+    pub(super) fn record_copy(&self, begun: &BegunStream, server: &ReplicaId, copy: &mut Relay) {
         let now = self.now();
         // What ended by itself comes to its outcome only when it is asked.
         copy.poll(now);
--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -5,7 +5,7 @@
 use super::messages::errors::{self, ApiError};
 use super::translate::error_of;
 use super::{Dialect, Headers, Reply};
-use crate::engine::Why;
+use crate::engine::FailureReason;
 use crate::stream::Cause;
 use jetway::http::Bad;
 
@@ -61,17 +61,17 @@
     }
 
     /// The module failed it.
-    pub fn failed(&self, why: Why) -> Reply {
+    pub fn failed(&self, reason: FailureReason) -> Reply {
         if self.dialect == Dialect::Platform {
             return Reply::text(504, "no answer in time").retry_after(Duration::ZERO);
         }
-        let (status, words) = match why {
-            Why::TurnedAway => (529, "all real servers turned it away until its time was over"),
-            Why::Errors => (500, "the real servers failed it"),
-            Why::Silence => (504, "no answer in time"),
+        let (status, words) = match reason {
+            FailureReason::TurnedAway => (529, "all real servers turned it away until its time was over"),
+            FailureReason::Errors => (500, "the real servers failed it"),
+            FailureReason::Silence => (504, "no answer in time"),
         };
         // What nobody has run does no harm.
-        let again = self.safe || why == Why::TurnedAway;
+        let again = self.safe || reason == FailureReason::TurnedAway;
         self.error_reply(ApiError::new(status, words).wait(Duration::ZERO).again(again))
     }
 
--- a/src/net/edge.rs
+++ b/src/net/edge.rs
@@ -23,7 +23,7 @@
 use crate::admission::connection_slots::{ConnectionState, SlotTimeouts};
 use crate::admission::pipelined::{Bounds, Disposition, PipelinedInput};
 use crate::admission::quota::Grant;
-use crate::engine::{self, Begun, Engine, Why};
+use crate::engine::{self, BegunStream, Engine, FailureReason};
 use crate::front::{Call, Dialect, ForwardedRequest, FrontContext, Reply, Responder, ResponseEncoder};
 use crate::limits::Limits;
 use crate::process::overlap::{Overlap, Places, Report};
@@ -433,7 +433,7 @@
             charge: Charge { edge: self.clone(), grant: None, prompt: 0, answer: 0, events: 0, ran: true },
         };
         let answer = Answering { exchange, encoder, line, written: 0 };
-        let begun = Begun {
+        let begun = BegunStream {
             id: snapshot.id,
             class: snapshot.class,
             tenant: snapshot.tenant,
@@ -458,8 +458,8 @@
     }
 }
 
-impl engine::Heir<Running, Answering> for Edge {
-    fn take(&self, begun: &Begun, steps: &mut Running, answer: &mut Answering) -> bool {
+impl engine::StreamSuccessor<Running, Answering> for Edge {
+    fn take(&self, begun: &BegunStream, steps: &mut Running, answer: &mut Answering) -> bool {
         if !self.followers.has_follower() {
             return false;
         }
@@ -639,9 +639,9 @@
         self.reply(reply).await;
     }
 
-    async fn fail(mut self, why: Why) {
+    async fn fail(mut self, why: FailureReason) {
         log::debug!(id = self.responder.id, after:? = self.from.elapsed(), why:? = why; "failed: by the module");
-        if why == Why::TurnedAway {
+        if why == FailureReason::TurnedAway {
             self.charge.ran = false;
         }
         let reply = self.responder.failed(why);
--- a/src/stream/standing.rs
+++ b/src/stream/outlier_ejection.rs
@@ -38,16 +38,16 @@
 
 /// The standing of all real servers.
 #[derive(Debug)]
-pub struct Standing {
+pub struct OutlierEjection {
     limits: RestLimits,
     records: BTreeMap<ReplicaId, Record>,
     fleet: usize,
 }
 
-impl Standing {
+impl OutlierEjection {
     /// Nothing known yet.
-    pub fn new(limits: &RestLimits) -> Standing {
-        Standing { limits: limits.clone(), records: BTreeMap::new(), fleet: 0 }
+    pub fn new(limits: &RestLimits) -> OutlierEjection {
+        OutlierEjection { limits: limits.clone(), records: BTreeMap::new(), fleet: 0 }
     }
 
     /// Real servers that are ready, by the list; others are forgotten, resting ones too.
--- a/src/stream/relay.rs
+++ b/src/stream/relay.rs
@@ -29,7 +29,7 @@
 
 /// What the holder of a stream is to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Act {
+pub enum RelayAction {
     /// Go on, until something happens or the timer is due.
     Wait,
     /// End it as a whole stream: all is taken.
@@ -269,15 +269,15 @@
     }
 
     /// What is to be done now; called after anything happened and when the timer is due.
-    pub fn poll(&mut self, now: Nanos) -> Act {
+    pub fn poll(&mut self, now: Nanos) -> RelayAction {
         if self.ended.is_none() {
             self.judge(now);
         }
         match self.ended {
-            None if self.server_end.is_none() && self.is_over(now, self.offer_at) => Act::Offer,
-            None => Act::Wait,
-            Some((Cause::Whole, _)) => Act::Finish,
-            Some(_) => Act::Cut,
+            None if self.server_end.is_none() && self.is_over(now, self.offer_at) => RelayAction::Offer,
+            None => RelayAction::Wait,
+            Some((Cause::Whole, _)) => RelayAction::Finish,
+            Some(_) => RelayAction::Cut,
         }
     }
 
--- a/src/syslog/mod.rs
+++ b/src/syslog/mod.rs
@@ -7,7 +7,7 @@
 
 mod panics;
 mod queue;
-mod ways;
+mod sinks;
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
@@ -23,7 +23,7 @@
 use queue::Gauge;
 
 pub use queue::Lines;
-pub use ways::to_collector;
+pub use sinks::to_collector;
 
 /// The structured data's id: a name of our own under the number that RFC 5612 sets aside for examples.
 const SD_ID: &str = "tulipridge@32473";
@@ -58,7 +58,7 @@
     let feed = if collector {
         Some(lines)
     } else {
-        ways::to_stderr(lines, limits)?;
+        sinks::to_stderr(lines, limits)?;
         panics::to_log(gauge.clone(), limits.syslog_drain);
         None
     };
--- a/src/syslog/ways.rs
+++ b/src/syslog/sinks.rs
@@ -1,4 +1,4 @@
-//! The two ways out: standard error, by a thread of its own, and a collector, on the serving thread.
+//! The two sinks of the log: standard error, by a thread of its own, and a collector, on the serving thread.
 
 use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -14,7 +14,8 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use tulipridge::engine::{
-    self, Answer, Arrival, Ask, Begun, Client, Ending, Engine, Heir, Servers, Step, Why,
+    self, Answer, Arrival, Ask, BegunStream, Client, Ending, Engine, FailureReason, Servers, Step,
+    StreamSuccessor,
 };
 use tulipridge::front::{Dialect, ForwardedRequest};
 use tulipridge::limits::Limits;
@@ -74,10 +75,10 @@
 }
 
 /// No process follows.
-struct NoHeir;
+struct NoSuccessor;
 
-impl<S, A> Heir<S, A> for NoHeir {
-    fn take(&self, _: &Begun, _: &mut S, _: &mut A) -> bool {
+impl<S, A> StreamSuccessor<S, A> for NoSuccessor {
+    fn take(&self, _: &BegunStream, _: &mut S, _: &mut A) -> bool {
         false
     }
 }
@@ -107,7 +108,7 @@
         assert!((400..500).contains(&status));
         self.told("rejected");
     }
-    async fn fail(self, _: Why) {
+    async fn fail(self, _: FailureReason) {
         self.told("failed");
     }
     fn begin(self) -> FakeClient {
@@ -232,7 +233,7 @@
                 tokens: (100, 0, 10),
                 repeat: false,
             };
-            engine::serve(&core, &ask, &servers, client, &NoHeir).await;
+            engine::serve(&core, &ask, &servers, client, &NoSuccessor).await;
         });
         let settle = || while ex.try_tick() {};
         settle();
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -8,7 +8,7 @@
 
 use tulipridge::limits::{Limits, RestLimits, StreamLimits};
 use tulipridge::stream::{
-    Act, Budget, Cause, Change, End, Leaving, Ledger, Outcome, Phase, Relay, Side, Standing,
+    Budget, Cause, Change, End, Leaving, Ledger, Outcome, OutlierEjection, Phase, Relay, RelayAction, Side,
 };
 use tulipridge::types::{Nanos, ReplicaId, Verdict};
 
@@ -137,7 +137,7 @@
                 Move::Evict => relay.evict(model.now),
                 _ => {}
             }
-            let act = relay.poll(model.now);
+            let action = relay.poll(model.now);
             let over = |at: Option<Nanos>| at.is_some_and(|at| model.now >= at);
             let late_reader = model.span.is_some_and(|(from, taken)| {
                 model.now >= from + nanos(limits.reader_span) && taken < limits.reader_floor
@@ -163,19 +163,23 @@
             assert_eq!(is, expected, "after {step:?}");
             // It is offered for as long as its real server has more to say, and again a little later.
             let offered = is.is_none() && model.server_end.is_none() && over(model.offer_at);
-            assert_eq!(act == Act::Offer, offered);
-            assert_eq!(act == Act::Wait, is.is_none() && !offered);
-            assert_eq!(act == Act::Finish, is == Some(Cause::Whole));
+            assert_eq!(action == RelayAction::Offer, offered);
+            assert_eq!(action == RelayAction::Wait, is.is_none() && !offered);
+            assert_eq!(action == RelayAction::Finish, is == Some(Cause::Whole));
             if offered && model.came.is_multiple_of(3) {
                 relay.handed_over(model.now);
                 assert_eq!(relay.outcome().map(|o| o.cause), Some(Cause::HandedOver));
-                assert_eq!(relay.poll(model.now + MS), Act::Cut, "nothing more is done for it here");
+                assert_eq!(
+                    relay.poll(model.now + MS),
+                    RelayAction::Cut,
+                    "nothing more is done for it here"
+                );
                 return true;
             }
             if offered {
                 relay.refused(model.now);
                 model.offer_at = Some(model.now + nanos(limits.offer_again));
-                assert_eq!(relay.poll(model.now), Act::Wait);
+                assert_eq!(relay.poll(model.now), RelayAction::Wait);
             }
             if let Some(outcome) = relay.outcome() {
                 assert_eq!(outcome.bytes, model.came);
@@ -221,9 +225,9 @@
     // Four seconds without a read are no fault of the server's, and not too much of the reader's.
     relay.took(7_900 * MS, limits.high);
     assert!(relay.reads());
-    assert_eq!(relay.poll(7_900 * MS), Act::Wait);
-    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence) - 1), Act::Wait);
-    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence)), Act::Cut);
+    assert_eq!(relay.poll(7_900 * MS), RelayAction::Wait);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence) - 1), RelayAction::Wait);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence)), RelayAction::Cut);
     let outcome = relay.outcome().expect("over");
     assert_eq!((outcome.cause, outcome.longest_pause), (Cause::Stalled, 7_900 * MS));
     assert_eq!(outcome.longest_gap, nanos(limits.silence));
@@ -238,7 +242,7 @@
         relay.queued(0, limits.high);
         relay.server_ended(0, End::Whole);
         let mut now = 0;
-        while now < 60_000 * MS && relay.waiting() > 0 && relay.poll(now) == Act::Wait {
+        while now < 60_000 * MS && relay.waiting() > 0 && relay.poll(now) == RelayAction::Wait {
             now += every;
             relay.took(now, bytes);
             relay.poll(now);
@@ -261,8 +265,8 @@
         relay.arrived(gap, 10, 1, 0, false, false);
         relay.arrived(gap, 10, 1, usize::from(amid), amid, last);
         let due = relay.due().expect("a limit");
-        assert_eq!(relay.poll(due - 1), Act::Wait);
-        assert_eq!(relay.poll(due), Act::Cut);
+        assert_eq!(relay.poll(due - 1), RelayAction::Wait);
+        assert_eq!(relay.poll(due), RelayAction::Cut);
         assert_eq!(relay.outcome().map(|o| o.cause), Some(Cause::Stalled));
         (due - gap) / MS
     };
@@ -395,8 +399,8 @@
 fn a_server_that_spoils_streams_rests_and_a_trouble_of_all_rests_nobody() {
     let limits = RestLimits::default();
     let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
-    let mut standing = Standing::new(&limits);
-    standing.fleet(&fleet);
+    let mut outliers = OutlierEjection::new(&limits);
+    outliers.fleet(&fleet);
     let mut now = 0;
     // All but one serve well; that one breaks every second stream.
     let mut rested = None;
@@ -404,33 +408,33 @@
         for (n, server) in fleet.iter().enumerate() {
             now += 10 * MS;
             let bad = n == 3 && round % 2 == 0;
-            let change = standing.ended(now, server, if bad { Cause::Broke } else { Cause::Whole });
+            let change = outliers.ended(now, server, if bad { Cause::Broke } else { Cause::Whole });
             assert!(change.is_none() || n == 3);
             rested = rested.or(change);
         }
     }
     assert_eq!(rested, Some(Change::Rest(id(3))));
-    assert!(standing.rests(&id(3)));
-    let due = standing.due().expect("an end");
-    assert!(standing.back(due - 1).is_empty());
-    assert_eq!(standing.back(due), [Change::Back(id(3))]);
+    assert!(outliers.rests(&id(3)));
+    let due = outliers.due().expect("an end");
+    assert!(outliers.back(due - 1).is_empty());
+    assert_eq!(outliers.back(due), [Change::Back(id(3))]);
     // Soon again: its next rest is twice as long.
     for _ in 0..3 {
-        standing.ended(due + MS, &id(3), Cause::Stalled);
+        outliers.ended(due + MS, &id(3), Cause::Stalled);
     }
-    assert_eq!(standing.due(), Some(due + MS + 2 * nanos(limits.rest)));
+    assert_eq!(outliers.due(), Some(due + MS + 2 * nanos(limits.rest)));
     // Leavers and slow readers are nobody's fault here.
-    let mut standing = Standing::new(&limits);
-    standing.fleet(&fleet);
+    let mut outliers = OutlierEjection::new(&limits);
+    outliers.fleet(&fleet);
     for n in 0..50 {
-        assert_eq!(standing.ended(now + n, &id(1), Cause::ClientLeft), None);
-        assert_eq!(standing.ended(now + n, &id(1), Cause::ReaderSlow), None);
+        assert_eq!(outliers.ended(now + n, &id(1), Cause::ClientLeft), None);
+        assert_eq!(outliers.ended(now + n, &id(1), Cause::ReaderSlow), None);
     }
     // All break alike.
     for round in 0..20 {
         for server in &fleet {
             let cause = if round % 2 == 0 { Cause::Whole } else { Cause::Stalled };
-            assert_eq!(standing.ended(now + round, server, cause), None);
+            assert_eq!(outliers.ended(now + round, server, cause), None);
         }
     }
 }
@@ -440,17 +444,17 @@
     fn bounded(ends: Vec<(u8, bool, u8)>) -> bool {
         let limits = RestLimits { above: 1.0, ..RestLimits::default() };
         let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
-        let mut standing = Standing::new(&limits);
-        standing.fleet(&fleet);
+        let mut outliers = OutlierEjection::new(&limits);
+        outliers.fleet(&fleet);
         let mut now = 0;
         for (n, bad, wait) in ends.into_iter().cycle().take(400) {
             now += Nanos::from(wait) * MS;
-            standing.back(now);
-            standing.ended(now, &id(usize::from(n) % 10), if bad { Cause::Broke } else { Cause::Whole });
-            assert!(fleet.iter().filter(|s| standing.rests(s)).count() <= 2);
+            outliers.back(now);
+            outliers.ended(now, &id(usize::from(n) % 10), if bad { Cause::Broke } else { Cause::Whole });
+            assert!(fleet.iter().filter(|s| outliers.rests(s)).count() <= 2);
         }
-        standing.fleet(&[]);
-        standing.due().is_none()
+        outliers.fleet(&[]);
+        outliers.due().is_none()
     }
     check(33).quickcheck(bounded as fn(Vec<(u8, bool, u8)>) -> bool);
 }
