Split the gateway's edge and servers by concern

Change: a module for each. `Bytes` is HeldBytes, `After` AfterReply, `Line` Connection, `Slot` of the pool ConnectionCount (slot_pool has a Slot of its own), `Open` OpenAnswer. The choice between an idle and a new connection stands once, and errno values have the system's names. No behaviour changes.

--- /dev/null
+++ b/src/net/edge/mod.rs
@@ -0,0 +1,171 @@
+//! Edge connections: the listeners, and the clients' side of each request.
+
+mod answering;
+mod charge;
+mod connection;
+mod exchange;
+mod handover;
+mod held_bytes;
+mod request;
+
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use jetway::WireLimits;
+use rustix::io::Errno;
+
+use super::followers::Followers;
+use super::lifecycle_monitor::LifecycleMonitor;
+use super::servers::Fleet;
+use super::slot_pool::SlotPool;
+use super::{Wire, within};
+use crate::admission::connection_slots::SlotTimeouts;
+use crate::engine::Engine;
+use crate::front::{Dialect, FrontContext};
+use crate::limits::Limits;
+use crate::process::overlap::{Overlap, Places, Report};
+
+/// What all edge connections share.
+pub struct Edge {
+    engine: Engine,
+    fleet: Rc<Fleet>,
+    context: Rc<FrontContext>,
+    limits: Rc<Limits>,
+    /// A connection's limits, with the bounds of the messages front's bodies.
+    messages_wire: WireLimits,
+    lifecycle: Rc<LifecycleMonitor>,
+    /// Where streams that outlast this process go, if they may.
+    followers: Rc<Followers>,
+    slots: Rc<SlotPool>,
+    held_bytes: Cell<usize>,
+    /// Listeners that are open.
+    listeners: Cell<usize>,
+}
+
+impl Edge {
+    /// Without connections yet.
+    pub fn new(
+        engine: Engine,
+        fleet: Rc<Fleet>,
+        context: Rc<FrontContext>,
+        limits: Rc<Limits>,
+        lifecycle: Rc<LifecycleMonitor>,
+        followers: Rc<Followers>,
+    ) -> Edge {
+        let timeouts = SlotTimeouts {
+            silent: limits.edge_mute,
+            receiving: limits.edge_slow,
+            idle: limits.edge_rested,
+            closing: limits.closing,
+        };
+        let slots = Rc::new(SlotPool::new(engine.clone(), timeouts));
+        let body_bytes = limits.messages.body_bytes;
+        let messages_wire = WireLimits { body_bytes, ..limits.wire.clone() };
+        Edge {
+            engine,
+            fleet,
+            context,
+            limits,
+            messages_wire,
+            lifecycle,
+            followers,
+            slots,
+            held_bytes: Cell::new(0),
+            listeners: Cell::new(0),
+        }
+    }
+
+    /// Takes connections for as long as the lifecycle has them accepted, then returns with the listener closed.
+    pub async fn listen(
+        self: Rc<Self>,
+        ex: &'static LocalExecutor<'static>,
+        listener: Async<TcpListener>,
+        dialect: Dialect,
+    ) {
+        self.listeners.set(self.listeners.get() + 1);
+        let take = |(stream, from)| {
+            let (wire, slot) = (Wire::new(stream), self.slots.acquire());
+            ex.spawn(self.clone().connection(wire, from, dialect, slot)).detach();
+        };
+        while self.lifecycle.accepting().await {
+            let next = async {
+                // Guards against a crowd that connects and says nothing, or asks once and stays, while others
+                // wait to be accepted.
+                if self.open() >= self.places() {
+                    return self.slots.evict_and_wait(self.limits.edge_look).await;
+                }
+                match listener.accept().await {
+                    Ok(taken) => take(taken),
+                    Err(e) => {
+                        // Guards against dying, or spinning, when no descriptor is free.
+                        log::warn!("accept-failed: {e}");
+                        // None is free in this process. Guards against accepting, and failing, on and on,
+                        // while discovery, real servers and operators find none either.
+                        if Errno::from_io_error(&e) == Some(Errno::MFILE) {
+                            self.run_out();
+                        }
+                        Timer::after(self.limits.accept_pause).await;
+                    }
+                }
+            };
+            future::or(next, self.lifecycle.closed()).await;
+        }
+        // Guards against a reset of what the system has accepted by now: it is told that this process takes no more.
+        while self.lifecycle.empties_queue()
+            && self.open() < self.places()
+            && let Some(Ok(taken)) = future::poll_once(listener.accept()).await
+        {
+            take(taken);
+        }
+        self.listeners.set(self.listeners.get() - 1);
+    }
+
+    /// Stops: requests are still taken for the grace, on the connections that clients have too, since another
+    /// gateway may not be there to take them; then listeners and idle edge connections close, and
+    /// what is held gets its answer.
+    pub async fn stop(&self) {
+        self.lifecycle.stop();
+        self.engine.stop_streams(self.limits.stream.stop);
+        while !self.lifecycle.over(self.open()) || self.listeners.get() > 0 {
+            // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
+            let word = future::or(self.slots.freed(), self.lifecycle.changed());
+            let _ = within(self.limits.edge_look, word).await;
+        }
+    }
+
+    /// Takes fewer connections from now on, since there are fewer descriptors than the configuration says.
+    fn run_out(&self) {
+        let overlap = &self.fleet.overlap;
+        if overlap.ran_out(self.report().holds, self.limits.own_descriptors) {
+            let Places { edge, servers } = overlap.places();
+            log::warn!(edge = edge, servers = servers; "descriptors-short: raise this process's limit to what limits.sockets says; until then it holds fewer connections");
+        }
+    }
+
+    /// Places of this process.
+    fn places(&self) -> usize {
+        self.fleet.overlap.places().edge
+    }
+
+    /// What this process holds, for the one that follows.
+    pub fn report(&self) -> Report {
+        let holds = Places { edge: self.open(), servers: self.fleet.open() };
+        Report { holds, stopping: self.lifecycle.is_stopping() }
+    }
+
+    /// Notes what has become of another process, and what of the memory is this one's since then.
+    pub fn overlap(&self, change: impl FnOnce(&Overlap)) {
+        let overlap = &self.fleet.overlap;
+        change(overlap);
+        self.engine.budget_streams(overlap.part(self.limits.stream.budget));
+    }
+
+    /// Edge connections that are open.
+    pub fn open(&self) -> usize {
+        self.slots.in_use()
+    }
+}
--- /dev/null
+++ b/src/net/edge/request.rs
@@ -0,0 +1,132 @@
+//! Reading a client's request, within its bounds of time and memory.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use jetway::WireLimits;
+
+use super::held_bytes::HeldBytes;
+use super::{Edge, Wire, within};
+use crate::admission::connection_slots::ConnectionState;
+use crate::admission::pipelined::{Bounds, PipelinedInput};
+use crate::front::Dialect;
+use crate::net::http::{self, Bad, Body, Head};
+use crate::net::slot_pool::Slot;
+
+impl Edge {
+    /// A request's id as its client is told it, and as real servers are: of the messages front every request gets
+    /// one, and an id of another form is known by its hash, so that its second use is noticed here too.
+    pub(super) fn name(&self, dialect: Dialect, head: &mut Head) -> String {
+        let given = head.get("x-request-id").map(crate::front::platform::key);
+        if dialect == Dialect::Platform {
+            return head.get("x-request-id").unwrap_or_default().to_owned();
+        }
+        let number = given.unwrap_or_else(|| self.engine.fresh_id());
+        // Two of them are left for the front to refuse.
+        if head.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("x-request-id")).count() > 1 {
+            return request_id(number);
+        }
+        head.headers.retain(|(name, _)| !name.eq_ignore_ascii_case("x-request-id"));
+        head.headers.push(("X-Request-Id".into(), format!("{number:016x}")));
+        request_id(number)
+    }
+
+    /// How what comes behind a request on this connection is taken.
+    pub(super) fn pipelined(self: &Rc<Self>, dialect: Dialect, wire: &Wire) -> (PipelinedInput, HeldBytes) {
+        let wire_limits = self.wire_limits(dialect);
+        let whole = wire_limits.head_bytes + wire_limits.body_bytes;
+        let bounds = Bounds { least: wire_limits.head_bytes, most: whole, flood: self.limits.flood_bytes };
+        (PipelinedInput::new(bounds, wire.cut), HeldBytes::none(self.clone()))
+    }
+
+    /// A connection's limits, with the bounds of that front's bodies.
+    fn wire_limits(&self, dialect: Dialect) -> &WireLimits {
+        match dialect {
+            Dialect::Platform => &self.limits.wire,
+            Dialect::Messages => &self.messages_wire,
+        }
+    }
+
+    /// Reads the next request whole. `None`: the connection ended, was idle for too long, or shall close.
+    pub(super) async fn request(
+        self: &Rc<Self>,
+        wire: &mut Wire,
+        dialect: Dialect,
+        slot: &mut Slot,
+    ) -> Result<Option<(Head, Vec<u8>, HeldBytes)>, Bad> {
+        let (limits, wire_limits) = (&self.limits, self.wire_limits(dialect));
+        let silent_since = slot.silent_since();
+        if wire.buf.is_empty() {
+            if wire.cut {
+                return Ok(None);
+            }
+            let closing = async {
+                future::or(self.lifecycle.rest_over(silent_since), slot.evicted()).await;
+                Ok(0)
+            };
+            // Guards against a crowd that holds slots and says nothing at all.
+            let patience = if silent_since.is_some() { limits.edge_read } else { limits.edge_idle };
+            let idle = async { within(patience, wire.fill(wire_limits)).await.unwrap_or(Ok(0)) };
+            // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
+            // crosses a close costs its client another connection.
+            if !future::or(idle, closing).await.is_ok_and(|n| n > 0) && wire.is_quiet() {
+                return Ok(None);
+            }
+        }
+        // The first request's time began with the connection: one that trickles in has no more than a silent one.
+        let spent = silent_since.map_or(0, |since| self.engine.now().saturating_sub(since));
+        slot.set_state(ConnectionState::Receiving);
+        let whole = async {
+            let head = loop {
+                if let Some(head) = http::request_head(&mut wire.buf, wire_limits)? {
+                    break head;
+                }
+                if !wire.more(wire_limits).await {
+                    return Ok(None);
+                }
+                slot.progress();
+            };
+            let mut framing = head.request_body(wire_limits)?;
+            if head.lists("expect", "100-continue") && framing != Body::Length(0) && wire.buf.is_empty() {
+                let _ = wire.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            }
+            let mut body = Vec::new();
+            let mut bytes = HeldBytes::none(self.clone());
+            if let Body::Length(length) = framing {
+                body.reserve_exact(length);
+            }
+            loop {
+                let whole = framing.take(&mut wire.buf, &mut body, wire_limits)?;
+                if body.len() > wire_limits.body_bytes {
+                    return Err(Bad { status: 413, what: "the body is too large" });
+                }
+                bytes.grow_to(body.len());
+                if whole {
+                    return Ok(Some((head, body, bytes)));
+                }
+                // Guards against running out of memory: what does not fit waits in its socket.
+                while self.held_bytes.get() > self.fleet.overlap.part(limits.held_bytes) {
+                    Timer::after(limits.accept_pause).await;
+                }
+                if !wire.more(wire_limits).await {
+                    return Ok(None);
+                }
+                slot.progress();
+            }
+        };
+        let late = || Err(Bad { status: 408, what: "the request took too long to arrive" });
+        let left = async {
+            slot.evicted().await;
+            Ok(late())
+        };
+        let patience = limits.edge_read.saturating_sub(Duration::from_nanos(spent));
+        future::or(within(patience, whole), left).await.unwrap_or_else(|_| late())
+    }
+}
+
+/// A request's id as clients of the messages front are told it; its digits are those in the log.
+pub(super) fn request_id(number: u64) -> String {
+    format!("req_{number:016x}")
+}
--- /dev/null
+++ b/src/net/servers/connection.rs
@@ -0,0 +1,28 @@
+//! Connections to real servers, and how many are open.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use crate::net::Wire;
+
+/// A connection's place in the count of open ones.
+pub(super) struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    pub(super) fn new(open: &Rc<Cell<usize>>) -> ConnectionCount {
+        open.set(open.get() + 1);
+        ConnectionCount(open.clone())
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection in use.
+pub(super) struct Connection {
+    pub(super) wire: Wire,
+    pub(super) slot: ConnectionCount,
+}
--- /dev/null
+++ b/src/net/servers/response_head.rs
@@ -0,0 +1,32 @@
+//! Reading the head of a real server's answer.
+
+use std::io;
+
+use super::{Wire, within};
+use crate::limits::Limits;
+use crate::net::http::{self, Head};
+
+/// The head of the final answer, past interim ones.
+pub(super) async fn read_head(wire: &mut Wire, limits: &Limits) -> io::Result<Head> {
+    let mut interim = 0;
+    loop {
+        match http::response_head(&mut wire.buf, &limits.wire) {
+            Ok(Some(head)) if (100..200).contains(&head.status()) => {
+                interim += 1;
+                if interim > limits.interim_heads {
+                    return Err(io::Error::other("interim answers without end"));
+                }
+                continue;
+            }
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => {}
+            Err(bad) => return Err(io::Error::other(bad.what)),
+        }
+        // Guards against waiting until the deadline for a head that has begun and does not end.
+        let begun = !wire.buf.is_empty();
+        let fill = wire.fill(&limits.wire);
+        if (if begun { within(limits.head_stall, fill).await? } else { fill.await })? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
