Keep the names of load reports' values in one place

Cause: the configuration's reader and the simulator's host each had the same table of eight names.

Change: `names::gauge_named` has it, and both call that. Of the other pairs that a search for repeated lines shows in these packages, what remains are fields of different wire formats, tests' own small values and shapes alone.

--- a/src/bin/tulipridge-simhost/parse.rs
+++ b/src/bin/tulipridge-simhost/parse.rs
@@ -4,6 +4,7 @@
 use std::fmt::Display;
 use std::str::{FromStr, Split};
 
+use tulipridge::names::gauge_named;
 use tulipridge::types::*;
 
 /// What is wrong with a line: the field and the fault.
@@ -263,17 +264,6 @@
         fall: pairs.nanos("safety.fall-ns", 0)?,
         ask_within: pairs.nanos("safety.ask-within-ns", 10_000_000_000)?,
     };
-    let gauge = |name: &String| match name.as_str() {
-        "inflight" => Gauge::InFlight,
-        "queue" => Gauge::Queue,
-        "util" => Gauge::Utilisation,
-        "latency_ms" => Gauge::Latency,
-        "qps" => Gauge::Rate,
-        "eps" => Gauge::Errors,
-        "x0" => Gauge::Memory,
-        "x1" => Gauge::Unread,
-        _ => Gauge::Other,
-    };
     let settings = Settings {
         movable: false,
         speeds: Vec::new(),
@@ -298,7 +288,7 @@
             Some("silent") | None => Units::None,
             Some(other) => return Err(fault("weight-source", format_args!("'{other}' is not known"))),
         },
-        gauges: pairs.list("report.fields").iter().map(gauge).collect(),
+        gauges: pairs.list("report.fields").iter().map(|name| gauge_named(name)).collect(),
     };
     Ok((settings, names))
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,7 +13,7 @@
 use crate::api_keys::{self, Keys};
 use crate::front::messages::Setup;
 use crate::front::messages::models::Model;
-use crate::names::{Listing, Names, number_of};
+use crate::names::{Listing, Names, gauge_named, number_of};
 use crate::settings;
 use crate::store::Store;
 use crate::types::*;
@@ -345,17 +345,6 @@
     let safety = tree.at("safety");
     let retry_after =
         if policy.at("retry-after").flag()? { policy.at("max-retry-after-ns").nanos(0)? } else { 0 };
-    let gauge = |name: &String| match name.as_str() {
-        "inflight" => Gauge::InFlight,
-        "queue" => Gauge::Queue,
-        "util" => Gauge::Utilisation,
-        "latency_ms" => Gauge::Latency,
-        "qps" => Gauge::Rate,
-        "eps" => Gauge::Errors,
-        "x0" => Gauge::Memory,
-        "x1" => Gauge::Unread,
-        _ => Gauge::Other,
-    };
     let settings = Settings {
         movable: false,
         group_size: tree.at("group-size").number(1.0)? as u32,
@@ -391,7 +380,7 @@
             "silent" => Units::None,
             _ => return tree.at("weight-source").fault("not known"),
         },
-        gauges: names.gauges.iter().map(gauge).collect(),
+        gauges: names.gauges.iter().map(|name| gauge_named(name)).collect(),
         speeds: Vec::new(),
         list_calls_per_s: None,
     };
--- a/src/names.rs
+++ b/src/names.rs
@@ -189,3 +189,18 @@
     });
     known.min(usize::from(u16::MAX)) as u16
 }
+
+/// What load reports call a value.
+pub fn gauge_named(name: &str) -> Gauge {
+    match name {
+        "inflight" => Gauge::InFlight,
+        "queue" => Gauge::Queue,
+        "util" => Gauge::Utilisation,
+        "latency_ms" => Gauge::Latency,
+        "qps" => Gauge::Rate,
+        "eps" => Gauge::Errors,
+        "x0" => Gauge::Memory,
+        "x1" => Gauge::Unread,
+        _ => Gauge::Other,
+    }
+}
