Name the conformance suite's and the lag watch's types by their content

Cause: `Words`, `Word`, `Came`, `Scribe`, `Play`, `Seen`, `Late` and `Watch` need explaining.

Change: Directive, Argument, ReceivedRequest, EventWriter, ScriptedAnswer, ObservedAnswer; LagSpell and LagMonitor. No behaviour changes.

--- a/src/conformance/case.rs
+++ b/src/conformance/case.rs
@@ -42,13 +42,13 @@
     /// The real servers that are there.
     pub fleet: Fleet,
     /// What the client asks.
-    pub ask: Vec<Words>,
+    pub ask: Vec<Directive>,
     /// What each scheduling meets.
-    pub serve: Vec<Vec<Words>>,
+    pub serve: Vec<Vec<Directive>>,
     /// What the client must see, and on which front that holds.
-    pub see: Vec<(Option<Dialect>, Words)>,
+    pub see: Vec<(Option<Dialect>, Directive)>,
     /// What of its body reaches the real servers of which dialect: a JSON pointer and the value there.
-    pub sent: Vec<(Option<Dialect>, Words)>,
+    pub sent: Vec<(Option<Dialect>, Directive)>,
     /// What becomes of the request.
     pub outcome: Outcome,
     /// How many schedulings reach a real server.
@@ -89,16 +89,16 @@
 
 /// A keyword and what follows it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Words {
+pub struct Directive {
     /// The keyword.
     pub word: String,
     /// The rest.
-    pub rest: Vec<Word>,
+    pub rest: Vec<Argument>,
 }
 
 /// A part of a line.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Word {
+pub enum Argument {
     /// A plain word.
     Plain(String),
     /// A text, as the JSON string that it is written as.
@@ -107,35 +107,35 @@
     Json(String),
 }
 
-impl Word {
+impl Argument {
     /// Its characters, in whichever form it was written.
     pub fn text(&self) -> String {
         match self {
-            Word::Text(json) => serde_json::from_str(json).unwrap_or_else(|_| json.clone()),
-            Word::Plain(text) | Word::Json(text) => text.clone(),
+            Argument::Text(json) => serde_json::from_str(json).unwrap_or_else(|_| json.clone()),
+            Argument::Plain(text) | Argument::Json(text) => text.clone(),
         }
     }
 
     /// The JSON that stands for it.
     pub fn json(&self) -> String {
         match self {
-            Word::Text(json) | Word::Json(json) => json.clone(),
-            Word::Plain(text) if matches!(text.as_str(), "true" | "false" | "null") => text.clone(),
-            Word::Plain(text) if text.parse::<f64>().is_ok() => text.clone(),
-            Word::Plain(text) => serde_json::Value::from(text.as_str()).to_string(),
+            Argument::Text(json) | Argument::Json(json) => json.clone(),
+            Argument::Plain(text) if matches!(text.as_str(), "true" | "false" | "null") => text.clone(),
+            Argument::Plain(text) if text.parse::<f64>().is_ok() => text.clone(),
+            Argument::Plain(text) => serde_json::Value::from(text.as_str()).to_string(),
         }
     }
 }
 
-impl Words {
+impl Directive {
     /// The text of its nth part; empty if there is none.
     pub fn at(&self, n: usize) -> String {
-        self.rest.get(n).map(Word::text).unwrap_or_default()
+        self.rest.get(n).map(Argument::text).unwrap_or_default()
     }
 
     /// The JSON of its nth part.
     pub fn json(&self, n: usize) -> String {
-        self.rest.get(n).map_or_else(|| "null".into(), Word::json)
+        self.rest.get(n).map_or_else(|| "null".into(), Argument::json)
     }
 
     /// The number of its nth part; 0 if it is none.
@@ -158,16 +158,16 @@
     ('"', inside, '"').take().parse_next(input)
 }
 
-fn word(input: &mut &str) -> Result<Word, Fault> {
+fn word(input: &mut &str) -> Result<Argument, Fault> {
     alt((
-        quoted.map(|text: &str| Word::Text(text.to_owned())),
-        plain.map(|text: &str| Word::Plain(text.to_owned())),
-        rest.verify(|text: &str| !text.is_empty()).map(|json: &str| Word::Json(json.trim().to_owned())),
+        quoted.map(|text: &str| Argument::Text(text.to_owned())),
+        plain.map(|text: &str| Argument::Plain(text.to_owned())),
+        rest.verify(|text: &str| !text.is_empty()).map(|json: &str| Argument::Json(json.trim().to_owned())),
     ))
     .parse_next(input)
 }
 
-fn words(input: &mut &str) -> Result<Vec<Word>, Fault> {
+fn words(input: &mut &str) -> Result<Vec<Argument>, Fault> {
     terminated(repeat(0.., preceded(space0, word)), (space0, eof)).parse_next(input)
 }
 
@@ -198,12 +198,12 @@
         for word in &words {
             let good = match word {
                 // Texts may hold halves of a character, which only a reader of bytes takes.
-                Word::Text(json) => {
+                Argument::Text(json) => {
                     serde_json::from_str::<crate::front::translate::text_fragment::TextFragment>(json)
                         .is_ok()
                 }
-                Word::Json(json) => serde_json::from_str::<serde_json::Value>(json).is_ok(),
-                Word::Plain(_) => true,
+                Argument::Json(json) => serde_json::from_str::<serde_json::Value>(json).is_ok(),
+                Argument::Plain(_) => true,
             };
             if !good {
                 return Err(fault("not a JSON value"));
@@ -211,7 +211,9 @@
         }
         let place = (file.to_owned(), number);
         if indent.is_empty() {
-            let [Word::Plain(name)] = &words[..] else { return Err(fault("a case's name is one word")) };
+            let [Argument::Plain(name)] = &words[..] else {
+                return Err(fault("a case's name is one word"));
+            };
             if head != "case" {
                 return Err(fault("only 'case' begins at a line's start"));
             }
@@ -227,7 +229,7 @@
     Ok(cases)
 }
 
-fn entry(case: &mut Case, head: &str, rest: Vec<Word>) -> Result<(), String> {
+fn entry(case: &mut Case, head: &str, rest: Vec<Argument>) -> Result<(), String> {
     let dialect = |word: &str| match word {
         "messages" => Ok(Dialect::Messages),
         "platform" => Ok(Dialect::Platform),
@@ -237,11 +239,11 @@
         Some((head, of)) => (head, Some(dialect(of)?)),
         None => (head, None),
     };
-    let first = rest.first().map(Word::text).unwrap_or_default();
-    let followed = |rest: Vec<Word>| -> Result<Words, String> {
+    let first = rest.first().map(Argument::text).unwrap_or_default();
+    let followed = |rest: Vec<Argument>| -> Result<Directive, String> {
         let mut rest = rest.into_iter();
         match rest.next() {
-            Some(Word::Plain(word)) => Ok(Words { word, rest: rest.collect() }),
+            Some(Argument::Plain(word)) => Ok(Directive { word, rest: rest.collect() }),
             _ => Err("a keyword has to follow".into()),
         }
     };
--- a/src/conformance/client.rs
+++ b/src/conformance/client.rs
@@ -7,7 +7,7 @@
 
 use serde_json::{Value, json};
 
-use super::case::{Case, Outcome, Words};
+use super::case::{Case, Directive, Outcome};
 use crate::names::Dialect;
 
 /// Longer than any case takes.
@@ -15,7 +15,7 @@
 
 /// What a client saw.
 #[derive(Clone, Debug, Default)]
-pub struct Seen {
+pub struct ObservedAnswer {
     /// The status; 0 if there was no answer.
     pub status: u16,
     /// The headers, by names in small letters.
@@ -146,13 +146,13 @@
 }
 
 /// Sends a request and reads its answer.
-pub fn ask(addr: SocketAddr, front: Dialect, request: &[u8]) -> io::Result<Seen> {
+pub fn ask(addr: SocketAddr, front: Dialect, request: &[u8]) -> io::Result<ObservedAnswer> {
     let mut stream = TcpStream::connect_timeout(&addr, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
     stream.write_all(request)?;
     let bare = request.starts_with(b"HEAD ");
     let mut reader = BufReader::new(stream);
-    let mut seen = Seen::default();
+    let mut seen = ObservedAnswer::default();
     let mut line = String::new();
     reader.read_line(&mut line)?;
     seen.status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
@@ -216,7 +216,7 @@
     }
 }
 
-impl Seen {
+impl ObservedAnswer {
     /// What became of the request.
     pub fn outcome(&self) -> Outcome {
         match self.status {
@@ -363,7 +363,7 @@
     }
 
     /// What a line wants to be seen and is not; none if it is.
-    pub fn lacks(&self, see: &Words, call: &mut usize, model: &str) -> Option<String> {
+    pub fn lacks(&self, see: &Directive, call: &mut usize, model: &str) -> Option<String> {
         let told = |what: &str, wanted: String, is: String| {
             (wanted != is).then(|| format!("{what}: {wanted:?} was due, {is:?} came"))
         };
--- a/src/conformance/stand_in.rs
+++ b/src/conformance/stand_in.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
-use super::case::{Case, Fleet, Words};
+use super::case::{Case, Directive, Fleet};
 use crate::demo_replica;
 use crate::names::Dialect;
 
@@ -20,14 +20,14 @@
     dialect: Dialect,
     cases: BTreeMap<String, Case>,
     /// Requests that came, by their models.
-    came: Mutex<BTreeMap<String, Vec<Came>>>,
+    came: Mutex<BTreeMap<String, Vec<ReceivedRequest>>>,
     /// What discovery is to tell next, and the list's version.
     list: Mutex<(u64, Vec<Value>)>,
 }
 
 /// A request that came to a stand-in.
 #[derive(Clone, Debug)]
-pub struct Came {
+pub struct ReceivedRequest {
     /// Which of them it came to.
     pub server: usize,
     /// Its body.
@@ -102,7 +102,7 @@
     }
 
     /// The requests that came for a model.
-    pub fn came(&self, model: &str) -> Vec<Came> {
+    pub fn came(&self, model: &str) -> Vec<ReceivedRequest> {
         let came = self.shared.came.lock().unwrap_or_else(|e| e.into_inner());
         came.get(model).cloned().unwrap_or_default()
     }
@@ -145,7 +145,7 @@
         let nth = {
             let mut came = shared.came.lock().unwrap_or_else(|e| e.into_inner());
             let came = came.entry(model.clone()).or_default();
-            came.push(Came { server, body, head });
+            came.push(ReceivedRequest { server, body, head });
             came.len() - 1
         };
         let Some(case) = shared.cases.get(name) else {
@@ -153,10 +153,16 @@
             continue;
         };
         let script = case.serve.get(nth).or(case.serve.last())?;
-        let usual = [Words { word: "hello".into(), rest: Vec::new() }];
+        let usual = [Directive { word: "hello".into(), rest: Vec::new() }];
         let script = if script.is_empty() { &usual[..] } else { script };
-        let mut play =
-            Play { shared, server, stream: &mut stream, begun: false, split: 0, scribe: Scribe::default() };
+        let mut play = ScriptedAnswer {
+            shared,
+            server,
+            stream: &mut stream,
+            begun: false,
+            split: 0,
+            writer: EventWriter::default(),
+        };
         for words in script {
             play.does(words)?;
         }
@@ -165,17 +171,17 @@
 }
 
 /// A case's script as it is played.
-struct Play<'p> {
+struct ScriptedAnswer<'p> {
     shared: &'p Shared,
     server: usize,
     stream: &'p mut TcpStream,
     begun: bool,
     /// Bytes of a piece, where the stream is sent in pieces.
     split: usize,
-    scribe: Scribe,
+    writer: EventWriter,
 }
 
-impl Play<'_> {
+impl ScriptedAnswer<'_> {
     fn says(&mut self, event: &str) -> Option<()> {
         let mut out = Vec::new();
         if !std::mem::replace(&mut self.begun, true) {
@@ -197,40 +203,40 @@
     }
 
     /// Does what a line says; `None` ends the connection.
-    fn does(&mut self, words: &Words) -> Option<()> {
+    fn does(&mut self, words: &Directive) -> Option<()> {
         let messages = self.shared.dialect == Dialect::Messages;
         match words.word.as_str() {
             "hello" => {
                 for text in ["\"Hel\"", "\"lo\""] {
-                    let event = self.scribe.text(messages, text);
+                    let event = self.writer.text(messages, text);
                     self.says(&event)?;
                 }
                 self.end("done")
             }
             "begin" => {
-                let event = self.scribe.begin(messages);
+                let event = self.writer.begin(messages);
                 self.says(&event)
             }
             "text" => {
-                let event = self.scribe.text(messages, &words.json(0));
+                let event = self.writer.text(messages, &words.json(0));
                 self.says(&event)
             }
             "call" => {
-                let event = self.scribe.call(messages, words.number(0), &words.at(1), &words.at(2));
+                let event = self.writer.call(messages, words.number(0), &words.at(1), &words.at(2));
                 self.says(&event)
             }
             "args" => {
-                let event = self.scribe.args(messages, words.number(0), &words.json(1));
+                let event = self.writer.args(messages, words.number(0), &words.json(1));
                 self.says(&event)
             }
             "usage" => {
-                self.scribe.usage = Some((words.number(0), words.number(1), words.number(2)));
+                self.writer.usage = Some((words.number(0), words.number(1), words.number(2)));
                 Some(())
             }
             "end" => self.end(&words.at(0)),
             // Its stop and its tokens are told, but not that it is over.
             "stop" => {
-                let event = self.scribe.stop(messages, &words.at(0));
+                let event = self.writer.stop(messages, &words.at(0));
                 self.says(&event)
             }
             // The last chunk, without the dialect's last event before it.
@@ -246,7 +252,7 @@
                 "data: {\"type\":\"glimmer\",\"shade\":3}\n\n"
             }),
             "thinking" => {
-                let event = self.scribe.thinking(messages, &words.json(0));
+                let event = self.writer.thinking(messages, &words.json(0));
                 self.says(&event)
             }
             "error" => {
@@ -315,7 +321,7 @@
 
     fn end(&mut self, stop: &str) -> Option<()> {
         let messages = self.shared.dialect == Dialect::Messages;
-        let event = self.scribe.stop(messages, stop)
+        let event = self.writer.stop(messages, stop)
             + if messages {
                 "event: message_stop\ndata: {\"type\":\"message_stop\"}\n\n"
             } else {
@@ -328,7 +334,7 @@
 
 /// Writes a stream in either dialect.
 #[derive(Default)]
-struct Scribe {
+struct EventWriter {
     begun: bool,
     /// Blocks that are open: their indices, and the number of the call that each is, if it is one.
     open: Vec<(u64, Option<u64>)>,
@@ -336,7 +342,7 @@
     usage: Option<(u64, u64, u64)>,
 }
 
-impl Scribe {
+impl EventWriter {
     fn usage(&self) -> (u64, u64, u64) {
         self.usage.unwrap_or((12, 5, 2))
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::Gateway;
 use crate::limits::{Limits, StreamLimits};
-use crate::process::lag::{Late, Watch};
+use crate::process::lag::{LagMonitor, LagSpell};
 use crate::stream::{Change, End};
 use crate::types::*;
 use streams::Streams;
@@ -126,7 +126,7 @@
     waiting: BTreeMap<RequestId, Waiting>,
     actions: Vec<Action>,
     spare_id: u64,
-    watch: Watch,
+    watch: LagMonitor,
 }
 
 /// A held request's mailbox, and how many schedulings it was ordered.
@@ -165,7 +165,7 @@
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             spare_id: seed,
-            watch: Watch::new(unix, cpu_time(), limits),
+            watch: LagMonitor::new(unix, cpu_time(), limits),
         };
         let clock = Rc::new(Clock { unix, from: Instant::now() });
         let core = Rc::new(RefCell::new(core));
@@ -257,7 +257,7 @@
     /// costs a gateway that is idle more than all else.
     fn watch(&self, due: Nanos, now: Nanos) {
         let told = self.core.borrow_mut().watch.ran(due, now, cpu_time);
-        if let Some(Late { due, late, span, cpu }) = told {
+        if let Some(LagSpell { due, late, span, cpu }) = told {
             let due = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_nanos(due));
             let [late, span, cpu] = [late, span, cpu].map(|nanos| nanos / 1_000_000);
             log::warn!(due:% = due, late_ms = late, span_ms = span, cpu_ms = cpu;
--- a/src/process/lag.rs
+++ b/src/process/lag.rs
@@ -9,7 +9,7 @@
 
 /// A spell in which the thread ran late, as it was first seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Late {
+pub struct LagSpell {
     /// When it should have run.
     pub due: Nanos,
     /// How much later it did.
@@ -22,7 +22,7 @@
 
 /// Compares when the thread should have run with when it did.
 #[derive(Clone, Debug)]
-pub struct Watch {
+pub struct LagMonitor {
     most: Nanos,
     calm: Nanos,
     again: Nanos,
@@ -32,11 +32,11 @@
     spell: Option<Nanos>,
 }
 
-impl Watch {
+impl LagMonitor {
     /// A watch that begins now.
-    pub fn new(now: Nanos, cpu: Nanos, limits: &Limits) -> Watch {
+    pub fn new(now: Nanos, cpu: Nanos, limits: &Limits) -> LagMonitor {
         let nanos = |span: std::time::Duration| span.as_nanos() as Nanos;
-        Watch {
+        LagMonitor {
             most: nanos(limits.lag_most),
             calm: nanos(limits.lag_calm),
             again: nanos(limits.lag_again),
@@ -47,7 +47,7 @@
 
     /// It runs, having been due then. Returns what there is to tell: the first of each spell. The thread's clock is
     /// asked only where it is needed, since that is a system call.
-    pub fn ran(&mut self, due: Nanos, now: Nanos, cpu: impl FnOnce() -> Nanos) -> Option<Late> {
+    pub fn ran(&mut self, due: Nanos, now: Nanos, cpu: impl FnOnce() -> Nanos) -> Option<LagSpell> {
         let late = now.saturating_sub(due);
         let over = late > self.most;
         if !over && now.saturating_sub(self.seen.0) < self.again {
@@ -58,7 +58,7 @@
         if over {
             self.spell = Some(now);
         }
-        (over && fresh).then(|| Late {
+        (over && fresh).then(|| LagSpell {
             due,
             late,
             span: now.saturating_sub(before.0),
--- a/tests/lag.rs
+++ b/tests/lag.rs
@@ -8,15 +8,15 @@
 
 use quickcheck::{Gen, QuickCheck};
 use tulipridge::limits::Limits;
-use tulipridge::process::lag::{Late, Watch};
+use tulipridge::process::lag::{LagMonitor, LagSpell};
 
 use support::*;
 
 const MS: u64 = 1_000_000;
 
-fn watch() -> Watch {
+fn watch() -> LagMonitor {
     let second = Duration::from_secs(1);
-    Watch::new(0, 0, &Limits::new(1024, 192, second, second))
+    LagMonitor::new(0, 0, &Limits::new(1024, 192, second, second))
 }
 
 #[test]
@@ -25,12 +25,12 @@
     assert_eq!(watch.ran(50 * MS, 150 * MS, || 9 * MS), None, "late by no more than is usual");
     // Others had the processor, or a system call waited: hardly any time of its own.
     let told = watch.ran(200 * MS, 900 * MS, || 10 * MS);
-    assert_eq!(told, Some(Late { due: 200 * MS, late: 700 * MS, span: 750 * MS, cpu: MS }));
+    assert_eq!(told, Some(LagSpell { due: 200 * MS, late: 700 * MS, span: 750 * MS, cpu: MS }));
     assert_eq!(watch.ran(900 * MS, 1100 * MS, || 200 * MS), None, "the same spell");
     assert_eq!(watch.ran(2080 * MS, 2090 * MS, || 210 * MS), None, "on time");
     // A loop of the program's own.
     let told = watch.ran(2100 * MS, 2500 * MS, || 610 * MS);
-    assert_eq!(told, Some(Late { due: 2100 * MS, late: 400 * MS, span: 410 * MS, cpu: 400 * MS }));
+    assert_eq!(told, Some(LagSpell { due: 2100 * MS, late: 400 * MS, span: 410 * MS, cpu: 400 * MS }));
 }
 
 #[test]
@@ -61,7 +61,7 @@
             let told = watch.ran(due, now, || cpu);
             let over = late > 100 * MS;
             let first = over && last.is_none_or(|last| now - last >= 1000 * MS);
-            let expected = first.then(|| Late { due, late, span: now - seen.0, cpu: cpu - seen.1 });
+            let expected = first.then(|| LagSpell { due, late, span: now - seen.0, cpu: cpu - seen.1 });
             if over {
                 last = Some(now);
             }
