Explore all short histories of three real members around a steady primary

Random histories try many orders of events, but no order is sure to be tried. The state machine can be cloned now, and an explorer takes every action that a budget allows in every state: delays, duplicates, slow disks, crashes with any unsynced prefix, power cuts, lost disks, pauses, cuts, orders, terminations.

--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -31,7 +31,7 @@
 }
 
 /// A running change of the view.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) epoch: u64,
     base: View,
--- a/crates/tower/src/replication/journal.rs
+++ b/crates/tower/src/replication/journal.rs
@@ -7,7 +7,7 @@
 use super::durable::DurableRecord;
 
 /// Records on their way to the disk, and the messages that wait for them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Journal {
     issued: u64,
     persisted: u64,
@@ -16,7 +16,7 @@
 }
 
 /// What waits for records to be on disk.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum Held {
     /// A message to send.
     Send(Envelope),
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -34,14 +34,14 @@
 }
 
 /// A proposal that waits for the end of a view change.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WaitingProposal {
     ticket: u64,
     command: Arc<[u8]>,
 }
 
 /// What a member knows while it is primary.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Leadership {
     /// The view in force that it leads.
     pub(super) view: View,
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -21,7 +21,7 @@
 };
 
 /// A primary for which this member votes as long as the grant runs.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Grant {
     pub(super) primary: NodeId,
     pub(super) epoch: u64,
@@ -29,14 +29,14 @@
 }
 
 /// The primary whose heartbeat came last.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct HeardPrimary {
     pub(super) node: NodeId,
     pub(super) at: Duration,
 }
 
 /// One member's part in the agreement.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Replication {
     pub(super) settings: ReplicationSettings,
     pub(super) random: Rng,
--- a/crates/tower/src/replication/peers.rs
+++ b/crates/tower/src/replication/peers.rs
@@ -34,7 +34,7 @@
 }
 
 /// All other members that are known.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Peers {
     peers: BTreeMap<NodeId, Peer>,
 }
--- /dev/null
+++ b/crates/tower/tests/support_model/faults.rs
@@ -0,0 +1,70 @@
+//! Promises that are broken on purpose, around the code under test, to show that the checker sees them.
+
+use intercom::control::{ControlMessage, Envelope, View};
+use tower::replication::DurableRecord;
+
+/// A promise that is broken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// None.
+    #[default]
+    None,
+    /// A promise is sent before its record is on disk.
+    EarlyPromise,
+    /// An entry is acknowledged before it is on disk.
+    EarlyAppended,
+    /// Data brought by a sync is acknowledged before it is on disk.
+    EarlySynced,
+    /// A member forgets what it has promised when it starts.
+    ForgottenPromise,
+    /// A member forgets its view and its promise when it starts.
+    ForgottenView,
+    /// A disk that was wiped keeps its generation.
+    KeptGeneration,
+    /// Nothing of a running grant is waited for after a start.
+    NoQuietPeriod,
+    /// A refusal of a voter that has granted a lease is taken for a promise.
+    RefusalCountsAsPromise,
+    /// Views don't name the voters before them.
+    NoPreviousVoters,
+    /// Only the primary holds the data.
+    OneHolder,
+    /// The owner acts on its part and doesn't ask for the lease.
+    RoleInsteadOfLease,
+    /// The owner asks for the lease with a time that is this old.
+    OldTimeForLease,
+    /// The agreed state is not taken over from snapshots.
+    ForgottenOrders,
+}
+
+impl Fault {
+    /// Whether these records are reported as synced before they are.
+    pub fn reports_early(self, records: &[DurableRecord]) -> bool {
+        let is_early = |record: &DurableRecord| match self {
+            Fault::EarlyPromise => matches!(record, DurableRecord::Promised(_)),
+            Fault::EarlyAppended => matches!(record, DurableRecord::Entry(_)),
+            Fault::EarlySynced => matches!(record, DurableRecord::Reset { .. }),
+            _ => false,
+        };
+        records.iter().any(is_early)
+    }
+
+    /// What becomes of a message on its way.
+    pub fn change_message(self, envelope: &mut Envelope) {
+        match (self, &mut envelope.message) {
+            (
+                Fault::NoPreviousVoters,
+                ControlMessage::Install { view }
+                | ControlMessage::Heartbeat { view, .. }
+                | ControlMessage::Promise { view, .. },
+            ) => view.previous_voters.clear(),
+            (Fault::RefusalCountsAsPromise, ControlMessage::Refuse { epoch, promised })
+                if *promised < *epoch =>
+            {
+                let epoch = *epoch;
+                envelope.message = ControlMessage::Promise { epoch, view: View::default() };
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/tower/tests/support_model/mod.rs
@@ -0,0 +1,18 @@
+//! An explorer of all histories of a small cluster of real state machines, within bounds.
+//!
+//! - [`world`]: one state of the cluster, and what each action does to it;
+//! - [`actions`]: which actions are possible in a state, and the budgets that bound them;
+//! - [`invariants`]: what must hold in every state;
+//! - [`faults`]: promises that are broken on purpose, outside the code under test;
+//! - [`explorer`]: depth-first search with de-duplication of states;
+//! - [`prefixes`]: scripted beginnings that lead to states worth exploring.
+
+pub mod actions;
+pub mod disk;
+pub mod explorer;
+pub mod faults;
+pub mod invariants;
+pub mod member;
+pub mod orders;
+pub mod prefixes;
+pub mod world;
