Show fifteen broken promises to the explorer, and begin it from nine scripted states

A checker that finds nothing proves little unless it sees what is broken. Each is seen, and the same bounds with the promise kept are explored whole without a violation.

The large bounds are not run yet.

--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -1,15 +1,34 @@
 //! All histories of small clusters within bounds, and promises broken on purpose that must be seen.
+//!
+//! The members are real state machines. Each test begins in the state that a script leads to
+//! (`support_model/prefixes.rs`) and takes every possible action in every state that it reaches, each state
+//! once (`support_model/actions.rs` tells the actions and what bounds them).
+//!
+//! The small bounds run with `cargo test -p tulipridge-tower --test model`, the large ones with
+//! `cargo test --release -p tulipridge-tower --test model -- --ignored --test-threads 4`; `--nocapture` shows
+//! the numbers of states. The same states are explored in every run.
 
 mod support_model;
 
-use support_model::actions::{Bounds, Budget, Ordering, isolations, pairs};
+use rstest::rstest;
+use support_model::actions::{Bounds, Budget, Ordering};
+use support_model::breaks::{self, Break, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::prefixes;
-use support_model::world::{MS, Setup, World};
+use support_model::world::{FASTEST_RATE, MS, SLOWEST_RATE, Setup, World};
 
-fn report(name: &str, outcome: &Outcome) {
+/// A script that leads to a state.
+type Prefix = fn(Setup) -> World;
+
+/// Long enough for a takeover.
+const TAKEOVER_SPAN: u64 = 800 * MS;
+/// Long enough for both candidates of the race to be done.
+const RACE_SPAN: u64 = 20 * MS;
+
+fn explore_all(prefix: Prefix, setup: Setup, bounds: &Bounds) -> Outcome {
+    let outcome = explore(prefix(setup), bounds);
     println!(
-        "{name}: {} states, {} transitions, {} ends, up to {} primaries and {} acknowledged orders, {:.1} s",
+        "{} states, {} transitions, {} ends, up to {} primaries and {} acknowledged orders, {:.1} s",
         outcome.states,
         outcome.transitions,
         outcome.ends,
@@ -17,28 +36,123 @@
         outcome.acknowledged,
         outcome.seconds
     );
-    if let Some((violation, trace)) = &outcome.violation {
-        println!("{violation:?} after {trace:#?}");
-    }
+    assert_eq!(outcome.violation, None, "after\n{}", outcome.trace.join("\n"));
+    assert!(outcome.is_complete, "all histories within the bounds are explored");
+    outcome
 }
 
-fn usual(budget: Budget, span: u64) -> Bounds {
-    Bounds {
-        ordering: Ordering::Usual,
-        budget,
-        span,
-        depth: usize::MAX,
-        down_for: vec![0, 900 * MS],
-        pauses: vec![700 * MS],
-        cuts: [isolations(3), pairs(3)].concat(),
-    }
+/// With the promise broken there is a violation, with the promise kept there is none in the same bounds.
+#[rstest]
+#[case::early_promise(breaks::early_promise())]
+#[case::forgotten_promise(breaks::forgotten_promise())]
+#[case::early_appended(breaks::early_appended())]
+#[case::early_appended_lost(breaks::early_appended_lost())]
+#[case::early_synced(breaks::early_synced())]
+#[case::forgotten_view(breaks::forgotten_view())]
+#[case::kept_generation(breaks::kept_generation())]
+#[case::no_quiet_period(breaks::no_quiet_period())]
+#[case::refusal_counts_as_promise(breaks::refusal_counts_as_promise())]
+#[case::no_previous_voters(breaks::no_previous_voters())]
+#[case::one_holder(breaks::one_holder())]
+#[case::role_instead_of_lease(breaks::role_instead_of_lease())]
+#[case::long_lease(breaks::long_lease())]
+#[case::wild_clocks(breaks::wild_clocks())]
+#[case::forgotten_orders(breaks::forgotten_orders())]
+fn broken_promise_is_seen(#[case] case: Break) {
+    let setup = Setup { fault: case.fault, ..case.setup.clone() };
+    let broken = explore((case.prefix)(setup), &case.bounds);
+    println!("{:?}: {:?} after {} states", case.fault, broken.violation, broken.states);
+    assert_eq!(broken.violation, Some(case.seen_as));
+    let rates = vec![support_model::world::TRUE_RATE; case.setup.rates.len()];
+    explore_all(case.prefix, Setup { rates, ..case.setup }, &case.bounds);
 }
 
+/// One action beside the usual ones, at every moment of a takeover.
+#[rstest]
+#[case::steady(prefixes::steady, Setup::three())]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting())]
+#[case::cut_off(prefixes::cut_off, Setup::three_drifting())]
+#[case::stale_backup(prefixes::stale_backup, Setup::three())]
+#[case::exchange(prefixes::exchange, Setup::three())]
+#[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
+#[case::leaving(prefixes::leaving, Setup::three())]
+#[case::voter_exchange(prefixes::voter_exchange, Setup::four())]
+fn one_deviation(#[case] prefix: Prefix, #[case] setup: Setup) {
+    let bounds = usual(setup.rates.len(), Budget::any(1), TAKEOVER_SPAN);
+    let outcome = explore_all(prefix, setup, &bounds);
+    assert!(outcome.primaries > 1, "there is a takeover");
+    assert!(outcome.acknowledged > 1, "there are orders");
+}
+
+/// Two candidates at the first start, and one action beside the usual ones.
 #[test]
-fn steady_one() {
-    let world: World = prefixes::steady(Setup::three());
-    let bounds = usual(Budget::one_of_each(1), 1500 * MS);
-    let outcome = explore(world, &bounds);
-    report("steady, one", &outcome);
-    assert!(outcome.violation.is_none());
+fn one_deviation_in_a_race() {
+    explore_all(prefixes::race, Setup::three(), &usual(3, Budget::any(1), RACE_SPAN));
+}
+
+/// Everything in any order, with one fault or order, for a few steps.
+#[rstest]
+#[case::steady(prefixes::steady, Setup::three(), 5)]
+#[case::race(prefixes::race, Setup::three(), 4)]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting(), 6)]
+#[case::cut_off(prefixes::cut_off, Setup::three_drifting(), 6)]
+#[case::stale_backup(prefixes::stale_backup, Setup::three(), 6)]
+#[case::exchange(prefixes::exchange, Setup::three(), 4)]
+#[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() }, 4)]
+#[case::leaving(prefixes::leaving, Setup::three(), 5)]
+#[case::voter_exchange(prefixes::voter_exchange, Setup::four(), 4)]
+fn any_order(#[case] prefix: Prefix, #[case] setup: Setup, #[case] depth: usize) {
+    explore_any_order(prefix, setup, depth);
+}
+
+fn explore_any_order(prefix: Prefix, setup: Setup, depth: usize) {
+    let bounds = usual(setup.rates.len(), Budget::any(1), TAKEOVER_SPAN);
+    explore_all(prefix, setup, &Bounds { ordering: Ordering::Any, depth, ..bounds });
+}
+
+#[rstest]
+#[case::steady(prefixes::steady, Setup::three())]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting())]
+#[case::cut_off(prefixes::cut_off, Setup::three_drifting())]
+#[case::stale_backup(prefixes::stale_backup, Setup::three())]
+#[case::exchange(prefixes::exchange, Setup::three())]
+#[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
+#[case::leaving(prefixes::leaving, Setup::three())]
+#[case::voter_exchange(prefixes::voter_exchange, Setup::four())]
+#[ignore = "large bounds"]
+fn two_deviations(#[case] prefix: Prefix, #[case] setup: Setup) {
+    let bounds = usual(setup.rates.len(), Budget::any(2), TAKEOVER_SPAN);
+    explore_all(prefix, setup, &bounds);
+}
+
+#[rstest]
+#[case::steady(prefixes::steady, 8)]
+#[case::race(prefixes::race, 8)]
+#[case::pair_cut(prefixes::pair_cut, 10)]
+#[case::cut_off(prefixes::cut_off, 11)]
+#[case::stale_backup(prefixes::stale_backup, 10)]
+#[case::exchange(prefixes::exchange, 8)]
+#[case::newcomer(prefixes::newcomer, 8)]
+#[case::leaving(prefixes::leaving, 8)]
+#[ignore = "large bounds"]
+fn any_order_for_longer(#[case] prefix: Prefix, #[case] depth: usize) {
+    explore_any_order(prefix, Setup::three(), depth);
+}
+
+/// One action beside the usual ones, for every assignment of the slowest and the fastest clocks.
+#[rstest]
+#[case::steady(prefixes::steady)]
+#[case::pair_cut(prefixes::pair_cut)]
+#[case::cut_off(prefixes::cut_off)]
+#[case::stale_backup(prefixes::stale_backup)]
+#[case::exchange(prefixes::exchange)]
+#[case::newcomer(prefixes::newcomer)]
+#[case::leaving(prefixes::leaving)]
+#[ignore = "large bounds"]
+fn one_deviation_with_each_drift(#[case] prefix: Prefix, #[values(1, 2, 3)] jitter: u64) {
+    for assignment in 0..8_u32 {
+        let rate = |member: u32| if assignment >> member & 1 == 0 { SLOWEST_RATE } else { FASTEST_RATE };
+        let setup = Setup { rates: (0..3).map(rate).collect(), jitter, ..Setup::three() };
+        explore_all(prefix, setup, &usual(3, Budget::any(1), 2 * TAKEOVER_SPAN));
+    }
 }
--- a/crates/tower/tests/support_model/actions.rs
+++ b/crates/tower/tests/support_model/actions.rs
@@ -83,26 +83,7 @@
 }
 
 impl Budget {
-    /// A budget of one action of each kind, and of some in all.
-    pub fn one_of_each(total: u8) -> Budget {
-        Budget {
-            total,
-            delays: 1,
-            duplicates: 1,
-            slow_disks: 1,
-            crashes: 1,
-            power_cuts: 1,
-            wipes: 1,
-            pauses: 1,
-            cuts: 1,
-            heals: 1,
-            proposals: 1,
-            repeats: 1,
-            terminations: 1,
-        }
-    }
-
-    /// The same, with no bound but the one on the sum.
+    /// Actions of any kinds, and of some in all.
     pub fn any(total: u8) -> Budget {
         Budget {
             total,
@@ -174,6 +155,8 @@
     pub pauses: Vec<u64>,
     /// Sets of links that may be cut together.
     pub cuts: Vec<Links>,
+    /// Members that crash, lose their disk, pause or are told to end.
+    pub faulty: Vec<usize>,
 }
 
 /// Each member cut off: both ways, and in either direction alone.
@@ -269,7 +252,7 @@
 fn member_faults(world: &World, bounds: &Bounds, member: usize) -> Vec<Action> {
     let machine = &world.members[member];
     let mut actions = Vec::new();
-    if machine.process.is_none() {
+    if machine.process.is_none() || !bounds.faulty.contains(&member) {
         return actions;
     }
     for down_for in bounds.down_for.iter().copied() {
--- /dev/null
+++ b/crates/tower/tests/support_model/breaks.rs
@@ -0,0 +1,221 @@
+//! Bounds within which each broken promise is seen.
+
+use super::actions::{Bounds, Budget, Ordering, isolations, pairs, split};
+use super::faults::Fault;
+use super::invariants::Violation;
+use super::prefixes;
+use super::world::{MS, Setup, TRUE_RATE, World};
+
+/// A promise that is broken, and the bounds within which it is seen.
+pub struct Break {
+    /// The promise.
+    pub fault: Fault,
+    /// Where the exploration begins.
+    pub prefix: fn(Setup) -> World,
+    /// The cluster.
+    pub setup: Setup,
+    /// The bounds.
+    pub bounds: Bounds,
+    /// What is seen first.
+    pub seen_as: Violation,
+}
+
+const NOTHING: Budget = Budget {
+    total: 0,
+    delays: 0,
+    duplicates: 0,
+    slow_disks: 0,
+    crashes: 0,
+    power_cuts: 0,
+    wipes: 0,
+    pauses: 0,
+    cuts: 0,
+    heals: 0,
+    proposals: 0,
+    repeats: 0,
+    terminations: 0,
+};
+const CRASH: Budget = Budget { total: 1, crashes: 1, ..NOTHING };
+const WIPE: Budget = Budget { total: 1, wipes: 1, ..NOTHING };
+const PAUSE: Budget = Budget { total: 1, pauses: 1, ..NOTHING };
+const POWER_CUT: Budget = Budget { total: 1, power_cuts: 1, ..NOTHING };
+
+/// Histories in the usual order but for what the budget allows.
+pub fn usual(members: usize, budget: Budget, span: u64) -> Bounds {
+    Bounds {
+        ordering: Ordering::Usual,
+        budget,
+        span,
+        depth: usize::MAX,
+        down_for: vec![0, 900 * MS],
+        pauses: vec![1500 * MS],
+        cuts: [isolations(members), pairs(members)].concat(),
+        faulty: (0..members).collect(),
+    }
+}
+
+fn within(budget: Budget) -> Bounds {
+    usual(3, budget, 1500 * MS)
+}
+
+/// Only member 2 crashes, and is there again at once.
+fn racing() -> Bounds {
+    let budget = Budget { total: 2, crashes: 1, delays: 1, ..NOTHING };
+    Bounds { down_for: vec![0], faulty: vec![2], ..usual(3, budget, 20 * MS) }
+}
+
+/// 2 promises 1, loses power before the promise is on its disk, and promises 0 too.
+pub fn early_promise() -> Break {
+    Break {
+        fault: Fault::EarlyPromise,
+        prefix: prefixes::race,
+        setup: Setup::three(),
+        bounds: racing(),
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// 2 promises 1, starts again without memory of it, and promises 0 too.
+pub fn forgotten_promise() -> Break {
+    Break { fault: Fault::ForgottenPromise, ..early_promise() }
+}
+
+/// The primary acknowledges an order that its backup has not synced.
+pub fn early_appended() -> Break {
+    let budget = Budget { total: 2, proposals: 1, slow_disks: 1, ..NOTHING };
+    Break {
+        fault: Fault::EarlyAppended,
+        prefix: prefixes::steady,
+        setup: Setup::three(),
+        bounds: within(budget),
+        seen_as: Violation::TooFewCopies,
+    }
+}
+
+/// What follows from it: the backup loses power, and then becomes primary without the order.
+pub fn early_appended_lost() -> Break {
+    let budget = Budget { total: 3, proposals: 1, crashes: 1, cuts: 1, ..NOTHING };
+    let bounds = usual(3, budget, 1000 * MS);
+    Break {
+        setup: Setup { counts_copies: false, ..Setup::three() },
+        bounds: Bounds { cuts: vec![split(3, &[0])], down_for: vec![0], faulty: vec![1], ..bounds },
+        seen_as: Violation::AcknowledgedLost,
+        ..early_appended()
+    }
+}
+
+/// A view comes into force whose backup has lost the data that it was sent.
+pub fn early_synced() -> Break {
+    Break {
+        fault: Fault::EarlySynced,
+        prefix: prefixes::exchange,
+        setup: Setup::three(),
+        bounds: within(CRASH),
+        seen_as: Violation::TooFewCopies,
+    }
+}
+
+/// The old backup is elected, since the new one has forgotten the view that made it one.
+pub fn forgotten_view() -> Break {
+    Break {
+        fault: Fault::ForgottenView,
+        prefix: prefixes::stale_backup,
+        setup: Setup::three(),
+        bounds: within(CRASH),
+        seen_as: Violation::AcknowledgedLost,
+    }
+}
+
+/// The old backup is elected by a voter whose disk was lost.
+pub fn kept_generation() -> Break {
+    Break {
+        fault: Fault::KeptGeneration,
+        prefix: prefixes::stale_backup,
+        setup: Setup::three(),
+        bounds: within(WIPE),
+        seen_as: Violation::AcknowledgedLost,
+    }
+}
+
+/// A voter starts again, and promises 1 while 0 holds a lease on its earlier word.
+pub fn no_quiet_period() -> Break {
+    Break {
+        fault: Fault::NoQuietPeriod,
+        prefix: prefixes::pair_cut,
+        setup: Setup::three(),
+        bounds: within(CRASH),
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// 1 goes on though 2 has refused because of the lease of 0.
+pub fn refusal_counts_as_promise() -> Break {
+    Break {
+        fault: Fault::RefusalCountsAsPromise,
+        prefix: prefixes::pair_cut,
+        setup: Setup::three(),
+        bounds: within(NOTHING),
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// 0 has lost the view in which 3 takes the place of 2; 1 has it. Each finds a majority of its own.
+pub fn no_previous_voters() -> Break {
+    let bounds = usual(4, Budget { total: 2, crashes: 1, cuts: 1, ..NOTHING }, 1500 * MS);
+    Break {
+        fault: Fault::NoPreviousVoters,
+        prefix: prefixes::voter_exchange,
+        setup: Setup::four(),
+        bounds: Bounds { cuts: vec![split(4, &[0, 2])], down_for: vec![0], faulty: vec![0], ..bounds },
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// One disk is lost, and with it the only copy of an acknowledged order.
+pub fn one_holder() -> Break {
+    Break {
+        fault: Fault::OneHolder,
+        prefix: prefixes::steady,
+        setup: Setup { counts_copies: false, ..Setup::three() },
+        bounds: within(WIPE),
+        seen_as: Violation::NoCopyLeft,
+    }
+}
+
+/// A primary that has paused still takes itself for one.
+pub fn role_instead_of_lease() -> Break {
+    Break {
+        fault: Fault::RoleInsteadOfLease,
+        prefix: prefixes::steady,
+        setup: Setup::three(),
+        bounds: within(PAUSE),
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// A primary acts for longer than the grants last.
+pub fn long_lease() -> Break {
+    Break { fault: Fault::LongLease, ..role_instead_of_lease() }
+}
+
+/// The primary's clock runs at a third of true time, a voter's at three times.
+pub fn wild_clocks() -> Break {
+    Break {
+        fault: Fault::WildClocks,
+        prefix: prefixes::cut_off,
+        setup: Setup { rates: vec![300_000, TRUE_RATE, 3_000_000], ..Setup::three() },
+        bounds: within(NOTHING),
+        seen_as: Violation::TwoLeases,
+    }
+}
+
+/// After a start from its snapshot a member knows no order any more.
+pub fn forgotten_orders() -> Break {
+    Break {
+        fault: Fault::ForgottenOrders,
+        prefix: prefixes::steady,
+        setup: Setup { compact_every: Some(1), ..Setup::three() },
+        bounds: within(POWER_CUT),
+        seen_as: Violation::AcknowledgedLost,
+    }
+}
--- a/crates/tower/tests/support_model/explorer.rs
+++ b/crates/tower/tests/support_model/explorer.rs
@@ -8,6 +8,9 @@
 use super::invariants::Violation;
 use super::world::World;
 
+/// An exploration that takes more has bounds that are too wide.
+const MOST_TRANSITIONS: usize = 100_000_000;
+
 /// What an exploration has met.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -15,14 +18,18 @@
     pub states: usize,
     /// Actions that were taken.
     pub transitions: usize,
+    /// Whether all within the bounds was explored.
+    pub is_complete: bool,
     /// States at which a bound ended the history.
     pub ends: usize,
     /// Most epochs with a primary in one history.
     pub primaries: usize,
     /// Most orders that were acknowledged in one history.
     pub acknowledged: usize,
-    /// The first violation, and the actions that led to it.
-    pub violation: Option<(Violation, Vec<Action>)>,
+    /// The first violation.
+    pub violation: Option<Violation>,
+    /// The steps that led to it, one a line.
+    pub trace: Vec<String>,
     /// Seconds that it took.
     pub seconds: f64,
 }
@@ -55,6 +62,7 @@
     let began = Instant::now();
     let mut outcome = Outcome::default();
     let mut start = start.begin(bounds);
+    let beginning = start.clone();
     let until = start.now + bounds.span;
     // With a shorter history behind it a state has to be gone on from again: more fits within the depth.
     let mut met: HashMap<u64, usize> = HashMap::new();
@@ -64,6 +72,11 @@
     while let Some(branch) = branches.pop() {
         let is_late =
             branch.action == Action::Advance && branch.world.next_due().is_none_or(|(due, _)| due > until);
+        if outcome.transitions >= MOST_TRANSITIONS {
+            outcome.seconds = began.elapsed().as_secs_f64();
+            outcome.states = met.len();
+            return outcome;
+        }
         if is_late || branch.depth >= bounds.depth {
             outcome.ends += 1;
             continue;
@@ -76,7 +89,8 @@
         outcome.primaries = outcome.primaries.max(world.history.primary_count());
         outcome.acknowledged = outcome.acknowledged.max(world.history.acknowledged.len());
         if let Some(violation) = world.history.violation {
-            outcome.violation = Some((violation, Trace::actions(trace.as_ref())));
+            outcome.violation = Some(violation);
+            outcome.trace = describe(beginning, &Trace::actions(trace.as_ref()), bounds);
             break;
         }
         let key = world.key();
@@ -86,11 +100,22 @@
         met.insert(key, depth);
         push_branches(&mut branches, Rc::new(world), trace, depth, bounds);
     }
+    outcome.is_complete = outcome.violation.is_none();
     outcome.states = met.len();
     outcome.seconds = began.elapsed().as_secs_f64();
     outcome
 }
 
+/// Takes the actions again and tells of each.
+fn describe(mut world: World, actions: &[Action], bounds: &Bounds) -> Vec<String> {
+    let mut lines = Vec::new();
+    for action in actions {
+        lines.push(world.describe(action));
+        world.take(*action, bounds);
+    }
+    lines
+}
+
 fn push_branches(
     branches: &mut Vec<Branch>,
     world: Rc<World>,
--- a/crates/tower/tests/support_model/faults.rs
+++ b/crates/tower/tests/support_model/faults.rs
@@ -17,7 +17,7 @@
     EarlySynced,
     /// A member forgets what it has promised when it starts.
     ForgottenPromise,
-    /// A member forgets its view and its promise when it starts.
+    /// A member forgets its view when it starts.
     ForgottenView,
     /// A disk that was wiped keeps its generation.
     KeptGeneration,
@@ -27,12 +27,14 @@
     RefusalCountsAsPromise,
     /// Views don't name the voters before them.
     NoPreviousVoters,
-    /// Only the primary holds the data.
+    /// Members are told to withstand no loss, so one holder is enough for them.
     OneHolder,
     /// The owner acts on its part and doesn't ask for the lease.
     RoleInsteadOfLease,
-    /// The owner asks for the lease with a time that is this old.
-    OldTimeForLease,
+    /// The owner goes on to act as primary for a while after its lease has ended.
+    LongLease,
+    /// Clocks run at speeds far apart; the cluster's setup says how far.
+    WildClocks,
     /// The agreed state is not taken over from snapshots.
     ForgottenOrders,
 }
--- a/crates/tower/tests/support_model/invariants.rs
+++ b/crates/tower/tests/support_model/invariants.rs
@@ -20,7 +20,7 @@
     AcknowledgedLost,
     /// A member that may answer lacks an order that was acknowledged.
     StaleRead,
-    /// An order was acknowledged while fewer disks than f + 1 had it.
+    /// An order was acknowledged while fewer disks than f + 1 had it, less those that were lost.
     TooFewCopies,
     /// An order that was acknowledged is on no disk, though no more than f were lost.
     NoCopyLeft,
--- a/crates/tower/tests/support_model/member.rs
+++ b/crates/tower/tests/support_model/member.rs
@@ -1,7 +1,7 @@
 //! One member: its clock, its disk, and its process.
 
 use std::collections::hash_map::DefaultHasher;
-use std::fmt::{self, Debug, Write};
+use std::fmt::Debug;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -79,16 +79,7 @@
 /// The output of a state machine shows all its fields, so two states with the same number go on alike but
 /// for a chance of about one in 2^64 for each pair.
 pub fn fingerprint(value: &impl Debug) -> u64 {
-    let mut writer = HashWriter(DefaultHasher::new());
-    write!(writer, "{value:?}").expect("a hasher takes all bytes");
-    writer.0.finish()
-}
-
-struct HashWriter(DefaultHasher);
-
-impl Write for HashWriter {
-    fn write_str(&mut self, text: &str) -> fmt::Result {
-        text.as_bytes().hash(&mut self.0);
-        Ok(())
-    }
+    let mut hasher = DefaultHasher::new();
+    format!("{value:?}").hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/tower/tests/support_model/mod.rs
+++ b/crates/tower/tests/support_model/mod.rs
@@ -4,10 +4,12 @@
 //! - [`actions`]: which actions are possible in a state, and the budgets that bound them;
 //! - [`invariants`]: what must hold in every state;
 //! - [`faults`]: promises that are broken on purpose, outside the code under test;
+//! - [`breaks`]: the bounds within which each of them is seen;
 //! - [`explorer`]: depth-first search with de-duplication of states;
 //! - [`prefixes`]: scripted beginnings that lead to states worth exploring.
 
 pub mod actions;
+pub mod breaks;
 pub mod disk;
 pub mod explorer;
 pub mod faults;
--- a/crates/tower/tests/support_model/prefixes.rs
+++ b/crates/tower/tests/support_model/prefixes.rs
@@ -1,9 +1,9 @@
 //! Scripted beginnings.
 
-use intercom::node::NodeId;
+use intercom::control::ControlMessage;
 use tower::replication::Input;
 
-use super::actions::{Action, Bounds, Budget, Ordering, possible};
+use super::actions::{Action, Bounds, Budget, Ordering, pairs, possible, split};
 use super::world::{MS, Setup, World};
 
 /// A script that takes longer has gone wrong.
@@ -19,6 +19,7 @@
         down_for: vec![],
         pauses: vec![],
         cuts: vec![],
+        faulty: vec![],
     }
 }
 
@@ -68,21 +69,106 @@
     world
 }
 
-/// The holders of the newest view at the primary.
-pub fn holders(world: &World) -> Vec<usize> {
+/// The primary was told to end; its release is on its way.
+pub fn leaving(setup: Setup) -> World {
+    let mut world = steady(setup);
     let primary = world.primary().expect("there is a primary");
-    let view = world.replication(primary).view().expect("it has a view");
-    view.holders.iter().map(|holder| index_of(world, *holder)).collect()
+    world.input(primary, Input::Terminate);
+    world
 }
 
-fn index_of(world: &World, node: NodeId) -> usize {
-    world.members.iter().position(|member| member.node == node).expect("the holder is there")
+/// Members 0 and 1 want to be primary at the same time, at the first start, and don't hear each other: their
+/// first messages to 2 are held up.
+pub fn race(setup: Setup) -> World {
+    let mut world = World::new(setup);
+    world.cut(&pairs(2)[0]);
+    let bounds = usual();
+    while world.delayed.len() < 2 {
+        let is_held = world.network.first().is_some_and(|message| {
+            let node = world.members[2].node;
+            message.envelope.to == node && is_prepare(&message.envelope.message)
+        });
+        let action = if is_held { Action::Delay } else { possible(&world, &bounds)[0] };
+        world.take(action, &bounds);
+    }
+    world
 }
 
-/// The primary was told to end and has not handled anything since.
-pub fn leaving(setup: Setup) -> World {
+fn is_prepare(message: &ControlMessage) -> bool {
+    matches!(message, ControlMessage::Prepare { .. })
+}
+
+/// The primary 0 and the backup 1 don't hear each other any more; 2 hears both, so the lease goes on.
+pub fn pair_cut(setup: Setup) -> World {
     let mut world = steady(setup);
-    let primary = world.primary().expect("there is a primary");
-    world.input(primary, Input::Terminate);
+    world.cut(&pairs(2)[0]);
+    world
+}
+
+/// The primary 0 hears nobody any more and isn't heard; its lease runs.
+pub fn cut_off(setup: Setup) -> World {
+    let mut world = steady(setup);
+    let members = world.members.len();
+    world.cut(&split(members, &[0]));
     world
 }
+
+/// Backup 1 was cut off and exchanged for 2, which has acknowledged an order since; then 0 is cut off in its
+/// place, so that the old backup and the new one are among themselves.
+pub fn stale_backup(setup: Setup) -> World {
+    let mut world = steady(setup);
+    let members = world.members.len();
+    world.cut(&split(members, &[1]));
+    run_until(&mut world, |world| is_quiet(world) && has_backup(world, 2));
+    acknowledge_one(&mut world);
+    act(&mut world, Action::Heal);
+    world.cut(&split(members, &[0]));
+    world
+}
+
+fn has_backup(world: &World, member: usize) -> bool {
+    let node = world.members[member].node;
+    let Some(primary) = world.primary() else { return false };
+    world.replication(primary).view().is_some_and(|view| view.holders.get(1) == Some(&node))
+}
+
+/// Backup 1 was cut off and is being exchanged for 2: the state is on its way to it. Then the links are whole.
+pub fn exchange(setup: Setup) -> World {
+    let mut world = steady(setup);
+    let members = world.members.len();
+    world.cut(&split(members, &[1]));
+    run_until(&mut world, |world| sends(world, |message| matches!(message, ControlMessage::Sync { .. })));
+    act(&mut world, Action::Heal);
+    world
+}
+
+/// Voter 2 was cut off and is being exchanged for 3: the new view is on its way to the backup. Then the links
+/// are whole.
+pub fn voter_exchange(setup: Setup) -> World {
+    let mut world = steady(setup);
+    let members = world.members.len();
+    world.cut(&split(members, &[2]));
+    run_until(&mut world, |world| {
+        sends(world, |message| matches!(message, ControlMessage::Install { .. }))
+    });
+    act(&mut world, Action::Heal);
+    world
+}
+
+/// The backup's disk was lost; it has come back as a newcomer, and the primary is about to take it in.
+pub fn newcomer(setup: Setup) -> World {
+    let mut world = steady(setup);
+    world.take(Action::Wipe { member: 1, down_for: 300 * MS }, &usual());
+    let node = world.members[1].node;
+    run_until(&mut world, |world| {
+        sends(
+            world,
+            |message| matches!(message, ControlMessage::Install { view } if view.voters.contains(&node)),
+        )
+    });
+    world
+}
+
+fn sends(world: &World, is_wanted: impl Fn(&ControlMessage) -> bool) -> bool {
+    world.network.iter().any(|message| is_wanted(&message.envelope.message))
+}
--- a/crates/tower/tests/support_model/world.rs
+++ b/crates/tower/tests/support_model/world.rs
@@ -26,12 +26,16 @@
 pub const MS: u64 = 1000;
 /// A clock's nominal speed, in millionths.
 pub const TRUE_RATE: u64 = 1_000_000;
+/// The speed of the slowest clock that the terms are made for.
+pub const SLOWEST_RATE: u64 = 980_000;
+/// The speed of the fastest one.
+pub const FASTEST_RATE: u64 = 1_020_000;
 /// A timer that is due again at once waits this long.
 const SHORTEST_WAIT: u64 = MS / 10;
 /// Generations of disks that were lost are counted from here.
 const FIRST_NEW_GENERATION: u64 = 1001;
-/// For how long an owner that asks with an old time keeps it.
-const OLD_TIME: u64 = 250 * MS;
+/// How much longer than its lease an owner acts as primary with [`Fault::LongLease`].
+const LEASE_EXCESS: u64 = 400 * MS;
 /// Clocks start at this time, so that nothing happens before their zero.
 const CLOCK_START: u64 = 1_000_000_000;
 
@@ -68,6 +72,11 @@
         }
     }
 
+    /// The same, with clocks that run as far off true time as they may.
+    pub fn three_drifting() -> Setup {
+        Setup { rates: vec![SLOWEST_RATE, FASTEST_RATE, FASTEST_RATE], ..Setup::three() }
+    }
+
     /// The same with a machine more.
     pub fn four() -> Setup {
         Setup { rates: vec![TRUE_RATE; 4], ..Setup::three() }
@@ -79,7 +88,8 @@
 pub struct Message {
     /// Tells it from others.
     pub fingerprint: u64,
-    envelope: Rc<Envelope>,
+    /// The message.
+    pub envelope: Rc<Envelope>,
 }
 
 /// A member, and the fingerprint that it had when it was last asked for.
@@ -131,7 +141,7 @@
 impl World {
     /// All machines with empty disks; their processes start at once.
     pub fn new(setup: Setup) -> World {
-        let members = setup.rates.iter().enumerate().map(|(index, rate)| new_member(index, *rate, &setup));
+        let members = setup.rates.iter().enumerate().map(|(index, rate)| new_member(index, *rate));
         let mut world = World {
             now: 0,
             members: members.collect(),
@@ -148,16 +158,32 @@
         for member in 0..world.members.len() {
             let settings = world.settings(member, true);
             world.members[member].change().disk.state.view = settings.first_view();
-            if world.setup.fault == Fault::OneHolder
-                && let Some(view) = &mut world.members[member].change().disk.state.view
-            {
-                view.holders.truncate(1);
-            }
             world.start(member);
         }
         world
     }
 
+    /// What an action would do here, in one line.
+    pub fn describe(&self, action: &Action) -> String {
+        let message = match action {
+            Action::Deliver(index) | Action::Duplicate(index) => self.network.get(*index),
+            Action::Delay => self.network.first(),
+            Action::DeliverDelayed(index) => self.delayed.get(*index),
+            _ => None,
+        };
+        let milliseconds = self.now as f64 / MS as f64;
+        match (action, message, self.next_due()) {
+            (_, Some(message), _) => {
+                let Envelope { from, to, message } = &*message.envelope;
+                format!("{milliseconds:9.3} {action:?}: {from} to {to}: {message:?}")
+            }
+            (Action::Advance, _, Some((due, member))) => {
+                format!("{milliseconds:9.3} Advance to {:.3}: timer of {member}", due as f64 / MS as f64)
+            }
+            _ => format!("{milliseconds:9.3} {action:?}"),
+        }
+    }
+
     /// Takes this state as the beginning of an exploration.
     pub fn begin(mut self, bounds: &Bounds) -> World {
         self.budget = bounds.budget;
@@ -186,8 +212,8 @@
         let Some(process) = &member.process else { return false };
         match self.setup.fault {
             Fault::RoleInsteadOfLease => matches!(process.replication.role(), Role::Primary { .. }),
-            Fault::OldTimeForLease => {
-                process.replication.is_primary(member.clock.local(self.now.saturating_sub(OLD_TIME)))
+            Fault::LongLease => {
+                process.replication.is_primary(member.clock.local(self.now.saturating_sub(LEASE_EXCESS)))
             }
             _ => process.replication.is_primary(member.clock.local(self.now)),
         }
@@ -359,11 +385,7 @@
                     self.apply(member, sequence, &command, proposal);
                 }
                 Output::Restore { sequence, snapshot } => self.restore(member, sequence, &snapshot),
-                Output::RoleChanged(Role::Primary { epoch }) => {
-                    let machine = &self.members[member].member;
-                    let Some(process) = &machine.process else { continue };
-                    self.history.became_primary(machine.node, epoch, &process.state);
-                }
+                Output::RoleChanged(Role::Primary { epoch }) => self.became_primary(member, epoch),
                 Output::ProposalFailed { .. } | Output::RoleChanged(_) => {}
             }
         }
@@ -407,8 +429,28 @@
 
     fn acknowledge(&mut self, order: Order, sequence: u64, epoch: u64, command: &[u8]) {
         self.history.acknowledge(order, sequence, epoch);
-        let copies = self.members.iter().filter(|member| member.disk.stores(sequence, command)).count();
-        if self.setup.counts_copies && copies < self.setup.losses as usize + 1 {
+        let all: Vec<NodeId> = self.members.iter().map(|member| member.node).collect();
+        self.check_copies(&all, sequence, command);
+    }
+
+    /// A view has come into force: each of its holders has all that was acknowledged.
+    fn became_primary(&mut self, member: usize, epoch: u64) {
+        let machine = &self.members[member].member;
+        let Some(process) = &machine.process else { return };
+        self.history.became_primary(machine.node, epoch, &process.state);
+        let holders = process.replication.view().map_or(Vec::new(), |view| view.holders.clone());
+        for acknowledgement in self.history.acknowledged.clone().into_values() {
+            if let Some(command) = self.history.committed.get(&acknowledgement.sequence).cloned() {
+                self.check_copies(&holders, acknowledgement.sequence, &command);
+            }
+        }
+    }
+
+    fn check_copies(&mut self, nodes: &[NodeId], sequence: u64, command: &[u8]) {
+        let stores = |member: &&Slot| nodes.contains(&member.node) && member.disk.stores(sequence, command);
+        let copies = self.members.iter().filter(stores).count();
+        let wanted = (self.setup.losses + 1).saturating_sub(self.wipes) as usize;
+        if self.setup.counts_copies && copies < wanted {
             self.history.report(Violation::TooFewCopies);
         }
     }
@@ -472,11 +514,10 @@
         machine.paused_until = None;
         machine.backlog.clear();
         machine.disk.lose_unsynced(kept);
-        if matches!(fault, Fault::ForgottenPromise | Fault::ForgottenView) {
-            machine.disk.state.promised = 0;
-        }
-        if fault == Fault::ForgottenView {
-            machine.disk.state.view = None;
+        match fault {
+            Fault::ForgottenPromise => machine.disk.state.promised = 0,
+            Fault::ForgottenView => machine.disk.state.view = None,
+            _ => {}
         }
         machine.restart_at = Some(now + down_for);
         if down_for == 0 {
@@ -505,7 +546,7 @@
             node: machine.node,
             zone: format!("zone-{member}"),
             seeds: seeds.map(|seed| NodeId { ip: seed.node.ip, generation: 0 }).collect(),
-            losses: self.setup.losses,
+            losses: if self.setup.fault == Fault::OneHolder { 0 } else { self.setup.losses },
             first_boot,
             seed: self.setup.jitter * 1000 + machine.lives * 10 + member as u64,
         }
@@ -570,7 +611,7 @@
     }
 }
 
-fn new_member(index: usize, rate: u64, _setup: &Setup) -> Slot {
+fn new_member(index: usize, rate: u64) -> Slot {
     let address = Ipv4Addr::new(10, 1, 0, 10 + index as u8);
     let member = Member {
         node: NodeId::new(address, 0),
