Explore the repeat of orders, three faults in a voter's exchange, and five members

An order whose answer is awaited is repeated at every moment beside a crash or a power cut; the real agreed state decides and applies.

--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -11,7 +11,7 @@
 mod support_model;
 
 use rstest::rstest;
-use support_model::actions::{Bounds, Budget, Ordering};
+use support_model::actions::{Bounds, Budget, Ordering, split};
 use support_model::breaks::{self, Break, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::prefixes;
@@ -57,6 +57,7 @@
 #[case::role_instead_of_lease(breaks::role_instead_of_lease())]
 #[case::long_lease(breaks::long_lease())]
 #[case::wild_clocks(breaks::wild_clocks())]
+#[case::repeat_takes_effect(breaks::repeat_takes_effect())]
 #[case::forgotten_orders(breaks::forgotten_orders())]
 fn broken_promise_is_seen(#[case] case: Break) {
     let setup = Setup { fault: case.fault, ..case.setup.clone() };
@@ -76,6 +77,7 @@
 #[case::exchange(prefixes::exchange, Setup::three())]
 #[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
 #[case::leaving(prefixes::leaving, Setup::three())]
+#[case::order_in_flight(prefixes::order_in_flight, Setup::three())]
 #[case::voter_exchange(prefixes::voter_exchange, Setup::four())]
 fn one_deviation(#[case] prefix: Prefix, #[case] setup: Setup) {
     let bounds = usual(setup.rates.len(), Budget::any(1), TAKEOVER_SPAN);
@@ -90,6 +92,16 @@
     explore_all(prefixes::race, Setup::three(), &usual(3, Budget::any(1), RACE_SPAN));
 }
 
+/// An order whose answer is awaited is repeated at every moment, beside a fault.
+#[test]
+fn repeated_order() {
+    let budget = Budget { total: 2, repeats: 1, crashes: 1, power_cuts: 1, ..breaks::NOTHING };
+    let bounds = usual(3, budget, TAKEOVER_SPAN);
+    let bounds = Bounds { down_for: vec![0], ..bounds };
+    let outcome = explore_all(prefixes::order_in_flight, Setup::three(), &bounds);
+    assert!(outcome.acknowledged > 1, "there are orders");
+}
+
 /// Everything in any order, with one fault or order, for a few steps.
 #[rstest]
 #[case::steady(prefixes::steady, Setup::three(), 5)]
@@ -118,6 +130,7 @@
 #[case::exchange(prefixes::exchange, Setup::three())]
 #[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
 #[case::leaving(prefixes::leaving, Setup::three())]
+#[case::order_in_flight(prefixes::order_in_flight, Setup::three())]
 #[case::voter_exchange(prefixes::voter_exchange, Setup::four())]
 #[ignore = "large bounds"]
 fn two_deviations(#[case] prefix: Prefix, #[case] setup: Setup) {
@@ -156,3 +169,30 @@
         explore_all(prefix, setup, &usual(3, Budget::any(1), 2 * TAKEOVER_SPAN));
     }
 }
+
+/// The exchange of a voter may end in two cores; crashes of the two holders, and cuts into any two parts.
+#[test]
+#[ignore = "large bounds"]
+fn three_deviations_in_a_voter_exchange() {
+    let budget = Budget { total: 3, crashes: 2, cuts: 2, heals: 1, ..breaks::NOTHING };
+    let sides: [&[usize]; 7] = [&[0], &[1], &[2], &[3], &[0, 1], &[0, 2], &[0, 3]];
+    let bounds = Bounds {
+        cuts: sides.iter().map(|side| split(4, side)).collect(),
+        down_for: vec![0],
+        faulty: vec![0, 1],
+        ..usual(4, budget, 2 * TAKEOVER_SPAN)
+    };
+    explore_all(prefixes::voter_exchange, Setup::four(), &bounds);
+}
+
+/// f = 2, with one action beside the usual ones.
+#[rstest]
+#[case::steady(prefixes::steady)]
+#[case::cut_off(prefixes::cut_off)]
+#[case::exchange(prefixes::exchange)]
+#[case::newcomer(prefixes::newcomer)]
+#[case::leaving(prefixes::leaving)]
+#[ignore = "large bounds"]
+fn one_deviation_of_five_members(#[case] prefix: Prefix) {
+    explore_all(prefix, Setup::five(), &usual(5, Budget::any(1), 2 * TAKEOVER_SPAN));
+}
--- a/crates/tower/tests/support_model/breaks.rs
+++ b/crates/tower/tests/support_model/breaks.rs
@@ -20,7 +20,8 @@
     pub seen_as: Violation,
 }
 
-const NOTHING: Budget = Budget {
+/// The usual actions only.
+pub const NOTHING: Budget = Budget {
     total: 0,
     delays: 0,
     duplicates: 0,
@@ -209,6 +210,17 @@
     }
 }
 
+/// An order is repeated while its first entry waits for the backup.
+pub fn repeat_takes_effect() -> Break {
+    Break {
+        fault: Fault::RepeatTakesEffect,
+        prefix: prefixes::order_in_flight,
+        setup: Setup::three(),
+        bounds: within(Budget { total: 1, repeats: 1, ..NOTHING }),
+        seen_as: Violation::AppliedTwice,
+    }
+}
+
 /// After a start from its snapshot a member knows no order any more.
 pub fn forgotten_orders() -> Break {
     Break {
--- a/crates/tower/tests/support_model/faults.rs
+++ b/crates/tower/tests/support_model/faults.rs
@@ -35,6 +35,8 @@
     LongLease,
     /// Clocks run at speeds far apart; the cluster's setup says how far.
     WildClocks,
+    /// An entry takes effect though an earlier one of the same order did.
+    RepeatTakesEffect,
     /// The agreed state is not taken over from snapshots.
     ForgottenOrders,
 }
--- a/crates/tower/tests/support_model/orders.rs
+++ b/crates/tower/tests/support_model/orders.rs
@@ -1,4 +1,7 @@
 //! The operator's orders, decided on and applied by the real agreed state.
+//!
+//! All orders name weights of the same model, each with a revision of its own, so an order that newer ones have
+//! overtaken may be refused, unless it took effect before.
 
 use std::sync::Arc;
 
@@ -7,20 +10,31 @@
 /// An order by its number.
 pub type Order = u64;
 
-/// The change behind an order; each order names the weights of a model of its own.
-pub fn change(order: Order) -> Change {
-    Change::NameWeights { model: format!("model-{order}"), revision: order }
+/// The answer to an order.
+pub enum Answer {
+    /// It has taken effect before.
+    Taken,
+    /// It is to be agreed on.
+    Agree(Arc<[u8]>),
+    /// Newer orders have overtaken it.
+    Refused,
 }
 
-/// The command that a state accepts for an order; none if it knows the order already.
-pub fn decide(state: &State, order: Order) -> Option<Arc<[u8]>> {
-    match state.decide(&change(order)) {
-        Decision::Accept(accepted) => Some(accepted.command.clone()),
-        _ => None,
+/// What a state answers to an order.
+pub fn answer(state: &State, order: Order) -> Answer {
+    match state.decide(&Change::NameWeights { model: "model".to_owned(), revision: order }) {
+        Decision::AlreadyTaken => Answer::Taken,
+        Decision::Accept(accepted) => Answer::Agree(accepted.command.clone()),
+        _ => Answer::Refused,
     }
 }
 
 /// Whether a state answers that it has taken the order.
 pub fn is_taken(state: &State, order: Order) -> bool {
-    state.decide(&change(order)) == Decision::AlreadyTaken
+    matches!(answer(state, order), Answer::Taken)
+}
+
+/// Whether a command is the one of an order.
+pub fn is_command_of(command: &[u8], order: Order) -> bool {
+    matches!(answer(&State::default(), order), Answer::Agree(own) if *own == *command)
 }
--- a/crates/tower/tests/support_model/prefixes.rs
+++ b/crates/tower/tests/support_model/prefixes.rs
@@ -69,6 +69,14 @@
     world
 }
 
+/// An order was just given to the primary: it is on no disk yet, and on its way to the backup.
+pub fn order_in_flight(setup: Setup) -> World {
+    let mut world = steady(setup);
+    let primary = world.primary().expect("there is a primary");
+    act(&mut world, Action::Propose(primary));
+    world
+}
+
 /// The primary was told to end; its release is on its way.
 pub fn leaving(setup: Setup) -> World {
     let mut world = steady(setup);
--- a/crates/tower/tests/support_model/world.rs
+++ b/crates/tower/tests/support_model/world.rs
@@ -20,7 +20,7 @@
 use super::faults::Fault;
 use super::invariants::{History, Violation};
 use super::member::{Clock, Member, Process, fingerprint};
-use super::orders::{Order, decide, is_taken};
+use super::orders::{Answer, Order, answer, is_command_of, is_taken};
 
 /// Microseconds in a millisecond.
 pub const MS: u64 = 1000;
@@ -77,10 +77,15 @@
         Setup { rates: vec![SLOWEST_RATE, FASTEST_RATE, FASTEST_RATE], ..Setup::three() }
     }
 
-    /// The same with a machine more.
+    /// Three seeds and a standby.
     pub fn four() -> Setup {
         Setup { rates: vec![TRUE_RATE; 4], ..Setup::three() }
     }
+
+    /// Five seeds; f = 2.
+    pub fn five() -> Setup {
+        Setup { losses: 2, seeds: 5, rates: vec![TRUE_RATE; 5], ..Setup::three() }
+    }
 }
 
 /// A message on its way.
@@ -405,6 +410,8 @@
         self.members[member].change().disk.pending.push_back(Batch { ticket, records });
     }
 
+    /// An entry is applied. Its proposer is told that the order was taken if the state says so now: also when
+    /// an earlier entry of the same order has taken effect before.
     fn apply(&mut self, member: usize, sequence: u64, command: &Arc<[u8]>, proposal: Option<u64>) {
         let machine = self.members[member].change();
         let Some(process) = &mut machine.process else { return };
@@ -413,16 +420,12 @@
         process.sequence = sequence;
         let state = fingerprint(&process.state.snapshot());
         let epoch = process.replication.epoch();
-        let effect = match applied {
-            Applied::Superseded => None,
-            _ => self.history.asked.iter().copied().find(|order| {
-                is_taken(&process.state, *order)
-                    && decide(&State::default(), *order).as_ref() == Some(command)
-            }),
-        };
+        let order = self.history.asked.iter().copied().find(|order| is_command_of(command, *order));
+        let takes_effect = applied != Applied::Superseded || self.setup.fault == Fault::RepeatTakesEffect;
+        let effect = order.filter(|_| takes_effect);
+        let answered = order.filter(|order| proposal.is_some() && is_taken(&process.state, *order));
         self.history.applied(sequence, command, effect, state);
-        if let Some(ticket) = proposal {
-            let order = self.history.asked[ticket as usize];
+        if let Some(order) = answered {
             self.acknowledge(order, sequence, epoch, command);
         }
     }
@@ -497,12 +500,10 @@
         let ticket = self.history.asked.len() as u64;
         self.history.asked.push(order);
         let Some(process) = &self.members[member].process else { return };
-        if let Some(command) = decide(&process.state, order) {
-            self.input(member, Input::Propose { ticket, command });
-        } else {
-            let sequence = process.sequence;
-            let epoch = process.replication.epoch();
-            self.history.acknowledge(order, sequence, epoch);
+        match answer(&process.state, order) {
+            Answer::Agree(command) => self.input(member, Input::Propose { ticket, command }),
+            Answer::Taken => self.history.acknowledge(order, process.sequence, process.replication.epoch()),
+            Answer::Refused => {}
         }
     }
 
