--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -15,7 +15,8 @@
 use support_model::breaks::{self, Break, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::prefixes;
-use support_model::world::{FASTEST_RATE, MS, SLOWEST_RATE, Setup, World};
+use support_model::setup::{FASTEST_RATE, MS, SLOWEST_RATE, Setup, TRUE_RATE};
+use support_model::world::World;
 
 /// A script that leads to a state.
 type Prefix = fn(Setup) -> World;
@@ -64,7 +65,7 @@
     let broken = explore((case.prefix)(setup), &case.bounds);
     println!("{:?}: {:?} after {} states", case.fault, broken.violation, broken.states);
     assert_eq!(broken.violation, Some(case.seen_as));
-    let rates = vec![support_model::world::TRUE_RATE; case.setup.rates.len()];
+    let rates = vec![TRUE_RATE; case.setup.rates.len()];
     explore_all(case.prefix, Setup { rates, ..case.setup }, &case.bounds);
 }
 
--- a/crates/tower/tests/support_model/breaks.rs
+++ b/crates/tower/tests/support_model/breaks.rs
@@ -4,7 +4,8 @@
 use super::faults::Fault;
 use super::invariants::Violation;
 use super::prefixes;
-use super::world::{MS, Setup, TRUE_RATE, World};
+use super::setup::{MS, Setup, TRUE_RATE};
+use super::world::World;
 
 /// A promise that is broken, and the bounds within which it is seen.
 pub struct Break {
--- /dev/null
+++ b/crates/tower/tests/support_model/lives.rs
@@ -0,0 +1,84 @@
+//! How processes start and end, and how disks are lost.
+
+use std::time::Duration;
+
+use intercom::node::NodeId;
+use tower::replication::{DurableState, Input, Replication, ReplicationSettings};
+use tower::state::State;
+
+use super::faults::Fault;
+use super::member::Process;
+use super::world::World;
+
+/// Generations of disks that were lost are counted from here.
+const FIRST_NEW_GENERATION: u64 = 1001;
+/// For how long a voter keeps its word to a primary: the term that a start must wait out.
+const GRANT_TERM: Duration = Duration::from_millis(600);
+
+impl World {
+    /// A process or its power is gone; the first `kept` unsynced records are on the disk.
+    pub(super) fn crash(&mut self, member: usize, kept: usize, down_for: u64) {
+        let now = self.now;
+        let fault = self.setup.fault;
+        let machine = self.members[member].change();
+        machine.process = None;
+        machine.paused_until = None;
+        machine.backlog.clear();
+        machine.disk.lose_unsynced(kept);
+        match fault {
+            Fault::ForgottenPromise => machine.disk.state.promised = 0,
+            Fault::ForgottenView => machine.disk.state.view = None,
+            _ => {}
+        }
+        machine.restart_at = Some(now + down_for);
+        if down_for == 0 {
+            let last_actor = self.last_actor;
+            self.start(member);
+            self.last_actor = last_actor;
+        }
+    }
+
+    /// A disk is lost; the member comes back as a newcomer.
+    pub(super) fn wipe(&mut self, member: usize, down_for: u64) {
+        self.wipes += 1;
+        let generation = FIRST_NEW_GENERATION + u64::from(self.wipes);
+        let keeps_generation = self.setup.fault == Fault::KeptGeneration;
+        self.crash(member, 0, down_for.max(1));
+        let machine = self.members[member].change();
+        machine.disk.state = DurableState::default();
+        if !keeps_generation {
+            machine.node.generation = generation;
+        }
+    }
+
+    /// The settings of a member's process.
+    pub(super) fn settings(&self, member: usize, first_boot: bool) -> ReplicationSettings {
+        let machine = &self.members[member];
+        let seeds = self.members[..self.setup.seeds].iter();
+        ReplicationSettings {
+            node: machine.node,
+            zone: format!("zone-{member}"),
+            seeds: seeds.map(|seed| NodeId { ip: seed.node.ip, generation: 0 }).collect(),
+            losses: if self.setup.fault == Fault::OneHolder { 0 } else { self.setup.losses },
+            first_boot,
+            seed: self.setup.jitter * 1000 + machine.lives * 10 + member as u64,
+        }
+    }
+
+    /// Starts a member's process.
+    pub(super) fn start(&mut self, member: usize) {
+        let settings = self.settings(member, false);
+        let fault = self.setup.fault;
+        let now = self.now;
+        let known: Vec<NodeId> = self.members.iter().map(|other| other.node).collect();
+        let machine = self.members[member].change();
+        let local = machine.clock.local(now);
+        let started = if fault == Fault::NoQuietPeriod { local.saturating_sub(GRANT_TERM) } else { local };
+        let replication = Replication::new(settings, machine.disk.state.clone(), started);
+        machine.lives += 1;
+        machine.restart_at = None;
+        machine.process =
+            Some(Process { replication, state: State::default(), sequence: 0, ticked_at: now });
+        self.input(member, Input::Known(known));
+    }
+}
--- a/crates/tower/tests/support_model/member.rs
+++ b/crates/tower/tests/support_model/member.rs
@@ -3,6 +3,9 @@
 use std::collections::hash_map::DefaultHasher;
 use std::fmt::Debug;
 use std::hash::{Hash, Hasher};
+use std::net::Ipv4Addr;
+use std::ops::Deref;
+use std::rc::Rc;
 use std::time::Duration;
 
 use intercom::node::NodeId;
@@ -10,6 +13,12 @@
 use tower::state::State;
 
 use super::disk::Disk;
+use super::setup::MS;
+
+/// A timer that is due again at once waits this long.
+const SHORTEST_WAIT: u64 = MS / 10;
+/// Clocks show this at the true time 0, in microseconds, so that nothing happens before their zero.
+const CLOCK_START: u64 = 1_000_000_000;
 
 /// A steady clock with a speed of its own.
 #[derive(Clone, Copy, Debug)]
@@ -68,10 +77,70 @@
 }
 
 impl Member {
+    /// A machine with an empty disk.
+    pub fn new(index: usize, rate: u64) -> Member {
+        Member {
+            node: NodeId::new(Ipv4Addr::new(10, 1, 0, 10 + index as u8), 0),
+            clock: Clock { offset: CLOCK_START, rate },
+            disk: Disk::default(),
+            process: None,
+            restart_at: None,
+            paused_until: None,
+            backlog: Vec::new(),
+            lives: 0,
+        }
+    }
+
     /// Whether its process runs and handles inputs.
     pub fn is_running(&self) -> bool {
         self.process.is_some() && self.paused_until.is_none()
     }
+
+    /// When its next timer is due.
+    pub fn due(&self, now: u64) -> Option<u64> {
+        if let Some(restart_at) = self.restart_at {
+            return Some(restart_at.max(now));
+        }
+        let process = self.process.as_ref()?;
+        if let Some(paused_until) = self.paused_until {
+            return Some(paused_until.max(now));
+        }
+        let due = self.clock.when(process.replication.next_deadline());
+        Some(due.max(process.ticked_at + SHORTEST_WAIT).max(now))
+    }
+}
+
+/// A member, and the fingerprint that it had when it was last asked for.
+#[derive(Clone)]
+pub struct Slot {
+    member: Rc<Member>,
+    fingerprint: Option<u64>,
+}
+
+impl Deref for Slot {
+    type Target = Member;
+
+    fn deref(&self) -> &Member {
+        &self.member
+    }
+}
+
+impl Slot {
+    /// A member that is not asked for its fingerprint yet.
+    pub fn new(member: Member) -> Slot {
+        Slot { member: Rc::new(member), fingerprint: None }
+    }
+
+    /// The member's fingerprint.
+    pub fn fingerprint(&mut self) -> u64 {
+        *self.fingerprint.get_or_insert_with(|| fingerprint(&self.member))
+    }
+
+    /// The member, to be changed.
+    pub fn change(&mut self) -> &mut Member {
+        self.fingerprint = None;
+        Rc::make_mut(&mut self.member)
+    }
 }
 
 /// A number that tells apart values with different debug output.
--- a/crates/tower/tests/support_model/mod.rs
+++ b/crates/tower/tests/support_model/mod.rs
@@ -1,6 +1,9 @@
 //! An explorer of all histories of a small cluster of real state machines, within bounds.
 //!
+//! - [`setup`]: what stays the same in all histories;
+//! - [`member`], [`disk`]: one machine;
 //! - [`world`]: one state of the cluster, and what each action does to it;
+//! - [`outputs`], [`lives`], [`orders`]: the parts of it around the members' state machines;
 //! - [`actions`]: which actions are possible in a state, and the budgets that bound them;
 //! - [`invariants`]: what must hold in every state;
 //! - [`faults`]: promises that are broken on purpose, outside the code under test;
@@ -14,7 +17,10 @@
 pub mod explorer;
 pub mod faults;
 pub mod invariants;
+pub mod lives;
 pub mod member;
 pub mod orders;
+pub mod outputs;
 pub mod prefixes;
+pub mod setup;
 pub mod world;
--- /dev/null
+++ b/crates/tower/tests/support_model/outputs.rs
@@ -0,0 +1,152 @@
+//! What the owner of a member does with its outputs, and with the operator's orders.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use intercom::control::Envelope;
+use intercom::node::NodeId;
+use tower::replication::{DurableRecord, Input, Output, Role};
+use tower::state::{Applied, State};
+
+use super::disk::Batch;
+use super::faults::Fault;
+use super::invariants::Violation;
+use super::member::{Slot, fingerprint};
+use super::orders::{Answer, Order, answer, is_command_of, is_taken};
+use super::world::{Message, World};
+
+impl World {
+    /// Carries out a member's outputs in their order.
+    pub(super) fn carry_out(&mut self, member: usize, outputs: Vec<Output>) {
+        let mut early = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Send(envelope) => self.send(envelope),
+                Output::Persist { ticket, records } => {
+                    if self.setup.fault.reports_early(&records) {
+                        early.push(ticket);
+                    }
+                    self.persist(member, ticket, records);
+                }
+                Output::Apply { sequence, command, proposal } => {
+                    self.apply(member, sequence, &command, proposal);
+                }
+                Output::Restore { sequence, snapshot } => self.restore(member, sequence, &snapshot),
+                Output::RoleChanged(Role::Primary { epoch }) => self.became_primary(member, epoch),
+                Output::ProposalFailed { .. } | Output::RoleChanged(_) => {}
+            }
+        }
+        self.compact_if_due(member);
+        for ticket in early {
+            self.input(member, Input::Persisted { ticket });
+        }
+    }
+
+    fn send(&mut self, mut envelope: Envelope) {
+        self.setup.fault.change_message(&mut envelope);
+        let fingerprint = fingerprint(&envelope);
+        self.network.push(Message { fingerprint, envelope: Rc::new(envelope) });
+    }
+
+    fn persist(&mut self, member: usize, ticket: u64, records: Vec<DurableRecord>) {
+        self.members[member].change().disk.pending.push_back(Batch { ticket, records });
+    }
+
+    /// An entry is applied. Its proposer is told that the order was taken if the state says so now: also when
+    /// an earlier entry of the same order has taken effect before.
+    fn apply(&mut self, member: usize, sequence: u64, command: &Arc<[u8]>, proposal: Option<u64>) {
+        let machine = self.members[member].change();
+        let Some(process) = &mut machine.process else { return };
+        assert_eq!(process.sequence + 1, sequence, "entries are applied in order without gaps");
+        let applied = process.state.apply(command).expect("a command that was decided on");
+        process.sequence = sequence;
+        let state = fingerprint(&process.state.snapshot());
+        let epoch = process.replication.epoch();
+        let order = self.history.asked.iter().copied().find(|order| is_command_of(command, *order));
+        let takes_effect = applied != Applied::Superseded || self.setup.fault == Fault::RepeatTakesEffect;
+        let effect = order.filter(|_| takes_effect);
+        let answered = order.filter(|order| proposal.is_some() && is_taken(&process.state, *order));
+        self.history.applied(sequence, command, effect, state);
+        if let Some(order) = answered {
+            self.acknowledge(order, sequence, epoch, command);
+        }
+    }
+
+    fn acknowledge(&mut self, order: Order, sequence: u64, epoch: u64, command: &[u8]) {
+        self.history.acknowledge(order, sequence, epoch);
+        let all: Vec<NodeId> = self.members.iter().map(|member| member.node).collect();
+        self.check_copies(&all, sequence, command);
+    }
+
+    /// A view has come into force: each of its holders has all that was acknowledged.
+    fn became_primary(&mut self, member: usize, epoch: u64) {
+        let machine = &self.members[member];
+        let Some(process) = &machine.process else { return };
+        self.history.became_primary(machine.node, epoch, &process.state);
+        let holders = process.replication.view().map_or(Vec::new(), |view| view.holders.clone());
+        for acknowledgement in self.history.acknowledged.clone().into_values() {
+            if let Some(command) = self.history.committed.get(&acknowledgement.sequence).cloned() {
+                self.check_copies(&holders, acknowledgement.sequence, &command);
+            }
+        }
+    }
+
+    fn check_copies(&mut self, nodes: &[NodeId], sequence: u64, command: &[u8]) {
+        let stores = |member: &&Slot| nodes.contains(&member.node) && member.disk.stores(sequence, command);
+        let copies = self.members.iter().filter(stores).count();
+        let wanted = (self.setup.losses + 1).saturating_sub(self.wipes) as usize;
+        if self.setup.counts_copies && copies < wanted {
+            self.history.report(Violation::TooFewCopies);
+        }
+    }
+
+    fn restore(&mut self, member: usize, sequence: u64, snapshot: &[u8]) {
+        let forgets = self.setup.fault == Fault::ForgottenOrders;
+        let Some(process) = &mut self.members[member].change().process else { return };
+        process.state = if forgets {
+            State::default()
+        } else {
+            State::restore(snapshot).expect("a snapshot that was taken")
+        };
+        process.sequence = sequence;
+        let state = fingerprint(&process.state.snapshot());
+        if !forgets && sequence > 0 {
+            self.history.restored(sequence, state);
+        }
+    }
+
+    fn compact_if_due(&mut self, member: usize) {
+        let Some(every) = self.setup.compact_every else { return };
+        let now = self.now;
+        let machine = self.members[member].change();
+        let Some(process) = &mut machine.process else { return };
+        if process.sequence == 0 || !process.sequence.is_multiple_of(every) {
+            return;
+        }
+        let input =
+            Input::Compact { sequence: process.sequence, snapshot: process.state.snapshot().into() };
+        let mut outputs = Vec::new();
+        process.replication.handle(machine.clock.local(now), input, &mut outputs);
+        if !outputs.is_empty() {
+            self.carry_out(member, outputs);
+        }
+    }
+
+    /// Gives a new order to a member.
+    pub(super) fn propose(&mut self, member: usize) {
+        let newest = self.history.asked.iter().max().copied().unwrap_or(0);
+        self.order(member, newest + 1);
+    }
+
+    /// An operator gives an order: the primary answers it at once if it knows it, else it is agreed on.
+    pub(super) fn order(&mut self, member: usize, order: Order) {
+        let ticket = self.history.asked.len() as u64;
+        self.history.asked.push(order);
+        let Some(process) = &self.members[member].process else { return };
+        match answer(&process.state, order) {
+            Answer::Agree(command) => self.input(member, Input::Propose { ticket, command }),
+            Answer::Taken => self.history.acknowledge(order, process.sequence, process.replication.epoch()),
+            Answer::Refused => {}
+        }
+    }
+}
--- a/crates/tower/tests/support_model/prefixes.rs
+++ b/crates/tower/tests/support_model/prefixes.rs
@@ -4,7 +4,8 @@
 use tower::replication::Input;
 
 use super::actions::{Action, Bounds, Budget, Ordering, pairs, possible, split};
-use super::world::{MS, Setup, World};
+use super::setup::{MS, Setup};
+use super::world::World;
 
 /// A script that takes longer has gone wrong.
 const MOST_STEPS: usize = 20_000;
--- /dev/null
+++ b/crates/tower/tests/support_model/setup.rs
@@ -0,0 +1,61 @@
+//! What stays the same in all histories of an exploration.
+
+use super::faults::Fault;
+
+/// Microseconds in a millisecond.
+pub const MS: u64 = 1000;
+/// A clock's nominal speed, in millionths.
+pub const TRUE_RATE: u64 = 1_000_000;
+/// The speed of the slowest clock that the terms are made for.
+pub const SLOWEST_RATE: u64 = 980_000;
+/// The speed of the fastest one.
+pub const FASTEST_RATE: u64 = 1_020_000;
+
+/// What stays the same in all histories of an exploration.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// f.
+    pub losses: u32,
+    /// Machines that are in the first view.
+    pub seeds: usize,
+    /// Speeds of the machines' clocks; as many machines.
+    pub rates: Vec<u64>,
+    /// Entries between snapshots; none are taken without it.
+    pub compact_every: Option<u64>,
+    /// Whether the copies of acknowledged orders are counted.
+    pub counts_copies: bool,
+    /// Varies the jitter.
+    pub jitter: u64,
+    /// A promise that is broken.
+    pub fault: Fault,
+}
+
+impl Setup {
+    /// Three seeds whose clocks run true; f = 1.
+    pub fn three() -> Setup {
+        Setup {
+            losses: 1,
+            seeds: 3,
+            rates: vec![TRUE_RATE; 3],
+            compact_every: None,
+            counts_copies: true,
+            jitter: 1,
+            fault: Fault::None,
+        }
+    }
+
+    /// The same, with clocks that run as far off true time as they may.
+    pub fn three_drifting() -> Setup {
+        Setup { rates: vec![SLOWEST_RATE, FASTEST_RATE, FASTEST_RATE], ..Setup::three() }
+    }
+
+    /// Three seeds and a standby.
+    pub fn four() -> Setup {
+        Setup { rates: vec![TRUE_RATE; 4], ..Setup::three() }
+    }
+
+    /// Five seeds; f = 2.
+    pub fn five() -> Setup {
+        Setup { losses: 2, seeds: 5, rates: vec![TRUE_RATE; 5], ..Setup::three() }
+    }
+}
