Let the model's messages arrive at any millisecond while a lease runs out

Timers alone were too coarse to see a lease that outlasts the grants by little. While messages are held up, time may go on by a millisecond at a time.

--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -15,7 +15,7 @@
 use support_model::breaks::{self, Break, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::prefixes;
-use support_model::setup::{FASTEST_RATE, MS, SLOWEST_RATE, Setup, TRUE_RATE};
+use support_model::setup::{DRIFT_PERCENT, MS, Setup, drifted};
 use support_model::world::World;
 
 /// A script that leads to a state.
@@ -57,7 +57,7 @@
 #[case::one_holder(breaks::one_holder())]
 #[case::role_instead_of_lease(breaks::role_instead_of_lease())]
 #[case::long_lease(breaks::long_lease())]
-#[case::wild_clocks(breaks::wild_clocks())]
+#[case::too_much_drift(breaks::too_much_drift())]
 #[case::repeat_takes_effect(breaks::repeat_takes_effect())]
 #[case::forgotten_orders(breaks::forgotten_orders())]
 fn broken_promise_is_seen(#[case] case: Break) {
@@ -65,15 +65,14 @@
     let broken = explore((case.prefix)(setup), &case.bounds);
     println!("{:?}: {:?} after {} states", case.fault, broken.violation, broken.states);
     assert_eq!(broken.violation, Some(case.seen_as));
-    let rates = vec![TRUE_RATE; case.setup.rates.len()];
-    explore_all(case.prefix, Setup { rates, ..case.setup }, &case.bounds);
+    explore_all(case.prefix, case.setup, &case.bounds);
 }
 
 /// One action beside the usual ones, at every moment of a takeover.
 #[rstest]
 #[case::steady(prefixes::steady, Setup::three())]
-#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting())]
-#[case::cut_off(prefixes::cut_off, Setup::three_drifting())]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_with_drift(DRIFT_PERCENT))]
+#[case::cut_off(prefixes::cut_off, Setup::three_with_drift(DRIFT_PERCENT))]
 #[case::stale_backup(prefixes::stale_backup, Setup::three())]
 #[case::exchange(prefixes::exchange, Setup::three())]
 #[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
@@ -107,8 +106,8 @@
 #[rstest]
 #[case::steady(prefixes::steady, Setup::three(), 5)]
 #[case::race(prefixes::race, Setup::three(), 4)]
-#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting(), 6)]
-#[case::cut_off(prefixes::cut_off, Setup::three_drifting(), 6)]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_with_drift(DRIFT_PERCENT), 6)]
+#[case::cut_off(prefixes::cut_off, Setup::three_with_drift(DRIFT_PERCENT), 6)]
 #[case::stale_backup(prefixes::stale_backup, Setup::three(), 6)]
 #[case::exchange(prefixes::exchange, Setup::three(), 4)]
 #[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() }, 4)]
@@ -125,8 +124,8 @@
 
 #[rstest]
 #[case::steady(prefixes::steady, Setup::three())]
-#[case::pair_cut(prefixes::pair_cut, Setup::three_drifting())]
-#[case::cut_off(prefixes::cut_off, Setup::three_drifting())]
+#[case::pair_cut(prefixes::pair_cut, Setup::three_with_drift(DRIFT_PERCENT))]
+#[case::cut_off(prefixes::cut_off, Setup::three_with_drift(DRIFT_PERCENT))]
 #[case::stale_backup(prefixes::stale_backup, Setup::three())]
 #[case::exchange(prefixes::exchange, Setup::three())]
 #[case::newcomer(prefixes::newcomer, Setup { compact_every: Some(1), ..Setup::three() })]
@@ -163,9 +162,14 @@
 #[case::newcomer(prefixes::newcomer)]
 #[case::leaving(prefixes::leaving)]
 #[ignore = "large bounds"]
-fn one_deviation_with_each_drift(#[case] prefix: Prefix, #[values(1, 2, 3)] jitter: u64) {
+fn one_deviation_with_each_drift(
+    #[case] prefix: Prefix,
+    #[values(1, 2, 3)] jitter: u64,
+    #[values(DRIFT_PERCENT, 5)] percent: u64,
+) {
+    let (slow, fast) = drifted(percent);
     for assignment in 0..8_u32 {
-        let rate = |member: u32| if assignment >> member & 1 == 0 { SLOWEST_RATE } else { FASTEST_RATE };
+        let rate = |member: u32| if assignment >> member & 1 == 0 { slow } else { fast };
         let setup = Setup { rates: (0..3).map(rate).collect(), jitter, ..Setup::three() };
         explore_all(prefix, setup, &usual(3, Budget::any(1), 2 * TAKEOVER_SPAN));
     }
--- a/crates/tower/tests/support_model/actions.rs
+++ b/crates/tower/tests/support_model/actions.rs
@@ -20,6 +20,8 @@
     SlowDisk(usize),
     /// Time goes on to the next timer, which is handled.
     Advance,
+    /// Time goes on by [`Bounds::wait`], and nothing happens.
+    Wait,
     /// A process or its power is gone; the first `kept` unsynced records are on the disk.
     Crash { member: usize, kept: usize, down_for: u64 },
     /// Power is lost everywhere at once, and all that is unsynced with it.
@@ -104,7 +106,11 @@
 
     fn part(&mut self, action: &Action) -> Option<&mut u8> {
         match action {
-            Action::Deliver(_) | Action::DeliverDelayed(_) | Action::Sync(_) | Action::Advance => None,
+            Action::Deliver(_)
+            | Action::DeliverDelayed(_)
+            | Action::Sync(_)
+            | Action::Advance
+            | Action::Wait => None,
             Action::Delay => Some(&mut self.delays),
             Action::Duplicate(_) => Some(&mut self.duplicates),
             Action::SlowDisk(_) => Some(&mut self.slow_disks),
@@ -153,6 +159,8 @@
     pub down_for: Vec<u64>,
     /// For how long members pause.
     pub pauses: Vec<u64>,
+    /// While messages are held up, time may go on in steps of this, so that they arrive between timers too.
+    pub wait: Option<u64>,
     /// Sets of links that may be cut together.
     pub cuts: Vec<Links>,
     /// Members that crash, lose their disk, pause or are told to end.
@@ -188,7 +196,7 @@
 /// All actions that are possible in a state within the bounds; the usual one comes first.
 pub fn possible(world: &World, bounds: &Bounds) -> Vec<Action> {
     let mut actions = match bounds.ordering {
-        Ordering::Usual => usual_step(world),
+        Ordering::Usual => usual_step(world, bounds),
         Ordering::Any => any_steps(world),
     };
     actions.extend((0..world.delayed.len()).map(Action::DeliverDelayed));
@@ -210,7 +218,7 @@
     actions
 }
 
-fn usual_step(world: &World) -> Vec<Action> {
+fn usual_step(world: &World, bounds: &Bounds) -> Vec<Action> {
     let syncing = world
         .members
         .iter()
@@ -221,7 +229,10 @@
     if !world.network.is_empty() {
         return vec![Action::Deliver(0), Action::Delay, Action::Duplicate(0)];
     }
-    vec![Action::Advance]
+    let may_wait = bounds.wait.is_some_and(|wait| {
+        !world.delayed.is_empty() && world.next_due().is_some_and(|(due, _)| due > world.now + wait)
+    });
+    if may_wait { vec![Action::Advance, Action::Wait] } else { vec![Action::Advance] }
 }
 
 fn any_steps(world: &World) -> Vec<Action> {
--- a/crates/tower/tests/support_model/breaks.rs
+++ b/crates/tower/tests/support_model/breaks.rs
@@ -4,7 +4,7 @@
 use super::faults::Fault;
 use super::invariants::Violation;
 use super::prefixes;
-use super::setup::{MS, Setup, TRUE_RATE};
+use super::setup::{MS, Setup};
 use super::world::World;
 
 /// A promise that is broken, and the bounds within which it is seen.
@@ -51,6 +51,7 @@
         depth: usize::MAX,
         down_for: vec![0, 900 * MS],
         pauses: vec![1500 * MS],
+        wait: None,
         cuts: [isolations(members), pairs(members)].concat(),
         faulty: (0..members).collect(),
     }
@@ -195,22 +196,27 @@
     }
 }
 
-/// A primary acts for longer than the grants last.
-pub fn long_lease() -> Break {
-    Break { fault: Fault::LongLease, ..role_instead_of_lease() }
+/// The message that asks for a promise arrives at any millisecond.
+fn any_millisecond() -> Bounds {
+    Bounds { wait: Some(MS), ..usual(3, NOTHING, 700 * MS) }
 }
 
-/// The primary's clock runs at a third of true time, a voter's at three times.
-pub fn wild_clocks() -> Break {
+/// A primary acts for a little longer than the grants last.
+pub fn long_lease() -> Break {
     Break {
-        fault: Fault::WildClocks,
-        prefix: prefixes::cut_off,
-        setup: Setup { rates: vec![300_000, TRUE_RATE, 3_000_000], ..Setup::three() },
-        bounds: within(NOTHING),
+        fault: Fault::LongLease,
+        prefix: prefixes::expiring_lease,
+        setup: Setup::three_with_drift(2),
+        bounds: any_millisecond(),
         seen_as: Violation::TwoLeases,
     }
 }
 
+/// Clocks run 6% off true time; the terms bear 5%.
+pub fn too_much_drift() -> Break {
+    Break { fault: Fault::Drift, setup: Setup::three_with_drift(5), ..long_lease() }
+}
+
 /// An order is repeated while its first entry waits for the backup.
 pub fn repeat_takes_effect() -> Break {
     Break {
--- a/crates/tower/tests/support_model/faults.rs
+++ b/crates/tower/tests/support_model/faults.rs
@@ -33,8 +33,8 @@
     RoleInsteadOfLease,
     /// The owner goes on to act as primary for a while after its lease has ended.
     LongLease,
-    /// Clocks run at speeds far apart; the cluster's setup says how far.
-    WildClocks,
+    /// Clocks run further off true time than the terms bear.
+    Drift,
     /// An entry takes effect though an earlier one of the same order did.
     RepeatTakesEffect,
     /// The agreed state is not taken over from snapshots.
--- a/crates/tower/tests/support_model/prefixes.rs
+++ b/crates/tower/tests/support_model/prefixes.rs
@@ -19,6 +19,7 @@
         depth: usize::MAX,
         down_for: vec![],
         pauses: vec![],
+        wait: None,
         cuts: vec![],
         faulty: vec![],
     }
@@ -91,16 +92,32 @@
 pub fn race(setup: Setup) -> World {
     let mut world = World::new(setup);
     world.cut(&pairs(2)[0]);
+    hold_prepares(&mut world, 2);
+    world
+}
+
+/// The lease of 0 runs out while 1 wants to be primary: 1 has not heard 0 for longer than 2 has, and its message
+/// to 2 is held up.
+pub fn expiring_lease(setup: Setup) -> World {
+    let mut world = pair_cut(setup);
+    hold_prepares(&mut world, 1);
+    let members = world.members.len();
+    world.cut(&split(members, &[0]));
+    world
+}
+
+/// Takes usual steps, but holds up messages that ask 2 for a promise, until there are as many.
+fn hold_prepares(world: &mut World, count: usize) {
     let bounds = usual();
-    while world.delayed.len() < 2 {
-        let is_held = world.network.first().is_some_and(|message| {
-            let node = world.members[2].node;
-            message.envelope.to == node && is_prepare(&message.envelope.message)
-        });
-        let action = if is_held { Action::Delay } else { possible(&world, &bounds)[0] };
+    let node = world.members[2].node;
+    while world.delayed.len() < count {
+        let is_held = world
+            .network
+            .first()
+            .is_some_and(|message| message.envelope.to == node && is_prepare(&message.envelope.message));
+        let action = if is_held { Action::Delay } else { possible(world, &bounds)[0] };
         world.take(action, &bounds);
     }
-    world
 }
 
 fn is_prepare(message: &ControlMessage) -> bool {
--- a/crates/tower/tests/support_model/setup.rs
+++ b/crates/tower/tests/support_model/setup.rs
@@ -6,10 +6,14 @@
 pub const MS: u64 = 1000;
 /// A clock's nominal speed, in millionths.
 pub const TRUE_RATE: u64 = 1_000_000;
-/// The speed of the slowest clock that the terms are made for.
-pub const SLOWEST_RATE: u64 = 980_000;
-/// The speed of the fastest one.
-pub const FASTEST_RATE: u64 = 1_020_000;
+/// How far clocks may be off true time, in parts of a hundred.
+pub const DRIFT_PERCENT: u64 = 2;
+
+/// The speeds of the slowest and the fastest clock.
+pub fn drifted(percent: u64) -> (u64, u64) {
+    let difference = TRUE_RATE / 100 * percent;
+    (TRUE_RATE - difference, TRUE_RATE + difference)
+}
 
 /// What stays the same in all histories of an exploration.
 #[derive(Clone, Debug)]
@@ -44,9 +48,11 @@
         }
     }
 
-    /// The same, with clocks that run as far off true time as they may.
-    pub fn three_drifting() -> Setup {
-        Setup { rates: vec![SLOWEST_RATE, FASTEST_RATE, FASTEST_RATE], ..Setup::three() }
+    /// The same, with the slowest clock at the primary and the fastest ones at the others: so many parts of a
+    /// hundred off true time.
+    pub fn three_with_drift(percent: u64) -> Setup {
+        let (slow, fast) = drifted(percent);
+        Setup { rates: vec![slow, fast, fast], ..Setup::three() }
     }
 
     /// Three seeds and a standby.
--- a/crates/tower/tests/support_model/world.rs
+++ b/crates/tower/tests/support_model/world.rs
@@ -15,8 +15,10 @@
 use super::member::{Member, Slot};
 use super::setup::{MS, Setup};
 
+/// How far clocks are off true time with [`Fault::Drift`], in parts of a hundred.
+const UNBEARABLE_DRIFT_PERCENT: u64 = 6;
 /// How much longer than its lease an owner acts as primary with [`Fault::LongLease`].
-const LEASE_EXCESS: u64 = 400 * MS;
+const LEASE_EXCESS: u64 = 45 * MS;
 
 /// A message on its way.
 #[derive(Clone, Debug)]
@@ -56,7 +58,10 @@
 
 impl World {
     /// All machines with empty disks; their processes start at once.
-    pub fn new(setup: Setup) -> World {
+    pub fn new(mut setup: Setup) -> World {
+        if setup.fault == Fault::Drift {
+            setup.rates = Setup::three_with_drift(UNBEARABLE_DRIFT_PERCENT).rates;
+        }
         let members =
             setup.rates.iter().enumerate().map(|(index, rate)| Slot::new(Member::new(index, *rate)));
         let mut world = World {
@@ -186,6 +191,10 @@
             Action::Sync(member) => self.sync(member),
             Action::SlowDisk(member) => self.members[member].change().disk.is_slow = true,
             Action::Advance => self.advance(),
+            Action::Wait => {
+                self.now += bounds.wait.unwrap_or(0);
+                self.last_actor = None;
+            }
             Action::Crash { member, kept, down_for } => self.crash(member, kept, down_for),
             Action::PowerCut => (0..self.members.len()).for_each(|member| self.crash(member, 0, 0)),
             Action::Wipe { member, down_for } => self.wipe(member, down_for),
