--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -138,6 +138,22 @@
     explore_all(prefix, setup, &bounds);
 }
 
+#[test]
+#[ignore = "large bounds"]
+fn two_deviations_in_a_race() {
+    explore_all(prefixes::race, Setup::three(), &usual(3, Budget::any(2), RACE_SPAN));
+}
+
+/// The message that asks for a promise arrives at every tenth millisecond, beside one action.
+#[rstest]
+#[case::slow_primary(Setup::three_with_drift(DRIFT_PERCENT))]
+#[case::true_clocks(Setup::three())]
+#[ignore = "large bounds"]
+fn one_deviation_while_a_lease_expires(#[case] setup: Setup) {
+    let bounds = usual(3, Budget::any(1), TAKEOVER_SPAN);
+    explore_all(prefixes::expiring_lease, setup, &Bounds { wait: Some(10 * MS), ..bounds });
+}
+
 #[rstest]
 #[case::steady(prefixes::steady, 8)]
 #[case::race(prefixes::race, 8)]
@@ -147,6 +163,7 @@
 #[case::exchange(prefixes::exchange, 8)]
 #[case::newcomer(prefixes::newcomer, 8)]
 #[case::leaving(prefixes::leaving, 8)]
+#[case::order_in_flight(prefixes::order_in_flight, 7)]
 #[ignore = "large bounds"]
 fn any_order_for_longer(#[case] prefix: Prefix, #[case] depth: usize) {
     explore_any_order(prefix, Setup::three(), depth);
