--- a/crates/tower/src/replication/campaign.rs
+++ b/crates/tower/src/replication/campaign.rs
@@ -30,7 +30,7 @@
 }
 
 /// A running change of the view.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) epoch: u64,
     pub(super) base: View,
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -29,7 +29,7 @@
 const RESENT_BYTES: usize = 256 * 1024;
 
 /// A proposal that waits for the end of a view change.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WaitingProposal {
     ticket: u64,
     command: Arc<[u8]>,
@@ -44,7 +44,7 @@
 }
 
 /// What a member knows while it is primary.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Leadership {
     /// The view in force that it leads.
     pub(super) view: View,
--- a/crates/tower/src/replication/progress.rs
+++ b/crates/tower/src/replication/progress.rs
@@ -18,7 +18,7 @@
 }
 
 /// How far all holders have.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Progress {
     /// The newest entry that was sent to the holders.
     newest: u64,
--- a/crates/tower/src/replication/sync.rs
+++ b/crates/tower/src/replication/sync.rs
@@ -22,7 +22,7 @@
 use super::transfer::{EncodedData, OutgoingTransfer, PART_BYTES, Part, Received, TransferData};
 
 /// How far the future holders are.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct SyncPhase {
     /// The epoch of the data before the attempt.
     data_epoch: u64,
--- a/crates/tower/src/replication/transfer.rs
+++ b/crates/tower/src/replication/transfer.rs
@@ -187,7 +187,7 @@
 }
 
 /// What a member has received of the data that is sent to it. Nothing of it is on disk.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct IncomingTransfer {
     id: TransferId,
     bytes: Vec<u8>,
--- /dev/null
+++ b/crates/tower/tests/support_model/member.rs
@@ -0,0 +1,154 @@
+//! One member: its clock, its disk, and its process.
+
+use std::collections::hash_map::DefaultHasher;
+use std::fmt::Debug;
+use std::hash::{Hash, Hasher};
+use std::net::Ipv4Addr;
+use std::ops::Deref;
+use std::rc::Rc;
+use std::time::Duration;
+
+use intercom::node::NodeId;
+use tower::replication::{Input, Replication};
+use tower::state::State;
+
+use super::disk::Disk;
+use super::setup::MS;
+
+/// A timer that is due again at once waits this long.
+const SHORTEST_WAIT: u64 = MS / 10;
+/// Clocks show this at the true time 0, in microseconds, so that nothing happens before their zero.
+const CLOCK_START: u64 = 1_000_000_000;
+
+/// A steady clock with a speed of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    /// What it shows at the true time 0, in microseconds.
+    pub offset: u64,
+    /// Its speed in millionths.
+    pub rate: u64,
+}
+
+impl Clock {
+    /// What it shows at a true time.
+    pub fn local(&self, now: u64) -> Duration {
+        Duration::from_micros(self.offset + now * self.rate / 1_000_000)
+    }
+
+    /// The first true time at which it shows this.
+    pub fn when(&self, local: Duration) -> u64 {
+        let micros = (local.as_micros() as u64).saturating_sub(self.offset);
+        (micros * 1_000_000).div_ceil(self.rate)
+    }
+}
+
+/// A running process.
+#[derive(Clone, Debug)]
+pub struct Process {
+    /// The state machine under test.
+    pub replication: Replication,
+    /// The agreed state.
+    pub state: State,
+    /// The newest entry in it.
+    pub sequence: u64,
+    /// When it was last handed a tick.
+    pub ticked_at: u64,
+}
+
+/// One member.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its address, and the generation of its present disk.
+    pub node: NodeId,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its disk.
+    pub disk: Disk,
+    /// Its process, while one runs.
+    pub process: Option<Process>,
+    /// When its process starts again.
+    pub restart_at: Option<u64>,
+    /// It handles nothing before this time.
+    pub paused_until: Option<u64>,
+    /// What came while it was paused.
+    pub backlog: Vec<Input>,
+    /// Processes so far.
+    pub lives: u64,
+}
+
+impl Member {
+    /// A machine with an empty disk.
+    pub fn new(index: usize, rate: u64) -> Member {
+        Member {
+            node: NodeId::new(Ipv4Addr::new(10, 1, 0, 10 + index as u8), 0),
+            clock: Clock { offset: CLOCK_START, rate },
+            disk: Disk::default(),
+            process: None,
+            restart_at: None,
+            paused_until: None,
+            backlog: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// Whether its process runs and handles inputs.
+    pub fn is_running(&self) -> bool {
+        self.process.is_some() && self.paused_until.is_none()
+    }
+
+    /// When its next timer is due.
+    pub fn due(&self, now: u64) -> Option<u64> {
+        if let Some(restart_at) = self.restart_at {
+            return Some(restart_at.max(now));
+        }
+        let process = self.process.as_ref()?;
+        if let Some(paused_until) = self.paused_until {
+            return Some(paused_until.max(now));
+        }
+        let due = self.clock.when(process.replication.next_deadline());
+        Some(due.max(process.ticked_at + SHORTEST_WAIT).max(now))
+    }
+}
+
+/// A member, and the fingerprint that it had when it was last asked for.
+#[derive(Clone)]
+pub struct Slot {
+    member: Rc<Member>,
+    fingerprint: Option<u64>,
+}
+
+impl Deref for Slot {
+    type Target = Member;
+
+    fn deref(&self) -> &Member {
+        &self.member
+    }
+}
+
+impl Slot {
+    /// A member that is not asked for its fingerprint yet.
+    pub fn new(member: Member) -> Slot {
+        Slot { member: Rc::new(member), fingerprint: None }
+    }
+
+    /// The member's fingerprint.
+    pub fn fingerprint(&mut self) -> u64 {
+        *self.fingerprint.get_or_insert_with(|| fingerprint(&self.member))
+    }
+
+    /// The member, to be changed.
+    pub fn change(&mut self) -> &mut Member {
+        self.fingerprint = None;
+        Rc::make_mut(&mut self.member)
+    }
+}
+
+/// A number that tells apart values with different debug output.
+///
+/// The output of a state machine shows all its fields, so two states with the same number go on alike but
+/// for a chance of about one in 2^64 for each pair.
+pub fn fingerprint(value: &impl Debug) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    format!("{value:?}").hash(&mut hasher);
+    hasher.finish()
+}
