Explore whole takeovers and exchanges of members with their messages in any order

Short histories in any order did not reach the end of a takeover. They now begin when its first messages are on their way, with crashes at any moment.

--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -12,7 +12,7 @@
 
 use rstest::rstest;
 use support_model::actions::{Bounds, Budget, Ordering, split};
-use support_model::breaks::{self, Break, usual};
+use support_model::breaks::{self, Break, CRASH, NOTHING, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::prefixes;
 use support_model::setup::{DRIFT_PERCENT, MS, Setup, drifted};
@@ -23,6 +23,8 @@
 
 /// Long enough for a takeover.
 const TAKEOVER_SPAN: u64 = 800 * MS;
+/// Long enough for the messages of a change of the view.
+const CHANGE_SPAN: u64 = 100 * MS;
 /// Long enough for both candidates of the race to be done.
 const RACE_SPAN: u64 = 20 * MS;
 
@@ -95,7 +97,7 @@
 /// An order whose answer is awaited is repeated at every moment, beside a fault.
 #[test]
 fn repeated_order() {
-    let budget = Budget { total: 2, repeats: 1, crashes: 1, power_cuts: 1, ..breaks::NOTHING };
+    let budget = Budget { total: 2, repeats: 1, crashes: 1, power_cuts: 1, ..NOTHING };
     let bounds = usual(3, budget, TAKEOVER_SPAN);
     let bounds = Bounds { down_for: vec![0], ..bounds };
     let outcome = explore_all(prefixes::order_in_flight, Setup::three(), &bounds);
@@ -196,7 +198,7 @@
 #[test]
 #[ignore = "large bounds"]
 fn three_deviations_in_a_voter_exchange() {
-    let budget = Budget { total: 3, crashes: 2, cuts: 2, heals: 1, ..breaks::NOTHING };
+    let budget = Budget { total: 3, crashes: 2, cuts: 2, heals: 1, ..NOTHING };
     let sides: [&[usize]; 7] = [&[0], &[1], &[2], &[3], &[0, 1], &[0, 2], &[0, 3]];
     let bounds = Bounds {
         cuts: sides.iter().map(|side| split(4, side)).collect(),
@@ -218,3 +220,50 @@
 fn one_deviation_of_five_members(#[case] prefix: Prefix) {
     explore_all(prefix, Setup::five(), &usual(5, Budget::any(1), 2 * TAKEOVER_SPAN));
 }
+
+/// A takeover or an exchange of members with its messages in any order, to its end, and a crash at any moment.
+#[rstest]
+#[case::takeover(prefixes::takeover, Setup::three(), CRASH, 15)]
+#[case::exchange(prefixes::exchange, Setup::three(), NOTHING, 24)]
+#[case::newcomer(prefixes::newcomer, Setup::three(), NOTHING, 20)]
+fn change_in_any_order(
+    #[case] prefix: Prefix,
+    #[case] setup: Setup,
+    #[case] budget: Budget,
+    #[case] depth: usize,
+) {
+    explore_change(prefix, setup, budget, depth);
+}
+
+#[rstest]
+#[case::takeover(prefixes::takeover, Setup::three(), Budget::any(1), 18)]
+#[case::takeover_two_crashes(prefixes::takeover, Setup::three(), Budget { total: 2, crashes: 2, ..NOTHING }, 20)]
+#[case::exchange(prefixes::exchange, Setup::three(), CRASH, 20)]
+#[case::newcomer(prefixes::newcomer, Setup::three(), CRASH, 14)]
+#[case::voter_exchange(prefixes::voter_exchange, Setup::four(), CRASH, 14)]
+#[ignore = "large bounds"]
+fn change_in_any_order_with_faults(
+    #[case] prefix: Prefix,
+    #[case] setup: Setup,
+    #[case] budget: Budget,
+    #[case] depth: usize,
+) {
+    explore_change(prefix, setup, budget, depth);
+}
+
+fn explore_change(prefix: Prefix, setup: Setup, budget: Budget, depth: usize) {
+    let bounds = usual(setup.rates.len(), budget, CHANGE_SPAN);
+    explore_all(prefix, setup, &Bounds { ordering: Ordering::Any, depth, down_for: vec![0], ..bounds });
+}
+
+/// A takeover, and the exchange of members, with three messages held up or repeated, and a crash.
+#[rstest]
+#[case::takeover(prefixes::takeover, Setup::three())]
+#[case::exchange(prefixes::exchange, Setup::three())]
+#[case::voter_exchange(prefixes::voter_exchange, Setup::four())]
+#[ignore = "large bounds"]
+fn three_deviations_in_the_network(#[case] prefix: Prefix, #[case] setup: Setup) {
+    let budget = Budget { total: 3, delays: 3, duplicates: 1, crashes: 1, ..NOTHING };
+    let bounds = usual(setup.rates.len(), budget, CHANGE_SPAN);
+    explore_all(prefix, setup, &Bounds { down_for: vec![0], ..bounds });
+}
--- a/crates/tower/tests/support_model/breaks.rs
+++ b/crates/tower/tests/support_model/breaks.rs
@@ -37,7 +37,8 @@
     repeats: 0,
     terminations: 0,
 };
-const CRASH: Budget = Budget { total: 1, crashes: 1, ..NOTHING };
+/// One crash beside them.
+pub const CRASH: Budget = Budget { total: 1, crashes: 1, ..NOTHING };
 const WIPE: Budget = Budget { total: 1, wipes: 1, ..NOTHING };
 const PAUSE: Budget = Budget { total: 1, pauses: 1, ..NOTHING };
 const POWER_CUT: Budget = Budget { total: 1, power_cuts: 1, ..NOTHING };
--- a/crates/tower/tests/support_model/prefixes.rs
+++ b/crates/tower/tests/support_model/prefixes.rs
@@ -139,6 +139,15 @@
     world
 }
 
+/// The primary 0 was cut off for so long that 1 begins to take over; its first messages are on their way, and
+/// the links are whole again.
+pub fn takeover(setup: Setup) -> World {
+    let mut world = cut_off(setup);
+    run_until(&mut world, |world| sends(world, is_prepare));
+    act(&mut world, Action::Heal);
+    world
+}
+
 /// Backup 1 was cut off and exchanged for 2, which has acknowledged an order since; then 0 is cut off in its
 /// place, so that the old backup and the new one are among themselves.
 pub fn stale_backup(setup: Setup) -> World {
