Let the resend timer rest while the view changes

With an entry that a backup has not stored, the primary's resend time was part of its next deadline, but was not moved on while a view change was running or pending: the deadline stayed in the past, and the owner's loop turned without rest until the change was over. The explorer found it as a history without an end (two deviations in the exchange of a backup: its disk hangs during the sync, and an order is given).

The time is moved on now, and the entries still wait for the change. The new test, with both backups' disks hanging, used up its 500 steps at a true time of 2,156 ms before, and passes after.

--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -340,10 +340,13 @@
         let is_changing = self.attempt.is_some() || self.is_change_pending();
         let newest = self.state.data.sequence;
         let Some(leadership) = &mut self.leadership else { return };
-        if is_changing || now < leadership.resend_at {
+        if now < leadership.resend_at {
             return;
         }
         leadership.resend_at = now + RESEND_INTERVAL;
+        if is_changing {
+            return;
+        }
         let epoch = leadership.view.epoch;
         let lagging: Vec<(NodeId, u64)> = leadership
             .progress
--- a/crates/tower/tests/model.rs
+++ b/crates/tower/tests/model.rs
@@ -23,7 +23,7 @@
 
 use intercom::node::NodeId;
 use rstest::rstest;
-use support_model::actions::{Bounds, Budget, Ordering, split};
+use support_model::actions::{Action, Bounds, Budget, Ordering, possible, split};
 use support_model::breaks::{self, Break, CRASH, NOTHING, usual};
 use support_model::explorer::{Outcome, explore};
 use support_model::invariants::{History, Violation};
@@ -137,6 +137,27 @@
     explore_all(prefixes::race, Setup::three(), &usual(3, Budget::any(1), RACE_SPAN));
 }
 
+/// An entry waits for a backup while the view changes: the primary's timer must not be due again at once.
+///
+/// Found as a history without an end: the new backup's disk hangs during its sync, and an order is given.
+#[test]
+fn timers_rest_while_an_entry_waits_for_a_view_change() {
+    const MOST_STEPS: usize = 500;
+    let bounds = prefixes::usual();
+    let mut world = prefixes::order_in_flight(Setup::three());
+    let primary = world.primary().expect("there is a primary");
+    for backup in (0..3).filter(|member| *member != primary) {
+        world.take(Action::SlowDisk(backup), &bounds);
+    }
+    let until = world.now + 3 * TAKEOVER_SPAN;
+    let mut steps = 0;
+    while world.now < until && steps <= MOST_STEPS {
+        world.take(possible(&world, &bounds)[0], &bounds);
+        steps += 1;
+    }
+    assert!(steps <= MOST_STEPS, "only {} ms have passed", world.now / MS);
+}
+
 /// An order whose answer is awaited is repeated at every moment, beside a fault.
 #[test]
 fn repeated_order() {
