Judge a long write by its bytes, so that a slow disk is not taken for a hung one

Cause: a write that had not returned within 1 s showed a hung disk, whatever its length. With a disk at 1/30 of its speed an entry of 1.3 MB behind a compaction comes to 0.97 s by the model of the tests: a member close to being exchanged for another one as slow. Change: a write has 1 s beside the time that its bytes, and those before it, take at 4 MiB/s. Short writes are judged as before.

--- a/crates/tower/src/member/disk_watch.rs
+++ b/crates/tower/src/member/disk_watch.rs
@@ -3,7 +3,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// A write that takes longer shows that the disk is in trouble.
+use crate::replication::longest_write;
+
+/// A write that takes longer, beside the time that its bytes and those before it take, shows that the disk is in
+/// trouble.
 const WRITE_BOUND: Duration = Duration::from_secs(1);
 
 /// Writes that the disk has not finished.
@@ -17,7 +20,9 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingWrite {
     ticket: u64,
-    since: Duration,
+    bytes: u64,
+    /// When it has to be finished.
+    due: Duration,
 }
 
 impl Default for DiskWatch {
@@ -27,9 +32,11 @@
 }
 
 impl DiskWatch {
-    /// A write was handed to the disk.
-    pub fn handed_over(&mut self, ticket: u64, now: Duration) {
-        self.pending.push_back(PendingWrite { ticket, since: now });
+    /// A write of so many bytes was handed to the disk.
+    pub fn handed_over(&mut self, ticket: u64, bytes: u64, now: Duration) {
+        let waiting: u64 = self.pending.iter().map(|write| write.bytes).sum();
+        let due = now + WRITE_BOUND + longest_write(waiting + bytes);
+        self.pending.push_back(PendingWrite { ticket, bytes, due });
     }
 
     /// Writes up to a ticket are on disk.
@@ -45,8 +52,7 @@
 
     /// Whether the disk is healthy, if that is another answer than the last one.
     pub fn news(&mut self, now: Duration) -> Option<bool> {
-        let stalled =
-            self.pending.front().is_some_and(|write| now.saturating_sub(write.since) >= WRITE_BOUND);
+        let stalled = self.pending.front().is_some_and(|write| now >= write.due);
         let healthy = !stalled && !self.refusing;
         (std::mem::replace(&mut self.reported_healthy, healthy) != healthy).then_some(healthy)
     }
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -23,7 +23,7 @@
 use crate::duty::{Duty, DutyHolder};
 use crate::links::Links;
 use crate::machine::{Machine, Progress, Published};
-use crate::replication::{Input, Output, Replication, Role};
+use crate::replication::{DurableRecord, Input, Output, Replication, Role};
 
 use disk_watch::DiskWatch;
 pub use proposals::ProposalEnd;
@@ -272,7 +272,8 @@
         match output {
             Output::Send(envelope) => self.links.send(envelope),
             Output::Persist { ticket, records } => {
-                self.disk_watch.borrow_mut().handed_over(ticket, clock::now());
+                let bytes = records.iter().map(DurableRecord::payload_bytes).sum();
+                self.disk_watch.borrow_mut().handed_over(ticket, bytes, clock::now());
                 self.disk.persist(ticket, records);
             }
             Output::Apply { sequence, command, proposal } => {
--- a/crates/tower/src/replication/durable.rs
+++ b/crates/tower/src/replication/durable.rs
@@ -65,6 +65,21 @@
     },
 }
 
+impl DurableRecord {
+    /// Bytes of the commands and the snapshot in it.
+    pub fn payload_bytes(&self) -> u64 {
+        let bytes = match self {
+            DurableRecord::Promised(_) | DurableRecord::View(_) | DurableRecord::DataEpoch(_) => 0,
+            DurableRecord::Entry(entry) => entry.command.len(),
+            DurableRecord::Snapshot { snapshot, .. } => snapshot.len(),
+            DurableRecord::Reset { snapshot, entries, .. } => {
+                snapshot.len() + entries.iter().map(|entry| entry.command.len()).sum::<usize>()
+            }
+        };
+        bytes as u64
+    }
+}
+
 impl DurableState {
     /// Carries out a change. Records read back in their order give the state that was written.
     pub fn apply(&mut self, record: &DurableRecord) {
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -29,4 +29,4 @@
 pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
 pub use machine::Replication;
-pub use settings::ReplicationSettings;
+pub use settings::{ReplicationSettings, longest_write};
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -58,8 +58,8 @@
     Duration::from_millis(bytes * 1000 / SLOWEST_LINK)
 }
 
-/// How long the slowest disk takes for so many bytes.
-pub(super) fn longest_write(bytes: u64) -> Duration {
+/// How long the slowest disk that is waited for takes for so many bytes.
+pub fn longest_write(bytes: u64) -> Duration {
     Duration::from_millis(bytes * 1000 / SLOWEST_DISK)
 }
 
