Give a proposal a certain answer when a view change takes too long

Cause: a proposal made during a view change waited as long as that took; the operator's interface gave up after 5 s in doubt (504) while the change could still come into force much later. Change: after 4.5 s such a proposal, which was never replicated, fails as not taken (503). A member forgets what it was sent of other data once a view is installed at it.

--- a/crates/tower/src/replication/follower.rs
+++ b/crates/tower/src/replication/follower.rs
@@ -65,6 +65,7 @@
             self.promise(epoch);
             self.promised_to = Some(from);
         }
+        self.incoming.clear();
         self.learn(now, &view);
         if self.view_recorded < Some(epoch) {
             self.record_view(&view);
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -14,7 +14,7 @@
 use super::quorum::has_quorum;
 use super::settings::{
     BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
-    NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
+    LONGEST_PROPOSAL_WAIT, NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
 };
 
 /// Heartbeats whose answers still count.
@@ -33,6 +33,7 @@
 struct WaitingProposal {
     ticket: u64,
     command: Arc<[u8]>,
+    since: Duration,
 }
 
 /// What a member knows while it is primary.
@@ -200,6 +201,7 @@
             return;
         }
         self.send_heartbeats_if_due(now);
+        self.give_up_waiting_proposals(now);
         self.resend_entries_if_due(now);
         self.exchange_members_if_needed(now);
     }
@@ -262,7 +264,7 @@
         let is_changing = self.attempt.is_some() || self.is_change_pending();
         match &mut self.leadership {
             Some(leadership) if is_changing => {
-                leadership.waiting.push_back(WaitingProposal { ticket, command });
+                leadership.waiting.push_back(WaitingProposal { ticket, command, since: now });
             }
             Some(_) => self.append(now, ticket, command),
             None => {
@@ -271,6 +273,18 @@
         }
     }
 
+    /// A view change takes too long for those who wait. Their commands were never replicated, so they get a certain
+    /// answer before they would give up by themselves without one.
+    fn give_up_waiting_proposals(&mut self, now: Duration) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let is_late =
+            |waiting: &mut WaitingProposal| now.saturating_sub(waiting.since) >= LONGEST_PROPOSAL_WAIT;
+        while let Some(waiting) = leadership.waiting.pop_front_if(is_late) {
+            let reason = FailureReason::NotTaken;
+            self.out.push(Output::ProposalFailed { proposal: waiting.ticket, reason });
+        }
+    }
+
     /// The own promise is above the view that it leads: nothing is stored until the view is changed.
     fn is_change_pending(&self) -> bool {
         self.leadership.as_ref().is_some_and(|own| own.view.epoch < self.state.promised)
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -24,6 +24,8 @@
 pub(super) const SYNC_RESEND_INTERVAL: Duration = Duration::from_millis(300);
 /// The longest such time.
 pub(super) const LONGEST_SYNC_RESEND: Duration = Duration::from_millis(2400);
+/// A proposal waits no longer for the end of a view change. The operator's interface gives up after 5 s.
+pub(super) const LONGEST_PROPOSAL_WAIT: Duration = Duration::from_millis(4500);
 /// The slowest link, in bytes a second, whose time for a long entry is waited for: about 8 Mbit/s.
 const SLOWEST_LINK: u64 = 1 << 20;
 /// The slowest disk, in bytes a second, whose time for a long entry, or for the whole data, is waited for.
--- a/crates/tower/tests/rated_cluster/mod.rs
+++ b/crates/tower/tests/rated_cluster/mod.rs
@@ -524,6 +524,11 @@
         member.node.generation += 1000;
     }
 
+    /// All connections begin anew: what waits on them does not hold up what is sent from now on.
+    pub fn reconnect(&mut self) {
+        self.link_free_at.clear();
+    }
+
     /// Cuts a member off, or ends that.
     pub fn isolate(&mut self, index: usize, is_cut: bool) {
         for other in 0..self.members.len() {
--- a/crates/tower/tests/replication_sync.rs
+++ b/crates/tower/tests/replication_sync.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use support::checker::Violation;
 use tower::replication::transfer::{EncodedData, Part};
-use tower::replication::{DataMark, DurableState};
+use tower::replication::{DataMark, DurableState, FailureReason};
 
 /// How much slower a slow disk is.
 const SLOWDOWN: u32 = 30;
@@ -322,6 +322,28 @@
     assert_holds(&cluster);
 }
 
+/// No new backup can be brought up to date within a long time: who proposes meanwhile gets a certain answer in time.
+#[test]
+fn a_proposal_does_not_wait_for_ever_for_a_view_change() {
+    let mut cluster = with_configuration();
+    cluster.link_speed = 20_000;
+    let backup = cluster.holders()[1];
+    cluster.kill(backup);
+    cluster.traffic.clear();
+    assert!(cluster.run_while_not(seconds(5), |cluster| cluster.sent("sync").messages > 0));
+    let primary = cluster.primary().expect("it stays");
+    let begin = cluster.now;
+    let ticket = cluster.propose(primary, SHORT);
+    assert!(cluster.run_while_not(seconds(5), |cluster| cluster.ends.contains_key(&ticket)));
+    println!("given up after {:?}", cluster.now - begin);
+    assert_eq!(cluster.ends[&ticket], End::Failed(FailureReason::NotTaken));
+    cluster.link_speed = FAST_LINK;
+    cluster.reconnect();
+    let waited = cluster.acknowledge(SHORT, seconds(20)).expect("it goes on");
+    println!("then {waited:?}");
+    assert_holds(&cluster);
+}
+
 /// Entries of together more than a frame takes, as long as no snapshot was made.
 #[test]
 fn data_longer_than_a_frame_is_transferred() {
