--- a/crates/tower/src/state_log.rs
+++ b/crates/tower/src/state_log.rs
@@ -1,10 +1,11 @@
 //! The member's state as a log on disk: a record for each change, and the whole state in their place when they have
 //! become many.
 //!
-//! On disk are at most [`LOG_BYTES`] of records and what was appended at once after them, and two times the state:
-//! the snapshot before and the one that is being written. While snapshots are refused by a full disk, records go on
-//! until they are refused too, which is less than one snapshot later; each append tries again, also one that is
-//! refused, since a snapshot may still find room where a long record does not.
+//! On disk are at most [`LOG_BYTES`] of records and what was appended at once after them, and two times the state with
+//! the entries that are not in its snapshot yet: the snapshot before and the one that is being written. While
+//! snapshots are refused by a full disk, records go on until they are refused too, which is less than one snapshot
+//! later; each append tries again, also one that is refused, since a snapshot may still find room where a long record
+//! does not.
 
 use std::mem;
 
