--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -25,7 +25,7 @@
 use crate::duty::{Duty, DutyHolder};
 use crate::links::Links;
 use crate::machine::{Machine, Progress, Published};
-use crate::replication::{Departure, Input, Output, Replication, Role};
+use crate::replication::{Departure, DurableRecord, Input, Output, Replication, Role};
 use crate::state::{Change, Decision};
 
 use compaction::AppliedSinceSnapshot;
@@ -277,7 +277,8 @@
         match output {
             Output::Send(envelope) => self.links.send(envelope),
             Output::Persist { ticket, records } => {
-                self.disk_watch.borrow_mut().handed_over(ticket, clock::now());
+                let bytes = records.iter().map(DurableRecord::payload_bytes).sum();
+                self.disk_watch.borrow_mut().handed_over(ticket, bytes, clock::now());
                 self.disk.persist(ticket, records);
             }
             Output::Apply { sequence, command, proposal } => {
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -31,4 +31,4 @@
 pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
 pub use machine::Replication;
-pub use settings::ReplicationSettings;
+pub use settings::{ReplicationSettings, longest_write};
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -26,6 +26,8 @@
 pub(super) const SYNC_RESEND_INTERVAL: Duration = Duration::from_millis(300);
 /// The longest such time.
 pub(super) const LONGEST_SYNC_RESEND: Duration = Duration::from_millis(2400);
+/// A proposal waits no longer for the end of a view change. The operator's interface gives up after 5 s.
+pub(super) const LONGEST_PROPOSAL_WAIT: Duration = Duration::from_millis(4500);
 /// The slowest link, in bytes a second, whose time for a long entry is waited for: about 8 Mbit/s.
 const SLOWEST_LINK: u64 = 1 << 20;
 /// The slowest disk, in bytes a second, whose time for a long entry, or for the whole data, is waited for.
@@ -62,8 +64,8 @@
     Duration::from_millis(bytes * 1000 / SLOWEST_LINK)
 }
 
-/// How long the slowest disk takes for so many bytes.
-pub(super) fn longest_write(bytes: u64) -> Duration {
+/// How long the slowest disk that is waited for takes for so many bytes.
+pub fn longest_write(bytes: u64) -> Duration {
     Duration::from_millis(bytes * 1000 / SLOWEST_DISK)
 }
 
