--- a/crates/tower/tests/support/history/any.rs
+++ b/crates/tower/tests/support/history/any.rs
@@ -13,7 +13,7 @@
 pub(super) fn any_trouble(simulation: &mut Simulation, script: &mut Rng) {
     let index = target(simulation, script);
     let span = script.u64(50..3000) * MS;
-    match script.u64(0..16) {
+    match script.u64(0..17) {
         0 => simulation.kill(index, span),
         1 => simulation.cut_power(index, span),
         2 => simulation.freeze(index, span),
@@ -32,6 +32,7 @@
         12 => simulation.machines[index].disk.slow_until = simulation.now + 2 * span,
         13 => simulation.cut_power_after_writes(index, script.u32(1..=MOST_WRITES_BEFORE_POWER_CUT), span),
         14 => cut_all_power_after_writes(simulation, script),
+        15 => pause_several(simulation, script),
         _ => simulation.cuts.clear(),
     }
 }
@@ -48,6 +49,14 @@
     }
 }
 
+fn pause_several(simulation: &mut Simulation, script: &mut Rng) {
+    for index in living(simulation) {
+        if chance(script, 500) {
+            simulation.freeze(index, script.u64(50..2000) * MS);
+        }
+    }
+}
+
 /// Each machine loses power between two writes of its own.
 fn cut_all_power_after_writes(simulation: &mut Simulation, script: &mut Rng) {
     for index in living(simulation) {
--- a/crates/tower/tests/support/history/counted.rs
+++ b/crates/tower/tests/support/history/counted.rs
@@ -21,7 +21,7 @@
     }
     let lost_until = simulation.now + span + LOST_AFTER_RETURN;
     simulation.machines[index].lost_until = lost_until;
-    match script.u64(0..7) {
+    match script.u64(0..10) {
         0 | 1 => simulation.wipe(index, span),
         2 | 3 => {
             let replacement = simulation.replace(index, span);
@@ -29,6 +29,9 @@
         }
         4 => simulation.freeze(index, span),
         5 => simulation.kill(index, span),
+        6 => replace_as_planned(simulation, script, index),
+        7 => simulation.fill_disk(index, span),
+        8 => simulation.machines[index].disk.slow_until = simulation.now + span,
         _ => {
             simulation.isolate(index, chance(script, 700), true);
             simulation.run_for(span);
@@ -37,3 +40,12 @@
         }
     }
 }
+
+/// Another machine starts first; then this one is asked to end.
+fn replace_as_planned(simulation: &mut Simulation, script: &mut Rng, index: usize) {
+    let generation = simulation.random.u64(..) | 1;
+    simulation.add_machine(generation, simulation.now);
+    simulation.run_for(script.u64(0..2000) * MS);
+    simulation.terminate_for_good(index, 0);
+    simulation.machines[index].lost_until = simulation.now + LOST_AFTER_RETURN;
+}
--- a/crates/tower/tests/support/history/mod.rs
+++ b/crates/tower/tests/support/history/mod.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 
 use super::checker::Violation;
-use super::operator::script::{send_calls_for_a_while, send_last_calls};
+use super::operator::script::{send_calls_for_a_while, send_last_calls, send_random_call};
 use super::random::{chance, pick};
 use super::simulation::{MS, Network, SECOND, Shape, Simulation};
 
@@ -146,7 +146,10 @@
             if number == trouble_at {
                 step(simulation, script, Trouble::DisksStay);
             }
-            propose_somewhere(simulation, script);
+            match load {
+                Load::Proposals => propose_somewhere(simulation, script),
+                Load::Operators => send_random_call(simulation, script),
+            }
             simulation.run_for(script.u64(1..20) * MS);
         }
         put_load(simulation, script, load);
