--- a/crates/tower/tests/replication_directed.rs
+++ b/crates/tower/tests/replication_directed.rs
@@ -25,8 +25,7 @@
 
 fn voters_of(simulation: &Simulation) -> Vec<NodeId> {
     let primary = simulation.primary().expect("there is a primary");
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    process.replication.view().expect("it has a view").voters.clone()
+    simulation.view_at(primary).expect("it has a view").voters.clone()
 }
 
 #[test]
@@ -175,13 +174,8 @@
 fn backup_whose_disk_hangs_is_exchanged() {
     let mut simulation = started(1, 3, 4, 3);
     let primary = simulation.acknowledge_one();
-    let view = simulation.machines[primary]
-        .process
-        .as_ref()
-        .and_then(|process| process.replication.view().cloned());
-    let backup = view.expect("it has a view").holders[1];
-    let index = simulation.machines.iter().position(|machine| machine.node == backup).expect("it exists");
-    simulation.machines[index].disk.stalled_until = simulation.now + 20 * SECOND;
+    let backup = simulation.holders()[1];
+    simulation.machines[backup].disk.stalled_until = simulation.now + 20 * SECOND;
     assert_goes_on(&mut simulation);
     assert_eq!(simulation.primary(), Some(primary), "the primary stays");
 }
--- a/crates/tower/tests/replication_faults.rs
+++ b/crates/tower/tests/replication_faults.rs
@@ -61,10 +61,7 @@
     let mut simulation = Simulation::new(seed, Shape { losses: 1, seeds: 3, machines: 3, fault });
     let primary = simulation.acknowledge_one();
     simulation.end_first_boot();
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let backup_node = process.replication.view().expect("it has a view").holders[1];
-    let is_backup = |index: &usize| simulation.machines[*index].node == backup_node;
-    let backup = (0..3).find(is_backup).expect("it is a machine");
+    let backup = simulation.holders()[1];
     let third = 3 - primary - backup;
     simulation.cuts.insert((primary, backup));
     simulation.cuts.insert((backup, primary));
@@ -102,14 +99,25 @@
     assert!(unexplained.is_some(), "{fault:?} has to show");
 }
 
+#[test]
+fn snapshots_without_the_state_are_seen() {
+    let shape = Shape { losses: 1, seeds: 3, machines: 3, fault: Fault::EmptySnapshots };
+    let violations = (0..HISTORIES)
+        .filter_map(|seed| play_with(seed, shape, Trouble::DisksStay, Load::Operators).violation);
+    let seen = violations
+        .into_iter()
+        .find(|violation| matches!(violation, Violation::StatesDiffer | Violation::Unexplained { .. }));
+    println!("{seen:?}");
+    assert!(seen.is_some());
+}
+
 /// The primary is left with standbys only, and the other voters go on without it.
 fn primary_among_standbys(fault: Fault) -> Option<Violation> {
     let mut simulation = Simulation::new(4, Shape { losses: 1, seeds: 3, machines: 5, fault });
     let primary = simulation.acknowledge_one();
     simulation.end_first_boot();
     simulation.run_for(3 * SECOND);
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let voters = process.replication.view().expect("it has a view").voters.clone();
+    let voters = simulation.view_at(primary).expect("it has a view").voters.clone();
     let is_other_voter =
         |index: &usize| *index != primary && voters.contains(&simulation.machines[*index].node);
     let others: Vec<usize> = (0..5).filter(is_other_voter).collect();
@@ -130,14 +138,11 @@
 fn both_holders_leave(hands_over: bool, seed: u64) -> bool {
     let shape = Shape { losses: 1, seeds: 3, machines: 5, fault: Fault::None };
     let mut simulation = Simulation::new(seed, shape);
-    let primary = simulation.acknowledge_one();
+    simulation.acknowledge_one();
     simulation.end_first_boot();
     simulation.run_for(3 * SECOND);
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let holders = process.replication.view().expect("it has a view").holders.clone();
-    for holder in holders {
-        let index = simulation.machines.iter().position(|machine| machine.node == holder);
-        simulation.terminate_for_good(index.expect("it is a machine"), 0);
+    for holder in simulation.holders() {
+        simulation.terminate_for_good(holder, 0);
         if hands_over {
             let is_handed_over =
                 |simulation: &Simulation| simulation.leaving_count() == 0 && simulation.is_view_settled();
--- a/crates/tower/tests/replication_repeats.rs
+++ b/crates/tower/tests/replication_repeats.rs
@@ -27,10 +27,7 @@
     let primary = simulation.acknowledge_one();
     simulation.end_first_boot();
     simulation.run_for(SECOND);
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let backup_node = process.replication.view().expect("it has a view").holders[1];
-    let is_backup = |index: &usize| simulation.machines[*index].node == backup_node;
-    let backup = (0..3).find(is_backup).expect("it is a machine");
+    let backup = simulation.holders()[1];
     simulation.kill(3 - primary - backup, 20 * SECOND);
     simulation.machines[backup].disk.stalled_until = simulation.now + BACKUP_STALLS_FOR;
     simulation.submit(primary, call);
--- a/crates/tower/tests/support/checker.rs
+++ b/crates/tower/tests/support/checker.rs
@@ -19,6 +19,8 @@
     TwoLeases { first: NodeId, second: NodeId },
     /// Two members are primary of the same epoch.
     SharedEpoch { epoch: u64 },
+    /// Members that applied the same commands have different states.
+    StatesDiffer,
     /// After a member left, no view without it came into force in time.
     ViewNotSettled,
     /// No order of the operators' calls explains their answers.
--- a/crates/tower/tests/support/history/mod.rs
+++ b/crates/tower/tests/support/history/mod.rs
@@ -185,6 +185,9 @@
     if !(is_live && is_answered) {
         simulation.checker.violation.get_or_insert(Violation::NoProgress);
     }
+    if !simulation.states_agree() {
+        simulation.checker.violation.get_or_insert(Violation::StatesDiffer);
+    }
     if let Some(object) = simulation.operators.unexplained() {
         simulation.checker.violation.get_or_insert(Violation::Unexplained { object });
     }
--- a/crates/tower/tests/support/payload.rs
+++ b/crates/tower/tests/support/payload.rs
@@ -47,6 +47,11 @@
         Some(self.state.apply(command).expect("an agreed command can be applied"))
     }
 
+    /// The same without the agreed state.
+    pub fn without_agreed_state(&self) -> AppliedState {
+        AppliedState { numbers: self.numbers.clone(), state: State::default() }
+    }
+
     /// The snapshot's bytes.
     pub fn encode(&self) -> Arc<[u8]> {
         let count = self.numbers.len() as u64;
--- a/crates/tower/tests/support/simulation/mod.rs
+++ b/crates/tower/tests/support/simulation/mod.rs
@@ -6,6 +6,7 @@
 mod proposals;
 mod shape;
 mod trouble;
+mod views;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -27,6 +28,9 @@
 pub const MS: u64 = 1000;
 /// Microseconds in a second.
 pub const SECOND: u64 = 1_000_000;
+/// Applied commands between compactions.
+const FEWEST_BETWEEN_COMPACTIONS: usize = 2;
+const MOST_BETWEEN_COMPACTIONS: usize = 16;
 /// A write that waits longer makes the disk unhealthy.
 const DISK_BOUND: u64 = SECOND;
 
@@ -67,6 +71,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
     /// Calls of the operators.
     pub operators: Operators,
+    /// Applied commands between compactions.
+    compact_every: usize,
     pub(in crate::support) shape: Shape,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -80,9 +86,12 @@
 impl Simulation {
     /// A cluster whose machines start within 0.3 s, in any order.
     pub fn new(seed: u64, shape: Shape) -> Self {
+        let mut random = Rng::with_seed(seed);
+        let compact_every = random.usize(FEWEST_BETWEEN_COMPACTIONS..=MOST_BETWEEN_COMPACTIONS);
         let mut simulation = Simulation {
             now: 0,
-            random: Rng::with_seed(seed),
+            random,
+            compact_every,
             machines: Vec::new(),
             checker: Checker::default(),
             network: Network::default(),
@@ -205,26 +214,4 @@
             None => self.input(index, Input::Persisted { ticket }),
         }
     }
-
-    /// Whether there is a primary whose view has only running members, is settled, and is known to its voters.
-    pub fn is_view_settled(&self) -> bool {
-        let Some(primary) = self.primary() else { return false };
-        let view_at = |machine: &Machine| {
-            let process = machine.process.as_ref().filter(|_| machine.frozen_until <= self.now);
-            process.and_then(|process| process.replication.view().cloned())
-        };
-        let Some(view) = view_at(&self.machines[primary]) else { return false };
-        let knows_view = |voter: &NodeId| {
-            let machine = self.machines.iter().find(|machine| machine.node == *voter);
-            machine.and_then(view_at).as_ref() == Some(&view)
-        };
-        view.previous_voters.is_empty() && view.voters.iter().all(knows_view)
-    }
-
-    /// The machine that is primary by its own word.
-    pub fn primary(&self) -> Option<usize> {
-        self.machines
-            .iter()
-            .position(|machine| machine.is_running(self.now) && machine.lease_valid(self.now))
-    }
 }
--- a/crates/tower/tests/support/simulation/outputs.rs
+++ b/crates/tower/tests/support/simulation/outputs.rs
@@ -6,9 +6,6 @@
 use super::{DISK_BOUND, Event, Fault, MS, Simulation};
 use crate::support::payload::{AppliedState, NumberedCommand};
 
-/// Applied commands between compactions.
-const COMPACT_EVERY: usize = 16;
-
 impl Simulation {
     /// Hands an input to a process, now or when it is thawed.
     pub fn input(&mut self, index: usize, input: Input) {
@@ -121,8 +118,12 @@
         let local = self.machines[index].clock.local(self.now);
         let Some(process) = &mut self.machines[index].process else { return };
         let length = process.applied.numbers.len();
-        if length > 0 && length.is_multiple_of(COMPACT_EVERY) {
-            let input = Input::Compact { sequence: length as u64, snapshot: process.applied.encode() };
+        if length > 0 && length.is_multiple_of(self.compact_every) {
+            let snapshot = match self.shape.fault {
+                Fault::EmptySnapshots => process.applied.without_agreed_state().encode(),
+                _ => process.applied.encode(),
+            };
+            let input = Input::Compact { sequence: length as u64, snapshot };
             let mut out = Vec::new();
             process.replication.handle(local, input, &mut out);
             let writes: Vec<Output> = out;
--- a/crates/tower/tests/support/simulation/shape.rs
+++ b/crates/tower/tests/support/simulation/shape.rs
@@ -18,6 +18,8 @@
     EarlyBackupSync,
     /// A standby answers in the place of a voter that is cut off.
     StandbyVotes,
+    /// Snapshots do not hold the agreed state.
+    EmptySnapshots,
     /// A member that was primary answers operators without a lease.
     IgnoredLease,
     /// A change that was taken before is refused.
