--- a/crates/kiosk/src/placement.rs
+++ b/crates/kiosk/src/placement/mod.rs
@@ -1,6 +1,11 @@
 //! Which replica each request goes to: the decision modules of all services, with their timers, and the orders
 //! that they give for each request. The time is handed in.
 
+pub mod budget;
+pub mod held;
+pub mod prompt;
+pub mod urgency;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
@@ -13,7 +18,8 @@
 };
 use timetable::{Configuration, Route, RouteKind};
 
-use crate::prompt::Prompt;
+use crate::placement::prompt::Prompt;
+use crate::replica::outcome::RequestKind;
 
 /// Attempts of a request at the most; a route may allow fewer.
 const MAX_ATTEMPTS: u32 = 3;
@@ -337,11 +343,7 @@
 
 /// What may be repeated of a route's requests, as far as the module is concerned.
 pub fn effect_of(route: &Route) -> Effect {
-    match route.kind {
-        RouteKind::Harmless => Effect::Safe,
-        RouteKind::Stream if route.resumable => Effect::Safe,
-        RouteKind::Stream | RouteKind::Risky => Effect::Unsafe,
-    }
+    if RequestKind::of(route).is_repeatable() { Effect::Safe } else { Effect::Unsafe }
 }
 
 fn class_of(route: &Route) -> Class {
--- a/crates/timetable/tests/common/mod.rs
+++ b/crates/timetable/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use serde_json::{Value, json};
+use timetable::{AcceptedChange, ConfigurationState, Decision};
 
 /// A valid configuration: two routes, two services and a store, two tenants, and fields that the system
 /// doesn't know.
@@ -57,3 +58,43 @@
 pub fn body(value: &Value) -> Vec<u8> {
     serde_json::to_vec(value).expect("a value can be written")
 }
+
+/// Routes of the large configuration.
+const LARGE_ROUTES: usize = 5_300;
+
+/// A valid configuration of about 1.3 MB at revision 1.
+pub fn large_configuration() -> Value {
+    let routes: Vec<Value> = (0..LARGE_ROUTES).map(|number| large_route(number, "shop.example")).collect();
+    let services: Vec<Value> = (0..100)
+        .map(|number| json!({"label": format!("service-{number}"), "checkPath": "/health"}))
+        .collect();
+    json!({"revision": 1, "routes": routes, "backends": services})
+}
+
+/// A route of the large configuration.
+pub fn large_route(number: usize, host: &str) -> Value {
+    json!({
+        "label": format!("route-{number}"), "hostname": host, "pathStart": format!("/part/{number}/"),
+        "sort": "harmless", "timeLimitMs": 30_000, "targetMs": 2_000, "rank": 1, "tries": 2, "public": false,
+        "shares": [
+            {"backend": format!("service-{}", number % 100), "share": 90},
+            {"backend": format!("service-{}", (number + 1) % 100), "share": 10}
+        ]
+    })
+}
+
+/// The change of a call that must be accepted.
+pub fn accepted(decision: Decision) -> AcceptedChange {
+    match decision {
+        Decision::Accept(change) => *change,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// A state whose first configuration is this one.
+pub fn state_with(document: &Value) -> ConfigurationState {
+    let mut state = ConfigurationState::default();
+    let change = accepted(state.decide_put(None, &body(document)));
+    state.apply_accepted(change).expect("it is the first");
+    state
+}
--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -3,23 +3,18 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use intercom::node::NodeId;
-use jetway::within;
 
 use crate::api::{ChangeOutcome, ControlPlane, Standing, Status};
-use crate::change_step::ChangeStep;
+use crate::change::{self, ChangeAuthority};
 use crate::delivery::Delivery;
 use crate::duty::DutyHolder;
-use crate::member::{Member, ProposalEnd};
+use crate::member::Member;
 use crate::replication::Role;
 use crate::state::Change;
 
-/// A change that is not agreed on in this time is left to the caller, who sends it again.
-pub const AGREEMENT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// The duties of a primary.
 const DUTIES: [&str; 3] = ["discovery", "index", "rollout"];
 
@@ -48,37 +43,20 @@
     /// Carries out changes for ever.
     pub async fn run(self: Rc<Self>) {
         while let Ok(Request { change, reply }) = self.queue.recv().await {
-            let outcome = self.carry_out(change).await;
+            let outcome = change::carry_out(&*self.member, change).await;
             let _ = reply.try_send(outcome);
         }
     }
-
-    async fn carry_out(&self, change: Change) -> ChangeOutcome {
-        let mut step = ChangeStep::first(self.member.is_primary());
-        loop {
-            step = match step {
-                ChangeStep::Decide => {
-                    let decision = self.member.machine().decide(change.clone()).await;
-                    ChangeStep::after_decision(decision, self.member.is_primary())
-                }
-                ChangeStep::Propose(accepted) => {
-                    let end = within(AGREEMENT_TIMEOUT, self.member.propose(accepted.command)).await;
-                    ChangeStep::after_proposal(end.unwrap_or(ProposalEnd::Unknown))
-                }
-                ChangeStep::Answer(outcome) => return outcome,
-            };
-        }
-    }
 }
 
 impl ControlPlane for OperatorView {
     fn standing(&self) -> Standing {
-        if self.member.is_primary() {
-            return Standing::Primary;
+        if let Some(tenure) = self.member.tenure() {
+            return Standing::Primary { tenure };
         }
-        match self.member.known_primary() {
-            Some(primary) if primary != self.node => Standing::Follower { primary: primary.address() },
-            _ => Standing::Unknown,
+        match self.member.redirect_target() {
+            Some(primary) => Standing::Follower { primary: primary.address() },
+            None => Standing::Unknown,
         }
     }
 
--- a/crates/tower/src/lib.rs
+++ b/crates/tower/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod accept;
 pub mod api;
-pub mod change_step;
+pub mod change;
 pub mod control_plane;
 pub mod delivery;
 pub mod discovery;
@@ -18,3 +18,4 @@
 pub mod rollout;
 pub mod server;
 pub mod state;
+pub mod state_log;
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! One member of the control plane: feeds the agreement with messages, writes and the time, and carries out what
 //! it says.
 
+pub mod compaction;
 pub mod disk_watch;
 pub mod proposals;
 
@@ -18,21 +19,22 @@
 use intercom::node::NodeId;
 use station::clock;
 
+use crate::change::ChangeAuthority;
 use crate::delivery::Authority;
 use crate::disk::{Disk, DiskEvent};
 use crate::duty::{Duty, DutyHolder};
 use crate::links::Links;
 use crate::machine::{Machine, Progress, Published};
-use crate::replication::{Input, Output, Replication, Role};
+use crate::replication::{Departure, Input, Output, Replication, Role};
+use crate::state::{Change, Decision};
 
+use compaction::AppliedSinceSnapshot;
 use disk_watch::DiskWatch;
 pub use proposals::ProposalEnd;
 use proposals::Proposals;
 
 /// Longest time between two looks at the disk and the clock.
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
-/// Bytes of applied commands after which older entries give way to a snapshot of the state.
-const COMPACT_AFTER_BYTES: usize = 1 << 20;
 
 /// Called when what is delivered has changed.
 type PublishedListener = Box<dyn Fn(&Published)>;
@@ -63,7 +65,7 @@
     tenure: Cell<Option<u64>>,
     published: RefCell<Published>,
     listener: RefCell<Option<PublishedListener>>,
-    applied_bytes: Cell<usize>,
+    applied: Cell<AppliedSinceSnapshot>,
     alarm: Alarm,
 }
 
@@ -89,7 +91,7 @@
             tenure: Cell::new(None),
             published: RefCell::default(),
             listener: RefCell::default(),
-            applied_bytes: Cell::new(0),
+            applied: Cell::default(),
             alarm: Alarm { due: Cell::new(Duration::ZERO), sender, receiver },
         })
     }
@@ -150,6 +152,11 @@
         self.input(Input::Terminate);
     }
 
+    /// What others still need of this member, whose process shall end.
+    pub fn departure(&self) -> Departure {
+        self.replication.borrow().departure(clock::now())
+    }
+
     /// Takes what the disk tells; returns only if its thread has ended.
     pub async fn follow_disk(self: Rc<Self>, events: Receiver<DiskEvent>) {
         while let Ok(event) = events.recv().await {
@@ -199,22 +206,15 @@
     }
 
     async fn compact_when_due(&self) {
-        if self.applied_bytes.get() < COMPACT_AFTER_BYTES {
+        if !self.applied.get().is_snapshot_due() {
             return;
         }
-        self.applied_bytes.set(0);
+        self.applied.take();
         if let Some(snapshot) = self.machine.snapshot().await {
             self.input(Input::Compact { sequence: snapshot.sequence, snapshot: snapshot.state.into() });
         }
     }
 
-    /// Has the members agree on a command; returns once it is applied here, or failed.
-    pub async fn propose(&self, command: Arc<[u8]>) -> ProposalEnd {
-        let (ticket, end) = self.proposals.borrow_mut().open();
-        self.input(Input::Propose { ticket, command });
-        end.recv().await.unwrap_or(ProposalEnd::Unknown)
-    }
-
     /// The agreed state.
     pub fn machine(&self) -> &Machine {
         &self.machine
@@ -235,6 +235,11 @@
         self.replication.borrow().known_primary(clock::now())
     }
 
+    /// Another member that callers may be sent to.
+    pub fn redirect_target(&self) -> Option<NodeId> {
+        self.replication.borrow().redirect_target(clock::now())
+    }
+
     /// The agreement, for reports.
     pub fn with_replication<T>(&self, look: impl FnOnce(&Replication) -> T) -> T {
         look(&self.replication.borrow())
@@ -276,12 +281,14 @@
                 self.disk.persist(ticket, records);
             }
             Output::Apply { sequence, command, proposal } => {
-                self.applied_bytes.set(self.applied_bytes.get() + command.len());
+                let mut applied = self.applied.get();
+                applied.record(command.len());
+                self.applied.set(applied);
                 self.proposals.borrow_mut().committed(sequence, proposal);
                 self.machine.apply(sequence, command);
             }
             Output::Restore { sequence, snapshot } => {
-                self.applied_bytes.set(0);
+                self.applied.take();
                 self.machine.restore(sequence, snapshot);
             }
             Output::ProposalFailed { proposal, reason } => {
@@ -314,10 +321,26 @@
     }
 }
 
+impl ChangeAuthority for Member {
+    fn tenure(&self) -> Option<u64> {
+        self.tenure.get().filter(|_| self.is_primary())
+    }
+
+    async fn decide(&self, change: Arc<Change>) -> Option<Decision> {
+        self.machine.decide(change).await
+    }
+
+    async fn agree(&self, command: Arc<[u8]>) -> ProposalEnd {
+        let (ticket, end) = self.proposals.borrow_mut().open();
+        self.input(Input::Propose { ticket, command });
+        end.recv().await.unwrap_or(ProposalEnd::Unknown)
+    }
+}
+
 impl DutyHolder for Member {
     fn duty(&self) -> Option<Duty> {
         let epoch = self.acting_epoch()?;
-        let tenure = self.tenure.get()?;
+        let tenure = ChangeAuthority::tenure(self)?;
         Some(Duty { epoch, tenure })
     }
 }
--- a/crates/tower/src/replication/machine.rs
+++ b/crates/tower/src/replication/machine.rs
@@ -12,13 +12,14 @@
 use super::durable::{DurableRecord, DurableState};
 use super::interface::{Input, Output, Role};
 use super::journal::{Held, Journal};
-use super::leader::Leadership;
+use super::leader::{Leadership, PeerReport};
 use super::peers::{Peers, is_recent};
 use super::quorum::electorate;
 use super::settings::{
-    ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, PRIMARY_KNOWN_FOR, ReplicationSettings,
-    VOTER_DEAD_AFTER,
+    ELECTION_STAGGER, ELECTION_TIMEOUT, GRANT_TERM, JOIN_INTERVAL, LEAVING_CAMPAIGN_DELAY,
+    PRIMARY_KNOWN_FOR, REDIRECT_FOR, ReplicationSettings, VOTER_DEAD_AFTER,
 };
+use super::transfer::{IncomingTransfer, Part};
 
 /// A primary for which this member votes as long as the grant runs.
 #[derive(Debug)]
@@ -62,6 +63,8 @@
     pub(super) peers: Peers,
     pub(super) leadership: Option<Leadership>,
     pub(super) attempt: Option<Attempt>,
+    /// What a proposer has sent so far to bring this member up to date.
+    pub(super) incoming: IncomingTransfer,
     pub(super) campaign_at: Duration,
     pub(super) failed_attempts: u32,
     /// A primary that gave up and should not be chosen again at once.
@@ -98,6 +101,7 @@
             peers: Peers::default(),
             leadership: None,
             attempt: None,
+            incoming: IncomingTransfer::default(),
             campaign_at: now,
             failed_attempts: 0,
             avoided: None,
@@ -126,7 +130,7 @@
             Input::Compact { sequence, snapshot } => self.compact(sequence, snapshot),
             Input::DiskHealthy(healthy) => self.disk_healthy = healthy,
             Input::Known(nodes) => self.known = nodes,
-            Input::Terminate => self.leaving = true,
+            Input::Terminate => self.start_leaving(now),
         }
         self.settle(now);
         self.run_timers(now);
@@ -178,8 +182,17 @@
         if self.is_primary(now) {
             return Some(self.settings.node);
         }
+        self.primary_heard_within(now, PRIMARY_KNOWN_FOR)
+    }
+
+    /// Another member that callers may be sent to, since it certainly was the primary a moment ago.
+    pub fn redirect_target(&self, now: Duration) -> Option<NodeId> {
+        self.primary_heard_within(now, REDIRECT_FOR)
+    }
+
+    fn primary_heard_within(&self, now: Duration, span: Duration) -> Option<NodeId> {
         let heard = self.heard.as_ref()?;
-        is_recent(Some(heard.at), now, PRIMARY_KNOWN_FOR).then_some(heard.node)
+        is_recent(Some(heard.at), now, span).then_some(heard.node)
     }
 
     /// Members that answer this primary, with their zones, itself included; empty at others.
@@ -266,9 +279,12 @@
             ControlMessage::Prepare { epoch } => self.on_prepare(now, from, epoch),
             ControlMessage::Promise { epoch, view } => self.on_promise(now, from, epoch, view),
             ControlMessage::Refuse { epoch, promised } => self.on_refuse(now, from, epoch, promised),
-            ControlMessage::Sync { epoch, snapshot_sequence, snapshot, entries } => {
-                let data = DurableRecord::Reset { epoch, snapshot_sequence, snapshot, entries };
-                self.on_sync(now, from, epoch, data);
+            ControlMessage::Sync { epoch, data_epoch, transfer, offset, bytes } => {
+                let part = Part { transfer, offset, bytes };
+                self.on_sync(now, from, epoch, data_epoch, part);
+            }
+            ControlMessage::SyncProgress { epoch, transfer, received } => {
+                self.on_sync_progress(now, from, epoch, transfer, received);
             }
             ControlMessage::Synced { epoch, sequence } => self.on_synced(now, from, epoch, sequence),
             ControlMessage::Install { view } => self.on_install(now, from, view),
@@ -278,8 +294,9 @@
             ControlMessage::Heartbeat { view, token, committed } => {
                 self.on_heartbeat(now, from, view, token, committed);
             }
-            ControlMessage::HeartbeatAck { epoch, token, zone, disk_healthy } => {
-                self.on_heartbeat_ack(now, from, (epoch, token), zone, disk_healthy);
+            ControlMessage::HeartbeatAck { epoch, token, zone, disk_healthy, leaving } => {
+                let peer = PeerReport { zone, disk_healthy, leaving };
+                self.on_heartbeat_ack(now, from, (epoch, token), peer);
             }
             ControlMessage::Release { epoch, successor } => self.on_release(now, from, epoch, successor),
             ControlMessage::Join { zone } => self.on_join(now, from, zone),
@@ -366,7 +383,8 @@
         let node = self.settings.node;
         let holders = self.state.view.as_ref().map_or(&[][..], |view| &view.holders);
         let place = holders.iter().position(|holder| *holder == node).unwrap_or(0);
-        ELECTION_STAGGER * place as u32 + jitter(&mut self.random, 0..100)
+        let patience = if self.leaving { LEAVING_CAMPAIGN_DELAY } else { Duration::ZERO };
+        patience + ELECTION_STAGGER * place as u32 + jitter(&mut self.random, 0..100)
     }
 
     /// Leaves others the time for a view change before it tries one itself.
--- a/crates/tower/src/replication/mod.rs
+++ b/crates/tower/src/replication/mod.rs
@@ -12,6 +12,7 @@
 //!   generation together with [`ReplicationSettings::first_view`].
 
 mod campaign;
+mod departure;
 mod durable;
 mod follower;
 mod interface;
@@ -20,9 +21,13 @@
 mod machine;
 mod membership;
 mod peers;
+mod progress;
 mod quorum;
 mod settings;
+mod sync;
+pub mod transfer;
 
+pub use departure::Departure;
 pub use durable::{DataMark, DurableRecord, DurableState};
 pub use interface::{FailureReason, Input, Output, Role};
 pub use machine::Replication;
--- a/crates/tower/tests/api.rs
+++ b/crates/tower/tests/api.rs
@@ -17,6 +17,7 @@
 };
 use tower::state::Change;
 
+const PRIMARY: Standing = Standing::Primary { tenure: 5 };
 const OTHER: Standing = Standing::Follower { primary: Ipv4Addr::new(10, 0, 0, 7) };
 const OPERATOR_PORT: u16 = 8683;
 
@@ -27,13 +28,20 @@
     outcomes: RefCell<VecDeque<ChangeOutcome>>,
     changes: RefCell<Vec<Change>>,
     document: Option<Arc<[u8]>>,
+    /// Its standing once it was looked at so often.
+    standing_after_looks: Option<(u32, Standing)>,
+    looks: Cell<u32>,
     /// Its standing once a document was read, where that changes meanwhile.
     standing_after_reading: Option<Standing>,
 }
 
 impl ControlPlane for Scripted {
     fn standing(&self) -> Standing {
-        self.standing.get().unwrap_or(Standing::Primary)
+        self.looks.set(self.looks.get() + 1);
+        match self.standing_after_looks {
+            Some((looks, standing)) if self.looks.get() > looks => standing,
+            _ => self.standing.get().unwrap_or(PRIMARY),
+        }
     }
 
     async fn change(&self, change: Change) -> ChangeOutcome {
@@ -86,7 +94,8 @@
 }
 
 fn exchange(control: &Rc<Scripted>, sent: &str) -> String {
-    exchange_within(control, ApiLimits::default(), sent.replace('\n', "\r\n").as_bytes())
+    let limits = ApiLimits { primary: Duration::ZERO, ..ApiLimits::default() };
+    exchange_within(control, limits, sent.replace('\n', "\r\n").as_bytes())
 }
 
 fn control(outcome: ChangeOutcome) -> Rc<Scripted> {
@@ -207,6 +216,18 @@
     assert!(answer.starts_with("HTTP/1.1 503 Service Unavailable\nRetry-After: 0.2\n"), "{answer}");
 }
 
+/// A call that comes between two primaries waits for the next one and is sent there, or answered.
+#[rstest]
+#[case::another_member(OTHER, "HTTP/1.1 307 Temporary Redirect\nLocation: http://10.0.0.7:8683/settings\n")]
+#[case::this_member(PRIMARY, "HTTP/1.1 404 Not Found\n")]
+fn a_call_waits_for_the_next_primary(#[case] next: Standing, #[case] expected: &str) {
+    let control = Scripted { standing_after_looks: Some((3, next)), ..Scripted::default() };
+    control.standing.set(Some(Standing::Unknown));
+    let limits = ApiLimits { primary: Duration::from_secs(5), ..ApiLimits::default() };
+    let answer = exchange_within(&Rc::new(control), limits, GET.replace('\n', "\r\n").as_bytes());
+    assert!(answer.starts_with(expected), "{answer}");
+}
+
 #[test]
 fn the_primary_may_change_while_a_call_waits() {
     let answer = exchange(&control(ChangeOutcome::NotPrimary), PUT);
@@ -230,6 +251,7 @@
 #[rstest]
 #[case::another_primary(OTHER)]
 #[case::no_lease(Standing::Unknown)]
+#[case::another_primary_between(Standing::Primary { tenure: 9 })]
 fn a_document_that_may_be_old_is_not_returned(#[case] standing: Standing) {
     let document = Some(br#"{"revision":7}"#.as_slice().into());
     let standing_after_reading = Some(standing);
@@ -240,7 +262,7 @@
 
 #[test]
 fn there_is_no_document_before_the_first_one() {
-    assert!(exchange(&at(Standing::Primary), GET).starts_with("HTTP/1.1 404 Not Found"));
+    assert!(exchange(&at(PRIMARY), GET).starts_with("HTTP/1.1 404 Not Found"));
 }
 
 #[test]
@@ -266,7 +288,7 @@
 #[case::too_large("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 99999999\n\n", 413)]
 #[case::two_lengths("PUT /settings HTTP/1.1\nHost: x\nContent-Length: 1\nContent-Length: 2\n\n", 400)]
 fn what_can_not_be_answered_is_refused(#[case] sent: &str, #[case] status: u16) {
-    let answer = exchange(&at(Standing::Primary), sent);
+    let answer = exchange(&at(PRIMARY), sent);
     assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
 }
 
@@ -297,5 +319,5 @@
 fn slow_callers_are_cut_off(#[case] sent: &[u8]) {
     let soon = Duration::from_millis(20);
     let limits = ApiLimits { idle: soon, head: soon, body: soon, ..ApiLimits::default() };
-    assert_eq!(exchange_within(&at(Standing::Primary), limits, sent), "");
+    assert_eq!(exchange_within(&at(PRIMARY), limits, sent), "");
 }
--- a/crates/tower/tests/linearizability.rs
+++ b/crates/tower/tests/linearizability.rs
@@ -6,7 +6,7 @@
 use support::operator::call::{Answer, ConfigurationMethod, ConfigurationOrder, Content, WeightsOrder};
 use support::operator::linearizability::{KnownAnswer, Operation, is_linearizable};
 use support::operator::register::{ConfigurationCall, ConfigurationRegister, WeightsRegister};
-use timetable::history::REMEMBERED_CALLS;
+use timetable::REMEMBERED_CALLS;
 
 type ConfigurationOperation = Operation<ConfigurationCall>;
 
--- a/crates/tower/tests/support/operator/desk.rs
+++ b/crates/tower/tests/support/operator/desk.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use tower::api::ChangeOutcome;
-use tower::change_step::ChangeStep;
-use tower::control_plane::AGREEMENT_TIMEOUT;
+use tower::change::AGREEMENT_TIMEOUT;
+use tower::change::ChangeStep;
 use tower::member::ProposalEnd;
 use tower::state::{Applied, Change, Decision};
 
@@ -69,7 +69,8 @@
         }
         let Some(request) = process.desk.queue.pop_front() else { return };
         process.desk.current = Some(CurrentChange { request, ticket: None });
-        self.carry_on(index, ChangeStep::first(is_primary));
+        let not_primary = ChangeStep::Answer(ChangeOutcome::NotPrimary);
+        self.carry_on(index, if is_primary { ChangeStep::Decide } else { not_primary });
     }
 
     fn carry_on(&mut self, index: usize, step: ChangeStep) {
--- a/crates/tower/tests/support/operator/register.rs
+++ b/crates/tower/tests/support/operator/register.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::hash::Hash;
 
-use timetable::history::{NO_REVISION, REMEMBERED_CALLS};
+use timetable::REMEMBERED_CALLS;
+use timetable::history::NO_REVISION;
 
 use super::call::{Answer, ConfigurationMethod, ConfigurationOrder, Content, WeightsOrder};
 
--- a/crates/tower/tests/support/simulation/outputs.rs
+++ b/crates/tower/tests/support/simulation/outputs.rs
@@ -2,6 +2,7 @@
 
 use tower::member::ProposalEnd;
 use tower::replication::{FailureReason, Input, Output, Role};
+use tower::state::Applied;
 
 use super::{DISK_BOUND, Event, Fault, MS, Simulation};
 use crate::support::payload::{AppliedState, NumberedCommand};
@@ -91,7 +92,11 @@
         );
         self.checker.applied(sequence, command.number);
         let epoch = process.replication.epoch();
-        let applied = process.applied.apply(&command.command);
+        let before = (self.shape.fault == Fault::SupersededRefused).then(|| process.applied.state.clone());
+        let mut applied = process.applied.apply(&command.command);
+        if applied.is_some() && before.is_some_and(|before| before == process.applied.state) {
+            applied = Some(Applied::Superseded);
+        }
         let Some(ticket) = proposal else { return };
         assert_eq!(ticket, command.number, "the proposal's own command is applied");
         self.done.insert(ticket);
--- a/crates/tower/tests/support/simulation/shape.rs
+++ b/crates/tower/tests/support/simulation/shape.rs
@@ -24,7 +24,8 @@
     IgnoredLease,
     /// A change that was taken before is refused.
     ForgottenRepeats,
-    /// A proposal that came behind another one is refused, though that one may have been the same change.
+    /// A proposal that came behind another one and changed nothing is refused, though that one may have been the
+    /// same change.
     SupersededRefused,
 }
 
