Let members of the histories leave as the program does, and losses follow at once

Planned replacement now ends a process when may_end says so, and up to f machines are lost right after that; before, a view without the leaver had to be in force first, and members without a backup never left.

--- a/crates/tower/tests/linearizability.rs
+++ b/crates/tower/tests/linearizability.rs
@@ -6,7 +6,6 @@
 use support::operator::call::{Answer, ConfigurationMethod, ConfigurationOrder, Content, WeightsOrder};
 use support::operator::linearizability::{KnownAnswer, Operation, is_linearizable};
 use support::operator::register::{ConfigurationCall, ConfigurationRegister, WeightsRegister};
-use timetable::REMEMBERED_CALLS;
 
 type ConfigurationOperation = Operation<ConfigurationCall>;
 
@@ -191,13 +190,24 @@
 /// As many changes are known again as are remembered, and no more.
 #[test]
 fn repeats_are_known_as_far_back_as_they_are_remembered() {
-    let length = REMEMBERED_CALLS as u64 + 1;
+    const REMEMBERED: u64 = 40;
+    let register = ConfigurationRegister::remembering(REMEMBERED as usize);
+    let length = REMEMBERED + 1;
     let (mut operations, now) = chain(length);
     operations.push(answered(now, now + 1, put(1, 2, 1), Answer::Taken));
     operations.push(answered(now + 2, now + 3, put(0, 1, 0), Answer::Stale { current: length }));
-    assert!(is_explained(&operations));
+    assert!(is_linearizable(&register, &operations));
+    assert!(!is_explained(&operations), "a longer memory knows the first change again");
     operations.push(answered(now + 4, now + 5, put(1, 2, 1), Answer::Stale { current: length }));
-    assert!(!is_explained(&operations));
+    assert!(!is_linearizable(&register, &operations));
+}
+
+/// A history of thousands of changes needs no deep stack.
+#[test]
+fn long_histories_are_explained() {
+    let (mut operations, now) = chain(2000);
+    operations.push(read(now, now + 1, content(2000, &[1999])));
+    assert!(is_explained(&operations));
 }
 
 /// Rivals whose answers are all lost, on each of several revisions: any of them may have been in force.
--- a/crates/tower/tests/replication_faults.rs
+++ b/crates/tower/tests/replication_faults.rs
@@ -133,7 +133,7 @@
     assert!(matches!(violation, Some(Violation::TwoLeases { .. })), "{violation:?}");
 }
 
-/// Both holders leave for good, the second one before or after a view without the first one is in force.
+/// Both holders leave for good, each when it is not needed any more, or at once.
 /// Whether the cluster goes on.
 fn both_holders_leave(hands_over: bool, seed: u64) -> bool {
     let shape = Shape { losses: 1, seeds: 3, machines: 5, fault: Fault::None };
@@ -142,11 +142,12 @@
     simulation.end_first_boot();
     simulation.run_for(3 * SECOND);
     for holder in simulation.holders() {
-        simulation.terminate_for_good(holder, 0);
         if hands_over {
-            let is_handed_over =
-                |simulation: &Simulation| simulation.leaving_count() == 0 && simulation.is_view_settled();
-            assert!(simulation.run_while_not(8 * SECOND, is_handed_over));
+            simulation.leave(holder);
+            let has_left = |simulation: &Simulation| simulation.departure(holder).is_some();
+            assert!(simulation.run_while_not(8 * SECOND, has_left));
+        } else {
+            simulation.terminate_for_good(holder, 0);
         }
     }
     let is_live = simulation.make_progress(6 * SECOND);
--- a/crates/tower/tests/support/history/replacement.rs
+++ b/crates/tower/tests/support/history/replacement.rs
@@ -1,10 +1,11 @@
 //! Planned replacement without end: a new machine first, then the oldest one leaves.
 
 use fastrand::Rng;
+use tower::replication::Departure;
 
 use super::{PROGRESS_WITHIN, living};
 use crate::support::checker::Violation;
-use crate::support::random::{chance, pick};
+use crate::support::random::chance;
 use crate::support::simulation::{MS, SECOND, Simulation};
 
 /// A view without the machines that are gone has to be in force, and known, within this time.
@@ -21,50 +22,63 @@
     let rounds = simulation.machines.len() + script.usize(..MOST_FURTHER_REPLACEMENTS);
     await_settled_view(simulation);
     for _ in 0..rounds {
-        replace_oldest(simulation, script);
+        let leaving = replace_oldest(simulation, script);
         load(simulation, script);
-        if simulation.losses() > 1 && chance(script, 200) {
-            lose_another(simulation, script);
+        let has_lost_another = simulation.losses() > 1 && chance(script, 200);
+        if has_lost_another {
+            lose_others(simulation, script, 1);
         }
-        await_settled_view(simulation);
-        if simulation.losses() > 0 && chance(script, 300) {
-            lose_another(simulation, script);
-            await_settled_view(simulation);
+        await_departure(simulation, leaving);
+        if !has_lost_another && chance(script, 500) {
+            let losses = simulation.losses();
+            lose_others(simulation, script, losses);
         }
+        await_settled_view(simulation);
         if simulation.checker.violation.is_some() {
             return;
         }
     }
 }
 
-fn replace_oldest(simulation: &mut Simulation, script: &mut Rng) {
+fn replace_oldest(simulation: &mut Simulation, script: &mut Rng) -> usize {
     let oldest = living(simulation)[0];
     let generation = simulation.random.u64(..) | 1;
     simulation.add_machine(generation, simulation.now + script.u64(0..500) * MS);
     simulation.run_for(script.u64(1000..4000) * MS);
-    if simulation.losses() == 0 {
-        // Without a backup the only holder cannot leave.
-        return;
+    simulation.leave(oldest);
+    oldest
+}
+
+/// Where its place was not taken in time, a view without it has to be in force before anything else is lost.
+fn await_departure(simulation: &mut Simulation, leaving: usize) {
+    simulation.run_while_not(SETTLED_WITHIN, |simulation| simulation.departure(leaving).is_some());
+    if simulation.departure(leaving) != Some(Departure::Free) {
+        await_settled_view(simulation);
+    }
+}
+
+/// Machines crash, lose power, or lose their disks; the primary is likely to be among them.
+fn lose_others(simulation: &mut Simulation, script: &mut Rng, count: usize) {
+    let is_staying = |index: &usize| simulation.machines[*index].leaving.is_none();
+    let mut staying: Vec<usize> = living(simulation).into_iter().filter(is_staying).collect();
+    script.shuffle(&mut staying);
+    let primary = simulation.primary().filter(|_| chance(script, 500));
+    staying.sort_by_key(|index| Some(*index) != primary);
+    for index in staying.into_iter().take(count) {
+        lose(simulation, script, index);
+    }
+    if !simulation.make_progress(PROGRESS_WITHIN) {
+        simulation.checker.violation.get_or_insert(Violation::NoProgress);
     }
-    simulation.terminate_for_good(oldest, script.u64(0..2000) * MS);
 }
 
-/// A machine crashes, loses power, or loses its disk.
-fn lose_another(simulation: &mut Simulation, script: &mut Rng) {
-    let is_staying = |index: &usize| !simulation.machines[*index].leaving;
-    let staying: Vec<usize> = living(simulation).into_iter().filter(is_staying).collect();
-    let anyone = pick(script, &staying);
-    let primary = simulation.primary().filter(is_staying);
-    let index = primary.filter(|_| chance(script, 500)).unwrap_or(anyone);
+fn lose(simulation: &mut Simulation, script: &mut Rng, index: usize) {
     let restart_after = script.u64(50..3000) * MS;
     match script.u64(0..3) {
         0 => simulation.kill(index, restart_after),
         1 => simulation.cut_power(index, restart_after),
         _ => simulation.wipe(index, restart_after),
     }
-    if !simulation.make_progress(PROGRESS_WITHIN) {
-        simulation.checker.violation.get_or_insert(Violation::NoProgress);
-    }
 }
 
 fn await_settled_view(simulation: &mut Simulation) {
--- a/crates/tower/tests/support/machine.rs
+++ b/crates/tower/tests/support/machine.rs
@@ -9,6 +9,7 @@
 use super::operator::desk::Desk;
 use super::operator::event::OperatorEvent;
 use super::payload::AppliedState;
+use super::simulation::Leaving;
 
 /// A clock that starts anywhere and drifts.
 #[derive(Clone, Copy, Debug)]
@@ -70,8 +71,8 @@
     pub frozen_until: u64,
     /// Will not come back.
     pub removed: bool,
-    /// Will not come back once its process has ended.
-    pub leaving: bool,
+    /// It leaves for good, or has left.
+    pub leaving: Option<Leaving>,
     /// Counts as lost until then.
     pub lost_until: u64,
     /// Lives so far.
--- a/crates/tower/tests/support/operator/linearizability.rs
+++ b/crates/tower/tests/support/operator/linearizability.rs
@@ -48,17 +48,29 @@
 
 impl<R: Register> Search<'_, R> {
     /// Whether the operations that are not done yet can follow.
-    fn explains(&mut self, mut done: Vec<bool>, register: R) -> bool {
-        self.searched_states += 1;
-        assert!(self.searched_states <= MOST_SEARCHED_STATES, "the history has too many possible orders");
-        self.take_all_without_effect(&mut done, &register);
-        let Some(horizon) = self.horizon(&done) else { return true };
-        let branches = self.branches(&done, &register, horizon);
-        if branches.len() > 1 && !self.visited.insert((done.clone(), register)) {
-            return false;
+    fn explains(&mut self, mut done: Vec<bool>, mut register: R) -> bool {
+        loop {
+            self.searched_states += 1;
+            assert!(
+                self.searched_states <= MOST_SEARCHED_STATES,
+                "the history has too many possible orders"
+            );
+            self.take_all_without_effect(&mut done, &register);
+            let Some(horizon) = self.horizon(&done) else { return true };
+            let mut branches = self.branches(&done, &register, horizon);
+            if branches.len() > 1 {
+                return self.visited.insert((done.clone(), register)) && self.explains_any(&done, branches);
+            }
+            // Without a choice there is no need to come back.
+            let Some((index, next)) = branches.pop() else { return false };
+            done[index] = true;
+            register = next;
         }
+    }
+
+    fn explains_any(&mut self, done: &[bool], branches: Vec<(usize, R)>) -> bool {
         branches.into_iter().any(|(index, next)| {
-            let mut done = done.clone();
+            let mut done = done.to_vec();
             done[index] = true;
             self.explains(done, next)
         })
--- a/crates/tower/tests/support/operator/register.rs
+++ b/crates/tower/tests/support/operator/register.rs
@@ -27,19 +27,31 @@
 }
 
 /// The configuration: a register with versions that knows orders which are repeated.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ConfigurationRegister {
     content: Option<Content>,
     taken: Vec<ConfigurationOrder>,
+    remembered_orders: usize,
+}
+
+impl Default for ConfigurationRegister {
+    fn default() -> Self {
+        ConfigurationRegister::remembering(REMEMBERED_CALLS)
+    }
 }
 
 impl ConfigurationRegister {
+    /// An empty register that knows so many of the last orders again.
+    pub fn remembering(remembered_orders: usize) -> Self {
+        ConfigurationRegister { content: None, taken: Vec::new(), remembered_orders }
+    }
+
     fn revision(&self) -> u64 {
         self.content.as_ref().map_or(NO_REVISION, |content| content.revision)
     }
 
     fn remembers(&self, order: &ConfigurationOrder) -> bool {
-        self.taken.iter().rev().take(REMEMBERED_CALLS).any(|taken| taken == order)
+        self.taken.iter().rev().take(self.remembered_orders).any(|taken| taken == order)
     }
 
     /// The content after a valid order; none if the order is not valid.
@@ -72,7 +84,8 @@
         let Some(content) = self.next_content(&order) else { return (Answer::Invalid, None) };
         let mut taken = self.taken.clone();
         taken.push(order);
-        (Answer::Taken, Some(ConfigurationRegister { content: Some(content), taken }))
+        let next = ConfigurationRegister { content: Some(content), taken, ..*self };
+        (Answer::Taken, Some(next))
     }
 }
 
--- a/crates/tower/tests/support/simulation/lifecycle.rs
+++ b/crates/tower/tests/support/simulation/lifecycle.rs
@@ -26,7 +26,7 @@
             process: None,
             frozen_until: 0,
             removed: false,
-            leaving: false,
+            leaving: None,
             lost_until: 0,
             lives: 0,
         });
--- a/crates/tower/tests/support/simulation/mod.rs
+++ b/crates/tower/tests/support/simulation/mod.rs
@@ -1,5 +1,6 @@
 //! The simulated cluster: virtual time and its events.
 
+mod departure;
 mod lifecycle;
 mod network;
 mod outputs;
@@ -16,6 +17,7 @@
 use intercom::node::NodeId;
 use tower::replication::Input;
 
+pub use departure::Leaving;
 pub use network::Network;
 pub use shape::{Fault, Shape};
 
@@ -52,6 +54,7 @@
     Thaw { machine: usize },
     Start { machine: usize },
     End { machine: usize, life: u64, then: AfterEnd },
+    DepartureCheck { machine: usize, life: u64 },
     Operator(OperatorEvent),
 }
 
@@ -197,6 +200,11 @@
                     self.end(machine, then);
                 }
             }
+            Event::DepartureCheck { machine, life } => {
+                if self.is_life(machine, life) {
+                    self.check_departure(machine);
+                }
+            }
             Event::Operator(event) => self.take_operator_event(event),
         }
     }
--- a/crates/tower/tests/support/simulation/trouble.rs
+++ b/crates/tower/tests/support/simulation/trouble.rs
@@ -21,17 +21,11 @@
         self.ask_to_end(index, ends_after, AfterEnd::Restart { after: restart_after });
     }
 
-    /// Asks a process to end; it does after a while, and its machine does not come back.
+    /// Asks a process to end; it does after a while, needed or not, and its machine does not come back.
     pub fn terminate_for_good(&mut self, index: usize, ends_after: u64) {
-        self.machines[index].leaving = true;
         self.ask_to_end(index, ends_after, AfterEnd::Removal);
     }
 
-    /// Machines whose processes have been asked to end for good, and have not ended.
-    pub fn leaving_count(&self) -> usize {
-        self.machines.iter().filter(|machine| machine.leaving && !machine.removed).count()
-    }
-
     fn ask_to_end(&mut self, index: usize, ends_after: u64, then: AfterEnd) {
         self.input(index, Input::Terminate);
         match &self.machines[index].process {
@@ -50,7 +44,7 @@
         }
     }
 
-    fn remove(&mut self, index: usize) {
+    pub(super) fn remove(&mut self, index: usize) {
         let machine = &mut self.machines[index];
         machine.process = None;
         machine.removed = true;
