Show that answers of a primary after its lease are seen, read, 412 and 400 each

One cut-off primary is asked after its successor took a change: with the lease each answer is explained, without it none is. Bodies of operators' calls come from the shared calls of the state's tests.

--- a/crates/tower/tests/replication_faults.rs
+++ b/crates/tower/tests/replication_faults.rs
@@ -5,6 +5,8 @@
 use rstest::rstest;
 use support::checker::Violation;
 use support::history::{Load, Trouble, play, play_with};
+use support::operator::call::{Answer, Call, ConfigurationMethod, ConfigurationOrder};
+use support::operator::client::UnexplainedObject;
 use support::simulation::{Fault, MS, SECOND, Shape, Simulation};
 
 const HISTORIES: u64 = 300;
@@ -99,6 +101,46 @@
     assert!(unexplained.is_some(), "{fault:?} has to show");
 }
 
+/// A primary is cut off from the others, which take a change; then it is asked.
+fn cut_off_primary_is_asked(call: Call, fault: Fault) -> Option<UnexplainedObject> {
+    let mut simulation = Simulation::new(3, Shape { losses: 1, seeds: 3, machines: 3, fault });
+    let old = simulation.acknowledge_one();
+    simulation.end_first_boot();
+    simulation.isolate(old, true, true);
+    let is_followed = simulation.run_while_not(6 * SECOND, |simulation| {
+        simulation.primary().is_some_and(|successor| successor != old)
+    });
+    assert!(is_followed);
+    let successor = simulation.primary().expect("there is a successor");
+    let change = ConfigurationOrder { method: ConfigurationMethod::Put, base: 0, revision: 3, mark: 1 };
+    let taken = simulation.submit(successor, Call::Configure(change));
+    simulation.run_for(SECOND);
+    assert_eq!(simulation.operators.answer(taken), Some(&Answer::Taken));
+    simulation.submit(old, call);
+    simulation.run_for(SECOND);
+    simulation.operators.unexplained()
+}
+
+#[rstest]
+#[case::read(Call::Read)]
+#[case::refused_with_412(Call::Configure(ConfigurationOrder {
+    method: ConfigurationMethod::Put,
+    base: 3,
+    revision: 5,
+    mark: 2,
+}))]
+#[case::refused_with_400(Call::Configure(ConfigurationOrder {
+    method: ConfigurationMethod::Put,
+    base: 0,
+    revision: 0,
+    mark: 2,
+}))]
+fn answers_after_the_lease_are_seen(#[case] call: Call) {
+    assert_eq!(cut_off_primary_is_asked(call, Fault::None), None);
+    let unexplained = cut_off_primary_is_asked(call, Fault::IgnoredLease);
+    assert_eq!(unexplained, Some(UnexplainedObject::Configuration));
+}
+
 #[test]
 fn snapshots_without_the_state_are_seen() {
     let shape = Shape { losses: 1, seeds: 3, machines: 3, fault: Fault::EmptySnapshots };
--- a/crates/tower/tests/support/operator/call.rs
+++ b/crates/tower/tests/support/operator/call.rs
@@ -3,6 +3,8 @@
 use timetable::Document;
 use tower::state::Change;
 
+use crate::support::state_calls;
+
 /// How a configuration is changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum ConfigurationMethod {
@@ -82,19 +84,14 @@
 impl ConfigurationOrder {
     /// The change that a member decides on.
     pub fn change(&self) -> Change {
-        let route = route(self.mark);
-        let if_match = Some(self.base);
-        let revision = self.revision;
+        let label = self.mark.to_string();
+        let prefix = format!("/{label}/");
         match self.method {
             ConfigurationMethod::Put => {
-                let service = r#"{"label":"chat","checkPath":"/health"}"#;
-                let body =
-                    format!(r#"{{"revision":{revision},"routes":[{route}],"backends":[{service}]}}"#);
-                Change::PutConfiguration { if_match, body: body.into_bytes() }
+                state_calls::put_routes(self.base, self.revision, &[state_calls::route(&label, &prefix)])
             }
             ConfigurationMethod::Patch => {
-                let body = format!(r#"{{"revision":{revision},"upsert":{{"routes":[{route}]}}}}"#);
-                Change::PatchConfiguration { if_match, body: body.into_bytes() }
+                state_calls::patch_route(self.base, self.revision, &label, &prefix)
             }
         }
     }
@@ -103,7 +100,7 @@
 impl WeightsOrder {
     /// The change that a member decides on.
     pub fn change(&self) -> Change {
-        Change::NameWeights { model: self.model.to_owned(), revision: self.revision }
+        state_calls::name(self.model, self.revision)
     }
 }
 
@@ -117,9 +114,3 @@
         Content { revision: document.revision(), marks }
     }
 }
-
-fn route(mark: u64) -> String {
-    format!(
-        r#"{{"label":"{mark}","hostname":"a.example","pathStart":"/{mark}/","sort":"harmless","timeLimitMs":1000,"targetMs":100,"rank":0,"backend":"chat","tries":2,"public":true}}"#
-    )
-}
--- a/crates/tower/tests/support/operator/client.rs
+++ b/crates/tower/tests/support/operator/client.rs
@@ -184,7 +184,7 @@
     }
 
     /// Sends an answer to the operator.
-    pub(super) fn answer(&mut self, _index: usize, call: CallId, answer: Answer) {
+    pub(super) fn answer(&mut self, call: CallId, answer: Answer) {
         if chance(&mut self.random, self.operators.loss) {
             return;
         }
--- a/crates/tower/tests/support/operator/desk.rs
+++ b/crates/tower/tests/support/operator/desk.rs
@@ -12,6 +12,7 @@
 use super::client::CallId;
 use super::event::{DeskStep, OperatorEvent};
 use crate::support::simulation::{Event, Fault, MS, Simulation};
+use crate::support::state_calls;
 
 /// Changes that wait at a process; they are carried out one at a time.
 #[derive(Debug, Default)]
@@ -40,7 +41,7 @@
             return;
         }
         if !self.answers_operators(index) {
-            self.answer(index, call, Answer::NotPrimary);
+            self.answer(call, Answer::NotPrimary);
             return;
         }
         let change = match self.operators.call(call) {
@@ -92,7 +93,7 @@
     fn end_change(&mut self, index: usize, outcome: ChangeOutcome) {
         let Some(process) = &mut self.machines[index].process else { return };
         let Some(current) = process.desk.current.take() else { return };
-        self.answer(index, current.request.call, answer_of(outcome));
+        self.answer(current.request.call, answer_of(outcome));
         self.begin_next_change(index);
     }
 
@@ -105,7 +106,7 @@
         }
         let refuses = self.shape.fault == Fault::SupersededRefused;
         if refuses && end == ProposalEnd::Applied(Applied::Superseded) {
-            let current = process.applied.state.document().map_or(0, |document| document.revision());
+            let current = state_calls::revision(&process.applied.state);
             return self.end_change(index, ChangeOutcome::Stale { current });
         }
         self.carry_on(index, ChangeStep::after_proposal(end));
@@ -124,7 +125,7 @@
             DeskStep::ReadDone { call, content } => {
                 let is_primary = self.answers_operators(index);
                 let answer = if is_primary { Answer::Configuration(content) } else { Answer::NotPrimary };
-                self.answer(index, call, answer);
+                self.answer(call, answer);
             }
         }
     }
@@ -135,7 +136,7 @@
         let state = &process.applied.state;
         let mut decision = state.decide(&current.request.change);
         if self.shape.fault == Fault::ForgottenRepeats && decision == Decision::AlreadyTaken {
-            let current = state.document().map_or(0, |document| document.revision());
+            let current = state_calls::revision(state);
             decision = Decision::Stale { current };
         }
         self.schedule_step(index, DeskStep::Decided(Box::new(decision)));
