Let a leaving member stay until the view that it votes on is settled

A member that left after 2.5 s as a mere voter could end in the midst of a view change. If a disk was lost at that time, no majority of the previous voters was left, and no view could follow for ever. Its process now stays until the view is settled, or until it is killed.

--- a/crates/tower/src/replication/departure.rs
+++ b/crates/tower/src/replication/departure.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::machine::Replication;
-use super::quorum::electorate;
+use super::quorum::{electorate, is_settled};
 use super::settings::LEAVING_CAMPAIGN_DELAY;
 
 /// What would be missing if the process of a leaving member ended now.
@@ -11,6 +11,8 @@
 pub enum Departure {
     /// It holds data that the newest view relies on.
     Holds,
+    /// It votes on the newest view, which is not settled: without its vote no other view may be able to follow.
+    Settles,
     /// It holds no data, but still counts as a voter.
     Votes,
     /// Nothing.
@@ -39,7 +41,13 @@
         let node = self.settings.node;
         match &self.state.view {
             Some(view) if view.holders.contains(&node) => Departure::Holds,
-            Some(view) if electorate(view).contains(&node) => Departure::Votes,
+            Some(view) if electorate(view).contains(&node) => {
+                if is_settled(view) {
+                    Departure::Votes
+                } else {
+                    Departure::Settles
+                }
+            }
             _ => Departure::Free,
         }
     }
--- /dev/null
+++ b/crates/tower/tests/replication_settling.rs
@@ -0,0 +1,58 @@
+//! A leaving member whose vote an unsettled view may need stays.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use intercom::control::View;
+use intercom::node::NodeId;
+use rstest::rstest;
+use tower::replication::{Departure, DurableState, Replication, ReplicationSettings};
+use tower::server::departure::may_end;
+
+const LEEWAY: Duration = Duration::from_secs(8);
+
+fn node(number: u8) -> NodeId {
+    NodeId::new(Ipv4Addr::new(10, 0, 0, number), 0)
+}
+
+/// What is needed of member 1 if this is the newest view that it knows.
+fn departure(voters: &[u8], previous_voters: &[u8]) -> Departure {
+    let nodes = |numbers: &[u8]| numbers.iter().map(|number| node(*number)).collect();
+    let view = View {
+        epoch: 1 << 32,
+        voters: nodes(voters),
+        previous_voters: nodes(previous_voters),
+        holders: nodes(&[2, 3]),
+    };
+    let settings = ReplicationSettings {
+        node: node(1),
+        zone: String::new(),
+        seeds: vec![node(1), node(2), node(3)],
+        losses: 1,
+        first_boot: false,
+        seed: 0,
+    };
+    let durable = DurableState { view: Some(view), ..DurableState::default() };
+    Replication::new(settings, durable, Duration::ZERO).departure(Duration::ZERO)
+}
+
+#[rstest]
+#[case::voter(&[1, 2, 3], &[], Departure::Votes)]
+#[case::place_is_taken(&[2, 3, 4], &[], Departure::Free)]
+#[case::place_is_taken_in_an_unsettled_view(&[2, 3, 4], &[1, 2, 3], Departure::Settles)]
+#[case::voter_of_an_unsettled_view(&[1, 3, 4], &[1, 2, 3], Departure::Settles)]
+fn a_vote_that_may_settle_the_view_is_needed(
+    #[case] voters: &[u8],
+    #[case] previous_voters: &[u8],
+    #[case] expected: Departure,
+) {
+    assert_eq!(departure(voters, previous_voters), expected);
+}
+
+#[rstest]
+#[case::after_the_grace_of_a_voter(2_500, false)]
+#[case::just_before_it_is_killed(7_499, false)]
+#[case::when_it_would_be_killed(7_500, true)]
+fn a_process_stays_until_the_view_is_settled(#[case] waited_ms: u64, #[case] expected: bool) {
+    assert_eq!(may_end(Duration::from_millis(waited_ms), LEEWAY, Departure::Settles), expected);
+}
