--- a/crates/tower/tests/replication_faults.rs
+++ b/crates/tower/tests/replication_faults.rs
@@ -5,6 +5,8 @@
 use rstest::rstest;
 use support::checker::Violation;
 use support::history::{Load, Trouble, play, play_with};
+use support::operator::call::{Answer, Call, ConfigurationMethod, ConfigurationOrder};
+use support::operator::client::UnexplainedObject;
 use support::simulation::{Fault, MS, SECOND, Shape, Simulation};
 
 const HISTORIES: u64 = 300;
@@ -61,10 +63,7 @@
     let mut simulation = Simulation::new(seed, Shape { losses: 1, seeds: 3, machines: 3, fault });
     let primary = simulation.acknowledge_one();
     simulation.end_first_boot();
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let backup_node = process.replication.view().expect("it has a view").holders[1];
-    let is_backup = |index: &usize| simulation.machines[*index].node == backup_node;
-    let backup = (0..3).find(is_backup).expect("it is a machine");
+    let backup = simulation.holders()[1];
     let third = 3 - primary - backup;
     simulation.cuts.insert((primary, backup));
     simulation.cuts.insert((backup, primary));
@@ -102,14 +101,65 @@
     assert!(unexplained.is_some(), "{fault:?} has to show");
 }
 
+/// A primary is cut off from the others, which take a change; then it is asked.
+fn cut_off_primary_is_asked(call: Call, fault: Fault) -> Option<UnexplainedObject> {
+    let mut simulation = Simulation::new(3, Shape { losses: 1, seeds: 3, machines: 3, fault });
+    let old = simulation.acknowledge_one();
+    simulation.end_first_boot();
+    simulation.isolate(old, true, true);
+    let is_followed = simulation.run_while_not(6 * SECOND, |simulation| {
+        simulation.primary().is_some_and(|successor| successor != old)
+    });
+    assert!(is_followed);
+    let successor = simulation.primary().expect("there is a successor");
+    let change = ConfigurationOrder { method: ConfigurationMethod::Put, base: 0, revision: 3, mark: 1 };
+    let taken = simulation.submit(successor, Call::Configure(change));
+    simulation.run_for(SECOND);
+    assert_eq!(simulation.operators.answer(taken), Some(&Answer::Taken));
+    simulation.submit(old, call);
+    simulation.run_for(SECOND);
+    simulation.operators.unexplained()
+}
+
+#[rstest]
+#[case::read(Call::Read)]
+#[case::refused_with_412(Call::Configure(ConfigurationOrder {
+    method: ConfigurationMethod::Put,
+    base: 3,
+    revision: 5,
+    mark: 2,
+}))]
+#[case::refused_with_400(Call::Configure(ConfigurationOrder {
+    method: ConfigurationMethod::Put,
+    base: 0,
+    revision: 0,
+    mark: 2,
+}))]
+fn answers_after_the_lease_are_seen(#[case] call: Call) {
+    assert_eq!(cut_off_primary_is_asked(call, Fault::None), None);
+    let unexplained = cut_off_primary_is_asked(call, Fault::IgnoredLease);
+    assert_eq!(unexplained, Some(UnexplainedObject::Configuration));
+}
+
+#[test]
+fn snapshots_without_the_state_are_seen() {
+    let shape = Shape { losses: 1, seeds: 3, machines: 3, fault: Fault::EmptySnapshots };
+    let violations = (0..HISTORIES)
+        .filter_map(|seed| play_with(seed, shape, Trouble::DisksStay, Load::Operators).violation);
+    let seen = violations
+        .into_iter()
+        .find(|violation| matches!(violation, Violation::StatesDiffer | Violation::Unexplained { .. }));
+    println!("{seen:?}");
+    assert!(seen.is_some());
+}
+
 /// The primary is left with standbys only, and the other voters go on without it.
 fn primary_among_standbys(fault: Fault) -> Option<Violation> {
     let mut simulation = Simulation::new(4, Shape { losses: 1, seeds: 3, machines: 5, fault });
     let primary = simulation.acknowledge_one();
     simulation.end_first_boot();
     simulation.run_for(3 * SECOND);
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let voters = process.replication.view().expect("it has a view").voters.clone();
+    let voters = simulation.view_at(primary).expect("it has a view").voters.clone();
     let is_other_voter =
         |index: &usize| *index != primary && voters.contains(&simulation.machines[*index].node);
     let others: Vec<usize> = (0..5).filter(is_other_voter).collect();
@@ -125,23 +175,21 @@
     assert!(matches!(violation, Some(Violation::TwoLeases { .. })), "{violation:?}");
 }
 
-/// Both holders leave for good, the second one before or after a view without the first one is in force.
+/// Both holders leave for good, each when it is not needed any more, or at once.
 /// Whether the cluster goes on.
 fn both_holders_leave(hands_over: bool, seed: u64) -> bool {
     let shape = Shape { losses: 1, seeds: 3, machines: 5, fault: Fault::None };
     let mut simulation = Simulation::new(seed, shape);
-    let primary = simulation.acknowledge_one();
+    simulation.acknowledge_one();
     simulation.end_first_boot();
     simulation.run_for(3 * SECOND);
-    let process = simulation.machines[primary].process.as_ref().expect("it runs");
-    let holders = process.replication.view().expect("it has a view").holders.clone();
-    for holder in holders {
-        let index = simulation.machines.iter().position(|machine| machine.node == holder);
-        simulation.terminate_for_good(index.expect("it is a machine"), 0);
+    for holder in simulation.holders() {
         if hands_over {
-            let is_handed_over =
-                |simulation: &Simulation| simulation.leaving_count() == 0 && simulation.is_view_settled();
-            assert!(simulation.run_while_not(8 * SECOND, is_handed_over));
+            simulation.leave(holder);
+            let has_left = |simulation: &Simulation| simulation.departure(holder).is_some();
+            assert!(simulation.run_while_not(8 * SECOND, has_left));
+        } else {
+            simulation.terminate_for_good(holder, 0);
         }
     }
     let is_live = simulation.make_progress(6 * SECOND);
