Settle a new view at once, and list exchanged voters until no election needs them

After a lost disk was replaced, /status showed the new voters while the other towers did not know yet that the view is settled: they learned it from the next heartbeat, up to 0.15 s later. Who lost the primary in between had nobody who could be elected ever after, since the old voters' majority had lost two disks of three.

The primary now sends a heartbeat as soon as its view is settled, and /status lists the voters that were exchanged for as long as an election needs a majority of both.

--- a/crates/tower/src/api/status.rs
+++ b/crates/tower/src/api/status.rs
@@ -21,7 +21,7 @@
     pub lease: bool,
     /// The epoch of the newest view that it knows.
     pub epoch: u64,
-    /// Who votes.
+    /// Who votes; a voter that was exchanged is listed until no election needs it any more.
     pub voters: Vec<String>,
     /// Who holds the data; the first is the primary.
     pub holders: Vec<String>,
--- a/crates/tower/src/control_plane.rs
+++ b/crates/tower/src/control_plane.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use intercom::control::View;
 use intercom::node::NodeId;
 use jetway::within;
 
@@ -123,7 +124,7 @@
             role: role_name(role),
             lease: self.member.is_primary(),
             epoch,
-            voters: names(&view.voters),
+            voters: names(&needed_voters(&view)),
             holders: names(&view.holders),
             primary: self.member.known_primary().map(|node| node.to_string()),
             configuration: self.delivery.revision(),
@@ -147,6 +148,13 @@
     }
 }
 
+/// The view's voters, and those before them for as long as an election needs a majority of both.
+fn needed_voters(view: &View) -> Vec<NodeId> {
+    let mut voters = view.voters.clone();
+    voters.extend(view.previous_voters.iter().filter(|voter| !view.voters.contains(voter)));
+    voters
+}
+
 fn role_name(role: Role) -> &'static str {
     match role {
         Role::Standby => "standby",
--- a/crates/tower/src/replication/leader.rs
+++ b/crates/tower/src/replication/leader.rs
@@ -10,7 +10,7 @@
 use super::interface::{FailureReason, Output};
 use super::machine::{Replication, jitter};
 use super::peers::is_recent;
-use super::quorum::has_quorum;
+use super::quorum::{has_quorum, is_settled};
 use super::settings::{
     APPEND_STALL, BACKUP_DEAD_AFTER, CHANGE_INTERVAL, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, LEASE_TERM,
     NEW_PRIMARY_GRACE, RESEND_INTERVAL, STEP_DOWN_AFTER, VOTER_DEAD_AFTER,
@@ -264,9 +264,14 @@
         disk_healthy: bool,
     ) {
         let Some(leadership) = &mut self.leadership else { return };
+        let was_settled = is_settled(&leadership.view);
         if !leadership.acknowledge(from, epoch, token) {
             return;
         }
+        if !was_settled && is_settled(&leadership.view) {
+            // Until the others know it, they can't elect anyone without the voters that were exchanged.
+            leadership.heartbeat_at = now;
+        }
         let view = leadership.view.clone();
         if self.state.view.as_ref().is_some_and(|recorded| recorded.epoch == view.epoch) {
             self.learn(now, &view);
