--- a/crates/drill/src/deployment.rs
+++ b/crates/drill/src/deployment.rs
@@ -358,9 +358,10 @@
         statuses.len() == running.len()
             && primary.holders.len() == (losses + 1).min(running.len())
             && primary.voters.len() >= (2 * losses + 1).min(running.len())
-            && primary.voters.iter().chain(&primary.holders).all(|node| nodes.contains(&node))
+            && primary.holders.iter().all(|node| nodes.contains(&node))
             && statuses.iter().all(|status| {
                 status.is_fresh()
+                    && status.voters.iter().all(|node| nodes.contains(&node))
                     && status.holders == primary.holders
                     && status.configuration == primary.configuration
                     && status.replicas == self.plan.replicas
