Play kills while operators send changes, and measure takeovers, propagation, catch-up, cuts, cost

The program tulipridge-drill plays what the tests are too short for. Kills come at a random byte of the log's growth, half of them as loss of power: the machine falls silent first, and only bytes that were written after that may be dropped, since nobody can have been told of them.

--- a/crates/drill/src/disk.rs
+++ b/crates/drill/src/disk.rs
@@ -75,3 +75,31 @@
         _ => Ok(()),
     }
 }
+
+/// Bytes of a segment's header.
+const SEGMENT_HEADER_BYTES: usize = 8;
+/// Bytes in front of a frame's payload: a marker, the payload's length and its checksum.
+const FRAME_HEADER_BYTES: usize = 12;
+/// Where the length stands in them.
+const FRAME_LENGTH: std::ops::Range<usize> = 4..8;
+
+/// Bytes in all segments of a log, and the frames that they hold: one for each append.
+pub fn log_size(folder: &Path) -> (u64, u64) {
+    let lengths = Lengths::of(folder);
+    let segments = lengths.0.keys().filter(|name| name.starts_with("log-"));
+    let contents = segments.filter_map(|name| fs::read(folder.join(name)).ok());
+    contents.fold((0, 0), |(bytes, frames), content| {
+        (bytes + content.len() as u64, frames + count_frames(&content))
+    })
+}
+
+fn count_frames(segment: &[u8]) -> u64 {
+    let mut frames = 0;
+    let mut offset = SEGMENT_HEADER_BYTES;
+    while let Some(header) = segment.get(offset..offset + FRAME_HEADER_BYTES) {
+        let length: [u8; 4] = header[FRAME_LENGTH].try_into().unwrap_or_default();
+        offset += FRAME_HEADER_BYTES + u32::from_le_bytes(length) as usize;
+        frames += 1;
+    }
+    frames
+}
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -5,11 +5,15 @@
 //! any byte, or reset it, in one direction or both. The platform's list, the replicas and the operator are stand-ins.
 
 pub mod address;
+pub mod claims;
 pub mod client;
 pub mod deployment;
 pub mod disk;
 pub mod error;
+pub mod figures;
+pub mod kills;
 pub mod machine;
+pub mod measure;
 pub mod network;
 pub mod operator;
 pub mod platform;
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,3 +1,172 @@
 //! Plays faults against the real programs and prints figures.
 
-fn main() {}
+use std::fmt::Debug;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use drill::error::DrillError;
+use drill::kills::{KillReport, kills};
+use drill::measure::{self, Cause};
+use serde::Serialize;
+
+/// What is to be played.
+#[derive(Clone, Debug)]
+enum Command {
+    Kills { count: u64, deployments: u64 },
+    Takeover { cause: Cause, count: usize },
+    Propagate { count: usize },
+    CatchUp { changes: Vec<u64>, count: usize },
+    Heal { seconds: u64, count: usize },
+    Cost { notes: Vec<usize>, changes: u64 },
+}
+
+fn main() -> ExitCode {
+    let outcome = match command_line().run() {
+        Command::Kills { count, deployments } => return print_kills(&kills(count, deployments)),
+        Command::Takeover { cause, count } => measure::takeover(cause, count).map(print),
+        Command::Propagate { count } => measure::propagate(count).map(print),
+        Command::CatchUp { changes, count } => {
+            changes.into_iter().try_for_each(|missed| measure::catch_up(missed, count).map(print))
+        }
+        Command::Heal { seconds, count } => return print_heal(seconds, count),
+        Command::Cost { notes, changes } => {
+            notes.into_iter().try_for_each(|bytes| measure::cost(bytes, changes).map(print))
+        }
+    };
+    exit_code(outcome)
+}
+
+fn exit_code(outcome: Result<(), DrillError>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print(report: impl Serialize) {
+    match serde_json::to_string(&report) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("the figures can't be written: {error}"),
+    }
+}
+
+fn print_kills(report: &KillReport) -> ExitCode {
+    print(report);
+    let verdict = if report.is_clean() { "no violation" } else { "VIOLATED" };
+    println!(
+        "{verdict}: {} kills ({} of primaries, {} with loss of power, {} rounds of all towers) in {:.0} s; \
+         {} changes acknowledged, {} of them lost; {} refused, {} of them in force; {} other violations",
+        report.kills,
+        report.primaries_killed,
+        report.power_losses,
+        report.all_killed,
+        report.seconds,
+        report.changes_acknowledged,
+        report.acknowledged_lost,
+        report.changes_refused,
+        report.refused_in_force,
+        report.other_violations,
+    );
+    report.violations.iter().for_each(|violation| println!("{violation}"));
+    if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn print_heal(seconds: u64, count: usize) -> ExitCode {
+    let report = match measure::heal(Duration::from_secs(seconds), count) {
+        Ok(report) => report,
+        Err(error) => return exit_code(Err(error)),
+    };
+    let is_clean = report.false_claims.is_empty() && report.late_answers == 0;
+    print(report);
+    if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn command_line() -> OptionParser<Command> {
+    let kills = {
+        let count = count(1_000);
+        let deployments = long("deployments")
+            .help("Deployments that run beside each other")
+            .argument::<u64>("N")
+            .guard(|count| *count > 0, "must be above 0")
+            .fallback(4);
+        let parser = construct!(Command::Kills { count, deployments });
+        command(parser, "kills", "Kills towers while operators send changes; fails if one is lost")
+    };
+    let takeover = {
+        let cause = long("cause")
+            .help("kill, power, cut, freeze or term")
+            .argument::<String>("CAUSE")
+            .parse(|text| parse_cause(&text));
+        let count = count(50);
+        let parser = construct!(Command::Takeover { cause, count });
+        command(parser, "takeover", "From a fault of the primary until a change is acknowledged")
+    };
+    let propagate = {
+        let count = count(200);
+        let parser = construct!(Command::Propagate { count });
+        command(parser, "propagate", "From an acknowledgement until a change is in force at the last kiosk")
+    };
+    let catch_up = {
+        let changes = numbers("changes", "10,100,1000", "Numbers of changes that a tower misses");
+        let count = count(10);
+        let parser = construct!(Command::CatchUp { changes, count });
+        command(parser, "catch-up", "From the start of a tower that was away until all is whole")
+    };
+    let heal = {
+        let seconds = long("seconds").help("Length of a cut").argument::<u64>("S").fallback(20);
+        let count = count(5);
+        let parser = construct!(Command::Heal { seconds, count });
+        command(parser, "heal", "From the end of a cut until tower and kiosk are current")
+    };
+    let cost = {
+        let notes = numbers("notes", "0,10000,50000", "Bytes by which the document is made longer");
+        let changes = long("changes").help("Changes").argument::<u64>("N").fallback(50);
+        let parser = construct!(Command::Cost { notes, changes });
+        command(parser, "cost", "Bytes and syncs for a change")
+    };
+    construct!([kills, takeover, propagate, catch_up, heal, cost])
+        .to_options()
+        .descr("Plays faults against the real programs of tulipridge on loopback")
+}
+
+fn command(
+    parser: impl Parser<Command> + 'static,
+    name: &'static str,
+    description: &'static str,
+) -> impl Parser<Command> {
+    parser.to_options().descr(description).command(name)
+}
+
+fn count<T>(default: T) -> impl Parser<T>
+where
+    T: Clone + Debug + std::str::FromStr + 'static,
+    T::Err: std::fmt::Display,
+{
+    long("count").help("Plays").argument::<T>("N").fallback(default)
+}
+
+fn numbers<T>(name: &'static str, default: &'static str, help: &'static str) -> impl Parser<Vec<T>>
+where
+    T: std::str::FromStr + 'static,
+    T::Err: std::fmt::Display,
+{
+    long(name).help(help).argument::<String>("N,...").fallback(default.to_owned()).parse(|text| {
+        text.split(',').map(|number| number.trim().parse()).collect::<Result<Vec<T>, T::Err>>()
+    })
+}
+
+fn parse_cause(text: &str) -> Result<Cause, String> {
+    match text {
+        "kill" => Ok(Cause::Kill),
+        "power" => Ok(Cause::Power),
+        "cut" => Ok(Cause::Cut),
+        "freeze" => Ok(Cause::Freeze),
+        "term" => Ok(Cause::Term),
+        "slow-disk" => Err("a disk can't be made slow from outside on loopback".to_owned()),
+        other => Err(format!("{other} is no cause")),
+    }
+}
--- a/crates/drill/src/operator.rs
+++ b/crates/drill/src/operator.rs
@@ -108,6 +108,15 @@
     },
 }
 
+/// A reply that is final, and what went before it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// The reply; it decides.
+    pub reply: Reply,
+    /// Tries that decided nothing.
+    pub undecided_tries: u64,
+}
+
 #[derive(Deserialize)]
 struct StaleBody {
     current: u64,
@@ -145,14 +154,21 @@
 
     /// Sends a change, to one tower after the other, until it is decided.
     pub fn send(&self, change: &Change, limit: Duration) -> Result<Reply> {
+        Ok(self.decide(change, limit)?.reply)
+    }
+
+    /// The same, and says how many tries it took.
+    pub fn decide(&self, change: &Change, limit: Duration) -> Result<Decision> {
         let began = Instant::now();
+        let mut undecided_tries = 0;
         let mut reason = String::new();
         while began.elapsed() < limit {
             for tower in &self.towers {
                 match self.send_once(*tower, change) {
                     Reply::Undecided { reason: newest } => reason = newest,
-                    decided => return Ok(decided),
+                    reply => return Ok(Decision { reply, undecided_tries }),
                 }
+                undecided_tries += 1;
             }
             std::thread::sleep(RETRY_PAUSE);
         }
--- a/crates/drill/tests/cuts.rs
+++ b/crates/drill/tests/cuts.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use drill::claims::false_claim;
 use drill::deployment::{Deployment, Plan};
 use drill::network::{Condition, Direction};
 use drill::operator::{Change, Operator, Reply, revision_of};
@@ -24,17 +25,9 @@
 /// `withdrawMs` of the settings.
 const WITHDRAWAL_TERM: Duration = Duration::from_secs(5);
 
-/// What a tower that knows nothing of revision 2 may say while it is in force.
 fn assert_claims_nothing(operator: &Operator, deployment: &Deployment, old: usize, in_force: &Change) {
-    let address = deployment.operator_socket(old);
-    if let Some(document) = operator.configuration_from(address) {
-        assert!(revision_of(&document) >= in_force.revision, "an old configuration was handed out");
-    }
-    let repeated = operator.send_once(address, in_force);
-    assert!(matches!(repeated, Reply::Undecided { .. } | Reply::Taken), "in force, and yet {repeated:?}");
-    let rival = Change::upsert_route(in_force.if_match, "rival", 1);
-    let answer = operator.send_once(address, &rival);
-    assert!(!matches!(answer, Reply::Taken), "a change beside the one in force was confirmed");
+    let claim = false_claim(operator, deployment.operator_socket(old), in_force);
+    assert_eq!(claim, None);
 }
 
 /// Waits until a tower delivers a revision and knows that it is the newest, and a kiosk serves a route of it.
