--- a/crates/drill/src/disk.rs
+++ b/crates/drill/src/disk.rs
@@ -59,6 +59,11 @@
     Ok(Some(Dropped { file: name.clone(), unconfirmed: length - confirmed, bytes: length - kept }))
 }
 
+/// Cuts all files down to the lengths that they had, whatever was confirmed since: no sound disk does that.
+pub fn truncate_to(folder: &Path, lengths: &Lengths) -> Result<()> {
+    lengths.0.iter().try_for_each(|(name, length)| truncate(&folder.join(name), *length))
+}
+
 fn truncate(path: &Path, length: u64) -> Result<()> {
     let action = || format!("truncate {}", path.display());
     let file = File::options().write(true).open(path);
