Split the deployment and the kills into modules, and miss no revision that two changes got

Kills also compare the revisions that were acknowledged: each change leads one beyond the revision on which it builds, so two acknowledgements of one revision mean that the first change was lost even if a later mark hides it.

--- /dev/null
+++ b/crates/drill/src/deployment/settings.rs
@@ -0,0 +1,63 @@
+//! The settings files of the programs.
+
+use std::path::{Path, PathBuf};
+
+use snafu::ResultExt;
+
+use super::{Deployment, LIST_RATE, ZONE};
+use crate::error::{Result, SystemSnafu};
+use crate::machine::{Machine, Port};
+
+impl Deployment {
+    pub(super) fn seed_list(&self) -> String {
+        let seed = |index: &usize| self.towers[*index].machine.socket(Port::Api).to_string();
+        let seeds: Vec<String> = self.seeds.iter().map(|index| format!("'{}'", seed(index))).collect();
+        format!("[{}]", seeds.join(", "))
+    }
+
+    pub(super) fn tower_settings(&self, index: usize, first_boot: bool) -> String {
+        let tower = &self.towers[index];
+        let platform = tower.machine.socket_toward(&self.platform_machine, Port::Api);
+        format!(
+            "{}listenOn: {{controlPort: '{}'}}\nfirstBoot: {first_boot}\ndataFolder: '{}'\n\
+             cloudApi: {{address: '{platform}', ratePerS: {LIST_RATE}}}\n",
+            self.common_settings(&tower.machine),
+            tower.machine.socket(Port::Api),
+            tower.folder.display(),
+        )
+    }
+
+    pub(super) fn write_edge_settings(&self, index: usize) -> Result<()> {
+        let machine = &self.edges[index].machine;
+        let text = format!(
+            "{}listenOn: {{frontDoor: '{}', readyCheck: '{}'}}\n",
+            self.common_settings(machine),
+            machine.socket(Port::Front),
+            machine.socket(Port::Ready),
+        );
+        write(self.folder.path(), machine, &text)
+    }
+
+    pub(super) fn common_settings(&self, machine: &Machine) -> String {
+        format!(
+            "nodeName: {}\nipAddress: {}\narea: {ZONE}\nsparePorts: [{}, {}]\nseedNodes: {}\n\
+             withstand: {{machineLosses: {}}}\n",
+            machine.name,
+            machine.address,
+            machine.port(Port::Control),
+            machine.port(Port::LocalFeed),
+            self.seed_list(),
+            self.plan.losses,
+        )
+    }
+}
+
+pub(super) fn path(folder: &Path, machine: &Machine) -> PathBuf {
+    folder.join(format!("{}.yaml", machine.name))
+}
+
+pub(super) fn write(folder: &Path, machine: &Machine, text: &str) -> Result<()> {
+    let path = path(folder, machine);
+    std::fs::write(&path, text)
+        .with_context(|_| SystemSnafu { action: format!("write {}", path.display()) })
+}
--- /dev/null
+++ b/crates/drill/src/deployment/wiring.rs
@@ -0,0 +1,59 @@
+//! The relays between machines.
+
+use super::Deployment;
+use crate::error::Result;
+use crate::machine::{Machine, MachineId, Port};
+use crate::network::Direction;
+use crate::relay::{Route, TcpRelay, relay_datagrams};
+
+impl Deployment {
+    /// Starts the relays between machines.
+    pub(super) fn connect(&mut self) -> Result<()> {
+        let mut relays = Vec::new();
+        let towers: Vec<&Machine> = self.towers.iter().map(|tower| &tower.machine).collect();
+        for to in &towers {
+            for from in towers.iter().filter(|from| from.id != to.id) {
+                for port in [Port::Control, Port::Feed] {
+                    relays.push(self.relay(from.id, from, to, port)?);
+                }
+                // A tower's redirects name its own port at the other tower: it is the operator who dials it.
+                relays.push(self.relay(self.operator_machine.id, from, to, Port::Api)?);
+                self.relay_views(from, to)?;
+            }
+            relays.push(self.relay(self.operator_machine.id, &self.operator_machine, to, Port::Api)?);
+            relays.push(self.relay(to.id, to, &self.platform_machine, Port::Api)?);
+            for edge in self.edges.iter().map(|edge| &edge.machine) {
+                relays.push(self.relay(edge.id, edge, to, Port::Feed)?);
+                self.relay_views(edge, to)?;
+                self.relay_views(to, edge)?;
+            }
+        }
+        let edges: Vec<&Machine> = self.edges.iter().map(|edge| &edge.machine).collect();
+        for to in &edges {
+            for from in edges.iter().filter(|from| from.id != to.id) {
+                self.relay_views(from, to)?;
+            }
+        }
+        self.relays = relays;
+        Ok(())
+    }
+
+    /// A relay for what `dialling` dials at the machine `to` with the port numbers of `from`.
+    pub(super) fn relay(
+        &self,
+        dialling: MachineId,
+        from: &Machine,
+        to: &Machine,
+        port: Port,
+    ) -> Result<TcpRelay> {
+        let direction = Direction { from: dialling, to: to.id };
+        let route = Route { direction, listen: from.socket_toward(to, port), target: to.socket(port) };
+        TcpRelay::start(&self.network, route)
+    }
+
+    pub(super) fn relay_views(&self, from: &Machine, to: &Machine) -> Result<()> {
+        let direction = Direction { from: from.id, to: to.id };
+        let (listen, target) = (from.socket_toward(to, Port::Views), to.socket(Port::Views));
+        relay_datagrams(&self.network, Route { direction, listen, target }, from.address)
+    }
+}
--- a/crates/drill/src/kills.rs
+++ b/crates/drill/src/kills/mod.rs
@@ -1,19 +1,21 @@
 //! Kills of towers while operators send changes: no acknowledged change may be lost, and none that was refused may be
 //! in force.
 
-use std::collections::{BTreeMap, HashSet};
-use std::ops::AddAssign;
+mod report;
+mod told;
+
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde::Serialize;
+pub use report::KillReport;
+use told::Told;
 
 use crate::deployment::{Deployment, Plan};
 use crate::disk::Lengths;
 use crate::error::Result;
-use crate::operator::{Change, Decision, Operator, Reply, mark_of};
+use crate::operator::{Change, Operator, Reply, mark_of};
 
 /// Operators that send at the same time.
 const OPERATORS: usize = 2;
@@ -38,76 +40,6 @@
 /// Longest time for which a killed tower stays away.
 const MOST_DOWNTIME_MS: u64 = 1_000;
 
-/// What was played and found.
-#[derive(Clone, Debug, Default, Serialize)]
-#[serde(rename_all = "camelCase")]
-pub struct KillReport {
-    /// Towers that were killed.
-    pub kills: u64,
-    /// Of them, those whose power was lost.
-    pub power_losses: u64,
-    /// Rounds in which all towers were killed.
-    pub all_killed: u64,
-    /// Kills of the primary.
-    pub primaries_killed: u64,
-    /// Rounds that began before the control plane was whole again.
-    pub kills_amid_recovery: u64,
-    /// Disks that lost the end of the log.
-    pub tails_dropped: u64,
-    /// Bytes that they lost.
-    pub bytes_dropped: u64,
-    /// Changes that were acknowledged.
-    pub changes_acknowledged: u64,
-    /// Changes that were refused since another one was faster.
-    pub changes_refused: u64,
-    /// Tries without a decision, each of which was followed by another one.
-    pub tries_undecided: u64,
-    /// How often the configuration was compared with what operators were told.
-    pub checks: u64,
-    /// Acknowledged changes that were lost.
-    pub acknowledged_lost: u64,
-    /// Refused changes that were in force.
-    pub refused_in_force: u64,
-    /// Other violations, such as a tower that did not come back.
-    pub other_violations: u64,
-    /// What was found, for a person.
-    pub violations: Vec<String>,
-    /// Time for all, in seconds.
-    pub seconds: f64,
-}
-
-impl KillReport {
-    /// Whether nothing was found.
-    pub fn is_clean(&self) -> bool {
-        self.violations.is_empty()
-    }
-
-    fn violation(&mut self, text: String) {
-        self.violations.push(text);
-    }
-}
-
-impl AddAssign for KillReport {
-    fn add_assign(&mut self, other: KillReport) {
-        self.kills += other.kills;
-        self.power_losses += other.power_losses;
-        self.all_killed += other.all_killed;
-        self.primaries_killed += other.primaries_killed;
-        self.kills_amid_recovery += other.kills_amid_recovery;
-        self.tails_dropped += other.tails_dropped;
-        self.bytes_dropped += other.bytes_dropped;
-        self.changes_acknowledged += other.changes_acknowledged;
-        self.changes_refused += other.changes_refused;
-        self.tries_undecided += other.tries_undecided;
-        self.checks += other.checks;
-        self.acknowledged_lost += other.acknowledged_lost;
-        self.refused_in_force += other.refused_in_force;
-        self.other_violations += other.other_violations;
-        self.violations.extend(other.violations);
-        self.seconds = self.seconds.max(other.seconds);
-    }
-}
-
 /// Plays at least `count` kills, shared out among `deployments` that run beside each other.
 pub fn kills(count: u64, deployments: u64) -> KillReport {
     let share = count.div_ceil(deployments);
@@ -190,7 +122,7 @@
 }
 
 /// Waits until a log has grown by a random number of bytes, so that the kill comes at any point of a write.
-fn watch_growth(folder: &std::path::Path) {
+fn watch_growth(folder: &Path) {
     let began = Instant::now();
     let goal = Lengths::of(folder).total() + fastrand::u64(1..MOST_BYTES);
     while began.elapsed() < WATCH_LIMIT && Lengths::of(folder).total() < goal {
@@ -213,60 +145,6 @@
     Ok(())
 }
 
-/// What operators were told of their marks.
-#[derive(Debug, Default)]
-struct Told {
-    state: Mutex<ToldState>,
-}
-
-#[derive(Debug, Default)]
-struct ToldState {
-    /// The newest mark of each route that was acknowledged. A route has one operator, whose marks rise.
-    acknowledged: BTreeMap<String, u64>,
-    /// The newest mark of each route that was sent.
-    sent: BTreeMap<String, u64>,
-    /// Marks that were refused at the first try.
-    refused: HashSet<u64>,
-    acknowledged_count: u64,
-    refused_count: u64,
-    undecided_count: u64,
-    failures: Vec<String>,
-}
-
-impl Told {
-    fn state(&self) -> MutexGuard<'_, ToldState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn note(&self, label: &str, mark: u64, decision: &Decision) {
-        let mut state = self.state();
-        state.undecided_count += decision.undecided_tries;
-        match &decision.reply {
-            Reply::Taken => {
-                state.acknowledged_count += 1;
-                state.acknowledged.insert(label.to_owned(), mark);
-            }
-            Reply::Stale { .. } => {
-                state.refused_count += 1;
-                // After a try without a decision it may have been taken and forgotten since.
-                if decision.undecided_tries == 0 {
-                    state.refused.insert(mark);
-                }
-            }
-            other => state.failures.push(format!("mark {mark} of {label}: {other:?}")),
-        }
-    }
-
-    fn add_to(&self, report: &mut KillReport) {
-        let state = self.state();
-        report.changes_acknowledged += state.acknowledged_count;
-        report.changes_refused += state.refused_count;
-        report.tries_undecided += state.undecided_count;
-        report.other_violations += state.failures.len() as u64;
-        report.violations.extend(state.failures.iter().cloned());
-    }
-}
-
 /// Sends changes, each on top of the newest revision that this operator knows, until it is to stop.
 fn send_changes(number: usize, operator: &Operator, told: &Told, stop: &AtomicBool) {
     let mut base = 1;
@@ -280,7 +158,7 @@
         let change = Change::upsert_route(base, &label, mark);
         match operator.decide(&change, DECISION_LIMIT) {
             Ok(decision) => {
-                told.note(&label, mark, &decision);
+                told.note(&label, mark, change.revision, &decision);
                 base = match decision.reply {
                     Reply::Stale { current } => current,
                     _ => change.revision,
