--- a/crates/drill/src/operator.rs
+++ b/crates/drill/src/operator.rs
@@ -189,6 +189,15 @@
         }
     }
 
+    /// Names the newest weights of a model at one tower and where that sends the call; the status of the answer, if there
+    /// is one.
+    pub fn name_weights(&self, tower: SocketAddr, model: &str, revision: u64) -> Option<u16> {
+        let body = json!({"llm": model, "revision": revision}).to_string();
+        let target = "/version-put";
+        let request = Request { method: "POST", target, headers: &[], body: body.as_bytes() };
+        self.follow(tower, &request).ok().map(|answer| answer.status())
+    }
+
     /// The newest configuration.
     pub fn configuration(&self, limit: Duration) -> Result<Value> {
         let began = Instant::now();
--- a/crates/drill/src/status.rs
+++ b/crates/drill/src/status.rs
@@ -1,5 +1,6 @@
 //! How a tower sees the control plane.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     pub primary: Option<String>,
     /// The newest configuration that it delivers.
     pub configuration: u64,
+    /// The newest weights that were named, by model.
+    pub weights: BTreeMap<String, u64>,
     /// How many replicas it delivers.
     pub replicas: usize,
     /// How long ago what it delivers was known to be the newest, in milliseconds.
--- a/crates/drill/tests/changes.rs
+++ b/crates/drill/tests/changes.rs
@@ -8,6 +8,7 @@
 use drill::deployment::{Deployment, Plan};
 use drill::network::{Condition, Direction};
 use drill::operator::{Change, Operator, Reply, mark_of, revision_of};
+use drill::wait::{wait_for, wait_until};
 use support::{CHANGE_LIMIT, start};
 
 /// Rounds in which two operators send under one revision.
@@ -19,6 +20,12 @@
 /// Bytes of an answer or a call after which the connection is reset.
 const CUTS: [u64; 6] = [0, 1, 12, 60, 110, 200];
 
+/// The model whose weights are named.
+const MODEL: &str = "m";
+/// Statuses that decide on weights.
+const OK: u16 = 200;
+const REFUSED: u16 = 400;
+
 fn send(operator: &Operator, change: &Change) -> Reply {
     operator.send(change, CHANGE_LIMIT).expect("it is decided")
 }
@@ -110,3 +117,40 @@
         assert_eq!(send(&deployment.operator(), &rival), Reply::Stale { current: change.revision });
     }
 }
+
+/// Weights are named again after the answer was lost, at any tower and after a takeover; older ones are refused.
+#[test]
+fn weights_that_are_named_again_are_acknowledged_again() {
+    let mut deployment = start(Plan { edges: 0, ..Plan::default() });
+    let primary = deployment.wait_for_primary().expect("a primary");
+    let answers =
+        Direction { from: deployment.towers[primary].machine.id, to: deployment.operator_machine.id };
+    let operator = deployment.operator().with_try_timeout(TRY_TIMEOUT);
+    deployment.network.set_after(answers, 0, Condition::Reset);
+    let lost = operator.name_weights(deployment.operator_socket(primary), MODEL, 2);
+    assert_eq!(lost, None, "the answer is lost");
+    deployment.network.set(answers, Condition::Open);
+    for tower in 0..deployment.towers.len() {
+        assert_eq!(name_until_answered(&deployment, tower, 2), OK);
+    }
+    deployment.towers[primary].process.kill();
+    let successor = (0..3).find(|tower| *tower != primary).expect("another tower");
+    assert_eq!(name_until_answered(&deployment, successor, 2), OK);
+    assert_eq!(name_until_answered(&deployment, successor, 1), REFUSED);
+    let is_named = || {
+        let status = deployment.status(successor);
+        status.is_some_and(|status| status.weights.get(MODEL) == Some(&2))
+    };
+    wait_until("the weights are named", CHANGE_LIMIT, is_named).expect("they are");
+}
+
+/// The first answer that decides; a tower that knows no primary is asked again.
+fn name_until_answered(deployment: &Deployment, tower: usize, revision: u64) -> u16 {
+    let operator = deployment.operator().with_try_timeout(TRY_TIMEOUT);
+    let address = deployment.operator_socket(tower);
+    wait_for("weights are decided on", CHANGE_LIMIT, || {
+        let status = operator.name_weights(address, MODEL, revision);
+        status.filter(|status| [OK, REFUSED].contains(status))
+    })
+    .expect("an answer")
+}
