--- a/crates/kiosk/src/exchange.rs
+++ b/crates/kiosk/src/exchange.rs
@@ -9,21 +9,22 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
-use signpost::types::Effect;
 
 use crate::admission::Admitted;
-use crate::attempt::{Answer, Failure};
 use crate::client::{Client, Done, Incoming, write_own};
 use crate::headers::OwnAnswer;
-use crate::held::Held;
+use crate::placement::held::Held;
+use crate::placement::prompt::PromptHeaders;
 use crate::placement::{self, Ask, Order};
-use crate::prompt::PromptHeaders;
 use crate::proxy::Proxy;
 use crate::relay::Relay;
+use crate::replica::attempt::{Answer, Failure};
+use crate::replica::outcome::{self, Known, LastAnswer, RequestKind};
 
 /// What a client is told while nothing can be judged or placed.
 const RETRY_SOON: Duration = Duration::from_millis(500);
-/// What a client is told whose request the newest configuration has handled otherwise.
+/// What a client is told whose request the newest configuration has handled otherwise, or which another gateway
+/// can serve.
 const RETRY_AT_ONCE: Duration = Duration::from_millis(50);
 /// A request that could be sent to nobody is given up after this part of its target.
 const IDLE_PART: u32 = 5;
@@ -45,7 +46,12 @@
         }
     };
     drop(routing);
-    match Exchange::place(proxy, incoming, admitted) {
+    let deadline = deadline(incoming, &admitted);
+    if !proxy.takes_request(deadline.saturating_duration_since(Instant::now())) {
+        proxy.counters.refused.add();
+        return write_own(proxy, client, incoming, OwnAnswer::refusal(RETRY_AT_ONCE)).await;
+    }
+    match Exchange::place(proxy, incoming, admitted, deadline) {
         Some(exchange) => exchange.run(client).await,
         None => {
             proxy.counters.refused.add();
@@ -54,6 +60,12 @@
     }
 }
 
+/// When a request is over, by what its client says and by its route.
+fn deadline(incoming: &Incoming, admitted: &Admitted) -> Instant {
+    let limit = Duration::from_millis(admitted.route().time_limit_ms);
+    incoming.started + incoming.time_left().map_or(limit, |left| left.min(limit))
+}
+
 /// What comes next of a request that waits.
 enum Next {
     Order(Order),
@@ -90,8 +102,8 @@
     deadline: Instant,
     /// Replicas that the request was written to.
     sends: u32,
-    /// Some replica may have run it.
-    may_have_run: bool,
+    /// What is known after all sends so far.
+    known: Known,
     /// A failure of a replica that the client gets if nobody does better.
     failure: Option<Box<Failure>>,
     /// The answer that the client has been passed a part of.
@@ -99,9 +111,12 @@
 }
 
 impl<'a> Exchange<'a> {
-    fn place(proxy: &'a Rc<Proxy>, incoming: &'a Incoming, admitted: Admitted) -> Option<Exchange<'a>> {
-        let limit = Duration::from_millis(admitted.route().time_limit_ms);
-        let deadline = incoming.started + incoming.time_left().map_or(limit, |left| left.min(limit));
+    fn place(
+        proxy: &'a Rc<Proxy>,
+        incoming: &'a Incoming,
+        admitted: Admitted,
+        deadline: Instant,
+    ) -> Option<Exchange<'a>> {
         let prompt = PromptHeaders::read(&incoming.head);
         let ask = Ask {
             class: proxy.placement.borrow().class(&admitted.route().label)?,
@@ -117,7 +132,7 @@
             held,
             deadline,
             sends: 0,
-            may_have_run: false,
+            known: Known::NotRun,
             failure: None,
             relay: None,
         })
@@ -164,18 +179,31 @@
             // Nothing is out.
             Order::Cancel(_) => Step::Continue,
             Order::Refuse(wait) => Step::Answer(self.declined(wait)),
-            Order::Fail => Step::Answer(Final::Own(self.failed())),
+            Order::Fail => Step::Answer(Final::Own(self.failed(RETRY_SOON))),
         }
     }
 
-    /// Declines the request. Of one that may have run and must not be repeated, nothing is promised.
+    /// How the request may be repeated.
+    fn kind(&self) -> RequestKind {
+        RequestKind::of(self.admitted.route())
+    }
+
+    /// The last word on a request for which nobody is to be asked any more.
     fn declined(&self, wait: Duration) -> Final {
-        let may_promise = !self.may_have_run || placement::effect_of(self.admitted.route()) == Effect::Safe;
-        Final::Own(if may_promise { OwnAnswer::refusal(wait) } else { self.failed() })
+        Final::Own(self.last_answer(true, wait))
+    }
+
+    /// The last word on a request that has failed.
+    fn failed(&self, wait: Duration) -> OwnAnswer {
+        self.last_answer(false, wait)
     }
 
-    fn failed(&self) -> OwnAnswer {
+    fn last_answer(&self, has_given_up: bool, wait: Duration) -> OwnAnswer {
         let is_late = Instant::now() >= self.deadline;
-        OwnAnswer::plain(if is_late { 504 } else { 502 })
+        match outcome::last_answer(self.kind(), self.known, is_late, has_given_up) {
+            LastAnswer::Refusal => OwnAnswer::refusal(wait),
+            LastAnswer::BadGateway => OwnAnswer::plain(502),
+            LastAnswer::GatewayTimeout => OwnAnswer::plain(504),
+        }
     }
 }
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -15,17 +15,17 @@
 use crate::admission::Routing;
 use crate::alarms::Alarms;
 use crate::bounds::{Bounds, ClientPlace, HeldBytes, Usage, client_limits, replica_limits};
-use crate::budget::{RetryAllowance, RetryBudget};
 use crate::counters::Counters;
 use crate::freshness::FreshnessGate;
-use crate::held;
 use crate::kv_cache::KvDirectory;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::notice::Notice;
 use crate::placement::Placement;
-use crate::pool::Pool;
-use crate::replicas::{Replicas, ZoneIndex};
-use crate::urgency::Urgency;
+use crate::placement::budget::{RetryAllowance, RetryBudget};
+use crate::placement::held;
+use crate::placement::urgency::Urgency;
+use crate::replica::pool::Pool;
+use crate::replica::replicas::{Replicas, ZoneIndex};
 
 /// Tells how long ago the configuration was known to be the newest.
 pub type Age = Box<dyn Fn() -> Option<Duration>>;
@@ -49,7 +49,7 @@
     /// The urgency that replicas are told.
     pub urgency: RefCell<Urgency>,
     /// What is in use of what the process may use.
-    pub usage: Usage,
+    pub usage: Rc<Usage>,
     routing: RefCell<Option<Rc<Routing>>>,
     client_limits: RefCell<Rc<WireLimits>>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
@@ -78,7 +78,7 @@
             urgency: RefCell::default(),
             replicas: RefCell::default(),
             stage_changed: Notice::default(),
-            usage: Usage::new(bounds),
+            usage: Rc::new(Usage::new(bounds)),
             routing: RefCell::default(),
             client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
             budgets: RefCell::default(),
@@ -229,6 +229,12 @@
         self.lifecycle.borrow().stage(clock::now())
     }
 
+    /// Whether a request that has come whole is still taken, given how long it may last from now.
+    pub fn takes_request(&self, time_left: Duration) -> bool {
+        let now = clock::now();
+        self.lifecycle.borrow().takes_request(now, now + time_left)
+    }
+
     /// Tells of each change of the stage; ends once the process may end.
     pub async fn run_lifecycle(&self) {
         loop {
@@ -259,12 +265,12 @@
     // ---- bounds -------------------------------------------------------------------------------------------
 
     /// A place for a client's connection, given back when it is dropped.
-    pub fn client_place(self: &Rc<Self>) -> ClientPlace {
-        ClientPlace::new(self)
+    pub fn client_place(&self) -> ClientPlace {
+        ClientPlace::new(&self.usage)
     }
 
     /// Bytes of a body, counted until they are dropped.
-    pub fn held_bytes(self: &Rc<Self>) -> HeldBytes {
-        HeldBytes::new(self)
+    pub fn held_bytes(&self) -> HeldBytes {
+        HeldBytes::new(&self.usage)
     }
 }
--- a/crates/tower/src/replication/settings.rs
+++ b/crates/tower/src/replication/settings.rs
@@ -17,10 +17,19 @@
 pub(super) const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// How much later each further holder in the view's order campaigns.
 pub(super) const ELECTION_STAGGER: Duration = Duration::from_millis(100);
+/// How much later a holder campaigns whose process ends soon: only where nobody else does.
+pub(super) const LEAVING_CAMPAIGN_DELAY: Duration = Duration::from_secs(1);
 /// Messages of a pending step are repeated after this time.
 pub(super) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
-/// The whole state is sent again after this time.
+/// Parts of the data that a future holder has not confirmed are sent again after this time, then after twice as
+/// long, and so on.
 pub(super) const SYNC_RESEND_INTERVAL: Duration = Duration::from_millis(300);
+/// The longest such time.
+pub(super) const LONGEST_SYNC_RESEND: Duration = Duration::from_millis(2400);
+/// The slowest link, in bytes a second, whose time for a long entry is waited for: about 8 Mbit/s.
+const SLOWEST_LINK: u64 = 1 << 20;
+/// The slowest disk, in bytes a second, whose time for a long entry, or for the whole data, is waited for.
+const SLOWEST_DISK: u64 = 4 << 20;
 /// A view change without progress for this long is given up; after failures the next ones get more time.
 pub(super) const ATTEMPT_STALL: Duration = Duration::from_millis(800);
 /// A voter without an acknowledgement for this long is exchanged.
@@ -29,7 +38,7 @@
 pub(super) const NEW_PRIMARY_GRACE: Duration = Duration::from_millis(700);
 /// A backup without an acknowledgement for this long is exchanged.
 pub(super) const BACKUP_DEAD_AFTER: Duration = Duration::from_millis(700);
-/// A backup that has not stored an entry for this long is brought up to date anew, or exchanged.
+/// A backup that has not stored an entry for this long, beside the time that the entry's bytes may take, is brought up to date anew, or exchanged.
 pub(super) const APPEND_STALL: Duration = Duration::from_millis(1500);
 /// How often a member without a primary asks to be taken in.
 pub(super) const JOIN_INTERVAL: Duration = Duration::from_millis(500);
@@ -39,6 +48,8 @@
 pub(super) const STANDBY_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 /// A primary whose heartbeat is older is not named to others.
 pub(super) const PRIMARY_KNOWN_FOR: Duration = Duration::from_millis(600);
+/// Callers are sent to a primary only if its heartbeat is not older: two in a row may be missing.
+pub(super) const REDIRECT_FOR: Duration = Duration::from_millis(350);
 /// A primary starts view changes no closer than this.
 pub(super) const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -46,6 +57,16 @@
 /// random histories are as far off.
 const CLOCK_DRIFT_PERCENT: u128 = 2;
 
+/// How long the slowest link takes for so many bytes.
+pub(super) fn longest_transmission(bytes: u64) -> Duration {
+    Duration::from_millis(bytes * 1000 / SLOWEST_LINK)
+}
+
+/// How long the slowest disk takes for so many bytes.
+pub(super) fn longest_write(bytes: u64) -> Duration {
+    Duration::from_millis(bytes * 1000 / SLOWEST_DISK)
+}
+
 /// What has to hold between the terms.
 const _: () = {
     let longest_lease = LEASE_TERM.as_micros() * (100 + CLOCK_DRIFT_PERCENT);
@@ -67,6 +88,11 @@
         PRIMARY_KNOWN_FOR.as_micros() >= LEASE_TERM.as_micros(),
         "a primary that may hold a lease is named"
     );
+    assert!(
+        REDIRECT_FOR.as_micros() > 2 * HEARTBEAT_INTERVAL.as_micros()
+            && REDIRECT_FOR.as_micros() <= PRIMARY_KNOWN_FOR.as_micros(),
+        "callers are sent to a primary that has missed no more than two heartbeats"
+    );
     assert!(
         PRIMARY_KNOWN_FOR.as_micros() <= ELECTION_TIMEOUT.as_micros(),
         "a primary is not named any more when others may follow it"
