--- a/crates/drill/src/deployment/mod.rs
+++ b/crates/drill/src/deployment/mod.rs
@@ -123,28 +123,19 @@
             .prefix("tulipridge-drill-")
             .tempdir()
             .context(SystemSnafu { action: "make a folder" })?;
-        let mut next = 0;
-        let mut machine = |name: String| {
-            let id = MachineId(next);
-            next += 1;
-            Machine::new(id, name, addresses.address(FIRST_HOST + id.0))
-        };
-        let operator_machine = machine("operator".to_owned())?;
-        let platform_machine = machine("platform".to_owned())?;
-        let towers = (1..=plan.towers)
-            .map(|number| Ok(Tower::new(machine(format!("middle-{number}"))?, &programs, folder.path())));
-        let towers = towers.collect::<Result<Vec<Tower>>>()?;
-        let edges = (1..=plan.edges)
-            .map(|number| Ok(Edge::new(machine(format!("edge-{number}"))?, &programs, folder.path())));
-        let edges = edges.collect::<Result<Vec<Edge>>>()?;
+        let mut machines = MachineFactory { addresses: &addresses, next: 0 };
+        let operator_machine = machines.make("operator".to_owned())?;
+        let platform_machine = machines.make("platform".to_owned())?;
+        let mut towers = Vec::new();
+        for number in 1..=plan.towers {
+            towers.push(Tower::new(machines.make(format!("middle-{number}"))?, &programs, folder.path()));
+        }
+        let mut edges = Vec::new();
+        for number in 1..=plan.edges {
+            edges.push(Edge::new(machines.make(format!("edge-{number}"))?, &programs, folder.path()));
+        }
         let platform = Platform::start(platform_machine.socket(Port::Api))?;
-        let replica = |number: usize| {
-            let host = FIRST_REPLICA_HOST + number as u8;
-            let replica = Replica::start(format!("i-{number}"), addresses.address(host))?;
-            platform.add(&replica.id, replica.address, ZONE);
-            Ok(replica)
-        };
-        let replicas = (0..plan.replicas).map(replica).collect::<Result<Vec<Replica>>>()?;
+        let replicas = start_replicas(plan.replicas, &addresses, &platform)?;
         let mut deployment = Deployment {
             network: Network::default(),
             towers,
@@ -191,6 +182,32 @@
     }
 }
 
+/// Makes the machines of a deployment, each with an address of its own.
+struct MachineFactory<'a> {
+    addresses: &'a AddressBlock,
+    next: u8,
+}
+
+impl MachineFactory<'_> {
+    fn make(&mut self, name: String) -> Result<Machine> {
+        let id = MachineId(self.next);
+        self.next += 1;
+        Machine::new(id, name, self.addresses.address(FIRST_HOST + id.0))
+    }
+}
+
+/// Starts replicas and lists them.
+fn start_replicas(count: usize, addresses: &AddressBlock, platform: &Platform) -> Result<Vec<Replica>> {
+    let mut replicas = Vec::new();
+    for number in 0..count {
+        let address = addresses.address(FIRST_REPLICA_HOST + number as u8);
+        let replica = Replica::start(format!("i-{number}"), address)?;
+        platform.add(&replica.id, replica.address, ZONE);
+        replicas.push(replica);
+    }
+    Ok(replicas)
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for tower in &mut self.towers {
