--- a/crates/tower/tests/state_repeats.rs
+++ b/crates/tower/tests/state_repeats.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use support::operator::{
+use support::state_calls::{
     accepted, name, patch, patch_route, put, put_routes, restored, revision, route, take,
 };
 use timetable::REMEMBERED_CALLS;
--- a/crates/tower/tests/support/mod.rs
+++ b/crates/tower/tests/support/mod.rs
@@ -8,6 +8,8 @@
 pub mod history;
 pub mod machine;
 pub mod operator;
+pub mod payload;
 pub mod random;
 pub mod reference;
 pub mod simulation;
+pub mod state_calls;
--- /dev/null
+++ b/crates/tower/tests/support/simulation/trouble.rs
@@ -0,0 +1,136 @@
+//! Trouble of machines: crashes, power cuts, lost disks, replacements, pauses.
+
+use tower::replication::Input;
+
+use crate::support::disk::PowerCut;
+
+use super::{AfterEnd, Event, Fault, Network, Simulation};
+
+impl Simulation {
+    /// Ends a process and lets it start again after a delay.
+    pub fn kill(&mut self, index: usize, restart_after: u64) {
+        let machine = &mut self.machines[index];
+        machine.process = None;
+        machine.frozen_until = 0;
+        machine.disk.lose_pending(&mut self.random);
+        self.schedule(self.now + restart_after, Event::Start { machine: index });
+    }
+
+    /// Asks a process to end; it does after a while, and starts again later.
+    pub fn terminate(&mut self, index: usize, ends_after: u64, restart_after: u64) {
+        self.ask_to_end(index, ends_after, AfterEnd::Restart { after: restart_after });
+    }
+
+    /// Asks a process to end; it does after a while, and its machine does not come back.
+    pub fn terminate_for_good(&mut self, index: usize, ends_after: u64) {
+        self.machines[index].leaving = true;
+        self.ask_to_end(index, ends_after, AfterEnd::Removal);
+    }
+
+    /// Machines whose processes have been asked to end for good, and have not ended.
+    pub fn leaving_count(&self) -> usize {
+        self.machines.iter().filter(|machine| machine.leaving && !machine.removed).count()
+    }
+
+    fn ask_to_end(&mut self, index: usize, ends_after: u64, then: AfterEnd) {
+        self.input(index, Input::Terminate);
+        match &self.machines[index].process {
+            Some(process) => {
+                let life = process.life;
+                self.schedule(self.now + ends_after, Event::End { machine: index, life, then });
+            }
+            None => self.end(index, then),
+        }
+    }
+
+    pub(super) fn end(&mut self, index: usize, then: AfterEnd) {
+        match then {
+            AfterEnd::Restart { after } => self.kill(index, after),
+            AfterEnd::Removal => self.remove(index),
+        }
+    }
+
+    fn remove(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        machine.process = None;
+        machine.removed = true;
+    }
+
+    /// The disk refuses all writes for a span; the process tries them again and again.
+    pub fn fill_disk(&mut self, index: usize, span: u64) {
+        let machine = &mut self.machines[index];
+        machine.disk.full_until = self.now + span;
+        let life = machine.lives;
+        self.schedule(self.now + span, Event::Synced { machine: index, life });
+    }
+
+    /// Cuts the power right after some more writes, before the process hears of the last one.
+    pub fn cut_power_after_writes(&mut self, index: usize, writes: u32, restart_after: u64) {
+        self.machines[index].disk.power_cut = Some(PowerCut { writes, restart_after });
+    }
+
+    /// Cuts the power; nothing that is not synced is found after.
+    pub fn cut_power(&mut self, index: usize, restart_after: u64) {
+        self.machines[index].disk.lose_all_pending();
+        self.kill(index, restart_after);
+    }
+
+    /// Takes a machine's disk and lets it start again as a newcomer.
+    pub fn wipe(&mut self, index: usize, restart_after: u64) {
+        self.cut_power(index, restart_after);
+        let generation = self.random.u64(..) | 1;
+        let keeps_generation = self.shape.fault == Fault::KeptGeneration;
+        let machine = &mut self.machines[index];
+        machine.disk.state = Default::default();
+        if !keeps_generation {
+            machine.node.generation = generation;
+        }
+    }
+
+    /// Takes a machine away for good and adds another at a new address.
+    pub fn replace(&mut self, index: usize, start_after: u64) -> usize {
+        self.remove(index);
+        let generation = self.random.u64(..) | 1;
+        self.add_machine(generation, self.now + start_after)
+    }
+
+    /// Stops a machine for a span; its clock goes on.
+    pub fn freeze(&mut self, index: usize, span: u64) {
+        let until = self.now + span;
+        let machine = &mut self.machines[index];
+        if machine.process.is_some() && machine.frozen_until <= self.now {
+            machine.frozen_until = until;
+            self.schedule(until, Event::Thaw { machine: index });
+        }
+    }
+
+    pub(super) fn thaw(&mut self, index: usize) {
+        let machine = &mut self.machines[index];
+        if machine.frozen_until > self.now {
+            return;
+        }
+        let Some(process) = &mut machine.process else { return };
+        let backlog = std::mem::take(&mut process.backlog);
+        let delayed_calls = std::mem::take(&mut process.delayed_calls);
+        for input in backlog {
+            self.input(index, input);
+        }
+        for call in delayed_calls {
+            self.take_operator_event(call);
+        }
+    }
+
+    /// Ends all trouble of network, disks and freezes; processes that are down come back soon.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.network = Network::default();
+        for index in 0..self.machines.len() {
+            let machine = &mut self.machines[index];
+            machine.disk.heal(self.now);
+            if machine.frozen_until > self.now {
+                machine.frozen_until = self.now;
+                self.schedule(self.now, Event::Thaw { machine: index });
+            }
+        }
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,7 +3,7 @@
 //! The engine owns the decision module, its clock and its timers. It feeds events to the module and hands
 //! each action to the request that waits for it.
 
-mod life;
+mod request_lifecycle;
 mod streams;
 
 use std::cell::RefCell;
@@ -19,11 +19,13 @@
 use futures_lite::{Stream, future};
 use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
 
-pub use life::{Answer, Arrival, Begun, Client, Heir, Servers, Step, Why, carry_on, serve};
+pub use request_lifecycle::{
+    Answer, Arrival, BegunStream, Client, FailureReason, Servers, Step, StreamSuccessor, carry_on, serve,
+};
 
 use crate::Gateway;
 use crate::limits::{Limits, StreamLimits};
-use crate::process::lag::{Late, Watch};
+use crate::process::lag::{LagMonitor, LagSpell};
 use crate::stream::{Change, End};
 use crate::types::*;
 use streams::Streams;
@@ -124,7 +126,7 @@
     waiting: BTreeMap<RequestId, Waiting>,
     actions: Vec<Action>,
     spare_id: u64,
-    watch: Watch,
+    watch: LagMonitor,
 }
 
 /// A held request's mailbox, and how many schedulings it was ordered.
@@ -163,7 +165,7 @@
             waiting: BTreeMap::new(),
             actions: Vec::new(),
             spare_id: seed,
-            watch: Watch::new(unix, cpu_time(), limits),
+            watch: LagMonitor::new(unix, cpu_time(), limits),
         };
         let clock = Rc::new(Clock { unix, from: Instant::now() });
         let core = Rc::new(RefCell::new(core));
@@ -255,7 +257,7 @@
     /// costs a gateway that is idle more than all else.
     fn watch(&self, due: Nanos, now: Nanos) {
         let told = self.core.borrow_mut().watch.ran(due, now, cpu_time);
-        if let Some(Late { due, late, span, cpu }) = told {
+        if let Some(LagSpell { due, late, span, cpu }) = told {
             let due = humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_nanos(due));
             let [late, span, cpu] = [late, span, cpu].map(|nanos| nanos / 1_000_000);
             log::warn!(due:% = due, late_ms = late, span_ms = span, cpu_ms = cpu;
