Count an order's effect in the model by the change of the state

Cause: an entry of an order that is known is reported as taken since changes are remembered by the state itself, so the model took it for a second effect. Change: an entry has an effect if it changes the state; the broken twin stays as it was.

--- a/crates/tower/tests/support_model/outputs.rs
+++ b/crates/tower/tests/support_model/outputs.rs
@@ -6,7 +6,7 @@
 use intercom::control::Envelope;
 use intercom::node::NodeId;
 use tower::replication::{DurableRecord, Input, Output, Role};
-use tower::state::{Applied, State};
+use tower::state::State;
 
 use super::disk::Batch;
 use super::faults::Fault;
@@ -58,12 +58,13 @@
         let machine = self.members[member].change();
         let Some(process) = &mut machine.process else { return };
         assert_eq!(process.sequence + 1, sequence, "entries are applied in order without gaps");
-        let applied = process.state.apply(command).expect("a command that was decided on");
+        let before = fingerprint(&process.state.snapshot());
+        process.state.apply(command).expect("a command that was decided on");
         process.sequence = sequence;
         let state = fingerprint(&process.state.snapshot());
         let epoch = process.replication.epoch();
         let order = self.history.asked.iter().copied().find(|order| is_command_of(command, *order));
-        let takes_effect = applied != Applied::Superseded || self.setup.fault == Fault::RepeatTakesEffect;
+        let takes_effect = state != before || self.setup.fault == Fault::RepeatTakesEffect;
         let effect = order.filter(|_| takes_effect);
         let answered = order.filter(|order| proposal.is_some() && is_taken(&process.state, *order));
         self.history.applied(sequence, command, effect, state);
