Share the tests' clock, first steps and lost backups, which stood twice

Clock of the simulated cluster and of the explorer, the beginning and end of directed tests, and the loss of a backup in the sync tests were written twice or more; each is in one place now. No check or bound changes.

--- a/crates/tower/tests/replication_directed.rs
+++ b/crates/tower/tests/replication_directed.rs
@@ -4,25 +4,10 @@
 
 use intercom::node::NodeId;
 use rstest::rstest;
+use support::scenario::{assert_goes_on, started};
 use support::simulation::{Fault, MS, Network, SECOND, Shape, Simulation};
 use tower::replication::Input;
 
-const PROGRESS_WITHIN: u64 = 6 * SECOND;
-
-fn started(losses: u32, seeds: usize, machines: usize, seed: u64) -> Simulation {
-    let mut simulation = Simulation::new(seed, Shape { losses, seeds, machines, fault: Fault::None });
-    simulation.acknowledge_one();
-    simulation.end_first_boot();
-    simulation.run_for(3 * SECOND);
-    simulation
-}
-
-fn assert_goes_on(simulation: &mut Simulation) {
-    let is_live = simulation.make_progress(PROGRESS_WITHIN);
-    assert_eq!(simulation.checker.violation, None);
-    assert!(is_live, "a proposal is acknowledged in time");
-}
-
 fn voters_of(simulation: &Simulation) -> Vec<NodeId> {
     let primary = simulation.primary().expect("there is a primary");
     simulation.view_at(primary).expect("it has a view").voters.clone()
--- a/crates/tower/tests/replication_leaving.rs
+++ b/crates/tower/tests/replication_leaving.rs
@@ -5,28 +5,15 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::simulation::{Fault, MS, SECOND, Shape, Simulation};
+use support::history::PROGRESS_WITHIN;
+use support::scenario::{assert_goes_on, started};
+use support::simulation::{MS, SECOND, Simulation};
 use tower::replication::{Departure, Input};
 use tower::server::departure::may_end;
 
-const PROGRESS_WITHIN: u64 = 6 * SECOND;
 const LEEWAY: Duration = Duration::from_secs(8);
 const LOOK_EVERY: u64 = 50 * MS;
 
-fn started(losses: u32, seeds: usize, machines: usize, seed: u64) -> Simulation {
-    let mut simulation = Simulation::new(seed, Shape { losses, seeds, machines, fault: Fault::None });
-    simulation.acknowledge_one();
-    simulation.end_first_boot();
-    simulation.run_for(3 * SECOND);
-    simulation
-}
-
-fn assert_goes_on(simulation: &mut Simulation) {
-    let is_live = simulation.make_progress(PROGRESS_WITHIN);
-    assert_eq!(simulation.checker.violation, None);
-    assert!(is_live, "a proposal is acknowledged in time");
-}
-
 fn departure(simulation: &Simulation, index: usize) -> Departure {
     let machine = &simulation.machines[index];
     let process = machine.process.as_ref().expect("it runs");
--- a/crates/tower/tests/replication_sync.rs
+++ b/crates/tower/tests/replication_sync.rs
@@ -43,6 +43,14 @@
     }
 }
 
+/// The backup is lost; messages are counted from now on.
+fn lose_backup(cluster: &mut Cluster) -> usize {
+    let backup = cluster.holders()[1];
+    cluster.kill(backup);
+    cluster.traffic.clear();
+    backup
+}
+
 fn assert_holds(cluster: &Cluster) {
     assert_eq!(cluster.checker.violation, None);
 }
@@ -72,9 +80,7 @@
     let mut cluster = with_configuration();
     cluster.link_speed = link_speed;
     slow_down(&mut cluster, slow);
-    let backup = cluster.holders()[1];
-    cluster.kill(backup);
-    cluster.traffic.clear();
+    lose_backup(&mut cluster);
     let waited = cluster.acknowledge(SHORT, seconds(20)).expect("a new backup is brought up to date");
     println!("waited {waited:?}; {:?}", cluster.traffic);
     assert!(waited < milliseconds(limit_ms), "{waited:?}");
@@ -122,9 +128,7 @@
     let mut cluster = Cluster::new(1, 3, 4);
     cluster.acknowledge(SHORT, seconds(5)).expect("the first change");
     cluster.run_for(seconds(2));
-    let backup = cluster.holders()[1];
-    cluster.kill(backup);
-    cluster.traffic.clear();
+    lose_backup(&mut cluster);
     cluster.acknowledge(SHORT, seconds(5)).expect("a new backup is brought up to date");
     let counts = ["sync", "sync progress", "synced"].map(|kind| cluster.sent(kind).messages);
     assert_eq!(counts, [1, 0, 1]);
@@ -166,9 +170,7 @@
 fn a_transfer_goes_on_after_a_cut(#[values(0, 30, 100, 300, 700, 1000, 1100)] at_ms: u64) {
     let mut cluster = with_configuration();
     cluster.link_speed = SLOW_LINK;
-    let backup = cluster.holders()[1];
-    cluster.kill(backup);
-    cluster.traffic.clear();
+    let backup = lose_backup(&mut cluster);
     cluster.run_while_not(seconds(5), |cluster| cluster.sent("sync").messages > 0);
     cluster.run_for(milliseconds(at_ms));
     let primary = cluster.primary().expect("it stays");
@@ -327,9 +329,7 @@
 fn a_proposal_does_not_wait_for_ever_for_a_view_change() {
     let mut cluster = with_configuration();
     cluster.link_speed = 20_000;
-    let backup = cluster.holders()[1];
-    cluster.kill(backup);
-    cluster.traffic.clear();
+    lose_backup(&mut cluster);
     assert!(cluster.run_while_not(seconds(5), |cluster| cluster.sent("sync").messages > 0));
     let primary = cluster.primary().expect("it stays");
     let begin = cluster.now;
@@ -352,9 +352,7 @@
     for _ in 0..3 {
         cluster.acknowledge(MAX_MESSAGE_BYTES / 2, seconds(10)).expect("a long change");
     }
-    let backup = cluster.holders()[1];
-    cluster.kill(backup);
-    cluster.traffic.clear();
+    lose_backup(&mut cluster);
     let waited = cluster.acknowledge(SHORT, seconds(20)).expect("a new backup is brought up to date");
     println!("{waited:?}, {:?}", cluster.sent("sync"));
     assert!(cluster.sent("sync").bytes > MAX_MESSAGE_BYTES as u64);
--- a/crates/tower/tests/support/machine.rs
+++ b/crates/tower/tests/support/machine.rs
@@ -1,38 +1,15 @@
 //! A machine of the simulated cluster: its disk, its clock, and its process.
 
-use std::time::Duration;
-
 use intercom::node::NodeId;
 use tower::replication::{Input, Replication};
 
+use super::clock::Clock;
 use super::disk::Disk;
 use super::operator::desk::Desk;
 use super::operator::event::OperatorEvent;
 use super::payload::AppliedState;
 use super::simulation::Leaving;
 
-/// A clock that starts anywhere and drifts.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    /// What it shows at the true time 0, in microseconds.
-    pub offset: u64,
-    /// Its speed in millionths.
-    pub rate: u64,
-}
-
-impl Clock {
-    /// What it shows at a true time.
-    pub fn local(&self, now: u64) -> Duration {
-        Duration::from_micros(self.offset + now * self.rate / 1_000_000)
-    }
-
-    /// The first true time at which it shows this.
-    pub fn when(&self, local: Duration) -> u64 {
-        let micros = (local.as_micros() as u64).saturating_sub(self.offset);
-        (micros * 1_000_000).div_ceil(self.rate)
-    }
-}
-
 /// A running process.
 pub struct Process {
     /// Tells this run from others.
--- a/crates/tower/tests/support/mod.rs
+++ b/crates/tower/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 pub mod checker;
+pub mod clock;
 pub mod disk;
 pub mod history;
 pub mod machine;
@@ -11,5 +12,6 @@
 pub mod payload;
 pub mod random;
 pub mod reference;
+pub mod scenario;
 pub mod simulation;
 pub mod state_calls;
--- a/crates/tower/tests/support/simulation/lifecycle.rs
+++ b/crates/tower/tests/support/simulation/lifecycle.rs
@@ -6,8 +6,9 @@
 use tower::replication::{DurableState, Input, Replication, ReplicationSettings};
 
 use super::{Event, Fault, SECOND, Simulation};
+use crate::support::clock::Clock;
 use crate::support::disk::Disk;
-use crate::support::machine::{Clock, Machine, Process};
+use crate::support::machine::{Machine, Process};
 use crate::support::operator::desk::Desk;
 use crate::support::payload::AppliedState;
 use crate::support::random::pick;
--- a/crates/tower/tests/support_model/member.rs
+++ b/crates/tower/tests/support_model/member.rs
@@ -6,12 +6,12 @@
 use std::net::Ipv4Addr;
 use std::ops::Deref;
 use std::rc::Rc;
-use std::time::Duration;
 
 use intercom::node::NodeId;
 use tower::replication::{Input, Replication};
 use tower::state::State;
 
+use super::clock::Clock;
 use super::disk::Disk;
 use super::setup::MS;
 
@@ -20,28 +20,6 @@
 /// Clocks show this at the true time 0, in microseconds, so that nothing happens before their zero.
 const CLOCK_START: u64 = 1_000_000_000;
 
-/// A steady clock with a speed of its own.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    /// What it shows at the true time 0, in microseconds.
-    pub offset: u64,
-    /// Its speed in millionths.
-    pub rate: u64,
-}
-
-impl Clock {
-    /// What it shows at a true time.
-    pub fn local(&self, now: u64) -> Duration {
-        Duration::from_micros(self.offset + now * self.rate / 1_000_000)
-    }
-
-    /// The first true time at which it shows this.
-    pub fn when(&self, local: Duration) -> u64 {
-        let micros = (local.as_micros() as u64).saturating_sub(self.offset);
-        (micros * 1_000_000).div_ceil(self.rate)
-    }
-}
-
 /// A running process.
 #[derive(Clone, Debug)]
 pub struct Process {
--- a/crates/tower/tests/support_model/mod.rs
+++ b/crates/tower/tests/support_model/mod.rs
@@ -1,7 +1,7 @@
 //! An explorer of all histories of a small cluster of real state machines, within bounds.
 //!
 //! - [`setup`]: what stays the same in all histories;
-//! - [`member`], [`disk`]: one machine;
+//! - [`member`], [`clock`], [`disk`]: one machine; the clock is that of the simulated cluster too;
 //! - [`world`]: one state of the cluster, and what each action does to it;
 //! - [`outputs`], [`lives`], [`orders`]: the parts of it around the members' state machines;
 //! - [`actions`]: which actions are possible in a state, and the budgets that bound them;
@@ -13,6 +13,8 @@
 
 pub mod actions;
 pub mod breaks;
+#[path = "../support/clock.rs"]
+pub mod clock;
 pub mod disk;
 pub mod explorer;
 pub mod faults;
