--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use intercom::feed::{ModelRevision, Replica, ReplicaPhase, WeightsTable};
+use intercom::feed::{ModelRevision, ModelWeights, Position, Replica, ReplicaPhase, WeightsTable};
 use kiosk::placement::held;
 use kiosk::proxy::Proxy;
 use kiosk::{edge, ready};
@@ -319,6 +319,15 @@
         Bench::with_settings(replicas, &settings)
     }
 
+    /// A proxy whose operator gives this time for the change to new weights.
+    pub fn with_revision_term(replicas: usize, revision_ms: u64) -> Bench {
+        let mut settings = settings();
+        settings.time_limits.retry_ratio = 2.0;
+        settings.time_limits.spare_tries = 100;
+        settings.time_limits.revision_ms = revision_ms;
+        Bench::with_settings(replicas, &settings)
+    }
+
     fn with_settings(replicas: usize, settings: &Settings) -> Bench {
         let executor = Rc::new(LocalExecutor::new());
         let age = Rc::new(Cell::new(Some(Duration::ZERO)));
@@ -356,6 +365,17 @@
         self.proxy.set_fleet(&lines, &WeightsTable::default());
     }
 
+    /// Tells the proxy that weights below a revision are withdrawn, and which replicas have newer ones.
+    pub fn withdraw(&self, least: u64, has_newer: impl Fn(&Replica) -> bool) {
+        let mut lines: Vec<Replica> = self.replicas.iter().map(|replica| replica_line(replica)).collect();
+        for line in lines.iter_mut().filter(|line| has_newer(line)) {
+            line.models[0].revision = least;
+        }
+        let line = ModelWeights { model: "m".to_owned(), named: least, least };
+        let weights = WeightsTable { position: Position { epoch: 1, sequence: 1 }, models: vec![line] };
+        self.proxy.set_fleet(&lines, &weights);
+    }
+
     /// Adds what a replica does for the next request that is not scripted yet.
     pub fn next(&self, parts: &[Part]) {
         self.script.borrow_mut().push_back(parts.to_vec());
--- a/crates/tower/src/rollout/mod.rs
+++ b/crates/tower/src/rollout/mod.rs
@@ -135,7 +135,9 @@
         match event {
             Event::Named => {
                 for (model, revision) in self.output.named() {
-                    planner.named(&model, revision, now);
+                    if planner.named(&model, revision, now) {
+                        log::info!(model:% = model, revision = revision; "weights are named");
+                    }
                 }
             }
             Event::Listed => {
@@ -151,7 +153,9 @@
     fn step(&mut self) {
         let Some(duty) = self.context.holder.duty() else { return };
         let Some(term) = self.term.as_mut().filter(|term| term.duty == duty) else { return };
+        let before = term.planner.weights();
         let actions = term.planner.step(clock::now());
+        log_withdrawals(&term.planner, &before);
         self.output.weights(duty.epoch, term.planner.weights());
         if self.context.table.borrow_mut().correct(term.planner.corrections()) {
             self.output.fleet_corrected();
@@ -189,6 +193,21 @@
     }
 }
 
+/// Tells of each revision below which weights are not used any more, and which replicas still have such weights.
+fn log_withdrawals(planner: &Planner, before: &[ModelWeights]) {
+    for line in planner.weights() {
+        let known = before.iter().find(|known| known.model == line.model).map_or(0, |known| known.least);
+        if line.least > known {
+            let outdated = planner.outdated(&line.model, line.least);
+            log::info!(
+                model:% = line.model, least = line.least, named = line.named,
+                outdated = outdated.len(), replicas:% = outdated.join(" ");
+                "older weights are withdrawn"
+            );
+        }
+    }
+}
+
 async fn order(
     address: SocketAddrV4,
     replica: &str,
--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -176,20 +176,24 @@
         self.raise_target(model, target);
     }
 
-    /// Weights that the operator named just now.
-    pub fn named(&mut self, model: &str, revision: u64, now: Duration) {
+    /// Weights that the operator named just now; whether they are new.
+    pub fn named(&mut self, model: &str, revision: u64, now: Duration) -> bool {
         let target =
             Target::new(revision, now + self.term_part(LOAD_PART), now + self.term_part(WITHDRAWAL_PART));
-        self.raise_target(model, target);
+        self.raise_target(model, target)
     }
 
-    fn raise_target(&mut self, model: &str, target: Target) {
+    fn raise_target(&mut self, model: &str, target: Target) -> bool {
         match self.targets.get_mut(model) {
             None => {
                 self.targets.insert(model.to_owned(), target);
+                true
+            }
+            Some(known) if known.revision < target.revision => {
+                known.raise(target);
+                true
             }
-            Some(known) if known.revision < target.revision => known.raise(target),
-            Some(_) => {}
+            Some(_) => false,
         }
     }
 
@@ -326,13 +330,23 @@
             .collect()
     }
 
+    /// Ids of replicas that have weights of this model older than a revision.
+    pub fn outdated(&self, model: &str, revision: u64) -> Vec<String> {
+        let is_outdated = |id: &str| self.held(id, model).is_some_and(|held| held < revision);
+        let ids = self.serving(model).map(|replica| &replica.id);
+        ids.filter(|id| is_outdated(id)).cloned().collect()
+    }
+
     fn has(&self, replica: &str, weights: &ModelRevision) -> bool {
+        self.held(replica, &weights.model).is_some_and(|revision| revision >= weights.revision)
+    }
+
+    /// The newest revision that a replica is known to have of a model.
+    fn held(&self, replica: &str, model: &str) -> Option<u64> {
         let listed =
             self.replicas.get(replica).map(|replica| replica.models.as_slice()).unwrap_or_default();
         let seen = self.seen.get(replica).map(Vec::as_slice).unwrap_or_default();
-        let newest =
-            listed.iter().chain(seen).filter(|line| line.model == weights.model).map(|l| l.revision).max();
-        newest.is_some_and(|revision| revision >= weights.revision)
+        listed.iter().chain(seen).filter(|line| line.model == model).map(|line| line.revision).max()
     }
 
     fn begin_loads(&mut self, now: Duration) {
--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -299,3 +299,36 @@
     assert!(scene.orders.is_empty());
     assert_eq!(scene.planner.next_deadline(), None);
 }
+
+/// Weights named every 3 s while replicas take long to load.
+fn names_in_quick_succession() -> Scene {
+    let mut scene = Scene::new(NO_LEASE, &fleet(18, 1));
+    scene.load_time = ms(1_800);
+    for (index, revision) in (2..=6).enumerate() {
+        let at = START + ms(3_000) * index as u32;
+        scene.run_until(at);
+        scene.planner.named("m", revision, at);
+    }
+    scene
+}
+
+#[test]
+fn each_replica_is_ordered_within_the_term_of_the_oldest_name() {
+    let mut scene = names_in_quick_succession();
+    scene.run_until(START + TERM);
+    let ordered: BTreeSet<&str> = scene.ordered().into_iter().collect();
+    assert_eq!(ordered.len(), 18, "{ordered:?}");
+}
+
+#[test]
+fn replicas_on_withdrawn_weights_are_ordered_at_once_while_newer_ones_roll_out() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(18, 1));
+    scene.load_time = TERM * 2;
+    scene.planner.named("m", 2, START);
+    scene.run_until(START + ms(3_000));
+    scene.planner.named("m", 3, START + ms(3_000));
+    let withdrawn = TERM.mul_f64(0.85);
+    scene.run_until(START + withdrawn + ms(500));
+    assert_eq!(scene.line().least, 2);
+    assert_eq!(scene.orders.len(), 18);
+}
