Keep the term of each name, and let nothing begin on weights whose term ends

Cause: a request was let into a replica's queue by the weights that the replica had then, and nothing took it out when they were withdrawn; and the roll-out followed the newest name's term alone, so replicas with the oldest weights came last.

--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -54,7 +54,7 @@
 
 /// A table of weights.
 pub fn weights(named: u64) -> Vec<ModelWeights> {
-    vec![ModelWeights { model: "large".to_owned(), named, least: named / 2 }]
+    vec![ModelWeights { model: "large".to_owned(), named, least: named / 2, expired: named / 2 }]
 }
 
 /// A group of so many gateways.
--- a/crates/intercom/src/feed.rs
+++ b/crates/intercom/src/feed.rs
@@ -203,6 +203,9 @@
     pub named: u64,
     /// Requests may be sent to replicas of this revision or newer, and to no others.
     pub least: u64,
+    /// The operator's term for older revisions than this one is about to end: requests that wait on them are not to
+    /// begin any more.
+    pub expired: u64,
 }
 
 /// Who takes part.
--- a/crates/kiosk/src/counters.rs
+++ b/crates/kiosk/src/counters.rs
@@ -39,6 +39,8 @@
     pub broken: Count,
     /// Clients that left before their answer was whole.
     pub abandoned: Count,
+    /// Attempts called off because they had not begun on weights whose term ended.
+    pub outdated: Count,
     /// Connections made to replicas.
     pub connects: Count,
 }
@@ -50,7 +52,8 @@
             requests = self.requests.get(), first_sends = self.first_sends.get(),
             repeated_sends = self.repeated_sends.get(), passed = self.passed.get(),
             refused = self.refused.get(), failed = self.failed.get(), denied = self.denied.get(),
-            broken = self.broken.get(), abandoned = self.abandoned.get(), connects = self.connects.get();
+            broken = self.broken.get(), abandoned = self.abandoned.get(),
+            outdated = self.outdated.get(), connects = self.connects.get();
             "counters"
         );
     }
--- a/crates/kiosk/src/exchange/attempts.rs
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 
 use futures_lite::future;
+use intercom::feed::ModelRevision;
 use signpost::types::{ReplicaId, Verdict};
 
 use super::{Exchange, Final, RETRY_AT_ONCE, RETRY_SOON, Step};
@@ -135,7 +136,9 @@
             is_head_request: self.incoming.head.start[0] == "HEAD",
         };
         self.held.written();
+        let weights = self.weights_at(&replica);
         let exchange = attempt::exchange(&self.proxy.pool, &replica, connection, outgoing);
+        let exchange = self.unless_outdated(weights, exchange);
         match self.unless_interrupted(client, exchange).await {
             Ok(AttemptEnd::Success(answer)) => {
                 self.known = SendEvent::Success.known();
@@ -151,6 +154,26 @@
         }
     }
 
+    /// The weights on which a replica would run the request.
+    fn weights_at<'replica>(&self, replica: &'replica ReplicaEntry) -> Option<&'replica ModelRevision> {
+        let model = self.incoming.head.get("llm")?;
+        replica.models.iter().find(|weights| weights.model == model)
+    }
+
+    /// How an exchange ends, unless its answer has not begun when these weights must not be used any more.
+    async fn unless_outdated(
+        &self,
+        weights: Option<&ModelRevision>,
+        exchange: impl Future<Output = AttemptEnd>,
+    ) -> AttemptEnd {
+        let Some(weights) = weights else { return exchange.await };
+        let outdated = async {
+            self.proxy.outdated(weights).await;
+            AttemptEnd::Ended(SendEvent::Outdated)
+        };
+        future::or(exchange, outdated).await
+    }
+
     /// An attempt has ended without the module's doing, before anything was passed on.
     fn ended(&mut self, replica: &ReplicaId, event: SendEvent, failure: Option<Box<Failure>>) -> Step {
         let outcome = outcome::decide(self.kind(), event);
@@ -161,8 +184,10 @@
             Next::Resume | Next::PassOn | Next::Fail | Next::BreakOff => false,
         };
         self.held.outcome(outcome.verdict, !is_sent_again);
-        if event == SendEvent::WrongReplica {
-            self.proxy.displace(replica);
+        match event {
+            SendEvent::WrongReplica => self.proxy.displace(replica),
+            SendEvent::Outdated => self.proxy.counters.outdated.add(),
+            _ => {}
         }
         match failure {
             Some(failure) if is_sent_again => self.failure = Some(failure),
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use intercom::feed::{Replica, WeightsTable};
+use intercom::feed::{ModelRevision, Replica, WeightsTable};
 use jetway::WireLimits;
 use station::clock;
 use station::settings::{Settings, TimeLimits};
@@ -24,6 +24,7 @@
 use crate::placement::budget::{RetryAllowance, RetryBudget};
 use crate::placement::held;
 use crate::placement::urgency::Urgency;
+use crate::replica::expiry::Expiry;
 use crate::replica::pool::Pool;
 use crate::replica::replicas::{Replicas, ZoneIndex};
 
@@ -53,6 +54,8 @@
     routing: RefCell<Option<Rc<Routing>>>,
     client_limits: RefCell<Rc<WireLimits>>,
     budgets: RefCell<BTreeMap<String, RetryBudget>>,
+    expiry: RefCell<Expiry>,
+    expiry_changed: Notice,
     gateways: Cell<u32>,
     allowance: Cell<RetryAllowance>,
     zones: RefCell<ZoneIndex>,
@@ -82,6 +85,8 @@
             routing: RefCell::default(),
             client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
             budgets: RefCell::default(),
+            expiry: RefCell::new(Expiry::new(limits.revision_term().call_off_delay())),
+            expiry_changed: Notice::default(),
             gateways: Cell::new(0),
             allowance: Cell::new(RetryAllowance::of(limits)),
             zones: RefCell::new(zones),
@@ -98,6 +103,7 @@
     /// changed.
     pub fn set_time_limits(&self, limits: &TimeLimits) {
         self.gate.set(FreshnessGate::of(limits));
+        self.expiry.borrow_mut().set_call_off_delay(limits.revision_term().call_off_delay());
         let allowance = RetryAllowance::of(limits);
         if self.allowance.replace(allowance) != allowance {
             self.budgets.borrow_mut().clear();
@@ -131,6 +137,21 @@
         self.pool.keep_only(|id| replicas.ready(id).is_some());
         drop(replicas);
         changed.iter().for_each(|service| self.set_members(service));
+        if self.expiry.borrow_mut().take(weights, clock::now()) {
+            self.expiry_changed.raise();
+        }
+    }
+
+    /// Ready once requests that have not begun on these weights are to be called off.
+    pub async fn outdated(&self, weights: &ModelRevision) {
+        loop {
+            let changed = self.expiry_changed.changed();
+            let call_off_at = self.expiry.borrow().call_off_at(weights);
+            match call_off_at {
+                Some(at) => return self.alarms.after(at.saturating_sub(clock::now())).await,
+                None => changed.await,
+            }
+        }
     }
 
     /// Takes over how many gateways there are.
--- a/crates/kiosk/src/replica/mod.rs
+++ b/crates/kiosk/src/replica/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 pub mod connection;
+pub mod expiry;
 pub mod outcome;
 pub mod pool;
 pub mod replicas;
--- a/crates/kiosk/src/replica/outcome.rs
+++ b/crates/kiosk/src/replica/outcome.rs
@@ -62,6 +62,8 @@
     CutAnswer,
     /// No answer came up to the deadline.
     Silence,
+    /// No answer came up to the time from which on the replica's weights must not be used.
+    Outdated,
     /// The bytes that came are no answer.
     NotHttp,
     /// Answers to other requests came, and the one that is due did not.
@@ -90,7 +92,7 @@
 
 impl SendEvent {
     /// All events.
-    pub const ALL: [SendEvent; 21] = [
+    pub const ALL: [SendEvent; 22] = [
         SendEvent::ConnectRefused,
         SendEvent::ConnectTimedOut,
         SendEvent::NoDescriptor,
@@ -100,6 +102,7 @@
         SendEvent::BrokenInAnswer,
         SendEvent::CutAnswer,
         SendEvent::Silence,
+        SendEvent::Outdated,
         SendEvent::NotHttp,
         SendEvent::OnlyForeign,
         SendEvent::Unsealed,
@@ -130,6 +133,7 @@
             | SendEvent::BrokenInAnswer
             | SendEvent::CutAnswer
             | SendEvent::Silence
+            | SendEvent::Outdated
             | SendEvent::NotHttp
             | SendEvent::OnlyForeign
             | SendEvent::Unsealed
@@ -158,6 +162,7 @@
             | SendEvent::Encoded
             | SendEvent::FalsePromise => Verdict::Reset,
             SendEvent::Silence => Verdict::TimedOut,
+            SendEvent::Outdated => Verdict::Cancelled,
             SendEvent::WrongReplica
             | SendEvent::WrongRevision
             | SendEvent::NotRun
--- a/crates/kiosk/tests/calls.rs
+++ b/crates/kiosk/tests/calls.rs
@@ -17,6 +17,8 @@
 
 /// Bytes of a head that no connection takes at once.
 const LONG_HEAD: usize = 512 << 10;
+/// A term for the change to new weights of which little is left after a withdrawal.
+const REVISION_MS: u64 = 600;
 
 /// What can be seen of a request from outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +62,8 @@
     DeadAddress(Unreachable),
     /// The process may have one connection to a replica, and another request has it.
     NoDescriptor,
+    /// The replica is silent, and its weights are withdrawn.
+    Withdrawn,
 }
 
 #[derive(Clone, Copy)]
@@ -81,6 +85,7 @@
         SendEvent::BrokenInAnswer => script(&[write(stream_head()), Part::Close]),
         SendEvent::CutAnswer => script(&[write(stream_head() + &support::event(1)), Part::Close]),
         SendEvent::Silence => script(&[Part::Wait]),
+        SendEvent::Outdated => Scenario::Withdrawn,
         SendEvent::NotHttp => script(&[write("SSH-2.0-server\r\n\r\n")]),
         SendEvent::OnlyForeign => script(&[write(ok("late").replace("{id}", "t0")), Part::Close]),
         SendEvent::Unsealed => script(&[write(ok("x").replace("Server-Seal", "Other-Seal"))]),
@@ -171,6 +176,7 @@
             let line = format!("X-Long: {}\r\n", "x".repeat(LONG_HEAD));
             support::post_with(path(kind), "t1", &line)
         }
+        Scenario::Withdrawn => support::post_with(path(kind), "t1", "Llm: m\r\n"),
         _ => post(path(kind), "t1"),
     }
 }
@@ -180,6 +186,7 @@
     let (ratio, spare) = if has_budget { (2.0, 100) } else { (0.0, 0) };
     let bench = match scenario {
         Scenario::NoDescriptor => Bench::with_file_handles(2, 0),
+        Scenario::Withdrawn => Bench::with_revision_term(2, REVISION_MS, (ratio, spare)),
         _ => Bench::with_budget(2, ratio, spare),
     };
     let mut request = request(kind, &scenario);
@@ -199,6 +206,7 @@
         }
         Scenario::DeadAddress(kind) => ask_dead_address(&bench, &request, *kind),
         Scenario::NoDescriptor => ask_without_descriptor(&bench, &request),
+        Scenario::Withdrawn => ask_on_withdrawn_weights(&bench, &request),
     };
     let held = if event == SendEvent::NoDescriptor { 1 } else { 0 };
     Seen {
@@ -239,6 +247,17 @@
     })
 }
 
+fn ask_on_withdrawn_weights(bench: &Bench, request: &str) -> String {
+    bench.next(&[Part::Wait]);
+    bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(request).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.withdraw_at_busy(5);
+        client.answer().await
+    })
+}
+
 /// An address that answers no attempt to connect, since its queue of connections is full.
 struct SilentAddress {
     address: SocketAddr,
--- a/crates/kiosk/tests/configuration.rs
+++ b/crates/kiosk/tests/configuration.rs
@@ -283,7 +283,7 @@
     newer[1].models = vec![ModelRevision { model: "m".to_owned(), revision: 5 }];
     let named = |least| WeightsTable {
         position: Position { epoch: 1, sequence: least },
-        models: vec![ModelWeights { model: "m".to_owned(), named: 5, least }],
+        models: vec![ModelWeights { model: "m".to_owned(), named: 5, least, expired: 0 }],
     };
     bench.run(async {
         bench.proxy.set_fleet(&newer, &named(4));
--- a/crates/kiosk/tests/outdated.rs
+++ b/crates/kiosk/tests/outdated.rs
@@ -2,28 +2,138 @@
 
 mod support;
 
-use support::{Bench, Part, ok, post_with, status};
+use std::time::Duration;
+
+use intercom::feed::{ModelRevision, ModelWeights, Position, WeightsTable};
+use kiosk::replica::expiry::Expiry;
+use rstest::rstest;
+use support::{Bench, LAST, Part, event, ok, post_with, status, stream_head};
 
 /// The operator's term: a part of it is left after a withdrawal.
-const REVISION_MS: u64 = 2_000;
+const REVISION_MS: u64 = 600;
+/// A budget that lets each request be repeated.
+const BUDGET: (f64, u64) = (2.0, 100);
+const DELAY: Duration = Duration::from_millis(500);
 
 fn request(path: &str) -> String {
     post_with(path, "a1", "Llm: m\r\n").replace("Time-Left-Ms: 6000", "Time-Left-Ms: 3000")
 }
 
-#[test]
-fn a_resumable_request_that_waits_on_withdrawn_weights_is_sent_to_newer_ones() {
-    let bench = Bench::with_revision_term(2, REVISION_MS);
+/// What a client gets whose request waits at a replica when its weights are withdrawn, and how many replicas saw it.
+fn wait_on_withdrawn_weights(path: &str) -> (String, usize) {
+    let bench = Bench::with_revision_term(2, REVISION_MS, BUDGET);
     bench.next(&[Part::Wait, Part::Write(ok("begun on withdrawn weights"))]);
     bench.run(async {
         let mut client = bench.connect().await;
-        client.send(&request("/resumable/")).await;
+        client.send(&request(path)).await;
         bench.until(|| bench.arrivals() == 1).await;
-        let waits_at = |id: &str| bench.replicas.iter().any(|r| r.id == id && r.count() == 1);
-        bench.withdraw(5, |line| !waits_at(&line.id));
+        bench.withdraw_at_busy(5);
         let answer = client.answer().await;
-        assert_eq!(status(&answer), "200", "{answer}");
-        assert!(answer.ends_with("served"), "{answer}");
-        assert_eq!(bench.arrivals(), 2);
+        let ended = || bench.replicas.iter().map(|replica| replica.ended.get()).sum::<usize>();
+        bench.until(|| ended() == 1).await;
+        assert_eq!(bench.proxy.counters.outdated.get(), 1);
+        (answer, bench.arrivals())
+    })
+}
+
+#[test]
+fn a_resumable_request_that_waits_on_withdrawn_weights_is_sent_to_newer_ones() {
+    let (answer, arrivals) = wait_on_withdrawn_weights("/resumable/");
+    assert_eq!(status(&answer), "200", "{answer}");
+    assert!(answer.ends_with("served"), "{answer}");
+    assert_eq!(arrivals, 2);
+}
+
+#[rstest]
+#[case("/stream/")]
+#[case("/risky/")]
+fn one_that_must_not_run_twice_fails_without_a_promise(#[case] path: &str) {
+    let (answer, arrivals) = wait_on_withdrawn_weights(path);
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert_eq!(arrivals, 1);
+}
+
+#[test]
+fn an_answer_that_has_begun_goes_on_when_its_weights_are_withdrawn() {
+    let bench = Bench::with_revision_term(2, REVISION_MS, BUDGET);
+    bench.next(&[Part::Write(stream_head() + &event(1)), Part::Wait, Part::Write(event(2) + LAST)]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&request("/stream/")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        // The first event has come before the news, and the rest comes after the term.
+        support::settle().await;
+        bench.withdraw_at_busy(5);
+        bench.proxy.outdated(&weights("m", 4)).await;
+        bench.release();
+        client.answer().await
+    });
+    assert!(answer.contains("d2") && !answer.ends_with("(cut)"), "{answer}");
+}
+
+#[test]
+fn a_request_of_another_model_waits_on() {
+    let bench = Bench::with_revision_term(2, REVISION_MS, BUDGET);
+    bench.next(&[Part::Wait, Part::Write(ok("another model"))]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&request("/stream/").replace("Llm: m", "Llm: other")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.withdraw_at_busy(5);
+        bench.proxy.outdated(&weights("m", 4)).await;
+        bench.release();
+        client.answer().await
     });
+    assert!(answer.ends_with("another model"), "{answer}");
+}
+
+// ---- the limits alone -------------------------------------------------------------------------------------
+
+fn weights(model: &str, revision: u64) -> ModelRevision {
+    ModelRevision { model: model.to_owned(), revision }
+}
+
+fn table(expired: u64) -> WeightsTable {
+    let line = ModelWeights { model: "m".to_owned(), named: 9, least: 9, expired };
+    WeightsTable { position: Position { epoch: 1, sequence: 1 }, models: vec![line] }
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[test]
+fn each_revision_has_the_limit_of_the_first_newer_one_that_expired_them() {
+    let mut expiry = Expiry::new(DELAY);
+    assert!(!expiry.take(&table(0), ms(0)));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), None);
+    assert!(expiry.take(&table(2), ms(1_000)));
+    assert!(expiry.take(&table(4), ms(1_200)));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(1_500)));
+    assert_eq!(expiry.call_off_at(&weights("m", 2)), Some(ms(1_700)));
+    assert_eq!(expiry.call_off_at(&weights("m", 4)), None);
+    assert_eq!(expiry.call_off_at(&weights("other", 1)), None);
+}
+
+#[test]
+fn a_limit_that_was_told_before_does_not_move() {
+    let mut expiry = Expiry::new(DELAY);
+    expiry.take(&table(2), ms(1_000));
+    assert!(!expiry.take(&table(2), ms(1_300)));
+    assert!(!expiry.take(&table(1), ms(1_400)));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(1_500)));
+}
+
+#[test]
+fn revisions_whose_limit_has_passed_stay_past_it() {
+    let mut expiry = Expiry::new(DELAY);
+    for (index, revision) in (2..=7).enumerate() {
+        expiry.take(&table(revision), ms(1_000 * index as u64));
+    }
+    // Five seconds on, the limits of revisions up to 6 have passed.
+    for revision in 1..=5 {
+        let limit = expiry.call_off_at(&weights("m", revision)).expect("a limit");
+        assert!(limit <= ms(5_000), "revision {revision} at {limit:?}");
+    }
+    assert_eq!(expiry.call_off_at(&weights("m", 6)), Some(ms(5_500)));
 }
--- a/crates/kiosk/tests/support/mod.rs
+++ b/crates/kiosk/tests/support/mod.rs
@@ -320,10 +320,14 @@
     }
 
     /// A proxy whose operator gives this time for the change to new weights.
-    pub fn with_revision_term(replicas: usize, revision_ms: u64) -> Bench {
+    pub fn with_revision_term(
+        replicas: usize,
+        revision_ms: u64,
+        (retry_ratio, spare_tries): (f64, u64),
+    ) -> Bench {
         let mut settings = settings();
-        settings.time_limits.retry_ratio = 2.0;
-        settings.time_limits.spare_tries = 100;
+        settings.time_limits.retry_ratio = retry_ratio;
+        settings.time_limits.spare_tries = spare_tries;
         settings.time_limits.revision_ms = revision_ms;
         Bench::with_settings(replicas, &settings)
     }
@@ -365,13 +369,17 @@
         self.proxy.set_fleet(&lines, &WeightsTable::default());
     }
 
-    /// Tells the proxy that weights below a revision are withdrawn, and which replicas have newer ones.
-    pub fn withdraw(&self, least: u64, has_newer: impl Fn(&Replica) -> bool) {
-        let mut lines: Vec<Replica> = self.replicas.iter().map(|replica| replica_line(replica)).collect();
-        for line in lines.iter_mut().filter(|line| has_newer(line)) {
-            line.models[0].revision = least;
-        }
-        let line = ModelWeights { model: "m".to_owned(), named: least, least };
+    /// Tells the proxy that weights below a revision are withdrawn, which replicas that were sent requests still have.
+    pub fn withdraw_at_busy(&self, least: u64) {
+        let line = |stand_in: &Rc<StandIn>| {
+            let mut line = replica_line(stand_in);
+            if stand_in.count() == 0 {
+                line.models[0].revision = least;
+            }
+            line
+        };
+        let lines: Vec<Replica> = self.replicas.iter().map(line).collect();
+        let line = ModelWeights { model: "m".to_owned(), named: least, least, expired: least };
         let weights = WeightsTable { position: Position { epoch: 1, sequence: 1 }, models: vec![line] };
         self.proxy.set_fleet(&lines, &weights);
     }
--- a/crates/station/src/settings.rs
+++ b/crates/station/src/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! Fields that are not known are ignored, and optional ones that are absent or null take their defaults.
 
+mod revision_term;
 mod time_limits;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::findings;
+pub use revision_term::RevisionTerm;
 pub use time_limits::TimeLimits;
 
 /// The variable that holds the path of the settings file.
--- a/crates/station/src/settings/time_limits.rs
+++ b/crates/station/src/settings/time_limits.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::whole;
+use super::{RevisionTerm, whole};
 
 /// Figures of the rules: `_s` in seconds, `_ms` in milliseconds.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -98,4 +98,9 @@
     pub fn lease_term(&self) -> Duration {
         Duration::from_millis(self.lease_term_ms)
     }
+
+    /// Time within which replicas change to new weights.
+    pub fn revision_term(&self) -> RevisionTerm {
+        RevisionTerm::new(Duration::from_millis(self.revision_ms))
+    }
 }
--- a/crates/tower/src/duty.rs
+++ b/crates/tower/src/duty.rs
@@ -20,6 +20,8 @@
 pub trait DutyHolder {
     /// The duties, while this member is primary within its lease.
     fn duty(&self) -> Option<Duty>;
+    /// Whether some member is known to be primary, this one included.
+    fn knows_primary(&self) -> bool;
 }
 
 /// What each duty works with.
--- a/crates/tower/src/member/mod.rs
+++ b/crates/tower/src/member/mod.rs
@@ -344,6 +344,10 @@
         let tenure = ChangeAuthority::tenure(self)?;
         Some(Duty { epoch, tenure })
     }
+
+    fn knows_primary(&self) -> bool {
+        self.known_primary().is_some()
+    }
 }
 
 impl Authority for Member {
--- a/crates/tower/src/rollout/mod.rs
+++ b/crates/tower/src/rollout/mod.rs
@@ -1,7 +1,10 @@
 //! The duty of bringing replicas to the weights that the operator named.
 
+mod load;
 mod messages;
+mod naming;
 mod planner;
+mod target;
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -16,6 +19,7 @@
 use station::clock;
 
 pub use messages::{OrderAnswer, Report, RevisionOrder};
+pub use naming::{NamedBefore, NamingTimes};
 pub use planner::{Action, Planner, PlannerSettings};
 
 use crate::duty::{Duty, DutyContext};
@@ -61,6 +65,7 @@
     output: Rc<dyn RolloutOutput>,
     events: Receiver<Event>,
     sender: Sender<Event>,
+    naming: NamingTimes,
     term: Option<Term>,
 }
 
@@ -80,7 +85,8 @@
     ) -> (Rollout, Sender<Event>) {
         let (sender, events) = async_channel::unbounded();
         let news = sender.clone();
-        let rollout = Rollout { name, settings, context, output, events, sender, term: None };
+        let naming = NamingTimes::new(clock::now());
+        let rollout = Rollout { name, settings, context, output, events, sender, naming, term: None };
         (rollout, news)
     }
 
@@ -88,6 +94,7 @@
     pub async fn run(mut self) {
         loop {
             let event = self.next_event().await;
+            self.hear_names();
             self.keep_term();
             if let Some(event) = event {
                 self.take(event);
@@ -110,6 +117,17 @@
         future::or(event, timer).await
     }
 
+    /// Notes what is named, whether or not this member has the duty: it may be the next to have it.
+    fn hear_names(&mut self) {
+        self.naming.advance(clock::now(), self.context.holder.knows_primary());
+        for (model, revision) in self.output.named() {
+            self.naming.hear(&model, revision);
+        }
+        for line in self.output.delivered() {
+            self.naming.hear(&line.model, line.named);
+        }
+    }
+
     /// Begins a term when the duty comes to this member.
     fn keep_term(&mut self) {
         let Some(duty) = self.context.holder.duty() else { return };
@@ -120,8 +138,8 @@
         let now = clock::now();
         let mut planner = Planner::new(self.settings, now);
         planner.inherit(&self.output.delivered());
-        for (model, revision) in self.output.named() {
-            planner.found(&model, revision);
+        for named in self.naming.ages() {
+            planner.named(named.model, named.revision, named.age, now);
         }
         if let Some(listed) = self.context.table.borrow().listed(duty.tenure) {
             planner.listed(listed, now);
@@ -134,9 +152,9 @@
         let Some(Term { duty, planner }) = &mut self.term else { return };
         match event {
             Event::Named => {
-                for (model, revision) in self.output.named() {
-                    if planner.named(&model, revision, now) {
-                        log::info!(model:% = model, revision = revision; "weights are named");
+                for named in self.naming.ages() {
+                    if planner.named(named.model, named.revision, named.age, now) {
+                        log::info!(model:% = named.model, revision = named.revision; "weights are named");
                     }
                 }
             }
--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -7,8 +7,11 @@
 use std::time::Duration;
 
 use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
+use station::settings::RevisionTerm;
 
+use super::load::{Load, Step};
 use super::messages::{OrderAnswer, Report};
+use super::target::{Target, Term};
 use crate::fleet::Corrections;
 
 /// Time for the gateways to learn that a replica takes no more requests, before it is ordered to load.
@@ -19,24 +22,20 @@
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time for which a replica that has refused an order gets no other one.
 const ORDER_RETRY: Duration = Duration::from_secs(1);
+/// The same for one whose weights are withdrawn: it serves nobody meanwhile.
+const URGENT_ORDER_RETRY: Duration = Duration::from_millis(200);
 /// How long a replica is taken to need, notice included, before one was measured.
 const INITIAL_LOAD_TIME: Duration = Duration::from_millis(1_750);
 /// Weight of the newest measured time in the estimate.
 const LOAD_TIME_GAIN: f64 = 0.3;
 /// Replicas that load at once, if there are enough.
 const LEAST_AT_ONCE: usize = 3;
-/// The part of the operator's term in which all replicas should have loaded.
-const LOAD_PART: f64 = 0.78;
-/// The part of the operator's term after which older weights are not used any more.
-const WITHDRAWAL_PART: f64 = 0.85;
-/// How long ago weights may have been acknowledged that a new primary finds named.
-const UNKNOWN_ACKNOWLEDGEMENT_AGE: Duration = Duration::from_secs(5);
 
 /// Times that the deployment sets.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
     /// The operator's term: after it no request may begin on older weights.
-    pub revision_term: Duration,
+    pub revision_term: RevisionTerm,
     /// The time for which a new holder of the duty gives no orders.
     pub lease_term: Duration,
 }
@@ -62,69 +61,10 @@
     },
 }
 
-/// Weights that were named.
-#[derive(Clone, Debug)]
-struct Target {
-    revision: u64,
-    least: u64,
-    /// When all replicas should have loaded.
-    load_by: Duration,
-    /// What is still to be withdrawn, in the order of revisions.
-    withdrawals: Vec<Withdrawal>,
-}
-
-/// From a time on, weights older than a revision are not used.
-#[derive(Clone, Copy, Debug)]
-struct Withdrawal {
-    revision: u64,
-    at: Duration,
-}
-
-impl Target {
-    fn new(revision: u64, load_by: Duration, withdraw_at: Duration) -> Target {
-        Target { revision, least: 0, load_by, withdrawals: vec![Withdrawal { revision, at: withdraw_at }] }
-    }
-
-    /// Takes newer weights. The terms of older ones go on.
-    fn raise(&mut self, newer: Target) {
-        self.revision = newer.revision;
-        self.load_by = newer.load_by;
-        self.withdrawals.extend(newer.withdrawals);
-    }
-
-    fn raise_least(&mut self, revision: u64) {
-        self.least = self.least.max(revision);
-        let least = self.least;
-        self.withdrawals.retain(|withdrawal| withdrawal.revision > least);
-    }
-}
-
-/// The load of a replica, under way.
-#[derive(Clone, Debug)]
-struct Load {
-    weights: ModelRevision,
-    begun: Duration,
-    ordered_at: Option<Duration>,
-    step: Step,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    /// The order is due at this time.
-    OrderAt(Duration),
-    /// The order has no answer yet.
-    Ordering,
-    /// A look at the report is due at this time.
-    ReportAt(Duration),
-    /// The report has not come yet.
-    Reporting,
-}
-
 /// The plan of one holder of the duty.
 #[derive(Debug)]
 pub struct Planner {
     settings: PlannerSettings,
-    holder_since: Duration,
     orders_from: Duration,
     fenced: bool,
     targets: BTreeMap<String, Target>,
@@ -141,7 +81,6 @@
     pub fn new(settings: PlannerSettings, now: Duration) -> Planner {
         Planner {
             settings,
-            holder_since: now,
             orders_from: now + settings.lease_term,
             fenced: false,
             targets: BTreeMap::new(),
@@ -156,49 +95,15 @@
     /// Takes over the weights that an earlier holder delivered: what was withdrawn remains so.
     pub fn inherit(&mut self, lines: &[ModelWeights]) {
         for line in lines {
-            let target = self.inherited_target(line.named);
-            self.targets.entry(line.model.clone()).or_insert(target).raise_least(line.least);
+            let target = self.targets.entry(line.model.clone()).or_insert_with(Target::new);
+            target.inherit(line.named, line.least, line.expired);
         }
     }
 
-    fn inherited_target(&self, revision: u64) -> Target {
-        let left = |part| self.term_part(part).saturating_sub(UNKNOWN_ACKNOWLEDGEMENT_AGE);
-        Target::new(
-            revision,
-            self.holder_since + left(LOAD_PART),
-            self.holder_since + left(WITHDRAWAL_PART),
-        )
-    }
-
-    /// Weights that are named in the agreed state when the holder begins.
-    pub fn found(&mut self, model: &str, revision: u64) {
-        let target = self.inherited_target(revision);
-        self.raise_target(model, target);
-    }
-
-    /// Weights that the operator named just now; whether they are new.
-    pub fn named(&mut self, model: &str, revision: u64, now: Duration) -> bool {
-        let target =
-            Target::new(revision, now + self.term_part(LOAD_PART), now + self.term_part(WITHDRAWAL_PART));
-        self.raise_target(model, target)
-    }
-
-    fn raise_target(&mut self, model: &str, target: Target) -> bool {
-        match self.targets.get_mut(model) {
-            None => {
-                self.targets.insert(model.to_owned(), target);
-                true
-            }
-            Some(known) if known.revision < target.revision => {
-                known.raise(target);
-                true
-            }
-            Some(_) => false,
-        }
-    }
-
-    fn term_part(&self, part: f64) -> Duration {
-        self.settings.revision_term.mul_f64(part)
+    /// Weights that the operator named so long ago; whether they are news.
+    pub fn named(&mut self, model: &str, revision: u64, age: Duration, now: Duration) -> bool {
+        let term = Term::named_before(revision, age, self.settings.revision_term, now);
+        self.targets.entry(model.to_owned()).or_insert_with(Target::new).name(term)
     }
 
     /// Takes a new list of replicas.
@@ -233,8 +138,11 @@
             OrderAnswer::Busy | OrderAnswer::Unanswered => load.step = Step::ReportAt(now + REPORT_LAG),
             OrderAnswer::Refused => {
                 // It serves on meanwhile.
+                let model = load.weights.model.clone();
                 self.loads.remove(replica);
-                self.paused.insert(replica.to_owned(), now + ORDER_RETRY);
+                let retry =
+                    if self.is_withdrawn(replica, &model) { URGENT_ORDER_RETRY } else { ORDER_RETRY };
+                self.paused.insert(replica.to_owned(), now + retry);
             }
             OrderAnswer::WrongReplica => {
                 self.loads.remove(replica);
@@ -305,10 +213,10 @@
         for model in models {
             let everywhere = self.everywhere(&model);
             let Some(target) = self.targets.get_mut(&model) else { continue };
-            let passed = target.withdrawals.iter().filter(|withdrawal| withdrawal.at <= now);
-            let passed = passed.map(|withdrawal| withdrawal.revision).max();
-            let least = if everywhere { Some(target.revision) } else { passed };
-            target.raise_least(least.unwrap_or(0));
+            target.pass(now);
+            if everywhere {
+                target.withdraw_below(target.revision);
+            }
         }
     }
 
@@ -323,11 +231,22 @@
 
     /// Replicas that lack the newest weights, loading ones included.
     fn waiting<'a>(&'a self, model: &'a str) -> Vec<&'a Replica> {
-        let Some(target) = self.targets.get(model) else { return Vec::new() };
-        let weights = ModelRevision { model: model.to_owned(), revision: target.revision };
-        self.serving(model)
-            .filter(|replica| replica.phase != ReplicaPhase::Draining && !self.has(&replica.id, &weights))
-            .collect()
+        let revision = self.targets.get(model).map_or(0, |target| target.revision);
+        self.lacking(model, revision).collect()
+    }
+
+    /// Replicas that stay and have weights older than a revision, loading ones included.
+    fn lacking<'a>(&'a self, model: &'a str, revision: u64) -> impl Iterator<Item = &'a Replica> {
+        self.serving(model).filter(move |replica| {
+            replica.phase != ReplicaPhase::Draining
+                && self.held(&replica.id, model).is_none_or(|held| held < revision)
+        })
+    }
+
+    /// Whether a replica's weights must not be used any more.
+    fn is_withdrawn(&self, replica: &str, model: &str) -> bool {
+        let least = self.targets.get(model).map_or(0, |target| target.least);
+        self.held(replica, model).is_some_and(|held| held < least)
     }
 
     /// Ids of replicas that have weights of this model older than a revision.
@@ -361,28 +280,56 @@
         }
     }
 
+    /// Replicas whose weights are withdrawn load at once, the others so many at a time that each term is kept.
     fn next_to_load(&self, model: &str, now: Duration) -> Vec<String> {
-        let waiting = self.waiting(model);
+        let mut next: Vec<String> = self.urgent(model).map(|replica| replica.id.clone()).collect();
         let loading = self.loads.values().filter(|load| load.weights.model == model).count();
-        let room = self.at_once(model, waiting.len(), now).saturating_sub(loading);
-        let is_free = |id: &str| !self.loads.contains_key(id) && !self.paused.contains_key(id);
-        let idle: Vec<&Replica> = waiting.into_iter().filter(|replica| is_free(&replica.id)).collect();
-        spread_over_zones(&idle).into_iter().take(room).map(|replica| replica.id.clone()).collect()
+        let room = self.at_once(model, now).saturating_sub(loading + next.len());
+        let others = self.waiting(model).into_iter().filter(|replica| self.is_idle(&replica.id));
+        let others: Vec<&Replica> = others.filter(|replica| !next.contains(&replica.id)).collect();
+        let others = self.oldest_first(model, &others);
+        next.extend(others.into_iter().take(room).map(|replica| replica.id.clone()));
+        next
+    }
+
+    fn is_idle(&self, replica: &str) -> bool {
+        !self.loads.contains_key(replica) && !self.paused.contains_key(replica)
     }
 
-    /// How many replicas load at once, so that all have loaded in time. Half of them go on serving, as long as the
-    /// weights that they have may be used.
-    fn at_once(&self, model: &str, waiting: usize, now: Duration) -> usize {
+    /// Idle replicas whose weights must not be used any more. The order to load empties a replica's queue, so it also
+    /// goes to one that is leaving, once what waits there must not begin.
+    fn urgent<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Replica> {
         let target = &self.targets[model];
-        if target.least >= target.revision {
-            return waiting;
+        self.serving(model).filter(|replica| self.is_idle(&replica.id)).filter(move |replica| {
+            let is_leaving = replica.phase == ReplicaPhase::Draining;
+            let least = if is_leaving { target.expired } else { target.least };
+            self.held(&replica.id, model).is_some_and(|held| held < least)
+        })
+    }
+
+    /// The same replicas: older weights first, and neighbours in the order of different zones.
+    fn oldest_first<'a>(&self, model: &str, replicas: &[&'a Replica]) -> Vec<&'a Replica> {
+        let mut by_revision: BTreeMap<Option<u64>, Vec<&'a Replica>> = BTreeMap::new();
+        for replica in replicas {
+            by_revision.entry(self.held(&replica.id, model)).or_default().push(replica);
         }
-        let left = target.load_by.saturating_sub(now).max(self.load_time);
-        let needed = (waiting as f64 * self.load_time.as_secs_f64() / left.as_secs_f64()).ceil() as usize;
+        by_revision.values().flat_map(|replicas| spread_over_zones(replicas)).collect()
+    }
+
+    /// How many replicas load at once, so that all have loaded within each term. Half of them go on serving.
+    fn at_once(&self, model: &str, now: Duration) -> usize {
+        let terms = self.targets[model].terms().iter();
+        let needed = terms.map(|term| self.needed_at_once(model, term, now)).max().unwrap_or(0);
         let half = self.serving(model).count().div_ceil(2);
         needed.max(LEAST_AT_ONCE).min(half)
     }
 
+    fn needed_at_once(&self, model: &str, term: &Term, now: Duration) -> usize {
+        let left = term.load_by.saturating_sub(now).max(self.load_time);
+        let lacking = self.lacking(model, term.revision).count();
+        (lacking as f64 * self.load_time.as_secs_f64() / left.as_secs_f64()).ceil() as usize
+    }
+
     fn act(&mut self, id: &str) -> Option<Action> {
         let address: SocketAddrV4 = self.replicas.get(id)?.address.parse().ok()?;
         let replica = id.to_owned();
@@ -405,7 +352,8 @@
 
     /// When something is due next; none while only events can change that.
     pub fn next_deadline(&self) -> Option<Duration> {
-        let withdrawals = self.targets.values().flat_map(|target| &target.withdrawals).map(|w| w.at);
+        let terms = self.targets.values().flat_map(Target::terms);
+        let withdrawals = terms.map(|term| term.withdraw_at);
         let loads = self.loads.values().filter_map(Load::due_at);
         let idle =
             self.loads.is_empty() && self.targets.keys().any(|model| !self.waiting(model).is_empty());
@@ -431,24 +379,12 @@
             model: model.clone(),
             named: target.revision,
             least: target.least,
+            expired: target.expired,
         };
         self.targets.iter().map(line).collect()
     }
 }
 
-impl Load {
-    fn due_at(&self) -> Option<Duration> {
-        match self.step {
-            Step::OrderAt(at) | Step::ReportAt(at) => Some(at),
-            Step::Ordering | Step::Reporting => None,
-        }
-    }
-
-    fn is_due(&self, now: Duration) -> bool {
-        self.due_at().is_some_and(|at| at <= now)
-    }
-}
-
 /// The same replicas, so that neighbours in the order are of different zones.
 fn spread_over_zones<'a>(replicas: &[&'a Replica]) -> Vec<&'a Replica> {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/tower/src/server/mod.rs
+++ b/crates/tower/src/server/mod.rs
@@ -262,7 +262,7 @@
 
 fn planner_settings(settings: &Settings) -> PlannerSettings {
     PlannerSettings {
-        revision_term: Duration::from_millis(settings.time_limits.revision_ms),
+        revision_term: settings.time_limits.revision_term(),
         lease_term: settings.time_limits.lease_term(),
     }
 }
--- a/crates/tower/tests/calls.rs
+++ b/crates/tower/tests/calls.rs
@@ -15,6 +15,7 @@
 use jetway::{WireLimits, within};
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
+use station::settings::RevisionTerm;
 use tower::discovery::Discovery;
 use tower::duty::{Duty, DutyContext, DutyHolder};
 use tower::fleet::FleetTable;
@@ -306,6 +307,10 @@
     fn duty(&self) -> Option<Duty> {
         Some(DUTY)
     }
+
+    fn knows_primary(&self) -> bool {
+        true
+    }
 }
 
 struct Output;
@@ -368,7 +373,10 @@
     let table = Rc::new(RefCell::new(FleetTable::default()));
     table.borrow_mut().replace(DUTY.tenure, vec![replica(first_address)]);
     let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
-    let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
+    let settings = PlannerSettings {
+        revision_term: RevisionTerm::new(Duration::from_secs(12)),
+        lease_term: Duration::ZERO,
+    };
     let (rollout, events) = Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output));
     let peer = Peer::new(number, ending, |_| LOADS);
     let serving = async {
--- a/crates/tower/tests/discovery.rs
+++ b/crates/tower/tests/discovery.rs
@@ -112,6 +112,10 @@
     fn duty(&self) -> Option<Duty> {
         Some(DUTY)
     }
+
+    fn knows_primary(&self) -> bool {
+        true
+    }
 }
 
 /// Follows a platform with these pages up to the first whole list: the calls, and the ids that are listed.
--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -5,6 +5,7 @@
 
 use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
 use rstest::rstest;
+use station::settings::RevisionTerm;
 use tower::rollout::{Action, OrderAnswer, Planner, PlannerSettings, Report};
 
 const TERM: Duration = Duration::from_secs(12);
@@ -51,7 +52,7 @@
 
 impl Scene {
     fn new(lease_term: Duration, replicas: &[Replica]) -> Scene {
-        let settings = PlannerSettings { revision_term: TERM, lease_term };
+        let settings = PlannerSettings { revision_term: RevisionTerm::new(TERM), lease_term };
         let mut planner = Planner::new(settings, START);
         planner.listed(replicas.iter(), START);
         let (loading, orders) = (Vec::new(), Vec::new());
@@ -102,12 +103,12 @@
 #[test]
 fn all_replicas_load_in_waves_within_the_term() {
     let mut scene = Scene::new(NO_LEASE, &fleet(18, 1));
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     // Before the old weights are withdrawn, and spread over the time until then.
     scene.run_until(START + TERM.mul_f64(0.85) - STEP);
     assert_eq!(scene.orders.len(), 18);
     assert!(scene.most_at_once >= 3 && scene.most_at_once <= 5, "{} at once", scene.most_at_once);
-    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 2, least: 2 });
+    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 0 });
     assert!(scene.marked().is_empty());
     assert_eq!(scene.planner.corrections().revisions.len(), 18);
 }
@@ -115,7 +116,7 @@
 #[test]
 fn the_order_follows_the_notice() {
     let mut scene = Scene::new(NO_LEASE, &fleet(6, 1));
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + ms(200));
     assert_eq!(scene.marked().len(), 3);
     assert!(scene.orders.is_empty());
@@ -126,7 +127,7 @@
 #[test]
 fn a_wave_takes_one_replica_of_each_zone() {
     let mut scene = Scene::new(NO_LEASE, &fleet(9, 1));
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + ms(50));
     let zones: BTreeSet<String> =
         fleet(9, 1).into_iter().filter(|r| scene.marked().contains(&r.id)).map(|r| r.zone).collect();
@@ -136,7 +137,7 @@
 #[test]
 fn a_small_fleet_keeps_half_of_its_replicas() {
     let mut scene = Scene::new(NO_LEASE, &fleet(2, 1));
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + ms(1_000));
     assert_eq!(scene.marked().len(), 1);
 }
@@ -144,7 +145,7 @@
 #[test]
 fn a_new_holder_gives_no_order_within_the_lease_term() {
     let mut scene = Scene::new(LEASE, &fleet(6, 1));
-    scene.planner.found("m", 2);
+    scene.planner.named("m", 2, ms(5_000), START);
     scene.run_until(START + LEASE - STEP);
     assert!(scene.marked().is_empty());
     scene.run_until(START + LEASE + ms(400));
@@ -159,9 +160,9 @@
     let mut scene = Scene::new(NO_LEASE, &fleet(6, 1));
     scene.load_time = TERM * 2;
     if own {
-        scene.planner.named("m", 2, START);
+        scene.planner.named("m", 2, Duration::ZERO, START);
     } else {
-        scene.planner.found("m", 2);
+        scene.planner.named("m", 2, ms(5_000), START);
     }
     scene.run_until(START + after - STEP);
     assert_eq!(scene.line().least, 0);
@@ -172,20 +173,20 @@
 #[test]
 fn newer_weights_replace_those_that_roll_out() {
     let mut scene = Scene::new(NO_LEASE, &fleet(6, 1));
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + ms(100));
-    scene.planner.named("m", 3, START + ms(100));
+    scene.planner.named("m", 3, Duration::ZERO, START + ms(100));
     scene.run_until(START + TERM);
     assert!(scene.orders.iter().all(|(_, _, revision)| *revision == 3));
-    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 3, least: 3 });
+    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 3, least: 3, expired: 3 });
 }
 
 #[test]
 fn the_terms_of_two_revisions_run_side_by_side() {
     let mut scene = Scene::new(NO_LEASE, &fleet(6, 1));
     scene.load_time = TERM * 2;
-    scene.planner.named("m", 2, START);
-    scene.planner.named("m", 3, START + ms(2_000));
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    scene.planner.named("m", 3, Duration::ZERO, START + ms(2_000));
     scene.run_until(START + TERM.mul_f64(0.85) + STEP * 2);
     assert_eq!(scene.line().least, 2);
     scene.run_until(START + TERM.mul_f64(0.85) + ms(2_000) + STEP * 2);
@@ -195,17 +196,17 @@
 #[test]
 fn what_was_withdrawn_before_a_takeover_remains_so() {
     let mut scene = Scene::new(LEASE, &fleet(6, 1));
-    scene.planner.inherit(&[ModelWeights { model: "m".to_owned(), named: 2, least: 2 }]);
-    scene.planner.found("m", 2);
+    scene.planner.inherit(&[ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 0 }]);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     assert_eq!(scene.line().least, 2);
 }
 
 /// A plan with a single replica whose order is due.
 fn single_order() -> (Planner, Duration) {
-    let settings = PlannerSettings { revision_term: TERM, lease_term: NO_LEASE };
+    let settings = PlannerSettings { revision_term: RevisionTerm::new(TERM), lease_term: NO_LEASE };
     let mut planner = Planner::new(settings, START);
     planner.listed(fleet(1, 1).iter(), START);
-    planner.named("m", 2, START);
+    planner.named("m", 2, Duration::ZERO, START);
     assert_eq!(planner.step(START), []);
     let due = START + ms(250);
     assert!(matches!(planner.step(due).as_slice(), [Action::Order { .. }]));
@@ -287,7 +288,7 @@
 fn a_draining_replica_is_not_loaded() {
     let draining = Replica { phase: ReplicaPhase::Draining, ..replica(1, 1) };
     let mut scene = Scene::new(NO_LEASE, &[draining, replica(2, 1)]);
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + TERM / 2);
     assert_eq!(scene.ordered(), ["i-02"]);
 }
@@ -307,7 +308,7 @@
     for (index, revision) in (2..=6).enumerate() {
         let at = START + ms(3_000) * index as u32;
         scene.run_until(at);
-        scene.planner.named("m", revision, at);
+        scene.planner.named("m", revision, Duration::ZERO, at);
     }
     scene
 }
@@ -324,9 +325,9 @@
 fn replicas_on_withdrawn_weights_are_ordered_at_once_while_newer_ones_roll_out() {
     let mut scene = Scene::new(NO_LEASE, &fleet(18, 1));
     scene.load_time = TERM * 2;
-    scene.planner.named("m", 2, START);
+    scene.planner.named("m", 2, Duration::ZERO, START);
     scene.run_until(START + ms(3_000));
-    scene.planner.named("m", 3, START + ms(3_000));
+    scene.planner.named("m", 3, Duration::ZERO, START + ms(3_000));
     let withdrawn = TERM.mul_f64(0.85);
     scene.run_until(START + withdrawn + ms(500));
     assert_eq!(scene.line().least, 2);
--- a/crates/tower/tests/rollout_exchange.rs
+++ b/crates/tower/tests/rollout_exchange.rs
@@ -12,6 +12,7 @@
 use insta::assert_snapshot;
 use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
 use jetway::within;
+use station::settings::RevisionTerm;
 use tower::duty::{Duty, DutyContext, DutyHolder};
 use tower::fleet::FleetTable;
 use tower::rollout::{PlannerSettings, Rollout, RolloutOutput};
@@ -27,6 +28,10 @@
     fn duty(&self) -> Option<Duty> {
         Some(DUTY)
     }
+
+    fn knows_primary(&self) -> bool {
+        true
+    }
 }
 
 /// What the roll-out has delivered.
@@ -92,7 +97,10 @@
     table.borrow_mut().replace(DUTY.tenure, vec![replica(address)]);
     let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table: table.clone() };
     let output = Rc::new(Output::default());
-    let settings = PlannerSettings { revision_term: Duration::from_secs(12), lease_term: Duration::ZERO };
+    let settings = PlannerSettings {
+        revision_term: RevisionTerm::new(Duration::from_secs(12)),
+        lease_term: Duration::ZERO,
+    };
     let (rollout, _events) = Rollout::new("middle-1".to_owned(), settings, context, output.clone());
     let loaded = async {
         let order = answer_call(&listener, "202 Accepted", "").await;
