Reckon what is left of a term from the naming, at successors and at gateways

Cause: after elections the news that a term is over came late, and both the successor and the gateways counted from the news. Change: the first second without a primary counts; a gateway calls off by when it heard of the name, but not within 0.4 s of the news, in which orders empty the queues.

--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -85,7 +85,7 @@
             routing: RefCell::default(),
             client_limits: RefCell::new(Rc::new(client_limits(&Caps::default()))),
             budgets: RefCell::default(),
-            expiry: RefCell::new(Expiry::new(limits.revision_term().call_off_delay())),
+            expiry: RefCell::new(Expiry::new(limits.revision_term())),
             expiry_changed: Notice::default(),
             gateways: Cell::new(0),
             allowance: Cell::new(RetryAllowance::of(limits)),
@@ -103,7 +103,7 @@
     /// changed.
     pub fn set_time_limits(&self, limits: &TimeLimits) {
         self.gate.set(FreshnessGate::of(limits));
-        self.expiry.borrow_mut().set_call_off_delay(limits.revision_term().call_off_delay());
+        self.expiry.borrow_mut().set_term(limits.revision_term());
         let allowance = RetryAllowance::of(limits);
         if self.allowance.replace(allowance) != allowance {
             self.budgets.borrow_mut().clear();
--- a/crates/kiosk/src/replica/expiry.rs
+++ b/crates/kiosk/src/replica/expiry.rs
@@ -7,13 +7,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use intercom::feed::{ModelRevision, ModelWeights, WeightsTable};
+use intercom::feed::{ModelRevision, WeightsTable};
+use station::settings::RevisionTerm;
 
 /// The limits of all models. The time is handed in.
 #[derive(Debug)]
 pub struct Expiry {
-    call_off_delay: Duration,
-    limits: BTreeMap<String, Vec<Limit>>,
+    term: RevisionTerm,
+    models: BTreeMap<String, Model>,
+}
+
+/// What is known of one model.
+#[derive(Debug, Default)]
+struct Model {
+    /// When this gateway heard that a revision is named, for those that have not expired the ones before.
+    named: BTreeMap<u64, Duration>,
+    /// In the order of revisions.
+    limits: Vec<Limit>,
 }
 
 /// Requests that wait on revisions below this one are called off at a moment.
@@ -24,41 +34,57 @@
 }
 
 impl Expiry {
-    /// No limits yet. From the news that weights have expired on, requests have so long to begin.
-    pub fn new(call_off_delay: Duration) -> Expiry {
-        Expiry { call_off_delay, limits: BTreeMap::new() }
+    /// No limits yet, under the operator's term.
+    pub fn new(term: RevisionTerm) -> Expiry {
+        Expiry { term, models: BTreeMap::new() }
     }
 
-    /// Takes another delay, for news from now on.
-    pub fn set_call_off_delay(&mut self, call_off_delay: Duration) {
-        self.call_off_delay = call_off_delay;
+    /// Takes another term, for news from now on.
+    pub fn set_term(&mut self, term: RevisionTerm) {
+        self.term = term;
     }
 
     /// Takes the table of weights; whether there is a new limit.
     pub fn take(&mut self, table: &WeightsTable, now: Duration) -> bool {
         let mut has_news = false;
         for line in &table.models {
-            has_news |= self.take_line(line, now);
+            let model = self.models.entry(line.model.clone()).or_default();
+            model.name(line.named, now);
+            has_news |= model.expire(line.expired, self.term, now);
         }
         has_news
     }
 
-    fn take_line(&mut self, line: &ModelWeights, now: Duration) -> bool {
-        let limits = self.limits.entry(line.model.clone()).or_default();
-        let newest = limits.last().map_or(0, |limit| limit.revision);
-        if line.expired <= newest {
+    /// When requests that have not begun on these weights are called off; none while they may wait on.
+    pub fn call_off_at(&self, weights: &ModelRevision) -> Option<Duration> {
+        let limits = &self.models.get(&weights.model)?.limits;
+        limits.iter().find(|limit| limit.revision > weights.revision).map(|limit| limit.at)
+    }
+}
+
+impl Model {
+    fn name(&mut self, revision: u64, now: Duration) {
+        let is_new = self.named.last_key_value().is_none_or(|(newest, _)| *newest < revision);
+        if is_new && revision > self.expired() {
+            self.named.insert(revision, now);
+        }
+    }
+
+    /// The newest revision that has expired those before.
+    fn expired(&self) -> u64 {
+        self.limits.last().map_or(0, |limit| limit.revision)
+    }
+
+    fn expire(&mut self, revision: u64, term: RevisionTerm, now: Duration) -> bool {
+        if revision <= self.expired() {
             return false;
         }
-        let passed = limits.iter().filter(|limit| limit.at <= now).count();
+        let named = self.named.get(&revision).copied();
+        self.named.retain(|other, _| *other > revision);
+        let passed = self.limits.iter().filter(|limit| limit.at <= now).count();
         // The last of them stands for all that came before.
-        limits.drain(..passed.saturating_sub(1));
-        limits.push(Limit { revision: line.expired, at: now + self.call_off_delay });
+        self.limits.drain(..passed.saturating_sub(1));
+        self.limits.push(Limit { revision, at: term.call_off_at(named, now) });
         true
     }
-
-    /// When requests that have not begun on these weights are called off; none while they may wait on.
-    pub fn call_off_at(&self, weights: &ModelRevision) -> Option<Duration> {
-        let limits = self.limits.get(&weights.model)?;
-        limits.iter().find(|limit| limit.revision > weights.revision).map(|limit| limit.at)
-    }
 }
--- a/crates/kiosk/tests/outdated.rs
+++ b/crates/kiosk/tests/outdated.rs
@@ -7,13 +7,13 @@
 use intercom::feed::{ModelRevision, ModelWeights, Position, WeightsTable};
 use kiosk::replica::expiry::Expiry;
 use rstest::rstest;
+use station::settings::RevisionTerm;
 use support::{Bench, LAST, Part, event, ok, post_with, status, stream_head};
 
 /// The operator's term: a part of it is left after a withdrawal.
 const REVISION_MS: u64 = 600;
 /// A budget that lets each request be repeated.
 const BUDGET: (f64, u64) = (2.0, 100);
-const DELAY: Duration = Duration::from_millis(500);
 
 fn request(path: &str) -> String {
     post_with(path, "a1", "Llm: m\r\n").replace("Time-Left-Ms: 6000", "Time-Left-Ms: 3000")
@@ -89,12 +89,15 @@
 
 // ---- the limits alone -------------------------------------------------------------------------------------
 
+/// Requests are called off 11.28 s after the naming, 1.08 s after the withdrawal.
+const TERM: RevisionTerm = RevisionTerm::new(Duration::from_secs(12));
+
 fn weights(model: &str, revision: u64) -> ModelRevision {
     ModelRevision { model: model.to_owned(), revision }
 }
 
-fn table(expired: u64) -> WeightsTable {
-    let line = ModelWeights { model: "m".to_owned(), named: 9, least: 9, expired };
+fn table(named: u64, expired: u64) -> WeightsTable {
+    let line = ModelWeights { model: "m".to_owned(), named, least: expired, expired };
     WeightsTable { position: Position { epoch: 1, sequence: 1 }, models: vec![line] }
 }
 
@@ -104,36 +107,49 @@
 
 #[test]
 fn each_revision_has_the_limit_of_the_first_newer_one_that_expired_them() {
-    let mut expiry = Expiry::new(DELAY);
-    assert!(!expiry.take(&table(0), ms(0)));
+    let mut expiry = Expiry::new(TERM);
+    assert!(!expiry.take(&table(2, 0), ms(1_000)));
+    assert!(!expiry.take(&table(4, 0), ms(1_500)));
     assert_eq!(expiry.call_off_at(&weights("m", 1)), None);
-    assert!(expiry.take(&table(2), ms(1_000)));
-    assert!(expiry.take(&table(4), ms(1_200)));
-    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(1_500)));
-    assert_eq!(expiry.call_off_at(&weights("m", 2)), Some(ms(1_700)));
+    assert!(expiry.take(&table(4, 2), ms(11_200)));
+    assert!(expiry.take(&table(4, 4), ms(11_700)));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(12_280)));
+    assert_eq!(expiry.call_off_at(&weights("m", 2)), Some(ms(12_780)));
     assert_eq!(expiry.call_off_at(&weights("m", 4)), None);
     assert_eq!(expiry.call_off_at(&weights("other", 1)), None);
 }
 
+#[rstest]
+#[case::in_time(11_200, 12_280)]
+#[case::late(11_600, 12_280)]
+#[case::so_late_that_orders_need_the_time(12_100, 12_500)]
+#[case::soon_after_a_newer_gateway_started(1_000, 2_080)]
+fn what_is_left_of_the_term_is_reckoned_from_the_naming(#[case] told: u64, #[case] limit: u64) {
+    let mut expiry = Expiry::new(TERM);
+    expiry.take(&table(2, 0), ms(1_000));
+    expiry.take(&table(2, 2), ms(told));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(limit)));
+}
+
 #[test]
 fn a_limit_that_was_told_before_does_not_move() {
-    let mut expiry = Expiry::new(DELAY);
-    expiry.take(&table(2), ms(1_000));
-    assert!(!expiry.take(&table(2), ms(1_300)));
-    assert!(!expiry.take(&table(1), ms(1_400)));
-    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(1_500)));
+    let mut expiry = Expiry::new(TERM);
+    expiry.take(&table(2, 2), ms(1_000));
+    assert!(!expiry.take(&table(2, 2), ms(1_300)));
+    assert!(!expiry.take(&table(2, 1), ms(1_400)));
+    assert_eq!(expiry.call_off_at(&weights("m", 1)), Some(ms(2_080)));
 }
 
 #[test]
 fn revisions_whose_limit_has_passed_stay_past_it() {
-    let mut expiry = Expiry::new(DELAY);
+    let mut expiry = Expiry::new(TERM);
     for (index, revision) in (2..=7).enumerate() {
-        expiry.take(&table(revision), ms(1_000 * index as u64));
+        expiry.take(&table(7, revision), ms(2_000 * index as u64));
     }
-    // Five seconds on, the limits of revisions up to 6 have passed.
+    // Ten seconds on, the limits of revisions up to 5 have passed.
     for revision in 1..=5 {
         let limit = expiry.call_off_at(&weights("m", revision)).expect("a limit");
-        assert!(limit <= ms(5_000), "revision {revision} at {limit:?}");
+        assert!(limit <= ms(10_000), "revision {revision} at {limit:?}");
     }
-    assert_eq!(expiry.call_off_at(&weights("m", 6)), Some(ms(5_500)));
+    assert_eq!(expiry.call_off_at(&weights("m", 6)), Some(ms(11_080)));
 }
--- a/crates/station/src/settings/revision_term.rs
+++ b/crates/station/src/settings/revision_term.rs
@@ -16,6 +16,9 @@
 const LEAST_CALL_OFF_RESERVE: Duration = Duration::from_millis(700);
 /// ... and no more than this part of what is left at the withdrawal.
 const LARGEST_CALL_OFF_RESERVE_PART: f64 = 0.5;
+/// Time that orders to outdated replicas have in any case before requests that wait there are called off: after an
+/// order such a request is known not to have run.
+const LEAST_CALL_OFF_DELAY: Duration = Duration::from_millis(400);
 
 /// The operator's term: after it no request may begin on older weights. All times count from the naming.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +26,7 @@
 
 impl RevisionTerm {
     /// A term of this length.
-    pub fn new(length: Duration) -> RevisionTerm {
+    pub const fn new(length: Duration) -> RevisionTerm {
         RevisionTerm(length)
     }
 
@@ -43,7 +46,16 @@
         self.0.saturating_sub(self.withdrawal_reserve())
     }
 
-    /// Time from the withdrawal until a gateway calls off requests that wait at such replicas and have not begun.
+    /// When a gateway calls off requests that wait at such replicas and have not begun, given when it heard of the
+    /// name, if it did, and when it heard that the term up to the withdrawal has passed. That may be late, as after
+    /// an election, and then the gateway's own clock tells what is left of the term.
+    pub fn call_off_at(self, named: Option<Duration>, expired: Duration) -> Duration {
+        let latest = expired + self.call_off_delay();
+        let due = named.map_or(latest, |named| named + self.withdrawal() + self.call_off_delay());
+        due.max(expired + LEAST_CALL_OFF_DELAY).min(latest)
+    }
+
+    /// Time from the withdrawal until requests that have not begun are called off.
     pub fn call_off_delay(self) -> Duration {
         let reserve = self.withdrawal_reserve();
         let largest = reserve.mul_f64(LARGEST_CALL_OFF_RESERVE_PART);
--- a/crates/tower/src/rollout/naming.rs
+++ b/crates/tower/src/rollout/naming.rs
@@ -10,17 +10,22 @@
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 /// How long ago such weights may have been named.
 const UNKNOWN_AGE: Duration = Duration::from_secs(5);
+/// Time without a primary that counts: elections are shorter, and the operator's term goes on meanwhile.
+const COUNTED_VACANCY: Duration = Duration::from_secs(1);
 /// Revisions of a model that are remembered beside the newest.
 const REMEMBERED: usize = 64;
 
 /// When weights were named.
 ///
-/// Only time in which a primary is known counts: without one nobody can be ordered to load.
+/// A longer time without a primary does not count: nobody could be ordered to load, and a successor that went on
+/// with the whole term would have no replica left to serve.
 #[derive(Debug)]
 pub struct NamingTimes {
     /// Time that has counted so far.
     counted: Duration,
     last_look: Duration,
+    /// When a primary was known last.
+    last_primary: Duration,
     heard: BTreeMap<String, BTreeMap<u64, Heard>>,
 }
 
@@ -35,14 +40,16 @@
 impl NamingTimes {
     /// Nothing was heard up to now.
     pub fn new(now: Duration) -> NamingTimes {
-        NamingTimes { counted: Duration::ZERO, last_look: now, heard: BTreeMap::new() }
+        NamingTimes { counted: Duration::ZERO, last_look: now, last_primary: now, heard: BTreeMap::new() }
     }
 
     /// Lets the time pass; `has_primary` says whether a primary is known.
     pub fn advance(&mut self, now: Duration, has_primary: bool) {
         if has_primary {
-            self.counted += now.saturating_sub(self.last_look);
+            self.last_primary = now;
         }
+        let counts_until = now.min(self.last_primary + COUNTED_VACANCY);
+        self.counted += counts_until.saturating_sub(self.last_look);
         self.last_look = now;
     }
 
--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -333,3 +333,58 @@
     assert_eq!(scene.line().least, 2);
     assert_eq!(scene.orders.len(), 18);
 }
+
+#[test]
+fn a_leaving_replica_is_ordered_once_what_waits_there_must_not_begin() {
+    let draining = Replica { phase: ReplicaPhase::Draining, ..replica(1, 1) };
+    let mut scene = Scene::new(NO_LEASE, &[draining, replica(2, 1)]);
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    // All others have loaded long before, and older weights are withdrawn early; its queue may empty by itself.
+    scene.run_until(START + TERM.mul_f64(0.85) - STEP);
+    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 0 });
+    assert_eq!(scene.ordered(), ["i-02"]);
+    scene.run_until(START + TERM.mul_f64(0.85) + ms(500));
+    assert_eq!(scene.line().expired, 2);
+    assert_eq!(scene.ordered(), ["i-02", "i-01"]);
+}
+
+#[test]
+fn a_replica_on_withdrawn_weights_that_refuses_is_asked_again_soon() {
+    let mut planner = Planner::new(
+        PlannerSettings { revision_term: RevisionTerm::new(TERM), lease_term: NO_LEASE },
+        START,
+    );
+    planner.listed(fleet(1, 1).iter(), START);
+    planner.named("m", 2, TERM, START);
+    planner.step(START);
+    assert!(is_order(&planner.step(START + ms(200))));
+    planner.order_answered("i-01", OrderAnswer::Refused, START + ms(200));
+    assert_eq!(planner.step(START + ms(400)), []);
+    assert!(is_order(&planner.step(START + ms(600))));
+}
+
+#[test]
+fn a_successor_goes_on_with_the_terms_of_all_names() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(6, 1));
+    scene.load_time = TERM * 2;
+    scene.planner.inherit(&[ModelWeights { model: "m".to_owned(), named: 3, least: 0, expired: 0 }]);
+    scene.planner.named("m", 2, ms(9_000), START);
+    scene.planner.named("m", 3, ms(4_000), START);
+    let withdrawal = TERM.mul_f64(0.85);
+    scene.run_until(START + withdrawal - ms(9_000) + STEP * 2);
+    assert_eq!(scene.line().expired, 2);
+    scene.run_until(START + withdrawal - ms(4_000) - STEP);
+    assert_eq!(scene.line().expired, 2);
+    scene.run_until(START + withdrawal - ms(4_000) + STEP * 2);
+    assert_eq!(scene.line().expired, 3);
+}
+
+#[test]
+fn a_name_that_was_withdrawn_is_no_news_when_it_is_heard_again() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(3, 1));
+    assert!(scene.planner.named("m", 2, Duration::ZERO, START));
+    scene.run_until(START + TERM);
+    assert!(!scene.planner.named("m", 2, Duration::ZERO, START + TERM));
+    assert!(!scene.planner.named("m", 1, Duration::ZERO, START + TERM));
+    assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 2 });
+}
