--- a/crates/intercom/src/feed.rs
+++ b/crates/intercom/src/feed.rs
@@ -204,7 +204,8 @@
     /// Requests may be sent to replicas of this revision or newer, and to no others.
     pub least: u64,
     /// The operator's term for older revisions than this one is about to end: requests that wait on them are not to
-    /// begin any more.
+    /// begin any more. 0 in messages of programs that do not know of it.
+    #[musli(default)]
     pub expired: u64,
 }
 
--- a/crates/tower/tests/rollout_exchange.rs
+++ b/crates/tower/tests/rollout_exchange.rs
@@ -139,3 +139,22 @@
     assert_eq!(delivered[0].models[0].revision, 2, "before the list shows it");
     assert_eq!(output.corrections.get(), 2, "one as it begins to load, one as it has");
 }
+
+#[test]
+fn a_member_that_finds_weights_named_at_its_start_takes_them_to_be_old() {
+    let executor = Rc::new(LocalExecutor::new());
+    let table = Rc::new(RefCell::new(FleetTable::default()));
+    let context = DutyContext { executor: executor.clone(), holder: Rc::new(Holder), table };
+    let output = Rc::new(Output::default());
+    // By its age the term is almost over; counted from now, the withdrawal would come after four seconds.
+    let term = RevisionTerm::new(Duration::from_secs(6));
+    let settings = PlannerSettings { revision_term: term, lease_term: Duration::ZERO };
+    let (rollout, _events) = Rollout::new("middle-1".to_owned(), settings, context, output.clone());
+    let withdrawn = async {
+        while output.lines.borrow().iter().all(|line| line.expired < 2) {
+            future::yield_now().await;
+        }
+    };
+    let run = executor.run(future::or(withdrawn, rollout.run()));
+    async_io::block_on(within(Duration::from_secs(2), run)).expect("it does not count from now");
+}
