Go on calling a list service in an outage, so that its return is noticed in 6 s

Change: a service that answered this gateway's last call within 0.5 s is taken to be away, for 6 late failures in a row (3 if it never answered), and called as after a silence. The test of widening windows now has a service that answered late, as before; three tests hold the new cases. watch-ended tells after how long.

--- a/crates/signpost/src/choice.rs
+++ b/crates/signpost/src/choice.rs
@@ -370,7 +370,7 @@
                 self.timer(wait, Purpose::Call(self.call), actions);
             }
             ListKind::Persisted | ListKind::Own => {}
-            ListKind::Whole | ListKind::Changes => self.calls.answered(),
+            ListKind::Whole | ListKind::Changes => self.calls.answered(now),
         }
         self.cold.heard(now);
         let live = self.settings.units == Units::Live;
--- a/crates/signpost/src/pace.rs
+++ b/crates/signpost/src/pace.rs
@@ -20,6 +20,12 @@
 //! at a service that can't keep up, and whose work at it was lost: then the window is as long as a slow service needs
 //! for all gateways, and at least one in two is let go by on average. The settings give a gateway four times as long
 //! after a failed call, and that bounds this wait.
+//!
+//! A service that answered this gateway's last call at once keeps up with the group, all of which called in the same
+//! window. If it then fails late, it is away and something before it holds calls until they are given up. Calls go on as
+//! after a silence, so that the budget holds at its return, but for [`OUTAGE_FAILURES`] in a row only: it may be
+//! overloaded after all. A service that has not answered yet is given the benefit of the doubt for fewer, in the window
+//! after quick failures.
 
 use crate::types::{Nanos, Settings};
 
@@ -49,6 +55,10 @@
 const QUICK: Nanos = 500 * MILLI;
 /// Calls that the budget wants early come at most so many times as dense as a slow service can serve.
 const EARLIEST: Nanos = 7;
+/// Late failures in a row that are taken for an outage of a service that kept up before.
+pub const OUTAGE_FAILURES: u32 = 6;
+/// The same for a service that this gateway knows nothing of yet.
+pub const UNKNOWN_FAILURES: u32 = 3;
 /// So long may a call hang before it is given up, connection and answer.
 const HANG: Nanos = 3500 * MILLI;
 
@@ -67,11 +77,35 @@
     failures: u32,
     /// The service has answered since the last failure.
     watched: bool,
+    service: Service,
     not_before: Nanos,
-    /// When the last call was to be made.
+    /// When the last call was to be made, until it is answered.
     due: Option<Nanos>,
 }
 
+/// What the last call that the service answered tells of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Service {
+    /// It has answered none yet.
+    #[default]
+    Unknown,
+    /// It answered at once.
+    KeepsUp,
+    /// Its answer came late.
+    Slow,
+}
+
+impl Service {
+    /// Late failures in a row that are taken for an outage.
+    fn outage_failures(self) -> u32 {
+        match self {
+            Service::Unknown => UNKNOWN_FAILURES,
+            Service::KeepsUp => OUTAGE_FAILURES,
+            Service::Slow => 0,
+        }
+    }
+}
+
 /// The bounds of the chain from the start of a silence, or the service's return, to the list's application.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
@@ -92,8 +126,8 @@
 
     /// Another number of gateways shares the service: slots and windows follow it, from the next call on.
     pub fn set_group(&mut self, settings: &Settings) {
-        let Calls { failures, watched, not_before, due, .. } = *self;
-        *self = Calls { failures, watched, not_before, due, ..Calls::of(settings) };
+        let Calls { failures, watched, service, not_before, due, .. } = *self;
+        *self = Calls { failures, watched, service, not_before, due, ..Calls::of(settings) };
     }
 
     /// For how long the gateway may go without the list: a call is made that long after one of which nothing was heard.
@@ -140,6 +174,7 @@
             slot: (me % group, group),
             failures: 0,
             watched: false,
+            service: Service::Unknown,
             not_before: 0,
             due: None,
         }
@@ -173,16 +208,20 @@
         let quick = self.due.is_some_and(|due| now >= due && now - due < QUICK);
         let asked = self.not_before > now;
         let fits = |window: &Nanos| *window <= TOLD - ANSWER;
+        let outage_failures = self.service.outage_failures();
+        let is_outage = self.failures < outage_failures;
         let (window, more, longest) = match (self.watched, quick) {
             (true, _) => (self.anew, 0, self.anew),
             // Asked to be left alone, a gateway has spent a part of its time.
             (_, true) if asked && fits(&self.anew) => (self.anew, 0, self.anew),
             (_, true) if fits(&self.again) => (self.again, 0, TOLD - ANSWER),
+            (_, false) if is_outage && self.service == Service::KeepsUp => (self.anew, 0, self.anew),
+            (_, false) if is_outage && fits(&self.again) => (self.again, 0, self.again),
             _ => (self.slow, 1, self.longest),
         };
         let slot = window / Nanos::from(self.slot.1);
         let most = (longest.saturating_sub(slot) / window.max(1)).max(1);
-        let windows = (1 << (self.failures + more).min(16)).min(most);
+        let windows = (1 << (self.failures.saturating_sub(outage_failures) + more).min(16)).min(most);
         (self.failures, self.watched) = (self.failures + 1, false);
         // The whole part says how many windows go by, the rest where in its slot the call comes.
         let drawn = chance * windows as f64;
@@ -208,7 +247,11 @@
     }
 
     /// The list has come.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, now: Nanos) {
+        if let Some(due) = self.due.take() {
+            let is_quick = now.saturating_sub(due) < QUICK;
+            self.service = if is_quick { Service::KeepsUp } else { Service::Slow };
+        }
         (self.failures, self.watched, self.not_before) = (0, true, 0);
     }
 }
--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -136,7 +136,7 @@
         };
         match wait {
             Some(wait) => self.timer(wait, Purpose::Call, actions),
-            None => self.calls.answered(),
+            None => self.calls.answered(now),
         }
         if matches!(kind, ListKind::Whole | ListKind::Persisted) {
             self.servers.values_mut().for_each(|s| s.ready = false);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -119,12 +119,14 @@
     async fn watch(&self) {
         self.silent.set(false);
         let path = format!("/catalog/members?stream=1&index={}", self.version.get());
+        let from = Instant::now();
         let ended =
             if self.push { self.watch_agent(&path).await } else { self.call(&path, true, &|| true).await };
         let why = ended.err().map_or("it ended".to_owned(), |e| e.to_string());
         // Guards against a log full of the same words while discovery is down.
         let level = if self.push && self.failing.replace(true) { Level::Debug } else { Level::Info };
-        log::log!(level, version = self.version.get(); "watch-ended: {why}");
+        let after_ms = from.elapsed().as_millis() as u64;
+        log::log!(level, version = self.version.get(), after_ms = after_ms; "watch-ended: {why}");
         // What fell silent before it ended has been told already, and the next call is due.
         if !self.push && !self.silent.get() {
             self.engine.list(ListKind::Failed, Vec::new());
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -1,7 +1,7 @@
 //! When the list service is called, for any group, slot and instant.
 
 use quickcheck::{Gen, QuickCheck};
-use tulipridge::pace::{ANSWER, Calls, SILENCE, TOLD};
+use tulipridge::pace::{ANSWER, Calls, OUTAGE_FAILURES, SILENCE, TOLD, UNKNOWN_FAILURES};
 use tulipridge::types::Nanos;
 
 const MILLI: Nanos = 1_000_000;
@@ -34,6 +34,55 @@
     }
 }
 
+/// The service has answered the first call of this gateway, but late.
+fn slow(mut calls: Calls) -> Calls {
+    let due = calls.start(0, 0.0);
+    calls.answered(due + SECOND);
+    calls
+}
+
+/// The service has answered the first call of this gateway at once.
+fn quick(mut calls: Calls) -> Calls {
+    let due = calls.start(0, 0.0);
+    calls.answered(due + SECOND / 10);
+    calls
+}
+
+/// The longest waits after the watch has ended and calls have failed in a row, each 2 s after it was due.
+fn waits_in_an_outage(mut calls: Calls, failures: usize) -> Vec<Nanos> {
+    let mut now = 77 * SECOND;
+    let mut waits = Vec::new();
+    for _ in 0..failures {
+        let drawn = |n: u32| calls.clone().failed(now, f64::from(n) / 1000.0);
+        waits.push((0..1000).map(drawn).max().unwrap_or(0));
+        now += calls.failed(now, 0.5) + 2 * SECOND;
+    }
+    waits
+}
+
+#[test]
+fn a_service_that_kept_up_is_called_on_in_an_outage_so_that_its_return_is_noticed_in_time() {
+    let waits = waits_in_an_outage(quick(Calls::new(7, 300, 10 * SECOND, None)), 12);
+    // The first one follows the end of the watch.
+    let outage = OUTAGE_FAILURES as usize;
+    assert!(waits[..outage].iter().all(|wait| 2 * SECOND + wait + ANSWER <= TOLD), "{waits:?}");
+    assert!(waits[outage..].iter().all(|wait| *wait > 10 * SECOND), "it may be overloaded: {waits:?}");
+}
+
+#[test]
+fn a_service_that_was_never_heard_of_is_called_on_for_a_shorter_time() {
+    let waits = waits_in_an_outage(Calls::new(7, 300, 10 * SECOND, None), 8);
+    let unknown = UNKNOWN_FAILURES as usize;
+    assert!(waits[..unknown].iter().all(|wait| wait + ANSWER <= TOLD), "{waits:?}");
+    assert!(waits[unknown..].iter().all(|wait| *wait > 10 * SECOND), "{waits:?}");
+}
+
+#[test]
+fn a_service_that_answered_late_is_spared_from_its_first_failure_on() {
+    let waits = waits_in_an_outage(slow(Calls::new(7, 300, 10 * SECOND, None)), 6);
+    assert!(waits[1..].iter().all(|wait| *wait > 10 * SECOND), "{waits:?}");
+}
+
 #[test]
 fn failures_widen_the_window_up_to_its_longest_and_an_answer_resets_it() {
     // The longest of many draws, in whole seconds: the last slot of the last window.
@@ -41,14 +90,15 @@
         let waits = (0..1000).map(|n| calls.clone().failed(77 * SECOND, f64::from(n) / 1000.0));
         waits.max().unwrap_or(0) / SECOND
     };
-    let mut calls = Calls::new(0, 100, 10 * SECOND, None);
+    let mut calls = slow(Calls::new(0, 100, 10 * SECOND, None));
+    calls.failed(0, 0.5);
     let mut waits = Vec::new();
     for _ in 0..4 {
         waits.push(longest(&calls));
         calls.failed(0, 0.5);
     }
     assert_eq!(waits, [7, 7, 7, 7], "windows of 6 s: two fit into 16 s");
-    calls.answered();
+    calls.answered(0);
     assert_eq!(longest(&calls), 2, "a watch that ends is no sign of a slow service");
     let large = Calls::new(0, 1000, 10 * SECOND, None);
     // Windows of 60 s would be beyond the 40 s that the settings give after a failed call.
@@ -86,7 +136,7 @@
     assert!((2 * SECOND..4 * SECOND).contains(&calls.failed(2 * SECOND, 0.0)));
     calls.busy(2 * SECOND, 1_000_000 * SECOND);
     assert!((16 * SECOND..17 * SECOND).contains(&calls.failed(2 * SECOND, 0.0)));
-    calls.answered();
+    calls.answered(2 * SECOND);
     assert!(calls.failed(2 * SECOND, 0.0) < SECOND);
 }
 
@@ -110,7 +160,7 @@
                     true
                 }
                 2 => {
-                    calls.answered();
+                    calls.answered(now);
                     asked = 0;
                     true
                 }
@@ -143,11 +193,11 @@
         let mut chance = move || draws.next().unwrap_or(0.5);
 
         let mut one = calls.clone();
-        one.answered();
+        one.answered(now);
         let silent = SILENCE + one.failed(now, chance()) + ANSWER;
 
         let (mut one, mut at, mut refused) = (calls.clone(), now, 0);
-        one.answered();
+        one.answered(now);
         at += one.failed(at, chance());
         for _ in 0..=failures % 8 {
             let wait = one.failed(at + 1, chance());
@@ -155,7 +205,7 @@
         }
 
         let (mut one, mut at, mut hung) = (calls, now, 0);
-        one.answered();
+        one.answered(now);
         at += one.failed(at, chance());
         for _ in 0..=failures % 8 {
             let wait = one.failed(at + 3 * SECOND, chance());
@@ -190,7 +240,7 @@
             .map(|me| {
                 let noticed = 77 * SECOND + Nanos::from(me) * 7919 % 100 * MILLI;
                 let mut calls = Calls::new(me, group, 10 * SECOND, rate);
-                calls.answered();
+                calls.answered(noticed);
                 noticed + calls.failed(noticed, f64::from(me % 10) / 10.0)
             })
             .collect();
@@ -208,7 +258,7 @@
         .map(|me| {
             let noticed = silence + SILENCE - Nanos::from(me) * 7919 % 2000 * MILLI;
             let mut calls = Calls::new(me, group, 10 * SECOND, rate);
-            calls.answered();
+            calls.answered(noticed);
             (noticed + calls.failed(noticed, f64::from(me % 10) / 10.0), calls)
         })
         .collect();
