Count all failures for the back-off after quick ones, as before

Cause: the count of late failures that are taken for an outage was taken off for quick failures too, so a small group backed off later; tests/module.rs saw it (waits of 0.7 s at the most after eight failures, over 1 s asked for). Change: it is taken off for late failures alone. Measured: tests of module and pace pass.

--- a/crates/signpost/src/pace.rs
+++ b/crates/signpost/src/pace.rs
@@ -210,18 +210,20 @@
         let fits = |window: &Nanos| *window <= TOLD - ANSWER;
         let outage_failures = self.service.outage_failures();
         let is_outage = self.failures < outage_failures;
-        let (window, more, longest) = match (self.watched, quick) {
+        // Late failures that were taken for an outage don't count for the windows that are let go by.
+        let late = 1 + self.failures.saturating_sub(outage_failures);
+        let (window, failures, longest) = match (self.watched, quick) {
             (true, _) => (self.anew, 0, self.anew),
             // Asked to be left alone, a gateway has spent a part of its time.
             (_, true) if asked && fits(&self.anew) => (self.anew, 0, self.anew),
-            (_, true) if fits(&self.again) => (self.again, 0, TOLD - ANSWER),
+            (_, true) if fits(&self.again) => (self.again, self.failures, TOLD - ANSWER),
             (_, false) if is_outage && self.service == Service::KeepsUp => (self.anew, 0, self.anew),
             (_, false) if is_outage && fits(&self.again) => (self.again, 0, self.again),
-            _ => (self.slow, 1, self.longest),
+            _ => (self.slow, late, self.longest),
         };
         let slot = window / Nanos::from(self.slot.1);
         let most = (longest.saturating_sub(slot) / window.max(1)).max(1);
-        let windows = (1 << (self.failures.saturating_sub(outage_failures) + more).min(16)).min(most);
+        let windows = (1 << failures.min(16)).min(most);
         (self.failures, self.watched) = (self.failures + 1, false);
         // The whole part says how many windows go by, the rest where in its slot the call comes.
         let drawn = chance * windows as f64;
