Compare a replica's weights with a revision in one place

Four places of the planner compared what a replica has with a revision, and the replicas that load next were told from the urgent ones by a search among names, quadratic in the fleet; the kiosk looked for a replica's weights twice; list calls had a branch for each kind of outage. Change: has_older, ReplicaEntry::weights and Calls::outage; a window that does not fit the time told is not used in an outage either, as after quick failures. A method that nothing called is gone.

--- a/crates/kiosk/src/exchange/attempts.rs
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -136,7 +136,7 @@
             is_head_request: self.incoming.head.start[0] == "HEAD",
         };
         self.held.written();
-        let weights = self.weights_at(&replica);
+        let weights = self.incoming.head.get("llm").and_then(|model| replica.weights(model));
         let exchange = attempt::exchange(&self.proxy.pool, &replica, connection, outgoing);
         let exchange = self.unless_outdated(weights, exchange);
         match self.unless_interrupted(client, exchange).await {
@@ -154,12 +154,6 @@
         }
     }
 
-    /// The weights on which a replica would run the request.
-    fn weights_at<'replica>(&self, replica: &'replica ReplicaEntry) -> Option<&'replica ModelRevision> {
-        let model = self.incoming.head.get("llm")?;
-        replica.models.iter().find(|weights| weights.model == model)
-    }
-
     /// How an exchange ends, unless its answer has not begun when these weights must not be used any more.
     async fn unless_outdated(
         &self,
--- a/crates/kiosk/src/replica/replicas.rs
+++ b/crates/kiosk/src/replica/replicas.rs
@@ -49,7 +49,12 @@
 impl ReplicaEntry {
     /// The revision of its weights of a model.
     pub fn revision(&self, model: &str) -> Option<u64> {
-        self.models.iter().find(|held| held.model == model).map(|held| held.revision)
+        self.weights(model).map(|held| held.revision)
+    }
+
+    /// Its weights of a model.
+    pub fn weights(&self, model: &str) -> Option<&ModelRevision> {
+        self.models.iter().find(|held| held.model == model)
     }
 
     fn member(&self) -> Member {
--- a/crates/signpost/src/pace.rs
+++ b/crates/signpost/src/pace.rs
@@ -95,17 +95,6 @@
     Slow,
 }
 
-impl Service {
-    /// Late failures in a row that are taken for an outage.
-    fn outage_failures(self) -> u32 {
-        match self {
-            Service::Unknown => UNKNOWN_FAILURES,
-            Service::KeepsUp => OUTAGE_FAILURES,
-            Service::Slow => 0,
-        }
-    }
-}
-
 /// The bounds of the chain from the start of a silence, or the service's return, to the list's application.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
@@ -208,8 +197,8 @@
         let quick = self.due.is_some_and(|due| now >= due && now - due < QUICK);
         let asked = self.not_before > now;
         let fits = |window: &Nanos| *window <= TOLD - ANSWER;
-        let outage_failures = self.service.outage_failures();
-        let is_outage = self.failures < outage_failures;
+        let (outage_window, outage_failures) = self.outage();
+        let is_outage = self.failures < outage_failures && fits(&outage_window);
         // Late failures that were taken for an outage don't count for the windows that are let go by.
         let late = 1 + self.failures.saturating_sub(outage_failures);
         let (window, failures, longest) = match (self.watched, quick) {
@@ -217,8 +206,7 @@
             // Asked to be left alone, a gateway has spent a part of its time.
             (_, true) if asked && fits(&self.anew) => (self.anew, 0, self.anew),
             (_, true) if fits(&self.again) => (self.again, self.failures, TOLD - ANSWER),
-            (_, false) if is_outage && self.service == Service::KeepsUp => (self.anew, 0, self.anew),
-            (_, false) if is_outage && fits(&self.again) => (self.again, 0, self.again),
+            (_, false) if is_outage => (outage_window, 0, outage_window),
             _ => (self.slow, late, self.longest),
         };
         let slot = window / Nanos::from(self.slot.1);
@@ -234,6 +222,15 @@
         wait
     }
 
+    /// The window for calls in an outage, and how many late failures in a row are taken for one.
+    fn outage(&self) -> (Nanos, u32) {
+        match self.service {
+            Service::Unknown => (self.again, UNKNOWN_FAILURES),
+            Service::KeepsUp => (self.anew, OUTAGE_FAILURES),
+            Service::Slow => (self.slow, 0),
+        }
+    }
+
     /// The time to this gateway's next slot in windows of this length.
     fn slot_after(&self, now: Nanos, window: Nanos, chance: f64) -> Nanos {
         let (me, group) = self.slot;
--- a/crates/station/src/settings/revision_term.rs
+++ b/crates/station/src/settings/revision_term.rs
@@ -30,11 +30,6 @@
         RevisionTerm(length)
     }
 
-    /// The whole term.
-    pub fn length(self) -> Duration {
-        self.0
-    }
-
     /// When all replicas should have loaded.
     pub fn load_by(self) -> Duration {
         self.withdrawal().mul_f64(LOAD_PART)
@@ -56,7 +51,7 @@
     }
 
     /// Time from the withdrawal until requests that have not begun are called off.
-    pub fn call_off_delay(self) -> Duration {
+    fn call_off_delay(self) -> Duration {
         let reserve = self.withdrawal_reserve();
         let largest = reserve.mul_f64(LARGEST_CALL_OFF_RESERVE_PART);
         reserve - self.0.mul_f64(CALL_OFF_RESERVE_PART).max(LEAST_CALL_OFF_RESERVE).min(largest)
--- a/crates/tower/src/rollout/naming.rs
+++ b/crates/tower/src/rollout/naming.rs
@@ -12,7 +12,7 @@
 const UNKNOWN_AGE: Duration = Duration::from_secs(5);
 /// Time without a primary that counts: elections are shorter, and the operator's term goes on meanwhile.
 const COUNTED_VACANCY: Duration = Duration::from_secs(1);
-/// Revisions of a model that are remembered beside the newest.
+/// Revisions of a model that are remembered.
 const REMEMBERED: usize = 64;
 
 /// When weights were named.
@@ -57,16 +57,13 @@
     pub fn hear(&mut self, model: &str, revision: u64) {
         let age = if self.counted < CATCH_UP_TIME { UNKNOWN_AGE } else { Duration::ZERO };
         let heard = Heard { at: self.counted, age };
-        let Some(revisions) = self.heard.get_mut(model) else {
-            self.heard.insert(model.to_owned(), BTreeMap::from([(revision, heard)]));
-            return;
-        };
-        let newest = revisions.last_key_value().map_or(0, |(newest, _)| *newest);
-        if revision > newest {
+        let revisions = self.heard.entry(model.to_owned()).or_default();
+        let is_new = revisions.last_key_value().is_none_or(|(newest, _)| *newest < revision);
+        if is_new {
             revisions.insert(revision, heard);
-            while revisions.len() > REMEMBERED {
-                revisions.pop_first();
-            }
+        }
+        if revisions.len() > REMEMBERED {
+            revisions.pop_first();
         }
     }
 
--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -140,8 +140,8 @@
                 // It serves on meanwhile.
                 let model = load.weights.model.clone();
                 self.loads.remove(replica);
-                let retry =
-                    if self.is_withdrawn(replica, &model) { URGENT_ORDER_RETRY } else { ORDER_RETRY };
+                let is_withdrawn = self.has_older(replica, &model, self.targets[&model].least);
+                let retry = if is_withdrawn { URGENT_ORDER_RETRY } else { ORDER_RETRY };
                 self.paused.insert(replica.to_owned(), now + retry);
             }
             OrderAnswer::WrongReplica => {
@@ -237,27 +237,23 @@
 
     /// Replicas that stay and have weights older than a revision, loading ones included.
     fn lacking<'a>(&'a self, model: &'a str, revision: u64) -> impl Iterator<Item = &'a Replica> {
-        self.serving(model).filter(move |replica| {
-            replica.phase != ReplicaPhase::Draining
-                && self.held(&replica.id, model).is_none_or(|held| held < revision)
-        })
-    }
-
-    /// Whether a replica's weights must not be used any more.
-    fn is_withdrawn(&self, replica: &str, model: &str) -> bool {
-        let least = self.targets.get(model).map_or(0, |target| target.least);
-        self.held(replica, model).is_some_and(|held| held < least)
+        let staying = self.serving(model).filter(|replica| replica.phase != ReplicaPhase::Draining);
+        staying.filter(move |replica| self.has_older(&replica.id, model, revision))
     }
 
     /// Ids of replicas that have weights of this model older than a revision.
     pub fn outdated(&self, model: &str, revision: u64) -> Vec<String> {
-        let is_outdated = |id: &str| self.held(id, model).is_some_and(|held| held < revision);
-        let ids = self.serving(model).map(|replica| &replica.id);
-        ids.filter(|id| is_outdated(id)).cloned().collect()
+        let outdated = self.serving(model).filter(|replica| self.has_older(&replica.id, model, revision));
+        outdated.map(|replica| replica.id.clone()).collect()
+    }
+
+    /// Whether a replica serves a model with weights older than a revision.
+    fn has_older(&self, replica: &str, model: &str, revision: u64) -> bool {
+        self.held(replica, model).is_some_and(|held| held < revision)
     }
 
     fn has(&self, replica: &str, weights: &ModelRevision) -> bool {
-        self.held(replica, &weights.model).is_some_and(|revision| revision >= weights.revision)
+        self.held(replica, &weights.model).is_some_and(|held| held >= weights.revision)
     }
 
     /// The newest revision that a replica is known to have of a model.
@@ -285,10 +281,10 @@
         let mut next: Vec<String> = self.urgent(model).map(|replica| replica.id.clone()).collect();
         let loading = self.loads.values().filter(|load| load.weights.model == model).count();
         let room = self.at_once(model, now).saturating_sub(loading + next.len());
-        let others = self.waiting(model).into_iter().filter(|replica| self.is_idle(&replica.id));
-        let others: Vec<&Replica> = others.filter(|replica| !next.contains(&replica.id)).collect();
-        let others = self.oldest_first(model, &others);
-        next.extend(others.into_iter().take(room).map(|replica| replica.id.clone()));
+        let least = self.targets[model].least;
+        let idle = self.waiting(model).into_iter().filter(|replica| self.is_idle(&replica.id));
+        let usable = idle.filter(|replica| !self.has_older(&replica.id, model, least)).collect();
+        next.extend(self.oldest_first(model, usable).into_iter().take(room).map(|r| r.id.clone()));
         next
     }
 
@@ -303,12 +299,12 @@
         self.serving(model).filter(|replica| self.is_idle(&replica.id)).filter(move |replica| {
             let is_leaving = replica.phase == ReplicaPhase::Draining;
             let least = if is_leaving { target.expired } else { target.least };
-            self.held(&replica.id, model).is_some_and(|held| held < least)
+            self.has_older(&replica.id, model, least)
         })
     }
 
     /// The same replicas: older weights first, and neighbours in the order of different zones.
-    fn oldest_first<'a>(&self, model: &str, replicas: &[&'a Replica]) -> Vec<&'a Replica> {
+    fn oldest_first<'a>(&self, model: &str, replicas: Vec<&'a Replica>) -> Vec<&'a Replica> {
         let mut by_revision: BTreeMap<Option<u64>, Vec<&'a Replica>> = BTreeMap::new();
         for replica in replicas {
             by_revision.entry(self.held(&replica.id, model)).or_default().push(replica);
--- a/crates/tower/tests/naming_times.rs
+++ b/crates/tower/tests/naming_times.rs
@@ -19,14 +19,20 @@
     times
 }
 
-#[test]
-fn each_name_ages_by_itself() {
+/// The same, which has heard of one revision 5 s and of another 2 s ago.
+fn with_two_names() -> NamingTimes {
     let mut times = settled();
     times.hear("m", 2);
     times.advance(SETTLED + secs(3), true);
     times.hear("m", 3);
     times.hear("other", 7);
     times.advance(SETTLED + secs(5), true);
+    times
+}
+
+#[test]
+fn each_name_ages_by_itself() {
+    let times = with_two_names();
     assert_eq!(times.age("m", 2), Some(secs(5)));
     assert_eq!(times.age("m", 3), Some(secs(2)));
     assert_eq!(times.age("other", 7), Some(secs(2)));
@@ -35,15 +41,11 @@
 
 #[test]
 fn a_name_that_is_heard_again_does_not_begin_anew() {
-    let mut times = settled();
-    times.hear("m", 2);
-    times.advance(SETTLED + secs(1), true);
-    times.hear("m", 3);
-    times.advance(SETTLED + secs(4), true);
+    let mut times = with_two_names();
     times.hear("m", 2);
     times.hear("m", 3);
-    assert_eq!(times.age("m", 2), Some(secs(4)));
-    assert_eq!(times.age("m", 3), Some(secs(3)));
+    assert_eq!(times.age("m", 2), Some(secs(5)));
+    assert_eq!(times.age("m", 3), Some(secs(2)));
 }
 
 #[test]
