--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -388,3 +388,22 @@
     assert!(!scene.planner.named("m", 1, Duration::ZERO, START + TERM));
     assert_eq!(scene.line(), ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 2 });
 }
+
+#[test]
+fn each_model_has_terms_of_its_own() {
+    let other = |revision| ModelRevision { model: "n".to_owned(), revision };
+    let both = |index| Replica { models: vec![weights(1), other(1)], ..replica(index, 1) };
+    let mut scene = Scene::new(NO_LEASE, &[both(1), both(2)]);
+    scene.load_time = TERM * 2;
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    scene.planner.named("n", 7, ms(3_000), START);
+    let lines = |scene: &Scene| {
+        let lines = scene.planner.weights().into_iter();
+        lines.map(|line| (line.model, line.expired)).collect::<Vec<_>>()
+    };
+    let withdrawal = TERM.mul_f64(0.85);
+    scene.run_until(START + withdrawal - ms(3_000) + STEP * 2);
+    assert_eq!(lines(&scene), [("m".to_owned(), 0), ("n".to_owned(), 7)]);
+    scene.run_until(START + withdrawal + STEP * 2);
+    assert_eq!(lines(&scene), [("m".to_owned(), 2), ("n".to_owned(), 7)]);
+}
--- a/crates/tower/tests/rollout_random.rs
+++ b/crates/tower/tests/rollout_random.rs
@@ -16,6 +16,8 @@
 const STEP: Duration = Duration::from_millis(25);
 /// Time until gateways know what the primary delivers.
 const DELIVERY: Duration = Duration::from_millis(75);
+/// The same where links are crowded.
+const LATE_DELIVERY: Duration = Duration::from_millis(500);
 const LENGTH: Duration = Duration::from_secs(45);
 const REPLICAS: usize = 12;
 const LONGEST_WAIT_MS: u64 = 9_000;
@@ -73,6 +75,7 @@
 struct History {
     random: Rng,
     without: Without,
+    delivery: Duration,
     now: Duration,
     engines: Vec<Engine>,
     created: usize,
@@ -93,13 +96,14 @@
 }
 
 impl History {
-    fn new(seed: u64, without: Without) -> History {
+    fn new(seed: u64, without: Without, delivery: Duration) -> History {
         let now = Duration::from_secs(10);
         let mut times = NamingTimes::new(Duration::ZERO);
         times.advance(now, true);
         History {
             random: Rng::with_seed(seed),
             without,
+            delivery,
             now,
             engines: (0..REPLICAS).map(|number| Engine::new(number, 1)).collect(),
             created: REPLICAS,
@@ -204,7 +208,7 @@
         let line = self.planner.weights().pop();
         let (least, expired) = line.map_or((0, 0), |line| (line.least, line.expired));
         let loading = self.planner.corrections().loading.into_iter().collect();
-        self.on_the_way.push_back((self.now + DELIVERY, Table { least, expired, loading }));
+        self.on_the_way.push_back((self.now + self.delivery, Table { least, expired, loading }));
     }
 
     fn act(&mut self, action: Action) {
@@ -261,7 +265,7 @@
                 self.engines[index].queue.push(begins);
             }
             let limit = self.expired_since.iter().find(|(expired, _)| *expired > revision);
-            let heard = |revision| self.named.get(revision).map(|at| *at + DELIVERY);
+            let heard = |revision| self.named.get(revision).map(|at| *at + self.delivery);
             let is_over =
                 limit.is_some_and(|(expired, since)| self.now >= term.call_off_at(heard(expired), *since));
             if is_over && !self.without.calling_off {
@@ -291,19 +295,23 @@
 }
 
 /// Histories of these seeds in which a request began too late.
-fn broken(seeds: std::ops::Range<u64>, without: Without) -> Vec<(u64, String)> {
-    let first = |seed| History::new(seed, without).play().into_iter().next().map(|what| (seed, what));
+fn broken(seeds: std::ops::Range<u64>, without: Without, delivery: Duration) -> Vec<(u64, String)> {
+    let first =
+        |seed| History::new(seed, without, delivery).play().into_iter().next().map(|what| (seed, what));
     seeds.filter_map(first).collect()
 }
 
 #[rstest]
-fn no_request_begins_on_weights_whose_term_has_passed(#[values(0, 1, 2, 3)] part: u64) {
-    assert_eq!(broken(part * 100..part * 100 + 100, Without::default()), []);
+fn no_request_begins_on_weights_whose_term_has_passed(
+    #[values(0, 1, 2, 3)] part: u64,
+    #[values(DELIVERY, LATE_DELIVERY)] delivery: Duration,
+) {
+    assert_eq!(broken(part * 100..part * 100 + 100, Without::default(), delivery), []);
 }
 
 #[rstest]
 #[case::queues_are_left_alone(Without { calling_off: true, ..Without::default() })]
 #[case::successors_do_not_know_the_ages(Without { ages: true, ..Without::default() })]
 fn what_is_left_out_is_seen(#[case] without: Without) {
-    assert!(!broken(0..100, without).is_empty());
+    assert!(!broken(0..100, without, DELIVERY).is_empty());
 }
