--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -77,6 +77,19 @@
     assert!(waits[unknown..].iter().all(|wait| *wait > 10 * SECOND), "{waits:?}");
 }
 
+#[test]
+fn quick_failures_keep_to_the_time_that_the_settings_give_after_a_failed_call() {
+    // Found by a test of the program that failed now and then: 1 s for asking gives 4 s after a failure.
+    let mut calls = Calls::new(0, 1, SECOND, None);
+    let mut now = 77 * SECOND;
+    for _ in 0..12 {
+        let drawn = |n: u32| calls.clone().failed(now, f64::from(n) / 1000.0);
+        let longest = (0..1000).map(drawn).max().unwrap_or(0);
+        assert!(longest + ANSWER <= 4 * SECOND, "{longest}");
+        now += calls.failed(now, 0.1);
+    }
+}
+
 #[test]
 fn a_service_that_answered_late_is_spared_from_its_first_failure_on() {
     let waits = waits_in_an_outage(slow(Calls::new(7, 300, 10 * SECOND, None)), 6);
