Choose replicas by the work of all gateways that waits there

Cause: each of 68 gateways sees about 4 requests a second and no gateway sees what waits at a replica; with half of the replicas idle others had ten requests waiting, and a third of the season reviews sent to a replica where one waited were late. Change: kiosks tell what they have sent and what has not begun, in units of 1024 tokens to be read, up the feed (porter, home, primary), summed on the way; the primary delivers the table each 50 ms. Programs that do not know the table are never sent it. The roll-out loads the replicas with least to do first, waits up to 1 s for work that waits, and counts loads under way in its estimate.

--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -11,6 +11,7 @@
 mod signal;
 pub mod store;
 pub mod subscriber;
+pub mod waiting;
 mod wire;
 
 pub use station::clock;
--- a/crates/courier/src/link.rs
+++ b/crates/courier/src/link.rs
@@ -20,8 +20,8 @@
     Received(Received),
     /// The connection took bytes.
     Written,
-    /// The signal was raised.
-    Signalled,
+    /// The signal at this place was raised.
+    Signalled(usize),
     /// The deadline may have come; one that has moved away meanwhile has not.
     Timer,
 }
@@ -47,9 +47,13 @@
     }
 
     /// Waits for the next event, and writes meanwhile.
-    pub(crate) async fn next_event(&mut self, signal: &Signal, deadline: Duration) -> io::Result<Event> {
+    pub(crate) async fn next_event(
+        &mut self,
+        signals: &[&Signal],
+        deadline: Duration,
+    ) -> io::Result<Event> {
         self.arm_timer(deadline);
-        poll_fn(|context| self.poll_event(signal, context)).await
+        poll_fn(|context| self.poll_event(signals, context)).await
     }
 
     /// A deadline that has moved away leaves the timer, since its owner looks again when it is due.
@@ -61,15 +65,17 @@
     }
 
     /// What the peer says goes before the timer, so that bytes which have waited count as said in time.
-    fn poll_event(&mut self, signal: &Signal, context: &mut Context<'_>) -> Poll<io::Result<Event>> {
+    fn poll_event(&mut self, signals: &[&Signal], context: &mut Context<'_>) -> Poll<io::Result<Event>> {
         if let Poll::Ready(received) = self.incoming.poll_fill(self.stream, context) {
             return Poll::Ready(received.map(Event::Received));
         }
         if let Poll::Ready(written) = self.outgoing.poll_write(self.stream, context) {
             return Poll::Ready(written.map(|()| Event::Written));
         }
-        if signal.poll_raised(context).is_ready() {
-            return Poll::Ready(Ok(Event::Signalled));
+        for (place, signal) in signals.iter().enumerate() {
+            if signal.poll_raised(context).is_ready() {
+                return Poll::Ready(Ok(Event::Signalled(place)));
+            }
         }
         Pin::new(&mut self.timer).poll_next(context).map(|_| {
             self.timer_at = Duration::MAX;
--- a/crates/courier/src/publisher.rs
+++ b/crates/courier/src/publisher.rs
@@ -11,11 +11,12 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use intercom::feed::{Subscribe, SubscriberRole};
+use intercom::feed::{Subscribe, SubscriberRole, WaitingWork};
 use station::clock;
 
 use crate::signal::Signal;
 use crate::store::FeedStore;
+use crate::waiting;
 use batches::Batches;
 
 /// A subscriber that has said nothing for this long does not count among the gateways.
@@ -74,6 +75,7 @@
     peers: RefCell<BTreeMap<u64, Rc<Peer>>>,
     next_peer: Cell<u64>,
     batches: RefCell<Batches>,
+    waiting_listener: RefCell<Option<Rc<dyn Fn()>>>,
 }
 
 /// What the publisher knows of a connection beside the task that serves it.
@@ -90,6 +92,7 @@
     heard: Duration,
     gateways: u32,
     revision: u64,
+    waiting: WaitingWork,
 }
 
 impl Publisher {
@@ -111,6 +114,7 @@
             peers: RefCell::default(),
             next_peer: Cell::new(0),
             batches: RefCell::default(),
+            waiting_listener: RefCell::default(),
         })
     }
 
@@ -143,6 +147,25 @@
         counted.fold(0, |sum, status| sum.saturating_add(status.gateways))
     }
 
+    /// The work that waits at replicas of the gateways that the connected subscribers serve.
+    pub fn waiting(&self) -> WaitingWork {
+        let peers = self.peers.borrow();
+        let told: Vec<_> = peers.values().map(|peer| peer.status.borrow()).collect();
+        waiting::sum(told.iter().map(|status| &status.waiting))
+    }
+
+    /// Sets a function that is called each time a subscriber has told of work that waits.
+    pub fn on_waiting(&self, listener: impl Fn() + 'static) {
+        *self.waiting_listener.borrow_mut() = Some(Rc::new(listener));
+    }
+
+    fn announce_waiting(&self) {
+        let listener = self.waiting_listener.borrow().clone();
+        if let Some(listener) = listener {
+            listener();
+        }
+    }
+
     /// The subscribers that are connected.
     pub fn subscribers(&self) -> Vec<ConnectedSubscriber> {
         let now = clock::now();
@@ -161,6 +184,7 @@
         let serving = async move {
             let end = connection::serve(&publisher, &peer, &stream).await;
             publisher.peers.borrow_mut().remove(&id);
+            publisher.announce_waiting();
             log::info!(peer:% = address, reason:% = end; "a subscriber's connection ends");
         };
         executor.spawn(serving).detach();
@@ -169,7 +193,13 @@
 
 impl Peer {
     fn new(address: SocketAddr) -> Self {
-        let status = PeerStatus { subscriber: None, heard: clock::now(), gateways: 0, revision: 0 };
+        let status = PeerStatus {
+            subscriber: None,
+            heard: clock::now(),
+            gateways: 0,
+            revision: 0,
+            waiting: WaitingWork::default(),
+        };
         Peer { address, store_changed: Signal::default(), status: RefCell::new(status) }
     }
 
--- a/crates/courier/src/publisher/connection.rs
+++ b/crates/courier/src/publisher/connection.rs
@@ -77,11 +77,11 @@
     async fn run(&mut self) -> Result<Infallible, ConnectionEnd> {
         loop {
             let deadline = self.deadline();
-            match self.link.next_event(&self.peer.store_changed, deadline).await.context(FailedSnafu)? {
+            match self.link.next_event(&[&self.peer.store_changed], deadline).await.context(FailedSnafu)? {
                 Event::Received(Received::End) => return ClosedSnafu.fail(),
                 Event::Received(Received::Bytes) => self.read_messages()?,
                 Event::Written => self.taken = clock::now(),
-                Event::Signalled => {}
+                Event::Signalled(_) => {}
                 Event::Timer => self.check_deadlines()?,
             }
             self.write_newest()?;
@@ -89,9 +89,14 @@
     }
 
     fn read_messages(&mut self) -> Result<(), ConnectionEnd> {
+        let mut has_waiting = false;
         while let Some(message) = self.link.incoming.take().context(FrameSnafu)? {
+            has_waiting |= matches!(message, ToPublisher::Waiting(_));
             self.take_message(message)?;
         }
+        if has_waiting {
+            self.publisher.announce_waiting();
+        }
         ensure!(self.link.incoming.len() <= MAX_REQUEST_BYTES, TooLongSnafu);
         self.peer.status.borrow_mut().heard = clock::now();
         Ok(())
@@ -111,6 +116,10 @@
                 status.gateways = gateways;
                 self.unanswered = Some(id);
             }
+            ToPublisher::Waiting(waiting) => {
+                ensure!(self.sent.is_some(), OutOfPlaceSnafu);
+                status.waiting = waiting;
+            }
         }
         Ok(())
     }
--- a/crates/courier/src/store.rs
+++ b/crates/courier/src/store.rs
@@ -11,7 +11,8 @@
 
 use cabinet::Index;
 use intercom::feed::{
-    Group, Holdings, KeptUpdate, ModelWeights, Position, Replica, ToSubscriber, WeightsTable,
+    Group, Holdings, KeptUpdate, LoadTable, ModelWeights, Position, Replica, ToSubscriber, WaitingWork,
+    WeightsTable,
 };
 use snafu::Snafu;
 use timetable::Configuration;
@@ -68,6 +69,8 @@
     pub kept: bool,
     /// Who takes part.
     pub group: bool,
+    /// The table of loads.
+    pub loads: bool,
     /// The answer to a ping, which changes nothing here.
     pub pong: Option<Pong>,
 }
@@ -75,7 +78,7 @@
 impl Changed {
     /// Whether anything of the state is different from before.
     pub fn any(&self) -> bool {
-        self.configuration || self.fleet || self.weights || self.kept || self.group
+        self.configuration || self.fleet || self.weights || self.kept || self.group || self.loads
     }
 
     /// Adds what a later message has changed.
@@ -85,6 +88,7 @@
         self.weights |= later.weights;
         self.kept |= later.kept;
         self.group |= later.group;
+        self.loads |= later.loads;
         self.pong = later.pong.or(self.pong);
     }
 }
@@ -123,6 +127,8 @@
             fleet: self.holdings.fleet.max(other.holdings.fleet),
             weights: self.holdings.weights.max(other.holdings.weights),
             kept: self.holdings.kept.max(other.holdings.kept),
+            // A subscriber that does not take the table stays one.
+            loads: self.holdings.loads.map(|own| own.max(other.holdings.loads.unwrap_or_default())),
         };
         Sent { holdings, group: self.group.max(other.group) }
     }
@@ -138,6 +144,7 @@
     fleet: FleetTable,
     weights: WeightsTable,
     kept: KeptTable,
+    loads: LoadTable,
     group: Group,
     group_version: u64,
 }
@@ -180,6 +187,22 @@
         self.kept.set(epoch, updates)
     }
 
+    /// Sets the work that waits at replicas, as the primary of `epoch`; whether the position moves. Work that refers to
+    /// another table of replicas than the one held is left out.
+    pub fn set_loads(&mut self, epoch: u64, work: &WaitingWork) -> bool {
+        let fleet = self.fleet.position();
+        let mut waiting = vec![0; self.fleet.replicas().count()];
+        for (place, amount) in work.lines.iter().filter(|_| work.fleet == fleet) {
+            if let Some(line) = waiting.get_mut(*place as usize) {
+                *line = u8::try_from(*amount).unwrap_or(u8::MAX);
+            }
+        }
+        let differs = (self.loads.fleet, &self.loads.waiting) != (fleet, &waiting);
+        let Some(position) = next_position(self.loads.position, epoch, differs) else { return false };
+        self.loads = LoadTable { position, fleet, waiting };
+        true
+    }
+
     /// Sets who takes part; whether that is news.
     pub fn set_group(&mut self, group: Group) -> bool {
         if self.group_version > 0 && self.group == group {
@@ -201,6 +224,7 @@
             ToSubscriber::Weights(table) => changed.weights = self.take_weights(table),
             ToSubscriber::Kept(update) => changed.kept = self.kept.apply(update)?,
             ToSubscriber::Group(group) => changed.group = self.set_group(group),
+            ToSubscriber::Loads(table) => changed.loads = self.take_loads(table),
             ToSubscriber::Pong { id, age_ms, revision } => {
                 let age = age_ms.map(|age| Duration::from_millis(age.into()));
                 changed.pong = Some(Pong { id, age, revision });
@@ -239,6 +263,20 @@
         self.kept.index()
     }
 
+    /// The replicas with the work that waits at each; none where the table of loads follows another table of replicas
+    /// than the one held.
+    pub fn loads(&self) -> Option<impl Iterator<Item = (&Replica, u8)>> {
+        let is_of_fleet = self.loads.fleet == self.fleet.position();
+        is_of_fleet.then(|| self.fleet.replicas().zip(self.loads.waiting.iter().copied()))
+    }
+
+    /// Work that waits at replicas, as it is told along the feed.
+    pub fn waiting_work(&self, units_of: impl Fn(&str) -> Option<u32>) -> WaitingWork {
+        let places = self.fleet.replicas().zip(0..);
+        let lines = places.filter_map(|(replica, place)| Some((place, units_of(&replica.id)?)));
+        WaitingWork { fleet: self.fleet.position(), lines: lines.collect() }
+    }
+
     /// Who takes part; empty while that is not known.
     pub fn group(&self) -> &Group {
         &self.group
@@ -251,6 +289,7 @@
             fleet: self.fleet.position(),
             weights: self.weights.position,
             kept: self.kept.position(),
+            loads: Some(self.loads.position),
         }
     }
 
@@ -280,12 +319,23 @@
         if let Some(update) = self.kept.since(sent.holdings.kept) {
             messages.push(ToSubscriber::Kept(update));
         }
+        if sent.holdings.loads.is_some_and(|sent| self.loads.position > sent) {
+            messages.push(ToSubscriber::Loads(self.loads.clone()));
+        }
         if self.group_version > sent.group {
             messages.push(ToSubscriber::Group(self.group.clone()));
         }
         messages
     }
 
+    fn take_loads(&mut self, table: LoadTable) -> bool {
+        let newer = table.position > self.loads.position;
+        if newer {
+            self.loads = table;
+        }
+        newer
+    }
+
     fn take_weights(&mut self, table: WeightsTable) -> bool {
         let newer = table.position > self.weights.position;
         if newer {
--- a/crates/courier/src/subscriber.rs
+++ b/crates/courier/src/subscriber.rs
@@ -11,7 +11,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use intercom::feed::{Subscribe, SubscriberRole};
+use intercom::feed::{Subscribe, SubscriberRole, WaitingWork};
 use intercom::frame::FrameError;
 use snafu::{ResultExt, Snafu};
 
@@ -112,6 +112,8 @@
     freshness: RefCell<Freshness>,
     gateways: Cell<u32>,
     next_ping: Cell<u64>,
+    waiting: RefCell<WaitingWork>,
+    waiting_changed: Signal,
     connected: Cell<Option<SocketAddr>>,
     reselect: Signal,
     listeners: RefCell<Vec<Rc<ChangeListener>>>,
@@ -155,6 +157,8 @@
             freshness: RefCell::default(),
             gateways: Cell::new(0),
             next_ping: Cell::new(1),
+            waiting: RefCell::default(),
+            waiting_changed: Signal::default(),
             connected: Cell::new(None),
             reselect: Signal::default(),
             listeners: RefCell::default(),
@@ -195,6 +199,14 @@
         self.gateways.set(gateways);
     }
 
+    /// Sets the work that waits at replicas of the gateways that this subscriber serves; the publisher is told soon.
+    pub fn set_waiting(&self, waiting: WaitingWork) {
+        if *self.waiting.borrow() != waiting {
+            *self.waiting.borrow_mut() = waiting;
+            self.waiting_changed.raise();
+        }
+    }
+
     /// Leaves the publisher, if any, and chooses again at once.
     pub fn reselect(&self) {
         self.reselect.raise();
--- a/crates/courier/src/subscriber/session.rs
+++ b/crates/courier/src/subscriber/session.rs
@@ -24,6 +24,9 @@
 /// A publisher that still sends a long update but has not answered for this long is left.
 const LONGEST_TRANSFER: Duration = Duration::from_secs(10);
 
+/// Least time from one message of work that waits to the next.
+const WAITING_EVERY: Duration = Duration::from_millis(20);
+
 /// Follows a publisher until the connection ends. `failures` goes to 0 once it answers with freshness.
 pub(super) async fn run(
     subscriber: &Subscriber,
@@ -48,6 +51,12 @@
     received: Duration,
     /// Since when its answers carry no freshness.
     unfresh_since: Option<Duration>,
+    /// Whether the publisher knows of work that waits; it has sent a table of loads then.
+    takes_waiting: bool,
+    /// Work that waits has changed since it was told.
+    has_waiting: bool,
+    /// From when on it may be told again.
+    waiting_at: Duration,
 }
 
 impl<'a> Session<'a> {
@@ -61,6 +70,9 @@
             answered: now,
             received: now,
             unfresh_since: None,
+            takes_waiting: false,
+            has_waiting: true,
+            waiting_at: now,
         }
     }
 
@@ -70,12 +82,15 @@
         self.ping()?;
         loop {
             self.ping_when_due()?;
-            let deadline = self.ping_at.min(self.silent_at());
-            match self.link.next_event(&self.subscriber.reselect, deadline).await.context(FailedSnafu)? {
+            self.tell_waiting_when_due()?;
+            let deadline = self.ping_at.min(self.silent_at()).min(self.tell_waiting_at());
+            let signals = [&self.subscriber.reselect, &self.subscriber.waiting_changed];
+            match self.link.next_event(&signals, deadline).await.context(FailedSnafu)? {
                 Event::Received(Received::End) => return ClosedSnafu.fail(),
                 Event::Received(Received::Bytes) => self.read_messages()?,
                 Event::Written => {}
-                Event::Signalled => return ReselectedSnafu.fail(),
+                Event::Signalled(0) => return ReselectedSnafu.fail(),
+                Event::Signalled(_) => self.has_waiting = true,
                 Event::Timer => self.check_deadline()?,
             }
         }
@@ -103,6 +118,25 @@
         self.link.outgoing.push_message(&ping).context(MalformedSnafu)
     }
 
+    /// What is not told yet is told later as it is then.
+    fn tell_waiting_when_due(&mut self) -> Result<(), EndReason> {
+        let now = clock::now();
+        if now < self.tell_waiting_at() {
+            return Ok(());
+        }
+        self.waiting_at = now + WAITING_EVERY;
+        if !self.link.outgoing.is_empty() {
+            return Ok(());
+        }
+        self.has_waiting = false;
+        let waiting = ToPublisher::Waiting(self.subscriber.waiting.borrow().clone());
+        self.link.outgoing.push_message(&waiting).context(MalformedSnafu)
+    }
+
+    fn tell_waiting_at(&self) -> Duration {
+        if self.takes_waiting && self.has_waiting { self.waiting_at } else { Duration::MAX }
+    }
+
     /// Applies all messages that are whole; the listeners are told once, also where one of them fails.
     fn read_messages(&mut self) -> Result<(), EndReason> {
         let mut changed = Changed::default();
@@ -116,6 +150,7 @@
         while let Some(message) = self.link.incoming.take::<ToSubscriber>().context(MalformedSnafu)? {
             let news = self.subscriber.store.borrow_mut().apply(message).context(UpdateSnafu)?;
             changed.merge(news);
+            self.takes_waiting |= news.loads;
             if let Some(pong) = news.pong {
                 self.take_pong(pong)?;
             }
--- /dev/null
+++ b/crates/courier/src/waiting.rs
@@ -0,0 +1,23 @@
+//! Work that waits at replicas, summed over gateways on its way to the primary. No I/O and no clock.
+
+use std::collections::BTreeMap;
+
+use intercom::feed::WaitingWork;
+
+/// The sum of what several subscribers have told. Of work that refers to different tables of replicas, that of the
+/// newest counts.
+pub fn sum<'a>(parts: impl IntoIterator<Item = &'a WaitingWork>) -> WaitingWork {
+    let mut fleet = Default::default();
+    let mut lines: BTreeMap<u32, u32> = BTreeMap::new();
+    for part in parts {
+        if part.fleet > fleet {
+            fleet = part.fleet;
+            lines.clear();
+        }
+        for (place, amount) in part.lines.iter().filter(|_| part.fleet == fleet) {
+            let line = lines.entry(*place).or_default();
+            *line = line.saturating_add(*amount);
+        }
+    }
+    WaitingWork { fleet, lines: lines.into_iter().collect() }
+}
--- a/crates/courier/tests/store.rs
+++ b/crates/courier/tests/store.rs
@@ -189,6 +189,7 @@
         fleet: position(1, 2),
         weights: position(2, 1),
         kept: Position::default(),
+        loads: Some(Position::default()),
     };
     assert_eq!(publisher.missing(&ahead), vec![]);
 }
--- a/crates/intercom/src/feed.rs
+++ b/crates/intercom/src/feed.rs
@@ -27,6 +27,18 @@
         /// Gateways (agents) that this subscriber serves, itself included if it is one.
         gateways: u32,
     },
+    /// What waits at replicas of the gateways that this subscriber serves. Only publishers that have sent a table of
+    /// loads are told.
+    Waiting(WaitingWork),
+}
+
+/// Work that gateways have sent to replicas and that these have not begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct WaitingWork {
+    /// The table of replicas that the places refer to, in the order of ids.
+    pub fleet: Position,
+    /// Replicas with work that waits, by their places, and how much it is.
+    pub lines: Vec<(u32, u32)>,
 }
 
 /// Who subscribes, and what it holds.
@@ -64,6 +76,9 @@
     pub weights: Position,
     /// Position of the index of kept prompts.
     pub kept: Position,
+    /// Position of the table of loads; none from programs that do not know of it, which are not sent it.
+    #[musli(default)]
+    pub loads: Option<Position>,
 }
 
 /// Where a table stands: the epoch of the primary that wrote it, and the number of its change in that epoch.
@@ -99,6 +114,8 @@
         /// Revision of the configuration that the publisher holds.
         revision: u64,
     },
+    /// The table of loads, always whole: most of its lines change from one to the next.
+    Loads(LoadTable),
 }
 
 /// News of the configuration.
@@ -209,6 +226,22 @@
     pub expired: u64,
 }
 
+/// How much work waits at each replica, of all gateways together, in units of [`WORK_UNIT_TOKENS`] that have to be read;
+/// at least one for each request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct LoadTable {
+    /// Where it stands.
+    pub position: Position,
+    /// The table of replicas that its lines follow, in the order of ids.
+    pub fleet: Position,
+    /// A byte for each replica; the highest one stands for as much or more.
+    #[musli(bytes)]
+    pub waiting: Vec<u8>,
+}
+
+/// Tokens of a prompt in a unit of work that waits.
+pub const WORK_UNIT_TOKENS: u32 = 1024;
+
 /// Who takes part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Group {
--- a/crates/kiosk/src/exchange/attempts.rs
+++ b/crates/kiosk/src/exchange/attempts.rs
@@ -11,7 +11,7 @@
 
 use super::{Exchange, Final, RETRY_AT_ONCE, RETRY_SOON, Step};
 use crate::client::Client;
-use crate::placement::Order;
+use crate::placement::{Order, work};
 use crate::replica::attempt::{self, AttemptEnd, Failure, Outgoing};
 use crate::replica::connection::Connection;
 use crate::replica::outcome::{self, Next, SendEvent};
@@ -128,18 +128,22 @@
         replica: Rc<ReplicaEntry>,
         connection: Connection,
     ) -> Step {
-        let head = self.head_for(&replica);
+        let (head, unread_tokens) = self.head_for(&replica);
+        let work = work::units(unread_tokens);
         let outgoing = Outgoing {
             head: &head,
             body: &self.incoming.body,
             attempt_id: self.incoming.attempt_id(),
             is_head_request: self.incoming.head.start[0] == "HEAD",
         };
-        self.held.written();
+        self.held.written(&replica.id, work);
+        let waiting = self.proxy.work.begin(&replica.id, work);
         let weights = self.incoming.head.get("llm").and_then(|model| replica.weights(model));
         let exchange = attempt::exchange(&self.proxy.pool, &replica, connection, outgoing);
         let exchange = self.unless_outdated(weights, exchange);
-        match self.unless_interrupted(client, exchange).await {
+        let end = self.unless_interrupted(client, exchange).await;
+        drop(waiting);
+        match end {
             Ok(AttemptEnd::Success(answer)) => {
                 self.known = SendEvent::Success.known();
                 self.held.first_token();
--- a/crates/kiosk/src/exchange/request_head.rs
+++ b/crates/kiosk/src/exchange/request_head.rs
@@ -12,18 +12,20 @@
 const USUAL_BYTES: usize = 1024;
 
 impl Exchange<'_> {
-    /// The head with which this replica is sent the request.
-    pub(super) fn head_for(&self, replica: &ReplicaEntry) -> Vec<u8> {
+    /// The head with which this replica is sent the request, and the tokens of its prompt that the replica has to read.
+    pub(super) fn head_for(&self, replica: &ReplicaEntry) -> (Vec<u8>, u32) {
         let admitted = &self.admitted;
         let model = self.incoming.head.get("llm");
         let revision = model.and_then(|model| replica.revision(model));
         let salt = model.map(|_| admitted.salt(revision.unwrap_or(0)));
         let kv = salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default();
+        // The last part of the prompt is the request's own.
+        let unread_tokens = self.prompt.prompt.own_tokens().saturating_add(kv.unread_tokens);
         let additions = Additions {
             replica: &replica.id.0,
             tenant: admitted.tenant().map(|tenant| tenant.label.as_str()),
             time_left: self.deadline.saturating_duration_since(Instant::now()),
-            priority: self.priority(kv),
+            priority: self.priority(unread_tokens),
             revision,
             salt: salt.as_deref(),
             kv,
@@ -31,13 +33,11 @@
         };
         let mut head = Vec::with_capacity(USUAL_BYTES);
         headers::write_request(&self.incoming.head, self.incoming.body.len(), &additions, &mut head);
-        head
+        (head, unread_tokens)
     }
 
-    /// The urgency by the operator's rank and by what the replica has to read: the last part of the prompt is the
-    /// request's own.
-    fn priority(&self, kv: KvTransfer) -> u8 {
-        let unread_tokens = self.prompt.prompt.own_tokens().saturating_add(kv.unread_tokens);
+    /// The urgency by the operator's rank and by what the replica has to read.
+    fn priority(&self, unread_tokens: u32) -> u8 {
         self.proxy.urgency.borrow_mut().priority(self.admitted.rank(), unread_tokens)
     }
 
--- a/crates/kiosk/src/placement/held.rs
+++ b/crates/kiosk/src/placement/held.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
-use signpost::types::{Nanos, RequestId, Verdict};
+use signpost::types::{Nanos, ReplicaId, RequestId, Verdict};
 use station::clock;
 
 use crate::placement::{Ask, Order, Placement};
@@ -58,8 +58,9 @@
         self.out = Some(Out { attempt, since: Instant::now(), written: false });
     }
 
-    /// The attempt's bytes go out: from now on it may run.
-    pub fn written(&mut self) {
+    /// The attempt's bytes go out: from now on it may run, and the replica has so much to do for it.
+    pub fn written(&mut self, replica: &ReplicaId, work: u32) {
+        self.placement.borrow_mut().sent(now(), self.id, replica, work);
         if let Some(out) = &mut self.out {
             out.written = true;
         }
--- a/crates/kiosk/src/placement/mod.rs
+++ b/crates/kiosk/src/placement/mod.rs
@@ -5,6 +5,7 @@
 pub mod held;
 pub mod prompt;
 pub mod urgency;
+pub mod work;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -184,6 +185,13 @@
         }
     }
 
+    /// How much work of all gateways waits at the replicas of a service.
+    pub fn set_loads(&mut self, now: Nanos, service: &str, loads: Vec<(ReplicaId, f64)>) {
+        if let Some(&service) = self.service_index.get(service) {
+            self.feed(now, service, None, Event::Loads(loads));
+        }
+    }
+
     /// The class of a route.
     pub fn class(&self, route: &str) -> Option<usize> {
         self.class_index.get(route).copied()
@@ -212,6 +220,12 @@
         Some(id)
     }
 
+    /// A request is sent to a replica, which has so much to do for it.
+    pub fn sent(&mut self, now: Nanos, id: RequestId, replica: &ReplicaId, work: u32) {
+        let Some(service) = self.live.get(&id).map(|live| live.service) else { return };
+        self.feed(now, service, Some(id), Event::Work(replica.clone(), work.into()));
+    }
+
     /// An attempt's answer has begun.
     pub fn first_token(&mut self, now: Nanos, id: RequestId, attempt: u32, elapsed: Duration) {
         let Some(service) = self.live.get(&id).map(|live| live.service) else { return };
--- /dev/null
+++ b/crates/kiosk/src/placement/work.rs
@@ -0,0 +1,67 @@
+//! The work that this gateway has sent to replicas and that these have not begun.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use intercom::feed::WORK_UNIT_TOKENS;
+use signpost::types::ReplicaId;
+
+/// Work that waits, by replica, in units of [`WORK_UNIT_TOKENS`].
+pub type WorkByReplica = BTreeMap<ReplicaId, u32>;
+
+/// Called with all work that waits, each time it has changed.
+type Listener = Box<dyn Fn(&WorkByReplica)>;
+
+/// Keeps account of the work that waits.
+#[derive(Default)]
+pub struct WorkLedger {
+    waiting: RefCell<WorkByReplica>,
+    listener: RefCell<Option<Listener>>,
+}
+
+/// Work that waits at a replica until this is dropped.
+pub struct Waiting {
+    ledger: Rc<WorkLedger>,
+    replica: ReplicaId,
+    units: u32,
+}
+
+/// The units of a prompt of which so many tokens have to be read: one for any request, and one more for each whole unit.
+pub fn units(unread_tokens: u32) -> u32 {
+    1 + unread_tokens / WORK_UNIT_TOKENS
+}
+
+impl WorkLedger {
+    /// Sets the function that is told of each change.
+    pub fn on_change(&self, listener: impl Fn(&WorkByReplica) + 'static) {
+        *self.listener.borrow_mut() = Some(Box::new(listener));
+    }
+
+    /// Counts work that is sent to a replica.
+    pub fn begin(self: &Rc<Self>, replica: &ReplicaId, units: u32) -> Waiting {
+        *self.waiting.borrow_mut().entry(replica.clone()).or_default() += units;
+        self.announce();
+        Waiting { ledger: self.clone(), replica: replica.clone(), units }
+    }
+
+    /// Tells of all work that waits, as when the places of replicas have changed.
+    pub fn announce(&self) {
+        if let Some(listener) = &*self.listener.borrow() {
+            listener(&self.waiting.borrow());
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        {
+            let mut waiting = self.ledger.waiting.borrow_mut();
+            if let Some(units) = waiting.get_mut(&self.replica) {
+                *units -= self.units;
+            }
+            waiting.retain(|_, units| *units > 0);
+        }
+        self.ledger.announce();
+    }
+}
--- a/crates/kiosk/src/proxy.rs
+++ b/crates/kiosk/src/proxy.rs
@@ -8,6 +8,7 @@
 
 use intercom::feed::{ModelRevision, Replica, WeightsTable};
 use jetway::WireLimits;
+use signpost::types::ReplicaId;
 use station::clock;
 use station::settings::{Settings, TimeLimits};
 use timetable::{Caps, Configuration};
@@ -24,6 +25,7 @@
 use crate::placement::budget::{RetryAllowance, RetryBudget};
 use crate::placement::held;
 use crate::placement::urgency::Urgency;
+use crate::placement::work::WorkLedger;
 use crate::replica::expiry::Expiry;
 use crate::replica::pool::Pool;
 use crate::replica::replicas::{Replicas, ZoneIndex};
@@ -49,6 +51,8 @@
     pub stage_changed: Notice,
     /// The urgency that replicas are told.
     pub urgency: RefCell<Urgency>,
+    /// The work that waits at replicas.
+    pub work: Rc<WorkLedger>,
     /// What is in use of what the process may use.
     pub usage: Rc<Usage>,
     routing: RefCell<Option<Rc<Routing>>>,
@@ -79,6 +83,7 @@
             placement: Rc::new(RefCell::new(Placement::new(zone, seed))),
             kv: RefCell::default(),
             urgency: RefCell::default(),
+            work: Rc::default(),
             replicas: RefCell::default(),
             stage_changed: Notice::default(),
             usage: Rc::new(Usage::new(bounds)),
@@ -142,6 +147,19 @@
         }
     }
 
+    /// Takes over how much work of all gateways waits at replicas.
+    pub fn set_loads<'a>(&self, loads: impl IntoIterator<Item = (&'a Replica, u8)>) {
+        let mut by_service: BTreeMap<&str, Vec<(ReplicaId, f64)>> = BTreeMap::new();
+        for (replica, work) in loads {
+            let line = (ReplicaId::from(replica.id.as_str()), work.into());
+            by_service.entry(&replica.service).or_default().push(line);
+        }
+        let mut placement = self.placement.borrow_mut();
+        by_service
+            .into_iter()
+            .for_each(|(service, loads)| placement.set_loads(held::now(), service, loads));
+    }
+
     /// Ready once requests that have not begun on these weights are to be called off.
     pub async fn outdated(&self, weights: &ModelRevision) {
         loop {
--- a/crates/kiosk/src/run.rs
+++ b/crates/kiosk/src/run.rs
@@ -11,6 +11,7 @@
 use courier::{Changed, FeedStore, Identity, Subscriber, clock};
 use futures_lite::future;
 use intercom::feed::SubscriberRole;
+use signpost::types::ReplicaId;
 use snafu::{OptionExt, ResultExt, Snafu};
 use socket2::{Domain, Protocol, Socket, Type};
 use station::settings::Settings;
@@ -117,10 +118,20 @@
 
 /// Has the proxy take over each change of the feed.
 fn follow(proxy: &Rc<Proxy>, subscriber: &Rc<Subscriber>, store: Rc<RefCell<FeedStore>>) {
+    tell_work(proxy, subscriber, &store);
     let proxy = proxy.clone();
     subscriber.on_change(Box::new(move |changed| take_over(&proxy, &store.borrow(), changed)));
 }
 
+/// Has the agent told of the work that waits at replicas, each time it has changed.
+fn tell_work(proxy: &Rc<Proxy>, subscriber: &Rc<Subscriber>, store: &Rc<RefCell<FeedStore>>) {
+    let (store, subscriber) = (store.clone(), subscriber.clone());
+    proxy.work.on_change(move |waiting| {
+        let units = |id: &str| waiting.get(&ReplicaId::from(id)).copied();
+        subscriber.set_waiting(store.borrow().waiting_work(units));
+    });
+}
+
 fn take_over(proxy: &Proxy, store: &FeedStore, changed: &Changed) {
     if changed.group {
         proxy.set_gateways(store.group().gateways);
@@ -132,6 +143,12 @@
     }
     if changed.fleet || changed.weights {
         proxy.set_fleet(store.fleet(), store.weights());
+        proxy.work.announce();
+    }
+    if changed.loads
+        && let Some(loads) = store.loads()
+    {
+        proxy.set_loads(loads);
     }
 }
 
--- /dev/null
+++ b/crates/kiosk/tests/work.rs
@@ -0,0 +1,36 @@
+//! The account of work that waits at replicas.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use kiosk::placement::work::{WorkLedger, units};
+use rstest::rstest;
+use signpost::types::ReplicaId;
+
+#[rstest]
+#[case::nothing(0, 1)]
+#[case::less_than_a_unit(1_023, 1)]
+#[case::a_unit(1_024, 2)]
+#[case::a_long_prompt(17_020, 17)]
+fn a_request_counts_by_what_has_to_be_read(#[case] unread_tokens: u32, #[case] expected: u32) {
+    assert_eq!(units(unread_tokens), expected);
+}
+
+#[test]
+fn work_counts_until_it_is_dropped_and_each_change_is_told() {
+    let ledger: Rc<WorkLedger> = Rc::default();
+    let told = Rc::new(RefCell::new(Vec::new()));
+    let seen = told.clone();
+    ledger.on_change(move |waiting| {
+        let lines = waiting.iter().map(|(id, units)| format!("{}={units}", id.0)).collect::<Vec<_>>();
+        seen.borrow_mut().push(lines.join(" "));
+    });
+    let (one, two) = (ReplicaId::from("i-1"), ReplicaId::from("i-2"));
+    let first = ledger.begin(&one, 3);
+    let second = ledger.begin(&one, 4);
+    let other = ledger.begin(&two, 1);
+    drop(second);
+    drop(first);
+    drop(other);
+    assert_eq!(*told.borrow(), ["i-1=3", "i-1=7", "i-1=7 i-2=1", "i-1=3 i-2=1", "i-2=1", ""]);
+}
--- a/crates/porter/src/agent.rs
+++ b/crates/porter/src/agent.rs
@@ -67,6 +67,7 @@
             Subscriber::with_tolerance(identity, Rc::clone(&store), Tolerance::SEVERAL_PUBLISHERS);
         subscriber.set_gateways(GATEWAYS);
         let publisher = publish(&store, &subscriber);
+        pass_waiting_on(&publisher, &subscriber);
         let choice =
             HomeChoice::new(settings.node_name.clone(), settings.area.clone(), settings.seed_ips());
         Rc::new(Agent {
@@ -210,6 +211,16 @@
     Ok(())
 }
 
+/// Tells the home of the work that waits at replicas, as the proxy tells it.
+fn pass_waiting_on(publisher: &Rc<Publisher>, subscriber: &Rc<Subscriber>) {
+    let (told, subscriber) = (Rc::downgrade(publisher), Rc::clone(subscriber));
+    publisher.on_waiting(move || {
+        if let Some(publisher) = told.upgrade() {
+            subscriber.set_waiting(publisher.waiting());
+        }
+    });
+}
+
 /// A publisher that passes on what the subscriber receives, with the subscriber's freshness.
 fn publish(store: &Rc<RefCell<FeedStore>>, subscriber: &Rc<Subscriber>) -> Rc<Publisher> {
     let source = Rc::clone(subscriber);
--- a/crates/signpost/src/choice.rs
+++ b/crates/signpost/src/choice.rs
@@ -9,6 +9,7 @@
 use md5::{Digest, Md5};
 
 use crate::cold::{self, Cold};
+use crate::load::{Estimate, Told};
 use crate::pace::Calls;
 use crate::types::*;
 
@@ -112,6 +113,7 @@
     budget: cold::Budget,
     seen: u64,
     lag: Nanos,
+    estimate: Estimate,
 }
 
 /// The replicas of a zone, and whether they can be reached.
@@ -248,6 +250,7 @@
     asked: Vec<(f64, Nanos)>,
     call: u64,
     calls: Calls,
+    told: Told,
 }
 
 impl Gateway {
@@ -339,6 +342,12 @@
                 _ => {}
             },
             Event::Busy(wait) => self.calls.busy(now, wait),
+            Event::Loads(loads) => self.loads(now, &loads),
+            Event::Work(replica, work) => {
+                if let Some(&r) = self.index.get(&replica) {
+                    self.replicas[r].estimate.send(now, work);
+                }
+            }
             Event::Expired(_) | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
@@ -661,10 +670,11 @@
         let factor = 1.0 + (BOUND_FACTOR - 1.0) * f64::from(self.settings.group_size).sqrt();
         let bound = factor * f64::from(held) / f64::max(size, f64::MIN_POSITIVE);
         self.lags(now);
+        let waiting_bound = self.waiting_bound(now);
         let start = self.ring.partition_point(|p| p.at < target.key);
         self.walk += 1;
         let (mut met, mut owned) = (0, 0.0);
-        let (mut best, mut second, mut over) = (None, None, None);
+        let (mut best, mut second, mut over): (_, _, Option<(f64, usize)>) = (None, None, None);
         // All owners so far are cold, and it is not this gateway's turn.
         let mut adrift = true;
         for i in 0..self.ring.len() {
@@ -692,8 +702,13 @@
                     false => 0.0,
                 };
                 let behind = self.admit > WELL && lag as f64 > LAG_PART * target.aim as f64;
-                if behind || f64::from(self.replicas[r].in_flight) > bound * own + 1.0 {
-                    over = over.or(Some(r));
+                let waiting =
+                    if waiting_bound.is_finite() { self.replicas[r].estimate.waiting() } else { 0.0 };
+                let held = f64::from(self.replicas[r].in_flight);
+                if behind || waiting > waiting_bound || held > bound * own + 1.0 {
+                    if over.is_none_or(|(least, _)| waiting < least) {
+                        over = Some((waiting, r));
+                    }
                 } else if best.is_none_or(|(most, _)| liking > most) {
                     (second, best) = (best, Some((liking, r)));
                 } else if second.is_none_or(|(most, _)| liking > most) {
@@ -715,7 +730,26 @@
             };
             return Some(if load(two) < load(one) { two } else { one });
         }
-        best.map(|(_, r)| r).or(over)
+        best.map(|(_, r)| r).or(over.map(|(_, r)| r))
+    }
+
+    /// Takes how much work waits at each replica.
+    fn loads(&mut self, now: Nanos, loads: &[(ReplicaId, f64)]) {
+        self.told.tell(now);
+        for (id, load) in loads {
+            if let Some(&r) = self.index.get(id) {
+                self.replicas[r].estimate.tell(now, *load);
+            }
+        }
+    }
+
+    /// How much work may wait at a replica that is to get more: as the bound on what is in flight, a multiple of
+    /// the mean and one. No bound while nothing is told.
+    fn waiting_bound(&self, now: Nanos) -> f64 {
+        let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
+        let waiting: f64 = ready.map(|r| r.estimate.waiting()).sum();
+        let bound = BOUND_FACTOR * waiting / self.ready.max(1) as f64 + 1.0;
+        if self.told.holds(now) { bound } else { f64::INFINITY }
     }
 
     /// How long the oldest request that waits at each replica has waited: what a new one would, at the least.
--- a/crates/signpost/src/lib.rs
+++ b/crates/signpost/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod choice;
 pub mod cold;
+pub mod load;
 pub mod pace;
 pub mod types;
 
--- a/crates/signpost/src/types.rs
+++ b/crates/signpost/src/types.rs
@@ -295,6 +295,10 @@
 /// What a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// How much work of all gateways waits at each replica, as told some tens of milliseconds ago.
+    Loads(Vec<(ReplicaId, f64)>),
+    /// This gateway sends a replica so much work, in the unit of [`Event::Loads`].
+    Work(ReplicaId, f64),
     /// News of the list of replicas.
     List {
         /// How it came about.
--- a/crates/tower/src/delivery.rs
+++ b/crates/tower/src/delivery.rs
@@ -4,6 +4,7 @@
 //! hold, with the age at which it was known to be the newest.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -46,6 +47,12 @@
         let publisher = Publisher::new(store.clone(), age(authority.clone(), subscriber.clone()));
         let notified = publisher.clone();
         subscriber.on_change(Box::new(move |_| notified.notify()));
+        let (told, passed_on) = (Rc::downgrade(&publisher), subscriber.clone());
+        publisher.on_waiting(move || {
+            if let Some(publisher) = told.upgrade() {
+                passed_on.set_waiting(publisher.waiting());
+            }
+        });
         let publisher_wanted = Cell::new(None);
         Rc::new(Delivery { authority, feed_port, store, publisher, subscriber, publisher_wanted })
     }
@@ -106,6 +113,19 @@
         self.notify_if(news);
     }
 
+    /// Delivers how much work waits at replicas, as the gateways have told it, as primary of `epoch`.
+    pub fn deliver_loads(&self, epoch: u64) {
+        let news = self.store.borrow_mut().set_loads(epoch, &self.publisher.waiting());
+        self.notify_if(news);
+    }
+
+    /// Work that waits at each replica, by id, as it was delivered last.
+    pub fn waiting(&self) -> BTreeMap<String, u32> {
+        let store = self.store.borrow();
+        let loads = store.loads().into_iter().flatten();
+        loads.map(|(replica, waiting)| (replica.id.clone(), waiting.into())).collect()
+    }
+
     /// What is known of a source of KV cache.
     pub fn source_status(&self, source: SocketAddrV4) -> Option<SourceStatus> {
         self.store.borrow().kept().borrow().status(source)
--- a/crates/tower/src/rollout/mod.rs
+++ b/crates/tower/src/rollout/mod.rs
@@ -55,6 +55,8 @@
     fn named(&self) -> BTreeMap<String, u64>;
     /// The weights that were delivered last, by this or an earlier primary.
     fn delivered(&self) -> Vec<ModelWeights>;
+    /// Work of gateways that waits at each replica.
+    fn waiting(&self) -> BTreeMap<String, u32>;
 }
 
 /// Carries out the plan while this member has the duty.
@@ -172,6 +174,7 @@
         let Some(duty) = self.context.holder.duty() else { return };
         let Some(term) = self.term.as_mut().filter(|term| term.duty == duty) else { return };
         let before = term.planner.weights();
+        term.planner.work_waits(self.output.waiting());
         let actions = term.planner.step(clock::now());
         log_withdrawals(&term.planner, &before);
         self.output.weights(duty.epoch, term.planner.weights());
--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -16,6 +16,11 @@
 
 /// Time for the gateways to learn that a replica takes no more requests, before it is ordered to load.
 const NOTICE: Duration = Duration::from_millis(200);
+/// A replica whose requests still wait to be let in is ordered to load this long after the notice at the latest: the
+/// order turns them away.
+const LONGEST_NOTICE: Duration = Duration::from_secs(1);
+/// Time from one look at what waits at a replica to the next.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from one look at a loading replica's report to the next.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// A report may show how things stood this long ago.
@@ -73,6 +78,8 @@
     loads: BTreeMap<String, Load>,
     /// Replicas that have refused an order, and until when they get no other one.
     paused: BTreeMap<String, Duration>,
+    /// Work of gateways that waits at replicas, by their ids.
+    work: BTreeMap<String, u32>,
     load_time: Duration,
 }
 
@@ -88,6 +95,7 @@
             seen: BTreeMap::new(),
             loads: BTreeMap::new(),
             paused: BTreeMap::new(),
+            work: BTreeMap::new(),
             load_time: INITIAL_LOAD_TIME,
         }
     }
@@ -122,6 +130,11 @@
         }
     }
 
+    /// Takes how much work of gateways waits at replicas, by their ids.
+    pub fn work_waits(&mut self, work: BTreeMap<String, u32>) {
+        self.work = work;
+    }
+
     /// Takes a replica's answer to an order.
     pub fn order_answered(&mut self, replica: &str, answer: OrderAnswer, now: Duration) {
         let Some(load) = self.loads.get_mut(replica) else { return };
@@ -205,7 +218,7 @@
         self.begin_loads(now);
         let due: Vec<String> =
             self.loads.iter().filter(|(_, load)| load.is_due(now)).map(|(id, _)| id.clone()).collect();
-        due.iter().filter_map(|id| self.act(id)).collect()
+        due.iter().filter_map(|id| self.act(id, now)).collect()
     }
 
     fn withdraw(&mut self, now: Duration) {
@@ -303,13 +316,34 @@
         })
     }
 
-    /// The same replicas: older weights first, and neighbours in the order of different zones.
+    /// The same replicas: older weights first, neighbours in the order of different zones, and of each zone those first
+    /// that have the least to do, which lose the least and are soonest done with it.
     fn oldest_first<'a>(&self, model: &str, replicas: Vec<&'a Replica>) -> Vec<&'a Replica> {
         let mut by_revision: BTreeMap<Option<u64>, Vec<&'a Replica>> = BTreeMap::new();
         for replica in replicas {
             by_revision.entry(self.held(&replica.id, model)).or_default().push(replica);
         }
-        by_revision.values().flat_map(|replicas| spread_over_zones(replicas)).collect()
+        by_revision.values().flat_map(|replicas| self.spread_over_zones(replicas)).collect()
+    }
+
+    /// The same replicas, so that neighbours in the order are of different zones.
+    fn spread_over_zones<'a>(&self, replicas: &[&'a Replica]) -> Vec<&'a Replica> {
+        let mut least_busy: Vec<&'a Replica> = replicas.to_vec();
+        least_busy.sort_by_key(|replica| (self.waiting_work(&replica.id), &replica.id));
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut ranked: Vec<(usize, &'a Replica)> = Vec::new();
+        for replica in least_busy {
+            let count = counts.entry(replica.zone.as_str()).or_default();
+            ranked.push((*count, replica));
+            *count += 1;
+        }
+        ranked.sort_by(|(a, x), (b, y)| (a, &x.zone, &x.id).cmp(&(b, &y.zone, &y.id)));
+        ranked.into_iter().map(|(_, replica)| replica).collect()
+    }
+
+    /// Work that waits at a replica, as far as gateways have told.
+    fn waiting_work(&self, id: &str) -> u32 {
+        self.work.get(id).copied().unwrap_or(0)
     }
 
     /// How many replicas load at once, so that all have loaded within each term. Half of them go on serving.
@@ -321,16 +355,35 @@
     }
 
     fn needed_at_once(&self, model: &str, term: &Term, now: Duration) -> usize {
-        let left = term.load_by.saturating_sub(now).max(self.load_time);
+        let load_time = self.expected_load_time(now);
+        let left = term.load_by.saturating_sub(now).max(load_time);
         let lacking = self.lacking(model, term.revision).count();
-        (lacking as f64 * self.load_time.as_secs_f64() / left.as_secs_f64()).ceil() as usize
+        (lacking as f64 * load_time.as_secs_f64() / left.as_secs_f64()).ceil() as usize
     }
 
-    fn act(&mut self, id: &str) -> Option<Action> {
+    /// How long a load takes: as long as those before, and not less than those that are under way have taken.
+    fn expected_load_time(&self, now: Duration) -> Duration {
+        let under_way = self.loads.values().map(|load| now.saturating_sub(load.begun));
+        under_way.fold(self.load_time, Duration::max)
+    }
+
+    /// Whether requests still wait at a replica, which an order to load would turn away.
+    fn has_queue(&self, id: &str) -> bool {
+        self.waiting_work(id) > 0
+    }
+
+    fn act(&mut self, id: &str, now: Duration) -> Option<Action> {
         let address: SocketAddrV4 = self.replicas.get(id)?.address.parse().ok()?;
         let replica = id.to_owned();
+        let has_queue = self.has_queue(id);
         let load = self.loads.get_mut(id)?;
+        let may_wait = now < load.begun + LONGEST_NOTICE;
+        let least = self.targets[&load.weights.model].least;
         match load.step {
+            Step::OrderAt(_) if has_queue && may_wait && load.weights.revision > least => {
+                load.step = Step::OrderAt(now + NOTICE_INTERVAL);
+                None
+            }
             Step::OrderAt(_) => {
                 load.step = Step::Ordering;
                 // Weights that were named meanwhile are newer still.
@@ -380,16 +433,3 @@
         self.targets.iter().map(line).collect()
     }
 }
-
-/// The same replicas, so that neighbours in the order are of different zones.
-fn spread_over_zones<'a>(replicas: &[&'a Replica]) -> Vec<&'a Replica> {
-    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut ranked: Vec<(usize, &'a Replica)> = Vec::new();
-    for replica in replicas {
-        let count = counts.entry(replica.zone.as_str()).or_default();
-        ranked.push((*count, replica));
-        *count += 1;
-    }
-    ranked.sort_by(|(a, x), (b, y)| (a, &x.zone, &x.id).cmp(&(b, &y.zone, &y.id)));
-    ranked.into_iter().map(|(_, replica)| replica).collect()
-}
--- a/crates/tower/src/server/duties.rs
+++ b/crates/tower/src/server/duties.rs
@@ -50,6 +50,10 @@
     fn delivered(&self) -> Vec<ModelWeights> {
         self.delivery.weights()
     }
+
+    fn waiting(&self) -> BTreeMap<String, u32> {
+        self.delivery.waiting()
+    }
 }
 
 impl IndexOutput for Duties {
--- a/crates/tower/src/server/mod.rs
+++ b/crates/tower/src/server/mod.rs
@@ -42,6 +42,8 @@
 
 /// How often the delivery looks who is primary and who takes part.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the work that waits at replicas is delivered, if it has changed.
+const LOADS_INTERVAL: Duration = Duration::from_millis(50);
 /// How often members that were found lately are made known to the agreement.
 const VIEWS_INTERVAL: Duration = Duration::from_secs(1);
 /// How often a member that was told to stop looks whether others still need it.
@@ -192,13 +194,14 @@
             executor.spawn(member.clone().run()),
             executor.spawn(serve_feed(delivery.clone(), listeners.feed, executor.clone())),
             executor.spawn(delivery.clone().follow()),
-            executor.spawn(review(member.clone(), delivery)),
+            executor.spawn(review(member.clone(), delivery.clone())),
             executor.spawn(exchange_views(self.views.clone())),
             executor.spawn(follow_views(self.views, member.clone())),
             executor.spawn(self.operator.run()),
             executor.spawn(serve_api(self.api, listeners.operator, executor.clone())),
             executor.spawn(self.rollout.run()),
             executor.spawn(self.kept_index.run()),
+            executor.spawn(deliver_loads(member.clone(), delivery.clone())),
         ];
         tasks.extend(self.discovery.map(|discovery| executor.spawn(discovery.run())));
         let failure = async {
@@ -334,6 +337,16 @@
     }
 }
 
+/// Delivers how much work waits at replicas, while this member is primary, for ever.
+async fn deliver_loads(member: Rc<Member>, delivery: Rc<Delivery>) {
+    loop {
+        if let Some(duty) = member.duty() {
+            delivery.deliver_loads(duty.epoch);
+        }
+        Timer::after(LOADS_INTERVAL).await;
+    }
+}
+
 async fn wait_for_stop(mut requests: Requests) {
     while requests.next().await != Request::Stop {
         log::info!("a change of the settings takes effect at the next start");
--- a/crates/tower/tests/calls.rs
+++ b/crates/tower/tests/calls.rs
@@ -327,6 +327,10 @@
     fn delivered(&self) -> Vec<ModelWeights> {
         Vec::new()
     }
+
+    fn waiting(&self) -> BTreeMap<String, u32> {
+        BTreeMap::new()
+    }
 }
 
 fn replica(address: SocketAddr) -> Replica {
--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -1,6 +1,6 @@
 //! The plan of a roll-out of weights, in virtual time.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use intercom::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
@@ -124,6 +124,53 @@
     assert_eq!(scene.orders.len(), 3);
 }
 
+#[test]
+fn the_least_busy_of_each_zone_load_first() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(9, 1));
+    let busy = ["i-01", "i-02", "i-03", "i-04", "i-05", "i-06"].map(|id| (id.to_owned(), 5));
+    scene.planner.work_waits(busy.into());
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    scene.run_until(START + ms(50));
+    assert_eq!(scene.marked(), ["i-07", "i-08", "i-09"].map(str::to_owned).into());
+}
+
+#[test]
+fn the_order_waits_a_second_at_most_for_work_that_waits() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(3, 1));
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    let busy = ["i-01", "i-02", "i-03"].map(|id| (id.to_owned(), 5));
+    scene.planner.work_waits(busy.into());
+    scene.run_until(START + ms(600));
+    assert!(scene.orders.is_empty());
+    scene.planner.work_waits([("i-01".to_owned(), 5)].into());
+    scene.run_until(START + ms(800));
+    let taken = scene.ordered().len();
+    assert!(taken >= 1 && !scene.ordered().contains(&"i-01"), "{:?}", scene.ordered());
+    scene.planner.work_waits(BTreeMap::from(["i-01", "i-02", "i-03"].map(|id| (id.to_owned(), 5))));
+    scene.run_until(START + ms(1_100));
+    assert!(scene.ordered().contains(&"i-01"));
+}
+
+#[test]
+fn withdrawn_weights_are_not_kept_for_work_that_waits() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(1, 1));
+    scene.planner.inherit(&[ModelWeights { model: "m".to_owned(), named: 2, least: 2, expired: 0 }]);
+    scene.planner.work_waits([("i-01".to_owned(), 5)].into());
+    scene.run_until(START + ms(300));
+    assert_eq!(scene.ordered(), ["i-01"]);
+}
+
+#[test]
+fn loads_that_take_longer_than_any_before_let_more_begin() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(30, 1));
+    scene.load_time = TERM;
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    scene.run_until(START + ms(1_700));
+    let before = scene.marked().len();
+    scene.run_until(START + ms(4_000));
+    assert!(scene.marked().len() > before, "{before} and then {}", scene.marked().len());
+}
+
 #[test]
 fn a_wave_takes_one_replica_of_each_zone() {
     let mut scene = Scene::new(NO_LEASE, &fleet(9, 1));
