--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1137,12 +1137,33 @@
 
 // ---- the module's own limits ------------------------------------------------------------------------------
 
+/// The parts of the module, in the order in which `deploy/balancer.toml` names them.
+const MODULE: [(&str, &str); 6] = [
+    ("crates/signpost/src/choice.rs", include_str!("../crates/signpost/src/choice.rs")),
+    ("crates/signpost/src/choice/ring.rs", include_str!("../crates/signpost/src/choice/ring.rs")),
+    ("crates/signpost/src/choice/walk.rs", include_str!("../crates/signpost/src/choice/walk.rs")),
+    ("crates/signpost/src/choice/admission.rs", include_str!("../crates/signpost/src/choice/admission.rs")),
+    ("crates/signpost/src/choice/attempts.rs", include_str!("../crates/signpost/src/choice/attempts.rs")),
+    ("crates/signpost/src/choice/health.rs", include_str!("../crates/signpost/src/choice/health.rs")),
+];
+
 #[test]
 fn the_module_stays_short() {
-    let text = include_str!("../crates/signpost/src/choice.rs");
-    assert!(text.lines().filter(|l| !l.trim().is_empty()).count() <= 950);
-    assert!(text.lines().all(|l| l.chars().count() <= 110));
-    assert!(text.lines().take(3).any(|l| l.contains("crates/signpost/src/types.rs")));
+    let lines = || MODULE.iter().flat_map(|(_, text)| text.lines());
+    assert!(lines().filter(|l| !l.trim().is_empty()).count() <= 950);
+    assert!(lines().all(|l| l.chars().count() <= 110));
+    assert!(MODULE[0].1.lines().take(3).any(|l| l.contains("crates/signpost/src/types.rs")));
+}
+
+#[test]
+fn all_parts_of_the_module_are_named_as_policy() {
+    let deploy = include_str!("../deploy/balancer.toml");
+    let policy = deploy.lines().find(|line| line.starts_with("policy = ")).expect("a policy");
+    let named: Vec<&str> = policy.split('"').skip(1).step_by(2).collect();
+    assert_eq!(named, MODULE.map(|(path, _)| path));
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/crates/signpost/src/choice");
+    let files = std::fs::read_dir(folder).expect("the module's folder").count();
+    assert_eq!(files + 1, MODULE.len());
 }
 
 #[test]
