Count on the time of loads that others hardly slow down when planning a roll-out

Change: a load's time counts as measured where it is shorter, and hardly where it is longer; before one was measured, those under way count.

--- a/crates/tower/src/rollout/planner.rs
+++ b/crates/tower/src/rollout/planner.rs
@@ -31,8 +31,8 @@
 const URGENT_ORDER_RETRY: Duration = Duration::from_millis(200);
 /// How long a replica is taken to need, notice included, before one was measured.
 const INITIAL_LOAD_TIME: Duration = Duration::from_millis(1_750);
-/// Weight of the newest measured time in the estimate.
-const LOAD_TIME_GAIN: f64 = 0.3;
+/// Weight of the newest measured time in the estimate, where it is longer.
+const LOAD_TIME_GAIN: f64 = 0.05;
 /// Replicas that load at once, if there are enough.
 const LEAST_AT_ONCE: usize = 3;
 
@@ -80,7 +80,8 @@
     paused: BTreeMap<String, Duration>,
     /// Work of gateways that waits at replicas, by their ids.
     work: BTreeMap<String, u32>,
-    load_time: Duration,
+    /// How long a load takes that others hardly slow down; none before one was measured.
+    load_time: Option<Duration>,
 }
 
 impl Planner {
@@ -96,7 +97,7 @@
             loads: BTreeMap::new(),
             paused: BTreeMap::new(),
             work: BTreeMap::new(),
-            load_time: INITIAL_LOAD_TIME,
+            load_time: None,
         }
     }
 
@@ -202,12 +203,18 @@
     fn finish(&mut self, replica: &str, now: Duration) {
         let Some(load) = self.loads.remove(replica) else { return };
         if load.ordered_at.is_some() {
-            let measured = now.saturating_sub(load.begun);
-            self.load_time =
-                self.load_time.mul_f64(1.0 - LOAD_TIME_GAIN) + measured.mul_f64(LOAD_TIME_GAIN);
+            self.measure(now.saturating_sub(load.begun));
         }
     }
 
+    /// Takes how long a load has taken. Loads slow each other down: counting on the time that they take while many are
+    /// under way would let still more begin, which take longer still. So a shorter time counts at once, and a longer one
+    /// hardly.
+    fn measure(&mut self, measured: Duration) {
+        let known = self.load_time.unwrap_or(measured).min(measured);
+        self.load_time = Some(known + (measured - known).mul_f64(LOAD_TIME_GAIN));
+    }
+
     /// What is due now.
     pub fn step(&mut self, now: Duration) -> Vec<Action> {
         self.withdraw(now);
@@ -361,10 +368,10 @@
         (lacking as f64 * load_time.as_secs_f64() / left.as_secs_f64()).ceil() as usize
     }
 
-    /// How long a load takes: as long as those before, and not less than those that are under way have taken.
+    /// How long a load takes: as was measured, or before that, not less than those that are under way have taken.
     fn expected_load_time(&self, now: Duration) -> Duration {
         let under_way = self.loads.values().map(|load| now.saturating_sub(load.begun));
-        under_way.fold(self.load_time, Duration::max)
+        self.load_time.unwrap_or_else(|| under_way.fold(INITIAL_LOAD_TIME, Duration::max))
     }
 
     /// Whether requests still wait at a replica, which an order to load would turn away.
--- a/crates/tower/tests/rollout.rs
+++ b/crates/tower/tests/rollout.rs
@@ -160,6 +160,18 @@
     assert_eq!(scene.ordered(), ["i-01"]);
 }
 
+#[test]
+fn loads_that_slow_each_other_down_do_not_let_ever_more_begin() {
+    let mut scene = Scene::new(NO_LEASE, &fleet(40, 1));
+    scene.planner.named("m", 2, Duration::ZERO, START);
+    scene.run_until(START + ms(2_500));
+    let at_first = scene.most_at_once;
+    // From now on a load takes three times as long as the first ones did.
+    scene.load_time = ms(3_600);
+    scene.run_until(START + ms(5_500));
+    assert!(scene.most_at_once <= at_first + 2, "{at_first} and then {}", scene.most_at_once);
+}
+
 #[test]
 fn loads_that_take_longer_than_any_before_let_more_begin() {
     let mut scene = Scene::new(NO_LEASE, &fleet(30, 1));
