--- a/lab/src/policy/plain.rs
+++ b/lab/src/policy/plain.rs
@@ -117,7 +117,7 @@
                 }
             }
             Event::Busy(wait) => self.calls.busy(now, wait),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Probed { .. } | Event::Peer { .. } | Event::Loads(_) | Event::Work(..) => {}
         }
     }
 
