--- a/crates/signpost/src/choice/walk.rs
+++ b/crates/signpost/src/choice/walk.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// How much work may wait at a replica that is to get more: a multiple of the mean and one, as for what is
-    /// in flight. No bound while nothing is told.
+    /// How much work may wait at a replica that is to get more: a multiple of the mean and one, as for what
+    /// is in flight. No bound while nothing is told.
     pub(super) fn waiting_bound(&self, now: Nanos) -> f64 {
         let ready = self.replicas.iter().filter(|r| r.phase == Phase::Ready);
         let waiting: f64 = ready.map(|r| r.estimate.waiting()).sum();
