--- a/crates/signpost/src/pace.rs
+++ b/crates/signpost/src/pace.rs
@@ -173,20 +173,12 @@
     /// size within the time, by the rate stated or else by what is assumed.
     pub fn budget(&self) -> Budget {
         let slot = |window: Nanos| window + window / Nanos::from(self.slot.1.max(1));
-        let again = if self.again <= TOLD - ANSWER {
-            slot(self.again).max(self.longest_again())
-        } else {
-            self.hang()
-        };
+        let again =
+            if self.again <= TOLD - ANSWER { slot(self.again).max(TOLD - ANSWER) } else { self.hang() };
         let hung = HANG + self.hang() + ANSWER;
         Budget { silent: SILENCE + slot(self.anew) + ANSWER, refused: again + ANSWER, hung }
     }
 
-    /// The longest wait after a call that failed at once: within what the settings give after a failed call, too.
-    fn longest_again(&self) -> Nanos {
-        (FAILED * self.patience.min(MOST)).min(TOLD) - ANSWER
-    }
-
     /// The longest wait after a late failure.
     fn hang(&self) -> Nanos {
         self.longest.max(self.slow + self.slow / Nanos::from(self.slot.1.max(1)))
@@ -213,7 +205,7 @@
             (true, _) => (self.anew, 0, self.anew),
             // Asked to be left alone, a gateway has spent a part of its time.
             (_, true) if asked && fits(&self.anew) => (self.anew, 0, self.anew),
-            (_, true) if fits(&self.again) => (self.again, self.failures, self.longest_again()),
+            (_, true) if fits(&self.again) => (self.again, self.failures, TOLD - ANSWER),
             (_, false) if is_outage => (outage_window, 0, outage_window),
             _ => (self.slow, late, self.longest),
         };
