--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// All start at once; a real server in ten fails.
+/// All start at once; a replica in ten fails.
 fn cold(what: &str, more: Value, gone: Duration) {
     let servers = Servers::start(SERVERS, 16, Duration::from_millis(40));
     servers.failing.lock().expect("whole").extend((0..SERVERS).filter(|n| n % 10 == 3));
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -6,7 +6,7 @@
 
 use tulipridge_peer_sampling::{Exchange, View};
 use tulipridge_protocol::feed::ControlNode;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 use tulipridge_protocol::peer_sampling::{Entry, Role};
 use tulipridge_runtime::settings::Settings;
 use tulipridge_subscription::FeedStore;
@@ -45,7 +45,7 @@
     pub(crate) async fn exchange_views(&self, settings: &Settings) {
         let address = settings.peer_sampling_socket(settings.ip_address);
         // A process that starts again is another incarnation.
-        let id = NodeId::new(settings.ip_address, fastrand::u64(1..));
+        let id = NodeId::new(settings.ip_address, Generation(fastrand::u64(1..)));
         let own_entry = Entry { id, role: Role::Agent, zone: settings.area.clone(), age: 0 };
         let exchange = bind_with_retry(address, || {
             let view = View::new(own_entry.clone(), settings.seed_ips(), fastrand::u64(..));
--- a/crates/agent/tests/exchange.rs
+++ b/crates/agent/tests/exchange.rs
@@ -11,9 +11,10 @@
 use futures_lite::future;
 use tulipridge_agent::agent::Agent;
 use tulipridge_configuration::Configuration;
+use tulipridge_configuration::number::Revision;
 use tulipridge_http1::within;
 use tulipridge_protocol::feed::{ControlNode, Group, SubscriberRole};
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 use tulipridge_runtime::clock;
 use tulipridge_runtime::settings::Settings;
 use tulipridge_subscription::{FeedStore, Identity, Publisher, Subscriber};
@@ -46,14 +47,14 @@
     store.set_configuration(revision(configuration));
     store.set_group(Group {
         gateways: 3,
-        control: vec![ControlNode { id: NodeId::new(RELAY, 0), zone: "a".into() }],
+        control: vec![ControlNode { id: NodeId::new(RELAY, Generation(0)), zone: "a".into() }],
     });
     let store = Rc::new(RefCell::new(store));
     (Rc::clone(&store), Publisher::new(store, Rc::new(|| Some(Duration::ZERO))))
 }
 
 fn revision(revision: u64) -> Arc<Configuration> {
-    Arc::new(Configuration { revision, ..Configuration::default() })
+    Arc::new(Configuration { revision: Revision(revision), ..Configuration::default() })
 }
 
 fn serve(publisher: &Rc<Publisher>, address: SocketAddr, executor: &'static LocalExecutor<'static>) {
@@ -90,7 +91,7 @@
         serve(&seed, settings.feed_socket(SEED), executor);
         let is_fresh = |age: Option<Duration>| age.is_some_and(|age| age < FRESH);
         let has = |revision| received.borrow().known_positions().configuration == revision;
-        until("the seed's state", || has(4) && is_fresh(proxy.age(clock::now()))).await;
+        until("the seed's state", || has(Revision(4)) && is_fresh(proxy.age(clock::now()))).await;
         assert_eq!(seed.gateways(), 1);
 
         // The feed names a member in the agent's zone.
@@ -99,7 +100,7 @@
         until("the relay", || agent.relay() == Some(settings.feed_socket(RELAY))).await;
         store.borrow_mut().set_configuration(revision(9));
         relay.notify();
-        until("the relay's state", || has(9) && is_fresh(proxy.age(clock::now()))).await;
+        until("the relay's state", || has(Revision(9)) && is_fresh(proxy.age(clock::now()))).await;
         assert_eq!(received.borrow().group().gateways, 3);
     }));
 }
--- a/crates/agent/tests/relay_selection.rs
+++ b/crates/agent/tests/relay_selection.rs
@@ -7,14 +7,14 @@
 use rstest::rstest;
 use tulipridge_agent::relay_selection::RelaySelector;
 use tulipridge_protocol::feed::ControlNode;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 
 fn address(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, last)
 }
 
 fn node(last: u8, zone: &str) -> ControlNode {
-    ControlNode { id: NodeId::new(address(last), 0), zone: zone.into() }
+    ControlNode { id: NodeId::new(address(last), Generation(0)), zone: zone.into() }
 }
 
 fn at(seconds: u64) -> Duration {
--- a/crates/configuration/benches/configuration_change.rs
+++ b/crates/configuration/benches/configuration_change.rs
@@ -6,6 +6,7 @@
 
 use common::{accepted, state_with};
 use serde_json::json;
+use tulipridge_configuration::number::Revision;
 use tulipridge_configuration::{ConfigurationState, Decision};
 
 #[path = "../tests/common/mod.rs"]
@@ -24,8 +25,8 @@
     println!("configuration: {} bytes", common::body(&document).len());
     println!("empty snapshot: {} bytes", ConfigurationState::default().to_snapshot().len());
     let (patch, complete) = (common::body(&patch), common::body(&complete));
-    report("PATCH of one route", &state, || state.decide_patch(Some(1), &patch));
-    report("PUT with one route changed", &state, || state.decide_put(Some(1), &complete));
+    report("PATCH of one route", &state, || state.decide_patch(Some(Revision(1)), &patch));
+    report("PUT with one route changed", &state, || state.decide_put(Some(Revision(1)), &complete));
 }
 
 fn report(name: &str, state: &ConfigurationState, decide: impl Fn() -> Decision) {
--- a/crates/configuration/src/configuration_state.rs
+++ b/crates/configuration/src/configuration_state.rs
@@ -11,12 +11,13 @@
 use crate::encoding::{self, EncodingError, Format};
 use crate::entry::{self, ApplyError, ChangeContent, ChangeEntry};
 use crate::fields::REVISION;
+use crate::number::Revision;
 use crate::recent_requests::RecentRequests;
 use crate::request_digest::{RequestDigest, RequestKind};
 use crate::validation_error::{ValidationErrorKind, ValidationErrors};
 
 /// The base revision of the first configuration.
-pub const NO_REVISION: u64 = 0;
+pub const NO_REVISION: Revision = Revision(0);
 
 /// The format of a snapshot.
 const SNAPSHOT_FORMAT: Format = Format(*b"CFS2");
@@ -29,7 +30,7 @@
     /// The request builds on another revision than the current one (412).
     Stale {
         /// The current revision; [`NO_REVISION`] if there is none.
-        current: u64,
+        current: Revision,
     },
     /// The configuration or the patch is invalid (400).
     Invalid(ValidationErrors),
@@ -92,19 +93,19 @@
     }
 
     /// The revision in force; [`NO_REVISION`] if there is none.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.document.as_ref().map_or(NO_REVISION, Document::revision)
     }
 
     /// Decides on a complete configuration. Without `If-Match`, only a first configuration is accepted.
     #[must_use]
-    pub fn decide_put(&self, if_match: Option<u64>, body: &[u8]) -> Decision {
+    pub fn decide_put(&self, if_match: Option<Revision>, body: &[u8]) -> Decision {
         self.decide(RequestKind::Put, if_match, body)
     }
 
     /// Decides on a patch.
     #[must_use]
-    pub fn decide_patch(&self, if_match: Option<u64>, body: &[u8]) -> Decision {
+    pub fn decide_patch(&self, if_match: Option<Revision>, body: &[u8]) -> Decision {
         self.decide(RequestKind::Patch, if_match, body)
     }
 
@@ -162,7 +163,7 @@
         Ok(ConfigurationState { document, recent_requests })
     }
 
-    fn decide(&self, kind: RequestKind, if_match: Option<u64>, body: &[u8]) -> Decision {
+    fn decide(&self, kind: RequestKind, if_match: Option<Revision>, body: &[u8]) -> Decision {
         let base = if_match.unwrap_or(NO_REVISION);
         let request = match RequestDigest::of_configuration(kind, base, body) {
             Ok(digest) => digest,
--- a/crates/configuration/src/difference.rs
+++ b/crates/configuration/src/difference.rs
@@ -5,14 +5,15 @@
 use musli::{Decode, Encode};
 
 use crate::model::{Caps, Configuration, Labelled, Route, Service, Tenant};
+use crate::number::Revision;
 
 /// The changes between two revisions. Items are identified by their labels.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct ConfigurationChanges {
     /// The revision to which the changes apply.
-    pub base: u64,
+    pub base: Revision,
     /// The revision that results.
-    pub revision: u64,
+    pub revision: Revision,
     /// Routes that were added or replaced.
     pub routes: Vec<Route>,
     /// Routes that were removed.
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::model::Configuration;
+use crate::number::Revision;
 use crate::parse::parse_configuration;
 use crate::validation_error::ValidationErrors;
 
@@ -23,7 +24,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct DocumentVersion {
     /// The operator's version number.
-    pub revision: u64,
+    pub revision: Revision,
     #[musli(bytes)]
     digest: [u8; 16],
 }
@@ -54,7 +55,7 @@
 
     /// The operator's version number.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.configuration.revision
     }
 
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -15,6 +15,7 @@
 mod json;
 pub mod lookup;
 pub mod model;
+pub mod number;
 mod parse;
 pub mod patch;
 mod precision;
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -5,11 +5,13 @@
 
 use musli::{Decode, Encode};
 
+use crate::number::{Rank, Revision};
+
 /// A complete configuration of one revision.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct Configuration {
     /// The operator's version number; versions rise in uneven steps.
-    pub revision: u64,
+    pub revision: Revision,
     /// Routes, in the operator's order.
     pub routes: Vec<Route>,
     /// Services that routes lead to, and KV cache stores.
@@ -39,7 +41,7 @@
     /// The latency target: the time within which a response (a stream's first event) has its full value, in milliseconds.
     pub target_ms: u64,
     /// Priority; 0 is the highest.
-    pub rank: u8,
+    pub rank: Rank,
     /// The traffic split; a single service has one entry.
     pub service_weights: Vec<ServiceWeight>,
     /// The most replicas to which one request may be sent.
@@ -137,7 +139,7 @@
     /// Its API keys; no two tenants have the same one.
     pub api_keys: Vec<String>,
     /// Priority that overrides a route's, where stated.
-    pub rank: Option<u8>,
+    pub rank: Option<Rank>,
     /// Its prompts don't share KV cache with other tenants'.
     pub isolated: bool,
 }
--- a/crates/configuration/src/parse/mod.rs
+++ b/crates/configuration/src/parse/mod.rs
@@ -15,6 +15,7 @@
 use crate::fields::{LABEL, REVISION};
 use crate::json::{JsonCaps, JsonDocument, Object, UnsignedNumber};
 use crate::model::{Caps, Configuration, Labelled};
+use crate::number::Revision;
 use crate::validation_error::{ValidationErrorKind, ValidationErrors};
 
 /// Parses and validates a complete configuration.
@@ -53,7 +54,7 @@
         let requires_key = document.customers.is_some();
         let tenants = self.tenants(document.customers);
         let caps = caps(document.caps.unwrap_or_default().0);
-        Configuration { revision, routes, services, caps, requires_key, tenants }
+        Configuration { revision: Revision(revision), routes, services, caps, requires_key, tenants }
     }
 
     /// Converts the items of a list, whose labels must be unique.
--- a/crates/configuration/src/parse/routes.rs
+++ b/crates/configuration/src/parse/routes.rs
@@ -6,6 +6,7 @@
 use crate::fields::{LABEL, ROUTES};
 use crate::json::{JsonRoute, JsonServiceWeight, Object, UnsignedNumber};
 use crate::model::{Route, RouteKind, ServiceWeight};
+use crate::number::Rank;
 use crate::validation_error::ValidationErrorKind;
 
 /// The weight of a service that a route names alone.
@@ -36,7 +37,7 @@
             kind: json.sort.map_or(RouteKind::Risky, |kind| kind.0),
             time_limit_ms,
             target_ms: json.target_ms.map_or(time_limit_ms, |target| target.0),
-            rank: json.rank.unwrap_or_default().to_u8(),
+            rank: Rank(json.rank.unwrap_or_default().to_u8()),
             service_weights: self.service_weights(item, json.backend, json.shares),
             max_attempts: json.tries.map_or(1, |attempts| attempts.to_u32().max(1)),
             public: json.public.unwrap_or_default(),
--- a/crates/configuration/src/patch/mod.rs
+++ b/crates/configuration/src/patch/mod.rs
@@ -13,6 +13,7 @@
 use crate::document::Document;
 use crate::fields::REVISION;
 use crate::json::Object;
+use crate::number::Revision;
 use crate::validation_error::ValidationErrors;
 
 /// The fields of a JSON object, each as its text.
@@ -21,7 +22,7 @@
 /// A patch as the operator sent it, its form validated. Whether its items are valid is known once it is applied.
 #[derive(Clone, Debug, Default)]
 pub struct Patch {
-    revision: u64,
+    revision: Revision,
     upserts: Vec<Upsert>,
     removals: Vec<Removal>,
     replacements: Vec<Replacement>,
@@ -66,7 +67,7 @@
 
     /// The revision of the resulting document.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 }
--- a/crates/configuration/src/patch/parser.rs
+++ b/crates/configuration/src/patch/parser.rs
@@ -9,6 +9,7 @@
 use super::{LabelledItem, Patch, RawFields, Removal, Replacement, Upsert, label_of};
 use crate::fields::{CAPS, LABEL, REVISION, ROUTES, SERVICES, TENANTS};
 use crate::json::wrong_type;
+use crate::number::Revision;
 use crate::validation_error::{ValidationErrorKind, ValidationErrors};
 
 /// Names of a patch's fields.
@@ -51,10 +52,10 @@
         }
     }
 
-    fn revision(&mut self, fields: &RawFields<'_>) -> u64 {
+    fn revision(&mut self, fields: &RawFields<'_>) -> Revision {
         let Some(text) = fields.get(REVISION).filter(|text| text.get() != NULL) else {
             self.errors.add(REVISION, ValidationErrorKind::Missing);
-            return 0;
+            return Revision(0);
         };
         self.typed(text, || REVISION.to_owned())
     }
--- a/crates/configuration/src/recent_requests.rs
+++ b/crates/configuration/src/recent_requests.rs
@@ -30,10 +30,10 @@
             return;
         }
         self.order.push_back(request);
-        if self.order.len() > MAX_RECENT_REQUESTS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.members.remove(&oldest);
+        if self.order.len() > MAX_RECENT_REQUESTS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.members.remove(&oldest);
+            }
         }
     }
 
@@ -46,10 +46,13 @@
     /// The window from the bytes of [`RecentRequests::to_bytes`]; none if these are not a sequence of complete digests.
     #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
-        let (digests, []) = bytes.as_chunks() else { return None };
+        let digests = bytes.chunks_exact(RequestDigest::BYTES);
+        if !digests.remainder().is_empty() {
+            return None;
+        }
         let mut recent = RecentRequests::default();
         for digest in digests {
-            recent.record(RequestDigest::from_bytes(*digest));
+            recent.record(RequestDigest::from_bytes(digest.try_into().ok()?));
         }
         Some(recent)
     }
--- a/crates/configuration/src/request_digest.rs
+++ b/crates/configuration/src/request_digest.rs
@@ -6,6 +6,7 @@
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use xxhash_rust::xxh3::xxh3_128_with_seed;
 
+use crate::number::{Revision, WeightsRevision};
 use crate::precision::may_round_numbers;
 
 /// How a request states its configuration.
@@ -24,9 +25,12 @@
 pub struct RequestDigest(#[musli(bytes)] RawDigest);
 
 /// The bytes of a digest.
-type RawDigest = [u8; 16];
+type RawDigest = [u8; RequestDigest::BYTES];
 
 impl RequestDigest {
+    /// The length of a digest in bytes.
+    pub(crate) const BYTES: usize = 16;
+
     /// The digest of a configuration or a patch.
     ///
     /// # Errors
@@ -34,7 +38,7 @@
     /// The parser's error if the body is not one JSON value.
     pub(crate) fn of_configuration(
         kind: RequestKind,
-        base: u64,
+        base: Revision,
         body: &[u8],
     ) -> Result<Self, serde_json::Error> {
         let mut deserializer = serde_json::Deserializer::from_slice(body);
@@ -47,14 +51,14 @@
             RequestKind::Put => tag::PUT,
             RequestKind::Patch => tag::PATCH,
         };
-        Ok(RequestDigest(digest_of_digests(kind, &[u128::from(base).to_le_bytes(), value])))
+        Ok(RequestDigest(digest_of_digests(kind, &[u128::from(base.0).to_le_bytes(), value])))
     }
 
     /// The digest of a request that names weights of a model.
     #[must_use]
-    pub fn of_weights(model: &str, revision: u64) -> Self {
+    pub fn of_weights(model: &str, revision: WeightsRevision) -> Self {
         let model = digest_of_bytes(tag::TEXT, model.as_bytes());
-        let revision = digest_of_bytes(tag::UNSIGNED, &revision.to_le_bytes());
+        let revision = digest_of_bytes(tag::UNSIGNED, &revision.0.to_le_bytes());
         RequestDigest(digest_of_digests(tag::WEIGHTS, &[model, revision]))
     }
 
--- a/crates/configuration/src/validation_error.rs
+++ b/crates/configuration/src/validation_error.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::number::Revision;
+
 /// Errors that a report lists; the rest is only counted.
 pub const MAX_REPORTED_ERRORS: usize = 50;
 
@@ -87,7 +89,7 @@
     #[snafu(display("is not above the current revision, {current}"))]
     RevisionNotAbove {
         /// The current revision.
-        current: u64,
+        current: Revision,
     },
     /// A patch was sent before any configuration.
     #[snafu(display("there is no configuration to change yet"))]
--- a/crates/configuration/tests/configuration_state.rs
+++ b/crates/configuration/tests/configuration_state.rs
@@ -5,6 +5,7 @@
 use common::{accepted, body, sample, sample_with, state_with};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tulipridge_configuration::number::Revision;
 use tulipridge_configuration::{
     AcceptedChange, ChangeEntry, ConfigurationState, Decision, EntryOutcome, MAX_RECENT_REQUESTS,
 };
@@ -15,7 +16,7 @@
 }
 
 fn put(state: &mut ConfigurationState, base: u64, document: &Value) {
-    let change = accepted(state.decide_put(Some(base), &body(document)));
+    let change = accepted(state.decide_put(Some(Revision(base)), &body(document)));
     apply(state, change);
 }
 
@@ -43,7 +44,7 @@
 #[case::on_another(Some(5), "stale")]
 fn decides_on_the_first_configuration(#[case] if_match: Option<u64>, #[case] expected: &str) {
     let state = ConfigurationState::default();
-    assert_eq!(kind_of(&state.decide_put(if_match, &body(&sample()))), expected);
+    assert_eq!(kind_of(&state.decide_put(if_match.map(Revision), &body(&sample()))), expected);
 }
 
 #[rstest]
@@ -64,20 +65,20 @@
     #[case] expected: &str,
 ) {
     let state = state_with_sample();
-    assert_eq!(kind_of(&state.decide_put(if_match, &body(&document))), expected);
+    assert_eq!(kind_of(&state.decide_put(if_match.map(Revision), &body(&document))), expected);
 }
 
 #[test]
 fn a_retried_request_is_recognised_in_any_layout() {
     let state = state_with_sample();
     let pretty = serde_json::to_vec_pretty(&sample()).expect("a value can be written");
-    assert_eq!(state.decide_put(Some(0), &pretty), Decision::AlreadyAccepted);
+    assert_eq!(state.decide_put(Some(Revision(0)), &pretty), Decision::AlreadyAccepted);
     let other_order = br#"{"b":[1,{"y":2,"x":"a"}],"revision":9,"routes":[],"backends":[]}"#;
     let one_order = br#"{"backends":[],"revision":9,"routes":[],"b":[1,{"x":"a","y":2}]}"#;
     let mut state = state;
-    let change = accepted(state.decide_put(Some(7), other_order));
+    let change = accepted(state.decide_put(Some(Revision(7)), other_order));
     apply(&mut state, change);
-    assert_eq!(state.decide_put(Some(7), one_order), Decision::AlreadyAccepted);
+    assert_eq!(state.decide_put(Some(Revision(7)), one_order), Decision::AlreadyAccepted);
 }
 
 #[rstest]
@@ -89,20 +90,20 @@
 fn a_request_with_another_body_is_another_request(#[case] body: &[u8]) {
     let mut state = state_with_sample();
     let accepted_body = br#"{"revision":9,"routes":[],"backends":[],"b":[1,2]}"#;
-    let change = accepted(state.decide_put(Some(7), accepted_body));
+    let change = accepted(state.decide_put(Some(Revision(7)), accepted_body));
     apply(&mut state, change);
-    assert_eq!(state.decide_put(Some(7), body), Decision::Stale { current: 9 });
+    assert_eq!(state.decide_put(Some(Revision(7)), body), Decision::Stale { current: Revision(9) });
 }
 
 #[test]
 fn of_two_requests_on_one_revision_one_wins() {
     let mut state = state_with_sample();
     let (first, second) = (body(&at_revision(9)), body(&sample_with("/revision", json!(10))));
-    let change = accepted(state.decide_put(Some(7), &first));
-    assert_eq!(kind_of(&state.decide_put(Some(7), &second)), "accept");
+    let change = accepted(state.decide_put(Some(Revision(7)), &first));
+    assert_eq!(kind_of(&state.decide_put(Some(Revision(7)), &second)), "accept");
     apply(&mut state, change);
-    assert_eq!(state.decide_put(Some(7), &second), Decision::Stale { current: 9 });
-    assert_eq!(state.decide_put(Some(7), &first), Decision::AlreadyAccepted);
+    assert_eq!(state.decide_put(Some(Revision(7)), &second), Decision::Stale { current: Revision(9) });
+    assert_eq!(state.decide_put(Some(Revision(7)), &first), Decision::AlreadyAccepted);
 }
 
 #[test]
@@ -110,9 +111,9 @@
     let state = state_with_sample();
     let before = state.clone();
     let refused = body(&json!({"revision": 9}));
-    assert_eq!(kind_of(&state.decide_put(Some(7), &refused)), "invalid");
+    assert_eq!(kind_of(&state.decide_put(Some(Revision(7)), &refused)), "invalid");
     assert_eq!(state, before);
-    assert_eq!(kind_of(&state.decide_put(Some(7), &refused)), "invalid");
+    assert_eq!(kind_of(&state.decide_put(Some(Revision(7)), &refused)), "invalid");
 }
 
 #[test]
@@ -120,15 +121,15 @@
     let mut state = state_with_sample();
     let first = body(&json!({"revision": 9, "remove": {"routes": ["r-first"]}}));
     let second = body(&json!({"revision": 12, "remove": {"routes": ["r-second"]}}));
-    let change = accepted(state.decide_patch(Some(7), &first));
+    let change = accepted(state.decide_patch(Some(Revision(7)), &first));
     apply(&mut state, change);
-    let change = accepted(state.decide_patch(Some(9), &second));
+    let change = accepted(state.decide_patch(Some(Revision(9)), &second));
     apply(&mut state, change);
-    assert_eq!(state.revision(), 12);
-    assert_eq!(state.decide_patch(Some(7), &first), Decision::AlreadyAccepted);
-    assert_eq!(state.decide_patch(Some(9), &second), Decision::AlreadyAccepted);
-    assert_eq!(state.decide_put(Some(7), &first), Decision::Stale { current: 12 });
-    assert_eq!(state.decide_put(Some(0), &body(&sample())), Decision::AlreadyAccepted);
+    assert_eq!(state.revision(), Revision(12));
+    assert_eq!(state.decide_patch(Some(Revision(7)), &first), Decision::AlreadyAccepted);
+    assert_eq!(state.decide_patch(Some(Revision(9)), &second), Decision::AlreadyAccepted);
+    assert_eq!(state.decide_put(Some(Revision(7)), &first), Decision::Stale { current: Revision(12) });
+    assert_eq!(state.decide_put(Some(Revision(0)), &body(&sample())), Decision::AlreadyAccepted);
 }
 
 #[rstest]
@@ -148,7 +149,7 @@
     #[case] change: Value,
     #[case] expected: &str,
 ) {
-    assert_eq!(kind_of(&state.decide_patch(if_match, &body(&change))), expected);
+    assert_eq!(kind_of(&state.decide_patch(if_match.map(Revision), &body(&change))), expected);
 }
 
 #[rstest]
@@ -158,14 +159,14 @@
 #[case::not_text(b"{\"revision\":9,\"x\":\"\xff\"}")]
 fn rejects_what_is_not_json(#[case] bytes: &[u8]) {
     let state = state_with_sample();
-    assert_eq!(kind_of(&state.decide_put(Some(7), bytes)), "invalid");
-    assert_eq!(kind_of(&state.decide_patch(Some(7), bytes)), "invalid");
+    assert_eq!(kind_of(&state.decide_put(Some(Revision(7)), bytes)), "invalid");
+    assert_eq!(kind_of(&state.decide_patch(Some(Revision(7)), bytes)), "invalid");
 }
 
 #[test]
 fn deep_nesting_is_rejected() {
     let bytes = [b"{\"revision\":9,\"x\":".to_vec(), vec![b'['; 100_000]].concat();
-    assert_eq!(kind_of(&state_with_sample().decide_put(Some(7), &bytes)), "invalid");
+    assert_eq!(kind_of(&state_with_sample().decide_put(Some(Revision(7)), &bytes)), "invalid");
 }
 
 #[test]
@@ -174,7 +175,7 @@
     put(&mut state, 7, &at_revision(9));
     let restored = ConfigurationState::from_snapshot(&state.to_snapshot()).expect("a complete snapshot");
     assert_eq!(restored, state);
-    assert_eq!(restored.decide_put(Some(0), &body(&sample())), Decision::AlreadyAccepted);
+    assert_eq!(restored.decide_put(Some(Revision(0)), &body(&sample())), Decision::AlreadyAccepted);
     let empty = ConfigurationState::default();
     assert_eq!(
         ConfigurationState::from_snapshot(&empty.to_snapshot()).expect("a complete snapshot"),
@@ -193,7 +194,7 @@
 #[test]
 fn an_accepted_change_is_restored_from_its_log_entry() {
     let mut state = state_with_sample();
-    let change = accepted(state.decide_put(Some(7), &body(&at_revision(9))));
+    let change = accepted(state.decide_put(Some(Revision(7)), &body(&at_revision(9))));
     let bytes = musli::wire::to_vec(&change.entry).expect("an entry can be encoded");
     let read: ChangeEntry = musli::wire::from_slice(&bytes).expect("an entry can be decoded");
     assert_eq!(read, change.entry);
@@ -211,7 +212,7 @@
         put(&mut state, revision - 1, &document(revision));
     }
     let oldest_known = newest - MAX_RECENT_REQUESTS as u64 + 1;
-    let decide = |revision: u64| state.decide_put(Some(revision - 1), &body(&document(revision)));
+    let decide = |revision: u64| state.decide_put(Some(Revision(revision - 1)), &body(&document(revision)));
     assert_eq!(decide(oldest_known), Decision::AlreadyAccepted);
-    assert_eq!(decide(oldest_known - 1), Decision::Stale { current: newest });
+    assert_eq!(decide(oldest_known - 1), Decision::Stale { current: Revision(newest) });
 }
--- a/crates/configuration/tests/difference.rs
+++ b/crates/configuration/tests/difference.rs
@@ -1,6 +1,7 @@
 //! Differences between configurations.
 
 use tulipridge_configuration::difference::{apply, difference};
+use tulipridge_configuration::number::{Rank, Revision};
 use tulipridge_configuration::{
     Caps, Configuration, ConfigurationChanges, Route, RouteKind, Service, ServiceWeight, Tenant,
 };
@@ -16,7 +17,7 @@
         kind: RouteKind::Harmless,
         time_limit_ms: 1 + variant,
         target_ms: 1,
-        rank: 0,
+        rank: Rank(0),
         service_weights: vec![ServiceWeight { service: "s0".to_owned(), weight: 1.0 }],
         max_attempts: 1,
         public: false,
@@ -48,7 +49,7 @@
 
 fn configuration(random: &mut fastrand::Rng, revision: u64) -> Configuration {
     Configuration {
-        revision,
+        revision: Revision(revision),
         routes: some(random, route),
         services: some(random, service),
         caps: Caps { idle_ms: random.u64(0..VARIANTS), ..Caps::default() },
@@ -78,7 +79,7 @@
 #[test]
 fn changes_contain_only_items_that_differ() {
     let old = Configuration {
-        revision: 3,
+        revision: Revision(3),
         routes: vec![route(0, 0), route(1, 0), route(2, 0)],
         services: vec![service(0, 0)],
         caps: Caps::default(),
@@ -86,7 +87,7 @@
         tenants: vec![tenant(0, 0)],
     };
     let new = Configuration {
-        revision: 5,
+        revision: Revision(5),
         routes: vec![route(2, 0), route(1, 1), route(3, 0)],
         services: vec![service(0, 0), service(1, 0)],
         caps: Caps::default(),
@@ -94,8 +95,8 @@
         tenants: Vec::new(),
     };
     let expected = ConfigurationChanges {
-        base: 3,
-        revision: 5,
+        base: Revision(3),
+        revision: Revision(5),
         routes: vec![route(1, 1), route(3, 0)],
         removed_routes: vec!["r0".to_owned()],
         services: vec![service(1, 0)],
@@ -111,7 +112,11 @@
 #[test]
 fn equal_configurations_have_no_changes() {
     let same = configuration(&mut fastrand::Rng::with_seed(5), 4);
-    let nothing = ConfigurationChanges { base: 4, revision: 4, ..ConfigurationChanges::default() };
+    let nothing = ConfigurationChanges {
+        base: Revision(4),
+        revision: Revision(4),
+        ..ConfigurationChanges::default()
+    };
     assert_eq!(difference(&same, &same), nothing);
     assert_eq!(apply(&same, &nothing), same);
 }
--- a/crates/configuration/tests/entry.rs
+++ b/crates/configuration/tests/entry.rs
@@ -5,6 +5,7 @@
 use common::{accepted, body, large_configuration, large_route, sample, sample_with, state_with};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tulipridge_configuration::number::Revision;
 use tulipridge_configuration::{ApplyError, ChangeEntry, ConfigurationState, EntryOutcome};
 
 fn put_of(state: &ConfigurationState, document: &Value) -> ChangeEntry {
@@ -67,8 +68,8 @@
     let mut deciding = state_with(&document);
     let mut following = deciding.clone();
     let change = match with_patch {
-        true => accepted(deciding.decide_patch(Some(1), &body(&patch))),
-        false => accepted(deciding.decide_put(Some(1), &body(&complete))),
+        true => accepted(deciding.decide_patch(Some(Revision(1)), &body(&patch))),
+        false => accepted(deciding.decide_put(Some(Revision(1)), &body(&complete))),
     };
     assert_eq!(following.apply_entry(&change.entry).expect("its base is in force"), EntryOutcome::Applied);
     deciding.apply_accepted(change).expect("its base is in force");
@@ -82,7 +83,7 @@
 fn a_complete_document_keeps_its_bytes() {
     let mut following = state_with(&sample());
     let pretty = serde_json::to_vec_pretty(&sample_with("/revision", json!(9))).expect("it can be written");
-    let entry = accepted(following.decide_put(Some(7), &pretty)).entry;
+    let entry = accepted(following.decide_put(Some(Revision(7)), &pretty)).entry;
     following.apply_entry(&entry).expect("its base is in force");
     assert_eq!(following.document().expect("there is one").text(), pretty);
 }
@@ -103,7 +104,8 @@
 #[test]
 fn an_accepted_change_is_checked_against_its_base() {
     let decided_on = state_with(&sample());
-    let change = accepted(decided_on.decide_put(Some(7), &body(&sample_with("/revision", json!(9)))));
+    let change =
+        accepted(decided_on.decide_put(Some(Revision(7)), &body(&sample_with("/revision", json!(9)))));
     let mut diverged = state_with(&sample_with("/remark", json!("another")));
     assert!(matches!(diverged.apply_accepted(change), Err(ApplyError::OtherBase { .. })));
 }
@@ -133,5 +135,5 @@
     assert_eq!(state.apply_entry(&first).expect("its base is in force"), EntryOutcome::Applied);
     assert_eq!(state.apply_entry(&first).expect("it is known"), EntryOutcome::Repeated);
     assert_eq!(state.apply_entry(&rival).expect("its base is gone"), EntryOutcome::Superseded);
-    assert_eq!(state.revision(), 9);
+    assert_eq!(state.revision(), Revision(9));
 }
--- a/crates/configuration/tests/lookup.rs
+++ b/crates/configuration/tests/lookup.rs
@@ -4,6 +4,7 @@
 
 use common::{body, sample};
 use rstest::rstest;
+use tulipridge_configuration::number::Rank;
 use tulipridge_configuration::{
     Configuration, Document, Route, RouteKind, RoutingTable, ServiceWeight, Tenant,
 };
@@ -18,7 +19,7 @@
         kind: RouteKind::Risky,
         time_limit_ms: 1000,
         target_ms: 100,
-        rank: 0,
+        rank: Rank(0),
         service_weights: weights.iter().map(service_weight).collect(),
         max_attempts: 1,
         public: true,
--- a/crates/configuration/tests/parse.rs
+++ b/crates/configuration/tests/parse.rs
@@ -5,6 +5,7 @@
 use common::{body, sample, sample_with, sample_without};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tulipridge_configuration::number::{Rank, Revision};
 use tulipridge_configuration::{Caps, Document, RouteKind, Service, ServiceWeight, ValidationErrorKind};
 
 /// The report on an invalid document.
@@ -24,7 +25,7 @@
     let sent = format!("  {}\n", serde_json::to_string_pretty(&sample()).expect("a value can be written"));
     let document = Document::parse(sent.as_bytes()).expect("a valid document");
     assert_eq!(&*document.to_bytes(), sent.as_bytes());
-    assert_eq!(document.revision(), 7);
+    assert_eq!(document.revision(), Revision(7));
 }
 
 #[rstest]
@@ -84,7 +85,7 @@
     assert!(configuration.tenants.is_empty());
     assert!(!configuration.requires_key);
     let route = &configuration.routes[0];
-    assert_eq!((route.kind, route.max_attempts, route.rank), (RouteKind::Risky, 1, 0));
+    assert_eq!((route.kind, route.max_attempts, route.rank), (RouteKind::Risky, 1, Rank(0)));
     assert_eq!(route.target_ms, 50);
     assert_eq!(route.service_weights, [ServiceWeight { service: "s".to_owned(), weight: 1.0 }]);
     let health_path = "/health".to_owned();
--- a/crates/configuration/tests/stored_data.rs
+++ b/crates/configuration/tests/stored_data.rs
@@ -12,6 +12,7 @@
 use musli::mode::Binary;
 use musli::{Decode, Encode};
 use stored_data::{Case, check_stored, from_hex, to_hex};
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_configuration::{
     AcceptedChange, ChangeEntry, ConfigurationState, Delta, Document, DocumentVersion, RecentRequests,
     RequestDigest,
@@ -34,8 +35,8 @@
     fn after_all_kinds_of_changes() -> History {
         let mut history = History { state: ConfigurationState::default(), entries: Vec::new() };
         history.apply(accepted(history.state.decide_put(None, FIRST.as_bytes())));
-        history.apply(accepted(history.state.decide_put(Some(7), SECOND.as_bytes())));
-        history.apply(accepted(history.state.decide_patch(Some(300), PATCH.as_bytes())));
+        history.apply(accepted(history.state.decide_put(Some(Revision(7)), SECOND.as_bytes())));
+        history.apply(accepted(history.state.decide_patch(Some(Revision(300)), PATCH.as_bytes())));
         history
     }
 
@@ -65,7 +66,7 @@
     let text = String::from_utf8(document.text().to_vec()).expect("JSON is UTF-8");
     assert!(text.contains(r#""label":"r-new""#), "{text}");
     assert!(!text.contains("acme"), "{text}");
-    assert_eq!(document.revision(), 70_000);
+    assert_eq!(document.revision(), Revision(70_000));
 }
 
 #[test]
@@ -96,7 +97,7 @@
         Case::new("put-first", entries[0].request()),
         Case::new("put-second", entries[1].request()),
         Case::new("patch", entries[2].request()),
-        Case::new("weights", RequestDigest::of_weights("model-a", 12)),
+        Case::new("weights", RequestDigest::of_weights("model-a", WeightsRevision(12))),
         Case::new(
             "put-exact-numbers",
             digest_of_put(r#"{"revision":1,"routes":[],"backends":[],"n":1.00000000000000000001}"#),
@@ -115,7 +116,7 @@
 fn recent_requests_keep_their_bytes_in_their_order() {
     let mut recent = RecentRequests::default();
     for revision in [3, 1, 2] {
-        recent.record(RequestDigest::of_weights("model-a", revision));
+        recent.record(RequestDigest::of_weights("model-a", WeightsRevision(revision)));
     }
     let cases = [Case::new("empty", RecentRequests::default()), Case::new("three", recent)];
     let decode = |stored: &[u8]| RecentRequests::from_bytes(stored).expect("complete digests");
--- a/crates/control-plane/src/api/connection.rs
+++ b/crates/control-plane/src/api/connection.rs
@@ -15,10 +15,10 @@
 #[derive(Debug, Snafu)]
 enum ReadError {
     /// What came is no request.
-    #[snafu(display("{error}"))]
+    #[snafu(display("{source}"))]
     Malformed {
         /// What is wrong with it.
-        error: ParseError,
+        source: ParseError,
     },
     /// The connection failed or a timeout has passed.
     #[snafu(display("{source}"))]
@@ -42,9 +42,14 @@
             Ok(Some(request)) => request,
             Ok(None) => return Ok(()),
             Err(ReadError::Broken { source }) => return Err(source),
-            Err(ReadError::Malformed { error }) => {
-                write_response(stream, &Response::error(error.status, error.what), false, &api.limits)
-                    .await?;
+            Err(ReadError::Malformed { source: error }) => {
+                write_response(
+                    stream,
+                    &Response::error(error.status(), error.message()),
+                    false,
+                    &api.limits,
+                )
+                .await?;
                 return stream.linger(api.limits.response_timeout, &api.limits.http1).await;
             }
         };
@@ -111,7 +116,7 @@
     let mut body = Vec::new();
     while !framing.take(&mut stream.buf, &mut body, limits).map_err(malformed)? {
         if body.len() > limits.body_bytes {
-            return Err(malformed(ParseError { status: 413, what: "the body is too large" }));
+            return Err(malformed(ParseError::BodyTooLarge));
         }
         fill(stream, limits).await?;
     }
@@ -126,5 +131,5 @@
 }
 
 fn malformed(error: ParseError) -> ReadError {
-    ReadError::Malformed { error }
+    ReadError::Malformed { source: error }
 }
--- a/crates/control-plane/src/api/message.rs
+++ b/crates/control-plane/src/api/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde::Serialize;
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_http1::codec::Head;
 
 /// A complete request.
@@ -39,23 +40,23 @@
 
 /// The body for a change that is in force.
 #[derive(Serialize)]
-pub(super) struct ChangeAccepted {
+pub(super) struct ChangeAccepted<R> {
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub revision: Option<u64>,
+    pub revision: Option<R>,
 }
 
 /// The body for a change that builds on another version.
 #[derive(Serialize)]
 pub(super) struct StaleBase {
     pub error: &'static str,
-    pub current: u64,
+    pub current: Revision,
 }
 
 /// The body for weights that are older than those named.
 #[derive(Serialize)]
 pub(super) struct OldWeights {
     pub error: &'static str,
-    pub newest: u64,
+    pub newest: WeightsRevision,
 }
 
 /// The body for a request that fails for another reason.
--- a/crates/control-plane/src/api/mod.rs
+++ b/crates/control-plane/src/api/mod.rs
@@ -9,6 +9,7 @@
 mod status;
 mod weights;
 
+use serde::Serialize;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::pin::Pin;
@@ -23,6 +24,7 @@
 pub use limits::ApiLimits;
 pub use message::{Request, Response};
 pub use status::{IndexSize, ReplicaWeights, Status};
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 
 use crate::accept::accept_all;
 use crate::state::Change;
@@ -70,7 +72,7 @@
     /// It builds on another version than the current one.
     Stale {
         /// The current version.
-        current: u64,
+        current: Revision,
     },
     /// The configuration is not valid.
     Invalid {
@@ -80,7 +82,7 @@
     /// The weights are older than those named, and were never named themselves.
     OldWeights {
         /// The newest revision that was named.
-        newest: u64,
+        newest: WeightsRevision,
     },
     /// This member is not the primary. The change was not begun and is safe to retry.
     NotPrimary,
@@ -177,7 +179,7 @@
 }
 
 /// The response to a change that leads to a revision.
-fn change_response(outcome: ChangeOutcome, revision: Option<u64>) -> Response {
+fn change_response(outcome: ChangeOutcome, revision: Option<impl Serialize>) -> Response {
     match outcome {
         ChangeOutcome::Taken => Response::json(200, &message::ChangeAccepted { revision }),
         ChangeOutcome::Stale { current } => {
--- a/crates/control-plane/src/api/settings.rs
+++ b/crates/control-plane/src/api/settings.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use serde::Deserialize;
+use tulipridge_configuration::number::Revision;
 
 use super::{
     Access, ControlPlane, Request, Response, ResponseFuture, Route, Standing, change_response, no_primary,
@@ -62,9 +63,9 @@
 }
 
 /// The version that a change builds on; none where it names none.
-fn base_version(request: &Request) -> Result<Option<u64>, ParseIntError> {
+fn base_version(request: &Request) -> Result<Option<Revision>, ParseIntError> {
     let Some(value) = request.head.get("if-match") else { return Ok(None) };
-    value.trim().trim_matches('"').parse().map(Some)
+    value.trim().trim_matches('"').parse().map(|revision| Some(Revision(revision)))
 }
 
 fn invalid_base_version() -> Response {
@@ -73,10 +74,10 @@
 
 #[derive(Deserialize)]
 struct StatedRevision {
-    revision: u64,
+    revision: Revision,
 }
 
 /// The revision that a change leads to, as far as that can be read.
-fn stated_revision(body: &[u8]) -> Option<u64> {
+fn stated_revision(body: &[u8]) -> Option<Revision> {
     serde_json::from_slice::<StatedRevision>(body).ok().map(|stated| stated.revision)
 }
--- a/crates/control-plane/src/api/status.rs
+++ b/crates/control-plane/src/api/status.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use serde::Serialize;
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 
 use super::{Access, ControlPlane, Request, Response, ResponseFuture, Route};
 
@@ -29,9 +30,9 @@
     /// The primary, if a heartbeat of it came lately.
     pub primary: Option<String>,
     /// The newest configuration that it delivers.
-    pub configuration: u64,
+    pub configuration: Revision,
     /// The newest weights that were named, by model, as it delivers them.
-    pub weights: BTreeMap<String, u64>,
+    pub weights: BTreeMap<String, WeightsRevision>,
     /// Replicas that it delivers.
     pub replicas: usize,
     /// Ids of these replicas, by model and by the revision of its weights that they have.
@@ -51,7 +52,7 @@
 }
 
 /// Ids of replicas, by model and by the revision of its weights.
-pub type ReplicaWeights = BTreeMap<String, BTreeMap<u64, Vec<String>>>;
+pub type ReplicaWeights = BTreeMap<String, BTreeMap<WeightsRevision, Vec<String>>>;
 
 /// The size of the prefix cache index.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
--- a/crates/control-plane/src/api/weights.rs
+++ b/crates/control-plane/src/api/weights.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use serde::Deserialize;
+use tulipridge_configuration::number::WeightsRevision;
 
 use super::{Access, ControlPlane, Request, Response, ResponseFuture, Route, change_response};
 use crate::state::Change;
@@ -11,7 +12,7 @@
 struct VersionPut {
     #[serde(rename = "llm")]
     model: String,
-    revision: u64,
+    revision: WeightsRevision,
 }
 
 /// Names new weights.
--- a/crates/control-plane/src/delivery.rs
+++ b/crates/control-plane/src/delivery.rs
@@ -13,8 +13,10 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use tulipridge_configuration::Configuration;
+use tulipridge_configuration::number::Revision;
 use tulipridge_prefix_cache_index::{CacheUpdate, SourceStatus};
 use tulipridge_protocol::feed::{ControlNode, Group, ModelWeights, Replica, SubscriberRole};
+use tulipridge_protocol::number::Epoch;
 use tulipridge_runtime::clock;
 use tulipridge_subscription::{FeedStore, Identity, Publisher, Subscriber};
 
@@ -99,25 +101,25 @@
     }
 
     /// Delivers the table of replicas, as primary of `epoch`.
-    pub fn set_fleet(&self, epoch: u64, replicas: Vec<Replica>) {
+    pub fn set_fleet(&self, epoch: Epoch, replicas: Vec<Replica>) {
         let has_changed = self.store.borrow_mut().set_fleet(epoch, replicas);
         self.notify_if(has_changed);
     }
 
     /// Delivers the table of weights, as primary of `epoch`.
-    pub fn set_weights(&self, epoch: u64, weights: Vec<ModelWeights>) {
+    pub fn set_weights(&self, epoch: Epoch, weights: Vec<ModelWeights>) {
         let has_changed = self.store.borrow_mut().set_weights(epoch, weights);
         self.notify_if(has_changed);
     }
 
     /// Delivers updates of the prefix-cache index, as primary of `epoch`.
-    pub fn update_cache_index(&self, epoch: u64, updates: &[CacheUpdate]) {
+    pub fn update_cache_index(&self, epoch: Epoch, updates: &[CacheUpdate]) {
         let has_changed = self.store.borrow_mut().update_cache_index(epoch, updates);
         self.notify_if(has_changed);
     }
 
     /// Delivers the counts of requests queued at replicas that the proxies have reported, as primary of `epoch`.
-    pub fn deliver_loads(&self, epoch: u64) {
+    pub fn deliver_loads(&self, epoch: Epoch) {
         let has_changed = self.store.borrow_mut().set_loads(epoch, &self.publisher.queued_work());
         self.notify_if(has_changed);
     }
@@ -158,7 +160,7 @@
     }
 
     /// Revision of the newest configuration that is delivered.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.store.borrow().known_positions().configuration
     }
 
--- a/crates/control-plane/src/discovery/page.rs
+++ b/crates/control-plane/src/discovery/page.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use snafu::{ResultExt, Snafu};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase};
 
 /// Why a page of the list can't be used.
@@ -85,7 +86,7 @@
 #[derive(Deserialize)]
 struct Model {
     label: String,
-    revision: u64,
+    revision: WeightsRevision,
 }
 
 impl Page {
--- a/crates/control-plane/src/disk/mod.rs
+++ b/crates/control-plane/src/disk/mod.rs
@@ -4,6 +4,7 @@
 //! it.
 
 mod error;
+mod event;
 mod writer;
 
 use std::path::Path;
@@ -12,34 +13,21 @@
 
 use async_channel::Sender;
 use snafu::ResultExt;
+use tulipridge_protocol::node::Generation;
 use tulipridge_protocol::replication::View;
-use tulipridge_write_ahead_log::{FileSystemDirectory, WriteAheadLogError};
+use tulipridge_write_ahead_log::FileSystemDirectory;
 
-use crate::replication::DurableRecord;
+use crate::replication::{DurableRecord, WriteTicket};
 use crate::state_log::{DiskImage, OpenError, StateLog};
 
 pub use error::DiskError;
 pub(crate) use error::NoFolderSnafu;
 use error::{NoRandomSnafu, NoThreadSnafu, WriteAheadLogSnafu};
+pub use event::DiskEvent;
 use writer::{Batch, Writer};
 
 /// The generation of a disk that was formatted at the first start of the whole system.
-const FIRST_GENERATION: u64 = 0;
-
-/// What the writer thread reports.
-#[derive(Debug)]
-pub enum DiskEvent {
-    /// All records up to a ticket are durable.
-    Persisted {
-        /// The ticket.
-        ticket: u64,
-    },
-    /// A write has failed; it is retried until it succeeds.
-    WriteFailed {
-        /// Why it has failed.
-        error: WriteAheadLogError,
-    },
-}
+const FIRST_GENERATION: Generation = Generation::FIRST;
 
 /// Whether a disk that is found empty belongs to the first start of the whole system.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,8 +99,8 @@
 }
 
 /// A random generation that is not the first one.
-fn new_generation() -> Result<u64, DiskError> {
-    Ok(getrandom::u64().context(NoRandomSnafu)?.max(FIRST_GENERATION + 1))
+fn new_generation() -> Result<Generation, DiskError> {
+    Ok(Generation(getrandom::u64().context(NoRandomSnafu)?.max(FIRST_GENERATION.0 + 1)))
 }
 
 fn in_folder(error: OpenError, folder: &Path) -> DiskError {
@@ -131,7 +119,7 @@
 impl Disk {
     /// Hands over records to be made durable, after all that were handed over before. [`DiskEvent::Persisted`] with
     /// this ticket or a later one follows.
-    pub fn persist(&self, ticket: u64, records: Vec<DurableRecord>) {
+    pub fn persist(&self, ticket: WriteTicket, records: Vec<DurableRecord>) {
         // The thread ends only with the process.
         let _ = self.batches.send(Batch { ticket, records });
     }
--- a/crates/control-plane/src/disk/writer.rs
+++ b/crates/control-plane/src/disk/writer.rs
@@ -6,9 +6,9 @@
 
 use async_channel::Sender;
 
-use super::DiskEvent;
 use super::error::with_cause;
-use crate::replication::DurableRecord;
+use super::event::DiskEvent;
+use crate::replication::{DurableRecord, WriteTicket};
 use crate::state_log::{Compaction, StateLog};
 
 /// The pause before a write that failed is retried.
@@ -16,7 +16,7 @@
 
 /// Records that are written together.
 pub(super) struct Batch {
-    pub(super) ticket: u64,
+    pub(super) ticket: WriteTicket,
     pub(super) records: Vec<DurableRecord>,
 }
 
--- a/crates/control-plane/src/http_client.rs
+++ b/crates/control-plane/src/http_client.rs
@@ -137,7 +137,7 @@
 ) -> io::Result<Exchange> {
     stream.write(request).await?;
     let head = read_head(stream, limits).await?;
-    let framing = head.response_body().map_err(|bad| io::Error::other(bad.what))?;
+    let framing = head.response_body().map_err(|bad| io::Error::other(bad.message()))?;
     let keeps_alive = framing != Body::UntilClose && head.keeps_alive(&head.start[0]);
     let body = read_body(stream, framing, limits).await?;
     let is_reusable = keeps_alive && stream.buf.is_empty();
@@ -148,7 +148,9 @@
 async fn read_head(stream: &mut BufferedStream, limits: &Http1Limits) -> io::Result<Head> {
     let mut interim_responses = 0;
     loop {
-        match codec::response_head(&mut stream.buf, limits).map_err(|bad| io::Error::other(bad.what))? {
+        match codec::response_head(&mut stream.buf, limits)
+            .map_err(|bad| io::Error::other(bad.message()))?
+        {
             Some(head) if head.status() >= FIRST_FINAL_STATUS => return Ok(head),
             Some(_) if interim_responses == MAX_INTERIM_RESPONSES => {
                 return Err(io::Error::other("interim answers without end"));
@@ -167,8 +169,9 @@
 ) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     loop {
-        let is_complete =
-            framing.take(&mut stream.buf, &mut body, limits).map_err(|bad| io::Error::other(bad.what))?;
+        let is_complete = framing
+            .take(&mut stream.buf, &mut body, limits)
+            .map_err(|bad| io::Error::other(bad.message()))?;
         if is_complete {
             return Ok(body);
         }
--- a/crates/control-plane/src/index/mod.rs
+++ b/crates/control-plane/src/index/mod.rs
@@ -18,6 +18,7 @@
 use tulipridge_configuration::Configuration;
 use tulipridge_prefix_cache_index::{CacheUpdate, SourceStatus};
 use tulipridge_protocol::feed::Replica;
+use tulipridge_protocol::number::Epoch;
 
 pub use follower::{Follower, SourceKind};
 pub use outbox::{Outbox, Urgency};
@@ -43,7 +44,7 @@
     /// All sources that the index has.
     fn known_sources(&self) -> Vec<SocketAddrV4>;
     /// Delivers updates, as primary of `epoch`.
-    fn deliver(&self, epoch: u64, updates: &[CacheUpdate]);
+    fn deliver(&self, epoch: Epoch, updates: &[CacheUpdate]);
 }
 
 /// Follows all sources while this member is primary.
--- a/crates/control-plane/src/index/outbox.rs
+++ b/crates/control-plane/src/index/outbox.rs
@@ -35,10 +35,10 @@
         let mut state = self.state.borrow_mut();
         state.updates.push(update);
         state.is_urgent |= urgency == Urgency::Immediate;
-        if state.is_urgent
-            && let Some(waker) = state.waker.take()
-        {
-            waker.wake();
+        if state.is_urgent {
+            if let Some(waker) = state.waker.take() {
+                waker.wake();
+            }
         }
     }
 
--- a/crates/control-plane/src/links/outgoing.rs
+++ b/crates/control-plane/src/links/outgoing.rs
@@ -68,9 +68,8 @@
     loop {
         let mut batch = Vec::new();
         append(&next, &mut batch);
-        while batch.len() < MIN_FULL_BATCH_BYTES
-            && let Ok(envelope) = queue.try_recv()
-        {
+        while batch.len() < MIN_FULL_BATCH_BYTES {
+            let Ok(envelope) = queue.try_recv() else { break };
             append(&envelope, &mut batch);
         }
         write_all(&stream, &batch).await?;
--- a/crates/control-plane/src/member/authority.rs
+++ b/crates/control-plane/src/member/authority.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use tulipridge_protocol::number::Epoch;
 use tulipridge_runtime::clock;
 
 use super::Member;
@@ -16,7 +17,7 @@
 
 impl Member {
     /// The epoch, while this member is primary within its lease and has applied all that was committed before.
-    fn acting_epoch(&self) -> Option<u64> {
+    fn acting_epoch(&self) -> Option<Epoch> {
         let epoch = self.leadership.get().ready_epoch()?;
         let replication = self.replication.borrow();
         let is_acting = replication.is_primary(clock::now()) && replication.epoch() == epoch;
--- a/crates/control-plane/src/member/disk_health.rs
+++ b/crates/control-plane/src/member/disk_health.rs
@@ -4,7 +4,7 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::replication::max_write_duration;
+use crate::replication::{WriteTicket, max_write_duration};
 
 /// A write that takes longer than this, beside the time that its bytes and those before it may take, shows that the
 /// disk is unhealthy.
@@ -21,7 +21,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct PendingWrite {
-    ticket: u64,
+    ticket: WriteTicket,
     bytes: u64,
     /// When it has to be finished.
     deadline: Duration,
@@ -35,16 +35,18 @@
 
 impl DiskHealthMonitor {
     /// Records that a write of so many bytes was handed to the disk.
-    pub fn write_started(&mut self, ticket: u64, bytes: u64, now: Duration) {
+    pub fn write_started(&mut self, ticket: WriteTicket, bytes: u64, now: Duration) {
         let pending_bytes: u64 = self.pending.iter().map(|write| write.bytes).sum();
         let deadline = now + WRITE_TIMEOUT + max_write_duration(pending_bytes + bytes);
         self.pending.push_back(PendingWrite { ticket, bytes, deadline });
     }
 
     /// Records that the writes up to a ticket are durable.
-    pub fn write_finished(&mut self, ticket: u64) {
+    pub fn write_finished(&mut self, ticket: WriteTicket) {
         self.has_failed = false;
-        while self.pending.pop_front_if(|write| write.ticket <= ticket).is_some() {}
+        while self.pending.front().is_some_and(|write| write.ticket <= ticket) {
+            self.pending.pop_front();
+        }
     }
 
     /// Records that a write has failed and is retried.
--- a/crates/control-plane/src/member/events.rs
+++ b/crates/control-plane/src/member/events.rs
@@ -8,7 +8,7 @@
 
 use super::Member;
 use crate::disk::DiskEvent;
-use crate::replication::Input;
+use crate::replication::{Input, WriteTicket};
 use crate::state::StateError;
 use crate::state_machine::StateMachineEvent;
 
@@ -37,7 +37,7 @@
         }
     }
 
-    fn on_persisted(&self, ticket: u64) {
+    fn on_persisted(&self, ticket: WriteTicket) {
         self.disk_health.borrow_mut().write_finished(ticket);
         self.check_disk_health();
         self.step(Input::Persisted { ticket });
--- a/crates/control-plane/src/member/leadership.rs
+++ b/crates/control-plane/src/member/leadership.rs
@@ -1,6 +1,8 @@
 //! What a member remembers of its own leadership. It reads no clock: whether the lease runs is known to the
 //! replication.
 
+use tulipridge_protocol::number::Epoch;
+
 use crate::replication::Role;
 use crate::tenure::Tenure;
 
@@ -10,7 +12,7 @@
     /// Since when this member is primary, if it is.
     tenure: Option<Tenure>,
     /// The epoch in which this member, as primary, has applied all that was committed before.
-    ready_epoch: Option<u64>,
+    ready_epoch: Option<Epoch>,
 }
 
 impl Leadership {
@@ -24,7 +26,7 @@
     }
 
     /// Records that all that was committed before `epoch` is applied.
-    pub(super) fn caught_up(&mut self, epoch: u64) {
+    pub(super) fn caught_up(&mut self, epoch: Epoch) {
         self.ready_epoch = Some(epoch);
     }
 
@@ -34,7 +36,7 @@
     }
 
     /// The epoch in which this member is ready to act as primary. It may have ended since.
-    pub(super) fn ready_epoch(&self) -> Option<u64> {
+    pub(super) fn ready_epoch(&self) -> Option<Epoch> {
         self.ready_epoch
     }
 }
--- a/crates/control-plane/src/member/outputs.rs
+++ b/crates/control-plane/src/member/outputs.rs
@@ -3,7 +3,7 @@
 use tulipridge_runtime::clock;
 
 use super::Member;
-use crate::replication::{DurableRecord, Input, Output, Role};
+use crate::replication::{DurableRecord, Input, Output, Role, WriteTicket};
 
 impl Member {
     /// Hands an input to the replication, carries out its outputs and brings the timer forward if a deadline has come
@@ -50,7 +50,7 @@
         }
     }
 
-    fn persist(&self, ticket: u64, records: Vec<DurableRecord>) {
+    fn persist(&self, ticket: WriteTicket, records: Vec<DurableRecord>) {
         let bytes = records.iter().map(DurableRecord::payload_bytes).sum();
         self.disk_health.borrow_mut().write_started(ticket, bytes, clock::now());
         self.disk.persist(ticket, records);
--- a/crates/control-plane/src/member/proposals.rs
+++ b/crates/control-plane/src/member/proposals.rs
@@ -3,25 +3,26 @@
 use std::collections::BTreeMap;
 
 use async_channel::{Receiver, Sender};
+use tulipridge_protocol::number::SequenceNumber;
 
 use crate::change::ProposalOutcome;
-use crate::replication::FailureReason;
+use crate::replication::{FailureReason, ProposalTicket};
 use crate::state::Applied;
 
 /// Pending proposals: by ticket until their entry is committed, then by the entry's sequence number until it is
 /// applied.
 #[derive(Debug, Default)]
 pub struct Proposals {
-    last_ticket: u64,
-    uncommitted: BTreeMap<u64, Sender<ProposalOutcome>>,
-    committed: BTreeMap<u64, Sender<ProposalOutcome>>,
+    last_ticket: ProposalTicket,
+    uncommitted: BTreeMap<ProposalTicket, Sender<ProposalOutcome>>,
+    committed: BTreeMap<SequenceNumber, Sender<ProposalOutcome>>,
 }
 
 /// A proposal that was opened.
 #[derive(Debug)]
 pub struct OpenedProposal {
     /// Its ticket, which no other proposal of this process has.
-    pub ticket: u64,
+    pub ticket: ProposalTicket,
     /// Receives its outcome once.
     pub outcome: Receiver<ProposalOutcome>,
 }
@@ -30,13 +31,13 @@
     /// Opens a proposal.
     pub fn open(&mut self) -> OpenedProposal {
         let (sender, outcome) = async_channel::bounded(1);
-        self.last_ticket += 1;
+        self.last_ticket = self.last_ticket.next();
         self.uncommitted.insert(self.last_ticket, sender);
         OpenedProposal { ticket: self.last_ticket, outcome }
     }
 
     /// Records that an entry is committed; `proposal` is the ticket if this member has proposed it.
-    pub fn committed(&mut self, sequence: u64, proposal: Option<u64>) {
+    pub fn committed(&mut self, sequence: SequenceNumber, proposal: Option<ProposalTicket>) {
         if let Some(sender) = proposal.and_then(|ticket| self.uncommitted.remove(&ticket)) {
             self.committed.insert(sequence, sender);
         }
@@ -44,7 +45,7 @@
 
     /// Records that the state machine has applied an entry; without `applied` the state was restored from a snapshot
     /// at it.
-    pub fn applied(&mut self, sequence: u64, applied: Option<Applied>) {
+    pub fn applied(&mut self, sequence: SequenceNumber, applied: Option<Applied>) {
         let outcome = applied.map_or(ProposalOutcome::Unknown, ProposalOutcome::Applied);
         if let Some(sender) = self.committed.remove(&sequence) {
             let _ = sender.try_send(outcome);
@@ -52,7 +53,7 @@
     }
 
     /// Records that a proposal has failed before its entry was committed.
-    pub fn failed(&mut self, ticket: u64, reason: FailureReason) {
+    pub fn failed(&mut self, ticket: ProposalTicket, reason: FailureReason) {
         let outcome = match reason {
             FailureReason::NotReplicated => ProposalOutcome::NotReplicated,
             FailureReason::OutcomeUnknown => ProposalOutcome::Unknown,
--- a/crates/control-plane/src/operator_view.rs
+++ b/crates/control-plane/src/operator_view.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::node::NodeId;
 use tulipridge_protocol::replication::View;
 
@@ -85,7 +86,7 @@
             name: self.name.clone(),
             role: role_name(role),
             has_lease: self.member.is_primary(),
-            epoch,
+            epoch: epoch.0,
             voters: names(&needed_voters(&view)),
             holders: names(&view.data_replicas),
             primary: self.member.known_primary().map(|node| node.to_string()),
@@ -103,7 +104,7 @@
 }
 
 impl OperatorView {
-    fn named_weights(&self) -> BTreeMap<String, u64> {
+    fn named_weights(&self) -> BTreeMap<String, WeightsRevision> {
         self.delivery.weights().into_iter().map(|weights| (weights.model, weights.named)).collect()
     }
 
--- a/crates/control-plane/src/replication/append.rs
+++ b/crates/control-plane/src/replication/append.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, ReplicationMessage};
 
 use super::durable::DurableRecord;
 use super::interface::{FailureReason, Output};
 use super::machine::Replication;
 use super::proposals::QueuedProposal;
+use super::ticket::ProposalTicket;
 
 /// Entries sent again at once to a backup that lags.
 const MAX_RESENT_ENTRIES: usize = 256;
@@ -18,7 +20,7 @@
 
 impl Replication {
     /// The owner proposes a command. During a view change it is queued.
-    pub(super) fn propose(&mut self, now: Duration, ticket: u64, command: Arc<[u8]>) {
+    pub(super) fn propose(&mut self, now: Duration, ticket: ProposalTicket, command: Arc<[u8]>) {
         let is_changing = self.is_view_changing();
         match &mut self.leadership {
             Some(leadership) if is_changing => {
@@ -54,9 +56,9 @@
     }
 
     /// As primary, adds an entry to the log and sends it to the backups.
-    pub(super) fn append(&mut self, now: Duration, ticket: u64, command: Arc<[u8]>) {
+    pub(super) fn append(&mut self, now: Duration, ticket: ProposalTicket, command: Arc<[u8]>) {
         let node = self.settings.node;
-        let sequence = self.storage.last_sequence() + 1;
+        let sequence = self.storage.last_sequence().next();
         let Some(leadership) = &mut self.leadership else { return };
         leadership.proposals.replicate(sequence, ticket);
         leadership.progress.appended(now, command.len());
@@ -69,12 +71,12 @@
     }
 
     /// The primary replicates an entry.
-    pub(super) fn on_append(&mut self, from: NodeId, epoch: u64, entry: Entry) {
+    pub(super) fn on_append(&mut self, from: NodeId, epoch: Epoch, entry: Entry) {
         if epoch < self.storage.promised() {
             self.refuse(from, epoch);
             return;
         }
-        let next = self.storage.last_sequence() + 1;
+        let next = self.storage.last_sequence().next();
         let is_replica = self.storage.is_replica_under(self.settings.node, from, epoch);
         if !is_replica || entry.sequence > next {
             return;
@@ -87,7 +89,13 @@
     }
 
     /// A data replica has stored an entry and all before it.
-    pub(super) fn on_appended(&mut self, now: Duration, from: NodeId, epoch: u64, sequence: u64) {
+    pub(super) fn on_appended(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        epoch: Epoch,
+        sequence: SequenceNumber,
+    ) {
         let Some(leadership) = &mut self.leadership else { return };
         if leadership.view.epoch != epoch {
             return;
@@ -115,10 +123,11 @@
     }
 
     /// The entries after `stored`, as many as are sent again at once.
-    fn entries_to_resend(&self, stored: u64) -> Vec<Entry> {
+    fn entries_to_resend(&self, stored: SequenceNumber) -> Vec<Entry> {
         let mut entries = Vec::new();
         let mut bytes = 0;
-        let missing = (stored + 1..=self.storage.last_sequence()).take(MAX_RESENT_ENTRIES);
+        let missing =
+            (stored.0 + 1..=self.storage.last_sequence().0).map(SequenceNumber).take(MAX_RESENT_ENTRIES);
         for entry in missing.filter_map(|sequence| self.storage.entry(sequence)) {
             bytes += entry.command.len();
             if bytes > MAX_RESENT_BYTES && !entries.is_empty() {
--- a/crates/control-plane/src/replication/campaign.rs
+++ b/crates/control-plane/src/replication/campaign.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::{ReplicationMessage, View};
 
 use super::election::jitter;
@@ -14,12 +15,12 @@
 use super::timing::{BACKUP_TIMEOUT, RESEND_INTERVAL};
 use super::view_change::{Phase, ViewChange};
 
-/// Backoff in milliseconds after a view change that other members have answered.
-const ANSWERED_BACKOFF_MS: u64 = 350;
-/// Least backoff in milliseconds after one that nobody has answered.
-const UNANSWERED_BACKOFF_MS: u64 = 100;
+/// Backoff in milliseconds after a view change that other members have acknowledged.
+const ACKNOWLEDGED_BACKOFF_MS: u64 = 350;
+/// Least backoff in milliseconds after one that no member has acknowledged.
+const UNACKNOWLEDGED_BACKOFF_MS: u64 = 100;
 /// What each further one in a row adds to it.
-const UNANSWERED_BACKOFF_STEP_MS: u64 = 250;
+const UNACKNOWLEDGED_BACKOFF_STEP_MS: u64 = 250;
 
 impl Replication {
     /// Starts a campaign if no primary is heard and it is this member's turn.
@@ -67,10 +68,10 @@
     fn abandon_view_change(&mut self, now: Duration) {
         let Some(view_change) = self.view_change.take() else { return };
         let failures = u64::from(self.election.record_failure());
-        let backoff_ms = if view_change.is_unanswered() {
-            UNANSWERED_BACKOFF_MS + UNANSWERED_BACKOFF_STEP_MS * failures
+        let backoff_ms = if view_change.is_unacknowledged() {
+            UNACKNOWLEDGED_BACKOFF_MS + UNACKNOWLEDGED_BACKOFF_STEP_MS * failures
         } else {
-            ANSWERED_BACKOFF_MS
+            ACKNOWLEDGED_BACKOFF_MS
         };
         let campaign_at = now + jitter(&mut self.random, backoff_ms / 2..backoff_ms);
         self.election.schedule(campaign_at);
@@ -100,7 +101,7 @@
     }
 
     /// A voter takes part in no lower epoch any more.
-    pub(super) fn on_promise(&mut self, now: Duration, from: NodeId, epoch: u64, view: &View) {
+    pub(super) fn on_promise(&mut self, now: Duration, from: NodeId, epoch: Epoch, view: &View) {
         let is_awaited = |view_change: &ViewChange| view_change.awaits_promise(epoch);
         if !self.view_change.as_ref().is_some_and(is_awaited) {
             return;
@@ -115,13 +116,11 @@
     }
 
     /// A member has promised a higher epoch, or must not promise yet.
-    pub(super) fn on_refuse(&mut self, now: Duration, from: NodeId, epoch: u64, promised: u64) {
+    pub(super) fn on_refuse(&mut self, now: Duration, from: NodeId, epoch: Epoch, promised: Epoch) {
         self.votes.observe_epoch(promised);
         let is_outbid = promised >= epoch;
-        if let Some(view_change) = &mut self.view_change
-            && view_change.epoch == epoch
-            && is_outbid
-        {
+        let outbid = self.view_change.as_mut().filter(|change| is_outbid && change.epoch == epoch);
+        if let Some(view_change) = outbid {
             view_change.shorten_stall_timeout(now + jitter(&mut self.random, 50..250));
         }
         if is_outbid && from != self.settings.node {
@@ -130,7 +129,7 @@
     }
 
     /// A member has promised a higher epoch than the one led here: only a new view includes it again.
-    fn force_view_change_if_outbid(&mut self, epoch: u64, promised: u64) {
+    fn force_view_change_if_outbid(&mut self, epoch: Epoch, promised: Epoch) {
         let own = self.storage.promised();
         let Some(leadership) = &mut self.leadership else { return };
         if leadership.view.epoch == epoch && promised > own {
--- a/crates/control-plane/src/replication/durable.rs
+++ b/crates/control-plane/src/replication/durable.rs
@@ -3,19 +3,20 @@
 use std::sync::Arc;
 
 use musli::{Decode, Encode};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, View};
 
 /// All that a member keeps on disk but its generation.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct DurableState {
     /// The highest epoch that was promised.
-    pub promised: u64,
+    pub promised: Epoch,
     /// The newest recorded view.
     pub view: Option<View>,
     /// How far the data goes.
     pub data: LogPosition,
     /// The newest entry in the snapshot.
-    pub snapshot_sequence: u64,
+    pub snapshot_sequence: SequenceNumber,
     /// The encoded state at that entry.
     #[musli(with = tulipridge_protocol::shared_bytes)]
     pub snapshot: Arc<[u8]>,
@@ -27,26 +28,26 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct LogPosition {
     /// The epoch in which the member was last brought up to date as a data replica.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Its newest entry.
-    pub sequence: u64,
+    pub sequence: SequenceNumber,
 }
 
 /// One change of what is kept on disk.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum DurableRecord {
     /// An epoch was promised.
-    Promised(u64),
+    Promised(Epoch),
     /// A view was recorded.
     View(View),
     /// The data is complete as of this epoch.
-    DataEpoch(u64),
+    DataEpoch(Epoch),
     /// One more entry.
     Entry(Entry),
     /// Entries up to a sequence number are replaced by the state after them.
     Snapshot {
         /// The newest entry in the snapshot.
-        sequence: u64,
+        sequence: SequenceNumber,
         /// The encoded state.
         #[musli(with = tulipridge_protocol::shared_bytes)]
         snapshot: Arc<[u8]>,
@@ -54,9 +55,9 @@
     /// All data is replaced.
     Reset {
         /// The epoch as of which the new data is complete.
-        epoch: u64,
+        epoch: Epoch,
         /// The newest entry in the snapshot.
-        snapshot_sequence: u64,
+        snapshot_sequence: SequenceNumber,
         /// The encoded state.
         #[musli(with = tulipridge_protocol::shared_bytes)]
         snapshot: Arc<[u8]>,
@@ -108,8 +109,8 @@
     }
 
     /// The entry `sequence`, unless the snapshot covers it or it is not stored yet.
-    pub(super) fn entry(&self, sequence: u64) -> Option<&Entry> {
-        let offset = sequence.checked_sub(self.snapshot_sequence + 1)?;
+    pub(super) fn entry(&self, sequence: SequenceNumber) -> Option<&Entry> {
+        let offset = sequence.0.checked_sub(self.snapshot_sequence.0)?.checked_sub(1)?;
         self.entries.get(usize::try_from(offset).ok()?)
     }
 }
--- a/crates/control-plane/src/replication/heartbeat.rs
+++ b/crates/control-plane/src/replication/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{ReplicationMessage, View};
 
 use super::leadership::HeartbeatId;
@@ -43,7 +44,7 @@
         from: NodeId,
         view: &View,
         token: u64,
-        committed: u64,
+        committed: SequenceNumber,
     ) {
         let epoch = view.epoch;
         let known_epoch = self.storage.view_epoch();
@@ -74,7 +75,7 @@
         self.acknowledge_heartbeat(from, view, token);
     }
 
-    fn commit_as_backup(&mut self, primary: NodeId, epoch: u64, committed: u64) {
+    fn commit_as_backup(&mut self, primary: NodeId, epoch: Epoch, committed: SequenceNumber) {
         let node = self.settings.node;
         if primary != node && self.storage.is_replica_under(node, primary, epoch) {
             self.apply_up_to(committed.min(self.storage.last_sequence()));
--- a/crates/control-plane/src/replication/install.rs
+++ b/crates/control-plane/src/replication/install.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::ReplicationMessage;
 
 use super::machine::Replication;
@@ -19,7 +20,7 @@
     }
 
     /// A member has recorded the new view.
-    pub(super) fn on_installed(&mut self, now: Duration, from: NodeId, epoch: u64) {
+    pub(super) fn on_installed(&mut self, now: Duration, from: NodeId, epoch: Epoch) {
         let stalled_at = now + self.election.stall_timeout();
         let Some(view_change) = &mut self.view_change else { return };
         if !view_change.is_installing(epoch) {
--- a/crates/control-plane/src/replication/interface.rs
+++ b/crates/control-plane/src/replication/interface.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::Envelope;
 
 use super::durable::DurableRecord;
+use super::ticket::{ProposalTicket, WriteTicket};
 
 /// What the owner hands to the state machine.
 #[derive(Clone, Debug)]
@@ -17,19 +19,19 @@
     /// All records up to this ticket are on disk.
     Persisted {
         /// The ticket of [`Output::Persist`].
-        ticket: u64,
+        ticket: WriteTicket,
     },
     /// A command that the primary should replicate.
     Propose {
         /// The owner's name for it.
-        ticket: u64,
+        ticket: ProposalTicket,
         /// The encoded command.
         command: Arc<[u8]>,
     },
     /// The state after the entry `sequence`, which has been applied: older entries may go.
     Compact {
         /// The newest entry in the snapshot.
-        sequence: u64,
+        sequence: SequenceNumber,
         /// The encoded state.
         snapshot: Arc<[u8]>,
     },
@@ -49,30 +51,30 @@
     /// Write and sync the records in order, then report with [`Input::Persisted`].
     Persist {
         /// Rises by one with each batch.
-        ticket: u64,
+        ticket: WriteTicket,
         /// What to write.
         records: Vec<DurableRecord>,
     },
     /// An entry is committed. Comes in order without gaps.
     Apply {
         /// Its number.
-        sequence: u64,
+        sequence: SequenceNumber,
         /// The encoded command.
         command: Arc<[u8]>,
         /// The ticket of the proposal, at the member where it was made.
-        proposal: Option<u64>,
+        proposal: Option<ProposalTicket>,
     },
     /// The state starts anew from this snapshot.
     Restore {
         /// The newest entry in the snapshot.
-        sequence: u64,
+        sequence: SequenceNumber,
         /// The encoded state; empty stands for the state before the first entry.
         snapshot: Arc<[u8]>,
     },
     /// No [`Output::Apply`] will name this proposal.
     ProposalFailed {
         /// Its ticket.
-        proposal: u64,
+        proposal: ProposalTicket,
         /// Whether it may still take effect.
         reason: FailureReason,
     },
@@ -110,6 +112,6 @@
     /// Orders the entries of this epoch. Acts only while [`super::Replication::is_primary`].
     Primary {
         /// The view's epoch.
-        epoch: u64,
+        epoch: Epoch,
     },
 }
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::View;
 
 use super::lease::Lease;
@@ -14,7 +15,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct HeartbeatId {
     /// The epoch of the primary's view.
-    pub(super) epoch: u64,
+    pub(super) epoch: Epoch,
     /// Rises by one with each heartbeat.
     pub(super) token: u64,
 }
@@ -38,7 +39,7 @@
 
 impl Leadership {
     /// Starts to lead `view` with a log that ends at `sequence`.
-    pub(super) fn new(view: View, sequence: u64, first_token: u64, now: Duration) -> Self {
+    pub(super) fn new(view: View, sequence: SequenceNumber, first_token: u64, now: Duration) -> Self {
         let progress = Progress::new(&view.data_replicas, sequence, now);
         Leadership {
             view,
--- a/crates/control-plane/src/replication/machine.rs
+++ b/crates/control-plane/src/replication/machine.rs
@@ -7,6 +7,7 @@
 
 use fastrand::Rng;
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{ReplicationMessage, View};
 
 use super::discovery::Discovery;
@@ -99,8 +100,8 @@
 
     /// The epoch of the view that this member leads, or else of the newest one that it knows.
     #[must_use]
-    pub fn epoch(&self) -> u64 {
-        self.view().map_or(0, |view| view.epoch)
+    pub fn epoch(&self) -> Epoch {
+        self.view().map_or(Epoch(0), |view| view.epoch)
     }
 
     /// The view that this member leads, or else the newest one that it knows.
@@ -151,7 +152,7 @@
 
     /// The newest entry that was applied here.
     #[must_use]
-    pub fn applied(&self) -> u64 {
+    pub fn applied(&self) -> SequenceNumber {
         self.storage.applied()
     }
 
@@ -172,7 +173,7 @@
     }
 
     /// Raises the promised epoch.
-    pub(super) fn promise(&mut self, epoch: u64) {
+    pub(super) fn promise(&mut self, epoch: Epoch) {
         self.votes.observe_epoch(epoch);
         if epoch > self.storage.promised() {
             self.votes.clear_promised_to();
@@ -181,13 +182,13 @@
     }
 
     /// Raises the promised epoch at the request of its proposer.
-    pub(super) fn promise_to(&mut self, proposer: NodeId, epoch: u64) {
+    pub(super) fn promise_to(&mut self, proposer: NodeId, epoch: Epoch) {
         self.promise(epoch);
         self.votes.set_promised_to(proposer);
     }
 
     /// Reports to the sender of a request that this member has promised a higher epoch.
-    pub(super) fn refuse(&mut self, to: NodeId, epoch: u64) {
+    pub(super) fn refuse(&mut self, to: NodeId, epoch: Epoch) {
         let promised = self.storage.promised();
         self.outbox.send(to, ReplicationMessage::Refuse { epoch, promised });
     }
@@ -252,7 +253,7 @@
     }
 
     /// Applies entries up to `committed`, or to the end of the log.
-    pub(super) fn apply_up_to(&mut self, committed: u64) {
+    pub(super) fn apply_up_to(&mut self, committed: SequenceNumber) {
         while self.storage.applied() < committed {
             let Some(entry) = self.storage.apply_next() else { return };
             let sequence = entry.sequence;
--- a/crates/control-plane/src/replication/mod.rs
+++ b/crates/control-plane/src/replication/mod.rs
@@ -23,6 +23,7 @@
 mod durable;
 mod interface;
 mod settings;
+mod ticket;
 mod timing;
 
 // Parts of the state.
@@ -63,4 +64,5 @@
 pub use interface::{FailureReason, Input, LiveMember, Output, Role};
 pub use machine::Replication;
 pub use settings::ReplicationSettings;
+pub use ticket::{ProposalTicket, WriteTicket};
 pub use timing::max_write_duration;
--- a/crates/control-plane/src/replication/outbox.rs
+++ b/crates/control-plane/src/replication/outbox.rs
@@ -3,11 +3,13 @@
 use std::collections::VecDeque;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::{Envelope, ReplicationMessage};
 
 use super::durable::DurableRecord;
 use super::interface::Output;
 use super::pending_writes::{DeferredEffect, PendingWrites, RecordBatch};
+use super::ticket::WriteTicket;
 
 /// Collects what one input leads to.
 ///
@@ -58,12 +60,12 @@
     }
 
     /// Reports the view of this epoch as durable once all records so far are.
-    pub(super) fn defer_view_durable(&mut self, epoch: u64) {
+    pub(super) fn defer_view_durable(&mut self, epoch: Epoch) {
         self.writes.defer(DeferredEffect::ViewDurable { epoch });
     }
 
     /// Records that all batches up to `ticket` are durable.
-    pub(super) fn persisted(&mut self, ticket: u64) {
+    pub(super) fn persisted(&mut self, ticket: WriteTicket) {
         self.writes.persisted(ticket);
     }
 
--- a/crates/control-plane/src/replication/pending_writes.rs
+++ b/crates/control-plane/src/replication/pending_writes.rs
@@ -3,15 +3,17 @@
 use std::collections::VecDeque;
 use std::mem;
 
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::Envelope;
 
 use super::durable::DurableRecord;
+use super::ticket::WriteTicket;
 
 /// Records that are written and synced together.
 #[derive(Debug)]
 pub(super) struct RecordBatch {
     /// Rises by one with each batch.
-    pub(super) ticket: u64,
+    pub(super) ticket: WriteTicket,
     /// In the order in which they are written.
     pub(super) records: Vec<DurableRecord>,
 }
@@ -24,22 +26,22 @@
     /// The view of this epoch is known to be on disk.
     ViewDurable {
         /// The view's epoch.
-        epoch: u64,
+        epoch: Epoch,
     },
 }
 
 /// An effect and the batch that it waits for.
 #[derive(Clone, Debug)]
 struct PendingEffect {
-    ticket: u64,
+    ticket: WriteTicket,
     effect: DeferredEffect,
 }
 
 /// The batch that is being filled, and the effects that wait for it or for earlier ones.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PendingWrites {
-    issued: u64,
-    persisted: u64,
+    issued: WriteTicket,
+    persisted: WriteTicket,
     batch: Vec<DurableRecord>,
     pending: VecDeque<PendingEffect>,
 }
@@ -52,7 +54,7 @@
 
     /// Defers an effect until all records so far are durable.
     pub(super) fn defer(&mut self, effect: DeferredEffect) {
-        let ticket = if self.batch.is_empty() { self.issued } else { self.issued + 1 };
+        let ticket = if self.batch.is_empty() { self.issued } else { self.issued.next() };
         self.pending.push_back(PendingEffect { ticket, effect });
     }
 
@@ -61,18 +63,18 @@
         if self.batch.is_empty() {
             return None;
         }
-        self.issued += 1;
+        self.issued = self.issued.next();
         Some(RecordBatch { ticket: self.issued, records: mem::take(&mut self.batch) })
     }
 
     /// Records that all batches up to `ticket` are durable.
-    pub(super) fn persisted(&mut self, ticket: u64) {
+    pub(super) fn persisted(&mut self, ticket: WriteTicket) {
         self.persisted = self.persisted.max(ticket.min(self.issued));
     }
 
     /// The next effect whose records are durable, in the order in which they were deferred.
     pub(super) fn pop_durable(&mut self) -> Option<DeferredEffect> {
-        let persisted = self.persisted;
-        self.pending.pop_front_if(|pending| pending.ticket <= persisted).map(|pending| pending.effect)
+        let is_durable = self.pending.front().is_some_and(|pending| pending.ticket <= self.persisted);
+        is_durable.then(|| self.pending.pop_front()).flatten().map(|pending| pending.effect)
     }
 }
--- a/crates/control-plane/src/replication/primary.rs
+++ b/crates/control-plane/src/replication/primary.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::{ReplicationMessage, View};
 
 use super::election::jitter;
@@ -110,7 +111,7 @@
     }
 
     /// A primary has given up its lease.
-    pub(super) fn on_release(&mut self, now: Duration, from: NodeId, epoch: u64, successor: NodeId) {
+    pub(super) fn on_release(&mut self, now: Duration, from: NodeId, epoch: Epoch, successor: NodeId) {
         self.votes.lease_released(from, epoch);
         self.peers.forget_primary_if(from);
         let is_newest = self.storage.view().is_some_and(|view| view.epoch == epoch);
--- a/crates/control-plane/src/replication/progress.rs
+++ b/crates/control-plane/src/replication/progress.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::SequenceNumber;
 
 use super::timing::{APPEND_STALL, RESEND_INTERVAL, max_transmission_duration, max_write_duration};
 
@@ -11,7 +12,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ReplicaProgress {
     /// The newest entry that it has on disk, with all before it.
-    stored: u64,
+    stored: SequenceNumber,
     /// When it last stored something, or since when it has had something to store.
     advanced_at: Duration,
     /// When the entries that it lacks are sent again.
@@ -24,22 +25,22 @@
     /// The replica.
     pub(super) node: NodeId,
     /// The newest entry that it has stored.
-    pub(super) stored: u64,
+    pub(super) stored: SequenceNumber,
 }
 
 /// How far all data replicas have.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
     /// The newest entry that was sent to the replicas.
-    newest: u64,
+    newest: SequenceNumber,
     replicas: BTreeMap<NodeId, ReplicaProgress>,
     /// Bytes of the entries that some replica has not stored, by sequence number.
-    entry_bytes: BTreeMap<u64, u64>,
+    entry_bytes: BTreeMap<SequenceNumber, u64>,
 }
 
 impl Progress {
     /// All replicas have stored all entries up to `sequence`.
-    pub(super) fn new(replicas: &[NodeId], sequence: u64, now: Duration) -> Progress {
+    pub(super) fn new(replicas: &[NodeId], sequence: SequenceNumber, now: Duration) -> Progress {
         let progress = ReplicaProgress { stored: sequence, advanced_at: now, resend_at: now };
         let replicas = replicas.iter().map(|replica| (*replica, progress)).collect();
         Progress { newest: sequence, replicas, entry_bytes: BTreeMap::new() }
@@ -48,7 +49,7 @@
     /// The next entry is sent to all replicas.
     pub(super) fn appended(&mut self, now: Duration, bytes: usize) {
         let previous = self.newest;
-        self.newest += 1;
+        self.newest = self.newest.next();
         self.entry_bytes.insert(self.newest, bytes as u64);
         let resend_at = now + resend_timeout(bytes as u64);
         for replica in self.replicas.values_mut().filter(|replica| replica.stored == previous) {
@@ -58,19 +59,19 @@
     }
 
     /// A replica has stored an entry and all before it.
-    pub(super) fn stored(&mut self, now: Duration, from: NodeId, sequence: u64) {
+    pub(super) fn stored(&mut self, now: Duration, from: NodeId, sequence: SequenceNumber) {
         let resend_at = now + resend_timeout(self.bytes_after(sequence));
         let Some(replica) = self.replicas.get_mut(&from) else { return };
         if sequence > replica.stored {
             *replica = ReplicaProgress { stored: sequence, advanced_at: now, resend_at };
         }
         let committed = self.committed();
-        self.entry_bytes = self.entry_bytes.split_off(&(committed + 1));
+        self.entry_bytes = self.entry_bytes.split_off(&committed.next());
     }
 
     /// The newest entry that all replicas have on disk.
-    pub(super) fn committed(&self) -> u64 {
-        self.replicas.values().map(|replica| replica.stored).min().unwrap_or(0)
+    pub(super) fn committed(&self) -> SequenceNumber {
+        self.replicas.values().map(|replica| replica.stored).min().unwrap_or(SequenceNumber(0))
     }
 
     /// Whether a replica has stored nothing for long though there is something to store.
@@ -110,8 +111,8 @@
     }
 
     /// Bytes of the entry after `sequence`; 0 if there is none that some replica lacks.
-    fn bytes_after(&self, sequence: u64) -> u64 {
-        self.entry_bytes.get(&(sequence + 1)).copied().unwrap_or(0)
+    fn bytes_after(&self, sequence: SequenceNumber) -> u64 {
+        self.entry_bytes.get(&sequence.next()).copied().unwrap_or(0)
     }
 }
 
--- a/crates/control-plane/src/replication/proposals.rs
+++ b/crates/control-plane/src/replication/proposals.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tulipridge_protocol::number::SequenceNumber;
+
 use super::interface::{FailureReason, Output};
+use super::ticket::ProposalTicket;
 use super::timing::MAX_PROPOSAL_WAIT;
 
 /// A proposal that waits for the end of a view change. Its command was never replicated.
 #[derive(Clone, Debug)]
 pub(super) struct QueuedProposal {
     /// The owner's name for it.
-    pub(super) ticket: u64,
+    pub(super) ticket: ProposalTicket,
     /// The encoded command.
     pub(super) command: Arc<[u8]>,
     /// When the owner proposed it.
@@ -22,13 +25,13 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Proposals {
     /// Tickets by the sequence number of their entry.
-    replicating: BTreeMap<u64, u64>,
+    replicating: BTreeMap<SequenceNumber, ProposalTicket>,
     queued: VecDeque<QueuedProposal>,
 }
 
 impl Proposals {
     /// The entry `sequence` carries the command of a proposal.
-    pub(super) fn replicate(&mut self, sequence: u64, ticket: u64) {
+    pub(super) fn replicate(&mut self, sequence: SequenceNumber, ticket: ProposalTicket) {
         self.replicating.insert(sequence, ticket);
     }
 
@@ -38,7 +41,7 @@
     }
 
     /// Removes the proposal behind an entry; returns its ticket.
-    pub(super) fn take(&mut self, sequence: u64) -> Option<u64> {
+    pub(super) fn take(&mut self, sequence: SequenceNumber) -> Option<ProposalTicket> {
         self.replicating.remove(&sequence)
     }
 
@@ -49,8 +52,9 @@
 
     /// Removes the next queued proposal that has waited too long; returns its failure.
     pub(super) fn expire_next(&mut self, now: Duration) -> Option<Output> {
-        let is_late = |queued: &mut QueuedProposal| now.saturating_sub(queued.since) >= MAX_PROPOSAL_WAIT;
-        self.queued.pop_front_if(is_late).map(|queued| failed(queued.ticket, FailureReason::NotReplicated))
+        let is_late = |queued: &QueuedProposal| now.saturating_sub(queued.since) >= MAX_PROPOSAL_WAIT;
+        let expired = self.queued.front().is_some_and(is_late).then(|| self.queued.pop_front()).flatten();
+        expired.map(|queued| failed(queued.ticket, FailureReason::NotReplicated))
     }
 
     /// The failures of all proposals of a member that is primary no longer.
@@ -63,6 +67,6 @@
     }
 }
 
-fn failed(proposal: u64, reason: FailureReason) -> Output {
+fn failed(proposal: ProposalTicket, reason: FailureReason) -> Output {
     Output::ProposalFailed { proposal, reason }
 }
--- a/crates/control-plane/src/replication/quorum.rs
+++ b/crates/control-plane/src/replication/quorum.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::View;
 
 /// Bits of an epoch that name its proposer's address.
@@ -35,9 +36,9 @@
 }
 
 /// The first epoch of this proposer above the given one.
-pub(super) fn next_epoch(above: u64, proposer: NodeId) -> u64 {
-    let count = (above >> (ADDRESS_BITS + GENERATION_BITS)) + 1;
-    let folded_generation = proposer.generation ^ (proposer.generation >> 32);
+pub(super) fn next_epoch(above: Epoch, proposer: NodeId) -> Epoch {
+    let count = (above.0 >> (ADDRESS_BITS + GENERATION_BITS)) + 1;
+    let folded_generation = proposer.generation.0 ^ (proposer.generation.0 >> 32);
     let generation = folded_generation & ((1 << GENERATION_BITS) - 1);
-    (count << GENERATION_BITS | generation) << ADDRESS_BITS | u64::from(proposer.ip)
+    Epoch((count << GENERATION_BITS | generation) << ADDRESS_BITS | u64::from(proposer.ip))
 }
--- a/crates/control-plane/src/replication/settings.rs
+++ b/crates/control-plane/src/replication/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one member.
 
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::View;
 
 /// Who this member is, and how many failures the system tolerates.
@@ -27,14 +28,14 @@
     /// must not make up a first view later, from other seeds.
     #[must_use]
     pub fn first_view(&self) -> Option<View> {
-        if !self.first_boot || self.node.generation != 0 || !self.seeds.contains(&self.node) {
+        if !self.first_boot || self.node.generation != Generation(0) || !self.seeds.contains(&self.node) {
             return None;
         }
         let mut voters = self.seeds.clone();
         voters.sort_unstable();
         voters.dedup();
         let data_replicas = voters.iter().copied().take(self.target_data_replicas()).collect();
-        Some(View { epoch: 0, voters, previous_voters: Vec::new(), data_replicas })
+        Some(View { epoch: Epoch(0), voters, previous_voters: Vec::new(), data_replicas })
     }
 
     /// Wanted number of voters.
--- a/crates/control-plane/src/replication/step.rs
+++ b/crates/control-plane/src/replication/step.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::SequenceNumber;
 use tulipridge_protocol::replication::{Envelope, ReplicationMessage};
 
 use super::durable::DurableRecord;
@@ -113,7 +114,7 @@
     }
 
     /// Replaces entries that were applied by the state after them.
-    fn compact(&mut self, sequence: u64, snapshot: Arc<[u8]>) {
+    fn compact(&mut self, sequence: SequenceNumber, snapshot: Arc<[u8]>) {
         if sequence <= self.storage.applied() && sequence > self.storage.snapshot_sequence() {
             self.record(DurableRecord::Snapshot { sequence, snapshot });
         }
--- a/crates/control-plane/src/replication/storage.rs
+++ b/crates/control-plane/src/replication/storage.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, View};
 
 use super::durable::{DurableRecord, DurableState, LogPosition};
@@ -13,11 +14,11 @@
     state: DurableState,
     /// Epoch of the newest view that is on disk or on its way there. A standby knows newer ones from heartbeats
     /// only.
-    recorded_view_epoch: Option<u64>,
+    recorded_view_epoch: Option<Epoch>,
     /// Epoch of the newest view that is surely on disk.
-    durable_view_epoch: Option<u64>,
+    durable_view_epoch: Option<Epoch>,
     /// The newest entry that was handed to the owner.
-    applied: u64,
+    applied: SequenceNumber,
     is_healthy: bool,
 }
 
@@ -40,7 +41,7 @@
     }
 
     /// The highest epoch that this member has promised.
-    pub(super) fn promised(&self) -> u64 {
+    pub(super) fn promised(&self) -> Epoch {
         self.state.promised
     }
 
@@ -50,7 +51,7 @@
     }
 
     /// The newest entry of the log.
-    pub(super) fn last_sequence(&self) -> u64 {
+    pub(super) fn last_sequence(&self) -> SequenceNumber {
         self.state.data.sequence
     }
 
@@ -60,8 +61,8 @@
     }
 
     /// The epoch of the newest known view; 0 without one.
-    pub(super) fn view_epoch(&self) -> u64 {
-        self.view().map_or(0, |view| view.epoch)
+    pub(super) fn view_epoch(&self) -> Epoch {
+        self.view().map_or(Epoch(0), |view| view.epoch)
     }
 
     /// Whether any view was recorded here.
@@ -70,7 +71,7 @@
     }
 
     /// Whether a view of this epoch or a later one was recorded here.
-    pub(super) fn has_recorded_view_of(&self, epoch: u64) -> bool {
+    pub(super) fn has_recorded_view_of(&self, epoch: Epoch) -> bool {
         self.recorded_view_epoch >= Some(epoch)
     }
 
@@ -80,12 +81,12 @@
     }
 
     /// Whether a view of this epoch or a later one is surely on disk.
-    pub(super) fn has_durable_view_of(&self, epoch: u64) -> bool {
+    pub(super) fn has_durable_view_of(&self, epoch: Epoch) -> bool {
         self.durable_view_epoch >= Some(epoch)
     }
 
     /// Records that the view of this epoch is on disk.
-    pub(super) fn view_is_durable(&mut self, epoch: u64) {
+    pub(super) fn view_is_durable(&mut self, epoch: Epoch) {
         self.durable_view_epoch = self.durable_view_epoch.max(Some(epoch));
     }
 
@@ -113,7 +114,7 @@
     }
 
     /// Whether the newest promise, view and data are all of this epoch, and `node` stores data under `primary`.
-    pub(super) fn is_replica_under(&self, node: NodeId, primary: NodeId, epoch: u64) -> bool {
+    pub(super) fn is_replica_under(&self, node: NodeId, primary: NodeId, epoch: Epoch) -> bool {
         self.state.promised == epoch
             && self.state.data.epoch == epoch
             && self.view().is_some_and(|view| {
@@ -124,12 +125,12 @@
     }
 
     /// The entry `sequence`, unless the snapshot covers it or it is not stored yet.
-    pub(super) fn entry(&self, sequence: u64) -> Option<&Entry> {
+    pub(super) fn entry(&self, sequence: SequenceNumber) -> Option<&Entry> {
         self.state.entry(sequence)
     }
 
     /// The newest entry in the snapshot.
-    pub(super) fn snapshot_sequence(&self) -> u64 {
+    pub(super) fn snapshot_sequence(&self) -> SequenceNumber {
         self.state.snapshot_sequence
     }
 
@@ -139,7 +140,7 @@
     }
 
     /// The newest entry that was applied.
-    pub(super) fn applied(&self) -> u64 {
+    pub(super) fn applied(&self) -> SequenceNumber {
         self.applied
     }
 
@@ -150,8 +151,8 @@
 
     /// The entry after the newest applied one, which then counts as applied.
     pub(super) fn apply_next(&mut self) -> Option<Entry> {
-        let entry = self.entry(self.applied + 1)?.clone();
-        self.applied += 1;
+        let entry = self.entry(self.applied.next())?.clone();
+        self.applied = self.applied.next();
         Some(entry)
     }
 
--- a/crates/control-plane/src/replication/sync.rs
+++ b/crates/control-plane/src/replication/sync.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{ReplicationMessage, TransferId};
 
 use super::durable::{DurableRecord, LogPosition};
@@ -37,7 +38,7 @@
     }
 
     /// The proposer's own data is complete as of its epoch.
-    fn sync_itself(&mut self, epoch: u64) {
+    fn sync_itself(&mut self, epoch: Epoch) {
         let node = self.settings.node;
         if epoch < self.storage.promised() {
             self.refuse(node, epoch);
@@ -58,7 +59,7 @@
         self.send_sync_messages(|sync, epoch| sync.due_messages(epoch, now));
     }
 
-    fn send_sync_messages(&mut self, choose: impl FnOnce(&mut SyncPhase, u64) -> Vec<SyncMessage>) {
+    fn send_sync_messages(&mut self, choose: impl FnOnce(&mut SyncPhase, Epoch) -> Vec<SyncMessage>) {
         let Some(view_change) = &mut self.view_change else { return };
         let Some(sync) = &mut view_change.sync else { return };
         let messages = choose(sync, view_change.epoch);
@@ -75,7 +76,7 @@
         &mut self,
         now: Duration,
         from: NodeId,
-        epoch: u64,
+        epoch: Epoch,
         transfer: TransferId,
         received: u64,
     ) {
@@ -97,7 +98,13 @@
     }
 
     /// A data replica has all data on disk.
-    pub(super) fn on_synced(&mut self, now: Duration, from: NodeId, epoch: u64, sequence: u64) {
+    pub(super) fn on_synced(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        epoch: Epoch,
+        sequence: SequenceNumber,
+    ) {
         let is_complete = sequence == self.storage.last_sequence();
         let stalled_at = now + self.election.stall_timeout();
         let node = self.settings.node;
@@ -122,8 +129,8 @@
         &mut self,
         now: Duration,
         from: NodeId,
-        epoch: u64,
-        data_epoch: u64,
+        epoch: Epoch,
+        data_epoch: Epoch,
         chunk: &Chunk,
     ) {
         if epoch < self.storage.promised() {
@@ -142,7 +149,7 @@
     }
 
     /// Accepts a chunk of the data; returns whether this member has, with it, all that the proposer has.
-    fn accept_chunk(&mut self, from: NodeId, epoch: u64, data_epoch: u64, chunk: &Chunk) -> bool {
+    fn accept_chunk(&mut self, from: NodeId, epoch: Epoch, data_epoch: Epoch, chunk: &Chunk) -> bool {
         let transfer = chunk.transfer;
         if self.storage.position() == (LogPosition { epoch: data_epoch, sequence: transfer.sequence }) {
             self.incoming.clear();
@@ -167,7 +174,7 @@
     }
 
     /// Replaces the log and the snapshot. The owner's state starts anew unless the new log continues it.
-    fn replace_data(&mut self, epoch: u64, data: TransferData) {
+    fn replace_data(&mut self, epoch: Epoch, data: TransferData) {
         let TransferData { snapshot_sequence, snapshot, entries } = data;
         self.record(DurableRecord::Reset { epoch, snapshot_sequence, snapshot, entries });
         let applied = self.storage.applied();
--- a/crates/control-plane/src/replication/sync_phase.rs
+++ b/crates/control-plane/src/replication/sync_phase.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::{ReplicationMessage, TransferId};
 
 use super::transfer::{CHUNK_BYTES, Chunk, EncodedData, OutgoingTransfer};
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct SyncPhase {
     /// The epoch of the data before the view change.
-    data_epoch: u64,
+    data_epoch: Epoch,
     data: EncodedData,
     /// Transfers to the replicas that have not reported all data as durable.
     transfers: BTreeMap<NodeId, OutgoingTransfer>,
@@ -44,7 +45,7 @@
     /// Starts transfers of `data` to `replicas`. Those among `previous_replicas` are queried first, since they may
     /// have all of it, unless one chunk is enough for everything.
     pub(super) fn new<'a>(
-        data_epoch: u64,
+        data_epoch: Epoch,
         data: EncodedData,
         replicas: impl Iterator<Item = &'a NodeId>,
         previous_replicas: &[NodeId],
@@ -66,18 +67,18 @@
     }
 
     /// The chunks that may be sent now.
-    pub(super) fn next_messages(&mut self, epoch: u64) -> Vec<SyncMessage> {
+    pub(super) fn next_messages(&mut self, epoch: Epoch) -> Vec<SyncMessage> {
         self.messages(epoch, OutgoingTransfer::next_offsets)
     }
 
     /// The chunks that were not confirmed in time.
-    pub(super) fn due_messages(&mut self, epoch: u64, now: Duration) -> Vec<SyncMessage> {
+    pub(super) fn due_messages(&mut self, epoch: Epoch, now: Duration) -> Vec<SyncMessage> {
         self.messages(epoch, |transfer| transfer.resend_if_due(now))
     }
 
     fn messages(
         &mut self,
-        epoch: u64,
+        epoch: Epoch,
         mut choose_offsets: impl FnMut(&mut OutgoingTransfer) -> Vec<u64>,
     ) -> Vec<SyncMessage> {
         let mut messages = Vec::new();
@@ -125,7 +126,7 @@
     }
 }
 
-fn chunk_message(epoch: u64, data_epoch: u64, chunk: Chunk) -> ReplicationMessage {
+fn chunk_message(epoch: Epoch, data_epoch: Epoch, chunk: Chunk) -> ReplicationMessage {
     let Chunk { transfer, offset, bytes } = chunk;
     ReplicationMessage::Sync { epoch, data_epoch, transfer, offset, bytes }
 }
--- a/crates/control-plane/src/replication/transfer.rs
+++ b/crates/control-plane/src/replication/transfer.rs
@@ -12,6 +12,7 @@
 
 use musli::{Decode, Encode};
 use tulipridge_protocol::frame;
+use tulipridge_protocol::number::SequenceNumber;
 use tulipridge_protocol::replication::{Entry, TransferId};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -29,7 +30,7 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct TransferData {
     /// The newest entry in the snapshot.
-    pub snapshot_sequence: u64,
+    pub snapshot_sequence: SequenceNumber,
     /// The encoded state at that entry.
     #[musli(with = tulipridge_protocol::shared_bytes)]
     pub snapshot: Arc<[u8]>,
--- a/crates/control-plane/src/replication/view_change.rs
+++ b/crates/control-plane/src/replication/view_change.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::View;
 
 use super::quorum::{electorate, has_quorum, is_view_complete};
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ViewChange {
     /// The epoch of the new view.
-    pub(super) epoch: u64,
+    pub(super) epoch: Epoch,
     /// The view that the new one follows.
     pub(super) base: View,
     /// How far it has come.
@@ -52,7 +53,7 @@
 
 impl ViewChange {
     /// Starts from `base`; it is given up at `stalled_at` unless there is progress.
-    pub(super) fn new(epoch: u64, base: View, now: Duration, stalled_at: Duration) -> ViewChange {
+    pub(super) fn new(epoch: Epoch, base: View, now: Duration, stalled_at: Duration) -> ViewChange {
         ViewChange {
             epoch,
             base,
@@ -93,17 +94,17 @@
     }
 
     /// Whether promises for this epoch are awaited.
-    pub(super) fn awaits_promise(&self, epoch: u64) -> bool {
+    pub(super) fn awaits_promise(&self, epoch: Epoch) -> bool {
         self.epoch == epoch && self.phase == Phase::Preparing
     }
 
     /// Whether the data replicas report their progress to this epoch.
-    pub(super) fn is_syncing(&self, epoch: u64) -> bool {
+    pub(super) fn is_syncing(&self, epoch: Epoch) -> bool {
         self.epoch == epoch && self.phase == Phase::Syncing
     }
 
     /// Whether members record the view of this epoch.
-    pub(super) fn is_installing(&self, epoch: u64) -> bool {
+    pub(super) fn is_installing(&self, epoch: Epoch) -> bool {
         let is_installing = matches!(self.phase, Phase::InstallingAtReplicas | Phase::InstallingAtVoters);
         self.epoch == epoch && is_installing
     }
@@ -149,7 +150,7 @@
     }
 
     /// Whether nobody but the proposer has promised.
-    pub(super) fn is_unanswered(&self) -> bool {
+    pub(super) fn is_unacknowledged(&self) -> bool {
         self.promises.len() <= 1
     }
 
@@ -203,7 +204,7 @@
 }
 
 /// The view that the chosen members form after the base.
-fn next_view(base: &View, epoch: u64, members: ViewMembers) -> View {
+fn next_view(base: &View, epoch: Epoch, members: ViewMembers) -> View {
     let has_same_voters = members.voters == base.voters;
     let previous_voters = if has_same_voters { base.previous_voters.clone() } else { base.voters.clone() };
     View { epoch, voters: members.voters, previous_voters, data_replicas: members.data_replicas }
--- a/crates/control-plane/src/replication/vote.rs
+++ b/crates/control-plane/src/replication/vote.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 
 use super::timing::GRANT_DURATION;
 
@@ -13,7 +14,7 @@
 #[derive(Clone, Debug)]
 struct LeaseGrant {
     primary: NodeId,
-    epoch: u64,
+    epoch: Epoch,
     until: Duration,
 }
 
@@ -24,21 +25,21 @@
     promised_to: Option<NodeId>,
     grant: Option<LeaseGrant>,
     /// Primaries of epochs up to this one have given up their leases.
-    released_epoch: u64,
+    released_epoch: Epoch,
     /// Grants from before the start of this process may run until then.
     no_promise_before: Duration,
     /// The highest epoch of which this member has heard.
-    highest_epoch_seen: u64,
+    highest_epoch_seen: Epoch,
 }
 
 impl VoteState {
     /// The votes of a member that starts at `now` with its durable promise.
-    pub(super) fn new(promised: u64, now: Duration) -> VoteState {
-        let may_have_granted = promised > 0;
+    pub(super) fn new(promised: Epoch, now: Duration) -> VoteState {
+        let may_have_granted = promised > Epoch(0);
         VoteState {
             promised_to: None,
             grant: None,
-            released_epoch: 0,
+            released_epoch: Epoch(0),
             no_promise_before: if may_have_granted { now + GRANT_DURATION } else { now },
             highest_epoch_seen: promised,
         }
@@ -78,12 +79,12 @@
     }
 
     /// Grants a lease to the primary of an epoch.
-    pub(super) fn grant_lease(&mut self, now: Duration, primary: NodeId, epoch: u64) {
+    pub(super) fn grant_lease(&mut self, now: Duration, primary: NodeId, epoch: Epoch) {
         self.grant = Some(LeaseGrant { primary, epoch, until: now + GRANT_DURATION });
     }
 
     /// The primary of this epoch has given up its lease, so the grant to it may end early.
-    pub(super) fn lease_released(&mut self, primary: NodeId, epoch: u64) {
+    pub(super) fn lease_released(&mut self, primary: NodeId, epoch: Epoch) {
         self.released_epoch = self.released_epoch.max(epoch);
         self.grant.take_if(|grant| grant.primary == primary && grant.epoch <= epoch);
     }
@@ -94,17 +95,17 @@
     }
 
     /// Whether the primary of this epoch has given up its lease.
-    pub(super) fn is_released(&self, epoch: u64) -> bool {
-        epoch <= self.released_epoch && epoch > 0
+    pub(super) fn is_released(&self, epoch: Epoch) -> bool {
+        epoch <= self.released_epoch && epoch > Epoch(0)
     }
 
     /// The highest epoch of which this member has heard.
-    pub(super) fn highest_epoch_seen(&self) -> u64 {
+    pub(super) fn highest_epoch_seen(&self) -> Epoch {
         self.highest_epoch_seen
     }
 
     /// Records that an epoch is in use.
-    pub(super) fn observe_epoch(&mut self, epoch: u64) {
+    pub(super) fn observe_epoch(&mut self, epoch: Epoch) {
         self.highest_epoch_seen = self.highest_epoch_seen.max(epoch);
     }
 }
--- a/crates/control-plane/src/replication/voter.rs
+++ b/crates/control-plane/src/replication/voter.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::{ReplicationMessage, View};
 
 use super::machine::Replication;
 
 impl Replication {
     /// A proposer requests that this member take part in no lower epoch.
-    pub(super) fn on_prepare(&mut self, now: Duration, from: NodeId, epoch: u64) {
+    pub(super) fn on_prepare(&mut self, now: Duration, from: NodeId, epoch: Epoch) {
         self.votes.observe_epoch(epoch);
         let is_repeated = epoch == self.storage.promised() && self.votes.has_promised_to(from);
         if !is_repeated {
@@ -25,7 +26,7 @@
     }
 
     /// Ends this member's own view change and leadership in favour of another proposer that has its promise.
-    pub(super) fn yield_to(&mut self, now: Duration, proposer: NodeId, epoch: u64) {
+    pub(super) fn yield_to(&mut self, now: Duration, proposer: NodeId, epoch: Epoch) {
         if proposer == self.settings.node {
             return;
         }
--- a/crates/control-plane/src/rollout/announcements.rs
+++ b/crates/control-plane/src/rollout/announcements.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
+
 /// Targets that are seen so soon after the start may have been announced before it.
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 /// The age at which such targets are assumed to be.
@@ -27,7 +29,7 @@
     last_advance: Duration,
     /// When a primary was last known.
     last_primary: Duration,
-    first_seen: BTreeMap<String, BTreeMap<u64, FirstSeen>>,
+    first_seen: BTreeMap<String, BTreeMap<WeightsRevision, FirstSeen>>,
 }
 
 /// When a target was first seen, in counted time.
@@ -61,7 +63,7 @@
     }
 
     /// Records that a target revision is seen. Only one that is newer than all seen before counts.
-    pub fn record(&mut self, model: &str, revision: u64) {
+    pub fn record(&mut self, model: &str, revision: WeightsRevision) {
         let age = if self.counted_time < CATCH_UP_TIME { ASSUMED_AGE } else { Duration::ZERO };
         let first_seen = FirstSeen { at: self.counted_time, age };
         let revisions = self.first_seen.entry(model.to_owned()).or_default();
@@ -87,7 +89,7 @@
 
     /// The age of one announcement, or `None` if it was not recorded.
     #[must_use]
-    pub fn age(&self, model: &str, revision: u64) -> Option<Duration> {
+    pub fn age(&self, model: &str, revision: WeightsRevision) -> Option<Duration> {
         let mut announcements = self.announcements();
         let found =
             announcements.find(|announced| announced.model == model && announced.revision == revision);
@@ -101,7 +103,7 @@
     /// The model.
     pub model: &'a str,
     /// The revision that its replicas are to load.
-    pub revision: u64,
+    pub revision: WeightsRevision,
     /// How long ago it was announced.
     pub age: Duration,
 }
--- a/crates/control-plane/src/rollout/controller.rs
+++ b/crates/control-plane/src/rollout/controller.rs
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, ModelWeights};
 use tulipridge_runtime::clock;
 
@@ -153,7 +154,7 @@
             self.output.fleet_corrected();
         }
         for action in actions {
-            self.spawn(action, FencingToken(lease.epoch));
+            self.spawn(action, FencingToken(lease.epoch.0));
         }
     }
 
@@ -166,7 +167,7 @@
     }
 
     fn spawn_command(&self, replica: ReplicaEndpoint, weights: ModelRevision, fencing_token: FencingToken) {
-        log::info!(replica:% = replica.id, model:% = weights.model, revision = weights.revision; "load command is sent");
+        log::info!(replica:% = replica.id, model:% = weights.model, revision = weights.revision.0; "load command is sent");
         let events = self.sender.clone();
         let owner = self.name.clone();
         let command = async move {
@@ -191,21 +192,21 @@
 fn announce_all(planner: &mut Planner, announcements: &AnnouncementTimes, now: Duration) {
     for announcement in announcements.announcements() {
         if planner.announce(announcement, now) {
-            log::info!(model:% = announcement.model, revision = announcement.revision; "target revision is announced");
+            log::info!(model:% = announcement.model, revision = announcement.revision.0; "target revision is announced");
         }
     }
 }
 
 /// Logs each model whose older weights were withdrawn since `before`, and the replicas that still have them.
 fn log_withdrawals(planner: &Planner, before: &[ModelWeights]) {
-    let least_before: BTreeMap<&str, u64> =
+    let least_before: BTreeMap<&str, WeightsRevision> =
         before.iter().map(|weights| (weights.model.as_str(), weights.least)).collect();
     for weights in planner.weights() {
-        let known = least_before.get(weights.model.as_str()).copied().unwrap_or(0);
+        let known = least_before.get(weights.model.as_str()).copied().unwrap_or_default();
         if weights.least > known {
             let outdated = planner.outdated_replicas(&weights.model, weights.least);
             log::info!(
-                model:% = weights.model, least = weights.least, named = weights.named,
+                model:% = weights.model, least = weights.least.0, named = weights.named.0,
                 outdated = outdated.len(), replicas:% = outdated.join(" ");
                 "older weights are withdrawn"
             );
--- a/crates/control-plane/src/rollout/messages.rs
+++ b/crates/control-plane/src/rollout/messages.rs
@@ -1,6 +1,7 @@
 //! The messages that are exchanged with replicas about the weights that they serve.
 
 use serde::{Deserialize, Serialize};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::ModelRevision;
 
 /// Fencing token of a primary: a replica refuses commands with a lower one than it has seen.
@@ -15,7 +16,7 @@
     order_kind: &'static str,
     #[serde(rename = "llm")]
     model: &'a str,
-    revision: u64,
+    revision: WeightsRevision,
     method: LoadMethod,
     owner: &'a str,
     #[serde(rename = "fenceNo")]
@@ -110,7 +111,7 @@
 #[derive(Deserialize)]
 struct ReportedModel {
     label: String,
-    revision: u64,
+    revision: WeightsRevision,
 }
 
 impl From<ReportBody> for ReplicaReport {
--- a/crates/control-plane/src/rollout/mod.rs
+++ b/crates/control-plane/src/rollout/mod.rs
@@ -13,12 +13,14 @@
 use std::collections::BTreeMap;
 
 use tulipridge_protocol::feed::ModelWeights;
+use tulipridge_protocol::number::Epoch;
 
 pub use announcements::{Announcement, AnnouncementTimes};
 pub use controller::Rollout;
 pub use messages::{CommandOutcome, FencingToken, LoadCommand, ReplicaReport};
 pub use planner::{Action, Planner, PlannerSettings};
 pub use replica_client::ReplicaEndpoint;
+use tulipridge_configuration::number::WeightsRevision;
 
 /// What the roll-out reacts to.
 #[derive(Debug)]
@@ -46,11 +48,11 @@
 /// What the roll-out reads of the replicated state, and where its results are delivered.
 pub trait RolloutOutput {
     /// Delivers the table of weights, as primary of `epoch`.
-    fn weights(&self, epoch: u64, weights: Vec<ModelWeights>);
+    fn weights(&self, epoch: Epoch, weights: Vec<ModelWeights>);
     /// Delivers the table of replicas, whose corrections have changed.
     fn fleet_corrected(&self);
     /// The operator's newest target revision of each model.
-    fn named(&self) -> BTreeMap<String, u64>;
+    fn named(&self) -> BTreeMap<String, WeightsRevision>;
     /// The table of weights that was delivered last, by this or an earlier primary.
     fn delivered(&self) -> Vec<ModelWeights>;
     /// Requests of proxies that are queued at each replica, by its id.
--- a/crates/control-plane/src/rollout/planner/fleet_view.rs
+++ b/crates/control-plane/src/rollout/planner/fleet_view.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase};
 
 use super::super::replica_client::ReplicaEndpoint;
@@ -70,7 +71,11 @@
     }
 
     /// Replicas that serve a model with weights older than `revision`.
-    pub(super) fn older<'a>(&'a self, model: &'a str, revision: u64) -> impl Iterator<Item = &'a Replica> {
+    pub(super) fn older<'a>(
+        &'a self,
+        model: &'a str,
+        revision: WeightsRevision,
+    ) -> impl Iterator<Item = &'a Replica> {
         self.serving(model).filter(move |replica| self.has_older(&replica.id, model, revision))
     }
 
@@ -78,18 +83,18 @@
     pub(super) fn lacking<'a>(
         &'a self,
         model: &'a str,
-        revision: u64,
+        revision: WeightsRevision,
     ) -> impl Iterator<Item = &'a Replica> {
         self.older(model, revision).filter(|replica| replica.phase != ReplicaPhase::Draining)
     }
 
     /// Whether every replica of a model, of at least one, has `revision` or newer weights or is draining.
-    pub(super) fn all_have(&self, model: &str, revision: u64) -> bool {
+    pub(super) fn all_have(&self, model: &str, revision: WeightsRevision) -> bool {
         self.serving(model).next().is_some() && self.lacking(model, revision).next().is_none()
     }
 
     /// Whether a replica has a model with weights older than `revision`.
-    pub(super) fn has_older(&self, id: &str, model: &str, revision: u64) -> bool {
+    pub(super) fn has_older(&self, id: &str, model: &str, revision: WeightsRevision) -> bool {
         self.revision(id, model).is_some_and(|present| present < revision)
     }
 
@@ -99,7 +104,7 @@
     }
 
     /// The newest revision that a replica is known to have of a model.
-    pub(super) fn revision(&self, id: &str, model: &str) -> Option<u64> {
+    pub(super) fn revision(&self, id: &str, model: &str) -> Option<WeightsRevision> {
         let listed = self.replicas.get(id).map(|replica| replica.models.as_slice()).unwrap_or_default();
         let observed = self.observed.get(id).map(Vec::as_slice).unwrap_or_default();
         let known = listed.iter().chain(observed).filter(|weights| weights.model == model);
--- a/crates/control-plane/src/rollout/planner/mod.rs
+++ b/crates/control-plane/src/rollout/planner/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, ModelWeights, Replica};
 use tulipridge_runtime::settings::RevisionTerm;
 
@@ -291,7 +292,7 @@
 
     /// Ids of replicas that have weights of a model older than `revision`, draining ones included.
     #[must_use]
-    pub fn outdated_replicas(&self, model: &str, revision: u64) -> Vec<String> {
+    pub fn outdated_replicas(&self, model: &str, revision: WeightsRevision) -> Vec<String> {
         self.fleet.older(model, revision).map(|replica| replica.id.clone()).collect()
     }
 
--- a/crates/control-plane/src/rollout/planner/selection.rs
+++ b/crates/control-plane/src/rollout/planner/selection.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{Replica, ReplicaPhase};
 
 use super::fleet_view::FleetView;
@@ -78,7 +79,7 @@
     /// Sorts replicas: older weights first; neighbours in the order are of different zones; and of each zone the replicas
     /// with the fewest queued requests first, which lose the least and are the soonest drained.
     fn in_load_order(&self, replicas: Vec<&'a Replica>) -> Vec<&'a Replica> {
-        let mut by_revision: BTreeMap<Option<u64>, Vec<&'a Replica>> = BTreeMap::new();
+        let mut by_revision: BTreeMap<Option<WeightsRevision>, Vec<&'a Replica>> = BTreeMap::new();
         for replica in replicas {
             by_revision.entry(self.fleet.revision(&replica.id, self.model)).or_default().push(replica);
         }
--- a/crates/control-plane/src/rollout/planner/target.rs
+++ b/crates/control-plane/src/rollout/planner/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::ModelWeights;
 use tulipridge_runtime::settings::RevisionTerm;
 
@@ -11,11 +12,11 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Target {
     /// The newest announced revision.
-    pub(super) desired: u64,
+    pub(super) desired: WeightsRevision,
     /// Requests are sent only to replicas of this revision or newer; older weights are withdrawn.
-    pub(super) minimum: u64,
+    pub(super) minimum: WeightsRevision,
     /// The withdrawal deadline of this revision has passed: requests that are queued on older weights must not begin.
-    pub(super) expired: u64,
+    pub(super) expired: WeightsRevision,
     /// Deadlines that have not passed, in the order of revisions.
     deadlines: Vec<Deadline>,
 }
@@ -24,7 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Deadline {
     /// The revision.
-    pub(super) revision: u64,
+    pub(super) revision: WeightsRevision,
     /// When all replicas should have loaded it or a newer one.
     pub(super) load_by: Duration,
     /// When older weights are withdrawn.
@@ -67,15 +68,15 @@
     pub(super) fn expire_due(&mut self, now: Duration) {
         let passed = self.deadlines.iter().filter(|deadline| deadline.withdraw_at <= now);
         let newest = passed.map(|deadline| deadline.revision).max();
-        self.expire(newest.unwrap_or(0));
+        self.expire(newest.unwrap_or(WeightsRevision(0)));
     }
 
     /// From now on no request is sent to replicas of a revision below this one.
-    pub(super) fn withdraw_below(&mut self, revision: u64) {
+    pub(super) fn withdraw_below(&mut self, revision: WeightsRevision) {
         self.minimum = self.minimum.max(revision);
     }
 
-    fn expire(&mut self, revision: u64) {
+    fn expire(&mut self, revision: WeightsRevision) {
         self.expired = self.expired.max(revision);
         self.withdraw_below(revision);
         let expired = self.expired;
--- a/crates/control-plane/src/server/singleton_outputs.rs
+++ b/crates/control-plane/src/server/singleton_outputs.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 
 use tulipridge_configuration::Configuration;
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_prefix_cache_index::{CacheUpdate, SourceStatus};
 use tulipridge_protocol::feed::ModelWeights;
+use tulipridge_protocol::number::Epoch;
 
 use crate::delivery::Delivery;
 use crate::fleet::FleetTable;
@@ -35,7 +37,7 @@
 }
 
 impl RolloutOutput for SingletonOutputs {
-    fn weights(&self, epoch: u64, lines: Vec<ModelWeights>) {
+    fn weights(&self, epoch: Epoch, lines: Vec<ModelWeights>) {
         self.delivery.set_weights(epoch, lines);
     }
 
@@ -43,7 +45,7 @@
         self.deliver_fleet();
     }
 
-    fn named(&self) -> BTreeMap<String, u64> {
+    fn named(&self) -> BTreeMap<String, WeightsRevision> {
         self.member.published().weights
     }
 
@@ -69,7 +71,7 @@
         self.delivery.known_sources()
     }
 
-    fn deliver(&self, epoch: u64, updates: &[CacheUpdate]) {
+    fn deliver(&self, epoch: Epoch, updates: &[CacheUpdate]) {
         self.delivery.update_cache_index(epoch, updates);
     }
 }
--- a/crates/control-plane/src/server/start.rs
+++ b/crates/control-plane/src/server/start.rs
@@ -5,7 +5,7 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use snafu::{OptionExt, ResultExt};
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 use tulipridge_runtime::clock;
 use tulipridge_runtime::settings::Settings;
 
@@ -17,7 +17,7 @@
 use crate::state_machine::{StateMachine, StateMachineEvent};
 
 /// The generation of the seeds, whose disks are formatted at the first start of the whole system.
-const SEED_GENERATION: u64 = 0;
+const SEED_GENERATION: Generation = Generation::FIRST;
 
 /// A member whose threads have started, and what they report.
 pub(super) struct StartedMember {
--- a/crates/control-plane/src/singleton.rs
+++ b/crates/control-plane/src/singleton.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
+use tulipridge_protocol::number::Epoch;
 
 use crate::fleet::FleetTable;
 use crate::tenure::Tenure;
@@ -13,7 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SingletonLease {
     /// The primary's epoch: the fencing token of its orders.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// The tenure of the primary: while it stays the same, no other member had the lease between.
     pub tenure: Tenure,
 }
--- a/crates/control-plane/src/state/command.rs
+++ b/crates/control-plane/src/state/command.rs
@@ -5,6 +5,7 @@
 
 use musli::{Decode, Encode};
 use tulipridge_configuration::encoding::{self, EncodingError, Format};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_configuration::{AcceptedChange, ChangeEntry};
 
 /// The format of an encoded command.
@@ -20,7 +21,7 @@
         /// The model.
         model: String,
         /// The revision of the weights.
-        revision: u64,
+        revision: WeightsRevision,
     },
 }
 
@@ -37,7 +38,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Prepared {
     Configure(Box<AcceptedChange>),
-    NameWeights { model: String, revision: u64 },
+    NameWeights { model: String, revision: WeightsRevision },
 }
 
 impl Command {
--- a/crates/control-plane/src/state/mod.rs
+++ b/crates/control-plane/src/state/mod.rs
@@ -9,6 +9,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use tulipridge_configuration::configuration_state::Decision as ConfigurationDecision;
 use tulipridge_configuration::encoding::{self, EncodingError, Format};
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_configuration::{
     ApplyError, ConfigurationState, Document, EntryOutcome, SnapshotError, ValidationErrors,
 };
@@ -26,14 +27,14 @@
     /// Replaces the configuration.
     PutConfiguration {
         /// The version that it builds on.
-        if_match: Option<u64>,
+        if_match: Option<Revision>,
         /// The document.
         body: Vec<u8>,
     },
     /// Changes some items of the configuration.
     PatchConfiguration {
         /// The version that it builds on.
-        if_match: Option<u64>,
+        if_match: Option<Revision>,
         /// The items.
         body: Vec<u8>,
     },
@@ -42,7 +43,7 @@
         /// The model.
         model: String,
         /// The revision of the weights.
-        revision: u64,
+        revision: WeightsRevision,
     },
 }
 
@@ -54,7 +55,7 @@
     /// It builds on another version than the current one.
     Stale {
         /// The current version.
-        current: u64,
+        current: Revision,
     },
     /// The configuration is not valid.
     InvalidConfiguration {
@@ -64,7 +65,7 @@
     /// The weights are older than those named, and were never named themselves.
     OldWeights {
         /// The newest revision that was named.
-        newest: u64,
+        newest: WeightsRevision,
     },
     /// It is accepted, and takes effect once its command is committed.
     Accept(Box<Accepted>),
@@ -158,7 +159,7 @@
         }
     }
 
-    fn decide_weights(&self, model: &str, revision: u64) -> Decision {
+    fn decide_weights(&self, model: &str, revision: WeightsRevision) -> Decision {
         match self.weights.decide(model, revision) {
             WeightsDecision::AlreadyNamed => Decision::AlreadyAccepted,
             WeightsDecision::Old { newest } => Decision::OldWeights { newest },
@@ -198,7 +199,7 @@
         }
     }
 
-    fn name_weights(&mut self, model: String, revision: u64) -> Applied {
+    fn name_weights(&mut self, model: String, revision: WeightsRevision) -> Applied {
         match self.weights.decide(&model, revision) {
             WeightsDecision::Old { .. } => return Applied::Superseded,
             WeightsDecision::AlreadyNamed => {}
--- a/crates/control-plane/src/state/weights.rs
+++ b/crates/control-plane/src/state/weights.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 
 use musli::{Decode, Encode};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_configuration::{RecentRequests, RequestDigest};
 
 /// The newest weights of each model, and the digests by which repeated requests are recognized.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NamedWeights {
-    newest: BTreeMap<String, u64>,
+    newest: BTreeMap<String, WeightsRevision>,
     accepted: RecentRequests,
 }
 
@@ -20,7 +21,7 @@
     /// They are older than those named, and aren't known to have been named themselves.
     Old {
         /// The newest revision that was named.
-        newest: u64,
+        newest: WeightsRevision,
     },
     /// They are new.
     Accept,
@@ -29,7 +30,7 @@
 /// Their encoded form in a snapshot. Stored: the order of fields is part of the format.
 #[derive(Encode, Decode)]
 pub(super) struct Snapshot {
-    newest: BTreeMap<String, u64>,
+    newest: BTreeMap<String, WeightsRevision>,
     #[musli(bytes)]
     accepted: Vec<u8>,
 }
@@ -37,7 +38,7 @@
 impl NamedWeights {
     /// Decides on a request that names weights; nothing changes.
     #[must_use]
-    pub fn decide(&self, model: &str, revision: u64) -> WeightsDecision {
+    pub fn decide(&self, model: &str, revision: WeightsRevision) -> WeightsDecision {
         match self.newest.get(model) {
             Some(newest) if *newest == revision => WeightsDecision::AlreadyNamed,
             Some(newest) if *newest > revision => self.decide_older(model, revision, *newest),
@@ -45,7 +46,12 @@
         }
     }
 
-    fn decide_older(&self, model: &str, revision: u64, newest: u64) -> WeightsDecision {
+    fn decide_older(
+        &self,
+        model: &str,
+        revision: WeightsRevision,
+        newest: WeightsRevision,
+    ) -> WeightsDecision {
         if self.accepted.contains(&RequestDigest::of_weights(model, revision)) {
             WeightsDecision::AlreadyNamed
         } else {
@@ -54,14 +60,14 @@
     }
 
     /// Names weights that are newer than all before.
-    pub(super) fn name(&mut self, model: String, revision: u64) {
+    pub(super) fn name(&mut self, model: String, revision: WeightsRevision) {
         self.accepted.record(RequestDigest::of_weights(&model, revision));
         self.newest.insert(model, revision);
     }
 
     /// The newest revision of each model.
     #[must_use]
-    pub fn newest(&self) -> BTreeMap<String, u64> {
+    pub fn newest(&self) -> BTreeMap<String, WeightsRevision> {
         self.newest.clone()
     }
 
--- a/crates/control-plane/src/state_log.rs
+++ b/crates/control-plane/src/state_log.rs
@@ -12,6 +12,7 @@
 use musli::{Decode, Encode};
 use snafu::{ResultExt, Snafu};
 use tulipridge_protocol::frame::{self, FrameError};
+use tulipridge_protocol::node::Generation;
 use tulipridge_write_ahead_log::{
     Directory, FileSystemDirectory, OpenedLog, Recovered, WriteAheadLog, WriteAheadLogError,
 };
@@ -42,7 +43,7 @@
 #[derive(Debug, Encode, Decode)]
 enum LogRecord {
     /// The first record: the generation of the disk.
-    Generation(u64),
+    Generation(Generation),
     /// A change of the member's state.
     Change(DurableRecord),
 }
@@ -51,7 +52,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct DiskImage {
     /// Tells disks of one machine apart; 0 if it was formatted at the first start of the whole system.
-    pub generation: u64,
+    pub generation: Generation,
     /// The member's state.
     pub state: DurableState,
 }
@@ -142,7 +143,11 @@
     /// # Errors
     ///
     /// If the write fails; the disk is as empty as before then, or found formatted on the next open.
-    pub fn format(&mut self, generation: u64, changes: &[DurableRecord]) -> Result<(), WriteAheadLogError> {
+    pub fn format(
+        &mut self,
+        generation: Generation,
+        changes: &[DurableRecord],
+    ) -> Result<(), WriteAheadLogError> {
         let mut encoded = vec![encode(&LogRecord::Generation(generation))];
         encoded.extend(changes.iter().map(encode_change));
         self.append_encoded(&encoded)?;
--- a/crates/control-plane/src/state_machine/mod.rs
+++ b/crates/control-plane/src/state_machine/mod.rs
@@ -3,59 +3,21 @@
 //! Large configurations take long to read and check, so this is done beside the loop that sends heartbeats. Jobs are
 //! worked through in their order: a decision sees all commands that were handed over before it.
 
+mod event;
 mod worker;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread;
 
 use async_channel::Sender;
 use snafu::{ResultExt, Snafu};
-use tulipridge_configuration::Configuration;
 
-use crate::state::{Applied, Change, Decision, StateError};
+use crate::state::{Change, Decision};
+pub use event::{Published, StateMachineEvent, StateSnapshot};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use worker::{Job, Worker};
 
-/// The encoded state after an entry.
-#[derive(Debug)]
-pub struct StateSnapshot {
-    /// The newest entry that it contains.
-    pub sequence: u64,
-    /// The encoded state.
-    pub state: Vec<u8>,
-}
-
-/// What the state machine reports, in the order of the commands.
-#[derive(Debug)]
-pub enum StateMachineEvent {
-    /// A command was applied, or the state was restored.
-    Applied {
-        /// The command's entry.
-        sequence: u64,
-        /// What it has changed; none for a restored state, which may differ in everything.
-        applied: Option<Applied>,
-        /// What is delivered now.
-        published: Published,
-    },
-    /// All that was handed over before [`StateMachine::catch_up`] with this epoch is applied.
-    CaughtUp {
-        /// The epoch.
-        epoch: u64,
-    },
-    /// The state can't be kept up and the thread has ended: the member must not go on.
-    Failed(StateError),
-}
-
-/// The parts of the state that are delivered.
-#[derive(Clone, Debug, Default)]
-pub struct Published {
-    /// The newest configuration.
-    pub configuration: Option<Arc<Configuration>>,
-    /// The newest weights that were named, by model.
-    pub weights: BTreeMap<String, u64>,
-}
-
 /// The thread could not be started.
 #[derive(Debug, Snafu)]
 #[snafu(display("the thread of the agreed state can't be started: {source}"))]
@@ -85,12 +47,12 @@
     }
 
     /// Applies a committed command.
-    pub fn apply(&self, sequence: u64, command: Arc<[u8]>) {
+    pub fn apply(&self, sequence: SequenceNumber, command: Arc<[u8]>) {
         self.submit(Job::Apply { sequence, command });
     }
 
     /// Replaces the state by that of a snapshot at an entry.
-    pub fn restore(&self, sequence: u64, snapshot: Arc<[u8]>) {
+    pub fn restore(&self, sequence: SequenceNumber, snapshot: Arc<[u8]>) {
         self.submit(Job::Restore { sequence, snapshot });
     }
 
@@ -111,7 +73,7 @@
 
     /// Requests a [`StateMachineEvent::CaughtUp`] when all that was handed over before is applied, for a primary whose
     /// `epoch` begins.
-    pub fn catch_up(&self, epoch: u64) {
+    pub fn catch_up(&self, epoch: Epoch) {
         self.submit(Job::CatchUp { epoch });
     }
 
--- a/crates/control-plane/src/state_machine/worker.rs
+++ b/crates/control-plane/src/state_machine/worker.rs
@@ -5,25 +5,26 @@
 
 use async_channel::Sender;
 use tulipridge_configuration::Document;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 
-use super::{Published, StateMachineEvent, StateSnapshot};
+use super::event::{Published, StateMachineEvent, StateSnapshot};
 use crate::state::{Accepted, Applied, Change, Decision, State, StateError};
 
 /// Something to be done with the state.
 pub(super) enum Job {
     Decide { change: Arc<Change>, reply: Sender<Decision> },
-    Apply { sequence: u64, command: Arc<[u8]> },
-    Restore { sequence: u64, snapshot: Arc<[u8]> },
+    Apply { sequence: SequenceNumber, command: Arc<[u8]> },
+    Restore { sequence: SequenceNumber, snapshot: Arc<[u8]> },
     Snapshot { reply: Sender<StateSnapshot> },
     Document { reply: Sender<Option<Arc<[u8]>>> },
-    CatchUp { epoch: u64 },
+    CatchUp { epoch: Epoch },
 }
 
 /// Works through jobs in their order.
 pub(super) struct Worker {
     state: State,
     /// The newest entry that the state contains.
-    sequence: u64,
+    sequence: SequenceNumber,
     /// The change that was decided on last: it need not be decoded and checked again when it is committed.
     accepted: Option<Accepted>,
     events: Sender<StateMachineEvent>,
@@ -32,7 +33,7 @@
 impl Worker {
     /// A worker with the empty state.
     pub(super) fn new(events: Sender<StateMachineEvent>) -> Worker {
-        Worker { state: State::default(), sequence: 0, accepted: None, events }
+        Worker { state: State::default(), sequence: SequenceNumber(0), accepted: None, events }
     }
 
     /// Works until the queue is closed, or the state can't be kept up.
@@ -89,7 +90,7 @@
         StateSnapshot { sequence: self.sequence, state: self.state.snapshot() }
     }
 
-    fn report_applied(&mut self, sequence: u64, applied: Option<Applied>) {
+    fn report_applied(&mut self, sequence: SequenceNumber, applied: Option<Applied>) {
         self.sequence = sequence;
         let configuration = self.state.document().map(|document| document.configuration().clone());
         let published = Published { configuration, weights: self.state.weights().newest() };
--- a/crates/control-plane/src/tenure.rs
+++ b/crates/control-plane/src/tenure.rs
@@ -2,10 +2,12 @@
 
 use std::fmt;
 
+use tulipridge_protocol::number::Epoch;
+
 /// The epoch in which a member became primary, while it stays primary through later epochs: equal tenures mean that no
 /// other member was primary between.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Tenure(pub u64);
+pub struct Tenure(pub Epoch);
 
 impl fmt::Display for Tenure {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/control-plane/tests/announcement_times.rs
+++ b/crates/control-plane/tests/announcement_times.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_control_plane::rollout::AnnouncementTimes;
 
 const START: Duration = Duration::from_secs(100);
@@ -22,10 +23,10 @@
 /// The same, which first saw one revision 5 s ago and another 2 s ago.
 fn with_two_announcements() -> AnnouncementTimes {
     let mut times = caught_up();
-    times.record("m", 2);
+    times.record("m", WeightsRevision(2));
     times.advance(CAUGHT_UP + secs(3), true);
-    times.record("m", 3);
-    times.record("other", 7);
+    times.record("m", WeightsRevision(3));
+    times.record("other", WeightsRevision(7));
     times.advance(CAUGHT_UP + secs(5), true);
     times
 }
@@ -33,61 +34,61 @@
 #[test]
 fn each_announcement_has_an_age_of_its_own() {
     let times = with_two_announcements();
-    assert_eq!(times.age("m", 2), Some(secs(5)));
-    assert_eq!(times.age("m", 3), Some(secs(2)));
-    assert_eq!(times.age("other", 7), Some(secs(2)));
-    assert_eq!(times.age("m", 4), None);
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(5)));
+    assert_eq!(times.age("m", WeightsRevision(3)), Some(secs(2)));
+    assert_eq!(times.age("other", WeightsRevision(7)), Some(secs(2)));
+    assert_eq!(times.age("m", WeightsRevision(4)), None);
 }
 
 #[test]
 fn an_announcement_that_is_seen_again_keeps_its_age() {
     let mut times = with_two_announcements();
-    times.record("m", 2);
-    times.record("m", 3);
-    assert_eq!(times.age("m", 2), Some(secs(5)));
-    assert_eq!(times.age("m", 3), Some(secs(2)));
+    times.record("m", WeightsRevision(2));
+    times.record("m", WeightsRevision(3));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(5)));
+    assert_eq!(times.age("m", WeightsRevision(3)), Some(secs(2)));
 }
 
 #[test]
 fn of_time_without_a_primary_only_the_first_second_counts() {
     let mut times = caught_up();
-    times.record("m", 2);
+    times.record("m", WeightsRevision(2));
     times.advance(CAUGHT_UP + secs(1), true);
     times.advance(CAUGHT_UP + secs(8), false);
-    assert_eq!(times.age("m", 2), Some(secs(2)));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(2)));
     times.advance(CAUGHT_UP + secs(20), false);
-    assert_eq!(times.age("m", 2), Some(secs(2)));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(2)));
     times.advance(CAUGHT_UP + secs(21), true);
-    assert_eq!(times.age("m", 2), Some(secs(3)));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(3)));
 }
 
 #[test]
 fn a_short_time_without_a_primary_counts() {
     let mut times = caught_up();
-    times.record("m", 2);
+    times.record("m", WeightsRevision(2));
     for step in 1..=4 {
         times.advance(CAUGHT_UP + Duration::from_millis(200 * step), false);
     }
     times.advance(CAUGHT_UP + secs(1), true);
-    assert_eq!(times.age("m", 2), Some(secs(1)));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(1)));
 }
 
 #[test]
 fn a_target_that_is_seen_right_after_the_start_is_assumed_to_be_older() {
     let mut times = AnnouncementTimes::new(START);
     times.advance(START + secs(1), true);
-    times.record("m", 2);
-    assert_eq!(times.age("m", 2), Some(secs(5)));
+    times.record("m", WeightsRevision(2));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(5)));
     times.advance(START + secs(4), true);
-    times.record("m", 3);
-    assert_eq!(times.age("m", 2), Some(secs(8)));
-    assert_eq!(times.age("m", 3), Some(Duration::ZERO));
+    times.record("m", WeightsRevision(3));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(8)));
+    assert_eq!(times.age("m", WeightsRevision(3)), Some(Duration::ZERO));
 }
 
 #[test]
 fn a_target_that_is_seen_before_any_primary_is_known_is_assumed_to_be_older() {
     let mut times = AnnouncementTimes::new(START);
     times.advance(START + secs(30), false);
-    times.record("m", 2);
-    assert_eq!(times.age("m", 2), Some(secs(5)));
+    times.record("m", WeightsRevision(2));
+    assert_eq!(times.age("m", WeightsRevision(2)), Some(secs(5)));
 }
--- a/crates/control-plane/tests/api.rs
+++ b/crates/control-plane/tests/api.rs
@@ -12,13 +12,15 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use insta::assert_snapshot;
 use rstest::rstest;
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_control_plane::api::{
     Api, ApiLimits, ChangeOutcome, ControlPlane, IndexSize, ReplicaWeights, Standing, Status,
 };
 use tulipridge_control_plane::state::Change;
 use tulipridge_control_plane::tenure::Tenure;
+use tulipridge_protocol::number::Epoch;
 
-const PRIMARY: Standing = Standing::Primary { tenure: Tenure(5) };
+const PRIMARY: Standing = Standing::Primary { tenure: Tenure(Epoch(5)) };
 const OTHER: Standing = Standing::Follower { primary: Ipv4Addr::new(10, 0, 0, 7) };
 const OPERATOR_PORT: u16 = 8683;
 
@@ -60,7 +62,10 @@
     fn status(&self) -> Status {
         let replica_weights = ReplicaWeights::from([(
             "m".to_owned(),
-            BTreeMap::from([(1, vec!["i-2".to_owned()]), (2, vec!["i-1".to_owned(), "i-3".to_owned()])]),
+            BTreeMap::from([
+                (WeightsRevision(1), vec!["i-2".to_owned()]),
+                (WeightsRevision(2), vec!["i-1".to_owned(), "i-3".to_owned()]),
+            ]),
         )]);
         Status {
             node: "10.0.0.1/0".to_owned(),
@@ -132,7 +137,8 @@
 
     {"revision":7}
     "#);
-    let change = Change::PutConfiguration { if_match: Some(5), body: br#"{"revision":7}"#.to_vec() };
+    let change =
+        Change::PutConfiguration { if_match: Some(Revision(5)), body: br#"{"revision":7}"#.to_vec() };
     assert_eq!(*control.changes.borrow(), [change]);
 }
 
@@ -153,13 +159,14 @@
 
 ";
     assert!(exchange(&control, sent).starts_with("HTTP/1.1 200 OK"));
-    let change = Change::PatchConfiguration { if_match: Some(7), body: br#"{"revision":9}"#.to_vec() };
+    let change =
+        Change::PatchConfiguration { if_match: Some(Revision(7)), body: br#"{"revision":9}"#.to_vec() };
     assert_eq!(*control.changes.borrow(), [change]);
 }
 
 #[test]
 fn a_change_on_top_of_another_version_is_refused() {
-    assert_snapshot!(exchange(&control(ChangeOutcome::Stale { current: 6 }), PUT), @r#"
+    assert_snapshot!(exchange(&control(ChangeOutcome::Stale { current: Revision(6) }), PUT), @r#"
     HTTP/1.1 412 Precondition Failed
     Content-Type: application/json
     Content-Length: 51
@@ -252,7 +259,7 @@
 #[rstest]
 #[case::another_primary(OTHER)]
 #[case::no_lease(Standing::Unknown)]
-#[case::another_primary_between(Standing::Primary { tenure: Tenure(9) })]
+#[case::another_primary_between(Standing::Primary { tenure: Tenure(Epoch(9)) })]
 fn a_document_that_may_be_old_is_not_returned(#[case] standing: Standing) {
     let document = Some(br#"{"revision":7}"#.as_slice().into());
     let standing_after_reading = Some(standing);
@@ -276,7 +283,7 @@
 
 {\"llm\":\"m\",\"revision\":2}";
     assert!(exchange(&control, sent).starts_with("HTTP/1.1 200 OK"));
-    let change = Change::NameWeights { model: "m".to_owned(), revision: 2 };
+    let change = Change::NameWeights { model: "m".to_owned(), revision: WeightsRevision(2) };
     assert_eq!(*control.changes.borrow(), [change]);
 }
 
--- a/crates/control-plane/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -1,8 +1,9 @@
 //! What the control plane learns from each way in which one of its calls can end, and what it does after an order to
 //! a replica. The table is `docs/design/calls.md`.
 
+mod rollout_stand_ins;
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,18 +11,19 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use rollout_stand_ins::{LEASE, Output, PrimaryStatus};
 use rstest::rstest;
 use socket2::{Domain, SockRef, Socket, Type};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_control_plane::discovery::Discovery;
 use tulipridge_control_plane::fleet::FleetTable;
 use tulipridge_control_plane::http_client::{Call, CallError, HttpClient};
 use tulipridge_control_plane::index::{Follower, Outbox, SourceKind};
-use tulipridge_control_plane::rollout::{PlannerSettings, Rollout, RolloutOutput};
-use tulipridge_control_plane::singleton::{LeaseStatus, SingletonContext, SingletonLease};
-use tulipridge_control_plane::tenure::Tenure;
+use tulipridge_control_plane::rollout::{PlannerSettings, Rollout};
+use tulipridge_control_plane::singleton::SingletonContext;
 use tulipridge_http1::{Http1Limits, within};
 use tulipridge_prefix_cache_index::Liveness;
-use tulipridge_protocol::feed::{ModelRevision, ModelWeights, Replica, ReplicaPhase};
+use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase};
 use tulipridge_runtime::settings::RevisionTerm;
 
 /// Time for a call that is to run out of it.
@@ -300,40 +302,6 @@
 
 // ---- orders -----------------------------------------------------------------------------------------------
 
-const DUTY: SingletonLease = SingletonLease { epoch: 9, tenure: Tenure(7) };
-
-struct Holder;
-
-impl LeaseStatus for Holder {
-    fn singleton_lease(&self) -> Option<SingletonLease> {
-        Some(DUTY)
-    }
-
-    fn knows_primary(&self) -> bool {
-        true
-    }
-}
-
-struct Output;
-
-impl RolloutOutput for Output {
-    fn weights(&self, _: u64, _: Vec<ModelWeights>) {}
-
-    fn fleet_corrected(&self) {}
-
-    fn named(&self) -> BTreeMap<String, u64> {
-        BTreeMap::from([("m".to_owned(), 2)])
-    }
-
-    fn delivered(&self) -> Vec<ModelWeights> {
-        Vec::new()
-    }
-
-    fn waiting(&self) -> BTreeMap<String, u32> {
-        BTreeMap::new()
-    }
-}
-
 fn replica(address: SocketAddr) -> Replica {
     Replica {
         id: "i-1".to_owned(),
@@ -343,7 +311,7 @@
         capacity: 8,
         phase: ReplicaPhase::Ready,
         warm_left_ms: 0,
-        models: vec![ModelRevision { model: "m".to_owned(), revision: 1 }],
+        models: vec![ModelRevision { model: "m".to_owned(), revision: WeightsRevision(1) }],
     }
 }
 
@@ -376,24 +344,25 @@
         _ => address,
     };
     let table = Rc::new(RefCell::new(FleetTable::default()));
-    table.borrow_mut().replace(DUTY.tenure, vec![replica(first_address)]);
+    table.borrow_mut().replace(LEASE.tenure, vec![replica(first_address)]);
     let context = SingletonContext {
         executor: executor.clone(),
-        lease_status: Rc::new(Holder),
+        lease_status: Rc::new(PrimaryStatus),
         table: table.clone(),
     };
     let settings = PlannerSettings {
         revision_term: RevisionTerm::new(Duration::from_secs(12)),
         lease_term: Duration::ZERO,
     };
-    let (rollout, events) = Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output));
+    let (rollout, events) =
+        Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output::default()));
     let peer = Peer::new(number, ending, |_| LOADS);
     let serving = async {
         if first_address != address {
             // The list shows it at its address before it is ordered again.
             Timer::after(Duration::from_millis(900)).await;
             peer.ending.borrow_mut().take();
-            table.borrow_mut().replace(DUTY.tenure, vec![replica(address)]);
+            table.borrow_mut().replace(LEASE.tenure, vec![replica(address)]);
             events
                 .send(tulipridge_control_plane::rollout::Event::Listed)
                 .await
@@ -452,7 +421,7 @@
 fn calls_of_walk(ending: Ending) -> Vec<String> {
     let executor = Rc::new(LocalExecutor::new());
     let (listener, address) = listen();
-    let context = SingletonContext { executor, lease_status: Rc::new(Holder), table: Rc::default() };
+    let context = SingletonContext { executor, lease_status: Rc::new(PrimaryStatus), table: Rc::default() };
     let (sender, listed) = async_channel::unbounded();
     let on_list = move || {
         let _ = sender.try_send(());
--- a/crates/control-plane/tests/change.rs
+++ b/crates/control-plane/tests/change.rs
@@ -5,13 +5,15 @@
 use std::sync::Arc;
 
 use rstest::rstest;
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_control_plane::api::ChangeOutcome;
 use tulipridge_control_plane::change::{self, ChangeAuthority, ProposalOutcome};
 use tulipridge_control_plane::state::{Applied, Change, Decision, State};
 use tulipridge_control_plane::tenure::Tenure;
+use tulipridge_protocol::number::Epoch;
 
-const TENURE: Tenure = Tenure(7);
-const NEXT_TENURE: Tenure = Tenure(8);
+const TENURE: Tenure = Tenure(Epoch(7));
+const NEXT_TENURE: Tenure = Tenure(Epoch(8));
 
 /// A member with a state of its own, whose leadership and proposals are scripted.
 #[derive(Default)]
@@ -76,19 +78,19 @@
 }
 
 fn put(if_match: u64, revision: u64) -> Change {
-    Change::PutConfiguration { if_match: Some(if_match), body: document(revision) }
+    Change::PutConfiguration { if_match: Some(Revision(if_match)), body: document(revision) }
 }
 
 fn weights(revision: u64) -> Change {
-    Change::NameWeights { model: "m".to_owned(), revision }
+    Change::NameWeights { model: "m".to_owned(), revision: WeightsRevision(revision) }
 }
 
 /// Changes that get each of the decisions at a member with configuration 3 and weights 5.
 #[rstest]
 #[case::accept(put(3, 4), ChangeOutcome::Taken)]
 #[case::already_taken(put(0, 3), ChangeOutcome::Taken)]
-#[case::stale(put(2, 9), ChangeOutcome::Stale { current: 3 })]
-#[case::old_weights(weights(4), ChangeOutcome::OldWeights { newest: 5 })]
+#[case::stale(put(2, 9), ChangeOutcome::Stale { current: Revision(3) })]
+#[case::old_weights(weights(4), ChangeOutcome::OldWeights { newest: WeightsRevision(5) })]
 fn only_a_member_that_was_primary_throughout_responds(
     #[case] change: Change,
     #[case] expected: ChangeOutcome,
@@ -110,7 +112,7 @@
 
 #[test]
 fn an_invalid_configuration_is_refused_by_a_primary_only() {
-    let invalid = || Change::PutConfiguration { if_match: Some(0), body: b"{".to_vec() };
+    let invalid = || Change::PutConfiguration { if_match: Some(Revision(0)), body: b"{".to_vec() };
     let outcome = Authority::with_tenures(&[Some(TENURE)]).carry_out(invalid());
     assert!(matches!(outcome, ChangeOutcome::Invalid { .. }), "{outcome:?}");
     let deposed = Authority::with_tenures(&[Some(TENURE), None]);
@@ -121,7 +123,7 @@
 /// one is applied; otherwise the change is decided on once more, by the newer state.
 #[rstest]
 #[case::the_same_change(put(0, 3), ChangeOutcome::Taken, 1)]
-#[case::another_change(put(0, 2), ChangeOutcome::Stale { current: 2 }, 2)]
+#[case::another_change(put(0, 2), ChangeOutcome::Stale { current: Revision(2) }, 2)]
 fn a_superseded_change_is_decided_on_by_the_newer_state(
     #[case] earlier: Change,
     #[case] expected: ChangeOutcome,
--- a/crates/control-plane/tests/discovery.rs
+++ b/crates/control-plane/tests/discovery.rs
@@ -13,6 +13,7 @@
 use tulipridge_control_plane::singleton::{LeaseStatus, SingletonContext, SingletonLease};
 use tulipridge_control_plane::tenure::Tenure;
 use tulipridge_http1::within;
+use tulipridge_protocol::number::Epoch;
 
 const ENTRY: &str = r#"{"backend":"chat","address":"10.128.0.9:8080","area":"a","revision":"v1","capacity":128,"phase":"ready","warmLeftMs":12.5,"half":"either","llms":[{"label":"m","revision":1,"addons":[]}],"ident":"i-1"}"#;
 
@@ -104,7 +105,7 @@
 
 // ---- complete polls------------------------------------------------------------------------------------------
 
-const LEASE: SingletonLease = SingletonLease { epoch: 9, tenure: Tenure(7) };
+const LEASE: SingletonLease = SingletonLease { epoch: Epoch(9), tenure: Tenure(Epoch(7)) };
 
 /// A member that is primary.
 struct PrimaryStatus;
--- a/crates/control-plane/tests/disk.rs
+++ b/crates/control-plane/tests/disk.rs
@@ -6,9 +6,10 @@
 
 use rstest::rstest;
 use tulipridge_control_plane::disk::{Boot, DiskError, DiskEvent, OpenedDisk};
-use tulipridge_control_plane::replication::DurableRecord;
+use tulipridge_control_plane::replication::{DurableRecord, WriteTicket};
 use tulipridge_control_plane::state_log::DiskImage;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, View};
 
 /// A folder that is removed when the test ends.
@@ -31,10 +32,12 @@
         let opened = self.open(Boot::First { view: None });
         let disk = opened.start(sender).expect("the thread starts").disk;
         for (index, records) in batches.iter().enumerate() {
-            disk.persist(index as u64 + 1, records.clone());
+            disk.persist(WriteTicket(index as u64 + 1), records.clone());
         }
         let last = batches.len() as u64;
-        while !matches!(events.recv_blocking(), Ok(DiskEvent::Persisted { ticket }) if ticket == last) {}
+        while !matches!(events.recv_blocking(), Ok(DiskEvent::Persisted { ticket }) if ticket == WriteTicket(last))
+        {
+        }
         drop(disk);
         // The thread has closed its files once its channel closes.
         while events.recv_blocking().is_ok() {}
@@ -48,12 +51,12 @@
 }
 
 fn view(epoch: u64) -> View {
-    let node = NodeId { ip: 1, generation: 0 };
-    View { epoch, voters: vec![node], previous_voters: Vec::new(), data_replicas: vec![node] }
+    let node = NodeId { ip: 1, generation: Generation(0) };
+    View { epoch: Epoch(epoch), voters: vec![node], previous_voters: Vec::new(), data_replicas: vec![node] }
 }
 
 fn entry(sequence: u64, bytes: usize) -> DurableRecord {
-    DurableRecord::Entry(Entry { sequence, command: Arc::from(vec![7; bytes]) })
+    DurableRecord::Entry(Entry { sequence: SequenceNumber(sequence), command: Arc::from(vec![7; bytes]) })
 }
 
 #[test]
@@ -72,14 +75,14 @@
     drop(opened);
     // Before anything else was written, and with settings that no longer name the first start.
     let again = folder.open(Boot::Later);
-    assert_eq!((again.image.generation, again.image.state.view.clone()), (0, Some(view(0))));
+    assert_eq!((again.image.generation, again.image.state.view.clone()), (Generation(0), Some(view(0))));
 }
 
 #[test]
 fn a_later_disk_has_a_generation_of_its_own_and_keeps_it() {
     let folder = Folder::new();
     let generation = folder.open(Boot::Later).image.generation;
-    assert_ne!(generation, 0);
+    assert_ne!(generation, Generation(0));
     let again = folder.open(Boot::First { view: None });
     assert!(!again.is_fresh);
     assert_eq!(again.image.generation, generation);
@@ -91,10 +94,14 @@
 fn what_was_persisted_is_recovered(#[case] bytes: usize) {
     let folder = Folder::new();
     let batches = vec![
-        vec![DurableRecord::Promised(9), DurableRecord::View(view(9)), DurableRecord::DataEpoch(9)],
+        vec![
+            DurableRecord::Promised(Epoch(9)),
+            DurableRecord::View(view(9)),
+            DurableRecord::DataEpoch(Epoch(9)),
+        ],
         vec![entry(1, bytes)],
         vec![entry(2, bytes), entry(3, bytes)],
-        vec![DurableRecord::Snapshot { sequence: 2, snapshot: Arc::from(&b"state"[..]) }],
+        vec![DurableRecord::Snapshot { sequence: SequenceNumber(2), snapshot: Arc::from(&b"state"[..]) }],
     ];
     folder.write(&batches);
     let mut expected = DiskImage::default();
--- a/crates/control-plane/tests/disk_log.rs
+++ b/crates/control-plane/tests/disk_log.rs
@@ -7,7 +7,8 @@
 use async_channel::Receiver;
 use log::{LevelFilter, Log, Metadata, Record};
 use tulipridge_control_plane::disk::{Boot, Disk, DiskEvent, OpenedDisk};
-use tulipridge_control_plane::replication::DurableRecord;
+use tulipridge_control_plane::replication::{DurableRecord, WriteTicket};
+use tulipridge_protocol::number::SequenceNumber;
 use tulipridge_protocol::replication::Entry;
 
 /// Longer than the records after which the log is compacted, and than a segment of it.
@@ -34,12 +35,17 @@
 
 fn persist(disk: &Disk, ticket: u64, bytes: usize) {
     let command = Arc::from(vec![7; bytes]);
-    disk.persist(ticket, vec![DurableRecord::Entry(Entry { sequence: ticket, command })]);
+    disk.persist(
+        WriteTicket(ticket),
+        vec![DurableRecord::Entry(Entry { sequence: SequenceNumber(ticket), command })],
+    );
 }
 
 /// Waits until a ticket is on disk.
 fn wait_for(events: &Receiver<DiskEvent>, ticket: u64) {
-    while !matches!(events.recv_blocking(), Ok(DiskEvent::Persisted { ticket: done }) if done == ticket) {}
+    while !matches!(events.recv_blocking(), Ok(DiskEvent::Persisted { ticket: done }) if done == WriteTicket(ticket))
+    {
+    }
 }
 
 #[test]
--- a/crates/control-plane/tests/fleet.rs
+++ b/crates/control-plane/tests/fleet.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_control_plane::fleet::{Corrections, FleetTable};
 use tulipridge_control_plane::tenure::Tenure;
 use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase};
+use tulipridge_protocol::number::Epoch;
 
-const TENURE: Tenure = Tenure(7);
-const NEXT_TENURE: Tenure = Tenure(8);
+const TENURE: Tenure = Tenure(Epoch(7));
+const NEXT_TENURE: Tenure = Tenure(Epoch(8));
 
 fn replica(id: &str, phase: ReplicaPhase) -> Replica {
     Replica {
@@ -18,7 +20,7 @@
         capacity: 8,
         phase,
         warm_left_ms: 0,
-        models: vec![ModelRevision { model: "m".to_owned(), revision: 1 }],
+        models: vec![ModelRevision { model: "m".to_owned(), revision: WeightsRevision(1) }],
     }
 }
 
@@ -86,8 +88,8 @@
         Corrections { revisions: BTreeMap::from([("i-1".to_owned(), models)]), ..Corrections::default() }
     };
     let revision = |table: &FleetTable| table.replicas(TENURE).unwrap_or_default()[0].models[0].revision;
-    table.correct(reported(3));
-    assert_eq!(revision(&table), 3);
-    table.correct(reported(0));
-    assert_eq!(revision(&table), 1);
+    table.correct(reported(WeightsRevision(3)));
+    assert_eq!(revision(&table), WeightsRevision(3));
+    table.correct(reported(WeightsRevision(0)));
+    assert_eq!(revision(&table), WeightsRevision(1));
 }
--- a/crates/control-plane/tests/http_client.rs
+++ b/crates/control-plane/tests/http_client.rs
@@ -66,7 +66,7 @@
 #[rstest]
 #[case::until_close("HTTP/1.1 200 OK\r\n\r\nall of it")]
 #[case::chunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n")]
-fn bodies_are_read_whole(#[case] answer: &str) {
+fn bodies_are_read_to_their_end(#[case] answer: &str) {
     assert_eq!(call_once(answer, TIMEOUT).0.expect("it is answered").body, b"all of it");
 }
 
@@ -74,7 +74,7 @@
 #[case::cut_short("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall")]
 #[case::noise("what?\r\n\r\n")]
 #[case::nothing("")]
-fn what_is_no_whole_answer_is_none(#[case] answer: &str) {
+fn an_incomplete_response_is_none(#[case] answer: &str) {
     assert!(matches!(call_once(answer, TIMEOUT).0, Err(CallError::Broken { .. })));
 }
 
--- a/crates/control-plane/tests/links.rs
+++ b/crates/control-plane/tests/links.rs
@@ -8,7 +8,8 @@
 use futures_lite::AsyncReadExt;
 use tulipridge_control_plane::links::Links;
 use tulipridge_protocol::frame;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage};
 
 /// Two machines that share a port, as in a deployment.
@@ -16,8 +17,8 @@
 const RECEIVER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 
 fn prepare(epoch: u64) -> Envelope {
-    let message = ReplicationMessage::Prepare { epoch };
-    Envelope { from: NodeId::new(SENDER, 0), to: NodeId::new(RECEIVER, 0), message }
+    let message = ReplicationMessage::Prepare { epoch: Epoch(epoch) };
+    Envelope { from: NodeId::new(SENDER, Generation(0)), to: NodeId::new(RECEIVER, Generation(0)), message }
 }
 
 fn listen() -> Async<TcpListener> {
@@ -64,8 +65,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let listener = listen();
     let links = Rc::new(Links::new(executor.clone(), port(&listener)));
-    let entry = Entry { sequence: 1, command: vec![7; 3 << 20].into() };
-    let message = ReplicationMessage::Append { epoch: 1, entry };
+    let entry = Entry { sequence: SequenceNumber(1), command: vec![7; 3 << 20].into() };
+    let message = ReplicationMessage::Append { epoch: Epoch(1), entry };
     let sent = Envelope { message, ..prepare(1) };
     links.send(sent.clone());
     let received = async_io::block_on(executor.run(receive(&executor, &links, listener, 1)));
@@ -98,8 +99,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let listener = listen();
     let links = Rc::new(Links::new(executor.clone(), port(&listener)));
-    let entry = Entry { sequence: 1, command: vec![7; 24 << 20].into() };
-    links.send(Envelope { message: ReplicationMessage::Append { epoch: 1, entry }, ..prepare(1) });
+    let entry = Entry { sequence: SequenceNumber(1), command: vec![7; 24 << 20].into() };
+    links.send(Envelope { message: ReplicationMessage::Append { epoch: Epoch(1), entry }, ..prepare(1) });
     links.send(prepare(2));
     let received = async_io::block_on(executor.run(async {
         let mut connections = Vec::new();
--- a/crates/control-plane/tests/member.rs
+++ b/crates/control-plane/tests/member.rs
@@ -9,8 +9,9 @@
 };
 use tulipridge_control_plane::member::disk_health::DiskHealthMonitor;
 use tulipridge_control_plane::member::proposals::{OpenedProposal, Proposals};
-use tulipridge_control_plane::replication::FailureReason;
+use tulipridge_control_plane::replication::{FailureReason, WriteTicket};
 use tulipridge_control_plane::state::Applied;
+use tulipridge_protocol::number::SequenceNumber;
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -19,15 +20,15 @@
 #[test]
 fn a_write_that_hangs_shows_an_unhealthy_disk() {
     let mut monitor = DiskHealthMonitor::default();
-    monitor.write_started(1, 0, ms(0));
-    monitor.write_started(2, 0, ms(900));
+    monitor.write_started(WriteTicket(1), 0, ms(0));
+    monitor.write_started(WriteTicket(2), 0, ms(900));
     assert_eq!(monitor.health_change(ms(999)), None);
     assert_eq!(monitor.health_change(ms(1_000)), Some(false));
     assert_eq!(monitor.health_change(ms(1_500)), None, "it is reported once");
-    monitor.write_finished(1);
+    monitor.write_finished(WriteTicket(1));
     assert_eq!(monitor.health_change(ms(1_600)), Some(true));
     assert_eq!(monitor.health_change(ms(1_900)), Some(false), "the second write hangs too");
-    monitor.write_finished(2);
+    monitor.write_finished(WriteTicket(2));
     assert_eq!(monitor.health_change(ms(5_000)), Some(true));
 }
 
@@ -35,24 +36,24 @@
 #[test]
 fn a_long_write_has_more_time() {
     let mut monitor = DiskHealthMonitor::default();
-    monitor.write_started(1, 2 << 20, ms(0));
-    monitor.write_started(2, 0, ms(100));
+    monitor.write_started(WriteTicket(1), 2 << 20, ms(0));
+    monitor.write_started(WriteTicket(2), 0, ms(100));
     assert_eq!(monitor.health_change(ms(1_499)), None);
     assert_eq!(monitor.health_change(ms(1_500)), Some(false));
-    monitor.write_finished(1);
+    monitor.write_finished(WriteTicket(1));
     assert_eq!(monitor.health_change(ms(1_599)), Some(true));
     assert_eq!(monitor.health_change(ms(1_600)), Some(false));
-    monitor.write_finished(2);
+    monitor.write_finished(WriteTicket(2));
     assert_eq!(monitor.health_change(ms(1_700)), Some(true));
 }
 
 #[test]
 fn a_refused_write_shows_an_unhealthy_disk_until_it_succeeds() {
     let mut monitor = DiskHealthMonitor::default();
-    monitor.write_started(1, 0, ms(0));
+    monitor.write_started(WriteTicket(1), 0, ms(0));
     monitor.write_failed();
     assert_eq!(monitor.health_change(ms(10)), Some(false));
-    monitor.write_finished(1);
+    monitor.write_finished(WriteTicket(1));
     assert_eq!(monitor.health_change(ms(20)), Some(true));
 }
 
@@ -60,11 +61,11 @@
 fn a_proposal_ends_when_its_entry_is_applied() {
     let mut proposals = Proposals::default();
     let OpenedProposal { ticket, outcome } = proposals.open();
-    proposals.committed(4, None);
-    proposals.committed(5, Some(ticket));
-    proposals.applied(4, Some(Applied::Weights));
+    proposals.committed(SequenceNumber(4), None);
+    proposals.committed(SequenceNumber(5), Some(ticket));
+    proposals.applied(SequenceNumber(4), Some(Applied::Weights));
     assert!(outcome.try_recv().is_err());
-    proposals.applied(5, Some(Applied::Configuration));
+    proposals.applied(SequenceNumber(5), Some(Applied::Configuration));
     assert_eq!(outcome.try_recv(), Ok(ProposalOutcome::Applied(Applied::Configuration)));
 }
 
--- a/crates/control-plane/tests/member_process.rs
+++ b/crates/control-plane/tests/member_process.rs
@@ -12,6 +12,7 @@
 use futures_lite::future;
 use rstest::rstest;
 use serde_json::{Value, json};
+use tulipridge_configuration::number::Revision;
 use tulipridge_control_plane::http_client::{Call, HttpClient, Response};
 use tulipridge_control_plane::member::compaction::COMPACT_AFTER_COMMANDS;
 use tulipridge_control_plane::server::run_until;
@@ -112,7 +113,7 @@
         let subscriber = Subscriber::new(identity, store.clone());
         let is_served = || {
             let is_fresh = subscriber.age(clock::now()).is_some();
-            is_fresh && store.borrow().known_positions().configuration == revision
+            is_fresh && store.borrow().known_positions().configuration == Revision(revision)
         };
         let served = async {
             while !is_served() {
--- a/crates/control-plane/tests/model.rs
+++ b/crates/control-plane/tests/model.rs
@@ -31,7 +31,7 @@
 use support_model::setup::{DRIFT_PERCENT, MS, Setup, drifted};
 use support_model::world::World;
 use tulipridge_control_plane::state::State;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 
 /// A script that leads to a state.
 type Prefix = fn(Setup) -> World;
@@ -103,8 +103,8 @@
     assert_eq!(other_state.violation, Some(Violation::Diverged));
 
     let mut shared = History::default();
-    shared.became_primary(NodeId { ip: 1, generation: 0 }, 7, &State::default());
-    shared.became_primary(NodeId { ip: 2, generation: 0 }, 7, &State::default());
+    shared.became_primary(NodeId { ip: 1, generation: Generation(0) }, 7, &State::default());
+    shared.became_primary(NodeId { ip: 2, generation: Generation(0) }, 7, &State::default());
     assert_eq!(shared.violation, Some(Violation::SharedEpoch));
 
     let mut stale = History::default();
--- a/crates/control-plane/tests/rated_cluster/mod.rs
+++ b/crates/control-plane/tests/rated_cluster/mod.rs
@@ -8,13 +8,15 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
-
-use tulipridge_control_plane::member::disk_health::DiskHealthMonitor;
 use tulipridge_control_plane::replication::{
-    DurableRecord, DurableState, FailureReason, Input, Output, Replication, ReplicationSettings, Role,
+    DurableRecord, DurableState, FailureReason, Input, Output, ProposalTicket, Replication,
+    ReplicationSettings, Role, WriteTicket,
 };
+
+use tulipridge_control_plane::member::disk_health::DiskHealthMonitor;
 use tulipridge_control_plane::state_log::COMPACT_AFTER_RECORD_BYTES;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::SequenceNumber;
 use tulipridge_protocol::replication::{Envelope, ReplicationMessage};
 
 use super::support::checker::Checker;
@@ -194,7 +196,7 @@
         };
         for index in 0..members {
             let generation = if index < seeds { 0 } else { index as u64 };
-            let node = NodeId::new(Ipv4Addr::new(10, 0, 0, 10 + index as u8), generation);
+            let node = NodeId::new(Ipv4Addr::new(10, 0, 0, 10 + index as u8), Generation(generation));
             let (disk, speed) = (DurableState::default(), DiskSpeed::USUAL);
             cluster.members.push(Member {
                 node,
@@ -229,10 +231,10 @@
     /// Lets time pass until something holds; whether it did within the span.
     pub(crate) fn run_while_not(&mut self, span: Duration, holds: impl Fn(&Cluster) -> bool) -> bool {
         let until = self.now + span;
-        while let Some(Reverse((at, number))) = self.queue.peek().copied()
-            && at <= until
-            && !holds(self)
-        {
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until || holds(self) {
+                break;
+            }
             self.queue.pop();
             self.now = at;
             let event = self.events.remove(&number).expect("each event is there once");
@@ -331,34 +333,40 @@
     fn carry_out(&mut self, index: usize, output: Output) {
         match output {
             Output::Send(envelope) => self.send(index, envelope),
-            Output::Persist { ticket, records } => self.write(index, ticket, records),
+            Output::Persist { ticket, records } => self.write(index, ticket.0, records),
             Output::Apply { sequence, command, proposal } => {
                 self.apply(index, sequence, &command, proposal);
             }
-            Output::Restore { sequence, snapshot } => self.restore(index, sequence, &snapshot),
+            Output::Restore { sequence, snapshot } => self.restore(index, sequence.0, &snapshot),
             Output::RoleChanged(Role::Primary { epoch }) => {
                 let member = &self.members[index];
                 let Some(process) = &member.process else { return };
-                self.checker.became_primary(member.node, epoch, &process.applied);
+                self.checker.became_primary(member.node, epoch.0, &process.applied);
             }
             Output::RoleChanged(_) => {}
             Output::ProposalFailed { proposal, reason } => {
-                self.ends.insert(proposal, End::Failed(reason));
+                self.ends.insert(proposal.0, End::Failed(reason));
             }
         }
     }
 
-    fn apply(&mut self, index: usize, sequence: u64, command: &[u8], proposal: Option<u64>) {
+    fn apply(
+        &mut self,
+        index: usize,
+        sequence: SequenceNumber,
+        command: &[u8],
+        proposal: Option<ProposalTicket>,
+    ) {
         let Some(process) = &mut self.members[index].process else { return };
         let name = command_name(command);
         process.applied.push(name);
         process.newest_length = command.len();
         process.applied_bytes += command.len();
-        assert_eq!(process.applied.len() as u64, sequence, "entries are applied in order without gaps");
-        self.checker.applied(sequence, name);
+        assert_eq!(process.applied.len() as u64, sequence.0, "entries are applied in order without gaps");
+        self.checker.applied(sequence.0, name);
         if let Some(ticket) = proposal {
-            self.checker.acknowledge(sequence, name, process.replication.epoch());
-            self.ends.insert(ticket, End::Acknowledged(self.now));
+            self.checker.acknowledge(sequence.0, name, process.replication.epoch().0);
+            self.ends.insert(ticket.0, End::Acknowledged(self.now));
         }
     }
 
@@ -377,13 +385,13 @@
         process.applied_bytes = 0;
         let sequence = process.applied.len() as u64;
         let snapshot = write_snapshot(&process.applied, process.newest_length);
-        self.input(index, Input::Compact { sequence, snapshot });
+        self.input(index, Input::Compact { sequence: SequenceNumber(sequence), snapshot });
     }
 
     fn write(&mut self, index: usize, ticket: u64, records: Vec<DurableRecord>) {
         let bytes = records.iter().map(DurableRecord::payload_bytes).sum();
         let member = &mut self.members[index];
-        member.disk_health.write_started(ticket, bytes, self.now);
+        member.disk_health.write_started(WriteTicket(ticket), bytes, self.now);
         member.pending.push_back(PendingWrite { ticket, records });
         self.write_what_waits(index);
     }
@@ -415,8 +423,8 @@
         member.compact_log_if_due(self.now);
         self.write_what_waits(index);
         if let Some(ticket) = newest {
-            self.members[index].disk_health.write_finished(ticket);
-            self.input(index, Input::Persisted { ticket });
+            self.members[index].disk_health.write_finished(WriteTicket(ticket));
+            self.input(index, Input::Persisted { ticket: WriteTicket(ticket) });
         }
     }
 
@@ -454,7 +462,10 @@
     pub(crate) fn propose(&mut self, index: usize, length: usize) -> u64 {
         let ticket = self.next_command;
         self.next_command += 1;
-        self.input(index, Input::Propose { ticket, command: command(ticket, length) });
+        self.input(
+            index,
+            Input::Propose { ticket: ProposalTicket(ticket), command: command(ticket, length) },
+        );
         ticket
     }
 
@@ -526,7 +537,7 @@
         self.kill(index);
         let member = &mut self.members[index];
         member.disk = DurableState::default();
-        member.node.generation += 1000;
+        member.node.generation.0 += 1000;
     }
 
     /// All connections begin anew: what waits on them does not hold up what is sent from now on.
--- a/crates/control-plane/tests/replication_directed.rs
+++ b/crates/control-plane/tests/replication_directed.rs
@@ -191,6 +191,34 @@
     assert_goes_on(&mut simulation);
 }
 
+/// Machines whose share of a core is a quota run for 10 ms of each 100 ms, each with a phase of its own: first the
+/// primary alone, then its backup too, then all.
+#[rstest]
+fn a_quota_of_processor_time_changes_no_view(
+    #[values(0, 1, 2, 3)] seed: u64,
+    #[values(1, 2, 4)] machines: usize,
+) {
+    let mut simulation = started(1, 3, 4, seed);
+    let primary = simulation.acknowledge_one();
+    let mut limited = simulation.data_replicas();
+    let others: Vec<usize> = (0..4).filter(|machine| !limited.contains(machine)).collect();
+    limited.extend(others);
+    let view = simulation.view_at(primary).expect("it has a view").clone();
+    for period in 0..600 {
+        for machine in limited.iter().take(machines) {
+            simulation.freeze(*machine, 90 * MS);
+            simulation.run_for(25 * MS);
+        }
+        simulation.run_for(100 * MS - 25 * MS * machines as u64);
+        if period % 10 == 0 {
+            simulation.propose(primary);
+        }
+    }
+    assert_eq!(simulation.primary(), Some(primary));
+    assert_eq!(simulation.view_at(primary), Some(&view));
+    assert_goes_on(&mut simulation);
+}
+
 #[test]
 fn bad_network_is_survived() {
     let mut simulation = started(2, 3, 8, 9);
--- a/crates/control-plane/tests/replication_leaving.rs
+++ b/crates/control-plane/tests/replication_leaving.rs
@@ -102,7 +102,7 @@
 fn views_made(simulation: &Simulation, index: usize) -> u64 {
     const ROUND_SHIFT: u32 = 40;
     let process = simulation.machines[index].process.as_ref().expect("it runs");
-    process.replication.epoch() >> ROUND_SHIFT
+    process.replication.epoch().0 >> ROUND_SHIFT
 }
 
 /// The primary and its backup are told to stop at the same time, while the third member is cut off. Neither knows of
--- a/crates/control-plane/tests/replication_settling.rs
+++ b/crates/control-plane/tests/replication_settling.rs
@@ -6,20 +6,21 @@
 use rstest::rstest;
 use tulipridge_control_plane::replication::{Departure, DurableState, Replication, ReplicationSettings};
 use tulipridge_control_plane::server::departure::may_end;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::Epoch;
 use tulipridge_protocol::replication::View;
 
 const LEEWAY: Duration = Duration::from_secs(8);
 
 fn node(number: u8) -> NodeId {
-    NodeId::new(Ipv4Addr::new(10, 0, 0, number), 0)
+    NodeId::new(Ipv4Addr::new(10, 0, 0, number), Generation(0))
 }
 
 /// What is needed of member 1 if this is the newest view that it knows.
 fn departure(voters: &[u8], previous_voters: &[u8]) -> Departure {
     let nodes = |numbers: &[u8]| numbers.iter().map(|number| node(*number)).collect();
     let view = View {
-        epoch: 1 << 32,
+        epoch: Epoch(1 << 32),
         voters: nodes(voters),
         previous_voters: nodes(previous_voters),
         data_replicas: nodes(&[2, 3]),
--- a/crates/control-plane/tests/replication_sync.rs
+++ b/crates/control-plane/tests/replication_sync.rs
@@ -11,6 +11,7 @@
 use tulipridge_control_plane::replication::transfer::{Chunk, EncodedData};
 use tulipridge_control_plane::replication::{DurableState, FailureReason, LogPosition};
 use tulipridge_protocol::frame::MAX_MESSAGE_BYTES;
+use tulipridge_protocol::number::SequenceNumber;
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage};
 
 /// How much slower a slow disk is.
@@ -379,10 +380,10 @@
     let ReplicationMessage::Sync { epoch, data_epoch, transfer, .. } = envelope.message else {
         return vec![envelope.clone()];
     };
-    let entry = |sequence| Entry { sequence, command: vec![0xee; 8].into() };
+    let entry = |sequence| Entry { sequence: SequenceNumber(sequence), command: vec![0xee; 8].into() };
     let state = DurableState {
         data: LogPosition { epoch: data_epoch, sequence: transfer.sequence },
-        entries: (1..=transfer.sequence).map(entry).collect(),
+        entries: (1..=transfer.sequence.0).map(entry).collect(),
         ..DurableState::default()
     };
     let Chunk { transfer, offset, bytes } = EncodedData::of(&state).chunk(0);
@@ -430,12 +431,12 @@
     let mut mixed = 0;
     cluster.interceptor = Some(Box::new(move |envelope| {
         let mut sent = envelope.clone();
-        if let ReplicationMessage::Sync { offset, bytes, .. } = &mut sent.message
-            && *offset == 0
-            && mixed < 3
-        {
-            mixed += 1;
-            *bytes = bytes.iter().map(|byte| byte ^ 0x55).collect();
+        match &mut sent.message {
+            ReplicationMessage::Sync { offset: 0, bytes, .. } if mixed < 3 => {
+                mixed += 1;
+                *bytes = bytes.iter().map(|byte| byte ^ 0x55).collect();
+            }
+            _ => {}
         }
         vec![sent]
     }));
--- a/crates/control-plane/tests/replication_sync_member.rs
+++ b/crates/control-plane/tests/replication_sync_member.rs
@@ -1,17 +1,18 @@
 //! What one member does with the chunks of the data that a proposer sends.
 
 use std::time::Duration;
-
-use tulipridge_control_plane::replication::transfer::{CHUNK_BYTES, Chunk, EncodedData};
 use tulipridge_control_plane::replication::{
-    DurableRecord, DurableState, Input, LogPosition, Output, Replication, ReplicationSettings,
+    DurableRecord, DurableState, Input, LogPosition, Output, Replication, ReplicationSettings, WriteTicket,
 };
-use tulipridge_protocol::node::NodeId;
+
+use tulipridge_control_plane::replication::transfer::{CHUNK_BYTES, Chunk, EncodedData};
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage, TransferId};
 
 const START: Duration = Duration::from_secs(1);
-const MEMBER: NodeId = NodeId { ip: 2, generation: 0 };
-const PROPOSER: NodeId = NodeId { ip: 1, generation: 0 };
+const MEMBER: NodeId = NodeId { ip: 2, generation: Generation(0) };
+const PROPOSER: NodeId = NodeId { ip: 1, generation: Generation(0) };
 /// The epoch of the proposer's data, and those of its attempts.
 const DATA_EPOCH: u64 = 1 << 40;
 const FIRST_EPOCH: u64 = 2 << 40;
@@ -20,10 +21,10 @@
 /// Five entries of two thirds of a chunk each.
 fn data(epoch: u64, filler: u8) -> DurableState {
     let command: Vec<u8> = vec![filler; CHUNK_BYTES as usize * 2 / 3];
-    let entry = |sequence| Entry { sequence, command: command.clone().into() };
+    let entry = |sequence| Entry { sequence: SequenceNumber(sequence), command: command.clone().into() };
     DurableState {
-        promised: epoch,
-        data: LogPosition { epoch, sequence: 5 },
+        promised: Epoch(epoch),
+        data: LogPosition { epoch: Epoch(epoch), sequence: SequenceNumber(5) },
         entries: (1..=5).map(entry).collect(),
         ..DurableState::default()
     }
@@ -55,7 +56,13 @@
 
     fn sync(&mut self, epoch: u64, chunk: Chunk) -> Vec<Output> {
         let Chunk { transfer, offset, bytes } = chunk;
-        let message = ReplicationMessage::Sync { epoch, data_epoch: DATA_EPOCH, transfer, offset, bytes };
+        let message = ReplicationMessage::Sync {
+            epoch: Epoch(epoch),
+            data_epoch: Epoch(DATA_EPOCH),
+            transfer,
+            offset,
+            bytes,
+        };
         self.input(Input::Message(Envelope { from: PROPOSER, to: MEMBER, message }))
     }
 }
@@ -81,11 +88,11 @@
         Output::Persist { ticket, .. } => Some(*ticket),
         _ => None,
     };
-    out.iter().filter_map(ticket).next_back().expect("something is written")
+    (out.iter().filter_map(ticket).next_back().expect("something is written")).0
 }
 
 fn progress(epoch: u64, transfer: TransferId, received: u64) -> ReplicationMessage {
-    ReplicationMessage::SyncProgress { epoch, transfer, received }
+    ReplicationMessage::SyncProgress { epoch: Epoch(epoch), transfer, received }
 }
 
 /// The chunks of the data in their order.
@@ -100,7 +107,7 @@
     let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
     let chunks = chunks(&encoded);
     let out = member.sync(FIRST_EPOCH, chunks[0].clone());
-    assert_eq!(records(&out), [DurableRecord::Promised(FIRST_EPOCH)]);
+    assert_eq!(records(&out), [DurableRecord::Promised(Epoch(FIRST_EPOCH))]);
     assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), CHUNK_BYTES)]);
     for chunk in &chunks[1..chunks.len() - 1] {
         assert_eq!(records(&member.sync(FIRST_EPOCH, chunk.clone())), []);
@@ -117,8 +124,8 @@
         out = member.sync(FIRST_EPOCH, chunk);
     }
     let reset = DurableRecord::Reset {
-        epoch: FIRST_EPOCH,
-        snapshot_sequence: 0,
+        epoch: Epoch(FIRST_EPOCH),
+        snapshot_sequence: SequenceNumber(0),
         snapshot: proposer.snapshot.clone(),
         entries: proposer.entries,
     };
@@ -127,8 +134,8 @@
     let ticket = last_ticket(&out);
     // Asked again meanwhile, it says nothing before.
     assert_eq!(answers(&member.sync(FIRST_EPOCH, encoded.chunk(encoded.id().length))), []);
-    let out = member.input(Input::Persisted { ticket });
-    let synced = ReplicationMessage::Synced { epoch: FIRST_EPOCH, sequence: 5 };
+    let out = member.input(Input::Persisted { ticket: WriteTicket(ticket) });
+    let synced = ReplicationMessage::Synced { epoch: Epoch(FIRST_EPOCH), sequence: SequenceNumber(5) };
     assert_eq!(answers(&out), [synced.clone(), synced.clone()]);
     let again = member.sync(FIRST_EPOCH, encoded.chunk(0));
     assert_eq!((answers(&again), records(&again)), (vec![synced], vec![]));
@@ -141,11 +148,14 @@
     let out = member.sync(FIRST_EPOCH, encoded.chunk(encoded.id().length));
     assert_eq!(
         records(&out),
-        [DurableRecord::Promised(FIRST_EPOCH), DurableRecord::DataEpoch(FIRST_EPOCH)]
+        [DurableRecord::Promised(Epoch(FIRST_EPOCH)), DurableRecord::DataEpoch(Epoch(FIRST_EPOCH))]
     );
     assert_eq!(answers(&out), []);
-    let out = member.input(Input::Persisted { ticket: last_ticket(&out) });
-    assert_eq!(answers(&out), [ReplicationMessage::Synced { epoch: FIRST_EPOCH, sequence: 5 }]);
+    let out = member.input(Input::Persisted { ticket: WriteTicket(last_ticket(&out)) });
+    assert_eq!(
+        answers(&out),
+        [ReplicationMessage::Synced { epoch: Epoch(FIRST_EPOCH), sequence: SequenceNumber(5) }]
+    );
 }
 
 /// As many entries of another epoch may be other entries.
@@ -154,7 +164,7 @@
     let mut member = Member::with(data(DATA_EPOCH - 1, 1));
     let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
     let out = member.sync(FIRST_EPOCH, encoded.chunk(encoded.id().length));
-    assert_eq!(records(&out), [DurableRecord::Promised(FIRST_EPOCH)]);
+    assert_eq!(records(&out), [DurableRecord::Promised(Epoch(FIRST_EPOCH))]);
     assert_eq!(answers(&out), [progress(FIRST_EPOCH, encoded.id(), 0)]);
 }
 
@@ -163,7 +173,7 @@
 fn a_data_replica_with_fewer_entries_needs_the_data() {
     let mut behind = data(DATA_EPOCH, 2);
     behind.entries.pop();
-    behind.data.sequence = 4;
+    behind.data.sequence = SequenceNumber(4);
     let mut member = Member::with(behind);
     let encoded = EncodedData::of(&data(DATA_EPOCH, 2));
     let out = member.sync(FIRST_EPOCH, encoded.chunk(encoded.id().length));
@@ -180,7 +190,10 @@
     let out = member.sync(SECOND_EPOCH, chunks[0].clone());
     assert_eq!(answers(&out), [progress(SECOND_EPOCH, encoded.id(), 2 * CHUNK_BYTES)]);
     let late = answers(&member.sync(FIRST_EPOCH, chunks[2].clone()));
-    assert_eq!(late, [ReplicationMessage::Refuse { epoch: FIRST_EPOCH, promised: SECOND_EPOCH }]);
+    assert_eq!(
+        late,
+        [ReplicationMessage::Refuse { epoch: Epoch(FIRST_EPOCH), promised: Epoch(SECOND_EPOCH) }]
+    );
     let out = member.sync(SECOND_EPOCH, chunks[2].clone());
     assert_eq!(answers(&out), [progress(SECOND_EPOCH, encoded.id(), 3 * CHUNK_BYTES)]);
 }
@@ -193,5 +206,5 @@
     member.sync(FIRST_EPOCH, first.chunk(0));
     let out = member.sync(SECOND_EPOCH, second.chunk(CHUNK_BYTES));
     assert_eq!(answers(&out), [progress(SECOND_EPOCH, second.id(), 0)]);
-    assert_eq!(records(&out), [DurableRecord::Promised(SECOND_EPOCH)]);
+    assert_eq!(records(&out), [DurableRecord::Promised(Epoch(SECOND_EPOCH))]);
 }
--- a/crates/control-plane/tests/replication_transfer.rs
+++ b/crates/control-plane/tests/replication_transfer.rs
@@ -10,6 +10,7 @@
     TransferData, WINDOW_BYTES,
 };
 use tulipridge_control_plane::replication::{DurableState, LogPosition};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, TransferId};
 
 /// More time than any transfer of these tests takes.
@@ -22,10 +23,10 @@
     let mut random = Rng::with_seed(seed);
     let command: Arc<[u8]> = (0..bytes).map(|_| random.u8(..)).collect();
     DurableState {
-        data: LogPosition { epoch: 1, sequence: 8 },
-        snapshot_sequence: 7,
+        data: LogPosition { epoch: Epoch(1), sequence: SequenceNumber(8) },
+        snapshot_sequence: SequenceNumber(7),
         snapshot: vec![3; 20].into(),
-        entries: vec![Entry { sequence: 8, command }],
+        entries: vec![Entry { sequence: SequenceNumber(8), command }],
         ..DurableState::default()
     }
 }
@@ -252,7 +253,7 @@
 #[test]
 fn data_with_another_newest_entry_than_it_says_is_refused() {
     let complete = complete_chunk(&EncodedData::of(&state(1000, 1)));
-    let transfer = TransferId { sequence: 9, ..complete.transfer };
+    let transfer = TransferId { sequence: SequenceNumber(9), ..complete.transfer };
     let renamed = Chunk { transfer, ..complete };
     assert_eq!(IncomingTransfer::default().accept(&renamed), Received::Partial(0));
 }
