--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -14,11 +14,15 @@
 use musli::{Decode, Encode};
 use tulipridge_configuration::Configuration;
 pub use tulipridge_configuration::ConfigurationChanges;
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 pub use tulipridge_prefix_cache_index::CacheUpdate;
 
 use crate::node::NodeId;
+use crate::number::{ChangeNumber, Epoch};
 use crate::queued_work_entries;
 
+pub use crate::queued_work_entries::QueuedWorkEntry;
+
 /// From a subscriber to its publisher.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum ToPublisher {
@@ -46,15 +50,6 @@
     pub entries: Vec<QueuedWorkEntry>,
 }
 
-/// The work queued at one replica.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct QueuedWorkEntry {
-    /// The replica's index in the table of replicas in the order of ids.
-    pub replica_index: u32,
-    /// How much is queued, in units of [`WORK_UNIT_TOKENS`].
-    pub units: u32,
-}
-
 /// Who subscribes, and from which positions it resumes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Subscribe {
@@ -83,7 +78,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct KnownPositions {
     /// Revision of the configuration.
-    pub configuration: u64,
+    pub configuration: Revision,
     /// Position of the table of replicas.
     pub fleet: Position,
     /// Position of the table of weights.
@@ -100,9 +95,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct Position {
     /// The primary's epoch.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// The change's number within it.
-    pub sequence: u64,
+    pub sequence: ChangeNumber,
 }
 
 /// From a publisher to its subscriber.
@@ -126,7 +121,7 @@
         /// none while that is not known.
         age_ms: Option<u32>,
         /// Revision of the configuration that the publisher has.
-        revision: u64,
+        revision: Revision,
     },
     /// The table of loads, always as a snapshot: most of its entries change from one to the next.
     Loads(LoadTable),
@@ -213,7 +208,7 @@
     /// The model's name.
     pub model: String,
     /// The revision of its weights, from 1 and rising.
-    pub revision: u64,
+    pub revision: WeightsRevision,
 }
 
 /// The weights that the operator named, and which revisions must not be used any more.
@@ -231,13 +226,13 @@
     /// The model's name.
     pub model: String,
     /// The newest revision that the operator named.
-    pub named: u64,
+    pub named: WeightsRevision,
     /// Requests may be sent to replicas of this revision or newer, and to no others.
-    pub least: u64,
+    pub least: WeightsRevision,
     /// The operator's deadline for older revisions than this one is about to end: requests queued on them must not
     /// start any more. 0 in messages of programs that do not know of it.
     #[musli(default)]
-    pub expired: u64,
+    pub expired: WeightsRevision,
 }
 
 /// How much work is queued at each replica by all gateways together, in units of [`WORK_UNIT_TOKENS`] of prompt; at
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod feed;
 pub mod frame;
 pub mod node;
+pub mod number;
 pub mod peer_sampling;
 mod queued_work_entries;
 pub mod replication;
--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -4,6 +4,17 @@
 use std::net::Ipv4Addr;
 
 use musli::{Decode, Encode};
+use tulipridge_configuration::numbers;
+
+numbers! {
+    /// Tells incarnations of a process on one machine apart: of a member by its disk, of an agent by its start.
+    Generation(u64);
+}
+
+impl Generation {
+    /// That of a disk which was formatted at the first start of the complete system.
+    pub const FIRST: Generation = Generation(0);
+}
 
 /// The id of a process: its machine's address and a generation.
 ///
@@ -16,13 +27,13 @@
     /// The machine's IPv4 address as a number.
     pub ip: u32,
     /// Tells incarnations of the process on one machine apart.
-    pub generation: u64,
+    pub generation: Generation,
 }
 
 impl NodeId {
     /// The id of the process on the machine with this address.
     #[must_use]
-    pub fn new(ip: Ipv4Addr, generation: u64) -> Self {
+    pub fn new(ip: Ipv4Addr, generation: Generation) -> Self {
         NodeId { ip: u32::from(ip), generation }
     }
 
@@ -35,6 +46,6 @@
 
 impl fmt::Display for NodeId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{:x}", self.address(), self.generation)
+        write!(f, "{}/{:x}", self.address(), self.generation.0)
     }
 }
--- a/crates/protocol/src/queued_work_entries.rs
+++ b/crates/protocol/src/queued_work_entries.rs
@@ -1,8 +1,15 @@
-//! Entries of queued work, encoded as pairs as earlier versions wrote them: `#[musli(with = ...)]`.
+//! Entries of queued work. They are encoded as pairs as earlier versions wrote them: `#[musli(with = ...)]`.
 
 use musli::{Decoder, Encoder};
 
-use crate::feed::QueuedWorkEntry;
+/// The work queued at one replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueuedWorkEntry {
+    /// The replica's index in the table of replicas in the order of ids.
+    pub replica_index: u32,
+    /// How much is queued, in units of [`WORK_UNIT_TOKENS`](crate::feed::WORK_UNIT_TOKENS).
+    pub units: u32,
+}
 
 /// Writes each entry as a pair of index and units.
 ///
--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -7,6 +7,7 @@
 use musli::{Decode, Encode};
 
 use crate::node::NodeId;
+use crate::number::{Epoch, SequenceNumber};
 
 /// A message from one member to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -23,7 +24,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct View {
     /// The epoch: in the upper 32 bits a counter and 8 bits of the proposer's generation, in the lower its address.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Members that vote.
     pub voters: Vec<NodeId>,
     /// Voters of the view that this one was made from: a majority of them is needed beside one of `voters`.
@@ -36,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Entry {
     /// Its sequence number, from 1, without gaps.
-    pub sequence: u64,
+    pub sequence: SequenceNumber,
     /// The encoded command.
     #[musli(with = crate::shared_bytes)]
     pub command: Arc<[u8]>,
@@ -46,9 +47,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct TransferId {
     /// The entry up to which its snapshot goes.
-    pub snapshot_sequence: u64,
+    pub snapshot_sequence: SequenceNumber,
     /// Its newest entry.
-    pub sequence: u64,
+    pub sequence: SequenceNumber,
     /// Its length in bytes.
     pub length: u64,
     /// Its checksum (XXH3, 64 bits).
@@ -61,29 +62,29 @@
     /// Paxos phase 1: a data replica proposes a new view under this epoch.
     Prepare {
         /// The proposed epoch.
-        epoch: u64,
+        epoch: Epoch,
     },
     /// The sender takes part in no lower epoch any more. Durable before it is sent.
     Promise {
         /// The epoch that was promised.
-        epoch: u64,
+        epoch: Epoch,
         /// The newest view that the sender has recorded.
         view: View,
     },
     /// The sender rejects a request.
     Refuse {
         /// The epoch of the request.
-        epoch: u64,
+        epoch: Epoch,
         /// The highest epoch that the sender has promised.
-        promised: u64,
+        promised: Epoch,
     },
     /// A chunk of the data that brings a future data replica up to date before its view is installed.
     Sync {
         /// The proposed epoch.
-        epoch: u64,
+        epoch: Epoch,
         /// The epoch of the proposer's data before this view change: a member whose data has the same epoch and
         /// the same newest entry has all of it.
-        data_epoch: u64,
+        data_epoch: Epoch,
         /// The data that the chunk belongs to.
         transfer: TransferId,
         /// Where the chunk begins, in bytes.
@@ -95,7 +96,7 @@
     /// How much of the data the sender has received without gaps. None of it need be on its disk.
     SyncProgress {
         /// The epoch of the sync.
-        epoch: u64,
+        epoch: Epoch,
         /// The data.
         transfer: TransferId,
         /// Bytes from the start.
@@ -104,9 +105,9 @@
     /// The sync is on the sender's disk.
     Synced {
         /// The epoch of the sync.
-        epoch: u64,
+        epoch: Epoch,
         /// The newest entry that it brought.
-        sequence: u64,
+        sequence: SequenceNumber,
     },
     /// Paxos phase 2: has the receiver record a view.
     Install {
@@ -116,21 +117,21 @@
     /// The view is on the sender's disk.
     Installed {
         /// The view's epoch.
-        epoch: u64,
+        epoch: Epoch,
     },
     /// Replicates an entry to a backup.
     Append {
         /// The primary's epoch.
-        epoch: u64,
+        epoch: Epoch,
         /// The entry.
         entry: Entry,
     },
     /// The entry and all before it are on the sender's disk.
     Appended {
         /// The epoch.
-        epoch: u64,
+        epoch: Epoch,
         /// The entry's sequence number.
-        sequence: u64,
+        sequence: SequenceNumber,
     },
     /// The primary is alive. Grants nothing by itself; the acknowledgement renews its lease.
     Heartbeat {
@@ -139,12 +140,12 @@
         /// Returned in the acknowledgement; the primary counts its lease from the moment it sent this.
         token: u64,
         /// The newest entry that all data replicas have.
-        committed: u64,
+        committed: SequenceNumber,
     },
     /// The sender votes for nobody else while a lease grant runs.
     HeartbeatAck {
         /// The view's epoch.
-        epoch: u64,
+        epoch: Epoch,
         /// The heartbeat's token.
         token: u64,
         /// The sender's zone.
@@ -157,7 +158,7 @@
     /// The primary gives up its lease; the named backup may campaign at once.
     Release {
         /// The primary's epoch.
-        epoch: u64,
+        epoch: Epoch,
         /// The data replica that should follow.
         successor: NodeId,
     },
--- a/crates/protocol/tests/control.rs
+++ b/crates/protocol/tests/control.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use tulipridge_protocol::frame;
 use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage, TransferId};
 
 /// Bytes of a message beside the commands and the data in it.
@@ -16,11 +17,11 @@
 }
 
 #[rstest]
-#[case::command(|bytes| ReplicationMessage::Append { epoch: 1 << 40, entry: Entry { sequence: 9, command: bytes } })]
+#[case::command(|bytes| ReplicationMessage::Append { epoch: Epoch(1 << 40), entry: Entry { sequence: SequenceNumber(9), command: bytes } })]
 #[case::part_of_the_data(|bytes| ReplicationMessage::Sync {
-    epoch: 1 << 40,
-    data_epoch: 1 << 39,
-    transfer: TransferId { snapshot_sequence: 1 << 40, sequence: 1 << 40, length: 1 << 30, checksum: u64::MAX },
+    epoch: Epoch(1 << 40),
+    data_epoch: Epoch(1 << 39),
+    transfer: TransferId { snapshot_sequence: SequenceNumber(1 << 40), sequence: SequenceNumber(1 << 40), length: 1 << 30, checksum: u64::MAX },
     offset: 1 << 29,
     bytes,
 })]
--- a/crates/protocol/tests/feed_encoding.rs
+++ b/crates/protocol/tests/feed_encoding.rs
@@ -6,6 +6,7 @@
     CacheIndexUpdate, KnownPositions, LoadTable, Position, QueuedWork, QueuedWorkEntry, ToPublisher,
     ToSubscriber,
 };
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 
 /// Queued work as it was sent before its entries had a type of their own.
 #[derive(Debug, PartialEq, Encode, Decode)]
@@ -18,12 +19,18 @@
 
 fn queued_work() -> QueuedWork {
     let entry = |(replica_index, units)| QueuedWorkEntry { replica_index, units };
-    QueuedWork { fleet: Position { epoch: 7, sequence: 300 }, entries: ENTRIES.map(entry).to_vec() }
+    QueuedWork {
+        fleet: Position { epoch: Epoch(7), sequence: ChangeNumber(300) },
+        entries: ENTRIES.map(entry).to_vec(),
+    }
 }
 
 #[test]
 fn queued_work_is_encoded_as_pairs_of_index_and_units() {
-    let pairs = TupleQueuedWork { fleet: Position { epoch: 7, sequence: 300 }, lines: ENTRIES.to_vec() };
+    let pairs = TupleQueuedWork {
+        fleet: Position { epoch: Epoch(7), sequence: ChangeNumber(300) },
+        lines: ENTRIES.to_vec(),
+    };
     let bytes = wire::to_vec(&pairs).expect("it is encoded");
     assert_eq!(wire::to_vec(&queued_work()).expect("it is encoded"), bytes);
     assert_eq!(wire::from_slice::<QueuedWork>(&bytes).expect("it is decoded"), queued_work());
@@ -33,7 +40,7 @@
 /// The bytes were written by the version before fields and variants were renamed.
 #[test]
 fn messages_keep_the_bytes_of_earlier_versions() {
-    let position = Position { epoch: 7, sequence: 300 };
+    let position = Position { epoch: Epoch(7), sequence: ChangeNumber(300) };
     let known =
         KnownPositions { cache_index: position, loads: Some(position), ..KnownPositions::default() };
     let update = CacheIndexUpdate { base: Some(position), position, updates: Vec::new() };
--- a/crates/protocol/tests/frame.rs
+++ b/crates/protocol/tests/frame.rs
@@ -4,11 +4,12 @@
 
 use rstest::rstest;
 use tulipridge_protocol::frame::{self, FrameError, MAX_MESSAGE_BYTES};
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::{Epoch, SequenceNumber};
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage, TransferId, View};
 
 fn member(last: u8) -> NodeId {
-    NodeId::new(Ipv4Addr::new(10, 0, 0, last), u64::from(last))
+    NodeId::new(Ipv4Addr::new(10, 0, 0, last), Generation(u64::from(last)))
 }
 
 fn envelope(message: ReplicationMessage) -> Envelope {
@@ -16,12 +17,15 @@
 }
 
 fn append(sequence: u64) -> ReplicationMessage {
-    ReplicationMessage::Append { epoch: 7, entry: Entry { sequence, command: vec![0, 1, 255].into() } }
+    ReplicationMessage::Append {
+        epoch: Epoch(7),
+        entry: Entry { sequence: SequenceNumber(sequence), command: vec![0, 1, 255].into() },
+    }
 }
 
 fn install() -> ReplicationMessage {
     let view = View {
-        epoch: u64::MAX,
+        epoch: Epoch(u64::MAX),
         voters: vec![member(1), member(2)],
         previous_voters: vec![member(3)],
         data_replicas: vec![member(1)],
@@ -30,12 +34,23 @@
 }
 
 fn sync() -> ReplicationMessage {
-    let transfer = TransferId { snapshot_sequence: 3, sequence: 4, length: 1500, checksum: u64::MAX };
-    ReplicationMessage::Sync { epoch: 7, data_epoch: 6, transfer, offset: 500, bytes: vec![9; 1000].into() }
+    let transfer = TransferId {
+        snapshot_sequence: SequenceNumber(3),
+        sequence: SequenceNumber(4),
+        length: 1500,
+        checksum: u64::MAX,
+    };
+    ReplicationMessage::Sync {
+        epoch: Epoch(7),
+        data_epoch: Epoch(6),
+        transfer,
+        offset: 500,
+        bytes: vec![9; 1000].into(),
+    }
 }
 
 fn sync_progress() -> ReplicationMessage {
-    ReplicationMessage::SyncProgress { epoch: 7, transfer: TransferId::default(), received: 1500 }
+    ReplicationMessage::SyncProgress { epoch: Epoch(7), transfer: TransferId::default(), received: 1500 }
 }
 
 fn framed(messages: &[Envelope]) -> Vec<u8> {
@@ -89,7 +104,10 @@
 #[test]
 fn a_message_over_the_limit_is_not_sent() {
     let command = vec![0; MAX_MESSAGE_BYTES].into();
-    let message = ReplicationMessage::Append { epoch: 7, entry: Entry { sequence: 3, command } };
+    let message = ReplicationMessage::Append {
+        epoch: Epoch(7),
+        entry: Entry { sequence: SequenceNumber(3), command },
+    };
     let mut bytes = Vec::new();
     assert!(matches!(frame::append(&envelope(message), &mut bytes), Err(FrameError::TooLong { .. })));
     assert!(bytes.is_empty());
--- a/crates/protocol/tests/stored_messages.rs
+++ b/crates/protocol/tests/stored_messages.rs
@@ -17,6 +17,7 @@
 use musli::mode::Binary;
 use musli::{Decode, Encode};
 use stored_data::{Case, check_stored};
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_prefix_cache_index::{CachedPrefix, Liveness, PrefixKey};
 use tulipridge_protocol::feed::{
     CacheIndexUpdate, CacheUpdate, ConfigurationUpdate, ControlNode, FleetUpdate, Group, KnownPositions,
@@ -24,7 +25,8 @@
     Subscribe, SubscriberRole, ToPublisher, ToSubscriber, WeightsTable,
 };
 use tulipridge_protocol::frame;
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
+use tulipridge_protocol::number::{ChangeNumber, Epoch, SequenceNumber};
 use tulipridge_protocol::peer_sampling::{self, Role, Shuffle};
 use tulipridge_protocol::replication::{Entry, Envelope, ReplicationMessage, TransferId, View};
 
@@ -36,7 +38,7 @@
             zone: "zone-2".to_owned(),
             role,
             known: KnownPositions {
-                configuration: 70_001,
+                configuration: Revision(70_001),
                 fleet: position(21, 31),
                 weights: position(22, 32),
                 cache_index: position(23, 33),
@@ -96,7 +98,12 @@
     };
     let weights = WeightsTable {
         position: position(43, 53),
-        models: vec![ModelWeights { model: "model-a".to_owned(), named: 9, least: 8, expired: 7 }],
+        models: vec![ModelWeights {
+            model: "model-a".to_owned(),
+            named: WeightsRevision(9),
+            least: WeightsRevision(8),
+            expired: WeightsRevision(7),
+        }],
     };
     vec![
         Case::new(
@@ -147,8 +154,11 @@
         Case::new("cache-table", cache_table(None)),
         Case::new("cache-table-changes", cache_table(Some(position(44, 54)))),
         Case::new("group", ToSubscriber::Group(Group { gateways: 441, control })),
-        Case::new("pong", ToSubscriber::Pong { id: 300, age_ms: Some(25), revision: 70_001 }),
-        Case::new("pong-without-age", ToSubscriber::Pong { id: 301, age_ms: None, revision: 70_002 }),
+        Case::new("pong", ToSubscriber::Pong { id: 300, age_ms: Some(25), revision: Revision(70_001) }),
+        Case::new(
+            "pong-without-age",
+            ToSubscriber::Pong { id: 301, age_ms: None, revision: Revision(70_002) },
+        ),
         Case::new("loads", ToSubscriber::Loads(loads)),
     ]
 }
@@ -180,45 +190,58 @@
 }
 
 fn view_change_messages() -> Vec<Case<Envelope>> {
-    let transfer =
-        TransferId { snapshot_sequence: 81, sequence: 82, length: 83_000, checksum: 84_000_000_000 };
+    let transfer = TransferId {
+        snapshot_sequence: SequenceNumber(81),
+        sequence: SequenceNumber(82),
+        length: 83_000,
+        checksum: 84_000_000_000,
+    };
     vec![
-        enveloped("prepare", ReplicationMessage::Prepare { epoch: 4_294_967_297 }),
-        enveloped("promise", ReplicationMessage::Promise { epoch: 4_294_967_298, view: view() }),
-        enveloped("refuse", ReplicationMessage::Refuse { epoch: 61, promised: 62 }),
+        enveloped("prepare", ReplicationMessage::Prepare { epoch: Epoch(4_294_967_297) }),
+        enveloped("promise", ReplicationMessage::Promise { epoch: Epoch(4_294_967_298), view: view() }),
+        enveloped("refuse", ReplicationMessage::Refuse { epoch: Epoch(61), promised: Epoch(62) }),
         enveloped(
             "sync",
             ReplicationMessage::Sync {
-                epoch: 63,
-                data_epoch: 64,
+                epoch: Epoch(63),
+                data_epoch: Epoch(64),
                 transfer,
                 offset: 65_536,
                 bytes: bytes(&[9, 8, 7, 200]),
             },
         ),
-        enveloped("sync-progress", ReplicationMessage::SyncProgress { epoch: 65, transfer, received: 66 }),
-        enveloped("synced", ReplicationMessage::Synced { epoch: 67, sequence: 68 }),
+        enveloped(
+            "sync-progress",
+            ReplicationMessage::SyncProgress { epoch: Epoch(65), transfer, received: 66 },
+        ),
+        enveloped("synced", ReplicationMessage::Synced { epoch: Epoch(67), sequence: SequenceNumber(68) }),
         enveloped("install", ReplicationMessage::Install { view: view() }),
-        enveloped("installed", ReplicationMessage::Installed { epoch: 69 }),
+        enveloped("installed", ReplicationMessage::Installed { epoch: Epoch(69) }),
     ]
 }
 
 fn primary_messages() -> Vec<Case<Envelope>> {
-    let entry = Entry { sequence: 71, command: bytes(b"a command") };
+    let entry = Entry { sequence: SequenceNumber(71), command: bytes(b"a command") };
     let acknowledgement = |disk_healthy, leaving| ReplicationMessage::HeartbeatAck {
-        epoch: 76,
+        epoch: Epoch(76),
         token: 77,
         zone: "zone-3".to_owned(),
         disk_healthy,
         leaving,
     };
     vec![
-        enveloped("append", ReplicationMessage::Append { epoch: 70, entry }),
-        enveloped("appended", ReplicationMessage::Appended { epoch: 72, sequence: 73 }),
-        enveloped("heartbeat", ReplicationMessage::Heartbeat { view: view(), token: 74, committed: 75 }),
+        enveloped("append", ReplicationMessage::Append { epoch: Epoch(70), entry }),
+        enveloped(
+            "appended",
+            ReplicationMessage::Appended { epoch: Epoch(72), sequence: SequenceNumber(73) },
+        ),
+        enveloped(
+            "heartbeat",
+            ReplicationMessage::Heartbeat { view: view(), token: 74, committed: SequenceNumber(75) },
+        ),
         enveloped("heartbeat-ack-healthy", acknowledgement(true, false)),
         enveloped("heartbeat-ack-leaving", acknowledgement(false, true)),
-        enveloped("release", ReplicationMessage::Release { epoch: 78, successor: node(3) }),
+        enveloped("release", ReplicationMessage::Release { epoch: Epoch(78), successor: node(3) }),
         enveloped("join", ReplicationMessage::Join { zone: "zone-4".to_owned() }),
     ]
 }
@@ -277,7 +300,7 @@
 
 fn view() -> View {
     View {
-        epoch: 8_589_934_593,
+        epoch: Epoch(8_589_934_593),
         voters: vec![node(11), node(12), node(13)],
         previous_voters: vec![node(14), node(15)],
         data_replicas: vec![node(13), node(11)],
@@ -285,7 +308,7 @@
 }
 
 fn node(number: u8) -> NodeId {
-    NodeId::new(Ipv4Addr::new(10, 1, 2, number), 1_000 + u64::from(number))
+    NodeId::new(Ipv4Addr::new(10, 1, 2, number), Generation(1_000 + u64::from(number)))
 }
 
 fn peer(number: u8, role: Role) -> peer_sampling::Entry {
@@ -298,7 +321,7 @@
 }
 
 fn position(epoch: u64, sequence: u64) -> Position {
-    Position { epoch, sequence }
+    Position { epoch: Epoch(epoch), sequence: ChangeNumber(sequence) }
 }
 
 fn bytes(content: &[u8]) -> Arc<[u8]> {
@@ -315,8 +338,8 @@
         phase,
         warm_left_ms: 4_500,
         models: vec![
-            ModelRevision { model: "model-a".to_owned(), revision: 5 },
-            ModelRevision { model: "model-b".to_owned(), revision: 6 },
+            ModelRevision { model: "model-a".to_owned(), revision: WeightsRevision(5) },
+            ModelRevision { model: "model-b".to_owned(), revision: WeightsRevision(6) },
         ],
     }
 }
--- a/crates/protocol/tests/support/configurations.rs
+++ b/crates/protocol/tests/support/configurations.rs
@@ -1,5 +1,6 @@
 //! Configurations with another value in each field.
 
+use tulipridge_configuration::number::{Rank, Revision};
 use tulipridge_configuration::{
     Caps, Configuration, ConfigurationChanges, Route, RouteKind, Service, ServiceRuntime, ServiceWeight,
     Tenant,
@@ -8,7 +9,7 @@
 /// A configuration in which each field has a value of its own.
 pub(crate) fn configuration() -> Configuration {
     Configuration {
-        revision: 70_001,
+        revision: Revision(70_001),
         routes: vec![streamed_route(), plain_route(), repeatable_route()],
         services: vec![model_service(), store()],
         caps: Caps { head_bytes: 8_192, body_bytes: 1_000_000, head_wait_ms: 2_000, idle_ms: 9_000 },
@@ -20,8 +21,8 @@
 /// A change in which each field has a value of its own.
 pub(crate) fn changes() -> ConfigurationChanges {
     ConfigurationChanges {
-        base: 70_001,
-        revision: 70_009,
+        base: Revision(70_001),
+        revision: Revision(70_009),
         routes: vec![plain_route()],
         removed_routes: vec!["route-gone".to_owned()],
         services: vec![store()],
@@ -35,7 +36,12 @@
 
 /// A change with nothing in it that may be missing.
 pub(crate) fn empty_changes() -> ConfigurationChanges {
-    ConfigurationChanges { base: 11, revision: 12, requires_key: Some(true), ..Default::default() }
+    ConfigurationChanges {
+        base: Revision(11),
+        revision: Revision(12),
+        requires_key: Some(true),
+        ..Default::default()
+    }
 }
 
 fn streamed_route() -> Route {
@@ -46,7 +52,7 @@
         kind: RouteKind::Stream,
         time_limit_ms: 8_000,
         target_ms: 400,
-        rank: 1,
+        rank: Rank(1),
         service_weights: vec![
             ServiceWeight { service: "alpha".to_owned(), weight: 90.5 },
             ServiceWeight { service: "beta".to_owned(), weight: 9.5 },
@@ -118,7 +124,7 @@
     Tenant {
         label: "acme".to_owned(),
         api_keys: vec!["key-a1".to_owned(), "key-a2".to_owned()],
-        rank: Some(1),
+        rank: Some(Rank(1)),
         isolated: true,
     }
 }
--- a/crates/proxy/src/active_configuration.rs
+++ b/crates/proxy/src/active_configuration.rs
@@ -10,7 +10,7 @@
 
 use crate::admission::Routing;
 use crate::bounds::client_limits;
-use crate::freshness::FreshnessGate;
+use crate::freshness::{Credentials, FreshnessGate};
 
 /// Returns how long ago the configuration was known to be the newest; none if it never was.
 pub type ConfigurationAge = Box<dyn Fn() -> Option<Duration>>;
@@ -46,10 +46,18 @@
         self.gate.set(gate);
     }
 
-    /// The newest configuration, if it is fresh enough to admit requests by.
-    pub fn routing(&self) -> Option<Rc<Routing>> {
+    /// The newest configuration, if it is fresh enough to admit requests with these credentials by.
+    pub fn routing(&self, credentials: Credentials) -> Option<Rc<Routing>> {
         let routing = self.routing.borrow();
-        routing.as_ref().filter(|_| self.gate.get().is_open((self.age)())).cloned()
+        routing.as_ref().filter(|_| self.gate.get().is_open((self.age)(), credentials)).cloned()
+    }
+
+    /// Whether the configuration is fresh enough for the requests that most clients send.
+    pub fn is_fresh(&self) -> bool {
+        let requires_key =
+            self.routing.borrow().as_ref().is_some_and(|routing| routing.configuration.requires_key);
+        let credentials = if requires_key { Credentials::Key } else { Credentials::None };
+        self.routing(credentials).is_some()
     }
 
     /// The HTTP limits of clients' connections.
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -4,9 +4,13 @@
 use std::sync::Arc;
 
 use tulipridge_configuration::lookup::RoutingTable;
+use tulipridge_configuration::number::{Rank, WeightsRevision};
 use tulipridge_configuration::{Configuration, Route, Tenant};
 use tulipridge_http1::codec::Head;
 
+use crate::freshness::Credentials;
+use crate::kv_cache::CacheSalt;
+
 /// A configuration, indexed for lookups of routes and tenants.
 #[derive(Debug)]
 pub struct Routing {
@@ -103,7 +107,7 @@
 
     /// The rank that the operator has set, 0 first: the tenant's if it has one, else the route's.
     #[must_use]
-    pub fn rank(&self) -> u8 {
+    pub fn rank(&self) -> Rank {
         let tenant_rank = self.tenant().and_then(|tenant| tenant.rank);
         tenant_rank.unwrap_or(self.route().rank)
     }
@@ -111,11 +115,9 @@
     /// The cache salt for a replica with this revision of its weights: requests share cached prefixes only under the same
     /// salt.
     #[must_use]
-    pub fn cache_salt(&self, revision: u64) -> String {
-        match self.tenant().filter(|tenant| tenant.isolated) {
-            Some(tenant) => format!("m{revision}-t-{}", tenant.label),
-            None => format!("m{revision}"),
-        }
+    pub fn cache_salt(&self, revision: WeightsRevision) -> CacheSalt {
+        let isolated_tenant = self.tenant().filter(|tenant| tenant.isolated);
+        CacheSalt::shared(revision, isolated_tenant.map(|tenant| tenant.label.as_str()))
     }
 
     /// Whether a newer configuration handles the request in the same way: the same route and service for the same tenant.
@@ -139,6 +141,12 @@
     }
 }
 
+/// Whether a request presents a key.
+#[must_use]
+pub fn credentials(head: &Head) -> Credentials {
+    if client_key(head).is_some() { Credentials::Key } else { Credentials::None }
+}
+
 /// The key that a client sent.
 fn client_key(head: &Head) -> Option<&str> {
     let (scheme, key) = head.get("authorization")?.split_once(' ')?;
--- a/crates/proxy/src/alarms.rs
+++ b/crates/proxy/src/alarms.rs
@@ -161,10 +161,10 @@
             Some(waker) => waker.clone_from(context.waker()),
             None => drop(table.entries.insert(key, context.waker().clone())),
         }
-        if table.sleeps_until.is_none_or(|tick| this.tick < tick)
-            && let Some(driver) = table.driver.take()
-        {
-            driver.wake();
+        if table.sleeps_until.is_none_or(|tick| this.tick < tick) {
+            if let Some(driver) = table.driver.take() {
+                driver.wake();
+            }
         }
         Poll::Pending
     }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -5,8 +5,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use tulipridge_http1::codec::ParseError;
-use tulipridge_http1::{BufferedStream, Http1Limits};
+use tulipridge_http1::{BufferedStream, Http1Limits, RequestError};
 
 use crate::bounds::ClientPermit;
 use crate::downstream::client::{Client, Completion};
@@ -59,10 +58,10 @@
 }
 
 /// Responds to bytes that are no acceptable request.
-async fn reject(proxy: &Proxy, mut stream: BufferedStream, error: ParseError, limits: &Http1Limits) {
-    log::debug!(status = error.status; "a request can't be read: {}", error.what);
+async fn reject(proxy: &Proxy, mut stream: BufferedStream, error: RequestError, limits: &Http1Limits) {
+    log::debug!(status = error.status(); "a request can't be read: {error}");
     let mut bytes = Vec::new();
-    LocalResponse::plain(error.status).write(None, Persistence::Close, &mut bytes);
+    LocalResponse::plain(error.status()).write(None, Persistence::Close, &mut bytes);
     if proxy.alarms.by(Instant::now() + LINGER, stream.write(&bytes)).await.is_some() {
         close(stream, limits).await;
     }
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use tulipridge_http1::codec::{self, Body, Head, ParseError};
-use tulipridge_http1::{BufferedStream, Http1Limits};
+use tulipridge_http1::{BufferedStream, Http1Limits, RequestError};
 
 use crate::bounds::BodyBytes;
 use crate::proxy::Proxy;
@@ -61,13 +61,13 @@
     proxy: &Rc<Proxy>,
     stream: &mut BufferedStream,
     limits: &Http1Limits,
-) -> Result<Option<DownstreamRequest>, ParseError> {
+) -> Result<Option<DownstreamRequest>, RequestError> {
     let started = Instant::now();
     let head_by = started + Duration::from_millis(proxy.caps().head_wait_ms);
     let head = match proxy.alarms.by(head_by, read_head(stream, limits)).await {
         Some(Ok(Some(head))) => head,
         Some(other) => return other.map(|_| None),
-        None => return Err(request_timeout()),
+        None => return Err(RequestError::TooSlow),
     };
     let body_by = started + time_left(&head).unwrap_or(DEFAULT_BODY_TIMEOUT);
     let mut body_bytes = proxy.count_body_bytes();
@@ -75,15 +75,14 @@
     match proxy.alarms.by(body_by.max(head_by), reading).await {
         Some(Ok(Some(body))) => Ok(Some(DownstreamRequest { head, body, started, body_bytes })),
         Some(other) => other.map(|_| None),
-        None => Err(request_timeout()),
+        None => Err(RequestError::TooSlow),
     }
 }
 
-fn request_timeout() -> ParseError {
-    ParseError { status: 408, what: "the request took too long to arrive" }
-}
-
-async fn read_head(stream: &mut BufferedStream, limits: &Http1Limits) -> Result<Option<Head>, ParseError> {
+async fn read_head(
+    stream: &mut BufferedStream,
+    limits: &Http1Limits,
+) -> Result<Option<Head>, RequestError> {
     loop {
         if let Some(head) = codec::request_head(&mut stream.buf, limits)? {
             return Ok(Some(head));
@@ -100,7 +99,7 @@
     limits: &Http1Limits,
     head: &Head,
     body_bytes: &mut BodyBytes,
-) -> Result<Option<Vec<u8>>, ParseError> {
+) -> Result<Option<Vec<u8>>, RequestError> {
     let mut framing = head.request_body(limits)?;
     let mut body = Vec::new();
     if let Body::Length(length) = framing {
@@ -115,7 +114,7 @@
     loop {
         let is_complete = framing.take(&mut stream.buf, &mut body, limits)?;
         if body.len() > limits.body_bytes {
-            return Err(ParseError { status: 413, what: "the body is too large" });
+            return Err(ParseError::BodyTooLarge.into());
         }
         body_bytes.set(body.len());
         if is_complete {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -53,7 +53,7 @@
     request: &DownstreamRequest,
 ) -> Completion {
     proxy.counters.requests.add();
-    let Some(routing) = proxy.routing() else {
+    let Some(routing) = proxy.routing_for(&request.head) else {
         proxy.counters.refused.add();
         return write_local_response(proxy, client, request, LocalResponse::refusal(RETRY_AFTER_DELAY))
             .await;
--- a/crates/proxy/src/exchange/attempts.rs
+++ b/crates/proxy/src/exchange/attempts.rs
@@ -53,7 +53,7 @@
 
     /// Whether the newest configuration still handles the request as when it was admitted.
     fn is_still_admitted(&self) -> bool {
-        let newest = self.proxy.routing();
+        let newest = self.proxy.routing_for(&self.request.head);
         newest.is_some_and(|newest| self.admitted.is_equivalent_under(&newest, &self.request.head))
     }
 
--- a/crates/proxy/src/exchange/upstream_head.rs
+++ b/crates/proxy/src/exchange/upstream_head.rs
@@ -5,7 +5,7 @@
 use super::Exchange;
 use crate::downstream::relay::Relay;
 use crate::headers::{self, Additions};
-use crate::kv_cache::{KvTransfer, PrefixChain, Target};
+use crate::kv_cache::{CacheSalt, KvTransfer, PrefixChain, Target};
 use crate::replica::replicas::ReplicaEntry;
 
 /// Initial capacity: the size of most heads.
@@ -25,8 +25,11 @@
         let admitted = &self.admitted;
         let model = self.request.head.get("llm");
         let revision = model.and_then(|model| replica.revision(model));
-        let salt = model.map(|_| admitted.cache_salt(revision.unwrap_or(0)));
-        let kv = salt.as_deref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default();
+        let salt = model.map(|_| match revision {
+            Some(revision) => admitted.cache_salt(revision),
+            None => CacheSalt::unshared(self.proxy.random_nonce()),
+        });
+        let kv = salt.as_ref().map(|salt| self.kv_transfer(replica, salt)).unwrap_or_default();
         // The last segment of the prompt is not shared with other requests.
         let unread_tokens = self.prompt.prompt.own_tokens().saturating_add(kv.unread_tokens);
         let additions = Additions {
@@ -35,7 +38,7 @@
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             priority: self.priority(unread_tokens),
             revision,
-            salt: salt.as_deref(),
+            salt: salt.as_ref().map(CacheSalt::as_str),
             kv,
             last_event_id: self.relay.as_ref().and_then(Relay::last_event_id),
         };
@@ -49,9 +52,13 @@
         self.proxy.urgency.borrow_mut().priority(self.admitted.rank(), unread_tokens)
     }
 
-    /// Plans where this replica fetches the KV cache of the prompt from, and where it saves it to.
-    fn kv_transfer(&self, replica: &ReplicaEntry, salt: &str) -> KvTransfer {
-        let chain = PrefixChain::new(&self.prompt.prefix_segments, salt);
+    /// Plans where this replica fetches the KV cache of the prompt from, and where it saves it to: nowhere under a salt
+    /// that no other request has.
+    fn kv_transfer(&self, replica: &ReplicaEntry, salt: &CacheSalt) -> KvTransfer {
+        let chain = PrefixChain::new(&self.prompt.prefix_segments, salt.as_str());
+        if matches!(salt, CacheSalt::Unshared(_)) {
+            return KvTransfer { unread_tokens: chain.tokens(), ..KvTransfer::default() };
+        }
         let replicas = self.proxy.replicas.borrow();
         let zone_of = |address| {
             let other = replicas.at(address).filter(|other| other.service == replica.service);
--- a/crates/proxy/src/freshness.rs
+++ b/crates/proxy/src/freshness.rs
@@ -9,11 +9,24 @@
 const SAFETY_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum age where withdrawals have no strict limit.
 const LENIENT_MAX_AGE: Duration = Duration::from_secs(10);
+/// Fraction of the time within which a withdrawal must take effect, after which a machine without a sound path to the
+/// control plane admits no request with a key: another machine may know whether the key is still valid.
+const KEY_FRACTION: f64 = 0.6;
 
-/// The maximum age of a configuration by which requests may be admitted.
+/// Whether a request presents a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credentials {
+    /// It presents a key, known or not.
+    Key,
+    /// It presents none.
+    None,
+}
+
+/// The maximum ages of a configuration by which requests may be admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FreshnessGate {
     max_age: Duration,
+    max_age_for_keys: Duration,
 }
 
 impl FreshnessGate {
@@ -27,12 +40,17 @@
     #[must_use]
     pub fn new(shut_tight: bool, withdraw: Duration) -> Self {
         let max_age = if shut_tight { withdraw.saturating_sub(SAFETY_MARGIN) } else { LENIENT_MAX_AGE };
-        FreshnessGate { max_age }
+        let max_age_for_keys = withdraw.mul_f64(KEY_FRACTION).min(max_age);
+        FreshnessGate { max_age, max_age_for_keys }
     }
 
     /// Whether requests may be admitted by a configuration that was known to be the newest this long ago; none is never.
     #[must_use]
-    pub fn is_open(&self, age: Option<Duration>) -> bool {
-        age.is_some_and(|age| age <= self.max_age)
+    pub fn is_open(&self, age: Option<Duration>, credentials: Credentials) -> bool {
+        let max_age = match credentials {
+            Credentials::Key => self.max_age_for_keys,
+            Credentials::None => self.max_age,
+        };
+        age.is_some_and(|age| age <= max_age)
     }
 }
--- a/crates/proxy/src/headers/request.rs
+++ b/crates/proxy/src/headers/request.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_http1::codec::Head;
 
 use super::{HOP_BY_HOP, is_one_of, nominated_by_connection, write_line, write_number};
@@ -38,7 +39,7 @@
     /// Priority, 0 first.
     pub priority: u8,
     /// Revision that the replica's weights must have.
-    pub revision: Option<u64>,
+    pub revision: Option<WeightsRevision>,
     /// Cache salt: prefixes are shared only between requests with the same salt.
     pub salt: Option<&'a str>,
     /// Where the replica fetches KV cache from and saves it to.
@@ -73,7 +74,7 @@
     write_number(out, "Time-Left-Ms", additions.time_left.as_millis() as u64);
     write_number(out, "Priority", additions.priority.into());
     if let Some(revision) = additions.revision {
-        write_number(out, "Expect-Version", revision);
+        write_number(out, "Expect-Version", revision.0);
     }
     if let Some(salt) = additions.salt {
         write_line(out, &["Cache-Salt: ", salt]);
--- a/crates/proxy/src/kv_cache/mod.rs
+++ b/crates/proxy/src/kv_cache/mod.rs
@@ -8,12 +8,14 @@
 pub mod planner;
 pub mod prefix_chain;
 mod recent;
+pub mod salt;
 mod source;
 
 use std::net::SocketAddr;
 
 pub use planner::TransferPlanner;
 pub use prefix_chain::{PrefixChain, PrefixSegment, cached_tokens};
+pub use salt::CacheSalt;
 
 /// The transfers of KV cache that a request asks its replica for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/proxy/src/placement/mod.rs
+++ b/crates/proxy/src/placement/mod.rs
@@ -6,6 +6,7 @@
 pub mod prompt;
 pub mod queued_work;
 pub mod route_class;
+mod service_index;
 mod timers;
 pub mod urgency;
 
@@ -22,6 +23,7 @@
 };
 
 use crate::placement::prompt::Prompt;
+use crate::placement::service_index::ServiceIndex;
 use crate::placement::timers::{DueTimer, TimerKey, TimerQueue};
 
 pub use crate::placement::route_class::{effect_of, target};
@@ -73,10 +75,6 @@
     pub ends_request: bool,
 }
 
-/// The position of a service among the load balancers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct ServiceIndex(usize);
-
 /// A request that is placed, until it has ended.
 struct ActiveRequest {
     service: ServiceIndex,
--- a/crates/proxy/src/placement/timers.rs
+++ b/crates/proxy/src/placement/timers.rs
@@ -5,7 +5,7 @@
 
 use tulipridge_load_balancer::types::{Nanos, RequestId};
 
-use crate::placement::ServiceIndex;
+use crate::placement::service_index::ServiceIndex;
 
 /// A timer. The order of the fields is the order in which timers run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,8 +41,10 @@
     pub(crate) fn insert(&mut self, key: TimerKey, request: Option<RequestId>) {
         let is_first = self.next_due().is_none_or(|first| key.due < first);
         self.timers.insert(key, request);
-        if is_first && let Some(waker) = self.waker.take() {
-            waker.wake();
+        if is_first {
+            if let Some(waker) = self.waker.take() {
+                waker.wake();
+            }
         }
     }
 
--- a/crates/proxy/src/placement/urgency.rs
+++ b/crates/proxy/src/placement/urgency.rs
@@ -5,6 +5,8 @@
 //! others counts as one rank less urgent, or as several: what is read quickly goes ahead of what holds others up, and
 //! among requests of a like length the rank decides.
 
+use tulipridge_configuration::number::Rank;
+
 /// The least urgent that a replica knows.
 const LAST_PRIORITY: u8 = 9;
 /// Multiples of the mean of tokens to be read from which on a request counts as one rank less urgent, two, and three.
@@ -20,11 +22,11 @@
 
 impl Urgency {
     /// The urgency for a replica, 0 first, of a request of this rank with so many tokens to be read.
-    pub fn priority(&mut self, rank: u8, unread_tokens: u32) -> u8 {
+    pub fn priority(&mut self, rank: Rank, unread_tokens: u32) -> u8 {
         let unread = f64::from(unread_tokens);
         let mean = self.mean_tokens.unwrap_or(unread);
         self.mean_tokens = Some(mean + MEAN_GAIN * (unread - mean));
         let steps = STEPS.iter().filter(|step| unread > mean * **step).count() as u8;
-        rank.saturating_add(steps).min(LAST_PRIORITY)
+        rank.0.saturating_add(steps).min(LAST_PRIORITY)
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -8,11 +8,12 @@
 
 use tulipridge_configuration::Caps;
 use tulipridge_http1::Http1Limits;
+use tulipridge_http1::codec::Head;
 use tulipridge_protocol::feed::ModelRevision;
 use tulipridge_runtime::settings::Settings;
 
 use crate::active_configuration::{ActiveConfiguration, ConfigurationAge};
-use crate::admission::Routing;
+use crate::admission::{self, Routing};
 use crate::alarms::Alarms;
 use crate::bounds::{BodyBytes, Bounds, ClientPermit, Usage, replica_limits};
 use crate::counters::Counters;
@@ -86,9 +87,9 @@
         })
     }
 
-    /// The newest configuration, if it is fresh enough to admit requests by.
-    pub fn routing(&self) -> Option<Rc<Routing>> {
-        self.configuration.routing()
+    /// The newest configuration, if it is fresh enough to admit a request with this head by.
+    pub fn routing_for(&self, head: &Head) -> Option<Rc<Routing>> {
+        self.configuration.routing(admission::credentials(head))
     }
 
     /// The HTTP limits of clients' connections.
@@ -105,7 +106,7 @@
     pub fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving
             && self.replicas.borrow().ready_count() > 0
-            && self.routing().is_some()
+            && self.configuration.is_fresh()
     }
 
     /// The next random number, from 0 up to but not including 1.
@@ -113,6 +114,11 @@
         self.random.borrow_mut().f64()
     }
 
+    /// A random number that is used once.
+    pub fn random_nonce(&self) -> u128 {
+        self.random.borrow_mut().u128(..)
+    }
+
     /// Ready once requests that have not begun on these weights are to be cancelled.
     pub async fn weights_expired(&self, weights: &ModelRevision) {
         self.weights_expiry.expired(&self.alarms, weights).await;
--- a/crates/proxy/src/replica/replicas.rs
+++ b/crates/proxy/src/replica/replicas.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_load_balancer::types::{Member, Phase, ReplicaId};
 use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase, WeightsTable};
 
@@ -49,7 +50,7 @@
 impl ReplicaEntry {
     /// The revision of its weights of a model.
     #[must_use]
-    pub fn revision(&self, model: &str) -> Option<u64> {
+    pub fn revision(&self, model: &str) -> Option<WeightsRevision> {
         self.weights(model).map(|weights| weights.revision)
     }
 
--- a/crates/proxy/src/replica/response.rs
+++ b/crates/proxy/src/replica/response.rs
@@ -96,7 +96,7 @@
     pub fn decode(&mut self, pool: &ConnectionPool) -> io::Result<()> {
         let decoded =
             self.remaining.take(&mut self.connection.stream.buf, &mut self.buffered, pool.limits());
-        self.is_complete = decoded.map_err(|error| io::Error::other(error.what))?;
+        self.is_complete = decoded.map_err(|error| io::Error::other(error.message()))?;
         Ok(())
     }
 
--- a/crates/proxy/src/replica/weights_expiry.rs
+++ b/crates/proxy/src/replica/weights_expiry.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, WeightsTable};
 use tulipridge_runtime::clock;
 use tulipridge_runtime::settings::RevisionTerm;
@@ -26,7 +27,7 @@
 #[derive(Debug, Default)]
 struct ModelExpiry {
     /// When this proxy learned that a revision is named, for revisions that have not expired earlier ones yet.
-    named_at: BTreeMap<u64, Duration>,
+    named_at: BTreeMap<WeightsRevision, Duration>,
     /// In the order of revisions.
     limits: Vec<ExpiryLimit>,
 }
@@ -34,7 +35,7 @@
 /// Requests queued on revisions below this one are cancelled at this time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ExpiryLimit {
-    revision: u64,
+    revision: WeightsRevision,
     at: Duration,
 }
 
@@ -70,7 +71,7 @@
 }
 
 impl ModelExpiry {
-    fn record_named(&mut self, revision: u64, now: Duration) {
+    fn record_named(&mut self, revision: WeightsRevision, now: Duration) {
         let is_new = self.named_at.last_key_value().is_none_or(|(newest, _)| *newest < revision);
         if is_new && revision > self.expired() {
             self.named_at.insert(revision, now);
@@ -78,11 +79,11 @@
     }
 
     /// The newest revision that has expired those before.
-    fn expired(&self) -> u64 {
-        self.limits.last().map_or(0, |limit| limit.revision)
+    fn expired(&self) -> WeightsRevision {
+        self.limits.last().map_or(WeightsRevision(0), |limit| limit.revision)
     }
 
-    fn expire_before(&mut self, revision: u64, term: RevisionTerm, now: Duration) -> bool {
+    fn expire_before(&mut self, revision: WeightsRevision, term: RevisionTerm, now: Duration) -> bool {
         if revision <= self.expired() {
             return false;
         }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -139,19 +139,19 @@
     if changed.group {
         proxy.set_gateways(store.group().gateways);
     }
-    if changed.configuration
-        && let Some(configuration) = store.configuration()
-    {
-        proxy.set_configuration(configuration);
+    if changed.configuration {
+        if let Some(configuration) = store.configuration() {
+            proxy.set_configuration(configuration);
+        }
     }
     if changed.fleet || changed.weights {
         proxy.set_fleet(store.fleet(), store.weights());
         proxy.work.publish();
     }
-    if changed.loads
-        && let Some(loads) = store.loads()
-    {
-        proxy.set_loads(loads);
+    if changed.loads {
+        if let Some(loads) = store.loads() {
+            proxy.set_loads(loads);
+        }
     }
 }
 
--- a/crates/proxy/src/updates.rs
+++ b/crates/proxy/src/updates.rs
@@ -28,7 +28,7 @@
     /// Applies a configuration.
     pub fn set_configuration(&self, configuration: Arc<Configuration>) {
         log::info!(
-            revision = configuration.revision, routes = configuration.routes.len(),
+            revision = configuration.revision.0, routes = configuration.routes.len(),
             tenants = configuration.tenants.len();
             "configuration applied"
         );
--- /dev/null
+++ b/crates/proxy/tests/cache_salt.rs
@@ -0,0 +1,74 @@
+//! Which requests share cached prefixes: the salt that a replica is sent, and the transfers that go with it.
+
+mod support;
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+
+use support::{Bench, header, post_with};
+use tulipridge_configuration::number::WeightsRevision;
+use tulipridge_prefix_cache_index::{CacheUpdate, Index, Liveness};
+use tulipridge_protocol::feed::ModelRevision;
+
+const STORE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+const PROMPT: &str = "Llm: m\r\nPrompt-Start: 5c1e07a2:800,e4402b7d:250\r\n";
+
+/// Lets the proxy save prefixes to a store.
+fn set_store(bench: &Bench) {
+    let mut index = Index::default();
+    index.apply(&CacheUpdate {
+        source: STORE,
+        boot: 1,
+        next_token: 1,
+        liveness: Liveness::Alive,
+        replace: true,
+        added: Vec::new(),
+        removed: Vec::new(),
+    });
+    let mut planner = bench.proxy.kv.borrow_mut();
+    planner.set_index(Rc::new(RefCell::new(index)));
+    planner.set_stores(vec![STORE]);
+}
+
+/// What the replica is sent when it lists these weights.
+fn sent_requests(models: &[ModelRevision]) -> Vec<String> {
+    let bench = Bench::start(1);
+    set_store(&bench);
+    bench.set_fleet(|lines| lines[0].models = models.to_vec());
+    bench.run(async {
+        for n in 0..3 {
+            bench.send_request(&post_with("/stream/", &format!("t{n}"), PROMPT)).await;
+        }
+    });
+    bench.replicas[0].requests.borrow().clone()
+}
+
+#[test]
+fn requests_to_one_revision_share_a_salt_and_are_saved_under_it() {
+    let sent = sent_requests(&[ModelRevision { model: "m".to_owned(), revision: WeightsRevision(4) }]);
+    assert_eq!(sent.len(), 3);
+    for request in &sent {
+        assert_eq!(header(request, "Cache-Salt").as_deref(), Some("m4-t-acme"));
+        assert_eq!(header(request, "Expect-Version").as_deref(), Some("4"));
+    }
+    assert_eq!(header(&sent[0], "Kv-Save"), Some(STORE.to_string()));
+}
+
+#[test]
+fn a_send_to_weights_of_an_unknown_revision_shares_no_cached_prefix() {
+    let other = ModelRevision { model: "other".to_owned(), revision: WeightsRevision(4) };
+    for models in [Vec::new(), vec![other]] {
+        let sent = sent_requests(&models);
+        assert_eq!(sent.len(), 3);
+        let mut salts: Vec<_> = sent.iter().map(|request| header(request, "Cache-Salt")).collect();
+        salts.sort();
+        salts.dedup();
+        assert!(salts.len() == 3 && salts.iter().all(Option::is_some), "{salts:?}");
+        for request in &sent {
+            assert_eq!(header(request, "Expect-Version"), None);
+            assert_eq!(header(request, "Kv-Fetch"), None);
+            assert_eq!(header(request, "Kv-Save"), None);
+        }
+    }
+}
--- a/crates/proxy/tests/calls.rs
+++ b/crates/proxy/tests/calls.rs
@@ -219,11 +219,11 @@
             if event == AttemptOutcome::TruncatedResponse {
                 bench.next(&[write(stream_head() + &support::event(2) + LAST)]);
             }
-            bench.run(bench.ask(&request))
+            bench.run(bench.send_request(&request))
         }
-        Scenario::DeadAddress(kind) => ask_dead_address(&bench, &request, *kind),
-        Scenario::NoDescriptor => ask_without_descriptor(&bench, &request),
-        Scenario::Withdrawn => ask_on_withdrawn_weights(&bench, &request),
+        Scenario::DeadAddress(kind) => request_to_dead_address(&bench, &request, *kind),
+        Scenario::NoDescriptor => request_without_descriptor(&bench, &request),
+        Scenario::Withdrawn => request_on_withdrawn_weights(&bench, &request),
     };
     let held = if event == AttemptOutcome::OutOfDescriptors { 1 } else { 0 };
     Seen {
@@ -235,7 +235,7 @@
 }
 
 /// Asks while the only replica known is at an address that takes no connection; the other one becomes known then.
-fn ask_dead_address(bench: &Bench, request: &str, unreachable: Unreachable) -> String {
+fn request_to_dead_address(bench: &Bench, request: &str, unreachable: Unreachable) -> String {
     let silent = SilentAddress::new();
     let address = match unreachable {
         Unreachable::Refuses => "127.0.0.1:1".to_owned(),
@@ -254,17 +254,17 @@
     })
 }
 
-fn ask_without_descriptor(bench: &Bench, request: &str) -> String {
+fn request_without_descriptor(bench: &Bench, request: &str) -> String {
     bench.next(&[Part::Wait]);
     bench.run(async {
         let mut holder: TestClient = bench.connect().await;
         holder.send(&post("/risky/", "t0")).await;
         bench.until(|| bench.arrivals() == 1).await;
-        bench.ask(request).await
+        bench.send_request(request).await
     })
 }
 
-fn ask_on_withdrawn_weights(bench: &Bench, request: &str) -> String {
+fn request_on_withdrawn_weights(bench: &Bench, request: &str) -> String {
     bench.next(&[Part::Wait]);
     bench.run(async {
         let mut client = bench.connect().await;
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -3,17 +3,25 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use support::{Bench, Part, header, post, post_with, status};
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_configuration::{Configuration, Service, ServiceWeight};
 use tulipridge_protocol::feed::{ModelRevision, ModelWeights, Position, ReplicaPhase, WeightsTable};
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 
 fn with_key(key: &str) -> String {
     post("/risky/", "t1").replace(support::KEY, key)
 }
 
+fn without_key(path: &str) -> String {
+    let request = post(path, "t1");
+    let line = request.lines().find(|line| line.starts_with("Authorization")).expect("a key");
+    request.replace(&format!("{line}\r\n"), "")
+}
+
 #[rstest]
 #[case("/risky/", "k1", "200")]
 #[case("/risky/", "k2", "200")]
@@ -23,7 +31,7 @@
 #[case("/risky", "k1", "404")]
 fn a_request_needs_a_route_and_a_key(#[case] path: &str, #[case] key: &str, #[case] expected: &str) {
     let bench = Bench::start(1);
-    let answer = bench.run(bench.ask(&post(path, "t1").replace(support::KEY, key)));
+    let answer = bench.run(bench.send_request(&post(path, "t1").replace(support::KEY, key)));
     assert_eq!(status(&answer), expected);
     assert_eq!(bench.arrivals(), usize::from(expected == "200"));
 }
@@ -47,7 +55,7 @@
 ) {
     let bench = Bench::start(1);
     let request = post_with("/stream/", "t1", &format!("Llm: m\r\n{headers}")).replace(support::KEY, key);
-    bench.run(bench.ask(&request));
+    bench.run(bench.send_request(&request));
     let sent = bench.replicas[0].requests.borrow()[0].clone();
     assert_eq!(header(&sent, "Customer").as_deref(), tenant);
     assert_eq!(header(&sent, "Priority").as_deref(), Some(priority));
@@ -60,7 +68,7 @@
 #[test]
 fn a_public_route_with_an_unknown_key_names_no_tenant() {
     let bench = Bench::start(1);
-    bench.run(bench.ask(&post("/open/", "t1").replace(support::KEY, "unknown")));
+    bench.run(bench.send_request(&post("/open/", "t1").replace(support::KEY, "unknown")));
     assert_eq!(header(&bench.replicas[0].requests.borrow()[0], "Customer"), None);
 }
 
@@ -68,14 +76,15 @@
 fn nothing_is_admitted_before_a_configuration_is_known() {
     let bench = Bench::start(1);
     bench.age.set(None);
-    let answer = bench.run(bench.ask(&post("/nowhere/", "t1")));
+    let answer = bench.run(bench.send_request(&post("/nowhere/", "t1")));
     insta::assert_snapshot!(support::transcript(&answer));
 }
 
 #[rstest]
-#[case(4500, "200", "200", "401", "404")]
+#[case(3000, "200", "200", "401", "404")]
+#[case(3001, "503", "503", "503", "503")]
 #[case(4501, "503", "503", "503", "503")]
-fn nothing_is_admitted_by_a_configuration_that_may_be_outdated(
+fn a_key_is_refused_without_a_sound_way_to_the_control_plane(
     #[case] age_ms: u64,
     #[case] ready: &str,
     #[case] served: &str,
@@ -86,10 +95,74 @@
     bench.age.set(Some(Duration::from_millis(age_ms)));
     bench.run(async {
         assert_eq!(status(&check_ready(&bench).await), ready);
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), served);
-        assert_eq!(status(&bench.ask(&with_key("k9")).await), unknown_key);
-        assert_eq!(status(&bench.ask(&post("/nowhere/", "t1")).await), unknown_route);
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), served);
+        assert_eq!(status(&bench.send_request(&with_key("k9")).await), unknown_key);
+        assert_eq!(status(&bench.send_request(&post("/nowhere/", "t1")).await), unknown_route);
+    });
+}
+
+#[rstest]
+#[case(4500, "200", "401", "404")]
+#[case(4501, "503", "503", "503")]
+fn nothing_is_admitted_by_a_configuration_that_may_be_outdated(
+    #[case] age_ms: u64,
+    #[case] served: &str,
+    #[case] no_key: &str,
+    #[case] unknown_route: &str,
+) {
+    let bench = Bench::start(1);
+    bench.age.set(Some(Duration::from_millis(age_ms)));
+    bench.run(async {
+        assert_eq!(status(&bench.send_request(&without_key("/open/")).await), served);
+        assert_eq!(status(&bench.send_request(&without_key("/risky/")).await), no_key);
+        assert_eq!(status(&bench.send_request(&without_key("/nowhere/")).await), unknown_route);
+    });
+}
+
+/// A request that waits for its replica while the way to the control plane is lost is sent to no further one.
+#[test]
+fn a_key_is_not_sent_again_once_the_way_to_the_control_plane_is_lost() {
+    let bench = Bench::start(2);
+    bench
+        .next(&[Part::Wait, Part::Write(support::answer("503 Service Unavailable", "Not-Run: 1\r\n", ""))]);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&with_key("k1")).await;
+        bench.until(|| bench.arrivals() == 1).await;
+        bench.age.set(Some(Duration::from_millis(3_001)));
+        bench.release();
+        client.answer().await
+    });
+    assert_eq!((status(&answer), bench.arrivals()), ("503", 1));
+}
+
+/// Readiness follows the requests that the configuration expects.
+#[rstest]
+#[case::with_keys(true, "503")]
+#[case::without_keys(false, "200")]
+fn readiness_without_a_way_to_the_control_plane_depends_on_keys(
+    #[case] requires_key: bool,
+    #[case] expected: &str,
+) {
+    let bench = Bench::start(1);
+    bench.age.set(Some(Duration::from_millis(3_001)));
+    bench.run(async {
+        bench.proxy.set_configuration(changed(|configuration| configuration.requires_key = requires_key));
+        assert_eq!(status(&check_ready(&bench).await), expected);
+    });
+}
+
+#[test]
+fn a_replica_that_drains_while_its_connection_is_established_gets_nothing() {
+    let bench = Bench::start(1);
+    let answer = bench.run(async {
+        let mut client = bench.connect().await;
+        client.send(&with_key("k1")).await;
+        bench.until(|| bench.proxy.counters.connects.get() == 1).await;
+        bench.set_fleet(|lines| lines[0].phase = ReplicaPhase::Draining);
+        client.answer().await
     });
+    assert_eq!((status(&answer), bench.arrivals()), ("503", 0));
 }
 
 #[test]
@@ -98,13 +171,15 @@
     bench.age.set(Some(Duration::from_millis(2_000)));
     let mut limits = support::settings().time_limits;
     bench.run(async {
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), "200");
         limits.withdraw_ms = 2_400;
         bench.proxy.set_time_limits(&limits);
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), "503");
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), "503");
+        assert_eq!(status(&bench.send_request(&without_key("/open/")).await), "503");
         limits.shut_tight = false;
         bench.proxy.set_time_limits(&limits);
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), "503");
+        assert_eq!(status(&bench.send_request(&without_key("/open/")).await), "200");
     });
 }
 
@@ -134,7 +209,7 @@
     let mut limits = support::settings().time_limits;
     (limits.retry_ratio, limits.spare_tries) = (retry_ratio, spare_tries);
     bench.proxy.set_time_limits(&limits);
-    let answer = bench.run(bench.ask(&post("/risky/", "t1")));
+    let answer = bench.run(bench.send_request(&post("/risky/", "t1")));
     assert_eq!((status(&answer), bench.arrivals()), (expected, arrivals));
 }
 
@@ -158,7 +233,7 @@
 
 fn changed(change: impl FnOnce(&mut Configuration)) -> Arc<Configuration> {
     let mut configuration = support::configuration();
-    configuration.revision = 2;
+    configuration.revision = Revision(2);
     change(&mut configuration);
     Arc::new(configuration)
 }
@@ -167,9 +242,9 @@
 fn a_withdrawn_key_is_refused_at_once() {
     let bench = Bench::start(1);
     bench.run(async {
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), "200");
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), "200");
         bench.proxy.set_configuration(changed(|configuration| configuration.tenants[0].api_keys.clear()));
-        assert_eq!(status(&bench.ask(&with_key("k1")).await), "401");
+        assert_eq!(status(&bench.send_request(&with_key("k1")).await), "401");
     });
     assert_eq!(bench.arrivals(), 1);
 }
@@ -191,7 +266,7 @@
             configuration.requires_key = requires_key;
             configuration.tenants.clear();
         }));
-        bench.ask(&post(path, "t1")).await
+        bench.send_request(&post(path, "t1")).await
     });
     assert_eq!(status(&answer), expected);
 }
@@ -239,7 +314,7 @@
 fn a_new_route_and_its_service_are_in_force_at_once() {
     let bench = Bench::start(2);
     bench.run(async {
-        assert_eq!(status(&bench.ask(&post("/new/", "t1")).await), "404");
+        assert_eq!(status(&bench.send_request(&post("/new/", "t1")).await), "404");
         bench.proxy.set_configuration(changed(|configuration| {
             configuration.services.push(Service { label: "second".to_owned(), ..Service::default() });
             let mut route = support::route("new", "/new/", tulipridge_configuration::RouteKind::Risky);
@@ -247,8 +322,8 @@
             configuration.routes.push(route);
         }));
         bench.set_fleet(|lines| lines[1].service = "second".to_owned());
-        assert_eq!(status(&bench.ask(&post("/new/", "t2")).await), "200");
-        assert_eq!(status(&bench.ask(&post("/risky/", "t3")).await), "200");
+        assert_eq!(status(&bench.send_request(&post("/new/", "t2")).await), "200");
+        assert_eq!(status(&bench.send_request(&post("/risky/", "t3")).await), "200");
     });
     assert_eq!(bench.replicas.iter().map(|replica| replica.count()).collect::<Vec<_>>(), [1, 1]);
 }
@@ -264,12 +339,12 @@
     let bench = Bench::start(2);
     bench.run(async {
         for n in 0..8 {
-            bench.ask(&post("/risky/", &format!("a{n}"))).await;
+            bench.send_request(&post("/risky/", &format!("a{n}"))).await;
         }
         let before = bench.replicas[0].count();
         bench.set_fleet(&change);
         for n in 0..8 {
-            assert_eq!(status(&bench.ask(&post("/risky/", &format!("b{n}"))).await), "200");
+            assert_eq!(status(&bench.send_request(&post("/risky/", &format!("b{n}"))).await), "200");
         }
         assert_eq!(bench.replicas[0].count(), before);
     });
@@ -280,22 +355,27 @@
     let bench = Bench::start(2);
     let lines: Vec<_> = bench.replicas.iter().map(|replica| support::replica_line(replica)).collect();
     let mut newer = lines.clone();
-    newer[1].models = vec![ModelRevision { model: "m".to_owned(), revision: 5 }];
-    let named = |least| WeightsTable {
-        position: Position { epoch: 1, sequence: least },
-        models: vec![ModelWeights { model: "m".to_owned(), named: 5, least, expired: 0 }],
+    newer[1].models = vec![ModelRevision { model: "m".to_owned(), revision: WeightsRevision(5) }];
+    let named = |least: u64| WeightsTable {
+        position: Position { epoch: Epoch(1), sequence: ChangeNumber(least) },
+        models: vec![ModelWeights {
+            model: "m".to_owned(),
+            named: WeightsRevision(5),
+            least: WeightsRevision(least),
+            expired: WeightsRevision(0),
+        }],
     };
     bench.run(async {
         bench.proxy.set_fleet(&newer, &named(4));
         for n in 0..16 {
-            bench.ask(&post("/risky/", &format!("a{n}"))).await;
+            bench.send_request(&post("/risky/", &format!("a{n}"))).await;
         }
         let before = bench.replicas[0].count();
         assert!(before > 0);
         bench.proxy.set_fleet(&newer, &named(5));
         for n in 0..16 {
             let request = post_with("/risky/", &format!("b{n}"), "Llm: m\r\n");
-            assert_eq!(status(&bench.ask(&request).await), "200");
+            assert_eq!(status(&bench.send_request(&request).await), "200");
         }
         assert_eq!(bench.replicas[0].count(), before);
     });
@@ -310,14 +390,14 @@
     let gone = "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nServer-Id: i-9\r\nContent-Length: 0\r\n\r\n";
     bench.next(&[Part::Write(gone.to_owned())]);
     bench.run(async {
-        assert_eq!(status(&bench.ask(&post("/risky/", "t0")).await), "200");
+        assert_eq!(status(&bench.send_request(&post("/risky/", "t0")).await), "200");
         for n in 1..9 {
-            bench.ask(&post("/risky/", &format!("t{n}"))).await;
+            bench.send_request(&post("/risky/", &format!("t{n}"))).await;
         }
         // The list still has it, as it lags.
         bench.set_fleet(|lines| lines[0].capacity = 9);
         for n in 9..17 {
-            bench.ask(&post("/risky/", &format!("t{n}"))).await;
+            bench.send_request(&post("/risky/", &format!("t{n}"))).await;
         }
     });
     let mut counts: Vec<_> = bench.replicas.iter().map(|replica| replica.count()).collect();
@@ -329,7 +409,7 @@
 fn a_request_that_nobody_can_take_is_refused_soon() {
     let bench = Bench::start(1);
     bench.set_fleet(std::vec::Vec::clear);
-    let answer = bench.run(bench.ask(&post("/risky/", "t1")));
+    let answer = bench.run(bench.send_request(&post("/risky/", "t1")));
     assert_eq!(status(&answer), "503");
     assert!(header(&answer, "Retry-After").is_some(), "{answer}");
 }
@@ -347,7 +427,7 @@
         assert_eq!((status(&last), header(&last, "Connection").as_deref()), ("200", Some("close")));
         assert_eq!(client.answer().await, "(closed)");
         // New connections are taken for a while.
-        let late = bench.ask(&post("/risky/", "t3")).await;
+        let late = bench.send_request(&post("/risky/", "t3")).await;
         assert_eq!((status(&late), header(&late, "Connection").as_deref()), ("200", Some("close")));
     });
 }
@@ -376,11 +456,14 @@
 #[test]
 fn idle_connections_are_closed_once_no_more_are_taken() {
     let bench = Bench::start(1);
-    bench.run(async {
+    // Long before the idle timeout of clients' connections.
+    let by = Instant::now() + Duration::from_secs(3);
+    let end = bench.run(bench.proxy.alarms.by(by, async {
         let mut client = bench.connect().await;
         client.send(&post("/risky/", "t1")).await;
         assert_eq!(status(&client.answer().await), "200");
         bench.proxy.stop(Duration::ZERO);
-        assert_eq!(client.answer().await, "(closed)");
-    });
+        client.answer().await
+    }));
+    assert_eq!(end.as_deref(), Some("(closed)"));
 }
--- a/crates/proxy/tests/connection_states.rs
+++ b/crates/proxy/tests/connection_states.rs
@@ -43,9 +43,9 @@
     let (request, parts) = exchange(state, path);
     bench.next(&parts);
     let [first, second] = bench.run(async {
-        let first = bench.ask(&request).await;
+        let first = bench.send_request(&request).await;
         support::settle().await;
-        [first, bench.ask(&post(path, "t2")).await]
+        [first, bench.send_request(&post(path, "t2")).await]
     });
     let is_good = status(&first) == "200" && second.ends_with("served") && bench.arrivals() == 2;
     is_good.then(|| bench.replicas[0].connections.get())
@@ -123,10 +123,10 @@
         let bench = Bench::start(1);
         bench.next(&idle_parts(event));
         let answer = bench.run(async {
-            bench.ask(&post(path, "t1")).await;
+            bench.send_request(&post(path, "t1")).await;
             bench.release();
             support::settle().await;
-            bench.ask(&post(path, "t2")).await
+            bench.send_request(&post(path, "t2")).await
         });
         assert!(answer.ends_with("served"), "{event:?}: {answer}");
         let is_used_again = matches!(event, WhileIdle::Nothing);
@@ -151,9 +151,9 @@
     bench.next(&[write(ok("one"))]);
     bench.next(&[end]);
     let answer = bench.run(async {
-        bench.ask(&post(path, "t1")).await;
+        bench.send_request(&post(path, "t1")).await;
         support::settle().await;
-        bench.ask(&post(path, "t2")).await
+        bench.send_request(&post(path, "t2")).await
     });
     assert_eq!((status(&answer), bench.arrivals()), (expected, 2));
 }
@@ -162,10 +162,10 @@
 fn a_connection_is_not_used_for_another_replica_at_the_same_address() {
     let bench = Bench::start(1);
     bench.run(async {
-        bench.ask(&post("/risky/", "t1")).await;
+        bench.send_request(&post("/risky/", "t1")).await;
         support::settle().await;
         bench.set_fleet(|lines| lines[0].id = "i-9".to_owned());
-        bench.ask(&post("/risky/", "t2")).await;
+        bench.send_request(&post("/risky/", "t2")).await;
     });
     assert_eq!((bench.replicas[0].connections.get(), bench.arrivals()), (2, 2));
     let requests = bench.replicas[0].requests.borrow();
--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
 use support::{Bench, LAST, LONG_BODY, Part, answer, event, ok, post, post_long, status, stream_head};
 
@@ -25,8 +27,8 @@
     let bench = Bench::start(1);
     bench.next(&[Part::BeforeBody, write(ok("early")), Part::Wait, Part::ReadBody]);
     let answers = bench.run(async {
-        let first = bench.ask(&post_long("/risky/", "t1")).await;
-        let second = bench.ask(&post("/risky/", "t2")).await;
+        let first = bench.send_request(&post_long("/risky/", "t1")).await;
+        let second = bench.send_request(&post("/risky/", "t2")).await;
         bench.release();
         bench.until(|| bench.replicas[0].ended.get() == 1).await;
         [first, second]
@@ -50,13 +52,29 @@
         bench.release();
         let first = client.answer().await;
         support::settle().await;
-        [first, bench.ask(&post("/risky/", "t2")).await]
+        [first, bench.send_request(&post("/risky/", "t2")).await]
     });
     assert!(answers[0].contains("d2") && answers[0].ends_with(LAST), "{}", answers[0]);
     assert!(answers[1].ends_with("served"), "{}", answers[1]);
     assert_eq!((bench.replicas[0].connections.get(), body_lengths(&bench)), (1, vec![LONG_BODY, 4]));
 }
 
+/// What follows on such a connection would be read as the rest of the body.
+#[test]
+fn the_connection_of_a_request_that_was_not_written_completely_is_not_reused() {
+    let bench = Bench::start(1);
+    bench.next(&[Part::BeforeBody, write(answer("200 OK", "", "early")), Part::Wait]);
+    let by = Instant::now() + Duration::from_secs(5);
+    let answers = bench.run(bench.proxy.alarms.by(by, async {
+        let first = bench.send_request(&post_long("/risky/", "t1")).await;
+        support::settle().await;
+        [first, bench.send_request(&post("/risky/", "t2")).await]
+    }));
+    let answers = answers.expect("two responses in time");
+    assert!(answers[0].ends_with("early") && answers[1].ends_with("served"), "{answers:?}");
+    assert_eq!(bench.replicas[0].connections.get(), 2);
+}
+
 #[rstest]
 #[case::not_run("503 Service Unavailable", "Not-Run: 1\r\n", "200", 2)]
 #[case::failed("500 Internal Server Error", "", "500", 1)]
@@ -70,7 +88,7 @@
 ) {
     let bench = Bench::start(2);
     bench.next(&[Part::BeforeBody, write(answer(line, headers, "early")), Part::Reset]);
-    let answer = bench.run(bench.ask(&post_long("/risky/", "t1")));
+    let answer = bench.run(bench.send_request(&post_long("/risky/", "t1")));
     assert_eq!((status(&answer), bench.arrivals()), (expected, arrivals));
 }
 
@@ -87,6 +105,6 @@
 ) {
     let bench = Bench::start(2);
     bench.next(&[Part::BeforeBody, end]);
-    let answer = bench.run(bench.ask(&post_long(path, "t1")));
+    let answer = bench.run(bench.send_request(&post_long(path, "t1")));
     assert_eq!((status(&answer), bench.arrivals()), (expected, arrivals));
 }
--- a/crates/proxy/tests/headers.rs
+++ b/crates/proxy/tests/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_http1::codec::Head;
 use tulipridge_proxy::headers::{
     Additions, Framing, LocalResponse, Persistence, write_request_head, write_response_head,
@@ -59,7 +60,7 @@
     let additions = Additions {
         tenant: Some("acme"),
         priority: 3,
-        revision: Some(4),
+        revision: Some(WeightsRevision(4)),
         salt: Some("m4-t-acme"),
         ..PLAIN
     };
--- a/crates/proxy/tests/kv_cache.rs
+++ b/crates/proxy/tests/kv_cache.rs
@@ -74,14 +74,14 @@
 /// Salt, part, tokens.
 type Kept = (&'static str, &'static str, u32);
 
-const WHOLE: &[Kept] = &[("m1", "a", 2_000), ("m1", "c", 3_000)];
+const COMPLETE: &[Kept] = &[("m1", "a", 2_000), ("m1", "c", 3_000)];
 const FIRST: &[Kept] = &[("m1", "a", 2_000)];
 const LAST: &[Kept] = &[("m1", "c", 3_000)];
 
 // ---- what counts as cached --------------------------------------------------------------------------------
 
 #[rstest]
-#[case::whole(WHOLE, 5_000)]
+#[case::whole(COMPLETE, 5_000)]
 #[case::blocks(&[("m1", "a", 1_984), ("m1", "c", 2_992)], 4_976)]
 #[case::first(FIRST, 2_000)]
 #[case::part_of_the_first(&[("m1", "a", 512), ("m1", "c", 3_000)], 512)]
@@ -99,14 +99,14 @@
 // ---- fetches ----------------------------------------------------------------------------------------------
 
 #[rstest]
-#[case::target_keeps_all(&[(1, WHOLE), (2, WHOLE), (STORE, WHOLE)], None)]
-#[case::same_zone_first(&[(2, WHOLE), (3, WHOLE), (4, WHOLE), (STORE, WHOLE)], Some(3))]
-#[case::replica_before_store(&[(2, WHOLE), (STORE, WHOLE)], Some(2))]
-#[case::who_keeps_more(&[(3, FIRST), (2, WHOLE)], Some(2))]
-#[case::store_that_keeps_more(&[(3, FIRST), (STORE, WHOLE)], Some(STORE))]
+#[case::target_keeps_all(&[(1, COMPLETE), (2, COMPLETE), (STORE, COMPLETE)], None)]
+#[case::same_zone_first(&[(2, COMPLETE), (3, COMPLETE), (4, COMPLETE), (STORE, COMPLETE)], Some(3))]
+#[case::replica_before_store(&[(2, COMPLETE), (STORE, COMPLETE)], Some(2))]
+#[case::who_keeps_more(&[(3, FIRST), (2, COMPLETE)], Some(2))]
+#[case::store_that_keeps_more(&[(3, FIRST), (STORE, COMPLETE)], Some(STORE))]
 #[case::no_more_than_the_target(&[(1, FIRST), (3, FIRST), (STORE, FIRST)], None)]
 #[case::end_without_beginning(&[(3, LAST), (STORE, FIRST)], Some(STORE))]
-#[case::not_listed(&[(9, WHOLE)], None)]
+#[case::not_listed(&[(9, COMPLETE)], None)]
 #[case::nobody(&[], None)]
 fn the_source_that_keeps_the_most_is_fetched_from(
     #[case] kept: &[(u8, &[Kept])],
@@ -148,7 +148,7 @@
 #[rstest]
 #[case::nobody(&[], 5_000)]
 #[case::target(&[(1, FIRST)], 3_000)]
-#[case::source(&[(1, FIRST), (2, WHOLE)], 0)]
+#[case::source(&[(1, FIRST), (2, COMPLETE)], 0)]
 #[case::store(&[(STORE, FIRST)], 3_000)]
 fn what_neither_target_nor_source_keeps_is_unread(#[case] kept: &[(u8, &[Kept])], #[case] expected: u32) {
     let updates: Vec<_> =
@@ -175,7 +175,7 @@
 #[rstest]
 #[case::lacks_all(Liveness::Alive, &[], true)]
 #[case::lacks_the_last(Liveness::Alive, FIRST, true)]
-#[case::keeps_all(Liveness::Alive, WHOLE, false)]
+#[case::keeps_all(Liveness::Alive, COMPLETE, false)]
 #[case::down(Liveness::Down, &[], false)]
 fn a_store_that_lacks_the_prefix_is_sent_it(
     #[case] liveness: Liveness,
--- a/crates/proxy/tests/retry_safety.rs
+++ b/crates/proxy/tests/retry_safety.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use rstest::rstest;
 use support::{Bench, Part, answer, post, status, stream_head};
 
@@ -18,7 +20,7 @@
 fn outcome(path: &str, first: &[Part]) -> (String, usize) {
     let bench = Bench::start(2);
     bench.next(first);
-    let answer = bench.run(bench.ask(&post(path, "t1")));
+    let answer = bench.run(bench.send_request(&post(path, "t1")));
     (status(&answer).to_owned(), bench.arrivals())
 }
 
@@ -86,7 +88,7 @@
 fn other_errors_of_a_replica_are_forwarded_unchanged(#[case] line: &str) {
     let bench = Bench::start(2);
     bench.next(&write(&answer(line, "", "why")));
-    let answer = bench.run(bench.ask(&post("/harmless/", "t1")));
+    let answer = bench.run(bench.send_request(&post("/harmless/", "t1")));
     assert!(answer.starts_with(&format!("HTTP/1.1 {line}\r\n")), "{answer}");
     assert_eq!(support::header(&answer, "Server-Seal").as_deref(), Some(support::SEAL));
     assert!(answer.ends_with("why"), "{answer}");
@@ -106,7 +108,7 @@
     bench.set_fleet(|lines| lines[0].address = "127.0.0.1:1".to_owned());
     // Whichever replica each of them is meant for first, the one that listens gets it.
     for n in 0..8 {
-        let answer = bench.run(bench.ask(&post(path, &format!("t{n}"))));
+        let answer = bench.run(bench.send_request(&post(path, &format!("t{n}"))));
         assert_eq!(status(&answer), "200");
     }
     assert_eq!(bench.arrivals(), 8);
@@ -123,7 +125,7 @@
 ) {
     let bench = Bench::with_budget(2, 0.0, 0);
     bench.next(&first);
-    let answer = bench.run(bench.ask(&post(path, "t1")));
+    let answer = bench.run(bench.send_request(&post(path, "t1")));
     assert_eq!((status(&answer), bench.arrivals()), (expected, 1));
     assert_eq!(support::header(&answer, "Retry-After").is_some(), expected == "503");
 }
@@ -160,7 +162,7 @@
     for _ in 0..4 {
         bench.next(&not_run("503 Service Unavailable"));
     }
-    let answer = bench.run(bench.ask(&post("/risky/", "t1")));
+    let answer = bench.run(bench.send_request(&post("/risky/", "t1")));
     assert_eq!((status(&answer), bench.arrivals()), ("503", attempts as usize));
 }
 
@@ -168,12 +170,15 @@
 fn a_client_that_leaves_takes_its_request_with_it() {
     let bench = Bench::start(1);
     bench.next(&[Part::Wait]);
-    bench.run(async {
+    // Long before the request's deadline.
+    let by = Instant::now() + Duration::from_secs(3);
+    let ended = bench.run(bench.proxy.alarms.by(by, async {
         let mut client = bench.connect().await;
         client.send(&post("/risky/", "t1")).await;
         bench.until(|| bench.arrivals() == 1).await;
         drop(client);
         bench.until(|| bench.replicas[0].ended.get() == 1).await;
-    });
+    }));
+    assert!(ended.is_some(), "the replica still works for a client that has left");
     assert_eq!(bench.proxy.placement.borrow().live_count(), 0);
 }
--- /dev/null
+++ b/crates/proxy/tests/support/fixtures.rs
@@ -0,0 +1,81 @@
+//! The configuration, settings and entries of the list that tests begin with.
+
+use tulipridge_configuration::number::{Rank, Revision, WeightsRevision};
+use tulipridge_configuration::{Caps, Configuration, Route, RouteKind, Service, ServiceWeight, Tenant};
+use tulipridge_protocol::feed::{ModelRevision, Replica, ReplicaPhase};
+use tulipridge_runtime::settings::Settings;
+
+use super::replica::StandIn;
+
+pub(crate) const HOST: &str = "shop.example";
+pub(crate) const KEY: &str = "k1";
+pub(crate) const SEAL: &str = "s.1";
+
+pub(crate) fn settings() -> Settings {
+    let text = "nodeName: edge-1\nipAddress: 127.0.0.1\narea: zone-a\nzones: {zone-a: here, zone-b: here}\n\
+                sparePorts: [7360, 7375]\n";
+    Settings::parse(text).expect("settings that can be used")
+}
+
+pub(crate) fn route(label: &str, path: &str, kind: RouteKind) -> Route {
+    Route {
+        label: label.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: path.to_owned(),
+        kind,
+        time_limit_ms: 8000,
+        target_ms: 2000,
+        rank: Rank(1),
+        service_weights: vec![ServiceWeight { service: "service".to_owned(), weight: 1.0 }],
+        max_attempts: 2,
+        public: false,
+        pinned: kind == RouteKind::Stream,
+        resumable: false,
+        gap_target_ms: 0,
+    }
+}
+
+pub(crate) fn configuration() -> Configuration {
+    let resumable = Route { resumable: true, ..route("resumable", "/resumable/", RouteKind::Stream) };
+    let open = Route { public: true, ..route("open", "/open/", RouteKind::Harmless) };
+    Configuration {
+        revision: Revision(1),
+        routes: vec![
+            route("harmless", "/harmless/", RouteKind::Harmless),
+            route("risky", "/risky/", RouteKind::Risky),
+            route("stream", "/stream/", RouteKind::Stream),
+            resumable,
+            open,
+        ],
+        services: vec![Service { label: "service".to_owned(), ..Service::default() }],
+        caps: Caps::default(),
+        requires_key: true,
+        tenants: vec![
+            Tenant {
+                label: "acme".to_owned(),
+                api_keys: vec![KEY.to_owned()],
+                rank: Some(Rank(3)),
+                isolated: true,
+            },
+            Tenant {
+                label: "other".to_owned(),
+                api_keys: vec!["k2".to_owned()],
+                rank: None,
+                isolated: false,
+            },
+        ],
+    }
+}
+
+pub(crate) fn replica_line(stand_in: &StandIn) -> Replica {
+    Replica {
+        id: stand_in.id.clone(),
+        service: "service".to_owned(),
+        address: stand_in.address.to_string(),
+        zone: "zone-a".to_owned(),
+        capacity: 8,
+        phase: ReplicaPhase::Ready,
+        warm_left_ms: 0,
+        models: vec![ModelRevision { model: "m".to_owned(), revision: WeightsRevision(4) }],
+    }
+}
--- a/crates/proxy/tests/urgency.rs
+++ b/crates/proxy/tests/urgency.rs
@@ -1,6 +1,7 @@
 //! The priorities of requests.
 
 use rstest::rstest;
+use tulipridge_configuration::number::Rank;
 use tulipridge_proxy::placement::urgency::Urgency;
 
 const MEAN_TOKENS: u32 = 3_000;
@@ -9,7 +10,7 @@
 fn settled() -> Urgency {
     let mut urgency = Urgency::default();
     for _ in 0..100 {
-        urgency.priority(0, MEAN_TOKENS);
+        urgency.priority(Rank(0), MEAN_TOKENS);
     }
     urgency
 }
@@ -23,27 +24,27 @@
 #[case::least_urgent(9, 53_000, 9)]
 #[case::ranks_without_end(255, 0, 9)]
 fn long_prompts_are_less_urgent(#[case] rank: u8, #[case] unread: u32, #[case] expected: u8) {
-    assert_eq!(settled().priority(rank, unread), expected);
+    assert_eq!(settled().priority(Rank(rank), unread), expected);
 }
 
 #[rstest]
 fn of_a_like_length_the_rank_decides(#[values(0, 3_000, 4_000, 15_000, 100_000)] unread: u32) {
-    assert!((0..6).all(|rank| settled().priority(rank, unread) < settled().priority(rank + 1, unread)));
+    assert!((0..6).all(|rank| settled().priority(Rank(rank), unread) < settled().priority(Rank(rank + 1), unread)));
 }
 
 #[test]
 fn a_short_question_does_not_wait_for_a_long_prompt_of_the_next_higher_rank() {
-    assert!(settled().priority(2, 1_100) < settled().priority(1, 17_000));
-    assert!(settled().priority(1, 1_100) < settled().priority(0, 17_000));
+    assert!(settled().priority(Rank(2), 1_100) < settled().priority(Rank(1), 17_000));
+    assert!(settled().priority(Rank(1), 1_100) < settled().priority(Rank(0), 17_000));
 }
 
 #[test]
 fn the_first_request_sets_the_measure_and_the_mean_follows() {
     let mut urgency = Urgency::default();
-    assert_eq!(urgency.priority(1, 17_000), 1);
-    assert_eq!(urgency.priority(1, 17_000), 1);
+    assert_eq!(urgency.priority(Rank(1), 17_000), 1);
+    assert_eq!(urgency.priority(Rank(1), 17_000), 1);
     for _ in 0..400 {
-        urgency.priority(1, 1_000);
+        urgency.priority(Rank(1), 1_000);
     }
-    assert_eq!(urgency.priority(1, 17_000), 4);
+    assert_eq!(urgency.priority(Rank(1), 17_000), 4);
 }
--- a/crates/proxy/tests/weights_expiry.rs
+++ b/crates/proxy/tests/weights_expiry.rs
@@ -6,7 +6,9 @@
 
 use rstest::rstest;
 use support::{Bench, LAST, Part, event, ok, post_with, status, stream_head};
+use tulipridge_configuration::number::WeightsRevision;
 use tulipridge_protocol::feed::{ModelRevision, ModelWeights, Position, WeightsTable};
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 use tulipridge_proxy::replica::weights_expiry::WeightsExpiry;
 use tulipridge_runtime::settings::RevisionTerm;
 
@@ -93,12 +95,17 @@
 const TERM: RevisionTerm = RevisionTerm::new(Duration::from_secs(12));
 
 fn weights(model: &str, revision: u64) -> ModelRevision {
-    ModelRevision { model: model.to_owned(), revision }
+    ModelRevision { model: model.to_owned(), revision: WeightsRevision(revision) }
 }
 
 fn table(named: u64, expired: u64) -> WeightsTable {
-    let line = ModelWeights { model: "m".to_owned(), named, least: expired, expired };
-    WeightsTable { position: Position { epoch: 1, sequence: 1 }, models: vec![line] }
+    let line = ModelWeights {
+        model: "m".to_owned(),
+        named: WeightsRevision(named),
+        least: WeightsRevision(expired),
+        expired: WeightsRevision(expired),
+    };
+    WeightsTable { position: Position { epoch: Epoch(1), sequence: ChangeNumber(1) }, models: vec![line] }
 }
 
 fn ms(count: u64) -> Duration {
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -119,7 +119,7 @@
     /// # Errors
     /// [`SettingsError::NoPath`], and those of [`Settings::read`].
     pub fn load() -> Result<Self, SettingsError> {
-        let path = std::env::var_os(PATH_VARIABLE).context(NoPathSnafu)?;
+        let path = std::env::var_os(PATH_VARIABLE).context(NoPathSnafu { variable: PATH_VARIABLE })?;
         Self::read(Path::new(&path))
     }
 
--- a/crates/runtime/src/settings/error.rs
+++ b/crates/runtime/src/settings/error.rs
@@ -5,8 +5,6 @@
 
 use snafu::Snafu;
 
-use super::PATH_VARIABLE;
-
 /// One fault of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -33,8 +31,11 @@
 #[snafu(visibility(pub(super)))]
 pub enum SettingsError {
     /// The variable that names the file is not set.
-    #[snafu(display("the variable {PATH_VARIABLE} does not name a settings file"))]
-    NoPath,
+    #[snafu(display("the variable {variable} does not name a settings file"))]
+    NoPath {
+        /// The variable.
+        variable: &'static str,
+    },
     /// The file can't be read.
     #[snafu(display("{}: {source}", path.display()))]
     Unreadable {
--- a/crates/simulator/experiments/errors.hcl
+++ b/crates/simulator/experiments/errors.hcl
@@ -1,4 +1,4 @@
-# A small fleet with one class of long prompts: three gateways before eleven real servers of three kinds, which report
+# A small fleet with one class of long prompts: three gateways before eleven replicas of three kinds, which report
 # nothing; lists come unasked and late, and say only whether a process runs. Four troubles follow one another, 15 s apart,
 # for what each leaves behind; at the end errors and a hang come together in an overload.
 about    = "Partial quick errors, a hang, a crash and a mute list, one after another"
--- a/crates/simulator/experiments/herd.hcl
+++ b/crates/simulator/experiments/herd.hcl
@@ -1,7 +1,7 @@
-# A day of the operators' bench (herd+mass) as far as its log tells it: while half of the real servers are replaced in
+# A day of the operators' bench (herd+mass) as far as its log tells it: while half of the replicas are replaced in
 # steps, seven in ten of 309 gateways are killed at once, and the load swings. One server in eight is slow throughout.
 from     = "release.hcl"
-about    = "Gateways and real servers released together: after a day of herd+mass"
+about    = "Gateways and replicas released together: after a day of herd+mass"
 length   = "20s"
 policies = ["module", "random", "least_in_flight", "two_choices", "bounded_ring", "oracle"]
 
--- a/crates/simulator/experiments/release.hcl
+++ b/crates/simulator/experiments/release.hcl
@@ -1,4 +1,4 @@
-# 300 gateways before 100 real servers, each gateway with about two requests a second. Seven in ten gateways
+# 300 gateways before 100 replicas, each gateway with about two requests a second. Seven in ten gateways
 # restart at once with the list that they had. What the list says of the sizes is about right: the units times the
 # speeds are to each other as what the kinds do in this simulator (1.9 to 1.3 to 1).
 about    = "A release: seven in ten of 300 gateways restart at once"
--- a/crates/simulator/experiments/wide.hcl
+++ b/crates/simulator/experiments/wide.hcl
@@ -1,6 +1,6 @@
 # How fast the simulator is: 10,000 small requests a second, a third of the gateways restarting.
 from     = "release.hcl"
-about    = "300 gateways, 100 real servers, 10,000 requests a second"
+about    = "300 gateways, 100 replicas, 10,000 requests a second"
 warmup   = "5s"
 length   = "15s"
 policies = ["module", "random", "least_in_flight", "oracle"]
--- a/crates/simulator/src/error.rs
+++ b/crates/simulator/src/error.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use tulipridge::settings::Fault as SettingsFault;
+use tulipridge::settings::SettingsError;
 use tulipridge_simulator::report::ReportError;
 
 /// Why a command failed.
@@ -21,7 +21,7 @@
     /// The experiment is invalid.
     Experiment {
         /// The first invalid value, with file, position and key.
-        source: SettingsFault,
+        source: SettingsError,
     },
     /// A file is not a report.
     NoReport {
@@ -67,8 +67,8 @@
     }
 }
 
-impl From<SettingsFault> for CommandError {
-    fn from(source: SettingsFault) -> CommandError {
+impl From<SettingsError> for CommandError {
+    fn from(source: SettingsError) -> CommandError {
         CommandError::Experiment { source }
     }
 }
--- a/crates/simulator/src/experiment/check.rs
+++ b/crates/simulator/src/experiment/check.rs
@@ -3,6 +3,8 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use tulipridge::settings::InvalidSetting;
+
 use super::Experiment;
 use super::faults::{Fault, FaultKind};
 use super::gateways::Gateways;
@@ -12,7 +14,7 @@
 use super::replicas::{MachineKind, Replicas};
 
 /// The first invalid value: its key and a description, as the parser expects it.
-type Checked = Result<(), (String, String)>;
+type Checked = Result<(), InvalidSetting>;
 
 /// Fractions have to add up to 1 within this tolerance.
 const SUM_TOLERANCE: f64 = 0.01;
@@ -171,7 +173,7 @@
 }
 
 fn invalid(key: impl Into<String>, what: impl Into<String>) -> Checked {
-    Err((key.into(), what.into()))
+    Err(InvalidSetting::new(key.into(), what.into()))
 }
 
 /// Checks that a number is within bounds.
--- a/crates/simulator/src/experiment/faults.rs
+++ b/crates/simulator/src/experiment/faults.rs
@@ -65,12 +65,12 @@
     pub fn description(self) -> &'static str {
         match self {
             FaultKind::RestartGateways => "gateways restart",
-            FaultKind::KillReplicas => "real servers die",
-            FaultKind::SilenceReplicas => "real servers vanish without a word",
-            FaultKind::ReplaceReplicas => "real servers are replaced",
-            FaultKind::SlowReplicas => "real servers slow down",
-            FaultKind::ErrorReplicas => "real servers answer with errors",
-            FaultKind::HangReplicas => "real servers hang",
+            FaultKind::KillReplicas => "replicas die",
+            FaultKind::SilenceReplicas => "replicas vanish without a word",
+            FaultKind::ReplaceReplicas => "replicas are replaced",
+            FaultKind::SlowReplicas => "replicas slow down",
+            FaultKind::ErrorReplicas => "replicas answer with errors",
+            FaultKind::HangReplicas => "replicas hang",
             FaultKind::ListOutage => "the list service is out of reach",
         }
     }
--- a/crates/simulator/src/experiment/module_settings.rs
+++ b/crates/simulator/src/experiment/module_settings.rs
@@ -1,4 +1,4 @@
-//! The settings of the decision module in an experiment.
+//! The settings of the load balancer in an experiment.
 
 use tulipridge::types;
 
@@ -6,7 +6,7 @@
 use crate::time::nanos;
 
 impl Experiment {
-    /// The settings of the module of gateway `me`.
+    /// The settings of the load balancer of gateway `me`.
     #[must_use]
     pub fn settings(&self, me: u32) -> types::Settings {
         let classes = self.classes.values().map(|c| types::Class {
--- a/crates/simulator/src/experiment/parse.rs
+++ b/crates/simulator/src/experiment/parse.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use tulipridge::settings::{Fault as SettingsFault, parse_hcl_over};
+use tulipridge::settings::{SettingsError, parse_hcl_over};
 
 use super::Experiment;
 
@@ -14,11 +14,12 @@
     ///
     /// A syntax error, an unknown key or an invalid value, with file, position and key; a base file that can't be read
     /// or that overrides itself.
-    pub fn parse(path: &str, text: &str) -> Result<Experiment, SettingsFault> {
+    pub fn parse(path: &str, text: &str) -> Result<Experiment, SettingsError> {
         let mut files = vec![(path.to_owned(), text.to_owned())];
         while let Some(from) = files.last().and_then(|(_, text)| base_file_of(text)) {
             let (path, _) = &files[files.len() - 1];
-            let fault = |what| SettingsFault { file: path.clone(), place: None, key: "from".into(), what };
+            let fault =
+                |problem| SettingsError { file: path.clone(), position: None, key: "from".into(), problem };
             let base = Path::new(path).with_file_name(&from).display().to_string();
             if files.iter().any(|(known, _)| *known == base) {
                 return Err(fault(format!("{from} comes back to this file")));
--- a/crates/simulator/src/fleet/attempts.rs
+++ b/crates/simulator/src/fleet/attempts.rs
@@ -78,7 +78,7 @@
     }
 
     /// Responds to a client without a stream.
-    pub(super) fn answer_client(&mut self, number: u64, outcome: RequestOutcome, retry_after: Nanos) {
+    pub(super) fn respond_to_client(&mut self, number: u64, outcome: RequestOutcome, retry_after: Nanos) {
         let Some(request) = self.requests[number as usize].as_mut() else { return };
         if std::mem::replace(&mut request.is_answered, true) {
             return;
--- a/crates/simulator/src/fleet/gateways.rs
+++ b/crates/simulator/src/fleet/gateways.rs
@@ -41,9 +41,9 @@
                 self.send_attempt(gateway, id.0, &replica, timeout);
             }
             Action::Refuse { id, retry_after } => {
-                self.answer_client(id.0, RequestOutcome::Rejected, retry_after);
+                self.respond_to_client(id.0, RequestOutcome::Rejected, retry_after);
             }
-            Action::Fail(id) => self.answer_client(id.0, RequestOutcome::Failed, 0),
+            Action::Fail(id) => self.respond_to_client(id.0, RequestOutcome::Failed, 0),
             Action::Cancel { id, attempt } => {
                 let id = AttemptId { request: id.0, attempt };
                 if self.attempt_stage(id) == Some(AttemptStage::Sent) {
--- a/crates/simulator/src/fleet/mod.rs
+++ b/crates/simulator/src/fleet/mod.rs
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 ///
-/// The decision module's, if it rejects the settings.
+/// The load balancer's, if it rejects the settings.
 pub fn simulate(experiment: &Experiment, policy: PolicyKind) -> Result<RunSummary, SettingsError> {
     let mut fleet = Fleet::new(experiment, policy);
     fleet.run()?;
--- a/crates/simulator/src/policy/mod.rs
+++ b/crates/simulator/src/policy/mod.rs
@@ -26,7 +26,7 @@
     ///
     /// # Errors
     ///
-    /// The decision module's, if it rejects the settings.
+    /// The load balancer's, if it rejects the settings.
     pub fn new(
         kind: PolicyKind,
         settings: Settings,
--- a/crates/simulator/src/report/error.rs
+++ b/crates/simulator/src/report/error.rs
@@ -10,11 +10,11 @@
 /// Why a report could not be made, written or compared.
 #[derive(Debug)]
 pub enum ReportError {
-    /// The decision module has rejected the experiment's settings.
+    /// The load balancer has rejected the experiment's settings.
     Settings {
         /// The simulated policy.
         policy: PolicyKind,
-        /// The module's error.
+        /// The load balancer's error.
         source: SettingsError,
     },
     /// A simulation has panicked.
--- a/crates/simulator/src/report/plots.rs
+++ b/crates/simulator/src/report/plots.rs
@@ -39,7 +39,7 @@
     },
     WindowPlot {
         name: "herd",
-        title: "Most requests at one real server within 50 ms",
+        title: "Most requests at one replica within 50 ms",
         value: |window| window.herd as f64,
     },
     WindowPlot {
@@ -49,12 +49,12 @@
     },
     WindowPlot {
         name: "fresh",
-        title: "Load of real servers that came in place of others, over the mean",
+        title: "Load of replicas that came in place of others, over the mean",
         value: |window| window.replacements_over_mean,
     },
     WindowPlot {
         name: "in-hand",
-        title: "Requests in hand, all real servers",
+        title: "Requests in hand, all replicas",
         value: |window| window.in_flight,
     },
     WindowPlot {
@@ -119,8 +119,7 @@
             draw_plot(plot.name.to_owned(), plot.title.to_owned(), WINDOW_PLOT_HEIGHT, draw)
         });
         let maps = self.runs.iter().map(|run| {
-            let title =
-                format!("{}: each real server's load, a row each, most loaded at the top", run.policy);
+            let title = format!("{}: each replica's load, a row each, most loaded at the top", run.policy);
             draw_plot(format!("servers-{}", run.policy), title, MAP_HEIGHT, |area| draw_map(area, run))
         });
         window_plots.chain(maps).collect()
--- a/crates/simulator/src/report/simulation.rs
+++ b/crates/simulator/src/report/simulation.rs
@@ -15,7 +15,7 @@
     ///
     /// # Errors
     ///
-    /// [`ReportError::Settings`] if the decision module rejects the experiment's settings, and
+    /// [`ReportError::Settings`] if the load balancer rejects the experiment's settings, and
     /// [`ReportError::Panicked`] if a simulation has panicked.
     pub fn simulate(experiment: &Experiment) -> Result<Report, ReportError> {
         let faults = experiment.faults_in_order().into_iter();
--- a/crates/subscription/src/freshness.rs
+++ b/crates/subscription/src/freshness.rs
@@ -50,9 +50,12 @@
         while self.pending.front().is_some_and(|ping| ping.id < id) {
             self.pending.pop_front();
         }
-        let Some(ping) = self.pending.pop_front_if(|ping| ping.id == id) else { return };
+        if self.pending.front().is_none_or(|ping| ping.id != id) {
+            return;
+        }
+        let Some(sent) = self.pending.pop_front().map(|ping| ping.sent) else { return };
         let Some(age) = age else { return };
-        let fresh_as_of = signed_nanos(ping.sent) - signed_nanos(age);
+        let fresh_as_of = signed_nanos(sent) - signed_nanos(age);
         self.fresh_as_of = self.fresh_as_of.max(Some(fresh_as_of));
     }
 
--- a/crates/subscription/src/publisher/subscription.rs
+++ b/crates/subscription/src/publisher/subscription.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tulipridge_configuration::number::Revision;
 use tulipridge_protocol::feed::{QueuedWork, Subscribe, SubscriberRole};
 use tulipridge_runtime::clock;
 
@@ -26,7 +27,7 @@
     /// Gateways that it serves, by its latest ping.
     pub gateways: u32,
     /// Revision of the configuration that it was sent last, or had when it subscribed.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time since its last message.
     pub idle: Duration,
 }
@@ -48,7 +49,7 @@
     /// When the last message came, or the connection was made.
     pub(super) last_message: Duration,
     pub(super) gateways: u32,
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     pub(super) queued_work: QueuedWork,
 }
 
@@ -58,7 +59,7 @@
             subscriber: None,
             last_message: clock::now(),
             gateways: 0,
-            revision: 0,
+            revision: Revision(0),
             queued_work: QueuedWork::default(),
         };
         Subscription { address, store_changed: Signal::default(), status: RefCell::new(status) }
--- a/crates/subscription/src/store.rs
+++ b/crates/subscription/src/store.rs
@@ -22,18 +22,17 @@
     CacheUpdate, Group, KnownPositions, LoadTable, ModelWeights, Position, QueuedWork, QueuedWorkEntry,
     Replica, ToSubscriber, WeightsTable,
 };
+use tulipridge_protocol::number::Epoch;
 
 use cache_index::CacheIndexTable;
 use configurations::Configurations;
 use fleet::FleetTable;
 
 pub use changes::{Pong, StateChanges};
+pub use configurations::REMEMBERED_CONFIGURATIONS;
 pub use error::{FeedError, Table};
 pub use positions::SentPositions;
 
-/// Earlier configurations that a store keeps by default, as bases of deltas.
-pub const REMEMBERED_CONFIGURATIONS: usize = 8;
-
 /// The newest state that a process knows, and enough of its history to send deltas.
 ///
 /// The primary writes with the `set_` functions and [`FeedStore::update_cache_index`], every other process with
@@ -71,25 +70,25 @@
     /// replica differs or the epoch is new. Time that has passed on `warm_left_ms` is no difference until none is
     /// left; such replicas are stored as they are, so that new subscribers get the present figure. No other store
     /// may set tables in the same epoch.
-    pub fn set_fleet(&mut self, epoch: u64, replicas: Vec<Replica>) -> bool {
+    pub fn set_fleet(&mut self, epoch: Epoch, replicas: Vec<Replica>) -> bool {
         self.fleet.set(epoch, replicas)
     }
 
     /// Sets the table of weights, as the primary of `epoch`; whether its position advances.
-    pub fn set_weights(&mut self, epoch: u64, models: Vec<ModelWeights>) -> bool {
+    pub fn set_weights(&mut self, epoch: Epoch, models: Vec<ModelWeights>) -> bool {
         let Some(next) = snapshot_tables::next_weights(&self.weights, epoch, models) else { return false };
         self.weights = next;
         true
     }
 
     /// Applies changes of the prefix-cache index, as the primary of `epoch`; whether its position advances.
-    pub fn update_cache_index(&mut self, epoch: u64, updates: &[CacheUpdate]) -> bool {
+    pub fn update_cache_index(&mut self, epoch: Epoch, updates: &[CacheUpdate]) -> bool {
         self.cache_index.set(epoch, updates)
     }
 
     /// Sets the table of loads from the work queued at replicas, as the primary of `epoch`; whether its position
     /// advances. Work that refers to another table of replicas than the present one is left out.
-    pub fn set_loads(&mut self, epoch: u64, work: &QueuedWork) -> bool {
+    pub fn set_loads(&mut self, epoch: Epoch, work: &QueuedWork) -> bool {
         let fleet = self.fleet.position();
         let replica_count = self.fleet.replicas().count();
         let next = snapshot_tables::next_loads(&self.loads, epoch, work, fleet, replica_count);
--- a/crates/subscription/src/store/cache_index.rs
+++ b/crates/subscription/src/store/cache_index.rs
@@ -5,6 +5,7 @@
 
 use tulipridge_prefix_cache_index::{CacheUpdate, ChangeLog, ChangedKeys, Index};
 use tulipridge_protocol::feed::{CacheIndexUpdate, Position};
+use tulipridge_protocol::number::Epoch;
 
 use super::error::{FeedError, Table};
 use super::positions::next_position;
@@ -30,7 +31,7 @@
     }
 
     /// Applies changes, as the primary of `epoch`; whether the position advances.
-    pub(super) fn set(&mut self, epoch: u64, updates: &[CacheUpdate]) -> bool {
+    pub(super) fn set(&mut self, epoch: Epoch, updates: &[CacheUpdate]) -> bool {
         if epoch < self.position.epoch {
             return false;
         }
--- a/crates/subscription/src/store/changes.rs
+++ b/crates/subscription/src/store/changes.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tulipridge_configuration::number::Revision;
+
 /// Which tables differ after one or several messages, and the last pong among these.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StateChanges {
@@ -48,5 +50,5 @@
     /// How long ago the publisher's state was known to be the newest; none while the publisher does not know.
     pub age: Option<Duration>,
     /// Revision of the configuration that the publisher has.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/subscription/src/store/configurations.rs
+++ b/crates/subscription/src/store/configurations.rs
@@ -4,12 +4,15 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use tulipridge_configuration::number::Revision;
 use tulipridge_configuration::{Configuration, ConfigurationChanges, difference};
 use tulipridge_protocol::feed::ConfigurationUpdate;
 
-use super::REMEMBERED_CONFIGURATIONS;
 use super::error::{FeedError, Table};
 
+/// Earlier configurations that a store keeps by default, as bases of deltas.
+pub const REMEMBERED_CONFIGURATIONS: usize = 8;
+
 /// Most routes, services and tenants in all earlier configurations together; the oldest configurations are dropped
 /// beyond it.
 const MAX_EARLIER_ITEMS: usize = 100_000;
@@ -26,8 +29,8 @@
 /// The update that was computed or received last. It is cached since many subscribers need the same.
 #[derive(Debug)]
 struct CachedUpdate {
-    base: u64,
-    revision: u64,
+    base: Revision,
+    revision: Revision,
     update: ConfigurationUpdate,
 }
 
@@ -52,8 +55,8 @@
     }
 
     /// The newest revision; 0 is none.
-    pub(super) fn revision(&self) -> u64 {
-        self.newest.as_ref().map_or(0, |newest| newest.revision)
+    pub(super) fn revision(&self) -> Revision {
+        self.newest.as_ref().map_or(Revision(0), |newest| newest.revision)
     }
 
     /// Replaces the newest configuration if the revision is higher; whether it did.
@@ -100,12 +103,11 @@
     }
 
     /// The update from revision `base` to the newest; none where the base is as new.
-    pub(super) fn since(&self, base: u64) -> Option<ConfigurationUpdate> {
+    pub(super) fn since(&self, base: Revision) -> Option<ConfigurationUpdate> {
         let newest = self.newest.as_ref().filter(|newest| newest.revision > base)?;
         let mut latest = self.latest_update.borrow_mut();
-        if let Some(known) = latest.as_ref()
-            && (known.base, known.revision) == (base, newest.revision)
-        {
+        let wanted = (base, newest.revision);
+        if let Some(known) = latest.as_ref().filter(|known| (known.base, known.revision) == wanted) {
             return Some(known.update.clone());
         }
         let update = self.update_from(base, newest);
@@ -114,7 +116,7 @@
     }
 
     /// Deltas carry no order of items, so one is used only where it leads exactly to the newest configuration.
-    fn update_from(&self, base: u64, newest: &Arc<Configuration>) -> ConfigurationUpdate {
+    fn update_from(&self, base: Revision, newest: &Arc<Configuration>) -> ConfigurationUpdate {
         let snapshot = || ConfigurationUpdate::Snapshot(Arc::clone(newest));
         let Some(base) = self.earlier.iter().find(|earlier| earlier.revision == base) else {
             return snapshot();
--- a/crates/subscription/src/store/fleet.rs
+++ b/crates/subscription/src/store/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use tulipridge_protocol::feed::{FleetUpdate, Position, Replica};
+use tulipridge_protocol::number::Epoch;
 
 use super::error::{FeedError, Table};
 use super::positions::next_position;
@@ -46,7 +47,7 @@
     }
 
     /// Replaces the table, as the primary of `epoch`; whether its position advances.
-    pub(super) fn set(&mut self, epoch: u64, replicas: Vec<Replica>) -> bool {
+    pub(super) fn set(&mut self, epoch: Epoch, replicas: Vec<Replica>) -> bool {
         if epoch < self.position.epoch {
             return false;
         }
--- a/crates/subscription/src/store/positions.rs
+++ b/crates/subscription/src/store/positions.rs
@@ -1,6 +1,7 @@
 //! How far a subscriber has followed the state, and how a table's position advances.
 
 use tulipridge_protocol::feed::{KnownPositions, Position};
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 
 /// The positions up to which a subscriber has been sent the state, or which it stated itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,11 +38,11 @@
 ///
 /// A new epoch always advances the position, so that subscribers take over the new primary's table even where its
 /// content is the same. Within an epoch the position advances with each difference.
-pub(super) fn next_position(position: Position, epoch: u64, differs: bool) -> Option<Position> {
-    let first = Position { epoch, sequence: 1 };
-    if first > position && (epoch > position.epoch || position.sequence == 0) {
+pub(super) fn next_position(position: Position, epoch: Epoch, differs: bool) -> Option<Position> {
+    let first = Position { epoch, sequence: ChangeNumber(1) };
+    if first > position && (epoch > position.epoch || position.sequence == ChangeNumber(0)) {
         return Some(first);
     }
     let advances = epoch == position.epoch && differs;
-    advances.then(|| Position { epoch, sequence: position.sequence + 1 })
+    advances.then(|| Position { epoch, sequence: position.sequence.next() })
 }
--- a/crates/subscription/src/store/snapshot_tables.rs
+++ b/crates/subscription/src/store/snapshot_tables.rs
@@ -1,6 +1,7 @@
 //! Tables that are always sent as snapshots: weights and loads.
 
 use tulipridge_protocol::feed::{LoadTable, ModelWeights, Position, QueuedWork, WeightsTable};
+use tulipridge_protocol::number::Epoch;
 
 use super::positions::next_position;
 
@@ -34,7 +35,7 @@
 /// The table of weights after the primary of `epoch` has written `models`; none if its position stays.
 pub(super) fn next_weights(
     table: &WeightsTable,
-    epoch: u64,
+    epoch: Epoch,
     models: Vec<ModelWeights>,
 ) -> Option<WeightsTable> {
     let position = next_position(table.position, epoch, table.models != models)?;
@@ -46,7 +47,7 @@
 /// `fleet` and `replica_count` describe the present table of replicas. Work by another one is left out.
 pub(super) fn next_loads(
     table: &LoadTable,
-    epoch: u64,
+    epoch: Epoch,
     work: &QueuedWork,
     fleet: Position,
     replica_count: usize,
--- a/crates/subscription/src/subscriber/connect.rs
+++ b/crates/subscription/src/subscriber/connect.rs
@@ -26,7 +26,7 @@
     let connecting = async { Async::<TcpStream>::connect(address).await.context(ConnectSnafu) };
     let timeout = async {
         Timer::after(CONNECT_TIMEOUT).await;
-        ConnectTimeoutSnafu.fail()
+        ConnectTimeoutSnafu { limit: CONNECT_TIMEOUT }.fail()
     };
     let stream = connecting.or(timeout).await?;
     stream.get_ref().set_nodelay(true).context(ConnectSnafu)?;
--- a/crates/subscription/src/subscriber/end.rs
+++ b/crates/subscription/src/subscriber/end.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use snafu::Snafu;
 use tulipridge_protocol::frame::FrameError;
 
-use super::connect::CONNECT_TIMEOUT;
 use crate::store::FeedError;
 
 /// A connection, or an attempt at one, that has ended.
@@ -29,8 +29,11 @@
         source: io::Error,
     },
     /// No connection was made in time.
-    #[snafu(display("no connection within {} ms", CONNECT_TIMEOUT.as_millis()))]
-    ConnectTimeout,
+    #[snafu(display("no connection within {} ms", limit.as_millis()))]
+    ConnectTimeout {
+        /// The timeout.
+        limit: Duration,
+    },
     /// The publisher has closed the connection.
     #[snafu(display("the publisher has closed the connection"))]
     Closed,
--- a/crates/subscription/tests/cache_index.rs
+++ b/crates/subscription/tests/cache_index.rs
@@ -6,6 +6,7 @@
 use tulipridge_prefix_cache_index::{CacheUpdate, CachedPrefix, Liveness, PrefixKey};
 use tulipridge_protocol::feed::{CacheIndexUpdate, KnownPositions, Position, ToSubscriber};
 use tulipridge_protocol::frame;
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 use tulipridge_subscription::store::Table;
 use tulipridge_subscription::{FeedError, FeedStore};
 
@@ -33,7 +34,7 @@
 }
 
 fn position(epoch: u64, sequence: u64) -> Position {
-    Position { epoch, sequence }
+    Position { epoch: Epoch(epoch), sequence: ChangeNumber(sequence) }
 }
 
 fn pending_update(publisher: &FeedStore, subscriber: &FeedStore) -> Option<CacheIndexUpdate> {
@@ -63,12 +64,12 @@
 #[test]
 fn the_position_advances_with_changes_and_epochs() {
     let mut store = FeedStore::new();
-    assert!(store.update_cache_index(4, &[cached(1, 1, &[(1, 800)])]));
+    assert!(store.update_cache_index(Epoch(4), &[cached(1, 1, &[(1, 800)])]));
     assert_eq!(store.known_positions().cache_index, position(4, 1));
-    assert!(!store.update_cache_index(4, &[]));
-    assert!(store.update_cache_index(4, &[cached(1, 2, &[(2, 800)])]));
-    assert!(!store.update_cache_index(3, &[cached(1, 3, &[(3, 800)])]), "an old epoch");
-    assert!(store.update_cache_index(5, &[cached(1, 3, &[(3, 800)])]));
+    assert!(!store.update_cache_index(Epoch(4), &[]));
+    assert!(store.update_cache_index(Epoch(4), &[cached(1, 2, &[(2, 800)])]));
+    assert!(!store.update_cache_index(Epoch(3), &[cached(1, 3, &[(3, 800)])]), "an old epoch");
+    assert!(store.update_cache_index(Epoch(5), &[cached(1, 3, &[(3, 800)])]));
     assert_eq!(store.known_positions().cache_index, position(5, 1));
     assert_eq!(store.cache_index().borrow().len(), 3);
 }
@@ -76,12 +77,12 @@
 #[test]
 fn a_new_subscriber_gets_a_snapshot_and_then_deltas() {
     let (mut publisher, mut subscriber) = (FeedStore::new(), FeedStore::new());
-    publisher.update_cache_index(1, &[cached(1, 1, &[(1, 800), (2, 800)])]);
+    publisher.update_cache_index(Epoch(1), &[cached(1, 1, &[(1, 800), (2, 800)])]);
     assert_eq!(pending_update(&publisher, &subscriber).map(|update| update.base), Some(None));
     deliver(&publisher, &mut subscriber).expect("a snapshot");
     let mut removal = cached(1, 3, &[(3, 900)]);
     removal.removed.push(key(1));
-    publisher.update_cache_index(1, &[removal]);
+    publisher.update_cache_index(Epoch(1), &[removal]);
     let update = pending_update(&publisher, &subscriber).expect("news");
     assert_eq!((update.base, update.position), (Some(position(1, 1)), position(1, 2)));
     assert_eq!(update.updates[0].added, [CachedPrefix { key: key(3), tokens: 900 }]);
@@ -94,7 +95,7 @@
 #[test]
 fn a_delta_from_another_position_is_a_gap() {
     let mut store = FeedStore::new();
-    store.update_cache_index(1, &[cached(1, 1, &[])]);
+    store.update_cache_index(Epoch(1), &[cached(1, 1, &[])]);
     let update =
         CacheIndexUpdate { base: Some(position(1, 7)), position: position(1, 8), updates: Vec::new() };
     assert_eq!(
@@ -107,14 +108,14 @@
 #[test]
 fn a_subscriber_ahead_in_an_old_epoch_gets_a_snapshot() {
     let (mut old, mut new) = (FeedStore::new(), FeedStore::new());
-    old.update_cache_index(1, &[cached(1, 1, &[(1, 800)])]);
+    old.update_cache_index(Epoch(1), &[cached(1, 1, &[(1, 800)])]);
     deliver(&old, &mut new).expect("a snapshot");
-    old.update_cache_index(1, &[cached(1, 2, &[(2, 800)])]);
-    new.update_cache_index(2, &[cached(1, 3, &[(3, 800)])]);
+    old.update_cache_index(Epoch(1), &[cached(1, 2, &[(2, 800)])]);
+    new.update_cache_index(Epoch(2), &[cached(1, 3, &[(3, 800)])]);
     assert_eq!(pending_update(&new, &old).map(|update| update.base), Some(None));
     deliver(&new, &mut old).expect("a snapshot");
     assert_same(&old, &new);
-    assert!(!old.update_cache_index(1, &[cached(1, 9, &[(9, 800)])]), "the old primary is deposed");
+    assert!(!old.update_cache_index(Epoch(1), &[cached(1, 9, &[(9, 800)])]), "the old primary is deposed");
 }
 
 #[rstest]
@@ -131,11 +132,13 @@
                     stores.get_disjoint_mut([primary, other]).expect("two of three stores");
                 deliver(publisher, subscriber).expect("what is missing applies");
             }
-            _ => drop(stores[primary].update_cache_index(epoch, &[random_update(&mut random, step)])),
+            _ => {
+                stores[primary].update_cache_index(Epoch(epoch), &[random_update(&mut random, step)]);
+            }
         }
     }
     epoch += 1;
-    stores[primary].update_cache_index(epoch, &[cached(1, 0, &[])]);
+    stores[primary].update_cache_index(Epoch(epoch), &[cached(1, 0, &[])]);
     for other in [(primary + 1) % 3, (primary + 2) % 3] {
         let [publisher, subscriber] =
             stores.get_disjoint_mut([primary, other]).expect("two of three stores");
--- a/crates/subscription/tests/common/mod.rs
+++ b/crates/subscription/tests/common/mod.rs
@@ -6,9 +6,10 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_configuration::{Configuration, Service, Tenant};
 use tulipridge_protocol::feed::{ControlNode, Group, ModelRevision, ModelWeights, Replica, ReplicaPhase};
-use tulipridge_protocol::node::NodeId;
+use tulipridge_protocol::node::{Generation, NodeId};
 
 /// A configuration whose content follows from `content`.
 pub(crate) fn configuration(revision: u64, content: u64) -> Arc<Configuration> {
@@ -16,7 +17,7 @@
     let service =
         Service { label: "chat".to_owned(), connection_limit: content as u32 % 4, ..Service::default() };
     Arc::new(Configuration {
-        revision,
+        revision: Revision(revision),
         services: vec![service],
         requires_key: content >> 6 & 1 == 1,
         tenants: tenants.collect(),
@@ -43,7 +44,7 @@
         capacity,
         phase: ReplicaPhase::Ready,
         warm_left_ms: 0,
-        models: vec![ModelRevision { model: "large".to_owned(), revision: 1 }],
+        models: vec![ModelRevision { model: "large".to_owned(), revision: WeightsRevision(1) }],
     }
 }
 
@@ -54,11 +55,17 @@
 
 /// A table of weights.
 pub(crate) fn weights(named: u64) -> Vec<ModelWeights> {
-    vec![ModelWeights { model: "large".to_owned(), named, least: named / 2, expired: named / 2 }]
+    vec![ModelWeights {
+        model: "large".to_owned(),
+        named: WeightsRevision(named),
+        least: WeightsRevision(named / 2),
+        expired: WeightsRevision(named / 2),
+    }]
 }
 
 /// A group of so many gateways.
 pub(crate) fn group(gateways: u32) -> Group {
-    let member = ControlNode { id: NodeId::new(Ipv4Addr::new(10, 0, 0, 9), 0), zone: "east".to_owned() };
+    let member =
+        ControlNode { id: NodeId::new(Ipv4Addr::new(10, 0, 0, 9), Generation(0)), zone: "east".to_owned() };
     Group { gateways, control: vec![member] }
 }
--- a/crates/subscription/tests/publisher.rs
+++ b/crates/subscription/tests/publisher.rs
@@ -9,9 +9,11 @@
 use common::network::{self, Peer, fresh, publish, store, subscribe, until};
 use common::{configuration, group, replica, weights};
 use rstest::rstest;
+use tulipridge_configuration::number::Revision;
 use tulipridge_protocol::feed::{
     ConfigurationUpdate, FleetUpdate, KnownPositions, Position, ToPublisher, ToSubscriber,
 };
+use tulipridge_protocol::number::Epoch;
 use tulipridge_subscription::PublisherSettings;
 
 fn ping(id: u64) -> ToPublisher {
@@ -43,7 +45,7 @@
 }
 
 #[test]
-fn a_whole_exchange() {
+fn a_complete_exchange() {
     let transcript = Transcript::default();
     let written = transcript.clone();
     network::run(|executor| async move {
@@ -52,8 +54,8 @@
         let shared = Rc::clone(&age);
         let (publisher, address) = publish(&executor, &store, Rc::new(move || shared.get()), settings());
         store.borrow_mut().set_configuration(configuration(3, 1));
-        store.borrow_mut().set_fleet(7, vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
-        store.borrow_mut().set_weights(7, weights(2));
+        store.borrow_mut().set_fleet(Epoch(7), vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
+        store.borrow_mut().set_weights(Epoch(7), weights(2));
         store.borrow_mut().set_group(group(2));
 
         transcript.note("a newcomer gets everything");
@@ -70,7 +72,7 @@
         transcript.hear(&mut peer).await;
         transcript.note("changes follow, all before the next answer");
         store.borrow_mut().set_configuration(configuration(5, 3));
-        store.borrow_mut().set_fleet(7, vec![replica("a", 2), replica("c", 1)]);
+        store.borrow_mut().set_fleet(Epoch(7), vec![replica("a", 2), replica("c", 1)]);
         store.borrow_mut().set_group(group(3));
         publisher.notify();
         transcript.say(&mut peer, ping(3)).await;
@@ -103,7 +105,7 @@
         // All states together are far more than the buffers of the connection hold.
         for capacity in 1..=LAST {
             let replicas = (0..2_000).map(|number| replica(&format!("replica-{number}"), capacity));
-            store.borrow_mut().set_fleet(1, replicas.collect());
+            store.borrow_mut().set_fleet(Epoch(1), replicas.collect());
             publisher.notify();
             futures_lite::future::yield_now().await;
         }
@@ -143,7 +145,10 @@
         until(|| publisher.gateways() == 0).await;
         assert_eq!(publisher.subscribers().len(), 1);
         until(|| publisher.subscribers().is_empty()).await;
-        assert_eq!(agent.receive().await, Some(ToSubscriber::Pong { id: 1, age_ms: Some(0), revision: 0 }));
+        assert_eq!(
+            agent.receive().await,
+            Some(ToSubscriber::Pong { id: 1, age_ms: Some(0), revision: Revision(0) })
+        );
         assert_eq!(agent.receive().await, None);
     });
 }
@@ -176,7 +181,7 @@
         let settings = PublisherSettings { write_stall: Duration::from_millis(50), ..settings() };
         let store = store();
         let replicas = (0..40_000).map(|number| replica(&format!("replica-{number}"), 1));
-        store.borrow_mut().set_fleet(1, replicas.collect());
+        store.borrow_mut().set_fleet(Epoch(1), replicas.collect());
         let (publisher, address) = publish(&executor, &store, fresh(), settings);
         let mut peer = Peer::connect(address).await;
         peer.send(&subscribe(KnownPositions::default())).await;
@@ -214,11 +219,12 @@
         store.borrow_mut().set_configuration(configuration(2, 3));
         let (_publisher, address) = publish(&executor, &store, fresh(), settings());
         let mut peer = Peer::connect(address).await;
-        peer.send(&subscribe(KnownPositions { configuration: 1, ..KnownPositions::default() })).await;
+        peer.send(&subscribe(KnownPositions { configuration: Revision(1), ..KnownPositions::default() }))
+            .await;
         let update = peer.receive().await;
         let is_changes = matches!(
             &update,
-            Some(ToSubscriber::Configuration(ConfigurationUpdate::Changes(changes))) if changes.base == 1
+            Some(ToSubscriber::Configuration(ConfigurationUpdate::Changes(changes))) if changes.base == Revision(1)
         );
         assert!(is_changes, "{update:?}");
     });
--- a/crates/subscription/tests/queued_work.rs
+++ b/crates/subscription/tests/queued_work.rs
@@ -11,10 +11,11 @@
     KnownPositions, LoadTable, Position, QueuedWork, QueuedWorkEntry, SubscriberRole, ToPublisher,
     ToSubscriber,
 };
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 use tulipridge_subscription::{FeedStore, PublisherSettings, queued_work};
 
 fn position(epoch: u64, sequence: u64) -> Position {
-    Position { epoch, sequence }
+    Position { epoch: Epoch(epoch), sequence: ChangeNumber(sequence) }
 }
 
 fn work(fleet: Position, entries: &[(u32, u32)]) -> QueuedWork {
@@ -25,7 +26,7 @@
 /// A primary's store with three replicas.
 fn primary() -> FeedStore {
     let mut store = FeedStore::new();
-    store.set_fleet(7, vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
+    store.set_fleet(Epoch(7), vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
     store
 }
 
@@ -58,20 +59,20 @@
 fn the_table_has_an_entry_for_each_replica_and_advances_when_one_differs() {
     let mut store = primary();
     let fleet = store.fleet_position();
-    assert!(store.set_loads(7, &work(fleet, &[(1, 4), (2, 900), (9, 1)])));
+    assert!(store.set_loads(Epoch(7), &work(fleet, &[(1, 4), (2, 900), (9, 1)])));
     let table =
         table_for(&store, &KnownPositions { loads: Some(Position::default()), ..store.known_positions() });
     assert_eq!(table, Some(LoadTable { position: position(7, 1), fleet, queued_units: vec![0, 4, 255] }));
-    assert!(!store.set_loads(7, &work(fleet, &[(1, 4), (2, 900)])), "nothing differs");
-    assert!(!store.set_loads(6, &work(fleet, &[(1, 5)])), "an old epoch");
-    assert!(store.set_loads(7, &work(fleet, &[])));
+    assert!(!store.set_loads(Epoch(7), &work(fleet, &[(1, 4), (2, 900)])), "nothing differs");
+    assert!(!store.set_loads(Epoch(6), &work(fleet, &[(1, 5)])), "an old epoch");
+    assert!(store.set_loads(Epoch(7), &work(fleet, &[])));
     assert_eq!(store.known_positions().loads, Some(position(7, 2)));
 }
 
 #[test]
 fn work_by_another_table_of_replicas_is_left_out() {
     let mut store = primary();
-    store.set_loads(7, &work(position(7, 9), &[(1, 4)]));
+    store.set_loads(Epoch(7), &work(position(7, 9), &[(1, 4)]));
     let units: Vec<u8> = store.loads().expect("a table").map(|(_, units)| units).collect();
     assert_eq!(units, [0, 0, 0]);
 }
@@ -80,19 +81,19 @@
 fn a_table_of_loads_is_not_read_beside_another_table_of_replicas() {
     let mut store = primary();
     let fleet = store.fleet_position();
-    store.set_loads(7, &work(fleet, &[(1, 4)]));
-    store.set_fleet(7, vec![replica("a", 1), replica("c", 1)]);
+    store.set_loads(Epoch(7), &work(fleet, &[(1, 4)]));
+    store.set_fleet(Epoch(7), vec![replica("a", 1), replica("c", 1)]);
     assert!(store.loads().is_none());
 }
 
 #[test]
 fn a_program_that_does_not_know_the_table_is_never_sent_it() {
     let mut store = primary();
-    store.set_loads(7, &work(store.fleet_position(), &[(1, 4)]));
+    store.set_loads(Epoch(7), &work(store.fleet_position(), &[(1, 4)]));
     let earlier = KnownPositions::default();
     assert_eq!(table_for(&store, &earlier), None);
     let sent = tulipridge_subscription::store::SentPositions::from(earlier).later(store.newest_positions());
-    store.set_loads(7, &work(store.fleet_position(), &[(1, 5)]));
+    store.set_loads(Epoch(7), &work(store.fleet_position(), &[(1, 5)]));
     assert_eq!(table_for(&store, &sent.known), None);
 }
 
--- a/crates/subscription/tests/store.rs
+++ b/crates/subscription/tests/store.rs
@@ -8,15 +8,17 @@
 use common::{configuration, group, replica, replica_warming, weights};
 use rstest::rstest;
 use tulipridge_configuration::Configuration;
+use tulipridge_configuration::number::Revision;
 use tulipridge_protocol::feed::{
     ConfigurationUpdate, FleetUpdate, KnownPositions, ModelWeights, Position, Replica, ReplicaPhase,
     ToSubscriber, WeightsTable,
 };
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 use tulipridge_subscription::store::{SentPositions, Table};
 use tulipridge_subscription::{FeedError, FeedStore, StateChanges};
 
 fn position(epoch: u64, sequence: u64) -> Position {
-    Position { epoch, sequence }
+    Position { epoch: Epoch(epoch), sequence: ChangeNumber(sequence) }
 }
 
 fn apply_all(subscriber: &mut FeedStore, messages: Vec<ToSubscriber>) -> Result<(), FeedError> {
@@ -42,46 +44,46 @@
     assert!(!store.set_configuration(configuration(7, 2)));
     assert!(!store.set_configuration(configuration(3, 2)));
     assert!(store.set_configuration(configuration(12, 2)));
-    assert_eq!(store.known_positions().configuration, 12);
+    assert_eq!(store.known_positions().configuration, Revision(12));
 }
 
 #[test]
 fn the_fleet_position_advances_with_differences_and_epochs() {
     let mut store = FeedStore::new();
-    assert!(store.set_fleet(4, vec![]));
+    assert!(store.set_fleet(Epoch(4), vec![]));
     assert_eq!(store.fleet_position(), position(4, 1));
-    assert!(!store.set_fleet(4, vec![]));
-    assert!(store.set_fleet(4, vec![replica("a", 1)]));
-    assert!(!store.set_fleet(4, vec![replica("a", 1)]));
-    assert!(store.set_fleet(4, vec![replica("a", 2)]));
-    assert!(store.set_fleet(4, vec![]));
+    assert!(!store.set_fleet(Epoch(4), vec![]));
+    assert!(store.set_fleet(Epoch(4), vec![replica("a", 1)]));
+    assert!(!store.set_fleet(Epoch(4), vec![replica("a", 1)]));
+    assert!(store.set_fleet(Epoch(4), vec![replica("a", 2)]));
+    assert!(store.set_fleet(Epoch(4), vec![]));
     assert_eq!(store.fleet_position(), position(4, 4));
-    assert!(!store.set_fleet(3, vec![replica("a", 1)]), "an old epoch");
-    assert!(store.set_fleet(5, vec![]), "a new epoch");
+    assert!(!store.set_fleet(Epoch(3), vec![replica("a", 1)]), "an old epoch");
+    assert!(store.set_fleet(Epoch(5), vec![]), "a new epoch");
     assert_eq!(store.fleet_position(), position(5, 1));
 }
 
 #[test]
 fn the_weights_position_advances_with_differences_and_epochs() {
     let mut store = FeedStore::new();
-    assert!(store.set_weights(0, vec![]));
-    assert!(!store.set_weights(0, vec![]));
-    assert!(store.set_weights(0, weights(2)));
+    assert!(store.set_weights(Epoch(0), vec![]));
+    assert!(!store.set_weights(Epoch(0), vec![]));
+    assert!(store.set_weights(Epoch(0), weights(2)));
     assert_eq!(store.weights(), &WeightsTable { position: position(0, 2), models: weights(2) });
-    assert!(store.set_weights(1, weights(2)));
-    assert!(!store.set_weights(0, weights(3)), "an old epoch");
+    assert!(store.set_weights(Epoch(1), weights(2)));
+    assert!(!store.set_weights(Epoch(0), weights(3)), "an old epoch");
     assert_eq!(store.weights().position, position(1, 1));
 }
 
 #[test]
 fn warming_up_is_a_change_only_at_its_start_and_end() {
     let mut store = FeedStore::new();
-    assert!(store.set_fleet(1, vec![replica_warming("a", 900)]));
-    assert!(!store.set_fleet(1, vec![replica_warming("a", 600)]));
+    assert!(store.set_fleet(Epoch(1), vec![replica_warming("a", 900)]));
+    assert!(!store.set_fleet(Epoch(1), vec![replica_warming("a", 600)]));
     assert_eq!(replicas(&store)[0].warm_left_ms, 600, "newcomers get the present figure");
-    assert!(store.set_fleet(1, vec![replica_warming("a", 0)]));
-    assert!(!store.set_fleet(1, vec![replica_warming("a", 0)]));
-    assert!(store.set_fleet(1, vec![replica_warming("a", 900)]));
+    assert!(store.set_fleet(Epoch(1), vec![replica_warming("a", 0)]));
+    assert!(!store.set_fleet(Epoch(1), vec![replica_warming("a", 0)]));
+    assert!(store.set_fleet(Epoch(1), vec![replica_warming("a", 900)]));
 }
 
 /// Each field of a line is compared.
@@ -95,18 +97,18 @@
 fn a_replica_that_differs_advances_the_fleet_position(#[case] change: fn(&mut Replica)) {
     let mut store = FeedStore::new();
     let mut line = replica("a", 1);
-    store.set_fleet(1, vec![line.clone()]);
+    store.set_fleet(Epoch(1), vec![line.clone()]);
     change(&mut line);
-    assert!(store.set_fleet(1, vec![line]));
+    assert!(store.set_fleet(Epoch(1), vec![line]));
 }
 
 #[test]
 fn a_subscriber_with_an_earlier_fleet_position_gets_a_delta() {
     let mut publisher = FeedStore::new();
-    publisher.set_fleet(1, vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1), replica("b", 1), replica("c", 1)]);
     let known = publisher.known_positions();
-    publisher.set_fleet(1, vec![replica("a", 1), replica("c", 2)]);
-    publisher.set_fleet(1, vec![replica("a", 1), replica("c", 3)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1), replica("c", 2)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1), replica("c", 3)]);
     let expected = FleetUpdate::Changes {
         base: position(1, 1),
         position: position(1, 3),
@@ -121,8 +123,8 @@
 #[case::other_epoch(position(0, 2))]
 fn a_subscriber_with_an_unknown_fleet_position_gets_a_snapshot(#[case] known: Position) {
     let mut publisher = FeedStore::new();
-    publisher.set_fleet(1, vec![replica("a", 1)]);
-    publisher.set_fleet(2, vec![replica("a", 2)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1)]);
+    publisher.set_fleet(Epoch(2), vec![replica("a", 2)]);
     let expected = FleetUpdate::Snapshot { position: position(2, 1), replicas: vec![replica("a", 2)] };
     let known = KnownPositions { fleet: known, ..KnownPositions::default() };
     assert_eq!(publisher.updates_for(&known), vec![ToSubscriber::Fleet(expected)]);
@@ -133,7 +135,7 @@
     let mut publisher = FeedStore::new();
     let mut known = Vec::new();
     for capacity in 1..3_000 {
-        publisher.set_fleet(1, vec![replica("a", capacity), replica("b", 1)]);
+        publisher.set_fleet(Epoch(1), vec![replica("a", capacity), replica("b", 1)]);
         known.push(publisher.known_positions());
     }
     let is_snapshot = |known: &KnownPositions| {
@@ -146,9 +148,9 @@
 #[test]
 fn a_fleet_delta_with_another_base_is_a_gap() {
     let mut publisher = FeedStore::new();
-    publisher.set_fleet(1, vec![replica("a", 1), replica("b", 1)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1), replica("b", 1)]);
     let known = publisher.known_positions();
-    publisher.set_fleet(1, vec![replica("a", 2), replica("b", 1)]);
+    publisher.set_fleet(Epoch(1), vec![replica("a", 2), replica("b", 1)]);
     let mut subscriber = FeedStore::new();
     let outcome = apply_all(&mut subscriber, publisher.updates_for(&known));
     assert_eq!(outcome, Err(FeedError::Gap { table: Table::Fleet }));
@@ -161,16 +163,16 @@
 #[test]
 fn a_new_epoch_replaces_an_old_one() {
     let mut old = FeedStore::new();
-    old.set_fleet(1, vec![replica("a", 1)]);
+    old.set_fleet(Epoch(1), vec![replica("a", 1)]);
     for capacity in 2..9 {
-        old.set_fleet(1, vec![replica("a", capacity)]);
-        old.set_weights(1, weights(capacity.into()));
+        old.set_fleet(Epoch(1), vec![replica("a", capacity)]);
+        old.set_weights(Epoch(1), weights(capacity.into()));
     }
     let mut subscriber = FeedStore::new();
     apply_all(&mut subscriber, old.updates_for(&KnownPositions::default())).expect("applies");
     let mut new = FeedStore::new();
-    new.set_fleet(2, vec![replica("z", 1)]);
-    new.set_weights(2, weights(1));
+    new.set_fleet(Epoch(2), vec![replica("z", 1)]);
+    new.set_weights(Epoch(2), weights(1));
     let known = subscriber.known_positions();
     apply_all(&mut subscriber, new.updates_for(&known)).expect("applies");
     assert_same(&subscriber, &new);
@@ -183,10 +185,10 @@
 fn a_publisher_that_is_behind_sends_nothing() {
     let mut publisher = FeedStore::new();
     publisher.set_configuration(configuration(5, 1));
-    publisher.set_fleet(1, vec![replica("a", 1)]);
-    publisher.set_weights(1, weights(1));
+    publisher.set_fleet(Epoch(1), vec![replica("a", 1)]);
+    publisher.set_weights(Epoch(1), weights(1));
     let ahead = KnownPositions {
-        configuration: 6,
+        configuration: Revision(6),
         fleet: position(1, 2),
         weights: position(2, 1),
         cache_index: Position::default(),
@@ -210,7 +212,7 @@
 
 /// The update of the configuration for a subscriber that knows revision `base`.
 fn configuration_update(publisher: &FeedStore, base: u64) -> ConfigurationUpdate {
-    let known = KnownPositions { configuration: base, ..KnownPositions::default() };
+    let known = KnownPositions { configuration: Revision(base), ..KnownPositions::default() };
     match publisher.updates_for(&known).as_slice() {
         [ToSubscriber::Configuration(update)] => update.clone(),
         other => panic!("not an update of the configuration: {other:?}"),
@@ -269,7 +271,7 @@
 /// What the primaries have written under each revision and position.
 #[derive(Default)]
 struct Reference {
-    configurations: BTreeMap<u64, Arc<Configuration>>,
+    configurations: BTreeMap<Revision, Arc<Configuration>>,
     fleets: BTreeMap<Position, Vec<Replica>>,
     weights: BTreeMap<Position, Vec<ModelWeights>>,
 }
@@ -352,9 +354,9 @@
         });
         let replicas = replicas.collect();
         let primary = &mut self.stores[self.primary];
-        primary.set_fleet(self.epoch, replicas);
+        primary.set_fleet(Epoch(self.epoch), replicas);
         if self.random.bool() {
-            primary.set_weights(self.epoch, weights(self.random.u64(..4)));
+            primary.set_weights(Epoch(self.epoch), weights(self.random.u64(..4)));
         }
         if self.random.bool() {
             self.revision += self.random.u64(1..9);
@@ -374,7 +376,7 @@
             self.stores[self.primary].set_configuration(Arc::clone(newest));
         }
         let epoch = self.epoch;
-        self.stores[self.primary].set_weights(epoch, weights(self.random.u64(..4)));
+        self.stores[self.primary].set_weights(Epoch(epoch), weights(self.random.u64(..4)));
         self.write();
     }
 
--- a/crates/subscription/tests/subscriber.rs
+++ b/crates/subscription/tests/subscriber.rs
@@ -11,7 +11,9 @@
 use common::network::{self, Peer, SharedStore, fresh, listener, publish, store, subscriber, until};
 use common::{configuration, group, replica, weights};
 use rstest::rstest;
+use tulipridge_configuration::number::Revision;
 use tulipridge_protocol::feed::{FleetUpdate, Position, SubscriberRole, ToPublisher, ToSubscriber};
+use tulipridge_protocol::number::{ChangeNumber, Epoch};
 use tulipridge_subscription::{EndReason, PublisherSettings, StalenessTolerance, Subscriber, clock};
 
 /// Runs a subscriber that knows one publisher.
@@ -41,8 +43,8 @@
 fn fill(store: &SharedStore) {
     let mut store = store.borrow_mut();
     store.set_configuration(configuration(3, 1));
-    store.set_fleet(7, vec![replica("a", 1), replica("b", 1)]);
-    store.set_weights(7, weights(2));
+    store.set_fleet(Epoch(7), vec![replica("a", 1), replica("b", 1)]);
+    store.set_weights(Epoch(7), weights(2));
     store.set_group(group(2));
 }
 
@@ -68,22 +70,22 @@
         let (agent, _, agent_address) = hop(&agent_store, SubscriberRole::Agent, relay_address);
         agent.set_gateways(1);
         let proxy = subscriber(&proxy_store, SubscriberRole::Proxy);
-        let seen = Rc::new(Cell::new(0));
+        let seen = Rc::new(Cell::new(Revision(0)));
         let (observed, read) = (Rc::clone(&seen), Rc::clone(&proxy_store));
         proxy.on_change(Box::new(move |_| observed.set(read.borrow().known_positions().configuration)));
         follow(&executor, &proxy, agent_address);
 
         until(|| proxy.fresh_as_of().is_some() || proxy.age(clock::now()).is_some()).await;
         assert_eq!(proxy_store.borrow().known_positions(), primary_store.borrow().known_positions());
-        assert_eq!(seen.get(), 3);
+        assert_eq!(seen.get(), Revision(3));
         primary_store.borrow_mut().set_configuration(configuration(8, 3));
-        primary_store.borrow_mut().set_fleet(7, vec![replica("b", 2)]);
+        primary_store.borrow_mut().set_fleet(Epoch(7), vec![replica("b", 2)]);
         let acknowledged = clock::now();
         primary.notify();
         until(|| proxy.fresh_as_of() > Some(acknowledged)).await;
         assert_eq!(proxy_store.borrow().configuration(), primary_store.borrow().configuration());
         assert_eq!(proxy_store.borrow().fleet().collect::<Vec<_>>(), vec![&replica("b", 2)]);
-        assert_eq!(seen.get(), 8);
+        assert_eq!(seen.get(), Revision(8));
 
         until(|| relay_publisher.gateways() == 1).await;
         relay.set_gateways(relay_publisher.gateways());
@@ -135,11 +137,11 @@
         while let Some(message) = peer.receive_request().await {
             match (behaviour, message) {
                 (Behaviour::IsNotFresh, ToPublisher::Ping { id, .. }) => {
-                    peer.reply(&ToSubscriber::Pong { id, age_ms: None, revision: 0 }).await;
+                    peer.reply(&ToSubscriber::Pong { id, age_ms: None, revision: Revision(0) }).await;
                 }
                 (Behaviour::SendsAGap, ToPublisher::Subscribe(_)) => {
-                    let base = Position { epoch: 1, sequence: 4 };
-                    let position = Position { epoch: 1, sequence: 5 };
+                    let base = Position { epoch: Epoch(1), sequence: ChangeNumber(4) };
+                    let position = Position { epoch: Epoch(1), sequence: ChangeNumber(5) };
                     let (changed, removed) = (vec![], vec![]);
                     let update = FleetUpdate::Changes { base, position, changed, removed };
                     peer.reply(&ToSubscriber::Fleet(update)).await;
@@ -174,13 +176,12 @@
         let reason = follow_once(&executor, &subscriber, address);
         let mut peer = Peer::accept(&listener).await;
         let mut answers = 0;
-        while answers < ANSWERS
-            && let Some(message) = peer.receive_request().await
-        {
+        while answers < ANSWERS {
+            let Some(message) = peer.receive_request().await else { break };
             if let ToPublisher::Ping { id, .. } = message {
                 answers += 1;
                 let age_ms = Some(800 + 300 * answers);
-                peer.reply(&ToSubscriber::Pong { id, age_ms, revision: 0 }).await;
+                peer.reply(&ToSubscriber::Pong { id, age_ms, revision: Revision(0) }).await;
             }
         }
         assert_eq!(answers == ANSWERS, stays);
--- a/crates/write-ahead-log/src/recovery.rs
+++ b/crates/write-ahead-log/src/recovery.rs
@@ -118,9 +118,10 @@
     directory: &D,
     mut numbers: &'a [SegmentNumber],
 ) -> Result<&'a [SegmentNumber], WriteAheadLogError> {
-    while let [before @ .., last] = numbers
-        && segment::is_segment_empty(directory, *last)?
-    {
+    while let [before @ .., last] = numbers {
+        if !segment::is_segment_empty(directory, *last)? {
+            break;
+        }
         numbers = before;
     }
     Ok(numbers)
--- a/examples/messages_bench.rs
+++ b/examples/messages_bench.rs
@@ -17,13 +17,14 @@
 use tulipridge::conformance::{self, PAIRINGS, Pairing, Running};
 use tulipridge::names::Dialect;
 
-/// What became of a request, and its schedulings.
+/// What became of a request, and its attempts.
 type Came = (Outcome, Option<usize>);
 
-type Trouble = Box<dyn std::error::Error>;
+/// Why a run could not be made.
+type BenchError = Box<dyn std::error::Error>;
 
 /// A stream of so many text events, asked for as a stream or whole.
-fn long(name: &str, events: usize, whole: bool) -> Result<Case, String> {
+fn long(name: &str, events: usize, whole: bool) -> Result<Case, BenchError> {
     let mut text = format!("case {name}\n");
     if whole {
         text += "  ask whole\n";
@@ -32,18 +33,18 @@
         text += "  serve text \"Gate A1 is open. \"\n";
     }
     text += "  serve end done\n";
-    case::parse("bench", &text)?.pop().ok_or("no case".into())
+    case::parse("bench", &text)?.pop().ok_or_else(|| "no case".into())
 }
 
 /// Ticks of a process's time, its own and the system's for it, in hundredths of a second.
-fn ticks(id: u32) -> Result<u64, Trouble> {
+fn ticks(id: u32) -> Result<u64, BenchError> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
     let fields: Vec<&str> = stat.rsplit_once(')').ok_or("no stat")?.1.split_whitespace().collect();
     Ok(fields[11].parse::<u64>()? + fields[12].parse::<u64>()?)
 }
 
 /// One request on an open connection: the time to its first event and to its end.
-fn once(reader: &mut BufReader<TcpStream>, request: &[u8]) -> Result<(Duration, Duration), Trouble> {
+fn once(reader: &mut BufReader<TcpStream>, request: &[u8]) -> Result<(Duration, Duration), BenchError> {
     let from = Instant::now();
     reader.get_mut().write_all(request)?;
     let (mut line, mut length) = (String::new(), None);
@@ -91,7 +92,7 @@
     front: Dialect,
     case: &Case,
     count: usize,
-) -> Result<Cost, Trouble> {
+) -> Result<Cost, BenchError> {
     let stream = TcpStream::connect(addr)?;
     stream.set_nodelay(true)?;
     let mut reader = BufReader::with_capacity(64 << 10, stream);
@@ -112,11 +113,11 @@
     Ok(Cost { first, whole, cpu_us: used as f64 * 10_000.0 / count as f64 })
 }
 
-fn gateway(stand_ins: &StandIns, servers: Dialect) -> Result<Running, Trouble> {
+fn gateway(stand_ins: &StandIns, servers: Dialect) -> Result<Running, BenchError> {
     Ok(Running::start(stand_ins, servers, &program()?, &std::env::temp_dir())?)
 }
 
-fn program() -> Result<PathBuf, Trouble> {
+fn program() -> Result<PathBuf, BenchError> {
     let own = std::env::current_exe()?;
     let beside = own.parent().and_then(Path::parent).ok_or("no place")?.join("tulipridge");
     if beside.exists() {
@@ -126,7 +127,7 @@
     }
 }
 
-fn costs(count: usize) -> Result<(), Trouble> {
+fn costs(count: usize) -> Result<(), BenchError> {
     println!("front     servers   form    events  first us p50/p99  whole us p50/p99  cpu us/request");
     for (events, whole) in [(1, false), (100, false), (1000, false), (100, true)] {
         let case = long("bench", events, whole)?;
@@ -171,7 +172,7 @@
     Ok(())
 }
 
-/// What the real servers do in the run with faults, as so many parts of 16 requests.
+/// What the replicas do in the run with faults, as so many parts of 16 requests.
 const FAULTS: &str = "case served
 case full-once
   serve full
@@ -206,13 +207,13 @@
   serve status 422 \"no\"
 ";
 
-/// The same requests with the same faults over each pairing: what became of each, and its schedulings.
-fn faults(count: usize) -> Result<(), Trouble> {
+/// The same requests with the same faults over each pairing: what became of each, and its attempts.
+fn faults(count: usize) -> Result<(), BenchError> {
     let cases = case::parse("faults", FAULTS)?;
     let mut runs: Vec<(Pairing, Vec<Came>)> = Vec::new();
     for pairing in PAIRINGS {
-        let stand_ins = StandIns::start(pairing.1, Fleet::Own, &cases, 0)?;
-        let running = gateway(&stand_ins, pairing.1)?;
+        let stand_ins = StandIns::start(pairing.replicas, Fleet::Own, &cases, 0)?;
+        let running = gateway(&stand_ins, pairing.replicas)?;
         let mut seed = 8u64;
         let mut came = Vec::new();
         for _ in 0..count {
@@ -220,8 +221,8 @@
             // Half of all are served at once, so that no server is taken for sick.
             let n = (seed >> 33) as usize % 16;
             let case = cases.get(n).unwrap_or(&cases[0]);
-            let verdict = conformance::run(case, pairing, running.front(pairing.0), Some(&stand_ins));
-            came.push((verdict.outcome, verdict.schedulings));
+            let verdict = conformance::run(case, pairing, running.front(pairing.front), Some(&stand_ins));
+            came.push((verdict.outcome, verdict.attempts));
         }
         runs.push((pairing, came));
     }
@@ -231,17 +232,17 @@
         (
             of(Outcome::Served),
             of(Outcome::Broken),
-            of(Outcome::TurnedDown),
+            of(Outcome::Shed),
             of(Outcome::Failed),
             of(Outcome::Refused),
             sent,
         )
     };
     println!(
-        "front     servers   served  broken  turned-down  failed  refused  schedulings  differ from the first"
+        "front     servers   served  broken  turned-down  failed  refused  attempts  differ from the first"
     );
     let first = runs[0].1.clone();
-    for ((front, servers), came) in &runs {
+    for (Pairing { front, replicas: servers }, came) in &runs {
         let differ = came.iter().zip(&first).filter(|(a, b)| a != b).count();
         let (served, broken, turned, failed, refused, sent) = tally(came);
         println!(
@@ -254,8 +255,8 @@
 }
 
 /// The process's memory for each whole answer in progress.
-fn memory() -> Result<(), Trouble> {
-    let held = |id: u32| -> Result<u64, Trouble> {
+fn memory() -> Result<(), BenchError> {
+    let held = |id: u32| -> Result<u64, BenchError> {
         let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
         let line = status.lines().find(|l| l.starts_with("VmRSS:")).ok_or("no size")?;
         Ok(line.split_whitespace().nth(1).ok_or("no size")?.parse()?)
@@ -285,7 +286,7 @@
     Ok(())
 }
 
-fn main() -> Result<(), Trouble> {
+fn main() -> Result<(), BenchError> {
     costs(2000)?;
     memory()?;
     faults(2000)
--- a/examples/operation_bench.rs
+++ b/examples/operation_bench.rs
@@ -42,7 +42,7 @@
     Ok(addr)
 }
 
-/// A real server whose streams have an event each 50 ms for so long.
+/// A replica whose streams have an event each 50 ms for so long.
 fn server(lasts: Duration) -> Any<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let addr = listener.local_addr()?;
@@ -164,7 +164,7 @@
     let _ = stream.write_all(request.as_bytes());
     let (mut answer, mut scratch) = (Vec::new(), [0; 4096]);
     let (mut gap, mut last) = (Duration::ZERO, None::<Instant>);
-    while !is_whole(&answer) {
+    while !is_complete(&answer) {
         match stream.read(&mut scratch) {
             Ok(count) if count > 0 => answer.extend_from_slice(&scratch[..count]),
             _ => break,
@@ -175,7 +175,7 @@
     (answer, gap)
 }
 
-fn is_whole(answer: &[u8]) -> bool {
+fn is_complete(answer: &[u8]) -> bool {
     answer.starts_with(b"HTTP/1.1 200 ") && answer.ends_with(b"0\r\n\r\n")
 }
 
@@ -251,7 +251,7 @@
     let (mut whole, mut gaps) = (0, Histogram::<u64>::new_with_max(60_000_000, 3)?);
     for client in clients {
         let (answer, gap) = client.join().map_err(|_| "a client failed")?;
-        whole += usize::from(is_whole(&answer));
+        whole += usize::from(is_complete(&answer));
         gaps.saturating_record(gap.as_micros() as u64);
     }
     let of = |q| gaps.value_at_quantile(q) as f64 / 1000.0;
@@ -320,7 +320,7 @@
         let (answer, _) = exchange(&mut stream, id, number);
         if answer.is_empty() {
             met.unread.fetch_add(1, Ordering::SeqCst);
-        } else if !is_whole(&answer) {
+        } else if !is_complete(&answer) {
             met.broken.fetch_add(1, Ordering::SeqCst);
         } else if !String::from_utf8_lossy(&answer).contains("Connection: close") {
             kept = Some(stream);
--- a/examples/stream_bench.rs
+++ b/examples/stream_bench.rs
@@ -3,10 +3,10 @@
 //! WHAT is `stop`, `unread`, `paused`, `pass`, `paced`, `pauses` or `all`. PROGRAM is the gateway's binary, by default the release
 //! build; an older build may be named to set the two side by side. Each run is bounded in count and time.
 //!
-//! - `stop`: from a break to the real server's connection being closed, 1,000 breaks of each kind, with 10, 100
+//! - `stop`: from a break to the replica's connection being closed, 1,000 breaks of each kind, with 10, 100
 //!   and 500 other streams open.
 //! - `unread`: from a client's close after five events of a silent stream, and from the end of a stream cut for a
-//!   stall, to the real server's connection being closed; 200 streams of each, with 10 and 500 other streams open.
+//!   stall, to the replica's connection being closed; 200 streams of each, with 10 and 500 other streams open.
 //! - `paused`: memory of the process, and bytes taken from the servers, for each paused reader of a flood.
 //! - `pass`: CPU for each MiB and each event, beside a plain copy between two sockets in the same run.
 //! - `paced`: CPU for each event where events come one by one.
@@ -26,8 +26,8 @@
 use socket2::SockRef;
 
 use tulipridge::demo_replica;
-use tulipridge::limits::Limits;
-use tulipridge::stream::{End, Relay, RelayAction};
+use tulipridge::limits::{Limits, PaceLimit};
+use tulipridge::stream::{Arrival, End, Relay, RelayAction};
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -79,7 +79,7 @@
     Some(head.lines().next()?.split('?').nth(1)?.split(' ').next()?.to_owned())
 }
 
-/// A real server: the request's query says what it plays. `closed` hears when a connection was closed, and
+/// A replica: the request's query says what it plays. `closed` hears when a connection was closed, and
 /// `written` counts what was taken from it.
 fn server(closed: Sender<Instant>, written: Arc<AtomicU64>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -250,7 +250,7 @@
         Gateway { child, addr }
     }
 
-    fn ask(&self, order: &str) -> TcpStream {
+    fn send_command(&self, order: &str) -> TcpStream {
         static ID: AtomicU64 = AtomicU64::new(1);
         let id = ID.fetch_add(1, Ordering::Relaxed);
         let mut stream = TcpStream::connect(self.addr).expect("it accepts");
@@ -322,7 +322,7 @@
         _ => "silent",
     };
     for _ in 0..1000 {
-        let mut client = gateway.ask(order);
+        let mut client = gateway.send_command(order);
         begun(&mut client);
         let took = if kind == "server breaks" {
             // Until the client's connection ends.
@@ -360,7 +360,7 @@
 
 /// So many other streams, each read as it comes, that drip a token each 100 ms.
 fn drips(gateway: &Gateway, open: usize) -> (Vec<TcpStream>, Vec<thread::JoinHandle<()>>) {
-    let others: Vec<TcpStream> = (0..open).map(|_| gateway.ask("drip")).collect();
+    let others: Vec<TcpStream> = (0..open).map(|_| gateway.send_command("drip")).collect();
     let readers = others
         .iter()
         .map(|s| {
@@ -379,7 +379,7 @@
 }
 
 fn unread(program: &str) {
-    println!("unread: to the real server's connection being closed, in ms; 200 streams of each");
+    println!("unread: to the replica's connection being closed, in ms; 200 streams of each");
     println!("| from | streams open | p50 | p99 | max | closed before the client heard |");
     println!("| --- | --- | --- | --- | --- | --- |");
     for open in [10, 500] {
@@ -393,7 +393,7 @@
             let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("three digits");
             let mut before = 0;
             for _ in 0..200 {
-                let mut client = gateway.ask(if leaves { "five" } else { "silent" });
+                let mut client = gateway.send_command(if leaves { "five" } else { "silent" });
                 let took = if leaves {
                     // Reads may take several events at once: they are counted in all that came.
                     let (mut had, mut bytes) = (Vec::new(), [0; 4096]);
@@ -423,7 +423,7 @@
 /// Streams that have begun, opened one after the other: together they would be more than a stand-in accepts.
 fn open(gateway: &Gateway, order: &str, count: u64) -> Vec<TcpStream> {
     let one = |_| {
-        let mut stream = gateway.ask(order);
+        let mut stream = gateway.send_command(order);
         begun(&mut stream);
         stream
     };
@@ -526,7 +526,7 @@
         let count = (mib << 20) / size;
         let order = format!("send-{size}-{count}");
         let (before, from) = (gateway.cpu(), Instant::now());
-        let mut stream = gateway.ask(&order);
+        let mut stream = gateway.send_command(&order);
         let bytes = drain(&mut stream);
         let (took, wall) = (gateway.cpu() - before, from.elapsed());
         let plain = copied(addr, &order);
@@ -555,7 +555,7 @@
     let (streams, count) = (16, 3_000);
     let order = format!("paced-120-{count}");
     let before = gateway.cpu();
-    let asked: Vec<TcpStream> = (0..streams).map(|_| gateway.ask(&order)).collect();
+    let asked: Vec<TcpStream> = (0..streams).map(|_| gateway.send_command(&order)).collect();
     let readers: Vec<_> = asked.into_iter().map(|mut s| thread::spawn(move || drain(&mut s))).collect();
     for reader in readers {
         reader.join().expect("a reader");
@@ -584,7 +584,7 @@
     ];
     for (name, pace) in limits {
         let mut rules = base.clone();
-        rules.pace = pace;
+        rules.pace = pace.map(|(factor, least)| PaceLimit { factor, least });
         let mut seed = 7u64;
         let mut random = |most: u64| {
             seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -608,12 +608,12 @@
                         lost[n] += 1;
                         break;
                     }
-                    relay.arrived(now, 120, 1, 0, false, false);
+                    relay.arrived(now, &Arrival { bytes: 120, events: 1, ..Arrival::default() });
                 }
                 if let (0, Some(due)) = (n, relay.due()) {
                     noticed.saturating_record((due - now) / 1_000_000);
                 }
-                relay.server_ended(now, End::Whole);
+                relay.replica_ended(now, End::Complete);
             }
         }
         let [short, mid, long] = lost;
--- a/fuzz/fuzz_targets/requests.rs
+++ b/fuzz/fuzz_targets/requests.rs
@@ -9,7 +9,7 @@
 
 fuzz_target!(|body: &[u8]| {
     let limits = MessagesLimits::default();
-    if let Ok(request) = Request::read(body, Purpose::Answer, &limits) {
+    if let Ok(request) = Request::read(body, Purpose::Generation, &limits) {
         assert_eq!(Route::of(&request), Route::of(&request));
         if let Ok(platform) = to_platform::body(&request) {
             serde_json::from_slice::<serde_json::Value>(&platform).expect("what is written is JSON");
--- a/src/admission/connection_slots.rs
+++ b/src/admission/connection_slots.rs
@@ -15,9 +15,9 @@
     Receiving,
     /// A request is open.
     Serving,
-    /// It was answered and may carry another request.
+    /// It has had a response and may carry another request.
     Idle,
-    /// It has had its last answer, and only what still comes is waited for.
+    /// It has had its last response; only data that still arrives is read.
     Closing,
     /// It was asked to give up its slot.
     Evicted,
@@ -30,9 +30,9 @@
     pub silent: Duration,
     /// With a part of a request, since the last of it came.
     pub receiving: Duration,
-    /// Since its last answer.
+    /// Since its last response.
     pub idle: Duration,
-    /// Since the last answer of all.
+    /// Since the connection's last response.
     pub closing: Duration,
 }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    /// A quarter of the slots at most is left. A connection that is answered from then on is closed, so that newcomers
+    /// A quarter of the slots at most is left. A connection that gets a response from then on is closed, so that newcomers
     /// need not wait until the timeouts of those that are idle are over.
     #[must_use]
     pub fn is_crowded(&self, capacity: usize) -> bool {
--- a/src/admission/pipelined.rs
+++ b/src/admission/pipelined.rs
@@ -3,7 +3,7 @@
 //!
 //! A client's close comes behind all that it sent, and shows only once that is read. So it is read to its end, however
 //! much it is: up to a bound it is kept, for the requests that it may hold; what lies beyond is dropped, and the
-//! connection ends once what was kept is answered.
+//! connection ends once what was kept has its response.
 
 /// The bounds.
 #[derive(Clone, Copy, Debug)]
--- a/src/admission/quota.rs
+++ b/src/admission/quota.rs
@@ -1,63 +1,63 @@
-//! Tenants' limits on the messages front: requests and tokens a minute, as token buckets. No I/O and no clock.
+//! Rate limits of tenants on the messages front: requests and tokens a minute, as token buckets. No I/O and no clock.
 //!
-//! A bucket holds a minute's worth and fills evenly. A request takes what it is expected to need when it is let in,
-//! and what it did need is set right when it ends; that may leave a bucket in debt, which later requests wait for.
-//! There is one set of buckets for each tenant that the settings name, so whatever is asked for, the memory stays.
+//! A bucket's capacity is the limit of one minute, and it fills evenly. A request is charged what it is expected to need
+//! on admission, which is reconciled with what it needed when it ends; a bucket may be in debt then, which delays later
+//! requests. Buckets exist for the tenants in the settings only, so the memory is bounded.
 
 use crate::types::Nanos;
 
 const MINUTE: f64 = 60e9;
 
-/// What a tenant may have in a minute; none: as much as it likes.
+/// The limits of a tenant per minute; `None`: unlimited.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rates {
     /// Requests.
     pub requests: Option<u64>,
-    /// Tokens of prompts, those found kept apart.
+    /// Prompt tokens, cached ones excluded.
     pub input: Option<u64>,
-    /// Tokens of answers.
+    /// Tokens of responses.
     pub output: Option<u64>,
 }
 
-/// What is limited.
+/// The kind of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// Requests.
     Requests,
     /// Tokens of prompts.
     Input,
-    /// Tokens of answers.
+    /// Tokens of responses.
     Output,
 }
 
-/// All that is limited.
+/// All kinds.
 pub const KINDS: [Kind; 3] = [Kind::Requests, Kind::Input, Kind::Output];
 
-/// How a limit stands.
+/// The state of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
-    /// Of what.
+    /// Its kind.
     pub kind: Kind,
-    /// A minute's worth.
+    /// The limit per minute.
     pub limit: u64,
-    /// What is left now.
+    /// What remains now.
     pub remaining: u64,
-    /// When all of it is there again, if nobody asks until then.
+    /// When the bucket is full again if nothing is charged until then.
     pub full_at: Nanos,
 }
 
-/// Why a request has to wait.
+/// A limit that a request exceeds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Short {
-    /// What there is too little of.
+    /// The kind of the limit.
     pub kind: Kind,
-    /// How long until there is enough, if nobody else takes it.
+    /// How long until the request would fit, if nothing else is charged.
     pub wait: Nanos,
 }
 
-/// What a request was let in with.
+/// What a request was charged on admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
-#[must_use = "what is granted is set right when the request ends"]
+#[must_use = "a grant is reconciled when the request ends"]
 pub struct Grant {
     tenant: usize,
     taken: [f64; 3],
@@ -82,7 +82,7 @@
         self.at = self.at.max(now);
     }
 
-    /// How long until so much is there. Where the clock ran back, filling goes on once it is where it was.
+    /// How long until `amount` is available. After the clock ran backwards, filling resumes at the earlier time.
     fn wait(&self, now: Nanos, amount: f64) -> Nanos {
         let missing = amount - self.level;
         if missing <= 0.0 {
@@ -106,8 +106,8 @@
         Quota { tenants: rates.iter().map(buckets).collect() }
     }
 
-    /// Lets a request in that is expected to need so many tokens, or says what it has to wait for: that of which it
-    /// has to wait longest. What is more than a minute's worth counts as that, since more is never there.
+    /// Admits a request that is expected to need so many tokens, or returns the limit that it has to wait longest for. An
+    /// amount above a bucket's capacity counts as the capacity.
     ///
     /// # Errors
     ///
@@ -148,9 +148,8 @@
         Ok(Some(Grant { tenant, taken }))
     }
 
-    /// A request has ended: what it did need takes the place of what it was let in with. `None`: nothing of it was
-    /// run, so all is given back.
-    pub fn settle(&mut self, now: Nanos, grant: Grant, needed: Option<(u64, u64)>) {
+    /// Replaces what a request was charged on admission by what it needed. `None`: it was not run, so all is refunded.
+    pub fn reconcile(&mut self, now: Nanos, grant: Grant, needed: Option<(u64, u64)>) {
         let Some(buckets) = self.tenants.get_mut(grant.tenant) else { return };
         let needed = needed.map_or([0.0; 3], |(input, output)| [1.0, input as f64, output as f64]);
         for ((bucket, taken), needed) in buckets.iter_mut().zip(grant.taken).zip(needed) {
@@ -161,7 +160,7 @@
         }
     }
 
-    /// How a tenant's limits stand; none where it has none.
+    /// The state of a tenant's limits; empty if it has none.
     pub fn standing(&mut self, now: Nanos, tenant: usize) -> Vec<Standing> {
         let Some(buckets) = self.tenants.get_mut(tenant) else { return Vec::new() };
         let mut standing = Vec::new();
--- a/src/api_keys.rs
+++ b/src/api_keys.rs
@@ -1,65 +1,65 @@
-//! Clients' keys: held only as hashes, and compared in a time that says nothing of them.
+//! Clients' keys, which are stored as hashes and compared in constant time.
 
 use sha2::{Digest, Sha256};
 use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
 
 use tulipridge_http1::codec::Head;
 
-/// A key that is known.
+/// A known key.
 #[derive(Clone, Debug)]
 pub struct Key {
-    /// What it is called in the settings and the log.
+    /// Its name in the settings and the log.
     pub name: String,
     /// The SHA-256 of its bytes. Keys are long and random, so that no slower hash would add anything.
     pub hash: [u8; 32],
-    /// The tenant whose it is.
+    /// The tenant that it belongs to.
     pub tenant: Option<usize>,
-    /// The models that it may ask for; all if none is named.
+    /// The models that it may request; all if empty.
     pub models: Vec<String>,
 }
 
-/// All keys that are known.
+/// All known keys.
 #[derive(Clone, Debug, Default)]
 pub struct Keys(Vec<Key>);
 
-/// What a request's key says.
+/// The owner of a request, by its key.
 #[derive(Clone, Copy, Debug)]
-pub enum Holder<'k> {
-    /// No keys are set: anybody may ask.
+pub enum KeyOwner<'k> {
+    /// No keys are set, so every client is served.
     Anybody,
-    /// The holder of this key.
+    /// The owner of this key.
     Known(&'k Key),
-    /// No key was shown.
+    /// The request has no key.
     Keyless,
-    /// The key is none of those known.
+    /// The key is unknown.
     Stranger,
 }
 
 impl Keys {
-    /// These keys.
+    /// Creates the set of these keys.
     #[must_use]
     pub fn new(keys: Vec<Key>) -> Keys {
         Keys(keys)
     }
 
-    /// No key is set.
+    /// Whether there are no keys.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
-    /// Whose request it is, by its `x-api-key`, or else its `authorization: Bearer`.
+    /// The owner of a request, by its `x-api-key` or else its `authorization: Bearer`.
     #[must_use]
-    pub fn holder(&self, head: &Head) -> Holder<'_> {
+    pub fn owner(&self, head: &Head) -> KeyOwner<'_> {
         if self.0.is_empty() {
-            return Holder::Anybody;
+            return KeyOwner::Anybody;
         }
         let bearer = || head.get("authorization")?.strip_prefix("Bearer ").map(str::trim);
         let Some(shown) = head.get("x-api-key").or_else(bearer).filter(|k| !k.is_empty()) else {
-            return Holder::Keyless;
+            return KeyOwner::Keyless;
         };
         let hash: [u8; 32] = Sha256::digest(shown.as_bytes()).into();
-        // Each is compared whole, whichever fits: how long it takes tells nothing.
+        // All keys are compared, so that the time does not depend on which one matches.
         let (mut found, mut at) = (Choice::from(0), 0u64);
         for (n, key) in self.0.iter().enumerate() {
             let same = key.hash.ct_eq(&hash);
@@ -67,8 +67,8 @@
             found |= same;
         }
         match self.0.get(at as usize) {
-            Some(key) if bool::from(found) => Holder::Known(key),
-            _ => Holder::Stranger,
+            Some(key) if bool::from(found) => KeyOwner::Known(key),
+            _ => KeyOwner::Stranger,
         }
     }
 }
--- a/src/bin/tulipridge-simhost/host.rs
+++ b/src/bin/tulipridge-simhost/host.rs
@@ -9,7 +9,7 @@
     Action, ClassIndex, Event, ListKind, Member, Nanos, ReplicaId, Request, TenantIndex,
 };
 
-use crate::parse::{Fault, Names, Parts, fault, member, number_of, settings};
+use crate::parse::{FieldError, Names, Parts, invalid, member, number_of, settings};
 
 /// Lists are numbered below this.
 const LISTS: usize = 16;
@@ -52,7 +52,7 @@
 
 impl Host {
     /// Reads a line and adds the actions that follow; true once the reply is complete.
-    pub(crate) fn line(&mut self, line: &str, reply: &mut String) -> Result<bool, Fault> {
+    pub(crate) fn line(&mut self, line: &str, reply: &mut String) -> Result<bool, FieldError> {
         if self.reading.is_some() {
             self.entry(line)?;
             return Ok(false);
@@ -61,9 +61,9 @@
         let message = parts.text("message")?;
         let Some(Batch { now, number }) = self.batch else {
             if message != "CLOCK" {
-                return Err(fault("message", format_args!("'{message}' where CLOCK was due")));
+                return Err(invalid("message", format_args!("'{message}' where CLOCK was due")));
             }
-            self.batch = Some(Batch { now: parts.whole("wall-ns")?, number: parts.whole("n")? });
+            self.batch = Some(Batch { now: parts.integer("wall-ns")?, number: parts.integer("n")? });
             return parts.end().map(|()| false);
         };
         match message {
@@ -74,22 +74,22 @@
                 return Ok(true);
             }
             "ROSTER" => {
-                let number: usize = parts.whole("set-id")?;
-                let due: usize = parts.whole("members-list")?;
+                let number: usize = parts.integer("set-id")?;
+                let due: usize = parts.integer("members-list")?;
                 parts.end()?;
                 if number >= LISTS {
-                    return Err(fault("set-id", format_args!("'{number}' is not below {LISTS}")));
+                    return Err(invalid("set-id", format_args!("'{number}' is not below {LISTS}")));
                 }
                 self.reading = Some(Reading { number, members: Vec::new(), due });
                 self.entries_done();
             }
             "PROVISION" => {
                 let name = router(&mut parts)?;
-                let salt = parts.whole("salt")?;
+                let salt = parts.integer("salt")?;
                 let (mut settings, names) = settings(&parts.pairs()?)?;
                 settings.zone =
                     settings.zone.map(|z| number_of(&mut self.zones, &names.zones[usize::from(z)]));
-                let balancer = LoadBalancer::new(settings, salt).map_err(|e| fault("setup", e))?;
+                let balancer = LoadBalancer::new(settings, salt).map_err(|e| invalid("setup", e))?;
                 self.gateways.insert(name.to_owned(), Gateway { balancer, names });
             }
             "CRASH_NOW" => {
@@ -97,21 +97,21 @@
                 parts.end()?;
                 self.gateways.remove(name);
             }
-            "CLOCK" => return Err(fault("message", "'CLOCK' within a batch")),
+            "CLOCK" => return Err(invalid("message", "'CLOCK' within a batch")),
             _ => self.event(now, message, parts, reply)?,
         }
         Ok(false)
     }
 
     /// The input's end, which is in order only between batches.
-    pub(crate) fn end(&self) -> Result<(), Fault> {
+    pub(crate) fn end(&self) -> Result<(), FieldError> {
         match self.batch {
             None => Ok(()),
-            Some(_) => Err(fault("message", "the input ends within a batch")),
+            Some(_) => Err(invalid("message", "the input ends within a batch")),
         }
     }
 
-    fn entry(&mut self, line: &str) -> Result<(), Fault> {
+    fn entry(&mut self, line: &str) -> Result<(), FieldError> {
         let member = member(line, &mut self.zones, &mut self.kinds)?;
         if let Some(reading) = &mut self.reading {
             reading.members.push(member);
@@ -133,7 +133,7 @@
         message: &str,
         mut parts: Parts<'_>,
         reply: &mut String,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), FieldError> {
         let name = router(&mut parts)?;
         let event = match message {
             "UPDATE" => self.list_event(&mut parts)?,
@@ -148,9 +148,9 @@
             "RETURNED" => outcome_event(&mut parts)?,
             "HEAD_RECEIVED" => first_token_event(&mut parts)?,
             "HEALTH_RESULT" => probe_event(&mut parts)?,
-            "WAKE" => Event::Timer(parts.whole("token")?),
-            "MESSAGE" => Event::PeerMessage { from: parts.whole("who")?, bytes: parts.bytes("raw")? },
-            other => return Err(fault("message", format_args!("'{other}' is not known"))),
+            "WAKE" => Event::Timer(parts.integer("token")?),
+            "MESSAGE" => Event::PeerMessage { from: parts.integer("who")?, bytes: parts.bytes("raw")? },
+            other => return Err(invalid("message", format_args!("'{other}' is not known"))),
         };
         parts.end()?;
         if let Some(gateway) = self.gateways.get_mut(name) {
@@ -162,33 +162,33 @@
         Ok(())
     }
 
-    fn list_event(&self, parts: &mut Parts<'_>) -> Result<Event, Fault> {
+    fn list_event(&self, parts: &mut Parts<'_>) -> Result<Event, FieldError> {
         let kind = match parts.text("kind")? {
             "Partial" => ListKind::Changes,
             "Complete" => ListKind::Complete,
             "Persisted" => ListKind::Persisted,
             "Error" => ListKind::Failed,
-            other => return Err(fault("kind", format_args!("'{other}' is no known kind"))),
+            other => return Err(invalid("kind", format_args!("'{other}' is no known kind"))),
         };
-        parts.whole_or::<u64>("gen", 0)?;
+        parts.integer_or::<u64>("gen", 0)?;
         let list = parts.part("set-id")?;
         let members = match (kind, list.map(str::parse::<usize>)) {
             (ListKind::Failed, _) => Arc::from([]),
             (_, Some(Ok(list))) => match self.lists.get(list) {
                 Some(Some(members)) => Arc::clone(members),
-                _ => return Err(fault("set-id", format_args!("no list {list} was given"))),
+                _ => return Err(invalid("set-id", format_args!("no list {list} was given"))),
             },
-            (_, Some(Err(_))) => return Err(fault("set-id", "no whole number in range")),
-            (_, None) => return Err(fault("set-id", "absent")),
+            (_, Some(Err(_))) => return Err(invalid("set-id", "no whole number in range")),
+            (_, None) => return Err(invalid("set-id", "absent")),
         };
         Ok(Event::List { kind, members })
     }
 }
 
 /// Reads a request; none if its gateway, whose `names` it uses, is not there.
-fn request_event(parts: &mut Parts<'_>, names: Option<&Names>) -> Result<Option<Event>, Fault> {
+fn request_event(parts: &mut Parts<'_>, names: Option<&Names>) -> Result<Option<Event>, FieldError> {
     let id = parts.request()?;
-    let expires_in = parts.whole::<i64>("expires-in-ns")?.max(0) as Nanos;
+    let expires_in = parts.integer::<i64>("expires-in-ns")?.max(0) as Nanos;
     let prefix = parts.key("shared-prefix")?;
     let session = parts.key("object")?;
     parts.span("expected-ns")?;
@@ -197,7 +197,7 @@
     let class = parts.text("priority")?;
     let tenant = parts.part("project")?;
     let prompt_tokens = parts.count("prompt-len")?;
-    let marks: u64 = parts.whole_or("marks", 0)?;
+    let marks: u64 = parts.integer_or("marks", 0)?;
     let Some(names) = names else { return Ok(None) };
     Ok(Some(Event::Request(Request {
         id,
@@ -213,27 +213,27 @@
     })))
 }
 
-fn class_index(names: &Names, class: &str) -> Result<ClassIndex, Fault> {
+fn class_index(names: &Names, class: &str) -> Result<ClassIndex, FieldError> {
     let index = names.classes.iter().position(|name| name == class);
-    let unknown = || fault("priority", format_args!("'{class}' is no class of this gateway's"));
+    let unknown = || invalid("priority", format_args!("'{class}' is no class of this gateway's"));
     index.map(ClassIndex).ok_or_else(unknown)
 }
 
-fn tenant_index(names: &Names, tenant: Option<&str>) -> Result<Option<TenantIndex>, Fault> {
+fn tenant_index(names: &Names, tenant: Option<&str>) -> Result<Option<TenantIndex>, FieldError> {
     let tenant = tenant.filter(|tenant| *tenant != "0" && !names.tenants.is_empty());
     match tenant.map(|tenant| names.tenants.iter().position(|name| name == tenant)) {
-        Some(None) => Err(fault("project", "no tenant of this gateway's")),
+        Some(None) => Err(invalid("project", "no tenant of this gateway's")),
         found => Ok(found.flatten().map(TenantIndex)),
     }
 }
 
-fn outcome_event(parts: &mut Parts<'_>) -> Result<Event, Fault> {
+fn outcome_event(parts: &mut Parts<'_>) -> Result<Event, FieldError> {
     let id = parts.request()?;
     let cached = parts.part("info")?;
-    let cached = cached.map(|text| text.parse().map_err(|_| fault("info", "no whole number in range")));
+    let cached = cached.map(|text| text.parse().map_err(|_| invalid("info", "no whole number in range")));
     let elapsed = parts.span("rtt-ns")?;
     parts.part("worker")?;
-    let attempt = parts.whole("hop")?;
+    let attempt = parts.integer("hop")?;
     let ended = parts.flag("ended")?;
     let verdict = parts.verdict()?;
     let report = parts.report()?;
@@ -241,24 +241,24 @@
     Ok(Event::Outcome { id, attempt, verdict, ended, elapsed, cached_tokens, report })
 }
 
-fn first_token_event(parts: &mut Parts<'_>) -> Result<Event, Fault> {
+fn first_token_event(parts: &mut Parts<'_>) -> Result<Event, FieldError> {
     let id = parts.request()?;
     let elapsed = parts.span("rtt-ns")?;
     parts.part("worker")?;
-    Ok(Event::FirstToken { id, attempt: parts.whole("hop")?, elapsed })
+    Ok(Event::FirstToken { id, attempt: parts.integer("hop")?, elapsed })
 }
 
-fn probe_event(parts: &mut Parts<'_>) -> Result<Event, Fault> {
+fn probe_event(parts: &mut Parts<'_>) -> Result<Event, FieldError> {
     let replica = ReplicaId::from(parts.text("worker")?);
     let verdict = parts.verdict()?;
     let elapsed = parts.span("rtt-ns")?;
     Ok(Event::Probed { replica, verdict, elapsed, report: parts.report()? })
 }
 
-fn router<'a>(parts: &mut Parts<'a>) -> Result<&'a str, Fault> {
+fn router<'a>(parts: &mut Parts<'a>) -> Result<&'a str, FieldError> {
     let name = parts.text("router")?;
     let number = name.strip_prefix("router_").is_some_and(|n| n.parse::<u32>().is_ok());
-    if number { Ok(name) } else { Err(fault("router", format_args!("'{name}' is no router's name"))) }
+    if number { Ok(name) } else { Err(invalid("router", format_args!("'{name}' is no router's name"))) }
 }
 
 /// Adds an action's line.
--- a/src/bin/tulipridge-simhost/main.rs
+++ b/src/bin/tulipridge-simhost/main.rs
@@ -5,38 +5,63 @@
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
+use std::str::Utf8Error;
+
+use snafu::{ResultExt, Snafu};
+
+use parse::FieldError;
 
 fn main() -> ExitCode {
     let mut input = io::stdin().lock();
     let mut output = io::stdout().lock();
     match run(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("tulipridge-simhost: {message}");
+        Err(error) => {
+            eprintln!("tulipridge-simhost: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
+/// Why the program ends before its input does.
+#[derive(Debug, Snafu)]
+enum HostError {
+    /// The input can't be read.
+    #[snafu(display("line {number}: {source}"))]
+    Read { number: u64, source: io::Error },
+    /// The last line has no end.
+    #[snafu(display("line {number}: line: cut off before its end"))]
+    Truncated { number: u64 },
+    /// A line is not UTF-8.
+    #[snafu(display("line {number}: line: not UTF-8"))]
+    NotUtf8 { number: u64, source: Utf8Error },
+    /// A line can't be used.
+    #[snafu(display("line {number}: {source}"))]
+    Line { number: u64, source: FieldError },
+    /// The reply can't be written.
+    #[snafu(display("line {number}: reply: {source}"))]
+    Reply { number: u64, source: io::Error },
+}
+
 /// Answers batches until the input ends.
-fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), String> {
+fn run(input: &mut impl BufRead, output: &mut impl Write) -> Result<(), HostError> {
     let mut host = host::Host::default();
     let mut line = Vec::new();
     let mut reply = String::new();
     for number in 1u64.. {
         line.clear();
-        let length = input.read_until(b'\n', &mut line).map_err(|e| format!("line {number}: {e}"))?;
+        let length = input.read_until(b'\n', &mut line).context(ReadSnafu { number })?;
         if length == 0 {
-            return host.end().map_err(|e| format!("line {number}: {e}"));
+            return host.end().context(LineSnafu { number });
         }
         if line.pop_if(|last| *last == b'\n').is_none() {
-            return Err(format!("line {number}: line: cut off before its end"));
+            return TruncatedSnafu { number }.fail();
         }
         line.pop_if(|last| *last == b'\r');
-        let text = std::str::from_utf8(&line).map_err(|_| format!("line {number}: line: not UTF-8"))?;
-        if host.line(text, &mut reply).map_err(|e| format!("line {number}: {e}"))? {
+        let text = std::str::from_utf8(&line).context(NotUtf8Snafu { number })?;
+        if host.line(text, &mut reply).context(LineSnafu { number })? {
             let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
-            sent.map_err(|e| format!("line {number}: reply: {e}"))?;
+            sent.context(ReplySnafu { number })?;
             reply.clear();
         }
     }
