--- a/src/bin/tulipridge-simhost/parse.rs
+++ b/src/bin/tulipridge-simhost/parse.rs
@@ -4,25 +4,26 @@
 use std::fmt::Display;
 use std::str::{FromStr, Split};
 
+use snafu::Snafu;
 use tulipridge::names::load_metric_named;
 use tulipridge::types::{
     Class, Effect, Limits, Member, Nanos, Phase, ReplicaId, RequestId, Safety, Scope, Settings, Tenant,
     UnitsMeaning, Verdict,
 };
 
-/// What is wrong with a line: the field and the fault.
-#[derive(Debug)]
-pub(crate) struct Fault(String);
-
-impl Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
+/// A field of a line that can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("{field}: {problem}"))]
+pub(crate) struct FieldError {
+    /// Its name.
+    field: String,
+    /// What is wrong with it.
+    problem: String,
 }
 
-/// A fault of a field.
-pub(crate) fn fault(field: &str, what: impl Display) -> Fault {
-    Fault(format!("{field}: {what}"))
+/// The error of a field.
+pub(crate) fn invalid(field: &str, problem: impl Display) -> FieldError {
+    FieldError { field: field.to_owned(), problem: problem.to_string() }
 }
 
 /// Keys stay below this.
@@ -37,67 +38,67 @@
     }
 
     /// The next part, absent or not.
-    pub(crate) fn part(&mut self, field: &str) -> Result<Option<&'a str>, Fault> {
+    pub(crate) fn part(&mut self, field: &str) -> Result<Option<&'a str>, FieldError> {
         match self.0.next() {
-            None | Some("") => Err(fault(field, "missing")),
+            None | Some("") => Err(invalid(field, "missing")),
             Some("-") => Ok(None),
             Some(part) => Ok(Some(part)),
         }
     }
 
     /// The next part, which must be there.
-    pub(crate) fn text(&mut self, field: &str) -> Result<&'a str, Fault> {
-        self.part(field)?.ok_or_else(|| fault(field, "absent"))
+    pub(crate) fn text(&mut self, field: &str) -> Result<&'a str, FieldError> {
+        self.part(field)?.ok_or_else(|| invalid(field, "absent"))
     }
 
-    pub(crate) fn whole<T: FromStr>(&mut self, field: &str) -> Result<T, Fault> {
-        whole(field, self.text(field)?)
+    pub(crate) fn integer<T: FromStr>(&mut self, field: &str) -> Result<T, FieldError> {
+        integer(field, self.text(field)?)
     }
 
-    pub(crate) fn whole_or<T: FromStr>(&mut self, field: &str, absent: T) -> Result<T, Fault> {
-        self.part(field)?.map_or(Ok(absent), |part| whole(field, part))
+    pub(crate) fn integer_or<T: FromStr>(&mut self, field: &str, absent: T) -> Result<T, FieldError> {
+        self.part(field)?.map_or(Ok(absent), |part| integer(field, part))
     }
 
     /// A time-like span that must not be negative.
-    pub(crate) fn span(&mut self, field: &str) -> Result<Nanos, Fault> {
-        self.whole_or(field, 0)
+    pub(crate) fn span(&mut self, field: &str) -> Result<Nanos, FieldError> {
+        self.integer_or(field, 0)
     }
 
     /// A count of tokens, which may be written with decimals.
-    pub(crate) fn count(&mut self, field: &str) -> Result<u32, Fault> {
+    pub(crate) fn count(&mut self, field: &str) -> Result<u32, FieldError> {
         let Some(part) = self.part(field)? else { return Ok(0) };
         let value = number(field, part)?;
         if !(0.0..=f64::from(u32::MAX)).contains(&value) {
-            return Err(fault(field, format_args!("'{part}' is out of range")));
+            return Err(invalid(field, format_args!("'{part}' is out of range")));
         }
         Ok(value as u32)
     }
 
-    pub(crate) fn key(&mut self, field: &str) -> Result<Option<u64>, Fault> {
+    pub(crate) fn key(&mut self, field: &str) -> Result<Option<u64>, FieldError> {
         let Some(part) = self.part(field)? else { return Ok(None) };
-        match whole::<u64>(field, part)? {
+        match integer::<u64>(field, part)? {
             key if key < KEY_END => Ok(Some(key)),
-            _ => Err(fault(field, format_args!("'{part}' is not below 2^53"))),
+            _ => Err(invalid(field, format_args!("'{part}' is not below 2^53"))),
         }
     }
 
-    pub(crate) fn flag(&mut self, field: &str) -> Result<bool, Fault> {
+    pub(crate) fn flag(&mut self, field: &str) -> Result<bool, FieldError> {
         match self.text(field)? {
             "1" => Ok(true),
             "0" => Ok(false),
-            other => Err(fault(field, format_args!("'{other}' is neither 0 nor 1"))),
+            other => Err(invalid(field, format_args!("'{other}' is neither 0 nor 1"))),
         }
     }
 
-    pub(crate) fn request(&mut self) -> Result<RequestId, Fault> {
+    pub(crate) fn request(&mut self) -> Result<RequestId, FieldError> {
         let field = "msg-id";
         let part = self.text(field)?;
         let hex = part.len() == 16 && part.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         let id = hex.then(|| u64::from_str_radix(part, 16).ok()).flatten();
-        id.map(RequestId).ok_or_else(|| fault(field, format_args!("'{part}' is not 16 hex digits")))
+        id.map(RequestId).ok_or_else(|| invalid(field, format_args!("'{part}' is not 16 hex digits")))
     }
 
-    pub(crate) fn verdict(&mut self) -> Result<Verdict, Fault> {
+    pub(crate) fn verdict(&mut self) -> Result<Verdict, FieldError> {
         Ok(match self.text("outcome")? {
             "Ok" => Verdict::Ok,
             "Failed" => Verdict::Error,
@@ -107,49 +108,49 @@
             "ResetByPeer" => Verdict::Reset,
             "Canceled" => Verdict::Cancelled,
             "Ignored" => Verdict::NotSent,
-            other => return Err(fault("outcome", format_args!("'{other}' is no known outcome"))),
+            other => return Err(invalid("outcome", format_args!("'{other}' is no known outcome"))),
         })
     }
 
     /// A load report; a value that is not there is not a number.
-    pub(crate) fn report(&mut self) -> Result<Vec<f64>, Fault> {
+    pub(crate) fn report(&mut self) -> Result<Vec<f64>, FieldError> {
         let Some(part) = self.part("gauge")? else { return Ok(Vec::new()) };
         let value = |v| if v == "-" { Ok(f64::NAN) } else { number("gauge", v) };
         part.split(',').map(value).collect()
     }
 
-    pub(crate) fn bytes(&mut self, field: &str) -> Result<Vec<u8>, Fault> {
+    pub(crate) fn bytes(&mut self, field: &str) -> Result<Vec<u8>, FieldError> {
         let Some(part) = self.part(field)? else { return Ok(Vec::new()) };
         let byte = |pair: &[u8]| {
             let digit = |d: u8| char::from(d).to_digit(16);
             Some((digit(*pair.first()?)? * 16 + digit(*pair.get(1)?)?) as u8)
         };
         let bytes: Option<Vec<u8>> = part.as_bytes().chunks(2).map(byte).collect();
-        bytes.ok_or_else(|| fault(field, "not bytes in hex digits"))
+        bytes.ok_or_else(|| invalid(field, "not bytes in hex digits"))
     }
 
     /// Nothing may be left.
-    pub(crate) fn end(mut self) -> Result<(), Fault> {
+    pub(crate) fn end(mut self) -> Result<(), FieldError> {
         match self.0.next() {
             None => Ok(()),
-            Some(extra) => Err(fault("line", format_args!("'{extra}' is one part too many"))),
+            Some(extra) => Err(invalid("line", format_args!("'{extra}' is one part too many"))),
         }
     }
 
     /// What is left, as path=value pairs.
-    pub(crate) fn pairs(self) -> Result<Pairs<'a>, Fault> {
-        let pair = |part: &'a str| part.split_once('=').ok_or_else(|| fault("setup", "not path=value"));
+    pub(crate) fn pairs(self) -> Result<Pairs<'a>, FieldError> {
+        let pair = |part: &'a str| part.split_once('=').ok_or_else(|| invalid("setup", "not path=value"));
         Ok(Pairs(self.0.filter(|p| !p.is_empty() && *p != "-").map(pair).collect::<Result<_, _>>()?))
     }
 }
 
-fn whole<T: FromStr>(field: &str, part: &str) -> Result<T, Fault> {
-    part.parse().map_err(|_| fault(field, format_args!("'{part}' is no whole number in range")))
+fn integer<T: FromStr>(field: &str, part: &str) -> Result<T, FieldError> {
+    part.parse().map_err(|_| invalid(field, format_args!("'{part}' is no whole number in range")))
 }
 
-fn number(field: &str, part: &str) -> Result<f64, Fault> {
+fn number(field: &str, part: &str) -> Result<f64, FieldError> {
     let value = part.parse::<f64>().ok().filter(|v| v.is_finite());
-    value.ok_or_else(|| fault(field, format_args!("'{part}' is no number")))
+    value.ok_or_else(|| invalid(field, format_args!("'{part}' is no number")))
 }
 
 /// The start-up parameters; those of no use here are never asked for, and so skipped.
@@ -160,24 +161,24 @@
         self.0.get(path).copied().filter(|v| *v != "-")
     }
 
-    fn must(&self, path: &str) -> Result<&'a str, Fault> {
-        self.get(path).ok_or_else(|| fault(path, "missing"))
+    fn must(&self, path: &str) -> Result<&'a str, FieldError> {
+        self.get(path).ok_or_else(|| invalid(path, "missing"))
     }
 
-    fn nanos(&self, path: &str, absent: Nanos) -> Result<Nanos, Fault> {
-        self.get(path).map_or(Ok(absent), |v| whole(path, v))
+    fn nanos(&self, path: &str, absent: Nanos) -> Result<Nanos, FieldError> {
+        self.get(path).map_or(Ok(absent), |v| integer(path, v))
     }
 
-    fn number(&self, path: &str, absent: f64) -> Result<f64, Fault> {
+    fn number(&self, path: &str, absent: f64) -> Result<f64, FieldError> {
         self.get(path).map_or(Ok(absent), |v| number(path, v))
     }
 
-    fn flag(&self, path: &str, absent: bool) -> Result<bool, Fault> {
+    fn flag(&self, path: &str, absent: bool) -> Result<bool, FieldError> {
         match self.get(path) {
             None => Ok(absent),
             Some("true" | "1") => Ok(true),
             Some("false" | "0") => Ok(false),
-            Some(other) => Err(fault(path, format_args!("'{other}' is neither true nor false"))),
+            Some(other) => Err(invalid(path, format_args!("'{other}' is neither true nor false"))),
         }
     }
 
@@ -187,7 +188,7 @@
     }
 
     /// One number of a list with a place for each class; 0 where there is none.
-    fn of_class(&self, path: &str, class: usize) -> Result<f64, Fault> {
+    fn of_class(&self, path: &str, class: usize) -> Result<f64, FieldError> {
         let part = self.get(path).and_then(|v| v.split(',').nth(class)).filter(|v| !v.is_empty());
         part.map_or(Ok(0.0), |v| number(path, v))
     }
@@ -204,7 +205,7 @@
 const LIST_END: usize = 10_000;
 
 /// Reads the settings of a gateway.
-pub(crate) fn settings(pairs: &Pairs<'_>) -> Result<(Settings, Names), Fault> {
+pub(crate) fn settings(pairs: &Pairs<'_>) -> Result<(Settings, Names), FieldError> {
     let mut names = Names { classes: vec![], tenants: vec![], zones: pairs.list("localities") };
     let classes = classes(pairs, &mut names)?;
     let tenants = tenants(pairs, &mut names)?;
@@ -216,7 +217,7 @@
         list_calls_per_s: None,
         limits: limits(pairs)?,
         safety: safety(pairs)?,
-        group_size: whole("group-size", pairs.must("group-size")?)?,
+        group_size: integer("group-size", pairs.must("group-size")?)?,
         gateway_index: pairs.nanos("me", 0)? as u32,
         zone,
         has_pushed_list: has_pushed_list(pairs)?,
@@ -231,12 +232,12 @@
 }
 
 /// The length of a list of objects.
-fn count(pairs: &Pairs<'_>, path: &str) -> Result<usize, Fault> {
-    let count = pairs.get(path).map_or(Ok(0), |text| whole(path, text))?;
-    if count > LIST_END { Err(fault(path, "too many")) } else { Ok(count) }
+fn count(pairs: &Pairs<'_>, path: &str) -> Result<usize, FieldError> {
+    let count = pairs.get(path).map_or(Ok(0), |text| integer(path, text))?;
+    if count > LIST_END { Err(invalid(path, "too many")) } else { Ok(count) }
 }
 
-fn classes(pairs: &Pairs<'_>, names: &mut Names) -> Result<Vec<Class>, Fault> {
+fn classes(pairs: &Pairs<'_>, names: &mut Names) -> Result<Vec<Class>, FieldError> {
     let mut classes = Vec::new();
     for n in 0..count(pairs, "lanes.count")? {
         let path = |name: &str| format!("lanes.{n}.{name}");
@@ -244,10 +245,10 @@
         let effect = effect(pairs, path)?;
         let slope = pairs.of_class("family-info.aim-us-per-1000-prompt-tokens", n)?;
         classes.push(Class {
-            latency_target: whole(&path("promise-ns"), pairs.must(&path("promise-ns"))?)?,
+            latency_target: integer(&path("promise-ns"), pairs.must(&path("promise-ns"))?)?,
             latency_target_per_token: slope.max(0.0) as Nanos,
             inter_token_target: pairs.of_class("family-info.token-aim-ns", n)?.max(0.0) as Nanos,
-            deadline: whole(&path("deadline-ns"), pairs.must(&path("deadline-ns"))?)?,
+            deadline: integer(&path("deadline-ns"), pairs.must(&path("deadline-ns"))?)?,
             effect,
             value: pairs.number(&path("points"), 1.0)?,
             late_value: pairs.number(&path("late-worth"), 0.0)?,
@@ -257,23 +258,25 @@
     Ok(classes)
 }
 
-fn effect(pairs: &Pairs<'_>, path: impl Fn(&str) -> String) -> Result<Effect, Fault> {
+fn effect(pairs: &Pairs<'_>, path: impl Fn(&str) -> String) -> Result<Effect, FieldError> {
     let scope = match pairs.get(&path("key-scope")) {
         None | Some("all") => Scope::All,
         Some("zone") => Scope::Zone,
         Some("cell") => Scope::Cell,
-        Some(other) => return Err(fault(&path("key-scope"), format_args!("'{other}' is no known group"))),
+        Some(other) => {
+            return Err(invalid(&path("key-scope"), format_args!("'{other}' is no known group")));
+        }
     };
     let window = pairs.nanos(&path("key-ttl-ns"), 0)?;
     match pairs.must(&path("effect"))? {
         "retryable" => Ok(Effect::Safe),
         "dedup" => Ok(Effect::Keyed { scope, window }),
         "fragile" => Ok(Effect::Unsafe),
-        other => Err(fault(&path("effect"), format_args!("'{other}' is no known effect"))),
+        other => Err(invalid(&path("effect"), format_args!("'{other}' is no known effect"))),
     }
 }
 
-fn tenants(pairs: &Pairs<'_>, names: &mut Names) -> Result<Vec<Tenant>, Fault> {
+fn tenants(pairs: &Pairs<'_>, names: &mut Names) -> Result<Vec<Tenant>, FieldError> {
     let mut tenants = Vec::new();
     for n in 0..count(pairs, "accounts.count")? {
         let path = |name: &str| format!("accounts.{n}.{name}");
@@ -284,7 +287,7 @@
     Ok(tenants)
 }
 
-fn limits(pairs: &Pairs<'_>) -> Result<Limits, Fault> {
+fn limits(pairs: &Pairs<'_>) -> Result<Limits, FieldError> {
     let has_retry_after = pairs.flag("policy-limits.retry-after", false)?;
     Ok(Limits {
         max_attempts: pairs.nanos("policy-limits.send-cap", 1)? as u32,
@@ -296,7 +299,7 @@
     })
 }
 
-fn safety(pairs: &Pairs<'_>) -> Result<Safety, Fault> {
+fn safety(pairs: &Pairs<'_>) -> Result<Safety, FieldError> {
     Ok(Safety {
         initial_capacity: pairs.number("safety.cold-from", 1.0)?,
         slow_start_window: pairs.nanos("safety.ramp-time-ns", 0)?,
@@ -306,20 +309,20 @@
     })
 }
 
-fn has_pushed_list(pairs: &Pairs<'_>) -> Result<bool, Fault> {
+fn has_pushed_list(pairs: &Pairs<'_>) -> Result<bool, FieldError> {
     match pairs.get("discovery") {
         Some("push") | None => Ok(true),
         Some("ask") => Ok(false),
-        Some(other) => Err(fault("discovery", format_args!("'{other}' is no known way"))),
+        Some(other) => Err(invalid("discovery", format_args!("'{other}' is no known way"))),
     }
 }
 
-fn units_meaning(pairs: &Pairs<'_>) -> Result<UnitsMeaning, Fault> {
+fn units_meaning(pairs: &Pairs<'_>) -> Result<UnitsMeaning, FieldError> {
     match pairs.get("weight-source") {
         Some("nominal" | "rough") => Ok(UnitsMeaning::Size),
         Some("live") => Ok(UnitsMeaning::Live),
         Some("silent") | None => Ok(UnitsMeaning::None),
-        Some(other) => Err(fault("weight-source", format_args!("'{other}' is not known"))),
+        Some(other) => Err(invalid("weight-source", format_args!("'{other}' is not known"))),
     }
 }
 
@@ -337,28 +340,28 @@
     line: &str,
     zones: &mut Vec<String>,
     kinds: &mut Vec<String>,
-) -> Result<Member, Fault> {
+) -> Result<Member, FieldError> {
     let mut parts = Parts::new(line);
     match parts.text("entry")? {
         "ROW" => {}
-        other => return Err(fault("members-list", format_args!("'{other}' where ROW was due"))),
+        other => return Err(invalid("members-list", format_args!("'{other}' where ROW was due"))),
     }
     let units = parts.part("units")?.map_or(Ok(1.0), |v| number("units", v))?;
     if units < 0.0 {
-        return Err(fault("units", "negative"));
+        return Err(invalid("units", "negative"));
     }
     let zone = parts.part("rack-zone")?.unwrap_or("-");
     let zone = number_of(zones, zone);
     let id = ReplicaId::from(parts.text("worker")?);
     let kind = number_of(kinds, parts.part("model")?.unwrap_or("-"));
-    let cell = parts.whole_or("block", 0)?;
+    let cell = parts.integer_or("block", 0)?;
     let phase = match parts.text("phase")? {
         "SERVING" => Phase::Ready,
         "DRAINING" => Phase::Draining,
         "DELETED" => Phase::Gone,
-        other => return Err(fault("phase", format_args!("'{other}' is no known state"))),
+        other => return Err(invalid("phase", format_args!("'{other}' is no known state"))),
     };
-    let started = Some(parts.whole_or("start-time-ns", 0u64)?).filter(|t| *t != 0);
+    let started = Some(parts.integer_or("start-time-ns", 0u64)?).filter(|t| *t != 0);
     parts.end()?;
     Ok(Member { id, units, zone, kind, cell, phase, started })
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,14 +9,14 @@
 
 use tulipridge::api_keys;
 use tulipridge::config::{Config, Sources};
-use tulipridge::conformance;
+use tulipridge::conformance::{self, Pairing};
 use tulipridge::names::Dialect;
 use tulipridge::net::listen;
 use tulipridge::settings::Settings;
 
 use crate::{demo, serve};
 
-/// A gateway for the real servers of a language model.
+/// A gateway for the replicas of a language model.
 ///
 /// Without a command it serves, as 'serve' does. To see it work with nothing else at hand: 'tulipridge demo'.
 #[derive(Parser)]
@@ -67,7 +67,7 @@
         #[arg(long, value_name = "FILE")]
         config: Option<String>,
     },
-    /// Run the conformance suite: by itself over all pairings of fronts and real servers, or against a gateway that
+    /// Run the conformance suite: by itself over all pairings of fronts and replicas, or against a gateway that
     /// is up; exit status 0 if all that was run holds
     Conformance(ConformanceOptions),
     /// Make a key for a client of the messages front, and the line that the settings hold of it
@@ -81,7 +81,7 @@
         #[arg(long)]
         read: bool,
     },
-    /// Bring up toy real servers, a discovery and a gateway with both fronts on loopback, and print two calls
+    /// Bring up toy replicas, a discovery and a gateway with both fronts on loopback, and print two calls
     Demo {
         /// The port of the platform's front, that of the messages front being the next; 0 takes any two
         #[arg(long, default_value_t = 8080)]
@@ -91,13 +91,13 @@
 
 #[derive(Args)]
 struct ConformanceOptions {
-    /// The front of a gateway that is up, whose real servers are this suite's stand-ins
+    /// The front of a gateway that is up, whose replicas are this suite's stand-ins
     #[arg(long, value_name = "ADDRESS", requires = "front", requires = "servers")]
     against: Option<SocketAddr>,
     /// That front's dialect
     #[arg(long, value_enum)]
     front: Option<Speaks>,
-    /// The dialect of the real servers behind it
+    /// The dialect of the replicas behind it
     #[arg(long, value_enum)]
     servers: Option<Speaks>,
     /// Bring up the stand-ins for such a gateway, with discovery at this port, until Ctrl-C
@@ -126,9 +126,13 @@
 /// Serves with what these files say.
 fn serve_files(files: Files) -> ExitCode {
     let sources = Sources { config: files.config, settings: files.settings };
-    match listen::inherited().and_then(|inherited| Ok((Config::load(&sources)?, inherited))) {
-        Ok((config, inherited)) => serve::serve(config, sources, inherited),
-        Err(what) => fault(&what),
+    let inherited = match listen::inherited() {
+        Ok(inherited) => inherited,
+        Err(error) => return fault(&error.to_string()),
+    };
+    match Config::load(&sources) {
+        Ok(config) => serve::serve(config, sources, inherited),
+        Err(error) => fault(&error.to_string()),
     }
 }
 
@@ -141,7 +145,7 @@
                 println!("{file}: good; names of classes and tenants need --config to be checked");
                 ExitCode::SUCCESS
             }
-            Err(what) => fault(&what.to_string()),
+            Err(error) => fault(&error.to_string()),
         };
     }
     // With the configuration beside it everything is checked that a start would check.
@@ -150,11 +154,11 @@
             let limits = config.limits();
             println!(
                 "{file}: good; a stream holds {} bytes, all of them {}, a socket's buffer {}",
-                limits.stream.high, limits.stream.budget, limits.wire.socket_buffer
+                limits.stream.high_watermark, limits.stream.budget, limits.wire.socket_buffer
             );
             ExitCode::SUCCESS
         }
-        Err(what) => fault(&what),
+        Err(error) => fault(&error.to_string()),
     }
 }
 
@@ -163,7 +167,7 @@
     let ConformanceOptions { against, front, servers, stand_in, only, json } = options;
     let mut cases = match conformance::cases() {
         Ok(cases) => cases,
-        Err(what) => return fault(&what),
+        Err(error) => return fault(&error.to_string()),
     };
     cases.retain(|c| only.as_ref().is_none_or(|word| c.name.contains(word)));
     if cases.is_empty() {
@@ -174,7 +178,8 @@
     }
     let report = match (against, front, servers) {
         (Some(addr), Some(front), Some(servers)) => {
-            Ok(conformance::against(&cases, (front.into(), servers.into()), addr))
+            let pairing = Pairing { front: front.into(), replicas: servers.into() };
+            Ok(conformance::against(&cases, pairing, addr))
         }
         _ => std::env::current_exe()
             .and_then(|program| conformance::everywhere(&cases, &program, &std::env::temp_dir(), 16)),
@@ -182,7 +187,7 @@
     match report {
         Ok(report) => {
             print!("{}", if json { report.json() + "\n" } else { report.text() });
-            if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+            if report.all_passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
         Err(e) => fault(&format!("conformance: {e}")),
     }
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,4 +1,7 @@
-//! What a gateway is told at its start: the platform's JSON, and the program's own settings beside it.
+//! The configuration of a gateway: the platform's JSON, and the program's own settings beside it.
+
+mod error;
+mod json_tree;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,7 +11,12 @@
 use log::LevelFilter;
 use serde::Deserialize;
 use serde_json::Value;
+use snafu::{OptionExt, ResultExt};
 
+use self::error::{
+    InvalidValueSnafu, NoFileSnafu, NotAnObjectSnafu, NotJsonSnafu, UnreadableSnafu, ValueSnafu,
+};
+use self::json_tree::JsonTree;
 use crate::admission::quota::Rates;
 use crate::api_keys::{self, Keys};
 use crate::front::messages::Setup;
@@ -18,7 +26,9 @@
 use crate::store::Store;
 use crate::types::{Class, Effect, Limits, Nanos, Safety, Scope, Settings, Tenant, UnitsMeaning};
 
-/// All that a gateway is told.
+pub use self::error::{ConfigError, ValueError};
+
+/// The configuration of a gateway.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Its name.
@@ -37,13 +47,13 @@
     pub memory_mb: usize,
     /// Its last list.
     pub known: Listing,
-    /// The module's settings.
+    /// The load balancer's settings.
     pub settings: Settings,
     /// The names that go with them.
     pub names: Names,
-    /// Time for a connection to a real server to come up.
+    /// Time for a connection to a replica to come up.
     pub connect: Nanos,
-    /// Time after which a real server closes an idle connection.
+    /// Time after which a replica closes an idle connection.
     pub conn_idle: Nanos,
     /// The messages front's part of the program's own settings, with its names made out.
     pub messages: Setup,
@@ -67,8 +77,8 @@
 impl Sources {
     /// The settings' path, if anybody said one or the usual one is there.
     fn settings(&self) -> Option<String> {
-        let told = self.settings.clone().or_else(|| env::var("TULIPRIDGE_SETTINGS").ok());
-        told.or_else(|| Path::new(USUAL_SETTINGS).exists().then(|| USUAL_SETTINGS.to_owned()))
+        let path = self.settings.clone().or_else(|| env::var("TULIPRIDGE_SETTINGS").ok());
+        path.or_else(|| Path::new(USUAL_SETTINGS).exists().then(|| USUAL_SETTINGS.to_owned()))
     }
 
     /// The platform's JSON, if anybody said where it is.
@@ -83,7 +93,7 @@
     ///
     /// # Errors
     /// What can't be read or makes no sense, with its path.
-    pub fn load(sources: &Sources) -> Result<Config, String> {
+    pub fn load(sources: &Sources) -> Result<Config, ConfigError> {
         Config::read(sources, true)
     }
 
@@ -92,20 +102,17 @@
     ///
     /// # Errors
     /// As for [`Config::load`].
-    pub fn reload(sources: &Sources) -> Result<Config, String> {
+    pub fn reload(sources: &Sources) -> Result<Config, ConfigError> {
         Config::read(sources, false)
     }
 
-    fn read(sources: &Sources, environment_first: bool) -> Result<Config, String> {
-        let read = |path: &str| fs::read_to_string(path).map_err(|e| format!("{path}: {e}"));
-        let path = sources.config().ok_or(
-            "no configuration: name the platform's JSON with --config FILE or EDGE_CONFIG, or try \
-            'tulipridge demo', which needs none",
-        )?;
-        let mut config: Value = serde_json::from_str(&read(&path)?).map_err(|e| format!("{path}: {e}"))?;
+    fn read(sources: &Sources, environment_first: bool) -> Result<Config, ConfigError> {
+        let path = sources.config().context(NoFileSnafu)?;
+        let text = fs::read_to_string(&path).context(UnreadableSnafu { path: &path })?;
+        let mut config: Value = serde_json::from_str(&text).context(NotJsonSnafu { path: &path })?;
         // Guards against a file of another shape, which has no keys to set.
         if !config.is_object() {
-            return Err(format!("{path}: not an object"));
+            return NotAnObjectSnafu { path }.fail();
         }
         for (variable, key) in [
             ("EDGE_NAME", "name"),
@@ -118,10 +125,10 @@
             }
         }
         let own = match sources.settings() {
-            Some(path) => settings::Settings::load(&path).map_err(|fault| fault.to_string())?,
+            Some(path) => settings::Settings::load(&path)?,
             None => settings::Settings::default(),
         };
-        Config::new(&config, own).map_err(|what| format!("{path}: {what}"))
+        Config::new(&config, own).context(InvalidValueSnafu { path })
     }
 
     /// What this machine and these settings allow.
@@ -138,12 +145,14 @@
     ///
     /// # Errors
     /// What is missing or makes no sense, with its key.
-    pub fn new(config: &Value, own: settings::Settings) -> Result<Config, String> {
-        let at = |key: &str| Tree { value: &config[key], path: key.to_owned() };
-        let addr =
-            |key: &str| at(key).text()?.parse().map_err(|_| format!("{key}: no address with a port"));
+    pub fn new(config: &Value, own: settings::Settings) -> Result<Config, ValueError> {
+        let at = |key: &str| JsonTree { value: &config[key], path: key.to_owned() };
+        let addr = |key: &str| {
+            let text = at(key).text()?;
+            text.parse().ok().context(ValueSnafu { key, problem: "no address with a port" })
+        };
         let tree = at("settings");
-        let (mut settings, mut names) = module_settings(&tree)?;
+        let (mut settings, mut names) = balancer_settings(&tree)?;
         settings.list_calls_per_s = own.list.calls_per_s;
         for (kind, speed) in &own.speeds {
             let kind = usize::from(number_of(&mut names.kinds, kind));
@@ -152,18 +161,16 @@
         }
         // The settings name classes and tenants that only the platform's file knows.
         let class = |key: &str, name: &String| {
-            names
-                .class(name)
-                .ok_or_else(|| format!("settings' messages.{key}: no class is called '{name}'"))
+            let problem = format!("no class is called '{name}'");
+            names.class(name).context(ValueSnafu { key: format!("settings' messages.{key}"), problem })
         };
         let models = own.messages.classes.iter();
         let models = models.map(|(m, c)| Ok((m.clone(), class(&format!("classes.{m}"), c)?)));
-        let models = models.collect::<Result<_, String>>()?;
+        let models = models.collect::<Result<_, ValueError>>()?;
         let usual_class = own.messages.class.as_ref().map_or(Ok(0), |name| class("class", name))?;
         let tenant = |name: &String| {
-            names
-                .tenant(name)
-                .ok_or_else(|| format!("settings' messages.tenant: no tenant is called '{name}'"))
+            let problem = format!("no tenant is called '{name}'");
+            names.tenant(name).context(ValueSnafu { key: "settings' messages.tenant", problem })
         };
         names.usual_tenant = own.messages.tenant.as_ref().map(tenant).transpose()?;
         (names.models, names.usual_class) = (models, usual_class);
@@ -172,14 +179,19 @@
         let seed = at("seed").text().unwrap_or_default();
         let known = match &config["known"] {
             Value::Null => Listing::default(),
-            known => Listing::deserialize(known).map_err(|e| format!("known: {e}"))?,
+            known => match Listing::deserialize(known) {
+                Ok(known) => known,
+                Err(error) => return ValueSnafu { key: "known", problem: error.to_string() }.fail(),
+            },
         };
         Ok(Config {
             name: at("name").text()?,
             listen: addr("listen")?,
             mgmt: if config["mgmt"].is_null() { None } else { Some(addr("mgmt")?) },
             discovery: addr("discovery")?,
-            seed: u64::from_str_radix(&seed, 16).map_err(|_| "seed: not hex digits")?,
+            seed: u64::from_str_radix(&seed, 16)
+                .ok()
+                .context(ValueSnafu { key: "seed", problem: "not hex digits" })?,
             sockets: at("limits").at("sockets").number(1024.0)? as usize,
             memory_mb: at("limits").at("memory_mb").number(192.0)? as usize,
             known,
@@ -194,28 +206,28 @@
 }
 
 /// Makes out the names of tenants that the messages front's settings use.
-fn messages_setup(own: &settings::Messages, names: &Names) -> Result<Setup, String> {
+fn messages_setup(own: &settings::Messages, names: &Names) -> Result<Setup, ValueError> {
     let tenant = |place: &str, name: &str| {
-        let found = names.tenant(name);
-        found.ok_or_else(|| format!("settings' messages.{place}: no tenant is called '{name}'"))
+        let problem = format!("no tenant is called '{name}'");
+        names.tenant(name).context(ValueSnafu { key: format!("settings' messages.{place}"), problem })
     };
-    let mut held = Vec::new();
+    let mut keys = Vec::new();
     for (name, key) in &own.keys {
         let of = key.tenant.as_ref().map(|t| tenant(&format!("keys.{name}.tenant"), t)).transpose()?;
         let hash = api_keys::hash_of(&key.sha256).unwrap_or_default();
-        held.push(api_keys::Key { name: name.clone(), hash, tenant: of, models: key.models.clone() });
+        keys.push(api_keys::Key { name: name.clone(), hash, tenant: of, models: key.models.clone() });
     }
     let mut rates = vec![Rates::default(); names.tenants.len()];
-    for (name, told) in &own.limits {
+    for (name, limits) in &own.limits {
         rates[tenant(&format!("limits.{name}"), name)?] =
-            Rates { requests: told.requests, input: told.input_tokens, output: told.output_tokens };
+            Rates { requests: limits.requests, input: limits.input_tokens, output: limits.output_tokens };
     }
-    let model = |(id, told): (&String, &settings::Model)| {
+    let model = |(id, model): (&String, &settings::Model)| {
         let model = Model {
-            display_name: told.name.clone().unwrap_or_else(|| id.clone()),
-            created_at: told.created.clone().unwrap_or_else(|| "1970-01-01T00:00:00Z".into()),
-            max_input_tokens: told.input_tokens,
-            max_tokens: told.output_tokens,
+            display_name: model.name.clone().unwrap_or_else(|| id.clone()),
+            created_at: model.created.clone().unwrap_or_else(|| "1970-01-01T00:00:00Z".into()),
+            max_input_tokens: model.input_tokens,
+            max_tokens: model.output_tokens,
         };
         (id.clone(), model)
     };
@@ -224,7 +236,7 @@
     for id in own.classes.keys() {
         models.entry(id.clone()).or_insert_with(|| model((id, &settings::Model::default())).1);
     }
-    Ok(Setup { keys: Keys::new(held), models, only_listed: own.only_listed, rates })
+    Ok(Setup { keys: Keys::new(keys), models, only_listed: own.only_listed, rates })
 }
 
 /// Brings what may change while the program runs in step with the store: `config/log-level` (a level's name)
@@ -242,68 +254,8 @@
     names.models = models.into_iter().filter_map(|(m, c)| Some((m, names.class(&c)?))).collect();
 }
 
-/// A place in a JSON value, which knows its path so that a fault can name it.
-struct Tree<'a> {
-    value: &'a Value,
-    path: String,
-}
-
-impl<'a> Tree<'a> {
-    fn at(&self, key: &str) -> Tree<'a> {
-        Tree { value: &self.value[key], path: format!("{}.{key}", self.path) }
-    }
-
-    fn each(&self) -> Vec<Tree<'a>> {
-        let items = self.value.as_array().map(Vec::as_slice).unwrap_or_default();
-        let item = |(n, value)| Tree { value, path: format!("{}.{n}", self.path) };
-        items.iter().enumerate().map(item).collect()
-    }
-
-    fn fault<T>(&self, what: &str) -> Result<T, String> {
-        Err(format!("{}: {what}", self.path))
-    }
-
-    fn text(&self) -> Result<String, String> {
-        match self.value.as_str() {
-            Some(text) => Ok(text.to_owned()),
-            None => self.fault("a text is missing"),
-        }
-    }
-
-    fn text_or(&self, absent: &str) -> Result<String, String> {
-        if self.value.is_null() { Ok(absent.to_owned()) } else { self.text() }
-    }
-
-    fn number(&self, absent: f64) -> Result<f64, String> {
-        match (self.value, self.value.as_f64()) {
-            (Value::Null, _) => Ok(absent),
-            (_, Some(number)) => Ok(number),
-            _ => self.fault("not a number"),
-        }
-    }
-
-    fn nanos(&self, absent: Nanos) -> Result<Nanos, String> {
-        match self.number(absent as f64)? {
-            span if span >= 0.0 => Ok(span as Nanos),
-            _ => self.fault("negative"),
-        }
-    }
-
-    fn flag(&self) -> Result<bool, String> {
-        match self.value {
-            Value::Null => Ok(false),
-            Value::Bool(flag) => Ok(*flag),
-            _ => self.fault("neither true nor false"),
-        }
-    }
-
-    fn texts(&self) -> Result<Vec<String>, String> {
-        self.each().iter().map(Tree::text).collect()
-    }
-}
-
 /// The load balancer's settings, and the names that the platform's JSON uses in them.
-fn module_settings(tree: &Tree<'_>) -> Result<(Settings, Names), String> {
+fn balancer_settings(tree: &JsonTree<'_>) -> Result<(Settings, Names), ValueError> {
     let mut names = Names {
         zones: tree.at("localities").texts()?,
         kinds: tree.at("shapes").texts()?,
@@ -336,7 +288,7 @@
     Ok((settings, names))
 }
 
-fn classes(tree: &Tree<'_>, names: &mut Names) -> Result<Vec<Class>, String> {
+fn classes(tree: &JsonTree<'_>, names: &mut Names) -> Result<Vec<Class>, ValueError> {
     let family = tree.at("family-info");
     let per_token = family.at("aim-us-per-1000-prompt-tokens").each();
     let inter_token = family.at("token-aim-ns").each();
@@ -345,7 +297,7 @@
         names.classes.push(lane.at("name").text()?);
         let effect = effect(lane)?;
         names.safe.push(effect == Effect::Safe);
-        let of_class = |list: &[Tree<'_>]| list.get(index).map_or(Ok(0), |target| target.nanos(0));
+        let of_class = |list: &[JsonTree<'_>]| list.get(index).map_or(Ok(0), |target| target.nanos(0));
         let deadline = lane.at("deadline-ns").nanos(0)?;
         names.deadlines.push(deadline);
         classes.push(Class {
@@ -363,7 +315,7 @@
     Ok(classes)
 }
 
-fn effect(lane: &Tree<'_>) -> Result<Effect, String> {
+fn effect(lane: &JsonTree<'_>) -> Result<Effect, ValueError> {
     let scope = match lane.at("key-scope").text_or("all")?.as_str() {
         "all" => Scope::All,
         "zone" => Scope::Zone,
@@ -378,7 +330,7 @@
     }
 }
 
-fn tenants(tree: &Tree<'_>, names: &mut Names) -> Result<Vec<Tenant>, String> {
+fn tenants(tree: &JsonTree<'_>, names: &mut Names) -> Result<Vec<Tenant>, ValueError> {
     let mut tenants = Vec::new();
     for account in tree.at("accounts").each() {
         names.tenants.push(account.at("name").text()?);
@@ -389,7 +341,7 @@
     Ok(tenants)
 }
 
-fn has_pushed_list(tree: &Tree<'_>) -> Result<bool, String> {
+fn has_pushed_list(tree: &JsonTree<'_>) -> Result<bool, ValueError> {
     match tree.at("discovery").text_or("push")?.as_str() {
         "push" => Ok(true),
         "ask" => Ok(false),
@@ -397,7 +349,7 @@
     }
 }
 
-fn limits(policy: &Tree<'_>, max_retry_after: Nanos) -> Result<Limits, String> {
+fn limits(policy: &JsonTree<'_>, max_retry_after: Nanos) -> Result<Limits, ValueError> {
     Ok(Limits {
         max_attempts: policy.at("send-cap").number(1.0)? as u32,
         hedging: policy.at("second-copies").flag()?,
@@ -408,7 +360,7 @@
     })
 }
 
-fn safety(tree: &Tree<'_>) -> Result<Safety, String> {
+fn safety(tree: &JsonTree<'_>) -> Result<Safety, ValueError> {
     Ok(Safety {
         initial_capacity: tree.at("cold-from").number(1.0)?,
         slow_start_window: tree.at("ramp-time-ns").nanos(0)?,
@@ -418,7 +370,7 @@
     })
 }
 
-fn units_meaning(tree: &Tree<'_>) -> Result<UnitsMeaning, String> {
+fn units_meaning(tree: &JsonTree<'_>) -> Result<UnitsMeaning, ValueError> {
     match tree.at("weight-source").text_or("silent")?.as_str() {
         "nominal" | "rough" => Ok(UnitsMeaning::Size),
         "live" => Ok(UnitsMeaning::Live),
--- a/src/conformance/case.rs
+++ b/src/conformance/case.rs
@@ -1,4 +1,4 @@
-//! Cases as data: what a client asks, what the real server does, and what the client must see.
+//! Cases as data: what a client asks, what the replica does, and what the client must see.
 //!
 //! A case file is made of lines; `#` begins a comment, an indented line goes on with the case above it:
 //!
@@ -12,14 +12,15 @@
 //!   see call find {"gate": "A1"}
 //!   see stop tools
 //!   outcome served
-//!   schedulings 1
+//!   attempts 1
 //! ```
 //!
 //! Words stand for themselves, texts are JSON strings, and a JSON value runs to the end of its line. `then` begins
-//! what the next scheduling meets; the last one repeats. `see@messages` holds on that front alone; `sent@platform
-//! /tool_choice "required"` says what of the body reaches real servers of that dialect, by a JSON pointer, `null` being
+//! what the next attempt meets; the last one repeats. `see@messages` holds on that front alone; `sent@platform
+//! /tool_choice "required"` says what of the body reaches replicas of that dialect, by a JSON pointer, `null` being
 //! nothing.
 
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use winnow::Parser;
 use winnow::ascii::{space0, space1};
 use winnow::combinator::{alt, eof, opt, preceded, repeat, terminated};
@@ -33,29 +34,118 @@
 pub struct Case {
     /// Its name.
     pub name: String,
-    /// Where it stands: file and line.
-    pub place: (String, usize),
+    /// Where it stands.
+    pub position: CasePosition,
     /// The fronts that it is for; none: all.
     pub fronts: Vec<Dialect>,
-    /// The real servers' dialects that it is for; none: all.
-    pub servers: Vec<Dialect>,
-    /// The real servers that are there.
+    /// The replicas' dialects that it is for; none: all.
+    pub replicas: Vec<Dialect>,
+    /// The replicas that are there.
     pub fleet: Fleet,
     /// What the client asks.
-    pub ask: Vec<Directive>,
-    /// What each scheduling meets.
+    pub request_directives: Vec<Directive>,
+    /// What each attempt meets.
     pub serve: Vec<Vec<Directive>>,
     /// What the client must see, and on which front that holds.
-    pub see: Vec<(Option<Dialect>, Directive)>,
-    /// What of its body reaches the real servers of which dialect: a JSON pointer and the value there.
-    pub sent: Vec<(Option<Dialect>, Directive)>,
+    pub see: Vec<Expectation>,
+    /// What of its body reaches the replicas of which dialect: a JSON pointer and the value there.
+    pub sent: Vec<Expectation>,
     /// What becomes of the request.
     pub outcome: Outcome,
-    /// How many schedulings reach a real server.
-    pub schedulings: Option<usize>,
+    /// How many attempts reach a replica.
+    pub attempts: Option<usize>,
 }
 
-/// The real servers of a case.
+/// A line of a file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CasePosition {
+    /// The file.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+}
+
+/// Something that has to be observed.
+#[derive(Clone, Debug)]
+pub struct Expectation {
+    /// The dialect for which it holds; none: each.
+    pub dialect: Option<Dialect>,
+    /// What it is.
+    pub directive: Directive,
+}
+
+/// Why a file of cases can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{}:{}: {source}", position.file, position.line))]
+pub struct CaseError {
+    /// The line.
+    pub position: CasePosition,
+    /// What is wrong with it.
+    pub source: LineError,
+}
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum LineError {
+    /// It can't be taken from the text.
+    #[snafu(display("no line"))]
+    NoLine,
+    /// It does not begin with a keyword.
+    #[snafu(display("no keyword"))]
+    NoKeyword,
+    /// Something other than a blank follows the keyword.
+    #[snafu(display("a blank is missing after the keyword"))]
+    NoBlank,
+    /// What follows is of no known form.
+    #[snafu(display("not words, texts or a JSON value"))]
+    UnknownForm,
+    /// A value is not JSON.
+    #[snafu(display("not a JSON value"))]
+    NotJson,
+    /// The name of a case is not one word.
+    #[snafu(display("a case's name is one word"))]
+    InvalidName,
+    /// Another keyword than `case` is not indented.
+    #[snafu(display("only 'case' begins at a line's start"))]
+    NotIndented,
+    /// Another case of the file has the name.
+    #[snafu(display("this name was given before"))]
+    NameInUse,
+    /// A case of another file has the name.
+    #[snafu(display("{name} stands in {file} too"))]
+    NameInOtherFile {
+        /// The name.
+        name: String,
+        /// The other file.
+        file: String,
+    },
+    /// It belongs to no case.
+    #[snafu(display("no case to go on with"))]
+    NoCase,
+    /// A word is not one of those that are allowed there.
+    #[snafu(display("'{word}' is no {kind}"))]
+    UnknownWord {
+        /// The word.
+        word: String,
+        /// What it should be.
+        kind: &'static str,
+    },
+    /// A keyword is missing after the first one.
+    #[snafu(display("a keyword has to follow"))]
+    NoDirective,
+    /// It serves an attempt that was not begun.
+    #[snafu(display("nothing to serve"))]
+    NothingToServe,
+    /// A JSON pointer and a value are missing.
+    #[snafu(display("a JSON pointer and one value have to follow"))]
+    NoPointer,
+    /// A number is missing.
+    #[snafu(display("not a number"))]
+    NotANumber,
+}
+
+/// The replicas of a case.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fleet {
     /// Three, shared with other cases.
@@ -79,8 +169,8 @@
     Served,
     /// Its stream ends before it is whole.
     Broken,
-    /// It is turned down; a new try does no harm.
-    TurnedDown,
+    /// It is shed; a new try does no harm.
+    Shed,
     /// It fails.
     Failed,
     /// It is held for wrong.
@@ -91,9 +181,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Directive {
     /// The keyword.
-    pub word: String,
+    pub keyword: String,
     /// The rest.
-    pub rest: Vec<Argument>,
+    pub arguments: Vec<Argument>,
 }
 
 /// A part of a line.
@@ -132,12 +222,12 @@
 impl Directive {
     /// The text of its nth part; empty if there is none.
     pub fn at(&self, n: usize) -> String {
-        self.rest.get(n).map(Argument::text).unwrap_or_default()
+        self.arguments.get(n).map(Argument::text).unwrap_or_default()
     }
 
     /// The JSON of its nth part.
     pub fn json(&self, n: usize) -> String {
-        self.rest.get(n).map_or_else(|| "null".into(), Argument::json)
+        self.arguments.get(n).map_or_else(|| "null".into(), Argument::json)
     }
 
     /// The number of its nth part; 0 if it is none.
@@ -161,7 +251,7 @@
     ('"', inside, '"').take().parse_next(input)
 }
 
-fn word(input: &mut &str) -> Result<Argument, Fault> {
+fn argument(input: &mut &str) -> Result<Argument, Fault> {
     alt((
         quoted.map(|text: &str| Argument::Text(text.to_owned())),
         plain.map(|text: &str| Argument::Plain(text.to_owned())),
@@ -170,8 +260,8 @@
     .parse_next(input)
 }
 
-fn words(input: &mut &str) -> Result<Vec<Argument>, Fault> {
-    terminated(repeat(0.., preceded(space0, word)), (space0, eof)).parse_next(input)
+fn arguments(input: &mut &str) -> Result<Vec<Argument>, Fault> {
+    terminated(repeat(0.., preceded(space0, argument)), (space0, eof)).parse_next(input)
 }
 
 /// A line's indentation and its characters.
@@ -179,119 +269,119 @@
     (space0, terminated(take_till(0.., '\n'), opt('\n'))).parse_next(input)
 }
 
-/// Reads a file; a fault names its line.
+/// Reads a file.
 ///
 /// # Errors
 ///
-/// The file, the line and what is wrong with it, for the first line that is no part of a case.
-pub fn parse(file: &str, text: &str) -> Result<Vec<Case>, String> {
+/// The first line that is no part of a case.
+pub fn parse(file: &str, text: &str) -> Result<Vec<Case>, CaseError> {
     let mut cases: Vec<Case> = Vec::new();
     let mut input = text;
     let mut number = 0;
     while !input.is_empty() {
         number += 1;
-        let fault = |what: &str| format!("{file}:{number}: {what}");
-        let (indent, line) = line(&mut input).map_err(|_| fault("no line"))?;
-        let line = line.trim_end();
-        if line.is_empty() || line.starts_with('#') {
-            continue;
-        }
-        let mut rest = line;
-        let head = plain(&mut rest).map_err(|_| fault("no keyword"))?;
-        if !rest.is_empty() && space1::<_, Fault>(&mut rest).is_err() {
-            return Err(fault("a blank is missing after the keyword"));
-        }
-        let words = words(&mut rest).map_err(|_| fault("not words, texts or a JSON value"))?;
-        for word in &words {
-            let good = match word {
-                // Texts may hold halves of a character, which only a reader of bytes takes.
-                Argument::Text(json) => {
-                    serde_json::from_str::<crate::front::translate::text_fragment::TextFragment>(json)
-                        .is_ok()
-                }
-                Argument::Json(json) => serde_json::from_str::<serde_json::Value>(json).is_ok(),
-                Argument::Plain(_) => true,
-            };
-            if !good {
-                return Err(fault("not a JSON value"));
-            }
-        }
-        let place = (file.to_owned(), number);
-        if indent.is_empty() {
-            let [Argument::Plain(name)] = &words[..] else {
-                return Err(fault("a case's name is one word"));
-            };
-            if head != "case" {
-                return Err(fault("only 'case' begins at a line's start"));
-            }
-            if cases.iter().any(|c| c.name == *name) {
-                return Err(fault("this name was given before"));
-            }
-            cases.push(Case { name: name.clone(), place, serve: vec![Vec::new()], ..Case::default() });
-            continue;
-        }
-        let case = cases.last_mut().ok_or_else(|| fault("no case to go on with"))?;
-        entry(case, head, words).map_err(|what| fault(&what))?;
+        let position = CasePosition { file: file.to_owned(), line: number };
+        parse_line(&mut input, &position, &mut cases).context(CaseSnafu { position })?;
     }
     Ok(cases)
 }
 
-fn entry(case: &mut Case, head: &str, rest: Vec<Argument>) -> Result<(), String> {
-    let dialect = |word: &str| match word {
+/// Reads a line, which begins a case or goes on with the last one.
+fn parse_line(input: &mut &str, position: &CasePosition, cases: &mut Vec<Case>) -> Result<(), LineError> {
+    let (indent, line) = line(input).ok().context(NoLineSnafu)?;
+    let line = line.trim_end();
+    if line.is_empty() || line.starts_with('#') {
+        return Ok(());
+    }
+    let mut rest = line;
+    let head = plain(&mut rest).ok().context(NoKeywordSnafu)?;
+    if !rest.is_empty() && space1::<_, Fault>(&mut rest).is_err() {
+        return NoBlankSnafu.fail();
+    }
+    let arguments = arguments(&mut rest).ok().context(UnknownFormSnafu)?;
+    ensure!(arguments.iter().all(is_valid), NotJsonSnafu);
+    if !indent.is_empty() {
+        return apply_line(cases.last_mut().context(NoCaseSnafu)?, head, arguments);
+    }
+    let [Argument::Plain(name)] = &arguments[..] else { return InvalidNameSnafu.fail() };
+    ensure!(head == "case", NotIndentedSnafu);
+    ensure!(!cases.iter().any(|case| case.name == *name), NameInUseSnafu);
+    let (name, position) = (name.clone(), position.clone());
+    cases.push(Case { name, position, serve: vec![Vec::new()], ..Case::default() });
+    Ok(())
+}
+
+/// Whether texts and JSON values are what they look like.
+fn is_valid(word: &Argument) -> bool {
+    match word {
+        // Texts may hold halves of a character, which only a reader of bytes takes.
+        Argument::Text(json) => {
+            serde_json::from_str::<crate::front::translate::text_fragment::TextFragment>(json).is_ok()
+        }
+        Argument::Json(json) => serde_json::from_str::<serde_json::Value>(json).is_ok(),
+        Argument::Plain(_) => true,
+    }
+}
+
+fn dialect(word: &str) -> Result<Dialect, LineError> {
+    match word {
         "messages" => Ok(Dialect::Messages),
         "platform" => Ok(Dialect::Platform),
-        other => Err(format!("'{other}' is no dialect")),
-    };
+        word => UnknownWordSnafu { word, kind: "dialect" }.fail(),
+    }
+}
+
+fn fleet(word: &str) -> Result<Fleet, LineError> {
+    match word {
+        "own" => Ok(Fleet::Own),
+        "one" => Ok(Fleet::One),
+        "dead" => Ok(Fleet::Dead),
+        "cold" => Ok(Fleet::Cold),
+        word => UnknownWordSnafu { word, kind: "fleet" }.fail(),
+    }
+}
+
+fn outcome(word: &str) -> Result<Outcome, LineError> {
+    match word {
+        "served" => Ok(Outcome::Served),
+        "broken" => Ok(Outcome::Broken),
+        "turned-down" => Ok(Outcome::Shed),
+        "failed" => Ok(Outcome::Failed),
+        "refused" => Ok(Outcome::Refused),
+        word => UnknownWordSnafu { word, kind: "outcome" }.fail(),
+    }
+}
+
+fn directive(arguments: Vec<Argument>) -> Result<Directive, LineError> {
+    let mut arguments = arguments.into_iter();
+    match arguments.next() {
+        Some(Argument::Plain(keyword)) => Ok(Directive { keyword, arguments: arguments.collect() }),
+        _ => NoDirectiveSnafu.fail(),
+    }
+}
+
+fn apply_line(case: &mut Case, head: &str, rest: Vec<Argument>) -> Result<(), LineError> {
     let (head, only) = match head.split_once('@') {
         Some((head, of)) => (head, Some(dialect(of)?)),
         None => (head, None),
     };
     let first = rest.first().map(Argument::text).unwrap_or_default();
-    let followed = |rest: Vec<Argument>| -> Result<Directive, String> {
-        let mut rest = rest.into_iter();
-        match rest.next() {
-            Some(Argument::Plain(word)) => Ok(Directive { word, rest: rest.collect() }),
-            _ => Err("a keyword has to follow".into()),
-        }
-    };
     match head {
         "fronts" => case.fronts.push(dialect(&first)?),
-        "servers" => case.servers.push(dialect(&first)?),
-        "fleet" => {
-            case.fleet = match first.as_str() {
-                "own" => Fleet::Own,
-                "one" => Fleet::One,
-                "dead" => Fleet::Dead,
-                "cold" => Fleet::Cold,
-                other => return Err(format!("'{other}' is no fleet")),
-            }
-        }
-        "ask" => case.ask.push(followed(rest)?),
+        "servers" => case.replicas.push(dialect(&first)?),
+        "fleet" => case.fleet = fleet(&first)?,
+        "ask" => case.request_directives.push(directive(rest)?),
         "then" => case.serve.push(Vec::new()),
-        "serve" => {
-            let words = followed(rest)?;
-            case.serve.last_mut().ok_or("nothing to serve")?.push(words);
-        }
-        "see" => case.see.push((only, followed(rest)?)),
+        "serve" => case.serve.last_mut().context(NothingToServeSnafu)?.push(directive(rest)?),
+        "see" => case.see.push(Expectation { dialect: only, directive: directive(rest)? }),
         "sent" => {
-            let words = followed(rest)?;
-            if !words.word.starts_with('/') || words.rest.len() != 1 {
-                return Err("a JSON pointer and one value have to follow".into());
-            }
-            case.sent.push((only, words));
-        }
-        "schedulings" => case.schedulings = Some(first.parse().map_err(|_| "not a number")?),
-        "outcome" => {
-            case.outcome = match first.as_str() {
-                "served" => Outcome::Served,
-                "broken" => Outcome::Broken,
-                "turned-down" => Outcome::TurnedDown,
-                "failed" => Outcome::Failed,
-                "refused" => Outcome::Refused,
-                other => return Err(format!("'{other}' is no outcome")),
-            }
+            let directive = directive(rest)?;
+            ensure!(directive.keyword.starts_with('/') && directive.arguments.len() == 1, NoPointerSnafu);
+            case.sent.push(Expectation { dialect: only, directive });
         }
-        other => return Err(format!("'{other}' is no keyword")),
+        "attempts" => case.attempts = Some(first.parse().ok().context(NotANumberSnafu)?),
+        "outcome" => case.outcome = outcome(&first)?,
+        word => return UnknownWordSnafu { word, kind: "keyword" }.fail(),
     }
     Ok(())
 }
--- a/src/conformance/client.rs
+++ b/src/conformance/client.rs
@@ -10,29 +10,56 @@
 use super::case::{Case, Directive, Outcome};
 use crate::names::Dialect;
 
-/// Longer than any case takes.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// Time limit of an exchange; longer than any case takes.
+const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// What a client saw.
+/// The token usage that a response states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ObservedUsage {
+    /// Prompt tokens, cached ones included.
+    pub prompt: u64,
+    /// Cached prompt tokens.
+    pub cached: u64,
+    /// Output tokens.
+    pub output: u64,
+}
+
+/// A tool call in a response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ObservedCall {
+    /// The tool's name.
+    pub name: String,
+    /// Its input.
+    pub input: Value,
+}
+
+/// A block of a stream that is being read.
+struct StreamBlock {
+    index: u64,
+    start: Value,
+    input: String,
+}
+
+/// A response as a client observed it.
 #[derive(Clone, Debug, Default)]
-pub struct ObservedAnswer {
-    /// The status; 0 if there was no answer.
+pub struct ObservedResponse {
+    /// The status; 0 if there was no response.
     pub status: u16,
     /// The headers, by names in small letters.
     pub headers: BTreeMap<String, String>,
     /// The body's characters.
     pub raw: String,
-    /// The answer came to its end.
-    pub whole: bool,
+    /// The response is complete.
+    pub is_complete: bool,
     /// Its text.
     pub text: String,
-    /// Its uses of tools: names and inputs.
-    pub calls: Vec<(String, Value)>,
-    /// Why it stopped, in no dialect's words.
+    /// Its tool calls.
+    pub calls: Vec<ObservedCall>,
+    /// Why it stopped, independent of the dialect.
     pub stop: String,
-    /// Tokens: of the prompt, kept of them, of the answer.
-    pub usage: (u64, u64, u64),
-    /// The type of the error that was told.
+    /// The token usage.
+    pub usage: ObservedUsage,
+    /// The type of the reported error.
     pub error: String,
     /// What is wrong with the stream's form.
     pub malformed: Option<String>,
@@ -42,7 +69,7 @@
 #[must_use]
 pub fn request(case: &Case, front: Dialect, model: &str, id: u64) -> Vec<u8> {
     let mut builder = RequestBuilder::new(front, model);
-    for directive in &case.ask {
+    for directive in &case.request_directives {
         builder.apply(directive);
     }
     builder.finish_body(case);
@@ -81,7 +108,7 @@
 
     /// Does what one directive says; an unknown one does nothing.
     fn apply(&mut self, directive: &Directive) {
-        match directive.word.as_str() {
+        match directive.keyword.as_str() {
             role @ ("user" | "assistant") => self.add_turn(role, directive),
             "system" if self.messages => self.body["system"] = directive.at(0).into(),
             "system" => self.add_turn("system", directive),
@@ -183,7 +210,7 @@
             self.body["messages"] = std::mem::take(&mut self.turns).into();
         }
         // Keys that were dropped stay away.
-        for directive in case.ask.iter().filter(|a| a.word == "drop") {
+        for directive in case.request_directives.iter().filter(|a| a.keyword == "drop") {
             self.drop_key(directive);
         }
     }
@@ -219,19 +246,19 @@
     serde_json::from_str(json).unwrap_or_default()
 }
 
-/// Sends a request and reads its answer.
+/// Sends a request and reads its response.
 ///
 /// # Errors
 ///
 /// If the connection can't be opened, or the request written, or the head read within the time limit. A body that
 /// breaks off is no error, but leaves `whole` false.
-pub fn ask(addr: SocketAddr, front: Dialect, request: &[u8]) -> io::Result<ObservedAnswer> {
-    let mut stream = TcpStream::connect_timeout(&addr, PATIENCE)?;
-    stream.set_read_timeout(Some(PATIENCE))?;
+pub fn send_request(addr: SocketAddr, front: Dialect, request: &[u8]) -> io::Result<ObservedResponse> {
+    let mut stream = TcpStream::connect_timeout(&addr, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
     stream.write_all(request)?;
     let bare = request.starts_with(b"HEAD ");
     let mut reader = BufReader::new(stream);
-    let mut seen = ObservedAnswer::default();
+    let mut seen = ObservedResponse::default();
     let mut line = String::new();
     reader.read_line(&mut line)?;
     seen.status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
@@ -247,12 +274,12 @@
     let mut bytes = Vec::new();
     let length = seen.headers.get("content-length").and_then(|l| l.parse::<usize>().ok());
     match length {
-        _ if bare || seen.status == 204 => seen.whole = true,
+        _ if bare || seen.status == 204 => seen.is_complete = true,
         Some(length) => {
             bytes.resize(length, 0);
-            seen.whole = reader.read_exact(&mut bytes).is_ok();
+            seen.is_complete = reader.read_exact(&mut bytes).is_ok();
         }
-        None => seen.whole = chunks(&mut reader, &mut bytes),
+        None => seen.is_complete = chunks(&mut reader, &mut bytes),
     }
     seen.raw = String::from_utf8_lossy(&bytes).into_owned();
     let streamed = seen.headers.get("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
@@ -283,8 +310,13 @@
     }
 }
 
-/// The neutral word for why an answer stopped.
-fn stop_word(reason: &str) -> &str {
+/// The input of a tool call; an empty one is an empty object.
+fn parsed_input(json: &str) -> Value {
+    if json.is_empty() { json!({}) } else { parsed(json) }
+}
+
+/// The stop reason, independent of the dialect.
+fn neutral_stop_reason(reason: &str) -> &str {
     match reason {
         "end_turn" | "stop" => "done",
         "stop_sequence" => "sequence",
@@ -295,14 +327,14 @@
     }
 }
 
-impl ObservedAnswer {
+impl ObservedResponse {
     /// What became of the request.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
         match self.status {
-            200 | 204 if self.whole => Outcome::Served,
+            200 | 204 if self.is_complete => Outcome::Served,
             200 | 204 => Outcome::Broken,
-            429 | 503 | 529 => Outcome::TurnedDown,
+            429 | 503 | 529 => Outcome::Shed,
             400..=499 => Outcome::Refused,
             _ => Outcome::Failed,
         }
@@ -312,10 +344,10 @@
         let count = |name: &str| usage[name].as_u64();
         if let Some(input) = count("input_tokens") {
             let kept = count("cache_read_input_tokens").unwrap_or(0);
-            self.usage.0 = self.usage.0.max(input + kept);
+            self.usage.prompt = self.usage.prompt.max(input + kept);
         }
-        self.usage.1 = self.usage.1.max(count("cache_read_input_tokens").unwrap_or(0));
-        self.usage.2 = self.usage.2.max(count("output_tokens").unwrap_or(0));
+        self.usage.cached = self.usage.cached.max(count("cache_read_input_tokens").unwrap_or(0));
+        self.usage.output = self.usage.output.max(count("output_tokens").unwrap_or(0));
     }
 
     fn value(&mut self) {
@@ -327,19 +359,19 @@
                     Some("text") => self.text += block["text"].as_str().unwrap_or_default(),
                     Some("tool_use") => {
                         let name = block["name"].as_str().unwrap_or_default().to_owned();
-                        self.calls.push((name, block["input"].clone()));
+                        self.calls.push(ObservedCall { name, input: block["input"].clone() });
                     }
                     _ => {}
                 }
             }
-            self.stop = stop_word(value["stop_reason"].as_str().unwrap_or_default()).to_owned();
+            self.stop = neutral_stop_reason(value["stop_reason"].as_str().unwrap_or_default()).to_owned();
             self.messages_usage(&value["usage"].clone());
         }
     }
 
     fn messages_stream(&mut self) {
         let raw = std::mem::take(&mut self.raw);
-        let mut blocks: Vec<(u64, Value, String)> = Vec::new();
+        let mut blocks: Vec<StreamBlock> = Vec::new();
         let mut names = Vec::new();
         for event in raw.split("\n\n").filter(|e| !e.is_empty() && !e.starts_with(':')) {
             let Some((head, data)) = event.split_once("\ndata: ") else {
@@ -356,13 +388,14 @@
             match name {
                 "message_start" => self.messages_usage(&value["message"]["usage"]),
                 "content_block_start" => {
-                    blocks.push((index, value["content_block"].clone(), String::new()));
+                    let start = value["content_block"].clone();
+                    blocks.push(StreamBlock { index, start, input: String::new() });
                 }
                 "content_block_delta" => {
                     let delta = &value["delta"];
-                    match blocks.iter_mut().find(|(i, ..)| *i == index) {
-                        Some((_, _, input)) => {
-                            input.push_str(delta["partial_json"].as_str().unwrap_or_default());
+                    match blocks.iter_mut().find(|block| block.index == index) {
+                        Some(block) => {
+                            block.input.push_str(delta["partial_json"].as_str().unwrap_or_default());
                         }
                         None => {
                             self.malformed = Some(format!("a delta of block {index}, which has not begun"));
@@ -372,23 +405,24 @@
                 }
                 "message_delta" => {
                     let reason = value["delta"]["stop_reason"].as_str().unwrap_or_default();
-                    self.stop = stop_word(reason).to_owned();
+                    self.stop = neutral_stop_reason(reason).to_owned();
                     self.messages_usage(&value["usage"]);
                 }
                 "error" => self.error = value["error"]["type"].as_str().unwrap_or_default().to_owned(),
                 _ => {}
             }
         }
-        for (_, block, input) in blocks.iter().filter(|(_, b, _)| b["type"] == "tool_use") {
-            let input =
-                if input.is_empty() { json!({}) } else { serde_json::from_str(input).unwrap_or_default() };
-            self.calls.push((block["name"].as_str().unwrap_or_default().to_owned(), input));
+        for StreamBlock { start, input, .. } in
+            blocks.iter().filter(|block| block.start["type"] == "tool_use")
+        {
+            let name = start["name"].as_str().unwrap_or_default().to_owned();
+            self.calls.push(ObservedCall { name, input: parsed_input(input) });
         }
         // Pings, and what no specification knows, may come at any point.
         let known = |name: &&String| name.starts_with("message_") || name.starts_with("content_");
         let first = names.iter().find(known).map(String::as_str);
         let ends = (first, names.last().map(String::as_str));
-        if self.whole && ends != (Some("message_start"), Some("message_stop")) {
+        if self.is_complete && ends != (Some("message_start"), Some("message_stop")) {
             self.malformed = Some(format!("a whole stream from {ends:?}"));
         }
         self.raw = raw;
@@ -419,54 +453,53 @@
                 *arguments += call["function"]["arguments"].as_str().unwrap_or_default();
             }
             if let Some(reason) = choice["finish_reason"].as_str() {
-                self.stop = stop_word(reason).to_owned();
+                self.stop = neutral_stop_reason(reason).to_owned();
             }
             if value["usage"].is_object() {
                 let count = |v: &Value| v.as_u64().unwrap_or(0);
                 let usage = &value["usage"];
                 let kept = count(&usage["prompt_tokens_details"]["cached_tokens"]);
-                self.usage = (count(&usage["prompt_tokens"]), kept, count(&usage["completion_tokens"]));
+                self.usage = ObservedUsage {
+                    prompt: count(&usage["prompt_tokens"]),
+                    cached: kept,
+                    output: count(&usage["completion_tokens"]),
+                };
             }
         }
         for (name, arguments) in calls.into_values() {
-            let input = if arguments.is_empty() {
-                json!({})
-            } else {
-                serde_json::from_str(&arguments).unwrap_or_default()
-            };
-            self.calls.push((name, input));
+            self.calls.push(ObservedCall { name, input: parsed_input(&arguments) });
         }
-        if self.whole && !done {
+        if self.is_complete && !done {
             self.malformed = Some("a whole stream without [DONE]".into());
         }
         self.raw = raw;
     }
 
-    /// What a line wants to be seen and is not; none if it is.
-    pub fn lacks(&self, see: &Directive, call: &mut usize, model: &str) -> Option<String> {
-        let told = |what: &str, wanted: String, is: String| {
-            (wanted != is).then(|| format!("{what}: {wanted:?} was due, {is:?} came"))
+    /// The difference between an expectation and what was observed; `None` if it is met.
+    pub fn mismatch(&self, see: &Directive, call: &mut usize, model: &str) -> Option<String> {
+        let compare = |name: &str, wanted: String, is: String| {
+            (wanted != is).then(|| format!("{name}: {wanted:?} was due, {is:?} came"))
         };
         let wanted = see.at(0);
-        match see.word.as_str() {
-            "status" => told("status", wanted, self.status.to_string()),
-            "text" => told("text", wanted, self.text.clone()),
-            "stop" => told("stop", wanted, self.stop.clone()),
-            "error" => told("error", wanted, self.error.clone()),
-            "usage" => told(
+        match see.keyword.as_str() {
+            "status" => compare("status", wanted, self.status.to_string()),
+            "text" => compare("text", wanted, self.text.clone()),
+            "stop" => compare("stop", wanted, self.stop.clone()),
+            "error" => compare("error", wanted, self.error.clone()),
+            "usage" => compare(
                 "usage",
                 format!("{} {} {}", see.number(0), see.number(1), see.number(2)),
-                format!("{} {} {}", self.usage.0, self.usage.1, self.usage.2),
+                format!("{} {} {}", self.usage.prompt, self.usage.cached, self.usage.output),
             ),
             "call" => {
                 *call += 1;
                 let input: Value = serde_json::from_str(&see.json(1)).unwrap_or_default();
                 match self.calls.get(*call - 1) {
-                    Some((name, is)) if *name == wanted && *is == input => None,
+                    Some(call) if call.name == wanted && call.input == input => None,
                     other => Some(format!("call: {wanted} {input} was due, {other:?} came")),
                 }
             }
-            "calls" => told("calls", wanted, self.calls.len().to_string()),
+            "calls" => compare("calls", wanted, self.calls.len().to_string()),
             "words" => {
                 let wanted = wanted.replace("$MODEL", model);
                 (!self.raw.contains(&wanted)).then(|| format!("words: {wanted:?} is not in {:?}", self.raw))
@@ -474,10 +507,10 @@
             "nowords" => {
                 self.raw.contains(&wanted).then(|| format!("nowords: {wanted:?} is in {:?}", self.raw))
             }
-            "header" => match (self.headers.get(&wanted), see.rest.len()) {
+            "header" => match (self.headers.get(&wanted), see.arguments.len()) {
                 (None, _) => Some(format!("header: {wanted} is not there")),
                 (Some(_), 1) => None,
-                (Some(is), _) => told(&wanted, see.at(1), is.clone()),
+                (Some(is), _) => compare(&wanted, see.at(1), is.clone()),
             },
             "noheader" => self.headers.get(&wanted).map(|is| format!("header: {wanted} is there: {is}")),
             other => Some(format!("'{other}' is nothing that can be seen")),
--- a/src/conformance/mod.rs
+++ b/src/conformance/mod.rs
@@ -1,6 +1,6 @@
-//! The conformance suite: cases as data, run over all pairings of fronts and real servers.
+//! The conformance suite: cases as data, run over all pairings of fronts and replicas.
 //!
-//! A case's request, the real server's doing and the client's view are told in no dialect, so the same case holds on
+//! A case's request, the replica's doing and the client's view are told in no dialect, so the same case holds on
 //! each pairing. A request's model is its case's name: by that the stand-ins know what to do.
 
 pub mod case;
@@ -21,7 +21,7 @@
 use serde_json::json;
 
 use crate::names::Dialect;
-use case::{Case, Fleet, Outcome};
+use case::{Case, CaseError, Expectation, Fleet, LineError, Outcome};
 use stand_in::StandIns;
 
 /// The suite's own cases.
@@ -38,15 +38,14 @@
 /// # Errors
 ///
 /// The file, the line and what is wrong, for a case that can't be read or whose name is in use already.
-pub fn cases() -> Result<Vec<Case>, String> {
+pub fn cases() -> Result<Vec<Case>, CaseError> {
     let mut all: Vec<Case> = Vec::new();
     for (file, text) in FILES {
         for case in case::parse(file, text)? {
             if let Some(other) = all.iter().find(|c| c.name == case.name) {
-                return Err(format!(
-                    "{file}:{}: {} stands in {} too",
-                    case.place.1, case.name, other.place.0
-                ));
+                let (name, file) = (case.name.clone(), other.position.file.clone());
+                let source = LineError::NameInOtherFile { name, file };
+                return Err(CaseError { position: case.position, source });
             }
             all.push(case);
         }
@@ -54,23 +53,29 @@
     Ok(all)
 }
 
-/// A front's dialect and that of the real servers behind it.
-pub type Pairing = (Dialect, Dialect);
+/// A front's dialect and that of the replicas behind it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pairing {
+    /// The front's dialect.
+    pub front: Dialect,
+    /// The replicas' dialect.
+    pub replicas: Dialect,
+}
 
 /// All pairings.
 pub const PAIRINGS: [Pairing; 4] = [
-    (Dialect::Platform, Dialect::Platform),
-    (Dialect::Platform, Dialect::Messages),
-    (Dialect::Messages, Dialect::Platform),
-    (Dialect::Messages, Dialect::Messages),
+    Pairing { front: Dialect::Platform, replicas: Dialect::Platform },
+    Pairing { front: Dialect::Platform, replicas: Dialect::Messages },
+    Pairing { front: Dialect::Messages, replicas: Dialect::Platform },
+    Pairing { front: Dialect::Messages, replicas: Dialect::Messages },
 ];
 
 impl Case {
     /// It is for this pairing.
     #[must_use]
-    pub fn is_for(&self, (front, servers): Pairing) -> bool {
+    pub fn is_for(&self, Pairing { front, replicas }: Pairing) -> bool {
         let among = |list: &[Dialect], one| list.is_empty() || list.contains(&one);
-        among(&self.fronts, front) && among(&self.servers, servers)
+        among(&self.fronts, front) && among(&self.replicas, replicas)
     }
 }
 
@@ -83,8 +88,8 @@
     pub pairing: Pairing,
     /// What became of its request.
     pub outcome: Outcome,
-    /// Schedulings that reached a real server, where that could be seen.
-    pub schedulings: Option<usize>,
+    /// Attempts that reached a replica, where that could be seen.
+    pub attempts: Option<usize>,
     /// What does not hold; nothing if all does.
     pub faults: Vec<String>,
 }
@@ -101,7 +106,7 @@
 impl Report {
     /// Whether all that was run holds.
     #[must_use]
-    pub fn holds(&self) -> bool {
+    pub fn all_passed(&self) -> bool {
         self.verdicts.iter().all(|v| v.faults.is_empty())
     }
 
@@ -114,17 +119,17 @@
             if of.is_empty() {
                 continue;
             }
-            let held = of.iter().filter(|v| v.faults.is_empty()).count();
+            let passed = of.iter().filter(|v| v.faults.is_empty()).count();
             let _ = writeln!(
                 out,
-                "{:?} front, {:?} servers: {held} of {} hold",
-                pairing.0,
-                pairing.1,
+                "{:?} front, {:?} servers: {passed} of {} hold",
+                pairing.front,
+                pairing.replicas,
                 of.len()
             );
         }
         for verdict in self.verdicts.iter().filter(|v| !v.faults.is_empty()) {
-            let (front, servers) = verdict.pairing;
+            let Pairing { front, replicas: servers } = verdict.pairing;
             let _ = writeln!(out, "{} ({front:?} front, {servers:?} servers)", verdict.case);
             for fault in &verdict.faults {
                 let _ = writeln!(out, "  {fault}");
@@ -144,11 +149,11 @@
     #[must_use]
     pub fn json(&self) -> String {
         let verdict = |v: &Verdict| {
-            json!({"case": v.case, "front": format!("{:?}", v.pairing.0), "servers": format!("{:?}", v.pairing.1),
-                "outcome": format!("{:?}", v.outcome), "schedulings": v.schedulings, "faults": v.faults})
+            json!({"case": v.case, "front": format!("{:?}", v.pairing.front), "servers": format!("{:?}", v.pairing.replicas),
+                "outcome": format!("{:?}", v.outcome), "attempts": v.attempts, "faults": v.faults})
         };
         let left = |(case, why): &(String, &str)| json!({"case": case, "why": why});
-        json!({"holds": self.holds(), "cases": self.verdicts.iter().map(verdict).collect::<Vec<_>>(),
+        json!({"holds": self.all_passed(), "cases": self.verdicts.iter().map(verdict).collect::<Vec<_>>(),
             "not_run": self.left_out.iter().map(left).collect::<Vec<_>>()})
         .to_string()
     }
@@ -163,11 +168,11 @@
         case: case.name.clone(),
         pairing,
         outcome: Outcome::Failed,
-        schedulings: None,
+        attempts: None,
         faults: Vec::new(),
     };
-    let request = client::request(case, pairing.0, &model, id);
-    let seen = match client::ask(addr, pairing.0, &request) {
+    let request = client::request(case, pairing.front, &model, id);
+    let seen = match client::send_request(addr, pairing.front, &request) {
         Ok(seen) => seen,
         Err(e) => {
             verdict.faults.push(format!("no answer: {e}"));
@@ -183,36 +188,37 @@
         ));
     }
     verdict.faults.extend(seen.malformed.clone());
-    if pairing.0 == Dialect::Messages && !seen.headers.contains_key("request-id") {
+    if pairing.front == Dialect::Messages && !seen.headers.contains_key("request-id") {
         verdict.faults.push("header: no request-id".into());
     }
     let mut call = 0;
-    for (only, see) in &case.see {
-        if only.is_none_or(|only| only == pairing.0) {
-            verdict.faults.extend(seen.lacks(see, &mut call, &model));
+    for Expectation { dialect: only, directive: see } in &case.see {
+        if only.is_none_or(|only| only == pairing.front) {
+            verdict.faults.extend(seen.mismatch(see, &mut call, &model));
         }
     }
     if let Some(stand_ins) = stand_ins {
-        let came = stand_ins.came(&model);
-        for (only, sent) in &case.sent {
-            if only.is_none_or(|only| only == pairing.1) {
+        let came = stand_ins.received(&model);
+        for Expectation { dialect: only, directive: sent } in &case.sent {
+            if only.is_none_or(|only| only == pairing.replicas) {
                 let due: serde_json::Value = serde_json::from_str(&sent.json(0)).unwrap_or_default();
-                let is = came.last().and_then(|c| c.body.pointer(&sent.word)).cloned().unwrap_or_default();
+                let is =
+                    came.last().and_then(|c| c.body.pointer(&sent.keyword)).cloned().unwrap_or_default();
                 if is != due || came.is_empty() {
-                    verdict.faults.push(format!("sent: {} {due} was due, {is} came", sent.word));
+                    verdict.faults.push(format!("sent: {} {due} was due, {is} came", sent.keyword));
                 }
             }
         }
         let came = came.len();
-        verdict.schedulings = Some(came);
-        if let Some(due) = case.schedulings.filter(|due| *due != came) {
-            verdict.faults.push(format!("schedulings: {due} were due, {came} came"));
+        verdict.attempts = Some(came);
+        if let Some(due) = case.attempts.filter(|due| *due != came) {
+            verdict.faults.push(format!("attempts: {due} were due, {came} came"));
         }
     }
     verdict
 }
 
-/// Runs the cases against a gateway that is up. Its real servers have to be this suite's stand-ins; those that need
+/// Runs the cases against a gateway that is up. Its replicas have to be this suite's stand-ins; those that need
 /// servers of their own are left out.
 #[must_use]
 pub fn against(cases: &[Case], pairing: Pairing, addr: SocketAddr) -> Report {
@@ -221,7 +227,7 @@
         if !case.is_for(pairing) {
             report.left_out.push((case.name.clone(), "for another pairing"));
         } else if case.fleet != Fleet::Shared {
-            report.left_out.push((case.name.clone(), "it needs real servers of its own"));
+            report.left_out.push((case.name.clone(), "it needs replicas of its own"));
         } else {
             report.verdicts.push(run(case, pairing, addr, None));
         }
@@ -244,7 +250,7 @@
         jobs.push((pairing, Fleet::Shared, shared));
         jobs.extend(own.into_iter().map(|case| (pairing, case.fleet, vec![case])));
     }
-    let (next, report, trouble) = (AtomicUsize::new(0), Mutex::new(Report::default()), Mutex::new(None));
+    let (next, report, failure) = (AtomicUsize::new(0), Mutex::new(Report::default()), Mutex::new(None));
     thread::scope(|scope| {
         for _ in 0..at_once.clamp(1, jobs.len().max(1)) {
             scope.spawn(|| {
@@ -258,14 +264,14 @@
                                 .extend(verdicts);
                         }
                         Err(e) => {
-                            *trouble.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(e);
+                            *failure.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(e);
                         }
                     }
                 }
             });
         }
     });
-    if let Some(e) = trouble.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner) {
+    if let Some(e) = failure.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner) {
         return Err(e);
     }
     let mut report = report.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -280,9 +286,12 @@
     program: &Path,
     scratch: &Path,
 ) -> io::Result<Vec<Verdict>> {
-    let stand_ins = StandIns::start(pairing.1, fleet, cases, 0)?;
-    let gateway = Running::start(&stand_ins, pairing.1, program, scratch)?;
-    Ok(cases.iter().map(|case| run(case, pairing, gateway.front(pairing.0), Some(&stand_ins))).collect())
+    let stand_ins = StandIns::start(pairing.replicas, fleet, cases, 0)?;
+    let gateway = Running::start(&stand_ins, pairing.replicas, program, scratch)?;
+    Ok(cases
+        .iter()
+        .map(|case| run(case, pairing, gateway.front(pairing.front), Some(&stand_ins)))
+        .collect())
 }
 
 /// The platform's JSON for a gateway of the suite's own.
@@ -392,7 +401,9 @@
     fn wait_ready(&self) -> io::Result<()> {
         for _ in 0..500 {
             let request = b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-            if client::ask(self.fronts[0], Dialect::Platform, request).is_ok_and(|s| s.status == 200) {
+            if client::send_request(self.fronts[0], Dialect::Platform, request)
+                .is_ok_and(|s| s.status == 200)
+            {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(10));
--- a/src/conformance/stand_in.rs
+++ b/src/conformance/stand_in.rs
@@ -1,10 +1,10 @@
-//! Stand-in real servers of either dialect, and a discovery that lists them: they do what the case says whose name a
-//! request's model is. Plain threads and blocking sockets, which share nothing with what they test.
+//! Stand-in replicas of either dialect, and a discovery that lists them. They play the case that a request's model names,
+//! with plain threads and blocking sockets, and share no code with the tested gateway.
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -15,21 +15,26 @@
 use crate::demo_replica;
 use crate::names::Dialect;
 
-/// What the stand-ins share.
+/// State that the stand-ins share.
 struct Shared {
     dialect: Dialect,
     cases: BTreeMap<String, Case>,
-    /// Requests that came, by their models.
-    came: Mutex<BTreeMap<String, Vec<ReceivedRequest>>>,
-    /// What discovery is to tell next, and the list's version.
-    list: Mutex<(u64, Vec<Value>)>,
+    /// Received requests by model.
+    received: Mutex<BTreeMap<String, Vec<ReceivedRequest>>>,
+    list: Mutex<ReplicaList>,
 }
 
-/// A request that came to a stand-in.
+/// The list that discovery serves.
+struct ReplicaList {
+    version: u64,
+    entries: Vec<Value>,
+}
+
+/// A request that a stand-in received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
-    /// Which of them it came to.
-    pub server: usize,
+    /// Index of the stand-in.
+    pub replica: usize,
     /// Its body.
     pub body: Value,
     /// Its head, name by name.
@@ -43,12 +48,20 @@
     pub discovery: SocketAddr,
 }
 
+/// The list's version at the start.
+const INITIAL_VERSION: u64 = 2;
+
+/// Locks a mutex, also after a panic of another thread.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn local(port: u16) -> io::Result<TcpListener> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, port))
 }
 
 impl StandIns {
-    /// Brings up a fleet that knows these cases; discovery listens on that port, 0 being any.
+    /// Starts a fleet that plays these cases; discovery listens on `port`, where 0 is any free one.
     ///
     /// # Errors
     ///
@@ -68,7 +81,7 @@
             entries
                 .push(json!({"id": format!("s-{n}"), "addr": addr.to_string(), "zone": "a", "kind": "k",
                 "cell": 0, "state": "ready", "weight": 1.0, "started_ms": if cold { now } else { 0 }}));
-            // Closed again at once: nothing takes connections there.
+            // A dead replica's listener is closed at once.
             if !(fleet == Fleet::Dead && n == 0) {
                 listeners.push((n, listener));
             }
@@ -76,8 +89,8 @@
         let shared = Arc::new(Shared {
             dialect,
             cases: cases.iter().map(|c| (c.name.clone(), c.clone())).collect(),
-            came: Mutex::default(),
-            list: Mutex::new((2, entries)),
+            received: Mutex::default(),
+            list: Mutex::new(ReplicaList { version: INITIAL_VERSION, entries }),
         });
         for (n, listener) in listeners {
             let shared = shared.clone();
@@ -90,50 +103,49 @@
         }
         let listener = local(port)?;
         let discovery = listener.local_addr()?;
-        let told = shared.clone();
+        let watched = shared.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let told = told.clone();
-                thread::spawn(move || watch(&told, stream));
+                let watched = watched.clone();
+                thread::spawn(move || watch(&watched, stream));
             }
         });
         Ok(StandIns { shared, discovery })
     }
 
-    /// The list as discovery tells it.
+    /// The list as discovery serves it.
     #[must_use]
     pub fn list(&self) -> Value {
         list(&self.shared, true)
     }
 
-    /// The requests that came for a model.
+    /// The requests that were received for a model.
     #[must_use]
-    pub fn came(&self, model: &str) -> Vec<ReceivedRequest> {
-        let came = self.shared.came.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        came.get(model).cloned().unwrap_or_default()
+    pub fn received(&self, model: &str) -> Vec<ReceivedRequest> {
+        lock(&self.shared.received).get(model).cloned().unwrap_or_default()
     }
 }
 
 fn list(shared: &Shared, full: bool) -> Value {
-    let (version, servers) = &*shared.list.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-    json!({"version": version, "full": full, "servers": servers})
+    let ReplicaList { version, entries } = &*lock(&shared.list);
+    json!({"version": version, "full": full, "servers": entries})
 }
 
-/// A watch: the whole list at first and whenever it has changed, and a sign of life meanwhile.
+/// A watch: the full list at first and after each change, and keep-alives in between.
 fn watch(shared: &Shared, mut stream: TcpStream) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     if demo_replica::read_message(&mut reader).is_none() {
         return Ok(());
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-    let (mut told, mut quiet) = (0, 0);
+    let (mut sent_version, mut quiet) = (0, 0);
     loop {
         let list = list(shared, true);
         let version = list["version"].as_u64().unwrap_or(0);
-        if version != told || quiet >= 50 {
-            let line = if version == told { String::new() } else { list.to_string() };
+        if version != sent_version || quiet >= 50 {
+            let line = if version == sent_version { String::new() } else { list.to_string() };
             write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1)?;
-            (told, quiet) = (version, 0);
+            (sent_version, quiet) = (version, 0);
         }
         quiet += 1;
         thread::sleep(Duration::from_millis(20));
@@ -141,7 +153,7 @@
 }
 
 /// One connection to a stand-in.
-fn converse(shared: &Shared, server: usize, mut stream: TcpStream) -> Option<()> {
+fn converse(shared: &Shared, replica: usize, mut stream: TcpStream) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     while let Some((head, body)) = demo_replica::read_message(&mut reader) {
@@ -149,41 +161,41 @@
         let model = body["model"].as_str().unwrap_or_default().to_owned();
         let name = model.split('~').next().unwrap_or_default();
         let nth = {
-            let mut came = shared.came.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-            let came = came.entry(model.clone()).or_default();
-            came.push(ReceivedRequest { server, body, head });
-            came.len() - 1
+            let mut received = lock(&shared.received);
+            let received = received.entry(model.clone()).or_default();
+            received.push(ReceivedRequest { replica, body, head });
+            received.len() - 1
         };
         let Some(case) = shared.cases.get(name) else {
             stream.write_all(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n").ok()?;
             continue;
         };
         let script = case.serve.get(nth).or(case.serve.last())?;
-        let usual = [Directive { word: "hello".into(), rest: Vec::new() }];
+        let usual = [Directive { keyword: "hello".into(), arguments: Vec::new() }];
         let script = if script.is_empty() { &usual[..] } else { script };
-        let mut play = ScriptedAnswer {
+        let mut attempt = ScriptedResponse {
             shared,
-            server,
+            replica,
             stream: &mut stream,
             begun: false,
             split: 0,
             writer: EventWriter::default(),
         };
-        for words in script {
-            play.does(words)?;
+        for directive in script {
+            attempt.play(directive)?;
         }
     }
     Some(())
 }
 
-/// The head of an answer that is a stream.
+/// The head of a response that is a stream.
 const STREAM_HEAD: &[u8] =
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// A case's script as it is played.
-struct ScriptedAnswer<'p> {
+struct ScriptedResponse<'p> {
     shared: &'p Shared,
-    server: usize,
+    replica: usize,
     stream: &'p mut TcpStream,
     begun: bool,
     /// Bytes of a piece, where the stream is sent in pieces.
@@ -191,8 +203,8 @@
     writer: EventWriter,
 }
 
-impl ScriptedAnswer<'_> {
-    fn says(&mut self, event: &str) -> Option<()> {
+impl ScriptedResponse<'_> {
+    fn send_event(&mut self, event: &str) -> Option<()> {
         let mut out = Vec::new();
         if !std::mem::replace(&mut self.begun, true) {
             out.extend_from_slice(STREAM_HEAD);
@@ -210,42 +222,43 @@
         self.stream.write_all(&out).ok()
     }
 
-    /// Does what a line says; `None` ends the connection.
-    fn does(&mut self, words: &Directive) -> Option<()> {
-        match words.word.as_str() {
+    /// Carries out a directive; `None` ends the connection.
+    fn play(&mut self, directive: &Directive) -> Option<()> {
+        match directive.keyword.as_str() {
             "hello" => self.hello(),
             "begin" | "text" | "call" | "args" | "stop" | "thinking" => {
-                let event = self.written_event(words);
-                self.says(&event)
+                let event = self.written_event(directive);
+                self.send_event(&event)
             }
             "ping" | "unknown" | "error" | "raw" => {
-                let event = self.plain_event(words);
-                self.says(&event)
+                let event = self.plain_event(directive);
+                self.send_event(&event)
             }
             "usage" => {
-                self.writer.usage = Some((words.number(0), words.number(1), words.number(2)));
+                let [prompt, cached, output] = [0, 1, 2].map(|n| directive.number(n));
+                self.writer.usage = Some(ScriptedUsage { prompt, cached, output });
                 Some(())
             }
-            "end" => self.end(&words.at(0)),
+            "end" => self.end(&directive.at(0)),
             // The last chunk, without the dialect's last event before it.
             "last" => self.stream.write_all(b"0\r\n\r\n").ok(),
             "split" => {
-                self.split = words.number(0) as usize;
+                self.split = directive.number(0) as usize;
                 Some(())
             }
             "pause" => {
-                thread::sleep(Duration::from_millis(words.number(0)));
+                thread::sleep(Duration::from_millis(directive.number(0)));
                 Some(())
             }
             "head" => self.head(),
             "full" => self.full(),
-            "status" => self.status(words),
+            "status" => self.status(directive),
             "reset" => {
                 let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
                 None
             }
             "close" => None,
-            // Until the gateway gives up.
+            // Until the gateway closes the connection.
             "silence" => {
                 let _ = self.stream.set_read_timeout(Some(Duration::from_secs(60)));
                 let _ = io::Read::read(self.stream, &mut [0]);
@@ -259,34 +272,34 @@
         }
     }
 
-    /// A whole short answer.
+    /// A whole short response.
     fn hello(&mut self) -> Option<()> {
         let messages = self.shared.dialect == Dialect::Messages;
         for text in ["\"Hel\"", "\"lo\""] {
             let event = self.writer.text(messages, text);
-            self.says(&event)?;
+            self.send_event(&event)?;
         }
         self.end("done")
     }
 
     /// An event that goes on from those before it.
-    fn written_event(&mut self, words: &Directive) -> String {
+    fn written_event(&mut self, directive: &Directive) -> String {
         let messages = self.shared.dialect == Dialect::Messages;
-        match words.word.as_str() {
+        match directive.keyword.as_str() {
             "begin" => self.writer.begin(messages),
-            "text" => self.writer.text(messages, &words.json(0)),
-            "call" => self.writer.call(messages, words.number(0), &words.at(1), &words.at(2)),
-            "args" => self.writer.args(messages, words.number(0), &words.json(1)),
-            "thinking" => self.writer.thinking(messages, &words.json(0)),
+            "text" => self.writer.text(messages, &directive.json(0)),
+            "call" => self.writer.call(messages, directive.number(0), &directive.at(1), &directive.at(2)),
+            "args" => self.writer.args(messages, directive.number(0), &directive.json(1)),
+            "thinking" => self.writer.thinking(messages, &directive.json(0)),
             // "stop": its stop and its tokens are told, but not that it is over.
-            _ => self.writer.stop(messages, &words.at(0)),
+            _ => self.writer.stop(messages, &directive.at(0)),
         }
     }
 
     /// An event that stands by itself.
-    fn plain_event(&self, words: &Directive) -> String {
+    fn plain_event(&self, directive: &Directive) -> String {
         let messages = self.shared.dialect == Dialect::Messages;
-        match words.word.as_str() {
+        match directive.keyword.as_str() {
             "ping" if messages => "event: ping\ndata: {\"type\":\"ping\"}\n\n".to_owned(),
             "ping" => ": ping\n\n".to_owned(),
             "unknown" if messages => {
@@ -294,8 +307,7 @@
             }
             "unknown" => "data: {\"type\":\"glimmer\",\"shade\":3}\n\n".to_owned(),
             "error" => {
-                let error =
-                    json!({"type": "error", "error": {"type": words.at(0), "message": words.at(1)}});
+                let error = json!({"type": "error", "error": {"type": directive.at(0), "message": directive.at(1)}});
                 if messages {
                     format!("event: error\ndata: {error}\n\n")
                 } else {
@@ -303,7 +315,7 @@
                 }
             }
             // "raw": the characters as they are.
-            _ => words.at(0),
+            _ => directive.at(0),
         }
     }
 
@@ -313,33 +325,33 @@
         self.stream.write_all(STREAM_HEAD).ok()
     }
 
-    /// Turns the request away without having run it.
+    /// Rejects the request without having run it.
     fn full(&mut self) -> Option<()> {
-        let answer = match self.shared.dialect {
+        let response = match self.shared.dialect {
             Dialect::Messages => "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n",
             Dialect::Platform => "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
         };
-        self.stream.write_all(answer.as_bytes()).ok()
+        self.stream.write_all(response.as_bytes()).ok()
     }
 
-    /// Answers with a status and an error.
-    fn status(&mut self, words: &Directive) -> Option<()> {
+    /// Responds with a status and an error.
+    fn status(&mut self, directive: &Directive) -> Option<()> {
         let error = json!({"type": "error", "error": {"type": "invalid_request_error",
-            "message": words.at(1)}});
+            "message": directive.at(1)}});
         let body = error.to_string();
-        let answer = format!(
+        let response = format!(
             "HTTP/1.1 {} No\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-            words.at(0),
+            directive.at(0),
             body.len()
         );
-        self.stream.write_all(answer.as_bytes()).ok()
+        self.stream.write_all(response.as_bytes()).ok()
     }
 
-    /// From now on discovery lists this server as draining.
+    /// From now on discovery lists this replica as draining.
     fn drain(&self) {
-        let mut list = self.shared.list.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        list.0 += 1;
-        list.1[self.server]["state"] = "draining".into();
+        let mut list = lock(&self.shared.list);
+        list.version += 1;
+        list.entries[self.replica]["state"] = "draining".into();
     }
 
     fn end(&mut self, stop: &str) -> Option<()> {
@@ -350,57 +362,75 @@
             } else {
                 "data: [DONE]\n\n"
             };
-        self.says(&event)?;
+        self.send_event(&event)?;
         self.stream.write_all(b"0\r\n\r\n").ok()
     }
 }
 
+/// An open block of a stream.
+#[derive(Clone, Copy)]
+struct OpenBlock {
+    index: u64,
+    /// The number of the tool call, if it is one.
+    call: Option<u64>,
+}
+
+/// The token usage that a stand-in states.
+#[derive(Clone, Copy)]
+struct ScriptedUsage {
+    prompt: u64,
+    cached: u64,
+    output: u64,
+}
+
+/// The usage that is stated if the case gives none.
+const DEFAULT_USAGE: ScriptedUsage = ScriptedUsage { prompt: 12, cached: 5, output: 2 };
+
 /// Writes a stream in either dialect.
 #[derive(Default)]
 struct EventWriter {
     begun: bool,
-    /// Blocks that are open: their indices, and the number of the call that each is, if it is one.
-    open: Vec<(u64, Option<u64>)>,
+    open: Vec<OpenBlock>,
     next: u64,
-    usage: Option<(u64, u64, u64)>,
+    usage: Option<ScriptedUsage>,
 }
 
 impl EventWriter {
-    fn usage(&self) -> (u64, u64, u64) {
-        self.usage.unwrap_or((12, 5, 2))
+    fn usage(&self) -> ScriptedUsage {
+        self.usage.unwrap_or(DEFAULT_USAGE)
     }
 
     fn begin(&mut self, messages: bool) -> String {
         if std::mem::replace(&mut self.begun, true) {
             return String::new();
         }
-        let (prompt, kept, _) = self.usage();
+        let ScriptedUsage { prompt, cached, .. } = self.usage();
         if !messages {
             return chunk(r#"{"role":"assistant","content":""}"#, "null");
         }
         named(
             "message_start",
             &format!(
-                r#""message":{{"id":"msg_1","type":"message","role":"assistant","content":[],"model":"m","stop_reason":null,"stop_sequence":null,"usage":{{"input_tokens":{},"cache_read_input_tokens":{kept},"output_tokens":1}}}}"#,
-                prompt - kept
+                r#""message":{{"id":"msg_1","type":"message","role":"assistant","content":[],"model":"m","stop_reason":null,"stop_sequence":null,"usage":{{"input_tokens":{},"cache_read_input_tokens":{cached},"output_tokens":1}}}}"#,
+                prompt - cached
             ),
         )
     }
 
     fn block(&mut self, call: Option<u64>, block: &str) -> String {
         let mut out = String::new();
-        // A text is over once anything else begins; calls may stay open beside one another.
-        if call.is_none() || self.open.last().is_some_and(|(_, call)| call.is_none()) {
+        // A text ends once anything else begins; calls may be open at the same time.
+        if call.is_none() || self.open.last().is_some_and(|block| block.call.is_none()) {
             out += &self.close();
         }
         let index = self.next;
         self.next += 1;
-        self.open.push((index, call));
+        self.open.push(OpenBlock { index, call });
         out + &named("content_block_start", &format!(r#""index":{index},"content_block":{block}"#))
     }
 
     fn close(&mut self) -> String {
-        let stop = |(index, _): (u64, _)| named("content_block_stop", &format!(r#""index":{index}"#));
+        let stop = |OpenBlock { index, .. }| named("content_block_stop", &format!(r#""index":{index}"#));
         std::mem::take(&mut self.open).into_iter().map(stop).collect()
     }
 
@@ -413,10 +443,10 @@
         if !messages {
             return out + &chunk(&format!(r#"{{"content":{json}}}"#), "null");
         }
-        if self.open.last().is_none_or(|(_, call)| call.is_some()) {
+        if self.open.last().is_none_or(|block| block.call.is_some()) {
             out += &self.block(None, r#"{"type":"text","text":""}"#);
         }
-        let index = self.open.last().map_or(0, |(index, _)| *index);
+        let index = self.open.last().map_or(0, |block| block.index);
         out + &self.delta(index, &format!(r#""type":"text_delta","text":{json}"#))
     }
 
@@ -455,12 +485,13 @@
                 "null",
             );
         }
-        let index = self.open.iter().find(|(_, call)| *call == Some(number)).map_or(0, |(index, _)| *index);
+        let index =
+            self.open.iter().find(|block| block.call == Some(number)).map_or(0, |block| block.index);
         self.delta(index, &format!(r#""type":"input_json_delta","partial_json":{json}"#))
     }
 
     fn stop(&mut self, messages: bool, stop: &str) -> String {
-        let (prompt, kept, answer) = self.usage();
+        let ScriptedUsage { prompt, cached, output } = self.usage();
         let begun = self.begin(messages);
         if messages {
             let reason = match stop {
@@ -476,7 +507,7 @@
                 + &named(
                     "message_delta",
                     &format!(
-                        r#""delta":{{"stop_reason":"{reason}","stop_sequence":{sequence}}},"usage":{{"output_tokens":{answer}}}"#
+                        r#""delta":{{"stop_reason":"{reason}","stop_sequence":{sequence}}},"usage":{{"output_tokens":{output}}}"#
                     ),
                 );
         }
@@ -489,7 +520,7 @@
         begun
             + &chunk("{}", &format!("\"{reason}\""))
             + &format!(
-                "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{prompt},\"completion_tokens\":{answer},\"prompt_tokens_details\":{{\"cached_tokens\":{kept}}}}}}}\n\n"
+                "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{prompt},\"completion_tokens\":{output},\"prompt_tokens_details\":{{\"cached_tokens\":{cached}}}}}}}\n\n"
             )
     }
 }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use serde_json::json;
+use snafu::{ResultExt, Snafu};
 
-use tulipridge::config::{Config, Sources};
+use tulipridge::config::{Config, Sources, ValueError};
 use tulipridge::demo_replica;
 use tulipridge::names::Dialect;
 use tulipridge::settings::{Messages, Model, Settings};
@@ -22,8 +23,8 @@
 pub(crate) fn run(platform: SocketAddr, messages: SocketAddr) -> ExitCode {
     let config = match prepare(platform, messages) {
         Ok(config) => config,
-        Err(what) => {
-            eprintln!("tulipridge: demo: {what}");
+        Err(error) => {
+            eprintln!("tulipridge: demo: {error}");
             return ExitCode::FAILURE;
         }
     };
@@ -52,17 +53,30 @@
     )
 }
 
-fn prepare(platform: SocketAddr, messages: SocketAddr) -> Result<Config, String> {
+/// Why the demo can't be started.
+#[derive(Debug, Snafu)]
+enum DemoError {
+    /// A port that was asked for can't be used.
+    #[snafu(display("{address}: {source}; try --port"))]
+    Port { address: SocketAddr, source: io::Error },
+    /// A port of a stand-in can't be used.
+    #[snafu(display("{owner}: {source}"))]
+    StandInPort { owner: &'static str, source: io::Error },
+    /// The configuration can't be used.
+    #[snafu(context(false), display("{source}"))]
+    Configuration { source: ValueError },
+}
+
+fn prepare(platform: SocketAddr, messages: SocketAddr) -> Result<Config, DemoError> {
     // A port that is taken is told before anything is printed; port 0 becomes one that is free just now.
     let free = |addr: SocketAddr| {
-        let listener = TcpListener::bind(addr).map_err(|e| format!("{addr}: {e}; try --port"))?;
-        listener.local_addr().map_err(|e| e.to_string())
+        let bound = TcpListener::bind(addr).and_then(|listener| listener.local_addr());
+        bound.context(PortSnafu { address: addr })
     };
     let (platform, messages) = (free(platform)?, free(messages)?);
     let mut entries = Vec::new();
     for (id, kind) in [("toy-1", "toy"), ("toy-2", "toy-messages")] {
-        let listener = local().map_err(|e| format!("a demo replica's port: {e}"))?;
-        let addr = listener.local_addr().map_err(|e| e.to_string())?;
+        let (listener, addr) = local().context(StandInPortSnafu { owner: "a demo replica's port" })?;
         entries
             .push(json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": kind, "state": "ready"}));
         thread::spawn(move || {
@@ -71,8 +85,7 @@
             }
         });
     }
-    let listener = local().map_err(|e| format!("discovery's port: {e}"))?;
-    let discovery = listener.local_addr().map_err(|e| e.to_string())?;
+    let (listener, discovery) = local().context(StandInPortSnafu { owner: "discovery's port" })?;
     let list = json!({"version": 2, "full": true, "servers": entries});
     let said = list.clone();
     thread::spawn(move || {
@@ -108,11 +121,14 @@
         dialects: BTreeMap::from([("toy-messages".into(), Dialect::Messages)]),
         ..Settings::default()
     };
-    Config::new(&config, own)
+    Ok(Config::new(&config, own)?)
 }
 
-fn local() -> io::Result<TcpListener> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+/// A listener at any port, and its address.
+fn local() -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
 }
 
 /// A watch: the whole list, then a sign of life every 2 s.
--- a/src/engine/request_lifecycle.rs
+++ b/src/engine/request_lifecycle.rs
@@ -1,129 +1,19 @@
-//! The life of one request, from its admission to its one final answer.
+//! The lifecycle of a request, from its admission to its one final response.
 
-use std::future::Future;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::task::Poll;
 
 use futures_lite::{Stream, StreamExt, future};
 
-use super::forwarding::{Forwarding, Next, Scheduling, ServerSide};
-use super::{AdmittedRequest, Ask, Ending, Engine, Order};
-use crate::stream::{Cause, Leaving, Relay};
-use crate::types::{Nanos, ReplicaId, Verdict};
+use super::core::{AdmittedRequest, Engine};
+use super::forwarding::{Attempt, Forwarding, Next, ReplicaSide, forward_arrival};
+use super::interface::{FailureReason, PlacementRequest, RequestAction};
+use super::participants::{
+    AttemptRunner, BegunStream, Client, Rejection, ResponseSink, Step, StreamSuccessor,
+};
+use crate::stream::{Arrival, Leaving, Relay};
+use crate::types::Verdict;
 
-/// What came of a scheduling's stream since its last step.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Arrival {
-    /// Bytes.
-    pub bytes: usize,
-    /// Whole events.
-    pub events: u64,
-    /// Bytes that wait for the rest of something.
-    pub inward: usize,
-    /// A part of something is there.
-    pub amid: bool,
-    /// The last event of all has come.
-    pub last: bool,
-}
-
-/// What a scheduling yields: events, then one ending.
-#[derive(Debug)]
-pub enum Step<E> {
-    /// Events of the answer's stream, all that came together.
-    Events(E, Arrival),
-    /// Bytes that make no whole event yet.
-    Bytes(Arrival),
-    /// The request itself is held for wrong, with this status and these words: no real server would take it.
-    Rejected(u16, String),
-    /// The end.
-    Ended(Ending),
-}
-
-/// Those who run schedulings. Dropping a scheduling closes its connection.
-pub trait Servers<E> {
-    /// A scheduling that runs.
-    type Steps: Stream<Item = Step<E>> + Unpin;
-    /// Starts a scheduling.
-    fn schedule(&self, server: ReplicaId, timeout: Duration, write_within: Duration) -> Self::Steps;
-}
-
-/// A begun stream, as another process has to know it beside its two sides.
-#[derive(Clone, Debug)]
-pub struct BegunStream {
-    /// Its request's id.
-    pub id: u64,
-    /// Its request's class.
-    pub class: usize,
-    /// Its request's tenant.
-    pub tenant: Option<usize>,
-    /// Its real server.
-    pub server: ReplicaId,
-    /// How long its first event took.
-    pub first: Nanos,
-}
-
-/// The process that follows this one, if there is one.
-pub trait StreamSuccessor<S, A> {
-    /// Hands a begun stream over, with both its sides; whether it is taken. If it is, nothing more may be done to
-    /// either side but to drop it.
-    fn take(&self, begun: &BegunStream, steps: &mut S, answer: &mut A) -> bool;
-}
-
-/// The client's side of a request. Each way to answer takes the client itself, so there is just one.
-pub trait Client<E>: Sized {
-    /// What a begun answer is written to.
-    type Answer: Answer<E>;
-    /// Returns once the client has left.
-    fn gone(&mut self) -> impl Future<Output = ()>;
-    /// Whether it has left by now, though nobody may have told of it yet.
-    fn has_left(&mut self) -> impl Future<Output = bool>;
-    /// It has left, or sent so much that it counts as one that has: the last of it.
-    fn left(self) -> impl Future<Output = ()>;
-    /// Final answer: turned down.
-    fn turn_down(self, wait: Duration) -> impl Future<Output = ()>;
-    /// Final answer: the request itself is at fault.
-    fn reject(self, status: u16, what: &str) -> impl Future<Output = ()>;
-    /// Final answer: failed.
-    fn fail(self, reason: FailureReason) -> impl Future<Output = ()>;
-    /// Begins the answer.
-    fn begin(self) -> Self::Answer;
-}
-
-/// A begun answer; it is ended by `finish` or `break_off`, or by its client's leaving.
-pub trait Answer<E> {
-    /// Ready once the client has left.
-    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving>;
-    /// Nothing is in line before the end, as the answer is put together first.
-    fn gathers(&self) -> bool;
-    /// Bytes that it holds which are not in line yet.
-    fn holds(&self) -> usize;
-    /// It can't hold what is still to come.
-    fn is_full(&self) -> bool;
-    /// Puts events in line for the client; returns how many bytes that made.
-    fn put(&mut self, events: E) -> usize;
-    /// Puts the stream's end in line, after all events: its proper one, or what the client is told of a break.
-    fn put_end(&mut self, cause: Cause) -> usize;
-    /// Writes some of what is in line, and returns how much the client took; an error says that it has left.
-    /// Called only while something is in line.
-    fn poll_take(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, Leaving>>;
-    /// All is taken: the connection may serve again.
-    fn finish(self);
-    /// The stream ends here: what the client takes at once of what is in line is all that it gets.
-    fn break_off(self);
-}
-
-/// Why a request failed, for a client that can be told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FailureReason {
-    /// Nobody has run it: it was turned away wherever it was tried.
-    TurnedAway,
-    /// It was tried, and real servers failed it.
-    Errors,
-    /// No answer came in time.
-    Silence,
-}
-
-/// What came of a request's schedulings.
+/// The ends of a request's attempts so far.
 #[derive(Default)]
 struct AttemptHistory {
     ended: bool,
@@ -132,7 +22,7 @@
 }
 
 impl AttemptHistory {
-    fn note(&mut self, verdict: Verdict) {
+    fn record(&mut self, verdict: Verdict) {
         self.ended = true;
         match verdict {
             Verdict::Full | Verdict::NoConnection | Verdict::NotSent => {}
@@ -143,83 +33,84 @@
 
     fn reason(&self, out: usize) -> FailureReason {
         match self {
-            _ if out > 0 => FailureReason::Silence,
+            _ if out > 0 => FailureReason::NoAnswer,
             AttemptHistory { silent: true, .. } | AttemptHistory { ended: false, .. } => {
-                FailureReason::Silence
+                FailureReason::NoAnswer
             }
             AttemptHistory { errors: true, .. } => FailureReason::Errors,
-            _ => FailureReason::TurnedAway,
+            _ => FailureReason::Refused,
         }
     }
 }
 
-/// Serves one request: asks the module at each point of choice, and gives exactly one final answer.
-pub async fn serve<E, S: Servers<E>, C: Client<E>>(
+/// Serves one request: carries out the load balancer's actions, and gives exactly one final response.
+pub async fn serve<E, S: AttemptRunner<E>, C: Client<E>>(
     engine: &Engine,
-    ask: &Ask,
-    servers: &S,
+    request: &PlacementRequest,
+    runner: &S,
     mut client: C,
-    successor: &impl StreamSuccessor<S::Steps, C::Answer>,
+    successor: &impl StreamSuccessor<S::Steps, C::Sink>,
 ) {
-    // Guards against a second request under the id of one that is open: neither real servers nor the module
-    // could tell them apart, and the first would suffer.
-    let Some(mut held) = engine.admit(ask) else {
-        return client.reject(409, "a request with this id is open").await;
+    // A second request under the id of an open one is rejected: neither replicas nor the load balancer could tell them
+    // apart.
+    let Some(mut admitted) = engine.admit(request) else {
+        let message = "a request with this id is open".to_owned();
+        return client.reject(Rejection { status: 409, message }).await;
     };
-    let mut out: Vec<Scheduling<S::Steps>> = Vec::new();
+    let mut out: Vec<Attempt<S::Steps>> = Vec::new();
     let mut history = AttemptHistory::default();
 
-    // Until the first event: the module orders, schedulings end, the client may leave.
+    // Until the first event: actions of the load balancer, ends of attempts, the client's leaving.
     let (number, events, arrival) = loop {
-        match next_step(&mut client, &mut held, &mut out).await {
-            Next::Order(Order::Schedule { number, server, timeout, write_within }) => {
-                // Guards against a close that came with the request, or that nobody has heard of yet.
+        match next_step(&mut client, &mut admitted, &mut out).await {
+            Next::Action(RequestAction::StartAttempt { number, replica, timeout, write_within }) => {
+                // The client may have closed with the request, or since the last poll.
                 if client.has_left().await {
-                    drop((out, held));
+                    drop((out, admitted));
                     return client.left().await;
                 }
-                out.push(Scheduling {
+                out.push(Attempt {
                     number,
-                    server: server.clone(),
-                    steps: servers.schedule(server, timeout, write_within),
+                    replica: replica.clone(),
+                    steps: runner.start_attempt(replica, timeout, write_within),
                 });
             }
-            Next::Order(Order::Cancel(number)) => {
+            Next::Action(RequestAction::CancelAttempt(number)) => {
                 out.retain(|s| s.number != number);
-                history.note(Verdict::Cancelled);
-                held.outcome(number, Verdict::Cancelled.into(), false);
+                history.record(Verdict::Cancelled);
+                admitted.record_outcome(number, Verdict::Cancelled.into(), false);
             }
-            Next::Order(Order::TurnDown(wait)) => {
-                // Connections close before the answer is written, which may take a slow client's time.
-                drop((out, held));
-                return client.turn_down(wait).await;
+            Next::Action(RequestAction::Shed(wait)) => {
+                // Connections close before the response is written, which may take a slow client long.
+                drop((out, admitted));
+                return client.shed(wait).await;
             }
-            Next::Order(Order::Fail) => {
+            Next::Action(RequestAction::Fail) => {
                 let reason = history.reason(out.len());
-                drop((out, held));
+                drop((out, admitted));
                 return client.fail(reason).await;
             }
-            Next::Step(_, Step::Rejected(status, words)) => {
-                drop((out, held));
-                return client.reject(status, &words).await;
+            Next::Step(_, Step::Rejected(rejection)) => {
+                drop((out, admitted));
+                return client.reject(rejection).await;
             }
-            Next::Step(number, Step::Ended(ending)) => {
+            Next::Step(number, Step::Ended(outcome)) => {
                 out.retain(|s| s.number != number);
-                history.note(ending.verdict);
-                held.outcome(number, ending, false);
+                history.record(outcome.verdict);
+                admitted.record_outcome(number, outcome, false);
             }
             Next::Step(number, Step::Events(events, arrival)) => break (number, events, arrival),
-            // A timer and takings are for what has begun.
+            // Timers and taken bytes concern begun streams only.
             Next::Step(_, Step::Bytes(_)) | Next::Took(_) | Next::Due => {}
             Next::Gone(_) => {
-                drop((out, held));
+                drop((out, admitted));
                 return client.left().await;
             }
         }
     };
 
-    let server_side = ServerSide { held: Some(held), out, number };
-    begin(engine, ask, client, server_side, Begun { events, arrival }, successor).await;
+    let replica_side = ReplicaSide { admitted: Some(admitted), out, number };
+    begin(engine, request, client, replica_side, Begun { events, arrival }, successor).await;
 }
 
 /// The first events of a request's stream.
@@ -228,46 +119,45 @@
     arrival: Arrival,
 }
 
-/// Begins the answer. From here on the request belongs to that scheduling; the module calls others off, where it may.
-/// Any that go on beside it are heard to their end, but nothing of them reaches the client.
+/// Begins the response. From here on the request belongs to this attempt. The load balancer may cancel others; those that
+/// run on are observed to their end, but none of their data reaches the client.
 async fn begin<E, S, C: Client<E>>(
     engine: &Engine,
-    ask: &Ask,
+    request: &PlacementRequest,
     client: C,
-    mut server_side: ServerSide<S>,
+    mut replica_side: ReplicaSide<S>,
     Begun { events, arrival }: Begun<E>,
-    successor: &impl StreamSuccessor<S, C::Answer>,
+    successor: &impl StreamSuccessor<S, C::Sink>,
 ) where
     S: Stream<Item = Step<E>> + Unpin,
 {
-    let first = server_side.first_event();
-    let Some(server) = server_side.server() else { return client.fail(FailureReason::Errors).await };
+    let first = replica_side.first_event();
+    let Some(replica) = replica_side.replica() else { return client.fail(FailureReason::Errors).await };
     let mut relay = Relay::new(engine.now(), first, &engine.limits);
     let mut answer = client.begin();
-    if answer.gathers() {
-        relay.gathers();
+    if answer.is_assembled() {
+        relay.set_assembled();
     }
-    arrival.put(engine, &mut relay, &mut answer, events);
-    let id = server_side.held.as_ref().map_or(0, |held| held.id.0);
-    let begun = BegunStream { id, class: ask.class, tenant: ask.tenant, server, first };
-    Forwarding::new(engine, &begun, server_side, relay, answer).run(successor).await;
+    forward_arrival(engine, &mut relay, &mut answer, arrival, events);
+    let id = replica_side.admitted.as_ref().map_or(0, |admitted| admitted.id.0);
+    let begun = BegunStream { id, class: request.class, tenant: request.tenant, replica, first };
+    Forwarding::new(engine, &begun, replica_side, relay, answer).run(successor).await;
 }
 
-/// What comes next of a request whose answer has not begun.
+/// The next event of a request whose response has not begun.
 async fn next_step<E, S: Stream<Item = Step<E>> + Unpin>(
     client: &mut impl Client<E>,
-    held: &mut AdmittedRequest,
-    out: &mut [Scheduling<S>],
+    admitted: &mut AdmittedRequest,
+    out: &mut [Attempt<S>],
 ) -> Next<E> {
-    // Its leaving comes first. Guards against a request that is written to a real server, on a connection that
-    // has just come up or for want of an answer elsewhere, in the moment in which its client is seen to be gone:
-    // where this thread stood still, that was long ago.
+    // The client's leaving is polled first, so that no attempt is started for a client that has left, perhaps long ago if
+    // this thread was not scheduled.
     future::or(
         async {
             client.gone().await;
             Next::Gone(Leaving::Ended)
         },
-        future::or(async { Next::Order(held.order().await) }, async {
+        future::or(async { Next::Action(admitted.next_action().await) }, async {
             let (number, step) = any(out).await;
             Next::Step(number, step)
         }),
@@ -275,8 +165,8 @@
     .await
 }
 
-/// Goes on with a stream that another process began, of which so many bytes wait for the client. The module here
-/// knows nothing of it.
+/// Continues a stream that another process began, with `waiting` bytes buffered for the client. The load balancer of this
+/// process does not know it.
 pub async fn carry_on<E, S, A>(
     engine: &Engine,
     begun: &BegunStream,
@@ -284,43 +174,21 @@
     successor: &impl StreamSuccessor<S, A>,
 ) where
     S: Stream<Item = Step<E>> + Unpin,
-    A: Answer<E>,
+    A: ResponseSink<E>,
 {
     let mut relay = Relay::new(engine.now(), begun.first, &engine.limits);
     relay.queued(engine.now(), waiting);
-    let out = vec![Scheduling { number: 0, server: begun.server.clone(), steps }];
-    let server_side = ServerSide { held: None, out, number: 0 };
-    Forwarding::new(engine, begun, server_side, relay, answer).run(successor).await;
-}
-
-impl Arrival {
-    pub(super) fn put<E>(
-        mut self,
-        engine: &Engine,
-        relay: &mut Relay,
-        answer: &mut impl Answer<E>,
-        events: E,
-    ) {
-        relay.queued(engine.now(), answer.put(events));
-        self.inward += answer.holds();
-        self.enter(engine, relay);
-        if answer.is_full() {
-            relay.too_long(engine.now());
-        }
-    }
-
-    pub(super) fn enter(&self, engine: &Engine, relay: &mut Relay) {
-        let Arrival { bytes, events, inward, amid, last } = *self;
-        relay.arrived(engine.now(), bytes, events, inward, amid, last);
-    }
+    let out = vec![Attempt { number: 0, replica: begun.replica.clone(), steps }];
+    let replica_side = ReplicaSide { admitted: None, out, number: 0 };
+    Forwarding::new(engine, begun, replica_side, relay, answer).run(successor).await;
 }
 
-/// The next step of whichever scheduling has one.
-async fn any<E, S: Stream<Item = Step<E>> + Unpin>(out: &mut [Scheduling<S>]) -> (u32, Step<E>) {
+/// The next step of whichever attempt has one.
+async fn any<E, S: Stream<Item = Step<E>> + Unpin>(out: &mut [Attempt<S>]) -> (u32, Step<E>) {
     future::poll_fn(|cx| {
-        for scheduling in out.iter_mut() {
-            if let Poll::Ready(Some(step)) = scheduling.steps.poll_next(cx) {
-                return Poll::Ready((scheduling.number, step));
+        for attempt in out.iter_mut() {
+            if let Poll::Ready(Some(step)) = attempt.steps.poll_next(cx) {
+                return Poll::Ready((attempt.number, step));
             }
         }
         Poll::Pending
--- a/src/front/messages/errors.rs
+++ b/src/front/messages/errors.rs
@@ -1,24 +1,24 @@
-//! Errors and refusals in the form of the messages API.
+//! Errors in the form of the messages API.
 
 use std::time::Duration;
 
-use super::super::Reply;
+use super::super::Response;
 use super::super::write::Object;
 
-/// What a client is told that went wrong.
+/// An error for a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ApiError {
-    /// The status.
+    /// The HTTP status.
     pub status: u16,
-    /// The words.
-    pub words: String,
-    /// How long the client should stay away.
-    pub wait: Option<Duration>,
-    /// Whether a new try does no harm and may help; not said where the status says it.
-    pub again: Option<bool>,
+    /// The error message.
+    pub message: String,
+    /// How long the client should wait before a retry.
+    pub retry_after: Option<Duration>,
+    /// Whether a retry is safe and may help; `None` where the status says it.
+    pub is_retryable: Option<bool>,
 }
 
-/// The error's type that goes with a status.
+/// The error type that belongs to a status.
 #[must_use]
 pub fn kind(status: u16) -> &'static str {
     match status {
@@ -34,7 +34,7 @@
     }
 }
 
-/// The status that goes with an error's type, where the answer has not begun.
+/// The status that belongs to an error type, where the response has not begun.
 #[must_use]
 pub fn status(kind: &str) -> u16 {
     match kind {
@@ -45,40 +45,40 @@
 }
 
 impl ApiError {
-    /// With this status and these words.
-    pub fn new(status: u16, words: impl Into<String>) -> ApiError {
-        ApiError { status, words: words.into(), wait: None, again: None }
+    /// Creates an error with a status and a message.
+    pub fn new(status: u16, message: impl Into<String>) -> ApiError {
+        ApiError { status, message: message.into(), retry_after: None, is_retryable: None }
     }
 
-    /// The client should stay away for so long.
+    /// Sets how long the client should wait before a retry.
     #[must_use]
-    pub fn wait(self, wait: Duration) -> ApiError {
-        ApiError { wait: Some(wait), ..self }
+    pub fn retry_after(self, retry_after: Duration) -> ApiError {
+        ApiError { retry_after: Some(retry_after), ..self }
     }
 
-    /// Whether a new try does no harm.
+    /// Sets whether a retry is safe.
     #[must_use]
-    pub fn again(self, again: bool) -> ApiError {
-        ApiError { again: Some(again), ..self }
+    pub fn retryable(self, is_retryable: bool) -> ApiError {
+        ApiError { is_retryable: Some(is_retryable), ..self }
     }
 
-    /// The answer to the request of this id.
+    /// The response to the request with this id.
     #[must_use]
-    pub fn reply(&self, id: &str) -> Reply {
+    pub fn response(&self, id: &str) -> Response {
         let mut body = Vec::new();
         let mut object = Object::new(&mut body);
         object.set("type", "error");
-        object.object("error").set("type", kind(self.status)).set("message", &self.words);
+        object.object("error").set("type", kind(self.status)).set("message", &self.message);
         object.set("request_id", id);
         drop(object);
-        let mut reply = Reply::json(self.status, body).with("request-id", id);
-        if let Some(wait) = self.wait {
-            // The one header for whoever knows only whole seconds or parts of them, the other one exactly.
-            reply = reply.retry_after(wait).with("retry-after-ms", wait.as_millis());
+        let mut response = Response::json(self.status, body).with("request-id", id);
+        if let Some(wait) = self.retry_after {
+            // `Retry-After` for all clients; the official client libraries read the exact `retry-after-ms`.
+            response = response.retry_after(wait).with("retry-after-ms", wait.as_millis());
         }
-        match self.again {
-            Some(again) => reply.with("x-should-retry", again),
-            None => reply,
+        match self.is_retryable {
+            Some(is_retryable) => response.with("x-should-retry", is_retryable),
+            None => response,
         }
     }
 }
--- a/src/front/messages/models.rs
+++ b/src/front/messages/models.rs
@@ -1,75 +1,92 @@
-//! The list of models, as the settings have it.
+//! The list of models from the settings.
 
+use snafu::Snafu;
 use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
 
 use tulipridge_http1::codec::Head;
 
-/// A model that clients may ask for.
+/// A model that clients may request.
 #[derive(Clone, Debug, Default)]
 pub struct Model {
-    /// What people call it.
+    /// Its display name.
     pub display_name: String,
-    /// Its making, RFC 3339.
+    /// When it was created, in RFC 3339.
     pub created_at: String,
-    /// Tokens of a prompt at the most.
+    /// Maximum number of prompt tokens.
     pub max_input_tokens: Option<u64>,
-    /// Tokens of an answer at the most.
+    /// Maximum number of output tokens.
     pub max_tokens: Option<u64>,
 }
 
 /// All models, by their ids.
 pub type Models = BTreeMap<String, Model>;
 
-fn shown(id: &str, model: &Model) -> Value {
+fn description(id: &str, model: &Model) -> Value {
     json!({"type": "model", "id": id, "display_name": model.display_name, "created_at": model.created_at,
         "lifecycle": "active", "max_input_tokens": model.max_input_tokens, "max_tokens": model.max_tokens})
 }
 
-/// One model.
+/// One model as JSON; `None` if there is none with this id.
 #[must_use]
 pub fn one(models: &Models, id: &str) -> Option<Vec<u8>> {
-    models.get(id).map(|model| shown(id, model).to_string().into_bytes())
+    models.get(id).map(|model| description(id, model).to_string().into_bytes())
 }
 
-/// A page of the list, as the target's query asks for it.
+/// Why a page can't be returned.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum PageError {
+    /// The number of models is out of its range.
+    #[snafu(display("limit: a number from 1 to 1000 is required"))]
+    Limit,
+    /// A parameter names no model.
+    #[snafu(display("{parameter}: no model is called '{id}'"))]
+    UnknownModel {
+        /// The parameter.
+        parameter: String,
+        /// The id in it.
+        id: String,
+    },
+}
+
+/// The page of the list that the query of the request target selects, as JSON.
 ///
 /// # Errors
 ///
 /// If `limit` is not a number from 1 to 1000, or if `after_id` or `before_id` is not the id of a model in `models`.
 /// The text begins with the parameter's name.
-pub fn page(models: &Models, head: &Head) -> Result<Vec<u8>, String> {
+pub fn page(models: &Models, head: &Head) -> Result<Vec<u8>, PageError> {
     let query = head.start[1].split_once('?').map_or("", |(_, query)| query);
-    let asked = |name: &str| {
+    let parameter = |name: &str| {
         query
             .split('&')
             .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
             .filter(|v| !v.is_empty())
     };
-    let limit = match asked("limit").map(str::parse::<usize>) {
+    let limit = match parameter("limit").map(str::parse::<usize>) {
         None => 20,
         Some(Ok(limit @ 1..=1000)) => limit,
-        Some(_) => return Err("limit: a number from 1 to 1000 is required".into()),
+        Some(_) => return LimitSnafu.fail(),
     };
     let ids: Vec<&String> = models.keys().collect();
-    let place = |name: &str| match asked(name) {
+    let index_of = |name: &str| match parameter(name) {
         None => Ok(None),
         Some(id) => match ids.iter().position(|known| *known == id) {
             Some(at) => Ok(Some(at)),
-            None => Err(format!("{name}: no model is called '{id}'")),
+            None => UnknownModelSnafu { parameter: name, id }.fail(),
         },
     };
-    let (after, before) = (place("after_id")?, place("before_id")?);
+    let (after, before) = (index_of("after_id")?, index_of("before_id")?);
     let from = after.map_or(0, |at| at + 1);
     let to = before.unwrap_or(ids.len()).max(from);
     let rest = &ids[from..to];
-    // Before an id the page is the one that ends there, else the one that begins.
+    // With `before_id` alone the page ends before that id; otherwise it starts at `from`.
     let page = match (before, after) {
         (Some(_), None) => &rest[rest.len().saturating_sub(limit)..],
         _ => &rest[..rest.len().min(limit)],
     };
-    let data: Vec<Value> = page.iter().map(|id| shown(id, &models[*id])).collect();
+    let data: Vec<Value> = page.iter().map(|id| description(id, &models[*id])).collect();
     let list = json!({"data": data, "has_more": page.len() < rest.len(), "first_id": page.first(),
         "last_id": page.last()});
     Ok(list.to_string().into_bytes())
--- a/src/front/messages/request.rs
+++ b/src/front/messages/request.rs
@@ -1,109 +1,110 @@
-//! A request of the messages API, read in one pass over its body and checked; texts are borrowed from it.
+//! Requests of the messages API, read in one pass over the body and validated; texts are borrowed from it.
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use super::super::object::{self, Text, TextOr, object};
+use crate::front::BodyError;
 use crate::limits::MessagesLimits;
 
 object! {
-    /// The body of `POST /v1/messages`, and of a call that counts its tokens.
+    /// The body of `POST /v1/messages` and of `POST /v1/messages/count_tokens`.
     Request {
         /// The model's name.
         model = "model": Text<'a>,
-        /// Tokens of the answer at the most.
+        /// Maximum number of output tokens.
         max_tokens = "max_tokens": u64,
         /// The conversation.
         messages = "messages": Vec<Turn<'a>>,
-        /// What goes before it.
+        /// The system prompt.
         system = "system": Content<'a>,
-        /// Whether the answer comes as a stream.
+        /// Whether the response is a stream.
         stream = "stream": &'a RawValue,
-        /// Randomness, 0 to 1.
+        /// Sampling temperature, 0 to 1.
         temperature = "temperature": f64,
-        /// The share of likely tokens that are chosen from.
+        /// Nucleus sampling: the probability mass that is sampled from, 0 to 1.
         top_p = "top_p": f64,
-        /// The number of likely tokens that are chosen from.
+        /// Number of most likely tokens that are sampled from.
         top_k = "top_k": u64,
-        /// Texts that end the answer.
+        /// Texts that end the generation.
         stop_sequences = "stop_sequences": Vec<Text<'a>>,
         /// Tools that the model may use.
         tools = "tools": Vec<Tool<'a>>,
-        /// Which of them it has to use.
+        /// Which of the tools it must use.
         tool_choice = "tool_choice": Choice<'a>,
-        /// Whether it thinks before it answers.
+        /// Extended thinking.
         thinking = "thinking": Thinking<'a>,
-        /// Who asks.
+        /// Metadata of the request.
         metadata = "metadata": Metadata<'a>,
-        /// Which service is asked for.
+        /// The requested service tier.
         service_tier = "service_tier": Text<'a>,
-        /// A mark at the end of all that can be marked.
-        cache_control = "cache_control": Mark<'a>,
+        /// A cache breakpoint at the end of the prompt.
+        cache_control = "cache_control": CacheControl<'a>,
     }
 }
 
 object! {
     /// One turn of a conversation.
     Turn {
-        /// Whose it is.
+        /// `user` or `assistant`.
         role = "role": Text<'a>,
-        /// What was said.
+        /// Its content.
         content = "content": Content<'a>,
     }
 }
 
 object! {
-    /// One block of a content, of whichever type.
+    /// One content block of any type.
     Block {
-        /// The type.
+        /// Its type.
         kind = "type": Text<'a>,
-        /// A text's words.
+        /// The text of a text block.
         text = "text": Text<'a>,
-        /// Where an image or a document comes from.
+        /// The source of an image or a document.
         source = "source": TextOr<'a, Box<Source<'a>>>,
         /// A document's title.
         title = "title": Text<'a>,
-        /// What is to be known of a document.
+        /// Context of a document.
         context = "context": Text<'a>,
-        /// Whether a document is cited from, or what a text cites.
+        /// Settings of a document's citations, or the citations of a text.
         citations = "citations": &'a RawValue,
         /// A tool use's id.
         id = "id": Text<'a>,
         /// The tool's name.
         name = "name": Text<'a>,
-        /// What the tool is given.
+        /// The tool's input.
         input = "input": &'a RawValue,
-        /// The tool use that a result is of.
+        /// The id of the tool use that a result belongs to.
         tool_use_id = "tool_use_id": Text<'a>,
         /// A result's content.
         content = "content": Content<'a>,
-        /// The tool failed.
+        /// Whether the tool failed.
         is_error = "is_error": bool,
-        /// Thoughts.
+        /// The text of a thinking block.
         thinking = "thinking": Text<'a>,
-        /// That the thoughts are the model's own.
+        /// The signature of a thinking block.
         signature = "signature": Text<'a>,
-        /// Thoughts that nobody may read.
+        /// The data of a redacted thinking block.
         data = "data": Text<'a>,
-        /// The prompt up to here is worth keeping.
-        cache_control = "cache_control": Mark<'a>,
+        /// A cache breakpoint after this tool.
+        cache_control = "cache_control": CacheControl<'a>,
     }
 }
 
 object! {
-    /// Where an image or a document comes from.
+    /// The source of an image or a document.
     Source {
-        /// How: `base64`, `url`, `text`, `content` or `file`.
+        /// Its type: `base64`, `url`, `text`, `content` or `file`.
         kind = "type": Text<'a>,
-        /// What it is.
+        /// Its media type.
         media_type = "media_type": Text<'a>,
-        /// It, in base64 or as plain text.
+        /// The data, in base64 or as plain text.
         data = "data": Text<'a>,
-        /// Where it is.
+        /// Its URL.
         url = "url": Text<'a>,
-        /// What it is called where files are held.
+        /// Its id in the files API.
         file_id = "file_id": Text<'a>,
-        /// Its blocks.
+        /// Its content blocks.
         content = "content": Content<'a>,
     }
 }
@@ -111,62 +112,62 @@
 object! {
     /// A tool's definition.
     Tool {
-        /// Its type: `custom`, or one that the real servers know by themselves.
+        /// Its type: `custom`, or one that replicas define.
         kind = "type": Text<'a>,
         /// Its name.
         name = "name": Text<'a>,
-        /// What it is good for.
+        /// Its description.
         description = "description": Text<'a>,
         /// The JSON schema of its input.
         input_schema = "input_schema": &'a RawValue,
-        /// The input has to follow the schema.
+        /// Whether the input must follow the schema.
         strict = "strict": bool,
-        /// The prompt up to here is worth keeping.
-        cache_control = "cache_control": Mark<'a>,
+        /// A cache breakpoint after this tool.
+        cache_control = "cache_control": CacheControl<'a>,
     }
 }
 
 object! {
-    /// Which tools the model has to use.
+    /// Which tools the model must use.
     Choice {
         /// `auto`, `any`, `tool` or `none`.
         kind = "type": Text<'a>,
         /// The tool's name.
         name = "name": Text<'a>,
-        /// One use of a tool at the most.
+        /// Whether at most one tool may be used.
         disable_parallel_tool_use = "disable_parallel_tool_use": bool,
     }
 }
 
 object! {
-    /// Whether the model thinks.
+    /// Settings of extended thinking.
     Thinking {
-        /// `enabled`, `disabled`, or a way that only real servers know.
+        /// `enabled`, `disabled`, or a type that only replicas know.
         kind = "type": Text<'a>,
-        /// Tokens that it thinks at the most.
+        /// Maximum number of thinking tokens.
         budget_tokens = "budget_tokens": u64,
     }
 }
 
 object! {
-    /// Who asks.
+    /// Metadata of a request.
     Metadata {
-        /// The client's own name for its user.
+        /// The client's id of its user.
         user_id = "user_id": Text<'a>,
     }
 }
 
 object! {
-    /// A mark that the prompt up to here is worth keeping.
-    Mark {
+    /// A cache breakpoint: the prompt up to here is worth caching.
+    CacheControl {
         /// `ephemeral`.
         kind = "type": Text<'a>,
-        /// For how long.
+        /// The time to live of the cached prompt.
         ttl = "ttl": Text<'a>,
     }
 }
 
-/// A content: a text, or blocks.
+/// Content: a text, or blocks.
 #[derive(Clone, Debug)]
 pub struct Content<'a>(pub TextOr<'a, Vec<Block<'a>>>);
 
@@ -203,9 +204,9 @@
         self.kind.as_deref().unwrap_or_default()
     }
 
-    /// The longer form of its source.
+    /// Its source, if it is an object.
     #[must_use]
-    pub fn origin(&self) -> Option<&Source<'_>> {
+    pub fn source_object(&self) -> Option<&Source<'_>> {
         match &self.source {
             Some(TextOr::Other(source)) => Some(source),
             _ => None,
@@ -213,20 +214,20 @@
     }
 }
 
-/// What a request is for.
+/// The purpose of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    /// An answer.
-    Answer,
-    /// The number of its tokens.
-    Count,
+    /// Generate a response.
+    Generation,
+    /// Count its tokens.
+    TokenCount,
 }
 
-/// A fault's place and words, as a client is told them.
-type Fault = Result<(), String>;
+/// The result of a validation: the first invalid field.
+type Checked = Result<(), BodyError>;
 
-fn fault<T>(place: impl std::fmt::Display, what: impl std::fmt::Display) -> Result<T, String> {
-    Err(format!("{place}: {what}"))
+fn invalid<T>(field: impl std::fmt::Display, problem: impl std::fmt::Display) -> Result<T, BodyError> {
+    Err(BodyError::field(field, problem))
 }
 
 impl<'a> Request<'a> {
@@ -236,13 +237,17 @@
     ///
     /// If the body is not JSON of a request's form, or if a field is missing, out of its range or beyond `limits`.
     /// The text begins with the name of that field.
-    pub fn read(body: &'a [u8], purpose: Purpose, limits: &MessagesLimits) -> Result<Request<'a>, String> {
+    pub fn read(
+        body: &'a [u8],
+        purpose: Purpose,
+        limits: &MessagesLimits,
+    ) -> Result<Request<'a>, BodyError> {
         let request: Request<'_> = object::read(body)?;
         request.check(purpose, limits)?;
         Ok(request)
     }
 
-    /// Whether the answer is wanted as a stream.
+    /// Whether the response is to be a stream.
     #[must_use]
     pub fn streams(&self) -> bool {
         self.stream.is_some_and(|s| s.get() == "true")
@@ -260,56 +265,56 @@
         self.tools.as_deref().unwrap_or_default()
     }
 
-    fn check(&self, purpose: Purpose, limits: &MessagesLimits) -> Fault {
+    fn check(&self, purpose: Purpose, limits: &MessagesLimits) -> Checked {
         if self.model.as_deref().is_none_or(str::is_empty) {
-            return fault("model", "a name is required");
+            return invalid("model", "a name is required");
         }
         match (self.max_tokens, purpose) {
-            (None, Purpose::Answer) => return fault("max_tokens", "a positive number is required"),
-            (Some(0), _) => return fault("max_tokens", "0 is not a positive number"),
+            (None, Purpose::Generation) => return invalid("max_tokens", "a positive number is required"),
+            (Some(0), _) => return invalid("max_tokens", "0 is not a positive number"),
             _ => {}
         }
-        let neither = self.stream.is_some_and(|s| !matches!(s.get(), "true" | "false"));
-        if neither || self.nulls.contains(&"stream") {
-            return fault("stream", "neither true nor false");
+        let is_invalid = self.stream.is_some_and(|s| !matches!(s.get(), "true" | "false"));
+        if is_invalid || self.nulls.contains(&"stream") {
+            return invalid("stream", "neither true nor false");
         }
         for (name, value) in [("temperature", self.temperature), ("top_p", self.top_p)] {
             if let Some(value) = value.filter(|v| !(0.0..=1.0).contains(v)) {
-                return fault(name, format!("{value} is not between 0 and 1"));
+                return invalid(name, format!("{value} is not between 0 and 1"));
             }
         }
         let stops = self.stop_sequences.as_deref().unwrap_or_default();
-        at_most("stop_sequences", stops.len(), limits.stops)?;
+        check_count("stop_sequences", stops.len(), limits.stop_sequences)?;
         if let Some(n) = stops.iter().position(|s| s.trim().is_empty()) {
-            return fault(format!("stop_sequences.{n}"), "a text that is not blank is required");
+            return invalid(format!("stop_sequences.{n}"), "a text that is not blank is required");
         }
         if let Some(tier) = self.service_tier.as_deref().filter(|t| !matches!(*t, "auto" | "standard_only"))
         {
-            return fault("service_tier", format!("'{tier}' is neither auto nor standard_only"));
+            return invalid("service_tier", format!("'{tier}' is neither auto nor standard_only"));
         }
         self.check_thinking()?;
         self.check_tools(limits)?;
-        if let Some(mark) = &self.cache_control {
-            check_mark("cache_control", mark)?;
+        if let Some(cache_control) = &self.cache_control {
+            check_cache_control("cache_control", cache_control)?;
         }
         let mut count = 0;
         if let Some(system) = &self.system {
             for (n, block) in system.blocks().iter().enumerate() {
-                let place = format!("system.{n}");
+                let path = format!("system.{n}");
                 if block.kind() != "text" {
-                    return fault(
-                        format!("{place}.type"),
+                    return invalid(
+                        format!("{path}.type"),
                         format!("'{}' is no block of system", block.kind()),
                     );
                 }
-                block.check(&place, Where::System, limits, &mut count)?;
+                block.check(&path, BlockContext::System, limits, &mut count)?;
             }
         }
         let turns = self.turns();
         if turns.is_empty() {
-            return fault("messages", "at least one is required");
+            return invalid("messages", "at least one is required");
         }
-        at_most("messages", turns.len(), limits.turns)?;
+        check_count("messages", turns.len(), limits.turns)?;
         let mut uses: Vec<&str> = Vec::new();
         for (n, turn) in turns.iter().enumerate() {
             turn.check(&format!("messages.{n}"), limits, &mut count, &mut uses)?;
@@ -317,79 +322,79 @@
         Ok(())
     }
 
-    fn check_thinking(&self) -> Fault {
+    fn check_thinking(&self) -> Checked {
         let Some(thinking) = &self.thinking else { return Ok(()) };
         match thinking.kind.as_deref() {
-            None => fault("thinking.type", "required"),
+            None => invalid("thinking.type", "required"),
             Some("enabled") => match thinking.budget_tokens {
-                None => fault("thinking.budget_tokens", "required where thinking is enabled"),
+                None => invalid("thinking.budget_tokens", "required where thinking is enabled"),
                 Some(budget) if budget < 1024 => {
-                    fault("thinking.budget_tokens", format!("{budget} is less than 1024"))
+                    invalid("thinking.budget_tokens", format!("{budget} is less than 1024"))
                 }
                 Some(budget) if self.max_tokens.is_some_and(|most| budget >= most) => {
-                    fault("thinking.budget_tokens", format!("{budget} is not less than max_tokens"))
+                    invalid("thinking.budget_tokens", format!("{budget} is not less than max_tokens"))
                 }
                 Some(_) => Ok(()),
             },
-            // There are more ways than one; the real server knows its own.
+            // Other types are validated by the replica.
             Some(_) => Ok(()),
         }
     }
 
-    fn check_tools(&self, limits: &MessagesLimits) -> Fault {
+    fn check_tools(&self, limits: &MessagesLimits) -> Checked {
         let tools = self.tools();
-        at_most("tools", tools.len(), limits.tools)?;
+        check_count("tools", tools.len(), limits.tools)?;
         let mut names = std::collections::BTreeSet::new();
         for (n, tool) in tools.iter().enumerate() {
-            let place = format!("tools.{n}");
-            if let Some(mark) = &tool.cache_control {
-                check_mark(&format!("{place}.cache_control"), mark)?;
+            let path = format!("tools.{n}");
+            if let Some(cache_control) = &tool.cache_control {
+                check_cache_control(&format!("{path}.cache_control"), cache_control)?;
             }
-            let own = tool.is_custom();
+            let is_custom = tool.is_custom();
             let Some(name) = tool.name.as_deref() else {
-                if own {
-                    return fault(format!("{place}.name"), "required");
+                if is_custom {
+                    return invalid(format!("{path}.name"), "required");
                 }
                 continue;
             };
-            if own && !is_tool_name(name) {
-                return fault(
-                    format!("{place}.name"),
+            if is_custom && !is_tool_name(name) {
+                return invalid(
+                    format!("{path}.name"),
                     "1 to 128 letters, digits, hyphens and underscores are required",
                 );
             }
             if !names.insert(name) {
-                return fault(
-                    format!("{place}.name"),
+                return invalid(
+                    format!("{path}.name"),
                     format!("'{name}' is the name of an earlier tool too"),
                 );
             }
             match tool.input_schema {
-                None if own => return fault(format!("{place}.input_schema"), "required"),
-                Some(schema) => check_raw(&format!("{place}.input_schema"), schema, limits)?,
+                None if is_custom => return invalid(format!("{path}.input_schema"), "required"),
+                Some(schema) => check_raw(&format!("{path}.input_schema"), schema, limits)?,
                 None => {}
             }
         }
         let Some(choice) = &self.tool_choice else { return Ok(()) };
         match choice.kind.as_deref() {
             Some("auto" | "none") => Ok(()),
-            Some("any") if tools.is_empty() => fault("tool_choice", "there are no tools"),
+            Some("any") if tools.is_empty() => invalid("tool_choice", "there are no tools"),
             Some("any") => Ok(()),
             Some("tool") => match choice.name.as_deref() {
-                None => fault("tool_choice.name", "required"),
+                None => invalid("tool_choice.name", "required"),
                 Some(name) if !names.contains(name) => {
-                    fault("tool_choice.name", format!("no tool is called '{name}'"))
+                    invalid("tool_choice.name", format!("no tool is called '{name}'"))
                 }
                 Some(_) => Ok(()),
             },
-            Some(other) => fault("tool_choice.type", format!("'{other}' is not auto, any, tool or none")),
-            None => fault("tool_choice.type", "required"),
+            Some(other) => invalid("tool_choice.type", format!("'{other}' is not auto, any, tool or none")),
+            None => invalid("tool_choice.type", "required"),
         }
     }
 }
 
 impl Tool<'_> {
-    /// It is defined here, by its schema; the others are the real servers' own.
+    /// Whether the request defines it by a schema; others are defined by the replicas.
     #[must_use]
     pub fn is_custom(&self) -> bool {
         self.kind.as_deref().is_none_or(|k| k == "custom")
@@ -397,7 +402,7 @@
 }
 
 impl<'a> Turn<'a> {
-    /// The client's turn, or else the model's.
+    /// Whether it is the client's turn, not the model's.
     #[must_use]
     pub fn is_user(&self) -> bool {
         self.role.as_deref() == Some("user")
@@ -405,30 +410,30 @@
 
     fn check<'t>(
         &'t self,
-        place: &str,
+        path: &str,
         limits: &MessagesLimits,
         count: &mut usize,
         uses: &mut Vec<&'t str>,
-    ) -> Fault {
+    ) -> Checked {
         match self.role.as_deref() {
             Some("user" | "assistant") => {}
             Some(role) => {
-                return fault(format!("{place}.role"), format!("'{role}' is neither user nor assistant"));
+                return invalid(format!("{path}.role"), format!("'{role}' is neither user nor assistant"));
             }
-            None => return fault(format!("{place}.role"), "required"),
+            None => return invalid(format!("{path}.role"), "required"),
         }
-        let Some(content) = &self.content else { return fault(format!("{place}.content"), "required") };
-        let within = if self.is_user() { Where::User } else { Where::Assistant };
+        let Some(content) = &self.content else { return invalid(format!("{path}.content"), "required") };
+        let within = if self.is_user() { BlockContext::User } else { BlockContext::Assistant };
         for (n, block) in content.blocks().iter().enumerate() {
-            let place = format!("{place}.content.{n}");
-            block.check(&place, within, limits, count)?;
+            let path = format!("{path}.content.{n}");
+            block.check(&path, within, limits, count)?;
             match block.kind() {
                 "tool_use" => uses.push(block.id.as_deref().unwrap_or_default()),
                 "tool_result" => {
                     let id = block.tool_use_id.as_deref().unwrap_or_default();
                     if !uses.contains(&id) {
-                        return fault(
-                            format!("{place}.tool_use_id"),
+                        return invalid(
+                            format!("{path}.tool_use_id"),
                             format!("no tool use before it is '{id}'"),
                         );
                     }
@@ -440,9 +445,9 @@
     }
 }
 
-/// Where a block stands.
+/// The context of a content block.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Where {
+enum BlockContext {
     System,
     User,
     Assistant,
@@ -451,48 +456,58 @@
 }
 
 impl Block<'_> {
-    fn check(&self, place: &str, within: Where, limits: &MessagesLimits, count: &mut usize) -> Fault {
+    fn check(
+        &self,
+        path: &str,
+        within: BlockContext,
+        limits: &MessagesLimits,
+        count: &mut usize,
+    ) -> Checked {
         *count += 1;
-        at_most("messages", *count, limits.blocks)?;
-        let Some(kind) = self.kind.as_deref() else { return fault(format!("{place}.type"), "required") };
+        check_count("messages", *count, limits.blocks)?;
+        let Some(kind) = self.kind.as_deref() else { return invalid(format!("{path}.type"), "required") };
         let misplaced = match kind {
-            "tool_use" | "thinking" | "redacted_thinking" => within != Where::Assistant,
-            "tool_result" => within != Where::User,
-            "image" => !matches!(within, Where::User | Where::Result | Where::Document),
-            "document" => !matches!(within, Where::User | Where::Result),
+            "tool_use" | "thinking" | "redacted_thinking" => within != BlockContext::Assistant,
+            "tool_result" => within != BlockContext::User,
+            "image" => {
+                !matches!(within, BlockContext::User | BlockContext::Result | BlockContext::Document)
+            }
+            "document" => !matches!(within, BlockContext::User | BlockContext::Result),
             _ => false,
         };
         if misplaced {
-            return fault(format!("{place}.type"), format!("'{kind}' is not allowed here"));
+            return invalid(format!("{path}.type"), format!("'{kind}' is not allowed here"));
         }
-        if let Some(mark) = &self.cache_control {
-            check_mark(&format!("{place}.cache_control"), mark)?;
+        if let Some(cache_control) = &self.cache_control {
+            check_cache_control(&format!("{path}.cache_control"), cache_control)?;
         }
         let need = |there: bool, field: &str| {
-            if there { Ok(()) } else { fault(format!("{place}.{field}"), format!("required in {kind}")) }
+            if there { Ok(()) } else { invalid(format!("{path}.{field}"), format!("required in {kind}")) }
         };
         match kind {
             "text" => need(self.text.is_some(), "text"),
             "image" | "document" => {
                 need(self.source.is_some(), "source")?;
-                let place = format!("{place}.source");
-                let Some(source) = self.origin() else { return fault(place, "an object is required") };
-                source.check(&place, kind, limits, count)
+                let path = format!("{path}.source");
+                let Some(source) = self.source_object() else {
+                    return invalid(path, "an object is required");
+                };
+                source.check(&path, kind, limits, count)
             }
             "tool_use" => {
                 need(self.id.as_deref().is_some_and(|id| !id.is_empty()), "id")?;
                 need(self.name.as_deref().is_some_and(|name| !name.is_empty()), "name")?;
                 let Some(input) = self.input else { return need(false, "input") };
                 if !input.get().starts_with('{') {
-                    return fault(format!("{place}.input"), "an object is required");
+                    return invalid(format!("{path}.input"), "an object is required");
                 }
-                check_raw(&format!("{place}.input"), input, limits)
+                check_raw(&format!("{path}.input"), input, limits)
             }
             "tool_result" => {
                 need(self.tool_use_id.is_some(), "tool_use_id")?;
                 let blocks = self.content.as_ref().map(Content::blocks).unwrap_or_default();
                 for (n, block) in blocks.iter().enumerate() {
-                    block.check(&format!("{place}.content.{n}"), Where::Result, limits, count)?;
+                    block.check(&format!("{path}.content.{n}"), BlockContext::Result, limits, count)?;
                 }
                 Ok(())
             }
@@ -501,9 +516,9 @@
                 need(self.signature.is_some(), "signature")
             }
             "redacted_thinking" => need(self.data.is_some(), "data"),
-            // Types that only the real servers know, and are left to them.
+            // Other types are validated by the replica.
             _ => match self.input {
-                Some(input) => check_raw(&format!("{place}.input"), input, limits),
+                Some(input) => check_raw(&format!("{path}.input"), input, limits),
                 None => Ok(()),
             },
         }
@@ -511,19 +526,19 @@
 }
 
 impl Source<'_> {
-    fn check(&self, place: &str, of: &str, limits: &MessagesLimits, count: &mut usize) -> Fault {
-        let Some(kind) = self.kind.as_deref() else { return fault(format!("{place}.type"), "required") };
+    fn check(&self, path: &str, of: &str, limits: &MessagesLimits, count: &mut usize) -> Checked {
+        let Some(kind) = self.kind.as_deref() else { return invalid(format!("{path}.type"), "required") };
         let need = |there: bool, field: &str| {
             if there {
                 Ok(())
             } else {
-                fault(format!("{place}.{field}"), format!("required where type is {kind}"))
+                invalid(format!("{path}.{field}"), format!("required where type is {kind}"))
             }
         };
         let media = |allowed: &[&str]| match self.media_type.as_deref() {
             Some(media) if allowed.contains(&media) => Ok(()),
-            Some(media) => fault(
-                format!("{place}.media_type"),
+            Some(media) => invalid(
+                format!("{path}.media_type"),
                 format!("'{media}' is not one of {}", allowed.join(", ")),
             ),
             None => need(false, "media_type"),
@@ -532,12 +547,12 @@
             ("image", "base64") => {
                 media(&["image/jpeg", "image/png", "image/gif", "image/webp"])?;
                 need(self.data.is_some(), "data")?;
-                check_base64(&format!("{place}.data"), self.data.as_deref().unwrap_or_default())
+                check_base64(&format!("{path}.data"), self.data.as_deref().unwrap_or_default())
             }
             ("document", "base64") => {
                 media(&["application/pdf"])?;
                 need(self.data.is_some(), "data")?;
-                check_base64(&format!("{place}.data"), self.data.as_deref().unwrap_or_default())
+                check_base64(&format!("{path}.data"), self.data.as_deref().unwrap_or_default())
             }
             ("document", "text") => {
                 media(&["text/plain"])?;
@@ -546,49 +561,49 @@
             ("document", "content") => {
                 let Some(content) = &self.content else { return need(false, "content") };
                 for (n, block) in content.blocks().iter().enumerate() {
-                    block.check(&format!("{place}.content.{n}"), Where::Document, limits, count)?;
+                    block.check(&format!("{path}.content.{n}"), BlockContext::Document, limits, count)?;
                 }
                 Ok(())
             }
             (_, "url") => need(self.url.is_some(), "url"),
             (_, "file") => need(self.file_id.is_some(), "file_id"),
-            _ => fault(format!("{place}.type"), format!("'{kind}' is no source of {of}")),
+            _ => invalid(format!("{path}.type"), format!("'{kind}' is no source of {of}")),
         }
     }
 }
 
-fn at_most(place: &str, count: usize, most: usize) -> Fault {
-    if count > most { fault(place, format!("more than {most}")) } else { Ok(()) }
+fn check_count(path: &str, count: usize, max: usize) -> Checked {
+    if count > max { invalid(path, format!("more than {max}")) } else { Ok(()) }
 }
 
-fn check_mark(place: &str, mark: &Mark<'_>) -> Fault {
-    match mark.kind.as_deref() {
+fn check_cache_control(path: &str, cache_control: &CacheControl<'_>) -> Checked {
+    match cache_control.kind.as_deref() {
         Some("ephemeral") => {}
-        Some(other) => return fault(format!("{place}.type"), format!("'{other}' is not ephemeral")),
-        None => return fault(format!("{place}.type"), "required"),
+        Some(other) => return invalid(format!("{path}.type"), format!("'{other}' is not ephemeral")),
+        None => return invalid(format!("{path}.type"), "required"),
     }
-    match mark.ttl.as_deref() {
+    match cache_control.ttl.as_deref() {
         None | Some("5m" | "1h") => Ok(()),
-        Some(other) => fault(format!("{place}.ttl"), format!("'{other}' is neither 5m nor 1h")),
+        Some(other) => invalid(format!("{path}.ttl"), format!("'{other}' is neither 5m nor 1h")),
     }
 }
 
-/// Guards against what a real server's own reader would not survive.
-fn check_raw(place: &str, raw: &RawValue, limits: &MessagesLimits) -> Fault {
+/// Bounds the nesting, which a replica's parser may not survive.
+fn check_raw(path: &str, raw: &RawValue, limits: &MessagesLimits) -> Checked {
     let depth = object::depth(raw.get());
-    if depth > limits.depth { fault(place, format!("nests deeper than {}", limits.depth)) } else { Ok(()) }
+    if depth > limits.depth { invalid(path, format!("nests deeper than {}", limits.depth)) } else { Ok(()) }
 }
 
-fn check_base64(place: &str, data: &str) -> Fault {
+fn check_base64(path: &str, data: &str) -> Checked {
     let digits = data.trim_end_matches('=');
     let good = digits.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'+' | b'/'));
     if digits.is_empty() || !good || !data.len().is_multiple_of(4) || data.len() - digits.len() > 2 {
-        return fault(place, "not base64");
+        return invalid(path, "not base64");
     }
     Ok(())
 }
 
-/// Whether a tool may be called so.
+/// Whether a tool may have this name.
 #[must_use]
 pub fn is_tool_name(name: &str) -> bool {
     (1..=128).contains(&name.len())
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,14 +1,15 @@
-//! Fronts: what clients say becomes core requests, and core outcomes become what clients read.
+//! Fronts: client requests become placement requests, and outcomes become responses.
 //!
-//! A client's dialect and a real server's are apart: within one dialect bytes pass untouched, across two requests
-//! and events go through [`translate`].
+//! The dialects of a client and of its replica are independent: within one dialect bytes are forwarded unchanged,
+//! otherwise requests and events are translated by [`translate`].
 
+mod body_error;
 mod forwarded_request;
 pub mod messages;
 pub mod object;
 pub mod platform;
-mod reply;
 mod responder;
+mod response;
 mod response_encoder;
 pub mod translate;
 pub mod write;
@@ -18,41 +19,42 @@
 use std::rc::Rc;
 
 use crate::admission::quota::Grant;
-use crate::engine::Ask;
+use crate::engine::PlacementRequest;
 use crate::limits::Limits;
 pub use crate::names::Dialect;
 use crate::names::Names;
 use crate::types::Nanos;
+pub use body_error::BodyError;
 pub use forwarded_request::ForwardedRequest;
-pub use reply::Reply;
 pub use responder::Responder;
+pub use response::Response;
 pub use response_encoder::ResponseEncoder;
 pub use translate::{OmissionLog, StreamTranslator, Usage};
 use tulipridge_http1::codec::{self, Head, SseBlock};
 
-/// Headers that an answer has besides those of its form.
+/// Additional headers of a response.
 pub type Headers = Vec<(&'static str, String)>;
 
-/// What all fronts share.
+/// State that all fronts share.
 pub struct FrontContext {
-    /// What requests call things.
+    /// The names that requests use for classes, tenants and models.
     pub names: Rc<RefCell<Names>>,
-    /// The bounds.
+    /// The limits.
     pub limits: Rc<Limits>,
-    /// What was left out between dialects.
+    /// What was omitted between dialects.
     pub omissions: Rc<OmissionLog>,
-    /// The messages front's own part.
+    /// State of the messages front.
     pub messages: messages::Front,
 }
 
 impl FrontContext {
-    /// With the messages front's settings.
+    /// Creates the state from the messages front's settings.
     pub fn new(names: Rc<RefCell<Names>>, limits: Rc<Limits>, setup: messages::Setup) -> FrontContext {
         let omissions = Rc::new(OmissionLog::new(&limits));
         FrontContext { names, limits, omissions, messages: messages::Front::new(setup) }
     }
 
-    /// Reads a client's request. `speak` says which dialects the fleet's real servers speak.
+    /// Reads a client's request. `dialects` are those of the fleet's replicas.
     pub fn call(
         &self,
         now: Nanos,
@@ -60,7 +62,7 @@
         head: &Head,
         body: &[u8],
         id: &str,
-        dialects: ServerDialects,
+        dialects: ReplicaDialects,
     ) -> Call {
         match dialect {
             Dialect::Platform => platform::call(self, head, body, dialects),
@@ -68,25 +70,25 @@
         }
     }
 
-    /// What a request's head is passed on with that is its client's secret.
+    /// Whether a header holds the client's secret and must not be forwarded.
     fn is_secret(&self, name: &str) -> bool {
         !self.messages.keys.is_empty()
             && ["x-api-key", "authorization"].iter().any(|s| name.eq_ignore_ascii_case(s))
     }
 }
 
-/// The dialects that ready real servers speak.
+/// The dialects that ready replicas speak.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServerDialects {
-    /// One of them speaks the platform's.
+pub struct ReplicaDialects {
+    /// Some replica speaks the platform's dialect.
     pub platform: bool,
-    /// One of them speaks the messages API's.
+    /// Some replica speaks the dialect of the messages API.
     pub messages: bool,
 }
 
-impl ServerDialects {
-    /// Some real server speaks the other dialect than this.
-    fn beside(self, dialect: Dialect) -> bool {
+impl ReplicaDialects {
+    /// Whether some replica speaks another dialect than this one.
+    fn has_other_than(self, dialect: Dialect) -> bool {
         match dialect {
             Dialect::Platform => self.messages,
             Dialect::Messages => self.platform,
@@ -94,50 +96,58 @@
     }
 }
 
-/// What a front makes of a request.
+/// The front's decision about a request.
 pub enum Call {
-    /// To be placed.
+    /// Place it.
     Serve(Box<AcceptedRequest>),
-    /// Whether this gateway is ready.
+    /// Report whether this gateway is ready.
     Health,
-    /// Answered by the front alone.
-    Reply(Reply),
+    /// Respond without placing it.
+    Respond(Response),
+}
+
+/// Bytes of a request's body that are replaced before it is forwarded.
+pub struct BodyEdit {
+    /// The bytes that are replaced.
+    pub range: Range<usize>,
+    /// What takes their place.
+    pub replacement: &'static [u8],
 }
 
 /// A request that is to be placed.
 pub struct AcceptedRequest {
-    /// What the module is asked.
-    pub ask: Ask,
-    /// The model that a message is said to come from.
+    /// The request to the load balancer.
+    pub placement: PlacementRequest,
+    /// The model that the response names.
     pub model: String,
-    /// The answer is wanted whole, not as a stream.
-    pub whole: bool,
-    /// What of the body goes to real servers in another form.
-    pub edit: Option<(Range<usize>, &'static [u8])>,
-    /// Tokens of the prompt, by the body.
+    /// The client wants one message, not a stream.
+    pub is_message: bool,
+    /// A change of the body before it is forwarded.
+    pub edit: Option<BodyEdit>,
+    /// Tokens of the prompt, estimated from the body.
     pub prompt: u64,
-    /// The request in the other dialect, if some real server speaks that.
+    /// The request in the other dialect, if some replica speaks it.
     pub other: Option<Vec<u8>>,
-    /// A second run does no harm.
+    /// The request is idempotent.
     pub safe: bool,
-    /// What the tenant's limits let it in with.
+    /// What the tenant's quota was charged.
     pub grant: Option<Grant>,
-    /// Headers of every answer to it.
+    /// Headers of each response to it.
     pub headers: Headers,
 }
 
 impl Dialect {
-    /// The stream's event that says it failed; an outcome, not a part of an answer.
+    /// Whether the event reports that the stream failed; it is an outcome, not a part of the response.
     #[must_use]
     pub fn is_error(self, block: SseBlock<'_>) -> bool {
         match self {
-            // The platform's events are many and long: only one that begins so is an error.
+            // Only the event's first field is checked: the platform's events are many and long.
             Dialect::Platform => block.0.starts_with(b"data: {\"error\""),
             Dialect::Messages => block.name() == "error",
         }
     }
 
-    /// The stream's last event: what follows it belongs to the framing.
+    /// Whether it is the stream's last event; only framing follows it.
     #[must_use]
     pub fn is_last(self, block: SseBlock<'_>) -> bool {
         match self {
@@ -146,14 +156,14 @@
         }
     }
 
-    /// Tokens, if any of the events tells them.
+    /// The token usage, if any of the events states it.
     pub fn usage(self, events: &[u8]) -> Option<Usage> {
-        let word: &[u8] = match self {
+        let field: &[u8] = match self {
             Dialect::Platform => b"\"prompt_tokens\"",
             Dialect::Messages => b"\"output_tokens\"",
         };
-        codec::find(events, word)?;
-        let told = codec::sse_blocks(events).filter(|block| codec::find(block.0, word).is_some());
-        told.filter_map(|block| translate::usage(self, block)).reduce(Usage::most)
+        codec::find(events, field)?;
+        let usage_blocks = codec::sse_blocks(events).filter(|block| codec::find(block.0, field).is_some());
+        usage_blocks.filter_map(|block| translate::usage(self, block)).reduce(Usage::max)
     }
 }
--- a/src/front/object.rs
+++ b/src/front/object.rs
@@ -1,6 +1,7 @@
-//! JSON objects read field by field, in one pass and without copies: what is not known is kept by its name, and
-//! nothing is taken twice.
+//! Reads JSON objects field by field, in one pass and without copies. Unknown fields are kept by name, and a field that
+//! is given twice is an error.
 
+use crate::front::BodyError;
 use std::borrow::Cow;
 use std::fmt;
 use std::marker::PhantomData;
@@ -42,8 +43,8 @@
     }
 }
 
-/// Declares an object whose fields are all optional, with a reader that refuses a field given twice and notes the
-/// names of those it does not know. A field of `null` counts as absent.
+/// Declares an object whose fields are all optional, with a reader that refuses a field given twice and collects the names
+/// of unknown ones. A field of `null` counts as absent.
 macro_rules! object {
     ($(#[$doc:meta])* $name:ident { $($(#[$field_doc:meta])* $field:ident = $key:literal: $type:ty,)* }) => {
         $(#[$doc])*
@@ -71,7 +72,7 @@
                         while let Some(key) = map.next_key::<Text<'de>>()? {
                             match &*key {
                                 $($key => {
-                                    // Guards against two readers that each take another one of the two.
+                                    // Two readers could otherwise use different ones of the two.
                                     if read.$field.is_some() {
                                         let _ = map.next_value::<serde::de::IgnoredAny>();
                                         return Err(serde::de::Error::custom(concat!(".", $key, ": given twice")));
@@ -83,11 +84,11 @@
                                 })*
                                 _ => {
                                     if read.unknown.contains(&key) {
-                                        let what = format!(".{}: given twice", &*key);
-                                        return Err(serde::de::Error::custom(what));
+                                        let problem = format!(".{}: given twice", &*key);
+                                        return Err(serde::de::Error::custom(problem));
                                     }
-                                    // Guards against a body of nothing but names, which would be compared at length.
-                                    if read.unknown.len() == $crate::front::object::MOST_UNKNOWN {
+                                    // Bounds the comparisons for a body of many unknown fields.
+                                    if read.unknown.len() == $crate::front::object::MAX_UNKNOWN_FIELDS {
                                         return Err(serde::de::Error::custom("too many unknown fields"));
                                     }
                                     if map.next_value::<Option<serde::de::IgnoredAny>>()?.is_some() {
@@ -106,10 +107,10 @@
 }
 pub(crate) use object;
 
-/// Unknown fields that one object may have.
-pub const MOST_UNKNOWN: usize = 64;
+/// Maximum number of unknown fields of one object.
+pub const MAX_UNKNOWN_FIELDS: usize = 64;
 
-/// Either of two forms: a text, or whatever else `T` reads.
+/// Either a text or another form, `T`.
 #[derive(Clone, Debug)]
 pub enum TextOr<'a, T> {
     /// A text.
@@ -148,24 +149,24 @@
     }
 }
 
-/// Reads a body.
+/// Reads a body as JSON.
 ///
 /// # Errors
 ///
 /// If the body is not UTF-8, not exactly one JSON value, or not of the form of `T`. In the last case the text begins
-/// with the path of the wrong field, as in `messages.0.content: what`.
-pub fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
-    let text = std::str::from_utf8(body)
-        .map_err(|e| format!("the body is not UTF-8 from its byte {} on", e.valid_up_to()))?;
+/// with the path of the wrong field, as in `messages.0.content: problem`.
+pub fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, BodyError> {
+    let text =
+        std::str::from_utf8(body).map_err(|error| BodyError::NotUtf8 { offset: error.valid_up_to() })?;
     if let Ok(read) = serde_json::from_str(text) {
         return Ok(read);
     }
-    // Only what is faulty is read again, this time with an eye on where.
+    // An invalid body is read again to find the path of the error.
     let mut from = serde_json::Deserializer::from_str(text);
     let fault = match serde_path_to_error::deserialize::<_, T>(&mut from) {
         Ok(read) => match from.end() {
             Ok(()) => return Ok(read),
-            Err(e) => return Err(format!("the body is not one JSON value: {e}")),
+            Err(error) => return Err(BodyError::TrailingData { problem: error.to_string() }),
         },
         Err(fault) => fault,
     };
@@ -182,24 +183,25 @@
     }
     let e = fault.inner();
     if !e.is_data() {
-        return Err(format!("the body is not JSON: {e}"));
+        return Err(BodyError::NotJson { problem: e.to_string() });
     }
-    let what = e.to_string();
-    let what = what.rsplit_once(" at line ").map_or(what.as_str(), |(what, _)| what);
-    // A fault of a field that is not there names it after a dot.
-    Err(match (path.as_str(), what.strip_prefix('.')) {
-        ("", None) => what.to_owned(),
+    let message = e.to_string();
+    let message = message.rsplit_once(" at line ").map_or(message.as_str(), |(message, _)| message);
+    // The error of a field that is not in the path names it after a dot.
+    let problem = match (path.as_str(), message.strip_prefix('.')) {
+        ("", None) => message.to_owned(),
         ("", Some(field)) => field.to_owned(),
-        (path, None) => format!("{path}: {what}"),
+        (path, None) => format!("{path}: {message}"),
         (path, Some(field)) => match field.split_once(':') {
-            // The path holds the field already where its key was the last thing read.
-            Some((name, what)) if path.rsplit('.').next() == Some(name) => format!("{path}:{what}"),
+            // The path includes the field already if its key was read last.
+            Some((name, problem)) if path.rsplit('.').next() == Some(name) => format!("{path}:{problem}"),
             _ => format!("{path}.{field}"),
         },
-    })
+    };
+    Err(BodyError::WrongForm { problem })
 }
 
-/// Follows the brackets of a JSON text that comes in pieces and is taken for well-formed.
+/// Tracks the nesting of a well-formed JSON text that arrives in fragments.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Nesting {
     depth: usize,
@@ -209,8 +211,8 @@
 }
 
 impl Nesting {
-    /// Takes the next piece.
-    pub fn take(&mut self, json: &str) {
+    /// Adds the next fragment.
+    pub fn add(&mut self, json: &str) {
         for byte in json.bytes() {
             match byte {
                 _ if self.escaped => self.escaped = false,
@@ -226,17 +228,17 @@
         }
     }
 
-    /// An object or a list has begun and ended: nothing but blanks can follow.
+    /// Whether an object or a list has begun and ended, so that only whitespace can follow.
     #[must_use]
-    pub fn is_whole(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.deepest > 0 && self.depth == 0
     }
 }
 
-/// How deep a JSON text nests.
+/// The nesting depth of a JSON text.
 #[must_use]
 pub fn depth(json: &str) -> usize {
     let mut nesting = Nesting::default();
-    nesting.take(json);
+    nesting.add(json);
     nesting.deepest
 }
--- a/src/front/responder.rs
+++ b/src/front/responder.rs
@@ -1,93 +1,102 @@
-//! The final answers to one request, in its client's dialect.
+//! The final responses to one request, in its client's dialect.
 
 use std::time::Duration;
 
 use super::messages::errors::{self, ApiError};
+use super::messages::message_assembler::ReportedError;
 use super::translate::error_of;
-use super::{Dialect, Headers, Reply};
+use super::{Dialect, Headers, Response};
 use crate::engine::FailureReason;
 use crate::stream::Cause;
-use tulipridge_http1::codec::ParseError;
+use tulipridge_http1::RequestError;
 
-/// What a client's answers are formed by.
+/// Forms the responses to one request.
 #[derive(Clone, Debug)]
 pub struct Responder {
-    /// Its dialect.
+    /// The client's dialect.
     pub dialect: Dialect,
-    /// Its request's id.
+    /// The request's id.
     pub id: String,
-    /// A second run of its request does no harm.
+    /// The request is idempotent.
     pub safe: bool,
-    /// Headers of every answer to it.
+    /// Headers of each response to it.
     pub headers: Headers,
 }
 
 impl Responder {
-    /// For a request of which nothing more is known.
+    /// For a request of which only dialect and id are known.
     #[must_use]
     pub fn new(dialect: Dialect, id: &str) -> Responder {
         Responder { dialect, id: id.to_owned(), safe: false, headers: Vec::new() }
     }
 
-    pub(super) fn error_reply(&self, error: ApiError) -> Reply {
-        error.reply(&self.id).with_all(&self.headers)
+    pub(super) fn error_response(&self, error: ApiError) -> Response {
+        error.response(&self.id).with_all(&self.headers)
     }
 
-    /// A line that is no refusal.
+    /// A line of text that is no error.
     #[must_use]
-    pub fn note(&self, status: u16, words: &str) -> Reply {
-        let reply = Reply::text(status, words);
-        if self.dialect == Dialect::Messages { reply.with("request-id", &self.id) } else { reply }
+    pub fn text(&self, status: u16, text: &str) -> Response {
+        let response = Response::text(status, text);
+        if self.dialect == Dialect::Messages { response.with("request-id", &self.id) } else { response }
     }
 
-    /// What is wrong with the request.
+    /// An error of the request itself.
     #[must_use]
-    pub fn bad(&self, status: u16, words: &str) -> Reply {
+    pub fn bad(&self, status: u16, message: &str) -> Response {
         match self.dialect {
-            Dialect::Platform => Reply::text(status, words),
-            Dialect::Messages => self.error_reply(ApiError::new(status, words)),
+            Dialect::Platform => Response::text(status, message),
+            Dialect::Messages => self.error_response(ApiError::new(status, message)),
         }
     }
 
-    /// The same, of its form.
+    /// The request could not be parsed.
     #[must_use]
-    pub fn malformed(&self, bad: ParseError) -> Reply {
-        self.bad(bad.status, bad.what)
+    pub fn malformed(&self, error: RequestError) -> Response {
+        self.bad(error.status(), &error.to_string())
     }
 
-    /// The module turned it down.
+    /// The load balancer has shed it.
     #[must_use]
-    pub fn turn_down(&self, wait: Duration) -> Reply {
-        let words = "turned down; a new try does no harm";
+    pub fn shed(&self, wait: Duration) -> Response {
+        let message = "shed without having run; it may be retried";
         match self.dialect {
-            Dialect::Platform => Reply::text(503, words).retry_after(wait),
-            Dialect::Messages => self.error_reply(ApiError::new(529, words).wait(wait).again(true)),
+            Dialect::Platform => Response::text(503, message).retry_after(wait),
+            Dialect::Messages => {
+                self.error_response(ApiError::new(529, message).retry_after(wait).retryable(true))
+            }
         }
     }
 
-    /// The module failed it.
+    /// The load balancer has failed it.
     #[must_use]
-    pub fn failed(&self, reason: FailureReason) -> Reply {
+    pub fn failed(&self, reason: FailureReason) -> Response {
         if self.dialect == Dialect::Platform {
-            return Reply::text(504, "no answer in time").retry_after(Duration::ZERO);
+            return Response::text(504, "no answer in time").retry_after(Duration::ZERO);
         }
-        let (status, words) = match reason {
-            FailureReason::TurnedAway => (529, "all real servers turned it away until its time was over"),
-            FailureReason::Errors => (500, "the real servers failed it"),
-            FailureReason::Silence => (504, "no answer in time"),
+        let (status, message) = match reason {
+            FailureReason::Refused => (529, "all replicas rejected it until its deadline"),
+            FailureReason::Errors => (500, "the replicas failed"),
+            FailureReason::NoAnswer => (504, "no answer in time"),
         };
-        // What nobody has run does no harm.
-        let again = self.safe || reason == FailureReason::TurnedAway;
-        self.error_reply(ApiError::new(status, words).wait(Duration::ZERO).again(again))
+        // A request that no replica has run may be retried.
+        let is_retryable = self.safe || reason == FailureReason::Refused;
+        self.error_response(
+            ApiError::new(status, message).retry_after(Duration::ZERO).retryable(is_retryable),
+        )
     }
 
-    /// A whole answer broke on its way: nothing of it has reached the client.
-    pub(super) fn broke(&self, cause: Cause, told: Option<(&str, &str)>) -> Reply {
-        let (kind, words) = told.or(error_of(cause)).unwrap_or(("api_error", "the answer broke"));
-        self.error_reply(ApiError::new(errors::status(kind), words).wait(Duration::ZERO).again(self.safe))
+    /// The stream of an assembled response broke; the client has received nothing of it.
+    pub(super) fn broken(&self, cause: Cause, error: Option<&ReportedError>) -> Response {
+        let reported = error.map(|error| (error.kind.as_str(), error.message.as_str()));
+        let (kind, message) =
+            reported.or(error_of(cause)).unwrap_or(("api_error", "the response broke off"));
+        self.error_response(
+            ApiError::new(errors::status(kind), message).retry_after(Duration::ZERO).retryable(self.safe),
+        )
     }
 
-    /// The head of a stream, but for the line that ends it.
+    /// The head of a stream without its terminating line.
     #[must_use]
     pub fn stream_head(&self) -> Vec<u8> {
         let mut head = String::from(
