--- a/src/front/response_encoder.rs
+++ b/src/front/response_encoder.rs
@@ -1,15 +1,15 @@
-//! A begun answer in its client's dialect: as a stream, or put together to be sent whole.
+//! Encodes a begun response in its client's dialect: as a stream, or assembled into one message.
 
 use std::rc::Rc;
 
 use super::messages::errors::ApiError;
 use super::messages::message_assembler::MessageAssembler;
-use super::{Dialect, OmissionLog, Reply, Responder, StreamTranslator};
+use super::{Dialect, OmissionLog, Responder, Response, StreamTranslator};
 use crate::limits::Limits;
 use crate::stream::Cause;
 use tulipridge_http1::codec;
 
-/// A begun answer.
+/// Encodes a begun response.
 pub struct ResponseEncoder {
     responder: Responder,
     translator: StreamTranslator,
@@ -17,150 +17,152 @@
 }
 
 enum Form {
-    /// A stream, whose head is written or not.
-    Stream { headed: bool },
-    /// A whole, which is put together first.
-    Whole { assembler: MessageAssembler, events: Vec<u8>, omissions: Rc<OmissionLog> },
+    /// A stream.
+    Stream { is_head_written: bool },
+    /// One message, which is assembled first.
+    Message { assembler: MessageAssembler, events: Vec<u8>, omissions: Rc<OmissionLog> },
 }
 
 impl ResponseEncoder {
-    /// Begins one.
+    /// Begins a response.
     pub fn new(
         responder: Responder,
         model: &str,
-        whole: bool,
+        is_message: bool,
         omissions: Rc<OmissionLog>,
         limits: &Limits,
     ) -> ResponseEncoder {
         let id = responder.id.trim_start_matches("req_");
         let translator = StreamTranslator::new(responder.dialect, id, model, omissions.clone(), limits);
-        let form = if whole {
-            Form::Whole {
+        let form = if is_message {
+            Form::Message {
                 assembler: MessageAssembler::new(limits.messages.whole_bytes),
                 events: Vec::new(),
                 omissions,
             }
         } else {
-            Form::Stream { headed: false }
+            Form::Stream { is_head_written: false }
         };
         ResponseEncoder { responder, translator, form }
     }
 
-    /// Goes on with a stream that another process began, in the client's own dialect.
+    /// Continues a stream that another process began, in the client's own dialect.
     pub fn resumed(responder: Responder, omissions: Rc<OmissionLog>, limits: &Limits) -> ResponseEncoder {
         ResponseEncoder {
-            form: Form::Stream { headed: true },
+            form: Form::Stream { is_head_written: true },
             ..ResponseEncoder::new(responder, "", false, omissions, limits)
         }
     }
 
-    /// Nothing is held of it but its bytes, so that another process may go on with it.
+    /// Whether it has no state but its bytes, so that another process can continue it.
     #[must_use]
     pub fn is_plain(&self) -> bool {
         self.responder.dialect == Dialect::Platform
-            && matches!(self.form, Form::Stream { headed: true })
+            && matches!(self.form, Form::Stream { is_head_written: true })
             && !self.translator.translates()
     }
 
-    /// It is put together before anything is said.
+    /// Whether it is assembled before anything is sent.
     #[must_use]
-    pub fn is_whole(&self) -> bool {
-        matches!(self.form, Form::Whole { .. })
+    pub fn is_message(&self) -> bool {
+        matches!(self.form, Form::Message { .. })
     }
 
-    /// Bytes that it holds and does not say yet.
+    /// Bytes that are buffered and not encoded yet.
     #[must_use]
-    pub fn holds(&self) -> usize {
-        let gathered = match &self.form {
+    pub fn buffered_bytes(&self) -> usize {
+        let assembled = match &self.form {
             Form::Stream { .. } => 0,
-            Form::Whole { assembler, .. } => assembler.held(),
+            Form::Message { assembler, .. } => assembler.buffered_bytes(),
         };
-        self.translator.holds() + gathered
+        self.translator.buffered_bytes() + assembled
     }
 
-    /// It would have to hold more than it may.
+    /// Whether more would have to be buffered than is allowed.
     #[must_use]
     pub fn is_full(&self) -> bool {
         self.translator.is_full()
-            || matches!(&self.form, Form::Whole { assembler, .. } if assembler.is_full())
+            || matches!(&self.form, Form::Message { assembler, .. } if assembler.is_full())
     }
 
-    /// Adds what whole events have the client told.
-    pub fn events(&mut self, server: Dialect, batch: &[u8], keep: bool, line: &mut Vec<u8>) {
+    /// Appends the encoding of complete events to `out`.
+    pub fn events(&mut self, replica: Dialect, batch: &[u8], keep_alive: bool, out: &mut Vec<u8>) {
         match &mut self.form {
-            Form::Stream { headed } => {
-                head(&self.responder, headed, keep, line);
-                chunk(line, |line| self.translator.events(server, batch, line));
+            Form::Stream { is_head_written } => {
+                write_head(&self.responder, is_head_written, keep_alive, out);
+                write_chunk(out, |out| self.translator.events(replica, batch, out));
             }
-            Form::Whole { assembler, events, omissions } => {
+            Form::Message { assembler, events, omissions } => {
                 events.clear();
-                self.translator.events(server, batch, events);
+                self.translator.events(replica, batch, events);
                 assembler.events(events);
-                assembler.take_left_out().iter().for_each(|name| omissions.note(name));
-                // What a burst needed is not kept.
+                assembler.take_omitted().iter().for_each(|name| omissions.count(name));
+                // Frees the memory of a burst.
                 *events = Vec::new();
             }
         }
     }
 
-    /// Adds the end. A stream that is not whole gets no last chunk: that alone tells a client so.
-    pub fn end(&mut self, cause: Cause, keep: bool, line: &mut Vec<u8>) {
+    /// Appends the end to `out`. An incomplete stream gets no last chunk, which is how the client knows.
+    pub fn end(&mut self, cause: Cause, keep_alive: bool, out: &mut Vec<u8>) {
         match &mut self.form {
-            Form::Stream { headed } => {
-                head(&self.responder, headed, keep, line);
-                if cause == Cause::Whole {
-                    chunk(line, |line| self.translator.finish(line));
-                    line.extend_from_slice(codec::LAST_CHUNK);
+            Form::Stream { is_head_written } => {
+                write_head(&self.responder, is_head_written, keep_alive, out);
+                if cause == Cause::Complete {
+                    write_chunk(out, |out| self.translator.finish(out));
+                    out.extend_from_slice(codec::LAST_CHUNK);
                 } else {
-                    let told = self.translator.broken(cause);
-                    chunk(line, |line| line.extend_from_slice(&told));
+                    let end = self.translator.broken(cause);
+                    write_chunk(out, |out| out.extend_from_slice(&end));
                 }
             }
-            Form::Whole { assembler, events, .. } => {
-                if cause == Cause::Whole {
+            Form::Message { assembler, events, .. } => {
+                if cause == Cause::Complete {
                     self.translator.finish(events);
                     assembler.events(events);
                 }
                 let assembler = std::mem::take(assembler);
-                let reply = if cause == Cause::Whole && assembler.error().is_none() {
+                let response = if cause == Cause::Complete && assembler.error().is_none() {
                     match assembler.finish() {
-                        Ok(body) => Reply::json(200, body)
+                        Ok(body) => Response::json(200, body)
                             .with("request-id", &self.responder.id)
                             .with_all(&self.responder.headers),
-                        Err(words) => {
-                            log::warn!(id = self.responder.id; "whole-answer-failed: {words}");
-                            self.responder.error_reply(ApiError::new(500, words).again(self.responder.safe))
+                        Err(error) => {
+                            log::warn!(id = self.responder.id; "message-assembly-failed: {error}");
+                            self.responder.error_response(
+                                ApiError::new(500, error.to_string()).retryable(self.responder.safe),
+                            )
                         }
                     }
                 } else {
-                    self.responder.broke(cause, assembler.error())
+                    self.responder.broken(cause, assembler.error())
                 };
-                line.extend_from_slice(&reply.bytes(keep && cause == Cause::Whole));
+                out.extend_from_slice(&response.bytes(keep_alive && cause == Cause::Complete));
             }
         }
     }
 }
 
-fn head(responder: &Responder, headed: &mut bool, keep: bool, line: &mut Vec<u8>) {
-    if !std::mem::replace(headed, true) {
-        line.extend_from_slice(&responder.stream_head());
-        line.extend_from_slice(if keep { b"\r\n" } else { b"Connection: close\r\n\r\n" });
+fn write_head(responder: &Responder, is_head_written: &mut bool, keep_alive: bool, out: &mut Vec<u8>) {
+    if !std::mem::replace(is_head_written, true) {
+        out.extend_from_slice(&responder.stream_head());
+        out.extend_from_slice(if keep_alive { b"\r\n" } else { b"Connection: close\r\n\r\n" });
     }
 }
 
-/// Adds bytes by way of `add`, as a chunk; nothing if it adds none.
-fn chunk(line: &mut Vec<u8>, add: impl FnOnce(&mut Vec<u8>)) {
-    // The size's digits are written once it is known: leading zeros are allowed.
-    let size_at = line.len();
-    line.extend_from_slice(b"00000000\r\n");
-    let from = line.len();
-    add(line);
-    match line.len() - from {
-        0 => line.truncate(size_at),
+/// Appends what `add` appends as one chunk; nothing if that is empty.
+fn write_chunk(out: &mut Vec<u8>, add: impl FnOnce(&mut Vec<u8>)) {
+    // The size is filled in once it is known; leading zeros are allowed.
+    let size_at = out.len();
+    out.extend_from_slice(b"00000000\r\n");
+    let from = out.len();
+    add(out);
+    match out.len() - from {
+        0 => out.truncate(size_at),
         size => {
             let digits = format!("{size:08x}");
-            line[size_at..size_at + 8].copy_from_slice(digits.as_bytes());
-            line.extend_from_slice(b"\r\n");
+            out[size_at..size_at + 8].copy_from_slice(digits.as_bytes());
+            out.extend_from_slice(b"\r\n");
         }
     }
 }
--- a/src/front/translate/blocks.rs
+++ b/src/front/translate/blocks.rs
@@ -1,10 +1,9 @@
-//! One block after another, out of pieces that come in any order.
+//! Orders the fragments of interleaved blocks into blocks that follow one another.
 //!
-//! The platform's servers may tell the arguments of several tool calls in turns. Readers of the messages API are
-//! used to blocks that follow one another, and some take a stop for that of the block that began last. So one block
-//! is live, and its pieces pass on at once; pieces of others wait until the live one is whole. For a text that is as
-//! soon as anything else comes, for a call once its JSON has closed: where calls come one by one, as nearly always,
-//! nothing ever waits.
+//! Replicas of the platform may interleave the arguments of several tool calls. Clients of the messages API expect blocks
+//! one after the other, and some take a stop for that of the block that began last. So one block is open, and its
+//! fragments are written at once; fragments of others wait until the open one is complete: a text as soon as anything
+//! else arrives, a call once its JSON has closed. Calls that arrive one by one, as nearly always, never wait.
 
 use std::collections::{BTreeSet, VecDeque};
 
@@ -12,75 +11,75 @@
 use super::text_fragment::{FragmentJoiner, TextFragment};
 use crate::front::object::Nesting;
 
-/// What a block is for.
+/// The content that a block carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Lane {
     /// Text.
     Text,
-    /// A tool's use, by its number.
+    /// A tool call, by its number.
     Call(u32),
 }
 
-/// What is known of a block.
+/// A block.
 struct Block {
     lane: Lane,
     id: String,
     name: String,
     joiner: FragmentJoiner,
     nesting: Nesting,
-    /// Its pieces, while it waits.
-    held: String,
+    /// Its text while it waits.
+    pending_text: String,
 }
 
 /// The blocks of one message.
 pub(super) struct Blocks {
-    live: Option<Block>,
+    open_block: Option<Block>,
     next: u64,
     waiting: VecDeque<Block>,
     waiting_bytes: usize,
-    most_waiting: usize,
-    full: bool,
-    over: BTreeSet<u32>,
+    max_waiting_bytes: usize,
+    is_full: bool,
+    closed_calls: BTreeSet<u32>,
 }
 
 impl Blocks {
-    /// None yet; so many bytes may wait.
-    pub(super) fn new(most_waiting: usize) -> Blocks {
+    /// Starts without blocks; at most `max_waiting_bytes` may wait.
+    pub(super) fn new(max_waiting_bytes: usize) -> Blocks {
         Blocks {
-            live: None,
+            open_block: None,
             next: 0,
             waiting: VecDeque::new(),
             waiting_bytes: 0,
-            most_waiting,
-            full: false,
-            over: BTreeSet::new(),
+            max_waiting_bytes,
+            is_full: false,
+            closed_calls: BTreeSet::new(),
         }
     }
 
-    /// Bytes that wait.
+    /// Number of waiting bytes.
     pub(super) fn waiting(&self) -> usize {
         self.waiting_bytes
     }
 
-    /// More had to wait than may: what follows is lost.
+    /// Whether more had to wait than may; what follows is lost.
     pub(super) fn is_full(&self) -> bool {
-        self.full
+        self.is_full
     }
 
-    /// More text.
-    pub(super) fn text(&mut self, words: TextFragment, out: &mut Vec<u8>) {
+    /// Adds text.
+    pub(super) fn text(&mut self, fragment: TextFragment, out: &mut Vec<u8>) {
         let last = self.waiting.back().map(|b| b.lane);
         let goes_on = match last {
             Some(lane) => lane == Lane::Text,
-            None => self.live.as_ref().is_some_and(|b| b.lane == Lane::Text),
+            None => self.open_block.as_ref().is_some_and(|b| b.lane == Lane::Text),
         };
         if !goes_on {
             self.begin(Lane::Text, String::new(), String::new(), out);
         }
-        self.add(Lane::Text, words, out);
+        self.add(Lane::Text, fragment, out);
     }
 
-    /// A tool's use begins.
+    /// Begins a tool call.
     pub(super) fn call(&mut self, number: u32, id: String, name: String, out: &mut Vec<u8>) {
         self.begin(Lane::Call(number), id, name, out);
     }
@@ -92,45 +91,46 @@
             name,
             joiner: FragmentJoiner::default(),
             nesting: Nesting::default(),
-            held: String::new(),
+            pending_text: String::new(),
         };
         self.count(block.id.len() + block.name.len());
         self.waiting.push_back(block);
         self.advance(out);
     }
 
-    /// More of a block.
-    pub(super) fn add(&mut self, lane: Lane, words: TextFragment, out: &mut Vec<u8>) {
-        if let Some(live) = self.live.as_mut().filter(|b| b.lane == lane) {
-            let text = live.joiner.join(words);
-            live.nesting.take(&text);
+    /// Adds a fragment to a block.
+    pub(super) fn add(&mut self, lane: Lane, fragment: TextFragment, out: &mut Vec<u8>) {
+        if let Some(open_block) = self.open_block.as_mut().filter(|b| b.lane == lane) {
+            let text = open_block.joiner.join(fragment);
+            open_block.nesting.add(&text);
             delta(out, self.next - 1, lane, &text);
             return self.advance(out);
         }
-        // Of a text that is the last: an earlier one is over once something else has come.
+        // The last one of its lane: an earlier text is over once something else has arrived.
         if let Some(block) = self.waiting.iter_mut().rev().find(|b| b.lane == lane) {
-            let text = block.joiner.join(words);
-            block.nesting.take(&text);
-            block.held.push_str(&text);
+            let text = block.joiner.join(fragment);
+            block.nesting.add(&text);
+            block.pending_text.push_str(&text);
             self.count(text.len());
             return;
         }
-        let late = matches!(lane, Lane::Call(number) if self.over.contains(&number));
-        if late && words.0.iter().any(|b| !b.is_ascii_whitespace()) {
-            // More JSON after the whole of it: nobody could make sense of that.
-            self.full = true;
+        let late = matches!(lane, Lane::Call(number) if self.closed_calls.contains(&number));
+        if late && fragment.0.iter().any(|b| !b.is_ascii_whitespace()) {
+            // More JSON after its end can't be represented.
+            self.is_full = true;
         }
     }
 
     fn count(&mut self, bytes: usize) {
         self.waiting_bytes += bytes;
-        self.full |= self.waiting_bytes > self.most_waiting;
+        self.is_full |= self.waiting_bytes > self.max_waiting_bytes;
     }
 
-    /// Moves on to those that wait, as far as the live one lets them.
+    /// Opens waiting blocks as long as the open one is complete.
     fn advance(&mut self, out: &mut Vec<u8>) {
         while !self.waiting.is_empty() {
-            let done = self.live.as_ref().is_none_or(|b| b.lane == Lane::Text || b.nesting.is_whole());
+            let done =
+                self.open_block.as_ref().is_none_or(|b| b.lane == Lane::Text || b.nesting.is_complete());
             if !done {
                 return;
             }
@@ -154,16 +154,16 @@
                 }
             }
         });
-        let held = std::mem::take(&mut block.held);
-        self.waiting_bytes -= block.id.len() + block.name.len() + held.len();
-        if !held.is_empty() {
-            delta(out, index, block.lane, &held);
+        let pending_text = std::mem::take(&mut block.pending_text);
+        self.waiting_bytes -= block.id.len() + block.name.len() + pending_text.len();
+        if !pending_text.is_empty() {
+            delta(out, index, block.lane, &pending_text);
         }
-        self.live = Some(block);
+        self.open_block = Some(block);
     }
 
     fn stop(&mut self, out: &mut Vec<u8>) {
-        let Some(mut block) = self.live.take() else { return };
+        let Some(mut block) = self.open_block.take() else { return };
         let mut rest = String::new();
         block.joiner.end(&mut rest);
         delta(out, self.next - 1, block.lane, &rest);
@@ -171,11 +171,11 @@
             data.set("index", &(self.next - 1));
         });
         if let Lane::Call(number) = block.lane {
-            self.over.insert(number);
+            self.closed_calls.insert(number);
         }
     }
 
-    /// All has come.
+    /// Writes all blocks to their ends.
     pub(super) fn end(&mut self, out: &mut Vec<u8>) {
         self.stop(out);
         while !self.waiting.is_empty() {
--- a/src/front/translate/messages.rs
+++ b/src/front/translate/messages.rs
@@ -1,4 +1,4 @@
-//! The messages API's events: read into pieces, and written from them.
+//! Reads and writes the events of the messages API.
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
@@ -6,14 +6,14 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use super::answer_part::{AnswerPart, Stop, Usage};
 use super::blocks::{Blocks, Lane};
 use super::event::event;
+use super::response_part::{ResponsePart, Stop, Usage};
 use super::text_fragment::TextFragment;
 use tulipridge_http1::codec::SseBlock;
 
-/// Blocks that one answer may have; a real server that invents more is not heard on them.
-const MOST_BLOCKS: usize = 1024;
+/// Maximum number of blocks in a response; further ones are omitted.
+const MAX_BLOCKS: usize = 1024;
 
 #[derive(Default, Deserialize)]
 #[serde(default)]
@@ -86,73 +86,73 @@
 impl From<Tokens> for Usage {
     fn from(tokens: Tokens) -> Usage {
         let of = |n: Option<u64>| n.unwrap_or(0);
-        let kept = tokens.cache_read_input_tokens;
+        let cached = tokens.cache_read_input_tokens;
         let prompt = of(tokens.input_tokens)
             .saturating_add(of(tokens.cache_creation_input_tokens))
-            .saturating_add(of(kept));
-        Usage { prompt, kept, answer: of(tokens.output_tokens) }
+            .saturating_add(of(cached));
+        Usage { prompt, cached, output: of(tokens.output_tokens) }
     }
 }
 
-/// Tokens that an event tells.
+/// The token usage that an event states.
 pub fn usage(block: SseBlock<'_>) -> Option<Usage> {
     let data = block.data();
     let event: Event<'_> = serde_json::from_str(&data).ok()?;
     event.usage.or(event.message.and_then(|m| m.usage)).map(Usage::from)
 }
 
-/// What a block of the stream is, as far as the other dialect has words for it.
+/// The kind of a block of the stream, as far as the other dialect has a counterpart.
 #[derive(Clone, Copy)]
-enum Known {
+enum BlockKind {
     Text,
     Call(u32),
-    /// A block of a type that is left out.
+    /// A block of a type that is omitted.
     Other,
 }
 
 /// Reads a stream.
 #[derive(Default)]
 pub struct Reader {
-    blocks: BTreeMap<u64, Known>,
+    blocks: BTreeMap<u64, BlockKind>,
     calls: u32,
 }
 
 impl Reader {
-    /// Adds what an event says.
-    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<AnswerPart>) {
+    /// Appends the parts of an event.
+    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<ResponsePart>) {
         if block.is_comment() {
             return;
         }
         let name = block.name();
         let data = block.data();
-        let unknown = |name: &str| AnswerPart::Unknown(name.to_owned());
+        let unknown = |name: &str| ResponsePart::Unknown(name.to_owned());
         if name.is_empty() {
             return out.push(unknown("an unnamed event"));
         }
         if name == "ping" {
-            return out.push(AnswerPart::Ping);
+            return out.push(ResponsePart::Ping);
         }
         let Ok(event) = serde_json::from_str::<Event<'_>>(&data) else { return out.push(unknown(name)) };
         match name {
             "message_start" => {
-                out.push(AnswerPart::Start);
+                out.push(ResponsePart::Start);
                 if let Some(tokens) = event.message.and_then(|m| m.usage) {
-                    out.push(AnswerPart::Usage(tokens.into()));
+                    out.push(ResponsePart::Usage(tokens.into()));
                 }
             }
             "content_block_start" => self.begin(event.index, &event.content_block.unwrap_or_default(), out),
             "content_block_delta" => {
                 let delta = event.delta.unwrap_or_default();
                 match (self.blocks.get(&event.index), &*delta.kind) {
-                    // Some servers begin a text without saying so.
-                    (Some(Known::Text) | None, "text_delta") => {
-                        out.push(AnswerPart::Text(delta.text.unwrap_or_default()));
+                    // Some replicas begin a text without `content_block_start`.
+                    (Some(BlockKind::Text) | None, "text_delta") => {
+                        out.push(ResponsePart::Text(delta.text.unwrap_or_default()));
                     }
-                    (Some(Known::Call(number)), "input_json_delta") => {
-                        out.push(AnswerPart::Arguments(*number, delta.partial_json.unwrap_or_default()));
+                    (Some(BlockKind::Call(number)), "input_json_delta") => {
+                        out.push(ResponsePart::Arguments(*number, delta.partial_json.unwrap_or_default()));
                     }
-                    // The block itself was noted.
-                    (Some(Known::Other), _) => {}
+                    // The omission was counted when the block began.
+                    (Some(BlockKind::Other), _) => {}
                     (_, kind) => out.push(unknown(&format!("{name} {kind}"))),
                 }
             }
@@ -160,7 +160,7 @@
             "message_delta" => {
                 let delta = event.delta.unwrap_or_default();
                 if let Some(reason) = delta.stop_reason {
-                    out.push(AnswerPart::Stop(match &*reason {
+                    out.push(ResponsePart::Stop(match &*reason {
                         "end_turn" => Stop::Done,
                         "stop_sequence" => Stop::Sequence(delta.stop_sequence.map(Cow::into_owned)),
                         "max_tokens" | "model_context_window_exceeded" => Stop::Length,
@@ -170,45 +170,45 @@
                     }));
                 }
                 if let Some(tokens) = event.usage {
-                    out.push(AnswerPart::Usage(tokens.into()));
+                    out.push(ResponsePart::Usage(tokens.into()));
                 }
             }
-            "message_stop" => out.push(AnswerPart::End),
+            "message_stop" => out.push(ResponsePart::End),
             "error" => {
                 let error = event.error.unwrap_or_default();
-                out.push(AnswerPart::Error(error.kind.into_owned(), error.message.into_owned()));
+                out.push(ResponsePart::Error(error.kind.into_owned(), error.message.into_owned()));
             }
             other => out.push(unknown(other)),
         }
     }
 
-    fn begin(&mut self, index: u64, block: &Block<'_>, out: &mut Vec<AnswerPart>) {
-        if self.blocks.len() >= MOST_BLOCKS {
-            return out.push(AnswerPart::Unknown("a block of too high a number".into()));
+    fn begin(&mut self, index: u64, block: &Block<'_>, out: &mut Vec<ResponsePart>) {
+        if self.blocks.len() >= MAX_BLOCKS {
+            return out.push(ResponsePart::Unknown("a block of too high a number".into()));
         }
-        let known = match &*block.kind {
+        let kind = match &*block.kind {
             "text" => {
-                out.extend(block.text.clone().filter(|w| !w.0.is_empty()).map(AnswerPart::Text));
-                Known::Text
+                out.extend(block.text.clone().filter(|w| !w.0.is_empty()).map(ResponsePart::Text));
+                BlockKind::Text
             }
             "tool_use" => {
                 let number = self.calls;
                 self.calls += 1;
                 let id = block.id.as_deref().map_or_else(|| format!("toolu_{number}"), str::to_owned);
                 let name = block.name.as_deref().unwrap_or_default().to_owned();
-                out.push(AnswerPart::Call { number, id, name });
-                // Usually it is empty here and comes in pieces.
+                out.push(ResponsePart::Call { number, id, name });
+                // Usually it is empty here and arrives in fragments.
                 if let Some(input) = block.input.filter(|i| i.get().bytes().any(|b| b == b'"')) {
-                    out.push(AnswerPart::Arguments(number, input.get().into()));
+                    out.push(ResponsePart::Arguments(number, input.get().into()));
                 }
-                Known::Call(number)
+                BlockKind::Call(number)
             }
             other => {
-                out.push(AnswerPart::Unknown(format!("content_block_start {other}")));
-                Known::Other
+                out.push(ResponsePart::Unknown(format!("content_block_start {other}")));
+                BlockKind::Other
             }
         };
-        self.blocks.insert(index, known);
+        self.blocks.insert(index, kind);
     }
 }
 
@@ -223,14 +223,14 @@
 }
 
 impl Writer {
-    /// A writer of one message; so many bytes may wait for their block.
+    /// Creates a writer of one message; at most `max_waiting_bytes` may wait for their block.
     #[must_use]
-    pub fn new(id: &str, model: &str, most_waiting: usize) -> Writer {
+    pub fn new(id: &str, model: &str, max_waiting_bytes: usize) -> Writer {
         Writer {
             id: format!("msg_{id}"),
             model: model.to_owned(),
             begun: false,
-            blocks: Blocks::new(most_waiting),
+            blocks: Blocks::new(max_waiting_bytes),
             called: false,
             stop: None,
         }
@@ -242,42 +242,45 @@
         self.blocks.waiting()
     }
 
-    /// More had to wait than may.
+    /// Whether more had to wait than may.
     #[must_use]
     pub fn is_full(&self) -> bool {
         self.blocks.is_full()
     }
 
-    /// Adds what a piece needs to be said; `usage` is what is known of it so far.
-    pub fn write(&mut self, part: AnswerPart, usage: Usage, out: &mut Vec<u8>) {
+    /// Appends the events of a part; `usage` is the token usage so far.
+    pub fn write(&mut self, part: ResponsePart, usage: Usage, out: &mut Vec<u8>) {
         let begins = !matches!(
             part,
-            AnswerPart::Usage(_) | AnswerPart::Unknown(_) | AnswerPart::Ping | AnswerPart::Error(..)
+            ResponsePart::Usage(_)
+                | ResponsePart::Unknown(_)
+                | ResponsePart::Ping
+                | ResponsePart::Error(..)
         );
         if begins && !std::mem::replace(&mut self.begun, true) {
             self.start(usage, out);
         }
         match part {
-            AnswerPart::Text(words) => self.blocks.text(words, out),
-            AnswerPart::Call { number, id, name } => {
+            ResponsePart::Text(fragment) => self.blocks.text(fragment, out),
+            ResponsePart::Call { number, id, name } => {
                 self.called = true;
                 self.blocks.call(number, id, name, out);
             }
-            AnswerPart::Arguments(number, words) => self.blocks.add(Lane::Call(number), words, out),
-            AnswerPart::Stop(stop) => self.stop = Some(stop),
-            AnswerPart::End => {
+            ResponsePart::Arguments(number, fragment) => self.blocks.add(Lane::Call(number), fragment, out),
+            ResponsePart::Stop(stop) => self.stop = Some(stop),
+            ResponsePart::End => {
                 self.blocks.end(out);
                 self.end(usage, out);
             }
-            AnswerPart::Ping => event(out, "ping", |_| {}),
-            AnswerPart::Error(kind, words) => event(out, "error", |data| {
-                data.object("error").set("type", kind_of(&kind)).set("message", &words);
+            ResponsePart::Ping => event(out, "ping", |_| {}),
+            ResponsePart::Error(kind, message) => event(out, "error", |data| {
+                data.object("error").set("type", kind_of(&kind)).set("message", &message);
             }),
-            AnswerPart::Start | AnswerPart::Usage(_) | AnswerPart::Unknown(_) => {}
+            ResponsePart::Start | ResponsePart::Usage(_) | ResponsePart::Unknown(_) => {}
         }
     }
 
-    /// Says what was held back, and ends the block that is live.
+    /// Writes what is buffered, and ends the open block.
     pub fn flush(&mut self, out: &mut Vec<u8>) {
         self.blocks.end(out);
     }
@@ -288,8 +291,8 @@
             message.set("id", &self.id).set("type", "message").set("role", "assistant");
             drop(message.list("content"));
             message.set("model", &self.model).raw("stop_reason", "null").raw("stop_sequence", "null");
-            let mut told = message.object("usage");
-            told.set("input_tokens", &usage.unkept()).set("output_tokens", &0);
+            let mut counts = message.object("usage");
+            counts.set("input_tokens", &usage.uncached_prompt()).set("output_tokens", &0);
         });
     }
 
@@ -299,22 +302,23 @@
             Some(Stop::Tools) => ("tool_use", None),
             Some(Stop::Refused) => ("refusal", None),
             Some(Stop::Sequence(text)) => ("stop_sequence", text),
-            // Some servers say that they are done where they wait for tools.
+            // Some replicas report the end of the turn where they wait for tools.
             Some(Stop::Done | Stop::Other) | None if self.called => ("tool_use", None),
             Some(Stop::Done | Stop::Other) | None => ("end_turn", None),
         };
         event(out, "message_delta", |data| {
             data.object("delta").set("stop_reason", reason).set("stop_sequence", &sequence);
-            let mut told = data.object("usage");
-            told.set("input_tokens", &usage.unkept());
-            told.set("cache_read_input_tokens", &usage.kept.unwrap_or(0))
-                .set("output_tokens", &usage.answer);
+            let mut counts = data.object("usage");
+            counts.set("input_tokens", &usage.uncached_prompt());
+            counts
+                .set("cache_read_input_tokens", &usage.cached.unwrap_or(0))
+                .set("output_tokens", &usage.output);
         });
         event(out, "message_stop", |_| {});
     }
 }
 
-/// An error's kind as this dialect has it.
+/// The type of an error in this dialect.
 fn kind_of(kind: &str) -> &str {
     match kind {
         "invalid_request_error"
--- a/src/front/translate/mod.rs
+++ b/src/front/translate/mod.rs
@@ -1,14 +1,14 @@
-//! From one dialect into the other: requests as a whole, streams event by event.
+//! Translation between dialects: requests as a whole, streams event by event.
 //!
-//! What has no counterpart in a request is refused by its name; in a stream it is left out, counted, and logged at
-//! its first time. Within one dialect bytes pass untouched.
+//! A field of a request without a counterpart is refused by name; such an event of a stream is omitted, counted, and logged
+//! the first time. Within one dialect bytes are forwarded unchanged.
 
-mod answer_part;
 mod blocks;
 mod event;
 pub mod messages;
 pub mod platform;
 mod refusal;
+mod response_part;
 pub mod text_fragment;
 pub mod to_messages;
 pub mod to_platform;
@@ -17,7 +17,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-pub use answer_part::{AnswerPart, Stop, Usage};
+pub use response_part::{ResponsePart, Stop, Usage};
 
 use crate::limits::Limits;
 use crate::names::Dialect;
@@ -33,7 +33,7 @@
 }
 
 impl Reader {
-    /// For a stream of this dialect.
+    /// Creates a reader for a stream of this dialect.
     #[must_use]
     pub fn new(dialect: Dialect) -> Reader {
         match dialect {
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Adds what an event says.
-    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<AnswerPart>) {
+    /// Appends the parts of an event.
+    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<ResponsePart>) {
         match self {
             Reader::Platform(reader) => reader.read(block, out),
             Reader::Messages(reader) => reader.read(block, out),
@@ -51,7 +51,7 @@
     }
 }
 
-/// Tokens that an event of this dialect tells.
+/// The token usage that an event of this dialect states.
 #[must_use]
 pub fn usage(dialect: Dialect, block: SseBlock<'_>) -> Option<Usage> {
     match dialect {
@@ -60,35 +60,39 @@
     }
 }
 
-/// Names of what was left out between dialects, each with how often.
+/// Counts of omitted events by name.
 pub struct OmissionLog {
     names: RefCell<BTreeMap<String, u64>>,
     others: RefCell<u64>,
-    most: usize,
+    max_names: usize,
 }
 
 impl OmissionLog {
-    /// None so far.
+    /// Starts without counts.
     #[must_use]
     pub fn new(limits: &Limits) -> OmissionLog {
-        OmissionLog { names: RefCell::default(), others: RefCell::default(), most: limits.names_noted }
+        OmissionLog {
+            names: RefCell::default(),
+            others: RefCell::default(),
+            max_names: limits.log.noted_names,
+        }
     }
 
-    /// Counts one more of that name; the first is logged.
-    pub fn note(&self, name: &str) {
+    /// Counts an omitted event; the first one of a name is logged.
+    pub fn count(&self, name: &str) {
         let mut names = self.names.borrow_mut();
         if let Some(count) = names.get_mut(name) {
             *count += 1;
-        } else if names.len() < self.most {
-            log::warn!(name = name; "event-left-out: it has no counterpart in the client's dialect");
+        } else if names.len() < self.max_names {
+            log::warn!(name = name; "event-omitted: it has no counterpart in the client's dialect");
             names.insert(name.to_owned(), 1);
         } else {
-            // Guards against a real server that invents names without end.
+            // Bounds the memory for a replica that sends ever new names.
             *self.others.borrow_mut() += 1;
         }
     }
 
-    /// What was left out, and how often; names beyond the bound are counted together, without a name.
+    /// The names and counts; names beyond the bound are counted together under an empty name.
     pub fn counts(&self) -> Vec<(String, u64)> {
         let mut counts: Vec<_> = self.names.borrow().iter().map(|(name, n)| (name.clone(), *n)).collect();
         let others = *self.others.borrow();
@@ -96,10 +100,10 @@
         counts
     }
 
-    /// Writes the counts to the log.
+    /// Logs the counts.
     pub fn log(&self) {
         for (name, count) in self.counts() {
-            log::info!(name = name, count = count; "events-left-out: since the start");
+            log::info!(name = name, count = count; "events-omitted: since the start");
         }
     }
 }
@@ -109,22 +113,22 @@
     Messages(Box<messages::Writer>),
 }
 
-/// Passes a stream's events from a real server's dialect into a client's.
+/// Translates a stream's events from a replica's dialect into the client's.
 pub struct StreamTranslator {
     client: Dialect,
     writer: Writer,
     reader: Option<(Dialect, Reader)>,
     omissions: Rc<OmissionLog>,
     usage: Usage,
-    /// Why the answer stopped was told.
+    /// The stop reason was written.
     stopped: bool,
-    /// The last event of all was.
-    over: bool,
-    parts: Vec<AnswerPart>,
+    /// The last event was written.
+    is_over: bool,
+    parts: Vec<ResponsePart>,
 }
 
 impl StreamTranslator {
-    /// A stream that is to be written in the client's dialect.
+    /// Starts a stream in the client's dialect.
     pub fn new(
         client: Dialect,
         id: &str,
@@ -145,49 +149,49 @@
             omissions,
             usage: Usage::default(),
             stopped: false,
-            over: false,
+            is_over: false,
             parts: Vec::new(),
         }
     }
 
-    /// Adds the client's bytes for whole events; may add none.
-    pub fn events(&mut self, server: Dialect, events: &[u8], out: &mut Vec<u8>) {
-        if server == self.client {
+    /// Appends the client's bytes for complete events, if there are any.
+    pub fn events(&mut self, replica: Dialect, events: &[u8], out: &mut Vec<u8>) {
+        if replica == self.client {
             return out.extend_from_slice(events);
         }
-        if self.reader.as_ref().is_none_or(|(dialect, _)| *dialect != server) {
-            self.reader = Some((server, Reader::new(server)));
+        if self.reader.as_ref().is_none_or(|(dialect, _)| *dialect != replica) {
+            self.reader = Some((replica, Reader::new(replica)));
         }
         let mut parts = std::mem::take(&mut self.parts);
         for block in codec::sse_blocks(events) {
             let Some((_, reader)) = &mut self.reader else { break };
             reader.read(block, &mut parts);
             for part in parts.drain(..) {
-                self.say(part, out);
+                self.write(part, out);
             }
         }
         self.parts = parts;
     }
 
-    /// The real server's side has ended whole. Some end without their dialect's last event: then the client's is said
-    /// for it if the answer told why it stopped, and else at least what was held back.
+    /// Appends the end of a complete stream. Some replicas end without their dialect's last event: then the client's last
+    /// event is written if a stop reason was received, and otherwise at least what is buffered.
     pub fn finish(&mut self, out: &mut Vec<u8>) {
-        if self.reader.is_none() || self.over {
+        if self.reader.is_none() || self.is_over {
             return;
         }
         match &mut self.writer {
-            _ if self.stopped => self.say(AnswerPart::End, out),
+            _ if self.stopped => self.write(ResponsePart::End, out),
             Writer::Platform(_) => {}
             Writer::Messages(writer) => writer.flush(out),
         }
     }
 
-    fn say(&mut self, part: AnswerPart, out: &mut Vec<u8>) {
+    fn write(&mut self, part: ResponsePart, out: &mut Vec<u8>) {
         match &part {
-            AnswerPart::Unknown(name) => self.omissions.note(name),
-            AnswerPart::Usage(told) => self.usage = self.usage.most(*told),
-            AnswerPart::Stop(_) => self.stopped = true,
-            AnswerPart::End | AnswerPart::Error(..) => self.over = true,
+            ResponsePart::Unknown(name) => self.omissions.count(name),
+            ResponsePart::Usage(usage) => self.usage = self.usage.max(*usage),
+            ResponsePart::Stop(_) => self.stopped = true,
+            ResponsePart::End | ResponsePart::Error(..) => self.is_over = true,
             _ => {}
         }
         match &mut self.writer {
@@ -196,51 +200,51 @@
         }
     }
 
-    /// What came so far was put into other words.
+    /// Whether any event was translated.
     #[must_use]
     pub fn translates(&self) -> bool {
         self.reader.is_some()
     }
 
-    /// Bytes that it holds back until what they belong to may begin.
+    /// Bytes that are buffered until their block may begin.
     #[must_use]
-    pub fn holds(&self) -> usize {
+    pub fn buffered_bytes(&self) -> usize {
         match &self.writer {
             Writer::Platform(_) => 0,
             Writer::Messages(writer) => writer.waiting(),
         }
     }
 
-    /// It had to hold back more than it may: the stream can't go on.
+    /// Whether more had to be buffered than is allowed, so that the stream can't continue.
     #[must_use]
     pub fn is_full(&self) -> bool {
         matches!(&self.writer, Writer::Messages(writer) if writer.is_full())
     }
 
-    /// What a client is told of a stream that ends before it is whole.
+    /// The client's bytes for the end of an incomplete stream.
     pub fn broken(&mut self, cause: Cause) -> Vec<u8> {
         let mut bytes = Vec::new();
-        // The error event itself was passed on already.
-        if let Some((kind, words)) = error_of(cause).filter(|_| cause != Cause::Failed)
+        // After `Failed` the replica's own error event was forwarded already.
+        if let Some((kind, message)) = error_of(cause).filter(|_| cause != Cause::Failed)
             && let Writer::Messages(writer) = &mut self.writer
         {
-            writer.write(AnswerPart::Error(kind.into(), words.into()), self.usage, &mut bytes);
+            writer.write(ResponsePart::Error(kind.into(), message.into()), self.usage, &mut bytes);
         }
         bytes
     }
 }
 
-/// A break's kind of error and words; none for what is whole.
+/// The error type and message for the cause of an end; `None` for a complete stream.
 #[must_use]
 pub fn error_of(cause: Cause) -> Option<(&'static str, &'static str)> {
     Some(match cause {
-        Cause::Whole => return None,
-        Cause::Failed => ("api_error", "the real server failed amid its answer"),
+        Cause::Complete => return None,
+        Cause::Failed => ("api_error", "the replica failed during its response"),
         Cause::Stalled => ("timeout_error", "the stream stalled"),
         Cause::Shutdown => ("overloaded_error", "this gateway is stopping; ask again"),
         Cause::Budget => ("overloaded_error", "too much of this stream was waiting to be read"),
         Cause::ReaderSlow => ("timeout_error", "the stream was read too slowly"),
-        Cause::TooLong => ("api_error", "more of the answer had to be held than may be"),
+        Cause::TooLong => ("api_error", "the response exceeds the buffer"),
         _ => ("api_error", "the stream broke"),
     })
 }
--- a/src/front/translate/platform.rs
+++ b/src/front/translate/platform.rs
@@ -1,29 +1,29 @@
-//! The platform's events: read into pieces, and written from them.
+//! Reads and writes the events of the platform's dialect.
 
 use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::answer_part::{AnswerPart, Stop, Usage};
+use super::response_part::{ResponsePart, Stop, Usage};
 use super::text_fragment::{FragmentJoiner, TextFragment};
 use crate::front::object::{Text, object};
 use crate::front::write::{List, Object};
 use tulipridge_http1::codec::SseBlock;
 
-/// Uses of tools that one answer may have; a real server that invents more is not heard on them.
-const MOST_CALLS: u32 = 1024;
+/// Maximum number of tool calls in a response; further ones are omitted.
+const MAX_CALLS: u32 = 1024;
 
 object! {
     /// An event's data.
     Chunk {
-        /// The answers, of which the first is the one.
+        /// The choices, of which the first one is used.
         choices = "choices": Vec<Choice<'a>>,
-        /// Tokens.
+        /// Token usage.
         usage = "usage": Tokens,
-        /// What went wrong.
+        /// The error of the stream.
         error = "error": Value,
-        /// What every event repeats.
+        /// The id, which every event repeats.
         id = "id": Value,
         /// The same.
         object = "object": Value,
@@ -35,39 +35,39 @@
 }
 
 object! {
-    /// An answer's next part.
+    /// The next part of a choice.
     Choice {
-        /// Which of the answers it is.
+        /// The index of the choice.
         index = "index": u64,
-        /// What is new.
+        /// What is added.
         delta = "delta": Delta<'a>,
-        /// Why it stopped.
+        /// Why generation stopped.
         finish_reason = "finish_reason": Text<'a>,
-        /// How likely the words were.
+        /// Log probabilities.
         logprobs = "logprobs": Value,
     }
 }
 
 object! {
-    /// What is new of an answer.
+    /// What is added to a choice.
     Delta {
-        /// Whose it is.
+        /// The role.
         role = "role": Text<'a>,
-        /// Text of the answer.
+        /// Text.
         content = "content": TextFragment,
         /// Text of a refusal.
         refusal = "refusal": TextFragment,
-        /// Uses of tools.
+        /// Tool calls.
         tool_calls = "tool_calls": Vec<Call<'a>>,
     }
 }
 
 object! {
-    /// A part of a tool's use.
+    /// A part of a tool call.
     Call {
-        /// Which use it is.
+        /// The index of the call.
         index = "index": u32,
-        /// The use's id.
+        /// The call's id.
         id = "id": Text<'a>,
         /// Its type.
         kind = "type": Text<'a>,
@@ -77,16 +77,16 @@
 }
 
 object! {
-    /// A part of a function's call.
+    /// A part of a function call.
     Function {
         /// The function's name.
         name = "name": Text<'a>,
-        /// More of its arguments.
+        /// A fragment of its arguments.
         arguments = "arguments": TextFragment,
     }
 }
 
-/// Tokens.
+/// Token usage.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub struct Tokens {
@@ -95,7 +95,7 @@
     prompt_tokens_details: Option<Details>,
 }
 
-/// More of the prompt's tokens.
+/// Details of the prompt tokens.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub struct Details {
@@ -106,19 +106,19 @@
     fn from(tokens: &Tokens) -> Usage {
         Usage {
             prompt: tokens.prompt_tokens.unwrap_or(0),
-            kept: tokens.prompt_tokens_details.as_ref().and_then(|d| d.cached_tokens),
-            answer: tokens.completion_tokens.unwrap_or(0),
+            cached: tokens.prompt_tokens_details.as_ref().and_then(|d| d.cached_tokens),
+            output: tokens.completion_tokens.unwrap_or(0),
         }
     }
 }
 
-/// Tokens that an event tells.
+/// The token usage that an event states.
 pub fn usage(block: SseBlock<'_>) -> Option<Usage> {
     #[derive(Deserialize)]
-    struct Told {
+    struct UsageEvent {
         usage: Option<Tokens>,
     }
-    serde_json::from_str::<Told>(&block.data()).ok()?.usage.as_ref().map(Usage::from)
+    serde_json::from_str::<UsageEvent>(&block.data()).ok()?.usage.as_ref().map(Usage::from)
 }
 
 /// Reads a stream.
@@ -128,87 +128,89 @@
 }
 
 impl Reader {
-    /// Adds what an event says.
-    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<AnswerPart>) {
+    /// Appends the parts of an event.
+    pub fn read(&mut self, block: SseBlock<'_>, out: &mut Vec<ResponsePart>) {
         if block.is_comment() {
             return;
         }
         let data = block.data();
         if data == "[DONE]" {
-            return out.push(AnswerPart::End);
+            return out.push(ResponsePart::End);
         }
-        let had = out.len();
+        let length_before = out.len();
         match serde_json::from_str::<Chunk<'_>>(&data) {
             Ok(chunk) => self.chunk(&chunk, out),
-            Err(_) => out.push(AnswerPart::Unknown(name_of(block))),
+            Err(_) => out.push(ResponsePart::Unknown(name_of(block))),
         }
-        if out.len() == had {
-            out.push(AnswerPart::Unknown(name_of(block)));
+        if out.len() == length_before {
+            out.push(ResponsePart::Unknown(name_of(block)));
         }
     }
 
-    fn chunk(&mut self, chunk: &Chunk<'_>, out: &mut Vec<AnswerPart>) {
+    fn chunk(&mut self, chunk: &Chunk<'_>, out: &mut Vec<ResponsePart>) {
         if let Some(error) = &chunk.error {
-            let word = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
-            let words = error.as_str().map_or_else(|| word("message"), str::to_owned);
-            return out.push(AnswerPart::Error(word("type"), words));
+            let field = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
+            let message = error.as_str().map_or_else(|| field("message"), str::to_owned);
+            return out.push(ResponsePart::Error(field("type"), message));
         }
         if chunk.choices.is_none() && chunk.usage.is_none() {
-            // Another kind of event altogether.
+            // Not an event of a completion.
             return;
         }
         let known = ["system_fingerprint", "service_tier"];
         for name in chunk.unknown.iter().filter(|n| !known.contains(&&***n)) {
-            out.push(AnswerPart::Unknown((**name).to_owned()));
+            out.push(ResponsePart::Unknown((**name).to_owned()));
         }
         for choice in chunk.choices.as_deref().unwrap_or_default() {
             if choice.index.unwrap_or(0) > 0 {
-                out.push(AnswerPart::Unknown("a second choice".into()));
+                out.push(ResponsePart::Unknown("a second choice".into()));
                 continue;
             }
             if let Some(delta) = &choice.delta {
                 self.delta(delta, out);
             }
             match choice.finish_reason.as_deref() {
-                Some("stop") => out.push(AnswerPart::Stop(Stop::Done)),
-                Some("length") => out.push(AnswerPart::Stop(Stop::Length)),
-                Some("tool_calls") => out.push(AnswerPart::Stop(Stop::Tools)),
-                Some("content_filter") => out.push(AnswerPart::Stop(Stop::Refused)),
-                Some(_) => out.push(AnswerPart::Stop(Stop::Other)),
+                Some("stop") => out.push(ResponsePart::Stop(Stop::Done)),
+                Some("length") => out.push(ResponsePart::Stop(Stop::Length)),
+                Some("tool_calls") => out.push(ResponsePart::Stop(Stop::Tools)),
+                Some("content_filter") => out.push(ResponsePart::Stop(Stop::Refused)),
+                Some(_) => out.push(ResponsePart::Stop(Stop::Other)),
                 None => {}
             }
         }
         if let Some(tokens) = &chunk.usage {
-            out.push(AnswerPart::Usage(tokens.into()));
+            out.push(ResponsePart::Usage(tokens.into()));
         }
     }
 
-    fn delta(&mut self, delta: &Delta<'_>, out: &mut Vec<AnswerPart>) {
+    fn delta(&mut self, delta: &Delta<'_>, out: &mut Vec<ResponsePart>) {
         for name in &delta.unknown {
-            out.push(AnswerPart::Unknown(format!("delta.{}", &**name)));
+            out.push(ResponsePart::Unknown(format!("delta.{}", &**name)));
         }
-        let words = [&delta.content, &delta.refusal];
-        if delta.role.is_some() || words.iter().any(|w| w.as_ref().is_some_and(|w| w.0.is_empty())) {
-            out.push(AnswerPart::Start);
+        let texts = [&delta.content, &delta.refusal];
+        if delta.role.is_some()
+            || texts.iter().any(|text| text.as_ref().is_some_and(|text| text.0.is_empty()))
+        {
+            out.push(ResponsePart::Start);
         }
-        for words in words.into_iter().flatten().filter(|w| !w.0.is_empty()) {
-            out.push(AnswerPart::Text(words.clone()));
+        for text in texts.into_iter().flatten().filter(|text| !text.0.is_empty()) {
+            out.push(ResponsePart::Text(text.clone()));
         }
         for call in delta.tool_calls.as_deref().unwrap_or_default() {
             let number = call.index.unwrap_or(0);
-            if number >= MOST_CALLS {
-                out.push(AnswerPart::Unknown("a tool call of too high a number".into()));
+            if number >= MAX_CALLS {
+                out.push(ResponsePart::Unknown("a tool call of too high a number".into()));
                 continue;
             }
             let function = call.function.as_ref();
             if self.begun.insert(number) {
                 let id = call.id.as_deref().map_or_else(|| format!("call_{number}"), str::to_owned);
                 let name = function.and_then(|f| f.name.as_deref()).unwrap_or_default().to_owned();
-                out.push(AnswerPart::Call { number, id, name });
+                out.push(ResponsePart::Call { number, id, name });
             }
             let arguments = function.and_then(|f| f.arguments.as_ref());
-            // A use that goes on without a word says nothing, but it is known.
-            out.push(AnswerPart::Arguments(number, arguments.cloned().unwrap_or_default()));
+            // A call without arguments in this event still counts as known.
+            out.push(ResponsePart::Arguments(number, arguments.cloned().unwrap_or_default()));
         }
     }
 }
@@ -220,65 +222,65 @@
 /// Writes a stream.
 #[derive(Default)]
 pub struct Writer {
-    words: FragmentJoiner,
+    text: FragmentJoiner,
     calls: std::collections::BTreeMap<u32, FragmentJoiner>,
 }
 
 impl Writer {
-    /// Adds what a piece needs to be said; `usage` is what is known of it so far.
-    pub fn write(&mut self, part: AnswerPart, usage: Usage, out: &mut Vec<u8>) {
+    /// Appends the events of a part; `usage` is the token usage so far.
+    pub fn write(&mut self, part: ResponsePart, usage: Usage, out: &mut Vec<u8>) {
         match part {
-            AnswerPart::Start => choice(out, None, |delta| {
+            ResponsePart::Start => choice(out, None, |delta| {
                 delta.set("role", "assistant").set("content", "");
             }),
-            AnswerPart::Text(words) => {
-                let text = self.words.join(words);
+            ResponsePart::Text(fragment) => {
+                let text = self.text.join(fragment);
                 if !text.is_empty() {
                     choice(out, None, |delta| {
                         delta.set("content", &text);
                     });
                 }
             }
-            AnswerPart::Call { number, id, name } => {
+            ResponsePart::Call { number, id, name } => {
                 self.calls.insert(number, FragmentJoiner::default());
                 call(out, number, |call| {
                     call.set("id", &id).set("type", "function");
                     call.object("function").set("name", &name).set("arguments", "");
                 });
             }
-            AnswerPart::Arguments(number, words) => {
-                let json = self.calls.entry(number).or_default().join(words);
+            ResponsePart::Arguments(number, fragment) => {
+                let json = self.calls.entry(number).or_default().join(fragment);
                 if !json.is_empty() {
                     call(out, number, |call| {
                         call.object("function").set("arguments", &json);
                     });
                 }
             }
-            AnswerPart::Stop(stop) => {
-                let word = match stop {
+            ResponsePart::Stop(stop) => {
+                let reason = match stop {
                     Stop::Length => "length",
                     Stop::Tools => "tool_calls",
                     Stop::Refused => "content_filter",
                     Stop::Done | Stop::Sequence(_) | Stop::Other => "stop",
                 };
-                choice(out, Some(word), |_| {});
+                choice(out, Some(reason), |_| {});
             }
-            AnswerPart::Error(kind, words) => event(out, |data| {
-                data.object("error").set("type", &kind).set("message", &words);
+            ResponsePart::Error(kind, message) => event(out, |data| {
+                data.object("error").set("type", &kind).set("message", &message);
             }),
-            AnswerPart::End => {
+            ResponsePart::End => {
                 event(out, |data| {
                     drop(data.list("choices"));
-                    let Usage { prompt, kept, answer } = usage;
-                    let mut told = data.object("usage");
-                    told.set("prompt_tokens", &prompt).set("completion_tokens", &answer);
-                    told.set("total_tokens", &prompt.saturating_add(answer));
-                    told.object("prompt_tokens_details").set("cached_tokens", &kept.unwrap_or(0));
+                    let Usage { prompt, cached, output } = usage;
+                    let mut counts = data.object("usage");
+                    counts.set("prompt_tokens", &prompt).set("completion_tokens", &output);
+                    counts.set("total_tokens", &prompt.saturating_add(output));
+                    counts.object("prompt_tokens_details").set("cached_tokens", &cached.unwrap_or(0));
                 });
                 out.extend_from_slice(b"data: [DONE]\n\n");
             }
-            AnswerPart::Ping => out.extend_from_slice(b": ping\n\n"),
-            AnswerPart::Usage(_) | AnswerPart::Unknown(_) => {}
+            ResponsePart::Ping => out.extend_from_slice(b": ping\n\n"),
+            ResponsePart::Usage(_) | ResponsePart::Unknown(_) => {}
         }
     }
 }
--- a/src/front/translate/refusal.rs
+++ b/src/front/translate/refusal.rs
@@ -1,20 +1,21 @@
-//! Refusals of a request's fields, in the form `field: what is wrong`.
+//! Errors for fields of a request that can't be translated.
 
 use std::fmt::Display;
 
+use crate::front::BodyError;
 use crate::front::object::Text;
 
-/// A field of a request that the other dialect has no words for.
-pub(super) fn none<T>(field: impl Display) -> Result<T, String> {
-    wrong(field, "has no counterpart in the real servers' dialect")
+/// The error for a field without a counterpart in the other dialect.
+pub(super) fn no_counterpart<T>(field: impl Display) -> Result<T, BodyError> {
+    invalid(field, "has no counterpart in the replicas' dialect")
 }
 
-/// A field of a request that is wrong.
-pub(super) fn wrong<T>(field: impl Display, what: &str) -> Result<T, String> {
-    Err(format!("{field}: {what}"))
+/// The error for an invalid field.
+pub(super) fn invalid<T>(field: impl Display, problem: &str) -> Result<T, BodyError> {
+    Err(BodyError::field(field, problem))
 }
 
-/// Refuses an object that has a field which this program does not know; `path` is where it stands.
-pub(super) fn refuse_unknown(path: &str, unknown: &[Text<'_>]) -> Result<(), String> {
-    unknown.first().map_or(Ok(()), |name| none(format_args!("{path}{}", &**name)))
+/// Refuses an object with an unknown field; `path` is that of the object.
+pub(super) fn refuse_unknown(path: &str, unknown: &[Text<'_>]) -> Result<(), BodyError> {
+    unknown.first().map_or(Ok(()), |name| no_counterpart(format_args!("{path}{}", &**name)))
 }
--- a/src/front/translate/text_fragment.rs
+++ b/src/front/translate/text_fragment.rs
@@ -1,11 +1,11 @@
-//! Texts that come in pieces, which may part a character: a server that counts in 16 bits may cut a surrogate pair
-//! in two, and each half arrives as an escape of its own.
+//! Texts that arrive in fragments, which may split a character: a replica that counts UTF-16 code units may split a
+//! surrogate pair, so that each half arrives as an escape of its own.
 
 use std::fmt;
 
 use serde::de::{Deserialize, Deserializer, Error, Visitor};
 
-/// A piece of a text: UTF-8, but for halves of surrogate pairs, in three bytes each.
+/// A fragment of a text: UTF-8, except for halves of surrogate pairs, which take three bytes each.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TextFragment(pub Vec<u8>);
 
@@ -29,22 +29,22 @@
                 Ok(TextFragment(bytes.to_vec()))
             }
         }
-        // Asked for bytes, the reader of JSON lets halves pass.
+        // When asked for bytes, serde_json accepts lone surrogates.
         from.deserialize_bytes(Reader)
     }
 }
 
-/// Puts the pieces of one text together again.
+/// Joins the fragments of one text.
 #[derive(Clone, Debug, Default)]
 pub struct FragmentJoiner {
-    /// The first half of a pair whose second half has not come.
+    /// The first half of a pair whose second half has not arrived.
     half: Option<u16>,
 }
 
 impl FragmentJoiner {
-    /// The text of a piece; a half at its end waits for the next one.
-    pub fn join(&mut self, words: TextFragment) -> String {
-        let bytes = match (self.half, String::from_utf8(words.0)) {
+    /// The text of a fragment; a half at its end waits for the next one.
+    pub fn join(&mut self, fragment: TextFragment) -> String {
+        let bytes = match (self.half, String::from_utf8(fragment.0)) {
             (None, Ok(text)) => return text,
             (_, Ok(text)) => text.into_bytes(),
             (_, Err(e)) => e.into_bytes(),
@@ -60,8 +60,8 @@
             }
             self.end(&mut text);
             match std::str::from_utf8(rest) {
-                Ok(whole) => {
-                    text.push_str(whole);
+                Ok(complete) => {
+                    text.push_str(complete);
                     break;
                 }
                 Err(e) => {
@@ -93,7 +93,7 @@
         }
     }
 
-    /// The text ends, or goes on with something else: a half that waits stays one.
+    /// The text ends or something else follows: a pending half is replaced.
     pub fn end(&mut self, text: &mut String) {
         if self.half.take().is_some() {
             text.push(char::REPLACEMENT_CHARACTER);
--- a/src/front/translate/to_messages.rs
+++ b/src/front/translate/to_messages.rs
@@ -1,83 +1,84 @@
-//! A platform request in the form of the messages API. What has no counterpart there is refused by its name.
+//! Translates a chat completion request into the messages API. A field without a counterpart is refused by name.
 
 use serde_json::value::RawValue;
 
 use super::super::object::{self, Text, TextOr, object};
 use super::super::write::{List, Object, value};
-use super::refusal::{none, refuse_unknown, wrong};
-use super::to_platform::{FAILED, parts_of, plain_of};
+use super::refusal::{invalid, no_counterpart, refuse_unknown};
+use super::to_platform::{TOOL_ERROR_PREFIX, parts_of, plain_of};
+use crate::front::BodyError;
 use crate::limits::MessagesLimits;
 
 object! {
-    /// The body of a chat completion's request.
+    /// The body of a chat completion request.
     Chat {
         /// The model's name.
         model = "model": Text<'a>,
         /// The conversation.
-        messages = "messages": Vec<Line<'a>>,
-        /// Whether the answer comes as a stream.
+        messages = "messages": Vec<Message<'a>>,
+        /// Whether the response is a stream.
         stream = "stream": bool,
-        /// What a stream tells besides.
+        /// Options of the stream.
         stream_options = "stream_options": Options<'a>,
-        /// Tokens of the answer at the most, by its older name.
+        /// Maximum number of output tokens, by its older name.
         max_tokens = "max_tokens": u64,
         /// The same by its newer name.
         max_completion_tokens = "max_completion_tokens": u64,
-        /// Randomness, 0 to 2.
+        /// Sampling temperature, 0 to 2.
         temperature = "temperature": f64,
-        /// The share of likely tokens that are chosen from.
+        /// Nucleus sampling: the probability mass that is sampled from, 0 to 1.
         top_p = "top_p": f64,
-        /// Texts that end the answer.
+        /// Texts that end the generation.
         stop = "stop": TextOr<'a, Vec<Text<'a>>>,
         /// Tools that the model may use.
         tools = "tools": Vec<Tool<'a>>,
-        /// Which of them it has to use.
-        tool_choice = "tool_choice": TextOr<'a, Chosen<'a>>,
-        /// More than one use of a tool is allowed.
+        /// Which of the tools it must use.
+        tool_choice = "tool_choice": TextOr<'a, ChosenTool<'a>>,
+        /// Whether tools may be called in parallel.
         parallel_tool_calls = "parallel_tool_calls": bool,
-        /// Who asks.
+        /// The client's id of its user.
         user = "user": Text<'a>,
-        /// Which service is asked for.
+        /// The requested service tier.
         service_tier = "service_tier": Text<'a>,
-        /// Answers wanted.
+        /// Number of choices.
         n = "n": u64,
-        /// Dislike of what was said before.
+        /// Penalty on tokens that occurred before.
         presence_penalty = "presence_penalty": f64,
-        /// The same, by how often.
+        /// Penalty on tokens by their frequency.
         frequency_penalty = "frequency_penalty": f64,
-        /// Whether likelihoods are told.
+        /// Whether log probabilities are returned.
         logprobs = "logprobs": bool,
     }
 }
 
 object! {
-    /// What a stream tells besides.
+    /// Options of a stream.
     Options {
-        /// Whether it tells its tokens, as streams here always do.
+        /// Whether it states the token usage, as streams here always do.
         include_usage = "include_usage": bool,
     }
 }
 
 object! {
-    /// One line of a conversation.
-    Line {
-        /// Whose it is.
+    /// One message of a conversation.
+    Message {
+        /// The role.
         role = "role": Text<'a>,
-        /// What was said.
+        /// The content.
         content = "content": TextOr<'a, Vec<Part<'a>>>,
-        /// The tools that the model used.
+        /// The model's tool calls.
         tool_calls = "tool_calls": Vec<Call<'a>>,
-        /// The tool use that a result is of.
+        /// The tool call that a result belongs to.
         tool_call_id = "tool_call_id": Text<'a>,
     }
 }
 
 object! {
-    /// A part of what was said.
+    /// A part of a message's content.
     Part {
         /// Its type.
         kind = "type": Text<'a>,
-        /// Its words.
+        /// Its text.
         text = "text": Text<'a>,
         /// Its image.
         image_url = "image_url": Image<'a>,
@@ -89,9 +90,9 @@
 object! {
     /// An image.
     Image {
-        /// Where it is, or it itself.
+        /// Its URL, or a data URL.
         url = "url": Text<'a>,
-        /// How closely it is to be looked at.
+        /// The level of detail.
         detail = "detail": Text<'a>,
     }
 }
@@ -101,7 +102,7 @@
     File {
         /// Its name.
         filename = "filename": Text<'a>,
-        /// It itself, as a data URL.
+        /// Its data, as a data URL.
         file_data = "file_data": Text<'a>,
     }
 }
@@ -111,7 +112,7 @@
     Tool {
         /// Its type.
         kind = "type": Text<'a>,
-        /// What it is.
+        /// The function.
         function = "function": Function<'a>,
     }
 }
@@ -121,11 +122,11 @@
     Function {
         /// Its name.
         name = "name": Text<'a>,
-        /// What it is good for.
+        /// Its description.
         description = "description": Text<'a>,
         /// The JSON schema of its arguments.
         parameters = "parameters": &'a RawValue,
-        /// The arguments have to follow the schema.
+        /// Whether the arguments must follow the schema.
         strict = "strict": bool,
         /// The arguments of a call.
         arguments = "arguments": Text<'a>,
@@ -133,7 +134,7 @@
 }
 
 object! {
-    /// A use of a tool.
+    /// A tool call.
     Call {
         /// Its id.
         id = "id": Text<'a>,
@@ -145,8 +146,8 @@
 }
 
 object! {
-    /// The tool that the model has to use.
-    Chosen {
+    /// The tool that the model must use.
+    ChosenTool {
         /// Its type.
         kind = "type": Text<'a>,
         /// The function.
@@ -154,19 +155,19 @@
     }
 }
 
-type Fault = Result<(), String>;
+type TranslationResult = Result<(), BodyError>;
 
-/// The body for real servers that speak the messages API.
+/// The body for replicas that speak the messages API.
 ///
 /// # Errors
 ///
 /// If `bytes` is not JSON of a chat completion's form, if a required field is missing or has a wrong value, or if a
 /// field has no counterpart in the messages API. The text begins with the name of that field.
-pub fn body(bytes: &[u8], limits: &MessagesLimits) -> Result<Vec<u8>, String> {
+pub fn body(bytes: &[u8], limits: &MessagesLimits) -> Result<Vec<u8>, BodyError> {
     let chat: Chat<'_> = object::read(bytes)?;
     refuse_untranslatable(&chat)?;
     let Some(model) = chat.model.as_deref().filter(|m| !m.is_empty()) else {
-        return wrong("model", "a name is required");
+        return invalid("model", "a name is required");
     };
     let mut out = Vec::new();
     let mut body = Object::new(&mut out);
@@ -185,38 +186,38 @@
 }
 
 /// Refuses the request's own fields that have no counterpart.
-fn refuse_untranslatable(chat: &Chat<'_>) -> Fault {
+fn refuse_untranslatable(chat: &Chat<'_>) -> TranslationResult {
     refuse_unknown("", &chat.unknown)?;
     if chat.stream != Some(true) {
-        return wrong("stream", "only true is served here");
+        return invalid("stream", "only true is served here");
     }
     if let Some(options) = &chat.stream_options {
         refuse_unknown("stream_options.", &options.unknown)?;
     }
     if chat.n.is_some_and(|n| n != 1) {
-        return none("n");
+        return no_counterpart("n");
     }
     if chat.presence_penalty.is_some_and(|penalty| penalty != 0.0) {
-        return none("presence_penalty");
+        return no_counterpart("presence_penalty");
     }
     if chat.frequency_penalty.is_some_and(|penalty| penalty != 0.0) {
-        return none("frequency_penalty");
+        return no_counterpart("frequency_penalty");
     }
     if chat.logprobs == Some(true) {
-        return none("logprobs");
+        return no_counterpart("logprobs");
     }
     Ok(())
 }
 
-fn write_sampling(chat: &Chat<'_>, body: &mut Object<'_>, limits: &MessagesLimits) -> Fault {
+fn write_sampling(chat: &Chat<'_>, body: &mut Object<'_>, limits: &MessagesLimits) -> TranslationResult {
     let max_tokens = chat.max_completion_tokens.or(chat.max_tokens);
     if max_tokens == Some(0) {
-        return wrong("max_tokens", "0 is not a positive number");
+        return invalid("max_tokens", "0 is not a positive number");
     }
-    body.set("max_tokens", &max_tokens.unwrap_or(limits.usual_tokens));
+    body.set("max_tokens", &max_tokens.unwrap_or(limits.default_max_tokens));
     if let Some(temperature) = chat.temperature {
         if !(0.0..=1.0).contains(&temperature) {
-            return wrong("temperature", "the real servers' dialect has only 0 to 1");
+            return invalid("temperature", "the replicas' dialect has only 0 to 1");
         }
         body.set("temperature", &temperature);
     }
@@ -237,17 +238,17 @@
     }
 }
 
-fn write_service_tier(chat: &Chat<'_>, body: &mut Object<'_>) -> Fault {
+fn write_service_tier(chat: &Chat<'_>, body: &mut Object<'_>) -> TranslationResult {
     match chat.service_tier.as_deref() {
         None => {}
         Some("auto") => drop(body.set("service_tier", "auto")),
         Some("default") => drop(body.set("service_tier", "standard_only")),
-        Some(_) => return none("service_tier"),
+        Some(_) => return no_counterpart("service_tier"),
     }
     Ok(())
 }
 
-fn write_tools(chat: &Chat<'_>, body: &mut Object<'_>) -> Fault {
+fn write_tools(chat: &Chat<'_>, body: &mut Object<'_>) -> TranslationResult {
     let tools = chat.tools.as_deref().unwrap_or_default();
     if tools.is_empty() {
         return Ok(());
@@ -259,17 +260,17 @@
     Ok(())
 }
 
-fn write_tool(path: &str, tool: &Tool<'_>, tools: &mut List<'_>) -> Fault {
+fn write_tool(path: &str, tool: &Tool<'_>, tools: &mut List<'_>) -> TranslationResult {
     refuse_unknown(path, &tool.unknown)?;
     if tool.kind.as_deref() != Some("function") {
-        return none(format!("{path}type"));
+        return no_counterpart(format!("{path}type"));
     }
     let Some(function) = &tool.function else {
-        return wrong(format!("{path}function"), "required");
+        return invalid(format!("{path}function"), "required");
     };
     refuse_unknown(&format!("{path}function."), &function.unknown)?;
     let Some(name) = function.name.as_deref() else {
-        return wrong(format!("{path}function.name"), "required");
+        return invalid(format!("{path}function.name"), "required");
     };
     let mut item = tools.object();
     item.set("name", name);
@@ -283,14 +284,14 @@
     Ok(())
 }
 
-fn write_tool_choice(chat: &Chat<'_>, body: &mut Object<'_>) -> Fault {
+fn write_tool_choice(chat: &Chat<'_>, body: &mut Object<'_>) -> TranslationResult {
     let Some(kind) = tool_choice_kind(chat)? else { return Ok(()) };
     let mut choice = body.object("tool_choice");
     choice.set("type", kind);
     if let Some(TextOr::Other(chosen)) = &chat.tool_choice {
         refuse_unknown("tool_choice.", &chosen.unknown)?;
         let name = chosen.function.as_ref().and_then(|f| f.name.as_deref());
-        let Some(name) = name else { return wrong("tool_choice.function.name", "required") };
+        let Some(name) = name else { return invalid("tool_choice.function.name", "required") };
         choice.set("name", name);
     }
     if let Some(parallel) = chat.parallel_tool_calls.filter(|_| kind != "none") {
@@ -300,33 +301,38 @@
 }
 
 /// The type of the choice among tools, if there is one to write.
-fn tool_choice_kind(chat: &Chat<'_>) -> Result<Option<&'static str>, String> {
+fn tool_choice_kind(chat: &Chat<'_>) -> Result<Option<&'static str>, BodyError> {
     let has_tools = chat.tools.as_ref().is_some_and(|tools| !tools.is_empty());
     let kind = match &chat.tool_choice {
-        // That tools are not used in parallel has to be said of some choice.
+        // Parallel calls can only be disabled together with a choice.
         None if has_tools && chat.parallel_tool_calls == Some(false) => "auto",
         None => return Ok(None),
-        Some(TextOr::Text(word)) => match &**word {
+        Some(TextOr::Text(choice)) => match &**choice {
             "required" => "any",
             "auto" => "auto",
             "none" => "none",
-            _ => return none("tool_choice"),
+            _ => return no_counterpart("tool_choice"),
         },
         Some(TextOr::Other(chosen)) if chosen.kind.as_deref() == Some("function") => "tool",
-        Some(TextOr::Other(_)) => return none("tool_choice.type"),
+        Some(TextOr::Other(_)) => return no_counterpart("tool_choice.type"),
     };
     Ok(Some(kind))
 }
 
 /// Writes the leading messages of the system as the system prompt, and those after them as turns.
-fn write_conversation(messages: &[Line<'_>], body: &mut Object<'_>, limits: &MessagesLimits) -> Fault {
-    let is_system = |message: &&Line<'_>| matches!(message.role.as_deref(), Some("system" | "developer"));
+fn write_conversation(
+    messages: &[Message<'_>],
+    body: &mut Object<'_>,
+    limits: &MessagesLimits,
+) -> TranslationResult {
+    let is_system =
+        |message: &&Message<'_>| matches!(message.role.as_deref(), Some("system" | "developer"));
     let system_count = messages.iter().take_while(is_system).count();
     if system_count > 0 {
         write_system(&messages[..system_count], body)?;
     }
     if system_count == messages.len() {
-        return wrong("messages", "at least one that is not the system's is required");
+        return invalid("messages", "at least one that is not the system's is required");
     }
     let mut turns = body.list("messages");
     let mut index = system_count;
@@ -343,11 +349,11 @@
     Ok(())
 }
 
-fn has_role(message: &Line<'_>, role: &str) -> bool {
+fn has_role(message: &Message<'_>, role: &str) -> bool {
     message.role.as_deref() == Some(role)
 }
 
-fn write_system(messages: &[Line<'_>], body: &mut Object<'_>) -> Fault {
+fn write_system(messages: &[Message<'_>], body: &mut Object<'_>) -> TranslationResult {
     let mut blocks = body.list("system");
     for (n, message) in messages.iter().enumerate() {
         let path = format!("messages.{n}.");
@@ -361,11 +367,11 @@
     Ok(())
 }
 
-fn write_system_parts(path: &str, parts: &[Part<'_>], blocks: &mut List<'_>) -> Fault {
+fn write_system_parts(path: &str, parts: &[Part<'_>], blocks: &mut List<'_>) -> TranslationResult {
     for (n, part) in parts.iter().enumerate() {
         let path = format!("{path}content.{n}.");
         if part.kind.as_deref() != Some("text") {
-            return none(format!("{path}type"));
+            return no_counterpart(format!("{path}type"));
         }
         write_part(&path, part, blocks)?;
     }
@@ -373,7 +379,12 @@
 }
 
 /// Writes a message that is not the result of a tool as a turn.
-fn write_turn(path: &str, message: &Line<'_>, turns: &mut List<'_>, limits: &MessagesLimits) -> Fault {
+fn write_turn(
+    path: &str,
+    message: &Message<'_>,
+    turns: &mut List<'_>,
+    limits: &MessagesLimits,
+) -> TranslationResult {
     match message.role.as_deref() {
         Some("user") => {
             let mut turn = turns.object();
@@ -382,20 +393,20 @@
         }
         Some("assistant") => write_assistant_turn(path, message, turns, limits),
         Some("system" | "developer") => {
-            wrong(format!("{path}role"), "a system's line amid a conversation has no counterpart")
+            invalid(format!("{path}role"), "a system's line amid a conversation has no counterpart")
         }
-        Some(_) => none(format!("{path}role")),
-        None => wrong(format!("{path}role"), "required"),
+        Some(_) => no_counterpart(format!("{path}role")),
+        None => invalid(format!("{path}role"), "required"),
     }
 }
 
 /// Writes the results of tools that begin at `index`, and what the client says after them: they are one turn in the
 /// messages API. Returns the index of the message after that turn.
 fn write_tool_results_turn(
-    messages: &[Line<'_>],
+    messages: &[Message<'_>],
     mut index: usize,
     turns: &mut List<'_>,
-) -> Result<usize, String> {
+) -> Result<usize, BodyError> {
     let mut turn = turns.object();
     turn.set("role", "user");
     let mut blocks = turn.list("content");
@@ -415,10 +426,10 @@
 /// Writes the model's turn: what it said, then its uses of tools.
 fn write_assistant_turn(
     path: &str,
-    message: &Line<'_>,
+    message: &Message<'_>,
     turns: &mut List<'_>,
     limits: &MessagesLimits,
-) -> Fault {
+) -> TranslationResult {
     let mut turn = turns.object();
     turn.set("role", "assistant");
     let calls = message.tool_calls.as_deref().unwrap_or_default();
@@ -434,19 +445,19 @@
 }
 
 /// Writes a message's content as it is: a text, or blocks.
-fn write_content(path: &str, message: &Line<'_>, turn: &mut Object<'_>) -> Fault {
+fn write_content(path: &str, message: &Message<'_>, turn: &mut Object<'_>) -> TranslationResult {
     match &message.content {
         Some(TextOr::Text(text)) => {
             turn.set("content", &**text);
             Ok(())
         }
         Some(TextOr::Other(_)) => write_content_blocks(path, message, &mut turn.list("content")),
-        None => wrong(format!("{path}content"), "required"),
+        None => invalid(format!("{path}content"), "required"),
     }
 }
 
 /// Adds a message's content as blocks.
-fn write_content_blocks(path: &str, message: &Line<'_>, blocks: &mut List<'_>) -> Fault {
+fn write_content_blocks(path: &str, message: &Message<'_>, blocks: &mut List<'_>) -> TranslationResult {
     match &message.content {
         None => {}
         Some(TextOr::Text(text)) if text.is_empty() => {}
@@ -464,35 +475,37 @@
     blocks.object().set("type", "text").set("text", text);
 }
 
-fn write_part(path: &str, part: &Part<'_>, blocks: &mut List<'_>) -> Fault {
+fn write_part(path: &str, part: &Part<'_>, blocks: &mut List<'_>) -> TranslationResult {
     refuse_unknown(path, &part.unknown)?;
     match part.kind.as_deref() {
         Some("text") => {
-            let Some(text) = part.text.as_deref() else { return wrong(format!("{path}text"), "required") };
+            let Some(text) = part.text.as_deref() else {
+                return invalid(format!("{path}text"), "required");
+            };
             write_text_block(text, blocks);
             Ok(())
         }
         Some("image_url") => {
             let path = format!("{path}image_url");
-            let Some(image) = &part.image_url else { return wrong(path, "required") };
+            let Some(image) = &part.image_url else { return invalid(path, "required") };
             write_image(&format!("{path}."), image, blocks)
         }
         Some("file") => {
             let path = format!("{path}file");
-            let Some(file) = &part.file else { return wrong(path, "required") };
+            let Some(file) = &part.file else { return invalid(path, "required") };
             write_document(&format!("{path}."), file, blocks)
         }
-        Some(_) => none(format!("{path}type")),
-        None => wrong(format!("{path}type"), "required"),
+        Some(_) => no_counterpart(format!("{path}type")),
+        None => invalid(format!("{path}type"), "required"),
     }
 }
 
-fn write_image(path: &str, image: &Image<'_>, blocks: &mut List<'_>) -> Fault {
+fn write_image(path: &str, image: &Image<'_>, blocks: &mut List<'_>) -> TranslationResult {
     refuse_unknown(path, &image.unknown)?;
     if image.detail.as_deref().is_some_and(|detail| detail != "auto") {
-        return none(format!("{path}detail"));
+        return no_counterpart(format!("{path}detail"));
     }
-    let Some(url) = image.url.as_deref() else { return wrong(format!("{path}url"), "required") };
+    let Some(url) = image.url.as_deref() else { return invalid(format!("{path}url"), "required") };
     let mut block = blocks.object();
     block.set("type", "image");
     let mut source = block.object("source");
@@ -500,16 +513,16 @@
         Some((media_type, data)) => {
             source.set("type", "base64").set("media_type", media_type).set("data", data);
         }
-        None if url.starts_with("data:") => return none(format!("{path}url")),
+        None if url.starts_with("data:") => return no_counterpart(format!("{path}url")),
         None => drop(source.set("type", "url").set("url", url)),
     }
     Ok(())
 }
 
-fn write_document(path: &str, file: &File<'_>, blocks: &mut List<'_>) -> Fault {
+fn write_document(path: &str, file: &File<'_>, blocks: &mut List<'_>) -> TranslationResult {
     refuse_unknown(path, &file.unknown)?;
     let Some((media_type, data)) = file.file_data.as_deref().and_then(parts_of) else {
-        return wrong(format!("{path}file_data"), "a data URL in base64 is required");
+        return invalid(format!("{path}file_data"), "a data URL in base64 is required");
     };
     let mut block = blocks.object();
     block.set("type", "document");
@@ -523,26 +536,26 @@
         }
         "text/plain" => {
             let Some(text) = plain_of(data) else {
-                return wrong(format!("{path}file_data"), "not the base64 of a UTF-8 text");
+                return invalid(format!("{path}file_data"), "not the base64 of a UTF-8 text");
             };
             source.set("type", "text").set("media_type", media_type).set("data", &text);
         }
-        _ => return none(format!("{path}file_data")),
+        _ => return no_counterpart(format!("{path}file_data")),
     }
     Ok(())
 }
 
-fn write_tool_result(path: &str, message: &Line<'_>, blocks: &mut List<'_>) -> Fault {
+fn write_tool_result(path: &str, message: &Message<'_>, blocks: &mut List<'_>) -> TranslationResult {
     refuse_unknown(path, &message.unknown)?;
     let Some(id) = message.tool_call_id.as_deref() else {
-        return wrong(format!("{path}tool_call_id"), "required");
+        return invalid(format!("{path}tool_call_id"), "required");
     };
     let mut block = blocks.object();
     block.set("type", "tool_result").set("tool_use_id", id);
     match &message.content {
         None => {}
-        Some(TextOr::Text(text)) => match text.strip_prefix(FAILED) {
-            Some(words) => drop(block.set("content", words).set("is_error", &true)),
+        Some(TextOr::Text(text)) => match text.strip_prefix(TOOL_ERROR_PREFIX) {
+            Some(text) => drop(block.set("content", text).set("is_error", &true)),
             None => drop(block.set("content", &**text)),
         },
         Some(TextOr::Other(_)) => write_content_blocks(path, message, &mut block.list("content"))?,
@@ -550,24 +563,29 @@
     Ok(())
 }
 
-fn write_tool_use(path: &str, call: &Call<'_>, blocks: &mut List<'_>, limits: &MessagesLimits) -> Fault {
+fn write_tool_use(
+    path: &str,
+    call: &Call<'_>,
+    blocks: &mut List<'_>,
+    limits: &MessagesLimits,
+) -> TranslationResult {
     refuse_unknown(path, &call.unknown)?;
     if call.kind.as_deref().is_some_and(|k| k != "function") {
-        return none(format!("{path}type"));
+        return no_counterpart(format!("{path}type"));
     }
-    let Some(id) = call.id.as_deref() else { return wrong(format!("{path}id"), "required") };
-    let Some(function) = &call.function else { return wrong(format!("{path}function"), "required") };
+    let Some(id) = call.id.as_deref() else { return invalid(format!("{path}id"), "required") };
+    let Some(function) = &call.function else { return invalid(format!("{path}function"), "required") };
     let path = format!("{path}function.");
     refuse_unknown(&path, &function.unknown)?;
-    let Some(name) = function.name.as_deref() else { return wrong(format!("{path}name"), "required") };
+    let Some(name) = function.name.as_deref() else { return invalid(format!("{path}name"), "required") };
     let arguments = function.arguments.as_deref().map_or("", str::trim);
     let arguments = if arguments.is_empty() { "{}" } else { arguments };
-    // It goes out as JSON, so it has to be some; that it is an object its beginning shows.
+    // It is written as JSON, so it must be valid; its first character shows that it is an object.
     if serde_json::from_str::<&RawValue>(arguments).is_err() || !arguments.starts_with('{') {
-        return wrong(format!("{path}arguments"), "not a JSON object");
+        return invalid(format!("{path}arguments"), "not a JSON object");
     }
     if object::depth(arguments) > limits.depth {
-        return wrong(format!("{path}arguments"), &format!("nests deeper than {}", limits.depth));
+        return invalid(format!("{path}arguments"), &format!("nests deeper than {}", limits.depth));
     }
     blocks.object().set("type", "tool_use").set("id", id).set("name", name).raw("input", arguments);
     Ok(())
--- a/src/front/translate/to_platform.rs
+++ b/src/front/translate/to_platform.rs
@@ -1,5 +1,6 @@
-//! A messages request in the platform's form. What has no counterpart there is refused by its name.
+//! Translates a request of the messages API into the platform's dialect. A field without a counterpart is refused by name.
 
+use crate::front::BodyError;
 use base64::Engine as _;
 use base64::display::Base64Display;
 use base64::engine::general_purpose::STANDARD;
@@ -7,23 +8,23 @@
 use super::super::messages::request::{Block, Choice, Content, Request, Source, Tool, Turn};
 use super::super::object::Text;
 use super::super::write::{List, Object, value};
-use super::refusal::{none, refuse_unknown, wrong};
+use super::refusal::{invalid, no_counterpart, refuse_unknown};
 
-/// Sequences that end an answer, at the most, in the platform's dialect.
+/// Maximum number of stop sequences in the platform's dialect.
 const MAX_STOP_SEQUENCES: usize = 4;
 
-/// The body for the platform's real servers, always of a stream.
+/// The body for replicas of the platform's dialect; it always asks for a stream.
 ///
 /// # Errors
 ///
 /// If a field of the request has no counterpart in the platform's dialect; the text begins with its name.
-pub fn body(request: &Request<'_>) -> Result<Vec<u8>, String> {
+pub fn body(request: &Request<'_>) -> Result<Vec<u8>, BodyError> {
     refuse_untranslatable(request)?;
     let mut out = Vec::new();
     let mut body = Object::new(&mut out);
     body.set("model", request.model.as_deref().unwrap_or_default());
     body.set("stream", &true);
-    // Without it no server tells what the answer took.
+    // Replicas state the token usage only if asked.
     body.object("stream_options").set("include_usage", &true);
     write_sampling(request, &mut body);
     write_stop_sequences(request, &mut body)?;
@@ -39,15 +40,15 @@
 }
 
 /// Refuses the request's own fields that have no counterpart.
-fn refuse_untranslatable(request: &Request<'_>) -> Result<(), String> {
+fn refuse_untranslatable(request: &Request<'_>) -> Result<(), BodyError> {
     refuse_unknown("", &request.unknown)?;
     if request.top_k.is_some() {
-        return none("top_k");
+        return no_counterpart("top_k");
     }
     if let Some(thinking) = &request.thinking
         && thinking.kind.as_deref() != Some("disabled")
     {
-        return none("thinking");
+        return no_counterpart("thinking");
     }
     Ok(())
 }
@@ -64,14 +65,14 @@
     }
 }
 
-fn write_stop_sequences(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), String> {
+fn write_stop_sequences(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), BodyError> {
     let stops = request.stop_sequences.as_deref().unwrap_or_default();
     if stops.is_empty() {
         return Ok(());
     }
     if stops.len() > MAX_STOP_SEQUENCES {
-        let what = format!("the real servers' dialect has no more than {MAX_STOP_SEQUENCES}");
-        return wrong("stop_sequences", &what);
+        let problem = format!("the replicas' dialect has no more than {MAX_STOP_SEQUENCES}");
+        return invalid("stop_sequences", &problem);
     }
     let mut list = body.list("stop");
     stops.iter().for_each(|stop| value(list.item(), &**stop));
@@ -79,7 +80,7 @@
 }
 
 /// Writes the id of the user from the request's metadata.
-fn write_user(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), String> {
+fn write_user(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), BodyError> {
     let Some(metadata) = &request.metadata else { return Ok(()) };
     refuse_unknown("metadata.", &metadata.unknown)?;
     if let Some(user) = metadata.user_id.as_deref() {
@@ -88,14 +89,14 @@
     Ok(())
 }
 
-fn write_tools(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), String> {
+fn write_tools(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), BodyError> {
     if request.tools().is_empty() {
         return Ok(());
     }
     let mut tools = body.list("tools");
     for (n, tool) in request.tools().iter().enumerate() {
         if !tool.is_custom() {
-            return none(format!("tools.{n}.type"));
+            return no_counterpart(format!("tools.{n}.type"));
         }
         refuse_unknown(&format!("tools.{n}."), &tool.unknown)?;
         write_tool(tool, &mut tools);
@@ -119,7 +120,7 @@
     }
 }
 
-fn write_tool_choice(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), String> {
+fn write_tool_choice(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), BodyError> {
     let Some(choice) = &request.tool_choice else { return Ok(()) };
     let Choice { kind, name, disable_parallel_tool_use, unknown, .. } = choice;
     refuse_unknown("tool_choice.", unknown)?;
@@ -140,7 +141,7 @@
 }
 
 /// Writes the system prompt and the turns, which are one list in the platform's dialect.
-fn write_messages(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), String> {
+fn write_messages(request: &Request<'_>, body: &mut Object<'_>) -> Result<(), BodyError> {
     let mut messages = body.list("messages");
     if let Some(system) = &request.system {
         write_system(system, &mut messages)?;
@@ -158,7 +159,7 @@
     Ok(())
 }
 
-fn write_system(system: &Content<'_>, messages: &mut List<'_>) -> Result<(), String> {
+fn write_system(system: &Content<'_>, messages: &mut List<'_>) -> Result<(), BodyError> {
     let mut message = messages.object();
     message.set("role", "system");
     match (system.plain(), system.blocks()) {
@@ -178,11 +179,11 @@
     Ok(())
 }
 
-/// Refuses what a text block has beside its text, if the other dialect can't say it.
-fn check_text(path: &str, block: &Block<'_>) -> Result<(), String> {
+/// Refuses fields of a text block that have no counterpart.
+fn check_text(path: &str, block: &Block<'_>) -> Result<(), BodyError> {
     refuse_unknown(path, &block.unknown)?;
     if block.citations.is_some_and(|c| c.get() != "[]") {
-        return none(format!("{path}citations"));
+        return no_counterpart(format!("{path}citations"));
     }
     Ok(())
 }
@@ -195,8 +196,8 @@
     parts.object().set("type", "text").set("text", text);
 }
 
-/// A client's turn: results of tools first, each a turn of its own there, then what the client says.
-fn write_user_turn(path: &str, content: &Content<'_>, messages: &mut List<'_>) -> Result<(), String> {
+/// Writes a client's turn: tool results first, each as a message of its own, then its content.
+fn write_user_turn(path: &str, content: &Content<'_>, messages: &mut List<'_>) -> Result<(), BodyError> {
     if let Some(text) = content.plain() {
         messages.object().set("role", "user").set("content", text);
         return Ok(());
@@ -227,7 +228,7 @@
 }
 
 /// Writes a block of a client's turn that is not the result of a tool.
-fn write_part(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), String> {
+fn write_part(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), BodyError> {
     match block.kind() {
         "text" => {
             check_text(path, block)?;
@@ -237,23 +238,23 @@
         "image" => write_image(path, block, parts),
         "document" => write_document(path, block, parts),
         "tool_result" => {
-            wrong(format!("{path}type"), "a tool_result after other content has no counterpart")
+            invalid(format!("{path}type"), "a tool_result after other content has no counterpart")
         }
-        _ => none(format!("{path}type")),
+        _ => no_counterpart(format!("{path}type")),
     }
 }
 
-/// What a tool's failure is said by, since the other dialect has no field for it.
-pub const FAILED: &str = "[tool error] ";
+/// Prefix of a failed tool's result, since the other dialect has no field for it.
+pub const TOOL_ERROR_PREFIX: &str = "[tool error] ";
 
-fn write_tool_result(path: &str, block: &Block<'_>, messages: &mut List<'_>) -> Result<(), String> {
+fn write_tool_result(path: &str, block: &Block<'_>, messages: &mut List<'_>) -> Result<(), BodyError> {
     refuse_unknown(path, &block.unknown)?;
     let mut message = messages.object();
     message.set("role", "tool").set("tool_call_id", block.tool_use_id.as_deref().unwrap_or_default());
     let failed = block.is_error == Some(true);
     let mut text = String::new();
     if failed {
-        text.push_str(FAILED);
+        text.push_str(TOOL_ERROR_PREFIX);
     }
     match block.content.as_ref().map(|c| (c.plain(), c.blocks())) {
         None => {}
@@ -268,12 +269,12 @@
     Ok(())
 }
 
-/// Appends the texts of a result's blocks, of which none may be of another kind.
-fn append_texts(path: &str, blocks: &[Block<'_>], text: &mut String) -> Result<(), String> {
+/// Appends the texts of a result's blocks, which must all be text blocks.
+fn append_texts(path: &str, blocks: &[Block<'_>], text: &mut String) -> Result<(), BodyError> {
     for (n, block) in blocks.iter().enumerate() {
         let path = format!("{path}content.{n}.");
         if block.kind() != "text" {
-            return none(format!("{path}type"));
+            return no_counterpart(format!("{path}type"));
         }
         check_text(&path, block)?;
         text.push_str(text_of(block));
@@ -281,14 +282,14 @@
     Ok(())
 }
 
-fn write_image(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), String> {
+fn write_image(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), BodyError> {
     refuse_unknown(path, &block.unknown)?;
-    let Some(source) = block.origin() else { return none(format!("{path}source")) };
+    let Some(source) = block.source_object() else { return no_counterpart(format!("{path}source")) };
     refuse_unknown(&format!("{path}source."), &source.unknown)?;
     let url = match source.kind.as_deref() {
         Some("base64") => data_url(source),
         Some("url") => source.url.as_deref().unwrap_or_default().to_owned(),
-        _ => return none(format!("{path}source.type")),
+        _ => return no_counterpart(format!("{path}source.type")),
     };
     let mut part = parts.object();
     part.set("type", "image_url");
@@ -301,17 +302,17 @@
     format!("data:{};base64,{}", text(&source.media_type), text(&source.data))
 }
 
-/// A document is a file there, of whichever media type.
-fn write_document(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), String> {
+/// Writes a document as a file.
+fn write_document(path: &str, block: &Block<'_>, parts: &mut List<'_>) -> Result<(), BodyError> {
     refuse_unknown(path, &block.unknown)?;
     if block.context.is_some() {
-        return none(format!("{path}context"));
+        return no_counterpart(format!("{path}context"));
     }
-    // Without citations is what the other dialect does anyway.
+    // The other dialect has no citations, so only enabled ones are refused.
     if block.citations.is_some_and(|c| c.get().contains("true")) {
-        return none(format!("{path}citations"));
+        return no_counterpart(format!("{path}citations"));
     }
-    let Some(source) = block.origin() else { return none(format!("{path}source")) };
+    let Some(source) = block.source_object() else { return no_counterpart(format!("{path}source")) };
     refuse_unknown(&format!("{path}source."), &source.unknown)?;
     let url = match source.kind.as_deref() {
         Some("base64") => data_url(source),
@@ -319,7 +320,7 @@
             let text = source.data.as_deref().unwrap_or_default();
             format!("data:text/plain;base64,{}", Base64Display::new(text.as_bytes(), &STANDARD))
         }
-        _ => return none(format!("{path}source.type")),
+        _ => return no_counterpart(format!("{path}source.type")),
     };
     let mut part = parts.object();
     part.set("type", "file");
@@ -331,13 +332,13 @@
     Ok(())
 }
 
-/// The model's turn: its words, then its uses of tools.
+/// Writes the model's turn: its texts, then its tool calls.
 fn write_assistant_turn(
     path: &str,
     turn: &Turn<'_>,
     content: &Content<'_>,
     messages: &mut List<'_>,
-) -> Result<(), String> {
+) -> Result<(), BodyError> {
     let mut message = messages.object();
     message.set("role", turn.role.as_deref().unwrap_or_default());
     if let Some(text) = content.plain() {
@@ -350,9 +351,9 @@
         let path = format!("{path}content.{n}.");
         match block.kind() {
             "text" if n < text_count => check_text(&path, block)?,
-            "text" => return wrong(format!("{path}type"), "a text after a tool_use has no counterpart"),
+            "text" => return invalid(format!("{path}type"), "a text after a tool_use has no counterpart"),
             "tool_use" => refuse_unknown(&path, &block.unknown)?,
-            _ => return none(format!("{path}type")),
+            _ => return no_counterpart(format!("{path}type")),
         }
     }
     let (texts, uses) = blocks.split_at(text_count);
@@ -386,13 +387,13 @@
     }
 }
 
-/// The bytes of a data URL's media type and base64, if it is one.
+/// Media type and base64 data of a data URL, if it is one.
 #[must_use]
 pub fn parts_of(url: &str) -> Option<(&str, &str)> {
     url.strip_prefix("data:")?.split_once(";base64,")
 }
 
-/// The plain text of base64, if it is one.
+/// The text of base64 data, if it is UTF-8.
 #[must_use]
 pub fn plain_of(data: &str) -> Option<String> {
     String::from_utf8(STANDARD.decode(data).ok()?).ok()
--- a/src/front/write.rs
+++ b/src/front/write.rs
@@ -1,12 +1,12 @@
-//! JSON written straight into the bytes that go out: each text is copied once, from where it was read.
+//! Writes JSON directly into the output: each text is copied once, from where it was read.
 
 use std::io::Write as _;
 
 use serde::Serialize;
 
-/// Writes a text, a number or whatever else serde knows how to.
+/// Writes any value that serde can serialize.
 pub fn value(out: &mut Vec<u8>, value: &(impl Serialize + ?Sized)) {
-    // A vector takes all that is written, and none of what is written here has keys that are no texts.
+    // Writing to a vector can't fail, and no value that is written here has keys other than texts.
     let _ = serde_json::to_writer(out, value);
 }
 
@@ -17,13 +17,13 @@
 }
 
 impl<'o> Object<'o> {
-    /// Opens one.
+    /// Opens an object.
     pub fn new(out: &'o mut Vec<u8>) -> Object<'o> {
         out.push(b'{');
         Object { out, begun: false }
     }
 
-    /// Writes a field's name; its value is the caller's to write.
+    /// Writes a field's name; the caller writes its value.
     pub fn key(&mut self, name: &str) -> &mut Vec<u8> {
         if std::mem::replace(&mut self.begun, true) {
             self.out.push(b',');
@@ -38,7 +38,7 @@
         self
     }
 
-    /// Writes a field whose value is JSON already.
+    /// Writes a field whose value is JSON text.
     pub fn raw(&mut self, name: &str, json: &str) -> &mut Self {
         self.key(name).extend_from_slice(json.as_bytes());
         self
@@ -68,13 +68,13 @@
 }
 
 impl<'o> List<'o> {
-    /// Opens one.
+    /// Opens a list.
     pub fn new(out: &'o mut Vec<u8>) -> List<'o> {
         out.push(b'[');
         List { out, begun: false }
     }
 
-    /// Makes room for an item, which is the caller's to write.
+    /// Begins an item; the caller writes it.
     pub fn item(&mut self) -> &mut Vec<u8> {
         if std::mem::replace(&mut self.begun, true) {
             self.out.push(b',');
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway of `tulipridge serve`: one process that takes requests of two dialects, places each on a replica and
 //! relays the response. `README.md` ("The gateway") says what each module does.
 //!
-//! The decision module is the package `tulipridge-load-balancer`, re-exported here; this package is its clock, its
+//! The load balancer is the package `tulipridge-load-balancer`, re-exported here; this package is its clock, its
 //! timers and its network.
 
 pub mod admission;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -1,4 +1,4 @@
-//! Every size, count and time that the program keeps to, filled once at start and handed down.
+//! All sizes, counts and times that bound the program, set once at start and handed down.
 
 use std::time::Duration;
 
@@ -10,239 +10,368 @@
 pub struct Limits {
     /// What each connection keeps to.
     pub wire: Http1Limits,
-    /// Interim answers (1xx) before one that counts.
-    pub interim_heads: usize,
-    /// Bytes of one object of discovery's answers.
-    pub list_bytes: usize,
+    /// Descriptors kept back from clients and replicas: for discovery, the store, the log, the runtime's own and
+    /// the second address, which must not depend on what else is going on.
+    pub own_descriptors: usize,
+    /// The longest time that a client may ask for; it bounds how long its request is remembered.
+    pub longest_wait: Duration,
+    /// What a forwarded stream may buffer and wait for.
+    pub stream: StreamLimits,
+    /// What the messages front accepts and assembles.
+    pub messages: MessagesLimits,
+    /// When a replica is ejected because its streams fail; `None`: never.
+    pub outliers: Option<OutlierLimits>,
+    /// A time-out that fell this short of its end when the client left counts as one.
+    pub timeout_slack: Duration,
+    /// What connections of clients may use.
+    pub edge: EdgeLimits,
+    /// What callers at the second address may use.
+    pub management: ManagementLimits,
+    /// What connections to replicas may use.
+    pub replicas: ReplicaLimits,
+    /// How discovery is called and watched.
+    pub discovery: DiscoveryLimits,
+    /// How the process starts, stops and hands over.
+    pub lifecycle: LifecycleLimits,
+    /// What the log may hold and wait for.
+    pub log: LogLimits,
+    /// What the replicated store may hold, and how often it is exchanged.
+    pub store: StoreLimits,
+    /// When the serving thread counts as late.
+    pub lag: LagLimits,
+}
+
+impl Limits {
+    /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
+    #[must_use]
+    pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
+        let own = (sockets / 16).max(24);
+        let edge_connections = (sockets.saturating_sub(own) * 8 / 15).max(8);
+        // A third of the memory is the system's for connections: two buffers for each stream's two connections
+        // fill at most, and the system doubles what it is asked for.
+        let socket_buffer = ((memory_mb << 20) / 3 / edge_connections / 4).clamp(4 << 10, 64 << 10);
+        let server_connections = (sockets.saturating_sub(own) * 7 / 15).max(8);
+        Limits {
+            wire: Http1Limits { socket_buffer, connect_timeout: connect, ..Http1Limits::default() },
+            own_descriptors: own,
+            longest_wait: Duration::from_secs(60),
+            stream: StreamLimits::new(memory_mb),
+            messages: MessagesLimits::default(),
+            outliers: None,
+            timeout_slack: Duration::from_millis(25),
+            edge: EdgeLimits::new(edge_connections, memory_mb),
+            management: ManagementLimits::new(own),
+            replicas: ReplicaLimits::new(server_connections, idle),
+            discovery: DiscoveryLimits::new(),
+            lifecycle: LifecycleLimits::new(),
+            log: LogLimits::new(),
+            store: StoreLimits::new(),
+            lag: LagLimits::new(),
+        }
+    }
+
+    /// The same where another process of this gateway may be up beside this one: its own descriptors are kept back too.
+    #[must_use]
+    pub fn for_two(mut self) -> Limits {
+        self.edge.connections = self.edge.connections.saturating_sub(self.own_descriptors * 8 / 15).max(8);
+        self.replicas.connections =
+            self.replicas.connections.saturating_sub(self.own_descriptors * 7 / 15).max(8);
+        self
+    }
+}
+
+/// What connections of clients may use.
+#[derive(Clone, Debug)]
+pub struct EdgeLimits {
     /// Edge connections open at once.
-    pub edge_connections: usize,
-    /// Bytes of requests held at once; beyond it, bodies wait in their sockets until others are answered.
-    pub held_bytes: usize,
-    /// Bytes that a client may send behind its open request, beyond what is kept of them, before it is heard no more.
+    pub connections: usize,
+    /// Bytes of requests buffered at once; beyond it, bodies wait in their sockets until other requests are done.
+    pub buffered_bytes: usize,
+    /// Bytes that a client may pipeline behind its open request, beyond those that are buffered, before its connection
+    /// is closed.
     pub flood_bytes: usize,
-    /// While places are scarce, an edge connection makes room after this time if nothing has come on it.
-    pub edge_mute: Duration,
-    /// While places are scarce, an edge connection makes room when for this time nothing more of its request came.
-    pub edge_slow: Duration,
-    /// While places are scarce, an edge connection makes room after this time since its last answer.
-    pub edge_rested: Duration,
-    /// While places are scarce, a connection makes room after this time since its last answer of all.
-    pub closing: Duration,
+    /// While connection slots are scarce, one without any data is closed after this time.
+    pub silent_timeout: Duration,
+    /// While connection slots are scarce, one whose request has stopped arriving is closed after this time.
+    pub slow_timeout: Duration,
+    /// While connection slots are scarce, an idle one is closed after this time since its last response.
+    pub rested_timeout: Duration,
+    /// While connection slots are scarce, a closing one is closed after this time since its last response.
+    pub closing_timeout: Duration,
     /// The same whatever still comes.
     pub linger: Duration,
-    /// How often a newcomer looks for room while there is none.
-    pub edge_look: Duration,
-    /// Descriptors kept back from clients and real servers: for discovery, the store, the log, the runtime's own and
-    /// the second address, which must not depend on what else is going on.
-    pub own_descriptors: usize,
+    /// How often a listener without a free slot looks for one.
+    pub slot_check_interval: Duration,
+    /// An edge connection without a request is closed after this time.
+    pub idle_timeout: Duration,
+    /// Time for a request to arrive whole, from the connection's accepting or else the request's first byte.
+    pub read_timeout: Duration,
+    /// Time in which a client must take a response that is no stream.
+    pub write_timeout: Duration,
+    /// Pause of the listener after it found no descriptor free.
+    pub accept_pause: Duration,
+}
+
+/// What callers at the second address may use.
+#[derive(Clone, Debug)]
+pub struct ManagementLimits {
     /// Callers at the second address at once.
-    pub mgmt_callers: usize,
-    /// While their places are scarce, a caller makes room after this time if nothing has come on it.
-    pub mgmt_mute: Duration,
-    /// While their places are scarce, a caller makes room when for this time nothing more of its call came.
-    pub mgmt_slow: Duration,
+    pub callers: usize,
+    /// While slots are scarce, a caller that has sent nothing is closed after this time.
+    pub silent_timeout: Duration,
+    /// While slots are scarce, a caller whose call has stopped arriving is closed after this time.
+    pub slow_timeout: Duration,
     /// Time for a call to arrive whole.
-    pub mgmt_read: Duration,
-    /// Time in which a caller must take its answer.
-    pub mgmt_write: Duration,
-    /// How often a starting process looks whether it can serve.
-    pub start_look: Duration,
-    /// Connections to real servers open at once, idle ones included.
-    pub server_connections: usize,
-    /// An idle connection to a real server is closed after this time.
-    pub pool_idle: Duration,
-    /// A connection to a real server is not used again sooner after an answer.
-    pub pool_settle: Duration,
+    pub read_timeout: Duration,
+    /// Time in which a caller must take its response.
+    pub write_timeout: Duration,
+}
+
+/// What connections to replicas may use.
+#[derive(Clone, Debug)]
+pub struct ReplicaLimits {
+    /// Interim responses (1xx) before one that counts.
+    pub interim_heads: usize,
+    /// Connections to replicas open at once, idle ones included.
+    pub connections: usize,
+    /// An idle connection to a replica is closed after this time.
+    pub idle_timeout: Duration,
+    /// A connection to a replica is not used again sooner after a response.
+    pub settle_time: Duration,
     /// How often idle connections are looked through.
-    pub pool_sweep: Duration,
-    /// An edge connection without a request is closed after this time.
-    pub edge_idle: Duration,
-    /// Time for a request to arrive whole, from the connection's accepting or else the request's first byte.
-    pub edge_read: Duration,
-    /// The longest time that a client may ask for; it bounds how long its request is remembered.
-    pub longest_wait: Duration,
-    /// Time in which a client must take an answer that is no stream.
-    pub edge_write: Duration,
-    /// What a stream that is passed on may hold and wait for.
-    pub stream: StreamLimits,
-    /// What the messages front takes and gathers.
-    pub messages: MessagesLimits,
-    /// When a real server is rested for the streams that it spoils; none: never.
-    pub rest: Option<RestLimits>,
-    /// Time in which the rest of an answer that serves nobody is read, to keep its connection.
-    pub rest_read: Duration,
-    /// An answer whose head is there waits so long for its first event.
+    pub sweep_interval: Duration,
+    /// Time in which the rest of an unusable response is read, to keep its connection.
+    pub drain_timeout: Duration,
+    /// Time between the head of a response and its first event.
     pub stream_opening: Duration,
     /// The rest of a head that has begun must come within this time.
     pub head_stall: Duration,
+}
+
+/// How discovery is called and watched.
+#[derive(Clone, Debug)]
+pub struct DiscoveryLimits {
+    /// Bytes of one object of discovery's responses.
+    pub list_bytes: usize,
     /// A watch without a line for this time counts as broken, and is listened to until another takes its place.
-    pub watch_silence: Duration,
+    pub watch_idle_timeout: Duration,
     /// The same where lists are pushed: what the agent has counts whether or not a watch is open, and a call costs
     /// nothing.
-    pub agent_silence: Duration,
-    /// An agent without an answer for this time is asked once more beside.
-    pub agent_answer: Duration,
+    pub agent_idle_timeout: Duration,
+    /// After this time without a response, an agent is called a second time in parallel.
+    pub agent_answer_timeout: Duration,
     /// Calls to an agent that fail begin so far apart at the least.
     pub agent_pause: Duration,
-    /// Time for discovery's answer to begin.
-    pub discovery_answer: Duration,
+    /// Time for discovery's response to begin.
+    pub answer_timeout: Duration,
+    /// Without a response of discovery, a list from the configuration counts as good after this time.
+    pub list_wait: Duration,
+}
+
+/// How the process starts, stops and hands over.
+#[derive(Clone, Debug)]
+pub struct LifecycleLimits {
+    /// How often a starting process looks whether it can serve.
+    pub start_check_interval: Duration,
     /// Bytes of a stream that is handed over, all that waits at it included.
     pub handover_bytes: usize,
     /// How often an older process looks whether what it holds has changed, to tell the newer one.
-    pub report_every: Duration,
-    /// Pause of the listener after it found no descriptor free.
-    pub accept_pause: Duration,
+    pub report_interval: Duration,
     /// After SIGTERM or a drain, requests are taken for this time on connections that clients have.
     pub stop_grace: Duration,
-    /// Without an answer of discovery, a list from the configuration counts as good after this time.
-    pub list_wait: Duration,
-    /// A time-out that fell this short of its end when the client left counts as one.
-    pub timeout_slack: Duration,
+}
+
+/// What the log may hold and wait for.
+#[derive(Clone, Debug)]
+pub struct LogLimits {
     /// Log lines that wait for standard error or the collector; further ones are dropped and counted.
-    pub backlog: usize,
+    pub lines: usize,
     /// Bytes of all of them together.
-    pub log_bytes: usize,
+    pub bytes: usize,
+    /// Unknown event names that are remembered so as to be logged once.
+    pub noted_names: usize,
+    /// Time for the log to get out at the program's end or at a panic.
+    pub drain_timeout: Duration,
+    /// How often it is looked whether it is.
+    pub drain_check_interval: Duration,
+}
+
+/// What the replicated store may hold, and how often it is exchanged.
+#[derive(Clone, Debug)]
+pub struct StoreLimits {
     /// Keys that the store holds.
-    pub store_keys: usize,
+    pub keys: usize,
     /// Bytes of a key or a value of the store.
-    pub store_bytes: usize,
+    pub entry_bytes: usize,
     /// Bytes of a line between stores: all keys at their largest fit.
-    pub store_line: usize,
+    pub line_bytes: usize,
     /// Connections to the store's port.
-    pub store_peers: usize,
+    pub peers: usize,
     /// A stamp of the store further ahead of the clock than this is garbage: it would win for ever.
-    pub store_ahead: Duration,
-    /// Unknown event names that are remembered so as to be logged once.
-    pub names_noted: usize,
-    /// Time for the log to get out at the program's end or at a panic.
-    pub syslog_drain: Duration,
-    /// How often it is looked whether it is.
-    pub drain_look: Duration,
+    pub max_clock_lead: Duration,
+    /// Time between two notes of this node's state in the store.
+    pub state_interval: Duration,
+    /// Time between two exchanges of the store with a peer.
+    pub peer_interval: Duration,
+}
+
+/// When the serving thread counts as late.
+#[derive(Clone, Debug)]
+pub struct LagLimits {
     /// The serving thread may run so late before it is told.
-    pub lag_most: Duration,
+    pub threshold: Duration,
     /// A spell of running late is over after this time without.
-    pub lag_calm: Duration,
+    pub calm_time: Duration,
     /// Time between two looks at the thread's own processor time.
-    pub lag_again: Duration,
-    /// Time between two notes of this node's state in the store.
-    pub state_every: Duration,
-    /// Time between two exchanges of the store with a peer.
-    pub peer_every: Duration,
+    pub recheck_interval: Duration,
 }
 
-impl Limits {
-    /// The limits of a machine: its descriptors, its memory in MB, and what the settings say of connections.
-    #[must_use]
-    #[expect(clippy::too_many_lines, reason = "one line for each limit")]
-    pub fn new(sockets: usize, memory_mb: usize, connect: Duration, idle: Duration) -> Limits {
-        let own = (sockets / 16).max(24);
-        let edge_connections = (sockets.saturating_sub(own) * 8 / 15).max(8);
-        // A third of the memory is the system's for connections: two buffers for each stream's two connections
-        // fill at most, and the system doubles what it is asked for.
-        let socket_buffer = ((memory_mb << 20) / 3 / edge_connections / 4).clamp(4 << 10, 64 << 10);
-        Limits {
-            wire: Http1Limits { socket_buffer, connect_timeout: connect, ..Http1Limits::default() },
-            interim_heads: 16,
-            list_bytes: 1 << 20,
-            edge_connections,
-            // What is written to a real server is copied only meanwhile.
-            held_bytes: (memory_mb << 20) * 3 / 8,
+impl EdgeLimits {
+    fn new(connections: usize, memory_mb: usize) -> EdgeLimits {
+        EdgeLimits {
+            connections,
+            // What is written to a replica is copied only meanwhile.
+            buffered_bytes: (memory_mb << 20) * 3 / 8,
             // A client that has left has no more on its way than its system keeps for a connection: 4 MB, as Linux
             // comes.
             flood_bytes: 4 << 20,
-            edge_mute: Duration::from_millis(200),
-            edge_slow: Duration::from_secs(1),
-            edge_rested: Duration::from_secs(2),
-            closing: Duration::from_millis(20),
+            silent_timeout: Duration::from_millis(200),
+            slow_timeout: Duration::from_secs(1),
+            rested_timeout: Duration::from_secs(2),
+            closing_timeout: Duration::from_millis(20),
             linger: Duration::from_secs(1),
-            edge_look: Duration::from_millis(50),
-            own_descriptors: own,
-            mgmt_callers: (own - 16).min(32),
-            mgmt_mute: Duration::from_millis(20),
-            mgmt_slow: Duration::from_millis(100),
-            // An answer is due within a second, however the call came.
-            mgmt_read: Duration::from_millis(600),
-            mgmt_write: Duration::from_millis(200),
-            start_look: Duration::from_millis(10),
-            server_connections: (sockets.saturating_sub(own) * 7 / 15).max(8),
-            // Well before the other side's limit, so that no request crosses its close.
-            pool_idle: idle.mul_f64(0.6),
-            // A second answer may come some milliseconds behind the first, and would be taken for the next one's.
-            pool_settle: Duration::from_millis(20),
-            pool_sweep: Duration::from_millis(250),
-            edge_idle: Duration::from_secs(4),
+            slot_check_interval: Duration::from_millis(50),
+            idle_timeout: Duration::from_secs(4),
             // A client that sends no whole request is owed an error or a close within 3 s of connecting.
-            edge_read: Duration::from_millis(2200),
-            longest_wait: Duration::from_secs(60),
-            edge_write: Duration::from_secs(10),
-            stream: StreamLimits::new(memory_mb),
-            messages: MessagesLimits::default(),
-            rest: None,
-            rest_read: Duration::from_millis(50),
+            read_timeout: Duration::from_millis(2200),
+            write_timeout: Duration::from_secs(10),
+            accept_pause: Duration::from_millis(20),
+        }
+    }
+}
+
+impl ManagementLimits {
+    fn new(own_descriptors: usize) -> ManagementLimits {
+        ManagementLimits {
+            callers: (own_descriptors - 16).min(32),
+            silent_timeout: Duration::from_millis(20),
+            slow_timeout: Duration::from_millis(100),
+            // A response is due within a second, however the call came.
+            read_timeout: Duration::from_millis(600),
+            write_timeout: Duration::from_millis(200),
+        }
+    }
+}
+
+impl ReplicaLimits {
+    fn new(connections: usize, idle: Duration) -> ReplicaLimits {
+        ReplicaLimits {
+            interim_heads: 16,
+            connections,
+            // Well before the other side's limit, so that no request crosses its close.
+            idle_timeout: idle.mul_f64(0.6),
+            // A second response may come some milliseconds behind the first, and would be taken for the next one's.
+            settle_time: Duration::from_millis(20),
+            sweep_interval: Duration::from_millis(250),
+            drain_timeout: Duration::from_millis(50),
             stream_opening: Duration::from_secs(4),
             head_stall: Duration::from_millis(1500),
-            watch_silence: Duration::from_nanos(crate::list_schedule::WATCH_IDLE_TIMEOUT),
+        }
+    }
+}
+
+impl DiscoveryLimits {
+    fn new() -> DiscoveryLimits {
+        DiscoveryLimits {
+            list_bytes: 1 << 20,
+            watch_idle_timeout: Duration::from_nanos(crate::list_schedule::WATCH_IDLE_TIMEOUT),
             // An empty line is due after 2 s.
-            agent_silence: Duration::from_millis(2300),
+            agent_idle_timeout: Duration::from_millis(2300),
             // Together well below the time for which a drained server may still be sent to.
-            agent_answer: Duration::from_millis(100),
+            agent_answer_timeout: Duration::from_millis(100),
             agent_pause: Duration::from_millis(50),
-            discovery_answer: Duration::from_millis(2500),
+            answer_timeout: Duration::from_millis(2500),
+            list_wait: Duration::from_secs(1),
+        }
+    }
+}
+
+impl LifecycleLimits {
+    fn new() -> LifecycleLimits {
+        LifecycleLimits {
+            start_check_interval: Duration::from_millis(10),
             // What a stream may hold at each of its sides, and its description.
             handover_bytes: 160 << 10,
-            report_every: Duration::from_millis(20),
-            accept_pause: Duration::from_millis(20),
+            report_interval: Duration::from_millis(20),
             stop_grace: Duration::from_millis(700),
-            list_wait: Duration::from_secs(1),
-            timeout_slack: Duration::from_millis(25),
-            backlog: 1024,
-            log_bytes: 256 << 10,
-            store_keys: 256,
-            store_bytes: 2 << 10,
-            store_line: 2 << 20,
-            store_peers: 8,
-            store_ahead: Duration::from_secs(60),
-            names_noted: 64,
-            syslog_drain: Duration::from_millis(200),
-            drain_look: Duration::from_millis(1),
-            lag_most: Duration::from_millis(100),
-            lag_calm: Duration::from_secs(1),
-            lag_again: Duration::from_millis(10),
-            state_every: Duration::from_secs(2),
-            peer_every: Duration::from_millis(500),
         }
     }
+}
 
-    /// The same where another process of this gateway may be up beside this one: its own descriptors are kept back too.
-    #[must_use]
-    pub fn for_two(mut self) -> Limits {
-        self.edge_connections = self.edge_connections.saturating_sub(self.own_descriptors * 8 / 15).max(8);
-        self.server_connections =
-            self.server_connections.saturating_sub(self.own_descriptors * 7 / 15).max(8);
-        self
+impl LogLimits {
+    fn new() -> LogLimits {
+        LogLimits {
+            lines: 1024,
+            bytes: 256 << 10,
+            noted_names: 64,
+            drain_timeout: Duration::from_millis(200),
+            drain_check_interval: Duration::from_millis(1),
+        }
+    }
+}
+
+impl StoreLimits {
+    fn new() -> StoreLimits {
+        StoreLimits {
+            keys: 256,
+            entry_bytes: 2 << 10,
+            line_bytes: 2 << 20,
+            peers: 8,
+            max_clock_lead: Duration::from_secs(60),
+            state_interval: Duration::from_secs(2),
+            peer_interval: Duration::from_millis(500),
+        }
     }
 }
 
-/// What a stream that is passed on may hold and wait for.
+impl LagLimits {
+    fn new() -> LagLimits {
+        LagLimits {
+            threshold: Duration::from_millis(100),
+            calm_time: Duration::from_secs(1),
+            recheck_interval: Duration::from_millis(10),
+        }
+    }
+}
+
+/// An idle timeout that adapts to the gaps of a stream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceLimit {
+    /// Multiple of the longest gap so far.
+    pub factor: f64,
+    /// The shortest idle timeout.
+    pub least: Duration,
+}
+
+/// What a forwarded stream may buffer and wait for.
 #[derive(Clone, Debug)]
 pub struct StreamLimits {
-    /// Bytes that a stream holds before it is no longer read.
-    pub high: usize,
+    /// Bytes that a stream buffers before it is no longer read.
+    pub high_watermark: usize,
     /// Bytes at or under which it is read again.
-    pub low: usize,
-    /// Bytes that all streams together hold before they are cut.
+    pub low_watermark: usize,
+    /// Bytes that all streams together buffer before streams are evicted.
     pub budget: usize,
-    /// Bytes that each stream may hold however short the budget is.
+    /// Bytes that each stream may buffer however short the budget is.
     pub floor: usize,
-    /// A real server is silent for this long between two events before its stream counts as stalled.
-    pub silence: Duration,
-    /// The same amid a chunk or an event.
+    /// Time without data between two events after which a stream counts as stalled.
+    pub idle_timeout: Duration,
+    /// The same within a chunk or an event.
     pub stall: Duration,
     /// The same after the dialect's last event, for the last chunk.
     pub tail: Duration,
-    /// Where set, silence is limited to so many times the longest that the stream came back from, but to no
-    /// less than this time and no more than the limits above.
-    pub pace: Option<(f64, Duration)>,
+    /// If set, the idle timeout follows the longest gap of the stream, within the limits above.
+    pub pace: Option<PaceLimit>,
     /// The span over which a reader's progress is looked at.
     pub reader_span: Duration,
     /// Bytes that a reader takes in that span at the least, while bytes wait for it.
@@ -251,29 +380,29 @@
     pub linger: Duration,
     /// After SIGTERM, streams are cut after this time.
     pub stop: Duration,
-    /// So long before it is cut a stream is offered to the process that follows.
+    /// How long before it is cut a stream is offered to the successor process.
     pub offer_before: Duration,
     /// Pause before it is offered again.
     pub offer_again: Duration,
     /// Pause between two snapshots of the figures in the log; none: only at the end.
     pub figures_every: Option<Duration>,
-    /// How often rests that are over and figures that are due are looked for.
-    pub look: Duration,
-    /// Bytes read by one stream before others have their turn.
-    pub turn: usize,
+    /// How often ejections that are over and statistics that are due are looked for.
+    pub check_interval: Duration,
+    /// Bytes that one stream may forward before it yields to other tasks.
+    pub bytes_per_turn: usize,
 }
 
 impl StreamLimits {
     fn new(memory_mb: usize) -> StreamLimits {
-        let high = 16 << 10;
+        let high_watermark = 16 << 10;
         StreamLimits {
-            high,
-            low: high / 4,
+            high_watermark,
+            low_watermark: high_watermark / 4,
             budget: (memory_mb << 20) / 8,
             floor: 4 << 10,
             // Guards against a stream that has stopped for good on an open connection: its client is owed an end
             // within 5 s of the last event.
-            silence: Duration::from_secs(4),
+            idle_timeout: Duration::from_secs(4),
             stall: Duration::from_millis(1500),
             tail: Duration::from_millis(1500),
             pace: None,
@@ -285,13 +414,13 @@
             offer_before: Duration::from_millis(500),
             offer_again: Duration::from_millis(20),
             figures_every: None,
-            look: Duration::from_millis(250),
-            turn: 32 << 10,
+            check_interval: Duration::from_millis(250),
+            bytes_per_turn: 32 << 10,
         }
     }
 }
 
-/// What the messages front takes and gathers.
+/// What the messages front accepts and assembles.
 #[derive(Clone, Debug)]
 pub struct MessagesLimits {
     /// Bytes of a request's body.
@@ -305,15 +434,15 @@
     /// Tools in a request.
     pub tools: usize,
     /// Stop sequences in a request.
-    pub stops: usize,
-    /// Bytes of a whole answer, as it is put together.
+    pub stop_sequences: usize,
+    /// Bytes of a response that is assembled before it is sent.
     pub whole_bytes: usize,
-    /// Bytes of a tool call that wait for the end of another one.
+    /// Bytes of tool calls that wait for the end of another one.
     pub call_bytes: usize,
-    /// Tokens of an answer whose request names no number, where the other dialect wants one.
-    pub usual_tokens: u64,
-    /// Bytes of a real server's words on a request that it holds for wrong.
-    pub words_bytes: usize,
+    /// Maximum number of output tokens where the request states none and the other dialect requires one.
+    pub default_max_tokens: u64,
+    /// Bytes of a replica's error message about an invalid request.
+    pub error_message_bytes: usize,
 }
 
 impl Default for MessagesLimits {
@@ -324,47 +453,47 @@
             blocks: 4096,
             turns: 4096,
             tools: 256,
-            stops: 64,
+            stop_sequences: 64,
             whole_bytes: 256 << 10,
             call_bytes: 64 << 10,
-            usual_tokens: 4096,
-            words_bytes: 4 << 10,
+            default_max_tokens: 4096,
+            error_message_bytes: 4 << 10,
         }
     }
 }
 
-/// When a real server is rested for the streams that it spoils.
+/// When a replica is ejected because its streams fail.
 #[derive(Clone, Debug)]
-pub struct RestLimits {
-    /// The span over which ends are counted.
-    pub span: Duration,
-    /// Ends remembered of each real server.
-    pub ends: usize,
-    /// ParseError ends in a span before a rest is thought of.
-    pub faults: usize,
-    /// The share of bad ends before a rest.
-    pub share: f64,
-    /// How many times the others' share it must be.
-    pub above: f64,
-    /// The first rest.
-    pub rest: Duration,
-    /// The longest; each one that follows soon is twice as long as the one before.
-    pub longest_rest: Duration,
-    /// The part of the fleet that rests at most.
-    pub most_resting: f64,
+pub struct OutlierLimits {
+    /// The window over which ends of streams are counted.
+    pub window: Duration,
+    /// Ends remembered for each replica.
+    pub max_ends: usize,
+    /// Failures within the window before an ejection.
+    pub min_failures: usize,
+    /// The failure rate before an ejection, 0 to 1.
+    pub min_failure_rate: f64,
+    /// How many times the failure rate of the other replicas it must be.
+    pub ratio_to_others: f64,
+    /// How long the first ejection lasts.
+    pub ejection_time: Duration,
+    /// How long an ejection may last; each one that follows soon lasts twice as long as the one before.
+    pub max_ejection_time: Duration,
+    /// The share of the ready replicas that may be ejected, 0 to 1.
+    pub max_ejected_share: f64,
 }
 
-impl Default for RestLimits {
-    fn default() -> RestLimits {
-        RestLimits {
-            span: Duration::from_secs(30),
-            ends: 64,
-            faults: 3,
-            share: 0.3,
-            above: 3.0,
-            rest: Duration::from_secs(5),
-            longest_rest: Duration::from_secs(60),
-            most_resting: 0.2,
+impl Default for OutlierLimits {
+    fn default() -> OutlierLimits {
+        OutlierLimits {
+            window: Duration::from_secs(30),
+            max_ends: 64,
+            min_failures: 3,
+            min_failure_rate: 0.3,
+            ratio_to_others: 3.0,
+            ejection_time: Duration::from_secs(5),
+            max_ejection_time: Duration::from_secs(60),
+            max_ejected_share: 0.2,
         }
     }
 }
--- a/src/names.rs
+++ b/src/names.rs
@@ -20,7 +20,7 @@
 /// A line of discovery's list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ServiceEntry {
-    /// The real server's id.
+    /// The replica's id.
     pub id: String,
     /// Its address for this gateway.
     #[serde(default)]
@@ -48,7 +48,7 @@
     1.0
 }
 
-/// What discovery says of a real server.
+/// What discovery says of a replica.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
@@ -60,7 +60,7 @@
     Gone,
 }
 
-/// An answer of discovery.
+/// A response of discovery.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Listing {
     /// The list's version.
@@ -74,21 +74,21 @@
     pub servers: Vec<ServiceEntry>,
 }
 
-/// Sizes that a real server may have, beside those of others.
+/// Sizes that a replica may have, beside those of others.
 const WEIGHTS: std::ops::RangeInclusive<f64> = 1e-3..=1e4;
 /// A start further ahead of this machine's clock, in milliseconds, is no start: clocks differ by less.
 const AHEAD_MS: f64 = 60_000.0;
 
 impl Listing {
-    /// Takes out what can't be right, at `now_ms` of Unix time, and names it. Guards against news that would
-    /// draw all requests to one real server, keep one cold for ever, or send work to what drains: of two words
-    /// on one server in one listing the one that wants nothing new counts.
-    pub fn sift(&mut self, now_ms: f64) -> Vec<(String, &'static str)> {
+    /// Corrects what can't be right, at `now_ms` of Unix time, and names it. Guards against updates that would
+    /// draw all requests to one replica, keep one cold for ever, or send work to what drains: of two entries
+    /// for one replica in one listing the one that wants nothing new counts.
+    pub fn correct(&mut self, now_ms: f64) -> Vec<(String, &'static str)> {
         let mut faults = Vec::new();
-        let mut places = BTreeMap::new();
+        let mut positions = BTreeMap::new();
         for entry in std::mem::take(&mut self.servers) {
-            let place = *places.entry(entry.id.clone()).or_insert(self.servers.len());
-            match self.servers.get_mut(place) {
+            let position = *positions.entry(entry.id.clone()).or_insert(self.servers.len());
+            match self.servers.get_mut(position) {
                 Some(first) => {
                     first.state = first.state.max(entry.state);
                     faults.push((entry.id, "named twice, the word that wants nothing new counts"));
@@ -133,7 +133,7 @@
     pub usual_class: usize,
     /// The tenant of requests that name none on the messages front.
     pub usual_tenant: Option<usize>,
-    /// Dialects of real servers by their kind.
+    /// Dialects of replicas by their kind.
     pub dialects: BTreeMap<String, Dialect>,
 }
 
@@ -150,13 +150,13 @@
         self.tenants.iter().position(|n| n == name)
     }
 
-    /// The dialect of a kind of real server.
+    /// The dialect of a kind of replica.
     #[must_use]
     pub fn dialect(&self, kind: &str) -> Dialect {
         self.dialects.get(kind).copied().unwrap_or_default()
     }
 
-    /// A service entry as the module takes it. New zones and kinds get the next numbers.
+    /// A service entry as the load balancer takes it. New zones and kinds get the next numbers.
     pub fn member(&mut self, entry: &ServiceEntry) -> Member {
         Member {
             id: ReplicaId::from(entry.id.as_str()),
@@ -169,19 +169,22 @@
                 State::Draining => Phase::Draining,
                 State::Gone => Phase::Gone,
             },
-            // The module's clock is Unix time too.
+            // The load balancer's clock is Unix time too.
             started: (entry.started_ms > 0.0).then_some((entry.started_ms * 1e6) as Nanos),
         }
     }
 
-    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value not told,
+    /// A load report (`TEXT util=0.6, eps=0`) in the settings' order; a value that is missing,
     /// or out of all range, is not a number.
     #[must_use]
     pub fn report(&self, text: &str) -> Vec<f64> {
         let pairs = text.split([',', ' ']).filter_map(|p| p.split_once('='));
-        let told = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?)));
-        let told: BTreeMap<&str, f64> = told.filter(|(_, value)| (0.0..=1e6).contains(value)).collect();
-        self.load_metrics.iter().map(|name| told.get(name.as_str()).copied().unwrap_or(f64::NAN)).collect()
+        let parsed = pairs.filter_map(|(name, value)| Some((name, value.parse().ok()?)));
+        let values: BTreeMap<&str, f64> = parsed.filter(|(_, value)| (0.0..=1e6).contains(value)).collect();
+        self.load_metrics
+            .iter()
+            .map(|name| values.get(name.as_str()).copied().unwrap_or(f64::NAN))
+            .collect()
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery: the list of real servers, asked for once or watched.
+//! Discovery: fetches or watches the list of replicas.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -13,33 +13,33 @@
 use log::Level;
 
 use super::codec::{self, Body, Head};
-use super::objects::{NoObject, Objects, Piece};
-use super::servers::Fleet;
+use super::object_splitter::{Element, NotAnObject, ObjectSplitter};
+use super::upstream::Fleet;
 use super::{BufferedStream, within};
-use crate::engine::{Engine, FleetOrder};
+use crate::engine::{Engine, FleetAction};
 use crate::limits::Limits;
 use crate::names::{Listing, Names, State};
 use crate::types::{ListKind, Member, Phase, ReplicaId};
 
-/// Follows the list as the module orders, and tells it and the fleet what comes.
+/// Follows the list as the load balancer requests, and passes updates to it and to the fleet.
 pub struct Discovery {
     addr: Cell<SocketAddr>,
     engine: Engine,
     fleet: Rc<Fleet>,
     names: Rc<RefCell<Names>>,
     limits: Rc<Limits>,
-    /// Lists come unasked, from an agent on this machine.
+    /// Lists are pushed by an agent on this machine.
     push: bool,
     version: Cell<u64>,
-    answered: Cell<bool>,
-    /// The last call came to nothing, and so it has been noted.
+    has_list: Cell<bool>,
+    /// The last call failed, which was logged.
     failing: Cell<bool>,
-    /// The present watch has fallen silent, and the module knows.
-    silent: Cell<bool>,
+    /// The current watch exceeded its idle timeout, which the load balancer knows.
+    idle: Cell<bool>,
 }
 
 impl Discovery {
-    /// Knows nothing yet.
+    /// Starts without a list.
     pub fn new(
         addr: SocketAddr,
         engine: Engine,
@@ -49,30 +49,30 @@
         push: bool,
     ) -> Discovery {
         let (addr, version) = (Cell::new(addr), Cell::new(0));
-        let (answered, failing, silent) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        Discovery { addr, engine, fleet, names, limits, push, version, answered, failing, silent }
+        let (has_list, failing, idle) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Discovery { addr, engine, fleet, names, limits, push, version, has_list, failing, idle }
     }
 
-    /// Takes the list that the gateway last had, which may be old.
+    /// Applies the list of an earlier process, which may be outdated.
     pub fn persisted(&self, known: &Listing) {
         self.take(known.clone(), ListKind::Persisted);
     }
 
-    /// Discovery has moved: it is watched there from now on. The list held and its version stay in force.
+    /// Watches discovery at another address. The list and its version stay in force.
     pub fn move_to(&self, addr: SocketAddr) {
         if self.addr.replace(addr) != addr {
             log::info!(discovery:% = addr, version = self.version.get(); "discovery-moved: it is watched there now");
-            self.engine.watch_anew();
+            self.engine.watch_list();
         }
     }
 
-    /// Discovery has answered at least once.
-    pub fn answered(&self) -> bool {
-        self.answered.get()
+    /// Whether discovery has responded at least once.
+    pub fn has_list(&self) -> bool {
+        self.has_list.get()
     }
 
-    /// Carries out the module's orders, for ever. Where the list should come unasked, watches by itself.
-    pub async fn run(self: Rc<Self>, ex: &'static LocalExecutor<'static>, orders: Receiver<FleetOrder>) {
+    /// Carries out the load balancer's actions until the channel closes. Where the list is pushed, it watches by itself.
+    pub async fn run(self: Rc<Self>, ex: &'static LocalExecutor<'static>, actions: Receiver<FleetAction>) {
         let mut watch: Option<Task<()>> = None;
         let start = || {
             let this = self.clone();
@@ -83,29 +83,29 @@
                     if !this.push {
                         return;
                     }
-                    // Guards against an agent that has news while no watch is open, which counts as told: a watch
-                    // that has lasted is opened anew at once, and what fails is tried again steadily.
-                    Timer::after(this.limits.agent_pause.saturating_sub(from.elapsed())).await;
+                    // An update of the agent counts as delivered even if no watch is open, so a watch that has
+                    // lasted is reopened at once, and a failed one at a steady rate.
+                    Timer::after(this.limits.discovery.agent_pause.saturating_sub(from.elapsed())).await;
                 }
             })
         };
         if self.push {
             watch = Some(start());
         }
-        while let Ok(order) = orders.recv().await {
-            match order {
-                // A new watch takes the place of the old one, whose connection closes with it.
-                FleetOrder::Watch => {
+        while let Ok(action) = actions.recv().await {
+            match action {
+                // A new watch replaces the old one and closes its connection.
+                FleetAction::WatchList => {
                     drop(watch.take());
                     watch = Some(start());
                 }
-                FleetOrder::Fetch => ex.spawn(self.clone().fetch()).detach(),
-                FleetOrder::Probe(server) => {
+                FleetAction::FetchList => ex.spawn(self.clone().fetch()).detach(),
+                FleetAction::Probe(replica) => {
                     let this = self.clone();
                     ex.spawn(async move {
                         let from = Instant::now();
-                        let ending = this.fleet.probe(&server).await;
-                        this.engine.probed(server, from.elapsed(), ending);
+                        let outcome = this.fleet.probe(&replica).await;
+                        this.engine.record_probe(replica, from.elapsed(), outcome);
                     })
                     .detach();
                 }
@@ -114,28 +114,28 @@
         drop(watch);
     }
 
-    /// One watch, up to its end. The module learns of it as a failure, and when to ask again is its to say; an agent
-    /// is asked at no cost, and its pace is kept here.
+    /// One watch, up to its end, which is reported to the load balancer as a failure; it decides when to call again. Calls
+    /// to an agent cost nothing, and their rate is limited here.
     async fn watch(&self) {
-        self.silent.set(false);
+        self.idle.set(false);
         let path = format!("/catalog/members?stream=1&index={}", self.version.get());
         let from = Instant::now();
         let ended =
             if self.push { self.watch_agent(&path).await } else { self.call(&path, true, &|| true).await };
         let why = ended.err().map_or("it ended".to_owned(), |e| e.to_string());
-        // Guards against a log full of the same words while discovery is down.
+        // Repeated failures of an agent are logged at debug.
         let level = if self.push && self.failing.replace(true) { Level::Debug } else { Level::Info };
         let after_ms = from.elapsed().as_millis() as u64;
         log::log!(level, version = self.version.get(), after_ms = after_ms; "watch-ended: {why}");
-        // What fell silent before it ended has been told already, and the next call is due.
-        if !self.push && !self.silent.get() {
-            self.engine.list(ListKind::Failed, Vec::new());
+        // The failure of an idle watch was reported before, and the next call is scheduled.
+        if !self.push && !self.idle.get() {
+            self.engine.update_list(ListKind::Failed, Vec::new());
         }
     }
 
-    /// A watch at an agent. Guards against calls that are never answered since they came while discovery was down:
-    /// what the agent has at the return counts at once. As long as the call has no answer, others are made beside it,
-    /// one after the other; whichever is answered first is the watch.
+    /// A watch at an agent. A call that was made while discovery was down may never get a response, though what the agent
+    /// has counts as delivered once discovery is back. So as long as the call has no response, further ones are made beside
+    /// it, one after the other; the first one with a response becomes the watch.
     async fn watch_agent(&self, path: &str) -> io::Result<()> {
         let begun = Cell::new(None);
         let claim = |who: u8| {
@@ -150,10 +150,10 @@
             end
         };
         let beside = async {
-            Timer::after(self.limits.agent_answer).await;
+            Timer::after(self.limits.discovery.agent_answer_timeout).await;
             while begun.get().is_none() {
                 let late = async {
-                    Timer::after(self.limits.agent_answer).await;
+                    Timer::after(self.limits.discovery.agent_answer_timeout).await;
                     if begun.get() == Some(1) {
                         future::pending::<()>().await;
                     }
@@ -164,7 +164,7 @@
                 if begun.get() == Some(1) {
                     return end;
                 }
-                Timer::after(self.limits.agent_pause.saturating_sub(from.elapsed())).await;
+                Timer::after(self.limits.discovery.agent_pause.saturating_sub(from.elapsed())).await;
             }
             future::pending().await
         };
@@ -174,30 +174,30 @@
     async fn fetch(self: Rc<Self>) {
         if let Err(e) = self.call("/catalog/members", false, &|| true).await {
             log::info!("list-failed: {e}");
-            self.engine.list(ListKind::Failed, Vec::new());
+            self.engine.update_list(ListKind::Failed, Vec::new());
         }
     }
 
-    /// A call, up to the end of its answer; `claim` says at the answer's first word whether it is wanted still.
+    /// A call, up to the end of its response; `claim` tells at the first element whether the response is still needed.
     async fn call(&self, path: &str, watch: bool, claim: &dyn Fn() -> bool) -> io::Result<()> {
         let from = Instant::now();
         let (wire, head) = self.open(path).await?;
         self.follow(wire, head, watch, from, claim).await
     }
 
-    /// Sends a call and reads the head of its answer.
+    /// Sends a call and reads the head of its response.
     async fn open(&self, path: &str) -> io::Result<(BufferedStream, Head)> {
         let limits = &self.limits;
         let mut wire = BufferedStream::connect(self.addr.get(), &limits.wire).await?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr.get());
         wire.write(request.as_bytes()).await?;
-        let begun = within(limits.discovery_answer, async {
+        let begun = within(limits.discovery.answer_timeout, async {
             loop {
                 match codec::response_head(&mut wire.buf, &limits.wire) {
                     Ok(Some(head)) => return Ok(head),
                     Ok(None) if wire.fill(&limits.wire).await? > 0 => {}
                     Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                    Err(bad) => return Err(io::Error::other(bad.what)),
+                    Err(bad) => return Err(io::Error::other(bad.message())),
                 }
             }
         });
@@ -205,7 +205,7 @@
         Ok((wire, head))
     }
 
-    /// Reads the answer of a call that was made at `from`, up to its end.
+    /// Reads the response to a call that was made at `from`, up to its end.
     async fn follow(
         &self,
         mut wire: BufferedStream,
@@ -215,45 +215,49 @@
         claim: &dyn Fn() -> bool,
     ) -> io::Result<()> {
         let limits = &self.limits;
-        let silence = if self.push { limits.agent_silence } else { limits.watch_silence };
+        let idle_timeout = if self.push {
+            limits.discovery.agent_idle_timeout
+        } else {
+            limits.discovery.watch_idle_timeout
+        };
         if head.status() != 200 {
             if let Some(wait) = head.get("retry-after").and_then(seconds) {
-                self.engine.busy(wait);
+                self.engine.defer_list_calls(wait);
             }
             return Err(io::Error::other(format!("status {}", head.status())));
         }
-        let mut body = head.response_body().map_err(|bad| io::Error::other(bad.what))?;
-        let (mut text, mut objects) = (Vec::new(), Objects::default());
+        let mut body = head.response_body().map_err(|bad| io::Error::other(bad.message()))?;
+        let (mut text, mut objects) = (Vec::new(), ObjectSplitter::default());
         let mut first = true;
         loop {
             let mut ended = match body.take(&mut wire.buf, &mut text, &limits.wire) {
-                Ok(whole) => whole,
-                Err(bad) => return Err(io::Error::other(bad.what)),
+                Ok(is_complete) => is_complete,
+                Err(bad) => return Err(io::Error::other(bad.message())),
             };
             loop {
-                let piece = match objects.take(&mut text) {
-                    Ok(Some(Piece::Blank)) if !watch => continue,
-                    Ok(Some(piece)) => piece,
+                let element = match objects.take(&mut text) {
+                    Ok(Some(Element::BlankLine)) if !watch => continue,
+                    Ok(Some(element)) => element,
                     Ok(None) => break,
-                    Err(NoObject) => return Err(io::Error::other("something other than an object")),
+                    Err(NotAnObject) => return Err(io::Error::other("something other than an object")),
                 };
                 if first && !claim() {
                     return Err(io::Error::other("another call was answered first"));
                 }
-                match piece {
-                    Piece::Object(object) => self.object(&object, &mut first)?,
-                    Piece::Blank => self.no_change(&mut first),
+                match element {
+                    Element::Object(object) => self.object(&object, &mut first)?,
+                    Element::BlankLine => self.no_change(&mut first),
                 }
             }
-            // Guards against an object without end.
-            if text.len() > limits.list_bytes {
+            // Bounds the memory for an object without end.
+            if text.len() > limits.discovery.list_bytes {
                 return Err(io::Error::other("an object too long"));
             }
             if !ended {
-                // Guards against a discovery that is cut off: a watch says something every 2 s. The answer's first
-                // word is due as soon after the call: one whose head came late has not as long again for the rest.
+                // A watch sends a line at least every 2 s, otherwise discovery is unreachable. The first element is due
+                // in the same time after the call, whenever the head arrived.
                 let spent = if first { from.elapsed() } else { Duration::ZERO };
-                let patience = silence.saturating_sub(spent);
+                let patience = idle_timeout.saturating_sub(spent);
                 let filled = match within(patience, wire.fill(&limits.wire)).await {
                     Err(_) if watch && !first && !self.push => self.listen_on(&mut wire).await,
                     filled => filled?,
@@ -273,32 +277,32 @@
         }
     }
 
-    /// A watch has fallen silent: the next one is due, whose beginning ends this. Guards against a line that was only
-    /// late, after which no call is needed.
+    /// A watch exceeded its idle timeout: the next one is scheduled, and its start ends this one. If a line was only late,
+    /// no call is needed.
     async fn listen_on(&self, wire: &mut BufferedStream) -> io::Result<usize> {
-        log::info!(version = self.version.get(); "watch-silent: it is opened anew unless it speaks before");
-        self.silent.set(true);
-        self.engine.list(ListKind::Failed, Vec::new());
+        log::info!(version = self.version.get(); "watch-idle: it is reopened unless a line arrives before");
+        self.idle.set(true);
+        self.engine.update_list(ListKind::Failed, Vec::new());
         let count = wire.fill(&self.limits.wire).await?;
         if count > 0 {
-            self.silent.set(false);
+            self.idle.set(false);
             self.no_change(&mut true);
         }
         Ok(count)
     }
 
-    /// An empty line of a watch is a sign of life, and as an answer's first word also says: no change.
+    /// An empty line of a watch is a keep-alive; as the first element of a response it also means: no change.
     fn no_change(&self, first: &mut bool) {
         if std::mem::replace(first, false) {
             self.take(Listing { version: self.version.get(), ..Listing::default() }, ListKind::Changes);
         }
     }
 
-    /// An object of an answer.
+    /// An object of a response.
     fn object(&self, object: &[u8], first: &mut bool) -> io::Result<()> {
         let listing: Listing = serde_json::from_slice(object).map_err(io::Error::other)?;
         if !listing.full && listing.version < self.version.get() {
-            // Changes up to a version that is held already: nothing new.
+            // Changes up to a version that is known already.
             log::warn!(version = listing.version, held = self.version.get(); "old-changes: nothing new in them");
             self.no_change(first);
             return Ok(());
@@ -309,13 +313,13 @@
         Ok(())
     }
 
-    /// Tells the fleet first, so that what the module then orders finds its places.
+    /// Passes a list to the fleet first, so that it has the endpoints for the load balancer's actions.
     fn take(&self, mut listing: Listing, kind: ListKind) {
-        for (server, what) in listing.sift(self.engine.now() as f64 / 1e6) {
-            log::warn!(version = listing.version, server = server; "bad-entry: {what}");
+        for (replica, problem) in listing.correct(self.engine.now() as f64 / 1e6) {
+            log::warn!(version = listing.version, replica = replica; "bad-entry: {problem}");
         }
         self.version.set(listing.version);
-        self.answered.set(self.answered.get() || kind != ListKind::Persisted);
+        self.has_list.set(self.has_list.get() || kind != ListKind::Persisted);
         self.failing.set(false);
         let mut members: Vec<Member> = Vec::with_capacity(listing.servers.len());
         for entry in &listing.servers {
@@ -324,7 +328,7 @@
             members.push(names.member(entry));
             for id in gone {
                 if entry.state != State::Gone {
-                    log::info!(server = &*id.0, addr = entry.addr; "address-taken: its id is gone with it");
+                    log::info!(replica = &*id.0, addr = entry.addr; "address-taken: its id is gone with it");
                 }
                 match members.iter_mut().find(|m| m.id == id) {
                     Some(member) => member.phase = Phase::Gone,
@@ -332,15 +336,15 @@
                 }
             }
             if kind == ListKind::Changes && entry.state != State::Ready {
-                log::info!(version = listing.version, server = entry.id, state:? = entry.state; "list-change: nothing new goes there");
+                log::info!(version = listing.version, replica = entry.id, state:? = entry.state; "list-change: nothing new goes there");
             }
         }
         if kind != ListKind::Changes {
             let ids: Vec<ReplicaId> = members.iter().map(|m| m.id.clone()).collect();
             self.fleet.keep_only(&ids);
-            log::info!(version = listing.version, kind:? = kind, servers = ids.len(); "list: taken whole");
+            log::info!(version = listing.version, kind:? = kind, replicas = ids.len(); "list: complete");
         }
-        self.engine.list(kind, members);
+        self.engine.update_list(kind, members);
     }
 }
 
--- a/src/net/edge/charge.rs
+++ b/src/net/edge/charge.rs
@@ -1,37 +1,37 @@
-//! What a request costs its tenant.
+//! Charging a request to its tenant.
 
 use std::rc::Rc;
 
 use super::Edge;
 use crate::admission::quota::Grant;
-use crate::net::servers::Batch;
+use crate::net::upstream::Batch;
 
-/// What a request is charged with by its tenant's limits, once it is over.
+/// What a request is charged to its tenant when it ends.
 pub(super) struct Charge {
     pub(super) edge: Rc<Edge>,
     pub(super) grant: Option<Grant>,
-    /// Tokens of the prompt that were read.
+    /// Prompt tokens that were not cached.
     pub(super) prompt: u64,
-    /// Tokens of the answer, as far as they were told.
-    pub(super) answer: u64,
-    /// Events of the answer: until it has ended whole, each stands for a token.
+    /// Output tokens stated so far.
+    pub(super) output: u64,
+    /// Events of the response; each counts as a token until the response is complete.
     pub(super) events: u64,
-    /// Some real server may have run it.
+    /// Whether a replica may have run it.
     pub(super) ran: bool,
 }
 
 impl Charge {
-    /// Events of the answer were passed on.
-    pub(super) fn passed(&mut self, batch: &Batch) {
+    /// Records events that were forwarded.
+    pub(super) fn record(&mut self, batch: &Batch) {
         self.events += batch.events;
         if let Some(usage) = batch.usage {
-            (self.prompt, self.answer) = (usage.unkept(), usage.answer);
+            (self.prompt, self.output) = (usage.uncached_prompt(), usage.output);
         }
     }
 
-    /// The answer is whole, and what was told of it holds.
-    pub(super) fn whole(&mut self) {
-        if self.answer > 0 {
+    /// The response is complete, so the usage that it has stated counts.
+    pub(super) fn complete(&mut self) {
+        if self.output > 0 {
             self.events = 0;
         }
     }
@@ -40,8 +40,8 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if let Some(grant) = self.grant.take() {
-            let needed = self.ran.then_some((self.prompt, self.answer.max(self.events)));
-            self.edge.context.messages.settle(self.edge.engine.now(), grant, needed);
+            let needed = self.ran.then_some((self.prompt, self.output.max(self.events)));
+            self.edge.context.messages.reconcile(self.edge.engine.now(), grant, needed);
         }
     }
 }
--- a/src/net/edge/handover.rs
+++ b/src/net/edge/handover.rs
@@ -1,4 +1,4 @@
-//! Streams that go from one process of the gateway to the next.
+//! Takes over and hands over begun streams between processes of the gateway.
 
 use std::cell::RefCell;
 use std::io;
@@ -8,20 +8,20 @@
 
 use async_executor::LocalExecutor;
 
-use super::answering::Answering;
+use super::after_response::AfterResponse;
 use super::charge::Charge;
-use super::connection::AfterReply;
 use super::exchange::Exchange;
+use super::responding_client::RespondingClient;
 use super::{BufferedStream, Edge};
 use crate::admission::connection_slots::ConnectionState;
 use crate::engine::{self, BegunStream};
 use crate::front::{Dialect, Responder, ResponseEncoder};
 use crate::net::handover_message::StreamSnapshot;
-use crate::net::servers::Running;
+use crate::net::upstream::Running;
 use crate::types::ReplicaId;
 
 impl Edge {
-    /// Goes on with a stream that another process of this gateway began.
+    /// Continues a stream that another process of this gateway began.
     ///
     /// # Errors
     ///
@@ -30,13 +30,13 @@
         self: Rc<Self>,
         ex: &'static LocalExecutor<'static>,
         mut snapshot: StreamSnapshot,
-        [client, server]: [OwnedFd; 2],
+        [client, replica]: [OwnedFd; 2],
     ) -> io::Result<()> {
-        let [line, buf, ..] = &mut snapshot.waiting;
-        let (line, wire) = (std::mem::take(line), BufferedStream::handed(client, std::mem::take(buf))?);
+        let out = std::mem::take(&mut snapshot.buffers.to_client);
+        let wire = BufferedStream::handed(client, std::mem::take(&mut snapshot.buffers.from_client))?;
         let from = wire.peer()?;
-        let steps = Running::unpack(self.fleet.clone(), &mut snapshot, server)?;
-        let (responder, waiting) = (Responder::new(Dialect::Platform, &snapshot.name), line.len());
+        let steps = Running::unpack(self.fleet.clone(), &mut snapshot, replica)?;
+        let (responder, waiting) = (Responder::new(Dialect::Platform, &snapshot.name), out.len());
         let encoder =
             ResponseEncoder::resumed(responder.clone(), self.context.omissions.clone(), &self.limits);
         let back = Rc::new(RefCell::new(None));
@@ -47,17 +47,17 @@
             responder,
             keep: snapshot.keep_client,
             model: String::new(),
-            whole: false,
+            is_message: false,
             back: back.clone(),
             from: Instant::now(),
-            charge: Charge { edge: self.clone(), grant: None, prompt: 0, answer: 0, events: 0, ran: true },
+            charge: Charge { edge: self.clone(), grant: None, prompt: 0, output: 0, events: 0, ran: true },
         };
-        let answer = Answering { exchange, encoder, line, written: 0 };
+        let answer = RespondingClient { exchange, encoder, out, written: 0 };
         let begun = BegunStream {
             id: snapshot.id,
             class: snapshot.class,
             tenant: snapshot.tenant,
-            server: ReplicaId::from(snapshot.server.as_str()),
+            replica: ReplicaId::from(snapshot.replica.as_str()),
             first: snapshot.first,
         };
         let mut slot = self.slots.acquire();
@@ -65,11 +65,11 @@
         ex.spawn(async move {
             engine::carry_on(&self.engine, &begun, (steps, answer, waiting), &*self).await;
             match back.take() {
-                Some(AfterReply::KeepAlive(wire)) => {
+                Some(AfterResponse::KeepAlive(wire)) => {
                     slot.set_state(ConnectionState::Idle);
                     self.connection(wire, from, Dialect::Platform, slot).await;
                 }
-                Some(AfterReply::Close(wire)) => self.close(wire, slot).await,
+                Some(AfterResponse::Close(wire)) => self.close(wire, slot).await,
                 None => {}
             }
         })
@@ -78,8 +78,8 @@
     }
 }
 
-impl engine::StreamSuccessor<Running, Answering> for Edge {
-    fn take(&self, begun: &BegunStream, steps: &mut Running, answer: &mut Answering) -> bool {
+impl engine::StreamSuccessor<Running, RespondingClient> for Edge {
+    fn take(&self, begun: &BegunStream, steps: &mut Running, answer: &mut RespondingClient) -> bool {
         if !self.followers.has_follower() {
             return false;
         }
@@ -91,8 +91,8 @@
             ..StreamSnapshot::default()
         };
         let sent = match (answer.pack(&mut snapshot), steps.pack(&mut snapshot)) {
-            (Some(client), Some(server)) => self.followers.send(&snapshot, [client, server]),
-            _ => Err(io::Error::other("of a kind that stays")),
+            (Some(client), Some(replica)) => self.followers.send(&snapshot, [client, replica]),
+            _ => Err(io::Error::other("its state can't be handed over")),
         };
         match &sent {
             Ok(()) => steps.given_away(),
--- a/src/net/edge/mod.rs
+++ b/src/net/edge/mod.rs
@@ -1,12 +1,14 @@
 //! Edge connections: the listeners, and the clients' side of each request.
 
-mod answering;
+mod after_response;
+mod buffered_bytes;
 mod charge;
 mod connection;
 mod exchange;
 mod handover;
-mod held_bytes;
 mod request;
+mod responding_client;
+mod waiting_client;
 
 use std::cell::Cell;
 use std::net::TcpListener;
@@ -20,14 +22,14 @@
 
 use super::followers::Followers;
 use super::lifecycle_monitor::LifecycleMonitor;
-use super::servers::Fleet;
 use super::slot_pool::SlotPool;
+use super::upstream::Fleet;
 use super::{BufferedStream, within};
 use crate::admission::connection_slots::SlotTimeouts;
 use crate::engine::Engine;
 use crate::front::{Dialect, FrontContext};
 use crate::limits::Limits;
-use crate::process::overlap::{Overlap, Places, Report};
+use crate::process::overlap::{ConnectionCounts, Overlap, Report};
 
 /// What all edge connections share.
 pub struct Edge {
@@ -41,7 +43,7 @@
     /// Where streams that outlast this process go, if they may.
     followers: Rc<Followers>,
     slots: Rc<SlotPool>,
-    held_bytes: Cell<usize>,
+    buffered_bytes: Cell<usize>,
     /// Listeners that are open.
     listeners: Cell<usize>,
 }
@@ -57,10 +59,10 @@
         followers: Rc<Followers>,
     ) -> Edge {
         let timeouts = SlotTimeouts {
-            silent: limits.edge_mute,
-            receiving: limits.edge_slow,
-            idle: limits.edge_rested,
-            closing: limits.closing,
+            silent: limits.edge.silent_timeout,
+            receiving: limits.edge.slow_timeout,
+            idle: limits.edge.rested_timeout,
+            closing: limits.edge.closing_timeout,
         };
         let slots = Rc::new(SlotPool::new(engine.clone(), timeouts));
         let body_bytes = limits.messages.body_bytes;
@@ -74,7 +76,7 @@
             lifecycle,
             followers,
             slots,
-            held_bytes: Cell::new(0),
+            buffered_bytes: Cell::new(0),
             listeners: Cell::new(0),
         }
     }
@@ -95,8 +97,8 @@
             let next = async {
                 // Guards against a crowd that connects and says nothing, or asks once and stays, while others
                 // wait to be accepted.
-                if self.open() >= self.places() {
-                    return self.slots.evict_and_wait(self.limits.edge_look).await;
+                if self.open() >= self.connection_limit() {
+                    return self.slots.evict_and_wait(self.limits.edge.slot_check_interval).await;
                 }
                 match listener.accept().await {
                     Ok(taken) => take(taken),
@@ -104,11 +106,11 @@
                         // Guards against dying, or spinning, when no descriptor is free.
                         log::warn!("accept-failed: {e}");
                         // None is free in this process. Guards against accepting, and failing, on and on,
-                        // while discovery, real servers and operators find none either.
+                        // while discovery, replicas and operators find none either.
                         if Errno::from_io_error(&e) == Some(Errno::MFILE) {
                             self.run_out();
                         }
-                        Timer::after(self.limits.accept_pause).await;
+                        Timer::after(self.limits.edge.accept_pause).await;
                     }
                 }
             };
@@ -116,7 +118,7 @@
         }
         // Guards against a reset of what the system has accepted by now: it is told that this process takes no more.
         while self.lifecycle.empties_queue()
-            && self.open() < self.places()
+            && self.open() < self.connection_limit()
             && let Some(Ok(taken)) = future::poll_once(listener.accept()).await
         {
             take(taken);
@@ -126,35 +128,35 @@
 
     /// Stops: requests are still taken for the grace, on the connections that clients have too, since another
     /// gateway may not be there to take them; then listeners and idle edge connections close, and
-    /// what is held gets its answer.
+    /// open requests get their responses.
     pub async fn stop(&self) {
         self.lifecycle.stop();
         self.engine.stop_streams(self.limits.stream.stop);
         while !self.lifecycle.over(self.open()) || self.listeners.get() > 0 {
             // Looks again by itself: the listeners wait for the same word, and only one of all hears it.
             let word = future::or(self.slots.freed(), self.lifecycle.changed());
-            let _ = within(self.limits.edge_look, word).await;
+            let _ = within(self.limits.edge.slot_check_interval, word).await;
         }
     }
 
     /// Takes fewer connections from now on, since there are fewer descriptors than the configuration says.
     fn run_out(&self) {
         let overlap = &self.fleet.overlap;
-        if overlap.ran_out(self.report().holds, self.limits.own_descriptors) {
-            let Places { edge, servers } = overlap.places();
-            log::warn!(edge = edge, servers = servers; "descriptors-short: raise this process's limit to what limits.sockets says; until then it holds fewer connections");
+        if overlap.ran_out(self.report().open, self.limits.own_descriptors) {
+            let ConnectionCounts { edge, replicas } = overlap.limits();
+            log::warn!(edge = edge, replicas = replicas; "descriptors-short: raise this process's limit to what limits.sockets says; until then it holds fewer connections");
         }
     }
 
-    /// Places of this process.
-    fn places(&self) -> usize {
-        self.fleet.overlap.places().edge
+    /// ConnectionCounts of this process.
+    fn connection_limit(&self) -> usize {
+        self.fleet.overlap.limits().edge
     }
 
     /// What this process holds, for the one that follows.
     pub fn report(&self) -> Report {
-        let holds = Places { edge: self.open(), servers: self.fleet.open() };
-        Report { holds, stopping: self.lifecycle.is_stopping() }
+        let open = ConnectionCounts { edge: self.open(), replicas: self.fleet.open() };
+        Report { open, stopping: self.lifecycle.is_stopping() }
     }
 
     /// Notes what has become of another process, and what of the memory is this one's since then.
--- a/src/net/edge/request.rs
+++ b/src/net/edge/request.rs
@@ -7,24 +7,26 @@
 use futures_lite::future;
 use tulipridge_http1::Http1Limits;
 
-use super::held_bytes::HeldBytes;
+use super::buffered_bytes::BufferedBytes;
+use super::exchange::Pipelined;
 use super::{BufferedStream, Edge, within};
 use crate::admission::connection_slots::ConnectionState;
 use crate::admission::pipelined::{Bounds, PipelinedInput};
 use crate::front::Dialect;
 use crate::net::codec::{self, Body, Head, ParseError};
 use crate::net::slot_pool::Slot;
+use tulipridge_http1::RequestError;
 
 /// A request that has arrived whole.
 pub(super) struct IncomingRequest {
     pub(super) head: Head,
     pub(super) body: Vec<u8>,
     /// Counts the body's bytes until it is dropped.
-    pub(super) bytes: HeldBytes,
+    pub(super) bytes: BufferedBytes,
 }
 
 impl Edge {
-    /// A request's id as its client is told it, and as real servers are: of the messages front every request gets
+    /// A request's id as its client is told it, and as replicas are: of the messages front every request gets
     /// one, and an id of another form is known by its hash, so that its second use is noticed here too.
     pub(super) fn name(&self, dialect: Dialect, head: &mut Head) -> String {
         let given = head.get("x-request-id").map(crate::front::platform::key);
@@ -42,15 +44,15 @@
     }
 
     /// How what comes behind a request on this connection is taken.
-    pub(super) fn pipelined(
-        self: &Rc<Self>,
-        dialect: Dialect,
-        wire: &BufferedStream,
-    ) -> (PipelinedInput, HeldBytes) {
+    pub(super) fn pipelined(self: &Rc<Self>, dialect: Dialect, wire: &BufferedStream) -> Pipelined {
         let wire_limits = self.wire_limits(dialect);
-        let whole = wire_limits.head_bytes + wire_limits.body_bytes;
-        let bounds = Bounds { least: wire_limits.head_bytes, most: whole, flood: self.limits.flood_bytes };
-        (PipelinedInput::new(bounds, wire.is_truncated), HeldBytes::none(self.clone()))
+        let largest = wire_limits.head_bytes + wire_limits.body_bytes;
+        let bounds =
+            Bounds { least: wire_limits.head_bytes, most: largest, flood: self.limits.edge.flood_bytes };
+        Pipelined {
+            input: PipelinedInput::new(bounds, wire.is_truncated),
+            counted: BufferedBytes::none(self.clone()),
+        }
     }
 
     /// A connection's limits, with the bounds of that front's bodies.
@@ -67,7 +69,7 @@
         wire: &mut BufferedStream,
         dialect: Dialect,
         slot: &mut Slot,
-    ) -> Result<Option<IncomingRequest>, ParseError> {
+    ) -> Result<Option<IncomingRequest>, RequestError> {
         let (limits, wire_limits) = (&self.limits, self.wire_limits(dialect));
         let silent_since = slot.silent_since();
         if wire.buf.is_empty() {
@@ -79,7 +81,8 @@
                 Ok(0)
             };
             // Guards against a crowd that holds slots and says nothing at all.
-            let patience = if silent_since.is_some() { limits.edge_read } else { limits.edge_idle };
+            let patience =
+                if silent_since.is_some() { limits.edge.read_timeout } else { limits.edge.idle_timeout };
             let idle = async { within(patience, wire.fill(wire_limits)).await.unwrap_or(Ok(0)) };
             // What has come is read before the close is heeded, also if nobody has said so here yet: a request that
             // crosses a close costs its client another connection.
@@ -90,14 +93,14 @@
         // The first request's time began with the connection: one that trickles in has no more than a silent one.
         let spent = silent_since.map_or(0, |since| self.engine.now().saturating_sub(since));
         slot.set_state(ConnectionState::Receiving);
-        let whole = self.receive(wire, wire_limits, slot);
-        let late = || Err(ParseError { status: 408, what: "the request took too long to arrive" });
+        let receiving = self.receive(wire, wire_limits, slot);
+        let late = || Err(RequestError::TooSlow);
         let left = async {
             slot.evicted().await;
             Ok(late())
         };
-        let patience = limits.edge_read.saturating_sub(Duration::from_nanos(spent));
-        future::or(within(patience, whole), left).await.unwrap_or_else(|_| late())
+        let patience = limits.edge.read_timeout.saturating_sub(Duration::from_nanos(spent));
+        future::or(within(patience, receiving), left).await.unwrap_or_else(|_| late())
     }
 
     /// Reads a request of which something may have come. `None`: the connection ended before the request did.
@@ -106,7 +109,7 @@
         wire: &mut BufferedStream,
         wire_limits: &Http1Limits,
         slot: &Slot,
-    ) -> Result<Option<IncomingRequest>, ParseError> {
+    ) -> Result<Option<IncomingRequest>, RequestError> {
         let head = loop {
             if let Some(head) = codec::request_head(&mut wire.buf, wire_limits)? {
                 break head;
@@ -121,22 +124,22 @@
             let _ = wire.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
         let mut body = Vec::new();
-        let mut bytes = HeldBytes::none(self.clone());
+        let mut bytes = BufferedBytes::none(self.clone());
         if let Body::Length(length) = framing {
             body.reserve_exact(length);
         }
         loop {
-            let whole = framing.take(&mut wire.buf, &mut body, wire_limits)?;
+            let is_complete = framing.take(&mut wire.buf, &mut body, wire_limits)?;
             if body.len() > wire_limits.body_bytes {
-                return Err(ParseError { status: 413, what: "the body is too large" });
+                return Err(ParseError::BodyTooLarge.into());
             }
             bytes.grow_to(body.len());
-            if whole {
+            if is_complete {
                 return Ok(Some(IncomingRequest { head, body, bytes }));
             }
             // Guards against running out of memory: what does not fit waits in its socket.
-            while self.held_bytes.get() > self.fleet.overlap.part(self.limits.held_bytes) {
-                Timer::after(self.limits.accept_pause).await;
+            while self.buffered_bytes.get() > self.fleet.overlap.part(self.limits.edge.buffered_bytes) {
+                Timer::after(self.limits.edge.accept_pause).await;
             }
             if !wire.more(wire_limits).await {
                 return Ok(None);
--- /dev/null
+++ b/src/net/edge/responding_client.rs
@@ -0,0 +1,121 @@
+//! A client that receives its response.
+
+use std::os::fd::BorrowedFd;
+use std::task::{Context, Poll, ready};
+
+use super::exchange::Exchange;
+use crate::engine;
+use crate::front::ResponseEncoder;
+use crate::net::handover_message::StreamSnapshot;
+use crate::net::upstream::Batch;
+use crate::stream::{Cause, Leaving};
+
+/// Upper bound of the bytes that frame a batch of events.
+const FRAMING_BYTES: usize = 256;
+
+/// A client that receives its response.
+pub(super) struct RespondingClient {
+    pub(super) exchange: Exchange,
+    pub(super) encoder: ResponseEncoder,
+    /// Queued bytes for the client, of which `written` are written.
+    pub(super) out: Vec<u8>,
+    pub(super) written: usize,
+}
+
+impl RespondingClient {
+    /// Queues what `add` appends; returns the number of bytes.
+    fn add(&mut self, add: impl FnOnce(&mut ResponseEncoder, &mut Vec<u8>)) -> usize {
+        if self.written > 0 {
+            self.out.drain(..std::mem::take(&mut self.written));
+        }
+        let length_before = self.out.len();
+        add(&mut self.encoder, &mut self.out);
+        self.out.len() - length_before
+    }
+
+    /// Adds the client's state to a snapshot, and returns its connection; `None` if it has state that can't be handed over.
+    pub(super) fn pack(&self, snapshot: &mut StreamSnapshot) -> Option<BorrowedFd<'_>> {
+        if !self.encoder.is_plain() || self.exchange.charge.grant.is_some() {
+            return None;
+        }
+        snapshot.name.clone_from(&self.exchange.responder.id);
+        snapshot.buffers.to_client = self.out[self.written..].to_vec();
+        // Pipelined bytes beyond a head are not handed over, so that the snapshot stays small; the connection then ends
+        // with the stream.
+        let Exchange { wire, edge, keep, .. } = &self.exchange;
+        let is_small = !wire.is_truncated && wire.buf.len() <= edge.limits.wire.head_bytes;
+        snapshot.keep_client = *keep && is_small;
+        if is_small {
+            snapshot.buffers.from_client.clone_from(&wire.buf);
+        }
+        Some(self.exchange.wire.fd())
+    }
+
+    fn taken(&mut self, bytes: usize) {
+        self.written += bytes;
+        if self.written == self.out.len() {
+            self.written = 0;
+            self.out.clear();
+            // Frees the memory of a burst.
+            self.out.shrink_to(self.exchange.edge.limits.wire.read_bytes);
+        }
+    }
+}
+
+impl engine::ResponseSink<Batch> for RespondingClient {
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
+        self.exchange.poll_gone(cx)
+    }
+
+    fn is_assembled(&self) -> bool {
+        self.encoder.is_message()
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        self.encoder.buffered_bytes()
+    }
+
+    fn is_full(&self) -> bool {
+        self.encoder.is_full()
+    }
+
+    fn put(&mut self, batch: Batch) -> usize {
+        self.exchange.charge.record(&batch);
+        if !self.encoder.is_message() {
+            // Reserves no more than the events need, since the queue of a paused reader lives long.
+            self.out.reserve_exact(batch.bytes.len() + FRAMING_BYTES);
+        }
+        let keep = self.exchange.keep;
+        self.add(|encoder, out| encoder.events(batch.dialect, &batch.bytes, keep, out))
+    }
+
+    fn put_end(&mut self, cause: Cause) -> usize {
+        if cause == Cause::Complete {
+            self.exchange.charge.complete();
+        }
+        let keep = self.exchange.keep;
+        self.add(|encoder, out| encoder.end(cause, keep, out))
+    }
+
+    fn poll_take(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, Leaving>> {
+        let taken = ready!(self.exchange.wire.poll_write(cx, &self.out[self.written..]));
+        Poll::Ready(match taken {
+            Ok(count) => {
+                self.taken(count);
+                Ok(count)
+            }
+            Err(_) => Err(Leaving::Reset),
+        })
+    }
+
+    fn finish(self) {
+        // A connection that was announced as kept alive is closed by the lifecycle, like idle ones.
+        let keep = self.exchange.keep;
+        self.exchange.give_back(keep);
+    }
+
+    fn break_off(self) {
+        self.exchange.wire.write_now(&self.out[self.written..]);
+        self.exchange.give_back(false);
+    }
+}
--- a/src/net/followers.rs
+++ b/src/net/followers.rs
@@ -43,7 +43,7 @@
         self.streams && !self.newer.borrow().is_empty()
     }
 
-    /// Hands a stream over with its client's and its real server's connection. An error says that it was not, and
+    /// Hands a stream over with its client's and its replica's connection. An error says that it was not, and
     /// may be later.
     ///
     /// # Errors
@@ -54,7 +54,7 @@
         let line = newer.last().ok_or(io::ErrorKind::NotConnected)?;
         let bytes = snapshot.bytes()?;
         // Guards against a message that the follower would have to cut.
-        if bytes.len() > self.limits.handover_bytes {
+        if bytes.len() > self.limits.lifecycle.handover_bytes {
             return Err(io::Error::other("too much waits at it"));
         }
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -69,7 +69,7 @@
         match line {
             Ok(line) => {
                 // Until it says what it holds, its half is reckoned with.
-                edge.overlap(|overlap| overlap.older_said(Report::default()));
+                edge.overlap(|overlap| overlap.older_reported(Report::default()));
                 ex.spawn(follow(ex, line, edge.clone(), self.limits.clone())).detach();
             }
             Err(e) => log::debug!(path:? = path; "alone: no older process: {e}"),
@@ -104,7 +104,7 @@
                     Err(e) if e == rustix::io::Errno::AGAIN => drop(listener.readable().await),
                     Err(e) => {
                         log::warn!("handover-accept-failed: {e}");
-                        Timer::after(self.limits.accept_pause).await;
+                        Timer::after(self.limits.edge.accept_pause).await;
                     }
                 }
             }
@@ -122,13 +122,13 @@
         loop {
             let report = edge.report();
             if said != Some(report) {
-                let told = serde_json::to_vec(&report).unwrap_or_default();
-                if send(line.get_ref(), &told, SendFlags::NOSIGNAL | SendFlags::DONTWAIT).is_ok() {
+                let encoded = serde_json::to_vec(&report).unwrap_or_default();
+                if send(line.get_ref(), &encoded, SendFlags::NOSIGNAL | SendFlags::DONTWAIT).is_ok() {
                     said = Some(report);
                 }
             }
             // It says nothing: what can be read is its end.
-            if within(self.limits.report_every, line.readable()).await.is_ok() {
+            if within(self.limits.lifecycle.report_interval, line.readable()).await.is_ok() {
                 break;
             }
         }
@@ -166,7 +166,7 @@
     loop {
         match message(line.get_ref(), &limits) {
             Ok(Message::End) => break,
-            Ok(Message::Holds(report)) => edge.overlap(|overlap| overlap.older_said(report)),
+            Ok(Message::Holds(report)) => edge.overlap(|overlap| overlap.older_reported(report)),
             Ok(Message::Stream(snapshot, sides)) => {
                 let id = snapshot.id;
                 match edge.clone().adopt(ex, *snapshot, sides) {
@@ -195,7 +195,7 @@
 
 /// The next message.
 fn message(line: &OwnedFd, limits: &Limits) -> io::Result<Message> {
-    let mut bytes = vec![0; limits.handover_bytes];
+    let mut bytes = vec![0; limits.lifecycle.handover_bytes];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
     let mut rights = RecvAncillaryBuffer::new(&mut space);
     let flags = RecvFlags::CMSG_CLOEXEC | RecvFlags::DONTWAIT;
--- a/src/net/handover_message.rs
+++ b/src/net/handover_message.rs
@@ -1,4 +1,4 @@
-//! A begun stream as bytes, on its way to another process of this gateway; its connections go beside them.
+//! The message that hands a begun stream over to another process of this gateway; its connections are sent beside it.
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,54 +9,68 @@
 use crate::front::Usage;
 use crate::types::Nanos;
 
-/// The version of the format; a change of the format gets another number, and processes of different versions hand
-/// nothing over.
+/// The version of the format; processes with different versions hand nothing over.
 pub const FORMAT_VERSION: u32 = 1;
-/// Lengths before a snapshot's parts, four bytes each: of its description and of what waits at four places.
+/// Bytes of the lengths before a snapshot's parts, four bytes each: its description and four buffers.
 const LENGTHS: usize = 5 * 4;
 
+/// The buffered bytes of a begun stream.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StreamBuffers {
+    /// Encoded, to be written to the client.
+    pub to_client: Vec<u8>,
+    /// Received from the client and not parsed.
+    pub from_client: Vec<u8>,
+    /// Received from the replica and not decoded.
+    pub from_replica: Vec<u8>,
+    /// Decoded from the replica's body, but not a complete event yet.
+    pub partial_event: Vec<u8>,
+}
+
 /// A begun stream without its connections.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StreamSnapshot {
-    /// Its request's id, as the module had it.
+    /// The request's id, as the load balancer knew it.
     pub id: u64,
-    /// The same as its client knows it.
+    /// The request's id as its client knows it.
     pub name: String,
-    /// Its class and its tenant, for the record.
+    /// The request's class, for the record.
     pub class: usize,
-    /// See `class`.
+    /// The request's tenant, for the record.
     pub tenant: Option<usize>,
-    /// How long its first event took.
+    /// Time to its first event.
     pub first: Nanos,
-    /// The client's connection may carry another request after it.
+    /// The client's connection can be reused afterwards.
     pub keep_client: bool,
-    /// Its real server.
-    pub server: String,
-    /// Where that is.
+    /// Its replica.
+    #[serde(rename = "server")]
+    pub replica: String,
+    /// The replica's address.
     pub addr: Option<SocketAddr>,
-    /// Where in the answer's body the next byte belongs.
+    /// The state of the response body's framing.
     pub body: Option<Body>,
-    /// The real server's connection may carry another request after it.
-    pub keep_server: bool,
-    /// Its last event has come.
+    /// The replica's connection can be reused afterwards.
+    #[serde(rename = "keep_server")]
+    pub keep_replica: bool,
+    /// Its last event has arrived.
     pub last: bool,
-    /// Tokens that were told of so far.
+    /// The token usage stated so far.
     pub usage: Option<Usage>,
-    /// What waits: for the client; of the client, read and not looked at; of the real server, likewise; and of the
-    /// real server's events, what is no whole one yet.
+    /// The bytes that it has buffered.
     #[serde(skip)]
-    pub waiting: [Vec<u8>; 4],
+    pub buffers: StreamBuffers,
 }
 
 impl StreamSnapshot {
-    /// Its bytes.
+    /// Encodes the snapshot.
     ///
     /// # Errors
     ///
     /// If the snapshot can't be serialized, or one of its parts is longer than 4 GiB.
     pub fn bytes(&self) -> io::Result<Vec<u8>> {
-        let told = serde_json::to_vec(self)?;
-        let parts = [&told, &self.waiting[0], &self.waiting[1], &self.waiting[2], &self.waiting[3]];
+        let encoded = serde_json::to_vec(self)?;
+        let StreamBuffers { to_client, from_client, from_replica, partial_event } = &self.buffers;
+        let parts = [&encoded, to_client, from_client, from_replica, partial_event];
         let mut bytes = Vec::new();
         for part in parts {
             let length = u32::try_from(part.len()).map_err(io::Error::other)?;
@@ -66,7 +80,7 @@
         Ok(bytes)
     }
 
-    /// Reads one; all of the bytes must be its.
+    /// Decodes a snapshot, which must take up all bytes.
     ///
     /// # Errors
     ///
@@ -85,8 +99,10 @@
             return Err(wrong());
         }
         let mut snapshot: StreamSnapshot = serde_json::from_slice(parts[0])?;
-        for (place, part) in snapshot.waiting.iter_mut().zip(&parts[1..]) {
-            *place = part.to_vec();
+        let StreamBuffers { to_client, from_client, from_replica, partial_event } = &mut snapshot.buffers;
+        let buffers = [to_client, from_client, from_replica, partial_event];
+        for (buffer, part) in buffers.into_iter().zip(&parts[1..]) {
+            *buffer = part.to_vec();
         }
         Ok(snapshot)
     }
--- a/src/net/lifecycle_monitor.rs
+++ b/src/net/lifecycle_monitor.rs
@@ -32,7 +32,7 @@
         shared: bool,
         ready: Box<dyn Fn() -> bool>,
     ) -> LifecycleMonitor {
-        let grace = limits.stop_grace.as_nanos() as Nanos;
+        let grace = limits.lifecycle.stop_grace.as_nanos() as Nanos;
         let life = RefCell::new(Lifecycle::new(engine.now(), shared, grace));
         LifecycleMonitor {
             engine,
@@ -118,7 +118,7 @@
         self.life.borrow().empties_queue()
     }
 
-    /// Whether a request that has come whole is placed; else it is turned down.
+    /// Whether a request that has come whole is placed; else it is shed.
     pub fn takes_requests(&self) -> bool {
         self.life.borrow().takes_requests(self.engine.now())
     }
@@ -181,7 +181,7 @@
             let wait = match due {
                 Some(due) => Some(Duration::from_nanos(due.saturating_sub(now))),
                 // What it serves with comes from elsewhere, without a word to here.
-                None => (state == State::Starting).then_some(self.limits.start_look),
+                None => (state == State::Starting).then_some(self.limits.lifecycle.start_check_interval),
             };
             match wait {
                 Some(wait) => {
