--- a/tests/program.rs
+++ b/tests/program.rs
@@ -1,4 +1,4 @@
-//! The whole program on loopback: stand-in clients of each dialect against stand-in real servers of each, with
+//! The whole program on loopback: stand-in clients of each dialect against stand-in replicas of each, with
 //! a stand-in discovery. Whatever the pairing, the same trouble must come to the same outcome.
 
 mod support;
@@ -15,16 +15,16 @@
 
 use support::*;
 
-/// One trouble at the only real server, in all pairings.
+/// One trouble at the only replica, in all pairings.
 fn everywhere(manner: Manner, class: &str, deadline_ms: u32, expected: Seen) {
     for (client, dialect) in PAIRINGS {
         let server = server(dialect, manner);
         let gateway = Gateway::start(dialect, vec![entry(0, &server, "ready", 0)], 1);
-        let (seen, _) = gateway.ask(client, class, deadline_ms, 1);
+        let (seen, _) = gateway.exchange(client, class, deadline_ms, 1);
         assert_eq!(seen, expected, "{manner:?} of class {class}: client {client}, server {dialect}");
-        assert_eq!(server.requests.load(Ordering::SeqCst), 1, "one scheduling, never sent again silently");
+        assert_eq!(server.requests.load(Ordering::SeqCst), 1, "one attempt, never sent again silently");
         if manner == Manner::Silence {
-            server.left.recv_timeout(FOREVER).expect("the scheduling's connection closes");
+            server.left.recv_timeout(FOREVER).expect("the attempt's connection closes");
         }
     }
 }
@@ -36,25 +36,25 @@
 
 #[test]
 fn what_was_turned_away_is_turned_down_in_the_clients_dialect() {
-    everywhere(Manner::Full, "plain", 9000, Seen::TurnedDown);
-    everywhere(Manner::Full, "once", 9000, Seen::TurnedDown);
+    everywhere(Manner::Full, "plain", 9000, Seen::Shed);
+    everywhere(Manner::Full, "once", 9000, Seen::Shed);
 }
 
 #[test]
 fn errors_turn_down_what_may_be_repeated_and_fail_what_may_not() {
-    everywhere(Manner::Error, "plain", 9000, Seen::TurnedDown);
+    everywhere(Manner::Error, "plain", 9000, Seen::Shed);
     everywhere(Manner::Error, "once", 9000, Seen::Failed);
     everywhere(Manner::ErrorEvent, "once", 9000, Seen::Failed);
 }
 
 #[test]
 fn resets_turn_down_what_may_be_repeated_and_fail_what_may_not() {
-    everywhere(Manner::Reset, "plain", 9000, Seen::TurnedDown);
+    everywhere(Manner::Reset, "plain", 9000, Seen::Shed);
     everywhere(Manner::Reset, "once", 9000, Seen::Failed);
 }
 
 #[test]
-fn silence_ends_at_the_deadline_and_closes_the_schedulings_connection() {
+fn an_unresponsive_replica_ends_at_the_deadline_and_the_attempts_connection_closes() {
     everywhere(Manner::Silence, "once", 300, Seen::Failed);
 }
 
@@ -67,7 +67,7 @@
 #[test]
 fn a_spoilt_answer_fails_its_scheduling_or_cuts_its_client_off() {
     for manner in [Manner::Noise, Manner::HalfHead] {
-        everywhere(manner, "plain", 9000, Seen::TurnedDown);
+        everywhere(manner, "plain", 9000, Seen::Shed);
         everywhere(manner, "once", 9000, Seen::Failed);
     }
     everywhere(Manner::HalfChunk, "plain", 9000, Seen::Broken("Hel".into()));
@@ -83,7 +83,7 @@
     let server = server("platform", Manner::Wordy);
     let gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
     for session in 0..3 {
-        assert_eq!(gateway.ask("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
         server.left.recv_timeout(FOREVER).expect("the connection is retired");
     }
 }
@@ -94,7 +94,7 @@
         let server = server(dialect, Manner::Reject);
         let entries = (0..3).map(|n| entry(n, &server, "ready", 0)).collect();
         let gateway = Gateway::start(dialect, entries, 3);
-        assert_eq!(gateway.ask(client, "plain", 9000, 1).0, Seen::Failed);
+        assert_eq!(gateway.exchange(client, "plain", 9000, 1).0, Seen::Failed);
         assert_eq!(server.requests.load(Ordering::SeqCst), 1);
     }
 }
@@ -136,7 +136,7 @@
     let crowd: Vec<TcpStream> =
         (0..200).map(|n| gateway.connect(["platform", "messages"][n % 2])).collect();
     for dialect in ["platform", "messages"] {
-        assert_eq!(gateway.ask(dialect, "plain", 9000, 1).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange(dialect, "plain", 9000, 1).0, Seen::Served("Hello".into()));
     }
     drop(crowd);
 }
@@ -154,9 +154,9 @@
         std::fs::write(&path, bad).expect("written");
         gateway.signal("-HUP");
         eventually(|| gateway.logged("reload-failed") > before);
-        assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
     }
-    eventually(|| gateway.logged("kind=\"Complete\" servers=\"1\"") == 1);
+    eventually(|| gateway.logged("kind=\"Complete\" replicas=\"1\"") == 1);
     let (addr, _elsewhere) = discovery(list(3, true, vec![entry(1, &two, "ready", 0)]));
     let mut config: Value = serde_json::from_str(&good).expect("JSON");
     config["discovery"] = addr.to_string().into();
@@ -164,8 +164,8 @@
     config["mgmt"] = "127.0.0.1:1".into();
     std::fs::write(&path, config.to_string()).expect("written");
     gateway.signal("-HUP");
-    eventually(|| gateway.logged("kind=\"Complete\" servers=\"1\"") > 1);
-    assert_eq!(gateway.ask("messages", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    eventually(|| gateway.logged("kind=\"Complete\" replicas=\"1\"") > 1);
+    assert_eq!(gateway.exchange("messages", "plain", 9000, 1).0, Seen::Served("Hello".into()));
     assert_eq!(two.requests.load(Ordering::SeqCst), 1);
     assert_eq!(gateway.logged("mgmt-kept"), 1);
     // Both signals at once: it still stops in order.
@@ -205,11 +205,11 @@
         let server = server(dialect, Manner::Odd);
         let gateway = Gateway::start(dialect, vec![entry(0, &server, "ready", 0)], 1);
         for session in [1, 2] {
-            let (seen, stream) = gateway.ask(client, "plain", 9000, session);
+            let (seen, stream) = gateway.exchange(client, "plain", 9000, session);
             assert_eq!(seen, Seen::Served("Hello".into()));
             assert_eq!(stream.contains(&odd_event(dialect)), client == dialect, "{stream}");
         }
-        assert_eq!(gateway.logged("event-left-out"), usize::from(client != dialect));
+        assert_eq!(gateway.logged("event-omitted"), usize::from(client != dialect));
         // The question has kept its parts on the way.
         let body = server.bodies.lock().expect("whole")[0].to_string();
         assert!(
@@ -229,7 +229,7 @@
         eventually(|| gateway.logged("state=\"Draining\"") > 0);
         let before = one.requests.load(Ordering::SeqCst);
         for session in 0..12 {
-            assert_eq!(gateway.ask(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
+            assert_eq!(gateway.exchange(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
         }
         assert_eq!(one.requests.load(Ordering::SeqCst), before);
         assert_eq!(two.requests.load(Ordering::SeqCst), 12);
@@ -238,24 +238,24 @@
 
 #[test]
 fn idle_connections_are_closed_in_time_and_ended_ones_not_used() {
-    // The settings say that a real server closes after 5 s; the gateway must be well before that.
+    // The settings say that a replica closes after 5 s; the gateway must be well before that.
     let server_kept = server("platform", Manner::Serve);
     let gateway = Gateway::start("platform", vec![entry(0, &server_kept, "ready", 0)], 1);
-    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    assert_eq!(gateway.exchange("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
     server_kept.left.recv_timeout(Duration::from_millis(4800)).expect("closed before the server would");
 
     // What ended while it was idle is not written to: each request is sent once, and served.
     let server_ends = server("platform", Manner::ServeAndClose);
     let gateway = Gateway::start("platform", vec![entry(0, &server_ends, "ready", 0)], 1);
     for session in 0..3 {
-        assert_eq!(gateway.ask("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange("platform", "once", 9000, session).0, Seen::Served("Hello".into()));
         server_ends.left.recv_timeout(FOREVER).expect("closed");
     }
     assert_eq!(server_ends.requests.load(Ordering::SeqCst), 3);
 }
 
 #[test]
-fn discovery_is_asked_again_after_a_refusal_a_reset_an_end_and_silence() {
+fn discovery_is_called_again_after_a_refusal_a_reset_an_end_and_no_answer() {
     let server = server("platform", Manner::Serve);
     let whole = list(7, true, vec![entry(0, &server, "ready", 0)]);
     let old = list(3, false, vec![entry(0, &server, "gone", 0)]);
@@ -295,11 +295,11 @@
     let path = |index: u32| format!("/catalog/members?stream=1&index={index}");
     assert_eq!([next(), next(), next()], [path(1), path(1), path(1)]);
     assert_eq!(next(), path(7), "from the list held, which older changes did not touch");
-    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
+    assert_eq!(gateway.exchange("platform", "plain", 9000, 1).0, Seen::Served("Hello".into()));
     assert_eq!(next(), path(7), "after silence");
     eventually(|| gateway.logged("state=\"Draining\"") > 0);
-    let (seen, _) = gateway.ask("platform", "plain", 300, 2);
-    assert!(matches!(seen, Seen::Failed | Seen::TurnedDown), "{seen:?}");
+    let (seen, _) = gateway.exchange("platform", "plain", 300, 2);
+    assert!(matches!(seen, Seen::Failed | Seen::Shed), "{seen:?}");
     assert_eq!(server.requests.load(Ordering::SeqCst), 1);
 }
 
@@ -311,7 +311,7 @@
         let entries = vec![entry(0, &one, "ready", 0), entry(1, &two, "ready", started)];
         let gateway = Gateway::start(dialect, entries, 3);
         for session in 0..12 {
-            assert_eq!(gateway.ask(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
+            assert_eq!(gateway.exchange(client, "plain", 9000, session).0, Seen::Served("Hello".into()));
         }
         let counts = [&one, &two].map(|s| s.requests.load(Ordering::SeqCst));
         assert_eq!(counts[0] + counts[1], 12);
@@ -332,7 +332,7 @@
         let stream = gateway.send(client, "plain", 9000, 1);
         eventually(|| server.requests.load(Ordering::SeqCst) > 0);
         drop(stream);
-        server.left.recv_timeout(FOREVER).expect("the scheduling's connection closes");
+        server.left.recv_timeout(FOREVER).expect("the attempt's connection closes");
         assert_eq!(server.requests.load(Ordering::SeqCst), 1);
     }
 }
@@ -400,11 +400,11 @@
     let crowd: Vec<TcpStream> = (0..40).map(|_| gateway.connect("platform")).collect();
     eventually(|| gateway.logged("accept-failed") > 0);
     drop(crowd);
-    eventually(|| gateway.ask("platform", "plain", 9000, 1).0 == Seen::Served("Hello".into()));
+    eventually(|| gateway.exchange("platform", "plain", 9000, 1).0 == Seen::Served("Hello".into()));
 }
 
 #[test]
-fn a_stop_answers_what_is_held_closes_what_is_idle_and_exits_well() {
+fn a_stop_answers_open_requests_closes_idle_connections_and_exits_well() {
     let server = server("platform", Manner::Silence);
     let mut gateway = Gateway::start("platform", vec![entry(0, &server, "ready", 0)], 1);
     let idle = gateway.connect("platform");
@@ -455,7 +455,7 @@
 }
 
 #[test]
-fn a_collector_gets_counted_lines_and_its_silence_or_death_delays_nobody() {
+fn a_collector_gets_counted_lines_and_its_hang_or_death_delays_nobody() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let collector = listener.local_addr().expect("an address");
     let server = server("platform", Manner::Serve);
@@ -482,12 +482,12 @@
     let gateway = Gateway::with(child, discovery, lines);
     for session in 0..3 {
         statuses(&gateway, "platform", &["nonsense\r\n\r\n"]);
-        assert_eq!(gateway.ask("platform", "plain", 9000, session).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange("platform", "plain", 9000, session).0, Seen::Served("Hello".into()));
     }
     drop((kept, listener));
     for session in 0..3 {
         statuses(&gateway, "platform", &["nonsense\r\n\r\n"]);
-        assert_eq!(gateway.ask("platform", "plain", 9000, session).0, Seen::Served("Hello".into()));
+        assert_eq!(gateway.exchange("platform", "plain", 9000, session).0, Seen::Served("Hello".into()));
     }
 }
 
@@ -506,7 +506,7 @@
 }
 
 /// What a node's port answers to a line; `None` if it closes instead.
-fn told(addr: SocketAddr, line: &str) -> Option<Value> {
+fn answer_to_line(addr: SocketAddr, line: &str) -> Option<Value> {
     let mut stream = TcpStream::connect(addr).expect("it accepts");
     stream.set_read_timeout(Some(FOREVER)).expect("a time-out");
     stream.write_all(format!("{line}\n").as_bytes()).expect("sent");
@@ -517,7 +517,7 @@
 }
 
 fn holds(addr: SocketAddr, key: &str, value: &Value) -> bool {
-    told(addr, &json!({"get": key}).to_string()).expect("an answer")["value"] == *value
+    answer_to_line(addr, &json!({"get": key}).to_string()).expect("an answer")["value"] == *value
 }
 
 fn comes_to_hold(addr: SocketAddr, key: &str, value: Value) {
@@ -530,7 +530,7 @@
     let (two, second) = node("n2", Vec::new(), &[first]);
     let set = |addr, key: &str, value: Value| {
         assert_eq!(
-            told(addr, &json!({"set": key, "value": value}).to_string()),
+            answer_to_line(addr, &json!({"set": key, "value": value}).to_string()),
             Some(json!({"taken": true}))
         );
     };
@@ -550,7 +550,10 @@
     // A stale peer back from a cut: what it held before does not undo what came after, removals included.
     let old = |value: &str| json!({"stamp": [1000, "n9"], "value": value});
     let news = json!({"news": {"config/models/a": old("once"), "config/models/b": old("plain"), "kept": old("x")}});
-    assert_eq!(told(first, &format!("{news}\n{}", json!({"get": "kept"}))), Some(json!({"value": "x"})));
+    assert_eq!(
+        answer_to_line(first, &format!("{news}\n{}", json!({"get": "kept"}))),
+        Some(json!({"value": "x"}))
+    );
     assert!(
         holds(first, "config/models/a", &Value::Null) && holds(first, "config/models/b", &json!("once"))
     );
@@ -560,20 +563,24 @@
     for garbage in
         ["{", "[]", "{\"get\":1}", "{\"digest\":{\"a\":\"b\"}}", "GET / HTTP/1.1", "{\"news\":{},\"x\":1}"]
     {
-        assert_eq!(told(first, garbage), None, "{garbage}");
+        assert_eq!(answer_to_line(first, garbage), None, "{garbage}");
     }
     let late = json!({"news": {"kept": {"stamp": [99_999_999_999_999u64, "n9"], "value": "y"}}});
-    assert_eq!(told(first, &format!("{late}\n{}", json!({"get": "kept"}))), Some(json!({"value": "x"})));
+    assert_eq!(
+        answer_to_line(first, &format!("{late}\n{}", json!({"get": "kept"}))),
+        Some(json!({"value": "x"}))
+    );
     let large = json!({"set": "large", "value": "x".repeat(5000)});
-    assert_eq!(told(first, &large.to_string()), Some(json!({"taken": false})));
+    assert_eq!(answer_to_line(first, &large.to_string()), Some(json!({"taken": false})));
 }
 
 #[test]
 fn the_store_moves_a_models_class_while_the_program_runs() {
     let server = server("platform", Manner::Error);
     let (gateway, store) = node("n0", vec![entry(0, &server, "ready", 0)], &[]);
-    assert_eq!(gateway.ask("messages", "plain", 9000, 1).0, Seen::TurnedDown);
-    told(store, &json!({"set": "config/models/plain-model", "value": "once"}).to_string()).expect("taken");
-    // The class that may not be repeated fails where the other is turned down.
-    eventually(|| gateway.ask("messages", "plain", 9000, 2).0 == Seen::Failed);
+    assert_eq!(gateway.exchange("messages", "plain", 9000, 1).0, Seen::Shed);
+    answer_to_line(store, &json!({"set": "config/models/plain-model", "value": "once"}).to_string())
+        .expect("taken");
+    // The class that may not be repeated fails where the other is shed.
+    eventually(|| gateway.exchange("messages", "plain", 9000, 2).0 == Seen::Failed);
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -12,7 +12,7 @@
     Wait(u64),
     /// The clock runs back.
     Back(u64),
-    Ask {
+    PlacementRequest {
         tenant: usize,
         input: u64,
         output: u64,
@@ -27,7 +27,11 @@
         match upto(g, 10) {
             0..3 => Step::Wait(upto(g, 20 * SECOND)),
             3 => Step::Back(upto(g, 5 * SECOND)),
-            4..8 => Step::Ask { tenant: upto(g, 3) as usize, input: upto(g, 900), output: upto(g, 300) },
+            4..8 => Step::PlacementRequest {
+                tenant: upto(g, 3) as usize,
+                input: upto(g, 900),
+                output: upto(g, 300),
+            },
             8 => Step::End(None),
             _ => Step::End(Some((upto(g, 900), upto(g, 600)))),
         }
@@ -78,28 +82,30 @@
             match step {
                 Step::Wait(span) => now += span,
                 Step::Back(span) => now = now.saturating_sub(span).max(START),
-                Step::Ask { tenant, input, output } => match quota.admit(now, tenant, input, output) {
-                    Ok(Some(grant)) => {
-                        assert!(tenant < 2, "a tenant without limits gets no grant");
-                        open.push((tenant, grant));
-                        if tenant == 0 {
-                            taken.push((latest.max(now), 1));
+                Step::PlacementRequest { tenant, input, output } => {
+                    match quota.admit(now, tenant, input, output) {
+                        Ok(Some(grant)) => {
+                            assert!(tenant < 2, "a tenant without limits gets no grant");
+                            open.push((tenant, grant));
+                            if tenant == 0 {
+                                taken.push((latest.max(now), 1));
+                            }
                         }
-                    }
-                    Ok(None) => assert_eq!(tenant, 2),
-                    Err(short) => {
-                        assert!(tenant < 2 && short.wait > 0);
-                        // The wait that is told is enough, and half of it is not.
-                        for (wait, enough) in [(short.wait + 1000, true), (short.wait / 2, false)] {
-                            let mut later = quota.clone();
-                            let late = later.admit(now + wait, tenant, input, output);
-                            assert_eq!(late.is_ok(), enough, "{short:?} after {wait}");
+                        Ok(None) => assert_eq!(tenant, 2),
+                        Err(short) => {
+                            assert!(tenant < 2 && short.wait > 0);
+                            // The wait that is told is enough, and half of it is not.
+                            for (wait, enough) in [(short.wait + 1000, true), (short.wait / 2, false)] {
+                                let mut later = quota.clone();
+                                let late = later.admit(now + wait, tenant, input, output);
+                                assert_eq!(late.is_ok(), enough, "{short:?} after {wait}");
+                            }
                         }
                     }
-                },
+                }
                 Step::End(needed) if !open.is_empty() => {
                     let (tenant, grant) = open.remove(0);
-                    quota.settle(now, grant, needed);
+                    quota.reconcile(now, grant, needed);
                     if tenant == 0 && needed.is_none() {
                         taken.push((latest.max(now), -1));
                     }
@@ -123,7 +129,7 @@
     let short = quota.admit(START, 0, 1_000_000, 0).expect_err("it is empty");
     assert_eq!((short.kind, short.wait.div_ceil(SECOND)), (Kind::Input, 60));
     // What it did need is a debt that later ones wait for: 300 tokens are three minutes.
-    quota.settle(START, grant, Some((300, 0)));
+    quota.reconcile(START, grant, Some((300, 0)));
     let short = quota.admit(START, 0, 1, 0).expect_err("a debt");
     assert!((120 * SECOND..=122 * SECOND).contains(&short.wait), "{short:?}");
     assert_eq!(quota.standing(START, 0)[0].remaining, 0);
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -93,7 +93,7 @@
     let from = Instant::now();
     while from.elapsed() < ms(3000) {
         for front in fleet.fronts().into_iter().flatten() {
-            assert_eq!(call(front, "GET /_health"), 503, "ready with no real server to send to");
+            assert_eq!(call(front, "GET /_health"), 503, "ready with no replica to send to");
         }
         thread::sleep(ms(200));
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -1,5 +1,5 @@
 //! The planned restart: SIGTERM, clients that go on sending on whatever stays open, and SIGKILL. Every stream that its
-//! real server finished is passed on to its end, and every request that was read gets its one answer.
+//! replica finished is passed on to its end, and every request that was read gets its one answer.
 
 mod support;
 
@@ -17,7 +17,7 @@
 /// SIGKILL comes no sooner after SIGTERM: the longest deadline, taken as 3 s, and 0.7 s more.
 const KILL: Duration = Duration::from_millis(3700);
 
-/// What a real server does with its requests, the first of which has number 0.
+/// What a replica does with its requests, the first of which has number 0.
 #[derive(Clone, Copy)]
 enum Work {
     /// It serves after so long.
@@ -28,7 +28,7 @@
     Streams(&'static [u64]),
 }
 
-/// A real server and the ids of the requests that reached it.
+/// A replica and the ids of the requests that reached it.
 struct Working {
     server: Server,
     ids: Arc<Mutex<Vec<u64>>>,
@@ -87,7 +87,7 @@
     }
 }
 
-/// A gateway that has heard of its real servers.
+/// A gateway that has heard of its replicas.
 fn gateway(servers: &[&Server]) -> Gateway {
     let servers: Vec<_> = servers.iter().enumerate().map(|(n, s)| entry(n, s, "ready", 0)).collect();
     Gateway::listed(servers, 3, (1024, 1024), json!({}))
@@ -107,7 +107,7 @@
 
 /// What became of one request.
 #[derive(Debug, PartialEq)]
-enum Told {
+enum ClientOutcome {
     /// An answer of that status, whole; and whether its connection ends with it.
     Answer(u16, bool),
     /// The connection was closed without a byte.
@@ -145,16 +145,18 @@
     }
 
     /// The one answer; if the connection ends with it, nothing comes behind it.
-    fn told(&mut self) -> Told {
+    fn outcome(&mut self) -> ClientOutcome {
         let mut head = Vec::new();
         loop {
             let mut line = String::new();
             match self.reader.read_line(&mut line) {
-                Ok(0) if head.is_empty() => return Told::Closed,
-                Err(e) if head.is_empty() && e.kind() != ErrorKind::WouldBlock => return Told::Closed,
+                Ok(0) if head.is_empty() => return ClientOutcome::Closed,
+                Err(e) if head.is_empty() && e.kind() != ErrorKind::WouldBlock => {
+                    return ClientOutcome::Closed;
+                }
                 Ok(count) if count > 2 => head.push(line.trim_end().to_owned()),
                 Ok(2) => break,
-                other => return Told::Cut(format!("{other:?} after {head:?}")),
+                other => return ClientOutcome::Cut(format!("{other:?} after {head:?}")),
             }
         }
         let status = head[0].split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
@@ -167,12 +169,12 @@
         };
         let closes = header(&head, "connection").is_some_and(|c| c == "close");
         match body {
-            Ok(text) if status == 200 && !text.contains("stop") => Told::Cut(text),
+            Ok(text) if status == 200 && !text.contains("stop") => ClientOutcome::Cut(text),
             Ok(_) if closes && !matches!(self.reader.read(&mut [0; 64]), Ok(0)) => {
-                Told::Cut("no end after the last answer".into())
+                ClientOutcome::Cut("no end after the last answer".into())
             }
-            Ok(_) => Told::Answer(status, closes),
-            Err(e) => Told::Cut(format!("{head:?}: {e}")),
+            Ok(_) => ClientOutcome::Answer(status, closes),
+            Err(e) => ClientOutcome::Cut(format!("{head:?}: {e}")),
         }
     }
 
@@ -195,14 +197,14 @@
 
 /// What became of all requests, and their ids.
 #[derive(Default)]
-struct Tally(Mutex<Vec<(u64, Told)>>);
+struct Tally(Mutex<Vec<(u64, ClientOutcome)>>);
 
 impl Tally {
     fn fresh(next: &AtomicUsize) -> u64 {
         next.fetch_add(1, Ordering::SeqCst) as u64
     }
 
-    fn note(&self, id: u64, told: Told) {
+    fn note(&self, id: u64, told: ClientOutcome) {
         self.0.lock().expect("whole").push((id, told));
     }
 
@@ -212,13 +214,13 @@
         let all = self.0.lock().expect("whole");
         for (id, told) in &*all {
             let good = match told {
-                Told::Answer(status, _) => statuses.contains(status),
-                Told::Closed => !reached.contains(id),
-                Told::Cut(_) => false,
+                ClientOutcome::Answer(status, _) => statuses.contains(status),
+                ClientOutcome::Closed => !reached.contains(id),
+                ClientOutcome::Cut(_) => false,
             };
             assert!(good, "{what}: {told:?}");
         }
-        all.iter().filter(|(_, told)| matches!(told, Told::Answer(..))).count()
+        all.iter().filter(|(_, told)| matches!(told, ClientOutcome::Answer(..))).count()
     }
 }
 
@@ -236,8 +238,8 @@
                         let id = Tally::fresh(next);
                         let bytes = line.request("plain", 2900, id);
                         line.send(&bytes);
-                        let told = line.told();
-                        let stays = told == Told::Answer(200, false);
+                        let told = line.outcome();
+                        let stays = told == ClientOutcome::Answer(200, false);
                         tally.note(id, told);
                         if !stays {
                             break;
@@ -257,8 +259,8 @@
             scope.spawn(move || {
                 thread::sleep(ms(300 + after));
                 line.send(&rest);
-                let told = line.told();
-                assert_ne!(told, Told::Closed, "a request that had begun to come");
+                let told = line.outcome();
+                assert_ne!(told, ClientOutcome::Closed, "a request that had begun to come");
                 tally.note(id, told);
             });
         }
@@ -274,7 +276,7 @@
                 let id = Tally::fresh(next);
                 let bytes = line.request("plain", 2900, id);
                 line.send(&bytes);
-                tally.note(id, line.told());
+                tally.note(id, line.outcome());
             });
         }
         assert_eq!(restart(&mut gateway, term), Some(0), "{front}");
@@ -294,7 +296,7 @@
     all.into_iter().for_each(|one| one.join().expect("it holds"));
 }
 
-fn streams_end_whole(front: &'static str) {
+fn streams_end_completely(front: &'static str) {
     // SIGTERM comes 0.3 s after they began.
     let long = working(Work::Streams(&[400, 700, 1200, 1700, 2300, 2800, 3300, 3500]));
     let mut gateway = gateway(&[&long.server]);
@@ -308,15 +310,15 @@
                 let id = Tally::fresh(next);
                 let bytes = line.request(if n % 3 == 0 { "once" } else { "plain" }, 9000, id);
                 line.send(&bytes);
-                let told = line.told();
-                let stays = told == Told::Answer(200, false);
+                let told = line.outcome();
+                let stays = told == ClientOutcome::Answer(200, false);
                 tally.note(id, told);
                 // Whoever may, asks again at once: it is answered, or the close crossed it.
                 if stays {
                     let id = 1000 + Tally::fresh(next);
                     let bytes = line.request("plain", 100, id);
                     line.send(&bytes);
-                    tally.note(id, line.told());
+                    tally.note(id, line.outcome());
                 }
             });
         }
@@ -331,13 +333,14 @@
     let reached = long.ids.lock().expect("whole").clone();
     tally.holds(front, &[200, 503, 504, 529], &reached);
     let all = tally.0.lock().expect("whole");
-    let whole = all.iter().filter(|(id, told)| *id < 1000 && matches!(told, Told::Answer(200, _))).count();
+    let whole =
+        all.iter().filter(|(id, told)| *id < 1000 && matches!(told, ClientOutcome::Answer(200, _))).count();
     assert_eq!(whole, 24, "{front}: all streams are passed on to their end");
 }
 
 #[test]
 fn every_stream_that_its_server_finishes_is_passed_on_to_its_end() {
-    let all = FRONTS.map(|front| thread::spawn(move || streams_end_whole(front)));
+    let all = FRONTS.map(|front| thread::spawn(move || streams_end_completely(front)));
     all.into_iter().for_each(|one| one.join().expect("it holds"));
 }
 
@@ -360,8 +363,8 @@
                 let id = Tally::fresh(next);
                 let bytes = line.request("once", deadline, id);
                 line.send(&bytes);
-                let told = line.told();
-                assert!(matches!(told, Told::Answer(..)), "{front}, {open}, {ask}: {told:?}");
+                let told = line.outcome();
+                assert!(matches!(told, ClientOutcome::Answer(..)), "{front}, {open}, {ask}: {told:?}");
                 tally.note(id, told);
             });
         }
@@ -374,8 +377,8 @@
             scope.spawn(move || {
                 thread::sleep(ms(100 + rest));
                 line.send(&last);
-                let told = line.told();
-                assert!(matches!(told, Told::Answer(..)), "{front}, whole after {rest}: {told:?}");
+                let told = line.outcome();
+                assert!(matches!(told, ClientOutcome::Answer(..)), "{front}, whole after {rest}: {told:?}");
                 tally.note(id, told);
             });
         }
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -14,14 +14,14 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use tulipridge::engine::{
-    self, Answer, Arrival, Ask, BegunStream, Client, Ending, Engine, FailureReason, Servers, Step,
-    StreamSuccessor,
+    self, Arrival, AttemptOutcome, AttemptRunner, BegunStream, Client, Engine, FailureReason,
+    PlacementRequest, Rejection, ResponseSink, Step, StreamSuccessor, TokenCounts,
 };
 use tulipridge::front::{Dialect, ForwardedRequest};
 use tulipridge::limits::Limits;
 use tulipridge::names::{ServiceEntry, State};
 use tulipridge::net::codec::{self, Body};
-use tulipridge::net::servers::{Dispatch, Fleet};
+use tulipridge::net::upstream::{Dispatch, Fleet};
 use tulipridge::stream::{Cause, Leaving};
 use tulipridge::types::{self, *};
 
@@ -55,7 +55,7 @@
     }
 }
 
-/// What a client was told, and what became of its schedulings.
+/// What a client was told, and what became of its attempts.
 #[derive(Default)]
 struct Seen {
     events: Cell<u32>,
@@ -63,11 +63,11 @@
     out: RefCell<Vec<Sender<Step<()>>>>,
 }
 
-struct FakeServers(Rc<Seen>);
+struct FakeRunner(Rc<Seen>);
 
-impl Servers<()> for FakeServers {
+impl AttemptRunner<()> for FakeRunner {
     type Steps = Pin<Box<Receiver<Step<()>>>>;
-    fn schedule(&self, _: ReplicaId, _: Duration, _: Duration) -> Self::Steps {
+    fn start_attempt(&self, _: ReplicaId, _: Duration, _: Duration) -> Self::Steps {
         let (send, steps) = async_channel::unbounded();
         self.0.out.borrow_mut().push(send);
         Box::pin(steps)
@@ -86,13 +86,13 @@
 struct FakeClient(Rc<Seen>, Pin<Box<Receiver<()>>>);
 
 impl FakeClient {
-    fn told(self, what: &'static str) {
+    fn record_answer(self, what: &'static str) {
         self.0.finals.borrow_mut().push(what);
     }
 }
 
 impl Client<()> for FakeClient {
-    type Answer = FakeClient;
+    type Sink = FakeClient;
     async fn gone(&mut self) {
         while self.1.next().await.is_some() {}
     }
@@ -100,30 +100,30 @@
         self.1.is_closed()
     }
     async fn left(self) {}
-    async fn turn_down(self, wait: Duration) {
+    async fn shed(self, wait: Duration) {
         assert!(wait <= Duration::from_secs(2));
-        self.told("turned down");
+        self.record_answer("turned down");
     }
-    async fn reject(self, status: u16, _: &str) {
+    async fn reject(self, Rejection { status, .. }: Rejection) {
         assert!((400..500).contains(&status));
-        self.told("rejected");
+        self.record_answer("rejected");
     }
     async fn fail(self, _: FailureReason) {
-        self.told("failed");
+        self.record_answer("failed");
     }
     fn begin(self) -> FakeClient {
         self
     }
 }
 
-impl Answer<()> for FakeClient {
+impl ResponseSink<()> for FakeClient {
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<Leaving> {
         self.1.as_mut().poll_next(cx).map(|_| Leaving::Ended)
     }
-    fn gathers(&self) -> bool {
+    fn is_assembled(&self) -> bool {
         false
     }
-    fn holds(&self) -> usize {
+    fn buffered_bytes(&self) -> usize {
         0
     }
     fn is_full(&self) -> bool {
@@ -140,12 +140,12 @@
         Poll::Ready(Ok(1))
     }
     fn finish(self) {
-        self.told("served");
+        self.record_answer("served");
     }
     fn break_off(self) {
         // A client that left is told nothing more.
         if !self.1.is_closed() {
-            self.told("broken");
+            self.record_answer("broken");
         }
     }
 }
@@ -180,8 +180,8 @@
 #[derive(Debug, PartialEq)]
 struct Model {
     events: u32,
-    schedulings: usize,
-    told: Option<&'static str>,
+    attempts: usize,
+    answer: Option<&'static str>,
     over: bool,
 }
 
@@ -194,20 +194,20 @@
             Move::Event => self.events += 1,
             // Whatever came with it calls for nothing more.
             Move::Leave | Move::EndAndLeave(_) => {}
-            // Once it has begun, a real server can't take that back.
-            Move::Reject => self.told = Some(if begun { "broken" } else { "rejected" }),
+            // Once it has begun, a replica can't take that back.
+            Move::Reject => self.answer = Some(if begun { "broken" } else { "rejected" }),
             Move::End(verdict) if begun => {
-                self.told = Some(if verdict == Verdict::Ok { "served" } else { "broken" });
+                self.answer = Some(if verdict == Verdict::Ok { "served" } else { "broken" });
             }
             // Again elsewhere while it does no harm and attempts are left.
-            Move::End(_) if (safe || never_ran) && self.schedulings < 3 => self.schedulings += 1,
-            Move::End(_) => self.told = Some(if safe || never_ran { "turned down" } else { "failed" }),
+            Move::End(_) if (safe || never_ran) && self.attempts < 3 => self.attempts += 1,
+            Move::End(_) => self.answer = Some(if safe || never_ran { "turned down" } else { "failed" }),
         }
-        self.over = matches!(step, Move::Leave | Move::EndAndLeave(_)) || self.told.is_some();
+        self.over = matches!(step, Move::Leave | Move::EndAndLeave(_)) || self.answer.is_some();
     }
 }
 
-/// A real server that is ready.
+/// A replica that is ready.
 fn member(n: u64) -> Member {
     Member {
         id: ReplicaId::from(format!("s-{n}").as_str()),
@@ -220,30 +220,32 @@
     }
 }
 
-fn sample_ask() -> Ask {
-    Ask {
+fn sample_placement() -> PlacementRequest {
+    PlacementRequest {
         id: None,
         expires_in: 90_000_000_000,
         class: 0,
         tenant: None,
         prefix: None,
         session: Some(5),
-        tokens: (100, 0, 10),
-        repeat: false,
+        tokens: TokenCounts { prompt: 100, prefix: 0, max_output: 10 },
+        is_retry: false,
     }
 }
 
-/// Lets a step happen: at the latest scheduling, or at the client, which stays until `stay` is closed.
+/// Lets a step happen: at the latest attempt, or at the client, which stays until `stay` is closed.
 fn deliver(step: Move, last: &Sender<Step<()>>, stay: &Sender<()>) {
     match step {
         Move::Event => {
             drop(last.try_send(Step::Events((), Arrival { events: 1, ..Arrival::default() })));
         }
-        Move::End(verdict) => drop(last.try_send(Step::Ended(Ending::from(verdict)))),
-        Move::Reject => drop(last.try_send(Step::Rejected(400, String::new()))),
+        Move::End(verdict) => drop(last.try_send(Step::Ended(AttemptOutcome::from(verdict)))),
+        Move::Reject => {
+            drop(last.try_send(Step::Rejected(Rejection { status: 400, message: String::new() })));
+        }
         Move::Leave => drop(stay.close()),
         Move::EndAndLeave(verdict) => {
-            let _ = last.try_send(Step::Ended(Ending::from(verdict)));
+            let _ = last.try_send(Step::Ended(AttemptOutcome::from(verdict)));
             stay.close();
         }
     }
@@ -252,35 +254,35 @@
 fn follows_its_model(moves: Vec<Move>, safe: bool) -> bool {
     let effect = if safe { Effect::Safe } else { Effect::Unsafe };
     let (engine, _orders) = Engine::new(settings(effect), 1, &limits()).expect("good settings");
-    engine.list(ListKind::Persisted, (0..4).map(member).collect());
+    engine.update_list(ListKind::Persisted, (0..4).map(member).collect());
     let seen = Rc::new(Seen::default());
     let (stay, staying) = async_channel::bounded(1);
     let ex = LocalExecutor::new();
-    let (client, servers) = (FakeClient(seen.clone(), Box::pin(staying)), FakeServers(seen.clone()));
+    let (client, runner) = (FakeClient(seen.clone(), Box::pin(staying)), FakeRunner(seen.clone()));
     let core = engine.clone();
     let life = ex.spawn(async move {
-        let ask = sample_ask();
-        engine::serve(&core, &ask, &servers, client, &NoSuccessor).await;
+        let request = sample_placement();
+        engine::serve(&core, &request, &runner, client, &NoSuccessor).await;
     });
     let settle = || while ex.try_tick() {};
     settle();
-    let mut model = Model { events: 0, schedulings: 1, told: None, over: false };
+    let mut model = Model { events: 0, attempts: 1, answer: None, over: false };
     for step in moves {
-        let last = seen.out.borrow().last().cloned().expect("a first scheduling");
+        let last = seen.out.borrow().last().cloned().expect("a first attempt");
         deliver(step, &last, &stay);
         settle();
         model.take(step, safe);
-        let told = seen.finals.borrow();
-        assert!(told.len() <= 1, "two final answers: {told:?}");
+        let answers = seen.finals.borrow();
+        assert!(answers.len() <= 1, "two final answers: {answers:?}");
         let is = Model {
             events: seen.events.get(),
-            schedulings: seen.out.borrow().len(),
-            told: told.first().copied(),
+            attempts: seen.out.borrow().len(),
+            answer: answers.first().copied(),
             over: life.is_finished(),
         };
         assert_eq!(is, model, "after {step:?}");
-        // What is over holds nothing: no request in the engine, no scheduling's connection.
-        assert_eq!(engine.held(), usize::from(!model.over));
+        // What is over holds nothing: no request in the engine, no attempt's connection.
+        assert_eq!(engine.request_count(), usize::from(!model.over));
         let open = seen.out.borrow().iter().filter(|s| !s.is_closed()).count();
         assert_eq!(open, usize::from(!model.over));
     }
@@ -307,13 +309,12 @@
 
 #[test]
 fn a_want_of_connections_here_is_not_the_servers_failure() {
-    let fleet = Rc::new(Fleet::new(
-        Rc::new(Limits { server_connections: 0, ..limits() }),
-        Box::new(|_| Vec::new()),
-    ));
+    let mut limits_without_connections = limits();
+    limits_without_connections.replicas.connections = 0;
+    let fleet = Rc::new(Fleet::new(Rc::new(limits_without_connections), Box::new(|_| Vec::new())));
     fleet.learn(&entry("s-1", "127.0.0.1:9", State::Ready, 0.0), Dialect::Platform);
     let mut steps =
-        dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
+        dispatch(&fleet).start_attempt(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
     match async_io::block_on(steps.next()) {
         Some(Step::Ended(ending)) => assert_eq!(ending.verdict, Verdict::NotSent),
         other => panic!("{other:?}"),
@@ -345,7 +346,7 @@
     };
     learn(State::Ready);
     let mut steps =
-        dispatch(&fleet).schedule(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
+        dispatch(&fleet).start_attempt(ReplicaId::from("s-1"), Duration::from_secs(20), Duration::MAX);
     async_io::block_on(async {
         assert!(future::poll_once(steps.next()).await.is_none(), "the connection is under way");
         learn(State::Draining);
@@ -425,7 +426,7 @@
 }
 
 #[test]
-fn pipelined_requests_come_out_whole_however_they_are_split() {
+fn pipelined_requests_come_out_complete_however_they_are_split() {
     fn same(requests: Vec<Sent>, cuts: Vec<u8>) -> bool {
         let bytes: Vec<u8> = requests.iter().flat_map(Sent::bytes).collect();
         let (mut reader, mut rest, limits) = (Reader::default(), &bytes[..], limits());
@@ -453,7 +454,7 @@
         }
         let (mut reader, limits) = (Reader::default(), limits());
         let end = reader.push(&bytes, &limits);
-        end.is_ok() || end.is_err_and(|bad| (400..=505).contains(&bad.status))
+        end.is_ok() || end.is_err_and(|bad| (400..=505).contains(&bad.status()))
     }
     check(13).quickcheck(bounded as fn(Vec<Sent>, Vec<(u16, u8)>) -> bool);
 }
@@ -475,7 +476,7 @@
     ] {
         let bytes = format!("POST / HTTP/1.1\r\nHost: a\r\n{head}\r\nabc");
         let end = Reader::default().push(bytes.as_bytes(), &limits());
-        assert_eq!(end.map_err(|bad| bad.status), Err(status), "{head:?}");
+        assert_eq!(end.map_err(codec::ParseError::status), Err(status), "{head:?}");
     }
     // What can't become right is refused at once, whether or not more comes.
     for (status, chunks) in [
@@ -490,7 +491,7 @@
     ] {
         let bytes = format!("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
         let end = Reader::default().push(bytes.as_bytes(), &limits());
-        assert_eq!(end.map_err(|bad| bad.status), Err(status), "{chunks:?}");
+        assert_eq!(end.map_err(codec::ParseError::status), Err(status), "{chunks:?}");
     }
     assert!(codec::response_head(&mut b"noise".to_vec(), &limits().wire).is_err());
 }
--- a/tests/stored_handover.rs
+++ b/tests/stored_handover.rs
@@ -16,8 +16,8 @@
 use stored_data::{Case, check_stored};
 use tulipridge::front::Usage;
 use tulipridge::net::codec::{Body, Chunk};
-use tulipridge::net::handover_message::{FORMAT_VERSION, StreamSnapshot};
-use tulipridge::process::overlap::{Places, Report};
+use tulipridge::net::handover_message::{FORMAT_VERSION, StreamBuffers, StreamSnapshot};
+use tulipridge::process::overlap::{ConnectionCounts, Report};
 use tulipridge::store::{Digest, Entries, Entry, Stamp};
 
 #[test]
@@ -39,7 +39,7 @@
         Case::new("chunk-trailer", chunked(Chunk::Trailer(64))),
         Case::new("chunk-over", chunked(Chunk::Over)),
         Case::new("ipv6", StreamSnapshot { addr: "[fd00::1]:8080".parse().ok(), ..stream() }),
-        Case::new("kept-client-only", StreamSnapshot { keep_server: false, last: false, ..stream() }),
+        Case::new("kept-client-only", StreamSnapshot { keep_replica: false, last: false, ..stream() }),
     ];
     let encode = |snapshot: &StreamSnapshot| snapshot.bytes().expect("it is written");
     let decode = |stored: &[u8]| StreamSnapshot::read(stored).expect("it is read");
@@ -47,8 +47,8 @@
 }
 
 #[test]
-fn reports_of_held_connections_keep_their_bytes() {
-    let report = |stopping| Report { holds: Places { edge: 21, servers: 22 }, stopping };
+fn reports_of_kept_connections_keep_their_bytes() {
+    let report = |stopping| Report { open: ConnectionCounts { edge: 21, replicas: 22 }, stopping };
     let cases = [Case::new("serving", report(false)), Case::new("stopping", report(true))];
     check_json("handover-reports.txt", &cases);
 }
@@ -81,18 +81,18 @@
         tenant: Some(4),
         first: 5_000_000_000,
         keep_client: true,
-        server: "server-7".to_owned(),
+        replica: "server-7".to_owned(),
         addr: "10.1.2.3:8080".parse().ok(),
         body: Some(Body::UntilClose),
-        keep_server: true,
+        keep_replica: true,
         last: true,
-        usage: Some(Usage { prompt: 31, kept: Some(32), answer: 33 }),
-        waiting: [
-            b"to the client".to_vec(),
-            vec![0, 255],
-            b"from the server".to_vec(),
-            b"data: {".to_vec(),
-        ],
+        usage: Some(Usage { prompt: 31, cached: Some(32), output: 33 }),
+        buffers: StreamBuffers {
+            to_client: b"to the client".to_vec(),
+            from_client: vec![0, 255],
+            from_replica: b"from the server".to_vec(),
+            partial_event: b"data: {".to_vec(),
+        },
     }
 }
 
--- a/tests/trouble.rs
+++ b/tests/stream_faults.rs
@@ -1,4 +1,4 @@
-//! Streams in trouble, against the program itself on loopback: real servers that stall, break and flood, readers
+//! Streams in trouble, against the program itself on loopback: replicas that stall, break and flood, readers
 //! that pause, trickle and leave, and stops amid all that.
 
 mod support;
@@ -55,20 +55,20 @@
         let limits = json!({"streams": {"silence": "700ms", "stall": "300ms", "tail": "300ms"}});
         for client in ["platform", "messages"] {
             let gateway = gateway("platform", &server, limits.clone());
-            let (seen, stream) = gateway.ask(client, "plain", 9000, 1);
+            let (seen, stream) = gateway.exchange(client, "plain", 9000, 1);
             assert_eq!(seen, Seen::Broken("Hel".into()), "{place}");
             if client == "messages" {
                 assert!(stream.contains("event: error\n") && stream.contains("timeout_error"), "{stream}");
             }
             closed.recv_timeout(FOREVER).expect("the server's connection closes");
             ended_by(&gateway, "stalled", 1);
-            assert_eq!(gateway.logged("side=\"Server\""), 1);
+            assert_eq!(gateway.logged("side=\"Replica\""), 1);
         }
     }
     // With the head there and no event at all nothing has begun: it may be tried elsewhere.
     let (server, closed) = scripted(|stream, _| say(stream, HEAD));
     let gateway = gateway("platform", &server, json!({"streams": {"opening": "300ms"}}));
-    assert_eq!(gateway.ask("platform", "plain", 9000, 1).0, Seen::TurnedDown);
+    assert_eq!(gateway.exchange("platform", "plain", 9000, 1).0, Seen::Shed);
     closed.recv_timeout(FOREVER).expect("the server's connection closes");
 }
 
@@ -175,7 +175,7 @@
 }
 
 #[test]
-fn a_break_amid_an_event_passes_on_what_was_whole_and_nothing_else() {
+fn a_break_amid_an_event_passes_on_what_was_complete_and_nothing_else() {
     let first = text("platform", "Hel");
     let second = text("platform", "lo");
     let places = second.len();
@@ -191,12 +191,12 @@
         }
     };
     let (server, _closed) = scripted(script);
-    // So many breaks in a row are a real server's end; each gateway sees a few of them.
+    // So many breaks in a row are a replica's end; each gateway sees a few of them.
     let mut number = 0;
     while number < places {
         let gateway = gateway("platform", &server, json!({}));
         for n in 0..2.min(places - number) {
-            let (seen, stream) = gateway.ask("platform", "plain", 9000, n + 1);
+            let (seen, stream) = gateway.exchange("platform", "plain", 9000, n + 1);
             assert_eq!(
                 (seen, stream.as_str()),
                 (Seen::Broken("Hel".into()), first.as_str()),
@@ -242,8 +242,8 @@
     assert_eq!(gateway.stop(), Some(0));
     ended_by(&gateway, "stalled", 1 + 1);
     ended_by(&gateway, "shutdown", 1 + 1);
-    // Each cause has its figures besides, the whole one these alone.
-    ended_by(&gateway, "whole", 1);
+    // Each cause has its figures besides, the complete one these alone.
+    ended_by(&gateway, "complete", 1);
     let ends = clients.into_iter().map(|mut client| {
         let mut rest = String::new();
         // A reset is an end too.
@@ -400,23 +400,28 @@
     let mut ask = |times: usize| {
         let ask_one = |_| {
             session += 1;
-            gateway.ask("platform", "plain", 9000, session).0
+            gateway.exchange("platform", "plain", 9000, session).0
         };
         (0..times).map(ask_one).filter(|seen| matches!(seen, Seen::Broken(_))).count()
     };
     eventually(|| {
         ask(10);
-        gateway.logged(" server-rests ") > 0
+        gateway.logged(" replica-ejected ") > 0
     });
     assert!(
-        gateway.log.lock().expect("whole").iter().any(|l| l.contains("server-rests") && l.contains("s-9"))
+        gateway
+            .log
+            .lock()
+            .expect("whole")
+            .iter()
+            .any(|l| l.contains("replica-ejected") && l.contains("s-9"))
     );
     // While it rests nothing goes there, so nothing breaks.
     let broken = ask(30);
-    if gateway.logged(" server-back ") == 0 {
+    if gateway.logged(" replica-readmitted ") == 0 {
         assert_eq!(broken, 0);
     }
-    eventually(|| gateway.logged(" server-back ") > 0);
+    eventually(|| gateway.logged(" replica-readmitted ") > 0);
 }
 
 #[test]
@@ -470,7 +475,7 @@
         })
         .collect();
     closed.recv_timeout(FOREVER).expect("one of the paused is cut");
-    let (seen, _) = gateway.ask("platform", "plain", 9000, 999);
+    let (seen, _) = gateway.exchange("platform", "plain", 9000, 999);
     let Seen::Served(words) = seen else { panic!("{seen:?}") };
     assert_eq!(words.len(), events * 4000);
     let cut = gateway.logged("cause=\"budget\"");
@@ -534,7 +539,7 @@
             assert!(after < UNREAD, "{dialect} to {client}: the leaver's work went on for {after:?}");
             // The stall: the server's connection is closed before the client hears of the end, or so soon after
             // it as the stand-in's thread comes to telling.
-            let (seen, _) = gateway.ask(client, "plain", 9000, 2);
+            let (seen, _) = gateway.exchange(client, "plain", 9000, 2);
             let heard = Instant::now();
             assert_eq!(seen, Seen::Broken("Hel".repeat(5)), "{dialect} to {client}");
             let after = closed().saturating_duration_since(heard);
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -1,14 +1,15 @@
 //! Streams that are passed on, without I/O: a model of one stream's life against random steps, the budget of all
-//! of them, the record, and the standing of real servers. Fixed seeds.
+//! of them, the record, and the standing of replicas. Fixed seeds.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use tulipridge::limits::{Limits, RestLimits, StreamLimits};
+use tulipridge::limits::{Limits, OutlierLimits, PaceLimit, StreamLimits};
 use tulipridge::stream::{
-    Budget, Cause, Change, End, Leaving, Ledger, Outcome, OutlierEjection, Phase, Relay, RelayAction, Side,
+    Arrival, Budget, Cause, Change, End, Leaving, Outcome, OutlierEjection, Phase, Relay, RelayAction,
+    Side, StreamStatistics,
 };
 use tulipridge::types::{Nanos, ReplicaId, Verdict};
 
@@ -23,6 +24,11 @@
     Limits::new(1024, 192, Duration::from_millis(150), Duration::from_secs(5)).stream
 }
 
+/// Bytes that are complete events, with nothing buffered behind them.
+fn complete_events(bytes: usize, events: u64) -> Arrival {
+    Arrival { bytes, events, ..Arrival::default() }
+}
+
 fn nanos(span: Duration) -> Nanos {
     span.as_nanos() as Nanos
 }
@@ -52,7 +58,9 @@
             10..=18 => Move::Take(n),
             19..=26 => Move::Wait(n % 3000),
             27 => Move::Allow(n),
-            28 => Move::End(*g.choose(&[End::Whole, End::Broke, End::Spoilt, End::Failed]).expect("some")),
+            28 => Move::End(
+                *g.choose(&[End::Complete, End::Disconnected, End::Malformed, End::Failed]).expect("some"),
+            ),
             29 => *g.choose(&[Move::Leave, Move::Cancel]).expect("some"),
             30 => Move::Evict,
             _ => Move::Stop(n),
@@ -72,7 +80,7 @@
     /// Time and takings since bytes began to wait, or since the last span.
     span: Option<(Nanos, usize)>,
     amid: bool,
-    server_end: Option<(End, Nanos)>,
+    replica_end: Option<(End, Nanos)>,
     stop_at: Option<Nanos>,
     offer_at: Option<Nanos>,
     allowed: usize,
@@ -89,7 +97,14 @@
                 let queued = if whole { self.inward + bytes } else { 0 };
                 self.inward = if whole { 0 } else { self.inward + bytes };
                 relay.queued(self.now, queued);
-                relay.arrived(self.now, bytes, u64::from(whole), self.inward, !whole, false);
+                let arrival = Arrival {
+                    bytes,
+                    events: u64::from(whole),
+                    inward: self.inward,
+                    amid: !whole,
+                    last: false,
+                };
+                relay.arrived(self.now, &arrival);
                 if queued > 0 && self.waiting == 0 {
                     self.span = Some((self.now, 0));
                 }
@@ -115,9 +130,9 @@
                 self.allowed = usize::from(bytes);
                 relay.allow(self.now, self.allowed);
             }
-            Move::End(end) if self.server_end.is_none() => {
-                relay.server_ended(self.now, end);
-                self.server_end = Some((end, self.now));
+            Move::End(end) if self.replica_end.is_none() => {
+                relay.replica_ended(self.now, end);
+                self.replica_end = Some((end, self.now));
                 self.inward = 0;
             }
             Move::Stop(ms) => {
@@ -144,15 +159,17 @@
         let late_reader = self.span.is_some_and(|(from, taken)| {
             self.now >= from + nanos(limits.reader_span) && taken < limits.reader_floor
         });
-        let stalled = self.server_end.is_none()
-            && self.silent >= nanos(if self.amid { limits.stall } else { limits.silence });
+        let stalled = self.replica_end.is_none()
+            && self.silent >= nanos(if self.amid { limits.stall } else { limits.idle_timeout });
         match step {
             Move::Leave => Some(Cause::ClientLeft),
             Move::Cancel => Some(Cause::Cancelled),
             Move::Evict if self.waiting > 0 => Some(Cause::Budget),
-            _ => match self.server_end {
+            _ => match self.replica_end {
                 Some((end, _)) if self.waiting == 0 => Some(end.cause()),
-                Some((end, at)) if end != End::Whole && self.is_over(Some(at + nanos(limits.linger))) => {
+                Some((end, at))
+                    if end != End::Complete && self.is_over(Some(at + nanos(limits.linger))) =>
+                {
                     Some(end.cause())
                 }
                 _ if stalled => Some(Cause::Stalled),
@@ -165,11 +182,13 @@
 
     /// What holds of a stream that goes on.
     fn check_open(&self, relay: &Relay, limits: &StreamLimits) {
-        assert_eq!(relay.held(), self.waiting + self.inward);
+        assert_eq!(relay.buffered_bytes(), self.waiting + self.inward);
         assert!(
-            self.waiting == 0 || !relay.reads() || relay.held() < limits.high.min(self.allowed),
+            self.waiting == 0
+                || !relay.reads()
+                || relay.buffered_bytes() < limits.high_watermark.min(self.allowed),
             "read while {} bytes are held of {}",
-            relay.held(),
+            relay.buffered_bytes(),
             self.allowed
         );
         // Somebody is waited for, or nothing would ever happen again.
@@ -191,9 +210,9 @@
     assert_eq!(relay.phase(), Phase::Ended);
     assert!(!relay.reads() && relay.due().is_none());
     // Whatever comes after the end changes nothing of it.
-    relay.arrived(model.now, 7, 1, 0, false, false);
+    relay.arrived(model.now, &complete_events(7, 1));
     relay.queued(model.now, 9);
-    relay.server_ended(model.now, End::Broke);
+    relay.replica_ended(model.now, End::Disconnected);
     relay.left(model.now + MS, Leaving::Reset);
     relay.cancel(model.now + MS);
     assert_eq!(relay.outcome(), Some(outcome));
@@ -209,11 +228,11 @@
         let expected = model.expected_cause(step, &limits);
         let is = relay.outcome().map(|o| o.cause);
         assert_eq!(is, expected, "after {step:?}");
-        // It is offered for as long as its real server has more to say, and again a little later.
-        let offered = is.is_none() && model.server_end.is_none() && model.is_over(model.offer_at);
+        // It is offered for as long as its replica has more to say, and again a little later.
+        let offered = is.is_none() && model.replica_end.is_none() && model.is_over(model.offer_at);
         assert_eq!(action == RelayAction::Offer, offered);
         assert_eq!(action == RelayAction::Wait, is.is_none() && !offered);
-        assert_eq!(action == RelayAction::Finish, is == Some(Cause::Whole));
+        assert_eq!(action == RelayAction::Finish, is == Some(Cause::Complete));
         if offered && model.came.is_multiple_of(3) {
             check_handed_over(&mut relay, model.now);
             return true;
@@ -242,22 +261,22 @@
 }
 
 #[test]
-fn the_servers_silence_is_not_timed_while_the_reader_is_waited_for() {
+fn the_servers_stall_is_not_timed_while_the_reader_is_waited_for() {
     let limits = limits();
     let mut relay = Relay::new(0, 0, &limits);
-    relay.arrived(0, limits.high, 9, 0, false, false);
-    relay.queued(0, limits.high);
+    relay.arrived(0, &complete_events(limits.high_watermark, 9));
+    relay.queued(0, limits.high_watermark);
     assert!(!relay.reads());
     assert_eq!(relay.phase(), Phase::ReaderPaused);
     // Four seconds without a read are no fault of the server's, and not too much of the reader's.
-    relay.took(7_900 * MS, limits.high);
+    relay.took(7_900 * MS, limits.high_watermark);
     assert!(relay.reads());
     assert_eq!(relay.poll(7_900 * MS), RelayAction::Wait);
-    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence) - 1), RelayAction::Wait);
-    assert_eq!(relay.poll(7_900 * MS + nanos(limits.silence)), RelayAction::Cut);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.idle_timeout) - 1), RelayAction::Wait);
+    assert_eq!(relay.poll(7_900 * MS + nanos(limits.idle_timeout)), RelayAction::Cut);
     let outcome = relay.outcome().expect("over");
     assert_eq!((outcome.cause, outcome.longest_pause), (Cause::Stalled, 7_900 * MS));
-    assert_eq!(outcome.longest_gap, nanos(limits.silence));
+    assert_eq!(outcome.longest_gap, nanos(limits.idle_timeout));
 }
 
 #[test]
@@ -265,9 +284,9 @@
     let limits = limits();
     let step = |every: Nanos, bytes: usize| {
         let mut relay = Relay::new(0, 0, &limits);
-        relay.arrived(0, limits.high, 1, 0, false, false);
-        relay.queued(0, limits.high);
-        relay.server_ended(0, End::Whole);
+        relay.arrived(0, &complete_events(limits.high_watermark, 1));
+        relay.queued(0, limits.high_watermark);
+        relay.replica_ended(0, End::Complete);
         let mut now = 0;
         while now < 60_000 * MS && relay.waiting() > 0 && relay.poll(now) == RelayAction::Wait {
             now += every;
@@ -279,9 +298,9 @@
     // A few bytes every 2 s: over at the end of its first span.
     assert_eq!(step(2_000 * MS, 16), (Some(Cause::ReaderSlow), 8_000));
     // As slow as a weak line may be, 4 KiB in 8 s: served to the end.
-    assert_eq!(step(1_000 * MS, 600).0, Some(Cause::Whole));
+    assert_eq!(step(1_000 * MS, 600).0, Some(Cause::Complete));
     // Four seconds of nothing between lumps.
-    assert_eq!(step(4_000 * MS, 9 << 10).0, Some(Cause::Whole));
+    assert_eq!(step(4_000 * MS, 9 << 10).0, Some(Cause::Complete));
 }
 
 #[test]
@@ -289,8 +308,8 @@
     let mut limits = limits();
     let stall = |limits: &StreamLimits, amid: bool, last: bool, gap: Nanos| {
         let mut relay = Relay::new(0, 0, limits);
-        relay.arrived(gap, 10, 1, 0, false, false);
-        relay.arrived(gap, 10, 1, usize::from(amid), amid, last);
+        relay.arrived(gap, &complete_events(10, 1));
+        relay.arrived(gap, &Arrival { inward: usize::from(amid), amid, last, ..complete_events(10, 1) });
         let due = relay.due().expect("a limit");
         assert_eq!(relay.poll(due - 1), RelayAction::Wait);
         assert_eq!(relay.poll(due), RelayAction::Cut);
@@ -300,7 +319,7 @@
     assert_eq!(stall(&limits, false, false, 600 * MS), 4_000);
     assert_eq!(stall(&limits, true, false, 600 * MS), 1_500);
     assert_eq!(stall(&limits, false, true, 600 * MS), 1_500);
-    limits.pace = Some((3.0, Duration::from_millis(900)));
+    limits.pace = Some(PaceLimit { factor: 3.0, least: Duration::from_millis(900) });
     assert_eq!(stall(&limits, false, false, 10 * MS), 900);
     assert_eq!(stall(&limits, false, false, 600 * MS), 1_800);
     assert_eq!(stall(&limits, false, false, 3_000 * MS), 4_000);
@@ -310,8 +329,8 @@
 fn blame_goes_to_whose_doing_it_was() {
     for cause in Cause::ALL {
         let counts = matches!(cause.verdict(), Verdict::Reset | Verdict::Error);
-        assert_eq!(counts, cause.side() == Side::Server, "{cause:?}");
-        assert_eq!(cause.verdict() == Verdict::Ok, cause == Cause::Whole);
+        assert_eq!(counts, cause.side() == Side::Replica, "{cause:?}");
+        assert_eq!(cause.verdict() == Verdict::Ok, cause == Cause::Complete);
     }
 }
 
@@ -325,11 +344,11 @@
         for (now, (n, bytes, paused)) in steps.into_iter().enumerate() {
             // Now and then another process comes or goes.
             let limit = if now / 5 % 2 == 0 { whole } else { whole / 2 };
-            budget.limit(limit);
+            budget.set_limit(limit);
             let n = usize::from(n) % accounts.len();
             let since = paused.then_some(now as Nanos);
             held.insert(n, (usize::from(bytes), since));
-            let left = budget.holds(accounts[n], usize::from(bytes), since);
+            let left = budget.update(accounts[n], usize::from(bytes), since);
             let used: usize = held.values().map(|(h, _)| h).sum();
             assert_eq!(budget.used(), used);
             assert!(left >= floor && left <= window);
@@ -341,7 +360,7 @@
                 assert_eq!(Some(since), longest, "another was paused for longer");
                 held.remove(&gone);
                 // It ends, and another takes its place.
-                budget.holds(account, 0, None);
+                budget.update(account, 0, None);
             }
             let used: usize = held.values().map(|(h, _)| h).sum();
             assert!(used <= limit || held.values().all(|(_, s)| s.is_none()));
@@ -365,7 +384,7 @@
         for (now, (n, bytes)) in steps.into_iter().enumerate() {
             let n = usize::from(n) % 16;
             held[n] = usize::from(bytes);
-            budget.holds(accounts[n], held[n], (n % 2 == 1 && held[n] > 0).then_some(now as Nanos));
+            budget.update(accounts[n], held[n], (n % 2 == 1 && held[n] > 0).then_some(now as Nanos));
             while let Some(account) = budget.evict() {
                 let gone = accounts.iter().position(|a| *a == account).expect("one of them");
                 assert!(held.iter().sum::<usize>() > limit, "memory was not short");
@@ -376,7 +395,7 @@
                     assert_eq!(gone % 2, 1, "those that gather held no more than their half");
                 }
                 held[gone] = 0;
-                budget.holds(account, 0, None);
+                budget.update(account, 0, None);
             }
             assert!(held.iter().sum::<usize>() <= limit);
         }
@@ -401,15 +420,15 @@
 
 #[test]
 fn the_record_keeps_classes_and_causes_apart() {
-    let mut ledger = Ledger::default();
+    let mut statistics = StreamStatistics::default();
     for n in 1..=100 {
-        ledger.enter(0, &outcome(Cause::Whole, n * 1_000));
+        statistics.record(0, &outcome(Cause::Complete, n * 1_000));
     }
-    ledger.enter(1, &outcome(Cause::Stalled, 5_000_000_000));
-    let figures = ledger.figures();
+    statistics.record(1, &outcome(Cause::Stalled, 5_000_000_000));
+    let figures = statistics.figures();
     assert_eq!(figures.len(), 2);
     let (whole, stalled) = (&figures[0], &figures[1]);
-    assert_eq!((whole.class, whole.cause, whole.count), (0, Cause::Whole, 100));
+    assert_eq!((whole.class, whole.cause, whole.count), (0, Cause::Complete, 100));
     assert_eq!((whole.bytes, whole.events), (1_000, 200));
     let near = |is: u64, due: u64| is.abs_diff(due) * 50 <= due;
     assert!(near(whole.first[0], 50_000) && near(whole.first[1], 99_000) && near(whole.lasted[2], 200_000));
@@ -423,11 +442,11 @@
 }
 
 #[test]
-fn a_server_that_spoils_streams_rests_and_a_trouble_of_all_rests_nobody() {
-    let limits = RestLimits::default();
+fn a_server_that_spoils_streams_is_ejected_and_a_fault_of_all_ejects_nobody() {
+    let limits = OutlierLimits::default();
     let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
     let mut outliers = OutlierEjection::new(&limits);
-    outliers.fleet(&fleet);
+    outliers.set_ready(&fleet);
     let mut now = 0;
     // All but one serve well; that one breaks every second stream.
     let mut rested = None;
@@ -435,24 +454,25 @@
         for (n, server) in fleet.iter().enumerate() {
             now += 10 * MS;
             let bad = n == 3 && round % 2 == 0;
-            let change = outliers.ended(now, server, if bad { Cause::Broke } else { Cause::Whole });
+            let change =
+                outliers.ended(now, server, if bad { Cause::Disconnected } else { Cause::Complete });
             assert!(change.is_none() || n == 3);
             rested = rested.or(change);
         }
     }
-    assert_eq!(rested, Some(Change::Rest(id(3))));
-    assert!(outliers.rests(&id(3)));
+    assert_eq!(rested, Some(Change::Eject(id(3))));
+    assert!(outliers.is_ejected(&id(3)));
     let due = outliers.due().expect("an end");
-    assert!(outliers.back(due - 1).is_empty());
-    assert_eq!(outliers.back(due), [Change::Back(id(3))]);
+    assert!(outliers.readmit(due - 1).is_empty());
+    assert_eq!(outliers.readmit(due), [Change::Readmit(id(3))]);
     // Soon again: its next rest is twice as long.
     for _ in 0..3 {
         outliers.ended(due + MS, &id(3), Cause::Stalled);
     }
-    assert_eq!(outliers.due(), Some(due + MS + 2 * nanos(limits.rest)));
+    assert_eq!(outliers.due(), Some(due + MS + 2 * nanos(limits.ejection_time)));
     // Leavers and slow readers are nobody's fault here.
     let mut outliers = OutlierEjection::new(&limits);
-    outliers.fleet(&fleet);
+    outliers.set_ready(&fleet);
     for n in 0..50 {
         assert_eq!(outliers.ended(now + n, &id(1), Cause::ClientLeft), None);
         assert_eq!(outliers.ended(now + n, &id(1), Cause::ReaderSlow), None);
@@ -460,7 +480,7 @@
     // All break alike.
     for round in 0..20 {
         for server in &fleet {
-            let cause = if round % 2 == 0 { Cause::Whole } else { Cause::Stalled };
+            let cause = if round % 2 == 0 { Cause::Complete } else { Cause::Stalled };
             assert_eq!(outliers.ended(now + round, server, cause), None);
         }
     }
@@ -469,18 +489,22 @@
 #[test]
 fn no_more_than_a_part_of_the_fleet_rests_and_what_left_is_forgotten() {
     fn bounded(ends: Vec<(u8, bool, u8)>) -> bool {
-        let limits = RestLimits { above: 1.0, ..RestLimits::default() };
+        let limits = OutlierLimits { ratio_to_others: 1.0, ..OutlierLimits::default() };
         let fleet: Vec<ReplicaId> = (0..10).map(id).collect();
         let mut outliers = OutlierEjection::new(&limits);
-        outliers.fleet(&fleet);
+        outliers.set_ready(&fleet);
         let mut now = 0;
         for (n, bad, wait) in ends.into_iter().cycle().take(400) {
             now += Nanos::from(wait) * MS;
-            outliers.back(now);
-            outliers.ended(now, &id(usize::from(n) % 10), if bad { Cause::Broke } else { Cause::Whole });
-            assert!(fleet.iter().filter(|s| outliers.rests(s)).count() <= 2);
+            outliers.readmit(now);
+            outliers.ended(
+                now,
+                &id(usize::from(n) % 10),
+                if bad { Cause::Disconnected } else { Cause::Complete },
+            );
+            assert!(fleet.iter().filter(|s| outliers.is_ejected(s)).count() <= 2);
         }
-        outliers.fleet(&[]);
+        outliers.set_ready(&[]);
         outliers.due().is_none()
     }
     check(33).quickcheck(bounded as fn(Vec<(u8, bool, u8)>) -> bool);
--- /dev/null
+++ b/tests/support/cargo_metadata.rs
@@ -0,0 +1,118 @@
+//! What `cargo metadata` prints of the workspace and its dependencies, as far as tests read it.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde::Deserialize;
+
+/// What the machines of the system run; dependencies of other platforms are not compiled there.
+pub(crate) const TARGET_PLATFORM: &str = "x86_64-unknown-linux-gnu";
+
+#[derive(Deserialize)]
+pub(crate) struct Metadata {
+    packages: Vec<Package>,
+    resolve: Resolve,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct Package {
+    id: String,
+    pub(crate) name: String,
+    pub(crate) links: Option<String>,
+    pub(crate) rust_version: Option<String>,
+    /// None for a package of the workspace.
+    source: Option<String>,
+    manifest_path: PathBuf,
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    kind: Vec<String>,
+}
+
+/// What the lock file comes to on one platform.
+#[derive(Deserialize)]
+struct Resolve {
+    nodes: Vec<Node>,
+}
+
+#[derive(Deserialize)]
+struct Node {
+    id: String,
+    deps: Vec<Dependency>,
+}
+
+#[derive(Deserialize)]
+struct Dependency {
+    pkg: String,
+    dep_kinds: Vec<DependencyKind>,
+}
+
+#[derive(Deserialize)]
+struct DependencyKind {
+    kind: Option<String>,
+}
+
+impl Package {
+    pub(crate) fn has_build_script(&self) -> bool {
+        self.targets.iter().any(|target| target.kind.iter().any(|kind| kind == "custom-build"))
+    }
+
+    pub(crate) fn is_in_workspace(&self) -> bool {
+        self.source.is_none()
+    }
+
+    /// The folder of the package's manifest.
+    pub(crate) fn folder(&self) -> PathBuf {
+        self.manifest_path.parent().expect("a manifest is in a folder").to_owned()
+    }
+}
+
+impl Dependency {
+    /// Whether a build without tests needs it.
+    fn is_for_build(&self) -> bool {
+        self.dep_kinds.iter().any(|kind| kind.kind.as_deref() != Some("dev"))
+    }
+}
+
+impl Metadata {
+    /// Of the workspace, resolved for one platform by the lock file.
+    pub(crate) fn read(platform: &str) -> Metadata {
+        let output = Command::new(env!("CARGO"))
+            .args(["metadata", "--locked", "--format-version", "1", "--filter-platform", platform])
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .output()
+            .expect("cargo runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        serde_json::from_slice(&output.stdout).expect("cargo prints its metadata")
+    }
+
+    /// Everything that the workspace and its tests compile.
+    pub(crate) fn into_compiled_packages(self) -> Vec<Package> {
+        let compiled: BTreeSet<String> = self.resolve.nodes.into_iter().map(|node| node.id).collect();
+        self.packages.into_iter().filter(|package| compiled.contains(&package.id)).collect()
+    }
+
+    /// What a build of these packages of the workspace compiles, their tests left out.
+    pub(crate) fn into_packages_needed_by(self, names: &[&str]) -> Vec<Package> {
+        let nodes: BTreeMap<&str, &Node> =
+            self.resolve.nodes.iter().map(|node| (node.id.as_str(), node)).collect();
+        let is_named = |package: &&Package| names.contains(&package.name.as_str());
+        let mut open: Vec<String> =
+            self.packages.iter().filter(is_named).map(|package| package.id.clone()).collect();
+        let mut needed = BTreeSet::new();
+        while let Some(id) = open.pop() {
+            let dependencies = &nodes[id.as_str()].deps;
+            if needed.insert(id) {
+                open.extend(
+                    dependencies.iter().filter(|each| each.is_for_build()).map(|each| each.pkg.clone()),
+                );
+            }
+        }
+        self.packages.into_iter().filter(|package| needed.contains(&package.id)).collect()
+    }
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,4 +1,4 @@
-//! Many processes at once: gateways, stand-in real servers that take down what reaches them, a stand-in list service
+//! Many processes at once: gateways, stand-in replicas that take down what reaches them, a stand-in list service
 //! with a pace of its own, and open-loop clients.
 
 use std::collections::VecDeque;
@@ -14,7 +14,7 @@
 
 use super::{Gateway, HEAD, Platform, chunk, closing, header, message, text};
 
-/// What is taken down at a real server.
+/// What is taken down at a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Seen {
     /// A connection came.
@@ -29,10 +29,10 @@
     Over,
 }
 
-/// What happened at the real servers: when, where, what.
+/// What happened at the replicas: when, where, what.
 pub(crate) type Record = Arc<Mutex<Vec<(Instant, usize, Seen)>>>;
 
-/// Stand-in real servers of some places each, on which a request stays for a while.
+/// Stand-in replicas of some places each, on which a request stays for a while.
 pub(crate) struct Servers {
     pub addrs: Vec<SocketAddr>,
     pub record: Record,
@@ -386,7 +386,7 @@
     // The layer before the gateways sends nobody to one that is known to be gone.
     let front = (0..count).find_map(|k| fronts.lock().expect("whole")[(n as usize + k) % count]);
     let Some(front) = front else { return ends.lock().expect("whole").lost += 1 };
-    let answer = ask(front, n);
+    let answer = send_request(front, n);
     let lives = fronts.lock().expect("whole").contains(&Some(front));
     let mut ends = ends.lock().expect("whole");
     match answer {
@@ -404,7 +404,7 @@
 }
 
 /// One request: its status, whether its answer is whole, and the time to its head.
-fn ask(front: SocketAddr, n: u64) -> std::io::Result<(u16, bool, Duration)> {
+fn send_request(front: SocketAddr, n: u64) -> std::io::Result<(u16, bool, Duration)> {
     let at = Instant::now();
     let mut stream = TcpStream::connect(front)?;
     stream.set_read_timeout(Some(super::FOREVER))?;
--- a/tests/support/late.rs
+++ b/tests/support/late.rs
@@ -1,4 +1,4 @@
-//! Real servers to which no connection comes up for a while.
+//! Replicas to which no connection comes up for a while.
 
 use std::net::{SocketAddr, TcpListener};
 
--- a/tests/support/told.rs
+++ b/tests/support/list_propagation.rs
@@ -1,4 +1,4 @@
-//! A list service with moods, real servers that note when they were asked, and clients that keep asking.
+//! A list service with moods, replicas that note when they were asked, and clients that keep asking.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -125,7 +125,7 @@
     }
 
     /// Watches that are open fall silent, calls are answered as ever. Says since when.
-    pub(crate) fn silence_watches(&self) -> Instant {
+    pub(crate) fn make_watches_idle(&self) -> Instant {
         let from = self.become_(Mood::Mute);
         // Each has seen it by then.
         thread::sleep(Duration::from_millis(30));
@@ -235,7 +235,7 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// A real server that serves at once and notes when each request was there.
+/// A replica that serves at once and notes when each request was there.
 pub(crate) fn noting() -> (Server, Arc<Mutex<Vec<Instant>>>) {
     let came: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let noted = came.clone();
@@ -247,7 +247,7 @@
     (server, came)
 }
 
-/// Two real servers, the first of which will drain, their list service, and a gateway whose clients keep asking.
+/// Two replicas, the first of which will drain, their list service, and a gateway whose clients keep asking.
 pub(crate) struct Scene {
     pub lists: Lists,
     pub gateway: Gateway,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,10 +1,10 @@
-//! Stand-ins of discovery, real servers and clients on loopback, and the program itself.
+//! Stand-ins of discovery, replicas and clients on loopback, and the program itself.
 
 #![allow(dead_code, missing_docs)]
 
 pub(crate) mod fleet;
 pub(crate) mod late;
-pub(crate) mod told;
+pub(crate) mod list_propagation;
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -19,7 +19,7 @@
 
 /// Long enough never to be met, however slow the machine.
 pub(crate) const FOREVER: Duration = Duration::from_secs(30);
-/// The longest that a real server may go on working for a stream that nobody reads any more. The aim is 50 ms; a
+/// The longest that a replica may go on working for a stream that nobody reads any more. The aim is 50 ms; a
 /// test that shares its machine with others is given room, yet far less than what an unread stream would take.
 pub(crate) const UNREAD: Duration = Duration::from_millis(500);
 pub(crate) const FRONTS: [&str; 2] = ["platform", "messages"];
@@ -37,12 +37,12 @@
     /// A stream that ended without its last chunk, after this text.
     Broken(String),
     /// Status 429, 503 or 529, with `Retry-After`.
-    TurnedDown,
+    Shed,
     /// Another status.
     Failed,
 }
 
-/// What a real server does with every request.
+/// What a replica does with every request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Manner {
     Serve,
@@ -71,7 +71,7 @@
     Wordy,
 }
 
-/// A stand-in real server, the requests that reached it, and what it noticed of clients that left.
+/// A stand-in replica, the requests that reached it, and what it noticed of clients that left.
 pub(crate) struct Server {
     pub addr: SocketAddr,
     pub requests: Arc<AtomicUsize>,
@@ -191,7 +191,7 @@
     Server { addr, requests, bodies, left }
 }
 
-/// What a stand-in real server writes in that manner.
+/// What a stand-in replica writes in that manner.
 fn scripted_answer(manner: Manner, dialect: &str) -> String {
     let begin = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     let hello = opening(dialect) + &text(dialect, "Hel");
@@ -228,7 +228,7 @@
     }
 }
 
-/// One connection of a stand-in real server.
+/// One connection of a stand-in replica.
 pub(crate) fn converse(
     mut stream: TcpStream,
     dialect: &str,
@@ -256,7 +256,7 @@
                 return left.send(()).ok();
             }
             Manner::Silence => {
-                // The end of a connection whose answer is still due: the scheduling was given up.
+                // The end of a connection whose answer is still due: the attempt was given up.
                 let over = matches!(reader.read(&mut [0]), Ok(0) | Err(_));
                 assert!(over, "something was sent after the request");
                 left.send(()).ok()?;
@@ -273,7 +273,7 @@
 pub(crate) const HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// A real server that plays `script` for each request, and says when the gateway has closed that connection.
+/// A replica that plays `script` for each request, and says when the gateway has closed that connection.
 pub(crate) fn scripted(
     script: impl Fn(&mut TcpStream, usize) -> bool + Send + Sync + 'static,
 ) -> (Server, Receiver<Instant>) {
@@ -305,7 +305,7 @@
     (Server { addr, requests, bodies: Arc::default(), left }, closed)
 }
 
-/// A real server that sends so many events of the dialect of its kind, and then falls silent.
+/// A replica that sends so many events of the dialect of its kind, and then falls silent.
 pub(crate) fn silent_after(dialect: &'static str, events: usize) -> (Server, Receiver<Instant>) {
     scripted(move |stream, _| {
         let answer = HEAD.to_owned() + &chunk(&text(dialect, "Hel")).repeat(events);
@@ -399,7 +399,7 @@
         "stream": true, "points": 1.0})
 }
 
-/// What the platform's configuration says of scheduling.
+/// What the platform's configuration says of attempt.
 fn platform_settings(attempts: u32) -> Value {
     json!({"group-size": 1, "me": 0, "zone": "a", "localities": ["a"], "shapes": ["k"],
         "discovery": "ask", "weight-source": "rough", "report": {"fields": ["util"]},
@@ -531,7 +531,7 @@
     }
 
     /// The same with a log that is read here.
-    /// One that has heard of its real servers.
+    /// One that has heard of its replicas.
     pub(crate) fn listed(servers: Vec<Value>, attempts: u32, limits: (u32, u32), more: Value) -> Gateway {
         let gateway = Gateway::watched(Gateway::spawn("n0", "platform", servers, attempts, limits, more));
         eventually(|| gateway.logged("kind=\"Complete\"") > 0);
@@ -583,7 +583,8 @@
         send(self.front(dialect), dialect, class, deadline_ms, session)
     }
 
-    pub(crate) fn ask(
+    /// Sends a request and waits for its answer.
+    pub(crate) fn exchange(
         &self,
         dialect: &str,
         class: &str,
@@ -713,7 +714,7 @@
     }
     let wait = header(head, "retry-after").map(|w| w.parse::<f64>().expect("seconds"));
     assert!(status < 500 || wait.is_some_and(|w| (0.0..=2.0).contains(&w)), "{head:?}");
-    if matches!(status, 429 | 503 | 529) { Seen::TurnedDown } else { Seen::Failed }
+    if matches!(status, 429 | 503 | 529) { Seen::Shed } else { Seen::Failed }
 }
 
 /// Reads chunks: their bytes, and whether the last one came.
--- a/tests/support/stored_data.rs
+++ b/tests/support/stored_data.rs
@@ -110,13 +110,13 @@
 ///
 /// If there are other characters, or an odd number of them.
 pub(crate) fn from_hex(digits: &str) -> Vec<u8> {
-    let (pairs, rest) = digits.as_bytes().as_chunks::<2>();
-    assert!(rest.is_empty(), "an odd number of digits");
-    let byte = |pair: &[u8; 2]| {
-        let pair = str::from_utf8(pair).expect("digits");
+    let pairs = digits.as_bytes().chunks_exact(2);
+    assert!(pairs.remainder().is_empty(), "an odd number of digits");
+    let byte = |pair: &[u8]| {
+        let pair = std::str::from_utf8(pair).expect("digits");
         u8::from_str_radix(pair, 16).expect("hexadecimal digits")
     };
-    pairs.iter().map(byte).collect()
+    pairs.map(byte).collect()
 }
 
 fn file_names(directory: &Path) -> Vec<String> {
--- a/tests/system_packages.rs
+++ b/tests/system_packages.rs
@@ -3,23 +3,25 @@
 //! A dependency can ask the machine for more than a Rust toolchain in two ways: by its build script, or by a library that it
 //! links (`links` in its manifest). So each dependency that has either is listed here, with what was read in its script.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::process::Command;
+#[path = "support/cargo_metadata.rs"]
+mod cargo_metadata;
 
-use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// What the machines of the system run; dependencies of other platforms are not compiled there.
-const TARGET_PLATFORM: &str = "x86_64-unknown-linux-gnu";
+use cargo_metadata::{Metadata, Package, TARGET_PLATFORM};
 
 /// The file that names the system packages.
 const SYSTEM_FILE: &str = include_str!("../deploy/system.toml");
 
 /// The system packages that a step needs whatever the dependencies are.
-const STEP_PACKAGES: [(&str, &str); 4] = [
+const STEP_PACKAGES: [(&str, &str); 7] = [
     ("ca-certificates", "cargo checks the registry's certificate against it"),
+    ("cargo-web", "builds; Debian's plain cargo is too old for edition 2024"),
     ("gcc", "rustc calls `cc` to link; `ld` comes with it"),
+    ("git", "`.ci/bare-build` clones the sources"),
     ("libc6-dev", "crt1.o, libc.so and libm.so, which every program is linked with"),
     ("procps", "tests send signals by `kill`"),
+    ("rustc-web", "compiles, and brings the standard library"),
 ];
 
 /// A dependency with a build script that was read.
@@ -72,54 +74,9 @@
     ReviewedScript { dependency, finding, system_packages: &[] }
 }
 
-/// What `cargo metadata` prints, as far as it is read here.
-#[derive(Deserialize)]
-struct Metadata {
-    packages: Vec<Package>,
-    resolve: Resolve,
-}
-
-#[derive(Deserialize)]
-struct Package {
-    id: String,
-    name: String,
-    links: Option<String>,
-    targets: Vec<Target>,
-}
-
-impl Package {
-    fn has_build_script(&self) -> bool {
-        self.targets.iter().any(|target| target.kind.iter().any(|kind| kind == "custom-build"))
-    }
-}
-
-#[derive(Deserialize)]
-struct Target {
-    kind: Vec<String>,
-}
-
-/// What the lock file comes to on one platform.
-#[derive(Deserialize)]
-struct Resolve {
-    nodes: Vec<Node>,
-}
-
-#[derive(Deserialize)]
-struct Node {
-    id: String,
-}
-
 /// Everything that the whole workspace and its tests compile on the system's machines.
 fn compiled_packages() -> Vec<Package> {
-    let output = Command::new(env!("CARGO"))
-        .args(["metadata", "--locked", "--format-version", "1", "--filter-platform", TARGET_PLATFORM])
-        .current_dir(env!("CARGO_MANIFEST_DIR"))
-        .output()
-        .expect("cargo runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    let metadata: Metadata = serde_json::from_slice(&output.stdout).expect("cargo prints its metadata");
-    let compiled: BTreeSet<String> = metadata.resolve.nodes.into_iter().map(|node| node.id).collect();
-    metadata.packages.into_iter().filter(|package| compiled.contains(&package.id)).collect()
+    Metadata::read(TARGET_PLATFORM).into_compiled_packages()
 }
 
 /// The list in `deploy/system.toml`.
--- a/tests/translate.rs
+++ b/tests/translate.rs
@@ -160,10 +160,10 @@
     fn same(Asked(body): Asked) -> bool {
         let limits = MessagesLimits::default();
         let text = body.to_string();
-        let request = Request::read(text.as_bytes(), Purpose::Answer, &limits).expect("good");
+        let request = Request::read(text.as_bytes(), Purpose::Generation, &limits).expect("good");
         let platform = to_platform::body(&request).expect("all of it has a counterpart");
         let back = to_messages::body(&platform, &limits).expect("and so has that");
-        let again = Request::read(&back, Purpose::Answer, &limits).expect("good again");
+        let again = Request::read(&back, Purpose::Generation, &limits).expect("good again");
         assert_eq!(Route::of(&again).tokens, Route::of(&request).tokens);
         let back: Value = serde_json::from_slice(&back).expect("JSON");
         let (was, is) = (spelled_out(body), spelled_out(back));
@@ -178,15 +178,15 @@
 
 /// A platform stream: words and calls in any order, their arguments in turns.
 #[derive(Clone, Debug)]
-struct Told {
+struct PlatformStream {
     events: Vec<String>,
     text: String,
     calls: Vec<(String, Value)>,
     cuts: Vec<usize>,
 }
 
-impl Arbitrary for Told {
-    fn arbitrary(g: &mut Gen) -> Told {
+impl Arbitrary for PlatformStream {
+    fn arbitrary(g: &mut Gen) -> PlatformStream {
         let event = |delta: Value| {
             format!(
                 "data: {}\n\n",
@@ -234,7 +234,7 @@
         );
         events.push("data: [DONE]\n\n".into());
         let cuts = (0..8).map(|_| 1 + usize::arbitrary(g) % 300).collect();
-        Told { events, text, calls, cuts }
+        PlatformStream { events, text, calls, cuts }
     }
 }
 
@@ -255,38 +255,41 @@
         translator.events(server, &batch, &mut out);
         assert!(!translator.is_full());
     }
-    assert_eq!(translator.holds(), 0, "all has been said");
+    assert_eq!(translator.buffered_bytes(), 0, "all has been said");
     out
 }
 
+/// One block after another, each begun once and ended once.
+fn assert_blocks_in_sequence(stream: &[u8]) {
+    let (mut open, mut next) = (None, 0);
+    for block in codec::sse_blocks(stream) {
+        let value: Value = serde_json::from_str(&block.data()).expect("JSON");
+        let index = value["index"].as_u64();
+        match block.name() {
+            "content_block_start" => {
+                assert_eq!((open, index), (None, Some(next)));
+                (open, next) = (index, next + 1);
+            }
+            "content_block_delta" => assert_eq!(index, open),
+            "content_block_stop" => {
+                assert_eq!(index, open);
+                open = None;
+            }
+            "message_stop" => assert_eq!(open, None),
+            _ => {}
+        }
+    }
+}
+
 #[test]
 fn a_stream_in_any_pieces_gives_the_same_blocks_one_after_another() {
-    fn same(told: Told) -> bool {
+    fn same(told: PlatformStream) -> bool {
         let stream = told.events.concat();
         let whole = passed(Dialect::Messages, Dialect::Platform, stream.as_bytes(), &[stream.len()]);
         let cut = passed(Dialect::Messages, Dialect::Platform, stream.as_bytes(), &told.cuts);
         assert_eq!(String::from_utf8_lossy(&whole), String::from_utf8_lossy(&cut));
 
-        // One block after another, each begun once and ended once.
-        let (mut open, mut next) = (None, 0);
-        for block in codec::sse_blocks(&whole) {
-            let value: Value = serde_json::from_str(&block.data()).expect("JSON");
-            let index = value["index"].as_u64();
-            match block.name() {
-                "content_block_start" => {
-                    assert_eq!((open, index), (None, Some(next)));
-                    (open, next) = (index, next + 1);
-                }
-                "content_block_delta" => assert_eq!(index, open),
-                "content_block_stop" => {
-                    assert_eq!(index, open);
-                    open = None;
-                }
-                "message_stop" => assert_eq!(open, None),
-                _ => {}
-            }
-        }
-
+        assert_blocks_in_sequence(&whole);
         // Gathered, it says what the stream did; and so does the way back.
         let mut assembler = MessageAssembler::new(1 << 20);
         assembler.events(&whole);
@@ -326,13 +329,16 @@
         assert_eq!(said(&there), said(&whole));
         true
     }
-    QuickCheck::new().rng(Gen::from_size_and_seed(20, 9)).tests(300).quickcheck(same as fn(Told) -> bool);
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 9))
+        .tests(300)
+        .quickcheck(same as fn(PlatformStream) -> bool);
 }
 
 #[test]
 fn no_input_panics_or_grows_past_its_bound() {
     // Good input that was bitten, doubled and mixed.
-    fn survives(Asked(body): Asked, told: Told, bites: Vec<(usize, u8)>) -> bool {
+    fn survives(Asked(body): Asked, told: PlatformStream, bites: Vec<(usize, u8)>) -> bool {
         let bitten = |text: String| {
             let mut bytes = text.into_bytes();
             for (at, byte) in &bites {
@@ -350,14 +356,14 @@
         };
         let limits = limits();
         let body = bitten(body.to_string());
-        match Request::read(&body, Purpose::Answer, &limits.messages) {
+        match Request::read(&body, Purpose::Generation, &limits.messages) {
             Ok(request) => {
                 if let Ok(platform) = to_platform::body(&request) {
                     assert!(platform.len() <= 4 * body.len() + 4096);
                     serde_json::from_slice::<Value>(&platform).expect("JSON");
                 }
             }
-            Err(what) => assert!(!what.is_empty()),
+            Err(what) => assert!(!what.to_string().is_empty()),
         }
         if let Ok(messages) = to_messages::body(&body, &limits.messages) {
             assert!(messages.len() <= 4 * body.len() + 4096);
@@ -375,11 +381,11 @@
             assert!(out.len() <= 16 * stream.len() + 4096);
             let mut assembler = MessageAssembler::new(2048);
             assembler.events(&out);
-            assert!(assembler.held() <= 2048 + out.len() / 2 + limits.wire.event_bytes);
+            assert!(assembler.buffered_bytes() <= 2048 + out.len() / 2 + limits.wire.event_bytes);
             let _ = assembler.finish();
         }
         true
     }
-    let survives = survives as fn(Asked, Told, Vec<(usize, u8)>) -> bool;
+    let survives = survives as fn(Asked, PlatformStream, Vec<(usize, u8)>) -> bool;
     QuickCheck::new().rng(Gen::from_size_and_seed(20, 10)).tests(400).quickcheck(survives);
 }
--- a/tests/units/api_keys.rs
+++ b/tests/units/api_keys.rs
@@ -1,6 +1,6 @@
 //! Looking up API keys by their hashes.
 
-use tulipridge::api_keys::{Holder, Key, Keys, digits_of, hash_of};
+use tulipridge::api_keys::{Key, KeyOwner, Keys, digits_of, hash_of};
 use tulipridge::net::codec::Head;
 
 #[test]
@@ -14,8 +14,8 @@
     let keys = Keys::new(vec![key("alpha"), key("beta"), key("gamma")]);
     let told = |name: &str, value: &str| {
         let head = Head { headers: vec![(name.into(), value.into())], ..Head::default() };
-        match keys.holder(&head) {
-            Holder::Known(key) => key.name.clone(),
+        match keys.owner(&head) {
+            KeyOwner::Known(key) => key.name.clone(),
             other => format!("{other:?}"),
         }
     };
@@ -26,7 +26,7 @@
     assert_eq!(told("x-api-key", "delta"), "Stranger");
     assert_eq!(told("x-api-key", ""), "Keyless");
     assert_eq!(told("accept", "alpha"), "Keyless");
-    assert!(matches!(Keys::default().holder(&Head::default()), Holder::Anybody));
+    assert!(matches!(Keys::default().owner(&Head::default()), KeyOwner::Anybody));
     assert_eq!(hash_of("12"), None);
     assert_eq!(hash_of(&"g".repeat(64)), None);
 }
--- a/tests/units/case_files.rs
+++ b/tests/units/case_files.rs
@@ -10,10 +10,10 @@
         \n  see@messages usage 1 2 3\n  see call f {\"a\": [1]}\n  outcome broken\ncase b\n",
     )
     .expect("good");
-    assert_eq!((cases.len(), cases[0].place.1, cases[1].name.as_str()), (2, 2, "b"));
-    assert_eq!(cases[0].ask[0].at(0), "x \"y\"");
+    assert_eq!((cases.len(), cases[0].position.line, cases[1].name.as_str()), (2, 2, "b"));
+    assert_eq!(cases[0].request_directives[0].at(0), "x \"y\"");
     assert_eq!((cases[0].serve.len(), cases[0].serve[0][0].number(0)), (2, 0));
-    assert_eq!(cases[0].see[1].1.json(1), "{\"a\": [1]}");
+    assert_eq!(cases[0].see[1].directive.json(1), "{\"a\": [1]}");
     assert_eq!(cases[0].outcome, Outcome::Broken);
     // A carriage return that ends no line once ended no reading either.
     assert!(parse("f", "case a\r\n  serve end\r\n").is_ok_and(|cases| cases[0].serve[0].len() == 1));
@@ -29,6 +29,6 @@
         ("case a\ncase a\n", "f:2: this name"),
     ] {
         let fault = parse("f", text).expect_err(text);
-        assert!(fault.starts_with(told), "{fault}");
+        assert!(fault.to_string().starts_with(told), "{fault}");
     }
 }
--- a/tests/units/json_nesting.rs
+++ b/tests/units/json_nesting.rs
@@ -3,13 +3,13 @@
 use tulipridge::front::object::{Nesting, depth};
 
 #[test]
-fn a_json_text_in_pieces_is_whole_at_its_end_and_not_before() {
+fn a_json_text_in_pieces_is_complete_at_its_end_and_not_before() {
     let json = r#"{"a":"}\"]","b":[1,{"c":"\\"}]}"#;
     let mut nesting = Nesting::default();
     for at in 0..json.len() {
-        assert!(!nesting.is_whole(), "at {at}");
-        nesting.take(&json[at..at + 1]);
+        assert!(!nesting.is_complete(), "at {at}");
+        nesting.add(&json[at..at + 1]);
     }
-    assert!(nesting.is_whole());
+    assert!(nesting.is_complete());
     assert_eq!((depth(json), depth("\"[[[\""), depth("1")), (3, 0, 0));
 }
--- a/tests/units/messages_order.rs
+++ b/tests/units/messages_order.rs
@@ -7,8 +7,9 @@
 use serde_json::{Value, json};
 use tulipridge::admission::quota::Rates;
 use tulipridge::api_keys::{self, Key, Keys};
+use tulipridge::engine::TokenCounts;
 use tulipridge::front::messages::{PATH, Setup, call, models};
-use tulipridge::front::{AcceptedRequest, Call, FrontContext, ServerDialects};
+use tulipridge::front::{AcceptedRequest, Call, FrontContext, ReplicaDialects};
 use tulipridge::limits::Limits;
 use tulipridge::names::Names;
 use tulipridge::net::codec::Head;
@@ -45,7 +46,7 @@
 }
 
 /// What a request with these headers and this body, over a usual one, comes to: an order, or a status.
-fn told(
+fn accepted(
     context: &FrontContext,
     headers: &[(&str, &str)],
     body: Value,
@@ -59,9 +60,10 @@
     }
     head.headers.extend(headers.iter().map(|(n, v)| (n.to_string(), v.to_string())));
     let body = whole.to_string();
-    match call(context, SECOND, &head, body.as_bytes(), "req_00000000000000a1", ServerDialects::default()) {
+    match call(context, SECOND, &head, body.as_bytes(), "req_00000000000000a1", ReplicaDialects::default())
+    {
         Call::Serve(order) => Ok(order),
-        Call::Reply(reply) => Err(reply.status),
+        Call::Respond(reply) => Err(reply.status),
         Call::Health => Err(0),
     }
 }
@@ -69,16 +71,22 @@
 #[test]
 fn the_body_says_what_headers_do_not() {
     let context = context();
-    let plain = told(&context, &[], json!({})).expect("good");
-    assert_eq!((plain.ask.class, plain.ask.expires_in, plain.safe), (0, 5 * SECOND, true));
-    assert_eq!((plain.ask.id, plain.ask.repeat, plain.ask.tenant), (Some(0xa1), false, Some(0)));
-    assert_eq!((plain.ask.tokens, plain.prompt), ((3, 0, 9), 3));
-    let bulk = told(&context, &[], json!({"model": "map-bulk"})).expect("good");
-    assert_eq!((bulk.ask.class, bulk.ask.expires_in, bulk.safe), (1, 20 * SECOND, false));
-    let docs = told(&context, &[("x-class", "docs")], json!({"model": "map-bulk"})).expect("good");
-    assert_eq!(docs.ask.class, 0);
+    let plain = accepted(&context, &[], json!({})).expect("good");
+    assert_eq!((plain.placement.class, plain.placement.expires_in, plain.safe), (0, 5 * SECOND, true));
+    assert_eq!(
+        (plain.placement.id, plain.placement.is_retry, plain.placement.tenant),
+        (Some(0xa1), false, Some(0))
+    );
+    assert_eq!(
+        (plain.placement.tokens, plain.prompt),
+        (TokenCounts { prompt: 3, prefix: 0, max_output: 9 }, 3)
+    );
+    let bulk = accepted(&context, &[], json!({"model": "map-bulk"})).expect("good");
+    assert_eq!((bulk.placement.class, bulk.placement.expires_in, bulk.safe), (1, 20 * SECOND, false));
+    let docs = accepted(&context, &[("x-class", "docs")], json!({"model": "map-bulk"})).expect("good");
+    assert_eq!(docs.placement.class, 0);
     // A conversation is known by its user, else by how it began.
-    let session = |body| told(&context, &[], body).expect("good").ask.session;
+    let session = |body| accepted(&context, &[], body).expect("good").placement.session;
     let turn = |text: &str| json!({"messages": [{"role": "user", "content": text}]});
     assert_eq!(
         session(json!({"metadata": {"user_id": "u"}})),
@@ -89,17 +97,17 @@
         session(json!({"metadata": {"user_id": "v"}}))
     );
     assert_ne!(session(turn("one")), session(turn("two")));
-    assert_eq!(told(&context, &[], json!({"model": "map-slow"})).err(), Some(404), "it is not listed");
+    assert_eq!(accepted(&context, &[], json!({"model": "map-slow"})).err(), Some(404), "it is not listed");
 }
 
 #[test]
 fn what_a_clients_library_says_of_repeats_and_patience_is_heeded() {
     let context = context();
-    let asked = |headers: &[(&str, &str)]| told(&context, headers, json!({})).expect("good").ask;
-    assert!(!asked(&[("x-stainless-retry-count", "0")]).repeat);
-    assert!(asked(&[("x-stainless-retry-count", "1")]).repeat);
-    assert!(asked(&[("x-retry", "1")]).repeat);
-    assert!(!asked(&[("x-stainless-retry-count", "many")]).repeat);
+    let asked = |headers: &[(&str, &str)]| accepted(&context, headers, json!({})).expect("good").placement;
+    assert!(!asked(&[("x-stainless-retry-count", "0")]).is_retry);
+    assert!(asked(&[("x-stainless-retry-count", "1")]).is_retry);
+    assert!(asked(&[("x-retry", "1")]).is_retry);
+    assert!(!asked(&[("x-stainless-retry-count", "many")]).is_retry);
     for (name, seconds, expected) in [
         ("x-stainless-timeout", "600", 5 * SECOND),
         ("x-stainless-timeout", "2", 2 * SECOND),
@@ -117,8 +125,9 @@
 #[test]
 fn a_key_says_whose_limits_are_spent_and_the_body_how_much() {
     let context = context();
-    let tenant =
-        |headers: &[(&str, &str)]| told(&context, headers, json!({})).map(|order| order.ask.tenant);
+    let tenant = |headers: &[(&str, &str)]| {
+        accepted(&context, headers, json!({})).map(|order| order.placement.tenant)
+    };
     assert_eq!(tenant(&[("x-api-key", "of-b")]).ok(), Some(Some(1)));
     assert_eq!(tenant(&[("x-api-key", "of-b"), ("x-tenant", "b")]).ok(), Some(Some(1)));
     assert_eq!(tenant(&[("x-api-key", "of-b"), ("x-tenant", "a")]).err(), Some(403));
@@ -128,6 +137,6 @@
     // Tenant a has 1,000 tokens a minute: a header that makes its prompt small is no way round it.
     let long = json!({"messages": [{"role": "user", "content": "x".repeat(3600)}]});
     let small = [("x-extras", "prompt_len=0,prefix_len=0,max_out=0")];
-    assert!(told(&context, &small, long.clone()).is_ok_and(|order| order.prompt == 900));
-    assert_eq!(told(&context, &small, long).err(), Some(429));
+    assert!(accepted(&context, &small, long.clone()).is_ok_and(|order| order.prompt == 900));
+    assert_eq!(accepted(&context, &small, long).err(), Some(429));
 }
--- a/tests/units/object_splitting.rs
+++ b/tests/units/object_splitting.rs
@@ -2,10 +2,10 @@
 
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{Value, json};
-use tulipridge::net::objects::{NoObject, Objects, Piece};
+use tulipridge::net::object_splitter::{Element, NotAnObject, ObjectSplitter};
 
-fn pieces(text: &[u8], cut: usize) -> Result<Vec<Piece>, NoObject> {
-    let (mut objects, mut held, mut out) = (Objects::default(), Vec::new(), Vec::new());
+fn pieces(text: &[u8], cut: usize) -> Result<Vec<Element>, NotAnObject> {
+    let (mut objects, mut held, mut out) = (ObjectSplitter::default(), Vec::new(), Vec::new());
     for part in text.chunks(cut.max(1)) {
         held.extend_from_slice(part);
         while let Some(piece) = objects.take(&mut held)? {
@@ -16,7 +16,7 @@
     Ok(out)
 }
 
-/// Objects with any texts in them come back, indented or not, whatever stands between them.
+/// ObjectSplitter with any texts in them come back, indented or not, whatever stands between them.
 fn comes_back(texts: Vec<(String, bool, u8)>, cut: usize) -> bool {
     let (mut text, mut expected) = (String::new(), Vec::new());
     for (word, indented, blanks) in texts {
@@ -29,8 +29,8 @@
     }
     let got = pieces(text.as_bytes(), cut % 40).expect("objects");
     let got = got.iter().map(|piece| match piece {
-        Piece::Object(bytes) => Some(serde_json::from_slice::<Value>(bytes).expect("whole")),
-        Piece::Blank => None,
+        Element::Object(bytes) => Some(serde_json::from_slice::<Value>(bytes).expect("whole")),
+        Element::BlankLine => None,
     });
     got.eq(expected)
 }
@@ -42,9 +42,9 @@
 }
 
 #[test]
-fn what_is_no_object_is_named_and_what_is_not_whole_waits() {
+fn what_is_no_object_is_named_and_what_is_incomplete_waits() {
     for bad in ["[1]", "}", "{} x", "\"{}\"", "no"] {
-        assert_eq!(pieces(bad.as_bytes(), 1), Err(NoObject), "{bad}");
+        assert_eq!(pieces(bad.as_bytes(), 1), Err(NotAnObject), "{bad}");
     }
     for part in ["{\"a\":\"}", "{\"a\":{}", "{\n\n\n"] {
         assert_eq!(pieces(part.as_bytes(), 1), Ok(vec![]), "{part}");
--- a/tests/units/prompt_routing.rs
+++ b/tests/units/prompt_routing.rs
@@ -8,7 +8,9 @@
 
 fn route(body: &Value) -> Route {
     let text = body.to_string();
-    Route::of(&Request::read(text.as_bytes(), Purpose::Answer, &MessagesLimits::default()).expect("good"))
+    Route::of(
+        &Request::read(text.as_bytes(), Purpose::Generation, &MessagesLimits::default()).expect("good"),
+    )
 }
 
 fn marked(text: &str) -> Value {
@@ -43,7 +45,7 @@
     let two = "{ \"messages\": [{\"content\": [{\"text\": \"x\", \"type\": \"text\"}], \"role\": \"user\"}],\
         \"system\": [{\"type\": \"text\", \"text\": \"plan \u{e9}\"}], \"max_tokens\": 9, \"model\": \"m\"}";
     let read = |body: &[u8]| {
-        Route::of(&Request::read(body, Purpose::Answer, &MessagesLimits::default()).expect("good"))
+        Route::of(&Request::read(body, Purpose::Generation, &MessagesLimits::default()).expect("good"))
     };
     assert_eq!(read(one), read(two.as_bytes()));
     // The same at every gateway and in every version: other gateways may run another one.
@@ -79,7 +81,7 @@
 }
 
 #[test]
-fn lengths_follow_the_rule_that_is_told() {
+fn lengths_follow_the_rule_that_is_stated() {
     let image = json!({"type": "image", "source": {"type": "url", "url": "u"}});
     let text = json!({"type": "text", "text": "\u{1f6eb}".repeat(8)});
     let told = asked(json!("abcd"), json!([{"role": "user", "content": [image, text]}]));
--- a/tests/units/request_reading.rs
+++ b/tests/units/request_reading.rs
@@ -5,16 +5,16 @@
 use tulipridge::front::object::Text;
 use tulipridge::limits::MessagesLimits;
 
-fn told(body: Value) -> String {
+fn fault_of(body: Value) -> String {
     let limits = MessagesLimits::default();
-    Request::read(body.to_string().as_bytes(), Purpose::Answer, &limits)
-        .map_or_else(|e| e, |_| String::new())
+    Request::read(body.to_string().as_bytes(), Purpose::Generation, &limits)
+        .map_or_else(|error| error.to_string(), |_| String::new())
 }
 
 fn with(field: &str, value: Value) -> String {
     let mut body = json!({"model": "m", "max_tokens": 9, "messages": [{"role": "user", "content": "x"}]});
     body[field] = value;
-    told(body)
+    fault_of(body)
 }
 
 fn block(block: Value) -> String {
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn each_fault_is_told_with_its_field() {
+fn each_fault_is_reported_with_its_field() {
     for (fault, field) in [
         (with("model", json!("")), "model: "),
         (with("model", json!(7)), "model: invalid type"),
@@ -73,33 +73,36 @@
 #[test]
 fn what_is_no_json_or_hostile_is_refused_in_words() {
     let limits = MessagesLimits::default();
-    let told = |body: &[u8]| Request::read(body, Purpose::Answer, &limits).expect_err("a fault");
-    assert!(told(b"{\"model\": \"\xff\"}").starts_with("the body is not UTF-8 from its byte 11 on"));
-    assert!(told(b"{").starts_with("the body is not JSON"));
-    assert!(told(b"[]").starts_with("invalid type"));
-    assert!(told(b"{} {}").starts_with("the body is not"));
-    assert!(told(br#"{"model":"a","model":"b"}"#).starts_with("model: given twice"));
-    assert!(told(br#"{"odd":1,"odd":2}"#).starts_with("odd: given twice"));
+    let fault_of_body =
+        |body: &[u8]| Request::read(body, Purpose::Generation, &limits).expect_err("a fault").to_string();
     assert!(
-        told(br#"{"messages":[{"role":"user","role":"user"}]}"#)
+        fault_of_body(b"{\"model\": \"\xff\"}").starts_with("the body is not UTF-8 from its byte 11 on")
+    );
+    assert!(fault_of_body(b"{").starts_with("the body is not JSON"));
+    assert!(fault_of_body(b"[]").starts_with("invalid type"));
+    assert!(fault_of_body(b"{} {}").starts_with("the body is not"));
+    assert!(fault_of_body(br#"{"model":"a","model":"b"}"#).starts_with("model: given twice"));
+    assert!(fault_of_body(br#"{"odd":1,"odd":2}"#).starts_with("odd: given twice"));
+    assert!(
+        fault_of_body(br#"{"messages":[{"role":"user","role":"user"}]}"#)
             .starts_with("messages.0.role: given twice")
     );
-    assert!(told(br#"{"max_tokens":1e999}"#).contains("number out of range"));
+    assert!(fault_of_body(br#"{"max_tokens":1e999}"#).contains("number out of range"));
     let deep = format!(
         r#"{{"model":"m","max_tokens":1,"tools":[{{"name":"t","input_schema":{}1{}}}],"messages":[{{"role":"user","content":""}}]}}"#,
         "[".repeat(100_000),
         "]".repeat(100_000)
     );
-    assert!(told(deep.as_bytes()).starts_with("tools.0.input_schema: nests deeper than 64"));
+    assert!(fault_of_body(deep.as_bytes()).starts_with("tools.0.input_schema: nests deeper than 64"));
     let nested = format!("{}{}", r#"{"messages":[{"content":"#, r#"[{"content":"#.repeat(20_000));
-    assert!(!told(nested.as_bytes()).is_empty());
+    assert!(!fault_of_body(nested.as_bytes()).is_empty());
     let names: String = (0..100).map(|n| format!(r#""f{n}":0,"#)).collect();
-    assert!(told(format!("{{{names}\"z\":0}}").as_bytes()).starts_with("too many unknown fields"));
+    assert!(fault_of_body(format!("{{{names}\"z\":0}}").as_bytes()).starts_with("too many unknown fields"));
     let many = format!(
         r#"{{"model":"m","max_tokens":1,"messages":[{{"role":"user","content":[{}{{"type":"text","text":""}}]}}]}}"#,
         r#"{"type":"text","text":""},"#.repeat(9000)
     );
-    assert!(told(many.as_bytes()).starts_with("messages: more than"));
+    assert!(fault_of_body(many.as_bytes()).starts_with("messages: more than"));
 }
 
 #[test]
@@ -127,10 +130,10 @@
                 {"type": "tool_use", "id": "u1", "name": "t", "input": {"a": [1, {"b": null}]}}]},
             {"role": "user", "content": [{"type": "tool_result", "tool_use_id": "u1", "is_error": true,
                 "content": [{"type": "text", "text": "no"}]}]}]});
-    assert_eq!(told(body.clone()), "");
+    assert_eq!(fault_of(body.clone()), "");
     let text = body.to_string();
     let limits = MessagesLimits::default();
-    let read = Request::read(text.as_bytes(), Purpose::Answer, &limits).expect("good");
+    let read = Request::read(text.as_bytes(), Purpose::Generation, &limits).expect("good");
     assert!(read.streams());
     assert_eq!(read.unknown, [Text("speed".into())], "a null counts as absent");
     assert_eq!(read.turns().len(), 3);
