Map each rule to its mechanism and to the mutation that a test notices

Cause: nobody could say for each rule what keeps it and which test would notice that it is gone.

A test through the proxy holds the lower priority of long prompts, another that changes of configuration close no connection. `quota` takes `--target`.

--- a/crates/fault-injection/src/command_line.rs
+++ b/crates/fault-injection/src/command_line.rs
@@ -6,7 +6,7 @@
 use bpaf::{OptionParser, Parser, construct, long};
 use snafu::Snafu;
 use tulipridge_fault_injection::demo::DemoPorts;
-use tulipridge_fault_injection::measurement::FaultKind;
+use tulipridge_fault_injection::measurement::{FaultKind, QuotaTarget};
 
 /// The scenario to run.
 #[derive(Clone, Debug)]
@@ -24,7 +24,7 @@
     /// Bytes and syncs of a change.
     ChangeCost { note_bytes: Vec<usize>, changes: u64 },
     /// Machines whose share of a core is a quota.
-    CpuQuota { seconds: u64 },
+    CpuQuota { seconds: u64, targets: Vec<QuotaTarget> },
     /// The demo.
     Demo { ports: DemoPorts },
     /// Mutation testing.
@@ -111,8 +111,13 @@
 
 fn quota() -> impl Parser<Command> {
     let seconds =
-        long("seconds").help("Time for each of five groups of machines").argument::<u64>("S").fallback(120);
-    let parser = construct!(Command::CpuQuota { seconds });
+        long("seconds").help("Time for each group of machines").argument::<u64>("S").fallback(120);
+    let targets = long("target")
+        .help("primary, replication-group, control-plane, edge or all; each in turn if none is given")
+        .argument::<QuotaTarget>("GROUP")
+        .many()
+        .map(|targets| if targets.is_empty() { QuotaTarget::ALL.to_vec() } else { targets });
+    let parser = construct!(Command::CpuQuota { seconds, targets });
     command(parser, "quota", "Machines that stand still for 90 ms ten times a second")
 }
 
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -11,7 +11,7 @@
 use tulipridge_fault_injection::demo;
 use tulipridge_fault_injection::error::HarnessError;
 use tulipridge_fault_injection::kill_test::{KillReport, run_kill_test};
-use tulipridge_fault_injection::measurement::{self, CpuQuotaReport};
+use tulipridge_fault_injection::measurement::{self, CpuQuotaReport, QuotaTarget};
 use tulipridge_fault_injection::mutation::{self, MutationOutcome};
 use tulipridge_fault_injection::stop::StopRequest;
 
@@ -32,7 +32,7 @@
         Command::ChangeCost { note_bytes, changes } => note_bytes
             .into_iter()
             .try_for_each(|bytes| measurement::measure_change_cost(bytes, changes).map(print)),
-        Command::CpuQuota { seconds } => return print_cpu_quota(seconds),
+        Command::CpuQuota { seconds, targets } => return print_cpu_quota(seconds, &targets),
         Command::Mutations { clone, only } => return run_mutations(&clone, &only),
         Command::Demo { ports } => StopRequest::on_signals().and_then(|stop| demo::run(ports, &stop)),
     };
@@ -87,8 +87,8 @@
     if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn print_cpu_quota(seconds: u64) -> ExitCode {
-    match measurement::measure_cpu_quota(Duration::from_secs(seconds)) {
+fn print_cpu_quota(seconds: u64, targets: &[QuotaTarget]) -> ExitCode {
+    match measurement::measure_cpu_quota(Duration::from_secs(seconds), targets) {
         Ok(reports) => {
             let is_clean = reports.iter().all(CpuQuotaReport::is_clean);
             reports.into_iter().for_each(print);
--- a/crates/fault-injection/src/measurement/cpu_quota.rs
+++ b/crates/fault-injection/src/measurement/cpu_quota.rs
@@ -3,11 +3,13 @@
 //! The quota is imitated by SIGSTOP and SIGCONT. Nothing is lost by it, so no other member may become primary, no change
 //! may fail, and clients are served.
 
+use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
+use snafu::Snafu;
 
 use super::setup::{ATTEMPT_TIMEOUT, CHANGE_LIMIT, start};
 use crate::deployment::{ClientRequest, Deployment, Topology};
@@ -55,6 +57,26 @@
     ];
 }
 
+impl FromStr for QuotaTarget {
+    type Err = UnknownQuotaTarget;
+
+    fn from_str(name: &str) -> std::result::Result<QuotaTarget, UnknownQuotaTarget> {
+        match name {
+            "primary" => Ok(QuotaTarget::Primary),
+            "replication-group" => Ok(QuotaTarget::ReplicationGroup),
+            "control-plane" => Ok(QuotaTarget::ControlPlane),
+            "edge" => Ok(QuotaTarget::Edge),
+            "all" => Ok(QuotaTarget::All),
+            _ => Err(UnknownQuotaTarget),
+        }
+    }
+}
+
+/// A name of no group of machines.
+#[derive(Debug, Snafu)]
+#[snafu(display("not one of primary, replication-group, control-plane, edge, all"))]
+pub struct UnknownQuotaTarget;
+
 /// What happened while some machines had a quota.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -83,20 +105,20 @@
     }
 }
 
-/// Gives each target in turn a quota for `duration`.
+/// Gives each of some targets in turn a quota for `duration`.
 ///
 /// # Errors
 ///
 /// Any [`HarnessError`](crate::error::HarnessError) of the deployment or of a change.
-pub fn measure_cpu_quota(duration: Duration) -> Result<Vec<CpuQuotaReport>> {
+pub fn measure_cpu_quota(duration: Duration, targets: &[QuotaTarget]) -> Result<Vec<CpuQuotaReport>> {
     let deployment = start(Topology::default())?;
     let mut revision = 1;
     deployment.operator().apply(&Change::upsert_route(revision, ROUTE, 0), CHANGE_LIMIT)?;
     revision += 1;
     deployment.wait_until_converged()?;
     let mut reports = Vec::new();
-    for target in QuotaTarget::ALL {
-        let report = measure_target(&deployment, target, duration, &mut revision)?;
+    for target in targets {
+        let report = measure_target(&deployment, *target, duration, &mut revision)?;
         reports.push(report);
         deployment.wait_until_converged()?;
     }
--- a/crates/fault-injection/tests/mutations.rs
+++ b/crates/fault-injection/tests/mutations.rs
@@ -6,6 +6,31 @@
 
 use tulipridge_fault_injection::mutation::{Mutation, read_list};
 
+const MAP_OF_RULES: &str = "docs/design/rules.md";
+/// Rule, what must hold, modules, mutations and tests, days.
+const CELLS_OF_A_RULE: usize = 5;
+
+/// A row of the map of rules, with the names in its cells.
+struct RuleRow {
+    modules: Vec<String>,
+    proofs: Vec<String>,
+}
+
+/// The texts between backticks of a cell.
+fn names(cell: &str) -> Vec<String> {
+    cell.split('`').skip(1).step_by(2).map(str::to_owned).collect()
+}
+
+fn rule_rows() -> Vec<RuleRow> {
+    let page = read(Path::new(MAP_OF_RULES));
+    let rows = page
+        .lines()
+        .filter(|line| line.starts_with("| ") && !line.starts_with("| ---") && !line.starts_with("| rule"));
+    let cells = rows.map(|row| row.trim_matches('|').split(" | ").collect::<Vec<_>>());
+    let of_rules = cells.filter(|cells| cells.len() == CELLS_OF_A_RULE);
+    of_rules.map(|cells| RuleRow { modules: names(cells[2]), proofs: names(cells[3]) }).collect()
+}
+
 fn repository() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -41,3 +66,31 @@
         assert_eq!(read(&test.source_file()).matches(&function).count(), 1, "{id}: {function}");
     }
 }
+
+#[test]
+fn each_rule_of_the_map_names_existing_modules_and_what_notices_their_absence() {
+    let rows = rule_rows();
+    assert!(rows.len() >= 60, "{} rows", rows.len());
+    for RuleRow { modules, proofs } in rows {
+        assert!(!modules.is_empty() && !proofs.is_empty(), "{modules:?} {proofs:?}");
+        for module in modules {
+            assert!(repository().join("crates").join(&module).is_file(), "{module}");
+        }
+    }
+}
+
+#[test]
+fn the_map_of_rules_and_the_list_of_mutations_name_the_same_mutations() {
+    let proofs: Vec<String> = rule_rows().into_iter().flat_map(|row| row.proofs).collect();
+    let (tests, ids): (BTreeSet<String>, BTreeSet<String>) =
+        proofs.into_iter().partition(|proof| proof.contains(' '));
+    let listed: BTreeSet<String> = mutations().into_iter().map(|mutation| mutation.id).collect();
+    assert_eq!(ids, listed);
+    for test in tests {
+        let [package, file, function] = test.split(' ').collect::<Vec<_>>()[..] else {
+            panic!("no test: {test}")
+        };
+        let source = read(&Path::new("crates").join(package).join("tests").join(file).with_extension("rs"));
+        assert_eq!(source.matches(&format!("fn {function}(")).count(), 1, "{test}");
+    }
+}
--- a/crates/prefix-cache-index/tests/index.rs
+++ b/crates/prefix-cache-index/tests/index.rs
@@ -141,6 +141,16 @@
 
 // ---- the index --------------------------------------------------------------------------------------------
 
+#[test]
+fn a_replacement_drops_what_its_source_had_and_nothing_else() {
+    let mut index = Index::default();
+    index.apply(&added(address(1), &[cached(1, 800), cached(2, 400)]));
+    index.apply(&added(address(2), &[cached(1, 800)]));
+    index.apply(&CacheUpdate { replace: true, ..added(address(1), &[cached(2, 300)]) });
+    assert_eq!(locations(&index, key(1)), [(address(2), 800)]);
+    assert_eq!(locations(&index, key(2)), [(address(1), 300)]);
+}
+
 #[test]
 fn a_source_that_is_down_is_no_location_until_it_is_back() {
     let mut index = Index::default();
--- a/crates/proxy/tests/configuration.rs
+++ b/crates/proxy/tests/configuration.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::{Bench, Part, header, post, post_with, status};
+use support::{Bench, Part, header, ok, post, post_with, status};
 use tulipridge_configuration::number::{Revision, WeightsRevision};
 use tulipridge_configuration::{Configuration, Service, ServiceWeight};
 use tulipridge_protocol::feed::{ModelRevision, ModelWeights, Position, ReplicaPhase, WeightsTable};
@@ -183,6 +183,27 @@
     });
 }
 
+#[test]
+fn changes_of_configuration_and_settings_close_no_connection() {
+    let bench = Bench::start(1);
+    bench.run(async {
+        let (mut busy, mut idle) = (bench.connect().await, bench.connect().await);
+        idle.send(&with_key("k1")).await;
+        assert_eq!(status(&idle.answer().await), "200");
+        bench.next(&[Part::Wait, Part::Write(ok("after the change"))]);
+        busy.send(&with_key("k1")).await;
+        bench.until(|| bench.arrivals() == 2).await;
+        bench.proxy.set_configuration(changed(|configuration| configuration.caps.idle_ms /= 2));
+        bench.proxy.set_time_limits(&support::settings().time_limits);
+        bench.release();
+        assert!(busy.answer().await.contains("after the change"));
+        for client in [&mut busy, &mut idle] {
+            client.send(&with_key("k1")).await;
+            assert_eq!(status(&client.answer().await), "200");
+        }
+    });
+}
+
 #[test]
 fn of_newer_settings_the_time_limits_are_in_force_at_once() {
     let bench = Bench::start(1);
--- a/crates/proxy/tests/responses.rs
+++ b/crates/proxy/tests/responses.rs
@@ -171,10 +171,12 @@
     assert_eq!(bench.replicas[0].connections.get(), 2);
 }
 
-#[test]
-fn interim_responses_are_skipped() {
+#[rstest]
+#[case::continue_("HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::with_the_attempt("HTTP/1.1 103 Early Hints\r\nAttempt-Id: {id}\r\n\r\n")]
+fn interim_responses_are_skipped(#[case] interim: &str) {
     let bench = Bench::start(1);
-    bench.next(&[write("HTTP/1.1 100 Continue\r\n\r\n".to_owned() + &support::ok("due"))]);
+    bench.next(&[write(interim.to_owned() + &support::ok("due"))]);
     assert!(bench.run(bench.send_request(&post("/risky/", "t1"))).ends_with("due"));
 }
 
--- a/crates/proxy/tests/retry_budget.rs
+++ b/crates/proxy/tests/retry_budget.rs
@@ -56,6 +56,19 @@
     }
 }
 
+/// What all gateways have saved up, those included that nobody knows of yet, is within the spare attempts.
+#[rstest]
+fn repeats_after_a_quiet_time_stay_within_the_spare_attempts(#[values(1, 2, 9, 40)] known: u32) {
+    let mut repeats = 0;
+    for _ in 0..2 * known {
+        let mut budget = RetryBudget::new(RetryAllowance { ratio: RATIO, spare: SPARE });
+        budget.set_gateways(known);
+        (0..10_000).for_each(|_| budget.first_send());
+        repeats += (0..1_000).filter(|_| budget.take()).count();
+    }
+    assert!(repeats as f64 <= SPARE, "{repeats} repeats");
+}
+
 #[test]
 fn a_budget_begins_empty_and_without_room() {
     let mut budget = RetryBudget::new(RetryAllowance { ratio: 1.0, spare: 100.0 });
--- a/crates/proxy/tests/retry_safety.rs
+++ b/crates/proxy/tests/retry_safety.rs
@@ -130,6 +130,20 @@
     assert_eq!(support::header(&answer, "Retry-After").is_some(), expected == "503");
 }
 
+#[rstest]
+#[case("/risky/", "504")]
+#[case("/stream/", "504")]
+fn a_request_that_a_replica_holds_beyond_its_deadline_gets_no_promise(
+    #[case] path: &str,
+    #[case] expected: &str,
+) {
+    let bench = Bench::start(1);
+    bench.next(&[Part::Wait]);
+    let request = post(path, "t1").replace("Time-Left-Ms: 6000", "Time-Left-Ms: 300");
+    let answer = bench.run(bench.send_request(&request));
+    assert_eq!((status(&answer), bench.arrivals()), (expected, 1));
+}
+
 #[test]
 fn what_was_risky_when_it_was_sent_gets_no_promise_once_it_may_have_run() {
     let bench = Bench::start(1);
--- a/crates/proxy/tests/urgency.rs
+++ b/crates/proxy/tests/urgency.rs
@@ -1,6 +1,9 @@
 //! The priorities of requests.
 
+mod support;
+
 use rstest::rstest;
+use support::{Bench, header, post_with};
 use tulipridge_configuration::number::Rank;
 use tulipridge_proxy::placement::urgency::Urgency;
 
@@ -48,3 +51,23 @@
     }
     assert_eq!(urgency.priority(Rank(1), 17_000), 4);
 }
+
+#[test]
+fn a_replica_is_sent_a_lower_priority_for_a_long_prompt() {
+    let bench = Bench::start(1);
+    let prompts = ["5c1e07a2:800,e4402b7d:250", "5c1e07a3:800,e4402b7e:250", "5c1e07a4:40000,e4402b7f:250"];
+    bench.run(async {
+        for prompt in prompts {
+            bench
+                .send_request(&post_with(
+                    "/stream/",
+                    "t1",
+                    &format!("Llm: m\r\nPrompt-Start: {prompt}\r\n"),
+                ))
+                .await;
+        }
+    });
+    let sent = bench.replicas[0].requests.borrow();
+    let priorities: Vec<_> = sent.iter().filter_map(|request| header(request, "Priority")).collect();
+    assert_eq!(priorities, ["3", "3", "6"]);
+}
--- a/crates/write-ahead-log/tests/support/mod.rs
+++ b/crates/write-ahead-log/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 
@@ -16,6 +16,8 @@
 struct Disk {
     files: Files,
     synced: Files,
+    /// Names that a sync of the directory has made durable; a file without one is lost with the power.
+    durable_names: BTreeSet<String>,
     operations_left: Option<u64>,
     operations_to_failure: Option<u64>,
     bytes_left: Option<u64>,
@@ -25,6 +27,12 @@
 }
 
 impl Disk {
+    /// What is synced under a name that is durable.
+    fn durable_files(&self) -> Files {
+        let synced = self.synced.iter().filter(|(name, _)| self.durable_names.contains(*name));
+        synced.map(|(name, content)| (name.clone(), content.clone())).collect()
+    }
+
     fn bytes(&self) -> u64 {
         self.files.values().map(|content| content.len() as u64).sum()
     }
@@ -73,6 +81,7 @@
     pub(crate) fn with(files: Files) -> Self {
         let directory = MemoryDirectory::default();
         directory.disk.borrow_mut().synced = files.clone();
+        directory.disk.borrow_mut().durable_names = files.keys().cloned().collect();
         directory.disk.borrow_mut().files = files;
         directory
     }
@@ -120,7 +129,7 @@
     /// What is found after a loss of power that takes all that was not synced.
     pub(crate) fn synced_files(&self) -> Files {
         let disk = self.disk.borrow();
-        let mut files = disk.synced.clone();
+        let mut files = disk.durable_files();
         for (name, content) in &disk.removed {
             files.insert(name.clone(), content.clone());
         }
@@ -130,7 +139,7 @@
     /// The same where removals last though they were not synced.
     pub(crate) fn synced_files_without_removed(&self) -> Files {
         let disk = self.disk.borrow();
-        let mut files = disk.synced.clone();
+        let mut files = disk.durable_files();
         for (name, _) in &disk.removed {
             files.remove(name);
         }
@@ -187,6 +196,7 @@
         disk.step()?;
         disk.removed.clear();
         let names: Vec<String> = disk.files.keys().cloned().collect();
+        disk.durable_names = names.iter().cloned().collect();
         let gone: Vec<String> = disk.synced.keys().filter(|name| !names.contains(name)).cloned().collect();
         let mut contents: Vec<Vec<u8>> = Vec::new();
         for name in gone {
