Test the replicated state with three losses at once and with two slow disks

Cause: docs/design/control.md listed f of 3 as not run; two slow disks at once had no test.

Change: sizes of 7, 9 and 10 members in the histories and directed tests, changes_go_on_with_two_slow_disks.

--- a/crates/control-plane/tests/replication_directed.rs
+++ b/crates/control-plane/tests/replication_directed.rs
@@ -36,6 +36,8 @@
 #[case(1, 3, 3)]
 #[case(2, 3, 8)]
 #[case(2, 5, 5)]
+#[case(3, 7, 7)]
+#[case(3, 5, 10)]
 fn disks_lost_while_all_others_lose_power(
     #[case] losses: u32,
     #[case] seeds: usize,
@@ -79,7 +81,7 @@
 
 /// In the end none of the first machines is left.
 #[rstest]
-fn members_replaced_again_and_again(#[values(1, 2)] losses: u32, #[values(0, 1, 2, 3)] seed: u64) {
+fn members_replaced_again_and_again(#[values(1, 2, 3)] losses: u32, #[values(0, 1, 2, 3)] seed: u64) {
     let mut simulation = started(losses, 3, 4 + 2 * losses as usize, seed);
     let first = simulation.machines.len();
     for index in 0..first {
@@ -219,6 +221,30 @@
     assert_goes_on(&mut simulation);
 }
 
+/// Two data replicas have disks that take 30 times as long, and changes go on.
+#[rstest]
+#[case(1, 3, 4)]
+#[case(2, 5, 5)]
+#[case(3, 7, 7)]
+fn changes_go_on_with_two_slow_disks(
+    #[case] losses: u32,
+    #[case] seeds: usize,
+    #[case] machines: usize,
+    #[values(0, 1, 2, 3)] seed: u64,
+) {
+    let mut simulation = started(losses, seeds, machines, seed);
+    simulation.acknowledge_one();
+    let until = simulation.now + 20 * SECOND;
+    for machine in simulation.data_replicas().into_iter().take(2) {
+        simulation.machines[machine].disk.slow_until = until;
+    }
+    while simulation.now < until {
+        assert!(simulation.make_progress(2 * SECOND), "no change was acknowledged at {}", simulation.now);
+        assert_eq!(simulation.checker.violation, None);
+    }
+    assert_goes_on(&mut simulation);
+}
+
 #[test]
 fn bad_network_is_survived() {
     let mut simulation = started(2, 3, 8, 9);
--- a/crates/control-plane/tests/replication_histories.rs
+++ b/crates/control-plane/tests/replication_histories.rs
@@ -22,11 +22,8 @@
 /// Every history holds.
 #[rstest]
 fn histories_hold(
-    #[values((0, 1, 1), (0, 1, 3), (1, 3, 3), (1, 3, 4), (1, 3, 6), (2, 3, 8), (2, 5, 5))] sizes: (
-        u32,
-        usize,
-        usize,
-    ),
+    #[values((0, 1, 1), (0, 1, 3), (1, 3, 3), (1, 3, 4), (1, 3, 6), (2, 3, 8), (2, 5, 5), (3, 3, 10), (3, 7, 7))]
+    sizes: (u32, usize, usize),
     #[values(FaultPlan::DisksStay, FaultPlan::DisksLost)] fault_plan: FaultPlan,
 ) {
     let (losses, seeds, machines) = sizes;
@@ -46,7 +43,7 @@
 /// Planned replacement, and hundreds of changes, without operators.
 #[rstest]
 fn long_histories_hold(
-    #[values((1, 3, 4), (2, 5, 5), (2, 5, 8))] sizes: (u32, usize, usize),
+    #[values((1, 3, 4), (2, 5, 5), (2, 5, 8), (3, 7, 9))] sizes: (u32, usize, usize),
     #[values(FaultPlan::Replacement, FaultPlan::ManyChanges)] fault_plan: FaultPlan,
 ) {
     let (losses, seeds, machines) = sizes;
