Have a new primary continue the loads of its predecessor

After a takeover in the middle of a roll-out the successor knew of no load in progress; the platform's list shows loading replicas as ready, so proxies sent them requests, which they rejected, and 195 of 584 requests that began within two seconds were refused.

Change: with the first list of its tenure a primary adopts from the delivered table which replicas were loading and which revisions they had reported. It asks the former for their report at once, within an earlier lease too, as reports change nothing, and lists them as loading until their report shows that they are not. One that no command has reached serves again after 0.6 s.

--- a/crates/control-plane/src/delivery.rs
+++ b/crates/control-plane/src/delivery.rs
@@ -106,6 +106,11 @@
         self.notify_if(has_changed);
     }
 
+    /// The table of replicas that was delivered last, by this or an earlier primary.
+    pub fn fleet(&self) -> Vec<Replica> {
+        self.store.borrow().fleet().cloned().collect()
+    }
+
     /// Delivers the table of weights, as primary of `epoch`.
     pub fn set_weights(&self, epoch: Epoch, weights: Vec<ModelWeights>) {
         let has_changed = self.store.borrow_mut().set_weights(epoch, weights);
--- a/crates/control-plane/src/fleet.rs
+++ b/crates/control-plane/src/fleet.rs
@@ -12,6 +12,8 @@
 pub struct FleetTable {
     /// The tenure of the primary in which the list came; none before the first one.
     tenure: Option<Tenure>,
+    /// The tenure for which the corrections of an earlier primary were adopted.
+    inherited_in: Option<Tenure>,
     listed: BTreeMap<String, Replica>,
     corrections: Corrections,
 }
@@ -43,6 +45,32 @@
         has_changed
     }
 
+    /// Whether a first list came in this tenure, and what an earlier primary delivered is to be adopted.
+    #[must_use]
+    pub fn awaits_inheritance(&self, tenure: Tenure) -> bool {
+        self.tenure == Some(tenure) && self.inherited_in != Some(tenure)
+    }
+
+    /// Adopts what an earlier primary delivered, in place of all corrections: replicas that were loading, and revisions
+    /// that the list does not show yet.
+    pub fn inherit(&mut self, delivered: &[Replica]) {
+        self.inherited_in = self.tenure;
+        let known: Vec<&Replica> =
+            delivered.iter().filter(|replica| self.listed.contains_key(&replica.id)).collect();
+        let loading = known.iter().filter(|replica| replica.phase == ReplicaPhase::Loading);
+        let reported = known.iter().filter(|replica| self.listed[&replica.id].models != replica.models);
+        self.corrections = Corrections {
+            loading: loading.map(|replica| replica.id.clone()).collect(),
+            revisions: reported.map(|replica| (replica.id.clone(), replica.models.clone())).collect(),
+        };
+    }
+
+    /// What the delivered table shows beyond the list.
+    #[must_use]
+    pub fn corrections(&self) -> &Corrections {
+        &self.corrections
+    }
+
     /// Replicas as the list has them; none before a complete one came in this tenure.
     #[must_use]
     pub fn listed(&self, tenure: Tenure) -> Option<impl Iterator<Item = &Replica>> {
--- a/crates/control-plane/src/rollout/controller.rs
+++ b/crates/control-plane/src/rollout/controller.rs
@@ -41,6 +41,8 @@
 struct Tenure {
     lease: SingletonLease,
     planner: Planner,
+    /// Whether the plan has adopted what the first list of the tenure inherited from an earlier primary's table.
+    has_inherited_loads: bool,
 }
 
 impl Rollout {
@@ -104,29 +106,43 @@
     /// Begins a new plan when this member becomes primary.
     fn refresh_tenure(&mut self) {
         let Some(lease) = self.context.lease_status.singleton_lease() else { return };
-        if let Some(tenure) = self.tenure.as_mut().filter(|tenure| tenure.lease.tenure == lease.tenure) {
-            tenure.lease = lease;
+        match self.tenure.as_mut().filter(|tenure| tenure.lease.tenure == lease.tenure) {
+            Some(tenure) => tenure.lease = lease,
+            None => {
+                let planner = self.new_planner(clock::now());
+                self.tenure = Some(Tenure { lease, planner, has_inherited_loads: false });
+            }
+        }
+        self.inherit_loads(clock::now());
+    }
+
+    /// Has the plan adopt what an earlier primary knew of loads, once the first list of the tenure is there.
+    fn inherit_loads(&mut self, now: Duration) {
+        let Some(tenure) = self.tenure.as_mut().filter(|tenure| !tenure.has_inherited_loads) else {
             return;
+        };
+        let table = self.context.table.borrow();
+        let Some(replicas) = table.listed(tenure.lease.tenure) else { return };
+        tenure.planner.set_replicas(replicas, now);
+        tenure.planner.inherit_loads(table.corrections(), now);
+        tenure.has_inherited_loads = true;
+        if !table.corrections().loading.is_empty() {
+            log::info!(replicas = table.corrections().loading.len(); "loads of an earlier primary are continued");
         }
-        let planner = self.new_planner(lease, clock::now());
-        self.tenure = Some(Tenure { lease, planner });
     }
 
-    fn new_planner(&self, lease: SingletonLease, now: Duration) -> Planner {
+    fn new_planner(&self, now: Duration) -> Planner {
         let mut planner = Planner::new(self.settings, now);
         planner.inherit(&self.output.delivered());
         for announcement in self.announcements.announcements() {
             planner.announce(announcement, now);
         }
-        if let Some(replicas) = self.context.table.borrow().listed(lease.tenure) {
-            planner.set_replicas(replicas, now);
-        }
         planner
     }
 
     fn handle(&mut self, event: Event) {
         let now = clock::now();
-        let Some(Tenure { lease, planner }) = &mut self.tenure else { return };
+        let Some(Tenure { lease, planner, .. }) = &mut self.tenure else { return };
         match event {
             Event::Named => announce_all(planner, &self.announcements, now),
             Event::Listed => {
--- a/crates/control-plane/src/rollout/planner/load.rs
+++ b/crates/control-plane/src/rollout/planner/load.rs
@@ -15,6 +15,17 @@
     pub(super) accepted_at: Option<Duration>,
     /// What comes next.
     pub(super) next_step: NextStep,
+    /// Whose command it follows.
+    pub(super) origin: LoadOrigin,
+}
+
+/// Who commanded a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LoadOrigin {
+    /// This primary.
+    Own,
+    /// An earlier primary, as far as its last table of replicas shows.
+    Inherited,
 }
 
 /// What comes next in a load.
@@ -34,11 +45,25 @@
     /// A load that starts now, whose command is due at `command_at`.
     pub(super) fn start(weights: ModelRevision, now: Duration, command_at: Duration) -> Load {
         let next_step = NextStep::CommandAt(command_at);
-        Load { weights, started_at: now, accepted_at: None, next_step }
+        Load { weights, started_at: now, accepted_at: None, next_step, origin: LoadOrigin::Own }
+    }
+
+    /// A load that an earlier primary may have commanded: the replica is asked for its report at once.
+    pub(super) fn inherit(weights: ModelRevision, now: Duration) -> Load {
+        let next_step = NextStep::ReportAt(now);
+        Load { weights, started_at: now, accepted_at: Some(now), next_step, origin: LoadOrigin::Inherited }
+    }
+
+    /// When something is due next, for a primary that sends commands from `commands_from` on.
+    pub(super) fn due_from(&self, commands_from: Duration) -> Option<Duration> {
+        match self.next_step {
+            NextStep::CommandAt(at) => Some(at.max(commands_from)),
+            _ => self.due_at(),
+        }
     }
 
     /// When something is due next; none while a response is awaited.
-    pub(super) fn due_at(&self) -> Option<Duration> {
+    fn due_at(&self) -> Option<Duration> {
         match self.next_step {
             NextStep::CommandAt(at) | NextStep::ReportAt(at) => Some(at),
             NextStep::AwaitOutcome | NextStep::AwaitReport => None,
@@ -46,7 +71,7 @@
     }
 
     /// Whether something is due now.
-    pub(super) fn is_due(&self, now: Duration) -> bool {
-        self.due_at().is_some_and(|at| at <= now)
+    pub(super) fn is_due(&self, now: Duration, commands_from: Duration) -> bool {
+        self.due_from(commands_from).is_some_and(|at| at <= now)
     }
 }
--- a/crates/control-plane/src/rollout/planner/mod.rs
+++ b/crates/control-plane/src/rollout/planner/mod.rs
@@ -16,7 +16,7 @@
 use tulipridge_runtime::settings::RevisionTerm;
 
 use self::fleet_view::FleetView;
-use self::load::{Load, NextStep};
+use self::load::{Load, LoadOrigin, NextStep};
 use self::load_time::LoadTimeEstimate;
 use self::selection::Selection;
 use self::target::{Deadline, Target};
@@ -107,6 +107,27 @@
         }
     }
 
+    /// Adopts what an earlier primary knew of the listed replicas. Those that it had loading may load still: they are asked,
+    /// and receive no requests until their report shows that they don't.
+    pub fn inherit_loads(&mut self, delivered: &Corrections, now: Duration) {
+        for (id, models) in &delivered.revisions {
+            models.iter().for_each(|weights| self.fleet.observe(id, weights.clone()));
+        }
+        for id in &delivered.loading {
+            if let Some(weights) = self.lacking_target(id) {
+                self.loads.insert(id.clone(), Load::inherit(weights, now));
+            }
+        }
+    }
+
+    /// The target that a listed replica lacks, of the first model by name of which it has older weights.
+    fn lacking_target(&self, id: &str) -> Option<ModelRevision> {
+        let mut targets = self.targets.iter();
+        let (model, target) =
+            targets.find(|(model, target)| self.fleet.has_older(id, model, target.desired))?;
+        Some(ModelRevision { model: model.clone(), revision: target.desired })
+    }
+
     /// Adds a target that the operator announced. Returns whether it is new.
     pub fn announce(&mut self, announcement: Announcement<'_>, now: Duration) -> bool {
         let deadline = Deadline::of(announcement, self.settings.revision_term, now);
@@ -181,16 +202,19 @@
             return;
         }
         let accepted_lately = load.accepted_at.is_some_and(|at| now < at + REPORT_LAG);
-        load.next_step = if report.is_loading || accepted_lately {
-            NextStep::ReportAt(now + REPORT_INTERVAL)
+        if report.is_loading || accepted_lately {
+            load.next_step = NextStep::ReportAt(now + REPORT_INTERVAL);
+        } else if load.origin == LoadOrigin::Inherited {
+            // No command has reached it: it serves until one is due.
+            self.loads.remove(replica);
         } else {
-            NextStep::CommandAt(now)
-        };
+            load.next_step = NextStep::CommandAt(now);
+        }
     }
 
     fn finish_load(&mut self, replica: &str, now: Duration) {
         let Some(load) = self.loads.remove(replica) else { return };
-        if load.accepted_at.is_some() {
+        if load.accepted_at.is_some() && load.origin == LoadOrigin::Own {
             self.load_time.record(now.saturating_sub(load.started_at));
         }
     }
@@ -198,12 +222,14 @@
     /// Withdraws and starts what is due now, and returns the calls to make.
     pub fn step(&mut self, now: Duration) -> Vec<Action> {
         self.withdraw(now);
-        if self.is_fenced || now < self.commands_from {
+        if self.is_fenced {
             return Vec::new();
         }
-        self.backoffs.retain(|_, until| *until > now);
-        self.start_loads(now);
-        let is_due = |(_, load): &(&String, &Load)| load.is_due(now);
+        if now >= self.commands_from {
+            self.backoffs.retain(|_, until| *until > now);
+            self.start_loads(now);
+        }
+        let is_due = |(_, load): &(&String, &Load)| load.is_due(now, self.commands_from);
         let due: Vec<String> = self.loads.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
         due.iter().filter_map(|id| self.advance_load(id, now)).collect()
     }
@@ -268,9 +294,9 @@
     pub fn next_deadline(&self) -> Option<Duration> {
         let deadlines = self.targets.values().flat_map(Target::deadlines);
         let withdrawals = deadlines.map(|deadline| deadline.withdraw_at);
-        let loads = self.loads.values().filter_map(Load::due_at);
-        let commands = loads.chain(self.next_start()).map(|at| at.max(self.commands_from));
-        withdrawals.chain(commands.filter(|_| !self.is_fenced)).min()
+        let loads = self.loads.values().filter_map(|load| load.due_from(self.commands_from));
+        let starts = self.next_start().map(|at| at.max(self.commands_from));
+        withdrawals.chain(loads.chain(starts).filter(|_| !self.is_fenced)).min()
     }
 
     /// When the next load may start, while none is in progress but some replicas lack their target.
--- a/crates/control-plane/src/server/build.rs
+++ b/crates/control-plane/src/server/build.rs
@@ -118,7 +118,7 @@
     let cloud = settings.cloud_api.as_ref()?;
     let events = rollout_events.clone();
     let on_list = move || {
-        outputs.deliver_fleet();
+        outputs.deliver_list();
         let _ = events.try_send(Event::Listed);
     };
     Some(Discovery::new(cloud.address, cloud.rate_per_s, context, Box::new(on_list)))
--- a/crates/control-plane/src/server/singleton_outputs.rs
+++ b/crates/control-plane/src/server/singleton_outputs.rs
@@ -27,8 +27,18 @@
 }
 
 impl SingletonOutputs {
+    /// Delivers the table of replicas after a complete list. The first one of a tenure adopts what an earlier primary's
+    /// table shows beyond its list.
+    pub(super) fn deliver_list(&self) {
+        let Some(lease) = self.member.singleton_lease() else { return };
+        if self.table.borrow().awaits_inheritance(lease.tenure) {
+            self.table.borrow_mut().inherit(&self.delivery.fleet());
+        }
+        self.deliver_fleet();
+    }
+
     /// Delivers the table of replicas as it is now.
-    pub(super) fn deliver_fleet(&self) {
+    fn deliver_fleet(&self) {
         let Some(lease) = self.member.singleton_lease() else { return };
         if let Some(replicas) = self.table.borrow().replicas(lease.tenure) {
             self.delivery.set_fleet(lease.epoch, replicas);
--- a/crates/control-plane/tests/fleet.rs
+++ b/crates/control-plane/tests/fleet.rs
@@ -67,6 +67,30 @@
     );
 }
 
+#[test]
+fn the_first_list_of_a_tenure_inherits_what_was_delivered_before() {
+    let mut table = FleetTable::default();
+    table.replace(TENURE, vec![ready("i-1"), ready("i-2"), ready("i-3")]);
+    assert!(table.awaits_inheritance(TENURE) && !table.awaits_inheritance(NEXT_TENURE));
+    let newer = vec![ModelRevision { model: "m".to_owned(), revision: WeightsRevision(2) }];
+    let loaded = Replica { models: newer.clone(), ..ready("i-2") };
+    table.inherit(&[
+        replica("i-1", ReplicaPhase::Loading),
+        loaded,
+        ready("i-3"),
+        replica("i-4", ReplicaPhase::Loading),
+    ]);
+    assert!(!table.awaits_inheritance(TENURE));
+    let inherited = Corrections {
+        loading: BTreeSet::from(["i-1".to_owned()]),
+        revisions: BTreeMap::from([("i-2".to_owned(), newer)]),
+    };
+    assert_eq!(*table.corrections(), inherited);
+    let phases: Vec<ReplicaPhase> =
+        table.replicas(TENURE).unwrap_or_default().iter().map(|replica| replica.phase).collect();
+    assert_eq!(phases, [ReplicaPhase::Loading, ReplicaPhase::Ready, ReplicaPhase::Ready]);
+}
+
 #[test]
 fn a_loading_correction_hides_readiness_but_not_draining() {
     let mut table = FleetTable::default();
--- a/crates/control-plane/tests/rollout.rs
+++ b/crates/control-plane/tests/rollout.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use tulipridge_configuration::number::WeightsRevision;
+use tulipridge_control_plane::fleet::Corrections;
 use tulipridge_control_plane::rollout::{
     Action, Announcement, CommandOutcome, Planner, PlannerSettings, ReplicaReport,
 };
@@ -396,6 +397,58 @@
     assert!(planner.corrections().loading.is_empty());
 }
 
+/// A plan that inherits i-01 and i-02 as loading, and i-03 as loaded.
+fn successor() -> Planner {
+    let settings = PlannerSettings { revision_term: RevisionTerm::new(TERM), lease_term: LEASE };
+    let mut planner = Planner::new(settings, START);
+    planner.announce(announced(2, ms(2_000)), START);
+    planner.set_replicas(fleet(6, 1).iter(), START);
+    let inherited = Corrections {
+        loading: BTreeSet::from(["i-01".to_owned(), "i-02".to_owned()]),
+        revisions: BTreeMap::from([("i-03".to_owned(), vec![weights(2)])]),
+    };
+    planner.inherit_loads(&inherited, START);
+    planner
+}
+
+fn loading(planner: &Planner) -> Vec<String> {
+    planner.corrections().loading.into_iter().collect()
+}
+
+#[test]
+fn a_successor_asks_replicas_that_were_loading_and_sends_them_no_requests_meanwhile() {
+    let mut planner = successor();
+    assert_eq!(loading(&planner), ["i-01", "i-02"]);
+    assert!(!planner.outdated_replicas("m", WeightsRevision(2)).contains(&"i-03".to_owned()));
+    assert_eq!(planner.next_deadline(), Some(START), "reports need no lease");
+    let actions = planner.step(START);
+    assert!(
+        actions.len() == 2 && actions.iter().all(|action| matches!(action, Action::FetchReport { .. }))
+    );
+    let report = |is_loading, revision| ReplicaReport { is_loading, models: vec![weights(revision)] };
+    planner.record_report("i-01", Some(&report(true, 1)), START + ms(5));
+    planner.record_report("i-02", Some(&report(false, 2)), START + ms(5));
+    assert_eq!(loading(&planner), ["i-01"]);
+    assert!(planner.step(START + ms(100)).is_empty());
+    assert_eq!(planner.step(START + ms(200)).len(), 1, "the report is fetched again");
+    planner.record_report("i-01", Some(&report(false, 2)), START + ms(205));
+    assert!(loading(&planner).is_empty());
+}
+
+#[test]
+fn a_replica_that_no_command_has_reached_serves_again() {
+    let mut planner = successor();
+    planner.step(START);
+    let idle = ReplicaReport { is_loading: false, models: vec![weights(1)] };
+    planner.record_report("i-01", Some(&idle), START + ms(5));
+    assert!(loading(&planner).contains(&"i-01".to_owned()), "the report may be older than the command");
+    planner.record_report("i-01", Some(&idle), START + ms(700));
+    assert!(!loading(&planner).contains(&"i-01".to_owned()));
+    assert!(
+        planner.step(START + ms(800)).iter().all(|action| !matches!(action, Action::SendCommand { .. }))
+    );
+}
+
 #[test]
 fn a_fenced_primary_sends_no_more_commands() {
     let (mut planner, at) = single_command();
