Inherit loads by the feed's own position, and test how they are handed on

Cause: on reading the change again. The table kept a flag of its own for what the position of the delivered table says; a load had an origin beside the time of its command; two functions said when it is due; names of quota targets stood twice; and neither the roll-out's nor the feed's part of the inheritance had a test.

Change: `Delivery::inherited_fleet` by the epoch of the delivered table; no `LoadOrigin`, no flag in `FleetTable`; a load that needs a command which may not be sent yet is dropped, whoever began it; one `due_at`.

--- a/crates/control-plane/src/delivery.rs
+++ b/crates/control-plane/src/delivery.rs
@@ -21,6 +21,7 @@
 use tulipridge_subscription::{FeedStore, Identity, Publisher, Subscriber};
 
 use crate::api::{IndexSize, ReplicaWeights};
+use crate::tenure::Tenure;
 
 /// What the delivery needs to know of the control plane.
 pub trait Authority {
@@ -106,9 +107,10 @@
         self.notify_if(has_changed);
     }
 
-    /// The table of replicas that was delivered last, by this or an earlier primary.
-    pub fn fleet(&self) -> Vec<Replica> {
-        self.store.borrow().fleet().cloned().collect()
+    /// The table of replicas that an earlier primary delivered, as long as none was delivered in this tenure.
+    pub fn inherited_fleet(&self, tenure: Tenure) -> Option<Vec<Replica>> {
+        let store = self.store.borrow();
+        (store.fleet_position().epoch < tenure.0).then(|| store.fleet().cloned().collect())
     }
 
     /// Delivers the table of weights, as primary of `epoch`.
--- a/crates/control-plane/src/fleet.rs
+++ b/crates/control-plane/src/fleet.rs
@@ -12,8 +12,6 @@
 pub struct FleetTable {
     /// The tenure of the primary in which the list came; none before the first one.
     tenure: Option<Tenure>,
-    /// The tenure for which the corrections of an earlier primary were adopted.
-    inherited_in: Option<Tenure>,
     listed: BTreeMap<String, Replica>,
     corrections: Corrections,
 }
@@ -45,16 +43,9 @@
         has_changed
     }
 
-    /// Whether a first list came in this tenure, and what an earlier primary delivered is to be adopted.
-    #[must_use]
-    pub fn awaits_inheritance(&self, tenure: Tenure) -> bool {
-        self.tenure == Some(tenure) && self.inherited_in != Some(tenure)
-    }
-
     /// Adopts what an earlier primary delivered, in place of all corrections: replicas that were loading, and revisions
     /// that the list does not show yet.
     pub fn inherit(&mut self, delivered: &[Replica]) {
-        self.inherited_in = self.tenure;
         let known: Vec<&Replica> =
             delivered.iter().filter(|replica| self.listed.contains_key(&replica.id)).collect();
         let loading = known.iter().filter(|replica| replica.phase == ReplicaPhase::Loading);
--- a/crates/control-plane/src/rollout/planner/load.rs
+++ b/crates/control-plane/src/rollout/planner/load.rs
@@ -11,21 +11,10 @@
     pub(super) weights: ModelRevision,
     /// Since when it receives no new requests.
     pub(super) started_at: Duration,
-    /// When it accepted the command.
+    /// When it accepted this primary's command.
     pub(super) accepted_at: Option<Duration>,
     /// What comes next.
     pub(super) next_step: NextStep,
-    /// Whose command it follows.
-    pub(super) origin: LoadOrigin,
-}
-
-/// Who commanded a load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LoadOrigin {
-    /// This primary.
-    Own,
-    /// An earlier primary, as far as its last table of replicas shows.
-    Inherited,
 }
 
 /// What comes next in a load.
@@ -45,33 +34,25 @@
     /// A load that starts now, whose command is due at `command_at`.
     pub(super) fn start(weights: ModelRevision, now: Duration, command_at: Duration) -> Load {
         let next_step = NextStep::CommandAt(command_at);
-        Load { weights, started_at: now, accepted_at: None, next_step, origin: LoadOrigin::Own }
+        Load { weights, started_at: now, accepted_at: None, next_step }
     }
 
     /// A load that an earlier primary may have commanded: the replica is asked for its report at once.
     pub(super) fn inherit(weights: ModelRevision, now: Duration) -> Load {
-        let next_step = NextStep::ReportAt(now);
-        Load { weights, started_at: now, accepted_at: Some(now), next_step, origin: LoadOrigin::Inherited }
+        Load { weights, started_at: now, accepted_at: None, next_step: NextStep::ReportAt(now) }
     }
 
-    /// When something is due next, for a primary that sends commands from `commands_from` on.
-    pub(super) fn due_from(&self, commands_from: Duration) -> Option<Duration> {
+    /// When something is due next, if commands may be sent from `commands_from` on; none while a response is awaited.
+    pub(super) fn due_at(&self, commands_from: Duration) -> Option<Duration> {
         match self.next_step {
             NextStep::CommandAt(at) => Some(at.max(commands_from)),
-            _ => self.due_at(),
-        }
-    }
-
-    /// When something is due next; none while a response is awaited.
-    fn due_at(&self) -> Option<Duration> {
-        match self.next_step {
-            NextStep::CommandAt(at) | NextStep::ReportAt(at) => Some(at),
+            NextStep::ReportAt(at) => Some(at),
             NextStep::AwaitOutcome | NextStep::AwaitReport => None,
         }
     }
 
     /// Whether something is due now.
     pub(super) fn is_due(&self, now: Duration, commands_from: Duration) -> bool {
-        self.due_from(commands_from).is_some_and(|at| at <= now)
+        self.due_at(commands_from).is_some_and(|at| at <= now)
     }
 }
--- a/crates/control-plane/src/rollout/planner/mod.rs
+++ b/crates/control-plane/src/rollout/planner/mod.rs
@@ -16,7 +16,7 @@
 use tulipridge_runtime::settings::RevisionTerm;
 
 use self::fleet_view::FleetView;
-use self::load::{Load, LoadOrigin, NextStep};
+use self::load::{Load, NextStep};
 use self::load_time::LoadTimeEstimate;
 use self::selection::Selection;
 use self::target::{Deadline, Target};
@@ -201,11 +201,12 @@
             self.finish_load(replica, now);
             return;
         }
-        let accepted_lately = load.accepted_at.is_some_and(|at| now < at + REPORT_LAG);
-        if report.is_loading || accepted_lately {
+        // The report may be older than the command.
+        let is_recent = now < load.accepted_at.unwrap_or(load.started_at) + REPORT_LAG;
+        if report.is_loading || is_recent {
             load.next_step = NextStep::ReportAt(now + REPORT_INTERVAL);
-        } else if load.origin == LoadOrigin::Inherited {
-            // No command has reached it: it serves until one is due.
+        } else if now < self.commands_from {
+            // It serves requests until it may be commanded.
             self.loads.remove(replica);
         } else {
             load.next_step = NextStep::CommandAt(now);
@@ -214,7 +215,7 @@
 
     fn finish_load(&mut self, replica: &str, now: Duration) {
         let Some(load) = self.loads.remove(replica) else { return };
-        if load.accepted_at.is_some() && load.origin == LoadOrigin::Own {
+        if load.accepted_at.is_some() {
             self.load_time.record(now.saturating_sub(load.started_at));
         }
     }
@@ -294,7 +295,7 @@
     pub fn next_deadline(&self) -> Option<Duration> {
         let deadlines = self.targets.values().flat_map(Target::deadlines);
         let withdrawals = deadlines.map(|deadline| deadline.withdraw_at);
-        let loads = self.loads.values().filter_map(|load| load.due_from(self.commands_from));
+        let loads = self.loads.values().filter_map(|load| load.due_at(self.commands_from));
         let starts = self.next_start().map(|at| at.max(self.commands_from));
         withdrawals.chain(loads.chain(starts).filter(|_| !self.is_fenced)).min()
     }
--- a/crates/control-plane/src/server/singleton_outputs.rs
+++ b/crates/control-plane/src/server/singleton_outputs.rs
@@ -31,8 +31,8 @@
     /// table shows beyond its list.
     pub(super) fn deliver_list(&self) {
         let Some(lease) = self.member.singleton_lease() else { return };
-        if self.table.borrow().awaits_inheritance(lease.tenure) {
-            self.table.borrow_mut().inherit(&self.delivery.fleet());
+        if let Some(delivered) = self.delivery.inherited_fleet(lease.tenure) {
+            self.table.borrow_mut().inherit(&delivered);
         }
         self.deliver_fleet();
     }
--- a/crates/control-plane/tests/rollout_exchange.rs
+++ b/crates/control-plane/tests/rollout_exchange.rs
@@ -106,6 +106,41 @@
     assert_eq!(output.corrections.get(), 2, "one as it begins to load, one as it has");
 }
 
+#[test]
+fn a_replica_that_an_earlier_primary_had_loading_is_polled_within_its_lease() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port is free");
+    let listed = replica(listener.get_ref().local_addr().expect("it is bound"));
+    let table = Rc::new(RefCell::new(FleetTable::default()));
+    table.borrow_mut().replace(LEASE.tenure, vec![listed.clone()]);
+    table.borrow_mut().inherit(&[Replica { phase: ReplicaPhase::Loading, ..listed }]);
+    let context = SingletonContext {
+        executor: executor.clone(),
+        lease_status: Rc::new(PrimaryStatus),
+        table: table.clone(),
+    };
+    let settings = PlannerSettings {
+        revision_term: RevisionTerm::new(Duration::from_secs(60)),
+        lease_term: Duration::from_secs(30),
+    };
+    let (rollout, _events) =
+        Rollout::new("middle-1".to_owned(), settings, context, Rc::new(Output::default()));
+    let phase = || table.borrow().replicas(LEASE.tenure).expect("a list has come")[0].phase;
+    let loaded = async {
+        let loads = r#"{"llms":[{"label":"m","revision":1}],"loaded":true}"#;
+        let report = respond(&listener, "200 OK", loads).await;
+        assert!(report.starts_with("GET /report"), "{report}");
+        assert_eq!(phase(), ReplicaPhase::Loading);
+        let has_loaded = r#"{"llms":[{"label":"m","revision":2}],"loaded":false}"#;
+        respond(&listener, "200 OK", has_loaded).await;
+        while phase() == ReplicaPhase::Loading {
+            future::yield_now().await;
+        }
+    };
+    let run = executor.run(future::or(loaded, rollout.run()));
+    async_io::block_on(within(LIMIT, run)).expect("it is ready in time");
+}
+
 #[test]
 fn a_target_that_is_announced_before_the_start_is_assumed_to_be_older() {
     let executor = Rc::new(LocalExecutor::new());
--- a/crates/fault-injection/src/command_line.rs
+++ b/crates/fault-injection/src/command_line.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long};
+use serde::Deserialize;
+use serde::de::IntoDeserializer;
 use snafu::Snafu;
 use tulipridge_fault_injection::demo::DemoPorts;
 use tulipridge_fault_injection::measurement::{FaultKind, QuotaTarget};
@@ -114,7 +116,8 @@
         long("seconds").help("Time for each group of machines").argument::<u64>("S").fallback(120);
     let targets = long("target")
         .help("primary, replication-group, control-plane, edge or all; each in turn if none is given")
-        .argument::<QuotaTarget>("GROUP")
+        .argument::<String>("GROUP")
+        .parse(|name| parse_quota_target(&name))
         .many()
         .map(|targets| if targets.is_empty() { QuotaTarget::ALL.to_vec() } else { targets });
     let parser = construct!(Command::CpuQuota { seconds, targets });
@@ -167,6 +170,10 @@
     Unknown { name: String },
 }
 
+fn parse_quota_target(name: &str) -> Result<QuotaTarget, serde::de::value::Error> {
+    QuotaTarget::deserialize(name.into_deserializer())
+}
+
 fn parse_fault(text: &str) -> Result<FaultKind, FaultNameError> {
     match text {
         "kill" => Ok(FaultKind::Kill),
