--- a/crates/control-plane/src/rollout/controller.rs
+++ b/crates/control-plane/src/rollout/controller.rs
@@ -113,16 +113,17 @@
                 self.tenure = Some(Tenure { lease, planner, has_inherited_loads: false });
             }
         }
-        self.inherit_loads(clock::now());
+        self.inherit_loads();
     }
 
     /// Has the plan adopt what an earlier primary knew of loads, once the first list of the tenure is there.
-    fn inherit_loads(&mut self, now: Duration) {
+    fn inherit_loads(&mut self) {
         let Some(tenure) = self.tenure.as_mut().filter(|tenure| !tenure.has_inherited_loads) else {
             return;
         };
         let table = self.context.table.borrow();
         let Some(replicas) = table.listed(tenure.lease.tenure) else { return };
+        let now = clock::now();
         tenure.planner.set_replicas(replicas, now);
         tenure.planner.inherit_loads(table.corrections(), now);
         tenure.has_inherited_loads = true;
--- a/crates/control-plane/src/server/singleton_outputs.rs
+++ b/crates/control-plane/src/server/singleton_outputs.rs
@@ -17,7 +17,7 @@
 use crate::index::IndexOutput;
 use crate::member::Member;
 use crate::rollout::RolloutOutput;
-use crate::singleton::LeaseStatus;
+use crate::singleton::{LeaseStatus, SingletonLease};
 
 /// Delivers the results of the singleton roles.
 pub(super) struct SingletonOutputs {
@@ -34,12 +34,11 @@
         if let Some(delivered) = self.delivery.inherited_fleet(lease.tenure) {
             self.table.borrow_mut().inherit(&delivered);
         }
-        self.deliver_fleet();
+        self.deliver_fleet(lease);
     }
 
     /// Delivers the table of replicas as it is now.
-    fn deliver_fleet(&self) {
-        let Some(lease) = self.member.singleton_lease() else { return };
+    fn deliver_fleet(&self, lease: SingletonLease) {
         if let Some(replicas) = self.table.borrow().replicas(lease.tenure) {
             self.delivery.set_fleet(lease.epoch, replicas);
         }
@@ -52,7 +51,9 @@
     }
 
     fn fleet_corrected(&self) {
-        self.deliver_fleet();
+        if let Some(lease) = self.member.singleton_lease() {
+            self.deliver_fleet(lease);
+        }
     }
 
     fn named(&self) -> BTreeMap<String, WeightsRevision> {
