Review, case 2: a resumable stream ends as complete where its replica crashed

What: review/2 shows that a stream of a route with pickUp, whose replica answers without a length and crashes in the middle of an event, is ended with the last chunk after half an event instead of being resumed (rule ORDER).

Nothing is fixed.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -5,6 +5,7 @@
 //! 0 if it held, 2 if the case couldn't run.
 
 mod case_1;
+mod case_2;
 mod client;
 mod deployment;
 mod http;
@@ -74,6 +75,7 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let result = match case.as_str() {
         "1" => case_1::run(&root, &folder, &record, has_trouble),
+        "2" => case_2::run(&root, &folder, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match result {
