Review, case 3: a full replica's Keep-Alive of 2^64-1 s ends requests without an answer

What: review/3 shows that the proxy closes kept connections without an answer (rule LOST) after a replica has turned their requests away and announced the greatest unsigned 64-bit number of seconds in Keep-Alive: ConnectionPool::check_in adds it to an Instant and panics, and the executor swallows the panic with the request's task.

Why: an independent review before the system goes into production, part one. Nothing is fixed.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -6,6 +6,7 @@
 
 mod case_1;
 mod case_2;
+mod case_3;
 mod client;
 mod deployment;
 mod http;
@@ -76,6 +77,7 @@
     let result = match case.as_str() {
         "1" => case_1::run(&root, &folder, &record, has_trouble),
         "2" => case_2::run(&root, &folder, &record, has_trouble),
+        "3" => case_3::run(&root, &folder, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match result {
