--- a/review/stand_ins/case_1.rs
+++ b/review/stand_ins/case_1.rs
@@ -24,7 +24,7 @@
 pub fn run(root: &Path, folder: &Path, record: &Arc<Record>, has_trouble: bool) -> Result<Verdict, String> {
     let error = |error: io::Error| error.to_string();
     let (breaker, reader) =
-        if has_trouble { (Rest::BreaksOff, Rest::ReadsLate) } else { (Rest::ReadsSoon, Rest::ReadsSoon) };
+        if has_trouble { (Rest::BreaksOff, Rest::ReadsLate) } else { (Rest::ReadsSoon, Rest::ReadsFirst) };
     let breaker = Replica::start("i-1", SERVICE, Answer::Early(breaker), record).map_err(error)?;
     let reader = Replica::start("i-2", "other", Answer::Early(reader), record).map_err(error)?;
     if has_trouble {
--- a/review/stand_ins/replica.rs
+++ b/review/stand_ins/replica.rs
@@ -31,13 +31,15 @@
 pub enum Rest {
     /// The replica reads the body of the request halfway through its answer.
     ReadsSoon,
+    /// The replica reads the body after the first piece of its answer, which takes [`LATE_MS`].
+    ReadsFirst,
     /// The replica reads the body after its answer, which takes [`LATE_MS`].
     ReadsLate,
     /// The replica closes the connection halfway, which resets it, since the body is unread.
     BreaksOff,
 }
 
-/// How long an answer takes before whose end the body of the request is not read.
+/// How long an answer of [`Rest::ReadsFirst`] and [`Rest::ReadsLate`] takes.
 const LATE_MS: u64 = 6_000;
 
 /// The requests that a replica works on at once.
@@ -312,12 +314,16 @@
          Content-Type: application/octet-stream\r\nConnection: close\r\n\r\n"
     );
     stream.get_mut().write_all(start.as_bytes())?;
-    let pause_ms = if matches!(rest, Rest::ReadsLate) { LATE_MS / PIECES } else { 50 };
+    let is_long = matches!(rest, Rest::ReadsFirst | Rest::ReadsLate);
+    let pause_ms = if is_long { LATE_MS / PIECES } else { 50 };
     for number in 0..PIECES {
         match rest {
             Rest::ReadsSoon if number == PIECES / 2 => {
                 http::read_request_body(&mut stream, head)?;
             }
+            Rest::ReadsFirst if number == 1 => {
+                http::read_request_body(&mut stream, head)?;
+            }
             Rest::BreaksOff if number == PIECES / 2 => {
                 record.line(&format!(
                     "{name}: breaks off the answer to {attempt_id} after {number} of {PIECES} pieces and closes \
