--- a/review/stand_ins/client.rs
+++ b/review/stand_ins/client.rs
@@ -16,6 +16,8 @@
     pub attempt_id: String,
     pub path: String,
     pub time_left_ms: String,
+    /// The length of the request's body.
+    pub body_bytes: usize,
     /// Counts the bytes of the body that have arrived.
     pub received: Arc<AtomicUsize>,
 }
@@ -26,9 +28,14 @@
             attempt_id: attempt_id.to_owned(),
             path: path.to_owned(),
             time_left_ms: time_left_ms.to_owned(),
+            body_bytes: 16,
             received: Arc::default(),
         }
     }
+
+    pub fn with_body(self, body_bytes: usize) -> Request {
+        Request { body_bytes, ..self }
+    }
 }
 
 /// What a client saw of a request.
@@ -54,6 +61,13 @@
         self.looks_complete() && response.body == replica::whole_body(attempt_id)
     }
 
+    /// The last bytes of the body.
+    pub fn tail(&self, count: usize) -> String {
+        let Outcome::Answered(response) = self else { return String::new() };
+        let start = response.body.len().saturating_sub(count);
+        String::from_utf8_lossy(&response.body[start..]).into_owned()
+    }
+
     pub fn describe(&self, attempt_id: &str) -> String {
         match self {
             Outcome::Answered(response) => format!(
@@ -83,16 +97,19 @@
 
     /// Sends a request and waits for its answer.
     pub fn send(&mut self, request: &Request) -> Outcome {
-        let Request { attempt_id, path, time_left_ms, .. } = request;
-        self.record
-            .line(&format!("{}: sends {attempt_id} {path} (Time-Left-Ms {time_left_ms})", self.name));
+        let Request { attempt_id, path, time_left_ms, body_bytes, .. } = request;
+        self.record.line(&format!(
+            "{}: sends {attempt_id} {path} with a body of {body_bytes} bytes (Time-Left-Ms {time_left_ms})",
+            self.name
+        ));
         let outcome = self.exchange(request).unwrap_or_else(|error| Outcome::NoAnswer(error.to_string()));
         self.record.line(&format!("{}: {attempt_id}: {}", self.name, outcome.describe(attempt_id)));
         outcome
     }
 
     fn exchange(&mut self, request: &Request) -> io::Result<Outcome> {
-        let body = "0123456789abcdef";
+        let body = "0123456789abcdef".repeat(request.body_bytes.div_ceil(16));
+        let body = &body[..request.body_bytes];
         let text = format!(
             "POST {} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {}\r\nTime-Left-Ms: {}\r\n\
              Authorization: Token {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -7,6 +7,7 @@
 mod case_1;
 mod case_2;
 mod case_3;
+
 mod client;
 mod deployment;
 mod http;
