Log how a replica's response ends, and count unframed and resumed ones

Change: BodyError says why a response that had begun was not received to its end; debug lines name it, and the bytes of an incomplete event with which a response without a length ended. The counters have `unframed` and `resumed`. What is forwarded is as before.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -29,6 +29,10 @@
     pub retries: Counter,
     /// Successful responses that were forwarded completely.
     pub completed: Counter,
+    /// Of these, responses without a length, whose end was that of the replica's connection.
+    pub unframed: Counter,
+    /// Streams that broke off and that a further attempt was to resume.
+    pub resumed: Counter,
     /// Requests that were refused with 503.
     pub refused: Counter,
     /// Requests that failed: the client was sent 502, 504 or the error response of a replica.
@@ -51,6 +55,7 @@
         log::debug!(
             requests = self.requests.get(), first_sends = self.first_sends.get(),
             repeated_sends = self.retries.get(), passed = self.completed.get(),
+            unframed = self.unframed.get(), resumed = self.resumed.get(),
             refused = self.refused.get(), failed = self.failed.get(), denied = self.denied.get(),
             broken = self.aborted.get(), abandoned = self.client_disconnects.get(),
             outdated = self.weights_expired.get(), connects = self.connects.get();
--- a/crates/proxy/src/downstream/event_tracker.rs
+++ b/crates/proxy/src/downstream/event_tracker.rs
@@ -44,9 +44,11 @@
         }
     }
 
-    /// Appends the buffered bytes to `out` at the end of a complete stream.
-    pub fn finish(&mut self, out: &mut Vec<u8>) {
+    /// Appends the buffered bytes to `out` at the end of a complete stream. Returns their number.
+    pub fn finish(&mut self, out: &mut Vec<u8>) -> usize {
+        let count = self.partial.len();
         out.append(&mut self.partial);
+        count
     }
 
     /// The id of the last complete event that has an id.
--- a/crates/proxy/src/downstream/relay.rs
+++ b/crates/proxy/src/downstream/relay.rs
@@ -11,7 +11,7 @@
 use crate::downstream::event_tracker::EventTracker;
 use crate::headers::{self, Framing, Persistence};
 use crate::proxy::Proxy;
-use crate::replica::response::UpstreamResponse;
+use crate::replica::response::{BodyError, UpstreamResponse};
 use crate::timer_queue::Sleep;
 
 /// How the relay of a response ended.
@@ -19,8 +19,8 @@
 pub enum RelayEnd {
     /// The response was forwarded completely.
     Complete,
-    /// Upstream: the connection to the replica failed, its response was malformed, or the time limit passed.
-    UpstreamBroken,
+    /// Upstream: the response broke off.
+    UpstreamBroken(BodyError),
     /// Downstream: the client disconnected.
     ClientDisconnected,
 }
@@ -32,6 +32,8 @@
     is_head_written: bool,
     /// Tracks complete events if the stream may be resumed.
     events: Option<EventTracker>,
+    /// The length of the incomplete event with which the response ended.
+    partial_event_bytes: usize,
     /// Decoded bytes of the body that are to be encoded for the client.
     body: Vec<u8>,
     /// Encoded bytes that are to be written to the client.
@@ -74,6 +76,7 @@
             persistence,
             is_head_written: false,
             events,
+            partial_event_bytes: 0,
             body: Vec::new(),
             outbound: Vec::new(),
         }
@@ -124,25 +127,37 @@
                 match proxy.timers.timeout_at(abort_at, client.stream.write(&self.outbound)).await {
                     Some(Ok(())) => self.outbound.clear(),
                     Some(Err(_)) => return RelayEnd::ClientDisconnected,
-                    None => return RelayEnd::UpstreamBroken,
+                    None => return RelayEnd::UpstreamBroken(BodyError::TimedOut),
                 }
             }
             if response.is_complete {
+                self.record_completion(proxy, &response);
                 response.finish(&proxy.pool);
                 return RelayEnd::Complete;
             }
             let outcome = poll_fn(|context| poll_read(proxy, client, &mut response, &mut timeout, context));
             let read = match outcome.await {
                 ReadOutcome::Read(read) => read,
-                ReadOutcome::TimedOut => return RelayEnd::UpstreamBroken,
+                ReadOutcome::TimedOut => return RelayEnd::UpstreamBroken(BodyError::TimedOut),
                 ReadOutcome::ClientDisconnected => return RelayEnd::ClientDisconnected,
             };
-            if response.handle_read(read, &proxy.pool).is_err() {
-                return RelayEnd::UpstreamBroken;
+            if let Err(error) = response.handle_read(read, &proxy.pool) {
+                return RelayEnd::UpstreamBroken(error);
             }
         }
     }
 
+    /// Counts and logs a response that has no length: only the orderly end of its connection says that it is complete.
+    fn record_completion(&self, proxy: &Proxy, response: &UpstreamResponse) {
+        if response.framing == Body::UntilClose {
+            proxy.counters.unframed.increment();
+            log::debug!(
+                replica = &*response.replica.id.0, partial_event_bytes = self.partial_event_bytes;
+                "a response ended with its connection"
+            );
+        }
+    }
+
     /// Encodes the received part of a response for the client. Nothing of a resumable stream is forwarded before its
     /// first event is complete, so that until then another replica can still send the complete response.
     fn fill_outbound(&mut self, response: &mut UpstreamResponse) {
@@ -171,7 +186,7 @@
             Some(events) => {
                 events.push(&mut response.buffered, &mut self.body);
                 if response.is_complete {
-                    events.finish(&mut self.body);
+                    self.partial_event_bytes = events.finish(&mut self.body);
                 }
             }
             None => std::mem::swap(&mut self.body, &mut response.buffered),
--- a/crates/proxy/src/exchange/final_response.rs
+++ b/crates/proxy/src/exchange/final_response.rs
@@ -10,8 +10,9 @@
 use crate::downstream::relay::{Relay, RelayEnd};
 use crate::headers::{self, Framing, LocalResponse};
 use crate::replica::outcome::AttemptOutcome;
+use crate::replica::replicas::ReplicaEntry;
 use crate::replica::request_kind::RequestKind;
-use crate::replica::response::{ErrorResponse, UpstreamResponse};
+use crate::replica::response::{BodyError, ErrorResponse, UpstreamResponse};
 use crate::replica::retry::{self, RetryAction};
 
 impl Exchange<'_> {
@@ -75,6 +76,7 @@
             Some(relay) => relay,
             None => self.new_relay(client, &response),
         };
+        let replica = response.replica.clone();
         let abort_at = self.deadline + DEADLINE_GRACE;
         let end = relay.forward(self.proxy, client, *response, abort_at).await;
         let counters = &self.proxy.counters;
@@ -88,7 +90,7 @@
                 counters.client_disconnects.increment();
                 Some(Completion::Abort)
             }
-            RelayEnd::UpstreamBroken => self.handle_broken_response(client, relay),
+            RelayEnd::UpstreamBroken(error) => self.handle_broken_response(client, relay, &replica, error),
         }
     }
 
@@ -98,7 +100,13 @@
     }
 
     /// Applies the retry table to a successful response that broke off. None if a further attempt may follow.
-    fn handle_broken_response(&mut self, client: &mut Client<'_>, mut relay: Relay) -> Option<Completion> {
+    fn handle_broken_response(
+        &mut self,
+        client: &mut Client<'_>,
+        mut relay: Relay,
+        replica: &ReplicaEntry,
+        error: BodyError,
+    ) -> Option<Completion> {
         let outcome = if relay.has_begun() {
             AttemptOutcome::TruncatedResponse
         } else {
@@ -107,6 +115,10 @@
         let decision = retry::decide(self.kind(), outcome);
         let is_resumed = decision.action == RetryAction::Resume && self.may_resume(&mut relay);
         let is_retried = is_resumed || decision.action == RetryAction::Retry;
+        log::debug!(
+            replica = &*replica.id.0, error:% = error, outcome:? = outcome, resumed = is_resumed;
+            "a response broke off"
+        );
         self.placed.end_attempt(decision.verdict, !is_retried);
         if !is_retried {
             self.proxy.counters.aborted.increment();
@@ -114,6 +126,7 @@
             return Some(Completion::Abort);
         }
         if is_resumed {
+            self.proxy.counters.resumed.increment();
             self.relay = Some(relay);
         }
         None
--- a/crates/proxy/src/replica/response.rs
+++ b/crates/proxy/src/replica/response.rs
@@ -3,7 +3,8 @@
 use std::io;
 use std::rc::Rc;
 
-use tulipridge_http1::codec::{self, Body, Head};
+use snafu::Snafu;
+use tulipridge_http1::codec::{self, Body, Head, ParseError};
 
 use crate::replica::connection::Connection;
 use crate::replica::connection_state::ConnectionState;
@@ -26,6 +27,29 @@
     pub body: Vec<u8>,
 }
 
+/// Why a response that had begun was not received to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum BodyError {
+    /// The replica closed the connection before the end that the framing of the body states.
+    #[snafu(display("the connection was closed before the end of the body"))]
+    ConnectionClosed,
+    /// The connection was reset, or failed otherwise.
+    #[snafu(display("the connection failed: {kind}"))]
+    ConnectionFailed {
+        /// The kind of the operating system's error.
+        kind: io::ErrorKind,
+    },
+    /// The bytes do not follow the framing of the body.
+    #[snafu(display("the framing of the body is invalid: {error}"))]
+    InvalidFraming {
+        /// What is invalid.
+        error: ParseError,
+    },
+    /// The time limit of the response passed before its end.
+    #[snafu(display("the time limit of the response has passed"))]
+    TimedOut,
+}
+
 /// A success whose body is being read.
 pub struct UpstreamResponse {
     /// The replica that sent the response.
@@ -68,7 +92,7 @@
     ///
     /// # Errors
     /// If the connection ends early or fails, or if the body is malformed.
-    pub async fn read(&mut self, pool: &ConnectionPool) -> io::Result<()> {
+    pub async fn read(&mut self, pool: &ConnectionPool) -> Result<(), BodyError> {
         let read = self.connection.fill(pool.limits()).await;
         self.handle_read(read, pool)
     }
@@ -77,15 +101,15 @@
     ///
     /// # Errors
     /// If the connection ended early or failed, or if the body is malformed.
-    pub fn handle_read(&mut self, read: io::Result<usize>, pool: &ConnectionPool) -> io::Result<()> {
+    pub fn handle_read(&mut self, read: io::Result<usize>, pool: &ConnectionPool) -> Result<(), BodyError> {
         match read {
             Ok(0) if self.remaining == Body::UntilClose => {
                 self.is_complete = true;
                 Ok(())
             }
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(0) => Err(BodyError::ConnectionClosed),
             Ok(_) => self.decode(pool),
-            Err(error) => Err(error),
+            Err(error) => Err(BodyError::ConnectionFailed { kind: error.kind() }),
         }
     }
 
@@ -93,10 +117,10 @@
     ///
     /// # Errors
     /// If the body is malformed.
-    pub fn decode(&mut self, pool: &ConnectionPool) -> io::Result<()> {
+    pub fn decode(&mut self, pool: &ConnectionPool) -> Result<(), BodyError> {
         let decoded =
             self.remaining.take(&mut self.connection.stream.buf, &mut self.buffered, pool.limits());
-        self.is_complete = decoded.map_err(|error| io::Error::other(error.message()))?;
+        self.is_complete = decoded.map_err(|error| BodyError::InvalidFraming { error })?;
         Ok(())
     }
 
