Treat a stream without a length that ends within an event as broken off

Cause: the system closes the connections of a killed process in order, and an orderly end of a response without a length was taken for the end of the stream. The part of an event that was held back for a resumption, which shows that the stream is not whole, was forwarded in front of the last chunk.

Change: a stream of events without a length that ends within an event is handled as any truncated response: resumed at another replica, or aborted. Why this works: the media type says where an event ends, so a part of one proves that more was to come.

--- a/crates/proxy/src/downstream/relay.rs
+++ b/crates/proxy/src/downstream/relay.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 use std::time::Instant;
 
-use tulipridge_http1::codec::{Body, LAST_CHUNK};
+use tulipridge_http1::codec::{Body, Head, LAST_CHUNK};
 
 use crate::downstream::client::Client;
 use crate::downstream::event_tracker::EventTracker;
@@ -30,10 +30,8 @@
     framing: Framing,
     persistence: Persistence,
     is_head_written: bool,
-    /// Tracks complete events if the stream may be resumed.
+    /// Tracks the events of a response that is a stream of events.
     events: Option<EventTracker>,
-    /// The length of the incomplete event with which the response ended.
-    partial_event_bytes: usize,
     /// Decoded bytes of the body that are to be encoded for the client.
     body: Vec<u8>,
     /// Encoded bytes that are to be written to the client.
@@ -57,15 +55,13 @@
         persistence: Persistence,
         is_head_request: bool,
     ) -> Relay {
-        let is_stream = response
-            .head
-            .get("content-type")
-            .is_some_and(|content_type| content_type.starts_with("text/event-stream"));
-        let events = (may_resume && is_stream && !is_head_request).then(EventTracker::default);
+        let is_stream = is_event_stream(&response.head) && !is_head_request;
+        let track = if may_resume { EventTracker::resumable } else { EventTracker::not_resumable };
+        let events = is_stream.then(track);
         let framing = match response.framing {
             _ if is_head_request || matches!(response.head.status(), 204 | 304) => Framing::None,
             // The remainder from another replica that resumes the stream may have a different length.
-            _ if events.is_some() => Framing::Chunked,
+            _ if events.as_ref().is_some_and(EventTracker::is_resumable) => Framing::Chunked,
             Body::Length(length) => Framing::Length(length),
             Body::Chunked(_) => Framing::Chunked,
             Body::UntilClose => Framing::UntilClose,
@@ -76,7 +72,6 @@
             persistence,
             is_head_written: false,
             events,
-            partial_event_bytes: 0,
             body: Vec::new(),
             outbound: Vec::new(),
         }
@@ -122,7 +117,10 @@
     ) -> RelayEnd {
         let mut timeout = proxy.timers.sleep_until(abort_at);
         loop {
-            self.fill_outbound(&mut response);
+            if let Err(error) = self.receive(&mut response) {
+                return RelayEnd::UpstreamBroken(error);
+            }
+            self.fill_outbound(&response);
             if !self.outbound.is_empty() {
                 match proxy.timers.timeout_at(abort_at, client.stream.write(&self.outbound)).await {
                     Some(Ok(())) => self.outbound.clear(),
@@ -131,7 +129,7 @@
                 }
             }
             if response.is_complete {
-                self.record_completion(proxy, &response);
+                record_completion(proxy, &response);
                 response.finish(&proxy.pool);
                 return RelayEnd::Complete;
             }
@@ -147,22 +145,32 @@
         }
     }
 
-    /// Counts and logs a response that has no length: only the orderly end of its connection says that it is complete.
-    fn record_completion(&self, proxy: &Proxy, response: &UpstreamResponse) {
-        if response.framing == Body::UntilClose {
-            proxy.counters.unframed.increment();
-            log::debug!(
-                replica = &*response.replica.id.0, partial_event_bytes = self.partial_event_bytes;
-                "a response ended with its connection"
-            );
+    /// Takes over the received part of the body, as far as it may be forwarded.
+    ///
+    /// # Errors
+    /// [`BodyError::ClosedWithinEvent`] if the response has no length and its connection was closed within an event. The
+    /// system closes the connections of a replica's process in order also when the process is killed, so for a stream
+    /// of events an orderly end alone does not prove that the response is complete.
+    fn receive(&mut self, response: &mut UpstreamResponse) -> Result<(), BodyError> {
+        let Some(events) = &mut self.events else {
+            std::mem::swap(&mut self.body, &mut response.buffered);
+            return Ok(());
+        };
+        events.push(&mut response.buffered, &mut self.body);
+        if response.is_complete {
+            if response.framing == Body::UntilClose && events.is_incomplete() {
+                return Err(BodyError::ClosedWithinEvent);
+            }
+            events.finish(&mut self.body);
         }
+        Ok(())
     }
 
     /// Encodes the received part of a response for the client. Nothing of a resumable stream is forwarded before its
     /// first event is complete, so that until then another replica can still send the complete response.
-    fn fill_outbound(&mut self, response: &mut UpstreamResponse) {
-        self.fill_body(response);
-        if self.events.is_some() && self.body.is_empty() && !response.is_complete {
+    fn fill_outbound(&mut self, response: &UpstreamResponse) {
+        let is_resumable = self.events.as_ref().is_some_and(EventTracker::is_resumable);
+        if is_resumable && self.body.is_empty() && !response.is_complete {
             return;
         }
         if !std::mem::replace(&mut self.is_head_written, true) {
@@ -181,18 +189,6 @@
         self.body.clear();
     }
 
-    fn fill_body(&mut self, response: &mut UpstreamResponse) {
-        match &mut self.events {
-            Some(events) => {
-                events.push(&mut response.buffered, &mut self.body);
-                if response.is_complete {
-                    self.partial_event_bytes = events.finish(&mut self.body);
-                }
-            }
-            None => std::mem::swap(&mut self.body, &mut response.buffered),
-        }
-    }
-
     fn encode_chunk(&mut self, is_last: bool) {
         if !self.body.is_empty() {
             let _ = write!(self.outbound, "{:x}\r\n", self.body.len());
@@ -205,6 +201,20 @@
     }
 }
 
+/// Whether the body is a stream of server-sent events, which has the same grammar on all routes.
+fn is_event_stream(head: &Head) -> bool {
+    let media_type = head.get("content-type").and_then(|content_type| content_type.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
+/// Counts and logs a complete response that has no length: only the end of its connection showed that it was complete.
+fn record_completion(proxy: &Proxy, response: &UpstreamResponse) {
+    if response.framing == Body::UntilClose {
+        proxy.counters.unframed.increment();
+        log::debug!(replica = &*response.replica.id.0; "a response ended with its connection");
+    }
+}
+
 fn poll_read(
     proxy: &Proxy,
     client: &mut Client<'_>,
--- a/crates/proxy/src/replica/response.rs
+++ b/crates/proxy/src/replica/response.rs
@@ -33,6 +33,9 @@
     /// The replica closed the connection before the end that the framing of the body states.
     #[snafu(display("the connection was closed before the end of the body"))]
     ConnectionClosed,
+    /// The replica closed the connection, whose end delimits the body, within an event of a stream.
+    #[snafu(display("the connection was closed within an event"))]
+    ClosedWithinEvent,
     /// The connection was reset, or failed otherwise.
     #[snafu(display("the connection failed: {kind}"))]
     ConnectionFailed {
--- a/crates/proxy/tests/event_tracker.rs
+++ b/crates/proxy/tests/event_tracker.rs
@@ -5,7 +5,7 @@
 
 /// Feeds `pieces` to a tracker. Returns its output and the id after which another replica may resume the stream.
 fn track(pieces: &[&str]) -> (String, Option<String>) {
-    let (mut tracker, mut out) = (EventTracker::default(), Vec::new());
+    let (mut tracker, mut out) = (EventTracker::resumable(), Vec::new());
     for piece in pieces {
         tracker.push(&mut piece.as_bytes().to_vec(), &mut out);
     }
--- a/crates/proxy/tests/support/http.rs
+++ b/crates/proxy/tests/support/http.rs
@@ -1,6 +1,7 @@
 //! Requests and responses as text.
 
-use tulipridge_http1::codec::Head;
+use tulipridge_http1::Http1Limits;
+use tulipridge_http1::codec::{Body, Chunk, Head};
 
 use super::fixtures::{HOST, KEY, SEAL};
 use super::replica::LONG_BODY;
@@ -27,9 +28,24 @@
     )
 }
 
+/// The head of an event stream that ends with its connection.
+pub(crate) fn unframed_stream_head() -> String {
+    stream_head().replace("Transfer-Encoding: chunked\r\n", "")
+}
+
+/// The head of an event stream with a `Content-Length`.
+pub(crate) fn stream_head_with_length(length: usize) -> String {
+    stream_head().replace("Transfer-Encoding: chunked", &format!("Content-Length: {length}"))
+}
+
 /// A server-sent event as one chunk.
 pub(crate) fn event(id: u32) -> String {
-    chunk(&format!("id: {id}\ndata: d{id}\n\n"))
+    chunk(&event_text(id))
+}
+
+/// A server-sent event.
+pub(crate) fn event_text(id: u32) -> String {
+    format!("id: {id}\ndata: d{id}\n\n")
 }
 
 pub(crate) fn chunk(text: &str) -> String {
@@ -38,6 +54,14 @@
 
 pub(crate) const LAST_CHUNK: &str = "0\r\n\r\n";
 
+/// The decoded body of a chunked message, and whether its last chunk was received.
+pub(crate) fn decoded_body(message: &str) -> (String, bool) {
+    let (_, encoded) = message.split_once("\r\n\r\n").expect("a head");
+    let (mut framing, mut body) = (Body::Chunked(Chunk::Size), Vec::new());
+    let is_complete = framing.take(&mut encoded.into(), &mut body, &Http1Limits::default());
+    (String::from_utf8_lossy(&body).into_owned(), is_complete.expect("valid chunks"))
+}
+
 /// The value of a header of a message.
 pub(crate) fn header(message: &str, name: &str) -> Option<String> {
     let head = message.split("\r\n\r\n").next()?;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use fixtures::{HOST, KEY, SEAL, configuration, replica_entry, route, settings};
 pub(crate) use harness::{Harness, settle};
 pub(crate) use http::{
-    LAST_CHUNK, chunk, event, head, header, normalized, ok, post, post_with, post_with_long_body, response,
-    status, stream_head,
+    LAST_CHUNK, chunk, decoded_body, event, event_text, head, header, normalized, ok, post, post_with,
+    post_with_long_body, response, status, stream_head, stream_head_with_length, unframed_stream_head,
 };
 pub(crate) use replica::{LONG_BODY, Script, ScriptedReplica, Step};
