Make the replica with the most requests the unresponsive one in the test of hedges

a_departure_prevents_the_hedged_request asserts that at least 6 of 60 requests are at the unresponsive replica.

Cause: the test made its first replica unresponsive and let the others respond at once. How many of the 60 reached the first one depended on how many were in flight together, and so on the load of the machine.

Now all replicas wait until the 60 requests have arrived, at most 250 ms, and the one with the most of them stays silent: a sixth of the requests at least, however they are distributed. All assertions stay as they are.

--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -6,9 +6,10 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -600,21 +601,61 @@
     );
 }
 
+/// Ids of the requests of which some are hedged.
+const HEDGED_IDS: Range<u64> = 0x400..0x43c;
+/// Maximum time for which a replica waits until all of [`HEDGED_IDS`] have arrived.
+const MAX_ARRIVAL_WAIT: Duration = Duration::from_millis(250);
+
+/// Selects the replica that becomes unresponsive: the one with the most of [`HEDGED_IDS`] when all of them have
+/// arrived. This is at least their share per replica, however the load balancer distributes them.
+#[derive(Default)]
+struct Outage {
+    /// Ids of the requests at each replica.
+    arrived: Mutex<BTreeMap<usize, Vec<u64>>>,
+    unresponsive: OnceLock<usize>,
+}
+
+impl Outage {
+    /// Takes a request at a replica, waits for the others and returns whether this replica is unresponsive.
+    fn affects(&self, replica: usize, id: u64) -> bool {
+        self.arrived.lock().expect("not poisoned").entry(replica).or_default().push(id);
+        let deadline = Instant::now() + MAX_ARRIVAL_WAIT;
+        while self.unresponsive.get().is_none() && !self.all_arrived() && Instant::now() < deadline {
+            thread::sleep(ms(5));
+        }
+        *self.unresponsive.get_or_init(|| self.busiest()) == replica
+    }
+
+    fn all_arrived(&self) -> bool {
+        let arrived = self.arrived.lock().expect("not poisoned");
+        arrived.values().map(Vec::len).sum::<usize>() >= HEDGED_IDS.count()
+    }
+
+    fn busiest(&self) -> usize {
+        let arrived = self.arrived.lock().expect("not poisoned");
+        let (replica, _) = arrived.iter().max_by_key(|(_, ids)| ids.len()).expect("a request has arrived");
+        *replica
+    }
+
+    /// Ids of the requests at the unresponsive replica.
+    fn unanswered(&self) -> Vec<u64> {
+        let replica = self.unresponsive.get().expect("a replica is unresponsive");
+        self.arrived.lock().expect("not poisoned")[replica].clone()
+    }
+}
+
 fn check_hedged_requests(stopped: bool) {
-    // Later the first replica stops responding; the others respond.
-    let (arrivals, unresponsive) = (Arrivals::default(), Arc::new(Mutex::new(None::<Vec<u64>>)));
+    // One of the replicas stops responding; the others respond.
+    let (arrivals, outage) = (Arrivals::default(), Arc::new(Outage::default()));
     let replicas: Vec<_> = (0..6)
         .map(|n| {
-            let unresponsive = unresponsive.clone();
+            let outage = outage.clone();
             arrivals.spawn_replica(move |stream, _, id| {
-                let held = n == 0
-                    && unresponsive
-                        .lock()
-                        .expect("not poisoned")
-                        .as_mut()
-                        .map(|ids| ids.push(id))
-                        .is_some();
-                if held { wait_for_close(stream) } else { write(stream, &complete_response()) }
+                if HEDGED_IDS.contains(&id) && outage.affects(n, id) {
+                    wait_for_close(stream)
+                } else {
+                    write(stream, &complete_response())
+                }
             })
         })
         .collect();
@@ -622,21 +663,17 @@
     let answered =
         |n: u64| staying_client(&gateway, DIALECTS[n as usize % 2], 0x2000 + n).join().expect("a response");
     assert!((0..16).all(|n| answered(n) == ClientOutcome::Served("a".into())));
-    *unresponsive.lock().expect("not poisoned") = Some(Vec::new());
     let mut clients: BTreeMap<u64, TcpStream> = BTreeMap::new();
-    for n in 0..60u64 {
-        let front = DIALECTS[n as usize % 2];
-        clients.insert(
-            0x400 + n,
-            connect_and_send(gateway.front(front), &request_bytes(front, "plain", 0x400 + n, 0)),
-        );
+    for id in HEDGED_IDS {
+        let front = DIALECTS[id as usize % 2];
+        let bytes = request_bytes(front, "plain", id, 0);
+        clients.insert(id, connect_and_send(gateway.front(front), &bytes));
     }
     let from = Instant::now();
     // A hedged request is sent after 650 ms without a response, once the missing responses to the first
     // requests have shown that the replica is unresponsive.
     thread::sleep(ms(300));
-    let unanswered =
-        unresponsive.lock().expect("not poisoned").clone().expect("the replica is unresponsive");
+    let unanswered = outage.unanswered();
     assert!(unanswered.len() >= 6, "{unanswered:x?}");
     let guard = stopped.then(|| Stopped::new(&gateway));
     let mut departed = Departed::default();
