--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub(crate) mod connect_faults;
+pub(crate) mod departures;
 pub(crate) mod fleet;
 pub(crate) mod list_propagation;
 
