review: case 5, an answer is cut while its replica reads on late

The script sends SIGHUP to an edge machine and requests whose sound replica answers in chunks before it reads the body on.

Seen: the proxy ends each answer after about 3.2 s, with 12 s left, while the replica is at work (LOST). Nothing in the project's code is changed.

--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of review/4 and later: `cases NAME`. Exit code 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run.
-mod keep_alive;
+mod late_body;
+mod unknown_service;
 mod uploads;
 mod harness;
 
@@ -8,7 +9,8 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let outcome = harness::Record::create().map_err(Into::into).and_then(|record| {
         let outcome = match name.as_str() {
-            "keep-alive" => keep_alive::run(&record),
+            "late-body" => late_body::run(&record),
+            "unknown-service" => unknown_service::run(&record),
             "uploads" => uploads::run(&record),
             _ => Err(format!("there is no case '{name}'").into()),
         };
