Refuse shares that name the service "", and keep stored configurations readable

Cause: a missing `backend` of a share was turned into "" and reported, and the check of the name was then left out for "", so that a missing name is not reported twice. A name that is given and empty took the same way and was reported by nobody. The same name in `backend` was refused. Whether the name is given decides now, not whether it is empty.

Data that was accepted is now restored with its violations, which the member logs; only new configurations and changes are refused.

--- a/crates/configuration/src/configuration_state.rs
+++ b/crates/configuration/src/configuration_state.rs
@@ -74,8 +74,8 @@
         /// Error of the decoder.
         source: DecodeError,
     },
-    /// The configuration in the snapshot is invalid.
-    #[snafu(display("the configuration in the snapshot is invalid: {source}"))]
+    /// The configuration in the snapshot can't be parsed.
+    #[snafu(display("the configuration in the snapshot cannot be parsed: {source}"))]
     InvalidDocument {
         /// Errors of the configuration.
         source: ValidationErrors,
@@ -151,12 +151,13 @@
     ///
     /// # Errors
     ///
-    /// [`SnapshotError`] if the bytes have another format or are damaged, or if the configuration in them is invalid.
+    /// [`SnapshotError`] if the bytes have another format or are damaged, or if the configuration in them can't be
+    /// parsed.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, SnapshotError> {
         let snapshot: Snapshot<'_> = encoding::decode(SNAPSHOT_FORMAT, bytes).context(EncodingSnafu)?;
         let document = match snapshot.document.as_ref() {
             [] => None,
-            text => Some(Document::parse(text).context(InvalidDocumentSnafu)?),
+            text => Some(Document::restore(text).context(InvalidDocumentSnafu)?),
         };
         let recent_requests =
             RecentRequests::from_bytes(&snapshot.recent_requests).context(TruncatedRequestsSnafu)?;
--- a/crates/configuration/src/entry.rs
+++ b/crates/configuration/src/entry.rs
@@ -49,7 +49,7 @@
         /// The document that results here.
         found: DocumentVersion,
     },
-    /// The resulting document is invalid.
+    /// The resulting document can't be parsed.
     #[snafu(display("the entry resulted in an invalid configuration: {source}"))]
     InvalidResult {
         /// Errors of the document.
@@ -129,12 +129,12 @@
 
     fn apply(&self, base: Option<&Document>) -> Result<Document, ApplyError> {
         match self {
-            ChangeContent::Document(text) => Document::parse(text).context(InvalidResultSnafu),
+            ChangeContent::Document(text) => Document::restore(text).context(InvalidResultSnafu),
             ChangeContent::Delta(delta) => {
                 let text = delta.apply(base.map_or(&[], Document::text)).context(DeltaMismatchSnafu)?;
-                Document::parse(&text).context(InvalidResultSnafu)
+                Document::restore(&text).context(InvalidResultSnafu)
             }
-            ChangeContent::Patch(body) => patched_document(base, body).context(InvalidResultSnafu),
+            ChangeContent::Patch(body) => restore_patched_document(base, body).context(InvalidResultSnafu),
         }
     }
 }
@@ -145,10 +145,20 @@
 ///
 /// The errors of the patch or of the resulting document, or [`ValidationErrorKind::NothingToPatch`] without a base.
 pub(crate) fn patched_document(base: Option<&Document>, body: &[u8]) -> Result<Document, ValidationErrors> {
-    let Some(base) = base else {
-        return Err(ValidationErrors::single("", ValidationErrorKind::NothingToPatch));
-    };
-    base.apply(&Patch::parse(body)?)
+    require_base(base)?.apply(&Patch::parse(body)?)
+}
+
+/// Applies a patch that was accepted earlier to `base`.
+///
+/// # Errors
+///
+/// If the patch or the resulting document can't be parsed, or [`ValidationErrorKind::NothingToPatch`] without a base.
+fn restore_patched_document(base: Option<&Document>, body: &[u8]) -> Result<Document, ValidationErrors> {
+    require_base(base)?.apply_accepted(&Patch::restore(body)?)
+}
+
+fn require_base(base: Option<&Document>) -> Result<&Document, ValidationErrors> {
+    base.ok_or_else(|| ValidationErrors::single("", ValidationErrorKind::NothingToPatch))
 }
 
 fn version_of(document: Option<&Document>) -> DocumentVersion {
--- a/crates/configuration/src/parse/mod.rs
+++ b/crates/configuration/src/parse/mod.rs
@@ -18,16 +18,24 @@
 use crate::number::Revision;
 use crate::validation_error::{ValidationErrorKind, ValidationErrors};
 
-/// Parses and validates a complete configuration.
+/// The typed form of a configuration, and the rules that its values violate.
+pub(crate) struct ParsedConfiguration {
+    /// The typed form. A value that is missing or violates a rule may be replaced by its type's default.
+    pub configuration: Configuration,
+    /// The violations; empty for a valid configuration.
+    pub violations: ValidationErrors,
+}
+
+/// Parses a complete configuration and validates the meaning of its values.
 ///
 /// # Errors
 ///
-/// If values have wrong types, only these are reported. The meaning of values is validated once all types are right.
-pub(crate) fn parse_configuration(bytes: &[u8]) -> Result<Configuration, ValidationErrors> {
+/// If the bytes can't be parsed, or if values have wrong types. The meaning of values is not validated then.
+pub(crate) fn parse_configuration(bytes: &[u8]) -> Result<ParsedConfiguration, ValidationErrors> {
     let document = JsonDocument::from_bytes(bytes)?;
     let mut parser = Parser::default();
     let configuration = parser.configuration(document);
-    parser.errors.into_result(configuration)
+    Ok(ParsedConfiguration { configuration, violations: parser.errors })
 }
 
 /// The kind of service that a label identifies.
@@ -37,8 +45,7 @@
     Store,
 }
 
-/// Converts the JSON form to the typed form and collects validation errors. If there are errors, the converted values
-/// must not be used.
+/// Converts the JSON form to the typed form and collects validation errors.
 #[derive(Default)]
 struct Parser {
     errors: ValidationErrors,
--- a/crates/configuration/src/parse/routes.rs
+++ b/crates/configuration/src/parse/routes.rs
@@ -111,10 +111,10 @@
 
     fn service_weight(&mut self, item: ItemPath, index: usize, json: JsonServiceWeight) -> ServiceWeight {
         let path = |name: &str| item.field(&format!("{SHARES}[{index}].{name}"));
-        let service = self.required(json.backend, || path(BACKEND));
-        if !service.is_empty() {
-            self.check_routable(&service, || path(BACKEND));
+        if let Some(service) = &json.backend {
+            self.check_routable(service, || path(BACKEND));
         }
+        let service = self.required(json.backend, || path(BACKEND));
         let weight = self.required(json.share, || path(SHARE));
         if !(weight.is_finite() && weight >= 0.0) {
             self.errors.add(path(SHARE), ValidationErrorKind::InvalidWeight);
--- a/crates/configuration/src/patch/mod.rs
+++ b/crates/configuration/src/patch/mod.rs
@@ -65,6 +65,16 @@
         parser::parse_patch(bytes)
     }
 
+    /// Parses a patch that was accepted earlier, without validating its form: the version that accepted it may have
+    /// validated less. A new patch is parsed with [`Patch::parse`].
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are not a JSON object.
+    pub(crate) fn restore(bytes: &[u8]) -> Result<Patch, ValidationErrors> {
+        parser::restore_patch(bytes)
+    }
+
     /// The revision of the resulting document.
     #[must_use]
     pub fn revision(&self) -> Revision {
@@ -80,9 +90,20 @@
     ///
     /// The validation errors of the resulting document.
     pub fn apply(&self, patch: &Patch) -> Result<Document, ValidationErrors> {
-        let bytes =
-            patched_text(self.text(), patch).map_err(|error| ValidationErrors::unreadable(&error))?;
-        Document::parse(&bytes)
+        Document::parse(&self.patched_text(patch)?)
+    }
+
+    /// Applies a patch that was accepted earlier, like [`Document::apply`] but without validating the result.
+    ///
+    /// # Errors
+    ///
+    /// If the resulting document can't be parsed.
+    pub(crate) fn apply_accepted(&self, patch: &Patch) -> Result<Document, ValidationErrors> {
+        Document::restore(&self.patched_text(patch)?)
+    }
+
+    fn patched_text(&self, patch: &Patch) -> Result<Vec<u8>, ValidationErrors> {
+        patched_text(self.text(), patch).map_err(|error| ValidationErrors::unreadable(&error))
     }
 }
 
--- a/crates/configuration/src/patch/parser.rs
+++ b/crates/configuration/src/patch/parser.rs
@@ -26,13 +26,15 @@
 
 /// Parses a patch and validates its form.
 pub(super) fn parse_patch(bytes: &[u8]) -> Result<Patch, ValidationErrors> {
-    let fields: RawFields<'_> =
-        serde_json::from_slice(bytes).map_err(|error| ValidationErrors::unreadable(&error))?;
-    let mut parser = PatchParser::default();
-    parser.parse(&fields);
+    let parser = PatchParser::read(bytes)?;
     parser.errors.into_result(parser.patch)
 }
 
+/// Parses a patch without validating its form.
+pub(super) fn restore_patch(bytes: &[u8]) -> Result<Patch, ValidationErrors> {
+    PatchParser::read(bytes).map(|parser| parser.patch)
+}
+
 /// Converts the JSON form of a patch and collects its errors.
 #[derive(Default)]
 struct PatchParser {
@@ -41,6 +43,15 @@
 }
 
 impl PatchParser {
+    /// Parses a patch. An error means that the bytes are not a JSON object; all other errors are in the parser.
+    fn read(bytes: &[u8]) -> Result<Self, ValidationErrors> {
+        let fields: RawFields<'_> =
+            serde_json::from_slice(bytes).map_err(|error| ValidationErrors::unreadable(&error))?;
+        let mut parser = PatchParser::default();
+        parser.parse(&fields);
+        Ok(parser)
+    }
+
     fn parse(&mut self, fields: &RawFields<'_>) {
         self.patch.revision = self.revision(fields);
         if let Some(text) = fields.get(CAPS) {
--- a/crates/configuration/tests/parse.rs
+++ b/crates/configuration/tests/parse.rs
@@ -140,6 +140,7 @@
     "routes[1].backend: there is no service 'gamma'")]
 #[case::unknown_service_in_shares("/routes/0/shares/1/backend", json!("gamma"),
     "routes[0].shares[1].backend: there is no service 'gamma'")]
+#[case::empty_service("/routes/1/backend", json!(""), "routes[1].backend: there is no service ''")]
 #[case::route_to_a_store("/routes/1/backend", json!("store"),
     "routes[1].backend: 'store' is a store of KV cache and takes no requests")]
 #[case::store_in_shares("/routes/0/shares/0/backend", json!("store"),
@@ -162,6 +163,17 @@
     assert_eq!(report_on(&sample_with(pointer, value)), report);
 }
 
+/// An empty name of a service in `shares` was accepted, and most requests on the route were answered 503.
+#[rstest]
+#[case::first(0, json!({"backend": "", "share": 90}))]
+#[case::last(1, json!({"backend": "", "share": 10}))]
+#[case::without_weight(1, json!({"backend": "", "share": 0}))]
+fn rejects_an_empty_service_in_shares(#[case] index: usize, #[case] share: Value) {
+    let document = sample_with(&format!("/routes/0/shares/{index}"), share);
+    let report = format!("routes[0].shares[{index}].backend: there is no service ''");
+    assert_eq!(report_on(&document), report);
+}
+
 #[test]
 fn rejects_weights_without_a_finite_sum() {
     let shares = json!([{"backend": "alpha", "share": 1e308}, {"backend": "beta", "share": 1e308}]);
--- a/crates/control-plane/src/state_machine/worker.rs
+++ b/crates/control-plane/src/state_machine/worker.rs
@@ -54,10 +54,14 @@
             }
             Job::Apply { sequence, command } => {
                 let applied = self.apply(&command)?;
+                if applied == Applied::Configuration {
+                    self.log_violations();
+                }
                 self.report_applied(sequence, Some(applied));
             }
             Job::Restore { sequence, snapshot } => {
                 self.state = State::restore(&snapshot)?;
+                self.log_violations();
                 self.report_applied(sequence, None);
             }
             Job::Snapshot { response } => {
@@ -86,6 +90,16 @@
         }
     }
 
+    /// Logs what is invalid in the configuration, if an earlier version accepted it under fewer rules.
+    fn log_violations(&self) {
+        let Some(document) = self.state.document().filter(|document| !document.violations().is_empty())
+        else {
+            return;
+        };
+        let (revision, violations) = (document.revision(), document.violations());
+        log::warn!(revision:% = revision, violations:% = violations; "the stored configuration is invalid");
+    }
+
     fn snapshot(&self) -> StateSnapshot {
         StateSnapshot { sequence: self.sequence, state: self.state.snapshot() }
     }
