Refuse a patch that sets another revision by upsert than it states

What callers would see: on revision 7, PATCH {"revision":3,"upsert":{"revision":9}} got 200 with {"revision":3}, though a revision that is not above the current one calls for a 4xx, and revision 9 was in force; with {"revision":9,"upsert":{"revision":8}} the answer named 9 and 8 was in force.

Cause: a field in `upsert` that is no list replaces the field of the document, `revision` too, and does so after the patch's own revision was set; the check then looked at the result alone. A patch that repeats its own revision in `upsert` stays valid.

--- a/crates/configuration/src/patch/parser.rs
+++ b/crates/configuration/src/patch/parser.rs
@@ -83,6 +83,9 @@
 
     /// Adds an upsert of a list, or a replacement of any other field.
     fn add_upsert(&mut self, field: &str, text: &RawValue) {
+        if field == REVISION {
+            self.check_upserted_revision(text);
+        }
         let is_list = text.get().starts_with('[');
         if !is_list && !KNOWN_LISTS.contains(&field) {
             self.add_replacement(field, text);
@@ -93,6 +96,16 @@
         self.patch.upserts.push(Upsert { list: field.to_owned(), items });
     }
 
+    /// Reports a revision in `upsert`, which would take effect instead of the patch's own, unless the two are equal.
+    fn check_upserted_revision(&mut self, text: &RawValue) {
+        let stated = self.patch.revision;
+        let upserted: Option<Revision> = serde_json::from_str(text.get()).ok();
+        if upserted != Some(stated) {
+            let path = format!("{UPSERT}.{REVISION}");
+            self.errors.add(path, ValidationErrorKind::RevisionMismatch { stated });
+        }
+    }
+
     /// The items of a list with their labels. Missing and duplicate labels are reported.
     fn labelled_items(&mut self, list: &str, items: Vec<&RawValue>) -> Vec<LabelledItem> {
         let mut first_index_by_label: HashMap<String, usize> = HashMap::new();
--- a/crates/configuration/src/validation_error.rs
+++ b/crates/configuration/src/validation_error.rs
@@ -91,6 +91,12 @@
         /// The current revision.
         current: Revision,
     },
+    /// A patch states one revision and sets another one by `upsert`.
+    #[snafu(display("is not the revision of the patch, {stated}"))]
+    RevisionMismatch {
+        /// The revision that the patch states.
+        stated: Revision,
+    },
     /// A patch was sent before any configuration.
     #[snafu(display("there is no configuration to change yet"))]
     NothingToPatch,
--- a/crates/configuration/tests/configuration_state.rs
+++ b/crates/configuration/tests/configuration_state.rs
@@ -71,6 +71,24 @@
     assert_eq!(outcome_of(&state.decide_put(if_match.map(Revision), &body(&document))), expected);
 }
 
+/// `upsert` could set a revision other than the one that the patch states and that its response names.
+#[rstest]
+#[case::stated_one_is_not_above(json!({"revision": 3, "upsert": {"revision": 9}}), 3)]
+#[case::both_are_above(json!({"revision": 9, "upsert": {"revision": 8}}), 9)]
+fn a_patch_cannot_set_another_revision_by_upsert(#[case] patch: Value, #[case] stated: u64) {
+    let Decision::Invalid(errors) = state_with_sample().decide_patch(Some(Revision(7)), &body(&patch))
+    else {
+        panic!("the patch was not rejected")
+    };
+    assert_eq!(errors.to_string(), format!("upsert.revision: is not the revision of the patch, {stated}"));
+}
+
+#[test]
+fn a_patch_may_repeat_its_revision_in_upsert() {
+    let patch = body(&json!({"revision": 9, "upsert": {"revision": 9}}));
+    assert_eq!(outcome_of(&state_with_sample().decide_patch(Some(Revision(7)), &patch)), "accept");
+}
+
 #[test]
 fn a_retried_request_is_recognised_in_any_layout() {
     let state = state_with_sample();
