Refuse a patch that gives a field twice

What callers would see: PATCH {"revision":9,"remove":{"routes":["r"]},"remove":{"routes":["s"]}} got 200, and only `s` was removed. `PUT` refuses a field that is given twice; a configuration that can't be read whole calls for a 4xx.

Cause: the fields of a patch went into a map in which the last one of a name replaced the others unseen, at the top level and in `upsert` and `remove`. The names that occur again are now kept and reported. Fields of a patch that have no effect may still be repeated.

--- a/crates/configuration/src/patch/mod.rs
+++ b/crates/configuration/src/patch/mod.rs
@@ -3,6 +3,7 @@
 //! Items are copied as the text that the operator sent, so that fields that the system doesn't know are preserved.
 
 mod parser;
+mod raw_fields;
 
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -10,15 +11,14 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use raw_fields::RawFields;
+
 use crate::document::Document;
 use crate::fields::REVISION;
 use crate::json::Object;
 use crate::number::Revision;
 use crate::validation_error::ValidationErrors;
 
-/// The fields of a JSON object by name, each as its JSON text.
-type RawFields<'a> = BTreeMap<Cow<'a, str>, &'a RawValue>;
-
 /// An operator's patch with a valid form. The items are validated when the patch is applied to a document.
 #[derive(Clone, Debug, Default)]
 pub struct Patch {
@@ -111,7 +111,7 @@
 fn patched_text(document: &[u8], patch: &Patch) -> Result<Vec<u8>, serde_json::Error> {
     let fields: RawFields<'_> = serde_json::from_slice(document)?;
     let mut merged: BTreeMap<&str, Cow<'_, RawValue>> = BTreeMap::new();
-    merged.extend(fields.iter().map(|(name, text)| (name.as_ref(), Cow::Borrowed(*text))));
+    merged.extend(fields.iter().map(|(name, text)| (name, Cow::Borrowed(text))));
     merged.insert(REVISION, Cow::Owned(to_raw_value(&patch.revision)?));
     for replacement in &patch.replacements {
         merged.insert(&replacement.field, Cow::Borrowed(&replacement.text));
--- a/crates/configuration/src/patch/parser.rs
+++ b/crates/configuration/src/patch/parser.rs
@@ -20,7 +20,10 @@
 /// JSON text of a null value.
 const NULL: &str = "null";
 
-/// Fields of a patch whose values must be lists. A field with another name is merged by label if its value is a list,
+/// All fields of a patch. Fields with other names have no effect.
+const PATCH_FIELDS: [&str; 4] = [REVISION, CAPS, UPSERT, REMOVE];
+
+/// Fields of `upsert` whose values must be lists. A field with another name is merged by label if its value is a list,
 /// and replaced otherwise.
 const KNOWN_LISTS: [&str; 3] = [ROUTES, SERVICES, TENANTS];
 
@@ -53,15 +56,18 @@
     }
 
     fn parse(&mut self, fields: &RawFields<'_>) {
+        for name in fields.repeated_names().filter(|name| PATCH_FIELDS.contains(name)) {
+            self.errors.add(name, ValidationErrorKind::RepeatedField);
+        }
         self.patch.revision = self.revision(fields);
         if let Some(text) = fields.get(CAPS) {
             self.add_replacement(CAPS, text);
         }
-        for (name, text) in self.object_fields(fields, UPSERT) {
-            self.add_upsert(&name, text);
+        for (name, text) in self.object_fields(fields, UPSERT).iter() {
+            self.add_upsert(name, text);
         }
-        for (name, text) in self.object_fields(fields, REMOVE) {
-            self.add_removal(&name, text);
+        for (name, text) in self.object_fields(fields, REMOVE).iter() {
+            self.add_removal(name, text);
         }
     }
 
@@ -73,12 +79,16 @@
         self.parse_value(text, || REVISION.to_owned())
     }
 
-    /// The fields of an object; empty if the object is missing or null.
+    /// The fields of an object, of which repeated ones are reported; empty if the object is missing or null.
     fn object_fields<'a>(&mut self, fields: &RawFields<'a>, name: &str) -> RawFields<'a> {
-        match fields.get(name) {
-            Some(text) if text.get() != NULL => self.parse_value(text, || name.to_owned()),
-            _ => RawFields::new(),
+        let Some(text) = fields.get(name).filter(|text| text.get() != NULL) else {
+            return RawFields::default();
+        };
+        let object: RawFields<'a> = self.parse_value(text, || name.to_owned());
+        for field in object.repeated_names() {
+            self.errors.add(format!("{name}.{field}"), ValidationErrorKind::RepeatedField);
         }
+        object
     }
 
     /// Adds an upsert of a list, or a replacement of any other field.
--- a/crates/configuration/src/validation_error.rs
+++ b/crates/configuration/src/validation_error.rs
@@ -40,6 +40,9 @@
     /// A required field is missing.
     #[snafu(display("is missing"))]
     Missing,
+    /// An object of a patch has two fields of this name, of which one would have no effect.
+    #[snafu(display("is given more than once"))]
+    RepeatedField,
     /// A label or host is empty.
     #[snafu(display("is empty"))]
     Empty,
--- a/crates/configuration/tests/patch.rs
+++ b/crates/configuration/tests/patch.rs
@@ -164,6 +164,25 @@
     assert!(Patch::parse(bytes).is_err());
 }
 
+/// Of two fields with one name the first one was dropped, and the patch was accepted as if all of it had been applied.
+#[rstest]
+#[case::revision(r#"{"revision":8,"revision":9}"#, "revision")]
+#[case::caps(r#"{"revision":9,"caps":{"quietMs":5},"caps":{"quietMs":6}}"#, "caps")]
+#[case::upsert(r#"{"revision":9,"upsert":{"routes":[]},"upsert":{"backends":[]}}"#, "upsert")]
+#[case::remove(r#"{"revision":9,"remove":{"routes":["r-first"]},"remove":{}}"#, "remove")]
+#[case::list_in_upsert(r#"{"revision":9,"upsert":{"routes":[],"routes":[]}}"#, "upsert.routes")]
+#[case::list_in_remove(r#"{"revision":9,"remove":{"routes":["r-first"],"routes":[]}}"#, "remove.routes")]
+#[case::escaped_name(r#"{"revision":9,"remove":{"routes":[],"route\u0073":[]}}"#, "remove.routes")]
+fn rejects_a_patch_with_a_repeated_field(#[case] patch: &str, #[case] path: &str) {
+    let errors = Patch::parse(patch.as_bytes()).expect_err("a field is given twice");
+    assert_eq!(errors.to_string(), format!("{path}: is given more than once"));
+}
+
+#[test]
+fn a_patch_may_repeat_fields_that_have_no_effect() {
+    assert!(Patch::parse(br#"{"revision":9,"remark":1,"remark":2}"#).is_ok());
+}
+
 #[rstest]
 #[case::service_in_use(json!({"revision": 9, "remove": {"backends": ["alpha"]}}),
     "routes[0].shares[0].backend: there is no service 'alpha'\n\
